Lay the build, the core types and the contracts between modules

Cause: eight parts are to be written side by side; they need one contract. Ruled out: one header per program and growing it together (would serialise the work). Change: CMake modules, core value types, public headers of wire, replication, decide, datacentre, fleet and net, house style for clang-format and clang-tidy. Conclusion: modules can start.

--- /dev/null
+++ b/cmake/Modules.cmake
@@ -0,0 +1,63 @@
+# Builds one module: a library from src/NAME, a test program from tests/NAME
+# and a benchmark program from bench/NAME, each where there are sources.
+# NETWORK marks modules that include Asio and Beast; they share one
+# precompiled header.
+function(tulipweir_module NAME)
+  cmake_parse_arguments(ARG "NETWORK" "" "DEPS" ${ARGN})
+  set(LINKS Threads::Threads)
+  foreach(DEP ${ARG_DEPS})
+    if(TARGET tulipweir_${DEP})
+      list(APPEND LINKS tulipweir_${DEP})
+    else()
+      list(APPEND LINKS ${DEP})
+    endif()
+  endforeach()
+  file(GLOB SOURCES CONFIGURE_DEPENDS src/${NAME}/*.cpp)
+  if(SOURCES)
+    add_library(tulipweir_${NAME} STATIC ${SOURCES})
+    target_link_libraries(tulipweir_${NAME} PUBLIC ${LINKS})
+    target_include_directories(tulipweir_${NAME}
+                               PRIVATE ${CMAKE_SOURCE_DIR}/src)
+    if(ARG_NETWORK AND TULIPWEIR_PCH)
+      target_compile_options(tulipweir_${NAME} PRIVATE -fpch-preprocess)
+      target_precompile_headers(tulipweir_${NAME} PRIVATE
+        <utility> <boost/asio.hpp> <boost/beast.hpp> <nlohmann/json.hpp>
+        <spdlog/spdlog.h>)
+    endif()
+  else()
+    add_library(tulipweir_${NAME} INTERFACE)
+    target_link_libraries(tulipweir_${NAME} INTERFACE ${LINKS})
+  endif()
+  file(GLOB TESTS CONFIGURE_DEPENDS tests/${NAME}/*.cpp)
+  if(TESTS)
+    add_executable(test_${NAME} ${TESTS})
+    target_include_directories(test_${NAME} PRIVATE
+      ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR}/tests)
+    target_link_libraries(test_${NAME} PRIVATE tulipweir_${NAME}
+                          GTest::gtest GTest::gtest_main GTest::gmock)
+    add_test(NAME ${NAME} COMMAND test_${NAME})
+  endif()
+  file(GLOB BENCHES CONFIGURE_DEPENDS bench/${NAME}/*.cpp)
+  if(BENCHES)
+    add_executable(bench_${NAME} ${BENCHES})
+    target_include_directories(bench_${NAME}
+                               PRIVATE ${CMAKE_SOURCE_DIR}/src)
+    target_link_libraries(bench_${NAME} PRIVATE tulipweir_${NAME}
+                          benchmark::benchmark benchmark::benchmark_main)
+  endif()
+endfunction()
+
+# Builds one program per file tools/tulipweir-NAME.cpp. Each is a short main;
+# its logic is in the modules and in tools/NAME/*.cpp.
+function(tulipweir_programs)
+  file(GLOB MAINS CONFIGURE_DEPENDS tools/tulipweir*.cpp)
+  foreach(MAIN ${MAINS})
+    get_filename_component(PROGRAM ${MAIN} NAME_WE)
+    string(REPLACE "tulipweir-" "" FOLDER ${PROGRAM})
+    file(GLOB PARTS CONFIGURE_DEPENDS tools/${FOLDER}/*.cpp)
+    add_executable(${PROGRAM} ${MAIN} ${PARTS})
+    target_include_directories(${PROGRAM} PRIVATE ${CMAKE_SOURCE_DIR}/tools)
+    target_link_libraries(${PROGRAM} PRIVATE tulipweir_ctl tulipweir_entry
+                          tulipweir_control)
+  endforeach()
+endfunction()
--- /dev/null
+++ b/include/tulipweir/datacentre/DataCentreState.h
@@ -0,0 +1,93 @@
+//===- DataCentreState.h - What a data centre's log builds -----*- C++ -*-===//
+//
+// Servers, jobs, tasks, placements and records of non-repeatable requests of
+// one data centre. Deterministic; no clock, lock or socket inside.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_DATACENTRE_DATACENTRESTATE_H
+#define TULIPWEIR_DATACENTRE_DATACENTRESTATE_H
+
+#include "tulipweir/datacentre/Commands.h"
+#include "tulipweir/datacentre/RequestRecords.h"
+
+#include <map>
+#include <set>
+#include <string_view>
+
+namespace tulipweir::datacentre {
+
+enum class TaskState : std::uint8_t {
+  Waiting,
+  Placed, ///< On Server_ under Attempt_; holds Reservation_.
+  Finished,
+  Failed, ///< MaxAttempts_ attempts failed.
+  Cancelled,
+};
+
+struct TaskRecord {
+  TaskState State_ = TaskState::Waiting;
+  AttemptNumber Attempt_; ///< The latest one; 0 before the first.
+  FencingToken Token_;
+  BackendServerId Server_;
+  BootId Boot_;
+  Resources Reservation_;
+  std::string Checkpoint_;
+  std::string Message_;        ///< Of the latest end.
+  std::uint32_t Failures_ = 0; ///< Attempts that ended as failed.
+  std::uint32_t Evictions_ = 0;
+  std::uint32_t Losses_ = 0;
+  bool operator==(const TaskRecord &) const = default;
+};
+
+struct JobRecord {
+  JobSpec Spec_;
+  std::uint64_t Assignment_ = 0;
+  bool Cancelling_ = false;
+  std::vector<TaskRecord> Tasks_;
+  std::uint32_t Ended_ = 0; ///< Tasks that are finished, failed or cancelled.
+  bool operator==(const JobRecord &) const = default;
+};
+
+struct ServerRecord {
+  RegisterServer Info_;
+  Resources Reserved_;
+  std::set<TaskId> Placed_;
+  bool operator==(const ServerRecord &) const = default;
+};
+
+class DataCentreState {
+public:
+  explicit DataCentreState(const RecordLimits &Limits) : Records_(Limits) {}
+
+  // Commands.
+
+  /// Applies one command. Term and Index are its place in the log.
+  CommandResult apply(const Command &Value, std::uint64_t Term,
+                      std::uint64_t Index);
+
+  // Queries.
+
+  const std::map<BackendServerId, ServerRecord> &servers() const {
+    return Servers_;
+  }
+  const std::map<JobId, JobRecord> &jobs() const { return Jobs_; }
+  const RequestRecords &records() const { return Records_; }
+  const TaskRecord *findTask(const TaskId &Task) const;
+
+  /// The whole state as msgpack, and back.
+  std::string encode() const;
+  static Outcome<DataCentreState> decode(std::string_view Bytes,
+                                         const RecordLimits &Limits);
+
+  bool operator==(const DataCentreState &) const = default;
+
+private:
+  std::map<BackendServerId, ServerRecord> Servers_;
+  std::map<JobId, JobRecord> Jobs_;
+  RequestRecords Records_;
+};
+
+} // namespace tulipweir::datacentre
+
+#endif // TULIPWEIR_DATACENTRE_DATACENTRESTATE_H
--- /dev/null
+++ b/include/tulipweir/datacentre/RequestRecords.h
@@ -0,0 +1,80 @@
+//===- RequestRecords.h - Non-repeatable requests, once each ---*- C++ -*-===//
+//
+// The records that make a non-repeatable request run at most once. Part of the
+// data centre's state; bounded by retention and by count.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_DATACENTRE_REQUESTRECORDS_H
+#define TULIPWEIR_DATACENTRE_REQUESTRECORDS_H
+
+#include "tulipweir/core/Error.h"
+#include "tulipweir/core/Ids.h"
+#include "tulipweir/wire/Messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace tulipweir::datacentre {
+
+struct RecordLimits {
+  std::uint64_t RetentionMs_ = 24ULL * 3600 * 1000;
+  /// Beyond this many records, new ones are refused as Unavailable: dropping
+  /// an old one early could let a request run twice.
+  std::uint64_t MaxRecords_ = 1'000'000;
+  std::uint64_t MaxAnswerBytes_ = 64 * 1024;
+  bool operator==(const RecordLimits &) const = default;
+};
+
+enum class RecordState : std::uint8_t { Begun, Served, Unknown, Abandoned };
+
+struct RequestRecord {
+  Digest Digest_;
+  RecordState State_ = RecordState::Begun;
+  std::uint64_t Attempt_ = 0;
+  EntryId Entry_;
+  std::uint64_t EntryIncarnation_ = 0;
+  std::uint64_t BegunWallMs_ = 0;
+  std::optional<wire::StoredAnswer> Answer_;
+  bool operator==(const RequestRecord &) const = default;
+};
+
+/// Deterministic; the time is the highest WallMs applied so far.
+class RequestRecords {
+public:
+  explicit RequestRecords(const RecordLimits &Limits) : Limits_(Limits) {}
+
+  /// Fails with Unavailable when full; otherwise says how the request stands.
+  Outcome<wire::BeginRequestReply> begin(const wire::BeginRequest &Request,
+                                         std::uint64_t WallMs);
+  /// True if it was recorded now or stands recorded the same already.
+  bool finish(const wire::FinishRequest &Request, std::uint64_t WallMs);
+  bool abandon(const wire::AbandonRequest &Request, std::uint64_t WallMs);
+  /// Turns what that process had begun into Unknown. Incarnation 0: all.
+  void endEntry(const EntryId &Entry, std::uint64_t Incarnation);
+
+  const std::map<RequestKey, RequestRecord> &records() const {
+    return Records_;
+  }
+  std::uint64_t wallMs() const { return WallMs_; }
+
+  std::string encode() const;
+  static Outcome<RequestRecords> decode(std::string_view Bytes,
+                                        const RecordLimits &Limits);
+  bool operator==(const RequestRecords &) const = default;
+
+private:
+  void advance(std::uint64_t WallMs);
+
+  RecordLimits Limits_;
+  std::uint64_t WallMs_ = 0;
+  std::map<RequestKey, RequestRecord> Records_;
+  std::set<std::pair<std::uint64_t, RequestKey>> ByBegin_;
+};
+
+} // namespace tulipweir::datacentre
+
+#endif // TULIPWEIR_DATACENTRE_REQUESTRECORDS_H
--- /dev/null
+++ b/include/tulipweir/replication/Replica.h
@@ -0,0 +1,130 @@
+//===- Replica.h - One member of a replicated log --------------*- C++ -*-===//
+//
+// Drives the pure log core with a clock, a data folder and a transport, on
+// threads of its own. One process holds one Replica for each group it is in.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_REPLICATION_REPLICA_H
+#define TULIPWEIR_REPLICATION_REPLICA_H
+
+#include "tulipweir/core/Error.h"
+#include "tulipweir/core/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tulipweir::replication {
+
+class StateMachine;
+
+/// A member of a group: a control process on a VM. Incarnation_ rises when its
+/// disk was lost, so that a lost disk never votes twice.
+struct MemberId {
+  std::string Name_;
+  std::uint64_t Incarnation_ = 0;
+  auto operator<=>(const MemberId &) const = default;
+};
+
+enum class MemberRole : std::uint8_t { Voter, Learner };
+
+struct Member {
+  MemberId Id_;
+  MemberRole Role_ = MemberRole::Voter;
+  auto operator<=>(const Member &) const = default;
+};
+
+/// Carries encoded messages to other members; may lose, repeat, reorder.
+/// Thread-safe and never blocking.
+class Transport {
+public:
+  virtual ~Transport() = default;
+  virtual void send(const std::string &ToName, std::string Message) = 0;
+};
+
+struct ReplicaSettings {
+  std::string Group_;  ///< "fleet" or a data centre's id.
+  std::string Name_;   ///< This member's name, unique in the group.
+  std::string Folder_; ///< Of this group alone; empty keeps it in memory.
+  /// Names of the first voters. Used only when the folder holds nothing; all
+  /// first voters are started with the same list.
+  std::vector<std::string> FirstVoters_;
+  Duration ElectionTimeout_ = std::chrono::milliseconds(500);
+  Duration HeartbeatInterval_ = std::chrono::milliseconds(100);
+  std::uint64_t SnapshotEvery_ = 10'000; ///< Entries between snapshots.
+  std::uint64_t Seed_ = 0;               ///< For election jitter.
+};
+
+/// The result of a committed and applied command.
+struct Applied {
+  std::uint64_t Term_ = 0;
+  std::uint64_t Index_ = 0;
+  std::string Result_;
+};
+
+struct ReplicaStatus {
+  MemberId Self_;
+  bool IsLeader_ = false;
+  std::string LeaderName_; ///< Empty when unknown.
+  std::uint64_t Term_ = 0;
+  std::uint64_t CommitIndex_ = 0;
+  std::uint64_t AppliedIndex_ = 0;
+  std::uint64_t LogBytes_ = 0;
+  std::uint64_t Syncs_ = 0;
+  TimePoint LeaderSince_{}; ///< When this replica last became leader.
+  std::vector<Member> Members_;
+  std::string Failure_; ///< Why this replica stopped, if it did.
+};
+
+/// Thread-safe. Callbacks run on the replica's own thread and must not block.
+class Replica {
+public:
+  using AppliedCallback = std::function<void(Outcome<Applied>)>;
+
+  /// Opens or creates the data folder and starts the replica's threads. The
+  /// references must outlive it.
+  static Outcome<std::unique_ptr<Replica>> open(const ReplicaSettings &Settings,
+                                                StateMachine &Machine,
+                                                Transport &Out,
+                                                const Clock &Time);
+  virtual ~Replica() = default;
+
+  /// Proposes a command. Done gets the result once it is committed and applied
+  /// here; NotLeader if it certainly was not taken; Timeout or Unavailable if
+  /// leadership was lost meanwhile and it may or may not be committed.
+  virtual void propose(std::string Command, AppliedCallback Done) = 0;
+
+  /// Hands in a message that Transport::send of another member was given.
+  virtual void receive(std::string Message) = 0;
+
+  /// Calls Done with success once this replica has confirmed, by a round to a
+  /// quorum begun after the call, that it leads and has applied everything
+  /// committed before the call.
+  virtual void confirmLeadership(std::function<void(Outcome<void>)> Done) = 0;
+
+  /// Whether no other leader can exist at Now: a quorum answered recently
+  /// enough. Checked directly before each lease renewal.
+  virtual bool holdsLeaderLease(TimePoint Now) const = 0;
+
+  virtual ReplicaStatus getStatus() const = 0;
+
+  /// Adds a learner, or promotes, demotes or removes a member, one change at a
+  /// time. Promotion waits until the learner has caught up.
+  virtual void addLearner(MemberId Id, std::function<void(Outcome<void>)>) = 0;
+  virtual void promote(MemberId Id, std::function<void(Outcome<void>)>) = 0;
+  virtual void remove(MemberId Id, std::function<void(Outcome<void>)>) = 0;
+
+  /// Hands leadership to the best other voter, if this one leads.
+  virtual void transferLeadership(std::function<void(Outcome<void>)>) = 0;
+
+  /// Syncs, ends the threads; no callback runs afterwards.
+  virtual void stop() = 0;
+};
+
+} // namespace tulipweir::replication
+
+#endif // TULIPWEIR_REPLICATION_REPLICA_H
--- /dev/null
+++ b/include/tulipweir/wire/MessageKind.h
@@ -0,0 +1,29 @@
+//===- MessageKind.h - Kinds of messages between processes -----*- C++ -*-===//
+//
+// The kind travels in each frame's header and says how the body is read.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_WIRE_MESSAGEKIND_H
+#define TULIPWEIR_WIRE_MESSAGEKIND_H
+
+#include <cstdint>
+
+namespace tulipweir::wire {
+
+/// Numbers are part of the protocol: never reused, only added.
+enum class MessageKind : std::uint16_t {
+  Replication = 1,    ///< One-way: replication traffic between replicas.
+  EntryReport = 2,    ///< Entry to its data centre's leader, periodic.
+  Announcement = 3,   ///< A backend server's heartbeat, passed on by an entry.
+  BeginRequest = 4,   ///< Before a non-repeatable request is sent.
+  FinishRequest = 5,  ///< Its answer, to be recorded.
+  AbandonRequest = 6, ///< It was given up before the first byte was sent.
+  OperatorCall = 7,   ///< An operator's HTTP call, passed on by an entry.
+  FleetCommand = 8,   ///< Control to the fleet log's leader: a proposal.
+  AnnouncementBatch = 9, ///< Several announcements in one frame.
+};
+
+} // namespace tulipweir::wire
+
+#endif // TULIPWEIR_WIRE_MESSAGEKIND_H
