--- /dev/null
+++ b/src/control/DecisionJson.h
@@ -0,0 +1,21 @@
+//===- DecisionJson.h - Decisions as operators see them --------*- C++ -*-===//
+//
+// One decision as JSON: for the stream, explain and the dump alike.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_CONTROL_DECISIONJSON_H
+#define TULIPWEIR_SRC_CONTROL_DECISIONJSON_H
+
+#include "control/DecisionStream.h"
+#include "control/JsonFields.h"
+
+namespace tulipweir::control {
+
+Json makeDecisionJson(const decide::Decision &Value);
+Json makeStreamJson(const DecisionStream::Batch &Batch,
+                    std::uint64_t LastSequence);
+
+} // namespace tulipweir::control
+
+#endif // TULIPWEIR_SRC_CONTROL_DECISIONJSON_H
--- /dev/null
+++ b/src/control/DecisionStream.h
@@ -0,0 +1,72 @@
+//===- DecisionStream.h - The latest decisions, to be watched --*- C++ -*-===//
+//
+// A bounded record of decisions in order. Readers ask for what is newer than a
+// sequence number and may wait for it.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_CONTROL_DECISIONSTREAM_H
+#define TULIPWEIR_SRC_CONTROL_DECISIONSTREAM_H
+
+#include "control/Executor.h"
+#include "tulipweir/core/Time.h"
+#include "tulipweir/decide/Decision.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace tulipweir::control {
+
+struct StreamedDecision {
+  std::uint64_t Sequence_ = 0;
+  WallTime At_{};
+  decide::Decision Decision_;
+  bool operator==(const StreamedDecision &) const = default;
+};
+
+/// Thread-safe.
+class DecisionStream {
+public:
+  using Batch = std::vector<StreamedDecision>;
+  using Reader = std::function<void(Batch)>;
+
+  DecisionStream(Executor &Timers, std::size_t Capacity);
+
+  /// Starts numbering anew for a leader's term. Sequences rise over all terms,
+  /// so that a reader who changes leaders misses nothing newer.
+  void beginTerm(std::uint64_t Term);
+  void append(decide::Decision Value, WallTime At);
+
+  /// Calls Done once with at most Limit decisions after Sequence, oldest
+  /// first: at once if there are any, else with the next or, empty, after Wait.
+  void read(std::uint64_t Sequence, std::size_t Limit, Duration Wait,
+            Reader Done);
+
+  std::uint64_t getLastSequence() const;
+
+private:
+  struct Waiter {
+    std::uint64_t Sequence_ = 0;
+    std::size_t Limit_ = 0;
+    Reader Done_;
+  };
+
+  Batch collect(std::uint64_t Sequence, std::size_t Limit) const;
+  void expire(std::uint64_t WaiterId);
+
+  Executor &Timers_;
+  const std::size_t Capacity_;
+  mutable std::mutex Mutex_;
+  std::deque<StreamedDecision> Entries_;
+  std::uint64_t Last_ = 0;
+  std::uint64_t NextWaiter_ = 0;
+  std::map<std::uint64_t, Waiter> Waiters_;
+};
+
+} // namespace tulipweir::control
+
+#endif // TULIPWEIR_SRC_CONTROL_DECISIONSTREAM_H
