Answer operators' calls about bundles

Cause: bundles are checked, proposed, signed and shown through any entry. Change: routes below /bundles against the fleet's machine, reports of all controls collected on demand for the status, roll-out time by the entries' reports, replacement refuses a stale incarnation. Measured: compiles; not run yet.

--- /dev/null
+++ b/src/control/BundleRoutes.h
@@ -0,0 +1,48 @@
+//===- BundleRoutes.h - Bundles: check, propose, sign, show ----*- C++ -*-===//
+//
+// The part of the operators' API below /bundles.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_CONTROL_BUNDLEROUTES_H
+#define TULIPWEIR_SRC_CONTROL_BUNDLEROUTES_H
+
+#include "control/FleetProposer.h"
+#include "control/FleetSurvey.h"
+#include "control/RouteTable.h"
+#include "tulipweir/fleet/FleetMachine.h"
+
+namespace tulipweir::control {
+
+/// Thread-safe.
+class BundleRoutes final : public RouteSet {
+public:
+  BundleRoutes(const fleet::FleetMachine &Fleet, FleetProposer &Proposer,
+               FleetSurvey &Survey, const Clock &Time);
+
+  RouteMatch handle(const wire::OperatorCall &Call,
+                    OperatorDone &Done) override;
+
+private:
+  void check(const RoutedCall &Call, OperatorDone Done);
+  void propose(const RoutedCall &Call, OperatorDone Done);
+  void sign(const RoutedCall &Call, OperatorDone Done);
+  void listHistory(const RoutedCall &Call, OperatorDone Done);
+  void showCurrent(const RoutedCall &Call, OperatorDone Done);
+  void showVersion(const RoutedCall &Call, OperatorDone Done);
+  void showStatus(const RoutedCall &Call, OperatorDone Done);
+  void showReport(const RoutedCall &Call, OperatorDone Done);
+  void showLimits(const RoutedCall &Call, OperatorDone Done);
+  void send(const fleet::Command &Command, OperatorDone Done);
+
+  static const RouteEntry<BundleRoutes> Table[];
+
+  const fleet::FleetMachine &Fleet_;
+  FleetProposer &Proposer_;
+  FleetSurvey &Survey_;
+  const Clock &Time_;
+};
+
+} // namespace tulipweir::control
+
+#endif // TULIPWEIR_SRC_CONTROL_BUNDLEROUTES_H
--- a/src/control/MemberRoutes.cpp
+++ b/src/control/MemberRoutes.cpp
@@ -223,10 +223,16 @@
 // the voters the others need one vote less. The new one votes only after it
 // holds the log.
 void MemberRoutes::removeOther(std::shared_ptr<Change> Work) {
-  const std::optional<MemberId> Earlier = findEarlier(*Work->Group_, Work->Id_);
-  if (!Earlier)
+  const std::optional<MemberId> Other = findOther(*Work->Group_, Work->Id_);
+  if (!Other)
     return addNew(std::move(Work));
-  Work->Group_->remove(*Earlier, [this, Work](Outcome<void> Result) {
+  if (Other->Incarnation_ > Work->Id_.Incarnation_)
+    return finish(Work,
+                  fail(ErrorCode::Conflict,
+                       "incarnation " + std::to_string(Other->Incarnation_) +
+                           " of it is a member already; leave the "
+                           "incarnation out to replace by the newest"));
+  Work->Group_->remove(*Other, [this, Work](Outcome<void> Result) {
     if (Result || Result.error().Code_ == ErrorCode::NotFound)
       return Timers_.post([this, Work] { removeOther(Work); });
     finish(Work, std::move(Result));
