--- a/include/tulipweir/fleet/Bundle.h
+++ b/include/tulipweir/fleet/Bundle.h
@@ -15,6 +15,7 @@
 #include "tulipweir/core/Time.h"
 #include "tulipweir/decide/Policy.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -66,6 +67,10 @@
   bool operator==(const Bundle &) const = default;
 };
 
+/// A longer text is refused before it is read. 190 teams and 100 services take
+/// under a quarter of it.
+inline constexpr std::size_t MaxBundleBytes = 256 * 1024;
+
 /// One thing wrong with a bundle's text.
 struct BundleProblem {
   std::string Place_; ///< A JSON pointer, or "line:column" for syntax.
--- /dev/null
+++ b/include/tulipweir/fleet/BundleBook.h
@@ -0,0 +1,92 @@
+//===- BundleBook.h - Proposals, sign-offs and the one in force -*- C++ -*-===//
+//
+// The bundle part of the fleet's state. A bundle is accepted once k operators
+// named by the bundle in force have signed it, and only while its parent is
+// the one in force; so of two with equal version numbers exactly one wins, and
+// versions never fall. Deterministic.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_FLEET_BUNDLEBOOK_H
+#define TULIPWEIR_FLEET_BUNDLEBOOK_H
+
+#include "tulipweir/fleet/Bundle.h"
+#include "tulipweir/fleet/BundleHistory.h"
+#include "tulipweir/fleet/Commands.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tulipweir::fleet {
+
+/// A checked proposal that lacks sign-offs. Its parent is in force.
+struct ProposedBundle {
+  BundleVersion Version_;
+  std::string Text_;
+  std::vector<SignOff> SignOffs_; ///< Verified; the proposer's first.
+  std::uint64_t Sequence_ = 0;    ///< Orders proposals by age.
+  bool operator==(const ProposedBundle &) const = default;
+};
+
+/// A proposal that can no longer be accepted, kept so that its signers are
+/// told which one won.
+struct SupersededBundle {
+  Digest Digest_;
+  BundleVersion Version_;
+  bool operator==(const SupersededBundle &) const = default;
+};
+
+/// Not thread-safe.
+class BundleBook {
+public:
+  /// Waiting proposals of one operator; the oldest gives way to a new one.
+  static constexpr std::size_t ProposalsPerOperator = 4;
+  static constexpr std::size_t SupersededKept = 1000;
+
+  // Commands.
+
+  CommandResult propose(const ProposeBundle &Value);
+  CommandResult sign(const SignBundle &Value);
+
+  // Queries.
+
+  const BundleHistory &history() const { return History_; }
+  const std::map<Digest, ProposedBundle> &proposals() const {
+    return Proposals_;
+  }
+  const std::deque<SupersededBundle> &superseded() const { return Superseded_; }
+  /// The bundle in force; a default one before the first.
+  const Bundle &inForce() const { return InForce_; }
+  bool operator==(const BundleBook &) const = default;
+
+  /// From a snapshot; Malformed if the parts do not fit each other.
+  static Outcome<BundleBook> restore(BundleHistory History,
+                                     std::map<Digest, ProposedBundle> Proposals,
+                                     std::deque<SupersededBundle> Superseded,
+                                     std::uint64_t NextSequence);
+  std::uint64_t nextSequence() const { return NextSequence_; }
+
+private:
+  const Bundle &findSigners(const Bundle &Proposed) const;
+  CommandResult addSignOff(const Digest &Value, ProposedBundle &Proposal,
+                           const SignOff &Added, std::uint64_t WallMs);
+  CommandResult makeLost(BundleVersion Version) const;
+  CommandResult accept(const Digest &Value, Bundle Accepted,
+                       std::uint64_t WallMs);
+  void supersede(const Digest &Value);
+  void makeRoomFor(const OperatorId &Proposer);
+
+  BundleHistory History_;
+  std::map<Digest, ProposedBundle> Proposals_;
+  std::deque<SupersededBundle> Superseded_;
+  Bundle InForce_;
+  std::uint64_t NextSequence_ = 0;
+};
+
+} // namespace tulipweir::fleet
+
+#endif // TULIPWEIR_FLEET_BUNDLEBOOK_H
--- /dev/null
+++ b/include/tulipweir/fleet/FleetState.h
@@ -0,0 +1,41 @@
+//===- FleetState.h - What the fleet's log builds --------------*- C++ -*-===//
+//
+// Bundles and batch jobs of all data centres. Deterministic; no clock, lock or
+// socket inside. Encoding is in FleetCodec.h.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_FLEET_FLEETSTATE_H
+#define TULIPWEIR_FLEET_FLEETSTATE_H
+
+#include "tulipweir/fleet/BundleBook.h"
+#include "tulipweir/fleet/Commands.h"
+#include "tulipweir/fleet/JobBook.h"
+
+#include <utility>
+
+namespace tulipweir::fleet {
+
+/// Not thread-safe.
+class FleetState {
+public:
+  FleetState() = default;
+  /// From a snapshot.
+  FleetState(BundleBook Bundles, JobBook Jobs)
+      : Bundles_(std::move(Bundles)), Jobs_(std::move(Jobs)) {}
+
+  /// Applies one command. A refused one changes nothing.
+  CommandResult apply(const Command &Value);
+
+  const BundleBook &bundles() const { return Bundles_; }
+  const JobBook &jobs() const { return Jobs_; }
+  bool operator==(const FleetState &) const = default;
+
+private:
+  BundleBook Bundles_;
+  JobBook Jobs_;
+};
+
+} // namespace tulipweir::fleet
+
+#endif // TULIPWEIR_FLEET_FLEETSTATE_H
--- /dev/null
+++ b/include/tulipweir/fleet/JobBook.h
@@ -0,0 +1,94 @@
+//===- JobBook.h - Batch jobs and which data centre holds them -*- C++ -*-===//
+//
+// The job part of the fleet's state. A job is held by one data centre at a
+// time, under an assignment number that rises with each assignment of the
+// job. Deterministic; when an assignment's lease has run out is decided
+// outside, by JobAssigner.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_FLEET_JOBBOOK_H
+#define TULIPWEIR_FLEET_JOBBOOK_H
+
+#include "tulipweir/core/Ids.h"
+#include "tulipweir/fleet/Commands.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace tulipweir::fleet {
+
+struct FleetJob {
+  TeamId Team_;
+  std::string Spec_;  ///< Empty for an ended job whose spec was long.
+  Digest SpecDigest_; ///< Tells a resent job from another of that name.
+  DataCentreId Preferred_;
+  std::uint64_t SubmittedWallMs_ = 0;
+  std::uint64_t Assignment_ = 0; ///< The latest one; 0 before the first.
+  DataCentreId DataCentre_;      ///< Empty while nobody holds it.
+  bool Cancelling_ = false;
+  std::string Progress_; ///< From the latest release.
+  std::optional<JobEnd> End_;
+  std::string Message_; ///< Of the end.
+  std::uint64_t EndedWallMs_ = 0;
+  bool operator==(const FleetJob &) const = default;
+};
+
+/// Not thread-safe.
+class JobBook {
+public:
+  /// Ended jobs that are kept: over a day at 8,000 a day. A job resent after
+  /// that counts as new.
+  static constexpr std::size_t EndedKept = 10'000;
+  /// Jobs that have not ended; beyond it new ones are refused.
+  static constexpr std::size_t MaxOpen = 100'000;
+  static constexpr std::size_t MaxSpecBytes = 64 * 1024;
+  /// Longer specs of ended jobs are dropped.
+  static constexpr std::size_t MaxEndedSpecBytes = 2048;
+  static constexpr std::size_t MaxProgressBytes = 1024 * 1024;
+  static constexpr std::size_t MaxNameBytes = 128;
+
+  // Commands.
+
+  CommandResult submit(const SubmitJob &Value);
+  CommandResult assign(const AssignJob &Value);
+  CommandResult release(const ReleaseJob &Value);
+  CommandResult cancel(const CancelJob &Value);
+  CommandResult end(const EndJob &Value);
+
+  // Queries.
+
+  const std::map<JobId, FleetJob> &jobs() const { return Jobs_; }
+  const FleetJob *find(const JobId &Job) const;
+  /// Open jobs that nobody holds.
+  const std::set<JobId> &unassigned() const { return Unassigned_; }
+  /// Open jobs by the data centre that holds them.
+  const std::map<DataCentreId, std::set<JobId>> &held() const { return Held_; }
+  /// Ended jobs, the earliest end first.
+  const std::deque<JobId> &ended() const { return Ended_; }
+  std::size_t countOpen() const { return Jobs_.size() - Ended_.size(); }
+  bool operator==(const JobBook &) const = default;
+
+  /// From a snapshot; the sets are built from the jobs.
+  static JobBook restore(std::map<JobId, FleetJob> Jobs,
+                         std::deque<JobId> Ended);
+
+private:
+  void finish(const JobId &Job, FleetJob &Record, JobEnd End,
+              std::string Message, std::uint64_t WallMs);
+  void giveBack(const JobId &Job, FleetJob &Record);
+
+  std::map<JobId, FleetJob> Jobs_;
+  std::set<JobId> Unassigned_;
+  std::map<DataCentreId, std::set<JobId>> Held_;
+  std::deque<JobId> Ended_;
+};
+
+} // namespace tulipweir::fleet
+
+#endif // TULIPWEIR_FLEET_JOBBOOK_H
--- /dev/null
+++ b/src/fleet/BundleBook.cpp
@@ -0,0 +1,250 @@
+//===- BundleBook.cpp - Proposals, sign-offs and the one in force ---------===//
+
+#include "tulipweir/fleet/BundleBook.h"
+#include "Results.h"
+#include "tulipweir/fleet/Signing.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+
+static constexpr std::size_t ProblemsShown = 5;
+
+static CommandResult about(CommandResult Result, BundleVersion Version,
+                           const Digest &Value) {
+  Result.Version_ = Version;
+  Result.Digest_ = Value;
+  return Result;
+}
+
+static std::string showVersion(BundleVersion Version) {
+  return "version " + std::to_string(Version.value());
+}
+
+static CommandResult refuseText(const std::vector<BundleProblem> &Problems) {
+  std::string Message = "the bundle has " + std::to_string(Problems.size()) +
+                        " problem(s); 'tulipweirctl bundle check' shows all:";
+  for (std::size_t I = 0; I < Problems.size() && I < ProblemsShown; ++I)
+    Message += "\n" + Problems[I].Place_ + " " + Problems[I].Text_;
+  return refuse(ErrorCode::InvalidArgument, std::move(Message));
+}
+
+static CommandResult makeAlreadyAccepted(const AcceptedBundle &Accepted,
+                                         BundleVersion InForce) {
+  std::string Message = "already accepted";
+  if (Accepted.Version_ < InForce)
+    Message += "; " + showVersion(InForce) + " followed it and is in force";
+  CommandResult Result = refuse(ErrorCode::AlreadyExists, std::move(Message));
+  Result.Accepted_ = true;
+  return about(std::move(Result), Accepted.Version_, Accepted.Digest_);
+}
+
+static std::string showSigners(const std::vector<OperatorId> &Signers) {
+  std::string Text;
+  for (const OperatorId &Signer : Signers)
+    Text += (Text.empty() ? "" : ", ") + Signer.value();
+  return Text;
+}
+
+static const OperatorKey *findKey(const Bundle &Signers,
+                                  const OperatorId &Operator) {
+  const auto Found =
+      std::ranges::find(Signers.Operators_, Operator, &OperatorKey::Operator_);
+  return Found == Signers.Operators_.end() ? nullptr : &*Found;
+}
+
+/// An empty message means that the sign-off holds.
+static std::string findFault(const Bundle &Signers, const Digest &Value,
+                             const SignOff &Added) {
+  const OperatorKey *Key = findKey(Signers, Added.Operator_);
+  if (!Key)
+    return "'" + Added.Operator_.value() +
+           "' is not an operator of the bundle that decides";
+  if (!verifyDigest(Value, Key->PublicKey_, Added.Signature_))
+    return "the signature does not fit the key of '" + Added.Operator_.value() +
+           "' and this digest; sign the file as it is proposed, byte for byte";
+  return "";
+}
+
+/// Operators may have left the list since they signed? No: a new list drops
+/// every proposal. So all kept sign-offs count, each operator once.
+static bool hasSigned(const ProposedBundle &Proposal,
+                      const OperatorId &Operator) {
+  return std::ranges::find(Proposal.SignOffs_, Operator, &SignOff::Operator_) !=
+         Proposal.SignOffs_.end();
+}
+
+static Bundle readChecked(std::string_view Text) {
+  BundleCheck Check = checkBundle(Text);
+  assert(Check.Bundle_.size() == 1 && "a kept text was checked before");
+  return std::move(Check.Bundle_.front());
+}
+
+const Bundle &BundleBook::findSigners(const Bundle &Proposed) const {
+  return History_.latest() ? InForce_ : Proposed;
+}
+
+CommandResult BundleBook::makeLost(BundleVersion Version) const {
+  const AcceptedBundle *Latest = History_.latest();
+  if (!Latest)
+    return refuse(ErrorCode::Conflict,
+                  "no bundle is in force yet; the first one has parentVersion "
+                  "0 and parentDigest \"\"");
+  const auto Same = History_.findVersion(Version);
+  const AcceptedBundle &Winner = Same ? *Same : *Latest;
+  std::string Message = showVersion(Winner.Version_) + " was accepted with " +
+                        "digest " + Winner.Digest_.value();
+  if (!Winner.SignedBy_.empty())
+    Message += ", signed by " + showSigners(Winner.SignedBy_);
+  Message += "; in force is " + showVersion(Latest->Version_) + ", digest " +
+             Latest->Digest_.value() +
+             ": take that as the parent, raise the version, propose again";
+  return about(refuse(ErrorCode::Conflict, std::move(Message)), Winner.Version_,
+               Winner.Digest_);
+}
+
+CommandResult BundleBook::propose(const ProposeBundle &Value) {
+  BundleCheck Check = checkBundle(Value.Text_);
+  if (Check.Bundle_.empty())
+    return refuseText(Check.Problems_);
+  const Bundle &Proposed = Check.Bundle_.front();
+  const Digest Named = computeDigest(Value.Text_);
+  const auto Same = History_.findVersion(Proposed.Version_);
+  if (Same && Same->Digest_ == Named)
+    return makeAlreadyAccepted(*Same, InForce_.Version_);
+  const AcceptedBundle *Parent = History_.latest();
+  const Digest InForceDigest = Parent ? Parent->Digest_ : Digest();
+  if (Proposed.ParentVersion_ != InForce_.Version_ ||
+      Proposed.ParentDigest_ != InForceDigest)
+    return makeLost(Proposed.Version_);
+
+  const auto Fault = findFault(findSigners(Proposed), Named, Value.SignOff_);
+  if (!Fault.empty())
+    return about(refuse(ErrorCode::PermissionDenied, Fault), Proposed.Version_,
+                 Named);
+  if (!Proposals_.contains(Named)) {
+    makeRoomFor(Value.SignOff_.Operator_);
+    ProposedBundle Proposal;
+    Proposal.Version_ = Proposed.Version_;
+    Proposal.Text_ = Value.Text_;
+    Proposal.Sequence_ = NextSequence_++;
+    Proposals_.emplace(Named, std::move(Proposal));
+  }
+  return addSignOff(Named, Proposals_.at(Named), Value.SignOff_, Value.WallMs_);
+}
+
+CommandResult BundleBook::sign(const SignBundle &Value) {
+  if (const AcceptedBundle *Accepted = History_.findDigest(Value.Digest_))
+    return makeAlreadyAccepted(*Accepted, InForce_.Version_);
+  const auto Lost =
+      std::ranges::find(Superseded_, Value.Digest_, &SupersededBundle::Digest_);
+  if (Lost != Superseded_.end())
+    return makeLost(Lost->Version_);
+  const auto Found = Proposals_.find(Value.Digest_);
+  if (Found == Proposals_.end())
+    return refuse(ErrorCode::NotFound,
+                  "no proposal has digest " + Value.Digest_.value() +
+                      "; propose its file with 'tulipweirctl bundle propose'");
+  ProposedBundle &Proposal = Found->second;
+  const Bundle Proposed = readChecked(Proposal.Text_);
+  const auto Fault =
+      findFault(findSigners(Proposed), Value.Digest_, Value.SignOff_);
+  if (!Fault.empty())
+    return about(refuse(ErrorCode::PermissionDenied, Fault), Proposal.Version_,
+                 Value.Digest_);
+  return addSignOff(Value.Digest_, Proposal, Value.SignOff_, Value.WallMs_);
+}
+
+CommandResult BundleBook::addSignOff(const Digest &Value,
+                                     ProposedBundle &Proposal,
+                                     const SignOff &Added,
+                                     std::uint64_t WallMs) {
+  const BundleVersion Version = Proposal.Version_;
+  const bool Repeated = hasSigned(Proposal, Added.Operator_);
+  if (!Repeated)
+    Proposal.SignOffs_.push_back(Added);
+  Bundle Proposed = readChecked(Proposal.Text_);
+  const std::size_t Needed = findSigners(Proposed).SignOffsNeeded_;
+  if (Proposal.SignOffs_.size() >= Needed)
+    return accept(Value, std::move(Proposed), WallMs);
+  const auto Count = std::to_string(Proposal.SignOffs_.size()) + " of " +
+                     std::to_string(Needed) + " sign-offs";
+  if (Repeated)
+    return about(refuse(ErrorCode::AlreadyExists,
+                        "'" + Added.Operator_.value() +
+                            "' has signed this one already; it has " + Count),
+                 Version, Value);
+  return about(confirm("kept with " + Count +
+                       "; the others sign with 'tulipweirctl bundle sign " +
+                       Value.value() + "'"),
+               Version, Value);
+}
+
+CommandResult BundleBook::accept(const Digest &Value, Bundle Accepted,
+                                 std::uint64_t WallMs) {
+  auto Node = Proposals_.extract(Value);
+  AcceptedBundle Record;
+  Record.Version_ = Accepted.Version_;
+  Record.Digest_ = Value;
+  Record.ParentVersion_ = Accepted.ParentVersion_;
+  Record.Note_ = Accepted.Note_;
+  for (const SignOff &One : Node.mapped().SignOffs_)
+    Record.SignedBy_.push_back(One.Operator_);
+  Record.WallMs_ = WallMs;
+  Record.Text_ = std::move(Node.mapped().Text_);
+  History_.append(std::move(Record));
+  InForce_ = std::move(Accepted);
+  // Every other proposal has the former bundle as its parent.
+  while (!Proposals_.empty())
+    supersede(Proposals_.begin()->first);
+  CommandResult Result = confirm("accepted; rolling out to every process");
+  Result.Accepted_ = true;
+  return about(std::move(Result), InForce_.Version_, Value);
+}
+
+void BundleBook::supersede(const Digest &Value) {
+  auto Node = Proposals_.extract(Value);
+  Superseded_.push_back({Node.key(), Node.mapped().Version_});
+  if (Superseded_.size() > SupersededKept)
+    Superseded_.pop_front();
+}
+
+void BundleBook::makeRoomFor(const OperatorId &Proposer) {
+  std::size_t Count = 0;
+  auto Oldest = Proposals_.end();
+  for (auto One = Proposals_.begin(); One != Proposals_.end(); ++One) {
+    if (One->second.SignOffs_.front().Operator_ != Proposer)
+      continue;
+    ++Count;
+    if (Oldest == Proposals_.end() ||
+        One->second.Sequence_ < Oldest->second.Sequence_)
+      Oldest = One;
+  }
+  if (Count >= ProposalsPerOperator)
+    Proposals_.erase(Oldest);
+}
+
+Outcome<BundleBook> BundleBook::restore(
+    BundleHistory History, std::map<Digest, ProposedBundle> Proposals,
+    std::deque<SupersededBundle> Superseded, std::uint64_t NextSequence) {
+  BundleBook Book;
+  Book.History_ = std::move(History);
+  Book.Proposals_ = std::move(Proposals);
+  Book.Superseded_ = std::move(Superseded);
+  Book.NextSequence_ = NextSequence;
+  if (const AcceptedBundle *Latest = Book.History_.latest()) {
+    BundleCheck Check = checkBundle(Latest->Text_);
+    if (Check.Bundle_.empty())
+      return fail(ErrorCode::Malformed,
+                  "the snapshot's bundle in force does not pass the check");
+    Book.InForce_ = std::move(Check.Bundle_.front());
+  }
+  for (const auto &[Key, Proposal] : Book.Proposals_)
+    if (Proposal.SignOffs_.empty() ||
+        checkBundle(Proposal.Text_).Bundle_.empty())
+      return fail(ErrorCode::Malformed,
+                  "the snapshot's proposal " + Key.value() + " is not whole");
+  return Book;
+}
--- /dev/null
+++ b/src/fleet/BundleCheck.cpp
@@ -0,0 +1,306 @@
+//===- BundleCheck.cpp - Reads and checks a bundle's text -----------------===//
+
+#include "FieldReader.h"
+#include "JsonText.h"
+#include "tulipweir/fleet/Bundle.h"
+#include "tulipweir/fleet/Signing.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+using nlohmann::json;
+
+using Problems = std::vector<BundleProblem>;
+
+static constexpr std::size_t MaxNoteBytes = 1000;
+static constexpr std::size_t MaxOperators = 64;
+static constexpr std::size_t MaxServices = 1000;
+static constexpr std::size_t MaxCallers = 10'000;
+static constexpr std::size_t MaxTeams = 2000;
+static constexpr std::int64_t MaxVersion = 1'000'000'000'000;
+static constexpr std::size_t DigestLetters = 64;
+static constexpr std::size_t MaxProblems = 100;
+
+static constexpr std::int64_t SecondMs = 1000;
+static constexpr std::int64_t HourMs = 3600 * SecondMs;
+static constexpr std::int64_t MaxCpus = 1'000'000;
+static constexpr std::int64_t MaxMemory = 100'000'000;
+static constexpr std::int64_t MaxAccelerators = 10'000;
+
+/// Calls ReadOne for each entry with the entry's place.
+template <class Entry>
+static void readList(FieldReader &Reader, const std::string &Name, Need Needed,
+                     std::size_t MaxEntries, std::vector<Entry> &Target,
+                     Problems &Found, Entry (*ReadOne)(FieldReader &)) {
+  const json *List = Reader.findArray(Name, Needed, MaxEntries);
+  if (!List)
+    return;
+  for (std::size_t Index = 0; Index < List->size(); ++Index) {
+    const auto Place =
+        appendPointer(Reader.placeOf(Name), std::to_string(Index));
+    FieldReader EntryReader((*List)[Index], Place, Found);
+    Target.push_back(ReadOne(EntryReader));
+    EntryReader.refuseUnknown();
+  }
+}
+
+/// Notes each entry whose key an earlier entry of the list has. Empty keys
+/// were reported already.
+template <class Entry, class KeyOf>
+static void
+refuseRepeats(const std::string &Place, const std::vector<Entry> &Entries,
+              const std::string &What, KeyOf GetKey, Problems &Found) {
+  std::set<std::string> Seen;
+  for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
+    const std::string &Key = GetKey(Entries[Index]);
+    if (Key.empty() || Seen.insert(Key).second)
+      continue;
+    Found.push_back({appendPointer(Place, std::to_string(Index)),
+                     What + " '" + Key + "' stands twice in this list"});
+  }
+}
+
+static Resources readResources(FieldReader &Reader) {
+  Resources Amount;
+  Reader.readInteger("milliCpus", Amount.MilliCpus_, {0, MaxCpus});
+  Reader.readInteger("memoryMib", Amount.MemoryMib_, {0, MaxMemory});
+  Reader.readInteger("accelerators", Amount.Accelerators_,
+                     {0, MaxAccelerators});
+  return Amount;
+}
+
+static OperatorKey readOperator(FieldReader &Reader) {
+  OperatorKey Key;
+  std::string Name;
+  if (Reader.readName("operator", Name))
+    Key.Operator_ = OperatorId(Name);
+  Reader.readText("publicKey", Key.PublicKey_, Need::Required, DigestLetters);
+  if (!Key.PublicKey_.empty() && !isPublicKey(Key.PublicKey_))
+    Reader.addProblem("publicKey", "is no Ed25519 public key; 64 lower-case "
+                                   "hexadecimal digits as printed by "
+                                   "'tulipweirctl keygen' are allowed");
+  return Key;
+}
+
+static ServiceConfig readService(FieldReader &Reader) {
+  ServiceConfig Service;
+  std::string Name;
+  if (Reader.readName("service", Name))
+    Service.Service_ = ServiceId(Name);
+  Reader.readMillis("defaultDeadlineMs", Service.DefaultDeadline_, {1, HourMs});
+  Reader.readMillis("maxDeadlineMs", Service.MaxDeadline_, {1, HourMs});
+  Reader.readMillis("targetP99Ms", Service.TargetP99_, {1, HourMs});
+  Reader.readInteger("queueLimit", Service.QueueLimit_, {0, 100'000});
+  Reader.readInteger("maxBodyBytes", Service.MaxBodyBytes_, {0, 64LL << 20});
+  Reader.readSwitch("hedgingAllowed", Service.HedgingAllowed_);
+  return Service;
+}
+
+static void checkDeadlines(FieldReader &Reader, const ServiceConfig &Service) {
+  if (Service.DefaultDeadline_ > Service.MaxDeadline_)
+    Reader.addProblem("defaultDeadlineMs",
+                      "is longer than maxDeadlineMs; at most that is allowed");
+}
+
+static CallerLimit readCallerLimit(FieldReader &Reader) {
+  static constexpr double MaxRate = 10'000'000;
+  CallerLimit Limit;
+  std::string Name;
+  Reader.readText("caller", Name, Need::Required, 128);
+  Limit.Caller_ = CallerId(Name);
+  if (Name.empty())
+    Reader.addProblem("caller", "is empty; a caller's name is allowed, or "
+                                "\"*\" for every caller not named");
+  Reader.readNumber("requestsPerSecond", Limit.RequestsPerSecond_, {0, MaxRate},
+                    Need::Required);
+  Reader.readNumber("burst", Limit.Burst_, {0, MaxRate}, Need::Required);
+  return Limit;
+}
+
+static decide::TeamQuota readQuota(FieldReader &Reader) {
+  decide::TeamQuota Quota;
+  std::string Name;
+  if (Reader.readName("team", Name))
+    Quota.Team_ = TeamId(Name);
+  Quota.Limit_ = readResources(Reader);
+  return Quota;
+}
+
+static void readWeights(FieldReader &Reader, decide::Policy &Policy) {
+  Reader.readNumber("tailWeight", Policy.TailWeight_, {0, 100});
+  Reader.readNumber("throughputWeight", Policy.ThroughputWeight_, {0, 100});
+  Reader.readNumber("evictionWeight", Policy.EvictionWeight_, {0, 100});
+  const double Sum =
+      Policy.TailWeight_ + Policy.ThroughputWeight_ + Policy.EvictionWeight_;
+  if (Sum <= 0)
+    Reader.addProblem("tailWeight", "and the other two weights are all 0; at "
+                                    "least one above 0 is needed");
+}
+
+static decide::Policy readPolicy(FieldReader &Reader, Problems &Found) {
+  decide::Policy Policy;
+  readWeights(Reader, Policy);
+  Reader.readInteger("urgentPriority", Policy.UrgentPriority_, {1, 1'000'000});
+  Reader.readNumber("usageQuantile", Policy.UsageQuantile_, {0.5, 1});
+  Reader.readNumber("usageMargin", Policy.UsageMargin_, {0, 1});
+  Reader.readInteger("guardReports", Policy.GuardReports_, {1, 20});
+  Reader.readNumber("guardReleasePart", Policy.GuardReleasePart_, {0.1, 1});
+  Reader.readInteger("throttlePercent", Policy.ThrottlePercent_, {5, 95});
+  Reader.readInteger("quarantineJobs", Policy.QuarantineJobs_, {2, 20});
+  Reader.readMillis("quarantineMs", Policy.QuarantineTime_,
+                    {SecondMs, 24 * HourMs});
+  Reader.readMillis("ageingStepMs", Policy.AgeingStep_, {SecondMs, HourMs});
+  readList(Reader, "quotas", Need::Optional, MaxTeams, Policy.Quotas_, Found,
+           readQuota);
+  refuseRepeats(
+      Reader.placeOf("quotas"), Policy.Quotas_, "team",
+      [](const decide::TeamQuota &Quota) -> const std::string & {
+        return Quota.Team_.value();
+      },
+      Found);
+  return Policy;
+}
+
+static bool isDigest(std::string_view Text) {
+  return Text.size() == DigestLetters &&
+         Text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+static void readVersions(FieldReader &Reader, Bundle &Target) {
+  std::int64_t Version = 0;
+  std::int64_t Parent = 0;
+  std::string ParentDigest;
+  Reader.readInteger("version", Version, {1, MaxVersion}, Need::Required);
+  Reader.readInteger("parentVersion", Parent, {0, MaxVersion}, Need::Required);
+  Reader.readText("parentDigest", ParentDigest, Need::Required, DigestLetters);
+  if (Version > 0 && Version <= Parent)
+    Reader.addProblem("version",
+                      "is not above parentVersion; versions only rise");
+  if (Parent == 0 && !ParentDigest.empty())
+    Reader.addProblem("parentDigest", "is set, but parentVersion 0 means that "
+                                      "there is no parent; \"\" is allowed");
+  if (Parent > 0 && !isDigest(ParentDigest))
+    Reader.addProblem("parentDigest",
+                      "is no digest; the 64 hexadecimal digits shown by "
+                      "'tulipweirctl bundle current' are allowed");
+  Target.Version_ = BundleVersion(static_cast<std::uint64_t>(Version));
+  Target.ParentVersion_ = BundleVersion(static_cast<std::uint64_t>(Parent));
+  Target.ParentDigest_ = Digest(ParentDigest);
+}
+
+static void readOperators(FieldReader &Reader, Bundle &Target,
+                          Problems &Found) {
+  readList(Reader, "operators", Need::Required, MaxOperators, Target.Operators_,
+           Found, readOperator);
+  const auto Place = Reader.placeOf("operators");
+  refuseRepeats(
+      Place, Target.Operators_, "operator",
+      [](const OperatorKey &Key) -> const std::string & {
+        return Key.Operator_.value();
+      },
+      Found);
+  // One person under two names would count twice.
+  refuseRepeats(
+      Place, Target.Operators_, "public key",
+      [](const OperatorKey &Key) -> const std::string & {
+        return Key.PublicKey_;
+      },
+      Found);
+  Reader.readInteger("signOffsNeeded", Target.SignOffsNeeded_,
+                     {1, static_cast<std::int64_t>(MaxOperators)});
+  if (Target.SignOffsNeeded_ > Target.Operators_.size())
+    Reader.addProblem("signOffsNeeded",
+                      "is " + std::to_string(Target.SignOffsNeeded_) +
+                          ", but there are " +
+                          std::to_string(Target.Operators_.size()) +
+                          " operators; no bundle could follow this one");
+}
+
+static void readServices(FieldReader &Reader, Bundle &Target, Problems &Found) {
+  const json *List = Reader.findArray("services", Need::Required, MaxServices);
+  if (!List)
+    return;
+  for (std::size_t Index = 0; Index < List->size(); ++Index) {
+    const auto Place =
+        appendPointer(Reader.placeOf("services"), std::to_string(Index));
+    FieldReader Entry((*List)[Index], Place, Found);
+    ServiceConfig Service = readService(Entry);
+    checkDeadlines(Entry, Service);
+    if (const json *Share = Entry.findObject("share")) {
+      FieldReader ShareReader(*Share, Entry.placeOf("share"), Found);
+      Service.Share_ = readResources(ShareReader);
+      ShareReader.refuseUnknown();
+    }
+    Entry.refuseUnknown();
+    Target.Services_.push_back(std::move(Service));
+  }
+  refuseRepeats(
+      Reader.placeOf("services"), Target.Services_, "service",
+      [](const ServiceConfig &Service) -> const std::string & {
+        return Service.Service_.value();
+      },
+      Found);
+}
+
+static void readCallerLimits(FieldReader &Reader, Bundle &Target,
+                             Problems &Found) {
+  readList(Reader, "callerLimits", Need::Optional, MaxCallers,
+           Target.CallerLimits_, Found, readCallerLimit);
+  refuseRepeats(
+      Reader.placeOf("callerLimits"), Target.CallerLimits_, "caller",
+      [](const CallerLimit &Limit) -> const std::string & {
+        return Limit.Caller_.value();
+      },
+      Found);
+}
+
+static Bundle readBundle(FieldReader &Reader, Problems &Found) {
+  Bundle Target;
+  readVersions(Reader, Target);
+  Reader.readText("note", Target.Note_, Need::Required, MaxNoteBytes);
+  readOperators(Reader, Target, Found);
+  readServices(Reader, Target, Found);
+  readCallerLimits(Reader, Target, Found);
+  Reader.readNumber("retryBudget", Target.RetryBudget_, {0, 1});
+  Reader.readMillis("requestRetentionMs", Target.RequestRetention_,
+                    {60 * SecondMs, 30 * 24 * HourMs});
+  if (const json *Policy = Reader.findObject("policy")) {
+    FieldReader PolicyReader(*Policy, Reader.placeOf("policy"), Found);
+    Target.Policy_ = readPolicy(PolicyReader, Found);
+    PolicyReader.refuseUnknown();
+  }
+  for (const ServiceConfig &Service : Target.Services_)
+    Target.Policy_.Targets_.push_back({Service.Service_, Service.TargetP99_});
+  Reader.refuseUnknown();
+  return Target;
+}
+
+static void limitProblems(Problems &Found) {
+  if (Found.size() <= MaxProblems)
+    return;
+  const std::size_t Left = Found.size() - MaxProblems;
+  Found.resize(MaxProblems);
+  Found.push_back({"", std::to_string(Left) + " more problems"});
+}
+
+BundleCheck fleet::checkBundle(std::string_view Text) {
+  BundleCheck Check;
+  if (Text.size() > MaxBundleBytes) {
+    Check.Problems_.push_back(
+        {"1:1", "has " + std::to_string(Text.size()) + " bytes; at most " +
+                    std::to_string(MaxBundleBytes) + " are allowed"});
+    return Check;
+  }
+  const auto Value = readJsonText(Text, Check.Problems_);
+  if (!Value)
+    return Check;
+  FieldReader Reader(*Value, "", Check.Problems_);
+  Bundle Checked = readBundle(Reader, Check.Problems_);
+  limitProblems(Check.Problems_);
+  if (Check.Problems_.empty())
+    Check.Bundle_.push_back(std::move(Checked));
+  return Check;
+}
--- /dev/null
+++ b/src/fleet/BundleHistory.cpp
@@ -0,0 +1,86 @@
+//===- BundleHistory.cpp - Every bundle that was accepted -----------------===//
+
+#include "tulipweir/fleet/BundleHistory.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+
+static constexpr int HexBase = 16;
+
+static ArchivedBundle makeArchived(const AcceptedBundle &Full) {
+  ArchivedBundle Short;
+  Short.Version_ = Full.Version_.value();
+  Short.WallMs_ = Full.WallMs_;
+  const char *Next = Full.Digest_.value().data();
+  assert(Full.Digest_.value().size() == Short.Digest_.size() * 2);
+  for (std::uint8_t &Byte : Short.Digest_) {
+    std::from_chars(Next, Next + 2, Byte, HexBase);
+    Next += 2;
+  }
+  return Short;
+}
+
+static AcceptedBundle makeAccepted(const ArchivedBundle &Short) {
+  static constexpr char Digits[] = "0123456789abcdef";
+  AcceptedBundle Full;
+  Full.Version_ = BundleVersion(Short.Version_);
+  Full.WallMs_ = Short.WallMs_;
+  std::string Text;
+  for (const std::uint8_t Byte : Short.Digest_) {
+    Text += Digits[Byte / HexBase];
+    Text += Digits[Byte % HexBase];
+  }
+  Full.Digest_ = Digest(Text);
+  return Full;
+}
+
+void BundleHistory::append(AcceptedBundle Accepted) {
+  assert((!latest() || latest()->Version_ < Accepted.Version_) &&
+         "bundle versions only rise");
+  Recent_.push_back(std::move(Accepted));
+  if (Recent_.size() > TextsKept)
+    Recent_[Recent_.size() - 1 - TextsKept].Text_.clear();
+  if (Recent_.size() <= DetailsKept)
+    return;
+  Archive_.push_back(makeArchived(Recent_.front()));
+  Recent_.pop_front();
+}
+
+const AcceptedBundle *BundleHistory::latest() const {
+  return Recent_.empty() ? nullptr : &Recent_.back();
+}
+
+std::optional<AcceptedBundle>
+BundleHistory::findVersion(BundleVersion Version) const {
+  const auto Found =
+      std::ranges::lower_bound(Recent_, Version, {}, &AcceptedBundle::Version_);
+  if (Found != Recent_.end() && Found->Version_ == Version)
+    return *Found;
+  const auto Old = std::ranges::lower_bound(Archive_, Version.value(), {},
+                                            &ArchivedBundle::Version_);
+  if (Old != Archive_.end() && Old->Version_ == Version.value())
+    return makeAccepted(*Old);
+  return std::nullopt;
+}
+
+const AcceptedBundle *BundleHistory::findDigest(const Digest &Value) const {
+  const auto Found = std::find_if(
+      Recent_.rbegin(), Recent_.rend(),
+      [&](const AcceptedBundle &One) { return One.Digest_ == Value; });
+  return Found == Recent_.rend() ? nullptr : &*Found;
+}
+
+std::vector<AcceptedBundle> BundleHistory::list(std::size_t Limit) const {
+  std::vector<AcceptedBundle> Listed;
+  for (auto One = Recent_.rbegin();
+       One != Recent_.rend() && Listed.size() < Limit; ++One)
+    Listed.push_back(*One);
+  for (auto One = Archive_.rbegin();
+       One != Archive_.rend() && Listed.size() < Limit; ++One)
+    Listed.push_back(makeAccepted(*One));
+  return Listed;
+}
--- /dev/null
+++ b/src/fleet/FieldReader.h
@@ -0,0 +1,82 @@
+//===- FieldReader.h - Typed fields of one JSON object ---------*- C++ -*-===//
+//
+// Reads the fields of an object within their ranges, notes every problem with
+// its JSON pointer, and finally refuses fields that nobody asked for.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_FLEET_FIELDREADER_H
+#define TULIPWEIR_SRC_FLEET_FIELDREADER_H
+
+#include "tulipweir/fleet/Bundle.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tulipweir::fleet {
+
+enum class Need : std::uint8_t { Required, Optional };
+
+/// Both ends are allowed.
+template <class Number> struct Range {
+  Number Least_;
+  Number Most_;
+};
+
+/// Not thread-safe; the JSON value and the problems must outlive it.
+class FieldReader {
+public:
+  FieldReader(const nlohmann::json &Value, std::string Place,
+              std::vector<BundleProblem> &Problems);
+
+  /// A text of at most MaxBytes.
+  void readText(const std::string &Name, std::string &Target, Need Needed,
+                std::size_t MaxBytes);
+  /// A name: 1 to 64 letters, digits, '.', '_' or '-', the first a letter or
+  /// digit. Also says whether Target was set.
+  bool readName(const std::string &Name, std::string &Target);
+  void readNumber(const std::string &Name, double &Target,
+                  Range<double> Allowed, Need Needed = Need::Optional);
+  void readMillis(const std::string &Name, Duration &Target,
+                  Range<std::int64_t> Allowed);
+  void readSwitch(const std::string &Name, bool &Target);
+
+  template <class Integer>
+  void readInteger(const std::string &Name, Integer &Target,
+                   Range<std::int64_t> Allowed, Need Needed = Need::Optional) {
+    auto Wide = static_cast<std::int64_t>(Target);
+    readWide(Name, Wide, Allowed, Needed);
+    Target = static_cast<Integer>(Wide);
+  }
+
+  /// The value, or nullptr if it is absent or no array of that many entries.
+  const nlohmann::json *findArray(const std::string &Name, Need Needed,
+                                  std::size_t MaxEntries);
+  const nlohmann::json *findObject(const std::string &Name);
+
+  /// Notes each field that no read asked for.
+  void refuseUnknown();
+
+  void addProblem(const std::string &Name, std::string Text);
+  std::string placeOf(const std::string &Name) const;
+
+private:
+  const nlohmann::json *find(const std::string &Name, Need Needed);
+  void readWide(const std::string &Name, std::int64_t &Target,
+                Range<std::int64_t> Allowed, Need Needed);
+
+  const nlohmann::json &Value_;
+  std::string Place_;
+  std::vector<BundleProblem> &Problems_;
+  std::set<std::string> Asked_;
+};
+
+} // namespace tulipweir::fleet
+
+#endif // TULIPWEIR_SRC_FLEET_FIELDREADER_H
--- /dev/null
+++ b/src/fleet/HeldBundle.cpp
@@ -0,0 +1,63 @@
+//===- HeldBundle.cpp - The bundle that a process acts by -----------------===//
+
+#include "tulipweir/fleet/HeldBundle.h"
+
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+
+static Outcome<Bundle> readOffered(const wire::SignedBundle &Offered) {
+  if (computeDigest(Offered.Text_) != Offered.Digest_)
+    return fail(ErrorCode::Corrupt,
+                "the bundle's text does not fit its digest " +
+                    Offered.Digest_.value());
+  BundleCheck Check = checkBundle(Offered.Text_);
+  if (Check.Bundle_.empty())
+    return fail(ErrorCode::InvalidArgument, Check.Problems_.front().Place_ +
+                                                " " +
+                                                Check.Problems_.front().Text_);
+  if (Check.Bundle_.front().Version_ != Offered.Version_)
+    return fail(ErrorCode::Corrupt, "the bundle's text has another version");
+  return std::move(Check.Bundle_.front());
+}
+
+Outcome<bool> HeldBundle::adopt(const wire::SignedBundle &Offered) {
+  {
+    const std::lock_guard Lock(Mutex_);
+    if (Offered.Version_ < Version_)
+      return false;
+    if (Offered.Version_ == Version_ && Offered.Digest_ == Digest_)
+      return false;
+    if (Offered.Version_ == Version_)
+      return fail(ErrorCode::Conflict, "the version held has another digest");
+  }
+  auto Read = readOffered(Offered);
+  if (!Read)
+    return std::move(Read).as_failure();
+  auto Shared = std::make_shared<const Bundle>(std::move(Read.value()));
+
+  const std::lock_guard Lock(Mutex_);
+  // Another thread may have adopted a newer one meanwhile.
+  if (Offered.Version_ <= Version_)
+    return false;
+  Version_ = Offered.Version_;
+  Digest_ = Offered.Digest_;
+  Bundle_ = std::move(Shared);
+  return true;
+}
+
+BundleVersion HeldBundle::getVersion() const {
+  const std::lock_guard Lock(Mutex_);
+  return Version_;
+}
+
+Digest HeldBundle::getDigest() const {
+  const std::lock_guard Lock(Mutex_);
+  return Digest_;
+}
+
+std::shared_ptr<const Bundle> HeldBundle::getBundle() const {
+  const std::lock_guard Lock(Mutex_);
+  return Bundle_;
+}
--- /dev/null
+++ b/src/fleet/JobBook.cpp
@@ -0,0 +1,217 @@
+//===- JobBook.cpp - Batch jobs and which data centre holds them ----------===//
+
+#include "tulipweir/fleet/JobBook.h"
+#include "Results.h"
+#include "tulipweir/fleet/Bundle.h"
+
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+
+static CommandResult refuseUnknown(const JobId &Job) {
+  return refuse(ErrorCode::NotFound,
+                "no job '" + Job.value() +
+                    "'; ended ones are kept for the last " +
+                    std::to_string(JobBook::EndedKept) + " jobs");
+}
+
+static CommandResult withAssignment(CommandResult Result,
+                                    std::uint64_t Assignment) {
+  Result.Assignment_ = Assignment;
+  return Result;
+}
+
+static std::string showEnd(JobEnd End) {
+  static constexpr const char *Names[] = {"finished", "failed", "cancelled"};
+  return Names[static_cast<std::size_t>(End)];
+}
+
+static CommandResult refuseEnded(const FleetJob &Record) {
+  return refuse(ErrorCode::AlreadyExists,
+                "the job has ended already: " + showEnd(*Record.End_));
+}
+
+static CommandResult refuseStale(const FleetJob &Record,
+                                 std::uint64_t Claimed) {
+  std::string Message = "assignment " + std::to_string(Claimed) +
+                        " does not stand; the latest is " +
+                        std::to_string(Record.Assignment_);
+  Message += Record.DataCentre_.value().empty()
+                 ? ", given back"
+                 : ", held by '" + Record.DataCentre_.value() + "'";
+  return refuse(ErrorCode::StaleToken, std::move(Message));
+}
+
+static bool isHeldUnder(const FleetJob &Record, std::uint64_t Assignment) {
+  return !Record.DataCentre_.value().empty() &&
+         Record.Assignment_ == Assignment;
+}
+
+static bool isSame(const FleetJob &Record, const SubmitJob &Value) {
+  return Record.Team_ == Value.Team_ && Record.Preferred_ == Value.Preferred_ &&
+         Record.SpecDigest_ == computeDigest(Value.Spec_);
+}
+
+static std::string findFault(const SubmitJob &Value) {
+  const std::size_t NameBytes = Value.Job_.value().size();
+  if (NameBytes == 0 || NameBytes > JobBook::MaxNameBytes)
+    return "the job's name has " + std::to_string(NameBytes) +
+           " bytes; 1 to 128 are allowed";
+  if (Value.Spec_.size() > JobBook::MaxSpecBytes)
+    return "the job has " + std::to_string(Value.Spec_.size()) +
+           " bytes; at most 65536 are allowed";
+  return "";
+}
+
+const FleetJob *JobBook::find(const JobId &Job) const {
+  const auto Found = Jobs_.find(Job);
+  return Found == Jobs_.end() ? nullptr : &Found->second;
+}
+
+CommandResult JobBook::submit(const SubmitJob &Value) {
+  const std::string Fault = findFault(Value);
+  if (!Fault.empty())
+    return refuse(ErrorCode::InvalidArgument, Fault);
+  if (const FleetJob *Known = find(Value.Job_)) {
+    if (isSame(*Known, Value))
+      return refuse(ErrorCode::AlreadyExists, "submitted before, unchanged");
+    return refuse(ErrorCode::Conflict, "another job has the name '" +
+                                           Value.Job_.value() +
+                                           "'; choose a new name");
+  }
+  if (countOpen() >= MaxOpen)
+    return refuse(ErrorCode::Unavailable,
+                  std::to_string(MaxOpen) +
+                      " jobs are open; submit again once some have ended");
+  FleetJob Record;
+  Record.Team_ = Value.Team_;
+  Record.Spec_ = Value.Spec_;
+  Record.SpecDigest_ = computeDigest(Value.Spec_);
+  Record.Preferred_ = Value.Preferred_;
+  Record.SubmittedWallMs_ = Value.WallMs_;
+  Jobs_.emplace(Value.Job_, std::move(Record));
+  Unassigned_.insert(Value.Job_);
+  return confirm("submitted");
+}
+
+CommandResult JobBook::assign(const AssignJob &Value) {
+  const auto Found = Jobs_.find(Value.Job_);
+  if (Found == Jobs_.end())
+    return refuseUnknown(Value.Job_);
+  FleetJob &Record = Found->second;
+  if (Record.End_)
+    return refuseEnded(Record);
+  if (Value.DataCentre_.value().empty())
+    return refuse(ErrorCode::InvalidArgument, "no data centre is named");
+  if (!Record.DataCentre_.value().empty()) {
+    const bool Same = Record.DataCentre_ == Value.DataCentre_;
+    const auto Code = Same ? ErrorCode::AlreadyExists : ErrorCode::Conflict;
+    return withAssignment(
+        refuse(Code, "held by '" + Record.DataCentre_.value() + "'"),
+        Record.Assignment_);
+  }
+  Record.DataCentre_ = Value.DataCentre_;
+  ++Record.Assignment_;
+  Unassigned_.erase(Value.Job_);
+  Held_[Value.DataCentre_].insert(Value.Job_);
+  return withAssignment(confirm("assigned"), Record.Assignment_);
+}
+
+CommandResult JobBook::release(const ReleaseJob &Value) {
+  const auto Found = Jobs_.find(Value.Job_);
+  if (Found == Jobs_.end())
+    return refuseUnknown(Value.Job_);
+  FleetJob &Record = Found->second;
+  if (Record.End_)
+    return refuseEnded(Record);
+  if (!isHeldUnder(Record, Value.Assignment_)) {
+    const bool Repeated = Record.DataCentre_.value().empty() &&
+                          Record.Assignment_ == Value.Assignment_;
+    return Repeated ? refuse(ErrorCode::AlreadyExists, "given back before")
+                    : refuseStale(Record, Value.Assignment_);
+  }
+  if (Value.Progress_.size() > MaxProgressBytes)
+    return refuse(ErrorCode::TooLarge, "more than 1 MiB of progress");
+  if (!Value.Progress_.empty())
+    Record.Progress_ = Value.Progress_;
+  giveBack(Value.Job_, Record);
+  if (Record.Cancelling_)
+    finish(Value.Job_, Record, JobEnd::Cancelled, "cancelled", 0);
+  return confirm("given back");
+}
+
+CommandResult JobBook::cancel(const CancelJob &Value) {
+  const auto Found = Jobs_.find(Value.Job_);
+  if (Found == Jobs_.end())
+    return refuseUnknown(Value.Job_);
+  FleetJob &Record = Found->second;
+  if (Record.End_)
+    return refuseEnded(Record);
+  if (Record.DataCentre_.value().empty()) {
+    finish(Value.Job_, Record, JobEnd::Cancelled,
+           "cancelled before it was assigned", 0);
+    return confirm("cancelled");
+  }
+  if (Record.Cancelling_)
+    return refuse(ErrorCode::AlreadyExists, "it is being cancelled already");
+  Record.Cancelling_ = true;
+  return confirm("'" + Record.DataCentre_.value() + "' is told to cancel it");
+}
+
+CommandResult JobBook::end(const EndJob &Value) {
+  const auto Found = Jobs_.find(Value.Job_);
+  if (Found == Jobs_.end())
+    return refuseUnknown(Value.Job_);
+  FleetJob &Record = Found->second;
+  if (Record.End_)
+    return refuseEnded(Record);
+  if (!isHeldUnder(Record, Value.Assignment_))
+    return refuseStale(Record, Value.Assignment_);
+  giveBack(Value.Job_, Record);
+  finish(Value.Job_, Record, Value.End_, Value.Message_, Value.WallMs_);
+  return confirm("ended");
+}
+
+/// Nobody holds the job afterwards; it is open and unassigned.
+void JobBook::giveBack(const JobId &Job, FleetJob &Record) {
+  const auto Holder = Held_.find(Record.DataCentre_);
+  Holder->second.erase(Job);
+  if (Holder->second.empty())
+    Held_.erase(Holder);
+  Record.DataCentre_ = DataCentreId();
+  Unassigned_.insert(Job);
+}
+
+void JobBook::finish(const JobId &Job, FleetJob &Record, JobEnd End,
+                     std::string Message, std::uint64_t WallMs) {
+  Unassigned_.erase(Job);
+  Record.End_ = End;
+  Record.Message_ = std::move(Message);
+  Record.EndedWallMs_ = WallMs;
+  Record.Progress_.clear();
+  Record.Progress_.shrink_to_fit();
+  if (Record.Spec_.size() > MaxEndedSpecBytes)
+    Record.Spec_ = std::string();
+  Ended_.push_back(Job);
+  if (Ended_.size() <= EndedKept)
+    return;
+  Jobs_.erase(Ended_.front());
+  Ended_.pop_front();
+}
+
+JobBook JobBook::restore(std::map<JobId, FleetJob> Jobs,
+                         std::deque<JobId> Ended) {
+  JobBook Book;
+  Book.Jobs_ = std::move(Jobs);
+  Book.Ended_ = std::move(Ended);
+  for (const auto &[Job, Record] : Book.Jobs_) {
+    if (Record.End_)
+      continue;
+    if (Record.DataCentre_.value().empty())
+      Book.Unassigned_.insert(Job);
+    else
+      Book.Held_[Record.DataCentre_].insert(Job);
+  }
+  return Book;
+}
--- /dev/null
+++ b/src/fleet/JsonText.cpp
@@ -0,0 +1,156 @@
+//===- JsonText.cpp - Strict reading of JSON with comments ----------------===//
+
+#include "JsonText.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+using nlohmann::json;
+
+static constexpr std::size_t MaxNesting = 32;
+
+namespace {
+
+/// Follows the parser's events and notes keys that stand twice.
+class DuplicateFinder {
+public:
+  explicit DuplicateFinder(std::vector<BundleProblem> &Problems)
+      : Problems_(Problems) {}
+
+  bool onEvent(json::parse_event_t Event, const json &Parsed);
+
+private:
+  struct Level {
+    std::string Pointer_;
+    std::string Key_;
+    std::uint64_t Next_ = 0;
+    bool IsArray_ = false;
+    std::set<std::string> Keys_;
+  };
+
+  void enter(bool IsArray);
+  void noteKey(const std::string &Key);
+  std::string placeOfNext();
+
+  std::vector<BundleProblem> &Problems_;
+  std::vector<Level> Levels_;
+};
+
+} // namespace
+
+std::string DuplicateFinder::placeOfNext() {
+  if (Levels_.empty())
+    return "";
+  Level &Top = Levels_.back();
+  if (Top.IsArray_)
+    return appendPointer(Top.Pointer_, std::to_string(Top.Next_++));
+  return appendPointer(Top.Pointer_, Top.Key_);
+}
+
+void DuplicateFinder::enter(bool IsArray) {
+  Level Entered;
+  Entered.Pointer_ = placeOfNext();
+  Entered.IsArray_ = IsArray;
+  Levels_.push_back(std::move(Entered));
+}
+
+void DuplicateFinder::noteKey(const std::string &Key) {
+  Level &Top = Levels_.back();
+  Top.Key_ = Key;
+  if (!Top.Keys_.insert(Key).second)
+    Problems_.push_back({appendPointer(Top.Pointer_, Key),
+                         "stands twice; each field is allowed once"});
+}
+
+bool DuplicateFinder::onEvent(json::parse_event_t Event, const json &Parsed) {
+  switch (Event) {
+  case json::parse_event_t::object_start:
+    enter(false);
+    break;
+  case json::parse_event_t::array_start:
+    enter(true);
+    break;
+  case json::parse_event_t::object_end:
+  case json::parse_event_t::array_end:
+    Levels_.pop_back();
+    break;
+  case json::parse_event_t::key:
+    noteKey(Parsed.get_ref<const std::string &>());
+    break;
+  case json::parse_event_t::value:
+    placeOfNext();
+    break;
+  }
+  return true;
+}
+
+std::string fleet::appendPointer(const std::string &Pointer,
+                                 std::string_view Step) {
+  std::string Longer = Pointer + "/";
+  for (const char Letter : Step) {
+    if (Letter == '~')
+      Longer += "~0";
+    else if (Letter == '/')
+      Longer += "~1";
+    else
+      Longer += Letter;
+  }
+  return Longer;
+}
+
+/// The library counts bytes from 1; operators look for a line.
+static std::string makeLineAndColumn(std::string_view Text, std::size_t Byte) {
+  const auto Before = Text.substr(0, Byte == 0 ? 0 : Byte - 1);
+  const auto Line = 1 + std::ranges::count(Before, '\n');
+  const std::size_t LineStart = Before.rfind('\n');
+  const std::size_t Column = LineStart == std::string_view::npos
+                                 ? Before.size() + 1
+                                 : Before.size() - LineStart;
+  return std::to_string(Line) + ":" + std::to_string(Column);
+}
+
+/// Drops the library's own position and number from its message.
+static std::string shortenMessage(std::string Message) {
+  const std::size_t Colon = Message.find(": ");
+  return Colon == std::string::npos ? Message : Message.substr(Colon + 2);
+}
+
+static bool isTooDeep(std::string_view Text) {
+  std::size_t Depth = 0;
+  for (const char Letter : Text) {
+    if (Letter == '[' || Letter == '{')
+      ++Depth;
+    if ((Letter == ']' || Letter == '}') && Depth > 0)
+      --Depth;
+    if (Depth > MaxNesting)
+      return true;
+  }
+  return false;
+}
+
+std::optional<json> fleet::readJsonText(std::string_view Text,
+                                        std::vector<BundleProblem> &Problems) {
+  if (isTooDeep(Text)) {
+    Problems.push_back({"1:1", "is nested deeper than " +
+                                   std::to_string(MaxNesting) + " levels"});
+    return std::nullopt;
+  }
+  DuplicateFinder Finder(Problems);
+  const auto OnEvent = [&Finder](int, json::parse_event_t Event, json &Parsed) {
+    return Finder.onEvent(Event, Parsed);
+  };
+  try {
+    return json::parse(Text, OnEvent, true, true);
+  } catch (const json::parse_error &Caught) {
+    Problems.push_back({makeLineAndColumn(Text, Caught.byte),
+                        "is not JSON: " + shortenMessage(Caught.what())});
+  } catch (const json::exception &Caught) {
+    Problems.push_back({"1:1", "is not JSON that we can hold: " +
+                                   shortenMessage(Caught.what())});
+  }
+  return std::nullopt;
+}
--- /dev/null
+++ b/src/fleet/Signing.cpp
@@ -0,0 +1,127 @@
+//===- Signing.cpp - Operators' keys and signatures -----------------------===//
+
+#include "tulipweir/fleet/Signing.h"
+#include "tulipweir/fleet/Bundle.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstddef>
+#include <optional>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+
+template <std::size_t Size> using Bytes = std::array<unsigned char, Size>;
+
+using PublicBytes = Bytes<crypto_sign_PUBLICKEYBYTES>;
+using SecretBytes = Bytes<crypto_sign_SECRETKEYBYTES>;
+using SeedBytes = Bytes<crypto_sign_SEEDBYTES>;
+using SignatureBytes = Bytes<crypto_sign_BYTES>;
+
+static constexpr std::size_t DigestBytes = 32;
+
+static void startSodium() {
+  [[maybe_unused]] static const int Started = sodium_init();
+  assert(Started >= 0 && "libsodium does not start on this machine");
+}
+
+template <std::size_t Size> static std::string toHex(const Bytes<Size> &Data) {
+  std::string Text(Size * 2 + 1, '\0');
+  sodium_bin2hex(Text.data(), Text.size(), Data.data(), Data.size());
+  Text.pop_back();
+  return Text;
+}
+
+static bool isLowerHex(char Letter) {
+  return (Letter >= '0' && Letter <= '9') || (Letter >= 'a' && Letter <= 'f');
+}
+
+/// One spelling per value: upper case and other lengths are refused.
+template <std::size_t Size>
+static std::optional<Bytes<Size>> fromHex(std::string_view Text) {
+  if (Text.size() != Size * 2 || !std::ranges::all_of(Text, isLowerHex))
+    return std::nullopt;
+  Bytes<Size> Data{};
+  if (sodium_hex2bin(Data.data(), Data.size(), Text.data(), Text.size(),
+                     nullptr, nullptr, nullptr) != 0)
+    return std::nullopt;
+  return Data;
+}
+
+static const unsigned char *asBytes(std::string_view Text) {
+  return reinterpret_cast<const unsigned char *>(Text.data());
+}
+
+struct RawPair {
+  PublicBytes Public_{};
+  SecretBytes Secret_{};
+};
+
+static RawPair expandSeed(const SeedBytes &Seed) {
+  RawPair Pair;
+  crypto_sign_seed_keypair(Pair.Public_.data(), Pair.Secret_.data(),
+                           Seed.data());
+  return Pair;
+}
+
+static Error makeBadKey() {
+  return Error::make(ErrorCode::InvalidArgument,
+                     "the secret key is not 64 lower-case hexadecimal digits; "
+                     "make one with 'tulipweirctl keygen'");
+}
+
+KeyPair fleet::makeKeyPair() {
+  startSodium();
+  SeedBytes Seed{};
+  randombytes_buf(Seed.data(), Seed.size());
+  return KeyPair{toHex(expandSeed(Seed).Public_), toHex(Seed)};
+}
+
+Outcome<KeyPair> fleet::readKeyPair(std::string_view SecretKey) {
+  startSodium();
+  const auto Seed = fromHex<crypto_sign_SEEDBYTES>(SecretKey);
+  if (!Seed)
+    return makeBadKey();
+  return KeyPair{toHex(expandSeed(*Seed).Public_), std::string(SecretKey)};
+}
+
+Outcome<std::string> fleet::signDigest(const Digest &Value,
+                                       std::string_view SecretKey) {
+  startSodium();
+  const auto Seed = fromHex<crypto_sign_SEEDBYTES>(SecretKey);
+  if (!Seed)
+    return makeBadKey();
+  const RawPair Pair = expandSeed(*Seed);
+  SignatureBytes Signature{};
+  crypto_sign_detached(Signature.data(), nullptr, asBytes(Value.value()),
+                       Value.value().size(), Pair.Secret_.data());
+  return toHex(Signature);
+}
+
+bool fleet::verifyDigest(const Digest &Value, std::string_view PublicKey,
+                         std::string_view Signature) {
+  startSodium();
+  const auto Key = fromHex<crypto_sign_PUBLICKEYBYTES>(PublicKey);
+  const auto Sign = fromHex<crypto_sign_BYTES>(Signature);
+  if (!Key || !Sign)
+    return false;
+  return crypto_sign_verify_detached(Sign->data(), asBytes(Value.value()),
+                                     Value.value().size(), Key->data()) == 0;
+}
+
+bool fleet::isPublicKey(std::string_view Text) {
+  startSodium();
+  const auto Key = fromHex<crypto_sign_PUBLICKEYBYTES>(Text);
+  return Key && crypto_core_ed25519_is_valid_point(Key->data()) == 1;
+}
+
+Digest fleet::computeDigest(std::string_view Text) {
+  startSodium();
+  Bytes<DigestBytes> Hash{};
+  crypto_generichash(Hash.data(), Hash.size(), asBytes(Text), Text.size(),
+                     nullptr, 0);
+  return Digest(toHex(Hash));
+}
