Add the assignment leases of batch jobs

Cause: jobs move between data centres only after release or expiry. The leader's side (JobAssigner), the data centre's side (AssignmentLease), the report between them, and the argument in AssignmentTimes.h.

--- a/include/tulipweir/fleet/FleetCodec.h
+++ b/include/tulipweir/fleet/FleetCodec.h
@@ -9,6 +9,7 @@
 #define TULIPWEIR_FLEET_FLEETCODEC_H
 
 #include "tulipweir/core/Error.h"
+#include "tulipweir/fleet/AssignmentTimes.h"
 #include "tulipweir/fleet/Commands.h"
 #include "tulipweir/fleet/FleetState.h"
 
@@ -23,6 +24,12 @@
 std::string encodeResult(const CommandResult &Value);
 Outcome<CommandResult> decodeResult(std::string_view Bytes);
 
+std::string encodeReport(const AssignmentReport &Value);
+Outcome<AssignmentReport> decodeReport(std::string_view Bytes);
+
+std::string encodeReply(const AssignmentReply &Value);
+Outcome<AssignmentReply> decodeReply(std::string_view Bytes);
+
 /// A snapshot begins with its format's number; another one gives
 /// VersionMismatch.
 std::string encodeState(const FleetState &Value);
--- /dev/null
+++ b/src/fleet/AssignmentLease.cpp
@@ -0,0 +1,73 @@
+//===- AssignmentLease.cpp - What a data centre may run -------------------===//
+
+#include "tulipweir/fleet/AssignmentLease.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+
+void AssignmentLease::noteRenewed(const AssignmentReply &Reply,
+                                  TimePoint SentAt) {
+  const std::lock_guard Lock(Mutex_);
+  for (const AssignmentHeld &Held : Reply.Renewed_) {
+    Renewal &Known = Renewals_[Held.Job_];
+    if (Held.Assignment_ < Known.Assignment_)
+      continue;
+    const bool IsSame = Held.Assignment_ == Known.Assignment_;
+    Known.SentAt_ = IsSame ? std::max(Known.SentAt_, SentAt) : SentAt;
+    Known.Assignment_ = Held.Assignment_;
+  }
+}
+
+void AssignmentLease::retain(const std::vector<AssignmentHeld> &Standing) {
+  std::map<JobId, Renewal> Kept;
+  const std::lock_guard Lock(Mutex_);
+  for (const AssignmentHeld &Held : Standing)
+    if (const Renewal *Known = find(Held))
+      Kept.emplace(Held.Job_, *Known);
+  Renewals_ = std::move(Kept);
+}
+
+const AssignmentLease::Renewal *
+AssignmentLease::find(const AssignmentHeld &Held) const {
+  const auto Found = Renewals_.find(Held.Job_);
+  if (Found == Renewals_.end() || Found->second.Assignment_ != Held.Assignment_)
+    return nullptr;
+  return &Found->second;
+}
+
+bool AssignmentLease::covers(const AssignmentHeld &Held,
+                             TimePoint Until) const {
+  const std::lock_guard Lock(Mutex_);
+  const Renewal *Known = find(Held);
+  return Known && Until < Known->SentAt_ + Times_.Ttl_;
+}
+
+bool AssignmentLease::isEnding(const AssignmentHeld &Held,
+                               TimePoint Now) const {
+  return !covers(Held, Now + Times_.StopBefore_);
+}
+
+std::vector<AssignmentHeld>
+AssignmentLease::listDue(const std::vector<AssignmentHeld> &Standing,
+                         TimePoint Now, std::size_t Limit) const {
+  std::vector<std::pair<TimePoint, const AssignmentHeld *>> Due;
+  {
+    const std::lock_guard Lock(Mutex_);
+    for (const AssignmentHeld &Held : Standing) {
+      const Renewal *Known = find(Held);
+      const TimePoint SentAt = Known ? Known->SentAt_ : TimePoint::min();
+      if (!Known || Now >= SentAt + Times_.RenewEvery_)
+        Due.emplace_back(SentAt, &Held);
+    }
+  }
+  const std::size_t Count = std::min(Limit, Due.size());
+  std::partial_sort(Due.begin(), Due.begin() + static_cast<long>(Count),
+                    Due.end());
+  std::vector<AssignmentHeld> Listed;
+  for (std::size_t I = 0; I < Count; ++I)
+    Listed.push_back(*Due[I].second);
+  return Listed;
+}
--- a/src/fleet/FleetCodec.cpp
+++ b/src/fleet/FleetCodec.cpp
@@ -62,6 +62,19 @@
       V.Message_, V.EndedWallMs_);
 }
 
+template <class F> static void forEachField(AssignmentHeld &V, F Use) {
+  Use(V.Job_, V.Assignment_);
+}
+template <class F> static void forEachField(DataCentreLoad &V, F Use) {
+  Use(V.Reserved_, V.WaitingTasks_, V.Servers_);
+}
+template <class F> static void forEachField(AssignmentReport &V, F Use) {
+  Use(V.DataCentre_, V.HasLoad_, V.Load_, V.Due_);
+}
+template <class F> static void forEachField(AssignmentReply &V, F Use) {
+  Use(V.Renewed_);
+}
+
 namespace {
 
 /// All parts of a FleetState, as a snapshot holds them.
@@ -156,6 +169,22 @@
   return decodeAs<CommandResult>(Bytes);
 }
 
+std::string fleet::encodeReport(const AssignmentReport &Value) {
+  return pack::encode(Value);
+}
+
+Outcome<AssignmentReport> fleet::decodeReport(std::string_view Bytes) {
+  return decodeAs<AssignmentReport>(Bytes);
+}
+
+std::string fleet::encodeReply(const AssignmentReply &Value) {
+  return pack::encode(Value);
+}
+
+Outcome<AssignmentReply> fleet::decodeReply(std::string_view Bytes) {
+  return decodeAs<AssignmentReply>(Bytes);
+}
+
 std::string fleet::encodeState(const FleetState &Value) {
   Snapshot Parts;
   const BundleBook &Bundles = Value.bundles();
--- /dev/null
+++ b/src/fleet/JobAssigner.cpp
@@ -0,0 +1,188 @@
+//===- JobAssigner.cpp - The fleet leader's view of assignments -----------===//
+
+#include "tulipweir/fleet/JobAssigner.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+
+static bool stands(const JobBook &Jobs, const JobId &Job,
+                   std::uint64_t Assignment) {
+  const FleetJob *Record = Jobs.find(Job);
+  return Record && !Record->DataCentre_.value().empty() &&
+         Record->Assignment_ == Assignment;
+}
+
+static bool isHeldBy(const JobBook &Jobs, const AssignmentHeld &Held,
+                     const DataCentreId &DataCentre) {
+  return stands(Jobs, Held.Job_, Held.Assignment_) &&
+         Jobs.find(Held.Job_)->DataCentre_ == DataCentre;
+}
+
+static Command makeRelease(const JobId &Job, std::uint64_t Assignment) {
+  ReleaseJob Release;
+  Release.Job_ = Job;
+  Release.Assignment_ = Assignment;
+  Release.Expired_ = true;
+  return Release;
+}
+
+void JobAssigner::noteLeading(TimePoint Now) {
+  noteFollowing();
+  LeadingSince_ = Now;
+}
+
+void JobAssigner::noteFollowing() {
+  LeadingSince_.reset();
+  Contacts_.clear();
+  Releasing_.clear();
+  Assigning_.clear();
+}
+
+AssignmentReply JobAssigner::renew(const AssignmentReport &Report,
+                                   const JobBook &Jobs, TimePoint Now) {
+  AssignmentReply Reply;
+  if (!LeadingSince_)
+    return Reply;
+  Contact &Known = Contacts_[Report.DataCentre_];
+  Known.AnsweredAt_ = std::max(Known.AnsweredAt_, Now);
+  if (Report.HasLoad_) {
+    Known.Load_ = Report.Load_;
+    Known.HasLoad_ = true;
+    Known.AssignedSince_ = 0;
+  }
+  for (const AssignmentHeld &Held : Report.Due_)
+    if (isHeldBy(Jobs, Held, Report.DataCentre_) &&
+        !Releasing_.contains(Held.Job_))
+      Reply.Renewed_.push_back(Held);
+  return Reply;
+}
+
+std::vector<Command> JobAssigner::decide(const JobBook &Jobs, TimePoint Now,
+                                         std::size_t Budget) {
+  std::vector<Command> Out;
+  if (!LeadingSince_ || Now < *LeadingSince_ + Times_.Settle_)
+    return Out;
+  repeatReleases(Jobs, Now, Budget, Out);
+  releaseExpired(Jobs, Now, Budget, Out);
+  forgetAssigned(Jobs, Now);
+  assignWaiting(Jobs, Now, Budget, Out);
+  return Out;
+}
+
+void JobAssigner::repeatReleases(const JobBook &Jobs, TimePoint Now,
+                                 std::size_t Budget,
+                                 std::vector<Command> &Out) {
+  for (auto Next = Releasing_.begin(); Next != Releasing_.end();) {
+    auto &[Job, Release] = *Next;
+    if (!stands(Jobs, Job, Release.Assignment_)) {
+      Next = Releasing_.erase(Next);
+      continue;
+    }
+    const bool IsDue = Now >= Release.ProposedAt_ + Times_.ProposeAgain_;
+    if (IsDue && Out.size() < Budget) {
+      Release.ProposedAt_ = Now;
+      Out.push_back(makeRelease(Job, Release.Assignment_));
+    }
+    ++Next;
+  }
+}
+
+void JobAssigner::releaseExpired(const JobBook &Jobs, TimePoint Now,
+                                 std::size_t Budget,
+                                 std::vector<Command> &Out) {
+  for (const auto &[DataCentre, Held] : Jobs.held()) {
+    if (Now < *getExpiry(DataCentre))
+      continue;
+    for (const JobId &Job : Held) {
+      // Those proposed and not yet applied stay few, so that one long outage
+      // does not fill this table.
+      if (Out.size() >= Budget || Releasing_.size() >= Budget)
+        return;
+      if (Releasing_.contains(Job))
+        continue;
+      const std::uint64_t Assignment = Jobs.find(Job)->Assignment_;
+      Releasing_[Job] = {Assignment, Now};
+      Out.push_back(makeRelease(Job, Assignment));
+    }
+  }
+}
+
+void JobAssigner::forgetAssigned(const JobBook &Jobs, TimePoint Now) {
+  std::erase_if(Assigning_, [&](const auto &Entry) {
+    return !Jobs.unassigned().contains(Entry.first) ||
+           Now >= Entry.second + Times_.ProposeAgain_;
+  });
+}
+
+void JobAssigner::assignWaiting(const JobBook &Jobs, TimePoint Now,
+                                std::size_t Budget, std::vector<Command> &Out) {
+  for (const JobId &Job : Jobs.unassigned()) {
+    if (Out.size() >= Budget || Assigning_.size() >= Budget)
+      return;
+    if (Assigning_.contains(Job))
+      continue;
+    const auto Chosen = choose(Jobs, *Jobs.find(Job), Now);
+    if (!Chosen)
+      return; // No data centre can be reached at all.
+    Assigning_[Job] = Now;
+    ++Contacts_[*Chosen].AssignedSince_;
+    Out.push_back(AssignJob{Job, *Chosen});
+  }
+}
+
+std::optional<DataCentreId> JobAssigner::choose(const JobBook &Jobs,
+                                                const FleetJob &Record,
+                                                TimePoint Now) const {
+  if (isReachable(Record.Preferred_, Now))
+    return Record.Preferred_;
+  std::optional<DataCentreId> Best;
+  double BestScore = 0;
+  std::size_t BestHeld = 0;
+  for (const auto &[DataCentre, Known] : Contacts_) {
+    if (!isReachable(DataCentre, Now))
+      continue;
+    const double Score = scoreOf(Known);
+    const auto Held = Jobs.held().find(DataCentre);
+    const std::size_t Count =
+        Held == Jobs.held().end() ? 0 : Held->second.size();
+    const bool IsBetter =
+        !Best || Score < BestScore || (Score == BestScore && Count < BestHeld);
+    if (!IsBetter)
+      continue;
+    Best = DataCentre;
+    BestScore = Score;
+    BestHeld = Count;
+  }
+  return Best;
+}
+
+/// Lower is better: the part that is set aside, and what waits per server.
+double JobAssigner::scoreOf(const Contact &Known) const {
+  const double Waiting = Known.Load_.WaitingTasks_ + Known.AssignedSince_;
+  return Known.Load_.Reserved_ +
+         Waiting / std::max<std::uint32_t>(1, Known.Load_.Servers_);
+}
+
+bool JobAssigner::isReachable(const DataCentreId &DataCentre,
+                              TimePoint Now) const {
+  const auto Found = Contacts_.find(DataCentre);
+  if (Found == Contacts_.end())
+    return false;
+  const Contact &Known = Found->second;
+  return Known.HasLoad_ && Known.Load_.Servers_ > 0 &&
+         Now <= Known.AnsweredAt_ + Times_.ReachableWithin_;
+}
+
+std::optional<TimePoint>
+JobAssigner::getExpiry(const DataCentreId &DataCentre) const {
+  if (!LeadingSince_)
+    return std::nullopt;
+  TimePoint Renewed = *LeadingSince_;
+  const auto Found = Contacts_.find(DataCentre);
+  if (Found != Contacts_.end())
+    Renewed = std::max(Renewed, Found->second.AnsweredAt_);
+  return Renewed + Times_.Ttl_ + Times_.Margin_;
+}
--- a/src/fleet/Pack.h
+++ b/src/fleet/Pack.h
@@ -73,6 +73,14 @@
   }
 };
 
+template <> struct Format<double> {
+  static void write(Packer &Out, double Value) { Out.pack(Value); }
+  static void read(const object &In, double &Value) {
+    require(In.type == msgpack::type::FLOAT64);
+    Value = In.via.f64;
+  }
+};
+
 template <> struct Format<std::string> {
   static void write(Packer &Out, const std::string &Value) {
     Out.pack_bin(static_cast<std::uint32_t>(Value.size()));
