Build the data centre's state, records, codec and machine

Cause: the control program needs the replicated state of a data centre.

Change: DataCentreState applies every command through CommandApplier and lists its effects as Changes; RequestRecords keeps non-repeatable requests; strict msgpack codecs; DataCentreMachine adds the lock and the feed. Contract additions: AdoptJob::Progress_, ReleaseJob, PastBoots_ (a delayed announcement of an earlier boot ends nothing), remembered assignments of dropped jobs.

--- a/include/tulipweir/datacentre/Commands.h
+++ b/include/tulipweir/datacentre/Commands.h
@@ -35,7 +35,9 @@
 };
 
 /// A backend server's first announcement of a boot, or a changed one. A new
-/// boot ends every attempt of the earlier boot as lost.
+/// boot ends every attempt of the earlier boot as lost; a boot that an earlier
+/// one replaced already is refused, so that a delayed announcement of it ends
+/// nothing.
 struct RegisterServer {
   BackendServerId Server_;
   BootId Boot_;
@@ -56,10 +58,14 @@
 };
 
 /// Takes over a job that the fleet assigned here. Assignment_ rises with each
-/// assignment of the same job; a lower one is refused.
+/// assignment of the same job; one that is not higher than the latest adopted
+/// here is refused, also after the job was dropped.
 struct AdoptJob {
   JobSpec Spec_;
   std::uint64_t Assignment_ = 0;
+  /// What the data centre that released it passed on (encodeProgress); empty:
+  /// every task starts afresh.
+  std::string Progress_;
   bool operator==(const AdoptJob &) const = default;
 };
 
@@ -75,7 +81,8 @@
   bool operator==(const PlaceTask &) const = default;
 };
 
-/// Changes what is set aside for a running attempt; refused if overfull.
+/// Changes what is set aside for a running attempt; refused if it would grow
+/// in a dimension that is then overfull.
 struct ChangeReservation {
   TaskId Task_;
   AttemptNumber Attempt_;
@@ -107,7 +114,8 @@
   bool operator==(const CancelJob &) const = default;
 };
 
-/// Drops a job whose tasks all ended, once the fleet has recorded its end.
+/// Drops a job whose tasks all ended, once the fleet has recorded its end; or
+/// a released one without placed tasks, once the fleet has recorded that.
 struct DropJob {
   JobId Job_;
   bool operator==(const DropJob &) const = default;
@@ -138,10 +146,28 @@
   bool operator==(const EndEntry &) const = default;
 };
 
+/// Prepares a job for another data centre: no further task of it is placed
+/// here; its running attempts are to be checkpointed and stopped.
+struct ReleaseJob {
+  JobId Job_;
+  std::uint64_t Assignment_ = 0;
+  bool operator==(const ReleaseJob &) const = default;
+};
+
 using Command =
     std::variant<RegisterServer, ForgetServer, AdoptJob, PlaceTask,
                  ChangeReservation, EndAttempt, CancelJob, DropJob, BeginRecord,
-                 FinishRecord, AbandonRecord, EndEntry>;
+                 FinishRecord, AbandonRecord, EndEntry, ReleaseJob>;
+
+/// How one task of a released job stood, for whoever adopts the job next.
+struct TaskProgress {
+  bool Finished_ = false;
+  bool Failed_ = false;
+  AttemptNumber Attempt_; ///< The latest one; numbering goes on from it.
+  std::uint32_t Failures_ = 0;
+  std::string Checkpoint_;
+  bool operator==(const TaskProgress &) const = default;
+};
 
 /// What applying a command answered. Error_ empty: it took effect.
 struct CommandResult {
--- a/include/tulipweir/datacentre/DataCentreState.h
+++ b/include/tulipweir/datacentre/DataCentreState.h
@@ -8,12 +8,15 @@
 #ifndef TULIPWEIR_DATACENTRE_DATACENTRESTATE_H
 #define TULIPWEIR_DATACENTRE_DATACENTRESTATE_H
 
+#include "tulipweir/datacentre/Changes.h"
 #include "tulipweir/datacentre/Commands.h"
 #include "tulipweir/datacentre/RequestRecords.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string_view>
+#include <vector>
 
 namespace tulipweir::datacentre {
 
@@ -44,8 +47,10 @@
   JobSpec Spec_;
   std::uint64_t Assignment_ = 0;
   bool Cancelling_ = false;
+  bool Releasing_ = false; ///< Nothing of it is placed here any more.
   std::vector<TaskRecord> Tasks_;
-  std::uint32_t Ended_ = 0; ///< Tasks that are finished, failed or cancelled.
+  std::uint32_t Ended_ = 0;  ///< Tasks that are finished, failed or cancelled.
+  std::uint32_t Placed_ = 0; ///< Tasks that hold a place.
   bool operator==(const JobRecord &) const = default;
 };
 
@@ -53,18 +58,26 @@
   RegisterServer Info_;
   Resources Reserved_;
   std::set<TaskId> Placed_;
+  /// The latest boots before Info_.Boot_, oldest first; a bounded number.
+  std::vector<BootId> PastBoots_;
   bool operator==(const ServerRecord &) const = default;
 };
 
+/// Not thread-safe; DataCentreMachine adds the lock. Work per command is
+/// logarithmic, except that a new boot, a cancellation and an adoption touch
+/// the tasks that they concern.
 class DataCentreState {
 public:
   explicit DataCentreState(const RecordLimits &Limits) : Records_(Limits) {}
 
   // Commands.
 
-  /// Applies one command. Term and Index are its place in the log.
+  /// Applies one command. Term and Index are its place in the log. A refused
+  /// command changes nothing but the records' time. What changed is appended
+  /// to Changes if that is given, in the order in which it happened.
   CommandResult apply(const Command &Value, std::uint64_t Term,
-                      std::uint64_t Index);
+                      std::uint64_t Index,
+                      std::vector<Change> *Changes = nullptr);
 
   // Queries.
 
@@ -74,6 +87,16 @@
   const std::map<JobId, JobRecord> &jobs() const { return Jobs_; }
   const RequestRecords &records() const { return Records_; }
   const TaskRecord *findTask(const TaskId &Task) const;
+  const JobRecord *findJob(const JobId &Job) const;
+  const ServerRecord *findServer(const BackendServerId &Server) const;
+
+  /// The highest assignment under which the job was adopted here, 0 if it is
+  /// not remembered.
+  std::uint64_t findAssignment(const JobId &Job) const;
+
+  /// Changes that lead from an empty state to this one, as a listener needs
+  /// them to rebuild what it derives: servers, then jobs with their tasks.
+  std::vector<Change> listChanges() const;
 
   /// The whole state as msgpack, and back.
   std::string encode() const;
@@ -83,8 +106,14 @@
   bool operator==(const DataCentreState &) const = default;
 
 private:
+  friend class CommandApplier;
+
   std::map<BackendServerId, ServerRecord> Servers_;
   std::map<JobId, JobRecord> Jobs_;
+  /// Assignments of dropped jobs, oldest drop first; a bounded number. A
+  /// leader whose fleet replica lags must not adopt a dropped job again.
+  std::map<JobId, std::uint64_t> Dropped_;
+  std::deque<JobId> DropOrder_;
   RequestRecords Records_;
 };
 
--- /dev/null
+++ b/src/datacentre/CommandApplier.h
@@ -0,0 +1,60 @@
+//===- CommandApplier.h - Applies one command to the state -----*- C++ -*-===//
+//
+// One member function per command; each checks first and changes then, so that
+// a refused command changes nothing.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_DATACENTRE_COMMANDAPPLIER_H
+#define TULIPWEIR_SRC_DATACENTRE_COMMANDAPPLIER_H
+
+#include "tulipweir/datacentre/DataCentreState.h"
+
+namespace tulipweir::datacentre {
+
+class CommandApplier {
+public:
+  /// Changes may be null.
+  CommandApplier(DataCentreState &State, FencingToken Token,
+                 std::vector<Change> *Changes)
+      : State_(State), Token_(Token), Changes_(Changes) {}
+
+  CommandResult apply(const RegisterServer &Value);
+  CommandResult apply(const ForgetServer &Value);
+  CommandResult apply(const AdoptJob &Value);
+  CommandResult apply(const PlaceTask &Value);
+  CommandResult apply(const ChangeReservation &Value);
+  CommandResult apply(const EndAttempt &Value);
+  CommandResult apply(const CancelJob &Value);
+  CommandResult apply(const DropJob &Value);
+  CommandResult apply(const BeginRecord &Value);
+  CommandResult apply(const FinishRecord &Value);
+  CommandResult apply(const AbandonRecord &Value);
+  CommandResult apply(const EndEntry &Value);
+  CommandResult apply(const ReleaseJob &Value);
+
+  // Also used to list the changes that rebuild a state.
+
+  void note(const Change &Value);
+  void noteServer(ChangeKind Kind, const BackendServerId &Server);
+  void noteJob(ChangeKind Kind, const JobId &Job);
+  void noteTask(const TaskId &Task, const TaskRecord &Record);
+  void notePlaced(ChangeKind Kind, const TaskId &Task,
+                  const TaskRecord &Record);
+
+private:
+  JobRecord *findJob(const JobId &Job);
+  TaskRecord *findTask(const TaskId &Task);
+  std::string findPlacementProblem(const PlaceTask &Value, ErrorCode &Code);
+  void endPlaced(const EndAttempt &Value, TaskRecord &Task);
+  void setTaskState(const TaskId &Id, TaskRecord &Task, TaskState State);
+  void rememberDropped(const JobId &Job, std::uint64_t Assignment);
+
+  DataCentreState &State_;
+  FencingToken Token_;
+  std::vector<Change> *Changes_;
+};
+
+} // namespace tulipweir::datacentre
+
+#endif // TULIPWEIR_SRC_DATACENTRE_COMMANDAPPLIER_H
--- /dev/null
+++ b/src/datacentre/DataCentreMachine.cpp
@@ -0,0 +1,70 @@
+//===- DataCentreMachine.cpp - The data centre's state as a machine -------===//
+
+#include "tulipweir/datacentre/DataCentreMachine.h"
+#include "tulipweir/datacentre/DataCentreCodec.h"
+
+#include <mutex>
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::datacentre;
+
+DataCentreMachine::DataCentreMachine(const RecordLimits &Limits,
+                                     AppliedListener OnApplied,
+                                     RestoredListener OnRestored)
+    : Limits_(Limits), OnApplied_(std::move(OnApplied)),
+      OnRestored_(std::move(OnRestored)), State_(Limits) {}
+
+std::string DataCentreMachine::apply(const replication::CommittedEntry &Entry) {
+  const Outcome<Command> Value = decodeCommand(Entry.Command_);
+  if (!Value) {
+    // The same on every replica, so it is a result and no failure.
+    CommandResult Refused;
+    Refused.Error_ = std::string(getErrorName(Value.error().Code_));
+    Refused.Message_ = Value.error().Message_;
+    return encodeResult(Refused);
+  }
+  std::vector<Change> Changes;
+  CommandResult Result;
+  {
+    const std::unique_lock Lock(Mutex_);
+    Result = State_.apply(Value.value(), Entry.Term_, Entry.Index_, &Changes);
+    AppliedIndex_ = Entry.Index_;
+  }
+  if (OnApplied_)
+    OnApplied_(AppliedCommand{Entry.Term_, Entry.Index_, Value.value(), Result,
+                              Changes});
+  return encodeResult(Result);
+}
+
+Outcome<void> DataCentreMachine::restoreSnapshot(std::string_view Snapshot) {
+  auto Restored = DataCentreState::decode(Snapshot, Limits_);
+  if (!Restored)
+    return Restored.as_failure();
+  {
+    const std::unique_lock Lock(Mutex_);
+    State_ = std::move(Restored).value();
+    AppliedIndex_ = 0;
+  }
+  if (OnRestored_)
+    OnRestored_();
+  return succeed();
+}
+
+std::string DataCentreMachine::takeSnapshot() const {
+  const std::shared_lock Lock(Mutex_);
+  return State_.encode();
+}
+
+void DataCentreMachine::withState(
+    const std::function<void(const DataCentreState &)> &Use) const {
+  const std::shared_lock Lock(Mutex_);
+  Use(State_);
+}
+
+void DataCentreMachine::withStateAndIndex(
+    const std::function<void(const DataCentreState &, std::uint64_t)> &Use)
+    const {
+  const std::shared_lock Lock(Mutex_);
+  Use(State_, AppliedIndex_);
+}
--- /dev/null
+++ b/src/datacentre/DataCentreState.cpp
@@ -0,0 +1,190 @@
+//===- DataCentreState.cpp - What a data centre's log builds --------------===//
+
+#include "tulipweir/datacentre/DataCentreState.h"
+#include "datacentre/CommandApplier.h"
+#include "datacentre/Fields.h"
+
+#include <algorithm>
+
+using namespace tulipweir;
+using namespace tulipweir::datacentre;
+
+/// Rises with every change of the snapshot's format.
+static constexpr std::uint64_t SnapshotFormat = 1;
+
+namespace tulipweir::datacentre {
+
+/// What of a server and a job cannot be rebuilt from the tasks.
+struct ServerImage {
+  RegisterServer Info_;
+  std::vector<BootId> PastBoots_;
+};
+struct JobImage {
+  JobSpec Spec_;
+  std::uint64_t Assignment_ = 0;
+  bool Cancelling_ = false;
+  bool Releasing_ = false;
+  std::vector<TaskRecord> Tasks_;
+};
+struct DroppedImage {
+  JobId Job_;
+  std::uint64_t Assignment_ = 0;
+};
+struct HeaderImage {
+  std::uint64_t Format_ = 0;
+  std::uint64_t Servers_ = 0;
+  std::uint64_t Jobs_ = 0;
+  std::uint64_t Dropped_ = 0;
+};
+
+static void fields(auto &V, IsA<ServerImage> auto &X) {
+  V(X.Info_, X.PastBoots_);
+}
+static void fields(auto &V, IsA<JobImage> auto &X) {
+  V(X.Spec_, X.Assignment_, X.Cancelling_, X.Releasing_, X.Tasks_);
+}
+static void fields(auto &V, IsA<DroppedImage> auto &X) {
+  V(X.Job_, X.Assignment_);
+}
+static void fields(auto &V, IsA<HeaderImage> auto &X) {
+  V(X.Format_, X.Servers_, X.Jobs_, X.Dropped_);
+}
+
+} // namespace tulipweir::datacentre
+
+/// Puts the job's placed tasks onto their servers and counts the ended ones.
+/// False if a place does not exist.
+static bool linkTasks(JobRecord &Job,
+                      std::map<BackendServerId, ServerRecord> &Servers) {
+  for (std::uint32_t I = 0; I < Job.Tasks_.size(); ++I) {
+    const TaskRecord &Task = Job.Tasks_[I];
+    if (Task.State_ == TaskState::Waiting)
+      continue;
+    if (Task.State_ != TaskState::Placed) {
+      ++Job.Ended_;
+      continue;
+    }
+    const auto Server = Servers.find(Task.Server_);
+    if (Server == Servers.end())
+      return false;
+    Server->second.Placed_.insert(TaskId{Job.Spec_.Job_, I});
+    Server->second.Reserved_ = Server->second.Reserved_ + Task.Reservation_;
+    ++Job.Placed_;
+  }
+  return true;
+}
+
+CommandResult DataCentreState::apply(const Command &Value, std::uint64_t Term,
+                                     std::uint64_t Index,
+                                     std::vector<Change> *Changes) {
+  CommandApplier Applier(*this, FencingToken{Term, Index}, Changes);
+  return std::visit(
+      [&Applier](const auto &Held) { return Applier.apply(Held); }, Value);
+}
+
+const TaskRecord *DataCentreState::findTask(const TaskId &Task) const {
+  const JobRecord *Job = findJob(Task.Job_);
+  if (!Job || Task.Index_ >= Job->Tasks_.size())
+    return nullptr;
+  return &Job->Tasks_[Task.Index_];
+}
+
+const JobRecord *DataCentreState::findJob(const JobId &Job) const {
+  const auto Found = Jobs_.find(Job);
+  return Found == Jobs_.end() ? nullptr : &Found->second;
+}
+
+const ServerRecord *
+DataCentreState::findServer(const BackendServerId &Server) const {
+  const auto Found = Servers_.find(Server);
+  return Found == Servers_.end() ? nullptr : &Found->second;
+}
+
+std::uint64_t DataCentreState::findAssignment(const JobId &Job) const {
+  if (const JobRecord *Record = findJob(Job))
+    return Record->Assignment_;
+  const auto Found = Dropped_.find(Job);
+  return Found == Dropped_.end() ? 0 : Found->second;
+}
+
+std::vector<Change> DataCentreState::listChanges() const {
+  std::vector<Change> Changes;
+  DataCentreState Unused(RecordLimits{});
+  CommandApplier Notes(Unused, FencingToken{}, &Changes);
+  for (const auto &[Id, Server] : Servers_)
+    Notes.noteServer(ChangeKind::ServerChanged, Id);
+  for (const auto &[Id, Job] : Jobs_) {
+    Notes.noteJob(ChangeKind::JobAdopted, Id);
+    if (Job.Cancelling_)
+      Notes.noteJob(ChangeKind::JobCancelling, Id);
+    if (Job.Releasing_)
+      Notes.noteJob(ChangeKind::JobReleasing, Id);
+    for (std::uint32_t I = 0; I < Job.Tasks_.size(); ++I) {
+      const TaskId Task{Id, I};
+      if (Job.Tasks_[I].State_ == TaskState::Placed)
+        Notes.notePlaced(ChangeKind::TaskPlaced, Task, Job.Tasks_[I]);
+      else
+        Notes.noteTask(Task, Job.Tasks_[I]);
+    }
+    if (Job.Ended_ == Job.Tasks_.size())
+      Notes.noteJob(ChangeKind::JobEnded, Id);
+  }
+  return Changes;
+}
+
+std::string DataCentreState::encode() const {
+  pack::Writer Out;
+  Out.write(HeaderImage{SnapshotFormat, Servers_.size(), Jobs_.size(),
+                        DropOrder_.size()});
+  for (const auto &[Id, Server] : Servers_)
+    Out.write(ServerImage{Server.Info_, Server.PastBoots_});
+  for (const auto &[Id, Job] : Jobs_)
+    Out.write(JobImage{Job.Spec_, Job.Assignment_, Job.Cancelling_,
+                       Job.Releasing_, Job.Tasks_});
+  for (const JobId &Job : DropOrder_)
+    Out.write(DroppedImage{Job, Dropped_.at(Job)});
+  return Out.take() + Records_.encode();
+}
+
+Outcome<DataCentreState> DataCentreState::decode(std::string_view Bytes,
+                                                 const RecordLimits &Limits) {
+  try {
+    DataCentreState Result(Limits);
+    pack::Stream In(Bytes);
+    const auto Header = In.next<HeaderImage>();
+    if (Header.Format_ != SnapshotFormat)
+      return fail(ErrorCode::VersionMismatch,
+                  "snapshot of format " + std::to_string(Header.Format_) +
+                      "; this program reads " + std::to_string(SnapshotFormat));
+    for (std::uint64_t I = 0; I < Header.Servers_; ++I) {
+      auto Image = In.next<ServerImage>();
+      ServerRecord &Server = Result.Servers_[Image.Info_.Server_];
+      Server.Info_ = std::move(Image.Info_);
+      Server.PastBoots_ = std::move(Image.PastBoots_);
+    }
+    for (std::uint64_t I = 0; I < Header.Jobs_; ++I) {
+      auto Image = In.next<JobImage>();
+      JobRecord &Job = Result.Jobs_[Image.Spec_.Job_];
+      Job.Spec_ = std::move(Image.Spec_);
+      Job.Assignment_ = Image.Assignment_;
+      Job.Cancelling_ = Image.Cancelling_;
+      Job.Releasing_ = Image.Releasing_;
+      Job.Tasks_ = std::move(Image.Tasks_);
+      if (!linkTasks(Job, Result.Servers_))
+        return fail(ErrorCode::Malformed, "a task is placed nowhere");
+    }
+    for (std::uint64_t I = 0; I < Header.Dropped_; ++I) {
+      auto Image = In.next<DroppedImage>();
+      Result.Dropped_[Image.Job_] = Image.Assignment_;
+      Result.DropOrder_.push_back(std::move(Image.Job_));
+    }
+    auto Records = RequestRecords::decode(In.rest(), Limits);
+    if (!Records)
+      return Records.as_failure();
+    Result.Records_ = std::move(Records).value();
+    return Result;
+  } catch (const std::exception &Problem) {
+    return fail(ErrorCode::Malformed,
+                std::string("snapshot: ") + Problem.what());
+  }
+}
