Add the entries' choice of server, admission, token bucket and retry budget

Cause: the entry needs pure pieces for limits, its bounded queue, the choice of a backend server and the retry budget. Change: two random choices by load, latency and success; ejection with a floor and probes; admission by deadline with the drain rate measured only while some wait (an empty queue starts from what the slots promise, or an idle hour would refuse the next burst); token bucket; retry budget. Ruled out: latency of fast failures in the average (attracts traffic).

--- /dev/null
+++ b/include/tulipweir/decide/Admission.h
@@ -0,0 +1,87 @@
+//===- Admission.h - Whether a request may wait ----------------*- C++ -*-===//
+//
+// The bounded queue in front of one service. A request that cannot start
+// before its deadline is refused at once, with the time after which a place is
+// likely; it is never held back to be refused late. The drain rate is
+// measured from the starts out of the queue.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_DECIDE_ADMISSION_H
+#define TULIPWEIR_DECIDE_ADMISSION_H
+
+#include "tulipweir/core/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace tulipweir::decide {
+
+enum class AdmissionChoice : std::uint8_t {
+  Start,     ///< Nothing waits and a slot is free: send it now.
+  Queue,     ///< Put it last in the queue.
+  QueueFull, ///< Refuse: the queue is at its limit.
+  TooLate,   ///< Refuse: it would not start before its deadline.
+};
+
+struct AdmissionAnswer {
+  AdmissionChoice Choice_ = AdmissionChoice::Start;
+  Duration ExpectedWait_{}; ///< Until it would start.
+  Duration RetryAfter_{};   ///< Of a refusal: when to come back.
+  bool operator==(const AdmissionAnswer &) const = default;
+};
+
+/// What the slots of one service look like to the entry that asks.
+struct SlotView {
+  std::size_t Free_ = 0;   ///< Free over all granted servers.
+  std::size_t Total_ = 0;  ///< Granted over all servers.
+  Duration ServiceTime_{}; ///< How long one request is expected to run.
+  bool operator==(const SlotView &) const = default;
+};
+
+struct AdmissionSettings {
+  std::size_t QueueLimit_ = 256; ///< Requests that may wait.
+  /// Bounds of Retry-After.
+  Duration MinRetryAfter_ = std::chrono::milliseconds(50);
+  Duration MaxRetryAfter_ = std::chrono::seconds(30);
+  /// Time over which the drain rate is averaged.
+  Duration RateWindow_ = std::chrono::seconds(2);
+  bool operator==(const AdmissionSettings &) const = default;
+};
+
+/// Counts who waits; the caller keeps the queue itself. Not thread-safe.
+class Admission {
+public:
+  Admission(const AdmissionSettings &Settings, TimePoint Now);
+
+  /// Says what to do with a request that arrives. Changes nothing: tell what
+  /// was done with noteQueued.
+  AdmissionAnswer ask(TimePoint Now, TimePoint Deadline,
+                      const SlotView &Slots) const;
+
+  /// The request was put into the queue.
+  void noteQueued(TimePoint Now, const SlotView &Slots);
+  /// A waiting request got a slot and left the queue.
+  void noteDrained(TimePoint Now);
+  /// A waiting request was given up (deadline, caller gone).
+  void noteGivenUp();
+  void setSettings(const AdmissionSettings &Settings) { Settings_ = Settings; }
+
+  std::size_t waiting() const { return Waiting_; }
+  /// Requests that leave the queue per second, measured since it last became
+  /// non-empty; it starts from what the slots promise.
+  double drainRate(TimePoint Now) const;
+
+private:
+  Duration expectWait(TimePoint Now, const SlotView &Slots) const;
+  Duration clampRetry(Duration Wait) const;
+
+  AdmissionSettings Settings_;
+  std::size_t Waiting_ = 0;
+  double Rate_ = 0; ///< Per second, as of RateAt_; decays while some wait.
+  TimePoint RateAt_;
+};
+
+} // namespace tulipweir::decide
+
+#endif // TULIPWEIR_DECIDE_ADMISSION_H
--- /dev/null
+++ b/src/decide/TokenBucket.cpp
@@ -0,0 +1,46 @@
+//===- TokenBucket.cpp - A rate limit with a burst ----------------------===//
+
+#include "tulipweir/decide/TokenBucket.h"
+
+#include <algorithm>
+
+using namespace tulipweir;
+using namespace tulipweir::decide;
+
+TokenBucket::TokenBucket(double PerSecond, double Burst, TimePoint Now)
+    : PerSecond_(PerSecond), Burst_(Burst), Tokens_(Burst), UpdatedAt_(Now) {}
+
+bool TokenBucket::tryTake(TimePoint Now, double Amount) {
+  Tokens_ = countAt(Now);
+  UpdatedAt_ = std::max(UpdatedAt_, Now);
+  if (Tokens_ < Amount)
+    return false;
+  Tokens_ -= Amount;
+  return true;
+}
+
+void TokenBucket::setLimits(double PerSecond, double Burst, TimePoint Now) {
+  Tokens_ = std::min(countAt(Now), Burst);
+  UpdatedAt_ = std::max(UpdatedAt_, Now);
+  PerSecond_ = PerSecond;
+  Burst_ = Burst;
+}
+
+Duration TokenBucket::timeUntil(TimePoint Now, double Amount) const {
+  const double Missing = Amount - countAt(Now);
+  if (Missing <= 0)
+    return Duration::zero();
+  if (PerSecond_ <= 0 || Amount > Burst_)
+    return MaxWait;
+  const std::chrono::duration<double> Wait(Missing / PerSecond_);
+  // Rounded up by one tick, so that asking again then finds the token.
+  return std::min(std::chrono::duration_cast<Duration>(Wait) + Duration(1),
+                  MaxWait);
+}
+
+double TokenBucket::countAt(TimePoint Now) const {
+  if (Now <= UpdatedAt_)
+    return Tokens_;
+  const std::chrono::duration<double> Passed = Now - UpdatedAt_;
+  return std::min(Burst_, Tokens_ + Passed.count() * PerSecond_);
+}
