Feed the planner and track jobs between the two logs

Cause: the data centre's leader places tasks and follows the fleet's word on jobs; both need the ledgers and machines of the modules below. Change: leadership is noticed by polling and begun once everything committed is applied; proposals are one at a time for each thing; the planner is fed changes and its decisions become proposals and wishes; a pure rule says what a job needs next.

--- a/include/tulipweir/control/ControlSettings.h
+++ b/include/tulipweir/control/ControlSettings.h
@@ -43,11 +43,14 @@
   /// How often backend servers announce themselves.
   Duration Heartbeat_ = std::chrono::milliseconds(500);
   /// A backend server that was silent this long gets no new requests.
-  Duration Silence_ = std::chrono::milliseconds(1400);
+  Duration Silence_ = std::chrono::milliseconds(1200);
   /// How long a task may run on without a renewal.
-  Duration LeaseTtl_ = std::chrono::seconds(10);
-  /// Bound on how far two clocks drift apart during one lease.
-  Duration DriftMargin_ = std::chrono::milliseconds(500);
+  Duration LeaseTtl_ = std::chrono::seconds(5);
+  /// How far any clock's rate may be off, in millionths. The same, like the
+  /// two durations around it, at all controls of a data centre.
+  std::int64_t DriftPpm_ = 1000;
+  /// How long a backend server may take to stop a task whose lease ran out.
+  Duration StopGrace_ = std::chrono::milliseconds(200);
   /// How long an entry may use its slots without a renewal.
   Duration GrantTtl_ = std::chrono::seconds(3);
   /// How long a data centre holds a batch job without reaching the fleet.
--- a/include/tulipweir/wire/MessageKind.h
+++ b/include/tulipweir/wire/MessageKind.h
@@ -22,6 +22,8 @@
   OperatorCall = 7,   ///< An operator's HTTP call, passed on by an entry.
   FleetCommand = 8,   ///< Control to the fleet log's leader: a proposal.
   AnnouncementBatch = 9, ///< Several announcements in one frame.
+  AssignmentReport = 10, ///< Control to the fleet log's leader, periodic;
+                         ///< encoded by the fleet module.
 };
 
 } // namespace tulipweir::wire
--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -92,10 +92,10 @@
          "announcement stops tasks";
 }
 
-static std::string checkDrift(const ControlSettings &Settings) {
-  if (Settings.DriftMargin_ * 2 <= Settings.LeaseTtl_)
+static std::string checkGrace(const ControlSettings &Settings) {
+  if (Settings.StopGrace_ * 2 <= Settings.LeaseTtl_)
     return "";
-  return "--drift-margin must be at most half of --lease-ttl";
+  return "--stop-grace must be at most half of --lease-ttl";
 }
 
 static std::string checkSilence(const ControlSettings &Settings) {
@@ -123,7 +123,7 @@
 static constexpr SettingRule Rules[] = {
     checkName,      checkFleetName,     checkDataCentreNames, checkFleetNames,
     checkGroupName, checkSameAddresses, checkFolder,          checkLease,
-    checkDrift,     checkSilence,       checkElection,        checkAssignment};
+    checkGrace,     checkSilence,       checkElection,        checkAssignment};
 
 static void addIdentity(net::Options &To, ControlSettings &Target) {
   To.addText("name", Target.Name_, "Name of this control, unique in the fleet",
@@ -168,8 +168,10 @@
                  "Silence of a backend server before it gets no requests");
   To.addDuration("lease-ttl", Target.LeaseTtl_, milliseconds(200), hours(1),
                  "How long a task runs on without a renewal");
-  To.addDuration("drift-margin", Target.DriftMargin_, milliseconds(1),
-                 seconds(60), "Most that clocks drift during one lease");
+  To.addInteger("drift-ppm", Target.DriftPpm_, 1, 100'000,
+                "How far a clock's rate may be off, in millionths");
+  To.addDuration("stop-grace", Target.StopGrace_, milliseconds(1), seconds(60),
+                 "What a backend server takes to stop a task");
   To.addDuration("grant-ttl", Target.GrantTtl_, milliseconds(200), seconds(60),
                  "How long an entry uses slots unrenewed");
   To.addDuration("assignment-ttl", Target.AssignmentTtl_, seconds(1), hours(48),
--- /dev/null
+++ b/src/control/PlanningDuty.h
@@ -0,0 +1,116 @@
+//===- PlanningDuty.h - The planner fed and obeyed -------------*- C++ -*-===//
+//
+// Tells the planner what was committed and measured, in order, and turns its
+// decisions into proposals and commands to backend servers.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_CONTROL_PLANNINGDUTY_H
+#define TULIPWEIR_SRC_CONTROL_PLANNINGDUTY_H
+
+#include "control/CommandProposer.h"
+#include "control/DecisionStream.h"
+#include "tulipweir/datacentre/AttemptLedger.h"
+#include "tulipweir/datacentre/DataCentreMachine.h"
+#include "tulipweir/decide/Planner.h"
+#include "tulipweir/fleet/Bundle.h"
+#include "tulipweir/net/Metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace tulipweir::control {
+
+struct PlanningCounters {
+  net::Counter &Placements_;
+  net::Counter &PlacementsRefused_;
+  net::Counter &Evictions_;
+  net::Counter &Throttles_;
+  net::Counter &Holds_;
+  static PlanningCounters makeFor(net::Metrics &From);
+};
+
+/// Lives on the leader's strand, as long as one leadership.
+class PlanningDuty {
+public:
+  /// Whether a task of the job may be placed at all at the moment.
+  using MayPlace = std::function<bool(const JobId &)>;
+
+  PlanningDuty(const datacentre::DataCentreMachine &Machine,
+               CommandProposer &Proposer, DecisionStream &Stream,
+               const Clock &Time, PlanningCounters Counters, MayPlace JobMayRun,
+               std::uint64_t Seed);
+
+  // Commands.
+
+  void setBundle(std::shared_ptr<const fleet::Bundle> InForce);
+  /// Changes in the order of the log.
+  void noteChanges(const std::vector<datacentre::Change> &Changes);
+  void noteUsage(const BackendServerId &Server,
+                 const wire::AttemptReport &Report, TimePoint Now);
+  void noteService(const BackendServerId &Server,
+                   const wire::ServiceReport &Report, TimePoint Now);
+  /// Asks the planner and acts on at most Budget decisions; returns how many
+  /// there were.
+  std::size_t run(std::size_t Budget);
+
+  // Queries.
+
+  /// Whether something happened since the last run that may allow a decision.
+  bool isDue() const { return Due_; }
+  const decide::Planner &planner() const { return Planner_; }
+  std::size_t countWaiting() const { return Waiting_.size(); }
+
+private:
+  using Change = datacentre::Change;
+  using Handler = void (PlanningDuty::*)(const Change &);
+  static const Handler Handlers[];
+
+  void ignore(const Change &Value);
+  void onServerChanged(const Change &Value);
+  void onServerForgotten(const Change &Value);
+  void onJobAdopted(const Change &Value);
+  void onJobReleasing(const Change &Value);
+  void onJobDropped(const Change &Value);
+  void onTaskWaiting(const Change &Value);
+  void onTaskPlaced(const Change &Value);
+  void onReservationChanged(const Change &Value);
+  void onAttemptEnded(const Change &Value);
+  void onTaskEnded(const Change &Value);
+
+  using Action = void (PlanningDuty::*)(const decide::Decision &);
+  static const Action Actions[];
+
+  void show(const decide::Decision &Value);
+  void place(const decide::Decision &Value);
+  void reserve(const decide::Decision &Value);
+  void throttle(const decide::Decision &Value);
+  void evict(const decide::Decision &Value);
+  void hold(const decide::Decision &Value);
+
+  void upsert(const datacentre::RegisterServer &Info);
+  std::optional<decide::TaskInfo> makeTask(const Change &Value) const;
+
+  const datacentre::DataCentreMachine &Machine_;
+  CommandProposer &Proposer_;
+  datacentre::AttemptLedger &Attempts_;
+  DecisionStream &Stream_;
+  const Clock &Time_;
+  const PlanningCounters Counters_;
+  const MayPlace JobMayRun_;
+  decide::Planner Planner_;
+  std::shared_ptr<const fleet::Bundle> Bundle_;
+  std::unordered_map<JobId, datacentre::JobSpec> Specs_; ///< No payloads.
+  std::unordered_map<BackendServerId, BootId> Boots_;
+  std::unordered_set<TaskId> Waiting_;
+  bool Due_ = true;
+};
+
+} // namespace tulipweir::control
+
+#endif // TULIPWEIR_SRC_CONTROL_PLANNINGDUTY_H
