Add the leader's ledgers of leases, attempts, servers and slots

Cause: the control program needs the volatile side of a leader.

Ruled out: renewals checked against a leader flag without a clock reading; a LeaderMoment ties both, so that a freeze after the check can't lengthen what was promised. Slot accounts by boot were ruled out: an entry may still send under the earlier boot's grant to the same address.

Change: LeaseKeeper, AttemptLedger, ServerLedger, SlotShares, SlotLedger and JobTracker, each pure and made anew per leadership.

--- a/include/tulipweir/datacentre/RequestRecords.h
+++ b/include/tulipweir/datacentre/RequestRecords.h
@@ -81,6 +81,10 @@
   const std::map<RequestKey, RequestRecord> &records() const {
     return Records_;
   }
+  /// The keys of begun records, by the entry that holds them.
+  const std::map<EntryId, std::set<RequestKey>> &begunByEntry() const {
+    return BegunByEntry_;
+  }
   std::uint64_t wallMs() const { return WallMs_; }
 
   std::string encode() const;
@@ -101,7 +105,6 @@
   std::uint64_t WallMs_ = 0;
   RecordMap Records_;
   std::set<std::pair<std::uint64_t, RequestKey>> ByKeptFrom_;
-  /// The keys of begun records, by the entry that holds them.
   std::map<EntryId, std::set<RequestKey>> BegunByEntry_;
 };
 
--- /dev/null
+++ b/include/tulipweir/datacentre/SlotLedger.h
@@ -0,0 +1,184 @@
+//===- SlotLedger.h - Shares of servers' slots, granted to entries -*- C++ -*-//
+//
+// The leader's volatile account of slots and connections of backend servers:
+// which entry process may use how many, until when. One object per leadership.
+// What is accounted to all entry processes together never grows beyond a
+// server's slots; what an entry really uses is never above its account.
+//
+// What this rests on at the entry (docs/LEASES.md has the argument):
+// - It takes a table only if the version that it holds is still the one that
+//   it named in the report (RoutesHeld_) which the table answers; otherwise
+//   the reply changes and renews nothing.
+// - A reply without a table renews only the version that it names.
+// - A grant runs from when the report was SENT, by the entry's clock. When it
+//   runs out the entry holds version 0 and no slots.
+// - No request is sent with a deadline beyond MaxRequest_, and none runs past
+//   its deadline.
+// - InFlight_ counts each request that was sent and not answered or timed out.
+// - After its first report with Stopping_ it sends nothing new.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_DATACENTRE_SLOTLEDGER_H
+#define TULIPWEIR_DATACENTRE_SLOTLEDGER_H
+
+#include "tulipweir/core/Error.h"
+#include "tulipweir/core/Ids.h"
+#include "tulipweir/core/Time.h"
+#include "tulipweir/datacentre/Commands.h"
+#include "tulipweir/datacentre/Leadership.h"
+#include "tulipweir/datacentre/RequestRecords.h"
+#include "tulipweir/datacentre/SlotShares.h"
+#include "tulipweir/wire/Messages.h"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace tulipweir::datacentre {
+
+/// Settings that every control of a data centre must share.
+struct SlotSettings {
+  Duration GrantTtl_ = std::chrono::seconds(3);
+  /// The longest time from sending a request until its deadline.
+  Duration MaxRequest_ = std::chrono::seconds(30);
+  std::uint32_t DriftPpm_ = 1000;
+  /// Shares follow the demand at most this often.
+  Duration RebalanceEvery_ = std::chrono::seconds(5);
+  ShareRule Share_ = &shareByDemand;
+};
+
+/// A backend server as it is shared.
+struct SlotServer {
+  BackendServerId Server_;
+  BootId Boot_;
+  std::string Address_;
+  std::vector<ServiceId> Services_;
+  std::uint32_t Slots_ = 0;
+  std::uint32_t Connections_ = 0;
+  bool Routable_ = true;  ///< False: entries forget it.
+  bool Draining_ = false; ///< True: entries keep it, without slots.
+  bool operator==(const SlotServer &) const = default;
+};
+
+/// Slots and connections of one server.
+struct SlotAmount {
+  std::uint32_t Slots_ = 0;
+  std::uint32_t Connections_ = 0;
+  auto operator<=>(const SlotAmount &) const = default;
+};
+
+/// One entry process, for the dump.
+struct EntryView {
+  EntryId Entry_;
+  std::uint64_t Incarnation_ = 0;
+  std::string Address_;
+  BundleVersion Held_; ///< The bundle that it last reported.
+  bool Live_ = false;  ///< Its grant has not run out.
+  bool Stopping_ = false;
+  std::uint64_t RoutesVersion_ = 0;
+  double InFlight_ = 0; ///< Smoothed.
+};
+
+/// Not thread-safe: the leader's strand owns it.
+class SlotLedger {
+public:
+  /// Known are the servers that earlier leaders may have shared: all of the
+  /// state with everything applied that was committed before this term.
+  SlotLedger(const SlotSettings &Settings, std::uint64_t Term,
+             TimePoint ElectedAt, const std::vector<SlotServer> &Known);
+
+  // Commands.
+
+  /// Adds or changes a server.
+  void upsertServer(const SlotServer &Server);
+  /// The server is forgotten; what is granted of it is still accounted for.
+  void removeServer(const BackendServerId &Server);
+
+  /// Takes in an entry's report and renews its grants. The bundle part of the
+  /// reply is left to the caller. Fails with NotLeader when another leader
+  /// could exist.
+  Outcome<wire::EntryReportReply> onReport(const wire::EntryReport &Report,
+                                           const LeaderMoment &Moment);
+
+  /// Frees what entries held whose grants, and all requests that were sent
+  /// under them, have run out by Now. Also part of onReport.
+  void expire(TimePoint Now);
+
+  // Queries.
+
+  /// What is accounted to all entry processes together, earlier leaders'
+  /// unknown grants included.
+  SlotAmount findAccounted(const BackendServerId &Server) const;
+  std::vector<EntryView> listEntries(TimePoint Now) const;
+  /// Processes that began non-repeatable requests and whose reports ended: to
+  /// be proposed, so that callers are told Unknown.
+  std::vector<EndEntry> findGone(const RequestRecords &Records,
+                                 TimePoint Now) const;
+  const SlotSettings &settings() const { return Settings_; }
+
+private:
+  using HolderKey = std::pair<EntryId, std::uint64_t>;
+
+  struct Server {
+    SlotServer Info_;
+    bool Removed_ = false;
+    SlotAmount Earlier_; ///< What earlier leaders may have granted unseen.
+    SlotAmount Sum_;     ///< Of all holders.
+    std::size_t Group_ = 0;
+  };
+  struct Share {
+    SlotAmount Held_;            ///< The most that it may use now.
+    SlotAmount Offered_;         ///< In the latest table.
+    SlotAmount Shown_;           ///< In its latest report.
+    SlotAmount Target_;          ///< What rebalancing would give it.
+    std::uint32_t InFlight_ = 0; ///< In its latest report.
+  };
+  struct Holder {
+    std::string Address_;
+    BundleVersion Bundle_;
+    bool Stopping_ = false;
+    bool Confirmed_ = false; ///< It showed a version of this leader's.
+    std::uint64_t Version_ = 0;
+    std::vector<wire::Route> Table_; ///< The latest one offered.
+    TimePoint GrantEnd_;             ///< When it may send nothing more.
+    TimePoint ReleaseAt_;  ///< When nothing that it sent can still run.
+    bool Counted_ = false; ///< Part of the latest rebalancing.
+    std::map<std::size_t, Share> Shares_; ///< By server's position.
+    std::vector<double> Demand_;          ///< By group; smoothed.
+    std::vector<double> DemandUsed_;      ///< At the latest rebalancing.
+  };
+
+  void setHeld(Share &Of, Server &At, const SlotAmount &Amount);
+  void takeShown(Holder &From, const wire::EntryReport &Report, TimePoint Now);
+  void settle(Holder &From, std::uint64_t RoutesHeld);
+  void learnDemand(Holder &From);
+  SlotAmount chooseOffer(const Holder &To, const Server &At, const Share &Of,
+                         TimePoint Now) const;
+  bool offerTable(Holder &To, TimePoint Now);
+  void release(Holder &Of);
+  void rebalance(TimePoint Now);
+  bool needsRebalance(TimePoint Now);
+  void rebalanceGroup(std::size_t Group, const std::vector<Holder *> &Sharers);
+  bool isEarlierOpen(TimePoint Now) const { return Now < EarlierEnd_; }
+  bool isLive(const Holder &Of, TimePoint Now) const {
+    return Now < Of.GrantEnd_;
+  }
+
+  const SlotSettings Settings_;
+  const TimePoint ElectedAt_;
+  const TimePoint EarlierEnd_; ///< When earlier leaders' grants are over.
+  std::uint64_t NextVersion_;
+  std::vector<Server> Servers_;
+  std::map<BackendServerId, std::size_t> Positions_;
+  /// Servers of the same services are shared together.
+  std::map<std::vector<ServiceId>, std::size_t> Groups_;
+  std::map<HolderKey, Holder> Holders_;
+  bool MustRebalance_ = true;
+  TimePoint RebalancedAt_ = TimePoint::min();
+};
+
+} // namespace tulipweir::datacentre
+
+#endif // TULIPWEIR_DATACENTRE_SLOTLEDGER_H
--- a/src/datacentre/CommandApplier.cpp
+++ b/src/datacentre/CommandApplier.cpp
@@ -58,49 +58,6 @@
   return &Job->Tasks_[Task.Index_];
 }
 
-void CommandApplier::note(const Change &Value) {
-  if (Changes_)
-    Changes_->push_back(Value);
-}
-
-void CommandApplier::noteServer(ChangeKind Kind,
-                                const BackendServerId &Server) {
-  Change Value;
-  Value.Kind_ = Kind;
-  Value.Server_ = Server;
-  note(Value);
-}
-
-void CommandApplier::noteJob(ChangeKind Kind, const JobId &Job) {
-  Change Value;
-  Value.Kind_ = Kind;
-  Value.Task_.Job_ = Job;
-  note(Value);
-}
-
-void CommandApplier::noteTask(const TaskId &Task, const TaskRecord &Record) {
-  Change Value;
-  Value.Task_ = Task;
-  Value.Attempt_ = Record.Attempt_;
-  Value.Kind_ = ChangeKind::TaskEnded;
-  if (Record.State_ == TaskState::Waiting) {
-    Value.Kind_ = ChangeKind::TaskWaiting;
-    Value.Attempt_ = AttemptNumber(Record.Attempt_.value() + 1);
-  }
-  note(Value);
-}
-
-void CommandApplier::notePlaced(ChangeKind Kind, const TaskId &Task,
-                                const TaskRecord &Record) {
-  Change Value;
-  Value.Kind_ = Kind;
-  Value.Server_ = Record.Server_;
-  Value.Task_ = Task;
-  Value.Attempt_ = Record.Attempt_;
-  Value.Reservation_ = Record.Reservation_;
-  note(Value);
-}
-
 CommandResult CommandApplier::apply(const RegisterServer &Value) {
   if (Value.Server_.value().empty() || Value.Boot_.value().empty())
     return refuse(ErrorCode::InvalidArgument,
@@ -129,7 +86,7 @@
       Past.erase(Past.begin());
   }
   Server.Info_ = Value;
-  noteServer(ChangeKind::ServerChanged, Value.Server_);
+  Notes_.noteServer(ChangeKind::ServerChanged, Value.Server_);
   return {};
 }
 
@@ -143,7 +100,7 @@
                   std::to_string(Found->second.Placed_.size()) +
                       " attempts are still placed on " + Value.Server_.value());
   State_.Servers_.erase(Found);
-  noteServer(ChangeKind::ServerForgotten, Value.Server_);
+  Notes_.noteServer(ChangeKind::ServerForgotten, Value.Server_);
   return {};
 }
 
@@ -176,13 +133,13 @@
     return refuse(Progress.error().Code_, Progress.error().Message_);
 
   if (Earlier)
-    noteJob(ChangeKind::JobDropped, Spec.Job_);
+    Notes_.noteJob(ChangeKind::JobDropped, Spec.Job_);
   JobRecord &Job = State_.Jobs_[Spec.Job_];
   Job = JobRecord{};
   Job.Spec_ = Spec;
   Job.Assignment_ = Value.Assignment_;
   Job.Tasks_.resize(Spec.Tasks_);
-  noteJob(ChangeKind::JobAdopted, Spec.Job_);
+  Notes_.noteJob(ChangeKind::JobAdopted, Spec.Job_);
   for (std::uint32_t I = 0; I < Spec.Tasks_; ++I) {
     TaskRecord &Task = Job.Tasks_[I];
     TaskState State = TaskState::Waiting;
@@ -253,7 +210,7 @@
   Server.Reserved_ = Server.Reserved_ + Value.Reservation_;
   Server.Placed_.insert(Value.Task_);
   ++findJob(Value.Task_.Job_)->Placed_;
-  notePlaced(ChangeKind::TaskPlaced, Value.Task_, Task);
+  Notes_.notePlaced(ChangeKind::TaskPlaced, Value.Task_, Task);
   CommandResult Result;
   Result.Token_ = Token_;
   return Result;
@@ -279,7 +236,7 @@
                       describe(Task->Reservation_));
   Server.Reserved_ = Server.Reserved_ - Task->Reservation_ + Value.Reservation_;
   Task->Reservation_ = Value.Reservation_;
-  notePlaced(ChangeKind::ReservationChanged, Value.Task_, *Task);
+  Notes_.notePlaced(ChangeKind::ReservationChanged, Value.Task_, *Task);
   return {};
 }
 
@@ -307,15 +264,7 @@
   Server.Placed_.erase(Value.Task_);
   --Job.Placed_;
 
-  Change Ended;
-  Ended.Kind_ = ChangeKind::AttemptEnded;
-  Ended.Server_ = Task.Server_;
-  Ended.Task_ = Value.Task_;
-  Ended.Attempt_ = Value.Attempt_;
-  Ended.End_ = Value.End_;
-  Ended.Reservation_ = Task.Reservation_;
-  note(Ended);
-
+  Notes_.noteEnd(Value.Task_, Task, Value.End_);
   Task.Server_ = BackendServerId();
   Task.Boot_ = BootId();
   Task.Reservation_ = Resources{};
@@ -342,12 +291,12 @@
                                   TaskState State) {
   JobRecord &Job = *findJob(Id.Job_);
   Task.State_ = State;
-  noteTask(Id, Task);
+  Notes_.noteTask(Id, Task);
   if (!isEnded(State))
     return;
   ++Job.Ended_;
   if (Job.Ended_ == Job.Tasks_.size())
-    noteJob(ChangeKind::JobEnded, Id.Job_);
+    Notes_.noteJob(ChangeKind::JobEnded, Id.Job_);
 }
 
 CommandResult CommandApplier::apply(const CancelJob &Value) {
@@ -358,7 +307,7 @@
     return refuse(ErrorCode::AlreadyExists,
                   "job " + Value.Job_.value() + " was cancelled or ended");
   Job->Cancelling_ = true;
-  noteJob(ChangeKind::JobCancelling, Value.Job_);
+  Notes_.noteJob(ChangeKind::JobCancelling, Value.Job_);
   for (std::uint32_t I = 0; I < Job->Tasks_.size(); ++I)
     if (Job->Tasks_[I].State_ == TaskState::Waiting)
       setTaskState(TaskId{Value.Job_, I}, Job->Tasks_[I], TaskState::Cancelled);
@@ -377,7 +326,7 @@
     return refuse(ErrorCode::AlreadyExists,
                   "job " + Value.Job_.value() + " is being released");
   Job->Releasing_ = true;
-  noteJob(ChangeKind::JobReleasing, Value.Job_);
+  Notes_.noteJob(ChangeKind::JobReleasing, Value.Job_);
   return {};
 }
 
@@ -393,7 +342,7 @@
                       " tasks of " + Value.Job_.value() + " have not ended");
   rememberDropped(Value.Job_, Job->Assignment_);
   State_.Jobs_.erase(Value.Job_);
-  noteJob(ChangeKind::JobDropped, Value.Job_);
+  Notes_.noteJob(ChangeKind::JobDropped, Value.Job_);
   return {};
 }
 
--- a/src/datacentre/CommandApplier.h
+++ b/src/datacentre/CommandApplier.h
@@ -8,6 +8,7 @@
 #ifndef TULIPWEIR_SRC_DATACENTRE_COMMANDAPPLIER_H
 #define TULIPWEIR_SRC_DATACENTRE_COMMANDAPPLIER_H
 
+#include "datacentre/ChangeNotes.h"
 #include "tulipweir/datacentre/DataCentreState.h"
 
 namespace tulipweir::datacentre {
@@ -17,7 +18,7 @@
   /// Changes may be null.
   CommandApplier(DataCentreState &State, FencingToken Token,
                  std::vector<Change> *Changes)
-      : State_(State), Token_(Token), Changes_(Changes) {}
+      : State_(State), Token_(Token), Notes_(Changes) {}
 
   CommandResult apply(const RegisterServer &Value);
   CommandResult apply(const ForgetServer &Value);
@@ -33,15 +34,6 @@
   CommandResult apply(const EndEntry &Value);
   CommandResult apply(const ReleaseJob &Value);
 
-  // Also used to list the changes that rebuild a state.
-
-  void note(const Change &Value);
-  void noteServer(ChangeKind Kind, const BackendServerId &Server);
-  void noteJob(ChangeKind Kind, const JobId &Job);
-  void noteTask(const TaskId &Task, const TaskRecord &Record);
-  void notePlaced(ChangeKind Kind, const TaskId &Task,
-                  const TaskRecord &Record);
-
 private:
   JobRecord *findJob(const JobId &Job);
   TaskRecord *findTask(const TaskId &Task);
@@ -52,7 +44,7 @@
 
   DataCentreState &State_;
   FencingToken Token_;
-  std::vector<Change> *Changes_;
+  ChangeNotes Notes_;
 };
 
 } // namespace tulipweir::datacentre
--- a/src/datacentre/DataCentreState.cpp
+++ b/src/datacentre/DataCentreState.cpp
@@ -109,8 +109,7 @@
 
 std::vector<Change> DataCentreState::listChanges() const {
   std::vector<Change> Changes;
-  DataCentreState Unused(RecordLimits{});
-  CommandApplier Notes(Unused, FencingToken{}, &Changes);
+  ChangeNotes Notes(&Changes);
   for (const auto &[Id, Server] : Servers_)
     Notes.noteServer(ChangeKind::ServerChanged, Id);
   for (const auto &[Id, Job] : Jobs_) {
--- /dev/null
+++ b/src/datacentre/JobTracker.cpp
@@ -0,0 +1,69 @@
+//===- JobTracker.cpp - Which jobs ended or were released -----------------===//
+
+#include "tulipweir/datacentre/JobTracker.h"
+
+#include <cassert>
+
+using namespace tulipweir;
+using namespace tulipweir::datacentre;
+
+JobOutcome tulipweir::datacentre::summarizeJob(const JobRecord &Job) {
+  assert(Job.Ended_ == Job.Tasks_.size() && "a job that has not ended");
+  JobOutcome Result{Job.Spec_.Job_, Job.Assignment_, JobEnd::Finished, ""};
+  for (const TaskRecord &Task : Job.Tasks_) {
+    if (Task.State_ == TaskState::Failed) {
+      Result.End_ = JobEnd::Failed;
+      Result.Message_ = Task.Message_;
+      return Result;
+    }
+    if (Task.State_ == TaskState::Cancelled)
+      Result.End_ = JobEnd::Cancelled;
+  }
+  return Result;
+}
+
+void JobTracker::note(const Change &Value) {
+  const JobId &Job = Value.Task_.Job_;
+  if (Value.Kind_ == ChangeKind::JobEnded)
+    Ended_.insert(Job);
+  if (Value.Kind_ == ChangeKind::JobReleasing)
+    Releasing_.insert(Job);
+  if (Value.Kind_ != ChangeKind::JobDropped)
+    return;
+  Ended_.erase(Job);
+  Releasing_.erase(Job);
+}
+
+void JobTracker::reset() {
+  Ended_.clear();
+  Releasing_.clear();
+}
+
+std::vector<JobOutcome> JobTracker::listEnded(const DataCentreState &State,
+                                              std::size_t Limit) const {
+  std::vector<JobOutcome> Outcomes;
+  for (const JobId &Id : Ended_) {
+    const JobRecord *Job = State.findJob(Id);
+    if (Outcomes.size() == Limit)
+      break;
+    // The feed may be behind the state.
+    if (Job && Job->Ended_ == Job->Tasks_.size())
+      Outcomes.push_back(summarizeJob(*Job));
+  }
+  return Outcomes;
+}
+
+std::vector<JobId> JobTracker::listReleased(const DataCentreState &State,
+                                            std::size_t Limit) const {
+  std::vector<JobId> Released;
+  for (const JobId &Id : Releasing_) {
+    const JobRecord *Job = State.findJob(Id);
+    if (Released.size() == Limit)
+      break;
+    const bool Ready = Job && Job->Releasing_ && Job->Placed_ == 0 &&
+                       Job->Ended_ != Job->Tasks_.size();
+    if (Ready)
+      Released.push_back(Id);
+  }
+  return Released;
+}
--- /dev/null
+++ b/src/datacentre/Leadership.cpp
@@ -0,0 +1,22 @@
+//===- Leadership.cpp - Moments of leadership, and clock drift ------------===//
+
+#include "tulipweir/datacentre/Leadership.h"
+
+#include <cassert>
+
+using namespace tulipweir;
+
+static constexpr std::int64_t Million = 1'000'000;
+
+Duration tulipweir::datacentre::stretchForDrift(Duration Length,
+                                                std::uint32_t DriftPpm) {
+  assert(DriftPpm < Million && "a clock that may stand still");
+  // The other clock may be slow and ours fast: (1 + d) / (1 - d), rounded up.
+  const std::int64_t Slowest = Million - DriftPpm;
+  const std::int64_t Extra = 2 * std::int64_t{DriftPpm};
+  // Part by part, as Length in nanoseconds times a million would overflow.
+  const std::int64_t Whole = Length.count() / Slowest;
+  const std::int64_t Rest = Length.count() % Slowest;
+  const std::int64_t More = Whole * Extra + (Rest * Extra) / Slowest + 1;
+  return Length + Duration(More);
+}
--- /dev/null
+++ b/src/datacentre/ServerLedger.cpp
@@ -0,0 +1,209 @@
+//===- ServerLedger.cpp - Backend servers, as they announce ---------------===//
+
+#include "tulipweir/datacentre/ServerLedger.h"
+
+#include <algorithm>
+
+using namespace tulipweir;
+using namespace tulipweir::datacentre;
+
+static constexpr std::size_t MaxOldBoots = 8;
+
+static std::uint32_t toMilliseconds(Duration Length) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Length).count());
+}
+
+static RegisterServer makeRegistration(const wire::Announcement &Value) {
+  RegisterServer Result{Value.Server_,  Value.Boot_,        Value.Rack_,
+                        Value.Address_, Value.Capacity_,    Value.Services_,
+                        Value.Slots_,   Value.Connections_, Value.Draining_};
+  // Another order of the same services is no change.
+  std::sort(Result.Services_.begin(), Result.Services_.end());
+  return Result;
+}
+
+ServerLedger::ServerLedger(const ServerLedgerSettings &Settings,
+                           std::uint64_t Term, TimePoint ElectedAt,
+                           const DataCentreState &State)
+    : Settings_(Settings), Attempts_(Settings.Leases_, Term, ElectedAt) {
+  for (const auto &[Id, Server] : State.servers())
+    noteFor(Id, State, ElectedAt);
+}
+
+ServerLedger::ServerNote &ServerLedger::noteFor(const BackendServerId &Server,
+                                                const DataCentreState &State,
+                                                TimePoint Now) {
+  const auto [At, Fresh] = Notes_.try_emplace(Server);
+  ServerNote &Note = At->second;
+  if (!Fresh)
+    return Note;
+  Note.HeardAt_ = Now;
+  ByHeard_.emplace(Now, Server);
+  if (const ServerRecord *Record = State.findServer(Server)) {
+    Note.Boot_ = Record->Info_.Boot_;
+    Note.Draining_ = Record->Info_.Draining_;
+    Note.OldBoots_ = Record->PastBoots_;
+  }
+  return Note;
+}
+
+/// False if Boot was replaced before. A boot not known yet replaces the one
+/// that announced until now.
+bool ServerLedger::acceptBoot(ServerNote &Note, const BootId &Boot,
+                              const ServerRecord *Record) const {
+  if (Note.Boot_ == Boot)
+    return true;
+  auto &Old = Note.OldBoots_;
+  const bool Replaced =
+      std::find(Old.begin(), Old.end(), Boot) != Old.end() ||
+      (Record && std::find(Record->PastBoots_.begin(), Record->PastBoots_.end(),
+                           Boot) != Record->PastBoots_.end());
+  if (Replaced)
+    return false;
+  if (!Note.Boot_.value().empty())
+    Old.push_back(Note.Boot_);
+  if (Old.size() > MaxOldBoots)
+    Old.erase(Old.begin());
+  Note.Boot_ = Boot;
+  Note.Announced_ = false;
+  return true;
+}
+
+void ServerLedger::hear(const BackendServerId &Server, ServerNote &Note,
+                        TimePoint Now) {
+  ByHeard_.erase({Note.HeardAt_, Server});
+  Note.HeardAt_ = std::max(Note.HeardAt_, Now);
+  ByHeard_.emplace(Note.HeardAt_, Server);
+}
+
+Outcome<AnnouncementResult>
+ServerLedger::onAnnouncement(const wire::Announcement &Value,
+                             const DataCentreState &State,
+                             const LeaderMoment &Moment) {
+  if (!Moment.Leads_)
+    return fail(ErrorCode::NotLeader, "");
+  const ServerRecord *Record = State.findServer(Value.Server_);
+  ServerNote &Note = noteFor(Value.Server_, State, Moment.Now_);
+  if (!acceptBoot(Note, Value.Boot_, Record))
+    return fail(ErrorCode::StaleToken,
+                "boot " + Value.Boot_.value() + " of " + Value.Server_.value() +
+                    " was replaced by " + Note.Boot_.value());
+  AnnouncementResult Result;
+  Result.Reply_.LeaseTtlMs_ = toMilliseconds(Settings_.Leases_.Ttl_);
+  Result.Reply_.HeartbeatMs_ = toMilliseconds(Settings_.Heartbeat_);
+  if (Note.Announced_ && Value.Sequence_ <= Note.Sequence_)
+    return Result;
+
+  Note.Announced_ = true;
+  Note.Sequence_ = Value.Sequence_;
+  Note.Draining_ = Value.Draining_;
+  hear(Value.Server_, Note, Moment.Now_);
+  Result.Fresh_ = true;
+  proposeRegistration(Note, Value, Record, Result.Proposals_);
+  if (Record && Record->Info_.Boot_ == Value.Boot_) {
+    Attempts_.reconcile(Value, *Record, State, Moment, Result);
+    return Result;
+  }
+  // Nothing is placed on a boot that is not registered.
+  for (const wire::AttemptReport &Report : Value.Attempts_) {
+    wire::TaskCommand Stop;
+    Stop.Kind_ = wire::TaskCommandKind::Stop;
+    Stop.Task_ = Report.Task_;
+    Stop.Attempt_ = Report.Attempt_;
+    Stop.Token_ = Report.Token_;
+    Result.Reply_.Commands_.push_back(std::move(Stop));
+  }
+  return Result;
+}
+
+void ServerLedger::proposeRegistration(ServerNote &Note,
+                                       const wire::Announcement &Value,
+                                       const ServerRecord *Record,
+                                       std::vector<Command> &Proposals) const {
+  RegisterServer Wanted = makeRegistration(Value);
+  if (Record && Record->Info_ == Wanted)
+    return;
+  if (Note.Proposed_ == Wanted)
+    return;
+  Note.Proposed_ = Wanted;
+  Proposals.emplace_back(std::move(Wanted));
+}
+
+std::vector<Command> ServerLedger::onTick(const DataCentreState &State,
+                                          TimePoint Now) {
+  std::vector<Command> Proposals;
+  for (auto At = ByHeard_.begin(); At != ByHeard_.end();) {
+    const auto &[HeardAt, Server] = *At;
+    if (Now - HeardAt < Settings_.SilentAfter_)
+      break;
+    const ServerRecord *Record = State.findServer(Server);
+    const bool Forget = Now - HeardAt >= Settings_.ForgetAfter_;
+    if (!Record && Forget) {
+      Notes_.erase(Server);
+      At = ByHeard_.erase(At);
+      continue;
+    }
+    if (Record)
+      onSilent(*Record, State, Now, Forget, Proposals);
+    ++At;
+  }
+  return Proposals;
+}
+
+void ServerLedger::onSilent(const ServerRecord &Server,
+                            const DataCentreState &State, TimePoint Now,
+                            bool Forget, std::vector<Command> &Proposals) {
+  Attempts_.endSilent(Server, State, Now, Proposals);
+  ServerNote &Note = Notes_.at(Server.Info_.Server_);
+  if (!Forget || !Server.Placed_.empty() || Note.ForgetProposed_)
+    return;
+  Note.ForgetProposed_ = true;
+  Proposals.emplace_back(ForgetServer{Server.Info_.Server_});
+}
+
+void ServerLedger::noteDone(const Command &Proposal) {
+  if (const auto *End = std::get_if<EndAttempt>(&Proposal))
+    return Attempts_.noteDone(*End);
+  if (const auto *Registration = std::get_if<RegisterServer>(&Proposal)) {
+    const auto Found = Notes_.find(Registration->Server_);
+    if (Found != Notes_.end() && Found->second.Proposed_ == *Registration)
+      Found->second.Proposed_.reset();
+  }
+  if (const auto *Forget = std::get_if<ForgetServer>(&Proposal)) {
+    const auto Found = Notes_.find(Forget->Server_);
+    if (Found != Notes_.end())
+      Found->second.ForgetProposed_ = false;
+  }
+}
+
+void ServerLedger::note(const Change &Value) {
+  Attempts_.note(Value);
+  if (Value.Kind_ != ChangeKind::ServerForgotten)
+    return;
+  const auto Found = Notes_.find(Value.Server_);
+  if (Found == Notes_.end())
+    return;
+  ByHeard_.erase({Found->second.HeardAt_, Value.Server_});
+  Notes_.erase(Found);
+}
+
+bool ServerLedger::isRoutable(const ServerRecord &Server, TimePoint Now) const {
+  const auto Found = Notes_.find(Server.Info_.Server_);
+  if (Found == Notes_.end())
+    return false;
+  const ServerNote &Note = Found->second;
+  return Note.Boot_ == Server.Info_.Boot_ && !Note.Draining_ &&
+         !Server.Info_.Draining_ &&
+         Now - Note.HeardAt_ < Settings_.SilentAfter_;
+}
+
+bool ServerLedger::isDraining(const BackendServerId &Server) const {
+  const auto Found = Notes_.find(Server);
+  return Found != Notes_.end() && Found->second.Draining_;
+}
+
+TimePoint ServerLedger::findHeardAt(const BackendServerId &Server) const {
+  const auto Found = Notes_.find(Server);
+  return Found == Notes_.end() ? TimePoint::min() : Found->second.HeardAt_;
+}
--- /dev/null
+++ b/src/datacentre/SlotLedger.cpp
@@ -0,0 +1,358 @@
+//===- SlotLedger.cpp - Shares of servers' slots, granted to entries ------===//
+
+#include "tulipweir/datacentre/SlotLedger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+using namespace tulipweir;
+using namespace tulipweir::datacentre;
+
+/// Weight of the newest report in the smoothed demand.
+static constexpr double DemandStep = 0.3;
+/// Shares stay while no demand moved by more than this many requests and this
+/// part of itself: a new table costs more than it brings.
+static constexpr double DemandSlack = 2;
+static constexpr double DemandSlackPart = 0.25;
+static constexpr int TermShift = 32;
+
+static SlotAmount max(const SlotAmount &One, const SlotAmount &Other) {
+  return {std::max(One.Slots_, Other.Slots_),
+          std::max(One.Connections_, Other.Connections_)};
+}
+
+static SlotAmount min(const SlotAmount &One, const SlotAmount &Other) {
+  return {std::min(One.Slots_, Other.Slots_),
+          std::min(One.Connections_, Other.Connections_)};
+}
+
+static SlotAmount plus(const SlotAmount &One, const SlotAmount &Other) {
+  return {One.Slots_ + Other.Slots_, One.Connections_ + Other.Connections_};
+}
+
+static std::uint32_t minusOrZero(std::uint32_t From, std::uint32_t Amount) {
+  return From > Amount ? From - Amount : 0;
+}
+
+static SlotAmount minusOrZero(const SlotAmount &From,
+                              const SlotAmount &Amount) {
+  return {minusOrZero(From.Slots_, Amount.Slots_),
+          minusOrZero(From.Connections_, Amount.Connections_)};
+}
+
+static SlotAmount capacityOf(const SlotServer &Server) {
+  return {Server.Slots_, Server.Connections_};
+}
+
+/// Each request needs a slot and a connection.
+static std::uint32_t usableSlots(const SlotServer &Server) {
+  return std::min(Server.Slots_, Server.Connections_);
+}
+
+SlotLedger::SlotLedger(const SlotSettings &Settings, std::uint64_t Term,
+                       TimePoint ElectedAt,
+                       const std::vector<SlotServer> &Known)
+    : Settings_(Settings), ElectedAt_(ElectedAt),
+      EarlierEnd_(ElectedAt +
+                  stretchForDrift(Settings.GrantTtl_ + Settings.MaxRequest_,
+                                  Settings.DriftPpm_)),
+      NextVersion_((Term << TermShift) + 1) {
+  for (const SlotServer &Each : Known) {
+    upsertServer(Each);
+    Servers_.at(Positions_.at(Each.Server_)).Earlier_ = capacityOf(Each);
+  }
+}
+
+void SlotLedger::upsertServer(const SlotServer &Info) {
+  const auto [At, Fresh] =
+      Positions_.try_emplace(Info.Server_, Servers_.size());
+  if (Fresh)
+    Servers_.emplace_back();
+  Server &Changed = Servers_[At->second];
+  const bool Same = !Fresh && !Changed.Removed_ &&
+                    Changed.Info_.Services_ == Info.Services_ &&
+                    capacityOf(Changed.Info_) == capacityOf(Info);
+  Changed.Info_ = Info;
+  Changed.Removed_ = false;
+  if (Same)
+    return;
+  Changed.Group_ =
+      Groups_.try_emplace(Info.Services_, Groups_.size()).first->second;
+  MustRebalance_ = true;
+}
+
+void SlotLedger::removeServer(const BackendServerId &Id) {
+  const auto Found = Positions_.find(Id);
+  if (Found == Positions_.end())
+    return;
+  // Its position stays: what was granted of it is still accounted for, and the
+  // shares of the others do not move.
+  Servers_[Found->second].Removed_ = true;
+}
+
+void SlotLedger::setHeld(Share &Of, Server &At, const SlotAmount &Amount) {
+  At.Sum_ = plus(minusOrZero(At.Sum_, Of.Held_), Amount);
+  Of.Held_ = Amount;
+}
+
+Outcome<wire::EntryReportReply>
+SlotLedger::onReport(const wire::EntryReport &Report,
+                     const LeaderMoment &Moment) {
+  if (!Moment.Leads_)
+    return fail(ErrorCode::NotLeader, "");
+  const TimePoint Now = Moment.Now_;
+  expire(Now);
+  const auto [At, Fresh] =
+      Holders_.try_emplace({Report.Entry_, Report.Incarnation_});
+  Holder &From = At->second;
+  From.Address_ = Report.Address_;
+  From.Bundle_ = Report.Held_;
+  // Sticky: an earlier report may arrive after it.
+  From.Stopping_ |= Report.Stopping_;
+  takeShown(From, Report, Now);
+  settle(From, Report.RoutesHeld_);
+  learnDemand(From);
+  From.GrantEnd_ =
+      std::max(From.GrantEnd_,
+               Now + stretchForDrift(Settings_.GrantTtl_, Settings_.DriftPpm_));
+  From.ReleaseAt_ =
+      std::max(From.ReleaseAt_, Now + stretchForDrift(Settings_.GrantTtl_ +
+                                                          Settings_.MaxRequest_,
+                                                      Settings_.DriftPpm_));
+  rebalance(Now);
+
+  wire::EntryReportReply Reply;
+  Reply.GrantTtlMs_ = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Settings_.GrantTtl_)
+          .count());
+  const bool Changed = offerTable(From, Now);
+  if (Changed || Report.RoutesHeld_ != From.Version_)
+    Reply.Routes_ = From.Table_;
+  Reply.RoutesVersion_ = From.Version_;
+  return Reply;
+}
+
+/// Notes what the report shows, and accounts for what earlier leaders granted.
+void SlotLedger::takeShown(Holder &From, const wire::EntryReport &Report,
+                           TimePoint Now) {
+  for (auto &[Position, Each] : From.Shares_) {
+    Each.Shown_ = SlotAmount{};
+    Each.InFlight_ = 0;
+  }
+  for (const wire::GrantHeld &Held : Report.Grants_) {
+    const auto Found = Positions_.find(Held.Server_);
+    if (Found == Positions_.end())
+      continue;
+    Server &At = Servers_[Found->second];
+    Share &Of = From.Shares_[Found->second];
+    Of.Shown_ = {Held.Slots_, Held.Connections_};
+    Of.InFlight_ = Held.InFlight_;
+    if (From.Confirmed_)
+      continue;
+    const SlotAmount Running{Held.InFlight_, Held.InFlight_};
+    const SlotAmount Real =
+        isEarlierOpen(Now) ? max(Of.Shown_, Running) : Running;
+    const SlotAmount Raised = max(Of.Held_, Real);
+    At.Earlier_ = minusOrZero(At.Earlier_, minusOrZero(Raised, Of.Held_));
+    setHeld(Of, At, Raised);
+  }
+}
+
+/// Lowers the account of an entry that shows the latest table: it will not go
+/// back to an earlier one, and what runs beyond the table is in flight.
+void SlotLedger::settle(Holder &From, std::uint64_t RoutesHeld) {
+  if (From.Version_ == 0 || RoutesHeld != From.Version_)
+    return;
+  From.Confirmed_ = true;
+  for (auto &[Position, Of] : From.Shares_) {
+    const SlotAmount Running{Of.InFlight_, Of.InFlight_};
+    const SlotAmount Granted = From.Stopping_ ? SlotAmount{} : Of.Offered_;
+    setHeld(Of, Servers_[Position], max(Granted, Running));
+  }
+}
+
+void SlotLedger::learnDemand(Holder &From) {
+  std::vector<double> Now(Groups_.size());
+  for (const auto &[Position, Of] : From.Shares_)
+    Now[Servers_[Position].Group_] += Of.InFlight_;
+  From.Demand_.resize(Now.size());
+  for (std::size_t I = 0; I < Now.size(); ++I)
+    From.Demand_[I] += DemandStep * (Now[I] - From.Demand_[I]);
+}
+
+SlotAmount SlotLedger::chooseOffer(const Holder &To, const Server &At,
+                                   const Share &Of, TimePoint Now) const {
+  if (To.Stopping_ || At.Info_.Draining_)
+    return {};
+  // Right after an election entries go on with what they have, so that a
+  // change of leader moves no shares.
+  const bool Settling = Now < ElectedAt_ + stretchForDrift(Settings_.GrantTtl_,
+                                                           Settings_.DriftPpm_);
+  const SlotAmount Wanted =
+      Settling && Of.Shown_.Slots_ > 0 ? Of.Shown_ : Of.Target_;
+  const SlotAmount Free =
+      minusOrZero(capacityOf(At.Info_), plus(At.Sum_, At.Earlier_));
+  // Until it shows a table of ours its account may be of a stale report; what
+  // it named in this one it holds if it takes the answer.
+  const bool ByReport = !To.Confirmed_ && isEarlierOpen(Now);
+  const SlotAmount Has = ByReport ? Of.Shown_ : Of.Held_;
+  SlotAmount Offer = min(Wanted, plus(Has, Free));
+  Offer = min(Offer, capacityOf(At.Info_));
+  Offer.Slots_ = std::min(Offer.Slots_, Offer.Connections_);
+  if (Offer.Slots_ == 0)
+    Offer.Connections_ = 0;
+  return Offer;
+}
+
+/// Makes the table that To is to have now. True if it is a new one.
+bool SlotLedger::offerTable(Holder &To, TimePoint Now) {
+  std::vector<wire::Route> Table;
+  std::vector<SlotAmount> Offers(Servers_.size());
+  for (std::size_t Position = 0; Position < Servers_.size(); ++Position) {
+    const Server &At = Servers_[Position];
+    if (At.Removed_ || !At.Info_.Routable_)
+      continue;
+    const SlotAmount Offer = chooseOffer(To, At, To.Shares_[Position], Now);
+    Offers[Position] = Offer;
+    Table.push_back(wire::Route{
+        At.Info_.Server_, At.Info_.Boot_, At.Info_.Address_, At.Info_.Services_,
+        Offer.Slots_, Offer.Connections_, At.Info_.Draining_});
+  }
+  if (To.Version_ != 0 && Table == To.Table_)
+    return false;
+  To.Table_ = std::move(Table);
+  To.Version_ = NextVersion_++;
+  for (auto &[Position, Of] : To.Shares_) {
+    Of.Offered_ = Offers[Position];
+    setHeld(Of, Servers_[Position], max(Of.Held_, Of.Offered_));
+  }
+  return true;
+}
+
+void SlotLedger::release(Holder &Of) {
+  for (auto &[Position, Each] : Of.Shares_)
+    setHeld(Each, Servers_[Position], SlotAmount{});
+}
+
+void SlotLedger::expire(TimePoint Now) {
+  if (!isEarlierOpen(Now))
+    for (Server &Each : Servers_)
+      Each.Earlier_ = SlotAmount{};
+  for (auto At = Holders_.begin(); At != Holders_.end();) {
+    if (Now < At->second.ReleaseAt_) {
+      ++At;
+      continue;
+    }
+    release(At->second);
+    At = Holders_.erase(At);
+  }
+}
+
+bool SlotLedger::needsRebalance(TimePoint Now) {
+  bool Needed = MustRebalance_;
+  const bool Due = Now - RebalancedAt_ >= Settings_.RebalanceEvery_;
+  for (const auto &[Key, Each] : Holders_) {
+    const bool Counts = isLive(Each, Now) && !Each.Stopping_;
+    Needed |= Counts != Each.Counted_;
+    if (!Due || !Counts || Needed)
+      continue;
+    for (std::size_t I = 0; I < Each.Demand_.size(); ++I) {
+      const double Used = I < Each.DemandUsed_.size() ? Each.DemandUsed_[I] : 0;
+      const double Slack = std::max(DemandSlack, DemandSlackPart * Used);
+      Needed |= std::abs(Each.Demand_[I] - Used) > Slack;
+    }
+  }
+  return Needed;
+}
+
+void SlotLedger::rebalance(TimePoint Now) {
+  if (!needsRebalance(Now))
+    return;
+  MustRebalance_ = false;
+  RebalancedAt_ = Now;
+  std::vector<Holder *> Sharers;
+  for (auto &[Key, Each] : Holders_) {
+    Each.Counted_ = isLive(Each, Now) && !Each.Stopping_;
+    Each.Demand_.resize(Groups_.size());
+    Each.DemandUsed_ = Each.Demand_;
+    for (auto &[Position, Of] : Each.Shares_)
+      Of.Target_ = SlotAmount{};
+    if (Each.Counted_)
+      Sharers.push_back(&Each);
+  }
+  for (std::size_t Group = 0; Group < Groups_.size(); ++Group)
+    rebalanceGroup(Group, Sharers);
+}
+
+void SlotLedger::rebalanceGroup(std::size_t Group,
+                                const std::vector<Holder *> &Sharers) {
+  // Servers that are out for a while keep their part, so that the shares of
+  // the others do not move when they come and go.
+  std::vector<std::size_t> Members;
+  std::vector<std::uint32_t> Slots;
+  for (std::size_t Position = 0; Position < Servers_.size(); ++Position) {
+    if (Servers_[Position].Group_ != Group || Servers_[Position].Removed_)
+      continue;
+    Members.push_back(Position);
+    Slots.push_back(usableSlots(Servers_[Position].Info_));
+  }
+  std::vector<double> Demand;
+  for (const Holder *Each : Sharers)
+    Demand.push_back(Each->Demand_[Group]);
+  const ShareTable Table = Settings_.Share_(Slots, Demand);
+  for (std::size_t S = 0; S < Members.size(); ++S) {
+    const SlotServer &Info = Servers_[Members[S]].Info_;
+    for (std::size_t E = 0; E < Sharers.size(); ++E) {
+      const std::uint32_t Given = Table[S][E];
+      // As many connections to a slot as the server has.
+      const std::uint64_t Connections =
+          Slots[S] == 0 ? 0
+                        : std::uint64_t{Given} * Info.Connections_ / Slots[S];
+      Sharers[E]->Shares_[Members[S]].Target_ = {
+          Given, static_cast<std::uint32_t>(Connections)};
+    }
+  }
+}
+
+SlotAmount SlotLedger::findAccounted(const BackendServerId &Id) const {
+  const auto Found = Positions_.find(Id);
+  if (Found == Positions_.end())
+    return {};
+  const Server &At = Servers_[Found->second];
+  return plus(At.Sum_, At.Earlier_);
+}
+
+std::vector<EntryView> SlotLedger::listEntries(TimePoint Now) const {
+  std::vector<EntryView> Views;
+  for (const auto &[Key, Each] : Holders_) {
+    double InFlight = 0;
+    for (const double Demand : Each.Demand_)
+      InFlight += Demand;
+    Views.push_back(EntryView{Key.first, Key.second, Each.Address_,
+                              Each.Bundle_, isLive(Each, Now), Each.Stopping_,
+                              Each.Version_, InFlight});
+  }
+  return Views;
+}
+
+std::vector<EndEntry> SlotLedger::findGone(const RequestRecords &Records,
+                                           TimePoint Now) const {
+  std::vector<EndEntry> Gone;
+  const bool AllHeard =
+      Now >=
+      ElectedAt_ + stretchForDrift(Settings_.GrantTtl_, Settings_.DriftPpm_);
+  for (const auto &[Entry, Keys] : Records.begunByEntry()) {
+    std::set<std::uint64_t> Incarnations;
+    for (const RequestKey &Key : Keys)
+      Incarnations.insert(Records.records().at(Key).EntryIncarnation_);
+    for (const std::uint64_t Incarnation : Incarnations) {
+      const auto Found = Holders_.find({Entry, Incarnation});
+      const bool Silent =
+          Found == Holders_.end() ? AllHeard : !isLive(Found->second, Now);
+      if (Silent)
+        Gone.push_back(EndEntry{Entry, Incarnation});
+    }
+  }
+  return Gone;
+}
