--- a/include/tulipweir/net/Options.h
+++ b/include/tulipweir/net/Options.h
@@ -64,7 +64,8 @@
   void addText(const std::string &Flag, std::string &Target,
                const std::string &Help, bool Required = false);
   /// Like addText, but never shown in full: for secrets. Also offers
-  /// --FLAG-file, whose first line is the value.
+  /// --FLAG-file, whose first line is the value. One of the two must be given
+  /// when MinBytes is over 0 and Target has no default.
   void addSecret(const std::string &Flag, std::string &Target,
                  const std::string &Help, std::size_t MinBytes);
   void addInteger(const std::string &Flag, std::int64_t &Target,
--- a/src/net/Convert.h
+++ b/src/net/Convert.h
@@ -20,8 +20,7 @@
 
 /// The executor of one connection. The concrete type, since Asio's
 /// type-erased executors cost an allocation on the hot path.
-using Strand =
-    boost::asio::strand<boost::asio::io_context::executor_type>;
+using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
 using Timer = boost::asio::basic_waitable_timer<
     std::chrono::steady_clock,
--- a/src/net/Endpoint.cpp
+++ b/src/net/Endpoint.cpp
@@ -36,8 +36,7 @@
 
 std::string Endpoint::toString() const {
   const bool IsV6 = Address_.find(':') != std::string::npos;
-  return (IsV6 ? "[" + Address_ + "]" : Address_) + ":" +
-         std::to_string(Port_);
+  return (IsV6 ? "[" + Address_ + "]" : Address_) + ":" + std::to_string(Port_);
 }
 
 Outcome<boost::asio::ip::tcp::endpoint>
--- a/src/net/Http.cpp
+++ b/src/net/Http.cpp
@@ -65,7 +65,6 @@
 }
 
 HttpResponse HttpResponse::makeText(unsigned Status, std::string Body) {
-  return {Status,
-          {{"Content-Type", "text/plain; charset=utf-8"}},
-          std::move(Body)};
+  return {
+      Status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(Body)};
 }
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -70,8 +70,8 @@
 /// Whether the peer has closed, or sent what nobody asked for.
 bool HttpClientConnection::isStale() {
   char Byte = 0;
-  const ssize_t Size = ::recv(Socket_.native_handle(), &Byte, 1,
-                              MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t Size =
+      ::recv(Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return Size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -116,8 +116,8 @@
   Writing_ = true;
   asio::async_write(
       Socket_, Parts,
-      [Self = shared_from_this(),
-       Exchange = Exchange_](error_code Problem, std::size_t) {
+      [Self = shared_from_this(), Exchange = Exchange_](error_code Problem,
+                                                        std::size_t) {
         Self->Writing_ = false;
         // An answer may be there all the same; the read tells.
         if (Problem && Self->Exchange_ == Exchange && !Self->Input_.size())
--- a/src/net/HttpClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -33,8 +33,8 @@
 
 private:
   enum class Phase : std::uint8_t { New, Connecting, Open, Closed };
-  using Parser = boost::beast::http::response_parser<
-      boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void begin(const HttpExchangePtr &Exchange);
   void connect();
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -274,11 +274,11 @@
   const std::size_t BodySize = IsHead_ ? 0 : Response_.Body_.size();
   const std::array<asio::const_buffer, 2> Parts = {
       asio::buffer(Head_), asio::buffer(Response_.Body_.data(), BodySize)};
-  asio::async_write(Socket_, Parts,
-                    [Self = shared_from_this()](error_code Problem,
-                                                std::size_t) {
-                      Self->onWritten(Problem);
-                    });
+  asio::async_write(
+      Socket_, Parts,
+      [Self = shared_from_this()](error_code Problem, std::size_t) {
+        Self->onWritten(Problem);
+      });
 }
 
 void HttpConnection::onWritten(error_code Problem) {
@@ -330,8 +330,8 @@
 /// Looks at the deadline from time to time; arming a timer anew for every
 /// request would cost more than the rest of its handling.
 void HttpConnection::watch() {
-  const TimePoint Look = std::chrono::steady_clock::now() +
-                         Shared_->Settings_.ReadTimeout_ / 4;
+  const TimePoint Look =
+      std::chrono::steady_clock::now() + Shared_->Settings_.ReadTimeout_ / 4;
   Timer_.expires_at(std::min(Look, Deadline_));
   Timer_.async_wait([Self = shared_from_this()](error_code) {
     if (Self->Phase_ == Phase::Closed)
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -71,8 +71,8 @@
     Lingering, ///< Our side is closed; the rest of the peer's is thrown away.
     Closed,
   };
-  using Parser = boost::beast::http::request_parser<
-      boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void read();
   void onRead(boost::system::error_code Problem, std::size_t Size);
--- a/src/net/HttpPeer.h
+++ b/src/net/HttpPeer.h
@@ -55,7 +55,8 @@
   boost::asio::io_context &Context_;
   const HttpFinish Finish_;
   std::mutex Lock_;
-  std::unordered_map<HttpClientConnection *, std::weak_ptr<HttpClientConnection>>
+  std::unordered_map<HttpClientConnection *,
+                     std::weak_ptr<HttpClientConnection>>
       Open_;
   std::vector<ConnectionPtr> Idle_;
   std::deque<HttpExchangePtr> Waiting_;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -13,10 +13,10 @@
   Impl(boost::asio::io_context &Context, const HttpServerSettings &Settings,
        HttpHandler Handler)
       : Shared_(std::make_shared<HttpShared>(Settings, std::move(Handler))),
-        Listener_(std::make_shared<Listener>(
-            Context, [Shared = Shared_](Socket Peer) {
-              serve(Shared, std::move(Peer));
-            })) {}
+        Listener_(std::make_shared<Listener>(Context,
+                                             [Shared = Shared_](Socket Peer) {
+                                               serve(Shared, std::move(Peer));
+                                             })) {}
 
   void drain(std::function<void()> Done);
   void stop();
--- a/src/net/HttpText.cpp
+++ b/src/net/HttpText.cpp
@@ -9,8 +9,8 @@
 
 static bool isFraming(std::string_view Name) {
   static constexpr std::array<std::string_view, 6> Framing = {
-      "connection", "content-length", "keep-alive",
-      "transfer-encoding", "upgrade", "proxy-connection"};
+      "connection",        "content-length", "keep-alive",
+      "transfer-encoding", "upgrade",        "proxy-connection"};
   const boost::beast::string_view Text(Name.data(), Name.size());
   for (std::string_view Each : Framing)
     if (Each.size() == Name.size() &&
@@ -48,8 +48,7 @@
   appendHeaders(Head, Response.Headers_);
   const bool Bodiless = Response.Status_ == 204 || Response.Status_ < 200;
   if (!Bodiless)
-    appendHeader(Head, "Content-Length",
-                 std::to_string(Response.Body_.size()));
+    appendHeader(Head, "Content-Length", std::to_string(Response.Body_.size()));
   appendHeader(Head, "Connection", KeepAlive ? "keep-alive" : "close");
   return Head.append("\r\n");
 }
--- a/src/net/HttpText.h
+++ b/src/net/HttpText.h
@@ -22,8 +22,7 @@
 /// left out.
 std::string writeResponseHead(const HttpResponse &Response, bool KeepAlive);
 /// The request line and headers towards Host.
-std::string writeRequestHead(const HttpRequest &Request,
-                             std::string_view Host);
+std::string writeRequestHead(const HttpRequest &Request, std::string_view Host);
 
 /// Copies the fields of a message that Beast has read.
 template <class Fields>
@@ -37,8 +36,8 @@
 }
 
 /// Moves the parts of a request that Beast has read out of it.
-HttpRequest takeRequest(
-    boost::beast::http::request<boost::beast::http::string_body> &From);
+HttpRequest
+takeRequest(boost::beast::http::request<boost::beast::http::string_body> &From);
 HttpResponse takeResponse(
     boost::beast::http::response<boost::beast::http::string_body> &From);
 
--- a/src/net/LinkClient.cpp
+++ b/src/net/LinkClient.cpp
@@ -93,10 +93,10 @@
   if (Cut_ || !Address)
     return retryLater();
   LinkConnection::Events Owner;
-  Owner.OnOpen_ = [Self = shared_from_this()](
-                      const LinkConnection::Pointer &Connection) {
-    Self->onOpen(Connection);
-  };
+  Owner.OnOpen_ =
+      [Self = shared_from_this()](const LinkConnection::Pointer &Connection) {
+        Self->onOpen(Connection);
+      };
   Owner.OnFrame_ = [Self = shared_from_this()](const LinkConnection::Pointer &,
                                                LinkFrame Frame) {
     Self->onFrame(std::move(Frame));
@@ -173,9 +173,9 @@
   }
   for (auto &[Call, Pending] : Lost) {
     const bool MayHaveLeft = Connection->hasBegun(Pending.Write_);
-    Pending.Reply_(fail(MayHaveLeft ? ErrorCode::Timeout
-                                    : ErrorCode::Unavailable,
-                        "the link to " + Peer_.toString() + " was lost"));
+    Pending.Reply_(
+        fail(MayHaveLeft ? ErrorCode::Timeout : ErrorCode::Unavailable,
+             "the link to " + Peer_.toString() + " was lost"));
   }
   retryLater();
 }
@@ -188,9 +188,8 @@
     return fail(ErrorCode::TooLarge, "the frame is over the limit");
   const std::lock_guard Hold(Lock_);
   if (!Connection_)
-    return fail(ErrorCode::Unavailable, "not connected to " +
-                                            Peer_.toString() + ": " +
-                                            LastProblem_.Message_);
+    return fail(ErrorCode::Unavailable, "not connected to " + Peer_.toString() +
+                                            ": " + LastProblem_.Message_);
   const std::uint64_t Call = ++LastCall_;
   std::uint64_t Write = 0;
   if (!Cut_) {
--- a/src/net/LinkConnection.cpp
+++ b/src/net/LinkConnection.cpp
@@ -144,8 +144,7 @@
 }
 
 void LinkConnection::read() {
-  const std::size_t Room =
-      std::clamp(Input_.size(), ReadBytes, MostReadBytes);
+  const std::size_t Room = std::clamp(Input_.size(), ReadBytes, MostReadBytes);
   Socket_.async_read_some(
       Input_.prepare(Room),
       [Self = shared_from_this()](error_code Problem, std::size_t Size) {
@@ -184,8 +183,7 @@
   std::uint64_t Write = 0;
   {
     const std::lock_guard Hold(OutLock_);
-    const std::size_t After =
-        Pending_.size() + FrameHeaderBytes + Body.size();
+    const std::size_t After = Pending_.size() + FrameHeaderBytes + Body.size();
     if (Closed_ || After > Settings_.MaxQueuedBytes_)
       return 0;
     appendFrame(Pending_, Kind, Type, Call, Body);
--- a/src/net/LinkConnection.h
+++ b/src/net/LinkConnection.h
@@ -56,8 +56,8 @@
   void close(Error Why);
   /// Queues a frame. Returns the number of the write that will carry it, or 0
   /// if it was not taken: the connection is closed or too much is waiting.
-  std::uint64_t send(wire::MessageKind Kind, FrameType Type,
-                     std::uint64_t Call, std::string_view Body);
+  std::uint64_t send(wire::MessageKind Kind, FrameType Type, std::uint64_t Call,
+                     std::string_view Body);
   /// Whether the write of that number has begun.
   bool hasBegun(std::uint64_t Write) const { return Write <= Begun_; }
 
--- a/src/net/LinkFrame.cpp
+++ b/src/net/LinkFrame.cpp
@@ -39,8 +39,8 @@
   const std::uint32_t Size = endian::load_little_u32(toBytes(Header));
   if (Size > MaxBodyBytes)
     return fail(ErrorCode::TooLarge,
-                "a frame of " + std::to_string(Size) + " bytes; allowed: " +
-                    std::to_string(MaxBodyBytes));
+                "a frame of " + std::to_string(Size) +
+                    " bytes; allowed: " + std::to_string(MaxBodyBytes));
   const auto Type = static_cast<FrameType>(Header[TypeAt]);
   if (Type > FrameType::Failure)
     return fail(ErrorCode::Malformed, "a frame of unknown type");
--- a/src/net/LinkHandshake.cpp
+++ b/src/net/LinkHandshake.cpp
@@ -37,10 +37,10 @@
   Hello.Version_ = static_cast<std::uint16_t>(ByteAt(4) | ByteAt(5) << 8);
   Hello.Refusal_ = static_cast<ErrorCode>(ByteAt(6));
   if (Hello.Version_ != LinkVersion)
-    return fail(ErrorCode::VersionMismatch,
-                "the peer speaks link version " +
-                    std::to_string(Hello.Version_) + "; this process speaks " +
-                    std::to_string(LinkVersion));
+    return fail(ErrorCode::VersionMismatch, "the peer speaks link version " +
+                                                std::to_string(Hello.Version_) +
+                                                "; this process speaks " +
+                                                std::to_string(LinkVersion));
   if (Hello.Refusal_ != ErrorCode::Internal)
     return fail(ErrorCode::PermissionDenied,
                 "the peer refused our proof; check the shared secret");
--- a/src/net/LinkServer.cpp
+++ b/src/net/LinkServer.cpp
@@ -97,8 +97,8 @@
   }
   Handler_(Frame.Kind_, std::move(Body),
            [To = std::weak_ptr(From), Call = std::move(Frame),
-            MaxBytes = Settings_.MaxFrameBytes_](
-               const Outcome<std::string> &Answer) {
+            MaxBytes =
+                Settings_.MaxFrameBytes_](const Outcome<std::string> &Answer) {
              answerCall(To, Call, Answer, MaxBytes);
            });
 }
--- a/src/wire/Codec.cpp
+++ b/src/wire/Codec.cpp
@@ -19,70 +19,71 @@
 
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
-namespace adaptor {
-
-template <class Tag, class Rep> struct pack<Id<Tag, Rep>> {
-  template <class Stream>
-  packer<Stream> &operator()(packer<Stream> &To, const Id<Tag, Rep> &Value) {
-    return To.pack(Value.value());
-  }
-};
-
-template <class Tag, class Rep> struct convert<Id<Tag, Rep>> {
-  const msgpack::object &operator()(const msgpack::object &From, Id<Tag, Rep> &Value) {
-    Value = Id<Tag, Rep>(From.as<Rep>());
-    return From;
-  }
-};
-
-template <class T>
+  namespace adaptor {
+
+  template <class Tag, class Rep> struct pack<Id<Tag, Rep>> {
+    template <class Stream>
+    packer<Stream> &operator()(packer<Stream> &To, const Id<Tag, Rep> &Value) {
+      return To.pack(Value.value());
+    }
+  };
+
+  template <class Tag, class Rep> struct convert<Id<Tag, Rep>> {
+    const msgpack::object &operator()(const msgpack::object &From,
+                                      Id<Tag, Rep> &Value) {
+      Value = Id<Tag, Rep>(From.as<Rep>());
+      return From;
+    }
+  };
+
+  template <class T>
   requires std::is_enum_v<T>
-struct pack<T> {
-  template <class Stream>
-  packer<Stream> &operator()(packer<Stream> &To, T Value) {
-    return To.pack(static_cast<std::underlying_type_t<T>>(Value));
-  }
-};
-
-template <class T>
+  struct pack<T> {
+    template <class Stream>
+    packer<Stream> &operator()(packer<Stream> &To, T Value) {
+      return To.pack(static_cast<std::underlying_type_t<T>>(Value));
+    }
+  };
+
+  template <class T>
   requires std::is_enum_v<T>
-struct convert<T> {
-  const msgpack::object &operator()(const msgpack::object &From, T &Value) {
-    auto Number = From.as<std::underlying_type_t<T>>();
-    if (static_cast<T>(Number) > getLast(T()))
-      throw type_error();
-    Value = static_cast<T>(Number);
-    return From;
-  }
-};
-
-template <Described T> struct pack<T> {
-  template <class Stream>
-  packer<Stream> &operator()(packer<Stream> &To, const T &Value) {
-    std::apply(
-        [&To](const auto &...Field) {
-          To.pack_array(sizeof...(Field));
-          (To.pack(Field), ...);
-        },
-        listFields(Value));
-    return To;
-  }
-};
-
-template <Described T> struct convert<T> {
-  const msgpack::object &operator()(const msgpack::object &From, T &Value) {
-    auto Fields = listFields(Value);
-    if (From.type != type::ARRAY ||
-        From.via.array.size != std::tuple_size_v<decltype(Fields)>)
-      throw type_error();
-    const msgpack::object *Next = From.via.array.ptr;
-    std::apply([&Next](auto &...Field) { ((*Next++).convert(Field), ...); },
-               Fields);
-    return From;
-  }
-};
-
-} // namespace adaptor
+  struct convert<T> {
+    const msgpack::object &operator()(const msgpack::object &From, T &Value) {
+      auto Number = From.as<std::underlying_type_t<T>>();
+      if (static_cast<T>(Number) > getLast(T()))
+        throw type_error();
+      Value = static_cast<T>(Number);
+      return From;
+    }
+  };
+
+  template <Described T> struct pack<T> {
+    template <class Stream>
+    packer<Stream> &operator()(packer<Stream> &To, const T &Value) {
+      std::apply(
+          [&To](const auto &...Field) {
+            To.pack_array(sizeof...(Field));
+            (To.pack(Field), ...);
+          },
+          listFields(Value));
+      return To;
+    }
+  };
+
+  template <Described T> struct convert<T> {
+    const msgpack::object &operator()(const msgpack::object &From, T &Value) {
+      auto Fields = listFields(Value);
+      if (From.type != type::ARRAY ||
+          From.via.array.size != std::tuple_size_v<decltype(Fields)>)
+        throw type_error();
+      const msgpack::object *Next = From.via.array.ptr;
+      std::apply([&Next](auto &...Field) { ((*Next++).convert(Field), ...); },
+                 Fields);
+      return From;
+    }
+  };
+
+  } // namespace adaptor
 } // MSGPACK_API_VERSION_NAMESPACE
 } // namespace msgpack
 
@@ -108,8 +109,7 @@
   return Bytes;
 }
 
-template <class Message>
-Outcome<Message> wire::decode(std::string_view Bytes) {
+template <class Message> Outcome<Message> wire::decode(std::string_view Bytes) {
   // An element takes a byte at least, so a longer array is a lie; refusing it
   // by the limit keeps the library from allocating room for it.
   const std::size_t Elements = std::min(Bytes.size(), MaxElements);
@@ -117,9 +117,8 @@
                                     MaxDepth);
   try {
     std::size_t Offset = 0;
-    msgpack::object_handle Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size(), Offset, keepsReference,
-                        nullptr, Limit);
+    msgpack::object_handle Handle = msgpack::unpack(
+        Bytes.data(), Bytes.size(), Offset, keepsReference, nullptr, Limit);
     if (Offset != Bytes.size())
       return fail(ErrorCode::Malformed, "bytes left over after the message");
     Message Value;
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -101,7 +101,9 @@
 
 /// A type with a list of fields.
 template <class T>
-concept Described = requires(T &Value) { listFields(Value); };
+concept Described = requires(T &Value) {
+  listFields(Value);
+};
 
 /// The highest value of each enumeration that travels.
 constexpr auto getLast(AttemptState) { return AttemptState::Checkpointed; }
