--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -57,6 +57,7 @@
   Duration HeartbeatInterval_ = std::chrono::milliseconds(100);
   std::uint64_t SnapshotEvery_ = 10'000; ///< Entries between snapshots.
   std::uint64_t Seed_ = 0;               ///< For election jitter.
+  std::uint64_t MaxBatch_ = 1024; ///< Entries that share one sync; 1 for none.
 };
 
 /// The result of a committed and applied command.
@@ -78,6 +79,11 @@
   TimePoint LeaderSince_{}; ///< When this replica last became leader.
   std::vector<Member> Members_;
   std::string Failure_; ///< Why this replica stopped, if it did.
+  /// Why an earlier log was set aside as lost when the folder was opened.
+  std::string LostDisk_;
+  /// Members that hold nothing and have asked this one to join: new VMs, and
+  /// those that lost their disk, with the incarnation to add them under.
+  std::vector<MemberId> Waiting_;
 };
 
 /// Thread-safe. Callbacks run on the replica's own thread and must not block.
--- /dev/null
+++ b/src/replication/Frame.cpp
@@ -0,0 +1,65 @@
+#include "replication/Frame.h"
+
+#include <xxhash.h>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+
+constexpr std::string_view Magic = "TWF1";
+constexpr std::size_t NumberBytes = 8;
+constexpr std::size_t HashBytes = 8;
+/// Magic, number, length of the body, hash.
+constexpr std::size_t HeaderBytes = 4 + NumberBytes + NumberBytes + HashBytes;
+
+static void putNumber(std::string &To, std::uint64_t Value) {
+  for (std::size_t Byte = 0; Byte < NumberBytes; ++Byte)
+    To += static_cast<char>(Value >> (8 * Byte));
+}
+
+static std::uint64_t getNumber(std::string_view From) {
+  std::uint64_t Value = 0;
+  for (std::size_t Byte = NumberBytes; Byte-- > 0;)
+    Value = Value << 8 | static_cast<unsigned char>(From[Byte]);
+  return Value;
+}
+
+/// Covers the number too: a frame that was copied elsewhere is damaged.
+static std::uint64_t hash(std::uint64_t Number, std::string_view Body) {
+  return XXH3_64bits_withSeed(Body.data(), Body.size(), Number);
+}
+
+std::string replication::makeFrame(std::uint64_t Number,
+                                   std::string_view Body) {
+  std::string Bytes(Magic);
+  Bytes.reserve(HeaderBytes + Body.size());
+  putNumber(Bytes, Number);
+  putNumber(Bytes, Body.size());
+  putNumber(Bytes, hash(Number, Body));
+  Bytes += Body;
+  return Bytes;
+}
+
+std::optional<Frame> replication::readFrame(std::string_view Bytes) {
+  bool IsBegun = Bytes.size() >= HeaderBytes && Bytes.substr(0, 4) == Magic;
+  if (!IsBegun)
+    return std::nullopt;
+  std::uint64_t Number = getNumber(Bytes.substr(4));
+  std::uint64_t Length = getNumber(Bytes.substr(4 + NumberBytes));
+  std::uint64_t Hash = getNumber(Bytes.substr(4 + 2 * NumberBytes));
+  if (Length > Bytes.size() - HeaderBytes)
+    return std::nullopt;
+  std::string_view Body = Bytes.substr(HeaderBytes, Length);
+  if (hash(Number, Body) != Hash)
+    return std::nullopt;
+  return Frame{Number, Body, HeaderBytes + Length};
+}
+
+bool replication::hasLaterFrame(std::string_view Bytes, std::uint64_t Number) {
+  for (std::size_t At = Bytes.find(Magic); At != std::string_view::npos;
+       At = Bytes.find(Magic, At + 1)) {
+    std::optional<Frame> Found = readFrame(Bytes.substr(At));
+    if (Found && Found->Number_ > Number)
+      return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/src/replication/Frame.h
@@ -0,0 +1,33 @@
+//===- Frame.h - Checksummed pieces of a file ------------------*- C++ -*-===//
+//
+// The unit in which the storage writes: magic, number, length, xxh3, bytes.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_REPLICATION_FRAME_H
+#define TULIPWEIR_REPLICATION_FRAME_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tulipweir::replication {
+
+struct Frame {
+  std::uint64_t Number_ = 0;
+  std::string_view Body_; ///< Within the bytes it was read from.
+  std::size_t Size_ = 0;  ///< With the header.
+};
+
+std::string makeFrame(std::uint64_t Number, std::string_view Body);
+
+/// Reads the frame that begins Bytes, if a whole and undamaged one does.
+std::optional<Frame> readFrame(std::string_view Bytes);
+
+/// Whether any undamaged frame of a number above Number begins in Bytes.
+bool hasLaterFrame(std::string_view Bytes, std::uint64_t Number);
+
+} // namespace tulipweir::replication
+
+#endif // TULIPWEIR_REPLICATION_FRAME_H
--- /dev/null
+++ b/src/replication/GroupFounder.h
@@ -0,0 +1,76 @@
+//===- GroupFounder.h - The first start of a group -------------*- C++ -*-===//
+//
+// Tells a group's first start from a member that lost its disk. Pure, like the
+// core.
+//
+// Every member with nothing on its disk takes a fresh incarnation. The first
+// voter by name, the founder, asks all others what they hold. Only if every one
+// of them answers "nothing" does it found the group, of exactly the
+// incarnations that answered. With that answer a member promises to follow no
+// earlier incarnation of the founder, so two foundings cannot both find
+// followers. Whoever holds anything answers so, and then the group exists
+// already: a member with nothing waits, as an outsider without a vote, until
+// the leader adds it as a learner by a committed change.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_REPLICATION_GROUPFOUNDER_H
+#define TULIPWEIR_REPLICATION_GROUPFOUNDER_H
+
+#include "replication/LogMessages.h"
+#include "replication/LogStorage.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace tulipweir::replication {
+
+/// What this member holds at the moment.
+struct Holdings {
+  bool IsEmpty_ = true; ///< No log and no term.
+  /// The founding entry's members, while the log still has it.
+  std::vector<Member> FirstMembers_;
+};
+
+/// Promise_ must be durable before Messages_ are sent.
+struct FounderOutputs {
+  std::vector<Message> Messages_;
+  std::optional<Identity> Promise_;
+  std::vector<Member> Founded_; ///< Not empty: the group has these members.
+};
+
+/// Not thread-safe.
+class GroupFounder {
+public:
+  GroupFounder(Identity Owner, std::vector<std::string> FirstVoters);
+
+  /// Called while this member holds nothing, every now and then.
+  FounderOutputs ask(const Holdings &Held);
+
+  /// Takes JoinProbe, JoinReply and FoundGroup; others do nothing.
+  FounderOutputs receive(const Message &From, const Holdings &Held);
+
+  /// Members without a log that have asked, by name the latest incarnation.
+  const std::map<std::string, std::uint64_t> &getWaiting() const {
+    return Waiting_;
+  }
+
+private:
+  bool isFounder() const;
+  bool isFirstVoter(const std::string &Name) const;
+  void tryToFound(FounderOutputs &Out);
+  void answer(const Message &From, const Holdings &Held, FounderOutputs &Out);
+  void noteReply(const Message &From, bool IsEmpty, FounderOutputs &Out);
+  void adopt(const Message &From, const FoundGroup &Body, FounderOutputs &Out);
+  Message make(const MemberId &To, decltype(Message::Body_) Body) const;
+
+  Identity Owner_;
+  std::set<std::string> FirstVoters_;
+  std::map<std::string, MemberId> Empty_; ///< Who answered "nothing".
+  std::map<std::string, std::uint64_t> Waiting_;
+};
+
+} // namespace tulipweir::replication
+
+#endif // TULIPWEIR_REPLICATION_GROUPFOUNDER_H
--- /dev/null
+++ b/src/replication/LogTypes.h
@@ -0,0 +1,59 @@
+//===- LogTypes.h - What a replicated log consists of ----------*- C++ -*-===//
+//
+// Entries, the state that must survive a restart, and snapshots.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_REPLICATION_LOGTYPES_H
+#define TULIPWEIR_REPLICATION_LOGTYPES_H
+
+#include "tulipweir/replication/Replica.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tulipweir::replication {
+
+enum class EntryKind : std::uint8_t { NoOp, Command, Membership };
+
+/// One entry of the log. Indexes start at 1 and have no gaps.
+struct LogEntry {
+  std::uint64_t Term_ = 0;
+  std::uint64_t Index_ = 0;
+  EntryKind Kind_ = EntryKind::NoOp;
+  std::string Command_;         ///< For Command.
+  std::vector<Member> Members_; ///< For Membership: all members from here on.
+  bool operator==(const LogEntry &) const = default;
+};
+
+/// What a member must remember besides its log: the highest term it has seen
+/// and whom it voted for in that term (an empty name: nobody).
+struct HardState {
+  std::uint64_t Term_ = 0;
+  MemberId Vote_;
+  bool operator==(const HardState &) const = default;
+};
+
+/// The state machine's state after entry Index_, and the members at that point.
+struct Snapshot {
+  std::uint64_t Index_ = 0;
+  std::uint64_t Term_ = 0;
+  std::vector<Member> Members_;
+  std::string State_;
+  bool operator==(const Snapshot &) const = default;
+};
+
+using SnapshotRef = std::shared_ptr<const Snapshot>;
+
+/// Replaces everything stored: a snapshot, and the entries kept beside it.
+struct Checkpoint {
+  SnapshotRef Snapshot_; ///< Null before the first one.
+  HardState Hard_;
+  std::vector<LogEntry> Entries_;
+};
+
+} // namespace tulipweir::replication
+
+#endif // TULIPWEIR_REPLICATION_LOGTYPES_H
--- /dev/null
+++ b/src/replication/PendingCalls.h
@@ -0,0 +1,51 @@
+//===- PendingCalls.h - Who waits for what ---------------------*- C++ -*-===//
+//
+// The callbacks of proposals, reads and changes until each got its one answer.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_REPLICATION_PENDINGCALLS_H
+#define TULIPWEIR_REPLICATION_PENDINGCALLS_H
+
+#include "replication/RaftCore.h"
+
+#include <functional>
+#include <map>
+
+namespace tulipweir::replication {
+
+/// Not thread-safe.
+class PendingCalls {
+public:
+  using AppliedCallback = Replica::AppliedCallback;
+  using DoneCallback = std::function<void(Outcome<void>)>;
+
+  /// Each returns the id under which the core knows it.
+  std::uint64_t addProposal(AppliedCallback Done);
+  std::uint64_t addOther(DoneCallback Done);
+
+  void accept(const Accepted &Place);
+  void finish(const Finished &End, std::uint64_t AppliedIndex);
+  void apply(const LogEntry &Entry, std::string Result);
+  /// Answers the reads that waited for Index.
+  void reachIndex(std::uint64_t Index);
+  /// Fails the proposals that took a place in the log.
+  void failPlaced(const Error &Why);
+  void failAll(const Error &Why);
+
+private:
+  struct Placed {
+    std::uint64_t Term_ = 0;
+    AppliedCallback Done_;
+  };
+
+  std::uint64_t LastId_ = 0;
+  std::map<std::uint64_t, AppliedCallback> Proposals_;
+  std::map<std::uint64_t, Placed> Placed_; ///< By index.
+  std::map<std::uint64_t, DoneCallback> Others_;
+  std::multimap<std::uint64_t, DoneCallback> Reads_; ///< By index.
+};
+
+} // namespace tulipweir::replication
+
+#endif // TULIPWEIR_REPLICATION_PENDINGCALLS_H
--- /dev/null
+++ b/src/replication/RaftCore.cpp
@@ -0,0 +1,187 @@
+#include "replication/RaftCore.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+
+RaftCore::RaftCore(const CoreSettings &Settings, TimePoint Start,
+                   Checkpoint Stored)
+    : Settings_(Settings), Random_(Settings.Seed_), Now_(Start),
+      Hard_(std::move(Stored.Hard_)),
+      Log_(std::move(Stored.Snapshot_), std::move(Stored.Entries_)),
+      LastHeard_(Start) {
+  Commit_ = Log_.getBaseIndex();
+  Synced_ = Log_.getLastIndex();
+  resetElectionTimer();
+  // Nobody else can lead, so there is nobody to wait for.
+  bool IsAlone = countVoters() == 1 && isVoter(Settings_.Self_);
+  if (IsAlone)
+    ElectionDeadline_ = Start;
+}
+
+Outputs RaftCore::step(const Input &In) {
+  Now_ = std::max(Now_, In.Now_);
+  std::visit([this](const auto &Event) { handle(Event); }, In.Event_);
+  return std::exchange(Out_, Outputs{});
+}
+
+TimePoint RaftCore::getLeaseEnd() const {
+  bool IsHeld = Role_ == Role::Leader && hasOwnCommit() &&
+                !(Transfer_ && Transfer_->Sent_);
+  if (!IsHeld || LeaseFrom_ == TimePoint::min())
+    return TimePoint::min();
+  return LeaseFrom_ + Settings_.ElectionTimeout_ * 7 / 8;
+}
+
+void RaftCore::handle(const Tick &) {
+  if (Role_ != Role::Leader) {
+    if (Now_ >= ElectionDeadline_ && isVoter(Settings_.Self_))
+      startPreVote();
+    return;
+  }
+  checkQuorum();
+  checkTransferDeadline();
+  if (Role_ != Role::Leader)
+    return;
+  if (Now_ >= NextHeartbeat_)
+    broadcastRound();
+  tryChange();
+}
+
+void RaftCore::handle(const Received &In) {
+  const Message &From = In.Message_;
+  if (From.To_ != Settings_.Self_ || !admitTerm(From))
+    return;
+  std::visit([&](const auto &Body) { onMessage(From, Body); }, From.Body_);
+}
+
+void RaftCore::handle(const Proposed &In) {
+  bool IsTaking = Role_ == Role::Leader && !Transfer_;
+  for (const Proposal &Each : In.Proposals_) {
+    if (!IsTaking) {
+      finish(Each.Id_, makeNotLeader());
+      continue;
+    }
+    appendOwn(EntryKind::Command, Each.Command_, {});
+    Out_.Accepted_.push_back({Each.Id_, Hard_.Term_, Log_.getLastIndex()});
+  }
+  if (IsTaking)
+    sendAppends();
+}
+
+void RaftCore::handle(const Synced &In) {
+  if (Log_.findTerm(In.Index_) != In.Term_)
+    return;
+  Synced_ = std::max(Synced_, In.Index_);
+  if (Role_ == Role::Leader)
+    advanceCommit();
+}
+
+void RaftCore::handle(const ReadAsked &In) {
+  if (Role_ != Role::Leader) {
+    for (std::uint64_t Id : In.Ids_)
+      finish(Id, makeNotLeader());
+    return;
+  }
+  std::uint64_t Index = std::max(Commit_, FirstOwnIndex_);
+  for (std::uint64_t Id : In.Ids_)
+    Reads_.push_back({Id, Round_ + 1, Index});
+  broadcastRound();
+}
+
+void RaftCore::handle(const SnapshotTaken &In) {
+  assert(In.Index_ <= Commit_ && "a snapshot of what is not committed");
+  if (In.Index_ <= Log_.getBaseIndex())
+    return;
+  auto Taken = std::make_shared<Snapshot>();
+  Taken->Index_ = In.Index_;
+  Taken->Term_ = *Log_.findTerm(In.Index_);
+  Taken->Members_ = Log_.getMembersAt(In.Index_);
+  Taken->State_ = In.State_;
+  Log_.compact(std::move(Taken), In.KeepAfter_);
+  std::uint64_t First = Log_.getBaseIndex() + 1;
+  Out_.Checkpoint_ = Checkpoint{Log_.getSnapshot(), Hard_,
+                                Log_.copyFrom(First, SIZE_MAX, SIZE_MAX)};
+}
+
+void RaftCore::handle(const Founded &In) {
+  if (!Log_.isEmpty() || Hard_.Term_ > 1)
+    return;
+  LogEntry First;
+  First.Term_ = 1;
+  First.Index_ = 1;
+  First.Kind_ = EntryKind::Membership;
+  First.Members_ = In.Members_;
+  Log_.append(First);
+  Out_.Appended_.push_back(std::move(First));
+  if (Hard_.Term_ == 0)
+    setHard({1, {}});
+  setCommit(1);
+  bool IsAlone = countVoters() == 1 && isVoter(Settings_.Self_);
+  if (IsAlone)
+    startElection(false);
+}
+
+void RaftCore::setCommit(std::uint64_t Index) {
+  assert(Index <= Log_.getLastIndex());
+  while (Commit_ < Index) {
+    ++Commit_;
+    Out_.Committed_.push_back(Log_.at(Commit_));
+  }
+}
+
+void RaftCore::setHard(HardState Hard) {
+  assert(Hard.Term_ >= Hard_.Term_ && "terms never fall");
+  if (Hard == Hard_)
+    return;
+  Hard_ = std::move(Hard);
+  Out_.Hard_ = Hard_;
+}
+
+void RaftCore::send(std::vector<Message> &Box, const MemberId &To,
+                    std::uint64_t Term, decltype(Message::Body_) Body) {
+  Box.push_back({Settings_.Self_, To, Term, std::move(Body)});
+}
+
+void RaftCore::finish(std::uint64_t Id, std::optional<Error> Why,
+                      std::uint64_t ReadIndex) {
+  Out_.Finished_.push_back({Id, std::move(Why), ReadIndex});
+}
+
+Error RaftCore::makeNotLeader() const {
+  bool IsElsewhere = Leader_ && *Leader_ != Settings_.Self_;
+  return Error::make(ErrorCode::NotLeader, IsElsewhere ? Leader_->Name_ : "");
+}
+
+bool RaftCore::isVoter(const MemberId &Id) const {
+  const std::vector<Member> &All = Log_.getMembers();
+  return std::find(All.begin(), All.end(), Member{Id, MemberRole::Voter}) !=
+         All.end();
+}
+
+std::size_t RaftCore::countVoters() const {
+  const std::vector<Member> &All = Log_.getMembers();
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [](const Member &Each) {
+        return Each.Role_ == MemberRole::Voter;
+      }));
+}
+
+std::uint64_t RaftCore::findQuorumValue(std::uint64_t Progress::*Field,
+                                        std::uint64_t Own) const {
+  std::vector<std::uint64_t> Values;
+  for (const Member &Each : Log_.getMembers()) {
+    if (Each.Role_ != MemberRole::Voter)
+      continue;
+    bool IsSelf = Each.Id_ == Settings_.Self_;
+    Values.push_back(IsSelf ? Own : Peers_.at(Each.Id_).*Field);
+  }
+  assert(!Values.empty() && "a group without voters");
+  std::sort(Values.begin(), Values.end(), std::greater<>());
+  return Values[Values.size() / 2];
+}
+
+bool RaftCore::hasOwnCommit() const { return Commit_ >= FirstOwnIndex_; }
--- /dev/null
+++ b/src/replication/RaftCore.h
@@ -0,0 +1,303 @@
+//===- RaftCore.h - Raft's rules as a pure state machine -------*- C++ -*-===//
+//
+// One member of a group: step(Input) -> Outputs. There is no clock, socket,
+// file or thread in here; the time comes in with each input, and what is to be
+// written, sent and applied goes out. A test can therefore drive any schedule
+// of faults, message by message.
+//
+// The rules are those of Ongaro's dissertation: pre-vote and check-quorum
+// (section 9.6), single-step membership changes after an entry of the own term
+// (section 4.1), reads confirmed by a round (section 6.4), and a leader lease.
+//
+// Why leader leases cannot overlap. A follower refuses any vote, and any term
+// that comes with a vote request, until ElectionTimeout after it last heard a
+// leader, or after its own start. A leader's lease runs from the moment at
+// which it SENT the newest round that a quorum has answered, for 7/8 of
+// ElectionTimeout. Each member of that quorum heard it later than that. A new
+// leader needs a vote of one of them, which it gets ElectionTimeout after that
+// at the earliest. So the leases cannot overlap unless the voter's clock runs
+// more than 8/7 as fast as the leader's: the drift margin is 14%. The one
+// exception, an election that the leader asks for to hand leadership on, comes
+// after the leader has given up its lease for the rest of its term.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_REPLICATION_RAFTCORE_H
+#define TULIPWEIR_REPLICATION_RAFTCORE_H
+
+#include "replication/LogMessages.h"
+#include "replication/RaftLog.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace tulipweir::replication {
+
+struct CoreSettings {
+  MemberId Self_;
+  Duration ElectionTimeout_ = std::chrono::milliseconds(500);
+  Duration HeartbeatInterval_ = std::chrono::milliseconds(100);
+  std::uint64_t Seed_ = 0;
+  std::size_t MaxEntriesPerMessage_ = 1024;
+  std::size_t MaxBytesPerMessage_ = 512 * 1024;
+  std::size_t MaxMessagesInFlight_ = 64;
+  std::size_t SnapshotChunkBytes_ = 256 * 1024;
+};
+
+/// Time passed. Comes several times in each heartbeat interval.
+struct Tick {};
+
+struct Received {
+  Message Message_;
+};
+
+/// A command to append; Id_ names it in the outputs.
+struct Proposal {
+  std::uint64_t Id_ = 0;
+  std::string Command_;
+};
+
+struct Proposed {
+  std::vector<Proposal> Proposals_;
+};
+
+/// The entries through Index_ are on disk, where the entry at Index_ is of
+/// Term_. Until then the leader does not count itself.
+struct Synced {
+  std::uint64_t Term_ = 0;
+  std::uint64_t Index_ = 0;
+};
+
+enum class ChangeKind : std::uint8_t { AddLearner, Promote, Remove };
+
+struct ChangeAsked {
+  std::uint64_t Id_ = 0;
+  ChangeKind Kind_ = ChangeKind::AddLearner;
+  MemberId Member_;
+};
+
+struct ReadAsked {
+  std::vector<std::uint64_t> Ids_;
+};
+
+struct TransferAsked {
+  std::uint64_t Id_ = 0;
+};
+
+/// The driver took a snapshot after applying entry Index_.
+struct SnapshotTaken {
+  std::uint64_t Index_ = 0;
+  std::string State_;
+  std::uint64_t KeepAfter_ = 0; ///< Later entries stay for slow followers.
+};
+
+/// The group was founded with these members; only for an empty log.
+struct Founded {
+  std::vector<Member> Members_;
+};
+
+struct Input {
+  TimePoint Now_;
+  std::variant<Tick, Received, Proposed, Synced, ChangeAsked, ReadAsked,
+               TransferAsked, SnapshotTaken, Founded>
+      Event_;
+};
+
+/// A proposal took this place in the log.
+struct Accepted {
+  std::uint64_t Id_ = 0;
+  std::uint64_t Term_ = 0;
+  std::uint64_t Index_ = 0;
+};
+
+/// Something asked for by Id_ has ended. A read may be answered once
+/// ReadIndex_ has been applied.
+struct Finished {
+  std::uint64_t Id_ = 0;
+  std::optional<Error> Error_;
+  std::uint64_t ReadIndex_ = 0;
+};
+
+/// The driver writes Hard_, Appended_ and Checkpoint_ in this order, syncs, and
+/// only then sends Late_. Early_ may go at once. Restore_ comes before
+/// Committed_. None of it may be dropped unless the member stops.
+struct Outputs {
+  std::optional<HardState> Hard_;
+  std::vector<LogEntry> Appended_; ///< Each cuts the log from its index on.
+  std::optional<Checkpoint> Checkpoint_;
+  std::vector<Message> Early_;
+  std::vector<Message> Late_;
+  SnapshotRef Restore_;
+  std::vector<LogEntry> Committed_;
+  std::vector<Accepted> Accepted_;
+  std::vector<Finished> Finished_;
+};
+
+enum class Role : std::uint8_t { Follower, PreCandidate, Candidate, Leader };
+
+/// Not thread-safe.
+class RaftCore {
+public:
+  /// Goes on from what was stored. Start counts as having heard a leader.
+  RaftCore(const CoreSettings &Settings, TimePoint Start, Checkpoint Stored);
+
+  Outputs step(const Input &In);
+
+  Role getRole() const { return Role_; }
+  std::uint64_t getTerm() const { return Hard_.Term_; }
+  std::uint64_t getCommit() const { return Commit_; }
+  const std::optional<MemberId> &getLeader() const { return Leader_; }
+  const RaftLog &getLog() const { return Log_; }
+  /// When this member last became leader.
+  TimePoint getLeaderSince() const { return LeaderSince_; }
+  /// Until when no other leader can exist; the lowest time without a lease.
+  TimePoint getLeaseEnd() const;
+
+private:
+  /// What the leader knows of another member.
+  struct Progress {
+    std::uint64_t Match_ = 0;
+    std::uint64_t Next_ = 1;
+    bool Probing_ = true;    ///< One message at a time until one matches.
+    bool ProbeSent_ = false; ///< Until an answer or the next heartbeat.
+    std::deque<std::uint64_t> InFlight_; ///< Last index of each message.
+    std::uint64_t AckedRound_ = 0;
+    TimePoint LastAck_{};
+    SnapshotRef Sending_;
+    std::uint64_t Offset_ = 0;
+    TimePoint ChunkSentAt_{};
+  };
+  struct Round {
+    std::uint64_t Number_ = 0;
+    TimePoint SentAt_;
+  };
+  struct PendingRead {
+    std::uint64_t Id_ = 0;
+    std::uint64_t Round_ = 0;
+    std::uint64_t Index_ = 0;
+  };
+  struct Transfer {
+    std::uint64_t Id_ = 0;
+    MemberId Target_;
+    TimePoint Deadline_;
+    bool Sent_ = false;
+  };
+
+  // Inputs, in RaftCore.cpp.
+  void handle(const Tick &);
+  void handle(const Received &In);
+  void handle(const Proposed &In);
+  void handle(const Synced &In);
+  void handle(const ChangeAsked &In);
+  void handle(const ReadAsked &In);
+  void handle(const TransferAsked &In);
+  void handle(const SnapshotTaken &In);
+  void handle(const Founded &In);
+
+  // Terms and elections, in RaftElection.cpp.
+  void startPreVote();
+  void startElection(bool IsTransfer);
+  void askForVotes(bool IsPreVote, bool IsTransfer);
+  void becomeFollower(std::uint64_t Term, std::optional<MemberId> Leader);
+  void becomeLeader();
+  void dropLeadership();
+  void countVotes();
+  void resetElectionTimer();
+  bool hasHeardLeaderLately() const;
+  bool isUpToDate(const VoteRequest &Request) const;
+  bool admitTerm(const Message &From);
+  void onMessage(const Message &From, const VoteRequest &Body);
+  void onMessage(const Message &From, const VoteReply &Body);
+  void onMessage(const Message &From, const TransferNow &Body);
+
+  // The follower's side, in RaftFollower.cpp.
+  void onMessage(const Message &From, const AppendRequest &Body);
+  void onMessage(const Message &From, const SnapshotChunk &Body);
+  void followLeader(const MemberId &Leader);
+  std::uint64_t findHint(const AppendRequest &Request) const;
+  void storeEntries(const std::vector<LogEntry> &Entries);
+  void installSnapshot(const SnapshotChunk &Last);
+
+  // The leader's side, in RaftLeader.cpp.
+  void onMessage(const Message &From, const AppendReply &Body);
+  void onMessage(const Message &From, const SnapshotReply &Body);
+  void noteAnswer(Progress &Peer, std::uint64_t Round);
+  void appendOwn(EntryKind Kind, std::string Command,
+                 std::vector<Member> Members);
+  void broadcastRound();
+  void sendAppends();
+  void sendAppend(const MemberId &To, Progress &Peer, bool IsHeartbeat);
+  void sendChunk(const MemberId &To, Progress &Peer);
+  void sendOneAppend(const MemberId &To, Progress &Peer, std::uint64_t Prev,
+                     bool WithEntries);
+  void advanceCommit();
+  void advanceRounds();
+  void checkQuorum();
+  void syncProgress();
+
+  // Membership and transfer, in RaftMembership.cpp.
+  void tryChange();
+  std::optional<Error> findObjection(const ChangeAsked &Change) const;
+  void finishChange();
+  void tryTransfer();
+  void checkTransferDeadline();
+
+  // Joining messages are the founder's business, not the core's.
+  void onMessage(const Message &, const JoinProbe &) {}
+  void onMessage(const Message &, const JoinReply &) {}
+  void onMessage(const Message &, const FoundGroup &) {}
+
+  void setCommit(std::uint64_t Index);
+  void setHard(HardState Hard);
+  void send(std::vector<Message> &Box, const MemberId &To, std::uint64_t Term,
+            decltype(Message::Body_) Body);
+  void finish(std::uint64_t Id, std::optional<Error> Why,
+              std::uint64_t ReadIndex = 0);
+  Error makeNotLeader() const;
+  bool isVoter(const MemberId &Id) const;
+  std::size_t countVoters() const;
+  /// The highest value of Field that a quorum of voters reaches, where this
+  /// member itself is at Own.
+  std::uint64_t findQuorumValue(std::uint64_t Progress::*Field,
+                                std::uint64_t Own) const;
+  bool hasOwnCommit() const;
+
+  const CoreSettings Settings_;
+  std::mt19937_64 Random_;
+  TimePoint Now_;
+  Outputs Out_;
+
+  HardState Hard_;
+  RaftLog Log_;
+  std::uint64_t Commit_ = 0;
+  std::uint64_t Synced_ = 0;
+
+  Role Role_ = Role::Follower;
+  std::optional<MemberId> Leader_;
+  TimePoint LastHeard_;
+  TimePoint ElectionDeadline_;
+  std::map<MemberId, bool> Votes_;
+
+  /// The chunks of a snapshot that is arriving.
+  SnapshotChunk Arriving_;
+
+  // Only while leading.
+  std::map<MemberId, Progress> Peers_;
+  TimePoint LeaderSince_{};
+  std::uint64_t FirstOwnIndex_ = 0;
+  std::uint64_t Round_ = 0;
+  std::deque<Round> Rounds_;
+  TimePoint LeaseFrom_ = TimePoint::min();
+  TimePoint NextHeartbeat_{};
+  std::vector<PendingRead> Reads_;
+  std::optional<ChangeAsked> Change_; ///< Waiting or appended.
+  std::uint64_t ChangeIndex_ = 0;     ///< 0 while waiting.
+  std::optional<Transfer> Transfer_;
+};
+
+} // namespace tulipweir::replication
+
+#endif // TULIPWEIR_REPLICATION_RAFTCORE_H
--- /dev/null
+++ b/src/replication/RaftElection.cpp
@@ -0,0 +1,189 @@
+//===- RaftElection.cpp - RaftCore: terms and elections
+//--------------------===//
+
+#include "replication/RaftCore.h"
+
+#include <cassert>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+
+void RaftCore::resetElectionTimer() {
+  std::uniform_int_distribution<Duration::rep> Spread(
+      0, Settings_.ElectionTimeout_.count() * 3 / 4);
+  ElectionDeadline_ =
+      Now_ + Settings_.ElectionTimeout_ * 5 / 4 + Duration(Spread(Random_));
+}
+
+void RaftCore::startPreVote() {
+  Role_ = Role::PreCandidate;
+  Leader_.reset();
+  Votes_ = {{Settings_.Self_, true}};
+  // Another try comes sooner than the first, so that a vote refused only
+  // because the voter heard the leader a little later costs little.
+  std::uniform_int_distribution<Duration::rep> Spread(
+      0, Settings_.ElectionTimeout_.count() / 4);
+  ElectionDeadline_ =
+      Now_ + Settings_.ElectionTimeout_ / 4 + Duration(Spread(Random_));
+  askForVotes(true, false);
+  countVotes();
+}
+
+void RaftCore::startElection(bool IsTransfer) {
+  Role_ = Role::Candidate;
+  Leader_.reset();
+  setHard({Hard_.Term_ + 1, Settings_.Self_});
+  Votes_ = {{Settings_.Self_, true}};
+  resetElectionTimer();
+  askForVotes(false, IsTransfer);
+  countVotes();
+}
+
+void RaftCore::askForVotes(bool IsPreVote, bool IsTransfer) {
+  VoteRequest Request;
+  Request.PreVote_ = IsPreVote;
+  Request.Transfer_ = IsTransfer;
+  Request.LastIndex_ = Log_.getLastIndex();
+  Request.LastTerm_ = Log_.getLastTerm();
+  std::uint64_t Term = IsPreVote ? Hard_.Term_ + 1 : Hard_.Term_;
+  for (const Member &Each : Log_.getMembers()) {
+    bool IsAsked =
+        Each.Role_ == MemberRole::Voter && Each.Id_ != Settings_.Self_;
+    if (IsAsked)
+      send(Out_.Late_, Each.Id_, Term, Request);
+  }
+}
+
+void RaftCore::countVotes() {
+  std::size_t Granted = 0;
+  for (const auto &[Voter, IsGranted] : Votes_)
+    Granted += IsGranted && isVoter(Voter) ? 1 : 0;
+  if (Granted <= countVoters() / 2)
+    return;
+  if (Role_ == Role::PreCandidate)
+    startElection(false);
+  else if (Role_ == Role::Candidate)
+    becomeLeader();
+}
+
+void RaftCore::becomeFollower(std::uint64_t Term,
+                              std::optional<MemberId> Leader) {
+  dropLeadership();
+  Role_ = Role::Follower;
+  Leader_ = std::move(Leader);
+  Votes_.clear();
+  if (Term > Hard_.Term_)
+    setHard({Term, {}});
+}
+
+void RaftCore::becomeLeader() {
+  Role_ = Role::Leader;
+  Leader_ = Settings_.Self_;
+  LeaderSince_ = Now_;
+  LeaseFrom_ = TimePoint::min();
+  Round_ = 0;
+  Rounds_.clear();
+  Peers_.clear();
+  FirstOwnIndex_ = Log_.getLastIndex() + 1;
+  // An entry of the own term: only with it may older ones be counted as
+  // committed.
+  appendOwn(EntryKind::NoOp, "", {});
+  broadcastRound();
+}
+
+void RaftCore::dropLeadership() {
+  if (Role_ != Role::Leader)
+    return;
+  Role_ = Role::Follower;
+  Leader_.reset();
+  LeaseFrom_ = TimePoint::min();
+  for (const PendingRead &Read : Reads_)
+    finish(Read.Id_, makeNotLeader());
+  Reads_.clear();
+  if (Change_)
+    finish(Change_->Id_, Error::make(ErrorCode::Unavailable,
+                                     "leadership was lost; look at the members "
+                                     "before asking again"));
+  Change_.reset();
+  ChangeIndex_ = 0;
+  if (Transfer_)
+    finish(Transfer_->Id_, Transfer_->Sent_
+                               ? std::nullopt
+                               : std::optional<Error>(makeNotLeader()));
+  Transfer_.reset();
+  Peers_.clear();
+  resetElectionTimer();
+}
+
+bool RaftCore::hasHeardLeaderLately() const {
+  if (Role_ == Role::Leader)
+    return true;
+  return Now_ - LastHeard_ < Settings_.ElectionTimeout_;
+}
+
+bool RaftCore::isUpToDate(const VoteRequest &Request) const {
+  std::uint64_t LastTerm = Log_.getLastTerm();
+  if (Request.LastTerm_ != LastTerm)
+    return Request.LastTerm_ > LastTerm;
+  return Request.LastIndex_ >= Log_.getLastIndex();
+}
+
+/// Returns whether the message is to be handled, after following a higher term.
+bool RaftCore::admitTerm(const Message &From) {
+  const auto *Request = std::get_if<VoteRequest>(&From.Body_);
+  if (Request && Request->PreVote_)
+    return true;
+  // Also its term is ignored: this is what leases and check-quorum rest on.
+  if (Request && !Request->Transfer_ && hasHeardLeaderLately())
+    return false;
+  const auto *Reply = std::get_if<VoteReply>(&From.Body_);
+  if (Reply && Reply->PreVote_ && Reply->Granted_)
+    return Role_ == Role::PreCandidate && From.Term_ == Hard_.Term_ + 1;
+
+  bool IsLeaders = std::holds_alternative<AppendRequest>(From.Body_) ||
+                   std::holds_alternative<SnapshotChunk>(From.Body_);
+  if (From.Term_ > Hard_.Term_) {
+    becomeFollower(From.Term_, std::nullopt);
+    return true;
+  }
+  if (From.Term_ == Hard_.Term_)
+    return true;
+  // A leader of an old term learns from this that it leads no longer.
+  if (IsLeaders)
+    send(Out_.Late_, From.From_, Hard_.Term_, AppendReply{});
+  return false;
+}
+
+void RaftCore::onMessage(const Message &From, const VoteRequest &Body) {
+  VoteReply Reply;
+  Reply.PreVote_ = Body.PreVote_;
+  if (Body.PreVote_) {
+    Reply.Granted_ =
+        From.Term_ > Hard_.Term_ && !hasHeardLeaderLately() && isUpToDate(Body);
+    std::uint64_t Term = Reply.Granted_ ? From.Term_ : Hard_.Term_;
+    send(Out_.Late_, From.From_, Term, Reply);
+    return;
+  }
+  bool IsFree = Hard_.Vote_.Name_.empty() || Hard_.Vote_ == From.From_;
+  Reply.Granted_ = IsFree && isUpToDate(Body);
+  if (Reply.Granted_) {
+    Role_ = Role::Follower;
+    setHard({Hard_.Term_, From.From_});
+    resetElectionTimer();
+  }
+  send(Out_.Late_, From.From_, Hard_.Term_, Reply);
+}
+
+void RaftCore::onMessage(const Message &From, const VoteReply &Body) {
+  Role Asking = Body.PreVote_ ? Role::PreCandidate : Role::Candidate;
+  if (Role_ != Asking)
+    return;
+  Votes_[From.From_] = Body.Granted_;
+  countVotes();
+}
+
+void RaftCore::onMessage(const Message &From, const TransferNow &) {
+  bool IsFromLeader = Leader_ == From.From_ && Role_ == Role::Follower;
+  if (IsFromLeader && isVoter(Settings_.Self_))
+    startElection(true);
+}
--- /dev/null
+++ b/src/replication/RaftMembership.cpp
@@ -0,0 +1,161 @@
+//===- RaftMembership.cpp - RaftCore: changing members, handing over
+//-------===//
+
+#include "replication/RaftCore.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+
+static const Member *findMember(const std::vector<Member> &All,
+                                const MemberId &Id) {
+  auto Found = std::find_if(All.begin(), All.end(),
+                            [&](const Member &Each) { return Each.Id_ == Id; });
+  return Found == All.end() ? nullptr : &*Found;
+}
+
+static std::vector<Member> makeChanged(std::vector<Member> All,
+                                       const ChangeAsked &Change) {
+  std::erase_if(All,
+                [&](const Member &Each) { return Each.Id_ == Change.Member_; });
+  if (Change.Kind_ == ChangeKind::AddLearner)
+    All.push_back({Change.Member_, MemberRole::Learner});
+  if (Change.Kind_ == ChangeKind::Promote)
+    All.push_back({Change.Member_, MemberRole::Voter});
+  std::sort(All.begin(), All.end());
+  return All;
+}
+
+void RaftCore::handle(const ChangeAsked &In) {
+  if (Role_ != Role::Leader || Transfer_) {
+    finish(In.Id_, makeNotLeader());
+    return;
+  }
+  if (Change_ && ChangeIndex_ != 0) {
+    finish(In.Id_, Error::make(ErrorCode::Conflict,
+                               "another change of members is not committed "
+                               "yet; ask again when it is"));
+    return;
+  }
+  if (std::optional<Error> Why = findObjection(In)) {
+    finish(In.Id_, std::move(Why));
+    return;
+  }
+  // A promotion may wait for ever if its learner died; it must not be in the
+  // way of the learner's removal.
+  if (Change_)
+    finish(Change_->Id_, Error::make(ErrorCode::Conflict,
+                                     "another change of members came first"));
+  Change_ = In;
+  tryChange();
+}
+
+std::optional<Error> RaftCore::findObjection(const ChangeAsked &Change) const {
+  const Member *Found = findMember(Log_.getMembers(), Change.Member_);
+  const std::string &Name = Change.Member_.Name_;
+  if (Change.Kind_ == ChangeKind::AddLearner) {
+    if (Found)
+      return Error::make(ErrorCode::AlreadyExists, Name + " is a member");
+    if (Name.empty() || Change.Member_.Incarnation_ == 0)
+      return Error::make(ErrorCode::InvalidArgument,
+                         "a member needs a name and its incarnation");
+    return std::nullopt;
+  }
+  if (!Found)
+    return Error::make(ErrorCode::NotFound,
+                       Name + " with this incarnation is no member");
+  bool IsVoting = Found->Role_ == MemberRole::Voter;
+  if (Change.Kind_ == ChangeKind::Promote && IsVoting)
+    return Error::make(ErrorCode::AlreadyExists, Name + " votes already");
+  if (Change.Kind_ == ChangeKind::Remove && IsVoting && countVoters() == 1)
+    return Error::make(ErrorCode::InvalidArgument,
+                       Name + " is the last voter; add another one first");
+  return std::nullopt;
+}
+
+/// Appends the waiting change once nothing speaks against it: an entry of this
+/// term is committed, so that no two leaders change different memberships, and
+/// a learner to be promoted holds all that is committed.
+void RaftCore::tryChange() {
+  bool IsWaiting = Role_ == Role::Leader && Change_ && ChangeIndex_ == 0;
+  bool IsSettled = hasOwnCommit() && Log_.getMembersIndex() <= Commit_;
+  if (!IsWaiting || !IsSettled)
+    return;
+  if (Change_->Kind_ == ChangeKind::Promote) {
+    auto Learner = Peers_.find(Change_->Member_);
+    if (Learner == Peers_.end() || Learner->second.Match_ < Commit_)
+      return;
+  }
+  std::vector<Member> Changed = makeChanged(Log_.getMembers(), *Change_);
+  // Set first: committing it may finish it at once.
+  ChangeIndex_ = Log_.getLastIndex() + 1;
+  appendOwn(EntryKind::Membership, "", std::move(Changed));
+  sendAppends();
+}
+
+/// After a commit: ends a change that is committed, and steps down if that
+/// took this leader's own vote.
+void RaftCore::finishChange() {
+  if (Change_ && ChangeIndex_ != 0 && ChangeIndex_ <= Commit_) {
+    finish(Change_->Id_, std::nullopt);
+    Change_.reset();
+    ChangeIndex_ = 0;
+  }
+  bool IsOut = Log_.getMembersIndex() <= Commit_ && !isVoter(Settings_.Self_);
+  if (!IsOut)
+    return;
+  // The others learn of the commit from this last round.
+  broadcastRound();
+  becomeFollower(Hard_.Term_, std::nullopt);
+}
+
+void RaftCore::handle(const TransferAsked &In) {
+  if (Role_ != Role::Leader) {
+    finish(In.Id_, makeNotLeader());
+    return;
+  }
+  const MemberId *Best = nullptr;
+  for (const auto &[Id, Peer] : Peers_) {
+    bool IsFit =
+        isVoter(Id) && Now_ - Peer.LastAck_ < Settings_.ElectionTimeout_;
+    if (IsFit && (!Best || Peer.Match_ > Peers_.at(*Best).Match_))
+      Best = &Id;
+  }
+  if (!Best || Transfer_) {
+    finish(In.Id_, Error::make(ErrorCode::Unavailable,
+                               "no other voter can take over now"));
+    return;
+  }
+  Transfer_ = Transfer{In.Id_, *Best, Now_ + Settings_.ElectionTimeout_};
+  tryTransfer();
+}
+
+/// Asks the target for an election once it holds the whole, committed log. The
+/// lease is given up with that, and for good: the request may arrive late.
+void RaftCore::tryTransfer() {
+  if (!Transfer_ || Transfer_->Sent_)
+    return;
+  auto Target = Peers_.find(Transfer_->Target_);
+  bool IsReady = Target != Peers_.end() && isVoter(Transfer_->Target_) &&
+                 Target->second.Match_ == Log_.getLastIndex() &&
+                 Commit_ == Log_.getLastIndex();
+  if (!IsReady)
+    return;
+  Transfer_->Sent_ = true;
+  send(Out_.Late_, Transfer_->Target_, Hard_.Term_, TransferNow{});
+}
+
+/// A hand-over that came to nothing ends in a new term in any case: a leader
+/// without a lease is of no use.
+void RaftCore::checkTransferDeadline() {
+  if (!Transfer_ || Now_ < Transfer_->Deadline_)
+    return;
+  finish(Transfer_->Id_, Error::make(ErrorCode::Timeout,
+                                     "the target did not take over in time"));
+  bool WasSent = Transfer_->Sent_;
+  Transfer_.reset();
+  if (WasSent)
+    becomeFollower(Hard_.Term_, std::nullopt);
+}
--- /dev/null
+++ b/src/replication/ReplicaDriver.cpp
@@ -0,0 +1,337 @@
+#include "replication/ReplicaDriver.h"
+
+#include "replication/MessageCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+
+static CoreSettings makeCoreSettings(const ReplicaSettings &From,
+                                     const MemberId &Self) {
+  CoreSettings Core;
+  Core.Self_ = Self;
+  Core.ElectionTimeout_ = From.ElectionTimeout_;
+  Core.HeartbeatInterval_ = From.HeartbeatInterval_;
+  Core.Seed_ = From.Seed_ ^ Self.Incarnation_;
+  Core.MaxEntriesPerMessage_ = std::max<std::uint64_t>(From.MaxBatch_, 1);
+  return Core;
+}
+
+static Duration tickInterval(const ReplicaSettings &Settings) {
+  return std::min(Settings.HeartbeatInterval_ / 2,
+                  Settings.ElectionTimeout_ / 10);
+}
+
+bool ReplicaDriver::Inbox::isEmpty() const {
+  return Synced_.empty() && Messages_.empty() && Calls_.empty() &&
+         Reads_.empty() && Changes_.empty() && Transfers_.empty() &&
+         !Failure_ && !IsStopping_;
+}
+
+ReplicaDriver::ReplicaDriver(ReplicaStart Start, StateMachine &Machine,
+                             Transport &Out, const Clock &Time)
+    : Settings_(Start.Settings_), Machine_(Machine), Out_(Out), Time_(Time),
+      Storage_(std::move(Start.Storage_)),
+      Core_(makeCoreSettings(Settings_, Start.Owner_.Self_), Time.now(),
+            Start.Stored_),
+      Founder_(Start.Owner_, Settings_.FirstVoters_),
+      Hard_(Start.Stored_.Hard_), Applied_(Core_.getCommit()),
+      LastSnapshot_(Applied_), NextTick_(Time.now()), NextAsk_(Time.now()) {
+  Status_.Self_ = Start.Owner_.Self_;
+  Status_.LostDisk_ = Start.LostDisk_;
+  publish();
+  LogWriter::Callbacks Calls;
+  Calls.Send_ = [this](const auto &Messages) { sendAll(Messages); };
+  Calls.Synced_ = [this](const Synced &Mark) {
+    post([&](Inbox &In) { In.Synced_.push_back(Mark); });
+  };
+  Calls.Failed_ = [this](const Error &Why) {
+    post([&](Inbox &In) { In.Failure_ = Why; });
+  };
+  Writer_ = std::make_unique<LogWriter>(*Storage_, Settings_.MaxBatch_,
+                                        std::move(Calls));
+  Thread_ = std::thread([this] { run(); });
+}
+
+ReplicaDriver::~ReplicaDriver() { stop(); }
+
+template <class Function> void ReplicaDriver::post(Function Edit) {
+  std::lock_guard Guard(InboxLock_);
+  Edit(Inbox_);
+  Wake_.notify_one();
+}
+
+void ReplicaDriver::propose(std::string Command, AppliedCallback Done) {
+  post([&](Inbox &In) {
+    In.Calls_.push_back({std::move(Command), std::move(Done)});
+  });
+}
+
+void ReplicaDriver::receive(std::string Message) {
+  post([&](Inbox &In) { In.Messages_.push_back(std::move(Message)); });
+}
+
+void ReplicaDriver::confirmLeadership(DoneCallback Done) {
+  post([&](Inbox &In) { In.Reads_.push_back(std::move(Done)); });
+}
+
+void ReplicaDriver::askChange(ChangeKind Kind, MemberId Id, DoneCallback Done) {
+  post([&](Inbox &In) {
+    In.Changes_.push_back({Kind, std::move(Id), std::move(Done)});
+  });
+}
+
+void ReplicaDriver::addLearner(MemberId Id, DoneCallback Done) {
+  askChange(ChangeKind::AddLearner, std::move(Id), std::move(Done));
+}
+
+void ReplicaDriver::promote(MemberId Id, DoneCallback Done) {
+  askChange(ChangeKind::Promote, std::move(Id), std::move(Done));
+}
+
+void ReplicaDriver::remove(MemberId Id, DoneCallback Done) {
+  askChange(ChangeKind::Remove, std::move(Id), std::move(Done));
+}
+
+void ReplicaDriver::transferLeadership(DoneCallback Done) {
+  post([&](Inbox &In) { In.Transfers_.push_back(std::move(Done)); });
+}
+
+bool ReplicaDriver::holdsLeaderLease(TimePoint Now) const {
+  return Now < LeaseEnd_.load();
+}
+
+ReplicaStatus ReplicaDriver::getStatus() const {
+  std::lock_guard Guard(StatusLock_);
+  return Status_;
+}
+
+void ReplicaDriver::stop() {
+  post([](Inbox &In) { In.IsStopping_ = true; });
+  if (Thread_.joinable())
+    Thread_.join();
+  Writer_->stop();
+}
+
+ReplicaDriver::Inbox ReplicaDriver::takeInbox() {
+  std::unique_lock Guard(InboxLock_);
+  Duration Wait = std::max<Duration>(NextTick_ - Time_.now(), Duration(0));
+  Wake_.wait_for(Guard, Wait, [this] { return !Inbox_.isEmpty(); });
+  bool IsStopping = Inbox_.IsStopping_;
+  Inbox Taken = std::exchange(Inbox_, Inbox{});
+  Inbox_.IsStopping_ = IsStopping;
+  return Taken;
+}
+
+void ReplicaDriver::run() {
+  for (;;) {
+    Inbox In = takeInbox();
+    // First of all, so that a process that was frozen learns how late it is.
+    if (Time_.now() >= NextTick_)
+      tick();
+    handleInbox(In);
+    publish();
+    if (!In.IsStopping_)
+      continue;
+    LeaseEnd_ = TimePoint::min();
+    Pending_.failAll(
+        Error::make(ErrorCode::Unavailable, "this replica is stopping"));
+    return;
+  }
+}
+
+void ReplicaDriver::handleInbox(Inbox &In) {
+  if (In.Failure_)
+    failWith(*In.Failure_);
+  for (const Synced &Mark : In.Synced_)
+    step(Mark);
+  for (const std::string &Bytes : In.Messages_)
+    receiveOne(Bytes);
+  proposeAll(In.Calls_);
+  ReadAsked Reads;
+  for (DoneCallback &Done : In.Reads_)
+    Reads.Ids_.push_back(Pending_.addOther(std::move(Done)));
+  if (!Reads.Ids_.empty())
+    step(std::move(Reads));
+  for (Change &Each : In.Changes_)
+    step(ChangeAsked{Pending_.addOther(std::move(Each.Done_)), Each.Kind_,
+                     std::move(Each.Member_)});
+  for (DoneCallback &Done : In.Transfers_)
+    step(TransferAsked{Pending_.addOther(std::move(Done))});
+}
+
+void ReplicaDriver::tick() {
+  NextTick_ = Time_.now() + tickInterval(Settings_);
+  step(Tick{});
+  if (HasFailed_ || !Core_.getLog().isEmpty() || Time_.now() < NextAsk_)
+    return;
+  NextAsk_ = Time_.now() + Settings_.ElectionTimeout_ / 2;
+  carryOut(Founder_.ask(getHoldings()));
+}
+
+void ReplicaDriver::receiveOne(const std::string &Bytes) {
+  Outcome<Message> Decoded = decodeMessage(Settings_.Group_, Bytes);
+  if (!Decoded || HasFailed_)
+    return;
+  bool IsFounding = std::holds_alternative<JoinProbe>(Decoded.value().Body_) ||
+                    std::holds_alternative<JoinReply>(Decoded.value().Body_) ||
+                    std::holds_alternative<FoundGroup>(Decoded.value().Body_);
+  if (IsFounding)
+    carryOut(Founder_.receive(Decoded.value(), getHoldings()));
+  else
+    step(Received{std::move(Decoded.value())});
+}
+
+void ReplicaDriver::proposeAll(std::vector<Call> &Calls) {
+  std::size_t Limit = std::max<std::uint64_t>(Settings_.MaxBatch_, 1);
+  Proposed Batch;
+  for (Call &Each : Calls) {
+    std::uint64_t Id = Pending_.addProposal(std::move(Each.Done_));
+    Batch.Proposals_.push_back({Id, std::move(Each.Command_)});
+    if (Batch.Proposals_.size() >= Limit)
+      step(std::exchange(Batch, Proposed{}));
+  }
+  if (!Batch.Proposals_.empty())
+    step(std::move(Batch));
+}
+
+void ReplicaDriver::step(decltype(Input::Event_) Event) {
+  if (HasFailed_) {
+    Pending_.failAll(Error::make(ErrorCode::Unavailable,
+                                 "this replica has stopped; see its status"));
+    return;
+  }
+  carryOut(Core_.step({Time_.now(), std::move(Event)}));
+}
+
+void ReplicaDriver::carryOut(Outputs Out) {
+  // Before anything leaves: handing over leadership rests on it.
+  LeaseEnd_ = Core_.getLeaseEnd();
+  sendAll(Out.Early_);
+  write(Out);
+  for (const Accepted &Place : Out.Accepted_)
+    Pending_.accept(Place);
+  if (Out.Restore_)
+    restore(*Out.Restore_);
+  applyAll(Out.Committed_);
+  for (const Finished &End : Out.Finished_)
+    Pending_.finish(End, Applied_);
+  bool IsLeader = Core_.getRole() == Role::Leader;
+  if (std::exchange(WasLeader_, IsLeader) && !IsLeader)
+    Pending_.failPlaced(
+        Error::make(ErrorCode::Unavailable,
+                    "leadership was lost; it may or may not take effect"));
+  if (!Out.Committed_.empty())
+    takeSnapshotIfDue();
+}
+
+void ReplicaDriver::write(Outputs &Out) {
+  WriteJob Job;
+  Job.HasBatch_ = Out.Hard_ || !Out.Appended_.empty();
+  if (Out.Hard_)
+    Hard_ = std::move(*Out.Hard_);
+  Job.Batch_ = {Hard_, std::move(Out.Appended_)};
+  Job.Checkpoint_ = std::move(Out.Checkpoint_);
+  Job.Messages_ = std::move(Out.Late_);
+  if (Job.HasBatch_ || Job.Checkpoint_ || !Job.Messages_.empty())
+    Writer_->submit(std::move(Job));
+}
+
+void ReplicaDriver::restore(const Snapshot &From) {
+  Outcome<void> Restored = Machine_.restoreSnapshot(From.State_);
+  if (!Restored) {
+    failWith(Restored.error());
+    return;
+  }
+  Applied_ = From.Index_;
+  LastSnapshot_ = From.Index_;
+}
+
+void ReplicaDriver::applyAll(const std::vector<LogEntry> &Entries) {
+  if (HasFailed_)
+    return;
+  for (const LogEntry &Entry : Entries) {
+    std::string Result;
+    if (Entry.Kind_ == EntryKind::Command)
+      Result = Machine_.apply({Entry.Term_, Entry.Index_, Entry.Command_});
+    Applied_ = Entry.Index_;
+    Pending_.apply(Entry, std::move(Result));
+  }
+  Pending_.reachIndex(Applied_);
+}
+
+void ReplicaDriver::takeSnapshotIfDue() {
+  bool IsDue = Settings_.SnapshotEvery_ != 0 && !HasFailed_ &&
+               Applied_ >= LastSnapshot_ + Settings_.SnapshotEvery_;
+  if (!IsDue)
+    return;
+  LastSnapshot_ = Applied_;
+  std::uint64_t Kept = std::min(Applied_, Settings_.SnapshotEvery_ / 10);
+  step(SnapshotTaken{Applied_, Machine_.takeSnapshot(), Applied_ - Kept});
+}
+
+Holdings ReplicaDriver::getHoldings() const {
+  const RaftLog &Log = Core_.getLog();
+  Holdings Held;
+  Held.IsEmpty_ = Log.isEmpty() && Core_.getTerm() == 0;
+  bool HasFirst = Log.getBaseIndex() == 0 && !Log.isEmpty();
+  if (HasFirst)
+    Held.FirstMembers_ = Log.at(1).Members_;
+  return Held;
+}
+
+void ReplicaDriver::carryOut(FounderOutputs Out) {
+  if (Out.Promise_) {
+    Outcome<void> Saved = Storage_->saveIdentity(*Out.Promise_);
+    if (!Saved) {
+      failWith(Saved.error());
+      return;
+    }
+  }
+  if (!Out.Founded_.empty())
+    step(Founded{std::move(Out.Founded_)});
+  // Behind the founding entry in the writer's queue.
+  WriteJob Job;
+  Job.Messages_ = std::move(Out.Messages_);
+  if (!Job.Messages_.empty())
+    Writer_->submit(std::move(Job));
+}
+
+void ReplicaDriver::failWith(const Error &Why) {
+  HasFailed_ = true;
+  LeaseEnd_ = TimePoint::min();
+  Pending_.failAll(Error::make(ErrorCode::Unavailable,
+                               "this replica has stopped: " + Why.Message_));
+  std::lock_guard Guard(StatusLock_);
+  Status_.Failure_ = Why.Message_;
+}
+
+void ReplicaDriver::publish() {
+  if (HasFailed_)
+    LeaseEnd_ = TimePoint::min();
+  std::lock_guard Guard(StatusLock_);
+  const std::optional<MemberId> &Leader = Core_.getLeader();
+  Status_.IsLeader_ = Core_.getRole() == Role::Leader && !HasFailed_;
+  Status_.LeaderName_ = Leader && !HasFailed_ ? Leader->Name_ : "";
+  Status_.Term_ = Core_.getTerm();
+  Status_.CommitIndex_ = Core_.getCommit();
+  Status_.AppliedIndex_ = Applied_;
+  Status_.LeaderSince_ = Core_.getLeaderSince();
+  Status_.Members_ = Core_.getLog().getMembers();
+  Status_.Waiting_.clear();
+  for (const auto &[Name, Incarnation] : Founder_.getWaiting()) {
+    auto IsMember = [&](const Member &Each) {
+      return Each.Id_ == MemberId{Name, Incarnation};
+    };
+    if (std::none_of(Status_.Members_.begin(), Status_.Members_.end(),
+                     IsMember))
+      Status_.Waiting_.push_back({Name, Incarnation});
+  }
+}
+
+void ReplicaDriver::sendAll(const std::vector<Message> &Messages) {
+  for (const Message &Each : Messages)
+    Out_.send(Each.To_.Name_, encodeMessage(Settings_.Group_, Each));
+}
