Prove the data centre's state against a scanning model

Cause: the promises on overfilling, places and resumption rest on apply. A first run failed where the model took assignment 0, which Commands.h left open: assignments are from 1 now, and it says so.

--- a/include/tulipweir/datacentre/Commands.h
+++ b/include/tulipweir/datacentre/Commands.h
@@ -57,8 +57,8 @@
   bool operator==(const ForgetServer &) const = default;
 };
 
-/// Takes over a job that the fleet assigned here. Assignment_ rises with each
-/// assignment of the same job; one that is not higher than the latest adopted
+/// Takes over a job that the fleet assigned here. Assignment_ is from 1 and
+/// rises with each assignment of the same job; one that is not higher than the latest adopted
 /// here is refused, also after the job was dropped.
 struct AdoptJob {
   JobSpec Spec_;
--- /dev/null
+++ b/tests/datacentre/DataCentreStateTest.cpp
@@ -0,0 +1,209 @@
+//===- DataCentreStateTest.cpp --------------------------------------------===//
+
+#include "datacentre/NaiveDataCentre.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+using namespace tulipweir;
+using namespace tulipweir::datacentre;
+
+/// Random commands over a small world, most of them nearly right.
+class CommandSource {
+public:
+  explicit CommandSource(unsigned Seed) : Random_(Seed) {}
+
+  int pick(int Count) { return static_cast<int>(Random_() % Count); }
+
+  Command next(const NaiveDataCentre &World) {
+    const auto Server = BackendServerId("s" + std::to_string(pick(3)));
+    const auto Boot = BootId("b" + std::to_string(pick(2) + Step_++ / 400));
+    const TaskId Task{JobId("j" + std::to_string(pick(4))),
+                      static_cast<std::uint32_t>(pick(4))};
+    AttemptNumber Latest;
+    BootId Current;
+    for (const NaiveTask &T : World.Tasks_)
+      Latest = T.Id_ == Task ? T.Record_.Attempt_ : Latest;
+    for (const NaiveServer &S : World.Servers_)
+      Current = S.Info_.Server_ == Server ? S.Info_.Boot_ : Current;
+    const AttemptNumber Next(Latest.value() + (pick(8) == 0 ? 2 : 1));
+    const auto Size =
+        Resources::makeFor(pick(5) - (pick(30) == 0 ? 9 : 0), pick(5), pick(3));
+    const auto Capacity = Resources::makeFor(6 + pick(3), 6 + pick(3), 3);
+    const std::uint64_t Assignment = pick(3) + Step_ / 100;
+    switch (pick(24)) {
+    case 0:
+      return RegisterServer{Server, Boot, RackId("r"), "a",         Capacity,
+                            {},     8,    9,           pick(5) == 0};
+    case 1:
+      return ForgetServer{Server};
+    case 2:
+    case 3: {
+      JobSpec Spec{Task.Job_, TeamId("t"), JobClassId("c"), 1, 4, Size, "p", 2};
+      Spec.Declared_ = Resources{};
+      return AdoptJob{Spec, Assignment, pick(3) == 0 ? Progress_ : ""};
+    }
+    case 4:
+      return CancelJob{Task.Job_};
+    case 5:
+      return DropJob{Task.Job_};
+    case 6:
+      return ReleaseJob{Task.Job_, Assignment};
+    case 7:
+    case 8:
+      return ChangeReservation{Task, Latest, Size};
+    case 9:
+    case 10:
+    case 11:
+    case 12:
+      return EndAttempt{Task, Latest, static_cast<AttemptEnd>(pick(5)),
+                        pick(2) == 0 ? "" : std::to_string(Step_), "m"};
+    default:
+      return PlaceTask{Task, Next, Server, pick(8) == 0 ? Boot : Current, Size};
+    }
+  }
+
+  std::string Progress_;
+
+private:
+  std::mt19937 Random_;
+  int Step_ = 0;
+};
+
+static bool applyNaive(NaiveDataCentre &Naive, const Command &Value,
+                       FencingToken Token) {
+  return std::visit([&](const auto &C) { return Naive.apply(C, Token); },
+                    Value);
+}
+
+static void expectSame(const DataCentreState &State,
+                       const NaiveDataCentre &Naive) {
+  std::size_t Tasks = 0;
+  for (const auto &[Id, Job] : State.jobs())
+    Tasks += Job.Tasks_.size();
+  ASSERT_EQ(Tasks, Naive.Tasks_.size());
+  for (const NaiveTask &T : Naive.Tasks_)
+    ASSERT_EQ(*State.findTask(T.Id_), T.Record_) << T.Id_.toString();
+  ASSERT_EQ(State.servers().size(), Naive.Servers_.size());
+  for (const NaiveServer &S : Naive.Servers_) {
+    const ServerRecord &Record = *State.findServer(S.Info_.Server_);
+    ASSERT_EQ(Record.Info_, S.Info_);
+    ASSERT_EQ(Record.Reserved_, Naive.sumOf(S.Info_.Server_));
+  }
+  for (const auto &[Id, Job] : State.jobs())
+    ASSERT_EQ(Job.Ended_ + Job.Placed_ +
+                  Naive.countTasks(Id, TaskState::Waiting),
+              Job.Tasks_.size());
+}
+
+/// What a listener derives: tasks by state, and which servers there are.
+class Listener {
+public:
+  std::map<TaskId, Change> Tasks_;
+  std::set<BackendServerId> Servers_;
+  std::set<JobId> Ended_;
+
+  void note(const Change &C) {
+    if (C.Kind_ == ChangeKind::ServerChanged)
+      Servers_.insert(C.Server_);
+    if (C.Kind_ == ChangeKind::ServerForgotten)
+      Servers_.erase(C.Server_);
+    if (C.Kind_ == ChangeKind::JobEnded)
+      Ended_.insert(C.Task_.Job_);
+    if (C.Kind_ == ChangeKind::JobDropped) {
+      Ended_.erase(C.Task_.Job_);
+      std::erase_if(Tasks_, [&](const auto &Each) {
+        return Each.first.Job_ == C.Task_.Job_;
+      });
+    }
+    if (C.Kind_ == ChangeKind::TaskWaiting ||
+        C.Kind_ == ChangeKind::TaskEnded || C.Kind_ == ChangeKind::TaskPlaced)
+      Tasks_[C.Task_] = C;
+    if (C.Kind_ == ChangeKind::ReservationChanged)
+      Tasks_[C.Task_].Reservation_ = C.Reservation_;
+  }
+  bool operator==(const Listener &) const = default;
+};
+
+class DataCentreStateSeeds : public testing::TestWithParam<unsigned> {};
+
+TEST_P(DataCentreStateSeeds, AgreesWithScanningModelAndSurvivesItsSnapshot) {
+  CommandSource Source(GetParam());
+  DataCentreState State{RecordLimits{}};
+  NaiveDataCentre Naive;
+  Listener Fed;
+  std::set<std::tuple<TaskId, std::uint64_t, AttemptNumber>> Ran;
+  std::array<int, std::variant_size_v<Command>> Accepted{};
+  for (std::uint64_t Index = 1; Index <= 6000; ++Index) {
+    const Command Value = Source.next(Naive);
+    const DataCentreState Before = State;
+    std::vector<Change> Changes;
+    const CommandResult Result = State.apply(Value, 1, Index, &Changes);
+    const bool Took = Result.Error_.empty();
+    ASSERT_EQ(Took, applyNaive(Naive, Value, FencingToken{1, Index}))
+        << Result.Message_;
+    Accepted[Value.index()] += Took;
+    if (!Took) {
+      ASSERT_EQ(State, Before) << "a refused command changed something";
+      ASSERT_TRUE(Changes.empty());
+    }
+    ASSERT_NO_FATAL_FAILURE(expectSame(State, Naive));
+    for (const Change &Each : Changes)
+      Fed.note(Each);
+    if (const auto *Place = std::get_if<PlaceTask>(&Value); Place && Took) {
+      const ServerRecord &Server = *State.findServer(Place->Server_);
+      ASSERT_TRUE(Server.Reserved_.fitsIn(Server.Info_.Capacity_));
+      const auto Assignment = State.findAssignment(Place->Task_.Job_);
+      ASSERT_TRUE(Ran.emplace(Place->Task_, Assignment, Place->Attempt_).second)
+          << "an attempt was placed twice";
+    }
+    if (const auto *Release = std::get_if<ReleaseJob>(&Value); Release && Took)
+      Source.Progress_ = encodeProgress(*State.findJob(Release->Job_));
+    if (Source.pick(50) != 0)
+      continue;
+    const auto Back = DataCentreState::decode(State.encode(), RecordLimits{});
+    ASSERT_TRUE(Back.has_value()) << Back.error().Message_;
+    ASSERT_EQ(Back.value(), State);
+    State = Back.value();
+    Listener Rebuilt;
+    for (const Change &Each : State.listChanges())
+      Rebuilt.note(Each);
+    ASSERT_EQ(Rebuilt, Fed);
+  }
+  // The schedule reached every kind of command but those about records.
+  for (const std::size_t Kind : {0, 1, 2, 3, 4, 5, 6, 7, 12})
+    EXPECT_GT(Accepted[Kind], 0) << Kind;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DataCentreStateSeeds, testing::Range(0u, 12u));
+
+TEST(DataCentreStateTest, AdoptsNoDroppedJobAgainUnderItsAssignment) {
+  DataCentreState State{RecordLimits{}};
+  const JobSpec Spec{
+      JobId("j"), TeamId("t"), JobClassId("c"), 1, 1, Resources{}, "p", 1};
+  EXPECT_EQ(State.apply(AdoptJob{Spec, 1, ""}, 1, 1).Error_, "");
+  State.apply(CancelJob{Spec.Job_}, 1, 2);
+  EXPECT_EQ(State.apply(DropJob{Spec.Job_}, 1, 3).Error_, "");
+  EXPECT_EQ(State.apply(AdoptJob{Spec, 1, ""}, 1, 4).Error_, "already_exists");
+  EXPECT_EQ(State.apply(AdoptJob{Spec, 2, ""}, 1, 5).Error_, "");
+}
+
+TEST(DataCentreStateTest, CutSnapshotsAreRefusedWhole) {
+  DataCentreState State{RecordLimits{}};
+  State.apply(RegisterServer{BackendServerId("s"),
+                             BootId("b"),
+                             RackId("r"),
+                             "a",
+                             Resources::makeFor(1, 1),
+                             {},
+                             1,
+                             1,
+                             false},
+              1, 1);
+  const std::string Bytes = State.encode();
+  for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
+    EXPECT_FALSE(DataCentreState::decode(Bytes.substr(0, Size), RecordLimits{}))
+        << Size;
+  EXPECT_FALSE(DataCentreState::decode(Bytes + "x", RecordLimits{}));
+}
