Drive the log core through a fault matrix

Cause: no promise about the log is worth much before every fault was tried at every step.

After each event: one leader a term, equal applied prefixes, confirmed reads, never two leader leases; in the end all that was acknowledged.

--- /dev/null
+++ b/tests/replication/CoreCluster.cpp
@@ -0,0 +1,459 @@
+#include "CoreCluster.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+
+constexpr CoreCluster::Millis StepMs = 5;
+constexpr CoreCluster::Millis DayMs = 3500;
+constexpr CoreCluster::Millis HealMs = 6000;
+constexpr std::uint64_t SnapshotEvery = 25;
+/// Clocks differ by less than the margin that the lease allows for.
+constexpr double SlowestClock = 0.94;
+constexpr double FastestClock = 1.06;
+
+CoreCluster::CoreCluster(std::uint64_t Seed, std::vector<PlannedFault> Plan)
+    : Random_(Seed), Plan_(std::move(Plan)) {
+  std::vector<Member> First;
+  for (const char *Name : {"a", "b", "c"}) {
+    Nodes_[Name].Id_ = {Name, 1};
+    First.push_back({{Name, 1}, MemberRole::Voter});
+  }
+  Nodes_["d"].Id_ = {"d", 1};
+  Nodes_["d"].IsWanted_ = false;
+  std::uniform_real_distribution<double> Rate(SlowestClock, FastestClock);
+  for (auto &[Name, Each] : Nodes_) {
+    Each.Rate_ = Rate(Random_);
+    start(Each);
+    if (Each.IsWanted_)
+      step(Each, Founded{First});
+  }
+}
+
+CoreCluster::Millis CoreCluster::pick(Millis Low, Millis High) {
+  return std::uniform_int_distribution<Millis>(Low, High)(Random_);
+}
+
+TimePoint CoreCluster::localNow(const Node &Which) const {
+  auto Elapsed = static_cast<double>(Now_) * Which.Rate_ * 1e6;
+  return TimePoint(std::chrono::hours(1)) +
+         Duration(static_cast<Duration::rep>(Elapsed));
+}
+
+void CoreCluster::expect(bool Holds, const std::string &What) {
+  if (!Holds && Broken_.empty())
+    Broken_ = What + " at " + std::to_string(Now_) + " ms";
+}
+
+bool CoreCluster::hasStruck() const {
+  return std::all_of(Plan_.begin(), Plan_.end(),
+                     [](const PlannedFault &Each) { return Each.Done_; });
+}
+
+std::string CoreCluster::run() {
+  for (; Now_ < DayMs && Broken_.empty(); Now_ += StepMs) {
+    runScript();
+    tickAll();
+  }
+  IsHealing_ = true;
+  for (auto &[Name, Each] : Nodes_) {
+    Each.Until_.clear();
+    Each.FrozenUntil_ = 0;
+  }
+  Millis End = Now_ + HealMs;
+  for (; Now_ < End && Broken_.empty() && !isSettled(); Now_ += StepMs)
+    tickAll();
+  expect(isSettled(), "the group did not settle after all was healed");
+  return Broken_;
+}
+
+void CoreCluster::runScript() {
+  if (Now_ == 300) {
+    Node &Down = std::next(Nodes_.begin(), pick(0, 2))->second;
+    if (Down.Core_) {
+      crash(Down, false);
+      Down.RestartAt_ = Now_ + 600;
+    }
+  }
+  if (Now_ == 1600)
+    Nodes_["d"].IsWanted_ = true;
+  bool IsHandOver = Now_ == 1300 || Now_ == 2400 || Now_ == 3000;
+  Node *Leader = IsHandOver ? findLeader() : nullptr;
+  if (Leader)
+    step(*Leader, TransferAsked{++NextId_});
+}
+
+void CoreCluster::tickAll() {
+  std::vector<Node *> Order;
+  for (auto &[Name, Each] : Nodes_)
+    Order.push_back(&Each);
+  std::shuffle(Order.begin(), Order.end(), Random_);
+  for (Node *Each : Order) {
+    turn(*Each);
+    checkLeases();
+  }
+}
+
+void CoreCluster::turn(Node &Which) {
+  if (!Which.Core_ && Now_ >= Which.RestartAt_)
+    start(Which);
+  if (!Which.Core_ || Now_ < Which.FrozenUntil_)
+    return;
+  bool IsTick = Now_ >= Which.NextTick_;
+  if (IsTick) {
+    Which.NextTick_ = Now_ + 10;
+    step(Which, Tick{});
+  }
+  completeWrites(Which);
+  deliver(Which);
+  if (IsTick && Which.Core_ && Which.Core_->getRole() == Role::Leader) {
+    propose(Which);
+    if (Which.Core_ && pick(0, 3) == 0)
+      repair(Which);
+  }
+}
+
+void CoreCluster::propose(Node &Which) {
+  std::uint64_t Id = ++NextId_;
+  Proposed One;
+  One.Proposals_.push_back({Id, "c" + std::to_string(Id)});
+  step(Which, std::move(One));
+  if (!Which.Core_ || pick(0, 4) != 0)
+    return;
+  Which.Reads_[++NextId_] =
+      Acknowledged_.empty() ? 0 : Acknowledged_.rbegin()->first;
+  step(Which, ReadAsked{{NextId_}});
+}
+
+/// What an operator or the control program does: brings in whoever stands
+/// outside, and removes the incarnations that are gone.
+void CoreCluster::repair(Node &Leader) {
+  const std::vector<Member> Members = Leader.Core_->getLog().getMembers();
+  auto Find = [&](const MemberId &Id) {
+    return std::find_if(Members.begin(), Members.end(),
+                        [&](const Member &M) { return M.Id_ == Id; });
+  };
+  for (const Member &Each : Members)
+    if (Each.Id_ != Nodes_[Each.Id_.Name_].Id_ &&
+        Find(Nodes_[Each.Id_.Name_].Id_) != Members.end())
+      return step(Leader, ChangeAsked{++NextId_, ChangeKind::Remove, Each.Id_});
+  for (auto &[Name, Each] : Nodes_) {
+    if (!Each.IsWanted_)
+      continue;
+    auto Known = Find(Each.Id_);
+    if (Known == Members.end())
+      return step(Leader,
+                  ChangeAsked{++NextId_, ChangeKind::AddLearner, Each.Id_});
+    if (Known->Role_ == MemberRole::Learner)
+      return step(Leader,
+                  ChangeAsked{++NextId_, ChangeKind::Promote, Each.Id_});
+  }
+}
+
+void CoreCluster::deliver(Node &Which) {
+  std::vector<Message> Due;
+  std::erase_if(Network_, [&](const InFlight &Each) {
+    bool IsDue =
+        Each.Message_.To_.Name_ == Which.Id_.Name_ && Each.DueAt_ <= Now_;
+    if (IsDue)
+      Due.push_back(Each.Message_);
+    return IsDue;
+  });
+  for (Message &Each : Due)
+    if (Which.Core_ && Now_ >= Which.FrozenUntil_)
+      step(Which, Received{std::move(Each)});
+}
+
+void CoreCluster::send(Node &Which, const Message &Each) {
+  const Node &To = Nodes_.at(Each.To_.Name_);
+  bool IsCut = isHit(Which, Fault::CutOutgoing) ||
+               isHit(Which, Fault::CutBothWays) ||
+               isHit(To, Fault::CutIncoming) || isHit(To, Fault::CutBothWays);
+  if (IsCut)
+    return;
+  auto IsNear = [&](Fault What) {
+    return isHit(Which, What) || isHit(To, What);
+  };
+  Millis Delay = pick(0, 10);
+  if (IsNear(Fault::Reordered))
+    Delay = pick(0, ElectionMs / 2);
+  if (IsNear(Fault::DelayedPastElection))
+    Delay += 5 * ElectionMs;
+  Network_.push_back({Each, Now_ + Delay});
+  if (IsNear(Fault::Duplicated))
+    Network_.push_back({Each, Now_ + pick(0, 6 * ElectionMs)});
+}
+
+bool CoreCluster::isHit(const Node &Which, Fault What) const {
+  auto Found = Which.Until_.find(What);
+  return Found != Which.Until_.end() && Now_ < Found->second;
+}
+
+void CoreCluster::step(Node &Which, decltype(Input::Event_) Event) {
+  carryOut(Which, Which.Core_->step({localNow(Which), std::move(Event)}));
+}
+
+static std::set<LogStep> findSteps(const Outputs &Out, bool IsLeader) {
+  std::set<LogStep> Steps;
+  if (!Out.Appended_.empty())
+    Steps.insert(LogStep::Append);
+  if (!Out.Committed_.empty())
+    Steps.insert(IsLeader ? LogStep::Commit : LogStep::Apply);
+  if (Out.Restore_)
+    Steps.insert(LogStep::Install);
+  else if (Out.Checkpoint_)
+    Steps.insert(LogStep::TakeSnapshot);
+  for (const LogEntry &Each : Out.Appended_)
+    if (Each.Kind_ == EntryKind::Membership && Each.Index_ > 1)
+      Steps.insert(LogStep::ChangeMembers);
+  for (const Message &Each : Out.Late_)
+    if (std::holds_alternative<TransferNow>(Each.Body_))
+      Steps.insert(LogStep::Transfer);
+  return Steps;
+}
+
+void CoreCluster::carryOut(Node &Which, Outputs Out) {
+  bool IsLeader = Which.Core_->getRole() == Role::Leader;
+  std::set<LogStep> Steps = findSteps(Out, IsLeader);
+  if (strikeBefore(Which, Steps))
+    return;
+  for (const Message &Each : Out.Early_)
+    send(Which, Each);
+  Write Job;
+  Job.HasBatch_ = Out.Hard_ || !Out.Appended_.empty();
+  if (Out.Hard_)
+    Which.Hard_ = *Out.Hard_;
+  Job.Hard_ = Which.Hard_;
+  Job.Entries_ = Out.Appended_;
+  Job.Checkpoint_ = Out.Checkpoint_;
+  Job.Late_ = Out.Late_;
+  Which.LastWriteAt_ = std::max(Which.LastWriteAt_, Now_ + pick(0, 15));
+  Job.DueAt_ = Which.LastWriteAt_;
+  Which.Writes_.push_back(std::move(Job));
+  for (const Accepted &Each : Out.Accepted_)
+    Proposed_[Each.Index_] = Each.Term_;
+  if (Out.Restore_) {
+    Which.Applied_ = Out.Restore_->Index_;
+    Which.Chain_ = std::stoull(Out.Restore_->State_);
+    expect(ChainAt_.at(Which.Applied_) == Which.Chain_,
+           "an installed snapshot differs");
+  }
+  for (const LogEntry &Each : Out.Committed_)
+    apply(Which, Each);
+  for (const Finished &Each : Out.Finished_)
+    if (auto Read = Which.Reads_.extract(Each.Id_); !Read.empty())
+      expect(Each.Error_ || Each.ReadIndex_ >= Read.mapped(),
+             "a confirmed read misses what was acknowledged before it");
+  check(Which);
+  strikeAfter(Which, Steps);
+  if (Which.Core_ && !Out.Committed_.empty())
+    takeSnapshotIfDue(Which);
+}
+
+void CoreCluster::apply(Node &Which, const LogEntry &Entry) {
+  expect(Entry.Index_ == Which.Applied_ + 1, "a gap in what is applied");
+  Which.Applied_ = Entry.Index_;
+  std::string Text = std::to_string(Which.Chain_) + "/" +
+                     std::to_string(Entry.Term_) + "/" + Entry.Command_;
+  Which.Chain_ = XXH3_64bits(Text.data(), Text.size());
+  auto [Known, IsNew] = ChainAt_.try_emplace(Entry.Index_, Which.Chain_);
+  expect(Known->second == Which.Chain_, "applied prefixes differ");
+  bool IsAnswered = Which.Core_->getRole() == Role::Leader &&
+                    Proposed_.count(Entry.Index_) != 0 &&
+                    Proposed_[Entry.Index_] == Entry.Term_;
+  if (IsAnswered)
+    Acknowledged_[Entry.Index_] = Which.Chain_;
+}
+
+void CoreCluster::takeSnapshotIfDue(Node &Which) {
+  const SnapshotRef &Last = Which.Core_->getLog().getSnapshot();
+  std::uint64_t Since = Which.Applied_ - (Last ? Last->Index_ : 0);
+  if (Since >= SnapshotEvery)
+    step(Which, SnapshotTaken{Which.Applied_, std::to_string(Which.Chain_),
+                              Which.Applied_ - pick(0, 5)});
+}
+
+void CoreCluster::store(Node &Which, const Write &Job) {
+  if (Job.HasBatch_)
+    Which.Disk_.Hard_ = Job.Hard_;
+  std::vector<LogEntry> &Log = Which.Disk_.Entries_;
+  for (const LogEntry &Entry : Job.Entries_) {
+    std::erase_if(
+        Log, [&](const LogEntry &Old) { return Old.Index_ >= Entry.Index_; });
+    Log.push_back(Entry);
+  }
+  if (Job.Checkpoint_)
+    Which.Disk_ = *Job.Checkpoint_;
+}
+
+void CoreCluster::completeWrites(Node &Which) {
+  while (Which.Core_ && !Which.Writes_.empty() &&
+         Which.Writes_.front().DueAt_ <= Now_ && Now_ >= Which.FrozenUntil_) {
+    const Write Job = std::move(Which.Writes_.front());
+    Which.Writes_.pop_front();
+    std::set<LogStep> Steps;
+    if (Job.HasBatch_)
+      Steps.insert(LogStep::Sync);
+    for (const Message &Each : Job.Late_)
+      if (const auto *Reply = std::get_if<AppendReply>(&Each.Body_))
+        if (Reply->Accepted_)
+          Steps.insert(LogStep::Acknowledge);
+    if (strikeBefore(Which, Steps))
+      return;
+    store(Which, Job);
+    for (const Message &Each : Job.Late_)
+      send(Which, Each);
+    strikeAfter(Which, Steps);
+    if (Which.Core_ && !Job.Entries_.empty())
+      step(Which,
+           Synced{Job.Entries_.back().Term_, Job.Entries_.back().Index_});
+  }
+}
+
+void CoreCluster::crash(Node &Which, bool LosesDisk) {
+  Which.Core_.reset();
+  Which.Writes_.clear();
+  Which.Reads_.clear();
+  Which.FrozenUntil_ = 0;
+  Which.RestartAt_ = Now_ + pick(0, 4 * ElectionMs);
+  if (!LosesDisk)
+    return;
+  Which.Disk_ = {};
+  Which.Id_.Incarnation_ = ++NextIncarnation_;
+}
+
+void CoreCluster::start(Node &Which) {
+  CoreSettings Settings;
+  Settings.Self_ = Which.Id_;
+  Settings.ElectionTimeout_ = std::chrono::milliseconds(ElectionMs);
+  Settings.HeartbeatInterval_ = std::chrono::milliseconds(ElectionMs / 5);
+  Settings.Seed_ = Random_();
+  Settings.MaxEntriesPerMessage_ = 4;
+  Settings.MaxMessagesInFlight_ = 4;
+  Settings.SnapshotChunkBytes_ = 7;
+  Which.Hard_ = Which.Disk_.Hard_;
+  const SnapshotRef &Last = Which.Disk_.Snapshot_;
+  Which.Applied_ = Last ? Last->Index_ : 0;
+  Which.Chain_ = Last ? std::stoull(Last->State_) : 0;
+  Which.Core_ =
+      std::make_unique<RaftCore>(Settings, localNow(Which), Which.Disk_);
+}
+
+bool CoreCluster::strikeBefore(Node &Which, const std::set<LogStep> &Steps) {
+  for (PlannedFault &Each : Plan_) {
+    bool IsDue = !Each.Done_ && !IsHealing_ && Steps.count(Each.Step_) != 0 &&
+                 Now_ > 150;
+    if (!IsDue || Each.Skip_-- > 0)
+      continue;
+    // Losing two disks at once is more than any quorum of three stands.
+    if (Each.Fault_ == Fault::LostDisk && !isWhole())
+      continue;
+    bool IsBefore =
+        Each.Fault_ == Fault::CrashBefore || Each.Fault_ == Fault::LostDisk;
+    if (!IsBefore)
+      continue;
+    Each.Done_ = true;
+    crash(Which, Each.Fault_ == Fault::LostDisk);
+    return true;
+  }
+  return false;
+}
+
+void CoreCluster::strikeAfter(Node &Which, const std::set<LogStep> &Steps) {
+  for (PlannedFault &Each : Plan_) {
+    bool IsDue = !Each.Done_ && !IsHealing_ && Steps.count(Each.Step_) != 0 &&
+                 Each.Skip_ < 0 && Each.Fault_ != Fault::LostDisk &&
+                 Each.Fault_ != Fault::CrashBefore;
+    if (!IsDue || !Which.Core_)
+      continue;
+    Each.Done_ = true;
+    strike(Which, Each.Fault_);
+  }
+}
+
+void CoreCluster::strike(Node &Which, Fault What) {
+  if (What == Fault::CrashAfter || What == Fault::TornWrite) {
+    // After: all that was begun gets to the disk, and out. Torn: some of it
+    // does, and nothing is said about it.
+    auto Kept = static_cast<Millis>(Which.Writes_.size());
+    if (What == Fault::TornWrite)
+      Kept = pick(0, Kept);
+    for (Millis Each = 0; Each < Kept; ++Each) {
+      store(Which, Which.Writes_[static_cast<std::size_t>(Each)]);
+      if (What == Fault::CrashAfter)
+        for (const Message &Late :
+             Which.Writes_[static_cast<std::size_t>(Each)].Late_)
+          send(Which, Late);
+    }
+    crash(Which, false);
+    return;
+  }
+  if (What == Fault::Frozen) {
+    Which.FrozenUntil_ = Now_ + 6 * ElectionMs;
+    return;
+  }
+  Which.Until_[What] = Now_ + 5 * ElectionMs;
+  if (What != Fault::DelayedPastElection)
+    return;
+  for (InFlight &Each : Network_)
+    if (Each.Message_.From_ == Which.Id_)
+      Each.DueAt_ += 5 * ElectionMs;
+}
+
+CoreCluster::Node *CoreCluster::findLeader() {
+  Node *Leader = nullptr;
+  for (auto &[Name, Each] : Nodes_) {
+    bool IsLeader = Each.Core_ && Each.Core_->getRole() == Role::Leader &&
+                    Now_ >= Each.FrozenUntil_;
+    if (IsLeader &&
+        (!Leader || Each.Core_->getTerm() > Leader->Core_->getTerm()))
+      Leader = &Each;
+  }
+  return Leader;
+}
+
+/// Whether the newest leader's committed members are just those that run.
+bool CoreCluster::isWhole() const {
+  const Node *Leader = const_cast<CoreCluster *>(this)->findLeader();
+  if (!Leader)
+    return false;
+  const RaftLog &Log = Leader->Core_->getLog();
+  std::vector<Member> Running;
+  for (const auto &[Name, Each] : Nodes_)
+    if (Each.IsWanted_)
+      Running.push_back({Each.Id_, MemberRole::Voter});
+  return Log.getMembersIndex() <= Leader->Core_->getCommit() &&
+         Log.getMembers() == Running;
+}
+
+bool CoreCluster::isSettled() const {
+  if (!isWhole() || Acknowledged_.empty())
+    return false;
+  std::uint64_t Last = Acknowledged_.rbegin()->first;
+  for (const auto &[Name, Each] : Nodes_) {
+    bool IsThere = Each.Core_ && Each.Applied_ + 20 >= Last &&
+                   Each.Core_->getLeader().has_value();
+    if (Each.IsWanted_ && !IsThere)
+      return false;
+  }
+  return true;
+}
+
+void CoreCluster::check(const Node &Which) {
+  if (Which.Core_->getRole() != Role::Leader)
+    return;
+  auto [Known, IsNew] =
+      LeaderOf_.try_emplace(Which.Core_->getTerm(), Which.Id_);
+  expect(Known->second == Which.Id_, "two leaders in one term");
+}
+
+void CoreCluster::checkLeases() {
+  int Holders = 0;
+  for (const auto &[Name, Each] : Nodes_)
+    if (Each.Core_ && localNow(Each) < Each.Core_->getLeaseEnd())
+      ++Holders;
+  expect(Holders <= 1, "two leader leases at once");
+}
--- /dev/null
+++ b/tests/replication/FaultMatrixTest.cpp
@@ -0,0 +1,83 @@
+#include "CoreCluster.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+
+constexpr int StepCount = static_cast<int>(LogStep::Count);
+constexpr int FaultCount = static_cast<int>(Fault::Count);
+
+/// How many seeds each cell of the matrix gets; more on demand.
+static std::uint64_t countSeeds(std::uint64_t Usual) {
+  const char *Asked = std::getenv("TULIPWEIR_MATRIX_SEEDS");
+  return Asked ? std::strtoull(Asked, nullptr, 10) : Usual;
+}
+
+static PlannedFault makeFault(int Cell, std::uint64_t Seed) {
+  auto Step = static_cast<LogStep>(Cell / FaultCount);
+  // The rarer steps come only a few times a day.
+  int Choices = Step < LogStep::TakeSnapshot ? 60 : 2;
+  return {Step, static_cast<Fault>(Cell % FaultCount),
+          static_cast<int>(Seed * 7) % Choices};
+}
+
+static void expectHolds(std::uint64_t Seed, std::vector<PlannedFault> Plan,
+                        int &Struck) {
+  std::string Cells;
+  for (const PlannedFault &Each : Plan)
+    Cells += " step " + std::to_string(static_cast<int>(Each.Step_)) +
+             " fault " + std::to_string(static_cast<int>(Each.Fault_));
+  CoreCluster Cluster(Seed, std::move(Plan));
+  ASSERT_EQ(Cluster.run(), "") << "seed " << Seed << Cells;
+  // A day on which little is committed would prove little.
+  ASSERT_GE(Cluster.countAcknowledged(), 50U) << "seed " << Seed << Cells;
+  Struck += Cluster.hasStruck() ? 1 : 0;
+}
+
+TEST(FaultMatrixTest, NothingBreaksWithoutFaults) {
+  int Struck = 0;
+  for (std::uint64_t Seed = 1; Seed <= countSeeds(20); ++Seed)
+    expectHolds(Seed, {}, Struck);
+}
+
+/// One test for each step: all faults at it.
+class FaultAtStepTest : public testing::TestWithParam<int> {};
+
+TEST_P(FaultAtStepTest, LosesNothingAndNeverLeadsTwice) {
+  int Struck = 0;
+  int Runs = 0;
+  for (int Each = 0; Each < FaultCount; ++Each)
+    for (std::uint64_t Seed = 1; Seed <= countSeeds(4); ++Seed, ++Runs)
+      expectHolds(Seed, {makeFault(GetParam() * FaultCount + Each, Seed)},
+                  Struck);
+  // A matrix whose faults never strike would prove nothing.
+  EXPECT_GE(Struck, Runs * 3 / 4);
+}
+
+/// All faults at this step, each with other cells of the matrix in turn.
+TEST_P(FaultAtStepTest, PairsLoseNothingAndNeverLeadTwice) {
+  int Struck = 0;
+  for (int Each = 0; Each < FaultCount; ++Each) {
+    int Cell = GetParam() * FaultCount + Each;
+    for (std::uint64_t Seed = 1; Seed <= countSeeds(3); ++Seed) {
+      int Other =
+          (Cell * 31 + static_cast<int>(Seed) * 37) % (StepCount * FaultCount);
+      expectHolds(Seed, {makeFault(Cell, Seed), makeFault(Other, Seed + 1)},
+                  Struck);
+    }
+  }
+  EXPECT_GT(Struck, 0);
+}
+
+static std::string nameStep(const testing::TestParamInfo<int> &Info) {
+  static const char *const Names[] = {
+      "Append",       "Sync",    "Acknowledge",   "Commit",  "Apply",
+      "TakeSnapshot", "Install", "ChangeMembers", "Transfer"};
+  return Names[Info.param];
+}
+
+INSTANTIATE_TEST_SUITE_P(Steps, FaultAtStepTest, testing::Range(0, StepCount),
+                         nameStep);
