--- /dev/null
+++ b/tests/fleet/BundleBookTest.cpp
@@ -0,0 +1,186 @@
+//===- BundleBookTest.cpp -------------------------------------------------===//
+
+#include "tulipweir/fleet/BundleBook.h"
+#include "FleetFixture.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+using namespace tulipweir::fleet::test;
+
+namespace {
+/// A book in which version 1 is in force, decided by 2 of 3 operators.
+class BundleBookTest : public testing::Test {
+protected:
+  BundleBookTest() {
+    Book_.propose(makeProposal(First_, 1));
+    EXPECT_TRUE(Book_.sign(makeSigning(First_, 2)).Accepted_);
+  }
+  std::string makeNext(const std::string &Note) const {
+    return makeBundleText(2, 1, computeDigest(First_).value(), 3, 2, Note);
+  }
+  std::uint64_t inForce() const { return Book_.inForce().Version_.value(); }
+
+  std::string First_ = makeBundleText(1, 0, "");
+  BundleBook Book_;
+};
+} // namespace
+
+TEST_F(BundleBookTest, AFirstBundleIsDecidedByItsOwnOperators) {
+  EXPECT_EQ(inForce(), 1U);
+  EXPECT_EQ(Book_.history().latest()->SignedBy_,
+            (std::vector<OperatorId>{makeOperator(1), makeOperator(2)}));
+}
+
+TEST_F(BundleBookTest, ABundleWaitsForTheLastSignOff) {
+  const auto Next = makeNext("");
+  const CommandResult Kept = Book_.propose(makeProposal(Next, 1));
+  EXPECT_EQ(Kept.Error_, "");
+  EXPECT_FALSE(Kept.Accepted_);
+  EXPECT_EQ(inForce(), 1U);
+  EXPECT_TRUE(Book_.sign(makeSigning(Next, 3)).Accepted_);
+  EXPECT_EQ(inForce(), 2U);
+}
+
+TEST_F(BundleBookTest, AnOperatorIsNotCountedTwice) {
+  const auto Next = makeNext("");
+  Book_.propose(makeProposal(Next, 1));
+  EXPECT_EQ(Book_.propose(makeProposal(Next, 1)).Error_, "already_exists");
+  EXPECT_EQ(Book_.sign(makeSigning(Next, 1)).Error_, "already_exists");
+  EXPECT_EQ(inForce(), 1U);
+}
+
+TEST_F(BundleBookTest, StrangersAndForgedSignaturesAreRefused) {
+  const auto Next = makeNext("");
+  Book_.propose(makeProposal(Next, 1));
+  SignBundle Forged = makeSigning(Next, 3);
+  Forged.SignOff_.Operator_ = makeOperator(2);
+  EXPECT_EQ(Book_.sign(Forged).Error_, "permission_denied");
+  EXPECT_EQ(Book_.sign(makeSigning(Next, 9)).Error_, "permission_denied");
+  SignBundle OtherText = makeSigning(makeNext("other"), 2);
+  OtherText.Digest_ = computeDigest(Next);
+  EXPECT_EQ(Book_.sign(OtherText).Error_, "permission_denied");
+  EXPECT_EQ(inForce(), 1U);
+}
+
+TEST_F(BundleBookTest, TheListInForceDecidesNotTheProposedOne) {
+  // Operator 4 is only on the new list, and one sign-off would do there.
+  const auto Next = makeBundleText(2, 1, computeDigest(First_).value(), 4, 1);
+  EXPECT_EQ(Book_.propose(makeProposal(Next, 4)).Error_, "permission_denied");
+  EXPECT_FALSE(Book_.propose(makeProposal(Next, 1)).Accepted_);
+  EXPECT_EQ(inForce(), 1U);
+}
+
+TEST_F(BundleBookTest, ResendingAnAcceptedOneSaysSo) {
+  const auto Next = makeNext("");
+  Book_.propose(makeProposal(Next, 1));
+  Book_.sign(makeSigning(Next, 2));
+  for (const CommandResult &Again :
+       {Book_.propose(makeProposal(Next, 1)), Book_.sign(makeSigning(Next, 2)),
+        Book_.propose(makeProposal(First_, 1)),
+        Book_.sign(makeSigning(First_, 3))}) {
+    EXPECT_EQ(Again.Error_, "already_exists");
+    EXPECT_TRUE(Again.Accepted_);
+  }
+  EXPECT_EQ(inForce(), 2U);
+  EXPECT_EQ(Book_.history().size(), 2U);
+}
+
+TEST_F(BundleBookTest, ParentVersionAndParentDigestMustBothBeInForce) {
+  const auto Digest1 = computeDigest(First_).value();
+  for (const auto &Stale : {makeBundleText(1, 0, ""), makeBundleText(2, 0, ""),
+                            makeBundleText(3, 2, Digest1),
+                            makeBundleText(2, 1, std::string(64, 'b'))}) {
+    const auto Result = Book_.propose(makeProposal(Stale, 1));
+    EXPECT_EQ(Result.Error_, Stale == First_ ? "already_exists" : "conflict");
+    EXPECT_EQ(Result.Digest_.value(), Digest1);
+  }
+}
+
+TEST_F(BundleBookTest, SignersOfALostProposalLearnWhichOneWon) {
+  const auto Lost = makeNext("lost");
+  const auto Won = makeNext("won");
+  Book_.propose(makeProposal(Lost, 1));
+  Book_.propose(makeProposal(Won, 2));
+  Book_.sign(makeSigning(Won, 3));
+  const CommandResult Told = Book_.sign(makeSigning(Lost, 2));
+  EXPECT_EQ(Told.Error_, "conflict");
+  EXPECT_EQ(Told.Digest_, computeDigest(Won));
+  EXPECT_TRUE(Book_.proposals().empty());
+}
+
+TEST_F(BundleBookTest, AnOperatorsOldestProposalGivesWay) {
+  for (int I = 0; I < 10; ++I)
+    Book_.propose(makeProposal(makeNext(std::to_string(I)), 1));
+  EXPECT_EQ(Book_.proposals().size(), BundleBook::ProposalsPerOperator);
+  EXPECT_EQ(Book_.sign(makeSigning(makeNext("0"), 2)).Error_, "not_found");
+  EXPECT_TRUE(Book_.sign(makeSigning(makeNext("9"), 2)).Accepted_);
+}
+
+TEST_F(BundleBookTest, ABrokenTextIsRefusedWithItsProblems) {
+  const CommandResult Result = Book_.propose(makeProposal("{}", 1));
+  EXPECT_EQ(Result.Error_, "invalid_argument");
+  EXPECT_NE(Result.Message_.find("/version is missing"), std::string::npos);
+}
+
+/// 50 operators change version 1 at once, each resends what it is not sure
+/// of, and everything arrives in a random order.
+TEST(BundleRaceTest, OfFiftyEqualVersionsExactlyOneWins) {
+  static constexpr unsigned Operators = 50;
+  for (unsigned Seed = 0; Seed < 8; ++Seed) {
+    std::mt19937 Random(Seed);
+    const auto First = makeBundleText(1, 0, "", Operators, 1);
+    BundleBook Book;
+    ASSERT_TRUE(Book.propose(makeProposal(First, 1)).Accepted_);
+    std::vector<ProposeBundle> Sent;
+    for (unsigned I = 1; I <= Operators; ++I)
+      for (unsigned Copy = 0; Copy < 1 + Random() % 3; ++Copy)
+        Sent.push_back(makeProposal(
+            makeBundleText(2, 1, computeDigest(First).value(), Operators, 1,
+                           "by " + std::to_string(I)),
+            I));
+    std::shuffle(Sent.begin(), Sent.end(), Random);
+    const Digest Winner = computeDigest(Sent.front().Text_);
+    unsigned Wins = 0;
+    for (const ProposeBundle &One : Sent) {
+      const CommandResult Result = Book.propose(One);
+      Wins += Result.Error_.empty() ? 1 : 0;
+      const bool IsWinner = computeDigest(One.Text_) == Winner;
+      EXPECT_EQ(Result.Accepted_, IsWinner);
+      EXPECT_EQ(Result.Digest_, Winner);
+      EXPECT_EQ(Result.Error_ == "conflict", !IsWinner);
+    }
+    EXPECT_EQ(Wins, 1U);
+    EXPECT_EQ(Book.history().size(), 2U);
+    EXPECT_EQ(Book.history().latest()->Digest_, Winner);
+  }
+}
+
+TEST(BundleHistoryTest, TextsAndDetailsAgeButVersionsAndDigestsStay) {
+  BundleHistory History;
+  const std::size_t Count = BundleHistory::DetailsKept + 100;
+  for (std::uint64_t Version = 1; Version <= Count; ++Version) {
+    AcceptedBundle Accepted;
+    Accepted.Version_ = BundleVersion(Version);
+    Accepted.Digest_ = computeDigest(std::to_string(Version));
+    Accepted.Text_ = "text";
+    Accepted.Note_ = "note";
+    History.append(std::move(Accepted));
+  }
+  EXPECT_EQ(History.size(), Count);
+  EXPECT_EQ(History.archive().size(), 100U);
+  const auto List = History.list(Count + 1);
+  ASSERT_EQ(List.size(), Count);
+  for (std::size_t I = 0; I < Count; ++I) {
+    const std::uint64_t Version = Count - I;
+    EXPECT_EQ(List[I].Digest_, computeDigest(std::to_string(Version)));
+    EXPECT_EQ(List[I].Text_.empty(), I >= BundleHistory::TextsKept);
+    EXPECT_EQ(List[I].Note_.empty(), I >= BundleHistory::DetailsKept);
+  }
+  EXPECT_EQ(History.findVersion(BundleVersion(7))->Digest_, computeDigest("7"));
+  EXPECT_FALSE(History.findVersion(BundleVersion(Count + 1)));
+}
--- /dev/null
+++ b/tests/fleet/FleetDifferentialTest.cpp
@@ -0,0 +1,229 @@
+//===- FleetDifferentialTest.cpp ------------------------------------------===//
+//
+// FleetState against a naive one over random commands, with its snapshot taken
+// and restored at random points.
+//
+//===----------------------------------------------------------------------===//
+
+#include "FleetFixture.h"
+#include "tulipweir/fleet/FleetCodec.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <set>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+using namespace tulipweir::fleet::test;
+
+static constexpr unsigned Operators = 3;
+static constexpr unsigned Needed = 2;
+
+namespace {
+
+/// Keeps everything, indexes nothing, searches from the front.
+class NaiveFleet {
+public:
+  struct Proposal {
+    std::uint64_t Version_ = 0;
+    std::uint64_t Parent_ = 0;
+    std::string Text_;
+    std::string ParentDigest_;
+    std::set<std::string> Signers_;
+    bool Accepted_ = false;
+  };
+  struct Job {
+    std::string Name_;
+    std::string Holder_;
+    std::uint64_t Assignment_ = 0;
+    std::string Progress_;
+    bool Cancelling_ = false;
+    bool Ended_ = false;
+    JobEnd End_ = JobEnd::Finished;
+  };
+
+  /// Whether the bundle is in force or was.
+  bool noteSigned(const Proposal &Shape, const std::string &Signer);
+  void apply(const Command &Value);
+  bool isSame(const FleetState &Real) const;
+
+private:
+  Job *find(const JobId &Name) {
+    for (Job &One : Jobs_)
+      if (One.Name_ == Name.value())
+        return &One;
+    return nullptr;
+  }
+
+  std::vector<Proposal> All_;
+  std::vector<Proposal> Accepted_;
+  std::vector<Job> Jobs_;
+};
+
+} // namespace
+
+bool NaiveFleet::noteSigned(const Proposal &Shape, const std::string &Signer) {
+  for (const Proposal &One : Accepted_)
+    if (One.Text_ == Shape.Text_)
+      return true;
+  const std::uint64_t Now = Accepted_.empty() ? 0 : Accepted_.back().Version_;
+  const std::string NowDigest =
+      Accepted_.empty() ? "" : computeDigest(Accepted_.back().Text_).value();
+  if (Shape.Parent_ != Now || Shape.ParentDigest_ != NowDigest)
+    return false;
+  for (Proposal &One : All_) {
+    if (One.Text_ != Shape.Text_)
+      continue;
+    One.Signers_.insert(Signer);
+    if (One.Signers_.size() < Needed)
+      return false;
+    Accepted_.push_back(One);
+    All_.clear();
+    return true;
+  }
+  All_.push_back(Shape);
+  All_.back().Signers_ = {Signer};
+  return false;
+}
+
+void NaiveFleet::apply(const Command &Value) {
+  if (const auto *Submit = std::get_if<SubmitJob>(&Value)) {
+    if (!find(Submit->Job_))
+      Jobs_.emplace_back().Name_ = Submit->Job_.value();
+  } else if (const auto *Assign = std::get_if<AssignJob>(&Value)) {
+    Job *Found = find(Assign->Job_);
+    if (Found && !Found->Ended_ && Found->Holder_.empty()) {
+      Found->Holder_ = Assign->DataCentre_.value();
+      ++Found->Assignment_;
+    }
+  } else if (const auto *Release = std::get_if<ReleaseJob>(&Value)) {
+    Job *Found = find(Release->Job_);
+    if (Found && !Found->Ended_ && !Found->Holder_.empty() &&
+        Found->Assignment_ == Release->Assignment_) {
+      Found->Holder_.clear();
+      if (!Release->Progress_.empty())
+        Found->Progress_ = Release->Progress_;
+      if (Found->Cancelling_) {
+        Found->Ended_ = true;
+        Found->End_ = JobEnd::Cancelled;
+      }
+    }
+  } else if (const auto *Cancel = std::get_if<CancelJob>(&Value)) {
+    Job *Found = find(Cancel->Job_);
+    if (Found && !Found->Ended_ && Found->Holder_.empty()) {
+      Found->Ended_ = true;
+      Found->End_ = JobEnd::Cancelled;
+    } else if (Found && !Found->Ended_) {
+      Found->Cancelling_ = true;
+    }
+  } else if (const auto *End = std::get_if<EndJob>(&Value)) {
+    Job *Found = find(End->Job_);
+    if (Found && !Found->Ended_ && !Found->Holder_.empty() &&
+        Found->Assignment_ == End->Assignment_) {
+      Found->Holder_.clear();
+      Found->Ended_ = true;
+      Found->End_ = End->End_;
+    }
+  }
+}
+
+bool NaiveFleet::isSame(const FleetState &Real) const {
+  const auto History = Real.bundles().history().list(Accepted_.size() + 1);
+  if (History.size() != Accepted_.size())
+    return false;
+  for (std::size_t I = 0; I < History.size(); ++I)
+    if (History[I].Digest_ !=
+        computeDigest(Accepted_[Accepted_.size() - 1 - I].Text_))
+      return false;
+  std::size_t Held = 0;
+  for (const Job &One : Jobs_) {
+    const FleetJob *Found = Real.jobs().find(JobId(One.Name_));
+    if (!Found || Found->DataCentre_.value() != One.Holder_ ||
+        Found->Assignment_ != One.Assignment_ ||
+        Found->End_.has_value() != One.Ended_ ||
+        (One.Ended_ && *Found->End_ != One.End_) ||
+        (!One.Ended_ && Found->Progress_ != One.Progress_))
+      return false;
+    const bool IsWaiting = !One.Ended_ && One.Holder_.empty();
+    if (Real.jobs().unassigned().contains(JobId(One.Name_)) != IsWaiting)
+      return false;
+    Held += One.Holder_.empty() ? 0 : 1;
+  }
+  std::size_t RealHeld = 0;
+  for (const auto &[DataCentre, Names] : Real.jobs().held())
+    RealHeld += Names.size();
+  return RealHeld == Held && Real.jobs().jobs().size() == Jobs_.size();
+}
+
+static Command makeJobCommand(std::mt19937_64 &Random) {
+  const JobId Job("job" + std::to_string(Random() % 6));
+  const DataCentreId DataCentre(Random() % 2 ? "east" : "west");
+  const std::uint64_t Assignment = Random() % 4;
+  switch (Random() % 5) {
+  case 0:
+    return SubmitJob{Job, TeamId("t"), Random() % 4 ? "a" : "b", {}, 1};
+  case 1:
+    return AssignJob{Job, DataCentre};
+  case 2:
+    return ReleaseJob{Job, Assignment, false, Random() % 2 ? "p" : ""};
+  case 3:
+    return Random() % 4 ? Command(AssignJob{Job, DataCentre})
+                        : Command(CancelJob{Job});
+  default:
+    return EndJob{Job, Assignment, static_cast<JobEnd>(Random() % 3), "", 1};
+  }
+}
+
+/// A version and parent near those in force, right more often than not.
+static NaiveFleet::Proposal makeShape(const FleetState &Real,
+                                      std::mt19937_64 &Random) {
+  const AcceptedBundle *Latest = Real.bundles().history().latest();
+  NaiveFleet::Proposal Shape;
+  Shape.Parent_ = Latest ? Latest->Version_.value() : 0;
+  Shape.ParentDigest_ = Latest ? Latest->Digest_.value() : "";
+  if (Random() % 5 == 0 && Shape.Parent_ > 1) {
+    const auto Older =
+        Real.bundles().history().findVersion(BundleVersion(Shape.Parent_ - 1));
+    Shape.Parent_ -= 1;
+    Shape.ParentDigest_ = Older ? Older->Digest_.value() : Shape.ParentDigest_;
+  }
+  Shape.Version_ = Shape.Parent_ + 1;
+  Shape.Text_ =
+      makeBundleText(Shape.Version_, Shape.Parent_, Shape.ParentDigest_,
+                     Operators, Needed, std::to_string(Random() % 3));
+  return Shape;
+}
+
+TEST(FleetDifferentialTest, SameAsTheNaiveOneThroughSnapshots) {
+  for (std::uint64_t Seed = 0; Seed < 12; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    FleetState Real;
+    NaiveFleet Naive;
+    BundleVersion Highest;
+    for (int Step = 0; Step < 300; ++Step) {
+      if (Random() % 3 == 0) {
+        const auto Shape = makeShape(Real, Random);
+        const unsigned Signer = 1 + Random() % Operators;
+        const bool Expected =
+            Naive.noteSigned(Shape, makeOperator(Signer).value());
+        const auto Result = Real.apply(makeProposal(Shape.Text_, Signer));
+        ASSERT_EQ(Result.Accepted_, Expected) << Seed << ":" << Step;
+      } else {
+        const Command Value = makeJobCommand(Random);
+        Naive.apply(Value);
+        Real.apply(Value);
+      }
+      ASSERT_TRUE(Naive.isSame(Real)) << Seed << ":" << Step;
+      if (Random() % 10 == 0) {
+        const auto Restored = decodeState(encodeState(Real));
+        ASSERT_TRUE(Restored.has_value());
+        ASSERT_EQ(Restored.value(), Real);
+        Real = Restored.value();
+      }
+      ASSERT_GE(Real.bundles().inForce().Version_, Highest);
+      Highest = Real.bundles().inForce().Version_;
+    }
+    EXPECT_GT(Highest.value(), 5U) << "hardly a bundle was accepted";
+  }
+}
--- /dev/null
+++ b/tests/fleet/FleetMachineTest.cpp
@@ -0,0 +1,159 @@
+//===- FleetMachineTest.cpp -----------------------------------------------===//
+
+#include "tulipweir/fleet/FleetMachine.h"
+#include "FleetFixture.h"
+#include "tulipweir/fleet/FleetCodec.h"
+#include "tulipweir/fleet/HeldBundle.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+using namespace tulipweir::fleet::test;
+
+static CommandResult applyTo(FleetMachine &Machine, const Command &Value) {
+  const std::string Bytes = encodeCommand(Value);
+  return decodeResult(Machine.apply({1, 1, Bytes})).value();
+}
+
+static std::vector<Command> makeOneOfEach() {
+  const SignOff Sign{OperatorId("a"), "sig"};
+  const JobId Job("j");
+  return {ProposeBundle{"text", Sign, 1},
+          SignBundle{Digest("d"), Sign, 2},
+          SubmitJob{Job, TeamId("t"), std::string("\0\xff", 2),
+                    DataCentreId("dc"), 3},
+          AssignJob{Job, DataCentreId("dc")},
+          ReleaseJob{Job, 1ULL << 63, true, "p"},
+          CancelJob{Job},
+          EndJob{Job, 4, JobEnd::Cancelled, "m", 5}};
+}
+
+TEST(FleetCodecTest, EveryCommandSurvivesTheRoundTrip) {
+  for (const Command &Value : makeOneOfEach())
+    EXPECT_EQ(decodeCommand(encodeCommand(Value)).value(), Value);
+}
+
+TEST(FleetCodecTest, CutLongerAndChangedBytesNeverCrash) {
+  std::mt19937_64 Random(7);
+  for (const Command &Value : makeOneOfEach()) {
+    const std::string Whole = encodeCommand(Value);
+    for (std::size_t Size = 0; Size < Whole.size(); ++Size)
+      EXPECT_FALSE(decodeCommand(Whole.substr(0, Size)).has_value());
+    EXPECT_FALSE(decodeCommand(Whole + "x").has_value());
+    for (int Round = 0; Round < 2000; ++Round) {
+      std::string Changed = Whole;
+      Changed[Random() % Changed.size()] = static_cast<char>(Random());
+      const auto Decoded = decodeCommand(Changed);
+      // What decodes holds no more than the bytes did.
+      const std::size_t Size =
+          Decoded ? encodeCommand(Decoded.value()).size() : 0;
+      EXPECT_LE(Size, Changed.size());
+    }
+  }
+}
+
+TEST(FleetCodecTest, AClaimOfBillionsOfEntriesIsRefusedCheaply) {
+  const std::string Claim("\xdd\xff\xff\xff\xff", 5);
+  EXPECT_EQ(decodeCommand(Claim).error().Code_, ErrorCode::Malformed);
+  EXPECT_EQ(decodeState(Claim).error().Code_, ErrorCode::Malformed);
+}
+
+TEST(FleetCodecTest, AnotherSnapshotFormatIsNamedAsSuch) {
+  std::string Bytes = encodeState(FleetState());
+  Bytes[1] = 2; // After the array's header.
+  EXPECT_EQ(decodeState(Bytes).error().Code_, ErrorCode::VersionMismatch);
+}
+
+TEST(FleetCodecTest, ReportsAndRepliesSurviveTheRoundTrip) {
+  const AssignmentReport Report{
+      DataCentreId("dc"), true, {0.5, 3, 48}, {{JobId("j"), 2}}};
+  EXPECT_EQ(decodeReport(encodeReport(Report)).value(), Report);
+  const AssignmentReply Reply{{{JobId("j"), 2}}};
+  EXPECT_EQ(decodeReply(encodeReply(Reply)).value(), Reply);
+}
+
+TEST(FleetMachineTest, TellsItsListenerAndAnswersQueries) {
+  std::vector<std::string> Heard;
+  FleetMachine Machine([&](const Command &, const CommandResult &Result) {
+    Heard.push_back(Result.Error_);
+  });
+  EXPECT_FALSE(Machine.getInForce());
+  EXPECT_EQ(Machine.getBundle(), nullptr);
+  const auto Text = makeBundleText(1, 0, "", 1, 1);
+  EXPECT_TRUE(applyTo(Machine, makeProposal(Text, 1)).Accepted_);
+  EXPECT_EQ(Machine.getInForce()->Text_, Text);
+  EXPECT_EQ(Machine.getBundle()->Version_, BundleVersion(1));
+  EXPECT_EQ(Machine.listHistory(5).size(), 1U);
+  for (const char *Name : {"a", "b", "c"})
+    applyTo(Machine, SubmitJob{JobId(Name), TeamId("t"), "s", {}, 1});
+  applyTo(Machine, AssignJob{JobId("b"), DataCentreId("dc")});
+  EXPECT_EQ(Machine.listUnassigned(9).size(), 2U);
+  EXPECT_EQ(Machine.listHeld(DataCentreId("dc"), 9).at(0).Job_, JobId("b"));
+  EXPECT_EQ(Machine.listJobs(2).size(), 2U);
+  EXPECT_EQ(Machine.listJobs(2, JobId("b")).at(0).Job_, JobId("c"));
+  EXPECT_EQ(Heard.size(), 5U);
+}
+
+TEST(FleetMachineTest, BytesThatAreNoCommandChangeNothing) {
+  FleetMachine Machine;
+  const std::string Before = Machine.takeSnapshot();
+  const auto Result = decodeResult(Machine.apply({1, 1, "rubbish"}));
+  EXPECT_EQ(Result.value().Error_, "malformed");
+  EXPECT_EQ(Machine.takeSnapshot(), Before);
+}
+
+TEST(FleetMachineTest, ABadSnapshotChangesNothingAndAGoodOneRestoresAll) {
+  unsigned Restored = 0;
+  FleetMachine Machine;
+  FleetMachine Other(nullptr, [&Restored] { ++Restored; });
+  applyTo(Machine, makeProposal(makeBundleText(1, 0, "", 1, 1), 1));
+  applyTo(Other, SubmitJob{JobId("j"), TeamId("t"), "s", {}, 1});
+  const std::string Good = Machine.takeSnapshot();
+  const std::string Before = Other.takeSnapshot();
+  for (std::size_t Size = 0; Size < Good.size(); Size += 7)
+    EXPECT_FALSE(Other.restoreSnapshot(Good.substr(0, Size)).has_value());
+  EXPECT_EQ(Other.takeSnapshot(), Before);
+  EXPECT_TRUE(Other.restoreSnapshot(Good).has_value());
+  EXPECT_EQ(Other.takeSnapshot(), Good);
+  EXPECT_EQ(Other.getBundle()->Version_, BundleVersion(1));
+  EXPECT_EQ(Restored, 1U);
+}
+
+static wire::SignedBundle makeOffered(std::uint64_t Version,
+                                      const std::string &Note = "") {
+  const auto Text =
+      makeBundleText(Version, Version - 1,
+                     Version == 1 ? "" : std::string(64, 'a'), 1, 1, Note);
+  return {BundleVersion(Version), computeDigest(Text), Text};
+}
+
+TEST(HeldBundleTest, VersionsOnlyRiseInWhateverOrderTheyArrive) {
+  std::mt19937_64 Random(3);
+  HeldBundle Held;
+  std::uint64_t Highest = 0;
+  for (int Round = 0; Round < 300; ++Round) {
+    const std::uint64_t Version = 1 + Random() % 40;
+    const bool IsNewer = Version > Highest;
+    EXPECT_EQ(Held.adopt(makeOffered(Version)).value(), IsNewer);
+    Highest = std::max(Highest, Version);
+    EXPECT_EQ(Held.getVersion().value(), Highest);
+    EXPECT_EQ(Held.getBundle()->Version_.value(), Highest);
+  }
+}
+
+TEST(HeldBundleTest, DamagedAndContradictingBundlesAreRefused) {
+  HeldBundle Held;
+  ASSERT_TRUE(Held.adopt(makeOffered(2)).value());
+  auto Damaged = makeOffered(3);
+  Damaged.Text_ += " ";
+  EXPECT_EQ(Held.adopt(Damaged).error().Code_, ErrorCode::Corrupt);
+  auto Renamed = makeOffered(3);
+  Renamed.Version_ = BundleVersion(4);
+  EXPECT_EQ(Held.adopt(Renamed).error().Code_, ErrorCode::Corrupt);
+  EXPECT_EQ(Held.adopt(makeOffered(2, "other")).error().Code_,
+            ErrorCode::Conflict);
+  EXPECT_EQ(Held.getVersion(), BundleVersion(2));
+}
