Attack the assignment leases with seeded schedules

150 seeds over three data centres with two controls each: clocks off by one part in a hundred either way, cuts, messages late by up to two TTLs, leader changes with a part of the old proposals committed, leaders frozen between the lease check and the answer.

--- /dev/null
+++ b/tests/fleet/AssignmentScheduleTest.cpp
@@ -0,0 +1,389 @@
+//===- AssignmentScheduleTest.cpp -----------------------------------------===//
+//
+// Seeded schedules over three data centres with two control processes each:
+// clocks that drift, cuts, messages that arrive hours late, leaders that
+// change, and frozen ones that answer what they had checked before. Whatever
+// happens, no job is ever held by two data centres.
+//
+//===----------------------------------------------------------------------===//
+
+#include "tulipweir/fleet/AssignmentLease.h"
+#include "tulipweir/fleet/JobAssigner.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace tulipweir;
+using namespace tulipweir::fleet;
+
+using std::chrono::seconds;
+
+static constexpr std::size_t DataCentres = 3;
+static constexpr std::size_t Controls = 6; ///< Number N is in data centre N%3.
+static constexpr std::size_t Jobs = 4;
+static constexpr Duration Ttl = seconds(1000);
+static constexpr std::size_t Budget = 8;
+
+static DataCentreId nameDataCentre(std::size_t Control) {
+  return DataCentreId("dc" + std::to_string(Control % DataCentres));
+}
+
+static JobId nameJob(std::size_t Number) {
+  return JobId("job" + std::to_string(Number));
+}
+
+namespace {
+
+/// One control process with its own clock and copy of the fleet's state.
+struct Control {
+  double Rate_ = 1;
+  Duration Offset_{};
+  std::size_t Applied_ = 0;
+  JobBook Book_;
+  std::unique_ptr<JobAssigner> Assigner_;
+  std::unique_ptr<AssignmentLease> Lease_;
+};
+
+class Schedule {
+public:
+  explicit Schedule(std::uint64_t Seed);
+  void run();
+  std::size_t getMoves() const;
+  std::size_t getHeldChecks() const { return HeldChecks_; }
+  const std::string &getViolation() const { return Violation_; }
+
+private:
+  TimePoint readClock(const Control &Of) const {
+    const double Local = static_cast<double>(Now_.count()) * Of.Rate_;
+    return TimePoint(Of.Offset_ + Duration(static_cast<std::int64_t>(Local)));
+  }
+  bool chance(unsigned Percent) { return Random_() % 100 < Percent; }
+  bool areCut(std::size_t A, std::size_t B) const {
+    return A % DataCentres != B % DataCentres &&
+           (Cut_[A % DataCentres] || Cut_[B % DataCentres]);
+  }
+  Duration makeDelay() {
+    const Duration Most = chance(5) ? Ttl * 2 : Ttl / 100;
+    return Duration(static_cast<std::int64_t>(Random_() % Most.count()));
+  }
+  void later(Duration Delay, std::function<void()> Event) {
+    Events_.emplace(Now_ + Delay, std::move(Event));
+  }
+
+  void commit(const Command &Value);
+  void applyAll(Control &To);
+  void changeLeader();
+  void sendReport(std::size_t From);
+  void receiveReport(std::size_t From, std::size_t To,
+                     const AssignmentReport &Report, TimePoint SentAt);
+  void decide();
+  void releaseSome();
+  void check();
+  bool isHeldBy(std::size_t DataCentre, const JobId &Job) const;
+
+  std::mt19937_64 Random_;
+  Duration Now_{};
+  std::multimap<Duration, std::function<void()>> Events_;
+  std::vector<Control> Controls_;
+  std::vector<Command> Log_;
+  JobBook Truth_;
+  std::size_t Leader_ = 0;
+  std::uint64_t Term_ = 0;
+  bool Cut_[DataCentres] = {};
+  std::vector<Command> InFlight_; ///< Proposed by the leader of this term.
+  std::vector<std::pair<std::size_t, AssignmentHeld>> Given_; ///< Ever.
+  std::set<AssignmentHeld> Stopped_; ///< Their holder gave them back itself.
+  std::size_t HeldChecks_ = 0;
+  std::string Violation_;
+};
+
+} // namespace
+
+Schedule::Schedule(std::uint64_t Seed) : Random_(Seed), Controls_(Controls) {
+  const auto Times = AssignmentTimes::makeFor(Ttl);
+  for (Control &One : Controls_) {
+    One.Rate_ = Random_() % 2 ? 0.99 : 1.01;
+    One.Offset_ = seconds(Random_() % 1'000'000);
+    One.Assigner_ = std::make_unique<JobAssigner>(Times);
+    One.Lease_ = std::make_unique<AssignmentLease>(Times);
+  }
+  for (std::size_t I = 0; I < Jobs; ++I)
+    commit(SubmitJob{nameJob(I), TeamId("t"), "s",
+                     I == 0 ? nameDataCentre(0) : DataCentreId(), 0});
+  changeLeader();
+}
+
+static CommandResult applyJob(JobBook &Book, const Command &Value) {
+  if (const auto *Submit = std::get_if<SubmitJob>(&Value))
+    return Book.submit(*Submit);
+  if (const auto *Assign = std::get_if<AssignJob>(&Value))
+    return Book.assign(*Assign);
+  return Book.release(std::get<ReleaseJob>(Value));
+}
+
+void Schedule::commit(const Command &Value) {
+  const CommandResult Result = applyJob(Truth_, Value);
+  Log_.push_back(Value);
+  const auto *Assign = std::get_if<AssignJob>(&Value);
+  if (!Assign || !Result.Error_.empty())
+    return;
+  const std::size_t Chosen = Assign->DataCentre_.value().back() - '0';
+  Given_.push_back({Chosen, {Assign->Job_, Result.Assignment_}});
+}
+
+void Schedule::applyAll(Control &To) {
+  while (To.Applied_ < Log_.size())
+    applyJob(To.Book_, Log_[To.Applied_++]);
+}
+
+/// What the old leader had proposed is committed in part; the new one begins
+/// once it has applied that. The old one does not notice.
+void Schedule::changeLeader() {
+  const std::size_t Survive =
+      InFlight_.empty() ? 0 : Random_() % (InFlight_.size() + 1);
+  for (std::size_t I = 0; I < Survive; ++I)
+    commit(InFlight_[I]);
+  InFlight_.clear();
+  ++Term_;
+  Leader_ = Random_() % Controls;
+  Control &New = Controls_[Leader_];
+  applyAll(New);
+  New.Assigner_->noteLeading(readClock(New));
+}
+
+void Schedule::sendReport(std::size_t From) {
+  Control &Sender = Controls_[From];
+  const DataCentreId Own = nameDataCentre(From);
+  if (!areCut(From, Leader_))
+    applyAll(Sender);
+  std::vector<AssignmentHeld> Standing;
+  if (const auto Held = Sender.Book_.held().find(Own);
+      Held != Sender.Book_.held().end())
+    for (const JobId &Job : Held->second)
+      Standing.push_back({Job, Sender.Book_.find(Job)->Assignment_});
+  const TimePoint SentAt = readClock(Sender);
+  AssignmentReport Report{Own, true, {0.5, 0, 8}, {}};
+  Report.Due_ = Sender.Lease_->listDue(Standing, SentAt, Jobs);
+  if (areCut(From, Leader_))
+    return;
+  later(makeDelay(), [this, From, To = Leader_, Report, SentAt] {
+    receiveReport(From, To, Report, SentAt);
+  });
+}
+
+void Schedule::receiveReport(std::size_t From, std::size_t To,
+                             const AssignmentReport &Report, TimePoint SentAt) {
+  // Replica::holdsLeaderLease; a process that is frozen right after it goes on
+  // long afterwards with the state of then.
+  if (To != Leader_ || areCut(From, To))
+    return;
+  const Duration Frozen = chance(5) ? Ttl * 2 : Duration::zero();
+  later(Frozen, [this, From, To, Report, SentAt, Term = Term_] {
+    Control &Answering = Controls_[To];
+    if (Term == Term_)
+      applyAll(Answering);
+    const auto Reply = Answering.Assigner_->renew(Report, Answering.Book_,
+                                                  readClock(Answering));
+    later(makeDelay(), [this, From, Reply, SentAt] {
+      Controls_[From].Lease_->noteRenewed(Reply, SentAt);
+    });
+  });
+}
+
+void Schedule::decide() {
+  Control &Leader = Controls_[Leader_];
+  applyAll(Leader);
+  for (const Command &Value :
+       Leader.Assigner_->decide(Leader.Book_, readClock(Leader), Budget)) {
+    InFlight_.push_back(Value);
+    later(makeDelay(), [this, Value, Term = Term_] {
+      if (Term != Term_)
+        return;
+      std::erase(InFlight_, Value);
+      commit(Value);
+    });
+  }
+}
+
+/// A data centre stops a job and gives it back of its own accord.
+void Schedule::releaseSome() {
+  for (const auto &[DataCentre, Held] : Truth_.held()) {
+    const JobId Job = *Held.begin();
+    const std::uint64_t Assignment = Truth_.find(Job)->Assignment_;
+    Stopped_.insert({Job, Assignment});
+    return commit(ReleaseJob{Job, Assignment, false, ""});
+  }
+}
+
+bool Schedule::isHeldBy(std::size_t DataCentre, const JobId &Job) const {
+  for (const auto &[Chosen, Held] : Given_) {
+    if (Chosen != DataCentre || Held.Job_ != Job || Stopped_.contains(Held))
+      continue;
+    for (std::size_t I = DataCentre; I < Controls; I += DataCentres)
+      if (Controls_[I].Lease_->covers(Held, readClock(Controls_[I])))
+        return true;
+  }
+  return false;
+}
+
+void Schedule::check() {
+  for (std::size_t Job = 0; Job < Jobs; ++Job) {
+    std::size_t Holders = 0;
+    for (std::size_t I = 0; I < DataCentres; ++I)
+      Holders += isHeldBy(I, nameJob(Job)) ? 1 : 0;
+    HeldChecks_ += Holders;
+    if (Holders > 1)
+      Violation_ = nameJob(Job).value() + " is held by " +
+                   std::to_string(Holders) + " data centres at " +
+                   std::to_string(Now_.count());
+  }
+}
+
+void Schedule::run() {
+  for (int Step = 0; Step < 2500 && Violation_.empty(); ++Step) {
+    const Duration Until =
+        Now_ +
+        Duration(static_cast<std::int64_t>(Random_() % (Ttl / 100).count()));
+    while (!Events_.empty() && Events_.begin()->first <= Until) {
+      Now_ = std::max(Now_, Events_.begin()->first);
+      const auto Event = Events_.extract(Events_.begin());
+      Event.mapped()();
+      check();
+    }
+    Now_ = Until;
+    sendReport(Random_() % Controls);
+    decide();
+    if (Random_() % 150 == 0)
+      Cut_[Random_() % DataCentres] ^= true;
+    if (Random_() % 200 == 0)
+      changeLeader();
+    if (Random_() % 100 == 0)
+      releaseSome();
+    check();
+  }
+}
+
+std::size_t Schedule::getMoves() const { return Given_.size(); }
+
+TEST(AssignmentScheduleTest, NoJobIsEverHeldByTwoDataCentres) {
+  std::size_t Moves = 0;
+  std::size_t HeldChecks = 0;
+  for (std::uint64_t Seed = 0; Seed < 150; ++Seed) {
+    Schedule Tried(Seed);
+    Tried.run();
+    ASSERT_EQ(Tried.getViolation(), "") << "seed " << Seed;
+    Moves += Tried.getMoves();
+    HeldChecks += Tried.getHeldChecks();
+  }
+  EXPECT_GT(Moves, 150 * Jobs) << "jobs hardly ever moved";
+  EXPECT_GT(HeldChecks, 100'000U) << "jobs were hardly ever held";
+  RecordProperty("moves", static_cast<int>(Moves));
+}
+
+namespace {
+/// One leader and what it is told, by hand.
+class JobAssignerTest : public testing::Test {
+protected:
+  JobAssignerTest() { Assigner_.noteLeading(at(0)); }
+  static TimePoint at(int Second) { return TimePoint(seconds(100 + Second)); }
+  void submit(const char *Job, const char *Preferred = "") {
+    Book_.submit({JobId(Job), TeamId("t"), "s", DataCentreId(Preferred), 0});
+  }
+  void hear(const char *DataCentre, int Second, DataCentreLoad Load) {
+    Assigner_.renew({DataCentreId(DataCentre), true, Load, {}}, Book_,
+                    at(Second));
+  }
+  std::vector<std::string> decide(int Second) {
+    std::vector<std::string> Chosen;
+    for (const Command &One : Assigner_.decide(Book_, at(Second), 10)) {
+      if (const auto *Assign = std::get_if<AssignJob>(&One))
+        Chosen.push_back(Assign->DataCentre_.value());
+      else
+        Chosen.push_back("release");
+      applyJob(Book_, One);
+    }
+    return Chosen;
+  }
+
+  JobBook Book_;
+  JobAssigner Assigner_{AssignmentTimes::makeFor(Ttl)};
+};
+using Names = std::vector<std::string>;
+} // namespace
+
+TEST_F(JobAssignerTest, ANewLeaderListensBeforeItAssigns) {
+  submit("a");
+  hear("east", 0, {0, 0, 8});
+  EXPECT_EQ(decide(1), Names());
+  EXPECT_EQ(decide(3), Names{"east"});
+}
+
+TEST_F(JobAssignerTest, PrefersTheNamedDataCentreWhileItIsReachable) {
+  submit("a", "west");
+  hear("east", 3, {0, 0, 8});
+  hear("west", 3, {1, 50, 8});
+  EXPECT_EQ(decide(3), Names{"west"});
+  submit("b", "west");
+  hear("east", 20, {0, 0, 8});
+  EXPECT_EQ(decide(20), Names{"east"}) << "west was last heard 17 s ago";
+}
+
+TEST_F(JobAssignerTest, SpreadsAWaveBetweenTwoReportsOfLoad) {
+  for (const char *Job : {"a", "b", "c", "d"})
+    submit(Job);
+  hear("east", 3, {0, 0, 8});
+  hear("west", 3, {0, 0, 8});
+  const auto Chosen = decide(3);
+  EXPECT_EQ(std::ranges::count(Chosen, "east"), 2);
+  EXPECT_EQ(std::ranges::count(Chosen, "west"), 2);
+}
+
+TEST_F(JobAssignerTest, TheLessLoadedOneGetsTheJobAndOneWithoutServersNone) {
+  submit("a");
+  hear("east", 3, {0.9, 4, 8});
+  hear("west", 3, {0.2, 0, 8});
+  hear("empty", 3, {0, 0, 0});
+  EXPECT_EQ(decide(3), Names{"west"});
+}
+
+TEST_F(JobAssignerTest, AJobMovesOnlyAfterTtlAndMargin) {
+  submit("a");
+  hear("east", 3, {0, 0, 8});
+  decide(3);
+  hear("west", 1027, {0, 0, 8});
+  EXPECT_EQ(decide(1027), Names());
+  hear("west", 1028, {0, 0, 8});
+  EXPECT_EQ(decide(1028), Names{"release"});
+  EXPECT_EQ(decide(1028), Names{"west"});
+}
+
+TEST_F(JobAssignerTest, ProposesAgainOnlyAfterAWhile) {
+  submit("a");
+  hear("east", 3, {0, 0, 8});
+  EXPECT_EQ(Assigner_.decide(Book_, at(3), 10).size(), 1U);
+  EXPECT_EQ(Assigner_.decide(Book_, at(7), 10).size(), 0U);
+  EXPECT_EQ(Assigner_.decide(Book_, at(8), 10).size(), 1U);
+}
+
+TEST(AssignmentLeaseTest, EndsBeforeItsExpiryAndIgnoresEarlierAssignments) {
+  AssignmentLease Lease(AssignmentTimes::makeFor(seconds(240)));
+  const AssignmentHeld First{JobId("a"), 1};
+  const AssignmentHeld Second{JobId("a"), 2};
+  const TimePoint Start(seconds(50));
+  EXPECT_TRUE(Lease.isEnding(First, Start)) << "never renewed";
+  Lease.noteRenewed({{Second}}, Start);
+  Lease.noteRenewed({{First}}, Start + seconds(100));
+  EXPECT_FALSE(Lease.covers(First, Start));
+  EXPECT_FALSE(Lease.isEnding(Second, Start + seconds(229)));
+  EXPECT_TRUE(Lease.isEnding(Second, Start + seconds(230)));
+  EXPECT_TRUE(Lease.covers(Second, Start + seconds(239)));
+  EXPECT_FALSE(Lease.covers(Second, Start + seconds(240)));
+  EXPECT_EQ(Lease.listDue({Second}, Start + seconds(29), 5).size(), 0U);
+  EXPECT_EQ(Lease.listDue({Second}, Start + seconds(30), 5).size(), 1U);
+  Lease.retain({});
+  EXPECT_FALSE(Lease.covers(Second, Start));
+}
