--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -61,3 +61,27 @@
                           tulipweir_control)
   endforeach()
 endfunction()
+
+# Builds one test program per file tests/system/NAMETest.cpp, over the helpers
+# in tests/system/support. They start the programs above as whole processes.
+function(tulipweir_system_tests)
+  file(GLOB TESTS CONFIGURE_DEPENDS tests/system/*Test.cpp)
+  if(NOT TESTS)
+    return()
+  endif()
+  file(GLOB SUPPORT CONFIGURE_DEPENDS tests/system/support/*.cpp)
+  add_library(system_support STATIC ${SUPPORT})
+  target_include_directories(system_support PUBLIC ${CMAKE_SOURCE_DIR}/tests)
+  target_compile_definitions(system_support PRIVATE
+    TULIPWEIR_PROGRAMS="${CMAKE_BINARY_DIR}")
+  target_link_libraries(system_support PUBLIC tulipweir_net GTest::gtest)
+  foreach(TEST ${TESTS})
+    get_filename_component(NAME ${TEST} NAME_WE)
+    string(REGEX REPLACE "Test$" "" NAME ${NAME})
+    add_executable(test_system${NAME} ${TEST})
+    target_link_libraries(test_system${NAME} PRIVATE system_support
+                          GTest::gtest GTest::gtest_main)
+    add_test(NAME system${NAME} COMMAND test_system${NAME})
+    set_tests_properties(system${NAME} PROPERTIES LABELS system)
+  endforeach()
+endfunction()
