Add the stand-in backend server, the load program and the tests' fixture

Cause: proofs with whole processes need backend servers that count what they ran, callers that judge answers, and wires that can be cut. Change: tools/standin (tasks under leases, faults, audit log, admin API), tools/load (open loop, latency from the intended time), tests/system/support (child processes, calls, audit, forwarder). Ruled out: net::HttpServer for the stand-in, which cannot truncate an answer.

--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -70,11 +70,14 @@
     return()
   endif()
   file(GLOB SUPPORT CONFIGURE_DEPENDS tests/system/support/*.cpp)
-  add_library(system_support STATIC ${SUPPORT})
-  target_include_directories(system_support PUBLIC ${CMAKE_SOURCE_DIR}/tests)
+  # The stand-in's parts that are tested by themselves.
+  add_library(system_support STATIC ${SUPPORT} tools/standin/TaskTable.cpp
+              tools/standin/StandInJson.cpp)
+  target_include_directories(system_support PUBLIC
+    ${CMAKE_SOURCE_DIR}/tests ${CMAKE_SOURCE_DIR}/tools)
   target_compile_definitions(system_support PRIVATE
     TULIPWEIR_PROGRAMS="${CMAKE_BINARY_DIR}")
-  target_link_libraries(system_support PUBLIC tulipweir_net GTest::gtest)
+  target_link_libraries(system_support PUBLIC tulipweir_core GTest::gtest)
   foreach(TEST ${TESTS})
     get_filename_component(NAME ${TEST} NAME_WE)
     string(REGEX REPLACE "Test$" "" NAME ${NAME})
--- /dev/null
+++ b/tools/standin/StandInJson.h
@@ -0,0 +1,26 @@
+//===- StandInJson.h - The announcement as a backend server says it -*- C++
+//-*-//
+//
+// The JSON of POST /v1/announce from the backend server's side, written apart
+// from the entry's reader so that each checks the other.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_TOOLS_STANDIN_STANDINJSON_H
+#define TULIPWEIR_TOOLS_STANDIN_STANDINJSON_H
+
+#include "tulipweir/core/Error.h"
+#include "tulipweir/wire/Messages.h"
+
+#include <string>
+
+namespace tulipweir::standin {
+
+const char *getStateName(wire::AttemptState State);
+std::string writeAnnouncement(const wire::Announcement &Value);
+/// Fails with Malformed when a field is missing or of another type.
+Outcome<wire::AnnouncementReply> readReply(const std::string &Text);
+
+} // namespace tulipweir::standin
+
+#endif // TULIPWEIR_TOOLS_STANDIN_STANDINJSON_H
