--- a/src/control/PlanningDuty.cpp
+++ b/src/control/PlanningDuty.cpp
@@ -132,15 +132,15 @@
       return;
     datacentre::JobSpec Spec = Job->Spec_;
     Spec.Payload_.clear();
-    Specs_[Value.Task_.Job_] = std::move(Spec);
+    Held_[Value.Task_.Job_] = HeldJob{std::move(Spec), Job->Assignment_};
   });
 }
 
 void PlanningDuty::onJobReleasing(const Change &Value) {
-  const auto Spec = Specs_.find(Value.Task_.Job_);
-  if (Spec == Specs_.end())
+  const auto Job = Held_.find(Value.Task_.Job_);
+  if (Job == Held_.end())
     return;
-  for (std::uint32_t Index = 0; Index < Spec->second.Tasks_; ++Index) {
+  for (std::uint32_t Index = 0; Index < Job->second.Spec_.Tasks_; ++Index) {
     const TaskId Task{Value.Task_.Job_, Index};
     if (Waiting_.erase(Task) > 0)
       Planner_.removeWaiting(Task);
@@ -148,15 +148,15 @@
 }
 
 void PlanningDuty::onJobDropped(const Change &Value) {
-  Specs_.erase(Value.Task_.Job_);
+  Held_.erase(Value.Task_.Job_);
 }
 
 std::optional<decide::TaskInfo>
 PlanningDuty::makeTask(const Change &Value) const {
-  const auto Found = Specs_.find(Value.Task_.Job_);
-  if (Found == Specs_.end())
+  const auto Found = Held_.find(Value.Task_.Job_);
+  if (Found == Held_.end())
     return std::nullopt;
-  const datacentre::JobSpec &Spec = Found->second;
+  const datacentre::JobSpec &Spec = Found->second.Spec_;
   return decide::TaskInfo{Value.Task_, Value.Attempt_, Spec.Team_,
                           Spec.Class_, Spec.Priority_, Spec.Declared_};
 }
@@ -266,3 +266,8 @@
   Counters_.Evictions_.add();
   show(Value);
 }
+
+std::uint64_t PlanningDuty::findAssignment(const JobId &Job) const {
+  const auto Found = Held_.find(Job);
+  return Found == Held_.end() ? 0 : Found->second.Assignment_;
+}
--- a/src/control/PlanningDuty.h
+++ b/src/control/PlanningDuty.h
@@ -42,8 +42,9 @@
   using MayPlace = std::function<bool(const JobId &)>;
 
   PlanningDuty(const datacentre::DataCentreMachine &Machine,
-               CommandProposer &Proposer, DecisionStream &Stream,
-               const Clock &Time, PlanningCounters Counters, MayPlace JobMayRun,
+               CommandProposer &Proposer, datacentre::AttemptLedger &Attempts,
+               DecisionStream &Stream, const Clock &Time,
+               PlanningCounters Counters, MayPlace JobMayRun,
                std::uint64_t Seed);
 
   // Commands.
@@ -65,6 +66,8 @@
   bool isDue() const { return Due_; }
   const decide::Planner &planner() const { return Planner_; }
   std::size_t countWaiting() const { return Waiting_.size(); }
+  /// The assignment under which a job is held here; 0 if it is not.
+  std::uint64_t findAssignment(const JobId &Job) const;
 
 private:
   using Change = datacentre::Change;
@@ -93,6 +96,12 @@
   void evict(const decide::Decision &Value);
   void hold(const decide::Decision &Value);
 
+  /// What placing needs of a job.
+  struct HeldJob {
+    datacentre::JobSpec Spec_; ///< Without its payload.
+    std::uint64_t Assignment_ = 0;
+  };
+
   void upsert(const datacentre::RegisterServer &Info);
   std::optional<decide::TaskInfo> makeTask(const Change &Value) const;
 
@@ -105,7 +114,7 @@
   const MayPlace JobMayRun_;
   decide::Planner Planner_;
   std::shared_ptr<const fleet::Bundle> Bundle_;
-  std::unordered_map<JobId, datacentre::JobSpec> Specs_; ///< No payloads.
+  std::unordered_map<JobId, HeldJob> Held_;
   std::unordered_map<BackendServerId, BootId> Boots_;
   std::unordered_set<TaskId> Waiting_;
   bool Due_ = true;
