--- a/include/tulipweir/control/ControlSettings.h
+++ b/include/tulipweir/control/ControlSettings.h
@@ -53,6 +53,9 @@
   Duration StopGrace_ = std::chrono::milliseconds(200);
   /// How long an entry may use its slots without a renewal.
   Duration GrantTtl_ = std::chrono::seconds(3);
+  /// The longest time that entries let a request run. A dead entry's slots
+  /// are free again only after it.
+  Duration MaxRequest_ = std::chrono::seconds(60);
   /// How long a data centre holds a batch job without reaching the fleet.
   Duration AssignmentTtl_ = std::chrono::hours(2);
   /// A server that is silent this long and holds nothing is forgotten.
--- /dev/null
+++ b/src/control/ControlMetrics.h
@@ -0,0 +1,29 @@
+//===- ControlMetrics.h - What a control shows on /metrics -----*- C++ -*-===//
+//
+// Gauges over the parts that count for themselves.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_CONTROL_CONTROLMETRICS_H
+#define TULIPWEIR_SRC_CONTROL_CONTROLMETRICS_H
+
+#include "control/ReplicationTransport.h"
+#include "tulipweir/fleet/FleetMachine.h"
+#include "tulipweir/net/Link.h"
+#include "tulipweir/net/Metrics.h"
+#include "tulipweir/replication/Replica.h"
+
+#include <string>
+
+namespace tulipweir::control {
+
+/// All arguments outlive the metrics.
+void addGroupMetrics(net::Metrics &To, const std::string &Group,
+                     const replication::Replica &Replica,
+                     const ReplicationTransport &Out);
+void addLinkMetrics(net::Metrics &To, const net::LinkServer &Server);
+void addBundleMetrics(net::Metrics &To, const fleet::FleetMachine &Fleet);
+
+} // namespace tulipweir::control
+
+#endif // TULIPWEIR_SRC_CONTROL_CONTROLMETRICS_H
--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -174,6 +174,8 @@
                  "What a backend server takes to stop a task");
   To.addDuration("grant-ttl", Target.GrantTtl_, milliseconds(200), seconds(60),
                  "How long an entry uses slots unrenewed");
+  To.addDuration("max-request", Target.MaxRequest_, milliseconds(100), hours(1),
+                 "The longest that entries let a request run");
   To.addDuration("assignment-ttl", Target.AssignmentTtl_, seconds(1), hours(48),
                  "How long a cut-off data centre keeps its jobs");
   To.addDuration("forget-after", Target.ForgetAfter_, seconds(1), hours(24),
--- a/src/control/DecisionStream.cpp
+++ b/src/control/DecisionStream.cpp
@@ -39,7 +39,7 @@
   {
     std::lock_guard Lock(Mutex_);
     Found = collect(Sequence, Limit);
-    if (Found.empty() && Wait > Duration::zero()) {
+    if (Found.empty() && Wait > Duration::zero() && !Closed_) {
       const std::uint64_t Id = NextWaiter_++;
       Waiters_.emplace(Id, Waiter{Sequence, Limit, std::move(Done)});
       Timers_.postAfter(Wait, [this, Id] { expire(Id); });
@@ -49,6 +49,17 @@
   Done(std::move(Found));
 }
 
+void DecisionStream::close() {
+  std::map<std::uint64_t, Waiter> Waiting;
+  {
+    std::lock_guard Lock(Mutex_);
+    Closed_ = true;
+    Waiting.swap(Waiters_);
+  }
+  for (auto &[Id, One] : Waiting)
+    One.Done_({});
+}
+
 std::uint64_t DecisionStream::getLastSequence() const {
   std::lock_guard Lock(Mutex_);
   return Last_;
--- a/src/control/DecisionStream.h
+++ b/src/control/DecisionStream.h
@@ -46,6 +46,9 @@
   void read(std::uint64_t Sequence, std::size_t Limit, Duration Wait,
             Reader Done);
 
+  /// Answers everybody who waits, with nothing; nobody waits afterwards.
+  void close();
+
   std::uint64_t getLastSequence() const;
 
 private:
@@ -65,6 +68,7 @@
   std::uint64_t Last_ = 0;
   std::uint64_t NextWaiter_ = 0;
   std::map<std::uint64_t, Waiter> Waiters_;
+  bool Closed_ = false;
 };
 
 } // namespace tulipweir::control
--- a/src/control/JobTracker.cpp
+++ b/src/control/JobTracker.cpp
@@ -16,6 +16,9 @@
 using fleet::FleetState;
 
 static constexpr Duration FleetTimeout = std::chrono::seconds(5);
+/// A new leader may lead before its own report was first answered; until then
+/// it withholds renewals, but stops nothing for good.
+static constexpr Duration SettleTime = std::chrono::seconds(30);
 static constexpr Duration ReviewAgain = std::chrono::milliseconds(250);
 
 // In the order of JobStep.
@@ -86,7 +89,8 @@
                        Duration LongestTaskLease)
     : DataCentre_(std::move(DataCentre)), Fleet_(Fleet), Machine_(Machine),
       Lease_(Lease), Proposer_(Proposer), FleetProposals_(FleetProposals),
-      Strand_(Strand), Time_(Time), LongestTaskLease_(LongestTaskLease) {}
+      Strand_(Strand), Time_(Time), LongestTaskLease_(LongestTaskLease),
+      BeganAt_(Time.now()) {}
 
 void JobTracker::noteJob(const JobId &Job) {
   if (Queued_.insert(Job).second)
@@ -181,8 +185,9 @@
   const LocalSide Local = readLocal(Job);
   const TimePoint Now = Time_.now();
   const fleet::AssignmentHeld Held{Job, Fleet.Assignment_};
+  const bool Settled = Now - BeganAt_ >= SettleTime;
   const LeaseSide Lease{Lease_.covers(Held, Now + LongestTaskLease_),
-                        Lease_.isEnding(Held, Now)};
+                        Settled && Lease_.isEnding(Held, Now)};
   const JobStep Next = chooseStep(Fleet, Local, Lease);
   (this->*Steps[static_cast<std::size_t>(Next)])(Job, Fleet, Local);
 }
--- a/src/control/JobTracker.h
+++ b/src/control/JobTracker.h
@@ -127,6 +127,7 @@
   Executor &Strand_;
   const Clock &Time_;
   const Duration LongestTaskLease_;
+  const TimePoint BeganAt_;
   std::deque<JobId> Queue_;
   std::set<JobId> Queued_;
   /// Jobs with a command under way to the fleet. Shared with callbacks, which
--- a/src/control/MemberRoutes.cpp
+++ b/src/control/MemberRoutes.cpp
@@ -1,6 +1,6 @@
 #include "control/MemberRoutes.h"
 
-#include "control/JsonFields.h"
+#include "control/GroupJson.h"
 #include "control/OperatorErrors.h"
 
 #include <algorithm>
@@ -9,7 +9,6 @@
 using namespace tulipweir::control;
 using replication::Member;
 using replication::MemberId;
-using replication::MemberRole;
 using replication::Replica;
 using replication::ReplicaStatus;
 
@@ -42,29 +41,6 @@
     {"POST", "/passed-on/members/{}/remove", &MemberRoutes::remove},
     {"POST", "/passed-on/members/{}/replace", &MemberRoutes::replace}};
 
-static Json makeMemberJson(const Member &Value) {
-  return {{"name", Value.Id_.Name_},
-          {"incarnation", Value.Id_.Incarnation_},
-          {"role", Value.Role_ == MemberRole::Voter ? "voter" : "learner"}};
-}
-
-static Json makeGroupJson(const std::string &Group,
-                          const ReplicaStatus &Status) {
-  Json Members = Json::array();
-  for (const Member &Value : Status.Members_)
-    Members.push_back(makeMemberJson(Value));
-  return {{"group", Group},
-          {"leader", Status.LeaderName_},
-          {"term", Status.Term_},
-          {"commitIndex", Status.CommitIndex_},
-          {"appliedIndex", Status.AppliedIndex_},
-          {"self",
-           {{"name", Status.Self_.Name_},
-            {"incarnation", Status.Self_.Incarnation_}}},
-          {"failure", Status.Failure_},
-          {"members", std::move(Members)}};
-}
-
 static Outcome<MemberId> parseMember(const std::string &Body) {
   Outcome<JsonFields> Parsed = JsonFields::parse(Body);
   if (!Parsed)
@@ -94,6 +70,17 @@
   return std::nullopt;
 }
 
+/// The incarnation under which a member that holds nothing asked to join; 0 if
+/// none of that name did.
+static std::uint64_t findWaiting(const Replica &Group,
+                                 const std::string &Name) {
+  std::uint64_t Newest = 0;
+  for (const MemberId &Id : Group.getStatus().Waiting_)
+    if (Id.Name_ == Name)
+      Newest = std::max(Newest, Id.Incarnation_);
+  return Newest;
+}
+
 /// The incarnation that a control has in a group, from its list of members;
 /// 0 if it does not say.
 static std::uint64_t findIncarnation(const std::string &Listed,
@@ -201,6 +188,8 @@
 }
 
 void MemberRoutes::runReplace(std::shared_ptr<Change> Work) {
+  if (Work->Id_.Incarnation_ == 0)
+    Work->Id_.Incarnation_ = findWaiting(*Work->Group_, Work->Id_.Name_);
   if (Work->Id_.Incarnation_ != 0)
     return removeOther(std::move(Work));
   const wire::OperatorCall Ask{"GET", "/passed-on/members", "", ""};
