--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -131,7 +131,6 @@
   Parser_.emplace();
   Parser_->header_limit(MaxHeaderBytes);
   Parser_->body_limit(Peer_->Settings_.MaxBodyBytes_);
-  Parser_->eager(true);
   Parser_->skip(Exchange_->Request_.Method_ == "HEAD");
 }
 
@@ -159,8 +158,7 @@
 
 void HttpClientConnection::parse() {
   while (Input_.size() > 0) {
-    error_code Problem;
-    Input_.consume(Parser_->put(Input_.data(), Problem));
+    const error_code Problem = feedParser(*Parser_, Input_);
     if (Problem == http::error::need_more)
       break;
     if (Problem == http::error::body_limit)
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -177,7 +177,6 @@
   Parser_.emplace();
   Parser_->header_limit(Shared_->Settings_.MaxHeaderBytes_);
   Parser_->body_limit(Shared_->Settings_.MaxBodyBytes_);
-  Parser_->eager(true);
   Continued_ = false;
   setDeadline(Shared_->Settings_.ReadTimeout_);
 }
@@ -186,9 +185,9 @@
 bool HttpConnection::parseSome() {
   if (!Parser_)
     startParser();
-  error_code Problem;
-  const std::size_t Used = Parser_->put(Input_.data(), Problem);
-  Input_.consume(Used);
+  const std::size_t Before = Input_.size();
+  const error_code Problem = feedParser(*Parser_, Input_);
+  const bool Used = Input_.size() < Before;
   if (Problem == http::error::need_more) {
     answerExpectation();
     return false;
@@ -203,7 +202,7 @@
     handOn();
   else
     answerExpectation();
-  return Used > 0;
+  return Used;
 }
 
 /// Tells a client that waits with its body to send it.
--- a/src/net/HttpText.h
+++ b/src/net/HttpText.h
@@ -13,6 +13,7 @@
 
 #include <utility>
 
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 namespace tulipweir::net {
@@ -24,6 +25,18 @@
 /// The request line and headers towards Host.
 std::string writeRequestHead(const HttpRequest &Request, std::string_view Host);
 
+/// Feeds the parser from Input; returns what the parser says. The header is
+/// read by itself first: an eager parser of Beast 1.74 goes on into the body
+/// when the header names one over the limit, and loses the error.
+template <class Parser>
+boost::system::error_code feedParser(Parser &To,
+                                     boost::beast::flat_buffer &Input) {
+  boost::system::error_code Problem;
+  To.eager(To.is_header_done());
+  Input.consume(To.put(Input.data(), Problem));
+  return Problem;
+}
+
 /// Copies the fields of a message that Beast has read.
 template <class Fields>
 std::vector<HttpHeader> takeHeaders(const Fields &From) {
