Let an asker repeat Begin after a lost reply

Cause: when the reply to a Begin is lost (leader change), the entry cannot tell its own begun attempt from somebody else's; the record would stay Running until the entry's process ends. Ruled out: matching by entry and incarnation alone, since a later request with the same key at the same entry would then be told Run a second time. Change: a random nonce per asker in BeginRequest, kept in the record. The same asker is told Run with the same attempt; a late copy after Abandon begins nothing. ServerChooser::noteReleased frees a slot without learning.

--- a/include/tulipweir/datacentre/RequestRecords.h
+++ b/include/tulipweir/datacentre/RequestRecords.h
@@ -49,6 +49,7 @@
   std::uint64_t Attempt_ = 0;
   EntryId Entry_;
   std::uint64_t EntryIncarnation_ = 0;
+  std::uint64_t Nonce_ = 0; ///< Of the asker that was told Run last.
   std::uint64_t BegunWallMs_ = 0;
   /// Retention counts from here: the latest of begin, deadline and issue.
   std::uint64_t KeptFromMs_ = 0;
--- a/include/tulipweir/decide/ServerChooser.h
+++ b/include/tulipweir/decide/ServerChooser.h
@@ -82,6 +82,9 @@
   /// A request that was noted as started ended.
   void noteEnded(const BackendServerId &Server, RequestResult Result,
                  Duration Latency, TimePoint Now);
+  /// A request that was noted as started ended in a way that says nothing of
+  /// the server: nothing is learned, only its slot is free again.
+  void noteReleased(const BackendServerId &Server);
   /// Picks a server with a free slot, other than Except (one that was tried
   /// before); nullopt if there is none. Draws random numbers and ends
   /// ejections whose time is over; takes no slot.
--- /dev/null
+++ b/include/tulipweir/entry/ControlClient.h
@@ -0,0 +1,45 @@
+//===- ControlClient.h - Asking a data centre's leader ---------*- C++ -*-===//
+//
+// The calls an entry makes to the control processes of one data centre.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_ENTRY_CONTROLCLIENT_H
+#define TULIPWEIR_ENTRY_CONTROLCLIENT_H
+
+#include "tulipweir/core/Error.h"
+#include "tulipweir/core/Time.h"
+#include "tulipweir/wire/Messages.h"
+
+#include <functional>
+
+namespace tulipweir::entry {
+
+template <class Request>
+using ControlDone = std::function<void(Outcome<typename Request::Reply>)>;
+
+/// Finds the leader by itself. Each call ends exactly once, within Timeout:
+/// with the leader's reply; with Unavailable if it certainly had no effect;
+/// with Timeout if that is open; or with the error the leader gave.
+/// Thread-safe.
+class ControlClient {
+public:
+  virtual ~ControlClient() = default;
+  virtual void report(const wire::EntryReport &Report, Duration Timeout,
+                      ControlDone<wire::EntryReport> Done) = 0;
+  virtual void announce(const wire::Announcement &Announcement,
+                        Duration Timeout,
+                        ControlDone<wire::Announcement> Done) = 0;
+  virtual void begin(const wire::BeginRequest &Request, Duration Timeout,
+                     ControlDone<wire::BeginRequest> Done) = 0;
+  virtual void finish(const wire::FinishRequest &Request, Duration Timeout,
+                      ControlDone<wire::FinishRequest> Done) = 0;
+  virtual void abandon(const wire::AbandonRequest &Request, Duration Timeout,
+                       ControlDone<wire::AbandonRequest> Done) = 0;
+  virtual void callOperator(const wire::OperatorCall &Call, Duration Timeout,
+                            ControlDone<wire::OperatorCall> Done) = 0;
+};
+
+} // namespace tulipweir::entry
+
+#endif // TULIPWEIR_ENTRY_CONTROLCLIENT_H
--- /dev/null
+++ b/include/tulipweir/entry/LeaderClient.h
@@ -0,0 +1,67 @@
+//===- LeaderClient.h - Finding the leader over links ----------*- C++ -*-===//
+//
+// A ControlClient over one link per control process. It sends to the one that
+// last acted as leader, follows a NotLeader answer to the process it names,
+// and tries the others while the call's time lasts.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_ENTRY_LEADERCLIENT_H
+#define TULIPWEIR_ENTRY_LEADERCLIENT_H
+
+#include "tulipweir/entry/ControlClient.h"
+#include "tulipweir/entry/Timers.h"
+#include "tulipweir/wire/MessageKind.h"
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tulipweir::entry {
+
+/// One control process, as net::LinkClient speaks to it.
+class ControlLink {
+public:
+  virtual ~ControlLink() = default;
+  virtual const std::string &name() const = 0;
+  virtual void call(wire::MessageKind Kind, std::string Body, Duration Timeout,
+                    std::function<void(Outcome<std::string>)> Done) = 0;
+};
+
+class LeaderClient final : public ControlClient {
+public:
+  LeaderClient(std::vector<std::unique_ptr<ControlLink>> Links,
+               Timers &Timers, const Clock &Clock);
+  ~LeaderClient() override;
+
+  void report(const wire::EntryReport &Report, Duration Timeout,
+              ControlDone<wire::EntryReport> Done) override;
+  void announce(const wire::Announcement &Announcement, Duration Timeout,
+                ControlDone<wire::Announcement> Done) override;
+  void begin(const wire::BeginRequest &Request, Duration Timeout,
+             ControlDone<wire::BeginRequest> Done) override;
+  void finish(const wire::FinishRequest &Request, Duration Timeout,
+              ControlDone<wire::FinishRequest> Done) override;
+  void abandon(const wire::AbandonRequest &Request, Duration Timeout,
+               ControlDone<wire::AbandonRequest> Done) override;
+  void callOperator(const wire::OperatorCall &Call, Duration Timeout,
+                    ControlDone<wire::OperatorCall> Done) override;
+
+  /// The name of the process that last answered as leader; empty before.
+  std::string getLeaderName() const;
+
+private:
+  struct Call;
+  class Shared;
+
+  template <class Request>
+  void send(const Request &Value, Duration Timeout, ControlDone<Request> Done);
+
+  std::shared_ptr<Shared> Shared_;
+};
+
+} // namespace tulipweir::entry
+
+#endif // TULIPWEIR_ENTRY_LEADERCLIENT_H
--- a/include/tulipweir/wire/Messages.h
+++ b/include/tulipweir/wire/Messages.h
@@ -204,6 +204,9 @@
   std::uint64_t EntryIncarnation_ = 0;
   ServiceId Service_;
   std::uint64_t DeadlineWallMs_ = 0;
+  /// Random per asker. The same one may ask again after a lost reply and is
+  /// told Run with the same attempt; it stops asking once it was told so.
+  std::uint64_t Nonce_ = 0;
   bool operator==(const BeginRequest &) const = default;
 };
 
--- a/src/datacentre/Fields.h
+++ b/src/datacentre/Fields.h
@@ -33,7 +33,7 @@
 }
 void fields(auto &V, IsA<BeginRequest> auto &X) {
   V(X.Key_, X.Digest_, X.Entry_, X.EntryIncarnation_, X.Service_,
-    X.DeadlineWallMs_);
+    X.DeadlineWallMs_, X.Nonce_);
 }
 void fields(auto &V, IsA<FinishRequest> auto &X) {
   V(X.Key_, X.Attempt_, X.Answer_);
@@ -80,7 +80,7 @@
     X.Checkpoint_, X.Message_, X.Failures_, X.Evictions_, X.Losses_);
 }
 void fields(auto &V, IsA<RequestRecord> auto &X) {
-  V(X.Digest_, X.State_, X.Attempt_, X.Entry_, X.EntryIncarnation_,
+  V(X.Digest_, X.State_, X.Attempt_, X.Entry_, X.EntryIncarnation_, X.Nonce_,
     X.BegunWallMs_, X.KeptFromMs_, X.Answer_);
 }
 
--- a/src/datacentre/RequestRecords.cpp
+++ b/src/datacentre/RequestRecords.cpp
@@ -50,6 +50,14 @@
   return Time;
 }
 
+/// Whether Request is sent again by the asker that holds or held the record.
+static bool isAskedAgain(const RequestRecord &Record,
+                         const wire::BeginRequest &Request) {
+  return Request.Nonce_ != 0 && Record.Nonce_ == Request.Nonce_ &&
+         Record.Entry_ == Request.Entry_ &&
+         Record.EntryIncarnation_ == Request.EntryIncarnation_;
+}
+
 Outcome<wire::BeginRequestReply>
 RequestRecords::begin(const wire::BeginRequest &Request, std::uint64_t WallMs) {
   advance(WallMs);
@@ -72,6 +80,12 @@
   } else {
     if (Found->second.Digest_ != Request.Digest_)
       return makeReply(RequestDisposition::Conflict, Found->second.Attempt_);
+    const bool Again = isAskedAgain(Found->second, Request);
+    if (Again && Found->second.State_ == RecordState::Begun)
+      return makeReply(RequestDisposition::Run, Found->second.Attempt_);
+    // The asker gave it back: a late copy of its question begins nothing.
+    if (Again && Found->second.State_ == RecordState::Abandoned)
+      return makeReply(RequestDisposition::Unknown, Found->second.Attempt_);
     if (Found->second.State_ != RecordState::Abandoned)
       return describe(Found->second);
     ByKeptFrom_.erase({Found->second.KeptFromMs_, Request.Key_});
@@ -82,6 +96,7 @@
   ++Record.Attempt_;
   Record.Entry_ = Request.Entry_;
   Record.EntryIncarnation_ = Request.EntryIncarnation_;
+  Record.Nonce_ = Request.Nonce_;
   Record.BegunWallMs_ = WallMs_;
   const std::uint64_t DeadlineMs =
       std::min(Request.DeadlineWallMs_, WallMs_ + Limits_.RetentionMs_);
--- a/src/decide/ServerChooser.cpp
+++ b/src/decide/ServerChooser.cpp
@@ -96,6 +96,16 @@
   refreshOpen(Found->second);
 }
 
+void ServerChooser::noteReleased(const BackendServerId &Server) {
+  const auto Found = Positions_.find(Server);
+  if (Found == Positions_.end())
+    return;
+  Entry &Value = Entries_[Found->second];
+  assert(Value.InFlight_ > 0 && "released more often than started");
+  --Value.InFlight_;
+  refreshOpen(Found->second);
+}
+
 std::optional<BackendServerId>
 ServerChooser::choose(TimePoint Now,
                       const std::optional<BackendServerId> &Except) {
--- /dev/null
+++ b/src/entry/ServiceRequest.cpp
@@ -0,0 +1,215 @@
+//===- ServiceRequest.cpp -------------------------------------------------===//
+
+#include "tulipweir/entry/ServiceRequest.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+
+using namespace tulipweir;
+using namespace tulipweir::entry;
+using std::chrono::milliseconds;
+
+static constexpr std::size_t MaxKeyBytes = 200;
+static constexpr std::size_t MaxCallerBytes = 128;
+
+// Headers between two neighbours only, which are not forwarded.
+static constexpr std::array<std::string_view, 11> HopHeaders{
+    "connection",          "content-length",   "expect", "host",
+    "keep-alive",          "proxy-connection", "te",     "trailer",
+    "proxy-authorization", "upgrade",          "transfer-encoding"};
+static constexpr std::string_view OwnPrefix = "x-tulipweir-";
+
+static std::string toLower(std::string_view Text) {
+  std::string Result(Text);
+  std::transform(Result.begin(), Result.end(), Result.begin(), [](char Byte) {
+    return Byte >= 'A' && Byte <= 'Z' ? static_cast<char>(Byte - 'A' + 'a')
+                                      : Byte;
+  });
+  return Result;
+}
+
+static bool isForwarded(const net::HttpHeader &Header) {
+  const std::string Name = toLower(Header.Name_);
+  if (Name.starts_with(OwnPrefix))
+    return false;
+  return std::find(HopHeaders.begin(), HopHeaders.end(), Name) ==
+         HopHeaders.end();
+}
+
+static bool isRepeatableMethod(std::string_view Method) {
+  return Method == "GET" || Method == "HEAD" || Method == "OPTIONS";
+}
+
+static bool isPlainText(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(),
+                     [](char Byte) { return Byte > ' ' && Byte <= '~'; });
+}
+
+static FinalResult refuse(RequestReason Reason, std::string Message) {
+  return FinalResult::makeNotRun(Reason, std::move(Message));
+}
+
+static FinalResult refuseBad(std::string Message) {
+  return refuse(RequestReason::BadRequest, std::move(Message));
+}
+
+// Every part is preceded by its length, so that no two requests collide by
+// moving bytes from one part to the next.
+static Digest digestOf(const ServiceId &Service,
+                       const net::HttpRequest &Request) {
+  std::string Text;
+  for (const std::string *Part :
+       {&Service.value(), &Request.Method_, &Request.Path_, &Request.Query_,
+        &Request.Body_}) {
+    Text += std::to_string(Part->size());
+    Text += ':';
+    Text += *Part;
+  }
+  return fleet::computeDigest(Text);
+}
+
+namespace {
+
+/// Reads the headers one after the other; each step returns a refusal or
+/// nothing.
+class Reader {
+public:
+  Reader(net::HttpRequest Request, const Configuration &Config, std::string Id,
+         TimePoint Now)
+      : Request_(std::move(Request)), Config_(Config), Now_(Now) {
+    Result_.Id_ = std::move(Id);
+    Result_.ArrivedAt_ = Now;
+  }
+
+  ReadResult read() {
+    using Step = std::optional<FinalResult> (Reader::*)();
+    static constexpr Step Steps[] = {&Reader::readPath, &Reader::readCaller,
+                                     &Reader::readDeadline, &Reader::readKey,
+                                     &Reader::readRepeatable,
+                                     &Reader::readBody};
+    for (const Step One : Steps)
+      if (std::optional<FinalResult> Refusal = (this->*One)())
+        return std::move(*Refusal);
+    fillForward();
+    return std::move(Result_);
+  }
+
+private:
+  std::optional<FinalResult> readPath() {
+    std::string_view Rest = Request_.Path_;
+    Rest.remove_prefix(std::string_view(ServicePrefix).size());
+    const std::size_t Slash = Rest.find('/');
+    Result_.Service_ = ServiceId(std::string(Rest.substr(0, Slash)));
+    Path_ = Slash == std::string_view::npos ? "/" : Rest.substr(Slash);
+    Service_ = Config_.findService(Result_.Service_);
+    if (!Service_)
+      return refuse(RequestReason::UnknownService,
+                    "the bundle in force names no such service");
+    return std::nullopt;
+  }
+
+  std::optional<FinalResult> readCaller() {
+    const std::string_view Caller = Request_.findHeader(header::Caller);
+    if (Caller.size() > MaxCallerBytes || !isPlainText(Caller))
+      return refuseBad("X-Tulipweir-Caller must be at most 128 printable "
+                       "characters without spaces");
+    Result_.Caller_ = CallerId(std::string(Caller));
+    return std::nullopt;
+  }
+
+  std::optional<FinalResult> readDeadline() {
+    Duration Left = Service_->DefaultDeadline_;
+    const std::string_view Text = Request_.findHeader(header::Deadline);
+    if (!Text.empty()) {
+      std::int64_t Ms = 0;
+      const auto [End, Problem] =
+          std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
+      if (Problem != std::errc() || End != Text.data() + Text.size())
+        return refuseBad("X-Tulipweir-Deadline-Ms must be a whole number of "
+                         "milliseconds");
+      if (Ms <= 0)
+        return refuse(RequestReason::DeadlinePassed,
+                      "the deadline had passed when the request arrived");
+      const auto Most =
+          std::chrono::ceil<milliseconds>(Service_->MaxDeadline_).count();
+      Left = milliseconds(std::min<std::int64_t>(Ms, Most));
+    }
+    Left = std::min(Left, Service_->MaxDeadline_);
+    Result_.Deadline_ = Now_ + Left;
+    return std::nullopt;
+  }
+
+  std::optional<FinalResult> readKey() {
+    const std::string_view Key = Request_.findHeader(header::IdempotencyKey);
+    const std::string_view Ticket = Request_.findHeader(header::Ticket);
+    if (!Key.empty() && !Ticket.empty())
+      return refuseBad("give Idempotency-Key or X-Tulipweir-Ticket, not both");
+    const std::string_view Text = Key.empty() ? Ticket : Key;
+    if (Text.empty())
+      return std::nullopt;
+    if (Text.size() > MaxKeyBytes || !isPlainText(Text))
+      return refuseBad("a key must be at most 200 printable characters "
+                       "without spaces");
+    Result_.KeyIsTicket_ = Key.empty();
+    Result_.Key_ = RequestKey(std::string(Text));
+    Result_.Digest_ = digestOf(Result_.Service_, Request_);
+    return std::nullopt;
+  }
+
+  std::optional<FinalResult> readRepeatable() {
+    const std::string_view Text = Request_.findHeader(header::Repeatable);
+    const bool Known = Text.empty() || Text == "true" || Text == "false";
+    if (!Known)
+      return refuseBad("X-Tulipweir-Repeatable must be true or false");
+    const bool Asked =
+        Text.empty() ? isRepeatableMethod(Request_.Method_) : Text == "true";
+    if (Result_.Key_ && Text == "true")
+      return refuseBad("a request with a key runs at most once; leave out "
+                       "X-Tulipweir-Repeatable: true");
+    Result_.Repeatable_ = Asked && !Result_.Key_;
+    Result_.Hedged_ = Result_.Repeatable_ && Service_->HedgingAllowed_;
+    return std::nullopt;
+  }
+
+  std::optional<FinalResult> readBody() {
+    if (Request_.Body_.size() <= Service_->MaxBodyBytes_)
+      return std::nullopt;
+    return refuse(RequestReason::BodyTooLarge,
+                  "the body is over the service's limit of " +
+                      std::to_string(Service_->MaxBodyBytes_) + " bytes");
+  }
+
+  void fillForward() {
+    net::HttpRequest &Forward = Result_.Forward_;
+    Forward.Path_ = std::string(Path_);
+    Forward.Method_ = std::move(Request_.Method_);
+    Forward.Query_ = std::move(Request_.Query_);
+    Forward.Body_ = std::move(Request_.Body_);
+    for (net::HttpHeader &Header : Request_.Headers_)
+      if (isForwarded(Header))
+        Forward.Headers_.push_back(std::move(Header));
+    Forward.Headers_.push_back({header::Service, Result_.Service_.value()});
+    Forward.Headers_.push_back({header::RequestId, Result_.Id_});
+    if (!Result_.Caller_.value().empty())
+      Forward.Headers_.push_back({header::Caller, Result_.Caller_.value()});
+    if (Result_.Key_)
+      Forward.Headers_.push_back({header::RequestKey, Result_.Key_->value()});
+  }
+
+  net::HttpRequest Request_;
+  const Configuration &Config_;
+  TimePoint Now_;
+  ServiceRequest Result_;
+  std::string_view Path_;
+  const fleet::ServiceConfig *Service_ = nullptr;
+};
+
+} // namespace
+
+ReadResult entry::readServiceRequest(net::HttpRequest Request,
+                                     const Configuration &Config,
+                                     std::string Id, TimePoint Now) {
+  return Reader(std::move(Request), Config, std::move(Id), Now).read();
+}
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -76,7 +76,7 @@
 }
 auto listFields(Either<BeginRequest> auto &V) {
   return std::tie(V.Key_, V.Digest_, V.Entry_, V.EntryIncarnation_, V.Service_,
-                  V.DeadlineWallMs_);
+                  V.DeadlineWallMs_, V.Nonce_);
 }
 auto listFields(Either<RecordReply> auto &V) { return std::tie(V.Recorded_); }
 auto listFields(Either<FinishRequest> auto &V) {
