--- a/include/tulipweir/entry/FinalResult.h
+++ b/include/tulipweir/entry/FinalResult.h
@@ -62,17 +62,17 @@
 struct FinalResult {
   RequestOutcome Outcome_ = RequestOutcome::Unknown;
   RequestReason Reason_ = RequestReason::RecordUnavailable;
-  std::string Message_;       ///< For people; unless served.
-  Duration RetryAfter_{};     ///< When to come back; zero: no use, or at once.
-  net::HttpResponse Answer_;  ///< When served.
+  std::string Message_;        ///< For people; unless served.
+  Duration RetryAfter_{};      ///< When to come back; zero: no use, or at once.
+  net::HttpResponse Answer_;   ///< When served.
   bool RecordMissing_ = false; ///< Served, but the record was not written.
   bool operator==(const FinalResult &) const = default;
 
   static FinalResult makeServed(net::HttpResponse Answer);
   static FinalResult makeNotRun(RequestReason Reason, std::string Message,
-                                  Duration RetryAfter = Duration::zero());
+                                Duration RetryAfter = Duration::zero());
   static FinalResult makeUnknown(RequestReason Reason, std::string Message,
-                                   Duration RetryAfter = Duration::zero());
+                                 Duration RetryAfter = Duration::zero());
 };
 
 /// The answer that the caller gets: its own request's, with our headers.
--- a/include/tulipweir/entry/LeaderClient.h
+++ b/include/tulipweir/entry/LeaderClient.h
@@ -32,8 +32,8 @@
 
 class LeaderClient final : public ControlClient {
 public:
-  LeaderClient(std::vector<std::unique_ptr<ControlLink>> Links,
-               Timers &Timers, const Clock &Clock);
+  LeaderClient(std::vector<std::unique_ptr<ControlLink>> Links, Timers &Timers,
+               const Clock &Clock);
   ~LeaderClient() override;
 
   void report(const wire::EntryReport &Report, Duration Timeout,
--- a/include/tulipweir/entry/ServiceGate.h
+++ b/include/tulipweir/entry/ServiceGate.h
@@ -55,8 +55,7 @@
 /// call that led to it.
 class ServiceGate {
 public:
-  ServiceGate(const ServiceId &Service, const Clock &Clock,
-              std::uint64_t Seed);
+  ServiceGate(const ServiceId &Service, const Clock &Clock, std::uint64_t Seed);
 
   // Commands.
 
@@ -76,8 +75,7 @@
   /// latency is learned from, unless Result is absent: the end of that try
   /// says nothing about the server as this service sees it.
   void noteEnded(const BackendServerId &Server,
-                 std::optional<decide::RequestResult> Result,
-                 Duration Latency);
+                 std::optional<decide::RequestResult> Result, Duration Latency);
   /// Hands free slots to those who wait.
   void drain();
   /// Refuses those who wait and cannot make their deadline any more.
--- a/include/tulipweir/entry/ServiceRequest.h
+++ b/include/tulipweir/entry/ServiceRequest.h
@@ -16,6 +16,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace tulipweir::entry {
@@ -43,12 +44,16 @@
   bool Hedged_ = false;     ///< Repeatable, and the service allows hedging.
   /// The key under which it runs at most once; never with Repeatable_.
   std::optional<RequestKey> Key_;
-  bool KeyIsTicket_ = false;
+  /// Of a ticket: the data centre it names. A caller's own key has none.
+  std::optional<DataCentreId> TicketHome_;
   Digest Digest_; ///< Of service, method, path, query and body; with a key.
   /// As the backend server gets it, without the headers that change by try.
   net::HttpRequest Forward_;
 };
 
+/// The key of the record; tickets and callers' own keys never meet.
+RequestKey makeRecordKey(std::string_view Text, bool IsTicket);
+
 /// A request or why it was refused.
 using ReadResult = std::variant<ServiceRequest, FinalResult>;
 
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -39,10 +39,9 @@
                                       "From sending to a whole answer")) {
   for (std::size_t Index = 0; Index < RequestReasonCount; ++Index) {
     const std::string Name(getReasonName(static_cast<RequestReason>(Index)));
-    ByReason_[Index] =
-        &To.addCounter("tulipweir_entry_requests_total",
-                       "Callers' requests by how they ended",
-                       "reason=\"" + Name + "\"");
+    ByReason_[Index] = &To.addCounter("tulipweir_entry_requests_total",
+                                      "Callers' requests by how they ended",
+                                      "reason=\"" + Name + "\"");
   }
   for (std::size_t Index = 0; Index < RequestOutcomeCount; ++Index) {
     const std::string Name(getOutcomeName(static_cast<RequestOutcome>(Index)));
--- a/src/entry/FinalResult.cpp
+++ b/src/entry/FinalResult.cpp
@@ -16,26 +16,16 @@
 
 // In the order of RequestReason.
 static constexpr std::array<ReasonInfo, RequestReasonCount> Reasons{{
-    {"answered", 200},
-    {"replayed", 200},
-    {"bad-request", 400},
-    {"unknown-service", 404},
-    {"body-too-large", 413},
-    {"deadline-passed", 503},
-    {"caller-limit", 429},
-    {"queue-full", 503},
-    {"too-late", 503},
-    {"no-servers", 503},
-    {"not-serving", 503},
-    {"servers-refused", 503},
-    {"answer-lost", 504},
-    {"answer-invalid", 504},
-    {"answer-late", 504},
-    {"key-conflict", 409},
-    {"key-expired", 410},
-    {"record-unavailable", 504},
-    {"record-unknown", 504},
-    {"running-elsewhere", 504},
+    {"answered", 200},         {"replayed", 200},
+    {"bad-request", 400},      {"unknown-service", 404},
+    {"body-too-large", 413},   {"deadline-passed", 503},
+    {"caller-limit", 429},     {"queue-full", 503},
+    {"too-late", 503},         {"no-servers", 503},
+    {"not-serving", 503},      {"servers-refused", 503},
+    {"answer-lost", 504},      {"answer-invalid", 504},
+    {"answer-late", 504},      {"key-conflict", 409},
+    {"key-expired", 410},      {"record-unavailable", 504},
+    {"record-unknown", 504},   {"running-elsewhere", 504},
     {"home-unreachable", 504},
 }};
 
@@ -68,7 +58,7 @@
 }
 
 static FinalResult makeRefusal(RequestOutcome Outcome, RequestReason Reason,
-                                 std::string Message, Duration RetryAfter) {
+                               std::string Message, Duration RetryAfter) {
   FinalResult Result;
   Result.Outcome_ = Outcome;
   Result.Reason_ = Reason;
@@ -77,16 +67,14 @@
   return Result;
 }
 
-FinalResult FinalResult::makeNotRun(RequestReason Reason,
-                                        std::string Message,
-                                        Duration RetryAfter) {
+FinalResult FinalResult::makeNotRun(RequestReason Reason, std::string Message,
+                                    Duration RetryAfter) {
   return makeRefusal(RequestOutcome::NotRun, Reason, std::move(Message),
                      RetryAfter);
 }
 
-FinalResult FinalResult::makeUnknown(RequestReason Reason,
-                                         std::string Message,
-                                         Duration RetryAfter) {
+FinalResult FinalResult::makeUnknown(RequestReason Reason, std::string Message,
+                                     Duration RetryAfter) {
   return makeRefusal(RequestOutcome::Unknown, Reason, std::move(Message),
                      RetryAfter);
 }
--- a/src/entry/LeaderClient.cpp
+++ b/src/entry/LeaderClient.cpp
@@ -22,7 +22,7 @@
   std::string Body_;
   TimePoint Deadline_;
   bool Idempotent_ = true; ///< May be asked again after a timeout.
-  std::size_t Tried_ = 0; ///< Processes asked in this round.
+  std::size_t Tried_ = 0;  ///< Processes asked in this round.
   /// A try timed out, so whether the call took effect is open for good.
   bool MayHaveTakenEffect_ = false;
   std::function<void(Outcome<std::string>)> Done_;
--- a/src/entry/RecordHomes.cpp
+++ b/src/entry/RecordHomes.cpp
@@ -22,8 +22,8 @@
 
 const DataCentreId &RecordHomes::findHome(const RequestKey &Key) const {
   const Digest Hash = fleet::computeDigest(Key.value());
-  const std::uint64_t Number = std::stoull(
-      Hash.value().substr(0, HashDigits), nullptr, Hexadecimal);
+  const std::uint64_t Number =
+      std::stoull(Hash.value().substr(0, HashDigits), nullptr, Hexadecimal);
   return std::next(Clients_.begin(),
                    static_cast<std::ptrdiff_t>(Number % Clients_.size()))
       ->first;
--- /dev/null
+++ b/src/entry/RecordWriter.h
@@ -0,0 +1,40 @@
+//===- RecordWriter.h - Recording the end of a keyed request ---*- C++ -*-===//
+//
+// Writes Finish and Abandon to the home's log, again and again until the log
+// answered or the patience is over. Both are idempotent there.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_ENTRY_RECORDWRITER_H
+#define TULIPWEIR_SRC_ENTRY_RECORDWRITER_H
+
+#include "tulipweir/entry/ControlClient.h"
+#include "tulipweir/entry/EntryMetrics.h"
+#include "tulipweir/entry/Timers.h"
+
+#include <atomic>
+#include <functional>
+
+namespace tulipweir::entry {
+
+struct RecordWriterParts {
+  ControlClient &Home_;
+  Timers &Timers_;
+  const Clock &Clock_;
+  EntryMetrics &Metrics_;
+  std::atomic<std::uint64_t> &Pending_; ///< Counts what is being written.
+};
+
+/// Told once: whether the record stands as written.
+using RecordDone = std::function<void(bool Recorded)>;
+
+void writeFinish(const RecordWriterParts &Parts, wire::FinishRequest Finish,
+                 RecordDone Done);
+void writeAbandon(const RecordWriterParts &Parts, wire::AbandonRequest Abandon);
+/// After a Begin without a reply: asks again by the same nonce until the log
+/// says how it stands, and gives it back if it had begun.
+void settleBegin(const RecordWriterParts &Parts, wire::BeginRequest Begin);
+
+} // namespace tulipweir::entry
+
+#endif // TULIPWEIR_SRC_ENTRY_RECORDWRITER_H
--- a/src/entry/RequestSender.cpp
+++ b/src/entry/RequestSender.cpp
@@ -252,9 +252,9 @@
       return Done(FinalResult::makeNotRun(Reason, "no backend server ran it",
                                           RetryAfter));
     const bool Typed = getReasonStatus(Reason) == UnknownStatus;
-    Done(FinalResult::makeUnknown(
-        Typed ? Reason : RequestReason::AnswerLost,
-        "it was sent, and no whole answer came back", RetryAfter));
+    Done(FinalResult::makeUnknown(Typed ? Reason : RequestReason::AnswerLost,
+                                  "it was sent, and no whole answer came back",
+                                  RetryAfter));
   }
 
   void finish(FinalResult Result) {
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -55,8 +55,7 @@
                             TimePoint Until) {
   std::map<ServerKey, std::shared_ptr<ServerSlots>> Next;
   for (const wire::Route &Route : Routes) {
-    const Outcome<net::Endpoint> Address =
-        net::Endpoint::parse(Route.Address_);
+    const Outcome<net::Endpoint> Address = net::Endpoint::parse(Route.Address_);
     if (!Address)
       continue;
     const ServerKey Key{Route.Server_, Route.Boot_};
@@ -142,8 +141,7 @@
     Gate->sweep();
 }
 
-std::shared_ptr<ServiceGate>
-Router::findGate(const ServiceId &Service) const {
+std::shared_ptr<ServiceGate> Router::findGate(const ServiceId &Service) const {
   std::shared_lock Lock(Mutex_);
   const auto Found = Gates_.find(Service);
   return Found == Gates_.end() ? nullptr : Found->second;
--- a/src/entry/ServerSlots.cpp
+++ b/src/entry/ServerSlots.cpp
@@ -8,8 +8,7 @@
 using namespace tulipweir;
 using namespace tulipweir::entry;
 
-ServerSlots::ServerSlots(const wire::Route &Route,
-                         const net::Endpoint &Address)
+ServerSlots::ServerSlots(const wire::Route &Route, const net::Endpoint &Address)
     : Server_(Route.Server_), Boot_(Route.Boot_), Address_(Address),
       Services_(Route.Services_) {}
 
--- a/src/entry/ServiceGate.cpp
+++ b/src/entry/ServiceGate.cpp
@@ -138,8 +138,7 @@
     // Its answer would come too late: the slot is for one that can use it.
     Admission_.noteGivenUp();
     Answer.Reason_ = RequestReason::TooLate;
-    Answer.RetryAfter_ =
-        Admission_.ask(Now, Now, viewSlots()).RetryAfter_;
+    Answer.RetryAfter_ = Admission_.ask(Now, Now, viewSlots()).RetryAfter_;
   } else if (!canServe(Now)) {
     Admission_.noteGivenUp();
     Answer.RetryAfter_ = NoServersRetry;
@@ -186,8 +185,7 @@
       Admission_.noteGivenUp();
       GateAnswer Answer;
       Answer.Reason_ = RequestReason::TooLate;
-      Answer.RetryAfter_ =
-          Admission_.ask(Now, Now, viewSlots()).RetryAfter_;
+      Answer.RetryAfter_ = Admission_.ask(Now, Now, viewSlots()).RetryAfter_;
       Refused.push_back({std::move(One.Done_), std::move(Answer)});
     }
     Queue_ = std::move(Kept);
--- a/src/entry/ServiceRequest.cpp
+++ b/src/entry/ServiceRequest.cpp
@@ -2,6 +2,8 @@
 
 #include "tulipweir/entry/ServiceRequest.h"
 
+#include "tulipweir/entry/Ticket.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -16,9 +18,10 @@
 
 // Headers between two neighbours only, which are not forwarded.
 static constexpr std::array<std::string_view, 11> HopHeaders{
-    "connection",          "content-length",   "expect", "host",
-    "keep-alive",          "proxy-connection", "te",     "trailer",
-    "proxy-authorization", "upgrade",          "transfer-encoding"};
+    "connection", "content-length",   "expect",
+    "host",       "keep-alive",       "proxy-connection",
+    "te",         "trailer",          "proxy-authorization",
+    "upgrade",    "transfer-encoding"};
 static constexpr std::string_view OwnPrefix = "x-tulipweir-";
 
 static std::string toLower(std::string_view Text) {
@@ -85,10 +88,9 @@
 
   ReadResult read() {
     using Step = std::optional<FinalResult> (Reader::*)();
-    static constexpr Step Steps[] = {&Reader::readPath, &Reader::readCaller,
-                                     &Reader::readDeadline, &Reader::readKey,
-                                     &Reader::readRepeatable,
-                                     &Reader::readBody};
+    static constexpr Step Steps[] = {
+        &Reader::readPath, &Reader::readCaller,     &Reader::readDeadline,
+        &Reader::readKey,  &Reader::readRepeatable, &Reader::readBody};
     for (const Step One : Steps)
       if (std::optional<FinalResult> Refusal = (this->*One)())
         return std::move(*Refusal);
@@ -152,8 +154,15 @@
     if (Text.size() > MaxKeyBytes || !isPlainText(Text))
       return refuseBad("a key must be at most 200 printable characters "
                        "without spaces");
-    Result_.KeyIsTicket_ = Key.empty();
-    Result_.Key_ = RequestKey(std::string(Text));
+    if (!Ticket.empty()) {
+      const Outcome<entry::Ticket> Read = entry::Ticket::parse(Ticket);
+      if (!Read)
+        return refuseBad(Read.error().Message_);
+      Result_.TicketHome_ = Read.value().Home_;
+    }
+    // The prefixes keep a caller's own key from passing for a ticket.
+    Result_.Key_ = makeRecordKey(Text, /*IsTicket=*/!Ticket.empty());
+    KeyText_ = Text;
     Result_.Digest_ = digestOf(Result_.Service_, Request_);
     return std::nullopt;
   }
@@ -187,15 +196,15 @@
     Forward.Method_ = std::move(Request_.Method_);
     Forward.Query_ = std::move(Request_.Query_);
     Forward.Body_ = std::move(Request_.Body_);
-    for (net::HttpHeader &Header : Request_.Headers_)
+    for (const net::HttpHeader &Header : Request_.Headers_)
       if (isForwarded(Header))
-        Forward.Headers_.push_back(std::move(Header));
+        Forward.Headers_.push_back(Header);
     Forward.Headers_.push_back({header::Service, Result_.Service_.value()});
     Forward.Headers_.push_back({header::RequestId, Result_.Id_});
     if (!Result_.Caller_.value().empty())
       Forward.Headers_.push_back({header::Caller, Result_.Caller_.value()});
     if (Result_.Key_)
-      Forward.Headers_.push_back({header::RequestKey, Result_.Key_->value()});
+      Forward.Headers_.push_back({header::RequestKey, std::string(KeyText_)});
   }
 
   net::HttpRequest Request_;
@@ -203,11 +212,16 @@
   TimePoint Now_;
   ServiceRequest Result_;
   std::string_view Path_;
+  std::string_view KeyText_;
   const fleet::ServiceConfig *Service_ = nullptr;
 };
 
 } // namespace
 
+RequestKey entry::makeRecordKey(std::string_view Text, bool IsTicket) {
+  return RequestKey((IsTicket ? "ticket:" : "key:") + std::string(Text));
+}
+
 ReadResult entry::readServiceRequest(net::HttpRequest Request,
                                      const Configuration &Config,
                                      std::string Id, TimePoint Now) {
--- a/src/entry/Ticket.cpp
+++ b/src/entry/Ticket.cpp
@@ -27,9 +27,9 @@
 Outcome<Ticket> Ticket::parse(std::string_view Text) {
   // From the right: a data centre's name may contain dots.
   const std::size_t Last = Text.rfind('.');
-  const std::size_t Middle =
-      Last == std::string_view::npos || Last == 0 ? std::string_view::npos
-                                                  : Text.rfind('.', Last - 1);
+  const std::size_t Middle = Last == std::string_view::npos || Last == 0
+                                 ? std::string_view::npos
+                                 : Text.rfind('.', Last - 1);
   if (Middle == std::string_view::npos || Middle == 0)
     return fail(ErrorCode::InvalidArgument, "a ticket has three parts");
   const std::string_view Time = Text.substr(Middle + 1, Last - Middle - 1);
@@ -43,8 +43,8 @@
       !std::all_of(Random.begin(), Random.end(), isHex))
     return fail(ErrorCode::InvalidArgument,
                 "a ticket ends in 32 hexadecimal digits");
-  return Ticket{DataCentreId(std::string(Text.substr(0, Middle))),
-                WallTime(Ms), std::string(Random)};
+  return Ticket{DataCentreId(std::string(Text.substr(0, Middle))), WallTime(Ms),
+                std::string(Random)};
 }
 
 std::string Ticket::toString() const {
