Plan by an indexed view, learned sizes and effects, guards and quarantine

Cause: the thin planner scans all servers, learns nothing and guards nothing. Change: a tree of maxima finds room; waiting tasks are grouped by job and wait in an order that time does not change; filter, score and pick over eight drawn servers; reservations by quantile per class; interference per service, class and load band by normalised least mean squares, each sample held against what ran when it was taken; tail guard, usage guard, quarantine with probation, preemption, servers set aside for large tasks, emptying of leaving servers, explain. Ruled out: power of k over a plain list (misses the last server with room).

--- a/include/tulipweir/decide/Decision.h
+++ b/include/tulipweir/decide/Decision.h
@@ -48,6 +48,8 @@
   FailsEveryTask,
   ProbationPassed,
   ServerLeaving,
+  TailAtRisk, ///< Every server with room would get a service's tail over its
+              ///< target.
 };
 
 std::string_view getReasonName(ReasonCode Reason);
--- a/include/tulipweir/decide/Policy.h
+++ b/include/tulipweir/decide/Policy.h
@@ -42,6 +42,11 @@
   double UsageQuantile_ = 0.95;
   /// Added to that quantile, 0 to 1.
   double UsageMargin_ = 0.15;
+  /// Part of the declared size below which a learned reservation never goes,
+  /// 0.05 to 1.
+  double ReserveFloorPart_ = 0.2;
+  /// Weight of spreading a job's tasks over racks, 0 to 100.
+  double SpreadWeight_ = 10;
   /// Reports in a row over a target before a guard acts, 1 to 20.
   std::uint32_t GuardReports_ = 3;
   /// A tail under this part of its target lets throttling ease, 0.1 to 1.
--- a/src/decide/Decision.cpp
+++ b/src/decide/Decision.cpp
@@ -18,7 +18,7 @@
 }
 
 std::string_view decide::getReasonName(ReasonCode Reason) {
-  static constexpr std::array<std::string_view, 14> Names = {
+  static constexpr std::array<std::string_view, 15> Names = {
       "best_score",          "no_room",          "never_fits",
       "quota_reached",       "backing_off",      "all_quarantined",
       "urgent_work",         "tail_over_target", "tail_recovered",
--- /dev/null
+++ b/src/decide/Interner.h
@@ -0,0 +1,49 @@
+//===- Interner.h - Dense positions for identifiers ------------*- C++ -*-===//
+//
+// Gives each identifier a small number, so that tables are plain vectors. At
+// most MaxNames are told apart; later ones share the last position, which
+// bounds the memory however many job classes come by.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_DECIDE_INTERNER_H
+#define TULIPWEIR_SRC_DECIDE_INTERNER_H
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace tulipweir::decide {
+
+template <class Name> class Interner {
+public:
+  static constexpr std::uint32_t MaxNames = 4096;
+
+  std::uint32_t intern(const Name &Value) {
+    const auto Found = Positions_.find(Value);
+    if (Found != Positions_.end())
+      return Found->second;
+    if (Names_.size() >= MaxNames)
+      return MaxNames - 1;
+    const auto Position = static_cast<std::uint32_t>(Names_.size());
+    Names_.push_back(Value);
+    Positions_.emplace(Value, Position);
+    return Position;
+  }
+  std::optional<std::uint32_t> find(const Name &Value) const {
+    const auto Found = Positions_.find(Value);
+    if (Found == Positions_.end())
+      return std::nullopt;
+    return Found->second;
+  }
+  const Name &nameOf(std::uint32_t Position) const { return Names_[Position]; }
+
+private:
+  std::unordered_map<Name, std::uint32_t> Positions_;
+  std::vector<Name> Names_;
+};
+
+} // namespace tulipweir::decide
+
+#endif // TULIPWEIR_SRC_DECIDE_INTERNER_H
--- /dev/null
+++ b/src/decide/PlacementRound.h
@@ -0,0 +1,62 @@
+//===- PlacementRound.h - From the queue to placements ---------*- C++ -*-===//
+//
+// Takes waiting tasks in their order and decides on each: place it, make room
+// for it (evictions for urgent work; a server set aside for a task that could
+// not get in for long), or hold it with a reason and park its group.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_DECIDE_PLACEMENTROUND_H
+#define TULIPWEIR_SRC_DECIDE_PLACEMENTROUND_H
+
+#include "decide/Placer.h"
+#include "decide/PlannerState.h"
+#include "decide/Preemptor.h"
+
+namespace tulipweir::decide {
+
+class PlacementRound {
+public:
+  PlacementRound(PlannerState &State, std::uint64_t Seed);
+
+  /// Appends at most Budget decisions for urgent tasks, or for all.
+  void placeUrgent(TimePoint Now, std::size_t Budget,
+                   std::vector<Decision> &Decisions);
+  void placeAll(TimePoint Now, std::size_t Budget,
+                std::vector<Decision> &Decisions);
+  /// Appends placements of tasks whose claimed room came free.
+  void settleClaims(TimePoint Now, std::size_t Budget,
+                    std::vector<Decision> &Decisions);
+  /// Appends evictions from servers that leave.
+  void emptyLeaving(TimePoint Now, std::size_t Budget,
+                    std::vector<Decision> &Decisions);
+
+private:
+  bool isUrgent(const TaskInfo &Task) const;
+  void placeWhile(bool UrgentOnly, TimePoint Now, std::size_t Budget,
+                  std::vector<Decision> &Decisions);
+  /// Returns false when the budget is too small to go on.
+  bool tryTask(const WaitingTask &Waits, TimePoint Now, std::size_t Budget,
+               std::vector<Decision> &Decisions);
+  void place(const TaskInfo &Task, PlacementChoice Choice, TimePoint Now,
+             std::vector<Decision> &Decisions);
+  bool tryPreempt(const TaskInfo &Task, const Resources &Needed, TimePoint Now,
+                  std::size_t Budget, std::vector<Decision> &Decisions);
+  bool trySetAside(const WaitingTask &Waits, const Resources &Needed,
+                   TimePoint Now, std::vector<Decision> &Decisions);
+  void hold(const TaskInfo &Task, const PlacementChoice &Choice, TimePoint Now,
+            std::vector<Decision> &Decisions);
+
+  PlannerState &State_;
+  Placer Placer_;
+  Preemptor Preemptor_;
+  std::mt19937_64 Random_;
+};
+
+/// What keeps a task of this team and size waiting, with figures.
+std::string describeObstacle(const PlannerState &State, const TaskInfo &Task,
+                             const Resources &Needed, ReasonCode Reason);
+
+} // namespace tulipweir::decide
+
+#endif // TULIPWEIR_SRC_DECIDE_PLACEMENTROUND_H
--- a/src/decide/Planner.cpp
+++ b/src/decide/Planner.cpp
@@ -2,216 +2,185 @@
 
 #include "tulipweir/decide/Planner.h"
 
+#include "decide/Explainer.h"
+#include "decide/PlacementRound.h"
+#include "decide/PlannerState.h"
+#include "decide/TailGuard.h"
+#include "decide/Text.h"
+#include "decide/UsageGuard.h"
+
 #include <algorithm>
-#include <map>
 
 using namespace tulipweir;
 using namespace tulipweir::decide;
 
-/// How long a proposed placement holds its room before it is proposed again.
-static constexpr Duration ProposalTime = std::chrono::seconds(5);
-
-namespace {
-struct Server {
-  ServerInfo Info_;
-  Resources Reserved_;
-  std::uint32_t Tasks_ = 0;
-};
-
-struct Running {
-  TaskInfo Info_;
-  AttemptNumber Attempt_;
-  BackendServerId Server_;
-  Resources Reservation_;
-};
-
-struct Waiting {
-  TaskInfo Info_;
-  TimePoint Since_;
-  TimePoint RetryAt_;
-  std::optional<BackendServerId> Proposed_;
-  std::optional<Decision> Last_;
-};
-} // namespace
+/// Timers that one call looks at, beside a few per decision.
+static constexpr std::size_t MinTimers = 64;
 
 class Planner::Impl {
 public:
-  explicit Impl(const Policy &Settings) : Policy_(Settings) {}
-
-  void release(Waiting &Task) {
-    if (!Task.Proposed_)
-      return;
-    auto &Home = Servers_[*Task.Proposed_];
-    Home.Reserved_ = Home.Reserved_ - Task.Info_.Declared_;
-    Held_[Task.Info_.Team_] = Held_[Task.Info_.Team_] - Task.Info_.Declared_;
-    Task.Proposed_.reset();
-  }
+  Impl(const Policy &Settings, std::uint64_t Seed)
+      : State_(Settings), Explaining_(State_, Seed), Round_(State_, Seed),
+        Tails_(State_), Usages_(State_) {}
+
+  /// Applies changes of servers' health and reports those worth a decision.
+  void applyHealth(std::vector<Decision> &Decisions);
+  std::vector<Decision> decide(TimePoint Now, std::size_t Budget);
+
+  PlannerState State_;
+  Placer Explaining_; ///< Only asked for sizes; draws nothing.
+  PlacementRound Round_;
+  TailGuard Tails_;
+  UsageGuard Usages_;
+  std::vector<Decision> HealthDecisions_;
+};
 
-  bool isWithinQuota(const TaskInfo &Task) const {
-    const auto Held = Held_.find(Task.Team_);
-    const Resources Used = Held == Held_.end() ? Resources{} : Held->second;
-    return std::all_of(Policy_.Quotas_.begin(), Policy_.Quotas_.end(),
-                       [&](const TeamQuota &Quota) {
-                         return Quota.Team_ != Task.Team_ ||
-                                (Used + Task.Declared_).fitsIn(Quota.Limit_);
-                       });
+static Decision makeHealthDecision(const HealthChange &Change) {
+  Decision Value;
+  Value.Server_ = Change.Server_;
+  if (Change.To_ == ServerHealth::Quarantined) {
+    Value.Kind_ = DecisionKind::Quarantine;
+    Value.Reason_ = ReasonCode::FailsEveryTask;
+    Value.Text_ = Change.Server_.value() + " is quarantined for " +
+                  describe(Change.For_) + ": " +
+                  std::to_string(Change.Jobs_.size()) +
+                  " jobs that do well elsewhere failed there (";
+    for (const JobId &Job : Change.Jobs_)
+      Value.Text_ += (&Job == &Change.Jobs_.front() ? "" : ", ") + Job.value();
+    Value.Text_ += ") and nothing did well since";
+    return Value;
   }
+  Value.Kind_ = DecisionKind::Readmit;
+  Value.Reason_ = ReasonCode::ProbationPassed;
+  Value.Text_ = Change.Server_.value() +
+                " takes tasks as before: a task did well there on probation";
+  return Value;
+}
 
-  std::optional<BackendServerId> findRoom(const Resources &Needed) const {
-    for (const auto &[Id, Home] : Servers_) {
-      if (Home.Info_.Draining_)
-        continue;
-      const auto Room =
-          Home.Info_.Capacity_ - Home.Info_.ServiceShare_ - Home.Reserved_;
-      if (Needed.fitsIn(Room))
-        return Id;
-    }
-    return std::nullopt;
+void Planner::Impl::applyHealth(std::vector<Decision> &Decisions) {
+  for (const HealthChange &Change : State_.Health_.takeChanges()) {
+    if (const auto Server = State_.Servers_.find(Change.Server_))
+      State_.Servers_.setQuarantine(*Server,
+                                    Change.To_ == ServerHealth::Quarantined,
+                                    Change.To_ == ServerHealth::Suspect ||
+                                        Change.To_ == ServerHealth::Probation);
+    const bool Passed = Change.From_ == ServerHealth::Probation &&
+                        Change.To_ == ServerHealth::Good;
+    if (Passed || Change.To_ == ServerHealth::Quarantined)
+      HealthDecisions_.push_back(makeHealthDecision(Change));
+    if (Change.To_ != ServerHealth::Quarantined)
+      State_.Queue_.wakeReason(ReasonCode::AllQuarantined);
   }
+  std::swap(Decisions, HealthDecisions_);
+}
 
-  Policy Policy_;
-  std::map<BackendServerId, Server> Servers_;
-  std::map<TaskId, Running> Running_;
-  std::map<TaskId, Waiting> Waiting_;
-  std::map<TeamId, Resources> Held_;
-};
+std::vector<Decision> Planner::Impl::decide(TimePoint Now, std::size_t Budget) {
+  std::vector<Decision> Decisions;
+  if (Budget == 0)
+    return Decisions;
+  State_.Health_.advance(Now);
+  State_.expire(Now, MinTimers + 2 * Budget);
+  State_.Queue_.wakeDue(Now, MinTimers + Budget);
+  applyHealth(Decisions);
+  if (Decisions.size() > Budget) {
+    HealthDecisions_.assign(Decisions.begin() +
+                                static_cast<std::ptrdiff_t>(Budget),
+                            Decisions.end());
+    Decisions.resize(Budget);
+  }
+  // The guards may take half, so that waiting work always gets on.
+  const std::size_t Half = std::max<std::size_t>(1, Budget / 2);
+  const auto left = [&](std::size_t Most) {
+    return std::min(Most, Budget - Decisions.size());
+  };
+  Tails_.act(Now, left(Half), Decisions);
+  Round_.settleClaims(Now, left(Budget), Decisions);
+  Round_.placeUrgent(Now, left(Budget), Decisions);
+  Usages_.act(Now, left(Half), Decisions);
+  Round_.emptyLeaving(Now, left(Half), Decisions);
+  Round_.placeAll(Now, left(Budget), Decisions);
+  for (const Decision &Value : Decisions)
+    State_.remember(Value);
+  return Decisions;
+}
 
-Planner::Planner(const Policy &Settings, std::uint64_t)
-    : Impl_(std::make_unique<Impl>(Settings)) {}
+Planner::Planner(const Policy &Settings, std::uint64_t Seed)
+    : Impl_(std::make_unique<Impl>(Settings, Seed)) {}
 Planner::~Planner() = default;
 
-void Planner::setPolicy(const Policy &Settings) { Impl_->Policy_ = Settings; }
+void Planner::setPolicy(const Policy &Settings) {
+  Impl_->State_.setPolicy(Settings);
+}
 
-void Planner::upsertServer(const ServerInfo &Info) {
-  Impl_->Servers_[Info.Server_].Info_ = Info;
+void Planner::upsertServer(const ServerInfo &Server) {
+  Impl_->State_.upsertServer(Server);
 }
 
-void Planner::removeServer(const BackendServerId &Id) {
-  // Kept, so that attempts that end later still find it.
-  Impl_->Servers_[Id].Info_.Draining_ = true;
+void Planner::removeServer(const BackendServerId &Server) {
+  Impl_->State_.removeServer(Server);
 }
 
 void Planner::addWaiting(const TaskInfo &Task, TimePoint Now) {
-  Impl_->Waiting_.insert({Task.Task_, Waiting{Task, Now, Now, {}, {}}});
+  Impl_->State_.addWaiting(Task, Now);
 }
 
 void Planner::removeWaiting(const TaskId &Task) {
-  const auto Found = Impl_->Waiting_.find(Task);
-  if (Found == Impl_->Waiting_.end())
-    return;
-  Impl_->release(Found->second);
-  Impl_->Waiting_.erase(Found);
+  Impl_->State_.removeWaiting(Task);
 }
 
 void Planner::notePlaced(const TaskInfo &Task, AttemptNumber Attempt,
                          const BackendServerId &Server,
-                         const Resources &Reservation, TimePoint) {
-  removeWaiting(Task.Task_);
-  if (Impl_->Running_.contains(Task.Task_))
-    return;
-  Impl_->Running_[Task.Task_] = Running{Task, Attempt, Server, Reservation};
-  auto &Home = Impl_->Servers_[Server];
-  Home.Reserved_ = Home.Reserved_ + Reservation;
-  ++Home.Tasks_;
-  auto &Held = Impl_->Held_[Task.Team_];
-  Held = Held + Reservation;
-}
-
-void Planner::noteReservation(const TaskId &, AttemptNumber,
-                              const Resources &) {}
-void Planner::noteThrottle(const TaskId &, AttemptNumber, std::uint32_t,
-                           TimePoint) {}
-
-void Planner::noteEnded(const TaskId &Task, AttemptNumber Attempt, EndReason,
-                        TimePoint) {
-  const auto Found = Impl_->Running_.find(Task);
-  if (Found == Impl_->Running_.end() || Found->second.Attempt_ != Attempt)
-    return;
-  auto &Home = Impl_->Servers_[Found->second.Server_];
-  Home.Reserved_ = Home.Reserved_ - Found->second.Reservation_;
-  --Home.Tasks_;
-  auto &Held = Impl_->Held_[Found->second.Info_.Team_];
-  Held = Held - Found->second.Reservation_;
-  Impl_->Running_.erase(Found);
-}
-
-void Planner::noteUsage(const UsageSample &) {}
-void Planner::noteService(const ServiceSample &) {}
-
-static Decision makeHold(const TaskInfo &Task, ReasonCode Reason) {
-  Decision Value;
-  Value.Reason_ = Reason;
-  Value.Task_ = Task.Task_;
-  Value.Attempt_ = Task.NextAttempt_;
-  Value.Text_ = "task " + Task.Task_.toString() +
-                " waits: " + std::string(getReasonName(Reason));
-  return Value;
+                         const Resources &Reservation, TimePoint Now) {
+  Impl_->State_.notePlaced(Task, Attempt, Server, Reservation, Now);
 }
 
-static Decision makePlace(const TaskInfo &Task, const BackendServerId &Server) {
-  Decision Value;
-  Value.Kind_ = DecisionKind::Place;
-  Value.Task_ = Task.Task_;
-  Value.Attempt_ = Task.NextAttempt_;
-  Value.Server_ = Server;
-  Value.Reservation_ = Task.Declared_;
-  Value.Candidates_ = {Candidate{Server, true, 1, "first with room"}};
-  Value.Text_ = "task " + Task.Task_.toString() + " starts on " +
-                Server.value() + ", the first with room";
-  return Value;
+void Planner::noteReservation(const TaskId &Task, AttemptNumber Attempt,
+                              const Resources &Reservation) {
+  Impl_->State_.noteReservation(Task, Attempt, Reservation);
+}
+
+void Planner::noteThrottle(const TaskId &Task, AttemptNumber Attempt,
+                           std::uint32_t Percent, TimePoint Now) {
+  Impl_->State_.noteThrottle(Task, Attempt, Percent, Now);
+}
+
+void Planner::noteEnded(const TaskId &Task, AttemptNumber Attempt,
+                        EndReason Reason, TimePoint Now) {
+  Impl_->State_.noteEnded(Task, Attempt, Reason, Now);
+}
+
+void Planner::noteUsage(const UsageSample &Sample) {
+  Impl_->Usages_.noteUsage(Sample);
+}
+
+void Planner::noteService(const ServiceSample &Sample) {
+  Impl_->Tails_.noteService(Sample);
 }
 
 std::vector<Decision> Planner::decide(TimePoint Now, std::size_t Budget) {
-  std::vector<Decision> Decisions;
-  for (auto &[Id, Task] : Impl_->Waiting_) {
-    if (Decisions.size() >= Budget)
-      break;
-    if (Now < Task.RetryAt_ || Impl_->Running_.contains(Id))
-      continue;
-    Impl_->release(Task);
-    Task.RetryAt_ = Now + ProposalTime;
-    const bool InQuota = Impl_->isWithinQuota(Task.Info_);
-    const auto Found =
-        InQuota ? Impl_->findRoom(Task.Info_.Declared_) : std::nullopt;
-    Task.Proposed_ = Found;
-    if (Found) {
-      auto &Home = Impl_->Servers_[*Found];
-      Home.Reserved_ = Home.Reserved_ + Task.Info_.Declared_;
-      auto &Held = Impl_->Held_[Task.Info_.Team_];
-      Held = Held + Task.Info_.Declared_;
-    }
-    const auto Reason = InQuota ? ReasonCode::NoRoom : ReasonCode::QuotaReached;
-    Task.Last_ =
-        Found ? makePlace(Task.Info_, *Found) : makeHold(Task.Info_, Reason);
-    Decisions.push_back(*Task.Last_);
-  }
-  return Decisions;
+  return Impl_->decide(Now, Budget);
 }
 
 std::optional<Explanation> Planner::explain(const TaskId &Task,
-                                            TimePoint) const {
-  Explanation Value;
-  Value.Task_ = Task;
-  const auto Run = Impl_->Running_.find(Task);
-  if (Run != Impl_->Running_.end()) {
-    Value.Running_ = true;
-    Value.Server_ = Run->second.Server_;
-    Value.Declared_ = Run->second.Info_.Declared_;
-    Value.Reservation_ = Run->second.Reservation_;
-    return Value;
-  }
-  const auto Wait = Impl_->Waiting_.find(Task);
-  if (Wait == Impl_->Waiting_.end())
-    return std::nullopt;
-  Value.Declared_ = Wait->second.Info_.Declared_;
-  Value.Last_ = Wait->second.Last_;
-  return Value;
+                                            TimePoint Now) const {
+  return explainTask(Impl_->State_, Impl_->Explaining_, Task, Now);
 }
 
 std::vector<ServerView> Planner::listServers() const {
   std::vector<ServerView> Views;
-  for (const auto &[Id, Home] : Impl_->Servers_)
-    Views.push_back({Id, Home.Info_.Rack_, Home.Info_.Capacity_, Home.Reserved_,
-                     Home.Info_.Draining_, false, Home.Tasks_});
+  const ServerTable &Servers = Impl_->State_.Servers_;
+  for (ServerIndex I = 0; I < Servers.size(); ++I) {
+    const ServerEntry &Entry = Servers.at(I);
+    if (!Entry.Present_ && Entry.Tasks_.empty())
+      continue;
+    Views.push_back({Entry.Info_.Server_, Entry.Info_.Rack_,
+                     Entry.Info_.Capacity_, Entry.Reserved_,
+                     Entry.Info_.Draining_, Entry.Quarantined_,
+                     static_cast<std::uint32_t>(Entry.Tasks_.size())});
+  }
+  std::sort(Views.begin(), Views.end(),
+            [](const ServerView &A, const ServerView &B) {
+              return A.Server_ < B.Server_;
+            });
   return Views;
 }
--- /dev/null
+++ b/src/decide/Quarantine.h
@@ -0,0 +1,87 @@
+//===- Quarantine.h - Servers that fail every task -------------*- C++ -*-===//
+//
+// A server is quarantined on evidence: several different jobs failed there
+// since anything last went well, and each of them did well on another server.
+// A job that fails everywhere is no evidence. Before the evidence is complete
+// a server on which two jobs failed in a row gets one task at a time. After the
+// quarantine it is on probation: one task at a time until one does well; if one
+// fails again, the quarantine lasts twice as long.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_DECIDE_QUARANTINE_H
+#define TULIPWEIR_SRC_DECIDE_QUARANTINE_H
+
+#include "tulipweir/core/Ids.h"
+#include "tulipweir/core/Time.h"
+#include "tulipweir/decide/Policy.h"
+
+#include <deque>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace tulipweir::decide {
+
+enum class ServerHealth : std::uint8_t {
+  Good,
+  Suspect, ///< One task at a time: several jobs failed there.
+  Quarantined,
+  Probation, ///< One task at a time after a quarantine.
+};
+
+/// A change of a server's health.
+struct HealthChange {
+  BackendServerId Server_;
+  ServerHealth From_ = ServerHealth::Good;
+  ServerHealth To_ = ServerHealth::Good;
+  std::vector<JobId> Jobs_; ///< The evidence.
+  Duration For_{};
+  bool operator==(const HealthChange &) const = default;
+};
+
+class Quarantine {
+public:
+  void noteFailed(const JobId &Job, const BackendServerId &Server,
+                  TimePoint Now, const Policy &Settings);
+  /// A task finished there, or ran there for long.
+  void noteHealthy(const JobId &Job, const BackendServerId &Server,
+                   TimePoint Now, const Policy &Settings);
+  /// Ends quarantines whose time is over.
+  void advance(TimePoint Now);
+  /// Hands out the changes since the last call, in order.
+  std::vector<HealthChange> takeChanges();
+
+  ServerHealth healthOf(const BackendServerId &Server) const;
+  std::uint32_t failuresOn(const BackendServerId &Server) const;
+
+private:
+  struct Server {
+    ServerHealth Health_ = ServerHealth::Good;
+    std::vector<JobId> FailedJobs_; ///< Different ones since it did well.
+    TimePoint Until_;
+    Duration Time_{};
+    TimePoint FailedAt_;
+  };
+  struct Job {
+    std::vector<BackendServerId> FailedOn_;
+    std::vector<BackendServerId> HealthyOn_;
+  };
+
+  Job &jobOf(const JobId &Id);
+  bool isEvidence(const JobId &Id, const BackendServerId &Server) const;
+  bool failsEverywhere(const JobId &Id) const;
+  void judge(const BackendServerId &Id, TimePoint Now, const Policy &Settings);
+  void change(const BackendServerId &Id, Server &Value, ServerHealth To,
+              std::vector<JobId> Jobs);
+
+  std::unordered_map<BackendServerId, Server> Servers_;
+  std::unordered_map<JobId, Job> Jobs_;
+  std::deque<JobId> JobOrder_;
+  std::set<std::pair<TimePoint, BackendServerId>> Timers_;
+  std::vector<HealthChange> Changes_;
+};
+
+} // namespace tulipweir::decide
+
+#endif // TULIPWEIR_SRC_DECIDE_QUARANTINE_H
--- /dev/null
+++ b/src/decide/TailGuard.cpp
@@ -0,0 +1,346 @@
+//===- TailGuard.cpp - Services first, when batch work hurts ------------===//
+
+#include "decide/TailGuard.h"
+
+#include "decide/Preemptor.h"
+#include "decide/Text.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace tulipweir;
+using namespace tulipweir::decide;
+
+/// Reports with fewer requests have no meaningful p99.
+static constexpr std::uint32_t MinRequests = 20;
+/// Part of a report's p99 in the smoothed one.
+static constexpr double SmoothGain = 0.5;
+/// How long an action's effect is awaited before the guard may act again.
+static constexpr Duration PendingTime = std::chrono::seconds(10);
+/// Tasks that one action touches at most.
+static constexpr std::size_t MaxThrottled = 8;
+static constexpr std::size_t MaxEvicted = 2;
+static constexpr std::size_t MaxReleased = 4;
+/// A relapse within this time of a release makes the next one slower.
+static constexpr Duration RelapseTime = std::chrono::minutes(2);
+static constexpr std::uint32_t LongestRelease = 16;
+/// Batch work that causes less than this part of an excess is not to blame.
+static constexpr double BlamelessPart = 0.15;
+static constexpr double SureOfBlame = 0.5;
+/// The p99 aimed at, as a part of the target.
+static constexpr double AimPart = 0.95;
+/// Eviction's fixed price in seconds of work, beside the work lost.
+static constexpr double EvictionPrice = 5;
+
+static double toSeconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+static ServiceState &serviceOn(ServerEntry &Server, ServiceIndex Service) {
+  for (ServiceState &Known : Server.Services_)
+    if (Known.Service_ == Service)
+      return Known;
+  Server.Services_.push_back({});
+  Server.Services_.back().Service_ = Service;
+  return Server.Services_.back();
+}
+
+void TailGuard::noteService(const ServiceSample &Sample) {
+  const auto Position = State_.Servers_.find(Sample.Server_);
+  if (!Position)
+    return;
+  ServerEntry &Server = State_.Servers_.at(*Position);
+  const ServiceIndex Index = State_.Services_.intern(Sample.Service_);
+  ServiceState &Service = serviceOn(Server, Index);
+  if (Sample.SampledAt_ <= Service.SampledAt_)
+    return;
+  Service.SampledAt_ = Sample.SampledAt_;
+  Service.Band_ = getLoadBand(Sample.LoadPercent_);
+  const bool PeakIsOld =
+      TailModel::planningBand(Service, Sample.SampledAt_) == Service.Band_;
+  if (PeakIsOld) {
+    Service.PeakBand_ = Service.Band_;
+    Service.PeakAt_ = Sample.SampledAt_;
+  }
+  if (Sample.Requests_ < MinRequests)
+    return;
+  const auto Loads = Server.History_.loadsAt(Sample.SampledAt_);
+  if (Loads)
+    State_.Effects_.learn(Index, Service.Band_, Sample, *Loads);
+  const bool IsNews = Sample.SampledAt_ > Server.QuietUntil_;
+  count(Server, Service, IsNews, Sample);
+  const bool IsOver = Service.OverReports_ >= State_.Policy_.GuardReports_;
+  if (IsOver || isReadyToRestore(Server))
+    ToCheck_.insert(*Position);
+}
+
+void TailGuard::count(ServerEntry &, ServiceState &Service, bool Counts,
+                      const ServiceSample &Sample) {
+  const double Target = State_.targetMicros(Service.Service_);
+  if (!Counts || Target <= 0) {
+    Service.OverReports_ = 0;
+    Service.UnderReports_ = 0;
+    return;
+  }
+  const double Micros =
+      std::chrono::duration<double, std::micro>(Sample.P99_).count();
+  const bool Fresh = Service.OverReports_ + Service.UnderReports_ == 0;
+  Service.P99Micros_ =
+      Fresh ? Micros
+            : Service.P99Micros_ + SmoothGain * (Micros - Service.P99Micros_);
+  const bool IsOver = Micros > Target;
+  const bool IsUnder = Micros < Target * State_.Policy_.GuardReleasePart_;
+  Service.OverReports_ = IsOver ? Service.OverReports_ + 1 : 0;
+  Service.UnderReports_ = IsUnder ? Service.UnderReports_ + 1 : 0;
+}
+
+bool TailGuard::isReadyToRestore(const ServerEntry &Server) const {
+  if (Server.Throttled_ == 0)
+    return false;
+  const std::uint32_t Needed =
+      2 * State_.Policy_.GuardReports_ * Server.ReleaseFactor_;
+  return std::all_of(Server.Services_.begin(), Server.Services_.end(),
+                     [&](const ServiceState &Service) {
+                       return State_.targetMicros(Service.Service_) <= 0 ||
+                              Service.UnderReports_ >= Needed;
+                     });
+}
+
+std::optional<TailGuard::Excess>
+TailGuard::findExcess(const ServerEntry &Server) const {
+  Excess Worst;
+  for (const ServiceState &Service : Server.Services_) {
+    if (Service.OverReports_ < State_.Policy_.GuardReports_)
+      continue;
+    Excess Over;
+    Over.Service_ = &Service;
+    Over.Target_ = State_.targetMicros(Service.Service_);
+    Over.Alone_ = State_.Effects_.aloneMicros(Service.Service_, Service.Band_);
+    Over.Needed_ = (Service.P99Micros_ - AimPart * Over.Target_) /
+                   std::max(1.0, Over.Alone_);
+    if (!Worst.Service_ || Over.Needed_ > Worst.Needed_)
+      Worst = Over;
+  }
+  if (!Worst.Service_)
+    return std::nullopt;
+  return Worst;
+}
+
+std::vector<TailGuard::Offender>
+TailGuard::listOffenders(const ServerEntry &Server, const ServiceState &Service,
+                         TimePoint Now) const {
+  std::vector<Offender> Offenders;
+  for (RunningTask *Task : Server.Tasks_) {
+    if (Now < Task->PendingUntil_)
+      continue;
+    const auto Pair = State_.Effects_.effectOf(Service.Service_, Task->Class_,
+                                               Service.Band_, Now);
+    const double Load = State_.Servers_.loadOf(
+        Task->Server_, Task->Reservation_, Task->ThrottlePercent_);
+    Offenders.push_back(
+        {Task, Pair.Weight_ * Load, estimateWorkLost(*Task, Now)});
+  }
+  return Offenders;
+}
+
+bool TailGuard::isBatchBlameless(const Excess &Over,
+                                 const std::vector<Offender> &Offenders,
+                                 TimePoint Now) const {
+  double Caused = 0;
+  for (const Offender &Each : Offenders) {
+    const auto Pair = State_.Effects_.effectOf(
+        Over.Service_->Service_, Each.Task_->Class_, Over.Service_->Band_, Now);
+    if (Pair.Confidence_ < SureOfBlame)
+      return false;
+    Caused += Each.Effect_;
+  }
+  return Caused < BlamelessPart * Over.Needed_;
+}
+
+void TailGuard::act(TimePoint Now, std::size_t Budget,
+                    std::vector<Decision> &Decisions) {
+  const std::size_t End = Decisions.size() + Budget;
+  // Each server is taken out once, so that the work is bounded by the budget
+  // and by the servers of which news came.
+  while (!ToCheck_.empty() && Decisions.size() < End) {
+    ServerEntry &Server = State_.Servers_.at(*ToCheck_.begin());
+    ToCheck_.erase(ToCheck_.begin());
+    if (Now < Server.GuardPendingUntil_)
+      continue;
+    const std::size_t Left = End - Decisions.size();
+    const auto Over = findExcess(Server);
+    if (Over)
+      relieve(Server, *Over, Now, Left, Decisions);
+    else if (isReadyToRestore(Server))
+      restore(Server, Now, Left, Decisions);
+  }
+}
+
+void TailGuard::relieve(ServerEntry &Server, const Excess &Over, TimePoint Now,
+                        std::size_t Budget, std::vector<Decision> &Decisions) {
+  auto Offenders = listOffenders(Server, *Over.Service_, Now);
+  if (Offenders.empty() || isBatchBlameless(Over, Offenders, Now))
+    return;
+  if (Now - Server.ReleasedAt_ < RelapseTime)
+    Server.ReleaseFactor_ = std::min(Server.ReleaseFactor_ * 2, LongestRelease);
+  Server.GuardedAt_ = Now;
+  const bool AnyToThrottle =
+      std::any_of(Offenders.begin(), Offenders.end(), [](const Offender &Each) {
+        return Each.Task_->ThrottlePercent_ == 100;
+      });
+  if (AnyToThrottle)
+    throttle(Server, Over, std::move(Offenders), Now, Budget, Decisions);
+  else
+    evict(Server, Over, std::move(Offenders), Now, Budget, Decisions);
+}
+
+void TailGuard::markPending(ServerEntry &Server, RunningTask &Task,
+                            TimePoint Now) {
+  Task.PendingUntil_ = Now + PendingTime;
+  Server.GuardPending_ += Task.GuardPending_ ? 0 : 1;
+  Task.GuardPending_ = true;
+  Server.GuardPendingUntil_ = Now + PendingTime;
+  // Until the effect is told nothing that was measured counts.
+  Server.QuietUntil_ = std::max(Server.QuietUntil_, Now);
+}
+
+static Decision makeGuardDecision(DecisionKind Kind, ReasonCode Reason,
+                                  const ServerEntry &Server,
+                                  const RunningTask &Task) {
+  Decision Value;
+  Value.Kind_ = Kind;
+  Value.Reason_ = Reason;
+  Value.Task_ = Task.Info_.Task_;
+  Value.Attempt_ = Task.Attempt_;
+  Value.Server_ = Server.Info_.Server_;
+  Value.Reservation_ = Task.Reservation_;
+  Value.ThrottlePercent_ = Task.ThrottlePercent_;
+  return Value;
+}
+
+static std::string describeExcess(const std::string &Service,
+                                  const ServiceState &State, double Target) {
+  return "the p99 of " + Service + " is " + describeMicros(State.P99Micros_) +
+         ", over its target of " + describeMicros(Target) + " for " +
+         std::to_string(State.OverReports_) + " reports";
+}
+
+void TailGuard::throttle(ServerEntry &Server, const Excess &Over,
+                         std::vector<Offender> Offenders, TimePoint Now,
+                         std::size_t Budget, std::vector<Decision> &Decisions) {
+  std::erase_if(Offenders, [](const Offender &Each) {
+    return Each.Task_->ThrottlePercent_ < 100;
+  });
+  // Less urgent ones first, then those that slow the service most.
+  std::sort(Offenders.begin(), Offenders.end(),
+            [](const Offender &A, const Offender &B) {
+              return std::tuple(A.Task_->Info_.Priority_, -A.Effect_,
+                                A.Task_->Info_.Task_) <
+                     std::tuple(B.Task_->Info_.Priority_, -B.Effect_,
+                                B.Task_->Info_.Task_);
+            });
+  const std::uint32_t Percent = State_.Policy_.ThrottlePercent_;
+  const std::string Why =
+      describeExcess(State_.Services_.nameOf(Over.Service_->Service_).value(),
+                     *Over.Service_, Over.Target_);
+  double Gained = 0;
+  std::size_t Count = 0;
+  const std::size_t Most = std::min(Budget, MaxThrottled);
+  for (const Offender &Each : Offenders) {
+    if (Count >= Most || (Count > 0 && Gained >= Over.Needed_))
+      break;
+    auto Value =
+        makeGuardDecision(DecisionKind::Throttle, ReasonCode::TailOverTarget,
+                          Server, *Each.Task_);
+    Value.ThrottlePercent_ = Percent;
+    Value.Text_ = "task " + Each.Task_->Info_.Task_.toString() + " on " +
+                  Server.Info_.Server_.value() + " is throttled to " +
+                  std::to_string(Percent) + "%: " + Why +
+                  "; the task is taken to lengthen it by " +
+                  describe(100 * Each.Effect_) + "%";
+    markPending(Server, *Each.Task_, Now);
+    Decisions.push_back(std::move(Value));
+    Gained += Each.Effect_ * (100 - Percent) / 100;
+    ++Count;
+  }
+}
+
+void TailGuard::evict(ServerEntry &Server, const Excess &Over,
+                      std::vector<Offender> Offenders, TimePoint Now,
+                      std::size_t Budget, std::vector<Decision> &Decisions) {
+  // The gain per price: what is far from its checkpoint stays if it can.
+  const auto worthOf = [](const Offender &Each) {
+    return Each.Effect_ / (EvictionPrice + toSeconds(Each.WorkLost_));
+  };
+  std::sort(Offenders.begin(), Offenders.end(),
+            [&](const Offender &A, const Offender &B) {
+              return std::tuple(A.Task_->Info_.Priority_, -worthOf(A),
+                                A.Task_->Info_.Task_) <
+                     std::tuple(B.Task_->Info_.Priority_, -worthOf(B),
+                                B.Task_->Info_.Task_);
+            });
+  const std::string Why =
+      describeExcess(State_.Services_.nameOf(Over.Service_->Service_).value(),
+                     *Over.Service_, Over.Target_);
+  double Gained = 0;
+  std::size_t Count = 0;
+  const std::size_t Most = std::min(Budget, MaxEvicted);
+  for (const Offender &Each : Offenders) {
+    if (Count >= Most || (Count > 0 && Gained >= Over.Needed_))
+      break;
+    auto Value = makeGuardDecision(
+        DecisionKind::Evict, ReasonCode::TailOverTarget, Server, *Each.Task_);
+    Value.Text_ = "task " + Each.Task_->Info_.Task_.toString() +
+                  " is evicted from " + Server.Info_.Server_.value() + ": " +
+                  Why +
+                  " although its tasks are throttled; this eviction "
+                  "loses " +
+                  describe(Each.WorkLost_) + " of work and shortens it by " +
+                  describe(100 * Each.Effect_) + "%";
+    markPending(Server, *Each.Task_, Now);
+    Decisions.push_back(std::move(Value));
+    Gained += Each.Effect_;
+    ++Count;
+  }
+}
+
+void TailGuard::restore(ServerEntry &Server, TimePoint Now, std::size_t Budget,
+                        std::vector<Decision> &Decisions) {
+  std::vector<RunningTask *> Tasks;
+  for (RunningTask *Task : Server.Tasks_)
+    if (Task->ThrottlePercent_ < 100 && Now >= Task->PendingUntil_)
+      Tasks.push_back(Task);
+  const auto byOrder = [](const RunningTask *A, const RunningTask *B) {
+    return std::pair(-std::int64_t{A->Info_.Priority_}, A->Info_.Task_) <
+           std::pair(-std::int64_t{B->Info_.Priority_}, B->Info_.Task_);
+  };
+  std::sort(Tasks.begin(), Tasks.end(), byOrder);
+  ClassLoad Added;
+  std::size_t Count = 0;
+  const std::size_t Most = std::min(Budget, MaxReleased);
+  for (RunningTask *Task : Tasks) {
+    if (Count >= Most)
+      break;
+    const double Missing = State_.Servers_.loadOf(
+        Task->Server_, Task->Reservation_, 100 - Task->ThrottlePercent_);
+    // One prediction covers tasks of one class; others wait their turn.
+    if (Count > 0 && Task->Class_ != Added.Class_)
+      continue;
+    Added = {Task->Class_, (Count > 0 ? Added.Load_ : 0) + Missing};
+    const Pressure After = Tail_.pressureOn(Server, &Added, Now);
+    if (After.Value_ > Tail_.ceiling(After.Confidence_))
+      break;
+    auto Value = makeGuardDecision(DecisionKind::Throttle,
+                                   ReasonCode::TailRecovered, Server, *Task);
+    Value.ThrottlePercent_ = 100;
+    Value.Text_ = "task " + Task->Info_.Task_.toString() + " on " +
+                  Server.Info_.Server_.value() +
+                  " runs at full speed again: every service there has kept "
+                  "well under its target, and the predicted pressure is " +
+                  describe(After.Value_) + " of what the target allows";
+    markPending(Server, *Task, Now);
+    Server.ReleasedAt_ = Now;
+    Decisions.push_back(std::move(Value));
+    ++Count;
+  }
+}
--- /dev/null
+++ b/tests/decide/NaiveLedger.h
@@ -0,0 +1,101 @@
+//===- NaiveLedger.h - Checks placements by scanning -----------*- C++ -*-===//
+//
+// The naive counterpart of the planner's sums and indexes: a list of what was
+// committed, and sums made anew by scanning all of it on each question.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_TESTS_DECIDE_NAIVELEDGER_H
+#define TULIPWEIR_TESTS_DECIDE_NAIVELEDGER_H
+
+#include "tulipweir/decide/Planner.h"
+
+#include <algorithm>
+#include <map>
+
+namespace tulipweir::decide {
+
+struct LedgerEntry {
+  TaskInfo Info_;
+  AttemptNumber Attempt_;
+  BackendServerId Server_;
+  Resources Reservation_;
+};
+
+/// Stands for the state machine of the log: refuses what would overfill.
+class NaiveLedger {
+public:
+  Resources usedOn(const BackendServerId &Server) const {
+    Resources Sum;
+    for (const auto &[Id, Entry] : Placed_)
+      if (Entry.Server_ == Server)
+        Sum = Sum + Entry.Reservation_;
+    return Sum;
+  }
+  Resources usedBy(const TeamId &Team) const {
+    Resources Sum;
+    for (const auto &[Id, Entry] : Placed_)
+      if (Entry.Info_.Team_ == Team)
+        Sum = Sum + Entry.Reservation_;
+    return Sum;
+  }
+  std::size_t countOn(const BackendServerId &Server) const {
+    return static_cast<std::size_t>(
+        std::count_if(Placed_.begin(), Placed_.end(), [&](const auto &Pair) {
+          return Pair.second.Server_ == Server;
+        }));
+  }
+  bool fits(const BackendServerId &Server, const Resources &Added) const {
+    const auto Found = Servers_.find(Server);
+    return Found != Servers_.end() &&
+           (usedOn(Server) + Added)
+               .fitsIn(Found->second.Capacity_ - Found->second.ServiceShare_);
+  }
+  bool anyFits(const Resources &Added) const {
+    return std::any_of(Servers_.begin(), Servers_.end(), [&](const auto &Pair) {
+      return !Pair.second.Draining_ && fits(Pair.first, Added);
+    });
+  }
+
+  std::map<BackendServerId, ServerInfo> Servers_;
+  std::map<TaskId, LedgerEntry> Placed_;
+};
+
+inline BackendServerId serverNamed(int I) {
+  return BackendServerId("vm-" + std::to_string(I));
+}
+
+inline ServerInfo makeServer(int I, const Resources &Capacity,
+                             int PerRack = 8) {
+  ServerInfo Info;
+  Info.Server_ = serverNamed(I);
+  Info.Rack_ = RackId("rack-" + std::to_string(I / PerRack));
+  Info.Capacity_ = Capacity;
+  return Info;
+}
+
+inline TaskInfo makeTask(const std::string &Job, std::uint32_t Index,
+                         const Resources &Declared,
+                         std::uint32_t Priority = 0) {
+  TaskInfo Info;
+  Info.Task_ = {JobId(Job), Index};
+  Info.NextAttempt_ = AttemptNumber(1);
+  Info.Team_ = TeamId("team");
+  Info.Class_ = JobClassId(Job);
+  Info.Priority_ = Priority;
+  Info.Declared_ = Declared;
+  return Info;
+}
+
+/// The decisions of one kind.
+inline std::vector<Decision> only(const std::vector<Decision> &All,
+                                  DecisionKind Kind) {
+  std::vector<Decision> Some;
+  std::copy_if(All.begin(), All.end(), std::back_inserter(Some),
+               [&](const Decision &Value) { return Value.Kind_ == Kind; });
+  return Some;
+}
+
+} // namespace tulipweir::decide
+
+#endif // TULIPWEIR_TESTS_DECIDE_NAIVELEDGER_H
