Measure placement cost and the policy against first-fit and an oracle

Cause: nothing shows yet whether the decisions are worth their complexity. Change: bench_decide with two measures. placement: ours against a planner that sums up all tasks anew for each decision. policy: a seeded workload of paired slowdowns as arithmetic, ours against first-fit with a reactive evicting guard and against an oracle. Ruled out: an oracle that goes in the order of arrival.

--- /dev/null
+++ b/bench/decide/PairedWorkload.cpp
@@ -0,0 +1,380 @@
+//===- PairedWorkload.cpp - Services and batch work as arithmetic -------===//
+
+#include "PairedWorkload.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace tulipweir;
+using namespace tulipweir::decide;
+
+static const ServiceId Booking("booking");
+static constexpr double ServiceCores = 8;
+static constexpr double TopLoad = 0.9;
+static constexpr double TargetFactor = 1.25;
+static constexpr double NoisyFactor = 3;
+static constexpr int CheckpointEvery = 30;
+static constexpr int StartUpSeconds = 3;
+static constexpr int ReportEvery = 2;
+static constexpr int RequestsDrawn = 10;
+static constexpr int TasksPerJob = 20;
+static constexpr int FailAfter = 2;
+
+double PairedWorkload::aloneAt(double Load) { return 20 * (1 + Load * Load); }
+
+Policy PairedWorkload::makePolicy() {
+  Policy Settings;
+  const double Target = TargetFactor * aloneAt(TopLoad);
+  Settings.Targets_ = {
+      {Booking, std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double, std::milli>(Target))}};
+  return Settings;
+}
+
+static double targetMillis() {
+  return TargetFactor * PairedWorkload::aloneAt(TopLoad);
+}
+
+double PairedWorkload::draw(double From, double To) {
+  return std::uniform_real_distribution<double>(From, To)(Random_);
+}
+
+PairedWorkload::PairedWorkload(const WorkloadSettings &Settings)
+    : Settings_(Settings), Random_(Settings.Seed_),
+      Noise_(Settings.Seed_ + 1000) {
+  constexpr int ClassCount = 12;
+  for (int I = 0; I < ClassCount; ++I) {
+    TrueClass Class;
+    Class.Id_ = JobClassId("class-" + std::to_string(I));
+    Class.Effect_ = std::exp(draw(std::log(0.05), std::log(2.5)));
+    Class.Size_ =
+        Resources::makeFor(static_cast<std::int64_t>(
+                               std::exp(draw(std::log(500), std::log(5000)))),
+                           static_cast<std::int64_t>(std::exp(
+                               draw(std::log(1000), std::log(12000)))));
+    Classes_.push_back(Class);
+  }
+  for (int I = 0; I < Settings.Servers_; ++I) {
+    TrueServer Server;
+    Server.Info_.Server_ = BackendServerId("vm-" + std::to_string(I));
+    Server.Info_.Rack_ = RackId("rack-" + std::to_string(I / 8));
+    Server.Info_.Capacity_ = Resources::makeFor(32000, 125000);
+    Server.Info_.ServiceShare_ = Resources::makeFor(8000, 16000);
+    // One server in twenty.
+    Server.FailsAll_ = Settings.Faults_ && I % 20 == 7;
+    Servers_.push_back(Server);
+  }
+}
+
+double PairedWorkload::slowdownOf(const TrueServer &Server,
+                                  std::size_t AddedClass, double AddedTasks,
+                                  double Load) const {
+  double Effect = 0;
+  double Cores = Load * ServiceCores;
+  const double All = 32000;
+  const auto add = [&](std::size_t Class, double Tasks) {
+    const double Part =
+        Tasks * static_cast<double>(Classes_[Class].Size_.MilliCpus_) / All;
+    const bool Loud = Noisy_ && Class == NoisyClass_;
+    Effect += Classes_[Class].Effect_ * (0.5 + Load) * Part *
+              (Loud ? NoisyFactor : 1);
+    Cores += Part * All / 1000;
+  };
+  for (const TaskId &Id : Server.Tasks_) {
+    const TrueTask &Task = Tasks_.at(Id);
+    add(Task.Class_, Task.Throttle_ / 100.0);
+  }
+  if (AddedTasks > 0)
+    add(AddedClass, AddedTasks);
+  // Past the processors there are, everything queues.
+  const double Crowded = std::max(0.0, Cores / 32 - 1);
+  return 1 + Effect + 4 * Crowded;
+}
+
+void PairedWorkload::submitJob(ComparedPolicy &Policy) {
+  const auto Class = static_cast<std::size_t>(draw(0, 11.999));
+  const double Worst = std::log(Settings_.WorstDeclared_);
+  const double Wrong = std::exp(draw(-Worst, Worst));
+  const auto Job = JobId("job-" + std::to_string(Jobs_++));
+  for (int I = 0; I < TasksPerJob; ++I) {
+    TrueTask Task;
+    Task.Class_ = Class;
+    Task.Info_.Task_ = {Job, static_cast<std::uint32_t>(I)};
+    Task.Info_.NextAttempt_ = AttemptNumber(1);
+    Task.Info_.Team_ = TeamId("team");
+    Task.Info_.Class_ = Classes_[Class].Id_;
+    const Resources &Size = Classes_[Class].Size_;
+    const auto wrong = [&](std::int64_t Amount, std::int64_t Most) {
+      return std::min(Most, static_cast<std::int64_t>(Amount * Wrong));
+    };
+    Task.Info_.Declared_ = Resources::makeFor(wrong(Size.MilliCpus_, 24000),
+                                              wrong(Size.MemoryMib_, 109000));
+    Task.Work_ = std::exp(draw(std::log(40), std::log(400)));
+    Tasks_[Task.Info_.Task_] = Task;
+    Policy.addWaiting(Task.Info_, Now_);
+  }
+}
+
+void PairedWorkload::moveLoad(int Second) {
+  for (std::size_t I = 0; I < Servers_.size(); ++I) {
+    const double Phase = static_cast<double>(I) / Servers_.size();
+    const double Wave = std::sin(2 * M_PI * (Second / 400.0 + 0.2 * Phase));
+    Servers_[I].Load_ = 0.55 + 0.35 * Wave;
+  }
+}
+
+void PairedWorkload::stop(TrueTask &Task, EndReason Reason,
+                          ComparedPolicy &Policy) {
+  TrueServer &Server = Servers_[static_cast<std::size_t>(Task.Server_)];
+  std::erase(Server.Tasks_, Task.Info_.Task_);
+  Task.Server_ = -1;
+  Task.Progress_ = Task.Saved_;
+  Policy.noteEnded(Task.Info_.Task_, Task.Attempt_, Reason, Now_);
+  Task.Done_ = Reason == EndReason::Finished || Reason == EndReason::Cancelled;
+  if (Task.Done_)
+    return;
+  Task.Info_.NextAttempt_ = AttemptNumber(Task.Attempt_.value() + 1);
+  Policy.addWaiting(Task.Info_, Now_);
+}
+
+void PairedWorkload::fail(ComparedPolicy &Policy, int Second) {
+  if (!Settings_.Faults_)
+    return;
+  Noisy_ = Second % 300 >= 200 && Second % 300 < 260;
+  if (Second % 300 == 200)
+    NoisyClass_ = static_cast<std::size_t>(draw(0, 11.999));
+  for (TrueServer &Server : Servers_) {
+    if (Server.Up_ || Second < Server.DownUntil_)
+      continue;
+    Server.Up_ = true;
+    Policy.upsertServer(Server.Info_);
+  }
+  if (Second % 240 == 120) {
+    auto &Lost = Servers_[static_cast<std::size_t>(
+        draw(0, static_cast<double>(Servers_.size()) - 0.001))];
+    const auto Tasks = Lost.Tasks_;
+    for (const TaskId &Id : Tasks)
+      stop(Tasks_.at(Id), EndReason::Lost, Policy);
+    Lost.Up_ = false;
+    Lost.DownUntil_ = Second + 100;
+    Policy.removeServer(Lost.Info_.Server_);
+  }
+  if (Second % 500 != 450)
+    return;
+  // A wave of cancellations: one job in ten.
+  for (auto &[Id, Task] : Tasks_) {
+    if (Task.Done_ || std::hash<JobId>()(Id.Job_) % 10 != 0)
+      continue;
+    if (Task.Server_ >= 0)
+      stop(Task, EndReason::Cancelled, Policy);
+    else
+      Policy.removeWaiting(Id);
+    Task.Done_ = true;
+  }
+}
+
+void PairedWorkload::advanceTask(TrueTask &Task, double Speed,
+                                 ComparedPolicy &Policy) {
+  ++Task.RanFor_;
+  const TrueServer &Server = Servers_[static_cast<std::size_t>(Task.Server_)];
+  if (Server.FailsAll_ && Task.RanFor_ >= FailAfter) {
+    stop(Task, EndReason::Failed, Policy);
+    return;
+  }
+  if (Task.StartUp_ > 0) {
+    --Task.StartUp_;
+    return;
+  }
+  Task.Progress_ += Speed * Task.Throttle_ / 100;
+  if (Task.Progress_ - Task.Saved_ >= CheckpointEvery)
+    Task.Saved_ = Task.Progress_;
+  if (Task.Progress_ < Task.Work_)
+    return;
+  ++Result_.FinishedTasks_;
+  Result_.FinishedWork_ +=
+      Task.Work_ * static_cast<double>(Classes_[Task.Class_].Size_.MilliCpus_) /
+      1000;
+  stop(Task, EndReason::Finished, Policy);
+}
+
+void PairedWorkload::measureRequests(const TrueServer &Server) {
+  // Exponential latencies with the given p99; the same draw for both.
+  constexpr double P99OfUnit = 4.605170186;
+  std::exponential_distribution<double> Unit(1);
+  const int Count =
+      1 + static_cast<int>(Server.Load_ * static_cast<double>(RequestsDrawn));
+  for (int I = 0; I < Count; ++I) {
+    const double Value = Unit(Noise_) / P99OfUnit;
+    Latencies_.push_back(static_cast<float>(Value * Server.P99_));
+    AloneLatencies_.push_back(static_cast<float>(Value * Server.Alone_));
+  }
+}
+
+void PairedWorkload::advanceServer(TrueServer &Server, ComparedPolicy &Policy,
+                                   int Second) {
+  Server.Alone_ = aloneAt(Server.Load_);
+  Server.P99_ = Server.Alone_ * slowdownOf(Server, 0, 0, Server.Load_);
+  if (Server.P99_ > targetMillis())
+    Server.OverAt_ = Second;
+  measureRequests(Server);
+  double Cores = Server.Load_ * ServiceCores;
+  std::int64_t Memory = 0;
+  for (const TaskId &Id : Server.Tasks_) {
+    const TrueTask &Task = Tasks_.at(Id);
+    const Resources &Size = Classes_[Task.Class_].Size_;
+    Cores += static_cast<double>(Size.MilliCpus_) / 1000 * Task.Throttle_ / 100;
+    Memory += Size.MemoryMib_;
+  }
+  const double Speed = std::min(1.0, 32 / Cores);
+  const auto Tasks = Server.Tasks_;
+  for (const TaskId &Id : Tasks)
+    advanceTask(Tasks_.at(Id), Speed, Policy);
+  // Out of memory: the newest task is lost.
+  if (Memory > 125000 - 16000 && !Server.Tasks_.empty())
+    stop(Tasks_.at(Server.Tasks_.back()), EndReason::Lost, Policy);
+}
+
+void PairedWorkload::report(int Second) {
+  if (Second % ReportEvery != 0)
+    return;
+  Report Value;
+  Value.ArrivesAt_ = Now_ + Settings_.Lag_;
+  std::lognormal_distribution<double> Error(0, 0.08);
+  for (const TrueServer &Server : Servers_) {
+    if (!Server.Up_)
+      continue;
+    ServiceSample Sample;
+    Sample.Server_ = Server.Info_.Server_;
+    Sample.Service_ = Booking;
+    Sample.Requests_ = static_cast<std::uint32_t>(400 * Server.Load_);
+    Sample.P99_ = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(Server.P99_ * Error(Noise_)));
+    Sample.LoadPercent_ = static_cast<std::uint32_t>(100 * Server.Load_);
+    Sample.SampledAt_ = Now_;
+    Value.Services_.push_back(Sample);
+    for (const TaskId &Id : Server.Tasks_) {
+      const TrueTask &Task = Tasks_.at(Id);
+      const Resources &Size = Classes_[Task.Class_].Size_;
+      const double Part = Error(Noise_) * Task.Throttle_ / 100;
+      UsageSample Usage;
+      Usage.Task_ = Id;
+      Usage.Attempt_ = Task.Attempt_;
+      Usage.Server_ = Server.Info_.Server_;
+      Usage.Usage_ = Resources::makeFor(
+          static_cast<std::int64_t>(Size.MilliCpus_ * Part), Size.MemoryMib_);
+      Usage.WorkSinceCheckpoint_ = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(Task.Progress_ - Task.Saved_));
+      Usage.SampledAt_ = Now_;
+      Value.Usages_.push_back(Usage);
+    }
+  }
+  Reports_.push_back(std::move(Value));
+}
+
+void PairedWorkload::deliver(ComparedPolicy &Policy) {
+  while (!Reports_.empty() && Reports_.front().ArrivesAt_ <= Now_) {
+    for (const UsageSample &Sample : Reports_.front().Usages_)
+      Policy.noteUsage(Sample);
+    for (const ServiceSample &Sample : Reports_.front().Services_)
+      Policy.noteService(Sample);
+    Reports_.pop_front();
+  }
+}
+
+TrueServer *
+PairedWorkload::findServer(const std::optional<BackendServerId> &Id) {
+  for (TrueServer &Server : Servers_)
+    if (Id == Server.Info_.Server_)
+      return &Server;
+  return nullptr;
+}
+
+void PairedWorkload::apply(const Decision &Value, ComparedPolicy &Policy,
+                           int Second) {
+  TrueServer *Server = findServer(Value.Server_);
+  const auto Found = Value.Task_ ? Tasks_.find(*Value.Task_) : Tasks_.end();
+  if (!Server || !Server->Up_ || Found == Tasks_.end())
+    return;
+  TrueTask &Task = Found->second;
+  Resources Reserved;
+  for (const TaskId &Id : Server->Tasks_)
+    Reserved = Reserved + Tasks_.at(Id).Reservation_;
+  const Resources Limit = Server->Info_.Capacity_ - Server->Info_.ServiceShare_;
+  const bool IsGuards = Value.Reason_ == ReasonCode::TailOverTarget;
+  const bool WasFine =
+      Server->OverAt_ < Second - 10 - Settings_.Lag_ / std::chrono::seconds(1);
+  if (IsGuards) {
+    ++Result_.GuardActions_;
+    Result_.FalseAlarms_ += WasFine ? 1 : 0;
+  }
+  const auto Index = static_cast<int>(Server - Servers_.data());
+  if (Value.Kind_ == DecisionKind::Place && Task.Server_ < 0 && !Task.Done_) {
+    if (!(Reserved + Value.Reservation_).fitsIn(Limit)) {
+      ++Result_.Overfilled_;
+      return;
+    }
+    Task.Server_ = Index;
+    Task.RanFor_ = 0;
+    Task.Reservation_ = Value.Reservation_;
+    Task.Attempt_ = Value.Attempt_;
+    Task.Throttle_ = 100;
+    Task.StartUp_ = StartUpSeconds;
+    Server->Tasks_.push_back(Task.Info_.Task_);
+    Policy.notePlaced(Value, Task.Info_, Now_);
+    return;
+  }
+  if (Task.Server_ != Index || Task.Attempt_ != Value.Attempt_)
+    return;
+  if (Value.Kind_ == DecisionKind::Reserve) {
+    if (!(Reserved - Task.Reservation_ + Value.Reservation_).fitsIn(Limit)) {
+      ++Result_.Overfilled_;
+      return;
+    }
+    Task.Reservation_ = Value.Reservation_;
+    Policy.noteReservation(Value);
+  } else if (Value.Kind_ == DecisionKind::Throttle) {
+    Result_.Throttles_ += Value.ThrottlePercent_ < 100 ? 1 : 0;
+    Task.Throttle_ = Value.ThrottlePercent_;
+    Policy.noteThrottle(Value, Now_);
+  } else if (Value.Kind_ == DecisionKind::Evict) {
+    ++Result_.Evictions_;
+    Result_.LostToEvictions_ +=
+        (Task.Progress_ - Task.Saved_) *
+        static_cast<double>(Classes_[Task.Class_].Size_.MilliCpus_) / 1000;
+    stop(Task, EndReason::Evicted, Policy);
+  }
+}
+
+static double quantileOf(std::vector<float> &Values, double Part) {
+  const auto Position = static_cast<std::ptrdiff_t>(
+      Part * static_cast<double>(Values.size() - 1));
+  std::nth_element(Values.begin(), Values.begin() + Position, Values.end());
+  return Values[static_cast<std::size_t>(Position)];
+}
+
+WorkloadResult PairedWorkload::run(ComparedPolicy &Policy) {
+  for (const TrueServer &Server : Servers_)
+    Policy.upsertServer(Server.Info_);
+  // More work waits at all times than can be done.
+  constexpr int FirstJobs = 60;
+  constexpr int JobEvery = 6;
+  for (int I = 0; I < FirstJobs; ++I)
+    submitJob(Policy);
+  for (int Second = 0; Second < Settings_.Seconds_; ++Second) {
+    Now_ += std::chrono::seconds(1);
+    if (Second % JobEvery == 0)
+      submitJob(Policy);
+    moveLoad(Second);
+    fail(Policy, Second);
+    for (TrueServer &Server : Servers_)
+      if (Server.Up_)
+        advanceServer(Server, Policy, Second);
+    report(Second);
+    deliver(Policy);
+    for (const Decision &Value : Policy.decide(Now_))
+      apply(Value, Policy, Second);
+  }
+  Result_.TailRatio_ =
+      quantileOf(Latencies_, 0.99) / quantileOf(AloneLatencies_, 0.99);
+  return Result_;
+}
--- /dev/null
+++ b/bench/decide/PairedWorkload.h
@@ -0,0 +1,154 @@
+//===- PairedWorkload.h - Services and batch work as arithmetic -*- C++ -*-===//
+//
+// A seeded workload for comparing policies, in steps of one second: one service
+// on each server whose load moves in waves, job classes that slow it by a true
+// effect nobody is told, declared sizes off by up to five times, noisy waves,
+// servers that fail every task, VM losses, waves of cancellations, and reports
+// that arrive late. Plain sums; no messages, machines or processes.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_BENCH_DECIDE_PAIREDWORKLOAD_H
+#define TULIPWEIR_BENCH_DECIDE_PAIREDWORKLOAD_H
+
+#include "tulipweir/decide/Planner.h"
+
+#include <deque>
+#include <map>
+#include <random>
+
+namespace tulipweir::decide {
+
+struct WorkloadSettings {
+  std::uint64_t Seed_ = 1;
+  int Servers_ = 40;
+  int Seconds_ = 1800;
+  Duration Lag_{};
+  double WorstDeclared_ = 5; ///< Declared sizes are off by up to this factor.
+  bool Faults_ = true; ///< Noisy waves, failing servers, losses, cancellations.
+};
+
+struct TrueClass {
+  JobClassId Id_;
+  double Effect_ = 0; ///< Slowdown, as a part, of a server full of it.
+  Resources Size_;    ///< What a task really uses.
+};
+
+struct TrueTask {
+  TaskInfo Info_;
+  std::size_t Class_ = 0;
+  double Work_ = 0;     ///< Seconds at full speed.
+  double Progress_ = 0; ///< Seconds done.
+  double Saved_ = 0;    ///< Seconds at the last checkpoint.
+  double StartUp_ = 0;  ///< Seconds until it makes progress.
+  int Server_ = -1;
+  int RanFor_ = 0;
+  Resources Reservation_;
+  std::uint32_t Throttle_ = 100;
+  AttemptNumber Attempt_;
+  bool Done_ = false;
+};
+
+struct TrueServer {
+  ServerInfo Info_;
+  bool Up_ = true;
+  bool FailsAll_ = false;
+  int DownUntil_ = 0;
+  double Load_ = 0;       ///< Of its service, 0 to 1.
+  double P99_ = 0;        ///< Milliseconds, true.
+  double Alone_ = 0;      ///< Milliseconds without batch work.
+  int OverAt_ = -1000000; ///< Last second in which P99_ was over the target.
+  std::vector<TaskId> Tasks_;
+};
+
+/// What a run came to.
+struct WorkloadResult {
+  double TailRatio_ = 0;    ///< p99 of all requests against that alone.
+  double FinishedWork_ = 0; ///< Processor seconds of finished tasks.
+  int FinishedTasks_ = 0;
+  int Evictions_ = 0;
+  double LostToEvictions_ = 0; ///< Processor seconds.
+  int Throttles_ = 0;
+  int GuardActions_ = 0;
+  int FalseAlarms_ = 0; ///< Guard actions where the true p99 had been fine.
+  int Overfilled_ = 0;  ///< Refused decisions that would overfill.
+};
+
+/// What is compared: told the same events, asked for decisions.
+class ComparedPolicy {
+public:
+  virtual ~ComparedPolicy() = default;
+  virtual void upsertServer(const ServerInfo &Server) = 0;
+  virtual void removeServer(const BackendServerId &Server) = 0;
+  virtual void addWaiting(const TaskInfo &Task, TimePoint Now) = 0;
+  virtual void removeWaiting(const TaskId &Task) = 0;
+  virtual void notePlaced(const Decision &Value, const TaskInfo &Task,
+                          TimePoint Now) = 0;
+  virtual void noteReservation(const Decision &Value) = 0;
+  virtual void noteThrottle(const Decision &Value, TimePoint Now) = 0;
+  virtual void noteEnded(const TaskId &Task, AttemptNumber Attempt,
+                         EndReason Reason, TimePoint Now) = 0;
+  virtual void noteUsage(const UsageSample &Sample) = 0;
+  virtual void noteService(const ServiceSample &Sample) = 0;
+  virtual std::vector<Decision> decide(TimePoint Now) = 0;
+};
+
+class PairedWorkload {
+public:
+  explicit PairedWorkload(const WorkloadSettings &Settings);
+
+  /// Runs the policy through the whole time.
+  WorkloadResult run(ComparedPolicy &Policy);
+
+  /// The policy's settings: the target is 1.25 times the p99 alone at the
+  /// top of a wave.
+  static Policy makePolicy();
+
+  // The truth, for the oracle.
+  const std::vector<TrueServer> &servers() const { return Servers_; }
+  const std::vector<TrueClass> &classes() const { return Classes_; }
+  const TrueTask &taskOf(const TaskId &Task) const { return Tasks_.at(Task); }
+  /// Slowdown of the service on a server, with more of a class on it.
+  double slowdownOf(const TrueServer &Server, std::size_t AddedClass,
+                    double AddedTasks, double Load) const;
+  static double aloneAt(double Load);
+
+private:
+  struct Report {
+    TimePoint ArrivesAt_;
+    std::vector<UsageSample> Usages_;
+    std::vector<ServiceSample> Services_;
+  };
+
+  double draw(double From, double To);
+  void submitJob(ComparedPolicy &Policy);
+  void moveLoad(int Second);
+  void fail(ComparedPolicy &Policy, int Second);
+  void advanceServer(TrueServer &Server, ComparedPolicy &Policy, int Second);
+  void advanceTask(TrueTask &Task, double Speed, ComparedPolicy &Policy);
+  void report(int Second);
+  void deliver(ComparedPolicy &Policy);
+  void apply(const Decision &Value, ComparedPolicy &Policy, int Second);
+  void stop(TrueTask &Task, EndReason Reason, ComparedPolicy &Policy);
+  void measureRequests(const TrueServer &Server);
+  TrueServer *findServer(const std::optional<BackendServerId> &Id);
+
+  WorkloadSettings Settings_;
+  std::mt19937_64 Random_;
+  std::mt19937_64 Noise_;
+  std::vector<TrueClass> Classes_;
+  std::vector<TrueServer> Servers_;
+  std::map<TaskId, TrueTask> Tasks_;
+  std::deque<Report> Reports_;
+  std::vector<float> Latencies_;
+  std::vector<float> AloneLatencies_;
+  WorkloadResult Result_;
+  TimePoint Now_{std::chrono::hours(1)};
+  int Jobs_ = 0;
+  std::size_t NoisyClass_ = 0;
+  bool Noisy_ = false;
+};
+
+} // namespace tulipweir::decide
+
+#endif // TULIPWEIR_BENCH_DECIDE_PAIREDWORKLOAD_H
--- /dev/null
+++ b/bench/decide/PlacementBench.cpp
@@ -0,0 +1,188 @@
+//===- PlacementBench.cpp - Cost per decision ---------------------------===//
+
+#include "DecideBench.h"
+
+#include "tulipweir/decide/Planner.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <map>
+
+using namespace tulipweir;
+using namespace tulipweir::decide;
+
+static constexpr std::array<int, 3> ServerCounts = {48, 300, 1200};
+static constexpr int RunningTasks = 20000;
+static constexpr int TasksPerJob = 100;
+static constexpr int OurDecisions = 20000;
+static constexpr int NaiveDecisions = 300;
+static constexpr std::size_t Batch = 64;
+static constexpr TimePoint Start{std::chrono::hours(1)};
+
+static double secondsSince(std::chrono::steady_clock::time_point Begin) {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() - Begin)
+      .count();
+}
+
+static ServerInfo makeServer(int I, int Count) {
+  ServerInfo Info;
+  Info.Server_ = BackendServerId("vm-" + std::to_string(I));
+  Info.Rack_ = RackId("rack-" + std::to_string(I / 8));
+  // The running tasks fill about half of the servers at each count.
+  const std::int64_t Milli = 32000LL * 1200 / Count;
+  Info.Capacity_ = Resources::makeFor(Milli, 125000LL * 1200 / Count);
+  return Info;
+}
+
+static TaskInfo makeTask(int I) {
+  TaskInfo Info;
+  const int Job = I / TasksPerJob;
+  Info.Task_ = {JobId("job-" + std::to_string(Job)),
+                static_cast<std::uint32_t>(I % TasksPerJob)};
+  Info.NextAttempt_ = AttemptNumber(1);
+  Info.Team_ = TeamId("team-" + std::to_string(Job % 190));
+  Info.Class_ = JobClassId("class-" + std::to_string(Job % 40));
+  Info.Declared_ = Resources::makeFor(500 + 100 * (Job % 10), 2000);
+  return Info;
+}
+
+namespace {
+/// Sums everything up anew for each decision, by scanning all tasks, and
+/// scores every server with the same parts: packing and spread over racks.
+class NaivePlanner {
+public:
+  void upsertServer(const ServerInfo &Info) { Servers_.push_back(Info); }
+  void notePlaced(const TaskInfo &Task, const BackendServerId &Server) {
+    Placed_[Task.Task_] = {Task, Server};
+  }
+  std::optional<BackendServerId> place(const TaskInfo &Task) {
+    std::map<BackendServerId, Resources> Used;
+    std::map<BackendServerId, int> OfJob;
+    for (const auto &[Id, Value] : Placed_) {
+      auto &Sum = Used[Value.second];
+      Sum = Sum + Value.first.Declared_;
+      OfJob[Value.second] += Id.Job_ == Task.Task_.Job_ ? 1 : 0;
+    }
+    std::optional<BackendServerId> Best;
+    double BestScore = -1e9;
+    for (const ServerInfo &Info : Servers_) {
+      const Resources Left =
+          Info.Capacity_ - Used[Info.Server_] - Task.Declared_;
+      if (!Left.isValid())
+        continue;
+      const double Score =
+          1 - static_cast<double>(Left.MilliCpus_) / Info.Capacity_.MilliCpus_ -
+          0.1 * OfJob[Info.Server_];
+      if (Score <= BestScore)
+        continue;
+      BestScore = Score;
+      Best = Info.Server_;
+    }
+    return Best;
+  }
+
+private:
+  std::vector<ServerInfo> Servers_;
+  std::map<TaskId, std::pair<TaskInfo, BackendServerId>> Placed_;
+};
+
+struct Cost {
+  double OursMicros_ = 0;
+  double NaiveMicros_ = 0;
+};
+} // namespace
+
+/// Each server's service reports once, so that predictions are made as well.
+static void reportServices(Planner &Ours, int Count) {
+  for (int I = 0; I < Count; ++I) {
+    ServiceSample Sample;
+    Sample.Server_ = BackendServerId("vm-" + std::to_string(I));
+    Sample.Service_ = ServiceId("booking");
+    Sample.Requests_ = 500;
+    Sample.P99_ = std::chrono::milliseconds(20);
+    Sample.LoadPercent_ = 50;
+    Sample.SampledAt_ = Start + std::chrono::seconds(1);
+    Ours.noteService(Sample);
+  }
+}
+
+/// Decides and commits placements; returns microseconds for each.
+static double timeOurs(Planner &Ours) {
+  for (int I = 0; I < OurDecisions; ++I)
+    Ours.addWaiting(makeTask(RunningTasks + I), Start);
+  TimePoint Now = Start + std::chrono::seconds(2);
+  int Placed = 0;
+  double Seconds = 0;
+  while (Placed < OurDecisions) {
+    Now += std::chrono::milliseconds(100);
+    const auto Begin = std::chrono::steady_clock::now();
+    const auto Decisions = Ours.decide(Now, Batch);
+    for (const Decision &Value : Decisions) {
+      if (Value.Kind_ != DecisionKind::Place)
+        continue;
+      const int Index =
+          std::stoi(Value.Task_->Job_.value().substr(4)) * TasksPerJob +
+          static_cast<int>(Value.Task_->Index_);
+      Ours.notePlaced(makeTask(Index), Value.Attempt_, *Value.Server_,
+                      Value.Reservation_, Now);
+      ++Placed;
+    }
+    Seconds += secondsSince(Begin);
+    if (Decisions.empty() && Now > Start + std::chrono::hours(1))
+      break;
+  }
+  std::printf("  ours placed %d of %d\n", Placed, OurDecisions);
+  return Seconds / std::max(1, Placed) * 1e6;
+}
+
+static Cost measureAt(int Count) {
+  Policy Settings;
+  Settings.Targets_ = {{ServiceId("booking"), std::chrono::milliseconds(100)}};
+  Planner Ours(Settings, 1);
+  NaivePlanner Naive;
+  for (int I = 0; I < Count; ++I) {
+    Ours.upsertServer(makeServer(I, Count));
+    Naive.upsertServer(makeServer(I, Count));
+  }
+  for (int I = 0; I < RunningTasks; ++I) {
+    const BackendServerId Server("vm-" + std::to_string(I % Count));
+    const TaskInfo Task = makeTask(I);
+    Ours.notePlaced(Task, AttemptNumber(1), Server, Task.Declared_, Start);
+    Naive.notePlaced(Task, Server);
+  }
+  reportServices(Ours, Count);
+  Cost Result;
+  const auto Begin = std::chrono::steady_clock::now();
+  for (int I = 0; I < NaiveDecisions; ++I) {
+    const TaskInfo Task = makeTask(RunningTasks + I);
+    if (const auto Server = Naive.place(Task))
+      Naive.notePlaced(Task, *Server);
+  }
+  Result.NaiveMicros_ = secondsSince(Begin) / NaiveDecisions * 1e6;
+  Result.OursMicros_ = timeOurs(Ours);
+  std::printf("%4d servers, %d running tasks: ours %.2f us (%.0f/s), naive "
+              "%.1f us (%.0f/s), %.1fx\n",
+              Count, RunningTasks, Result.OursMicros_, 1e6 / Result.OursMicros_,
+              Result.NaiveMicros_, 1e6 / Result.NaiveMicros_,
+              Result.NaiveMicros_ / Result.OursMicros_);
+  return Result;
+}
+
+bool decide::measurePlacement() {
+  std::map<int, Cost> Costs;
+  for (const int Count : ServerCounts)
+    Costs[Count] = measureAt(Count);
+  const Cost &Few = Costs[ServerCounts.front()];
+  const Cost &Many = Costs[ServerCounts.back()];
+  const double Ratio = Many.NaiveMicros_ / Many.OursMicros_;
+  const double Growth = Many.OursMicros_ / Few.OursMicros_;
+  bool Met = checkBound("times faster than naive at 1200", Ratio, ">=", 20);
+  Met &= checkBound("cost growth from 48 to 1200", Growth, "<=", 2);
+  std::printf("placement: ours_us=%.2f naive_us=%.1f ratio=%.1f growth=%.2f "
+              "decisions_per_s=%.0f bounds=%s\n",
+              Many.OursMicros_, Many.NaiveMicros_, Ratio, Growth,
+              1e6 / Many.OursMicros_, Met ? "met" : "missed");
+  return Met;
+}
