--- a/include/tulipweir/entry/KeyedSender.h
+++ b/include/tulipweir/entry/KeyedSender.h
@@ -39,12 +39,13 @@
 
   /// Ends and abandons that are still being recorded; a planned stop waits
   /// for them.
-  std::uint64_t getUnrecorded() const { return Unrecorded_; }
+  std::uint64_t getUnrecorded() const { return *Unrecorded_; }
 
 private:
   const KeyedParts Parts_;
   std::atomic<std::uint64_t> Nonces_{0};
-  std::atomic<std::uint64_t> Unrecorded_{0};
+  const std::shared_ptr<std::atomic<std::uint64_t>> Unrecorded_ =
+      std::make_shared<std::atomic<std::uint64_t>>(0);
 };
 
 } // namespace tulipweir::entry
--- /dev/null
+++ b/src/entry/CallersApi.cpp
@@ -0,0 +1,117 @@
+//===- CallersApi.cpp -----------------------------------------------------===//
+
+#include "tulipweir/entry/CallersApi.h"
+
+#include "tulipweir/entry/Ticket.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <variant>
+
+using namespace tulipweir;
+using namespace tulipweir::entry;
+using std::chrono::milliseconds;
+
+static constexpr Duration NotServingRetry = milliseconds(1000);
+static constexpr unsigned MethodNotAllowed = 405;
+static constexpr unsigned ServiceUnavailable = 503;
+
+CallersApi::CallersApi(CallersParts Parts)
+    : Parts_(std::move(Parts)),
+      IdPrefix_(Parts_.Identity_.Entry_.value() + "-" +
+                std::to_string(Parts_.Identity_.Incarnation_) + "-") {}
+
+std::string CallersApi::makeRequestId() {
+  return IdPrefix_ + std::to_string(++Requests_);
+}
+
+std::optional<FinalResult>
+CallersApi::refuseByState(const Configuration *Held) const {
+  if (Held)
+    return std::nullopt;
+  return FinalResult::makeNotRun(RequestReason::NotServing,
+                                 "this entry holds no bundle yet",
+                                 NotServingRetry);
+}
+
+std::optional<FinalResult>
+CallersApi::refuseByLimit(const ServiceRequest &Request,
+                          const Configuration &Held) const {
+  const std::optional<Duration> Wait =
+      Parts_.Limits_.tryTake(Request.Caller_, Held, Request.ArrivedAt_);
+  if (!Wait)
+    return std::nullopt;
+  return FinalResult::makeNotRun(RequestReason::CallerLimit,
+                                 "the caller is over its limit", *Wait);
+}
+
+static bool hasKey(const net::HttpRequest &Request) {
+  return !Request.findHeader(header::IdempotencyKey).empty() ||
+         !Request.findHeader(header::Ticket).empty();
+}
+
+// Before its record was asked, nothing is known of earlier attempts under the
+// key, so "not run" would say too much. A malformed request has no key.
+static FinalResult softenForKey(FinalResult Refusal) {
+  if (Refusal.Reason_ == RequestReason::BadRequest)
+    return Refusal;
+  Refusal.Outcome_ = RequestOutcome::Unknown;
+  Refusal.Message_ += "; this attempt was not run, an earlier one with this "
+                      "key may have been";
+  return Refusal;
+}
+
+void CallersApi::handleService(net::HttpRequest Request,
+                               net::HttpRespond Respond) {
+  const TimePoint Now = Parts_.Clock_.now();
+  std::string Id = makeRequestId();
+  const bool Keyed = hasKey(Request);
+  ++InProgress_;
+  FinalDone Done = [this, Now, Id,
+                    Respond = std::move(Respond)](FinalResult Result) {
+    Parts_.Metrics_.countResult(Result, Parts_.Clock_.now() - Now);
+    Respond(renderResult(Result, Id));
+    --InProgress_;
+  };
+  const auto Refuse = [&](FinalResult Refusal) {
+    Done(Keyed ? softenForKey(std::move(Refusal)) : std::move(Refusal));
+  };
+  const std::shared_ptr<const Configuration> Held = Parts_.Configuration_.get();
+  if (std::optional<FinalResult> Refusal = refuseByState(Held.get()))
+    return Refuse(std::move(*Refusal));
+  ReadResult Read =
+      readServiceRequest(std::move(Request), *Held, std::move(Id), Now);
+  if (auto *Refusal = std::get_if<FinalResult>(&Read))
+    return Refuse(std::move(*Refusal));
+  const auto Checked = std::make_shared<const ServiceRequest>(
+      std::move(std::get<ServiceRequest>(Read)));
+  if (std::optional<FinalResult> Refusal = refuseByLimit(*Checked, *Held))
+    return Refuse(std::move(*Refusal));
+  Sender &To = Checked->Key_ ? Parts_.Keyed_ : Parts_.Plain_;
+  To.send(Checked, std::move(Done));
+}
+
+void CallersApi::handleTicket(const net::HttpRequest &Request,
+                              const net::HttpRespond &Respond) {
+  if (Request.Method_ != "POST")
+    return Respond(net::HttpResponse::makeJson(
+        MethodNotAllowed,
+        R"({"error":"bad-request","message":"POST takes a ticket"})"));
+  const std::shared_ptr<const Configuration> Held = Parts_.Configuration_.get();
+  if (!Held) {
+    net::HttpResponse Refusal = net::HttpResponse::makeJson(
+        ServiceUnavailable,
+        R"({"error":"not-serving","message":"no bundle yet"})");
+    Refusal.Headers_.push_back({"Retry-After", "1"});
+    return Respond(std::move(Refusal));
+  }
+  const Ticket Issued =
+      Ticket::makeFor(Parts_.Identity_.DataCentre_, Parts_.Clock_.wallNow(),
+                      Parts_.Random_(), Parts_.Random_());
+  const auto Retention =
+      std::chrono::duration_cast<milliseconds>(Held->Bundle_.RequestRetention_);
+  const nlohmann::json Body = {{"ticket", Issued.toString()},
+                               {"expiresInMs", Retention.count()}};
+  Respond(net::HttpResponse::makeJson(200, Body.dump()));
+}
--- a/src/entry/FinalResult.cpp
+++ b/src/entry/FinalResult.cpp
@@ -2,6 +2,8 @@
 
 #include "tulipweir/entry/FinalResult.h"
 
+#include "entry/HeaderFilter.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -104,6 +106,8 @@
                                       const std::string &RequestId) {
   const bool Served = Result.Outcome_ == RequestOutcome::Served;
   net::HttpResponse Response = Served ? Result.Answer_ : renderError(Result);
+  if (Served)
+    Response.Headers_ = filterHeaders(Response.Headers_);
   Response.Headers_.push_back(
       {"X-Tulipweir-Outcome", std::string(getOutcomeName(Result.Outcome_))});
   Response.Headers_.push_back({"X-Tulipweir-Request-Id", RequestId});
--- a/src/entry/KeyedSender.cpp
+++ b/src/entry/KeyedSender.cpp
@@ -80,9 +80,10 @@
 /// here needs a lock but the race between record and patience.
 class KeyedRequest : public std::enable_shared_from_this<KeyedRequest> {
 public:
-  KeyedRequest(const KeyedParts &Parts, std::atomic<std::uint64_t> &Unrecorded,
+  KeyedRequest(const KeyedParts &Parts,
+               std::shared_ptr<std::atomic<std::uint64_t>> Unrecorded,
                std::uint64_t Nonce, SharedRequest Request, FinalDone Done)
-      : Parts_(Parts), Unrecorded_(Unrecorded), Nonce_(Nonce),
+      : Parts_(Parts), Unrecorded_(std::move(Unrecorded)), Nonce_(Nonce),
         Request_(std::move(Request)), Done_(std::move(Done)) {}
 
   void start() {
@@ -253,7 +254,7 @@
   }
 
   const KeyedParts Parts_;
-  std::atomic<std::uint64_t> &Unrecorded_;
+  const std::shared_ptr<std::atomic<std::uint64_t>> Unrecorded_;
   const std::uint64_t Nonce_;
   const SharedRequest Request_;
   FinalDone Done_;
--- a/src/entry/RecordWriter.cpp
+++ b/src/entry/RecordWriter.cpp
@@ -28,9 +28,9 @@
            Done OnEnd)
       : Parts_(Parts), Call_(Call), Value_(std::move(Value)),
         OnEnd_(std::move(OnEnd)), Until_(Parts.Clock_.now() + Patience) {
-    ++Parts_.Pending_;
+    ++*Parts_.Pending_;
   }
-  ~Repeated() { --Parts_.Pending_; }
+  ~Repeated() { --*Parts_.Pending_; }
 
   void ask() {
     (Parts_.Home_.*Call_)(Value_, CallTimeout,
--- a/src/entry/RecordWriter.h
+++ b/src/entry/RecordWriter.h
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 
 namespace tulipweir::entry {
 
@@ -22,7 +23,9 @@
   Timers &Timers_;
   const Clock &Clock_;
   EntryMetrics &Metrics_;
-  std::atomic<std::uint64_t> &Pending_; ///< Counts what is being written.
+  /// Counts what is being written; shared, since a call that never ends may
+  /// outlive the sender when the process stops.
+  std::shared_ptr<std::atomic<std::uint64_t>> Pending_;
 };
 
 /// Told once: whether the record stands as written.
--- a/src/entry/ServiceRequest.cpp
+++ b/src/entry/ServiceRequest.cpp
@@ -2,10 +2,10 @@
 
 #include "tulipweir/entry/ServiceRequest.h"
 
+#include "entry/HeaderFilter.h"
 #include "tulipweir/entry/Ticket.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <string_view>
 
@@ -16,31 +16,6 @@
 static constexpr std::size_t MaxKeyBytes = 200;
 static constexpr std::size_t MaxCallerBytes = 128;
 
-// Headers between two neighbours only, which are not forwarded.
-static constexpr std::array<std::string_view, 11> HopHeaders{
-    "connection", "content-length",   "expect",
-    "host",       "keep-alive",       "proxy-connection",
-    "te",         "trailer",          "proxy-authorization",
-    "upgrade",    "transfer-encoding"};
-static constexpr std::string_view OwnPrefix = "x-tulipweir-";
-
-static std::string toLower(std::string_view Text) {
-  std::string Result(Text);
-  std::transform(Result.begin(), Result.end(), Result.begin(), [](char Byte) {
-    return Byte >= 'A' && Byte <= 'Z' ? static_cast<char>(Byte - 'A' + 'a')
-                                      : Byte;
-  });
-  return Result;
-}
-
-static bool isForwarded(const net::HttpHeader &Header) {
-  const std::string Name = toLower(Header.Name_);
-  if (Name.starts_with(OwnPrefix))
-    return false;
-  return std::find(HopHeaders.begin(), HopHeaders.end(), Name) ==
-         HopHeaders.end();
-}
-
 static bool isRepeatableMethod(std::string_view Method) {
   return Method == "GET" || Method == "HEAD" || Method == "OPTIONS";
 }
@@ -196,9 +171,7 @@
     Forward.Method_ = std::move(Request_.Method_);
     Forward.Query_ = std::move(Request_.Query_);
     Forward.Body_ = std::move(Request_.Body_);
-    for (const net::HttpHeader &Header : Request_.Headers_)
-      if (isForwarded(Header))
-        Forward.Headers_.push_back(Header);
+    Forward.Headers_ = filterHeaders(Request_.Headers_);
     Forward.Headers_.push_back({header::Service, Result_.Service_.value()});
     Forward.Headers_.push_back({header::RequestId, Result_.Id_});
     if (!Result_.Caller_.value().empty())
