--- /dev/null
+++ b/tests/entry/QuietLogs.cpp
@@ -0,0 +1,15 @@
+//===- QuietLogs.cpp - No log lines between the tests' own ----------------===//
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+namespace {
+
+class QuietLogs final : public testing::Environment {
+  void SetUp() override { spdlog::set_level(spdlog::level::off); }
+};
+
+} // namespace
+
+static testing::Environment *const Registered =
+    testing::AddGlobalTestEnvironment(new QuietLogs);
--- /dev/null
+++ b/tests/entry/support/Fakes.h
@@ -0,0 +1,237 @@
+//===- Fakes.h - What stands in for the entry's surroundings ---*- C++ -*-===//
+//
+// Timers on a manual clock, backend servers that go wrong as told, and a
+// control side with naive records. All single-threaded.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_TESTS_ENTRY_SUPPORT_FAKES_H
+#define TULIPWEIR_TESTS_ENTRY_SUPPORT_FAKES_H
+
+#include "tulipweir/entry/Entry.h"
+#include "tulipweir/fleet/Bundle.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tulipweir::entry::test {
+
+class FakeTimers final : public Timers {
+public:
+  explicit FakeTimers(ManualClock &Clock) : Clock_(Clock) {}
+  void runAfter(Duration Delay, std::function<void()> Task) override {
+    Tasks_.emplace(Clock_.now() + Delay, std::move(Task));
+  }
+  /// Moves the clock and runs what falls due, in order.
+  void advance(Duration By) {
+    const TimePoint End = Clock_.now() + By;
+    while (!Tasks_.empty() && Tasks_.begin()->first <= End) {
+      auto Node = Tasks_.extract(Tasks_.begin());
+      if (Node.key() > Clock_.now())
+        Clock_.advance(Node.key() - Clock_.now());
+      Node.mapped()();
+    }
+    Clock_.advance(End - Clock_.now());
+  }
+
+private:
+  ManualClock &Clock_;
+  std::multimap<TimePoint, std::function<void()>> Tasks_;
+};
+
+/// What happens to one try at the backend servers.
+enum class TryFault {
+  None,
+  Refused,      ///< No connection: nothing was sent.
+  Busy,         ///< "Busy, not run".
+  KilledUnrun,  ///< The connection broke after sending, before it ran.
+  KilledRun,    ///< It broke while or after it ran.
+  Truncated,    ///< It ran; half of the answer came.
+  WrongId,      ///< It ran; the answer to another request came.
+  BusyForOther, ///< It ran; another request's "busy, not run" came.
+  TooLarge,     ///< It ran; the answer was over the limit.
+  Frozen,       ///< It never ran, and nothing ever came.
+  RunFrozen,    ///< It ran, and nothing ever came.
+  Slow,         ///< It ran and answered well after the others.
+  Late,         ///< It ran and would answer after the deadline.
+};
+inline constexpr TryFault AllTryFaults[] = {
+    TryFault::None,        TryFault::Refused,      TryFault::Busy,
+    TryFault::KilledUnrun, TryFault::KilledRun,    TryFault::Truncated,
+    TryFault::WrongId,     TryFault::BusyForOther, TryFault::TooLarge,
+    TryFault::Frozen,      TryFault::RunFrozen,    TryFault::Slow,
+    TryFault::Late};
+
+class FakeBackend final : public BackendClient {
+public:
+  struct Sent {
+    net::Endpoint To_;
+    net::HttpRequest Request_;
+    TimePoint Deadline_;
+    TimePoint At_;
+  };
+
+  FakeBackend(FakeTimers &Timers, const Clock &Clock)
+      : Timers_(Timers), Clock_(Clock) {}
+
+  std::uint64_t send(const net::Endpoint &To, net::HttpRequest Request,
+                     TimePoint Deadline,
+                     net::HttpClient::Callback Done) override;
+  void cancel(std::uint64_t Exchange) override {
+    end(Exchange, {net::HttpStage::Sent, fail(ErrorCode::Timeout, "cancel")});
+  }
+  void forget(const net::Endpoint &Peer) override { Forgotten_.insert(Peer); }
+
+  /// How often the request with that body has run.
+  unsigned getRuns(const std::string &Body) const {
+    const auto Found = Runs_.find(Body);
+    return Found == Runs_.end() ? 0 : Found->second;
+  }
+
+  /// Faults of the next tries in order; None when there is no more.
+  std::vector<TryFault> Script_;
+  /// Faults of one server's tries, whatever the script says.
+  std::map<net::Endpoint, TryFault> Broken_;
+  Duration ServiceTime_ = std::chrono::milliseconds(10);
+  std::vector<Sent> Sent_;
+  std::set<net::Endpoint> Forgotten_;
+
+private:
+  TryFault drawFault(const net::Endpoint &To);
+  void end(std::uint64_t Exchange, net::HttpResult Result);
+  void endAfter(Duration Delay, std::uint64_t Exchange, net::HttpResult Result);
+
+  FakeTimers &Timers_;
+  const Clock &Clock_;
+  std::uint64_t Last_ = 0;
+  std::map<std::uint64_t, net::HttpClient::Callback> Open_;
+  std::map<std::string, unsigned> Runs_;
+};
+
+/// What happens to the next calls of one kind to the control side.
+enum class CallFault {
+  None,
+  Unavailable, ///< No leader: certainly without effect.
+  LostBefore,  ///< Timed out without effect.
+  LostAfter,   ///< Timed out, but it took effect.
+};
+
+class FakeControl final : public ControlClient {
+public:
+  FakeControl(FakeTimers &Timers, const Clock &Clock)
+      : Timers_(Timers), Clock_(Clock) {}
+
+  void report(const wire::EntryReport &Report, Duration Timeout,
+              ControlDone<wire::EntryReport> Done) override;
+  void announce(const wire::Announcement &Announcement, Duration Timeout,
+                ControlDone<wire::Announcement> Done) override;
+  void begin(const wire::BeginRequest &Request, Duration Timeout,
+             ControlDone<wire::BeginRequest> Done) override;
+  void finish(const wire::FinishRequest &Request, Duration Timeout,
+              ControlDone<wire::FinishRequest> Done) override;
+  void abandon(const wire::AbandonRequest &Request, Duration Timeout,
+               ControlDone<wire::AbandonRequest> Done) override;
+  void callOperator(const wire::OperatorCall &Call, Duration Timeout,
+                    ControlDone<wire::OperatorCall> Done) override;
+
+  /// The entry process died: what it had begun is unknown.
+  void endEntry();
+
+  wire::EntryReportReply Reply_;
+  std::vector<CallFault> BeginFaults_, FinishFaults_, AbandonFaults_;
+  bool ReportsLost_ = false;
+  std::vector<wire::EntryReport> Reports_;
+  std::vector<wire::OperatorCall> OperatorCalls_;
+  std::vector<wire::Announcement> Announcements_;
+  std::optional<wire::RequestDisposition> NextDisposition_;
+
+private:
+  struct Record {
+    Digest Digest_;
+    wire::RequestDisposition State_ = wire::RequestDisposition::Running;
+    bool Abandoned_ = false;
+    std::uint64_t Attempt_ = 0;
+    std::uint64_t Nonce_ = 0;
+    std::uint64_t Incarnation_ = 0;
+    std::optional<wire::StoredAnswer> Answer_;
+  };
+
+  wire::BeginRequestReply applyBegin(const wire::BeginRequest &Request);
+  wire::RecordReply applyFinish(const wire::FinishRequest &Request);
+  wire::RecordReply applyAbandon(const wire::AbandonRequest &Request);
+  template <class Reply>
+  void answer(std::vector<CallFault> &Faults, Duration Timeout,
+              std::function<Reply()> Apply,
+              std::function<void(Outcome<Reply>)> Done);
+
+  FakeTimers &Timers_;
+  const Clock &Clock_;
+  std::map<RequestKey, Record> Records_;
+};
+
+/// Every part around one entry, and calls to it.
+class World {
+public:
+  static constexpr const char *ServiceName = "booking";
+
+  explicit World(unsigned Servers = 3, unsigned SlotsEach = 2);
+
+  struct Answer {
+    net::HttpResponse Response_;
+    TimePoint At_;
+  };
+  /// One call and its answers, of which there must be one.
+  struct Call {
+    std::string Body_;
+    TimePoint At_;
+    std::vector<Answer> Answers_;
+    const net::HttpResponse &response() const {
+      return Answers_.at(0).Response_;
+    }
+    std::string outcome() const {
+      return std::string(response().findHeader("X-Tulipweir-Outcome"));
+    }
+  };
+
+  /// Sends a request whose body is its own; headers in "Name: value" pairs.
+  std::shared_ptr<Call>
+  call(const std::string &Body, std::vector<net::HttpHeader> Headers = {},
+       const std::string &Method = "POST",
+       const std::string &Path = "/v1/services/booking/x");
+  void advance(Duration By) { Timers_.advance(By); }
+  /// Puts a new process in the entry's place.
+  void restartEntry();
+  /// Changes the routes and lets the next report bring them.
+  void setRoutes(std::vector<wire::Route> Routes);
+  void setBundle(std::uint64_t Version, const std::string &ServiceExtra = "",
+                 const std::string &Extra = "");
+
+  ManualClock Clock_;
+  FakeTimers Timers_{Clock_};
+  FakeBackend Backend_{Timers_, Clock_};
+  std::shared_ptr<FakeControl> Control_ =
+      std::make_shared<FakeControl>(Timers_, Clock_);
+  net::Metrics Metrics_;
+  std::vector<wire::Route> Routes_;
+  /// Another data centre is known and out of reach; from the next start on.
+  bool FarKnown_ = false;
+  std::unique_ptr<Entry> Entry_;
+  /// Earlier processes; their timers may still fire.
+  std::vector<std::unique_ptr<Entry>> Dead_;
+
+private:
+  std::uint64_t Incarnation_ = 0;
+  std::uint64_t Random_ = 12345;
+};
+
+/// What a backend server answers to the request with that body.
+inline std::string makeAnswerBody(const std::string &Body) {
+  return "answer to " + Body;
+}
+
+} // namespace tulipweir::entry::test
+
+#endif // TULIPWEIR_TESTS_ENTRY_SUPPORT_FAKES_H
