--- a/include/tulipweir/datacentre/RequestRecords.h
+++ b/include/tulipweir/datacentre/RequestRecords.h
@@ -49,6 +49,7 @@
   std::uint64_t Attempt_ = 0;
   EntryId Entry_;
   std::uint64_t EntryIncarnation_ = 0;
+  std::uint64_t Nonce_ = 0; ///< Of the asker that was told Run last.
   std::uint64_t BegunWallMs_ = 0;
   /// Retention counts from here: the latest of begin, deadline and issue.
   std::uint64_t KeptFromMs_ = 0;
@@ -81,6 +82,10 @@
   const std::map<RequestKey, RequestRecord> &records() const {
     return Records_;
   }
+  /// The keys of begun records, by the entry that holds them.
+  const std::map<EntryId, std::set<RequestKey>> &begunByEntry() const {
+    return BegunByEntry_;
+  }
   std::uint64_t wallMs() const { return WallMs_; }
 
   std::string encode() const;
@@ -101,7 +106,6 @@
   std::uint64_t WallMs_ = 0;
   RecordMap Records_;
   std::set<std::pair<std::uint64_t, RequestKey>> ByKeptFrom_;
-  /// The keys of begun records, by the entry that holds them.
   std::map<EntryId, std::set<RequestKey>> BegunByEntry_;
 };
 
