Show operators what the command line prints

Cause: tulipweirctl prints priority, tasks, state and targets that the answers lacked. Change: the lists of jobs, servers and services carry them.

--- a/src/control/JobRoutes.cpp
+++ b/src/control/JobRoutes.cpp
@@ -53,6 +53,10 @@
                  {"dataCentre", Job.Record_.DataCentre_.value()},
                  {"assignment", Job.Record_.Assignment_},
                  {"submittedWallMs", Job.Record_.SubmittedWallMs_}};
+  if (const auto Spec = datacentre::decodeJobSpec(Job.Record_.Spec_)) {
+    Result["priority"] = Spec.value().Priority_;
+    Result["tasks"] = Spec.value().Tasks_;
+  }
   if (!Job.Record_.End_)
     return Result;
   Result["endedWallMs"] = Job.Record_.EndedWallMs_;
@@ -195,7 +199,7 @@
     if (!Record)
       return;
     Result["progress"] = makeProgressJson(*Record);
-    Result["tasks"] = makeTasksJson(*Record, First, Limit);
+    Result["taskList"] = makeTasksJson(*Record, First, Limit);
   });
   Done({200, renderJson(Result)});
 }
--- a/src/control/ServerRoutes.cpp
+++ b/src/control/ServerRoutes.cpp
@@ -62,6 +62,23 @@
           {"tasks", Record.Placed_.size()}};
 }
 
+namespace {
+/// What the leader thinks of a server beyond the log.
+struct ServerFlags {
+  bool Draining_ = false;
+  bool Routable_ = false;
+  bool Quarantined_ = false;
+};
+} // namespace
+
+static const char *describeServer(const ServerFlags &Flags) {
+  if (Flags.Draining_)
+    return "leaving";
+  if (!Flags.Routable_)
+    return "silent";
+  return Flags.Quarantined_ ? "quarantined" : "up";
+}
+
 Json ServerRoutes::makeServersJson(const DataCentreLeadership &Leader) const {
   const TimePoint Now = Time_.now();
   std::map<BackendServerId, bool> Quarantined;
@@ -72,9 +89,13 @@
   Machine_.withState([&](const DataCentreState &State) {
     for (const auto &[Id, Record] : State.servers()) {
       Json One = makeServerJson(Record);
-      One["draining"] = Leader.servers().isDraining(Id);
-      One["routable"] = Leader.servers().isRoutable(Record, Now);
-      One["quarantined"] = Quarantined[Id];
+      const ServerFlags Flags{Leader.servers().isDraining(Id),
+                              Leader.servers().isRoutable(Record, Now),
+                              Quarantined[Id]};
+      One["draining"] = Flags.Draining_;
+      One["routable"] = Flags.Routable_;
+      One["quarantined"] = Flags.Quarantined_;
+      One["state"] = describeServer(Flags);
       const Duration Silence = Now - Leader.servers().findHeardAt(Id);
       One["heardMsAgo"] = duration_cast<milliseconds>(Silence).count();
       Servers.push_back(std::move(One));
@@ -111,6 +132,17 @@
           {"mostLoadPercent", Sum.MostLoadPercent_}};
 }
 
+static void addConfigJson(Json &To, const fleet::ServiceConfig &Config) {
+  const auto ToMs = [](Duration Length) {
+    return duration_cast<milliseconds>(Length).count();
+  };
+  To["targetP99Ms"] = ToMs(Config.TargetP99_);
+  To["defaultDeadlineMs"] = ToMs(Config.DefaultDeadline_);
+  To["maxDeadlineMs"] = ToMs(Config.MaxDeadline_);
+  To["queueLimit"] = Config.QueueLimit_;
+  To["hedgingAllowed"] = Config.HedgingAllowed_;
+}
+
 Json ServerRoutes::makeServicesJson(const DataCentreLeadership &Leader) const {
   std::map<ServiceId, ServiceSum> Sums;
   Machine_.withState([&](const DataCentreState &State) {
@@ -140,8 +172,7 @@
   for (Json &One : Services)
     for (const fleet::ServiceConfig &Config : InForce->Services_)
       if (One["service"] == Config.Service_.value())
-        One["targetP99Micros"] =
-            duration_cast<std::chrono::microseconds>(Config.TargetP99_).count();
+        addConfigJson(One, Config);
   return Services;
 }
 
