Register another boot only when nothing of the earlier one can run

An order of boots is not in the contract. Change: ServerLedger listens to another boot once the one heard is silent, and proposes its registration once the leases of all attempts placed there have run out. Conclusion: a restarted VM's tasks are placed again at most a lease later; a delayed message ends nothing.

--- a/include/tulipweir/datacentre/AttemptLedger.h
+++ b/include/tulipweir/datacentre/AttemptLedger.h
@@ -73,6 +73,9 @@
 
   // Queries.
 
+  /// Whether no attempt that is placed on the server can still run.
+  bool haveRunOut(const ServerRecord &Server, const DataCentreState &State,
+                  TimePoint Now) const;
   const LeaseKeeper &leases() const { return Leases_; }
   std::size_t size() const { return Notes_.size(); }
 
--- a/include/tulipweir/datacentre/Commands.h
+++ b/include/tulipweir/datacentre/Commands.h
@@ -35,9 +35,8 @@
 };
 
 /// A backend server's first announcement of a boot, or a changed one. A new
-/// boot ends every attempt of the earlier boot as lost; a boot that an earlier
-/// one replaced already is refused, so that a delayed announcement of it ends
-/// nothing.
+/// boot ends every attempt of the earlier boot as lost, so it is proposed only
+/// when none of them can still run (ServerLedger).
 struct RegisterServer {
   BackendServerId Server_;
   BootId Boot_;
@@ -58,8 +57,8 @@
 };
 
 /// Takes over a job that the fleet assigned here. Assignment_ is from 1 and
-/// rises with each assignment of the same job; one that is not higher than the latest adopted
-/// here is refused, also after the job was dropped.
+/// rises with each assignment of the same job; one that is not higher than the
+/// latest adopted here is refused, also after the job was dropped.
 struct AdoptJob {
   JobSpec Spec_;
   std::uint64_t Assignment_ = 0;
--- a/include/tulipweir/datacentre/DataCentreState.h
+++ b/include/tulipweir/datacentre/DataCentreState.h
@@ -58,8 +58,6 @@
   RegisterServer Info_;
   Resources Reserved_;
   std::set<TaskId> Placed_;
-  /// The latest boots before Info_.Boot_, oldest first; a bounded number.
-  std::vector<BootId> PastBoots_;
   bool operator==(const ServerRecord &) const = default;
 };
 
--- a/include/tulipweir/datacentre/ServerLedger.h
+++ b/include/tulipweir/datacentre/ServerLedger.h
@@ -41,7 +41,9 @@
   // Commands.
 
   /// Takes in an announcement. Fails with NotLeader when another leader could
-  /// exist, with StaleToken when a newer boot of the server has announced.
+  /// exist. A boot other than the one heard until now is listened to once that
+  /// one is silent, and registered once the leases of its attempts have run
+  /// out: boots have no order, and the other one may be the dead one.
   Outcome<AnnouncementResult> onAnnouncement(const wire::Announcement &Value,
                                              const DataCentreState &State,
                                              const LeaderMoment &Moment);
@@ -75,15 +77,13 @@
     bool Announced_ = false; ///< Since this leader was elected.
     bool Draining_ = false;
     TimePoint HeardAt_;
-    std::vector<BootId> OldBoots_;
     std::optional<RegisterServer> Proposed_; ///< In flight.
     bool ForgetProposed_ = false;            ///< In flight.
   };
 
   ServerNote &noteFor(const BackendServerId &Server,
                       const DataCentreState &State, TimePoint Now);
-  bool acceptBoot(ServerNote &Note, const BootId &Boot,
-                  const ServerRecord *Record) const;
+  bool acceptBoot(ServerNote &Note, const BootId &Boot, TimePoint Now) const;
   void hear(const BackendServerId &Server, ServerNote &Note, TimePoint Now);
   void onSilent(const ServerRecord &Server, const DataCentreState &State,
                 TimePoint Now, bool Forget, std::vector<Command> &Proposals);
--- a/src/datacentre/AttemptLedger.cpp
+++ b/src/datacentre/AttemptLedger.cpp
@@ -201,6 +201,16 @@
   }
 }
 
+bool AttemptLedger::haveRunOut(const ServerRecord &Server,
+                               const DataCentreState &State,
+                               TimePoint Now) const {
+  return std::all_of(
+      Server.Placed_.begin(), Server.Placed_.end(), [&](const TaskId &Id) {
+        const TaskRecord &Task = *State.findTask(Id);
+        return Leases_.hasRunOut(Id, Task.Attempt_, Task.Token_, Now);
+      });
+}
+
 void AttemptLedger::proposeEnd(AttemptNote &Note, EndAttempt End,
                                std::vector<Command> &Proposals) {
   Note.End_ = std::move(End);
--- a/src/datacentre/CommandApplier.cpp
+++ b/src/datacentre/CommandApplier.cpp
@@ -10,7 +10,6 @@
 using namespace tulipweir::datacentre;
 
 static constexpr std::uint32_t MaxTasksPerJob = 100'000;
-static constexpr std::size_t MaxPastBoots = 8;
 static constexpr std::size_t MaxDroppedJobs = 65'536;
 /// Keeps sums of amounts far from overflow.
 static constexpr std::int64_t MaxAmount = 1LL << 50;
@@ -66,12 +65,6 @@
     return refuse(ErrorCode::InvalidArgument,
                   "capacity out of range: " + describe(Value.Capacity_));
   ServerRecord &Server = State_.Servers_[Value.Server_];
-  auto &Past = Server.PastBoots_;
-  if (std::find(Past.begin(), Past.end(), Value.Boot_) != Past.end())
-    return refuse(ErrorCode::StaleToken, "boot " + Value.Boot_.value() +
-                                             " of " + Value.Server_.value() +
-                                             " was replaced by " +
-                                             Server.Info_.Boot_.value());
   const bool NewBoot = Server.Info_.Boot_ != Value.Boot_;
   if (NewBoot && !Server.Info_.Server_.value().empty()) {
     const std::set<TaskId> Lost = Server.Placed_;
@@ -81,9 +74,6 @@
                            "the backend server restarted"},
                 Record);
     }
-    Past.push_back(Server.Info_.Boot_);
-    if (Past.size() > MaxPastBoots)
-      Past.erase(Past.begin());
   }
   Server.Info_ = Value;
   Notes_.noteServer(ChangeKind::ServerChanged, Value.Server_);
--- a/src/datacentre/DataCentreState.cpp
+++ b/src/datacentre/DataCentreState.cpp
@@ -14,11 +14,7 @@
 
 namespace tulipweir::datacentre {
 
-/// What of a server and a job cannot be rebuilt from the tasks.
-struct ServerImage {
-  RegisterServer Info_;
-  std::vector<BootId> PastBoots_;
-};
+/// What of a job cannot be rebuilt from its tasks.
 struct JobImage {
   JobSpec Spec_;
   std::uint64_t Assignment_ = 0;
@@ -37,9 +33,6 @@
   std::uint64_t Dropped_ = 0;
 };
 
-static void fields(auto &V, IsA<ServerImage> auto &X) {
-  V(X.Info_, X.PastBoots_);
-}
 static void fields(auto &V, IsA<JobImage> auto &X) {
   V(X.Spec_, X.Assignment_, X.Cancelling_, X.Releasing_, X.Tasks_);
 }
@@ -136,7 +129,7 @@
   Out.write(HeaderImage{SnapshotFormat, Servers_.size(), Jobs_.size(),
                         DropOrder_.size()});
   for (const auto &[Id, Server] : Servers_)
-    Out.write(ServerImage{Server.Info_, Server.PastBoots_});
+    Out.write(Server.Info_);
   for (const auto &[Id, Job] : Jobs_)
     Out.write(JobImage{Job.Spec_, Job.Assignment_, Job.Cancelling_,
                        Job.Releasing_, Job.Tasks_});
@@ -156,10 +149,9 @@
                   "snapshot of format " + std::to_string(Header.Format_) +
                       "; this program reads " + std::to_string(SnapshotFormat));
     for (std::uint64_t I = 0; I < Header.Servers_; ++I) {
-      auto Image = In.next<ServerImage>();
-      ServerRecord &Server = Result.Servers_[Image.Info_.Server_];
-      Server.Info_ = std::move(Image.Info_);
-      Server.PastBoots_ = std::move(Image.PastBoots_);
+      auto Info = In.next<RegisterServer>();
+      ServerRecord &Server = Result.Servers_[Info.Server_];
+      Server.Info_ = std::move(Info);
     }
     for (std::uint64_t I = 0; I < Header.Jobs_; ++I) {
       auto Image = In.next<JobImage>();
