Test the server ledger's rules one by one, and harden the matrix

Cause: removing the guards on stale sequences, on waiting for leases before another boot is registered, on serving a boot while another is registered, and on the stop grace was not noticed by the matrix. Change: ServerLedgerTest (13 tests); boots that live for one announcement, late messages up to 1.5 s, a stop grace that is used up.

--- a/tests/datacentre/LeaseWorld.cpp
+++ b/tests/datacentre/LeaseWorld.cpp
@@ -14,7 +14,7 @@
 
 LeaseWorld::LeaseWorld(const LeaseFaults &Faults, unsigned Seed)
     : Faults_(Faults), Random_(Seed) {
-  Settings_.Leases_ = {milliseconds(600), 100'000, milliseconds(10)};
+  Settings_.Leases_ = {milliseconds(600), 100'000, milliseconds(80)};
   Settings_.Heartbeat_ = milliseconds(20);
   Settings_.SilentAfter_ = milliseconds(60);
   Settings_.ForgetAfter_ = milliseconds(1500);
@@ -23,7 +23,7 @@
     Server.Id_ = BackendServerId("s" + std::to_string(I));
     Server.Clock_ = makeClock();
     Server.Capacity_ = Resources::makeFor(6, 6, 6);
-    Server.StopDelay_ = milliseconds(pick(10));
+    Server.StopDelay_ = milliseconds(pick(2) * 80);
     Servers_.push_back(Server);
   }
   CutUntil_.resize(Servers_.size());
@@ -133,7 +133,7 @@
   int Most = 6;
   int Copies = 1;
   if (Faults_.Disorder_) {
-    Most = pick(4) == 0 ? 400 : 20;
+    Most = pick(20) == 0 ? 1500 : pick(4) == 0 ? 400 : 20;
     Copies = pick(10) == 0 ? 2 : pick(12) == 0 ? 0 : 1;
   }
   if (Faults_.FrozenLeader_ && FromLeader && pick(4) == 0)
@@ -201,6 +201,16 @@
     Each.Deliver_();
 }
 
+/// Now and then a boot lives only for one announcement, or is cut off early.
+void LeaseWorld::reboot(std::size_t Server) {
+  for (int Times = pick(2); Times >= 0; --Times) {
+    Servers_[Server].reboot();
+    announce(Server);
+  }
+  if (Faults_.CutServers_ && pick(2) == 0)
+    CutUntil_[Server] = Real_ + milliseconds(pick(900));
+}
+
 void LeaseWorld::stepServers() {
   for (std::size_t I = 0; I < Servers_.size(); ++I) {
     FakeBackendServer &Server = Servers_[I];
@@ -208,7 +218,7 @@
     if (Faults_.CutServers_ && pick(500) == 0)
       CutUntil_[I] = Real_ + milliseconds(pick(1500));
     if (Faults_.Reboots_ && pick(1200) == 0)
-      Server.reboot();
+      reboot(I);
     if (pick(500) == 0)
       Server.Draining_ = !Server.Draining_;
     if (Faults_.Reboots_ && !Server.Held_.empty() && pick(1000) == 0)
--- a/tests/datacentre/LeaseWorld.h
+++ b/tests/datacentre/LeaseWorld.h
@@ -75,6 +75,7 @@
   void send(std::function<void()> Deliver, bool FromLeader);
   void deliver();
   void stepServers();
+  void reboot(std::size_t Server);
   std::string check();
 
   const LeaseFaults Faults_;
--- a/tests/datacentre/RequestRecordsTest.cpp
+++ b/tests/datacentre/RequestRecordsTest.cpp
@@ -138,8 +138,8 @@
       Keys.push_back(Pick(3) == 0
                          ? RequestKey("own" + std::to_string(Pick(30)))
                          : RequestKey("ticket:dc." +
-                                      std::to_string(Wall - Pick(900)) + "." +
-                                      std::to_string(Step)));
+                                      std::to_string(Wall + 500 - Pick(1400)) +
+                                      "." + std::to_string(Step)));
     const RequestKey Key =
         Keys[Keys.size() - 1 - Pick(std::min<int>(Keys.size(), 60))];
     const auto Found = Records.records().find(Key);
--- /dev/null
+++ b/tests/datacentre/ServerLedgerTest.cpp
@@ -0,0 +1,252 @@
+//===- ServerLedgerTest.cpp -----------------------------------------------===//
+
+#include "tulipweir/datacentre/ServerLedger.h"
+
+#include <gtest/gtest.h>
+
+using namespace tulipweir;
+using namespace tulipweir::datacentre;
+using std::chrono::milliseconds;
+using wire::AttemptState;
+using wire::TaskCommandKind;
+
+class ServerLedgerTest : public testing::Test {
+protected:
+  ServerLedgerTest() {
+    apply(AdoptJob{{Task_.Job_, TeamId("t"), JobClassId("c"), 1, 2, Resources{},
+                    "payload", 9},
+                   1,
+                   ""});
+  }
+
+  CommandResult apply(const Command &Value) {
+    std::vector<Change> Changes;
+    const CommandResult Result = State_.apply(Value, 1, ++Index_, &Changes);
+    for (const Change &Each : Changes)
+      Ledger_.note(Each);
+    Ledger_.noteDone(Value);
+    return Result;
+  }
+  /// Announces, and applies what is proposed if Apply.
+  AnnouncementResult announce(bool Apply = true) {
+    ++Announcement_.Sequence_;
+    return resend(Apply);
+  }
+  AnnouncementResult resend(bool Apply = true) {
+    const auto Result =
+        Ledger_.onAnnouncement(Announcement_, State_, {Now_, true});
+    EXPECT_TRUE(Result.has_value());
+    if (Apply)
+      for (const Command &Each : Result.value().Proposals_)
+        apply(Each);
+    return Result.value();
+  }
+  void place(std::uint64_t Attempt = 1) {
+    const CommandResult Result =
+        apply(PlaceTask{Task_, AttemptNumber(Attempt), Announcement_.Server_,
+                        Announcement_.Boot_, Resources::makeFor(1, 1)});
+    ASSERT_EQ(Result.Error_, "") << Result.Message_;
+    Token_ = Result.Token_;
+  }
+  void show(AttemptState How, const std::string &Checkpoint = "") {
+    Announcement_.Attempts_ = {{Task_, State_.findTask(Task_)->Attempt_, Token_,
+                                How, Checkpoint, "", Resources{}, 0, 0}};
+  }
+  /// Registered, placed, started and shown as running.
+  void startRunning() {
+    announce();
+    place();
+    ASSERT_EQ(announce().Reply_.Commands_.size(), 1u);
+    show(AttemptState::Running);
+    ASSERT_EQ(announce().Reply_.Renewals_.size(), 1u);
+  }
+  static std::vector<TaskCommandKind> kinds(const AnnouncementResult &Result) {
+    std::vector<TaskCommandKind> Kinds;
+    for (const wire::TaskCommand &Each : Result.Reply_.Commands_)
+      Kinds.push_back(Each.Kind_);
+    return Kinds;
+  }
+  using Kinds = std::vector<TaskCommandKind>;
+
+  const TaskId Task_{JobId("j"), 0};
+  const ServerLedgerSettings Settings_;
+  DataCentreState State_{RecordLimits{}};
+  std::uint64_t Index_ = 0;
+  TimePoint Now_{std::chrono::hours(1)};
+  ServerLedger Ledger_{Settings_, 1, Now_, State_};
+  FencingToken Token_;
+  wire::Announcement Announcement_{BackendServerId("s"),
+                                   BootId("b"),
+                                   DataCentreId("d"),
+                                   RackId("r"),
+                                   "a",
+                                   Resources::makeFor(9, 9),
+                                   {},
+                                   8,
+                                   8,
+                                   false,
+                                   0,
+                                   {},
+                                   {}};
+};
+
+TEST_F(ServerLedgerTest, RegistersOnceAndAgainOnlyWhenChanged) {
+  EXPECT_EQ(announce(false).Proposals_.size(), 1u);
+  EXPECT_EQ(announce(false).Proposals_.size(), 0u);
+  Announcement_.Slots_ = 16;
+  EXPECT_EQ(announce().Proposals_.size(), 1u);
+  EXPECT_EQ(announce().Proposals_.size(), 0u);
+}
+
+TEST_F(ServerLedgerTest, RepeatsAStartUntilItIsShownAndThenRenews) {
+  announce();
+  place();
+  for (int I = 0; I < 2; ++I) {
+    const AnnouncementResult Result = announce();
+    ASSERT_EQ(kinds(Result), Kinds{TaskCommandKind::Start});
+    EXPECT_EQ(Result.Reply_.Commands_[0].Token_, Token_);
+    EXPECT_EQ(Result.Reply_.Commands_[0].Payload_, "payload");
+  }
+  show(AttemptState::Running);
+  EXPECT_EQ(kinds(announce()), Kinds{});
+}
+
+TEST_F(ServerLedgerTest, WithoutLeadershipNothingIsStartedOrRenewed) {
+  announce();
+  place();
+  ++Announcement_.Sequence_;
+  const auto Result =
+      Ledger_.onAnnouncement(Announcement_, State_, {Now_, false});
+  ASSERT_FALSE(Result.has_value());
+  EXPECT_EQ(Result.error().Code_, ErrorCode::NotLeader);
+}
+
+TEST_F(ServerLedgerTest, StaleAndRepeatedAnnouncementsChangeNothing) {
+  startRunning();
+  Announcement_.Attempts_.clear();
+  for (int Back : {0, 1}) {
+    Announcement_.Sequence_ -= Back;
+    const AnnouncementResult Result = resend();
+    EXPECT_FALSE(Result.Fresh_);
+    EXPECT_TRUE(Result.Reply_.Commands_.empty());
+    EXPECT_TRUE(Result.Proposals_.empty());
+  }
+}
+
+TEST_F(ServerLedgerTest, ProposesAReportedEndOnceUntilItIsDone) {
+  startRunning();
+  show(AttemptState::Checkpointed, "here");
+  const AnnouncementResult First = announce(false);
+  ASSERT_EQ(First.Proposals_.size(), 1u);
+  EXPECT_TRUE(announce(false).Proposals_.empty());
+  Ledger_.noteDone(First.Proposals_[0]); // Lost on the way.
+  ASSERT_EQ(announce().Proposals_.size(), 1u);
+  const TaskRecord &Record = *State_.findTask(Task_);
+  EXPECT_EQ(Record.State_, TaskState::Waiting);
+  EXPECT_EQ(Record.Checkpoint_, "here");
+  EXPECT_EQ(Record.Evictions_, 1u);
+  // Its server may forget it now.
+  EXPECT_EQ(kinds(announce()), Kinds{TaskCommandKind::Stop});
+}
+
+TEST_F(ServerLedgerTest, ResumesFromTheCheckpointThatWasShownLast) {
+  startRunning();
+  show(AttemptState::Running, "latest");
+  announce();
+  Now_ += std::chrono::seconds(10);
+  for (const Command &Each : Ledger_.onTick(State_, Now_))
+    apply(Each);
+  EXPECT_EQ(State_.findTask(Task_)->Losses_, 1u);
+  Announcement_.Attempts_.clear();
+  announce();
+  place(2);
+  const AnnouncementResult Result = announce();
+  ASSERT_EQ(kinds(Result), Kinds{TaskCommandKind::Start});
+  EXPECT_EQ(Result.Reply_.Commands_[0].Checkpoint_, "latest");
+}
+
+TEST_F(ServerLedgerTest, AsksForCheckpointsAndRepeatsThrottling) {
+  startRunning();
+  const AttemptNumber First(1);
+  Ledger_.attempts().setThrottle(Task_, First, 40);
+  EXPECT_EQ(kinds(announce()), Kinds{TaskCommandKind::Throttle});
+  EXPECT_EQ(announce().Reply_.Commands_[0].ThrottlePercent_, 40u);
+  Ledger_.attempts().setThrottle(Task_, First, 100);
+  EXPECT_EQ(announce().Reply_.Commands_[0].ThrottlePercent_, 100u);
+  for (int I = 0; I < 10; ++I)
+    announce();
+  EXPECT_EQ(kinds(announce()), Kinds{});
+  Ledger_.attempts().requestCheckpoint(Task_, First);
+  const AnnouncementResult Result = announce();
+  EXPECT_EQ(kinds(Result), Kinds{TaskCommandKind::Checkpoint});
+  EXPECT_EQ(Result.Reply_.Renewals_.size(), 1u);
+}
+
+TEST_F(ServerLedgerTest, StopsACancelledJobAndEndsItOnTheReport) {
+  startRunning();
+  apply(CancelJob{Task_.Job_});
+  const AnnouncementResult Result = announce();
+  EXPECT_EQ(kinds(Result), Kinds{TaskCommandKind::Stop});
+  EXPECT_TRUE(Result.Reply_.Renewals_.empty());
+  show(AttemptState::Stopped);
+  announce();
+  EXPECT_EQ(State_.findTask(Task_)->State_, TaskState::Cancelled);
+}
+
+TEST_F(ServerLedgerTest, ALeavingServerStartsNothingAndIsNotRoutable) {
+  announce();
+  place();
+  EXPECT_TRUE(
+      Ledger_.isRoutable(*State_.findServer(Announcement_.Server_), Now_));
+  Announcement_.Draining_ = true;
+  EXPECT_TRUE(kinds(announce()).empty());
+  EXPECT_FALSE(
+      Ledger_.isRoutable(*State_.findServer(Announcement_.Server_), Now_));
+  EXPECT_EQ(State_.findTask(Task_)->State_, TaskState::Waiting);
+}
+
+TEST_F(ServerLedgerTest, SilenceTakesAServerOutOfRoutingWithinTwoSeconds) {
+  announce();
+  const ServerRecord &Server = *State_.findServer(Announcement_.Server_);
+  const Duration EntryReport = milliseconds(500);
+  Now_ += std::chrono::seconds(2) - EntryReport;
+  EXPECT_FALSE(Ledger_.isRoutable(Server, Now_));
+  announce();
+  EXPECT_TRUE(Ledger_.isRoutable(Server, Now_));
+}
+
+TEST_F(ServerLedgerTest, SilentServersWithoutAttemptsAreForgotten) {
+  announce();
+  Now_ += Settings_.ForgetAfter_;
+  const auto Proposals = Ledger_.onTick(State_, Now_);
+  ASSERT_EQ(Proposals.size(), 1u);
+  EXPECT_TRUE(Ledger_.onTick(State_, Now_).empty()) << "proposed once";
+  apply(Proposals[0]);
+  EXPECT_TRUE(State_.servers().empty());
+}
+
+TEST_F(ServerLedgerTest, AnotherBootWaitsForSilenceAndForLeases) {
+  startRunning();
+  Announcement_.Attempts_.clear();
+  Announcement_.Boot_ = BootId("b2");
+  Announcement_.Sequence_ = 0;
+  EXPECT_FALSE(announce(false).Fresh_) << "the other one was heard just now";
+  Now_ += Settings_.SilentAfter_;
+  EXPECT_TRUE(announce(false).Proposals_.empty()) << "its lease still runs";
+  Now_ += Settings_.Leases_.longestRun();
+  EXPECT_EQ(announce().Proposals_.size(), 1u);
+  EXPECT_EQ(State_.findTask(Task_)->Losses_, 1u);
+}
+
+TEST_F(ServerLedgerTest, ABootIsNotServedWhileAnotherIsBeingRegistered) {
+  announce();
+  place(); // Never started, so nothing of it can run.
+  const wire::Announcement Old = Announcement_;
+  Announcement_.Boot_ = BootId("b2");
+  Announcement_.Sequence_ = 0;
+  Now_ += Settings_.SilentAfter_;
+  ASSERT_EQ(announce(false).Proposals_.size(), 1u);
+  Now_ += Settings_.SilentAfter_;
+  Announcement_ = Old;
+  EXPECT_TRUE(kinds(announce(false)).empty()) << "started, then ended as lost";
+}
