--- a/src/net/Http.cpp
+++ b/src/net/Http.cpp
@@ -2,8 +2,10 @@
 
 #include <utility>
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
+#include <optional>
 
 using namespace tulipweir;
 using namespace tulipweir::net;
@@ -17,22 +19,25 @@
   return {};
 }
 
-/// Reads two hexadecimal digits; false if they are none.
-static bool readHex(std::string_view Digits, char &Value) {
+/// Reads two hexadecimal digits, if they are.
+static std::optional<char> readHex(std::string_view Digits) {
   unsigned char Byte = 0;
   const char *End = Digits.data() + Digits.size();
   auto [Last, Code] = std::from_chars(Digits.data(), End, Byte, 16);
-  Value = static_cast<char>(Byte);
-  return Digits.size() == 2 && Code == std::errc() && Last == End;
+  if (Digits.size() != 2 || Code != std::errc() || Last != End)
+    return std::nullopt;
+  return static_cast<char>(Byte);
 }
 
 static std::string decodePercent(std::string_view Text) {
   std::string Decoded;
   for (std::size_t I = 0; I < Text.size(); ++I) {
-    char Byte = Text[I] == '+' ? ' ' : Text[I];
-    if (Byte == '%' && readHex(Text.substr(I + 1, 2), Byte))
+    const auto Byte =
+        Text[I] == '%' ? readHex(Text.substr(I + 1, 2)) : std::nullopt;
+    if (Byte)
       I += 2;
-    Decoded.push_back(Byte);
+    const char Plain = Text[I] == '+' ? ' ' : Text[I];
+    Decoded.push_back(Byte.value_or(Plain));
   }
   return Decoded;
 }
--- a/src/net/Metrics.cpp
+++ b/src/net/Metrics.cpp
@@ -68,8 +68,7 @@
     if (double(Seen) >= Rank)
       break;
   }
-  return Duration(
-      static_cast<std::int64_t>(Impl_->getUpperEdge(Bin) * NanosPerSecond));
+  return Duration(std::llround(Impl_->getUpperEdge(Bin) * NanosPerSecond));
 }
 
 std::uint64_t LatencyHistogram::getCount() const {
--- a/src/net/Options.cpp
+++ b/src/net/Options.cpp
@@ -35,6 +35,7 @@
   std::map<std::string, std::string> Values_;
   std::vector<std::string> Words_;
   std::vector<std::string> Problems_;
+  std::string Valueless_; ///< The flag that lacks its value, if one does.
   bool Help_ = false;
   bool Version_ = false;
   bool Check_ = false;
@@ -116,6 +117,7 @@
     if (!Spec.Switch_ && Last == "--" + Spec.Flag_) {
       Line.Problems_.push_back(
           Last + ": the value is missing; allowed: " + Spec.Allowed_);
+      Line.Valueless_ = Spec.Flag_;
       --ArgC;
     }
   try {
@@ -150,7 +152,7 @@
 std::vector<std::string> Options::Impl::readValues(const CommandLine &Line,
                                                    const Environment &Env) {
   std::vector<std::string> Problems;
-  std::set<std::string> Given;
+  std::set<std::string> Given = {Line.Valueless_};
   for (const OptionSpec &Spec : Specs_) {
     const auto Value = findValue(Spec, Line, Env);
     if (!Value)
