--- /dev/null
+++ b/tests/replication/FolderStorageTest.cpp
@@ -0,0 +1,229 @@
+#include "replication/FolderStorage.h"
+
+#include "FaultyFiles.h"
+
+#include "replication/Frame.h"
+#include "replication/LogWriter.h"
+#include "replication/PosixFileSystem.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <filesystem>
+#include <functional>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+
+namespace {
+
+const Identity Owner{"group", {"a", 5}, 0};
+const std::string Folder = "/data";
+
+/// What the storage should hold, kept the naive way.
+struct Copy {
+  Checkpoint All_;
+
+  void append(const LogBatch &Batch) {
+    All_.Hard_ = Batch.Hard_;
+    for (const LogEntry &Entry : Batch.Entries_) {
+      std::erase_if(All_.Entries_, [&](const LogEntry &Old) {
+        return Old.Index_ >= Entry.Index_;
+      });
+      All_.Entries_.push_back(Entry);
+    }
+  }
+  bool equals(const Checkpoint &Other) const {
+    bool HasBoth = All_.Snapshot_ && Other.Snapshot_;
+    bool IsSame = HasBoth ? *All_.Snapshot_ == *Other.Snapshot_
+                          : All_.Snapshot_ == Other.Snapshot_;
+    return IsSame && All_.Hard_ == Other.Hard_ &&
+           All_.Entries_ == Other.Entries_;
+  }
+};
+
+/// Makes the next random write, and does it to the copy and to the storage.
+class Writer {
+public:
+  explicit Writer(std::uint64_t Seed) : Random_(Seed) {}
+
+  /// Returns whether the storage confirmed it.
+  bool writeNext(FolderStorage &To, Copy &Naive) {
+    if (!Naive.All_.Entries_.empty() && Random_() % 5 == 0)
+      return replace(To, Naive);
+    LogBatch Batch;
+    Batch.Hard_ = {++Term_, {"b", Random_() % 3}};
+    std::uint64_t Next = nextIndex(Naive);
+    bool IsCutting = Naive.All_.Entries_.size() > 2 && Random_() % 4 == 0;
+    Next -= IsCutting ? 1 + Random_() % 2 : 0;
+    for (std::uint64_t Count = Random_() % 4; Count > 0; --Count, ++Next)
+      Batch.Entries_.push_back({Term_,
+                                Next,
+                                EntryKind::Command,
+                                std::string(Random_() % 40, 'x'),
+                                {}});
+    Naive.append(Batch);
+    return To.append(Batch).has_value();
+  }
+
+private:
+  static std::uint64_t nextIndex(const Copy &Naive) {
+    const Checkpoint &All = Naive.All_;
+    if (!All.Entries_.empty())
+      return All.Entries_.back().Index_ + 1;
+    return All.Snapshot_ ? All.Snapshot_->Index_ + 1 : 1;
+  }
+  bool replace(FolderStorage &To, Copy &Naive) {
+    std::vector<LogEntry> &Log = Naive.All_.Entries_;
+    std::size_t Covered = Random_() % Log.size() + 1;
+    const LogEntry &Last = Log[Covered - 1];
+    Naive.All_.Snapshot_ = std::make_shared<Snapshot>(
+        Snapshot{Last.Index_, Last.Term_, {}, "state"});
+    Log.erase(Log.begin(), Log.begin() + static_cast<std::ptrdiff_t>(Covered));
+    return To.replace(Naive.All_).has_value();
+  }
+
+  std::mt19937_64 Random_;
+  std::uint64_t Term_ = 0;
+};
+
+/// Writes Count times with a crash at operation CrashAt, and on after it.
+/// Tells through Crashed whether it came to that.
+void runWithCrash(std::uint64_t Seed, std::uint64_t CrashAt, bool &Crashed) {
+  FaultyFiles Files(Seed + CrashAt);
+  Files.CrashAt_ = CrashAt;
+  Writer Next(Seed);
+  Copy Naive;
+  Copy Before;
+  auto Opened = FolderStorage::open(Files, Folder, Owner);
+  bool IsCreated = Opened.has_value();
+  bool IsConfirmed = IsCreated;
+  for (int Each = 0; Each < 25 && IsConfirmed; ++Each) {
+    Before = Naive;
+    IsConfirmed = Next.writeNext(*Opened.value().Storage_, Naive);
+  }
+  Crashed = Files.hasCrashed();
+  if (!Crashed)
+    return;
+  Opened = fail(ErrorCode::Internal, "closed");
+  Files.losePower();
+  Identity Newer = Owner;
+  Newer.Self_.Incarnation_ = 6;
+  Opened = FolderStorage::open(Files, Folder, Newer);
+  if (!IsCreated) {
+    // Nothing was said under the first incarnation, so a new one will do.
+    EXPECT_TRUE(Opened || Opened.error().Code_ == ErrorCode::Corrupt);
+    return;
+  }
+  EXPECT_TRUE(Opened) << Opened.error().Message_ << " crash at " << CrashAt;
+  if (!Opened)
+    return;
+  EXPECT_EQ(Opened.value().Owner_, Owner);
+  const Checkpoint &Read = Opened.value().Stored_;
+  EXPECT_TRUE(Naive.equals(Read) || Before.equals(Read))
+      << "seed " << Seed << " crash at " << CrashAt;
+  Naive.All_ = Read;
+  for (int Each = 0; Each < 5; ++Each)
+    EXPECT_TRUE(Next.writeNext(*Opened.value().Storage_, Naive));
+  Opened = FolderStorage::open(Files, Folder, Owner);
+  EXPECT_TRUE(Opened && Naive.equals(Opened.value().Stored_));
+}
+
+TEST(FolderStorageTest, HoldsWhatWasConfirmedAfterACrashAtEveryWrite) {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    bool Crashed = true;
+    for (std::uint64_t CrashAt = 1; Crashed; ++CrashAt)
+      runWithCrash(Seed, CrashAt, Crashed);
+  }
+}
+
+/// Each byte in turn is damaged: that is noticed, or was in the last frame,
+/// which cannot be told from a write that was cut off.
+TEST(FolderStorageTest, DamageIsNeverTakenForData) {
+  FaultyFiles Files(1);
+  Copy Naive;
+  Copy Before;
+  auto Opened = FolderStorage::open(Files, Folder, Owner);
+  Writer Next(3);
+  for (int Each = 0; Each < 12; ++Each) {
+    Before = Naive;
+    ASSERT_TRUE(Next.writeNext(*Opened.value().Storage_, Naive));
+  }
+  ASSERT_TRUE(Naive.All_.Snapshot_);
+  int Noticed = 0;
+  const std::vector<std::string> Names = Files.list(Folder).value();
+  for (const std::string &Name : Names) {
+    const std::string Whole = Files.bytesOf(Folder + "/" + Name);
+    for (std::size_t At = 0; At < Whole.size(); ++At) {
+      std::string &Bytes = Files.bytesOf(Folder + "/" + Name);
+      Bytes[At] = static_cast<char>(Bytes[At] ^ 0x10);
+      auto Again = FolderStorage::open(Files, Folder, Owner);
+      bool IsNoticed = !Again && Again.error().Code_ == ErrorCode::Corrupt;
+      EXPECT_TRUE(IsNoticed || Before.equals(Again.value().Stored_))
+          << Name << " at " << At;
+      Noticed += IsNoticed ? 1 : 0;
+      Files.bytesOf(Folder + "/" + Name) = Whole;
+    }
+  }
+  EXPECT_GT(Noticed, 100);
+}
+
+TEST(FolderStorageTest, RefusesAFolderThatIsNotItsOwn) {
+  FaultyFiles Files(1);
+  ASSERT_TRUE(FolderStorage::open(Files, Folder, Owner));
+  for (const Identity &Other :
+       {Identity{"other", {"a", 5}, 0}, Identity{"group", {"b", 5}, 0}}) {
+    auto Opened = FolderStorage::open(Files, Folder, Other);
+    EXPECT_EQ(Opened.error().Code_, ErrorCode::Conflict);
+  }
+  Files.bytesOf(Folder + "/identity") = makeFrame(2, "of the future");
+  auto Opened = FolderStorage::open(Files, Folder, Owner);
+  EXPECT_EQ(Opened.error().Code_, ErrorCode::VersionMismatch);
+}
+
+TEST(FolderStorageTest, DamagedFolderIsSetAsideAndServesAgain) {
+  FaultyFiles Files(1);
+  ASSERT_TRUE(FolderStorage::open(Files, Folder, Owner));
+  ASSERT_TRUE(Files.remove(Folder + "/log-1"));
+  Identity Fresh = Owner;
+  Fresh.Self_.Incarnation_ = 6;
+  auto Opened = FolderStorage::open(Files, Folder, Fresh);
+  EXPECT_EQ(Opened.error().Code_, ErrorCode::Corrupt);
+  ASSERT_TRUE(FolderStorage::setAside(Files, Folder, "6"));
+  EXPECT_EQ(FolderStorage::open(Files, Folder, Fresh).value().Owner_, Fresh);
+}
+
+TEST(FolderStorageTest, OneProcessAtATime) {
+  PosixFileSystem Files;
+  std::string Path = testing::TempDir() + "/lock-" + std::to_string(getpid());
+  auto First = FolderStorage::open(Files, Path, Owner);
+  ASSERT_TRUE(First) << First.error().Message_;
+  auto Second = FolderStorage::open(Files, Path, Owner);
+  EXPECT_EQ(Second.error().Code_, ErrorCode::Conflict);
+  std::filesystem::remove_all(Path);
+}
+
+TEST(LogWriterTest, NothingIsPromisedAfterAFailedSync) {
+  FaultyFiles Files(1);
+  auto Opened = FolderStorage::open(Files, Folder, Owner);
+  // The next append works, its sync does not.
+  Files.CrashAt_ = Files.countWork() + 2;
+  std::atomic<int> Sent = 0;
+  std::atomic<int> Failed = 0;
+  LogWriter::Callbacks Calls;
+  Calls.Send_ = [&](const std::vector<Message> &) { ++Sent; };
+  Calls.Synced_ = [&](const Synced &) { ++Sent; };
+  Calls.Failed_ = [&](const Error &) { ++Failed; };
+  LogWriter Writes(*Opened.value().Storage_, 10, Calls);
+  for (std::uint64_t Each = 1; Each <= 3; ++Each) {
+    WriteJob Job;
+    Job.HasBatch_ = true;
+    Job.Batch_.Entries_.push_back({1, Each, EntryKind::NoOp, "", {}});
+    Writes.submit(std::move(Job));
+  }
+  Writes.stop();
+  EXPECT_EQ(Sent, 0);
+  EXPECT_EQ(Failed, 1);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/replication/RaftCoreTest.cpp
@@ -0,0 +1,285 @@
+#include "replication/RaftCore.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Timeout = 100ms;
+const MemberId A{"a", 1};
+const MemberId B{"b", 1};
+const MemberId C{"c", 1};
+const MemberId D{"d", 7};
+
+/// One core, member a of a group of a, b and c, and all by hand.
+class RaftCoreTest : public testing::Test {
+protected:
+  RaftCoreTest() { restart({}); }
+
+  static LogEntry makeEntry(std::uint64_t Term, std::uint64_t Index) {
+    LogEntry Entry{Term, Index, EntryKind::NoOp, "", {}};
+    if (Index == 1) {
+      Entry.Kind_ = EntryKind::Membership;
+      for (const MemberId &Id : {A, B, C})
+        Entry.Members_.push_back({Id, MemberRole::Voter});
+    }
+    return Entry;
+  }
+  /// Starts with entries of these terms, and as many as Voted says in terms.
+  void restart(std::vector<std::uint64_t> Terms, HardState Hard = {1, {}}) {
+    Checkpoint Stored;
+    Stored.Hard_ = Hard;
+    Terms.insert(Terms.begin(), 1);
+    for (std::uint64_t Term : Terms)
+      Stored.Entries_.push_back(makeEntry(Term, Stored.Entries_.size() + 1));
+    CoreSettings Settings;
+    Settings.Self_ = A;
+    Settings.ElectionTimeout_ = Timeout;
+    Settings.HeartbeatInterval_ = 20ms;
+    Core_ = std::make_unique<RaftCore>(Settings, Now_, Stored);
+  }
+  Outputs step(decltype(Input::Event_) Event) {
+    return Core_->step({Now_, std::move(Event)});
+  }
+  Outputs receive(const MemberId &From, std::uint64_t Term,
+                  decltype(Message::Body_) Body, MemberId To = A) {
+    return step(Received{{From, To, Term, std::move(Body)}});
+  }
+  Outputs wait(Duration For) {
+    Now_ += For;
+    return step(Tick{});
+  }
+  /// Lets a win an election with b's votes; its first entry is at Last + 1.
+  void lead() {
+    wait(2 * Timeout);
+    receive(B, Core_->getTerm() + 1, VoteReply{true, true});
+    receive(B, Core_->getTerm(), VoteReply{false, true});
+    ASSERT_EQ(Core_->getRole(), Role::Leader);
+  }
+  Outputs answer(const MemberId &From, std::uint64_t Index,
+                 std::uint64_t Round = 1) {
+    return receive(From, Core_->getTerm(), AppendReply{Round, true, Index, 0});
+  }
+  std::uint64_t last() const { return Core_->getLog().getLastIndex(); }
+  Outputs sync() { return step(Synced{Core_->getTerm(), last()}); }
+  template <class Body>
+  static const Body *find(const std::vector<Message> &In) {
+    for (const Message &Each : In)
+      if (const auto *Found = std::get_if<Body>(&Each.Body_))
+        return Found;
+    return nullptr;
+  }
+  bool isGranted(const Outputs &Out) {
+    const auto *Reply = find<VoteReply>(Out.Late_);
+    return Reply && Reply->Granted_;
+  }
+
+  TimePoint Now_{1h};
+  std::unique_ptr<RaftCore> Core_;
+};
+
+TEST_F(RaftCoreTest, VotesOnceInATermAlsoAfterARestart) {
+  wait(Timeout);
+  Outputs First = receive(B, 2, VoteRequest{false, false, 1, 1});
+  EXPECT_TRUE(isGranted(First));
+  EXPECT_EQ(First.Hard_, (HardState{2, B}));
+  EXPECT_FALSE(find<VoteReply>(First.Early_));
+  EXPECT_FALSE(isGranted(receive(C, 2, VoteRequest{false, false, 1, 1})));
+  restart({}, *First.Hard_);
+  wait(Timeout);
+  EXPECT_FALSE(isGranted(receive(C, 2, VoteRequest{false, false, 1, 1})));
+  EXPECT_TRUE(isGranted(receive(B, 2, VoteRequest{false, false, 1, 1})));
+}
+
+TEST_F(RaftCoreTest, VotesOnlyForALogThatIsAsNew) {
+  struct Case {
+    std::uint64_t Index_, Term_;
+    bool Granted_;
+  };
+  for (const Case &Each :
+       {Case{2, 2, false}, Case{9, 2, false}, Case{2, 3, false},
+        Case{3, 3, true}, Case{1, 4, true}}) {
+    restart({3, 3}, {3, {}});
+    wait(Timeout);
+    VoteRequest Request{false, false, Each.Index_, Each.Term_};
+    EXPECT_EQ(isGranted(receive(B, 5, Request)), Each.Granted_);
+  }
+}
+
+TEST_F(RaftCoreTest, RefusesVotesAndTheirTermsAfterHearingALeader) {
+  for (bool IsPreVote : {true, false}) {
+    restart({});
+    wait(Timeout);
+    receive(B, 1, AppendRequest{1, 1, 1, 1, {}});
+    Now_ += Timeout - 1ms;
+    VoteRequest Request{IsPreVote, false, 1, 1};
+    EXPECT_FALSE(isGranted(receive(C, 2, Request)));
+    EXPECT_EQ(Core_->getTerm(), 1U);
+    Now_ += 1ms;
+    EXPECT_TRUE(isGranted(receive(C, 2, Request)));
+  }
+}
+
+TEST_F(RaftCoreTest, RefusesVotesAfterItsStartAsIfItHadHeardALeader) {
+  Now_ += Timeout - 1ms;
+  EXPECT_FALSE(isGranted(receive(C, 2, VoteRequest{false, false, 1, 1})));
+}
+
+TEST_F(RaftCoreTest, IsolatedMemberDoesNotRaiseItsTerm) {
+  for (int Each = 0; Each < 20; ++Each)
+    wait(Timeout);
+  EXPECT_EQ(Core_->getTerm(), 1U);
+  EXPECT_EQ(Core_->getRole(), Role::PreCandidate);
+}
+
+TEST_F(RaftCoreTest, LeaseRunsFromTheSendingWithAMarginForDrift) {
+  lead();
+  TimePoint Sent = Now_;
+  Now_ += 30ms;
+  sync();
+  answer(B, last());
+  EXPECT_EQ(Core_->getLeaseEnd(), Sent + Timeout * 7 / 8);
+  wait(1ms);
+  answer(C, last(), 2);
+  EXPECT_EQ(Core_->getLeaseEnd(), Sent + 31ms + Timeout * 7 / 8);
+}
+
+TEST_F(RaftCoreTest, LeaseEndsForGoodWhenLeadershipIsHandedOver) {
+  lead();
+  sync();
+  answer(B, last());
+  ASSERT_GT(Core_->getLeaseEnd(), Now_);
+  EXPECT_TRUE(find<TransferNow>(step(TransferAsked{5}).Late_));
+  EXPECT_LT(Core_->getLeaseEnd(), Now_);
+  // The other one does not take over: its late election must find no lease.
+  wait(Timeout - 1ms);
+  answer(B, last(), 2);
+  EXPECT_LT(Core_->getLeaseEnd(), Now_);
+  Outputs Out = wait(1ms);
+  EXPECT_EQ(Out.Finished_.at(0).Error_->Code_, ErrorCode::Timeout);
+  EXPECT_NE(Core_->getRole(), Role::Leader);
+}
+
+TEST_F(RaftCoreTest, LeaderWithoutAQuorumStepsDown) {
+  lead();
+  wait(Timeout - 1ms);
+  EXPECT_EQ(Core_->getRole(), Role::Leader);
+  wait(1ms);
+  EXPECT_NE(Core_->getRole(), Role::Leader);
+}
+
+TEST_F(RaftCoreTest, OlderEntriesAreCommittedOnlyByOneOfTheOwnTerm) {
+  restart({2, 2}, {2, {}});
+  lead();
+  sync();
+  EXPECT_TRUE(answer(B, 3).Committed_.empty());
+  EXPECT_EQ(answer(B, 4).Committed_.size(), 4U);
+}
+
+TEST_F(RaftCoreTest, LeaderCountsItselfOnlyOnceSynced) {
+  lead();
+  EXPECT_TRUE(answer(B, last()).Committed_.empty());
+  EXPECT_FALSE(sync().Committed_.empty());
+}
+
+TEST_F(RaftCoreTest, FollowerAnswersOnlyAfterTheSync) {
+  AppendRequest Request{1, 1, 1, 0, {makeEntry(1, 2)}};
+  Outputs Out = receive(B, 1, Request);
+  EXPECT_EQ(Out.Appended_.size(), 1U);
+  EXPECT_FALSE(find<AppendReply>(Out.Early_));
+  EXPECT_TRUE(find<AppendReply>(Out.Late_)->Accepted_);
+}
+
+TEST_F(RaftCoreTest, FollowerCommitsOnlyWhatTheMessageVouchesFor) {
+  restart({2, 2}, {3, {}});
+  receive(B, 3, AppendRequest{1, 1, 1, 3, {}});
+  EXPECT_EQ(Core_->getCommit(), 1U);
+}
+
+TEST_F(RaftCoreTest, FollowerReplacesWhatConflicts) {
+  restart({2, 2}, {3, {}});
+  Outputs Wrong = receive(B, 3, AppendRequest{1, 3, 3, 1, {}});
+  EXPECT_FALSE(find<AppendReply>(Wrong.Late_)->Accepted_);
+  Outputs Out = receive(B, 3, AppendRequest{1, 1, 1, 2, {makeEntry(3, 2)}});
+  EXPECT_EQ(Out.Appended_.size(), 1U);
+  EXPECT_EQ(last(), 2U);
+  EXPECT_EQ(Core_->getLog().getLastTerm(), 3U);
+}
+
+TEST_F(RaftCoreTest, ReadIsConfirmedOnlyByARoundBegunAfterIt) {
+  lead();
+  sync();
+  answer(B, last());
+  step(ReadAsked{{9}});
+  EXPECT_TRUE(answer(B, last(), 1).Finished_.empty());
+  Outputs Out = answer(C, last(), 2);
+  ASSERT_EQ(Out.Finished_.size(), 1U);
+  EXPECT_EQ(Out.Finished_[0].ReadIndex_, last());
+}
+
+TEST_F(RaftCoreTest, ChangesOfMembersComeOneAtATimeAndAfterAnOwnEntry) {
+  lead();
+  step(ChangeAsked{1, ChangeKind::AddLearner, D});
+  EXPECT_EQ(Core_->getLog().getMembers().size(), 3U);
+  sync();
+  answer(B, last());
+  EXPECT_EQ(Core_->getLog().getMembers().size(), 4U);
+  Outputs Second = step(ChangeAsked{2, ChangeKind::Remove, C});
+  EXPECT_EQ(Second.Finished_.at(0).Error_->Code_, ErrorCode::Conflict);
+  sync();
+  Outputs Out = answer(B, last());
+  EXPECT_FALSE(Out.Finished_.at(0).Error_);
+}
+
+TEST_F(RaftCoreTest, LearnerIsPromotedOnlyOnceItHoldsTheLog) {
+  lead();
+  sync();
+  answer(B, last());
+  step(ChangeAsked{1, ChangeKind::AddLearner, D});
+  sync();
+  answer(B, last());
+  std::uint64_t Before = last();
+  step(ChangeAsked{2, ChangeKind::Promote, D});
+  answer(D, Before - 1);
+  EXPECT_EQ(last(), Before);
+  answer(D, Before);
+  EXPECT_EQ(last(), Before + 1);
+}
+
+TEST_F(RaftCoreTest, LeaderThatWasRemovedStepsDownOnceThatIsCommitted) {
+  lead();
+  sync();
+  answer(B, last());
+  step(ChangeAsked{1, ChangeKind::Remove, A});
+  answer(B, last());
+  EXPECT_EQ(Core_->getRole(), Role::Leader);
+  answer(C, last());
+  EXPECT_NE(Core_->getRole(), Role::Leader);
+}
+
+TEST_F(RaftCoreTest, NothingMeantForAnotherIncarnationIsHeard) {
+  wait(Timeout);
+  Outputs Out = receive(B, 2, VoteRequest{false, false, 1, 1}, {"a", 2});
+  EXPECT_TRUE(Out.Late_.empty());
+  EXPECT_EQ(Core_->getTerm(), 1U);
+}
+
+TEST_F(RaftCoreTest, DamagedSnapshotIsNotInstalled) {
+  SnapshotChunk Chunk;
+  Chunk.Index_ = 9;
+  Chunk.LastTerm_ = 1;
+  Chunk.Members_ = makeEntry(1, 1).Members_;
+  Chunk.Total_ = 3;
+  Chunk.Digest_ = 1;
+  Chunk.Bytes_ = "abc";
+  Outputs Out = receive(B, 1, Chunk);
+  EXPECT_FALSE(Out.Restore_);
+  EXPECT_FALSE(find<SnapshotReply>(Out.Late_)->Installed_);
+}
+
+} // namespace
