--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -58,6 +58,9 @@
   std::uint64_t SnapshotEvery_ = 10'000; ///< Entries between snapshots.
   std::uint64_t Seed_ = 0;               ///< For election jitter.
   std::uint64_t MaxBatch_ = 1024; ///< Entries that share one sync; 1 for none.
+  /// Whether the leader replaces, by committed changes, the old incarnation of
+  /// a member that lost its disk by the one that now runs under its name.
+  bool RejoinsLostDisks_ = true;
 };
 
 /// The result of a committed and applied command.
@@ -81,6 +84,9 @@
   std::string Failure_; ///< Why this replica stopped, if it did.
   /// Why an earlier log was set aside as lost when the folder was opened.
   std::string LostDisk_;
+  /// Whether this member's log is on a disk. A group survives a loss of power
+  /// everywhere only if that holds for a majority of its voters.
+  bool IsDurable_ = false;
   /// Members that hold nothing and have asked this one to join: new VMs, and
   /// those that lost their disk, with the incarnation to add them under.
   std::vector<MemberId> Waiting_;
--- a/src/replication/LogWriter.cpp
+++ b/src/replication/LogWriter.cpp
@@ -1,5 +1,6 @@
 #include "replication/LogWriter.h"
 
+#include <algorithm>
 #include <boost/outcome/try.hpp>
 #include <iterator>
 #include <utility>
@@ -14,7 +15,7 @@
 }
 
 /// Joins neighbouring jobs, so that each has at most MaxBatch entries but for
-/// those that came so in one job.
+/// those that came so in one job; write() splits these.
 static std::vector<WriteJob> merge(std::vector<WriteJob> Jobs,
                                    std::uint64_t MaxBatch) {
   std::vector<WriteJob> Merged;
@@ -40,8 +41,8 @@
 
 LogWriter::LogWriter(LogStorage &Storage, std::uint64_t MaxBatch,
                      Callbacks Calls)
-    : Storage_(Storage), MaxBatch_(MaxBatch), Calls_(std::move(Calls)),
-      Thread_([this] { run(); }) {}
+    : Storage_(Storage), MaxBatch_(std::max<std::uint64_t>(MaxBatch, 1)),
+      Calls_(std::move(Calls)), Thread_([this] { run(); }) {}
 
 LogWriter::~LogWriter() { stop(); }
 
@@ -68,9 +69,24 @@
   return std::exchange(Queue_, {});
 }
 
+/// Writes the batch with as few syncs as MaxBatch_ allows.
+Outcome<void> LogWriter::append(const LogBatch &Batch) {
+  const std::vector<LogEntry> &Entries = Batch.Entries_;
+  if (Entries.size() <= MaxBatch_)
+    return Storage_.append(Batch);
+  for (std::size_t From = 0; From < Entries.size(); From += MaxBatch_) {
+    std::size_t End = std::min<std::size_t>(From + MaxBatch_, Entries.size());
+    LogBatch Part{Batch.Hard_,
+                  {Entries.begin() + static_cast<std::ptrdiff_t>(From),
+                   Entries.begin() + static_cast<std::ptrdiff_t>(End)}};
+    BOOST_OUTCOME_TRYV(Storage_.append(Part));
+  }
+  return succeed();
+}
+
 Outcome<void> LogWriter::write(WriteJob &Job) {
   if (Job.HasBatch_) {
-    BOOST_OUTCOME_TRYV(Storage_.append(Job.Batch_));
+    BOOST_OUTCOME_TRYV(append(Job.Batch_));
   }
   if (Job.Checkpoint_) {
     BOOST_OUTCOME_TRYV(Storage_.replace(*Job.Checkpoint_));
--- a/src/replication/LogWriter.h
+++ b/src/replication/LogWriter.h
@@ -48,6 +48,7 @@
 private:
   void run();
   std::vector<WriteJob> take();
+  Outcome<void> append(const LogBatch &Batch);
   Outcome<void> write(WriteJob &Job);
   void complete(const WriteJob &Job);
 
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -153,6 +153,8 @@
   std::uint64_t getCommit() const { return Commit_; }
   const std::optional<MemberId> &getLeader() const { return Leader_; }
   const RaftLog &getLog() const { return Log_; }
+  /// Whether a change of members was asked for and has not ended.
+  bool isChanging() const { return Change_.has_value(); }
   /// When this member last became leader.
   TimePoint getLeaderSince() const { return LeaderSince_; }
   /// Until when no other leader can exist; the lowest time without a lease.
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -1,6 +1,7 @@
 #include "replication/ReplicaDriver.h"
 
 #include "replication/MessageCodec.h"
+#include "replication/Rejoin.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,7 +16,6 @@
   Core.ElectionTimeout_ = From.ElectionTimeout_;
   Core.HeartbeatInterval_ = From.HeartbeatInterval_;
   Core.Seed_ = From.Seed_ ^ Self.Incarnation_;
-  Core.MaxEntriesPerMessage_ = std::max<std::uint64_t>(From.MaxBatch_, 1);
   return Core;
 }
 
@@ -38,9 +38,11 @@
             Start.Stored_),
       Founder_(Start.Owner_, Settings_.FirstVoters_),
       Hard_(Start.Stored_.Hard_), Applied_(Core_.getCommit()),
-      LastSnapshot_(Applied_), NextTick_(Time.now()), NextAsk_(Time.now()) {
+      LastSnapshot_(Applied_), NextTick_(Time.now()), NextAsk_(Time.now()),
+      NextRejoin_(Time.now()) {
   Status_.Self_ = Start.Owner_.Self_;
   Status_.LostDisk_ = Start.LostDisk_;
+  Status_.IsDurable_ = !Settings_.Folder_.empty();
   publish();
   LogWriter::Callbacks Calls;
   Calls.Send_ = [this](const auto &Messages) { sendAll(Messages); };
@@ -165,12 +167,25 @@
 void ReplicaDriver::tick() {
   NextTick_ = Time_.now() + tickInterval(Settings_);
   step(Tick{});
+  rejoinNext();
   if (HasFailed_ || !Core_.getLog().isEmpty() || Time_.now() < NextAsk_)
     return;
   NextAsk_ = Time_.now() + Settings_.ElectionTimeout_ / 2;
   carryOut(Founder_.ask(getHoldings()));
 }
 
+void ReplicaDriver::rejoinNext() {
+  bool IsDue = Settings_.RejoinsLostDisks_ && !HasFailed_ &&
+               Core_.getRole() == Role::Leader && !Core_.isChanging() &&
+               Time_.now() >= NextRejoin_;
+  if (!IsDue)
+    return;
+  NextRejoin_ = Time_.now() + Settings_.HeartbeatInterval_;
+  auto Next = planRejoin(Core_.getLog().getMembers(), getWaiting());
+  if (Next)
+    step(*Next);
+}
+
 void ReplicaDriver::receiveOne(const std::string &Bytes) {
   Outcome<Message> Decoded = decodeMessage(Settings_.Group_, Bytes);
   if (!Decoded || HasFailed_)
@@ -185,13 +200,10 @@
 }
 
 void ReplicaDriver::proposeAll(std::vector<Call> &Calls) {
-  std::size_t Limit = std::max<std::uint64_t>(Settings_.MaxBatch_, 1);
   Proposed Batch;
   for (Call &Each : Calls) {
     std::uint64_t Id = Pending_.addProposal(std::move(Each.Done_));
     Batch.Proposals_.push_back({Id, std::move(Each.Command_)});
-    if (Batch.Proposals_.size() >= Limit)
-      step(std::exchange(Batch, Proposed{}));
   }
   if (!Batch.Proposals_.empty())
     step(std::move(Batch));
@@ -320,15 +332,21 @@
   Status_.AppliedIndex_ = Applied_;
   Status_.LeaderSince_ = Core_.getLeaderSince();
   Status_.Members_ = Core_.getLog().getMembers();
-  Status_.Waiting_.clear();
+  Status_.Waiting_ = getWaiting();
+}
+
+std::vector<MemberId> ReplicaDriver::getWaiting() const {
+  const std::vector<Member> &Members = Core_.getLog().getMembers();
+  std::vector<MemberId> Waiting;
   for (const auto &[Name, Incarnation] : Founder_.getWaiting()) {
-    auto IsMember = [&](const Member &Each) {
-      return Each.Id_ == MemberId{Name, Incarnation};
-    };
-    if (std::none_of(Status_.Members_.begin(), Status_.Members_.end(),
-                     IsMember))
-      Status_.Waiting_.push_back({Name, Incarnation});
+    MemberId Id{Name, Incarnation};
+    bool IsMember =
+        std::any_of(Members.begin(), Members.end(),
+                    [&](const Member &Each) { return Each.Id_ == Id; });
+    if (!IsMember)
+      Waiting.push_back(std::move(Id));
   }
+  return Waiting;
 }
 
 void ReplicaDriver::sendAll(const std::vector<Message> &Messages) {
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -92,6 +92,8 @@
   void applyAll(const std::vector<LogEntry> &Entries);
   void takeSnapshotIfDue();
   Holdings getHoldings() const;
+  std::vector<MemberId> getWaiting() const;
+  void rejoinNext();
   void carryOut(FounderOutputs Out);
   void failWith(const Error &Why);
   void publish();
@@ -113,6 +115,7 @@
   bool HasFailed_ = false;
   TimePoint NextTick_;
   TimePoint NextAsk_;
+  TimePoint NextRejoin_;
 
   std::mutex InboxLock_;
   std::condition_variable Wake_;
