--- a/src/ctl/Answers.cpp
+++ b/src/ctl/Answers.cpp
@@ -129,6 +129,11 @@
   return Object[Name].get<std::string>();
 }
 
+bool ctl::readFlag(const json &Object, const std::string &Name) {
+  return Object.is_object() && Object.contains(Name) &&
+         Object[Name].is_boolean() && Object[Name].get<bool>();
+}
+
 const json &ctl::findList(const json &Document, const std::string &Name) {
   static const json Empty = json::array();
   if (!Document.is_object() || !Document.contains(Name) ||
--- a/src/ctl/Answers.h
+++ b/src/ctl/Answers.h
@@ -56,6 +56,8 @@
 std::uint64_t readNumber(const json &Object, const std::string &Name,
                          std::uint64_t Otherwise);
 std::string readText(const json &Object, const std::string &Name);
+/// False unless the field is true.
+bool readFlag(const json &Object, const std::string &Name);
 
 /// The list of that name in the document; an empty one if there is none.
 const json &findList(const json &Document, const std::string &Name);
--- a/src/ctl/BundleCommands.cpp
+++ b/src/ctl/BundleCommands.cpp
@@ -92,7 +92,7 @@
 /// every process.
 static bool isEverywhere(const json &Status, std::uint64_t Version) {
   return readNumber(Status, "version", 0) >= Version &&
-         Status.value("everywhere", false);
+         readFlag(Status, "everywhere");
 }
 
 /// Asks until the version is in force everywhere, or for --timeout-ms.
@@ -129,7 +129,7 @@
 /// lost.
 static CtlExit finishSigning(CtlContext &Context, const SignedAnswer &Got) {
   const json &Body = Got.Answer_.Body_;
-  const bool Accepted = Body.is_object() && Body.value("accepted", false);
+  const bool Accepted = readFlag(Body, "accepted");
   const bool HasSigned = readText(Body, "error") == "already_exists";
   if (!Got.Answer_.isGood() && !Accepted && !HasSigned)
     return reportError(Context, Got.Answer_);
--- a/src/ctl/BundleViews.cpp
+++ b/src/ctl/BundleViews.cpp
@@ -24,7 +24,7 @@
 static void printStatus(CtlContext &Context, const json &Status) {
   Table Rows({"ROLE", "NAME", "DATA CENTRE", "VERSION", "REPORT AGE MS"});
   for (const json &Control : findList(Status, "controls")) {
-    const bool Leads = Control.is_object() && Control.value("leader", false);
+    const bool Leads = readFlag(Control, "leader");
     Rows.addRow({Leads ? "leader" : "control", showField(Control, "/control"),
                  showField(Control, "/dataCentre"),
                  showField(Control, "/version")});
@@ -35,7 +35,7 @@
                  "", "no answer"});
   Context.Out_ << Rows.render() << "\n"
                << "newest version " << showField(Status, "/version")
-               << (Status.value("everywhere", false)
+               << (readFlag(Status, "everywhere")
                        ? " is in force everywhere"
                        : " is not yet known to be in force everywhere");
   if (Status.contains("lastRollOutMs"))
--- a/src/ctl/JobCommands.cpp
+++ b/src/ctl/JobCommands.cpp
@@ -122,7 +122,7 @@
 }
 
 static void printExplanation(CtlContext &Context, const json &Value) {
-  const bool Running = Value.value("running", false);
+  const bool Running = readFlag(Value, "running");
   Context.Out_ << "task " << showField(Value, "/job") << "/"
                << showField(Value, "/task") << " "
                << (Running ? "runs on " + showField(Value, "/server")
