Test routing, refusals, keys, planned stop and finding the leader

Cause: the gates, the callers' API and the leader's finding had no tests. They found that retries earned budget for further retries (566 tries for 500 requests, at most 560 allowed): now only first tries earn. Retry-After no longer rounds 1 s and 1 ns up to 2 s.

--- a/include/tulipweir/entry/ServiceGate.h
+++ b/include/tulipweir/entry/ServiceGate.h
@@ -66,6 +66,8 @@
   void enter(TimePoint Deadline, const ExceptServer &Except, GateDone Done);
   /// A slot that is free now, without waiting; null if there is none.
   TakenSlot tryEnter(const ExceptServer &Except);
+  /// A first try earns its part of a retry; retries and hedges earn none.
+  void noteFirstTry();
   /// Spends one retry or hedge if the budget has it.
   bool trySpendRetry();
   /// Another service of the server took a slot there: counts it as in use.
--- a/src/entry/FinalResult.cpp
+++ b/src/entry/FinalResult.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 using namespace tulipweir;
@@ -82,9 +83,12 @@
 }
 
 // Retry-After is in whole seconds; rounding down would bring callers too soon.
+// What is under a millisecond does not count, or 1 s and 1 ns would become 2.
 static std::string toRetrySeconds(Duration RetryAfter) {
-  const auto Seconds = std::chrono::ceil<std::chrono::seconds>(RetryAfter);
-  return std::to_string(Seconds.count());
+  using std::chrono::seconds;
+  const auto Whole = std::chrono::floor<std::chrono::milliseconds>(RetryAfter);
+  const auto Rounded = std::chrono::ceil<seconds>(Whole);
+  return std::to_string(std::max(seconds(1), Rounded).count());
 }
 
 static net::HttpResponse renderError(const FinalResult &Result) {
--- a/src/entry/RequestSender.cpp
+++ b/src/entry/RequestSender.cpp
@@ -75,6 +75,8 @@
       return Parts_.Router_.release(Hold, std::nullopt, Duration::zero());
     const std::size_t Index = *Added;
     Parts_.Metrics_.Tries_.add();
+    if (Index == 0)
+      Gate_->noteFirstTry();
     const std::uint64_t Number = Parts_.Client_.send(
         Hold.Slot_->address(), makeForward(Now), Request_->Deadline_,
         [Self = shared_from_this(), Index](net::HttpResult Result) {
--- a/src/entry/ServiceGate.cpp
+++ b/src/entry/ServiceGate.cpp
@@ -92,8 +92,6 @@
       Answer.Reason_ = Full ? RequestReason::QueueFull : RequestReason::TooLate;
       Answer.RetryAfter_ = Asked.RetryAfter_;
     }
-    if (Answer.Slot_)
-      Budget_.noteRequest();
   }
   Done(std::move(Answer));
 }
@@ -105,6 +103,11 @@
   return takeSlot(Clock_.now(), Except);
 }
 
+void ServiceGate::noteFirstTry() {
+  std::lock_guard Lock(Mutex_);
+  Budget_.noteRequest();
+}
+
 bool ServiceGate::trySpendRetry() {
   std::lock_guard Lock(Mutex_);
   return Budget_.trySpend();
@@ -150,7 +153,6 @@
     if (!Answer.Slot_)
       return std::nullopt;
     Admission_.noteDrained(Now);
-    Budget_.noteRequest();
   }
   Handed Result{std::move(First.Done_), std::move(Answer)};
   Queue_.pop_front();
--- /dev/null
+++ b/tests/entry/RoutingTest.cpp
@@ -0,0 +1,229 @@
+//===- RoutingTest.cpp - Grants, queues, refusals, leaving servers --------===//
+
+#include "entry/support/Fakes.h"
+
+#include <gtest/gtest.h>
+
+using namespace tulipweir;
+using namespace tulipweir::entry;
+using namespace tulipweir::entry::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static const net::HttpHeader ShortDeadline{header::Deadline, "100"};
+
+static unsigned countSent(const World &Around, std::size_t From,
+                          std::uint16_t Port) {
+  unsigned Count = 0;
+  for (std::size_t Index = From; Index < Around.Backend_.Sent_.size(); ++Index)
+    Count += Around.Backend_.Sent_[Index].To_.Port_ == Port ? 1 : 0;
+  return Count;
+}
+
+static void callMany(World &Around, int Count) {
+  for (int Number = 0; Number < Count; ++Number) {
+    Around.call("c" + std::to_string(Number));
+    Around.advance(milliseconds(12));
+  }
+}
+
+TEST(RoutingTest, NoServerGetsMoreThanItsGrantedSlots) {
+  World Around(3, 2);
+  Around.Backend_.ServiceTime_ = milliseconds(50);
+  for (int Number = 0; Number < 40; ++Number)
+    Around.call("c" + std::to_string(Number));
+  EXPECT_EQ(Around.Backend_.Sent_.size(), 6U);
+  for (const std::uint16_t Port : {1, 2, 3})
+    EXPECT_EQ(countSent(Around, 0, Port), 2U);
+  Around.advance(milliseconds(49));
+  EXPECT_EQ(Around.Backend_.Sent_.size(), 6U);
+}
+
+TEST(RoutingTest, ConnectionsLimitAsSlotsDo) {
+  World Around(1, 4);
+  Around.Routes_[0].Connections_ = 1;
+  Around.setRoutes(Around.Routes_);
+  Around.advance(seconds(1));
+  Around.call("a");
+  Around.call("b");
+  EXPECT_EQ(Around.Backend_.Sent_.size(), 1U);
+}
+
+TEST(RoutingTest, ADrainingServerGetsNothingNewFromTheNextReportOn) {
+  World Around;
+  Around.Routes_[0].Draining_ = true;
+  Around.setRoutes(Around.Routes_);
+  Around.advance(milliseconds(600));
+  const std::size_t Before = Around.Backend_.Sent_.size();
+  callMany(Around, 40);
+  EXPECT_EQ(countSent(Around, Before, 1), 0U);
+  EXPECT_EQ(Around.Backend_.Sent_.size(), Before + 40);
+}
+
+TEST(RoutingTest, AnAnnouncedLeaveCountsAtOnceAndOldTablesDoNotUndoIt) {
+  World Around;
+  const std::string Body = R"({"server":"s1","boot":"b","dataCentre":"dc1",)"
+                           R"("address":"127.0.0.1:1","draining":true})";
+  Around.call(Body, {}, "POST", "/v1/announce");
+  callMany(Around, 20);
+  Around.setRoutes(Around.Routes_); // Still without the draining mark.
+  Around.advance(seconds(1));
+  callMany(Around, 20);
+  EXPECT_EQ(countSent(Around, 0, 1), 0U);
+}
+
+TEST(RoutingTest, AVanishedServerGetsNothingNewAndItsRequestsFinish) {
+  World Around;
+  Around.Backend_.ServiceTime_ = milliseconds(900);
+  std::vector<std::shared_ptr<World::Call>> Calls;
+  for (int Number = 0; Number < 6; ++Number)
+    Calls.push_back(Around.call("c" + std::to_string(Number)));
+  Around.setRoutes({Around.Routes_[1]});
+  Around.advance(milliseconds(600));
+  const std::size_t Before = Around.Backend_.Sent_.size();
+  Around.Backend_.ServiceTime_ = milliseconds(5);
+  Around.advance(seconds(1));
+  callMany(Around, 10);
+  EXPECT_EQ(countSent(Around, Before, 1) + countSent(Around, Before, 3), 0U);
+  for (const auto &Call : Calls)
+    EXPECT_EQ(Call->outcome(), "served");
+}
+
+TEST(RoutingTest, GrantsRunOutFromWhenTheReportWasSent) {
+  World Around;
+  Around.advance(milliseconds(500));
+  Around.Control_->ReportsLost_ = true;
+  const TimePoint LastSent = Around.Clock_.now();
+  while (Around.Entry_->explainUnready().empty())
+    Around.advance(milliseconds(10));
+  EXPECT_LE(Around.Clock_.now() - LastSent, milliseconds(3000));
+  const auto Call = Around.call("late");
+  EXPECT_EQ(Call->outcome(), "not-run");
+  EXPECT_EQ(Around.Backend_.getRuns("late"), 0U);
+  Around.Control_->ReportsLost_ = false;
+  Around.advance(seconds(2));
+  const auto Next = Around.call("next");
+  Around.advance(milliseconds(20));
+  EXPECT_EQ(Next->outcome(), "served");
+}
+
+TEST(RoutingTest, ARefusalIsImmediateAndSaysWhenToComeBack) {
+  World Around(1, 1);
+  Around.Backend_.ServiceTime_ = milliseconds(80);
+  Around.call("first");
+  Around.advance(milliseconds(100)); // The service time is known now.
+  Around.call("running");
+  std::vector<std::shared_ptr<World::Call>> Refused;
+  for (int Number = 0; Number < 5; ++Number)
+    Refused.push_back(Around.call("r", {ShortDeadline}));
+  for (const auto &Call : Refused) {
+    ASSERT_EQ(Call->Answers_.size(), 1U) << "it was held back";
+    EXPECT_EQ(Call->Answers_[0].At_, Call->At_);
+    EXPECT_EQ(Call->response().Status_, 503U);
+    EXPECT_EQ(Call->outcome(), "not-run");
+    EXPECT_NE(Call->response().findHeader("Retry-After"), "");
+  }
+  EXPECT_EQ(Around.Backend_.getRuns("r"), 0U);
+}
+
+TEST(RoutingTest, AFullQueueRefusesAtOnce) {
+  World Around(1, 1);
+  Around.setBundle(2, R"(,"queueLimit":2)");
+  Around.advance(seconds(1));
+  for (int Number = 0; Number < 3; ++Number)
+    Around.call("q" + std::to_string(Number));
+  const auto Refused = Around.call("q3");
+  ASSERT_EQ(Refused->Answers_.size(), 1U);
+  EXPECT_NE(Refused->response().Body_.find("queue-full"), std::string::npos);
+}
+
+TEST(RoutingTest, WhoWaitsIsGivenUpAsSoonAsItsDeadlineCannotBeMade) {
+  World Around(1, 1);
+  Around.Backend_.ServiceTime_ = milliseconds(40);
+  Around.call("warm");
+  Around.advance(milliseconds(50));
+  Around.Backend_.Script_ = {TryFault::Slow};
+  Around.call("slow"); // 800 ms.
+  const auto Waiting = Around.call("w", {{header::Deadline, "200"}});
+  ASSERT_TRUE(Waiting->Answers_.empty());
+  Around.advance(milliseconds(400));
+  ASSERT_EQ(Waiting->Answers_.size(), 1U);
+  EXPECT_LT(Waiting->Answers_[0].At_ - Waiting->At_, milliseconds(170));
+  EXPECT_EQ(Waiting->outcome(), "not-run");
+  EXPECT_EQ(Around.Backend_.getRuns("w"), 0U);
+}
+
+TEST(RoutingTest, RetriesStayWithinTheBudget) {
+  World Around(4, 8);
+  for (const wire::Route &Route : Around.Routes_)
+    Around.Backend_.Broken_[net::Endpoint::parse(Route.Address_).value()] =
+        TryFault::Refused;
+  callMany(Around, 500);
+  Around.advance(seconds(1));
+  // A tenth of the requests, and the reserve of ten.
+  EXPECT_LE(Around.Backend_.Sent_.size(), 500U + 50U + 10U);
+  EXPECT_GE(Around.Backend_.Sent_.size(), 500U + 40U);
+}
+
+TEST(RoutingTest, OnlyRepeatableRequestsOfAServiceThatAllowsItAreHedged) {
+  for (const bool Allowed : {false, true})
+    for (const char *Method : {"GET", "POST"}) {
+      World Around(3, 4);
+      if (Allowed)
+        Around.setBundle(2, R"(,"hedgingAllowed":true)");
+      Around.advance(seconds(1));
+      callMany(Around, 20);
+      const std::size_t Before = Around.Backend_.Sent_.size();
+      Around.Backend_.Script_ = {TryFault::Slow};
+      const auto Call = Around.call("h", {}, Method);
+      Around.advance(milliseconds(300));
+      const bool Hedged = Allowed && std::string(Method) == "GET";
+      EXPECT_EQ(Around.Backend_.Sent_.size(), Before + (Hedged ? 2 : 1));
+      EXPECT_EQ(Call->outcome(), "served");
+      EXPECT_EQ(Call->Answers_.size(), 1U);
+      if (Hedged) {
+        EXPECT_LT(Call->Answers_[0].At_ - Call->At_, milliseconds(60));
+      }
+    }
+}
+
+TEST(RoutingTest, ARepeatableRequestLeavesAFrozenServerInTime) {
+  World Around(2, 8);
+  callMany(Around, 20);
+  Around.Backend_.Script_ = {TryFault::Frozen};
+  const auto Call = Around.call("f", {}, "GET");
+  Around.advance(seconds(2));
+  EXPECT_EQ(Call->outcome(), "served");
+}
+
+TEST(RoutingTest, TheRemainingDeadlineIsPassedOn) {
+  World Around(1, 1);
+  Around.call("first");
+  Around.call("second", {{header::Deadline, "500"}});
+  Around.advance(milliseconds(10));
+  ASSERT_EQ(Around.Backend_.Sent_.size(), 2U);
+  EXPECT_EQ(Around.Backend_.Sent_[1].Request_.findHeader(header::Deadline),
+            "490");
+}
+
+TEST(RoutingTest, AServersOtherServicesShareItsSlots) {
+  World Around(1, 2);
+  Around.Routes_[0].Services_.emplace_back("tariff");
+  Around.setRoutes(Around.Routes_);
+  Around.setBundle(2, R"(},{"service":"tariff")");
+  Around.advance(seconds(1));
+  Around.call("a");
+  Around.call("b", {}, "POST", "/v1/services/tariff/x");
+  const auto Waiting = Around.call("c", {}, "POST", "/v1/services/tariff/x");
+  EXPECT_EQ(Around.Backend_.Sent_.size(), 2U);
+  Around.advance(milliseconds(50));
+  EXPECT_EQ(Waiting->outcome(), "served");
+}
+
+TEST(RoutingTest, AServerThatAnswersWithAnotherIdLosesItsConnections) {
+  World Around(1, 1);
+  Around.Backend_.Script_ = {TryFault::WrongId};
+  Around.call("w");
+  Around.advance(milliseconds(20));
+  EXPECT_EQ(Around.Backend_.Forgotten_.size(), 1U);
+}
