Reserve closer to what was measured

Cause: reservations came to about 1.4 times the true use (buckets 10% wide, 0.95 quantile of noisy samples, 15% on top), so a server was full on paper at three quarters of its processors. Change: buckets 3% wide; for processors the 0.9 quantile with 5% margin; memory, which cannot be squeezed, keeps its 0.995 quantile and 15%.

--- a/include/tulipweir/decide/Policy.h
+++ b/include/tulipweir/decide/Policy.h
@@ -39,9 +39,9 @@
   /// Priorities from here on are urgent and may evict lower ones.
   std::uint32_t UrgentPriority_ = 100;
   /// Quantile of measured usage that is reserved, 0.5 to 1.
-  double UsageQuantile_ = 0.95;
+  double UsageQuantile_ = 0.9;
   /// Added to that quantile, 0 to 1.
-  double UsageMargin_ = 0.15;
+  double UsageMargin_ = 0.05;
   /// Part of the declared size below which a learned reservation never goes,
   /// 0.05 to 1.
   double ReserveFloorPart_ = 0.2;
--- a/src/decide/SizeLearner.cpp
+++ b/src/decide/SizeLearner.cpp
@@ -8,13 +8,14 @@
 using namespace tulipweir;
 using namespace tulipweir::decide;
 
-static constexpr double Growth = 1.1;
+static constexpr double Growth = 1.03;
 /// Upper edge of the first bucket, in thousandths of a processor or MiB.
 static constexpr double FirstEdge = 10;
 /// Samples that count in full; beyond, all weights are halved.
 static constexpr float Remembered = 512;
 /// Memory that runs out ends a task, so nearly its peak is reserved.
 static constexpr double MemoryQuantile = 0.995;
+static constexpr double LeastMemoryMargin = 0.15;
 
 void UsageHistogram::add(std::int64_t Amount) {
   const double Ratio = std::max(1.0, static_cast<double>(Amount) / FirstEdge);
@@ -55,9 +56,8 @@
 }
 
 static std::int64_t withMargin(std::int64_t Measured, std::int64_t Declared,
-                               const Policy &Settings) {
-  const double Wanted =
-      static_cast<double>(Measured) * (1 + Settings.UsageMargin_);
+                               double Margin, const Policy &Settings) {
+  const double Wanted = static_cast<double>(Measured) * (1 + Margin);
   const double Floor =
       static_cast<double>(Declared) * Settings.ReserveFloorPart_;
   return static_cast<std::int64_t>(std::ceil(std::max(Wanted, Floor)));
@@ -72,12 +72,13 @@
   if (Known.ProcessorSamples_ >= MinSamples)
     Reserved.MilliCpus_ =
         withMargin(Known.Processors_.quantile(Settings.UsageQuantile_),
-                   Declared.MilliCpus_, Settings);
+                   Declared.MilliCpus_, Settings.UsageMargin_, Settings);
   if (Known.MemorySamples_ >= MinSamples)
-    Reserved.MemoryMib_ =
-        withMargin(Known.Memory_.quantile(
-                       std::max(Settings.UsageQuantile_, MemoryQuantile)),
-                   Declared.MemoryMib_, Settings);
+    Reserved.MemoryMib_ = withMargin(
+        Known.Memory_.quantile(
+            std::max(Settings.UsageQuantile_, MemoryQuantile)),
+        Declared.MemoryMib_, std::max(Settings.UsageMargin_, LeastMemoryMargin),
+        Settings);
   return Reserved;
 }
 
--- a/src/decide/SizeLearner.h
+++ b/src/decide/SizeLearner.h
@@ -20,7 +20,7 @@
 
 namespace tulipweir::decide {
 
-/// A histogram with buckets that grow by a tenth each, whose old samples
+/// A histogram with buckets that grow by 3% each, whose old samples
 /// count ever less.
 class UsageHistogram {
 public:
@@ -29,7 +29,7 @@
   std::int64_t quantile(double Part) const;
 
 private:
-  static constexpr std::size_t Buckets = 128;
+  static constexpr std::size_t Buckets = 320;
   std::array<float, Buckets> Weights_{};
   float Total_ = 0;
 };
