Put off tasks of classes that slow services much, within a bound

Change: a waiting group's place in the order is put off by up to 20 ageing steps (CostlyClassSteps), by the learned effect of its class on a log scale.

--- a/include/tulipweir/decide/Policy.h
+++ b/include/tulipweir/decide/Policy.h
@@ -59,6 +59,9 @@
   Duration QuarantineTime_ = std::chrono::seconds(60);
   /// A waiting task gains one priority step per this time, 1 s to 1 h.
   Duration AgeingStep_ = std::chrono::seconds(30);
+  /// Ageing steps by which tasks of the class that slows services most may be
+  /// overtaken by tasks of harmless ones, 0 (strict order) to 100.
+  double CostlyClassSteps_ = 20;
   std::vector<TeamQuota> Quotas_;
   std::vector<ServiceTarget> Targets_;
   bool operator==(const Policy &) const = default;
--- a/src/decide/Interference.cpp
+++ b/src/decide/Interference.cpp
@@ -69,6 +69,15 @@
   return {UnknownWeight, 0};
 }
 
+double Interference::largestWeight(ServiceIndex Service,
+                                   ClassIndex Class) const {
+  double Largest = 0;
+  for (LoadBand Band = 0; Band < LoadBands; ++Band)
+    if (const Pair *Known = findPair(Service, Class, Band))
+      Largest = std::max(Largest, double{Known->Weight_});
+  return Largest;
+}
+
 double Interference::predict(ServiceIndex Service, LoadBand Band,
                              const ClassLoads &Loads, TimePoint Now) const {
   double Added = 0;
--- a/src/decide/Interference.h
+++ b/src/decide/Interference.h
@@ -43,6 +43,8 @@
 
   PairEffect effectOf(ServiceIndex Service, ClassIndex Class, LoadBand Band,
                       TimePoint Now) const;
+  /// The pair's largest learned weight over all bands; 0 if none is known.
+  double largestWeight(ServiceIndex Service, ClassIndex Class) const;
   /// Added part of the service's p99 alone: 0.3 means 1.3 times as long.
   double predict(ServiceIndex Service, LoadBand Band, const ClassLoads &Loads,
                  TimePoint Now) const;
--- a/src/decide/Interner.h
+++ b/src/decide/Interner.h
@@ -37,6 +37,9 @@
       return std::nullopt;
     return Found->second;
   }
+  std::uint32_t size() const {
+    return static_cast<std::uint32_t>(Names_.size());
+  }
   const Name &nameOf(std::uint32_t Position) const { return Names_[Position]; }
 
 private:
--- a/src/decide/PlannerState.cpp
+++ b/src/decide/PlannerState.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 using namespace tulipweir;
 using namespace tulipweir::decide;
@@ -18,8 +19,15 @@
 /// How long a task that was evicted or failed on a server avoids it.
 static constexpr Duration AvoidTime = std::chrono::seconds(60);
 
+/// Effects between which a class is put off, none to in full: a server full
+/// of it lengthens a service's p99 by 5% or by 300%.
+static constexpr double HarmlessWeight = 0.05;
+static constexpr double CostlyWeight = 3;
+
 PlannerState::PlannerState(const Policy &Settings)
-    : Policy_(Settings), Queue_(Settings) {
+    : Policy_(Settings), Queue_(Settings, [this](const TaskInfo &Task) {
+        return handicapOf(Task);
+      }) {
   indexTargets();
 }
 
@@ -418,6 +426,24 @@
   return Known->RetryAt_;
 }
 
+Duration PlannerState::handicapOf(const TaskInfo &Task) const {
+  const auto Class = Classes_.find(Task.Class_);
+  if (!Class || Task.Priority_ >= Policy_.UrgentPriority_)
+    return Duration::zero();
+  // A guess counts like a harmless class, so that it is tried and learned.
+  double Worst = 0;
+  for (ServiceIndex Service = 0; Service < Services_.size(); ++Service)
+    if (targetMicros(Service) > 0)
+      Worst = std::max(Worst, Effects_.largestWeight(Service, *Class));
+  const double Range = std::log(CostlyWeight / HarmlessWeight);
+  const double Part = std::clamp(
+      std::log(std::max(Worst, HarmlessWeight) / HarmlessWeight) / Range, 0.0,
+      1.0);
+  return std::chrono::duration_cast<Duration>(
+      Part * Policy_.CostlyClassSteps_ *
+      std::chrono::duration<double, std::nano>(Policy_.AgeingStep_));
+}
+
 double PlannerState::targetMicros(ServiceIndex Service) const {
   const auto Found = Targets_.find(Services_.nameOf(Service));
   return Found == Targets_.end() ? 0 : Found->second;
--- a/src/decide/PlannerState.h
+++ b/src/decide/PlannerState.h
@@ -98,6 +98,8 @@
   /// The target of a service in microseconds, 0 without one.
   double targetMicros(ServiceIndex Service) const;
   std::size_t claims() const { return Claims_; }
+  /// By how much tasks of a class that slows services are put off.
+  Duration handicapOf(const TaskInfo &Task) const;
 
   Policy Policy_;
   Interner<JobClassId> Classes_;
--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -33,9 +33,9 @@
   return tieOf(*this) < tieOf(Other);
 }
 
-WaitQueue::WaitQueue(const Policy &Settings)
+WaitQueue::WaitQueue(const Policy &Settings, Handicap PutOff)
     : UrgentPriority_(Settings.UrgentPriority_),
-      AgeingStep_(Settings.AgeingStep_) {}
+      AgeingStep_(Settings.AgeingStep_), PutOff_(std::move(PutOff)) {}
 
 GroupKey WaitQueue::keyOf(const TaskInfo &Task) {
   return {Task.Task_.Job_, Task.Priority_, Task.Declared_};
@@ -47,7 +47,9 @@
   Position.Tier_ = Key.Priority_ >= UrgentPriority_ ? 0 : 1;
   // Far more steps than an hour each would leave the range of the clock.
   constexpr std::uint32_t MostSteps = 100000;
-  Position.VirtualStart_ = Value.Tasks_.begin()->first -
+  const auto &[Since, Index] = *Value.Tasks_.begin();
+  const WaitingTask *First = find(TaskId{Key.Job_, Index});
+  Position.VirtualStart_ = Since + PutOff_(First->Info_) -
                            AgeingStep_ * std::min(Key.Priority_, MostSteps);
   Position.Group_ = Key;
   return Position;
--- a/src/decide/WaitQueue.h
+++ b/src/decide/WaitQueue.h
@@ -5,7 +5,9 @@
 // that may help, and holds up nobody else. Urgent groups come first. The others
 // are ordered by (waiting since - priority x ageing step), which never needs to
 // be sorted again while time passes: a task overtakes one of higher priority
-// exactly when it has waited one ageing step longer per step of priority.
+// exactly when it has waited one ageing step longer per step of priority. Tasks
+// of classes that slow services much start with a bounded handicap, so that
+// the room under the tail targets goes to those that get most done in it.
 //
 //===----------------------------------------------------------------------===//
 
@@ -14,6 +16,7 @@
 
 #include "tulipweir/decide/Planner.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <tuple>
@@ -54,7 +57,10 @@
 
 class WaitQueue {
 public:
-  explicit WaitQueue(const Policy &Settings);
+  /// By how much a task's start in the order is put off; bounded.
+  using Handicap = std::function<Duration(const TaskInfo &)>;
+
+  WaitQueue(const Policy &Settings, Handicap PutOff);
 
   // Commands.
   void setPolicy(const Policy &Settings);
@@ -94,6 +100,7 @@
 
   std::uint32_t UrgentPriority_;
   Duration AgeingStep_;
+  Handicap PutOff_;
   std::unordered_map<TaskId, WaitingTask> Tasks_;
   Groups Groups_;
   std::set<QueuePosition> Ready_;
