Read into a buffer of its own, not into the one the parser empties

A request that arrives before the answer before it is written leaves a read under way into Input_; the parser then empties Input_, the buffer starts anew at its beginning, and the read's bytes are committed where the old request's bytes still stand: the old request is handed on a second time. A held large buffer could even be freed under the read. Ruled out: the entry's own reading of paths, and the client side, whose reads never run while its input is emptied. LinkConnection is not concerned. Change: HttpConnection reads into Chunk_ and appends to Input_ on completion.

--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -132,8 +132,9 @@
     return;
   ReadPending_ = true;
   const bool InBody = Parser_ && Parser_->is_header_done();
+  Chunk_.resize(InBody ? BodyReadBytes : HeaderReadBytes);
   Socket_.async_read_some(
-      Input_.prepare(InBody ? BodyReadBytes : HeaderReadBytes),
+      asio::buffer(Chunk_),
       [Self = shared_from_this()](error_code Problem, std::size_t Size) {
         Self->ReadPending_ = false;
         Self->onRead(Problem, Size);
@@ -147,7 +148,8 @@
     return onPeerEnd();
   if (Problem)
     return close();
-  Input_.commit(Size);
+  Input_.commit(asio::buffer_copy(Input_.prepare(Size),
+                                  asio::buffer(Chunk_.data(), Size)));
   if (Phase_ == Phase::Reading)
     return parse();
   const bool TooMuch = Input_.size() > MaxPipelinedBytes;
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -95,6 +95,9 @@
   Socket Socket_;
   Timer Timer_;
   const std::shared_ptr<HttpShared> Shared_;
+  /// Where a read goes that is under way. Not Input_ itself: that moves and
+  /// starts anew when the parser empties it during the read.
+  std::vector<char> Chunk_;
   boost::beast::flat_buffer Input_;
   std::optional<Parser> Parser_;
   HttpResponse Response_;
