Give the naive records the asker's nonce

Ruled out: a default for the test's fields (would hide the next such change). Change: the naive model fills the field as well.

--- a/tests/datacentre/RequestRecordsTest.cpp
+++ b/tests/datacentre/RequestRecordsTest.cpp
@@ -68,6 +68,7 @@
                       Attempt,
                       R.Entry_,
                       R.EntryIncarnation_,
+                      R.Nonce_,
                       Wall_,
                       std::max({Wall_, Deadline, IsTicket ? Issued : 0}),
                       {}}});
