Read whole numbers back as doubles in the fleet's codec

Cause: msgpack writes a double that is a whole number as an integer, which the codec then refused. A load of exactly 0 made every report of assignments Malformed, so a data centre's leader that did not also lead the fleet was never renewed and placed nothing. Ruled out: the link and the handlers; a report with a load of 0.5 decoded. Change: integers are read where a double is expected. Measured: a report with load 0 decodes; control's test of an eviction across a change of leader passes with it and fails without. Conclusion: seen by control's tests, not by the fleet's own, which used 0.5.

--- a/src/fleet/Pack.h
+++ b/src/fleet/Pack.h
@@ -75,9 +75,12 @@
 
 template <> struct Format<double> {
   static void write(Packer &Out, double Value) { Out.pack(Value); }
+  /// The library writes a whole number as an integer.
   static void read(const object &In, double &Value) {
-    require(In.type == msgpack::type::FLOAT64);
-    Value = In.via.f64;
+    const bool Whole = In.type == msgpack::type::POSITIVE_INTEGER ||
+                       In.type == msgpack::type::NEGATIVE_INTEGER;
+    require(Whole || In.type == msgpack::type::FLOAT64);
+    Value = In.as<double>();
   }
 };
 
