Prove leadership of the data centre with two controls by hand

Cause: what holds across a change of leader must be seen, not believed. Change: two cores over one fake log, a manual clock and a fake backend server; nothing is placed on a silent server, which counts as leaving once its leases have run out.

--- a/src/control/DataCentreLeadership.cpp
+++ b/src/control/DataCentreLeadership.cpp
@@ -250,16 +250,25 @@
     Reply.InForce_ = Reply.Bundle_->Version_;
 }
 
+ServerReach DataCentreLeadership::findReach(const BackendServerId &Server,
+                                            TimePoint Now) const {
+  const Duration Silence = Now - Servers_.findHeardAt(Server);
+  if (Silence < Settings_.Servers_.SilentAfter_)
+    return ServerReach::Heard;
+  const bool Gone = Silence >= Settings_.Servers_.Leases_.longestRun();
+  return Gone ? ServerReach::Gone : ServerReach::Silent;
+}
+
 void DataCentreLeadership::refreshRoute(const ServerRecord &Record,
                                         TimePoint Now, bool Changed) {
+  const BackendServerId &Server = Record.Info_.Server_;
   const RouteNote Wanted{Servers_.isRoutable(Record, Now),
-                         Servers_.isDraining(Record.Info_.Server_)};
-  RouteNote &Told = Routes_[Record.Info_.Server_];
-  const bool Same =
-      Told.Routable_ == Wanted.Routable_ && Told.Draining_ == Wanted.Draining_;
-  if (Same && !Changed)
+                         Servers_.isDraining(Server), findReach(Server, Now)};
+  RouteNote &Told = Routes_[Server];
+  if (Told == Wanted && !Changed)
     return;
   Told = Wanted;
+  Planning_.noteReach(Server, Wanted.Reach_);
   SlotServer Value = makeSlotServer(Record.Info_);
   Value.Draining_ = Value.Draining_ || Wanted.Draining_;
   // A leaving server stays known to entries, without slots, until its
--- a/src/control/DataCentreLeadership.h
+++ b/src/control/DataCentreLeadership.h
@@ -111,6 +111,8 @@
   struct RouteNote {
     bool Routable_ = false;
     bool Draining_ = false;
+    ServerReach Reach_ = ServerReach::Heard;
+    bool operator==(const RouteNote &) const = default;
   };
 
   datacentre::LeaderMoment readMoment() const;
@@ -121,6 +123,7 @@
   void refreshRoute(const datacentre::ServerRecord &Record, TimePoint Now,
                     bool Changed);
   void refreshRoutes(TimePoint Now);
+  ServerReach findReach(const BackendServerId &Server, TimePoint Now) const;
   void endGoneEntries(TimePoint Now);
   void addBundle(const wire::EntryReport &Report,
                  wire::EntryReportReply &Reply) const;
--- a/src/control/PlanningDuty.cpp
+++ b/src/control/PlanningDuty.cpp
@@ -104,25 +104,51 @@
 void PlanningDuty::ignore(const Change &) {}
 
 void PlanningDuty::onServerChanged(const Change &Value) {
+  upsertFromState(Value.Server_);
+}
+
+void PlanningDuty::upsertFromState(const BackendServerId &Server) {
   std::optional<datacentre::RegisterServer> Info;
   Machine_.withState([&](const DataCentreState &State) {
-    if (const auto *Record = State.findServer(Value.Server_))
+    if (const auto *Record = State.findServer(Server))
       Info = Record->Info_;
   });
   if (!Info)
     return;
   upsert(*Info);
-  Boots_[Value.Server_] = Info->Boot_;
+  Boots_[Server] = Info->Boot_;
+}
+
+ServerReach PlanningDuty::findReach(const BackendServerId &Server) const {
+  const auto Found = Unheard_.find(Server);
+  return Found == Unheard_.end() ? ServerReach::Heard : Found->second;
+}
+
+void PlanningDuty::noteReach(const BackendServerId &Server, ServerReach Reach) {
+  const ServerReach Before = findReach(Server);
+  if (Reach == Before)
+    return;
+  Unheard_[Server] = Reach;
+  if (Reach == ServerReach::Heard)
+    Unheard_.erase(Server);
+  const bool Matters =
+      Reach == ServerReach::Gone || Before == ServerReach::Gone;
+  if (Matters && Boots_.contains(Server))
+    upsertFromState(Server);
+  Due_ = true;
 }
 
 void PlanningDuty::upsert(const datacentre::RegisterServer &Info) {
+  const bool Gone = findReach(Info.Server_) == ServerReach::Gone;
   Planner_.upsertServer({Info.Server_, Info.Rack_, Info.Capacity_,
-                         sumShares(Info, Bundle_.get()), Info.Draining_});
+                         sumShares(Info, Bundle_.get()),
+                         Info.Draining_ || Gone});
 }
 
 void PlanningDuty::onServerForgotten(const Change &Value) {
   Planner_.removeServer(Value.Server_);
   Boots_.erase(Value.Server_);
+  Unheard_.erase(Value.Server_);
 }
 
 void PlanningDuty::onJobAdopted(const Change &Value) {
@@ -227,7 +253,8 @@
 void PlanningDuty::place(const Decision &Value) {
   assert(Value.Task_ && Value.Server_ && "a placement without its place");
   const auto Boot = Boots_.find(*Value.Server_);
-  if (Boot == Boots_.end() || !JobMayRun_(Value.Task_->Job_))
+  const bool Reachable = findReach(*Value.Server_) == ServerReach::Heard;
+  if (Boot == Boots_.end() || !Reachable || !JobMayRun_(Value.Task_->Job_))
     return;
   const datacentre::PlaceTask Command{*Value.Task_, Value.Attempt_,
                                       *Value.Server_, Boot->second,
--- a/src/control/PlanningDuty.h
+++ b/src/control/PlanningDuty.h
@@ -26,6 +26,13 @@
 
 namespace tulipweir::control {
 
+/// Whether a backend server can take tasks, by its announcements.
+enum class ServerReach : std::uint8_t {
+  Heard,
+  Silent, ///< Nothing is placed there; what runs there may run on.
+  Gone,   ///< Silent for so long that its leases have run out.
+};
+
 struct PlanningCounters {
   net::Counter &Placements_;
   net::Counter &PlacementsRefused_;
@@ -56,6 +63,7 @@
                  const wire::AttemptReport &Report, TimePoint Now);
   void noteService(const BackendServerId &Server,
                    const wire::ServiceReport &Report, TimePoint Now);
+  void noteReach(const BackendServerId &Server, ServerReach Reach);
   /// Asks the planner and acts on at most Budget decisions; returns how many
   /// there were.
   std::size_t run(std::size_t Budget);
@@ -103,6 +111,8 @@
   };
 
   void upsert(const datacentre::RegisterServer &Info);
+  void upsertFromState(const BackendServerId &Server);
+  ServerReach findReach(const BackendServerId &Server) const;
   std::optional<decide::TaskInfo> makeTask(const Change &Value) const;
 
   const datacentre::DataCentreMachine &Machine_;
@@ -116,6 +126,7 @@
   std::shared_ptr<const fleet::Bundle> Bundle_;
   std::unordered_map<JobId, HeldJob> Held_;
   std::unordered_map<BackendServerId, BootId> Boots_;
+  std::unordered_map<BackendServerId, ServerReach> Unheard_;
   std::unordered_set<TaskId> Waiting_;
   bool Due_ = true;
 };
--- /dev/null
+++ b/tests/control/Fakes.h
@@ -0,0 +1,200 @@
+//===- Fakes.h - Logs, links and strands driven by hand --------*- C++ -*-===//
+
+#ifndef TULIPWEIR_TESTS_CONTROL_FAKES_H
+#define TULIPWEIR_TESTS_CONTROL_FAKES_H
+
+#include "control/Executor.h"
+#include "control/PeerCaller.h"
+#include "tulipweir/replication/Replica.h"
+#include "tulipweir/replication/StateMachine.h"
+
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace tulipweir::control::test {
+
+/// Runs what is posted when told to, in order.
+class ManualExecutor final : public Executor {
+public:
+  explicit ManualExecutor(ManualClock &Time) : Time_(Time) {}
+  void post(std::function<void()> Task) override {
+    Tasks_.push_back(std::move(Task));
+  }
+  void postAfter(Duration Delay, std::function<void()> Task) override {
+    Later_.emplace(Time_.now() + Delay, std::move(Task));
+  }
+  void run() {
+    while (!Later_.empty() && Later_.begin()->first <= Time_.now())
+      Tasks_.push_back(Later_.extract(Later_.begin()).mapped());
+    while (!Tasks_.empty()) {
+      const auto Task = std::move(Tasks_.front());
+      Tasks_.pop_front();
+      Task();
+    }
+  }
+
+private:
+  ManualClock &Time_;
+  std::deque<std::function<void()>> Tasks_;
+  std::multimap<TimePoint, std::function<void()>> Later_;
+};
+
+class FakeReplica;
+
+/// One group's log: what is committed is applied at all members at once.
+struct FakeLog {
+  struct Open {
+    std::string Command_;
+    FakeReplica *Proposer_ = nullptr;
+    replication::Replica::AppliedCallback Done_;
+  };
+
+  void lead(FakeReplica *Leader);
+  /// Commits everything proposed so far.
+  void commit();
+  /// The leader was cut off: its proposals are in limbo, their fate unknown.
+  void cutLeader();
+
+  std::vector<std::pair<FakeReplica *, replication::StateMachine *>> Members_;
+  FakeReplica *Leader_ = nullptr;
+  std::uint64_t Term_ = 0;
+  std::uint64_t Index_ = 0;
+  bool Held_ = false; ///< Proposals wait for commit().
+  std::deque<Open> Open_;
+};
+
+class FakeReplica final : public replication::Replica {
+public:
+  FakeReplica(FakeLog &Log, std::string Name,
+              replication::StateMachine &Machine)
+      : Log_(Log), Name_(std::move(Name)) {
+    Log_.Members_.emplace_back(this, &Machine);
+    Members_.push_back({{Name_, 1}, replication::MemberRole::Voter});
+  }
+
+  void propose(std::string Command, AppliedCallback Done) override {
+    ++Proposals_;
+    if (Log_.Leader_ != this)
+      return Done(fail(ErrorCode::NotLeader, leaderName()));
+    Log_.Open_.push_back({std::move(Command), this, std::move(Done)});
+    if (!Log_.Held_)
+      Log_.commit();
+  }
+  void receive(std::string Message) override {
+    Received_.push_back(std::move(Message));
+  }
+  void confirmLeadership(std::function<void(Outcome<void>)> Done) override {
+    if (Log_.Leader_ != this)
+      return Done(fail(ErrorCode::NotLeader, leaderName()));
+    Done(succeed());
+  }
+  bool holdsLeaderLease(TimePoint) const override {
+    return LeaseHeld_ && Log_.Leader_ == this;
+  }
+  replication::ReplicaStatus getStatus() const override {
+    replication::ReplicaStatus Status;
+    Status.Self_ = {Name_, 1};
+    Status.IsLeader_ = Log_.Leader_ == this || BelievesToLead_;
+    Status.LeaderName_ = BelievesToLead_ ? Name_ : leaderName();
+    Status.Term_ = BelievesToLead_ ? BelievedTerm_ : Log_.Term_;
+    Status.Members_ = Members_;
+    Status.Waiting_ = Waiting_;
+    return Status;
+  }
+  void addLearner(replication::MemberId Id,
+                  std::function<void(Outcome<void>)> Done) override {
+    Steps_.push_back("add " + Id.Name_ + " " + std::to_string(Id.Incarnation_));
+    Members_.push_back({Id, replication::MemberRole::Learner});
+    Done(succeed());
+  }
+  void promote(replication::MemberId Id,
+               std::function<void(Outcome<void>)> Done) override {
+    Steps_.push_back("promote " + std::to_string(Id.Incarnation_));
+    if (PromotionsRefused_-- > 0)
+      return Done(fail(ErrorCode::Unavailable, "it has not caught up"));
+    Done(succeed());
+  }
+  void remove(replication::MemberId Id,
+              std::function<void(Outcome<void>)> Done) override {
+    Steps_.push_back("remove " + std::to_string(Id.Incarnation_));
+    std::erase_if(Members_, [&](const auto &One) { return One.Id_ == Id; });
+    Done(succeed());
+  }
+  void transferLeadership(std::function<void(Outcome<void>)> Done) override {
+    Done(succeed());
+  }
+  void stop() override {}
+
+  std::string leaderName() const {
+    return Log_.Leader_ ? Log_.Leader_->Name_ : "";
+  }
+
+  FakeLog &Log_;
+  const std::string Name_;
+  bool LeaseHeld_ = true;
+  bool BelievesToLead_ = false; ///< Frozen: has not seen the next term.
+  std::uint64_t BelievedTerm_ = 0;
+  std::vector<replication::Member> Members_;
+  std::vector<replication::MemberId> Waiting_;
+  std::vector<std::string> Steps_;
+  std::vector<std::string> Received_;
+  int PromotionsRefused_ = 0;
+  std::uint64_t Proposals_ = 0;
+};
+
+inline void FakeLog::lead(FakeReplica *Leader) {
+  Leader_ = Leader;
+  ++Term_;
+}
+
+inline void FakeLog::commit() {
+  while (!Open_.empty()) {
+    const Open Next = std::move(Open_.front());
+    Open_.pop_front();
+    ++Index_;
+    std::string Result;
+    for (const auto &[Member, Machine] : Members_) {
+      std::string One = Machine->apply({Term_, Index_, Next.Command_});
+      if (Member == Next.Proposer_)
+        Result = std::move(One);
+    }
+    if (Next.Done_)
+      Next.Done_(replication::Applied{Term_, Index_, std::move(Result)});
+  }
+}
+
+inline void FakeLog::cutLeader() {
+  Leader_ = nullptr;
+  for (Open &One : Open_)
+    if (const auto Done = std::exchange(One.Done_, nullptr))
+      Done(fail(ErrorCode::Unavailable, "leadership was lost"));
+}
+
+/// Hands calls to functions by name; unreachable without one.
+class FakePeers final : public PeerCaller {
+public:
+  using Answer = std::function<Outcome<std::string>(wire::MessageKind Kind,
+                                                    const std::string &Body)>;
+
+  void call(const std::string &To, wire::MessageKind Kind, std::string Body,
+            Duration, Reply Done) override {
+    Calls_.push_back(To);
+    const auto Found = Answers_.find(To);
+    if (Found == Answers_.end())
+      return Done(fail(ErrorCode::Unavailable, "unreachable"));
+    Done(Found->second(Kind, Body));
+  }
+  void post(const std::string &To, wire::MessageKind,
+            std::string Body) override {
+    Posts_.emplace_back(To, std::move(Body));
+  }
+
+  std::map<std::string, Answer> Answers_;
+  std::vector<std::string> Calls_;
+  std::vector<std::pair<std::string, std::string>> Posts_;
+};
+
+} // namespace tulipweir::control::test
+
+#endif // TULIPWEIR_TESTS_CONTROL_FAKES_H
