--- a/src/replication/FolderStorage.h
+++ b/src/replication/FolderStorage.h
@@ -24,6 +24,7 @@
 #include "replication/FileSystem.h"
 #include "replication/LogStorage.h"
 
+#include <atomic>
 #include <optional>
 
 namespace tulipweir::replication {
@@ -74,8 +75,8 @@
   std::uint64_t SegmentNumber_ = 0;
   std::uint64_t SnapshotIndex_ = 0;
   std::uint64_t NextFrame_ = 0;
-  std::uint64_t Bytes_ = 0;
-  std::uint64_t Syncs_ = 0;
+  std::atomic<std::uint64_t> Bytes_ = 0;
+  std::atomic<std::uint64_t> Syncs_ = 0;
 };
 
 } // namespace tulipweir::replication
--- a/src/replication/LogStorage.h
+++ b/src/replication/LogStorage.h
@@ -29,7 +29,7 @@
   bool operator==(const Identity &) const = default;
 };
 
-/// Not thread-safe.
+/// One thread writes; the counters may be read by others.
 class LogStorage {
 public:
   virtual ~LogStorage() = default;
@@ -38,6 +38,7 @@
   virtual Outcome<void> append(const LogBatch &Batch) = 0;
   /// Replaces all that was stored, atomically.
   virtual Outcome<void> replace(const Checkpoint &All) = 0;
+  /// Bytes in the live segment.
   virtual std::uint64_t countBytes() const = 0;
   virtual std::uint64_t countSyncs() const = 0;
 };
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -46,7 +46,7 @@
   std::size_t MaxMessagesInFlight_ = 64;
   std::size_t SnapshotChunkBytes_ = 256 * 1024;
   /// At most so many entries are kept for followers that are behind but alive.
-  std::uint64_t MaxEntriesKept_ = 50'000;
+  std::uint64_t MaxEntriesKept_ = 20'000;
 };
 
 /// Time passed. Comes several times in each heartbeat interval.
@@ -79,6 +79,7 @@
   std::uint64_t Id_ = 0;
   ChangeKind Kind_ = ChangeKind::AddLearner;
   MemberId Member_;
+  bool operator==(const ChangeAsked &) const = default;
 };
 
 struct ReadAsked {
@@ -153,8 +154,8 @@
   std::uint64_t getCommit() const { return Commit_; }
   const std::optional<MemberId> &getLeader() const { return Leader_; }
   const RaftLog &getLog() const { return Log_; }
-  /// Whether a change of members was asked for and has not ended.
-  bool isChanging() const { return Change_.has_value(); }
+  /// The change of members that was asked for and has not ended.
+  const std::optional<ChangeAsked> &getChange() const { return Change_; }
   /// When this member last became leader.
   TimePoint getLeaderSince() const { return LeaderSince_; }
   /// Until when no other leader can exist; the lowest time without a lease.
--- a/src/replication/Rejoin.cpp
+++ b/src/replication/Rejoin.cpp
@@ -5,15 +5,16 @@
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
-/// Finds a member of the same name and an earlier incarnation.
-static const Member *findEarlier(const std::vector<Member> &Members,
-                                 const MemberId &Id) {
-  auto Found =
-      std::find_if(Members.begin(), Members.end(), [&](const Member &Each) {
-        return Each.Id_.Name_ == Id.Name_ &&
-               Each.Id_.Incarnation_ < Id.Incarnation_;
-      });
-  return Found == Members.end() ? nullptr : &*Found;
+/// Finds the other member of this name; the newest, if there are several.
+static const Member *findOther(const std::vector<Member> &Members,
+                               const MemberId &Id) {
+  const Member *Newest = nullptr;
+  for (const Member &Each : Members) {
+    bool IsOther = Each.Id_.Name_ == Id.Name_ && Each.Id_ != Id;
+    if (IsOther && (!Newest || Each.Id_ > Newest->Id_))
+      Newest = &Each;
+  }
+  return Newest;
 }
 
 static bool isMember(const std::vector<Member> &Members, const MemberId &Id) {
@@ -24,18 +25,25 @@
 std::optional<ChangeAsked>
 replication::planRejoin(const std::vector<Member> &Members,
                         const std::vector<MemberId> &Waiting) {
+  // First, for a disk may be lost again before its member was promoted.
+  for (const MemberId &Each : Waiting) {
+    const Member *Known = findOther(Members, Each);
+    if (Known && Known->Id_ < Each && !isMember(Members, Each))
+      return ChangeAsked{0, ChangeKind::AddLearner, Each};
+  }
   for (const Member &Each : Members) {
-    const Member *Earlier = findEarlier(Members, Each.Id_);
-    if (!Earlier)
+    const Member *Other = findOther(Members, Each.Id_);
+    bool IsNewest = Other && Other->Id_ < Each.Id_;
+    if (!IsNewest)
       continue;
-    bool IsToVote = Each.Role_ == MemberRole::Learner &&
-                    Earlier->Role_ == MemberRole::Voter;
-    if (IsToVote)
+    bool HasVoter =
+        std::any_of(Members.begin(), Members.end(), [&](const Member &Older) {
+          return Older.Id_.Name_ == Each.Id_.Name_ && Older.Id_ != Each.Id_ &&
+                 Older.Role_ == MemberRole::Voter;
+        });
+    if (Each.Role_ == MemberRole::Learner && HasVoter)
       return ChangeAsked{0, ChangeKind::Promote, Each.Id_};
-    return ChangeAsked{0, ChangeKind::Remove, Earlier->Id_};
+    return ChangeAsked{0, ChangeKind::Remove, Other->Id_};
   }
-  for (const MemberId &Each : Waiting)
-    if (!isMember(Members, Each) && findEarlier(Members, Each))
-      return ChangeAsked{0, ChangeKind::AddLearner, Each};
   return std::nullopt;
 }
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -176,13 +176,16 @@
 
 void ReplicaDriver::rejoinNext() {
   bool IsDue = Settings_.RejoinsLostDisks_ && !HasFailed_ &&
-               Core_.getRole() == Role::Leader && !Core_.isChanging() &&
-               Time_.now() >= NextRejoin_;
+               Core_.getRole() == Role::Leader && Time_.now() >= NextRejoin_;
   if (!IsDue)
     return;
   NextRejoin_ = Time_.now() + Settings_.HeartbeatInterval_;
+  const std::optional<ChangeAsked> &Current = Core_.getChange();
+  // An operator's change goes first; one of ours may have become pointless.
+  if (Current && Current->Id_ != 0)
+    return;
   auto Next = planRejoin(Core_.getLog().getMembers(), getWaiting());
-  if (Next)
+  if (Next && Next != Current)
     step(*Next);
 }
 
@@ -332,6 +335,8 @@
   Status_.AppliedIndex_ = Applied_;
   Status_.LeaderSince_ = Core_.getLeaderSince();
   Status_.Members_ = Core_.getLog().getMembers();
+  Status_.LogBytes_ = Storage_->countBytes();
+  Status_.Syncs_ = Storage_->countSyncs();
   Status_.Waiting_ = getWaiting();
 }
 
