Limit what a decoded message may make the codec reserve

Cause: the address sanitizer stopped test_replication: a changed length in a msgpack header made the library reserve gigabytes before looking at what follows.

Change: no more elements or bytes than the input has, and a depth limit.

--- a/src/replication/Packing.h
+++ b/src/replication/Packing.h
@@ -168,13 +168,23 @@
   return std::string(Buffer.data(), Buffer.size());
 }
 
+/// Deeper than any of our types.
+constexpr std::size_t MaxDepth = 16;
+
+/// No more elements than bytes: a header that promises more than what follows
+/// must not make the library reserve memory for it.
+inline msgpack::unpack_limit makeLimit(std::size_t Bytes) {
+  return msgpack::unpack_limit(Bytes, 0, 0, Bytes, 0, MaxDepth);
+}
+
 /// Fails with Malformed. What names the thing for the message.
 template <class T>
 Outcome<T> unpack(std::string_view Bytes, std::string_view What) {
   try {
     std::size_t Used = 0;
     msgpack::object_handle Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size(), Used);
+        msgpack::unpack(Bytes.data(), Bytes.size(), Used, nullptr, nullptr,
+                        makeLimit(Bytes.size()));
     require(Used == Bytes.size());
     T X{};
     get(Handle.get(), X);
