--- a/tests/datacentre/LeaseWorld.h
+++ b/tests/datacentre/LeaseWorld.h
@@ -69,12 +69,14 @@
   void commit(Leader &By);
   void propose(Leader &By, const Command &Value);
   void schedule(Leader &By);
+  void scheduleTask(Leader &By, const TaskId &Id, const TaskRecord &Task);
   void announce(std::size_t Server);
   void onAnnouncement(Leader &At, const wire::Announcement &Value,
                       std::size_t Server);
   void send(std::function<void()> Deliver, bool FromLeader);
   void deliver();
   void stepServers();
+  void reboot(std::size_t Server);
   std::string check();
 
   const LeaseFaults Faults_;
