--- a/tests/fleet/FleetMachineTest.cpp
+++ b/tests/fleet/FleetMachineTest.cpp
@@ -7,7 +7,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
+#include <thread>
+#include <vector>
 
 using namespace tulipweir;
 using namespace tulipweir::fleet;
@@ -61,6 +64,16 @@
   EXPECT_EQ(decodeState(Claim).error().Code_, ErrorCode::Malformed);
 }
 
+TEST(FleetCodecTest, TooFewAndTooManyFieldsAreRefused) {
+  // CancelJob is kind 5 with one field; bin8 of length 1 is c4 01 61.
+  const std::string Right("\x92\x05\x91\xc4\x01\x61", 6);
+  const std::string Fewer("\x92\x05\x90", 3);
+  const std::string More("\x92\x05\x92\xc4\x01\x61\xc4\x01\x61", 9);
+  EXPECT_EQ(decodeCommand(Right).value(), Command(CancelJob{JobId("a")}));
+  EXPECT_FALSE(decodeCommand(Fewer).has_value());
+  EXPECT_FALSE(decodeCommand(More).has_value());
+}
+
 TEST(FleetCodecTest, AnotherSnapshotFormatIsNamedAsSuch) {
   std::string Bytes = encodeState(FleetState());
   Bytes[1] = 2; // After the array's header.
@@ -144,6 +157,32 @@
   }
 }
 
+TEST(HeldBundleTest, VersionsOnlyRiseWhenSeveralThreadsAdopt) {
+  static constexpr std::uint64_t Versions = 200;
+  std::vector<wire::SignedBundle> Offered;
+  for (std::uint64_t Version = 1; Version <= Versions; ++Version)
+    Offered.push_back(makeOffered(Version));
+  HeldBundle Held;
+  std::vector<std::thread> Threads;
+  for (unsigned Seed = 0; Seed < 4; ++Seed)
+    Threads.emplace_back([&, Random = std::mt19937(Seed)]() mutable {
+      auto Mine = Offered;
+      // Rising on the whole, so that threads meet at neighbouring versions.
+      for (std::size_t I = 0; I + 3 < Mine.size(); ++I)
+        std::swap(Mine[I], Mine[I + Random() % 4]);
+      BundleVersion Highest;
+      for (const wire::SignedBundle &One : Mine) {
+        EXPECT_TRUE(Held.adopt(One).has_value());
+        const BundleVersion Seen = Held.getVersion();
+        EXPECT_GE(Seen, std::max(Highest, One.Version_));
+        Highest = std::max(Highest, Seen);
+      }
+    });
+  for (std::thread &One : Threads)
+    One.join();
+  EXPECT_EQ(Held.getVersion().value(), Versions);
+}
+
 TEST(HeldBundleTest, DamagedAndContradictingBundlesAreRefused) {
   HeldBundle Held;
   ASSERT_TRUE(Held.adopt(makeOffered(2)).value());
