Place for the peak of the waves and reserve the sustained use

Cause: tasks were placed for the load of the last minute and stay for several, so the next wave put the services over their targets and the guard throttled; reservations carried the noise of single samples. Change: placement plans for the highest load of the last ten minutes (the guard releases by the present load); a task's processors are smoothed over about four samples before they are learned or compared.

--- a/src/decide/Placer.cpp
+++ b/src/decide/Placer.cpp
@@ -123,12 +123,13 @@
     const ClassLoad Load{
         Class.value_or(Interner<JobClassId>::MaxNames),
         State_.Servers_.loadOf(Server, Choice.Reservation_, 100)};
-    const Match Value{Task,
-                      Choice.Reservation_,
-                      Entry,
-                      Load,
-                      Tail_.pressureOn(Entry, &Load, Now),
-                      Now};
+    const Match Value{
+        Task,
+        Choice.Reservation_,
+        Entry,
+        Load,
+        Tail_.pressureOn(Entry, &Load, LoadExpectation::Peak, Now),
+        Now};
     ReasonCode Reason = ReasonCode::BestScore;
     Choice.Candidates_.push_back(judge(Value, Reason));
     if (Reason != ReasonCode::BestScore && !Choice.Server_)
--- a/src/decide/ServerTable.h
+++ b/src/decide/ServerTable.h
@@ -31,6 +31,7 @@
   TimePoint PlacedAt_;
   TimePoint ThrottledAt_; ///< When the last change of throttle took effect.
   Resources Usage_;       ///< The latest measured one.
+  double SustainedMilliCpus_ = 0; ///< Smoothed over a few samples.
   TimePoint UsageAt_;
   Duration WorkAtRisk_{};         ///< Since its checkpoint, at UsageAt_.
   std::uint32_t OverReports_ = 0; ///< In a row over its reservation.
--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -327,7 +327,8 @@
     if (Count > 0 && Task->Class_ != Added.Class_)
       continue;
     Added = {Task->Class_, (Count > 0 ? Added.Load_ : 0) + Missing};
-    const Pressure After = Tail_.pressureOn(Server, &Added, Now);
+    const Pressure After =
+        Tail_.pressureOn(Server, &Added, LoadExpectation::Current, Now);
     if (After.Value_ > Tail_.ceiling(After.Confidence_))
       break;
     auto Value = makeGuardDecision(DecisionKind::Throttle,
--- a/src/decide/TailModel.cpp
+++ b/src/decide/TailModel.cpp
@@ -7,8 +7,9 @@
 using namespace tulipweir;
 using namespace tulipweir::decide;
 
-/// A peak of load is expected again for this long.
-static constexpr Duration PeakTime = std::chrono::seconds(60);
+/// A peak of load is expected again for this long: tasks run for minutes, and
+/// the next wave comes while they do.
+static constexpr Duration PeakTime = std::chrono::minutes(10);
 /// Headroom of a service that meets its target barely or not even alone.
 static constexpr double LeastHeadroom = 0.05;
 /// Headroom while the service's p99 alone is not known.
@@ -35,13 +36,16 @@
 }
 
 Pressure TailModel::pressureOn(const ServerEntry &Server,
-                               const ClassLoad *Added, TimePoint Now) const {
+                               const ClassLoad *Added, LoadExpectation Expected,
+                               TimePoint Now) const {
   Pressure Worst;
   Worst.Confidence_ = 1;
   for (const ServiceState &Service : Server.Services_) {
     if (State_.targetMicros(Service.Service_) <= 0)
       continue;
-    const LoadBand Band = planningBand(Service, Now);
+    const LoadBand Band = Expected == LoadExpectation::Peak
+                              ? planningBand(Service, Now)
+                              : Service.Band_;
     double Growth = State_.Effects_.predict(Service.Service_, Band,
                                             Server.History_.now(), Now);
     double Confidence = 1;
--- a/src/decide/TailModel.h
+++ b/src/decide/TailModel.h
@@ -21,14 +21,20 @@
   bool HasService_ = false;
 };
 
+/// Which load of the services a prediction is made for.
+enum class LoadExpectation : std::uint8_t {
+  Current, ///< As last reported: for what can be taken back soon.
+  Peak,    ///< The highest of late: for tasks that are to stay.
+};
+
 class TailModel {
 public:
   explicit TailModel(const PlannerState &State) : State_(State) {}
 
   /// The pressure on a server as it is, or with a load added to it.
   Pressure pressureOn(const ServerEntry &Server, const ClassLoad *Added,
-                      TimePoint Now) const;
-  /// The band to plan for: the highest one of the last minute.
+                      LoadExpectation Expected, TimePoint Now) const;
+  /// The band to plan for: the highest one of the last ten minutes.
   static LoadBand planningBand(const ServiceState &Service, TimePoint Now);
   /// By what part the service's p99 alone may grow.
   double headroomOf(const ServiceState &Service, LoadBand Band) const;
--- a/src/decide/UsageGuard.cpp
+++ b/src/decide/UsageGuard.cpp
@@ -14,6 +14,8 @@
 /// A reservation is changed when it is off by more than these parts.
 static constexpr double GrowPart = 0.1;
 static constexpr double ShrinkPart = 0.25;
+/// Part of a sample in a task's sustained use.
+static constexpr double SmoothGain = 0.25;
 /// A server counts as full from this part of its limit.
 static constexpr double FullPart = 0.95;
 /// How long a decision's effect is awaited.
@@ -29,6 +31,20 @@
   return !Usage.fitsIn(Reservation);
 }
 
+static void smooth(RunningTask &Task) {
+  const auto Used = static_cast<double>(Task.Usage_.MilliCpus_);
+  Task.SustainedMilliCpus_ =
+      Task.SustainedMilliCpus_ > 0
+          ? Task.SustainedMilliCpus_ +
+                SmoothGain * (Used - Task.SustainedMilliCpus_)
+          : Used;
+}
+
+static Resources sustainedBy(const RunningTask &Task) {
+  return Resources{static_cast<std::int64_t>(Task.SustainedMilliCpus_),
+                   Task.Usage_.MemoryMib_, 0};
+}
+
 void UsageGuard::noteUsage(const UsageSample &Sample) {
   RunningTask *Task = State_.findRunning(Sample.Task_);
   if (!Task || Task->Attempt_ != Sample.Attempt_ ||
@@ -39,7 +55,12 @@
   State_.Servers_.measureTask(*Task, Sample.Usage_);
   const bool Unthrottled =
       Task->ThrottlePercent_ == 100 && Sample.SampledAt_ > Task->ThrottledAt_;
-  State_.Sizes_.learn(Task->Class_, Sample.Usage_, Unthrottled);
+  if (Unthrottled)
+    smooth(*Task);
+  // Short peaks of different tasks rarely meet, and processors can be shared:
+  // what is learned and reserved is the sustained use. Memory counts in full.
+  const Resources Sustained = sustainedBy(*Task);
+  State_.Sizes_.learn(Task->Class_, Sustained, Unthrottled);
   if (!Task->HealthNoted_ && Sample.SampledAt_ - Task->PlacedAt_ > HealthyRun) {
     Task->HealthNoted_ = true;
     State_.Health_.noteHealthy(Sample.Task_.Job_,
@@ -48,7 +69,7 @@
   }
   if (Sample.SampledAt_ <= Task->IgnoreUsageUntil_)
     return;
-  const bool Over = isOver(Sample.Usage_, Task->Reservation_);
+  const bool Over = isOver(Sustained, Task->Reservation_);
   Task->OverReports_ = Over ? Task->OverReports_ + 1 : 0;
   if (Task->OverReports_ >= ReportsOver ||
       isWorthResizing(*Task, wantedFor(*Task)))
@@ -59,8 +80,7 @@
   const Resources Learned = State_.Sizes_.reserveFor(
       Task.Class_, Task.Info_.Declared_, State_.Policy_);
   // Never below what the task itself was measured to use.
-  return Learned.maxWith(
-      Resources{Task.Usage_.MilliCpus_, Task.Usage_.MemoryMib_, 0});
+  return Learned.maxWith(sustainedBy(Task));
 }
 
 static bool isOff(std::int64_t Reserved, std::int64_t Wanted) {
@@ -145,7 +165,7 @@
   const bool Changes =
       isOff(Task.Reservation_.MilliCpus_, Reserved.MilliCpus_) ||
       isOff(Task.Reservation_.MemoryMib_, Reserved.MemoryMib_);
-  const bool StillOver = Over && isOver(Task.Usage_, Reserved);
+  const bool StillOver = Over && isOver(sustainedBy(Task), Reserved);
   if (!Changes || StillOver)
     return std::nullopt;
   const Resources Growth =
@@ -168,7 +188,7 @@
   const ServerEntry &Server = State_.Servers_.at(Task.Server_);
   const Resources Limit = Server.limit();
   const bool ProcessorsOver =
-      Task.Usage_.MilliCpus_ > Task.Reservation_.MilliCpus_ &&
+      sustainedBy(Task).MilliCpus_ > Task.Reservation_.MilliCpus_ &&
       Server.Measured_.MilliCpus_ > scale(Limit.MilliCpus_, FullPart);
   const bool MemoryOver =
       Task.Usage_.MemoryMib_ > Task.Reservation_.MemoryMib_ &&
