Throttle and release by the effect per processor

Cause: the guard throttled the tasks with the largest effect in sum, which costs more work than those with the largest effect per processor, and released in the order of names, so that one costly task held back all the cheap ones; after relapses a release could take 16 times as many reports. Change: throttle the largest effect per processor first, release the smallest first and several classes at a time as long as their sum is within the ceiling; a relapse slows the release at most four times; a tail counts as recovered from 0.9 of its target.

--- a/include/tulipweir/decide/Policy.h
+++ b/include/tulipweir/decide/Policy.h
@@ -50,7 +50,7 @@
   /// Reports in a row over a target before a guard acts, 1 to 20.
   std::uint32_t GuardReports_ = 3;
   /// A tail under this part of its target lets throttling ease, 0.1 to 1.
-  double GuardReleasePart_ = 0.8;
+  double GuardReleasePart_ = 0.9;
   /// Speed of a throttled task in percent, 5 to 95.
   std::uint32_t ThrottlePercent_ = 40;
   /// Different jobs that must fail on a server, having run or runnable
--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -20,10 +20,10 @@
 /// Tasks that one action touches at most.
 static constexpr std::size_t MaxThrottled = 8;
 static constexpr std::size_t MaxEvicted = 2;
-static constexpr std::size_t MaxReleased = 4;
+static constexpr std::size_t MaxReleased = 8;
 /// A relapse within this time of a release makes the next one slower.
 static constexpr Duration RelapseTime = std::chrono::minutes(2);
-static constexpr std::uint32_t LongestRelease = 16;
+static constexpr std::uint32_t LongestRelease = 4;
 /// Batch work that causes less than this part of an excess is not to blame.
 static constexpr double BlamelessPart = 0.15;
 static constexpr double SureOfBlame = 0.5;
@@ -137,8 +137,8 @@
                                                Service.Band_, Now);
     const double Load = State_.Servers_.loadOf(
         Task->Server_, Task->Reservation_, Task->ThrottlePercent_);
-    Offenders.push_back(
-        {Task, Pair.Weight_ * Load, estimateWorkLost(*Task, Now)});
+    Offenders.push_back({Task, Pair.Weight_, Pair.Weight_ * Load,
+                         estimateWorkLost(*Task, Now)});
   }
   return Offenders;
 }
@@ -231,12 +231,13 @@
   std::erase_if(Offenders, [](const Offender &Each) {
     return Each.Task_->ThrottlePercent_ < 100;
   });
-  // Less urgent ones first, then those that slow the service most.
+  // Less urgent ones first, then those that slow the service most for the
+  // work that they get done.
   std::sort(Offenders.begin(), Offenders.end(),
             [](const Offender &A, const Offender &B) {
-              return std::tuple(A.Task_->Info_.Priority_, -A.Effect_,
+              return std::tuple(A.Task_->Info_.Priority_, -A.Weight_,
                                 A.Task_->Info_.Task_) <
-                     std::tuple(B.Task_->Info_.Priority_, -B.Effect_,
+                     std::tuple(B.Task_->Info_.Priority_, -B.Weight_,
                                 B.Task_->Info_.Task_);
             });
   const std::uint32_t Percent = State_.Policy_.ThrottlePercent_;
@@ -304,33 +305,52 @@
   }
 }
 
+std::vector<RunningTask *> TailGuard::listThrottled(const ServerEntry &Server,
+                                                    TimePoint Now) const {
+  std::vector<std::pair<double, RunningTask *>> Weighted;
+  for (RunningTask *Task : Server.Tasks_) {
+    if (Task->ThrottlePercent_ == 100 || Now < Task->PendingUntil_)
+      continue;
+    double Weight = 0;
+    for (const ServiceState &Service : Server.Services_)
+      Weight = std::max(Weight, State_.Effects_
+                                    .effectOf(Service.Service_, Task->Class_,
+                                              Service.Band_, Now)
+                                    .Weight_);
+    Weighted.emplace_back(Weight, Task);
+  }
+  // Those that slow the services least come back first.
+  std::sort(Weighted.begin(), Weighted.end(), [](const auto &A, const auto &B) {
+    return std::pair(A.first, A.second->Info_.Task_) <
+           std::pair(B.first, B.second->Info_.Task_);
+  });
+  std::vector<RunningTask *> Tasks;
+  for (const auto &[Weight, Task] : Weighted)
+    Tasks.push_back(Task);
+  return Tasks;
+}
+
 void TailGuard::restore(ServerEntry &Server, TimePoint Now, std::size_t Budget,
                         std::vector<Decision> &Decisions) {
-  std::vector<RunningTask *> Tasks;
-  for (RunningTask *Task : Server.Tasks_)
-    if (Task->ThrottlePercent_ < 100 && Now >= Task->PendingUntil_)
-      Tasks.push_back(Task);
-  const auto byOrder = [](const RunningTask *A, const RunningTask *B) {
-    return std::pair(-std::int64_t{A->Info_.Priority_}, A->Info_.Task_) <
-           std::pair(-std::int64_t{B->Info_.Priority_}, B->Info_.Task_);
-  };
-  std::sort(Tasks.begin(), Tasks.end(), byOrder);
-  ClassLoad Added;
+  const double Before =
+      Tail_.pressureOn(Server, nullptr, LoadExpectation::Current, Now).Value_;
+  double Released = 0;
   std::size_t Count = 0;
   const std::size_t Most = std::min(Budget, MaxReleased);
-  for (RunningTask *Task : Tasks) {
+  for (RunningTask *Task : listThrottled(Server, Now)) {
     if (Count >= Most)
       break;
     const double Missing = State_.Servers_.loadOf(
         Task->Server_, Task->Reservation_, 100 - Task->ThrottlePercent_);
-    // One prediction covers tasks of one class; others wait their turn.
-    if (Count > 0 && Task->Class_ != Added.Class_)
-      continue;
-    Added = {Task->Class_, (Count > 0 ? Added.Load_ : 0) + Missing};
-    const Pressure After =
+    const ClassLoad Added{Task->Class_, Missing};
+    Pressure After =
         Tail_.pressureOn(Server, &Added, LoadExpectation::Current, Now);
+    // The predictions are sums, so what each release adds can be added up.
+    const double Adds = After.Value_ - Before;
+    After.Value_ += Released;
     if (After.Value_ > Tail_.ceiling(After.Confidence_))
       break;
+    Released += Adds;
     auto Value = makeGuardDecision(DecisionKind::Throttle,
                                    ReasonCode::TailRecovered, Server, *Task);
     Value.ThrottlePercent_ = 100;
--- a/src/decide/TailGuard.h
+++ b/src/decide/TailGuard.h
@@ -36,7 +36,8 @@
   /// A running task and by how much it slows the service.
   struct Offender {
     RunningTask *Task_ = nullptr;
-    double Effect_ = 0; ///< Part of the service's p99 alone.
+    double Weight_ = 0; ///< Learned effect of a server full of its class.
+    double Effect_ = 0; ///< Its own, as a part of the service's p99 alone.
     Duration WorkLost_{};
   };
   /// One server's service that stood over its target.
@@ -66,6 +67,8 @@
              std::vector<Decision> &Decisions);
   void restore(ServerEntry &Server, TimePoint Now, std::size_t Budget,
                std::vector<Decision> &Decisions);
+  std::vector<RunningTask *> listThrottled(const ServerEntry &Server,
+                                           TimePoint Now) const;
   void markPending(ServerEntry &Server, RunningTask &Task, TimePoint Now);
   bool isReadyToRestore(const ServerEntry &Server) const;
 
