--- a/include/tulipweir/entry/AnnouncementJson.h
+++ b/include/tulipweir/entry/AnnouncementJson.h
@@ -24,7 +24,7 @@
 /// that a broken one cannot make the control processes carry its garbage.
 struct AnnouncementLimits {
   static constexpr std::size_t MaxNameBytes = 128;
-  static constexpr std::size_t MaxTextBytes = 64 * 1024;
+  static constexpr std::size_t MaxTextBytes = 65'536;
   static constexpr std::size_t MaxAttempts = 1'000;
   static constexpr std::size_t MaxServices = 256;
   static constexpr std::uint64_t MaxSlots = 1'000'000;
--- a/tests/entry/EntryApiTest.cpp
+++ b/tests/entry/EntryApiTest.cpp
@@ -281,6 +281,7 @@
   World Around;
   Around.Backend_.ServiceTime_ = milliseconds(300);
   std::vector<std::shared_ptr<World::Call>> Calls;
+  Calls.reserve(10);
   for (int Number = 0; Number < 9; ++Number) // Six run, three wait.
     Calls.push_back(Around.call("c" + std::to_string(Number)));
   Calls.push_back(Around.call("k", keyed("k")));
--- a/tests/entry/RequestTableTest.cpp
+++ b/tests/entry/RequestTableTest.cpp
@@ -112,6 +112,7 @@
   RequestTable Table;
   std::atomic<int> Owners{0}, Most{0}, Attached{0}, Called{0};
   std::vector<std::thread> Threads;
+  Threads.reserve(4);
   for (int Thread = 0; Thread < 4; ++Thread)
     Threads.emplace_back([&] {
       for (int Round = 0; Round < 2000; ++Round) {
--- a/tests/entry/RoutingTest.cpp
+++ b/tests/entry/RoutingTest.cpp
@@ -76,6 +76,7 @@
   World Around;
   Around.Backend_.ServiceTime_ = milliseconds(900);
   std::vector<std::shared_ptr<World::Call>> Calls;
+  Calls.reserve(6);
   for (int Number = 0; Number < 6; ++Number)
     Calls.push_back(Around.call("c" + std::to_string(Number)));
   Around.setRoutes({Around.Routes_[1]});
@@ -114,6 +115,7 @@
   Around.advance(milliseconds(100)); // The service time is known now.
   Around.call("running");
   std::vector<std::shared_ptr<World::Call>> Refused;
+  Refused.reserve(5);
   for (int Number = 0; Number < 5; ++Number)
     Refused.push_back(Around.call("r", {ShortDeadline}));
   for (const auto &Call : Refused) {
--- a/tests/entry/support/Fakes.h
+++ b/tests/entry/support/Fakes.h
@@ -121,8 +121,7 @@
 
 class FakeControl final : public ControlClient {
 public:
-  FakeControl(FakeTimers &Timers, const Clock &Clock)
-      : Timers_(Timers), Clock_(Clock) {}
+  explicit FakeControl(FakeTimers &Timers) : Timers_(Timers) {}
 
   void report(const wire::EntryReport &Report, Duration Timeout,
               ControlDone<wire::EntryReport> Done) override;
@@ -168,7 +167,6 @@
               std::function<void(Outcome<Reply>)> Done);
 
   FakeTimers &Timers_;
-  const Clock &Clock_;
   std::map<RequestKey, Record> Records_;
 };
 
@@ -213,7 +211,7 @@
   FakeTimers Timers_{Clock_};
   FakeBackend Backend_{Timers_, Clock_};
   std::shared_ptr<FakeControl> Control_ =
-      std::make_shared<FakeControl>(Timers_, Clock_);
+      std::make_shared<FakeControl>(Timers_);
   net::Metrics Metrics_;
   std::vector<wire::Route> Routes_;
   /// Another data centre is known and out of reach; from the next start on.
--- a/tools/entry/EntrySettings.h
+++ b/tools/entry/EntrySettings.h
@@ -29,8 +29,8 @@
   Duration StopDelay_ = std::chrono::milliseconds(500);
   Duration Grace_ = std::chrono::seconds(60);
   std::int64_t MaxConnections_ = 10'000;
-  std::int64_t MaxBodyBytes_ = 8 * 1024 * 1024;
-  std::int64_t MaxHeaderBytes_ = 16 * 1024;
+  std::int64_t MaxBodyBytes_ = 8LL * 1024 * 1024;
+  std::int64_t MaxHeaderBytes_ = 16LL * 1024;
   Duration ReadTimeout_ = std::chrono::seconds(10);
   std::int64_t Threads_ = 4;
   net::LogSettings Log_;
