--- a/tests/entry/RoutingTest.cpp
+++ b/tests/entry/RoutingTest.cpp
@@ -76,6 +76,7 @@
   World Around;
   Around.Backend_.ServiceTime_ = milliseconds(900);
   std::vector<std::shared_ptr<World::Call>> Calls;
+  Calls.reserve(6);
   for (int Number = 0; Number < 6; ++Number)
     Calls.push_back(Around.call("c" + std::to_string(Number)));
   Around.setRoutes({Around.Routes_[1]});
@@ -114,6 +115,7 @@
   Around.advance(milliseconds(100)); // The service time is known now.
   Around.call("running");
   std::vector<std::shared_ptr<World::Call>> Refused;
+  Refused.reserve(5);
   for (int Number = 0; Number < 5; ++Number)
     Refused.push_back(Around.call("r", {ShortDeadline}));
   for (const auto &Call : Refused) {
@@ -206,18 +208,24 @@
             "490");
 }
 
-TEST(RoutingTest, AServersOtherServicesShareItsSlots) {
-  World Around(1, 2);
-  Around.Routes_[0].Services_.emplace_back("tariff");
-  Around.setRoutes(Around.Routes_);
-  Around.setBundle(2, R"(},{"service":"tariff")");
-  Around.advance(seconds(1));
-  Around.call("a");
-  Around.call("b", {}, "POST", "/v1/services/tariff/x");
-  const auto Waiting = Around.call("c", {}, "POST", "/v1/services/tariff/x");
-  EXPECT_EQ(Around.Backend_.Sent_.size(), 2U);
-  Around.advance(milliseconds(50));
-  EXPECT_EQ(Waiting->outcome(), "served");
+TEST(RoutingTest, AFreedSlotGoesAtOnceToWhoWaitsForAnyServiceOfTheServer) {
+  for (const char *Service : {"booking", "tariff"}) {
+    SCOPED_TRACE(Service);
+    World Around(1, 2);
+    Around.Routes_[0].Services_.emplace_back("tariff");
+    Around.setRoutes(Around.Routes_);
+    Around.setBundle(2, R"(},{"service":"tariff")");
+    Around.advance(seconds(1));
+    Around.Backend_.ServiceTime_ = milliseconds(7); // No multiple of a sweep.
+    Around.call("a");
+    Around.call("b");
+    const auto Waiting = Around.call(
+        "c", {}, "POST", "/v1/services/" + std::string(Service) + "/x");
+    EXPECT_EQ(Around.Backend_.Sent_.size(), 2U);
+    Around.advance(milliseconds(14));
+    ASSERT_EQ(Waiting->Answers_.size(), 1U);
+    EXPECT_EQ(Waiting->outcome(), "served");
+  }
 }
 
 TEST(RoutingTest, AServerThatAnswersWithAnotherIdLosesItsConnections) {
