--- a/src/control/LearnerDuty.cpp
+++ b/src/control/LearnerDuty.cpp
@@ -12,9 +12,13 @@
 
 static constexpr Duration TickPeriod = std::chrono::seconds(1);
 
-static bool isMember(const ReplicaStatus &Status, const MemberId &Id) {
+/// Whether it, or a later life of it, takes part already.
+static bool isSuperseded(const ReplicaStatus &Status, const MemberId &Id) {
   return std::any_of(Status.Members_.begin(), Status.Members_.end(),
-                     [&Id](const Member &Value) { return Value.Id_ == Id; });
+                     [&Id](const Member &Value) {
+                       return Value.Id_.Name_ == Id.Name_ &&
+                              Value.Id_.Incarnation_ >= Id.Incarnation_;
+                     });
 }
 
 LearnerDuty::LearnerDuty(std::string Group, replication::Replica &Replica,
@@ -38,7 +42,7 @@
   if (Adding_ || !Status.IsLeader_)
     return;
   for (const MemberId &Id : Status.Waiting_) {
-    if (!Allowed_.contains(Id.Name_) || isMember(Status, Id))
+    if (!Allowed_.contains(Id.Name_) || isSuperseded(Status, Id))
       continue;
     Adding_ = true;
     spdlog::info("group {}: adds {} ({}) as a learner", Group_, Id.Name_,
