See control's guards fail first

Cause: a test that never failed proves nothing. Change: tests of a disobedient server near the end of its job's assignment, of changes told twice, of a fleet leader that may be replaced, of silent servers, of one open proposal a thing.

--- a/tests/control/ControlWorld.h
+++ b/tests/control/ControlWorld.h
@@ -133,7 +133,8 @@
     if (!Got || !*Got)
       return {};
     for (const wire::TaskCommand &Command : Got->value().Commands_)
-      obey(Command);
+      if (Obeys_)
+        obey(Command);
     return Got->value();
   }
   /// Time passes while s1 announces itself to To.
@@ -189,6 +190,7 @@
   TestControl B_{"c2", Time_, Own_, All_};
   std::vector<wire::AttemptReport> Held_; ///< What s1 runs.
   std::map<TaskId, int> Starts_;
+  bool Obeys_ = true;   ///< s1 does what it is commanded.
   std::string Resumed_; ///< Where the latest start was to resume.
   std::uint64_t Sequence_ = 0;
 };
--- a/tests/control/LeadershipTest.cpp
+++ b/tests/control/LeadershipTest.cpp
@@ -160,6 +160,49 @@
   EXPECT_EQ(findTask(A_, "j")->Checkpoint_, "half");
 }
 
+TEST_F(LeadershipTest, AServerThatDoesNotObeyIsNotRenewedBeyondItEither) {
+  runTask();
+  All_.cutLeader();
+  Obeys_ = false;
+  beat(A_, makeSettings("c1").AssignmentTtl_ - TestLeaseTtl);
+  EXPECT_TRUE(announce(A_).Renewals_.empty());
+}
+
+TEST_F(LeadershipTest, AFleetLeaderThatMayBeReplacedRenewsNoAssignment) {
+  registerServer();
+  A_.FleetGroup_.LeaseHeld_ = false;
+  submit(A_, "j");
+  beat(A_, seconds(5));
+  EXPECT_TRUE(Held_.empty()) << "not a start without an assignment's lease";
+  A_.FleetGroup_.LeaseHeld_ = true;
+  beat(A_, seconds(5));
+  EXPECT_EQ(Held_.size(), 1U);
+}
+
+TEST_F(LeadershipTest, NothingIsPlacedOnASilentServer) {
+  registerServer();
+  pass(milliseconds(1300));
+  submit(A_, "j");
+  pass(seconds(1));
+  EXPECT_EQ(state(), TaskState::Waiting);
+  beat(A_, seconds(20));
+  EXPECT_EQ(state(), TaskState::Placed) << "but once it is heard again";
+}
+
+TEST_F(LeadershipTest, WhatTheStateHeldAlreadyIsNotToldTwice) {
+  runTask();
+  moveLeadership();
+  const datacentre::Command Adopted = datacentre::AdoptJob{};
+  const datacentre::CommandResult Result;
+  datacentre::Change Waiting;
+  Waiting.Kind_ = datacentre::ChangeKind::TaskWaiting;
+  Waiting.Task_ = TaskId{JobId("j"), 0};
+  Waiting.Attempt_ = AttemptNumber(1);
+  // As if it had been applied between the feed's opening and the reading.
+  B_.Feed_.publish({1, 2, Adopted, Result, {Waiting}});
+  EXPECT_EQ(Json::parse(B_.call("GET", "/dump").Body_)["waitingTasks"], 0);
+}
+
 TEST_F(LeadershipTest, AnEntrysNextLifeEndsWhatTheLastOneHadBegun) {
   wire::EntryReport Report = makeReport();
   Report.Incarnation_ = 1;
@@ -172,10 +215,14 @@
   EXPECT_EQ(A_.send(Begin)->value().Disposition_,
             wire::RequestDisposition::Run);
   Report.Incarnation_ = 2;
+  Own_.Held_ = true;
   for (int I = 0; I < 200; ++I) {
     A_.send(Report);
     pass(milliseconds(500));
   }
+  EXPECT_EQ(Own_.Open_.size(), 1U) << "proposed once while it is open";
+  Own_.Held_ = false;
+  Own_.commit();
   Begin.EntryIncarnation_ = 2;
   EXPECT_EQ(A_.send(Begin)->value().Disposition_,
             wire::RequestDisposition::Unknown);
