--- a/include/tulipweir/decide/Policy.h
+++ b/include/tulipweir/decide/Policy.h
@@ -39,9 +39,14 @@
   /// Priorities from here on are urgent and may evict lower ones.
   std::uint32_t UrgentPriority_ = 100;
   /// Quantile of measured usage that is reserved, 0.5 to 1.
-  double UsageQuantile_ = 0.95;
+  double UsageQuantile_ = 0.9;
   /// Added to that quantile, 0 to 1.
-  double UsageMargin_ = 0.15;
+  double UsageMargin_ = 0.05;
+  /// Part of the declared size below which a learned reservation never goes,
+  /// 0.05 to 1.
+  double ReserveFloorPart_ = 0.2;
+  /// Weight of spreading a job's tasks over racks, 0 to 100.
+  double SpreadWeight_ = 10;
   /// Reports in a row over a target before a guard acts, 1 to 20.
   std::uint32_t GuardReports_ = 3;
   /// A tail under this part of its target lets throttling ease, 0.1 to 1.
@@ -54,6 +59,9 @@
   Duration QuarantineTime_ = std::chrono::seconds(60);
   /// A waiting task gains one priority step per this time, 1 s to 1 h.
   Duration AgeingStep_ = std::chrono::seconds(30);
+  /// Ageing steps by which tasks of the class that slows services most may be
+  /// overtaken by tasks of harmless ones, 0 (strict order) to 100.
+  double CostlyClassSteps_ = 20;
   std::vector<TeamQuota> Quotas_;
   std::vector<ServiceTarget> Targets_;
   bool operator==(const Policy &) const = default;
--- /dev/null
+++ b/src/decide/Planner.cpp
@@ -0,0 +1,186 @@
+//===- Planner.cpp - Where tasks run, and what gives way ----------------===//
+
+#include "tulipweir/decide/Planner.h"
+
+#include "decide/Explainer.h"
+#include "decide/PlacementRound.h"
+#include "decide/PlannerState.h"
+#include "decide/TailGuard.h"
+#include "decide/Text.h"
+#include "decide/UsageGuard.h"
+
+#include <algorithm>
+
+using namespace tulipweir;
+using namespace tulipweir::decide;
+
+/// Timers that one call looks at, beside a few per decision.
+static constexpr std::size_t MinTimers = 64;
+
+class Planner::Impl {
+public:
+  Impl(const Policy &Settings, std::uint64_t Seed)
+      : State_(Settings), Explaining_(State_, Seed), Round_(State_, Seed),
+        Tails_(State_), Usages_(State_) {}
+
+  /// Applies changes of servers' health and reports those worth a decision.
+  void applyHealth(std::vector<Decision> &Decisions);
+  std::vector<Decision> decide(TimePoint Now, std::size_t Budget);
+
+  PlannerState State_;
+  Placer Explaining_; ///< Only asked for sizes; draws nothing.
+  PlacementRound Round_;
+  TailGuard Tails_;
+  UsageGuard Usages_;
+  std::vector<Decision> HealthDecisions_;
+};
+
+static Decision makeHealthDecision(const HealthChange &Change) {
+  Decision Value;
+  Value.Server_ = Change.Server_;
+  if (Change.To_ == ServerHealth::Quarantined) {
+    Value.Kind_ = DecisionKind::Quarantine;
+    Value.Reason_ = ReasonCode::FailsEveryTask;
+    Value.Text_ = Change.Server_.value() + " is quarantined for " +
+                  describe(Change.For_) + ": " +
+                  std::to_string(Change.Jobs_.size()) +
+                  " jobs that do well elsewhere failed there (";
+    for (const JobId &Job : Change.Jobs_)
+      Value.Text_ += (&Job == &Change.Jobs_.front() ? "" : ", ") + Job.value();
+    Value.Text_ += ") and nothing did well since";
+    return Value;
+  }
+  Value.Kind_ = DecisionKind::Readmit;
+  Value.Reason_ = ReasonCode::ProbationPassed;
+  Value.Text_ = Change.Server_.value() +
+                " takes tasks as before: a task did well there on probation";
+  return Value;
+}
+
+void Planner::Impl::applyHealth(std::vector<Decision> &Decisions) {
+  for (const HealthChange &Change : State_.Health_.takeChanges()) {
+    if (const auto Server = State_.Servers_.find(Change.Server_))
+      State_.Servers_.setQuarantine(*Server,
+                                    Change.To_ == ServerHealth::Quarantined,
+                                    Change.To_ == ServerHealth::Suspect ||
+                                        Change.To_ == ServerHealth::Probation);
+    const bool Passed = Change.From_ == ServerHealth::Probation &&
+                        Change.To_ == ServerHealth::Good;
+    if (Passed || Change.To_ == ServerHealth::Quarantined)
+      HealthDecisions_.push_back(makeHealthDecision(Change));
+    if (Change.To_ != ServerHealth::Quarantined)
+      State_.Queue_.wakeReason(ReasonCode::AllQuarantined);
+  }
+  std::swap(Decisions, HealthDecisions_);
+}
+
+std::vector<Decision> Planner::Impl::decide(TimePoint Now, std::size_t Budget) {
+  std::vector<Decision> Decisions;
+  if (Budget == 0)
+    return Decisions;
+  State_.Health_.advance(Now);
+  State_.expire(Now, MinTimers + 2 * Budget);
+  State_.Queue_.wakeDue(Now, MinTimers + Budget);
+  applyHealth(Decisions);
+  if (Decisions.size() > Budget) {
+    HealthDecisions_.assign(Decisions.begin() +
+                                static_cast<std::ptrdiff_t>(Budget),
+                            Decisions.end());
+    Decisions.resize(Budget);
+  }
+  // The guards may take half, so that waiting work always gets on.
+  const std::size_t Half = std::max<std::size_t>(1, Budget / 2);
+  const auto left = [&](std::size_t Most) {
+    return std::min(Most, Budget - Decisions.size());
+  };
+  Tails_.act(Now, left(Half), Decisions);
+  Round_.settleClaims(Now, left(Budget), Decisions);
+  Round_.placeUrgent(Now, left(Budget), Decisions);
+  Usages_.act(Now, left(Half), Decisions);
+  Round_.emptyLeaving(Now, left(Half), Decisions);
+  Round_.placeAll(Now, left(Budget), Decisions);
+  for (const Decision &Value : Decisions)
+    State_.remember(Value);
+  return Decisions;
+}
+
+Planner::Planner(const Policy &Settings, std::uint64_t Seed)
+    : Impl_(std::make_unique<Impl>(Settings, Seed)) {}
+Planner::~Planner() = default;
+
+void Planner::setPolicy(const Policy &Settings) {
+  Impl_->State_.setPolicy(Settings);
+}
+
+void Planner::upsertServer(const ServerInfo &Server) {
+  Impl_->State_.upsertServer(Server);
+}
+
+void Planner::removeServer(const BackendServerId &Server) {
+  Impl_->State_.removeServer(Server);
+}
+
+void Planner::addWaiting(const TaskInfo &Task, TimePoint Now) {
+  Impl_->State_.addWaiting(Task, Now);
+}
+
+void Planner::removeWaiting(const TaskId &Task) {
+  Impl_->State_.removeWaiting(Task);
+}
+
+void Planner::notePlaced(const TaskInfo &Task, AttemptNumber Attempt,
+                         const BackendServerId &Server,
+                         const Resources &Reservation, TimePoint Now) {
+  Impl_->State_.notePlaced(Task, Attempt, Server, Reservation, Now);
+}
+
+void Planner::noteReservation(const TaskId &Task, AttemptNumber Attempt,
+                              const Resources &Reservation) {
+  Impl_->State_.noteReservation(Task, Attempt, Reservation);
+}
+
+void Planner::noteThrottle(const TaskId &Task, AttemptNumber Attempt,
+                           std::uint32_t Percent, TimePoint Now) {
+  Impl_->State_.noteThrottle(Task, Attempt, Percent, Now);
+}
+
+void Planner::noteEnded(const TaskId &Task, AttemptNumber Attempt,
+                        EndReason Reason, TimePoint Now) {
+  Impl_->State_.noteEnded(Task, Attempt, Reason, Now);
+}
+
+void Planner::noteUsage(const UsageSample &Sample) {
+  Impl_->Usages_.noteUsage(Sample);
+}
+
+void Planner::noteService(const ServiceSample &Sample) {
+  Impl_->Tails_.noteService(Sample);
+}
+
+std::vector<Decision> Planner::decide(TimePoint Now, std::size_t Budget) {
+  return Impl_->decide(Now, Budget);
+}
+
+std::optional<Explanation> Planner::explain(const TaskId &Task,
+                                            TimePoint Now) const {
+  return explainTask(Impl_->State_, Impl_->Explaining_, Task, Now);
+}
+
+std::vector<ServerView> Planner::listServers() const {
+  std::vector<ServerView> Views;
+  const ServerTable &Servers = Impl_->State_.Servers_;
+  for (ServerIndex I = 0; I < Servers.size(); ++I) {
+    const ServerEntry &Entry = Servers.at(I);
+    if (!Entry.Present_ && Entry.Tasks_.empty())
+      continue;
+    Views.push_back({Entry.Info_.Server_, Entry.Info_.Rack_,
+                     Entry.Info_.Capacity_, Entry.Reserved_,
+                     Entry.Info_.Draining_, Entry.Quarantined_,
+                     static_cast<std::uint32_t>(Entry.Tasks_.size())});
+  }
+  std::sort(Views.begin(), Views.end(),
+            [](const ServerView &A, const ServerView &B) {
+              return A.Server_ < B.Server_;
+            });
+  return Views;
+}
--- /dev/null
+++ b/tests/replication/ReplicaTest.cpp
@@ -0,0 +1,303 @@
+#include "tulipweir/replication/Replica.h"
+
+#include "tulipweir/replication/StateMachine.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace tulipweir;
+using namespace tulipweir::replication;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Keeps all commands, and answers with their number. One that comes twice in
+/// a row is a repeated proposal and counts once.
+class Journal final : public StateMachine {
+public:
+  std::string apply(const CommittedEntry &Entry) override {
+    std::lock_guard Guard(Lock_);
+    std::string Added = std::string(Entry.Command_) + ";";
+    bool IsRepeated = Text_.ends_with(";" + Added) || Text_ == Added;
+    if (!IsRepeated) {
+      Text_ += Added;
+      ++Count_;
+    }
+    return std::to_string(Count_);
+  }
+  std::string takeSnapshot() const override { return getText(); }
+  Outcome<void> restoreSnapshot(std::string_view Snapshot) override {
+    std::lock_guard Guard(Lock_);
+    Text_ = Snapshot;
+    Count_ = std::count(Text_.begin(), Text_.end(), ';');
+    return succeed();
+  }
+  std::string getText() const {
+    std::lock_guard Guard(Lock_);
+    return Text_;
+  }
+
+private:
+  mutable std::mutex Lock_;
+  std::string Text_;
+  std::ptrdiff_t Count_ = 0;
+};
+
+/// Hands messages straight over, to whoever is there.
+class Wire final : public Transport {
+public:
+  void send(const std::string &ToName, std::string Message) override {
+    std::lock_guard Guard(Lock_);
+    if (auto To = Ends_.find(ToName); To != Ends_.end())
+      To->second->receive(std::move(Message));
+  }
+  void set(const std::string &Name, Replica *End) {
+    std::lock_guard Guard(Lock_);
+    if (End)
+      Ends_[Name] = End;
+    else
+      Ends_.erase(Name);
+  }
+
+private:
+  std::mutex Lock_;
+  std::map<std::string, Replica *> Ends_;
+};
+
+/// A group of real replicas with folders of their own.
+class ReplicaTest : public testing::Test {
+protected:
+  struct Node {
+    std::unique_ptr<Journal> Machine_;
+    std::unique_ptr<Replica> Replica_;
+  };
+
+  ReplicaTest()
+      : Root_(std::filesystem::path(testing::TempDir()) /
+              ("replica-" + std::to_string(getpid()))) {
+    std::filesystem::remove_all(Root_);
+  }
+  ~ReplicaTest() override {
+    while (!Nodes_.empty())
+      stop(Nodes_.begin()->first);
+    std::filesystem::remove_all(Root_);
+  }
+
+  ReplicaSettings makeSettings(const std::string &Name) const {
+    ReplicaSettings Settings;
+    Settings.Group_ = "group";
+    Settings.Name_ = Name;
+    Settings.Folder_ = (Root_ / Name).string();
+    Settings.FirstVoters_ = FirstVoters_;
+    Settings.ElectionTimeout_ = 200ms;
+    Settings.HeartbeatInterval_ = 20ms;
+    Settings.SnapshotEvery_ = 50;
+    Settings.RejoinsLostDisks_ = Rejoins_;
+    if (IsInMemory_)
+      Settings.Folder_.clear();
+    return Settings;
+  }
+  void start(const std::string &Name) {
+    Node &Fresh = Nodes_[Name];
+    Fresh.Machine_ = std::make_unique<Journal>();
+    auto Opened =
+        Replica::open(makeSettings(Name), *Fresh.Machine_, Wire_, Time_);
+    ASSERT_TRUE(Opened) << Opened.error().Message_;
+    Fresh.Replica_ = std::move(Opened.value());
+    Wire_.set(Name, Fresh.Replica_.get());
+  }
+  void stop(const std::string &Name) {
+    Wire_.set(Name, nullptr);
+    Nodes_.at(Name).Replica_->stop();
+    Nodes_.erase(Name);
+  }
+  void loseDisk(const std::string &Name) {
+    std::filesystem::remove_all(Root_ / Name);
+  }
+  /// Waits, generously; tests that pass do not depend on how long it takes.
+  template <class Condition> bool waitFor(Condition IsMet) {
+    for (int Try = 0; Try < 3000; ++Try) {
+      if (IsMet())
+        return true;
+      std::this_thread::sleep_for(10ms);
+    }
+    return false;
+  }
+  Replica *findLeader() {
+    for (auto &[Name, Each] : Nodes_)
+      if (Each.Replica_->getStatus().IsLeader_)
+        return Each.Replica_.get();
+    return nullptr;
+  }
+  /// Whether a leader's members are just the incarnations that run, voting.
+  bool isWhole() {
+    Replica *Leader = findLeader();
+    std::vector<Member> Running;
+    for (auto &[Name, Each] : Nodes_)
+      Running.push_back({Each.Replica_->getStatus().Self_, MemberRole::Voter});
+    return Leader && Leader->getStatus().Members_ == Running;
+  }
+  /// Proposes until somebody takes it; only for commands that may repeat.
+  Outcome<Applied> commit(const std::string &Command) {
+    Outcome<Applied> Last = fail(ErrorCode::Unavailable, "no leader");
+    waitFor([&] {
+      Replica *Leader = findLeader();
+      if (!Leader)
+        return false;
+      auto Done = std::make_shared<std::promise<Outcome<Applied>>>();
+      Leader->propose(Command, [Done](Outcome<Applied> Result) {
+        Done->set_value(std::move(Result));
+      });
+      Last = Done->get_future().get();
+      return Last.has_value();
+    });
+    return Last;
+  }
+  template <class Call> Outcome<void> await(Call Ask) {
+    auto Done = std::make_shared<std::promise<Outcome<void>>>();
+    Ask([Done](Outcome<void> Result) { Done->set_value(std::move(Result)); });
+    return Done->get_future().get();
+  }
+
+  const std::filesystem::path Root_;
+  std::vector<std::string> FirstVoters_{"a", "b", "c"};
+  bool Rejoins_ = true;
+  bool IsInMemory_ = false;
+  SystemClock Time_;
+  Wire Wire_;
+  std::map<std::string, Node> Nodes_;
+};
+
+TEST_F(ReplicaTest, SingleVoterCommitsAndKeepsItsLogOverARestart) {
+  FirstVoters_ = {"a"};
+  start("a");
+  ASSERT_TRUE(commit("one"));
+  EXPECT_EQ(commit("two").value().Result_, "2");
+  stop("a");
+  start("a");
+  EXPECT_EQ(commit("three").value().Result_, "3");
+  EXPECT_EQ(Nodes_["a"].Machine_->getText(), "one;two;three;");
+}
+
+TEST_F(ReplicaTest, ThreeVotersAgreeAndGoOnWithoutTheLeader) {
+  for (const char *Name : {"a", "b", "c"})
+    start(Name);
+  for (int Each = 0; Each < 120; ++Each)
+    ASSERT_TRUE(commit("x" + std::to_string(Each)));
+  std::string Leader = findLeader()->getStatus().Self_.Name_;
+  stop(Leader);
+  ASSERT_TRUE(commit("after"));
+  start(Leader);
+  EXPECT_TRUE(waitFor([&] {
+    std::string Text = Nodes_["a"].Machine_->getText();
+    return Text.ends_with("after;") &&
+           Text == Nodes_["b"].Machine_->getText() &&
+           Text == Nodes_["c"].Machine_->getText();
+  }));
+}
+
+TEST_F(ReplicaTest, SecondDiskLostRightAfterTheRepairOfTheFirst) {
+  for (const char *Name : {"a", "b", "c"})
+    start(Name);
+  std::string Expected;
+  for (const char *Lost : {"c", "b", "a", "c"}) {
+    for (int Each = 0; Each < 30; ++Each) {
+      Expected += std::string(Lost) + std::to_string(Each) + ";";
+      ASSERT_TRUE(commit(Lost + std::to_string(Each)));
+    }
+    std::uint64_t Old = Nodes_[Lost].Replica_->getStatus().Self_.Incarnation_;
+    stop(Lost);
+    loseDisk(Lost);
+    start(Lost);
+    EXPECT_GT(Nodes_[Lost].Replica_->getStatus().Self_.Incarnation_, Old);
+    EXPECT_TRUE(waitFor([&] { return isWhole(); }));
+  }
+  EXPECT_TRUE(waitFor([&] {
+    return std::all_of(Nodes_.begin(), Nodes_.end(), [&](auto &Each) {
+      return Each.second.Machine_->getText() == Expected;
+    });
+  }));
+}
+
+TEST_F(ReplicaTest, LostDiskWaitsOutsideUntilItIsAdded) {
+  Rejoins_ = false;
+  for (const char *Name : {"a", "b", "c"})
+    start(Name);
+  ASSERT_TRUE(commit("one"));
+  stop("c");
+  loseDisk("c");
+  start("c");
+  MemberId Fresh = Nodes_["c"].Replica_->getStatus().Self_;
+  ASSERT_TRUE(waitFor([&] {
+    Replica *Leader = findLeader();
+    return Leader && Leader->getStatus().Waiting_ == std::vector{Fresh};
+  }));
+  EXPECT_EQ(Nodes_["c"].Replica_->getStatus().AppliedIndex_, 0U);
+  Replica *Leader = findLeader();
+  EXPECT_TRUE(await([&](auto Done) { Leader->addLearner(Fresh, Done); }));
+  EXPECT_TRUE(await([&](auto Done) { Leader->promote(Fresh, Done); }));
+  EXPECT_TRUE(
+      waitFor([&] { return Nodes_["c"].Machine_->getText() == "one;"; }));
+}
+
+TEST_F(ReplicaTest, DamagedFolderCountsAsALostDisk) {
+  for (const char *Name : {"a", "b", "c"})
+    start(Name);
+  ASSERT_TRUE(commit("one"));
+  stop("b");
+  std::ofstream(Root_ / "b" / "identity") << "nonsense";
+  start("b");
+  EXPECT_NE(Nodes_["b"].Replica_->getStatus().LostDisk_, "");
+  EXPECT_TRUE(waitFor([&] { return isWhole(); }));
+  EXPECT_TRUE(
+      waitFor([&] { return Nodes_["b"].Machine_->getText() == "one;"; }));
+}
+
+TEST_F(ReplicaTest, MembersWithoutDisksComeBackAsNewOnes) {
+  IsInMemory_ = true;
+  for (const char *Name : {"a", "b", "c"})
+    start(Name);
+  ASSERT_TRUE(commit("one"));
+  stop("a");
+  start("a");
+  EXPECT_FALSE(Nodes_["a"].Replica_->getStatus().IsDurable_);
+  EXPECT_TRUE(waitFor([&] { return isWhole(); }));
+  EXPECT_TRUE(
+      waitFor([&] { return Nodes_["a"].Machine_->getText() == "one;"; }));
+}
+
+TEST_F(ReplicaTest, HandsLeadershipOnAndRefusesWhatOnlyALeaderMayDo) {
+  for (const char *Name : {"a", "b", "c"})
+    start(Name);
+  ASSERT_TRUE(commit("one"));
+  Replica *Old = findLeader();
+  auto IsLeading = [&] { return Old->holdsLeaderLease(Time_.now()); };
+  EXPECT_TRUE(waitFor(IsLeading));
+  auto Confirm = [&](auto Done) { Old->confirmLeadership(Done); };
+  EXPECT_TRUE(await(Confirm));
+  EXPECT_TRUE(await([&](auto Done) { Old->transferLeadership(Done); }));
+  EXPECT_FALSE(IsLeading());
+  EXPECT_EQ(await(Confirm).error().Code_, ErrorCode::NotLeader);
+  std::string Next;
+  EXPECT_TRUE(waitFor([&] {
+    Next = Old->getStatus().LeaderName_;
+    return !Next.empty();
+  }));
+  EXPECT_NE(Next, Old->getStatus().Self_.Name_);
+}
+
+TEST_F(ReplicaTest, RefusesSettingsThatCannotWork) {
+  ReplicaSettings Settings = makeSettings("a");
+  Settings.HeartbeatInterval_ = Settings.ElectionTimeout_;
+  Journal Machine;
+  auto Opened = Replica::open(Settings, Machine, Wire_, Time_);
+  EXPECT_EQ(Opened.error().Code_, ErrorCode::InvalidArgument);
+}
+
+} // namespace
