Trust shown grants of earlier leaders only until those have run out

Cause: reading the entry showed that it keeps naming its table after its grant has run out. Change: after a full TTL since the election a report's grants of earlier leaders count for nothing; an entry whose grant ran out and was freed by noteBusy needs a new table; what is in flight to two boots is added up. Ruled out: telling a run-out grant from a live one in the leader; the report does not say.

--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -134,7 +134,9 @@
           .count());
   const bool Changed = offerTable(From, Now);
   if (Changed || Report.RoutesHeld_ != From.Version_) {
-    noteReplaced(From, Report.RoutesHeld_, Changed);
+    const bool OfEarlier =
+        (Report.RoutesHeld_ >> TermShift) < Term_ && Now < SettledAt_;
+    noteReplaced(From, OfEarlier, Changed);
     Reply.Routes_ = From.Table_;
   }
   Reply.RoutesVersion_ = From.Version_;
@@ -151,8 +153,9 @@
     if (Found == Positions_.end())
       continue;
     Share &Of = From.Shares_[Found->second];
-    Of.Shown_ = {Held.Slots_, Held.Connections_};
-    Of.InFlight_ = Held.InFlight_;
+    // An entry may still have requests in flight to an earlier boot.
+    Of.Shown_ = plus(Of.Shown_, {Held.Slots_, Held.Connections_});
+    Of.InFlight_ += Held.InFlight_;
   }
 }
 
@@ -179,9 +182,7 @@
 
 /// Notes which grants of earlier leaders the entry gives up if it takes the
 /// answer to this report: only if it still holds what the report shows.
-void SlotLedger::noteReplaced(Holder &To, std::uint64_t RoutesHeld,
-                              bool NewTable) {
-  const bool OfEarlier = (RoutesHeld >> TermShift) < Term_;
+void SlotLedger::noteReplaced(Holder &To, bool OfEarlier, bool NewTable) {
   for (auto &[Position, Of] : To.Shares_) {
     const SlotAmount GivenUp = OfEarlier ? Of.Shown_ : SlotAmount{};
     Of.Replaced_ = NewTable ? GivenUp : min(Of.Replaced_, GivenUp);
@@ -217,7 +218,7 @@
       minusOrZero(capacityOf(At.Info_), plus(At.Sum_, At.Earlier_));
   // Until it shows a table of ours its account is not known; but what it named
   // in this report it holds if it takes the answer.
-  const bool ByReport = !To.Confirmed_ && isEarlierOpen(Now);
+  const bool ByReport = !To.Confirmed_ && Settling;
   const SlotAmount Has = ByReport ? Of.Shown_ : Of.Held_;
   SlotAmount Offer = min(Wanted, plus(Has, Free));
   Offer = min(Offer, capacityOf(At.Info_));
@@ -282,8 +283,11 @@
     At.Earlier_ = min(At.Earlier_, Busy);
   for (auto &[Key, Each] : Holders_) {
     const auto Of = Each.Shares_.find(Found->second);
-    if (Of != Each.Shares_.end() && SampledAt >= Each.GrantEnd_)
-      setHeld(Of->second, At, min(Of->second.Held_, Busy));
+    if (Of == Each.Shares_.end() || SampledAt < Each.GrantEnd_)
+      continue;
+    setHeld(Of->second, At, min(Of->second.Held_, Busy));
+    // If it comes back it needs a new table.
+    Each.Version_ = 0;
   }
 }
 
