--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -45,6 +45,8 @@
   std::size_t MaxBytesPerMessage_ = 512 * 1024;
   std::size_t MaxMessagesInFlight_ = 64;
   std::size_t SnapshotChunkBytes_ = 256 * 1024;
+  /// At most so many entries are kept for followers that are behind but alive.
+  std::uint64_t MaxEntriesKept_ = 20'000;
 };
 
 /// Time passed. Comes several times in each heartbeat interval.
@@ -77,6 +79,7 @@
   std::uint64_t Id_ = 0;
   ChangeKind Kind_ = ChangeKind::AddLearner;
   MemberId Member_;
+  bool operator==(const ChangeAsked &) const = default;
 };
 
 struct ReadAsked {
@@ -151,6 +154,8 @@
   std::uint64_t getCommit() const { return Commit_; }
   const std::optional<MemberId> &getLeader() const { return Leader_; }
   const RaftLog &getLog() const { return Log_; }
+  /// The change of members that was asked for and has not ended.
+  const std::optional<ChangeAsked> &getChange() const { return Change_; }
   /// When this member last became leader.
   TimePoint getLeaderSince() const { return LeaderSince_; }
   /// Until when no other leader can exist; the lowest time without a lease.
@@ -240,6 +245,7 @@
 
   // Membership and transfer, in RaftMembership.cpp.
   void tryChange();
+  bool hasCaughtUp(const Progress &Learner);
   std::optional<Error> findObjection(const ChangeAsked &Change) const;
   void finishChange();
   void tryTransfer();
@@ -264,6 +270,7 @@
   std::uint64_t findQuorumValue(std::uint64_t Progress::*Field,
                                 std::uint64_t Own) const;
   bool hasOwnCommit() const;
+  std::uint64_t limitCompaction(std::uint64_t KeepAfter) const;
 
   const CoreSettings Settings_;
   std::mt19937_64 Random_;
@@ -295,6 +302,8 @@
   std::vector<PendingRead> Reads_;
   std::optional<ChangeAsked> Change_; ///< Waiting or appended.
   std::uint64_t ChangeIndex_ = 0;     ///< 0 while waiting.
+  std::uint64_t CatchUpIndex_ = 0;    ///< What a learner must reach,
+  TimePoint CatchUpFrom_{};           ///< within an election timeout of this.
   std::optional<Transfer> Transfer_;
 };
 
