--- a/include/tulipweir/decide/Policy.h
+++ b/include/tulipweir/decide/Policy.h
@@ -50,7 +50,7 @@
   /// Reports in a row over a target before a guard acts, 1 to 20.
   std::uint32_t GuardReports_ = 3;
   /// A tail under this part of its target lets throttling ease, 0.1 to 1.
-  double GuardReleasePart_ = 0.8;
+  double GuardReleasePart_ = 0.9;
   /// Speed of a throttled task in percent, 5 to 95.
   std::uint32_t ThrottlePercent_ = 40;
   /// Different jobs that must fail on a server, having run or runnable
@@ -59,6 +59,9 @@
   Duration QuarantineTime_ = std::chrono::seconds(60);
   /// A waiting task gains one priority step per this time, 1 s to 1 h.
   Duration AgeingStep_ = std::chrono::seconds(30);
+  /// Ageing steps by which tasks of the class that slows services most may be
+  /// overtaken by tasks of harmless ones, 0 (strict order) to 100.
+  double CostlyClassSteps_ = 20;
   std::vector<TeamQuota> Quotas_;
   std::vector<ServiceTarget> Targets_;
   bool operator==(const Policy &) const = default;
