Let a lower bundle read beside a higher one prove the second check

Cause: with the version check under HeldBundle's lock removed, the test of several threads still passed, since reads hardly overlapped.

--- a/tests/fleet/FleetMachineTest.cpp
+++ b/tests/fleet/FleetMachineTest.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <barrier>
 #include <random>
 #include <thread>
 #include <vector>
@@ -157,30 +158,30 @@
   }
 }
 
-TEST(HeldBundleTest, VersionsOnlyRiseWhenSeveralThreadsAdopt) {
-  static constexpr std::uint64_t Versions = 200;
-  std::vector<wire::SignedBundle> Offered;
-  for (std::uint64_t Version = 1; Version <= Versions; ++Version)
-    Offered.push_back(makeOffered(Version));
+/// The lower version takes longer to read, so that the higher one is adopted
+/// meanwhile.
+TEST(HeldBundleTest, ALowerVersionReadBesideAHigherOneDoesNotReplaceIt) {
+  static constexpr std::uint64_t Rounds = 40;
   HeldBundle Held;
-  std::vector<std::thread> Threads;
-  for (unsigned Seed = 0; Seed < 4; ++Seed)
-    Threads.emplace_back([&, Random = std::mt19937(Seed)]() mutable {
-      auto Mine = Offered;
-      // Rising on the whole, so that threads meet at neighbouring versions.
-      for (std::size_t I = 0; I + 3 < Mine.size(); ++I)
-        std::swap(Mine[I], Mine[I + Random() % 4]);
-      BundleVersion Highest;
-      for (const wire::SignedBundle &One : Mine) {
-        EXPECT_TRUE(Held.adopt(One).has_value());
-        const BundleVersion Seen = Held.getVersion();
-        EXPECT_GE(Seen, std::max(Highest, One.Version_));
-        Highest = std::max(Highest, Seen);
-      }
+  for (std::uint64_t Round = 0; Round < Rounds; ++Round) {
+    auto Value = makeBundleJson(2 * Round + 1, 0, "", 1, 1);
+    for (int I = 0; I < 200; ++I)
+      Value["services"].push_back({{"service", "s" + std::to_string(I)}});
+    const std::string Long = Value.dump();
+    const wire::SignedBundle Lower{BundleVersion(2 * Round + 1),
+                                   computeDigest(Long), Long};
+    const wire::SignedBundle Higher = makeOffered(2 * Round + 2);
+    std::barrier Start(2);
+    std::thread Slow([&] {
+      Start.arrive_and_wait();
+      EXPECT_TRUE(Held.adopt(Lower).has_value());
     });
-  for (std::thread &One : Threads)
-    One.join();
-  EXPECT_EQ(Held.getVersion().value(), Versions);
+    Start.arrive_and_wait();
+    EXPECT_TRUE(Held.adopt(Higher).value());
+    Slow.join();
+    EXPECT_EQ(Held.getVersion(), Higher.Version_);
+    EXPECT_EQ(Held.getBundle()->Version_, Higher.Version_);
+  }
 }
 
 TEST(HeldBundleTest, DamagedAndContradictingBundlesAreRefused) {
