Try again after 502 and 504, and stand words that are no UTF-8

Cause: an entry whose control answers too late says 504, which was shown as a plain failure although a repeat is safe; and a word with bytes that are no UTF-8 made the JSON library throw. The wait for one answer is now longer than an entry's wait for its controls.

--- a/include/tulipweir/ctl/CtlSettings.h
+++ b/include/tulipweir/ctl/CtlSettings.h
@@ -41,7 +41,7 @@
   std::string KeyFile_;
   bool Json_ = false;
   bool Wait_ = false;
-  Duration Timeout_ = std::chrono::seconds(15);
+  Duration Timeout_ = std::chrono::seconds(30);
   std::int64_t Limit_ = 50;
   std::int64_t After_ = 0;
   std::int64_t Count_ = 0; ///< watch ends after so many; 0: never.
--- a/include/tulipweir/ctl/HttpOperatorApi.h
+++ b/include/tulipweir/ctl/HttpOperatorApi.h
@@ -19,16 +19,17 @@
 struct ApiSettings {
   std::vector<net::Endpoint> Entries_; ///< At least one.
   /// How long to go on trying altogether.
-  Duration Timeout_ = std::chrono::seconds(15);
-  /// How long one entry may take for one answer.
-  Duration AnswerTimeout_ = std::chrono::seconds(10);
+  Duration Timeout_ = std::chrono::seconds(30);
+  /// How long one entry may take for one answer; longer than an entry waits
+  /// for its controls, so that the entry's answer is the one that is shown.
+  Duration AnswerTimeout_ = std::chrono::seconds(12);
   /// After every entry was tried without success.
   Duration Pause_ = std::chrono::milliseconds(200);
 };
 
 /// Not thread-safe. A request whose answer was lost is sent again, to the next
-/// entry: every operator call may be. An answer 503 (nobody can decide at the
-/// moment) is tried again too until Timeout_.
+/// entry: every operator call may be. An answer that nobody can decide at the
+/// moment (502, 503, 504) is tried again too until Timeout_.
 class HttpOperatorApi final : public OperatorApi {
 public:
   HttpOperatorApi(const ApiSettings &Settings, const Clock &Time);
--- a/src/ctl/Answers.cpp
+++ b/src/ctl/Answers.cpp
@@ -12,10 +12,6 @@
 using namespace tulipweir;
 using namespace tulipweir::ctl;
 
-static constexpr unsigned StatusNotFound = 404;
-static constexpr unsigned StatusConflict = 409;
-static constexpr unsigned StatusUnavailable = 503;
-
 namespace {
 struct StatusHint {
   unsigned Status_;
@@ -24,11 +20,15 @@
 };
 } // namespace
 
+static constexpr const char *RunAgain =
+    "next: run the same command again; what was taken is not taken twice";
+
 static constexpr StatusHint Hints[] = {
-    {StatusNotFound, CtlExit::NotFound, ""},
-    {StatusConflict, CtlExit::Conflict, ""},
-    {StatusUnavailable, CtlExit::Unreachable,
-     "next: run the same command again; what was taken is not taken twice"},
+    {404, CtlExit::NotFound, ""},
+    {409, CtlExit::Conflict, ""},
+    {502, CtlExit::Unreachable, RunAgain},
+    {503, CtlExit::Unreachable, RunAgain},
+    {504, CtlExit::Unreachable, RunAgain},
 };
 
 Outcome<Answer> ctl::ask(CtlContext &Context, const ApiRequest &Request) {
@@ -75,9 +75,12 @@
   return CtlExit::Unreachable;
 }
 
+std::string ctl::renderJson(const json &Document) {
+  return Document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 void ctl::printJson(CtlContext &Context, const json &Document) {
-  Context.Out_ << Document.dump(-1, ' ', false, json::error_handler_t::replace)
-               << "\n";
+  Context.Out_ << renderJson(Document) << "\n";
 }
 
 CtlExit ctl::askAndShow(CtlContext &Context, const ApiRequest &Request,
@@ -100,7 +103,7 @@
   if (Value.is_null())
     return "";
   if (!Value.is_array())
-    return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+    return renderJson(Value);
   std::string Text;
   for (const json &Entry : Value)
     Text += (Text.empty() ? "" : ",") + showValue(Entry);
--- a/src/ctl/Answers.h
+++ b/src/ctl/Answers.h
@@ -42,6 +42,10 @@
 CtlExit reportError(CtlContext &Context, const Answer &Refused);
 CtlExit reportError(CtlContext &Context, const Error &Problem);
 
+/// The document on one line. Words of the command line may be no UTF-8; what
+/// is none is replaced.
+std::string renderJson(const json &Document);
+
 /// Prints the document on one line.
 void printJson(CtlContext &Context, const json &Document);
 
--- a/src/ctl/BundleCommands.cpp
+++ b/src/ctl/BundleCommands.cpp
@@ -149,7 +149,8 @@
                           const json &Body) {
   SignedAnswer Sent;
   Sent.SentAt_ = Context.Time_.now();
-  auto Got = ask(Context, {"POST", Path, "", Body.dump(), Duration::zero()});
+  auto Got =
+      ask(Context, {"POST", Path, "", renderJson(Body), Duration::zero()});
   if (!Got)
     return reportError(Context, Got.error());
   Sent.Answer_ = std::move(Got.value());
--- a/src/ctl/BundleViews.cpp
+++ b/src/ctl/BundleViews.cpp
@@ -123,12 +123,14 @@
 static std::string showChange(const json &Change, const json &Before) {
   const std::string Kind = Change.at("op").get<std::string>();
   const std::string Place = Change.at("path").get<std::string>();
-  const auto Old = [&] { return Before.at(json::json_pointer(Place)).dump(); };
+  const auto Old = [&] {
+    return renderJson(Before.at(json::json_pointer(Place)));
+  };
   if (Kind == "add")
-    return "+ " + Place + ": " + Change.at("value").dump();
+    return "+ " + Place + ": " + renderJson(Change.at("value"));
   if (Kind == "remove")
     return "- " + Place;
-  return "~ " + Place + ": " + Old() + " -> " + Change.at("value").dump();
+  return "~ " + Place + ": " + Old() + " -> " + renderJson(Change.at("value"));
 }
 
 CtlExit ctl::showBundleDiff(CtlContext &Context, const Arguments &Words) {
--- a/src/ctl/HttpOperatorApi.cpp
+++ b/src/ctl/HttpOperatorApi.cpp
@@ -14,7 +14,6 @@
 using namespace tulipweir;
 using namespace tulipweir::ctl;
 
-static constexpr unsigned Unavailable = 503;
 static constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20U;
 static constexpr const char *Prefix = "/v1/operator";
 
@@ -62,6 +61,16 @@
   return Result.get();
 }
 
+/// Whether the answer says that nobody could decide, or not in time. Another
+/// entry may know better, and the same one a little later.
+static bool isUndecided(unsigned Status) {
+  static constexpr unsigned BadGateway = 502;
+  static constexpr unsigned Unavailable = 503;
+  static constexpr unsigned GatewayTimeout = 504;
+  return Status == BadGateway || Status == Unavailable ||
+         Status == GatewayTimeout;
+}
+
 /// False when there is no time left for another round.
 bool HttpOperatorApi::Impl::pauseAfterRound(TimePoint Deadline) {
   Next_ = (Next_ + 1) % Settings_.Entries_.size();
@@ -92,7 +101,7 @@
       continue;
     }
     const net::HttpResponse &Response = Result.Response_.value();
-    if (Response.Status_ != Unavailable)
+    if (!isUndecided(Response.Status_))
       return ApiAnswer{Response.Status_, Response.Body_};
     Undecided = ApiAnswer{Response.Status_, Response.Body_};
   } while (pauseAfterRound(Deadline));
--- a/src/ctl/JobCommands.cpp
+++ b/src/ctl/JobCommands.cpp
@@ -22,7 +22,7 @@
                  << ": is no JSON object; examples/rebill.job.json is a job\n";
     return CtlExit::Failure;
   }
-  const auto Got = ask(Context, {"POST", "/jobs", "", Spec.dump(), {}});
+  const auto Got = ask(Context, {"POST", "/jobs", "", renderJson(Spec), {}});
   if (!Got)
     return reportError(Context, Got.error());
   const Answer &Submitted = Got.value();
--- a/src/ctl/KeyCommands.cpp
+++ b/src/ctl/KeyCommands.cpp
@@ -46,6 +46,7 @@
   }
   Context.Out_ << "secret key: " << Name << " (keep it; it is not shown)\n"
                << "public key: " << Keys.PublicKey_ << "\n"
-               << "in the bundle's \"operators\": " << Entry.dump() << "\n";
+               << "in the bundle's \"operators\": " << renderJson(Entry)
+               << "\n";
   return CtlExit::Success;
 }
--- a/src/ctl/MemberCommands.cpp
+++ b/src/ctl/MemberCommands.cpp
@@ -63,7 +63,7 @@
   ApiRequest Request;
   Request.Method_ = "POST";
   Request.Path_ = "/members/" + escapeStep(Words[0]) + "/" + Action;
-  Request.Body_ = Body.dump();
+  Request.Body_ = renderJson(Body);
   Request.Patience_ = ChangePatience;
   return askAndShow(Context, Request, printChanged);
 }
--- a/tests/ctl/BundleCommandsTest.cpp
+++ b/tests/ctl/BundleCommandsTest.cpp
@@ -86,6 +86,7 @@
       {409, false, "conflict", CtlExit::Conflict},
       {403, false, "permission_denied", CtlExit::Failure},
       {503, false, "unavailable", CtlExit::Unreachable},
+      {504, false, "timeout", CtlExit::Unreachable},
       {404, false, "not_found", CtlExit::NotFound},
   };
   for (const ResultLine &Line : Lines) {
--- a/tests/ctl/CommandsTest.cpp
+++ b/tests/ctl/CommandsTest.cpp
@@ -134,6 +134,14 @@
   EXPECT_EQ(Out_.str(), "{\"sequence\":1}\n{\"sequence\":2}\n");
 }
 
+TEST_F(CommandsTest, WordsThatAreNoTextBreakNothing) {
+  answer(404, R"({"error": "not_found", "message": "none"})");
+  const std::string Bytes = "\xff\x1b";
+  EXPECT_EQ(run({"members", "add", Bytes, Bytes}), CtlExit::NotFound);
+  EXPECT_EQ(run({"job", "show", Bytes}), CtlExit::NotFound);
+  EXPECT_EQ(Api_.Asked_.back().Path_, "/jobs/%FF%1B");
+}
+
 TEST_F(CommandsTest, AnAnswerThatIsNoJsonNamesTheLikelyCause) {
   answer(200, "<html>");
   EXPECT_EQ(run({"servers"}), CtlExit::Failure);
