--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -12,10 +12,10 @@
 using boost::system::error_code;
 
 static constexpr std::size_t HeaderReadBytes = 4096;
-static constexpr std::size_t BodyReadBytes = 64 * 1024;
+static constexpr std::size_t BodyReadBytes = 64UL * 1024;
 static constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 /// A kept connection gives a larger buffer than this back.
-static constexpr std::size_t KeptBufferBytes = 64 * 1024;
+static constexpr std::size_t KeptBufferBytes = 64UL * 1024;
 
 HttpClientConnection::HttpClientConnection(asio::io_context &Context,
                                            std::shared_ptr<HttpPeer> Peer)
@@ -131,7 +131,6 @@
   Parser_.emplace();
   Parser_->header_limit(MaxHeaderBytes);
   Parser_->body_limit(Peer_->Settings_.MaxBodyBytes_);
-  Parser_->eager(true);
   Parser_->skip(Exchange_->Request_.Method_ == "HEAD");
 }
 
@@ -159,8 +158,7 @@
 
 void HttpClientConnection::parse() {
   while (Input_.size() > 0) {
-    error_code Problem;
-    Input_.consume(Parser_->put(Input_.data(), Problem));
+    const error_code Problem = feedParser(*Parser_, Input_);
     if (Problem == http::error::need_more)
       break;
     if (Problem == http::error::body_limit)
