--- a/src/control/AnnouncementCheck.cpp
+++ b/src/control/AnnouncementCheck.cpp
@@ -8,7 +8,7 @@
 static constexpr std::size_t MaxNameBytes = 128;
 static constexpr std::size_t MaxServices = 256;
 static constexpr std::size_t MaxAttempts = 4096;
-static constexpr std::size_t MaxCheckpointBytes = 64 * 1024;
+static constexpr std::size_t MaxCheckpointBytes = 65'536;
 static constexpr std::uint32_t MaxSlots = 65'536;
 static constexpr std::uint32_t MaxConnections = 1'000'000;
 /// A thousand processors, 64 TiB, a thousand accelerators.
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -260,7 +260,8 @@
 void ControlProcess::Impl::moveLeadership() {
   const auto Moved = std::make_shared<Countdown>(2);
   for (Replica *Group : {DataCentreGroup_.get(), FleetGroup_.get()}) {
-    if (!Group->getStatus().IsLeader_) {
+    const replication::ReplicaStatus Status = Group->getStatus();
+    if (!Status.IsLeader_ || Status.Members_.size() < 2) {
       Moved->arrive();
       continue;
     }
--- a/src/control/DataCentreLeadership.cpp
+++ b/src/control/DataCentreLeadership.cpp
@@ -12,6 +12,11 @@
 /// Ticks between the slower parts of the work.
 static constexpr std::uint64_t RouteTicks = 2;
 static constexpr std::uint64_t SweepTicks = 10;
+/// How far ahead a job's assignment is looked up.
+static constexpr Duration CoverAhead = std::chrono::seconds(5);
+/// Usage moves slowly and lags anyway: one announcement within this time
+/// feeds the planner, services' reports all do.
+static constexpr Duration UsagePeriod = std::chrono::seconds(2);
 
 /// Reads a machine for a constructor, where the value is needed at once.
 template <class Make>
@@ -120,6 +125,9 @@
     Servers_.note(Value);
     if (Value.Kind_ == ChangeKind::AttemptEnded)
       Parts_.Counters_.AttemptsEnded_.add();
+    if (Value.Kind_ == ChangeKind::JobAdopted ||
+        Value.Kind_ == ChangeKind::JobDropped)
+      CoveredUntil_.erase(Value.Task_.Job_);
     if (Value.Kind_ == ChangeKind::ServerForgotten) {
       Slots_.removeServer(Value.Server_);
       Routes_.erase(Value.Server_);
@@ -189,15 +197,27 @@
   Parts_.Counters_.RenewalsWithheld_.add(Before - After);
 }
 
+/// Asked for every task of every announcement, so an answer that stays right
+/// for a while is remembered.
 bool DataCentreLeadership::mayRunOn(const JobId &Job, TimePoint Until) {
-  const std::uint64_t Assignment = Planning_.findAssignment(Job);
-  return Parts_.Lease_.covers({Job, Assignment}, Until);
+  TimePoint &Known = CoveredUntil_[Job];
+  if (Until <= Known)
+    return true;
+  const fleet::AssignmentHeld Held{Job, Planning_.findAssignment(Job)};
+  if (Parts_.Lease_.covers(Held, Until + CoverAhead)) {
+    Known = Until + CoverAhead;
+    return true;
+  }
+  return Parts_.Lease_.covers(Held, Until);
 }
 
 void DataCentreLeadership::learn(const wire::Announcement &Value,
                                  TimePoint Now) {
+  const auto Every = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(1, UsagePeriod / Settings_.Servers_.Heartbeat_));
+  const bool UsageDue = Value.Sequence_ % Every == 0;
   for (const wire::AttemptReport &Report : Value.Attempts_)
-    if (Report.State_ == wire::AttemptState::Running)
+    if (UsageDue && Report.State_ == wire::AttemptState::Running)
       Planning_.noteUsage(Value.Server_, Report, Now);
   for (const wire::ServiceReport &Report : Value.ServiceReports_) {
     Planning_.noteService(Value.Server_, Report, Now);
--- a/src/control/DataCentreLeadership.h
+++ b/src/control/DataCentreLeadership.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <unordered_map>
 #include <vector>
 
 namespace tulipweir::control {
@@ -139,6 +140,8 @@
   PlanningDuty Planning_;
   std::map<BackendServerId, RouteNote> Routes_;
   std::map<std::pair<ServiceId, BackendServerId>, ServiceView> Services_;
+  /// Until when the jobs' assignments are known to cover leases.
+  std::unordered_map<JobId, TimePoint> CoveredUntil_;
   std::uint64_t Ticks_ = 0;
 };
 
--- a/src/control/DecisionStream.cpp
+++ b/src/control/DecisionStream.cpp
@@ -72,7 +72,8 @@
                        [](std::uint64_t Left, const StreamedDecision &Right) {
                          return Left < Right.Sequence_;
                        });
-  const auto Count = std::min<std::size_t>(Limit, Entries_.end() - First);
+  const auto Left = static_cast<std::size_t>(Entries_.end() - First);
+  const auto Count = static_cast<std::ptrdiff_t>(std::min(Limit, Left));
   return Batch(First, First + Count);
 }
 
--- a/src/control/JobJson.cpp
+++ b/src/control/JobJson.cpp
@@ -13,7 +13,7 @@
 using datacentre::TaskState;
 
 static constexpr std::size_t MaxNameBytes = 128;
-static constexpr std::size_t MaxPayloadBytes = 64 * 1024;
+static constexpr std::size_t MaxPayloadBytes = 65'536;
 static constexpr std::int64_t MaxTasks = 10'000;
 static constexpr std::int64_t MaxPriority = 1'000;
 static constexpr std::int64_t MaxAttempts = 1'000;
--- a/src/control/PlanningDuty.cpp
+++ b/src/control/PlanningDuty.cpp
@@ -5,10 +5,8 @@
 using namespace tulipweir;
 using namespace tulipweir::control;
 using datacentre::AttemptEnd;
-using datacentre::ChangeKind;
 using datacentre::DataCentreState;
 using decide::Decision;
-using decide::DecisionKind;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
