--- a/tests/datacentre/SlotLedgerTest.cpp
+++ b/tests/datacentre/SlotLedgerTest.cpp
@@ -161,3 +161,72 @@
   Now_ += std::chrono::seconds(4);
   EXPECT_EQ(Ledger_->findGone(Records, Now_).size(), 2u);
 }
+
+/// Reports written by hand, as delays and repeats make them arrive.
+class LateReportTest : public testing::Test {
+protected:
+  wire::EntryReportReply tell(const std::string &Entry, std::uint64_t Held,
+                              std::uint32_t Slots, std::uint32_t InFlight = 0,
+                              bool Stopping = false) {
+    wire::EntryReport Report;
+    Report.Entry_ = EntryId(Entry);
+    Report.Incarnation_ = 1;
+    Report.RoutesHeld_ = Held;
+    Report.Stopping_ = Stopping;
+    Report.Grants_ = {{Server_.Server_, Server_.Boot_, Slots, Slots, InFlight}};
+    return Ledger_.onReport(Report, {Now_, true}).value();
+  }
+  std::uint32_t accounted() {
+    return Ledger_.findAccounted(Server_.Server_).Slots_;
+  }
+
+  const SlotServer Server_{BackendServerId("s"), BootId("b"), "a",
+                           {ServiceId("v")},     8,           8};
+  TimePoint Now_{std::chrono::hours(1)};
+  /// Of the second term: the server was shared before.
+  SlotLedger Ledger_{SlotSettings{}, 2, Now_, {Server_}};
+};
+
+TEST_F(LateReportTest, OneFromBeforeAStopDoesNotLowerTheAccount) {
+  const auto First = tell("a", 5, 4).RoutesVersion_;
+  EXPECT_EQ(accounted(), 12u) << "its own and all that is not known yet";
+  tell("a", First, 4);
+  EXPECT_EQ(accounted(), 8u);
+  tell("a", First, 4, 3, true);
+  EXPECT_EQ(accounted(), 4u + 3u);
+  tell("a", First, 4, 0, false); // Was sent before the three requests.
+  EXPECT_EQ(accounted(), 4u + 3u);
+}
+
+TEST_F(LateReportTest, OnlyGrantsOfEarlierLeadersLeaveTheUnknownAccount) {
+  const auto First = tell("a", 5, 4).RoutesVersion_;
+  tell("a", First, 4);
+  tell("a", First, 4, 0, true);
+  ASSERT_EQ(accounted(), 4u) << "what nobody has shown yet";
+  const auto Given = tell("b", 0, 0);
+  ASSERT_EQ(Given.Routes_->at(0).Slots_, 4u);
+  tell("b", 0, 0); // A copy, so that b's table is not the latest.
+  const auto Again = tell("b", Given.RoutesVersion_, 4);
+  tell("b", Again.RoutesVersion_, 4);
+  EXPECT_EQ(accounted(), 8u) << "b's four were not of an earlier leader";
+}
+
+TEST_F(LateReportTest, AnEntryThatWasMeasuredAsDoneNeedsANewTable) {
+  const auto First = tell("a", 5, 8).RoutesVersion_;
+  tell("a", First, 8);
+  ASSERT_EQ(accounted(), 8u);
+  Now_ += std::chrono::seconds(4);
+  Ledger_.noteBusy(Server_.Server_, 0, Now_);
+  const auto Other = tell("b", 0, 0).Routes_->at(0).Slots_;
+  const auto Back = tell("a", First, 8);
+  ASSERT_TRUE(Back.Routes_.has_value());
+  EXPECT_EQ(Back.Routes_->at(0).Slots_ + Other, 8u);
+  EXPECT_EQ(accounted(), 8u);
+}
+
+TEST_F(LateReportTest, AMeasureFreesOnlyWhatRanOutBeforeIt) {
+  Ledger_.noteBusy(Server_.Server_, 1, Now_ + std::chrono::seconds(1));
+  EXPECT_EQ(accounted(), 8u);
+  Ledger_.noteBusy(Server_.Server_, 1, Now_ + std::chrono::seconds(4));
+  EXPECT_EQ(accounted(), 1u);
+}
