Make ledgers safe to be made anew within one term

A placement of that term then counted as never granted, and slot tables got the versions of the earlier ledger again. Ruled out: forbidding it; the safe way costs a scan of the tasks per election. Conclusion: signatures of ServerLedger and SlotLedger stay; LeaseKeeper and AttemptLedger take a token for the term.

--- a/bench/datacentre/ApplyBench.cpp
+++ b/bench/datacentre/ApplyBench.cpp
@@ -44,7 +44,7 @@
                          1,
                          ""},
                 1, ++Index);
-    for (std::uint32_t T = 0; T < TasksPerJob; ++T)
+    for (std::uint32_t T = 0; T < TasksPerJob; ++T, ++Index)
       State.apply(PlaceTask{{Id, T},
                             AttemptNumber(1),
                             serverId(Index),
--- a/include/tulipweir/datacentre/AttemptLedger.h
+++ b/include/tulipweir/datacentre/AttemptLedger.h
@@ -42,7 +42,8 @@
 /// Not thread-safe: the leader's strand owns it.
 class AttemptLedger {
 public:
-  AttemptLedger(const LeaseSettings &Settings, std::uint64_t Term,
+  /// As LeaseKeeper.
+  AttemptLedger(const LeaseSettings &Settings, const FencingToken &LastPlaced,
                 TimePoint ElectedAt);
 
   // Commands.
--- a/include/tulipweir/datacentre/LeaseKeeper.h
+++ b/include/tulipweir/datacentre/LeaseKeeper.h
@@ -2,7 +2,8 @@
 //
 // The leader's volatile account of task leases. One object per leadership:
 // made anew after each election, once everything committed before it was
-// applied, and thrown away when leadership is lost.
+// applied, and thrown away when leadership is lost. It may also be made anew
+// within a term: it then trusts nothing of its predecessor.
 //
 // A backend server counts a lease from when it SENT the announcement, by its
 // own clock; the leader counts it from when it answers, by its own clock, and
@@ -44,8 +45,9 @@
 /// Not thread-safe: the leader's strand owns it.
 class LeaseKeeper {
 public:
-  /// Term is the leader's; ElectedAt a moment after its election.
-  LeaseKeeper(const LeaseSettings &Settings, std::uint64_t Term,
+  /// LastPlaced is the highest token of a placement that another keeper may
+  /// have granted a lease for; ElectedAt a moment after the election.
+  LeaseKeeper(const LeaseSettings &Settings, const FencingToken &LastPlaced,
               TimePoint ElectedAt);
 
   // Commands.
@@ -72,10 +74,7 @@
     return Now >= findEnd(Task, Attempt, Token);
   }
 
-  /// Until when leases of earlier leaders may run.
-  TimePoint earlierLeasesEnd() const { return EarlierEnd_; }
   const LeaseSettings &settings() const { return Settings_; }
-  std::uint64_t term() const { return Term_; }
   std::size_t size() const { return Leases_.size(); }
 
 private:
@@ -85,7 +84,7 @@
   };
 
   const LeaseSettings Settings_;
-  const std::uint64_t Term_;
+  const FencingToken LastPlaced_;
   const TimePoint EarlierEnd_;
   std::unordered_map<TaskId, Lease> Leases_;
 };
--- a/include/tulipweir/datacentre/RequestRecords.h
+++ b/include/tulipweir/datacentre/RequestRecords.h
@@ -37,7 +37,7 @@
   /// Beyond this many records, new ones are refused as Unavailable: dropping
   /// an old one early could let a request run twice.
   std::uint64_t MaxRecords_ = 1'000'000;
-  std::uint64_t MaxAnswerBytes_ = 64 * 1024;
+  std::uint64_t MaxAnswerBytes_ = 65'536;
   bool operator==(const RecordLimits &) const = default;
 };
 
--- a/include/tulipweir/datacentre/SlotLedger.h
+++ b/include/tulipweir/datacentre/SlotLedger.h
@@ -181,10 +181,10 @@
   }
 
   const SlotSettings Settings_;
-  const std::uint64_t Term_;
   const TimePoint SettledAt_;  ///< When earlier leaders' grants are over.
   const TimePoint EarlierEnd_; ///< And all requests sent under them.
   std::uint64_t NextVersion_;
+  const std::uint64_t FirstVersion_;
   std::vector<Server> Servers_;
   std::map<BackendServerId, std::size_t> Positions_;
   /// Servers of the same services are shared together.
--- a/src/datacentre/AttemptLedger.cpp
+++ b/src/datacentre/AttemptLedger.cpp
@@ -44,9 +44,10 @@
   return AttemptEnd::Lost;
 }
 
-AttemptLedger::AttemptLedger(const LeaseSettings &Settings, std::uint64_t Term,
+AttemptLedger::AttemptLedger(const LeaseSettings &Settings,
+                             const FencingToken &LastPlaced,
                              TimePoint ElectedAt)
-    : Leases_(Settings, Term, ElectedAt) {}
+    : Leases_(Settings, LastPlaced, ElectedAt) {}
 
 AttemptLedger::AttemptNote &AttemptLedger::noteFor(const TaskId &Task,
                                                    AttemptNumber Attempt) {
--- a/src/datacentre/LeaseKeeper.cpp
+++ b/src/datacentre/LeaseKeeper.cpp
@@ -7,9 +7,9 @@
 using namespace tulipweir;
 using namespace tulipweir::datacentre;
 
-LeaseKeeper::LeaseKeeper(const LeaseSettings &Settings, std::uint64_t Term,
-                         TimePoint ElectedAt)
-    : Settings_(Settings), Term_(Term),
+LeaseKeeper::LeaseKeeper(const LeaseSettings &Settings,
+                         const FencingToken &LastPlaced, TimePoint ElectedAt)
+    : Settings_(Settings), LastPlaced_(LastPlaced),
       EarlierEnd_(ElectedAt + Settings.longestRun()) {}
 
 bool LeaseKeeper::renew(const TaskId &Task, AttemptNumber Attempt,
@@ -28,8 +28,8 @@
 
 TimePoint LeaseKeeper::findEnd(const TaskId &Task, AttemptNumber Attempt,
                                const FencingToken &Token) const {
-  // A placement of this term was never seen by an earlier leader.
-  TimePoint End = Token.Term_ < Term_ ? EarlierEnd_ : TimePoint::min();
+  // A later placement was never seen by another keeper.
+  TimePoint End = Token <= LastPlaced_ ? EarlierEnd_ : TimePoint::min();
   const auto Found = Leases_.find(Task);
   if (Found != Leases_.end() && Found->second.Attempt_ == Attempt)
     End = std::max(End, Found->second.End_);
--- a/src/datacentre/ServerLedger.cpp
+++ b/src/datacentre/ServerLedger.cpp
@@ -34,10 +34,21 @@
   }
 }
 
+/// The highest token of a placement that is not of this leadership.
+static FencingToken findLastPlaced(const DataCentreState &State,
+                                   std::uint64_t Term) {
+  FencingToken Last{Term, 0};
+  for (const auto &[Id, Job] : State.jobs())
+    for (const TaskRecord &Task : Job.Tasks_)
+      Last = std::max(Last, Task.Token_);
+  return Last;
+}
+
 ServerLedger::ServerLedger(const ServerLedgerSettings &Settings,
                            std::uint64_t Term, TimePoint ElectedAt,
                            const DataCentreState &State)
-    : Settings_(Settings), Attempts_(Settings.Leases_, Term, ElectedAt) {
+    : Settings_(Settings),
+      Attempts_(Settings.Leases_, findLastPlaced(State, Term), ElectedAt) {
   for (const auto &[Id, Server] : State.servers())
     noteFor(Id, State, ElectedAt);
 }
--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -54,16 +54,26 @@
   return std::min(Server.Slots_, Server.Connections_);
 }
 
+/// Above all versions of earlier terms, and of earlier ledgers of this term in
+/// this process: they made less than one a millisecond.
+static std::uint64_t findFirstVersion(std::uint64_t Term, TimePoint ElectedAt) {
+  const auto Passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      ElectedAt.time_since_epoch());
+  const auto Part = static_cast<std::uint64_t>(Passed.count());
+  return (Term << TermShift) + Part % (1ULL << (TermShift - 1)) + 1;
+}
+
 SlotLedger::SlotLedger(const SlotSettings &Settings, std::uint64_t Term,
                        TimePoint ElectedAt,
                        const std::vector<SlotServer> &Known)
-    : Settings_(Settings), Term_(Term),
+    : Settings_(Settings),
       SettledAt_(ElectedAt +
                  stretchForDrift(Settings.GrantTtl_, Settings.DriftPpm_)),
       EarlierEnd_(ElectedAt +
                   stretchForDrift(Settings.GrantTtl_ + Settings.MaxRequest_,
                                   Settings.DriftPpm_)),
-      NextVersion_((Term << TermShift) + 1) {
+      NextVersion_(findFirstVersion(Term, ElectedAt)),
+      FirstVersion_(NextVersion_) {
   for (const SlotServer &Each : Known) {
     upsertServer(Each);
     Servers_.at(Positions_.at(Each.Server_)).Earlier_ = capacityOf(Each);
@@ -135,7 +145,7 @@
   const bool Changed = offerTable(From, Now);
   if (Changed || Report.RoutesHeld_ != From.Version_) {
     const bool OfEarlier =
-        (Report.RoutesHeld_ >> TermShift) < Term_ && Now < SettledAt_;
+        Report.RoutesHeld_ < FirstVersion_ && Now < SettledAt_;
     noteReplaced(From, OfEarlier, Changed);
     Reply.Routes_ = From.Table_;
   }
--- a/tests/datacentre/LeaseKeeperTest.cpp
+++ b/tests/datacentre/LeaseKeeperTest.cpp
@@ -25,7 +25,7 @@
     const DriftingClock Leader{I % 2 ? Rate(Random) : 1.05};
     const Duration Sent = milliseconds(Random() % 100'000);
     const Duration Answered = Sent + milliseconds(Random() % 50);
-    LeaseKeeper Keeper(Settings, 1, Leader.at(Sent));
+    LeaseKeeper Keeper(Settings, FencingToken{1, 0}, Leader.at(Sent));
     ASSERT_TRUE(Keeper.renew(Task, First, {Leader.at(Answered), true}));
     const TimePoint Ends = Keeper.findEnd(Task, First, FencingToken{1, 1});
     // The server stops as late as it may, by its own clock.
@@ -42,9 +42,12 @@
 TEST(LeaseKeeperTest, LeasesOfEarlierLeadersEndAFullTtlAfterTheElection) {
   const TimePoint Elected{std::chrono::hours(1)};
   const LeaseSettings Settings;
-  const LeaseKeeper Keeper(Settings, 5, Elected);
+  const FencingToken LastPlaced{5, 7};
+  const LeaseKeeper Keeper(Settings, LastPlaced, Elected);
   const FencingToken Earlier{4, 1};
-  const FencingToken Own{5, 2};
+  const FencingToken Own{5, 8};
+  EXPECT_FALSE(Keeper.hasRunOut(Task, First, LastPlaced, Elected))
+      << "another keeper of this term may have granted it";
   EXPECT_FALSE(Keeper.hasRunOut(Task, First, Earlier, Elected + Settings.Ttl_));
   EXPECT_TRUE(
       Keeper.hasRunOut(Task, First, Earlier, Elected + Settings.longestRun()));
@@ -54,7 +57,7 @@
 
 TEST(LeaseKeeperTest, GrantsNothingWithoutLeadership) {
   const TimePoint Now{std::chrono::hours(1)};
-  LeaseKeeper Keeper(LeaseSettings{}, 1, Now);
+  LeaseKeeper Keeper(LeaseSettings{}, FencingToken{}, Now);
   EXPECT_FALSE(Keeper.renew(Task, First, {Now, false}));
   EXPECT_TRUE(Keeper.hasRunOut(Task, First, FencingToken{1, 1}, Now));
 }
--- a/tests/datacentre/SlotLedgerTest.cpp
+++ b/tests/datacentre/SlotLedgerTest.cpp
@@ -230,3 +230,26 @@
   Ledger_.noteBusy(Server_.Server_, 1, Now_ + std::chrono::seconds(4));
   EXPECT_EQ(accounted(), 1u);
 }
+
+TEST_F(LateReportTest, RequestsToTwoBootsAreAddedUp) {
+  const auto First = tell("a", 5, 4).RoutesVersion_;
+  wire::EntryReport Report;
+  Report.Entry_ = EntryId("a");
+  Report.Incarnation_ = 1;
+  Report.RoutesHeld_ = First;
+  Report.Stopping_ = true;
+  Report.Grants_ = {{Server_.Server_, BootId("b"), 4, 4, 2},
+                    {Server_.Server_, BootId("old"), 0, 0, 3}};
+  ASSERT_TRUE(Ledger_.onReport(Report, {Now_, true}));
+  EXPECT_EQ(accounted(), 4u + 5u);
+}
+
+TEST_F(LateReportTest, AnotherLedgerOfTheSameTermUsesOtherVersions) {
+  const auto First = tell("a", 5, 4).RoutesVersion_;
+  SlotLedger Next(SlotSettings{}, 2, Now_ + std::chrono::seconds(1), {Server_});
+  wire::EntryReport Report;
+  Report.Entry_ = EntryId("a");
+  Report.RoutesHeld_ = First;
+  const auto Reply = Next.onReport(Report, {Now_, true});
+  EXPECT_GT(Reply.value().RoutesVersion_, First);
+}
