--- a/src/datacentre/Pack.h
+++ b/src/datacentre/Pack.h
@@ -74,7 +74,7 @@
   template <class... Ts> void put(const std::variant<Ts...> &Value) {
     Packer_.pack_array(2);
     put(static_cast<std::uint64_t>(Value.index()));
-    std::visit([this](const auto &Held) { put(Held); }, Value);
+    std::visit([this](const auto &Held) { this->put(Held); }, Value);
   }
   template <class T>
   requires requires(Writer &W, const T &X) { fields(W, X); }
--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -350,6 +350,7 @@
     Slots.push_back(usableSlots(Servers_[Position].Info_));
   }
   std::vector<double> Demand;
+  Demand.reserve(Sharers.size());
   for (const Holder *Each : Sharers)
     Demand.push_back(Each->Demand_[Group]);
   const ShareTable Table = Settings_.Share_(Slots, Demand);
--- a/src/datacentre/SlotShares.cpp
+++ b/src/datacentre/SlotShares.cpp
@@ -73,6 +73,7 @@
   const double Headroom = std::max(0.0, Total - sum(Demand)) / Entries;
   const double Least = std::min(MinShare, Total / Entries);
   std::vector<double> Weights;
+  Weights.reserve(Demand.size());
   for (const double Wanted : Demand)
     Weights.push_back(std::max(Wanted + Headroom, Least));
   // The minimum may have pushed the sum over the total; take it from those
--- a/tests/datacentre/FakeBackendServer.h
+++ b/tests/datacentre/FakeBackendServer.h
@@ -16,13 +16,18 @@
 
 namespace tulipweir::datacentre {
 
+/// Returns Length times Factor.
+inline Duration scale(Duration Length, double Factor) {
+  const double Scaled = static_cast<double>(Length.count()) * Factor;
+  return Duration(static_cast<std::int64_t>(Scaled));
+}
+
 /// A clock whose rate is off. Real time is what the test counts in.
 struct DriftingClock {
   double Rate_ = 1;
   Duration Offset_ = std::chrono::hours(1);
   TimePoint at(Duration Real) const {
-    return TimePoint(Offset_ +
-                     Duration(static_cast<std::int64_t>(Real.count() * Rate_)));
+    return TimePoint(Offset_ + scale(Real, Rate_));
   }
 };
 
--- a/tests/datacentre/LeaseKeeperTest.cpp
+++ b/tests/datacentre/LeaseKeeperTest.cpp
@@ -30,8 +30,7 @@
     const TimePoint Ends = Keeper.findEnd(Task, First, FencingToken{1, 1});
     // The server stops as late as it may, by its own clock.
     const Duration Runs = Settings.Ttl_ + Settings.StopGrace_;
-    const Duration RealStop =
-        Sent + Duration(static_cast<std::int64_t>(Runs.count() / Server.Rate_));
+    const Duration RealStop = Sent + scale(Runs, 1 / Server.Rate_);
     ASSERT_GE(Ends + Duration(2), Leader.at(RealStop));
     Closest = std::min(Closest, Ends - Leader.at(RealStop));
   }
--- a/tests/datacentre/RequestRecordsTest.cpp
+++ b/tests/datacentre/RequestRecordsTest.cpp
@@ -142,7 +142,8 @@
                                       std::to_string(Wall + 500 - Pick(1400)) +
                                       "." + std::to_string(Step)));
     const RequestKey Key =
-        Keys[Keys.size() - 1 - Pick(std::min<int>(Keys.size(), 60))];
+        Keys[Keys.size() - 1 -
+             Random() % std::min<std::size_t>(Keys.size(), 60)];
     const auto Found = Records.records().find(Key);
     const std::uint64_t Attempt =
         (Found == Records.records().end() ? 0 : Found->second.Attempt_) -
--- a/tests/datacentre/ServerLedgerTest.cpp
+++ b/tests/datacentre/ServerLedgerTest.cpp
@@ -39,7 +39,7 @@
     if (Apply)
       for (const Command &Each : Result.value().Proposals_)
         apply(Each);
-    return Result.value();
+    return AnnouncementResult(Result.value());
   }
   void place(std::uint64_t Attempt = 1) {
     const CommandResult Result =
--- a/tests/datacentre/SlotWorld.cpp
+++ b/tests/datacentre/SlotWorld.cpp
@@ -155,8 +155,7 @@
     const Duration Runs =
         Longest ? Settings_.MaxRequest_ : Duration(milliseconds(pick(100)));
     Each->Sending_.push_back(
-        {Server, Real_ + Duration(static_cast<std::int64_t>(
-                             Runs.count() / Each->Clock_.Rate_))});
+        {Server, Real_ + scale(Runs, 1 / Each->Clock_.Rate_)});
     ++Sent_;
   }
   if (!Faults_.Deaths_)
