--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -54,16 +54,26 @@
   return std::min(Server.Slots_, Server.Connections_);
 }
 
+/// Above all versions of earlier terms, and of earlier ledgers of this term in
+/// this process: they made less than one a millisecond.
+static std::uint64_t findFirstVersion(std::uint64_t Term, TimePoint ElectedAt) {
+  const auto Passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      ElectedAt.time_since_epoch());
+  const auto Part = static_cast<std::uint64_t>(Passed.count());
+  return (Term << TermShift) + Part % (1ULL << (TermShift - 1)) + 1;
+}
+
 SlotLedger::SlotLedger(const SlotSettings &Settings, std::uint64_t Term,
                        TimePoint ElectedAt,
                        const std::vector<SlotServer> &Known)
-    : Settings_(Settings), Term_(Term),
+    : Settings_(Settings),
       SettledAt_(ElectedAt +
                  stretchForDrift(Settings.GrantTtl_, Settings.DriftPpm_)),
       EarlierEnd_(ElectedAt +
                   stretchForDrift(Settings.GrantTtl_ + Settings.MaxRequest_,
                                   Settings.DriftPpm_)),
-      NextVersion_((Term << TermShift) + 1) {
+      NextVersion_(findFirstVersion(Term, ElectedAt)),
+      FirstVersion_(NextVersion_) {
   for (const SlotServer &Each : Known) {
     upsertServer(Each);
     Servers_.at(Positions_.at(Each.Server_)).Earlier_ = capacityOf(Each);
@@ -117,7 +127,7 @@
   // Sticky: an earlier report may arrive after it.
   From.Stopping_ |= Report.Stopping_;
   takeShown(From, Report);
-  settle(From, Report);
+  settle(From, Report.RoutesHeld_);
   learnDemand(From);
   From.GrantEnd_ =
       std::max(From.GrantEnd_,
@@ -135,7 +145,7 @@
   const bool Changed = offerTable(From, Now);
   if (Changed || Report.RoutesHeld_ != From.Version_) {
     const bool OfEarlier =
-        (Report.RoutesHeld_ >> TermShift) < Term_ && Now < SettledAt_;
+        Report.RoutesHeld_ < FirstVersion_ && Now < SettledAt_;
     noteReplaced(From, OfEarlier, Changed);
     Reply.Routes_ = From.Table_;
   }
@@ -166,11 +176,8 @@
 /// back to an earlier one, and what runs beyond the table is in flight. Its
 /// first table also tells what it held of earlier leaders until it took it: a
 /// report alone does not, as it may be stale.
-void SlotLedger::settle(Holder &From, const wire::EntryReport &Report) {
-  if (From.Version_ == 0 || Report.RoutesHeld_ != From.Version_)
-    return;
-  // A report from before the stop may show less in flight than came after it.
-  if (From.Stopping_ && !Report.Stopping_)
+void SlotLedger::settle(Holder &From, std::uint64_t RoutesHeld) {
+  if (From.Version_ == 0 || RoutesHeld != From.Version_)
     return;
   for (auto &[Position, Of] : From.Shares_) {
     Server &At = Servers_[Position];
@@ -343,6 +350,7 @@
     Slots.push_back(usableSlots(Servers_[Position].Info_));
   }
   std::vector<double> Demand;
+  Demand.reserve(Sharers.size());
   for (const Holder *Each : Sharers)
     Demand.push_back(Each->Demand_[Group]);
   const ShareTable Table = Settings_.Share_(Slots, Demand);
