--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -303,7 +303,7 @@
   if (Problem)
     return close();
   Response_ = {};
-  if (!KeepAlive_ || !mayHaveMore())
+  if (!KeepAlive_)
     return linger();
   Phase_ = Phase::Reading;
   setDeadline(Shared_->Draining_ ? DrainIdleTime
