Show warnings, times and fields of jobs for people

Cause: against three data centres run by run-local, job show printed raw milliseconds and nested JSON, explain called an ended task waiting, and the leader's warnings at submission were dropped.

--- a/src/ctl/Answers.cpp
+++ b/src/ctl/Answers.cpp
@@ -97,7 +97,7 @@
   return CtlExit::Success;
 }
 
-static std::string showValue(const json &Value) {
+std::string ctl::showValue(const json &Value) {
   if (Value.is_string())
     return Value.get<std::string>();
   if (Value.is_null())
--- a/src/ctl/Answers.h
+++ b/src/ctl/Answers.h
@@ -53,8 +53,10 @@
 CtlExit askAndShow(CtlContext &Context, const ApiRequest &Request,
                    void (*Show)(CtlContext &, const json &));
 
-/// The field as one cell: texts as they are, lists with commas, "-" if it is
-/// absent or empty.
+/// The value as one cell: texts as they are, lists with commas.
+std::string showValue(const json &Value);
+
+/// The field as one cell; "-" if it is absent or empty.
 std::string showField(const json &Object, const std::string &Pointer);
 
 /// A field's number, or Otherwise.
--- a/src/ctl/JobCommands.cpp
+++ b/src/ctl/JobCommands.cpp
@@ -36,6 +36,8 @@
     Context.Out_ << "job " << makePrintable(readText(Spec, "job"))
                  << (Known ? ": submitted before, unchanged\n"
                            : ": submitted; 'job show' follows it\n");
+  for (const json &Warning : findList(Submitted.Body_, "warnings"))
+    Context.Err_ << "warning: " << makePrintable(showValue(Warning)) << "\n";
   return CtlExit::Success;
 }
 
@@ -60,12 +62,27 @@
   return askAndShow(Context, {"GET", "/jobs", Query, "", {}}, printJobs);
 }
 
-/// Every field that is no list, one a line; then the tasks.
+/// Times in UTC; everything else as it is.
+static std::string showJobField(const std::string &Name, const json &Value) {
+  if (Name.ends_with("WallMs") && Value.is_number_unsigned())
+    return showWallTime(Value.get<std::uint64_t>());
+  const std::string Shown = showValue(Value);
+  return Shown.empty() ? "-" : Shown;
+}
+
+/// Every field that is no list, one a line, those of objects with their name
+/// before them; then the tasks.
 static void printJob(CtlContext &Context, const json &Job) {
   Table Fields({"FIELD", "VALUE"});
-  for (const auto &Field : Job.items())
-    if (!Field.value().is_array())
-      Fields.addRow({Field.key(), showField(Job, "/" + Field.key())});
+  for (const auto &Field : Job.items()) {
+    const json &Value = Field.value();
+    if (Value.is_object())
+      for (const auto &Inner : Value.items())
+        Fields.addRow({Field.key() + "." + Inner.key(),
+                       showJobField(Inner.key(), Inner.value())});
+    else if (!Value.is_array())
+      Fields.addRow({Field.key(), showJobField(Field.key(), Value)});
+  }
   Context.Out_ << Fields.render();
   const char *ListName = Job.contains("taskList") ? "taskList" : "tasks";
   const json &Tasks = findList(Job, ListName);
@@ -126,7 +143,7 @@
   Context.Out_ << "task " << showField(Value, "/job") << "/"
                << showField(Value, "/task") << " "
                << (Running ? "runs on " + showField(Value, "/server")
-                           : std::string("waits"))
+                           : std::string("does not run"))
                << "\n";
   if (Value.contains("last"))
     Context.Out_ << "last decision: " << showField(Value, "/last/kind") << " ("
--- a/src/ctl/ViewCommands.cpp
+++ b/src/ctl/ViewCommands.cpp
@@ -34,6 +34,8 @@
              {{"SERVICE", "/service"},
               {"SERVERS", "/servers"},
               {"SLOTS", "/slots"},
+              {"REQUESTS", "/requests"},
+              {"MOST LOAD %", "/mostLoadPercent"},
               {"TARGET P99 MS", "/targetP99Ms"},
               {"WORST P99 US", "/worstP99Micros"},
               {"DEADLINE MS", "/defaultDeadlineMs"},
--- a/tests/ctl/CommandsTest.cpp
+++ b/tests/ctl/CommandsTest.cpp
@@ -96,6 +96,21 @@
   EXPECT_EQ(run({"job", "submit", write("no", "[1]")}), CtlExit::Failure);
 }
 
+TEST_F(CommandsTest, WarningsAboutAJobAreShownAndItsFieldsAreReadable) {
+  answer(200, R"({"job": "j", "warnings": ["too big"]})");
+  const auto Job = write("job", R"({"job": "j"})");
+  EXPECT_EQ(run({"job", "submit", Job}), CtlExit::Success);
+  EXPECT_EQ(Err_.str(), "warning: too big\n");
+  Api_.Answers_.clear();
+  answer(200, R"({"job": "j", "submittedWallMs": 1764685800000,
+    "spec": {"priority": 3}, "taskList": [{"index": 0, "state": "running",
+    "attempt": 2, "server": "vm-1"}]})");
+  EXPECT_EQ(run({"job", "show", "j"}), CtlExit::Success);
+  EXPECT_THAT(Out_.str(), ContainsRegex("spec.priority +3\n"));
+  EXPECT_THAT(Out_.str(), ContainsRegex("WallMs +2025-12-02 14:30:00\n"));
+  EXPECT_THAT(Out_.str(), ContainsRegex("0 +running +2 +vm-1"));
+}
+
 TEST_F(CommandsTest, ExplainSaysWhatWouldHelpAndShowsTheCandidates) {
   answer(200, R"({"job": "j", "task": 3, "running": false,
     "whatWouldHelp": "2 cores more", "last": {"kind": "hold",
@@ -103,7 +118,7 @@
     [{"server": "vm-1", "allowed": false, "score": 0, "note": "memory"}]}})");
   EXPECT_EQ(run({"job", "explain", "j/3"}), CtlExit::Success);
   for (const char *Part :
-       {"task j/3 waits", "hold (no_room): every server is full",
+       {"task j/3 does not run", "hold (no_room): every server is full",
         "what would help: 2 cores more"})
     EXPECT_THAT(Out_.str(), HasSubstr(Part));
   EXPECT_THAT(Out_.str(), ContainsRegex("vm-1 +false +0 +memory"));
@@ -160,12 +175,12 @@
                        json::array({1, "a", nullptr}),
                        {{"job", 1}, {"text", 2}, {"wallMs", "x"}},
                        json::array({json::object({{"members", 1}})})};
-  const Words Fields = {"bundles", "proposals",  "controls", "entries",
-                        "silent",  "everywhere", "version",  "lastRollOutMs",
-                        "jobs",    "tasks",      "last",     "candidates",
-                        "running", "servers",    "services", "callers",
-                        "quotas",  "groups",     "members",  "text",
-                        "error",   "message",    "decisions"};
+  const Words Fields = {
+      "bundles",    "proposals",  "controls",      "entries", "silent",
+      "everywhere", "version",    "lastRollOutMs", "jobs",    "tasks",
+      "last",       "candidates", "running",       "servers", "services",
+      "callers",    "quotas",     "groups",        "members", "text",
+      "error",      "message",    "decisions",     "a~b/c",   "endedWallMs"};
   const Words Views[] = {{"bundle", "status"},
                          {"bundle", "history"},
                          {"bundle", "show", "1"},
