--- a/tests/fleet/AssignmentScheduleTest.cpp
+++ b/tests/fleet/AssignmentScheduleTest.cpp
@@ -8,6 +8,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "tulipweir/fleet/AssignmentLease.h"
+#include "tulipweir/fleet/FleetState.h"
 #include "tulipweir/fleet/JobAssigner.h"
 
 #include <gtest/gtest.h>
@@ -46,7 +47,7 @@
   Duration Offset_{};
   std::size_t Believed_ = 0; ///< Who leads, as far as it heard.
   std::size_t Applied_ = 0;
-  JobBook Book_;
+  FleetState State_;
   std::unique_ptr<JobAssigner> Assigner_;
   std::unique_ptr<AssignmentLease> Lease_;
 };
@@ -96,7 +97,7 @@
   std::multimap<Duration, std::function<void()>> Events_;
   std::vector<Control> Controls_;
   std::vector<Command> Log_;
-  JobBook Truth_;
+  FleetState Truth_;
   std::size_t Leader_ = 0;
   std::uint64_t Term_ = 0;
   bool Cut_[DataCentres] = {};
@@ -123,16 +124,8 @@
   changeLeader();
 }
 
-static CommandResult applyJob(JobBook &Book, const Command &Value) {
-  if (const auto *Submit = std::get_if<SubmitJob>(&Value))
-    return Book.submit(*Submit);
-  if (const auto *Assign = std::get_if<AssignJob>(&Value))
-    return Book.assign(*Assign);
-  return Book.release(std::get<ReleaseJob>(Value));
-}
-
 void Schedule::commit(const Command &Value) {
-  const CommandResult Result = applyJob(Truth_, Value);
+  const CommandResult Result = Truth_.apply(Value);
   Log_.push_back(Value);
   Control &Leader = Controls_[Leader_];
   if (Leader.Applied_ + 1 == Log_.size())
@@ -146,7 +139,7 @@
 
 void Schedule::applyAll(Control &To) {
   while (To.Applied_ < Log_.size())
-    applyJob(To.Book_, Log_[To.Applied_++]);
+    To.State_.apply(Log_[To.Applied_++]);
 }
 
 /// What the old leader had proposed is committed in part; the new one begins
@@ -175,10 +168,10 @@
   Control &Sender = Controls_[From];
   const DataCentreId Own = nameDataCentre(From);
   std::vector<AssignmentHeld> Standing;
-  if (const auto Held = Sender.Book_.held().find(Own);
-      Held != Sender.Book_.held().end())
+  if (const auto Held = Sender.State_.jobs().held().find(Own);
+      Held != Sender.State_.jobs().held().end())
     for (const JobId &Job : Held->second)
-      Standing.push_back({Job, Sender.Book_.find(Job)->Assignment_});
+      Standing.push_back({Job, Sender.State_.jobs().find(Job)->Assignment_});
   const TimePoint SentAt = readClock(Sender);
   AssignmentReport Report{Own, true, {0.5, 0, 8}, {}};
   Report.Due_ = Sender.Lease_->listDue(Standing, SentAt, Jobs);
@@ -198,8 +191,8 @@
   const Duration Frozen = chance(5) ? Ttl * 2 : Duration::zero();
   later(Frozen, [this, From, To, Report, SentAt] {
     Control &Answering = Controls_[To];
-    const auto Reply = Answering.Assigner_->renew(Report, Answering.Book_,
-                                                  readClock(Answering));
+    const auto Reply = Answering.Assigner_->renew(
+        Report, Answering.State_.jobs(), readClock(Answering));
     later(makeDelay(), [this, From, Reply, SentAt] {
       Controls_[From].Lease_->noteRenewed(Reply, SentAt);
     });
@@ -208,8 +201,8 @@
 
 void Schedule::decide() {
   Control &Leader = Controls_[Leader_];
-  for (const Command &Value :
-       Leader.Assigner_->decide(Leader.Book_, readClock(Leader), Budget)) {
+  for (const Command &Value : Leader.Assigner_->decide(
+           Leader.State_.jobs(), readClock(Leader), Budget)) {
     InFlight_.push_back(Value);
     // The worst moment to come back: while the release is on its way.
     if (std::holds_alternative<ReleaseJob>(Value) && chance(30))
@@ -225,9 +218,9 @@
 
 /// A data centre stops a job and gives it back of its own accord.
 void Schedule::releaseSome() {
-  for (const auto &[DataCentre, Held] : Truth_.held()) {
+  for (const auto &[DataCentre, Held] : Truth_.jobs().held()) {
     const JobId Job = *Held.begin();
-    const std::uint64_t Assignment = Truth_.find(Job)->Assignment_;
+    const std::uint64_t Assignment = Truth_.jobs().find(Job)->Assignment_;
     Stopped_.insert({Job, Assignment});
     return commit(ReleaseJob{Job, Assignment, false, ""});
   }
@@ -299,107 +292,3 @@
   EXPECT_GT(HeldChecks, 100'000U) << "jobs were hardly ever held";
   RecordProperty("moves", static_cast<int>(Moves));
 }
-
-namespace {
-/// One leader and what it is told, by hand.
-class JobAssignerTest : public testing::Test {
-protected:
-  JobAssignerTest() { Assigner_.noteLeading(at(0)); }
-  static TimePoint at(int Second) { return TimePoint(seconds(100 + Second)); }
-  void submit(const char *Job, const char *Preferred = "") {
-    Book_.submit({JobId(Job), TeamId("t"), "s", DataCentreId(Preferred), 0});
-  }
-  void hear(const char *DataCentre, int Second, DataCentreLoad Load) {
-    Assigner_.renew({DataCentreId(DataCentre), true, Load, {}}, Book_,
-                    at(Second));
-  }
-  std::vector<std::string> decide(int Second) {
-    std::vector<std::string> Chosen;
-    for (const Command &One : Assigner_.decide(Book_, at(Second), 10)) {
-      if (const auto *Assign = std::get_if<AssignJob>(&One))
-        Chosen.push_back(Assign->DataCentre_.value());
-      else
-        Chosen.push_back("release");
-      applyJob(Book_, One);
-    }
-    return Chosen;
-  }
-
-  JobBook Book_;
-  JobAssigner Assigner_{AssignmentTimes::makeFor(Ttl)};
-};
-using Names = std::vector<std::string>;
-} // namespace
-
-TEST_F(JobAssignerTest, ANewLeaderListensBeforeItAssigns) {
-  submit("a");
-  hear("east", 0, {0, 0, 8});
-  EXPECT_EQ(decide(1), Names());
-  EXPECT_EQ(decide(3), Names{"east"});
-}
-
-TEST_F(JobAssignerTest, PrefersTheNamedDataCentreWhileItIsReachable) {
-  submit("a", "west");
-  hear("east", 3, {0, 0, 8});
-  hear("west", 3, {1, 50, 8});
-  EXPECT_EQ(decide(3), Names{"west"});
-  submit("b", "west");
-  hear("east", 20, {0, 0, 8});
-  EXPECT_EQ(decide(20), Names{"east"}) << "west was last heard 17 s ago";
-}
-
-TEST_F(JobAssignerTest, SpreadsAWaveBetweenTwoReportsOfLoad) {
-  for (const char *Job : {"a", "b", "c", "d"})
-    submit(Job);
-  hear("east", 3, {0, 0, 8});
-  hear("west", 3, {0, 0, 8});
-  const auto Chosen = decide(3);
-  EXPECT_EQ(std::ranges::count(Chosen, "east"), 2);
-  EXPECT_EQ(std::ranges::count(Chosen, "west"), 2);
-}
-
-TEST_F(JobAssignerTest, TheLessLoadedOneGetsTheJobAndOneWithoutServersNone) {
-  submit("a");
-  hear("east", 3, {0.9, 4, 8});
-  hear("west", 3, {0.2, 0, 8});
-  hear("empty", 3, {0, 0, 0});
-  EXPECT_EQ(decide(3), Names{"west"});
-}
-
-TEST_F(JobAssignerTest, AJobMovesOnlyAfterTtlAndMargin) {
-  submit("a");
-  hear("east", 3, {0, 0, 8});
-  decide(3);
-  hear("west", 1027, {0, 0, 8});
-  EXPECT_EQ(decide(1027), Names());
-  hear("west", 1028, {0, 0, 8});
-  EXPECT_EQ(decide(1028), Names{"release"});
-  EXPECT_EQ(decide(1028), Names{"west"});
-}
-
-TEST_F(JobAssignerTest, ProposesAgainOnlyAfterAWhile) {
-  submit("a");
-  hear("east", 3, {0, 0, 8});
-  EXPECT_EQ(Assigner_.decide(Book_, at(3), 10).size(), 1U);
-  EXPECT_EQ(Assigner_.decide(Book_, at(7), 10).size(), 0U);
-  EXPECT_EQ(Assigner_.decide(Book_, at(8), 10).size(), 1U);
-}
-
-TEST(AssignmentLeaseTest, EndsBeforeItsExpiryAndIgnoresEarlierAssignments) {
-  AssignmentLease Lease(AssignmentTimes::makeFor(seconds(240)));
-  const AssignmentHeld First{JobId("a"), 1};
-  const AssignmentHeld Second{JobId("a"), 2};
-  const TimePoint Start(seconds(50));
-  EXPECT_TRUE(Lease.isEnding(First, Start)) << "never renewed";
-  Lease.noteRenewed({{Second}}, Start);
-  Lease.noteRenewed({{First}}, Start + seconds(100));
-  EXPECT_FALSE(Lease.covers(First, Start));
-  EXPECT_FALSE(Lease.isEnding(Second, Start + seconds(229)));
-  EXPECT_TRUE(Lease.isEnding(Second, Start + seconds(230)));
-  EXPECT_TRUE(Lease.covers(Second, Start + seconds(239)));
-  EXPECT_FALSE(Lease.covers(Second, Start + seconds(240)));
-  EXPECT_EQ(Lease.listDue({Second}, Start + seconds(29), 5).size(), 0U);
-  EXPECT_EQ(Lease.listDue({Second}, Start + seconds(30), 5).size(), 1U);
-  Lease.retain({});
-  EXPECT_FALSE(Lease.covers(Second, Start));
-}
