--- a/src/decide/TailModel.cpp
+++ b/src/decide/TailModel.cpp
@@ -13,12 +13,12 @@
 /// Headroom of a service that meets its target barely or not even alone.
 static constexpr double LeastHeadroom = 0.05;
 /// Headroom while the service's p99 alone is not known.
-static constexpr double UnknownHeadroom = 0.25;
+static constexpr double UnknownHeadroom = 0.5;
 /// Confidence from which a learned effect is taken at its word.
 static constexpr double Sure = 0.3;
 /// Pressure allowed while the effect is a guess: most classes are harmless,
 /// and what is never placed is never learned.
-static constexpr double CeilingOfGuess = 1.0;
+static constexpr double CeilingOfGuess = 1.6;
 static constexpr double HighestCeiling = 1.1;
 static constexpr double CeilingPerTailShare = 0.4;
 /// The ceiling gives way while more reports than this stand over a target:
@@ -44,28 +44,11 @@
   return std::max(LeastHeadroom, Target / Alone - 1);
 }
 
-bool TailModel::mayServe(const ServerEntry &Server) const {
-  return Server.Info_.ServiceShare_ != Resources() &&
-         !State_.Policy_.Targets_.empty();
-}
-
-Pressure TailModel::guessPressure(const ServerEntry &Server,
-                                  const ClassLoad *Added, TimePoint Now) const {
-  const ServiceIndex Unknown = Interner<ServiceId>::MaxNames;
-  double Growth =
-      State_.Effects_.predict(Unknown, 0, Server.History_.now(), Now);
-  if (Added)
-    Growth += State_.Effects_.predict(Unknown, 0, {*Added}, Now);
-  return {Growth / UnknownHeadroom, 0, Unknown, true};
-}
-
 Pressure TailModel::pressureOn(const ServerEntry &Server,
                                const ClassLoad *Added, LoadExpectation Expected,
                                TimePoint Now) const {
   Pressure Worst;
   Worst.Confidence_ = 1;
-  if (Server.Services_.empty() && mayServe(Server))
-    return guessPressure(Server, Added, Now);
   for (const ServiceState &Service : Server.Services_) {
     if (State_.targetMicros(Service.Service_) <= 0)
       continue;
--- a/src/decide/TailModel.h
+++ b/src/decide/TailModel.h
@@ -45,12 +45,6 @@
   double ceiling(double Confidence) const;
 
 private:
-  /// Whether services run there that have not reported yet.
-  bool mayServe(const ServerEntry &Server) const;
-  /// The pressure on services of which nothing is known yet.
-  Pressure guessPressure(const ServerEntry &Server, const ClassLoad *Added,
-                         TimePoint Now) const;
-
   const PlannerState &State_;
 };
 
