Start few tasks of unknown size beside services

Cause: at a cold start declared sizes too small by up to five times were believed until the first samples came. Change: beside a service at most two tasks run at a time whose class has no measured size and of which no sample came yet; urgent ones are exempt.

--- a/src/decide/Placer.cpp
+++ b/src/decide/Placer.cpp
@@ -12,12 +12,17 @@
 /// Servers drawn for one task, and shown in its decision.
 static constexpr std::size_t Drawn = 8;
 static constexpr std::size_t Shown = 5;
+/// Tasks of unknown size that may run at a time beside a service: declared
+/// sizes are off by several times, and samples come late.
+static constexpr std::uint32_t MaxUnproven = 2;
 /// How long a server counts as strained after its guard acted.
 static constexpr Duration StrainTime = std::chrono::seconds(30);
 
 const Placer::Filter Placer::Filters[] = {
     {"the task failed or was evicted here", ReasonCode::BackingOff,
      &Placer::isAvoided},
+    {"it waits for measured sizes of the tasks that started here",
+     ReasonCode::TailAtRisk, &Placer::isUnproven},
     {"a service's tail is over its target", ReasonCode::TailAtRisk,
      &Placer::isTailOver},
     {"the tail would get over its target", ReasonCode::TailAtRisk,
@@ -157,6 +162,16 @@
          Value.Now_ < Known->AvoidUntil_;
 }
 
+bool Placer::isUnproven(const Match &Value) const {
+  const ServerEntry &Server = Value.Server_;
+  const bool Serves =
+      !Server.Services_.empty() || Server.Info_.ServiceShare_ != Resources();
+  const bool IsUrgent = Value.Task_.Priority_ >= State_.Policy_.UrgentPriority_;
+  if (!Serves || IsUrgent || State_.Sizes_.isKnown(Value.Load_.Class_))
+    return false;
+  return Server.Unproven_ + Server.Holds_ >= MaxUnproven;
+}
+
 bool Placer::isTailOver(const Match &Value) const {
   return std::any_of(
       Value.Server_.Services_.begin(), Value.Server_.Services_.end(),
--- a/src/decide/Placer.h
+++ b/src/decide/Placer.h
@@ -58,6 +58,7 @@
   static const ScorePart ScoreParts[];
 
   bool isAvoided(const Match &Value) const;
+  bool isUnproven(const Match &Value) const;
   bool isTailOver(const Match &Value) const;
   bool isTailAtRisk(const Match &Value) const;
   double rateTail(const Match &Value) const;
--- a/src/decide/PlannerState.cpp
+++ b/src/decide/PlannerState.cpp
@@ -133,6 +133,7 @@
   Added.Reservation_ = Reservation;
   Added.PlacedAt_ = Now;
   Servers_.addTask(Added, Now);
+  Servers_.setUnproven(Added, !Sizes_.isKnown(Added.Class_));
   ServerEntry &Home = Servers_.at(Added.Server_);
   if (!Home.takesWork())
     Leaving_.insert(Added.Server_);
--- a/src/decide/ServerTable.cpp
+++ b/src/decide/ServerTable.cpp
@@ -71,6 +71,7 @@
   Entry.Reserved_ = Entry.Reserved_ - Task.Reservation_;
   Entry.Measured_ = Entry.Measured_ - Task.Usage_;
   Entry.Throttled_ -= Task.ThrottlePercent_ < 100 ? 1 : 0;
+  Entry.Unproven_ -= Task.Unproven_ ? 1 : 0;
   Entry.History_.change(
       Task.Class_,
       -loadOf(Task.Server_, Task.Reservation_, Task.ThrottlePercent_), Now);
@@ -109,6 +110,13 @@
   Task.Usage_ = Usage;
 }
 
+void ServerTable::setUnproven(RunningTask &Task, bool IsUnproven) {
+  ServerEntry &Entry = at(Task.Server_);
+  Entry.Unproven_ -= Task.Unproven_ ? 1 : 0;
+  Entry.Unproven_ += IsUnproven ? 1 : 0;
+  Task.Unproven_ = IsUnproven;
+}
+
 void ServerTable::hold(ServerIndex Server, const Resources &Amount) {
   ServerEntry &Entry = at(Server);
   Entry.Held_ = Entry.Held_ + Amount;
--- a/src/decide/ServerTable.h
+++ b/src/decide/ServerTable.h
@@ -38,6 +38,7 @@
   TimePoint IgnoreUsageUntil_;    ///< Samples taken before say nothing new.
   TimePoint PendingUntil_;        ///< A decision about it awaits its effect.
   bool GuardPending_ = false;     ///< That decision was the tail guard's.
+  bool Unproven_ = false; ///< Its class's size is a guess, and no sample came.
   bool HealthNoted_ = false;
   bool ResizeQueued_ = false;
   std::size_t PlaceInServer_ = 0;
@@ -79,6 +80,7 @@
   std::uint32_t ReleaseFactor_ = 1; ///< Grows with each relapse.
   TimePoint ReleasedAt_;
   std::uint32_t Throttled_ = 0;
+  std::uint32_t Unproven_ = 0; ///< Tasks whose size is a guess.
 
   Resources limit() const { return Info_.Capacity_ - Info_.ServiceShare_; }
   Resources room() const { return limit() - Reserved_ - Held_; }
@@ -99,6 +101,7 @@
                   TimePoint Now);
   void throttleTask(RunningTask &Task, std::uint32_t Percent, TimePoint Now);
   void measureTask(RunningTask &Task, const Resources &Usage);
+  void setUnproven(RunningTask &Task, bool IsUnproven);
   void hold(ServerIndex Server, const Resources &Amount);
   void release(ServerIndex Server, const Resources &Amount);
   void setQuarantine(ServerIndex Server, bool Quarantined, bool ProbeOnly);
--- a/src/decide/UsageGuard.cpp
+++ b/src/decide/UsageGuard.cpp
@@ -53,6 +53,7 @@
   Task->UsageAt_ = Sample.SampledAt_;
   Task->WorkAtRisk_ = Sample.WorkSinceCheckpoint_;
   State_.Servers_.measureTask(*Task, Sample.Usage_);
+  State_.Servers_.setUnproven(*Task, false);
   const bool Unthrottled =
       Task->ThrottlePercent_ == 100 && Sample.SampledAt_ > Task->ThrottledAt_;
   if (Unthrottled)
