--- a/src/ctl/Answers.h
+++ b/src/ctl/Answers.h
@@ -42,6 +42,10 @@
 CtlExit reportError(CtlContext &Context, const Answer &Refused);
 CtlExit reportError(CtlContext &Context, const Error &Problem);
 
+/// The document on one line. Words of the command line may be no UTF-8; what
+/// is none is replaced.
+std::string renderJson(const json &Document);
+
 /// Prints the document on one line.
 void printJson(CtlContext &Context, const json &Document);
 
@@ -49,8 +53,10 @@
 CtlExit askAndShow(CtlContext &Context, const ApiRequest &Request,
                    void (*Show)(CtlContext &, const json &));
 
-/// The field as one cell: texts as they are, lists with commas, "-" if it is
-/// absent or empty.
+/// The value as one cell: texts as they are, lists with commas.
+std::string showValue(const json &Value);
+
+/// The field as one cell; "-" if it is absent or empty.
 std::string showField(const json &Object, const std::string &Pointer);
 
 /// A field's number, or Otherwise.
--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -15,6 +15,11 @@
 static constexpr std::uint32_t MinRequests = 20;
 /// Part of a report's p99 in the smoothed one.
 static constexpr double SmoothGain = 0.5;
+/// Reports that stand over a target by less than this part on average are taken
+/// for noise until there are more of them.
+static constexpr double MeaningfulPart = 0.05;
+/// Reports of each server over which the share of those over is averaged.
+static constexpr double ShareReports = 60;
 /// How long an action's effect is awaited before the guard may act again.
 static constexpr Duration PendingTime = std::chrono::seconds(10);
 /// Tasks that one action touches at most.
@@ -55,25 +60,43 @@
   if (Sample.SampledAt_ <= Service.SampledAt_)
     return;
   Service.SampledAt_ = Sample.SampledAt_;
-  Service.Band_ = getLoadBand(Sample.LoadPercent_);
-  const bool PeakIsOld =
-      TailModel::planningBand(Service, Sample.SampledAt_) == Service.Band_;
-  if (PeakIsOld) {
-    Service.PeakBand_ = Service.Band_;
+  Service.LoadPercent_ = Sample.LoadPercent_;
+  const std::uint32_t Planned =
+      TailModel::planningLoad(Service, Sample.SampledAt_);
+  if (Planned == Service.LoadPercent_) {
+    Service.PeakPercent_ = Planned;
     Service.PeakAt_ = Sample.SampledAt_;
   }
   if (Sample.Requests_ < MinRequests)
     return;
   const auto Loads = Server.History_.loadsAt(Sample.SampledAt_);
   if (Loads)
-    State_.Effects_.learn(Index, Service.Band_, Sample, *Loads);
+    State_.Effects_.learn(Index, Sample, *Loads);
+  noteShare(Index, Sample);
   const bool IsNews = Sample.SampledAt_ > Server.QuietUntil_;
   count(Server, Service, IsNews, Sample);
-  const bool IsOver = Service.OverReports_ >= State_.Policy_.GuardReports_;
-  if (IsOver || isReadyToRestore(Server))
+  if (isOver(Service) || isReadyToRestore(Server))
     ToCheck_.insert(*Position);
 }
 
+void TailGuard::noteShare(ServiceIndex Service, const ServiceSample &Sample) {
+  const double Target = State_.targetMicros(Service);
+  if (Target <= 0)
+    return;
+  const double Micros =
+      std::chrono::duration<double, std::micro>(Sample.P99_).count();
+  const double Reports =
+      ShareReports * std::max<ServerIndex>(1, State_.Servers_.size());
+  const double Now = Micros > Target ? 1 : 0;
+  State_.OverShare_ += (Now - State_.OverShare_) / Reports;
+}
+
+bool TailGuard::isOver(const ServiceState &Service) const {
+  const std::uint32_t Reports = State_.Policy_.GuardReports_;
+  return Service.OverReports_ >= Reports &&
+         Service.OverSum_ >= MeaningfulPart * Reports;
+}
+
 void TailGuard::count(ServerEntry &, ServiceState &Service, bool Counts,
                       const ServiceSample &Sample) {
   const double Target = State_.targetMicros(Service.Service_);
@@ -91,6 +114,7 @@
   const bool IsOver = Micros > Target;
   const bool IsUnder = Micros < Target * State_.Policy_.GuardReleasePart_;
   Service.OverReports_ = IsOver ? Service.OverReports_ + 1 : 0;
+  Service.OverSum_ = IsOver ? Service.OverSum_ + Micros / Target - 1 : 0;
   Service.UnderReports_ = IsUnder ? Service.UnderReports_ + 1 : 0;
 }
 
@@ -110,12 +134,13 @@
 TailGuard::findExcess(const ServerEntry &Server) const {
   Excess Worst;
   for (const ServiceState &Service : Server.Services_) {
-    if (Service.OverReports_ < State_.Policy_.GuardReports_)
+    if (!isOver(Service))
       continue;
     Excess Over;
     Over.Service_ = &Service;
     Over.Target_ = State_.targetMicros(Service.Service_);
-    Over.Alone_ = State_.Effects_.aloneMicros(Service.Service_, Service.Band_);
+    Over.Alone_ =
+        State_.Effects_.aloneMicros(Service.Service_, Service.LoadPercent_);
     Over.Needed_ = (Service.P99Micros_ - AimPart * Over.Target_) /
                    std::max(1.0, Over.Alone_);
     if (!Worst.Service_ || Over.Needed_ > Worst.Needed_)
@@ -133,8 +158,8 @@
   for (RunningTask *Task : Server.Tasks_) {
     if (Now < Task->PendingUntil_)
       continue;
-    const auto Pair = State_.Effects_.effectOf(Service.Service_, Task->Class_,
-                                               Service.Band_, Now);
+    const auto Pair = State_.Effects_.effectOf(
+        Service.Service_, Task->Class_, getLoadBand(Service.LoadPercent_), Now);
     const double Load = State_.Servers_.loadOf(
         Task->Server_, Task->Reservation_, Task->ThrottlePercent_);
     Offenders.push_back({Task, Pair.Weight_, Pair.Weight_ * Load,
@@ -148,8 +173,9 @@
                                  TimePoint Now) const {
   double Caused = 0;
   for (const Offender &Each : Offenders) {
-    const auto Pair = State_.Effects_.effectOf(
-        Over.Service_->Service_, Each.Task_->Class_, Over.Service_->Band_, Now);
+    const auto Pair =
+        State_.Effects_.effectOf(Over.Service_->Service_, Each.Task_->Class_,
+                                 getLoadBand(Over.Service_->LoadPercent_), Now);
     if (Pair.Confidence_ < SureOfBlame)
       return false;
     Caused += Each.Effect_;
@@ -313,10 +339,11 @@
       continue;
     double Weight = 0;
     for (const ServiceState &Service : Server.Services_)
-      Weight = std::max(Weight, State_.Effects_
-                                    .effectOf(Service.Service_, Task->Class_,
-                                              Service.Band_, Now)
-                                    .Weight_);
+      Weight =
+          std::max(Weight, State_.Effects_
+                               .effectOf(Service.Service_, Task->Class_,
+                                         getLoadBand(Service.LoadPercent_), Now)
+                               .Weight_);
     Weighted.emplace_back(Weight, Task);
   }
   // Those that slow the services least come back first.
