--- a/src/decide/Interference.cpp
+++ b/src/decide/Interference.cpp
@@ -86,23 +86,15 @@
   return Added;
 }
 
-static std::size_t stepOf(std::uint32_t LoadPercent) {
-  constexpr std::uint32_t StepPercent = 5;
-  return std::min(LoadPercent, 100U) / StepPercent;
-}
-
-double Interference::aloneMicros(ServiceIndex Service,
-                                 std::uint32_t LoadPercent) const {
+double Interference::aloneMicros(ServiceIndex Service, LoadBand Band) const {
   if (Service >= Alone_.size())
     return 0;
-  const auto &Steps = Alone_[Service];
-  const std::size_t Step = stepOf(LoadPercent);
-  for (std::size_t Lower = Step + 1; Lower-- > 0;)
-    if (Steps[Lower].Samples_ > 0)
-      return Steps[Lower].Micros_;
-  for (std::size_t Higher = Step + 1; Higher < LoadSteps; ++Higher)
-    if (Steps[Higher].Samples_ > 0)
-      return Steps[Higher].Micros_;
+  for (int Lower = Band; Lower >= 0; --Lower)
+    if (Alone_[Service][Lower].Samples_ > 0)
+      return Alone_[Service][Lower].Micros_;
+  for (int Higher = Band + 1; Higher < LoadBands; ++Higher)
+    if (Alone_[Service][Higher].Samples_ > 0)
+      return Alone_[Service][Higher].Micros_;
   return 0;
 }
 
@@ -122,15 +114,14 @@
   Base.Micros_ += Gain * (Seen - Base.Micros_);
 }
 
-void Interference::learn(ServiceIndex Service, const ServiceSample &Sample,
-                         const ClassLoads &Loads) {
-  const LoadBand Band = getLoadBand(Sample.LoadPercent_);
+void Interference::learn(ServiceIndex Service, LoadBand Band,
+                         const ServiceSample &Sample, const ClassLoads &Loads) {
   if (Service >= Alone_.size())
     Alone_.resize(std::size_t{Service} + 1);
   const double Micros =
       std::chrono::duration<double, std::micro>(Sample.P99_).count();
   const double Predicted = predict(Service, Band, Loads, Sample.SampledAt_);
-  Alone &Base = Alone_[Service][stepOf(Sample.LoadPercent_)];
+  Alone &Base = Alone_[Service][Band];
   learnAlone(Base, Micros, Predicted, Loads.empty());
   double Norm = SmallLoad * SmallLoad;
   for (const ClassLoad &Value : Loads)
--- a/src/decide/Interference.h
+++ b/src/decide/Interference.h
@@ -38,7 +38,7 @@
 class Interference {
 public:
   /// Learns from one sample. Loads is what ran when it was taken.
-  void learn(ServiceIndex Service, const ServiceSample &Sample,
+  void learn(ServiceIndex Service, LoadBand Band, const ServiceSample &Sample,
              const ClassLoads &Loads);
 
   PairEffect effectOf(ServiceIndex Service, ClassIndex Class, LoadBand Band,
@@ -49,7 +49,7 @@
   double predict(ServiceIndex Service, LoadBand Band, const ClassLoads &Loads,
                  TimePoint Now) const;
   /// The service's p99 alone on a server, in microseconds; 0 if unknown.
-  double aloneMicros(ServiceIndex Service, std::uint32_t LoadPercent) const;
+  double aloneMicros(ServiceIndex Service, LoadBand Band) const;
 
 private:
   struct Pair {
@@ -68,9 +68,7 @@
   void dropWeakest();
 
   std::unordered_map<std::uint64_t, Pair> Pairs_;
-  /// Finer than the bands: within one the p99 alone still rises with the load.
-  static constexpr std::size_t LoadSteps = 21;
-  std::vector<std::array<Alone, LoadSteps>> Alone_;
+  std::vector<std::array<Alone, LoadBands>> Alone_;
 };
 
 } // namespace tulipweir::decide
--- a/src/decide/ServerTable.h
+++ b/src/decide/ServerTable.h
@@ -47,8 +47,8 @@
 /// One service's late reports from one server.
 struct ServiceState {
   ServiceIndex Service_ = 0;
-  std::uint32_t LoadPercent_ = 0;
-  std::uint32_t PeakPercent_ = 0; ///< Highest of late: waves come again.
+  LoadBand Band_ = 0;
+  LoadBand PeakBand_ = 0; ///< Highest of late, so that waves are expected.
   TimePoint PeakAt_;
   TimePoint SampledAt_;
   double P99Micros_ = 0; ///< Smoothed over a few reports.
--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -60,18 +60,18 @@
   if (Sample.SampledAt_ <= Service.SampledAt_)
     return;
   Service.SampledAt_ = Sample.SampledAt_;
-  Service.LoadPercent_ = Sample.LoadPercent_;
-  const std::uint32_t Planned =
-      TailModel::planningLoad(Service, Sample.SampledAt_);
-  if (Planned == Service.LoadPercent_) {
-    Service.PeakPercent_ = Planned;
+  Service.Band_ = getLoadBand(Sample.LoadPercent_);
+  const bool PeakIsOld =
+      TailModel::planningBand(Service, Sample.SampledAt_) == Service.Band_;
+  if (PeakIsOld) {
+    Service.PeakBand_ = Service.Band_;
     Service.PeakAt_ = Sample.SampledAt_;
   }
   if (Sample.Requests_ < MinRequests)
     return;
   const auto Loads = Server.History_.loadsAt(Sample.SampledAt_);
   if (Loads)
-    State_.Effects_.learn(Index, Sample, *Loads);
+    State_.Effects_.learn(Index, Service.Band_, Sample, *Loads);
   noteShare(Index, Sample);
   const bool IsNews = Sample.SampledAt_ > Server.QuietUntil_;
   count(Server, Service, IsNews, Sample);
@@ -139,8 +139,7 @@
     Excess Over;
     Over.Service_ = &Service;
     Over.Target_ = State_.targetMicros(Service.Service_);
-    Over.Alone_ =
-        State_.Effects_.aloneMicros(Service.Service_, Service.LoadPercent_);
+    Over.Alone_ = State_.Effects_.aloneMicros(Service.Service_, Service.Band_);
     Over.Needed_ = (Service.P99Micros_ - AimPart * Over.Target_) /
                    std::max(1.0, Over.Alone_);
     if (!Worst.Service_ || Over.Needed_ > Worst.Needed_)
@@ -158,8 +157,8 @@
   for (RunningTask *Task : Server.Tasks_) {
     if (Now < Task->PendingUntil_)
       continue;
-    const auto Pair = State_.Effects_.effectOf(
-        Service.Service_, Task->Class_, getLoadBand(Service.LoadPercent_), Now);
+    const auto Pair = State_.Effects_.effectOf(Service.Service_, Task->Class_,
+                                               Service.Band_, Now);
     const double Load = State_.Servers_.loadOf(
         Task->Server_, Task->Reservation_, Task->ThrottlePercent_);
     Offenders.push_back({Task, Pair.Weight_, Pair.Weight_ * Load,
@@ -173,9 +172,8 @@
                                  TimePoint Now) const {
   double Caused = 0;
   for (const Offender &Each : Offenders) {
-    const auto Pair =
-        State_.Effects_.effectOf(Over.Service_->Service_, Each.Task_->Class_,
-                                 getLoadBand(Over.Service_->LoadPercent_), Now);
+    const auto Pair = State_.Effects_.effectOf(
+        Over.Service_->Service_, Each.Task_->Class_, Over.Service_->Band_, Now);
     if (Pair.Confidence_ < SureOfBlame)
       return false;
     Caused += Each.Effect_;
@@ -339,11 +337,10 @@
       continue;
     double Weight = 0;
     for (const ServiceState &Service : Server.Services_)
-      Weight =
-          std::max(Weight, State_.Effects_
-                               .effectOf(Service.Service_, Task->Class_,
-                                         getLoadBand(Service.LoadPercent_), Now)
-                               .Weight_);
+      Weight = std::max(Weight, State_.Effects_
+                                    .effectOf(Service.Service_, Task->Class_,
+                                              Service.Band_, Now)
+                                    .Weight_);
     Weighted.emplace_back(Weight, Task);
   }
   // Those that slow the services least come back first.
--- a/src/decide/TailModel.cpp
+++ b/src/decide/TailModel.cpp
@@ -27,18 +27,14 @@
 static constexpr double CeilingPerStrain = 4;
 static constexpr double LowestCeiling = 0.4;
 
-std::uint32_t TailModel::planningLoad(const ServiceState &Service,
-                                      TimePoint Now) {
+LoadBand TailModel::planningBand(const ServiceState &Service, TimePoint Now) {
   const bool Recent = Now - Service.PeakAt_ < PeakTime;
-  return Recent ? std::max(Service.LoadPercent_, Service.PeakPercent_)
-                : Service.LoadPercent_;
+  return Recent ? std::max(Service.Band_, Service.PeakBand_) : Service.Band_;
 }
 
-double TailModel::headroomOf(const ServiceState &Service,
-                             std::uint32_t LoadPercent) const {
+double TailModel::headroomOf(const ServiceState &Service, LoadBand Band) const {
   const double Target = State_.targetMicros(Service.Service_);
-  const double Alone =
-      State_.Effects_.aloneMicros(Service.Service_, LoadPercent);
+  const double Alone = State_.Effects_.aloneMicros(Service.Service_, Band);
   if (Alone <= 0)
     return UnknownHeadroom;
   return std::max(LeastHeadroom, Target / Alone - 1);
@@ -52,10 +48,9 @@
   for (const ServiceState &Service : Server.Services_) {
     if (State_.targetMicros(Service.Service_) <= 0)
       continue;
-    const std::uint32_t Load = Expected == LoadExpectation::Peak
-                                   ? planningLoad(Service, Now)
-                                   : Service.LoadPercent_;
-    const LoadBand Band = getLoadBand(Load);
+    const LoadBand Band = Expected == LoadExpectation::Peak
+                              ? planningBand(Service, Now)
+                              : Service.Band_;
     double Growth = State_.Effects_.predict(Service.Service_, Band,
                                             Server.History_.now(), Now);
     double Confidence = 1;
@@ -65,7 +60,7 @@
       Growth += Effect.Weight_ * Added->Load_;
       Confidence = Effect.Confidence_;
     }
-    const double Value = Growth / headroomOf(Service, Load);
+    const double Value = Growth / headroomOf(Service, Band);
     if (Worst.HasService_ && Value <= Worst.Value_)
       continue;
     Worst = {Value, Confidence, Service.Service_, true};
--- a/src/decide/TailModel.h
+++ b/src/decide/TailModel.h
@@ -34,11 +34,10 @@
   /// The pressure on a server as it is, or with a load added to it.
   Pressure pressureOn(const ServerEntry &Server, const ClassLoad *Added,
                       LoadExpectation Expected, TimePoint Now) const;
-  /// The load to plan for: the highest one of the last ten minutes, in percent.
-  static std::uint32_t planningLoad(const ServiceState &Service, TimePoint Now);
+  /// The band to plan for: the highest one of the last ten minutes.
+  static LoadBand planningBand(const ServiceState &Service, TimePoint Now);
   /// By what part the service's p99 alone may grow.
-  double headroomOf(const ServiceState &Service,
-                    std::uint32_t LoadPercent) const;
+  double headroomOf(const ServiceState &Service, LoadBand Band) const;
   /// The pressure up to which tasks are placed. The heavier the weight of
   /// the tail among all weights, and the more reports stand over their
   /// targets, the lower.
