Mend an overflow that the sanitizers found

Cause: the time since the first rebalancing was counted from the earliest time point there is and overflowed, so that whether one was due was anybody's guess. Change: it counts from the election; a server that was never heard was heard at the epoch, for the same reason in callers; two findings of the linter.

--- a/bench/datacentre/ApplyBench.cpp
+++ b/bench/datacentre/ApplyBench.cpp
@@ -44,13 +44,15 @@
                          1,
                          ""},
                 1, ++Index);
-    for (std::uint32_t T = 0; T < TasksPerJob; ++T, ++Index)
+    for (std::uint32_t T = 0; T < TasksPerJob; ++T) {
+      ++Index;
       State.apply(PlaceTask{{Id, T},
                             AttemptNumber(1),
                             serverId(Index),
                             BootId("boot"),
                             Resources::makeFor(100, 100)},
-                  1, ++Index);
+                  1, Index);
+    }
   }
   return State;
 }
--- a/include/tulipweir/datacentre/ServerLedger.h
+++ b/include/tulipweir/datacentre/ServerLedger.h
@@ -67,7 +67,7 @@
   bool isRoutable(const ServerRecord &Server, TimePoint Now) const;
   /// Whether its newest announcement says that it is leaving.
   bool isDraining(const BackendServerId &Server) const;
-  /// When it was heard last; TimePoint::min() if never.
+  /// When it was heard last; the epoch if never.
   TimePoint findHeardAt(const BackendServerId &Server) const;
 
 private:
--- a/include/tulipweir/datacentre/SlotLedger.h
+++ b/include/tulipweir/datacentre/SlotLedger.h
@@ -191,7 +191,7 @@
   std::map<std::vector<ServiceId>, std::size_t> Groups_;
   std::map<HolderKey, Holder> Holders_;
   bool MustRebalance_ = true;
-  TimePoint RebalancedAt_ = TimePoint::min();
+  TimePoint RebalancedAt_;
 };
 
 } // namespace tulipweir::datacentre
--- a/src/datacentre/ServerLedger.cpp
+++ b/src/datacentre/ServerLedger.cpp
@@ -213,5 +213,5 @@
 
 TimePoint ServerLedger::findHeardAt(const BackendServerId &Server) const {
   const auto Found = Notes_.find(Server);
-  return Found == Notes_.end() ? TimePoint::min() : Found->second.HeardAt_;
+  return Found == Notes_.end() ? TimePoint() : Found->second.HeardAt_;
 }
--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -73,7 +73,7 @@
                   stretchForDrift(Settings.GrantTtl_ + Settings.MaxRequest_,
                                   Settings.DriftPpm_)),
       NextVersion_(findFirstVersion(Term, ElectedAt)),
-      FirstVersion_(NextVersion_) {
+      FirstVersion_(NextVersion_), RebalancedAt_(ElectedAt) {
   for (const SlotServer &Each : Known) {
     upsertServer(Each);
     Servers_.at(Positions_.at(Each.Server_)).Earlier_ = capacityOf(Each);
--- a/tests/datacentre/ServerLedgerTest.cpp
+++ b/tests/datacentre/ServerLedgerTest.cpp
@@ -33,13 +33,12 @@
     return resend(Apply);
   }
   AnnouncementResult resend(bool Apply = true) {
-    const auto Result =
-        Ledger_.onAnnouncement(Announcement_, State_, {Now_, true});
+    auto Result = Ledger_.onAnnouncement(Announcement_, State_, {Now_, true});
     EXPECT_TRUE(Result.has_value());
     if (Apply)
       for (const Command &Each : Result.value().Proposals_)
         apply(Each);
-    return AnnouncementResult(Result.value());
+    return std::move(Result).value();
   }
   void place(std::uint64_t Attempt = 1) {
     const CommandResult Result =
