--- a/include/tulipweir/decide/Policy.h
+++ b/include/tulipweir/decide/Policy.h
@@ -41,7 +41,7 @@
   /// Quantile of measured usage that is reserved, 0.5 to 1.
   double UsageQuantile_ = 0.9;
   /// Added to that quantile, 0 to 1.
-  double UsageMargin_ = 0.05;
+  double UsageMargin_ = 0.02;
   /// Part of the declared size below which a learned reservation never goes,
   /// 0.05 to 1.
   double ReserveFloorPart_ = 0.2;
@@ -50,7 +50,7 @@
   /// Reports in a row over a target before a guard acts, 1 to 20.
   std::uint32_t GuardReports_ = 3;
   /// A tail under this part of its target lets throttling ease, 0.1 to 1.
-  double GuardReleasePart_ = 0.8;
+  double GuardReleasePart_ = 0.9;
   /// Speed of a throttled task in percent, 5 to 95.
   std::uint32_t ThrottlePercent_ = 40;
   /// Different jobs that must fail on a server, having run or runnable
