--- a/include/tulipweir/fleet/JobBook.h
+++ b/include/tulipweir/fleet/JobBook.h
@@ -10,6 +10,7 @@
 #ifndef TULIPWEIR_FLEET_JOBBOOK_H
 #define TULIPWEIR_FLEET_JOBBOOK_H
 
+#include "tulipweir/core/Error.h"
 #include "tulipweir/core/Ids.h"
 #include "tulipweir/fleet/Commands.h"
 
@@ -74,9 +75,10 @@
   std::size_t countOpen() const { return Jobs_.size() - Ended_.size(); }
   bool operator==(const JobBook &) const = default;
 
-  /// From a snapshot; the sets are built from the jobs.
-  static JobBook restore(std::map<JobId, FleetJob> Jobs,
-                         std::deque<JobId> Ended);
+  /// From a snapshot; the sets are built from the jobs. Malformed if Ended
+  /// does not name just the ended jobs.
+  static Outcome<JobBook> restore(std::map<JobId, FleetJob> Jobs,
+                                  std::deque<JobId> Ended);
 
 private:
   void finish(const JobId &Job, FleetJob &Record, JobEnd End,
--- a/src/fleet/BundleBook.cpp
+++ b/src/fleet/BundleBook.cpp
@@ -225,6 +225,37 @@
     Proposals_.erase(Oldest);
 }
 
+static bool isDigest(const Digest &Value) {
+  static constexpr std::size_t Letters = 64;
+  const std::string &Text = Value.value();
+  return Text.size() == Letters &&
+         Text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+/// Versions rise, from the archive on, and digests are digests.
+static bool isSound(const BundleHistory &History) {
+  std::uint64_t Last = 0;
+  for (const ArchivedBundle &One : History.archive()) {
+    if (One.Version_ <= Last)
+      return false;
+    Last = One.Version_;
+  }
+  for (const AcceptedBundle &One : History.recent()) {
+    if (One.Version_.value() <= Last || !isDigest(One.Digest_))
+      return false;
+    Last = One.Version_.value();
+  }
+  return History.latest() || History.archive().empty();
+}
+
+static bool isSound(const Digest &Value, const ProposedBundle &Proposal) {
+  if (Proposal.SignOffs_.empty() || computeDigest(Proposal.Text_) != Value)
+    return false;
+  const BundleCheck Check = checkBundle(Proposal.Text_);
+  return !Check.Bundle_.empty() &&
+         Check.Bundle_.front().Version_ == Proposal.Version_;
+}
+
 Outcome<BundleBook> BundleBook::restore(
     BundleHistory History, std::map<Digest, ProposedBundle> Proposals,
     std::deque<SupersededBundle> Superseded, std::uint64_t NextSequence) {
@@ -233,16 +264,20 @@
   Book.Proposals_ = std::move(Proposals);
   Book.Superseded_ = std::move(Superseded);
   Book.NextSequence_ = NextSequence;
+  if (!isSound(Book.History_))
+    return fail(ErrorCode::Malformed,
+                "the snapshot's history of bundles is not in order");
   if (const AcceptedBundle *Latest = Book.History_.latest()) {
     BundleCheck Check = checkBundle(Latest->Text_);
-    if (Check.Bundle_.empty())
+    if (Check.Bundle_.empty() ||
+        computeDigest(Latest->Text_) != Latest->Digest_ ||
+        Check.Bundle_.front().Version_ != Latest->Version_)
       return fail(ErrorCode::Malformed,
                   "the snapshot's bundle in force does not pass the check");
     Book.InForce_ = std::move(Check.Bundle_.front());
   }
   for (const auto &[Key, Proposal] : Book.Proposals_)
-    if (Proposal.SignOffs_.empty() ||
-        checkBundle(Proposal.Text_).Bundle_.empty())
+    if (!isSound(Key, Proposal))
       return fail(ErrorCode::Malformed,
                   "the snapshot's proposal " + Key.value() + " is not whole");
   return Book;
--- a/src/fleet/FleetCodec.cpp
+++ b/src/fleet/FleetCodec.cpp
@@ -228,7 +228,8 @@
       Parts.NextSequence_);
   if (!Bundles)
     return std::move(Bundles).as_failure();
-  return FleetState(
-      std::move(Bundles.value()),
-      JobBook::restore(std::move(Parts.Jobs_), std::move(Parts.Ended_)));
+  auto Jobs = JobBook::restore(std::move(Parts.Jobs_), std::move(Parts.Ended_));
+  if (!Jobs)
+    return std::move(Jobs).as_failure();
+  return FleetState(std::move(Bundles.value()), std::move(Jobs.value()));
 }
--- a/src/fleet/JobBook.cpp
+++ b/src/fleet/JobBook.cpp
@@ -4,6 +4,7 @@
 #include "Results.h"
 #include "tulipweir/fleet/Bundle.h"
 
+#include <algorithm>
 #include <utility>
 
 using namespace tulipweir;
@@ -200,8 +201,25 @@
   Ended_.pop_front();
 }
 
-JobBook JobBook::restore(std::map<JobId, FleetJob> Jobs,
-                         std::deque<JobId> Ended) {
+/// Each ended job once, and no other.
+static bool namesEnded(const std::map<JobId, FleetJob> &Jobs,
+                       const std::deque<JobId> &Ended) {
+  std::set<JobId> Named;
+  for (const JobId &Job : Ended) {
+    const auto Found = Jobs.find(Job);
+    if (Found == Jobs.end() || !Found->second.End_ || !Named.insert(Job).second)
+      return false;
+  }
+  const auto Count = std::ranges::count_if(
+      Jobs, [](const auto &Entry) { return Entry.second.End_.has_value(); });
+  return static_cast<std::size_t>(Count) == Named.size();
+}
+
+Outcome<JobBook> JobBook::restore(std::map<JobId, FleetJob> Jobs,
+                                  std::deque<JobId> Ended) {
+  if (!namesEnded(Jobs, Ended))
+    return fail(ErrorCode::Malformed,
+                "the snapshot's list of ended jobs does not fit its jobs");
   JobBook Book;
   Book.Jobs_ = std::move(Jobs);
   Book.Ended_ = std::move(Ended);
--- a/tests/fleet/BundleBookTest.cpp
+++ b/tests/fleet/BundleBookTest.cpp
@@ -184,3 +184,28 @@
   EXPECT_EQ(History.findVersion(BundleVersion(7))->Digest_, computeDigest("7"));
   EXPECT_FALSE(History.findVersion(BundleVersion(Count + 1)));
 }
+
+TEST_F(BundleBookTest, ASnapshotWhosePartsDoNotFitIsRefused) {
+  Book_.propose(makeProposal(makeNext("waits"), 1));
+  const AcceptedBundle InForce = *Book_.history().latest();
+  const auto Restore = [&](const std::deque<AcceptedBundle> &Recent) {
+    return BundleBook::restore(BundleHistory({}, Recent), Book_.proposals(), {},
+                               Book_.nextSequence());
+  };
+  EXPECT_EQ(Restore({InForce}).value(), Book_);
+  AcceptedBundle OtherVersion = InForce;
+  OtherVersion.Version_ = BundleVersion(2);
+  AcceptedBundle OtherText = InForce;
+  OtherText.Text_ += " ";
+  AcceptedBundle NoDigest = InForce;
+  NoDigest.Digest_ = Digest("x");
+  EXPECT_FALSE(Restore({OtherVersion}).has_value());
+  EXPECT_FALSE(Restore({OtherText}).has_value());
+  EXPECT_FALSE(Restore({NoDigest, InForce}).has_value());
+  EXPECT_FALSE(Restore({InForce, InForce}).has_value()) << "does not rise";
+  auto Proposals = Book_.proposals();
+  Proposals.begin()->second.Text_ += " ";
+  EXPECT_FALSE(BundleBook::restore(BundleHistory({}, {InForce}), Proposals, {},
+                                   Book_.nextSequence())
+                   .has_value());
+}
--- a/tests/fleet/FleetMachineTest.cpp
+++ b/tests/fleet/FleetMachineTest.cpp
@@ -81,10 +81,52 @@
   EXPECT_EQ(decodeState(Bytes).error().Code_, ErrorCode::VersionMismatch);
 }
 
+TEST(FleetCodecTest, AChangedSnapshotIsRefusedOrGoesOnWorking) {
+  FleetState Whole;
+  const auto First = makeBundleText(1, 0, "", 2, 1);
+  const auto Next = makeBundleText(2, 1, computeDigest(First).value(), 2, 2);
+  const auto Waiting = makeBundleText(3, 2, computeDigest(Next).value(), 2);
+  for (const std::string &Text : {First, Next, Waiting})
+    Whole.apply(makeProposal(Text, 1));
+  for (const char *Name : {"a", "b", "c"})
+    Whole.apply(SubmitJob{JobId(Name), TeamId("t"), "s", {}, 1});
+  Whole.apply(AssignJob{JobId("a"), DataCentreId("dc")});
+  Whole.apply(CancelJob{JobId("b")});
+  const std::string Bytes = encodeState(Whole);
+  std::mt19937_64 Random(11);
+  std::size_t Taken = 0;
+  for (int Round = 0; Round < 4000; ++Round) {
+    std::string Changed = Bytes;
+    // Jobs and their ends stand at the end; the texts have their digests.
+    const std::size_t Tail = Round % 2 ? Bytes.size() : 400;
+    Changed[Bytes.size() - 1 - Random() % Tail] = static_cast<char>(Random());
+    auto Decoded = decodeState(Changed);
+    if (!Decoded)
+      continue;
+    ++Taken;
+    FleetState &State = Decoded.value();
+    for (const char *Name : {"a", "b", "c"}) {
+      State.apply(AssignJob{JobId(Name), DataCentreId("x")});
+      State.apply(ReleaseJob{JobId(Name), 1, true, ""});
+    }
+    State.apply(makeSigning(Waiting, 2));
+    std::size_t Open = State.jobs().unassigned().size();
+    for (const auto &Entry : State.jobs().held())
+      Open += Entry.second.size();
+    EXPECT_EQ(State.jobs().countOpen(), Open);
+  }
+  EXPECT_GT(Taken, 0U);
+}
+
 TEST(FleetCodecTest, ReportsAndRepliesSurviveTheRoundTrip) {
   const AssignmentReport Report{
       DataCentreId("dc"), true, {0.5, 3, 48}, {{JobId("j"), 2}}};
   EXPECT_EQ(decodeReport(encodeReport(Report)).value(), Report);
+  for (const double Reserved : {0.0, 1.0}) {
+    AssignmentReport Other = Report;
+    Other.Load_.Reserved_ = Reserved;
+    EXPECT_EQ(decodeReport(encodeReport(Other)).value(), Other);
+  }
   const AssignmentReply Reply{{{JobId("j"), 2}}};
   EXPECT_EQ(decodeReply(encodeReply(Reply)).value(), Reply);
 }
--- a/tests/fleet/JobBookTest.cpp
+++ b/tests/fleet/JobBookTest.cpp
@@ -106,3 +106,17 @@
   const std::string LongProgress(JobBook::MaxProgressBytes + 1, 'x');
   EXPECT_EQ(Book.release(makeRelease(1, LongProgress)).Error_, "too_large");
 }
+
+TEST(JobBookTest, ASnapshotWhoseEndedJobsDoNotFitIsRefused) {
+  JobBook Book;
+  Book.submit(makeJob(Job));
+  Book.submit(makeJob(JobId("ended")));
+  Book.cancel({JobId("ended")});
+  const auto Jobs = Book.jobs();
+  EXPECT_EQ(JobBook::restore(Jobs, Book.ended()).value(), Book);
+  for (const std::deque<JobId> &Wrong : {std::deque<JobId>{},
+                                         {Job},
+                                         {JobId("ended"), JobId("none")},
+                                         {JobId("ended"), JobId("ended")}})
+    EXPECT_FALSE(JobBook::restore(Jobs, Wrong).has_value());
+}
