--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -101,6 +101,18 @@
             ErrorCode::Unavailable);
 }
 
+TEST_F(HttpClientTest, saysNothingSentWhenConnectingTakesTooLong) {
+  Settings_.ConnectTimeout_ = 30ms;
+  // One connection fills this listener; the system drops what follows.
+  const RawSocket Full = RawSocket::listen(0, 0);
+  To_ = Full.getAddress();
+  const RawSocket Filling = RawSocket::connect(To_);
+  expectEnd(send(makePost("x")).get(), HttpStage::NothingSent,
+            ErrorCode::Unavailable);
+  expectEnd(send(makePost("x"), 10ms).get(), HttpStage::NothingSent,
+            ErrorCode::Timeout);
+}
+
 TEST_F(HttpClientTest, saysNothingSentWhenTheDeadlineHasPassed) {
   expectEnd(send(makePost("x"), -1s).get(), HttpStage::NothingSent,
             ErrorCode::Timeout);
