--- a/src/ctl/JobCommands.cpp
+++ b/src/ctl/JobCommands.cpp
@@ -62,10 +62,10 @@
   return askAndShow(Context, {"GET", "/jobs", Query, "", {}}, printJobs);
 }
 
-/// Times in UTC; everything else as it is.
+/// Times in UTC, "-" if it was not noted; everything else as it is.
 static std::string showJobField(const std::string &Name, const json &Value) {
   if (Name.ends_with("WallMs") && Value.is_number_unsigned())
-    return showWallTime(Value.get<std::uint64_t>());
+    return Value == 0 ? "-" : showWallTime(Value.get<std::uint64_t>());
   const std::string Shown = showValue(Value);
   return Shown.empty() ? "-" : Shown;
 }
--- a/tests/ctl/CommandsTest.cpp
+++ b/tests/ctl/CommandsTest.cpp
@@ -103,11 +103,12 @@
   EXPECT_EQ(Err_.str(), "warning: too big\n");
   Api_.Answers_.clear();
   answer(200, R"({"job": "j", "submittedWallMs": 1764685800000,
-    "spec": {"priority": 3}, "taskList": [{"index": 0, "state": "running",
+    "endedWallMs": 0, "spec": {"priority": 3}, "taskList": [{"index": 0, "state": "running",
     "attempt": 2, "server": "vm-1"}]})");
   EXPECT_EQ(run({"job", "show", "j"}), CtlExit::Success);
   EXPECT_THAT(Out_.str(), ContainsRegex("spec.priority +3\n"));
   EXPECT_THAT(Out_.str(), ContainsRegex("WallMs +2025-12-02 14:30:00\n"));
+  EXPECT_THAT(Out_.str(), ContainsRegex("endedWallMs +-\n"));
   EXPECT_THAT(Out_.str(), ContainsRegex("0 +running +2 +vm-1"));
 }
 
