Stop control processes as planned, tested whole on loopback

Cause: a planned stop must cut nothing off, and wrong folders and addresses must be refused with their exit codes. Change: tests of whole processes; silence is compared as times, since a server that was never heard has no difference to now (a signed overflow, seen in the first run of the sanitizers).

--- a/src/control/DataCentreLeadership.cpp
+++ b/src/control/DataCentreLeadership.cpp
@@ -272,10 +272,11 @@
 
 ServerReach DataCentreLeadership::findReach(const BackendServerId &Server,
                                             TimePoint Now) const {
-  const Duration Silence = Now - Servers_.findHeardAt(Server);
-  if (Silence < Settings_.Servers_.SilentAfter_)
+  // Compared as times, as "never" has no difference to now.
+  const TimePoint HeardAt = Servers_.findHeardAt(Server);
+  if (HeardAt > Now - Settings_.Servers_.SilentAfter_)
     return ServerReach::Heard;
-  const bool Gone = Silence >= Settings_.Servers_.Leases_.longestRun();
+  const bool Gone = HeardAt <= Now - Settings_.Servers_.Leases_.longestRun();
   return Gone ? ServerReach::Gone : ServerReach::Silent;
 }
 
--- a/src/control/ServerRoutes.cpp
+++ b/src/control/ServerRoutes.cpp
@@ -96,8 +96,9 @@
       One["routable"] = Flags.Routable_;
       One["quarantined"] = Flags.Quarantined_;
       One["state"] = describeServer(Flags);
-      const Duration Silence = Now - Leader.servers().findHeardAt(Id);
-      One["heardMsAgo"] = duration_cast<milliseconds>(Silence).count();
+      const TimePoint HeardAt = Leader.servers().findHeardAt(Id);
+      if (HeardAt != TimePoint::min())
+        One["heardMsAgo"] = duration_cast<milliseconds>(Now - HeardAt).count();
       Servers.push_back(std::move(One));
     }
   });
--- /dev/null
+++ b/tests/control/ControlProcessTest.cpp
@@ -0,0 +1,114 @@
+//===- ControlProcessTest.cpp - Whole control processes on loopback -------===//
+
+#include "tulipweir/control/ControlProcess.h"
+#include "tulipweir/net/IoPool.h"
+#include "tulipweir/net/Link.h"
+#include "tulipweir/wire/Messages.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <filesystem>
+#include <future>
+#include <thread>
+#include <unistd.h>
+
+using namespace tulipweir;
+using namespace tulipweir::control;
+using net::ExitCode;
+
+namespace {
+class ControlProcessTest : public testing::Test {
+protected:
+  ControlProcessTest() {
+    Folder_ = testing::TempDir() + "control-" + std::to_string(::getpid()) +
+              "-" +
+              testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::filesystem::remove_all(Folder_);
+    Settings_.Name_ = "c1";
+    Settings_.DataCentre_ = "east";
+    Settings_.Secret_ = "0123456789abcdef";
+    Settings_.DataFolder_ = Folder_;
+    Settings_.ListenLinks_ = {"127.0.0.1", 0};
+    Settings_.ListenHttp_ = {"127.0.0.1", 0};
+    Settings_.DataCentreMembers_ = {{"c1", {"127.0.0.1", 1}}};
+    Settings_.FleetMembers_ = Settings_.DataCentreMembers_;
+  }
+  ~ControlProcessTest() override { std::filesystem::remove_all(Folder_); }
+
+  ExitCode start() {
+    Process_ = std::make_unique<ControlProcess>(Settings_, Time_);
+    const ExitCode Code = Process_->start().Code_;
+    if (Code != ExitCode::Success)
+      return Code;
+    net::LinkSettings Link;
+    Link.Secret_ = Settings_.Secret_;
+    Client_ = std::make_unique<net::LinkClient>(
+        Pool_.context(), Process_->getLinkEndpoint(), Link);
+    Client_->start();
+    return Code;
+  }
+  using Answer = Outcome<wire::OperatorAnswer>;
+  std::future<Answer> ask(const std::string &Path, const std::string &Query) {
+    auto Got = std::make_shared<std::promise<Answer>>();
+    Client_->request(wire::OperatorCall{"GET", Path, Query, ""},
+                     std::chrono::seconds(30),
+                     [Got](Answer Reply) { Got->set_value(Reply); });
+    return Got->get_future();
+  }
+  /// Asks until the control leads and answers with 200.
+  bool waitForLeader() {
+    for (int Try = 0; Try < 1000; ++Try) {
+      const Answer Got = ask("/servers", "").get();
+      if (Got && Got.value().Status_ == 200)
+        return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+
+  SystemClock Time_;
+  ControlSettings Settings_;
+  std::string Folder_;
+  net::IoPool Pool_{1};
+  std::unique_ptr<ControlProcess> Process_;
+  std::unique_ptr<net::LinkClient> Client_;
+};
+} // namespace
+
+TEST_F(ControlProcessTest, LeadsAloneAndStopsAsPlanned) {
+  ASSERT_EQ(start(), ExitCode::Success);
+  EXPECT_TRUE(waitForLeader());
+  EXPECT_NE(Process_->makeStateDump().find("\"leadsDataCentre\":true"),
+            std::string::npos);
+  EXPECT_EQ(Process_->stop(), ExitCode::Success);
+  EXPECT_EQ(start(), ExitCode::Success) << "and starts over its own folder";
+  EXPECT_TRUE(waitForLeader());
+}
+
+TEST_F(ControlProcessTest, APlannedStopAnswersTheCallsInProgress) {
+  ASSERT_EQ(start(), ExitCode::Success);
+  ASSERT_TRUE(waitForLeader());
+  auto Waiting = ask("/decisions", "waitMs=20000&after=99999999999999");
+  while (Process_->makeStateDump().find("\"callsInProgress\":1") ==
+         std::string::npos)
+    std::this_thread::yield();
+  EXPECT_EQ(Process_->stop(), ExitCode::Success);
+  const Answer Got = Waiting.get();
+  ASSERT_TRUE(Got) << Got.error().Message_;
+  EXPECT_EQ(Got.value().Status_, 200U);
+}
+
+TEST_F(ControlProcessTest, AnAddressInUseAndAForeignFolderAreRefused) {
+  ASSERT_EQ(start(), ExitCode::Success);
+  Settings_.ListenLinks_ = Process_->getLinkEndpoint();
+  Settings_.DataFolder_ = Folder_ + "/other";
+  ControlProcess Second(Settings_, Time_);
+  EXPECT_EQ(Second.start().Code_, ExitCode::CannotListen);
+  EXPECT_EQ(Process_->stop(), ExitCode::Success);
+  Settings_.DataFolder_ = Folder_;
+  Settings_.Name_ = "c2";
+  Settings_.ListenLinks_.Port_ = 0;
+  ControlProcess Stranger(Settings_, Time_);
+  EXPECT_EQ(Stranger.start().Code_, ExitCode::StorageFailed);
+}
