--- a/bench/datacentre/ApplyBench.cpp
+++ b/bench/datacentre/ApplyBench.cpp
@@ -81,6 +81,22 @@
 }
 BENCHMARK(evictAndPlace)->Arg(1300)->Arg(13000);
 
+static void codeCommand(benchmark::State &Run) {
+  const Command Value = PlaceTask{{JobId("job-1"), 7},
+                                  AttemptNumber(3),
+                                  serverId(1),
+                                  BootId("boot"),
+                                  Resources::makeFor(100, 100)};
+  std::size_t Bytes = 0;
+  for (auto _ : Run) {
+    const std::string Coded = encodeCommand(Value);
+    benchmark::DoNotOptimize(decodeCommand(Coded));
+    Bytes = Coded.size();
+  }
+  Run.counters["bytes"] = static_cast<double>(Bytes);
+}
+BENCHMARK(codeCommand);
+
 /// Bytes that the allocator has handed out.
 static double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
 
@@ -118,22 +134,6 @@
 }
 BENCHMARK(beginAndFinish)->Arg(10'000)->Arg(1'000'000);
 
-static void codeCommand(benchmark::State &Run) {
-  const Command Value = PlaceTask{{JobId("job-1"), 7},
-                                  AttemptNumber(3),
-                                  serverId(1),
-                                  BootId("boot"),
-                                  Resources::makeFor(100, 100)};
-  std::size_t Bytes = 0;
-  for (auto _ : Run) {
-    const std::string Coded = encodeCommand(Value);
-    benchmark::DoNotOptimize(decodeCommand(Coded));
-    Bytes = Coded.size();
-  }
-  Run.counters["bytes"] = static_cast<double>(Bytes);
-}
-BENCHMARK(codeCommand);
-
 static void codeSnapshot(benchmark::State &Run) {
   const DataCentreState State = makeState(13000);
   std::size_t Bytes = 0;
--- a/include/tulipweir/datacentre/SlotLedger.h
+++ b/include/tulipweir/datacentre/SlotLedger.h
@@ -32,6 +32,7 @@
 #include "tulipweir/datacentre/Commands.h"
 #include "tulipweir/datacentre/Leadership.h"
 #include "tulipweir/datacentre/RequestRecords.h"
+#include "tulipweir/datacentre/SlotAmount.h"
 #include "tulipweir/datacentre/SlotShares.h"
 #include "tulipweir/wire/Messages.h"
 
@@ -66,13 +67,6 @@
   bool operator==(const SlotServer &) const = default;
 };
 
-/// Slots and connections of one server.
-struct SlotAmount {
-  std::uint32_t Slots_ = 0;
-  std::uint32_t Connections_ = 0;
-  auto operator<=>(const SlotAmount &) const = default;
-};
-
 /// One entry process, for the dump.
 struct EntryView {
   EntryId Entry_;
--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -21,30 +21,6 @@
 static constexpr double FullFactor = 1.5;
 static constexpr int TermShift = 32;
 
-static SlotAmount max(const SlotAmount &One, const SlotAmount &Other) {
-  return {std::max(One.Slots_, Other.Slots_),
-          std::max(One.Connections_, Other.Connections_)};
-}
-
-static SlotAmount min(const SlotAmount &One, const SlotAmount &Other) {
-  return {std::min(One.Slots_, Other.Slots_),
-          std::min(One.Connections_, Other.Connections_)};
-}
-
-static SlotAmount plus(const SlotAmount &One, const SlotAmount &Other) {
-  return {One.Slots_ + Other.Slots_, One.Connections_ + Other.Connections_};
-}
-
-static std::uint32_t minusOrZero(std::uint32_t From, std::uint32_t Amount) {
-  return From > Amount ? From - Amount : 0;
-}
-
-static SlotAmount minusOrZero(const SlotAmount &From,
-                              const SlotAmount &Amount) {
-  return {minusOrZero(From.Slots_, Amount.Slots_),
-          minusOrZero(From.Connections_, Amount.Connections_)};
-}
-
 static SlotAmount capacityOf(const SlotServer &Server) {
   return {Server.Slots_, Server.Connections_};
 }
@@ -108,7 +84,7 @@
 }
 
 void SlotLedger::setHeld(Share &Of, Server &At, const SlotAmount &Amount) {
-  At.Sum_ = plus(minusOrZero(At.Sum_, Of.Held_), Amount);
+  At.Sum_ = At.Sum_.minusOrZero(Of.Held_).plus(Amount);
   Of.Held_ = Amount;
 }
 
@@ -167,7 +143,7 @@
     Share &Of = From.Shares_[Found->second];
     // An entry may still have requests in flight to an earlier boot.
     if (!Latest)
-      Of.Shown_ = plus(Of.Shown_, {Held.Slots_, Held.Connections_});
+      Of.Shown_ = Of.Shown_.plus({Held.Slots_, Held.Connections_});
     Of.InFlight_ += Held.InFlight_;
   }
 }
@@ -183,9 +159,9 @@
     Server &At = Servers_[Position];
     const SlotAmount Running{Of.InFlight_, Of.InFlight_};
     const SlotAmount Granted = From.Stopping_ ? SlotAmount{} : Of.Offered_;
-    setHeld(Of, At, max(Granted, Running));
+    setHeld(Of, At, Granted.maxWith(Running));
     if (!From.Confirmed_)
-      At.Earlier_ = minusOrZero(At.Earlier_, Of.Replaced_);
+      At.Earlier_ = At.Earlier_.minusOrZero(Of.Replaced_);
   }
   From.Confirmed_ = true;
 }
@@ -195,7 +171,7 @@
 void SlotLedger::noteReplaced(Holder &To, bool OfEarlier, bool NewTable) {
   for (auto &[Position, Of] : To.Shares_) {
     const SlotAmount GivenUp = OfEarlier ? Of.Shown_ : SlotAmount{};
-    Of.Replaced_ = NewTable ? GivenUp : min(Of.Replaced_, GivenUp);
+    Of.Replaced_ = NewTable ? GivenUp : Of.Replaced_.minWith(GivenUp);
   }
 }
 
@@ -225,13 +201,13 @@
   const SlotAmount Wanted =
       Settling && Of.Shown_.Slots_ > 0 ? Of.Shown_ : Of.Target_;
   const SlotAmount Free =
-      minusOrZero(capacityOf(At.Info_), plus(At.Sum_, At.Earlier_));
+      capacityOf(At.Info_).minusOrZero(At.Sum_.plus(At.Earlier_));
   // Until it shows a table of ours its account is not known; but what it named
   // in this report it holds if it takes the answer.
   const bool ByReport = !To.Confirmed_ && Settling;
   const SlotAmount Has = ByReport ? Of.Shown_ : Of.Held_;
-  SlotAmount Offer = min(Wanted, plus(Has, Free));
-  Offer = min(Offer, capacityOf(At.Info_));
+  SlotAmount Offer = Wanted.minWith(Has.plus(Free));
+  Offer = Offer.minWith(capacityOf(At.Info_));
   Offer.Slots_ = std::min(Offer.Slots_, Offer.Connections_);
   if (Offer.Slots_ == 0)
     Offer.Connections_ = 0;
@@ -258,7 +234,7 @@
   To.Version_ = NextVersion_++;
   for (auto &[Position, Of] : To.Shares_) {
     Of.Offered_ = Offers[Position];
-    setHeld(Of, Servers_[Position], max(Of.Held_, Of.Offered_));
+    setHeld(Of, Servers_[Position], Of.Held_.maxWith(Of.Offered_));
   }
   return true;
 }
@@ -290,12 +266,12 @@
   Server &At = Servers_[Found->second];
   const SlotAmount Busy{BusySlots, BusySlots};
   if (SampledAt >= SettledAt_)
-    At.Earlier_ = min(At.Earlier_, Busy);
+    At.Earlier_ = At.Earlier_.minWith(Busy);
   for (auto &[Key, Each] : Holders_) {
     const auto Of = Each.Shares_.find(Found->second);
     if (Of == Each.Shares_.end() || SampledAt < Each.GrantEnd_)
       continue;
-    setHeld(Of->second, At, min(Of->second.Held_, Busy));
+    setHeld(Of->second, At, Of->second.Held_.minWith(Busy));
     // If it comes back it needs a new table.
     Each.Version_ = 0;
   }
@@ -373,7 +349,7 @@
   if (Found == Positions_.end())
     return {};
   const Server &At = Servers_[Found->second];
-  return plus(At.Sum_, At.Earlier_);
+  return At.Sum_.plus(At.Earlier_);
 }
 
 std::vector<EntryView> SlotLedger::listEntries(TimePoint Now) const {
--- a/tests/datacentre/ServerLedgerTest.cpp
+++ b/tests/datacentre/ServerLedgerTest.cpp
@@ -21,7 +21,7 @@
 
   CommandResult apply(const Command &Value) {
     std::vector<Change> Changes;
-    const CommandResult Result = State_.apply(Value, 1, ++Index_, &Changes);
+    CommandResult Result = State_.apply(Value, 1, ++Index_, &Changes);
     for (const Change &Each : Changes)
       Ledger_.note(Each);
     Ledger_.noteDone(Value);
@@ -253,3 +253,11 @@
   Announcement_ = Old;
   EXPECT_TRUE(kinds(announce(false)).empty()) << "started, then ended as lost";
 }
+
+TEST_F(ServerLedgerTest, AnotherLedgerOfTheSameTermWaitsForLeasesOfTheFirst) {
+  startRunning();
+  ServerLedger Next(Settings_, 1, Now_, State_);
+  EXPECT_TRUE(Next.onTick(State_, Now_ + Settings_.SilentAfter_).empty());
+  EXPECT_EQ(Next.onTick(State_, Now_ + Settings_.Leases_.longestRun()).size(),
+            1u);
+}
