--- a/bench/replication/CommitBench.cpp
+++ b/bench/replication/CommitBench.cpp
@@ -28,7 +28,7 @@
 
 constexpr int Clients = 64;
 constexpr auto LoadTime = 3s;
-constexpr int Kills = 7;
+constexpr int Kills = 12;
 constexpr int Restarts = 9;
 constexpr int RestartEntries = 100'000;
 constexpr double MinBatchingGain = 10;
@@ -197,7 +197,8 @@
 
 static double measureRate(const std::filesystem::path &Root,
                           std::uint64_t MaxBatch) {
-  Group Members(Root, {"a", "b", "c"}, MaxBatch, 10'000);
+  Group Members(Root, {"a", "b", "c"}, MaxBatch,
+                ReplicaSettings().SnapshotEvery_);
   Members.commit("first");
   auto Start = std::chrono::steady_clock::now();
   Load Clients64(Members.waitForLeader());
@@ -211,7 +212,7 @@
 
 /// Returns the longest of several, in election timeouts.
 static double measureFailover(const std::filesystem::path &Root) {
-  Group Members(Root, {"a", "b", "c"}, 1024, 10'000);
+  Group Members(Root, {"a", "b", "c"}, 1024, ReplicaSettings().SnapshotEvery_);
   Members.commit("first");
   std::chrono::duration<double> Timeout =
       Members.getSettings().ElectionTimeout_;
@@ -237,12 +238,15 @@
 static double measureRestart(const std::filesystem::path &Root,
                              std::uint64_t SnapshotEvery) {
   std::uint64_t Entries = 0;
+  std::uint64_t LogBytes = 0;
   {
     Group Single(Root, {"a"}, 1024, SnapshotEvery);
     Single.commit("first");
     Load Writers(Single.waitForLeader());
     Writers.run(Clients * 4, RestartEntries, 10min);
-    Entries = Single.waitForLeader().getStatus().AppliedIndex_;
+    ReplicaStatus Status = Single.waitForLeader().getStatus();
+    Entries = Status.AppliedIndex_;
+    LogBytes = Status.LogBytes_;
   }
   std::vector<double> Times;
   for (int Each = 0; Each < Restarts; ++Each) {
@@ -254,9 +258,11 @@
   }
   std::sort(Times.begin(), Times.end());
   double Seconds = Times[Times.size() / 2];
-  std::printf("restart after %lu entries, %s snapshots: %.1f ms\n",
+  std::printf("restart after %lu entries, %s snapshots, %lu KiB of log: "
+              "%.1f ms\n",
               static_cast<unsigned long>(Entries),
-              SnapshotEvery == 0 ? "without" : "with", Seconds * 1e3);
+              SnapshotEvery == 0 ? "without" : "with",
+              static_cast<unsigned long>(LogBytes / 1024), Seconds * 1e3);
   return Seconds;
 }
 
@@ -273,7 +279,7 @@
   double Single = measureRate(Root / "single", 1);
   double Failover = measureFailover(Root / "failover");
   double Without = measureRestart(Root / "without", 0);
-  double With = measureRestart(Root / "with", 10'000);
+  double With = measureRestart(Root / "with", ReplicaSettings().SnapshotEvery_);
   std::filesystem::remove_all(Root);
 
   double Gain = Batched / Single;
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -58,8 +58,10 @@
   std::vector<std::string> FirstVoters_;
   Duration ElectionTimeout_ = std::chrono::milliseconds(500);
   Duration HeartbeatInterval_ = std::chrono::milliseconds(100);
-  std::uint64_t SnapshotEvery_ = 10'000; ///< Entries between snapshots.
-  std::uint64_t Seed_ = 0;               ///< For election jitter.
+  /// Least number of entries between snapshots; 0 for none. A state larger than
+  /// these entries is saved more rarely, up to eight times this number.
+  std::uint64_t SnapshotEvery_ = 5'000;
+  std::uint64_t Seed_ = 0;        ///< For election jitter.
   std::uint64_t MaxBatch_ = 1024; ///< Entries that share one sync; 1 for none.
   /// Whether the leader replaces, by committed changes, the old incarnation of
   /// a member that lost its disk by the one that now runs under its name.
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -211,6 +211,7 @@
   void dropLeadership();
   void countVotes();
   void resetElectionTimer();
+  void setElectionTimer(Duration AtLeast);
   bool hasHeardLeaderLately() const;
   bool isUpToDate(const VoteRequest &Request) const;
   bool admitTerm(const Message &From);
--- a/src/replication/RaftElection.cpp
+++ b/src/replication/RaftElection.cpp
@@ -3,28 +3,30 @@
 
 #include "replication/RaftCore.h"
 
+#include <algorithm>
 #include <cassert>
 
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
 void RaftCore::resetElectionTimer() {
+  setElectionTimer(Settings_.ElectionTimeout_ * 5 / 4);
+}
+
+/// Sets the deadline between AtLeast and half an election timeout more.
+void RaftCore::setElectionTimer(Duration AtLeast) {
   std::uniform_int_distribution<Duration::rep> Spread(
-      0, Settings_.ElectionTimeout_.count() * 3 / 4);
-  ElectionDeadline_ =
-      Now_ + Settings_.ElectionTimeout_ * 5 / 4 + Duration(Spread(Random_));
+      0, Settings_.ElectionTimeout_.count() / 2);
+  ElectionDeadline_ = Now_ + AtLeast + Duration(Spread(Random_));
 }
 
 void RaftCore::startPreVote() {
   Role_ = Role::PreCandidate;
   Leader_.reset();
   Votes_ = {{Settings_.Self_, true}};
-  // Another try comes sooner than the first, so that a vote refused only
-  // because the voter heard the leader a little later costs little.
-  std::uniform_int_distribution<Duration::rep> Spread(
-      0, Settings_.ElectionTimeout_.count() / 4);
-  ElectionDeadline_ =
-      Now_ + Settings_.ElectionTimeout_ / 4 + Duration(Spread(Random_));
+  // Another try comes sooner than the first: this one may be refused only
+  // because a voter heard the leader a little later.
+  setElectionTimer(Settings_.ElectionTimeout_ / 4);
   askForVotes(true, false);
   countVotes();
 }
@@ -34,7 +36,9 @@
   Leader_.reset();
   setHard({Hard_.Term_ + 1, Settings_.Self_});
   Votes_ = {{Settings_.Self_, true}};
-  resetElectionTimer();
+  // Long enough for two syncs and a round trip; but split votes must not take
+  // the whole time again.
+  setElectionTimer(Settings_.ElectionTimeout_ / 2);
   askForVotes(false, IsTransfer);
   countVotes();
 }
@@ -160,6 +164,10 @@
   if (Body.PreVote_) {
     Reply.Granted_ =
         From.Term_ > Hard_.Term_ && !hasHeardLeaderLately() && isUpToDate(Body);
+    // Two that try at once would split the votes.
+    if (Reply.Granted_)
+      ElectionDeadline_ =
+          std::max(ElectionDeadline_, Now_ + Settings_.ElectionTimeout_ / 4);
     std::uint64_t Term = Reply.Granted_ ? From.Term_ : Hard_.Term_;
     send(Out_.Late_, From.From_, Term, Reply);
     return;
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -9,6 +9,9 @@
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
+/// A snapshot is taken at the latest after so many times SnapshotEvery_.
+constexpr std::uint64_t MaxSnapshotDelay = 8;
+
 static CoreSettings makeCoreSettings(const ReplicaSettings &From,
                                      const MemberId &Self) {
   CoreSettings Core;
@@ -24,6 +27,15 @@
                   Settings.ElectionTimeout_ / 10);
 }
 
+/// Members take their snapshots at different entries, so that they don't stall
+/// all at once.
+static std::uint64_t planFirstSnapshot(const ReplicaSettings &Settings,
+                                       std::uint64_t Applied) {
+  std::uint64_t Spread = Settings.SnapshotEvery_ / 2 + 1;
+  std::uint64_t Less = std::hash<std::string>()(Settings.Name_) % Spread;
+  return Applied + Settings.SnapshotEvery_ - Less;
+}
+
 bool ReplicaDriver::Inbox::isEmpty() const {
   return Synced_.empty() && Messages_.empty() && Calls_.empty() &&
          Reads_.empty() && Changes_.empty() && Transfers_.empty() &&
@@ -38,8 +50,10 @@
             Start.Stored_),
       Founder_(Start.Owner_, Settings_.FirstVoters_),
       Hard_(Start.Stored_.Hard_), Applied_(Core_.getCommit()),
-      LastSnapshot_(Applied_), NextTick_(Time.now()), NextAsk_(Time.now()),
-      NextRejoin_(Time.now()) {
+      NextSnapshot_(planFirstSnapshot(Settings_, Applied_)),
+      NextTick_(Time.now()), NextAsk_(Time.now()), NextRejoin_(Time.now()) {
+  if (Start.Stored_.Snapshot_)
+    SnapshotBytes_ = Start.Stored_.Snapshot_->State_.size();
   Status_.Self_ = Start.Owner_.Self_;
   Status_.LostDisk_ = Start.LostDisk_;
   Status_.IsDurable_ = !Settings_.Folder_.empty();
@@ -261,7 +275,9 @@
     return;
   }
   Applied_ = From.Index_;
-  LastSnapshot_ = From.Index_;
+  NextSnapshot_ = From.Index_ + Settings_.SnapshotEvery_;
+  SnapshotBytes_ = From.State_.size();
+  BytesSinceSnapshot_ = 0;
 }
 
 void ReplicaDriver::applyAll(const std::vector<LogEntry> &Entries) {
@@ -272,19 +288,32 @@
     if (Entry.Kind_ == EntryKind::Command)
       Result = Machine_.apply({Entry.Term_, Entry.Index_, Entry.Command_});
     Applied_ = Entry.Index_;
+    BytesSinceSnapshot_ += Entry.Command_.size();
     Pending_.apply(Entry, std::move(Result));
   }
   Pending_.reachIndex(Applied_);
 }
 
+/// Snapshots cost no more bytes than the log itself, and are never put off for
+/// more than a few times the usual distance.
+bool ReplicaDriver::isSnapshotDue() const {
+  bool IsWanted = Settings_.SnapshotEvery_ != 0 && !HasFailed_;
+  if (!IsWanted || Applied_ < NextSnapshot_)
+    return false;
+  std::uint64_t Latest =
+      NextSnapshot_ + Settings_.SnapshotEvery_ * (MaxSnapshotDelay - 1);
+  return BytesSinceSnapshot_ >= SnapshotBytes_ || Applied_ >= Latest;
+}
+
 void ReplicaDriver::takeSnapshotIfDue() {
-  bool IsDue = Settings_.SnapshotEvery_ != 0 && !HasFailed_ &&
-               Applied_ >= LastSnapshot_ + Settings_.SnapshotEvery_;
-  if (!IsDue)
+  if (!isSnapshotDue())
     return;
-  LastSnapshot_ = Applied_;
+  NextSnapshot_ = Applied_ + Settings_.SnapshotEvery_;
   std::uint64_t Kept = std::min(Applied_, Settings_.SnapshotEvery_ / 10);
-  step(SnapshotTaken{Applied_, Machine_.takeSnapshot(), Applied_ - Kept});
+  std::string State = Machine_.takeSnapshot();
+  SnapshotBytes_ = State.size();
+  BytesSinceSnapshot_ = 0;
+  step(SnapshotTaken{Applied_, std::move(State), Applied_ - Kept});
 }
 
 Holdings ReplicaDriver::getHoldings() const {
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -90,6 +90,7 @@
   void write(Outputs &Out);
   void restore(const Snapshot &From);
   void applyAll(const std::vector<LogEntry> &Entries);
+  bool isSnapshotDue() const;
   void takeSnapshotIfDue();
   Holdings getHoldings() const;
   std::vector<MemberId> getWaiting() const;
@@ -110,7 +111,9 @@
   PendingCalls Pending_;
   HardState Hard_;
   std::uint64_t Applied_ = 0;
-  std::uint64_t LastSnapshot_ = 0;
+  std::uint64_t NextSnapshot_ = 0;
+  std::uint64_t SnapshotBytes_ = 0;      ///< Size of the last one.
+  std::uint64_t BytesSinceSnapshot_ = 0; ///< Of commands applied.
   bool WasLeader_ = false;
   bool HasFailed_ = false;
   TimePoint NextTick_;
