--- a/src/decide/Interference.h
+++ b/src/decide/Interference.h
@@ -38,8 +38,9 @@
 class Interference {
 public:
   /// Learns from one sample. Loads is what ran when it was taken.
-  void learn(ServiceIndex Service, const ServiceSample &Sample,
-             const ClassLoads &Loads);
+  /// TargetMicros bounds the first guess of the p99 alone; 0 without one.
+  void learn(ServiceIndex Service, LoadBand Band, const ServiceSample &Sample,
+             const ClassLoads &Loads, double TargetMicros);
 
   PairEffect effectOf(ServiceIndex Service, ClassIndex Class, LoadBand Band,
                       TimePoint Now) const;
@@ -49,7 +50,7 @@
   double predict(ServiceIndex Service, LoadBand Band, const ClassLoads &Loads,
                  TimePoint Now) const;
   /// The service's p99 alone on a server, in microseconds; 0 if unknown.
-  double aloneMicros(ServiceIndex Service, std::uint32_t LoadPercent) const;
+  double aloneMicros(ServiceIndex Service, LoadBand Band) const;
 
 private:
   struct Pair {
@@ -64,13 +65,12 @@
 
   const Pair *findPair(ServiceIndex Service, ClassIndex Class,
                        LoadBand Band) const;
-  void learnAlone(Alone &Base, double Micros, double Predicted, bool IsAlone);
+  void learnAlone(Alone &Base, double Micros, double Predicted, bool IsAlone,
+                  double TargetMicros);
   void dropWeakest();
 
   std::unordered_map<std::uint64_t, Pair> Pairs_;
-  /// Finer than the bands: within one the p99 alone still rises with the load.
-  static constexpr std::size_t LoadSteps = 21;
-  std::vector<std::array<Alone, LoadSteps>> Alone_;
+  std::vector<std::array<Alone, LoadBands>> Alone_;
 };
 
 } // namespace tulipweir::decide
--- a/src/decide/ServerTable.h
+++ b/src/decide/ServerTable.h
@@ -37,6 +37,7 @@
   std::uint32_t OverReports_ = 0; ///< In a row over its reservation.
   TimePoint IgnoreUsageUntil_;    ///< Samples taken before say nothing new.
   TimePoint PendingUntil_;        ///< A decision about it awaits its effect.
+  std::uint32_t Relapses_ = 0;    ///< Releases after which the tail rose.
   bool GuardPending_ = false;     ///< That decision was the tail guard's.
   bool Unproven_ = false; ///< Its class's size is a guess, and no sample came.
   bool HealthNoted_ = false;
@@ -47,8 +48,8 @@
 /// One service's late reports from one server.
 struct ServiceState {
   ServiceIndex Service_ = 0;
-  std::uint32_t LoadPercent_ = 0;
-  std::uint32_t PeakPercent_ = 0; ///< Highest of late: waves come again.
+  LoadBand Band_ = 0;
+  LoadBand PeakBand_ = 0; ///< Highest of late, so that waves are expected.
   TimePoint PeakAt_;
   TimePoint SampledAt_;
   double P99Micros_ = 0; ///< Smoothed over a few reports.
