--- a/src/decide/TailGuard.h
+++ b/src/decide/TailGuard.h
@@ -36,7 +36,8 @@
   /// A running task and by how much it slows the service.
   struct Offender {
     RunningTask *Task_ = nullptr;
-    double Effect_ = 0; ///< Part of the service's p99 alone.
+    double Weight_ = 0; ///< Learned effect of a server full of its class.
+    double Effect_ = 0; ///< Its own, as a part of the service's p99 alone.
     Duration WorkLost_{};
   };
   /// One server's service that stood over its target.
@@ -49,6 +50,8 @@
 
   void count(ServerEntry &Server, ServiceState &Service, bool Counts,
              const ServiceSample &Sample);
+  void noteShare(ServiceIndex Service, const ServiceSample &Sample);
+  bool isOver(const ServiceState &Service) const;
   std::optional<Excess> findExcess(const ServerEntry &Server) const;
   std::vector<Offender> listOffenders(const ServerEntry &Server,
                                       const ServiceState &Service,
@@ -58,6 +61,9 @@
                         TimePoint Now) const;
   void relieve(ServerEntry &Server, const Excess &Over, TimePoint Now,
                std::size_t Budget, std::vector<Decision> &Decisions);
+  /// After a relapse only the tasks released before it are to blame.
+  static void blameReleased(const ServerEntry &Server,
+                            std::vector<Offender> &Offenders);
   void throttle(ServerEntry &Server, const Excess &Over,
                 std::vector<Offender> Offenders, TimePoint Now,
                 std::size_t Budget, std::vector<Decision> &Decisions);
@@ -66,6 +72,8 @@
              std::vector<Decision> &Decisions);
   void restore(ServerEntry &Server, TimePoint Now, std::size_t Budget,
                std::vector<Decision> &Decisions);
+  std::vector<RunningTask *> listThrottled(const ServerEntry &Server,
+                                           TimePoint Now) const;
   void markPending(ServerEntry &Server, RunningTask &Task, TimePoint Now);
   bool isReadyToRestore(const ServerEntry &Server) const;
 
--- a/src/decide/TailModel.cpp
+++ b/src/decide/TailModel.cpp
@@ -7,8 +7,9 @@
 using namespace tulipweir;
 using namespace tulipweir::decide;
 
-/// A peak of load is expected again for this long.
-static constexpr Duration PeakTime = std::chrono::seconds(60);
+/// A peak of load is expected again for this long: tasks run for minutes, and
+/// the next wave comes while they do.
+static constexpr Duration PeakTime = std::chrono::minutes(10);
 /// Headroom of a service that meets its target barely or not even alone.
 static constexpr double LeastHeadroom = 0.05;
 /// Headroom while the service's p99 alone is not known.
@@ -20,6 +21,11 @@
 static constexpr double CeilingOfGuess = 1.6;
 static constexpr double HighestCeiling = 1.1;
 static constexpr double CeilingPerTailShare = 0.4;
+/// The ceiling gives way while more reports than this stand over a target:
+/// the predictions are then too hopeful, or come too late for the lag.
+static constexpr double UsualOverShare = 0.08;
+static constexpr double CeilingPerStrain = 4;
+static constexpr double LowestCeiling = 0.4;
 
 LoadBand TailModel::planningBand(const ServiceState &Service, TimePoint Now) {
   const bool Recent = Now - Service.PeakAt_ < PeakTime;
@@ -35,13 +41,16 @@
 }
 
 Pressure TailModel::pressureOn(const ServerEntry &Server,
-                               const ClassLoad *Added, TimePoint Now) const {
+                               const ClassLoad *Added, LoadExpectation Expected,
+                               TimePoint Now) const {
   Pressure Worst;
   Worst.Confidence_ = 1;
   for (const ServiceState &Service : Server.Services_) {
     if (State_.targetMicros(Service.Service_) <= 0)
       continue;
-    const LoadBand Band = planningBand(Service, Now);
+    const LoadBand Band = Expected == LoadExpectation::Peak
+                              ? planningBand(Service, Now)
+                              : Service.Band_;
     double Growth = State_.Effects_.predict(Service.Service_, Band,
                                             Server.History_.now(), Now);
     double Confidence = 1;
@@ -66,5 +75,8 @@
   const double Sum = Settings.TailWeight_ + Settings.ThroughputWeight_ +
                      Settings.EvictionWeight_;
   const double Share = Sum > 0 ? Settings.TailWeight_ / Sum : 0;
-  return HighestCeiling - CeilingPerTailShare * Share;
+  const double Strain = std::max(0.0, State_.OverShare_ - UsualOverShare);
+  const double Ceiling = HighestCeiling - Share * (CeilingPerTailShare +
+                                                   CeilingPerStrain * Strain);
+  return std::max(LowestCeiling, Ceiling);
 }
