--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -212,6 +212,7 @@
   void countVotes();
   void resetElectionTimer();
   void setElectionTimer(Duration AtLeast);
+  void giveWay(const MemberId &Other);
   bool hasHeardLeaderLately() const;
   bool isUpToDate(const VoteRequest &Request) const;
   bool admitTerm(const Message &From);
--- a/src/replication/RaftElection.cpp
+++ b/src/replication/RaftElection.cpp
@@ -158,16 +158,23 @@
   return false;
 }
 
+/// Two that try at once would split the votes: lets the other one go first, and
+/// of two that have both asked already, the one with the higher id.
+void RaftCore::giveWay(const MemberId &Other) {
+  ElectionDeadline_ =
+      std::max(ElectionDeadline_, Now_ + Settings_.ElectionTimeout_ / 4);
+  if (Role_ == Role::PreCandidate && Other > Settings_.Self_)
+    Role_ = Role::Follower;
+}
+
 void RaftCore::onMessage(const Message &From, const VoteRequest &Body) {
   VoteReply Reply;
   Reply.PreVote_ = Body.PreVote_;
   if (Body.PreVote_) {
     Reply.Granted_ =
         From.Term_ > Hard_.Term_ && !hasHeardLeaderLately() && isUpToDate(Body);
-    // Two that try at once would split the votes.
     if (Reply.Granted_)
-      ElectionDeadline_ =
-          std::max(ElectionDeadline_, Now_ + Settings_.ElectionTimeout_ / 4);
+      giveWay(From.From_);
     std::uint64_t Term = Reply.Granted_ ? From.Term_ : Hard_.Term_;
     send(Out_.Late_, From.From_, Term, Reply);
     return;
