Release after as many good reports as bad ones throttle

Cause: the tasks whose release fails now pause for themselves, so the server as a whole need not wait for twice as many good reports. Change: GuardReports reports (times the server's factor) under 0.9 of the target let a release go; tests for the spread, usage under throttle, a token bucket whose time runs back and a claim's wait were sharpened, because a broken copy passed them.

--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -127,7 +127,7 @@
   if (Server.Throttled_ == 0)
     return false;
   const std::uint32_t Needed =
-      2 * State_.Policy_.GuardReports_ * Server.ReleaseFactor_;
+      State_.Policy_.GuardReports_ * Server.ReleaseFactor_;
   return std::all_of(Server.Services_.begin(), Server.Services_.end(),
                      [&](const ServiceState &Service) {
                        return State_.targetMicros(Service.Service_) <= 0 ||
--- a/tests/decide/AdmissionTest.cpp
+++ b/tests/decide/AdmissionTest.cpp
@@ -35,9 +35,9 @@
 }
 
 TEST(TokenBucketTest, TimeThatRunsBackGivesNothing) {
-  TokenBucket Bucket(1000, 1, Start);
+  TokenBucket Bucket(1000, 2, Start);
   EXPECT_TRUE(Bucket.tryTake(Start));
-  EXPECT_FALSE(Bucket.tryTake(Start - 1s));
+  EXPECT_TRUE(Bucket.tryTake(Start - 1s)); // Nor does it take any.
   EXPECT_FALSE(Bucket.tryTake(Start));
 }
 
--- a/tests/decide/PlannerTest.cpp
+++ b/tests/decide/PlannerTest.cpp
@@ -6,8 +6,6 @@
 
 #include <gtest/gtest.h>
 
-#include <set>
-
 using namespace tulipweir;
 using namespace tulipweir::decide;
 using namespace std::chrono_literals;
@@ -160,10 +158,14 @@
     Planner_.noteUsage({Id, Value.Attempt_, *Value.Server_, Small,
                         Id == Cheap ? Duration(1s) : Duration(100s), Now_});
   wait("urgent", 1, Small, 100);
-  const auto Evictions = only(decideAndCommit(), DecisionKind::Evict);
+  const auto Evictions = only(decide(), DecisionKind::Evict);
   ASSERT_EQ(Evictions.size(), 1U);
   EXPECT_EQ(Evictions[0].Task_, Cheap);
   EXPECT_EQ(Evictions[0].Reason_, ReasonCode::UrgentWork);
+  // While the eviction's effect is awaited, nobody else is evicted.
+  Now_ += 2s;
+  EXPECT_TRUE(decide().empty());
+  commit(Evictions[0]);
   // The room is kept for the urgent task, though others wait as well.
   wait("more", 3);
   Now_ += 100ms;
@@ -288,7 +290,6 @@
   Planner_.setPolicy(Settings_);
   for (int I = 0; I < 8; ++I)
     Planner_.upsertServer(makeServer(I, Machine, 2));
-  std::set<BackendServerId> Racks;
   for (std::uint32_t I = 0; I < 4; ++I) {
     add(makeTask("a", I, Small));
     decideAndCommit();
@@ -296,7 +297,7 @@
   std::map<int, int> Counts;
   for (const auto &[Id, Value] : Placed_)
     ++Counts[std::stoi(Value.Server_->value().substr(3)) / 2];
-  EXPECT_GE(Counts.size(), 3U);
+  EXPECT_EQ(Counts.size(), 4U);
 }
 
 TEST_F(PlannerTest, ReservationFollowsMeasuredUsageAndNeverItsThrottle) {
@@ -318,10 +319,20 @@
   ASSERT_EQ(Resized.size(), 8U);
   EXPECT_NEAR(Resized[0].Reservation_.MilliCpus_, 400, 25);
   EXPECT_GE(Resized[0].Reservation_.MemoryMib_, 1000);
+  // What a throttled task uses says nothing about what it needs.
+  for (int I = 0; I < 20; ++I) {
+    Now_ += 2s;
+    for (const auto &[Id, Value] : Placed_) {
+      Planner_.noteThrottle(Id, Value.Attempt_, 40, Now_ - 1s);
+      Planner_.noteUsage({Id, Value.Attempt_, *Value.Server_,
+                          Resources::makeFor(160, 900), 1s, Now_});
+    }
+    EXPECT_TRUE(only(decide(), DecisionKind::Reserve).empty());
+  }
   // The next task of the class starts with what was learned.
   add(makeTask("a", 99, {1000, 2000, 0}));
-  EXPECT_LT(only(decide(), DecisionKind::Place)[0].Reservation_.MilliCpus_,
-            500);
+  EXPECT_NEAR(only(decide(), DecisionKind::Place)[0].Reservation_.MilliCpus_,
+              400, 25);
 }
 
 TEST_F(PlannerTest, OffenderIsThrottledThenEvictedAndNotItsNeighbours) {
