--- a/bench/decide/PairedWorkload.cpp
+++ b/bench/decide/PairedWorkload.cpp
@@ -72,7 +72,7 @@
   double Effect = 0;
   double Cores = Load * ServiceCores;
   const double All = 32000;
-  const auto add = [&](std::size_t Class, double Tasks) {
+  const auto AddTasks = [&](std::size_t Class, double Tasks) {
     const double Part =
         Tasks * static_cast<double>(Classes_[Class].Size_.MilliCpus_) / All;
     const bool Loud = Noisy_ && Class == NoisyClass_;
@@ -82,10 +82,10 @@
   };
   for (const TaskId &Id : Server.Tasks_) {
     const TrueTask &Task = Tasks_.at(Id);
-    add(Task.Class_, Task.Throttle_ / 100.0);
+    AddTasks(Task.Class_, Task.Throttle_ / 100.0);
   }
   if (AddedTasks > 0)
-    add(AddedClass, AddedTasks);
+    AddTasks(AddedClass, AddedTasks);
   // Past the processors there are, everything queues.
   const double Crowded = std::max(0.0, Cores / 32 - 1);
   return 1 + Effect + 4 * Crowded;
@@ -104,11 +104,12 @@
     Task.Info_.Team_ = TeamId("team");
     Task.Info_.Class_ = Classes_[Class].Id_;
     const Resources &Size = Classes_[Class].Size_;
-    const auto wrong = [&](std::int64_t Amount, std::int64_t Most) {
-      return std::min(Most, static_cast<std::int64_t>(Amount * Wrong));
+    const auto Misjudge = [&](std::int64_t Amount, std::int64_t Most) {
+      return std::min(
+          Most, static_cast<std::int64_t>(static_cast<double>(Amount) * Wrong));
     };
-    Task.Info_.Declared_ = Resources::makeFor(wrong(Size.MilliCpus_, 24000),
-                                              wrong(Size.MemoryMib_, 109000));
+    Task.Info_.Declared_ = Resources::makeFor(
+        Misjudge(Size.MilliCpus_, 24000), Misjudge(Size.MemoryMib_, 109000));
     Task.Work_ = std::exp(draw(std::log(40), std::log(400)));
     Tasks_[Task.Info_.Task_] = Task;
     Policy.addWaiting(Task.Info_, Now_);
@@ -117,7 +118,8 @@
 
 void PairedWorkload::moveLoad(int Second) {
   for (std::size_t I = 0; I < Servers_.size(); ++I) {
-    const double Phase = static_cast<double>(I) / Servers_.size();
+    const double Phase =
+        static_cast<double>(I) / static_cast<double>(Servers_.size());
     const double Wave = std::sin(2 * M_PI * (Second / 400.0 + 0.2 * Phase));
     Servers_[I].Load_ = 0.55 + 0.35 * Wave;
   }
@@ -260,8 +262,10 @@
       Usage.Task_ = Id;
       Usage.Attempt_ = Task.Attempt_;
       Usage.Server_ = Server.Info_.Server_;
-      Usage.Usage_ = Resources::makeFor(
-          static_cast<std::int64_t>(Size.MilliCpus_ * Part), Size.MemoryMib_);
+      Usage.Usage_ =
+          Resources::makeFor(static_cast<std::int64_t>(
+                                 static_cast<double>(Size.MilliCpus_) * Part),
+                             Size.MemoryMib_);
       Usage.WorkSinceCheckpoint_ = std::chrono::duration_cast<Duration>(
           std::chrono::duration<double>(Task.Progress_ - Task.Saved_));
       Usage.SampledAt_ = Now_;
--- a/bench/decide/PlacementBench.cpp
+++ b/bench/decide/PlacementBench.cpp
@@ -72,9 +72,10 @@
           Info.Capacity_ - Used[Info.Server_] - Task.Declared_;
       if (!Left.isValid())
         continue;
-      const double Score =
-          1 - static_cast<double>(Left.MilliCpus_) / Info.Capacity_.MilliCpus_ -
-          0.1 * OfJob[Info.Server_];
+      const double Score = 1 -
+                           static_cast<double>(Left.MilliCpus_) /
+                               static_cast<double>(Info.Capacity_.MilliCpus_) -
+                           0.1 * OfJob[Info.Server_];
       if (Score <= BestScore)
         continue;
       BestScore = Score;
--- a/src/decide/PlacementRound.cpp
+++ b/src/decide/PlacementRound.cpp
@@ -143,14 +143,14 @@
 
 /// The smallest part of Needed, over the dimensions, that Room has.
 static double fittingPart(const Resources &Needed, const Resources &Room) {
-  const auto partOf = [](std::int64_t Wanted, std::int64_t Free) {
+  const auto PartOf = [](std::int64_t Wanted, std::int64_t Free) {
     if (Wanted <= 0)
       return 1.0;
     return static_cast<double>(Free) / static_cast<double>(Wanted);
   };
-  return std::min({partOf(Needed.MilliCpus_, Room.MilliCpus_),
-                   partOf(Needed.MemoryMib_, Room.MemoryMib_),
-                   partOf(Needed.Accelerators_, Room.Accelerators_)});
+  return std::min({PartOf(Needed.MilliCpus_, Room.MilliCpus_),
+                   PartOf(Needed.MemoryMib_, Room.MemoryMib_),
+                   PartOf(Needed.Accelerators_, Room.Accelerators_)});
 }
 
 bool PlacementRound::trySetAside(const WaitingTask &Waits,
--- a/src/decide/Placer.cpp
+++ b/src/decide/Placer.cpp
@@ -193,11 +193,11 @@
 double Placer::ratePacking(const Match &Value) const {
   const Resources Limit = Value.Server_.limit();
   const Resources Left = Value.Server_.room() - Value.Needed_;
-  const auto freePart = [](std::int64_t Free, std::int64_t All) {
+  const auto FreePart = [](std::int64_t Free, std::int64_t All) {
     return All > 0 ? static_cast<double>(Free) / static_cast<double>(All) : 0;
   };
-  const double Processors = freePart(Left.MilliCpus_, Limit.MilliCpus_);
-  const double Memory = freePart(Left.MemoryMib_, Limit.MemoryMib_);
+  const double Processors = FreePart(Left.MilliCpus_, Limit.MilliCpus_);
+  const double Memory = FreePart(Left.MemoryMib_, Limit.MemoryMib_);
   // Full is good; full in one dimension with the other left over is not.
   double Rate = 1 - (Processors + Memory) / 2;
   Rate -= std::abs(Processors - Memory) / 2;
--- a/src/decide/Planner.cpp
+++ b/src/decide/Planner.cpp
@@ -90,15 +90,15 @@
   }
   // The guards may take half, so that waiting work always gets on.
   const std::size_t Half = std::max<std::size_t>(1, Budget / 2);
-  const auto left = [&](std::size_t Most) {
+  const auto Left = [&](std::size_t Most) {
     return std::min(Most, Budget - Decisions.size());
   };
-  Tails_.act(Now, left(Half), Decisions);
-  Round_.settleClaims(Now, left(Budget), Decisions);
-  Round_.placeUrgent(Now, left(Budget), Decisions);
-  Usages_.act(Now, left(Half), Decisions);
-  Round_.emptyLeaving(Now, left(Half), Decisions);
-  Round_.placeAll(Now, left(Budget), Decisions);
+  Tails_.act(Now, Left(Half), Decisions);
+  Round_.settleClaims(Now, Left(Budget), Decisions);
+  Round_.placeUrgent(Now, Left(Budget), Decisions);
+  Usages_.act(Now, Left(Half), Decisions);
+  Round_.emptyLeaving(Now, Left(Half), Decisions);
+  Round_.placeAll(Now, Left(Budget), Decisions);
   for (const Decision &Value : Decisions)
     State_.remember(Value);
   return Decisions;
--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -228,14 +228,14 @@
 
 void TailGuard::blameReleased(const ServerEntry &Server,
                               std::vector<Offender> &Offenders) {
-  const auto isReleased = [&](const Offender &Each) {
+  const auto IsReleased = [&](const Offender &Each) {
     return Each.Task_->ThrottlePercent_ == 100 &&
            Each.Task_->ThrottledAt_ >= Server.ReleasedAt_;
   };
-  if (std::none_of(Offenders.begin(), Offenders.end(), isReleased))
+  if (std::none_of(Offenders.begin(), Offenders.end(), IsReleased))
     return;
   std::erase_if(Offenders,
-                [&](const Offender &Each) { return !isReleased(Each); });
+                [&](const Offender &Each) { return !IsReleased(Each); });
   for (const Offender &Each : Offenders)
     Each.Task_->Relapses_ = std::min(Each.Task_->Relapses_ + 1, MostRelapses);
 }
@@ -322,14 +322,14 @@
                       std::vector<Offender> Offenders, TimePoint Now,
                       std::size_t Budget, std::vector<Decision> &Decisions) {
   // The gain per price: what is far from its checkpoint stays if it can.
-  const auto worthOf = [](const Offender &Each) {
+  const auto WorthOf = [](const Offender &Each) {
     return Each.Effect_ / (EvictionPrice + toSeconds(Each.WorkLost_));
   };
   std::sort(Offenders.begin(), Offenders.end(),
             [&](const Offender &A, const Offender &B) {
-              return std::tuple(A.Task_->Info_.Priority_, -worthOf(A),
+              return std::tuple(A.Task_->Info_.Priority_, -WorthOf(A),
                                 A.Task_->Info_.Task_) <
-                     std::tuple(B.Task_->Info_.Priority_, -worthOf(B),
+                     std::tuple(B.Task_->Info_.Priority_, -WorthOf(B),
                                 B.Task_->Info_.Task_);
             });
   const std::string Why =
@@ -378,6 +378,7 @@
            std::pair(B.first, B.second->Info_.Task_);
   });
   std::vector<RunningTask *> Tasks;
+  Tasks.reserve(Weighted.size());
   for (const auto &[Weight, Task] : Weighted)
     Tasks.push_back(Task);
   return Tasks;
--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -26,11 +26,11 @@
 }
 
 bool GroupKey::operator<(const GroupKey &Other) const {
-  const auto tieOf = [](const GroupKey &Key) {
+  const auto TieOf = [](const GroupKey &Key) {
     return std::tie(Key.Job_, Key.Priority_, Key.Declared_.MilliCpus_,
                     Key.Declared_.MemoryMib_, Key.Declared_.Accelerators_);
   };
-  return tieOf(*this) < tieOf(Other);
+  return TieOf(*this) < TieOf(Other);
 }
 
 WaitQueue::WaitQueue(const Policy &Settings, Handicap PutOff)
--- a/tests/decide/PlannerPropertyTest.cpp
+++ b/tests/decide/PlannerPropertyTest.cpp
@@ -180,8 +180,10 @@
       Sample.Server_ = Entry.Server_;
       const double Part = 0.2 + static_cast<double>(draw(30)) / 10;
       Sample.Usage_ = Resources::makeFor(
-          static_cast<std::int64_t>(Part * Entry.Reservation_.MilliCpus_),
-          static_cast<std::int64_t>(Part * Entry.Reservation_.MemoryMib_));
+          static_cast<std::int64_t>(
+              Part * static_cast<double>(Entry.Reservation_.MilliCpus_)),
+          static_cast<std::int64_t>(
+              Part * static_cast<double>(Entry.Reservation_.MemoryMib_)));
       Sample.SampledAt_ = Now_;
       tellLater([=, this] { Planner_.noteUsage(Sample); });
     }
--- a/tests/decide/PlannerTest.cpp
+++ b/tests/decide/PlannerTest.cpp
@@ -33,7 +33,7 @@
   std::vector<Decision> decide() { return Planner_.decide(Now_, Budget); }
   /// Decides and tells every effect back at once; ends what is evicted.
   std::vector<Decision> decideAndCommit() {
-    const auto Decisions = decide();
+    auto Decisions = decide();
     for (const Decision &Value : Decisions)
       commit(Value);
     return Decisions;
@@ -320,7 +320,7 @@
   EXPECT_NEAR(Resized[0].Reservation_.MilliCpus_, 400, 25);
   EXPECT_GE(Resized[0].Reservation_.MemoryMib_, 1000);
   // What a throttled task uses says nothing about what it needs.
-  for (int I = 0; I < 20; ++I) {
+  for (int I = 0; I < 80; ++I) {
     Now_ += 2s;
     for (const auto &[Id, Value] : Placed_) {
       Planner_.noteThrottle(Id, Value.Attempt_, 40, Now_ - 1s);
--- a/tests/decide/ServerChooserTest.cpp
+++ b/tests/decide/ServerChooserTest.cpp
@@ -18,6 +18,7 @@
 
 static std::vector<GrantedServer> grant(int Count, std::uint32_t Slots = 8) {
   std::vector<GrantedServer> Granted;
+  Granted.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Granted.push_back({serverAt(I), Slots});
   return Granted;
