--- a/include/tulipweir/control/ControlSettings.h
+++ b/include/tulipweir/control/ControlSettings.h
@@ -41,9 +41,9 @@
   Duration ElectionTimeout_ = std::chrono::milliseconds(500);
   Duration FleetElectionTimeout_ = std::chrono::milliseconds(1000);
   /// How often backend servers announce themselves.
-  Duration Heartbeat_ = std::chrono::milliseconds(500);
+  Duration Heartbeat_ = std::chrono::milliseconds(700);
   /// A backend server that was silent this long gets no new requests.
-  Duration Silence_ = std::chrono::milliseconds(1200);
+  Duration Silence_ = std::chrono::milliseconds(1300);
   /// How long a task may run on without a renewal.
   Duration LeaseTtl_ = std::chrono::seconds(5);
   /// How far any clock's rate may be off, in millionths. The same, like the
@@ -53,6 +53,9 @@
   Duration StopGrace_ = std::chrono::milliseconds(200);
   /// How long an entry may use its slots without a renewal.
   Duration GrantTtl_ = std::chrono::seconds(3);
+  /// The longest time that entries let a request run. A dead entry's slots
+  /// are free again only after it.
+  Duration MaxRequest_ = std::chrono::seconds(60);
   /// How long a data centre holds a batch job without reaching the fleet.
   Duration AssignmentTtl_ = std::chrono::hours(2);
   /// A server that is silent this long and holds nothing is forgotten.
--- a/include/tulipweir/fleet/JobBook.h
+++ b/include/tulipweir/fleet/JobBook.h
@@ -10,6 +10,7 @@
 #ifndef TULIPWEIR_FLEET_JOBBOOK_H
 #define TULIPWEIR_FLEET_JOBBOOK_H
 
+#include "tulipweir/core/Error.h"
 #include "tulipweir/core/Ids.h"
 #include "tulipweir/fleet/Commands.h"
 
@@ -47,10 +48,10 @@
   static constexpr std::size_t EndedKept = 10'000;
   /// Jobs that have not ended; beyond it new ones are refused.
   static constexpr std::size_t MaxOpen = 100'000;
-  static constexpr std::size_t MaxSpecBytes = 64 * 1024;
+  static constexpr std::size_t MaxSpecBytes = std::size_t(64) << 10U;
   /// Longer specs of ended jobs are dropped.
   static constexpr std::size_t MaxEndedSpecBytes = 2048;
-  static constexpr std::size_t MaxProgressBytes = 1024 * 1024;
+  static constexpr std::size_t MaxProgressBytes = std::size_t(1) << 20U;
   static constexpr std::size_t MaxNameBytes = 128;
 
   // Commands.
@@ -74,9 +75,10 @@
   std::size_t countOpen() const { return Jobs_.size() - Ended_.size(); }
   bool operator==(const JobBook &) const = default;
 
-  /// From a snapshot; the sets are built from the jobs.
-  static JobBook restore(std::map<JobId, FleetJob> Jobs,
-                         std::deque<JobId> Ended);
+  /// From a snapshot; the sets are built from the jobs. Malformed if Ended
+  /// does not name just the ended jobs.
+  static Outcome<JobBook> restore(std::map<JobId, FleetJob> Jobs,
+                                  std::deque<JobId> Ended);
 
 private:
   void finish(const JobId &Job, FleetJob &Record, JobEnd End,
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -27,6 +27,8 @@
 struct MemberId {
   std::string Name_;
   std::uint64_t Incarnation_ = 0;
+  // The linter objects to a variable in the code that the compiler makes.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   auto operator<=>(const MemberId &) const = default;
 };
 
@@ -35,6 +37,7 @@
 struct Member {
   MemberId Id_;
   MemberRole Role_ = MemberRole::Voter;
+  // NOLINTNEXTLINE(readability-identifier-naming)
   auto operator<=>(const Member &) const = default;
 };
 
@@ -55,9 +58,14 @@
   std::vector<std::string> FirstVoters_;
   Duration ElectionTimeout_ = std::chrono::milliseconds(500);
   Duration HeartbeatInterval_ = std::chrono::milliseconds(100);
-  std::uint64_t SnapshotEvery_ = 10'000; ///< Entries between snapshots.
-  std::uint64_t Seed_ = 0;               ///< For election jitter.
+  /// Least number of entries between snapshots; 0 for none. A state larger than
+  /// these entries is saved more rarely, up to eight times this number.
+  std::uint64_t SnapshotEvery_ = 5'000;
+  std::uint64_t Seed_ = 0;        ///< For election jitter.
   std::uint64_t MaxBatch_ = 1024; ///< Entries that share one sync; 1 for none.
+  /// Whether the leader replaces, by committed changes, the old incarnation of
+  /// a member that lost its disk by the one that now runs under its name.
+  bool RejoinsLostDisks_ = true;
 };
 
 /// The result of a committed and applied command.
@@ -81,6 +89,9 @@
   std::string Failure_; ///< Why this replica stopped, if it did.
   /// Why an earlier log was set aside as lost when the folder was opened.
   std::string LostDisk_;
+  /// Whether this member's log is on a disk. A group survives a loss of power
+  /// everywhere only if that holds for a majority of its voters.
+  bool IsDurable_ = false;
   /// Members that hold nothing and have asked this one to join: new VMs, and
   /// those that lost their disk, with the incarnation to add them under.
   std::vector<MemberId> Waiting_;
--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -15,32 +15,12 @@
 /// part of itself: a new table costs more than it brings.
 static constexpr double DemandSlack = 2;
 static constexpr double DemandSlackPart = 0.25;
+/// From this part of its share on an entry counts as wanting more: so many
+/// times what it uses.
+static constexpr double FullPart = 0.8;
+static constexpr double FullFactor = 1.5;
 static constexpr int TermShift = 32;
 
-static SlotAmount max(const SlotAmount &One, const SlotAmount &Other) {
-  return {std::max(One.Slots_, Other.Slots_),
-          std::max(One.Connections_, Other.Connections_)};
-}
-
-static SlotAmount min(const SlotAmount &One, const SlotAmount &Other) {
-  return {std::min(One.Slots_, Other.Slots_),
-          std::min(One.Connections_, Other.Connections_)};
-}
-
-static SlotAmount plus(const SlotAmount &One, const SlotAmount &Other) {
-  return {One.Slots_ + Other.Slots_, One.Connections_ + Other.Connections_};
-}
-
-static std::uint32_t minusOrZero(std::uint32_t From, std::uint32_t Amount) {
-  return From > Amount ? From - Amount : 0;
-}
-
-static SlotAmount minusOrZero(const SlotAmount &From,
-                              const SlotAmount &Amount) {
-  return {minusOrZero(From.Slots_, Amount.Slots_),
-          minusOrZero(From.Connections_, Amount.Connections_)};
-}
-
 static SlotAmount capacityOf(const SlotServer &Server) {
   return {Server.Slots_, Server.Connections_};
 }
@@ -50,14 +30,26 @@
   return std::min(Server.Slots_, Server.Connections_);
 }
 
+/// Above all versions of earlier terms, and of earlier ledgers of this term in
+/// this process: they made less than one a millisecond.
+static std::uint64_t findFirstVersion(std::uint64_t Term, TimePoint ElectedAt) {
+  const auto Passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      ElectedAt.time_since_epoch());
+  const auto Part = static_cast<std::uint64_t>(Passed.count());
+  return (Term << TermShift) + Part % (1ULL << (TermShift - 1)) + 1;
+}
+
 SlotLedger::SlotLedger(const SlotSettings &Settings, std::uint64_t Term,
                        TimePoint ElectedAt,
                        const std::vector<SlotServer> &Known)
-    : Settings_(Settings), ElectedAt_(ElectedAt),
+    : Settings_(Settings),
+      SettledAt_(ElectedAt +
+                 stretchForDrift(Settings.GrantTtl_, Settings.DriftPpm_)),
       EarlierEnd_(ElectedAt +
                   stretchForDrift(Settings.GrantTtl_ + Settings.MaxRequest_,
                                   Settings.DriftPpm_)),
-      NextVersion_((Term << TermShift) + 1) {
+      NextVersion_(findFirstVersion(Term, ElectedAt)),
+      FirstVersion_(NextVersion_), RebalancedAt_(ElectedAt) {
   for (const SlotServer &Each : Known) {
     upsertServer(Each);
     Servers_.at(Positions_.at(Each.Server_)).Earlier_ = capacityOf(Each);
@@ -92,7 +84,7 @@
 }
 
 void SlotLedger::setHeld(Share &Of, Server &At, const SlotAmount &Amount) {
-  At.Sum_ = plus(minusOrZero(At.Sum_, Of.Held_), Amount);
+  At.Sum_ = At.Sum_.minusOrZero(Of.Held_).plus(Amount);
   Of.Held_ = Amount;
 }
 
@@ -110,7 +102,7 @@
   From.Bundle_ = Report.Held_;
   // Sticky: an earlier report may arrive after it.
   From.Stopping_ |= Report.Stopping_;
-  takeShown(From, Report, Now);
+  takeShown(From, Report);
   settle(From, Report.RoutesHeld_);
   learnDemand(From);
   From.GrantEnd_ =
@@ -127,58 +119,77 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Settings_.GrantTtl_)
           .count());
   const bool Changed = offerTable(From, Now);
-  if (Changed || Report.RoutesHeld_ != From.Version_)
+  if (Changed || Report.RoutesHeld_ != From.Version_) {
+    const bool OfEarlier =
+        Report.RoutesHeld_ < FirstVersion_ && Now < SettledAt_;
+    noteReplaced(From, OfEarlier, Changed);
     Reply.Routes_ = From.Table_;
+  }
   Reply.RoutesVersion_ = From.Version_;
   return Reply;
 }
 
-/// Notes what the report shows, and accounts for what earlier leaders granted.
-void SlotLedger::takeShown(Holder &From, const wire::EntryReport &Report,
-                           TimePoint Now) {
+void SlotLedger::takeShown(Holder &From, const wire::EntryReport &Report) {
+  // What it holds of the latest table is known without being shown.
+  const bool Latest = From.Version_ != 0 && Report.RoutesHeld_ == From.Version_;
   for (auto &[Position, Each] : From.Shares_) {
-    Each.Shown_ = SlotAmount{};
+    Each.Shown_ = Latest ? Each.Offered_ : SlotAmount{};
     Each.InFlight_ = 0;
   }
   for (const wire::GrantHeld &Held : Report.Grants_) {
     const auto Found = Positions_.find(Held.Server_);
     if (Found == Positions_.end())
       continue;
-    Server &At = Servers_[Found->second];
     Share &Of = From.Shares_[Found->second];
-    Of.Shown_ = {Held.Slots_, Held.Connections_};
-    Of.InFlight_ = Held.InFlight_;
-    if (From.Confirmed_)
-      continue;
-    const SlotAmount Running{Held.InFlight_, Held.InFlight_};
-    const SlotAmount Real =
-        isEarlierOpen(Now) ? max(Of.Shown_, Running) : Running;
-    const SlotAmount Raised = max(Of.Held_, Real);
-    At.Earlier_ = minusOrZero(At.Earlier_, minusOrZero(Raised, Of.Held_));
-    setHeld(Of, At, Raised);
+    // An entry may still have requests in flight to an earlier boot.
+    if (!Latest)
+      Of.Shown_ = Of.Shown_.plus({Held.Slots_, Held.Connections_});
+    Of.InFlight_ += Held.InFlight_;
   }
 }
 
 /// Lowers the account of an entry that shows the latest table: it will not go
-/// back to an earlier one, and what runs beyond the table is in flight.
+/// back to an earlier one, and what runs beyond the table is in flight. Its
+/// first table also tells what it held of earlier leaders until it took it: a
+/// report alone does not, as it may be stale.
 void SlotLedger::settle(Holder &From, std::uint64_t RoutesHeld) {
   if (From.Version_ == 0 || RoutesHeld != From.Version_)
     return;
-  From.Confirmed_ = true;
   for (auto &[Position, Of] : From.Shares_) {
+    Server &At = Servers_[Position];
     const SlotAmount Running{Of.InFlight_, Of.InFlight_};
     const SlotAmount Granted = From.Stopping_ ? SlotAmount{} : Of.Offered_;
-    setHeld(Of, Servers_[Position], max(Granted, Running));
+    setHeld(Of, At, Granted.maxWith(Running));
+    // What a stopping one shows an earlier leader may have freed already.
+    if (!From.Confirmed_ && !From.Stopping_)
+      At.Earlier_ = At.Earlier_.minusOrZero(Of.Replaced_);
+  }
+  From.Confirmed_ = true;
+}
+
+/// Notes which grants of earlier leaders the entry gives up if it takes the
+/// answer to this report: only if it still holds what the report shows.
+void SlotLedger::noteReplaced(Holder &To, bool OfEarlier, bool NewTable) {
+  for (auto &[Position, Of] : To.Shares_) {
+    const SlotAmount GivenUp = OfEarlier ? Of.Shown_ : SlotAmount{};
+    Of.Replaced_ = NewTable ? GivenUp : Of.Replaced_.minWith(GivenUp);
   }
 }
 
 void SlotLedger::learnDemand(Holder &From) {
   std::vector<double> Now(Groups_.size());
-  for (const auto &[Position, Of] : From.Shares_)
+  std::vector<double> Has(Groups_.size());
+  for (const auto &[Position, Of] : From.Shares_) {
     Now[Servers_[Position].Group_] += Of.InFlight_;
+    Has[Servers_[Position].Group_] += Of.Shown_.Slots_;
+  }
   From.Demand_.resize(Now.size());
-  for (std::size_t I = 0; I < Now.size(); ++I)
-    From.Demand_[I] += DemandStep * (Now[I] - From.Demand_[I]);
+  for (std::size_t I = 0; I < Now.size(); ++I) {
+    // An entry that fills its share would use more, nobody knows how much.
+    const bool Full = Now[I] > 0 && Now[I] >= FullPart * Has[I];
+    const double Wanted = Full ? Now[I] * FullFactor : Now[I];
+    From.Demand_[I] += DemandStep * (Wanted - From.Demand_[I]);
+  }
 }
 
 SlotAmount SlotLedger::chooseOffer(const Holder &To, const Server &At,
@@ -187,18 +198,20 @@
     return {};
   // Right after an election entries go on with what they have, so that a
   // change of leader moves no shares.
-  const bool Settling = Now < ElectedAt_ + stretchForDrift(Settings_.GrantTtl_,
-                                                           Settings_.DriftPpm_);
+  const bool Settling = Now < SettledAt_;
   const SlotAmount Wanted =
       Settling && Of.Shown_.Slots_ > 0 ? Of.Shown_ : Of.Target_;
   const SlotAmount Free =
-      minusOrZero(capacityOf(At.Info_), plus(At.Sum_, At.Earlier_));
-  // Until it shows a table of ours its account may be of a stale report; what
-  // it named in this one it holds if it takes the answer.
-  const bool ByReport = !To.Confirmed_ && isEarlierOpen(Now);
-  const SlotAmount Has = ByReport ? Of.Shown_ : Of.Held_;
-  SlotAmount Offer = min(Wanted, plus(Has, Free));
-  Offer = min(Offer, capacityOf(At.Info_));
+      capacityOf(At.Info_).minusOrZero(At.Sum_.plus(At.Earlier_));
+  // What is accounted to it beyond its table is in flight by some report, which
+  // may be stale: no ground to grant it. Until it shows a table of ours its
+  // account is not known; but what it named in this report it holds if it takes
+  // the answer.
+  const bool ByReport = !To.Confirmed_ && Settling;
+  const SlotAmount Granted = Of.Held_.minWith(Of.Offered_);
+  const SlotAmount Has = ByReport ? Of.Shown_ : Granted;
+  SlotAmount Offer = Wanted.minWith(Has.plus(Free));
+  Offer = Offer.minWith(capacityOf(At.Info_));
   Offer.Slots_ = std::min(Offer.Slots_, Offer.Connections_);
   if (Offer.Slots_ == 0)
     Offer.Connections_ = 0;
@@ -225,7 +238,7 @@
   To.Version_ = NextVersion_++;
   for (auto &[Position, Of] : To.Shares_) {
     Of.Offered_ = Offers[Position];
-    setHeld(Of, Servers_[Position], max(Of.Held_, Of.Offered_));
+    setHeld(Of, Servers_[Position], Of.Held_.maxWith(Of.Offered_));
   }
   return true;
 }
@@ -249,6 +262,25 @@
   }
 }
 
+void SlotLedger::noteBusy(const BackendServerId &Id, std::uint32_t BusySlots,
+                          TimePoint SampledAt) {
+  const auto Found = Positions_.find(Id);
+  if (Found == Positions_.end())
+    return;
+  Server &At = Servers_[Found->second];
+  const SlotAmount Busy{BusySlots, BusySlots};
+  if (SampledAt >= SettledAt_)
+    At.Earlier_ = At.Earlier_.minWith(Busy);
+  for (auto &[Key, Each] : Holders_) {
+    const auto Of = Each.Shares_.find(Found->second);
+    if (Of == Each.Shares_.end() || SampledAt < Each.GrantEnd_)
+      continue;
+    setHeld(Of->second, At, Of->second.Held_.minWith(Busy));
+    // If it comes back it needs a new table.
+    Each.Version_ = 0;
+  }
+}
+
 bool SlotLedger::needsRebalance(TimePoint Now) {
   bool Needed = MustRebalance_;
   const bool Due = Now - RebalancedAt_ >= Settings_.RebalanceEvery_;
@@ -298,6 +330,7 @@
     Slots.push_back(usableSlots(Servers_[Position].Info_));
   }
   std::vector<double> Demand;
+  Demand.reserve(Sharers.size());
   for (const Holder *Each : Sharers)
     Demand.push_back(Each->Demand_[Group]);
   const ShareTable Table = Settings_.Share_(Slots, Demand);
@@ -320,7 +353,7 @@
   if (Found == Positions_.end())
     return {};
   const Server &At = Servers_[Found->second];
-  return plus(At.Sum_, At.Earlier_);
+  return At.Sum_.plus(At.Earlier_);
 }
 
 std::vector<EntryView> SlotLedger::listEntries(TimePoint Now) const {
@@ -339,9 +372,7 @@
 std::vector<EndEntry> SlotLedger::findGone(const RequestRecords &Records,
                                            TimePoint Now) const {
   std::vector<EndEntry> Gone;
-  const bool AllHeard =
-      Now >=
-      ElectedAt_ + stretchForDrift(Settings_.GrantTtl_, Settings_.DriftPpm_);
+  const bool AllHeard = Now >= SettledAt_;
   for (const auto &[Entry, Keys] : Records.begunByEntry()) {
     std::set<std::uint64_t> Incarnations;
     for (const RequestKey &Key : Keys)
--- a/src/fleet/BundleBook.cpp
+++ b/src/fleet/BundleBook.cpp
@@ -68,8 +68,7 @@
   return "";
 }
 
-/// Operators may have left the list since they signed? No: a new list drops
-/// every proposal. So all kept sign-offs count, each operator once.
+/// All kept sign-offs count: a new list of operators voids every proposal.
 static bool hasSigned(const ProposedBundle &Proposal,
                       const OperatorId &Operator) {
   return std::ranges::find(Proposal.SignOffs_, Operator, &SignOff::Operator_) !=
@@ -109,7 +108,7 @@
   BundleCheck Check = checkBundle(Value.Text_);
   if (Check.Bundle_.empty())
     return refuseText(Check.Problems_);
-  const Bundle &Proposed = Check.Bundle_.front();
+  Bundle &Proposed = Check.Bundle_.front();
   const Digest Named = computeDigest(Value.Text_);
   const auto Same = History_.findVersion(Proposed.Version_);
   if (Same && Same->Digest_ == Named)
@@ -132,7 +131,7 @@
     Proposal.Sequence_ = NextSequence_++;
     Proposals_.emplace(Named, std::move(Proposal));
   }
-  return addSignOff(Named, Proposals_.at(Named), Value.SignOff_, Value.WallMs_);
+  return addSignOff(Named, std::move(Proposed), Value.SignOff_, Value.WallMs_);
 }
 
 CommandResult BundleBook::sign(const SignBundle &Value) {
@@ -147,25 +146,25 @@
     return refuse(ErrorCode::NotFound,
                   "no proposal has digest " + Value.Digest_.value() +
                       "; propose its file with 'tulipweirctl bundle propose'");
-  ProposedBundle &Proposal = Found->second;
-  const Bundle Proposed = readChecked(Proposal.Text_);
+  const ProposedBundle &Proposal = Found->second;
+  Bundle Proposed = readChecked(Proposal.Text_);
   const auto Fault =
       findFault(findSigners(Proposed), Value.Digest_, Value.SignOff_);
   if (!Fault.empty())
     return about(refuse(ErrorCode::PermissionDenied, Fault), Proposal.Version_,
                  Value.Digest_);
-  return addSignOff(Value.Digest_, Proposal, Value.SignOff_, Value.WallMs_);
+  return addSignOff(Value.Digest_, std::move(Proposed), Value.SignOff_,
+                    Value.WallMs_);
 }
 
-CommandResult BundleBook::addSignOff(const Digest &Value,
-                                     ProposedBundle &Proposal,
+CommandResult BundleBook::addSignOff(const Digest &Value, Bundle Proposed,
                                      const SignOff &Added,
                                      std::uint64_t WallMs) {
+  ProposedBundle &Proposal = Proposals_.at(Value);
   const BundleVersion Version = Proposal.Version_;
   const bool Repeated = hasSigned(Proposal, Added.Operator_);
   if (!Repeated)
     Proposal.SignOffs_.push_back(Added);
-  Bundle Proposed = readChecked(Proposal.Text_);
   const std::size_t Needed = findSigners(Proposed).SignOffsNeeded_;
   if (Proposal.SignOffs_.size() >= Needed)
     return accept(Value, std::move(Proposed), WallMs);
@@ -226,6 +225,37 @@
     Proposals_.erase(Oldest);
 }
 
+static bool isDigest(const Digest &Value) {
+  static constexpr std::size_t Letters = 64;
+  const std::string &Text = Value.value();
+  return Text.size() == Letters &&
+         Text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+/// Versions rise, from the archive on, and digests are digests.
+static bool isSound(const BundleHistory &History) {
+  std::uint64_t Last = 0;
+  for (const ArchivedBundle &One : History.archive()) {
+    if (One.Version_ <= Last)
+      return false;
+    Last = One.Version_;
+  }
+  for (const AcceptedBundle &One : History.recent()) {
+    if (One.Version_.value() <= Last || !isDigest(One.Digest_))
+      return false;
+    Last = One.Version_.value();
+  }
+  return History.latest() || History.archive().empty();
+}
+
+static bool isSound(const Digest &Value, const ProposedBundle &Proposal) {
+  if (Proposal.SignOffs_.empty() || computeDigest(Proposal.Text_) != Value)
+    return false;
+  const BundleCheck Check = checkBundle(Proposal.Text_);
+  return !Check.Bundle_.empty() &&
+         Check.Bundle_.front().Version_ == Proposal.Version_;
+}
+
 Outcome<BundleBook> BundleBook::restore(
     BundleHistory History, std::map<Digest, ProposedBundle> Proposals,
     std::deque<SupersededBundle> Superseded, std::uint64_t NextSequence) {
@@ -234,16 +264,20 @@
   Book.Proposals_ = std::move(Proposals);
   Book.Superseded_ = std::move(Superseded);
   Book.NextSequence_ = NextSequence;
+  if (!isSound(Book.History_))
+    return fail(ErrorCode::Malformed,
+                "the snapshot's history of bundles is not in order");
   if (const AcceptedBundle *Latest = Book.History_.latest()) {
     BundleCheck Check = checkBundle(Latest->Text_);
-    if (Check.Bundle_.empty())
+    if (Check.Bundle_.empty() ||
+        computeDigest(Latest->Text_) != Latest->Digest_ ||
+        Check.Bundle_.front().Version_ != Latest->Version_)
       return fail(ErrorCode::Malformed,
                   "the snapshot's bundle in force does not pass the check");
     Book.InForce_ = std::move(Check.Bundle_.front());
   }
   for (const auto &[Key, Proposal] : Book.Proposals_)
-    if (Proposal.SignOffs_.empty() ||
-        checkBundle(Proposal.Text_).Bundle_.empty())
+    if (!isSound(Key, Proposal))
       return fail(ErrorCode::Malformed,
                   "the snapshot's proposal " + Key.value() + " is not whole");
   return Book;
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -12,10 +12,10 @@
 using boost::system::error_code;
 
 static constexpr std::size_t HeaderReadBytes = 4096;
-static constexpr std::size_t BodyReadBytes = 64 * 1024;
+static constexpr std::size_t BodyReadBytes = 64UL * 1024;
 static constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 /// A kept connection gives a larger buffer than this back.
-static constexpr std::size_t KeptBufferBytes = 64 * 1024;
+static constexpr std::size_t KeptBufferBytes = 64UL * 1024;
 
 HttpClientConnection::HttpClientConnection(asio::io_context &Context,
                                            std::shared_ptr<HttpPeer> Peer)
@@ -62,6 +62,8 @@
   Exchange_ = Exchange;
   if (Exchange->Cancelled_)
     return failExchange(ErrorCode::Timeout, "cancelled");
+  if (isExpired())
+    return failExchange(ErrorCode::Timeout, "the deadline passed");
   if (Phase_ == Phase::Open)
     return write();
   connect();
@@ -75,6 +77,10 @@
   return Size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool HttpClientConnection::isExpired() const {
+  return Exchange_->Deadline_ <= std::chrono::steady_clock::now();
+}
+
 void HttpClientConnection::connect() {
   auto Address = toAsioEndpoint(Peer_->To_);
   if (!Address)
@@ -104,7 +110,7 @@
 }
 
 void HttpClientConnection::write() {
-  if (Exchange_->Deadline_ <= std::chrono::steady_clock::now())
+  if (isExpired()) // While it connected.
     return failExchange(ErrorCode::Timeout, "the deadline passed");
   setDeadline(Exchange_->Deadline_);
   startParser();
@@ -114,24 +120,17 @@
   // From here on nobody can say that it was not run.
   Exchange_->Stage_ = HttpStage::Sent;
   Writing_ = true;
-  asio::async_write(
-      Socket_, Parts,
-      [Self = shared_from_this(), Exchange = Exchange_](error_code Problem,
-                                                        std::size_t) {
-        Self->Writing_ = false;
-        // An answer may be there all the same; the read tells.
-        if (Problem && Self->Exchange_ == Exchange && !Self->Input_.size())
-          Self->failExchange(ErrorCode::Unavailable,
-                             "the connection to " + Self->Peer_->Host_ +
-                                 " was lost while sending");
-      });
+  // A failed write is left to the read: it ends too, and an answer that came
+  // before the failure is still there to be read.
+  asio::async_write(Socket_, Parts,
+                    [Self = shared_from_this(), Exchange = Exchange_](
+                        error_code, std::size_t) { Self->Writing_ = false; });
 }
 
 void HttpClientConnection::startParser() {
   Parser_.emplace();
   Parser_->header_limit(MaxHeaderBytes);
   Parser_->body_limit(Peer_->Settings_.MaxBodyBytes_);
-  Parser_->eager(true);
   Parser_->skip(Exchange_->Request_.Method_ == "HEAD");
 }
 
@@ -159,8 +158,7 @@
 
 void HttpClientConnection::parse() {
   while (Input_.size() > 0) {
-    error_code Problem;
-    Input_.consume(Parser_->put(Input_.data(), Problem));
+    const error_code Problem = feedParser(*Parser_, Input_);
     if (Problem == http::error::need_more)
       break;
     if (Problem == http::error::body_limit)
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -1,6 +1,7 @@
 #include "replication/ReplicaDriver.h"
 
 #include "replication/MessageCodec.h"
+#include "replication/Rejoin.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,6 +9,9 @@
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
+/// A snapshot is taken at the latest after so many times SnapshotEvery_.
+constexpr std::uint64_t MaxSnapshotDelay = 8;
+
 static CoreSettings makeCoreSettings(const ReplicaSettings &From,
                                      const MemberId &Self) {
   CoreSettings Core;
@@ -15,7 +19,6 @@
   Core.ElectionTimeout_ = From.ElectionTimeout_;
   Core.HeartbeatInterval_ = From.HeartbeatInterval_;
   Core.Seed_ = From.Seed_ ^ Self.Incarnation_;
-  Core.MaxEntriesPerMessage_ = std::max<std::uint64_t>(From.MaxBatch_, 1);
   return Core;
 }
 
@@ -24,6 +27,15 @@
                   Settings.ElectionTimeout_ / 10);
 }
 
+/// Members take their snapshots at different entries, so that they don't stall
+/// all at once.
+static std::uint64_t planFirstSnapshot(const ReplicaSettings &Settings,
+                                       std::uint64_t Applied) {
+  std::uint64_t Spread = Settings.SnapshotEvery_ / 2 + 1;
+  std::uint64_t Less = std::hash<std::string>()(Settings.Name_) % Spread;
+  return Applied + Settings.SnapshotEvery_ - Less;
+}
+
 bool ReplicaDriver::Inbox::isEmpty() const {
   return Synced_.empty() && Messages_.empty() && Calls_.empty() &&
          Reads_.empty() && Changes_.empty() && Transfers_.empty() &&
@@ -38,9 +50,13 @@
             Start.Stored_),
       Founder_(Start.Owner_, Settings_.FirstVoters_),
       Hard_(Start.Stored_.Hard_), Applied_(Core_.getCommit()),
-      LastSnapshot_(Applied_), NextTick_(Time.now()), NextAsk_(Time.now()) {
+      NextSnapshot_(planFirstSnapshot(Settings_, Applied_)),
+      NextTick_(Time.now()), NextAsk_(Time.now()), NextRejoin_(Time.now()) {
+  if (Start.Stored_.Snapshot_)
+    SnapshotBytes_ = Start.Stored_.Snapshot_->State_.size();
   Status_.Self_ = Start.Owner_.Self_;
   Status_.LostDisk_ = Start.LostDisk_;
+  Status_.IsDurable_ = !Settings_.Folder_.empty();
   publish();
   LogWriter::Callbacks Calls;
   Calls.Send_ = [this](const auto &Messages) { sendAll(Messages); };
@@ -165,12 +181,28 @@
 void ReplicaDriver::tick() {
   NextTick_ = Time_.now() + tickInterval(Settings_);
   step(Tick{});
+  rejoinNext();
   if (HasFailed_ || !Core_.getLog().isEmpty() || Time_.now() < NextAsk_)
     return;
   NextAsk_ = Time_.now() + Settings_.ElectionTimeout_ / 2;
   carryOut(Founder_.ask(getHoldings()));
 }
 
+void ReplicaDriver::rejoinNext() {
+  bool IsDue = Settings_.RejoinsLostDisks_ && !HasFailed_ &&
+               Core_.getRole() == Role::Leader && Time_.now() >= NextRejoin_;
+  if (!IsDue)
+    return;
+  NextRejoin_ = Time_.now() + Settings_.HeartbeatInterval_;
+  const std::optional<ChangeAsked> &Current = Core_.getChange();
+  // An operator's change goes first; one of ours may have become pointless.
+  if (Current && Current->Id_ != 0)
+    return;
+  auto Next = planRejoin(Core_.getLog().getMembers(), getWaiting());
+  if (Next && Next != Current)
+    step(*Next);
+}
+
 void ReplicaDriver::receiveOne(const std::string &Bytes) {
   Outcome<Message> Decoded = decodeMessage(Settings_.Group_, Bytes);
   if (!Decoded || HasFailed_)
@@ -185,13 +217,10 @@
 }
 
 void ReplicaDriver::proposeAll(std::vector<Call> &Calls) {
-  std::size_t Limit = std::max<std::uint64_t>(Settings_.MaxBatch_, 1);
   Proposed Batch;
   for (Call &Each : Calls) {
     std::uint64_t Id = Pending_.addProposal(std::move(Each.Done_));
     Batch.Proposals_.push_back({Id, std::move(Each.Command_)});
-    if (Batch.Proposals_.size() >= Limit)
-      step(std::exchange(Batch, Proposed{}));
   }
   if (!Batch.Proposals_.empty())
     step(std::move(Batch));
@@ -246,7 +275,9 @@
     return;
   }
   Applied_ = From.Index_;
-  LastSnapshot_ = From.Index_;
+  NextSnapshot_ = From.Index_ + Settings_.SnapshotEvery_;
+  SnapshotBytes_ = From.State_.size();
+  BytesSinceSnapshot_ = 0;
 }
 
 void ReplicaDriver::applyAll(const std::vector<LogEntry> &Entries) {
@@ -257,19 +288,32 @@
     if (Entry.Kind_ == EntryKind::Command)
       Result = Machine_.apply({Entry.Term_, Entry.Index_, Entry.Command_});
     Applied_ = Entry.Index_;
+    BytesSinceSnapshot_ += Entry.Command_.size();
     Pending_.apply(Entry, std::move(Result));
   }
   Pending_.reachIndex(Applied_);
 }
 
+/// Snapshots cost no more bytes than the log itself, and are never put off for
+/// more than a few times the usual distance.
+bool ReplicaDriver::isSnapshotDue() const {
+  bool IsWanted = Settings_.SnapshotEvery_ != 0 && !HasFailed_;
+  if (!IsWanted || Applied_ < NextSnapshot_)
+    return false;
+  std::uint64_t Latest =
+      NextSnapshot_ + Settings_.SnapshotEvery_ * (MaxSnapshotDelay - 1);
+  return BytesSinceSnapshot_ >= SnapshotBytes_ || Applied_ >= Latest;
+}
+
 void ReplicaDriver::takeSnapshotIfDue() {
-  bool IsDue = Settings_.SnapshotEvery_ != 0 && !HasFailed_ &&
-               Applied_ >= LastSnapshot_ + Settings_.SnapshotEvery_;
-  if (!IsDue)
+  if (!isSnapshotDue())
     return;
-  LastSnapshot_ = Applied_;
+  NextSnapshot_ = Applied_ + Settings_.SnapshotEvery_;
   std::uint64_t Kept = std::min(Applied_, Settings_.SnapshotEvery_ / 10);
-  step(SnapshotTaken{Applied_, Machine_.takeSnapshot(), Applied_ - Kept});
+  std::string State = Machine_.takeSnapshot();
+  SnapshotBytes_ = State.size();
+  BytesSinceSnapshot_ = 0;
+  step(SnapshotTaken{Applied_, std::move(State), Applied_ - Kept});
 }
 
 Holdings ReplicaDriver::getHoldings() const {
@@ -320,15 +364,23 @@
   Status_.AppliedIndex_ = Applied_;
   Status_.LeaderSince_ = Core_.getLeaderSince();
   Status_.Members_ = Core_.getLog().getMembers();
-  Status_.Waiting_.clear();
+  Status_.LogBytes_ = Storage_->countBytes();
+  Status_.Syncs_ = Storage_->countSyncs();
+  Status_.Waiting_ = getWaiting();
+}
+
+std::vector<MemberId> ReplicaDriver::getWaiting() const {
+  const std::vector<Member> &Members = Core_.getLog().getMembers();
+  std::vector<MemberId> Waiting;
   for (const auto &[Name, Incarnation] : Founder_.getWaiting()) {
-    auto IsMember = [&](const Member &Each) {
-      return Each.Id_ == MemberId{Name, Incarnation};
-    };
-    if (std::none_of(Status_.Members_.begin(), Status_.Members_.end(),
-                     IsMember))
-      Status_.Waiting_.push_back({Name, Incarnation});
+    MemberId Id{Name, Incarnation};
+    bool IsMember =
+        std::any_of(Members.begin(), Members.end(),
+                    [&](const Member &Each) { return Each.Id_ == Id; });
+    if (!IsMember)
+      Waiting.push_back(std::move(Id));
   }
+  return Waiting;
 }
 
 void ReplicaDriver::sendAll(const std::vector<Message> &Messages) {
--- a/tests/entry/EntryApiTest.cpp
+++ b/tests/entry/EntryApiTest.cpp
@@ -218,6 +218,18 @@
   EXPECT_GT(Around.Entry_->getInProgress(), 0U) << "it is still being written";
 }
 
+TEST(EntryApiTest, ALostBeginIsGivenBackSoThatAResendRuns) {
+  World Around;
+  Around.Control_->BeginFaults_ = {CallFault::LostAfter};
+  const auto Lost = Around.call("m", keyed("k"));
+  Around.advance(seconds(2));
+  EXPECT_EQ(Lost->outcome(), "unknown");
+  const auto Again = Around.call("m", keyed("k"));
+  Around.advance(seconds(1));
+  EXPECT_EQ(Again->outcome(), "served");
+  EXPECT_EQ(Around.Backend_.getRuns("m"), 1U);
+}
+
 TEST(EntryApiTest, TicketsWorkAtHomeAndAreAnsweredHonestlyElsewhere) {
   World Around;
   Around.FarKnown_ = true;
@@ -269,6 +281,7 @@
   World Around;
   Around.Backend_.ServiceTime_ = milliseconds(300);
   std::vector<std::shared_ptr<World::Call>> Calls;
+  Calls.reserve(10);
   for (int Number = 0; Number < 9; ++Number) // Six run, three wait.
     Calls.push_back(Around.call("c" + std::to_string(Number)));
   Calls.push_back(Around.call("k", keyed("k")));
--- a/tests/fleet/FleetMachineTest.cpp
+++ b/tests/fleet/FleetMachineTest.cpp
@@ -7,7 +7,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <barrier>
 #include <random>
+#include <thread>
+#include <vector>
 
 using namespace tulipweir;
 using namespace tulipweir::fleet;
@@ -61,16 +65,68 @@
   EXPECT_EQ(decodeState(Claim).error().Code_, ErrorCode::Malformed);
 }
 
+TEST(FleetCodecTest, TooFewAndTooManyFieldsAreRefused) {
+  // CancelJob is kind 5 with one field; bin8 of length 1 is c4 01 61.
+  const std::string Right("\x92\x05\x91\xc4\x01\x61", 6);
+  const std::string Fewer("\x92\x05\x90", 3);
+  const std::string More("\x92\x05\x92\xc4\x01\x61\xc4\x01\x61", 9);
+  EXPECT_EQ(decodeCommand(Right).value(), Command(CancelJob{JobId("a")}));
+  EXPECT_FALSE(decodeCommand(Fewer).has_value());
+  EXPECT_FALSE(decodeCommand(More).has_value());
+}
+
 TEST(FleetCodecTest, AnotherSnapshotFormatIsNamedAsSuch) {
   std::string Bytes = encodeState(FleetState());
   Bytes[1] = 2; // After the array's header.
   EXPECT_EQ(decodeState(Bytes).error().Code_, ErrorCode::VersionMismatch);
 }
 
+TEST(FleetCodecTest, AChangedSnapshotIsRefusedOrGoesOnWorking) {
+  FleetState Whole;
+  const auto First = makeBundleText(1, 0, "", 2, 1);
+  const auto Next = makeBundleText(2, 1, computeDigest(First).value(), 2, 2);
+  const auto Waiting = makeBundleText(3, 2, computeDigest(Next).value(), 2);
+  for (const std::string &Text : {First, Next, Waiting})
+    Whole.apply(makeProposal(Text, 1));
+  for (const char *Name : {"a", "b", "c"})
+    Whole.apply(SubmitJob{JobId(Name), TeamId("t"), "s", {}, 1});
+  Whole.apply(AssignJob{JobId("a"), DataCentreId("dc")});
+  Whole.apply(CancelJob{JobId("b")});
+  const std::string Bytes = encodeState(Whole);
+  std::mt19937_64 Random(11);
+  std::size_t Taken = 0;
+  for (int Round = 0; Round < 4000; ++Round) {
+    std::string Changed = Bytes;
+    // Jobs and their ends stand at the end; the texts have their digests.
+    const std::size_t Tail = Round % 2 ? Bytes.size() : 400;
+    Changed[Bytes.size() - 1 - Random() % Tail] = static_cast<char>(Random());
+    auto Decoded = decodeState(Changed);
+    if (!Decoded)
+      continue;
+    ++Taken;
+    FleetState &State = Decoded.value();
+    for (const char *Name : {"a", "b", "c"}) {
+      State.apply(AssignJob{JobId(Name), DataCentreId("x")});
+      State.apply(ReleaseJob{JobId(Name), 1, true, ""});
+    }
+    State.apply(makeSigning(Waiting, 2));
+    std::size_t Open = State.jobs().unassigned().size();
+    for (const auto &Entry : State.jobs().held())
+      Open += Entry.second.size();
+    EXPECT_EQ(State.jobs().countOpen(), Open);
+  }
+  EXPECT_GT(Taken, 0U);
+}
+
 TEST(FleetCodecTest, ReportsAndRepliesSurviveTheRoundTrip) {
   const AssignmentReport Report{
       DataCentreId("dc"), true, {0.5, 3, 48}, {{JobId("j"), 2}}};
   EXPECT_EQ(decodeReport(encodeReport(Report)).value(), Report);
+  for (const double Reserved : {0.0, 1.0}) {
+    AssignmentReport Other = Report;
+    Other.Load_.Reserved_ = Reserved;
+    EXPECT_EQ(decodeReport(encodeReport(Other)).value(), Other);
+  }
   const AssignmentReply Reply{{{JobId("j"), 2}}};
   EXPECT_EQ(decodeReply(encodeReply(Reply)).value(), Reply);
 }
@@ -144,6 +200,32 @@
   }
 }
 
+/// The lower version takes longer to read, so that the higher one is adopted
+/// meanwhile.
+TEST(HeldBundleTest, ALowerVersionReadBesideAHigherOneDoesNotReplaceIt) {
+  static constexpr std::uint64_t Rounds = 40;
+  HeldBundle Held;
+  for (std::uint64_t Round = 0; Round < Rounds; ++Round) {
+    auto Value = makeBundleJson(2 * Round + 1, 0, "", 1, 1);
+    for (int I = 0; I < 200; ++I)
+      Value["services"].push_back({{"service", "s" + std::to_string(I)}});
+    const std::string Long = Value.dump();
+    const wire::SignedBundle Lower{BundleVersion(2 * Round + 1),
+                                   computeDigest(Long), Long};
+    const wire::SignedBundle Higher = makeOffered(2 * Round + 2);
+    std::barrier Start(2);
+    std::thread Slow([&] {
+      Start.arrive_and_wait();
+      EXPECT_TRUE(Held.adopt(Lower).has_value());
+    });
+    Start.arrive_and_wait();
+    EXPECT_TRUE(Held.adopt(Higher).value());
+    Slow.join();
+    EXPECT_EQ(Held.getVersion(), Higher.Version_);
+    EXPECT_EQ(Held.getBundle()->Version_, Higher.Version_);
+  }
+}
+
 TEST(HeldBundleTest, DamagedAndContradictingBundlesAreRefused) {
   HeldBundle Held;
   ASSERT_TRUE(Held.adopt(makeOffered(2)).value());
