--- a/bench/decide/ComparedPolicies.cpp
+++ b/bench/decide/ComparedPolicies.cpp
@@ -217,9 +217,10 @@
       const auto Others = Added.find(Server.Info_.Server_);
       if (Others != Added.end())
         for (const auto &[Other, Count] : Others->second)
-          Slowdown += Truth_.classes()[Other].Effect_ * (0.5 + TopLoad) *
-                      Count * Truth_.classes()[Other].Size_.MilliCpus_ /
-                      32000.0;
+          Slowdown +=
+              Truth_.classes()[Other].Effect_ * (0.5 + TopLoad) * Count *
+              static_cast<double>(Truth_.classes()[Other].Size_.MilliCpus_) /
+              32000;
       if (Slowdown >= Least)
         continue;
       Least = Slowdown;
