--- /dev/null
+++ b/src/decide/DecisionLog.h
@@ -0,0 +1,32 @@
+//===- DecisionLog.h - The latest decision about each task -----*- C++ -*-===//
+//
+// A bounded memory for explain(): the oldest tasks are forgotten first.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_DECIDE_DECISIONLOG_H
+#define TULIPWEIR_SRC_DECIDE_DECISIONLOG_H
+
+#include "tulipweir/decide/Decision.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace tulipweir::decide {
+
+class DecisionLog {
+public:
+  static constexpr std::size_t MaxTasks = 4096;
+
+  /// Keeps a decision about a task; others are not kept.
+  void remember(const Decision &Value);
+  const Decision *find(const TaskId &Task) const;
+
+private:
+  std::unordered_map<TaskId, Decision> Decisions_;
+  std::deque<TaskId> Order_;
+};
+
+} // namespace tulipweir::decide
+
+#endif // TULIPWEIR_SRC_DECIDE_DECISIONLOG_H
--- a/src/decide/Explainer.cpp
+++ b/src/decide/Explainer.cpp
@@ -70,7 +70,7 @@
                                                TimePoint Now) {
   Explanation Value;
   Value.Task_ = Task;
-  if (const Decision *Last = State.lastDecision(Task))
+  if (const Decision *Last = State.Decisions_.find(Task))
     Value.Last_ = *Last;
   if (const RunningTask *Running = State.findRunning(Task)) {
     explainRunning(*Running, State, Value);
--- a/src/decide/Placer.cpp
+++ b/src/decide/Placer.cpp
@@ -226,6 +226,6 @@
 
 double Placer::rateSpread(const Match &Value) const {
   const auto [All, Here] =
-      State_.countInRack(Value.Task_.Task_.Job_, Value.Server_.Rack_);
+      State_.Spread_.countInRack(Value.Task_.Task_.Job_, Value.Server_.Rack_);
   return All == 0 ? 1 : 1 - static_cast<double>(Here) / All;
 }
--- a/src/decide/Planner.cpp
+++ b/src/decide/Planner.cpp
@@ -100,7 +100,7 @@
   Round_.emptyLeaving(Now, Left(Half), Decisions);
   Round_.placeAll(Now, Left(Budget), Decisions);
   for (const Decision &Value : Decisions)
-    State_.remember(Value);
+    State_.Decisions_.remember(Value);
   return Decisions;
 }
 
--- a/src/decide/PlannerState.cpp
+++ b/src/decide/PlannerState.cpp
@@ -9,8 +9,6 @@
 using namespace tulipweir;
 using namespace tulipweir::decide;
 
-/// Decisions kept for explain(); the oldest go first.
-static constexpr std::size_t MaxDecisions = 4096;
 /// Tasks remembered between attempts, beyond those that wait or run.
 static constexpr std::size_t MaxMemories = 32768;
 /// Back-off of a task that failed: doubles from the first to the longest.
@@ -138,15 +136,7 @@
   if (!Home.takesWork())
     Leaving_.insert(Added.Server_);
   Held_[Task.Team_] = Held_[Task.Team_] + Reservation;
-  auto &Racks = JobRacks_[Task.Task_.Job_];
-  const auto Same =
-      std::find_if(Racks.begin(), Racks.end(), [&](const RackCount &Value) {
-        return Value.Rack_ == Home.Rack_;
-      });
-  if (Same == Racks.end())
-    Racks.push_back({Home.Rack_, 1});
-  else
-    ++Same->Tasks_;
+  Spread_.add(Task.Task_.Job_, Home.Rack_);
 }
 
 void PlannerState::dropRunning(const TaskId &Task, TimePoint Now) {
@@ -157,17 +147,7 @@
   const std::uint32_t Rack = Servers_.at(Server).Rack_;
   guardEffectSeen(Value);
   Held_[Value.Info_.Team_] = Held_[Value.Info_.Team_] - Value.Reservation_;
-  const auto Job = JobRacks_.find(Task.Job_);
-  auto Same =
-      std::find_if(Job->second.begin(), Job->second.end(),
-                   [&](const RackCount &Count) { return Count.Rack_ == Rack; });
-  // The server may have told another rack since; then any count gives way.
-  if (Same == Job->second.end())
-    Same = Job->second.begin();
-  if (--Same->Tasks_ == 0)
-    Job->second.erase(Same);
-  if (Job->second.empty())
-    JobRacks_.erase(Job);
+  Spread_.remove(Task.Job_, Rack);
   Servers_.removeTask(Value, Now);
   Running_.erase(Found);
   Queue_.wakeReason(ReasonCode::QuotaReached);
@@ -356,19 +336,6 @@
   }
 }
 
-void PlannerState::remember(Decision Value) {
-  if (!Value.Task_)
-    return;
-  const TaskId Task = *Value.Task_;
-  if (!Decisions_.contains(Task))
-    DecisionOrder_.push_back(Task);
-  Decisions_[Task] = std::move(Value);
-  if (DecisionOrder_.size() <= MaxDecisions)
-    return;
-  Decisions_.erase(DecisionOrder_.front());
-  DecisionOrder_.pop_front();
-}
-
 RunningTask *PlannerState::findRunning(const TaskId &Task) {
   const auto Found = Running_.find(Task);
   return Found == Running_.end() ? nullptr : &Found->second;
@@ -389,11 +356,6 @@
   return Found == Memory_.end() ? nullptr : &Found->second;
 }
 
-const Decision *PlannerState::lastDecision(const TaskId &Task) const {
-  const auto Found = Decisions_.find(Task);
-  return Found == Decisions_.end() ? nullptr : &Found->second;
-}
-
 Resources PlannerState::heldBy(const TeamId &Team) const {
   const auto Found = Held_.find(Team);
   return Found == Held_.end() ? Resources{} : Found->second;
@@ -406,20 +368,6 @@
   return Found->second;
 }
 
-std::pair<std::uint32_t, std::uint32_t>
-PlannerState::countInRack(const JobId &Job, std::uint32_t Rack) const {
-  std::uint32_t All = 0;
-  std::uint32_t Here = 0;
-  const auto Found = JobRacks_.find(Job);
-  if (Found == JobRacks_.end())
-    return {0, 0};
-  for (const RackCount &Count : Found->second) {
-    All += Count.Tasks_;
-    Here += Count.Rack_ == Rack ? Count.Tasks_ : 0;
-  }
-  return {All, Here};
-}
-
 std::optional<TimePoint> PlannerState::retryTimeOf(const TaskId &Task) const {
   const TaskMemory *Known = findMemory(Task);
   if (!Known || !BackingOff_.contains(Task))
--- a/src/decide/PlannerState.h
+++ b/src/decide/PlannerState.h
@@ -14,8 +14,10 @@
 #ifndef TULIPWEIR_SRC_DECIDE_PLANNERSTATE_H
 #define TULIPWEIR_SRC_DECIDE_PLANNERSTATE_H
 
+#include "decide/DecisionLog.h"
 #include "decide/Interference.h"
 #include "decide/Interner.h"
+#include "decide/JobSpread.h"
 #include "decide/Quarantine.h"
 #include "decide/ServerTable.h"
 #include "decide/SizeLearner.h"
@@ -45,11 +47,6 @@
   TimePoint AvoidUntil_;
 };
 
-struct RackCount {
-  std::uint32_t Rack_ = 0;
-  std::uint32_t Tasks_ = 0;
-};
-
 class PlannerState {
 public:
   explicit PlannerState(const Policy &Settings);
@@ -80,20 +77,15 @@
   /// Puts tasks whose proposals expired back to waiting, and due retries into
   /// the queue; Most at most.
   void expire(TimePoint Now, std::size_t Most);
-  void remember(Decision Value);
 
   // Queries.
   RunningTask *findRunning(const TaskId &Task);
   const RunningTask *findRunning(const TaskId &Task) const;
   const Proposal *findProposal(const TaskId &Task) const;
   const TaskMemory *findMemory(const TaskId &Task) const;
-  const Decision *lastDecision(const TaskId &Task) const;
   /// What the team holds, proposals included.
   Resources heldBy(const TeamId &Team) const;
   std::optional<Resources> quotaOf(const TeamId &Team) const;
-  /// How many of the job's tasks run, and how many of them in the rack.
-  std::pair<std::uint32_t, std::uint32_t> countInRack(const JobId &Job,
-                                                      std::uint32_t Rack) const;
   std::optional<TimePoint> retryTimeOf(const TaskId &Task) const;
   /// The target of a service in microseconds, 0 without one.
   double targetMicros(ServiceIndex Service) const;
@@ -109,6 +101,8 @@
   WaitQueue Queue_;
   SizeLearner Sizes_;
   Interference Effects_;
+  JobSpread Spread_;
+  DecisionLog Decisions_;
   Quarantine Health_;
   /// Part of all services' reports that stood over their target of late, over
   /// about a hundred seconds.
@@ -146,9 +140,6 @@
   std::unordered_map<TeamId, Resources> Held_;
   std::unordered_map<TeamId, Resources> Quotas_;
   std::unordered_map<ServiceId, double> Targets_;
-  std::unordered_map<JobId, std::vector<RackCount>> JobRacks_;
-  std::unordered_map<TaskId, Decision> Decisions_;
-  std::deque<TaskId> DecisionOrder_;
   std::size_t Claims_ = 0;
 };
 
