Make the wait for a peer that takes nothing a setting, and test it

Cause: a frozen peer must not hold up to 64 MB of queued frames for long. Ruled out: a check of our own on writes that stand still; with it removed the test still passed, since the system's TCP user timeout covers a shut window too. Change: that timeout is LinkSettings::WriteStallTimeout_ (5 s as before) and has a test.

--- a/include/tulipweir/net/Link.h
+++ b/include/tulipweir/net/Link.h
@@ -32,6 +32,9 @@
   Duration HandshakeTimeout_ = std::chrono::seconds(2);
   Duration ReconnectFirst_ = std::chrono::milliseconds(20);
   Duration ReconnectLast_ = std::chrono::seconds(1);
+  /// A peer that takes nothing of what was sent for this long is taken for
+  /// gone or frozen: the connection is closed and its queue dropped.
+  Duration WriteStallTimeout_ = std::chrono::seconds(5);
   /// Bytes that may wait to be sent before calls fail with Unavailable.
   std::uint64_t MaxQueuedBytes_ = 64UL * 1024 * 1024;
 };
--- a/src/net/LinkConnection.cpp
+++ b/src/net/LinkConnection.cpp
@@ -12,8 +12,6 @@
 static constexpr std::size_t MostReadBytes = 1024UL * 1024;
 /// An idle connection gives a larger buffer than this back.
 static constexpr std::size_t KeptBufferBytes = 256UL * 1024;
-/// The system gives a connection up whose bytes stay unacknowledged so long.
-static constexpr int UnacknowledgedMs = 5000;
 
 LinkCounters LinkTally::read() const {
   return {FramesSent_,    FramesReceived_,    BytesSent_,
@@ -71,7 +69,11 @@
   error_code Ignored;
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
   Socket_.set_option(asio::socket_base::keep_alive(true), Ignored);
-  Socket_.set_option(UserTimeout(UnacknowledgedMs), Ignored);
+  // The system closes a connection whose bytes stay unacknowledged, or whose
+  // window stays shut, for so long.
+  const auto Stall = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Settings_.WriteStallTimeout_);
+  Socket_.set_option(UserTimeout(static_cast<int>(Stall.count())), Ignored);
 }
 
 void LinkConnection::sendHello(const LinkHello &Hello) {
--- a/tests/net/LinkTest.cpp
+++ b/tests/net/LinkTest.cpp
@@ -86,6 +86,26 @@
     return Peer;
   }
 
+  /// Accepts and shakes hands as a server that reads nothing after that.
+  RawSocket acceptClient(const RawSocket &Listener) {
+    LinkHandshake Side(Settings_.Secret_, LinkRole::Server);
+    RawSocket Peer = Listener.accept();
+    const auto Theirs = LinkHello::decode(Peer.readBytes(HelloBytes));
+    Peer.send(Side.answerChallenge(Theirs.value()).encode());
+    const auto Proof = LinkHello::decode(Peer.readBytes(HelloBytes));
+    Peer.send(Side.accept(Proof.value()).value().encode());
+    EXPECT_TRUE(waitUntil([this] { return Client_->isConnected(); }));
+    return Peer;
+  }
+  /// More calls than the sockets' buffers hold.
+  std::vector<std::future<Outcome<std::string>>> callTooMuch() {
+    std::vector<std::future<Outcome<std::string>>> Answers;
+    Answers.reserve(200);
+    for (int I = 0; I < 200; ++I)
+      Answers.push_back(call(std::string(Settings_.MaxFrameBytes_, 'x')));
+    return Answers;
+  }
+
   LinkSettings Settings_;
   Endpoint Listen_{"127.0.0.1", 0};
   std::atomic<int> Calls_ = 0;
@@ -244,27 +264,30 @@
 }
 
 TEST_F(LinkTest, saysUnavailableForWhatNeverLeft) {
-  startServer(Settings_);
-  RawSocket Listener = RawSocket::listen();
+  const RawSocket Listener = RawSocket::listen();
   Listen_ = Listener.getAddress();
   startClient(Settings_);
-  // A peer that shakes hands and then reads nothing any more.
-  LinkHandshake Side(Settings_.Secret_, LinkRole::Server);
-  RawSocket Peer = Listener.accept();
-  const auto Theirs = LinkHello::decode(Peer.readBytes(HelloBytes));
-  Peer.send(Side.answerChallenge(Theirs.value()).encode());
-  const auto Proof = LinkHello::decode(Peer.readBytes(HelloBytes));
-  Peer.send(Side.accept(Proof.value()).value().encode());
-  ASSERT_TRUE(waitUntil([this] { return Client_->isConnected(); }));
-  std::vector<std::future<Outcome<std::string>>> Answers;
-  Answers.reserve(200);
-  for (int I = 0; I < 200; ++I)
-    Answers.push_back(call(std::string(Settings_.MaxFrameBytes_, 'x')));
+  RawSocket Peer = acceptClient(Listener);
+  auto Answers = callTooMuch();
   Peer.reset();
   EXPECT_EQ(Answers.front().get().error().Code_, ErrorCode::Timeout);
   EXPECT_EQ(Answers.back().get().error().Code_, ErrorCode::Unavailable);
 }
 
+TEST_F(LinkTest, closesAConnectionWhosePeerTakesNothing) {
+  Settings_.WriteStallTimeout_ = 30ms;
+  const RawSocket Listener = RawSocket::listen();
+  Listen_ = Listener.getAddress();
+  startClient(Settings_);
+  const RawSocket Peer = acceptClient(Listener);
+  // Without anything to send, silence is no stall.
+  std::this_thread::sleep_for(100ms);
+  EXPECT_TRUE(Client_->isConnected());
+  auto Answers = callTooMuch();
+  EXPECT_EQ(Answers.front().get().error().Code_, ErrorCode::Timeout);
+  EXPECT_EQ(Answers.back().get().error().Code_, ErrorCode::Unavailable);
+}
+
 TEST_F(LinkTest, refusesCallsWhenTooMuchIsWaiting) {
   Settings_.MaxQueuedBytes_ = 1000;
   startBoth();
