Give each test process a loopback address of its own

Cause: 4 of 120 runs, ten at a time, failed in tests that close a listener and expect nobody there: another run had got the freed port. Ruled out: a fault in the client. Change: the raw peers and the servers under test listen on an address made from the process's number.

--- a/tests/net/HttpEarlyRequestTest.cpp
+++ b/tests/net/HttpEarlyRequestTest.cpp
@@ -23,7 +23,7 @@
   HttpRespond Held;
   std::promise<void> HasFirst;
   HttpServerSettings Settings;
-  Settings.Listen_ = {"127.0.0.1", 0};
+  Settings.Listen_ = makeListenAddress();
   HttpServer Server(Pool.context(), Settings,
                     [&](const HttpRequest &Request, HttpRespond Respond) {
                       const std::lock_guard Lock(Mutex);
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -25,7 +25,7 @@
 class HttpServerTest : public testing::Test {
 protected:
   HttpServerTest() {
-    Settings_.Listen_ = {"127.0.0.1", 0};
+    Settings_.Listen_ = makeListenAddress();
     Settings_.MaxHeaderBytes_ = 1024;
     Settings_.MaxBodyBytes_ = 10'000;
   }
--- a/tests/net/LinkTest.cpp
+++ b/tests/net/LinkTest.cpp
@@ -112,7 +112,7 @@
   }
 
   LinkSettings Settings_;
-  Endpoint Listen_{"127.0.0.1", 0};
+  Endpoint Listen_ = makeListenAddress();
   std::atomic<int> Calls_ = 0;
   std::mutex Lock_;
   std::vector<LinkReply> Held_;
--- a/tests/net/RawSocket.h
+++ b/tests/net/RawSocket.h
@@ -22,6 +22,20 @@
 
 namespace tulipweir::net {
 
+/// An address of this process alone, so that tests which run side by side
+/// don't get each other's ports when one closes a listener.
+inline std::uint32_t getLoopback() {
+  const auto Process = static_cast<std::uint32_t>(::getpid());
+  return (127U << 24) | (1U << 16) | (Process & 0xffff) |
+         ((Process & 0x7f0000) << 1);
+}
+
+/// The same as an address to listen on, with a port of the system's choice.
+inline Endpoint makeListenAddress() {
+  in_addr Address{htonl(getLoopback())};
+  return {::inet_ntoa(Address), 0};
+}
+
 class RawSocket {
 public:
   RawSocket() : RawSocket(::socket(AF_INET, SOCK_STREAM, 0)) {}
@@ -61,7 +75,7 @@
     sockaddr_in Address{};
     socklen_t Size = sizeof(Address);
     ::getsockname(Handle_, reinterpret_cast<sockaddr *>(&Address), &Size);
-    return {"127.0.0.1", ntohs(Address.sin_port)};
+    return {makeListenAddress().Address_, ntohs(Address.sin_port)};
   }
   RawSocket accept() const {
     return RawSocket(::accept(Handle_, nullptr, nullptr));
@@ -113,7 +127,7 @@
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_port = htons(Port);
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_addr.s_addr = htonl(getLoopback());
     return Address;
   }
 
