Free who still waits when the entry ends

Cause: the address sanitizer found leaks after tests that end with requests in a queue: a waiter holds its gate, and the gate its waiter. Change: the router drops who waits when it is destroyed. Result: test_entry under address and undefined sanitizers: 52 passed, no finding (68,743 bytes leaked before). Thread sanitizer, before this change: no warning in the threads tests, nor in an entry process under three loads at once with hedging, tickets and own keys, planned stop included.

--- a/include/tulipweir/entry/Router.h
+++ b/include/tulipweir/entry/Router.h
@@ -32,6 +32,9 @@
 class Router {
 public:
   Router(const Clock &Clock, std::uint64_t Seed);
+  ~Router();
+  Router(const Router &) = delete;
+  Router &operator=(const Router &) = delete;
 
   // Commands.
 
--- a/include/tulipweir/entry/ServiceGate.h
+++ b/include/tulipweir/entry/ServiceGate.h
@@ -82,6 +82,9 @@
   void drain();
   /// Refuses those who wait and cannot make their deadline any more.
   void sweep();
+  /// Forgets who waits without calling them, for the end of the process: they
+  /// hold this gate, so that neither would ever be freed.
+  void clear();
 
   // Queries.
 
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -13,6 +13,11 @@
 Router::Router(const Clock &Clock, std::uint64_t Seed)
     : Clock_(Clock), Seed_(Seed) {}
 
+Router::~Router() {
+  for (const std::shared_ptr<ServiceGate> &Gate : listGates())
+    Gate->clear();
+}
+
 void Router::configure(const Configuration &Config) {
   std::unique_lock Lock(Mutex_);
   for (const auto &[Id, Service] : Config.Services_) {
--- a/src/entry/ServiceGate.cpp
+++ b/src/entry/ServiceGate.cpp
@@ -197,6 +197,14 @@
   drain();
 }
 
+void ServiceGate::clear() {
+  std::deque<Waiter> Dropped;
+  std::lock_guard Lock(Mutex_);
+  Dropped.swap(Queue_);
+  for (std::size_t Count = Dropped.size(); Count > 0; --Count)
+    Admission_.noteGivenUp();
+}
+
 Duration ServiceGate::getServiceTime() const {
   std::lock_guard Lock(Mutex_);
   return Chooser_.meanLatency();
