--- /dev/null
+++ b/src/decide/AttemptDecision.h
@@ -0,0 +1,26 @@
+//===- AttemptDecision.h - Decisions about running attempts ----*- C++ -*-===//
+//
+// The common part of the decisions by which guards, preemption and emptying
+// change a running attempt.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_DECIDE_ATTEMPTDECISION_H
+#define TULIPWEIR_SRC_DECIDE_ATTEMPTDECISION_H
+
+#include "decide/ServerTable.h"
+
+namespace tulipweir::decide {
+
+/// A decision about the attempt as it stands, without a text.
+Decision makeAttemptDecision(DecisionKind Kind, ReasonCode Reason,
+                             const ServerEntry &Server,
+                             const RunningTask &Task);
+
+/// "the p99 of booking is 60.0 ms, over its target of .. for 3 reports".
+std::string describeExcess(const ServiceId &Name, const ServiceState &Service,
+                           double TargetMicros);
+
+} // namespace tulipweir::decide
+
+#endif // TULIPWEIR_SRC_DECIDE_ATTEMPTDECISION_H
--- a/src/decide/ServerTable.h
+++ b/src/decide/ServerTable.h
@@ -20,6 +20,10 @@
 
 namespace tulipweir::decide {
 
+/// Stands for "never" where an age is asked for: a monotonic clock may have
+/// started only seconds ago.
+inline constexpr TimePoint LongAgo{-std::chrono::hours(24 * 365)};
+
 /// A committed attempt. Owned by PlannerState; servers point to it.
 struct RunningTask {
   TaskInfo Info_;
@@ -50,7 +54,7 @@
   ServiceIndex Service_ = 0;
   LoadBand Band_ = 0;
   LoadBand PeakBand_ = 0; ///< Highest of late, so that waves are expected.
-  TimePoint PeakAt_;
+  TimePoint PeakAt_ = LongAgo;
   TimePoint SampledAt_;
   double P99Micros_ = 0; ///< Smoothed over a few reports.
   std::uint32_t OverReports_ = 0;
@@ -77,9 +81,9 @@
                          ///< of the guard's last action.
   TimePoint GuardPendingUntil_;     ///< An action's effect was not told yet.
   std::uint32_t GuardPending_ = 0;  ///< Tasks whose effect is awaited.
-  TimePoint GuardedAt_;             ///< Of the guard's last action.
+  TimePoint GuardedAt_ = LongAgo;   ///< Of the guard's last action.
   std::uint32_t ReleaseFactor_ = 1; ///< Grows with each relapse.
-  TimePoint ReleasedAt_;
+  TimePoint ReleasedAt_ = LongAgo;
   std::uint32_t Throttled_ = 0;
   std::uint32_t Unproven_ = 0; ///< Tasks whose size is a guess.
 
--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -2,6 +2,7 @@
 
 #include "decide/TailGuard.h"
 
+#include "decide/AttemptDecision.h"
 #include "decide/Preemptor.h"
 #include "decide/Text.h"
 
@@ -79,7 +80,7 @@
                           State_.targetMicros(Index));
   noteShare(Index, Sample);
   const bool IsNews = Sample.SampledAt_ > Server.QuietUntil_;
-  count(Server, Service, IsNews, Sample);
+  count(Service, IsNews, Sample);
   if (isOver(Service) || isReadyToRestore(Server))
     ToCheck_.insert(*Position);
 }
@@ -102,7 +103,7 @@
          Service.OverSum_ >= MeaningfulPart * Reports;
 }
 
-void TailGuard::count(ServerEntry &, ServiceState &Service, bool Counts,
+void TailGuard::count(ServiceState &Service, bool Counts,
                       const ServiceSample &Sample) {
   const double Target = State_.targetMicros(Service.Service_);
   if (!Counts || Target <= 0) {
@@ -256,25 +257,9 @@
   Server.QuietUntil_ = std::max(Server.QuietUntil_, Now);
 }
 
-static Decision makeGuardDecision(DecisionKind Kind, ReasonCode Reason,
-                                  const ServerEntry &Server,
-                                  const RunningTask &Task) {
-  Decision Value;
-  Value.Kind_ = Kind;
-  Value.Reason_ = Reason;
-  Value.Task_ = Task.Info_.Task_;
-  Value.Attempt_ = Task.Attempt_;
-  Value.Server_ = Server.Info_.Server_;
-  Value.Reservation_ = Task.Reservation_;
-  Value.ThrottlePercent_ = Task.ThrottlePercent_;
-  return Value;
-}
-
-static std::string describeExcess(const std::string &Service,
-                                  const ServiceState &State, double Target) {
-  return "the p99 of " + Service + " is " + describeMicros(State.P99Micros_) +
-         ", over its target of " + describeMicros(Target) + " for " +
-         std::to_string(State.OverReports_) + " reports";
+std::string TailGuard::explain(const Excess &Over) const {
+  return describeExcess(State_.Services_.nameOf(Over.Service_->Service_),
+                        *Over.Service_, Over.Target_);
 }
 
 void TailGuard::throttle(ServerEntry &Server, const Excess &Over,
@@ -293,9 +278,7 @@
                                 B.Task_->Info_.Task_);
             });
   const std::uint32_t Percent = State_.Policy_.ThrottlePercent_;
-  const std::string Why =
-      describeExcess(State_.Services_.nameOf(Over.Service_->Service_).value(),
-                     *Over.Service_, Over.Target_);
+  const std::string Why = explain(Over);
   double Gained = 0;
   std::size_t Count = 0;
   const std::size_t Most = std::min(Budget, MaxThrottled);
@@ -303,8 +286,8 @@
     if (Count >= Most || (Count > 0 && Gained >= Over.Needed_))
       break;
     auto Value =
-        makeGuardDecision(DecisionKind::Throttle, ReasonCode::TailOverTarget,
-                          Server, *Each.Task_);
+        makeAttemptDecision(DecisionKind::Throttle, ReasonCode::TailOverTarget,
+                            Server, *Each.Task_);
     Value.ThrottlePercent_ = Percent;
     Value.Text_ = "task " + Each.Task_->Info_.Task_.toString() + " on " +
                   Server.Info_.Server_.value() + " is throttled to " +
@@ -332,16 +315,14 @@
                      std::tuple(B.Task_->Info_.Priority_, -WorthOf(B),
                                 B.Task_->Info_.Task_);
             });
-  const std::string Why =
-      describeExcess(State_.Services_.nameOf(Over.Service_->Service_).value(),
-                     *Over.Service_, Over.Target_);
+  const std::string Why = explain(Over);
   double Gained = 0;
   std::size_t Count = 0;
   const std::size_t Most = std::min(Budget, MaxEvicted);
   for (const Offender &Each : Offenders) {
     if (Count >= Most || (Count > 0 && Gained >= Over.Needed_))
       break;
-    auto Value = makeGuardDecision(
+    auto Value = makeAttemptDecision(
         DecisionKind::Evict, ReasonCode::TailOverTarget, Server, *Each.Task_);
     Value.Text_ = "task " + Each.Task_->Info_.Task_.toString() +
                   " is evicted from " + Server.Info_.Server_.value() + ": " +
@@ -408,8 +389,8 @@
     if (After.Value_ > Tail_.ceiling(After.Confidence_))
       break;
     Released += Adds;
-    auto Value = makeGuardDecision(DecisionKind::Throttle,
-                                   ReasonCode::TailRecovered, Server, *Task);
+    auto Value = makeAttemptDecision(DecisionKind::Throttle,
+                                     ReasonCode::TailRecovered, Server, *Task);
     Value.ThrottlePercent_ = 100;
     Value.Text_ = "task " + Task->Info_.Task_.toString() + " on " +
                   Server.Info_.Server_.value() +
--- a/src/decide/TailGuard.h
+++ b/src/decide/TailGuard.h
@@ -48,8 +48,8 @@
     double Needed_ = 0; ///< By what part of Alone_ it must get shorter.
   };
 
-  void count(ServerEntry &Server, ServiceState &Service, bool Counts,
-             const ServiceSample &Sample);
+  void count(ServiceState &Service, bool Counts, const ServiceSample &Sample);
+  std::string explain(const Excess &Over) const;
   void noteShare(ServiceIndex Service, const ServiceSample &Sample);
   bool isOver(const ServiceState &Service) const;
   std::optional<Excess> findExcess(const ServerEntry &Server) const;
--- a/src/decide/UsageGuard.cpp
+++ b/src/decide/UsageGuard.cpp
@@ -2,6 +2,7 @@
 
 #include "decide/UsageGuard.h"
 
+#include "decide/AttemptDecision.h"
 #include "decide/Text.h"
 
 #include <algorithm>
@@ -134,20 +135,6 @@
   return punish(Task, Now);
 }
 
-static Decision makeUsageDecision(DecisionKind Kind, ReasonCode Reason,
-                                  const ServerEntry &Server,
-                                  const RunningTask &Task) {
-  Decision Value;
-  Value.Kind_ = Kind;
-  Value.Reason_ = Reason;
-  Value.Task_ = Task.Info_.Task_;
-  Value.Attempt_ = Task.Attempt_;
-  Value.Server_ = Server.Info_.Server_;
-  Value.Reservation_ = Task.Reservation_;
-  Value.ThrottlePercent_ = Task.ThrottlePercent_;
-  return Value;
-}
-
 std::optional<Decision> UsageGuard::resize(RunningTask &Task, TimePoint Now) {
   const ServerEntry &Server = State_.Servers_.at(Task.Server_);
   const Resources Wanted = wantedFor(Task);
@@ -173,8 +160,8 @@
       Reserved.maxWith(Task.Reservation_) - Task.Reservation_;
   if (Growth != Resources())
     State_.holdGrowth(Task.Info_.Task_, Growth, Now + PendingTime);
-  auto Value = makeUsageDecision(DecisionKind::Reserve, ReasonCode::LearnedSize,
-                                 Server, Task);
+  auto Value = makeAttemptDecision(DecisionKind::Reserve,
+                                   ReasonCode::LearnedSize, Server, Task);
   Value.Reservation_ = Reserved;
   Value.Text_ = "task " + Task.Info_.Task_.toString() + " on " +
                 Server.Info_.Server_.value() + " now reserves " +
@@ -197,9 +184,9 @@
   if (!ProcessorsOver && !MemoryOver)
     return std::nullopt;
   const bool Throttled = Task.ThrottlePercent_ < 100;
-  auto Value = makeUsageDecision(Throttled ? DecisionKind::Evict
-                                           : DecisionKind::Throttle,
-                                 ReasonCode::UsageOverReserved, Server, Task);
+  auto Value = makeAttemptDecision(Throttled ? DecisionKind::Evict
+                                             : DecisionKind::Throttle,
+                                   ReasonCode::UsageOverReserved, Server, Task);
   if (!Throttled)
     Value.ThrottlePercent_ = State_.Policy_.ThrottlePercent_;
   Value.Text_ = "task " + Task.Info_.Task_.toString() + " on " +
