--- a/src/decide/ServerTable.cpp
+++ b/src/decide/ServerTable.cpp
@@ -8,6 +8,15 @@
 using namespace tulipweir;
 using namespace tulipweir::decide;
 
+ServiceState &ServerEntry::serviceAt(ServiceIndex Service) {
+  for (ServiceState &Known : Services_)
+    if (Known.Service_ == Service)
+      return Known;
+  Services_.push_back({});
+  Services_.back().Service_ = Service;
+  return Services_.back();
+}
+
 ServerIndex ServerTable::intern(const BackendServerId &Server) {
   const auto Found = Positions_.find(Server);
   if (Found != Positions_.end())
--- a/src/decide/ServerTable.h
+++ b/src/decide/ServerTable.h
@@ -87,6 +87,8 @@
   std::uint32_t Throttled_ = 0;
   std::uint32_t Unproven_ = 0; ///< Tasks whose size is a guess.
 
+  /// The state of a service; made on its first report.
+  ServiceState &serviceAt(ServiceIndex Service);
   Resources limit() const { return Info_.Capacity_ - Info_.ServiceShare_; }
   Resources room() const { return limit() - Reserved_ - Held_; }
   bool takesWork() const {
--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -46,22 +46,13 @@
   return std::chrono::duration<double>(Value).count();
 }
 
-static ServiceState &serviceOn(ServerEntry &Server, ServiceIndex Service) {
-  for (ServiceState &Known : Server.Services_)
-    if (Known.Service_ == Service)
-      return Known;
-  Server.Services_.push_back({});
-  Server.Services_.back().Service_ = Service;
-  return Server.Services_.back();
-}
-
 void TailGuard::noteService(const ServiceSample &Sample) {
   const auto Position = State_.Servers_.find(Sample.Server_);
   if (!Position)
     return;
   ServerEntry &Server = State_.Servers_.at(*Position);
   const ServiceIndex Index = State_.Services_.intern(Sample.Service_);
-  ServiceState &Service = serviceOn(Server, Index);
+  ServiceState &Service = Server.serviceAt(Index);
   if (Sample.SampledAt_ <= Service.SampledAt_)
     return;
   Service.SampledAt_ = Sample.SampledAt_;
--- a/tests/decide/PlannerPropertyTest.cpp
+++ b/tests/decide/PlannerPropertyTest.cpp
@@ -139,7 +139,8 @@
     Planner_.removeServer(Server);
   }
 
-  void end(const TaskId &Task, EndReason Reason) {
+  // By value: the caller may pass a key of the map that is erased from.
+  void end(TaskId Task, EndReason Reason) {
     const auto Attempt = Ledger_.Placed_.at(Task).Attempt_;
     Ledger_.Placed_.erase(Task);
     const TimePoint At = Now_;
--- a/tests/decide/PlannerTest.cpp
+++ b/tests/decide/PlannerTest.cpp
@@ -47,7 +47,8 @@
       end(*Value.Task_, EndReason::Evicted);
     }
   }
-  void end(const TaskId &Task, EndReason Reason) {
+  // By value: the caller may pass a key of the map that is erased from.
+  void end(TaskId Task, EndReason Reason) {
     const auto Attempt = Placed_.at(Task).Attempt_;
     Placed_.erase(Task);
     Planner_.noteEnded(Task, Attempt, Reason, Now_);
