--- a/bench/decide/PlacementBench.cpp
+++ b/bench/decide/PlacementBench.cpp
@@ -72,9 +72,10 @@
           Info.Capacity_ - Used[Info.Server_] - Task.Declared_;
       if (!Left.isValid())
         continue;
-      const double Score =
-          1 - static_cast<double>(Left.MilliCpus_) / Info.Capacity_.MilliCpus_ -
-          0.1 * OfJob[Info.Server_];
+      const double Score = 1 -
+                           static_cast<double>(Left.MilliCpus_) /
+                               static_cast<double>(Info.Capacity_.MilliCpus_) -
+                           0.1 * OfJob[Info.Server_];
       if (Score <= BestScore)
         continue;
       BestScore = Score;
@@ -108,6 +109,20 @@
   }
 }
 
+/// A few samples for each running task of the first jobs, so that the sizes of
+/// all classes are known.
+static void reportUsage(Planner &Ours) {
+  for (int I = 0; I < RunningTasks; ++I) {
+    const TaskInfo Task = makeTask(I);
+    UsageSample Sample;
+    Sample.Task_ = Task.Task_;
+    Sample.Attempt_ = AttemptNumber(1);
+    Sample.Usage_ = Task.Declared_;
+    Sample.SampledAt_ = Start + std::chrono::seconds(1);
+    Ours.noteUsage(Sample);
+  }
+}
+
 /// Decides and commits placements; returns microseconds for each.
 static double timeOurs(Planner &Ours) {
   for (int I = 0; I < OurDecisions; ++I)
@@ -153,6 +168,7 @@
     Naive.notePlaced(Task, Server);
   }
   reportServices(Ours, Count);
+  reportUsage(Ours);
   Cost Result;
   const auto Begin = std::chrono::steady_clock::now();
   for (int I = 0; I < NaiveDecisions; ++I) {
--- a/src/decide/Placer.cpp
+++ b/src/decide/Placer.cpp
@@ -12,12 +12,17 @@
 /// Servers drawn for one task, and shown in its decision.
 static constexpr std::size_t Drawn = 8;
 static constexpr std::size_t Shown = 5;
+/// Tasks of unknown size that may run at a time beside a service: declared
+/// sizes are off by several times, and samples come late.
+static constexpr std::uint32_t MaxUnproven = 2;
 /// How long a server counts as strained after its guard acted.
 static constexpr Duration StrainTime = std::chrono::seconds(30);
 
 const Placer::Filter Placer::Filters[] = {
     {"the task failed or was evicted here", ReasonCode::BackingOff,
      &Placer::isAvoided},
+    {"it waits for measured sizes of the tasks that started here",
+     ReasonCode::TailAtRisk, &Placer::isUnproven},
     {"a service's tail is over its target", ReasonCode::TailAtRisk,
      &Placer::isTailOver},
     {"the tail would get over its target", ReasonCode::TailAtRisk,
@@ -157,6 +162,16 @@
          Value.Now_ < Known->AvoidUntil_;
 }
 
+bool Placer::isUnproven(const Match &Value) const {
+  const ServerEntry &Server = Value.Server_;
+  const bool Serves =
+      !Server.Services_.empty() || Server.Info_.ServiceShare_ != Resources();
+  const bool IsUrgent = Value.Task_.Priority_ >= State_.Policy_.UrgentPriority_;
+  if (!Serves || IsUrgent || State_.Sizes_.isKnown(Value.Load_.Class_))
+    return false;
+  return Server.Unproven_ + Server.Holds_ >= MaxUnproven;
+}
+
 bool Placer::isTailOver(const Match &Value) const {
   return std::any_of(
       Value.Server_.Services_.begin(), Value.Server_.Services_.end(),
@@ -178,11 +193,11 @@
 double Placer::ratePacking(const Match &Value) const {
   const Resources Limit = Value.Server_.limit();
   const Resources Left = Value.Server_.room() - Value.Needed_;
-  const auto freePart = [](std::int64_t Free, std::int64_t All) {
+  const auto FreePart = [](std::int64_t Free, std::int64_t All) {
     return All > 0 ? static_cast<double>(Free) / static_cast<double>(All) : 0;
   };
-  const double Processors = freePart(Left.MilliCpus_, Limit.MilliCpus_);
-  const double Memory = freePart(Left.MemoryMib_, Limit.MemoryMib_);
+  const double Processors = FreePart(Left.MilliCpus_, Limit.MilliCpus_);
+  const double Memory = FreePart(Left.MemoryMib_, Limit.MemoryMib_);
   // Full is good; full in one dimension with the other left over is not.
   double Rate = 1 - (Processors + Memory) / 2;
   Rate -= std::abs(Processors - Memory) / 2;
@@ -211,6 +226,6 @@
 
 double Placer::rateSpread(const Match &Value) const {
   const auto [All, Here] =
-      State_.countInRack(Value.Task_.Task_.Job_, Value.Server_.Rack_);
+      State_.Spread_.countInRack(Value.Task_.Task_.Job_, Value.Server_.Rack_);
   return All == 0 ? 1 : 1 - static_cast<double>(Here) / All;
 }
--- a/src/decide/TailGuard.cpp
+++ b/src/decide/TailGuard.cpp
@@ -15,6 +15,11 @@
 static constexpr std::uint32_t MinRequests = 20;
 /// Part of a report's p99 in the smoothed one.
 static constexpr double SmoothGain = 0.5;
+/// Reports that stand over a target by less than this part on average are taken
+/// for noise until there are more of them.
+static constexpr double MeaningfulPart = 0.05;
+/// Reports of each server over which the share of those over is averaged.
+static constexpr double ShareReports = 60;
 /// How long an action's effect is awaited before the guard may act again.
 static constexpr Duration PendingTime = std::chrono::seconds(10);
 /// Tasks that one action touches at most.
@@ -24,6 +29,10 @@
 /// A relapse within this time of a release makes the next one slower.
 static constexpr Duration RelapseTime = std::chrono::minutes(2);
 static constexpr std::uint32_t LongestRelease = 4;
+/// A task after whose release the tail rose stays throttled this long, and
+/// twice as long each further time.
+static constexpr Duration RelapsePause = std::chrono::minutes(1);
+static constexpr std::uint32_t MostRelapses = 6;
 /// Batch work that causes less than this part of an excess is not to blame.
 static constexpr double BlamelessPart = 0.15;
 static constexpr double SureOfBlame = 0.5;
@@ -66,14 +75,33 @@
     return;
   const auto Loads = Server.History_.loadsAt(Sample.SampledAt_);
   if (Loads)
-    State_.Effects_.learn(Index, Service.Band_, Sample, *Loads);
+    State_.Effects_.learn(Index, Service.Band_, Sample, *Loads,
+                          State_.targetMicros(Index));
+  noteShare(Index, Sample);
   const bool IsNews = Sample.SampledAt_ > Server.QuietUntil_;
   count(Server, Service, IsNews, Sample);
-  const bool IsOver = Service.OverReports_ >= State_.Policy_.GuardReports_;
-  if (IsOver || isReadyToRestore(Server))
+  if (isOver(Service) || isReadyToRestore(Server))
     ToCheck_.insert(*Position);
 }
 
+void TailGuard::noteShare(ServiceIndex Service, const ServiceSample &Sample) {
+  const double Target = State_.targetMicros(Service);
+  if (Target <= 0)
+    return;
+  const double Micros =
+      std::chrono::duration<double, std::micro>(Sample.P99_).count();
+  const double Reports =
+      ShareReports * std::max<ServerIndex>(1, State_.Servers_.size());
+  const double Now = Micros > Target ? 1 : 0;
+  State_.OverShare_ += (Now - State_.OverShare_) / Reports;
+}
+
+bool TailGuard::isOver(const ServiceState &Service) const {
+  const std::uint32_t Reports = State_.Policy_.GuardReports_;
+  return Service.OverReports_ >= Reports &&
+         Service.OverSum_ >= MeaningfulPart * Reports;
+}
+
 void TailGuard::count(ServerEntry &, ServiceState &Service, bool Counts,
                       const ServiceSample &Sample) {
   const double Target = State_.targetMicros(Service.Service_);
@@ -91,6 +119,7 @@
   const bool IsOver = Micros > Target;
   const bool IsUnder = Micros < Target * State_.Policy_.GuardReleasePart_;
   Service.OverReports_ = IsOver ? Service.OverReports_ + 1 : 0;
+  Service.OverSum_ = IsOver ? Service.OverSum_ + Micros / Target - 1 : 0;
   Service.UnderReports_ = IsUnder ? Service.UnderReports_ + 1 : 0;
 }
 
@@ -98,7 +127,7 @@
   if (Server.Throttled_ == 0)
     return false;
   const std::uint32_t Needed =
-      2 * State_.Policy_.GuardReports_ * Server.ReleaseFactor_;
+      State_.Policy_.GuardReports_ * Server.ReleaseFactor_;
   return std::all_of(Server.Services_.begin(), Server.Services_.end(),
                      [&](const ServiceState &Service) {
                        return State_.targetMicros(Service.Service_) <= 0 ||
@@ -110,7 +139,7 @@
 TailGuard::findExcess(const ServerEntry &Server) const {
   Excess Worst;
   for (const ServiceState &Service : Server.Services_) {
-    if (Service.OverReports_ < State_.Policy_.GuardReports_)
+    if (!isOver(Service))
       continue;
     Excess Over;
     Over.Service_ = &Service;
@@ -181,9 +210,12 @@
   auto Offenders = listOffenders(Server, *Over.Service_, Now);
   if (Offenders.empty() || isBatchBlameless(Over, Offenders, Now))
     return;
-  if (Now - Server.ReleasedAt_ < RelapseTime)
+  const bool Relapsed = Now - Server.ReleasedAt_ < RelapseTime;
+  if (Relapsed)
     Server.ReleaseFactor_ = std::min(Server.ReleaseFactor_ * 2, LongestRelease);
   Server.GuardedAt_ = Now;
+  if (Relapsed)
+    blameReleased(Server, Offenders);
   const bool AnyToThrottle =
       std::any_of(Offenders.begin(), Offenders.end(), [](const Offender &Each) {
         return Each.Task_->ThrottlePercent_ == 100;
@@ -194,6 +226,26 @@
     evict(Server, Over, std::move(Offenders), Now, Budget, Decisions);
 }
 
+void TailGuard::blameReleased(const ServerEntry &Server,
+                              std::vector<Offender> &Offenders) {
+  const auto IsReleased = [&](const Offender &Each) {
+    return Each.Task_->ThrottlePercent_ == 100 &&
+           Each.Task_->ThrottledAt_ >= Server.ReleasedAt_;
+  };
+  if (std::none_of(Offenders.begin(), Offenders.end(), IsReleased))
+    return;
+  std::erase_if(Offenders,
+                [&](const Offender &Each) { return !IsReleased(Each); });
+  for (const Offender &Each : Offenders)
+    Each.Task_->Relapses_ = std::min(Each.Task_->Relapses_ + 1, MostRelapses);
+}
+
+static bool isPaused(const RunningTask &Task, TimePoint Now) {
+  if (Task.Relapses_ == 0)
+    return false;
+  return Now < Task.ThrottledAt_ + RelapsePause * (1U << (Task.Relapses_ - 1));
+}
+
 void TailGuard::markPending(ServerEntry &Server, RunningTask &Task,
                             TimePoint Now) {
   Task.PendingUntil_ = Now + PendingTime;
@@ -270,14 +322,14 @@
                       std::vector<Offender> Offenders, TimePoint Now,
                       std::size_t Budget, std::vector<Decision> &Decisions) {
   // The gain per price: what is far from its checkpoint stays if it can.
-  const auto worthOf = [](const Offender &Each) {
+  const auto WorthOf = [](const Offender &Each) {
     return Each.Effect_ / (EvictionPrice + toSeconds(Each.WorkLost_));
   };
   std::sort(Offenders.begin(), Offenders.end(),
             [&](const Offender &A, const Offender &B) {
-              return std::tuple(A.Task_->Info_.Priority_, -worthOf(A),
+              return std::tuple(A.Task_->Info_.Priority_, -WorthOf(A),
                                 A.Task_->Info_.Task_) <
-                     std::tuple(B.Task_->Info_.Priority_, -worthOf(B),
+                     std::tuple(B.Task_->Info_.Priority_, -WorthOf(B),
                                 B.Task_->Info_.Task_);
             });
   const std::string Why =
@@ -309,7 +361,8 @@
                                                     TimePoint Now) const {
   std::vector<std::pair<double, RunningTask *>> Weighted;
   for (RunningTask *Task : Server.Tasks_) {
-    if (Task->ThrottlePercent_ == 100 || Now < Task->PendingUntil_)
+    if (Task->ThrottlePercent_ == 100 || Now < Task->PendingUntil_ ||
+        isPaused(*Task, Now))
       continue;
     double Weight = 0;
     for (const ServiceState &Service : Server.Services_)
@@ -325,6 +378,7 @@
            std::pair(B.first, B.second->Info_.Task_);
   });
   std::vector<RunningTask *> Tasks;
+  Tasks.reserve(Weighted.size());
   for (const auto &[Weight, Task] : Weighted)
     Tasks.push_back(Task);
   return Tasks;
@@ -332,6 +386,9 @@
 
 void TailGuard::restore(ServerEntry &Server, TimePoint Now, std::size_t Budget,
                         std::vector<Decision> &Decisions) {
+  // A release that held makes the next one quicker again.
+  if (Now - Server.ReleasedAt_ > RelapseTime)
+    Server.ReleaseFactor_ = std::max(1U, Server.ReleaseFactor_ / 2);
   const double Before =
       Tail_.pressureOn(Server, nullptr, LoadExpectation::Current, Now).Value_;
   double Released = 0;
