Number attempts from a range of their own for each assignment

Cause: after an assignment expired, the next data centre counted its attempts from 1 again, so that two runs of a task had one name; the audit of the system test of a cut-off data centre counted them as one attempt started twice. Ruled out: an overlap of the two; the first had stopped before the second began. Change: a job is adopted with progress whose numbers begin above those of all earlier assignments.

--- a/src/control/JobTracker.cpp
+++ b/src/control/JobTracker.cpp
@@ -1,5 +1,6 @@
 #include "control/JobTracker.h"
 
+#include "control/JobProgress.h"
 #include "tulipweir/datacentre/DataCentreCodec.h"
 #include "tulipweir/fleet/FleetCodec.h"
 
@@ -202,19 +203,26 @@
   const std::optional<fleet::NamedJob> Found = Fleet_.findJob(Job);
   if (!Found)
     return;
+  const std::uint64_t Assignment = Found->Record_.Assignment_;
   Outcome<datacentre::JobSpec> Spec =
       datacentre::decodeJobSpec(Found->Record_.Spec_);
-  if (!Spec) {
-    // Checked at submission; only another program's bytes come here.
-    const auto WallMs = static_cast<std::uint64_t>(Time_.wallNow().count());
-    return proposeToFleet(Job, fleet::EndJob{Job, Found->Record_.Assignment_,
-                                             fleet::JobEnd::Failed,
-                                             "its specification cannot be read",
-                                             WallMs});
-  }
-  propose(Job, datacentre::AdoptJob{std::move(Spec.value()),
-                                    Found->Record_.Assignment_,
-                                    Found->Record_.Progress_});
+  if (!Spec)
+    return failUnread(Job, Assignment, "specification");
+  Outcome<std::string> Progress =
+      makeAdoptedProgress(Spec.value(), Found->Record_.Progress_, Assignment);
+  if (!Progress)
+    return failUnread(Job, Assignment, "progress");
+  propose(Job, datacentre::AdoptJob{std::move(Spec.value()), Assignment,
+                                    std::move(Progress.value())});
+}
+
+/// Checked at submission and made by our own programs; only another program's
+/// bytes come here.
+void JobTracker::failUnread(const JobId &Job, std::uint64_t Assignment,
+                            const std::string &What) {
+  const auto WallMs = static_cast<std::uint64_t>(Time_.wallNow().count());
+  proposeToFleet(Job, fleet::EndJob{Job, Assignment, fleet::JobEnd::Failed,
+                                    "its " + What + " cannot be read", WallMs});
 }
 
 void JobTracker::cancel(const JobId &Job, const FleetSide &,
--- a/src/control/JobTracker.h
+++ b/src/control/JobTracker.h
@@ -103,6 +103,8 @@
 
   void doNothing(const JobId &, const FleetSide &, const LocalSide &) {}
   void adopt(const JobId &Job, const FleetSide &Fleet, const LocalSide &Local);
+  void failUnread(const JobId &Job, std::uint64_t Assignment,
+                  const std::string &What);
   void cancel(const JobId &Job, const FleetSide &Fleet, const LocalSide &Local);
   void stop(const JobId &Job, const FleetSide &Fleet, const LocalSide &Local);
   void reportEnd(const JobId &Job, const FleetSide &Fleet,
--- a/tests/control/JobTrackerTest.cpp
+++ b/tests/control/JobTrackerTest.cpp
@@ -1,6 +1,8 @@
 //===- JobTrackerTest.cpp - The next step of a job, over all cases --------===//
 
 #include "control/JobTracker.h"
+#include "control/JobProgress.h"
+#include "tulipweir/datacentre/DataCentreCodec.h"
 
 #include <gtest/gtest.h>
 
@@ -88,3 +90,24 @@
     EXPECT_EQ(chooseStep(F, L, S), JobStep::Stop);
   }
 }
+
+TEST(JobProgressTest, EachAssignmentNumbersItsAttemptsAboveTheOnesBefore) {
+  datacentre::JobSpec Spec;
+  Spec.Tasks_ = 2;
+  EXPECT_EQ(makeAdoptedProgress(Spec, "", 1).value(), "");
+  datacentre::JobRecord Before;
+  Before.Tasks_.resize(2);
+  Before.Tasks_[0].State_ = datacentre::TaskState::Finished;
+  Before.Tasks_[1].Attempt_ = AttemptNumber(7);
+  Before.Tasks_[1].Failures_ = 2;
+  Before.Tasks_[1].Checkpoint_ = "half";
+  for (const std::string &Passed : {std::string(), encodeProgress(Before)}) {
+    const auto Made = makeAdoptedProgress(Spec, Passed, 3);
+    const auto Tasks = datacentre::decodeProgress(Made.value(), 2).value();
+    EXPECT_EQ(Tasks[1].Attempt_, AttemptNumber(2 * AttemptsPerAssignment));
+    EXPECT_EQ(Tasks[0].Finished_, !Passed.empty());
+    EXPECT_EQ(Tasks[1].Checkpoint_, Passed.empty() ? "" : "half");
+    EXPECT_EQ(Tasks[1].Failures_, Passed.empty() ? 0U : 2U);
+  }
+  EXPECT_FALSE(makeAdoptedProgress(Spec, "no progress", 2));
+}
