--- a/tests/system/PlannedStopTest.cpp
+++ b/tests/system/PlannedStopTest.cpp
@@ -2,9 +2,9 @@
 
 #include "system/support/ChargeLoad.h"
 
-#include <csignal>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <csignal>
 
 using namespace tulipweir;
 using namespace tulipweir::system_test;
--- a/tests/system/RequestFaultsTest.cpp
+++ b/tests/system/RequestFaultsTest.cpp
@@ -3,9 +3,9 @@
 
 #include "system/support/Cluster.h"
 
-#include <algorithm>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <algorithm>
 #include <thread>
 
 using namespace tulipweir;
