--- a/tests/system/ControlFaultsTest.cpp
+++ b/tests/system/ControlFaultsTest.cpp
@@ -32,34 +32,36 @@
 class ControlFaults : public testing::Test {
 protected:
   void SetUp() override {
-    ASSERT_TRUE(Whole.start()) << Whole.whatFailed();
-    ASSERT_TRUE(Whole.submitJob(
+    ASSERT_TRUE(Whole_.start()) << Whole_.whatFailed();
+    ASSERT_TRUE(Whole_.submitJob(
         "rebill", Tasks, {{"workMs", 9000}, {"checkpointEveryMs", 500}}));
     ASSERT_TRUE(waitFor(
         LongEnough,
         [&] {
-          return Whole.readAudit().listEvents("taskStart").size() >= Tasks;
+          return Whole_.readAudit().listEvents("taskStart").size() >= Tasks;
         }))
-        << Whole.operate("GET", "/jobs/rebill").Body_
-        << Whole.operate("GET", "/jobs/rebill/explain?task=0").Body_
-        << Whole.showOutputs();
+        << Whole_.operate("GET", "/jobs/rebill").Body_
+        << Whole_.operate("GET", "/jobs/rebill/explain?task=0").Body_
+        << Whole_.showOutputs();
     ChargeLoadShape Shape;
-    Shape.Ports_ = {Whole.entryPort(0, 0), Whole.entryPort(0, 1)};
-    Charges = std::make_unique<ChargeLoad>(Whole, Shape);
-    ASSERT_TRUE(Charges->waitForServed(10)) << Whole.showOutputs();
+    Shape.Ports_ = {Whole_.entryPort(0, 0), Whole_.entryPort(0, 1)};
+    Charges_ = std::make_unique<ChargeLoad>(Whole_, Shape);
+    ASSERT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
   }
 
-  ControlProcess &leader() { return Whole.control(0, Whole.waitForLeader(0)); }
+  ControlProcess &leader() {
+    return Whole_.control(0, Whole_.waitForLeader(0));
+  }
 
   /// Everything goes on, ends, and the stand-ins ran nothing twice.
   void expectNothingLostOrDoubled() {
-    EXPECT_TRUE(Charges->waitForServed(20)) << Whole.showOutputs();
-    Charges->stop();
-    EXPECT_TRUE(Whole.waitForJob("rebill", "finished"))
-        << Whole.operate("GET", "/jobs/rebill").Body_ << Whole.showOutputs();
-    Audit Ran = Whole.readAudit();
+    EXPECT_TRUE(Charges_->waitForServed(20)) << Whole_.showOutputs();
+    Charges_->stop();
+    EXPECT_TRUE(Whole_.waitForJob("rebill", "finished"))
+        << Whole_.operate("GET", "/jobs/rebill").Body_ << Whole_.showOutputs();
+    Audit Ran = Whole_.readAudit();
     EXPECT_THAT(Ran.listBrokenPromises(), IsEmpty());
-    EXPECT_THAT(Charges->listFaults(Ran), IsEmpty());
+    EXPECT_THAT(Charges_->listFaults(Ran), IsEmpty());
     for (std::size_t Task = 0; Task < Tasks; ++Task)
       EXPECT_EQ(Ran.countEnds("rebill/" + std::to_string(Task), "finished"),
                 1U);
@@ -77,7 +79,7 @@
   bool replace(const ControlProcess &Lost) {
     auto Replaced = [&](const std::string &Group) {
       return waitFor(LongEnough, [&] {
-        return Whole
+        return Whole_
                    .operate("POST", "/members/" + Group + "/replace",
                             Json{{"name", Lost.Name_}})
                    .Status_ == 200;
@@ -86,15 +88,15 @@
     return Replaced("dc1") && Replaced("fleet");
   }
 
-  Cluster Whole{makeShape()};
-  std::unique_ptr<ChargeLoad> Charges;
+  Cluster Whole_{makeShape()};
+  std::unique_ptr<ChargeLoad> Charges_;
 };
 
 TEST_F(ControlFaults, TheLeaderIsKilledTwice) {
   for (int Round = 0; Round < 2; ++Round) {
     ControlProcess &Killed = leader();
     Killed.Child_->kill();
-    EXPECT_TRUE(Charges->waitForServed(10)) << Whole.showOutputs();
+    EXPECT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
     Killed.Child_->start();
   }
   expectNothingLostOrDoubled();
@@ -104,32 +106,32 @@
   ControlProcess &Frozen = leader();
   Frozen.Child_->signal(SIGSTOP);
   std::int64_t FrozenAt = nowMs();
-  EXPECT_TRUE(Charges->waitForServed(10)) << Whole.showOutputs();
+  EXPECT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
   waitFor(LongEnough, [&] { return nowMs() - FrozenAt > 3 * 2000; });
   Frozen.Child_->signal(SIGCONT);
-  EXPECT_TRUE(Charges->waitForServed(10)) << Whole.showOutputs();
+  EXPECT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
   expectNothingLostOrDoubled();
 }
 
 TEST_F(ControlFaults, ADataFolderIsLostAndASecondVmRightAfterTheRepair) {
   ControlProcess &First = leader();
   loseDisk(First);
-  EXPECT_TRUE(Charges->waitForServed(10)) << Whole.showOutputs();
+  EXPECT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
   EXPECT_TRUE(replace(First))
-      << Whole.operate("GET", "/members").Body_ << Whole.showOutputs();
+      << Whole_.operate("GET", "/members").Body_ << Whole_.showOutputs();
   ControlProcess &Second = leader();
   loseDisk(Second);
-  EXPECT_TRUE(Charges->waitForServed(10)) << Whole.showOutputs();
+  EXPECT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
   EXPECT_TRUE(replace(Second))
-      << Whole.operate("GET", "/members").Body_ << Whole.showOutputs();
+      << Whole_.operate("GET", "/members").Body_ << Whole_.showOutputs();
   expectNothingLostOrDoubled();
 }
 
 TEST_F(ControlFaults, AllControlsAreKilledAtOnce) {
   for (std::size_t Number = 0; Number < 3; ++Number)
-    Whole.control(0, Number).Child_->kill();
+    Whole_.control(0, Number).Child_->kill();
   for (std::size_t Number = 0; Number < 3; ++Number)
-    Whole.control(0, Number).Child_->start();
+    Whole_.control(0, Number).Child_->start();
   expectNothingLostOrDoubled();
 }
 
@@ -138,7 +140,7 @@
   Stopped.Child_->signal(SIGTERM);
   EXPECT_EQ(Stopped.Child_->wait(LongEnough), 0)
       << Stopped.Child_->readOutput();
-  EXPECT_TRUE(Charges->waitForServed(10)) << Whole.showOutputs();
+  EXPECT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
   Stopped.Child_->start();
   expectNothingLostOrDoubled();
 }
--- a/tests/system/DataCentreCutTest.cpp
+++ b/tests/system/DataCentreCutTest.cpp
@@ -27,15 +27,15 @@
 
 class DataCentreCut : public testing::Test {
 protected:
-  void SetUp() override { ASSERT_TRUE(Whole.start()) << Whole.whatFailed(); }
+  void SetUp() override { ASSERT_TRUE(Whole_.start()) << Whole_.whatFailed(); }
 
   bool submitTo(std::size_t DataCentre, const std::string &Job,
                 std::int64_t WorkMs) {
-    return Whole.submitJob(Job, 4,
-                           {{"workMs", WorkMs}, {"checkpointEveryMs", 500}},
-                           DataCentre, "dc" + std::to_string(DataCentre + 1)) &&
+    return Whole_.submitJob(
+               Job, 4, {{"workMs", WorkMs}, {"checkpointEveryMs", 500}},
+               DataCentre, "dc" + std::to_string(DataCentre + 1)) &&
            waitFor(LongEnough, [&] {
-             return Whole.readAudit().countStarts(
+             return Whole_.readAudit().countStarts(
                         Job, "dc" + std::to_string(DataCentre + 1)) == 4;
            });
   }
@@ -44,60 +44,61 @@
     waitFor(LongEnough, [&] { return nowMs() - From >= Length; });
   }
   std::uint64_t versionAt(std::size_t DataCentre) {
-    return Whole.operate("GET", "/bundles/current", {}, DataCentre)
+    return Whole_.operate("GET", "/bundles/current", {}, DataCentre)
         .json()
         .value("version", std::uint64_t(0));
   }
 
-  Cluster Whole{makeShape()};
+  Cluster Whole_{makeShape()};
 };
 
 TEST_F(DataCentreCut, ItServesAndFinishesWhatIsItsOwnAndCatchesUp) {
-  ASSERT_TRUE(submitTo(CutOff, "own", 5000)) << Whole.showOutputs();
+  ASSERT_TRUE(submitTo(CutOff, "own", 5000)) << Whole_.showOutputs();
   ChargeLoadShape Shape;
-  Shape.Ports_ = {Whole.entryPort(CutOff)};
+  Shape.Ports_ = {Whole_.entryPort(CutOff)};
   Shape.Threads_ = 2;
-  ChargeLoad Charges(Whole, Shape);
-  ASSERT_TRUE(Charges.waitForServed(5)) << Whole.showOutputs();
+  ChargeLoad Charges(Whole_, Shape);
+  ASSERT_TRUE(Charges.waitForServed(5)) << Whole_.showOutputs();
 
-  Whole.setCut(CutOff, true);
-  BundleOptions Next = Whole.followCurrent();
+  Whole_.setCut(CutOff, true);
+  BundleOptions Next = Whole_.followCurrent();
   EXPECT_TRUE(waitFor(LongEnough, [&] {
-    return Cluster::isAccepted(Whole.proposeBundle(Whole.makeBundle(Next)));
-  })) << Whole.showOutputs();
-  EXPECT_TRUE(Charges.waitForServed(20)) << Whole.showOutputs();
+    return Cluster::isAccepted(Whole_.proposeBundle(Whole_.makeBundle(Next)));
+  })) << Whole_.showOutputs();
+  EXPECT_TRUE(Charges.waitForServed(20)) << Whole_.showOutputs();
   passMs(3 * LeaseMs);
   for (int Task = 0; Task < 4; ++Task)
     EXPECT_TRUE(waitFor(LongEnough, [&] {
-      return Whole.readAudit().countEnds("own/" + std::to_string(Task),
-                                         "finished") == 1;
-    })) << Whole.showOutputs();
+      return Whole_.readAudit().countEnds("own/" + std::to_string(Task),
+                                          "finished") == 1;
+    })) << Whole_.showOutputs();
   EXPECT_EQ(versionAt(CutOff), Next.ParentVersion_);
 
-  Whole.setCut(CutOff, false);
+  Whole_.setCut(CutOff, false);
   EXPECT_TRUE(
       waitFor(LongEnough, [&] { return versionAt(CutOff) == Next.Version_; }))
-      << get(Whole.control(CutOff).HttpPort_, "/metrics").Body_
-      << get(Whole.control(0).HttpPort_, "/metrics").Body_
-      << get(Whole.control(CutOff).HttpPort_, "/debug/state").Body_
-      << get(Whole.control(0).HttpPort_, "/debug/state").Body_
-      << Whole.showOutputs();
-  EXPECT_TRUE(Whole.waitForJob("own", "finished", 0)) << Whole.showOutputs();
+      << get(Whole_.control(CutOff).HttpPort_, "/metrics").Body_
+      << get(Whole_.control(0).HttpPort_, "/metrics").Body_
+      << get(Whole_.control(CutOff).HttpPort_, "/debug/state").Body_
+      << get(Whole_.control(0).HttpPort_, "/debug/state").Body_
+      << Whole_.showOutputs();
+  EXPECT_TRUE(Whole_.waitForJob("own", "finished", 0)) << Whole_.showOutputs();
   Charges.stop();
-  Audit Ran = Whole.readAudit();
+  Audit Ran = Whole_.readAudit();
   EXPECT_THAT(Ran.listBrokenPromises(), IsEmpty());
   EXPECT_THAT(Charges.listFaults(Ran), IsEmpty());
 }
 
 TEST_F(DataCentreCut, AJobMovesOnlyOnceTheCutOffOneHasGivenItUp) {
-  ASSERT_TRUE(submitTo(CutOff, "long", 30000)) << Whole.showOutputs();
-  Whole.setCut(CutOff, true);
-  EXPECT_TRUE(Whole.waitForJob("long", "finished", 0, std::chrono::seconds(90)))
-      << Whole.showOutputs();
-  Whole.setCut(CutOff, false);
-  EXPECT_TRUE(Whole.waitForJob("long", "finished", CutOff))
-      << Whole.showOutputs();
-  Audit Ran = Whole.readAudit();
+  ASSERT_TRUE(submitTo(CutOff, "long", 30000)) << Whole_.showOutputs();
+  Whole_.setCut(CutOff, true);
+  EXPECT_TRUE(
+      Whole_.waitForJob("long", "finished", 0, std::chrono::seconds(90)))
+      << Whole_.showOutputs();
+  Whole_.setCut(CutOff, false);
+  EXPECT_TRUE(Whole_.waitForJob("long", "finished", CutOff))
+      << Whole_.showOutputs();
+  Audit Ran = Whole_.readAudit();
   EXPECT_THAT(Ran.listBrokenPromises(), IsEmpty());
   EXPECT_EQ(Ran.countStarts("long", "dc3"), 4U);
   for (int Task = 0; Task < 4; ++Task)
--- a/tests/system/PlannedStopTest.cpp
+++ b/tests/system/PlannedStopTest.cpp
@@ -23,9 +23,9 @@
 
 class PlannedStop : public testing::Test {
 protected:
-  void SetUp() override { ASSERT_TRUE(Whole.start()) << Whole.whatFailed(); }
+  void SetUp() override { ASSERT_TRUE(Whole_.start()) << Whole_.whatFailed(); }
 
-  Cluster Whole{makeShape()};
+  Cluster Whole_{makeShape()};
 };
 
 TEST_F(PlannedStop, AnEntryAnswersAllThatItHasBegun) {
@@ -34,17 +34,17 @@
   std::vector<std::thread> Threads;
   for (std::size_t Caller = 0; Caller < Callers; ++Caller)
     Threads.emplace_back([&, Caller] {
-      Answers[Caller] = get(Whole.entryPort(), "/v1/services/booking/slow/" +
-                                                   std::to_string(Caller) +
-                                                   "?serviceUs=1500000");
+      Answers[Caller] = get(Whole_.entryPort(), "/v1/services/booking/slow/" +
+                                                    std::to_string(Caller) +
+                                                    "?serviceUs=1500000");
     });
   ASSERT_TRUE(waitFor(LongEnough, [&] {
     std::size_t Running = 0;
-    for (const AuditLine &Line : Whole.readAudit().listEvents("request"))
+    for (const AuditLine &Line : Whole_.readAudit().listEvents("request"))
       Running += Line.Path_.rfind("/slow/", 0) == 0;
     return Running == Callers;
   }));
-  Child &Stopped = *Whole.entry(0).Child_;
+  Child &Stopped = *Whole_.entry(0).Child_;
   Stopped.signal(SIGTERM);
   for (std::thread &Each : Threads)
     Each.join();
@@ -58,40 +58,40 @@
 
 TEST_F(PlannedStop, AnEntryUnderLoadLosesNoCharge) {
   ChargeLoadShape Shape;
-  Shape.Ports_ = {Whole.entryPort(0, 0), Whole.entryPort(0, 1)};
-  ChargeLoad Charges(Whole, Shape);
+  Shape.Ports_ = {Whole_.entryPort(0, 0), Whole_.entryPort(0, 1)};
+  ChargeLoad Charges(Whole_, Shape);
   ASSERT_TRUE(Charges.waitForServed(10));
-  Child &Stopped = *Whole.entry(0).Child_;
+  Child &Stopped = *Whole_.entry(0).Child_;
   Stopped.signal(SIGTERM);
   EXPECT_EQ(Stopped.wait(LongEnough), 0) << Stopped.readOutput();
-  EXPECT_TRUE(Charges.waitForServed(10)) << Whole.showOutputs();
+  EXPECT_TRUE(Charges.waitForServed(10)) << Whole_.showOutputs();
   Charges.stop();
-  Audit Ran = Whole.readAudit();
+  Audit Ran = Whole_.readAudit();
   EXPECT_THAT(Charges.listFaults(Ran), IsEmpty());
   EXPECT_THAT(Ran.listBrokenPromises(), IsEmpty());
 }
 
 TEST_F(PlannedStop, ALeavingServerGetsNothingNewAfterTwoSeconds) {
-  ASSERT_TRUE(Whole.submitJob("rebill", 8,
-                              {{"workMs", 6000}, {"checkpointEveryMs", 500}}));
+  ASSERT_TRUE(Whole_.submitJob("rebill", 8,
+                               {{"workMs", 6000}, {"checkpointEveryMs", 500}}));
   ASSERT_TRUE(waitFor(LongEnough, [&] {
-    return Whole.readAudit().listEvents("taskStart").size() >= 8;
+    return Whole_.readAudit().listEvents("taskStart").size() >= 8;
   }));
   ChargeLoadShape Shape;
-  Shape.Ports_ = {Whole.entryPort(0, 0), Whole.entryPort(0, 1)};
-  ChargeLoad Charges(Whole, Shape);
+  Shape.Ports_ = {Whole_.entryPort(0, 0), Whole_.entryPort(0, 1)};
+  ChargeLoad Charges(Whole_, Shape);
   ASSERT_TRUE(Charges.waitForServed(20));
-  std::string Leaving = Whole.serverName(0, 0);
-  EXPECT_FALSE(Whole.readAudit().listNewWork(Leaving, 0).empty());
+  std::string Leaving = Whole_.serverName(0, 0);
+  EXPECT_FALSE(Whole_.readAudit().listNewWork(Leaving, 0).empty());
   std::int64_t LeftAt = nowMs();
-  ASSERT_TRUE(Whole.setFault(0, Leaving, "draining"));
+  ASSERT_TRUE(Whole_.setFault(0, Leaving, "draining"));
   EXPECT_TRUE(
       waitFor(LongEnough, [&] { return nowMs() - LeftAt > 3 * LeaveLimitMs; }));
-  EXPECT_TRUE(Charges.waitForServed(20)) << Whole.showOutputs();
+  EXPECT_TRUE(Charges.waitForServed(20)) << Whole_.showOutputs();
   Charges.stop();
-  EXPECT_TRUE(Whole.waitForJob("rebill", "finished"))
-      << Whole.operate("GET", "/jobs/rebill").Body_;
-  Audit Ran = Whole.readAudit();
+  EXPECT_TRUE(Whole_.waitForJob("rebill", "finished"))
+      << Whole_.operate("GET", "/jobs/rebill").Body_;
+  Audit Ran = Whole_.readAudit();
   EXPECT_THAT(Charges.listFaults(Ran), IsEmpty());
   EXPECT_THAT(Ran.listBrokenPromises(), IsEmpty());
   EXPECT_EQ(Ran.listNewWork(Leaving, LeftAt + LeaveLimitMs).size(), 0U);
@@ -99,16 +99,16 @@
 
 TEST_F(PlannedStop, ASilentServerGetsNothingNewAfterTwoSeconds) {
   ChargeLoadShape Shape;
-  Shape.Ports_ = {Whole.entryPort(0, 0), Whole.entryPort(0, 1)};
-  ChargeLoad Charges(Whole, Shape);
+  Shape.Ports_ = {Whole_.entryPort(0, 0), Whole_.entryPort(0, 1)};
+  ChargeLoad Charges(Whole_, Shape);
   ASSERT_TRUE(Charges.waitForServed(20));
-  std::string Silent = Whole.serverName(0, 1);
+  std::string Silent = Whole_.serverName(0, 1);
   std::int64_t SilentAt = nowMs();
-  ASSERT_TRUE(Whole.setFault(0, Silent, "mute"));
+  ASSERT_TRUE(Whole_.setFault(0, Silent, "mute"));
   EXPECT_TRUE(waitFor(LongEnough,
                       [&] { return nowMs() - SilentAt > 3 * LeaveLimitMs; }));
   Charges.stop();
-  Audit Ran = Whole.readAudit();
+  Audit Ran = Whole_.readAudit();
   EXPECT_THAT(Charges.listFaults(Ran), IsEmpty());
   EXPECT_EQ(Ran.listNewWork(Silent, SilentAt + LeaveLimitMs).size(), 0U);
 }
--- a/tests/system/RequestFaultsTest.cpp
+++ b/tests/system/RequestFaultsTest.cpp
@@ -22,15 +22,15 @@
 class RequestFaults : public testing::Test {
 protected:
   static void SetUpTestSuite() {
-    Whole = std::make_unique<Cluster>(makeShape());
-    Started = Whole->start();
+    Whole_ = std::make_unique<Cluster>(makeShape());
+    Started_ = Whole_->start();
   }
-  static void TearDownTestSuite() { Whole.reset(); }
+  static void TearDownTestSuite() { Whole_.reset(); }
   void SetUp() override {
-    ASSERT_TRUE(Started) << Whole->whatFailed();
+    ASSERT_TRUE(Started_) << Whole_->whatFailed();
     // An earlier test's fault may have ejected servers for a while.
     ASSERT_TRUE(waitFor(LongEnough, [] {
-      return get(Whole->entryPort(), "/v1/services/booking/warm").outcome() ==
+      return get(Whole_->entryPort(), "/v1/services/booking/warm").outcome() ==
              "served";
     }));
   }
@@ -39,18 +39,18 @@
   HttpAnswer chargeUnder(const std::string &Fault, std::int64_t Value,
                          const std::string &Path, const std::string &Ticket,
                          Milliseconds Deadline = Milliseconds(1000)) {
-    EXPECT_TRUE(Whole->setFault(0, "*", Fault, Value));
+    EXPECT_TRUE(Whole_->setFault(0, "*", Fault, Value));
     HttpAnswer Answer =
-        Whole->charge(Whole->entryPort(), Path, Ticket, Deadline);
-    EXPECT_TRUE(Whole->setFault(0, "*", Fault, 0));
+        Whole_->charge(Whole_->entryPort(), Path, Ticket, Deadline);
+    EXPECT_TRUE(Whole_->setFault(0, "*", Fault, 0));
     return Answer;
   }
   std::size_t countRuns(const std::string &Path) {
-    return Whole->readAudit().countRuns("/" + Path);
+    return Whole_->readAudit().countRuns("/" + Path);
   }
 
-  static inline std::unique_ptr<Cluster> Whole;
-  static inline bool Started = false;
+  static inline std::unique_ptr<Cluster> Whole_;
+  static inline bool Started_ = false;
 };
 
 struct AnswerFaultCase {
@@ -72,10 +72,10 @@
 
 TEST_P(AnswerFaults, AreNotRunAgainUnderTheSameTicket) {
   std::string Path = std::string("keyed-") + GetParam().Fault_;
-  std::string Ticket = Whole->takeTicket(Whole->entryPort());
+  std::string Ticket = Whole_->takeTicket(Whole_->entryPort());
   chargeUnder(GetParam().Fault_, GetParam().Value_, Path, Ticket);
   HttpAnswer Again =
-      Whole->charge(Whole->entryPort(0, 1), Path, Ticket, Milliseconds(1000));
+      Whole_->charge(Whole_->entryPort(0, 1), Path, Ticket, Milliseconds(1000));
   EXPECT_NE(Again.outcome(), "not-run") << Again.Body_;
   EXPECT_EQ(countRuns(Path), 1U);
 }
@@ -107,11 +107,11 @@
 }
 
 TEST_F(RequestFaults, AReadIsServedWholeAlthoughOneServerTruncates) {
-  ASSERT_TRUE(Whole->setFault(0, Whole->serverName(0, 0), "truncate"));
+  ASSERT_TRUE(Whole_->setFault(0, Whole_->serverName(0, 0), "truncate"));
   std::size_t Served = 0;
   for (int Number = 0; Number < 30; ++Number) {
     HttpAnswer Answer =
-        get(Whole->entryPort(), "/v1/services/booking/read?bytes=50000");
+        get(Whole_->entryPort(), "/v1/services/booking/read?bytes=50000");
     if (Answer.outcome() != "served")
       continue;
     ++Served;
@@ -119,42 +119,42 @@
     for (std::size_t Index = 0; Index < Answer.Body_.size(); ++Index)
       ASSERT_EQ(Answer.Body_[Index], static_cast<char>('a' + Index % 26));
   }
-  Whole->setFault(0, Whole->serverName(0, 0), "truncate", 0);
+  Whole_->setFault(0, Whole_->serverName(0, 0), "truncate", 0);
   EXPECT_GE(Served, 20U);
 }
 
 TEST_F(RequestFaults, AnEntryKilledInMidRequestRunsNothingTwice) {
-  std::string Ticket = Whole->takeTicket(Whole->entryPort(0, 0));
+  std::string Ticket = Whole_->takeTicket(Whole_->entryPort(0, 0));
   HttpAnswer First;
   std::thread Caller([&] {
-    First = Whole->charge(Whole->entryPort(0, 0), "killed", Ticket,
-                          Milliseconds(10000), "serviceUs=1500000");
+    First = Whole_->charge(Whole_->entryPort(0, 0), "killed", Ticket,
+                           Milliseconds(10000), "serviceUs=1500000");
   });
   EXPECT_TRUE(waitFor(LongEnough, [&] { return countRuns("killed") == 1; }));
-  Whole->entry(0, 0).Child_->kill();
+  Whole_->entry(0, 0).Child_->kill();
   Caller.join();
   EXPECT_EQ(First.Status_, 0);
-  HttpAnswer Again = Whole->charge(Whole->entryPort(0, 1), "killed", Ticket,
-                                   Milliseconds(4000), "serviceUs=1500000");
+  HttpAnswer Again = Whole_->charge(Whole_->entryPort(0, 1), "killed", Ticket,
+                                    Milliseconds(4000), "serviceUs=1500000");
   EXPECT_EQ(Again.outcome(), "unknown") << Again.Body_;
   EXPECT_EQ(countRuns("killed"), 1U);
-  Whole->entry(0, 0).Child_->start();
+  Whole_->entry(0, 0).Child_->start();
   EXPECT_TRUE(waitFor(LongEnough, [&] {
-    return get(Whole->entryPort(0, 0), "/v1/services/booking/warm").outcome() ==
-           "served";
+    return get(Whole_->entryPort(0, 0), "/v1/services/booking/warm")
+               .outcome() == "served";
   }));
-  EXPECT_THAT(Whole->readAudit().listBrokenPromises(), IsEmpty());
+  EXPECT_THAT(Whole_->readAudit().listBrokenPromises(), IsEmpty());
 }
 
 TEST_F(RequestFaults, AServerThatRestartsInMidRequestLeavesItUnknown) {
   HttpAnswer Answer;
   std::thread Caller([&] {
-    Answer = Whole->charge(Whole->entryPort(0, 1), "restart", "",
-                           Milliseconds(10000), "serviceUs=2000000");
+    Answer = Whole_->charge(Whole_->entryPort(0, 1), "restart", "",
+                            Milliseconds(10000), "serviceUs=2000000");
   });
   EXPECT_TRUE(waitFor(LongEnough, [&] { return countRuns("restart") == 1; }));
   EXPECT_EQ(
-      post(Whole->standIn(0).AdminPort_, "/admin/servers/*/crash").Status_,
+      post(Whole_->standIn(0).AdminPort_, "/admin/servers/*/crash").Status_,
       200);
   Caller.join();
   EXPECT_EQ(Answer.outcome(), "unknown") << Answer.Body_;
--- a/tools/standin/FaultyHttpServer.cpp
+++ b/tools/standin/FaultyHttpServer.cpp
@@ -17,7 +17,7 @@
 using Tcp = asio::ip::tcp;
 using boost::system::error_code;
 
-static constexpr std::uint64_t MaxBodyBytes = 64 * 1024 * 1024;
+static constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
 
 static net::HttpRequest
 toValue(beast::http::request<beast::http::string_body> &&Message) {
--- a/tools/standin/TaskTable.cpp
+++ b/tools/standin/TaskTable.cpp
@@ -38,7 +38,8 @@
     return false;
   if (Found->is_boolean())
     return Found->get<bool>();
-  return Found->is_number() && Found->get<double>() >= Number.value();
+  return Found->is_number() &&
+         Found->get<double>() >= static_cast<double>(Number.value());
 }
 
 TaskTable::TaskTable(const TaskTableSettings &Settings) : Settings_(Settings) {}
