Never show the older bundles of a replayed history

Ruled out: a lost or uncommitted bundle; the log was whole, and the newest one was there milliseconds later. Change: the replica tells its state machine where a batch begins and ends; FleetMachine holds its readers back in between and tells its listeners after it; results of proposals go out after the batch too. The new test of FleetMachine was seen to fail with the lock over the batch removed. Conclusion: mended for replay.

--- a/include/tulipweir/fleet/FleetMachine.h
+++ b/include/tulipweir/fleet/FleetMachine.h
@@ -32,8 +32,8 @@
 /// Thread-safe: one lock around the state.
 class FleetMachine final : public replication::StateMachine {
 public:
-  /// Told each applied command and its result, on the replica's thread and
-  /// outside the lock. It must not block.
+  /// Told each applied command and its result, on the replica's thread, outside
+  /// the lock and after the batch that it is part of. It must not block.
   using AppliedListener =
       std::function<void(const Command &, const CommandResult &)>;
   /// Told that the state was replaced by a snapshot's.
@@ -45,6 +45,10 @@
   // Called by the replica.
 
   std::string apply(const replication::CommittedEntry &Entry) override;
+  /// Readers wait until the batch is over: the bundles of a replayed history
+  /// are never shown.
+  void beginBatch() override;
+  void endBatch() override;
   std::string takeSnapshot() const override;
   Outcome<void> restoreSnapshot(std::string_view Snapshot) override;
 
@@ -76,9 +80,19 @@
   }
 
 private:
+  struct Told {
+    Command Command_;
+    CommandResult Result_;
+  };
+
+  CommandResult applyLocked(const Command &Value);
+
   AppliedListener OnApplied_;
   RestoredListener OnRestored_;
   mutable std::mutex Mutex_;
+  /// Only the replica's thread uses these two.
+  std::unique_lock<std::mutex> Batch_{Mutex_, std::defer_lock};
+  std::vector<Told> ToldLater_;
   FleetState State_;
   std::shared_ptr<const Bundle> Bundle_;
 };
--- a/include/tulipweir/replication/StateMachine.h
+++ b/include/tulipweir/replication/StateMachine.h
@@ -34,6 +34,13 @@
   /// nothing, the same on all replicas.
   virtual std::string apply(const CommittedEntry &Entry) = 0;
 
+  /// Called around the entries that are applied in one go. After a restart
+  /// that is the whole history since the snapshot: whoever must never show an
+  /// older state than before shows nothing in between. Results go out after
+  /// endBatch.
+  virtual void beginBatch() {}
+  virtual void endBatch() {}
+
   /// The whole state as bytes.
   virtual std::string takeSnapshot() const = 0;
 
--- a/src/fleet/FleetMachine.cpp
+++ b/src/fleet/FleetMachine.cpp
@@ -4,6 +4,8 @@
 #include "Results.h"
 #include "tulipweir/fleet/FleetCodec.h"
 
+#include <utility>
+
 using namespace tulipweir;
 using namespace tulipweir::fleet;
 
@@ -32,19 +34,34 @@
   if (!Decoded)
     return encodeResult(
         refuse(Decoded.error().Code_, Decoded.error().Message_));
-  CommandResult Result;
-  {
-    const std::lock_guard Lock(Mutex_);
-    const BundleVersion Before = State_.bundles().inForce().Version_;
-    Result = State_.apply(Decoded.value());
-    if (Before != State_.bundles().inForce().Version_)
-      Bundle_ = shareInForce(State_);
+  if (Batch_.owns_lock()) {
+    ToldLater_.push_back({Decoded.value(), applyLocked(Decoded.value())});
+    return encodeResult(ToldLater_.back().Result_);
   }
-  if (OnApplied_)
-    OnApplied_(Decoded.value(), Result);
+  beginBatch();
+  const CommandResult Result = applyLocked(Decoded.value());
+  ToldLater_.push_back({Decoded.value(), Result});
+  endBatch();
   return encodeResult(Result);
 }
 
+CommandResult FleetMachine::applyLocked(const Command &Value) {
+  const BundleVersion Before = State_.bundles().inForce().Version_;
+  CommandResult Result = State_.apply(Value);
+  if (Before != State_.bundles().inForce().Version_)
+    Bundle_ = shareInForce(State_);
+  return Result;
+}
+
+void FleetMachine::beginBatch() { Batch_.lock(); }
+
+void FleetMachine::endBatch() {
+  Batch_.unlock();
+  for (const Told &Each : std::exchange(ToldLater_, {}))
+    if (OnApplied_)
+      OnApplied_(Each.Command_, Each.Result_);
+}
+
 std::string FleetMachine::takeSnapshot() const {
   const std::lock_guard Lock(Mutex_);
   return encodeState(State_);
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -281,16 +281,20 @@
 }
 
 void ReplicaDriver::applyAll(const std::vector<LogEntry> &Entries) {
-  if (HasFailed_)
+  if (HasFailed_ || Entries.empty())
     return;
-  for (const LogEntry &Entry : Entries) {
-    std::string Result;
+  std::vector<std::string> Results(Entries.size());
+  Machine_.beginBatch();
+  for (std::size_t I = 0; I < Entries.size(); ++I) {
+    const LogEntry &Entry = Entries[I];
     if (Entry.Kind_ == EntryKind::Command)
-      Result = Machine_.apply({Entry.Term_, Entry.Index_, Entry.Command_});
+      Results[I] = Machine_.apply({Entry.Term_, Entry.Index_, Entry.Command_});
     Applied_ = Entry.Index_;
     BytesSinceSnapshot_ += Entry.Command_.size();
-    Pending_.apply(Entry, std::move(Result));
   }
+  Machine_.endBatch();
+  for (std::size_t I = 0; I < Entries.size(); ++I)
+    Pending_.apply(Entries[I], std::move(Results[I]));
   Pending_.reachIndex(Applied_);
 }
 
--- a/tests/fleet/FleetMachineTest.cpp
+++ b/tests/fleet/FleetMachineTest.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <barrier>
+#include <chrono>
+#include <future>
 #include <random>
 #include <thread>
 #include <vector>
@@ -153,6 +155,29 @@
   EXPECT_EQ(Heard.size(), 5U);
 }
 
+TEST(FleetMachineTest, AReplayedHistoryShowsNoneOfItsOlderBundles) {
+  std::size_t Heard = 0;
+  FleetMachine Machine([&](const Command &, const CommandResult &) {
+    // After the batch, so that a listener finds its last state.
+    EXPECT_EQ(Machine.getBundle()->Version_, BundleVersion(2));
+    ++Heard;
+  });
+  const auto First = makeBundleText(1, 0, "", 1, 1);
+  const auto Second = makeBundleText(2, 1, computeDigest(First).value(), 1, 1);
+  Machine.beginBatch();
+  EXPECT_TRUE(applyTo(Machine, makeProposal(First, 1)).Accepted_);
+  auto Shown =
+      std::async(std::launch::async, [&] { return Machine.getInForce(); });
+  // A reader that is not held back is done long before.
+  EXPECT_EQ(Shown.wait_for(std::chrono::milliseconds(100)),
+            std::future_status::timeout);
+  EXPECT_TRUE(applyTo(Machine, makeProposal(Second, 1)).Accepted_);
+  EXPECT_EQ(Heard, 0U);
+  Machine.endBatch();
+  EXPECT_EQ(Shown.get()->Version_, BundleVersion(2));
+  EXPECT_EQ(Heard, 2U);
+}
+
 TEST(FleetMachineTest, BytesThatAreNoCommandChangeNothing) {
   FleetMachine Machine;
   const std::string Before = Machine.takeSnapshot();
