Name no routes and no slots once an entry's grant has run out

Cause: the router kept its version and slots for as long as it lived, so its reports went on naming them after the grant had run out; it took any table, also one below a table that it had taken, one whose grant had run out on the way, and one that answered a report on what it no longer held; and a server that had left the table was named with its old slots while a request to it ran.

Ruled out: clearing the servers with a timer when the grant runs out. A late timer would leave the same gap; what is held is worked out from the clock when a report is made and when a reply comes. Remembering the highest version by term only: SlotLedger.h says "not below one that it ever took".

Change: Router::getHeld gives version and grants of one moment, version 0 and no slots once the grant has run out, in-flight counts always. Router::adopt is told what the report named and returns whether it took the reply; the entry is ready only by replies that were taken.

ThreadsTest calls the changed signatures, its checks are the same.

Conclusion: a data centre whose controls all lose their disks begins its terms anew; entries that run on then take none of its tables until restarted.

--- a/include/tulipweir/entry/Router.h
+++ b/include/tulipweir/entry/Router.h
@@ -27,6 +27,14 @@
   std::vector<std::shared_ptr<ServiceGate>> Others_;
 };
 
+/// What a report tells of the routes, at one moment.
+struct RoutesHeld {
+  std::uint64_t Version_ = 0; ///< 0 once the grant has run out.
+  /// Without slots once the grant has run out or the table leaves them out.
+  std::vector<wire::GrantHeld> Grants_;
+  bool operator==(const RoutesHeld &) const = default;
+};
+
 /// Thread-safe. The gates have locks of their own; the router's lock only
 /// guards which gates and servers there are.
 class Router {
@@ -41,9 +49,12 @@
   /// Makes gates for the services of a bundle. The gate of a service that is
   /// no longer named stays, idle: requests may still be in it.
   void configure(const Configuration &Config);
-  /// Takes over a reply to a report that was sent at SentAt. Older replies
-  /// than the last one taken over are ignored.
-  void adopt(const wire::EntryReportReply &Reply, TimePoint SentAt);
+  /// Takes over a reply to a report that was sent at SentAt and named the
+  /// version Named. Returns whether it did: not if a reply to a later report
+  /// was taken, if another version is held by now, if the grant has run out
+  /// on the way, or if the table is below one that was taken.
+  bool adopt(const wire::EntryReportReply &Reply, TimePoint SentAt,
+             std::uint64_t Named);
   /// A server announced through this entry that it leaves.
   void noteDraining(const BackendServerId &Server, const BootId &Boot);
   /// Tells the other services of the server that a gate gave a slot.
@@ -59,8 +70,7 @@
 
   /// Null when the bundle names no such service.
   std::shared_ptr<ServiceGate> findGate(const ServiceId &Service) const;
-  std::vector<wire::GrantHeld> listGrants() const;
-  std::uint64_t getRoutesVersion() const;
+  RoutesHeld getHeld() const;
   std::size_t getServerCount() const;
   std::vector<GateView> listViews() const;
 
@@ -68,6 +78,13 @@
   using ServerKey = std::pair<BackendServerId, BootId>;
   using GateList = std::vector<std::shared_ptr<ServiceGate>>;
 
+  bool mayAdopt(const wire::EntryReportReply &Reply, TimePoint SentAt,
+                std::uint64_t Named, TimePoint Until) const;
+  /// The version that may be used at Now; 0 when the grant has run out. The
+  /// lock is held.
+  std::uint64_t findVersion(TimePoint Now) const {
+    return Now < GrantUntil_ ? HighestVersion_ : 0;
+  }
   void replaceServers(const std::vector<wire::Route> &Routes, TimePoint Until);
   void fillGates();
   GateList listGates() const;
@@ -79,7 +96,9 @@
   std::map<ServerKey, std::shared_ptr<ServerSlots>> Servers_;
   /// Gone from the table, with requests still in flight.
   std::vector<std::shared_ptr<ServerSlots>> Leaving_;
-  std::uint64_t RoutesVersion_ = 0;
+  /// Of the last table that was taken; never goes down.
+  std::uint64_t HighestVersion_ = 0;
+  TimePoint GrantUntil_ = TimePoint::min();
   TimePoint AdoptedAt_ = TimePoint::min();
 };
 
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -124,8 +124,9 @@
   for (const GateView &View : Router_.listViews())
     Gates.push_back(toJson(View));
   json Grants = json::array();
-  for (const wire::GrantHeld &Held : Router_.listGrants())
-    Grants.push_back(toJson(Held));
+  const RoutesHeld Held = Router_.getHeld();
+  for (const wire::GrantHeld &Each : Held.Grants_)
+    Grants.push_back(toJson(Each));
   json Ended = json::object();
   for (std::size_t Index = 0; Index < RequestReasonCount; ++Index) {
     const auto Reason = static_cast<RequestReason>(Index);
@@ -137,7 +138,7 @@
                       {"incarnation", Identity_.Incarnation_},
                       {"unready", explainUnready()},
                       {"bundleVersion", Configuration_.getVersion().value()},
-                      {"routesVersion", Router_.getRoutesVersion()},
+                      {"routesVersion", Held.Version_},
                       {"leaderAnswers", Reporter_.hasLeader()},
                       {"inProgress", Callers_.getInProgress()},
                       {"recordsUnderWay", Keyed_.getUnrecorded()},
--- a/src/entry/Reporter.cpp
+++ b/src/entry/Reporter.cpp
@@ -21,12 +21,14 @@
       return;
     const TimePoint SentAt = Parts_.Clock_.now();
     Parts_.Metrics_.Reports_.add();
-    Parts_.Control_.report(makeReport(), ReportTimeout,
-                           [Weak = weak_from_this(), SentAt](
-                               const Outcome<wire::EntryReportReply> &Reply) {
-                             if (const std::shared_ptr<Loop> Self = Weak.lock())
-                               Self->onReply(Reply, SentAt);
-                           });
+    const wire::EntryReport Report = makeReport();
+    Parts_.Control_.report(
+        Report, ReportTimeout,
+        [Weak = weak_from_this(), SentAt, Named = Report.RoutesHeld_](
+            const Outcome<wire::EntryReportReply> &Reply) {
+          if (const std::shared_ptr<Loop> Self = Weak.lock())
+            Self->onReply(Reply, SentAt, Named);
+        });
   }
 
   void giveBack(std::function<void()> Done) {
@@ -51,17 +53,19 @@
     Report.Address_ = Parts_.Identity_.Address_;
     Report.Incarnation_ = Parts_.Identity_.Incarnation_;
     Report.Held_ = Parts_.Configuration_.getVersion();
-    Report.RoutesHeld_ = Parts_.Router_.getRoutesVersion();
-    Report.Grants_ = Parts_.Router_.listGrants();
+    RoutesHeld Held = Parts_.Router_.getHeld();
+    Report.RoutesHeld_ = Held.Version_;
+    Report.Grants_ = std::move(Held.Grants_);
     return Report;
   }
 
-  void onReply(const Outcome<wire::EntryReportReply> &Reply, TimePoint SentAt) {
+  void onReply(const Outcome<wire::EntryReportReply> &Reply, TimePoint SentAt,
+               std::uint64_t Named) {
     if (Ended_)
       return;
     noteLeader(Reply.has_value());
     if (Reply)
-      adopt(Reply.value(), SentAt);
+      adopt(Reply.value(), SentAt, Named);
     const Duration Passed = Parts_.Clock_.now() - SentAt;
     const Duration Pause = std::max(Duration::zero(), Parts_.Period_ - Passed);
     Parts_.Timers_.runAfter(Pause, [Weak = weak_from_this()] {
@@ -77,12 +81,13 @@
       spdlog::info("the leader {}", Found ? "answers" : "does not answer");
   }
 
-  void adopt(const wire::EntryReportReply &Reply, TimePoint SentAt) {
+  void adopt(const wire::EntryReportReply &Reply, TimePoint SentAt,
+             std::uint64_t Named) {
     // The bundle first: its services need their gates before the routes come.
     if (Reply.Bundle_)
       adoptBundle(*Reply.Bundle_);
-    Parts_.Router_.adopt(Reply, SentAt);
-    Parts_.Flags_.GrantsUntil_ = SentAt + milliseconds(Reply.GrantTtlMs_);
+    if (Parts_.Router_.adopt(Reply, SentAt, Named))
+      Parts_.Flags_.GrantsUntil_ = SentAt + milliseconds(Reply.GrantTtlMs_);
   }
 
   void adoptBundle(const wire::SignedBundle &Signed) {
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -10,6 +10,12 @@
 using namespace tulipweir::entry;
 using std::chrono::milliseconds;
 
+static wire::GrantHeld withoutSlots(wire::GrantHeld Held) {
+  Held.Slots_ = 0;
+  Held.Connections_ = 0;
+  return Held;
+}
+
 Router::Router(const Clock &Clock, std::uint64_t Seed)
     : Clock_(Clock), Seed_(Seed) {}
 
@@ -31,19 +37,32 @@
   fillGates();
 }
 
-void Router::adopt(const wire::EntryReportReply &Reply, TimePoint SentAt) {
+// What the leader's account rests on (SlotLedger.h): a reply to a report that
+// named something else than what is held now would raise what is held beyond
+// what is accounted to this entry.
+bool Router::mayAdopt(const wire::EntryReportReply &Reply, TimePoint SentAt,
+                      std::uint64_t Named, TimePoint Until) const {
+  const TimePoint Now = Clock_.now();
+  const std::uint64_t Held = findVersion(Now);
+  if (SentAt <= AdoptedAt_ || Held != Named || Now >= Until)
+    return false;
+  if (Reply.Routes_)
+    return Reply.RoutesVersion_ >= HighestVersion_;
+  return Held != 0 && Reply.RoutesVersion_ == Held;
+}
+
+bool Router::adopt(const wire::EntryReportReply &Reply, TimePoint SentAt,
+                   std::uint64_t Named) {
+  const TimePoint Until = SentAt + milliseconds(Reply.GrantTtlMs_);
   {
     std::unique_lock Lock(Mutex_);
-    if (SentAt <= AdoptedAt_)
-      return;
-    const bool Known = Reply.Routes_ || Reply.RoutesVersion_ == RoutesVersion_;
-    if (!Known)
-      return;
+    if (!mayAdopt(Reply, SentAt, Named, Until))
+      return false;
     AdoptedAt_ = SentAt;
-    const TimePoint Until = SentAt + milliseconds(Reply.GrantTtlMs_);
+    GrantUntil_ = Until;
     if (Reply.Routes_) {
       replaceServers(*Reply.Routes_, Until);
-      RoutesVersion_ = Reply.RoutesVersion_;
+      HighestVersion_ = Reply.RoutesVersion_;
       fillGates();
     } else {
       for (const auto &[Key, Server] : Servers_)
@@ -52,6 +71,7 @@
   }
   for (const std::shared_ptr<ServiceGate> &Gate : listGates())
     Gate->drain();
+  return true;
 }
 
 // A server of another boot or address is another server: what is in flight to
@@ -152,21 +172,17 @@
   return Found == Gates_.end() ? nullptr : Found->second;
 }
 
-std::vector<wire::GrantHeld> Router::listGrants() const {
+RoutesHeld Router::getHeld() const {
   std::shared_lock Lock(Mutex_);
-  std::vector<wire::GrantHeld> Grants;
-  Grants.reserve(Servers_.size() + Leaving_.size());
+  RoutesHeld Held{findVersion(Clock_.now()), {}};
+  Held.Grants_.reserve(Servers_.size() + Leaving_.size());
   for (const auto &[Key, Server] : Servers_)
-    Grants.push_back(Server->getHeld());
+    Held.Grants_.push_back(Held.Version_ == 0 ? withoutSlots(Server->getHeld())
+                                              : Server->getHeld());
   for (const std::shared_ptr<ServerSlots> &Server : Leaving_)
-    if (wire::GrantHeld Held = Server->getHeld(); Held.InFlight_ > 0)
-      Grants.push_back(std::move(Held));
-  return Grants;
-}
-
-std::uint64_t Router::getRoutesVersion() const {
-  std::shared_lock Lock(Mutex_);
-  return RoutesVersion_;
+    if (wire::GrantHeld Each = Server->getHeld(); Each.InFlight_ > 0)
+      Held.Grants_.push_back(withoutSlots(std::move(Each)));
+  return Held;
 }
 
 std::size_t Router::getServerCount() const {
--- a/tests/entry/RoutingTest.cpp
+++ b/tests/entry/RoutingTest.cpp
@@ -235,3 +235,84 @@
   Around.advance(milliseconds(20));
   EXPECT_EQ(Around.Backend_.Forgotten_.size(), 1U);
 }
+
+static const wire::EntryReport &lastReport(const World &Around) {
+  return Around.Control_->Reports_.back();
+}
+
+TEST(RoutingTest, OnceTheGrantRanOutItNamesNoVersionAndNoSlotsButInFlight) {
+  World Around(1, 2);
+  Around.Backend_.ServiceTime_ = seconds(20);
+  Around.call("long", {{header::Deadline, "30000"}});
+  Around.advance(seconds(1));
+  EXPECT_EQ(lastReport(Around).RoutesHeld_, 1U);
+  Around.Control_->ReportsLost_ = true;
+  Around.advance(seconds(5));
+  EXPECT_EQ(lastReport(Around).RoutesHeld_, 0U);
+  ASSERT_EQ(lastReport(Around).Grants_.size(), 1U);
+  EXPECT_EQ(lastReport(Around).Grants_[0].Slots_, 0U);
+  EXPECT_EQ(lastReport(Around).Grants_[0].Connections_, 0U);
+  EXPECT_EQ(lastReport(Around).Grants_[0].InFlight_, 1U);
+}
+
+TEST(RoutingTest, ATableBelowOneThatWasTakenIsNeverTaken) {
+  for (const bool RanOut : {false, true}) {
+    SCOPED_TRACE(RanOut);
+    World Around;
+    Around.Control_->Reply_.RoutesVersion_ = 9;
+    Around.advance(seconds(1));
+    Around.Control_->ReportsLost_ = RanOut;
+    Around.advance(seconds(RanOut ? 5 : 0));
+    Around.Control_->ReportsLost_ = false;
+    Around.Control_->Reply_.RoutesVersion_ = 8;
+    Around.advance(seconds(5));
+    EXPECT_EQ(lastReport(Around).RoutesHeld_, 0U);
+    EXPECT_NE(Around.Entry_->explainUnready(), "");
+    EXPECT_EQ(Around.call("a")->outcome(), "not-run");
+    Around.Control_->Reply_.RoutesVersion_ = 9; // The same one is as good.
+    Around.advance(seconds(1));
+    EXPECT_EQ(lastReport(Around).RoutesHeld_, 9U);
+    EXPECT_EQ(Around.Entry_->explainUnready(), "");
+  }
+}
+
+TEST(RoutingTest, ATableWhoseGrantRanOutOnTheWayIsNotTaken) {
+  World Around;
+  Around.setRoutes(Around.Routes_);
+  Around.Control_->Reply_.GrantTtlMs_ = 1; // Replies take as long.
+  Around.advance(milliseconds(1100));
+  EXPECT_EQ(lastReport(Around).RoutesHeld_, 1U);
+}
+
+TEST(RoutingTest, AReplyToWhatItNoLongerHoldsChangesAndRenewsNothing) {
+  for (const bool NewTable : {false, true}) {
+    SCOPED_TRACE(NewTable);
+    World Around;
+    Around.Control_->Reply_.GrantTtlMs_ = 501; // Replies come after 1 ms.
+    Around.restartEntry();
+    if (NewTable)
+      Around.setRoutes(Around.Routes_);
+    Around.advance(milliseconds(500)); // The grant ran out on the way back.
+    EXPECT_EQ(lastReport(Around).RoutesHeld_, 1U);
+    Around.advance(milliseconds(500));
+    EXPECT_EQ(lastReport(Around).RoutesHeld_, 0U);
+  }
+}
+
+TEST(RoutingTest, AServerThatLeftTheTableIsNamedWithoutSlots) {
+  World Around(1, 2);
+  Around.Backend_.ServiceTime_ = seconds(1);
+  Around.call("running");
+  Around.Routes_[0].Boot_ = BootId("next");
+  Around.setRoutes(Around.Routes_);
+  Around.advance(milliseconds(1100));
+  ASSERT_EQ(Around.Control_->Reports_.size(), 3U);
+  std::uint32_t Slots = 0;
+  std::uint32_t InFlight = 0;
+  for (const wire::GrantHeld &Held : Around.Control_->Reports_[2].Grants_) {
+    Slots += Held.Slots_;
+    InFlight += Held.InFlight_;
+  }
+  EXPECT_EQ(Slots, 2U);
+  EXPECT_EQ(InFlight, 1U);
+}
--- a/tests/entry/ThreadsTest.cpp
+++ b/tests/entry/ThreadsTest.cpp
@@ -188,7 +188,7 @@
   Configuration Config = makeConfiguration();
   Config.Bundle_.RetryBudget_ = 0.001;
   Routes.configure(Config);
-  Routes.adopt(makeRoutes(3), Clock.now());
+  Routes.adopt(makeRoutes(3), Clock.now(), 0);
   RequestSender Sender({Routes, Backend, Timers, Clock, Counters});
   const auto Gate = Routes.findGate(ServiceId("booking"));
   // A mean latency is known, and the budget has one spending left.
@@ -232,7 +232,7 @@
   EntryMetrics Counters(Metrics);
   Router Routes(Clock, 1);
   Routes.configure(makeConfiguration());
-  Routes.adopt(makeRoutes(Slots), Clock.now());
+  Routes.adopt(makeRoutes(Slots), Clock.now(), 0);
   RequestSender Sender({Routes, Backend, Timers, Clock, Counters});
   std::atomic<int> Ended{0}, Lies{0};
   std::mutex Mutex;
@@ -273,7 +273,7 @@
   }
   // Hedges that lost still end.
   const auto Idle = [&] {
-    for (const wire::GrantHeld &Held : Routes.listGrants())
+    for (const wire::GrantHeld &Held : Routes.getHeld().Grants_)
       if (Held.InFlight_ > 0)
         return false;
     return true;
