--- a/include/tulipweir/entry/CallersApi.h
+++ b/include/tulipweir/entry/CallersApi.h
@@ -34,6 +34,7 @@
   const Clock &Clock_;
   RandomBits Random_;
   EntryMetrics &Metrics_;
+  Duration MaxRequest_; ///< No deadline is further ahead.
 };
 
 /// Thread-safe.
--- a/include/tulipweir/entry/Entry.h
+++ b/include/tulipweir/entry/Entry.h
@@ -30,6 +30,9 @@
   RandomBits Random_;
   net::Metrics &Metrics_;
   Duration ReportPeriod_ = std::chrono::milliseconds(500);
+  /// No request is sent with a deadline further ahead. At most the controls'
+  /// value, on which their account of slots rests.
+  Duration MaxRequest_ = std::chrono::seconds(60);
 };
 
 /// Thread-safe.
--- a/src/entry/CallersApi.cpp
+++ b/src/entry/CallersApi.cpp
@@ -80,8 +80,8 @@
   const std::shared_ptr<const Configuration> Held = Parts_.Configuration_.get();
   if (std::optional<FinalResult> Refusal = refuseByState(Held.get()))
     return Refuse(std::move(*Refusal));
-  ReadResult Read =
-      readServiceRequest(std::move(Request), *Held, std::move(Id), Now);
+  ReadResult Read = readServiceRequest(std::move(Request), *Held, std::move(Id),
+                                       Now, Parts_.MaxRequest_);
   if (auto *Refusal = std::get_if<FinalResult>(&Read))
     return Refuse(std::move(*Refusal));
   const auto Checked = std::make_shared<const ServiceRequest>(
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -22,7 +22,7 @@
       Keyed_({Plain_, Table_, Homes_, Parts.Timers_, Parts.Clock_, Metrics_,
               Identity_.Entry_, Identity_.Incarnation_}),
       Callers_({Identity_, Flags_, Configuration_, Limits_, Plain_, Keyed_,
-                Parts.Clock_, Parts.Random_, Metrics_}),
+                Parts.Clock_, Parts.Random_, Metrics_, Parts.MaxRequest_}),
       Proxy_(Identity_, *Homes_.findClient(Identity_.DataCentre_), Router_,
              Metrics_),
       Reporter_({Identity_, Flags_, Configuration_, Router_,
--- a/src/entry/ServiceRequest.cpp
+++ b/src/entry/ServiceRequest.cpp
@@ -55,8 +55,9 @@
 class Reader {
 public:
   Reader(net::HttpRequest Request, const Configuration &Config, std::string Id,
-         TimePoint Now)
-      : Request_(std::move(Request)), Config_(Config), Now_(Now) {
+         TimePoint Now, Duration MaxRequest)
+      : Request_(std::move(Request)), Config_(Config), Now_(Now),
+        MaxRequest_(MaxRequest) {
     Result_.Id_ = std::move(Id);
     Result_.ArrivedAt_ = Now;
   }
@@ -113,7 +114,7 @@
           std::chrono::ceil<milliseconds>(Service_->MaxDeadline_).count();
       Left = milliseconds(std::min<std::int64_t>(Ms, Most));
     }
-    Left = std::min(Left, Service_->MaxDeadline_);
+    Left = std::min({Left, Service_->MaxDeadline_, MaxRequest_});
     Result_.Deadline_ = Now_ + Left;
     return std::nullopt;
   }
@@ -183,6 +184,7 @@
   net::HttpRequest Request_;
   const Configuration &Config_;
   TimePoint Now_;
+  Duration MaxRequest_;
   ServiceRequest Result_;
   std::string_view Path_;
   std::string_view KeyText_;
@@ -197,6 +199,8 @@
 
 ReadResult entry::readServiceRequest(net::HttpRequest Request,
                                      const Configuration &Config,
-                                     std::string Id, TimePoint Now) {
-  return Reader(std::move(Request), Config, std::move(Id), Now).read();
+                                     std::string Id, TimePoint Now,
+                                     Duration MaxRequest) {
+  return Reader(std::move(Request), Config, std::move(Id), Now, MaxRequest)
+      .read();
 }
--- a/tests/entry/RoutingTest.cpp
+++ b/tests/entry/RoutingTest.cpp
@@ -316,3 +316,23 @@
   EXPECT_EQ(Slots, 2U);
   EXPECT_EQ(InFlight, 1U);
 }
+
+TEST(RoutingTest, NoRequestIsSentWithADeadlineBeyondTheLongestRequest) {
+  for (const char *Default : {"2000", "3600000"}) {
+    World Around(1, 2);
+    Around.setBundle(2, R"(,"maxDeadlineMs":3600000,"defaultDeadlineMs":)" +
+                            std::string(Default));
+    Around.advance(seconds(1));
+    Around.Backend_.Script_ = {TryFault::RunFrozen};
+    std::vector<net::HttpHeader> Headers;
+    if (std::string(Default) == "2000")
+      Headers.push_back({header::Deadline, "3600000"});
+    const auto Call = Around.call("a", Headers);
+    ASSERT_EQ(Around.Backend_.Sent_.size(), 1U);
+    const FakeBackend::Sent &Sent = Around.Backend_.Sent_[0];
+    EXPECT_EQ(Sent.Deadline_ - Sent.At_, seconds(60));
+    EXPECT_EQ(Sent.Request_.findHeader(header::Deadline), "60000");
+    Around.advance(seconds(61));
+    EXPECT_EQ(Call->outcome(), "unknown"); // At the cap, and not "not-run".
+  }
+}
--- a/tools/entry/EntrySettings.cpp
+++ b/tools/entry/EntrySettings.cpp
@@ -50,6 +50,10 @@
                "Shared secret of all processes of the fleet", MinSecretBytes);
   To.addDuration("report-period", Target.ReportPeriod_, milliseconds(50),
                  seconds(2), "Time between reports to the leader");
+  To.addDuration("max-request", Target.MaxRequest_, milliseconds(100), hours(1),
+                 "The longest deadline of a request, whatever its caller and "
+                 "the bundle say. Must be at most --max-request of the "
+                 "controls: their account of slots rests on it");
   To.addDuration("stop-delay", Target.StopDelay_, milliseconds(0), minutes(5),
                  "On a planned stop: how long it still accepts while /readyz "
                  "already says no, so that the balancer sees it");
--- a/tools/entry/EntrySettings.h
+++ b/tools/entry/EntrySettings.h
@@ -26,6 +26,7 @@
   std::vector<net::NamedEndpoint> OtherControls_;
   std::string Secret_;
   Duration ReportPeriod_ = std::chrono::milliseconds(500);
+  Duration MaxRequest_ = std::chrono::seconds(60);
   Duration StopDelay_ = std::chrono::milliseconds(500);
   Duration Grace_ = std::chrono::seconds(60);
   std::int64_t MaxConnections_ = 10'000;
