--- a/tests/system/ControlFaultsTest.cpp
+++ b/tests/system/ControlFaultsTest.cpp
@@ -107,7 +107,8 @@
   Frozen.Child_->signal(SIGSTOP);
   std::int64_t FrozenAt = nowMs();
   EXPECT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
-  waitFor(LongEnough, [&] { return nowMs() - FrozenAt > 3 * 2000; });
+  waitFor(LongEnough,
+          [&] { return nowMs() - FrozenAt > 3 * LeaseTtl.count(); });
   Frozen.Child_->signal(SIGCONT);
   EXPECT_TRUE(Charges_->waitForServed(10)) << Whole_.showOutputs();
   expectNothingLostOrDoubled();
--- a/tests/system/OperatorRaceTest.cpp
+++ b/tests/system/OperatorRaceTest.cpp
@@ -24,18 +24,18 @@
 
 class OperatorRace : public testing::Test {
 protected:
-  void SetUp() override { ASSERT_TRUE(Whole.start()) << Whole.whatFailed(); }
+  void SetUp() override { ASSERT_TRUE(Whole_.start()) << Whole_.whatFailed(); }
 
   std::string makeNext(const std::string &Note) {
-    BundleOptions Next = Whole.followCurrent();
+    BundleOptions Next = Whole_.followCurrent();
     Next.Note_ = Note;
-    return Whole.makeBundle(Next);
+    return Whole_.makeBundle(Next);
   }
   Json readCurrent(std::size_t DataCentre = 0) {
-    return Whole.operate("GET", "/bundles/current", {}, DataCentre).json();
+    return Whole_.operate("GET", "/bundles/current", {}, DataCentre).json();
   }
 
-  Cluster Whole{makeShape()};
+  Cluster Whole_{makeShape()};
 };
 
 TEST_F(OperatorRace, OfFiftyEqualVersionNumbersExactlyOneWins) {
@@ -48,7 +48,7 @@
     Threads.emplace_back([&, Number] {
       // A lost or undecided answer is asked for again, as an operator would.
       waitFor(LongEnough, [&] {
-        Answers[Number] = Whole.proposeBundle(Texts[Number], Number % 3);
+        Answers[Number] = Whole_.proposeBundle(Texts[Number], Number % 3);
         return Answers[Number].Status_ == 200 || Answers[Number].Status_ == 409;
       });
     });
@@ -73,11 +73,11 @@
 
 TEST_F(OperatorRace, AResentBundleIsAlreadyAcceptedAndNeverReverts) {
   std::vector<std::string> Texts;
-  BundleOptions Next = Whole.followCurrent();
+  BundleOptions Next = Whole_.followCurrent();
   for (int Number = 0; Number < 30; ++Number) {
-    Texts.push_back(Whole.makeBundle(Next));
+    Texts.push_back(Whole_.makeBundle(Next));
     ASSERT_TRUE(waitFor(LongEnough, [&] {
-      return Cluster::isAccepted(Whole.proposeBundle(Texts.back()));
+      return Cluster::isAccepted(Whole_.proposeBundle(Texts.back()));
     }));
     Next.ParentVersion_ = Next.Version_++;
     Next.ParentDigest_ = fleet::computeDigest(Texts.back()).value();
@@ -88,14 +88,14 @@
       return readCurrent(Centre).value("version", std::uint64_t(0)) == Version;
     }));
   // The newest again: already accepted. An old one again: nothing changes.
-  EXPECT_TRUE(Cluster::isAccepted(Whole.proposeBundle(Texts.back())));
-  Whole.proposeBundle(Texts.front());
+  EXPECT_TRUE(Cluster::isAccepted(Whole_.proposeBundle(Texts.back())));
+  Whole_.proposeBundle(Texts.front());
   EXPECT_EQ(readCurrent().value("version", std::uint64_t(0)), Version);
   for (std::size_t Centre = 0; Centre < 3; ++Centre) {
-    Whole.control(Centre).Child_->kill();
-    Whole.control(Centre).Child_->start();
-    Whole.entry(Centre).Child_->kill();
-    Whole.entry(Centre).Child_->start();
+    Whole_.control(Centre).Child_->kill();
+    Whole_.control(Centre).Child_->start();
+    Whole_.entry(Centre).Child_->kill();
+    Whole_.entry(Centre).Child_->start();
   }
   for (std::size_t Centre = 0; Centre < 3; ++Centre) {
     // Nobody may see an older one on the way back.
@@ -105,6 +105,6 @@
         return false;
       EXPECT_EQ(Current.value("version", std::uint64_t(0)), Version);
       return true;
-    })) << Whole.showOutputs();
+    })) << Whole_.showOutputs();
   }
 }
