Act only under the term that a leadership began in

Cause: the fleet's leader and the data centre's leader notice the end of a term by a look at the replica every 200 and 100 ms, and between two looks asked only whether the leader's lease is held. A control that lost term T and won T+2 between two looks held the lease again and answered reports, renewed leases, granted slots, placed and assigned from what it knew in T, though another control may have led in T+1.

Ruled out: looking more often (narrows the gap, does not close it); reading the status beside the lease (two reads, of which one may be older); checks in the state machines alone (renewals and grants do not pass through the log).

Change: Replica::findLeaseTerm answers lease and term in one read, under one lock in ReplicaDriver; holdsLeaderLease rests on it and is virtual no more. DataCentreLeadership::readMoment leads only if that term is its own, and its planner asks before each run. FleetDuties asks before it answers and before it assigns. The planner and the assigner now also pause while the lease has lapsed within a term; each tick comes back to it.

Not run: test_replication and the system tests.

Conclusion: between two looks such a control answers NotLeader and proposes nothing from its planner or assigner; the next look begins it anew.

--- a/include/tulipweir/datacentre/Leadership.h
+++ b/include/tulipweir/datacentre/Leadership.h
@@ -15,10 +15,10 @@
 
 /// A reading of the clock, taken after the message at hand was received, and
 /// whether at that reading no other leader could exist
-/// (Replica::holdsLeaderLease(Now_)). What is promised from such a moment on
-/// was promised before the next election, however long the process is frozen
-/// afterwards: the other side counts from before Now_, the next leader from
-/// after it.
+/// (Replica::findLeaseTerm(Now_), of the term at hand). What is promised from
+/// such a moment on was promised before the next election, however long the
+/// process is frozen afterwards: the other side counts from before Now_, the
+/// next leader from after it.
 struct LeaderMoment {
   TimePoint Now_;
   bool Leads_ = false;
--- a/include/tulipweir/fleet/AssignmentTimes.h
+++ b/include/tulipweir/fleet/AssignmentTimes.h
@@ -9,8 +9,8 @@
 //  2. The leader counts from the later moment when it answered, for Ttl_ and
 //     Margin_ by its own clock. Margin_ covers clocks that each differ from
 //     true time by up to one part in a hundred.
-//  3. A leader answers only directly after Replica::holdsLeaderLease said yes
-//     in the very term in which it began, so no later leader was elected before
+//  3. A leader answers only directly after Replica::findLeaseTerm gave the
+//     very term in which it began, so no later leader was elected before
 //     the report was sent. A new leader counts every assignment as renewed at
 //     its election. One that lost its term and was elected again is a new one:
 //     what it knew is of an earlier time, and another may have led between.
--- a/include/tulipweir/fleet/JobAssigner.h
+++ b/include/tulipweir/fleet/JobAssigner.h
@@ -34,7 +34,7 @@
   void noteFollowing();
 
   /// Answers a control process's report. Call it only directly after
-  /// Replica::holdsLeaderLease said yes and the replica's term is that of
+  /// Replica::findLeaseTerm answered with the term of the latest
   /// noteLeading, with the state applied here. While not leading nothing is
   /// renewed.
   AssignmentReply renew(const AssignmentReport &Report, const JobBook &Jobs,
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -123,9 +124,16 @@
   /// committed before the call.
   virtual void confirmLeadership(std::function<void(Outcome<void>)> Done) = 0;
 
-  /// Whether no other leader can exist at Now: a quorum answered recently
-  /// enough. Checked directly before each lease renewal.
-  virtual bool holdsLeaderLease(TimePoint Now) const = 0;
+  /// The term that this replica leads if no other leader can exist at Now, as
+  /// a quorum answered recently enough; else nullopt. Checked directly before
+  /// each promise: what was learnt under another term must not be acted on,
+  /// as others may have led in between.
+  virtual std::optional<std::uint64_t> findLeaseTerm(TimePoint Now) const = 0;
+
+  /// Whether no other leader can exist at Now. Says nothing about the term.
+  bool holdsLeaderLease(TimePoint Now) const {
+    return findLeaseTerm(Now).has_value();
+  }
 
   virtual ReplicaStatus getStatus() const = 0;
 
--- a/src/control/DataCentreLeadership.cpp
+++ b/src/control/DataCentreLeadership.cpp
@@ -149,7 +149,7 @@
 
 datacentre::LeaderMoment DataCentreLeadership::readMoment() const {
   const TimePoint Now = Parts_.Time_.now();
-  return {Now, Parts_.Group_.holdsLeaderLease(Now)};
+  return {Now, Parts_.Group_.findLeaseTerm(Now) == Term_};
 }
 
 Outcome<wire::AnnouncementReply>
@@ -339,6 +339,9 @@
 }
 
 bool DataCentreLeadership::plan() {
+  // Each tick comes back to what is left out here.
+  if (!readMoment().Leads_)
+    return false;
   return Planning_.run(Settings_.PlanBudget_) >= Settings_.PlanBudget_;
 }
 
--- a/src/control/DataCentreLeadership.h
+++ b/src/control/DataCentreLeadership.h
@@ -90,7 +90,8 @@
 
   /// Silent servers, gone entries, jobs, decisions that time alone calls for.
   void tick();
-  /// Decisions that events called for; true if there may be more at once.
+  /// Decisions that events called for; true if there may be more at once. None
+  /// while another leader could exist.
   bool plan();
   bool isPlanDue() const { return Planning_.isDue(); }
 
@@ -116,6 +117,8 @@
     bool operator==(const RouteNote &) const = default;
   };
 
+  /// Leads_ only while the replica's term is the one that this began under:
+  /// it may have lost that one and won a later one unnoticed.
   datacentre::LeaderMoment readMoment() const;
   void submit(const std::vector<datacentre::Command> &Proposals);
   void withhold(wire::AnnouncementReply &Reply);
--- a/src/control/FleetDuties.cpp
+++ b/src/control/FleetDuties.cpp
@@ -34,6 +34,7 @@
              {[this](std::uint64_t Term) {
                 spdlog::info("leads the fleet in term {}", Term);
                 Leading_ = true;
+                Term_ = Term;
                 Assigner_.noteLeading(Parts_.Time_.now());
               },
               [this] {
@@ -80,12 +81,18 @@
     // A newly assigned job needs its first renewal before any of it runs.
     report();
   }
-  if (Leading_)
-    decide();
+  decide();
+}
+
+/// The lease alone could be of a later term, won again since the last look.
+bool FleetDuties::leadsAt(TimePoint Now) const {
+  return Leading_ && Parts_.Group_.findLeaseTerm(Now) == Term_;
 }
 
 void FleetDuties::decide() {
   const TimePoint Now = Parts_.Time_.now();
+  if (!leadsAt(Now))
+    return;
   const std::vector<fleet::Command> Commands =
       Parts_.Machine_.read([&](const fleet::FleetState &State) {
         return Assigner_.decide(State.jobs(), Now, DecideBudget);
@@ -164,7 +171,7 @@
 
 Outcome<AssignmentReply> FleetDuties::answer(const AssignmentReport &Report) {
   const TimePoint Now = Parts_.Time_.now();
-  if (!Leading_ || !Parts_.Group_.holdsLeaderLease(Now))
+  if (!leadsAt(Now))
     return fail(ErrorCode::NotLeader, Parts_.Group_.getStatus().LeaderName_);
   return Parts_.Machine_.read([&](const fleet::FleetState &State) {
     return Assigner_.renew(Report, State.jobs(), Now);
--- a/src/control/FleetDuties.h
+++ b/src/control/FleetDuties.h
@@ -67,6 +67,7 @@
   void look();
   void decide();
   void report();
+  bool leadsAt(TimePoint Now) const;
   void refreshStanding();
   void takeReply(const Outcome<fleet::AssignmentReply> &Reply,
                  TimePoint SentAt);
@@ -81,6 +82,7 @@
   std::vector<fleet::AssignmentHeld> Standing_;
   std::atomic<bool> JobsChanged_{true};
   std::atomic<bool> Leading_{false};
+  std::uint64_t Term_ = 0;   ///< The one that Assigner_ leads under.
   bool Reporting_ = false;   ///< A report is on its way.
   bool ReportAgain_ = false; ///< Something changed since it left.
   bool Stopped_ = false;
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -115,8 +115,16 @@
   post([&](Inbox &In) { In.Transfers_.push_back(std::move(Done)); });
 }
 
-bool ReplicaDriver::holdsLeaderLease(TimePoint Now) const {
-  return Now < LeaseEnd_.load();
+std::optional<std::uint64_t> ReplicaDriver::findLeaseTerm(TimePoint Now) const {
+  std::lock_guard Guard(LeaseLock_);
+  if (Now >= Lease_.End_)
+    return std::nullopt;
+  return Lease_.Term_;
+}
+
+void ReplicaDriver::setLease(const LeaderLease &Value) {
+  std::lock_guard Guard(LeaseLock_);
+  Lease_ = Value;
 }
 
 ReplicaStatus ReplicaDriver::getStatus() const {
@@ -151,7 +159,7 @@
     publish();
     if (!In.IsStopping_)
       continue;
-    LeaseEnd_ = TimePoint::min();
+    setLease({});
     Pending_.failAll(
         Error::make(ErrorCode::Unavailable, "this replica is stopping"));
     return;
@@ -237,7 +245,7 @@
 
 void ReplicaDriver::carryOut(Outputs Out) {
   // Before anything leaves: handing over leadership rests on it.
-  LeaseEnd_ = Core_.getLeaseEnd();
+  setLease({Core_.getLeaseEnd(), Core_.getTerm()});
   sendAll(Out.Early_);
   write(Out);
   for (const Accepted &Place : Out.Accepted_)
@@ -345,7 +353,7 @@
 
 void ReplicaDriver::failWith(const Error &Why) {
   HasFailed_ = true;
-  LeaseEnd_ = TimePoint::min();
+  setLease({});
   Pending_.failAll(Error::make(ErrorCode::Unavailable,
                                "this replica has stopped: " + Why.Message_));
   std::lock_guard Guard(StatusLock_);
@@ -354,7 +362,7 @@
 
 void ReplicaDriver::publish() {
   if (HasFailed_)
-    LeaseEnd_ = TimePoint::min();
+    setLease({});
   std::lock_guard Guard(StatusLock_);
   const std::optional<MemberId> &Leader = Core_.getLeader();
   Status_.IsLeader_ = Core_.getRole() == Role::Leader && !HasFailed_;
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -16,7 +16,6 @@
 #include "replication/PendingCalls.h"
 #include "replication/RaftCore.h"
 
-#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -43,7 +42,7 @@
   void propose(std::string Command, AppliedCallback Done) override;
   void receive(std::string Message) override;
   void confirmLeadership(DoneCallback Done) override;
-  bool holdsLeaderLease(TimePoint Now) const override;
+  std::optional<std::uint64_t> findLeaseTerm(TimePoint Now) const override;
   ReplicaStatus getStatus() const override;
   void addLearner(MemberId Id, DoneCallback Done) override;
   void promote(MemberId Id, DoneCallback Done) override;
@@ -56,6 +55,11 @@
     std::string Command_;
     AppliedCallback Done_;
   };
+  /// Until when no other leader than this one, of this term, can exist.
+  struct LeaderLease {
+    TimePoint End_ = TimePoint::min();
+    std::uint64_t Term_ = 0;
+  };
   struct Change {
     ChangeKind Kind_;
     MemberId Member_;
@@ -97,6 +101,7 @@
   void rejoinNext();
   void carryOut(FounderOutputs Out);
   void failWith(const Error &Why);
+  void setLease(const LeaderLease &Value);
   void publish();
   void sendAll(const std::vector<Message> &Messages);
 
@@ -124,7 +129,8 @@
   std::condition_variable Wake_;
   Inbox Inbox_;
 
-  std::atomic<TimePoint> LeaseEnd_{TimePoint::min()};
+  mutable std::mutex LeaseLock_;
+  LeaderLease Lease_; ///< Guarded by LeaseLock_.
   mutable std::mutex StatusLock_;
   ReplicaStatus Status_;
 
--- a/tests/control/Fakes.h
+++ b/tests/control/Fakes.h
@@ -89,8 +89,10 @@
       return Done(fail(ErrorCode::NotLeader, leaderName()));
     Done(succeed());
   }
-  bool holdsLeaderLease(TimePoint) const override {
-    return LeaseHeld_ && Log_.Leader_ == this;
+  std::optional<std::uint64_t> findLeaseTerm(TimePoint) const override {
+    if (!LeaseHeld_ || Log_.Leader_ != this)
+      return std::nullopt;
+    return Log_.Term_;
   }
   replication::ReplicaStatus getStatus() const override {
     replication::ReplicaStatus Status;
--- a/tests/control/LeadershipTest.cpp
+++ b/tests/control/LeadershipTest.cpp
@@ -28,6 +28,12 @@
     Own_.lead(&B_.Group_);
     pass(milliseconds(500));
   }
+  /// Two elections between two of Again's looks at its term.
+  static void loseAndWinAgain(FakeLog &Log, FakeReplica &Other,
+                              FakeReplica &Again) {
+    Log.lead(&Other);
+    Log.lead(&Again);
+  }
   static wire::EntryReport makeReport() {
     wire::EntryReport Report;
     Report.Entry_ = EntryId("e1");
@@ -92,6 +98,72 @@
   ASSERT_TRUE(Granted && !*Granted) << "nor does it grant slots";
 }
 
+TEST_F(LeadershipTest, ATermOfBeforeAnotherLeaderRenewsAndGrantsNothing) {
+  runTask();
+  pass(seconds(1));
+  loseAndWinAgain(Own_, B_.Group_, A_.Group_);
+  const auto Got = A_.send(makeAnnouncement());
+  ASSERT_TRUE(Got && !*Got) << "what it knows is of an earlier term";
+  EXPECT_EQ(Got->error().Code_, ErrorCode::NotLeader);
+  const auto Granted = A_.send(makeReport());
+  ASSERT_TRUE(Granted && !*Granted);
+  EXPECT_EQ(Granted->error().Code_, ErrorCode::NotLeader);
+  pass(milliseconds(200));
+  EXPECT_EQ(announce(A_).Renewals_.size(), 1U) << "once it began anew";
+}
+
+TEST_F(LeadershipTest, ATermOfBeforeAnotherLeaderPlacesNothing) {
+  registerServer();
+  submit(A_, "j");
+  Own_.Held_ = true;
+  beat(A_, seconds(1));
+  ASSERT_EQ(Own_.Open_.size(), 1U) << "the adoption";
+  loseAndWinAgain(Own_, B_.Group_, A_.Group_);
+  Own_.commit();
+  A_.Strand_.run();
+  Time_.advance(milliseconds(10)); // Before the next look at the term.
+  A_.Strand_.run();
+  EXPECT_EQ(Own_.Open_.size(), 0U);
+  Own_.Held_ = false;
+  beat(A_, seconds(20));
+  EXPECT_EQ(state(), TaskState::Placed) << "once it began anew";
+}
+
+TEST_F(LeadershipTest, ATermOfBeforeAnotherFleetLeaderRenewsNoAssignment) {
+  runTask();
+  const auto Ask = [&] {
+    Outcome<std::string> Got = fail(ErrorCode::Timeout, "");
+    fleet::AssignmentReport Report;
+    Report.DataCentre_ = DataCentreId("east");
+    A_.Core_->handle(wire::MessageKind::AssignmentReport,
+                     fleet::encodeReport(Report),
+                     [&](Outcome<std::string> Reply) { Got = Reply; });
+    A_.Strand_.run();
+    return Got;
+  };
+  EXPECT_TRUE(Ask());
+  loseAndWinAgain(All_, B_.FleetGroup_, A_.FleetGroup_);
+  const Outcome<std::string> Got = Ask();
+  ASSERT_FALSE(Got);
+  EXPECT_EQ(Got.error().Code_, ErrorCode::NotLeader);
+  pass(milliseconds(400));
+  EXPECT_TRUE(Ask()) << "once it began anew";
+}
+
+TEST_F(LeadershipTest, ATermOfBeforeAnotherFleetLeaderAssignsNothing) {
+  registerServer();
+  const auto IsAssigned = [&](const char *Job) {
+    return A_.Fleet_.findJob(JobId(Job))->Record_.Assignment_ != 0;
+  };
+  submit(A_, "j");
+  ASSERT_TRUE(IsAssigned("j")) << "assigned at once";
+  loseAndWinAgain(All_, B_.FleetGroup_, A_.FleetGroup_);
+  submit(A_, "k");
+  EXPECT_FALSE(IsAssigned("k"));
+  beat(A_, seconds(30));
+  EXPECT_TRUE(IsAssigned("k")) << "once it began anew";
+}
+
 TEST_F(LeadershipTest, ANewLeaderWaitsOutTheLeasesOfTheOldOne) {
   runTask();
   Held_.clear(); // The server lost it without a word.
