--- a/src/entry/Reporter.cpp
+++ b/src/entry/Reporter.cpp
@@ -21,17 +21,19 @@
       return;
     const TimePoint SentAt = Parts_.Clock_.now();
     Parts_.Metrics_.Reports_.add();
-    Parts_.Control_.report(makeReport(isTableKnown()), ReportTimeout,
-                           [Weak = weak_from_this(), SentAt](
-                               const Outcome<wire::EntryReportReply> &Reply) {
-                             if (const std::shared_ptr<Loop> Self = Weak.lock())
-                               Self->onReply(Reply, SentAt);
-                           });
+    const wire::EntryReport Report = makeReport(KnownVersion_);
+    Parts_.Control_.report(
+        Report, ReportTimeout,
+        [Weak = weak_from_this(), SentAt, Named = Report.RoutesHeld_,
+         Brief = Report.Brief_](const Outcome<wire::EntryReportReply> &Reply) {
+          if (const std::shared_ptr<Loop> Self = Weak.lock())
+            Self->onReply(Reply, SentAt, Named, Brief);
+        });
   }
 
   void giveBack(std::function<void()> Done) {
     Ended_ = true;
-    wire::EntryReport Last = makeReport(false);
+    wire::EntryReport Last = makeReport(0);
     Last.Stopping_ = true;
     Parts_.Control_.report(
         Last, ReportTimeout,
@@ -45,27 +47,27 @@
   bool hasLeader() const { return HasLeader_; }
 
 private:
-  wire::EntryReport makeReport(bool Brief) const {
+  wire::EntryReport makeReport(std::uint64_t Known) const {
     wire::EntryReport Report;
     Report.Entry_ = Parts_.Identity_.Entry_;
     Report.Address_ = Parts_.Identity_.Address_;
     Report.Incarnation_ = Parts_.Identity_.Incarnation_;
     Report.Held_ = Parts_.Configuration_.getVersion();
-    Parts_.Router_.fillReport(Report, Brief);
+    Parts_.Router_.fillReport(Report, Known);
     return Report;
   }
 
-  void onReply(const Outcome<wire::EntryReportReply> &Reply, TimePoint SentAt) {
+  void onReply(const Outcome<wire::EntryReportReply> &Reply, TimePoint SentAt,
+               std::uint64_t Named, bool Brief) {
     if (Ended_)
       return;
     noteLeader(Reply.has_value());
-    const bool WasBrief = isTableKnown();
     const bool SendFull = Reply && Reply.value().SendFull_;
     // Not even a grant follows from such a reply.
     if (Reply && !SendFull)
-      adopt(Reply.value(), SentAt);
+      adopt(Reply.value(), SentAt, Named);
     KnownVersion_ = Reply && !SendFull ? Reply.value().RoutesVersion_ : 0;
-    if (SendFull && WasBrief)
+    if (SendFull && Brief)
       return report();
     const Duration Passed = Parts_.Clock_.now() - SentAt;
     const Duration Pause = std::max(Duration::zero(), Parts_.Period_ - Passed);
@@ -75,12 +77,6 @@
     });
   }
 
-  /// Whether the last reply was about the very table that is held.
-  bool isTableKnown() const {
-    const std::uint64_t Known = KnownVersion_;
-    return Known != 0 && Known == Parts_.Router_.getRoutesVersion();
-  }
-
   void noteLeader(bool Found) {
     if (!Found)
       Parts_.Metrics_.ReportsFailed_.add();
@@ -88,12 +84,13 @@
       spdlog::info("the leader {}", Found ? "answers" : "does not answer");
   }
 
-  void adopt(const wire::EntryReportReply &Reply, TimePoint SentAt) {
+  void adopt(const wire::EntryReportReply &Reply, TimePoint SentAt,
+             std::uint64_t Named) {
     // The bundle first: its services need their gates before the routes come.
     if (Reply.Bundle_)
       adoptBundle(*Reply.Bundle_);
-    Parts_.Router_.adopt(Reply, SentAt);
-    Parts_.Flags_.GrantsUntil_ = SentAt + milliseconds(Reply.GrantTtlMs_);
+    if (Parts_.Router_.adopt(Reply, SentAt, Named))
+      Parts_.Flags_.GrantsUntil_ = SentAt + milliseconds(Reply.GrantTtlMs_);
   }
 
   void adoptBundle(const wire::SignedBundle &Signed) {
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -12,9 +12,20 @@
 using namespace tulipweir::entry;
 using std::chrono::milliseconds;
 
+static wire::GrantHeld withoutSlots(wire::GrantHeld Held) {
+  Held.Slots_ = 0;
+  Held.Connections_ = 0;
+  return Held;
+}
+
 Router::Router(const Clock &Clock, std::uint64_t Seed)
     : Clock_(Clock), Seed_(Seed) {}
 
+Router::~Router() {
+  for (const std::shared_ptr<ServiceGate> &Gate : listGates())
+    Gate->clear();
+}
+
 void Router::configure(const Configuration &Config) {
   std::unique_lock Lock(Mutex_);
   for (const auto &[Id, Service] : Config.Services_) {
@@ -28,19 +39,32 @@
   fillGates();
 }
 
-void Router::adopt(const wire::EntryReportReply &Reply, TimePoint SentAt) {
+// What the leader's account rests on (SlotLedger.h): a reply to a report that
+// named something else than what is held now would raise what is held beyond
+// what is accounted to this entry.
+bool Router::mayAdopt(const wire::EntryReportReply &Reply, TimePoint SentAt,
+                      std::uint64_t Named, TimePoint Until) const {
+  const TimePoint Now = Clock_.now();
+  const std::uint64_t Held = findVersion(Now);
+  if (SentAt <= AdoptedAt_ || Held != Named || Now >= Until)
+    return false;
+  if (Reply.Routes_)
+    return Reply.RoutesVersion_ >= HighestVersion_;
+  return Held != 0 && Reply.RoutesVersion_ == Held;
+}
+
+bool Router::adopt(const wire::EntryReportReply &Reply, TimePoint SentAt,
+                   std::uint64_t Named) {
+  const TimePoint Until = SentAt + milliseconds(Reply.GrantTtlMs_);
   {
     std::unique_lock Lock(Mutex_);
-    if (SentAt <= AdoptedAt_)
-      return;
-    const bool Known = Reply.Routes_ || Reply.RoutesVersion_ == RoutesVersion_;
-    if (!Known)
-      return;
+    if (!mayAdopt(Reply, SentAt, Named, Until))
+      return false;
     AdoptedAt_ = SentAt;
-    const TimePoint Until = SentAt + milliseconds(Reply.GrantTtlMs_);
+    GrantUntil_ = Until;
     if (Reply.Routes_) {
       replaceServers(*Reply.Routes_, Until);
-      RoutesVersion_ = Reply.RoutesVersion_;
+      HighestVersion_ = Reply.RoutesVersion_;
       fillGates();
     } else {
       for (const auto &[Key, Server] : Servers_)
@@ -49,6 +73,7 @@
   }
   for (const std::shared_ptr<ServiceGate> &Gate : listGates())
     Gate->drain();
+  return true;
 }
 
 // A server of another boot or address is another server: what is in flight to
@@ -152,14 +177,19 @@
   return Found == Gates_.end() ? nullptr : Found->second;
 }
 
-std::vector<wire::GrantHeld> Router::listGrants() const {
+RoutesHeld Router::getHeld() const {
   std::shared_lock Lock(Mutex_);
-  std::vector<wire::GrantHeld> Grants;
-  Grants.reserve(Servers_.size() + Leaving_.size());
+  const std::uint64_t Version = findVersion(Clock_.now());
+  return {Version, listHeld(Version)};
+}
+
+/// The lock is held.
+std::vector<wire::GrantHeld> Router::listHeld(std::uint64_t Version) const {
+  std::vector<wire::GrantHeld> Grants = listLeaving();
+  Grants.reserve(Servers_.size() + Grants.size());
   for (const auto &[Key, Server] : Servers_)
-    Grants.push_back(Server->getHeld());
-  for (wire::GrantHeld &Held : listLeaving())
-    Grants.push_back(std::move(Held));
+    Grants.push_back(Version == 0 ? withoutSlots(Server->getHeld())
+                                  : Server->getHeld());
   return Grants;
 }
 
@@ -167,8 +197,8 @@
 std::vector<wire::GrantHeld> Router::listLeaving() const {
   std::vector<wire::GrantHeld> Grants;
   for (const std::shared_ptr<ServerSlots> &Server : Leaving_)
-    if (wire::GrantHeld Held = Server->getHeld(); Held.InFlight_ > 0)
-      Grants.push_back(std::move(Held));
+    if (wire::GrantHeld Each = Server->getHeld(); Each.InFlight_ > 0)
+      Grants.push_back(withoutSlots(std::move(Each)));
   return Grants;
 }
 
@@ -186,24 +216,18 @@
   return Packed;
 }
 
-void Router::fillReport(wire::EntryReport &Report, bool Brief) const {
-  Report.Brief_ = Brief;
-  if (!Brief) {
-    Report.RoutesHeld_ = getRoutesVersion();
-    Report.Grants_ = listGrants();
+void Router::fillReport(wire::EntryReport &Report, std::uint64_t Known) const {
+  std::shared_lock Lock(Mutex_);
+  Report.RoutesHeld_ = findVersion(Clock_.now());
+  Report.Brief_ = Known != 0 && Report.RoutesHeld_ == Known;
+  if (!Report.Brief_) {
+    Report.Grants_ = listHeld(Report.RoutesHeld_);
     return;
   }
-  std::shared_lock Lock(Mutex_);
-  Report.RoutesHeld_ = RoutesVersion_;
   Report.InFlight_ = packInFlight();
   Report.Grants_ = listLeaving();
 }
 
-std::uint64_t Router::getRoutesVersion() const {
-  std::shared_lock Lock(Mutex_);
-  return RoutesVersion_;
-}
-
 std::size_t Router::getServerCount() const {
   std::shared_lock Lock(Mutex_);
   return Servers_.size();
--- a/tools/entry/EntryProgram.cpp
+++ b/tools/entry/EntryProgram.cpp
@@ -48,6 +48,7 @@
           drawRandom,
           Metrics,
           Settings.ReportPeriod_,
+          Settings.MaxRequest_,
           Settings.Batching_};
 }
 
