--- a/include/tulipweir/entry/Entry.h
+++ b/include/tulipweir/entry/Entry.h
@@ -33,6 +33,7 @@
   /// No request is sent with a deadline further ahead. At most the controls'
   /// value, on which their account of slots rests.
   Duration MaxRequest_ = std::chrono::seconds(60);
+  BatcherSettings Batching_ = {};
 };
 
 /// Thread-safe.
@@ -78,6 +79,7 @@
   RequestSender Plain_;
   KeyedSender Keyed_;
   CallersApi Callers_;
+  AnnouncementBatcher Batcher_;
   ControlProxy Proxy_;
   Reporter Reporter_;
 };
--- a/include/tulipweir/entry/Router.h
+++ b/include/tulipweir/entry/Router.h
@@ -71,6 +71,9 @@
   /// Null when the bundle names no such service.
   std::shared_ptr<ServiceGate> findGate(const ServiceId &Service) const;
   RoutesHeld getHeld() const;
+  /// Puts what is held into Report; briefly if it is the table of version
+  /// Known, which the leader named last; 0 stands for none.
+  void fillReport(wire::EntryReport &Report, std::uint64_t Known) const;
   std::size_t getServerCount() const;
   std::vector<GateView> listViews() const;
 
@@ -86,6 +89,9 @@
     return Now < GrantUntil_ ? HighestVersion_ : 0;
   }
   void replaceServers(const std::vector<wire::Route> &Routes, TimePoint Until);
+  std::vector<wire::GrantHeld> listHeld(std::uint64_t Version) const;
+  std::vector<wire::GrantHeld> listLeaving() const;
+  std::string packInFlight() const;
   void fillGates();
   GateList listGates() const;
 
@@ -94,6 +100,8 @@
   mutable std::shared_mutex Mutex_;
   std::map<ServiceId, std::shared_ptr<ServiceGate>> Gates_;
   std::map<ServerKey, std::shared_ptr<ServerSlots>> Servers_;
+  /// In the order of the table; null where its address made no sense.
+  std::vector<std::shared_ptr<ServerSlots>> Order_;
   /// Gone from the table, with requests still in flight.
   std::vector<std::shared_ptr<ServerSlots>> Leaving_;
   /// Of the last table that was taken; never goes down.
--- a/src/entry/Reporter.cpp
+++ b/src/entry/Reporter.cpp
@@ -21,19 +21,19 @@
       return;
     const TimePoint SentAt = Parts_.Clock_.now();
     Parts_.Metrics_.Reports_.add();
-    const wire::EntryReport Report = makeReport();
+    const wire::EntryReport Report = makeReport(KnownVersion_);
     Parts_.Control_.report(
         Report, ReportTimeout,
-        [Weak = weak_from_this(), SentAt, Named = Report.RoutesHeld_](
-            const Outcome<wire::EntryReportReply> &Reply) {
+        [Weak = weak_from_this(), SentAt, Named = Report.RoutesHeld_,
+         Brief = Report.Brief_](const Outcome<wire::EntryReportReply> &Reply) {
           if (const std::shared_ptr<Loop> Self = Weak.lock())
-            Self->onReply(Reply, SentAt, Named);
+            Self->onReply(Reply, SentAt, Named, Brief);
         });
   }
 
   void giveBack(std::function<void()> Done) {
     Ended_ = true;
-    wire::EntryReport Last = makeReport();
+    wire::EntryReport Last = makeReport(0);
     Last.Stopping_ = true;
     Parts_.Control_.report(
         Last, ReportTimeout,
@@ -47,25 +47,28 @@
   bool hasLeader() const { return HasLeader_; }
 
 private:
-  wire::EntryReport makeReport() const {
+  wire::EntryReport makeReport(std::uint64_t Known) const {
     wire::EntryReport Report;
     Report.Entry_ = Parts_.Identity_.Entry_;
     Report.Address_ = Parts_.Identity_.Address_;
     Report.Incarnation_ = Parts_.Identity_.Incarnation_;
     Report.Held_ = Parts_.Configuration_.getVersion();
-    RoutesHeld Held = Parts_.Router_.getHeld();
-    Report.RoutesHeld_ = Held.Version_;
-    Report.Grants_ = std::move(Held.Grants_);
+    Parts_.Router_.fillReport(Report, Known);
     return Report;
   }
 
   void onReply(const Outcome<wire::EntryReportReply> &Reply, TimePoint SentAt,
-               std::uint64_t Named) {
+               std::uint64_t Named, bool Brief) {
     if (Ended_)
       return;
     noteLeader(Reply.has_value());
-    if (Reply)
+    const bool SendFull = Reply && Reply.value().SendFull_;
+    // Not even a grant follows from such a reply.
+    if (Reply && !SendFull)
       adopt(Reply.value(), SentAt, Named);
+    KnownVersion_ = Reply && !SendFull ? Reply.value().RoutesVersion_ : 0;
+    if (SendFull && Brief)
+      return report();
     const Duration Passed = Parts_.Clock_.now() - SentAt;
     const Duration Pause = std::max(Duration::zero(), Parts_.Period_ - Passed);
     Parts_.Timers_.runAfter(Pause, [Weak = weak_from_this()] {
@@ -108,6 +111,8 @@
   const ReporterParts Parts_;
   std::atomic<bool> Ended_{false};
   std::atomic<bool> HasLeader_{false};
+  /// The version that the last reply named; 0 if there was none.
+  std::atomic<std::uint64_t> KnownVersion_{0};
 };
 
 Reporter::Reporter(const ReporterParts &Parts)
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -2,6 +2,8 @@
 
 #include "tulipweir/entry/Router.h"
 
+#include "tulipweir/wire/PackedNumbers.h"
+
 #include <algorithm>
 #include <functional>
 #include <mutex>
@@ -79,8 +81,10 @@
 void Router::replaceServers(const std::vector<wire::Route> &Routes,
                             TimePoint Until) {
   std::map<ServerKey, std::shared_ptr<ServerSlots>> Next;
+  Order_.clear();
   for (const wire::Route &Route : Routes) {
     const Outcome<net::Endpoint> Address = net::Endpoint::parse(Route.Address_);
+    Order_.emplace_back();
     if (!Address)
       continue;
     const ServerKey Key{Route.Server_, Route.Boot_};
@@ -93,6 +97,7 @@
     else
       Server = std::make_shared<ServerSlots>(Route, Address.value());
     Server->setGrant(Route, Until);
+    Order_.back() = Server;
     Next[Key] = std::move(Server);
   }
   for (const auto &[Key, Server] : Servers_) {
@@ -174,15 +179,53 @@
 
 RoutesHeld Router::getHeld() const {
   std::shared_lock Lock(Mutex_);
-  RoutesHeld Held{findVersion(Clock_.now()), {}};
-  Held.Grants_.reserve(Servers_.size() + Leaving_.size());
+  const std::uint64_t Version = findVersion(Clock_.now());
+  return {Version, listHeld(Version)};
+}
+
+/// The lock is held.
+std::vector<wire::GrantHeld> Router::listHeld(std::uint64_t Version) const {
+  std::vector<wire::GrantHeld> Grants = listLeaving();
+  Grants.reserve(Servers_.size() + Grants.size());
   for (const auto &[Key, Server] : Servers_)
-    Held.Grants_.push_back(Held.Version_ == 0 ? withoutSlots(Server->getHeld())
-                                              : Server->getHeld());
+    Grants.push_back(Version == 0 ? withoutSlots(Server->getHeld())
+                                  : Server->getHeld());
+  return Grants;
+}
+
+/// The lock is held.
+std::vector<wire::GrantHeld> Router::listLeaving() const {
+  std::vector<wire::GrantHeld> Grants;
   for (const std::shared_ptr<ServerSlots> &Server : Leaving_)
     if (wire::GrantHeld Each = Server->getHeld(); Each.InFlight_ > 0)
-      Held.Grants_.push_back(withoutSlots(std::move(Each)));
-  return Held;
+      Grants.push_back(withoutSlots(std::move(Each)));
+  return Grants;
+}
+
+/// The lock is held.
+std::string Router::packInFlight() const {
+  std::string Packed;
+  std::size_t Used = 0;
+  for (const std::shared_ptr<ServerSlots> &Server : Order_) {
+    const std::uint32_t InFlight = Server ? Server->getHeld().InFlight_ : 0;
+    wire::appendNumber(Packed, InFlight);
+    if (InFlight > 0)
+      Used = Packed.size();
+  }
+  Packed.resize(Used);
+  return Packed;
+}
+
+void Router::fillReport(wire::EntryReport &Report, std::uint64_t Known) const {
+  std::shared_lock Lock(Mutex_);
+  Report.RoutesHeld_ = findVersion(Clock_.now());
+  Report.Brief_ = Known != 0 && Report.RoutesHeld_ == Known;
+  if (!Report.Brief_) {
+    Report.Grants_ = listHeld(Report.RoutesHeld_);
+    return;
+  }
+  Report.InFlight_ = packInFlight();
+  Report.Grants_ = listLeaving();
 }
 
 std::size_t Router::getServerCount() const {
--- a/tools/entry/EntryProgram.cpp
+++ b/tools/entry/EntryProgram.cpp
@@ -48,7 +48,8 @@
           drawRandom,
           Metrics,
           Settings.ReportPeriod_,
-          Settings.MaxRequest_};
+          Settings.MaxRequest_,
+          Settings.Batching_};
 }
 
 ExitCode entry::runEntry(const EntrySettings &Settings) {
