Say once how an open job and a placed attempt are found

Cause: JobBook::assign, release, cancel and end each began with the same six lines (unknown, ended), CommandApplier's ChangeReservation and EndAttempt with the same seven (no task, attempt not placed): a rule added to one could miss the others. Ruled out: an Outcome, since the refusal is a CommandResult that the caller returns as it is; a reference in a std::variant reads worse than the pointer with the refusal beside it, which findPlacementProblem does in this way too. Change: JobBook::findOpen and CommandApplier::findPlaced, both private. Codes, texts and order of the checks are as before.

--- a/include/tulipweir/fleet/JobBook.h
+++ b/include/tulipweir/fleet/JobBook.h
@@ -81,6 +81,8 @@
                                   std::deque<JobId> Ended);
 
 private:
+  /// A job that has not ended; nullptr with the Refusal when there is none.
+  FleetJob *findOpen(const JobId &Job, CommandResult &Refusal);
   void finish(const JobId &Job, FleetJob &Record, JobEnd End,
               std::string Message, std::uint64_t WallMs);
   void giveBack(const JobId &Job, FleetJob &Record);
--- a/src/datacentre/CommandApplier.cpp
+++ b/src/datacentre/CommandApplier.cpp
@@ -206,14 +206,29 @@
   return Result;
 }
 
+TaskRecord *CommandApplier::findPlaced(const TaskId &Id,
+                                       const AttemptNumber &Attempt,
+                                       const char *Otherwise,
+                                       CommandResult &Refusal) {
+  TaskRecord *const Task = findTask(Id);
+  if (!Task) {
+    Refusal = refuse(ErrorCode::NotFound, "no task " + Id.toString());
+    return nullptr;
+  }
+  if (Task->State_ == TaskState::Placed && Task->Attempt_ == Attempt)
+    return Task;
+  Refusal = refuse(ErrorCode::StaleToken,
+                   "attempt " + std::to_string(Attempt.value()) + " of " +
+                       Id.toString() + " " + Otherwise);
+  return nullptr;
+}
+
 CommandResult CommandApplier::apply(const ChangeReservation &Value) {
-  TaskRecord *Task = findTask(Value.Task_);
+  CommandResult Refusal;
+  TaskRecord *const Task =
+      findPlaced(Value.Task_, Value.Attempt_, "is not placed", Refusal);
   if (!Task)
-    return refuse(ErrorCode::NotFound, "no task " + Value.Task_.toString());
-  if (Task->State_ != TaskState::Placed || Task->Attempt_ != Value.Attempt_)
-    return refuse(ErrorCode::StaleToken,
-                  "attempt " + std::to_string(Value.Attempt_.value()) + " of " +
-                      Value.Task_.toString() + " is not placed");
+    return Refusal;
   if (!isSane(Value.Reservation_))
     return refuse(ErrorCode::InvalidArgument,
                   "reservation out of range: " + describe(Value.Reservation_));
@@ -231,13 +246,11 @@
 }
 
 CommandResult CommandApplier::apply(const EndAttempt &Value) {
-  TaskRecord *Task = findTask(Value.Task_);
+  CommandResult Refusal;
+  TaskRecord *const Task =
+      findPlaced(Value.Task_, Value.Attempt_, "ended before", Refusal);
   if (!Task)
-    return refuse(ErrorCode::NotFound, "no task " + Value.Task_.toString());
-  if (Task->State_ != TaskState::Placed || Task->Attempt_ != Value.Attempt_)
-    return refuse(ErrorCode::StaleToken,
-                  "attempt " + std::to_string(Value.Attempt_.value()) + " of " +
-                      Value.Task_.toString() + " ended before");
+    return Refusal;
   if (Value.End_ == AttemptEnd::Cancelled &&
       !findJob(Value.Task_.Job_)->Cancelling_)
     return refuse(ErrorCode::InvalidArgument,
--- a/src/datacentre/CommandApplier.h
+++ b/src/datacentre/CommandApplier.h
@@ -37,6 +37,10 @@
 private:
   JobRecord *findJob(const JobId &Job);
   TaskRecord *findTask(const TaskId &Task);
+  /// The task while just this attempt of it is placed; else nullptr with the
+  /// Refusal, which says Otherwise of the attempt.
+  TaskRecord *findPlaced(const TaskId &Id, const AttemptNumber &Attempt,
+                         const char *Otherwise, CommandResult &Refusal);
   std::string findPlacementProblem(const PlaceTask &Value, ErrorCode &Code);
   void endPlaced(const EndAttempt &Value, TaskRecord &Task);
   void setTaskState(const TaskId &Id, TaskRecord &Task, TaskState State);
--- a/src/fleet/JobBook.cpp
+++ b/src/fleet/JobBook.cpp
@@ -70,6 +70,19 @@
   return Found == Jobs_.end() ? nullptr : &Found->second;
 }
 
+FleetJob *JobBook::findOpen(const JobId &Job, CommandResult &Refusal) {
+  const auto Found = Jobs_.find(Job);
+  if (Found == Jobs_.end()) {
+    Refusal = refuseUnknown(Job);
+    return nullptr;
+  }
+  if (Found->second.End_) {
+    Refusal = refuseEnded(Found->second);
+    return nullptr;
+  }
+  return &Found->second;
+}
+
 CommandResult JobBook::submit(const SubmitJob &Value) {
   const std::string Fault = findFault(Value);
   if (!Fault.empty())
@@ -97,12 +110,11 @@
 }
 
 CommandResult JobBook::assign(const AssignJob &Value) {
-  const auto Found = Jobs_.find(Value.Job_);
-  if (Found == Jobs_.end())
-    return refuseUnknown(Value.Job_);
-  FleetJob &Record = Found->second;
-  if (Record.End_)
-    return refuseEnded(Record);
+  CommandResult Refusal;
+  FleetJob *const Open = findOpen(Value.Job_, Refusal);
+  if (!Open)
+    return Refusal;
+  FleetJob &Record = *Open;
   if (Value.DataCentre_.value().empty())
     return refuse(ErrorCode::InvalidArgument, "no data centre is named");
   if (!Record.DataCentre_.value().empty()) {
@@ -120,12 +132,11 @@
 }
 
 CommandResult JobBook::release(const ReleaseJob &Value) {
-  const auto Found = Jobs_.find(Value.Job_);
-  if (Found == Jobs_.end())
-    return refuseUnknown(Value.Job_);
-  FleetJob &Record = Found->second;
-  if (Record.End_)
-    return refuseEnded(Record);
+  CommandResult Refusal;
+  FleetJob *const Open = findOpen(Value.Job_, Refusal);
+  if (!Open)
+    return Refusal;
+  FleetJob &Record = *Open;
   if (!isHeldUnder(Record, Value.Assignment_)) {
     const bool Repeated = Record.DataCentre_.value().empty() &&
                           Record.Assignment_ == Value.Assignment_;
@@ -143,12 +154,11 @@
 }
 
 CommandResult JobBook::cancel(const CancelJob &Value) {
-  const auto Found = Jobs_.find(Value.Job_);
-  if (Found == Jobs_.end())
-    return refuseUnknown(Value.Job_);
-  FleetJob &Record = Found->second;
-  if (Record.End_)
-    return refuseEnded(Record);
+  CommandResult Refusal;
+  FleetJob *const Open = findOpen(Value.Job_, Refusal);
+  if (!Open)
+    return Refusal;
+  FleetJob &Record = *Open;
   if (Record.DataCentre_.value().empty()) {
     finish(Value.Job_, Record, JobEnd::Cancelled,
            "cancelled before it was assigned", 0);
@@ -161,12 +171,11 @@
 }
 
 CommandResult JobBook::end(const EndJob &Value) {
-  const auto Found = Jobs_.find(Value.Job_);
-  if (Found == Jobs_.end())
-    return refuseUnknown(Value.Job_);
-  FleetJob &Record = Found->second;
-  if (Record.End_)
-    return refuseEnded(Record);
+  CommandResult Refusal;
+  FleetJob *const Open = findOpen(Value.Job_, Refusal);
+  if (!Open)
+    return Refusal;
+  FleetJob &Record = *Open;
   if (!isHeldUnder(Record, Value.Assignment_))
     return refuseStale(Record, Value.Assignment_);
   giveBack(Value.Job_, Record);
