Say why the stand-in has JSON of its own

Cause: StandInJson repeats the fields of entry/AnnouncementJson, and its header was broken by the formatter; StandInTasksTest claimed a comparison with the entry's JSON that it does not make. Ruled out: using the entry's functions, which would be shorter, but a misnamed field would then agree with itself. toJson of reports and commands in AnnouncementJson only have the same shape: the fields differ. Change: comments only.

--- a/tests/system/StandInTasksTest.cpp
+++ b/tests/system/StandInTasksTest.cpp
@@ -1,5 +1,5 @@
 // The stand-in is what the proofs count with, so it is tested itself: leases,
-// fencing tokens, checkpoints, and its JSON against the entry's.
+// fencing tokens, checkpoints, and that it takes no answer without its fields.
 
 #include "standin/StandInJson.h"
 #include "standin/TaskTable.h"
--- a/tools/standin/StandInJson.h
+++ b/tools/standin/StandInJson.h
@@ -1,8 +1,9 @@
-//===- StandInJson.h - The announcement as a backend server says it -*- C++
-//-*-//
+//===- StandInJson.h - The announcement as the stand-in says it -*- C++ -*-===//
 //
-// The JSON of POST /v1/announce from the backend server's side, written apart
-// from the entry's reader so that each checks the other.
+// The JSON of POST /v1/announce from the backend server's side. On purpose it
+// shares no code with entry/AnnouncementJson: a field that one side misnames is
+// then refused by the other, which two uses of one function would hide. That
+// makes it repeat the names of the fields, as any backend server does.
 //
 //===----------------------------------------------------------------------===//
 
