--- a/include/tulipweir/net/Process.h
+++ b/include/tulipweir/net/Process.h
@@ -23,6 +23,11 @@
 namespace tulipweir::net {
 
 class Options;
+struct OptionsResult;
+
+/// For a main whose options say to leave: prints their text, to standard output
+/// on success and else to standard error, and returns the exit code.
+int leaveAfterOptions(const OptionsResult &Result);
 
 struct LogSettings {
   std::string Level_ = "info"; ///< trace, debug, info, warn, error.
--- a/src/ctl/Program.cpp
+++ b/src/ctl/Program.cpp
@@ -5,6 +5,7 @@
 #include "tulipweir/ctl/HttpOperatorApi.h"
 #include "tulipweir/ctl/Table.h"
 #include "tulipweir/net/Options.h"
+#include "tulipweir/net/Process.h"
 
 #include <cstddef>
 #include <iostream>
@@ -139,11 +140,8 @@
   addCtlOptions(Options, Settings);
   Options.allowWords(Words, describeCommands());
   const auto Parsed = Options.parse(ArgC, ArgV, net::getProcessEnvironment());
-  if (Parsed.Exit_) {
-    const bool IsGood = *Parsed.Exit_ == net::ExitCode::Success;
-    (IsGood ? std::cout : std::cerr) << Parsed.Text_;
-    return static_cast<int>(*Parsed.Exit_);
-  }
+  if (Parsed.Exit_)
+    return net::leaveAfterOptions(Parsed);
   const SystemClock Time;
   ApiSettings Api;
   Api.Entries_ = Settings.Entries_;
--- a/src/net/Process.cpp
+++ b/src/net/Process.cpp
@@ -6,7 +6,9 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <cassert>
 #include <csignal>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -16,6 +18,13 @@
 using namespace tulipweir;
 using namespace tulipweir::net;
 
+int net::leaveAfterOptions(const OptionsResult &Result) {
+  assert(Result.Exit_ && "the options say to go on");
+  const bool Good = *Result.Exit_ == ExitCode::Success;
+  std::fputs(Result.Text_.c_str(), Good ? stdout : stderr);
+  return static_cast<int>(*Result.Exit_);
+}
+
 void net::addLogOptions(Options &To, LogSettings &Target) {
   To.addChoice("log-level", Target.Level_,
                {"trace", "debug", "info", "warn", "error"},
--- a/tests/net/ProcessTest.cpp
+++ b/tests/net/ProcessTest.cpp
@@ -38,6 +38,15 @@
   EXPECT_EQ(Get("/other", "GET").Status_, 0U);
 }
 
+TEST(LeaveAfterOptionsTest, printsHelpAndComplaintsApart) {
+  testing::internal::CaptureStdout();
+  testing::internal::CaptureStderr();
+  EXPECT_EQ(leaveAfterOptions({ExitCode::Success, "help\n"}), 0);
+  EXPECT_EQ(leaveAfterOptions({ExitCode::BadSettings, "bad\n"}), 2);
+  EXPECT_EQ(testing::internal::GetCapturedStdout(), "help\n");
+  EXPECT_EQ(testing::internal::GetCapturedStderr(), "bad\n");
+}
+
 TEST(SignalsTest, tellsTheFirstStopFromTheNextAndDumps) {
   std::atomic<int> Stops = 0;
   std::atomic<int> SecondStops = 0;
--- a/tools/tulipweir-control.cpp
+++ b/tools/tulipweir-control.cpp
@@ -27,11 +27,8 @@
   control::addControlOptions(Flags, Settings);
   const net::OptionsResult Parsed =
       Flags.parse(ArgC, ArgV, net::getProcessEnvironment());
-  if (Parsed.Exit_) {
-    const bool Good = *Parsed.Exit_ == net::ExitCode::Success;
-    (Good ? std::cout : std::cerr) << Parsed.Text_;
-    return leave(*Parsed.Exit_);
-  }
+  if (Parsed.Exit_)
+    return net::leaveAfterOptions(Parsed);
   net::startLogging("tulipweir-control", Settings.Log_);
 
   const SystemClock Time;
--- a/tools/tulipweir-entry.cpp
+++ b/tools/tulipweir-entry.cpp
@@ -7,8 +7,6 @@
 
 #include "entry/EntryProgram.h"
 
-#include <cstdio>
-
 using namespace tulipweir;
 
 int main(int ArgC, char **ArgV) {
@@ -19,11 +17,8 @@
   entry::addEntryOptions(Options, Settings);
   const net::OptionsResult Result =
       Options.parse(ArgC, ArgV, net::getProcessEnvironment());
-  if (Result.Exit_) {
-    const bool Good = *Result.Exit_ == net::ExitCode::Success;
-    std::fputs(Result.Text_.c_str(), Good ? stdout : stderr);
-    return static_cast<int>(*Result.Exit_);
-  }
+  if (Result.Exit_)
+    return net::leaveAfterOptions(Result);
   net::startLogging("tulipweir-entry", Settings.Log_);
   return static_cast<int>(entry::runEntry(Settings));
 }
--- a/tools/tulipweir-load.cpp
+++ b/tools/tulipweir-load.cpp
@@ -17,13 +17,10 @@
                        "An open-loop caller: latency from the intended time "
                        "of sending, outcomes counted, a JSON summary.");
   load::addLoadOptions(Options, Settings);
-  net::OptionsResult Result =
+  const net::OptionsResult Result =
       Options.parse(ArgC, ArgV, net::getProcessEnvironment());
-  if (Result.Exit_) {
-    bool Good = *Result.Exit_ == net::ExitCode::Success;
-    std::fputs(Result.Text_.c_str(), Good ? stdout : stderr);
-    return static_cast<int>(*Result.Exit_);
-  }
+  if (Result.Exit_)
+    return net::leaveAfterOptions(Result);
   net::startLogging("tulipweir-load", Settings.Log_);
   load::LoadRun Run(Settings);
   net::IoPool SignalPool(1);
--- a/tools/tulipweir-standin.cpp
+++ b/tools/tulipweir-standin.cpp
@@ -6,8 +6,6 @@
 
 #include "standin/StandInProgram.h"
 
-#include <cstdio>
-
 using namespace tulipweir;
 
 int main(int ArgC, char **ArgV) {
@@ -16,13 +14,10 @@
                        "Backend servers for tests: announces them, serves "
                        "requests, runs tasks, goes wrong on request.");
   standin::addStandInOptions(Options, Settings);
-  net::OptionsResult Result =
+  const net::OptionsResult Result =
       Options.parse(ArgC, ArgV, net::getProcessEnvironment());
-  if (Result.Exit_) {
-    bool Good = *Result.Exit_ == net::ExitCode::Success;
-    std::fputs(Result.Text_.c_str(), Good ? stdout : stderr);
-    return static_cast<int>(*Result.Exit_);
-  }
+  if (Result.Exit_)
+    return net::leaveAfterOptions(Result);
   net::startLogging("tulipweir-standin", Settings.Log_);
   return static_cast<int>(standin::runStandIn(Settings));
 }
