--- a/src/control/AnnouncementDigests.cpp
+++ b/src/control/AnnouncementDigests.cpp
@@ -6,7 +6,6 @@
 
 using namespace tulipweir;
 using namespace tulipweir::control;
-using wire::BatchException;
 using wire::BatchVerdict;
 
 /// Longer than any entry goes without naming a number that it uses.
--- a/src/entry/AnnouncementBatcher.cpp
+++ b/src/entry/AnnouncementBatcher.cpp
@@ -141,7 +141,8 @@
       if (const Heard *Last = findHeard(Item)) {
         const std::uint64_t Later =
             Item.Value_.Sequence_ - Last->Value_.Sequence_;
-        Digests.push_back({{Last->Number_, Later}, std::move(Item)});
+        const wire::AnnouncementDigest Digest{Last->Number_, Later};
+        Digests.emplace_back(Digest, std::move(Item));
         continue;
       }
       if (wire::encode(Item.Value_).size() > MaxBytesOfOne) {
