Keep the bundle in force in a file of the control's data folder

BundleKeeper now holds what a control shows, hands to entries and decides by; BundleFile writes it (temporary name, synced, renamed, folder synced) before anybody gets it, on the fleet's strand, and it is read before the log says anything. What cannot be written is not handed on, is counted and tried again each second.

--- a/src/control/BundleRoutes.cpp
+++ b/src/control/BundleRoutes.cpp
@@ -25,9 +25,10 @@
     {"GET", "/passed-on/report", &BundleRoutes::showReport}};
 
 BundleRoutes::BundleRoutes(const fleet::FleetMachine &Fleet,
-                           FleetProposer &Proposer, FleetSurvey &Survey,
-                           const Clock &Time)
-    : Fleet_(Fleet), Proposer_(Proposer), Survey_(Survey), Time_(Time) {}
+                           BundleKeeper &Keeper, FleetProposer &Proposer,
+                           FleetSurvey &Survey, const Clock &Time)
+    : Fleet_(Fleet), Keeper_(Keeper), Proposer_(Proposer), Survey_(Survey),
+      Time_(Time) {}
 
 RouteMatch BundleRoutes::handle(const wire::OperatorCall &Call,
                                 OperatorDone &Done) {
@@ -68,7 +69,7 @@
 void BundleRoutes::send(const fleet::Command &Command, OperatorDone Done) {
   Proposer_.propose(
       fleet::encodeCommand(Command), ProposeTimeout,
-      [Done = std::move(Done)](Outcome<std::string> Bytes) {
+      [this, Done = std::move(Done)](Outcome<std::string> Bytes) {
         if (!Bytes)
           return Done(makeErrorAnswer(
               getErrorName(Bytes.error().Code_),
@@ -82,7 +83,12 @@
             Result.value().Error_.empty()
                 ? 200
                 : getErrorStatus(Result.value().Error_);
-        Done({Status, renderJson(makeResultJson(Result.value()))});
+        // Whoever is told "accepted" finds it in force here.
+        Keeper_.afterChanges(
+            [Done, Answer = wire::OperatorAnswer{
+                       Status, renderJson(makeResultJson(Result.value()))}] {
+              Done(Answer);
+            });
       });
 }
 
@@ -113,9 +119,8 @@
 }
 
 void BundleRoutes::showCurrent(const RoutedCall &, OperatorDone Done) {
-  const std::vector<fleet::AcceptedBundle> Latest = Fleet_.listHistory(1);
-  Done(makeBundleAnswer(Latest.empty() ? std::nullopt
-                                       : std::optional(Latest.front()),
+  const std::shared_ptr<const KeptBundle> Held = Keeper_.get();
+  Done(makeBundleAnswer(Held ? std::optional(Held->Accepted_) : std::nullopt,
                         "no bundle is in force yet; propose the first one"));
 }
 
@@ -143,7 +148,7 @@
 }
 
 void BundleRoutes::showLimits(const RoutedCall &, OperatorDone Done) {
-  const std::shared_ptr<const fleet::Bundle> InForce = Fleet_.getBundle();
+  const std::shared_ptr<const fleet::Bundle> InForce = Keeper_.getBundle();
   if (!InForce)
     return Done(makeErrorAnswer(
         Error::make(ErrorCode::NotFound, "no bundle is in force yet")));
--- a/src/control/BundleRoutes.h
+++ b/src/control/BundleRoutes.h
@@ -7,6 +7,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_BUNDLEROUTES_H
 #define TULIPWEIR_SRC_CONTROL_BUNDLEROUTES_H
 
+#include "control/BundleKeeper.h"
 #include "control/FleetProposer.h"
 #include "control/FleetSurvey.h"
 #include "control/RouteTable.h"
@@ -17,8 +18,8 @@
 /// Thread-safe.
 class BundleRoutes final : public RouteSet {
 public:
-  BundleRoutes(const fleet::FleetMachine &Fleet, FleetProposer &Proposer,
-               FleetSurvey &Survey, const Clock &Time);
+  BundleRoutes(const fleet::FleetMachine &Fleet, BundleKeeper &Keeper,
+               FleetProposer &Proposer, FleetSurvey &Survey, const Clock &Time);
 
   RouteMatch handle(const wire::OperatorCall &Call,
                     OperatorDone &Done) override;
@@ -38,6 +39,7 @@
   static const RouteEntry<BundleRoutes> Table[];
 
   const fleet::FleetMachine &Fleet_;
+  BundleKeeper &Keeper_;
   FleetProposer &Proposer_;
   FleetSurvey &Survey_;
   const Clock &Time_;
--- a/src/control/ControlCore.cpp
+++ b/src/control/ControlCore.cpp
@@ -43,15 +43,23 @@
   return Names;
 }
 
+static std::optional<fleet::AcceptedBundle>
+findLatest(const fleet::FleetMachine &Machine) {
+  std::vector<fleet::AcceptedBundle> Latest = Machine.listHistory(1);
+  if (Latest.empty())
+    return std::nullopt;
+  return std::move(Latest.front());
+}
+
 /// The parts of a leadership. Takes what the core owns besides what it got.
-static LeadershipParts makeLeadershipParts(const CoreParts &Parts,
-                                           const fleet::AssignmentLease &Lease,
-                                           FleetProposer &Proposer,
-                                           DecisionStream &Stream,
-                                           RollOutTracker &RollOuts) {
+static LeadershipParts
+makeLeadershipParts(const CoreParts &Parts, const fleet::AssignmentLease &Lease,
+                    FleetProposer &Proposer, DecisionStream &Stream,
+                    RollOutTracker &RollOuts, const BundleKeeper &Keeper) {
   return {Parts.DataCentreGroup_,
           Parts.DataCentreMachine_,
           Parts.FleetMachine_,
+          Keeper,
           Lease,
           Proposer,
           Stream,
@@ -66,12 +74,17 @@
     : Settings_(Settings), Parts_(Parts),
       Times_(fleet::AssignmentTimes::makeFor(Settings.AssignmentTtl_)),
       Lease_(Times_), RollOuts_(Parts.Time_),
+      Keeper_(
+          Parts.BundleFile_, Parts.FleetStrand_,
+          [this] { return findLatest(Parts_.FleetMachine_); },
+          [this](const fleet::AcceptedBundle &Value) { onBundleTaken(Value); },
+          KeeperCounters::makeFor(Parts.Metrics_)),
       Stream_(Parts.FleetStrand_, DecisionsKept),
       Proposer_(Parts.FleetGroup_, Parts.Peers_, Parts.FleetStrand_,
                 Parts.Time_),
-      DataCentre_(
-          makeLeadershipParts(Parts, Lease_, Proposer_, Stream_, RollOuts_),
-          makeLeadershipSettings(Settings), Parts.Feed_),
+      DataCentre_(makeLeadershipParts(Parts, Lease_, Proposer_, Stream_,
+                                      RollOuts_, Keeper_),
+                  makeLeadershipSettings(Settings), Parts.Feed_),
       Fleet_(
           {Parts.FleetGroup_, Parts.FleetMachine_, Lease_, Parts.Peers_,
            Parts.FleetStrand_, Parts.Time_,
@@ -86,12 +99,12 @@
                      listNames(Settings.FleetMembers_)),
       Survey_(Parts.Peers_, listPeerNames(Settings),
               [this] { return makeReport(); }),
-      Bundles_(Parts.FleetMachine_, Proposer_, Survey_, Parts.Time_),
-      Jobs_(DataCentreId(Settings.DataCentre_), Parts.FleetMachine_,
+      Bundles_(Parts.FleetMachine_, Keeper_, Proposer_, Survey_, Parts.Time_),
+      Jobs_(DataCentreId(Settings.DataCentre_), Parts.FleetMachine_, Keeper_,
             Parts.DataCentreMachine_, Proposer_, Survey_, DataCentre_,
             Parts.Time_),
-      Servers_(Parts.FleetMachine_, Parts.DataCentreMachine_, Stream_,
-               DataCentre_, Parts.Time_, [this] { return makeDump(); }),
+      Servers_(Keeper_, Parts.DataCentreMachine_, Stream_, DataCentre_,
+               Parts.Time_, [this] { return makeDump(); }),
       Members_({{Settings.DataCentre_, &Parts.DataCentreGroup_},
                 {FleetGroupName, &Parts.FleetGroup_}},
                Parts.Peers_, Parts.FleetStrand_, Parts.Time_),
@@ -121,18 +134,15 @@
       [this, Stopped = std::move(Stopped)] { Fleet_.stop(Stopped); });
 }
 
-void ControlCore::noteBundle() {
-  const auto Latest = Parts_.FleetMachine_.listHistory(1);
-  if (Latest.empty())
-    return;
-  RollOuts_.noteAccepted(Latest.front().Version_, Latest.front().WallMs_);
-  spdlog::info("bundle {} ({}) is in force", Latest.front().Version_.value(),
-               Latest.front().Digest_.value());
+void ControlCore::onBundleTaken(const fleet::AcceptedBundle &Value) {
+  RollOuts_.noteAccepted(Value.Version_, Value.WallMs_);
+  spdlog::info("bundle {} ({}) is in force", Value.Version_.value(),
+               Value.Digest_.value());
   DataCentre_.noteBundle();
 }
 
 void ControlCore::onFleetRestored() {
-  noteBundle();
+  Keeper_.noteChanged();
   Fleet_.noteJobs();
 }
 
@@ -155,7 +165,7 @@
   const std::optional<JobId> Job = std::visit(JobOf(), Value);
   if (!Job) {
     if (Result.Accepted_)
-      noteBundle();
+      Keeper_.noteChanged();
     return;
   }
   Fleet_.noteJobs();
@@ -172,6 +182,15 @@
   return Own.LeaderName_.empty() ? "the data centre has no leader" : "";
 }
 
+Json ControlCore::makeBundleDump() const {
+  const auto Latest = findLatest(Parts_.FleetMachine_);
+  const BundleVersion InLog = Latest ? Latest->Version_ : BundleVersion();
+  return {{"held", Keeper_.getVersion().value()},
+          {"inLog", InLog.value()},
+          {"unwritten", Keeper_.getUnwritten().value()},
+          {"onDisk", Parts_.BundleFile_ != nullptr}};
+}
+
 Json ControlCore::makeDump() const {
   Json Groups = Json::array();
   Groups.push_back(makeGroupJson(Settings_.DataCentre_,
@@ -184,6 +203,7 @@
                  {"leadsDataCentre", DataCentre_.isLeading()},
                  {"leadsFleet", Fleet_.isLeading()},
                  {"groups", std::move(Groups)},
+                 {"bundle", makeBundleDump()},
                  {"warnings", listSettingWarnings(Settings_)},
                  {"callsInProgress", getInProgress()},
                  {"lastDecision", Stream_.getLastSequence()},
@@ -208,9 +228,9 @@
   Report.DataCentre_ = DataCentreId(Settings_.DataCentre_);
   Report.Region_ = Settings_.Region_;
   Report.Leads_ = DataCentre_.isLeading();
-  if (const auto InForce = Parts_.FleetMachine_.getInForce()) {
-    Report.Held_ = InForce->Version_;
-    Report.Digest_ = InForce->Digest_;
+  if (const auto Held = Keeper_.get()) {
+    Report.Held_ = Held->Accepted_.Version_;
+    Report.Digest_ = Held->Accepted_.Digest_;
   }
   if (!Report.Leads_)
     return Report;
--- a/src/control/ControlCore.h
+++ b/src/control/ControlCore.h
@@ -8,6 +8,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_CONTROLCORE_H
 #define TULIPWEIR_SRC_CONTROL_CONTROLCORE_H
 
+#include "control/BundleKeeper.h"
 #include "control/BundleRoutes.h"
 #include "control/ControlHandlers.h"
 #include "control/JobRoutes.h"
@@ -31,6 +32,8 @@
   replication::Replica &DataCentreGroup_;
   replication::Replica &FleetGroup_;
   net::Metrics &Metrics_;
+  /// Where the bundle in force is kept; nullptr with memory only.
+  BundleFile *BundleFile_ = nullptr;
 };
 
 /// Settings of the leader's duties, out of those of the process.
@@ -58,6 +61,7 @@
 
   // Queries.
 
+  const BundleKeeper &keeper() const { return Keeper_; }
   std::uint64_t getInProgress() const { return Handlers_.getInProgress(); }
   bool isLeadingDataCentre() const { return DataCentre_.isLeading(); }
   /// Empty when ready, or why not.
@@ -66,7 +70,8 @@
   Json makeDump() const;
 
 private:
-  void noteBundle();
+  void onBundleTaken(const fleet::AcceptedBundle &Value);
+  Json makeBundleDump() const;
   ControlReport makeReport() const;
 
   const ControlSettings Settings_;
@@ -74,6 +79,7 @@
   const fleet::AssignmentTimes Times_;
   fleet::AssignmentLease Lease_;
   RollOutTracker RollOuts_;
+  BundleKeeper Keeper_;
   DecisionStream Stream_;
   FleetProposer Proposer_;
   DataCentreDuties DataCentre_;
--- a/src/control/ControlMetrics.cpp
+++ b/src/control/ControlMetrics.cpp
@@ -80,13 +80,18 @@
     });
 }
 
-void control::addBundleMetrics(net::Metrics &To,
+void control::addBundleMetrics(net::Metrics &To, const BundleKeeper &Keeper,
                                const fleet::FleetMachine &Fleet) {
   To.addGauge("tulipweir_bundle_version", "Version of the bundle in force",
-              [&Fleet] {
-                const auto InForce = Fleet.getBundle();
-                return InForce ? double(InForce->Version_.value()) : 0.0;
+              [&Keeper] { return double(Keeper.getVersion().value()); });
+  To.addGauge("tulipweir_bundle_log_version",
+              "Version of the newest bundle in this control's log", [&Fleet] {
+                const auto InLog = Fleet.getBundle();
+                return InLog ? double(InLog->Version_.value()) : 0.0;
               });
+  To.addGauge("tulipweir_bundle_unwritten_version",
+              "Version that is not handed on as its file was not written; or 0",
+              [&Keeper] { return double(Keeper.getUnwritten().value()); });
   To.addGauge("tulipweir_jobs_open", "Batch jobs that have not ended",
               [&Fleet] {
                 return Fleet.read([](const fleet::FleetState &State) {
--- a/src/control/ControlMetrics.h
+++ b/src/control/ControlMetrics.h
@@ -7,6 +7,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_CONTROLMETRICS_H
 #define TULIPWEIR_SRC_CONTROL_CONTROLMETRICS_H
 
+#include "control/BundleKeeper.h"
 #include "control/ReplicationTransport.h"
 #include "tulipweir/fleet/FleetMachine.h"
 #include "tulipweir/net/Link.h"
@@ -22,7 +23,8 @@
                      const replication::Replica &Replica,
                      const ReplicationTransport &Out);
 void addLinkMetrics(net::Metrics &To, const net::LinkServer &Server);
-void addBundleMetrics(net::Metrics &To, const fleet::FleetMachine &Fleet);
+void addBundleMetrics(net::Metrics &To, const BundleKeeper &Keeper,
+                      const fleet::FleetMachine &Fleet);
 
 } // namespace tulipweir::control
 
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -3,6 +3,7 @@
 #include "control/ControlCore.h"
 #include "control/ControlMetrics.h"
 #include "control/PeerLinks.h"
+#include "replication/PosixFileSystem.h"
 #include "tulipweir/net/HttpServer.h"
 
 #include <condition_variable>
@@ -125,6 +126,8 @@
   fleet::FleetMachine FleetMachine_;
   std::unique_ptr<Replica> DataCentreGroup_;
   std::unique_ptr<Replica> FleetGroup_;
+  replication::PosixFileSystem Files_;
+  std::optional<BundleFile> BundleFile_;
   StrandExecutor DataCentreStrand_;
   StrandExecutor FleetStrand_;
   std::unique_ptr<ControlCore> Core_;
@@ -179,6 +182,9 @@
   if (!All)
     return std::move(All).as_failure();
   FleetGroup_ = std::move(All.value());
+  // The replicas refused a folder of another member, and hold their locks.
+  if (!Settings_.DataFolder_.empty())
+    BundleFile_.emplace(Files_, Settings_.DataFolder_);
   return succeed();
 }
 
@@ -188,13 +194,14 @@
   if (const Outcome<void> Opened = openGroups(); !Opened)
     return {ExitCode::StorageFailed, Opened.error().Message_};
   Core_ = std::make_unique<ControlCore>(
-      Settings_, CoreParts{Time_, DataCentreStrand_, FleetStrand_, Peers_,
-                           Feed_, DataCentreMachine_, FleetMachine_,
-                           *DataCentreGroup_, *FleetGroup_, Metrics_});
+      Settings_,
+      CoreParts{Time_, DataCentreStrand_, FleetStrand_, Peers_, Feed_,
+                DataCentreMachine_, FleetMachine_, *DataCentreGroup_,
+                *FleetGroup_, Metrics_, BundleFile_ ? &*BundleFile_ : nullptr});
   addGroupMetrics(Metrics_, Settings_.DataCentre_, *DataCentreGroup_,
                   DataCentreOut_);
   addGroupMetrics(Metrics_, FleetGroupName, *FleetGroup_, FleetOut_);
-  addBundleMetrics(Metrics_, FleetMachine_);
+  addBundleMetrics(Metrics_, Core_->keeper(), FleetMachine_);
   Peers_.addMetrics(Metrics_);
   Links_ = std::make_unique<net::LinkServer>(
       Pool_.context(), Settings_.ListenLinks_, makeLinkSettings(Settings_),
--- a/src/control/DataCentreLeadership.cpp
+++ b/src/control/DataCentreLeadership.cpp
@@ -144,7 +144,7 @@
 }
 
 void DataCentreLeadership::noteBundle() {
-  Planning_.setBundle(Parts_.Fleet_.getBundle());
+  Planning_.setBundle(Parts_.Keeper_.getBundle());
 }
 
 datacentre::LeaderMoment DataCentreLeadership::readMoment() const {
@@ -257,17 +257,12 @@
 
 void DataCentreLeadership::addBundle(const wire::EntryReport &Report,
                                      wire::EntryReportReply &Reply) const {
-  const std::shared_ptr<const fleet::Bundle> InForce =
-      Parts_.Fleet_.getBundle();
-  if (!InForce)
+  Reply.InForce_ = Parts_.Keeper_.getVersion();
+  if (Report.Held_ >= Reply.InForce_)
     return;
-  Reply.InForce_ = InForce->Version_;
-  if (Report.Held_ >= InForce->Version_)
-    return;
-  // Both may have risen between the two calls; they must fit each other.
-  Reply.Bundle_ = Parts_.Fleet_.getInForce();
-  if (Reply.Bundle_)
-    Reply.InForce_ = Reply.Bundle_->Version_;
+  // It may have risen between the two calls; they must fit each other.
+  Reply.Bundle_ = Parts_.Keeper_.getInForce();
+  Reply.InForce_ = Reply.Bundle_->Version_;
 }
 
 ServerReach DataCentreLeadership::findReach(const BackendServerId &Server,
--- a/src/control/DataCentreLeadership.h
+++ b/src/control/DataCentreLeadership.h
@@ -10,6 +10,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_DATACENTRELEADERSHIP_H
 #define TULIPWEIR_SRC_CONTROL_DATACENTRELEADERSHIP_H
 
+#include "control/BundleKeeper.h"
 #include "control/ChangeFeed.h"
 #include "control/JobTracker.h"
 #include "control/PlanningDuty.h"
@@ -51,6 +52,7 @@
   replication::Replica &Group_;
   const datacentre::DataCentreMachine &Machine_;
   const fleet::FleetMachine &Fleet_;
+  const BundleKeeper &Keeper_;
   const fleet::AssignmentLease &Lease_;
   FleetProposer &FleetProposals_;
   DecisionStream &Stream_;
--- a/src/control/JobRoutes.cpp
+++ b/src/control/JobRoutes.cpp
@@ -85,11 +85,13 @@
 }
 
 JobRoutes::JobRoutes(DataCentreId DataCentre, const fleet::FleetMachine &Fleet,
+                     const BundleKeeper &Keeper,
                      const datacentre::DataCentreMachine &Machine,
                      FleetProposer &Proposer, FleetSurvey &Survey,
                      DataCentreDuties &Duties, const Clock &Time)
-    : DataCentre_(std::move(DataCentre)), Fleet_(Fleet), Machine_(Machine),
-      Proposer_(Proposer), Survey_(Survey), Duties_(Duties), Time_(Time) {}
+    : DataCentre_(std::move(DataCentre)), Fleet_(Fleet), Keeper_(Keeper),
+      Machine_(Machine), Proposer_(Proposer), Survey_(Survey), Duties_(Duties),
+      Time_(Time) {}
 
 RouteMatch JobRoutes::handle(const wire::OperatorCall &Call,
                              OperatorDone &Done) {
@@ -101,7 +103,7 @@
 std::vector<std::string>
 JobRoutes::listWarnings(const datacentre::JobSpec &Spec) const {
   std::vector<std::string> Warnings;
-  if (const auto InForce = Fleet_.getBundle())
+  if (const auto InForce = Keeper_.getBundle())
     for (const decide::TeamQuota &Quota : InForce->Policy_.Quotas_)
       if (Quota.Team_ == Spec.Team_ && !Spec.Declared_.fitsIn(Quota.Limit_))
         Warnings.push_back("one task declares more than the whole quota of "
--- a/src/control/JobRoutes.h
+++ b/src/control/JobRoutes.h
@@ -17,6 +17,7 @@
 class JobRoutes final : public RouteSet {
 public:
   JobRoutes(DataCentreId DataCentre, const fleet::FleetMachine &Fleet,
+            const BundleKeeper &Keeper,
             const datacentre::DataCentreMachine &Machine,
             FleetProposer &Proposer, FleetSurvey &Survey,
             DataCentreDuties &Duties, const Clock &Time);
@@ -45,6 +46,7 @@
 
   const DataCentreId DataCentre_;
   const fleet::FleetMachine &Fleet_;
+  const BundleKeeper &Keeper_;
   const datacentre::DataCentreMachine &Machine_;
   FleetProposer &Proposer_;
   FleetSurvey &Survey_;
--- a/src/control/ServerRoutes.cpp
+++ b/src/control/ServerRoutes.cpp
@@ -22,11 +22,11 @@
     {"GET", "/decisions", &ServerRoutes::readDecisions},
     {"GET", "/dump", &ServerRoutes::dump}};
 
-ServerRoutes::ServerRoutes(const fleet::FleetMachine &Fleet,
+ServerRoutes::ServerRoutes(const BundleKeeper &Keeper,
                            const datacentre::DataCentreMachine &Machine,
                            DecisionStream &Stream, DataCentreDuties &Duties,
                            const Clock &Time, std::function<Json()> MakeDump)
-    : Fleet_(Fleet), Machine_(Machine), Stream_(Stream), Duties_(Duties),
+    : Keeper_(Keeper), Machine_(Machine), Stream_(Stream), Duties_(Duties),
       Time_(Time), MakeDump_(std::move(MakeDump)) {}
 
 RouteMatch ServerRoutes::handle(const wire::OperatorCall &Call,
@@ -161,7 +161,7 @@
     Sum.MostLoadPercent_ =
         std::max(Sum.MostLoadPercent_, View.Report_.LoadPercent_);
   }
-  const std::shared_ptr<const fleet::Bundle> InForce = Fleet_.getBundle();
+  const std::shared_ptr<const fleet::Bundle> InForce = Keeper_.getBundle();
   if (InForce)
     for (const fleet::ServiceConfig &Config : InForce->Services_)
       Sums.try_emplace(Config.Service_);
--- a/src/control/ServerRoutes.h
+++ b/src/control/ServerRoutes.h
@@ -17,7 +17,7 @@
 class ServerRoutes final : public RouteSet {
 public:
   /// MakeDump gives what the process itself adds to the dump.
-  ServerRoutes(const fleet::FleetMachine &Fleet,
+  ServerRoutes(const BundleKeeper &Keeper,
                const datacentre::DataCentreMachine &Machine,
                DecisionStream &Stream, DataCentreDuties &Duties,
                const Clock &Time, std::function<Json()> MakeDump);
@@ -37,7 +37,7 @@
 
   static const RouteEntry<ServerRoutes> Table[];
 
-  const fleet::FleetMachine &Fleet_;
+  const BundleKeeper &Keeper_;
   const datacentre::DataCentreMachine &Machine_;
   DecisionStream &Stream_;
   DataCentreDuties &Duties_;
--- a/tests/control/ControlProcessTest.cpp
+++ b/tests/control/ControlProcessTest.cpp
@@ -1,6 +1,9 @@
 //===- ControlProcessTest.cpp - Whole control processes on loopback -------===//
 
 #include "tulipweir/control/ControlProcess.h"
+#include "control/BundleFile.h"
+#include "fleet/FleetFixture.h"
+#include "replication/PosixFileSystem.h"
 #include "tulipweir/net/IoPool.h"
 #include "tulipweir/net/Link.h"
 #include "tulipweir/wire/Messages.h"
@@ -86,6 +89,20 @@
   EXPECT_TRUE(waitForLeader());
 }
 
+TEST_F(ControlProcessTest, AStartReadsTheBundleKeptInTheDataFolder) {
+  replication::PosixFileSystem Files;
+  ASSERT_TRUE(Files.makeFolder(Folder_));
+  const std::string Text = fleet::test::makeBundleText(5, 0, "", 1, 1);
+  ASSERT_TRUE(BundleFile(Files, Folder_)
+                  .save({BundleVersion(5), fleet::computeDigest(Text), Text}));
+  ASSERT_EQ(start(), ExitCode::Success);
+  ASSERT_TRUE(waitForLeader());
+  const Answer Got = ask("/bundles/current", "").get();
+  ASSERT_TRUE(Got) << Got.error().Message_;
+  EXPECT_NE(Got.value().Body_.find("\"version\":5"), std::string::npos);
+  EXPECT_EQ(Process_->stop(), ExitCode::Success);
+}
+
 TEST_F(ControlProcessTest, APlannedStopAnswersTheCallsInProgress) {
   ASSERT_EQ(start(), ExitCode::Success);
   ASSERT_TRUE(waitForLeader());
--- a/tests/control/ControlWorld.h
+++ b/tests/control/ControlWorld.h
@@ -38,18 +38,23 @@
 /// One control process without sockets.
 struct TestControl {
   TestControl(const std::string &Name, ManualClock &Time, FakeLog &Own,
-              FakeLog &All)
+              FakeLog &All, BundleFile *File = nullptr)
       : Strand_(Time),
         Machine_({}, [this](const auto &Value) { Feed_.publish(Value); }),
-        Fleet_([this](const auto &Value, const auto &Result) {
-          if (Core_)
-            Core_->onFleetApplied(Value, Result);
-        }),
+        Fleet_(
+            [this](const auto &Value, const auto &Result) {
+              if (Core_)
+                Core_->onFleetApplied(Value, Result);
+            },
+            [this] {
+              if (Core_)
+                Core_->onFleetRestored();
+            }),
         Group_(Own, Name, Machine_), FleetGroup_(All, Name, Fleet_),
         Core_(std::make_unique<ControlCore>(
             makeSettings(Name),
             CoreParts{Time, Strand_, Strand_, Peers_, Feed_, Machine_, Fleet_,
-                      Group_, FleetGroup_, Metrics_})) {
+                      Group_, FleetGroup_, Metrics_, File})) {
     Core_->start();
   }
 
