--- a/tests/control/BundleKeeperTest.cpp
+++ b/tests/control/BundleKeeperTest.cpp
@@ -52,7 +52,7 @@
   OneRun(Files).offer(makeBundle(7));
   Files.losePower();
   OneRun Second(Files);
-  EXPECT_EQ(Second.held(), 7U);
+  ASSERT_EQ(Second.held(), 7U);
   EXPECT_EQ(Second.Keeper_.get()->Accepted_.Text_, makeBundle(7).Text_);
   Second.offer(makeBundle(5));
   EXPECT_EQ(Second.held(), 7U);
