--- a/tests/entry/RoutingTest.cpp
+++ b/tests/entry/RoutingTest.cpp
@@ -301,15 +301,24 @@
 
 TEST(RoutingTest, AServerThatLeftTheTableIsNamedWithoutSlots) {
   World Around(1, 2);
-  Around.Backend_.ServiceTime_ = seconds(1);
+  Around.Backend_.ServiceTime_ = milliseconds(1900);
   Around.call("running");
   Around.Routes_[0].Boot_ = BootId("next");
   Around.setRoutes(Around.Routes_);
   Around.advance(milliseconds(1100));
   ASSERT_EQ(Around.Control_->Reports_.size(), 3U);
+  const wire::EntryReport Brief = lastReport(Around);
+  ASSERT_TRUE(Brief.Brief_ && Brief.InFlight_.empty());
+  ASSERT_EQ(Brief.Grants_.size(), 1U);
+  EXPECT_EQ(Brief.Grants_[0].Slots_, 0U);
+  EXPECT_EQ(Brief.Grants_[0].InFlight_, 1U);
+  // The whole one, which the leader asks for, has the new boot beside it.
+  Around.Control_->Reply_.SendFull_ = true;
+  Around.advance(milliseconds(500));
   std::uint32_t Slots = 0;
   std::uint32_t InFlight = 0;
-  for (const wire::GrantHeld &Held : Around.Control_->Reports_[2].Grants_) {
+  ASSERT_FALSE(lastReport(Around).Brief_);
+  for (const wire::GrantHeld &Held : lastReport(Around).Grants_) {
     Slots += Held.Slots_;
     InFlight += Held.InFlight_;
   }
--- a/tools/entry/EntrySettings.cpp
+++ b/tools/entry/EntrySettings.cpp
@@ -50,6 +50,14 @@
                "Shared secret of all processes of the fleet", MinSecretBytes);
   To.addDuration("report-period", Target.ReportPeriod_, milliseconds(50),
                  seconds(2), "Time between reports to the leader");
+  To.addDuration("heartbeat-batch", Target.Batching_.Period_, milliseconds(0),
+                 seconds(1),
+                 "How long a backend server's heartbeat that says nothing new "
+                 "may wait for others; a lease gets shorter by as much");
+  To.addDuration("heartbeat-refresh", Target.Batching_.Refresh_,
+                 milliseconds(100), minutes(1),
+                 "New measures of services and usage reach the leader at "
+                 "least this often");
   To.addDuration("max-request", Target.MaxRequest_, milliseconds(100), hours(1),
                  "The longest deadline of a request, whatever its caller and "
                  "the bundle say. Must be at most --max-request of the "
