Restart a cut-off data centre and ask it for its bundle

The file was proved in one process only. The new system test accepts a bundle, cuts the data centre off, kills its control and entry, and wants the entry ready with that bundle. Ruled out: its entry keeping the bundle by itself, as it is killed too.

--- a/tests/system/DataCentreCutTest.cpp
+++ b/tests/system/DataCentreCutTest.cpp
@@ -89,6 +89,27 @@
   EXPECT_THAT(Charges.listFaults(Ran), IsEmpty());
 }
 
+TEST_F(DataCentreCut, KilledAndRestartedInsideItServesByTheSameBundle) {
+  BundleOptions Next = Whole_.followCurrent();
+  EXPECT_TRUE(waitFor(LongEnough, [&] {
+    return Cluster::isAccepted(Whole_.proposeBundle(Whole_.makeBundle(Next)));
+  })) << Whole_.showOutputs();
+  ASSERT_TRUE(waitFor(LongEnough, [&] {
+    return versionAt(CutOff) == Next.Version_;
+  })) << Whole_.showOutputs();
+
+  Whole_.setCut(CutOff, true);
+  Whole_.control(CutOff).Child_->kill();
+  Whole_.entry(CutOff).Child_->kill();
+  Whole_.control(CutOff).Child_->start();
+  Whole_.entry(CutOff).Child_->start();
+  EXPECT_TRUE(waitFor(LongEnough, [&] {
+    return get(Whole_.entryPort(CutOff), "/readyz").Status_ == 200;
+  })) << Whole_.showOutputs();
+  EXPECT_EQ(versionAt(CutOff), Next.Version_);
+  Whole_.setCut(CutOff, false);
+}
+
 TEST_F(DataCentreCut, AJobMovesOnlyOnceTheCutOffOneHasGivenItUp) {
   ASSERT_TRUE(submitTo(CutOff, "long", 30000)) << Whole_.showOutputs();
   Whole_.setCut(CutOff, true);
