--- a/src/control/DataCentreLeadership.h
+++ b/src/control/DataCentreLeadership.h
@@ -11,6 +11,7 @@
 #define TULIPWEIR_SRC_CONTROL_DATACENTRELEADERSHIP_H
 
 #include "control/AnnouncementDigests.h"
+#include "control/BundleKeeper.h"
 #include "control/ChangeFeed.h"
 #include "control/JobTracker.h"
 #include "control/PlanningDuty.h"
@@ -52,6 +53,7 @@
   replication::Replica &Group_;
   const datacentre::DataCentreMachine &Machine_;
   const fleet::FleetMachine &Fleet_;
+  const BundleKeeper &Keeper_;
   const fleet::AssignmentLease &Lease_;
   FleetProposer &FleetProposals_;
   DecisionStream &Stream_;
