Share only the slots that live entries can have

Cause: shares were dealt of whole servers among the live entries. What a killed entry holds stays accounted to it until its grant and the longest request are over (63 s by default). Of two entries the live one's share was then still half of all, which it held, and the restarted one's half was blocked: it got no slot all that time if it came back after the dead one's grant. Back at once it got some, as the dead one still counted as a sharer. The same after an election for what earlier leaders' unknown entries hold.

Ruled out: freeing a dead entry's account earlier (its requests may run); taking the older incarnation for dead (incarnations have no order); a fixed slot for newcomers, which the deal gives them anyway.

Change: what is accounted to dead and stopping entries, and after the first grant TTL of a leadership to unknown ones, is taken off each server before the deal; when that changed, slots are shared anew, at most every RebalanceEvery_. Accounts, offers and confirmations are as before. /readyz of an entry says 503 "no slot of any backend server yet" while servers of services are known that do not drain and none has a slot for it. Without servers it stays ready: operators and first servers come through it.

Not run: system tests, benchmarks, sanitizers.

Conclusion: a newcomer gets part of the live ones' slots within a few reports. An entry that was the only one still waits for its old account.

--- a/include/tulipweir/datacentre/SlotLedger.h
+++ b/include/tulipweir/datacentre/SlotLedger.h
@@ -135,6 +135,7 @@
     bool Removed_ = false;
     SlotAmount Earlier_; ///< What earlier leaders may have granted unseen.
     SlotAmount Sum_;     ///< Of all holders.
+    SlotAmount Blocked_; ///< At the latest rebalancing: see findBlocked.
     std::size_t Group_ = 0;
   };
   struct Share {
@@ -173,11 +174,17 @@
   void release(Holder &Of);
   void rebalance(TimePoint Now);
   bool needsRebalance(TimePoint Now);
+  std::vector<SlotAmount> findBlocked(TimePoint Now) const;
+  bool hasBlockedMoved(TimePoint Now) const;
   void rebalanceGroup(std::size_t Group, const std::vector<Holder *> &Sharers);
   bool isEarlierOpen(TimePoint Now) const { return Now < EarlierEnd_; }
   bool isLive(const Holder &Of, TimePoint Now) const {
     return Now < Of.GrantEnd_;
   }
+  /// Whether it is one of those that share the slots.
+  bool takesPart(const Holder &Of, TimePoint Now) const {
+    return isLive(Of, Now) && !Of.Stopping_;
+  }
 
   const SlotSettings Settings_;
   const TimePoint SettledAt_;  ///< When earlier leaders' grants are over.
--- a/include/tulipweir/entry/Router.h
+++ b/include/tulipweir/entry/Router.h
@@ -75,6 +75,10 @@
   /// Known, which the leader named last; 0 stands for none.
   void fillReport(wire::EntryReport &Report, std::uint64_t Known) const;
   std::size_t getServerCount() const;
+  /// True if servers of services are known that don't drain, and none of them
+  /// has a slot for this entry: its share may still be accounted to the process
+  /// before it.
+  bool lacksSlots() const;
   std::vector<GateView> listViews() const;
 
 private:
--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -28,8 +28,8 @@
 }
 
 /// Each request needs a slot and a connection.
-static std::uint32_t usableSlots(const SlotServer &Server) {
-  return std::min(Server.Slots_, Server.Connections_);
+static std::uint32_t usableSlots(const SlotAmount &Room) {
+  return std::min(Room.Slots_, Room.Connections_);
 }
 
 /// Above all versions of earlier terms, and of earlier ledgers of this term in
@@ -310,11 +310,37 @@
   }
 }
 
+/// By server's position: what is accounted to those that take no part in the
+/// sharing, the dead, the stopping and earlier leaders' unknown ones. The
+/// others can't get it, so sharing it would leave newcomers with nothing.
+std::vector<SlotAmount> SlotLedger::findBlocked(TimePoint Now) const {
+  std::vector<SlotAmount> Blocked(Servers_.size());
+  // Until then most of it belongs to entries that go on.
+  if (Now >= SettledAt_)
+    for (std::size_t Position = 0; Position < Servers_.size(); ++Position)
+      Blocked[Position] = Servers_[Position].Earlier_;
+  for (const auto &[Key, Each] : Holders_) {
+    if (takesPart(Each, Now))
+      continue;
+    for (const auto &[Position, Of] : Each.Shares_)
+      Blocked[Position] = Blocked[Position].plus(Of.Held_);
+  }
+  return Blocked;
+}
+
+bool SlotLedger::hasBlockedMoved(TimePoint Now) const {
+  const std::vector<SlotAmount> Blocked = findBlocked(Now);
+  for (std::size_t Position = 0; Position < Servers_.size(); ++Position)
+    if (Servers_[Position].Blocked_ != Blocked[Position])
+      return true;
+  return false;
+}
+
 bool SlotLedger::needsRebalance(TimePoint Now) {
   bool Needed = MustRebalance_;
   const bool Due = Now - RebalancedAt_ >= Settings_.RebalanceEvery_;
   for (const auto &[Key, Each] : Holders_) {
-    const bool Counts = isLive(Each, Now) && !Each.Stopping_;
+    const bool Counts = takesPart(Each, Now);
     Needed |= Counts != Each.Counted_;
     if (!Due || !Counts || Needed)
       continue;
@@ -324,7 +350,7 @@
       Needed |= std::abs(Each.Demand_[I] - Used) > Slack;
     }
   }
-  return Needed;
+  return Needed || (Due && hasBlockedMoved(Now));
 }
 
 void SlotLedger::rebalance(TimePoint Now) {
@@ -332,9 +358,12 @@
     return;
   MustRebalance_ = false;
   RebalancedAt_ = Now;
+  const std::vector<SlotAmount> Blocked = findBlocked(Now);
+  for (std::size_t Position = 0; Position < Servers_.size(); ++Position)
+    Servers_[Position].Blocked_ = Blocked[Position];
   std::vector<Holder *> Sharers;
   for (auto &[Key, Each] : Holders_) {
-    Each.Counted_ = isLive(Each, Now) && !Each.Stopping_;
+    Each.Counted_ = takesPart(Each, Now);
     Each.Demand_.resize(Groups_.size());
     Each.DemandUsed_ = Each.Demand_;
     for (auto &[Position, Of] : Each.Shares_)
@@ -351,12 +380,16 @@
   // Servers that are out for a while keep their part, so that the shares of
   // the others do not move when they come and go.
   std::vector<std::size_t> Members;
+  std::vector<SlotAmount> Rooms;
   std::vector<std::uint32_t> Slots;
   for (std::size_t Position = 0; Position < Servers_.size(); ++Position) {
     if (Servers_[Position].Group_ != Group || Servers_[Position].Removed_)
       continue;
+    const Server &At = Servers_[Position];
+    const SlotAmount Room = capacityOf(At.Info_).minusOrZero(At.Blocked_);
     Members.push_back(Position);
-    Slots.push_back(usableSlots(Servers_[Position].Info_));
+    Rooms.push_back(Room);
+    Slots.push_back(usableSlots(Room));
   }
   std::vector<double> Demand;
   Demand.reserve(Sharers.size());
@@ -364,13 +397,13 @@
     Demand.push_back(Each->Demand_[Group]);
   const ShareTable Table = Settings_.Share_(Slots, Demand);
   for (std::size_t S = 0; S < Members.size(); ++S) {
-    const SlotServer &Info = Servers_[Members[S]].Info_;
     for (std::size_t E = 0; E < Sharers.size(); ++E) {
       const std::uint32_t Given = Table[S][E];
-      // As many connections to a slot as the server has.
+      // As many connections to a slot as the server has left.
       const std::uint64_t Connections =
-          Slots[S] == 0 ? 0
-                        : std::uint64_t{Given} * Info.Connections_ / Slots[S];
+          Slots[S] == 0
+              ? 0
+              : std::uint64_t{Given} * Rooms[S].Connections_ / Slots[S];
       Sharers[E]->Shares_[Members[S]].Target_ = {
           Given, static_cast<std::uint32_t>(Connections)};
     }
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -81,6 +81,8 @@
     return "no bundle from a control process yet";
   if (Clock_.now() >= Flags_.GrantsUntil_.load())
     return "the grants ran out: no leader answers";
+  if (Router_.lacksSlots())
+    return "no slot of any backend server yet";
   return "";
 }
 
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -233,6 +233,19 @@
   return Servers_.size();
 }
 
+bool Router::lacksSlots() const {
+  std::shared_lock Lock(Mutex_);
+  bool Any = false;
+  for (const auto &[Key, Each] : Servers_) {
+    if (Each->isDraining() || Each->services().empty())
+      continue;
+    if (Each->getLimit() > 0)
+      return false;
+    Any = true;
+  }
+  return Any;
+}
+
 std::vector<GateView> Router::listViews() const {
   std::vector<GateView> Views;
   for (const std::shared_ptr<ServiceGate> &Gate : listGates())
--- a/tests/datacentre/SlotLedgerTest.cpp
+++ b/tests/datacentre/SlotLedgerTest.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <numeric>
 
 using namespace tulipweir;
@@ -51,7 +52,7 @@
   const wire::EntryReport &report(int Entry) {
     wire::EntryReport &Report = Reports_[Entry];
     Report.Entry_ = EntryId(std::to_string(Entry));
-    Report.Incarnation_ = 1;
+    Report.Incarnation_ = std::max<std::uint64_t>(Report.Incarnation_, 1);
     const auto Reply = Ledger_->onReport(Report, {Now_, true}).value();
     Tables_ += Reply.Routes_.has_value();
     if (Reply.Routes_) {
@@ -170,6 +171,83 @@
   EXPECT_EQ(Reports_[0].Grants_, Before.at(0).Grants_);
 }
 
+/// Entry 0 dies with requests in flight and comes back as another process,
+/// which reports so many rounds later.
+class SlotNewcomer : public SlotLedgerTest,
+                     public testing::WithParamInterface<int> {
+protected:
+  void replaceEntry0() {
+    for (wire::GrantHeld &Each : Reports_[0].Grants_)
+      Each.InFlight_ = Each.Slots_;
+    report(0);
+    Reports_[0] = {};
+    Reports_[0].Incarnation_ = 2;
+    reportOne(1, GetParam());
+  }
+  void reportOne(int Entry, int Rounds) {
+    for (int Round = 0; Round < Rounds; ++Round) {
+      Now_ += std::chrono::milliseconds(500);
+      report(Entry);
+    }
+  }
+  void expectNoneTwice() {
+    for (const SlotServer &Each : Servers_)
+      EXPECT_LE(Ledger_->findAccounted(Each.Server_).Slots_, Each.Slots_);
+  }
+};
+
+TEST_P(SlotNewcomer, GetsPartOfWhatTheLiveOnesHoldWithinAFewReports) {
+  addServers(3, 4, 16);
+  reportAll(2, 12);
+  replaceEntry0();
+  for (int Round = 0; Round < 4; ++Round) {
+    reportAll(2, 1);
+    expectNoneTwice();
+  }
+  EXPECT_GE(slotsOf(0), 1u);
+  reportAll(2, 8); // By now the dead one's grant is over for sure.
+  for (const int Entry : {0, 1})
+    for (const wire::GrantHeld &Each : Reports_[Entry].Grants_) {
+      EXPECT_EQ(Each.Slots_, 1u) << "half of the two that are not the dead's";
+      EXPECT_EQ(Each.Connections_, 4u);
+    }
+}
+
+TEST_P(SlotNewcomer, GetsASlotEvenIfThereIsOnlyOneToEachLiveEntry) {
+  addServers(2, 2, 2);
+  reportAll(2, 12);
+  replaceEntry0();
+  reportAll(2, 12);
+  expectNoneTwice();
+  EXPECT_EQ(slotsOf(0), 1u);
+  EXPECT_EQ(slotsOf(1), 1u);
+}
+
+TEST_P(SlotNewcomer, GetsItsWholeShareOnceTheDeadOnesRequestsAreOver) {
+  addServers(3, 4, 16);
+  reportAll(2, 12);
+  replaceEntry0();
+  reportAll(2, 80);
+  expectNoneTwice();
+  EXPECT_EQ(slotsOf(0), 6u);
+  EXPECT_EQ(slotsOf(1), 6u);
+}
+
+INSTANTIATE_TEST_SUITE_P(BackAfter, SlotNewcomer, testing::Values(0, 10));
+
+TEST_F(SlotLedgerTest, AfterAnElectionANewcomerGetsPartOfWhatIsLeft) {
+  addServers(3, 4, 16);
+  reportAll(2, 12);
+  Ledger_ = std::make_unique<SlotLedger>(SlotSettings{}, 2, Now_, Servers_);
+  Reports_[0] = {}; // The half that it had is in the account of nobody known.
+  Reports_[0].Incarnation_ = 2;
+  reportAll(2, 12);
+  EXPECT_EQ(slotsOf(0), 3u);
+  EXPECT_EQ(slotsOf(1), 3u);
+  reportAll(2, 60);
+  EXPECT_EQ(slotsOf(0) + slotsOf(1), 12u);
+}
+
 TEST_F(SlotLedgerTest, GoneEntriesAreNamedOnceTheirReportsEnded) {
   addServers(1, 8, 8);
   report(0);
