Do not lower a measure by grants that were given up before it

No program calls noteBusy yet, so no running entry was concerned. Change: a measure of earlier grants clears what is noted as given up. Result: LateReportTest.AMeasureIsNotLoweredByWhatWasGivenUpBeforeIt failed before; test_datacentre 180 of 180 passed.

--- a/src/datacentre/SlotLedger.cpp
+++ b/src/datacentre/SlotLedger.cpp
@@ -302,7 +302,12 @@
     At.Earlier_ = At.Earlier_.minWith(Busy);
   for (auto &[Key, Each] : Holders_) {
     const auto Of = Each.Shares_.find(Found->second);
-    if (Of == Each.Shares_.end() || SampledAt < Each.GrantEnd_)
+    if (Of == Each.Shares_.end())
+      continue;
+    // The measure has left that out already.
+    if (SampledAt >= SettledAt_)
+      Of->second.Replaced_ = SlotAmount{};
+    if (SampledAt < Each.GrantEnd_)
       continue;
     setHeld(Of->second, At, Of->second.Held_.minWith(Busy));
     // If it comes back it needs a new table.
--- a/tests/datacentre/SlotLedgerTest.cpp
+++ b/tests/datacentre/SlotLedgerTest.cpp
@@ -362,6 +362,16 @@
   EXPECT_EQ(accounted(), 1u);
 }
 
+TEST_F(LateReportTest, AMeasureIsNotLoweredByWhatWasGivenUpBeforeIt) {
+  tell("a", 5, 4);
+  Now_ += std::chrono::seconds(1);
+  const auto First = tell("a", 5, 4).RoutesVersion_;
+  Now_ += std::chrono::milliseconds(2100);
+  Ledger_.noteBusy(Server_.Server_, 4, Now_); // Of an entry that died.
+  EXPECT_FALSE(tell("a", First, 4).Routes_) << "the other four still run";
+  EXPECT_EQ(accounted(), 4u + 4u);
+}
+
 TEST_F(LateReportTest, RequestsToTwoBootsAreAddedUp) {
   const auto First = tell("a", 5, 4).RoutesVersion_;
   tell("a", First, 4);
