--- a/tests/entry/RoutingTest.cpp
+++ b/tests/entry/RoutingTest.cpp
@@ -278,7 +278,7 @@
 
 TEST(RoutingTest, AnEntryIsUnreadyWhileItHasNoSlotOfAnyServer) {
   World Around;
-  const auto setAll = [&](std::uint32_t Slots, bool Draining) {
+  const auto SetAll = [&](std::uint32_t Slots, bool Draining) {
     for (wire::Route &Each : Around.Routes_) {
       Each.Slots_ = Slots;
       Each.Draining_ = Draining;
@@ -286,14 +286,14 @@
     Around.setRoutes(Around.Routes_);
     Around.advance(seconds(1));
   };
-  setAll(0, false);
+  SetAll(0, false);
   EXPECT_EQ(Around.Entry_->explainUnready(),
             "no slot of any backend server yet");
   Around.Routes_[1].Slots_ = 1;
   Around.setRoutes(Around.Routes_);
   Around.advance(seconds(1));
   EXPECT_EQ(Around.Entry_->explainUnready(), "");
-  setAll(0, true); // All entries have none of these: no reason to leave one.
+  SetAll(0, true); // All entries have none of these: no reason to leave one.
   EXPECT_EQ(Around.Entry_->explainUnready(), "");
   Around.setRoutes({}); // Operators and first servers come through it.
   Around.advance(seconds(1));
