--- a/bench/fleet/FleetBench.cpp
+++ b/bench/fleet/FleetBench.cpp
@@ -84,6 +84,20 @@
 }
 BENCHMARK(checkTargetBundle)->Unit(benchmark::kMicrosecond);
 
+/// The first time that a process sees the keys.
+static void checkNewKeys(benchmark::State &State) {
+  for (auto _ : State) {
+    State.PauseTiming();
+    std::vector<std::string> Keys;
+    for (int I = 0; I < Operators; ++I)
+      Keys.push_back(makeKeyPair().PublicKey_);
+    State.ResumeTiming();
+    for (const std::string &Key : Keys)
+      benchmark::DoNotOptimize(isPublicKey(Key));
+  }
+}
+BENCHMARK(checkNewKeys)->Unit(benchmark::kMicrosecond)->Iterations(50);
+
 /// A chain of bundles, each the child of the one before.
 static void acceptTargetBundle(benchmark::State &State) {
   FleetState Fleet;
--- a/include/tulipweir/fleet/BundleBook.h
+++ b/include/tulipweir/fleet/BundleBook.h
@@ -72,7 +72,7 @@
 
 private:
   const Bundle &findSigners(const Bundle &Proposed) const;
-  CommandResult addSignOff(const Digest &Value, ProposedBundle &Proposal,
+  CommandResult addSignOff(const Digest &Value, Bundle Proposed,
                            const SignOff &Added, std::uint64_t WallMs);
   CommandResult makeLost(BundleVersion Version) const;
   CommandResult accept(const Digest &Value, Bundle Accepted,
--- a/src/fleet/BundleBook.cpp
+++ b/src/fleet/BundleBook.cpp
@@ -68,8 +68,7 @@
   return "";
 }
 
-/// Operators may have left the list since they signed? No: a new list drops
-/// every proposal. So all kept sign-offs count, each operator once.
+/// All kept sign-offs count: a new list of operators voids every proposal.
 static bool hasSigned(const ProposedBundle &Proposal,
                       const OperatorId &Operator) {
   return std::ranges::find(Proposal.SignOffs_, Operator, &SignOff::Operator_) !=
@@ -109,7 +108,7 @@
   BundleCheck Check = checkBundle(Value.Text_);
   if (Check.Bundle_.empty())
     return refuseText(Check.Problems_);
-  const Bundle &Proposed = Check.Bundle_.front();
+  Bundle &Proposed = Check.Bundle_.front();
   const Digest Named = computeDigest(Value.Text_);
   const auto Same = History_.findVersion(Proposed.Version_);
   if (Same && Same->Digest_ == Named)
@@ -132,7 +131,7 @@
     Proposal.Sequence_ = NextSequence_++;
     Proposals_.emplace(Named, std::move(Proposal));
   }
-  return addSignOff(Named, Proposals_.at(Named), Value.SignOff_, Value.WallMs_);
+  return addSignOff(Named, std::move(Proposed), Value.SignOff_, Value.WallMs_);
 }
 
 CommandResult BundleBook::sign(const SignBundle &Value) {
@@ -147,25 +146,25 @@
     return refuse(ErrorCode::NotFound,
                   "no proposal has digest " + Value.Digest_.value() +
                       "; propose its file with 'tulipweirctl bundle propose'");
-  ProposedBundle &Proposal = Found->second;
-  const Bundle Proposed = readChecked(Proposal.Text_);
+  const ProposedBundle &Proposal = Found->second;
+  Bundle Proposed = readChecked(Proposal.Text_);
   const auto Fault =
       findFault(findSigners(Proposed), Value.Digest_, Value.SignOff_);
   if (!Fault.empty())
     return about(refuse(ErrorCode::PermissionDenied, Fault), Proposal.Version_,
                  Value.Digest_);
-  return addSignOff(Value.Digest_, Proposal, Value.SignOff_, Value.WallMs_);
+  return addSignOff(Value.Digest_, std::move(Proposed), Value.SignOff_,
+                    Value.WallMs_);
 }
 
-CommandResult BundleBook::addSignOff(const Digest &Value,
-                                     ProposedBundle &Proposal,
+CommandResult BundleBook::addSignOff(const Digest &Value, Bundle Proposed,
                                      const SignOff &Added,
                                      std::uint64_t WallMs) {
+  ProposedBundle &Proposal = Proposals_.at(Value);
   const BundleVersion Version = Proposal.Version_;
   const bool Repeated = hasSigned(Proposal, Added.Operator_);
   if (!Repeated)
     Proposal.SignOffs_.push_back(Added);
-  Bundle Proposed = readChecked(Proposal.Text_);
   const std::size_t Needed = findSigners(Proposed).SignOffsNeeded_;
   if (Proposal.SignOffs_.size() >= Needed)
     return accept(Value, std::move(Proposed), WallMs);
--- a/src/fleet/Signing.cpp
+++ b/src/fleet/Signing.cpp
@@ -9,7 +9,9 @@
 #include <array>
 #include <cassert>
 #include <cstddef>
+#include <mutex>
 #include <optional>
+#include <set>
 
 using namespace tulipweir;
 using namespace tulipweir::fleet;
@@ -67,6 +69,31 @@
   return Pair;
 }
 
+namespace {
+
+/// Keys that passed the check, which takes a scalar multiplication each, while
+/// every bundle names the same few. Thread-safe.
+class KnownKeys {
+public:
+  bool contains(const PublicBytes &Key) const {
+    const std::lock_guard Lock(Mutex_);
+    return Keys_.contains(Key);
+  }
+  void add(const PublicBytes &Key) {
+    const std::lock_guard Lock(Mutex_);
+    if (Keys_.size() >= Most)
+      Keys_.clear();
+    Keys_.insert(Key);
+  }
+
+private:
+  static constexpr std::size_t Most = 4096;
+  mutable std::mutex Mutex_;
+  std::set<PublicBytes> Keys_;
+};
+
+} // namespace
+
 static Error makeBadKey() {
   return Error::make(ErrorCode::InvalidArgument,
                      "the secret key is not 64 lower-case hexadecimal digits; "
@@ -115,7 +142,15 @@
 bool fleet::isPublicKey(std::string_view Text) {
   startSodium();
   const auto Key = fromHex<crypto_sign_PUBLICKEYBYTES>(Text);
-  return Key && crypto_core_ed25519_is_valid_point(Key->data()) == 1;
+  if (!Key)
+    return false;
+  static KnownKeys Known;
+  if (Known.contains(*Key))
+    return true;
+  if (crypto_core_ed25519_is_valid_point(Key->data()) != 1)
+    return false;
+  Known.add(*Key);
+  return true;
 }
 
 Digest fleet::computeDigest(std::string_view Text) {
