--- a/bench/fleet/FleetBench.cpp
+++ b/bench/fleet/FleetBench.cpp
@@ -89,6 +89,7 @@
   for (auto _ : State) {
     State.PauseTiming();
     std::vector<std::string> Keys;
+    Keys.reserve(Operators);
     for (int I = 0; I < Operators; ++I)
       Keys.push_back(makeKeyPair().PublicKey_);
     State.ResumeTiming();
--- a/include/tulipweir/fleet/AssignmentTimes.h
+++ b/include/tulipweir/fleet/AssignmentTimes.h
@@ -9,9 +9,11 @@
 //  2. The leader counts from the later moment when it answered, for Ttl_ and
 //     Margin_ by its own clock. Margin_ covers clocks that each differ from
 //     true time by up to one part in a hundred.
-//  3. A leader answers only directly after Replica::holdsLeaderLease said yes,
-//     so no later leader was elected before the report was sent. A new leader
-//     counts every assignment as renewed at its election.
+//  3. A leader answers only directly after Replica::holdsLeaderLease said yes
+//     in the very term in which it began, so no later leader was elected before
+//     the report was sent. A new leader counts every assignment as renewed at
+//     its election. One that lost its term and was elected again is a new one:
+//     what it knew is of an earlier time, and another may have led between.
 //  4. A leader begins (JobAssigner::noteLeading) only once
 //     Replica::confirmLeadership has said that everything committed is applied
 //     here, so it never renews what an earlier leader moved.
--- a/include/tulipweir/fleet/JobAssigner.h
+++ b/include/tulipweir/fleet/JobAssigner.h
@@ -28,13 +28,15 @@
   // Commands.
 
   /// This replica leads the fleet log and has applied all that was committed
-  /// before (Replica::confirmLeadership). Forgets all that was known.
+  /// before (Replica::confirmLeadership). Forgets all that was known. Call it
+  /// for every term, also when this replica led the one before last.
   void noteLeading(TimePoint Now);
   void noteFollowing();
 
   /// Answers a control process's report. Call it only directly after
-  /// Replica::holdsLeaderLease said yes, with the state applied here. While
-  /// not leading nothing is renewed.
+  /// Replica::holdsLeaderLease said yes and the replica's term is that of
+  /// noteLeading, with the state applied here. While not leading nothing is
+  /// renewed.
   AssignmentReply renew(const AssignmentReport &Report, const JobBook &Jobs,
                         TimePoint Now);
 
