Share the strict msgpack, executors and the leader watch between modules

Change: core/Packing.h holds the generic codec, core/Executor.h the executor, replication/LeaderWatch.h the watch; a new module jobs holds the model of jobs of steps, the commands of its log and its replicated state. Measured: tulipweir_control and test_control build; no behaviour changed.

--- /dev/null
+++ b/include/tulipweir/jobs/Commands.h
@@ -0,0 +1,162 @@
+//===- Commands.h - Entries of the jobs' log -------------------*- C++ -*-===//
+//
+// Everything that changes the replicated state of jobs. A command that is not
+// allowed changes nothing and says so in its result.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_JOBS_COMMANDS_H
+#define TULIPWEIR_JOBS_COMMANDS_H
+
+#include "tulipweir/core/Ids.h"
+#include "tulipweir/jobs/Configuration.h"
+#include "tulipweir/jobs/JobSpec.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tulipweir::jobs {
+
+/// One task of one occurrence of a job.
+struct TaskKey {
+  std::string Job_;
+  std::uint64_t Occurrence_ = 0;
+  std::uint64_t Step_ = 0;
+  std::uint64_t Index_ = 0;
+  auto operator<=>(const TaskKey &) const = default;
+};
+
+/// How a run ended.
+enum class RunEnd : std::uint8_t {
+  Done = 0,
+  Failed = 1,   ///< By its own fault or its server's.
+  Stopped = 2,  ///< On an order of ours.
+  Lapsed = 3,   ///< Its lease ran out.
+  Broken = 4,   ///< Another member of its gang ended.
+  Alone = 5,    ///< It waited too long for the other members of its gang.
+  Refused = 6,  ///< The server did not start it.
+  NeverRan = 7, ///< The order to start it certainly never arrived.
+};
+
+/// What a backend server says of itself when it appears.
+struct ServerFacts {
+  std::string Id_; ///< Of this life of the server; never used again.
+  std::string Service_;
+  std::string DataCentre_;
+  std::string Rack_;
+  std::vector<std::string> Labels_;
+  std::string Address_; ///< One live server an address.
+  Resources Capacity_;
+  bool operator==(const ServerFacts &) const = default;
+};
+
+/// A higher version than the one held takes its place.
+struct PutConfiguration {
+  Configuration Value_;
+  bool operator==(const PutConfiguration &) const = default;
+};
+
+struct SubmitJob {
+  std::string Host_;
+  std::string PathPrefix_; ///< Of the queue; must be in force when applied.
+  JobSpec Spec_;
+  std::uint64_t AcceptedMs_ = 0; ///< Wall time; orders jobs, nothing else.
+  bool operator==(const SubmitJob &) const = default;
+};
+
+struct CancelJob {
+  std::string Id_;
+  bool operator==(const CancelJob &) const = default;
+};
+
+/// Makes an occurrence's tasks ready; proposed once it is due.
+struct OpenOccurrence {
+  std::string Job_;
+  std::uint64_t Occurrence_ = 0;
+  bool operator==(const OpenOccurrence &) const = default;
+};
+
+struct AddServer {
+  ServerFacts Facts_;
+  bool operator==(const AddServer &) const = default;
+};
+
+/// A checkpoint that was seen while the run was going on.
+struct SavedWork {
+  TaskKey Task_;
+  std::uint64_t Run_ = 0;
+  std::string Checkpoint_;
+  bool operator==(const SavedWork &) const = default;
+};
+
+/// The server has left, or nothing it was given can still be running. All its
+/// tasks wait again.
+struct RemoveServer {
+  std::string Id_;
+  std::vector<SavedWork> Saved_;
+  bool operator==(const RemoveServer &) const = default;
+};
+
+struct TaskStart {
+  TaskKey Task_;
+  std::uint64_t Run_ = 0; ///< Above any earlier run of the task.
+  std::string Server_;
+  bool operator==(const TaskStart &) const = default;
+};
+
+/// Places tasks. Each start stands by itself, but those of a gang, which come
+/// whole or not at all, and in one command.
+struct StartTasks {
+  std::vector<TaskStart> Starts_;
+  bool operator==(const StartTasks &) const = default;
+};
+
+struct TaskEnd {
+  TaskKey Task_;
+  std::uint64_t Run_ = 0;
+  RunEnd How_ = RunEnd::Done;
+  std::string Checkpoint_;
+  bool operator==(const TaskEnd &) const = default;
+};
+
+struct EndTasks {
+  std::string Server_;
+  std::vector<TaskEnd> Ends_;
+  bool operator==(const EndTasks &) const = default;
+};
+
+/// Ended jobs that nobody asks for any more.
+struct ForgetJobs {
+  std::vector<std::string> Ids_;
+  bool operator==(const ForgetJobs &) const = default;
+};
+
+using Command =
+    std::variant<PutConfiguration, SubmitJob, CancelJob, OpenOccurrence,
+                 AddServer, RemoveServer, StartTasks, EndTasks, ForgetJobs>;
+
+enum class Verdict : std::uint8_t {
+  Done = 0,
+  AlreadyDone = 1, ///< The same was accepted before; nothing changed.
+  NotFound = 2,    ///< No such queue, job or server.
+  Refused = 3,     ///< It may not be done; nothing changed.
+};
+
+struct CommandResult {
+  Verdict Verdict_ = Verdict::Done;
+  /// For StartTasks: one for each start, whether it was taken.
+  std::vector<bool> Taken_;
+  bool operator==(const CommandResult &) const = default;
+};
+
+std::string encodeCommand(const Command &Value);
+Outcome<Command> decodeCommand(std::string_view Bytes);
+std::string encodeResult(const CommandResult &Value);
+Outcome<CommandResult> decodeResult(std::string_view Bytes);
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_JOBS_COMMANDS_H
--- /dev/null
+++ b/include/tulipweir/jobs/JobBook.h
@@ -0,0 +1,170 @@
+//===- JobBook.h - The replicated state of jobs ----------------*- C++ -*-===//
+//
+// Configuration, backend servers, jobs, and which run of which task is placed
+// where. Pure and deterministic: the same commands give the same state on all
+// replicas. Whatever a leader wants, it refuses here: a second placement of a
+// task, a start before its time, over capacity, over the attempts allowed.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_JOBS_JOBBOOK_H
+#define TULIPWEIR_JOBS_JOBBOOK_H
+
+#include "tulipweir/jobs/Commands.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace tulipweir::jobs {
+
+enum class JobState : std::uint8_t {
+  Queued = 0, ///< No task has been placed.
+  Running = 1,
+  Completed = 2,
+  Failed = 3,
+  Cancelled = 4,
+};
+
+inline bool isEnded(JobState State) { return State >= JobState::Completed; }
+
+enum class TaskState : std::uint8_t { Waiting = 0, Placed = 1, Done = 2 };
+
+/// A run that was placed and has not ended.
+struct Placement {
+  std::uint64_t Run_ = 0;
+  std::string Server_;
+  bool operator==(const Placement &) const = default;
+};
+
+struct TaskRecord {
+  TaskState State_ = TaskState::Waiting;
+  std::uint64_t LastRun_ = 0; ///< 0 before the first.
+  std::uint64_t FailedRuns_ = 0;
+  std::uint64_t LastFailedRun_ = 0;
+  std::string Checkpoint_;            ///< Where the next run resumes.
+  std::vector<Placement> Placements_; ///< More than one for copies only.
+  bool operator==(const TaskRecord &) const = default;
+};
+
+struct StepRecord {
+  std::vector<TaskRecord> Tasks_;
+  std::uint64_t Waiting_ = 0; ///< Tasks in that state.
+  std::uint64_t Done_ = 0;    ///< Tasks in that state.
+  bool operator==(const StepRecord &) const = default;
+};
+
+struct OccurrenceRecord {
+  std::uint64_t Number_ = 0;
+  std::vector<StepRecord> Steps_;
+  bool operator==(const OccurrenceRecord &) const = default;
+};
+
+struct JobRecord {
+  JobSpec Spec_;
+  QueuePolicy Policy_; ///< Of its queue, as last in force.
+  JobState State_ = JobState::Queued;
+  std::uint64_t Sequence_ = 0; ///< Order of acceptance.
+  std::uint64_t AcceptedMs_ = 0;
+  std::uint64_t OccurrencesDone_ = 0;
+  std::uint64_t Placements_ = 0; ///< Runs that have not ended.
+  std::vector<OccurrenceRecord> Open_; ///< Occurrences under way.
+  std::uint64_t OpenedUpTo_ = 0;       ///< Occurrences opened so far.
+  bool operator==(const JobRecord &) const = default;
+
+  const OccurrenceRecord *findOccurrence(std::uint64_t Number) const;
+  OccurrenceRecord *findOccurrence(std::uint64_t Number);
+  /// When the job is due, by its queue's objective; wall time.
+  std::uint64_t getDueMs() const;
+};
+
+struct ServerRecord {
+  ServerFacts Facts_;
+  Resources Used_;                          ///< By all that is placed.
+  std::map<TaskKey, std::uint64_t> Placed_; ///< The run of each.
+};
+
+/// A step with waiting tasks whose turn has come. Ordered as they are served.
+struct ReadyStep {
+  std::uint64_t Priority_ = 0;
+  std::uint64_t DueMs_ = 0;
+  std::uint64_t Sequence_ = 0; ///< Of the job.
+  std::uint64_t Occurrence_ = 0;
+  std::uint64_t Step_ = 0;
+  std::string Job_;
+  auto operator<=>(const ReadyStep &) const = default;
+};
+
+/// Not thread-safe.
+class JobBook {
+public:
+  // Commands.
+
+  CommandResult apply(const Command &Value);
+
+  // Queries.
+
+  const Configuration &configuration() const { return Configuration_; }
+  const JobRecord *findJob(const std::string &Id) const;
+  const TaskRecord *findTask(const TaskKey &Task) const;
+  const std::map<std::string, JobRecord> &jobs() const { return Jobs_; }
+  const std::map<std::string, ServerRecord> &servers() const {
+    return Servers_;
+  }
+  const ServerRecord *findServer(const std::string &Id) const;
+  const std::set<ReadyStep> &readySteps() const { return Ready_; }
+  /// Jobs that wait for a time, and the occurrence that comes next.
+  const std::set<std::string> &timedJobs() const { return Timed_; }
+  /// Accepted jobs of the queue for which no task has started.
+  std::uint64_t countPending(const std::string &QueueKey) const;
+  /// Why the start would be refused; empty if it would be taken.
+  std::string findObjection(const TaskStart &Start) const;
+
+  std::string encode() const;
+  static Outcome<JobBook> decode(std::string_view Bytes);
+
+private:
+  CommandResult apply(const PutConfiguration &Value);
+  CommandResult apply(const SubmitJob &Value);
+  CommandResult apply(const CancelJob &Value);
+  CommandResult apply(const OpenOccurrence &Value);
+  CommandResult apply(const AddServer &Value);
+  CommandResult apply(const RemoveServer &Value);
+  CommandResult apply(const StartTasks &Value);
+  CommandResult apply(const EndTasks &Value);
+  CommandResult apply(const ForgetJobs &Value);
+
+  void openOccurrence(JobRecord &Job, std::uint64_t Number);
+  bool isReady(const JobRecord &Job, const OccurrenceRecord &Occurrence,
+               std::size_t Step) const;
+  ReadyStep makeReadyStep(const JobRecord &Job, std::uint64_t Occurrence,
+                          std::uint64_t Step) const;
+  void updateReady(const JobRecord &Job, const OccurrenceRecord &Occurrence,
+                   std::size_t Step);
+  void updateReadyOfAll(const JobRecord &Job);
+  void removeReadyOf(const JobRecord &Job);
+  void place(const TaskStart &Start);
+  void endRun(const std::string &Server, const TaskEnd &End);
+  void noteDone(JobRecord &Job, OccurrenceRecord &Occurrence,
+                std::size_t Step, TaskRecord &Task);
+  void finishJob(JobRecord &Job, JobState State);
+  void setWaiting(StepRecord &Step, TaskRecord &Task);
+  TaskRecord *findTask(const TaskKey &Task);
+  void rebuildIndexes();
+  bool isWholeGang(const std::vector<TaskStart> &Starts,
+                   const TaskStart &Member) const;
+
+  Configuration Configuration_;
+  std::map<std::string, JobRecord> Jobs_;
+  std::map<std::string, ServerRecord> Servers_;
+  std::uint64_t NextSequence_ = 1;
+
+  // Derived from the above.
+  std::set<ReadyStep> Ready_;
+  std::set<std::string> Timed_;
+  std::map<std::string, std::uint64_t> Pending_; ///< By queue.
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_JOBS_JOBBOOK_H
--- a/src/control/BundleKeeper.h
+++ b/src/control/BundleKeeper.h
@@ -11,7 +11,7 @@
 #define TULIPWEIR_SRC_CONTROL_BUNDLEKEEPER_H
 
 #include "control/BundleFile.h"
-#include "control/Executor.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/fleet/BundleHistory.h"
 #include "tulipweir/fleet/HeldBundle.h"
 #include "tulipweir/net/Metrics.h"
--- a/src/control/CommandProposer.h
+++ b/src/control/CommandProposer.h
@@ -8,7 +8,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_COMMANDPROPOSER_H
 #define TULIPWEIR_SRC_CONTROL_COMMANDPROPOSER_H
 
-#include "control/Executor.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/core/Error.h"
 #include "tulipweir/core/Ids.h"
 #include "tulipweir/datacentre/Commands.h"
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -5,6 +5,7 @@
 #include "control/PeerLinks.h"
 #include "replication/PosixFileSystem.h"
 #include "tulipweir/net/HttpServer.h"
+#include "tulipweir/net/StrandExecutor.h"
 
 #include <condition_variable>
 #include <thread>
@@ -130,8 +131,8 @@
   std::unique_ptr<Replica> FleetGroup_;
   replication::PosixFileSystem Files_;
   std::optional<BundleFile> BundleFile_;
-  StrandExecutor DataCentreStrand_;
-  StrandExecutor FleetStrand_;
+  net::StrandExecutor DataCentreStrand_;
+  net::StrandExecutor FleetStrand_;
   std::unique_ptr<ControlCore> Core_;
   net::OperatorPages Pages_;
   std::unique_ptr<net::LinkServer> Links_;
--- a/src/control/DataCentreDuties.h
+++ b/src/control/DataCentreDuties.h
@@ -9,7 +9,7 @@
 #define TULIPWEIR_SRC_CONTROL_DATACENTREDUTIES_H
 
 #include "control/DataCentreLeadership.h"
-#include "control/LeaderWatch.h"
+#include "replication/LeaderWatch.h"
 
 #include <atomic>
 #include <functional>
@@ -69,7 +69,7 @@
   const LeadershipParts Parts_;
   const LeadershipSettings Settings_;
   ChangeFeed &Feed_;
-  LeaderWatch Watch_;
+  replication::LeaderWatch Watch_;
   std::unique_ptr<DataCentreLeadership> Leadership_;
   bool PlanScheduled_ = false;
   bool Stopped_ = false;
--- a/src/control/DecisionStream.h
+++ b/src/control/DecisionStream.h
@@ -8,7 +8,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_DECISIONSTREAM_H
 #define TULIPWEIR_SRC_CONTROL_DECISIONSTREAM_H
 
-#include "control/Executor.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/core/Time.h"
 #include "tulipweir/decide/Decision.h"
 
--- a/src/control/FleetDuties.h
+++ b/src/control/FleetDuties.h
@@ -9,7 +9,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_FLEETDUTIES_H
 #define TULIPWEIR_SRC_CONTROL_FLEETDUTIES_H
 
-#include "control/LeaderWatch.h"
+#include "replication/LeaderWatch.h"
 #include "control/PeerCaller.h"
 #include "tulipweir/fleet/AssignmentLease.h"
 #include "tulipweir/fleet/FleetMachine.h"
@@ -77,7 +77,7 @@
   const DataCentreId DataCentre_;
   const FindLoad Load_;
   const Renewed OnRenewed_;
-  LeaderWatch Watch_;
+  replication::LeaderWatch Watch_;
   fleet::JobAssigner Assigner_;
   std::vector<fleet::AssignmentHeld> Standing_;
   std::atomic<bool> JobsChanged_{true};
--- a/src/control/LearnerDuty.h
+++ b/src/control/LearnerDuty.h
@@ -9,7 +9,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_LEARNERDUTY_H
 #define TULIPWEIR_SRC_CONTROL_LEARNERDUTY_H
 
-#include "control/Executor.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/replication/Replica.h"
 
 #include <memory>
--- a/src/control/MemberRoutes.h
+++ b/src/control/MemberRoutes.h
@@ -7,7 +7,7 @@
 #ifndef TULIPWEIR_SRC_CONTROL_MEMBERROUTES_H
 #define TULIPWEIR_SRC_CONTROL_MEMBERROUTES_H
 
-#include "control/Executor.h"
+#include "tulipweir/core/Executor.h"
 #include "control/PeerCaller.h"
 #include "control/RouteTable.h"
 #include "tulipweir/replication/Replica.h"
--- /dev/null
+++ b/src/jobs/JobBook.cpp
@@ -0,0 +1,488 @@
+#include "tulipweir/jobs/JobBook.h"
+
+#include "jobs/JobPacking.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+
+namespace {
+
+/// What a snapshot holds; everything else is derived.
+struct BookImage {
+  Configuration Configuration_;
+  std::vector<JobRecord> Jobs_;
+  std::vector<ServerFacts> Servers_;
+  std::uint64_t NextSequence_ = 1;
+};
+auto fields(BookImage &X) {
+  return std::tie(X.Configuration_, X.Jobs_, X.Servers_, X.NextSequence_);
+}
+
+constexpr std::uint64_t Percent = 100;
+
+} // namespace
+
+const OccurrenceRecord *JobRecord::findOccurrence(std::uint64_t Number) const {
+  for (const OccurrenceRecord &Each : Open_)
+    if (Each.Number_ == Number)
+      return &Each;
+  return nullptr;
+}
+
+OccurrenceRecord *JobRecord::findOccurrence(std::uint64_t Number) {
+  return const_cast<OccurrenceRecord *>(
+      std::as_const(*this).findOccurrence(Number));
+}
+
+std::uint64_t JobRecord::getDueMs() const {
+  return AcceptedMs_ + Policy_.ObjectiveMs_ +
+         getLongestChainMs(Spec_) * Policy_.StretchPercent_ / Percent;
+}
+
+CommandResult JobBook::apply(const Command &Value) {
+  return std::visit([this](const auto &Each) { return apply(Each); }, Value);
+}
+
+const JobRecord *JobBook::findJob(const std::string &Id) const {
+  const auto Found = Jobs_.find(Id);
+  return Found == Jobs_.end() ? nullptr : &Found->second;
+}
+
+const ServerRecord *JobBook::findServer(const std::string &Id) const {
+  const auto Found = Servers_.find(Id);
+  return Found == Servers_.end() ? nullptr : &Found->second;
+}
+
+const TaskRecord *JobBook::findTask(const TaskKey &Task) const {
+  const JobRecord *Job = findJob(Task.Job_);
+  const OccurrenceRecord *Occurrence =
+      Job ? Job->findOccurrence(Task.Occurrence_) : nullptr;
+  const bool IsKnown =
+      Occurrence && Task.Step_ < Occurrence->Steps_.size() &&
+      Task.Index_ < Occurrence->Steps_[Task.Step_].Tasks_.size();
+  return IsKnown ? &Occurrence->Steps_[Task.Step_].Tasks_[Task.Index_]
+                 : nullptr;
+}
+
+TaskRecord *JobBook::findTask(const TaskKey &Task) {
+  return const_cast<TaskRecord *>(std::as_const(*this).findTask(Task));
+}
+
+std::uint64_t JobBook::countPending(const std::string &QueueKey) const {
+  const auto Found = Pending_.find(QueueKey);
+  return Found == Pending_.end() ? 0 : Found->second;
+}
+
+CommandResult JobBook::apply(const PutConfiguration &Value) {
+  if (Value.Value_.Version_ <= Configuration_.Version_)
+    return {Verdict::AlreadyDone, {}};
+  Configuration_ = Value.Value_;
+  for (auto &[Id, Job] : Jobs_) {
+    const QueuePolicy *Policy =
+        Configuration_.findQueueByKey(Job.Policy_.getKey());
+    // A queue that was dropped: its jobs go on as they were accepted.
+    if (!Policy || *Policy == Job.Policy_)
+      continue;
+    removeReadyOf(Job);
+    Job.Policy_ = *Policy;
+    updateReadyOfAll(Job);
+  }
+  return {};
+}
+
+CommandResult JobBook::apply(const SubmitJob &Value) {
+  if (Jobs_.count(Value.Spec_.Id_) != 0)
+    return {Verdict::AlreadyDone, {}};
+  const QueuePolicy *Policy =
+      Configuration_.findQueueByKey(Value.Host_ + Value.PathPrefix_);
+  if (!Policy)
+    return {Verdict::NotFound, {}};
+  if (!checkJobSpec(Value.Spec_))
+    return {Verdict::Refused, {}};
+  JobRecord &Job = Jobs_[Value.Spec_.Id_];
+  Job.Spec_ = Value.Spec_;
+  Job.Policy_ = *Policy;
+  Job.Sequence_ = NextSequence_++;
+  Job.AcceptedMs_ = Value.AcceptedMs_;
+  ++Pending_[Policy->getKey()];
+  if (Job.Spec_.RepeatCount_ == 0)
+    openOccurrence(Job, 0);
+  else
+    Timed_.insert(Job.Spec_.Id_);
+  return {};
+}
+
+CommandResult JobBook::apply(const CancelJob &Value) {
+  const auto Found = Jobs_.find(Value.Id_);
+  if (Found == Jobs_.end())
+    return {Verdict::NotFound, {}};
+  if (isEnded(Found->second.State_))
+    return {Verdict::AlreadyDone, {}};
+  finishJob(Found->second, JobState::Cancelled);
+  return {};
+}
+
+CommandResult JobBook::apply(const OpenOccurrence &Value) {
+  const auto Found = Jobs_.find(Value.Job_);
+  if (Found == Jobs_.end())
+    return {Verdict::NotFound, {}};
+  JobRecord &Job = Found->second;
+  const bool IsNext = !isEnded(Job.State_) &&
+                      Value.Occurrence_ == Job.OpenedUpTo_ &&
+                      Job.OpenedUpTo_ < Job.Spec_.countOccurrences();
+  if (!IsNext)
+    return {Verdict::Refused, {}};
+  openOccurrence(Job, Value.Occurrence_);
+  if (Job.OpenedUpTo_ == Job.Spec_.countOccurrences())
+    Timed_.erase(Value.Job_);
+  return {};
+}
+
+CommandResult JobBook::apply(const AddServer &Value) {
+  const auto [Place, IsNew] = Servers_.try_emplace(Value.Facts_.Id_);
+  Place->second.Facts_ = Value.Facts_;
+  return {IsNew ? Verdict::Done : Verdict::AlreadyDone, {}};
+}
+
+CommandResult JobBook::apply(const RemoveServer &Value) {
+  const auto Found = Servers_.find(Value.Id_);
+  if (Found == Servers_.end())
+    return {Verdict::AlreadyDone, {}};
+  const std::map<TaskKey, std::uint64_t> Placed = Found->second.Placed_;
+  for (const auto &[Task, Run] : Placed) {
+    TaskEnd End{Task, Run, RunEnd::Lapsed, ""};
+    for (const SavedWork &Saved : Value.Saved_)
+      if (Saved.Task_ == Task && Saved.Run_ == Run)
+        End.Checkpoint_ = Saved.Checkpoint_;
+    endRun(Value.Id_, End);
+  }
+  Servers_.erase(Value.Id_);
+  return {};
+}
+
+CommandResult JobBook::apply(const StartTasks &Value) {
+  CommandResult Result;
+  for (const TaskStart &Start : Value.Starts_) {
+    const bool Taken = findObjection(Start).empty() &&
+                       isWholeGang(Value.Starts_, Start);
+    if (Taken)
+      place(Start);
+    Result.Taken_.push_back(Taken);
+  }
+  return Result;
+}
+
+CommandResult JobBook::apply(const EndTasks &Value) {
+  for (const TaskEnd &End : Value.Ends_)
+    endRun(Value.Server_, End);
+  return {};
+}
+
+CommandResult JobBook::apply(const ForgetJobs &Value) {
+  for (const std::string &Id : Value.Ids_) {
+    const auto Found = Jobs_.find(Id);
+    const bool IsOver = Found != Jobs_.end() &&
+                        isEnded(Found->second.State_) &&
+                        Found->second.Placements_ == 0;
+    if (IsOver)
+      Jobs_.erase(Found);
+  }
+  return {};
+}
+
+std::string JobBook::findObjection(const TaskStart &Start) const {
+  const JobRecord *Job = findJob(Start.Task_.Job_);
+  if (!Job || isEnded(Job->State_))
+    return "the job is not open";
+  const OccurrenceRecord *Occurrence =
+      Job->findOccurrence(Start.Task_.Occurrence_);
+  const TaskRecord *Task = findTask(Start.Task_);
+  if (!Task)
+    return "no such task";
+  if (!isReady(*Job, *Occurrence, Start.Task_.Step_))
+    return "a step before it has not ended";
+  const StepSpec &Step = Job->Spec_.Steps_[Start.Task_.Step_];
+  if (Start.Run_ <= Task->LastRun_)
+    return "the run's number is not above the last one's";
+  const bool MayCopy = Step.Speculative_ && !Step.Gang_ &&
+                       Task->State_ == TaskState::Placed &&
+                       Task->Placements_.size() == 1 &&
+                       Task->Placements_[0].Server_ != Start.Server_;
+  if (Task->State_ != TaskState::Waiting && !MayCopy)
+    return "the task is placed or done";
+  if (!Task->Placements_.empty() && !MayCopy)
+    return "an earlier run has not ended";
+  if (!Step.LongRunning_ && Task->FailedRuns_ >= Job->Policy_.Attempts_)
+    return "all attempts have failed";
+  const ServerRecord *Server = findServer(Start.Server_);
+  if (!Server)
+    return "no such server";
+  if (Server->Facts_.Service_ != Job->Policy_.Service_)
+    return "the queue does not lead to this server's service";
+  if (!(Server->Used_ + Step.getReserved()).fitsIn(Server->Facts_.Capacity_))
+    return "it does not fit";
+  const std::vector<std::string> &Labels = Server->Facts_.Labels_;
+  const bool HasLabel =
+      Step.Label_.empty() ||
+      std::find(Labels.begin(), Labels.end(), Step.Label_) != Labels.end();
+  if (!HasLabel)
+    return "the server lacks the label";
+  if (Step.SpreadLimit_ == 0)
+    return "";
+  const TaskKey First{Start.Task_.Job_, Start.Task_.Occurrence_,
+                      Start.Task_.Step_, 0};
+  std::uint64_t Beside = 0;
+  for (auto Each = Server->Placed_.lower_bound(First);
+       Each != Server->Placed_.end() && Each->first.Job_ == First.Job_ &&
+       Each->first.Occurrence_ == First.Occurrence_ &&
+       Each->first.Step_ == First.Step_;
+       ++Each)
+    ++Beside;
+  return Beside < Step.SpreadLimit_ ? "" : "the step's spread limit";
+}
+
+/// Whether all waiting members of the start's gang are in the same command
+/// with the same run; always so for other steps. The first member decides for
+/// all: the ones after it were placed in the same go.
+bool JobBook::isWholeGang(const std::vector<TaskStart> &Starts,
+                          const TaskStart &Member) const {
+  const JobRecord *Job = findJob(Member.Task_.Job_);
+  const StepSpec &Step = Job->Spec_.Steps_[Member.Task_.Step_];
+  if (!Step.Gang_)
+    return true;
+  std::set<std::uint64_t> Named;
+  for (const TaskStart &Each : Starts) {
+    TaskKey Same = Member.Task_;
+    Same.Index_ = Each.Task_.Index_;
+    if (Each.Task_ == Same && Each.Run_ == Member.Run_)
+      Named.insert(Each.Task_.Index_);
+  }
+  return Named.size() == Step.Count_;
+}
+
+void JobBook::place(const TaskStart &Start) {
+  JobRecord &Job = Jobs_.at(Start.Task_.Job_);
+  OccurrenceRecord &Occurrence = *Job.findOccurrence(Start.Task_.Occurrence_);
+  StepRecord &Step = Occurrence.Steps_[Start.Task_.Step_];
+  TaskRecord &Task = Step.Tasks_[Start.Task_.Index_];
+  if (Task.State_ == TaskState::Waiting)
+    --Step.Waiting_;
+  Task.State_ = TaskState::Placed;
+  Task.LastRun_ = Start.Run_;
+  Task.Placements_.push_back({Start.Run_, Start.Server_});
+  ++Job.Placements_;
+  ServerRecord &Server = Servers_.at(Start.Server_);
+  Server.Placed_[Start.Task_] = Start.Run_;
+  Server.Used_ =
+      Server.Used_ + Job.Spec_.Steps_[Start.Task_.Step_].getReserved();
+  if (Job.State_ == JobState::Queued) {
+    Job.State_ = JobState::Running;
+    --Pending_[Job.Policy_.getKey()];
+  }
+  updateReady(Job, Occurrence, Start.Task_.Step_);
+}
+
+void JobBook::setWaiting(StepRecord &Step, TaskRecord &Task) {
+  if (Task.State_ != TaskState::Placed || !Task.Placements_.empty())
+    return;
+  Task.State_ = TaskState::Waiting;
+  ++Step.Waiting_;
+}
+
+void JobBook::endRun(const std::string &Server, const TaskEnd &End) {
+  TaskRecord *Task = findTask(End.Task_);
+  if (!Task)
+    return;
+  const auto Ended =
+      std::find(Task->Placements_.begin(), Task->Placements_.end(),
+                Placement{End.Run_, Server});
+  if (Ended == Task->Placements_.end())
+    return;
+  Task->Placements_.erase(Ended);
+  JobRecord &Job = Jobs_.at(End.Task_.Job_);
+  const StepSpec &Spec = Job.Spec_.Steps_[End.Task_.Step_];
+  --Job.Placements_;
+  ServerRecord &Where = Servers_.at(Server);
+  Where.Placed_.erase(End.Task_);
+  Where.Used_ = Where.Used_ - Spec.getReserved();
+  OccurrenceRecord &Occurrence = *Job.findOccurrence(End.Task_.Occurrence_);
+  StepRecord &Step = Occurrence.Steps_[End.Task_.Step_];
+  if (!isEnded(Job.State_)) {
+    if (!End.Checkpoint_.empty())
+      Task->Checkpoint_ = End.Checkpoint_;
+    const bool IsFailure = End.How_ == RunEnd::Failed;
+    if (IsFailure) {
+      ++Task->FailedRuns_;
+      Task->LastFailedRun_ = End.Run_;
+    }
+    const bool IsOver = End.How_ == RunEnd::Done && !Spec.LongRunning_;
+    if (IsOver && Task->State_ != TaskState::Done)
+      noteDone(Job, Occurrence, End.Task_.Step_, *Task);
+    else if (IsFailure && !Spec.LongRunning_ &&
+             Task->FailedRuns_ >= Job.Policy_.Attempts_ &&
+             Task->State_ != TaskState::Done)
+      finishJob(Job, JobState::Failed);
+    else
+      setWaiting(Step, *Task);
+  }
+  if (isEnded(Job.State_)) {
+    // Kept for its state only, once nothing of it runs.
+    if (Job.Placements_ == 0) {
+      Job.Open_.clear();
+      Job.Spec_.Payload_.clear();
+    }
+    return;
+  }
+  updateReady(Job, Occurrence, End.Task_.Step_);
+}
+
+void JobBook::noteDone(JobRecord &Job, OccurrenceRecord &Occurrence,
+                       std::size_t Step, TaskRecord &Task) {
+  StepRecord &Record = Occurrence.Steps_[Step];
+  const auto MarkDone = [&Record](TaskRecord &Each) {
+    if (Each.State_ == TaskState::Done)
+      return;
+    if (Each.State_ == TaskState::Waiting)
+      --Record.Waiting_;
+    Each.State_ = TaskState::Done;
+    ++Record.Done_;
+  };
+  // The members of a gang end together: one such end stands for all.
+  if (Job.Spec_.Steps_[Step].Gang_)
+    for (TaskRecord &Each : Record.Tasks_)
+      MarkDone(Each);
+  else
+    MarkDone(Task);
+  if (Record.Done_ < Record.Tasks_.size())
+    return;
+  bool AllDone = true;
+  for (std::size_t Other = 0; Other < Occurrence.Steps_.size(); ++Other) {
+    const StepRecord &Each = Occurrence.Steps_[Other];
+    AllDone = AllDone && Each.Done_ == Each.Tasks_.size();
+    updateReady(Job, Occurrence, Other);
+  }
+  if (!AllDone)
+    return;
+  ++Job.OccurrencesDone_;
+  if (Job.OccurrencesDone_ == Job.Spec_.countOccurrences())
+    finishJob(Job, JobState::Completed);
+}
+
+void JobBook::finishJob(JobRecord &Job, JobState State) {
+  if (Job.State_ == JobState::Queued)
+    --Pending_[Job.Policy_.getKey()];
+  removeReadyOf(Job);
+  Timed_.erase(Job.Spec_.Id_);
+  Job.State_ = State;
+  if (Job.Placements_ > 0)
+    return;
+  Job.Open_.clear();
+  Job.Spec_.Payload_.clear();
+}
+
+void JobBook::openOccurrence(JobRecord &Job, std::uint64_t Number) {
+  OccurrenceRecord Fresh;
+  Fresh.Number_ = Number;
+  for (const StepSpec &Spec : Job.Spec_.Steps_) {
+    StepRecord Step;
+    Step.Tasks_.resize(Spec.Count_);
+    Step.Waiting_ = Spec.Count_;
+    Fresh.Steps_.push_back(std::move(Step));
+  }
+  Job.Open_.push_back(std::move(Fresh));
+  Job.OpenedUpTo_ = Number + 1;
+  for (std::size_t Step = 0; Step < Job.Spec_.Steps_.size(); ++Step)
+    updateReady(Job, Job.Open_.back(), Step);
+}
+
+bool JobBook::isReady(const JobRecord &Job, const OccurrenceRecord &Occurrence,
+                      std::size_t Step) const {
+  for (const std::uint64_t Before : Job.Spec_.Steps_[Step].DependsOn_) {
+    const StepRecord &Other = Occurrence.Steps_[Before];
+    if (Other.Done_ < Other.Tasks_.size())
+      return false;
+  }
+  return true;
+}
+
+ReadyStep JobBook::makeReadyStep(const JobRecord &Job, std::uint64_t Occurrence,
+                                 std::uint64_t Step) const {
+  return {Job.Policy_.Priority_, Job.getDueMs(), Job.Sequence_, Occurrence,
+          Step, Job.Spec_.Id_};
+}
+
+void JobBook::updateReady(const JobRecord &Job,
+                          const OccurrenceRecord &Occurrence,
+                          std::size_t Step) {
+  const ReadyStep Key = makeReadyStep(Job, Occurrence.Number_, Step);
+  const bool Wanted = !isEnded(Job.State_) &&
+                      Occurrence.Steps_[Step].Waiting_ > 0 &&
+                      isReady(Job, Occurrence, Step);
+  if (Wanted)
+    Ready_.insert(Key);
+  else
+    Ready_.erase(Key);
+}
+
+void JobBook::updateReadyOfAll(const JobRecord &Job) {
+  for (const OccurrenceRecord &Occurrence : Job.Open_)
+    for (std::size_t Step = 0; Step < Occurrence.Steps_.size(); ++Step)
+      updateReady(Job, Occurrence, Step);
+}
+
+void JobBook::removeReadyOf(const JobRecord &Job) {
+  for (const OccurrenceRecord &Occurrence : Job.Open_)
+    for (std::size_t Step = 0; Step < Occurrence.Steps_.size(); ++Step)
+      Ready_.erase(makeReadyStep(Job, Occurrence.Number_, Step));
+}
+
+std::string JobBook::encode() const {
+  BookImage Image;
+  Image.Configuration_ = Configuration_;
+  Image.NextSequence_ = NextSequence_;
+  for (const auto &[Id, Job] : Jobs_)
+    Image.Jobs_.push_back(Job);
+  for (const auto &[Id, Server] : Servers_)
+    Image.Servers_.push_back(Server.Facts_);
+  return packing::pack(Image);
+}
+
+Outcome<JobBook> JobBook::decode(std::string_view Bytes) {
+  auto Read = packing::unpack<BookImage>(Bytes, "a snapshot of jobs");
+  if (!Read)
+    return std::move(Read).as_failure();
+  BookImage &Image = Read.value();
+  JobBook Book;
+  Book.Configuration_ = std::move(Image.Configuration_);
+  Book.NextSequence_ = Image.NextSequence_;
+  for (ServerFacts &Facts : Image.Servers_)
+    Book.Servers_[Facts.Id_].Facts_ = Facts;
+  for (JobRecord &Job : Image.Jobs_)
+    Book.Jobs_[Job.Spec_.Id_] = std::move(Job);
+  Book.rebuildIndexes();
+  return Book;
+}
+
+void JobBook::rebuildIndexes() {
+  for (const auto &[Id, Job] : Jobs_) {
+    if (Job.State_ == JobState::Queued)
+      ++Pending_[Job.Policy_.getKey()];
+    if (!isEnded(Job.State_) && Job.OpenedUpTo_ < Job.Spec_.countOccurrences())
+      Timed_.insert(Id);
+    updateReadyOfAll(Job);
+    for (const OccurrenceRecord &Occurrence : Job.Open_)
+      for (std::size_t Step = 0; Step < Occurrence.Steps_.size(); ++Step)
+        for (std::size_t Index = 0;
+             Index < Occurrence.Steps_[Step].Tasks_.size(); ++Index)
+          for (const Placement &Each :
+               Occurrence.Steps_[Step].Tasks_[Index].Placements_) {
+            ServerRecord &Server = Servers_[Each.Server_];
+            Server.Placed_[{Id, Occurrence.Number_, Step, Index}] = Each.Run_;
+            Server.Used_ =
+                Server.Used_ + Job.Spec_.Steps_[Step].getReserved();
+          }
+  }
+}
--- /dev/null
+++ b/src/jobs/JobPacking.h
@@ -0,0 +1,108 @@
+//===- JobPacking.h - The fields of the jobs' types -------------*- C++ -*-===//
+//
+// In their order in the log and on the wire, over core/Packing.h. Included by
+// .cpp files only.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBS_JOBPACKING_H
+#define TULIPWEIR_SRC_JOBS_JOBPACKING_H
+
+#include "core/Packing.h"
+#include "tulipweir/jobs/JobBook.h"
+
+namespace tulipweir {
+
+inline auto fields(Resources &X) {
+  return std::tie(X.MilliCpus_, X.MemoryMib_, X.Accelerators_);
+}
+
+namespace jobs {
+
+inline auto fields(StepSpec &X) {
+  return std::tie(X.Count_, X.Need_, X.EstimateMs_, X.DependsOn_,
+                  X.Checkpointing_, X.Gang_, X.SameRack_, X.Speculative_,
+                  X.LongRunning_, X.Fills_, X.Label_, X.DataRack_,
+                  X.SpreadLimit_, X.Image_, X.TailTargetMs_, X.MayMiss_);
+}
+inline auto fields(JobSpec &X) {
+  return std::tie(X.Id_, X.Payload_, X.Steps_, X.RepeatCount_, X.FirstDueMs_,
+                  X.IntervalMs_);
+}
+inline auto fields(AdviceTimes &X) {
+  return std::tie(X.IsNeeded_, X.DecideMs_, X.EachMs_, X.ValidMs_);
+}
+inline auto fields(QueuePolicy &X) {
+  return std::tie(X.Name_, X.Host_, X.PathPrefix_, X.Service_, X.Priority_,
+                  X.Attempts_, X.StretchPercent_, X.ObjectiveMs_, X.Advice_);
+}
+inline auto fields(ServicePolicy &X) {
+  return std::tie(X.Name_, X.GuardsCapacity_, X.Standby_);
+}
+inline auto fields(Configuration &X) {
+  return std::tie(X.Version_, X.Queues_, X.Services_, X.Source_);
+}
+inline auto fields(TaskKey &X) {
+  return std::tie(X.Job_, X.Occurrence_, X.Step_, X.Index_);
+}
+inline auto fields(ServerFacts &X) {
+  return std::tie(X.Id_, X.Service_, X.DataCentre_, X.Rack_, X.Labels_,
+                  X.Address_, X.Capacity_);
+}
+inline auto fields(PutConfiguration &X) { return std::tie(X.Value_); }
+inline auto fields(SubmitJob &X) {
+  return std::tie(X.Host_, X.PathPrefix_, X.Spec_, X.AcceptedMs_);
+}
+inline auto fields(CancelJob &X) { return std::tie(X.Id_); }
+inline auto fields(OpenOccurrence &X) {
+  return std::tie(X.Job_, X.Occurrence_);
+}
+inline auto fields(AddServer &X) { return std::tie(X.Facts_); }
+inline auto fields(SavedWork &X) {
+  return std::tie(X.Task_, X.Run_, X.Checkpoint_);
+}
+inline auto fields(RemoveServer &X) { return std::tie(X.Id_, X.Saved_); }
+inline auto fields(TaskStart &X) {
+  return std::tie(X.Task_, X.Run_, X.Server_);
+}
+inline auto fields(StartTasks &X) { return std::tie(X.Starts_); }
+inline auto fields(TaskEnd &X) {
+  return std::tie(X.Task_, X.Run_, X.How_, X.Checkpoint_);
+}
+inline auto fields(EndTasks &X) { return std::tie(X.Server_, X.Ends_); }
+inline auto fields(ForgetJobs &X) { return std::tie(X.Ids_); }
+
+inline auto fields(Placement &X) { return std::tie(X.Run_, X.Server_); }
+inline auto fields(TaskRecord &X) {
+  return std::tie(X.State_, X.LastRun_, X.FailedRuns_, X.LastFailedRun_,
+                  X.Checkpoint_, X.Placements_);
+}
+inline auto fields(StepRecord &X) {
+  return std::tie(X.Tasks_, X.Waiting_, X.Done_);
+}
+inline auto fields(OccurrenceRecord &X) {
+  return std::tie(X.Number_, X.Steps_);
+}
+inline auto fields(JobRecord &X) {
+  return std::tie(X.Spec_, X.Policy_, X.State_, X.Sequence_, X.AcceptedMs_,
+                  X.OccurrencesDone_, X.Placements_, X.Open_, X.OpenedUpTo_);
+}
+
+/// The largest value of each enumeration.
+constexpr std::uint8_t maxOf(RunEnd) {
+  return static_cast<std::uint8_t>(RunEnd::NeverRan);
+}
+constexpr std::uint8_t maxOf(Verdict) {
+  return static_cast<std::uint8_t>(Verdict::Refused);
+}
+constexpr std::uint8_t maxOf(JobState) {
+  return static_cast<std::uint8_t>(JobState::Cancelled);
+}
+constexpr std::uint8_t maxOf(TaskState) {
+  return static_cast<std::uint8_t>(TaskState::Done);
+}
+
+} // namespace jobs
+} // namespace tulipweir
+
+#endif // TULIPWEIR_SRC_JOBS_JOBPACKING_H
--- a/src/control/Executor.cpp
+++ b/src/net/StrandExecutor.cpp
@@ -1,4 +1,4 @@
-#include "control/Executor.h"
+#include "tulipweir/net/StrandExecutor.h"
 
 #include <utility>
 
@@ -7,18 +7,18 @@
 #include <boost/asio/strand.hpp>
 
 using namespace tulipweir;
-using namespace tulipweir::control;
+using namespace tulipweir::net;
 
 class StrandExecutor::Impl {
 public:
-  explicit Impl(net::IoPool &Pool)
+  explicit Impl(IoPool &Pool)
       : Pool_(Pool), Strand_(Pool.context().get_executor()) {}
 
-  net::IoPool &Pool_;
+  IoPool &Pool_;
   boost::asio::strand<boost::asio::io_context::executor_type> Strand_;
 };
 
-StrandExecutor::StrandExecutor(net::IoPool &Pool)
+StrandExecutor::StrandExecutor(IoPool &Pool)
     : Impl_(std::make_shared<Impl>(Pool)) {}
 
 StrandExecutor::~StrandExecutor() = default;
--- a/src/replication/FolderStorage.cpp
+++ b/src/replication/FolderStorage.cpp
@@ -19,7 +19,7 @@
 constexpr std::string_view SetAsidePrefix = "damaged-";
 constexpr std::string_view UnfinishedSuffix = ".tmp";
 
-namespace tulipweir::replication::packing {
+namespace tulipweir::replication::layout {
 
 /// The first frame of a segment.
 struct SegmentHead {
@@ -31,9 +31,9 @@
   return std::tie(X.SnapshotIndex_, X.Kept_);
 }
 
-} // namespace tulipweir::replication::packing
+} // namespace tulipweir::replication::layout
 
-using packing::SegmentHead;
+using layout::SegmentHead;
 
 /// Returns N of a name "Prefix" + N.
 static std::optional<std::uint64_t> parseNumber(std::string_view Name,
--- a/src/control/LeaderWatch.cpp
+++ b/src/replication/LeaderWatch.cpp
@@ -1,14 +1,14 @@
-#include "control/LeaderWatch.h"
+#include "replication/LeaderWatch.h"
 
 using namespace tulipweir;
-using namespace tulipweir::control;
+using namespace tulipweir::replication;
 
-LeaderWatch::LeaderWatch(replication::Replica &Group, Executor &Strand,
+LeaderWatch::LeaderWatch(Replica &Group, Executor &Strand,
                          Callbacks Owner)
     : Group_(Group), Strand_(Strand), Owner_(std::move(Owner)) {}
 
 void LeaderWatch::poll() {
-  const replication::ReplicaStatus Status = Group_.getStatus();
+  const ReplicaStatus Status = Group_.getStatus();
   const bool SameTerm = Status.IsLeader_ && Status.Term_ == Term_;
   if (Leading_ && !SameTerm)
     endLeading();
--- a/src/control/LeaderWatch.h
+++ b/src/replication/LeaderWatch.h
@@ -5,10 +5,10 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef TULIPWEIR_SRC_CONTROL_LEADERWATCH_H
-#define TULIPWEIR_SRC_CONTROL_LEADERWATCH_H
+#ifndef TULIPWEIR_SRC_REPLICATION_LEADERWATCH_H
+#define TULIPWEIR_SRC_REPLICATION_LEADERWATCH_H
 
-#include "control/Executor.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/replication/Replica.h"
 
 #include <cstdint>
@@ -16,7 +16,7 @@
 #include <memory>
 #include <optional>
 
-namespace tulipweir::control {
+namespace tulipweir::replication {
 
 /// Lives on one executor: poll is called there and the callbacks run there.
 class LeaderWatch {
@@ -26,7 +26,7 @@
     std::function<void()> OnFollowing_;
   };
 
-  LeaderWatch(replication::Replica &Group, Executor &Strand, Callbacks Owner);
+  LeaderWatch(Replica &Group, Executor &Strand, Callbacks Owner);
 
   /// Looks at the replica; a few comparisons when nothing changed.
   void poll();
@@ -37,7 +37,7 @@
   void confirm(std::uint64_t Term);
   void endLeading();
 
-  replication::Replica &Group_;
+  Replica &Group_;
   Executor &Strand_;
   const Callbacks Owner_;
   /// Guards callbacks that outlive this object.
@@ -47,6 +47,6 @@
   bool Leading_ = false;
 };
 
-} // namespace tulipweir::control
+} // namespace tulipweir::replication
 
-#endif // TULIPWEIR_SRC_CONTROL_LEADERWATCH_H
+#endif // TULIPWEIR_SRC_REPLICATION_LEADERWATCH_H
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -8,7 +8,7 @@
 /// Raised with every change to a message's fields.
 constexpr char MessageVersion = 1;
 
-namespace tulipweir::replication::packing {
+namespace tulipweir::replication::layout {
 
 /// A message and the group that it belongs to.
 struct Envelope {
@@ -18,9 +18,9 @@
 
 static auto fields(Envelope &X) { return std::tie(X.Group_, X.Message_); }
 
-} // namespace tulipweir::replication::packing
+} // namespace tulipweir::replication::layout
 
-using packing::Envelope;
+using layout::Envelope;
 
 std::string replication::encodeMessage(const std::string &Group,
                                        const Message &From) {
