--- /dev/null
+++ b/include/tulipweir/core/EventLog.h
@@ -0,0 +1,82 @@
+//===- EventLog.h - Structured events of all processes ---------*- C++ -*-===//
+//
+// One event for each decision that touches a request or changes what a process
+// believes. Every kind is listed here and in docs/LOGS.md; field names are the
+// same everywhere.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_CORE_EVENTLOG_H
+#define TULIPWEIR_CORE_EVENTLOG_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tulipweir {
+
+enum class EventKind : std::uint8_t {
+  ProcessStarted,
+  ProcessStopping,
+  SettingsReloaded,
+  DependencyLost,
+  DependencyRegained,
+  CallAnswered,      ///< A client's call, by the process it reached.
+  JobAccepted,
+  JobRefused,
+  JobEnded,
+  JobCancelled,
+  TaskStarted,
+  TaskWaiting,       ///< Why a step does not start; at a change of reason.
+  TaskEnded,
+  TaskStopped,       ///< We ordered it to stop.
+  TaskPaced,
+  ServerSeen,
+  ServerDraining,
+  ServerGone,
+  ServerQuarantined,
+  ServerReturned,
+  ConfigurationAccepted,
+  ConfigurationRefused,
+  LeadershipBegun,
+  LeadershipEnded,
+  MembersChanged,
+  StorageTrouble,
+  ClockJumped,
+};
+
+/// The name of the kind as it stands in a log.
+std::string_view getEventName(EventKind Kind);
+
+/// Empty and unset fields are left out of the line.
+struct Event {
+  EventKind Kind_ = EventKind::ProcessStarted;
+  std::string Job_;
+  std::string Task_;     ///< occurrence.step.index within the job.
+  std::string Server_;   ///< The life of a backend server.
+  std::string Outcome_;
+  std::string Reason_;
+  std::optional<std::uint64_t> Attempt_;
+  std::optional<std::uint64_t> Term_;
+  std::optional<std::uint64_t> Version_;
+  std::optional<std::int64_t> AgeMs_; ///< Of what the decision rests on.
+  std::optional<std::uint64_t> Count_;
+};
+
+/// Thread-safe and never blocking.
+class EventLog {
+public:
+  virtual ~EventLog() = default;
+  virtual void write(const Event &Value) = 0;
+};
+
+/// Writes nothing: for tests that don't look.
+class NoEventLog final : public EventLog {
+public:
+  void write(const Event &) override {}
+};
+
+} // namespace tulipweir
+
+#endif // TULIPWEIR_CORE_EVENTLOG_H
--- /dev/null
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -0,0 +1,75 @@
+//===- JobLeader.h - The leader's side of the jobs -------------*- C++ -*-===//
+//
+// Answers clients' calls and backend servers' reports from the replicated
+// state, and changes that state. On a replica that does not lead, every call
+// fails with NotLeader and the leader's name, as far as it is known.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_JOBS_JOBLEADER_H
+#define TULIPWEIR_JOBS_JOBLEADER_H
+
+#include "tulipweir/core/EventLog.h"
+#include "tulipweir/core/Executor.h"
+#include "tulipweir/jobs/JobCall.h"
+#include "tulipweir/jobs/JobMachine.h"
+#include "tulipweir/jobs/ServerReport.h"
+#include "tulipweir/replication/Replica.h"
+
+#include <memory>
+
+namespace tulipweir::jobs {
+
+struct JobLeaderSettings {
+  /// How long a server goes on without word from us.
+  Duration Lease_ = std::chrono::seconds(5);
+  /// By how much a server's clock may be slow, in percent; a lease counts as
+  /// run out only after so much more.
+  std::uint64_t ClockDriftPercent_ = 3;
+  /// How soon a server reports again when nothing happens on it.
+  Duration ReportInterval_ = std::chrono::milliseconds(500);
+  /// How long an ended job can be asked for.
+  Duration Retention_ = std::chrono::seconds(180);
+  /// How long before its time an occurrence may start.
+  Duration EarliestStart_ = std::chrono::milliseconds(0);
+};
+
+/// Lives on one executor: all members are called there, and callbacks run
+/// there. References must outlive it.
+class JobLeader {
+public:
+  template <class Value> using Done = std::function<void(Outcome<Value>)>;
+
+  JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
+            Executor &Strand, replication::Replica &Group,
+            const JobMachine &Machine, EventLog &Log);
+  ~JobLeader();
+  JobLeader(const JobLeader &) = delete;
+  JobLeader &operator=(const JobLeader &) = delete;
+
+  // Commands.
+
+  /// Begins to watch for leadership.
+  void start();
+  void call(JobCall Call, Done<JobCallReply> Reply);
+  void report(ServerReport Report, Done<ServerOrders> Reply);
+  /// The server has left for good.
+  void leave(const std::string &ServerId, Done<void> Reply);
+  /// Reply tells whether it is in force or was overtaken; Conflict if another
+  /// content is held under its version.
+  void putConfiguration(Configuration Value, Done<void> Reply);
+
+  // Queries.
+
+  /// The newest configuration; fails where that can't be known.
+  void readConfiguration(Done<Configuration> Reply);
+  bool isLeading() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_JOBS_JOBLEADER_H
--- /dev/null
+++ b/include/tulipweir/jobs/JobMachine.h
@@ -0,0 +1,37 @@
+//===- JobMachine.h - The jobs' state over a replicated log ----*- C++ -*-===//
+//
+// A JobBook behind a lock, driven by a replica.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_JOBS_JOBMACHINE_H
+#define TULIPWEIR_JOBS_JOBMACHINE_H
+
+#include "tulipweir/jobs/JobBook.h"
+#include "tulipweir/replication/StateMachine.h"
+
+#include <mutex>
+
+namespace tulipweir::jobs {
+
+/// Thread-safe.
+class JobMachine final : public replication::StateMachine {
+public:
+  std::string apply(const replication::CommittedEntry &Entry) override;
+  std::string takeSnapshot() const override;
+  Outcome<void> restoreSnapshot(std::string_view Snapshot) override;
+
+  /// Calls Reader with the book, under the lock; it must not keep references.
+  template <class Function> auto read(Function Reader) const {
+    const std::lock_guard Hold(Lock_);
+    return Reader(Book_);
+  }
+
+private:
+  mutable std::mutex Lock_;
+  JobBook Book_; ///< Guarded by Lock_.
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_JOBS_JOBMACHINE_H
--- /dev/null
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -0,0 +1,71 @@
+//===- ControlNode.h - A member of the group that holds jobs ---*- C++ -*-===//
+//
+// One replica of the jobs' log with its links to the other members, and the
+// leader's side over it. Has no HTTP of its own: whoever embeds it translates.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_JOBSERVICE_CONTROLNODE_H
+#define TULIPWEIR_JOBSERVICE_CONTROLNODE_H
+
+#include "tulipweir/jobs/JobLeader.h"
+#include "tulipweir/net/IoPool.h"
+#include "tulipweir/net/Link.h"
+#include "tulipweir/net/Metrics.h"
+
+namespace tulipweir::jobservice {
+
+struct ControlNodeSettings {
+  std::string Name_; ///< The "ip:port" at which others call this control.
+  std::uint16_t LinkPort_ = 0; ///< The same on all VMs.
+  std::string DataFolder_;     ///< Empty: memory only.
+  /// Controls to found the group with, or to ask for it.
+  std::vector<std::string> Seeds_;
+  /// Whether the group may be founded; false once it ever was.
+  bool MayFound_ = false;
+  /// Voters the group keeps: twice the VMs it must bear to lose, and one.
+  std::uint64_t Voters_ = 3;
+  std::string Secret_;
+  Duration ElectionTimeout_ = std::chrono::milliseconds(600);
+  jobs::JobLeaderSettings Leader_;
+};
+
+/// Callbacks run on the node's strand.
+class ControlNode {
+public:
+  template <class Value> using Done = std::function<void(Outcome<Value>)>;
+
+  ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
+              const Clock &Time, net::Metrics &Metrics, EventLog &Log);
+  ~ControlNode();
+  ControlNode(const ControlNode &) = delete;
+  ControlNode &operator=(const ControlNode &) = delete;
+
+  // Commands. Those of jobs::JobLeader may be called from any thread.
+
+  Outcome<void> start();
+  /// Hands leadership on, so that nobody waits for an election, then calls
+  /// Moved.
+  void handOver(std::function<void()> Moved);
+  void stop();
+
+  void call(jobs::JobCall Call, Done<jobs::JobCallReply> Reply);
+  void report(jobs::ServerReport Report, Done<jobs::ServerOrders> Reply);
+  void leave(const std::string &ServerId, Done<void> Reply);
+  void putConfiguration(jobs::Configuration Value, Done<void> Reply);
+
+  // Queries.
+
+  void readConfiguration(Done<jobs::Configuration> Reply);
+  /// The leader's name as far as this member knows; empty if unknown.
+  std::string getLeader() const;
+  std::string makeDump() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace tulipweir::jobservice
+
+#endif // TULIPWEIR_JOBSERVICE_CONTROLNODE_H
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -57,6 +57,9 @@
   /// Names of the first voters. Used only when the folder holds nothing; all
   /// first voters are started with the same list.
   std::vector<std::string> FirstVoters_;
+  /// False once the group was ever founded: a member that holds nothing then
+  /// only asks to join.
+  bool MayFound_ = true;
   Duration ElectionTimeout_ = std::chrono::milliseconds(500);
   Duration HeartbeatInterval_ = std::chrono::milliseconds(100);
   /// Least number of entries between snapshots; 0 for none. A state larger than
@@ -67,6 +70,14 @@
   /// Whether the leader replaces, by committed changes, the old incarnation of
   /// a member that lost its disk by the one that now runs under its name.
   bool RejoinsLostDisks_ = true;
+  /// Over 0: the leader keeps so many voters by itself. It takes in members
+  /// that ask to join, promotes one in place of a voter that is gone, and makes
+  /// the gone one a learner; each step is a committed change.
+  std::uint64_t TargetVoters_ = 0;
+  /// A voter that has been silent for so long counts as gone. It loses its vote
+  /// only once another member has taken its place, so that a machine which is
+  /// cut off for a while costs nothing of what the group can bear.
+  Duration GoneAfter_ = std::chrono::milliseconds(2500);
 };
 
 /// The result of a committed and applied command.
--- a/include/tulipweir/wire/MessageKind.h
+++ b/include/tulipweir/wire/MessageKind.h
@@ -24,6 +24,8 @@
   AnnouncementBatch = 9, ///< Several announcements in one frame.
   AssignmentReport = 10, ///< Control to the fleet log's leader, periodic;
                          ///< encoded by the fleet module.
+  JobCall = 11,   ///< A client's call about a job; encoded by the jobs module.
+  GroupView = 12, ///< Who leads and who is in the group of jobs.
 };
 
 } // namespace tulipweir::wire
--- /dev/null
+++ b/src/core/EventLog.cpp
@@ -0,0 +1,40 @@
+#include "tulipweir/core/EventLog.h"
+
+#include <array>
+
+using namespace tulipweir;
+
+std::string_view tulipweir::getEventName(EventKind Kind) {
+  // In the order of the enumeration.
+  static constexpr std::array<std::string_view, 27> Names = {
+      "process_started",
+      "process_stopping",
+      "settings_reloaded",
+      "dependency_lost",
+      "dependency_regained",
+      "call_answered",
+      "job_accepted",
+      "job_refused",
+      "job_ended",
+      "job_cancelled",
+      "task_started",
+      "task_waiting",
+      "task_ended",
+      "task_stopped",
+      "task_paced",
+      "server_seen",
+      "server_draining",
+      "server_gone",
+      "server_quarantined",
+      "server_returned",
+      "configuration_accepted",
+      "configuration_refused",
+      "leadership_begun",
+      "leadership_ended",
+      "members_changed",
+      "storage_trouble",
+      "clock_jumped"};
+  static_assert(Names.size() ==
+                static_cast<std::size_t>(EventKind::ClockJumped) + 1);
+  return Names.at(static_cast<std::size_t>(Kind));
+}
--- a/src/entry/AnnouncementJson.cpp
+++ b/src/entry/AnnouncementJson.cpp
@@ -2,12 +2,14 @@
 
 #include "tulipweir/entry/AnnouncementJson.h"
 
-#include "entry/JsonReader.h"
+#include "net/JsonReader.h"
 
 #include <limits>
 
 using namespace tulipweir;
 using namespace tulipweir::entry;
+using net::FirstError;
+using net::JsonReader;
 using nlohmann::json;
 
 using Limits = AnnouncementLimits;
--- /dev/null
+++ b/src/jobs/Dispatcher.cpp
@@ -0,0 +1,207 @@
+#include "jobs/Dispatcher.h"
+
+#include <algorithm>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+/// Two rounds of reports: by then every server of a rack has asked once.
+static constexpr Duration RackPatience = 500ms;
+/// How long a serving task waits for a server that serves already, and a
+/// filling one for a server where it disturbs nobody.
+static constexpr Duration CompanyPatience = 500ms;
+static constexpr Duration FillingPatience = 1500ms;
+/// How long a task waits for processors that filling tasks don't use.
+static constexpr Duration IdlePatience = 150ms;
+/// Bounds the work of one plan; the most urgent come first.
+static constexpr std::size_t MostStepsLookedAt = 256;
+/// What a server may start at once: a report's answer stays small.
+static constexpr std::size_t MostStartsAtOnce = 64;
+
+static bool isServing(const StepSpec &Step) { return Step.TailTargetMs_ > 0; }
+
+void Dispatcher::reset() {
+  ReadySince_.clear();
+  Taken_.clear();
+}
+
+void Dispatcher::settle(const std::vector<TaskStart> &Starts) {
+  for (const TaskStart &Each : Starts)
+    Taken_.erase(Each.Task_);
+}
+
+void Dispatcher::prune(const JobBook &Book) {
+  std::erase_if(ReadySince_, [&Book](const auto &Each) {
+    return Book.readySteps().count(Each.first) == 0;
+  });
+}
+
+Duration Dispatcher::getWait(const ReadyStep &Step, TimePoint Now) {
+  return Now - ReadySince_.try_emplace(Step, Now).first->second;
+}
+
+Dispatcher::Room Dispatcher::measureRoom(const JobBook &Book,
+                                         const ServerRecord &Server) const {
+  Room Left;
+  Left.Free_ = Server.Facts_.Capacity_ - Server.Used_;
+  for (const auto &[Task, Run] : Server.Placed_) {
+    const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
+    Left.HasServing_ = Left.HasServing_ || isServing(Step);
+    if (Step.Fills_) {
+      Left.FillingCpus_ += Step.Need_.MilliCpus_;
+      ++Left.Filling_;
+    }
+  }
+  return Left;
+}
+
+std::uint64_t Dispatcher::countBeside(const ServerRecord &Server,
+                                      const ReadyStep &Step) const {
+  std::uint64_t Beside = 0;
+  for (const auto &[Task, Run] : Server.Placed_)
+    if (Task.Job_ == Step.Job_ && Task.Occurrence_ == Step.Occurrence_ &&
+        Task.Step_ == Step.Step_)
+      ++Beside;
+  return Beside;
+}
+
+bool Dispatcher::isFit(const StepSpec &Step, const ServerRecord &Server,
+                       const Room &Left, Duration Waited) const {
+  if (!Step.getReserved().fitsIn(Left.Free_))
+    return false;
+  if (!Step.DataRack_.empty() && Step.DataRack_ != Server.Facts_.Rack_ &&
+      Waited < RackPatience)
+    return false;
+  if (isServing(Step)) {
+    if (Left.Filling_ > 0 && Waited < FillingPatience)
+      return false;
+    return Left.HasServing_ || Waited >= CompanyPatience;
+  }
+  const std::int64_t Idle = Left.Free_.MilliCpus_ - Left.FillingCpus_;
+  if (Step.Fills_) {
+    if (Left.HasServing_ && Waited < FillingPatience)
+      return false;
+    return Step.Need_.MilliCpus_ <= Idle;
+  }
+  return Step.Need_.MilliCpus_ <= Idle || Waited >= IdlePatience;
+}
+
+void Dispatcher::take(const StepSpec &Step, Room &Left) const {
+  Left.Free_ = Left.Free_ - Step.getReserved();
+  Left.HasServing_ = Left.HasServing_ || isServing(Step);
+  if (!Step.Fills_)
+    return;
+  Left.FillingCpus_ += Step.Need_.MilliCpus_;
+  ++Left.Filling_;
+}
+
+std::vector<TaskStart> Dispatcher::plan(const JobBook &Book,
+                                        const ServerBoard &Board,
+                                        const std::string &ServerId,
+                                        TimePoint Now) {
+  std::vector<TaskStart> Starts;
+  const ServerRecord *Server = Book.findServer(ServerId);
+  const ServerLive *Live = Board.find(ServerId);
+  const bool MayStart = Server && Live && !Live->IsDraining_ &&
+                        !Live->IsRemoving_ && Live->NoStartsUntil_ <= Now;
+  if (!MayStart)
+    return Starts;
+  Room Left = measureRoom(Book, *Server);
+  std::size_t LookedAt = 0;
+  for (const ReadyStep &Ready : Book.readySteps()) {
+    const bool IsEnough = ++LookedAt > MostStepsLookedAt ||
+                          Starts.size() >= MostStartsAtOnce;
+    if (IsEnough)
+      break;
+    const JobRecord &Job = *Book.findJob(Ready.Job_);
+    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    if (Step.Gang_ || Job.Policy_.Service_ != Server->Facts_.Service_)
+      continue;
+    const Duration Waited = getWait(Ready, Now);
+    std::uint64_t Beside = countBeside(*Server, Ready);
+    const std::vector<TaskRecord> &Tasks =
+        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Tasks_;
+    for (std::uint64_t Index = 0; Index < Tasks.size(); ++Index) {
+      if (Tasks[Index].State_ != TaskState::Waiting)
+        continue;
+      const bool IsCrowded =
+          Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
+      if (IsCrowded || !isFit(Step, *Server, Left, Waited))
+        break;
+      const TaskStart Start{
+          {Ready.Job_, Ready.Occurrence_, Ready.Step_, Index},
+          Tasks[Index].LastRun_ + 1,
+          ServerId};
+      if (Taken_.count(Start.Task_) != 0)
+        continue;
+      if (!Book.findObjection(Start).empty())
+        break;
+      Starts.push_back(Start);
+      Taken_.insert(Start.Task_);
+      take(Step, Left);
+      ++Beside;
+    }
+  }
+  return Starts;
+}
+
+std::vector<TaskStart> Dispatcher::planGang(const JobBook &Book,
+                                            const ServerBoard &Board,
+                                            TimePoint Now) {
+  for (const ReadyStep &Ready : Book.readySteps()) {
+    const JobRecord &Job = *Book.findJob(Ready.Job_);
+    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    const StepRecord &Record =
+        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
+    const bool IsWhole = Step.Gang_ && Record.Waiting_ == Record.Tasks_.size();
+    const TaskKey First{Ready.Job_, Ready.Occurrence_, Ready.Step_, 0};
+    if (!IsWhole || Taken_.count(First) != 0)
+      continue;
+    std::uint64_t Run = 0;
+    for (const TaskRecord &Task : Record.Tasks_)
+      Run = std::max(Run, Task.LastRun_);
+    // Servers of one rack come one after another, the data's rack first.
+    std::vector<std::pair<std::string, const ServerRecord *>> Servers;
+    for (const auto &[Id, Server] : Book.servers()) {
+      const ServerLive *Live = Board.find(Id);
+      const bool IsUsable = Live && !Live->IsDraining_ && !Live->IsRemoving_ &&
+                            Live->NoStartsUntil_ <= Now &&
+                            Server.Facts_.Service_ == Job.Policy_.Service_;
+      if (IsUsable)
+        Servers.emplace_back(
+            (Server.Facts_.Rack_ == Step.DataRack_ ? "0" : "1") +
+                Server.Facts_.Rack_,
+            &Server);
+    }
+    std::sort(Servers.begin(), Servers.end(),
+              [](const auto &Left, const auto &Right) {
+                return Left.first < Right.first;
+              });
+    std::vector<TaskStart> Starts;
+    for (const auto &[Key, Server] : Servers) {
+      Resources Free = Server->Facts_.Capacity_ - Server->Used_;
+      std::uint64_t Beside = 0;
+      while (Starts.size() < Record.Tasks_.size()) {
+        const TaskStart Start{
+            {Ready.Job_, Ready.Occurrence_, Ready.Step_, Starts.size()},
+            Run + 1,
+            Server->Facts_.Id_};
+        const bool IsCrowded =
+            Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
+        if (IsCrowded || !Step.getReserved().fitsIn(Free) ||
+            !Book.findObjection(Start).empty())
+          break;
+        Free = Free - Step.getReserved();
+        ++Beside;
+        Starts.push_back(Start);
+      }
+    }
+    if (Starts.size() < Record.Tasks_.size())
+      continue;
+    for (const TaskStart &Each : Starts)
+      Taken_.insert(Each.Task_);
+    return Starts;
+  }
+  return {};
+}
--- /dev/null
+++ b/src/jobs/Dispatcher.h
@@ -0,0 +1,59 @@
+//===- Dispatcher.h - Which task starts on which server --------*- C++ -*-===//
+//
+// Decides when a server reports what it starts next: an answer to that report
+// carries the orders, so nothing waits for another server to call. A task that
+// would do better elsewhere is held back for a moment, and then started where
+// it fits. Pure: the time and the state come in with each call.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBS_DISPATCHER_H
+#define TULIPWEIR_SRC_JOBS_DISPATCHER_H
+
+#include "jobs/ServerBoard.h"
+
+#include <set>
+
+namespace tulipweir::jobs {
+
+/// Not thread-safe.
+class Dispatcher {
+public:
+  // Commands.
+
+  void reset();
+  /// What the server shall start now. The tasks count as taken until settle.
+  std::vector<TaskStart> plan(const JobBook &Book, const ServerBoard &Board,
+                              const std::string &ServerId, TimePoint Now);
+  /// The starts were applied or refused.
+  void settle(const std::vector<TaskStart> &Starts);
+  /// Whole gangs that can be placed now, over several servers.
+  std::vector<TaskStart> planGang(const JobBook &Book, const ServerBoard &Board,
+                                  TimePoint Now);
+  /// Forgets since when steps that are no longer ready have been waiting.
+  void prune(const JobBook &Book);
+
+private:
+  /// The room on one server, as the plan uses it up.
+  struct Room {
+    Resources Free_;
+    std::int64_t FillingCpus_ = 0; ///< Of filling tasks, thousandths.
+    bool HasServing_ = false;
+    std::uint64_t Filling_ = 0;
+  };
+
+  Room measureRoom(const JobBook &Book, const ServerRecord &Server) const;
+  Duration getWait(const ReadyStep &Step, TimePoint Now);
+  bool isFit(const StepSpec &Step, const ServerRecord &Server, const Room &Left,
+             Duration Waited) const;
+  std::uint64_t countBeside(const ServerRecord &Server,
+                            const ReadyStep &Step) const;
+  void take(const StepSpec &Step, Room &Left) const;
+
+  std::map<ReadyStep, TimePoint> ReadySince_;
+  std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_SRC_JOBS_DISPATCHER_H
--- /dev/null
+++ b/src/jobs/JobCall.cpp
@@ -0,0 +1,42 @@
+#include "tulipweir/jobs/JobCall.h"
+
+#include "jobs/JobPacking.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+
+namespace tulipweir::jobs {
+static auto fields(JobCall &X) {
+  return std::tie(X.Kind_, X.Host_, X.Path_, X.Spec_);
+}
+static auto fields(JobCallReply &X) {
+  return std::tie(X.Outcome_, X.State_, X.IsCount_, X.Pending_, X.RetryAfterMs_,
+                  X.Reason_);
+}
+static auto fields(GroupView &X) { return std::tie(X.Leader_, X.Members_); }
+static constexpr std::uint8_t maxOf(CallKind) {
+  return static_cast<std::uint8_t>(CallKind::Cancel);
+}
+static constexpr std::uint8_t maxOf(CallOutcome) {
+  return static_cast<std::uint8_t>(CallOutcome::NoConfiguration);
+}
+} // namespace tulipweir::jobs
+
+std::string jobs::encodeCall(const JobCall &Value) {
+  return packing::pack(Value);
+}
+Outcome<JobCall> jobs::decodeCall(std::string_view Bytes) {
+  return packing::unpack<JobCall>(Bytes, "a call about a job");
+}
+std::string jobs::encodeCallReply(const JobCallReply &Value) {
+  return packing::pack(Value);
+}
+Outcome<JobCallReply> jobs::decodeCallReply(std::string_view Bytes) {
+  return packing::unpack<JobCallReply>(Bytes, "an answer about a job");
+}
+std::string jobs::encodeGroupView(const GroupView &Value) {
+  return packing::pack(Value);
+}
+Outcome<GroupView> jobs::decodeGroupView(std::string_view Bytes) {
+  return packing::unpack<GroupView>(Bytes, "a view of a group");
+}
--- /dev/null
+++ b/src/jobs/JobLeader.cpp
@@ -0,0 +1,685 @@
+#include "tulipweir/jobs/JobLeader.h"
+
+#include "jobs/Dispatcher.h"
+#include "jobs/ServerBoard.h"
+#include "replication/LeaderWatch.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+/// How often leadership, leases and due times are looked at.
+static constexpr Duration TickInterval = 50ms;
+/// A server that refused a start is left alone for so long: its room is not
+/// what we think.
+static constexpr Duration RefusalPause = 500ms;
+/// How long a report of a life that has ended may still be on its way.
+static constexpr Duration RetiredFor = 60s;
+static constexpr std::uint64_t Percent = 100;
+
+static std::string toText(const TaskKey &Task) {
+  return std::to_string(Task.Occurrence_) + "." + std::to_string(Task.Step_) +
+         "." + std::to_string(Task.Index_);
+}
+
+static std::string_view getName(RunEnd How) {
+  static constexpr std::array<std::string_view, 8> Names = {
+      "done",   "failed", "stopped", "lapsed",
+      "broken", "alone",  "refused", "never_ran"};
+  return Names.at(static_cast<std::size_t>(How));
+}
+
+class JobLeader::Impl : public std::enable_shared_from_this<JobLeader::Impl> {
+public:
+  Impl(const JobLeaderSettings &Settings, const Clock &Time, Executor &Strand,
+       replication::Replica &Group, const JobMachine &Machine, EventLog &Log)
+      : Settings_(Settings), Time_(Time), Strand_(Strand), Group_(Group),
+        Machine_(Machine), Log_(Log),
+        Watch_(Group, Strand,
+               {[this](std::uint64_t Term) { beginLeading(Term); },
+                [this] { endLeading(); }}) {}
+
+  void start() { tick(); }
+  void call(JobCall Call, Done<JobCallReply> Reply);
+  void report(ServerReport Report, Done<ServerOrders> Reply);
+  void leave(const std::string &ServerId, Done<void> Reply);
+  void putConfiguration(Configuration Value, Done<void> Reply);
+  void readConfiguration(const Done<Configuration> &Reply);
+  bool isLeading() const;
+
+private:
+  using ResultCallback = std::function<void(Outcome<CommandResult>)>;
+  /// A report on its way to its answer.
+  struct Handling {
+    ServerReport Report_;
+    Done<ServerOrders> Reply_;
+    bool IsStale_ = false;
+  };
+  using HandlingPtr = std::shared_ptr<Handling>;
+
+  void beginLeading(std::uint64_t Term);
+  void endLeading();
+  void tick();
+  void removeLapsed();
+  void openDue();
+  void startGang();
+  void forgetEnded();
+  void removeServer(const std::string &Id, const std::string &Why,
+                    ResultCallback Done);
+  void propose(const Command &Value, ResultCallback Done);
+  auto failNotLeading() const;
+
+  void submit(JobCall Call, const Done<JobCallReply> &Reply);
+  void show(const JobCall &Call, const Done<JobCallReply> &Reply) const;
+  void cancel(const JobCall &Call, const Done<JobCallReply> &Reply);
+
+  bool isRetired(const std::string &Id) const;
+  void retire(const std::string &Id);
+  void admit(const HandlingPtr &Current);
+  void noteEnds(const HandlingPtr &Current);
+  void startTasks(const HandlingPtr &Current);
+  void answer(const HandlingPtr &Current);
+  void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
+  ServerOrders makeOrders(const ServerReport &Report,
+                          std::vector<TaskEnd> &NeverRan);
+
+  const JobLeaderSettings Settings_;
+  const Clock &Time_;
+  Executor &Strand_;
+  replication::Replica &Group_;
+  const JobMachine &Machine_;
+  EventLog &Log_;
+  replication::LeaderWatch Watch_;
+
+  std::uint64_t Term_ = 0;
+  ServerBoard Board_;
+  Dispatcher Dispatcher_;
+  std::deque<std::pair<std::string, TimePoint>> Retired_;
+  std::map<std::string, TimePoint> EndedSince_;
+};
+
+bool JobLeader::Impl::isLeading() const {
+  return Watch_.isLeading() && Group_.findLeaseTerm(Time_.now()) == Term_;
+}
+
+auto JobLeader::Impl::failNotLeading() const {
+  return fail(ErrorCode::NotLeader, Group_.getStatus().LeaderName_);
+}
+
+void JobLeader::Impl::beginLeading(std::uint64_t Term) {
+  Term_ = Term;
+  const TimePoint Now = Time_.now();
+  Dispatcher_.reset();
+  EndedSince_.clear();
+  // An earlier leader's last answer left before this one was elected.
+  const Duration Longest =
+      Settings_.Lease_ * (Percent + Settings_.ClockDriftPercent_) / Percent;
+  Machine_.read([&](const JobBook &Book) {
+    Board_.reset(Book, Now, Longest);
+    for (const auto &[Id, Job] : Book.jobs())
+      if (isEnded(Job.State_))
+        EndedSince_[Id] = Now;
+    return 0;
+  });
+  Event Line;
+  Line.Kind_ = EventKind::LeadershipBegun;
+  Line.Term_ = Term;
+  Log_.write(Line);
+}
+
+void JobLeader::Impl::endLeading() {
+  Event Line;
+  Line.Kind_ = EventKind::LeadershipEnded;
+  Line.Term_ = Term_;
+  Log_.write(Line);
+}
+
+void JobLeader::Impl::propose(const Command &Value, ResultCallback Done) {
+  const std::weak_ptr<Impl> Weak = weak_from_this();
+  Group_.propose(
+      encodeCommand(Value),
+      [Weak, &Strand = Strand_,
+       Done = std::move(Done)](const Outcome<replication::Applied> &Applied) {
+        Outcome<CommandResult> Result = fail(ErrorCode::Unavailable, "");
+        // Whoever asked must know the difference: only NotLeader says for sure
+        // that nothing was taken.
+        if (Applied)
+          Result = decodeResult(Applied.value().Result_);
+        else if (Applied.error().Code_ == ErrorCode::NotLeader)
+          Result = Applied.error();
+        else
+          Result = fail(ErrorCode::Timeout, Applied.error().Message_);
+        Strand.post([Weak, Done, Result] {
+          if (!Weak.expired())
+            Done(Result);
+        });
+      });
+}
+
+void JobLeader::Impl::tick() {
+  Watch_.poll();
+  if (isLeading()) {
+    removeLapsed();
+    openDue();
+    startGang();
+    forgetEnded();
+  }
+  Strand_.postAfter(TickInterval, [Weak = weak_from_this()] {
+    if (const std::shared_ptr<Impl> Self = Weak.lock())
+      Self->tick();
+  });
+}
+
+void JobLeader::Impl::removeServer(const std::string &Id,
+                                   const std::string &Why,
+                                   ResultCallback Done) {
+  if (ServerLive *Live = Board_.find(Id))
+    Live->IsRemoving_ = true;
+  Event Line;
+  Line.Kind_ = EventKind::ServerGone;
+  Line.Server_ = Id;
+  Line.Reason_ = Why;
+  Line.Term_ = Term_;
+  if (const ServerLive *Live = Board_.find(Id))
+    Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      Time_.now() - Live->LastHeard_)
+                      .count();
+  Log_.write(Line);
+  propose(RemoveServer{Id, Board_.listSaved(Id)},
+          [this, Id, Done = std::move(Done)](Outcome<CommandResult> Result) {
+            // Unknown or refused: asked again at the next tick.
+            if (ServerLive *Live = Board_.find(Id))
+              Live->IsRemoving_ = false;
+            if (Result)
+              Board_.remove(Id);
+            Done(std::move(Result));
+          });
+}
+
+void JobLeader::Impl::removeLapsed() {
+  for (const std::string &Id : Board_.listLapsed(Time_.now()))
+    removeServer(Id, "silent until its lease ran out",
+                 [](const Outcome<CommandResult> &) {});
+}
+
+void JobLeader::Impl::openDue() {
+  const auto Wall = static_cast<std::uint64_t>(
+      (Time_.wallNow() +
+       std::chrono::duration_cast<WallTime>(Settings_.EarliestStart_))
+          .count());
+  std::vector<OpenOccurrence> Due;
+  Machine_.read([&](const JobBook &Book) {
+    for (const std::string &Id : Book.timedJobs()) {
+      const JobRecord &Job = *Book.findJob(Id);
+      const std::uint64_t At =
+          Job.Spec_.FirstDueMs_ + Job.OpenedUpTo_ * Job.Spec_.IntervalMs_;
+      if (At <= Wall)
+        Due.push_back({Id, Job.OpenedUpTo_});
+    }
+    return 0;
+  });
+  // One that is proposed twice is refused the second time.
+  for (const OpenOccurrence &Each : Due)
+    propose(Each, [](const Outcome<CommandResult> &) {});
+}
+
+void JobLeader::Impl::startGang() {
+  std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
+    Dispatcher_.prune(Book);
+    return Dispatcher_.planGang(Book, Board_, Time_.now());
+  });
+  if (Starts.empty())
+    return;
+  propose(StartTasks{Starts},
+          [this, Starts](const Outcome<CommandResult> &) {
+            Dispatcher_.settle(Starts);
+          });
+}
+
+void JobLeader::Impl::forgetEnded() {
+  const TimePoint Now = Time_.now();
+  ForgetJobs Old;
+  for (const auto &[Id, Since] : EndedSince_)
+    if (Now - Since > Settings_.Retention_)
+      Old.Ids_.push_back(Id);
+  if (Old.Ids_.empty())
+    return;
+  for (const std::string &Id : Old.Ids_)
+    EndedSince_.erase(Id);
+  propose(Old, [](const Outcome<CommandResult> &) {});
+}
+
+// Clients' calls.
+
+void JobLeader::Impl::call(JobCall Call, Done<JobCallReply> Reply) {
+  if (!isLeading())
+    return Reply(failNotLeading());
+  switch (Call.Kind_) {
+  case CallKind::Submit:
+    return submit(std::move(Call), Reply);
+  case CallKind::Show:
+    return show(Call, Reply);
+  case CallKind::Cancel:
+    return cancel(Call, Reply);
+  }
+}
+
+/// The queue a call is addressed to; the rest of its path is the job's id.
+static const QueuePolicy *findQueue(const JobBook &Book, const JobCall &Call,
+                                    JobCallReply &Reply, std::string &Id) {
+  const Configuration &Current = Book.configuration();
+  const QueuePolicy *Queue = Current.findQueue(Call.Host_, Call.Path_);
+  if (Queue)
+    Id = Call.Path_.substr(Queue->PathPrefix_.size());
+  else
+    Reply.Outcome_ = Current.Version_ == 0 ? CallOutcome::NoConfiguration
+                                           : CallOutcome::NoQueue;
+  return Queue;
+}
+
+void JobLeader::Impl::submit(JobCall Call, const Done<JobCallReply> &Reply) {
+  JobCallReply Result;
+  SubmitJob Command;
+  const bool HasQueue = Machine_.read([&](const JobBook &Book) {
+    const QueuePolicy *Queue =
+        findQueue(Book, Call, Result, Call.Spec_.Id_);
+    if (!Queue)
+      return false;
+    Command.Host_ = Queue->Host_;
+    Command.PathPrefix_ = Queue->PathPrefix_;
+    return true;
+  });
+  if (!HasQueue)
+    return Reply(Result);
+  const Outcome<void> Checked = checkJobSpec(Call.Spec_);
+  if (!Checked) {
+    Result.Outcome_ = CallOutcome::Invalid;
+    Result.Reason_ = Checked.error().Message_;
+    return Reply(Result);
+  }
+  Command.AcceptedMs_ = static_cast<std::uint64_t>(Time_.wallNow().count());
+  const std::string Id = Call.Spec_.Id_;
+  Command.Spec_ = std::move(Call.Spec_);
+  propose(Command, [this, Id, Reply](const Outcome<CommandResult> &Applied) {
+    JobCallReply Late;
+    if (!Applied)
+      return Reply(Applied.error());
+    const Verdict Taken = Applied.value().Verdict_;
+    if (Taken == Verdict::NotFound)
+      Late.Outcome_ = CallOutcome::NoQueue;
+    Event Line;
+    Line.Kind_ = Taken == Verdict::NotFound ? EventKind::JobRefused
+                                            : EventKind::JobAccepted;
+    Line.Job_ = Id;
+    Line.Term_ = Term_;
+    if (Taken == Verdict::NotFound)
+      Line.Reason_ = "its queue was dropped meanwhile";
+    if (Taken == Verdict::AlreadyDone)
+      Line.Reason_ = "it was accepted before";
+    Log_.write(Line);
+    Reply(Late);
+  });
+}
+
+void JobLeader::Impl::show(const JobCall &Call,
+                           const Done<JobCallReply> &Reply) const {
+  Reply(Machine_.read([&](const JobBook &Book) {
+    JobCallReply Result;
+    std::string Id;
+    const QueuePolicy *Queue = findQueue(Book, Call, Result, Id);
+    if (!Queue)
+      return Result;
+    if (Id.empty()) {
+      Result.IsCount_ = true;
+      Result.Pending_ = Book.countPending(Queue->getKey());
+      return Result;
+    }
+    const JobRecord *Job = Book.findJob(Id);
+    if (Job)
+      Result.State_ = Job->State_;
+    else
+      Result.Outcome_ = CallOutcome::NoJob;
+    return Result;
+  }));
+}
+
+void JobLeader::Impl::cancel(const JobCall &Call,
+                             const Done<JobCallReply> &Reply) {
+  JobCallReply Result;
+  std::string Id;
+  const bool HasQueue = Machine_.read([&](const JobBook &Book) {
+    return findQueue(Book, Call, Result, Id) != nullptr;
+  });
+  if (!HasQueue)
+    return Reply(Result);
+  propose(CancelJob{Id}, [this, Id, Reply](
+                             const Outcome<CommandResult> &Applied) {
+    if (!Applied)
+      return Reply(Applied.error());
+    JobCallReply Late;
+    if (Applied.value().Verdict_ == Verdict::NotFound)
+      Late.Outcome_ = CallOutcome::NoJob;
+    else
+      EndedSince_.try_emplace(Id, Time_.now());
+    Event Line;
+    Line.Kind_ = EventKind::JobCancelled;
+    Line.Job_ = Id;
+    Line.Outcome_ = Applied.value().Verdict_ == Verdict::Done ? "cancelled"
+                                                              : "no change";
+    Log_.write(Line);
+    Reply(Late);
+  });
+}
+
+// The configuration.
+
+void JobLeader::Impl::putConfiguration(Configuration Value, Done<void> Reply) {
+  if (!isLeading())
+    return Reply(failNotLeading());
+  const std::uint64_t Version = Value.Version_;
+  propose(PutConfiguration{std::move(Value)},
+          [this, Version, Reply](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return Reply(Applied.error());
+            Event Line;
+            Line.Kind_ = EventKind::ConfigurationAccepted;
+            Line.Version_ = Version;
+            Line.Outcome_ = Applied.value().Verdict_ == Verdict::Done
+                                ? "in force"
+                                : "not above the version in force";
+            Log_.write(Line);
+            Reply(succeed());
+          });
+}
+
+void JobLeader::Impl::readConfiguration(const Done<Configuration> &Reply) {
+  if (!isLeading())
+    return Reply(failNotLeading());
+  Reply(Machine_.read(
+      [](const JobBook &Book) { return Book.configuration(); }));
+}
+
+// Backend servers.
+
+bool JobLeader::Impl::isRetired(const std::string &Id) const {
+  return std::any_of(Retired_.begin(), Retired_.end(),
+                     [&Id](const auto &Each) { return Each.first == Id; });
+}
+
+void JobLeader::Impl::retire(const std::string &Id) {
+  const TimePoint Now = Time_.now();
+  while (!Retired_.empty() && Now - Retired_.front().second > RetiredFor)
+    Retired_.pop_front();
+  Retired_.emplace_back(Id, Now);
+}
+
+void JobLeader::Impl::leave(const std::string &ServerId, Done<void> Reply) {
+  if (!isLeading())
+    return Reply(failNotLeading());
+  retire(ServerId);
+  removeServer(ServerId, "it left",
+               [Reply](const Outcome<CommandResult> &Result) {
+                 if (!Result)
+                   return Reply(Result.error());
+                 Reply(succeed());
+               });
+}
+
+void JobLeader::Impl::report(ServerReport Report, Done<ServerOrders> Reply) {
+  if (!isLeading())
+    return Reply(failNotLeading());
+  // A late report of a life that is over: it is told nothing.
+  if (isRetired(Report.Facts_.Id_))
+    return Reply(ServerOrders{});
+  const auto Current = std::make_shared<Handling>();
+  Current->Report_ = std::move(Report);
+  Current->Reply_ = std::move(Reply);
+  admit(Current);
+}
+
+/// Makes sure that the server is in the log, and no other at its address.
+void JobLeader::Impl::admit(const HandlingPtr &Current) {
+  const ServerFacts &Facts = Current->Report_.Facts_;
+  std::vector<std::string> Replaced;
+  const bool IsKnown = Machine_.read([&](const JobBook &Book) {
+    const ServerRecord *Known = Book.findServer(Facts.Id_);
+    if (!Known)
+      for (const auto &[Id, Other] : Book.servers())
+        if (Other.Facts_.Address_ == Facts.Address_)
+          Replaced.push_back(Id);
+    return Known && Known->Facts_ == Facts;
+  });
+  if (ServerLive *Live = Board_.find(Facts.Id_); Live && Live->IsRemoving_)
+    return Current->Reply_(
+        fail(ErrorCode::Unavailable, "the server is being removed"));
+  for (const std::string &Id : Replaced) {
+    retire(Id);
+    removeServer(Id, "another life runs at its address",
+                 [](const Outcome<CommandResult> &) {});
+  }
+  if (IsKnown)
+    return noteEnds(Current);
+  Event Line;
+  Line.Kind_ = EventKind::ServerSeen;
+  Line.Server_ = Facts.Id_;
+  Line.Reason_ = "rack " + Facts.Rack_ + ", " + Facts.DataCentre_;
+  Log_.write(Line);
+  propose(AddServer{Facts},
+          [this, Current](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return Current->Reply_(Applied.error());
+            noteEnds(Current);
+          });
+}
+
+void JobLeader::Impl::logEnds(const std::string &Server,
+                              const std::vector<TaskEnd> &Ends) {
+  for (const TaskEnd &End : Ends) {
+    Event Line;
+    Line.Kind_ = EventKind::TaskEnded;
+    Line.Job_ = End.Task_.Job_;
+    Line.Task_ = toText(End.Task_);
+    Line.Attempt_ = End.Run_;
+    Line.Server_ = Server;
+    Line.Outcome_ = getName(End.How_);
+    Log_.write(Line);
+  }
+}
+
+void JobLeader::Impl::noteEnds(const HandlingPtr &Current) {
+  const ServerReport &Report = Current->Report_;
+  const std::string &Id = Report.Facts_.Id_;
+  const TimePoint Now = Time_.now();
+  const bool WasDraining = Board_.find(Id) && Board_.find(Id)->IsDraining_;
+  Current->IsStale_ = !Board_.note(Report, Now);
+  if (Report.IsDraining_ && !WasDraining && !Current->IsStale_) {
+    Event Line;
+    Line.Kind_ = EventKind::ServerDraining;
+    Line.Server_ = Id;
+    Line.Count_ = Report.RemainingMs_;
+    Log_.write(Line);
+  }
+  if (Current->IsStale_)
+    return Current->Reply_(ServerOrders{});
+  EndTasks Command{Id, {}};
+  Machine_.read([&](const JobBook &Book) {
+    const ServerRecord *Server = Book.findServer(Id);
+    if (!Server)
+      return 0;
+    for (const EndedTask &Each : Report.Ended_) {
+      const auto Placed = Server->Placed_.find(Each.End_.Task_);
+      if (Placed != Server->Placed_.end() &&
+          Placed->second == Each.End_.Run_)
+        Command.Ends_.push_back(Each.End_);
+    }
+    return 0;
+  });
+  if (Command.Ends_.empty())
+    return startTasks(Current);
+  const bool AnyRefused = std::any_of(
+      Command.Ends_.begin(), Command.Ends_.end(),
+      [](const TaskEnd &End) { return End.How_ == RunEnd::Refused; });
+  if (AnyRefused)
+    Board_.find(Id)->NoStartsUntil_ = Now + RefusalPause;
+  propose(Command, [this, Current,
+                    Command](const Outcome<CommandResult> &Applied) {
+    if (!Applied)
+      return Current->Reply_(Applied.error());
+    logEnds(Command.Server_, Command.Ends_);
+    Machine_.read([&](const JobBook &Book) {
+      for (const TaskEnd &End : Command.Ends_) {
+        const JobRecord *Job = Book.findJob(End.Task_.Job_);
+        if (!Job || !isEnded(Job->State_) ||
+            !EndedSince_.try_emplace(End.Task_.Job_, Time_.now()).second)
+          continue;
+        Event Line;
+        Line.Kind_ = EventKind::JobEnded;
+        Line.Job_ = End.Task_.Job_;
+        Line.Outcome_ = Job->State_ == JobState::Completed ? "completed"
+                        : Job->State_ == JobState::Failed  ? "failed"
+                                                           : "cancelled";
+        Log_.write(Line);
+      }
+      return 0;
+    });
+    startTasks(Current);
+  });
+}
+
+void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
+  const std::string &Id = Current->Report_.Facts_.Id_;
+  std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
+    return Dispatcher_.plan(Book, Board_, Id, Time_.now());
+  });
+  if (Starts.empty())
+    return answer(Current);
+  propose(StartTasks{Starts}, [this, Current,
+                               Starts](const Outcome<CommandResult> &Applied) {
+    Dispatcher_.settle(Starts);
+    if (!Applied)
+      return Current->Reply_(Applied.error());
+    for (std::size_t I = 0; I < Starts.size(); ++I) {
+      Event Line;
+      Line.Kind_ = EventKind::TaskStarted;
+      Line.Job_ = Starts[I].Task_.Job_;
+      Line.Task_ = toText(Starts[I].Task_);
+      Line.Attempt_ = Starts[I].Run_;
+      Line.Server_ = Starts[I].Server_;
+      Line.Outcome_ = Applied.value().Taken_[I] ? "placed" : "refused";
+      Log_.write(Line);
+    }
+    answer(Current);
+  });
+}
+
+ServerOrders JobLeader::Impl::makeOrders(const ServerReport &Report,
+                                         std::vector<TaskEnd> &NeverRan) {
+  ServerOrders Orders;
+  ServerLive *Live = Board_.find(Report.Facts_.Id_);
+  std::map<TaskKey, std::uint64_t> Reported;
+  std::map<TaskKey, std::uint64_t> StopsSent;
+  for (const RunningTask &Each : Report.Running_)
+    Reported[Each.Task_] = Each.Run_;
+  Machine_.read([&](const JobBook &Book) {
+    const ServerRecord *Server = Book.findServer(Report.Facts_.Id_);
+    const auto IsWanted = [&](const TaskKey &Task, std::uint64_t Run) {
+      const auto Placed = Server->Placed_.find(Task);
+      const bool IsHere =
+          Placed != Server->Placed_.end() && Placed->second == Run;
+      return IsHere && !isEnded(Book.findJob(Task.Job_)->State_) &&
+             Book.findTask(Task)->State_ != TaskState::Done;
+    };
+    const auto Stop = [&](const TaskKey &Task, std::uint64_t Run) {
+      Orders.Stops_.push_back({Task, Run});
+      StopsSent[Task] = Run;
+    };
+    for (const auto &[Task, Run] : Reported)
+      if (!IsWanted(Task, Run))
+        Stop(Task, Run);
+    for (const auto &[Task, Run] : Server->Placed_) {
+      const auto Found = Reported.find(Task);
+      if (Found != Reported.end() && Found->second == Run)
+        continue;
+      if (!IsWanted(Task, Run)) {
+        const auto Before = Live->StopsSent_.find(Task);
+        // Told to stop in an earlier answer, and still not there: the order to
+        // start it, if one ever left, can't take effect any more.
+        if (Before != Live->StopsSent_.end() && Before->second == Run)
+          NeverRan.push_back({Task, Run, RunEnd::NeverRan, ""});
+        else
+          Stop(Task, Run);
+        continue;
+      }
+      Orders.Starts_.push_back({Task, Run,
+                                Book.findJob(Task.Job_)->Spec_.Payload_,
+                                Book.findTask(Task)->Checkpoint_, ""});
+    }
+    return 0;
+  });
+  Live->StopsSent_ = std::move(StopsSent);
+  return Orders;
+}
+
+void JobLeader::Impl::answer(const HandlingPtr &Current) {
+  const ServerReport &Report = Current->Report_;
+  const std::string &Id = Report.Facts_.Id_;
+  const ServerLive *Live = Board_.find(Id);
+  const bool IsKnown =
+      Live && !Live->IsRemoving_ && Machine_.read([&](const JobBook &Book) {
+        return Book.findServer(Id) != nullptr;
+      });
+  if (!IsKnown)
+    return Current->Reply_(
+        fail(ErrorCode::Unavailable, "the server is being removed"));
+  std::vector<TaskEnd> NeverRan;
+  ServerOrders Orders = makeOrders(Report, NeverRan);
+  if (!NeverRan.empty())
+    propose(EndTasks{Id, NeverRan}, [](const Outcome<CommandResult> &) {});
+  Orders.LeaseMs_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Settings_.Lease_)
+          .count());
+  Orders.FencingToken_ = Term_;
+  for (const EndedTask &Each : Report.Ended_)
+    Orders.EndsNoted_ = std::max(Orders.EndsNoted_, Each.Number_);
+  Orders.NextReportMs_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Settings_.ReportInterval_)
+          .count());
+  // Directly before the promise: another may lead by now.
+  const TimePoint Now = Time_.now();
+  if (Group_.findLeaseTerm(Now) != Term_)
+    return Current->Reply_(failNotLeading());
+  Board_.extendLease(Id, Now + Settings_.Lease_ *
+                                   (Percent + Settings_.ClockDriftPercent_) /
+                                   Percent);
+  Current->Reply_(std::move(Orders));
+}
+
+JobLeader::JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
+                     Executor &Strand, replication::Replica &Group,
+                     const JobMachine &Machine, EventLog &Log)
+    : Impl_(std::make_shared<Impl>(Settings, Time, Strand, Group, Machine,
+                                   Log)) {}
+JobLeader::~JobLeader() = default;
+
+void JobLeader::start() { Impl_->start(); }
+void JobLeader::call(JobCall Call, Done<JobCallReply> Reply) {
+  Impl_->call(std::move(Call), std::move(Reply));
+}
+void JobLeader::report(ServerReport Report, Done<ServerOrders> Reply) {
+  Impl_->report(std::move(Report), std::move(Reply));
+}
+void JobLeader::leave(const std::string &ServerId, Done<void> Reply) {
+  Impl_->leave(ServerId, std::move(Reply));
+}
+void JobLeader::putConfiguration(Configuration Value, Done<void> Reply) {
+  Impl_->putConfiguration(std::move(Value), std::move(Reply));
+}
+void JobLeader::readConfiguration(Done<Configuration> Reply) {
+  Impl_->readConfiguration(Reply);
+}
+bool JobLeader::isLeading() const { return Impl_->isLeading(); }
--- /dev/null
+++ b/src/jobs/ServerBoard.h
@@ -0,0 +1,62 @@
+//===- ServerBoard.h - What a leader knows of live servers -----*- C++ -*-===//
+//
+// Everything about backend servers that is not in the log: when each was last
+// heard, until when work on it may still run, what it last reported. A new
+// leader begins with nothing and grants every server the longest lease that an
+// earlier leader can have given.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBS_SERVERBOARD_H
+#define TULIPWEIR_SRC_JOBS_SERVERBOARD_H
+
+#include "tulipweir/core/Time.h"
+#include "tulipweir/jobs/JobBook.h"
+#include "tulipweir/jobs/ServerReport.h"
+
+#include <map>
+#include <optional>
+
+namespace tulipweir::jobs {
+
+struct ServerLive {
+  std::uint64_t LastSequence_ = 0;
+  TimePoint LastHeard_{};
+  /// Nothing that it was given runs after that.
+  TimePoint LeaseEnd_{};
+  bool IsDraining_ = false;
+  /// Its removal is proposed: it gets no lease until that is applied.
+  bool IsRemoving_ = false;
+  /// A report is being handled; the next one waits for nothing of it.
+  TimePoint NoStartsUntil_{};
+  std::vector<RunningTask> Running_;
+  /// Runs that were ordered to stop in an earlier answer.
+  std::map<TaskKey, std::uint64_t> StopsSent_;
+};
+
+/// Not thread-safe.
+class ServerBoard {
+public:
+  /// Begins anew: all servers of the book count as heard now, with a lease to
+  /// the end of Lease from now.
+  void reset(const JobBook &Book, TimePoint Now, Duration Lease);
+
+  /// Takes a report in; false if a later one was seen before.
+  bool note(const ServerReport &Report, TimePoint Now);
+  void extendLease(const std::string &Id, TimePoint End);
+  ServerLive *find(const std::string &Id);
+  const ServerLive *find(const std::string &Id) const;
+  void add(const std::string &Id, TimePoint Now, TimePoint LeaseEnd);
+  void remove(const std::string &Id);
+  /// Servers whose lease has run out.
+  std::vector<std::string> listLapsed(TimePoint Now) const;
+  /// The checkpoints that the server's runs were last seen with.
+  std::vector<SavedWork> listSaved(const std::string &Id) const;
+
+private:
+  std::map<std::string, ServerLive> Servers_;
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_SRC_JOBS_SERVERBOARD_H
--- /dev/null
+++ b/src/jobservice/MemberLinks.cpp
@@ -0,0 +1,74 @@
+#include "tulipweir/jobservice/MemberLinks.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobservice;
+using namespace std::chrono_literals;
+
+/// Well under a second, so that a peer that is cut off or frozen is given up
+/// before anybody's patience of a second ends; far above a round trip of a few
+/// milliseconds.
+static constexpr Duration StallTimeout = 1500ms;
+static constexpr Duration HandshakeTimeout = 1s;
+static constexpr Duration LongestReconnectPause = 300ms;
+
+net::LinkSettings
+jobservice::makeMemberLinkSettings(const std::string &Secret) {
+  net::LinkSettings Settings;
+  Settings.Secret_ = Secret;
+  Settings.WriteStallTimeout_ = StallTimeout;
+  Settings.HandshakeTimeout_ = HandshakeTimeout;
+  Settings.ReconnectLast_ = LongestReconnectPause;
+  return Settings;
+}
+
+MemberLinks::MemberLinks(boost::asio::io_context &Context, std::string Self,
+                         std::uint16_t LinkPort,
+                         const net::LinkSettings &Settings)
+    : Context_(Context), Self_(std::move(Self)), LinkPort_(LinkPort),
+      Settings_(Settings) {}
+
+MemberLinks::~MemberLinks() { stop(); }
+
+net::LinkClient *MemberLinks::find(const std::string &Name) {
+  const std::lock_guard Hold(Lock_);
+  if (Stopped_ || Name == Self_)
+    return nullptr;
+  const auto Found = Links_.find(Name);
+  if (Found != Links_.end())
+    return Found->second.get();
+  Outcome<net::Endpoint> Address = net::Endpoint::parse(Name);
+  if (!Address)
+    return nullptr;
+  Address.value().Port_ = LinkPort_;
+  auto Link =
+      std::make_unique<net::LinkClient>(Context_, Address.value(), Settings_);
+  Link->start();
+  return Links_.emplace(Name, std::move(Link)).first->second.get();
+}
+
+void MemberLinks::send(const std::string &ToName, std::string Message) {
+  if (net::LinkClient *Link = find(ToName))
+    Link->post(wire::MessageKind::Replication, std::move(Message));
+}
+
+void MemberLinks::call(const std::string &ToName, wire::MessageKind Kind,
+                       std::string Body, Duration Timeout,
+                       net::LinkReply Reply) {
+  net::LinkClient *Link = find(ToName);
+  if (!Link)
+    return Reply(fail(ErrorCode::Unavailable, "no link to " + ToName));
+  Link->call(Kind, std::move(Body), Timeout, std::move(Reply));
+}
+
+bool MemberLinks::isConnected(const std::string &Name) const {
+  const std::lock_guard Hold(Lock_);
+  const auto Found = Links_.find(Name);
+  return Found != Links_.end() && Found->second->isConnected();
+}
+
+void MemberLinks::stop() {
+  const std::lock_guard Hold(Lock_);
+  Stopped_ = true;
+  for (auto &[Name, Link] : Links_)
+    Link->stop();
+}
--- a/src/entry/JsonReader.h
+++ b/src/net/JsonReader.h
@@ -6,8 +6,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef TULIPWEIR_SRC_ENTRY_JSONREADER_H
-#define TULIPWEIR_SRC_ENTRY_JSONREADER_H
+#ifndef TULIPWEIR_SRC_NET_JSONREADER_H
+#define TULIPWEIR_SRC_NET_JSONREADER_H
 
 #include "tulipweir/core/Error.h"
 
@@ -19,7 +19,7 @@
 #include <set>
 #include <string>
 
-namespace tulipweir::entry {
+namespace tulipweir::net {
 
 /// The first error found; shared by the readers of one document.
 using FirstError = std::optional<Error>;
@@ -162,6 +162,6 @@
   std::set<std::string> Known_;
 };
 
-} // namespace tulipweir::entry
+} // namespace tulipweir::net
 
-#endif // TULIPWEIR_SRC_ENTRY_JSONREADER_H
+#endif // TULIPWEIR_SRC_NET_JSONREADER_H
--- a/src/replication/GroupFounder.cpp
+++ b/src/replication/GroupFounder.cpp
@@ -5,8 +5,9 @@
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
-GroupFounder::GroupFounder(Identity Owner, std::vector<std::string> FirstVoters)
-    : Owner_(std::move(Owner)),
+GroupFounder::GroupFounder(Identity Owner, std::vector<std::string> FirstVoters,
+                           bool MayFound)
+    : MayFound_(MayFound), Owner_(std::move(Owner)),
       FirstVoters_(FirstVoters.begin(), FirstVoters.end()) {}
 
 bool GroupFounder::isFounder() const {
@@ -22,13 +23,18 @@
   return Message{Owner_.Self_, To, 0, std::move(Body)};
 }
 
-FounderOutputs GroupFounder::ask(const Holdings &Held) {
+FounderOutputs GroupFounder::seek() const {
   FounderOutputs Out;
-  if (!Held.IsEmpty_)
-    return Out;
   for (const std::string &Name : FirstVoters_)
     if (Name != Owner_.Self_.Name_)
       Out.Messages_.push_back(make(MemberId{Name, 0}, JoinProbe{}));
+  return Out;
+}
+
+FounderOutputs GroupFounder::ask(const Holdings &Held) {
+  if (!Held.IsEmpty_)
+    return {};
+  FounderOutputs Out = seek();
   tryToFound(Out);
   return Out;
 }
@@ -92,7 +98,7 @@
 }
 
 void GroupFounder::tryToFound(FounderOutputs &Out) {
-  if (!isFounder())
+  if (!isFounder() || !MayFound_)
     return;
   std::vector<Member> Members{{Owner_.Self_, MemberRole::Voter}};
   for (const auto &[Name, Id] : Empty_)
--- a/src/replication/GroupFounder.h
+++ b/src/replication/GroupFounder.h
@@ -43,11 +43,17 @@
 /// Not thread-safe.
 class GroupFounder {
 public:
-  GroupFounder(Identity Owner, std::vector<std::string> FirstVoters);
+  /// MayFound is false where the group was founded before, whoever is asked.
+  GroupFounder(Identity Owner, std::vector<std::string> FirstVoters,
+               bool MayFound = true);
 
   /// Called while this member holds nothing, every now and then.
   FounderOutputs ask(const Holdings &Held);
 
+  /// Asks to be taken in again, for a member that holds a log but hears no
+  /// leader: it may have been removed while it was away.
+  FounderOutputs seek() const;
+
   /// Takes JoinProbe, JoinReply and FoundGroup; others do nothing.
   FounderOutputs receive(const Message &From, const Holdings &Held);
 
@@ -65,6 +71,7 @@
   void adopt(const Message &From, const FoundGroup &Body, FounderOutputs &Out);
   Message make(const MemberId &To, decltype(Message::Body_) Body) const;
 
+  const bool MayFound_;
   Identity Owner_;
   std::set<std::string> FirstVoters_;
   std::map<std::string, MemberId> Empty_; ///< Who answered "nothing".
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -158,6 +158,8 @@
   const std::optional<ChangeAsked> &getChange() const { return Change_; }
   /// When this member last became leader.
   TimePoint getLeaderSince() const { return LeaderSince_; }
+  /// For how long this leader has heard nothing of the member; zero of itself.
+  Duration getSilence(const MemberId &Id, TimePoint Now) const;
   /// Until when no other leader can exist; the lowest time without a lease.
   TimePoint getLeaseEnd() const;
 
--- a/src/replication/RaftLeader.cpp
+++ b/src/replication/RaftLeader.cpp
@@ -231,6 +231,11 @@
   Reads_.erase(Reads_.begin(), Rest);
 }
 
+Duration RaftCore::getSilence(const MemberId &Id, TimePoint Now) const {
+  const auto Known = Peers_.find(Id);
+  return Known == Peers_.end() ? Duration(0) : Now - Known->second.LastAck_;
+}
+
 /// Steps down when no quorum has answered within an election timeout: others
 /// may have a leader by then, and callers are better told so.
 void RaftCore::checkQuorum() {
--- a/src/replication/Rejoin.cpp
+++ b/src/replication/Rejoin.cpp
@@ -47,3 +47,37 @@
   }
   return std::nullopt;
 }
+
+/// Bounds what strangers can cost the leader.
+static constexpr std::size_t MostMembers = 32;
+
+std::optional<ChangeAsked>
+replication::planMembers(const std::vector<MemberStanding> &Members,
+                         const std::vector<MemberId> &Waiting,
+                         std::uint64_t TargetVoters) {
+  for (const MemberId &Each : Waiting) {
+    const bool IsStranger = std::none_of(
+        Members.begin(), Members.end(), [&](const MemberStanding &Known) {
+          return Known.Member_.Id_.Name_ == Each.Name_;
+        });
+    if (IsStranger && Members.size() < MostMembers)
+      return ChangeAsked{0, ChangeKind::AddLearner, Each};
+  }
+  std::uint64_t Voters = 0;
+  const MemberStanding *Gone = nullptr;
+  const MemberStanding *Spare = nullptr;
+  for (const MemberStanding &Each : Members) {
+    const bool IsVoter = Each.Member_.Role_ == MemberRole::Voter;
+    Voters += IsVoter ? 1 : 0;
+    if (IsVoter && Each.IsGone_ && !Gone)
+      Gone = &Each;
+    if (!IsVoter && Each.IsAlive_ && !Spare)
+      Spare = &Each;
+  }
+  const bool IsShort = Voters < TargetVoters || (Gone && Voters == TargetVoters);
+  if (Spare && IsShort)
+    return ChangeAsked{0, ChangeKind::Promote, Spare->Member_.Id_};
+  if (Gone && Voters > TargetVoters)
+    return ChangeAsked{0, ChangeKind::Remove, Gone->Member_.Id_};
+  return std::nullopt;
+}
--- a/src/replication/Rejoin.h
+++ b/src/replication/Rejoin.h
@@ -1,9 +1,11 @@
-//===- Rejoin.h - Bringing back members that lost their disk ---*- C++ -*-===//
+//===- Rejoin.h - Which change of members comes next -----------*- C++ -*-===//
 //
-// Decides the next change of members that replaces an earlier incarnation by
-// the one that runs now, under the same name and in the same role. Only
-// committed changes do it, one at a time; the new one is added as a learner,
-// promoted once it has caught up, and then the old one is removed.
+// Two plans, each a step at a time and by committed changes only. planRejoin
+// replaces an earlier incarnation by the one that runs now, under the same name
+// and in the same role: the new one is added as a learner, promoted once it has
+// caught up, and then the old one is removed. planMembers keeps a number of
+// voters: it takes in strangers, and puts one that is there in the place of a
+// voter that is gone.
 //
 //===----------------------------------------------------------------------===//
 
@@ -21,6 +23,19 @@
 std::optional<ChangeAsked> planRejoin(const std::vector<Member> &Members,
                                       const std::vector<MemberId> &Waiting);
 
+/// A member as the leader sees it.
+struct MemberStanding {
+  Member Member_;
+  bool IsAlive_ = false; ///< It answered within an election timeout.
+  bool IsGone_ = false;  ///< It has been silent for so long that it is given up.
+};
+
+/// A gone voter is removed only while there is one voter more than wanted, so
+/// the number of voters that answer never falls by it.
+std::optional<ChangeAsked>
+planMembers(const std::vector<MemberStanding> &Members,
+            const std::vector<MemberId> &Waiting, std::uint64_t TargetVoters);
+
 } // namespace tulipweir::replication
 
 #endif // TULIPWEIR_REPLICATION_REJOIN_H
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -48,7 +48,7 @@
       Storage_(std::move(Start.Storage_)),
       Core_(makeCoreSettings(Settings_, Start.Owner_.Self_), Time.now(),
             Start.Stored_),
-      Founder_(Start.Owner_, Settings_.FirstVoters_),
+      Founder_(Start.Owner_, Settings_.FirstVoters_, Settings_.MayFound_),
       Hard_(Start.Stored_.Hard_), Applied_(Core_.getCommit()),
       NextSnapshot_(planFirstSnapshot(Settings_, Applied_)),
       NextTick_(Time.now()), NextAsk_(Time.now()), NextRejoin_(Time.now()) {
@@ -190,10 +190,14 @@
   NextTick_ = Time_.now() + tickInterval(Settings_);
   step(Tick{});
   rejoinNext();
-  if (HasFailed_ || !Core_.getLog().isEmpty() || Time_.now() < NextAsk_)
+  if (HasFailed_ || Time_.now() < NextAsk_)
     return;
   NextAsk_ = Time_.now() + Settings_.ElectionTimeout_ / 2;
-  carryOut(Founder_.ask(getHoldings()));
+  if (Core_.getLog().isEmpty())
+    return carryOut(Founder_.ask(getHoldings()));
+  // Nobody tells a member that was removed while it was away.
+  if (Settings_.TargetVoters_ > 0 && !Core_.getLeader())
+    carryOut(Founder_.seek());
 }
 
 void ReplicaDriver::rejoinNext() {
@@ -207,6 +211,8 @@
   if (Current && Current->Id_ != 0)
     return;
   auto Next = planRejoin(Core_.getLog().getMembers(), getWaiting());
+  if (!Next && Settings_.TargetVoters_ > 0)
+    Next = planMembers(listStandings(), getWaiting(), Settings_.TargetVoters_);
   if (Next && Next != Current)
     step(*Next);
 }
@@ -218,6 +224,17 @@
   bool IsFounding = std::holds_alternative<JoinProbe>(Decoded.value().Body_) ||
                     std::holds_alternative<JoinReply>(Decoded.value().Body_) ||
                     std::holds_alternative<FoundGroup>(Decoded.value().Body_);
+  const std::optional<MemberId> &Leader = Core_.getLeader();
+  const bool IsForLeader =
+      std::holds_alternative<JoinProbe>(Decoded.value().Body_) && Leader &&
+      Core_.getRole() != Role::Leader &&
+      Decoded.value().From_.Name_ != Leader->Name_;
+  // Whoever asks to join knows some members, but not who leads.
+  if (IsForLeader && Decoded.value().To_.Name_ == Settings_.Name_) {
+    Message Passed = Decoded.value();
+    Passed.To_ = MemberId{Leader->Name_, 0};
+    sendAll({Passed});
+  }
   if (IsFounding)
     carryOut(Founder_.receive(Decoded.value(), getHoldings()));
   else
@@ -381,6 +398,16 @@
   Status_.Waiting_ = getWaiting();
 }
 
+std::vector<MemberStanding> ReplicaDriver::listStandings() const {
+  std::vector<MemberStanding> Standings;
+  for (const Member &Each : Core_.getLog().getMembers()) {
+    const Duration Silence = Core_.getSilence(Each.Id_, Time_.now());
+    Standings.push_back({Each, Silence < Settings_.ElectionTimeout_,
+                         Silence >= Settings_.GoneAfter_});
+  }
+  return Standings;
+}
+
 std::vector<MemberId> ReplicaDriver::getWaiting() const {
   const std::vector<Member> &Members = Core_.getLog().getMembers();
   std::vector<MemberId> Waiting;
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -15,6 +15,7 @@
 #include "replication/LogWriter.h"
 #include "replication/PendingCalls.h"
 #include "replication/RaftCore.h"
+#include "replication/Rejoin.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -98,6 +99,7 @@
   void takeSnapshotIfDue();
   Holdings getHoldings() const;
   std::vector<MemberId> getWaiting() const;
+  std::vector<MemberStanding> listStandings() const;
   void rejoinNext();
   void carryOut(FounderOutputs Out);
   void failWith(const Error &Why);
