Pace filling tasks by the tails of those that serve beside them

Change: PaceGuard, one pace a server, halved over the target, raised in steps; told with each answer while below full. Dispatcher counts half of what serving tasks reserve as idle and lets filling tasks in beside them.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -11,9 +11,14 @@
 /// How long a serving task waits for a server that serves already, and a
 /// filling one for a server where it disturbs nobody.
 static constexpr Duration CompanyPatience = 500ms;
-static constexpr Duration FillingPatience = 1500ms;
+static constexpr Duration FillingPatience = 300ms;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
+/// Serving tasks reserve for their peaks; on average they use half.
+static constexpr std::int64_t ServingUsePercent = 55;
+static constexpr std::int64_t Percent = 100;
+/// Where filling tasks must go slower than that, no more are added.
+static constexpr std::uint64_t LeastPace = 40;
 /// Bounds the work of one plan; the most urgent come first.
 static constexpr std::size_t MostStepsLookedAt = 256;
 /// What a server may start at once: a report's answer stays small.
@@ -41,17 +46,23 @@
   return Now - ReadySince_.try_emplace(Step, Now).first->second;
 }
 
+/// What a task is expected to use of what it reserves.
+static std::int64_t getUse(const StepSpec &Step) {
+  return isServing(Step) ? Step.Need_.MilliCpus_ * ServingUsePercent / Percent
+                         : Step.Need_.MilliCpus_;
+}
+
 Dispatcher::Room Dispatcher::measureRoom(const JobBook &Book,
                                          const ServerRecord &Server) const {
   Room Left;
   Left.Free_ = Server.Facts_.Capacity_ - Server.Used_;
+  Left.Idle_ = Server.Facts_.Capacity_.MilliCpus_;
   for (const auto &[Task, Run] : Server.Placed_) {
     const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
     Left.HasServing_ = Left.HasServing_ || isServing(Step);
-    if (Step.Fills_) {
-      Left.FillingCpus_ += Step.Need_.MilliCpus_;
+    Left.Idle_ -= getUse(Step);
+    if (Step.Fills_)
       ++Left.Filling_;
-    }
   }
   return Left;
 }
@@ -78,26 +89,26 @@
       return false;
     return Left.HasServing_ || Waited >= CompanyPatience;
   }
-  const std::int64_t Idle = Left.Free_.MilliCpus_ - Left.FillingCpus_;
   if (Step.Fills_) {
-    if (Left.HasServing_ && Waited < FillingPatience)
-      return false;
-    return Step.Need_.MilliCpus_ <= Idle;
+    const bool IsWelcome =
+        !Left.HasServing_ ||
+        (Left.Pace_ >= LeastPace && Waited >= FillingPatience);
+    return IsWelcome && Step.Need_.MilliCpus_ <= Left.Idle_;
   }
-  return Step.Need_.MilliCpus_ <= Idle || Waited >= IdlePatience;
+  return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
 }
 
 void Dispatcher::take(const StepSpec &Step, Room &Left) const {
   Left.Free_ = Left.Free_ - Step.getReserved();
   Left.HasServing_ = Left.HasServing_ || isServing(Step);
-  if (!Step.Fills_)
-    return;
-  Left.FillingCpus_ += Step.Need_.MilliCpus_;
-  ++Left.Filling_;
+  Left.Idle_ -= getUse(Step);
+  if (Step.Fills_)
+    ++Left.Filling_;
 }
 
 std::vector<TaskStart> Dispatcher::plan(const JobBook &Book,
                                         const ServerBoard &Board,
+                                        const PaceGuard &Paces,
                                         const std::string &ServerId,
                                         TimePoint Now) {
   std::vector<TaskStart> Starts;
@@ -108,6 +119,7 @@
   if (!MayStart)
     return Starts;
   Room Left = measureRoom(Book, *Server);
+  Left.Pace_ = Paces.getPace(ServerId);
   std::size_t LookedAt = 0;
   for (const ReadyStep &Ready : Book.readySteps()) {
     const bool IsEnough = ++LookedAt > MostStepsLookedAt ||
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -10,6 +10,7 @@
 #ifndef TULIPWEIR_SRC_JOBS_DISPATCHER_H
 #define TULIPWEIR_SRC_JOBS_DISPATCHER_H
 
+#include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
 
 #include <set>
@@ -24,6 +25,7 @@
   void reset();
   /// What the server shall start now. The tasks count as taken until settle.
   std::vector<TaskStart> plan(const JobBook &Book, const ServerBoard &Board,
+                              const PaceGuard &Paces,
                               const std::string &ServerId, TimePoint Now);
   /// The starts were applied or refused.
   void settle(const std::vector<TaskStart> &Starts);
@@ -37,7 +39,9 @@
   /// The room on one server, as the plan uses it up.
   struct Room {
     Resources Free_;
-    std::int64_t FillingCpus_ = 0; ///< Of filling tasks, thousandths.
+    /// Processors that are expected to stay idle, thousandths.
+    std::int64_t Idle_ = 0;
+    std::uint64_t Pace_ = 100; ///< Of filling tasks, percent.
     bool HasServing_ = false;
     std::uint64_t Filling_ = 0;
   };
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -1,6 +1,7 @@
 #include "tulipweir/jobs/JobLeader.h"
 
 #include "jobs/Dispatcher.h"
+#include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
 #include "replication/LeaderWatch.h"
 
@@ -19,6 +20,9 @@
 static constexpr Duration RefusalPause = 500ms;
 /// How long a report of a life that has ended may still be on its way.
 static constexpr Duration RetiredFor = 60s;
+/// How soon a server whose filling tasks are paced reports again: its tails are
+/// measured over half a second.
+static constexpr std::uint64_t PacedReportMs = 250;
 static constexpr std::uint64_t Percent = 100;
 
 static std::string toText(const TaskKey &Task) {
@@ -83,6 +87,8 @@
   void noteEnds(const HandlingPtr &Current);
   void startTasks(const HandlingPtr &Current);
   void answer(const HandlingPtr &Current);
+  void notePace(const ServerReport &Report);
+  void addPaces(const ServerReport &Report, ServerOrders &Orders) const;
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
   ServerOrders makeOrders(const ServerReport &Report,
                           std::vector<TaskEnd> &NeverRan);
@@ -98,6 +104,7 @@
   std::uint64_t Term_ = 0;
   ServerBoard Board_;
   Dispatcher Dispatcher_;
+  PaceGuard Paces_;
   std::deque<std::pair<std::string, TimePoint>> Retired_;
   std::map<std::string, TimePoint> EndedSince_;
 };
@@ -114,6 +121,7 @@
   Term_ = Term;
   const TimePoint Now = Time_.now();
   Dispatcher_.reset();
+  Paces_.reset();
   EndedSince_.clear();
   // An earlier leader's last answer left before this one was elected.
   const Duration Longest =
@@ -490,6 +498,61 @@
   }
 }
 
+/// Finds what the tasks that serve report, as percent of their targets.
+void JobLeader::Impl::notePace(const ServerReport &Report) {
+  std::uint64_t Worst = 0;
+  bool HasFilling = false;
+  Machine_.read([&](const JobBook &Book) {
+    for (const RunningTask &Running : Report.Running_) {
+      const JobRecord *Job = Book.findJob(Running.Task_.Job_);
+      if (!Job || Running.Task_.Step_ >= Job->Spec_.Steps_.size())
+        continue;
+      const StepSpec &Step = Job->Spec_.Steps_[Running.Task_.Step_];
+      HasFilling = HasFilling || Step.Fills_;
+      // At least 1, so that a server where something serves is known as such.
+      if (Step.TailTargetMs_ > 0)
+        Worst = std::max(Worst, std::max<std::uint64_t>(
+                                    Running.Measure_ * Percent /
+                                        Step.TailTargetMs_,
+                                    1));
+    }
+    return 0;
+  });
+  const std::string &Id = Report.Facts_.Id_;
+  const std::uint64_t Before = Paces_.getPace(Id);
+  Paces_.note(Id, Worst, HasFilling, Time_.now());
+  if (Paces_.getPace(Id) == Before)
+    return;
+  Event Line;
+  Line.Kind_ = EventKind::TaskPaced;
+  Line.Server_ = Id;
+  Line.Count_ = Paces_.getPace(Id);
+  Line.Reason_ = "worst tail at " + std::to_string(Worst) + "% of its target";
+  Line.Outcome_ = HasFilling ? "filling tasks told" : "no filling task here";
+  Log_.write(Line);
+}
+
+/// Also for the tasks that this very answer starts.
+void JobLeader::Impl::addPaces(const ServerReport &Report,
+                               ServerOrders &Orders) const {
+  const std::uint64_t Pace = Paces_.getPace(Report.Facts_.Id_);
+  if (!Paces_.isToBeTold(Report.Facts_.Id_, Time_.now()))
+    return;
+  Orders.NextReportMs_ = PacedReportMs;
+  Machine_.read([&](const JobBook &Book) {
+    for (const RunningTask &Running : Report.Running_) {
+      const JobRecord *Job = Book.findJob(Running.Task_.Job_);
+      if (Job && Running.Task_.Step_ < Job->Spec_.Steps_.size() &&
+          Job->Spec_.Steps_[Running.Task_.Step_].Fills_)
+        Orders.Paces_.push_back({Running.Task_, Running.Run_, Pace});
+    }
+    for (const StartOrder &Start : Orders.Starts_)
+      if (Book.findJob(Start.Task_.Job_)->Spec_.Steps_[Start.Task_.Step_].Fills_)
+        Orders.Paces_.push_back({Start.Task_, Start.Run_, Pace});
+    return 0;
+  });
+}
+
 void JobLeader::Impl::noteEnds(const HandlingPtr &Current) {
   const ServerReport &Report = Current->Report_;
   const std::string &Id = Report.Facts_.Id_;
@@ -505,6 +568,7 @@
   }
   if (Current->IsStale_)
     return Current->Reply_(ServerOrders{});
+  notePace(Report);
   EndTasks Command{Id, {}};
   Machine_.read([&](const JobBook &Book) {
     const ServerRecord *Server = Book.findServer(Id);
@@ -553,7 +617,7 @@
 void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
   const std::string &Id = Current->Report_.Facts_.Id_;
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
-    return Dispatcher_.plan(Book, Board_, Id, Time_.now());
+    return Dispatcher_.plan(Book, Board_, Paces_, Id, Time_.now());
   });
   if (Starts.empty())
     return answer(Current);
@@ -649,6 +713,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(
           Settings_.ReportInterval_)
           .count());
+  addPaces(Report, Orders);
   // Directly before the promise: another may lead by now.
   const TimePoint Now = Time_.now();
   if (Group_.findLeaseTerm(Now) != Term_)
