Learn which filling image disturbs which serving one

Ruled out: a fit of the tail itself or of its inverse (the logarithm over the server's share fits as well and stays bounded), the number of tasks instead of the processors used. Change: TailEffects (recursive least squares by image pair) tells disturbing tasks; PaceGuard slows those first; the dispatcher holds them back from servers that they disturb and groups serving tasks by image.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -8,15 +8,18 @@
 
 /// Two rounds of reports: by then every server of a rack has asked once.
 static constexpr Duration RackPatience = 500ms;
-/// How long a serving task waits for a server that serves already, and a
-/// filling one for a server where it disturbs nobody.
+/// How long a serving task waits for a server where only its own image serves,
+/// and a filling one for a server where it disturbs nobody.
 static constexpr Duration CompanyPatience = 500ms;
-static constexpr Duration FillingPatience = 300ms;
+static constexpr Duration FillingPatience = 1000ms;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
 /// Serving tasks reserve for their peaks; on average they use half.
 static constexpr std::int64_t ServingUsePercent = 55;
 static constexpr std::int64_t Percent = 100;
+/// A filling image that uses a tenth of a server's processors lengthens a tail
+/// by a sixth or more; measured effects are near 0 or from 3 to 6.
+static constexpr double DisturbingEffect = 1.5;
 /// Where filling tasks must go slower than that, no more are added.
 static constexpr std::uint64_t LeastPace = 40;
 /// Bounds the work of one plan; the most urgent come first.
@@ -59,7 +62,8 @@
   Left.Idle_ = Server.Facts_.Capacity_.MilliCpus_;
   for (const auto &[Task, Run] : Server.Placed_) {
     const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
-    Left.HasServing_ = Left.HasServing_ || isServing(Step);
+    if (isServing(Step))
+      Left.Serving_.insert(Step.Image_);
     Left.Idle_ -= getUse(Step);
     if (Step.Fills_)
       ++Left.Filling_;
@@ -84,23 +88,54 @@
   if (!Step.DataRack_.empty() && Step.DataRack_ != Server.Facts_.Rack_ &&
       Waited < RackPatience)
     return false;
-  if (isServing(Step)) {
-    if (Left.Filling_ > 0 && Waited < FillingPatience)
-      return false;
-    return Left.HasServing_ || Waited >= CompanyPatience;
-  }
-  if (Step.Fills_) {
-    const bool IsWelcome =
-        !Left.HasServing_ ||
-        (Left.Pace_ >= LeastPace && Waited >= FillingPatience);
-    return IsWelcome && Step.Need_.MilliCpus_ <= Left.Idle_;
-  }
+  if (isServing(Step))
+    return isFitToServe(Step, Left, Waited);
+  if (Step.Fills_)
+    return isFitToFill(Step, Left, Waited);
   return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
 }
 
-void Dispatcher::take(const StepSpec &Step, Room &Left) const {
+/// Tasks of one image together: what disturbs it is then kept from few servers.
+bool Dispatcher::isFitToServe(const StepSpec &Step, const Room &Left,
+                              Duration Waited) const {
+  const bool IsAmongEquals =
+      Left.Serving_.empty() ||
+      (Left.Serving_.size() == 1 && Left.Serving_.count(Step.Image_) == 1);
+  return IsAmongEquals || Waited >= CompanyPatience;
+}
+
+bool Dispatcher::isFitToFill(const StepSpec &Step, const Room &Left,
+                             Duration Waited) const {
+  if (Step.Need_.MilliCpus_ > Left.Idle_)
+    return false;
+  if (Left.Serving_.empty())
+    return true;
+  const bool Disturbs = isDisturbing(Left, Step.Image_);
+  const std::uint64_t Pace =
+      Disturbs ? Left.Pace_.Disturbing_ : Left.Pace_.Others_;
+  return Pace >= LeastPace &&
+         Waited >= (Disturbs ? FillingPatience : Duration(0));
+}
+
+bool Dispatcher::isDisturbing(const Room &Left,
+                              const std::string &Image) const {
+  return std::any_of(Left.Serving_.begin(), Left.Serving_.end(),
+                     [&](const std::string &Serving) {
+                       return Effects_.getEffect(Serving, Image) >=
+                              DisturbingEffect;
+                     });
+}
+
+bool Dispatcher::isDisturbing(const JobBook &Book, const std::string &ServerId,
+                              const std::string &Image) const {
+  const ServerRecord *Server = Book.findServer(ServerId);
+  return Server && isDisturbing(measureRoom(Book, *Server), Image);
+}
+
+void Dispatcher::take(const StepSpec &Step, Room &Left) {
   Left.Free_ = Left.Free_ - Step.getReserved();
-  Left.HasServing_ = Left.HasServing_ || isServing(Step);
+  if (isServing(Step))
+    Left.Serving_.insert(Step.Image_);
   Left.Idle_ -= getUse(Step);
   if (Step.Fills_)
     ++Left.Filling_;
@@ -108,7 +143,6 @@
 
 std::vector<TaskStart> Dispatcher::plan(const JobBook &Book,
                                         const ServerBoard &Board,
-                                        const PaceGuard &Paces,
                                         const std::string &ServerId,
                                         TimePoint Now) {
   std::vector<TaskStart> Starts;
@@ -119,7 +153,7 @@
   if (!MayStart)
     return Starts;
   Room Left = measureRoom(Book, *Server);
-  Left.Pace_ = Paces.getPace(ServerId);
+  Left.Pace_ = Paces_.getPace(ServerId);
   std::size_t LookedAt = 0;
   for (const ReadyStep &Ready : Book.readySteps()) {
     const bool IsEnough = ++LookedAt > MostStepsLookedAt ||
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -12,6 +12,7 @@
 
 #include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
+#include "jobs/TailEffects.h"
 
 #include <set>
 
@@ -20,12 +21,15 @@
 /// Not thread-safe.
 class Dispatcher {
 public:
+  /// Both must outlive it.
+  Dispatcher(const TailEffects &Effects, const PaceGuard &Paces)
+      : Effects_(Effects), Paces_(Paces) {}
+
   // Commands.
 
   void reset();
   /// What the server shall start now. The tasks count as taken until settle.
   std::vector<TaskStart> plan(const JobBook &Book, const ServerBoard &Board,
-                              const PaceGuard &Paces,
                               const std::string &ServerId, TimePoint Now);
   /// The starts were applied or refused.
   void settle(const std::vector<TaskStart> &Starts);
@@ -35,15 +39,22 @@
   /// Forgets since when steps that are no longer ready have been waiting.
   void prune(const JobBook &Book);
 
+  // Queries.
+
+  /// Whether filling tasks of the image are known to lengthen the tail of
+  /// something that serves on the server.
+  bool isDisturbing(const JobBook &Book, const std::string &ServerId,
+                    const std::string &Image) const;
+
 private:
   /// The room on one server, as the plan uses it up.
   struct Room {
     Resources Free_;
     /// Processors that are expected to stay idle, thousandths.
     std::int64_t Idle_ = 0;
-    std::uint64_t Pace_ = 100; ///< Of filling tasks, percent.
-    bool HasServing_ = false;
-    std::uint64_t Filling_ = 0;
+    FillingPace Pace_;
+    std::set<std::string> Serving_; ///< Images that serve there.
+    std::uint64_t Filling_ = 0;     ///< Tasks that fill.
   };
 
   Room measureRoom(const JobBook &Book, const ServerRecord &Server) const;
@@ -52,7 +63,15 @@
              Duration Waited) const;
   std::uint64_t countBeside(const ServerRecord &Server,
                             const ReadyStep &Step) const;
-  void take(const StepSpec &Step, Room &Left) const;
+  static void take(const StepSpec &Step, Room &Left);
+  bool isDisturbing(const Room &Left, const std::string &Image) const;
+  bool isFitToServe(const StepSpec &Step, const Room &Left,
+                    Duration Waited) const;
+  bool isFitToFill(const StepSpec &Step, const Room &Left,
+                   Duration Waited) const;
+
+  const TailEffects &Effects_;
+  const PaceGuard &Paces_;
 
   std::map<ReadyStep, TimePoint> ReadySince_;
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -103,8 +103,9 @@
 
   std::uint64_t Term_ = 0;
   ServerBoard Board_;
-  Dispatcher Dispatcher_;
+  TailEffects Effects_;
   PaceGuard Paces_;
+  Dispatcher Dispatcher_{Effects_, Paces_};
   std::deque<std::pair<std::string, TimePoint>> Retired_;
   std::map<std::string, TimePoint> EndedSince_;
 };
@@ -122,6 +123,7 @@
   const TimePoint Now = Time_.now();
   Dispatcher_.reset();
   Paces_.reset();
+  Effects_.reset();
   EndedSince_.clear();
   // An earlier leader's last answer left before this one was elected.
   const Duration Longest =
@@ -498,57 +500,83 @@
   }
 }
 
-/// Finds what the tasks that serve report, as percent of their targets.
+/// The step of a reported run; nullptr for one that is not known.
+static const StepSpec *findStep(const JobBook &Book, const TaskKey &Task) {
+  const JobRecord *Job = Book.findJob(Task.Job_);
+  const bool IsKnown = Job && Task.Step_ < Job->Spec_.Steps_.size();
+  return IsKnown ? &Job->Spec_.Steps_[Task.Step_] : nullptr;
+}
+
+/// Learns from the tails that serving tasks report, and sets the pace of the
+/// filling tasks beside them.
 void JobLeader::Impl::notePace(const ServerReport &Report) {
-  std::uint64_t Worst = 0;
-  bool HasFilling = false;
+  const std::string &Id = Report.Facts_.Id_;
+  TailReading Reading;
+  bool HasServing = false;
   Machine_.read([&](const JobBook &Book) {
+    const double Capacity = double(Report.Facts_.Capacity_.MilliCpus_);
+    FillingUse Use;
+    for (const RunningTask &Running : Report.Running_)
+      if (const StepSpec *Step = findStep(Book, Running.Task_);
+          Step && Step->Fills_ && Capacity > 0)
+        Use[Step->Image_] += double(Running.Measure_) / Capacity;
     for (const RunningTask &Running : Report.Running_) {
-      const JobRecord *Job = Book.findJob(Running.Task_.Job_);
-      if (!Job || Running.Task_.Step_ >= Job->Spec_.Steps_.size())
+      const StepSpec *Step = findStep(Book, Running.Task_);
+      if (!Step || Step->TailTargetMs_ == 0)
         continue;
-      const StepSpec &Step = Job->Spec_.Steps_[Running.Task_.Step_];
-      HasFilling = HasFilling || Step.Fills_;
-      // At least 1, so that a server where something serves is known as such.
-      if (Step.TailTargetMs_ > 0)
-        Worst = std::max(Worst, std::max<std::uint64_t>(
-                                    Running.Measure_ * Percent /
-                                        Step.TailTargetMs_,
-                                    1));
+      HasServing = true;
+      const std::uint64_t Tail =
+          Running.Measure_ * Percent / Step->TailTargetMs_;
+      Reading.TailPercent_ = std::max(Reading.TailPercent_, Tail);
+      Effects_.learn(Step->Image_, Use, double(Tail) / double(Percent));
     }
+    for (const RunningTask &Running : Report.Running_)
+      if (const StepSpec *Step = findStep(Book, Running.Task_);
+          Step && Step->Fills_) {
+        const bool Disturbs = Dispatcher_.isDisturbing(Book, Id, Step->Image_);
+        Reading.HasDisturbing_ = Reading.HasDisturbing_ || Disturbs;
+        Reading.HasOthers_ = Reading.HasOthers_ || !Disturbs;
+      }
     return 0;
   });
-  const std::string &Id = Report.Facts_.Id_;
-  const std::uint64_t Before = Paces_.getPace(Id);
-  Paces_.note(Id, Worst, HasFilling, Time_.now());
-  if (Paces_.getPace(Id) == Before)
+  if (!HasServing)
+    return Paces_.forget(Id);
+  const FillingPace Before = Paces_.getPace(Id);
+  Paces_.note(Id, Reading, Time_.now());
+  const FillingPace After = Paces_.getPace(Id);
+  if (After == Before)
     return;
   Event Line;
   Line.Kind_ = EventKind::TaskPaced;
   Line.Server_ = Id;
-  Line.Count_ = Paces_.getPace(Id);
-  Line.Reason_ = "worst tail at " + std::to_string(Worst) + "% of its target";
-  Line.Outcome_ = HasFilling ? "filling tasks told" : "no filling task here";
+  Line.Count_ = After.Disturbing_;
+  Line.Reason_ = "worst tail at " + std::to_string(Reading.TailPercent_) +
+                 "% of its target";
+  Line.Outcome_ = "others at " + std::to_string(After.Others_);
   Log_.write(Line);
 }
 
 /// Also for the tasks that this very answer starts.
 void JobLeader::Impl::addPaces(const ServerReport &Report,
                                ServerOrders &Orders) const {
-  const std::uint64_t Pace = Paces_.getPace(Report.Facts_.Id_);
-  if (!Paces_.isToBeTold(Report.Facts_.Id_, Time_.now()))
+  const std::string &Id = Report.Facts_.Id_;
+  if (!Paces_.isToBeTold(Id, Time_.now()))
     return;
+  const FillingPace Pace = Paces_.getPace(Id);
   Orders.NextReportMs_ = PacedReportMs;
   Machine_.read([&](const JobBook &Book) {
-    for (const RunningTask &Running : Report.Running_) {
-      const JobRecord *Job = Book.findJob(Running.Task_.Job_);
-      if (Job && Running.Task_.Step_ < Job->Spec_.Steps_.size() &&
-          Job->Spec_.Steps_[Running.Task_.Step_].Fills_)
-        Orders.Paces_.push_back({Running.Task_, Running.Run_, Pace});
-    }
+    const auto Add = [&](const TaskKey &Task, std::uint64_t Run) {
+      const StepSpec *Step = findStep(Book, Task);
+      if (!Step || !Step->Fills_)
+        return;
+      const bool Disturbs = Dispatcher_.isDisturbing(Book, Id, Step->Image_);
+      Orders.Paces_.push_back(
+          {Task, Run, Disturbs ? Pace.Disturbing_ : Pace.Others_});
+    };
+    for (const RunningTask &Running : Report.Running_)
+      Add(Running.Task_, Running.Run_);
     for (const StartOrder &Start : Orders.Starts_)
-      if (Book.findJob(Start.Task_.Job_)->Spec_.Steps_[Start.Task_.Step_].Fills_)
-        Orders.Paces_.push_back({Start.Task_, Start.Run_, Pace});
+      Add(Start.Task_, Start.Run_);
     return 0;
   });
 }
@@ -617,7 +645,7 @@
 void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
   const std::string &Id = Current->Report_.Facts_.Id_;
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
-    return Dispatcher_.plan(Book, Board_, Paces_, Id, Time_.now());
+    return Dispatcher_.plan(Book, Board_, Id, Time_.now());
   });
   if (Starts.empty())
     return answer(Current);
--- a/src/jobs/PaceGuard.cpp
+++ b/src/jobs/PaceGuard.cpp
@@ -16,59 +16,58 @@
 static constexpr std::uint64_t ClosePercent = 85;
 static constexpr std::uint64_t LowPercent = 65;
 static constexpr std::uint64_t StepUp = 15;
-/// A changed pace is repeated for so long, as answers may be lost.
-static constexpr Duration TellFor = 2s;
 static constexpr std::uint64_t FullPace = 100;
 /// Below that filling work is not worth its disturbance.
 static constexpr std::uint64_t LeastPace = 10;
+/// A changed pace is repeated for so long, as answers may be lost.
+static constexpr Duration TellFor = 2s;
 
-void PaceGuard::note(const std::string &ServerId, std::uint64_t TailPercent,
-                     bool HasFilling, TimePoint Now) {
-  if (TailPercent == 0) {
-    Servers_.erase(ServerId);
-    return;
-  }
+static std::uint64_t lower(std::uint64_t Pace, std::uint64_t TailPercent) {
+  if (TailPercent >= FarOverPercent)
+    return 0;
+  const std::uint64_t Next =
+      TailPercent >= OverPercent ? Pace / 2 : Pace * 3 / 4;
+  return Next < LeastPace ? 0 : Next;
+}
+
+static std::uint64_t raise(std::uint64_t Pace) {
+  return std::min(Pace + StepUp, FullPace);
+}
+
+void PaceGuard::note(const std::string &ServerId, const TailReading &Reading,
+                     TimePoint Now) {
   const auto [Place, IsNew] = Servers_.try_emplace(ServerId);
   Level &Own = Place->second;
   if (!IsNew && Now - Own.ChangedAt_ < EffectTime)
     return;
-  std::uint64_t Next = Own.Percent_;
-  if (TailPercent >= FarOverPercent)
-    Next = 0;
-  else if (TailPercent >= OverPercent)
-    Next = Own.Percent_ / 2;
-  else if (TailPercent >= ClosePercent)
-    Next = Own.Percent_ * 3 / 4;
-  else if (TailPercent < LowPercent)
-    Next = std::min(Own.Percent_ + StepUp, FullPace);
-  if (Next < LeastPace && Next < Own.Percent_)
-    Next = 0;
-  // Without filling tasks it is not they that lengthen the tail: a new one
-  // begins carefully.
-  if (!HasFilling)
-    Next = std::max(Next, TailPercent < ClosePercent ? StepUp * 2 : Next);
-  if (Next == Own.Percent_)
+  FillingPace Next = Own.Pace_;
+  const std::uint64_t Tail = Reading.TailPercent_;
+  if (Tail >= ClosePercent) {
+    // The others follow only where nothing is left to take from those that are
+    // known to disturb.
+    if (Reading.HasDisturbing_ && Next.Disturbing_ > 0)
+      Next.Disturbing_ = lower(Next.Disturbing_, Tail);
+    else if (Reading.HasOthers_ && Tail >= OverPercent)
+      Next.Others_ = lower(Next.Others_, Tail);
+  } else if (Tail < LowPercent) {
+    if (Next.Others_ < FullPace)
+      Next.Others_ = raise(Next.Others_);
+    else
+      Next.Disturbing_ = raise(Next.Disturbing_);
+  }
+  if (Next == Own.Pace_)
     return;
-  if (Next == 0)
-    Own.ZeroSince_ = Now;
-  Own.Percent_ = Next;
+  Own.Pace_ = Next;
   Own.ChangedAt_ = Now;
 }
 
-std::uint64_t PaceGuard::getPace(const std::string &ServerId) const {
+FillingPace PaceGuard::getPace(const std::string &ServerId) const {
   const auto Found = Servers_.find(ServerId);
-  return Found == Servers_.end() ? FullPace : Found->second.Percent_;
+  return Found == Servers_.end() ? FillingPace{} : Found->second.Pace_;
 }
 
 bool PaceGuard::isToBeTold(const std::string &ServerId, TimePoint Now) const {
   const auto Found = Servers_.find(ServerId);
-  return Found != Servers_.end() && (Found->second.Percent_ < FullPace ||
+  return Found != Servers_.end() && (!(Found->second.Pace_ == FillingPace{}) ||
                                      Now - Found->second.ChangedAt_ < TellFor);
 }
-
-Duration PaceGuard::getStandstill(const std::string &ServerId,
-                                  TimePoint Now) const {
-  const auto Found = Servers_.find(ServerId);
-  const bool Stands = Found != Servers_.end() && Found->second.Percent_ == 0;
-  return Stands ? Now - Found->second.ZeroSince_ : Duration(0);
-}
