Give disturbing filling tasks a small budget, move stuck ones, feasible jobs first

Change: a budget of 0.09 of a server's processors for all that disturbs, scaled by the nearest tail; others at full speed unless a tail stays over for 2 s; tasks that hardly work are stopped with their checkpoint where another server has room; jobs that can still meet their objective go before late ones.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "jobs/Dispatcher.h"
 
 #include <algorithm>
+#include <array>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -11,7 +12,10 @@
 /// How long a serving task waits for a server where only its own image serves,
 /// and a filling one for a server where it disturbs nobody.
 static constexpr Duration CompanyPatience = 500ms;
-static constexpr Duration FillingPatience = 1000ms;
+static constexpr Duration DisturbingPatience = 3000ms;
+/// How long a filling task that disturbs nobody leaves the servers to others
+/// where nobody can be disturbed.
+static constexpr Duration LightPatience = 1000ms;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
 /// Serving tasks reserve for their peaks; on average they use half.
@@ -22,6 +26,8 @@
 static constexpr double DisturbingEffect = 1.5;
 /// Where filling tasks must go slower than that, no more are added.
 static constexpr std::uint64_t LeastPace = 40;
+/// A job that takes so many times as long as allowed is worth nothing.
+static constexpr std::uint64_t LateFactor = 3;
 /// Bounds the work of one plan; the most urgent come first.
 static constexpr std::size_t MostStepsLookedAt = 256;
 /// What a server may start at once: a report's answer stays small.
@@ -50,7 +56,7 @@
 }
 
 /// What a task is expected to use of what it reserves.
-static std::int64_t getUse(const StepSpec &Step) {
+static std::int64_t getUsedCpus(const StepSpec &Step) {
   return isServing(Step) ? Step.Need_.MilliCpus_ * ServingUsePercent / Percent
                          : Step.Need_.MilliCpus_;
 }
@@ -64,7 +70,7 @@
     const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
     if (isServing(Step))
       Left.Serving_.insert(Step.Image_);
-    Left.Idle_ -= getUse(Step);
+    Left.Idle_ -= getUsedCpus(Step);
     if (Step.Fills_)
       ++Left.Filling_;
   }
@@ -110,11 +116,50 @@
     return false;
   if (Left.Serving_.empty())
     return true;
-  const bool Disturbs = isDisturbing(Left, Step.Image_);
-  const std::uint64_t Pace =
-      Disturbs ? Left.Pace_.Disturbing_ : Left.Pace_.Others_;
-  return Pace >= LeastPace &&
-         Waited >= (Disturbs ? FillingPatience : Duration(0));
+  if (isDisturbing(Left, Step.Image_))
+    return Step.Need_.MilliCpus_ <= Left.Budget_ &&
+           Waited >= DisturbingPatience;
+  // One that disturbs nobody anywhere leaves the servers where nothing can be
+  // disturbed to those that would disturb elsewhere.
+  const bool IsLight =
+      Effects_.getLargestOn(Step.Image_) < DisturbingEffect;
+  const bool IsBetterElsewhere =
+      IsLight && HasWaitingHeavy_ && isSafeForAll(Left);
+  return Left.Pace_.Others_ >= LeastPace &&
+         (!IsBetterElsewhere || Waited >= LightPatience);
+}
+
+bool Dispatcher::isSafeForAll(const Room &Left) const {
+  return std::all_of(Left.Serving_.begin(), Left.Serving_.end(),
+                     [this](const std::string &Serving) {
+                       return Effects_.getLargestOf(Serving) < DisturbingEffect;
+                     });
+}
+
+void Dispatcher::surveySafeRoom(const JobBook &Book, const ServerBoard &Board) {
+  SafeRoom_ = 0;
+  for (const auto &[Id, Server] : Book.servers()) {
+    const ServerLive *Live = Board.find(Id);
+    const Room Left = measureRoom(Book, Server);
+    if (Live && !Live->IsDraining_ && isSafeForAll(Left))
+      SafeRoom_ += std::max<std::int64_t>(Left.Idle_, 0);
+  }
+  // What waits already goes first.
+  for (const ReadyStep &Ready : Book.readySteps()) {
+    const JobRecord &Job = *Book.findJob(Ready.Job_);
+    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    const std::uint64_t Waiting =
+        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
+    if (Step.Fills_)
+      SafeRoom_ -= Step.Need_.MilliCpus_ * static_cast<std::int64_t>(Waiting);
+  }
+}
+
+bool Dispatcher::takeSafeRoom(const StepSpec &Step) {
+  if (Step.Need_.MilliCpus_ > SafeRoom_)
+    return false;
+  SafeRoom_ -= Step.Need_.MilliCpus_;
+  return true;
 }
 
 bool Dispatcher::isDisturbing(const Room &Left,
@@ -136,15 +181,74 @@
   Left.Free_ = Left.Free_ - Step.getReserved();
   if (isServing(Step))
     Left.Serving_.insert(Step.Image_);
-  Left.Idle_ -= getUse(Step);
+  Left.Idle_ -= getUsedCpus(Step);
   if (Step.Fills_)
     ++Left.Filling_;
 }
 
+/// The longest chain of declared work that is left of an occurrence.
+static std::uint64_t getRemainingMs(const JobRecord &Job,
+                                    const OccurrenceRecord &Occurrence) {
+  std::vector<std::uint64_t> Ends;
+  std::uint64_t Longest = 0;
+  for (std::size_t At = 0; At < Job.Spec_.Steps_.size(); ++At) {
+    const StepSpec &Step = Job.Spec_.Steps_[At];
+    std::uint64_t Begin = 0;
+    for (const std::uint64_t Other : Step.DependsOn_)
+      Begin = std::max(Begin, Ends[Other]);
+    const StepRecord &Record = Occurrence.Steps_[At];
+    const bool IsDone = Record.Done_ == Record.Tasks_.size();
+    Ends.push_back(Begin + (IsDone ? 0 : Step.EstimateMs_));
+    Longest = std::max(Longest, Ends.back());
+  }
+  return Longest;
+}
+
+/// 0: can still be done by its objective; 1: late, but worth something; 2: too
+/// late for anybody, though it has to be done.
+static std::size_t getUse(const JobRecord &Job,
+                          const OccurrenceRecord &Occurrence, WallTime Wall) {
+  const auto Now = static_cast<std::uint64_t>(Wall.count());
+  const std::uint64_t Allowed = Job.getDueMs() - Job.AcceptedMs_;
+  const std::uint64_t End = Now + getRemainingMs(Job, Occurrence);
+  const bool IsTimed = Job.Spec_.RepeatCount_ > 0;
+  if (IsTimed || End <= Job.AcceptedMs_ + Allowed)
+    return 0;
+  return End <= Job.AcceptedMs_ + LateFactor * Allowed ? 1 : 2;
+}
+
+/// Within a priority, what can still be in time goes before what can't.
+static std::vector<const ReadyStep *> sortByUse(const JobBook &Book,
+                                                WallTime Wall) {
+  std::vector<const ReadyStep *> Sorted;
+  std::array<std::vector<const ReadyStep *>, 3> Classes;
+  std::uint64_t Priority = 0;
+  const auto Flush = [&] {
+    for (std::vector<const ReadyStep *> &Each : Classes) {
+      Sorted.insert(Sorted.end(), Each.begin(), Each.end());
+      Each.clear();
+    }
+  };
+  for (const ReadyStep &Ready : Book.readySteps()) {
+    if (Ready.Priority_ != Priority)
+      Flush();
+    Priority = Ready.Priority_;
+    const JobRecord &Job = *Book.findJob(Ready.Job_);
+    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    const std::size_t Class =
+        Step.LongRunning_
+            ? 0
+            : getUse(Job, *Job.findOccurrence(Ready.Occurrence_), Wall);
+    Classes.at(Class).push_back(&Ready);
+  }
+  Flush();
+  return Sorted;
+}
+
 std::vector<TaskStart> Dispatcher::plan(const JobBook &Book,
                                         const ServerBoard &Board,
                                         const std::string &ServerId,
-                                        TimePoint Now) {
+                                        TimePoint Now, WallTime Wall) {
   std::vector<TaskStart> Starts;
   const ServerRecord *Server = Book.findServer(ServerId);
   const ServerLive *Live = Board.find(ServerId);
@@ -152,10 +256,27 @@
                         !Live->IsRemoving_ && Live->NoStartsUntil_ <= Now;
   if (!MayStart)
     return Starts;
+  HasWaitingHeavy_ = false;
+  for (const ReadyStep &Ready : Book.readySteps()) {
+    const StepSpec &Step =
+        Book.findJob(Ready.Job_)->Spec_.Steps_[Ready.Step_];
+    HasWaitingHeavy_ =
+        HasWaitingHeavy_ ||
+        (Step.Fills_ && Effects_.getLargestOn(Step.Image_) >= DisturbingEffect);
+  }
   Room Left = measureRoom(Book, *Server);
   Left.Pace_ = Paces_.getPace(ServerId);
+  Left.Budget_ = static_cast<std::int64_t>(
+      Paces_.getBudget(ServerId) *
+      double(Server->Facts_.Capacity_.MilliCpus_));
+  for (const auto &[Task, Run] : Server->Placed_) {
+    const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
+    if (Step.Fills_ && isDisturbing(Left, Step.Image_))
+      Left.Budget_ -= Step.Need_.MilliCpus_;
+  }
   std::size_t LookedAt = 0;
-  for (const ReadyStep &Ready : Book.readySteps()) {
+  for (const ReadyStep *Each : sortByUse(Book, Wall)) {
+    const ReadyStep &Ready = *Each;
     const bool IsEnough = ++LookedAt > MostStepsLookedAt ||
                           Starts.size() >= MostStartsAtOnce;
     if (IsEnough)
@@ -185,6 +306,8 @@
         break;
       Starts.push_back(Start);
       Taken_.insert(Start.Task_);
+      if (Step.Fills_ && isDisturbing(Left, Step.Image_))
+        Left.Budget_ -= Step.Need_.MilliCpus_;
       take(Step, Left);
       ++Beside;
     }
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -30,9 +30,15 @@
   void reset();
   /// What the server shall start now. The tasks count as taken until settle.
   std::vector<TaskStart> plan(const JobBook &Book, const ServerBoard &Board,
-                              const std::string &ServerId, TimePoint Now);
+                              const std::string &ServerId, TimePoint Now,
+                              WallTime Wall);
   /// The starts were applied or refused.
   void settle(const std::vector<TaskStart> &Starts);
+  /// Measures where tasks that disturb could go instead; now and then.
+  void surveySafeRoom(const JobBook &Book, const ServerBoard &Board);
+  /// Whether a task that hardly works where it is, as it would disturb, is to
+  /// be stopped so that it goes on elsewhere; takes the room that it needs.
+  bool takeSafeRoom(const StepSpec &Step);
   /// Whole gangs that can be placed now, over several servers.
   std::vector<TaskStart> planGang(const JobBook &Book, const ServerBoard &Board,
                                   TimePoint Now);
@@ -53,6 +59,8 @@
     /// Processors that are expected to stay idle, thousandths.
     std::int64_t Idle_ = 0;
     FillingPace Pace_;
+    /// Processors left to filling tasks that disturb, thousandths.
+    std::int64_t Budget_ = 0;
     std::set<std::string> Serving_; ///< Images that serve there.
     std::uint64_t Filling_ = 0;     ///< Tasks that fill.
   };
@@ -64,6 +72,7 @@
   std::uint64_t countBeside(const ServerRecord &Server,
                             const ReadyStep &Step) const;
   static void take(const StepSpec &Step, Room &Left);
+  bool isSafeForAll(const Room &Left) const;
   bool isDisturbing(const Room &Left, const std::string &Image) const;
   bool isFitToServe(const StepSpec &Step, const Room &Left,
                     Duration Waited) const;
@@ -74,6 +83,10 @@
   const PaceGuard &Paces_;
 
   std::map<ReadyStep, TimePoint> ReadySince_;
+  /// Idle processors of servers where nothing can be disturbed, thousandths.
+  std::int64_t SafeRoom_ = 0;
+  /// Whether tasks that disturb something wait: as of the plan in progress.
+  bool HasWaitingHeavy_ = false;
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
 };
 
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -23,6 +23,10 @@
 /// How soon a server whose filling tasks are paced reports again: its tails are
 /// measured over half a second.
 static constexpr std::uint64_t PacedReportMs = 250;
+/// A filling task slower than that is moved, if there is room elsewhere, unless
+/// it is nearly done.
+static constexpr std::uint64_t LeastPaceToStay = 40;
+static constexpr std::uint64_t LeastPercentToStay = 90;
 static constexpr std::uint64_t Percent = 100;
 
 static std::string toText(const TaskKey &Task) {
@@ -90,6 +94,8 @@
   void notePace(const ServerReport &Report);
   void addPaces(const ServerReport &Report, ServerOrders &Orders) const;
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
+  bool isToMove(const JobBook &Book, const ServerReport &Report,
+                const RunningTask &Running);
   ServerOrders makeOrders(const ServerReport &Report,
                           std::vector<TaskEnd> &NeverRan);
 
@@ -240,6 +246,7 @@
 void JobLeader::Impl::startGang() {
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
     Dispatcher_.prune(Book);
+    Dispatcher_.surveySafeRoom(Book, Board_);
     return Dispatcher_.planGang(Book, Board_, Time_.now());
   });
   if (Starts.empty())
@@ -520,6 +527,15 @@
       if (const StepSpec *Step = findStep(Book, Running.Task_);
           Step && Step->Fills_ && Capacity > 0)
         Use[Step->Image_] += double(Running.Measure_) / Capacity;
+    for (const RunningTask &Running : Report.Running_)
+      if (const StepSpec *Step = findStep(Book, Running.Task_);
+          Step && Step->Fills_) {
+        if (!Dispatcher_.isDisturbing(Book, Id, Step->Image_)) {
+          Reading.HasOthers_ = true;
+          continue;
+        }
+        Reading.Disturbing_ += double(Step->Need_.MilliCpus_) / Capacity;
+      }
     for (const RunningTask &Running : Report.Running_) {
       const StepSpec *Step = findStep(Book, Running.Task_);
       if (!Step || Step->TailTargetMs_ == 0)
@@ -528,15 +544,9 @@
       const std::uint64_t Tail =
           Running.Measure_ * Percent / Step->TailTargetMs_;
       Reading.TailPercent_ = std::max(Reading.TailPercent_, Tail);
-      Effects_.learn(Step->Image_, Use, double(Tail) / double(Percent));
+      Effects_.learn(Step->Image_, Use,
+                     double(std::max<std::uint64_t>(Tail, 1)) / Percent);
     }
-    for (const RunningTask &Running : Report.Running_)
-      if (const StepSpec *Step = findStep(Book, Running.Task_);
-          Step && Step->Fills_) {
-        const bool Disturbs = Dispatcher_.isDisturbing(Book, Id, Step->Image_);
-        Reading.HasDisturbing_ = Reading.HasDisturbing_ || Disturbs;
-        Reading.HasOthers_ = Reading.HasOthers_ || !Disturbs;
-      }
     return 0;
   });
   if (!HasServing)
@@ -645,7 +655,7 @@
 void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
   const std::string &Id = Current->Report_.Facts_.Id_;
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
-    return Dispatcher_.plan(Book, Board_, Id, Time_.now());
+    return Dispatcher_.plan(Book, Board_, Id, Time_.now(), Time_.wallNow());
   });
   if (Starts.empty())
     return answer(Current);
@@ -668,6 +678,20 @@
   });
 }
 
+/// Whether a task that hardly works, as it would disturb, can go on elsewhere. A
+/// stop costs it nothing, for it makes a checkpoint.
+bool JobLeader::Impl::isToMove(const JobBook &Book, const ServerReport &Report,
+                               const RunningTask &Running) {
+  const std::string &Id = Report.Facts_.Id_;
+  const StepSpec *Step = findStep(Book, Running.Task_);
+  const bool IsSlow =
+      Step && Step->Fills_ && Step->Checkpointing_ &&
+      Running.Percent_ < LeastPercentToStay &&
+      Paces_.getPace(Id).Disturbing_ < LeastPaceToStay &&
+      Dispatcher_.isDisturbing(Book, Id, Step->Image_);
+  return IsSlow && Dispatcher_.takeSafeRoom(*Step);
+}
+
 ServerOrders JobLeader::Impl::makeOrders(const ServerReport &Report,
                                          std::vector<TaskEnd> &NeverRan) {
   ServerOrders Orders;
@@ -689,9 +713,9 @@
       Orders.Stops_.push_back({Task, Run});
       StopsSent[Task] = Run;
     };
-    for (const auto &[Task, Run] : Reported)
-      if (!IsWanted(Task, Run))
-        Stop(Task, Run);
+    for (const RunningTask &Each : Report.Running_)
+      if (!IsWanted(Each.Task_, Each.Run_) || isToMove(Book, Report, Each))
+        Stop(Each.Task_, Each.Run_);
     for (const auto &[Task, Run] : Server->Placed_) {
       const auto Found = Reported.find(Task);
       if (Found != Reported.end() && Found->second == Run)
--- a/src/jobs/PaceGuard.cpp
+++ b/src/jobs/PaceGuard.cpp
@@ -9,56 +9,91 @@
 /// A tail is measured over half a second, and a pace is in force 100 ms after
 /// the server was told: only a later report shows the effect.
 static constexpr Duration EffectTime = 650ms;
-/// Over its target: halved. So far over: at once to a standstill.
+/// Of a server's processors, for all that disturbs: measured, tails begin to
+/// grow between a tenth and an eighth.
+static constexpr double UsualBudget = 0.09;
+/// All of it while the worst tail is below the first, nothing from the second.
+static constexpr std::uint64_t LowPercent = 60;
+static constexpr std::uint64_t ClosePercent = 95;
 static constexpr std::uint64_t OverPercent = 100;
 static constexpr std::uint64_t FarOverPercent = 200;
-/// Close to it: a little less. Well below: a little more.
-static constexpr std::uint64_t ClosePercent = 85;
-static constexpr std::uint64_t LowPercent = 65;
-static constexpr std::uint64_t StepUp = 15;
+/// Bounds and steps of the part of the budget that is given out.
+static constexpr double LeastTrust = 0.2;
+static constexpr double MostTrust = 1.2;
+static constexpr double TrustStep = 0.1;
+/// For so long a tail may be over its target before tasks that are not known to
+/// disturb are slowed; a fraction of the time after which it counts as harm.
+static constexpr Duration OthersPatience = 2000ms;
 static constexpr std::uint64_t FullPace = 100;
+static constexpr std::uint64_t StepUp = 34;
 /// Below that filling work is not worth its disturbance.
 static constexpr std::uint64_t LeastPace = 10;
+/// Smaller changes of a pace are not worth an order.
+static constexpr std::uint64_t SmallChange = 8;
 /// A changed pace is repeated for so long, as answers may be lost.
 static constexpr Duration TellFor = 2s;
 
-static std::uint64_t lower(std::uint64_t Pace, std::uint64_t TailPercent) {
-  if (TailPercent >= FarOverPercent)
-    return 0;
-  const std::uint64_t Next =
-      TailPercent >= OverPercent ? Pace / 2 : Pace * 3 / 4;
-  return Next < LeastPace ? 0 : Next;
+static bool isClose(std::uint64_t Left, std::uint64_t Right) {
+  const bool IsEdge = Left == 0 || Right == 0;
+  return Left == Right ||
+         (!IsEdge && std::max(Left, Right) - std::min(Left, Right) < SmallChange);
 }
 
-static std::uint64_t raise(std::uint64_t Pace) {
-  return std::min(Pace + StepUp, FullPace);
+double PaceGuard::getBudget(const Level &Own) {
+  const std::uint64_t Tail =
+      std::clamp(Own.TailPercent_, LowPercent, ClosePercent);
+  return UsualBudget * Own.Trust_ * double(ClosePercent - Tail) /
+         double(ClosePercent - LowPercent);
 }
 
 void PaceGuard::note(const std::string &ServerId, const TailReading &Reading,
                      TimePoint Now) {
   const auto [Place, IsNew] = Servers_.try_emplace(ServerId);
   Level &Own = Place->second;
-  if (!IsNew && Now - Own.ChangedAt_ < EffectTime)
-    return;
-  FillingPace Next = Own.Pace_;
+  Own.TailPercent_ = Reading.TailPercent_;
+  if (IsNew || Reading.TailPercent_ < OverPercent)
+    Own.GoodUntil_ = Now;
+  const FillingPace Before = Own.Pace_;
+  if (Now - Own.CorrectedAt_ >= EffectTime)
+    correct(Own, Reading, Now);
+  std::uint64_t Pace = FullPace;
+  if (Reading.Disturbing_ > 0)
+    Pace = std::min(FullPace,
+                    static_cast<std::uint64_t>(double(FullPace) * getBudget(Own) /
+                                               Reading.Disturbing_));
+  if (Pace < LeastPace)
+    Pace = 0;
+  if (!isClose(Pace, Own.Pace_.Disturbing_))
+    Own.Pace_.Disturbing_ = Pace;
+  if (!(Own.Pace_ == Before))
+    Own.ChangedAt_ = Now;
+}
+
+/// What the tails show after the last correction had its effect.
+void PaceGuard::correct(Level &Own, const TailReading &Reading, TimePoint Now) {
   const std::uint64_t Tail = Reading.TailPercent_;
-  if (Tail >= ClosePercent) {
-    // The others follow only where nothing is left to take from those that are
-    // known to disturb.
-    if (Reading.HasDisturbing_ && Next.Disturbing_ > 0)
-      Next.Disturbing_ = lower(Next.Disturbing_, Tail);
-    else if (Reading.HasOthers_ && Tail >= OverPercent)
-      Next.Others_ = lower(Next.Others_, Tail);
-  } else if (Tail < LowPercent) {
-    if (Next.Others_ < FullPace)
-      Next.Others_ = raise(Next.Others_);
-    else
-      Next.Disturbing_ = raise(Next.Disturbing_);
-  }
-  if (Next == Own.Pace_)
-    return;
-  Own.Pace_ = Next;
-  Own.ChangedAt_ = Now;
+  const double TrustBefore = Own.Trust_;
+  const std::uint64_t OthersBefore = Own.Pace_.Others_;
+  const bool MayBlame = Reading.Disturbing_ > 0 && Own.Pace_.Disturbing_ > 0;
+  if (Tail >= OverPercent && MayBlame)
+    Own.Trust_ = std::max(
+        Own.Trust_ * (Tail >= FarOverPercent ? 0.4 : 0.7), LeastTrust);
+  else if (Tail < LowPercent)
+    Own.Trust_ = std::min(Own.Trust_ + TrustStep, MostTrust);
+  if (Tail >= OverPercent && !MayBlame && Reading.HasOthers_ &&
+      Now - Own.GoodUntil_ >= OthersPatience)
+    Own.Pace_.Others_ = Own.Pace_.Others_ / 2 < LeastPace
+                            ? 0
+                            : Own.Pace_.Others_ / 2;
+  else if (Tail < ClosePercent)
+    Own.Pace_.Others_ = std::min(Own.Pace_.Others_ + StepUp, FullPace);
+  if (Own.Trust_ != TrustBefore || Own.Pace_.Others_ != OthersBefore)
+    Own.CorrectedAt_ = Now;
+}
+
+double PaceGuard::getBudget(const std::string &ServerId) const {
+  const auto Found = Servers_.find(ServerId);
+  return Found == Servers_.end() ? UsualBudget : getBudget(Found->second);
 }
 
 FillingPace PaceGuard::getPace(const std::string &ServerId) const {
--- a/src/jobs/PaceGuard.h
+++ b/src/jobs/PaceGuard.h
@@ -1,12 +1,12 @@
 //===- PaceGuard.h - Filling work beside work that serves ------*- C++ -*-===//
 //
-// Filling tasks lengthen the response times of tasks that serve beside them, by
-// amounts that nobody declares and that change within seconds. The guard sets a
-// pace for the filling tasks of a server from the tails that its serving tasks
-// report: down by half when one is over its target, up in small steps while all
-// are well below theirs. Tasks known to disturb are slowed first, the others
-// only if that does not help. It waits for a report that can show the effect of
-// its last change before it makes the next one. Pure.
+// Some filling tasks lengthen the response times of tasks that serve beside
+// them. Nobody declares which; measured, a pair of images either does so or not
+// at all, and one that does shows little until it uses about a tenth of a
+// server's processors, beyond which the tail grows many times over. So those
+// known to disturb share a budget of processors, smaller the nearer a tail is to
+// its target, and the others work at full speed unless a tail stays over its
+// target although nothing that disturbs is left. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -24,8 +24,10 @@
 /// What one report says of a server where something serves.
 struct TailReading {
   std::uint64_t TailPercent_ = 0; ///< The worst tail, of its target.
-  bool HasDisturbing_ = false;    ///< Filling tasks known to lengthen it.
-  bool HasOthers_ = false;        ///< Other filling tasks.
+  /// What filling tasks that are known to disturb ask for, as a share of the
+  /// server's processors.
+  double Disturbing_ = 0;
+  bool HasOthers_ = false; ///< Other filling tasks.
 };
 
 /// Percent of their speed.
@@ -49,6 +51,8 @@
   // Queries.
 
   FillingPace getPace(const std::string &ServerId) const;
+  /// The share of the server's processors that disturbing tasks may use.
+  double getBudget(const std::string &ServerId) const;
   /// Whether the server has to be told the pace: it is not the full one, or was
   /// not a moment ago.
   bool isToBeTold(const std::string &ServerId, TimePoint Now) const;
@@ -56,8 +60,15 @@
 private:
   struct Level {
     FillingPace Pace_;
+    double Trust_ = 1; ///< The part of the usual budget that is given out.
+    std::uint64_t TailPercent_ = 0; ///< As last reported.
+    TimePoint CorrectedAt_{};
+    TimePoint GoodUntil_{}; ///< When a tail was last below its target.
     TimePoint ChangedAt_{};
   };
+  static void correct(Level &Own, const TailReading &Reading, TimePoint Now);
+  static double getBudget(const Level &Own);
+
   std::map<std::string, Level> Servers_;
 };
 
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -94,3 +94,17 @@
                        Position->second < Found->second.Weights_.size();
   return IsKnown ? Found->second.Weights_[Position->second] : 0;
 }
+
+double TailEffects::getLargestOn(const std::string &Filling) const {
+  double Largest = 0;
+  for (const auto &[Serving, Own] : Models_)
+    Largest = std::max(Largest, getEffect(Serving, Filling));
+  return Largest;
+}
+
+double TailEffects::getLargestOf(const std::string &Serving) const {
+  double Largest = 0;
+  for (const auto &[Filling, Position] : Positions_)
+    Largest = std::max(Largest, getEffect(Serving, Filling));
+  return Largest;
+}
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -38,6 +38,11 @@
   double getEffect(const std::string &Serving,
                    const std::string &Filling) const;
 
+  /// The largest effect of the filling image on anything that serves.
+  double getLargestOn(const std::string &Filling) const;
+  /// The largest effect of anything that fills on the serving image.
+  double getLargestOf(const std::string &Serving) const;
+
 private:
   struct Model {
     std::vector<double> Weights_; ///< The base first.
