Place serving tasks beside such that are as sensitive

Cause: servers mixed images whose tails heavy filling tasks lengthen with ones that they don't; such a server is lost to heavy work. Change: once effects are learned, a serving task waits a moment for a server where all that serve are as sensitive as it is; before, for its own image.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -104,9 +104,13 @@
 /// Tasks of one image together: what disturbs it is then kept from few servers.
 bool Dispatcher::isFitToServe(const StepSpec &Step, const Room &Left,
                               Duration Waited) const {
-  const bool IsAmongEquals =
-      Left.Serving_.empty() ||
-      (Left.Serving_.size() == 1 && Left.Serving_.count(Step.Image_) == 1);
+  const bool IsSensitive = isSensitive(Step.Image_);
+  const bool IsAmongEquals = std::all_of(
+      Left.Serving_.begin(), Left.Serving_.end(),
+      [&](const std::string &Other) {
+        return Other == Step.Image_ ||
+               (HasLearned_ && isSensitive(Other) == IsSensitive);
+      });
   return IsAmongEquals || Waited >= CompanyPatience;
 }
 
@@ -129,11 +133,14 @@
          (!IsBetterElsewhere || Waited >= LightPatience);
 }
 
+bool Dispatcher::isSensitive(const std::string &Serving) const {
+  return Effects_.getLargestOf(Serving) >= DisturbingEffect;
+}
+
 bool Dispatcher::isSafeForAll(const Room &Left) const {
-  return std::all_of(Left.Serving_.begin(), Left.Serving_.end(),
-                     [this](const std::string &Serving) {
-                       return Effects_.getLargestOf(Serving) < DisturbingEffect;
-                     });
+  return std::none_of(
+      Left.Serving_.begin(), Left.Serving_.end(),
+      [this](const std::string &Serving) { return isSensitive(Serving); });
 }
 
 void Dispatcher::surveySafeRoom(const JobBook &Book, const ServerBoard &Board) {
@@ -256,6 +263,7 @@
                         !Live->IsRemoving_ && Live->NoStartsUntil_ <= Now;
   if (!MayStart)
     return Starts;
+  HasLearned_ = Effects_.hasLearned();
   HasWaitingHeavy_ = false;
   for (const ReadyStep &Ready : Book.readySteps()) {
     const StepSpec &Step =
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -73,6 +73,7 @@
                             const ReadyStep &Step) const;
   static void take(const StepSpec &Step, Room &Left);
   bool isSafeForAll(const Room &Left) const;
+  bool isSensitive(const std::string &Serving) const;
   bool isDisturbing(const Room &Left, const std::string &Image) const;
   bool isFitToServe(const StepSpec &Step, const Room &Left,
                     Duration Waited) const;
@@ -85,6 +86,8 @@
   std::map<ReadyStep, TimePoint> ReadySince_;
   /// Idle processors of servers where nothing can be disturbed, thousandths.
   std::int64_t SafeRoom_ = 0;
+  /// Whether enough reports have come to tell images apart.
+  bool HasLearned_ = false;
   /// Whether tasks that disturb something wait: as of the plan in progress.
   bool HasWaitingHeavy_ = false;
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -14,6 +14,8 @@
 static constexpr double FirstVariance = 50;
 /// A sample counts half after 350 more.
 static constexpr double Fading = 0.998;
+/// A few hundred reports of some tens of servers: some seconds.
+static constexpr std::uint64_t EnoughSamples = 500;
 /// Bounds a wild figure's influence.
 static constexpr double LeastLog = -3;
 static constexpr double MostLog = 2;
@@ -21,6 +23,7 @@
 void TailEffects::reset() {
   Positions_.clear();
   Models_.clear();
+  Samples_ = 0;
 }
 
 std::size_t TailEffects::findPosition(const std::string &Filling) {
@@ -58,6 +61,7 @@
   for (const auto &[Filling, Share] : Use)
     if (const std::size_t Position = findPosition(Filling); Position != 0)
       Inputs.emplace_back(Position, Share);
+  Samples_ += Use.empty() ? 0 : 1;
   Model &Own = Models_[Serving];
   grow(Own, Positions_.size() + 1);
   const std::size_t Size = Own.Weights_.size();
@@ -95,6 +99,8 @@
   return IsKnown ? Found->second.Weights_[Position->second] : 0;
 }
 
+bool TailEffects::hasLearned() const { return Samples_ >= EnoughSamples; }
+
 double TailEffects::getLargestOn(const std::string &Filling) const {
   double Largest = 0;
   for (const auto &[Serving, Own] : Models_)
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -12,6 +12,7 @@
 #define TULIPWEIR_SRC_JOBS_TAILEFFECTS_H
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -38,6 +39,8 @@
   double getEffect(const std::string &Serving,
                    const std::string &Filling) const;
 
+  /// Whether enough samples came for effects to mean something.
+  bool hasLearned() const;
   /// The largest effect of the filling image on anything that serves.
   double getLargestOn(const std::string &Filling) const;
   /// The largest effect of anything that fills on the serving image.
@@ -51,6 +54,7 @@
   std::size_t findPosition(const std::string &Filling);
   static void grow(Model &To, std::size_t Size);
 
+  std::uint64_t Samples_ = 0; ///< With something that fills.
   std::map<std::string, std::size_t> Positions_; ///< Of filling images.
   std::map<std::string, Model> Models_;          ///< By serving image.
 };
