--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -41,7 +41,7 @@
   TaskState State_ = TaskState::Waiting;
   std::uint64_t LastRun_ = 0; ///< 0 before the first.
   std::uint64_t FailedRuns_ = 0;
-  std::uint64_t LastFailedRun_ = 0;
+  std::uint64_t LastFailedRun_ = 0; ///< 0 if none has failed.
   std::string Checkpoint_;            ///< Where the next run resumes.
   std::vector<Placement> Placements_; ///< More than one for copies only.
   bool operator==(const TaskRecord &) const = default;
@@ -145,11 +145,13 @@
   void removeReadyOf(const JobRecord &Job);
   void place(const TaskStart &Start);
   void endRun(const std::string &Server, const TaskEnd &End);
+  static void noteFailure(const StepSpec &Spec, StepRecord &Step,
+                          TaskRecord &Task, std::uint64_t Run);
   void noteDone(JobRecord &Job, OccurrenceRecord &Occurrence,
                 std::size_t Step, TaskRecord &Task);
   void finishJob(JobRecord &Job, JobState State);
   void setWaiting(StepRecord &Step, TaskRecord &Task);
-  TaskRecord *findTask(const TaskKey &Task);
+  TaskRecord *findTaskToChange(const TaskKey &Task);
   void rebuildIndexes();
   bool isWholeGang(const std::vector<TaskStart> &Starts,
                    const TaskStart &Member) const;
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -67,7 +67,7 @@
                  : nullptr;
 }
 
-TaskRecord *JobBook::findTask(const TaskKey &Task) {
+TaskRecord *JobBook::findTaskToChange(const TaskKey &Task) {
   return const_cast<TaskRecord *>(std::as_const(*this).findTask(Task));
 }
 
@@ -165,9 +165,19 @@
 
 CommandResult JobBook::apply(const StartTasks &Value) {
   CommandResult Result;
+  // Gangs are judged before any of their members is placed.
+  std::map<std::pair<TaskKey, std::uint64_t>, bool> Gangs;
   for (const TaskStart &Start : Value.Starts_) {
-    const bool Taken = findObjection(Start).empty() &&
-                       isWholeGang(Value.Starts_, Start);
+    bool Taken = findObjection(Start).empty();
+    const JobRecord *Job = findJob(Start.Task_.Job_);
+    if (Taken && Job->Spec_.Steps_[Start.Task_.Step_].Gang_) {
+      TaskKey First = Start.Task_;
+      First.Index_ = 0;
+      const auto [Known, IsNew] = Gangs.try_emplace({First, Start.Run_}, false);
+      if (IsNew)
+        Known->second = isWholeGang(Value.Starts_, Start);
+      Taken = Known->second;
+    }
     if (Taken)
       place(Start);
     Result.Taken_.push_back(Taken);
@@ -244,21 +254,30 @@
   return Beside < Step.SpreadLimit_ ? "" : "the step's spread limit";
 }
 
-/// Whether all waiting members of the start's gang are in the same command
-/// with the same run; always so for other steps. The first member decides for
-/// all: the ones after it were placed in the same go.
+/// Whether all members of the start's gang are in the same command with the
+/// same run, and fit together where they are to run.
 bool JobBook::isWholeGang(const std::vector<TaskStart> &Starts,
                           const TaskStart &Member) const {
   const JobRecord *Job = findJob(Member.Task_.Job_);
   const StepSpec &Step = Job->Spec_.Steps_[Member.Task_.Step_];
-  if (!Step.Gang_)
-    return true;
   std::set<std::uint64_t> Named;
+  std::map<std::string, std::uint64_t> Beside;
   for (const TaskStart &Each : Starts) {
     TaskKey Same = Member.Task_;
     Same.Index_ = Each.Task_.Index_;
-    if (Each.Task_ == Same && Each.Run_ == Member.Run_)
-      Named.insert(Each.Task_.Index_);
+    if (Each.Task_ != Same || Each.Run_ != Member.Run_)
+      continue;
+    if (!findObjection(Each).empty() || !Named.insert(Same.Index_).second)
+      return false;
+    const ServerRecord &Server = *findServer(Each.Server_);
+    const std::uint64_t Count = ++Beside[Each.Server_];
+    Resources Together;
+    for (std::uint64_t I = 0; I < Count; ++I)
+      Together = Together + Step.getReserved();
+    const bool IsCrowded = Step.SpreadLimit_ > 0 && Count > Step.SpreadLimit_;
+    if (IsCrowded ||
+        !(Server.Used_ + Together).fitsIn(Server.Facts_.Capacity_))
+      return false;
   }
   return Named.size() == Step.Count_;
 }
@@ -293,7 +312,7 @@
 }
 
 void JobBook::endRun(const std::string &Server, const TaskEnd &End) {
-  TaskRecord *Task = findTask(End.Task_);
+  TaskRecord *Task = findTaskToChange(End.Task_);
   if (!Task)
     return;
   const auto Ended =
@@ -314,10 +333,8 @@
     if (!End.Checkpoint_.empty())
       Task->Checkpoint_ = End.Checkpoint_;
     const bool IsFailure = End.How_ == RunEnd::Failed;
-    if (IsFailure) {
-      ++Task->FailedRuns_;
-      Task->LastFailedRun_ = End.Run_;
-    }
+    if (IsFailure)
+      noteFailure(Spec, Step, *Task, End.Run_);
     const bool IsOver = End.How_ == RunEnd::Done && !Spec.LongRunning_;
     if (IsOver && Task->State_ != TaskState::Done)
       noteDone(Job, Occurrence, End.Task_.Step_, *Task);
@@ -339,6 +356,21 @@
   updateReady(Job, Occurrence, End.Task_.Step_);
 }
 
+/// A gang's failed run counts once, and against all its members.
+void JobBook::noteFailure(const StepSpec &Spec, StepRecord &Step,
+                          TaskRecord &Task, std::uint64_t Run) {
+  const auto Count = [Run](TaskRecord &Each) {
+    if (Each.LastFailedRun_ >= Run)
+      return;
+    ++Each.FailedRuns_;
+    Each.LastFailedRun_ = Run;
+  };
+  if (!Spec.Gang_)
+    return Count(Task);
+  for (TaskRecord &Each : Step.Tasks_)
+    Count(Each);
+}
+
 void JobBook::noteDone(JobRecord &Job, OccurrenceRecord &Occurrence,
                        std::size_t Step, TaskRecord &Task) {
   StepRecord &Record = Occurrence.Steps_[Step];
--- a/src/jobs/PaceGuard.cpp
+++ b/src/jobs/PaceGuard.cpp
@@ -53,6 +53,8 @@
   Own.TailPercent_ = Reading.TailPercent_;
   if (IsNew || Reading.TailPercent_ < OverPercent)
     Own.GoodUntil_ = Now;
+  if (IsNew)
+    Own.CorrectedAt_ = Now;
   const FillingPace Before = Own.Pace_;
   if (Now - Own.CorrectedAt_ >= EffectTime)
     correct(Own, Reading, Now);
--- /dev/null
+++ b/tests/jobs/JobBookTest.cpp
@@ -0,0 +1,347 @@
+//===- JobBookTest.cpp ----------------------------------------------------===//
+
+#include "jobs/JobFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+
+TEST_F(JobBookTest, AJobIsAcceptedOnceUnderItsId) {
+  EXPECT_EQ(submit(makeJob("j", {makeStep(1, 100)})), Verdict::Done);
+  EXPECT_EQ(submit(makeJob("j", {makeStep(5, 100)})), Verdict::AlreadyDone);
+  EXPECT_EQ(Book_.findJob("j")->Spec_.Steps_[0].Count_, 1U);
+}
+
+TEST_F(JobBookTest, AJobNeedsAQueueThatIsInForce) {
+  SubmitJob Elsewhere = makeSubmit(makeJob("j", {makeStep(1, 100)}));
+  Elsewhere.PathPrefix_ = "/other/";
+  EXPECT_EQ(apply(Elsewhere).Verdict_, Verdict::NotFound);
+  EXPECT_EQ(Book_.findJob("j"), nullptr);
+}
+
+TEST_F(JobBookTest, AnInvalidJobIsRefusedAndNotKept) {
+  StepSpec Step = makeStep(1, 100);
+  Step.DependsOn_ = {0};
+  EXPECT_EQ(submit(makeJob("j", {Step})), Verdict::Refused);
+  EXPECT_EQ(Book_.findJob("j"), nullptr);
+}
+
+TEST_F(JobBookTest, ATaskIsPlacedOnce) {
+  submit(makeJob("j", {makeStep(2, 100)}));
+  EXPECT_TRUE(start(makeStart("j", 0, "s1")));
+  EXPECT_FALSE(start(makeStart("j", 0, "s2", 2)));
+  EXPECT_EQ(stateOf("j"), JobState::Running);
+}
+
+TEST_F(JobBookTest, ADoneTaskNeverStartsAgain) {
+  submit(makeJob("j", {makeStep(2, 100)}));
+  const TaskStart Start = makeStart("j", 0, "s1");
+  start(Start);
+  end(Start, RunEnd::Done);
+  EXPECT_FALSE(start(makeStart("j", 0, "s2", 2)));
+}
+
+TEST_F(JobBookTest, ARunsNumberOnlyRises) {
+  submit(makeJob("j", {makeStep(1, 100)}));
+  const TaskStart Start = makeStart("j", 0, "s1", 3);
+  start(Start);
+  end(Start, RunEnd::Refused);
+  EXPECT_FALSE(start(makeStart("j", 0, "s2", 3)));
+  EXPECT_TRUE(start(makeStart("j", 0, "s2", 4)));
+}
+
+TEST_F(JobBookTest, AServerIsNeverOverfilled) {
+  submit(makeJob("j", {makeStep(3, 2000)}));
+  EXPECT_TRUE(start(makeStart("j", 0, "s1")));
+  EXPECT_TRUE(start(makeStart("j", 1, "s1")));
+  EXPECT_EQ(objectionTo(makeStart("j", 2, "s1")), "it does not fit");
+  // What is ordered to stop still counts until its end is noted.
+  apply(CancelJob{"j"});
+  submit(makeJob("k", {makeStep(1, 2000)}));
+  EXPECT_FALSE(start(makeStart("k", 0, "s1")));
+  end(makeStart("j", 0, "s1"), RunEnd::Stopped);
+  EXPECT_TRUE(start(makeStart("k", 0, "s1")));
+}
+
+TEST_F(JobBookTest, AFillingTaskTakesMemoryButNoProcessors) {
+  StepSpec Step = makeStep(60, 4000);
+  Step.Need_.MemoryMib_ = 200;
+  Step.Fills_ = true;
+  submit(makeJob("j", {Step}));
+  for (std::uint64_t I = 0; I < 50; ++I)
+    EXPECT_TRUE(start(makeStart("j", I, "s1")));
+  EXPECT_EQ(objectionTo(makeStart("j", 50, "s1")), "it does not fit");
+}
+
+TEST_F(JobBookTest, AStepWaitsForAllTasksOfThoseBefore) {
+  StepSpec Second = makeStep(1, 100);
+  Second.DependsOn_ = {0};
+  submit(makeJob("j", {makeStep(2, 100), Second}));
+  const TaskStart After = makeStart("j", 0, "s1", 1, 1);
+  start(makeStart("j", 0, "s1"));
+  start(makeStart("j", 1, "s2"));
+  end(makeStart("j", 0, "s1"), RunEnd::Done);
+  EXPECT_EQ(objectionTo(After), "a step before it has not ended");
+  EXPECT_EQ(Book_.readySteps().size(), 0U);
+  end(makeStart("j", 1, "s2"), RunEnd::Done);
+  EXPECT_EQ(Book_.readySteps().size(), 1U);
+  EXPECT_TRUE(start(After));
+  end(After, RunEnd::Done);
+  EXPECT_EQ(stateOf("j"), JobState::Completed);
+}
+
+TEST_F(JobBookTest, AJobFailsOnceATaskHasUsedUpItsAttempts) {
+  submit(makeJob("j", {makeStep(2, 100)}));
+  for (std::uint64_t Run = 1; Run <= 2; ++Run) {
+    EXPECT_TRUE(start(makeStart("j", 0, "s1", Run)));
+    end(makeStart("j", 0, "s1", Run), RunEnd::Failed);
+  }
+  EXPECT_EQ(stateOf("j"), JobState::Failed);
+  EXPECT_FALSE(start(makeStart("j", 1, "s1")));
+}
+
+TEST_F(JobBookTest, OnlyFailuresCountAsAttempts) {
+  submit(makeJob("j", {makeStep(1, 100)}));
+  std::uint64_t Run = 0;
+  for (const RunEnd How : {RunEnd::Stopped, RunEnd::Lapsed, RunEnd::Broken,
+                           RunEnd::Alone, RunEnd::Refused, RunEnd::NeverRan}) {
+    EXPECT_TRUE(start(makeStart("j", 0, "s1", ++Run)));
+    end(makeStart("j", 0, "s1", Run), How);
+  }
+  EXPECT_EQ(stateOf("j"), JobState::Running);
+  EXPECT_EQ(Book_.findTask({"j", 0, 0, 0})->FailedRuns_, 0U);
+}
+
+TEST_F(JobBookTest, ALongRunningTaskIsStartedAgainHoweverItEnds) {
+  StepSpec Step = makeStep(1, 100);
+  Step.LongRunning_ = true;
+  submit(makeJob("j", {Step}));
+  std::uint64_t Run = 0;
+  for (const RunEnd How :
+       {RunEnd::Done, RunEnd::Failed, RunEnd::Failed, RunEnd::Failed}) {
+    EXPECT_TRUE(start(makeStart("j", 0, "s1", ++Run)));
+    end(makeStart("j", 0, "s1", Run), How);
+  }
+  EXPECT_EQ(stateOf("j"), JobState::Running);
+  EXPECT_EQ(Book_.readySteps().size(), 1U);
+}
+
+TEST_F(JobBookTest, AnEvictedTaskResumesFromItsCheckpoint) {
+  submit(makeJob("j", {makeStep(1, 100)}));
+  start(makeStart("j", 0, "s1"));
+  end(makeStart("j", 0, "s1"), RunEnd::Stopped, "at 7");
+  EXPECT_EQ(Book_.findTask({"j", 0, 0, 0})->Checkpoint_, "at 7");
+  // A later end without one keeps the older.
+  start(makeStart("j", 0, "s2", 2));
+  end(makeStart("j", 0, "s2", 2), RunEnd::Lapsed);
+  EXPECT_EQ(Book_.findTask({"j", 0, 0, 0})->Checkpoint_, "at 7");
+}
+
+TEST_F(JobBookTest, AnEndOfAnotherRunOrServerChangesNothing) {
+  submit(makeJob("j", {makeStep(1, 100)}));
+  start(makeStart("j", 0, "s1", 2));
+  end(makeStart("j", 0, "s1", 1), RunEnd::Done);
+  end(makeStart("j", 0, "s2", 2), RunEnd::Done);
+  EXPECT_EQ(Book_.findTask({"j", 0, 0, 0})->State_, TaskState::Placed);
+}
+
+TEST_F(JobBookTest, ARemovedServersTasksWaitAgainWithWhatWasSaved) {
+  submit(makeJob("j", {makeStep(2, 100)}));
+  start(makeStart("j", 0, "s1"));
+  start(makeStart("j", 1, "s2"));
+  apply(RemoveServer{"s1", {{{"j", 0, 0, 0}, 1, "at 3"}}});
+  EXPECT_EQ(Book_.findServer("s1"), nullptr);
+  const TaskRecord &Lost = *Book_.findTask({"j", 0, 0, 0});
+  EXPECT_EQ(Lost.State_, TaskState::Waiting);
+  EXPECT_EQ(Lost.Checkpoint_, "at 3");
+  EXPECT_EQ(Book_.findTask({"j", 0, 0, 1})->State_, TaskState::Placed);
+  EXPECT_EQ(objectionTo(makeStart("j", 0, "s1", 2)), "no such server");
+}
+
+TEST_F(JobBookTest, LabelServiceAndSpreadAreKept) {
+  StepSpec Labelled = makeStep(1, 100);
+  Labelled.Label_ = "gpu";
+  submit(makeJob("j", {Labelled}));
+  EXPECT_EQ(objectionTo(makeStart("j", 0, "s1")), "the server lacks the label");
+  ServerFacts Other = makeServer("s3");
+  Other.Service_ = "pricing";
+  Other.Labels_ = {"gpu"};
+  apply(AddServer{Other});
+  EXPECT_EQ(objectionTo(makeStart("j", 0, "s3")),
+            "the queue does not lead to this server's service");
+  StepSpec Spread = makeStep(3, 100);
+  Spread.SpreadLimit_ = 1;
+  submit(makeJob("k", {Spread}));
+  EXPECT_TRUE(start(makeStart("k", 0, "s1")));
+  EXPECT_EQ(objectionTo(makeStart("k", 1, "s1")), "the step's spread limit");
+  EXPECT_TRUE(start(makeStart("k", 1, "s2")));
+}
+
+TEST_F(JobBookTest, AGangStartsWholeOrNotAtAll) {
+  StepSpec Gang = makeStep(3, 2000);
+  Gang.Gang_ = true;
+  submit(makeJob("j", {Gang}));
+  const CommandResult Partial = apply(
+      StartTasks{{makeStart("j", 0, "s1"), makeStart("j", 1, "s1")}});
+  EXPECT_EQ(Partial.Taken_, (std::vector<bool>{false, false}));
+  const CommandResult Whole =
+      apply(StartTasks{{makeStart("j", 0, "s1"), makeStart("j", 1, "s1"),
+                        makeStart("j", 2, "s2")}});
+  EXPECT_EQ(Whole.Taken_, (std::vector<bool>{true, true, true}));
+}
+
+TEST_F(JobBookTest, AGangThatDoesNotFitWholeIsNotStartedInPart) {
+  StepSpec Gang = makeStep(3, 2000);
+  Gang.Gang_ = true;
+  submit(makeJob("j", {Gang}));
+  const CommandResult Result =
+      apply(StartTasks{{makeStart("j", 0, "s1"), makeStart("j", 1, "s1"),
+                        makeStart("j", 2, "s1")}});
+  EXPECT_EQ(Result.Taken_, (std::vector<bool>{false, false, false}));
+}
+
+TEST_F(JobBookTest, OneDoneMemberEndsItsGang) {
+  StepSpec Gang = makeStep(2, 100);
+  Gang.Gang_ = true;
+  submit(makeJob("j", {Gang}));
+  apply(StartTasks{{makeStart("j", 0, "s1"), makeStart("j", 1, "s2")}});
+  end(makeStart("j", 0, "s1"), RunEnd::Done);
+  EXPECT_EQ(stateOf("j"), JobState::Completed);
+}
+
+TEST_F(JobBookTest, AGangsFailureCountsOnce) {
+  StepSpec Gang = makeStep(2, 100);
+  Gang.Gang_ = true;
+  submit(makeJob("j", {Gang}));
+  for (std::uint64_t Run = 1; Run <= 2; ++Run) {
+    EXPECT_EQ(stateOf("j") == JobState::Failed, false);
+    apply(StartTasks{
+        {makeStart("j", 0, "s1", Run), makeStart("j", 1, "s2", Run)}});
+    const std::uint64_t Failing = Run - 1;
+    const char *const Servers[] = {"s1", "s2"};
+    end(makeStart("j", Failing, Servers[Failing], Run), RunEnd::Failed);
+    end(makeStart("j", 1 - Failing, Servers[1 - Failing], Run),
+        RunEnd::Broken);
+  }
+  // Two attempts are allowed, and the gang as a whole has used both.
+  EXPECT_EQ(stateOf("j"), JobState::Failed);
+}
+
+TEST_F(JobBookTest, ACopyMayRunBesideASpeculativeTask) {
+  StepSpec Step = makeStep(1, 100);
+  Step.Speculative_ = true;
+  submit(makeJob("j", {Step}));
+  EXPECT_TRUE(start(makeStart("j", 0, "s1", 1)));
+  EXPECT_FALSE(start(makeStart("j", 0, "s1", 2)));
+  EXPECT_TRUE(start(makeStart("j", 0, "s2", 2)));
+  end(makeStart("j", 0, "s2", 2), RunEnd::Done);
+  EXPECT_EQ(stateOf("j"), JobState::Completed);
+  EXPECT_EQ(Book_.findServer("s1")->Used_.MilliCpus_, 100);
+  end(makeStart("j", 0, "s1", 1), RunEnd::Stopped);
+  EXPECT_EQ(Book_.findServer("s1")->Used_.MilliCpus_, 0);
+}
+
+TEST_F(JobBookTest, OccurrencesOpenInOrderAndAllMustBeDone) {
+  JobSpec Spec = makeJob("j", {makeStep(1, 100)});
+  Spec.RepeatCount_ = 2;
+  submit(Spec);
+  EXPECT_EQ(Book_.readySteps().size(), 0U);
+  EXPECT_EQ(apply(OpenOccurrence{"j", 1}).Verdict_, Verdict::Refused);
+  EXPECT_EQ(apply(OpenOccurrence{"j", 0}).Verdict_, Verdict::Done);
+  EXPECT_EQ(apply(OpenOccurrence{"j", 0}).Verdict_, Verdict::Refused);
+  EXPECT_EQ(apply(OpenOccurrence{"j", 1}).Verdict_, Verdict::Done);
+  EXPECT_TRUE(Book_.timedJobs().empty());
+  for (std::uint64_t K = 0; K < 2; ++K) {
+    EXPECT_EQ(stateOf("j") == JobState::Completed, false);
+    const TaskStart Start = makeStart("j", 0, "s1", 1, 0, K);
+    EXPECT_TRUE(start(Start));
+    end(Start, RunEnd::Done);
+  }
+  EXPECT_EQ(stateOf("j"), JobState::Completed);
+}
+
+TEST_F(JobBookTest, ACancelledJobStartsNothingMore) {
+  submit(makeJob("j", {makeStep(2, 100)}));
+  start(makeStart("j", 0, "s1"));
+  EXPECT_EQ(apply(CancelJob{"j"}).Verdict_, Verdict::Done);
+  EXPECT_EQ(apply(CancelJob{"j"}).Verdict_, Verdict::AlreadyDone);
+  EXPECT_EQ(apply(CancelJob{"unknown"}).Verdict_, Verdict::NotFound);
+  EXPECT_FALSE(start(makeStart("j", 1, "s1")));
+  end(makeStart("j", 0, "s1"), RunEnd::Done);
+  EXPECT_EQ(stateOf("j"), JobState::Cancelled);
+}
+
+TEST_F(JobBookTest, PendingCountsJobsThatHaveNotStarted) {
+  const std::string Key = makeConfiguration().Queues_[0].getKey();
+  submit(makeJob("j", {makeStep(1, 100)}));
+  submit(makeJob("k", {makeStep(1, 100)}));
+  EXPECT_EQ(Book_.countPending(Key), 2U);
+  start(makeStart("j", 0, "s1"));
+  EXPECT_EQ(Book_.countPending(Key), 1U);
+  apply(CancelJob{"k"});
+  EXPECT_EQ(Book_.countPending(Key), 0U);
+}
+
+TEST_F(JobBookTest, TheHighestConfigurationStays) {
+  Configuration Higher = makeConfiguration(5);
+  Higher.Queues_[0].Priority_ = 3;
+  submit(makeJob("j", {makeStep(1, 100)}));
+  EXPECT_EQ(apply(PutConfiguration{Higher}).Verdict_, Verdict::Done);
+  EXPECT_EQ(apply(PutConfiguration{makeConfiguration(4)}).Verdict_,
+            Verdict::AlreadyDone);
+  Configuration Same = makeConfiguration(5);
+  EXPECT_EQ(apply(PutConfiguration{Same}).Verdict_, Verdict::AlreadyDone);
+  EXPECT_EQ(Book_.configuration(), Higher);
+  // Waiting work is ordered by the new priority.
+  ASSERT_EQ(Book_.readySteps().size(), 1U);
+  EXPECT_EQ(Book_.readySteps().begin()->Priority_, 3U);
+}
+
+TEST_F(JobBookTest, JobsOfADroppedQueueGoOn) {
+  submit(makeJob("j", {makeStep(1, 100)}));
+  Configuration Without = makeConfiguration(2);
+  Without.Queues_.clear();
+  apply(PutConfiguration{Without});
+  EXPECT_TRUE(start(makeStart("j", 0, "s1")));
+}
+
+TEST_F(JobBookTest, OnlyEndedJobsAreForgotten) {
+  submit(makeJob("j", {makeStep(1, 100)}));
+  start(makeStart("j", 0, "s1"));
+  apply(ForgetJobs{{"j"}});
+  ASSERT_NE(Book_.findJob("j"), nullptr);
+  apply(CancelJob{"j"});
+  apply(ForgetJobs{{"j"}});
+  ASSERT_NE(Book_.findJob("j"), nullptr) << "a run of it has not ended";
+  end(makeStart("j", 0, "s1"), RunEnd::Stopped);
+  apply(ForgetJobs{{"j"}});
+  EXPECT_EQ(Book_.findJob("j"), nullptr);
+}
+
+TEST_F(JobBookTest, ASnapshotHoldsEverything) {
+  StepSpec Second = makeStep(1, 100);
+  Second.DependsOn_ = {0};
+  submit(makeJob("j", {makeStep(2, 1500), Second}));
+  JobSpec Timed = makeJob("t", {makeStep(1, 100)});
+  Timed.RepeatCount_ = 3;
+  submit(Timed);
+  start(makeStart("j", 0, "s1"));
+  end(makeStart("j", 0, "s1"), RunEnd::Failed);
+  start(makeStart("j", 1, "s2"));
+  const Outcome<JobBook> Read = JobBook::decode(Book_.encode());
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read.value().jobs(), Book_.jobs());
+  EXPECT_EQ(Read.value().readySteps(), Book_.readySteps());
+  EXPECT_EQ(Read.value().timedJobs(), Book_.timedJobs());
+  EXPECT_EQ(Read.value().configuration(), Book_.configuration());
+  EXPECT_EQ(Read.value().findServer("s2")->Used_, Book_.findServer("s2")->Used_);
+  EXPECT_EQ(Read.value().findServer("s2")->Placed_,
+            Book_.findServer("s2")->Placed_);
+}
+
+TEST_F(JobBookTest, ADamagedSnapshotIsRefused) {
+  submit(makeJob("j", {makeStep(2, 100)}));
+  const std::string Bytes = Book_.encode();
+  for (std::size_t Size = 0; Size < Bytes.size(); Size += 7)
+    EXPECT_FALSE(JobBook::decode(Bytes.substr(0, Size)));
+}
--- /dev/null
+++ b/tests/jobs/JobFixture.h
@@ -0,0 +1,109 @@
+//===- JobFixture.h - Jobs, servers and queues for tests ------------------===//
+
+#ifndef TULIPWEIR_TESTS_JOBS_JOBFIXTURE_H
+#define TULIPWEIR_TESTS_JOBS_JOBFIXTURE_H
+
+#include "tulipweir/jobs/JobBook.h"
+
+#include <gtest/gtest.h>
+
+namespace tulipweir::jobs::test {
+
+inline constexpr const char *Host = "huts.example";
+inline constexpr const char *Prefix = "/stays/";
+
+inline Configuration makeConfiguration(std::uint64_t Version = 1) {
+  Configuration Value;
+  Value.Version_ = Version;
+  QueuePolicy Queue;
+  Queue.Name_ = "stays";
+  Queue.Host_ = Host;
+  Queue.PathPrefix_ = Prefix;
+  Queue.Service_ = "booking";
+  Queue.Attempts_ = 2;
+  Queue.ObjectiveMs_ = 1000;
+  Queue.StretchPercent_ = 200;
+  Value.Queues_ = {Queue};
+  Value.Services_ = {{"booking", true, false}};
+  Value.Source_ = "{\"version\":" + std::to_string(Version) + "}";
+  return Value;
+}
+
+inline StepSpec makeStep(std::uint64_t Count, std::int64_t MilliCpus) {
+  StepSpec Step;
+  Step.Count_ = Count;
+  Step.Need_ = Resources::makeFor(MilliCpus, 100);
+  Step.EstimateMs_ = 500;
+  return Step;
+}
+
+inline JobSpec makeJob(const std::string &Id, std::vector<StepSpec> Steps) {
+  JobSpec Spec;
+  Spec.Id_ = Id;
+  Spec.Payload_ = "payload of " + Id;
+  Spec.Steps_ = std::move(Steps);
+  return Spec;
+}
+
+inline SubmitJob makeSubmit(JobSpec Spec) {
+  return {Host, Prefix, std::move(Spec), 1000};
+}
+
+inline ServerFacts makeServer(const std::string &Id,
+                              std::int64_t MilliCpus = 4000) {
+  ServerFacts Facts;
+  Facts.Id_ = Id;
+  Facts.Service_ = "booking";
+  Facts.DataCentre_ = "dc1";
+  Facts.Rack_ = "r1";
+  Facts.Labels_ = {"a", "r1"};
+  Facts.Address_ = Id + ":80";
+  Facts.Capacity_ = Resources::makeFor(MilliCpus, 10'000);
+  return Facts;
+}
+
+inline TaskStart makeStart(const std::string &Job, std::uint64_t Index,
+                           const std::string &Server, std::uint64_t Run = 1,
+                           std::uint64_t Step = 0,
+                           std::uint64_t Occurrence = 0) {
+  return {{Job, Occurrence, Step, Index}, Run, Server};
+}
+
+inline EndTasks makeEnd(const TaskStart &Start, RunEnd How,
+                        const std::string &Checkpoint = "") {
+  return {Start.Server_, {{Start.Task_, Start.Run_, How, Checkpoint}}};
+}
+
+/// A book with a configuration and two servers, s1 and s2, of four processors.
+class JobBookTest : public ::testing::Test {
+protected:
+  JobBookTest() {
+    apply(PutConfiguration{makeConfiguration()});
+    apply(AddServer{makeServer("s1")});
+    apply(AddServer{makeServer("s2")});
+  }
+
+  CommandResult apply(const Command &Value) { return Book_.apply(Value); }
+  Verdict submit(JobSpec Spec) {
+    return apply(makeSubmit(std::move(Spec))).Verdict_;
+  }
+  bool start(const TaskStart &Start) {
+    return apply(StartTasks{{Start}}).Taken_.at(0);
+  }
+  void end(const TaskStart &Start, RunEnd How,
+           const std::string &Checkpoint = "") {
+    apply(makeEnd(Start, How, Checkpoint));
+  }
+  JobState stateOf(const std::string &Id) const {
+    return Book_.findJob(Id)->State_;
+  }
+  std::string objectionTo(const TaskStart &Start) const {
+    return Book_.findObjection(Start);
+  }
+
+  JobBook Book_;
+};
+
+} // namespace tulipweir::jobs::test
+
+#endif // TULIPWEIR_TESTS_JOBS_JOBFIXTURE_H
--- /dev/null
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -0,0 +1,296 @@
+//===- JobLeaderTest.cpp --------------------------------------------------===//
+
+#include "jobs/LeaderFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+using namespace std::chrono_literals;
+
+TEST_F(JobLeaderTest, AJobRunsToItsEnd) {
+  EXPECT_EQ(call(CallKind::Submit, "j", {makeStep(2, 100)}).Outcome_,
+            CallOutcome::Done);
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Queued);
+  EXPECT_EQ(call(CallKind::Show, "").Pending_, 1U);
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 2U);
+  EXPECT_EQ(Orders.Starts_[0].Payload_, "payload of ");
+  EXPECT_EQ(Orders.FencingToken_, 1U);
+  EXPECT_GT(Orders.LeaseMs_, 0U);
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Running);
+  EXPECT_EQ(call(CallKind::Show, "").Pending_, 0U);
+  ServerReport After = makeReport("s1");
+  After.Ended_ = {makeEnded(1, Orders.Starts_[0], RunEnd::Done),
+                  makeEnded(2, Orders.Starts_[1], RunEnd::Done)};
+  EXPECT_EQ(report(After).EndsNoted_, 2U);
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
+
+TEST_F(JobLeaderTest, UnknownQueuesAndJobsAreToldApart) {
+  EXPECT_EQ(call(CallKind::Show, "j").Outcome_, CallOutcome::NoJob);
+  EXPECT_EQ(call(CallKind::Cancel, "j").Outcome_, CallOutcome::NoJob);
+  JobCallReply Reply;
+  Leader_.call({CallKind::Show, "other.example", "/x", {}},
+               [&Reply](const Outcome<JobCallReply> &Got) {
+                 Reply = Got.value();
+               });
+  Strand_.runAll();
+  EXPECT_EQ(Reply.Outcome_, CallOutcome::NoQueue);
+}
+
+TEST_F(JobLeaderTest, AnEndIsNotedOnlyOnceItIsCommitted) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  Group_.IsHeld_ = true;
+  ServerReport After = makeReport("s1");
+  After.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Done)};
+  EXPECT_FALSE(tryReport(After).has_value()) << "answered before the commit";
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Running);
+  Group_.commitAll();
+  Strand_.runAll();
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
+
+TEST_F(JobLeaderTest, AJobIsAcceptedOnlyOnceItIsCommitted) {
+  Group_.IsHeld_ = true;
+  EXPECT_FALSE(
+      tryCall(CallKind::Submit, "j", {makeStep(1, 100)}).has_value());
+  Group_.commitAll();
+  Strand_.runAll();
+  EXPECT_EQ(call(CallKind::Show, "j").Outcome_, CallOutcome::Done);
+}
+
+TEST_F(JobLeaderTest, AnOpenOutcomeIsNeverCalledNotTaken) {
+  Group_.IsHeld_ = true;
+  auto Got = std::make_shared<std::optional<Outcome<JobCallReply>>>();
+  Leader_.call({CallKind::Submit, Host, std::string(Prefix) + "j",
+                makeJob("", {makeStep(1, 100)})},
+               [Got](Outcome<JobCallReply> Reply) { *Got = Reply; });
+  Group_.loseAll(/*AreCommitted=*/true);
+  Strand_.runAll();
+  ASSERT_TRUE(Got->has_value());
+  ASSERT_FALSE(**Got);
+  EXPECT_EQ((*Got)->error().Code_, ErrorCode::Timeout);
+}
+
+TEST_F(JobLeaderTest, AStartThatDidNotArriveIsOrderedAgain) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders First = report(makeReport("s1"));
+  const ServerOrders Second = report(makeReport("s1"));
+  ASSERT_EQ(Second.Starts_.size(), 1U);
+  EXPECT_EQ(Second.Starts_, First.Starts_) << "the same run, not another one";
+  ServerReport Third = makeReport("s1");
+  Third.Running_ = {makeRunning(First.Starts_[0])};
+  EXPECT_TRUE(report(Third).Starts_.empty());
+}
+
+TEST_F(JobLeaderTest, ACancelledJobsRunsAreStopped) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  call(CallKind::Cancel, "j");
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Cancelled);
+  ServerReport After = makeReport("s1");
+  After.Running_ = {makeRunning(Orders.Starts_.at(0))};
+  const ServerOrders Stopping = report(After);
+  ASSERT_EQ(Stopping.Stops_.size(), 1U);
+  EXPECT_EQ(Stopping.Stops_[0].Run_, 1U);
+  EXPECT_TRUE(Stopping.Starts_.empty());
+}
+
+TEST_F(JobLeaderTest, RoomIsFreeAgainOnceAStartCertainlyNeverArrived) {
+  call(CallKind::Submit, "j", {makeStep(1, 4000)});
+  report(makeReport("s1"));
+  call(CallKind::Cancel, "j");
+  call(CallKind::Submit, "k", {makeStep(1, 4000)});
+  // The start may still be on its way: first the stop, which outlaws the run.
+  const ServerOrders Stopping = report(makeReport("s1"));
+  EXPECT_EQ(Stopping.Stops_.size(), 1U);
+  EXPECT_TRUE(Stopping.Starts_.empty());
+  report(makeReport("s1"));
+  const ServerOrders After = report(makeReport("s1"));
+  ASSERT_EQ(After.Starts_.size(), 1U);
+  EXPECT_EQ(After.Starts_[0].Task_.Job_, "k");
+}
+
+TEST_F(JobLeaderTest, AnUnknownRunIsStopped) {
+  ServerReport Report = makeReport("s1");
+  Report.Running_ = {{{"ghost", 0, 0, 0}, 3, "", 10, 0}};
+  const ServerOrders Orders = report(Report);
+  ASSERT_EQ(Orders.Stops_.size(), 1U);
+  EXPECT_EQ(Orders.Stops_[0].Task_.Job_, "ghost");
+}
+
+TEST_F(JobLeaderTest, ALateReportGetsNoLeaseAndChangesNothing) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerReport Late = makeReport("s1");
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  EXPECT_EQ(report(Late), ServerOrders{});
+}
+
+TEST_F(JobLeaderTest, ASilentServersWorkMovesOnlyAfterItsLease) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ServerReport Report = makeReport("s1");
+  const ServerOrders Orders = report(Report);
+  Report = makeReport("s1");
+  Report.Running_ = {makeRunning(Orders.Starts_.at(0), "at 4")};
+  report(Report);
+  Strand_.advance(Settings_.Lease_);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty())
+      << "its clock may be slow";
+  Strand_.advance(Settings_.Lease_ / 10);
+  const ServerOrders Elsewhere = report(makeReport("s2"));
+  ASSERT_EQ(Elsewhere.Starts_.size(), 1U);
+  EXPECT_EQ(Elsewhere.Starts_[0].Run_, 2U);
+  EXPECT_EQ(Elsewhere.Starts_[0].Checkpoint_, "at 4");
+}
+
+TEST_F(JobLeaderTest, ANewLeaderGrantsEveryServerAWholeLease) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  report(makeReport("s1"));
+  Strand_.advance(Settings_.Lease_ * 9 / 10);
+  Group_.IsLeader_ = false;
+  Strand_.advance(100ms);
+  Group_.IsLeader_ = true;
+  Group_.Term_ = 2;
+  Strand_.advance(Settings_.Lease_ * 9 / 10);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  Strand_.advance(Settings_.Lease_ / 5);
+  const ServerOrders Orders = report(makeReport("s2"));
+  EXPECT_EQ(Orders.Starts_.size(), 1U);
+  EXPECT_EQ(Orders.FencingToken_, 2U);
+}
+
+TEST_F(JobLeaderTest, ANewLifeAtTheSameAddressEndsTheOldOne) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  report(makeReport("s1"));
+  ServerReport Reborn = makeReport("s1-again");
+  Reborn.Facts_.Address_ = makeServer("s1").Address_;
+  report(Reborn);
+  Reborn.Sequence_ = ++Sequences_["s1-again"];
+  const ServerOrders Orders = report(Reborn);
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  EXPECT_EQ(Orders.Starts_[0].Run_, 2U);
+  // A report of the old life that was on its way brings nothing back.
+  EXPECT_EQ(report(makeReport("s1")), ServerOrders{});
+  EXPECT_EQ(Machine_.read([](const JobBook &Book) {
+    return Book.findServer("s1");
+  }),
+            nullptr);
+}
+
+TEST_F(JobLeaderTest, ADrainingServerGetsNothingNew) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ServerReport Leaving = makeReport("s1");
+  Leaving.IsDraining_ = true;
+  const ServerOrders Orders = report(Leaving);
+  EXPECT_TRUE(Orders.Starts_.empty());
+  EXPECT_GT(Orders.LeaseMs_, 0U) << "what runs there goes on";
+}
+
+TEST_F(JobLeaderTest, AServerThatLeavesGivesItsWorkBackAtOnce) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  report(makeReport("s1"));
+  bool IsDone = false;
+  Leader_.leave("s1", [&IsDone](const Outcome<void> &Result) {
+    IsDone = Result.has_value();
+  });
+  Strand_.runAll();
+  EXPECT_TRUE(IsDone);
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, AServerThatRefusedIsLeftAloneForAMoment) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ServerReport After = makeReport("s1");
+  After.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Refused)};
+  EXPECT_TRUE(report(After).Starts_.empty());
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, WhoDoesNotLeadDecidesNothing) {
+  Group_.IsLeader_ = false;
+  Group_.LeaderName_ = "other";
+  Strand_.advance(100ms);
+  const auto Called = tryCall(CallKind::Show, "j", {});
+  ASSERT_TRUE(Called && !*Called);
+  EXPECT_EQ(Called->error(), Error::make(ErrorCode::NotLeader, "other"));
+  const auto Reported = tryReport(makeReport("s1"));
+  ASSERT_TRUE(Reported && !*Reported);
+  EXPECT_EQ(Reported->error().Code_, ErrorCode::NotLeader);
+}
+
+TEST_F(JobLeaderTest, ALeaseLostMeanwhileTakesTheAnswerBack) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  report(makeReport("s1"));
+  Group_.IsHeld_ = true;
+  call(CallKind::Submit, "k", {makeStep(1, 100)});
+  Group_.commitAll();
+  Strand_.runAll();
+  auto Got = std::make_shared<std::optional<Outcome<ServerOrders>>>();
+  Leader_.report(makeReport("s1"), [Got](Outcome<ServerOrders> Reply) {
+    *Got = std::move(Reply);
+  });
+  Strand_.runAll();
+  Group_.HasLease_ = false;
+  Group_.commitAll();
+  Strand_.runAll();
+  ASSERT_TRUE(Got->has_value());
+  EXPECT_FALSE(**Got) << "another may lead by now";
+}
+
+TEST_F(JobLeaderTest, ATimedJobStartsWhenItIsDueAndNotBefore) {
+  JobCall Call{CallKind::Submit, Host, std::string(Prefix) + "t",
+               makeJob("", {makeStep(1, 100)})};
+  Call.Spec_.RepeatCount_ = 2;
+  Call.Spec_.FirstDueMs_ =
+      static_cast<std::uint64_t>(Time_.wallNow().count()) + 1000;
+  Call.Spec_.IntervalMs_ = 1000;
+  Leader_.call(Call, [](const Outcome<JobCallReply> &) {});
+  Strand_.runAll();
+  Strand_.advance(900ms);
+  EXPECT_TRUE(report(makeReport("s1")).Starts_.empty());
+  Strand_.advance(200ms);
+  EXPECT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  Strand_.advance(1000ms);
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, AGangGoesOutToAllItsServers) {
+  StepSpec Gang = makeStep(2, 3000);
+  Gang.Gang_ = true;
+  report(makeReport("s1"));
+  report(makeReport("s2"));
+  call(CallKind::Submit, "j", {Gang});
+  Strand_.advance(200ms);
+  const ServerOrders First = report(makeReport("s1"));
+  const ServerOrders Second = report(makeReport("s2"));
+  ASSERT_EQ(First.Starts_.size(), 1U);
+  ASSERT_EQ(Second.Starts_.size(), 1U);
+  EXPECT_EQ(First.Starts_[0].Run_, Second.Starts_[0].Run_);
+}
+
+TEST_F(JobLeaderTest, EndedJobsAreKnownForTheirTimeAndThenForgotten) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  call(CallKind::Cancel, "j");
+  Strand_.advance(Settings_.Retention_ - 1s);
+  EXPECT_EQ(call(CallKind::Show, "j").Outcome_, CallOutcome::Done);
+  Strand_.advance(2s);
+  EXPECT_EQ(call(CallKind::Show, "j").Outcome_, CallOutcome::NoJob);
+}
+
+TEST_F(JobLeaderTest, AConfigurationIsReadAsItWasSent) {
+  std::string Source;
+  Leader_.readConfiguration([&Source](const Outcome<Configuration> &Value) {
+    Source = Value.value().Source_;
+  });
+  EXPECT_EQ(Source, makeConfiguration().Source_);
+  Group_.HasLease_ = false;
+  bool IsRefused = false;
+  Leader_.readConfiguration(
+      [&IsRefused](const Outcome<Configuration> &Value) {
+        IsRefused = !Value;
+      });
+  EXPECT_TRUE(IsRefused) << "another may hold a newer one";
+}
--- /dev/null
+++ b/tests/jobs/LeaderFixture.h
@@ -0,0 +1,185 @@
+//===- LeaderFixture.h - A leader over a replica driven by hand -----------===//
+
+#ifndef TULIPWEIR_TESTS_JOBS_LEADERFIXTURE_H
+#define TULIPWEIR_TESTS_JOBS_LEADERFIXTURE_H
+
+#include "jobs/JobFixture.h"
+#include "tulipweir/jobs/JobLeader.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace tulipweir::jobs::test {
+
+/// Runs what was posted when told to.
+class ManualExecutor final : public Executor {
+public:
+  explicit ManualExecutor(ManualClock &Time) : Time_(Time) {}
+
+  void post(std::function<void()> Task) override {
+    Now_.push_back(std::move(Task));
+  }
+  void postAfter(Duration Delay, std::function<void()> Task) override {
+    Later_.emplace(Time_.now() + Delay, std::move(Task));
+  }
+  void runAll() {
+    while (!Now_.empty()) {
+      const std::function<void()> Next = std::move(Now_.front());
+      Now_.pop_front();
+      Next();
+    }
+  }
+  /// Moves the clock in small steps and runs what becomes due.
+  void advance(Duration By) {
+    const TimePoint End = Time_.now() + By;
+    while (Time_.now() < End) {
+      Time_.advance(std::min<Duration>(End - Time_.now(),
+                                       std::chrono::milliseconds(10)));
+      while (!Later_.empty() && Later_.begin()->first <= Time_.now()) {
+        Now_.push_back(std::move(Later_.begin()->second));
+        Later_.erase(Later_.begin());
+      }
+      runAll();
+    }
+  }
+
+private:
+  ManualClock &Time_;
+  std::deque<std::function<void()>> Now_;
+  std::multimap<TimePoint, std::function<void()>> Later_;
+};
+
+/// Commits at once, or when told to; leads as it is told.
+class ManualReplica final : public replication::Replica {
+public:
+  explicit ManualReplica(JobMachine &Machine) : Machine_(Machine) {}
+
+  void propose(std::string Command, AppliedCallback Done) override {
+    if (!IsLeader_)
+      return Done(fail(ErrorCode::NotLeader, LeaderName_));
+    Waiting_.emplace_back(std::move(Command), std::move(Done));
+    if (!IsHeld_)
+      commitAll();
+  }
+  void commitAll() {
+    while (!Waiting_.empty()) {
+      auto [Command, Done] = std::move(Waiting_.front());
+      Waiting_.pop_front();
+      ++Index_;
+      Done(replication::Applied{Term_, Index_,
+                                Machine_.apply({Term_, Index_, Command})});
+    }
+  }
+  /// What waits is left open: it may or may not be committed.
+  void loseAll(bool AreCommitted) {
+    while (!Waiting_.empty()) {
+      auto [Command, Done] = std::move(Waiting_.front());
+      Waiting_.pop_front();
+      if (AreCommitted)
+        Machine_.apply({Term_, ++Index_, Command});
+      Done(fail(ErrorCode::Unavailable, "leadership was lost"));
+    }
+  }
+  void receive(std::string) override {}
+  void confirmLeadership(std::function<void(Outcome<void>)> Done) override {
+    Done(succeed());
+  }
+  std::optional<std::uint64_t> findLeaseTerm(TimePoint) const override {
+    if (IsLeader_ && HasLease_)
+      return Term_;
+    return std::nullopt;
+  }
+  replication::ReplicaStatus getStatus() const override {
+    replication::ReplicaStatus Status;
+    Status.IsLeader_ = IsLeader_;
+    Status.LeaderName_ = LeaderName_;
+    Status.Term_ = Term_;
+    return Status;
+  }
+  void addLearner(replication::MemberId,
+                  std::function<void(Outcome<void>)>) override {}
+  void promote(replication::MemberId,
+               std::function<void(Outcome<void>)>) override {}
+  void remove(replication::MemberId,
+              std::function<void(Outcome<void>)>) override {}
+  void transferLeadership(std::function<void(Outcome<void>)>) override {}
+  void stop() override {}
+
+  bool IsLeader_ = true;
+  bool HasLease_ = true;
+  bool IsHeld_ = false; ///< Proposals wait for commitAll or loseAll.
+  std::uint64_t Term_ = 1;
+  std::string LeaderName_ = "me";
+
+private:
+  JobMachine &Machine_;
+  std::uint64_t Index_ = 0;
+  std::deque<std::pair<std::string, AppliedCallback>> Waiting_;
+};
+
+/// A leader with a configuration in force.
+class JobLeaderTest : public ::testing::Test {
+protected:
+  JobLeaderTest() {
+    Leader_.start();
+    Strand_.advance(std::chrono::milliseconds(100));
+    Leader_.putConfiguration(makeConfiguration(), [](const Outcome<void> &) {});
+    Strand_.runAll();
+  }
+
+  JobCallReply call(CallKind Kind, const std::string &Id,
+                    std::vector<StepSpec> Steps = {}) {
+    std::optional<Outcome<JobCallReply>> Got = tryCall(Kind, Id, Steps);
+    return Got && *Got ? Got->value() : JobCallReply{};
+  }
+  std::optional<Outcome<JobCallReply>>
+  tryCall(CallKind Kind, const std::string &Id, std::vector<StepSpec> Steps) {
+    auto Got = std::make_shared<std::optional<Outcome<JobCallReply>>>();
+    Leader_.call({Kind, Host, Prefix + Id, makeJob("", std::move(Steps))},
+                 [Got](Outcome<JobCallReply> Reply) { *Got = Reply; });
+    Strand_.runAll();
+    return *Got;
+  }
+  /// The next report of a server, with what runs and has ended on it.
+  ServerReport makeReport(const std::string &Id) {
+    ServerReport Report;
+    Report.Facts_ = makeServer(Id);
+    Report.Sequence_ = ++Sequences_[Id];
+    return Report;
+  }
+  std::optional<Outcome<ServerOrders>> tryReport(const ServerReport &Report) {
+    auto Got = std::make_shared<std::optional<Outcome<ServerOrders>>>();
+    Leader_.report(Report, [Got](Outcome<ServerOrders> Reply) {
+      *Got = std::move(Reply);
+    });
+    Strand_.runAll();
+    return *Got;
+  }
+  ServerOrders report(const ServerReport &Report) {
+    auto Got = tryReport(Report);
+    EXPECT_TRUE(Got && *Got);
+    return Got && *Got ? Got->value() : ServerOrders{};
+  }
+  static RunningTask makeRunning(const StartOrder &Start,
+                                 const std::string &Checkpoint = "") {
+    return {Start.Task_, Start.Run_, Checkpoint, 50, 0};
+  }
+  static EndedTask makeEnded(std::uint64_t Number, const StartOrder &Start,
+                             RunEnd How) {
+    return {Number, {Start.Task_, Start.Run_, How, ""}};
+  }
+
+  ManualClock Time_;
+  ManualExecutor Strand_{Time_};
+  JobMachine Machine_;
+  ManualReplica Group_{Machine_};
+  NoEventLog Log_;
+  JobLeaderSettings Settings_;
+  JobLeader Leader_{Settings_, Time_, Strand_, Group_, Machine_, Log_};
+  std::map<std::string, std::uint64_t> Sequences_;
+};
+
+} // namespace tulipweir::jobs::test
+
+#endif // TULIPWEIR_TESTS_JOBS_LEADERFIXTURE_H
--- /dev/null
+++ b/tests/jobs/PaceGuardTest.cpp
@@ -0,0 +1,113 @@
+//===- PaceGuardTest.cpp - Pace, learned effects ----------------------------===//
+
+#include "jobs/PaceGuard.h"
+#include "jobs/TailEffects.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <random>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+class PaceGuardTest : public ::testing::Test {
+protected:
+  void note(std::uint64_t TailPercent, double Disturbing, bool HasOthers) {
+    Time_ += 250ms;
+    Guard_.note("s", {TailPercent, Disturbing, HasOthers}, Time_);
+  }
+  FillingPace pace() const { return Guard_.getPace("s"); }
+
+  PaceGuard Guard_;
+  TimePoint Time_{1h};
+};
+
+} // namespace
+
+TEST_F(PaceGuardTest, WithoutServingTasksEverythingWorksAtFullSpeed) {
+  EXPECT_EQ(pace(), FillingPace{});
+  EXPECT_FALSE(Guard_.isToBeTold("s", Time_));
+}
+
+TEST_F(PaceGuardTest, DisturbingTasksShareASmallBudget) {
+  note(40, 0.18, true);
+  EXPECT_EQ(pace().Disturbing_, 50U);
+  EXPECT_EQ(pace().Others_, 100U);
+}
+
+TEST_F(PaceGuardTest, TheBudgetShrinksAsATailNearsItsTarget) {
+  note(40, 0.1, true);
+  const std::uint64_t Calm = pace().Disturbing_;
+  note(80, 0.1, true);
+  EXPECT_LT(pace().Disturbing_, Calm);
+  note(99, 0.1, true);
+  EXPECT_EQ(pace().Disturbing_, 0U);
+}
+
+TEST_F(PaceGuardTest, OthersAreSlowedOnlyWhenATailStaysOverForLong) {
+  note(150, 0, true);
+  note(150, 0, true);
+  EXPECT_EQ(pace().Others_, 100U);
+  for (int I = 0; I < 20; ++I)
+    note(150, 0, true);
+  EXPECT_EQ(pace().Others_, 0U) << "well before 5 s are over";
+  for (int I = 0; I < 20; ++I)
+    note(50, 0, true);
+  EXPECT_EQ(pace().Others_, 100U);
+}
+
+TEST_F(PaceGuardTest, OneCorrectionWaitsForTheEffectOfTheLast) {
+  note(50, 0.09, false);
+  note(300, 0.09, false);
+  const double First = Guard_.getBudget("s");
+  Guard_.note("s", {50, 0.09, false}, Time_ + 1ms);
+  Guard_.note("s", {300, 0.09, false}, Time_ + 2ms);
+  EXPECT_EQ(Guard_.getBudget("s"), First);
+}
+
+TEST_F(PaceGuardTest, AChangedPaceIsRepeatedForAWhile) {
+  note(99, 0.2, false);
+  EXPECT_TRUE(Guard_.isToBeTold("s", Time_));
+  for (int I = 0; I < 40; ++I)
+    note(10, 0.05, false);
+  EXPECT_EQ(pace(), FillingPace{});
+  EXPECT_FALSE(Guard_.isToBeTold("s", Time_));
+}
+
+TEST(TailEffectsTest, PairsThatDisturbAreToldFromThoseThatDoNot) {
+  TailEffects Effects;
+  std::mt19937 Random(7);
+  std::uniform_real_distribution<double> Share(0, 0.3);
+  std::normal_distribution<double> Noise(0, 0.3);
+  for (int I = 0; I < 600; ++I) {
+    const double Heavy = Share(Random);
+    const double Light = Share(Random);
+    const FillingUse Use = {{"heavy", Heavy}, {"light", Light}};
+    Effects.learn("sensitive", Use,
+                  std::exp(-0.9 + 5 * Heavy + Noise(Random)));
+    Effects.learn("calm", Use, std::exp(-0.9 + Noise(Random)));
+  }
+  EXPECT_TRUE(Effects.hasLearned());
+  EXPECT_GT(Effects.getEffect("sensitive", "heavy"), 3.0);
+  EXPECT_LT(std::abs(Effects.getEffect("sensitive", "light")), 1.0);
+  EXPECT_LT(std::abs(Effects.getEffect("calm", "heavy")), 1.0);
+  EXPECT_EQ(Effects.getLargestOn("heavy"),
+            Effects.getEffect("sensitive", "heavy"));
+  EXPECT_EQ(Effects.getEffect("unknown", "heavy"), 0.0);
+}
+
+TEST(TailEffectsTest, WildFiguresAndManyImagesStayBounded) {
+  TailEffects Effects;
+  for (int I = 0; I < 400; ++I) {
+    const std::string Image = "image" + std::to_string(I);
+    Effects.learn("s" + std::to_string(I), {{Image, 1.0}},
+                  I % 2 == 0 ? 1e9 : 1e-9);
+    EXPECT_TRUE(std::isfinite(Effects.getEffect("s0", Image)));
+  }
+  Effects.learn("s0", {{"x", 0.1}}, 0);
+  EXPECT_EQ(Effects.getEffect("s399", "image399"), 0.0);
+}
