Stop what fills beside a tail that stays over its target, in time

Others were halved every 0.65 s from 2 s on, and one rough figure below the target began the wait anew. Change: two steps, from 1.5 s on; only a figure below 0.88 of the target counts as good.

--- a/src/jobs/PaceGuard.cpp
+++ b/src/jobs/PaceGuard.cpp
@@ -23,7 +23,13 @@
 static constexpr double TrustStep = 0.1;
 /// For so long a tail may be over its target before tasks that are not known to
 /// disturb are slowed; a fraction of the time after which it counts as harm.
-static constexpr Duration OthersPatience = 2000ms;
+static constexpr Duration OthersPatience = 1500ms;
+/// A figure is rough: only one below that part of the target says that the tail
+/// is not over it.
+static constexpr std::uint64_t GoodPercent = 88;
+/// What is left to others in the first step; the second stops them, so that
+/// both have their effect within the time after which it counts as harm.
+static constexpr std::uint64_t OthersFirstStep = 25;
 static constexpr std::uint64_t FullPace = 100;
 static constexpr std::uint64_t StepUp = 34;
 /// Below that filling work is not worth its disturbance.
@@ -51,7 +57,7 @@
   const auto [Place, IsNew] = Servers_.try_emplace(ServerId);
   Level &Own = Place->second;
   Own.TailPercent_ = Reading.TailPercent_;
-  if (IsNew || Reading.TailPercent_ < OverPercent)
+  if (IsNew || Reading.TailPercent_ < GoodPercent)
     Own.GoodUntil_ = Now;
   if (IsNew)
     Own.CorrectedAt_ = Now;
@@ -84,9 +90,8 @@
     Own.Trust_ = std::min(Own.Trust_ + TrustStep, MostTrust);
   if (Tail >= OverPercent && !MayBlame && Reading.HasOthers_ &&
       Now - Own.GoodUntil_ >= OthersPatience)
-    Own.Pace_.Others_ = Own.Pace_.Others_ / 2 < LeastPace
-                            ? 0
-                            : Own.Pace_.Others_ / 2;
+    Own.Pace_.Others_ =
+        Own.Pace_.Others_ > OthersFirstStep ? OthersFirstStep : 0;
   else if (Tail < ClosePercent)
     Own.Pace_.Others_ = std::min(Own.Pace_.Others_ + StepUp, FullPace);
   if (Own.Trust_ != TrustBefore || Own.Pace_.Others_ != OthersBefore)
--- a/tests/jobs/PaceGuardTest.cpp
+++ b/tests/jobs/PaceGuardTest.cpp
@@ -60,6 +60,18 @@
   EXPECT_EQ(pace().Others_, 100U);
 }
 
+TEST_F(PaceGuardTest, NothingFillsBesideATailThatIsOverForLong) {
+  // Rough figures dip below the target now and then; harm is counted after
+  // 5.5 s, in which the last step must have had its effect of 0.65 s.
+  const std::uint64_t Tails[] = {130, 95, 120, 98, 140, 110, 92, 130};
+  Duration Until{};
+  for (int I = 0; pace().Others_ > 0 && I < 100; ++I) {
+    note(Tails[I % 8], 0, true);
+    Until += 250ms;
+  }
+  EXPECT_LE(Until, 4s);
+}
+
 TEST_F(PaceGuardTest, OneCorrectionWaitsForTheEffectOfTheLast) {
   note(50, 0.09, false);
   note(300, 0.09, false);
