Keep the voters by ourselves; reopen a replica whose disk failed

Cause: a control at a new address was added and never promoted, a dead voter stayed; one write to a full disk ended a member for good; a member removed while it was away never came back. Ruled out: removing first (three voters of which one is dead bear no loss meanwhile).

--- a/include/tulipweir/jobservice/ControlNode.h
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -30,13 +30,21 @@
   jobs::JobLeaderSettings Leader_;
 };
 
-/// Callbacks run on the node's strand.
+/// Opens a replica: replication::Replica::open but in tests.
+using OpenReplica =
+    std::function<Outcome<std::unique_ptr<replication::Replica>>(
+        const replication::ReplicaSettings &, replication::StateMachine &,
+        replication::Transport &, const Clock &)>;
+
+/// Callbacks run on the node's strand. A replica whose disk failed is closed
+/// and opened again until the disk takes writes; calls fail meanwhile.
 class ControlNode {
 public:
   template <class Value> using Done = std::function<void(Outcome<Value>)>;
 
   ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
-              const Clock &Time, net::Metrics &Metrics, EventLog &Log);
+              const Clock &Time, net::Metrics &Metrics, EventLog &Log,
+              OpenReplica Open = &replication::Replica::open);
   ~ControlNode();
   ControlNode(const ControlNode &) = delete;
   ControlNode &operator=(const ControlNode &) = delete;
@@ -59,11 +67,12 @@
   void readConfiguration(Done<jobs::Configuration> Reply);
   /// The leader's name as far as this member knows; empty if unknown.
   std::string getLeader() const;
+  replication::ReplicaStatus getStatus() const;
   std::string makeDump() const;
 
 private:
   class Impl;
-  std::unique_ptr<Impl> Impl_;
+  std::shared_ptr<Impl> Impl_;
 };
 
 } // namespace tulipweir::jobservice
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -12,6 +12,8 @@
 /// Two may be lost without a gap in the leader's lease, which lasts 7/8 of the
 /// election timeout.
 static constexpr int HeartbeatsPerElection = 5;
+/// How often the replica's disk and members are looked at.
+static constexpr Duration WatchInterval = std::chrono::milliseconds(250);
 
 static replication::ReplicaSettings
 makeReplicaSettings(const ControlNodeSettings &Settings) {
@@ -29,18 +31,57 @@
   return Result;
 }
 
-class ControlNode::Impl {
+namespace {
+
+/// One opening of the replica with what rests on it. Taken apart as a whole
+/// when its disk fails.
+struct Life {
+  jobs::JobMachine Machine_;
+  std::unique_ptr<replication::Replica> Group_;
+  std::unique_ptr<jobs::JobLeader> Leader_;
+
+  ~Life() {
+    // No callback of the replica's runs after that.
+    if (Group_)
+      Group_->stop();
+  }
+};
+
+} // namespace
+
+class ControlNode::Impl : public std::enable_shared_from_this<ControlNode::Impl> {
 public:
   Impl(const ControlNodeSettings &Settings, net::IoPool &Pool,
-       const Clock &Time, net::Metrics &Metrics, EventLog &Log)
+       const Clock &Time, EventLog &Log, OpenReplica Open)
       : Settings_(Settings), Pool_(Pool), Time_(Time), Log_(Log),
+        Open_(std::move(Open)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
-        Strand_(Pool), Metrics_(Metrics) {}
-  ~Impl() { stop(); }
+        Strand_(Pool) {}
 
   Outcome<void> start();
   void stop();
+
+  /// Runs Work with the leader's side on the strand, or fails.
+  template <class Value, class Function>
+  void run(Done<Value> Reply, Function Work) {
+    Strand_.post([Self = shared_from_this(), Reply = std::move(Reply),
+                  Work = std::move(Work)]() mutable {
+      const std::shared_ptr<Life> Current = Self->getLife();
+      if (!Current)
+        return Reply(fail(ErrorCode::Unavailable, "the disk fails"));
+      Work(*Current->Leader_, std::move(Reply));
+    });
+  }
+  std::shared_ptr<Life> getLife() const {
+    const std::lock_guard Hold(Lock_);
+    return Life_;
+  }
+
+private:
+  Outcome<void> openLife();
+  void watch();
+  void noteStatus(const replication::ReplicaStatus &Status);
   void handle(wire::MessageKind Kind, std::string Body, net::LinkReply Reply);
   std::string makeView() const;
 
@@ -48,63 +89,133 @@
   net::IoPool &Pool_;
   const Clock &Time_;
   EventLog &Log_;
+  const OpenReplica Open_;
   MemberLinks Links_;
   net::StrandExecutor Strand_;
-  jobs::JobMachine Machine_;
-  std::unique_ptr<replication::Replica> Group_;
-  std::unique_ptr<jobs::JobLeader> Leader_;
   std::unique_ptr<net::LinkServer> Server_;
-
-private:
-  net::Metrics &Metrics_;
-  bool Stopped_ = false;
+  std::vector<replication::Member> LastMembers_; ///< On the strand only.
+  mutable std::mutex Lock_;
+  bool Stopped_ = false;       ///< Guarded by Lock_, as is Life_.
+  std::shared_ptr<Life> Life_; ///< None while the disk fails.
 };
 
-Outcome<void> ControlNode::Impl::start() {
-  auto Opened = replication::Replica::open(makeReplicaSettings(Settings_),
-                                           Machine_, Links_, Time_);
+Outcome<void> ControlNode::Impl::openLife() {
+  const auto Fresh = std::make_shared<Life>();
+  auto Opened = Open_(makeReplicaSettings(Settings_), Fresh->Machine_, Links_,
+                      Time_);
   if (!Opened)
     return std::move(Opened).as_failure();
-  Group_ = std::move(Opened.value());
-  Leader_ = std::make_unique<jobs::JobLeader>(Settings_.Leader_, Time_, Strand_,
-                                              *Group_, Machine_, Log_);
+  Fresh->Group_ = std::move(Opened.value());
+  Fresh->Leader_ = std::make_unique<jobs::JobLeader>(
+      Settings_.Leader_, Time_, Strand_, *Fresh->Group_, Fresh->Machine_, Log_);
+  {
+    const std::lock_guard Hold(Lock_);
+    if (Stopped_)
+      return fail(ErrorCode::Unavailable, "stopping");
+    Life_ = Fresh;
+  }
+  Strand_.post([Weak = std::weak_ptr(Fresh)] {
+    if (const std::shared_ptr<Life> Current = Weak.lock())
+      Current->Leader_->start();
+  });
+  return succeed();
+}
+
+Outcome<void> ControlNode::Impl::start() {
+  if (Outcome<void> Opened = openLife(); !Opened)
+    return Opened;
   net::Endpoint Listen;
   Listen.Address_ = net::Endpoint::parse(Settings_.Name_).value().Address_;
   Listen.Port_ = Settings_.LinkPort_;
   Server_ = std::make_unique<net::LinkServer>(
       Pool_.context(), Listen, makeMemberLinkSettings(Settings_.Secret_),
-      [this](wire::MessageKind Kind, std::string Body, net::LinkReply Reply) {
-        handle(Kind, std::move(Body), std::move(Reply));
+      [Weak = weak_from_this()](wire::MessageKind Kind, std::string Body,
+                                net::LinkReply Reply) {
+        if (const std::shared_ptr<Impl> Self = Weak.lock())
+          Self->handle(Kind, std::move(Body), std::move(Reply));
       });
   auto Bound = Server_->start();
   if (!Bound)
     return std::move(Bound).as_failure();
-  Strand_.post([this] { Leader_->start(); });
+  Strand_.post([Self = shared_from_this()] { Self->watch(); });
   return succeed();
 }
 
-void ControlNode::Impl::stop() {
-  if (std::exchange(Stopped_, true))
+void ControlNode::Impl::noteStatus(const replication::ReplicaStatus &Status) {
+  if (Status.Members_ == LastMembers_)
     return;
+  LastMembers_ = Status.Members_;
+  Event Line;
+  Line.Kind_ = EventKind::MembersChanged;
+  Line.Term_ = Status.Term_;
+  Line.Count_ = Status.Members_.size();
+  for (const replication::Member &Each : Status.Members_)
+    Line.Reason_ += Each.Id_.Name_ +
+                    (Each.Role_ == replication::MemberRole::Voter ? " votes, "
+                                                                  : " learns, ");
+  Log_.write(Line);
+}
+
+/// Closes a replica whose disk failed, and opens it again once that works.
+void ControlNode::Impl::watch() {
+  {
+    const std::lock_guard Hold(Lock_);
+    if (Stopped_)
+      return;
+  }
+  Event Line;
+  Line.Kind_ = EventKind::StorageTrouble;
+  if (std::shared_ptr<Life> Current = getLife()) {
+    const replication::ReplicaStatus Status = Current->Group_->getStatus();
+    noteStatus(Status);
+    if (!Status.Failure_.empty()) {
+      const std::lock_guard Hold(Lock_);
+      Life_.reset();
+      Line.Outcome_ = "closed";
+      Line.Reason_ = Status.Failure_;
+      Log_.write(Line);
+    }
+  } else if (const Outcome<void> Opened = openLife(); Opened) {
+    Line.Outcome_ = "opened again";
+    Log_.write(Line);
+  }
+  Strand_.postAfter(WatchInterval, [Weak = weak_from_this()] {
+    if (const std::shared_ptr<Impl> Self = Weak.lock())
+      Self->watch();
+  });
+}
+
+void ControlNode::Impl::stop() {
+  std::shared_ptr<Life> Last;
+  {
+    const std::lock_guard Hold(Lock_);
+    if (std::exchange(Stopped_, true))
+      return;
+    Last = std::exchange(Life_, nullptr);
+  }
   if (Server_)
     Server_->stop();
   Links_.stop();
-  if (Group_)
-    Group_->stop();
 }
 
 std::string ControlNode::Impl::makeView() const {
-  const replication::ReplicaStatus Status = Group_->getStatus();
-  jobs::GroupView View{Status.LeaderName_, {}};
-  for (const replication::Member &Each : Status.Members_)
-    View.Members_.push_back(Each.Id_.Name_);
+  jobs::GroupView View;
+  if (const std::shared_ptr<Life> Current = getLife()) {
+    const replication::ReplicaStatus Status = Current->Group_->getStatus();
+    View.Leader_ = Status.LeaderName_;
+    for (const replication::Member &Each : Status.Members_)
+      View.Members_.push_back(Each.Id_.Name_);
+  }
   return jobs::encodeGroupView(View);
 }
 
 void ControlNode::Impl::handle(wire::MessageKind Kind, std::string Body,
                                net::LinkReply Reply) {
-  if (Kind == wire::MessageKind::Replication)
-    return Group_->receive(std::move(Body));
+  if (Kind == wire::MessageKind::Replication) {
+    if (const std::shared_ptr<Life> Current = getLife())
+      Current->Group_->receive(std::move(Body));
+    return;
+  }
   if (Kind == wire::MessageKind::GroupView)
     return Reply(makeView());
   if (Kind != wire::MessageKind::JobCall)
@@ -112,68 +223,100 @@
   Outcome<jobs::JobCall> Call = jobs::decodeCall(Body);
   if (!Call)
     return Reply(std::move(Call).as_failure());
-  Strand_.post([this, Call = std::move(Call.value()), Reply] {
-    Leader_->call(Call, [Reply](const Outcome<jobs::JobCallReply> &Answer) {
-      if (!Answer)
-        return Reply(Answer.error());
-      Reply(jobs::encodeCallReply(Answer.value()));
-    });
-  });
+  run<jobs::JobCallReply>(
+      [Reply](const Outcome<jobs::JobCallReply> &Answer) {
+        // Unavailable would say that the frame never left.
+        if (!Answer && Answer.error().Code_ == ErrorCode::Unavailable)
+          return Reply(fail(ErrorCode::NotLeader, ""));
+        if (!Answer)
+          return Reply(Answer.error());
+        Reply(jobs::encodeCallReply(Answer.value()));
+      },
+      [Call = std::move(Call.value())](jobs::JobLeader &Leader,
+                                       Done<jobs::JobCallReply> Answer) {
+        Leader.call(Call, std::move(Answer));
+      });
 }
 
 ControlNode::ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
-                         const Clock &Time, net::Metrics &Metrics,
-                         EventLog &Log)
-    : Impl_(std::make_unique<Impl>(Settings, Pool, Time, Metrics, Log)) {}
-ControlNode::~ControlNode() = default;
+                         const Clock &Time, net::Metrics &, EventLog &Log,
+                         OpenReplica Open)
+    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Log,
+                                   std::move(Open))) {}
+ControlNode::~ControlNode() { stop(); }
 
 Outcome<void> ControlNode::start() { return Impl_->start(); }
 void ControlNode::stop() { Impl_->stop(); }
 
 void ControlNode::handOver(std::function<void()> Moved) {
-  const replication::ReplicaStatus Status = Impl_->Group_->getStatus();
+  const std::shared_ptr<Life> Current = Impl_->getLife();
+  if (!Current)
+    return Moved();
+  const replication::ReplicaStatus Status = Current->Group_->getStatus();
   if (!Status.IsLeader_ || Status.Members_.size() < 2)
     return Moved();
-  Impl_->Group_->transferLeadership(
+  Current->Group_->transferLeadership(
       [Moved = std::move(Moved)](const Outcome<void> &) { Moved(); });
 }
 
 void ControlNode::call(jobs::JobCall Call, Done<jobs::JobCallReply> Reply) {
-  Impl_->Strand_.post([this, Call = std::move(Call), Reply] {
-    Impl_->Leader_->call(Call, Reply);
-  });
+  Impl_->run<jobs::JobCallReply>(
+      std::move(Reply), [Call = std::move(Call)](jobs::JobLeader &Leader,
+                                                 Done<jobs::JobCallReply> To) {
+        Leader.call(Call, std::move(To));
+      });
 }
 
 void ControlNode::report(jobs::ServerReport Report,
                          Done<jobs::ServerOrders> Reply) {
-  Impl_->Strand_.post([this, Report = std::move(Report), Reply]() mutable {
-    Impl_->Leader_->report(std::move(Report), Reply);
-  });
+  Impl_->run<jobs::ServerOrders>(
+      std::move(Reply),
+      [Report = std::move(Report)](jobs::JobLeader &Leader,
+                                   Done<jobs::ServerOrders> To) mutable {
+        Leader.report(std::move(Report), std::move(To));
+      });
 }
 
 void ControlNode::leave(const std::string &ServerId, Done<void> Reply) {
-  Impl_->Strand_.post(
-      [this, ServerId, Reply] { Impl_->Leader_->leave(ServerId, Reply); });
+  Impl_->run<void>(std::move(Reply),
+                   [ServerId](jobs::JobLeader &Leader, Done<void> To) {
+                     Leader.leave(ServerId, std::move(To));
+                   });
 }
 
 void ControlNode::putConfiguration(jobs::Configuration Value,
                                    Done<void> Reply) {
-  Impl_->Strand_.post([this, Value = std::move(Value), Reply]() mutable {
-    Impl_->Leader_->putConfiguration(std::move(Value), Reply);
-  });
+  Impl_->run<void>(
+      std::move(Reply),
+      [Value = std::move(Value)](jobs::JobLeader &Leader,
+                                 Done<void> To) mutable {
+        Leader.putConfiguration(std::move(Value), std::move(To));
+      });
 }
 
 void ControlNode::readConfiguration(Done<jobs::Configuration> Reply) {
-  Impl_->Strand_.post(
-      [this, Reply] { Impl_->Leader_->readConfiguration(Reply); });
+  Impl_->run<jobs::Configuration>(
+      std::move(Reply),
+      [](jobs::JobLeader &Leader, Done<jobs::Configuration> To) {
+        Leader.readConfiguration(std::move(To));
+      });
 }
 
 std::string ControlNode::getLeader() const {
-  return Impl_->Group_->getStatus().LeaderName_;
+  const std::shared_ptr<Life> Current = Impl_->getLife();
+  return Current ? Current->Group_->getStatus().LeaderName_ : "";
+}
+
+replication::ReplicaStatus ControlNode::getStatus() const {
+  const std::shared_ptr<Life> Current = Impl_->getLife();
+  return Current ? Current->Group_->getStatus() : replication::ReplicaStatus{};
 }
 
 std::string ControlNode::makeDump() const {
-  const replication::ReplicaStatus Status = Impl_->Group_->getStatus();
+  const std::shared_ptr<Life> Current = Impl_->getLife();
+  if (!Current)
+    return nlohmann::json{{"failure", "the disk fails"}}.dump();
+  const replication::ReplicaStatus Status = Current->Group_->getStatus();
   nlohmann::json Dump = {{"name", Status.Self_.Name_},
                          {"incarnation", Status.Self_.Incarnation_},
                          {"leads", Status.IsLeader_},
@@ -188,7 +331,7 @@
     Dump["members"].push_back(
         {{"name", Each.Id_.Name_},
          {"votes", Each.Role_ == replication::MemberRole::Voter}});
-  Impl_->Machine_.read([&Dump](const jobs::JobBook &Book) {
+  Current->Machine_.read([&Dump](const jobs::JobBook &Book) {
     Dump["configuration"] = Book.configuration().Version_;
     Dump["jobs"] = Book.jobs().size();
     Dump["servers"] = Book.servers().size();
--- a/src/replication/GroupFounder.h
+++ b/src/replication/GroupFounder.h
@@ -54,6 +54,9 @@
   /// leader: it may have been removed while it was away.
   FounderOutputs seek() const;
 
+  /// The member is being taken in; if that comes to nothing, it asks again.
+  void forgetWaiting(const std::string &Name) { Waiting_.erase(Name); }
+
   /// Takes JoinProbe, JoinReply and FoundGroup; others do nothing.
   FounderOutputs receive(const Message &From, const Holdings &Held);
 
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -213,8 +213,11 @@
   auto Next = planRejoin(Core_.getLog().getMembers(), getWaiting());
   if (!Next && Settings_.TargetVoters_ > 0)
     Next = planMembers(listStandings(), getWaiting(), Settings_.TargetVoters_);
-  if (Next && Next != Current)
-    step(*Next);
+  if (!Next || Next == Current)
+    return;
+  if (Next->Kind_ == ChangeKind::AddLearner)
+    Founder_.forgetWaiting(Next->Member_.Name_);
+  step(*Next);
 }
 
 void ReplicaDriver::receiveOne(const std::string &Bytes) {
--- /dev/null
+++ b/tests/jobservice/MembershipTest.cpp
@@ -0,0 +1,179 @@
+//===- MembershipTest.cpp - Founding, joining and replacing controls --------===//
+
+#include "jobservice/NodeCluster.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobservice;
+using namespace tulipweir::jobservice::test;
+
+TEST_F(NodeCluster, ThreeNodesFoundOneGroup) {
+  for (const int Node : {3, 1, 2})
+    start(Node, {1, 2, 3}, true);
+  EXPECT_TRUE(putConfiguration(7));
+  EXPECT_TRUE(waitFor([this] { return readVersion() == 7; }));
+  EXPECT_TRUE(waitFor([this] { return listVoters() == namesOf({1, 2, 3}); }));
+}
+
+TEST_F(NodeCluster, FiveNodesOfWhichSeedsNameThreeBecomeFiveVoters) {
+  for (const int Node : {5, 4, 3, 2, 1})
+    start(Node, {1, 2, 3}, true, 5);
+  EXPECT_TRUE(
+      waitFor([this] { return listVoters() == namesOf({1, 2, 3, 4, 5}); }));
+}
+
+TEST_F(NodeCluster, EightNodesKeepFiveVotersAndBearTheLossOfTwo) {
+  for (int Node = 1; Node <= 8; ++Node)
+    start(Node, {2, 5, 7}, true, 5);
+  ASSERT_TRUE(waitFor([this] { return listVoters().size() == 5; }));
+  EXPECT_TRUE(putConfiguration(3));
+  const std::vector<std::string> Before = listVoters();
+  int Stopped = 0;
+  for (int Node = 1; Node <= 8 && Stopped < 2; ++Node)
+    if (std::count(Before.begin(), Before.end(), nameOf(Node)) != 0) {
+      stop(Node);
+      ++Stopped;
+    }
+  EXPECT_TRUE(waitFor([this] { return readVersion() == 3; }));
+  // Others take the places of the two that are gone.
+  EXPECT_TRUE(waitFor([&] {
+    const std::vector<std::string> Now = listVoters();
+    return Now.size() == 5 && Now != Before;
+  }));
+}
+
+TEST_F(NodeCluster, ALostDiskRejoinsWithoutHelp) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(4));
+  const int Lost = findLeader() == 1 ? 2 : 1;
+  stop(Lost);
+  loseDisk(Lost);
+  start(Lost, {1, 2, 3}, false);
+  EXPECT_TRUE(waitFor([&] {
+    const auto Status = Nodes_.at(Lost)->getStatus();
+    return listVoters() == namesOf({1, 2, 3}) && Status.AppliedIndex_ > 0;
+  }));
+  EXPECT_EQ(readVersion(), 4U);
+}
+
+TEST_F(NodeCluster, ANodeAtANewAddressReplacesOneThatIsGone) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(4));
+  const int Gone = findLeader() == 3 ? 2 : 3;
+  stop(Gone);
+  start(4, {1, 2, 3}, false);
+  std::vector<int> Left = {1, 2, 3, 4};
+  std::erase(Left, Gone);
+  EXPECT_TRUE(waitFor([&] { return listVoters() == namesOf(Left); }));
+  // Now the next loss is borne.
+  stop(findLeader());
+  EXPECT_TRUE(waitFor([this] { return readVersion() == 4; }));
+}
+
+TEST_F(NodeCluster, OneThatKnowsOnlyAFollowerIsTakenIn) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(1));
+  const int Follower = findLeader() == 1 ? 2 : 1;
+  const int Other = 6 - Follower - findLeader();
+  stop(Other);
+  start(4, {Follower}, false);
+  EXPECT_TRUE(waitFor([&] {
+    const std::vector<std::string> Now = listVoters();
+    return std::count(Now.begin(), Now.end(), nameOf(4)) == 1;
+  }));
+}
+
+TEST_F(NodeCluster, ARemovedMemberThatComesBackIsTakenInAgain) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(1));
+  const int Away = findLeader() == 1 ? 2 : 1;
+  stop(Away);
+  start(4, {1, 2, 3}, false);
+  ASSERT_TRUE(waitFor([&] {
+    const std::vector<std::string> Now = listVoters();
+    return Now.size() == 3 &&
+           std::count(Now.begin(), Now.end(), nameOf(Away)) == 0;
+  }));
+  start(Away, {1, 2, 3}, false);
+  EXPECT_TRUE(waitFor([&] {
+    const int Leader = findLeader();
+    return Leader != 0 && Nodes_.at(Leader)->getStatus().Members_.size() == 4;
+  }));
+}
+
+TEST_F(NodeCluster, EverythingIsThereAfterAllWereStopped) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(9));
+  for (const int Node : {1, 2, 3})
+    stop(Node);
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, false);
+  EXPECT_TRUE(waitFor([this] { return readVersion() == 9; }));
+}
+
+TEST_F(NodeCluster, NodesThatMayNotFoundWaitForAGroup) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, false);
+  // Long enough for some hundred questions between them.
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  EXPECT_EQ(findLeader(), 0);
+  EXPECT_EQ(readVersion(), 0U);
+}
+
+namespace {
+
+/// A replica that says that its disk has failed.
+class FailedReplica final : public replication::Replica {
+public:
+  void propose(std::string, AppliedCallback Done) override {
+    Done(fail(ErrorCode::Unavailable, "failed"));
+  }
+  void receive(std::string) override {}
+  void confirmLeadership(std::function<void(Outcome<void>)> Done) override {
+    Done(fail(ErrorCode::Unavailable, "failed"));
+  }
+  std::optional<std::uint64_t> findLeaseTerm(TimePoint) const override {
+    return std::nullopt;
+  }
+  replication::ReplicaStatus getStatus() const override {
+    replication::ReplicaStatus Status;
+    Status.Failure_ = "no space left";
+    return Status;
+  }
+  void addLearner(replication::MemberId,
+                  std::function<void(Outcome<void>)>) override {}
+  void promote(replication::MemberId,
+               std::function<void(Outcome<void>)>) override {}
+  void remove(replication::MemberId,
+              std::function<void(Outcome<void>)>) override {}
+  void transferLeadership(std::function<void(Outcome<void>)>) override {}
+  void stop() override {}
+};
+
+} // namespace
+
+TEST_F(NodeCluster, AReplicaWhoseDiskFailedIsOpenedAgain) {
+  // The first opening gives a failed replica, the second fails, the third is
+  // sound: as with a disk that is full for a while.
+  auto Openings = std::make_shared<std::atomic<int>>(0);
+  const OpenReplica Open =
+      [Openings](const replication::ReplicaSettings &Settings,
+                 replication::StateMachine &Machine,
+                 replication::Transport &Out, const Clock &Time)
+      -> Outcome<std::unique_ptr<replication::Replica>> {
+    const int Number = ++*Openings;
+    if (Number == 1)
+      return std::unique_ptr<replication::Replica>(
+          std::make_unique<FailedReplica>());
+    if (Number == 2)
+      return fail(ErrorCode::StorageFailed, "no space left");
+    return replication::Replica::open(Settings, Machine, Out, Time);
+  };
+  start(1, {1}, true, 1, Open);
+  EXPECT_TRUE(putConfiguration(2));
+  EXPECT_GE(*Openings, 3);
+}
--- a/tests/replication/RejoinTest.cpp
+++ b/tests/replication/RejoinTest.cpp
@@ -1,3 +1,5 @@
+//===- RejoinTest.cpp - Which change of members comes next ------------------===//
+
 #include "replication/Rejoin.h"
 
 #include <gtest/gtest.h>
@@ -5,41 +7,72 @@
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
-TEST(RejoinTest, PlansOneStepAtATime) {
-  constexpr MemberRole V = MemberRole::Voter;
-  constexpr MemberRole L = MemberRole::Learner;
-  struct Case {
-    std::vector<Member> Members_;
-    std::vector<MemberId> Waiting_;
-    std::optional<ChangeAsked> Next_;
-  };
-  const Case Cases[] = {
-      {{{{"a", 1}, V}, {{"b", 1}, V}}, {}, std::nullopt},
-      // A stranger is for the operator, and so is an earlier incarnation.
-      {{{{"a", 2}, V}}, {{"b", 1}, {"a", 1}}, std::nullopt},
-      {{{{"a", 1}, V}},
-       {{"a", 2}},
-       ChangeAsked{0, ChangeKind::AddLearner, {"a", 2}}},
-      {{{{"a", 1}, V}, {{"a", 2}, L}},
-       {{"a", 2}},
-       ChangeAsked{0, ChangeKind::Promote, {"a", 2}}},
-      {{{{"a", 1}, V}, {{"a", 2}, V}},
-       {},
-       ChangeAsked{0, ChangeKind::Remove, {"a", 1}}},
-      {{{{"a", 1}, L}, {{"a", 2}, L}},
-       {},
-       ChangeAsked{0, ChangeKind::Remove, {"a", 1}}},
-      // Lost again before it was promoted.
-      {{{{"a", 1}, V}, {{"a", 2}, L}},
-       {{"a", 3}},
-       ChangeAsked{0, ChangeKind::AddLearner, {"a", 3}}},
-      {{{{"a", 1}, V}, {{"a", 2}, L}, {{"a", 3}, L}},
-       {},
-       ChangeAsked{0, ChangeKind::Promote, {"a", 3}}},
-      {{{{"a", 1}, V}, {{"a", 2}, L}, {{"a", 3}, V}},
-       {},
-       ChangeAsked{0, ChangeKind::Remove, {"a", 2}}},
-  };
-  for (const Case &Each : Cases)
-    EXPECT_EQ(planRejoin(Each.Members_, Each.Waiting_), Each.Next_);
+namespace {
+
+constexpr bool Alive = true;
+constexpr bool Silent = false;
+
+MemberStanding voter(const char *Name, bool IsAlive = Alive,
+                     bool IsGone = false) {
+  return {{{Name, 1}, MemberRole::Voter}, IsAlive, IsGone};
+}
+MemberStanding learner(const char *Name, bool IsAlive = Alive) {
+  return {{{Name, 1}, MemberRole::Learner}, IsAlive, false};
+}
+ChangeAsked change(ChangeKind Kind, const char *Name) {
+  return {0, Kind, {Name, 1}};
+}
+
+} // namespace
+
+TEST(PlanMembersTest, AStrangerIsTakenInAsALearner) {
+  EXPECT_EQ(planMembers({voter("a")}, {{"b", 1}}, 3),
+            change(ChangeKind::AddLearner, "b"));
+}
+
+TEST(PlanMembersTest, LearnersArePromotedUpToTheTarget) {
+  EXPECT_EQ(planMembers({voter("a"), voter("b"), learner("c")}, {}, 3),
+            change(ChangeKind::Promote, "c"));
+  EXPECT_EQ(
+      planMembers({voter("a"), voter("b"), voter("c"), learner("d")}, {}, 3),
+      std::nullopt);
+}
+
+TEST(PlanMembersTest, ASilentLearnerIsNotPromoted) {
+  EXPECT_EQ(planMembers({voter("a"), voter("b"), learner("c", Silent)}, {}, 3),
+            std::nullopt);
+}
+
+TEST(PlanMembersTest, AGoneVoterIsReplacedBeforeItIsRemoved) {
+  const MemberStanding Gone = voter("c", Silent, true);
+  EXPECT_EQ(planMembers({voter("a"), voter("b"), Gone, learner("d")}, {}, 3),
+            change(ChangeKind::Promote, "d"));
+  EXPECT_EQ(planMembers({voter("a"), voter("b"), Gone, voter("d")}, {}, 3),
+            change(ChangeKind::Remove, "c"));
+}
+
+TEST(PlanMembersTest, WithoutAReplacementNobodyLosesItsVote) {
+  EXPECT_EQ(planMembers({voter("a"), voter("b"), voter("c", Silent, true)}, {},
+                        3),
+            std::nullopt);
+}
+
+TEST(PlanMembersTest, AVoterThatIsSilentForAMomentStays) {
+  EXPECT_EQ(planMembers({voter("a"), voter("b"), voter("c", Silent),
+                         learner("d")},
+                        {}, 3),
+            std::nullopt);
+}
+
+TEST(PlanMembersTest, AKnownNameIsLeftToTheOtherPlan) {
+  EXPECT_EQ(planMembers({voter("a")}, {{"a", 2}}, 3), std::nullopt);
+  EXPECT_EQ(planRejoin({{{"a", 1}, MemberRole::Voter}}, {{"a", 2}}),
+            (ChangeAsked{0, ChangeKind::AddLearner, {"a", 2}}));
+}
+
+TEST(PlanMembersTest, StrangersCannotGrowTheGroupWithoutBound) {
+  std::vector<MemberStanding> Many;
+  for (int I = 0; I < 32; ++I)
+    Many.push_back(learner("x", Silent));
+  EXPECT_EQ(planMembers(Many, {{"b", 1}}, 3), std::nullopt);
 }
