--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -123,3 +123,15 @@
     add_test(NAME platform COMMAND test_platform)
   endif()
 endfunction()
+
+# Builds the test program of the platform's programs as whole processes.
+function(tulipweir_platform_system_test)
+  file(GLOB SOURCES CONFIGURE_DEPENDS tests/platform/system/*.cpp)
+  add_executable(test_systemPlatform ${SOURCES})
+  target_link_libraries(test_systemPlatform PRIVATE system_support
+                        GTest::gtest GTest::gtest_main)
+  add_dependencies(test_systemPlatform tulipweir-platform-entry
+                   tulipweir-platform-control)
+  add_test(NAME systemPlatform COMMAND test_systemPlatform)
+  set_tests_properties(systemPlatform PROPERTIES LABELS system)
+endfunction()
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -644,6 +644,9 @@
         Line.Outcome_ = Job->State_ == JobState::Completed ? "completed"
                         : Job->State_ == JobState::Failed  ? "failed"
                                                            : "cancelled";
+        if (Job->State_ == JobState::Failed)
+          Line.Reason_ = "task " + toText(End.Task_) +
+                         " has failed as often as its queue allows";
         Log_.write(Line);
       }
       return 0;
--- /dev/null
+++ b/tests/platform/system/Worker.h
@@ -0,0 +1,107 @@
+//===- Worker.h - A stand-in for the platform's workers -----------------------===//
+//
+// Speaks the platform's protocol to the controls: heartbeats, starts, stops,
+// leases, fencing tokens, checkpoints. A task's payload says what it does:
+// "ms=N;cpu=N;mem=N[;fail]". Whatever must never happen is written down.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_TESTS_PLATFORM_SYSTEM_WORKER_H
+#define TULIPWEIR_TESTS_PLATFORM_SYSTEM_WORKER_H
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace tulipweir::platform_test {
+
+using Instant = std::chrono::steady_clock::time_point;
+
+/// What all workers of a test see together. Thread-safe.
+class Audit {
+public:
+  void noteStart(const std::string &Task, std::uint64_t Run,
+                 const std::string &Worker);
+  void noteEnd(const std::string &Task, std::uint64_t Run,
+               const std::string &How);
+  void noteBreak(const std::string &What);
+  std::vector<std::string> listBreaks() const;
+  std::uint64_t countDone() const;
+  std::uint64_t countStarts() const;
+
+private:
+  mutable std::mutex Lock_;
+  std::map<std::string, std::uint64_t> Running_; ///< The run of each task.
+  std::map<std::string, std::uint64_t> LastRun_;
+  std::set<std::string> Done_;
+  std::uint64_t Starts_ = 0;
+  std::vector<std::string> Breaks_;
+};
+
+class Worker {
+public:
+  struct Place {
+    std::string Address_;
+    std::uint16_t Port_ = 0;
+  };
+  Worker(std::string Id, std::vector<Place> Controls, Audit &Seen);
+  ~Worker();
+  Worker(const Worker &) = delete;
+  Worker &operator=(const Worker &) = delete;
+
+  /// Ends everything that runs, without a word: a crash.
+  void crash();
+  void drain() { IsDraining_ = true; }
+  std::uint64_t countRunning() const;
+
+private:
+  struct Task {
+    std::uint64_t Run_ = 0;
+    std::uint64_t TotalMs_ = 0;
+    std::uint64_t SavedMs_ = 0; ///< Work done before this run.
+    std::int64_t Cpu_ = 0;
+    std::int64_t Memory_ = 0;
+    bool Fails_ = false;
+    Instant Begin_;
+  };
+
+  void run();
+  void beat();
+  bool send(const Place &To, const std::string &Body);
+  void takeOrders(const nlohmann::json &Orders, Instant SentAt);
+  void startTask(const nlohmann::json &Row);
+  void endTask(const std::string &Name, const std::string &How);
+  void endDue(Instant Now);
+  void pause(std::chrono::milliseconds Most);
+  nlohmann::json makeBeat();
+  static std::uint64_t getDoneMs(const Task &Of, Instant Now);
+
+  const std::string Id_;
+  std::vector<Place> Controls_;
+  Audit &Seen_;
+  std::atomic<bool> Stopping_{false};
+  std::atomic<bool> IsDraining_{false};
+  std::size_t Next_ = 0;
+  std::uint64_t Sequence_ = 0;
+  std::uint64_t HighestToken_ = 0;
+  std::uint64_t NextEnd_ = 1;
+  Instant LeaseEnd_{};
+  std::chrono::milliseconds Wait_{100};
+  mutable std::mutex Lock_; ///< Guards all below.
+  std::map<std::string, Task> Running_;
+  std::vector<nlohmann::json> Ended_;
+  std::map<std::string, std::uint64_t> Outlawed_; ///< Highest run refused.
+  std::thread Thread_;
+};
+
+} // namespace tulipweir::platform_test
+
+#endif // TULIPWEIR_TESTS_PLATFORM_SYSTEM_WORKER_H
--- a/tests/system/support/Child.cpp
+++ b/tests/system/support/Child.cpp
@@ -93,6 +93,12 @@
   for (std::string &Argument : Arguments_)
     Words.push_back(Argument.data());
   Words.push_back(nullptr);
+  std::vector<char *> Variables;
+  for (std::string &Assignment : Environment_)
+    Variables.push_back(Assignment.data());
+  for (char **Each = environ; *Each; ++Each)
+    Variables.push_back(*Each);
+  Variables.push_back(nullptr);
   posix_spawn_file_actions_t Actions;
   ::posix_spawn_file_actions_init(&Actions);
   ::posix_spawn_file_actions_addopen(&Actions, 0, "/dev/null", O_RDONLY, 0);
@@ -102,7 +108,7 @@
   // A socket of the test's that a child held would never close for its peer.
   ::posix_spawn_file_actions_addclosefrom_np(&Actions, 3);
   int Failure = ::posix_spawn(&Pid_, Path.c_str(), &Actions, nullptr,
-                              Words.data(), environ);
+                              Words.data(), Variables.data());
   ::posix_spawn_file_actions_destroy(&Actions);
   assert(Failure == 0 && "the program cannot be started");
   (void)Failure;
--- a/tests/system/support/Child.h
+++ b/tests/system/support/Child.h
@@ -53,6 +53,10 @@
   Child(const Child &) = delete;
   Child &operator=(const Child &) = delete;
 
+  /// Variables that the program gets beside those of the test.
+  void setEnvironment(std::vector<std::string> Assignments) {
+    Environment_ = std::move(Assignments);
+  }
   void start();
   void signal(int Number);
   /// kill -9, and waits until it is gone.
@@ -69,6 +73,7 @@
   std::string Program_;
   std::vector<std::string> Arguments_;
   std::string OutputFile_;
+  std::vector<std::string> Environment_; ///< "NAME=value".
   std::string Name_;
   pid_t Pid_ = -1;
   std::optional<int> ExitCode_;
--- a/tests/system/support/HttpCall.cpp
+++ b/tests/system/support/HttpCall.cpp
@@ -1,6 +1,7 @@
 #include "system/support/HttpCall.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sstream>
 #include <sys/socket.h>
@@ -9,7 +10,8 @@
 using namespace tulipweir;
 using namespace tulipweir::system_test;
 
-static int connectTo(std::uint16_t Port, Milliseconds Limit) {
+static int connectTo(const std::string &Host, std::uint16_t Port,
+                     Milliseconds Limit) {
   int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   timeval Time{Limit.count() / 1000, (Limit.count() % 1000) * 1000};
   ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Time, sizeof(Time));
@@ -17,7 +19,7 @@
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Port);
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::inet_pton(AF_INET, Host.c_str(), &Address.sin_addr);
   if (::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
                 sizeof(Address)) == 0)
     return Socket;
@@ -47,7 +49,8 @@
 static std::string writeCall(const HttpCall &What) {
   std::ostringstream Text;
   Text << What.Method_ << " " << What.Path_ << " HTTP/1.1\r\n"
-       << "Host: 127.0.0.1\r\nConnection: close\r\n"
+       << (What.Headers_.count("Host") ? "" : "Host: 127.0.0.1\r\n")
+       << "Connection: close\r\n"
        << "Content-Length: " << What.Body_.size() << "\r\n";
   for (const auto &[Name, Value] : What.Headers_)
     Text << Name << ": " << Value << "\r\n";
@@ -86,7 +89,7 @@
 }
 
 HttpAnswer system_test::call(std::uint16_t Port, const HttpCall &What) {
-  int Socket = connectTo(Port, What.Limit_);
+  int Socket = connectTo(What.Address_, Port, What.Limit_);
   if (Socket < 0)
     return {};
   std::string Bytes = exchangeBytes(Socket, writeCall(What));
--- a/tests/system/support/HttpCall.h
+++ b/tests/system/support/HttpCall.h
@@ -19,6 +19,7 @@
 
 struct HttpCall {
   std::string Method_ = "GET";
+  std::string Address_ = "127.0.0.1";
   std::string Path_;
   std::string Body_;
   std::map<std::string, std::string> Headers_;
