--- a/src/jobs/PaceGuard.cpp
+++ b/src/jobs/PaceGuard.cpp
@@ -24,9 +24,12 @@
 /// For so long a tail may be over its target before tasks that are not known to
 /// disturb are slowed; a fraction of the time after which it counts as harm.
 static constexpr Duration OthersPatience = 1500ms;
-/// A figure is rough: only one below that part of the target says that the tail
-/// is not over it.
-static constexpr std::uint64_t GoodPercent = 88;
+/// Figures are rough: what counts as over is a smoothed tail near the target or
+/// beyond. The weight makes it follow within two to three reports.
+static constexpr double GoodPercent = 92;
+static constexpr double NewestWeight = 0.4;
+/// After so long over, others are slowed also where some that disturb work yet.
+static constexpr Duration BlamePatience = 2500ms;
 /// What is left to others in the first step; the second stops them, so that
 /// both have their effect within the time after which it counts as harm.
 static constexpr std::uint64_t OthersFirstStep = 25;
@@ -46,8 +49,9 @@
 }
 
 double PaceGuard::getBudget(const Level &Own) {
-  const std::uint64_t Tail =
-      std::clamp(Own.TailPercent_, LowPercent, ClosePercent);
+  const std::uint64_t Tail = std::clamp(
+      std::max(Own.TailPercent_, static_cast<std::uint64_t>(Own.Smoothed_)),
+      LowPercent, ClosePercent);
   return UsualBudget * Own.Trust_ * double(ClosePercent - Tail) /
          double(ClosePercent - LowPercent);
 }
@@ -57,7 +61,12 @@
   const auto [Place, IsNew] = Servers_.try_emplace(ServerId);
   Level &Own = Place->second;
   Own.TailPercent_ = Reading.TailPercent_;
-  if (IsNew || Reading.TailPercent_ < GoodPercent)
+  const auto Bounded =
+      static_cast<double>(std::min(Reading.TailPercent_, FarOverPercent));
+  Own.Smoothed_ = IsNew ? Bounded
+                        : Own.Smoothed_ * (1 - NewestWeight) +
+                              Bounded * NewestWeight;
+  if (IsNew || Own.Smoothed_ < GoodPercent)
     Own.GoodUntil_ = Now;
   if (IsNew)
     Own.CorrectedAt_ = Now;
@@ -88,11 +97,12 @@
         Own.Trust_ * (Tail >= FarOverPercent ? 0.4 : 0.7), LeastTrust);
   else if (Tail < LowPercent)
     Own.Trust_ = std::min(Own.Trust_ + TrustStep, MostTrust);
-  if (Tail >= OverPercent && !MayBlame && Reading.HasOthers_ &&
-      Now - Own.GoodUntil_ >= OthersPatience)
+  const Duration Over = Now - Own.GoodUntil_;
+  if (Reading.HasOthers_ &&
+      Over >= (MayBlame ? BlamePatience : OthersPatience))
     Own.Pace_.Others_ =
         Own.Pace_.Others_ > OthersFirstStep ? OthersFirstStep : 0;
-  else if (Tail < ClosePercent)
+  else if (Over <= Duration(0))
     Own.Pace_.Others_ = std::min(Own.Pace_.Others_ + StepUp, FullPace);
   if (Own.Trust_ != TrustBefore || Own.Pace_.Others_ != OthersBefore)
     Own.CorrectedAt_ = Now;
--- a/src/jobs/PaceGuard.h
+++ b/src/jobs/PaceGuard.h
@@ -62,6 +62,7 @@
     FillingPace Pace_;
     double Trust_ = 1; ///< The part of the usual budget that is given out.
     std::uint64_t TailPercent_ = 0; ///< As last reported.
+    double Smoothed_ = 0; ///< Of the tail: one report is a rough figure.
     TimePoint CorrectedAt_{};
     TimePoint GoodUntil_{}; ///< When a tail was last below its target.
     TimePoint ChangedAt_{};
