Judge pairs of images by themselves

Raw reports: which fillers disturb differs from one serving image to the next, about half of the pairs; there are no light and heavy images as such. And the model forgot: below a tenth of a server no filler shows an effect, so a held back pair looked innocent again and came back in numbers. Change: only the share beyond 0.06 counts as input; a verdict a pair with hysteresis; room elsewhere is counted by image; serving images are kept apart more strictly (0.3 s for a server with its own, 1.5 s before mixing).

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -11,19 +11,16 @@
 static constexpr Duration RackPatience = 500ms;
 /// How long a serving task waits for a server where only its own image serves,
 /// and a filling one for a server where it disturbs nobody.
-static constexpr Duration CompanyPatience = 500ms;
+static constexpr Duration CompanyPatience = 1500ms;
+/// And how long it leaves an empty server to others, for one where its image
+/// serves already.
+static constexpr Duration EqualsPatience = 300ms;
 static constexpr Duration DisturbingPatience = 3000ms;
-/// How long a filling task that disturbs nobody leaves the servers to others
-/// where nobody can be disturbed.
-static constexpr Duration LightPatience = 1000ms;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
 /// Serving tasks reserve for their peaks; on average they use half.
 static constexpr std::int64_t ServingUsePercent = 55;
 static constexpr std::int64_t Percent = 100;
-/// A filling image that uses a tenth of a server's processors lengthens a tail
-/// by a sixth or more; measured effects are near 0 or from 3 to 6.
-static constexpr double DisturbingEffect = 1.5;
 /// Where filling tasks must go slower than that, no more are added.
 static constexpr std::uint64_t LeastPace = 40;
 /// A job that takes so many times as long as allowed is worth nothing.
@@ -101,16 +98,14 @@
   return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
 }
 
-/// Tasks of one image together: what disturbs it is then kept from few servers.
+/// Tasks of one image together: which filling tasks disturb it differs from
+/// image to image, and where several serve, hardly any is left that may fill.
 bool Dispatcher::isFitToServe(const StepSpec &Step, const Room &Left,
                               Duration Waited) const {
-  const bool IsSensitive = isSensitive(Step.Image_);
-  const bool IsAmongEquals = std::all_of(
-      Left.Serving_.begin(), Left.Serving_.end(),
-      [&](const std::string &Other) {
-        return Other == Step.Image_ ||
-               (HasLearned_ && isSensitive(Other) == IsSensitive);
-      });
+  if (Left.Serving_.empty())
+    return Waited >= EqualsPatience;
+  const bool IsAmongEquals =
+      Left.Serving_.size() == 1 && Left.Serving_.count(Step.Image_) == 1;
   return IsAmongEquals || Waited >= CompanyPatience;
 }
 
@@ -123,49 +118,42 @@
   if (isDisturbing(Left, Step.Image_))
     return Step.Need_.MilliCpus_ <= Left.Budget_ &&
            Waited >= DisturbingPatience;
-  // One that disturbs nobody anywhere leaves the servers where nothing can be
-  // disturbed to those that would disturb elsewhere.
-  const bool IsLight =
-      Effects_.getLargestOn(Step.Image_) < DisturbingEffect;
-  const bool IsBetterElsewhere =
-      IsLight && HasWaitingHeavy_ && isSafeForAll(Left);
-  return Left.Pace_.Others_ >= LeastPace &&
-         (!IsBetterElsewhere || Waited >= LightPatience);
-}
-
-bool Dispatcher::isSensitive(const std::string &Serving) const {
-  return Effects_.getLargestOf(Serving) >= DisturbingEffect;
-}
-
-bool Dispatcher::isSafeForAll(const Room &Left) const {
-  return std::none_of(
-      Left.Serving_.begin(), Left.Serving_.end(),
-      [this](const std::string &Serving) { return isSensitive(Serving); });
+  return Left.Pace_.Others_ >= LeastPace;
 }
 
 void Dispatcher::surveySafeRoom(const JobBook &Book, const ServerBoard &Board) {
-  SafeRoom_ = 0;
-  for (const auto &[Id, Server] : Book.servers()) {
-    const ServerLive *Live = Board.find(Id);
-    const Room Left = measureRoom(Book, Server);
-    if (Live && !Live->IsDraining_ && isSafeForAll(Left))
-      SafeRoom_ += std::max<std::int64_t>(Left.Idle_, 0);
-  }
-  // What waits already goes first.
+  SafeRoom_.clear();
+  std::map<std::string, std::int64_t> Wanted;
   for (const ReadyStep &Ready : Book.readySteps()) {
     const JobRecord &Job = *Book.findJob(Ready.Job_);
     const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
     const std::uint64_t Waiting =
         Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
     if (Step.Fills_)
-      SafeRoom_ -= Step.Need_.MilliCpus_ * static_cast<std::int64_t>(Waiting);
+      Wanted[Step.Image_] +=
+          Step.Need_.MilliCpus_ * static_cast<std::int64_t>(Waiting);
+  }
+  std::vector<Room> Rooms;
+  for (const auto &[Id, Server] : Book.servers())
+    if (const ServerLive *Live = Board.find(Id); Live && !Live->IsDraining_)
+      Rooms.push_back(measureRoom(Book, Server));
+  for (const std::string &Image : MovingImages_) {
+    std::int64_t &Room = SafeRoom_[Image];
+    for (const Dispatcher::Room &Left : Rooms)
+      if (!isDisturbing(Left, Image))
+        Room += std::max<std::int64_t>(Left.Idle_, 0);
+    // What waits already goes first.
+    Room -= Wanted[Image];
   }
+  MovingImages_.clear();
 }
 
 bool Dispatcher::takeSafeRoom(const StepSpec &Step) {
-  if (Step.Need_.MilliCpus_ > SafeRoom_)
+  MovingImages_.insert(Step.Image_);
+  const auto Found = SafeRoom_.find(Step.Image_);
+  if (Found == SafeRoom_.end() || Step.Need_.MilliCpus_ > Found->second)
     return false;
-  SafeRoom_ -= Step.Need_.MilliCpus_;
+  Found->second -= Step.Need_.MilliCpus_;
   return true;
 }
 
@@ -173,8 +161,7 @@
                               const std::string &Image) const {
   return std::any_of(Left.Serving_.begin(), Left.Serving_.end(),
                      [&](const std::string &Serving) {
-                       return Effects_.getEffect(Serving, Image) >=
-                              DisturbingEffect;
+                       return Effects_.isDisturbing(Serving, Image);
                      });
 }
 
@@ -263,15 +250,6 @@
                         !Live->IsRemoving_ && Live->NoStartsUntil_ <= Now;
   if (!MayStart)
     return Starts;
-  HasLearned_ = Effects_.hasLearned();
-  HasWaitingHeavy_ = false;
-  for (const ReadyStep &Ready : Book.readySteps()) {
-    const StepSpec &Step =
-        Book.findJob(Ready.Job_)->Spec_.Steps_[Ready.Step_];
-    HasWaitingHeavy_ =
-        HasWaitingHeavy_ ||
-        (Step.Fills_ && Effects_.getLargestOn(Step.Image_) >= DisturbingEffect);
-  }
   Room Left = measureRoom(Book, *Server);
   Left.Pace_ = Paces_.getPace(ServerId);
   Left.Budget_ = static_cast<std::int64_t>(
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -72,8 +72,6 @@
   std::uint64_t countBeside(const ServerRecord &Server,
                             const ReadyStep &Step) const;
   static void take(const StepSpec &Step, Room &Left);
-  bool isSafeForAll(const Room &Left) const;
-  bool isSensitive(const std::string &Serving) const;
   bool isDisturbing(const Room &Left, const std::string &Image) const;
   bool isFitToServe(const StepSpec &Step, const Room &Left,
                     Duration Waited) const;
@@ -84,12 +82,10 @@
   const PaceGuard &Paces_;
 
   std::map<ReadyStep, TimePoint> ReadySince_;
-  /// Idle processors of servers where nothing can be disturbed, thousandths.
-  std::int64_t SafeRoom_ = 0;
-  /// Whether enough reports have come to tell images apart.
-  bool HasLearned_ = false;
-  /// Whether tasks that disturb something wait: as of the plan in progress.
-  bool HasWaitingHeavy_ = false;
+  /// By filling image, idle processors of servers where it disturbs nothing,
+  /// thousandths; for the images that were asked about lately.
+  std::map<std::string, std::int64_t> SafeRoom_;
+  std::set<std::string> MovingImages_;
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
 };
 
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -9,13 +9,19 @@
 /// Images beyond these are not told apart; bounds the cost of a sample.
 static constexpr std::size_t MostFillingImages = 24;
 static constexpr std::size_t MostServingImages = 64;
-/// Of a weight before anything is known: a few times the largest effect seen
-/// (6), in units of the scatter of a report's figures (0.4).
+/// Of a weight before anything is known, in units of the scatter of a report's
+/// figures (0.4): as large as the weights that are seen.
 static constexpr double FirstVariance = 50;
-/// A sample counts half after 350 more.
-static constexpr double Fading = 0.998;
+/// A sample counts half after 1,400 more: some ten seconds.
+static constexpr double Fading = 0.9995;
+/// Below that share of a server no filling image has shown an effect.
+static constexpr double IdleShare = 0.06;
+/// A pair disturbs if a quarter of a server would lengthen the tail by three
+/// quarters; measured weights are near 0, or 8 and more.
+static constexpr double DisturbingWeight = 3;
+static constexpr double HarmlessWeight = 1.2;
 /// A few hundred reports of some tens of servers: some seconds.
-static constexpr std::uint64_t EnoughSamples = 500;
+static constexpr std::uint64_t EnoughSamples = 300;
 /// Bounds a wild figure's influence.
 static constexpr double LeastLog = -3;
 static constexpr double MostLog = 2;
@@ -23,6 +29,7 @@
 void TailEffects::reset() {
   Positions_.clear();
   Models_.clear();
+  Disturbing_.clear();
   Samples_ = 0;
 }
 
@@ -59,8 +66,9 @@
     return;
   std::vector<std::pair<std::size_t, double>> Inputs = {{0, 1.0}};
   for (const auto &[Filling, Share] : Use)
-    if (const std::size_t Position = findPosition(Filling); Position != 0)
-      Inputs.emplace_back(Position, Share);
+    if (const std::size_t Position = findPosition(Filling);
+        Position != 0 && Share > IdleShare)
+      Inputs.emplace_back(Position, Share - IdleShare);
   Samples_ += Use.empty() ? 0 : 1;
   Model &Own = Models_[Serving];
   grow(Own, Positions_.size() + 1);
@@ -84,33 +92,32 @@
       double &Cell = Own.Covariance_[Row * Size + Column];
       Cell = (Cell - Gain[Row] * Gain[Column] / Spread) / Fading;
     }
+  judge(Serving, Own, Use);
   // What is not seen for long would otherwise grow without bound.
   for (std::size_t At = 0; At < Size; ++At)
     Own.Covariance_[At * Size + At] =
         std::min(Own.Covariance_[At * Size + At], 2 * FirstVariance);
 }
 
-double TailEffects::getEffect(const std::string &Serving,
-                              const std::string &Filling) const {
-  const auto Found = Models_.find(Serving);
-  const auto Position = Positions_.find(Filling);
-  const bool IsKnown = Found != Models_.end() && Position != Positions_.end() &&
-                       Position->second < Found->second.Weights_.size();
-  return IsKnown ? Found->second.Weights_[Position->second] : 0;
+void TailEffects::judge(const std::string &Serving, const Model &Own,
+                        const FillingUse &Use) {
+  if (!hasLearned())
+    return;
+  for (const auto &[Filling, Share] : Use) {
+    const auto Position = Positions_.find(Filling);
+    if (Position == Positions_.end() || Share <= IdleShare)
+      continue;
+    const double Weight = Own.Weights_[Position->second];
+    if (Weight >= DisturbingWeight)
+      Disturbing_.emplace(Serving, Filling);
+    else if (Weight < HarmlessWeight)
+      Disturbing_.erase({Serving, Filling});
+  }
 }
 
 bool TailEffects::hasLearned() const { return Samples_ >= EnoughSamples; }
 
-double TailEffects::getLargestOn(const std::string &Filling) const {
-  double Largest = 0;
-  for (const auto &[Serving, Own] : Models_)
-    Largest = std::max(Largest, getEffect(Serving, Filling));
-  return Largest;
-}
-
-double TailEffects::getLargestOf(const std::string &Serving) const {
-  double Largest = 0;
-  for (const auto &[Filling, Position] : Positions_)
-    Largest = std::max(Largest, getEffect(Serving, Filling));
-  return Largest;
+bool TailEffects::isDisturbing(const std::string &Serving,
+                               const std::string &Filling) const {
+  return Disturbing_.count({Serving, Filling}) != 0;
 }
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -2,9 +2,10 @@
 //
 // For each image that serves, a linear model of the logarithm of its tail over
 // its target: a base and one weight for each filling image, times the share of
-// the server's processors which that image uses. Learned from every report by
-// recursive least squares; what was learned long ago fades. Figures in a report
-// are of the same half second, so each sample is complete in itself. Pure.
+// the server's processors that the image uses beyond a first part, which
+// measurably does nothing. Learned from every report by recursive least squares;
+// what was learned long ago fades. Figures in a report are of the same half
+// second, so each sample is complete in itself. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -14,7 +15,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace tulipweir::jobs {
@@ -34,29 +37,28 @@
 
   // Queries.
 
-  /// By how much the logarithm of the serving image's tail would grow if the
-  /// filling image used all processors of the server; 0 where nothing is known.
-  double getEffect(const std::string &Serving,
-                   const std::string &Filling) const;
-
   /// Whether enough samples came for effects to mean something.
   bool hasLearned() const;
-  /// The largest effect of the filling image on anything that serves.
-  double getLargestOn(const std::string &Filling) const;
-  /// The largest effect of anything that fills on the serving image.
-  double getLargestOf(const std::string &Serving) const;
+  /// Whether the filling image is known to lengthen the serving image's tail.
+  bool isDisturbing(const std::string &Serving,
+                    const std::string &Filling) const;
 
 private:
   struct Model {
     std::vector<double> Weights_; ///< The base first.
     std::vector<double> Covariance_; ///< Square, row by row.
   };
+  void judge(const std::string &Serving, const Model &Own,
+             const FillingUse &Use);
   std::size_t findPosition(const std::string &Filling);
   static void grow(Model &To, std::size_t Size);
 
   std::uint64_t Samples_ = 0; ///< With something that fills.
   std::map<std::string, std::size_t> Positions_; ///< Of filling images.
   std::map<std::string, Model> Models_;          ///< By serving image.
+  /// Pairs, as serving and filling image, whose weight rose above the upper
+  /// threshold and has not fallen below the lower one since.
+  std::set<std::pair<std::string, std::string>> Disturbing_;
 };
 
 } // namespace tulipweir::jobs
