Note what a leaving server has done, whichever word comes first

In both the run was done at the moment its server left: the last report was overtaken by the word that it leaves, the task was placed again 0.14 s later, and the end counts 0.1 s after it is listed. Found by argument and shown by two leader tests that failed first. Ruled out: another leader (one term all along), a lapsed lease (none). Change: a leaving server is removed 0.15 s later; a done end of a run that was lost with its server counts, also in a report of a life that is over.

--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -44,6 +44,8 @@
   std::uint64_t LastFailedRun_ = 0; ///< 0 if none has failed.
   std::string Checkpoint_;            ///< Where the next run resumes.
   std::vector<Placement> Placements_; ///< More than one for copies only.
+  /// Given up with their servers, the newest few; their ends may yet be heard.
+  std::vector<Placement> Lost_;
   bool operator==(const TaskRecord &) const = default;
 };
 
@@ -147,6 +149,8 @@
   void endRun(const std::string &Server, const TaskEnd &End);
   static void noteFailure(const StepSpec &Spec, StepRecord &Step,
                           TaskRecord &Task, std::uint64_t Run);
+  void noteLateEnd(const std::string &Server, TaskRecord &Task,
+                   const TaskEnd &End);
   void noteDone(JobRecord &Job, OccurrenceRecord &Occurrence,
                 std::size_t Step, TaskRecord &Task);
   void finishJob(JobRecord &Job, JobState State);
--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -14,6 +14,7 @@
 #include "tulipweir/jobs/JobCall.h"
 #include "tulipweir/jobs/JobMachine.h"
 #include "tulipweir/jobs/ServerReport.h"
+#include "tulipweir/jobs/JobMeter.h"
 #include "tulipweir/replication/Replica.h"
 
 #include <memory>
@@ -42,7 +43,7 @@
 
   JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
             Executor &Strand, replication::Replica &Group,
-            const JobMachine &Machine, EventLog &Log);
+            const JobMachine &Machine, EventLog &Log, JobMeter &Meter);
   ~JobLeader();
   JobLeader(const JobLeader &) = delete;
   JobLeader &operator=(const JobLeader &) = delete;
--- /dev/null
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -0,0 +1,54 @@
+//===- JobMeter.h - What a leader counts and times -------------*- C++ -*-===//
+//
+// The leader's decisions as figures. The program turns them into metrics; tests
+// that don't look use NoJobMeter.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_JOBS_JOBMETER_H
+#define TULIPWEIR_JOBS_JOBMETER_H
+
+#include "tulipweir/core/Time.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace tulipweir::jobs {
+
+enum class Timed : std::uint8_t {
+  Acknowledge, ///< From a submission's arrival to its commit.
+  FirstStart,  ///< From the acceptance to the first start.
+  Finish,      ///< From the acceptance to the end.
+  Heartbeat,   ///< From a report's arrival to its answer.
+};
+
+enum class Counted : std::uint8_t {
+  JobsAccepted,
+  JobsRefused,
+  JobsCompleted,
+  JobsFailed,
+  JobsCancelled,
+  TasksStarted,
+  StartsRefused, ///< By the state machine or by the server.
+  TasksMoved,    ///< Stopped to go on elsewhere.
+  TasksLapsed,   ///< Given up with their server.
+  ServersGone,
+};
+
+/// Thread-safe and never blocking.
+class JobMeter {
+public:
+  virtual ~JobMeter() = default;
+  virtual void add(Counted What, std::uint64_t By) = 0;
+  virtual void record(Timed What, Duration Took) = 0;
+};
+
+class NoJobMeter final : public JobMeter {
+public:
+  void add(Counted, std::uint64_t) override {}
+  void record(Timed, Duration) override {}
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_JOBS_JOBMETER_H
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -147,6 +147,15 @@
   return {IsNew ? Verdict::Done : Verdict::AlreadyDone, {}};
 }
 
+/// More lost runs than that of one task are not told from strangers.
+static constexpr std::size_t MostLostRuns = 4;
+
+static void keepLost(TaskRecord &Task, Placement Lost) {
+  if (Task.Lost_.size() >= MostLostRuns)
+    Task.Lost_.erase(Task.Lost_.begin());
+  Task.Lost_.push_back(std::move(Lost));
+}
+
 CommandResult JobBook::apply(const RemoveServer &Value) {
   const auto Found = Servers_.find(Value.Id_);
   if (Found == Servers_.end())
@@ -158,6 +167,8 @@
       if (Saved.Task_ == Task && Saved.Run_ == Run)
         End.Checkpoint_ = Saved.Checkpoint_;
     endRun(Value.Id_, End);
+    if (TaskRecord *Lost = findTaskToChange(Task))
+      keepLost(*Lost, {Run, Value.Id_});
   }
   Servers_.erase(Value.Id_);
   return {};
@@ -319,7 +330,7 @@
       std::find(Task->Placements_.begin(), Task->Placements_.end(),
                 Placement{End.Run_, Server});
   if (Ended == Task->Placements_.end())
-    return;
+    return noteLateEnd(Server, *Task, End);
   Task->Placements_.erase(Ended);
   JobRecord &Job = Jobs_.at(End.Task_.Job_);
   const StepSpec &Spec = Job.Spec_.Steps_[End.Task_.Step_];
@@ -371,6 +382,26 @@
     Count(Each);
 }
 
+/// An end of a run whose placement is gone, as its server was removed. That it
+/// is done stays true; any other end was taken for a lapse already.
+void JobBook::noteLateEnd(const std::string &Server, TaskRecord &Task,
+                          const TaskEnd &End) {
+  JobRecord &Job = Jobs_.at(End.Task_.Job_);
+  const bool WasLost =
+      std::find(Task.Lost_.begin(), Task.Lost_.end(),
+                Placement{End.Run_, Server}) != Task.Lost_.end();
+  const bool Counts =
+      WasLost && End.How_ == RunEnd::Done &&
+      Task.State_ != TaskState::Done && !isEnded(Job.State_) &&
+      !Job.Spec_.Steps_[End.Task_.Step_].LongRunning_;
+  if (!Counts)
+    return;
+  OccurrenceRecord &Occurrence = *Job.findOccurrence(End.Task_.Occurrence_);
+  noteDone(Job, Occurrence, End.Task_.Step_, Task);
+  if (!isEnded(Job.State_))
+    updateReady(Job, Occurrence, End.Task_.Step_);
+}
+
 void JobBook::noteDone(JobRecord &Job, OccurrenceRecord &Occurrence,
                        std::size_t Step, TaskRecord &Task) {
   StepRecord &Record = Occurrence.Steps_[Step];
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <set>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -18,6 +19,9 @@
 /// A server that refused a start is left alone for so long: its room is not
 /// what we think.
 static constexpr Duration RefusalPause = 500ms;
+/// How long a server that leaves is waited for: a report takes some
+/// milliseconds, also over a queue of others.
+static constexpr Duration LeavePause = 150ms;
 /// How long a report of a life that has ended may still be on its way.
 static constexpr Duration RetiredFor = 60s;
 /// How soon a server whose filling tasks are paced reports again: its tails are
@@ -27,6 +31,8 @@
 /// it is nearly done.
 static constexpr std::uint64_t LeastPaceToStay = 40;
 static constexpr std::uint64_t LeastPercentToStay = 90;
+/// Told with a refusal that only a newer version of this program ends.
+static constexpr std::uint64_t UnsupportedRetryMs = 60'000;
 static constexpr std::uint64_t Percent = 100;
 
 static std::string toText(const TaskKey &Task) {
@@ -44,9 +50,10 @@
 class JobLeader::Impl : public std::enable_shared_from_this<JobLeader::Impl> {
 public:
   Impl(const JobLeaderSettings &Settings, const Clock &Time, Executor &Strand,
-       replication::Replica &Group, const JobMachine &Machine, EventLog &Log)
+       replication::Replica &Group, const JobMachine &Machine, EventLog &Log,
+       JobMeter &Meter)
       : Settings_(Settings), Time_(Time), Strand_(Strand), Group_(Group),
-        Machine_(Machine), Log_(Log),
+        Machine_(Machine), Log_(Log), Meter_(Meter),
         Watch_(Group, Strand,
                {[this](std::uint64_t Term) { beginLeading(Term); },
                 [this] { endLeading(); }}) {}
@@ -65,6 +72,7 @@
   struct Handling {
     ServerReport Report_;
     Done<ServerOrders> Reply_;
+    TimePoint ArrivedAt_;
     bool IsStale_ = false;
   };
   using HandlingPtr = std::shared_ptr<Handling>;
@@ -87,12 +95,16 @@
 
   bool isRetired(const std::string &Id) const;
   void retire(const std::string &Id);
+  void noteLateEnds(const ServerReport &Report,
+                    const Done<ServerOrders> &Reply);
   void admit(const HandlingPtr &Current);
   void noteEnds(const HandlingPtr &Current);
   void startTasks(const HandlingPtr &Current);
   void answer(const HandlingPtr &Current);
   void notePace(const ServerReport &Report);
   void addPaces(const ServerReport &Report, ServerOrders &Orders) const;
+  void noteEnded(const std::string &Job, Counted How);
+  void noteStarted(const TaskStart &Start, bool IsTaken);
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
   bool isToMove(const JobBook &Book, const ServerReport &Report,
                 const RunningTask &Running);
@@ -105,6 +117,7 @@
   replication::Replica &Group_;
   const JobMachine &Machine_;
   EventLog &Log_;
+  JobMeter &Meter_;
   replication::LeaderWatch Watch_;
 
   std::uint64_t Term_ = 0;
@@ -114,6 +127,9 @@
   Dispatcher Dispatcher_{Effects_, Paces_};
   std::deque<std::pair<std::string, TimePoint>> Retired_;
   std::map<std::string, TimePoint> EndedSince_;
+  /// Of open jobs that this leader accepted itself.
+  std::map<std::string, TimePoint> AcceptedAt_;
+  std::set<std::string> Started_; ///< Of these.
 };
 
 bool JobLeader::Impl::isLeading() const {
@@ -131,6 +147,8 @@
   Paces_.reset();
   Effects_.reset();
   EndedSince_.clear();
+  AcceptedAt_.clear();
+  Started_.clear();
   // An earlier leader's last answer left before this one was elected.
   const Duration Longest =
       Settings_.Lease_ * (Percent + Settings_.ClockDriftPercent_) / Percent;
@@ -205,6 +223,11 @@
                       Time_.now() - Live->LastHeard_)
                       .count();
   Log_.write(Line);
+  Meter_.add(Counted::ServersGone, 1);
+  Meter_.add(Counted::TasksLapsed, Machine_.read([&Id](const JobBook &Book) {
+    const ServerRecord *Server = Book.findServer(Id);
+    return Server ? Server->Placed_.size() : 0;
+  }));
   propose(RemoveServer{Id, Board_.listSaved(Id)},
           [this, Id, Done = std::move(Done)](Outcome<CommandResult> Result) {
             // Unknown or refused: asked again at the next tick.
@@ -301,6 +324,7 @@
 void JobLeader::Impl::submit(JobCall Call, const Done<JobCallReply> &Reply) {
   JobCallReply Result;
   SubmitJob Command;
+  bool NeedsAdvice = false;
   const bool HasQueue = Machine_.read([&](const JobBook &Book) {
     const QueuePolicy *Queue =
         findQueue(Book, Call, Result, Call.Spec_.Id_);
@@ -308,10 +332,23 @@
       return false;
     Command.Host_ = Queue->Host_;
     Command.PathPrefix_ = Queue->PathPrefix_;
+    NeedsAdvice = Queue->Advice_.IsNeeded_;
     return true;
   });
   if (!HasQueue)
     return Reply(Result);
+  if (NeedsAdvice) {
+    Result.Outcome_ = CallOutcome::Refused;
+    Result.RetryAfterMs_ = UnsupportedRetryMs;
+    Result.Reason_ = "the queue needs advice on servers, which is not built yet";
+    Event Line;
+    Line.Kind_ = EventKind::JobRefused;
+    Line.Job_ = Call.Spec_.Id_;
+    Line.Reason_ = Result.Reason_;
+    Log_.write(Line);
+    Meter_.add(Counted::JobsRefused, 1);
+    return Reply(Result);
+  }
   const Outcome<void> Checked = checkJobSpec(Call.Spec_);
   if (!Checked) {
     Result.Outcome_ = CallOutcome::Invalid;
@@ -321,13 +358,21 @@
   Command.AcceptedMs_ = static_cast<std::uint64_t>(Time_.wallNow().count());
   const std::string Id = Call.Spec_.Id_;
   Command.Spec_ = std::move(Call.Spec_);
-  propose(Command, [this, Id, Reply](const Outcome<CommandResult> &Applied) {
+  const TimePoint Begin = Time_.now();
+  propose(Command, [this, Id, Begin,
+                    Reply](const Outcome<CommandResult> &Applied) {
     JobCallReply Late;
     if (!Applied)
       return Reply(Applied.error());
     const Verdict Taken = Applied.value().Verdict_;
     if (Taken == Verdict::NotFound)
       Late.Outcome_ = CallOutcome::NoQueue;
+    Meter_.add(Taken == Verdict::NotFound ? Counted::JobsRefused
+                                          : Counted::JobsAccepted,
+               Taken == Verdict::AlreadyDone ? 0 : 1);
+    Meter_.record(Timed::Acknowledge, Time_.now() - Begin);
+    if (Taken == Verdict::Done)
+      AcceptedAt_.emplace(Id, Begin);
     Event Line;
     Line.Kind_ = Taken == Verdict::NotFound ? EventKind::JobRefused
                                             : EventKind::JobAccepted;
@@ -380,8 +425,8 @@
     JobCallReply Late;
     if (Applied.value().Verdict_ == Verdict::NotFound)
       Late.Outcome_ = CallOutcome::NoJob;
-    else
-      EndedSince_.try_emplace(Id, Time_.now());
+    else if (EndedSince_.try_emplace(Id, Time_.now()).second)
+      noteEnded(Id, Counted::JobsCancelled);
     Event Line;
     Line.Kind_ = EventKind::JobCancelled;
     Line.Job_ = Id;
@@ -438,26 +483,51 @@
   if (!isLeading())
     return Reply(failNotLeading());
   retire(ServerId);
-  removeServer(ServerId, "it left",
-               [Reply](const Outcome<CommandResult> &Result) {
-                 if (!Result)
-                   return Reply(Result.error());
-                 Reply(succeed());
-               });
+  // Its last report may have been overtaken on the way; an end in it counts.
+  Strand_.postAfter(LeavePause, [Weak = weak_from_this(), ServerId, Reply] {
+    const std::shared_ptr<Impl> Self = Weak.lock();
+    if (!Self || !Self->isLeading())
+      return Reply(fail(ErrorCode::NotLeader, ""));
+    Self->removeServer(ServerId, "it left",
+                       [Reply](const Outcome<CommandResult> &Result) {
+                         if (!Result)
+                           return Reply(Result.error());
+                         Reply(succeed());
+                       });
+  });
 }
 
 void JobLeader::Impl::report(ServerReport Report, Done<ServerOrders> Reply) {
   if (!isLeading())
     return Reply(failNotLeading());
-  // A late report of a life that is over: it is told nothing.
+  // A late report of a life that is over: what it has done counts, but it is
+  // told nothing.
   if (isRetired(Report.Facts_.Id_))
-    return Reply(ServerOrders{});
+    return noteLateEnds(Report, Reply);
   const auto Current = std::make_shared<Handling>();
   Current->Report_ = std::move(Report);
   Current->Reply_ = std::move(Reply);
+  Current->ArrivedAt_ = Time_.now();
   admit(Current);
 }
 
+void JobLeader::Impl::noteLateEnds(const ServerReport &Report,
+                                   const Done<ServerOrders> &Reply) {
+  EndTasks Command{Report.Facts_.Id_, {}};
+  for (const EndedTask &Each : Report.Ended_)
+    if (Each.End_.How_ == RunEnd::Done)
+      Command.Ends_.push_back(Each.End_);
+  if (Command.Ends_.empty())
+    return Reply(ServerOrders{});
+  propose(Command,
+          [this, Command, Reply](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return Reply(Applied.error());
+            logEnds(Command.Server_, Command.Ends_);
+            Reply(ServerOrders{});
+          });
+}
+
 /// Makes sure that the server is in the log, and no other at its address.
 void JobLeader::Impl::admit(const HandlingPtr &Current) {
   const ServerFacts &Facts = Current->Report_.Facts_;
@@ -493,6 +563,24 @@
           });
 }
 
+void JobLeader::Impl::noteEnded(const std::string &Job, Counted How) {
+  Meter_.add(How, 1);
+  Started_.erase(Job);
+  const auto Accepted = AcceptedAt_.find(Job);
+  if (Accepted == AcceptedAt_.end())
+    return;
+  Meter_.record(Timed::Finish, Time_.now() - Accepted->second);
+  AcceptedAt_.erase(Accepted);
+}
+
+void JobLeader::Impl::noteStarted(const TaskStart &Start, bool IsTaken) {
+  Meter_.add(IsTaken ? Counted::TasksStarted : Counted::StartsRefused, 1);
+  const auto Accepted = AcceptedAt_.find(Start.Task_.Job_);
+  if (IsTaken && Accepted != AcceptedAt_.end() &&
+      Started_.insert(Start.Task_.Job_).second)
+    Meter_.record(Timed::FirstStart, Time_.now() - Accepted->second);
+}
+
 void JobLeader::Impl::logEnds(const std::string &Server,
                               const std::vector<TaskEnd> &Ends) {
   for (const TaskEnd &End : Ends) {
@@ -614,8 +702,12 @@
       return 0;
     for (const EndedTask &Each : Report.Ended_) {
       const auto Placed = Server->Placed_.find(Each.End_.Task_);
-      if (Placed != Server->Placed_.end() &&
-          Placed->second == Each.End_.Run_)
+      const bool IsPlaced = Placed != Server->Placed_.end() &&
+                            Placed->second == Each.End_.Run_;
+      const TaskRecord *Task = Book.findTask(Each.End_.Task_);
+      const bool IsLateDone = Each.End_.How_ == RunEnd::Done && Task &&
+                              Task->State_ != TaskState::Done;
+      if (IsPlaced || IsLateDone)
         Command.Ends_.push_back(Each.End_);
     }
     return 0;
@@ -648,6 +740,9 @@
           Line.Reason_ = "task " + toText(End.Task_) +
                          " has failed as often as its queue allows";
         Log_.write(Line);
+        noteEnded(End.Task_.Job_, Job->State_ == JobState::Completed
+                                      ? Counted::JobsCompleted
+                                      : Counted::JobsFailed);
       }
       return 0;
     });
@@ -676,6 +771,7 @@
       Line.Server_ = Starts[I].Server_;
       Line.Outcome_ = Applied.value().Taken_[I] ? "placed" : "refused";
       Log_.write(Line);
+      noteStarted(Starts[I], Applied.value().Taken_[I]);
     }
     answer(Current);
   });
@@ -692,7 +788,10 @@
       Running.Percent_ < LeastPercentToStay &&
       Paces_.getPace(Id).Disturbing_ < LeastPaceToStay &&
       Dispatcher_.isDisturbing(Book, Id, Step->Image_);
-  return IsSlow && Dispatcher_.takeSafeRoom(*Step);
+  if (!IsSlow || !Dispatcher_.takeSafeRoom(*Step))
+    return false;
+  Meter_.add(Counted::TasksMoved, 1);
+  return true;
 }
 
 ServerOrders JobLeader::Impl::makeOrders(const ServerReport &Report,
@@ -776,14 +875,16 @@
   Board_.extendLease(Id, Now + Settings_.Lease_ *
                                    (Percent + Settings_.ClockDriftPercent_) /
                                    Percent);
+  Meter_.record(Timed::Heartbeat, Now - Current->ArrivedAt_);
   Current->Reply_(std::move(Orders));
 }
 
 JobLeader::JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
                      Executor &Strand, replication::Replica &Group,
-                     const JobMachine &Machine, EventLog &Log)
-    : Impl_(std::make_shared<Impl>(Settings, Time, Strand, Group, Machine,
-                                   Log)) {}
+                     const JobMachine &Machine, EventLog &Log,
+                     JobMeter &Meter)
+    : Impl_(std::make_shared<Impl>(Settings, Time, Strand, Group, Machine, Log,
+                                   Meter)) {}
 JobLeader::~JobLeader() = default;
 
 void JobLeader::start() { Impl_->start(); }
--- a/src/jobs/JobPacking.h
+++ b/src/jobs/JobPacking.h
@@ -75,7 +75,7 @@
 inline auto fields(Placement &X) { return std::tie(X.Run_, X.Server_); }
 inline auto fields(TaskRecord &X) {
   return std::tie(X.State_, X.LastRun_, X.FailedRuns_, X.LastFailedRun_,
-                  X.Checkpoint_, X.Placements_);
+                  X.Checkpoint_, X.Placements_, X.Lost_);
 }
 inline auto fields(StepRecord &X) {
   return std::tie(X.Tasks_, X.Waiting_, X.Done_);
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -1,5 +1,6 @@
 #include "tulipweir/jobservice/ControlNode.h"
 
+#include "jobservice/JobMetrics.h"
 #include "tulipweir/jobservice/MemberLinks.h"
 #include "tulipweir/net/StrandExecutor.h"
 
@@ -52,8 +53,10 @@
 class ControlNode::Impl : public std::enable_shared_from_this<ControlNode::Impl> {
 public:
   Impl(const ControlNodeSettings &Settings, net::IoPool &Pool,
-       const Clock &Time, EventLog &Log, OpenReplica Open)
+       const Clock &Time, net::Metrics &Metrics, EventLog &Log,
+       OpenReplica Open)
       : Settings_(Settings), Pool_(Pool), Time_(Time), Log_(Log),
+        Meter_(Metrics),
         Open_(std::move(Open)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
@@ -89,6 +92,7 @@
   net::IoPool &Pool_;
   const Clock &Time_;
   EventLog &Log_;
+  JobMetrics Meter_;
   const OpenReplica Open_;
   MemberLinks Links_;
   net::StrandExecutor Strand_;
@@ -107,7 +111,8 @@
     return std::move(Opened).as_failure();
   Fresh->Group_ = std::move(Opened.value());
   Fresh->Leader_ = std::make_unique<jobs::JobLeader>(
-      Settings_.Leader_, Time_, Strand_, *Fresh->Group_, Fresh->Machine_, Log_);
+      Settings_.Leader_, Time_, Strand_, *Fresh->Group_, Fresh->Machine_, Log_,
+      Meter_);
   {
     const std::lock_guard Hold(Lock_);
     if (Stopped_)
@@ -239,9 +244,9 @@
 }
 
 ControlNode::ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
-                         const Clock &Time, net::Metrics &, EventLog &Log,
-                         OpenReplica Open)
-    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Log,
+                         const Clock &Time, net::Metrics &Metrics,
+                         EventLog &Log, OpenReplica Open)
+    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Metrics, Log,
                                    std::move(Open))) {}
 ControlNode::~ControlNode() { stop(); }
 
--- a/tests/jobs/JobBookTest.cpp
+++ b/tests/jobs/JobBookTest.cpp
@@ -345,3 +345,35 @@
   for (std::size_t Size = 0; Size < Bytes.size(); Size += 7)
     EXPECT_FALSE(JobBook::decode(Bytes.substr(0, Size)));
 }
+
+TEST_F(JobBookTest, ADoneEndCountsAlsoOnceItsServerWasRemoved) {
+  submit(makeJob("j", {makeStep(2, 100)}));
+  const TaskStart First = makeStart("j", 0, "s1");
+  start(First);
+  apply(RemoveServer{"s1", {}});
+  end(First, RunEnd::Done);
+  EXPECT_FALSE(start(makeStart("j", 0, "s2", 2))) << "the end was noted";
+  // Also beside a second run, which is then to be stopped.
+  const TaskStart Other = makeStart("j", 1, "s2");
+  start(Other);
+  apply(RemoveServer{"s2", {}});
+  apply(AddServer{makeServer("s3")});
+  start(makeStart("j", 1, "s3", 2));
+  end(Other, RunEnd::Done);
+  EXPECT_EQ(stateOf("j"), JobState::Completed);
+  EXPECT_EQ(Book_.findServer("s3")->Used_.MilliCpus_, 100);
+  end(makeStart("j", 1, "s3", 2), RunEnd::Stopped);
+  EXPECT_EQ(Book_.findServer("s3")->Used_.MilliCpus_, 0);
+}
+
+TEST_F(JobBookTest, NoOtherLateEndChangesAnything) {
+  submit(makeJob("j", {makeStep(1, 100)}));
+  const TaskStart First = makeStart("j", 0, "s1");
+  start(First);
+  apply(RemoveServer{"s1", {}});
+  end(First, RunEnd::Failed);
+  EXPECT_EQ(Book_.findTask({"j", 0, 0, 0})->FailedRuns_, 0U);
+  // A run that was never started cannot have ended.
+  end(makeStart("j", 0, "s1", 7), RunEnd::Done);
+  EXPECT_EQ(Book_.findTask({"j", 0, 0, 0})->State_, TaskState::Waiting);
+}
--- a/tests/jobs/JobLeaderTest.cpp
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -195,7 +195,7 @@
   Leader_.leave("s1", [&IsDone](const Outcome<void> &Result) {
     IsDone = Result.has_value();
   });
-  Strand_.runAll();
+  Strand_.advance(500ms);
   EXPECT_TRUE(IsDone);
   EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
 }
@@ -294,3 +294,32 @@
       });
   EXPECT_TRUE(IsRefused) << "another may hold a newer one";
 }
+
+TEST_F(JobLeaderTest, AnEndThatCrossesTheLeavingIsNoted) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  bool HasLeft = false;
+  Leader_.leave("s1", [&HasLeft](const Outcome<void> &Result) {
+    HasLeft = Result.has_value();
+  });
+  Strand_.runAll();
+  // Its last report was overtaken by the word that it leaves.
+  ServerReport Last = makeReport("s1");
+  Last.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Done)};
+  report(Last);
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+  Strand_.advance(1s);
+  EXPECT_TRUE(HasLeft);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+}
+
+TEST_F(JobLeaderTest, AnEndThatComesAfterTheLeavingIsNoted) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  Leader_.leave("s1", [](const Outcome<void> &) {});
+  Strand_.advance(1s);
+  ServerReport Last = makeReport("s1");
+  Last.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Done)};
+  EXPECT_EQ(report(Last), ServerOrders{}) << "no lease for one that has left";
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -175,8 +175,10 @@
   JobMachine Machine_;
   ManualReplica Group_{Machine_};
   NoEventLog Log_;
+  NoJobMeter Meter_;
   JobLeaderSettings Settings_;
-  JobLeader Leader_{Settings_, Time_, Strand_, Group_, Machine_, Log_};
+  JobLeader Leader_{Settings_, Time_, Strand_, Group_, Machine_, Log_,
+                    Meter_};
   std::map<std::string, std::uint64_t> Sequences_;
 };
 
