--- a/include/tulipweir/ctl/CtlSettings.h
+++ b/include/tulipweir/ctl/CtlSettings.h
@@ -41,6 +41,7 @@
   std::string KeyFile_;
   bool Json_ = false;
   bool Wait_ = false;
+  bool FromLogs_ = false; ///< explain reads files instead of asking.
   Duration Timeout_ = std::chrono::seconds(30);
   std::int64_t Limit_ = 50;
   std::int64_t After_ = 0;
--- a/src/ctl/Commands.h
+++ b/src/ctl/Commands.h
@@ -33,6 +33,9 @@
 CtlExit cancelJob(CtlContext &Context, const Arguments &Words);
 CtlExit explainTask(CtlContext &Context, const Arguments &Words);
 
+// ExplainCommand.cpp
+CtlExit explainFromLogs(CtlContext &Context, const Arguments &Words);
+
 // ViewCommands.cpp
 CtlExit showServers(CtlContext &Context, const Arguments &Words);
 CtlExit showServices(CtlContext &Context, const Arguments &Words);
--- a/src/ctl/CtlSettings.cpp
+++ b/src/ctl/CtlSettings.cpp
@@ -44,6 +44,8 @@
   To.addSwitch("wait", Target.Wait_,
                "propose, sign: waits until the bundle is in force everywhere "
                "and says how long that took.");
+  To.addSwitch("log", Target.FromLogs_,
+               "explain: reads the files named, logs of any processes.");
   To.addDuration("timeout-ms", Target.Timeout_, milliseconds(100), hours(1),
                  "How long to go on trying, in milliseconds; with --wait also "
                  "how long to wait.");
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -239,6 +239,16 @@
   return Sorted;
 }
 
+/// Whether nothing but tasks that last runs there.
+static bool isIdleBut(const JobBook &Book, const ServerRecord &Server) {
+  return std::all_of(
+      Server.Placed_.begin(), Server.Placed_.end(), [&Book](const auto &Each) {
+        return Book.findJob(Each.first.Job_)
+            ->Spec_.Steps_[Each.first.Step_]
+            .LongRunning_;
+      });
+}
+
 std::vector<TaskStart> Dispatcher::plan(const JobBook &Book,
                                         const ServerBoard &Board,
                                         const std::string &ServerId,
@@ -248,7 +258,12 @@
   const ServerLive *Live = Board.find(ServerId);
   const bool MayStart = Server && Live && !Live->IsDraining_ &&
                         !Live->IsRemoving_ && Live->NoStartsUntil_ <= Now;
-  if (!MayStart)
+  const Fitness Fit = Health_.getFitness(ServerId, Now);
+  if (!MayStart || Fit == Fitness::Quarantined)
+    return Starts;
+  const std::size_t MostStarts =
+      Fit == Fitness::Sound ? MostStartsAtOnce : 1;
+  if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return Starts;
   Room Left = measureRoom(Book, *Server);
   Left.Pace_ = Paces_.getPace(ServerId);
@@ -264,7 +279,7 @@
   for (const ReadyStep *Each : sortByUse(Book, Wall)) {
     const ReadyStep &Ready = *Each;
     const bool IsEnough = ++LookedAt > MostStepsLookedAt ||
-                          Starts.size() >= MostStartsAtOnce;
+                          Starts.size() >= MostStarts;
     if (IsEnough)
       break;
     const JobRecord &Job = *Book.findJob(Ready.Job_);
@@ -288,7 +303,7 @@
           ServerId};
       if (Taken_.count(Start.Task_) != 0)
         continue;
-      if (!Book.findObjection(Start).empty())
+      if (!Book.findObjection(Start).empty() || Starts.size() >= MostStarts)
         break;
       Starts.push_back(Start);
       Taken_.insert(Start.Task_);
@@ -322,6 +337,7 @@
       const ServerLive *Live = Board.find(Id);
       const bool IsUsable = Live && !Live->IsDraining_ && !Live->IsRemoving_ &&
                             Live->NoStartsUntil_ <= Now &&
+                            Health_.getFitness(Id, Now) == Fitness::Sound &&
                             Server.Facts_.Service_ == Job.Policy_.Service_;
       if (IsUsable)
         Servers.emplace_back(
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -12,6 +12,7 @@
 
 #include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
+#include "jobs/ServerHealth.h"
 #include "jobs/TailEffects.h"
 
 #include <set>
@@ -21,9 +22,10 @@
 /// Not thread-safe.
 class Dispatcher {
 public:
-  /// Both must outlive it.
-  Dispatcher(const TailEffects &Effects, const PaceGuard &Paces)
-      : Effects_(Effects), Paces_(Paces) {}
+  /// All must outlive it.
+  Dispatcher(const TailEffects &Effects, const PaceGuard &Paces,
+             const ServerHealth &Health)
+      : Effects_(Effects), Paces_(Paces), Health_(Health) {}
 
   // Commands.
 
@@ -80,6 +82,7 @@
 
   const TailEffects &Effects_;
   const PaceGuard &Paces_;
+  const ServerHealth &Health_;
 
   std::map<ReadyStep, TimePoint> ReadySince_;
   /// By filling image, idle processors of servers where it disturbs nothing,
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -33,6 +33,16 @@
 static constexpr std::uint64_t LeastPercentToStay = 90;
 /// Told with a refusal that only a newer version of this program ends.
 static constexpr std::uint64_t UnsupportedRetryMs = 60'000;
+/// Without progress for so long a run stands still: usual runs of 0.6 to 3 s
+/// change their percent with every report. Filling ones may have to wait for
+/// idle processors, and those that last for their start.
+static constexpr Duration StallTime = 2s;
+static constexpr Duration StallOfFilling = 6s;
+static constexpr Duration StallOfLasting = 4s;
+/// On a server that leaves, what is so far done may end by itself, as long as
+/// there is more time left than a stop and the way of its report take.
+static constexpr std::uint64_t LeastPercentToEnd = 60;
+static constexpr std::uint64_t EvacuationMs = 1500;
 static constexpr std::uint64_t Percent = 100;
 
 static std::string toText(const TaskKey &Task) {
@@ -106,6 +116,13 @@
   void noteEnded(const std::string &Job, Counted How);
   void noteStarted(const TaskStart &Start, bool IsTaken);
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
+  void noteHealth(const EndTasks &Ended);
+  void noteSick(const std::string &Server, const std::string &Job,
+                const char *Why);
+  bool isStalled(const JobBook &Book, const std::string &Server,
+                 const RunningTask &Running) const;
+  static bool isToEvacuate(const JobBook &Book, const ServerReport &Report,
+                           const RunningTask &Running);
   bool isToMove(const JobBook &Book, const ServerReport &Report,
                 const RunningTask &Running);
   ServerOrders makeOrders(const ServerReport &Report,
@@ -124,7 +141,8 @@
   ServerBoard Board_;
   TailEffects Effects_;
   PaceGuard Paces_;
-  Dispatcher Dispatcher_{Effects_, Paces_};
+  ServerHealth Health_;
+  Dispatcher Dispatcher_{Effects_, Paces_, Health_};
   std::deque<std::pair<std::string, TimePoint>> Retired_;
   std::map<std::string, TimePoint> EndedSince_;
   /// Of open jobs that this leader accepted itself.
@@ -146,6 +164,7 @@
   Dispatcher_.reset();
   Paces_.reset();
   Effects_.reset();
+  Health_.reset();
   EndedSince_.clear();
   AcceptedAt_.clear();
   Started_.clear();
@@ -724,6 +743,7 @@
     if (!Applied)
       return Current->Reply_(Applied.error());
     logEnds(Command.Server_, Command.Ends_);
+    noteHealth(Command);
     Machine_.read([&](const JobBook &Book) {
       for (const TaskEnd &End : Command.Ends_) {
         const JobRecord *Job = Book.findJob(End.Task_.Job_);
@@ -750,6 +770,73 @@
   });
 }
 
+void JobLeader::Impl::noteHealth(const EndTasks &Ended) {
+  const ServerLive *Live = Board_.find(Ended.Server_);
+  const TimePoint Now = Time_.now();
+  for (const TaskEnd &End : Ended.Ends_) {
+    if (End.How_ == RunEnd::Failed)
+      noteSick(Ended.Server_, End.Task_.Job_, "runs of several jobs failed");
+    if (End.How_ != RunEnd::Done || !Live)
+      continue;
+    const auto Seen = Live->Before_.find(End.Task_);
+    const StepSpec *Step = Machine_.read([&End](const JobBook &Book) {
+      return findStep(Book, End.Task_);
+    });
+    // What fills goes as fast as others let it, which says nothing of a server.
+    const bool IsTelling =
+        Step && !Step->Fills_ && Seen != Live->Before_.end() &&
+        Seen->second.Run_ == End.Run_;
+    Health_.noteDone(Ended.Server_,
+                     IsTelling ? Now - Seen->second.SeenAt_ : Duration(0),
+                     IsTelling ? Step->EstimateMs_ : 0, Now);
+  }
+}
+
+void JobLeader::Impl::noteSick(const std::string &Server,
+                               const std::string &Job, const char *Why) {
+  if (!Health_.noteFailed(Server, Job, Time_.now()))
+    return;
+  Event Line;
+  Line.Kind_ = EventKind::ServerQuarantined;
+  Line.Server_ = Server;
+  Line.Job_ = Job;
+  Line.Reason_ = Why;
+  Log_.write(Line);
+}
+
+/// A run that makes no progress although nothing holds it back.
+bool JobLeader::Impl::isStalled(const JobBook &Book, const std::string &Server,
+                                const RunningTask &Running) const {
+  const StepSpec *Step = findStep(Book, Running.Task_);
+  const ServerLive *Live = Board_.find(Server);
+  if (!Step || !Live || Step->Gang_)
+    return false;
+  const auto Found = Live->Progress_.find(Running.Task_);
+  if (Found == Live->Progress_.end())
+    return false;
+  const Duration Still = Time_.now() - Found->second.ChangedAt_;
+  if (Step->LongRunning_)
+    return Running.Percent_ < Percent && Still >= StallOfLasting;
+  if (!Step->Fills_)
+    return Still >= StallTime;
+  return Still >= StallOfFilling &&
+         Paces_.getPace(Server) == FillingPace{};
+}
+
+/// Whether the work is better saved now, as its server is about to leave.
+bool JobLeader::Impl::isToEvacuate(const JobBook &Book,
+                                   const ServerReport &Report,
+                                   const RunningTask &Running) {
+  const StepSpec *Step = findStep(Book, Running.Task_);
+  if (!Report.IsDraining_ || !Step || Step->Gang_)
+    return false;
+  if (Step->LongRunning_)
+    return true;
+  const bool MayEndInTime = Running.Percent_ >= LeastPercentToEnd &&
+                            Report.RemainingMs_ > EvacuationMs;
+  return Step->Checkpointing_ && !MayEndInTime;
+}
+
 void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
   const std::string &Id = Current->Report_.Facts_.Id_;
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
@@ -800,6 +887,7 @@
   ServerLive *Live = Board_.find(Report.Facts_.Id_);
   std::map<TaskKey, std::uint64_t> Reported;
   std::map<TaskKey, std::uint64_t> StopsSent;
+  std::vector<std::pair<RunningTask, std::string_view>> Stopped;
   for (const RunningTask &Each : Report.Running_)
     Reported[Each.Task_] = Each.Run_;
   Machine_.read([&](const JobBook &Book) {
@@ -815,9 +903,23 @@
       Orders.Stops_.push_back({Task, Run});
       StopsSent[Task] = Run;
     };
-    for (const RunningTask &Each : Report.Running_)
-      if (!IsWanted(Each.Task_, Each.Run_) || isToMove(Book, Report, Each))
-        Stop(Each.Task_, Each.Run_);
+    for (const RunningTask &Each : Report.Running_) {
+      const char *Why = nullptr;
+      if (!IsWanted(Each.Task_, Each.Run_))
+        Why = "it is no longer wanted";
+      else if (isStalled(Book, Report.Facts_.Id_, Each))
+        Why = "it makes no progress";
+      else if (isToEvacuate(Book, Report, Each))
+        Why = "its server is about to leave";
+      else if (isToMove(Book, Report, Each))
+        Why = "it would disturb here and has room elsewhere";
+      if (!Why)
+        continue;
+      Stop(Each.Task_, Each.Run_);
+      const auto Before = Live->StopsSent_.find(Each.Task_);
+      if (Before == Live->StopsSent_.end() || Before->second != Each.Run_)
+        Stopped.emplace_back(Each, Why);
+    }
     for (const auto &[Task, Run] : Server->Placed_) {
       const auto Found = Reported.find(Task);
       if (Found != Reported.end() && Found->second == Run)
@@ -839,6 +941,18 @@
     return 0;
   });
   Live->StopsSent_ = std::move(StopsSent);
+  for (const auto &[Task, Why] : Stopped) {
+    Event Line;
+    Line.Kind_ = EventKind::TaskStopped;
+    Line.Job_ = Task.Task_.Job_;
+    Line.Task_ = toText(Task.Task_);
+    Line.Attempt_ = Task.Run_;
+    Line.Server_ = Report.Facts_.Id_;
+    Line.Reason_ = Why;
+    Log_.write(Line);
+    if (Why == "it makes no progress")
+      noteSick(Report.Facts_.Id_, Task.Task_.Job_, "runs stand still");
+  }
   return Orders;
 }
 
--- a/src/jobs/ServerBoard.cpp
+++ b/src/jobs/ServerBoard.cpp
@@ -1,6 +1,7 @@
 #include "jobs/ServerBoard.h"
 
 #include <algorithm>
+#include <utility>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -19,6 +20,20 @@
   Live.LastHeard_ = Now;
   Live.IsDraining_ = Report.IsDraining_;
   Live.Running_ = Report.Running_;
+  std::map<TaskKey, RunProgress> Progress;
+  for (const RunningTask &Each : Report.Running_) {
+    RunProgress Own{Each.Run_, Each.Percent_, Now, Now};
+    const auto Before = Live.Progress_.find(Each.Task_);
+    const bool IsSame =
+        Before != Live.Progress_.end() && Before->second.Run_ == Each.Run_;
+    if (IsSame)
+      Own.SeenAt_ = Before->second.SeenAt_;
+    if (IsSame && Before->second.Percent_ == Each.Percent_)
+      Own.ChangedAt_ = Before->second.ChangedAt_;
+    Progress.emplace(Each.Task_, Own);
+  }
+  // What has ended meanwhile is looked at once more.
+  Live.Before_ = std::exchange(Live.Progress_, std::move(Progress));
   return true;
 }
 
--- a/src/jobs/ServerBoard.h
+++ b/src/jobs/ServerBoard.h
@@ -19,6 +19,14 @@
 
 namespace tulipweir::jobs {
 
+/// How a run on a server gets on.
+struct RunProgress {
+  std::uint64_t Run_ = 0;
+  std::uint64_t Percent_ = 0;
+  TimePoint SeenAt_{};    ///< When it was first reported.
+  TimePoint ChangedAt_{}; ///< When its percent last changed.
+};
+
 struct ServerLive {
   std::uint64_t LastSequence_ = 0;
   TimePoint LastHeard_{};
@@ -30,6 +38,8 @@
   /// A report is being handled; the next one waits for nothing of it.
   TimePoint NoStartsUntil_{};
   std::vector<RunningTask> Running_;
+  std::map<TaskKey, RunProgress> Progress_; ///< Of these.
+  std::map<TaskKey, RunProgress> Before_;   ///< Of the report before.
   /// Runs that were ordered to stop in an earlier answer.
   std::map<TaskKey, std::uint64_t> StopsSent_;
 };
--- a/src/net/JsonEventLog.cpp
+++ b/src/net/JsonEventLog.cpp
@@ -48,8 +48,8 @@
 }
 
 /// Whether the line tells of something that went wrong.
-static bool isFailure(EventKind Kind) {
-  switch (Kind) {
+static bool isFailure(const Event &Value) {
+  switch (Value.Kind_) {
   case EventKind::JobRefused:
   case EventKind::DependencyLost:
   case EventKind::ServerGone:
@@ -58,6 +58,10 @@
   case EventKind::LeadershipEnded:
   case EventKind::StorageTrouble:
     return true;
+  // These give a reason only where they failed.
+  case EventKind::CallAnswered:
+  case EventKind::JobEnded:
+    return !Value.Reason_.empty();
   default:
     return false;
   }
@@ -74,7 +78,7 @@
     Mine.Since_ = Now;
     Mine.Used_ = 0;
   }
-  return ++Mine.Used_ <= Settings_.LinesASecond_ || isFailure(Value.Kind_);
+  return ++Mine.Used_ <= Settings_.LinesASecond_ || isFailure(Value);
 }
 
 void JsonEventLog::write(const Event &Value) {
@@ -95,7 +99,7 @@
   std::snprintf(Fraction.data(), Fraction.size(), ".%03d",
                 static_cast<int>(Wall % MsPerSecond));
   Line.append(Fraction.data());
-  Line.append(isFailure(Value.Kind_) ? ",\"level\":\"warn\""
+  Line.append(isFailure(Value) ? ",\"level\":\"warn\""
                                      : ",\"level\":\"info\"");
   appendText(Line, "process", Settings_.Process_);
   appendText(Line, "event", getEventName(Value.Kind_));
