Start something of every job while there is room

Change: where under 70% is reserved, a job of which nothing runs gets one task started after a second; where it disturbs it goes slowly.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -23,6 +23,10 @@
 static constexpr std::int64_t Percent = 100;
 /// Where filling tasks must go slower than that, no more are added.
 static constexpr std::uint64_t LeastPace = 40;
+/// A job of which nothing runs is started somewhere after that time, where less
+/// than that part of the processors is reserved.
+static constexpr Duration IdleJobPatience = 1s;
+static constexpr std::int64_t RoomyPercent = 70;
 /// A job that takes so many times as long as allowed is worth nothing.
 static constexpr std::uint64_t LateFactor = 3;
 /// Bounds the work of one plan; the most urgent come first.
@@ -85,7 +89,8 @@
 }
 
 bool Dispatcher::isFit(const StepSpec &Step, const ServerRecord &Server,
-                       const Room &Left, Duration Waited) const {
+                       const Room &Left, Duration Waited,
+                       bool IsIdleJob) const {
   if (!Step.getReserved().fitsIn(Left.Free_))
     return false;
   if (!Step.DataRack_.empty() && Step.DataRack_ != Server.Facts_.Rack_ &&
@@ -94,7 +99,7 @@
   if (isServing(Step))
     return isFitToServe(Step, Left, Waited);
   if (Step.Fills_)
-    return isFitToFill(Step, Left, Waited);
+    return isFitToFill(Step, Left, Waited, IsIdleJob);
   return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
 }
 
@@ -110,7 +115,10 @@
 }
 
 bool Dispatcher::isFitToFill(const StepSpec &Step, const Room &Left,
-                             Duration Waited) const {
+                             Duration Waited, bool IsIdleJob) const {
+  // Nobody waits for ever while there is room: where it disturbs it goes slowly.
+  if (IsIdleJob && IsRoomy_ && Waited >= IdleJobPatience)
+    return true;
   if (Step.Need_.MilliCpus_ > Left.Idle_)
     return false;
   if (Left.Serving_.empty())
@@ -133,6 +141,13 @@
       Wanted[Step.Image_] +=
           Step.Need_.MilliCpus_ * static_cast<std::int64_t>(Waiting);
   }
+  std::int64_t Capacity = 0;
+  std::int64_t Reserved = 0;
+  for (const auto &[Id, Server] : Book.servers()) {
+    Capacity += Server.Facts_.Capacity_.MilliCpus_;
+    Reserved += Server.Used_.MilliCpus_;
+  }
+  IsRoomy_ = Reserved * Percent < Capacity * RoomyPercent;
   std::vector<Room> Rooms;
   for (const auto &[Id, Server] : Book.servers())
     if (const ServerLive *Live = Board.find(Id); Live && !Live->IsDraining_)
@@ -288,6 +303,7 @@
       continue;
     const Duration Waited = getWait(Ready, Now);
     std::uint64_t Beside = countBeside(*Server, Ready);
+    bool IsIdleJob = Job.Placements_ == 0;
     const std::vector<TaskRecord> &Tasks =
         Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Tasks_;
     for (std::uint64_t Index = 0; Index < Tasks.size(); ++Index) {
@@ -295,7 +311,7 @@
         continue;
       const bool IsCrowded =
           Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
-      if (IsCrowded || !isFit(Step, *Server, Left, Waited))
+      if (IsCrowded || !isFit(Step, *Server, Left, Waited, IsIdleJob))
         break;
       const TaskStart Start{
           {Ready.Job_, Ready.Occurrence_, Ready.Step_, Index},
@@ -307,6 +323,7 @@
         break;
       Starts.push_back(Start);
       Taken_.insert(Start.Task_);
+      IsIdleJob = false;
       if (Step.Fills_ && isDisturbing(Left, Step.Image_))
         Left.Budget_ -= Step.Need_.MilliCpus_;
       take(Step, Left);
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -69,16 +69,17 @@
 
   Room measureRoom(const JobBook &Book, const ServerRecord &Server) const;
   Duration getWait(const ReadyStep &Step, TimePoint Now);
+  /// IsIdleJob: nothing of the job runs.
   bool isFit(const StepSpec &Step, const ServerRecord &Server, const Room &Left,
-             Duration Waited) const;
+             Duration Waited, bool IsIdleJob) const;
   std::uint64_t countBeside(const ServerRecord &Server,
                             const ReadyStep &Step) const;
   static void take(const StepSpec &Step, Room &Left);
   bool isDisturbing(const Room &Left, const std::string &Image) const;
   bool isFitToServe(const StepSpec &Step, const Room &Left,
                     Duration Waited) const;
-  bool isFitToFill(const StepSpec &Step, const Room &Left,
-                   Duration Waited) const;
+  bool isFitToFill(const StepSpec &Step, const Room &Left, Duration Waited,
+                   bool IsIdleJob) const;
 
   const TailEffects &Effects_;
   const PaceGuard &Paces_;
@@ -89,6 +90,8 @@
   /// thousandths; for the images that were asked about lately.
   std::map<std::string, std::int64_t> SafeRoom_;
   std::set<std::string> MovingImages_;
+  /// Whether most of the processors are not reserved: as of the last survey.
+  bool IsRoomy_ = false;
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
 };
 
--- /dev/null
+++ b/tests/jobs/DispatcherTest.cpp
@@ -0,0 +1,168 @@
+//===- DispatcherTest.cpp - Which task starts where -------------------------===//
+
+#include "jobs/Dispatcher.h"
+
+#include "jobs/JobFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+class DispatcherTest : public JobBookTest {
+protected:
+  DispatcherTest() {
+    Board_.reset(Book_, Now_, 10s);
+    submitted();
+  }
+  /// Plans for a server at the present time, and places what came of it.
+  std::vector<TaskStart> plan(const std::string &Server) {
+    Dispatcher_.surveySafeRoom(Book_, Board_);
+    const auto Starts =
+        Dispatcher_.plan(Book_, Board_, Server, Now_, WallTime(Wall_));
+    apply(StartTasks{Starts});
+    Dispatcher_.settle(Starts);
+    return Starts;
+  }
+  void advance(Duration By) {
+    Now_ += By;
+    Wall_ += std::chrono::duration_cast<WallTime>(By).count();
+  }
+  static StepSpec makeServing(std::uint64_t Count, const std::string &Image) {
+    StepSpec Step = makeStep(Count, 1000);
+    Step.LongRunning_ = true;
+    Step.TailTargetMs_ = 100;
+    Step.Image_ = Image;
+    return Step;
+  }
+  static StepSpec makeFilling(std::uint64_t Count, const std::string &Image) {
+    StepSpec Step = makeStep(Count, 1000);
+    Step.Fills_ = true;
+    Step.Image_ = Image;
+    return Step;
+  }
+  /// Teaches that the pair disturbs.
+  void teach(const std::string &Serving, const std::string &Filling) {
+    for (int I = 0; I < 400; ++I) {
+      const double Share = 0.01 * (I % 30);
+      Effects_.learn(Serving, {{Filling, Share}},
+                     Share > 0.1 ? 3.0 + 10 * Share : 0.4);
+    }
+    ASSERT_TRUE(Effects_.isDisturbing(Serving, Filling));
+  }
+  void submitted() {}
+
+  TimePoint Now_{1h};
+  std::int64_t Wall_ = 1000;
+  ServerBoard Board_;
+  TailEffects Effects_;
+  PaceGuard Paces_;
+  ServerHealth Health_;
+  Dispatcher Dispatcher_{Effects_, Paces_, Health_};
+};
+
+} // namespace
+
+TEST_F(DispatcherTest, AServerIsFilledAndNotOverfilled) {
+  submit(makeJob("j", {makeStep(9, 1000)}));
+  EXPECT_EQ(plan("s1").size(), 4U);
+  EXPECT_EQ(plan("s1").size(), 0U);
+  EXPECT_EQ(plan("s2").size(), 4U);
+}
+
+TEST_F(DispatcherTest, WhatIsUrgentGoesFirst) {
+  Configuration Two = makeConfiguration(2);
+  QueuePolicy Slow = Two.Queues_[0];
+  Slow.PathPrefix_ = "/slow/";
+  Slow.Priority_ = 2;
+  Two.Queues_.push_back(Slow);
+  apply(PutConfiguration{Two});
+  SubmitJob Later = makeSubmit(makeJob("slow", {makeStep(4, 1000)}));
+  Later.PathPrefix_ = "/slow/";
+  apply(Later);
+  submit(makeJob("urgent", {makeStep(2, 1000)}));
+  const auto Starts = plan("s1");
+  ASSERT_EQ(Starts.size(), 4U);
+  EXPECT_EQ(Starts[0].Task_.Job_, "urgent");
+  EXPECT_EQ(Starts[1].Task_.Job_, "urgent");
+  EXPECT_EQ(Starts[2].Task_.Job_, "slow");
+}
+
+TEST_F(DispatcherTest, WhatCanStillBeInTimeGoesBeforeWhatCannot) {
+  submit(makeJob("late", {makeStep(4, 1000)}));
+  advance(60s);
+  SubmitJob Fresh = makeSubmit(makeJob("fresh", {makeStep(2, 1000)}));
+  Fresh.AcceptedMs_ = static_cast<std::uint64_t>(Wall_);
+  apply(Fresh);
+  const auto Starts = plan("s1");
+  ASSERT_EQ(Starts.size(), 4U);
+  EXPECT_EQ(Starts[0].Task_.Job_, "fresh");
+  EXPECT_EQ(Starts[2].Task_.Job_, "late") << "it still has to be done";
+}
+
+TEST_F(DispatcherTest, DataIsWaitedForAMomentOnly) {
+  StepSpec Near = makeStep(1, 1000);
+  Near.DataRack_ = "r9";
+  submit(makeJob("j", {Near}));
+  EXPECT_TRUE(plan("s1").empty());
+  advance(1s);
+  EXPECT_EQ(plan("s1").size(), 1U);
+}
+
+TEST_F(DispatcherTest, ImagesThatServeAreKeptApart) {
+  submit(makeJob("a", {makeServing(1, "a")}));
+  plan("s1");
+  advance(400ms);
+  ASSERT_EQ(plan("s1").size(), 1U);
+  submit(makeJob("b", {makeServing(1, "b")}));
+  plan("s1");
+  advance(400ms);
+  EXPECT_TRUE(plan("s1").empty());
+  EXPECT_EQ(plan("s2").size(), 1U);
+}
+
+TEST_F(DispatcherTest, AFillingTaskStaysAwayFromWhatItDisturbs) {
+  submit(makeJob("serve", {makeServing(3, "a")}));
+  plan("s1");
+  advance(400ms);
+  plan("s1");
+  teach("a", "heavy");
+  submit(makeJob("fill", {makeFilling(1, "heavy")}));
+  EXPECT_TRUE(plan("s1").empty());
+  EXPECT_EQ(plan("s2").size(), 1U);
+  submit(makeJob("light", {makeFilling(1, "light")}));
+  EXPECT_EQ(plan("s1").size(), 1U);
+}
+
+TEST_F(DispatcherTest, AJobOfWhichNothingRunsIsNotKeptWaitingWhileThereIsRoom) {
+  submit(makeJob("serve", {makeServing(1, "a"), makeServing(1, "a")}));
+  plan("s1");
+  advance(400ms);
+  plan("s1");
+  apply(RemoveServer{"s2", {}});
+  teach("a", "heavy");
+  submit(makeJob("fill", {makeFilling(3, "heavy")}));
+  EXPECT_TRUE(plan("s1").empty());
+  advance(1100ms);
+  EXPECT_EQ(plan("s1").size(), 1U) << "one, so that it goes on";
+}
+
+TEST_F(DispatcherTest, AQuarantinedServerGetsNothingAndThenOneTask) {
+  submit(makeJob("j", {makeStep(4, 1000)}));
+  for (const char *Job : {"a", "b", "c"})
+    Health_.noteFailed("s1", Job, Now_);
+  EXPECT_TRUE(plan("s1").empty());
+  advance(4s);
+  EXPECT_EQ(plan("s1").size(), 1U);
+  EXPECT_TRUE(plan("s1").empty()) << "until that one is done";
+}
+
+TEST_F(DispatcherTest, ATaskIsPlannedOnceWhileItsStartIsOpen) {
+  submit(makeJob("j", {makeStep(1, 1000)}));
+  EXPECT_EQ(
+      Dispatcher_.plan(Book_, Board_, "s1", Now_, WallTime(Wall_)).size(), 1U);
+  EXPECT_TRUE(
+      Dispatcher_.plan(Book_, Board_, "s2", Now_, WallTime(Wall_)).empty());
+}
