Compare a server's runs with those of the same steps elsewhere

Change: a run counts against those of its own step on other servers, and only runs of two jobs in a row make a server slow.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -109,6 +109,7 @@
 /// image to image, and where several serve, hardly any is left that may fill.
 bool Dispatcher::isFitToServe(const StepSpec &Step, const Room &Left,
                               Duration Waited) const {
+  // Long enough for the whole fleet to report twice; whoever waits serves nobody.
   if (Left.Serving_.empty())
     return Waited >= EqualsPatience;
   const bool IsAmongEquals =
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -119,6 +119,8 @@
   void noteHealth(const EndTasks &Ended);
   void noteSick(const std::string &Server, const std::string &Job,
                 const char *Why);
+  void logQuarantine(const std::string &Server, const std::string &Job,
+                     const char *Why);
   bool isStalled(const JobBook &Book, const std::string &Server,
                  const RunningTask &Running) const;
   static bool isToEvacuate(const JobBook &Book, const ServerReport &Report,
@@ -786,16 +788,23 @@
     const bool IsTelling =
         Step && !Step->Fills_ && Seen != Live->Before_.end() &&
         Seen->second.Run_ == End.Run_;
-    Health_.noteDone(Ended.Server_,
-                     IsTelling ? Now - Seen->second.SeenAt_ : Duration(0),
-                     IsTelling ? Step->EstimateMs_ : 0, Now);
+    const bool IsSick = Health_.noteDone(
+        Ended.Server_, End.Task_.Job_, End.Task_.Step_,
+        IsTelling ? Now - Seen->second.SeenAt_ : Duration(0), Now);
+    if (IsSick)
+      logQuarantine(Ended.Server_, End.Task_.Job_,
+                    "runs take much longer than elsewhere");
   }
 }
 
 void JobLeader::Impl::noteSick(const std::string &Server,
                                const std::string &Job, const char *Why) {
-  if (!Health_.noteFailed(Server, Job, Time_.now()))
-    return;
+  if (Health_.noteFailed(Server, Job, Time_.now()))
+    logQuarantine(Server, Job, Why);
+}
+
+void JobLeader::Impl::logQuarantine(const std::string &Server,
+                                    const std::string &Job, const char *Why) {
   Event Line;
   Line.Kind_ = EventKind::ServerQuarantined;
   Line.Server_ = Server;
--- a/src/jobs/ServerHealth.cpp
+++ b/src/jobs/ServerHealth.cpp
@@ -14,18 +14,20 @@
 /// About as long as servers stay sick; doubled each time up to the longest.
 static constexpr Duration FirstSentence = 3s;
 static constexpr std::uint64_t MostDoublings = 2;
-/// A server is slow when its runs take so many times as long as elsewhere,
-/// against estimates that are off by a third to a factor of two.
-static const double SlowLog = std::log(2.5);
-static constexpr std::uint64_t LeastSamples = 4;
-static constexpr std::uint64_t LeastUsualSamples = 50;
-static constexpr double NewestWeight = 0.3;
-static constexpr double NewestUsualWeight = 0.01;
+/// A server is slow when its runs take so many times as long as those of the
+/// same steps elsewhere, which scatter by a third; sick ones are four times and
+/// more slower.
+static const double SlowLog = std::log(2.2);
+static constexpr std::uint64_t LeastSamples = 3;
+static constexpr std::uint64_t LeastElsewhere = 2;
+static constexpr double NewestWeight = 0.4;
+/// Steps whose times are kept; some hundred are under way at a time.
+static constexpr std::size_t MostSteps = 512;
 
 void ServerHealth::reset() {
   Servers_.clear();
-  Usual_ = 0;
-  UsualSamples_ = 0;
+  Steps_.clear();
+  Order_.clear();
 }
 
 void ServerHealth::sentence(Record &Own, TimePoint Now) {
@@ -35,10 +37,35 @@
   Own.Failures_ = 0;
   Own.Jobs_.clear();
   Own.Samples_ = 0;
+  Own.SlowJobs_.clear();
 }
 
-void ServerHealth::noteDone(const std::string &ServerId, Duration Took,
-                            std::uint64_t EstimateMs, TimePoint Now) {
+/// How much longer than elsewhere, as a logarithm; nothing while too few runs of
+/// the step were done on other servers.
+std::optional<double> ServerHealth::compare(const std::string &ServerId,
+                                            const StepKey &Step, double Log) {
+  const auto [Place, IsNew] = Steps_.try_emplace(Step);
+  if (IsNew)
+    Order_.push_back(Step);
+  StepTimes &Times = Place->second;
+  auto &[OwnSum, OwnCount] = Times.ByServer_[ServerId];
+  const std::uint64_t Elsewhere = Times.Count_ - OwnCount;
+  std::optional<double> Longer;
+  if (Elsewhere >= LeastElsewhere)
+    Longer = Log - (Times.Sum_ - OwnSum) / double(Elsewhere);
+  Times.Sum_ += Log;
+  OwnSum += Log;
+  ++Times.Count_;
+  ++OwnCount;
+  while (Order_.size() > MostSteps) {
+    Steps_.erase(Order_.front());
+    Order_.pop_front();
+  }
+  return Longer;
+}
+
+bool ServerHealth::noteDone(const std::string &ServerId, const std::string &Job,
+                            std::uint64_t Step, Duration Took, TimePoint Now) {
   Record &Own = Servers_[ServerId];
   Own.Failures_ = 0;
   Own.Jobs_.clear();
@@ -46,24 +73,27 @@
     Own.IsOnProbation_ = false;
     Own.Sentences_ = 0;
   }
-  if (EstimateMs == 0 || Took <= Duration(0))
-    return;
-  const double Log = std::log(std::chrono::duration<double, std::milli>(Took)
-                                  .count() /
-                              double(EstimateMs));
-  Own.Slowness_ = Own.Samples_ == 0
-                      ? Log
-                      : Own.Slowness_ * (1 - NewestWeight) + Log * NewestWeight;
+  if (Took <= Duration(0))
+    return false;
+  const auto Longer = compare(
+      ServerId, {Job, Step},
+      std::log(std::chrono::duration<double, std::milli>(Took).count()));
+  if (!Longer)
+    return false;
+  Own.Slowness_ = Own.Samples_ == 0 ? *Longer
+                                    : Own.Slowness_ * (1 - NewestWeight) +
+                                          *Longer * NewestWeight;
   ++Own.Samples_;
-  Usual_ = UsualSamples_ == 0
-               ? Log
-               : Usual_ * (1 - NewestUsualWeight) + Log * NewestUsualWeight;
-  ++UsualSamples_;
+  if (*Longer > SlowLog)
+    Own.SlowJobs_.insert(Job);
+  else
+    Own.SlowJobs_.clear();
   const bool IsSlow = Own.Samples_ >= LeastSamples &&
-                      UsualSamples_ >= LeastUsualSamples &&
-                      Own.Slowness_ > Usual_ + SlowLog;
+                      Own.SlowJobs_.size() >= LeastJobs &&
+                      Own.Slowness_ > SlowLog && Now >= Own.Until_;
   if (IsSlow)
     sentence(Own, Now);
+  return IsSlow;
 }
 
 bool ServerHealth::noteFailed(const std::string &ServerId,
--- a/src/jobs/ServerHealth.h
+++ b/src/jobs/ServerHealth.h
@@ -2,10 +2,10 @@
 //
 // Tells sick servers from sick jobs by what ends on them. A server is put into
 // quarantine when runs of several different jobs failed or stalled there one
-// after another with none done between, or when runs there take many times as
-// long, against their estimates, as everywhere else. One poisonous job never
-// does that. After its time a server is on probation: one task at a time, until
-// one is done. Pure.
+// after another with none done between, or when runs of several jobs took many
+// times as long there as runs of the same steps did elsewhere; what was declared
+// is too far off to compare with. One poisonous job never does that. After its
+// time a server is on probation: one task at a time, until one is done. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -15,9 +15,12 @@
 #include "tulipweir/core/Time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace tulipweir::jobs {
 
@@ -30,9 +33,10 @@
 
   void reset();
   void forget(const std::string &ServerId) { Servers_.erase(ServerId); }
-  /// A run was done in Took; EstimateMs is what was declared, 0 if nothing.
-  void noteDone(const std::string &ServerId, Duration Took,
-                std::uint64_t EstimateMs, TimePoint Now);
+  /// A run of the step was done in Took; zero if that says nothing. True if that
+  /// put the server into quarantine.
+  bool noteDone(const std::string &ServerId, const std::string &Job,
+                std::uint64_t Step, Duration Took, TimePoint Now);
   /// A run failed or made no progress. True if that put the server into
   /// quarantine.
   bool noteFailed(const std::string &ServerId, const std::string &Job,
@@ -46,17 +50,28 @@
   struct Record {
     std::uint64_t Failures_ = 0; ///< Since the last run that was done.
     std::set<std::string> Jobs_; ///< Of these.
-    double Slowness_ = 0;        ///< Smoothed logarithm of took over estimate.
+    double Slowness_ = 0; ///< Smoothed logarithm of took over usual.
     std::uint64_t Samples_ = 0;
+    std::set<std::string> SlowJobs_; ///< Whose runs were slow here, in a row.
     std::uint64_t Sentences_ = 0; ///< In a row.
     bool IsOnProbation_ = false;
     TimePoint Until_{}; ///< Of the quarantine.
   };
+  /// The runs of one step, by server: sums of logarithms of what they took.
+  struct StepTimes {
+    double Sum_ = 0;
+    std::uint64_t Count_ = 0;
+    std::map<std::string, std::pair<double, std::uint64_t>> ByServer_;
+  };
+  using StepKey = std::pair<std::string, std::uint64_t>;
+
   void sentence(Record &Own, TimePoint Now);
+  std::optional<double> compare(const std::string &ServerId,
+                                const StepKey &Step, double Log);
 
   std::map<std::string, Record> Servers_;
-  double Usual_ = 0; ///< The same as Slowness_, of all servers.
-  std::uint64_t UsualSamples_ = 0;
+  std::map<StepKey, StepTimes> Steps_;
+  std::deque<StepKey> Order_; ///< Of Steps_, the oldest first.
 };
 
 } // namespace tulipweir::jobs
