Tell a pace once: a repeated order begins its delay anew

The difference: paces were repeated in every answer; an order that comes again begins the 100 ms after which it is in force anew. Ruled out: lost answers, zero as a special value, rows for tasks that had ended. Change: a pace is told at a change, and again only where the use reported 1.5 s later does not go with it.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -43,6 +43,10 @@
 /// there is more time left than a stop and the way of its report take.
 static constexpr std::uint64_t LeastPercentToEnd = 60;
 static constexpr std::uint64_t EvacuationMs = 1500;
+/// An answer may be lost: a pace is told again after so long, where the use is
+/// off by more than the scatter of a report (percent of the need).
+static constexpr Duration PaceRepeat = 1500ms;
+static constexpr std::uint64_t PaceScatter = 25;
 static constexpr std::uint64_t Percent = 100;
 
 static std::string toText(const TaskKey &Task) {
@@ -112,7 +116,7 @@
   void startTasks(const HandlingPtr &Current);
   void answer(const HandlingPtr &Current);
   void notePace(const ServerReport &Report);
-  void addPaces(const ServerReport &Report, ServerOrders &Orders) const;
+  void addPaces(const ServerReport &Report, ServerOrders &Orders);
   void noteEnded(const std::string &Job, Counted How);
   void noteStarted(const TaskStart &Start, bool IsTaken);
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
@@ -675,29 +679,55 @@
   Log_.write(Line);
 }
 
+/// Whether the processors used don't go with the pace: clearly more, or less
+/// than half.
+static bool isUnlike(std::uint64_t Used, const StepSpec &Step,
+                     std::uint64_t Pace) {
+  const auto Need = static_cast<std::uint64_t>(Step.Need_.MilliCpus_);
+  const std::uint64_t Wanted = Need * Pace / Percent;
+  return Used > Wanted + Need * PaceScatter / Percent || Used < Wanted / 2;
+}
+
 /// Also for the tasks that this very answer starts.
 void JobLeader::Impl::addPaces(const ServerReport &Report,
-                               ServerOrders &Orders) const {
+                               ServerOrders &Orders) {
   const std::string &Id = Report.Facts_.Id_;
   if (!Paces_.isToBeTold(Id, Time_.now()))
     return;
   const FillingPace Pace = Paces_.getPace(Id);
+  ServerLive *Live = Board_.find(Id);
+  const TimePoint Now = Time_.now();
+  std::map<TaskKey, PaceSent> Sent;
   Orders.NextReportMs_ = PacedReportMs;
   Machine_.read([&](const JobBook &Book) {
-    const auto Add = [&](const TaskKey &Task, std::uint64_t Run) {
+    const auto Add = [&](const TaskKey &Task, std::uint64_t Run,
+                         std::optional<std::uint64_t> Used) {
       const StepSpec *Step = findStep(Book, Task);
       if (!Step || !Step->Fills_)
         return;
       const bool Disturbs = Dispatcher_.isDisturbing(Book, Id, Step->Image_);
-      Orders.Paces_.push_back(
-          {Task, Run, Disturbs ? Pace.Disturbing_ : Pace.Others_});
+      const std::uint64_t Wanted = Disturbs ? Pace.Disturbing_ : Pace.Others_;
+      PaceSent Own{Run, 100, Now};
+      const auto Before = Live->PacesSent_.find(Task);
+      if (Before != Live->PacesSent_.end() && Before->second.Run_ == Run)
+        Own = Before->second;
+      // An order that comes again begins its delay anew, so it is repeated only
+      // where the task works as if it had not arrived.
+      const bool IsLost = Used && Now - Own.At_ >= PaceRepeat &&
+                          isUnlike(*Used, *Step, Own.Percent_);
+      if (Own.Percent_ != Wanted || IsLost) {
+        Orders.Paces_.push_back({Task, Run, Wanted});
+        Own = {Run, Wanted, Now};
+      }
+      Sent[Task] = Own;
     };
     for (const RunningTask &Running : Report.Running_)
-      Add(Running.Task_, Running.Run_);
+      Add(Running.Task_, Running.Run_, Running.Measure_);
     for (const StartOrder &Start : Orders.Starts_)
-      Add(Start.Task_, Start.Run_);
+      Add(Start.Task_, Start.Run_, std::nullopt);
     return 0;
   });
+  Live->PacesSent_ = std::move(Sent);
 }
 
 void JobLeader::Impl::noteEnds(const HandlingPtr &Current) {
--- a/src/jobs/ServerBoard.h
+++ b/src/jobs/ServerBoard.h
@@ -27,6 +27,12 @@
   TimePoint ChangedAt_{}; ///< When its percent last changed.
 };
 
+struct PaceSent {
+  std::uint64_t Run_ = 0;
+  std::uint64_t Percent_ = 100;
+  TimePoint At_{};
+};
+
 struct ServerLive {
   std::uint64_t LastSequence_ = 0;
   TimePoint LastHeard_{};
@@ -42,6 +48,8 @@
   std::map<TaskKey, RunProgress> Before_;   ///< Of the report before.
   /// Runs that were ordered to stop in an earlier answer.
   std::map<TaskKey, std::uint64_t> StopsSent_;
+  /// The last pace that each run was told, and when.
+  std::map<TaskKey, PaceSent> PacesSent_;
 };
 
 /// Not thread-safe.
--- a/tests/jobs/JobLeaderTest.cpp
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -323,3 +323,43 @@
   EXPECT_EQ(report(Last), ServerOrders{}) << "no lease for one that has left";
   EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
 }
+
+TEST_F(JobLeaderTest, APaceIsToldOnceAndAgainOnlyWhereItWasLost) {
+  StepSpec Serving = makeStep(1, 500);
+  Serving.LongRunning_ = true;
+  Serving.TailTargetMs_ = 100;
+  Serving.Image_ = "serve";
+  StepSpec Filling = makeStep(1, 1000);
+  Filling.Fills_ = true;
+  Filling.Image_ = "fill";
+  call(CallKind::Submit, "s", {Serving});
+  call(CallKind::Submit, "f", {Filling});
+  std::map<TaskKey, std::uint64_t> Runs;
+  std::vector<PaceOrder> Paces;
+  // Both run; the tail stays over its target, whoever is to blame.
+  const auto Beat = [&](std::uint64_t Used) {
+    Strand_.advance(250ms);
+    ServerReport Report = makeReport("s1");
+    for (const auto &[Task, Run] : Runs)
+      Report.Running_.push_back(
+          {Task, Run, "", 50, Task.Job_ == "s" ? 150 : Used});
+    const ServerOrders Orders = report(Report);
+    for (const StartOrder &Start : Orders.Starts_)
+      Runs[Start.Task_] = Start.Run_;
+    Paces.insert(Paces.end(), Orders.Paces_.begin(), Orders.Paces_.end());
+  };
+  for (int I = 0; I < 30 && Runs.size() < 2; ++I)
+    Beat(1000);
+  ASSERT_EQ(Runs.size(), 2U);
+  for (int I = 0; I < 40 && (Paces.empty() || Paces.back().Percent_ > 0); ++I)
+    Beat(Paces.empty() ? 1000 : Paces.back().Percent_ * 10);
+  ASSERT_FALSE(Paces.empty());
+  EXPECT_EQ(Paces.back().Percent_, 0U);
+  const std::size_t Told = Paces.size();
+  for (int I = 0; I < 20; ++I)
+    Beat(0);
+  EXPECT_EQ(Paces.size(), Told) << "a repeated order begins its delay anew";
+  for (int I = 0; I < 5; ++I)
+    Beat(1000);
+  EXPECT_EQ(Paces.size(), Told + 1) << "it works on as if nothing had come";
+}
