--- a/include/tulipweir/jobservice/EntryNode.h
+++ b/include/tulipweir/jobservice/EntryNode.h
@@ -24,8 +24,12 @@
   std::string Secret_;
   /// How often the group is asked who leads.
   Duration AskInterval_ = std::chrono::milliseconds(500);
-  /// How long a call looks for a leader before it is given up.
-  Duration Patience_ = std::chrono::milliseconds(1500);
+  /// How long a call looks for a leader before it is given up: an election,
+  /// where one led a moment ago,
+  Duration Patience_ = std::chrono::milliseconds(1000);
+  /// and a round of questions where nobody has led for a while. Whoever is told
+  /// early can come back in time.
+  Duration ImpatienceWithoutLeader_ = std::chrono::milliseconds(200);
 };
 
 /// How a call that got no answer was left.
--- a/src/jobservice/EntryNode.cpp
+++ b/src/jobservice/EntryNode.cpp
@@ -165,7 +165,10 @@
                            Done Reply) {
   const auto Current = std::make_shared<Pending>();
   Current->Body_ = jobs::encodeCall(Call);
-  Current->GiveUpAt_ = std::min(Deadline, Time_.now() + Settings_.Patience_);
+  const Duration Patience = findUnready().empty()
+                                ? Settings_.Patience_
+                                : Settings_.ImpatienceWithoutLeader_;
+  Current->GiveUpAt_ = std::min(Deadline, Time_.now() + Patience);
   Current->Reply_ = std::move(Reply);
   attempt(Current);
 }
