--- a/bench/jobs/JobsBench.cpp
+++ b/bench/jobs/JobsBench.cpp
@@ -1,4 +1,5 @@
-//===- JobsBench.cpp - Ratios of the jobs' hot paths ------------------------===//
+//===- JobsBench.cpp - Ratios of the jobs' hot paths
+//------------------------===//
 //
 // Prints, from one run: committing 100 starts in one command against 100
 // commands, with real syncs; and the cost of a planned start with 350 servers
--- a/bench/platform/HeartbeatBench.cpp
+++ b/bench/platform/HeartbeatBench.cpp
@@ -1,8 +1,9 @@
-//===- HeartbeatBench.cpp - A heartbeat from its bytes to its answer --------===//
+//===- HeartbeatBench.cpp - A heartbeat from its bytes to its answer
+//--------===//
 //
-// Heartbeats with 20 running entries and 2 ends each through the adapter's codec
-// and the leader's whole handling, over a replica that commits at once, against
-// parsing the JSON alone. The bound is a ratio of one run.
+// Heartbeats with 20 running entries and 2 ends each through the adapter's
+// codec and the leader's whole handling, over a replica that commits at once,
+// against parsing the JSON alone. The bound is a ratio of one run.
 //
 //===----------------------------------------------------------------------===//
 
@@ -53,12 +54,17 @@
   double Handling = 0;
   for (int I = 1; I <= Heartbeats; ++I) {
     nlohmann::json Beat = {
-        {"service", "booking"}, {"address", "10.128.0.9:8080"},
-        {"zone", "dc1"},        {"version", "v1"},
-        {"slots", 8},           {"state", "ready"},
-        {"coldLeftMs", 0},      {"seq", I},
+        {"service", "booking"},
+        {"address", "10.128.0.9:8080"},
+        {"zone", "dc1"},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"coldLeftMs", 0},
+        {"seq", I},
         {"capacity", {{"cpu", 220}, {"memMb", 100'000}, {"gpu", 0}}},
-        {"labels", {"a", "r1"}}, {"currentTimeMs", 482113},
+        {"labels", {"a", "r1"}},
+        {"currentTimeMs", 482113},
         {"running", nlohmann::json::array()},
         {"finished", nlohmann::json::array()}};
     for (int End = 0; End < EndedEntries && Running.size() > RunningEntries;
--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -22,15 +22,15 @@
   SettingsReloaded,
   DependencyLost,
   DependencyRegained,
-  CallAnswered,      ///< A client's call, by the process it reached.
+  CallAnswered, ///< A client's call, by the process it reached.
   JobAccepted,
   JobRefused,
   JobEnded,
   JobCancelled,
   TaskStarted,
-  TaskWaiting,       ///< Why a step does not start; at a change of reason.
+  TaskWaiting, ///< Why a step does not start; at a change of reason.
   TaskEnded,
-  TaskStopped,       ///< We ordered it to stop.
+  TaskStopped, ///< We ordered it to stop.
   TaskPaced,
   ServerSeen,
   ServerDraining,
@@ -53,8 +53,8 @@
 struct Event {
   EventKind Kind_ = EventKind::ProcessStarted;
   std::string Job_;
-  std::string Task_;     ///< occurrence.step.index within the job.
-  std::string Server_;   ///< The life of a backend server.
+  std::string Task_;   ///< occurrence.step.index within the job.
+  std::string Server_; ///< The life of a backend server.
   std::string Outcome_;
   std::string Reason_;
   std::optional<std::uint64_t> Attempt_;
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -41,7 +41,7 @@
   TaskState State_ = TaskState::Waiting;
   std::uint64_t LastRun_ = 0; ///< 0 before the first.
   std::uint64_t FailedRuns_ = 0;
-  std::uint64_t LastFailedRun_ = 0; ///< 0 if none has failed.
+  std::uint64_t LastFailedRun_ = 0;   ///< 0 if none has failed.
   std::string Checkpoint_;            ///< Where the next run resumes.
   std::vector<Placement> Placements_; ///< More than one for copies only.
   /// Given up with their servers, the newest few; their ends may yet be heard.
@@ -69,7 +69,7 @@
   std::uint64_t Sequence_ = 0; ///< Order of acceptance.
   std::uint64_t AcceptedMs_ = 0;
   std::uint64_t OccurrencesDone_ = 0;
-  std::uint64_t Placements_ = 0; ///< Runs that have not ended.
+  std::uint64_t Placements_ = 0;       ///< Runs that have not ended.
   std::vector<OccurrenceRecord> Open_; ///< Occurrences under way.
   std::uint64_t OpenedUpTo_ = 0;       ///< Occurrences opened so far.
   bool operator==(const JobRecord &) const = default;
@@ -151,8 +151,8 @@
                           TaskRecord &Task, std::uint64_t Run);
   void noteLateEnd(const std::string &Server, TaskRecord &Task,
                    const TaskEnd &End);
-  void noteDone(JobRecord &Job, OccurrenceRecord &Occurrence,
-                std::size_t Step, TaskRecord &Task);
+  void noteDone(JobRecord &Job, OccurrenceRecord &Occurrence, std::size_t Step,
+                TaskRecord &Task);
   void finishJob(JobRecord &Job, JobState State);
   void setWaiting(StepRecord &Step, TaskRecord &Task);
   TaskRecord *findTaskToChange(const TaskKey &Task);
--- a/include/tulipweir/jobs/JobCall.h
+++ b/include/tulipweir/jobs/JobCall.h
@@ -14,7 +14,7 @@
 
 enum class CallKind : std::uint8_t {
   Submit = 0,
-  Show = 1,  ///< A job's state, or the queue's length without a job's id.
+  Show = 1, ///< A job's state, or the queue's length without a job's id.
   Cancel = 2,
 };
 
--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -13,8 +13,8 @@
 #include "tulipweir/core/Executor.h"
 #include "tulipweir/jobs/JobCall.h"
 #include "tulipweir/jobs/JobMachine.h"
-#include "tulipweir/jobs/ServerReport.h"
 #include "tulipweir/jobs/JobMeter.h"
+#include "tulipweir/jobs/ServerReport.h"
 #include "tulipweir/replication/Replica.h"
 
 #include <memory>
--- a/include/tulipweir/jobs/JobSpec.h
+++ b/include/tulipweir/jobs/JobSpec.h
@@ -20,8 +20,8 @@
 /// Equal tasks that become ready together.
 struct StepSpec {
   std::uint64_t Count_ = 1;
-  Resources Need_;                ///< Of each task.
-  std::uint64_t EstimateMs_ = 0;  ///< Declared duration; 0 if unknown.
+  Resources Need_;                       ///< Of each task.
+  std::uint64_t EstimateMs_ = 0;         ///< Declared duration; 0 if unknown.
   std::vector<std::uint64_t> DependsOn_; ///< Numbers of earlier steps.
   bool Checkpointing_ = false;
   bool Gang_ = false;        ///< The tasks work only while all are running.
@@ -31,10 +31,10 @@
   bool Fills_ = false;       ///< Uses only processors that others leave idle.
   std::string Label_;        ///< A server must carry it; empty for any.
   std::string DataRack_;     ///< Slower anywhere else; empty for none.
-  std::uint64_t SpreadLimit_ = 0; ///< Most tasks a server; 0 for no limit.
-  std::string Image_;             ///< Tasks of one image behave alike.
+  std::uint64_t SpreadLimit_ = 0;  ///< Most tasks a server; 0 for no limit.
+  std::string Image_;              ///< Tasks of one image behave alike.
   std::uint64_t TailTargetMs_ = 0; ///< Tail of its responses; 0 for none.
-  std::uint64_t MayMiss_ = 0; ///< Tasks that may be away by our doing.
+  std::uint64_t MayMiss_ = 0;      ///< Tasks that may be away by our doing.
   bool operator==(const StepSpec &) const = default;
 
   /// What one task takes of a server's capacity: a filling task's processors
--- a/include/tulipweir/jobs/ServerReport.h
+++ b/include/tulipweir/jobs/ServerReport.h
@@ -18,7 +18,8 @@
   TaskKey Task_;
   std::uint64_t Run_ = 0;
   std::string Checkpoint_;
-  std::uint64_t Percent_ = 0; ///< Of its work; of a long-running one, readiness.
+  std::uint64_t Percent_ =
+      0; ///< Of its work; of a long-running one, readiness.
   /// Tail of its response times, in ms, for a task that serves; the processors
   /// it uses, in thousandths, for any other. Rough, over the last half second.
   std::uint64_t Measure_ = 0;
@@ -69,7 +70,7 @@
   /// Counted by the server from the sending of its report; 0 extends nothing.
   std::uint64_t LeaseMs_ = 0;
   std::uint64_t FencingToken_ = 0;
-  std::uint64_t EndsNoted_ = 0; ///< Ended tasks up to this number are noted.
+  std::uint64_t EndsNoted_ = 0;    ///< Ended tasks up to this number are noted.
   std::uint64_t NextReportMs_ = 0; ///< 0: as the server does by itself.
   std::vector<StartOrder> Starts_;
   std::vector<StopOrder> Stops_;
--- a/include/tulipweir/jobservice/MemberLinks.h
+++ b/include/tulipweir/jobservice/MemberLinks.h
@@ -31,8 +31,8 @@
 
   /// Replication traffic; one-way and lossy.
   void send(const std::string &ToName, std::string Message) override;
-  void call(const std::string &ToName, wire::MessageKind Kind,
-            std::string Body, Duration Timeout, net::LinkReply Reply);
+  void call(const std::string &ToName, wire::MessageKind Kind, std::string Body,
+            Duration Timeout, net::LinkReply Reply);
   bool isConnected(const std::string &Name) const;
   void stop();
 
--- a/include/tulipweir/net/JsonEventLog.h
+++ b/include/tulipweir/net/JsonEventLog.h
@@ -23,8 +23,8 @@
 namespace tulipweir::net {
 
 struct JsonEventLogSettings {
-  std::string Process_;          ///< The name in each line.
-  int Descriptor_ = 1;           ///< Standard output.
+  std::string Process_;                 ///< The name in each line.
+  int Descriptor_ = 1;                  ///< Standard output.
   std::size_t MaxBytes_ = 256UL * 1024; ///< That wait to be written.
   /// Lines of one kind a second; more are left out and counted.
   std::uint64_t LinesASecond_ = 200;
--- a/src/control/CommandProposer.h
+++ b/src/control/CommandProposer.h
@@ -8,8 +8,8 @@
 #ifndef TULIPWEIR_SRC_CONTROL_COMMANDPROPOSER_H
 #define TULIPWEIR_SRC_CONTROL_COMMANDPROPOSER_H
 
-#include "tulipweir/core/Executor.h"
 #include "tulipweir/core/Error.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/core/Ids.h"
 #include "tulipweir/datacentre/Commands.h"
 #include "tulipweir/replication/Replica.h"
--- a/src/control/FleetDuties.h
+++ b/src/control/FleetDuties.h
@@ -9,8 +9,8 @@
 #ifndef TULIPWEIR_SRC_CONTROL_FLEETDUTIES_H
 #define TULIPWEIR_SRC_CONTROL_FLEETDUTIES_H
 
-#include "replication/LeaderWatch.h"
 #include "control/PeerCaller.h"
+#include "replication/LeaderWatch.h"
 #include "tulipweir/fleet/AssignmentLease.h"
 #include "tulipweir/fleet/FleetMachine.h"
 #include "tulipweir/fleet/JobAssigner.h"
--- a/src/control/FleetProposer.h
+++ b/src/control/FleetProposer.h
@@ -7,9 +7,9 @@
 #ifndef TULIPWEIR_SRC_CONTROL_FLEETPROPOSER_H
 #define TULIPWEIR_SRC_CONTROL_FLEETPROPOSER_H
 
-#include "tulipweir/core/Executor.h"
 #include "control/PeerCaller.h"
 #include "tulipweir/core/Error.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/replication/Replica.h"
 
 #include <functional>
--- a/src/control/MemberRoutes.h
+++ b/src/control/MemberRoutes.h
@@ -7,9 +7,9 @@
 #ifndef TULIPWEIR_SRC_CONTROL_MEMBERROUTES_H
 #define TULIPWEIR_SRC_CONTROL_MEMBERROUTES_H
 
-#include "tulipweir/core/Executor.h"
 #include "control/PeerCaller.h"
 #include "control/RouteTable.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/replication/Replica.h"
 
 #include <memory>
--- a/src/ctl/ExplainCommand.cpp
+++ b/src/ctl/ExplainCommand.cpp
@@ -44,8 +44,7 @@
       continue;
     Json Fields = Json::parse(Text.substr(Begin), nullptr, false);
     const bool IsEvent = Fields.is_object() && Fields.contains("event") &&
-                         Fields.contains("time") &&
-                         Fields["time"].is_number();
+                         Fields.contains("time") && Fields["time"].is_number();
     if (IsEvent)
       Lines.push_back({Fields["time"].get<double>(), std::move(Fields)});
   }
--- a/src/jobs/Configuration.cpp
+++ b/src/jobs/Configuration.cpp
@@ -7,9 +7,9 @@
                                             std::string_view Path) const {
   const QueuePolicy *Best = nullptr;
   for (const QueuePolicy &Queue : Queues_) {
-    const bool Matches = Queue.Host_ == Host &&
-                         Path.substr(0, Queue.PathPrefix_.size()) ==
-                             Queue.PathPrefix_;
+    const bool Matches =
+        Queue.Host_ == Host &&
+        Path.substr(0, Queue.PathPrefix_.size()) == Queue.PathPrefix_;
     const bool IsLonger =
         !Best || Queue.PathPrefix_.size() > Best->PathPrefix_.size();
     if (Matches && IsLonger)
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -30,7 +30,8 @@
 static constexpr std::int64_t RoomyPercent = 70;
 /// A job that takes so many times as long as allowed is worth nothing.
 static constexpr std::uint64_t LateFactor = 3;
-static constexpr std::int64_t Unlimited = std::numeric_limits<std::int64_t>::max();
+static constexpr std::int64_t Unlimited =
+    std::numeric_limits<std::int64_t>::max();
 /// Bounds the work of one plan; the most urgent come first.
 static constexpr std::size_t MostStepsLookedAt = 256;
 /// What a server may start at once: a report's answer stays small.
@@ -109,7 +110,8 @@
 /// image to image, and where several serve, hardly any is left that may fill.
 bool Dispatcher::isFitToServe(const StepSpec &Step, const Room &Left,
                               Duration Waited) const {
-  // Long enough for the whole fleet to report twice; whoever waits serves nobody.
+  // Long enough for the whole fleet to report twice; whoever waits serves
+  // nobody.
   if (Left.Serving_.empty())
     return Waited >= EqualsPatience;
   const bool IsAmongEquals =
@@ -119,7 +121,8 @@
 
 bool Dispatcher::isFitToFill(const StepSpec &Step, const Room &Left,
                              Duration Waited, bool IsIdleJob) const {
-  // Nobody waits for ever while there is room: where it disturbs it goes slowly.
+  // Nobody waits for ever while there is room: where it disturbs it goes
+  // slowly.
   if (IsIdleJob && IsRoomy_ && Waited >= IdleJobPatience)
     return true;
   if (Step.Need_.MilliCpus_ > Left.Idle_)
@@ -223,8 +226,9 @@
 
 /// 0: can still be done by its objective; 1: late, but worth something; 2: too
 /// late for anybody, though it has to be done.
-static std::size_t getUse(const JobRecord &Job,
-                          const OccurrenceRecord &Occurrence, WallTime Wall) {
+static std::size_t getLateness(const JobRecord &Job,
+                               const OccurrenceRecord &Occurrence,
+                               WallTime Wall) {
   const auto Now = static_cast<std::uint64_t>(Wall.count());
   const std::uint64_t Allowed = Job.getDueMs() - Job.AcceptedMs_;
   const std::uint64_t End = Now + getRemainingMs(Job, Occurrence);
@@ -236,12 +240,12 @@
 
 /// Whether nothing but tasks that last runs there.
 static bool isIdleBut(const JobBook &Book, const ServerRecord &Server) {
-  return std::all_of(
-      Server.Placed_.begin(), Server.Placed_.end(), [&Book](const auto &Each) {
-        return Book.findJob(Each.first.Job_)
-            ->Spec_.Steps_[Each.first.Step_]
-            .LongRunning_;
-      });
+  return std::all_of(Server.Placed_.begin(), Server.Placed_.end(),
+                     [&Book](const auto &Each) {
+                       return Book.findJob(Each.first.Job_)
+                           ->Spec_.Steps_[Each.first.Step_]
+                           .LongRunning_;
+                     });
 }
 
 std::vector<TaskStart> Dispatcher::plan(const JobBook &Book,
@@ -257,13 +261,18 @@
     return {};
   if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return {};
-  Plan Own{*Server, measureRoom(Book, *Server), Now, {}, MostStartsAtOnce,
+  Plan Own{*Server,
+           measureRoom(Book, *Server),
+           Now,
+           {},
+           MostStartsAtOnce,
            Book.readySteps().size() <= StepsSurveyed_};
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
   addBudget(Book, *Server, Own.Left_);
-  // Within a priority, what can still be in time goes before what can't.
-  std::array<std::vector<const ReadyStep *>, 2> Later;
+  // Within a priority, what can still be in time goes first, for it is over
+  // soon; then what lasts; then what is late.
+  std::array<std::vector<const ReadyStep *>, 3> Later;
   const auto TakeLater = [&] {
     for (std::vector<const ReadyStep *> &Class : Later) {
       for (const ReadyStep *Each : Class)
@@ -281,13 +290,14 @@
     Priority = Ready.Priority_;
     const JobRecord &Job = *Book.findJob(Ready.Job_);
     const bool IsTimeless = Job.Spec_.Steps_[Ready.Step_].LongRunning_;
-    const std::size_t Use =
-        IsTimeless ? 0
-                   : getUse(Job, *Job.findOccurrence(Ready.Occurrence_), Wall);
-    if (Use == 0)
+    const std::size_t Lateness =
+        IsTimeless
+            ? 0
+            : getLateness(Job, *Job.findOccurrence(Ready.Occurrence_), Wall);
+    if (Lateness == 0 && !IsTimeless)
       planStep(Book, Ready, Own);
     else
-      Later.at(Use - 1).push_back(&Ready);
+      Later.at(Lateness).push_back(&Ready);
   }
   TakeLater();
   return std::move(Own.Starts_);
@@ -309,9 +319,9 @@
 void Dispatcher::addBudget(const JobBook &Book, const ServerRecord &Server,
                            Room &Left) const {
   Left.Pace_ = Paces_.getPace(Server.Facts_.Id_);
-  Left.Budget_ = static_cast<std::int64_t>(
-      Paces_.getBudget(Server.Facts_.Id_) *
-      double(Server.Facts_.Capacity_.MilliCpus_));
+  Left.Budget_ =
+      static_cast<std::int64_t>(Paces_.getBudget(Server.Facts_.Id_) *
+                                double(Server.Facts_.Capacity_.MilliCpus_));
   for (const auto &[Task, Run] : Server.Placed_) {
     const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
     if (Step.Fills_ && isDisturbing(Left, Step.Image_))
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -205,8 +205,7 @@
 CommandResult JobBook::apply(const ForgetJobs &Value) {
   for (const std::string &Id : Value.Ids_) {
     const auto Found = Jobs_.find(Id);
-    const bool IsOver = Found != Jobs_.end() &&
-                        isEnded(Found->second.State_) &&
+    const bool IsOver = Found != Jobs_.end() && isEnded(Found->second.State_) &&
                         Found->second.Placements_ == 0;
     if (IsOver)
       Jobs_.erase(Found);
@@ -286,8 +285,7 @@
     for (std::uint64_t I = 0; I < Count; ++I)
       Together = Together + Step.getReserved();
     const bool IsCrowded = Step.SpreadLimit_ > 0 && Count > Step.SpreadLimit_;
-    if (IsCrowded ||
-        !(Server.Used_ + Together).fitsIn(Server.Facts_.Capacity_))
+    if (IsCrowded || !(Server.Used_ + Together).fitsIn(Server.Facts_.Capacity_))
       return false;
   }
   return Named.size() == Step.Count_;
@@ -390,10 +388,9 @@
   const bool WasLost =
       std::find(Task.Lost_.begin(), Task.Lost_.end(),
                 Placement{End.Run_, Server}) != Task.Lost_.end();
-  const bool Counts =
-      WasLost && End.How_ == RunEnd::Done &&
-      Task.State_ != TaskState::Done && !isEnded(Job.State_) &&
-      !Job.Spec_.Steps_[End.Task_.Step_].LongRunning_;
+  const bool Counts = WasLost && End.How_ == RunEnd::Done &&
+                      Task.State_ != TaskState::Done && !isEnded(Job.State_) &&
+                      !Job.Spec_.Steps_[End.Task_.Step_].LongRunning_;
   if (!Counts)
     return;
   OccurrenceRecord &Occurrence = *Job.findOccurrence(End.Task_.Occurrence_);
@@ -473,8 +470,9 @@
 
 ReadyStep JobBook::makeReadyStep(const JobRecord &Job, std::uint64_t Occurrence,
                                  std::uint64_t Step) const {
-  return {Job.Policy_.Priority_, Job.getDueMs(), Job.Sequence_, Occurrence,
-          Step, Job.Spec_.Id_};
+  return {
+      Job.Policy_.Priority_, Job.getDueMs(), Job.Sequence_, Occurrence, Step,
+      Job.Spec_.Id_};
 }
 
 void JobBook::updateReady(const JobRecord &Job,
@@ -544,8 +542,7 @@
                Occurrence.Steps_[Step].Tasks_[Index].Placements_) {
             ServerRecord &Server = Servers_[Each.Server_];
             Server.Placed_[{Id, Occurrence.Number_, Step, Index}] = Each.Run_;
-            Server.Used_ =
-                Server.Used_ + Job.Spec_.Steps_[Step].getReserved();
+            Server.Used_ = Server.Used_ + Job.Spec_.Steps_[Step].getReserved();
           }
   }
 }
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -200,9 +200,8 @@
 void JobLeader::Impl::propose(const Command &Value, ResultCallback Done) {
   const std::weak_ptr<Impl> Weak = weak_from_this();
   Group_.propose(
-      encodeCommand(Value),
-      [Weak, &Strand = Strand_,
-       Done = std::move(Done)](const Outcome<replication::Applied> &Applied) {
+      encodeCommand(Value), [Weak, &Strand = Strand_, Done = std::move(Done)](
+                                const Outcome<replication::Applied> &Applied) {
         Outcome<CommandResult> Result = fail(ErrorCode::Unavailable, "");
         // Whoever asked must know the difference: only NotLeader says for sure
         // that nothing was taken.
@@ -299,10 +298,9 @@
   });
   if (Starts.empty())
     return;
-  propose(StartTasks{Starts},
-          [this, Starts](const Outcome<CommandResult> &) {
-            Dispatcher_.settle(Starts);
-          });
+  propose(StartTasks{Starts}, [this, Starts](const Outcome<CommandResult> &) {
+    Dispatcher_.settle(Starts);
+  });
 }
 
 void JobLeader::Impl::forgetEnded() {
@@ -351,8 +349,7 @@
   SubmitJob Command;
   bool NeedsAdvice = false;
   const bool HasQueue = Machine_.read([&](const JobBook &Book) {
-    const QueuePolicy *Queue =
-        findQueue(Book, Call, Result, Call.Spec_.Id_);
+    const QueuePolicy *Queue = findQueue(Book, Call, Result, Call.Spec_.Id_);
     if (!Queue)
       return false;
     Command.Host_ = Queue->Host_;
@@ -365,7 +362,8 @@
   if (NeedsAdvice) {
     Result.Outcome_ = CallOutcome::Refused;
     Result.RetryAfterMs_ = UnsupportedRetryMs;
-    Result.Reason_ = "the queue needs advice on servers, which is not built yet";
+    Result.Reason_ =
+        "the queue needs advice on servers, which is not built yet";
     Event Line;
     Line.Kind_ = EventKind::JobRefused;
     Line.Job_ = Call.Spec_.Id_;
@@ -384,32 +382,32 @@
   const std::string Id = Call.Spec_.Id_;
   Command.Spec_ = std::move(Call.Spec_);
   const TimePoint Begin = Time_.now();
-  propose(Command, [this, Id, Begin,
-                    Reply](const Outcome<CommandResult> &Applied) {
-    JobCallReply Late;
-    if (!Applied)
-      return Reply(Applied.error());
-    const Verdict Taken = Applied.value().Verdict_;
-    if (Taken == Verdict::NotFound)
-      Late.Outcome_ = CallOutcome::NoQueue;
-    Meter_.add(Taken == Verdict::NotFound ? Counted::JobsRefused
-                                          : Counted::JobsAccepted,
-               Taken == Verdict::AlreadyDone ? 0 : 1);
-    Meter_.record(Timed::Acknowledge, Time_.now() - Begin);
-    if (Taken == Verdict::Done)
-      AcceptedAt_.emplace(Id, Begin);
-    Event Line;
-    Line.Kind_ = Taken == Verdict::NotFound ? EventKind::JobRefused
-                                            : EventKind::JobAccepted;
-    Line.Job_ = Id;
-    Line.Term_ = Term_;
-    if (Taken == Verdict::NotFound)
-      Line.Reason_ = "its queue was dropped meanwhile";
-    if (Taken == Verdict::AlreadyDone)
-      Line.Reason_ = "it was accepted before";
-    Log_.write(Line);
-    Reply(Late);
-  });
+  propose(Command,
+          [this, Id, Begin, Reply](const Outcome<CommandResult> &Applied) {
+            JobCallReply Late;
+            if (!Applied)
+              return Reply(Applied.error());
+            const Verdict Taken = Applied.value().Verdict_;
+            if (Taken == Verdict::NotFound)
+              Late.Outcome_ = CallOutcome::NoQueue;
+            Meter_.add(Taken == Verdict::NotFound ? Counted::JobsRefused
+                                                  : Counted::JobsAccepted,
+                       Taken == Verdict::AlreadyDone ? 0 : 1);
+            Meter_.record(Timed::Acknowledge, Time_.now() - Begin);
+            if (Taken == Verdict::Done)
+              AcceptedAt_.emplace(Id, Begin);
+            Event Line;
+            Line.Kind_ = Taken == Verdict::NotFound ? EventKind::JobRefused
+                                                    : EventKind::JobAccepted;
+            Line.Job_ = Id;
+            Line.Term_ = Term_;
+            if (Taken == Verdict::NotFound)
+              Line.Reason_ = "its queue was dropped meanwhile";
+            if (Taken == Verdict::AlreadyDone)
+              Line.Reason_ = "it was accepted before";
+            Log_.write(Line);
+            Reply(Late);
+          });
 }
 
 void JobLeader::Impl::show(const JobCall &Call,
@@ -443,23 +441,23 @@
   });
   if (!HasQueue)
     return Reply(Result);
-  propose(CancelJob{Id}, [this, Id, Reply](
-                             const Outcome<CommandResult> &Applied) {
-    if (!Applied)
-      return Reply(Applied.error());
-    JobCallReply Late;
-    if (Applied.value().Verdict_ == Verdict::NotFound)
-      Late.Outcome_ = CallOutcome::NoJob;
-    else if (EndedSince_.try_emplace(Id, Time_.now()).second)
-      noteEnded(Id, Counted::JobsCancelled);
-    Event Line;
-    Line.Kind_ = EventKind::JobCancelled;
-    Line.Job_ = Id;
-    Line.Outcome_ = Applied.value().Verdict_ == Verdict::Done ? "cancelled"
-                                                              : "no change";
-    Log_.write(Line);
-    Reply(Late);
-  });
+  propose(
+      CancelJob{Id}, [this, Id, Reply](const Outcome<CommandResult> &Applied) {
+        if (!Applied)
+          return Reply(Applied.error());
+        JobCallReply Late;
+        if (Applied.value().Verdict_ == Verdict::NotFound)
+          Late.Outcome_ = CallOutcome::NoJob;
+        else if (EndedSince_.try_emplace(Id, Time_.now()).second)
+          noteEnded(Id, Counted::JobsCancelled);
+        Event Line;
+        Line.Kind_ = EventKind::JobCancelled;
+        Line.Job_ = Id;
+        Line.Outcome_ = Applied.value().Verdict_ == Verdict::Done ? "cancelled"
+                                                                  : "no change";
+        Log_.write(Line);
+        Reply(Late);
+      });
 }
 
 // The configuration.
@@ -486,8 +484,8 @@
 void JobLeader::Impl::readConfiguration(const Done<Configuration> &Reply) {
   if (!isLeading())
     return Reply(failNotLeading());
-  Reply(Machine_.read(
-      [](const JobBook &Book) { return Book.configuration(); }));
+  Reply(
+      Machine_.read([](const JobBook &Book) { return Book.configuration(); }));
 }
 
 // Backend servers.
@@ -753,8 +751,8 @@
       return 0;
     for (const EndedTask &Each : Report.Ended_) {
       const auto Placed = Server->Placed_.find(Each.End_.Task_);
-      const bool IsPlaced = Placed != Server->Placed_.end() &&
-                            Placed->second == Each.End_.Run_;
+      const bool IsPlaced =
+          Placed != Server->Placed_.end() && Placed->second == Each.End_.Run_;
       const TaskRecord *Task = Book.findTask(Each.End_.Task_);
       const bool IsLateDone = Each.End_.How_ == RunEnd::Done && Task &&
                               Task->State_ != TaskState::Done;
@@ -770,36 +768,36 @@
       [](const TaskEnd &End) { return End.How_ == RunEnd::Refused; });
   if (AnyRefused)
     Board_.find(Id)->NoStartsUntil_ = Now + RefusalPause;
-  propose(Command, [this, Current,
-                    Command](const Outcome<CommandResult> &Applied) {
-    if (!Applied)
-      return Current->Reply_(Applied.error());
-    logEnds(Command.Server_, Command.Ends_);
-    noteHealth(Command);
-    Machine_.read([&](const JobBook &Book) {
-      for (const TaskEnd &End : Command.Ends_) {
-        const JobRecord *Job = Book.findJob(End.Task_.Job_);
-        if (!Job || !isEnded(Job->State_) ||
-            !EndedSince_.try_emplace(End.Task_.Job_, Time_.now()).second)
-          continue;
-        Event Line;
-        Line.Kind_ = EventKind::JobEnded;
-        Line.Job_ = End.Task_.Job_;
-        Line.Outcome_ = Job->State_ == JobState::Completed ? "completed"
-                        : Job->State_ == JobState::Failed  ? "failed"
-                                                           : "cancelled";
-        if (Job->State_ == JobState::Failed)
-          Line.Reason_ = "task " + toText(End.Task_) +
-                         " has failed as often as its queue allows";
-        Log_.write(Line);
-        noteEnded(End.Task_.Job_, Job->State_ == JobState::Completed
-                                      ? Counted::JobsCompleted
-                                      : Counted::JobsFailed);
-      }
-      return 0;
-    });
-    startTasks(Current);
-  });
+  propose(
+      Command, [this, Current, Command](const Outcome<CommandResult> &Applied) {
+        if (!Applied)
+          return Current->Reply_(Applied.error());
+        logEnds(Command.Server_, Command.Ends_);
+        noteHealth(Command);
+        Machine_.read([&](const JobBook &Book) {
+          for (const TaskEnd &End : Command.Ends_) {
+            const JobRecord *Job = Book.findJob(End.Task_.Job_);
+            if (!Job || !isEnded(Job->State_) ||
+                !EndedSince_.try_emplace(End.Task_.Job_, Time_.now()).second)
+              continue;
+            Event Line;
+            Line.Kind_ = EventKind::JobEnded;
+            Line.Job_ = End.Task_.Job_;
+            Line.Outcome_ = Job->State_ == JobState::Completed ? "completed"
+                            : Job->State_ == JobState::Failed  ? "failed"
+                                                               : "cancelled";
+            if (Job->State_ == JobState::Failed)
+              Line.Reason_ = "task " + toText(End.Task_) +
+                             " has failed as often as its queue allows";
+            Log_.write(Line);
+            noteEnded(End.Task_.Job_, Job->State_ == JobState::Completed
+                                          ? Counted::JobsCompleted
+                                          : Counted::JobsFailed);
+          }
+          return 0;
+        });
+        startTasks(Current);
+      });
 }
 
 void JobLeader::Impl::noteHealth(const EndTasks &Ended) {
@@ -811,13 +809,12 @@
     if (End.How_ != RunEnd::Done || !Live)
       continue;
     const auto Seen = Live->Before_.find(End.Task_);
-    const StepSpec *Step = Machine_.read([&End](const JobBook &Book) {
-      return findStep(Book, End.Task_);
-    });
+    const StepSpec *Step = Machine_.read(
+        [&End](const JobBook &Book) { return findStep(Book, End.Task_); });
     // What fills goes as fast as others let it, which says nothing of a server.
-    const bool IsTelling =
-        Step && !Step->Fills_ && Seen != Live->Before_.end() &&
-        Seen->second.Run_ == End.Run_;
+    const bool IsTelling = Step && !Step->Fills_ &&
+                           Seen != Live->Before_.end() &&
+                           Seen->second.Run_ == End.Run_;
     const bool IsSick = Health_.noteDone(
         Ended.Server_, End.Task_.Job_, End.Task_.Step_,
         IsTelling ? Now - Seen->second.SeenAt_ : Duration(0), Now);
@@ -858,8 +855,7 @@
     return Running.Percent_ < Percent && Still >= StallOfLasting;
   if (!Step->Fills_)
     return Still >= StallTime;
-  return Still >= StallOfFilling &&
-         Paces_.getPace(Server) == FillingPace{};
+  return Still >= StallOfFilling && Paces_.getPace(Server) == FillingPace{};
 }
 
 /// Whether the work is better saved now, as its server is about to leave.
@@ -883,37 +879,36 @@
   });
   if (Starts.empty())
     return answer(Current);
-  propose(StartTasks{Starts}, [this, Current,
-                               Starts](const Outcome<CommandResult> &Applied) {
-    Dispatcher_.settle(Starts);
-    if (!Applied)
-      return Current->Reply_(Applied.error());
-    for (std::size_t I = 0; I < Starts.size(); ++I) {
-      Event Line;
-      Line.Kind_ = EventKind::TaskStarted;
-      Line.Job_ = Starts[I].Task_.Job_;
-      Line.Task_ = toText(Starts[I].Task_);
-      Line.Attempt_ = Starts[I].Run_;
-      Line.Server_ = Starts[I].Server_;
-      Line.Outcome_ = Applied.value().Taken_[I] ? "placed" : "refused";
-      Log_.write(Line);
-      noteStarted(Starts[I], Applied.value().Taken_[I]);
-    }
-    answer(Current);
-  });
+  propose(StartTasks{Starts},
+          [this, Current, Starts](const Outcome<CommandResult> &Applied) {
+            Dispatcher_.settle(Starts);
+            if (!Applied)
+              return Current->Reply_(Applied.error());
+            for (std::size_t I = 0; I < Starts.size(); ++I) {
+              Event Line;
+              Line.Kind_ = EventKind::TaskStarted;
+              Line.Job_ = Starts[I].Task_.Job_;
+              Line.Task_ = toText(Starts[I].Task_);
+              Line.Attempt_ = Starts[I].Run_;
+              Line.Server_ = Starts[I].Server_;
+              Line.Outcome_ = Applied.value().Taken_[I] ? "placed" : "refused";
+              Log_.write(Line);
+              noteStarted(Starts[I], Applied.value().Taken_[I]);
+            }
+            answer(Current);
+          });
 }
 
-/// Whether a task that hardly works, as it would disturb, can go on elsewhere. A
-/// stop costs it nothing, for it makes a checkpoint.
+/// Whether a task that hardly works, as it would disturb, can go on elsewhere.
+/// A stop costs it nothing, for it makes a checkpoint.
 bool JobLeader::Impl::isToMove(const JobBook &Book, const ServerReport &Report,
                                const RunningTask &Running) {
   const std::string &Id = Report.Facts_.Id_;
   const StepSpec *Step = findStep(Book, Running.Task_);
-  const bool IsSlow =
-      Step && Step->Fills_ && Step->Checkpointing_ &&
-      Running.Percent_ < LeastPercentToStay &&
-      Paces_.getPace(Id).Disturbing_ < LeastPaceToStay &&
-      Dispatcher_.isDisturbing(Book, Id, Step->Image_);
+  const bool IsSlow = Step && Step->Fills_ && Step->Checkpointing_ &&
+                      Running.Percent_ < LeastPercentToStay &&
+                      Paces_.getPace(Id).Disturbing_ < LeastPaceToStay &&
+                      Dispatcher_.isDisturbing(Book, Id, Step->Image_);
   if (!IsSlow || !Dispatcher_.takeSafeRoom(*Step))
     return false;
   Meter_.add(Counted::TasksMoved, 1);
@@ -1034,8 +1029,7 @@
 
 JobLeader::JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
                      Executor &Strand, replication::Replica &Group,
-                     const JobMachine &Machine, EventLog &Log,
-                     JobMeter &Meter)
+                     const JobMachine &Machine, EventLog &Log, JobMeter &Meter)
     : Impl_(std::make_shared<Impl>(Settings, Time, Strand, Group, Machine, Log,
                                    Meter)) {}
 JobLeader::~JobLeader() = default;
--- a/src/jobs/JobSpec.cpp
+++ b/src/jobs/JobSpec.cpp
@@ -39,9 +39,8 @@
                                                 std::to_string(MaxIdBytes) +
                                                 " bytes");
   if (Spec.Steps_.empty() || Spec.Steps_.size() > MaxSteps)
-    return fail(ErrorCode::InvalidArgument, "a job needs 1 to " +
-                                                std::to_string(MaxSteps) +
-                                                " steps");
+    return fail(ErrorCode::InvalidArgument,
+                "a job needs 1 to " + std::to_string(MaxSteps) + " steps");
   if (Spec.RepeatCount_ > MaxOccurrences)
     return fail(ErrorCode::InvalidArgument, "too many occurrences");
   std::uint64_t Tasks = 0;
--- a/src/jobs/PaceGuard.cpp
+++ b/src/jobs/PaceGuard.cpp
@@ -45,7 +45,8 @@
 static bool isClose(std::uint64_t Left, std::uint64_t Right) {
   const bool IsEdge = Left == 0 || Right == 0;
   return Left == Right ||
-         (!IsEdge && std::max(Left, Right) - std::min(Left, Right) < SmallChange);
+         (!IsEdge &&
+          std::max(Left, Right) - std::min(Left, Right) < SmallChange);
 }
 
 double PaceGuard::getBudget(const Level &Own) {
@@ -63,9 +64,9 @@
   Own.TailPercent_ = Reading.TailPercent_;
   const auto Bounded =
       static_cast<double>(std::min(Reading.TailPercent_, FarOverPercent));
-  Own.Smoothed_ = IsNew ? Bounded
-                        : Own.Smoothed_ * (1 - NewestWeight) +
-                              Bounded * NewestWeight;
+  Own.Smoothed_ =
+      IsNew ? Bounded
+            : Own.Smoothed_ * (1 - NewestWeight) + Bounded * NewestWeight;
   if (IsNew || Own.Smoothed_ < GoodPercent)
     Own.GoodUntil_ = Now;
   if (IsNew)
@@ -75,9 +76,9 @@
     correct(Own, Reading, Now);
   std::uint64_t Pace = FullPace;
   if (Reading.Disturbing_ > 0)
-    Pace = std::min(FullPace,
-                    static_cast<std::uint64_t>(double(FullPace) * getBudget(Own) /
-                                               Reading.Disturbing_));
+    Pace = std::min(
+        FullPace, static_cast<std::uint64_t>(double(FullPace) * getBudget(Own) /
+                                             Reading.Disturbing_));
   if (Pace < LeastPace)
     Pace = 0;
   if (!isClose(Pace, Own.Pace_.Disturbing_))
@@ -93,13 +94,12 @@
   const std::uint64_t OthersBefore = Own.Pace_.Others_;
   const bool MayBlame = Reading.Disturbing_ > 0 && Own.Pace_.Disturbing_ > 0;
   if (Tail >= OverPercent && MayBlame)
-    Own.Trust_ = std::max(
-        Own.Trust_ * (Tail >= FarOverPercent ? 0.4 : 0.7), LeastTrust);
+    Own.Trust_ =
+        std::max(Own.Trust_ * (Tail >= FarOverPercent ? 0.4 : 0.7), LeastTrust);
   else if (Tail < LowPercent)
     Own.Trust_ = std::min(Own.Trust_ + TrustStep, MostTrust);
   const Duration Over = Now - Own.GoodUntil_;
-  if (Reading.HasOthers_ &&
-      Over >= (MayBlame ? BlamePatience : OthersPatience))
+  if (Reading.HasOthers_ && Over >= (MayBlame ? BlamePatience : OthersPatience))
     Own.Pace_.Others_ =
         Own.Pace_.Others_ > OthersFirstStep ? OthersFirstStep : 0;
   else if (Over <= Duration(0))
--- a/src/jobs/PaceGuard.h
+++ b/src/jobs/PaceGuard.h
@@ -4,8 +4,8 @@
 // them. Nobody declares which; measured, a pair of images either does so or not
 // at all, and one that does shows little until it uses about a tenth of a
 // server's processors, beyond which the tail grows many times over. So those
-// known to disturb share a budget of processors, smaller the nearer a tail is to
-// its target, and the others work at full speed unless a tail stays over its
+// known to disturb share a budget of processors, smaller the nearer a tail is
+// to its target, and the others work at full speed unless a tail stays over its
 // target although nothing that disturbs is left. Pure.
 //
 //===----------------------------------------------------------------------===//
--- a/src/jobs/ServerHealth.cpp
+++ b/src/jobs/ServerHealth.cpp
@@ -40,8 +40,8 @@
   Own.SlowJobs_.clear();
 }
 
-/// How much longer than elsewhere, as a logarithm; nothing while too few runs of
-/// the step were done on other servers.
+/// How much longer than elsewhere, as a logarithm; nothing while too few runs
+/// of the step were done on other servers.
 std::optional<double> ServerHealth::compare(const std::string &ServerId,
                                             const StepKey &Step, double Log) {
   const auto [Place, IsNew] = Steps_.try_emplace(Step);
--- a/src/jobs/ServerHealth.h
+++ b/src/jobs/ServerHealth.h
@@ -3,9 +3,10 @@
 // Tells sick servers from sick jobs by what ends on them. A server is put into
 // quarantine when runs of several different jobs failed or stalled there one
 // after another with none done between, or when runs of several jobs took many
-// times as long there as runs of the same steps did elsewhere; what was declared
-// is too far off to compare with. One poisonous job never does that. After its
-// time a server is on probation: one task at a time, until one is done. Pure.
+// times as long there as runs of the same steps did elsewhere; what was
+// declared is too far off to compare with. One poisonous job never does that.
+// After its time a server is on probation: one task at a time, until one is
+// done. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -33,8 +34,8 @@
 
   void reset();
   void forget(const std::string &ServerId) { Servers_.erase(ServerId); }
-  /// A run of the step was done in Took; zero if that says nothing. True if that
-  /// put the server into quarantine.
+  /// A run of the step was done in Took; zero if that says nothing. True if
+  /// that put the server into quarantine.
   bool noteDone(const std::string &ServerId, const std::string &Job,
                 std::uint64_t Step, Duration Took, TimePoint Now);
   /// A run failed or made no progress. True if that put the server into
@@ -50,10 +51,10 @@
   struct Record {
     std::uint64_t Failures_ = 0; ///< Since the last run that was done.
     std::set<std::string> Jobs_; ///< Of these.
-    double Slowness_ = 0; ///< Smoothed logarithm of took over usual.
+    double Slowness_ = 0;        ///< Smoothed logarithm of took over usual.
     std::uint64_t Samples_ = 0;
     std::set<std::string> SlowJobs_; ///< Whose runs were slow here, in a row.
-    std::uint64_t Sentences_ = 0; ///< In a row.
+    std::uint64_t Sentences_ = 0;    ///< In a row.
     bool IsOnProbation_ = false;
     TimePoint Until_{}; ///< Of the quarantine.
   };
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -3,9 +3,9 @@
 // For each image that serves, a linear model of the logarithm of its tail over
 // its target: a base and one weight for each filling image, times the share of
 // the server's processors that the image uses beyond a first part, which
-// measurably does nothing. Learned from every report by recursive least squares;
-// what was learned long ago fades. Figures in a report are of the same half
-// second, so each sample is complete in itself. Pure.
+// measurably does nothing. Learned from every report by recursive least
+// squares; what was learned long ago fades. Figures in a report are of the same
+// half second, so each sample is complete in itself. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -45,7 +45,7 @@
 
 private:
   struct Model {
-    std::vector<double> Weights_; ///< The base first.
+    std::vector<double> Weights_;    ///< The base first.
     std::vector<double> Covariance_; ///< Square, row by row.
   };
   void judge(const std::string &Serving, const Model &Own,
@@ -53,7 +53,7 @@
   std::size_t findPosition(const std::string &Filling);
   static void grow(Model &To, std::size_t Size);
 
-  std::uint64_t Samples_ = 0; ///< With something that fills.
+  std::uint64_t Samples_ = 0;                    ///< With something that fills.
   std::map<std::string, std::size_t> Positions_; ///< Of filling images.
   std::map<std::string, Model> Models_;          ///< By serving image.
   /// Pairs, as serving and filling image, whose weight rose above the upper
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -50,14 +50,14 @@
 
 } // namespace
 
-class ControlNode::Impl : public std::enable_shared_from_this<ControlNode::Impl> {
+class ControlNode::Impl
+    : public std::enable_shared_from_this<ControlNode::Impl> {
 public:
   Impl(const ControlNodeSettings &Settings, net::IoPool &Pool,
        const Clock &Time, net::Metrics &Metrics, EventLog &Log,
        OpenReplica Open)
       : Settings_(Settings), Pool_(Pool), Time_(Time), Log_(Log),
-        Meter_(Metrics),
-        Open_(std::move(Open)),
+        Meter_(Metrics), Open_(std::move(Open)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
         Strand_(Pool) {}
@@ -105,8 +105,8 @@
 
 Outcome<void> ControlNode::Impl::openLife() {
   const auto Fresh = std::make_shared<Life>();
-  auto Opened = Open_(makeReplicaSettings(Settings_), Fresh->Machine_, Links_,
-                      Time_);
+  auto Opened =
+      Open_(makeReplicaSettings(Settings_), Fresh->Machine_, Links_, Time_);
   if (!Opened)
     return std::move(Opened).as_failure();
   Fresh->Group_ = std::move(Opened.value());
@@ -155,9 +155,10 @@
   Line.Term_ = Status.Term_;
   Line.Count_ = Status.Members_.size();
   for (const replication::Member &Each : Status.Members_)
-    Line.Reason_ += Each.Id_.Name_ +
-                    (Each.Role_ == replication::MemberRole::Voter ? " votes, "
-                                                                  : " learns, ");
+    Line.Reason_ +=
+        Each.Id_.Name_ + (Each.Role_ == replication::MemberRole::Voter
+                              ? " votes, "
+                              : " learns, ");
   Log_.write(Line);
 }
 
@@ -291,12 +292,11 @@
 
 void ControlNode::putConfiguration(jobs::Configuration Value,
                                    Done<void> Reply) {
-  Impl_->run<void>(
-      std::move(Reply),
-      [Value = std::move(Value)](jobs::JobLeader &Leader,
-                                 Done<void> To) mutable {
-        Leader.putConfiguration(std::move(Value), std::move(To));
-      });
+  Impl_->run<void>(std::move(Reply),
+                   [Value = std::move(Value)](jobs::JobLeader &Leader,
+                                              Done<void> To) mutable {
+                     Leader.putConfiguration(std::move(Value), std::move(To));
+                   });
 }
 
 void ControlNode::readConfiguration(Done<jobs::Configuration> Reply) {
--- a/src/jobservice/EntryNode.cpp
+++ b/src/jobservice/EntryNode.cpp
@@ -107,23 +107,23 @@
 }
 
 void EntryNode::Impl::askOne(const std::string &Name) {
-  Links_.call(Name, wire::MessageKind::GroupView, "", AttemptTimeout,
-              [Weak = weak_from_this(),
-               Name](const Outcome<std::string> &Answer) {
-                const std::shared_ptr<Impl> Self = Weak.lock();
-                if (!Self)
-                  return;
-                Self->Strand_.post([Weak, Name, Answer] {
-                  const std::shared_ptr<Impl> Owner = Weak.lock();
-                  if (!Owner)
-                    return;
-                  if (!Answer)
-                    return Owner->noteSilence(Name);
-                  const auto View = jobs::decodeGroupView(Answer.value());
-                  if (View)
-                    Owner->noteView(Name, View.value());
-                });
-              });
+  Links_.call(
+      Name, wire::MessageKind::GroupView, "", AttemptTimeout,
+      [Weak = weak_from_this(), Name](const Outcome<std::string> &Answer) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Self)
+          return;
+        Self->Strand_.post([Weak, Name, Answer] {
+          const std::shared_ptr<Impl> Owner = Weak.lock();
+          if (!Owner)
+            return;
+          if (!Answer)
+            return Owner->noteSilence(Name);
+          const auto View = jobs::decodeGroupView(Answer.value());
+          if (View)
+            Owner->noteView(Name, View.value());
+        });
+      });
 }
 
 void EntryNode::Impl::noteSilence(const std::string &From) {
@@ -176,9 +176,9 @@
 void EntryNode::Impl::attempt(const PendingPtr &Current) {
   const Duration Left = Current->GiveUpAt_ - Time_.now();
   if (Left <= Duration(0))
-    return Current->Reply_(
-        {std::nullopt,
-         Current->IsUnknown_ ? LostCall::Unknown : LostCall::NotRun});
+    return Current->Reply_({std::nullopt, Current->IsUnknown_
+                                              ? LostCall::Unknown
+                                              : LostCall::NotRun});
   const std::string Target = pickTarget();
   Links_.call(Target, wire::MessageKind::JobCall, Current->Body_,
               std::min(Left, AttemptTimeout),
--- a/src/net/JsonEventLog.cpp
+++ b/src/net/JsonEventLog.cpp
@@ -99,8 +99,7 @@
   std::snprintf(Fraction.data(), Fraction.size(), ".%03d",
                 static_cast<int>(Wall % MsPerSecond));
   Line.append(Fraction.data());
-  Line.append(isFailure(Value) ? ",\"level\":\"warn\""
-                                     : ",\"level\":\"info\"");
+  Line.append(isFailure(Value) ? ",\"level\":\"warn\"" : ",\"level\":\"info\"");
   appendText(Line, "process", Settings_.Process_);
   appendText(Line, "event", getEventName(Value.Kind_));
   appendText(Line, "job", Value.Job_);
--- a/src/replication/LeaderWatch.cpp
+++ b/src/replication/LeaderWatch.cpp
@@ -3,8 +3,7 @@
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
-LeaderWatch::LeaderWatch(Replica &Group, Executor &Strand,
-                         Callbacks Owner)
+LeaderWatch::LeaderWatch(Replica &Group, Executor &Strand, Callbacks Owner)
     : Group_(Group), Strand_(Strand), Owner_(std::move(Owner)) {}
 
 void LeaderWatch::poll() {
--- a/src/replication/Rejoin.cpp
+++ b/src/replication/Rejoin.cpp
@@ -74,7 +74,8 @@
     if (!IsVoter && Each.IsAlive_ && !Spare)
       Spare = &Each;
   }
-  const bool IsShort = Voters < TargetVoters || (Gone && Voters == TargetVoters);
+  const bool IsShort =
+      Voters < TargetVoters || (Gone && Voters == TargetVoters);
   if (Spare && IsShort)
     return ChangeAsked{0, ChangeKind::Promote, Spare->Member_.Id_};
   if (Gone && Voters > TargetVoters)
--- a/src/replication/Rejoin.h
+++ b/src/replication/Rejoin.h
@@ -27,7 +27,7 @@
 struct MemberStanding {
   Member Member_;
   bool IsAlive_ = false; ///< It answered within an election timeout.
-  bool IsGone_ = false;  ///< It has been silent for so long that it is given up.
+  bool IsGone_ = false; ///< It has been silent for so long that it is given up.
 };
 
 /// A gone voter is removed only while there is one voter more than wanted, so
--- a/tests/control/Fakes.h
+++ b/tests/control/Fakes.h
@@ -3,8 +3,8 @@
 #ifndef TULIPWEIR_TESTS_CONTROL_FAKES_H
 #define TULIPWEIR_TESTS_CONTROL_FAKES_H
 
-#include "tulipweir/core/Executor.h"
 #include "control/PeerCaller.h"
+#include "tulipweir/core/Executor.h"
 #include "tulipweir/replication/Replica.h"
 #include "tulipweir/replication/StateMachine.h"
 
--- a/tests/ctl/ExplainCommandTest.cpp
+++ b/tests/ctl/ExplainCommandTest.cpp
@@ -1,4 +1,5 @@
-//===- ExplainCommandTest.cpp -----------------------------------------------===//
+//===- ExplainCommandTest.cpp
+//-----------------------------------------------===//
 
 #include "ctl/CtlFixture.h"
 
@@ -12,7 +13,9 @@
 protected:
   ExplainCommandTest() {
     Settings_.FromLogs_ = true;
-    Control_ = write("control", R"({"time":10.5,"process":"c","event":"job_accepted","job":"j"}
+    Control_ =
+        write("control",
+              R"({"time":10.5,"process":"c","event":"job_accepted","job":"j"}
 not a line of ours
   12.0 c {"time":11.0,"process":"c","event":"task_started","job":"j","task":"0.0.0","attempt":1,"server":"s1","outcome":"placed"}
 {"time":11.5,"process":"c","event":"server_gone","server":"s1","reason":"silent"}
@@ -21,7 +24,9 @@
 {"time":13.0,"process":"c","event":"job_ended","job":"j","outcome":"failed"}
 {"time":99.0,"process":"c","event":"server_gone","server":"s1","reason":"later"}
 )");
-    Entry_ = write("entry", R"({"time":10.4,"process":"e","event":"call_answered","job":"j","outcome":"200"}
+    Entry_ = write(
+        "entry",
+        R"({"time":10.4,"process":"e","event":"call_answered","job":"j","outcome":"200"}
 )");
   }
   std::string Control_;
--- a/tests/jobs/CommandsTest.cpp
+++ b/tests/jobs/CommandsTest.cpp
@@ -67,8 +67,8 @@
   const JobCall Call{CallKind::Cancel, Host, "/stays/j",
                      makeJob("j", {makeStep(1, 5)})};
   EXPECT_EQ(decodeCall(encodeCall(Call)).value(), Call);
-  const JobCallReply Reply{CallOutcome::Refused, JobState::Failed, true, 7, 900,
-                           "why"};
+  const JobCallReply Reply{
+      CallOutcome::Refused, JobState::Failed, true, 7, 900, "why"};
   EXPECT_EQ(decodeCallReply(encodeCallReply(Reply)).value(), Reply);
   const GroupView View{"a:1", {"a:1", "b:1"}};
   EXPECT_EQ(decodeGroupView(encodeGroupView(View)).value(), View);
@@ -81,8 +81,8 @@
   EXPECT_FALSE(checkJobSpec(makeJob("j", {makeStep(0, 1)})));
   EXPECT_FALSE(checkJobSpec(makeJob("j", {makeStep(1'000'000, 1)})));
   EXPECT_FALSE(checkJobSpec(makeJob("j", {makeStep(1, -1)})));
-  EXPECT_FALSE(checkJobSpec(
-      makeJob("j", std::vector<StepSpec>(300, makeStep(1, 1)))));
+  EXPECT_FALSE(
+      checkJobSpec(makeJob("j", std::vector<StepSpec>(300, makeStep(1, 1)))));
   StepSpec Late = makeStep(1, 1);
   Late.DependsOn_ = {1};
   EXPECT_FALSE(checkJobSpec(makeJob("j", {Late, makeStep(1, 1)})));
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -1,4 +1,5 @@
-//===- DispatcherTest.cpp - Which task starts where -------------------------===//
+//===- DispatcherTest.cpp - Which task starts where
+//-------------------------===//
 
 #include "jobs/Dispatcher.h"
 
@@ -102,6 +103,19 @@
   EXPECT_EQ(Starts[2].Task_.Job_, "late") << "it still has to be done";
 }
 
+TEST_F(DispatcherTest, ShortWorkGoesBeforeWhatLasts) {
+  submit(makeJob("lasting", {makeServing(4, "a")}));
+  plan("s1");
+  advance(400ms);
+  SubmitJob Fresh = makeSubmit(makeJob("short", {makeStep(3, 1000)}));
+  Fresh.AcceptedMs_ = static_cast<std::uint64_t>(Wall_);
+  apply(Fresh);
+  const auto Starts = plan("s1");
+  ASSERT_EQ(Starts.size(), 4U);
+  EXPECT_EQ(Starts[0].Task_.Job_, "short");
+  EXPECT_EQ(Starts[3].Task_.Job_, "lasting");
+}
+
 TEST_F(DispatcherTest, DataIsWaitedForAMomentOnly) {
   StepSpec Near = makeStep(1, 1000);
   Near.DataRack_ = "r9";
@@ -161,8 +175,8 @@
 
 TEST_F(DispatcherTest, ATaskIsPlannedOnceWhileItsStartIsOpen) {
   submit(makeJob("j", {makeStep(1, 1000)}));
-  EXPECT_EQ(
-      Dispatcher_.plan(Book_, Board_, "s1", Now_, WallTime(Wall_)).size(), 1U);
+  EXPECT_EQ(Dispatcher_.plan(Book_, Board_, "s1", Now_, WallTime(Wall_)).size(),
+            1U);
   EXPECT_TRUE(
       Dispatcher_.plan(Book_, Board_, "s2", Now_, WallTime(Wall_)).empty());
 }
--- a/tests/jobs/JobBookTest.cpp
+++ b/tests/jobs/JobBookTest.cpp
@@ -181,8 +181,8 @@
   StepSpec Gang = makeStep(3, 2000);
   Gang.Gang_ = true;
   submit(makeJob("j", {Gang}));
-  const CommandResult Partial = apply(
-      StartTasks{{makeStart("j", 0, "s1"), makeStart("j", 1, "s1")}});
+  const CommandResult Partial =
+      apply(StartTasks{{makeStart("j", 0, "s1"), makeStart("j", 1, "s1")}});
   EXPECT_EQ(Partial.Taken_, (std::vector<bool>{false, false}));
   const CommandResult Whole =
       apply(StartTasks{{makeStart("j", 0, "s1"), makeStart("j", 1, "s1"),
@@ -220,8 +220,7 @@
     const std::uint64_t Failing = Run - 1;
     const char *const Servers[] = {"s1", "s2"};
     end(makeStart("j", Failing, Servers[Failing], Run), RunEnd::Failed);
-    end(makeStart("j", 1 - Failing, Servers[1 - Failing], Run),
-        RunEnd::Broken);
+    end(makeStart("j", 1 - Failing, Servers[1 - Failing], Run), RunEnd::Broken);
   }
   // Two attempts are allowed, and the gang as a whole has used both.
   EXPECT_EQ(stateOf("j"), JobState::Failed);
@@ -334,7 +333,8 @@
   EXPECT_EQ(Read.value().readySteps(), Book_.readySteps());
   EXPECT_EQ(Read.value().timedJobs(), Book_.timedJobs());
   EXPECT_EQ(Read.value().configuration(), Book_.configuration());
-  EXPECT_EQ(Read.value().findServer("s2")->Used_, Book_.findServer("s2")->Used_);
+  EXPECT_EQ(Read.value().findServer("s2")->Used_,
+            Book_.findServer("s2")->Used_);
   EXPECT_EQ(Read.value().findServer("s2")->Placed_,
             Book_.findServer("s2")->Placed_);
 }
--- a/tests/jobs/JobLeaderTest.cpp
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -30,10 +30,9 @@
   EXPECT_EQ(call(CallKind::Show, "j").Outcome_, CallOutcome::NoJob);
   EXPECT_EQ(call(CallKind::Cancel, "j").Outcome_, CallOutcome::NoJob);
   JobCallReply Reply;
-  Leader_.call({CallKind::Show, "other.example", "/x", {}},
-               [&Reply](const Outcome<JobCallReply> &Got) {
-                 Reply = Got.value();
-               });
+  Leader_.call(
+      {CallKind::Show, "other.example", "/x", {}},
+      [&Reply](const Outcome<JobCallReply> &Got) { Reply = Got.value(); });
   Strand_.runAll();
   EXPECT_EQ(Reply.Outcome_, CallOutcome::NoQueue);
 }
@@ -53,8 +52,7 @@
 
 TEST_F(JobLeaderTest, AJobIsAcceptedOnlyOnceItIsCommitted) {
   Group_.IsHeld_ = true;
-  EXPECT_FALSE(
-      tryCall(CallKind::Submit, "j", {makeStep(1, 100)}).has_value());
+  EXPECT_FALSE(tryCall(CallKind::Submit, "j", {makeStep(1, 100)}).has_value());
   Group_.commitAll();
   Strand_.runAll();
   EXPECT_EQ(call(CallKind::Show, "j").Outcome_, CallOutcome::Done);
@@ -173,10 +171,9 @@
   EXPECT_EQ(Orders.Starts_[0].Run_, 2U);
   // A report of the old life that was on its way brings nothing back.
   EXPECT_EQ(report(makeReport("s1")), ServerOrders{});
-  EXPECT_EQ(Machine_.read([](const JobBook &Book) {
-    return Book.findServer("s1");
-  }),
-            nullptr);
+  EXPECT_EQ(
+      Machine_.read([](const JobBook &Book) { return Book.findServer("s1"); }),
+      nullptr);
 }
 
 TEST_F(JobLeaderTest, ADrainingServerGetsNothingNew) {
@@ -288,10 +285,9 @@
   EXPECT_EQ(Source, makeConfiguration().Source_);
   Group_.HasLease_ = false;
   bool IsRefused = false;
-  Leader_.readConfiguration(
-      [&IsRefused](const Outcome<Configuration> &Value) {
-        IsRefused = !Value;
-      });
+  Leader_.readConfiguration([&IsRefused](const Outcome<Configuration> &Value) {
+    IsRefused = !Value;
+  });
   EXPECT_TRUE(IsRefused) << "another may hold a newer one";
 }
 
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -34,8 +34,8 @@
   void advance(Duration By) {
     const TimePoint End = Time_.now() + By;
     while (Time_.now() < End) {
-      Time_.advance(std::min<Duration>(End - Time_.now(),
-                                       std::chrono::milliseconds(10)));
+      Time_.advance(
+          std::min<Duration>(End - Time_.now(), std::chrono::milliseconds(10)));
       while (!Later_.empty() && Later_.begin()->first <= Time_.now()) {
         Now_.push_back(std::move(Later_.begin()->second));
         Later_.erase(Later_.begin());
@@ -177,8 +177,7 @@
   NoEventLog Log_;
   NoJobMeter Meter_;
   JobLeaderSettings Settings_;
-  JobLeader Leader_{Settings_, Time_, Strand_, Group_, Machine_, Log_,
-                    Meter_};
+  JobLeader Leader_{Settings_, Time_, Strand_, Group_, Machine_, Log_, Meter_};
   std::map<std::string, std::uint64_t> Sequences_;
 };
 
--- a/tests/jobs/PaceGuardTest.cpp
+++ b/tests/jobs/PaceGuardTest.cpp
@@ -1,4 +1,5 @@
-//===- PaceGuardTest.cpp - Pace, learned effects ----------------------------===//
+//===- PaceGuardTest.cpp - Pace, learned effects
+//----------------------------===//
 
 #include "jobs/PaceGuard.h"
 #include "jobs/TailEffects.h"
@@ -99,8 +100,9 @@
     const double Heavy = Share(Random);
     const double Light = Share(Random);
     const FillingUse Use = {{"heavy", Heavy}, {"light", Light}};
-    Effects.learn("sensitive", Use,
-                  std::exp(-0.9 + 8 * std::max(Heavy - 0.08, 0.0) + Noise(Random)));
+    Effects.learn(
+        "sensitive", Use,
+        std::exp(-0.9 + 8 * std::max(Heavy - 0.08, 0.0) + Noise(Random)));
     Effects.learn("calm", Use, std::exp(-0.9 + Noise(Random)));
   }
   EXPECT_TRUE(Effects.hasLearned());
--- a/tests/jobservice/EntryNodeTest.cpp
+++ b/tests/jobservice/EntryNodeTest.cpp
@@ -1,4 +1,5 @@
-//===- EntryNodeTest.cpp - Calls find the leader ----------------------------===//
+//===- EntryNodeTest.cpp - Calls find the leader
+//----------------------------===//
 
 #include "jobservice/NodeCluster.h"
 
@@ -15,8 +16,8 @@
     Settings.LinkPort_ = Port_;
     Settings.Seeds_ = namesOf(Seeds);
     Settings.Secret_ = "a secret of this test alone";
-    auto Entry = std::make_unique<EntryNode>(Settings, Pool_, Time_, Metrics_,
-                                             Log_);
+    auto Entry =
+        std::make_unique<EntryNode>(Settings, Pool_, Time_, Metrics_, Log_);
     Entry->start();
     return Entry;
   }
@@ -30,10 +31,9 @@
     Step.Need_ = Resources::makeFor(1, 1);
     Call.Spec_.Steps_ = {Step};
     std::promise<EntryNode::Answer> Answer;
-    Entry.call(Call, Time_.now() + std::chrono::seconds(3),
-               [&Answer](const EntryNode::Answer &Got) {
-                 Answer.set_value(Got);
-               });
+    Entry.call(
+        Call, Time_.now() + std::chrono::seconds(3),
+        [&Answer](const EntryNode::Answer &Got) { Answer.set_value(Got); });
     return Answer.get_future().get();
   }
 };
--- a/tests/jobservice/MembershipTest.cpp
+++ b/tests/jobservice/MembershipTest.cpp
@@ -1,4 +1,5 @@
-//===- MembershipTest.cpp - Founding, joining and replacing controls --------===//
+//===- MembershipTest.cpp - Founding, joining and replacing controls
+//--------===//
 
 #include "jobservice/NodeCluster.h"
 
@@ -17,8 +18,9 @@
 TEST_F(NodeCluster, FiveNodesOfWhichSeedsNameThreeBecomeFiveVoters) {
   for (const int Node : {5, 4, 3, 2, 1})
     start(Node, {1, 2, 3}, true, 5);
-  EXPECT_TRUE(
-      waitFor([this] { return listVoters() == namesOf({1, 2, 3, 4, 5}); }));
+  EXPECT_TRUE(waitFor([this] {
+    return listVoters() == namesOf({1, 2, 3, 4, 5});
+  }));
 }
 
 TEST_F(NodeCluster, EightNodesKeepFiveVotersAndBearTheLossOfTwo) {
@@ -161,10 +163,10 @@
   // sound: as with a disk that is full for a while.
   auto Openings = std::make_shared<std::atomic<int>>(0);
   const OpenReplica Open =
-      [Openings](const replication::ReplicaSettings &Settings,
-                 replication::StateMachine &Machine,
-                 replication::Transport &Out, const Clock &Time)
-      -> Outcome<std::unique_ptr<replication::Replica>> {
+      [Openings](
+          const replication::ReplicaSettings &Settings,
+          replication::StateMachine &Machine, replication::Transport &Out,
+          const Clock &Time) -> Outcome<std::unique_ptr<replication::Replica>> {
     const int Number = ++*Openings;
     if (Number == 1)
       return std::unique_ptr<replication::Replica>(
--- a/tests/net/JsonEventLogTest.cpp
+++ b/tests/net/JsonEventLogTest.cpp
@@ -1,4 +1,5 @@
-//===- JsonEventLogTest.cpp -------------------------------------------------===//
+//===- JsonEventLogTest.cpp
+//-------------------------------------------------===//
 
 #include "tulipweir/net/JsonEventLog.h"
 
--- a/tests/platform/SettingsTest.cpp
+++ b/tests/platform/SettingsTest.cpp
@@ -1,4 +1,5 @@
-//===- SettingsTest.cpp -----------------------------------------------------===//
+//===- SettingsTest.cpp
+//-----------------------------------------------------===//
 
 #include "platform/Settings.h"
 
@@ -59,8 +60,7 @@
       {R"({"node":"n","ip":"a","zone":"z","portRange":[99999]})",
        "/portRange/0"},
       {R"({"node":"n","ip":"a","zone":"z","bounds":7})", "/bounds"},
-      {R"({"node":"n","ip":"a","zone":"z","heartbeatMs":-1})",
-       "/heartbeatMs"}};
+      {R"({"node":"n","ip":"a","zone":"z","heartbeatMs":-1})", "/heartbeatMs"}};
   for (const auto &[Text, Place] : Cases) {
     const Outcome<Settings> Got = parseSettings(Text);
     ASSERT_FALSE(Got) << Text;
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -1,4 +1,5 @@
-//===- WireTest.cpp - The platform's bodies, and hostile ones ---------------===//
+//===- WireTest.cpp - The platform's bodies, and hostile ones
+//---------------===//
 
 #include "platform/Wire.h"
 
@@ -72,8 +73,7 @@
   EXPECT_EQ(Report.Sequence_, 4U);
   ASSERT_EQ(Report.Running_.size(), 1U);
   const jobs::TaskKey Task{"5c0e", 0, 1, 17};
-  EXPECT_EQ(Report.Running_[0],
-            (jobs::RunningTask{Task, 2, "00bb", 41, 77}));
+  EXPECT_EQ(Report.Running_[0], (jobs::RunningTask{Task, 2, "00bb", 41, 77}));
   ASSERT_EQ(Report.Ended_.size(), 2U);
   EXPECT_EQ(Report.Ended_[0].Number_, 58U);
   EXPECT_EQ(Report.Ended_[0].End_.How_, jobs::RunEnd::Done);
@@ -85,8 +85,9 @@
   jobs::ServerOrders Orders;
   EXPECT_EQ(Json::parse(renderOrders(Orders, "")), Json::object());
   const jobs::TaskKey Task{"5c0e", 0, 1, 18};
-  Orders = {4000, 7, 58, 200, {{Task, 1, "text", "", ""}}, {{Task, 2}},
-            {{Task, 3, 40}}};
+  Orders = {
+      4000,           7, 58, 200, {{Task, 1, "text", "", ""}}, {{Task, 2}},
+      {{Task, 3, 40}}};
   Orders.Starts_.push_back({Task, 2, "t", "s", "ticket"});
   EXPECT_EQ(Json::parse(renderOrders(Orders, "10.0.0.1:80")),
             Json::parse(R"({"heartbeatUrl":"10.0.0.1:80","holdMs":4000,
@@ -176,7 +177,8 @@
 }
 
 TEST(WireTest, HugeAndDeepBodiesAreReadWithoutHarm) {
-  const std::string Deep = std::string(100'000, '[') + std::string(100'000, ']');
+  const std::string Deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
   EXPECT_FALSE(parseJob(Deep));
   EXPECT_FALSE(parseJob(R"({"steps":)" + Deep + "}"));
   const std::string Huge(5UL * 1024 * 1024, 'x');
--- a/tests/platform/system/WholePathTest.cpp
+++ b/tests/platform/system/WholePathTest.cpp
@@ -1,4 +1,5 @@
-//===- WholePathTest.cpp - The platform's programs as processes -------------===//
+//===- WholePathTest.cpp - The platform's programs as processes
+//-------------===//
 //
 // Three controls, two entries and some stand-in workers on loopback addresses.
 //
@@ -72,17 +73,16 @@
           Address + ":" + std::to_string(ControlPort_);
       Settings["dataDir"] = Folder_.path() + "/" + Name;
     } else {
-      Settings["listen"]["front"] =
-          Address + ":" + std::to_string(ClientPort_);
+      Settings["listen"]["front"] = Address + ":" + std::to_string(ClientPort_);
       Settings["listen"]["ready"] = Address + ":" + std::to_string(ReadyPort_);
     }
     const std::string Path = Folder_.path() + "/" + Name + ".json";
     std::ofstream(Path) << Settings.dump();
-    auto Process = std::make_unique<Child>("tulipweir-platform-" + Role,
-                                           std::vector<std::string>{},
-                                           Folder_.path() + "/" + Name + ".log");
-    Process->setEnvironment({"TULIPWEIR_CONFIG=" + Path,
-                             "TULIPWEIR_SECRET=a secret of this test"});
+    auto Process = std::make_unique<Child>(
+        "tulipweir-platform-" + Role, std::vector<std::string>{},
+        Folder_.path() + "/" + Name + ".log");
+    Process->setEnvironment(
+        {"TULIPWEIR_CONFIG=" + Path, "TULIPWEIR_SECRET=a secret of this test"});
     Processes_[Name] = std::move(Process);
   }
 
@@ -140,8 +140,10 @@
           "w" + std::to_string(Workers_.size()), Places, Seen_));
   }
   static Json makeJob(const std::string &Payload) {
-    const Json Step = {{"count", 4},      {"cpu", 1000},
-                       {"memMb", 500},    {"estimateMs", 200},
+    const Json Step = {{"count", 4},
+                       {"cpu", 1000},
+                       {"memMb", 500},
+                       {"estimateMs", 200},
                        {"checkpointing", true}};
     Json Second = Step;
     Second["dependsOn"] = {0};
--- a/tests/platform/system/Worker.cpp
+++ b/tests/platform/system/Worker.cpp
@@ -101,8 +101,9 @@
 }
 
 std::uint64_t Worker::getDoneMs(const Task &Of, Instant Now) {
-  return Of.SavedMs_ + static_cast<std::uint64_t>(
-                           duration_cast<milliseconds>(Now - Of.Begin_).count());
+  return Of.SavedMs_ +
+         static_cast<std::uint64_t>(
+             duration_cast<milliseconds>(Now - Of.Begin_).count());
 }
 
 void Worker::endTask(const std::string &Name, const std::string &How) {
@@ -139,17 +140,16 @@
                {"slots", 8},
                {"state", IsDraining_ ? "draining" : "ready"},
                {"coldLeftMs", 0},
-               {"capacity", {{"cpu", CpuCapacity}, {"memMb", MemoryCapacity},
-                             {"gpu", 0}}},
+               {"capacity",
+                {{"cpu", CpuCapacity}, {"memMb", MemoryCapacity}, {"gpu", 0}}},
                {"labels", {"a", "r1"}},
                {"seq", ++Sequence_},
                {"running", Json::array()},
                {"finished", Ended_}};
   const Instant Now = std::chrono::steady_clock::now();
   for (const auto &[Name, Each] : Running_)
-    Beat["running"].push_back({Name, Each.Run_,
-                               std::to_string(getDoneMs(Each, Now)), 50,
-                               Each.Cpu_});
+    Beat["running"].push_back(
+        {Name, Each.Run_, std::to_string(getDoneMs(Each, Now)), 50, Each.Cpu_});
   return Beat;
 }
 
@@ -188,8 +188,8 @@
     const std::string Host =
         Location.substr(Prefix.size(), End - Prefix.size());
     const std::size_t Colon = Host.rfind(':');
-    Target = {Host.substr(0, Colon), static_cast<std::uint16_t>(std::stoi(
-                                         Host.substr(Colon + 1)))};
+    Target = {Host.substr(0, Colon),
+              static_cast<std::uint16_t>(std::stoi(Host.substr(Colon + 1)))};
   }
   return false;
 }
--- a/tests/platform/system/Worker.h
+++ b/tests/platform/system/Worker.h
@@ -1,4 +1,5 @@
-//===- Worker.h - A stand-in for the platform's workers -----------------------===//
+//===- Worker.h - A stand-in for the platform's workers
+//-----------------------===//
 //
 // Speaks the platform's protocol to the controls: heartbeats, starts, stops,
 // leases, fencing tokens, checkpoints. A task's payload says what it does:
--- a/tests/replication/RejoinTest.cpp
+++ b/tests/replication/RejoinTest.cpp
@@ -1,4 +1,5 @@
-//===- RejoinTest.cpp - Which change of members comes next ------------------===//
+//===- RejoinTest.cpp - Which change of members comes next
+//------------------===//
 
 #include "replication/Rejoin.h"
 
@@ -52,16 +53,16 @@
 }
 
 TEST(PlanMembersTest, WithoutAReplacementNobodyLosesItsVote) {
-  EXPECT_EQ(planMembers({voter("a"), voter("b"), voter("c", Silent, true)}, {},
-                        3),
-            std::nullopt);
+  EXPECT_EQ(
+      planMembers({voter("a"), voter("b"), voter("c", Silent, true)}, {}, 3),
+      std::nullopt);
 }
 
 TEST(PlanMembersTest, AVoterThatIsSilentForAMomentStays) {
-  EXPECT_EQ(planMembers({voter("a"), voter("b"), voter("c", Silent),
-                         learner("d")},
-                        {}, 3),
-            std::nullopt);
+  EXPECT_EQ(
+      planMembers({voter("a"), voter("b"), voter("c", Silent), learner("d")},
+                  {}, 3),
+      std::nullopt);
 }
 
 TEST(PlanMembersTest, AKnownNameIsLeftToTheOtherPlan) {
