--- /dev/null
+++ b/tests/jobs/JobBookDifferentialTest.cpp
@@ -0,0 +1,159 @@
+//===- JobBookDifferentialTest.cpp - Against a naive version ----------------===//
+
+#include "jobs/JobFixture.h"
+#include "jobs/NaiveJobs.h"
+
+#include <random>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+
+namespace {
+
+/// Draws commands, sends each to both, and compares what can be seen.
+class Duel {
+public:
+  explicit Duel(std::uint64_t Seed) : Random_(Seed) { configure(1); }
+
+  void step() {
+    switch (draw(12)) {
+    case 0:
+      return submit();
+    case 1:
+      return cancel();
+    case 2:
+      return open();
+    case 3:
+      return addServer();
+    case 4:
+      return draw(3) == 0 ? removeServer() : start();
+    case 5:
+      return draw(10) == 0 ? configure(draw(8)) : start();
+    case 6:
+    case 7:
+    case 8:
+      return start();
+    default:
+      return end();
+    }
+  }
+  void compare() const {
+    ASSERT_EQ(Book_.countPending(makeConfiguration().Queues_[0].getKey()),
+              Naive_.countPending());
+    for (const NaiveJobs::Job &Each : Naive_.jobs()) {
+      const JobRecord *Job = Book_.findJob(Each.Spec_.Id_);
+      ASSERT_NE(Job, nullptr);
+      ASSERT_EQ(Job->State_, Each.State_) << Each.Spec_.Id_;
+    }
+    ASSERT_EQ(Book_.servers().size(), Naive_.servers().size());
+    for (const auto &[Id, Server] : Book_.servers()) {
+      ASSERT_EQ(Server.Used_.MilliCpus_, Naive_.getUsed(Id)) << Id;
+      ASSERT_LE(Server.Used_.MilliCpus_, Server.Facts_.Capacity_.MilliCpus_);
+    }
+  }
+  /// A restart: the same state from a snapshot.
+  void restart() {
+    auto Read = JobBook::decode(Book_.encode());
+    ASSERT_TRUE(Read);
+    ASSERT_EQ(Read.value().jobs(), Book_.jobs());
+    ASSERT_EQ(Read.value().readySteps(), Book_.readySteps());
+    Book_ = std::move(Read.value());
+  }
+
+private:
+  std::uint64_t draw(std::uint64_t Below) {
+    return std::uniform_int_distribution<std::uint64_t>(0, Below - 1)(Random_);
+  }
+  std::string drawJob() { return "j" + std::to_string(draw(12)); }
+  std::string drawServer() { return "s" + std::to_string(draw(5)); }
+
+  void configure(std::uint64_t Version) {
+    Configuration Value = makeConfiguration(Version);
+    Value.Queues_[0].Attempts_ = 1 + draw(3);
+    Book_.apply(Command(PutConfiguration{Value}));
+    Naive_.configure(Value);
+  }
+  void submit() {
+    std::vector<StepSpec> Steps;
+    for (std::uint64_t I = 0; I <= draw(3); ++I) {
+      StepSpec Step = makeStep(1 + draw(3), 500 + 500 * std::int64_t(draw(3)));
+      Step.Fills_ = draw(4) == 0;
+      Step.LongRunning_ = draw(6) == 0;
+      Step.SpreadLimit_ = draw(3);
+      if (I > 0 && draw(2) == 0)
+        Step.DependsOn_ = {draw(I)};
+      Steps.push_back(Step);
+    }
+    JobSpec Spec = makeJob(drawJob(), Steps);
+    Spec.RepeatCount_ = draw(4) == 0 ? 1 + draw(2) : 0;
+    const SubmitJob Value = makeSubmit(Spec);
+    EXPECT_EQ(Book_.apply(Command(Value)).Verdict_, Naive_.submit(Value));
+  }
+  void cancel() {
+    if (draw(4) != 0)
+      return;
+    const std::string Id = drawJob();
+    EXPECT_EQ(Book_.apply(Command(CancelJob{Id})).Verdict_, Naive_.cancel(Id));
+  }
+  void open() {
+    const OpenOccurrence Value{drawJob(), draw(3)};
+    EXPECT_EQ(Book_.apply(Command(Value)).Verdict_, Naive_.open(Value));
+  }
+  void addServer() {
+    const ServerFacts Facts = makeServer(drawServer(), 3000);
+    Book_.apply(Command(AddServer{Facts}));
+    Naive_.addServer(Facts);
+  }
+  void removeServer() {
+    const std::string Id = drawServer();
+    Book_.apply(Command(RemoveServer{Id, {}}));
+    Naive_.removeServer(Id);
+  }
+  void start() {
+    const TaskStart Start{{drawJob(), draw(2), draw(3), draw(3)},
+                          1 + draw(6),
+                          drawServer()};
+    EXPECT_EQ(Book_.apply(Command(StartTasks{{Start}})).Taken_.at(0),
+              Naive_.start(Start));
+  }
+  void end() {
+    if (Naive_.runs().empty())
+      return;
+    // Mostly a run that was started, sometimes long ago, now and then a lie.
+    const NaiveJobs::Run &Run = Naive_.runs()[draw(Naive_.runs().size())];
+    static constexpr RunEnd Ends[] = {RunEnd::Done,   RunEnd::Done,
+                                      RunEnd::Failed, RunEnd::Stopped,
+                                      RunEnd::Lapsed, RunEnd::Refused};
+    TaskEnd End{Run.Task_, Run.Number_, Ends[draw(6)], ""};
+    std::string Server = Run.Server_;
+    if (draw(10) == 0)
+      End.Run_ += 1;
+    if (draw(10) == 0)
+      Server = drawServer();
+    Book_.apply(Command(EndTasks{Server, {End}}));
+    Naive_.end(Server, End);
+  }
+
+  std::mt19937_64 Random_;
+  JobBook Book_;
+  NaiveJobs Naive_;
+};
+
+} // namespace
+
+TEST(JobBookDifferentialTest, BothSaySameThroughout) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    Duel Both(Seed);
+    for (int Step = 0; Step < 1500; ++Step) {
+      Both.step();
+      Both.compare();
+      if (Step % 100 == 99)
+        Both.restart();
+      if (::testing::Test::HasFailure()) {
+        ADD_FAILURE() << "seed " << Seed << ", step " << Step;
+        return;
+      }
+    }
+  }
+}
