--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -17,6 +17,9 @@
 /// serves already.
 static constexpr Duration EqualsPatience = 300ms;
 static constexpr Duration DisturbingPatience = 3000ms;
+/// How long a task whose run failed waits for another server: two rounds of
+/// reports.
+static constexpr Duration FailurePatience = 1s;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
 /// Serving tasks reserve for their peaks; on average they use half.
@@ -42,6 +45,7 @@
 void Dispatcher::reset() {
   ReadySince_.clear();
   Taken_.clear();
+  Failed_.clear();
 }
 
 void Dispatcher::settle(const std::vector<TaskStart> &Starts) {
@@ -49,7 +53,24 @@
     Taken_.erase(Each.Task_);
 }
 
+void Dispatcher::noteFailure(const TaskKey &Task, const std::string &ServerId,
+                             TimePoint Now) {
+  Failed_[Task] = {ServerId, Now};
+}
+
+/// Whether its failure was this server's, nobody knows; elsewhere it is not.
+bool Dispatcher::isToAvoid(const TaskKey &Task, const Plan &Own) const {
+  const auto Found = Failed_.find(Task);
+  return Found != Failed_.end() &&
+         Found->second.Server_ == Own.Server_.Facts_.Id_ &&
+         Own.Now_ - Found->second.At_ < FailurePatience;
+}
+
 void Dispatcher::prune(const JobBook &Book) {
+  std::erase_if(Failed_, [&Book](const auto &Each) {
+    const TaskRecord *Task = Book.findTask(Each.first);
+    return !Task || Task->State_ == TaskState::Done;
+  });
   std::erase_if(ReadySince_, [&Book](const auto &Each) {
     return Book.readySteps().count(Each.first) == 0;
   });
@@ -351,7 +372,7 @@
     const TaskStart Start{{Ready.Job_, Ready.Occurrence_, Ready.Step_, Index},
                           Tasks[Index].LastRun_ + 1,
                           Own.Server_.Facts_.Id_};
-    if (Taken_.count(Start.Task_) != 0)
+    if (Taken_.count(Start.Task_) != 0 || isToAvoid(Start.Task_, Own))
       continue;
     if (!Book.findObjection(Start).empty())
       return;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -44,6 +44,9 @@
   /// Whole gangs that can be placed now, over several servers.
   std::vector<TaskStart> planGang(const JobBook &Book, const ServerBoard &Board,
                                   TimePoint Now);
+  /// A run of the task failed there: its next one goes elsewhere, if it can.
+  void noteFailure(const TaskKey &Task, const std::string &ServerId,
+                   TimePoint Now);
   /// Forgets since when steps that are no longer ready have been waiting.
   void prune(const JobBook &Book);
 
@@ -99,7 +102,15 @@
   const PaceGuard &Paces_;
   const ServerHealth &Health_;
 
+  /// Where a task's last run failed, and when.
+  struct FailedAt {
+    std::string Server_;
+    TimePoint At_;
+  };
+  bool isToAvoid(const TaskKey &Task, const Plan &Own) const;
+
   std::map<ReadyStep, TimePoint> ReadySince_;
+  std::map<TaskKey, FailedAt> Failed_;
   /// By filling image, idle processors of servers where it disturbs nothing,
   /// thousandths; for the images that were asked about lately.
   std::map<std::string, std::int64_t> SafeRoom_;
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -173,6 +173,26 @@
   EXPECT_TRUE(plan("s1").empty()) << "until that one is done";
 }
 
+TEST_F(DispatcherTest, ATaskThatFailedIsTriedElsewhereFirst) {
+  submit(makeJob("j", {makeStep(1, 1000)}));
+  const auto First = plan("s1");
+  ASSERT_EQ(First.size(), 1U);
+  end(First[0], RunEnd::Failed);
+  Dispatcher_.noteFailure(First[0].Task_, "s1", Now_);
+  EXPECT_TRUE(plan("s1").empty());
+  EXPECT_EQ(plan("s2").size(), 1U);
+}
+
+TEST_F(DispatcherTest, ATaskThatFailedReturnsWhereNothingElseTakesIt) {
+  submit(makeJob("j", {makeStep(1, 1000)}));
+  const auto First = plan("s1");
+  end(First.at(0), RunEnd::Failed);
+  Dispatcher_.noteFailure(First[0].Task_, "s1", Now_);
+  EXPECT_TRUE(plan("s1").empty());
+  advance(1100ms);
+  EXPECT_EQ(plan("s1").size(), 1U);
+}
+
 TEST_F(DispatcherTest, ATaskIsPlannedOnceWhileItsStartIsOpen) {
   submit(makeJob("j", {makeStep(1, 1000)}));
   EXPECT_EQ(Dispatcher_.plan(Book_, Board_, "s1", Now_, WallTime(Wall_)).size(),
--- a/tests/jobs/JobBookDifferentialTest.cpp
+++ b/tests/jobs/JobBookDifferentialTest.cpp
@@ -1,4 +1,5 @@
-//===- JobBookDifferentialTest.cpp - Against a naive version ----------------===//
+//===- JobBookDifferentialTest.cpp - Against a naive version
+//----------------===//
 
 #include "jobs/JobFixture.h"
 #include "jobs/NaiveJobs.h"
@@ -111,9 +112,8 @@
     Naive_.removeServer(Id);
   }
   void start() {
-    const TaskStart Start{{drawJob(), draw(2), draw(3), draw(3)},
-                          1 + draw(6),
-                          drawServer()};
+    const TaskStart Start{
+        {drawJob(), draw(2), draw(3), draw(3)}, 1 + draw(6), drawServer()};
     EXPECT_EQ(Book_.apply(Command(StartTasks{{Start}})).Taken_.at(0),
               Naive_.start(Start));
   }
