--- a/include/tulipweir/core/Time.h
+++ b/include/tulipweir/core/Time.h
@@ -43,6 +43,8 @@
     Now_ += By;
     Wall_ += std::chrono::duration_cast<WallTime>(By);
   }
+  /// Sets the wall clock alone, as an operator or a time service does.
+  void setWall(WallTime Wall) { Wall_ = Wall; }
 
 private:
   TimePoint Now_{std::chrono::hours(1)};
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -446,3 +446,46 @@
   }
   return {};
 }
+
+std::string Dispatcher::explainWait(const JobBook &Book,
+                                    const ServerBoard &Board,
+                                    const ReadyStep &Step,
+                                    TimePoint Now) const {
+  const JobRecord &Job = *Book.findJob(Step.Job_);
+  const StepSpec &Spec = Job.Spec_.Steps_[Step.Step_];
+  std::size_t Resting = 0;
+  std::size_t Full = 0;
+  std::size_t Disturbed = 0;
+  std::size_t Busy = 0;
+  std::size_t Open = 0;
+  for (const auto &[Id, Server] : Book.servers()) {
+    if (Server.Facts_.Service_ != Job.Policy_.Service_)
+      continue;
+    const ServerLive *Live = Board.find(Id);
+    const Room Left = measureRoom(Book, Server);
+    const bool IsResting = !Live || Live->IsDraining_ || Live->IsRemoving_ ||
+                           Live->NoStartsUntil_ > Now ||
+                           Health_.getFitness(Id, Now) != Fitness::Sound;
+    if (IsResting)
+      ++Resting;
+    else if (!Spec.getReserved().fitsIn(Left.Free_))
+      ++Full;
+    else if (Spec.Fills_ && isDisturbing(Left, Spec.Image_))
+      ++Disturbed;
+    else if (Spec.Fills_ && Spec.Need_.MilliCpus_ > Left.Idle_)
+      ++Busy;
+    else
+      ++Open;
+  }
+  std::string Text;
+  const auto Add = [&Text](std::size_t Count, const char *What) {
+    if (Count > 0)
+      Text += (Text.empty() ? "" : ", ") + std::to_string(Count) + What;
+  };
+  Add(Full, " full");
+  Add(Disturbed, " where it would disturb");
+  Add(Busy, " without idle processors");
+  Add(Resting, " leaving, silent or in quarantine");
+  Add(Open, " not asked yet, or kept for others");
+  return Text.empty() ? "no server of its service" : Text;
+}
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -57,6 +57,10 @@
   bool isDisturbing(const JobBook &Book, const std::string &ServerId,
                     const std::string &Image) const;
 
+  /// Why the step's tasks do not start: how many servers stand in which way.
+  std::string explainWait(const JobBook &Book, const ServerBoard &Board,
+                          const ReadyStep &Step, TimePoint Now) const;
+
 private:
   /// The room on one server, as the plan uses it up.
   struct Room {
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -47,6 +47,12 @@
 /// off by more than the scatter of a report (percent of the need).
 static constexpr Duration PaceRepeat = 1500ms;
 static constexpr std::uint64_t PaceScatter = 25;
+/// How often, and of how many of the first waiting steps, it is said why they
+/// wait.
+static constexpr Duration ExplanationInterval = 1s;
+static constexpr std::size_t MostExplained = 8;
+/// Clocks that are kept in step are slewed by less.
+static constexpr Duration NoticedJump = 500ms;
 static constexpr std::uint64_t Percent = 100;
 
 static std::string toText(const TaskKey &Task) {
@@ -94,6 +100,8 @@
   void beginLeading(std::uint64_t Term);
   void endLeading();
   void tick();
+  void watchClock();
+  void explainWaits();
   void removeLapsed();
   void openDue();
   void startGang();
@@ -154,6 +162,11 @@
   /// Of open jobs that this leader accepted itself.
   std::map<std::string, TimePoint> AcceptedAt_;
   std::set<std::string> Started_; ///< Of these.
+  /// What was last said of steps that wait.
+  std::map<ReadyStep, std::string> Explained_;
+  TimePoint NextExplanation_{};
+  /// Wall time less steady time, when it was last looked at.
+  std::optional<Duration> WallOffset_;
 };
 
 bool JobLeader::Impl::isLeading() const {
@@ -174,6 +187,7 @@
   EndedSince_.clear();
   AcceptedAt_.clear();
   Started_.clear();
+  Explained_.clear();
   // An earlier leader's last answer left before this one was elected.
   const Duration Longest =
       Settings_.Lease_ * (Percent + Settings_.ClockDriftPercent_) / Percent;
@@ -220,8 +234,10 @@
 
 void JobLeader::Impl::tick() {
   Watch_.poll();
+  watchClock();
   if (isLeading()) {
     removeLapsed();
+    explainWaits();
     openDue();
     startGang();
     forgetEnded();
@@ -232,6 +248,54 @@
   });
 }
 
+/// Due times follow the wall clock, which may be set at any moment.
+void JobLeader::Impl::watchClock() {
+  const Duration Offset =
+      Duration(Time_.wallNow()) - Duration(Time_.now().time_since_epoch());
+  const Duration Jump = WallOffset_ ? Offset - *WallOffset_ : Duration(0);
+  WallOffset_ = Offset;
+  if (std::chrono::abs(Jump) < NoticedJump)
+    return;
+  Event Line;
+  Line.Kind_ = EventKind::ClockJumped;
+  Line.AgeMs_ =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Jump).count();
+  Line.Reason_ = Jump > Duration(0) ? "ahead" : "back";
+  Log_.write(Line);
+}
+
+/// Says of the first steps that wait why they do, once for each reason.
+void JobLeader::Impl::explainWaits() {
+  const TimePoint Now = Time_.now();
+  if (Now < NextExplanation_)
+    return;
+  NextExplanation_ = Now + ExplanationInterval;
+  Machine_.read([&](const JobBook &Book) {
+    std::erase_if(Explained_, [&Book](const auto &Each) {
+      return Book.readySteps().count(Each.first) == 0;
+    });
+    std::size_t Looked = 0;
+    for (const ReadyStep &Step : Book.readySteps()) {
+      if (++Looked > MostExplained)
+        break;
+      std::string Reason = Dispatcher_.explainWait(Book, Board_, Step, Now);
+      const auto [Place, IsNew] = Explained_.try_emplace(Step);
+      // A step that came just now mostly starts with the next report.
+      if (IsNew || Place->second == Reason)
+        continue;
+      Place->second = Reason;
+      Event Line;
+      Line.Kind_ = EventKind::TaskWaiting;
+      Line.Job_ = Step.Job_;
+      Line.Task_ =
+          std::to_string(Step.Occurrence_) + "." + std::to_string(Step.Step_);
+      Line.Reason_ = std::move(Reason);
+      Log_.write(Line);
+    }
+    return 0;
+  });
+}
+
 void JobLeader::Impl::removeServer(const std::string &Id,
                                    const std::string &Why,
                                    ResultCallback Done) {
@@ -817,12 +881,22 @@
     const bool IsTelling = Step && !Step->Fills_ &&
                            Seen != Live->Before_.end() &&
                            Seen->second.Run_ == End.Run_;
+    const bool WasSick =
+        Health_.getFitness(Ended.Server_, Now) != Fitness::Sound;
     const bool IsSick = Health_.noteDone(
         Ended.Server_, End.Task_.Job_, End.Task_.Step_,
         IsTelling ? Now - Seen->second.SeenAt_ : Duration(0), Now);
     if (IsSick)
       logQuarantine(Ended.Server_, End.Task_.Job_,
                     "runs take much longer than elsewhere");
+    else if (WasSick &&
+             Health_.getFitness(Ended.Server_, Now) == Fitness::Sound) {
+      Event Line;
+      Line.Kind_ = EventKind::ServerReturned;
+      Line.Server_ = Ended.Server_;
+      Line.Reason_ = "a run was done there";
+      Log_.write(Line);
+    }
   }
 }
 
@@ -881,24 +955,27 @@
   });
   if (Starts.empty())
     return answer(Current);
-  propose(StartTasks{Starts},
-          [this, Current, Starts](const Outcome<CommandResult> &Applied) {
-            Dispatcher_.settle(Starts);
-            if (!Applied)
-              return Current->Reply_(Applied.error());
-            for (std::size_t I = 0; I < Starts.size(); ++I) {
-              Event Line;
-              Line.Kind_ = EventKind::TaskStarted;
-              Line.Job_ = Starts[I].Task_.Job_;
-              Line.Task_ = toText(Starts[I].Task_);
-              Line.Attempt_ = Starts[I].Run_;
-              Line.Server_ = Starts[I].Server_;
-              Line.Outcome_ = Applied.value().Taken_[I] ? "placed" : "refused";
-              Log_.write(Line);
-              noteStarted(Starts[I], Applied.value().Taken_[I]);
-            }
-            answer(Current);
-          });
+  propose(StartTasks{Starts}, [this, Current,
+                               Starts](const Outcome<CommandResult> &Applied) {
+    Dispatcher_.settle(Starts);
+    if (!Applied)
+      return Current->Reply_(Applied.error());
+    for (std::size_t I = 0; I < Starts.size(); ++I) {
+      Event Line;
+      Line.Kind_ = EventKind::TaskStarted;
+      Line.Job_ = Starts[I].Task_.Job_;
+      Line.Task_ = toText(Starts[I].Task_);
+      Line.Attempt_ = Starts[I].Run_;
+      Line.Server_ = Starts[I].Server_;
+      Line.Outcome_ = Applied.value().Taken_[I] ? "placed" : "refused";
+      Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Time_.now() - Current->ArrivedAt_)
+                        .count();
+      Log_.write(Line);
+      noteStarted(Starts[I], Applied.value().Taken_[I]);
+    }
+    answer(Current);
+  });
 }
 
 /// Whether a task that hardly works, as it would disturb, can go on elsewhere.
--- a/tests/jobs/JobLeaderTest.cpp
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -237,6 +237,23 @@
   EXPECT_FALSE(**Got) << "another may lead by now";
 }
 
+TEST_F(JobLeaderTest, WhyAStepWaitsIsSaidOnce) {
+  report(makeReport("s1"));
+  call(CallKind::Submit, "j", {makeStep(1, 9000)});
+  Strand_.advance(5s);
+  ASSERT_EQ(Log_.count(EventKind::TaskWaiting), 1U);
+  EXPECT_EQ(Log_.last(EventKind::TaskWaiting).Reason_, "1 full");
+}
+
+TEST_F(JobLeaderTest, AClockThatIsSetIsNoticed) {
+  Strand_.advance(1s);
+  EXPECT_EQ(Log_.count(EventKind::ClockJumped), 0U);
+  Time_.setWall(Time_.wallNow() + 3s);
+  Strand_.advance(1s);
+  ASSERT_EQ(Log_.count(EventKind::ClockJumped), 1U);
+  EXPECT_EQ(Log_.last(EventKind::ClockJumped).AgeMs_, 3000);
+}
+
 TEST_F(JobLeaderTest, ATimedJobStartsWhenItIsDueAndNotBefore) {
   JobCall Call{CallKind::Submit, Host, std::string(Prefix) + "t",
                makeJob("", {makeStep(1, 100)})};
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -118,6 +118,27 @@
   std::deque<std::pair<std::string, AppliedCallback>> Waiting_;
 };
 
+/// Keeps what was written.
+class KeptEvents final : public EventLog {
+public:
+  void write(const Event &Value) override { Events_.push_back(Value); }
+  std::size_t count(EventKind Kind) const {
+    return static_cast<std::size_t>(std::count_if(
+        Events_.begin(), Events_.end(),
+        [Kind](const Event &Each) { return Each.Kind_ == Kind; }));
+  }
+  Event last(EventKind Kind) const {
+    Event Found;
+    for (const Event &Each : Events_)
+      if (Each.Kind_ == Kind)
+        Found = Each;
+    return Found;
+  }
+
+private:
+  std::vector<Event> Events_;
+};
+
 /// A leader with a configuration in force.
 class JobLeaderTest : public ::testing::Test {
 protected:
@@ -174,7 +195,7 @@
   ManualExecutor Strand_{Time_};
   JobMachine Machine_;
   ManualReplica Group_{Machine_};
-  NoEventLog Log_;
+  KeptEvents Log_;
   NoJobMeter Meter_;
   JobLeaderSettings Settings_;
   JobLeader Leader_{Settings_, Time_, Strand_, Group_, Machine_, Log_, Meter_};
--- a/tests/jobs/NaiveJobs.h
+++ b/tests/jobs/NaiveJobs.h
@@ -40,7 +40,8 @@
     if (find(Value.Spec_.Id_))
       return Verdict::AlreadyDone;
     for (const QueuePolicy &Queue : Configuration_.Queues_)
-      if (Queue.Host_ == Value.Host_ && Queue.PathPrefix_ == Value.PathPrefix_) {
+      if (Queue.Host_ == Value.Host_ &&
+          Queue.PathPrefix_ == Value.PathPrefix_) {
         Jobs_.push_back({Value.Spec_, Queue.PathPrefix_, Queue.Attempts_,
                          Queue.Service_, JobState::Queued,
                          Value.Spec_.RepeatCount_ == 0 ? 1U : 0U});
@@ -208,8 +209,8 @@
     const StepSpec &Step = Owner.Spec_.Steps_[End.Task_.Step_];
     if (End.How_ == RunEnd::Failed && !Step.LongRunning_ &&
         !isDone(End.Task_)) {
-      const auto Failures = std::count_if(
-          Runs_.begin(), Runs_.end(), [&End](const Run &Each) {
+      const auto Failures =
+          std::count_if(Runs_.begin(), Runs_.end(), [&End](const Run &Each) {
             return Each.Task_ == End.Task_ && Each.How_ == RunEnd::Failed &&
                    Each.IsOver_;
           });
