Count a server heard first as promised a lease

Cause: the board made an entry for a server with its first report, with a lease end of zero; until the registration was stored and answered, each tick took it for lapsed and removed it from the book, with all its tasks. Ruled out: the members' changes (complete at 50.5 s), a second leader (one leadership_begun).

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -97,6 +97,8 @@
   };
   using HandlingPtr = std::shared_ptr<Handling>;
 
+  /// How long a server whose clock is slow may count on a lease.
+  Duration getLongestLease() const;
   void beginLeading(std::uint64_t Term);
   void endLeading();
   void tick();
@@ -173,6 +175,10 @@
   return Watch_.isLeading() && Group_.findLeaseTerm(Time_.now()) == Term_;
 }
 
+Duration JobLeader::Impl::getLongestLease() const {
+  return Settings_.Lease_ * (Percent + Settings_.ClockDriftPercent_) / Percent;
+}
+
 auto JobLeader::Impl::failNotLeading() const {
   return fail(ErrorCode::NotLeader, Group_.getStatus().LeaderName_);
 }
@@ -188,11 +194,9 @@
   AcceptedAt_.clear();
   Started_.clear();
   Explained_.clear();
-  // An earlier leader's last answer left before this one was elected.
-  const Duration Longest =
-      Settings_.Lease_ * (Percent + Settings_.ClockDriftPercent_) / Percent;
   Machine_.read([&](const JobBook &Book) {
-    Board_.reset(Book, Now, Longest);
+    // An earlier leader's last answer left before this one was elected.
+    Board_.reset(Book, Now, getLongestLease());
     for (const auto &[Id, Job] : Book.jobs())
       if (isEnded(Job.State_))
         EndedSince_[Id] = Now;
@@ -797,7 +801,7 @@
   const std::string &Id = Report.Facts_.Id_;
   const TimePoint Now = Time_.now();
   const bool WasDraining = Board_.find(Id) && Board_.find(Id)->IsDraining_;
-  Current->IsStale_ = !Board_.note(Report, Now);
+  Current->IsStale_ = !Board_.note(Report, Now, getLongestLease());
   if (Report.IsDraining_ && !WasDraining && !Current->IsStale_) {
     Event Line;
     Line.Kind_ = EventKind::ServerDraining;
@@ -1099,9 +1103,7 @@
   const TimePoint Now = Time_.now();
   if (Group_.findLeaseTerm(Now) != Term_)
     return Current->Reply_(failNotLeading());
-  Board_.extendLease(Id, Now + Settings_.Lease_ *
-                                   (Percent + Settings_.ClockDriftPercent_) /
-                                   Percent);
+  Board_.extendLease(Id, Now + getLongestLease());
   Meter_.record(Timed::Heartbeat, Now - Current->ArrivedAt_);
   Current->Reply_(std::move(Orders));
 }
--- a/src/jobs/ServerBoard.cpp
+++ b/src/jobs/ServerBoard.cpp
@@ -12,8 +12,12 @@
     add(Id, Now, Now + Lease);
 }
 
-bool ServerBoard::note(const ServerReport &Report, TimePoint Now) {
-  ServerLive &Live = Servers_[Report.Facts_.Id_];
+bool ServerBoard::note(const ServerReport &Report, TimePoint Now,
+                       Duration Lease) {
+  const auto [Place, IsNew] = Servers_.try_emplace(Report.Facts_.Id_);
+  ServerLive &Live = Place->second;
+  if (IsNew)
+    Live.LeaseEnd_ = Now + Lease;
   if (Report.Sequence_ <= Live.LastSequence_)
     return false;
   Live.LastSequence_ = Report.Sequence_;
--- a/src/jobs/ServerBoard.h
+++ b/src/jobs/ServerBoard.h
@@ -59,8 +59,10 @@
   /// the end of Lease from now.
   void reset(const JobBook &Book, TimePoint Now, Duration Lease);
 
-  /// Takes a report in; false if a later one was seen before.
-  bool note(const ServerReport &Report, TimePoint Now);
+  /// Takes a report in; false if a later one was seen before. A server that
+  /// was not known counts as promised Lease from now: its registration may
+  /// take long to be stored, and until then no answer extends it.
+  bool note(const ServerReport &Report, TimePoint Now, Duration Lease);
   void extendLease(const std::string &Id, TimePoint End);
   ServerLive *find(const std::string &Id);
   const ServerLive *find(const std::string &Id) const;
