--- a/tests/jobs/ServerBoardTest.cpp
+++ b/tests/jobs/ServerBoardTest.cpp
@@ -17,7 +17,7 @@
 
 // Its registration may take long to be stored, as after a power loss; until
 // it was promised a lease, one counts from its first report.
-TEST(ServerBoard, ServerHeardFirstHasNotLapsedBeforeItsFirstAnswer) {
+TEST(ServerBoardTest, ServerHeardFirstHasNotLapsedBeforeItsFirstAnswer) {
   ServerBoard Board;
   ASSERT_TRUE(Board.note(makeReport(1), Start, Lease));
   EXPECT_TRUE(Board.listLapsed(Start + Lease / 2).empty());
@@ -26,7 +26,7 @@
 }
 
 // Only an answer promises more time.
-TEST(ServerBoard, LaterReportAloneExtendsNoLease) {
+TEST(ServerBoardTest, LaterReportAloneExtendsNoLease) {
   ServerBoard Board;
   ASSERT_TRUE(Board.note(makeReport(1), Start, Lease));
   ASSERT_TRUE(Board.note(makeReport(2), Start + Lease / 2, Lease));
@@ -35,7 +35,7 @@
   EXPECT_TRUE(Board.listLapsed(Start + Lease).empty());
 }
 
-TEST(ServerBoard, EarlierReportThatComesLateIsPassedOver) {
+TEST(ServerBoardTest, EarlierReportThatComesLateIsPassedOver) {
   ServerBoard Board;
   ASSERT_TRUE(Board.note(makeReport(2), Start, Lease));
   EXPECT_FALSE(Board.note(makeReport(1), Start, Lease));
