List the images that serve once for each report

For each filling task of a report the dispatcher measured the whole server again to ask which images serve there, in three places, so a report cost the square of its tasks; steps of running tasks were looked up three times by the same function, which stood beside the book. Change: Dispatcher::findServing once for each stage, TailEffects::isDisturbingAny for both callers, JobBook::findStep; notePace goes over the tasks once. Same verdicts, tests untouched (99 pass).

--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -109,6 +109,8 @@
   const Configuration &configuration() const { return Configuration_; }
   const JobRecord *findJob(const std::string &Id) const;
   const TaskRecord *findTask(const TaskKey &Task) const;
+  /// The step that the task belongs to; nullptr where the job or it is unknown.
+  const StepSpec *findStep(const TaskKey &Task) const;
   const std::map<std::string, JobRecord> &jobs() const { return Jobs_; }
   const std::map<std::string, ServerRecord> &servers() const {
     return Servers_;
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -150,7 +150,7 @@
     return false;
   if (Left.Serving_.empty())
     return true;
-  if (isDisturbing(Left, Step.Image_))
+  if (Effects_.isDisturbingAny(Left.Serving_, Step.Image_))
     return Step.Need_.MilliCpus_ <= Left.Budget_ &&
            Waited >= DisturbingPatience;
   return Left.Pace_.Others_ >= LeastPace;
@@ -187,7 +187,7 @@
   for (const std::string &Image : MovingImages_) {
     std::int64_t &Room = SafeRoom_[Image];
     for (const Dispatcher::Room &Left : Rooms)
-      if (!isDisturbing(Left, Image))
+      if (!Effects_.isDisturbingAny(Left.Serving_, Image))
         Room += std::max<std::int64_t>(Left.Idle_, 0);
     // What waits already goes first.
     Room -= Wanted[Image];
@@ -204,18 +204,11 @@
   return true;
 }
 
-bool Dispatcher::isDisturbing(const Room &Left,
-                              const std::string &Image) const {
-  return std::any_of(Left.Serving_.begin(), Left.Serving_.end(),
-                     [&](const std::string &Serving) {
-                       return Effects_.isDisturbing(Serving, Image);
-                     });
-}
-
-bool Dispatcher::isDisturbing(const JobBook &Book, const std::string &ServerId,
-                              const std::string &Image) const {
+std::set<std::string>
+Dispatcher::findServing(const JobBook &Book,
+                        const std::string &ServerId) const {
   const ServerRecord *Server = Book.findServer(ServerId);
-  return Server && isDisturbing(measureRoom(Book, *Server), Image);
+  return Server ? measureRoom(Book, *Server).Serving_ : std::set<std::string>();
 }
 
 void Dispatcher::take(const StepSpec &Step, Room &Left) {
@@ -345,7 +338,7 @@
                                 double(Server.Facts_.Capacity_.MilliCpus_));
   for (const auto &[Task, Run] : Server.Placed_) {
     const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
-    if (Step.Fills_ && isDisturbing(Left, Step.Image_))
+    if (Step.Fills_ && Effects_.isDisturbingAny(Left.Serving_, Step.Image_))
       Left.Budget_ -= Step.Need_.MilliCpus_;
   }
 }
@@ -379,7 +372,8 @@
     Own.Starts_.push_back(Start);
     Taken_.insert(Start.Task_);
     IsIdleJob = false;
-    if (Step.Fills_ && isDisturbing(Own.Left_, Step.Image_))
+    if (Step.Fills_ &&
+        Effects_.isDisturbingAny(Own.Left_.Serving_, Step.Image_))
       Own.Left_.Budget_ -= Step.Need_.MilliCpus_;
     take(Step, Own.Left_);
     ++Beside;
@@ -470,7 +464,8 @@
       ++Resting;
     else if (!Spec.getReserved().fitsIn(Left.Free_))
       ++Full;
-    else if (Spec.Fills_ && isDisturbing(Left, Spec.Image_))
+    else if (Spec.Fills_ &&
+             Effects_.isDisturbingAny(Left.Serving_, Spec.Image_))
       ++Disturbed;
     else if (Spec.Fills_ && Spec.Need_.MilliCpus_ > Left.Idle_)
       ++Busy;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -52,10 +52,9 @@
 
   // Queries.
 
-  /// Whether filling tasks of the image are known to lengthen the tail of
-  /// something that serves on the server.
-  bool isDisturbing(const JobBook &Book, const std::string &ServerId,
-                    const std::string &Image) const;
+  /// The images that serve on the server; goes over all its tasks.
+  std::set<std::string> findServing(const JobBook &Book,
+                                    const std::string &ServerId) const;
 
   /// Why the step's tasks do not start: how many servers stand in which way.
   std::string explainWait(const JobBook &Book, const ServerBoard &Board,
@@ -96,7 +95,6 @@
   std::uint64_t countBeside(const ServerRecord &Server,
                             const ReadyStep &Step) const;
   static void take(const StepSpec &Step, Room &Left);
-  bool isDisturbing(const Room &Left, const std::string &Image) const;
   bool isFitToServe(const StepSpec &Step, const Room &Left,
                     Duration Waited) const;
   bool isFitToFill(const StepSpec &Step, const Room &Left, Duration Waited,
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -67,6 +67,12 @@
                  : nullptr;
 }
 
+const StepSpec *JobBook::findStep(const TaskKey &Task) const {
+  const JobRecord *Job = findJob(Task.Job_);
+  const bool IsKnown = Job && Task.Step_ < Job->Spec_.Steps_.size();
+  return IsKnown ? &Job->Spec_.Steps_[Task.Step_] : nullptr;
+}
+
 TaskRecord *JobBook::findTaskToChange(const TaskKey &Task) {
   return const_cast<TaskRecord *>(std::as_const(*this).findTask(Task));
 }
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -139,8 +139,9 @@
                  const RunningTask &Running) const;
   static bool isToEvacuate(const JobBook &Book, const ServerReport &Report,
                            const RunningTask &Running);
-  bool isToMove(const JobBook &Book, const ServerReport &Report,
-                const RunningTask &Running);
+  /// Images: those that serve there.
+  bool isToMove(const JobBook &Book, const std::set<std::string> &Images,
+                const ServerReport &Report, const RunningTask &Running);
   ServerOrders makeOrders(const ServerReport &Report,
                           std::vector<TaskEnd> &NeverRan);
 
@@ -686,13 +687,6 @@
   }
 }
 
-/// The step of a reported run; nullptr for one that is not known.
-static const StepSpec *findStep(const JobBook &Book, const TaskKey &Task) {
-  const JobRecord *Job = Book.findJob(Task.Job_);
-  const bool IsKnown = Job && Task.Step_ < Job->Spec_.Steps_.size();
-  return IsKnown ? &Job->Spec_.Steps_[Task.Step_] : nullptr;
-}
-
 /// Learns from the tails that serving tasks report, and sets the pace of the
 /// filling tasks beside them.
 void JobLeader::Impl::notePace(const ServerReport &Report) {
@@ -701,27 +695,28 @@
   bool HasServing = false;
   Machine_.read([&](const JobBook &Book) {
     const double Capacity = double(Report.Facts_.Capacity_.MilliCpus_);
+    const std::set<std::string> Images = Dispatcher_.findServing(Book, Id);
     FillingUse Use;
-    for (const RunningTask &Running : Report.Running_)
-      if (const StepSpec *Step = findStep(Book, Running.Task_);
-          Step && Step->Fills_ && Capacity > 0)
-        Use[Step->Image_] += double(Running.Measure_) / Capacity;
-    for (const RunningTask &Running : Report.Running_)
-      if (const StepSpec *Step = findStep(Book, Running.Task_);
-          Step && Step->Fills_) {
-        if (!Dispatcher_.isDisturbing(Book, Id, Step->Image_)) {
-          Reading.HasOthers_ = true;
-          continue;
-        }
-        Reading.Disturbing_ += double(Step->Need_.MilliCpus_) / Capacity;
-      }
+    std::vector<std::pair<const StepSpec *, std::uint64_t>> Tails;
     for (const RunningTask &Running : Report.Running_) {
-      const StepSpec *Step = findStep(Book, Running.Task_);
-      if (!Step || Step->TailTargetMs_ == 0)
+      const StepSpec *Step = Book.findStep(Running.Task_);
+      if (!Step)
+        continue;
+      if (Step->TailTargetMs_ > 0)
+        Tails.emplace_back(Step,
+                           Running.Measure_ * Percent / Step->TailTargetMs_);
+      if (!Step->Fills_)
         continue;
+      if (Capacity > 0)
+        Use[Step->Image_] += double(Running.Measure_) / Capacity;
+      if (Effects_.isDisturbingAny(Images, Step->Image_))
+        Reading.Disturbing_ += double(Step->Need_.MilliCpus_) / Capacity;
+      else
+        Reading.HasOthers_ = true;
+    }
+    // Only now the use of all that fill is known.
+    for (const auto &[Step, Tail] : Tails) {
       HasServing = true;
-      const std::uint64_t Tail =
-          Running.Measure_ * Percent / Step->TailTargetMs_;
       Reading.TailPercent_ = std::max(Reading.TailPercent_, Tail);
       Effects_.learn(Step->Image_, Use,
                      double(std::max<std::uint64_t>(Tail, 1)) / Percent);
@@ -766,12 +761,13 @@
   std::map<TaskKey, PaceSent> Sent;
   Orders.NextReportMs_ = PacedReportMs;
   Machine_.read([&](const JobBook &Book) {
+    const std::set<std::string> Images = Dispatcher_.findServing(Book, Id);
     const auto Add = [&](const TaskKey &Task, std::uint64_t Run,
                          std::optional<std::uint64_t> Used) {
-      const StepSpec *Step = findStep(Book, Task);
+      const StepSpec *Step = Book.findStep(Task);
       if (!Step || !Step->Fills_)
         return;
-      const bool Disturbs = Dispatcher_.isDisturbing(Book, Id, Step->Image_);
+      const bool Disturbs = Effects_.isDisturbingAny(Images, Step->Image_);
       const std::uint64_t Wanted = Disturbs ? Pace.Disturbing_ : Pace.Others_;
       PaceSent Own{Run, 100, Now};
       const auto Before = Live->PacesSent_.find(Task);
@@ -880,7 +876,7 @@
       continue;
     const auto Seen = Live->Before_.find(End.Task_);
     const StepSpec *Step = Machine_.read(
-        [&End](const JobBook &Book) { return findStep(Book, End.Task_); });
+        [&End](const JobBook &Book) { return Book.findStep(End.Task_); });
     // What fills goes as fast as others let it, which says nothing of a server.
     const bool IsTelling = Step && !Step->Fills_ &&
                            Seen != Live->Before_.end() &&
@@ -923,7 +919,7 @@
 /// A run that makes no progress although nothing holds it back.
 bool JobLeader::Impl::isStalled(const JobBook &Book, const std::string &Server,
                                 const RunningTask &Running) const {
-  const StepSpec *Step = findStep(Book, Running.Task_);
+  const StepSpec *Step = Book.findStep(Running.Task_);
   const ServerLive *Live = Board_.find(Server);
   if (!Step || !Live || Step->Gang_)
     return false;
@@ -942,7 +938,7 @@
 bool JobLeader::Impl::isToEvacuate(const JobBook &Book,
                                    const ServerReport &Report,
                                    const RunningTask &Running) {
-  const StepSpec *Step = findStep(Book, Running.Task_);
+  const StepSpec *Step = Book.findStep(Running.Task_);
   if (!Report.IsDraining_ || !Step || Step->Gang_)
     return false;
   if (Step->LongRunning_)
@@ -984,14 +980,16 @@
 
 /// Whether a task that hardly works, as it would disturb, can go on elsewhere.
 /// A stop costs it nothing, for it makes a checkpoint.
-bool JobLeader::Impl::isToMove(const JobBook &Book, const ServerReport &Report,
+bool JobLeader::Impl::isToMove(const JobBook &Book,
+                               const std::set<std::string> &Images,
+                               const ServerReport &Report,
                                const RunningTask &Running) {
   const std::string &Id = Report.Facts_.Id_;
-  const StepSpec *Step = findStep(Book, Running.Task_);
+  const StepSpec *Step = Book.findStep(Running.Task_);
   const bool IsSlow = Step && Step->Fills_ && Step->Checkpointing_ &&
                       Running.Percent_ < LeastPercentToStay &&
                       Paces_.getPace(Id).Disturbing_ < LeastPaceToStay &&
-                      Dispatcher_.isDisturbing(Book, Id, Step->Image_);
+                      Effects_.isDisturbingAny(Images, Step->Image_);
   if (!IsSlow || !Dispatcher_.takeSafeRoom(*Step))
     return false;
   Meter_.add(Counted::TasksMoved, 1);
@@ -1009,6 +1007,8 @@
     Reported[Each.Task_] = Each.Run_;
   Machine_.read([&](const JobBook &Book) {
     const ServerRecord *Server = Book.findServer(Report.Facts_.Id_);
+    const std::set<std::string> Images =
+        Dispatcher_.findServing(Book, Report.Facts_.Id_);
     const auto IsWanted = [&](const TaskKey &Task, std::uint64_t Run) {
       const auto Placed = Server->Placed_.find(Task);
       const bool IsHere =
@@ -1028,7 +1028,7 @@
         Why = "it makes no progress";
       else if (isToEvacuate(Book, Report, Each))
         Why = "its server is about to leave";
-      else if (isToMove(Book, Report, Each))
+      else if (isToMove(Book, Images, Report, Each))
         Why = "it would disturb here and has room elsewhere";
       if (!Why)
         continue;
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -121,3 +121,10 @@
                                const std::string &Filling) const {
   return Disturbing_.count({Serving, Filling}) != 0;
 }
+
+bool TailEffects::isDisturbingAny(const std::set<std::string> &Serving,
+                                  const std::string &Filling) const {
+  return std::any_of(
+      Serving.begin(), Serving.end(),
+      [&](const std::string &Each) { return isDisturbing(Each, Filling); });
+}
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -42,6 +42,9 @@
   /// Whether the filling image is known to lengthen the serving image's tail.
   bool isDisturbing(const std::string &Serving,
                     const std::string &Filling) const;
+  /// The same for at least one of several that serve.
+  bool isDisturbingAny(const std::set<std::string> &Serving,
+                       const std::string &Filling) const;
 
 private:
   struct Model {
