Take the orders on pace out of the jobs' leader

Cause: JobLeader.cpp held four jobs in 1,134 lines: leadership and its timers, clients' calls, servers' reports, and the pace of filling tasks. Change: the last one is PaceSetter, moved as it was; the leader hands it the report. Nothing else is changed. Still to take out: what is logged and metered of jobs.

--- /dev/null
+++ b/src/jobs/PaceSetter.cpp
@@ -0,0 +1,119 @@
+#include "jobs/PaceSetter.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+/// How soon a server whose filling tasks are paced reports again: its tails are
+/// measured over half a second.
+static constexpr std::uint64_t PacedReportMs = 250;
+/// An answer may be lost: a pace is told again after so long, where the use is
+/// off by more than the scatter of a report (percent of the need).
+static constexpr Duration PaceRepeat = 1500ms;
+static constexpr std::uint64_t PaceScatter = 25;
+static constexpr std::uint64_t Percent = 100;
+
+void PaceSetter::note(const ServerReport &Report) {
+  const std::string &Id = Report.Facts_.Id_;
+  TailReading Reading;
+  bool HasServing = false;
+  Machine_.read([&](const JobBook &Book) {
+    const double Capacity = double(Report.Facts_.Capacity_.MilliCpus_);
+    const std::set<std::string> Images = Dispatcher_.findServing(Book, Id);
+    FillingUse Use;
+    std::vector<std::pair<const StepSpec *, std::uint64_t>> Tails;
+    for (const RunningTask &Running : Report.Running_) {
+      const StepSpec *Step = Book.findStep(Running.Task_);
+      if (!Step)
+        continue;
+      if (Step->TailTargetMs_ > 0)
+        Tails.emplace_back(Step,
+                           Running.Measure_ * Percent / Step->TailTargetMs_);
+      if (!Step->Fills_)
+        continue;
+      if (Capacity > 0)
+        Use[Step->Image_] += double(Running.Measure_) / Capacity;
+      if (Effects_.isDisturbingAny(Images, Step->Image_))
+        Reading.Disturbing_ += double(Step->Need_.MilliCpus_) / Capacity;
+      else
+        Reading.HasOthers_ = true;
+    }
+    // Only now the use of all that fill is known.
+    for (const auto &[Step, Tail] : Tails) {
+      HasServing = true;
+      Reading.TailPercent_ = std::max(Reading.TailPercent_, Tail);
+      Effects_.learn(Step->Image_, Use,
+                     double(std::max<std::uint64_t>(Tail, 1)) / Percent);
+    }
+    return 0;
+  });
+  if (!HasServing)
+    return Paces_.forget(Id);
+  const FillingPace Before = Paces_.getPace(Id);
+  Paces_.note(Id, Reading, Time_.now());
+  const FillingPace After = Paces_.getPace(Id);
+  if (After == Before)
+    return;
+  Event Line;
+  Line.Kind_ = EventKind::TaskPaced;
+  Line.Server_ = Id;
+  Line.Count_ = After.Disturbing_;
+  Line.Reason_ = "worst tail at " + std::to_string(Reading.TailPercent_) +
+                 "% of its target";
+  Line.Outcome_ = "others at " + std::to_string(After.Others_);
+  Log_.write(Line);
+}
+
+/// Whether the processors used don't go with the pace: clearly more, or less
+/// than half.
+static bool isUnlike(std::uint64_t Used, const StepSpec &Step,
+                     std::uint64_t Pace) {
+  const auto Need = static_cast<std::uint64_t>(Step.Need_.MilliCpus_);
+  const std::uint64_t Wanted = Need * Pace / Percent;
+  return Used > Wanted + Need * PaceScatter / Percent || Used < Wanted / 2;
+}
+
+void PaceSetter::addPaces(const ServerReport &Report, ServerLive &Live,
+                          ServerOrders &Orders) const {
+  const std::string &Id = Report.Facts_.Id_;
+  if (!Paces_.isToBeTold(Id, Time_.now()))
+    return;
+  const FillingPace Pace = Paces_.getPace(Id);
+  const TimePoint Now = Time_.now();
+  std::map<TaskKey, PaceSent> Sent;
+  Orders.NextReportMs_ = PacedReportMs;
+  Machine_.read([&](const JobBook &Book) {
+    const std::set<std::string> Images = Dispatcher_.findServing(Book, Id);
+    const auto Add = [&](const TaskKey &Task, std::uint64_t Run,
+                         std::optional<std::uint64_t> Used) {
+      const StepSpec *Step = Book.findStep(Task);
+      if (!Step || !Step->Fills_)
+        return;
+      const bool Disturbs = Effects_.isDisturbingAny(Images, Step->Image_);
+      const std::uint64_t Wanted = Disturbs ? Pace.Disturbing_ : Pace.Others_;
+      PaceSent Own{Run, 100, Now};
+      const auto Before = Live.PacesSent_.find(Task);
+      if (Before != Live.PacesSent_.end() && Before->second.Run_ == Run)
+        Own = Before->second;
+      // An order that comes again begins its delay anew, so it is repeated only
+      // where the task works as if it had not arrived.
+      const bool IsLost = Used && Now - Own.At_ >= PaceRepeat &&
+                          isUnlike(*Used, *Step, Own.Percent_);
+      if (Own.Percent_ != Wanted || IsLost) {
+        Orders.Paces_.push_back({Task, Run, Wanted});
+        Own = {Run, Wanted, Now};
+      }
+      Sent[Task] = Own;
+    };
+    for (const RunningTask &Running : Report.Running_)
+      Add(Running.Task_, Running.Run_, Running.Measure_);
+    for (const StartOrder &Start : Orders.Starts_)
+      Add(Start.Task_, Start.Run_, std::nullopt);
+    return 0;
+  });
+  Live.PacesSent_ = std::move(Sent);
+}
--- /dev/null
+++ b/src/jobs/PaceSetter.h
@@ -0,0 +1,50 @@
+//===- PaceSetter.h - From reported tails to orders on pace ----*- C++ -*-===//
+//
+// Turns what a server reports of its tasks into readings for PaceGuard and
+// TailEffects, and their verdicts into orders on pace for that server. An order
+// is told once, and again only where the task works as if it had not arrived.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBS_PACESETTER_H
+#define TULIPWEIR_SRC_JOBS_PACESETTER_H
+
+#include "jobs/Dispatcher.h"
+#include "jobs/PaceGuard.h"
+#include "jobs/ServerBoard.h"
+#include "jobs/TailEffects.h"
+#include "tulipweir/core/EventLog.h"
+#include "tulipweir/core/Time.h"
+#include "tulipweir/jobs/JobMachine.h"
+#include "tulipweir/jobs/ServerReport.h"
+
+namespace tulipweir::jobs {
+
+/// On the leader's strand only; holds references to its parts.
+class PaceSetter {
+public:
+  PaceSetter(const Clock &Time, const JobMachine &Machine,
+             const Dispatcher &Placing, EventLog &Log, TailEffects &Effects,
+             PaceGuard &Paces)
+      : Time_(Time), Machine_(Machine), Dispatcher_(Placing), Log_(Log),
+        Effects_(Effects), Paces_(Paces) {}
+
+  /// Learns from the tails that serving tasks report, and sets the pace of the
+  /// filling tasks beside them.
+  void note(const ServerReport &Report);
+  /// Also for the tasks that this very answer starts.
+  void addPaces(const ServerReport &Report, ServerLive &Live,
+                ServerOrders &Orders) const;
+
+private:
+  const Clock &Time_;
+  const JobMachine &Machine_;
+  const Dispatcher &Dispatcher_;
+  EventLog &Log_;
+  TailEffects &Effects_;
+  PaceGuard &Paces_;
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_SRC_JOBS_PACESETTER_H
