A control's leader side lets go of the replica before it goes

JobLeader's work holds only its own Impl, not the replica beneath it.

Ruled out: holding the whole life from each handler; it would end on whichever thread is last, after stop has returned and the folder may be gone.

Change: the leader's side and the replica end on the strand, and stop waits for that. The same on a failed disk.

--- a/include/tulipweir/jobservice/ControlNode.h
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -55,6 +55,8 @@
   /// Hands leadership on, so that nobody waits for an election, then calls
   /// Moved.
   void handOver(std::function<void()> Moved);
+  /// Returns once nothing of the replica runs and its folder is free. Called
+  /// while the pool runs, from none of its threads; so is the destructor.
   void stop();
 
   void call(jobs::JobCall Call, Done<jobs::JobCallReply> Reply);
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <future>
+
 using namespace tulipweir;
 using namespace tulipweir::jobservice;
 
@@ -39,12 +41,14 @@
 struct Life {
   jobs::JobMachine Machine_;
   std::unique_ptr<replication::Replica> Group_;
-  std::unique_ptr<jobs::JobLeader> Leader_;
-
-  ~Life() {
-    // No callback of the replica's runs after that.
-    if (Group_)
-      Group_->stop();
+  std::unique_ptr<jobs::JobLeader> Leader_; ///< On the strand only.
+
+  /// On the strand: the leader's side uses the replica there and nowhere else,
+  /// so none of its work is under way now and none comes any more. Whoever
+  /// still holds this life for a query keeps a replica that has stopped.
+  void end() {
+    Leader_.reset();
+    Group_->stop();
   }
 };
 
@@ -120,7 +124,8 @@
     Life_ = Fresh;
   }
   Strand_.post([Weak = std::weak_ptr(Fresh)] {
-    if (const std::shared_ptr<Life> Current = Weak.lock())
+    const std::shared_ptr<Life> Current = Weak.lock();
+    if (Current && Current->Leader_)
       Current->Leader_->start();
   });
   return succeed();
@@ -175,8 +180,11 @@
     const replication::ReplicaStatus Status = Current->Group_->getStatus();
     noteStatus(Status);
     if (!Status.Failure_.empty()) {
-      const std::lock_guard Hold(Lock_);
-      Life_.reset();
+      {
+        const std::lock_guard Hold(Lock_);
+        Life_.reset();
+      }
+      Current->end();
       Line.Outcome_ = "closed";
       Line.Reason_ = Status.Failure_;
       Log_.write(Line);
@@ -201,6 +209,15 @@
   }
   if (Server_)
     Server_->stop();
+  if (Last) {
+    // Waited for, as the caller may take the folder away next.
+    std::promise<void> Ended;
+    Strand_.post([&Last, &Ended] {
+      Last->end();
+      Ended.set_value();
+    });
+    Ended.get_future().wait();
+  }
   Links_.stop();
 }
 
--- a/tests/jobservice/MembershipTest.cpp
+++ b/tests/jobservice/MembershipTest.cpp
@@ -129,7 +129,7 @@
 namespace {
 
 /// A replica that says that its disk has failed.
-class FailedReplica final : public replication::Replica {
+class FailedReplica : public replication::Replica {
 public:
   void propose(std::string, AppliedCallback Done) override {
     Done(fail(ErrorCode::Unavailable, "failed"));
@@ -156,8 +156,53 @@
   void stop() override {}
 };
 
+/// What happened to a SlowReplica, told to the test that opened it.
+struct Watched {
+  std::atomic<bool> IsAsked_{false};
+  std::atomic<bool> IsGone_{false};
+  std::atomic<bool> WentWhileAsked_{false};
+};
+
+/// A replica that takes its time to answer what the leader's side asks.
+class SlowReplica final : public FailedReplica {
+public:
+  explicit SlowReplica(std::shared_ptr<Watched> Told)
+      : Told_(std::move(Told)) {}
+  ~SlowReplica() override { Told_->IsGone_ = true; }
+  replication::ReplicaStatus getStatus() const override {
+    const std::shared_ptr<Watched> Told = Told_;
+    Told->IsAsked_ = true;
+    // Room for a stop that doesn't wait to take this away. Bounded, as one that
+    // waits never does so.
+    for (int I = 0; I < 50 && !Told->IsGone_; ++I)
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    if (Told->IsGone_)
+      Told->WentWhileAsked_ = true;
+    return {};
+  }
+
+private:
+  const std::shared_ptr<Watched> Told_;
+};
+
 } // namespace
 
+TEST_F(NodeCluster, AReplicaStaysUntilTheLeadersSideHasLetGoOfIt) {
+  const auto Told = std::make_shared<Watched>();
+  start(
+      1, {1}, true, 1,
+      [Told](const replication::ReplicaSettings &, replication::StateMachine &,
+             replication::Transport &,
+             const Clock &) -> Outcome<std::unique_ptr<replication::Replica>> {
+        return std::unique_ptr<replication::Replica>(
+            std::make_unique<SlowReplica>(Told));
+      });
+  ASSERT_TRUE(waitFor([&] { return Told->IsAsked_.load(); }));
+  stop(1);
+  EXPECT_TRUE(Told->IsGone_);
+  EXPECT_FALSE(Told->WentWhileAsked_);
+}
+
 TEST_F(NodeCluster, AReplicaWhoseDiskFailedIsOpenedAgain) {
   // The first opening gives a failed replica, the second fails, the third is
   // sound: as with a disk that is full for a while.
--- a/tests/jobservice/NodeCluster.h
+++ b/tests/jobservice/NodeCluster.h
@@ -39,7 +39,9 @@
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = htonl(INADDR_ANY);
-  ::bind(Probe, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+  EXPECT_EQ(
+      ::bind(Probe, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)),
+      0);
   socklen_t Size = sizeof(Address);
   ::getsockname(Probe, reinterpret_cast<sockaddr *>(&Address), &Size);
   ::close(Probe);
@@ -64,6 +66,7 @@
   }
   std::vector<std::string> namesOf(const std::vector<int> &Nodes) const {
     std::vector<std::string> Names;
+    Names.reserve(Nodes.size());
     for (const int Node : Nodes)
       Names.push_back(nameOf(Node));
     return Names;
--- a/tests/platform/system/WholePathTest.cpp
+++ b/tests/platform/system/WholePathTest.cpp
@@ -133,6 +133,7 @@
   }
   void addWorkers(int Count) {
     std::vector<Worker::Place> Places;
+    Places.reserve(Controls);
     for (int I = 0; I < Controls; ++I)
       Places.push_back({controlAddress(I), ControlPort_});
     for (int I = 0; I < Count; ++I)
--- a/tests/replication/RejoinTest.cpp
+++ b/tests/replication/RejoinTest.cpp
@@ -72,8 +72,6 @@
 }
 
 TEST(PlanMembersTest, StrangersCannotGrowTheGroupWithoutBound) {
-  std::vector<MemberStanding> Many;
-  for (int I = 0; I < 32; ++I)
-    Many.push_back(learner("x", Silent));
+  const std::vector<MemberStanding> Many(32, learner("x", Silent));
   EXPECT_EQ(planMembers(Many, {{"b", 1}}, 3), std::nullopt);
 }
