A late report of an earlier life displaces nobody

The leader took any unknown life at a taken address for the newer one, and remembered lives that are over in its own memory only, so after a change of leader, or where the old life had lapsed first, a late report ended the living one and its tasks ran twice.

Ruled out: ordering lives by what a report says (ids are random, sequence numbers begin anew, the time in a report is not said to go on between lives).

Change: which lives are over is replicated state (ServerLives); a life that claims the address of one that was heard is taken in only once it has reported for a second without the other (Newcomers). Event server_waits.

Conclusion: costs a crashed server a second when it is back within its lease.

--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -33,6 +33,7 @@
   TaskStopped, ///< We ordered it to stop.
   TaskPaced,
   ServerSeen,
+  ServerWaits, ///< It claims the address of another life that was heard.
   ServerDraining,
   ServerGone,
   ServerQuarantined,
--- a/include/tulipweir/jobs/Commands.h
+++ b/include/tulipweir/jobs/Commands.h
@@ -79,6 +79,7 @@
   bool operator==(const OpenOccurrence &) const = default;
 };
 
+/// Refused for a life that is over, and while another life holds its address.
 struct AddServer {
   ServerFacts Facts_;
   bool operator==(const AddServer &) const = default;
@@ -97,6 +98,7 @@
 struct RemoveServer {
   std::string Id_;
   std::vector<SavedWork> Saved_;
+  bool IsOver_ = false; ///< It left for good; else it may come back.
   bool operator==(const RemoveServer &) const = default;
 };
 
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -11,6 +11,7 @@
 #define TULIPWEIR_JOBS_JOBBOOK_H
 
 #include "tulipweir/jobs/Commands.h"
+#include "tulipweir/jobs/ServerLives.h"
 
 #include <map>
 #include <memory>
@@ -116,6 +117,11 @@
     return Servers_;
   }
   const ServerRecord *findServer(const std::string &Id) const;
+  /// Whether the server's life is over for good: it left, or another life has
+  /// taken its address.
+  bool isOver(const std::string &ServerId) const {
+    return Lives_.isOver(ServerId);
+  }
   const std::set<ReadyStep> &readySteps() const { return Ready_; }
   /// Jobs that wait for a time, and the occurrence that comes next.
   const std::set<std::string> &timedJobs() const { return Timed_; }
@@ -165,6 +171,7 @@
   Configuration Configuration_;
   std::map<std::string, JobRecord> Jobs_;
   std::map<std::string, ServerRecord> Servers_;
+  ServerLives Lives_;
   std::uint64_t NextSequence_ = 1;
 
   // Derived from the above.
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -6,7 +6,7 @@
 
 std::string_view tulipweir::getEventName(EventKind Kind) {
   // In the order of the enumeration.
-  static constexpr std::array<std::string_view, 27> Names = {
+  static constexpr std::array<std::string_view, 28> Names = {
       "process_started",
       "process_stopping",
       "settings_reloaded",
@@ -23,6 +23,7 @@
       "task_stopped",
       "task_paced",
       "server_seen",
+      "server_waits",
       "server_draining",
       "server_gone",
       "server_quarantined",
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -16,9 +16,12 @@
   std::vector<JobRecord> Jobs_;
   std::vector<ServerFacts> Servers_;
   std::uint64_t NextSequence_ = 1;
+  std::vector<LifeAtAddress> Lives_;
+  std::vector<std::string> LivesOver_;
 };
 auto fields(BookImage &X) {
-  return std::tie(X.Configuration_, X.Jobs_, X.Servers_, X.NextSequence_);
+  return std::tie(X.Configuration_, X.Jobs_, X.Servers_, X.NextSequence_,
+                  X.Lives_, X.LivesOver_);
 }
 
 constexpr std::uint64_t Percent = 100;
@@ -148,8 +151,17 @@
 }
 
 CommandResult JobBook::apply(const AddServer &Value) {
-  const auto [Place, IsNew] = Servers_.try_emplace(Value.Facts_.Id_);
-  Place->second.Facts_ = Value.Facts_;
+  const ServerFacts &Facts = Value.Facts_;
+  const bool IsTaken =
+      std::any_of(Servers_.begin(), Servers_.end(), [&Facts](const auto &Each) {
+        return Each.first != Facts.Id_ &&
+               Each.second.Facts_.Address_ == Facts.Address_;
+      });
+  if (IsTaken || isOver(Facts.Id_))
+    return {Verdict::Refused, {}};
+  Lives_.begin(Facts.Id_, Facts.Address_);
+  const auto [Place, IsNew] = Servers_.try_emplace(Facts.Id_);
+  Place->second.Facts_ = Facts;
   return {IsNew ? Verdict::Done : Verdict::AlreadyDone, {}};
 }
 
@@ -163,6 +175,8 @@
 }
 
 CommandResult JobBook::apply(const RemoveServer &Value) {
+  if (Value.IsOver_)
+    Lives_.end(Value.Id_);
   const auto Found = Servers_.find(Value.Id_);
   if (Found == Servers_.end())
     return {Verdict::AlreadyDone, {}};
@@ -514,6 +528,8 @@
     Image.Jobs_.push_back(Job);
   for (const auto &[Id, Server] : Servers_)
     Image.Servers_.push_back(Server.Facts_);
+  Image.Lives_ = Lives_.Latest_;
+  Image.LivesOver_ = {Lives_.Over_.begin(), Lives_.Over_.end()};
   return packing::pack(Image);
 }
 
@@ -527,6 +543,8 @@
   Book.NextSequence_ = Image.NextSequence_;
   for (ServerFacts &Facts : Image.Servers_)
     Book.Servers_[Facts.Id_].Facts_ = Facts;
+  Book.Lives_.Latest_ = std::move(Image.Lives_);
+  Book.Lives_.Over_ = {Image.LivesOver_.begin(), Image.LivesOver_.end()};
   for (JobRecord &Job : Image.Jobs_)
     Book.Jobs_[Job.Spec_.Id_] = std::move(Job);
   Book.rebuildIndexes();
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -1,6 +1,7 @@
 #include "tulipweir/jobs/JobLeader.h"
 
 #include "jobs/Dispatcher.h"
+#include "jobs/Newcomers.h"
 #include "jobs/PaceGuard.h"
 #include "jobs/PaceSetter.h"
 #include "jobs/ServerBoard.h"
@@ -8,7 +9,6 @@
 
 #include <algorithm>
 #include <array>
-#include <deque>
 #include <set>
 
 using namespace tulipweir;
@@ -23,8 +23,8 @@
 /// How long a server that leaves is waited for: a report takes some
 /// milliseconds, also over a queue of others.
 static constexpr Duration LeavePause = 150ms;
-/// How long a report of a life that has ended may still be on its way.
-static constexpr Duration RetiredFor = 60s;
+/// How soon a life that claims a taken address is asked again.
+static constexpr std::uint64_t NewcomerReportMs = 250;
 /// A filling task slower than that is moved, if there is room elsewhere, unless
 /// it is nearly done.
 static constexpr std::uint64_t LeastPaceToStay = 40;
@@ -102,7 +102,8 @@
   void openDue();
   void startGang();
   void forgetEnded();
-  void removeServer(const std::string &Id, const std::string &Why,
+  /// IsOver: for good, so that what may still come of it is late.
+  void removeServer(const std::string &Id, const std::string &Why, bool IsOver,
                     ResultCallback Done);
   void propose(const Command &Value, ResultCallback Done);
   auto failNotLeading() const;
@@ -111,11 +112,11 @@
   void show(const JobCall &Call, const Done<JobCallReply> &Reply) const;
   void cancel(const JobCall &Call, const Done<JobCallReply> &Reply);
 
-  bool isRetired(const std::string &Id) const;
-  void retire(const std::string &Id);
   void noteLateEnds(const ServerReport &Report,
                     const Done<ServerOrders> &Reply);
   void admit(const HandlingPtr &Current);
+  bool takeOver(const std::string &Occupant, const ServerFacts &Newcomer);
+  void addServer(const HandlingPtr &Current);
   void noteEnds(const HandlingPtr &Current);
   void startTasks(const HandlingPtr &Current);
   void answer(const HandlingPtr &Current);
@@ -153,7 +154,9 @@
   ServerHealth Health_;
   Dispatcher Dispatcher_{Effects_, Paces_, Health_};
   PaceSetter Setter_{Time_, Machine_, Dispatcher_, Log_, Effects_, Paces_};
-  std::deque<std::pair<std::string, TimePoint>> Retired_;
+  Newcomers Newcomers_;
+  /// Lives whose end is decided, until that is stored.
+  std::set<std::string> Leaving_;
   std::map<std::string, TimePoint> EndedSince_;
   /// Of open jobs that this leader accepted itself.
   std::map<std::string, TimePoint> AcceptedAt_;
@@ -184,6 +187,8 @@
   Paces_.reset();
   Effects_.reset();
   Health_.reset();
+  Newcomers_.reset();
+  Leaving_.clear();
   EndedSince_.clear();
   AcceptedAt_.clear();
   Started_.clear();
@@ -295,8 +300,10 @@
 }
 
 void JobLeader::Impl::removeServer(const std::string &Id,
-                                   const std::string &Why,
+                                   const std::string &Why, bool IsOver,
                                    ResultCallback Done) {
+  if (IsOver)
+    Leaving_.insert(Id);
   if (ServerLive *Live = Board_.find(Id))
     Live->IsRemoving_ = true;
   Event Line;
@@ -314,8 +321,9 @@
     const ServerRecord *Server = Book.findServer(Id);
     return Server ? Server->Placed_.size() : 0;
   }));
-  propose(RemoveServer{Id, Board_.listSaved(Id)},
+  propose(RemoveServer{Id, Board_.listSaved(Id), IsOver},
           [this, Id, Done = std::move(Done)](Outcome<CommandResult> Result) {
+            Leaving_.erase(Id);
             // Unknown or refused: asked again at the next tick.
             if (ServerLive *Live = Board_.find(Id))
               Live->IsRemoving_ = false;
@@ -327,7 +335,7 @@
 
 void JobLeader::Impl::removeLapsed() {
   for (const std::string &Id : Board_.listLapsed(Time_.now()))
-    removeServer(Id, "silent until its lease ran out",
+    removeServer(Id, "silent until its lease ran out", /*IsOver=*/false,
                  [](const Outcome<CommandResult> &) {});
 }
 
@@ -552,28 +560,16 @@
 
 // Backend servers.
 
-bool JobLeader::Impl::isRetired(const std::string &Id) const {
-  return std::any_of(Retired_.begin(), Retired_.end(),
-                     [&Id](const auto &Each) { return Each.first == Id; });
-}
-
-void JobLeader::Impl::retire(const std::string &Id) {
-  const TimePoint Now = Time_.now();
-  while (!Retired_.empty() && Now - Retired_.front().second > RetiredFor)
-    Retired_.pop_front();
-  Retired_.emplace_back(Id, Now);
-}
-
 void JobLeader::Impl::leave(const std::string &ServerId, Done<void> Reply) {
   if (!isLeading())
     return Reply(failNotLeading());
-  retire(ServerId);
+  Leaving_.insert(ServerId);
   // Its last report may have been overtaken on the way; an end in it counts.
   Strand_.postAfter(LeavePause, [Weak = weak_from_this(), ServerId, Reply] {
     const std::shared_ptr<Impl> Self = Weak.lock();
     if (!Self || !Self->isLeading())
       return Reply(fail(ErrorCode::NotLeader, ""));
-    Self->removeServer(ServerId, "it left",
+    Self->removeServer(ServerId, "it left", /*IsOver=*/true,
                        [Reply](const Outcome<CommandResult> &Result) {
                          if (!Result)
                            return Reply(Result.error());
@@ -587,7 +583,12 @@
     return Reply(failNotLeading());
   // A late report of a life that is over: what it has done counts, but it is
   // told nothing.
-  if (isRetired(Report.Facts_.Id_))
+  const std::string &Id = Report.Facts_.Id_;
+  const bool IsOver =
+      Leaving_.count(Id) != 0 || Machine_.read([&Id](const JobBook &Book) {
+        return !Book.findServer(Id) && Book.isOver(Id);
+      });
+  if (IsOver)
     return noteLateEnds(Report, Reply);
   const auto Current = std::make_shared<Handling>();
   Current->Report_ = std::move(Report);
@@ -628,13 +629,47 @@
   if (ServerLive *Live = Board_.find(Facts.Id_); Live && Live->IsRemoving_)
     return Current->Reply_(
         fail(ErrorCode::Unavailable, "the server is being removed"));
-  for (const std::string &Id : Replaced) {
-    retire(Id);
-    removeServer(Id, "another life runs at its address",
-                 [](const Outcome<CommandResult> &) {});
-  }
   if (IsKnown)
     return noteEnds(Current);
+  for (const std::string &Occupant : Replaced)
+    if (!takeOver(Occupant, Facts)) {
+      ServerOrders Later;
+      Later.NextReportMs_ = NewcomerReportMs;
+      return Current->Reply_(std::move(Later));
+    }
+  addServer(Current);
+}
+
+/// Ends the life at the newcomer's address if the newcomer has proved that it
+/// is the later one; else says false.
+bool JobLeader::Impl::takeOver(const std::string &Occupant,
+                               const ServerFacts &Newcomer) {
+  const TimePoint Now = Time_.now();
+  const ServerLive *Live = Board_.find(Occupant);
+  if (Live && Live->IsRemoving_)
+    return true;
+  Newcomers_.note(Newcomer.Id_, Live ? Live->LastHeard_ : TimePoint::min(),
+                  Now);
+  if (!Newcomers_.mayTakeOver(Newcomer.Id_, Now)) {
+    Event Line;
+    Line.Kind_ = EventKind::ServerWaits;
+    Line.Server_ = Newcomer.Id_;
+    Line.Reason_ = Occupant + " was heard at its address";
+    if (Live)
+      Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Now - Live->LastHeard_)
+                        .count();
+    Log_.write(Line);
+    return false;
+  }
+  Newcomers_.forget(Newcomer.Id_);
+  removeServer(Occupant, "another life runs at its address", /*IsOver=*/true,
+               [](const Outcome<CommandResult> &) {});
+  return true;
+}
+
+void JobLeader::Impl::addServer(const HandlingPtr &Current) {
+  const ServerFacts &Facts = Current->Report_.Facts_;
   Event Line;
   Line.Kind_ = EventKind::ServerSeen;
   Line.Server_ = Facts.Id_;
@@ -644,6 +679,10 @@
           [this, Current](const Outcome<CommandResult> &Applied) {
             if (!Applied)
               return Current->Reply_(Applied.error());
+            if (Applied.value().Verdict_ == Verdict::Refused)
+              return Current->Reply_(
+                  fail(ErrorCode::Unavailable,
+                       "another life of the server holds its address"));
             noteEnds(Current);
           });
 }
--- a/src/jobs/JobPacking.h
+++ b/src/jobs/JobPacking.h
@@ -61,7 +61,9 @@
 inline auto fields(SavedWork &X) {
   return std::tie(X.Task_, X.Run_, X.Checkpoint_);
 }
-inline auto fields(RemoveServer &X) { return std::tie(X.Id_, X.Saved_); }
+inline auto fields(RemoveServer &X) {
+  return std::tie(X.Id_, X.Saved_, X.IsOver_);
+}
 inline auto fields(TaskStart &X) {
   return std::tie(X.Task_, X.Run_, X.Server_);
 }
@@ -72,6 +74,7 @@
 inline auto fields(EndTasks &X) { return std::tie(X.Server_, X.Ends_); }
 inline auto fields(ForgetJobs &X) { return std::tie(X.Ids_); }
 
+inline auto fields(LifeAtAddress &X) { return std::tie(X.Address_, X.Id_); }
 inline auto fields(Placement &X) { return std::tie(X.Run_, X.Server_); }
 inline auto fields(TaskRecord &X) {
   return std::tie(X.State_, X.LastRun_, X.FailedRuns_, X.LastFailedRun_,
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -169,6 +169,12 @@
     Report.Sequence_ = ++Sequences_[Id];
     return Report;
   }
+  /// The next report of a life at the address of the server Place.
+  ServerReport makeLife(const std::string &Id, const std::string &Place) {
+    ServerReport Report = makeReport(Id);
+    Report.Facts_.Address_ = makeServer(Place).Address_;
+    return Report;
+  }
   std::optional<Outcome<ServerOrders>> tryReport(const ServerReport &Report) {
     auto Got = std::make_shared<std::optional<Outcome<ServerOrders>>>();
     Leader_.report(Report, [Got](Outcome<ServerOrders> Reply) {
