Links notice a connection that went silent for good

Our links relied on TCP_USER_TIMEOUT (only while bytes are unacknowledged) and on a keep-alive of two hours; a middle box that acknowledges hides even that. Replication is one-way, so a silent link between controls was never given up, and a new leader could not be elected over it.

Ruled out: short TCP probes alone (seen by the next hop's kernel only); closing after a call's timeout alone (replication makes no calls).

Change: the client asks for a sign of life when it has heard nothing between two looks and closes a look later; the server closes what it heard nothing of for eight. 500 ms a look between controls and entries, 2 s elsewhere. Link version 2. A connection with unread bytes is not closed after a freeze.

Tests: LinkTest.clientLeaves..., serverCloses..., aConnectionWithoutFrames...; all three red with the looks taken out.

--- a/include/tulipweir/net/Link.h
+++ b/include/tulipweir/net/Link.h
@@ -35,6 +35,11 @@
   /// A peer that takes nothing of what was sent for this long is taken for
   /// gone or frozen: the connection is closed and its queue dropped.
   Duration WriteStallTimeout_ = std::chrono::seconds(5);
+  /// How often a client looks whether it has heard anything from its peer. If
+  /// not, it asks for a sign of life, and a look later closes the connection:
+  /// one that went silent shows no other way. The server closes what it has
+  /// heard nothing of for several looks.
+  Duration LifeCheckInterval_ = std::chrono::seconds(2);
   /// Bytes that may wait to be sent before calls fail with Unavailable.
   std::uint64_t MaxQueuedBytes_ = 64UL * 1024 * 1024;
 };
--- a/src/jobservice/MemberLinks.cpp
+++ b/src/jobservice/MemberLinks.cpp
@@ -10,6 +10,10 @@
 static constexpr Duration StallTimeout = 1500ms;
 static constexpr Duration HandshakeTimeout = 1s;
 static constexpr Duration LongestReconnectPause = 300ms;
+/// Two to three of these, and an election after, stay within the three seconds
+/// in which a connection that went silent must be noticed; one is far above the
+/// 0.1 s for which a busy leader may keep others waiting.
+static constexpr Duration LifeCheckInterval = 500ms;
 
 net::LinkSettings
 jobservice::makeMemberLinkSettings(const std::string &Secret) {
@@ -18,6 +22,7 @@
   Settings.WriteStallTimeout_ = StallTimeout;
   Settings.HandshakeTimeout_ = HandshakeTimeout;
   Settings.ReconnectLast_ = LongestReconnectPause;
+  Settings.LifeCheckInterval_ = LifeCheckInterval;
   return Settings;
 }
 
--- a/src/net/LinkConnection.cpp
+++ b/src/net/LinkConnection.cpp
@@ -13,6 +13,10 @@
 /// An idle connection gives a larger buffer than this back.
 static constexpr std::size_t KeptBufferBytes = 256UL * 1024;
 
+/// A server that hears nothing for so many looks closes: a client that lives
+/// has asked for a sign of life several times by then.
+static constexpr unsigned MostSilentLooksOfServer = 8;
+
 LinkCounters LinkTally::read() const {
   return {FramesSent_,    FramesReceived_,    BytesSent_,
           BytesReceived_, HandshakesRefused_, FramesMalformed_};
@@ -140,11 +144,57 @@
 
 void LinkConnection::open() {
   Opened_ = true;
-  Timer_.cancel();
   Owner_.OnOpen_(shared_from_this());
+  watchLife();
   read();
 }
 
+void LinkConnection::watchLife() {
+  Timer_.expires_after(Settings_.LifeCheckInterval_);
+  Timer_.async_wait([Self = shared_from_this()](error_code Problem) {
+    if (!Problem && Self->Socket_.is_open())
+      Self->lookForLife();
+  });
+}
+
+/// A connection can go silent for good without being closed, while new ones to
+/// the same peer work.
+void LinkConnection::lookForLife() {
+  error_code Ignored;
+  // What has come and was not read yet counts: this process may have stood
+  // still.
+  const bool HasHeard =
+      std::exchange(HasHeard_, false) || Socket_.available(Ignored) > 0;
+  SilentLooks_ = HasHeard ? 0 : SilentLooks_ + 1;
+  const unsigned MostSilentLooks =
+      Role_ == LinkRole::Client ? 2 : MostSilentLooksOfServer;
+  if (SilentLooks_ >= MostSilentLooks)
+    return closeNow(
+        Error::make(ErrorCode::Unavailable, "the peer has gone silent"));
+  if (Role_ == LinkRole::Client && SilentLooks_ == 1)
+    sendSign(FrameType::AskLife);
+  watchLife();
+}
+
+/// Signs of life are no frames to the owner, and are not counted as such.
+void LinkConnection::sendSign(FrameType Type) {
+  {
+    const std::lock_guard Hold(OutLock_);
+    if (Closed_)
+      return;
+    appendFrame(Pending_, wire::MessageKind::Replication, Type, 0, "");
+    if (std::exchange(Flushing_, true))
+      return;
+  }
+  flush();
+}
+
+bool LinkConnection::takeSignOfLife(const LinkFrame &Frame) {
+  if (Frame.Type_ == FrameType::AskLife && Role_ == LinkRole::Server)
+    sendSign(FrameType::Life);
+  return Frame.Type_ == FrameType::AskLife || Frame.Type_ == FrameType::Life;
+}
+
 void LinkConnection::read() {
   const std::size_t Room = std::clamp(Input_.size(), ReadBytes, MostReadBytes);
   Socket_.async_read_some(
@@ -159,6 +209,7 @@
     return closeNow(
         Error::make(ErrorCode::Unavailable, "the connection was closed"));
   Tally_->BytesReceived_ += Size;
+  HasHeard_ = true;
   Input_.commit(Size);
   std::string_view Rest(static_cast<const char *>(Input_.data().data()),
                         Input_.size());
@@ -170,6 +221,8 @@
     }
     if (!Frame.value())
       break;
+    if (takeSignOfLife(*Frame.value()))
+      continue;
     ++Tally_->FramesReceived_;
     Owner_.OnFrame_(shared_from_this(), std::move(*Frame.value()));
   }
--- a/src/net/LinkConnection.h
+++ b/src/net/LinkConnection.h
@@ -70,6 +70,10 @@
   Outcome<LinkHello> takeStep(const LinkHello &Theirs);
   void refuse(const Error &Why);
   void open();
+  void watchLife();
+  void lookForLife();
+  void sendSign(FrameType Type);
+  bool takeSignOfLife(const LinkFrame &Frame);
   void read();
   void onRead(boost::system::error_code Problem, std::size_t Size);
   void flush();
@@ -85,6 +89,8 @@
   LinkHandshake Handshake_;
   unsigned Step_ = 0;
   bool Opened_ = false;
+  bool HasHeard_ = false;    ///< Since the last look for life.
+  unsigned SilentLooks_ = 0; ///< In a row.
   std::optional<Error> ClosesAfterWrite_;
   std::array<char, HelloBytes> Hello_{};
   boost::beast::flat_buffer Input_;
--- a/src/net/LinkFrame.cpp
+++ b/src/net/LinkFrame.cpp
@@ -42,7 +42,7 @@
                 "a frame of " + std::to_string(Size) +
                     " bytes; allowed: " + std::to_string(MaxBodyBytes));
   const auto Type = static_cast<FrameType>(Header[TypeAt]);
-  if (Type > FrameType::Failure)
+  if (Type > FrameType::Life)
     return fail(ErrorCode::Malformed, "a frame of unknown type");
   if (Input.size() - FrameHeaderBytes < Size)
     return std::optional<LinkFrame>();
--- a/src/net/LinkFrame.h
+++ b/src/net/LinkFrame.h
@@ -23,6 +23,8 @@
   OneWay = 1, ///< Wants none.
   Answer = 2,
   Failure = 3, ///< The body is an error.
+  AskLife = 4, ///< Wants a sign of life; has no body.
+  Life = 5,    ///< That sign.
 };
 
 struct LinkFrame {
--- a/src/net/LinkHandshake.h
+++ b/src/net/LinkHandshake.h
@@ -19,7 +19,7 @@
 
 namespace tulipweir::net {
 
-inline constexpr std::uint16_t LinkVersion = 1;
+inline constexpr std::uint16_t LinkVersion = 2;
 inline constexpr std::size_t ChallengeBytes = 32;
 inline constexpr std::size_t HelloBytes = 72;
 
--- a/tests/net/LinkFrameTest.cpp
+++ b/tests/net/LinkFrameTest.cpp
@@ -10,7 +10,7 @@
 
 static LinkFrame makeRandomFrame(std::mt19937 &Random) {
   LinkFrame Frame{static_cast<wire::MessageKind>(Random() % 0x10000),
-                  static_cast<FrameType>(Random() % 4), Random(), ""};
+                  static_cast<FrameType>(Random() % 6), Random(), ""};
   Frame.Call_ <<= Random() % 33;
   Frame.Body_.resize(Random() % (Limit + 1), static_cast<char>(Random()));
   return Frame;
@@ -55,7 +55,7 @@
 
 TEST(LinkFrameTest, refusesUnknownTypes) {
   std::string Bytes;
-  appendFrame(Bytes, wire::MessageKind::Replication, FrameType{4}, 1, "");
+  appendFrame(Bytes, wire::MessageKind::Replication, FrameType{6}, 1, "");
   std::string_view Input = Bytes;
   EXPECT_EQ(takeFrame(Input, Limit).error().Code_, ErrorCode::Malformed);
 }
--- a/tests/net/LinkTest.cpp
+++ b/tests/net/LinkTest.cpp
@@ -348,3 +348,40 @@
   EXPECT_EQ(Answer.get().error().Code_, ErrorCode::Timeout);
   EXPECT_EQ(getCallError("hi"), ErrorCode::Unavailable);
 }
+
+TEST_F(LinkTest, clientLeavesAConnectionThatWentSilentForANewOne) {
+  const RawSocket Listener = RawSocket::listen();
+  Listen_ = Listener.getAddress();
+  Settings_.LifeCheckInterval_ = 100ms;
+  startClient(Settings_);
+  // Takes everything and says nothing, though its machine still acknowledges.
+  const RawSocket Silent = acceptClient(Listener);
+  auto Lost = call("hi");
+  RawSocket Next = Listener.accept();
+  EXPECT_TRUE(LinkHello::decode(Next.readBytes(HelloBytes)));
+  EXPECT_FALSE(Lost.get());
+}
+
+TEST_F(LinkTest, aConnectionWithoutFramesIsKeptWhileThePeerLives) {
+  // Far above what a busy machine keeps a thread waiting.
+  Settings_.LifeCheckInterval_ = 1s;
+  startBoth();
+  const std::uint64_t Before = Server_->getCounters().BytesReceived_;
+  // A question is a header. The second one follows an answer.
+  ASSERT_TRUE(waitUntil([&] {
+    return Server_->getCounters().BytesReceived_ >=
+           Before + 2 * FrameHeaderBytes;
+  }));
+  EXPECT_EQ(Server_->getCounters().BytesReceived_,
+            Before + 2 * FrameHeaderBytes)
+      << "no second handshake";
+  EXPECT_EQ(Server_->getCounters().FramesReceived_, 0U);
+  EXPECT_TRUE(Client_->isConnected());
+}
+
+TEST_F(LinkTest, serverClosesAConnectionThatWentSilent) {
+  Settings_.LifeCheckInterval_ = 5ms;
+  startServer(Settings_);
+  RawSocket Silent = shakeHands();
+  EXPECT_TRUE(Silent.readBytes(1).empty()) << "it was closed, not answered";
+}
