--- /dev/null
+++ b/bench/platform/FleetWorld.h
@@ -0,0 +1,99 @@
+//===- FleetWorld.h - Backend servers and clients as arithmetic -*- C++ -*-===//
+//
+// Several hundred servers whose tasks run by a manual clock, each reporting in
+// the platform's words, and clients that hand in three kinds of jobs: short
+// ones, ones that fill, ones that serve until they are cancelled. What they
+// speak to is a FleetTarget. The same seed gives the same day, as far as the
+// target answers alike.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_BENCH_PLATFORM_FLEETWORLD_H
+#define TULIPWEIR_BENCH_PLATFORM_FLEETWORLD_H
+
+#include "FleetTarget.h"
+
+#include <nlohmann/json.hpp>
+
+#include <random>
+
+namespace tulipweir::bench {
+
+/// Sizes as on the users' sheets for their grown deployments.
+struct FleetLoad {
+  int Servers_ = 350;
+  double ShortPerSecond_ = 16;
+  double FillingPerSecond_ = 13;
+  int LastingJobs_ = 110;
+  int TasksOfShort_ = 10;
+  int TasksOfFilling_ = 20;
+  int TasksOfLasting_ = 14;
+  std::uint64_t Seed_ = 1;
+};
+
+struct FleetResult {
+  double Seconds_ = 0;       ///< Of the day that was simulated.
+  double TargetSeconds_ = 0; ///< Processor time in the target, if it is known.
+  std::uint64_t Reports_ = 0;
+  std::uint64_t Starts_ = 0;
+  std::uint64_t ShortDone_ = 0;
+  std::uint64_t ShortInTime_ = 0;
+  std::uint64_t FillingDone_ = 0;
+  std::uint64_t FillingInTime_ = 0;
+  double TailsOver_ = 0; ///< Share of the serving tasks' reports over target.
+};
+
+class FleetWorld {
+public:
+  FleetWorld(const FleetLoad &Load, FleetTarget &Target);
+  /// Goes on for so many seconds and says what happened in them.
+  FleetResult run(int Seconds);
+
+private:
+  struct Run {
+    std::uint64_t Number_ = 0;
+    std::string Kind_; ///< "s", "f" or "l" with the image's number.
+    double LeftMs_ = 0;
+    double TotalMs_ = 0;
+    std::int64_t Cpu_ = 0;
+    double Pace_ = 1;
+  };
+  struct Server {
+    std::string Id_;
+    std::string Rack_;
+    std::map<std::string, Run> Running_;
+    std::vector<nlohmann::json> Ended_;
+    std::uint64_t LastEnd_ = 0;
+    std::uint64_t Sequence_ = 0;
+    std::int64_t ReportAtMs_ = 0;
+    bool IsWaiting_ = false; ///< For an answer.
+  };
+  struct Job {
+    std::int64_t HandedInMs_ = 0;
+    std::int64_t DueMs_ = 0;
+    bool IsFilling_ = false;
+  };
+
+  void handIn(char Kind);
+  void work(Server &Own, int StepMs);
+  void report(Server &Own);
+  void obey(Server &Own, const std::string &Answer);
+  void look();
+  double getTail(const Server &Own, const Run &Serving);
+  double draw(double Mean, double Spread);
+
+  const FleetLoad Load_;
+  std::mt19937_64 Random_;
+  FleetTarget &Target_;
+  std::vector<Server> Servers_;
+  std::map<std::string, Job> Jobs_;
+  std::int64_t NowMs_ = 0;
+  std::uint64_t NextJob_ = 1;
+  FleetResult Result_;
+  std::uint64_t TailsSeen_ = 0;
+  std::uint64_t TailsOver_ = 0;
+};
+
+} // namespace tulipweir::bench
+
+#endif // TULIPWEIR_BENCH_PLATFORM_FLEETWORLD_H
--- /dev/null
+++ b/bench/platform/LeaderTarget.cpp
@@ -0,0 +1,69 @@
+#include "LeaderTarget.h"
+
+#include "platform/Wire.h"
+
+#include <ctime>
+
+using namespace tulipweir;
+using namespace tulipweir::bench;
+using namespace tulipweir::jobs;
+
+static constexpr const char *Host = "jobs.example";
+
+/// Processor time of this thread so far.
+static double getThreadSeconds() {
+  timespec Now{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Now);
+  return double(Now.tv_sec) + double(Now.tv_nsec) / 1e9;
+}
+
+LeaderTarget::LeaderTarget() {
+  Leader_.start();
+  advance(100);
+}
+
+void LeaderTarget::spend(const std::function<void()> &Work) {
+  const double Begin = getThreadSeconds();
+  Work();
+  Strand_.runAll();
+  Seconds_ += getThreadSeconds() - Begin;
+}
+
+void LeaderTarget::configure(const std::string &Body) {
+  spend([&] {
+    Leader_.putConfiguration(platform::parseConfiguration(Body).value(),
+                             [](const Outcome<void> &) {});
+  });
+}
+
+void LeaderTarget::submit(const std::string &Path, const std::string &Body) {
+  spend([&] {
+    Leader_.call(
+        {CallKind::Submit, Host, Path, platform::parseJob(Body).value()},
+        [](const Outcome<JobCallReply> &) {});
+  });
+}
+
+void LeaderTarget::report(const std::string &Server, const std::string &Body,
+                          Answered Done) {
+  std::string Answer;
+  spend([&] {
+    Leader_.report(platform::parseHeartbeat(Server, Body).value(),
+                   [&Answer](const Outcome<ServerOrders> &Orders) {
+                     if (Orders)
+                       Answer = platform::renderOrders(Orders.value(), "");
+                   });
+  });
+  Done(Answer);
+}
+
+void LeaderTarget::advance(int Ms) {
+  spend([&] { Strand_.advance(std::chrono::milliseconds(Ms)); });
+}
+
+bool LeaderTarget::isCompleted(const std::string &Path) {
+  return Machine_.read([&Path](const JobBook &Book) {
+    const JobRecord *Job = Book.findJob(Path.substr(Path.rfind('/') + 1));
+    return Job && Job->State_ == JobState::Completed;
+  });
+}
--- /dev/null
+++ b/bench/platform/LeaderTarget.h
@@ -0,0 +1,44 @@
+//===- LeaderTarget.h - A leader driven by hand ----------------*- C++ -*-===//
+//
+// Over a replica that commits at once: the leader's own processor time, without
+// network, log and disk.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_BENCH_PLATFORM_LEADERTARGET_H
+#define TULIPWEIR_BENCH_PLATFORM_LEADERTARGET_H
+
+#include "FleetTarget.h"
+
+#include "jobs/LeaderFixture.h"
+
+namespace tulipweir::bench {
+
+class LeaderTarget final : public FleetTarget {
+public:
+  LeaderTarget();
+  void configure(const std::string &Body) override;
+  void submit(const std::string &Path, const std::string &Body) override;
+  void report(const std::string &Server, const std::string &Body,
+              Answered Done) override;
+  void advance(int Ms) override;
+  bool isCompleted(const std::string &Path) override;
+  double getSeconds() override { return Seconds_; }
+
+private:
+  /// Runs Work and counts its time.
+  void spend(const std::function<void()> &Work);
+
+  ManualClock Time_;
+  jobs::test::ManualExecutor Strand_{Time_};
+  jobs::JobMachine Machine_;
+  jobs::test::ManualReplica Group_{Machine_};
+  NoEventLog Log_;
+  jobs::NoJobMeter Meter_;
+  jobs::JobLeader Leader_{{}, Time_, Strand_, Group_, Machine_, Log_, Meter_};
+  double Seconds_ = 0;
+};
+
+} // namespace tulipweir::bench
+
+#endif // TULIPWEIR_BENCH_PLATFORM_LEADERTARGET_H
--- /dev/null
+++ b/bench/platform/ProcessTarget.cpp
@@ -0,0 +1,79 @@
+#include "ProcessTarget.h"
+
+#include <chrono>
+#include <thread>
+
+using namespace tulipweir;
+using namespace tulipweir::bench;
+using namespace std::chrono_literals;
+
+/// Later answers are not taken, as by the platform's servers.
+static constexpr auto Patience = 1s;
+/// One connection for each server, and some.
+static constexpr std::uint32_t MostConnections = 2000;
+
+static net::HttpClientSettings makeClientSettings() {
+  net::HttpClientSettings Settings;
+  Settings.MaxConnectionsPerPeer_ = MostConnections;
+  return Settings;
+}
+
+ProcessTarget::ProcessTarget(const net::Endpoint &Control,
+                             const net::Endpoint &Entry)
+    : Control_(Control), Entry_(Entry),
+      Client_(Pool_.context(), makeClientSettings()) {}
+
+ProcessTarget::~ProcessTarget() { Pool_.stop(); }
+
+void ProcessTarget::send(const net::Endpoint &To, const char *Method,
+                         const std::string &Path, const std::string &Body,
+                         Answered Done) {
+  net::HttpRequest Request;
+  Request.Method_ = Method;
+  Request.Path_ = Path;
+  Request.Headers_ = {{"Host", "jobs.example"},
+                      {"Content-Type", "application/json"}};
+  Request.Body_ = Body;
+  Client_.send(
+      To, std::move(Request), std::chrono::steady_clock::now() + Patience,
+      [this, Done = std::move(Done)](const net::HttpResult &Result) {
+        const bool IsGood =
+            Result.Response_ && Result.Response_.value().Status_ == 200;
+        std::string Text = IsGood ? Result.Response_.value().Body_ : "";
+        const std::lock_guard Hold(Lock_);
+        Answers_.push_back([Done, Text = std::move(Text)] { Done(Text); });
+      });
+}
+
+void ProcessTarget::configure(const std::string &Body) {
+  bool IsTaken = false;
+  while (!IsTaken) {
+    send(Control_, "PUT", "/api/config", Body,
+         [&IsTaken](const std::string &Answer) { IsTaken = !Answer.empty(); });
+    advance(static_cast<int>(std::chrono::milliseconds(Patience).count()));
+  }
+}
+
+void ProcessTarget::submit(const std::string &Path, const std::string &Body) {
+  send(Entry_, "POST", Path, Body, [](const std::string &) {});
+}
+
+void ProcessTarget::report(const std::string &Server, const std::string &Body,
+                           Answered Done) {
+  send(Control_, "PUT", "/api/instances/" + Server, Body, std::move(Done));
+}
+
+void ProcessTarget::advance(int Ms) {
+  const auto End =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(Ms);
+  while (std::chrono::steady_clock::now() < End) {
+    std::deque<std::function<void()>> Ready;
+    {
+      const std::lock_guard Hold(Lock_);
+      Ready.swap(Answers_);
+    }
+    for (const std::function<void()> &Each : Ready)
+      Each();
+    std::this_thread::sleep_for(1ms);
+  }
+}
--- /dev/null
+++ b/bench/platform/ProcessTarget.h
@@ -0,0 +1,49 @@
+//===- ProcessTarget.h - Programs that run ---------------------*- C++ -*-===//
+//
+// A control and an entry at the addresses given, over HTTP and in real time.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_BENCH_PLATFORM_PROCESSTARGET_H
+#define TULIPWEIR_BENCH_PLATFORM_PROCESSTARGET_H
+
+#include "FleetTarget.h"
+
+#include "tulipweir/net/HttpClient.h"
+#include "tulipweir/net/IoPool.h"
+
+#include <deque>
+#include <mutex>
+#include <set>
+
+namespace tulipweir::bench {
+
+class ProcessTarget final : public FleetTarget {
+public:
+  ProcessTarget(const net::Endpoint &Control, const net::Endpoint &Entry);
+  ~ProcessTarget() override;
+  void configure(const std::string &Body) override;
+  void submit(const std::string &Path, const std::string &Body) override;
+  void report(const std::string &Server, const std::string &Body,
+              Answered Done) override;
+  void advance(int Ms) override;
+  /// Not asked for: it would be load of its own.
+  bool isCompleted(const std::string &) override { return false; }
+  /// Measured from outside, by the process's id.
+  double getSeconds() override { return 0; }
+
+private:
+  void send(const net::Endpoint &To, const char *Method,
+            const std::string &Path, const std::string &Body, Answered Done);
+
+  const net::Endpoint Control_;
+  const net::Endpoint Entry_;
+  std::mutex Lock_;
+  std::deque<std::function<void()>> Answers_; ///< Guarded by Lock_.
+  net::IoPool Pool_{1};
+  net::HttpClient Client_;
+};
+
+} // namespace tulipweir::bench
+
+#endif // TULIPWEIR_BENCH_PLATFORM_PROCESSTARGET_H
--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -114,11 +114,15 @@
   if(NOT TULIPWEIR_PARTS STREQUAL "all")
     return()
   endif()
-  # The heartbeat's bench drives a leader by hand, as the tests do.
+  # The benches drive a leader by hand, as the tests do.
   add_executable(bench_platform bench/platform/HeartbeatBench.cpp)
-  target_include_directories(bench_platform PRIVATE ${CMAKE_SOURCE_DIR}/tests)
-  target_link_libraries(bench_platform PRIVATE tulipweir_platform
-                        GTest::gtest)
+  file(GLOB WORLD CONFIGURE_DEPENDS bench/platform/Fleet*.cpp
+       bench/platform/*Target.cpp)
+  add_executable(bench_fleetworld ${WORLD})
+  foreach(BENCH bench_platform bench_fleetworld)
+    target_include_directories(${BENCH} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+    target_link_libraries(${BENCH} PRIVATE tulipweir_platform GTest::gtest)
+  endforeach()
   file(GLOB TESTS CONFIGURE_DEPENDS tests/platform/*.cpp)
   if(TESTS)
     add_executable(test_platform ${TESTS})
@@ -129,14 +133,23 @@
   endif()
 endfunction()
 
-# Builds the test program of the platform's programs as whole processes.
+# Builds the test programs of the platform's programs as whole processes, and
+# that of random faults on them.
 function(tulipweir_platform_system_test)
-  file(GLOB SOURCES CONFIGURE_DEPENDS tests/platform/system/*.cpp)
-  add_executable(test_systemPlatform ${SOURCES})
-  target_link_libraries(test_systemPlatform PRIVATE system_support
-                        GTest::gtest GTest::gtest_main)
-  add_dependencies(test_systemPlatform tulipweir-platform-entry
-                   tulipweir-platform-control)
-  add_test(NAME systemPlatform COMMAND test_systemPlatform)
-  set_tests_properties(systemPlatform PROPERTIES LABELS system)
+  file(GLOB HELPERS CONFIGURE_DEPENDS tests/platform/system/*.cpp)
+  list(FILTER HELPERS EXCLUDE REGEX "Test\\.cpp$")
+  foreach(NAME system soak)
+    file(GLOB SOURCES CONFIGURE_DEPENDS tests/platform/${NAME}/*.cpp)
+    string(REPLACE "system" "systemPlatform" PROGRAM ${NAME})
+    string(REPLACE "soak" "systemSoak" PROGRAM ${PROGRAM})
+    list(APPEND SOURCES ${HELPERS})
+    list(REMOVE_DUPLICATES SOURCES)
+    add_executable(test_${PROGRAM} ${SOURCES})
+    target_link_libraries(test_${PROGRAM} PRIVATE system_support
+                          GTest::gtest GTest::gtest_main)
+    add_dependencies(test_${PROGRAM} tulipweir-platform-entry
+                     tulipweir-platform-control)
+    add_test(NAME ${PROGRAM} COMMAND test_${PROGRAM})
+    set_tests_properties(${PROGRAM} PROPERTIES LABELS system)
+  endforeach()
 endfunction()
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -14,8 +14,8 @@
 #include "tulipweir/jobs/ServerLives.h"
 
 #include <map>
-#include <memory>
 #include <set>
+#include <unordered_map>
 
 namespace tulipweir::jobs {
 
@@ -83,8 +83,18 @@
 
 struct ServerRecord {
   ServerFacts Facts_;
-  Resources Used_;                          ///< By all that is placed.
   std::map<TaskKey, std::uint64_t> Placed_; ///< The run of each.
+
+  // Sums over what is placed, kept so that a leader need not go over it for
+  // each of a thousand reports a second. Processors in thousandths.
+  Resources Used_;
+  std::int64_t ServingCpus_ = 0; ///< Needed by tasks that serve.
+  std::int64_t OtherCpus_ = 0;   ///< Needed by all others.
+  std::map<std::string, std::uint64_t> Serving_;    ///< Tasks by image.
+  std::map<std::string, std::int64_t> FillingCpus_; ///< Needed, by image.
+
+  void add(const TaskKey &Task, std::uint64_t Run, const StepSpec &Step);
+  void remove(const TaskKey &Task, const StepSpec &Step);
 };
 
 /// A step with waiting tasks whose turn has come. Ordered as they are served.
@@ -112,7 +122,9 @@
   const TaskRecord *findTask(const TaskKey &Task) const;
   /// The step that the task belongs to; nullptr where the job or it is unknown.
   const StepSpec *findStep(const TaskKey &Task) const;
-  const std::map<std::string, JobRecord> &jobs() const { return Jobs_; }
+  const std::unordered_map<std::string, JobRecord> &jobs() const {
+    return Jobs_;
+  }
   const std::map<std::string, ServerRecord> &servers() const {
     return Servers_;
   }
@@ -127,7 +139,8 @@
   const std::set<std::string> &timedJobs() const { return Timed_; }
   /// Accepted jobs of the queue for which no task has started.
   std::uint64_t countPending(const std::string &QueueKey) const;
-  /// Why the start would be refused; empty if it would be taken.
+  /// Why the start would be refused; empty if it would be taken. Costs some map
+  /// look-ups.
   std::string findObjection(const TaskStart &Start) const;
 
   std::string encode() const;
@@ -169,7 +182,8 @@
                    const TaskStart &Member) const;
 
   Configuration Configuration_;
-  std::map<std::string, JobRecord> Jobs_;
+  /// Looked up for each task of each report.
+  std::unordered_map<std::string, JobRecord> Jobs_;
   std::map<std::string, ServerRecord> Servers_;
   ServerLives Lives_;
   std::uint64_t NextSequence_ = 1;
--- a/include/tulipweir/jobs/JobSpec.h
+++ b/include/tulipweir/jobs/JobSpec.h
@@ -37,6 +37,9 @@
   std::uint64_t MayMiss_ = 0;      ///< Tasks that may be away by our doing.
   bool operator==(const StepSpec &) const = default;
 
+  /// Whether its tasks serve users of their own.
+  bool isServing() const { return TailTargetMs_ > 0; }
+
   /// What one task takes of a server's capacity: a filling task's processors
   /// come out of what the others leave.
   Resources getReserved() const {
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -67,6 +67,12 @@
   std::uint64_t SnapshotEvery_ = 5'000;
   std::uint64_t Seed_ = 0;        ///< For election jitter.
   std::uint64_t MaxBatch_ = 1024; ///< Entries that share one sync; 1 for none.
+  /// Entries that are proposed within so long go out together. The first one
+  /// after a pause is not kept waiting.
+  Duration ProposalPause_ = Duration(0);
+  /// Appends that may be on their way to one member; while there are as many,
+  /// what is proposed gathers for the next one.
+  std::size_t MaxMessagesInFlight_ = 64;
   /// Whether the leader replaces, by committed changes, the old incarnation of
   /// a member that lost its disk by the one that now runs under its name.
   bool RejoinsLostDisks_ = true;
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -40,8 +40,6 @@
 /// What a server may start at once: a report's answer stays small.
 static constexpr std::size_t MostStartsAtOnce = 64;
 
-static bool isServing(const StepSpec &Step) { return Step.TailTargetMs_ > 0; }
-
 void Dispatcher::reset() {
   ReadySince_.clear();
   Taken_.clear();
@@ -82,55 +80,60 @@
 
 /// What a task is expected to use of what it reserves.
 static std::int64_t getUsedCpus(const StepSpec &Step) {
-  return isServing(Step) ? Step.Need_.MilliCpus_ * ServingUsePercent / Percent
-                         : Step.Need_.MilliCpus_;
+  return Step.isServing() ? Step.Need_.MilliCpus_ * ServingUsePercent / Percent
+                          : Step.Need_.MilliCpus_;
 }
 
-Dispatcher::Room Dispatcher::measureRoom(const JobBook &Book,
-                                         const ServerRecord &Server) const {
+Dispatcher::Room Dispatcher::measureRoom(const ServerRecord &Server) {
   Room Left;
   Left.Free_ = Server.Facts_.Capacity_ - Server.Used_;
-  Left.Idle_ = Server.Facts_.Capacity_.MilliCpus_;
-  for (const auto &[Task, Run] : Server.Placed_) {
-    const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
-    if (isServing(Step))
-      Left.Serving_.insert(Step.Image_);
-    Left.Idle_ -= getUsedCpus(Step);
-    if (Step.Fills_)
-      ++Left.Filling_;
-  }
+  Left.Idle_ = Server.Facts_.Capacity_.MilliCpus_ - Server.OtherCpus_ -
+               Server.ServingCpus_ * ServingUsePercent / Percent;
+  for (const auto &[Image, Count] : Server.Serving_)
+    Left.Serving_.insert(Image);
   return Left;
 }
 
 std::uint64_t Dispatcher::countBeside(const ServerRecord &Server,
-                                      const ReadyStep &Step) const {
+                                      const ReadyStep &Step) {
+  const TaskKey First{Step.Job_, Step.Occurrence_, Step.Step_, 0};
   std::uint64_t Beside = 0;
-  for (const auto &[Task, Run] : Server.Placed_)
-    if (Task.Job_ == Step.Job_ && Task.Occurrence_ == Step.Occurrence_ &&
-        Task.Step_ == Step.Step_)
-      ++Beside;
+  for (auto Each = Server.Placed_.lower_bound(First);
+       Each != Server.Placed_.end() && Each->first.Job_ == First.Job_ &&
+       Each->first.Occurrence_ == First.Occurrence_ &&
+       Each->first.Step_ == First.Step_;
+       ++Each)
+    ++Beside;
   return Beside;
 }
 
-bool Dispatcher::isFit(const StepSpec &Step, const ServerRecord &Server,
-                       const Room &Left, Duration Waited,
+/// Asked for each waiting step that fills, of which there are few images.
+bool Dispatcher::isDisturbing(const StepSpec &Step, Plan &Own) const {
+  const auto [Place, IsNew] = Own.Disturbs_.try_emplace(Step.Image_, false);
+  if (IsNew)
+    Place->second = Effects_.isDisturbingAny(Own.Left_.Serving_, Step.Image_);
+  return Place->second;
+}
+
+bool Dispatcher::isFit(const StepSpec &Step, Plan &Own, Duration Waited,
                        bool IsIdleJob) const {
+  const Room &Left = Own.Left_;
   if (!Step.getReserved().fitsIn(Left.Free_))
     return false;
-  if (!Step.DataRack_.empty() && Step.DataRack_ != Server.Facts_.Rack_ &&
+  if (!Step.DataRack_.empty() && Step.DataRack_ != Own.Server_.Facts_.Rack_ &&
       Waited < RackPatience)
     return false;
-  if (isServing(Step))
+  if (Step.isServing())
     return isFitToServe(Step, Left, Waited);
   if (Step.Fills_)
-    return isFitToFill(Step, Left, Waited, IsIdleJob);
+    return isFitToFill(Step, Own, Waited, IsIdleJob);
   return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
 }
 
 /// Tasks of one image together: which filling tasks disturb it differs from
 /// image to image, and where several serve, hardly any is left that may fill.
 bool Dispatcher::isFitToServe(const StepSpec &Step, const Room &Left,
-                              Duration Waited) const {
+                              Duration Waited) {
   // Long enough for the whole fleet to report twice; whoever waits serves
   // nobody.
   if (Left.Serving_.empty())
@@ -140,8 +143,9 @@
   return IsAmongEquals || Waited >= CompanyPatience;
 }
 
-bool Dispatcher::isFitToFill(const StepSpec &Step, const Room &Left,
-                             Duration Waited, bool IsIdleJob) const {
+bool Dispatcher::isFitToFill(const StepSpec &Step, Plan &Own, Duration Waited,
+                             bool IsIdleJob) const {
+  const Room &Left = Own.Left_;
   // Nobody waits for ever while there is room: where it disturbs it goes
   // slowly.
   if (IsIdleJob && IsRoomy_ && Waited >= IdleJobPatience)
@@ -150,7 +154,7 @@
     return false;
   if (Left.Serving_.empty())
     return true;
-  if (Effects_.isDisturbingAny(Left.Serving_, Step.Image_))
+  if (isDisturbing(Step, Own))
     return Step.Need_.MilliCpus_ <= Left.Budget_ &&
            Waited >= DisturbingPatience;
   return Left.Pace_.Others_ >= LeastPace;
@@ -183,7 +187,7 @@
   std::vector<Room> Rooms;
   for (const auto &[Id, Server] : Book.servers())
     if (const ServerLive *Live = Board.find(Id); Live && !Live->IsDraining_)
-      Rooms.push_back(measureRoom(Book, Server));
+      Rooms.push_back(measureRoom(Server));
   for (const std::string &Image : MovingImages_) {
     std::int64_t &Room = SafeRoom_[Image];
     for (const Dispatcher::Room &Left : Rooms)
@@ -204,20 +208,17 @@
   return true;
 }
 
-std::set<std::string>
-Dispatcher::findServing(const JobBook &Book,
-                        const std::string &ServerId) const {
+std::set<std::string> Dispatcher::findServing(const JobBook &Book,
+                                              const std::string &ServerId) {
   const ServerRecord *Server = Book.findServer(ServerId);
-  return Server ? measureRoom(Book, *Server).Serving_ : std::set<std::string>();
+  return Server ? measureRoom(*Server).Serving_ : std::set<std::string>();
 }
 
 void Dispatcher::take(const StepSpec &Step, Room &Left) {
   Left.Free_ = Left.Free_ - Step.getReserved();
-  if (isServing(Step))
+  if (Step.isServing())
     Left.Serving_.insert(Step.Image_);
   Left.Idle_ -= getUsedCpus(Step);
-  if (Step.Fills_)
-    ++Left.Filling_;
 }
 
 /// The longest chain of declared work that is left of an occurrence.
@@ -275,15 +276,13 @@
     return {};
   if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return {};
-  Plan Own{*Server,
-           measureRoom(Book, *Server),
-           Now,
-           {},
-           MostStartsAtOnce,
-           Book.readySteps().size() <= StepsSurveyed_};
+  Plan Own{
+      *Server, measureRoom(*Server), Now,
+      {},      MostStartsAtOnce,     Book.readySteps().size() <= StepsSurveyed_,
+      {}};
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
-  addBudget(Book, *Server, Own.Left_);
+  addBudget(Own);
   // Within a priority, what can still be in time goes first, for it is over
   // soon; then what lasts; then what is late.
   std::array<std::vector<const ReadyStep *>, 3> Later;
@@ -303,7 +302,10 @@
       TakeLater();
     Priority = Ready.Priority_;
     const JobRecord &Job = *Book.findJob(Ready.Job_);
-    const bool IsTimeless = Job.Spec_.Steps_[Ready.Step_].LongRunning_;
+    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    if (!Step.getReserved().fitsIn(Own.Left_.Free_))
+      continue;
+    const bool IsTimeless = Step.LongRunning_;
     const std::size_t Lateness =
         IsTimeless
             ? 0
@@ -330,17 +332,16 @@
           Left.Idle_ < LeastFillingCpus_);
 }
 
-void Dispatcher::addBudget(const JobBook &Book, const ServerRecord &Server,
-                           Room &Left) const {
+void Dispatcher::addBudget(Plan &Own) const {
+  const ServerRecord &Server = Own.Server_;
+  Room &Left = Own.Left_;
   Left.Pace_ = Paces_.getPace(Server.Facts_.Id_);
   Left.Budget_ =
       static_cast<std::int64_t>(Paces_.getBudget(Server.Facts_.Id_) *
                                 double(Server.Facts_.Capacity_.MilliCpus_));
-  for (const auto &[Task, Run] : Server.Placed_) {
-    const StepSpec &Step = Book.findJob(Task.Job_)->Spec_.Steps_[Task.Step_];
-    if (Step.Fills_ && Effects_.isDisturbingAny(Left.Serving_, Step.Image_))
-      Left.Budget_ -= Step.Need_.MilliCpus_;
-  }
+  for (const auto &[Image, Cpus] : Server.FillingCpus_)
+    if (Effects_.isDisturbingAny(Left.Serving_, Image))
+      Left.Budget_ -= Cpus;
 }
 
 /// Adds the starts of a step's tasks, as far as they fit.
@@ -360,7 +361,7 @@
       continue;
     const bool IsCrowded = Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
     if (IsCrowded || Own.Starts_.size() >= Own.MostStarts_ ||
-        !isFit(Step, Own.Server_, Own.Left_, Waited, IsIdleJob))
+        !isFit(Step, Own, Waited, IsIdleJob))
       return;
     const TaskStart Start{{Ready.Job_, Ready.Occurrence_, Ready.Step_, Index},
                           Tasks[Index].LastRun_ + 1,
@@ -372,10 +373,11 @@
     Own.Starts_.push_back(Start);
     Taken_.insert(Start.Task_);
     IsIdleJob = false;
-    if (Step.Fills_ &&
-        Effects_.isDisturbingAny(Own.Left_.Serving_, Step.Image_))
+    if (Step.Fills_ && isDisturbing(Step, Own))
       Own.Left_.Budget_ -= Step.Need_.MilliCpus_;
     take(Step, Own.Left_);
+    if (Step.isServing())
+      Own.Disturbs_.clear();
     ++Beside;
   }
 }
@@ -456,7 +458,7 @@
     if (Server.Facts_.Service_ != Job.Policy_.Service_)
       continue;
     const ServerLive *Live = Board.find(Id);
-    const Room Left = measureRoom(Book, Server);
+    const Room Left = measureRoom(Server);
     const bool IsResting = !Live || Live->IsDraining_ || Live->IsRemoving_ ||
                            Live->NoStartsUntil_ > Now ||
                            Health_.getFitness(Id, Now) != Fitness::Sound;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -52,9 +52,9 @@
 
   // Queries.
 
-  /// The images that serve on the server; goes over all its tasks.
-  std::set<std::string> findServing(const JobBook &Book,
-                                    const std::string &ServerId) const;
+  /// The images that serve on the server.
+  static std::set<std::string> findServing(const JobBook &Book,
+                                           const std::string &ServerId);
 
   /// Why the step's tasks do not start: how many servers stand in which way.
   std::string explainWait(const JobBook &Book, const ServerBoard &Board,
@@ -70,7 +70,6 @@
     /// Processors left to filling tasks that disturb, thousandths.
     std::int64_t Budget_ = 0;
     std::set<std::string> Serving_; ///< Images that serve there.
-    std::uint64_t Filling_ = 0;     ///< Tasks that fill.
   };
 
   /// A plan for one server in the making.
@@ -81,23 +80,25 @@
     std::vector<TaskStart> Starts_;
     std::size_t MostStarts_;
     bool IsSurveyed_; ///< No steps have come since the last survey.
+    /// By filling image, whether it disturbs what serves there.
+    std::map<std::string_view, bool> Disturbs_;
   };
 
   bool isFull(const Plan &Own) const;
-  void addBudget(const JobBook &Book, const ServerRecord &Server,
-                 Room &Left) const;
+  void addBudget(Plan &Own) const;
+  bool isDisturbing(const StepSpec &Step, Plan &Own) const;
   void planStep(const JobBook &Book, const ReadyStep &Ready, Plan &Own);
-  Room measureRoom(const JobBook &Book, const ServerRecord &Server) const;
+  static Room measureRoom(const ServerRecord &Server);
   Duration getWait(const ReadyStep &Step, TimePoint Now);
   /// IsIdleJob: nothing of the job runs.
-  bool isFit(const StepSpec &Step, const ServerRecord &Server, const Room &Left,
-             Duration Waited, bool IsIdleJob) const;
-  std::uint64_t countBeside(const ServerRecord &Server,
-                            const ReadyStep &Step) const;
+  bool isFit(const StepSpec &Step, Plan &Own, Duration Waited,
+             bool IsIdleJob) const;
+  static std::uint64_t countBeside(const ServerRecord &Server,
+                                   const ReadyStep &Step);
   static void take(const StepSpec &Step, Room &Left);
-  bool isFitToServe(const StepSpec &Step, const Room &Left,
-                    Duration Waited) const;
-  bool isFitToFill(const StepSpec &Step, const Room &Left, Duration Waited,
+  static bool isFitToServe(const StepSpec &Step, const Room &Left,
+                           Duration Waited);
+  bool isFitToFill(const StepSpec &Step, Plan &Own, Duration Waited,
                    bool IsIdleJob) const;
 
   const TailEffects &Effects_;
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -45,6 +45,32 @@
          getLongestChainMs(Spec_) * Policy_.StretchPercent_ / Percent;
 }
 
+void ServerRecord::add(const TaskKey &Task, std::uint64_t Run,
+                       const StepSpec &Step) {
+  Placed_[Task] = Run;
+  Used_ = Used_ + Step.getReserved();
+  (Step.isServing() ? ServingCpus_ : OtherCpus_) += Step.Need_.MilliCpus_;
+  if (Step.isServing())
+    ++Serving_[Step.Image_];
+  if (Step.Fills_)
+    FillingCpus_[Step.Image_] += Step.Need_.MilliCpus_;
+}
+
+void ServerRecord::remove(const TaskKey &Task, const StepSpec &Step) {
+  Placed_.erase(Task);
+  Used_ = Used_ - Step.getReserved();
+  (Step.isServing() ? ServingCpus_ : OtherCpus_) -= Step.Need_.MilliCpus_;
+  if (Step.isServing())
+    if (const auto Found = Serving_.find(Step.Image_); --Found->second == 0)
+      Serving_.erase(Found);
+  if (!Step.Fills_)
+    return;
+  const auto Found = FillingCpus_.find(Step.Image_);
+  Found->second -= Step.Need_.MilliCpus_;
+  if (Found->second == 0)
+    FillingCpus_.erase(Found);
+}
+
 CommandResult JobBook::apply(const Command &Value) {
   return std::visit([this](const auto &Each) { return apply(Each); }, Value);
 }
@@ -322,10 +348,8 @@
   Task.LastRun_ = Start.Run_;
   Task.Placements_.push_back({Start.Run_, Start.Server_});
   ++Job.Placements_;
-  ServerRecord &Server = Servers_.at(Start.Server_);
-  Server.Placed_[Start.Task_] = Start.Run_;
-  Server.Used_ =
-      Server.Used_ + Job.Spec_.Steps_[Start.Task_.Step_].getReserved();
+  Servers_.at(Start.Server_)
+      .add(Start.Task_, Start.Run_, Job.Spec_.Steps_[Start.Task_.Step_]);
   if (Job.State_ == JobState::Queued) {
     Job.State_ = JobState::Running;
     --Pending_[Job.Policy_.getKey()];
@@ -353,9 +377,7 @@
   JobRecord &Job = Jobs_.at(End.Task_.Job_);
   const StepSpec &Spec = Job.Spec_.Steps_[End.Task_.Step_];
   --Job.Placements_;
-  ServerRecord &Where = Servers_.at(Server);
-  Where.Placed_.erase(End.Task_);
-  Where.Used_ = Where.Used_ - Spec.getReserved();
+  Servers_.at(Server).remove(End.Task_, Spec);
   OccurrenceRecord &Occurrence = *Job.findOccurrence(End.Task_.Occurrence_);
   StepRecord &Step = Occurrence.Steps_[End.Task_.Step_];
   if (!isEnded(Job.State_)) {
@@ -526,6 +548,11 @@
   Image.NextSequence_ = NextSequence_;
   for (const auto &[Id, Job] : Jobs_)
     Image.Jobs_.push_back(Job);
+  // The same state gives the same bytes.
+  std::sort(Image.Jobs_.begin(), Image.Jobs_.end(),
+            [](const JobRecord &Left, const JobRecord &Right) {
+              return Left.Sequence_ < Right.Sequence_;
+            });
   for (const auto &[Id, Server] : Servers_)
     Image.Servers_.push_back(Server.Facts_);
   Image.Lives_ = Lives_.Latest_;
@@ -564,9 +591,8 @@
              Index < Occurrence.Steps_[Step].Tasks_.size(); ++Index)
           for (const Placement &Each :
                Occurrence.Steps_[Step].Tasks_[Index].Placements_) {
-            ServerRecord &Server = Servers_[Each.Server_];
-            Server.Placed_[{Id, Occurrence.Number_, Step, Index}] = Each.Run_;
-            Server.Used_ = Server.Used_ + Job.Spec_.Steps_[Step].getReserved();
+            Servers_[Each.Server_].add({Id, Occurrence.Number_, Step, Index},
+                                       Each.Run_, Job.Spec_.Steps_[Step]);
           }
   }
 }
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -15,6 +15,11 @@
 /// Two may be lost without a gap in the leader's lease, which lasts 7/8 of the
 /// election timeout.
 static constexpr int HeartbeatsPerElection = 5;
+/// A thousand reports a second would each be an append to every member, with
+/// its answer; a third of a commit's time gathers them.
+static constexpr Duration ProposalPause = std::chrono::milliseconds(3);
+/// One that is being synced and one on its way.
+static constexpr std::size_t MessagesInFlight = 2;
 /// How often the replica's disk and members are looked at.
 static constexpr Duration WatchInterval = std::chrono::milliseconds(250);
 
@@ -30,6 +35,8 @@
   Result.TargetVoters_ = Settings.Voters_;
   Result.ElectionTimeout_ = Settings.ElectionTimeout_;
   Result.HeartbeatInterval_ = Settings.ElectionTimeout_ / HeartbeatsPerElection;
+  Result.ProposalPause_ = ProposalPause;
+  Result.MaxMessagesInFlight_ = MessagesInFlight;
   Result.Seed_ = std::hash<std::string>()(Settings.Name_);
   return Result;
 }
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -19,6 +19,7 @@
   Core.ElectionTimeout_ = From.ElectionTimeout_;
   Core.HeartbeatInterval_ = From.HeartbeatInterval_;
   Core.Seed_ = From.Seed_ ^ Self.Incarnation_;
+  Core.MaxMessagesInFlight_ = From.MaxMessagesInFlight_;
   return Core;
 }
 
@@ -36,10 +37,9 @@
   return Applied + Settings.SnapshotEvery_ - Less;
 }
 
-bool ReplicaDriver::Inbox::isEmpty() const {
-  return Synced_.empty() && Messages_.empty() && Calls_.empty() &&
-         Reads_.empty() && Changes_.empty() && Transfers_.empty() &&
-         !Failure_ && !IsStopping_;
+bool ReplicaDriver::Inbox::isUrgent() const {
+  return !Synced_.empty() || !Messages_.empty() || !Reads_.empty() ||
+         !Changes_.empty() || !Transfers_.empty() || Failure_ || IsStopping_;
 }
 
 ReplicaDriver::ReplicaDriver(ReplicaStart Start, StateMachine &Machine,
@@ -75,8 +75,12 @@
 
 template <class Function> void ReplicaDriver::post(Function Edit) {
   std::lock_guard Guard(InboxLock_);
+  // Where something waited already, the thread knows, unless it lets proposals
+  // gather.
+  const bool WasWaiting = !Inbox_.isEmpty();
   Edit(Inbox_);
-  Wake_.notify_one();
+  if (!WasWaiting || Inbox_.isUrgent())
+    Wake_.notify_one();
 }
 
 void ReplicaDriver::propose(std::string Command, AppliedCallback Done) {
@@ -141,8 +145,14 @@
 
 ReplicaDriver::Inbox ReplicaDriver::takeInbox() {
   std::unique_lock Guard(InboxLock_);
-  Duration Wait = std::max<Duration>(NextTick_ - Time_.now(), Duration(0));
-  Wake_.wait_for(Guard, Wait, [this] { return !Inbox_.isEmpty(); });
+  for (TimePoint Now = Time_.now(); Now < NextTick_; Now = Time_.now()) {
+    const bool AreDue = !Inbox_.Calls_.empty() && Now >= NextProposals_;
+    if (AreDue || Inbox_.isUrgent())
+      break;
+    const TimePoint Until =
+        Inbox_.Calls_.empty() ? NextTick_ : std::min(NextTick_, NextProposals_);
+    Wake_.wait_for(Guard, Until - Now);
+  }
   bool IsStopping = Inbox_.IsStopping_;
   Inbox Taken = std::exchange(Inbox_, Inbox{});
   Inbox_.IsStopping_ = IsStopping;
@@ -250,8 +260,10 @@
     std::uint64_t Id = Pending_.addProposal(std::move(Each.Done_));
     Batch.Proposals_.push_back({Id, std::move(Each.Command_)});
   }
-  if (!Batch.Proposals_.empty())
-    step(std::move(Batch));
+  if (Batch.Proposals_.empty())
+    return;
+  NextProposals_ = Time_.now() + Settings_.ProposalPause_;
+  step(std::move(Batch));
 }
 
 void ReplicaDriver::step(decltype(Input::Event_) Event) {
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -76,7 +76,9 @@
     std::vector<DoneCallback> Transfers_;
     std::optional<Error> Failure_;
     bool IsStopping_ = false;
-    bool isEmpty() const;
+    bool isEmpty() const { return Calls_.empty() && !isUrgent(); }
+    /// Holds more than proposals, which may gather for a moment.
+    bool isUrgent() const;
   };
 
   /// Hands something in; Edit runs under the lock.
@@ -124,6 +126,7 @@
   bool WasLeader_ = false;
   bool HasFailed_ = false;
   TimePoint NextTick_;
+  TimePoint NextProposals_{}; ///< Until then they gather.
   TimePoint NextAsk_;
   TimePoint NextRejoin_;
 
--- /dev/null
+++ b/tests/platform/system/PlatformCluster.cpp
@@ -0,0 +1,196 @@
+#include "platform/system/PlatformCluster.h"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace tulipweir;
+using namespace tulipweir::platform_test;
+using namespace tulipweir::system_test;
+using Json = nlohmann::json;
+
+/// Addresses of this process alone, so that tests that run side by side don't
+/// meet: 127.A.B.N with A from 32 on.
+static std::string makeAddress(int Number) {
+  const auto Process = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(32 + (Process >> 8) % 200) + "." +
+         std::to_string(Process & 0xff) + "." + std::to_string(Number);
+}
+
+PlatformCluster::PlatformCluster(Links How) : How_(How) {
+  const std::uint16_t Shared = pickPort();
+  const auto Place = [&](const std::string &Role, int I) {
+    // A process calls others at the port of its own links: with one of its own
+    // for each, a forwarder can stand there.
+    Places_[Role + std::to_string(I)] = {
+        makeAddress(static_cast<int>(Places_.size()) + 1),
+        How == Links::Wired ? pickPort() : Shared};
+  };
+  for (int I = 0; I < Controls; ++I)
+    Place("control", I);
+  for (int I = 0; I < Entries; ++I)
+    Place("entry", I);
+  if (How == Links::Wired)
+    addWires();
+  for (const auto &[Name, Where] : Places_) {
+    writeSettings(Name, /*IsFirstStart=*/true);
+    auto Process = std::make_unique<Child>(
+        isControl(Name) ? "tulipweir-platform-control"
+                        : "tulipweir-platform-entry",
+        std::vector<std::string>{}, getPath(Name, ".log"));
+    Process->setEnvironment({"TULIPWEIR_CONFIG=" + getPath(Name, ".json"),
+                             "TULIPWEIR_SECRET=a secret of this test"});
+    Process->start();
+    Processes_[Name] = std::move(Process);
+  }
+}
+
+PlatformCluster::~PlatformCluster() { Workers_.clear(); }
+
+std::string PlatformCluster::getPath(const std::string &Name,
+                                     const char *Ending) const {
+  return Folder_.path() + "/" + Name + Ending;
+}
+
+void PlatformCluster::writeSettings(const std::string &Name,
+                                    bool IsFirstStart) {
+  const Place &Where = Places_.at(Name);
+  const auto At = [&Where](std::uint16_t Port) {
+    return Where.Address_ + ":" + std::to_string(Port);
+  };
+  Json Settings = {
+      {"node", Name},
+      {"ip", Where.Address_},
+      {"zone", "z"},
+      {"portRange", {Where.LinkPort_, Where.LinkPort_ + 5}},
+      {"bootstrap", IsFirstStart},
+      {"dataDir", nullptr},
+      {"heartbeatMs", 500},
+      {"faultTolerance", {{"machines", 1}}},
+      {"bounds", {{"holdMaxMs", 2000}, {"graceS", 6}, {"status_s", 120}}}};
+  for (int Seed = 0; Seed < Controls; ++Seed)
+    Settings["seeds"].push_back(
+        Places_.at("control" + std::to_string(Seed)).Address_ + ":" +
+        std::to_string(ControlPort_));
+  if (isControl(Name)) {
+    Settings["listen"]["control"] = At(ControlPort_);
+    Settings["dataDir"] = getPath(Name, "");
+  } else {
+    Settings["listen"]["front"] = At(ClientPort_);
+    Settings["listen"]["ready"] = At(ReadyPort_);
+  }
+  std::ofstream(getPath(Name, ".json")) << Settings.dump();
+}
+
+void PlatformCluster::addWires() {
+  for (const auto &[From, Caller] : Places_)
+    for (const auto &[To, Called] : Places_)
+      if (From != To && isControl(To))
+        Wires_[{From, To}] = std::make_unique<Forwarder>(
+            WireEnd{Called.Address_, Caller.LinkPort_},
+            WireEnd{Called.Address_, Called.LinkPort_});
+}
+
+void PlatformCluster::onWires(const std::string &Name, bool From, bool To,
+                              const std::function<void(Forwarder &)> &Act) {
+  for (const auto &[Ends, Wire] : Wires_)
+    if ((From && Ends.first == Name) || (To && Ends.second == Name))
+      Act(*Wire);
+}
+
+void PlatformCluster::loseDisk(const std::string &Name) {
+  std::filesystem::remove_all(getPath(Name, ""));
+  writeSettings(Name, /*IsFirstStart=*/false);
+}
+
+void PlatformCluster::printLogs() const {
+  for (const auto &[Name, Each] : Processes_)
+    std::cerr << "== " << Name << "\n" << Each->readOutput();
+}
+
+HttpAnswer PlatformCluster::tryControl(int Control, const std::string &Method,
+                                       const std::string &Path,
+                                       const std::string &Body) {
+  HttpCall Call;
+  Call.Method_ = Method;
+  Call.Address_ = Places_.at("control" + std::to_string(Control)).Address_;
+  Call.Path_ = Path;
+  Call.Body_ = Body;
+  return system_test::call(ControlPort_, Call);
+}
+
+HttpAnswer PlatformCluster::callControl(const std::string &Method,
+                                        const std::string &Path,
+                                        const std::string &Body) {
+  HttpAnswer Answer;
+  waitFor(Patience, [&] {
+    for (int I = 0; I < Controls; ++I) {
+      Answer = tryControl(I, Method, Path, Body);
+      if (Answer.Status_ != 0 && Answer.Status_ != 307 && Answer.Status_ != 503)
+        return true;
+    }
+    return false;
+  });
+  return Answer;
+}
+
+HttpAnswer PlatformCluster::callEntry(const std::string &Method,
+                                      const std::string &Path,
+                                      const std::string &Body, int Entry) {
+  HttpCall Call;
+  Call.Method_ = Method;
+  Call.Address_ = Places_.at("entry" + std::to_string(Entry)).Address_;
+  Call.Path_ = Path;
+  Call.Body_ = Body;
+  Call.Headers_["Host"] = Host;
+  return system_test::call(ClientPort_, Call);
+}
+
+Json PlatformCluster::makeConfiguration(std::uint64_t Version) {
+  return {{"version", Version},
+          {"routes",
+           {{{"name", "r"},
+             {"host", Host},
+             {"pathPrefix", "/q/"},
+             {"service", "svc"},
+             {"timeoutMs", 3000},
+             {"targetLatencyMs", 1000},
+             {"attempts", 3},
+             {"stretch", 2.0}}}},
+          {"services", {{{"name", "svc"}, {"preconditions", true}}}}};
+}
+
+Json PlatformCluster::makeJob(const std::string &Payload) {
+  const Json Step = {{"count", 4},
+                     {"cpu", 1000},
+                     {"memMb", 500},
+                     {"estimateMs", 200},
+                     {"checkpointing", true}};
+  Json Second = Step;
+  Second["dependsOn"] = {0};
+  return {{"spec", Payload}, {"steps", {Step, Second}}};
+}
+
+std::string PlatformCluster::findLeader() {
+  for (int I = 0; I < Controls; ++I)
+    if (tryControl(I, "GET", "/api/config").Status_ == 200)
+      return "control" + std::to_string(I);
+  return "";
+}
+
+std::unique_ptr<Worker>
+PlatformCluster::makeWorker(const std::string &Id, const std::string &Address) {
+  std::vector<Worker::Place> Known;
+  Known.reserve(Controls);
+  for (int I = 0; I < Controls; ++I)
+    Known.push_back(
+        {Places_.at("control" + std::to_string(I)).Address_, ControlPort_});
+  return std::make_unique<Worker>(Id, Known, Seen_, Address);
+}
+
+void PlatformCluster::addWorkers(int Count) {
+  for (int I = 0; I < Count; ++I)
+    Workers_.push_back(makeWorker("w" + std::to_string(Workers_.size())));
+}
--- a/tests/platform/system/Worker.cpp
+++ b/tests/platform/system/Worker.cpp
@@ -16,27 +16,34 @@
 static constexpr std::int64_t MemoryCapacity = 16'000;
 
 void Audit::noteStart(const std::string &Task, std::uint64_t Run,
-                      const std::string &Worker) {
+                      const std::string &Worker, Instant At) {
   const std::lock_guard Hold(Lock_);
   ++Starts_;
-  if (Running_.count(Task) != 0)
-    Breaks_.push_back(Task + " runs twice, now also on " + Worker);
-  if (Done_.count(Task) != 0)
-    Breaks_.push_back(Task + " was started after it was done");
-  if (Run <= LastRun_[Task])
-    Breaks_.push_back(Task + " was started with an old number");
-  LastRun_[Task] = Run;
-  Running_[Task] = Run;
+  Runs_[Task].push_back({Run, Worker, At});
 }
 
 void Audit::noteEnd(const std::string &Task, std::uint64_t Run,
-                    const std::string &How) {
+                    const std::string &How, Instant At) {
   const std::lock_guard Hold(Lock_);
-  const auto Found = Running_.find(Task);
-  if (Found != Running_.end() && Found->second == Run)
-    Running_.erase(Found);
-  if (How == "done")
-    Done_.insert(Task);
+  for (Audit::Run &Each : Runs_[Task])
+    if (Each.Number_ == Run) {
+      Each.End_ = At;
+      Each.IsDone_ = How == "done";
+    }
+}
+
+void Audit::judge(const std::string &Task, const std::vector<Run> &Runs,
+                  std::vector<std::string> &Breaks) {
+  for (std::size_t I = 0; I < Runs.size(); ++I)
+    for (std::size_t J = 0; J < I; ++J) {
+      if (Runs[I].Begin_ < Runs[J].End_ && Runs[J].Begin_ < Runs[I].End_)
+        Breaks.push_back(Task + " runs twice, on " + Runs[J].Worker_ +
+                         " and on " + Runs[I].Worker_);
+      if (Runs[J].IsDone_ && Runs[I].Begin_ >= Runs[J].End_)
+        Breaks.push_back(Task + " was started after it was done");
+      if (Runs[I].Number_ <= Runs[J].Number_)
+        Breaks.push_back(Task + " was started with an old number");
+    }
 }
 
 void Audit::noteBreak(const std::string &What) {
@@ -46,12 +53,25 @@
 
 std::vector<std::string> Audit::listBreaks() const {
   const std::lock_guard Hold(Lock_);
-  return Breaks_;
+  std::vector<std::string> Breaks = Breaks_;
+  for (const auto &[Task, Runs] : Runs_)
+    judge(Task, Runs, Breaks);
+  return Breaks;
 }
 
 std::uint64_t Audit::countDone() const {
   const std::lock_guard Hold(Lock_);
-  return Done_.size();
+  return static_cast<std::uint64_t>(
+      std::count_if(Runs_.begin(), Runs_.end(), [](const auto &Each) {
+        return std::any_of(Each.second.begin(), Each.second.end(),
+                           [](const Run &One) { return One.IsDone_; });
+      }));
+}
+
+bool Audit::hasStarted(const std::string &Job) const {
+  const std::lock_guard Hold(Lock_);
+  const auto First = Runs_.lower_bound(Job + ".");
+  return First != Runs_.end() && First->first.starts_with(Job + ".");
 }
 
 std::uint64_t Audit::countStarts() const {
@@ -59,20 +79,27 @@
   return Starts_;
 }
 
-Worker::Worker(std::string Id, std::vector<Place> Controls, Audit &Seen)
-    : Id_(std::move(Id)), Controls_(std::move(Controls)), Seen_(Seen),
-      Thread_([this] { run(); }) {}
+Worker::Worker(std::string Id, std::vector<Place> Controls, Audit &Seen,
+               const std::string &Address)
+    : Id_(std::move(Id)), Address_(Address.empty() ? Id_ + ":1" : Address),
+      Controls_(std::move(Controls)), Seen_(Seen), Thread_([this] { run(); }),
+      Watch_([this] { watchLeases(); }) {}
 
 Worker::~Worker() { crash(); }
 
 void Worker::crash() {
   Stopping_ = true;
+  {
+    const std::lock_guard Hold(Lock_);
+    const Instant Now = std::chrono::steady_clock::now();
+    for (const auto &[Name, Each] : Running_)
+      Seen_.noteEnd(Name, Each.Run_, "crashed", std::min(Now, LeaseEnd_));
+    Running_.clear();
+  }
   if (Thread_.joinable())
     Thread_.join();
-  const std::lock_guard Hold(Lock_);
-  for (const auto &[Name, Each] : Running_)
-    Seen_.noteEnd(Name, Each.Run_, "crashed");
-  Running_.clear();
+  if (Watch_.joinable())
+    Watch_.join();
 }
 
 std::uint64_t Worker::countRunning() const {
@@ -82,20 +109,32 @@
 
 void Worker::run() {
   while (!Stopping_) {
-    endDue(std::chrono::steady_clock::now());
     beat();
     pause(Wait_);
   }
 }
 
+/// Beside the heartbeats, as one may wait long for its answer.
+void Worker::watchLeases() {
+  while (!Stopping_) {
+    endDue(std::chrono::steady_clock::now());
+    std::this_thread::sleep_for(5ms);
+  }
+}
+
+void Worker::deliverHeldUp() {
+  for (const Place &To : Controls_)
+    if (!HeldUp_.empty() && send(To, HeldUp_))
+      return;
+}
+
 /// Until the next heartbeat, or a little after an end.
 void Worker::pause(milliseconds Most) {
   const Instant Until = std::chrono::steady_clock::now() + Most;
   while (!Stopping_ && std::chrono::steady_clock::now() < Until) {
+    const std::uint64_t Before = NextEnd_;
     std::this_thread::sleep_for(10ms);
-    const std::size_t Before = Ended_.size();
-    endDue(std::chrono::steady_clock::now());
-    if (Ended_.size() != Before)
+    if (NextEnd_ != Before)
       return;
   }
 }
@@ -106,35 +145,36 @@
              duration_cast<milliseconds>(Now - Of.Begin_).count());
 }
 
-void Worker::endTask(const std::string &Name, const std::string &How) {
+void Worker::endTask(const std::string &Name, const std::string &How,
+                     Instant At) {
   const auto Found = Running_.find(Name);
   const Task Ending = Found->second;
   Running_.erase(Found);
-  const std::uint64_t Done =
-      getDoneMs(Ending, std::chrono::steady_clock::now());
+  const std::uint64_t Done = getDoneMs(Ending, At);
   Ended_.push_back({NextEnd_++, Name, Ending.Run_, How,
                     How == "done" ? "" : std::to_string(Done)});
   Outlawed_[Name] = std::max(Outlawed_[Name], Ending.Run_);
-  Seen_.noteEnd(Name, Ending.Run_, How);
+  Seen_.noteEnd(Name, Ending.Run_, How, At);
 }
 
 void Worker::endDue(Instant Now) {
   const std::lock_guard Hold(Lock_);
   std::vector<std::pair<std::string, std::string>> Ends;
   for (const auto &[Name, Each] : Running_) {
+    // Both at once, as this thread was late: the lease goes first.
     if (Now >= LeaseEnd_)
       Ends.emplace_back(Name, "lapsed");
     else if (getDoneMs(Each, Now) >= Each.TotalMs_)
       Ends.emplace_back(Name, Each.Fails_ ? "failed" : "done");
   }
   for (const auto &[Name, How] : Ends)
-    endTask(Name, How);
+    endTask(Name, How, std::min(Now, LeaseEnd_));
 }
 
 Json Worker::makeBeat() {
   const std::lock_guard Hold(Lock_);
   Json Beat = {{"service", "svc"},
-               {"address", Id_ + ":1"},
+               {"address", Address_},
                {"zone", "z"},
                {"version", "v1"},
                {"slots", 8},
@@ -155,6 +195,10 @@
 
 void Worker::beat() {
   const std::string Body = makeBeat().dump();
+  if (IsCut_) {
+    HeldUp_ = Body;
+    return;
+  }
   for (std::size_t Try = 0; Try < Controls_.size(); ++Try) {
     if (send(Controls_[Next_ % Controls_.size()], Body))
       return;
@@ -176,7 +220,7 @@
         system_test::call(Target.Port_, Call);
     if (Answer.Status_ == 200) {
       // Answers that come later than a second are dropped.
-      if (std::chrono::steady_clock::now() - SentAt < 1s)
+      if (std::chrono::steady_clock::now() - SentAt < 1s && !IsCut_)
         takeOrders(Answer.json(), SentAt);
       return true;
     }
@@ -195,6 +239,8 @@
 }
 
 void Worker::takeOrders(const Json &Orders, Instant SentAt) {
+  if (Stopping_)
+    return;
   const std::uint64_t Token = Orders.value("fencingToken", std::uint64_t(0));
   if (Token < HighestToken_)
     return;
@@ -210,7 +256,7 @@
     const auto Run = Row[1].get<std::uint64_t>();
     const auto Found = Running_.find(Name);
     if (Found != Running_.end() && Found->second.Run_ == Run)
-      endTask(Name, "stopped");
+      endTask(Name, "stopped", std::chrono::steady_clock::now());
     else
       Outlawed_[Name] = std::max(Outlawed_[Name], Run);
   }
@@ -235,7 +281,9 @@
   const auto Run = Row[1].get<std::uint64_t>();
   const auto Payload = Row[2].get<std::string>();
   const auto Saved = Row[3].get<std::string>();
-  if (Running_.count(Name) != 0 || Run <= Outlawed_[Name])
+  const bool IsOver =
+      Stopping_ || std::chrono::steady_clock::now() >= LeaseEnd_;
+  if (IsOver || Running_.count(Name) != 0 || Run <= Outlawed_[Name])
     return;
   Task Fresh{Run,
              static_cast<std::uint64_t>(findNumber(Payload, "ms")),
@@ -252,6 +300,6 @@
   }
   if (Cpu > CpuCapacity || Memory > MemoryCapacity)
     Seen_.noteBreak(Id_ + " was overfilled by " + Name);
-  Seen_.noteStart(Name, Run, Id_);
+  Seen_.noteStart(Name, Run, Id_, Fresh.Begin_);
   Running_.emplace(Name, Fresh);
 }
--- a/tests/platform/system/Worker.h
+++ b/tests/platform/system/Worker.h
@@ -30,19 +30,30 @@
 class Audit {
 public:
   void noteStart(const std::string &Task, std::uint64_t Run,
-                 const std::string &Worker);
+                 const std::string &Worker, Instant At);
+  /// At: when it really ended, which may be earlier than it is noticed.
   void noteEnd(const std::string &Task, std::uint64_t Run,
-               const std::string &How);
+               const std::string &How, Instant At);
   void noteBreak(const std::string &What);
   std::vector<std::string> listBreaks() const;
   std::uint64_t countDone() const;
   std::uint64_t countStarts() const;
+  /// Whether any task of the job was ever started.
+  bool hasStarted(const std::string &Job) const;
 
 private:
+  struct Run {
+    std::uint64_t Number_ = 0;
+    std::string Worker_;
+    Instant Begin_;
+    Instant End_ = Instant::max();
+    bool IsDone_ = false;
+  };
+  static void judge(const std::string &Task, const std::vector<Run> &Runs,
+                    std::vector<std::string> &Breaks);
+
   mutable std::mutex Lock_;
-  std::map<std::string, std::uint64_t> Running_; ///< The run of each task.
-  std::map<std::string, std::uint64_t> LastRun_;
-  std::set<std::string> Done_;
+  std::map<std::string, std::vector<Run>> Runs_; ///< By task, as they began.
   std::uint64_t Starts_ = 0;
   std::vector<std::string> Breaks_;
 };
@@ -53,7 +64,9 @@
     std::string Address_;
     std::uint16_t Port_ = 0;
   };
-  Worker(std::string Id, std::vector<Place> Controls, Audit &Seen);
+  /// Address: of its machine, which lives on when it crashes; its own without.
+  Worker(std::string Id, std::vector<Place> Controls, Audit &Seen,
+         const std::string &Address = "");
   ~Worker();
   Worker(const Worker &) = delete;
   Worker &operator=(const Worker &) = delete;
@@ -61,6 +74,10 @@
   /// Ends everything that runs, without a word: a crash.
   void crash();
   void drain() { IsDraining_ = true; }
+  /// While cut off, its heartbeats go nowhere and its leases run out.
+  void setCut(bool Cut) { IsCut_ = Cut; }
+  /// After a crash: the last heartbeat that was held up by a cut arrives.
+  void deliverHeldUp();
   std::uint64_t countRunning() const;
 
 private:
@@ -75,25 +92,29 @@
   };
 
   void run();
+  void watchLeases();
   void beat();
   bool send(const Place &To, const std::string &Body);
   void takeOrders(const nlohmann::json &Orders, Instant SentAt);
   void startTask(const nlohmann::json &Row);
-  void endTask(const std::string &Name, const std::string &How);
+  void endTask(const std::string &Name, const std::string &How, Instant At);
   void endDue(Instant Now);
   void pause(std::chrono::milliseconds Most);
   nlohmann::json makeBeat();
   static std::uint64_t getDoneMs(const Task &Of, Instant Now);
 
   const std::string Id_;
+  const std::string Address_;
   std::vector<Place> Controls_;
   Audit &Seen_;
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> IsDraining_{false};
+  std::atomic<bool> IsCut_{false};
+  std::string HeldUp_; ///< The last heartbeat made while cut off.
   std::size_t Next_ = 0;
   std::uint64_t Sequence_ = 0;
   std::uint64_t HighestToken_ = 0;
-  std::uint64_t NextEnd_ = 1;
+  std::atomic<std::uint64_t> NextEnd_{1};
   Instant LeaseEnd_{};
   std::chrono::milliseconds Wait_{100};
   mutable std::mutex Lock_; ///< Guards all below.
@@ -101,6 +122,7 @@
   std::vector<nlohmann::json> Ended_;
   std::map<std::string, std::uint64_t> Outlawed_; ///< Highest run refused.
   std::thread Thread_;
+  std::thread Watch_;
 };
 
 } // namespace tulipweir::platform_test
--- a/tests/replication/ReplicaTest.cpp
+++ b/tests/replication/ReplicaTest.cpp
@@ -54,6 +54,7 @@
 public:
   void send(const std::string &ToName, std::string Message) override {
     std::lock_guard Guard(Lock_);
+    Large_ += Message.size() >= LargeMessage ? 1 : 0;
     if (auto To = Ends_.find(ToName); To != Ends_.end())
       To->second->receive(std::move(Message));
   }
@@ -65,8 +66,16 @@
       Ends_.erase(Name);
   }
 
+  /// Above what a message without entries takes.
+  static constexpr std::size_t LargeMessage = 300;
+  std::size_t countLarge() {
+    std::lock_guard Guard(Lock_);
+    return Large_;
+  }
+
 private:
   std::mutex Lock_;
+  std::size_t Large_ = 0;
   std::map<std::string, Replica *> Ends_;
 };
 
@@ -99,6 +108,7 @@
     Settings.HeartbeatInterval_ = 20ms;
     Settings.SnapshotEvery_ = 50;
     Settings.RejoinsLostDisks_ = Rejoins_;
+    Settings.ProposalPause_ = ProposalPause_;
     if (IsInMemory_)
       Settings.Folder_.clear();
     return Settings;
@@ -169,6 +179,7 @@
   std::vector<std::string> FirstVoters_{"a", "b", "c"};
   bool Rejoins_ = true;
   bool IsInMemory_ = false;
+  Duration ProposalPause_{0};
   SystemClock Time_;
   Wire Wire_;
   std::map<std::string, Node> Nodes_;
@@ -301,3 +312,29 @@
 }
 
 } // namespace
+
+TEST_F(ReplicaTest, ProposalsThatGatherGoOutTogether) {
+  // Far above what it takes to hand them in.
+  ProposalPause_ = 500ms;
+  for (const char *Name : {"a", "b", "c"})
+    start(Name);
+  ASSERT_TRUE(waitFor([this] { return isWhole(); }));
+  ASSERT_TRUE(commit("first"));
+  const std::size_t Before = Wire_.countLarge();
+  Replica *Leader = findLeader();
+  ASSERT_TRUE(Leader);
+  static constexpr int Count = 40;
+  std::vector<std::promise<Outcome<Applied>>> Done(Count);
+  for (int I = 0; I < Count; ++I) {
+    Leader->propose(std::to_string(I) + std::string(Wire::LargeMessage, 'x'),
+                    [&Done, I](Outcome<Applied> Result) {
+                      Done[I].set_value(std::move(Result));
+                    });
+    // So that they don't meet by themselves.
+    std::this_thread::sleep_for(2ms);
+  }
+  for (auto &Each : Done)
+    EXPECT_TRUE(Each.get_future().get());
+  // Each of them to two others would be eighty.
+  EXPECT_LE(Wire_.countLarge() - Before, 20U);
+}
--- a/tests/system/support/Forwarder.cpp
+++ b/tests/system/support/Forwarder.cpp
@@ -24,8 +24,7 @@
   Pipe(Tcp::socket From, const bool &Cut)
       : From_(std::move(From)), To_(From_.get_executor()), Cut_(Cut) {}
 
-  void start(std::uint16_t Port) {
-    Tcp::endpoint Where(asio::ip::address_v4::loopback(), Port);
+  void start(const Tcp::endpoint &Where) {
     To_.async_connect(Where, [Self = shared_from_this()](error_code Failure) {
       if (Failure)
         return Self->close();
@@ -34,6 +33,15 @@
     });
   }
 
+  void silence() { IsSilent_ = true; }
+
+  void reset() {
+    error_code Ignored;
+    From_.set_option(asio::socket_base::linger(true, 0), Ignored);
+    To_.set_option(asio::socket_base::linger(true, 0), Ignored);
+    close();
+  }
+
   void close() {
     error_code Ignored;
     From_.close(Ignored);
@@ -48,7 +56,7 @@
         asio::buffer(Bytes), [Self = shared_from_this(), &In, &Out,
                               &Bytes](error_code Failure, std::size_t Count) {
           // While cut, bytes and closings are swallowed; nothing is read on.
-          if (Self->Cut_)
+          if (Self->Cut_ || Self->IsSilent_)
             return;
           if (Failure)
             return Self->close();
@@ -65,6 +73,7 @@
   Tcp::socket From_;
   Tcp::socket To_;
   const bool &Cut_;
+  bool IsSilent_ = false;
   Buffer Forth_;
   Buffer Back_;
 };
@@ -73,10 +82,8 @@
 
 class Forwarder::Impl {
 public:
-  explicit Impl(std::uint16_t To)
-      : To_(To),
-        Acceptor_(Context_,
-                  Tcp::endpoint(asio::ip::address_v4::loopback(), pickPort())) {
+  Impl(const WireEnd &Listen, const WireEnd &To)
+      : To_(makeEndpoint(To)), Acceptor_(Context_, makeEndpoint(Listen)) {
     accept();
     Thread_ = std::thread([this] { Context_.run(); });
   }
@@ -100,7 +107,26 @@
     });
   }
 
+  void silence() {
+    asio::post(Context_, [this] {
+      for (const std::shared_ptr<Pipe> &Open : Pipes_)
+        Open->silence();
+    });
+  }
+
+  void reset() {
+    asio::post(Context_, [this] {
+      for (const std::shared_ptr<Pipe> &Open : Pipes_)
+        Open->reset();
+      Pipes_.clear();
+    });
+  }
+
 private:
+  static Tcp::endpoint makeEndpoint(const WireEnd &End) {
+    return {asio::ip::make_address(End.Address_), End.Port_};
+  }
+
   void accept() {
     Acceptor_.async_accept([this](error_code Failure, Tcp::socket Socket) {
       if (Failure)
@@ -117,7 +143,7 @@
     });
   }
 
-  std::uint16_t To_;
+  const Tcp::endpoint To_;
   bool Cut_ = false;
   asio::io_context Context_;
   Tcp::acceptor Acceptor_;
@@ -127,10 +153,16 @@
   std::thread Thread_;
 };
 
-Forwarder::Forwarder(std::uint16_t To) : Impl_(std::make_unique<Impl>(To)) {}
+Forwarder::Forwarder(std::uint16_t To)
+    : Forwarder({"127.0.0.1", pickPort()}, {"127.0.0.1", To}) {}
+
+Forwarder::Forwarder(const WireEnd &Listen, const WireEnd &To)
+    : Impl_(std::make_unique<Impl>(Listen, To)) {}
 
 Forwarder::~Forwarder() = default;
 
 std::uint16_t Forwarder::port() const { return Impl_->port(); }
 
 void Forwarder::setCut(bool Cut) { Impl_->setCut(Cut); }
+void Forwarder::silence() { Impl_->silence(); }
+void Forwarder::reset() { Impl_->reset(); }
