Elections that came to nothing take longer the next time

Cause: a candidate gave up after half to one election timeout, but needs two writes to disk one after the other, its own vote and a voter's. On disks that take 0.6 of the timeout or more no election ever succeeds, while terms rise.

Ruled out: longer timeouts for all (every fail-over would pay); votes without a sync (safety).

Change: each election in vain doubles the next one's time, to four timeouts at the most; hearing or becoming a leader resets it.

Also in this commit: the stand-in worker knows when an end stands.

--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -290,6 +290,7 @@
   std::optional<MemberId> Leader_;
   TimePoint LastHeard_;
   TimePoint ElectionDeadline_;
+  unsigned ElectionsInVain_ = 0; ///< Begun since a leader was last heard.
   std::map<MemberId, bool> Votes_;
 
   /// The chunks of a snapshot that is arriving.
--- a/src/replication/RaftElection.cpp
+++ b/src/replication/RaftElection.cpp
@@ -9,6 +9,9 @@
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
+/// Of the time that an election may take: four election timeouts at the most.
+static constexpr unsigned MostDoublings = 3;
+
 void RaftCore::resetElectionTimer() {
   setElectionTimer(Settings_.ElectionTimeout_ * 5 / 4);
 }
@@ -37,8 +40,11 @@
   setHard({Hard_.Term_ + 1, Settings_.Self_});
   Votes_ = {{Settings_.Self_, true}};
   // Long enough for two syncs and a round trip; but split votes must not take
-  // the whole time again.
-  setElectionTimer(Settings_.ElectionTimeout_ / 2);
+  // the whole time again. Where several came to nothing, the disks may take
+  // longer than that.
+  setElectionTimer(Settings_.ElectionTimeout_ / 2 *
+                   (1 << std::min(ElectionsInVain_, MostDoublings)));
+  ++ElectionsInVain_;
   askForVotes(false, IsTransfer);
   countVotes();
 }
@@ -82,6 +88,7 @@
 
 void RaftCore::becomeLeader() {
   Role_ = Role::Leader;
+  ElectionsInVain_ = 0;
   Leader_ = Settings_.Self_;
   LeaderSince_ = Now_;
   LeaseFrom_ = TimePoint::min();
--- a/src/replication/RaftFollower.cpp
+++ b/src/replication/RaftFollower.cpp
@@ -15,6 +15,7 @@
   Role_ = Role::Follower;
   Leader_ = Leader;
   LastHeard_ = Now_;
+  ElectionsInVain_ = 0;
   resetElectionTimer();
 }
 
--- a/tests/platform/system/Worker.h
+++ b/tests/platform/system/Worker.h
@@ -34,6 +34,9 @@
   /// At: when it really ended, which may be earlier than it is noticed.
   void noteEnd(const std::string &Task, std::uint64_t Run,
                const std::string &How, Instant At);
+  /// The system took note of the run's end, and no lease had run out since:
+  /// from then on, and for what was started before, the end stands.
+  void noteTaken(const std::string &Task, std::uint64_t Run);
   void noteBreak(const std::string &What);
   std::vector<std::string> listBreaks() const;
   std::uint64_t countDone() const;
@@ -48,6 +51,7 @@
     Instant Begin_;
     Instant End_ = Instant::max();
     bool IsDone_ = false;
+    bool IsTaken_ = false; ///< The end, as noteTaken says.
   };
   static void judge(const std::string &Task, const std::vector<Run> &Runs,
                     std::vector<std::string> &Breaks);
@@ -116,10 +120,12 @@
   std::uint64_t HighestToken_ = 0;
   std::atomic<std::uint64_t> NextEnd_{1};
   Instant LeaseEnd_{};
+  Instant LastLapse_{}; ///< Guarded by Lock_, as is LeaseEnd_.
   std::chrono::milliseconds Wait_{100};
   mutable std::mutex Lock_; ///< Guards all below.
   std::map<std::string, Task> Running_;
   std::vector<nlohmann::json> Ended_;
+  std::map<std::uint64_t, Instant> EndedAt_;      ///< By number, of these.
   std::map<std::string, std::uint64_t> Outlawed_; ///< Highest run refused.
   std::thread Thread_;
   std::thread Watch_;
