--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -10,12 +10,16 @@
 
 /// Two rounds of reports: by then every server of a rack has asked once.
 static constexpr Duration RackPatience = 500ms;
-/// How long a serving task waits for a server where only its own image serves,
-/// and a filling one for a server where it disturbs nobody.
+/// How long a serving task waits for a server where only its own image serves
+/// or none, while there is one with room: three rounds of reports.
 static constexpr Duration CompanyPatience = 1500ms;
-/// And how long it leaves an empty server to others, for one where its image
-/// serves already.
-static constexpr Duration EqualsPatience = 300ms;
+/// And how long it leaves a server where nothing serves to others, while there
+/// is room where its image serves already: a round of reports and a half.
+static constexpr Duration EqualsPatience = 750ms;
+/// Without such room it serves beside others after that time, and after so much
+/// more the more filling images could no longer work freely there.
+static constexpr Duration MixingPatience = 250ms;
+static constexpr Duration HarmPatience = 1500ms;
 static constexpr Duration DisturbingPatience = 3000ms;
 /// How long a task whose run failed waits for another server: two rounds of
 /// reports.
@@ -23,7 +27,7 @@
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
 /// Serving tasks reserve for their peaks; on average they use half.
-static constexpr std::int64_t ServingUsePercent = 55;
+static constexpr std::int64_t ServingUsePercent = 52;
 static constexpr std::int64_t Percent = 100;
 /// Where filling tasks must go slower than that, no more are added.
 static constexpr std::uint64_t LeastPace = 40;
@@ -116,7 +120,7 @@
 }
 
 bool Dispatcher::isFit(const StepSpec &Step, Plan &Own, Duration Waited,
-                       bool IsIdleJob) const {
+                       bool IsIdleJob, std::uint64_t Waiting) const {
   const Room &Left = Own.Left_;
   if (!Step.getReserved().fitsIn(Left.Free_))
     return false;
@@ -124,23 +128,42 @@
       Waited < RackPatience)
     return false;
   if (Step.isServing())
-    return isFitToServe(Step, Left, Waited);
+    return isFitToServe(Step, Left, Waited, Waiting);
   if (Step.Fills_)
     return isFitToFill(Step, Own, Waited, IsIdleJob);
   return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
 }
 
+std::uint64_t Dispatcher::countFits(const std::vector<Resources> &Places,
+                                    const Resources &Need) {
+  std::uint64_t Count = 0;
+  for (Resources Free : Places)
+    for (; Need.fitsIn(Free); Free = Free - Need)
+      ++Count;
+  return Count;
+}
+
 /// Tasks of one image together: which filling tasks disturb it differs from
 /// image to image, and where several serve, hardly any is left that may fill.
 bool Dispatcher::isFitToServe(const StepSpec &Step, const Room &Left,
-                              Duration Waited) {
-  // Long enough for the whole fleet to report twice; whoever waits serves
-  // nobody.
-  if (Left.Serving_.empty())
-    return Waited >= EqualsPatience;
+                              Duration Waited, std::uint64_t Waiting) const {
   const bool IsAmongEquals =
       Left.Serving_.size() == 1 && Left.Serving_.count(Step.Image_) == 1;
-  return IsAmongEquals || Waited >= CompanyPatience;
+  if (IsAmongEquals)
+    return true;
+  // Whoever waits serves nobody, so it waits only for what is there.
+  const auto Equals = FreeAmongEquals_.find(Step.Image_);
+  const bool HasEquals =
+      Equals != FreeAmongEquals_.end() &&
+      countFits(Equals->second, Step.getReserved()) >= Waiting;
+  if (Left.Serving_.empty())
+    return !HasEquals || Waited >= EqualsPatience;
+  if (HasEquals || countFits(FreeAlone_, Step.getReserved()) > 0)
+    return Waited >= CompanyPatience;
+  const double Harm = Effects_.getAddedHarm(Left.Serving_, Step.Image_);
+  const auto More = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, Duration::period>(HarmPatience) * Harm);
+  return Waited >= MixingPatience + More;
 }
 
 bool Dispatcher::isFitToFill(const StepSpec &Step, Plan &Own, Duration Waited,
@@ -160,7 +183,10 @@
   return Left.Pace_.Others_ >= LeastPace;
 }
 
-void Dispatcher::surveySafeRoom(const JobBook &Book, const ServerBoard &Board) {
+void Dispatcher::surveySafeRoom(const JobBook &Book, const ServerBoard &Board,
+                                TimePoint Now) {
+  FreeAmongEquals_.clear();
+  FreeAlone_.clear();
   SafeRoom_.clear();
   LeastMemory_ = LeastPlainCpus_ = LeastFillingCpus_ = Unlimited;
   std::map<std::string, std::int64_t> Wanted;
@@ -186,8 +212,17 @@
   IsRoomy_ = Reserved * Percent < Capacity * RoomyPercent;
   std::vector<Room> Rooms;
   for (const auto &[Id, Server] : Book.servers())
-    if (const ServerLive *Live = Board.find(Id); Live && !Live->IsDraining_)
+    if (const ServerLive *Live = Board.find(Id);
+        Live && !Live->IsDraining_ && !Live->IsRemoving_) {
       Rooms.push_back(measureRoom(Server));
+      const Room &Left = Rooms.back();
+      const bool MayStart = Live->NoStartsUntil_ <= Now &&
+                            Health_.getFitness(Id, Now) == Fitness::Sound;
+      if (MayStart && Left.Serving_.size() == 1)
+        FreeAmongEquals_[*Left.Serving_.begin()].push_back(Left.Free_);
+      else if (MayStart && Left.Serving_.empty())
+        FreeAlone_.push_back(Left.Free_);
+    }
   for (const std::string &Image : MovingImages_) {
     std::int64_t &Room = SafeRoom_[Image];
     for (const Dispatcher::Room &Left : Rooms)
@@ -354,19 +389,23 @@
   const Duration Waited = getWait(Ready, Own.Now_);
   std::uint64_t Beside = countBeside(Own.Server_, Ready);
   bool IsIdleJob = Job.Placements_ == 0;
-  const std::vector<TaskRecord> &Tasks =
-      Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Tasks_;
+  const StepRecord &Record =
+      Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
+  const std::vector<TaskRecord> &Tasks = Record.Tasks_;
   for (std::uint64_t Index = 0; Index < Tasks.size(); ++Index) {
     if (Tasks[Index].State_ != TaskState::Waiting)
       continue;
     const bool IsCrowded = Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
     if (IsCrowded || Own.Starts_.size() >= Own.MostStarts_ ||
-        !isFit(Step, Own, Waited, IsIdleJob))
+        !isFit(Step, Own, Waited, IsIdleJob, Record.Waiting_))
       return;
     const TaskStart Start{{Ready.Job_, Ready.Occurrence_, Ready.Step_, Index},
                           Tasks[Index].LastRun_ + 1,
                           Own.Server_.Facts_.Id_};
-    if (Taken_.count(Start.Task_) != 0 || isToAvoid(Start.Task_, Own))
+    // What lasts fails now and then by itself, and elsewhere it would take a
+    // place that is better kept for another image.
+    const bool IsAvoided = !Step.LongRunning_ && isToAvoid(Start.Task_, Own);
+    if (Taken_.count(Start.Task_) != 0 || IsAvoided)
       continue;
     if (!Book.findObjection(Start).empty())
       return;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -37,7 +37,8 @@
   /// The starts were applied or refused.
   void settle(const std::vector<TaskStart> &Starts);
   /// Measures where tasks that disturb could go instead; now and then.
-  void surveySafeRoom(const JobBook &Book, const ServerBoard &Board);
+  void surveySafeRoom(const JobBook &Book, const ServerBoard &Board,
+                      TimePoint Now);
   /// Whether a task that hardly works where it is, as it would disturb, is to
   /// be stopped so that it goes on elsewhere; takes the room that it needs.
   bool takeSafeRoom(const StepSpec &Step);
@@ -91,13 +92,16 @@
   static Room measureRoom(const ServerRecord &Server);
   Duration getWait(const ReadyStep &Step, TimePoint Now);
   /// IsIdleJob: nothing of the job runs.
-  bool isFit(const StepSpec &Step, Plan &Own, Duration Waited,
-             bool IsIdleJob) const;
+  bool isFit(const StepSpec &Step, Plan &Own, Duration Waited, bool IsIdleJob,
+             std::uint64_t Waiting) const;
   static std::uint64_t countBeside(const ServerRecord &Server,
                                    const ReadyStep &Step);
   static void take(const StepSpec &Step, Room &Left);
-  static bool isFitToServe(const StepSpec &Step, const Room &Left,
-                           Duration Waited);
+  bool isFitToServe(const StepSpec &Step, const Room &Left, Duration Waited,
+                    std::uint64_t Waiting) const;
+  /// How many tasks that need so much fit into these.
+  static std::uint64_t countFits(const std::vector<Resources> &Places,
+                                 const Resources &Need);
   bool isFitToFill(const StepSpec &Step, Plan &Own, Duration Waited,
                    bool IsIdleJob) const;
 
@@ -118,6 +122,10 @@
   /// thousandths; for the images that were asked about lately.
   std::map<std::string, std::int64_t> SafeRoom_;
   std::set<std::string> MovingImages_;
+  /// What is free where only that image serves, and where none does: as of the
+  /// last survey, of servers that may start something.
+  std::map<std::string, std::vector<Resources>> FreeAmongEquals_;
+  std::vector<Resources> FreeAlone_;
   /// Whether most of the processors are not reserved: as of the last survey.
   bool IsRoomy_ = false;
   /// The least that any waiting task needs, thousandths and MiB: as of the last
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -128,3 +128,14 @@
       Serving.begin(), Serving.end(),
       [&](const std::string &Each) { return isDisturbing(Each, Filling); });
 }
+
+double TailEffects::getAddedHarm(const std::set<std::string> &Serving,
+                                 const std::string &Image) const {
+  if (!hasLearned() || Positions_.empty())
+    return 1;
+  std::size_t Added = 0;
+  for (const auto &[Filling, Position] : Positions_)
+    if (isDisturbing(Image, Filling) && !isDisturbingAny(Serving, Filling))
+      ++Added;
+  return double(Added) / double(Positions_.size());
+}
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -45,6 +45,10 @@
   /// The same for at least one of several that serve.
   bool isDisturbingAny(const std::set<std::string> &Serving,
                        const std::string &Filling) const;
+  /// The part of the known filling images that could no longer work freely if
+  /// the image came to serve beside those; 1 while little is known.
+  double getAddedHarm(const std::set<std::string> &Serving,
+                      const std::string &Image) const;
 
 private:
   struct Model {
