Copies of speculative tasks that are late

Cause: nearly a third of the short steps may be copied, and nobody ever did; a run on a slow or standing server was waited for.

The state machine knew copies already.

Ruled out: copies before what waits.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -48,6 +48,7 @@
   ReadySince_.clear();
   Taken_.clear();
   Failed_.clear();
+  Stragglers_.reset();
 }
 
 void Dispatcher::settle(const std::vector<TaskStart> &Starts) {
@@ -187,6 +188,7 @@
                                 TimePoint Now) {
   FreeAmongEquals_.clear();
   FreeAlone_.clear();
+  Stragglers_.survey(Book, Board, Now);
   SafeRoom_.clear();
   LeastMemory_ = LeastPlainCpus_ = LeastFillingCpus_ = Unlimited;
   std::map<std::string, std::int64_t> Wanted;
@@ -351,9 +353,31 @@
       Later.at(Lateness).push_back(&Ready);
   }
   TakeLater();
+  planCopies(Book, Own);
   return std::move(Own.Starts_);
 }
 
+/// With room that nobody waits for: the state machine refuses a second copy,
+/// and one beside the first run.
+void Dispatcher::planCopies(const JobBook &Book, Plan &Own) {
+  for (const TaskKey &Task : Stragglers_.list()) {
+    const TaskRecord *Record = Book.findTask(Task);
+    const bool IsOpen = Record && Record->State_ == TaskState::Placed &&
+                        Taken_.count(Task) == 0 && !isToAvoid(Task, Own);
+    if (!IsOpen || Own.Starts_.size() >= Own.MostStarts_)
+      continue;
+    const StepSpec &Step = *Book.findStep(Task);
+    const TaskStart Start{Task, Record->LastRun_ + 1, Own.Server_.Facts_.Id_};
+    const bool IsRoomy = Step.getReserved().fitsIn(Own.Left_.Free_) &&
+                         Step.Need_.MilliCpus_ <= Own.Left_.Idle_;
+    if (!IsRoomy || !Book.findObjection(Start).empty())
+      continue;
+    Own.Starts_.push_back(Start);
+    Taken_.insert(Task);
+    take(Step, Own.Left_);
+  }
+}
+
 /// Whether nothing of what waits can fit any more: as of the last survey.
 bool Dispatcher::isFull(const Plan &Own) const {
   const Room &Left = Own.Left_;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -13,6 +13,7 @@
 #include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
 #include "jobs/ServerHealth.h"
+#include "jobs/Stragglers.h"
 #include "jobs/TailEffects.h"
 
 #include <set>
@@ -87,6 +88,7 @@
 
   bool isFull(const Plan &Own) const;
   void addBudget(Plan &Own) const;
+  void planCopies(const JobBook &Book, Plan &Own);
   bool isDisturbing(const StepSpec &Step, Plan &Own) const;
   void planStep(const JobBook &Book, const ReadyStep &Ready, Plan &Own);
   static Room measureRoom(const ServerRecord &Server);
@@ -135,6 +137,7 @@
   std::int64_t LeastPlainCpus_ = 0;
   std::int64_t LeastFillingCpus_ = 0;
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
+  Stragglers Stragglers_;
 };
 
 } // namespace tulipweir::jobs
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -231,3 +231,45 @@
   EXPECT_TRUE(
       Dispatcher_.plan(Book_, Board_, "s2", Now_, WallTime(Wall_)).empty());
 }
+
+TEST_F(DispatcherTest, ACopyOvertakesARunThatIsLate) {
+  StepSpec Step = makeStep(1, 1000);
+  Step.Speculative_ = true;
+  submit(makeJob("j", {Step, makeStep(1, 100)}));
+  const auto First = plan("s1");
+  ASSERT_EQ(First.size(), 2U);
+  // Of declared 500 ms; half done after 700.
+  ServerReport Report;
+  Report.Facts_ = makeServer("s1");
+  Report.Running_ = {{First[0].Task_, 1, "", 1, 0}};
+  ++Report.Sequence_;
+  Board_.note(Report, Now_, 10s);
+  advance(700ms);
+  ++Report.Sequence_;
+  Report.Running_[0].Percent_ = 70;
+  Board_.note(Report, Now_, 10s);
+  EXPECT_TRUE(plan("s2").empty()) << "it may take twice as long";
+  advance(700ms);
+  EXPECT_TRUE(plan("s1").empty()) << "not beside the first";
+  const auto Copy = plan("s2");
+  ASSERT_EQ(Copy.size(), 1U);
+  EXPECT_EQ(Copy[0].Task_, First[0].Task_);
+  EXPECT_EQ(Copy[0].Run_, 2U);
+  advance(1s);
+  EXPECT_TRUE(plan("s2").empty()) << "one copy";
+  end(Copy[0], RunEnd::Done);
+  EXPECT_EQ(Book_.findTask(Copy[0].Task_)->State_, TaskState::Done);
+}
+
+TEST_F(DispatcherTest, NothingElseIsCopied) {
+  submit(makeJob("j", {makeStep(1, 1000)}));
+  const auto First = plan("s1");
+  ASSERT_EQ(First.size(), 1U);
+  ServerReport Report;
+  Report.Facts_ = makeServer("s1");
+  Report.Running_ = {{First[0].Task_, 1, "", 1, 0}};
+  Report.Sequence_ = 1;
+  Board_.note(Report, Now_, 10s);
+  advance(5s);
+  EXPECT_TRUE(plan("s2").empty());
+}
