--- a/bench/platform/FleetWorld.h
+++ b/bench/platform/FleetWorld.h
@@ -88,7 +88,6 @@
   std::vector<Server> Servers_;
   std::map<std::string, Job> Jobs_;
   std::int64_t NowMs_ = 0;
-  std::uint64_t NextJob_ = 1;
   FleetResult Result_;
   std::uint64_t TailsSeen_ = 0;
   std::uint64_t TailsOver_ = 0;
--- a/tests/replication/SlowDiskTest.cpp
+++ b/tests/replication/SlowDiskTest.cpp
@@ -75,8 +75,8 @@
     Next.Messages_ = std::move(Out.Late_);
     Next.IsSlow_ = Out.Hard_ || !Out.Appended_.empty();
     if (!Out.Appended_.empty())
-      Next.Mark_ = Synced{Out.Appended_.back().Term_,
-                          Out.Appended_.back().Index_};
+      Next.Mark_ =
+          Synced{Out.Appended_.back().Term_, Out.Appended_.back().Index_};
     if (Next.IsSlow_ || !Next.Messages_.empty())
       Which.Queued_.push_back(std::move(Next));
     deliver(Out.Early_);
