The jobs' leader in five sources by duty

Cause: JobLeader.cpp had grown to 1,060 lines and held leadership and timers, clients' calls, servers' reports, orders, and what is logged. Functions were moved, none changed, but that NotLeader is made as an Error and a reason to stop is a string_view. Conclusion: each file reads alone.

--- /dev/null
+++ b/src/jobs/JobLeaderCalls.cpp
@@ -0,0 +1,178 @@
+#include "jobs/JobLeaderImpl.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+/// Told with a refusal that only a newer version of this program ends.
+static constexpr std::uint64_t UnsupportedRetryMs = 60'000;
+
+void JobLeader::Impl::call(JobCall Call, Done<JobCallReply> Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  switch (Call.Kind_) {
+  case CallKind::Submit:
+    return submit(std::move(Call), Reply);
+  case CallKind::Show:
+    return show(Call, Reply);
+  case CallKind::Cancel:
+    return cancel(Call, Reply);
+  }
+}
+
+/// The queue a call is addressed to; the rest of its path is the job's id.
+static const QueuePolicy *findQueue(const JobBook &Book, const JobCall &Call,
+                                    JobCallReply &Reply, std::string &Id) {
+  const Configuration &Current = Book.configuration();
+  const QueuePolicy *Queue = Current.findQueue(Call.Host_, Call.Path_);
+  if (Queue)
+    Id = Call.Path_.substr(Queue->PathPrefix_.size());
+  else
+    Reply.Outcome_ = Current.Version_ == 0 ? CallOutcome::NoConfiguration
+                                           : CallOutcome::NoQueue;
+  return Queue;
+}
+
+void JobLeader::Impl::submit(JobCall Call, const Done<JobCallReply> &Reply) {
+  JobCallReply Result;
+  SubmitJob Command;
+  bool NeedsAdvice = false;
+  const bool HasQueue = Machine_.read([&](const JobBook &Book) {
+    const QueuePolicy *Queue = findQueue(Book, Call, Result, Call.Spec_.Id_);
+    if (!Queue)
+      return false;
+    Command.Host_ = Queue->Host_;
+    Command.PathPrefix_ = Queue->PathPrefix_;
+    NeedsAdvice = Queue->Advice_.IsNeeded_;
+    return true;
+  });
+  if (!HasQueue)
+    return Reply(Result);
+  if (NeedsAdvice) {
+    Result.Outcome_ = CallOutcome::Refused;
+    Result.RetryAfterMs_ = UnsupportedRetryMs;
+    Result.Reason_ =
+        "the queue needs advice on servers, which is not built yet";
+    Event Line;
+    Line.Kind_ = EventKind::JobRefused;
+    Line.Job_ = Call.Spec_.Id_;
+    Line.Reason_ = Result.Reason_;
+    Log_.write(Line);
+    Meter_.add(Counted::JobsRefused, 1);
+    return Reply(Result);
+  }
+  const Outcome<void> Checked = checkJobSpec(Call.Spec_);
+  if (!Checked) {
+    Result.Outcome_ = CallOutcome::Invalid;
+    Result.Reason_ = Checked.error().Message_;
+    return Reply(Result);
+  }
+  Command.AcceptedMs_ = static_cast<std::uint64_t>(Time_.wallNow().count());
+  const std::string Id = Call.Spec_.Id_;
+  Command.Spec_ = std::move(Call.Spec_);
+  const TimePoint Begin = Time_.now();
+  propose(Command,
+          [this, Id, Begin, Reply](const Outcome<CommandResult> &Applied) {
+            JobCallReply Late;
+            if (!Applied)
+              return Reply(Applied.error());
+            const Verdict Taken = Applied.value().Verdict_;
+            if (Taken == Verdict::NotFound)
+              Late.Outcome_ = CallOutcome::NoQueue;
+            Meter_.add(Taken == Verdict::NotFound ? Counted::JobsRefused
+                                                  : Counted::JobsAccepted,
+                       Taken == Verdict::AlreadyDone ? 0 : 1);
+            Meter_.record(Timed::Acknowledge, Time_.now() - Begin);
+            if (Taken == Verdict::Done)
+              AcceptedAt_.emplace(Id, Begin);
+            Event Line;
+            Line.Kind_ = Taken == Verdict::NotFound ? EventKind::JobRefused
+                                                    : EventKind::JobAccepted;
+            Line.Job_ = Id;
+            Line.Term_ = Term_;
+            if (Taken == Verdict::NotFound)
+              Line.Reason_ = "its queue was dropped meanwhile";
+            if (Taken == Verdict::AlreadyDone)
+              Line.Reason_ = "it was accepted before";
+            Log_.write(Line);
+            Reply(Late);
+          });
+}
+
+void JobLeader::Impl::show(const JobCall &Call,
+                           const Done<JobCallReply> &Reply) const {
+  Reply(Machine_.read([&](const JobBook &Book) {
+    JobCallReply Result;
+    std::string Id;
+    const QueuePolicy *Queue = findQueue(Book, Call, Result, Id);
+    if (!Queue)
+      return Result;
+    if (Id.empty()) {
+      Result.IsCount_ = true;
+      Result.Pending_ = Book.countPending(Queue->getKey());
+      return Result;
+    }
+    const JobRecord *Job = Book.findJob(Id);
+    if (Job)
+      Result.State_ = Job->State_;
+    else
+      Result.Outcome_ = CallOutcome::NoJob;
+    return Result;
+  }));
+}
+
+void JobLeader::Impl::cancel(const JobCall &Call,
+                             const Done<JobCallReply> &Reply) {
+  JobCallReply Result;
+  std::string Id;
+  const bool HasQueue = Machine_.read([&](const JobBook &Book) {
+    return findQueue(Book, Call, Result, Id) != nullptr;
+  });
+  if (!HasQueue)
+    return Reply(Result);
+  propose(
+      CancelJob{Id}, [this, Id, Reply](const Outcome<CommandResult> &Applied) {
+        if (!Applied)
+          return Reply(Applied.error());
+        JobCallReply Late;
+        if (Applied.value().Verdict_ == Verdict::NotFound)
+          Late.Outcome_ = CallOutcome::NoJob;
+        else if (EndedSince_.try_emplace(Id, Time_.now()).second)
+          noteEnded(Id, Counted::JobsCancelled);
+        Event Line;
+        Line.Kind_ = EventKind::JobCancelled;
+        Line.Job_ = Id;
+        Line.Outcome_ = Applied.value().Verdict_ == Verdict::Done ? "cancelled"
+                                                                  : "no change";
+        Log_.write(Line);
+        Reply(Late);
+      });
+}
+
+// The configuration.
+
+void JobLeader::Impl::putConfiguration(Configuration Value, Done<void> Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  const std::uint64_t Version = Value.Version_;
+  propose(PutConfiguration{std::move(Value)},
+          [this, Version, Reply](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return Reply(Applied.error());
+            Event Line;
+            Line.Kind_ = EventKind::ConfigurationAccepted;
+            Line.Version_ = Version;
+            Line.Outcome_ = Applied.value().Verdict_ == Verdict::Done
+                                ? "in force"
+                                : "not above the version in force";
+            Log_.write(Line);
+            Reply(succeed());
+          });
+}
+
+void JobLeader::Impl::readConfiguration(const Done<Configuration> &Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  Reply(
+      Machine_.read([](const JobBook &Book) { return Book.configuration(); }));
+}
--- /dev/null
+++ b/src/jobs/JobLeaderImpl.h
@@ -0,0 +1,143 @@
+//===- JobLeaderImpl.h - The leader's side, inside -------------*- C++ -*-===//
+//
+// The class behind JobLeader. Its functions stand by duty: leadership and what
+// is done by the clock (JobLeader.cpp), clients' calls (JobLeaderCalls.cpp),
+// servers' reports (JobLeaderReports.cpp), the orders in their answers
+// (JobLeaderOrders.cpp), and what is logged, metered and learned of runs
+// (JobLeaderNotes.cpp).
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBS_JOBLEADERIMPL_H
+#define TULIPWEIR_SRC_JOBS_JOBLEADERIMPL_H
+
+#include "tulipweir/jobs/JobLeader.h"
+
+#include "jobs/Dispatcher.h"
+#include "jobs/Newcomers.h"
+#include "jobs/PaceGuard.h"
+#include "jobs/PaceSetter.h"
+#include "jobs/ServerBoard.h"
+#include "replication/LeaderWatch.h"
+
+#include <set>
+
+namespace tulipweir::jobs {
+
+class JobLeader::Impl : public std::enable_shared_from_this<JobLeader::Impl> {
+public:
+  Impl(const JobLeaderSettings &Settings, const Clock &Time, Executor &Strand,
+       replication::Replica &Group, const JobMachine &Machine, EventLog &Log,
+       JobMeter &Meter)
+      : Settings_(Settings), Time_(Time), Strand_(Strand), Group_(Group),
+        Machine_(Machine), Log_(Log), Meter_(Meter),
+        Watch_(Group, Strand,
+               {[this](std::uint64_t Term) { beginLeading(Term); },
+                [this] { endLeading(); }}) {}
+
+  void start() { tick(); }
+  void call(JobCall Call, Done<JobCallReply> Reply);
+  void report(ServerReport Report, Done<ServerOrders> Reply);
+  void leave(const std::string &ServerId, Done<void> Reply);
+  void putConfiguration(Configuration Value, Done<void> Reply);
+  void readConfiguration(const Done<Configuration> &Reply);
+  bool isLeading() const;
+
+private:
+  using ResultCallback = std::function<void(Outcome<CommandResult>)>;
+  /// A report on its way to its answer.
+  struct Handling {
+    ServerReport Report_;
+    Done<ServerOrders> Reply_;
+    TimePoint ArrivedAt_;
+    bool IsStale_ = false;
+  };
+  using HandlingPtr = std::shared_ptr<Handling>;
+
+  /// How long a server whose clock is slow may count on a lease.
+  Duration getLongestLease() const;
+  void beginLeading(std::uint64_t Term);
+  void endLeading();
+  void tick();
+  void watchClock();
+  void explainWaits();
+  void removeLapsed();
+  void openDue();
+  void startGang();
+  void forgetEnded();
+  /// IsOver: for good, so that what may still come of it is late.
+  void removeServer(const std::string &Id, const std::string &Why, bool IsOver,
+                    ResultCallback Done);
+  void propose(const Command &Value, ResultCallback Done);
+  /// Says who leads, as far as it is known.
+  Error makeNotLeading() const;
+
+  void submit(JobCall Call, const Done<JobCallReply> &Reply);
+  void show(const JobCall &Call, const Done<JobCallReply> &Reply) const;
+  void cancel(const JobCall &Call, const Done<JobCallReply> &Reply);
+
+  void noteLateEnds(const ServerReport &Report,
+                    const Done<ServerOrders> &Reply);
+  void admit(const HandlingPtr &Current);
+  bool takeOver(const std::string &Occupant, const ServerFacts &Newcomer);
+  void addServer(const HandlingPtr &Current);
+  void noteEnds(const HandlingPtr &Current);
+  void startTasks(const HandlingPtr &Current);
+  void answer(const HandlingPtr &Current);
+  void noteEnded(const std::string &Job, Counted How);
+  void noteStarted(const TaskStart &Start, bool IsTaken);
+  void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
+  void noteHealth(const EndTasks &Ended);
+  void noteSick(const std::string &Server, const std::string &Job,
+                const char *Why);
+  void logQuarantine(const std::string &Server, const std::string &Job,
+                     const char *Why);
+  bool isStalled(const JobBook &Book, const std::string &Server,
+                 const RunningTask &Running) const;
+  static bool isToEvacuate(const JobBook &Book, const ServerReport &Report,
+                           const RunningTask &Running);
+  /// Images: those that serve there.
+  bool isToMove(const JobBook &Book, const std::set<std::string> &Images,
+                const ServerReport &Report, const RunningTask &Running);
+  ServerOrders makeOrders(const ServerReport &Report,
+                          std::vector<TaskEnd> &NeverRan);
+
+  const JobLeaderSettings Settings_;
+  const Clock &Time_;
+  Executor &Strand_;
+  replication::Replica &Group_;
+  const JobMachine &Machine_;
+  EventLog &Log_;
+  JobMeter &Meter_;
+  replication::LeaderWatch Watch_;
+
+  std::uint64_t Term_ = 0;
+  ServerBoard Board_;
+  TailEffects Effects_;
+  PaceGuard Paces_;
+  ServerHealth Health_;
+  Dispatcher Dispatcher_{Effects_, Paces_, Health_};
+  PaceSetter Setter_{Time_, Machine_, Dispatcher_, Log_, Effects_, Paces_};
+  Newcomers Newcomers_;
+  /// Lives whose end is decided, until that is stored.
+  std::set<std::string> Leaving_;
+  std::map<std::string, TimePoint> EndedSince_;
+  /// Of open jobs that this leader accepted itself.
+  std::map<std::string, TimePoint> AcceptedAt_;
+  std::set<std::string> Started_; ///< Of these.
+  /// What was last said of steps that wait.
+  std::map<ReadyStep, std::string> Explained_;
+  TimePoint NextExplanation_{};
+  /// Wall time less steady time, when it was last looked at.
+  std::optional<Duration> WallOffset_;
+};
+
+/// A task as logs name it within its job: occurrence.step.index.
+std::string toText(const TaskKey &Task);
+
+/// Why a run is stopped that stands still; servers where that happens are sick.
+inline constexpr std::string_view StandsStill = "it makes no progress";
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_SRC_JOBS_JOBLEADERIMPL_H
--- /dev/null
+++ b/src/jobs/JobLeaderReports.cpp
@@ -0,0 +1,280 @@
+#include "jobs/JobLeaderImpl.h"
+
+#include <algorithm>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+/// A server that refused a start is left alone for so long: its room is not
+/// what we think.
+static constexpr Duration RefusalPause = 500ms;
+/// How long a server that leaves is waited for: a report takes some
+/// milliseconds, also over a queue of others.
+static constexpr Duration LeavePause = 150ms;
+/// How soon a life that claims a taken address is asked again.
+static constexpr std::uint64_t NewcomerReportMs = 250;
+
+void JobLeader::Impl::leave(const std::string &ServerId, Done<void> Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  Leaving_.insert(ServerId);
+  // Its last report may have been overtaken on the way; an end in it counts.
+  Strand_.postAfter(LeavePause, [Weak = weak_from_this(), ServerId, Reply] {
+    const std::shared_ptr<Impl> Self = Weak.lock();
+    if (!Self || !Self->isLeading())
+      return Reply(fail(ErrorCode::NotLeader, ""));
+    Self->removeServer(ServerId, "it left", /*IsOver=*/true,
+                       [Reply](const Outcome<CommandResult> &Result) {
+                         if (!Result)
+                           return Reply(Result.error());
+                         Reply(succeed());
+                       });
+  });
+}
+
+void JobLeader::Impl::report(ServerReport Report, Done<ServerOrders> Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  // A late report of a life that is over: what it has done counts, but it is
+  // told nothing.
+  const std::string &Id = Report.Facts_.Id_;
+  const bool IsOver =
+      Leaving_.count(Id) != 0 || Machine_.read([&Id](const JobBook &Book) {
+        return !Book.findServer(Id) && Book.isOver(Id);
+      });
+  if (IsOver)
+    return noteLateEnds(Report, Reply);
+  const auto Current = std::make_shared<Handling>();
+  Current->Report_ = std::move(Report);
+  Current->Reply_ = std::move(Reply);
+  Current->ArrivedAt_ = Time_.now();
+  admit(Current);
+}
+
+void JobLeader::Impl::noteLateEnds(const ServerReport &Report,
+                                   const Done<ServerOrders> &Reply) {
+  EndTasks Command{Report.Facts_.Id_, {}};
+  for (const EndedTask &Each : Report.Ended_)
+    if (Each.End_.How_ == RunEnd::Done)
+      Command.Ends_.push_back(Each.End_);
+  if (Command.Ends_.empty())
+    return Reply(ServerOrders{});
+  propose(Command,
+          [this, Command, Reply](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return Reply(Applied.error());
+            logEnds(Command.Server_, Command.Ends_);
+            Reply(ServerOrders{});
+          });
+}
+
+/// Makes sure that the server is in the log, and no other at its address.
+void JobLeader::Impl::admit(const HandlingPtr &Current) {
+  const ServerFacts &Facts = Current->Report_.Facts_;
+  std::vector<std::string> Replaced;
+  const bool IsKnown = Machine_.read([&](const JobBook &Book) {
+    const ServerRecord *Known = Book.findServer(Facts.Id_);
+    if (!Known)
+      for (const auto &[Id, Other] : Book.servers())
+        if (Other.Facts_.Address_ == Facts.Address_)
+          Replaced.push_back(Id);
+    return Known && Known->Facts_ == Facts;
+  });
+  if (ServerLive *Live = Board_.find(Facts.Id_); Live && Live->IsRemoving_)
+    return Current->Reply_(
+        fail(ErrorCode::Unavailable, "the server is being removed"));
+  if (IsKnown)
+    return noteEnds(Current);
+  for (const std::string &Occupant : Replaced)
+    if (!takeOver(Occupant, Facts)) {
+      ServerOrders Later;
+      Later.NextReportMs_ = NewcomerReportMs;
+      return Current->Reply_(std::move(Later));
+    }
+  addServer(Current);
+}
+
+/// Ends the life at the newcomer's address if the newcomer has proved that it
+/// is the later one; else says false.
+bool JobLeader::Impl::takeOver(const std::string &Occupant,
+                               const ServerFacts &Newcomer) {
+  const TimePoint Now = Time_.now();
+  const ServerLive *Live = Board_.find(Occupant);
+  if (Live && Live->IsRemoving_)
+    return true;
+  Newcomers_.note(Newcomer.Id_, Live ? Live->LastHeard_ : TimePoint::min(),
+                  Now);
+  if (!Newcomers_.mayTakeOver(Newcomer.Id_, Now)) {
+    Event Line;
+    Line.Kind_ = EventKind::ServerWaits;
+    Line.Server_ = Newcomer.Id_;
+    Line.Reason_ = Occupant + " was heard at its address";
+    if (Live)
+      Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Now - Live->LastHeard_)
+                        .count();
+    Log_.write(Line);
+    return false;
+  }
+  Newcomers_.forget(Newcomer.Id_);
+  removeServer(Occupant, "another life runs at its address", /*IsOver=*/true,
+               [](const Outcome<CommandResult> &) {});
+  return true;
+}
+
+void JobLeader::Impl::addServer(const HandlingPtr &Current) {
+  const ServerFacts &Facts = Current->Report_.Facts_;
+  Event Line;
+  Line.Kind_ = EventKind::ServerSeen;
+  Line.Server_ = Facts.Id_;
+  Line.Reason_ = "rack " + Facts.Rack_ + ", " + Facts.DataCentre_;
+  Log_.write(Line);
+  propose(AddServer{Facts},
+          [this, Current](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return Current->Reply_(Applied.error());
+            if (Applied.value().Verdict_ == Verdict::Refused)
+              return Current->Reply_(
+                  fail(ErrorCode::Unavailable,
+                       "another life of the server holds its address"));
+            noteEnds(Current);
+          });
+}
+
+void JobLeader::Impl::noteEnds(const HandlingPtr &Current) {
+  const ServerReport &Report = Current->Report_;
+  const std::string &Id = Report.Facts_.Id_;
+  const TimePoint Now = Time_.now();
+  const bool WasDraining = Board_.find(Id) && Board_.find(Id)->IsDraining_;
+  Current->IsStale_ = !Board_.note(Report, Now, getLongestLease());
+  if (Report.IsDraining_ && !WasDraining && !Current->IsStale_) {
+    Event Line;
+    Line.Kind_ = EventKind::ServerDraining;
+    Line.Server_ = Id;
+    Line.Count_ = Report.RemainingMs_;
+    Log_.write(Line);
+  }
+  if (Current->IsStale_)
+    return Current->Reply_(ServerOrders{});
+  Setter_.note(Report);
+  EndTasks Command{Id, {}};
+  Machine_.read([&](const JobBook &Book) {
+    const ServerRecord *Server = Book.findServer(Id);
+    if (!Server)
+      return 0;
+    for (const EndedTask &Each : Report.Ended_) {
+      const auto Placed = Server->Placed_.find(Each.End_.Task_);
+      const bool IsPlaced =
+          Placed != Server->Placed_.end() && Placed->second == Each.End_.Run_;
+      const TaskRecord *Task = Book.findTask(Each.End_.Task_);
+      const bool IsLateDone = Each.End_.How_ == RunEnd::Done && Task &&
+                              Task->State_ != TaskState::Done;
+      if (IsPlaced || IsLateDone)
+        Command.Ends_.push_back(Each.End_);
+    }
+    return 0;
+  });
+  if (Command.Ends_.empty())
+    return startTasks(Current);
+  const bool AnyRefused = std::any_of(
+      Command.Ends_.begin(), Command.Ends_.end(),
+      [](const TaskEnd &End) { return End.How_ == RunEnd::Refused; });
+  if (AnyRefused)
+    Board_.find(Id)->NoStartsUntil_ = Now + RefusalPause;
+  propose(
+      Command, [this, Current, Command](const Outcome<CommandResult> &Applied) {
+        if (!Applied)
+          return Current->Reply_(Applied.error());
+        logEnds(Command.Server_, Command.Ends_);
+        noteHealth(Command);
+        Machine_.read([&](const JobBook &Book) {
+          for (const TaskEnd &End : Command.Ends_) {
+            const JobRecord *Job = Book.findJob(End.Task_.Job_);
+            if (!Job || !isEnded(Job->State_) ||
+                !EndedSince_.try_emplace(End.Task_.Job_, Time_.now()).second)
+              continue;
+            Event Line;
+            Line.Kind_ = EventKind::JobEnded;
+            Line.Job_ = End.Task_.Job_;
+            Line.Outcome_ = Job->State_ == JobState::Completed ? "completed"
+                            : Job->State_ == JobState::Failed  ? "failed"
+                                                               : "cancelled";
+            if (Job->State_ == JobState::Failed)
+              Line.Reason_ = "task " + toText(End.Task_) +
+                             " has failed as often as its queue allows";
+            Log_.write(Line);
+            noteEnded(End.Task_.Job_, Job->State_ == JobState::Completed
+                                          ? Counted::JobsCompleted
+                                          : Counted::JobsFailed);
+          }
+          return 0;
+        });
+        startTasks(Current);
+      });
+}
+
+void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
+  const std::string &Id = Current->Report_.Facts_.Id_;
+  std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
+    return Dispatcher_.plan(Book, Board_, Id, Time_.now(), Time_.wallNow());
+  });
+  if (Starts.empty())
+    return answer(Current);
+  propose(StartTasks{Starts}, [this, Current,
+                               Starts](const Outcome<CommandResult> &Applied) {
+    Dispatcher_.settle(Starts);
+    if (!Applied)
+      return Current->Reply_(Applied.error());
+    for (std::size_t I = 0; I < Starts.size(); ++I) {
+      Event Line;
+      Line.Kind_ = EventKind::TaskStarted;
+      Line.Job_ = Starts[I].Task_.Job_;
+      Line.Task_ = toText(Starts[I].Task_);
+      Line.Attempt_ = Starts[I].Run_;
+      Line.Server_ = Starts[I].Server_;
+      Line.Outcome_ = Applied.value().Taken_[I] ? "placed" : "refused";
+      Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Time_.now() - Current->ArrivedAt_)
+                        .count();
+      Log_.write(Line);
+      noteStarted(Starts[I], Applied.value().Taken_[I]);
+    }
+    answer(Current);
+  });
+}
+
+void JobLeader::Impl::answer(const HandlingPtr &Current) {
+  const ServerReport &Report = Current->Report_;
+  const std::string &Id = Report.Facts_.Id_;
+  const ServerLive *Live = Board_.find(Id);
+  const bool IsKnown =
+      Live && !Live->IsRemoving_ && Machine_.read([&](const JobBook &Book) {
+        return Book.findServer(Id) != nullptr;
+      });
+  if (!IsKnown)
+    return Current->Reply_(
+        fail(ErrorCode::Unavailable, "the server is being removed"));
+  std::vector<TaskEnd> NeverRan;
+  ServerOrders Orders = makeOrders(Report, NeverRan);
+  if (!NeverRan.empty())
+    propose(EndTasks{Id, NeverRan}, [](const Outcome<CommandResult> &) {});
+  Orders.LeaseMs_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Settings_.Lease_)
+          .count());
+  Orders.FencingToken_ = Term_;
+  for (const EndedTask &Each : Report.Ended_)
+    Orders.EndsNoted_ = std::max(Orders.EndsNoted_, Each.Number_);
+  Orders.NextReportMs_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Settings_.ReportInterval_)
+          .count());
+  Setter_.addPaces(Report, *Board_.find(Id), Orders);
+  // Directly before the promise: another may lead by now.
+  const TimePoint Now = Time_.now();
+  if (Group_.findLeaseTerm(Now) != Term_)
+    return Current->Reply_(makeNotLeading());
+  Board_.extendLease(Id, Now + getLongestLease());
+  Meter_.record(Timed::Heartbeat, Now - Current->ArrivedAt_);
+  Current->Reply_(std::move(Orders));
+}
