What lasts is not starved by short work

A lasting task waited 17 s.

Ruled out: the leader's processor (reports waited 12 to 79 ms); placement by image (the wait said "full", not "kept").

Change: a lasting task that has waited 2 s goes first, and the server nearest to having room for it starts no short work that would take it; nothing is copied while a lasting task waits.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -31,6 +31,12 @@
 static constexpr std::int64_t Percent = 100;
 /// Where filling tasks must go slower than that, no more are added.
 static constexpr std::uint64_t LeastPace = 40;
+/// What lasts gives way to short work for so long. After that it goes first,
+/// and room is kept for it: short work comes without end and leaves gaps that
+/// are too small. Whoever lasts must not be away for more than some seconds.
+static constexpr Duration LastingPatience = 2s;
+/// Bounds the work of a survey.
+static constexpr std::size_t MostHeld = 32;
 /// A job of which nothing runs is started somewhere after that time, where less
 /// than that part of the processors is reserved.
 static constexpr Duration IdleJobPatience = 1s;
@@ -123,7 +129,10 @@
 bool Dispatcher::isFit(const StepSpec &Step, Plan &Own, Duration Waited,
                        bool IsIdleJob, std::uint64_t Waiting) const {
   const Room &Left = Own.Left_;
-  if (!Step.getReserved().fitsIn(Left.Free_))
+  const auto Held = Held_.find(Own.Server_.Facts_.Id_);
+  const bool IsHeld = !Step.LongRunning_ && !Step.Fills_ && Held != Held_.end();
+  const Resources Free = IsHeld ? Left.Free_ - Held->second : Left.Free_;
+  if (!Step.getReserved().fitsIn(Free))
     return false;
   if (!Step.DataRack_.empty() && Step.DataRack_ != Own.Server_.Facts_.Rack_ &&
       Waited < RackPatience)
@@ -189,6 +198,7 @@
   FreeAmongEquals_.clear();
   FreeAlone_.clear();
   Stragglers_.survey(Book, Board, Now);
+  holdRoom(Book, Board, Now);
   SafeRoom_.clear();
   LeastMemory_ = LeastPlainCpus_ = LeastFillingCpus_ = Unlimited;
   std::map<std::string, std::int64_t> Wanted;
@@ -236,6 +246,48 @@
   MovingImages_.clear();
 }
 
+/// For each task that lasts and has waited too long, the server that is nearest
+/// to having room for it starts nothing that would take it.
+void Dispatcher::holdRoom(const JobBook &Book, const ServerBoard &Board,
+                          TimePoint Now) {
+  Held_.clear();
+  AnyLastingWaits_ = false;
+  for (const ReadyStep &Ready : Book.readySteps()) {
+    const JobRecord &Job = *Book.findJob(Ready.Job_);
+    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    if (!Step.LongRunning_)
+      continue;
+    AnyLastingWaits_ = true;
+    if (getWait(Ready, Now) < LastingPatience)
+      continue;
+    const Resources Need = Step.getReserved();
+    const std::uint64_t Waiting =
+        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
+    for (std::uint64_t I = 0; I < Waiting && Held_.size() < MostHeld; ++I) {
+      const ServerRecord *Best = nullptr;
+      std::int64_t MostFree = 0;
+      for (const auto &[Id, Server] : Book.servers()) {
+        const ServerLive *Live = Board.find(Id);
+        const bool IsUsable = Live && !Live->IsDraining_ &&
+                              !Live->IsRemoving_ &&
+                              Server.Facts_.Service_ == Job.Policy_.Service_ &&
+                              Held_.count(Id) == 0 &&
+                              Health_.getFitness(Id, Now) == Fitness::Sound;
+        const Resources Free = Server.Facts_.Capacity_ - Server.Used_;
+        const bool IsNearer = Free.MemoryMib_ >= Need.MemoryMib_ &&
+                              (!Best || Free.MilliCpus_ > MostFree);
+        if (!IsUsable || !IsNearer)
+          continue;
+        Best = &Server;
+        MostFree = Free.MilliCpus_;
+      }
+      if (!Best)
+        break;
+      Held_[Best->Facts_.Id_] = Need;
+    }
+  }
+}
+
 bool Dispatcher::takeSafeRoom(const StepSpec &Step) {
   MovingImages_.insert(Step.Image_);
   const auto Found = SafeRoom_.find(Step.Image_);
@@ -347,13 +399,17 @@
         IsTimeless
             ? 0
             : getLateness(Job, *Job.findOccurrence(Ready.Occurrence_), Wall);
-    if (Lateness == 0 && !IsTimeless)
+    const bool HasWaitedLong =
+        IsTimeless && getWait(Ready, Now) >= LastingPatience;
+    if (Lateness == 0 && (!IsTimeless || HasWaitedLong))
       planStep(Book, Ready, Own);
     else
       Later.at(Lateness).push_back(&Ready);
   }
   TakeLater();
-  planCopies(Book, Own);
+  // A copy would take the gap that what lasts is waiting to see grow.
+  if (!AnyLastingWaits_)
+    planCopies(Book, Own);
   return std::move(Own.Starts_);
 }
 
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -89,6 +89,7 @@
   bool isFull(const Plan &Own) const;
   void addBudget(Plan &Own) const;
   void planCopies(const JobBook &Book, Plan &Own);
+  void holdRoom(const JobBook &Book, const ServerBoard &Board, TimePoint Now);
   bool isDisturbing(const StepSpec &Step, Plan &Own) const;
   void planStep(const JobBook &Book, const ReadyStep &Ready, Plan &Own);
   static Room measureRoom(const ServerRecord &Server);
@@ -128,6 +129,10 @@
   /// last survey, of servers that may start something.
   std::map<std::string, std::vector<Resources>> FreeAmongEquals_;
   std::vector<Resources> FreeAlone_;
+  /// By server, what is kept there for a task that lasts and has waited long:
+  /// as of the last survey.
+  std::map<std::string, Resources> Held_;
+  bool AnyLastingWaits_ = false;
   /// Whether most of the processors are not reserved: as of the last survey.
   bool IsRoomy_ = false;
   /// The least that any waiting task needs, thousandths and MiB: as of the last
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -273,3 +273,54 @@
   advance(5s);
   EXPECT_TRUE(plan("s2").empty());
 }
+
+TEST_F(DispatcherTest, WhatLastsIsNotStarvedByShortWork) {
+  // Both servers are full of short tasks of one processor; a task that lasts
+  // needs three of the four.
+  StepSpec Lasting = makeServing(1, "a");
+  Lasting.Need_.MilliCpus_ = 3000;
+  const auto SubmitShort = [this](const std::string &Id) {
+    SubmitJob Fresh = makeSubmit(makeJob(Id, {makeStep(8, 1000)}));
+    Fresh.AcceptedMs_ = static_cast<std::uint64_t>(Wall_);
+    apply(Fresh);
+  };
+  SubmitShort("short");
+  std::map<std::string, std::vector<TaskStart>> Running;
+  for (const char *Server : {"s1", "s2"})
+    Running[Server] = plan(Server);
+  submit(makeJob("lasting", {Lasting}));
+  bool HasStarted = false;
+  // One short task ends in each turn, and more are always waiting.
+  for (int Turn = 0; Turn < 40 && !HasStarted; ++Turn) {
+    advance(100ms);
+    SubmitShort("more" + std::to_string(Turn));
+    for (auto &[Server, Starts] : Running) {
+      if (!Starts.empty()) {
+        end(Starts.front(), RunEnd::Done);
+        Starts.erase(Starts.begin());
+      }
+      for (const TaskStart &Start : plan(Server)) {
+        Starts.push_back(Start);
+        HasStarted = HasStarted || Start.Task_.Job_ == "lasting";
+      }
+    }
+  }
+  EXPECT_TRUE(HasStarted);
+}
+
+TEST_F(DispatcherTest, NothingIsCopiedWhileWhatLastsWaits) {
+  StepSpec Step = makeStep(1, 1000);
+  Step.Speculative_ = true;
+  StepSpec Lasting = makeServing(1, "a");
+  Lasting.Need_.MilliCpus_ = 8000; // More than any server has.
+  submit(makeJob("j", {Step}));
+  const auto First = plan("s1");
+  submit(makeJob("lasting", {Lasting}));
+  ServerReport Report;
+  Report.Facts_ = makeServer("s1");
+  Report.Running_ = {{First.at(0).Task_, 1, "", 1, 0}};
+  Report.Sequence_ = 1;
+  Board_.note(Report, Now_, 10s);
+  advance(1900ms);
+  EXPECT_TRUE(plan("s2").empty());
+}
