--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -21,7 +21,7 @@
   /// Plans for a server at the present time, and places what came of it.
   std::vector<TaskStart> plan(const std::string &Server) {
     Dispatcher_.surveySafeRoom(Book_, Board_, Now_);
-    const auto Starts =
+    auto Starts =
         Dispatcher_.plan(Book_, Board_, Server, Now_, WallTime(Wall_));
     apply(StartTasks{Starts});
     Dispatcher_.settle(Starts);
