--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -35,8 +35,9 @@
 /// and room is kept for it: short work comes without end and leaves gaps that
 /// are too small. Whoever lasts must not be away for more than some seconds.
 static constexpr Duration LastingPatience = 2s;
-/// Bounds the work of a survey.
-static constexpr std::size_t MostHeld = 32;
+/// One server of so many is held at a time: where more work lasts than there is
+/// room for, short work goes on.
+static constexpr std::size_t ServersForAHold = 24;
 /// A job of which nothing runs is started somewhere after that time, where less
 /// than that part of the processors is reserved.
 static constexpr Duration IdleJobPatience = 1s;
@@ -252,6 +253,7 @@
                           TimePoint Now) {
   Held_.clear();
   AnyLastingWaits_ = false;
+  const std::size_t MostHeld = 1 + Book.servers().size() / ServersForAHold;
   for (const ReadyStep &Ready : Book.readySteps()) {
     const JobRecord &Job = *Book.findJob(Ready.Job_);
     const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
