--- a/tests/replication/SlowDiskTest.cpp
+++ b/tests/replication/SlowDiskTest.cpp
@@ -34,7 +34,7 @@
       Settings.Self_ = Each.Id_;
       Settings.ElectionTimeout_ = ElectionTimeout;
       Settings.HeartbeatInterval_ = ElectionTimeout / 5;
-      Settings.Seed_ = Each.Id_.Name_[0];
+      Settings.Seed_ = static_cast<unsigned char>(Each.Id_.Name_[0]);
       Nodes_[Each.Id_].Core_ =
           std::make_unique<RaftCore>(Settings, Now_, Stored);
     }
