One way to count a step's tasks on a server

Cause: read the change again: Dispatcher::countBeside and the spread limit of JobBook::findObjection walked the same range of a server's tasks with a loop each; a constant had lost its comment. Change: ServerRecord::countTasksOf serves both.

--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -95,6 +95,8 @@
 
   void add(const TaskKey &Task, std::uint64_t Run, const StepSpec &Step);
   void remove(const TaskKey &Task, const StepSpec &Step);
+  /// The tasks placed here of the step and occurrence that the task is of.
+  std::uint64_t countTasksOf(const TaskKey &Task) const;
 };
 
 /// A step with waiting tasks whose turn has come. Ordered as they are served.
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -20,6 +20,7 @@
 /// more the more filling images could no longer work freely there.
 static constexpr Duration MixingPatience = 250ms;
 static constexpr Duration HarmPatience = 1500ms;
+/// How long a filling task waits for a server where it disturbs nobody.
 static constexpr Duration DisturbingPatience = 3000ms;
 /// How long a task whose run failed waits for another server: two rounds of
 /// reports.
@@ -106,19 +107,6 @@
   return Left;
 }
 
-std::uint64_t Dispatcher::countBeside(const ServerRecord &Server,
-                                      const ReadyStep &Step) {
-  const TaskKey First{Step.Job_, Step.Occurrence_, Step.Step_, 0};
-  std::uint64_t Beside = 0;
-  for (auto Each = Server.Placed_.lower_bound(First);
-       Each != Server.Placed_.end() && Each->first.Job_ == First.Job_ &&
-       Each->first.Occurrence_ == First.Occurrence_ &&
-       Each->first.Step_ == First.Step_;
-       ++Each)
-    ++Beside;
-  return Beside;
-}
-
 /// Asked for each waiting step that fills, of which there are few images.
 bool Dispatcher::isDisturbing(const StepSpec &Step, Plan &Own) const {
   const auto [Place, IsNew] = Own.Disturbs_.try_emplace(Step.Image_, false);
@@ -469,7 +457,8 @@
   if (Step.Gang_ || Job.Policy_.Service_ != Own.Server_.Facts_.Service_)
     return;
   const Duration Waited = getWait(Ready, Own.Now_);
-  std::uint64_t Beside = countBeside(Own.Server_, Ready);
+  std::uint64_t Beside =
+      Own.Server_.countTasksOf({Ready.Job_, Ready.Occurrence_, Ready.Step_, 0});
   bool IsIdleJob = Job.Placements_ == 0;
   const StepRecord &Record =
       Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -97,8 +97,6 @@
   /// IsIdleJob: nothing of the job runs.
   bool isFit(const StepSpec &Step, Plan &Own, Duration Waited, bool IsIdleJob,
              std::uint64_t Waiting) const;
-  static std::uint64_t countBeside(const ServerRecord &Server,
-                                   const ReadyStep &Step);
   static void take(const StepSpec &Step, Room &Left);
   bool isFitToServe(const StepSpec &Step, const Room &Left, Duration Waited,
                     std::uint64_t Waiting) const;
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -71,6 +71,19 @@
     FillingCpus_.erase(Found);
 }
 
+std::uint64_t ServerRecord::countTasksOf(const TaskKey &Task) const {
+  const auto IsSameStep = [&Task](const TaskKey &Other) {
+    return Other.Job_ == Task.Job_ && Other.Occurrence_ == Task.Occurrence_ &&
+           Other.Step_ == Task.Step_;
+  };
+  std::uint64_t Count = 0;
+  for (auto Each =
+           Placed_.lower_bound({Task.Job_, Task.Occurrence_, Task.Step_, 0});
+       Each != Placed_.end() && IsSameStep(Each->first); ++Each)
+    ++Count;
+  return Count;
+}
+
 CommandResult JobBook::apply(const Command &Value) {
   return std::visit([this](const auto &Each) { return apply(Each); }, Value);
 }
@@ -298,16 +311,9 @@
     return "the server lacks the label";
   if (Step.SpreadLimit_ == 0)
     return "";
-  const TaskKey First{Start.Task_.Job_, Start.Task_.Occurrence_,
-                      Start.Task_.Step_, 0};
-  std::uint64_t Beside = 0;
-  for (auto Each = Server->Placed_.lower_bound(First);
-       Each != Server->Placed_.end() && Each->first.Job_ == First.Job_ &&
-       Each->first.Occurrence_ == First.Occurrence_ &&
-       Each->first.Step_ == First.Step_;
-       ++Each)
-    ++Beside;
-  return Beside < Step.SpreadLimit_ ? "" : "the step's spread limit";
+  return Server->countTasksOf(Start.Task_) < Step.SpreadLimit_
+             ? ""
+             : "the step's spread limit";
 }
 
 /// Whether all members of the start's gang are in the same command with the
