Filling work in the order of what it brings for the work that is left

Taken in the order of due times it is all begun and mostly ends late. Ruled out: room that is not found (the waiting steps' reasons name servers where it would disturb, or that have no idle processors). Change: of the filling steps that can still be in time those go first whose job brings most for its remaining work (JobValue), which also finishes what is begun.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -57,6 +57,8 @@
   Taken_.clear();
   Failed_.clear();
   Stragglers_.reset();
+  Value_.reset();
+  LastValued_ = 0;
 }
 
 void Dispatcher::settle(const std::vector<TaskStart> &Starts) {
@@ -191,18 +193,23 @@
   SafeRoom_.clear();
   LeastMemory_ = LeastPlainCpus_ = LeastFillingCpus_ = Unlimited;
   std::map<std::string, std::int64_t> Wanted;
+  std::uint64_t Newest = LastValued_;
   for (const ReadyStep &Ready : Book.readySteps()) {
     const JobRecord &Job = *Book.findJob(Ready.Job_);
     const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
     const std::uint64_t Waiting =
         Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
     LeastMemory_ = std::min(LeastMemory_, Step.Need_.MemoryMib_);
+    if (Job.Sequence_ > LastValued_)
+      Value_.noteJob(Job);
+    Newest = std::max(Newest, Job.Sequence_);
     std::int64_t &Least = Step.Fills_ ? LeastFillingCpus_ : LeastPlainCpus_;
     Least = std::min(Least, Step.Need_.MilliCpus_);
     if (Step.Fills_)
       Wanted[Step.Image_] +=
           Step.Need_.MilliCpus_ * static_cast<std::int64_t>(Waiting);
   }
+  LastValued_ = Newest;
   StepsSurveyed_ = Book.readySteps().size();
   std::int64_t Capacity = 0;
   std::int64_t Reserved = 0;
@@ -365,7 +372,14 @@
   // Within a priority, what can still be in time goes first, for it is over
   // soon; then what lasts; then what is late.
   std::array<std::vector<const ReadyStep *>, 3> Later;
+  std::vector<std::pair<double, const ReadyStep *>> Filling;
   const auto TakeLater = [&] {
+    std::stable_sort(
+        Filling.begin(), Filling.end(),
+        [](const auto &A, const auto &B) { return A.first > B.first; });
+    for (const auto &[Density, Each] : Filling)
+      planStep(Book, *Each, Own);
+    Filling.clear();
     for (std::vector<const ReadyStep *> &Class : Later) {
       for (const ReadyStep *Each : Class)
         planStep(Book, *Each, Own);
@@ -391,7 +405,11 @@
             : getLateness(Job, *Job.findOccurrence(Ready.Occurrence_), Wall);
     const bool HasWaitedLong =
         IsTimeless && getWait(Ready, Now) >= LastingPatience;
-    if (Lateness == 0 && (!IsTimeless || HasWaitedLong))
+    if (Lateness == 0 && Step.Fills_)
+      Filling.emplace_back(
+          Value_.getDensity(Job, *Job.findOccurrence(Ready.Occurrence_)),
+          &Ready);
+    else if (Lateness == 0 && (!IsTimeless || HasWaitedLong))
       planStep(Book, Ready, Own);
     else
       Later.at(Lateness).push_back(&Ready);
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -10,6 +10,7 @@
 #ifndef TULIPWEIR_SRC_JOBS_DISPATCHER_H
 #define TULIPWEIR_SRC_JOBS_DISPATCHER_H
 
+#include "jobs/JobValue.h"
 #include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
 #include "jobs/ServerHealth.h"
@@ -141,6 +142,8 @@
   std::int64_t LeastFillingCpus_ = 0;
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
   Stragglers Stragglers_;
+  JobValue Value_;
+  std::uint64_t LastValued_ = 0; ///< Sequence of the newest job in Value_.
 };
 
 } // namespace tulipweir::jobs
