Why a step waits names a label that no server has; servers log their labels

Cause: on a deployment of ours with two kinds of servers 52 to 64 jobs never started and the log said only "not asked yet, or kept for others". Ruled out: rare labels crowded out by other work (the open row in docs/PLATFORM.md). With the reason and the labels logged it is plain: all 48 servers there are of kind b, and those steps need kind a, which no server has. Conclusion: explainWait counts servers without the label.

--- a/include/tulipweir/jobs/Commands.h
+++ b/include/tulipweir/jobs/Commands.h
@@ -12,6 +12,7 @@
 #include "tulipweir/jobs/Configuration.h"
 #include "tulipweir/jobs/JobSpec.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -51,6 +52,12 @@
   std::string Address_; ///< One live server an address.
   Resources Capacity_;
   bool operator==(const ServerFacts &) const = default;
+
+  /// Also for an empty label, which any server has.
+  bool hasLabel(const std::string &Label) const {
+    return Label.empty() ||
+           std::find(Labels_.begin(), Labels_.end(), Label) != Labels_.end();
+  }
 };
 
 /// A higher version than the one held takes its place.
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -577,6 +577,7 @@
                                     TimePoint Now) const {
   const JobRecord &Job = *Book.findJob(Step.Job_);
   const StepSpec &Spec = Job.Spec_.Steps_[Step.Step_];
+  std::size_t Unlabelled = 0;
   std::size_t Resting = 0;
   std::size_t Full = 0;
   std::size_t Disturbed = 0;
@@ -585,6 +586,10 @@
   for (const auto &[Id, Server] : Book.servers()) {
     if (Server.Facts_.Service_ != Job.Policy_.Service_)
       continue;
+    if (!Server.Facts_.hasLabel(Spec.Label_)) {
+      ++Unlabelled;
+      continue;
+    }
     const ServerLive *Live = Board.find(Id);
     const Room Left = measureRoom(Server);
     const bool IsResting = !Live || Live->IsDraining_ || Live->IsRemoving_ ||
@@ -607,6 +612,7 @@
     if (Count > 0)
       Text += (Text.empty() ? "" : ", ") + std::to_string(Count) + What;
   };
+  Add(Unlabelled, (" without the label " + Spec.Label_).c_str());
   Add(Full, " full");
   Add(Disturbed, " where it would disturb");
   Add(Busy, " without idle processors");
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -303,11 +303,7 @@
     return "the queue does not lead to this server's service";
   if (!(Server->Used_ + Step.getReserved()).fitsIn(Server->Facts_.Capacity_))
     return "it does not fit";
-  const std::vector<std::string> &Labels = Server->Facts_.Labels_;
-  const bool HasLabel =
-      Step.Label_.empty() ||
-      std::find(Labels.begin(), Labels.end(), Step.Label_) != Labels.end();
-  if (!HasLabel)
+  if (!Server->Facts_.hasLabel(Step.Label_))
     return "the server lacks the label";
   if (Step.SpreadLimit_ == 0)
     return "";
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -128,7 +128,9 @@
   Event Line;
   Line.Kind_ = EventKind::ServerSeen;
   Line.Server_ = Facts.Id_;
-  Line.Reason_ = "rack " + Facts.Rack_ + ", " + Facts.DataCentre_;
+  Line.Reason_ = "rack " + Facts.Rack_ + ", " + Facts.DataCentre_ + ", labels";
+  for (const std::string &Label : Facts.Labels_)
+    Line.Reason_ += " " + Label;
   Log_.write(Line);
   propose(AddServer{Facts},
           [this, Current](const Outcome<CommandResult> &Applied) {
