Queues that need advice: the service is asked, starts carry its tickets

A start is planned only where a ticket holds for the time of an order, and carries it. platform/AdviceClient speaks to the service. Without one in the settings such queues refuse as before.

--- a/bench/platform/LeaderTarget.h
+++ b/bench/platform/LeaderTarget.h
@@ -35,7 +35,9 @@
   jobs::test::ManualReplica Group_{Machine_};
   NoEventLog Log_;
   jobs::NoJobMeter Meter_;
-  jobs::JobLeader Leader_{{}, Time_, Strand_, Group_, Machine_, Log_, Meter_};
+  jobs::NoAdvisor Advisor_;
+  jobs::JobLeader Leader_{{},       Time_,    Strand_, Group_,
+                          Machine_, Advisor_, Log_,    Meter_};
   double Seconds_ = 0;
 };
 
--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -45,6 +45,7 @@
   MembersChanged,
   StorageTrouble,
   ClockJumped,
+  AdviceTaken, ///< The advice service said which servers may run a step.
 };
 
 /// The name of the kind as it stands in a log.
--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -11,6 +11,7 @@
 
 #include "tulipweir/core/EventLog.h"
 #include "tulipweir/core/Executor.h"
+#include "tulipweir/jobs/Advisor.h"
 #include "tulipweir/jobs/JobCall.h"
 #include "tulipweir/jobs/JobMachine.h"
 #include "tulipweir/jobs/JobMeter.h"
@@ -43,7 +44,8 @@
 
   JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
             Executor &Strand, replication::Replica &Group,
-            const JobMachine &Machine, EventLog &Log, JobMeter &Meter);
+            const JobMachine &Machine, Advisor &Advising, EventLog &Log,
+            JobMeter &Meter);
   ~JobLeader();
   JobLeader(const JobLeader &) = delete;
   JobLeader &operator=(const JobLeader &) = delete;
--- a/include/tulipweir/jobservice/ControlNode.h
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -43,7 +43,8 @@
   template <class Value> using Done = std::function<void(Outcome<Value>)>;
 
   ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
-              const Clock &Time, net::Metrics &Metrics, EventLog &Log,
+              const Clock &Time, jobs::Advisor &Advising,
+              net::Metrics &Metrics, EventLog &Log,
               OpenReplica Open = &replication::Replica::open);
   ~ControlNode();
   ControlNode(const ControlNode &) = delete;
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -6,7 +6,7 @@
 
 std::string_view tulipweir::getEventName(EventKind Kind) {
   // In the order of the enumeration.
-  static constexpr std::array<std::string_view, 28> Names = {
+  static constexpr std::array<std::string_view, 29> Names = {
       "process_started",
       "process_stopping",
       "settings_reloaded",
@@ -34,8 +34,9 @@
       "leadership_ended",
       "members_changed",
       "storage_trouble",
-      "clock_jumped"};
+      "clock_jumped",
+      "advice_taken"};
   static_assert(Names.size() ==
-                static_cast<std::size_t>(EventKind::ClockJumped) + 1);
+                static_cast<std::size_t>(EventKind::AdviceTaken) + 1);
   return Names.at(static_cast<std::size_t>(Kind));
 }
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -434,7 +434,8 @@
     const TaskStart Start{Task, Record->LastRun_ + 1, Own.Server_.Facts_.Id_};
     const bool IsRoomy = Step.getReserved().fitsIn(Own.Left_.Free_) &&
                          Step.Need_.MilliCpus_ <= Own.Left_.Idle_;
-    if (!IsRoomy || !Book.findObjection(Start).empty())
+    if (!IsRoomy || !Book.findObjection(Start).empty() ||
+        !isAdvised(*Book.findJob(Task.Job_), Task, Start.Server_, Own.Now_))
       continue;
     Own.Starts_.push_back(Start);
     Taken_.insert(Task);
@@ -467,16 +468,25 @@
       Left.Budget_ -= Cpus;
 }
 
+bool Dispatcher::isAdvised(const JobRecord &Job, const TaskKey &Task,
+                           const std::string &ServerId, TimePoint Now) const {
+  return !Job.Policy_.Advice_.IsNeeded_ ||
+         Advice_.findTicket({Task.Job_, Task.Occurrence_, Task.Step_}, ServerId,
+                            Now);
+}
+
 /// Adds the starts of a step's tasks, as far as they fit.
 void Dispatcher::planStep(const JobBook &Book, const ReadyStep &Ready,
                           Plan &Own) {
   const JobRecord &Job = *Book.findJob(Ready.Job_);
   const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
-  if (Step.Gang_ || Job.Policy_.Service_ != Own.Server_.Facts_.Service_)
+  const TaskKey First{Ready.Job_, Ready.Occurrence_, Ready.Step_, 0};
+  const std::string &ServerId = Own.Server_.Facts_.Id_;
+  if (Step.Gang_ || Job.Policy_.Service_ != Own.Server_.Facts_.Service_ ||
+      !isAdvised(Job, First, ServerId, Own.Now_))
     return;
   const Duration Waited = getWait(Ready, Own.Now_);
-  std::uint64_t Beside =
-      Own.Server_.countTasksOf({Ready.Job_, Ready.Occurrence_, Ready.Step_, 0});
+  std::uint64_t Beside = Own.Server_.countTasksOf(First);
   bool IsIdleJob = Job.Placements_ == 0;
   const StepRecord &Record =
       Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
@@ -532,7 +542,8 @@
       const bool IsUsable = Live && !Live->IsDraining_ && !Live->IsRemoving_ &&
                             Live->NoStartsUntil_ <= Now &&
                             Health_.getFitness(Id, Now) == Fitness::Sound &&
-                            Server.Facts_.Service_ == Job.Policy_.Service_;
+                            Server.Facts_.Service_ == Job.Policy_.Service_ &&
+                            isAdvised(Job, First, Id, Now);
       if (IsUsable)
         Servers.emplace_back(
             (Server.Facts_.Rack_ == Step.DataRack_ ? "0" : "1") +
@@ -578,6 +589,7 @@
   const JobRecord &Job = *Book.findJob(Step.Job_);
   const StepSpec &Spec = Job.Spec_.Steps_[Step.Step_];
   std::size_t Unlabelled = 0;
+  std::size_t Unadvised = 0;
   std::size_t Resting = 0;
   std::size_t Full = 0;
   std::size_t Disturbed = 0;
@@ -597,6 +609,9 @@
                            Health_.getFitness(Id, Now) != Fitness::Sound;
     if (IsResting)
       ++Resting;
+    else if (!isAdvised(Job, {Step.Job_, Step.Occurrence_, Step.Step_, 0}, Id,
+                        Now))
+      ++Unadvised;
     else if (!Spec.getReserved().fitsIn(Left.Free_))
       ++Full;
     else if (Spec.Fills_ &&
@@ -613,6 +628,7 @@
       Text += (Text.empty() ? "" : ", ") + std::to_string(Count) + What;
   };
   Add(Unlabelled, (" without the label " + Spec.Label_).c_str());
+  Add(Unadvised, " without a ticket of the advice service");
   Add(Full, " full");
   Add(Disturbed, " where it would disturb");
   Add(Busy, " without idle processors");
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -10,6 +10,7 @@
 #ifndef TULIPWEIR_SRC_JOBS_DISPATCHER_H
 #define TULIPWEIR_SRC_JOBS_DISPATCHER_H
 
+#include "jobs/AdviceBook.h"
 #include "jobs/JobValue.h"
 #include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
@@ -26,8 +27,8 @@
 public:
   /// All must outlive it.
   Dispatcher(const TailEffects &Effects, const PaceGuard &Paces,
-             const ServerHealth &Health)
-      : Effects_(Effects), Paces_(Paces), Health_(Health) {}
+             const ServerHealth &Health, const AdviceBook &Advice)
+      : Effects_(Effects), Paces_(Paces), Health_(Health), Advice_(Advice) {}
 
   // Commands.
 
@@ -88,6 +89,9 @@
   };
 
   bool isFull(const Plan &Own) const;
+  /// Whether the step may run there as far as the advice service is asked.
+  bool isAdvised(const JobRecord &Job, const TaskKey &Task,
+                 const std::string &ServerId, TimePoint Now) const;
   void addBudget(Plan &Own) const;
   void planCopies(const JobBook &Book, Plan &Own);
   void holdRoom(const JobBook &Book, const ServerBoard &Board, TimePoint Now);
@@ -110,6 +114,7 @@
   const TailEffects &Effects_;
   const PaceGuard &Paces_;
   const ServerHealth &Health_;
+  const AdviceBook &Advice_;
 
   /// Where a task's last run failed, and when.
   struct FailedAt {
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -35,10 +35,13 @@
   const TimePoint Now = Time_.now();
   Dispatcher_.reset();
   Paces_.reset();
+  Advice_.reset();
   Effects_.reset();
   Health_.reset();
   Newcomers_.reset();
   Leaving_.clear();
+  IsAsking_ = false;
+  NextQuestion_ = Now;
   EndedSince_.clear();
   AcceptedAt_.clear();
   Started_.clear();
@@ -93,6 +96,7 @@
     explainWaits();
     openDue();
     startGang();
+    askAdvice();
     forgetEnded();
   }
   Strand_.postAfter(TickInterval, [Weak = weak_from_this()] {
@@ -238,9 +242,10 @@
 
 JobLeader::JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
                      Executor &Strand, replication::Replica &Group,
-                     const JobMachine &Machine, EventLog &Log, JobMeter &Meter)
-    : Impl_(std::make_shared<Impl>(Settings, Time, Strand, Group, Machine, Log,
-                                   Meter)) {}
+                     const JobMachine &Machine, Advisor &Advising,
+                     EventLog &Log, JobMeter &Meter)
+    : Impl_(std::make_shared<Impl>(Settings, Time, Strand, Group, Machine,
+                                   Advising, Log, Meter)) {}
 JobLeader::~JobLeader() = default;
 
 void JobLeader::start() { Impl_->start(); }
--- /dev/null
+++ b/src/jobs/JobLeaderAdvice.cpp
@@ -0,0 +1,66 @@
+#include "jobs/JobLeaderImpl.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+/// The service answers one caller's questions in turn: a second one would only
+/// wait behind the first. After an error it is left alone for so long.
+static constexpr Duration ErrorPause = 250ms;
+/// Beyond the time that an answer takes by the queue's own figures.
+static constexpr Duration AnswerSlack = 1s;
+
+void JobLeader::Impl::askAdvice() {
+  const TimePoint Now = Time_.now();
+  if (!Advisor_.isThere() || IsAsking_ || Now < NextQuestion_)
+    return;
+  const auto IsUsable = [&](const std::string &Id) {
+    const ServerLive *Live = Board_.find(Id);
+    return Live && !Live->IsDraining_ && !Live->IsRemoving_ &&
+           Health_.getFitness(Id, Now) == Fitness::Sound;
+  };
+  const std::optional<AdviceQuestion> Question =
+      Machine_.read([&](const JobBook &Book) {
+        Advice_.prune(Book);
+        return Advice_.findQuestion(Book, IsUsable, Now);
+      });
+  if (!Question)
+    return;
+  IsAsking_ = true;
+  const Duration Limit =
+      AnswerSlack +
+      std::chrono::milliseconds(Question->Times_.DecideMs_ +
+                                Question->Times_.EachMs_ *
+                                    Question->Servers_.size());
+  Advisor_.ask(Question->Step_, Question->Servers_, Limit,
+               [Weak = weak_from_this(), &Strand = Strand_, Term = Term_,
+                Question = *Question](const Outcome<Advice> &Answer) {
+                 Strand.post([Weak, Term, Question, Answer] {
+                   const std::shared_ptr<Impl> Self = Weak.lock();
+                   if (Self && Self->Term_ == Term)
+                     Self->noteAdvice(Question, Answer);
+                 });
+               });
+}
+
+void JobLeader::Impl::noteAdvice(const AdviceQuestion &Question,
+                                 const Outcome<Advice> &Answer) {
+  IsAsking_ = false;
+  Event Line;
+  Line.Kind_ = EventKind::AdviceTaken;
+  Line.Job_ = Question.Step_.Job_;
+  Line.Task_ = std::to_string(Question.Step_.Occurrence_) + "." +
+               std::to_string(Question.Step_.Step_);
+  Line.Count_ = Question.Servers_.size();
+  if (Answer) {
+    Advice_.note(Question, Answer.value(), Time_.now());
+    Line.Outcome_ = std::to_string(Answer.value().Good_.size()) + " may run it";
+  } else {
+    NextQuestion_ = Time_.now() + ErrorPause;
+    Line.Outcome_ = "none";
+    Line.Reason_ = Answer.error().Message_;
+  }
+  Log_.write(Line);
+  // The next question at once: every step of such a queue waits for one.
+  askAdvice();
+}
--- a/src/jobs/JobLeaderCalls.cpp
+++ b/src/jobs/JobLeaderCalls.cpp
@@ -4,7 +4,7 @@
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
 
-/// Told with a refusal that only a newer version of this program ends.
+/// Told with a refusal that only other settings of this program end.
 static constexpr std::uint64_t UnsupportedRetryMs = 60'000;
 
 void JobLeader::Impl::call(JobCall Call, Done<JobCallReply> Reply) {
@@ -43,7 +43,7 @@
       return false;
     Command.Host_ = Queue->Host_;
     Command.PathPrefix_ = Queue->PathPrefix_;
-    NeedsAdvice = Queue->Advice_.IsNeeded_;
+    NeedsAdvice = Queue->Advice_.IsNeeded_ && !Advisor_.isThere();
     return true;
   });
   if (!HasQueue)
@@ -52,7 +52,8 @@
     Result.Outcome_ = CallOutcome::Refused;
     Result.RetryAfterMs_ = UnsupportedRetryMs;
     Result.Reason_ =
-        "the queue needs advice on servers, which is not built yet";
+        "the queue needs advice on servers, and the settings name no service "
+        "that gives it";
     Event Line;
     Line.Kind_ = EventKind::JobRefused;
     Line.Job_ = Call.Spec_.Id_;
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -13,6 +13,7 @@
 
 #include "tulipweir/jobs/JobLeader.h"
 
+#include "jobs/AdviceBook.h"
 #include "jobs/Dispatcher.h"
 #include "jobs/Newcomers.h"
 #include "jobs/PaceGuard.h"
@@ -27,10 +28,10 @@
 class JobLeader::Impl : public std::enable_shared_from_this<JobLeader::Impl> {
 public:
   Impl(const JobLeaderSettings &Settings, const Clock &Time, Executor &Strand,
-       replication::Replica &Group, const JobMachine &Machine, EventLog &Log,
-       JobMeter &Meter)
+       replication::Replica &Group, const JobMachine &Machine,
+       Advisor &Advising, EventLog &Log, JobMeter &Meter)
       : Settings_(Settings), Time_(Time), Strand_(Strand), Group_(Group),
-        Machine_(Machine), Log_(Log), Meter_(Meter),
+        Machine_(Machine), Advisor_(Advising), Log_(Log), Meter_(Meter),
         Watch_(Group, Strand,
                {[this](std::uint64_t Term) { beginLeading(Term); },
                 [this] { endLeading(); }}) {}
@@ -65,6 +66,9 @@
   void openDue();
   void startGang();
   void forgetEnded();
+  void askAdvice();
+  void noteAdvice(const AdviceQuestion &Question,
+                  const Outcome<Advice> &Answer);
   /// IsOver: for good, so that what may still come of it is late.
   void removeServer(const std::string &Id, const std::string &Why, bool IsOver,
                     ResultCallback Done);
@@ -107,6 +111,7 @@
   Executor &Strand_;
   replication::Replica &Group_;
   const JobMachine &Machine_;
+  Advisor &Advisor_;
   EventLog &Log_;
   JobMeter &Meter_;
   replication::LeaderWatch Watch_;
@@ -116,9 +121,12 @@
   TailEffects Effects_;
   PaceGuard Paces_;
   ServerHealth Health_;
-  Dispatcher Dispatcher_{Effects_, Paces_, Health_};
+  AdviceBook Advice_;
+  Dispatcher Dispatcher_{Effects_, Paces_, Health_, Advice_};
   PaceSetter Setter_{Time_, Machine_, Dispatcher_, Log_, Effects_, Paces_};
   Newcomers Newcomers_;
+  bool IsAsking_ = false; ///< A question to the advice service is open.
+  TimePoint NextQuestion_{};
   /// Lives whose end is decided, until that is stored.
   std::set<std::string> Leaving_;
   std::map<std::string, TimePoint> EndedSince_;
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -125,9 +125,13 @@
           Stop(Task, Run);
         continue;
       }
+      const std::string *Ticket =
+          Advice_.findTicket({Task.Job_, Task.Occurrence_, Task.Step_},
+                             Report.Facts_.Id_, Time_.now());
       Orders.Starts_.push_back({Task, Run,
                                 Book.findJob(Task.Job_)->Spec_.Payload_,
-                                Book.findTask(Task)->Checkpoint_, ""});
+                                Book.findTask(Task)->Checkpoint_,
+                                Ticket ? *Ticket : ""});
     }
     return 0;
   });
--- /dev/null
+++ b/src/jobs/Waves.cpp
@@ -0,0 +1,67 @@
+#include "tulipweir/jobs/Waves.h"
+
+#include <algorithm>
+#include <set>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+
+/// Completed waves are kept for questions about them; a deployment has some a
+/// week (docs/CAPACITY.md: 120 VMs are restarted or replaced on a day).
+static constexpr std::size_t MostKept = 256;
+
+bool WaveRecord::hasBegun(const std::string &Vm) const {
+  return std::find(Begun_.begin(), Begun_.end(), Vm) != Begun_.end();
+}
+
+bool WaveBook::start(const WaveSpec &Spec) {
+  if (Waves_.count(Spec.Id_) != 0)
+    return false;
+  WaveRecord Record;
+  Record.Spec_ = Spec;
+  // A VM that is named twice counts once.
+  std::set<std::string> Named;
+  std::erase_if(Record.Spec_.Vms_, [&Named](const std::string &Vm) {
+    return !Named.insert(Vm).second;
+  });
+  Waves_.emplace(Spec.Id_, std::move(Record));
+  while (Waves_.size() > MostKept) {
+    const auto Oldest =
+        std::find_if(Waves_.begin(), Waves_.end(), [](const auto &Each) {
+          return Each.second.isCompleted();
+        });
+    if (Oldest == Waves_.end())
+      break;
+    Waves_.erase(Oldest);
+  }
+  return true;
+}
+
+bool WaveBook::noteBegun(std::uint64_t Wave, const std::string &Vm) {
+  const auto Found = Waves_.find(Wave);
+  if (Found == Waves_.end() || Found->second.hasBegun(Vm))
+    return false;
+  const std::vector<std::string> &Vms = Found->second.Spec_.Vms_;
+  if (std::find(Vms.begin(), Vms.end(), Vm) == Vms.end())
+    return false;
+  Found->second.Begun_.push_back(Vm);
+  return true;
+}
+
+const WaveRecord *WaveBook::find(std::uint64_t Wave) const {
+  const auto Found = Waves_.find(Wave);
+  return Found == Waves_.end() ? nullptr : &Found->second;
+}
+
+bool WaveBook::isAnyOpen() const {
+  return std::any_of(Waves_.begin(), Waves_.end(), [](const auto &Each) {
+    return !Each.second.isCompleted();
+  });
+}
+
+WaveBook WaveBook::makeOf(std::vector<WaveRecord> Records) {
+  WaveBook Book;
+  for (WaveRecord &Each : Records)
+    Book.Waves_[Each.Spec_.Id_] = std::move(Each);
+  return Book;
+}
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -65,9 +65,10 @@
     : public std::enable_shared_from_this<ControlNode::Impl> {
 public:
   Impl(const ControlNodeSettings &Settings, net::IoPool &Pool,
-       const Clock &Time, net::Metrics &Metrics, EventLog &Log,
-       OpenReplica Open)
-      : Settings_(Settings), Pool_(Pool), Time_(Time), Log_(Log),
+       const Clock &Time, jobs::Advisor &Advising, net::Metrics &Metrics,
+       EventLog &Log, OpenReplica Open)
+      : Settings_(Settings), Pool_(Pool), Time_(Time), Advisor_(Advising),
+        Log_(Log),
         Meter_(Metrics), Open_(std::move(Open)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
@@ -102,6 +103,7 @@
   const ControlNodeSettings Settings_;
   net::IoPool &Pool_;
   const Clock &Time_;
+  jobs::Advisor &Advisor_;
   EventLog &Log_;
   JobMetrics Meter_;
   const OpenReplica Open_;
@@ -122,8 +124,8 @@
     return std::move(Opened).as_failure();
   Fresh->Group_ = std::move(Opened.value());
   Fresh->Leader_ = std::make_unique<jobs::JobLeader>(
-      Settings_.Leader_, Time_, Strand_, *Fresh->Group_, Fresh->Machine_, Log_,
-      Meter_);
+      Settings_.Leader_, Time_, Strand_, *Fresh->Group_, Fresh->Machine_,
+      Advisor_, Log_, Meter_);
   {
     const std::lock_guard Hold(Lock_);
     if (Stopped_)
@@ -269,9 +271,10 @@
 }
 
 ControlNode::ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
-                         const Clock &Time, net::Metrics &Metrics,
-                         EventLog &Log, OpenReplica Open)
-    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Metrics, Log,
+                         const Clock &Time, jobs::Advisor &Advising,
+                         net::Metrics &Metrics, EventLog &Log,
+                         OpenReplica Open)
+    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Advising, Metrics, Log,
                                    std::move(Open))) {}
 ControlNode::~ControlNode() { stop(); }
 
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -61,7 +61,8 @@
   TailEffects Effects_;
   PaceGuard Paces_;
   ServerHealth Health_;
-  Dispatcher Dispatcher_{Effects_, Paces_, Health_};
+  AdviceBook Advice_;
+  Dispatcher Dispatcher_{Effects_, Paces_, Health_, Advice_};
 };
 
 } // namespace
@@ -103,6 +104,27 @@
   EXPECT_EQ(Starts[2].Task_.Job_, "late") << "it still has to be done";
 }
 
+TEST_F(DispatcherTest, FillingWorkThatIsNearlyDoneGoesFirst) {
+  // Both can still be in time; the large one came first and is due first.
+  submit(makeJob("large", {makeFilling(8, "f"), makeFilling(8, "f")}));
+  submit(makeJob("small", {makeFilling(2, "f")}));
+  const auto Starts = plan("s1");
+  ASSERT_EQ(Starts.size(), 4U);
+  EXPECT_EQ(Starts[0].Task_.Job_, "small");
+  EXPECT_EQ(Starts[1].Task_.Job_, "small");
+  EXPECT_EQ(Starts[2].Task_.Job_, "large");
+}
+
+TEST_F(DispatcherTest, WhatWaitsForALabelThatNoServerHasSaysSo) {
+  StepSpec Bound = makeStep(1, 1000);
+  Bound.Label_ = "b";
+  submit(makeJob("j", {Bound}));
+  EXPECT_TRUE(plan("s1").empty());
+  EXPECT_EQ(Dispatcher_.explainWait(Book_, Board_, *Book_.readySteps().begin(),
+                                    Now_),
+            "2 without the label b");
+}
+
 TEST_F(DispatcherTest, ShortWorkGoesBeforeWhatLasts) {
   submit(makeJob("lasting", {makeServing(4, "a")}));
   SubmitJob Fresh = makeSubmit(makeJob("short", {makeStep(3, 1000)}));
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -139,6 +139,24 @@
   std::vector<Event> Events_;
 };
 
+/// Keeps what it was asked until it is told to answer.
+class KeptQuestions final : public Advisor {
+public:
+  struct Question {
+    StepKey Step_;
+    std::vector<std::string> Servers_;
+    Done Reply_;
+  };
+  bool isThere() const override { return IsThere_; }
+  void ask(const StepKey &Step, const std::vector<std::string> &Servers,
+           Duration, Done Reply) override {
+    Asked_.push_back({Step, Servers, std::move(Reply)});
+  }
+
+  bool IsThere_ = true;
+  std::vector<Question> Asked_;
+};
+
 /// A leader with a configuration in force.
 class JobLeaderTest : public ::testing::Test {
 protected:
@@ -204,7 +222,9 @@
   KeptEvents Log_;
   NoJobMeter Meter_;
   JobLeaderSettings Settings_;
-  JobLeader Leader_{Settings_, Time_, Strand_, Group_, Machine_, Log_, Meter_};
+  KeptQuestions Advisor_;
+  JobLeader Leader_{Settings_, Time_,    Strand_, Group_,
+                    Machine_,  Advisor_, Log_,    Meter_};
   std::map<std::string, std::uint64_t> Sequences_;
 };
 
--- a/tests/jobservice/NodeCluster.h
+++ b/tests/jobservice/NodeCluster.h
@@ -86,7 +86,7 @@
     Settings.MayFound_ = MayFound;
     Settings.Voters_ = Voters;
     Settings.Secret_ = "a secret of this test alone";
-    auto Fresh = std::make_unique<ControlNode>(Settings, Pool_, Time_, Metrics_,
+    auto Fresh = std::make_unique<ControlNode>(Settings, Pool_, Time_, Advisor_, Metrics_,
                                                Log_, Open);
     const Outcome<void> Started = Fresh->start();
     ASSERT_TRUE(Started) << Started.error().Message_;
@@ -154,6 +154,7 @@
   NoEventLog Log_;
   net::Metrics Metrics_;
   net::IoPool Pool_{2};
+  jobs::NoAdvisor Advisor_;
   std::map<int, std::unique_ptr<ControlNode>> Nodes_;
 };
 
--- /dev/null
+++ b/tests/platform/AdviceClientTest.cpp
@@ -0,0 +1,93 @@
+//===- AdviceClientTest.cpp - Against a stand-in for the service ----------===//
+
+#include "platform/AdviceClient.h"
+
+#include "tulipweir/net/HttpServer.h"
+#include "tulipweir/net/IoPool.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+using namespace tulipweir;
+using namespace tulipweir::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Answers every question with what it is told to.
+class AdviceClientTest : public ::testing::Test {
+protected:
+  AdviceClientTest()
+      : Server_(Pool_.context(), makeSettings(),
+                [this](const net::HttpRequest &Request,
+                       const net::HttpRespond &Respond) {
+                  Request_ = Request;
+                  Respond(Response_);
+                }),
+        Calls_(Pool_.context(), net::HttpClientSettings()) {
+    auto Bound = Server_.start();
+    EXPECT_TRUE(Bound);
+    Service_ = Bound.value();
+  }
+  ~AdviceClientTest() override { Pool_.stop(); }
+
+  static net::HttpServerSettings makeSettings() {
+    net::HttpServerSettings Settings;
+    Settings.Listen_ = {"127.0.0.1", 0};
+    return Settings;
+  }
+  Outcome<jobs::Advice> ask() {
+    AdviceClient Client(Calls_, Service_, Time_);
+    std::promise<Outcome<jobs::Advice>> Got;
+    Client.ask({"0123456789abcdef", 2, 1}, {"i-1", "i-2"}, 30s,
+               [&Got](const Outcome<jobs::Advice> &Answer) {
+                 Got.set_value(Answer);
+               });
+    return Got.get_future().get();
+  }
+
+  const SystemClock Time_;
+  net::IoPool Pool_{1};
+  net::HttpRequest Request_;
+  net::HttpResponse Response_;
+  net::HttpServer Server_;
+  net::HttpClient Calls_;
+  net::Endpoint Service_;
+};
+
+} // namespace
+
+TEST_F(AdviceClientTest, AsksAndDecodesTheAnswer) {
+  Response_ = net::HttpResponse::makeJson(
+      200, R"({"good":[["i-2","c81e"]],"validMs":3000,"more":1})");
+  const auto Got = ask();
+  ASSERT_TRUE(Got) << Got.error().Message_;
+  EXPECT_EQ(Got.value(), (jobs::Advice{{{"i-2", "c81e"}}, 3s}));
+  EXPECT_EQ(Request_.Method_, "POST");
+  EXPECT_EQ(Request_.Path_, "/api/advise");
+  EXPECT_EQ(Request_.Body_,
+            R"({"step":"0123456789abcdef.2.1","workers":["i-1","i-2"]})");
+}
+
+TEST_F(AdviceClientTest, TooManyQuestionsAreTold) {
+  Response_ = net::HttpResponse::makeJson(429, "{}");
+  const auto Got = ask();
+  ASSERT_FALSE(Got);
+  EXPECT_EQ(Got.error().Code_, ErrorCode::Overfull);
+}
+
+TEST_F(AdviceClientTest, AnythingElseIsAnError) {
+  Response_ = net::HttpResponse::makeJson(500, "{}");
+  EXPECT_EQ(ask().error().Code_, ErrorCode::Unavailable);
+  for (const char *Body : {"", "[]", R"({"good":7})", R"({"good":[["i"]]})",
+                           R"({"good":[[1,2]]})", R"({"validMs":-1})"}) {
+    Response_ = net::HttpResponse::makeJson(200, Body);
+    EXPECT_FALSE(ask()) << Body;
+  }
+}
+
+TEST_F(AdviceClientTest, NoAddressMeansNoService) {
+  EXPECT_FALSE(AdviceClient(Calls_, {}, Time_).isThere());
+  EXPECT_TRUE(AdviceClient(Calls_, Service_, Time_).isThere());
+}
--- a/tests/platform/SettingsTest.cpp
+++ b/tests/platform/SettingsTest.cpp
@@ -15,6 +15,7 @@
              "ready": "10.1.0.16:81"},
   "portRange": [7720, 7735], "seeds": ["10.1.0.16:8166", "10.2.0.32:8166"],
   "bootstrap": true, "dataDir": "/data/x", "heartbeatMs": 1200,
+  "recommendation": "10.200.1.9:8169",
   "faultTolerance": {"machines": 2, "zones": 1, "regions": 0},
   "bounds": {"holdMaxMs": 9000, "graceS": 6.5, "status_s": 90, "new": [1]},
   "somethingNew": {"a": 1}})";
@@ -29,6 +30,7 @@
   Wanted.Clients_ = {"10.1.0.16", 80};
   Wanted.Ready_ = {"10.1.0.16", 81};
   Wanted.Control_ = {"10.1.0.16", 8166};
+  Wanted.Advice_ = {"10.200.1.9", 8169};
   Wanted.LinkPort_ = 7720;
   Wanted.Seeds_ = {"10.1.0.16:8166", "10.2.0.32:8166"};
   Wanted.IsFirstStart_ = true;
@@ -43,7 +45,8 @@
 
 TEST(SettingsTest, AVmWithoutADiskHasNoFolder) {
   const Outcome<Settings> Got = parseSettings(
-      R"({"node":"f","ip":"10.1.0.1","zone":"z","dataDir":null})");
+      R"({"node":"f","ip":"10.1.0.1","zone":"z","dataDir":null,
+          "recommendation":null})");
   ASSERT_TRUE(Got);
   EXPECT_EQ(Got.value().DataFolder_, "");
   EXPECT_EQ(Got.value().Clients_.Port_, 0);
