Waves of maintenance: stored, VMs emptied, at most so many down at once

Cause: an operator's wave was answered 404: an order with no acknowledgement on any deployment that sends one. Change: StartWave and NoteMaintenance are entries of the log (WaveBook); WaveKeeper decides which VM is next: its server starts nothing new, work that can be saved is stopped, other work ends by itself for 6 s, tasks that last go one at a time as their jobs allow and are never cut off. Never more are down than allowed: an order without a clear answer counts as down and is sent again. Orders carry the leader's term as fencing token and begin only once an earlier leader's lease is over; after a refusal for a higher token this term orders nothing more. The list of VMs is read only while a wave is open, as each call costs. platform/VmClient speaks to the provider, ControlApi takes and shows waves. Tests: WaveKeeperTest, JobWavesTest, VmClientTest, WireTest; red before: settings with more fields under the provider's would have kept the process from starting.

--- a/bench/platform/LeaderTarget.h
+++ b/bench/platform/LeaderTarget.h
@@ -36,8 +36,9 @@
   NoEventLog Log_;
   jobs::NoJobMeter Meter_;
   jobs::NoAdvisor Advisor_;
-  jobs::JobLeader Leader_{{},       Time_,    Strand_, Group_,
-                          Machine_, Advisor_, Log_,    Meter_};
+  jobs::NoVmProvider Provider_;
+  jobs::JobLeader Leader_{{},       Time_,     Strand_, Group_, Machine_,
+                          Advisor_, Provider_, Log_,    Meter_};
   double Seconds_ = 0;
 };
 
--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -46,6 +46,7 @@
   StorageTrouble,
   ClockJumped,
   AdviceTaken, ///< The advice service said which servers may run a step.
+  Maintenance, ///< A wave of maintenance, or one VM of it.
 };
 
 /// The name of the kind as it stands in a log.
--- a/include/tulipweir/jobs/Commands.h
+++ b/include/tulipweir/jobs/Commands.h
@@ -11,6 +11,7 @@
 #include "tulipweir/core/Ids.h"
 #include "tulipweir/jobs/Configuration.h"
 #include "tulipweir/jobs/JobSpec.h"
+#include "tulipweir/jobs/Waves.h"
 
 #include <algorithm>
 #include <compare>
@@ -143,9 +144,23 @@
   bool operator==(const ForgetJobs &) const = default;
 };
 
+/// An operator's wave of maintenance; one that is known changes nothing.
+struct StartWave {
+  WaveSpec Spec_;
+  bool operator==(const StartWave &) const = default;
+};
+
+/// The VM's maintenance for the wave has begun for certain, or it is no more.
+struct NoteMaintenance {
+  std::uint64_t Wave_ = 0;
+  std::string Vm_;
+  bool operator==(const NoteMaintenance &) const = default;
+};
+
 using Command =
     std::variant<PutConfiguration, SubmitJob, CancelJob, OpenOccurrence,
-                 AddServer, RemoveServer, StartTasks, EndTasks, ForgetJobs>;
+                 AddServer, RemoveServer, StartTasks, EndTasks, ForgetJobs,
+                 StartWave, NoteMaintenance>;
 
 enum class Verdict : std::uint8_t {
   Done = 0,
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -12,6 +12,7 @@
 
 #include "tulipweir/jobs/Commands.h"
 #include "tulipweir/jobs/ServerLives.h"
+#include "tulipweir/jobs/Waves.h"
 
 #include <map>
 #include <set>
@@ -136,6 +137,7 @@
   bool isOver(const std::string &ServerId) const {
     return Lives_.isOver(ServerId);
   }
+  const WaveBook &waves() const { return Waves_; }
   const std::set<ReadyStep> &readySteps() const { return Ready_; }
   /// Jobs that wait for a time, and the occurrence that comes next.
   const std::set<std::string> &timedJobs() const { return Timed_; }
@@ -158,6 +160,8 @@
   CommandResult apply(const StartTasks &Value);
   CommandResult apply(const EndTasks &Value);
   CommandResult apply(const ForgetJobs &Value);
+  CommandResult apply(const StartWave &Value);
+  CommandResult apply(const NoteMaintenance &Value);
 
   void openOccurrence(JobRecord &Job, std::uint64_t Number);
   bool isReady(const JobRecord &Job, const OccurrenceRecord &Occurrence,
@@ -188,6 +192,7 @@
   std::unordered_map<std::string, JobRecord> Jobs_;
   std::map<std::string, ServerRecord> Servers_;
   ServerLives Lives_;
+  WaveBook Waves_;
   std::uint64_t NextSequence_ = 1;
 
   // Derived from the above.
--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -16,6 +16,7 @@
 #include "tulipweir/jobs/JobMachine.h"
 #include "tulipweir/jobs/JobMeter.h"
 #include "tulipweir/jobs/ServerReport.h"
+#include "tulipweir/jobs/VmProvider.h"
 #include "tulipweir/replication/Replica.h"
 
 #include <memory>
@@ -34,6 +35,9 @@
   Duration Retention_ = std::chrono::seconds(180);
   /// How long before its time an occurrence may start.
   Duration EarliestStart_ = std::chrono::milliseconds(0);
+  /// How long after its election a leader orders nothing from the provider of
+  /// VMs, as the one before may.
+  Duration HolderLease_ = std::chrono::seconds(3);
 };
 
 /// Lives on one executor: all members are called there, and callbacks run
@@ -44,8 +48,8 @@
 
   JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
             Executor &Strand, replication::Replica &Group,
-            const JobMachine &Machine, Advisor &Advising, EventLog &Log,
-            JobMeter &Meter);
+            const JobMachine &Machine, Advisor &Advising,
+            VmProvider &Provider, EventLog &Log, JobMeter &Meter);
   ~JobLeader();
   JobLeader(const JobLeader &) = delete;
   JobLeader &operator=(const JobLeader &) = delete;
@@ -61,11 +65,15 @@
   /// Reply tells whether it is in force or was overtaken; Conflict if another
   /// content is held under its version.
   void putConfiguration(Configuration Value, Done<void> Reply);
+  /// A wave of maintenance; done once it is stored, also if it was before.
+  void startWave(const WaveSpec &Spec, Done<void> Reply);
 
   // Queries.
 
   /// The newest configuration; fails where that can't be known.
   void readConfiguration(Done<Configuration> Reply);
+  /// NotFound for a wave that nobody has ordered.
+  void showWave(std::uint64_t Wave, Done<WaveRecord> Reply);
   bool isLeading() const;
 
 private:
--- a/include/tulipweir/jobservice/ControlNode.h
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -44,7 +44,7 @@
 
   ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
               const Clock &Time, jobs::Advisor &Advising,
-              net::Metrics &Metrics, EventLog &Log,
+              jobs::VmProvider &Provider, net::Metrics &Metrics, EventLog &Log,
               OpenReplica Open = &replication::Replica::open);
   ~ControlNode();
   ControlNode(const ControlNode &) = delete;
@@ -64,10 +64,12 @@
   void report(jobs::ServerReport Report, Done<jobs::ServerOrders> Reply);
   void leave(const std::string &ServerId, Done<void> Reply);
   void putConfiguration(jobs::Configuration Value, Done<void> Reply);
+  void startWave(jobs::WaveSpec Spec, Done<void> Reply);
 
   // Queries.
 
   void readConfiguration(Done<jobs::Configuration> Reply);
+  void showWave(std::uint64_t Wave, Done<jobs::WaveRecord> Reply);
   /// The leader's name as far as this member knows; empty if unknown.
   std::string getLeader() const;
   replication::ReplicaStatus getStatus() const;
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -6,7 +6,7 @@
 
 std::string_view tulipweir::getEventName(EventKind Kind) {
   // In the order of the enumeration.
-  static constexpr std::array<std::string_view, 29> Names = {
+  static constexpr std::array<std::string_view, 30> Names = {
       "process_started",
       "process_stopping",
       "settings_reloaded",
@@ -35,8 +35,9 @@
       "members_changed",
       "storage_trouble",
       "clock_jumped",
-      "advice_taken"};
+      "advice_taken",
+      "maintenance"};
   static_assert(Names.size() ==
-                static_cast<std::size_t>(EventKind::AdviceTaken) + 1);
+                static_cast<std::size_t>(EventKind::Maintenance) + 1);
   return Names.at(static_cast<std::size_t>(Kind));
 }
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -221,7 +221,7 @@
   std::vector<Room> Rooms;
   for (const auto &[Id, Server] : Book.servers())
     if (const ServerLive *Live = Board.find(Id);
-        Live && !Live->IsDraining_ && !Live->IsRemoving_) {
+        Live && Live->takesStarts()) {
       Rooms.push_back(measureRoom(Server));
       const Room &Left = Rooms.back();
       const bool MayStart = Live->NoStartsUntil_ <= Now &&
@@ -265,8 +265,7 @@
       std::int64_t MostFree = 0;
       for (const auto &[Id, Server] : Book.servers()) {
         const ServerLive *Live = Board.find(Id);
-        const bool IsUsable = Live && !Live->IsDraining_ &&
-                              !Live->IsRemoving_ &&
+        const bool IsUsable = Live && Live->takesStarts() &&
                               Server.Facts_.Service_ == Job.Policy_.Service_ &&
                               Held_.count(Id) == 0 &&
                               Health_.getFitness(Id, Now) == Fitness::Sound;
@@ -355,8 +354,7 @@
                                         TimePoint Now, WallTime Wall) {
   const ServerRecord *Server = Book.findServer(ServerId);
   const ServerLive *Live = Board.find(ServerId);
-  const bool MayStart = Server && Live && !Live->IsDraining_ &&
-                        !Live->IsRemoving_ && Live->NoStartsUntil_ <= Now;
+  const bool MayStart = Server && Live && Live->takesStarts() && Live->NoStartsUntil_ <= Now;
   const Fitness Fit = Health_.getFitness(ServerId, Now);
   if (!MayStart || Fit == Fitness::Quarantined)
     return {};
@@ -539,7 +537,7 @@
     std::vector<std::pair<std::string, const ServerRecord *>> Servers;
     for (const auto &[Id, Server] : Book.servers()) {
       const ServerLive *Live = Board.find(Id);
-      const bool IsUsable = Live && !Live->IsDraining_ && !Live->IsRemoving_ &&
+      const bool IsUsable = Live && Live->takesStarts() &&
                             Live->NoStartsUntil_ <= Now &&
                             Health_.getFitness(Id, Now) == Fitness::Sound &&
                             Server.Facts_.Service_ == Job.Policy_.Service_ &&
@@ -604,7 +602,7 @@
     }
     const ServerLive *Live = Board.find(Id);
     const Room Left = measureRoom(Server);
-    const bool IsResting = !Live || Live->IsDraining_ || Live->IsRemoving_ ||
+    const bool IsResting = !Live || !Live->takesStarts() ||
                            Live->NoStartsUntil_ > Now ||
                            Health_.getFitness(Id, Now) != Fitness::Sound;
     if (IsResting)
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -18,10 +18,11 @@
   std::uint64_t NextSequence_ = 1;
   std::vector<LifeAtAddress> Lives_;
   std::vector<std::string> LivesOver_;
+  std::vector<WaveRecord> Waves_;
 };
 auto fields(BookImage &X) {
   return std::tie(X.Configuration_, X.Jobs_, X.Servers_, X.NextSequence_,
-                  X.Lives_, X.LivesOver_);
+                  X.Lives_, X.LivesOver_, X.Waves_);
 }
 
 constexpr std::uint64_t Percent = 100;
@@ -272,6 +273,16 @@
   return {};
 }
 
+CommandResult JobBook::apply(const StartWave &Value) {
+  return {Waves_.start(Value.Spec_) ? Verdict::Done : Verdict::AlreadyDone, {}};
+}
+
+CommandResult JobBook::apply(const NoteMaintenance &Value) {
+  return {Waves_.noteBegun(Value.Wave_, Value.Vm_) ? Verdict::Done
+                                                   : Verdict::AlreadyDone,
+          {}};
+}
+
 std::string JobBook::findObjection(const TaskStart &Start) const {
   const JobRecord *Job = findJob(Start.Task_.Job_);
   if (!Job || isEnded(Job->State_))
@@ -558,6 +569,8 @@
   for (const auto &[Id, Server] : Servers_)
     Image.Servers_.push_back(Server.Facts_);
   Image.Lives_ = Lives_.Latest_;
+  for (const auto &[Id, Wave] : Waves_.waves())
+    Image.Waves_.push_back(Wave);
   Image.LivesOver_ = {Lives_.Over_.begin(), Lives_.Over_.end()};
   return packing::pack(Image);
 }
@@ -574,6 +587,7 @@
     Book.Servers_[Facts.Id_].Facts_ = Facts;
   Book.Lives_.Latest_ = std::move(Image.Lives_);
   Book.Lives_.Over_ = {Image.LivesOver_.begin(), Image.LivesOver_.end()};
+  Book.Waves_ = WaveBook::makeOf(std::move(Image.Waves_));
   for (JobRecord &Job : Image.Jobs_)
     Book.Jobs_[Job.Spec_.Id_] = std::move(Job);
   Book.rebuildIndexes();
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -41,6 +41,10 @@
   Newcomers_.reset();
   Leaving_.clear();
   IsAsking_ = false;
+  Waves_.reset();
+  LeadingSince_ = Now;
+  IsListing_ = false;
+  IsOrdering_ = false;
   NextQuestion_ = Now;
   EndedSince_.clear();
   AcceptedAt_.clear();
@@ -97,6 +101,7 @@
     openDue();
     startGang();
     askAdvice();
+    keepWaves();
     forgetEnded();
   }
   Strand_.postAfter(TickInterval, [Weak = weak_from_this()] {
@@ -243,9 +248,9 @@
 JobLeader::JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
                      Executor &Strand, replication::Replica &Group,
                      const JobMachine &Machine, Advisor &Advising,
-                     EventLog &Log, JobMeter &Meter)
+                     VmProvider &Provider, EventLog &Log, JobMeter &Meter)
     : Impl_(std::make_shared<Impl>(Settings, Time, Strand, Group, Machine,
-                                   Advising, Log, Meter)) {}
+                                   Advising, Provider, Log, Meter)) {}
 JobLeader::~JobLeader() = default;
 
 void JobLeader::start() { Impl_->start(); }
@@ -264,4 +269,10 @@
 void JobLeader::readConfiguration(Done<Configuration> Reply) {
   Impl_->readConfiguration(Reply);
 }
+void JobLeader::startWave(const WaveSpec &Spec, Done<void> Reply) {
+  Impl_->startWave(Spec, Reply);
+}
+void JobLeader::showWave(std::uint64_t Wave, Done<WaveRecord> Reply) {
+  Impl_->showWave(Wave, Reply);
+}
 bool JobLeader::isLeading() const { return Impl_->isLeading(); }
--- a/src/jobs/JobLeaderAdvice.cpp
+++ b/src/jobs/JobLeaderAdvice.cpp
@@ -16,7 +16,7 @@
     return;
   const auto IsUsable = [&](const std::string &Id) {
     const ServerLive *Live = Board_.find(Id);
-    return Live && !Live->IsDraining_ && !Live->IsRemoving_ &&
+    return Live && Live->takesStarts() &&
            Health_.getFitness(Id, Now) == Fitness::Sound;
   };
   const std::optional<AdviceQuestion> Question =
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -19,6 +19,7 @@
 #include "jobs/PaceGuard.h"
 #include "jobs/PaceSetter.h"
 #include "jobs/ServerBoard.h"
+#include "jobs/WaveKeeper.h"
 #include "replication/LeaderWatch.h"
 
 #include <set>
@@ -29,9 +30,10 @@
 public:
   Impl(const JobLeaderSettings &Settings, const Clock &Time, Executor &Strand,
        replication::Replica &Group, const JobMachine &Machine,
-       Advisor &Advising, EventLog &Log, JobMeter &Meter)
+       Advisor &Advising, VmProvider &Provider, EventLog &Log,
+       JobMeter &Meter)
       : Settings_(Settings), Time_(Time), Strand_(Strand), Group_(Group),
-        Machine_(Machine), Advisor_(Advising), Log_(Log), Meter_(Meter),
+        Machine_(Machine), Advisor_(Advising), Provider_(Provider), Log_(Log), Meter_(Meter),
         Watch_(Group, Strand,
                {[this](std::uint64_t Term) { beginLeading(Term); },
                 [this] { endLeading(); }}) {}
@@ -42,6 +44,8 @@
   void leave(const std::string &ServerId, Done<void> Reply);
   void putConfiguration(Configuration Value, Done<void> Reply);
   void readConfiguration(const Done<Configuration> &Reply);
+  void startWave(const WaveSpec &Spec, const Done<void> &Reply);
+  void showWave(std::uint64_t Wave, const Done<WaveRecord> &Reply) const;
   bool isLeading() const;
 
 private:
@@ -66,6 +70,12 @@
   void openDue();
   void startGang();
   void forgetEnded();
+  void keepWaves();
+  void listVms();
+  void noteMaintenance(const MaintenanceOrder &Order,
+                       const Outcome<MaintenanceReply> &Reply);
+  void logWave(std::uint64_t Wave, const std::string &Vm,
+               const std::string &What, const std::string &Why);
   void askAdvice();
   void noteAdvice(const AdviceQuestion &Question,
                   const Outcome<Advice> &Answer);
@@ -98,8 +108,12 @@
                      const char *Why);
   bool isStalled(const JobBook &Book, const std::string &Server,
                  const RunningTask &Running) const;
-  static bool isToEvacuate(const JobBook &Book, const ServerReport &Report,
-                           const RunningTask &Running);
+  /// Stopping: what this very answer stops.
+  bool isToEvacuate(const JobBook &Book, const ServerReport &Report,
+                    const RunningTask &Running,
+                    const std::map<TaskKey, std::uint64_t> &Stopping) const;
+  bool maySpare(const JobBook &Book, const StepSpec &Step, const TaskKey &Task,
+                const std::map<TaskKey, std::uint64_t> &Stopping) const;
   /// Images: those that serve there.
   bool isToMove(const JobBook &Book, const std::set<std::string> &Images,
                 const ServerReport &Report, const RunningTask &Running);
@@ -112,6 +126,7 @@
   replication::Replica &Group_;
   const JobMachine &Machine_;
   Advisor &Advisor_;
+  VmProvider &Provider_;
   EventLog &Log_;
   JobMeter &Meter_;
   replication::LeaderWatch Watch_;
@@ -127,6 +142,10 @@
   Newcomers Newcomers_;
   bool IsAsking_ = false; ///< A question to the advice service is open.
   TimePoint NextQuestion_{};
+  WaveKeeper Waves_;
+  TimePoint LeadingSince_{};
+  bool IsListing_ = false;  ///< A call to the provider of VMs is open,
+  bool IsOrdering_ = false; ///< and an order to it.
   /// Lives whose end is decided, until that is stored.
   std::set<std::string> Leaving_;
   std::map<std::string, TimePoint> EndedSince_;
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -1,5 +1,7 @@
 #include "jobs/JobLeaderImpl.h"
 
+#include <algorithm>
+
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
@@ -38,12 +40,57 @@
   return Still >= StallOfFilling && Paces_.getPace(Server) == FillingPace{};
 }
 
+/// Whether so few others of the step are away that this task may be, too.
+bool JobLeader::Impl::maySpare(const JobBook &Book, const StepSpec &Step,
+                               const TaskKey &Task,
+                               const std::map<TaskKey, std::uint64_t> &Stopping)
+    const {
+  const auto IsAtWork = [&](const TaskKey &Other, const TaskRecord &Record) {
+    for (const Placement &Each : Record.Placements_) {
+      const ServerLive *Live = Board_.find(Each.Server_);
+      const auto Seen =
+          Live ? Live->Progress_.find(Other) : decltype(Live->Progress_.end()){};
+      const bool IsSeen = Live && Seen != Live->Progress_.end() &&
+                          Seen->second.Run_ == Each.Run_ &&
+                          Seen->second.Percent_ >= Percent;
+      if (IsSeen && Live->StopsSent_.count(Other) == 0 &&
+          Stopping.count(Other) == 0)
+        return true;
+    }
+    return false;
+  };
+  const std::vector<TaskRecord> &Tasks = Book.findJob(Task.Job_)
+                                             ->findOccurrence(Task.Occurrence_)
+                                             ->Steps_[Task.Step_]
+                                             .Tasks_;
+  std::uint64_t Away = 0;
+  TaskKey Other = Task;
+  for (Other.Index_ = 0; Other.Index_ < Tasks.size(); ++Other.Index_)
+    if (Other.Index_ != Task.Index_ &&
+        !IsAtWork(Other, Tasks[Other.Index_]))
+      ++Away;
+  return Away < std::max<std::uint64_t>(Step.MayMiss_, 1);
+}
+
 /// Whether the work is better saved now, as its server is about to leave.
 bool JobLeader::Impl::isToEvacuate(const JobBook &Book,
                                    const ServerReport &Report,
-                                   const RunningTask &Running) {
+                                   const RunningTask &Running,
+                                   const std::map<TaskKey, std::uint64_t>
+                                       &Stopping) const {
   const StepSpec *Step = Book.findStep(Running.Task_);
-  if (!Report.IsDraining_ || !Step || Step->Gang_)
+  if (!Step || Step->Gang_)
+    return false;
+  const ServerLive *Live = Board_.find(Report.Facts_.Id_);
+  if (!Report.IsDraining_ && Live && Live->IsEmptying_) {
+    if (!Step->LongRunning_)
+      return Step->Checkpointing_ && Running.Percent_ < LeastPercentToEnd;
+    const auto Told = Live->StopsSent_.find(Running.Task_);
+    const bool IsTold =
+        Told != Live->StopsSent_.end() && Told->second == Running.Run_;
+    return IsTold || maySpare(Book, *Step, Running.Task_, Stopping);
+  }
+  if (!Report.IsDraining_)
     return false;
   if (Step->LongRunning_)
     return true;
@@ -100,8 +147,8 @@
         Why = "it is no longer wanted";
       else if (isStalled(Book, Report.Facts_.Id_, Each))
         Why = StandsStill;
-      else if (isToEvacuate(Book, Report, Each))
-        Why = "its server is about to leave";
+      else if (isToEvacuate(Book, Report, Each, StopsSent))
+        Why = "its server is about to leave, or to have its maintenance";
       else if (isToMove(Book, Images, Report, Each))
         Why = "it would disturb here and has room elsewhere";
       if (Why.empty())
--- /dev/null
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -0,0 +1,118 @@
+#include "jobs/JobLeaderImpl.h"
+
+#include <array>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+
+void JobLeader::Impl::startWave(const WaveSpec &Spec, const Done<void> &Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  if (!Provider_.isThere())
+    return Reply(fail(ErrorCode::Unavailable,
+                      "the settings name no provider of VMs to order from"));
+  propose(StartWave{Spec},
+          [this, Spec, Reply](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return Reply(Applied.error());
+            logWave(Spec.Id_, "", "accepted",
+                    std::to_string(Spec.Vms_.size()) + " VMs, at most " +
+                        std::to_string(Spec.MostAtOnce_) + " at once");
+            Reply(succeed());
+          });
+}
+
+void JobLeader::Impl::showWave(std::uint64_t Wave,
+                               const Done<WaveRecord> &Reply) const {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  Reply(Machine_.read([&](const JobBook &Book) -> Outcome<WaveRecord> {
+    if (const WaveRecord *Found = Book.waves().find(Wave))
+      return *Found;
+    return fail(ErrorCode::NotFound, "no such wave");
+  }));
+}
+
+void JobLeader::Impl::logWave(std::uint64_t Wave, const std::string &Vm,
+                              const std::string &What,
+                              const std::string &Why) {
+  Event Line;
+  Line.Kind_ = EventKind::Maintenance;
+  Line.Count_ = Wave;
+  Line.Server_ = Vm;
+  Line.Outcome_ = What;
+  Line.Reason_ = Why;
+  Line.Term_ = Term_;
+  Log_.write(Line);
+}
+
+/// Orders nothing before an earlier leader's orders can have ended: two that
+/// order in turns would undo each other's plans.
+void JobLeader::Impl::keepWaves() {
+  const TimePoint Now = Time_.now();
+  if (!Provider_.isThere() || Now - LeadingSince_ < Settings_.HolderLease_)
+    return;
+  listVms();
+  const std::optional<MaintenanceOrder> Order =
+      Machine_.read([&](const JobBook &Book) { return Waves_.plan(Book, Now); });
+  for (const auto &[Id, Live] : Board_.servers())
+    Board_.find(Id)->IsEmptying_ = Waves_.isEmptying(Id);
+  if (!Order || IsOrdering_)
+    return;
+  IsOrdering_ = true;
+  Waves_.noteOrdered(*Order, Now);
+  Provider_.maintain(
+      Order->Vm_, Order->Wave_, Term_,
+      [Weak = weak_from_this(), &Strand = Strand_, Term = Term_,
+       Order = *Order](const Outcome<MaintenanceReply> &Reply) {
+        Strand.post([Weak, Term, Order, Reply] {
+          const std::shared_ptr<Impl> Self = Weak.lock();
+          if (Self && Self->Term_ == Term)
+            Self->noteMaintenance(Order, Reply);
+        });
+      });
+}
+
+void JobLeader::Impl::listVms() {
+  const TimePoint Now = Time_.now();
+  const bool IsDue = Machine_.read(
+      [&](const JobBook &Book) { return Waves_.isListDue(Book, Now); });
+  if (!IsDue || IsListing_)
+    return;
+  IsListing_ = true;
+  Provider_.listVms([Weak = weak_from_this(), &Strand = Strand_, Term = Term_,
+                     Now](const Outcome<std::vector<VmInfo>> &Vms) {
+    Strand.post([Weak, Term, Now, Vms] {
+      const std::shared_ptr<Impl> Self = Weak.lock();
+      if (!Self || Self->Term_ != Term)
+        return;
+      Self->IsListing_ = false;
+      if (Vms)
+        Self->Waves_.noteList(Vms.value(), Now);
+    });
+  });
+}
+
+void JobLeader::Impl::noteMaintenance(const MaintenanceOrder &Order,
+                                      const Outcome<MaintenanceReply> &Reply) {
+  IsOrdering_ = false;
+  const bool IsSettled = Waves_.noteReply(Order, Reply, Time_.now());
+  static constexpr std::array<const char *, 5> Names = {
+      "begun", "fenced", "busy", "not in the wave", "no such VM"};
+  logWave(Order.Wave_, Order.Vm_,
+          Reply ? Names.at(static_cast<std::size_t>(Reply.value()))
+                : "not answered",
+          Reply ? "" : Reply.error().Message_);
+  if (!IsSettled)
+    return;
+  propose(NoteMaintenance{Order.Wave_, Order.Vm_},
+          [](const Outcome<CommandResult> &) {});
+  const bool IsOver = Reply.value() == MaintenanceReply::Begun &&
+                      Machine_.read([&Order](const JobBook &Book) {
+                        return Book.findServer(Order.Server_) != nullptr;
+                      });
+  // Nothing of that life runs any more, and no report of it will come.
+  if (IsOver)
+    removeServer(Order.Server_, "its VM is in maintenance", /*IsOver=*/true,
+                 [](const Outcome<CommandResult> &) {});
+}
--- a/src/jobs/JobPacking.h
+++ b/src/jobs/JobPacking.h
@@ -73,6 +73,12 @@
 }
 inline auto fields(EndTasks &X) { return std::tie(X.Server_, X.Ends_); }
 inline auto fields(ForgetJobs &X) { return std::tie(X.Ids_); }
+inline auto fields(WaveSpec &X) {
+  return std::tie(X.Id_, X.Vms_, X.DeadlineMs_, X.MostAtOnce_);
+}
+inline auto fields(WaveRecord &X) { return std::tie(X.Spec_, X.Begun_); }
+inline auto fields(StartWave &X) { return std::tie(X.Spec_); }
+inline auto fields(NoteMaintenance &X) { return std::tie(X.Wave_, X.Vm_); }
 
 inline auto fields(LifeAtAddress &X) { return std::tie(X.Address_, X.Id_); }
 inline auto fields(Placement &X) { return std::tie(X.Run_, X.Server_); }
--- a/src/jobs/ServerBoard.h
+++ b/src/jobs/ServerBoard.h
@@ -41,6 +41,8 @@
   bool IsDraining_ = false;
   /// Its removal is proposed: it gets no lease until that is applied.
   bool IsRemoving_ = false;
+  /// Its VM is next for maintenance: it is emptied, as far as jobs allow.
+  bool IsEmptying_ = false;
   /// A report is being handled; the next one waits for nothing of it.
   TimePoint NoStartsUntil_{};
   std::vector<RunningTask> Running_;
@@ -50,6 +52,11 @@
   std::map<TaskKey, std::uint64_t> StopsSent_;
   /// The last pace that each run was told, and when.
   std::map<TaskKey, PaceSent> PacesSent_;
+
+  /// Whether anything may be started there at all.
+  bool takesStarts() const {
+    return !IsDraining_ && !IsRemoving_ && !IsEmptying_;
+  }
 };
 
 /// Not thread-safe.
@@ -68,6 +75,7 @@
   const ServerLive *find(const std::string &Id) const;
   void add(const std::string &Id, TimePoint Now, TimePoint LeaseEnd);
   void remove(const std::string &Id);
+  const std::map<std::string, ServerLive> &servers() const { return Servers_; }
   /// Servers whose lease has run out.
   std::vector<std::string> listLapsed(TimePoint Now) const;
   /// The checkpoints that the server's runs were last seen with.
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -65,10 +65,10 @@
     : public std::enable_shared_from_this<ControlNode::Impl> {
 public:
   Impl(const ControlNodeSettings &Settings, net::IoPool &Pool,
-       const Clock &Time, jobs::Advisor &Advising, net::Metrics &Metrics,
-       EventLog &Log, OpenReplica Open)
+       const Clock &Time, jobs::Advisor &Advising, jobs::VmProvider &Provider,
+       net::Metrics &Metrics, EventLog &Log, OpenReplica Open)
       : Settings_(Settings), Pool_(Pool), Time_(Time), Advisor_(Advising),
-        Log_(Log),
+        Provider_(Provider), Log_(Log),
         Meter_(Metrics), Open_(std::move(Open)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
@@ -104,6 +104,7 @@
   net::IoPool &Pool_;
   const Clock &Time_;
   jobs::Advisor &Advisor_;
+  jobs::VmProvider &Provider_;
   EventLog &Log_;
   JobMetrics Meter_;
   const OpenReplica Open_;
@@ -125,7 +126,7 @@
   Fresh->Group_ = std::move(Opened.value());
   Fresh->Leader_ = std::make_unique<jobs::JobLeader>(
       Settings_.Leader_, Time_, Strand_, *Fresh->Group_, Fresh->Machine_,
-      Advisor_, Log_, Meter_);
+      Advisor_, Provider_, Log_, Meter_);
   {
     const std::lock_guard Hold(Lock_);
     if (Stopped_)
@@ -272,9 +273,9 @@
 
 ControlNode::ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
                          const Clock &Time, jobs::Advisor &Advising,
-                         net::Metrics &Metrics, EventLog &Log,
+                         jobs::VmProvider &Provider, net::Metrics &Metrics, EventLog &Log,
                          OpenReplica Open)
-    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Advising, Metrics, Log,
+    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Advising, Provider, Metrics, Log,
                                    std::move(Open))) {}
 ControlNode::~ControlNode() { stop(); }
 
@@ -334,6 +335,22 @@
       });
 }
 
+void ControlNode::startWave(jobs::WaveSpec Spec, Done<void> Reply) {
+  Impl_->run<void>(std::move(Reply),
+                   [Spec = std::move(Spec)](jobs::JobLeader &Leader,
+                                            Done<void> To) {
+                     Leader.startWave(Spec, std::move(To));
+                   });
+}
+
+void ControlNode::showWave(std::uint64_t Wave, Done<jobs::WaveRecord> Reply) {
+  Impl_->run<jobs::WaveRecord>(
+      std::move(Reply),
+      [Wave](jobs::JobLeader &Leader, Done<jobs::WaveRecord> To) {
+        Leader.showWave(Wave, std::move(To));
+      });
+}
+
 std::string ControlNode::getLeader() const {
   const std::shared_ptr<Life> Current = Impl_->getLife();
   return Current ? Current->Group_->getStatus().LeaderName_ : "";
--- a/tests/jobs/CommandsTest.cpp
+++ b/tests/jobs/CommandsTest.cpp
@@ -33,7 +33,9 @@
           RemoveServer{"s1", {{Start.Task_, 2, "at 3"}}, true},
           StartTasks{{Start}},
           makeEnd(Start, RunEnd::NeverRan, "x"),
-          ForgetJobs{{"a", "b"}}};
+          ForgetJobs{{"a", "b"}},
+          StartWave{{3, {"v1", "v2"}, 20'000, 2}},
+          NoteMaintenance{3, "v1"}};
 }
 
 TEST(CommandsTest, EveryCommandSurvivesTheRoundTrip) {
--- /dev/null
+++ b/tests/jobs/JobWavesTest.cpp
@@ -0,0 +1,163 @@
+//===- JobWavesTest.cpp - A leader with a provider of VMs -----------------===//
+
+#include "jobs/LeaderFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+class JobWavesTest : public JobLeaderTest {
+protected:
+  JobWavesTest() {
+    Provider_.Vms_ = {{"v1", "booking", VmState::Up, "s1"},
+                      {"v2", "booking", VmState::Up, "s2"}};
+  }
+  void startWave(std::vector<std::string> Vms) {
+    bool IsDone = false;
+    Leader_.startWave({3, std::move(Vms), 20'000, 1},
+                      [&IsDone](const Outcome<void> &Result) {
+                        IsDone = static_cast<bool>(Result);
+                      });
+    Strand_.runAll();
+    EXPECT_TRUE(IsDone);
+  }
+  Outcome<WaveRecord> showWave(std::uint64_t Wave) {
+    Outcome<WaveRecord> Got = fail(ErrorCode::Internal, "no answer");
+    Leader_.showWave(Wave,
+                     [&Got](const Outcome<WaveRecord> &Found) { Got = Found; });
+    Strand_.runAll();
+    return Got;
+  }
+  void answer(const Outcome<MaintenanceReply> &Reply) {
+    ASSERT_FALSE(Provider_.Orders_.empty());
+    Provider_.Orders_.back().Reply_(Reply);
+    Strand_.runAll();
+  }
+  /// Reports of both servers, with these runs at work on them.
+  void reportBoth(const std::vector<StartOrder> &OnFirst,
+                  const std::vector<StartOrder> &OnSecond) {
+    First_ = reportWith("s1", OnFirst);
+    Second_ = reportWith("s2", OnSecond);
+  }
+  ServerOrders reportWith(const std::string &Id,
+                          const std::vector<StartOrder> &Starts) {
+    ServerReport Report = makeReport(Id);
+    for (const StartOrder &Each : Starts) {
+      Report.Running_.push_back(makeRunning(Each));
+      Report.Running_.back().Percent_ = 100;
+    }
+    return report(Report);
+  }
+
+  ServerOrders First_;
+  ServerOrders Second_;
+};
+
+} // namespace
+
+TEST_F(JobWavesTest, AWaveIsStoredOrderedAndCompleted) {
+  report(makeReport("s1"));
+  EXPECT_EQ(showWave(3).error().Code_, ErrorCode::NotFound);
+  startWave({"v1"});
+  startWave({"v1"});
+  ASSERT_TRUE(showWave(3));
+  EXPECT_FALSE(showWave(3).value().isCompleted());
+  EXPECT_TRUE(Provider_.Orders_.empty())
+      << "an earlier leader's orders may be under way";
+  Strand_.advance(4s);
+  report(makeReport("s1"));
+  Strand_.advance(100ms);
+  ASSERT_EQ(Provider_.Orders_.size(), 1U);
+  EXPECT_EQ(Provider_.Orders_[0].Vm_, "v1");
+  EXPECT_EQ(Provider_.Orders_[0].Wave_, 3U);
+  EXPECT_EQ(Provider_.Orders_[0].FencingToken_, 1U);
+  answer(MaintenanceReply::Begun);
+  EXPECT_TRUE(showWave(3).value().isCompleted());
+  EXPECT_TRUE(Machine_.read([](const JobBook &Book) {
+    return Book.findServer("s1") == nullptr && Book.isOver("s1");
+  })) << "nothing of that life runs any more";
+}
+
+TEST_F(JobWavesTest, NothingIsListedWithoutAWave) {
+  report(makeReport("s1"));
+  Strand_.advance(10s);
+  EXPECT_EQ(Provider_.Lists_, 0U) << "each call costs";
+}
+
+TEST_F(JobWavesTest, AServerThatIsNextGetsNothingNew) {
+  startWave({"v1"});
+  report(makeReport("s1"));
+  call(CallKind::Submit, "j", {makeStep(1, 1000)});
+  const ServerOrders Before = report(makeReport("s1"));
+  ASSERT_EQ(Before.Starts_.size(), 1U);
+  Strand_.advance(4s);
+  reportWith("s1", Before.Starts_);
+  Strand_.advance(100ms);
+  call(CallKind::Submit, "k", {makeStep(1, 1000)});
+  EXPECT_TRUE(reportWith("s1", Before.Starts_).Starts_.empty());
+  EXPECT_TRUE(Provider_.Orders_.empty()) << "its work ends first";
+}
+
+TEST_F(JobWavesTest, TasksThatLastGoOneAtATime) {
+  StepSpec Serving = makeStep(2, 1000);
+  Serving.LongRunning_ = true;
+  Serving.MayMiss_ = 1;
+  report(makeReport("s1"));
+  call(CallKind::Submit, "j", {Serving});
+  const std::vector<StartOrder> Running = report(makeReport("s1")).Starts_;
+  ASSERT_EQ(Running.size(), 2U);
+  startWave({"v1"});
+  reportBoth(Running, {});
+  Strand_.advance(3500ms);
+  reportBoth(Running, {});
+  Strand_.advance(100ms);
+  reportBoth(Running, {});
+  ASSERT_EQ(First_.Stops_.size(), 1U) << "one of two may be away";
+  const StopOrder Stopped = First_.Stops_[0];
+  reportBoth(Running, {});
+  ASSERT_EQ(First_.Stops_.size(), 1U);
+  EXPECT_EQ(First_.Stops_[0], Stopped) << "the same is told again";
+  // It has ended; the other one stays until this one works elsewhere.
+  ServerReport Ended = makeReport("s1");
+  Ended.Running_ = {makeRunning(Running[1])};
+  Ended.Running_[0].Percent_ = 100;
+  Ended.Ended_ = {makeEnded(1, Running[0], RunEnd::Stopped)};
+  EXPECT_TRUE(report(Ended).Stops_.empty());
+  const ServerOrders Elsewhere = reportWith("s2", {});
+  ASSERT_EQ(Elsewhere.Starts_.size(), 1U);
+  reportWith("s2", Elsewhere.Starts_);
+  const ServerOrders Last = reportWith("s1", {Running[1]});
+  ASSERT_EQ(Last.Stops_.size(), 1U);
+  EXPECT_EQ(Last.Stops_[0].Task_, Running[1].Task_);
+  EXPECT_TRUE(Provider_.Orders_.empty());
+}
+
+TEST_F(JobWavesTest, ANewLeaderWaitsBeforeItOrders) {
+  report(makeReport("s1"));
+  startWave({"v1"});
+  Strand_.advance(2s);
+  Group_.Term_ = 2;
+  Strand_.advance(2s);
+  report(makeReport("s1"));
+  EXPECT_TRUE(Provider_.Orders_.empty());
+  Strand_.advance(1500ms);
+  ASSERT_EQ(Provider_.Orders_.size(), 1U);
+  EXPECT_EQ(Provider_.Orders_[0].FencingToken_, 2U);
+}
+
+TEST_F(JobWavesTest, AnUnansweredOrderIsSentAgain) {
+  report(makeReport("s1"));
+  startWave({"v1"});
+  Strand_.advance(3500ms);
+  ASSERT_EQ(Provider_.Orders_.size(), 1U);
+  Strand_.advance(1s);
+  EXPECT_EQ(Provider_.Orders_.size(), 1U) << "the first is under way";
+  answer(fail(ErrorCode::Timeout, "no answer"));
+  EXPECT_EQ(Log_.last(EventKind::Maintenance).Outcome_, "not answered");
+  EXPECT_FALSE(showWave(3).value().isCompleted());
+  Strand_.advance(1s);
+  EXPECT_EQ(Provider_.Orders_.size(), 2U);
+}
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -157,6 +157,31 @@
   std::vector<Question> Asked_;
 };
 
+/// Lists what it is given, and keeps orders until it is told to answer.
+class HandProvider final : public VmProvider {
+public:
+  struct Order {
+    std::string Vm_;
+    std::uint64_t Wave_ = 0;
+    std::uint64_t FencingToken_ = 0;
+    Done<MaintenanceReply> Reply_;
+  };
+  bool isThere() const override { return true; }
+  void listVms(Done<std::vector<VmInfo>> Reply) override {
+    ++Lists_;
+    Reply(Vms_);
+  }
+  void maintain(const std::string &Vm, std::uint64_t Wave,
+                std::uint64_t FencingToken,
+                Done<MaintenanceReply> Reply) override {
+    Orders_.push_back({Vm, Wave, FencingToken, std::move(Reply)});
+  }
+
+  std::vector<VmInfo> Vms_;
+  std::vector<Order> Orders_;
+  std::size_t Lists_ = 0;
+};
+
 /// A leader with a configuration in force.
 class JobLeaderTest : public ::testing::Test {
 protected:
@@ -223,8 +248,9 @@
   NoJobMeter Meter_;
   JobLeaderSettings Settings_;
   KeptQuestions Advisor_;
-  JobLeader Leader_{Settings_, Time_,    Strand_, Group_,
-                    Machine_,  Advisor_, Log_,    Meter_};
+  HandProvider Provider_;
+  JobLeader Leader_{Settings_, Time_,     Strand_, Group_, Machine_,
+                    Advisor_,  Provider_, Log_,    Meter_};
   std::map<std::string, std::uint64_t> Sequences_;
 };
 
--- a/tests/jobservice/NodeCluster.h
+++ b/tests/jobservice/NodeCluster.h
@@ -86,7 +86,7 @@
     Settings.MayFound_ = MayFound;
     Settings.Voters_ = Voters;
     Settings.Secret_ = "a secret of this test alone";
-    auto Fresh = std::make_unique<ControlNode>(Settings, Pool_, Time_, Advisor_, Metrics_,
+    auto Fresh = std::make_unique<ControlNode>(Settings, Pool_, Time_, Advisor_, Provider_, Metrics_,
                                                Log_, Open);
     const Outcome<void> Started = Fresh->start();
     ASSERT_TRUE(Started) << Started.error().Message_;
@@ -155,6 +155,7 @@
   net::Metrics Metrics_;
   net::IoPool Pool_{2};
   jobs::NoAdvisor Advisor_;
+  jobs::NoVmProvider Provider_;
   std::map<int, std::unique_ptr<ControlNode>> Nodes_;
 };
 
--- a/tests/platform/SettingsTest.cpp
+++ b/tests/platform/SettingsTest.cpp
@@ -16,8 +16,9 @@
   "portRange": [7720, 7735], "seeds": ["10.1.0.16:8166", "10.2.0.32:8166"],
   "bootstrap": true, "dataDir": "/data/x", "heartbeatMs": 1200,
   "recommendation": "10.200.1.9:8169",
+  "cloud": {"address": "10.200.0.79:8169", "ratePerS": 60.0, "duties": []},
   "faultTolerance": {"machines": 2, "zones": 1, "regions": 0},
-  "bounds": {"holdMaxMs": 9000, "graceS": 6.5, "status_s": 90, "new": [1]},
+  "bounds": {"holdMaxMs": 9000, "leaseMs": 2500, "graceS": 6.5, "status_s": 90, "new": [1]},
   "somethingNew": {"a": 1}})";
 
 TEST(SettingsTest, EveryFieldIsTaken) {
@@ -30,6 +31,8 @@
   Wanted.Clients_ = {"10.1.0.16", 80};
   Wanted.Ready_ = {"10.1.0.16", 81};
   Wanted.Control_ = {"10.1.0.16", 8166};
+  Wanted.Provider_ = {"10.200.0.79", 8169};
+  Wanted.HolderLeaseMs_ = 2500;
   Wanted.Advice_ = {"10.200.1.9", 8169};
   Wanted.LinkPort_ = 7720;
   Wanted.Seeds_ = {"10.1.0.16:8166", "10.2.0.32:8166"};
--- /dev/null
+++ b/tests/platform/VmClientTest.cpp
@@ -0,0 +1,133 @@
+//===- VmClientTest.cpp - Against a stand-in for the provider of VMs ------===//
+
+#include "platform/VmClient.h"
+
+#include "tulipweir/net/HttpServer.h"
+#include "tulipweir/net/IoPool.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <future>
+
+using namespace tulipweir;
+using namespace tulipweir::platform;
+
+namespace {
+
+/// Answers calls with what it is given, in turn.
+class VmClientTest : public ::testing::Test {
+protected:
+  VmClientTest()
+      : Server_(Pool_.context(), makeSettings(),
+                [this](const net::HttpRequest &Request,
+                       const net::HttpRespond &Respond) {
+                  Requests_.push_back(Request);
+                  const net::HttpResponse Next = Responses_.front();
+                  Responses_.pop_front();
+                  Respond(Next);
+                }),
+        Calls_(Pool_.context(), net::HttpClientSettings()) {
+    const auto Bound = Server_.start();
+    EXPECT_TRUE(Bound);
+    Client_ = std::make_unique<VmClient>(Calls_, Bound.value(), "me", Time_);
+  }
+  ~VmClientTest() override { Pool_.stop(); }
+
+  static net::HttpServerSettings makeSettings() {
+    net::HttpServerSettings Settings;
+    Settings.Listen_ = {"127.0.0.1", 0};
+    return Settings;
+  }
+  void answer(unsigned Status, const std::string &Body) {
+    Responses_.push_back(net::HttpResponse::makeJson(Status, Body));
+  }
+  Outcome<std::vector<jobs::VmInfo>> list() {
+    std::promise<Outcome<std::vector<jobs::VmInfo>>> Got;
+    Client_->listVms([&Got](const auto &Vms) { Got.set_value(Vms); });
+    return Got.get_future().get();
+  }
+  Outcome<jobs::MaintenanceReply> maintain() {
+    std::promise<Outcome<jobs::MaintenanceReply>> Got;
+    Client_->maintain("m-1", 4, 12,
+                      [&Got](const auto &Reply) { Got.set_value(Reply); });
+    return Got.get_future().get();
+  }
+
+  const SystemClock Time_;
+  net::IoPool Pool_{1};
+  std::deque<net::HttpResponse> Responses_;
+  std::vector<net::HttpRequest> Requests_;
+  net::HttpServer Server_;
+  net::HttpClient Calls_;
+  std::unique_ptr<VmClient> Client_;
+};
+
+} // namespace
+
+TEST_F(VmClientTest, ReadsAllPagesOfTheList) {
+  answer(200, R"({"machines":[{"machine":"m-1","pool":"p","state":"up",
+                  "id":"i-1"}],"nextToken":"a b"})");
+  answer(200, R"({"machines":[{"machine":"m-2","pool":"p","state":"upkeep",
+                  "id":null},{"machine":"m-3","state":"moving"},
+                  {"machine":"m-4","state":"down"}],"nextToken":null})");
+  const auto Got = list();
+  ASSERT_TRUE(Got) << Got.error().Message_;
+  EXPECT_EQ(Got.value(), (std::vector<jobs::VmInfo>{
+                             {"m-1", "p", jobs::VmState::Up, "i-1"},
+                             {"m-2", "p", jobs::VmState::Maintenance, ""},
+                             {"m-3", "", jobs::VmState::Moving, ""},
+                             {"m-4", "", jobs::VmState::Down, ""}}));
+  ASSERT_EQ(Requests_.size(), 2U);
+  EXPECT_EQ(Requests_[0].Path_, "/api/machines");
+  EXPECT_EQ(Requests_[1].findQuery("pageToken"), "a b");
+}
+
+TEST_F(VmClientTest, AListThatCannotBeReadIsAnError) {
+  answer(429, "{}");
+  EXPECT_FALSE(list());
+  answer(200, R"({"machines":[{"state":"up"}]})");
+  EXPECT_FALSE(list());
+  answer(200, "no JSON");
+  EXPECT_FALSE(list());
+}
+
+TEST_F(VmClientTest, AnOrderNamesItsHolderAndToken) {
+  answer(200, "{}");
+  const auto Got = maintain();
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(Got.value(), jobs::MaintenanceReply::Begun);
+  ASSERT_EQ(Requests_.size(), 1U);
+  EXPECT_EQ(Requests_[0].Method_, "POST");
+  EXPECT_EQ(Requests_[0].Path_, "/api/machine-upkeep");
+  EXPECT_EQ(Requests_[0].findHeader("X-Lease-Holder"), "me");
+  EXPECT_EQ(Requests_[0].findHeader("X-Fencing-Token"), "12");
+  EXPECT_EQ(Requests_[0].Body_, R"({"machine":"m-1","wave":4})");
+}
+
+TEST_F(VmClientTest, RefusalsAreToldApart) {
+  const std::pair<const char *, jobs::MaintenanceReply> Reasons[] = {
+      {"fence", jobs::MaintenanceReply::Fenced},
+      {"busy", jobs::MaintenanceReply::Busy},
+      {"wave", jobs::MaintenanceReply::NotInWave}};
+  for (const auto &[Word, Wanted] : Reasons) {
+    answer(409, std::string(R"({"reason":")") + Word + "\"}");
+    const auto Got = maintain();
+    ASSERT_TRUE(Got) << Word;
+    EXPECT_EQ(Got.value(), Wanted) << Word;
+  }
+  answer(400, "{}");
+  EXPECT_EQ(maintain().value(), jobs::MaintenanceReply::NoSuchVm);
+}
+
+TEST_F(VmClientTest, OnlyWhatCertainlyDidNothingSaysSo) {
+  answer(429, "{}");
+  EXPECT_EQ(maintain().error().Code_, ErrorCode::Overfull);
+  answer(503, "{}");
+  EXPECT_EQ(maintain().error().Code_, ErrorCode::Timeout);
+  answer(409, R"({"reason":"new"})");
+  EXPECT_EQ(maintain().error().Code_, ErrorCode::Malformed);
+  Client_ = std::make_unique<VmClient>(Calls_, net::Endpoint{"127.0.0.1", 1},
+                                       "me", Time_);
+  EXPECT_EQ(maintain().error().Code_, ErrorCode::Unavailable);
+}
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -192,3 +192,27 @@
   for (const char *Wrong : {"", "a", "1.2.3", "a.1.2", "a.b.c.d", "a.-1.0.0"})
     EXPECT_FALSE(parseTask(Wrong)) << Wrong;
 }
+
+TEST(WireTest, AWaveIsTakenWholeOrNotAtAll) {
+  const auto Got = parseWave(
+      R"({"wave":1,"machines":["m-1","m-2"],"deadlineS":2.5,"maxCount":2})");
+  ASSERT_TRUE(Got) << Got.error().Message_;
+  EXPECT_EQ(Got.value(), (jobs::WaveSpec{1, {"m-1", "m-2"}, 2500, 2}));
+  for (const char *Body :
+       {"", "[]", R"({"machines":["m"],"maxCount":1})",
+        R"({"wave":1,"machines":["m"]})",
+        R"({"wave":1,"machines":["m"],"maxCount":0})",
+        R"({"wave":1,"machines":[7],"maxCount":1})",
+        R"({"wave":1,"machines":"m","maxCount":1})",
+        R"({"wave":-1,"machines":["m"],"maxCount":1})",
+        R"({"wave":1,"machines":["m"],"maxCount":1,"deadlineS":-1})",
+        R"({"wave":1,"wave":2,"machines":["m"],"maxCount":1})"})
+    EXPECT_FALSE(parseWave(Body)) << Body;
+}
+
+TEST(WireTest, AWavesStateIsOneOfTwoWords) {
+  jobs::WaveRecord Wave{{1, {"m-1"}, 0, 1}, {}};
+  EXPECT_EQ(renderWaveState(Wave), R"({"state":"running"})");
+  Wave.Begun_ = {"m-1"};
+  EXPECT_EQ(renderWaveState(Wave), R"({"state":"completed"})");
+}
