Dispatcher parted: survey, room, waits and gangs have files of their own

Moved as they are: ServerRoom, ReadyTimes, RoomSurvey (holdRoom with its choice of a server as a function of its own), GangPlanner. New: a gang prefers one rack where all its tasks fit, the data's first, and a step that has to stay on one rack waits 1.5 s for that before it is spread (it was only likely before).

--- a/bench/jobs/JobsBench.cpp
+++ b/bench/jobs/JobsBench.cpp
@@ -148,7 +148,7 @@
     PaceGuard Paces;
     ServerHealth Health;
     Dispatcher Planner(Effects, Paces, Health);
-    Planner.surveySafeRoom(Book, Board, now()); // As at every tick.
+    Planner.survey(Book, Board, now()); // As at every tick.
     for (std::uint64_t I = 0; I < Servers; ++I) {
       const Instant Begin = now();
       const auto Plan = Planner.plan(Book, Board, makeServer(I, 0).Id_, Begin,
--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -48,8 +48,8 @@
 
   JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
             Executor &Strand, replication::Replica &Group,
-            const JobMachine &Machine, Advisor &Advising,
-            VmProvider &Provider, EventLog &Log, JobMeter &Meter);
+            const JobMachine &Machine, Advisor &Advising, VmProvider &Provider,
+            EventLog &Log, JobMeter &Meter);
   ~JobLeader();
   JobLeader(const JobLeader &) = delete;
   JobLeader &operator=(const JobLeader &) = delete;
--- a/src/jobs/AdviceBook.cpp
+++ b/src/jobs/AdviceBook.cpp
@@ -63,8 +63,7 @@
 }
 
 /// How many of the step's tasks fit on servers with a ticket.
-std::uint64_t AdviceBook::countOpen(const JobBook &Book,
-                                    const ReadyStep &Ready,
+std::uint64_t AdviceBook::countOpen(const JobBook &Book, const ReadyStep &Ready,
                                     TimePoint Now) const {
   const auto Servers =
       Steps_.find({Ready.Job_, Ready.Occurrence_, Ready.Step_});
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -1,8 +1,9 @@
 #include "jobs/Dispatcher.h"
 
+#include "jobs/GangPlanner.h"
+
 #include <algorithm>
 #include <array>
-#include <limits>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -27,33 +28,23 @@
 static constexpr Duration FailurePatience = 1s;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
-/// Serving tasks reserve for their peaks; on average they use half.
-static constexpr std::int64_t ServingUsePercent = 52;
-static constexpr std::int64_t Percent = 100;
 /// Where filling tasks must go slower than that, no more are added.
 static constexpr std::uint64_t LeastPace = 40;
-/// What lasts gives way to short work for so long. After that it goes first,
-/// and room is kept for it: short work comes without end and leaves gaps that
-/// are too small. Whoever lasts must not be away for more than some seconds.
-static constexpr Duration LastingPatience = 2s;
-/// One server of so many is held at a time: where more work lasts than there is
-/// room for, short work goes on.
-static constexpr std::size_t ServersForAHold = 24;
-/// A job of which nothing runs is started somewhere after that time, where less
-/// than that part of the processors is reserved.
+/// A job of which nothing runs is started somewhere after that time, where most
+/// of the processors are not reserved.
 static constexpr Duration IdleJobPatience = 1s;
-static constexpr std::int64_t RoomyPercent = 70;
+/// A gang that should stay on one rack is spread over several after that time:
+/// it is slower there by half to three times, by the users' figures.
+static constexpr Duration GangPatience = 1500ms;
 /// A job that takes so many times as long as allowed is worth nothing.
 static constexpr std::uint64_t LateFactor = 3;
-static constexpr std::int64_t Unlimited =
-    std::numeric_limits<std::int64_t>::max();
 /// Bounds the work of one plan; the most urgent come first.
 static constexpr std::size_t MostStepsLookedAt = 256;
 /// What a server may start at once: a report's answer stays small.
 static constexpr std::size_t MostStartsAtOnce = 64;
 
 void Dispatcher::reset() {
-  ReadySince_.clear();
+  Waits_.reset();
   Taken_.clear();
   Failed_.clear();
   Stragglers_.reset();
@@ -84,29 +75,7 @@
     const TaskRecord *Task = Book.findTask(Each.first);
     return !Task || Task->State_ == TaskState::Done;
   });
-  std::erase_if(ReadySince_, [&Book](const auto &Each) {
-    return Book.readySteps().count(Each.first) == 0;
-  });
-}
-
-Duration Dispatcher::getWait(const ReadyStep &Step, TimePoint Now) {
-  return Now - ReadySince_.try_emplace(Step, Now).first->second;
-}
-
-/// What a task is expected to use of what it reserves.
-static std::int64_t getUsedCpus(const StepSpec &Step) {
-  return Step.isServing() ? Step.Need_.MilliCpus_ * ServingUsePercent / Percent
-                          : Step.Need_.MilliCpus_;
-}
-
-Dispatcher::Room Dispatcher::measureRoom(const ServerRecord &Server) {
-  Room Left;
-  Left.Free_ = Server.Facts_.Capacity_ - Server.Used_;
-  Left.Idle_ = Server.Facts_.Capacity_.MilliCpus_ - Server.OtherCpus_ -
-               Server.ServingCpus_ * ServingUsePercent / Percent;
-  for (const auto &[Image, Count] : Server.Serving_)
-    Left.Serving_.insert(Image);
-  return Left;
+  Waits_.prune(Book);
 }
 
 /// Asked for each waiting step that fills, of which there are few images.
@@ -119,10 +88,10 @@
 
 bool Dispatcher::isFit(const StepSpec &Step, Plan &Own, Duration Waited,
                        bool IsIdleJob, std::uint64_t Waiting) const {
-  const Room &Left = Own.Left_;
-  const auto Held = Held_.find(Own.Server_.Facts_.Id_);
-  const bool IsHeld = !Step.LongRunning_ && !Step.Fills_ && Held != Held_.end();
-  const Resources Free = IsHeld ? Left.Free_ - Held->second : Left.Free_;
+  const ServerRoom &Left = Own.Left_;
+  const Resources *Held = Survey_.findHeld(Own.Server_.Facts_.Id_);
+  const bool IsHeld = !Step.LongRunning_ && !Step.Fills_ && Held;
+  const Resources Free = IsHeld ? Left.Free_ - *Held : Left.Free_;
   if (!Step.getReserved().fitsIn(Free))
     return false;
   if (!Step.DataRack_.empty() && Step.DataRack_ != Own.Server_.Facts_.Rack_ &&
@@ -135,31 +104,20 @@
   return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
 }
 
-std::uint64_t Dispatcher::countFits(const std::vector<Resources> &Places,
-                                    const Resources &Need) {
-  std::uint64_t Count = 0;
-  for (Resources Free : Places)
-    for (; Need.fitsIn(Free); Free = Free - Need)
-      ++Count;
-  return Count;
-}
-
 /// Tasks of one image together: which filling tasks disturb it differs from
 /// image to image, and where several serve, hardly any is left that may fill.
-bool Dispatcher::isFitToServe(const StepSpec &Step, const Room &Left,
+bool Dispatcher::isFitToServe(const StepSpec &Step, const ServerRoom &Left,
                               Duration Waited, std::uint64_t Waiting) const {
   const bool IsAmongEquals =
       Left.Serving_.size() == 1 && Left.Serving_.count(Step.Image_) == 1;
   if (IsAmongEquals)
     return true;
   // Whoever waits serves nobody, so it waits only for what is there.
-  const auto Equals = FreeAmongEquals_.find(Step.Image_);
   const bool HasEquals =
-      Equals != FreeAmongEquals_.end() &&
-      countFits(Equals->second, Step.getReserved()) >= Waiting;
+      Survey_.hasRoomAmongEquals(Step.Image_, Step.getReserved(), Waiting);
   if (Left.Serving_.empty())
     return !HasEquals || Waited >= EqualsPatience;
-  if (HasEquals || countFits(FreeAlone_, Step.getReserved()) > 0)
+  if (HasEquals || Survey_.hasRoomAlone(Step.getReserved()))
     return Waited >= CompanyPatience;
   const double Harm = Effects_.getAddedHarm(Left.Serving_, Step.Image_);
   const auto More = std::chrono::duration_cast<Duration>(
@@ -169,10 +127,10 @@
 
 bool Dispatcher::isFitToFill(const StepSpec &Step, Plan &Own, Duration Waited,
                              bool IsIdleJob) const {
-  const Room &Left = Own.Left_;
+  const ServerRoom &Left = Own.Left_;
   // Nobody waits for ever while there is room: where it disturbs it goes
   // slowly.
-  if (IsIdleJob && IsRoomy_ && Waited >= IdleJobPatience)
+  if (IsIdleJob && Survey_.isRoomy() && Waited >= IdleJobPatience)
     return true;
   if (Step.Need_.MilliCpus_ > Left.Idle_)
     return false;
@@ -184,126 +142,24 @@
   return Left.Pace_.Others_ >= LeastPace;
 }
 
-void Dispatcher::surveySafeRoom(const JobBook &Book, const ServerBoard &Board,
-                                TimePoint Now) {
-  FreeAmongEquals_.clear();
-  FreeAlone_.clear();
+void Dispatcher::survey(const JobBook &Book, const ServerBoard &Board,
+                        TimePoint Now) {
   Stragglers_.survey(Book, Board, Now);
-  holdRoom(Book, Board, Now);
-  SafeRoom_.clear();
-  LeastMemory_ = LeastPlainCpus_ = LeastFillingCpus_ = Unlimited;
-  std::map<std::string, std::int64_t> Wanted;
+  Survey_.take(Book, Board, Waits_, Now);
   std::uint64_t Newest = LastValued_;
-  for (const ReadyStep &Ready : Book.readySteps()) {
-    const JobRecord &Job = *Book.findJob(Ready.Job_);
-    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
-    const std::uint64_t Waiting =
-        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
-    LeastMemory_ = std::min(LeastMemory_, Step.Need_.MemoryMib_);
-    if (Job.Sequence_ > LastValued_)
-      Value_.noteJob(Job);
-    Newest = std::max(Newest, Job.Sequence_);
-    std::int64_t &Least = Step.Fills_ ? LeastFillingCpus_ : LeastPlainCpus_;
-    Least = std::min(Least, Step.Need_.MilliCpus_);
-    if (Step.Fills_)
-      Wanted[Step.Image_] +=
-          Step.Need_.MilliCpus_ * static_cast<std::int64_t>(Waiting);
-  }
-  LastValued_ = Newest;
-  StepsSurveyed_ = Book.readySteps().size();
-  std::int64_t Capacity = 0;
-  std::int64_t Reserved = 0;
-  for (const auto &[Id, Server] : Book.servers()) {
-    Capacity += Server.Facts_.Capacity_.MilliCpus_;
-    Reserved += Server.Used_.MilliCpus_;
-  }
-  IsRoomy_ = Reserved * Percent < Capacity * RoomyPercent;
-  std::vector<Room> Rooms;
-  for (const auto &[Id, Server] : Book.servers())
-    if (const ServerLive *Live = Board.find(Id);
-        Live && Live->takesStarts()) {
-      Rooms.push_back(measureRoom(Server));
-      const Room &Left = Rooms.back();
-      const bool MayStart = Live->NoStartsUntil_ <= Now &&
-                            Health_.getFitness(Id, Now) == Fitness::Sound;
-      if (MayStart && Left.Serving_.size() == 1)
-        FreeAmongEquals_[*Left.Serving_.begin()].push_back(Left.Free_);
-      else if (MayStart && Left.Serving_.empty())
-        FreeAlone_.push_back(Left.Free_);
-    }
-  for (const std::string &Image : MovingImages_) {
-    std::int64_t &Room = SafeRoom_[Image];
-    for (const Dispatcher::Room &Left : Rooms)
-      if (!Effects_.isDisturbingAny(Left.Serving_, Image))
-        Room += std::max<std::int64_t>(Left.Idle_, 0);
-    // What waits already goes first.
-    Room -= Wanted[Image];
-  }
-  MovingImages_.clear();
-}
-
-/// For each task that lasts and has waited too long, the server that is nearest
-/// to having room for it starts nothing that would take it.
-void Dispatcher::holdRoom(const JobBook &Book, const ServerBoard &Board,
-                          TimePoint Now) {
-  Held_.clear();
-  AnyLastingWaits_ = false;
-  const std::size_t MostHeld = 1 + Book.servers().size() / ServersForAHold;
-  for (const ReadyStep &Ready : Book.readySteps()) {
-    const JobRecord &Job = *Book.findJob(Ready.Job_);
-    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
-    if (!Step.LongRunning_)
-      continue;
-    AnyLastingWaits_ = true;
-    if (getWait(Ready, Now) < LastingPatience)
-      continue;
-    const Resources Need = Step.getReserved();
-    const std::uint64_t Waiting =
-        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
-    for (std::uint64_t I = 0; I < Waiting && Held_.size() < MostHeld; ++I) {
-      const ServerRecord *Best = nullptr;
-      std::int64_t MostFree = 0;
-      for (const auto &[Id, Server] : Book.servers()) {
-        const ServerLive *Live = Board.find(Id);
-        const bool IsUsable = Live && Live->takesStarts() &&
-                              Server.Facts_.Service_ == Job.Policy_.Service_ &&
-                              Held_.count(Id) == 0 &&
-                              Health_.getFitness(Id, Now) == Fitness::Sound;
-        const Resources Free = Server.Facts_.Capacity_ - Server.Used_;
-        const bool IsNearer = Free.MemoryMib_ >= Need.MemoryMib_ &&
-                              (!Best || Free.MilliCpus_ > MostFree);
-        if (!IsUsable || !IsNearer)
-          continue;
-        Best = &Server;
-        MostFree = Free.MilliCpus_;
-      }
-      if (!Best)
-        break;
-      Held_[Best->Facts_.Id_] = Need;
+  for (const ReadyStep &Ready : Book.readySteps())
+    if (Ready.Sequence_ > LastValued_) {
+      Value_.noteJob(*Book.findJob(Ready.Job_));
+      Newest = std::max(Newest, Ready.Sequence_);
     }
-  }
-}
-
-bool Dispatcher::takeSafeRoom(const StepSpec &Step) {
-  MovingImages_.insert(Step.Image_);
-  const auto Found = SafeRoom_.find(Step.Image_);
-  if (Found == SafeRoom_.end() || Step.Need_.MilliCpus_ > Found->second)
-    return false;
-  Found->second -= Step.Need_.MilliCpus_;
-  return true;
+  LastValued_ = Newest;
 }
 
 std::set<std::string> Dispatcher::findServing(const JobBook &Book,
                                               const std::string &ServerId) {
   const ServerRecord *Server = Book.findServer(ServerId);
-  return Server ? measureRoom(*Server).Serving_ : std::set<std::string>();
-}
-
-void Dispatcher::take(const StepSpec &Step, Room &Left) {
-  Left.Free_ = Left.Free_ - Step.getReserved();
-  if (Step.isServing())
-    Left.Serving_.insert(Step.Image_);
-  Left.Idle_ -= getUsedCpus(Step);
+  return Server ? ServerRoom::measure(*Server).Serving_
+                : std::set<std::string>();
 }
 
 /// The longest chain of declared work that is left of an occurrence.
@@ -354,16 +210,20 @@
                                         TimePoint Now, WallTime Wall) {
   const ServerRecord *Server = Book.findServer(ServerId);
   const ServerLive *Live = Board.find(ServerId);
-  const bool MayStart = Server && Live && Live->takesStarts() && Live->NoStartsUntil_ <= Now;
+  const bool MayStart =
+      Server && Live && Live->takesStarts() && Live->NoStartsUntil_ <= Now;
   const Fitness Fit = Health_.getFitness(ServerId, Now);
   if (!MayStart || Fit == Fitness::Quarantined)
     return {};
   if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return {};
-  Plan Own{
-      *Server, measureRoom(*Server), Now,
-      {},      MostStartsAtOnce,     Book.readySteps().size() <= StepsSurveyed_,
-      {}};
+  Plan Own{*Server,
+           ServerRoom::measure(*Server),
+           Now,
+           {},
+           MostStartsAtOnce,
+           Book.readySteps().size() <= Survey_.countSteps(),
+           {}};
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
   addBudget(Own);
@@ -402,7 +262,7 @@
             ? 0
             : getLateness(Job, *Job.findOccurrence(Ready.Occurrence_), Wall);
     const bool HasWaitedLong =
-        IsTimeless && getWait(Ready, Now) >= LastingPatience;
+        IsTimeless && Waits_.getWait(Ready, Now) >= RoomSurvey::LastingPatience;
     if (Lateness == 0 && Step.Fills_)
       Filling.emplace_back(
           Value_.getDensity(Job, *Job.findOccurrence(Ready.Occurrence_)),
@@ -414,7 +274,7 @@
   }
   TakeLater();
   // A copy would take the gap that what lasts is waiting to see grow.
-  if (!AnyLastingWaits_)
+  if (!Survey_.isAnyLastingWaiting())
     planCopies(Book, Own);
   return std::move(Own.Starts_);
 }
@@ -437,26 +297,27 @@
       continue;
     Own.Starts_.push_back(Start);
     Taken_.insert(Task);
-    take(Step, Own.Left_);
+    Own.Left_.take(Step);
   }
 }
 
 /// Whether nothing of what waits can fit any more: as of the last survey.
 bool Dispatcher::isFull(const Plan &Own) const {
-  const Room &Left = Own.Left_;
+  const ServerRoom &Left = Own.Left_;
   if (Own.Starts_.size() >= Own.MostStarts_)
     return true;
   // Steps that came since may need less.
   if (!Own.IsSurveyed_)
     return false;
-  return Left.Free_.MemoryMib_ < LeastMemory_ ||
-         (Left.Free_.MilliCpus_ < LeastPlainCpus_ &&
-          Left.Idle_ < LeastFillingCpus_);
+  const LeastNeeds &Least = Survey_.leastNeeds();
+  return Left.Free_.MemoryMib_ < Least.Memory_ ||
+         (Left.Free_.MilliCpus_ < Least.PlainCpus_ &&
+          Left.Idle_ < Least.FillingCpus_);
 }
 
 void Dispatcher::addBudget(Plan &Own) const {
   const ServerRecord &Server = Own.Server_;
-  Room &Left = Own.Left_;
+  ServerRoom &Left = Own.Left_;
   Left.Pace_ = Paces_.getPace(Server.Facts_.Id_);
   Left.Budget_ =
       static_cast<std::int64_t>(Paces_.getBudget(Server.Facts_.Id_) *
@@ -483,7 +344,7 @@
   if (Step.Gang_ || Job.Policy_.Service_ != Own.Server_.Facts_.Service_ ||
       !isAdvised(Job, First, ServerId, Own.Now_))
     return;
-  const Duration Waited = getWait(Ready, Own.Now_);
+  const Duration Waited = Waits_.getWait(Ready, Own.Now_);
   std::uint64_t Beside = Own.Server_.countTasksOf(First);
   bool IsIdleJob = Job.Placements_ == 0;
   const StepRecord &Record =
@@ -511,7 +372,7 @@
     IsIdleJob = false;
     if (Step.Fills_ && isDisturbing(Step, Own))
       Own.Left_.Budget_ -= Step.Need_.MilliCpus_;
-    take(Step, Own.Left_);
+    Own.Left_.take(Step);
     if (Step.isServing())
       Own.Disturbs_.clear();
     ++Beside;
@@ -530,48 +391,16 @@
     const TaskKey First{Ready.Job_, Ready.Occurrence_, Ready.Step_, 0};
     if (!IsWhole || Taken_.count(First) != 0)
       continue;
-    std::uint64_t Run = 0;
-    for (const TaskRecord &Task : Record.Tasks_)
-      Run = std::max(Run, Task.LastRun_);
-    // Servers of one rack come one after another, the data's rack first.
-    std::vector<std::pair<std::string, const ServerRecord *>> Servers;
-    for (const auto &[Id, Server] : Book.servers()) {
-      const ServerLive *Live = Board.find(Id);
-      const bool IsUsable = Live && Live->takesStarts() &&
-                            Live->NoStartsUntil_ <= Now &&
-                            Health_.getFitness(Id, Now) == Fitness::Sound &&
-                            Server.Facts_.Service_ == Job.Policy_.Service_ &&
-                            isAdvised(Job, First, Id, Now);
-      if (IsUsable)
-        Servers.emplace_back(
-            (Server.Facts_.Rack_ == Step.DataRack_ ? "0" : "1") +
-                Server.Facts_.Rack_,
-            &Server);
-    }
-    std::sort(Servers.begin(), Servers.end(),
-              [](const auto &Left, const auto &Right) {
-                return Left.first < Right.first;
-              });
-    std::vector<TaskStart> Starts;
-    for (const auto &[Key, Server] : Servers) {
-      Resources Free = Server->Facts_.Capacity_ - Server->Used_;
-      std::uint64_t Beside = 0;
-      while (Starts.size() < Record.Tasks_.size()) {
-        const TaskStart Start{
-            {Ready.Job_, Ready.Occurrence_, Ready.Step_, Starts.size()},
-            Run + 1,
-            Server->Facts_.Id_};
-        const bool IsCrowded =
-            Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
-        if (IsCrowded || !Step.getReserved().fitsIn(Free) ||
-            !Book.findObjection(Start).empty())
-          break;
-        Free = Free - Step.getReserved();
-        ++Beside;
-        Starts.push_back(Start);
-      }
-    }
-    if (Starts.size() < Record.Tasks_.size())
+    const bool MaySpread = Waits_.getWait(Ready, Now) >= GangPatience;
+    std::vector<TaskStart> Starts =
+        planGangStarts(Book, Ready, MaySpread, [&](const ServerRecord &Server) {
+          const std::string &Id = Server.Facts_.Id_;
+          const ServerLive *Live = Board.find(Id);
+          return Live && Live->takesStarts() && Live->NoStartsUntil_ <= Now &&
+                 Health_.getFitness(Id, Now) == Fitness::Sound &&
+                 isAdvised(Job, First, Id, Now);
+        });
+    if (Starts.empty())
       continue;
     for (const TaskStart &Each : Starts)
       Taken_.insert(Each.Task_);
@@ -601,7 +430,7 @@
       continue;
     }
     const ServerLive *Live = Board.find(Id);
-    const Room Left = measureRoom(Server);
+    const ServerRoom Left = ServerRoom::measure(Server);
     const bool IsResting = !Live || !Live->takesStarts() ||
                            Live->NoStartsUntil_ > Now ||
                            Health_.getFitness(Id, Now) != Fitness::Sound;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -13,8 +13,11 @@
 #include "jobs/AdviceBook.h"
 #include "jobs/JobValue.h"
 #include "jobs/PaceGuard.h"
+#include "jobs/ReadyTimes.h"
+#include "jobs/RoomSurvey.h"
 #include "jobs/ServerBoard.h"
 #include "jobs/ServerHealth.h"
+#include "jobs/ServerRoom.h"
 #include "jobs/Stragglers.h"
 #include "jobs/TailEffects.h"
 
@@ -39,12 +42,11 @@
                               WallTime Wall);
   /// The starts were applied or refused.
   void settle(const std::vector<TaskStart> &Starts);
-  /// Measures where tasks that disturb could go instead; now and then.
-  void surveySafeRoom(const JobBook &Book, const ServerBoard &Board,
-                      TimePoint Now);
+  /// Looks at all servers and all that waits; now and then.
+  void survey(const JobBook &Book, const ServerBoard &Board, TimePoint Now);
   /// Whether a task that hardly works where it is, as it would disturb, is to
   /// be stopped so that it goes on elsewhere; takes the room that it needs.
-  bool takeSafeRoom(const StepSpec &Step);
+  bool takeSafeRoom(const StepSpec &Step) { return Survey_.takeSafeRoom(Step); }
   /// Whole gangs that can be placed now, over several servers.
   std::vector<TaskStart> planGang(const JobBook &Book, const ServerBoard &Board,
                                   TimePoint Now);
@@ -65,21 +67,10 @@
                           const ReadyStep &Step, TimePoint Now) const;
 
 private:
-  /// The room on one server, as the plan uses it up.
-  struct Room {
-    Resources Free_;
-    /// Processors that are expected to stay idle, thousandths.
-    std::int64_t Idle_ = 0;
-    FillingPace Pace_;
-    /// Processors left to filling tasks that disturb, thousandths.
-    std::int64_t Budget_ = 0;
-    std::set<std::string> Serving_; ///< Images that serve there.
-  };
-
   /// A plan for one server in the making.
   struct Plan {
     const ServerRecord &Server_;
-    Room Left_;
+    ServerRoom Left_;
     TimePoint Now_;
     std::vector<TaskStart> Starts_;
     std::size_t MostStarts_;
@@ -94,20 +85,13 @@
                  const std::string &ServerId, TimePoint Now) const;
   void addBudget(Plan &Own) const;
   void planCopies(const JobBook &Book, Plan &Own);
-  void holdRoom(const JobBook &Book, const ServerBoard &Board, TimePoint Now);
   bool isDisturbing(const StepSpec &Step, Plan &Own) const;
   void planStep(const JobBook &Book, const ReadyStep &Ready, Plan &Own);
-  static Room measureRoom(const ServerRecord &Server);
-  Duration getWait(const ReadyStep &Step, TimePoint Now);
   /// IsIdleJob: nothing of the job runs.
   bool isFit(const StepSpec &Step, Plan &Own, Duration Waited, bool IsIdleJob,
              std::uint64_t Waiting) const;
-  static void take(const StepSpec &Step, Room &Left);
-  bool isFitToServe(const StepSpec &Step, const Room &Left, Duration Waited,
-                    std::uint64_t Waiting) const;
-  /// How many tasks that need so much fit into these.
-  static std::uint64_t countFits(const std::vector<Resources> &Places,
-                                 const Resources &Need);
+  bool isFitToServe(const StepSpec &Step, const ServerRoom &Left,
+                    Duration Waited, std::uint64_t Waiting) const;
   bool isFitToFill(const StepSpec &Step, Plan &Own, Duration Waited,
                    bool IsIdleJob) const;
 
@@ -123,28 +107,9 @@
   };
   bool isToAvoid(const TaskKey &Task, const Plan &Own) const;
 
-  std::map<ReadyStep, TimePoint> ReadySince_;
   std::map<TaskKey, FailedAt> Failed_;
-  /// By filling image, idle processors of servers where it disturbs nothing,
-  /// thousandths; for the images that were asked about lately.
-  std::map<std::string, std::int64_t> SafeRoom_;
-  std::set<std::string> MovingImages_;
-  /// What is free where only that image serves, and where none does: as of the
-  /// last survey, of servers that may start something.
-  std::map<std::string, std::vector<Resources>> FreeAmongEquals_;
-  std::vector<Resources> FreeAlone_;
-  /// By server, what is kept there for a task that lasts and has waited long:
-  /// as of the last survey.
-  std::map<std::string, Resources> Held_;
-  bool AnyLastingWaits_ = false;
-  /// Whether most of the processors are not reserved: as of the last survey.
-  bool IsRoomy_ = false;
-  /// The least that any waiting task needs, thousandths and MiB: as of the last
-  /// survey; nothing before the first.
-  std::size_t StepsSurveyed_ = 0;
-  std::int64_t LeastMemory_ = 0;
-  std::int64_t LeastPlainCpus_ = 0;
-  std::int64_t LeastFillingCpus_ = 0;
+  ReadyTimes Waits_;
+  RoomSurvey Survey_{Effects_, Health_};
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
   Stragglers Stragglers_;
   JobValue Value_;
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -222,7 +222,7 @@
 void JobLeader::Impl::startGang() {
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
     Dispatcher_.prune(Book);
-    Dispatcher_.surveySafeRoom(Book, Board_, Time_.now());
+    Dispatcher_.survey(Book, Board_, Time_.now());
     return Dispatcher_.planGang(Book, Board_, Time_.now());
   });
   if (Starts.empty())
--- a/src/jobs/JobLeaderAdvice.cpp
+++ b/src/jobs/JobLeaderAdvice.cpp
@@ -28,10 +28,9 @@
     return;
   IsAsking_ = true;
   const Duration Limit =
-      AnswerSlack +
-      std::chrono::milliseconds(Question->Times_.DecideMs_ +
-                                Question->Times_.EachMs_ *
-                                    Question->Servers_.size());
+      AnswerSlack + std::chrono::milliseconds(Question->Times_.DecideMs_ +
+                                              Question->Times_.EachMs_ *
+                                                  Question->Servers_.size());
   Advisor_.ask(Question->Step_, Question->Servers_, Limit,
                [Weak = weak_from_this(), &Strand = Strand_, Term = Term_,
                 Question = *Question](const Outcome<Advice> &Answer) {
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -41,15 +41,14 @@
 }
 
 /// Whether so few others of the step are away that this task may be, too.
-bool JobLeader::Impl::maySpare(const JobBook &Book, const StepSpec &Step,
-                               const TaskKey &Task,
-                               const std::map<TaskKey, std::uint64_t> &Stopping)
-    const {
+bool JobLeader::Impl::maySpare(
+    const JobBook &Book, const StepSpec &Step, const TaskKey &Task,
+    const std::map<TaskKey, std::uint64_t> &Stopping) const {
   const auto IsAtWork = [&](const TaskKey &Other, const TaskRecord &Record) {
     for (const Placement &Each : Record.Placements_) {
       const ServerLive *Live = Board_.find(Each.Server_);
-      const auto Seen =
-          Live ? Live->Progress_.find(Other) : decltype(Live->Progress_.end()){};
+      const auto Seen = Live ? Live->Progress_.find(Other)
+                             : decltype(Live->Progress_.end()){};
       const bool IsSeen = Live && Seen != Live->Progress_.end() &&
                           Seen->second.Run_ == Each.Run_ &&
                           Seen->second.Percent_ >= Percent;
@@ -66,18 +65,15 @@
   std::uint64_t Away = 0;
   TaskKey Other = Task;
   for (Other.Index_ = 0; Other.Index_ < Tasks.size(); ++Other.Index_)
-    if (Other.Index_ != Task.Index_ &&
-        !IsAtWork(Other, Tasks[Other.Index_]))
+    if (Other.Index_ != Task.Index_ && !IsAtWork(Other, Tasks[Other.Index_]))
       ++Away;
   return Away < std::max<std::uint64_t>(Step.MayMiss_, 1);
 }
 
 /// Whether the work is better saved now, as its server is about to leave.
-bool JobLeader::Impl::isToEvacuate(const JobBook &Book,
-                                   const ServerReport &Report,
-                                   const RunningTask &Running,
-                                   const std::map<TaskKey, std::uint64_t>
-                                       &Stopping) const {
+bool JobLeader::Impl::isToEvacuate(
+    const JobBook &Book, const ServerReport &Report, const RunningTask &Running,
+    const std::map<TaskKey, std::uint64_t> &Stopping) const {
   const StepSpec *Step = Book.findStep(Running.Task_);
   if (!Step || Step->Gang_)
     return false;
@@ -175,10 +171,9 @@
       const std::string *Ticket =
           Advice_.findTicket({Task.Job_, Task.Occurrence_, Task.Step_},
                              Report.Facts_.Id_, Time_.now());
-      Orders.Starts_.push_back({Task, Run,
-                                Book.findJob(Task.Job_)->Spec_.Payload_,
-                                Book.findTask(Task)->Checkpoint_,
-                                Ticket ? *Ticket : ""});
+      Orders.Starts_.push_back(
+          {Task, Run, Book.findJob(Task.Job_)->Spec_.Payload_,
+           Book.findTask(Task)->Checkpoint_, Ticket ? *Ticket : ""});
     }
     return 0;
   });
--- a/src/jobs/JobLeaderWaves.cpp
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -34,8 +34,7 @@
 }
 
 void JobLeader::Impl::logWave(std::uint64_t Wave, const std::string &Vm,
-                              const std::string &What,
-                              const std::string &Why) {
+                              const std::string &What, const std::string &Why) {
   Event Line;
   Line.Kind_ = EventKind::Maintenance;
   Line.Count_ = Wave;
@@ -53,24 +52,23 @@
   if (!Provider_.isThere() || Now - LeadingSince_ < Settings_.HolderLease_)
     return;
   listVms();
-  const std::optional<MaintenanceOrder> Order =
-      Machine_.read([&](const JobBook &Book) { return Waves_.plan(Book, Now); });
+  const std::optional<MaintenanceOrder> Order = Machine_.read(
+      [&](const JobBook &Book) { return Waves_.plan(Book, Now); });
   for (const auto &[Id, Live] : Board_.servers())
     Board_.find(Id)->IsEmptying_ = Waves_.isEmptying(Id);
   if (!Order || IsOrdering_)
     return;
   IsOrdering_ = true;
   Waves_.noteOrdered(*Order, Now);
-  Provider_.maintain(
-      Order->Vm_, Order->Wave_, Term_,
-      [Weak = weak_from_this(), &Strand = Strand_, Term = Term_,
-       Order = *Order](const Outcome<MaintenanceReply> &Reply) {
-        Strand.post([Weak, Term, Order, Reply] {
-          const std::shared_ptr<Impl> Self = Weak.lock();
-          if (Self && Self->Term_ == Term)
-            Self->noteMaintenance(Order, Reply);
-        });
-      });
+  Provider_.maintain(Order->Vm_, Order->Wave_, Term_,
+                     [Weak = weak_from_this(), &Strand = Strand_, Term = Term_,
+                      Order = *Order](const Outcome<MaintenanceReply> &Reply) {
+                       Strand.post([Weak, Term, Order, Reply] {
+                         const std::shared_ptr<Impl> Self = Weak.lock();
+                         if (Self && Self->Term_ == Term)
+                           Self->noteMaintenance(Order, Reply);
+                       });
+                     });
 }
 
 void JobLeader::Impl::listVms() {
--- /dev/null
+++ b/src/jobs/ReadyTimes.h
@@ -0,0 +1,36 @@
+//===- ReadyTimes.h - Since when steps wait --------------------*- C++ -*-===//
+
+#ifndef TULIPWEIR_SRC_JOBS_READYTIMES_H
+#define TULIPWEIR_SRC_JOBS_READYTIMES_H
+
+#include "tulipweir/core/Time.h"
+#include "tulipweir/jobs/JobBook.h"
+
+#include <map>
+
+namespace tulipweir::jobs {
+
+/// Not thread-safe.
+class ReadyTimes {
+public:
+  // Commands.
+
+  void reset() { Since_.clear(); }
+  /// How long the step has been ready; a new one counts from now on.
+  Duration getWait(const ReadyStep &Step, TimePoint Now) {
+    return Now - Since_.try_emplace(Step, Now).first->second;
+  }
+  /// Forgets steps that are no longer ready.
+  void prune(const JobBook &Book) {
+    std::erase_if(Since_, [&Book](const auto &Each) {
+      return Book.readySteps().count(Each.first) == 0;
+    });
+  }
+
+private:
+  std::map<ReadyStep, TimePoint> Since_;
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_SRC_JOBS_READYTIMES_H
--- /dev/null
+++ b/src/jobs/RoomSurvey.h
@@ -0,0 +1,102 @@
+//===- RoomSurvey.h - Where there is room, over all servers ----*- C++ -*-===//
+//
+// A plan is made for one server at a time; whether a task would do better
+// elsewhere is known from the last survey of all of them, some twenty a second.
+// Pure.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBS_ROOMSURVEY_H
+#define TULIPWEIR_SRC_JOBS_ROOMSURVEY_H
+
+#include "jobs/ReadyTimes.h"
+#include "jobs/ServerBoard.h"
+#include "jobs/ServerHealth.h"
+#include "jobs/ServerRoom.h"
+#include "jobs/TailEffects.h"
+
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tulipweir::jobs {
+
+/// The least that any waiting task needs, thousandths of processors and MiB.
+struct LeastNeeds {
+  std::int64_t Memory_ = 0;
+  std::int64_t PlainCpus_ = 0;
+  std::int64_t FillingCpus_ = 0;
+};
+
+/// Not thread-safe.
+class RoomSurvey {
+public:
+  /// Work that lasts and has waited so long goes first, and room is kept for
+  /// it: short work comes without end and leaves gaps that are too small.
+  /// Whoever lasts must not be away for more than some seconds.
+  static constexpr Duration LastingPatience = std::chrono::seconds(2);
+
+  /// Both must outlive it.
+  RoomSurvey(const TailEffects &Effects, const ServerHealth &Health)
+      : Effects_(Effects), Health_(Health) {}
+
+  // Commands.
+
+  void take(const JobBook &Book, const ServerBoard &Board, ReadyTimes &Waits,
+            TimePoint Now);
+  /// Takes idle processors where the step's filling image disturbs nothing, if
+  /// there are enough. Images are surveyed once they were asked about.
+  bool takeSafeRoom(const StepSpec &Step);
+
+  // Queries, all as of the last survey.
+
+  /// Whether so many tasks that need so much fit where only their image serves.
+  bool hasRoomAmongEquals(const std::string &Image, const Resources &Need,
+                          std::uint64_t Tasks) const;
+  /// Whether one fits where nothing serves.
+  bool hasRoomAlone(const Resources &Need) const;
+  /// What is kept on the server for a task that lasts; nullptr for nothing.
+  const Resources *findHeld(const std::string &ServerId) const;
+  bool isAnyLastingWaiting() const { return AnyLastingWaits_; }
+  /// Whether most of the processors are not reserved.
+  bool isRoomy() const { return IsRoomy_; }
+  std::size_t countSteps() const { return Steps_; }
+  const LeastNeeds &leastNeeds() const { return Least_; }
+
+private:
+  void surveyWaiting(const JobBook &Book,
+                     std::map<std::string, std::int64_t> &Wanted);
+  std::vector<ServerRoom>
+  surveyServers(const JobBook &Book, const ServerBoard &Board, TimePoint Now);
+  void surveyMoving(const std::vector<ServerRoom> &Rooms,
+                    std::map<std::string, std::int64_t> &Wanted);
+  void holdRoom(const JobBook &Book, const ServerBoard &Board,
+                ReadyTimes &Waits, TimePoint Now);
+  const ServerRecord *findNearest(const JobBook &Book, const ServerBoard &Board,
+                                  const std::string &Service,
+                                  const Resources &Need, TimePoint Now) const;
+
+  const TailEffects &Effects_;
+  const ServerHealth &Health_;
+
+  /// By filling image, idle processors of servers where it disturbs nothing,
+  /// thousandths; for the images that were asked about lately.
+  std::map<std::string, std::int64_t> SafeRoom_;
+  std::set<std::string> MovingImages_;
+  /// What is free where only that image serves, and where none does, of servers
+  /// that may start something.
+  std::map<std::string, std::vector<Resources>> FreeAmongEquals_;
+  std::vector<Resources> FreeAlone_;
+  /// By server, what is kept there for a task that lasts and has waited long.
+  std::map<std::string, Resources> Held_;
+  bool AnyLastingWaits_ = false;
+  bool IsRoomy_ = false;
+  std::size_t Steps_ = 0;
+  LeastNeeds Least_;
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_SRC_JOBS_ROOMSURVEY_H
--- a/src/jobs/WaveKeeper.cpp
+++ b/src/jobs/WaveKeeper.cpp
@@ -29,8 +29,8 @@
     const auto Listed = Vms_.find(Vm);
     // A list that was asked for before the order says nothing of it.
     const bool IsLater = AskedAt > Own.At_;
-    const bool IsUp = Listed == Vms_.end() ||
-                      Listed->second.State_ == VmState::Up;
+    const bool IsUp =
+        Listed == Vms_.end() || Listed->second.State_ == VmState::Up;
     if (IsLater && IsUp)
       Own.IsDown_ = false;
   }
@@ -52,8 +52,8 @@
     const auto Listed = Vms_.find(Vm);
     const bool IsOurs = Own != Ordered_.end() && Own->second.mayBeDown();
     // Also by an order of an earlier leader.
-    const bool IsListed = Listed != Vms_.end() &&
-                          Listed->second.State_ == VmState::Maintenance;
+    const bool IsListed =
+        Listed != Vms_.end() && Listed->second.State_ == VmState::Maintenance;
     if (IsOurs || IsListed)
       ++Count;
   }
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -68,8 +68,7 @@
        const Clock &Time, jobs::Advisor &Advising, jobs::VmProvider &Provider,
        net::Metrics &Metrics, EventLog &Log, OpenReplica Open)
       : Settings_(Settings), Pool_(Pool), Time_(Time), Advisor_(Advising),
-        Provider_(Provider), Log_(Log),
-        Meter_(Metrics), Open_(std::move(Open)),
+        Provider_(Provider), Log_(Log), Meter_(Metrics), Open_(std::move(Open)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
         Strand_(Pool) {}
@@ -273,10 +272,10 @@
 
 ControlNode::ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
                          const Clock &Time, jobs::Advisor &Advising,
-                         jobs::VmProvider &Provider, net::Metrics &Metrics, EventLog &Log,
-                         OpenReplica Open)
-    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Advising, Provider, Metrics, Log,
-                                   std::move(Open))) {}
+                         jobs::VmProvider &Provider, net::Metrics &Metrics,
+                         EventLog &Log, OpenReplica Open)
+    : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Advising, Provider,
+                                   Metrics, Log, std::move(Open))) {}
 ControlNode::~ControlNode() { stop(); }
 
 Outcome<void> ControlNode::start() { return Impl_->start(); }
@@ -336,11 +335,11 @@
 }
 
 void ControlNode::startWave(jobs::WaveSpec Spec, Done<void> Reply) {
-  Impl_->run<void>(std::move(Reply),
-                   [Spec = std::move(Spec)](jobs::JobLeader &Leader,
-                                            Done<void> To) {
-                     Leader.startWave(Spec, std::move(To));
-                   });
+  Impl_->run<void>(
+      std::move(Reply),
+      [Spec = std::move(Spec)](jobs::JobLeader &Leader, Done<void> To) {
+        Leader.startWave(Spec, std::move(To));
+      });
 }
 
 void ControlNode::showWave(std::uint64_t Wave, Done<jobs::WaveRecord> Reply) {
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -20,7 +20,7 @@
   }
   /// Plans for a server at the present time, and places what came of it.
   std::vector<TaskStart> plan(const std::string &Server) {
-    Dispatcher_.surveySafeRoom(Book_, Board_, Now_);
+    Dispatcher_.survey(Book_, Board_, Now_);
     auto Starts =
         Dispatcher_.plan(Book_, Board_, Server, Now_, WallTime(Wall_));
     apply(StartTasks{Starts});
@@ -120,9 +120,9 @@
   Bound.Label_ = "b";
   submit(makeJob("j", {Bound}));
   EXPECT_TRUE(plan("s1").empty());
-  EXPECT_EQ(Dispatcher_.explainWait(Book_, Board_, *Book_.readySteps().begin(),
-                                    Now_),
-            "2 without the label b");
+  EXPECT_EQ(
+      Dispatcher_.explainWait(Book_, Board_, *Book_.readySteps().begin(), Now_),
+      "2 without the label b");
 }
 
 TEST_F(DispatcherTest, ShortWorkGoesBeforeWhatLasts) {
--- a/tests/jobs/JobAdviceTest.cpp
+++ b/tests/jobs/JobAdviceTest.cpp
@@ -81,8 +81,7 @@
 TEST_F(JobAdviceTest, WithoutAServiceItsQueuesRefuse) {
   Advisor_.IsThere_ = false;
   report(makeReport("s1"));
-  const JobCallReply Reply =
-      call(CallKind::Submit, "j", {makeStep(1, 1000)});
+  const JobCallReply Reply = call(CallKind::Submit, "j", {makeStep(1, 1000)});
   EXPECT_EQ(Reply.Outcome_, CallOutcome::Refused);
   EXPECT_GT(Reply.RetryAfterMs_, 0U);
   Strand_.advance(500ms);
--- a/tests/jobs/WaveKeeperTest.cpp
+++ b/tests/jobs/WaveKeeperTest.cpp
@@ -202,8 +202,7 @@
 TEST_F(WaveKeeperTest, AWaveIsKeptOnce) {
   startWave(1);
   apply(NoteMaintenance{7, "v1"});
-  EXPECT_EQ(apply(StartWave{{7, {"v9"}, 1, 1}}).Verdict_,
-            Verdict::AlreadyDone);
+  EXPECT_EQ(apply(StartWave{{7, {"v9"}, 1, 1}}).Verdict_, Verdict::AlreadyDone);
   EXPECT_EQ(apply(NoteMaintenance{7, "v1"}).Verdict_, Verdict::AlreadyDone);
   EXPECT_EQ(apply(NoteMaintenance{7, "v9"}).Verdict_, Verdict::AlreadyDone);
   const auto Copy = JobBook::decode(Book_.encode());
--- a/tests/jobservice/NodeCluster.h
+++ b/tests/jobservice/NodeCluster.h
@@ -86,8 +86,8 @@
     Settings.MayFound_ = MayFound;
     Settings.Voters_ = Voters;
     Settings.Secret_ = "a secret of this test alone";
-    auto Fresh = std::make_unique<ControlNode>(Settings, Pool_, Time_, Advisor_, Provider_, Metrics_,
-                                               Log_, Open);
+    auto Fresh = std::make_unique<ControlNode>(Settings, Pool_, Time_, Advisor_,
+                                               Provider_, Metrics_, Log_, Open);
     const Outcome<void> Started = Fresh->start();
     ASSERT_TRUE(Started) << Started.error().Message_;
     Nodes_[Node] = std::move(Fresh);
--- a/tests/platform/AdviceClientTest.cpp
+++ b/tests/platform/AdviceClientTest.cpp
@@ -40,10 +40,9 @@
   Outcome<jobs::Advice> ask() {
     AdviceClient Client(Calls_, Service_, Time_);
     std::promise<Outcome<jobs::Advice>> Got;
-    Client.ask({"0123456789abcdef", 2, 1}, {"i-1", "i-2"}, 30s,
-               [&Got](const Outcome<jobs::Advice> &Answer) {
-                 Got.set_value(Answer);
-               });
+    Client.ask(
+        {"0123456789abcdef", 2, 1}, {"i-1", "i-2"}, 30s,
+        [&Got](const Outcome<jobs::Advice> &Answer) { Got.set_value(Answer); });
     return Got.get_future().get();
   }
 
