Tried: servers cleared of serving tasks for filling work without room

Change: where such work waits, the servers with the least that serves are cleared, one a second, at most one of six: serving tasks move one at a time as their jobs allow (ServerClearing).

--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -21,6 +21,8 @@
 static constexpr std::uint64_t LeastPercentToEnd = 60;
 static constexpr std::uint64_t EvacuationMs = 1500;
 static constexpr std::uint64_t Percent = 100;
+/// A server that was silent for longer may have lost its tasks: four reports.
+static constexpr Duration HeardLately = 2s;
 
 /// A run that makes no progress although nothing holds it back.
 bool JobLeader::Impl::isStalled(const JobBook &Book, const std::string &Server,
@@ -47,9 +49,10 @@
   const auto IsAtWork = [&](const TaskKey &Other, const TaskRecord &Record) {
     for (const Placement &Each : Record.Placements_) {
       const ServerLive *Live = Board_.find(Each.Server_);
-      const auto Seen = Live ? Live->Progress_.find(Other)
-                             : decltype(Live->Progress_.end()){};
-      const bool IsSeen = Live && Seen != Live->Progress_.end() &&
+      if (!Live || Time_.now() - Live->LastHeard_ > HeardLately)
+        continue;
+      const auto Seen = Live->Progress_.find(Other);
+      const bool IsSeen = Seen != Live->Progress_.end() &&
                           Seen->second.Run_ == Each.Run_ &&
                           Seen->second.Percent_ >= Percent;
       if (IsSeen && Live->StopsSent_.count(Other) == 0 &&
@@ -113,6 +116,17 @@
   return true;
 }
 
+/// Whether a serving task moves, so that its server is left to filling work.
+bool JobLeader::Impl::isToClear(
+    const JobBook &Book, const ServerReport &Report, const RunningTask &Running,
+    const std::map<TaskKey, std::uint64_t> &Stopping) {
+  const StepSpec *Step = Book.findStep(Running.Task_);
+  return Step && Step->isServing() && Step->LongRunning_ && !Step->Gang_ &&
+         Dispatcher_.isToClear(Report.Facts_.Id_) &&
+         maySpare(Book, *Step, Running.Task_, Stopping) &&
+         Dispatcher_.takeRoomToMove(Book, Running.Task_);
+}
+
 ServerOrders JobLeader::Impl::makeOrders(const ServerReport &Report,
                                          std::vector<TaskEnd> &NeverRan) {
   ServerOrders Orders;
@@ -147,6 +161,8 @@
         Why = "its server is about to leave, or to have its maintenance";
       else if (isToMove(Book, Images, Report, Each))
         Why = "it would disturb here and has room elsewhere";
+      else if (isToClear(Book, Report, Each, StopsSent))
+        Why = "its server is cleared for filling work";
       if (Why.empty())
         continue;
       Stop(Each.Task_, Each.Run_);
