Reverted: servers cleared for filling work; what is spared was heard of lately

Kept of it, with a test: on a server that is emptied a task that lasts is stopped only while the others of its step were seen at work within 2 s, as a silent server may have lost its own long before its lease ends.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -20,9 +20,6 @@
 /// Without such room it serves beside others after that time, and after so much
 /// more the more filling images could no longer work freely there.
 static constexpr Duration MixingPatience = 250ms;
-/// How long it leaves servers that were cleared for filling work alone while
-/// there is room on others.
-static constexpr Duration KeptPatience = 4s;
 static constexpr Duration HarmPatience = 1500ms;
 /// How long a filling task waits for a server where it disturbs nobody.
 static constexpr Duration DisturbingPatience = 3000ms;
@@ -51,7 +48,6 @@
   Taken_.clear();
   Failed_.clear();
   Stragglers_.reset();
-  Clearing_.reset();
   Value_.reset();
   LastValued_ = 0;
 }
@@ -102,7 +98,7 @@
       Waited < RackPatience)
     return false;
   if (Step.isServing())
-    return isFitToServe(Step, Own, Waited, Waiting);
+    return isFitToServe(Step, Left, Waited, Waiting);
   if (Step.Fills_)
     return isFitToFill(Step, Own, Waited, IsIdleJob);
   return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
@@ -110,13 +106,8 @@
 
 /// Tasks of one image together: which filling tasks disturb it differs from
 /// image to image, and where several serve, hardly any is left that may fill.
-bool Dispatcher::isFitToServe(const StepSpec &Step, const Plan &Own,
+bool Dispatcher::isFitToServe(const StepSpec &Step, const ServerRoom &Left,
                               Duration Waited, std::uint64_t Waiting) const {
-  const ServerRoom &Left = Own.Left_;
-  // Left to filling work, as long as there is room elsewhere.
-  if (Clearing_.isKept(Own.Server_.Facts_.Id_) &&
-      Survey_.hasRoomAnywhere(Step.getReserved()) && Waited < KeptPatience)
-    return false;
   const bool IsAmongEquals =
       Left.Serving_.size() == 1 && Left.Serving_.count(Step.Image_) == 1;
   if (IsAmongEquals)
@@ -154,7 +145,6 @@
 void Dispatcher::survey(const JobBook &Book, const ServerBoard &Board,
                         TimePoint Now) {
   Stragglers_.survey(Book, Board, Now);
-  Clearing_.plan(Book, Board, Now);
   Survey_.take(Book, Board, Waits_, Now);
   std::uint64_t Newest = LastValued_;
   for (const ReadyStep &Ready : Book.readySteps())
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -47,11 +47,6 @@
   /// Whether a task that hardly works where it is, as it would disturb, is to
   /// be stopped so that it goes on elsewhere; takes the room that it needs.
   bool takeSafeRoom(const StepSpec &Step) { return Survey_.takeSafeRoom(Step); }
-  /// Takes the room that the serving task needs where others serve; false if
-  /// there is none.
-  bool takeRoomToMove(const JobBook &Book, const TaskKey &Task) {
-    return Clearing_.takeRoom(Book, Task);
-  }
   /// Whole gangs that can be placed now, over several servers.
   std::vector<TaskStart> planGang(const JobBook &Book, const ServerBoard &Board,
                                   TimePoint Now);
@@ -63,11 +58,6 @@
 
   // Queries.
 
-  /// Whether the server is left to filling work, so that what serves there has
-  /// to move.
-  bool isToClear(const std::string &ServerId) const {
-    return Clearing_.isKept(ServerId);
-  }
   /// The images that serve on the server.
   static std::set<std::string> findServing(const JobBook &Book,
                                            const std::string &ServerId);
@@ -100,8 +90,8 @@
   /// IsIdleJob: nothing of the job runs.
   bool isFit(const StepSpec &Step, Plan &Own, Duration Waited, bool IsIdleJob,
              std::uint64_t Waiting) const;
-  bool isFitToServe(const StepSpec &Step, const Plan &Own, Duration Waited,
-                    std::uint64_t Waiting) const;
+  bool isFitToServe(const StepSpec &Step, const ServerRoom &Left,
+                    Duration Waited, std::uint64_t Waiting) const;
   bool isFitToFill(const StepSpec &Step, Plan &Own, Duration Waited,
                    bool IsIdleJob) const;
 
@@ -119,8 +109,7 @@
 
   std::map<TaskKey, FailedAt> Failed_;
   ReadyTimes Waits_;
-  ServerClearing Clearing_{Effects_, Health_};
-  RoomSurvey Survey_{Effects_, Health_, Clearing_};
+  RoomSurvey Survey_{Effects_, Health_};
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
   Stragglers Stragglers_;
   JobValue Value_;
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -117,9 +117,6 @@
   /// Images: those that serve there.
   bool isToMove(const JobBook &Book, const std::set<std::string> &Images,
                 const ServerReport &Report, const RunningTask &Running);
-  bool isToClear(const JobBook &Book, const ServerReport &Report,
-                 const RunningTask &Running,
-                 const std::map<TaskKey, std::uint64_t> &Stopping);
   ServerOrders makeOrders(const ServerReport &Report,
                           std::vector<TaskEnd> &NeverRan);
 
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -116,17 +116,6 @@
   return true;
 }
 
-/// Whether a serving task moves, so that its server is left to filling work.
-bool JobLeader::Impl::isToClear(
-    const JobBook &Book, const ServerReport &Report, const RunningTask &Running,
-    const std::map<TaskKey, std::uint64_t> &Stopping) {
-  const StepSpec *Step = Book.findStep(Running.Task_);
-  return Step && Step->isServing() && Step->LongRunning_ && !Step->Gang_ &&
-         Dispatcher_.isToClear(Report.Facts_.Id_) &&
-         maySpare(Book, *Step, Running.Task_, Stopping) &&
-         Dispatcher_.takeRoomToMove(Book, Running.Task_);
-}
-
 ServerOrders JobLeader::Impl::makeOrders(const ServerReport &Report,
                                          std::vector<TaskEnd> &NeverRan) {
   ServerOrders Orders;
@@ -161,8 +150,6 @@
         Why = "its server is about to leave, or to have its maintenance";
       else if (isToMove(Book, Images, Report, Each))
         Why = "it would disturb here and has room elsewhere";
-      else if (isToClear(Book, Report, Each, StopsSent))
-        Why = "its server is cleared for filling work";
       if (Why.empty())
         continue;
       Stop(Each.Task_, Each.Run_);
--- a/src/jobs/RoomSurvey.cpp
+++ b/src/jobs/RoomSurvey.cpp
@@ -46,7 +46,6 @@
                                                   TimePoint Now) {
   FreeAmongEquals_.clear();
   FreeAlone_.clear();
-  FreeAnywhere_.clear();
   std::int64_t Capacity = 0;
   std::int64_t Reserved = 0;
   std::vector<ServerRoom> Rooms;
@@ -59,10 +58,7 @@
     Rooms.push_back(ServerRoom::measure(Server));
     const ServerRoom &Left = Rooms.back();
     const bool MayStart = Live->NoStartsUntil_ <= Now &&
-                          Health_.getFitness(Id, Now) == Fitness::Sound &&
-                          !Clearing_.isKept(Id);
-    if (MayStart)
-      FreeAnywhere_.push_back(Left.Free_);
+                          Health_.getFitness(Id, Now) == Fitness::Sound;
     if (MayStart && Left.Serving_.size() == 1)
       FreeAmongEquals_[*Left.Serving_.begin()].push_back(Left.Free_);
     else if (MayStart && Left.Serving_.empty())
@@ -165,21 +161,12 @@
          countFits(Equals->second, Need) >= Tasks;
 }
 
-static bool hasRoom(const std::vector<Resources> &Places,
-                    const Resources &Need) {
+bool RoomSurvey::hasRoomAlone(const Resources &Need) const {
   return std::any_of(
-      Places.begin(), Places.end(),
+      FreeAlone_.begin(), FreeAlone_.end(),
       [&Need](const Resources &Free) { return Need.fitsIn(Free); });
 }
 
-bool RoomSurvey::hasRoomAlone(const Resources &Need) const {
-  return hasRoom(FreeAlone_, Need);
-}
-
-bool RoomSurvey::hasRoomAnywhere(const Resources &Need) const {
-  return hasRoom(FreeAnywhere_, Need);
-}
-
 const Resources *RoomSurvey::findHeld(const std::string &ServerId) const {
   const auto Held = Held_.find(ServerId);
   return Held == Held_.end() ? nullptr : &Held->second;
--- a/src/jobs/RoomSurvey.h
+++ b/src/jobs/RoomSurvey.h
@@ -11,7 +11,6 @@
 
 #include "jobs/ReadyTimes.h"
 #include "jobs/ServerBoard.h"
-#include "jobs/ServerClearing.h"
 #include "jobs/ServerHealth.h"
 #include "jobs/ServerRoom.h"
 #include "jobs/TailEffects.h"
@@ -39,10 +38,9 @@
   /// Whoever lasts must not be away for more than some seconds.
   static constexpr Duration LastingPatience = std::chrono::seconds(2);
 
-  /// All must outlive it.
-  RoomSurvey(const TailEffects &Effects, const ServerHealth &Health,
-             const ServerClearing &Clearing)
-      : Effects_(Effects), Health_(Health), Clearing_(Clearing) {}
+  /// Both must outlive it.
+  RoomSurvey(const TailEffects &Effects, const ServerHealth &Health)
+      : Effects_(Effects), Health_(Health) {}
 
   // Commands.
 
@@ -59,8 +57,6 @@
                           std::uint64_t Tasks) const;
   /// Whether one fits where nothing serves.
   bool hasRoomAlone(const Resources &Need) const;
-  /// Whether one fits on a server that is not left to filling work.
-  bool hasRoomAnywhere(const Resources &Need) const;
   /// What is kept on the server for a task that lasts; nullptr for nothing.
   const Resources *findHeld(const std::string &ServerId) const;
   bool isAnyLastingWaiting() const { return AnyLastingWaits_; }
@@ -84,7 +80,6 @@
 
   const TailEffects &Effects_;
   const ServerHealth &Health_;
-  const ServerClearing &Clearing_;
 
   /// By filling image, idle processors of servers where it disturbs nothing,
   /// thousandths; for the images that were asked about lately.
@@ -94,7 +89,6 @@
   /// that may start something.
   std::map<std::string, std::vector<Resources>> FreeAmongEquals_;
   std::vector<Resources> FreeAlone_;
-  std::vector<Resources> FreeAnywhere_; ///< But on servers left to filling.
   /// By server, what is kept there for a task that lasts and has waited long.
   std::map<std::string, Resources> Held_;
   bool AnyLastingWaits_ = false;
--- a/tests/jobs/JobWavesTest.cpp
+++ b/tests/jobs/JobWavesTest.cpp
@@ -135,6 +135,28 @@
   EXPECT_TRUE(Provider_.Orders_.empty());
 }
 
+TEST_F(JobWavesTest, NobodyIsSparedWhileAnotherIsNotHeardFrom) {
+  StepSpec Serving = makeStep(2, 1000);
+  Serving.LongRunning_ = true;
+  Serving.MayMiss_ = 1;
+  Serving.SpreadLimit_ = 1;
+  report(makeReport("s1"));
+  report(makeReport("s2"));
+  call(CallKind::Submit, "j", {Serving});
+  const std::vector<StartOrder> OnFirst = report(makeReport("s1")).Starts_;
+  const std::vector<StartOrder> OnSecond = report(makeReport("s2")).Starts_;
+  ASSERT_EQ(OnFirst.size() + OnSecond.size(), 2U);
+  startWave({"v1"});
+  reportBoth(OnFirst, OnSecond);
+  // The other server falls silent, within its lease.
+  Strand_.advance(3500ms);
+  reportWith("s1", OnFirst);
+  Strand_.advance(100ms);
+  EXPECT_TRUE(reportWith("s1", OnFirst).Stops_.empty());
+  reportWith("s2", OnSecond);
+  EXPECT_EQ(reportWith("s1", OnFirst).Stops_.size(), 1U);
+}
+
 TEST_F(JobWavesTest, ANewLeaderWaitsBeforeItOrders) {
   report(makeReport("s1"));
   startWave({"v1"});
