--- a/bench/jobs/JobsBench.cpp
+++ b/bench/jobs/JobsBench.cpp
@@ -147,7 +147,8 @@
     TailEffects Effects;
     PaceGuard Paces;
     ServerHealth Health;
-    Dispatcher Planner(Effects, Paces, Health);
+    AdviceBook Advice;
+    Dispatcher Planner(Effects, Paces, Health, Advice);
     Planner.survey(Book, Board, now()); // As at every tick.
     for (std::uint64_t I = 0; I < Servers; ++I) {
       const Instant Begin = now();
--- a/bench/platform/HeartbeatBench.cpp
+++ b/bench/platform/HeartbeatBench.cpp
@@ -38,7 +38,10 @@
   ManualReplica Group(Machine);
   NoEventLog Log;
   NoJobMeter Meter;
-  JobLeader Leader({}, Time, Strand, Group, Machine, Log, Meter);
+  NoAdvisor Advisor;
+  NoVmProvider Provider;
+  JobLeader Leader({}, Time, Strand, Group, Machine, Advisor, Provider, Log,
+                   Meter);
   Leader.start();
   Strand.advance(std::chrono::milliseconds(100));
   Leader.putConfiguration(makeConfiguration(), [](const Outcome<void> &) {});
--- a/include/tulipweir/datacentre/JobTracker.h
+++ b/include/tulipweir/datacentre/JobOutcomes.h
@@ -1,11 +1,11 @@
-//===- JobTracker.h - Which jobs ended or were released --------*- C++ -*-===//
+//===- JobOutcomes.h - Which jobs ended or were released --------*- C++ -*-===//
 //
 // Derived from the feed of changes: what the fleet has yet to be told.
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef TULIPWEIR_DATACENTRE_JOBTRACKER_H
-#define TULIPWEIR_DATACENTRE_JOBTRACKER_H
+#ifndef TULIPWEIR_DATACENTRE_JOBOUTCOMES_H
+#define TULIPWEIR_DATACENTRE_JOBOUTCOMES_H
 
 #include "tulipweir/datacentre/DataCentreState.h"
 
@@ -31,7 +31,7 @@
 JobOutcome summarizeJob(const JobRecord &Job);
 
 /// Not thread-safe.
-class JobTracker {
+class JobOutcomes {
 public:
   // Commands.
 
@@ -59,4 +59,4 @@
 
 } // namespace tulipweir::datacentre
 
-#endif // TULIPWEIR_DATACENTRE_JOBTRACKER_H
+#endif // TULIPWEIR_DATACENTRE_JOBOUTCOMES_H
--- a/src/control/DataCentreLeadership.h
+++ b/src/control/DataCentreLeadership.h
@@ -13,7 +13,7 @@
 #include "control/AnnouncementDigests.h"
 #include "control/BundleKeeper.h"
 #include "control/ChangeFeed.h"
-#include "control/JobTracker.h"
+#include "control/JobReconciler.h"
 #include "control/PlanningDuty.h"
 #include "control/RollOutTracker.h"
 #include "tulipweir/datacentre/ServerLedger.h"
@@ -107,7 +107,7 @@
   const datacentre::ServerLedger &servers() const { return Servers_; }
   const datacentre::SlotLedger &slots() const { return Slots_; }
   const AnnouncementDigests &digests() const { return Digests_; }
-  const JobTracker &jobs() const { return Jobs_; }
+  const JobReconciler &jobs() const { return Jobs_; }
   std::size_t countOpenProposals() const { return Proposer_.countOpen(); }
   std::uint64_t term() const { return Term_; }
   std::vector<ServiceView> listServices() const;
@@ -147,7 +147,7 @@
   datacentre::ServerLedger Servers_;
   AnnouncementDigests Digests_;
   datacentre::SlotLedger Slots_;
-  JobTracker Jobs_;
+  JobReconciler Jobs_;
   PlanningDuty Planning_;
   std::map<BackendServerId, RouteNote> Routes_;
   std::map<std::pair<ServiceId, BackendServerId>, ServiceView> Services_;
--- a/src/control/JobTracker.cpp
+++ b/src/control/JobReconciler.cpp
@@ -1,4 +1,4 @@
-#include "control/JobTracker.h"
+#include "control/JobReconciler.h"
 
 #include "control/JobProgress.h"
 #include "tulipweir/datacentre/DataCentreCodec.h"
@@ -23,10 +23,10 @@
 static constexpr Duration ReviewAgain = std::chrono::milliseconds(250);
 
 // In the order of JobStep.
-const JobTracker::Step JobTracker::Steps[] = {
-    &JobTracker::doNothing, &JobTracker::adopt,       &JobTracker::cancel,
-    &JobTracker::stop,      &JobTracker::reportEnd,   &JobTracker::giveBack,
-    &JobTracker::drop,      &JobTracker::reportUnused};
+const JobReconciler::Step JobReconciler::Steps[] = {
+    &JobReconciler::doNothing, &JobReconciler::adopt,       &JobReconciler::cancel,
+    &JobReconciler::stop,      &JobReconciler::reportEnd,   &JobReconciler::giveBack,
+    &JobReconciler::drop,      &JobReconciler::reportUnused};
 
 /// Not known here yet, or known no more.
 static JobStep chooseForAbsent(const FleetSide &Fleet, const LocalSide &Local,
@@ -81,7 +81,7 @@
   return Failed ? fleet::JobEnd::Failed : fleet::JobEnd::Finished;
 }
 
-JobTracker::JobTracker(DataCentreId DataCentre,
+JobReconciler::JobReconciler(DataCentreId DataCentre,
                        const fleet::FleetMachine &Fleet,
                        const datacentre::DataCentreMachine &Machine,
                        const fleet::AssignmentLease &Lease,
@@ -93,12 +93,12 @@
       Strand_(Strand), Time_(Time), LongestTaskLease_(LongestTaskLease),
       BeganAt_(Time.now()) {}
 
-void JobTracker::noteJob(const JobId &Job) {
+void JobReconciler::noteJob(const JobId &Job) {
   if (Queued_.insert(Job).second)
     Queue_.push_back(Job);
 }
 
-void JobTracker::noteChanges(const std::vector<datacentre::Change> &Changes) {
+void JobReconciler::noteChanges(const std::vector<datacentre::Change> &Changes) {
   using datacentre::ChangeKind;
   for (const datacentre::Change &Value : Changes)
     if (Value.Kind_ == ChangeKind::JobEnded ||
@@ -107,7 +107,7 @@
       noteJob(Value.Task_.Job_);
 }
 
-void JobTracker::run(std::size_t Budget) {
+void JobReconciler::run(std::size_t Budget) {
   for (std::size_t Done = 0; Done < Budget && !Queue_.empty(); ++Done) {
     const JobId Job = std::move(Queue_.front());
     Queue_.pop_front();
@@ -128,7 +128,7 @@
     Cursor = JobId();
 }
 
-void JobTracker::sweep(std::size_t Budget) {
+void JobReconciler::sweep(std::size_t Budget) {
   Fleet_.read([&](const FleetState &State) {
     const auto Held = State.jobs().held().find(DataCentre_);
     if (Held != State.jobs().held().end())
@@ -146,7 +146,7 @@
   });
 }
 
-FleetSide JobTracker::readFleet(const JobId &Job) const {
+FleetSide JobReconciler::readFleet(const JobId &Job) const {
   return Fleet_.read([&](const FleetState &State) {
     FleetSide Side;
     const fleet::FleetJob *Found = State.jobs().find(Job);
@@ -161,7 +161,7 @@
   });
 }
 
-LocalSide JobTracker::readLocal(const JobId &Job) const {
+LocalSide JobReconciler::readLocal(const JobId &Job) const {
   LocalSide Side;
   Machine_.withState([&](const DataCentreState &State) {
     const JobRecord *Found = State.findJob(Job);
@@ -179,7 +179,7 @@
   return Side;
 }
 
-void JobTracker::review(const JobId &Job) {
+void JobReconciler::review(const JobId &Job) {
   if (AtFleet_->contains(Job) || Proposer_.isOpen(Job))
     return;
   const FleetSide Fleet = readFleet(Job);
@@ -193,13 +193,13 @@
   (this->*Steps[static_cast<std::size_t>(Next)])(Job, Fleet, Local);
 }
 
-bool JobTracker::mayRun(const JobId &Job) const {
+bool JobReconciler::mayRun(const JobId &Job) const {
   const LocalSide Local = readLocal(Job);
   return Local.Known_ && Lease_.covers({Job, Local.Assignment_},
                                        Time_.now() + LongestTaskLease_);
 }
 
-void JobTracker::adopt(const JobId &Job, const FleetSide &, const LocalSide &) {
+void JobReconciler::adopt(const JobId &Job, const FleetSide &, const LocalSide &) {
   const std::optional<fleet::NamedJob> Found = Fleet_.findJob(Job);
   if (!Found)
     return;
@@ -218,26 +218,26 @@
 
 /// Checked at submission and made by our own programs; only another program's
 /// bytes come here.
-void JobTracker::failUnread(const JobId &Job, std::uint64_t Assignment,
+void JobReconciler::failUnread(const JobId &Job, std::uint64_t Assignment,
                             const std::string &What) {
   const auto WallMs = static_cast<std::uint64_t>(Time_.wallNow().count());
   proposeToFleet(Job, fleet::EndJob{Job, Assignment, fleet::JobEnd::Failed,
                                     "its " + What + " cannot be read", WallMs});
 }
 
-void JobTracker::cancel(const JobId &Job, const FleetSide &,
+void JobReconciler::cancel(const JobId &Job, const FleetSide &,
                         const LocalSide &) {
   propose(Job, datacentre::CancelJob{Job});
 }
 
-void JobTracker::stop(const JobId &Job, const FleetSide &,
+void JobReconciler::stop(const JobId &Job, const FleetSide &,
                       const LocalSide &Local) {
   spdlog::info("job {}: assignment {} ends here, its tasks stop", Job.value(),
                Local.Assignment_);
   propose(Job, datacentre::ReleaseJob{Job, Local.Assignment_});
 }
 
-void JobTracker::reportEnd(const JobId &Job, const FleetSide &,
+void JobReconciler::reportEnd(const JobId &Job, const FleetSide &,
                            const LocalSide &Local) {
   fleet::EndJob End;
   End.Job_ = Job;
@@ -254,7 +254,7 @@
     proposeToFleet(Job, End);
 }
 
-void JobTracker::giveBack(const JobId &Job, const FleetSide &,
+void JobReconciler::giveBack(const JobId &Job, const FleetSide &,
                           const LocalSide &Local) {
   fleet::ReleaseJob Release{Job, Local.Assignment_, false, {}};
   bool Found = false;
@@ -268,11 +268,11 @@
     proposeToFleet(Job, Release);
 }
 
-void JobTracker::drop(const JobId &Job, const FleetSide &, const LocalSide &) {
+void JobReconciler::drop(const JobId &Job, const FleetSide &, const LocalSide &) {
   propose(Job, datacentre::DropJob{Job});
 }
 
-void JobTracker::reportUnused(const JobId &Job, const FleetSide &Fleet,
+void JobReconciler::reportUnused(const JobId &Job, const FleetSide &Fleet,
                               const LocalSide &) {
   const auto WallMs = static_cast<std::uint64_t>(Time_.wallNow().count());
   proposeToFleet(Job,
@@ -280,7 +280,7 @@
                                "cancelled before it ran", WallMs});
 }
 
-void JobTracker::propose(const JobId &Job, const datacentre::Command &Value) {
+void JobReconciler::propose(const JobId &Job, const datacentre::Command &Value) {
   Proposer_.propose(
       Job, Value,
       [this, Job](const Outcome<datacentre::CommandResult> &Result) {
@@ -291,7 +291,7 @@
       });
 }
 
-void JobTracker::proposeToFleet(const JobId &Job, const fleet::Command &Value) {
+void JobReconciler::proposeToFleet(const JobId &Job, const fleet::Command &Value) {
   AtFleet_->insert(Job);
   std::weak_ptr<std::set<JobId>> Open = AtFleet_;
   FleetProposals_.propose(fleet::encodeCommand(Value), FleetTimeout,
@@ -303,7 +303,7 @@
                           });
 }
 
-void JobTracker::onFleetResult(const JobId &Job,
+void JobReconciler::onFleetResult(const JobId &Job,
                                const Outcome<std::string> &Bytes) {
   AtFleet_->erase(Job);
   if (!Bytes)
@@ -320,7 +320,7 @@
   noteJobLater(Job);
 }
 
-void JobTracker::noteJobLater(const JobId &Job) {
+void JobReconciler::noteJobLater(const JobId &Job) {
   std::weak_ptr<std::set<JobId>> Alive = AtFleet_;
   Strand_.postAfter(ReviewAgain, [this, Alive, Job] {
     if (!Alive.expired())
--- a/src/control/JobTracker.h
+++ b/src/control/JobReconciler.h
@@ -1,4 +1,4 @@
-//===- JobTracker.h - Jobs between the fleet and a data centre -*- C++ -*-===//
+//===- JobReconciler.h - Jobs between the fleet and a data centre -*- C++ -*-===//
 //
 // Brings the data centre's jobs in line with what the fleet's log says:
 // adopts, cancels, releases, reports ends, drops. Each job is reviewed when
@@ -6,8 +6,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef TULIPWEIR_SRC_CONTROL_JOBTRACKER_H
-#define TULIPWEIR_SRC_CONTROL_JOBTRACKER_H
+#ifndef TULIPWEIR_SRC_CONTROL_JOBRECONCILER_H
+#define TULIPWEIR_SRC_CONTROL_JOBRECONCILER_H
 
 #include "control/CommandProposer.h"
 #include "control/FleetProposer.h"
@@ -68,9 +68,9 @@
                    const LeaseSide &Lease);
 
 /// Lives on the leader's strand, as long as one leadership.
-class JobTracker {
+class JobReconciler {
 public:
-  JobTracker(DataCentreId DataCentre, const fleet::FleetMachine &Fleet,
+  JobReconciler(DataCentreId DataCentre, const fleet::FleetMachine &Fleet,
              const datacentre::DataCentreMachine &Machine,
              const fleet::AssignmentLease &Lease, CommandProposer &Proposer,
              FleetProposer &FleetProposals, Executor &Strand, const Clock &Time,
@@ -93,7 +93,7 @@
   std::size_t countQueued() const { return Queue_.size(); }
 
 private:
-  using Step = void (JobTracker::*)(const JobId &, const FleetSide &,
+  using Step = void (JobReconciler::*)(const JobId &, const FleetSide &,
                                     const LocalSide &);
   static const Step Steps[];
 
@@ -142,4 +142,4 @@
 
 } // namespace tulipweir::control
 
-#endif // TULIPWEIR_SRC_CONTROL_JOBTRACKER_H
+#endif // TULIPWEIR_SRC_CONTROL_JOBRECONCILER_H
--- a/src/datacentre/JobTracker.cpp
+++ b/src/datacentre/JobOutcomes.cpp
@@ -1,6 +1,6 @@
-//===- JobTracker.cpp - Which jobs ended or were released -----------------===//
+//===- JobOutcomes.cpp - Which jobs ended or were released -----------------===//
 
-#include "tulipweir/datacentre/JobTracker.h"
+#include "tulipweir/datacentre/JobOutcomes.h"
 
 #include <cassert>
 
@@ -22,7 +22,7 @@
   return Result;
 }
 
-void JobTracker::note(const Change &Value) {
+void JobOutcomes::note(const Change &Value) {
   const JobId &Job = Value.Task_.Job_;
   if (Value.Kind_ == ChangeKind::JobEnded)
     Ended_.insert(Job);
@@ -34,12 +34,12 @@
   Releasing_.erase(Job);
 }
 
-void JobTracker::reset() {
+void JobOutcomes::reset() {
   Ended_.clear();
   Releasing_.clear();
 }
 
-std::vector<JobOutcome> JobTracker::listEnded(const DataCentreState &State,
+std::vector<JobOutcome> JobOutcomes::listEnded(const DataCentreState &State,
                                               std::size_t Limit) const {
   std::vector<JobOutcome> Outcomes;
   for (const JobId &Id : Ended_) {
@@ -53,7 +53,7 @@
   return Outcomes;
 }
 
-std::vector<JobId> JobTracker::listReleased(const DataCentreState &State,
+std::vector<JobId> JobOutcomes::listReleased(const DataCentreState &State,
                                             std::size_t Limit) const {
   std::vector<JobId> Released;
   for (const JobId &Id : Releasing_) {
--- a/tests/control/JobTrackerTest.cpp
+++ b/tests/control/JobReconcilerTest.cpp
@@ -1,6 +1,6 @@
-//===- JobTrackerTest.cpp - The next step of a job, over all cases --------===//
+//===- JobReconcilerTest.cpp - The next step of a job, over all cases --------===//
 
-#include "control/JobTracker.h"
+#include "control/JobReconciler.h"
 #include "control/JobProgress.h"
 #include "tulipweir/datacentre/DataCentreCodec.h"
 
@@ -47,14 +47,14 @@
   EXPECT_GT(Seen, 0U);
 }
 
-TEST(JobTrackerTest, AdoptsOnlyWhatIsNewlyOursUnderALease) {
+TEST(JobReconcilerTest, AdoptsOnlyWhatIsNewlyOursUnderALease) {
   expectAll(JobStep::Adopt, [](const auto &F, const auto &L, const auto &S) {
     return F.Ours_ && !F.Cancelling_ && F.Assignment_ > L.Assignment_ &&
            !L.Known_ && S.Covers_;
   });
 }
 
-TEST(JobTrackerTest, NeverDropsOrGivesBackWhatMayStillRun) {
+TEST(JobReconcilerTest, NeverDropsOrGivesBackWhatMayStillRun) {
   const auto Stopped = [](const auto &, const auto &L, const auto &) {
     return !L.AnyPlaced_ && (L.AllEnded_ || L.Releasing_);
   };
@@ -62,14 +62,14 @@
   expectAll(JobStep::GiveBack, Stopped);
 }
 
-TEST(JobTrackerTest, DropsOnlyWhatTheFleetNoLongerHoldsAsOurs) {
+TEST(JobReconcilerTest, DropsOnlyWhatTheFleetNoLongerHoldsAsOurs) {
   expectAll(JobStep::Drop, [](const auto &F, const auto &L, const auto &) {
     return F.Known_ && F.Assignment_ >= L.Assignment_ &&
            !(F.Ours_ && F.Assignment_ == L.Assignment_);
   });
 }
 
-TEST(JobTrackerTest, AReplicaThatLagsStopsNothing) {
+TEST(JobReconcilerTest, AReplicaThatLagsStopsNothing) {
   for (const Case &One : listCases()) {
     const bool Lags =
         !One.Fleet_.Known_ || One.Fleet_.Assignment_ < One.Local_.Assignment_;
@@ -80,7 +80,7 @@
   }
 }
 
-TEST(JobTrackerTest, WhatIsNotOursAnyMoreIsStopped) {
+TEST(JobReconcilerTest, WhatIsNotOursAnyMoreIsStopped) {
   for (const Case &One : listCases()) {
     const auto &[F, L, S] = One;
     const bool Foreign =
--- a/tests/datacentre/DataCentreMachineTest.cpp
+++ b/tests/datacentre/DataCentreMachineTest.cpp
@@ -2,7 +2,7 @@
 
 #include "tulipweir/datacentre/DataCentreMachine.h"
 #include "tulipweir/datacentre/DataCentreCodec.h"
-#include "tulipweir/datacentre/JobTracker.h"
+#include "tulipweir/datacentre/JobOutcomes.h"
 
 #include <gtest/gtest.h>
 
@@ -39,7 +39,7 @@
 
   std::vector<std::uint64_t> Fed_;
   int Restored_ = 0;
-  JobTracker Tracker_;
+  JobOutcomes Tracker_;
   DataCentreMachine Machine_{RecordLimits{},
                              [this](const AppliedCommand &Value) {
                                Fed_.push_back(Value.Index_);
