--- a/src/control/JobReconciler.cpp
+++ b/src/control/JobReconciler.cpp
@@ -24,8 +24,9 @@
 
 // In the order of JobStep.
 const JobReconciler::Step JobReconciler::Steps[] = {
-    &JobReconciler::doNothing, &JobReconciler::adopt,       &JobReconciler::cancel,
-    &JobReconciler::stop,      &JobReconciler::reportEnd,   &JobReconciler::giveBack,
+    &JobReconciler::doNothing, &JobReconciler::adopt,
+    &JobReconciler::cancel,    &JobReconciler::stop,
+    &JobReconciler::reportEnd, &JobReconciler::giveBack,
     &JobReconciler::drop,      &JobReconciler::reportUnused};
 
 /// Not known here yet, or known no more.
@@ -82,12 +83,12 @@
 }
 
 JobReconciler::JobReconciler(DataCentreId DataCentre,
-                       const fleet::FleetMachine &Fleet,
-                       const datacentre::DataCentreMachine &Machine,
-                       const fleet::AssignmentLease &Lease,
-                       CommandProposer &Proposer, FleetProposer &FleetProposals,
-                       Executor &Strand, const Clock &Time,
-                       Duration LongestTaskLease)
+                             const fleet::FleetMachine &Fleet,
+                             const datacentre::DataCentreMachine &Machine,
+                             const fleet::AssignmentLease &Lease,
+                             CommandProposer &Proposer,
+                             FleetProposer &FleetProposals, Executor &Strand,
+                             const Clock &Time, Duration LongestTaskLease)
     : DataCentre_(std::move(DataCentre)), Fleet_(Fleet), Machine_(Machine),
       Lease_(Lease), Proposer_(Proposer), FleetProposals_(FleetProposals),
       Strand_(Strand), Time_(Time), LongestTaskLease_(LongestTaskLease),
@@ -98,7 +99,8 @@
     Queue_.push_back(Job);
 }
 
-void JobReconciler::noteChanges(const std::vector<datacentre::Change> &Changes) {
+void JobReconciler::noteChanges(
+    const std::vector<datacentre::Change> &Changes) {
   using datacentre::ChangeKind;
   for (const datacentre::Change &Value : Changes)
     if (Value.Kind_ == ChangeKind::JobEnded ||
@@ -199,7 +201,8 @@
                                        Time_.now() + LongestTaskLease_);
 }
 
-void JobReconciler::adopt(const JobId &Job, const FleetSide &, const LocalSide &) {
+void JobReconciler::adopt(const JobId &Job, const FleetSide &,
+                          const LocalSide &) {
   const std::optional<fleet::NamedJob> Found = Fleet_.findJob(Job);
   if (!Found)
     return;
@@ -219,26 +222,26 @@
 /// Checked at submission and made by our own programs; only another program's
 /// bytes come here.
 void JobReconciler::failUnread(const JobId &Job, std::uint64_t Assignment,
-                            const std::string &What) {
+                               const std::string &What) {
   const auto WallMs = static_cast<std::uint64_t>(Time_.wallNow().count());
   proposeToFleet(Job, fleet::EndJob{Job, Assignment, fleet::JobEnd::Failed,
                                     "its " + What + " cannot be read", WallMs});
 }
 
 void JobReconciler::cancel(const JobId &Job, const FleetSide &,
-                        const LocalSide &) {
+                           const LocalSide &) {
   propose(Job, datacentre::CancelJob{Job});
 }
 
 void JobReconciler::stop(const JobId &Job, const FleetSide &,
-                      const LocalSide &Local) {
+                         const LocalSide &Local) {
   spdlog::info("job {}: assignment {} ends here, its tasks stop", Job.value(),
                Local.Assignment_);
   propose(Job, datacentre::ReleaseJob{Job, Local.Assignment_});
 }
 
 void JobReconciler::reportEnd(const JobId &Job, const FleetSide &,
-                           const LocalSide &Local) {
+                              const LocalSide &Local) {
   fleet::EndJob End;
   End.Job_ = Job;
   End.Assignment_ = Local.Assignment_;
@@ -255,7 +258,7 @@
 }
 
 void JobReconciler::giveBack(const JobId &Job, const FleetSide &,
-                          const LocalSide &Local) {
+                             const LocalSide &Local) {
   fleet::ReleaseJob Release{Job, Local.Assignment_, false, {}};
   bool Found = false;
   Machine_.withState([&](const DataCentreState &State) {
@@ -268,19 +271,21 @@
     proposeToFleet(Job, Release);
 }
 
-void JobReconciler::drop(const JobId &Job, const FleetSide &, const LocalSide &) {
+void JobReconciler::drop(const JobId &Job, const FleetSide &,
+                         const LocalSide &) {
   propose(Job, datacentre::DropJob{Job});
 }
 
 void JobReconciler::reportUnused(const JobId &Job, const FleetSide &Fleet,
-                              const LocalSide &) {
+                                 const LocalSide &) {
   const auto WallMs = static_cast<std::uint64_t>(Time_.wallNow().count());
   proposeToFleet(Job,
                  fleet::EndJob{Job, Fleet.Assignment_, fleet::JobEnd::Cancelled,
                                "cancelled before it ran", WallMs});
 }
 
-void JobReconciler::propose(const JobId &Job, const datacentre::Command &Value) {
+void JobReconciler::propose(const JobId &Job,
+                            const datacentre::Command &Value) {
   Proposer_.propose(
       Job, Value,
       [this, Job](const Outcome<datacentre::CommandResult> &Result) {
@@ -291,7 +296,8 @@
       });
 }
 
-void JobReconciler::proposeToFleet(const JobId &Job, const fleet::Command &Value) {
+void JobReconciler::proposeToFleet(const JobId &Job,
+                                   const fleet::Command &Value) {
   AtFleet_->insert(Job);
   std::weak_ptr<std::set<JobId>> Open = AtFleet_;
   FleetProposals_.propose(fleet::encodeCommand(Value), FleetTimeout,
@@ -304,7 +310,7 @@
 }
 
 void JobReconciler::onFleetResult(const JobId &Job,
-                               const Outcome<std::string> &Bytes) {
+                                  const Outcome<std::string> &Bytes) {
   AtFleet_->erase(Job);
   if (!Bytes)
     return noteJobLater(Job);
--- a/src/control/JobReconciler.h
+++ b/src/control/JobReconciler.h
@@ -1,4 +1,5 @@
-//===- JobReconciler.h - Jobs between the fleet and a data centre -*- C++ -*-===//
+//===- JobReconciler.h - Jobs between the fleet and a data centre -*- C++
+//-*-===//
 //
 // Brings the data centre's jobs in line with what the fleet's log says:
 // adopts, cancels, releases, reports ends, drops. Each job is reviewed when
@@ -71,10 +72,10 @@
 class JobReconciler {
 public:
   JobReconciler(DataCentreId DataCentre, const fleet::FleetMachine &Fleet,
-             const datacentre::DataCentreMachine &Machine,
-             const fleet::AssignmentLease &Lease, CommandProposer &Proposer,
-             FleetProposer &FleetProposals, Executor &Strand, const Clock &Time,
-             Duration LongestTaskLease);
+                const datacentre::DataCentreMachine &Machine,
+                const fleet::AssignmentLease &Lease, CommandProposer &Proposer,
+                FleetProposer &FleetProposals, Executor &Strand,
+                const Clock &Time, Duration LongestTaskLease);
 
   // Commands.
 
@@ -94,7 +95,7 @@
 
 private:
   using Step = void (JobReconciler::*)(const JobId &, const FleetSide &,
-                                    const LocalSide &);
+                                       const LocalSide &);
   static const Step Steps[];
 
   FleetSide readFleet(const JobId &Job) const;
--- a/src/datacentre/JobOutcomes.cpp
+++ b/src/datacentre/JobOutcomes.cpp
@@ -1,4 +1,5 @@
-//===- JobOutcomes.cpp - Which jobs ended or were released -----------------===//
+//===- JobOutcomes.cpp - Which jobs ended or were released
+//-----------------===//
 
 #include "tulipweir/datacentre/JobOutcomes.h"
 
@@ -40,7 +41,7 @@
 }
 
 std::vector<JobOutcome> JobOutcomes::listEnded(const DataCentreState &State,
-                                              std::size_t Limit) const {
+                                               std::size_t Limit) const {
   std::vector<JobOutcome> Outcomes;
   for (const JobId &Id : Ended_) {
     const JobRecord *Job = State.findJob(Id);
@@ -54,7 +55,7 @@
 }
 
 std::vector<JobId> JobOutcomes::listReleased(const DataCentreState &State,
-                                            std::size_t Limit) const {
+                                             std::size_t Limit) const {
   std::vector<JobId> Released;
   for (const JobId &Id : Releasing_) {
     const JobRecord *Job = State.findJob(Id);
--- a/src/jobs/JobValue.cpp
+++ b/src/jobs/JobValue.cpp
@@ -39,8 +39,7 @@
   double Left = LeastWork;
   for (std::size_t At = 0; At < Job.Spec_.Steps_.size(); ++At) {
     const StepRecord &Record = Occurrence.Steps_[At];
-    Left +=
-        getWork(Job.Spec_.Steps_[At], Record.Tasks_.size() - Record.Done_);
+    Left += getWork(Job.Spec_.Steps_[At], Record.Tasks_.size() - Record.Done_);
   }
   return (FixedPart * Usual + (1 - FixedPart) * Whole) / Left;
 }
--- a/src/jobs/JobValue.h
+++ b/src/jobs/JobValue.h
@@ -1,7 +1,7 @@
 //===- JobValue.h - What a job brings for the work that is left -*- C++ -*-===//
 //
-// Where there is more to do than can be done in time, what is begun in the order
-// of due times mostly ends late. A job is worth something only once it is
+// Where there is more to do than can be done in time, what is begun in the
+// order of due times mostly ends late. A job is worth something only once it is
 // complete, and a large one more than a small one, though not in proportion. So
 // of the jobs that can still be in time those go first that bring most for the
 // work they still need: which also finishes what has been begun. Pure.
--- a/tests/control/JobReconcilerTest.cpp
+++ b/tests/control/JobReconcilerTest.cpp
@@ -1,4 +1,4 @@
-//===- JobReconcilerTest.cpp - The next step of a job, over all cases --------===//
+//===- JobReconcilerTest.cpp - A job's next step, over all cases ----------===//
 
 #include "control/JobReconciler.h"
 #include "control/JobProgress.h"
