Servers that are called with their orders

Cause: with commands = push nothing was ever started. Change: CalledServers in platform/ makes each look at a server a report to the leader and sends the orders of its answer one by one; the product is as it was, but for ControlNode telling its fencing token. An answer names nobody, so nothing is called without a word from the server that is younger than an address is reused.

--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -20,6 +20,7 @@
 #include "tulipweir/replication/Replica.h"
 
 #include <memory>
+#include <optional>
 
 namespace tulipweir::jobs {
 
@@ -75,6 +76,8 @@
   /// NotFound for a wave that nobody has ordered.
   void showWave(std::uint64_t Wave, Done<WaveRecord> Reply);
   bool isLeading() const;
+  /// With which its orders are fenced; nothing while it does not lead.
+  std::optional<std::uint64_t> findFencingToken() const;
 
 private:
   class Impl;
--- a/include/tulipweir/jobservice/ControlNode.h
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -70,6 +70,9 @@
 
   void readConfiguration(Done<jobs::Configuration> Reply);
   void showWave(std::uint64_t Wave, Done<jobs::WaveRecord> Reply);
+  /// The fencing token of this member's orders while it leads; else NotLeader
+  /// with the leader's name.
+  void findFencingToken(Done<std::uint64_t> Reply);
   /// The leader's name as far as this member knows; empty if unknown.
   std::string getLeader() const;
   replication::ReplicaStatus getStatus() const;
--- a/src/jobs/GangPlanner.cpp
+++ b/src/jobs/GangPlanner.cpp
@@ -53,6 +53,7 @@
     if (Server.Facts_.Service_ == Job.Policy_.Service_ && MayUse(Server))
       Racks[Server.Facts_.Rack_].push_back(&Server);
   std::vector<const std::string *> Order;
+  Order.reserve(Racks.size());
   for (const auto &[Rack, Members] : Racks)
     Order.push_back(&Rack);
   std::stable_partition(
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -276,3 +276,6 @@
   Impl_->showWave(Wave, Reply);
 }
 bool JobLeader::isLeading() const { return Impl_->isLeading(); }
+std::optional<std::uint64_t> JobLeader::findFencingToken() const {
+  return Impl_->findFencingToken();
+}
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -47,6 +47,9 @@
   void startWave(const WaveSpec &Spec, const Done<void> &Reply);
   void showWave(std::uint64_t Wave, const Done<WaveRecord> &Reply) const;
   bool isLeading() const;
+  std::optional<std::uint64_t> findFencingToken() const {
+    return isLeading() ? std::optional(Term_) : std::nullopt;
+  }
 
 private:
   using ResultCallback = std::function<void(Outcome<CommandResult>)>;
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -350,6 +350,15 @@
       });
 }
 
+void ControlNode::findFencingToken(Done<std::uint64_t> Reply) {
+  Impl_->run<std::uint64_t>(std::move(Reply), [this](jobs::JobLeader &Leader,
+                                                     Done<std::uint64_t> To) {
+    if (const auto Token = Leader.findFencingToken())
+      return To(*Token);
+    To(Error::make(ErrorCode::NotLeader, getLeader()));
+  });
+}
+
 std::string ControlNode::getLeader() const {
   const std::shared_ptr<Life> Current = Impl_->getLife();
   return Current ? Current->Group_->getStatus().LeaderName_ : "";
--- /dev/null
+++ b/tests/platform/CalledServersTest.cpp
@@ -0,0 +1,226 @@
+//===- CalledServersTest.cpp - A control that calls its servers -----------===//
+
+#include "platform/CalledServers.h"
+
+#include "jobservice/NodeCluster.h"
+#include "platform/Wire.h"
+
+#include "tulipweir/net/HttpServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <mutex>
+
+using namespace tulipweir;
+using namespace tulipweir::platform;
+using namespace std::chrono_literals;
+using jobservice::test::waitFor;
+using Json = nlohmann::json;
+
+namespace {
+
+/// The real clock, set ahead.
+class AheadClock final : public Clock {
+public:
+  TimePoint now() const override { return Real_.now() + Ahead_.load(); }
+  WallTime wallNow() const override { return Real_.wallNow(); }
+  void advance(Duration By) { Ahead_ = Ahead_.load() + By; }
+
+private:
+  SystemClock Real_;
+  std::atomic<Duration> Ahead_{Duration(0)};
+};
+
+/// A server that is called: what it starts runs until it is told to end.
+class CalledServer {
+public:
+  explicit CalledServer(net::IoPool &Pool)
+      : Server_(Pool.context(), makeSettings(),
+                [this](const net::HttpRequest &Request,
+                       const net::HttpRespond &Respond) {
+                  Respond(handle(Request));
+                }) {
+    const auto Bound = Server_.start();
+    EXPECT_TRUE(Bound);
+    Address_ = Bound.value().toString();
+  }
+
+  static net::HttpServerSettings makeSettings() {
+    net::HttpServerSettings Settings;
+    Settings.Listen_ = {"127.0.0.1", 0};
+    return Settings;
+  }
+  net::HttpResponse handle(const net::HttpRequest &Request) {
+    const std::lock_guard Hold(Lock_);
+    const Json Body = Json::parse(Request.Body_);
+    ++Calls_;
+    Last_[Request.Path_] = Body;
+    Json Answer = {{"currentTimeMs", NowMs}};
+    if (Request.Path_ == "/runs")
+      Running_[Body["task"]] = Body["run"];
+    if (Request.Path_ == "/stop" && !RefusesStops_)
+      Running_.erase(Body["task"].get<std::string>());
+    if (Request.Path_ == "/stop" && RefusesStops_)
+      return net::HttpResponse::makeJson(503, "{}");
+    if (Request.Path_ != "/hold")
+      return net::HttpResponse::makeJson(200, Answer.dump());
+    Answer["running"] = Json::array();
+    for (const auto &[Task, Run] : Running_)
+      Answer["running"].push_back({Task, Run, "", 50, 0});
+    Answer["finished"] = Ended_;
+    return net::HttpResponse::makeJson(200, Answer.dump());
+  }
+  /// All that runs is done.
+  void finish() {
+    const std::lock_guard Hold(Lock_);
+    for (const auto &[Task, Run] : Running_)
+      Ended_.push_back({++Ends_, Task, Run, "done", ""});
+    Running_.clear();
+  }
+  std::size_t countRunning() const {
+    const std::lock_guard Hold(Lock_);
+    return Running_.size();
+  }
+  std::size_t countCalls() const {
+    const std::lock_guard Hold(Lock_);
+    return Calls_;
+  }
+  Json getLast(const std::string &Path) const {
+    const std::lock_guard Hold(Lock_);
+    const auto Found = Last_.find(Path);
+    return Found == Last_.end() ? Json::object() : Found->second;
+  }
+
+  static constexpr std::uint64_t NowMs = 482'113; ///< Of its own clock.
+  std::string Address_;
+  std::atomic<bool> RefusesStops_{false};
+
+private:
+  mutable std::mutex Lock_;
+  std::size_t Calls_ = 0;
+  std::uint64_t Ends_ = 0;
+  Json Ended_ = Json::array();
+  std::map<std::string, std::uint64_t> Running_;
+  std::map<std::string, Json> Last_; ///< The last call, by path.
+  net::HttpServer Server_;
+};
+
+/// One control and one server.
+class CalledServersTest : public jobservice::test::NodeCluster {
+protected:
+  void SetUp() override {
+    start(1, {1}, /*MayFound=*/true, /*Voters=*/1);
+    ASSERT_TRUE(waitFor([this] { return findLeader() == 1; }));
+    ASSERT_TRUE(putConfiguration(1));
+    Called_ = std::make_unique<CalledServers>(*Nodes_.at(1), Http_, Pool_,
+                                              Ahead_, 60s);
+  }
+  /// The word of a life of the server.
+  void note(const std::string &Id, std::uint64_t Sequence) {
+    jobs::ServerReport Heartbeat;
+    Heartbeat.Facts_.Id_ = Id;
+    Heartbeat.Facts_.Service_ = "s";
+    Heartbeat.Facts_.Address_ = Server_.Address_;
+    Heartbeat.Facts_.Capacity_ = Resources::makeFor(4000, 10'000);
+    Heartbeat.Sequence_ = Sequence;
+    std::promise<std::uint64_t> Token;
+    Nodes_.at(1)->findFencingToken(
+        [&Token](const Outcome<std::uint64_t> &Found) {
+          Token.set_value(Found ? Found.value() : 0);
+        });
+    Called_->note(std::move(Heartbeat), Token.get_future().get());
+  }
+  std::optional<jobs::JobCallReply> call(jobs::CallKind Kind) {
+    jobs::JobCall Call;
+    Call.Kind_ = Kind;
+    Call.Host_ = "h";
+    Call.Path_ = "/p/0123456789abcdef";
+    Call.Spec_.Payload_ = "payload";
+    Call.Spec_.Steps_.resize(1);
+    Call.Spec_.Steps_[0].Need_ = Resources::makeFor(1000, 100);
+    std::promise<std::optional<jobs::JobCallReply>> Got;
+    Nodes_.at(1)->call(Call, [&Got](const Outcome<jobs::JobCallReply> &Reply) {
+      Got.set_value(Reply ? std::optional(Reply.value()) : std::nullopt);
+    });
+    return Got.get_future().get();
+  }
+  bool hasState(jobs::JobState State) {
+    const auto Reply = call(jobs::CallKind::Show);
+    return Reply && Reply->State_ == State;
+  }
+
+  AheadClock Ahead_;
+  net::HttpClient Http_{Pool_.context(), net::HttpClientSettings()};
+  CalledServer Server_{Pool_};
+  std::unique_ptr<CalledServers> Called_;
+};
+
+} // namespace
+
+TEST_F(CalledServersTest, ATaskIsStartedHeldAndItsEndNoted) {
+  note("i-1", 1);
+  ASSERT_TRUE(call(jobs::CallKind::Submit));
+  ASSERT_TRUE(waitFor([this] { return Server_.countRunning() == 1; }));
+  const Json Start = Server_.getLast("/runs");
+  EXPECT_EQ(Start["task"], "0123456789abcdef.0.0.0");
+  EXPECT_EQ(Start["run"], 1);
+  EXPECT_EQ(Start["spec"], "payload");
+  EXPECT_EQ(Start["deadlineMs"], CalledServer::NowMs + 5000)
+      << "a lease on the server's own clock";
+  EXPECT_GT(Start["fencingToken"].get<std::uint64_t>(), 0U);
+  EXPECT_TRUE(waitFor([this] { return hasState(jobs::JobState::Running); }));
+  Server_.finish();
+  EXPECT_TRUE(waitFor([this] { return hasState(jobs::JobState::Completed); }));
+  EXPECT_TRUE(waitFor(
+      [this] { return Server_.getLast("/hold").value("lastSeen", 0) == 1; }));
+}
+
+TEST_F(CalledServersTest, EveryLookCarriesTheToken) {
+  note("i-1", 1);
+  ASSERT_TRUE(waitFor([this] { return Server_.countCalls() > 0; }));
+  EXPECT_GT(Server_.getLast("/hold").value("fencingToken", 0), 0)
+      << "a server listens to none that is lower than one it has seen";
+}
+
+TEST_F(CalledServersTest, ACancelledTaskIsStoppedUntilTheServerSaysSo) {
+  note("i-1", 1);
+  ASSERT_TRUE(call(jobs::CallKind::Submit));
+  ASSERT_TRUE(waitFor([this] { return Server_.countRunning() == 1; }));
+  Server_.RefusesStops_ = true;
+  ASSERT_TRUE(call(jobs::CallKind::Cancel));
+  ASSERT_TRUE(waitFor([this] { return !Server_.getLast("/stop").empty(); }));
+  EXPECT_EQ(Server_.countRunning(), 1U);
+  Server_.RefusesStops_ = false;
+  EXPECT_TRUE(waitFor([this] { return Server_.countRunning() == 0; }));
+}
+
+TEST_F(CalledServersTest, NothingIsCalledWithoutAFreshWord) {
+  note("i-1", 1);
+  ASSERT_TRUE(waitFor([this] { return Server_.countCalls() > 0; }));
+  Ahead_.advance(60s);
+  ASSERT_TRUE(call(jobs::CallKind::Submit));
+  // Whatever was under way is over once two further calls did not come.
+  std::size_t Before = 0;
+  ASSERT_TRUE(waitFor([&] {
+    const std::size_t Now = Server_.countCalls();
+    return std::exchange(Before, Now) == Now;
+  }));
+  EXPECT_EQ(Server_.countRunning(), 0U);
+  note("i-1", 2);
+  EXPECT_TRUE(waitFor([this] { return Server_.countRunning() == 1; }));
+}
+
+TEST_F(CalledServersTest, TwoLivesAtOneAddressAreNotCalledUntilOneIsSilent) {
+  note("i-1", 1);
+  note("i-2", 1);
+  ASSERT_TRUE(call(jobs::CallKind::Submit));
+  std::size_t Before = 0;
+  ASSERT_TRUE(waitFor([&] {
+    const std::size_t Now = Server_.countCalls();
+    return std::exchange(Before, Now) == Now;
+  }));
+  EXPECT_EQ(Server_.countRunning(), 0U);
+  Ahead_.advance(3s);
+  note("i-2", 2);
+  EXPECT_TRUE(waitFor([&] { return Server_.countCalls() > Before; }));
+}
--- a/tests/platform/SettingsTest.cpp
+++ b/tests/platform/SettingsTest.cpp
@@ -14,11 +14,11 @@
   "listen": {"control": "10.1.0.16:8166", "front": "10.1.0.16:80",
              "ready": "10.1.0.16:81"},
   "portRange": [7720, 7735], "seeds": ["10.1.0.16:8166", "10.2.0.32:8166"],
-  "bootstrap": true, "dataDir": "/data/x", "heartbeatMs": 1200,
+  "bootstrap": true, "commands": "push", "dataDir": "/data/x", "heartbeatMs": 1200,
   "recommendation": "10.200.1.9:8169",
   "cloud": {"address": "10.200.0.79:8169", "ratePerS": 60.0, "duties": []},
   "faultTolerance": {"machines": 2, "zones": 1, "regions": 0},
-  "bounds": {"holdMaxMs": 9000, "leaseMs": 2500, "graceS": 6.5, "status_s": 90, "new": [1]},
+  "bounds": {"holdMaxMs": 9000, "leaseMs": 2500, "graceS": 6.5, "reuseAfterS": 2.5, "status_s": 90, "new": [1]},
   "somethingNew": {"a": 1}})";
 
 TEST(SettingsTest, EveryFieldIsTaken) {
@@ -37,11 +37,13 @@
   Wanted.LinkPort_ = 7720;
   Wanted.Seeds_ = {"10.1.0.16:8166", "10.2.0.32:8166"};
   Wanted.IsFirstStart_ = true;
+  Wanted.CallsServers_ = true;
   Wanted.DataFolder_ = "/data/x";
   Wanted.VmsToBear_ = 2;
   Wanted.HeartbeatMs_ = 1200;
   Wanted.LongestLeaseMs_ = 9000;
   Wanted.GraceMs_ = 6500;
+  Wanted.AddressReuseMs_ = 2500;
   Wanted.JobRetentionMs_ = 90'000;
   EXPECT_EQ(Got.value(), Wanted);
 }
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -216,3 +216,39 @@
   Wave.Begun_ = {"m-1"};
   EXPECT_EQ(renderWaveState(Wave), R"({"state":"completed"})");
 }
+
+TEST(WireTest, AServersAnswerIsTakenWholeOrNotAtAll) {
+  const auto Got = parseLook(
+      R"({"currentTimeMs":482113,"running":[["j.0.1.17",2,"c",41]],
+          "finished":[[58,"j.0.1.9",1,"done",""]]})");
+  ASSERT_TRUE(Got) << Got.error().Message_;
+  EXPECT_EQ(Got.value().ServerMs_, 482113U);
+  ASSERT_EQ(Got.value().Running_.size(), 1U);
+  EXPECT_EQ(Got.value().Running_[0].Run_, 2U);
+  ASSERT_EQ(Got.value().Ended_.size(), 1U);
+  EXPECT_EQ(Got.value().Ended_[0].Number_, 58U);
+  for (const char *Body :
+       {"", "[]", R"({"running":[]})", R"({"currentTimeMs":"1"})",
+        R"({"currentTimeMs":1,"running":[["j",1,"",0]]})",
+        R"({"currentTimeMs":1,"finished":[[1,"j.0.0.0",1,"gone",""]]})"})
+    EXPECT_FALSE(parseLook(Body)) << Body;
+}
+
+TEST(WireTest, OrdersToACalledServerNameTheirTokenAndTime) {
+  const HoldOrder Hold{486000, 7, 57, 1000};
+  const jobs::TaskKey Task{"j", 0, 1, 17};
+  EXPECT_EQ(
+      renderHold(Hold),
+      R"({"deadlineMs":486000,"fencingToken":7,"lastSeen":57,"wait_ms":1000})");
+  EXPECT_EQ(renderHold({}), R"({"wait_ms":0})") << "a look extends nothing";
+  const jobs::StartOrder Start{Task, 2, "text", "c", ""};
+  EXPECT_EQ(renderStart(Start, Hold),
+            R"({"checkpoint":"c","deadlineMs":486000,"fencingToken":7,"run":2,)"
+            R"("spec":"text","task":"j.0.1.17"})");
+  const jobs::StopOrder Stop{Task, 2};
+  EXPECT_EQ(renderStop(Stop, 7),
+            R"({"fencingToken":7,"run":2,"task":"j.0.1.17"})");
+  const jobs::PaceOrder Pace{Task, 2, 40};
+  EXPECT_EQ(renderPace(Pace, 7),
+            R"({"fencingToken":7,"percent":40,"run":2,"task":"j.0.1.17"})");
+}
