--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -26,9 +26,6 @@
 /// How long a task whose run failed waits for another server: two rounds of
 /// reports.
 static constexpr Duration FailurePatience = 1s;
-/// And for its last attempt for one where a run was done since: on a busy
-/// fleet most sound servers have done one by then.
-static constexpr Duration LastAttemptPatience = 1500ms;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
 /// Where filling tasks must go slower than that, no more are added.
@@ -66,21 +63,11 @@
 }
 
 /// Whether its failure was this server's, nobody knows; elsewhere it is not.
-/// The last attempt that its queue allows waits for a server that has proved
-/// itself since: several may have fallen sick together.
-bool Dispatcher::isToAvoid(const JobBook &Book, const TaskKey &Task,
-                           const Plan &Own) const {
+bool Dispatcher::isToAvoid(const TaskKey &Task, const Plan &Own) const {
   const auto Found = Failed_.find(Task);
-  if (Found == Failed_.end())
-    return false;
-  const auto &[Server, At] = Found->second;
-  const std::string &Here = Own.Server_.Facts_.Id_;
-  if (Server == Here && Own.Now_ - At < FailurePatience)
-    return true;
-  const bool IsLast = Book.findTask(Task)->FailedRuns_ + 1 >=
-                      Book.findJob(Task.Job_)->Policy_.Attempts_;
-  return IsLast && Own.Now_ - At < LastAttemptPatience &&
-         !Health_.hasDoneSince(Here, At);
+  return Found != Failed_.end() &&
+         Found->second.Server_ == Own.Server_.Facts_.Id_ &&
+         Own.Now_ - Found->second.At_ < FailurePatience;
 }
 
 void Dispatcher::prune(const JobBook &Book) {
@@ -298,7 +285,7 @@
   for (const TaskKey &Task : Stragglers_.list()) {
     const TaskRecord *Record = Book.findTask(Task);
     const bool IsOpen = Record && Record->State_ == TaskState::Placed &&
-                        Taken_.count(Task) == 0 && !isToAvoid(Book, Task, Own);
+                        Taken_.count(Task) == 0 && !isToAvoid(Task, Own);
     if (!IsOpen || Own.Starts_.size() >= Own.MostStarts_)
       continue;
     const StepSpec &Step = *Book.findStep(Task);
@@ -375,8 +362,7 @@
                           Own.Server_.Facts_.Id_};
     // What lasts fails now and then by itself, and elsewhere it would take a
     // place that is better kept for another image.
-    const bool IsAvoided =
-        !Step.LongRunning_ && isToAvoid(Book, Start.Task_, Own);
+    const bool IsAvoided = !Step.LongRunning_ && isToAvoid(Start.Task_, Own);
     if (Taken_.count(Start.Task_) != 0 || IsAvoided)
       continue;
     if (!Book.findObjection(Start).empty())
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -105,8 +105,7 @@
     std::string Server_;
     TimePoint At_;
   };
-  bool isToAvoid(const JobBook &Book, const TaskKey &Task,
-                 const Plan &Own) const;
+  bool isToAvoid(const TaskKey &Task, const Plan &Own) const;
 
   std::map<TaskKey, FailedAt> Failed_;
   ReadyTimes Waits_;
--- a/src/jobs/ServerHealth.cpp
+++ b/src/jobs/ServerHealth.cpp
@@ -67,7 +67,6 @@
 bool ServerHealth::noteDone(const std::string &ServerId, const std::string &Job,
                             std::uint64_t Step, Duration Took, TimePoint Now) {
   Record &Own = Servers_[ServerId];
-  Own.DoneAt_ = Now;
   Own.Failures_ = 0;
   Own.Jobs_.clear();
   if (Now >= Own.Until_) {
@@ -112,12 +111,6 @@
   return IsNew;
 }
 
-bool ServerHealth::hasDoneSince(const std::string &ServerId,
-                                TimePoint Since) const {
-  const auto Found = Servers_.find(ServerId);
-  return Found != Servers_.end() && Found->second.DoneAt_ > Since;
-}
-
 Fitness ServerHealth::getFitness(const std::string &ServerId,
                                  TimePoint Now) const {
   const auto Found = Servers_.find(ServerId);
--- a/src/jobs/ServerHealth.h
+++ b/src/jobs/ServerHealth.h
@@ -46,12 +46,9 @@
   // Queries.
 
   Fitness getFitness(const std::string &ServerId, TimePoint Now) const;
-  /// Whether a run was done there after that time.
-  bool hasDoneSince(const std::string &ServerId, TimePoint Since) const;
 
 private:
   struct Record {
-    TimePoint DoneAt_{};         ///< When a run was last done.
     std::uint64_t Failures_ = 0; ///< Since the last run that was done.
     std::set<std::string> Jobs_; ///< Of these.
     double Slowness_ = 0;        ///< Smoothed logarithm of took over usual.
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -27,11 +27,6 @@
     Dispatcher_.settle(Starts);
     return Starts;
   }
-  void allowAttempts(std::uint64_t Attempts) {
-    Configuration Value = makeConfiguration(2);
-    Value.Queues_[0].Attempts_ = Attempts;
-    apply(PutConfiguration{Value});
-  }
   void advance(Duration By) {
     Now_ += By;
     Wall_ += std::chrono::duration_cast<WallTime>(By).count();
@@ -109,28 +104,6 @@
   EXPECT_EQ(Starts[2].Task_.Job_, "late") << "it still has to be done";
 }
 
-TEST_F(DispatcherTest, TheLastAttemptWaitsForAServerThatProvedItselfSince) {
-  submit(makeJob("j", {makeStep(1, 1000)}));
-  const auto First = plan("s1");
-  ASSERT_EQ(First.size(), 1U);
-  apply(makeEnd(First[0], RunEnd::Failed));
-  Dispatcher_.noteFailure(First[0].Task_, "s1", Now_);
-  advance(100ms);
-  EXPECT_TRUE(plan("s2").empty()) << "it may have fallen sick as well";
-  Health_.noteDone("s2", "other", 0, 0ms, Now_);
-  EXPECT_EQ(plan("s2").size(), 1U);
-}
-
-TEST_F(DispatcherTest, TheLastAttemptDoesNotWaitForEver) {
-  submit(makeJob("j", {makeStep(1, 1000)}));
-  const auto First = plan("s1");
-  ASSERT_EQ(First.size(), 1U);
-  apply(makeEnd(First[0], RunEnd::Failed));
-  Dispatcher_.noteFailure(First[0].Task_, "s1", Now_);
-  advance(1500ms);
-  EXPECT_EQ(plan("s2").size(), 1U);
-}
-
 TEST_F(DispatcherTest, FillingWorkThatIsNearlyDoneGoesFirst) {
   // Both can still be in time; the large one came first and is due first.
   submit(makeJob("large", {makeFilling(8, "f"), makeFilling(8, "f")}));
@@ -254,7 +227,6 @@
 }
 
 TEST_F(DispatcherTest, ATaskThatFailedIsTriedElsewhereFirst) {
-  allowAttempts(3);
   submit(makeJob("j", {makeStep(1, 1000)}));
   const auto First = plan("s1");
   ASSERT_EQ(First.size(), 1U);
@@ -265,7 +237,6 @@
 }
 
 TEST_F(DispatcherTest, ATaskThatFailedReturnsWhereNothingElseTakesIt) {
-  allowAttempts(3);
   submit(makeJob("j", {makeStep(1, 1000)}));
   const auto First = plan("s1");
   end(First.at(0), RunEnd::Failed);
