--- a/tests/jobs/WaveKeeperTest.cpp
+++ b/tests/jobs/WaveKeeperTest.cpp
@@ -26,7 +26,7 @@
     Keeper_.noteList(Vms, Now_);
   }
   std::optional<MaintenanceOrder> order() {
-    const auto Order = Keeper_.plan(Book_, Now_);
+    auto Order = Keeper_.plan(Book_, Now_);
     if (Order)
       Keeper_.noteOrdered(*Order, Now_);
     return Order;
