--- a/tests/jobs/JobWavesTest.cpp
+++ b/tests/jobs/JobWavesTest.cpp
@@ -170,6 +170,19 @@
   EXPECT_EQ(Provider_.Orders_[0].FencingToken_, 2U);
 }
 
+TEST_F(JobWavesTest, AnAnswerToAnEarlierTermIsDropped) {
+  report(makeReport("s1"));
+  startWave({"v1"});
+  Strand_.advance(3500ms);
+  ASSERT_EQ(Provider_.Orders_.size(), 1U);
+  Group_.Term_ = 2;
+  Strand_.advance(200ms);
+  // This term knows nothing of that order, and finds out by its own.
+  answer(MaintenanceReply::Begun);
+  EXPECT_FALSE(showWave(3).value().isCompleted());
+  EXPECT_EQ(Log_.count(EventKind::Maintenance), 1U) << "of the wave itself";
+}
+
 TEST_F(JobWavesTest, AnUnansweredOrderIsSentAgain) {
   report(makeReport("s1"));
   startWave({"v1"});
