The order of service is kept between reports; the survey goes over servers once

Cause: with a long queue a plan cost most where there was most to do. For each of some thousand reports a second up to 256 waiting steps were looked up, judged late or not and sorted; for each lasting task that waits (46 at most) all 1,100 servers were searched, twenty times a second; for each filling image that might move, every server's images. Change: ServiceOrder holds the first 1,024 waiting steps in their order with what their tasks need; it is made anew when steps came, the more rarely the longer the queue. Room is held from one list of servers sorted by what is free; what disturbs on a server is listed once for all images that move.

--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -141,6 +141,8 @@
   }
   const WaveBook &waves() const { return Waves_; }
   const std::set<ReadyStep> &readySteps() const { return Ready_; }
+  /// Rises whenever a step joins these.
+  std::uint64_t getReadyVersion() const { return ReadyVersion_; }
   /// Jobs that wait for a time, and the occurrence that comes next.
   const std::set<std::string> &timedJobs() const { return Timed_; }
   /// Accepted jobs of the queue for which no task has started.
@@ -199,6 +201,7 @@
 
   // Derived from the above.
   std::set<ReadyStep> Ready_;
+  std::uint64_t ReadyVersion_ = 0;
   std::set<std::string> Timed_;
   std::map<std::string, std::uint64_t> Pending_; ///< By queue.
 };
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "jobs/GangPlanner.h"
 
 #include <algorithm>
-#include <array>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -36,10 +35,6 @@
 /// A gang that should stay on one rack is spread over several after that time:
 /// it is slower there by half to three times, by the users' figures.
 static constexpr Duration GangPatience = 1500ms;
-/// A job that takes so many times as long as allowed is worth nothing.
-static constexpr std::uint64_t LateFactor = 3;
-/// Bounds the work of one plan; the most urgent come first.
-static constexpr std::size_t MostStepsLookedAt = 256;
 /// What a server may start at once: a report's answer stays small.
 static constexpr std::size_t MostStartsAtOnce = 64;
 
@@ -48,8 +43,7 @@
   Taken_.clear();
   Failed_.clear();
   Stragglers_.reset();
-  Value_.reset();
-  LastValued_ = 0;
+  Order_.reset();
 }
 
 void Dispatcher::settle(const std::vector<TaskStart> &Starts) {
@@ -146,45 +140,6 @@
                         TimePoint Now) {
   Stragglers_.survey(Book, Board, Now);
   Survey_.take(Book, Board, Waits_, Now);
-  std::uint64_t Newest = LastValued_;
-  for (const ReadyStep &Ready : Book.readySteps())
-    if (Ready.Sequence_ > LastValued_) {
-      Value_.noteJob(*Book.findJob(Ready.Job_));
-      Newest = std::max(Newest, Ready.Sequence_);
-    }
-  LastValued_ = Newest;
-}
-
-/// The longest chain of declared work that is left of an occurrence.
-static std::uint64_t getRemainingMs(const JobRecord &Job,
-                                    const OccurrenceRecord &Occurrence) {
-  std::vector<std::uint64_t> Ends;
-  std::uint64_t Longest = 0;
-  for (std::size_t At = 0; At < Job.Spec_.Steps_.size(); ++At) {
-    const StepSpec &Step = Job.Spec_.Steps_[At];
-    std::uint64_t Begin = 0;
-    for (const std::uint64_t Other : Step.DependsOn_)
-      Begin = std::max(Begin, Ends[Other]);
-    const StepRecord &Record = Occurrence.Steps_[At];
-    const bool IsDone = Record.Done_ == Record.Tasks_.size();
-    Ends.push_back(Begin + (IsDone ? 0 : Step.EstimateMs_));
-    Longest = std::max(Longest, Ends.back());
-  }
-  return Longest;
-}
-
-/// 0: can still be done by its objective; 1: late, but worth something; 2: too
-/// late for anybody, though it has to be done.
-static std::size_t getLateness(const JobRecord &Job,
-                               const OccurrenceRecord &Occurrence,
-                               WallTime Wall) {
-  const auto Now = static_cast<std::uint64_t>(Wall.count());
-  const std::uint64_t Allowed = Job.getDueMs() - Job.AcceptedMs_;
-  const std::uint64_t End = Now + getRemainingMs(Job, Occurrence);
-  const bool IsTimed = Job.Spec_.RepeatCount_ > 0;
-  if (IsTimed || End <= Job.AcceptedMs_ + Allowed)
-    return 0;
-  return End <= Job.AcceptedMs_ + LateFactor * Allowed ? 1 : 2;
 }
 
 /// Whether nothing but tasks that last runs there.
@@ -215,57 +170,20 @@
            Now,
            {},
            MostStartsAtOnce,
-           Book.readySteps().size() <= Survey_.countSteps(),
            {}};
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
   addBudget(Own);
-  // Within a priority, what can still be in time goes first, for it is over
-  // soon; then what lasts; then what is late.
-  std::array<std::vector<const ReadyStep *>, 3> Later;
-  std::vector<std::pair<double, const ReadyStep *>> Filling;
-  const auto TakeLater = [&] {
-    std::stable_sort(
-        Filling.begin(), Filling.end(),
-        [](const auto &A, const auto &B) { return A.first > B.first; });
-    for (const auto &[Density, Each] : Filling)
-      planStep(Book, *Each, Own);
-    Filling.clear();
-    for (std::vector<const ReadyStep *> &Class : Later) {
-      for (const ReadyStep *Each : Class)
-        planStep(Book, *Each, Own);
-      Class.clear();
-    }
-  };
-  std::size_t LookedAt = 0;
-  std::uint64_t Priority = 0;
-  for (const ReadyStep &Ready : Book.readySteps()) {
-    if (isFull(Own) || ++LookedAt > MostStepsLookedAt)
+  Order_.update(Book, Waits_, Now, Wall);
+  for (const Candidate &Each : Order_.candidates()) {
+    if (isFull(Own))
       break;
-    if (Ready.Priority_ != Priority)
-      TakeLater();
-    Priority = Ready.Priority_;
-    const JobRecord &Job = *Book.findJob(Ready.Job_);
-    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
-    if (!Step.getReserved().fitsIn(Own.Left_.Free_))
-      continue;
-    const bool IsTimeless = Step.LongRunning_;
-    const std::size_t Lateness =
-        IsTimeless
-            ? 0
-            : getLateness(Job, *Job.findOccurrence(Ready.Occurrence_), Wall);
-    const bool HasWaitedLong =
-        IsTimeless && Waits_.getWait(Ready, Now) >= RoomSurvey::LastingPatience;
-    if (Lateness == 0 && Step.Fills_)
-      Filling.emplace_back(
-          Value_.getDensity(Job, *Job.findOccurrence(Ready.Occurrence_)),
-          &Ready);
-    else if (Lateness == 0 && (!IsTimeless || HasWaitedLong))
-      planStep(Book, Ready, Own);
-    else
-      Later.at(Lateness).push_back(&Ready);
+    // Its tasks may all have been placed since the order was made.
+    const bool IsOfUse = Each.Reserved_.fitsIn(Own.Left_.Free_) &&
+                         Book.readySteps().count(Each.Step_) != 0;
+    if (IsOfUse)
+      planStep(Book, Each.Step_, Own);
   }
-  TakeLater();
   // A copy would take the gap that what lasts is waiting to see grow.
   if (!Survey_.isAnyLastingWaiting())
     planCopies(Book, Own);
@@ -294,15 +212,12 @@
   }
 }
 
-/// Whether nothing of what waits can fit any more: as of the last survey.
+/// Whether nothing of what waits can fit any more.
 bool Dispatcher::isFull(const Plan &Own) const {
   const ServerRoom &Left = Own.Left_;
   if (Own.Starts_.size() >= Own.MostStarts_)
     return true;
-  // Steps that came since may need less.
-  if (!Own.IsSurveyed_)
-    return false;
-  const LeastNeeds &Least = Survey_.leastNeeds();
+  const LeastNeeds &Least = Order_.leastNeeds();
   return Left.Free_.MemoryMib_ < Least.Memory_ ||
          (Left.Free_.MilliCpus_ < Least.PlainCpus_ &&
           Left.Idle_ < Least.FillingCpus_);
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -11,13 +11,13 @@
 #define TULIPWEIR_SRC_JOBS_DISPATCHER_H
 
 #include "jobs/AdviceBook.h"
-#include "jobs/JobValue.h"
 #include "jobs/PaceGuard.h"
 #include "jobs/ReadyTimes.h"
 #include "jobs/RoomSurvey.h"
 #include "jobs/ServerBoard.h"
 #include "jobs/ServerHealth.h"
 #include "jobs/ServerRoom.h"
+#include "jobs/ServiceOrder.h"
 #include "jobs/Stragglers.h"
 #include "jobs/TailEffects.h"
 
@@ -70,7 +70,6 @@
     TimePoint Now_;
     std::vector<TaskStart> Starts_;
     std::size_t MostStarts_;
-    bool IsSurveyed_; ///< No steps have come since the last survey.
     /// By filling image, whether it disturbs what serves there.
     std::map<std::string_view, bool> Disturbs_;
   };
@@ -108,8 +107,7 @@
   RoomSurvey Survey_{Effects_, Health_};
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
   Stragglers Stragglers_;
-  JobValue Value_;
-  std::uint64_t LastValued_ = 0; ///< Sequence of the newest job in Value_.
+  ServiceOrder Order_;
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -541,7 +541,7 @@
                       Occurrence.Steps_[Step].Waiting_ > 0 &&
                       isReady(Job, Occurrence, Step);
   if (Wanted)
-    Ready_.insert(Key);
+    ReadyVersion_ += Ready_.insert(Key).second ? 1 : 0;
   else
     Ready_.erase(Key);
 }
--- a/src/jobs/ReadyTimes.h
+++ b/src/jobs/ReadyTimes.h
@@ -13,6 +13,11 @@
 /// Not thread-safe.
 class ReadyTimes {
 public:
+  /// Work that lasts and has waited so long goes first, and room is kept for
+  /// it: short work comes without end and leaves gaps that are too small.
+  /// Whoever lasts must not be away for more than some seconds.
+  static constexpr Duration LastingPatience = std::chrono::seconds(2);
+
   // Commands.
 
   void reset() { Since_.clear(); }
--- a/src/jobs/RoomSurvey.cpp
+++ b/src/jobs/RoomSurvey.cpp
@@ -1,6 +1,7 @@
 #include "jobs/RoomSurvey.h"
 
 #include <algorithm>
+#include <utility>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -11,54 +12,31 @@
 static constexpr std::size_t ServersForAHold = 24;
 /// Roomy: less than that part of the processors is reserved.
 static constexpr std::int64_t RoomyPercent = 70;
-static constexpr std::int64_t Unlimited =
-    std::numeric_limits<std::int64_t>::max();
 
 void RoomSurvey::take(const JobBook &Book, const ServerBoard &Board,
                       ReadyTimes &Waits, TimePoint Now) {
-  holdRoom(Book, Board, Waits, Now);
-  std::map<std::string, std::int64_t> Wanted;
-  surveyWaiting(Book, Wanted);
-  surveyMoving(surveyServers(Book, Board, Now), Wanted);
+  const std::vector<Usable> Servers = surveyServers(Book, Board, Now);
+  holdRoom(Book, Servers, Waits, Now);
+  surveyMoving(Book, Servers);
 }
 
-/// Wanted: by filling image, the processors that waiting tasks ask for.
-void RoomSurvey::surveyWaiting(const JobBook &Book,
-                               std::map<std::string, std::int64_t> &Wanted) {
-  Steps_ = Book.readySteps().size();
-  Least_ = {Unlimited, Unlimited, Unlimited};
-  for (const ReadyStep &Ready : Book.readySteps()) {
-    const JobRecord &Job = *Book.findJob(Ready.Job_);
-    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
-    const std::uint64_t Waiting =
-        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
-    Least_.Memory_ = std::min(Least_.Memory_, Step.Need_.MemoryMib_);
-    std::int64_t &Cpus = Step.Fills_ ? Least_.FillingCpus_ : Least_.PlainCpus_;
-    Cpus = std::min(Cpus, Step.Need_.MilliCpus_);
-    if (Step.Fills_)
-      Wanted[Step.Image_] +=
-          Step.Need_.MilliCpus_ * static_cast<std::int64_t>(Waiting);
-  }
-}
-
-std::vector<const ServerRecord *>
+std::vector<RoomSurvey::Usable>
 RoomSurvey::surveyServers(const JobBook &Book, const ServerBoard &Board,
                           TimePoint Now) {
   FreeAmongEquals_.clear();
   FreeAlone_.clear();
   std::int64_t Capacity = 0;
   std::int64_t Reserved = 0;
-  std::vector<const ServerRecord *> Usable;
+  std::vector<Usable> Servers;
   for (const auto &[Id, Server] : Book.servers()) {
     Capacity += Server.Facts_.Capacity_.MilliCpus_;
     Reserved += Server.Used_.MilliCpus_;
     const ServerLive *Live = Board.find(Id);
     if (!Live || !Live->takesStarts())
       continue;
-    Usable.push_back(&Server);
-    const bool IsOfInterest =
-        Server.Serving_.size() <= 1 && Live->NoStartsUntil_ <= Now;
-    if (!IsOfInterest || Health_.getFitness(Id, Now) != Fitness::Sound)
+    const bool IsSound = Health_.getFitness(Id, Now) == Fitness::Sound;
+    Servers.push_back({&Server, IsSound});
+    if (!IsSound || Live->NoStartsUntil_ > Now || Server.Serving_.size() > 1)
       continue;
     const Resources Free = Server.Facts_.Capacity_ - Server.Used_;
     if (Server.Serving_.empty())
@@ -67,71 +45,76 @@
       FreeAmongEquals_[Server.Serving_.begin()->first].push_back(Free);
   }
   IsRoomy_ = Reserved * Percent < Capacity * RoomyPercent;
-  return Usable;
+  return Servers;
 }
 
-void RoomSurvey::surveyMoving(const std::vector<const ServerRecord *> &Usable,
-                              std::map<std::string, std::int64_t> &Wanted) {
+void RoomSurvey::surveyMoving(const JobBook &Book,
+                              const std::vector<Usable> &Servers) {
   SafeRoom_.clear();
-  for (const std::string &Image : MovingImages_) {
-    std::int64_t &Idle = SafeRoom_[Image];
-    for (const ServerRecord *Server : Usable)
-      if (!Effects_.isDisturbingAny(Server->Serving_, Image))
-        Idle += std::max<std::int64_t>(ServerRoom::measureIdle(*Server), 0);
-    // What waits already goes first.
-    Idle -= Wanted[Image];
+  if (MovingImages_.empty())
+    return;
+  for (const Usable &Each : Servers) {
+    const std::int64_t Idle =
+        std::max<std::int64_t>(ServerRoom::measureIdle(*Each.Server_), 0);
+    const std::set<std::string_view> Disturbing =
+        Effects_.listDisturbing(Each.Server_->Serving_);
+    for (const std::string &Image : MovingImages_)
+      if (Disturbing.count(Image) == 0)
+        SafeRoom_[Image] += Idle;
   }
-  MovingImages_.clear();
-}
-
-/// The server that is nearest to having room for such a task that lasts.
-const ServerRecord *RoomSurvey::findNearest(const JobBook &Book,
-                                            const ServerBoard &Board,
-                                            const std::string &Service,
-                                            const Resources &Need,
-                                            TimePoint Now) const {
-  const ServerRecord *Best = nullptr;
-  std::int64_t MostFree = 0;
-  for (const auto &[Id, Server] : Book.servers()) {
-    const ServerLive *Live = Board.find(Id);
-    const bool IsUsable =
-        Live && Live->takesStarts() && Server.Facts_.Service_ == Service &&
-        Held_.count(Id) == 0 && Health_.getFitness(Id, Now) == Fitness::Sound;
-    const Resources Free = Server.Facts_.Capacity_ - Server.Used_;
-    const bool IsNearer = Free.MemoryMib_ >= Need.MemoryMib_ &&
-                          (!Best || Free.MilliCpus_ > MostFree);
-    if (!IsUsable || !IsNearer)
+  // What waits already goes first.
+  for (const ReadyStep &Ready : Book.readySteps()) {
+    const JobRecord &Job = *Book.findJob(Ready.Job_);
+    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    if (!Step.Fills_ || MovingImages_.count(Step.Image_) == 0)
       continue;
-    Best = &Server;
-    MostFree = Free.MilliCpus_;
+    const std::uint64_t Waiting =
+        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
+    SafeRoom_[Step.Image_] -=
+        Step.Need_.MilliCpus_ * static_cast<std::int64_t>(Waiting);
   }
-  return Best;
+  MovingImages_.clear();
 }
 
 /// For each task that lasts and has waited too long, the server that is nearest
 /// to having room for it starts nothing that would take it.
-void RoomSurvey::holdRoom(const JobBook &Book, const ServerBoard &Board,
+void RoomSurvey::holdRoom(const JobBook &Book, std::vector<Usable> Servers,
                           ReadyTimes &Waits, TimePoint Now) {
   Held_.clear();
   AnyLastingWaits_ = false;
-  const std::size_t MostHeld = 1 + Book.servers().size() / ServersForAHold;
+  std::size_t ToHold = 1 + Book.servers().size() / ServersForAHold;
+  const auto GetFree = [](const Usable &Each) {
+    return Each.Server_->Facts_.Capacity_ - Each.Server_->Used_;
+  };
+  bool IsSorted = false;
   for (const ReadyStep &Ready : Book.readySteps()) {
     const JobRecord &Job = *Book.findJob(Ready.Job_);
     const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
     if (!Step.LongRunning_)
       continue;
     AnyLastingWaits_ = true;
-    if (Waits.getWait(Ready, Now) < LastingPatience)
+    if (ToHold == 0 || Waits.getWait(Ready, Now) < ReadyTimes::LastingPatience)
       continue;
+    // Sorted once for all that wait: there may be hundreds, and as many servers.
+    if (!std::exchange(IsSorted, true))
+      std::stable_sort(Servers.begin(), Servers.end(),
+                       [&](const Usable &A, const Usable &B) {
+                         return GetFree(A).MilliCpus_ > GetFree(B).MilliCpus_;
+                       });
     const Resources Need = Step.getReserved();
-    const std::uint64_t Waiting =
+    std::uint64_t Waiting =
         Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
-    for (std::uint64_t I = 0; I < Waiting && Held_.size() < MostHeld; ++I) {
-      const ServerRecord *Best =
-          findNearest(Book, Board, Job.Policy_.Service_, Need, Now);
-      if (!Best)
+    for (const Usable &Each : Servers) {
+      if (Waiting == 0 || ToHold == 0)
         break;
-      Held_[Best->Facts_.Id_] = Need;
+      const bool IsNear =
+          Each.IsSound_ &&
+          Each.Server_->Facts_.Service_ == Job.Policy_.Service_ &&
+          GetFree(Each).MemoryMib_ >= Need.MemoryMib_;
+      if (!IsNear || !Held_.try_emplace(Each.Server_->Facts_.Id_, Need).second)
+        continue;
+      --Waiting;
+      --ToHold;
     }
   }
 }
@@ -145,14 +128,14 @@
   return true;
 }
 
-/// How many tasks that need so much fit into these.
-static std::uint64_t countFits(const std::vector<Resources> &Places,
-                               const Resources &Need) {
+/// Whether so many tasks that need so much fit into these.
+static bool doFit(const std::vector<Resources> &Places, const Resources &Need,
+                  std::uint64_t Tasks) {
   std::uint64_t Count = 0;
   for (Resources Free : Places)
-    for (; Need.fitsIn(Free); Free = Free - Need)
+    for (; Count < Tasks && Need.fitsIn(Free); Free = Free - Need)
       ++Count;
-  return Count;
+  return Count >= Tasks;
 }
 
 bool RoomSurvey::hasRoomAmongEquals(const std::string &Image,
@@ -160,7 +143,7 @@
                                     std::uint64_t Tasks) const {
   const auto Equals = FreeAmongEquals_.find(Image);
   return Equals != FreeAmongEquals_.end() &&
-         countFits(Equals->second, Need) >= Tasks;
+         doFit(Equals->second, Need, Tasks);
 }
 
 bool RoomSurvey::hasRoomAlone(const Resources &Need) const {
--- a/src/jobs/RoomSurvey.h
+++ b/src/jobs/RoomSurvey.h
@@ -23,21 +23,9 @@
 
 namespace tulipweir::jobs {
 
-/// The least that any waiting task needs, thousandths of processors and MiB.
-struct LeastNeeds {
-  std::int64_t Memory_ = 0;
-  std::int64_t PlainCpus_ = 0;
-  std::int64_t FillingCpus_ = 0;
-};
-
 /// Not thread-safe.
 class RoomSurvey {
 public:
-  /// Work that lasts and has waited so long goes first, and room is kept for
-  /// it: short work comes without end and leaves gaps that are too small.
-  /// Whoever lasts must not be away for more than some seconds.
-  static constexpr Duration LastingPatience = std::chrono::seconds(2);
-
   /// Both must outlive it.
   RoomSurvey(const TailEffects &Effects, const ServerHealth &Health)
       : Effects_(Effects), Health_(Health) {}
@@ -62,23 +50,18 @@
   bool isAnyLastingWaiting() const { return AnyLastingWaits_; }
   /// Whether most of the processors are not reserved.
   bool isRoomy() const { return IsRoomy_; }
-  std::size_t countSteps() const { return Steps_; }
-  const LeastNeeds &leastNeeds() const { return Least_; }
 
 private:
-  void surveyWaiting(const JobBook &Book,
-                     std::map<std::string, std::int64_t> &Wanted);
-  /// What it returns may start something; of the book.
-  std::vector<const ServerRecord *> surveyServers(const JobBook &Book,
-                                                  const ServerBoard &Board,
-                                                  TimePoint Now);
-  void surveyMoving(const std::vector<const ServerRecord *> &Usable,
-                    std::map<std::string, std::int64_t> &Wanted);
-  void holdRoom(const JobBook &Book, const ServerBoard &Board,
+  /// A server that takes starts; of the book.
+  struct Usable {
+    const ServerRecord *Server_;
+    bool IsSound_;
+  };
+  std::vector<Usable> surveyServers(const JobBook &Book,
+                                    const ServerBoard &Board, TimePoint Now);
+  void surveyMoving(const JobBook &Book, const std::vector<Usable> &Servers);
+  void holdRoom(const JobBook &Book, std::vector<Usable> Servers,
                 ReadyTimes &Waits, TimePoint Now);
-  const ServerRecord *findNearest(const JobBook &Book, const ServerBoard &Board,
-                                  const std::string &Service,
-                                  const Resources &Need, TimePoint Now) const;
 
   const TailEffects &Effects_;
   const ServerHealth &Health_;
@@ -95,8 +78,6 @@
   std::map<std::string, Resources> Held_;
   bool AnyLastingWaits_ = false;
   bool IsRoomy_ = false;
-  std::size_t Steps_ = 0;
-  LeastNeeds Least_;
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -132,6 +132,15 @@
       [&](const auto &Each) { return isDisturbing(Each.first, Filling); });
 }
 
+std::set<std::string_view>
+TailEffects::listDisturbing(const ServingImages &Serving) const {
+  std::set<std::string_view> Images;
+  for (const auto &[Image, Count] : Serving)
+    if (const auto Pairs = Disturbing_.find(Image); Pairs != Disturbing_.end())
+      Images.insert(Pairs->second.begin(), Pairs->second.end());
+  return Images;
+}
+
 double TailEffects::getAddedHarm(const ServingImages &Serving,
                                  const std::string &Image) const {
   if (!hasLearned() || Positions_.empty())
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -48,6 +49,9 @@
   /// The same for at least one of several that serve: the keys of Serving.
   bool isDisturbingAny(const ServingImages &Serving,
                        const std::string &Filling) const;
+  /// All filling images for which that holds.
+  std::set<std::string_view>
+  listDisturbing(const ServingImages &Serving) const;
   /// The part of the known filling images that could no longer work freely if
   /// the image came to serve beside those; 1 while little is known.
   double getAddedHarm(const ServingImages &Serving,
