Relays send no more than the leader answers in time; servers by address

Besides, each registration compared its address with all servers twice, on every member. Change: a relay has a window of reports on their way, which grows by steps while answers come within 150 ms and shrinks by an eighth when one takes 300. What has waited 350 ms is told to come again: a true answer that extends nothing, starts nothing and notes nothing, so nobody asks elsewhere; such a server goes first the next time. One that leaves gets an error instead, as it must not take that for an acknowledgement. The book finds a server by its address. Ruled out: an error for what is given up (before): each one moves a connection.

--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -134,6 +134,8 @@
     return Servers_;
   }
   const ServerRecord *findServer(const std::string &Id) const;
+  /// The id of the server at the address; empty if there is none.
+  std::string findServerAt(const std::string &Address) const;
   /// Whether the server's life is over for good: it left, or another life has
   /// taken its address.
   bool isOver(const std::string &ServerId) const {
@@ -200,6 +202,7 @@
   std::uint64_t NextSequence_ = 1;
 
   // Derived from the above.
+  std::unordered_map<std::string, std::string> IdByAddress_; ///< Of servers.
   std::set<ReadyStep> Ready_;
   std::uint64_t ReadyVersion_ = 0;
   std::set<std::string> Timed_;
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -108,6 +108,11 @@
   return Found == Servers_.end() ? nullptr : &Found->second;
 }
 
+std::string JobBook::findServerAt(const std::string &Address) const {
+  const auto Found = IdByAddress_.find(Address);
+  return Found == IdByAddress_.end() ? "" : Found->second;
+}
+
 const TaskRecord *JobBook::findTask(const TaskKey &Task) const {
   const JobRecord *Job = findJob(Task.Job_);
   return Job ? Job->findTask(Task) : nullptr;
@@ -195,16 +200,16 @@
 
 CommandResult JobBook::apply(const AddServer &Value) {
   const ServerFacts &Facts = Value.Facts_;
-  const bool IsTaken =
-      std::any_of(Servers_.begin(), Servers_.end(), [&Facts](const auto &Each) {
-        return Each.first != Facts.Id_ &&
-               Each.second.Facts_.Address_ == Facts.Address_;
-      });
+  const std::string Occupant = findServerAt(Facts.Address_);
+  const bool IsTaken = !Occupant.empty() && Occupant != Facts.Id_;
   if (IsTaken || isOver(Facts.Id_))
     return {Verdict::Refused, {}};
   Lives_.begin(Facts.Id_, Facts.Address_);
   const auto [Place, IsNew] = Servers_.try_emplace(Facts.Id_);
+  if (!IsNew)
+    IdByAddress_.erase(Place->second.Facts_.Address_);
   Place->second.Facts_ = Facts;
+  IdByAddress_[Facts.Address_] = Facts.Id_;
   return {IsNew ? Verdict::Done : Verdict::AlreadyDone, {}};
 }
 
@@ -233,7 +238,8 @@
     if (TaskRecord *Lost = findTaskToChange(Task))
       keepLost(*Lost, {Run, Value.Id_});
   }
-  Servers_.erase(Value.Id_);
+  IdByAddress_.erase(Found->second.Facts_.Address_);
+  Servers_.erase(Found);
   return {};
 }
 
@@ -586,8 +592,10 @@
   JobBook Book;
   Book.Configuration_ = std::move(Image.Configuration_);
   Book.NextSequence_ = Image.NextSequence_;
-  for (ServerFacts &Facts : Image.Servers_)
+  for (ServerFacts &Facts : Image.Servers_) {
+    Book.IdByAddress_[Facts.Address_] = Facts.Id_;
     Book.Servers_[Facts.Id_].Facts_ = Facts;
+  }
   Book.Lives_.Latest_ = std::move(Image.Lives_);
   Book.Lives_.Over_ = {Image.LivesOver_.begin(), Image.LivesOver_.end()};
   Book.Waves_ = WaveBook::makeOf(std::move(Image.Waves_));
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -72,13 +72,11 @@
 /// Makes sure that the server is in the log, and no other at its address.
 void JobLeader::Impl::admit(const HandlingPtr &Current) {
   const ServerFacts &Facts = Current->Report_.Facts_;
-  std::vector<std::string> Replaced;
+  std::string Occupant;
   const bool IsKnown = Machine_.read([&](const JobBook &Book) {
     const ServerRecord *Known = Book.findServer(Facts.Id_);
     if (!Known)
-      for (const auto &[Id, Other] : Book.servers())
-        if (Other.Facts_.Address_ == Facts.Address_)
-          Replaced.push_back(Id);
+      Occupant = Book.findServerAt(Facts.Address_);
     return Known && Known->Facts_ == Facts;
   });
   if (ServerLive *Live = Board_.find(Facts.Id_); Live && Live->IsRemoving_)
@@ -86,12 +84,11 @@
         fail(ErrorCode::Unavailable, "the server is being removed"));
   if (IsKnown)
     return noteEnds(Current);
-  for (const std::string &Occupant : Replaced)
-    if (!takeOver(Occupant, Facts)) {
-      ServerOrders Later;
-      Later.NextReportMs_ = NewcomerReportMs;
-      return Current->Reply_(std::move(Later));
-    }
+  if (!Occupant.empty() && !takeOver(Occupant, Facts)) {
+    ServerOrders Later;
+    Later.NextReportMs_ = NewcomerReportMs;
+    return Current->Reply_(std::move(Later));
+  }
   addServer(Current);
 }
 
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -3,6 +3,8 @@
 // A control that does not lead takes servers' reports all the same: it reads
 // them, passes them on in batches, and gives the answers back. So the leader,
 // which alone decides, does not spend its processor on connections and texts.
+// Where it is slow all the same, no more reports are on their way than it
+// answers in time; the other servers are told to come again, and then go first.
 //
 //===----------------------------------------------------------------------===//
 
@@ -15,6 +17,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <unordered_set>
 
 namespace tulipweir::jobservice {
 
@@ -30,8 +33,7 @@
       std::function<void(jobs::ReportBatch, Duration Timeout, BatchDone)>;
 
   /// Strand and Time must outlive it.
-  ReportRelay(Executor &Strand, const Clock &Time, Send Sending)
-      : Strand_(Strand), Time_(Time), Send_(std::move(Sending)) {}
+  ReportRelay(Executor &Strand, const Clock &Time, Send Sending);
 
   // Commands.
 
@@ -57,18 +59,27 @@
     TimePoint Since_;
   };
 
+  /// A batch on its way.
+  struct Batch {
+    std::vector<Done> Replies_;
+    TimePoint Since_;
+  };
+
   void flushSoon();
   void flush();
-  void dropLate();
-  void onAnswer(std::vector<Done> Replies,
-                Outcome<jobs::ReportBatchReply> Answer);
+  void deferLate();
+  void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
+  void adapt(Duration Took);
 
   Executor &Strand_;
   const Clock &Time_;
   const Send Send_;
   std::deque<Waiting> Queue_;
-  std::size_t InFlight_ = 0; ///< Batches that have no answer yet.
+  std::size_t InFlight_ = 0; ///< Reports that have no answer yet.
+  std::size_t Window_;       ///< Most of these.
   bool IsFlushing_ = false;  ///< A flush is posted.
+  /// Servers that were told to come again: they go first.
+  std::unordered_set<std::string> Deferred_;
   std::vector<std::string> Relays_;
 };
 
