A report that a later one overtook is told nothing

Under load a report waits for its entries so long that the server gives it up and sends the next one. Its answer was made all the same: it counted stops and paces as told which the server never heard, and since progress stands in the order of the last report, it judged runs by the progress of others, so that a sound run could be stopped as standing still. Change: such a report gets an empty answer, which extends and notes nothing. Test: JobLeaderTest.AReportThatALaterOneOvertookIsToldNothing, red without the change.

--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -254,6 +254,10 @@
   if (!IsKnown)
     return Current->Reply_(
         fail(ErrorCode::Unavailable, "the server is being removed"));
+  // A later report came while this one waited for its entries: the server has
+  // given this one up, and must not count as told what it will never hear.
+  if (Live->LastSequence_ != Report.Sequence_)
+    return Current->Reply_(ServerOrders{});
   std::vector<TaskEnd> NeverRan;
   ServerOrders Orders = makeOrders(Report, NeverRan);
   if (!NeverRan.empty())
--- a/tests/jobs/JobLeaderTest.cpp
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -126,6 +126,34 @@
   EXPECT_EQ(report(Late), ServerOrders{});
 }
 
+TEST_F(JobLeaderTest, AReportThatALaterOneOvertookIsToldNothing) {
+  call(CallKind::Submit, "a", {makeStep(1, 100)});
+  call(CallKind::Submit, "b", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 2U);
+  const auto ReportEnd = [&] {
+    ServerReport Report = makeReport("s1");
+    Report.Ended_ = {makeEnded(1, Orders.Starts_[0], RunEnd::Done)};
+    Report.Running_ = {makeRunning(Orders.Starts_[1])};
+    auto Got = std::make_shared<std::optional<Outcome<ServerOrders>>>();
+    Leader_.report(Report, [Got](Outcome<ServerOrders> Reply) {
+      *Got = std::move(Reply);
+    });
+    Strand_.runAll();
+    return Got;
+  };
+  // Its entry hangs, so the server gives the report up and asks again.
+  Group_.IsHeld_ = true;
+  const auto First = ReportEnd();
+  const auto Second = ReportEnd();
+  Group_.commitAll();
+  Strand_.runAll();
+  ASSERT_TRUE(*First && **First && *Second && **Second);
+  EXPECT_EQ((*First)->value(), ServerOrders{});
+  EXPECT_GT((*Second)->value().LeaseMs_, 0U);
+  EXPECT_EQ((*Second)->value().EndsNoted_, 1U);
+}
+
 TEST_F(JobLeaderTest, ASilentServersWorkMovesOnlyAfterItsLease) {
   call(CallKind::Submit, "j", {makeStep(1, 100)});
   ServerReport Report = makeReport("s1");
