A leader that is behind gives no server up for its own delay

All traces have one shape: a run is done, five to six seconds later the task is placed again, half a second after that the late "done" is heard and the second run stopped. The leader had no time for the server's reports (they waited, or were told to come again) and took the silence for a lapse. The server's lease had run out by then, so no two ran at once; but in a calm time an end counts as noted 100 ms after the server lists it, so the second start is one too many. Change: relays say that they defer, and the leader notes when its ticks or answers come 250 ms late; for two seconds after that it gives up only servers silent for twice their lease. Later is always safe. Tests: JobLeaderTest.ALeaderThatIsBehindGivesNoServerUpForItsOwnDelay (red without), .AServerThatIsSilentIsGivenUpInTheEndAlsoWhileBehind, ReportRelayTest (two).

--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -61,6 +61,9 @@
   void start();
   void call(JobCall Call, Done<JobCallReply> Reply);
   void report(ServerReport Report, Done<ServerOrders> Reply);
+  /// Reports are waiting elsewhere for which it has no time: silence means
+  /// little for a while.
+  void noteBehind();
   /// The server has left for good.
   void leave(const std::string &ServerId, Done<void> Reply);
   /// Reply tells whether it is in force or was overtaken; Conflict if another
--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -14,6 +14,8 @@
 
 struct ReportBatch {
   std::vector<ServerReport> Reports_;
+  /// Other servers were told to come again, as the leader had no time for them.
+  bool HasDeferred_ = false;
   bool operator==(const ReportBatch &) const = default;
 };
 
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -3,6 +3,7 @@
 #include "jobs/JobLeaderImpl.h"
 
 #include <algorithm>
+#include <utility>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -16,6 +17,11 @@
 static constexpr std::size_t MostExplained = 8;
 /// How often what is kept of steps and failures that are over is forgotten.
 static constexpr Duration PruneInterval = 1s;
+/// A tick that comes so much too late, or a report that takes so long, shows that
+/// there is more work than processor; a commit takes a tenth of it.
+static constexpr Duration BehindAfter = 250ms;
+/// A server that was told to come again does so within some hundred ms.
+static constexpr Duration BehindFor = 2s;
 /// Clocks that are kept in step are slewed by less.
 static constexpr Duration NoticedJump = 500ms;
 static constexpr std::uint64_t Percent = 100;
@@ -95,7 +101,14 @@
       });
 }
 
+/// What lapsed is begun again elsewhere, though it may be done and its report
+/// wait; giving a server up later is always safe.
+void JobLeader::Impl::noteBehind() { BehindUntil_ = Time_.now() + BehindFor; }
+
 void JobLeader::Impl::tick() {
+  const TimePoint Now = Time_.now();
+  if (Now - std::exchange(LastTick_, Now) > TickInterval + BehindAfter)
+    noteBehind();
   Watch_.poll();
   watchClock();
   if (isLeading()) {
@@ -196,7 +209,10 @@
 }
 
 void JobLeader::Impl::removeLapsed() {
-  for (const std::string &Id : Board_.listLapsed(Time_.now()))
+  const TimePoint Now = Time_.now();
+  const Duration Grace =
+      Now < BehindUntil_ ? getLongestLease() : Duration(0);
+  for (const std::string &Id : Board_.listLapsed(Now - Grace))
     removeServer(Id, "silent until its lease ran out", /*IsOver=*/false,
                  [](const Outcome<CommandResult> &) {});
 }
@@ -266,6 +282,7 @@
 void JobLeader::report(ServerReport Report, Done<ServerOrders> Reply) {
   Impl_->report(std::move(Report), std::move(Reply));
 }
+void JobLeader::noteBehind() { Impl_->noteBehind(); }
 void JobLeader::leave(const std::string &ServerId, Done<void> Reply) {
   Impl_->leave(ServerId, std::move(Reply));
 }
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -41,6 +41,7 @@
   void start() { tick(); }
   void call(JobCall Call, Done<JobCallReply> Reply);
   void report(ServerReport Report, Done<ServerOrders> Reply);
+  void noteBehind();
   void leave(const std::string &ServerId, Done<void> Reply);
   void putConfiguration(Configuration Value, Done<void> Reply);
   void readConfiguration(const Done<Configuration> &Reply);
@@ -154,6 +155,9 @@
   TimePoint NextPrune_{};
   WaveKeeper Waves_;
   TimePoint LeadingSince_{};
+  TimePoint LastTick_{};
+  /// Until then servers are given up only after twice their lease.
+  TimePoint BehindUntil_{};
   bool IsListing_ = false;  ///< A call to the provider of VMs is open,
   bool IsOrdering_ = false; ///< and an order to it.
   /// Lives whose end is decided, until that is stored.
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -14,7 +14,9 @@
   return std::tie(X.Facts_, X.IsDraining_, X.RemainingMs_, X.Sequence_,
                   X.Running_, X.Ended_);
 }
-static auto fields(ReportBatch &X) { return std::tie(X.Reports_); }
+static auto fields(ReportBatch &X) {
+  return std::tie(X.Reports_, X.HasDeferred_);
+}
 static auto fields(StartOrder &X) {
   return std::tie(X.Task_, X.Run_, X.Payload_, X.Checkpoint_, X.Ticket_);
 }
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -386,6 +386,8 @@
         Reply(jobs::encodeReportReply(
             {std::move(Answers), Current->Group_->getStatus().Heard_}));
       });
+  if (Batch.HasDeferred_)
+    Current->Leader_->noteBehind();
   for (std::size_t I = 0; I < Batch.Reports_.size(); ++I)
     Current->Leader_->report(
         std::move(Batch.Reports_[I]),
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -18,6 +18,8 @@
 static constexpr Duration AnswerTimeout = 800ms;
 /// When such a server shall come again.
 static constexpr std::uint64_t DeferredReportMs = 300;
+/// Within that time it has come again, or reports elsewhere.
+static constexpr Duration DeferredFor = 2s;
 /// Reports on their way: as many as are answered within QuickAnswer, which is
 /// several commits, and fewer as soon as that takes SlowAnswer, for with the
 /// wait here and the ways there and back it must stay within a second.
@@ -81,22 +83,34 @@
       Each.Reply_(fail(ErrorCode::Unavailable, "the leader is behind"));
       continue;
     }
-    Deferred_.insert(Each.Report_.Facts_.Id_);
+    Deferred_[Each.Report_.Facts_.Id_] = Now;
     jobs::ServerOrders Later;
     Later.NextReportMs_ = DeferredReportMs;
     Each.Reply_(std::move(Later));
   }
 }
 
+void ReportRelay::forgetDeferred() {
+  const TimePoint Now = Time_.now();
+  if (Now < NextForgetting_)
+    return;
+  NextForgetting_ = Now + DeferredFor / 4;
+  std::erase_if(Deferred_, [Now](const auto &Each) {
+    return Now - Each.second > DeferredFor;
+  });
+}
+
 void ReportRelay::flush() {
   IsFlushing_ = false;
   deferLate();
+  forgetDeferred();
   const std::size_t Room = Window_ > InFlight_ ? Window_ - InFlight_ : 0;
   const std::size_t Count = std::min({Queue_.size(), Room, MostReports});
   if (Count > 0) {
     jobs::ReportBatch Reports;
     Batch Sent;
     Sent.Since_ = Time_.now();
+    Reports.HasDeferred_ = !Deferred_.empty();
     for (std::size_t I = 0; I < Count; ++I) {
       Sent.Replies_.push_back(std::move(Queue_.front().Reply_));
       Reports.Reports_.push_back(std::move(Queue_.front().Report_));
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -17,7 +17,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace tulipweir::jobservice {
 
@@ -68,6 +68,7 @@
   void flushSoon();
   void flush();
   void deferLate();
+  void forgetDeferred();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
   void adapt(Duration Took);
 
@@ -78,8 +79,9 @@
   std::size_t InFlight_ = 0; ///< Reports that have no answer yet.
   std::size_t Window_;       ///< Most of these.
   bool IsFlushing_ = false;  ///< A flush is posted.
-  /// Servers that were told to come again: they go first.
-  std::unordered_set<std::string> Deferred_;
+  /// Servers that were told to come again, and when: they go first.
+  std::unordered_map<std::string, TimePoint> Deferred_;
+  TimePoint NextForgetting_{}; ///< Of those that went elsewhere.
   std::vector<std::string> Relays_;
 };
 
--- a/tests/jobs/JobLeaderTest.cpp
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -171,6 +171,38 @@
   EXPECT_EQ(Elsewhere.Starts_[0].Checkpoint_, "at 4");
 }
 
+TEST_F(JobLeaderTest, ALeaderThatIsBehindGivesNoServerUpForItsOwnDelay) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  const auto IsMoved = [&] {
+    return !report(makeReport("s2")).Starts_.empty();
+  };
+  // The server's report waits at a relay for all this time.
+  const Duration Until = Settings_.Lease_ * 3 / 2;
+  for (Duration At{}; At < Until; At += std::chrono::seconds(1)) {
+    Strand_.advance(std::chrono::seconds(1));
+    Leader_.noteBehind();
+  }
+  EXPECT_FALSE(IsMoved());
+  ServerReport Late = makeReport("s1");
+  Late.Ended_ = {makeEnded(1, Orders.Starts_[0], RunEnd::Done)};
+  EXPECT_EQ(report(Late).EndsNoted_, 1U);
+  EXPECT_FALSE(IsMoved()) << "it is done";
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
+
+TEST_F(JobLeaderTest, AServerThatIsSilentIsGivenUpInTheEndAlsoWhileBehind) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  const Duration Until = Settings_.Lease_ * 5 / 2;
+  for (Duration At{}; At < Until; At += std::chrono::seconds(1)) {
+    Strand_.advance(std::chrono::seconds(1));
+    Leader_.noteBehind();
+  }
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
 TEST_F(JobLeaderTest, ANewLeaderGrantsEveryServerAWholeLease) {
   call(CallKind::Submit, "j", {makeStep(1, 100)});
   report(makeReport("s1"));
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -122,6 +122,7 @@
   EXPECT_TRUE(IsGood_["late"]);
   EXPECT_EQ(Token_["late"], 0U) << "nobody may promise anything";
   EXPECT_EQ(Lease_["late"], 0U);
+  EXPECT_FALSE(Sent_.back().Batch_.HasDeferred_);
   add("fresh");
   add("late");
   while (!Sent_.empty())
@@ -129,6 +130,18 @@
   Strand_.advance(20ms);
   ASSERT_FALSE(Sent_.empty());
   EXPECT_EQ(Sent_.back().Batch_.Reports_.at(0).Facts_.Id_, "late");
+  EXPECT_TRUE(Sent_.back().Batch_.HasDeferred_) << "the leader must know";
+}
+
+TEST_F(ReportRelayTest, TheLeaderIsNotToldOfDeferralsThatAreLongOver) {
+  fillWindow();
+  while (!Sent_.empty())
+    answer();
+  Strand_.advance(5s);
+  add("fresh");
+  Strand_.advance(20ms);
+  ASSERT_FALSE(Sent_.empty());
+  EXPECT_FALSE(Sent_.back().Batch_.HasDeferred_);
 }
 
 TEST_F(ReportRelayTest, AServerThatLeavesIsNotToldThatThisIsKnown) {
@@ -218,7 +231,7 @@
 }
 
 TEST(ReportBatchTest, ABatchAndItsReplyTravelWhole) {
-  ReportBatch Batch{{makeReport("a", 1ULL << 40), makeReport("b")}};
+  ReportBatch Batch{{makeReport("a", 1ULL << 40), makeReport("b")}, true};
   Batch.Reports_[0].Running_ = {{{"j", 1, 2, 3}, 4, "saved", 55, 66}};
   Batch.Reports_[0].Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Failed, "c"}}};
   Batch.Reports_[1].IsDraining_ = true;
