--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -84,6 +84,7 @@
       continue;
     }
     Deferred_[Each.Report_.Facts_.Id_] = Now;
+    LastDeferral_ = Now;
     jobs::ServerOrders Later;
     Later.NextReportMs_ = DeferredReportMs;
     Each.Reply_(std::move(Later));
@@ -110,7 +111,7 @@
     jobs::ReportBatch Reports;
     Batch Sent;
     Sent.Since_ = Time_.now();
-    Reports.HasDeferred_ = !Deferred_.empty();
+    Reports.HasDeferred_ = Sent.Since_ - LastDeferral_ <= DeferredFor;
     for (std::size_t I = 0; I < Count; ++I) {
       Sent.Replies_.push_back(std::move(Queue_.front().Reply_));
       Reports.Reports_.push_back(std::move(Queue_.front().Report_));
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -81,6 +81,7 @@
   bool IsFlushing_ = false;  ///< A flush is posted.
   /// Servers that were told to come again, and when: they go first.
   std::unordered_map<std::string, TimePoint> Deferred_;
+  TimePoint LastDeferral_{};
   TimePoint NextForgetting_{}; ///< Of those that went elsewhere.
   std::vector<std::string> Relays_;
 };
