Read again: JobBook in three files, one memo of what disturbs, one bound of lateness

Not parted: Wire.cpp (613 lines, codec of all calls) and ControlNode.cpp (523, the relaying of reports should be a class of its own): no, neither holds one job.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -72,12 +72,8 @@
   Waits_.prune(Book);
 }
 
-/// Asked for each waiting step that fills, of which there are few images.
 bool Dispatcher::isDisturbing(const StepSpec &Step, Plan &Own) const {
-  const auto [Place, IsNew] = Own.Disturbs_.try_emplace(Step.Image_, false);
-  if (IsNew)
-    Place->second = Effects_.isDisturbingAny(Own.Left_.Serving_, Step.Image_);
-  return Place->second;
+  return Own.Disturbing_.has(Effects_, Own.Left_.Serving_, Step.Image_);
 }
 
 bool Dispatcher::isFit(const StepSpec &Step, Plan &Own, Duration Waited,
@@ -279,7 +275,7 @@
       Own.Left_.Budget_ -= Step.Need_.MilliCpus_;
     Own.Left_.take(Step);
     if (Step.isServing())
-      Own.Disturbs_.clear();
+      Own.Disturbing_.forget();
     ++Beside;
   }
 }
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -70,8 +70,7 @@
     TimePoint Now_;
     std::vector<TaskStart> Starts_;
     std::size_t MostStarts_;
-    /// By filling image, whether it disturbs what serves there.
-    std::map<std::string_view, bool> Disturbs_;
+    DisturbingImages Disturbing_; ///< Of what serves there.
   };
 
   bool isFull(const Plan &Own) const;
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -17,9 +17,6 @@
 static constexpr std::size_t MostExplained = 8;
 /// How often what is kept of steps and failures that are over is forgotten.
 static constexpr Duration PruneInterval = 1s;
-/// A tick that comes so much too late, or a report that takes so long, shows
-/// that there is more work than processor; a commit takes a tenth of it.
-static constexpr Duration BehindAfter = 250ms;
 /// A server that was told to come again does so within some hundred ms.
 static constexpr Duration BehindFor = 2s;
 /// Clocks that are kept in step are slewed by less.
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -176,6 +176,10 @@
 /// A task as logs name it within its job: occurrence.step.index.
 std::string toText(const TaskKey &Task);
 
+/// A tick that comes so much too late, or a report that takes so long, shows
+/// that there is more work than processor; a commit takes a tenth of it.
+inline constexpr Duration BehindAfter = std::chrono::milliseconds(250);
+
 /// Why a run is stopped that stands still; servers where that happens are sick.
 inline constexpr std::string_view StandsStill = "it makes no progress";
 
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -12,8 +12,6 @@
 /// How long a server that leaves is waited for: a report takes some
 /// milliseconds, also over a queue of others.
 static constexpr Duration LeavePause = 150ms;
-/// Several commits; whoever takes so long for one report is behind with others.
-static constexpr Duration SlowReport = 250ms;
 /// How soon a life that claims a taken address is asked again.
 static constexpr std::uint64_t NewcomerReportMs = 250;
 
@@ -281,7 +279,7 @@
     return Current->Reply_(makeNotLeading());
   Board_.extendLease(Id, Now + getLongestLease());
   Meter_.record(Timed::Heartbeat, Now - Current->ArrivedAt_);
-  if (Now - Current->ArrivedAt_ > SlowReport)
+  if (Now - Current->ArrivedAt_ > BehindAfter)
     noteBehind();
   Current->Reply_(std::move(Orders));
 }
--- /dev/null
+++ b/src/jobs/JobRecords.cpp
@@ -0,0 +1,74 @@
+// The records of the book that know something of themselves.
+#include "tulipweir/jobs/JobBook.h"
+
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+
+static constexpr std::uint64_t Percent = 100;
+
+const OccurrenceRecord *JobRecord::findOccurrence(std::uint64_t Number) const {
+  for (const OccurrenceRecord &Each : Open_)
+    if (Each.Number_ == Number)
+      return &Each;
+  return nullptr;
+}
+
+OccurrenceRecord *JobRecord::findOccurrence(std::uint64_t Number) {
+  return const_cast<OccurrenceRecord *>(
+      std::as_const(*this).findOccurrence(Number));
+}
+
+const TaskRecord *JobRecord::findTask(const TaskKey &Task) const {
+  const OccurrenceRecord *Occurrence = findOccurrence(Task.Occurrence_);
+  const bool IsKnown =
+      Occurrence && Task.Step_ < Occurrence->Steps_.size() &&
+      Task.Index_ < Occurrence->Steps_[Task.Step_].Tasks_.size();
+  return IsKnown ? &Occurrence->Steps_[Task.Step_].Tasks_[Task.Index_]
+                 : nullptr;
+}
+
+std::uint64_t JobRecord::getDueMs() const {
+  return AcceptedMs_ + Policy_.ObjectiveMs_ +
+         getLongestChainMs(Spec_) * Policy_.StretchPercent_ / Percent;
+}
+
+void ServerRecord::add(const TaskKey &Task, std::uint64_t Run,
+                       const StepSpec &Step) {
+  Placed_[Task] = Run;
+  Used_ = Used_ + Step.getReserved();
+  (Step.isServing() ? ServingCpus_ : OtherCpus_) += Step.Need_.MilliCpus_;
+  if (Step.isServing())
+    ++Serving_[Step.Image_];
+  if (Step.Fills_)
+    FillingCpus_[Step.Image_] += Step.Need_.MilliCpus_;
+}
+
+void ServerRecord::remove(const TaskKey &Task, const StepSpec &Step) {
+  Placed_.erase(Task);
+  Used_ = Used_ - Step.getReserved();
+  (Step.isServing() ? ServingCpus_ : OtherCpus_) -= Step.Need_.MilliCpus_;
+  if (Step.isServing())
+    if (const auto Found = Serving_.find(Step.Image_); --Found->second == 0)
+      Serving_.erase(Found);
+  if (!Step.Fills_)
+    return;
+  const auto Found = FillingCpus_.find(Step.Image_);
+  Found->second -= Step.Need_.MilliCpus_;
+  if (Found->second == 0)
+    FillingCpus_.erase(Found);
+}
+
+std::uint64_t ServerRecord::countTasksOf(const TaskKey &Task) const {
+  const auto IsSameStep = [&Task](const TaskKey &Other) {
+    return Other.Job_ == Task.Job_ && Other.Occurrence_ == Task.Occurrence_ &&
+           Other.Step_ == Task.Step_;
+  };
+  std::uint64_t Count = 0;
+  for (auto Each =
+           Placed_.lower_bound({Task.Job_, Task.Occurrence_, Task.Step_, 0});
+       Each != Placed_.end() && IsSameStep(Each->first); ++Each)
+    ++Count;
+  return Count;
+}
--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -17,31 +17,6 @@
 static constexpr std::uint64_t PaceScatter = 25;
 static constexpr std::uint64_t Percent = 100;
 
-namespace {
-
-/// Which filling images disturb what serves on one server, each looked up once
-/// for a report. References must outlive it, and the images that are asked for.
-class DisturbingImages {
-public:
-  DisturbingImages(const TailEffects &Effects, const ServingImages &Serving)
-      : Effects_(Effects), Serving_(Serving) {}
-
-  bool has(const std::string &Filling) {
-    for (const auto &[Image, Disturbs] : Known_)
-      if (Image == Filling)
-        return Disturbs;
-    Known_.emplace_back(Filling, Effects_.isDisturbingAny(Serving_, Filling));
-    return Known_.back().second;
-  }
-
-private:
-  const TailEffects &Effects_;
-  const ServingImages &Serving_;
-  std::vector<std::pair<std::string_view, bool>> Known_;
-};
-
-} // namespace
-
 void PaceSetter::note(const ServerReport &Report) {
   const std::string &Id = Report.Facts_.Id_;
   TailReading Reading;
@@ -51,7 +26,7 @@
     const ServerRecord *Server = Book.findServer(Id);
     if (!Server)
       return 0;
-    DisturbingImages Disturbing(Effects_, Server->Serving_);
+    DisturbingImages Disturbing;
     FillingUse Use;
     std::vector<std::pair<const StepSpec *, std::uint64_t>> Tails;
     for (const RunningTask &Running : Report.Running_) {
@@ -65,7 +40,7 @@
         continue;
       if (Capacity > 0)
         Use[Step->Image_] += double(Running.Measure_) / Capacity;
-      if (Disturbing.has(Step->Image_))
+      if (Disturbing.has(Effects_, Server->Serving_, Step->Image_))
         Reading.Disturbing_ += double(Step->Need_.MilliCpus_) / Capacity;
       else
         Reading.HasOthers_ = true;
@@ -118,13 +93,14 @@
     const ServerRecord *Server = Book.findServer(Id);
     if (!Server)
       return 0;
-    DisturbingImages Disturbing(Effects_, Server->Serving_);
+    DisturbingImages Disturbing;
     const auto Add = [&](const TaskKey &Task, std::uint64_t Run,
                          std::optional<std::uint64_t> Used) {
       const StepSpec *Step = Book.findStep(Task);
       if (!Step || !Step->Fills_)
         return;
-      const bool Disturbs = Disturbing.has(Step->Image_);
+      const bool Disturbs =
+          Disturbing.has(Effects_, Server->Serving_, Step->Image_);
       const std::uint64_t Wanted = Disturbs ? Pace.Disturbing_ : Pace.Others_;
       PaceSent Own{Run, 100, Now};
       const auto Before = Live.PacesSent_.find(Task);
--- a/src/jobs/ServiceOrder.cpp
+++ b/src/jobs/ServiceOrder.cpp
@@ -12,15 +12,13 @@
 static constexpr std::uint64_t LateFactor = 3;
 /// Bounds the work of an update; the most urgent come first.
 static constexpr std::size_t MostSteps = 1024;
-/// An update costs a third of a microsecond a step (bench_jobs): with a pause
-/// of so much for each step, steps that come all the time cost a hundredth of
-/// the processor. A short queue is looked at anew whenever something joins it.
+/// An update goes over the whole queue; with a pause of so much for each step,
+/// its share of the processor does not grow with the queue. A short queue is
+/// looked at anew whenever something joins it.
 static constexpr Duration PausePerStep = 40us;
 static constexpr std::size_t ShortQueue = 16;
 /// What can still be in time changes with time alone.
 static constexpr Duration MostAge = 100ms;
-/// Work that lasts and has waited so long goes before short work.
-static constexpr Duration LastingPatience = ReadyTimes::LastingPatience;
 static constexpr std::int64_t Unlimited =
     std::numeric_limits<std::int64_t>::max();
 
@@ -130,7 +128,8 @@
     const std::size_t Lateness =
         Step.LongRunning_ ? 0 : getLateness(Job, Occurrence, Wall);
     const bool GoesFirst =
-        !Step.LongRunning_ || Waits.getWait(Ready, Now) >= LastingPatience;
+        !Step.LongRunning_ ||
+        Waits.getWait(Ready, Now) >= ReadyTimes::LastingPatience;
     if (Lateness == 0 && Step.Fills_)
       Filling.emplace_back(Value_.getDensity(Job, Occurrence), &Ready);
     else if (Lateness == 0 && GoesFirst)
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -151,3 +151,13 @@
       ++Added;
   return double(Added) / double(Positions_.size());
 }
+
+bool DisturbingImages::has(const TailEffects &Effects,
+                           const ServingImages &Serving,
+                           const std::string &Filling) {
+  for (const auto &[Image, Disturbs] : Known_)
+    if (Image == Filling)
+      return Disturbs;
+  Known_.emplace_back(Filling, Effects.isDisturbingAny(Serving, Filling));
+  return Known_.back().second;
+}
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -74,6 +74,22 @@
   std::map<std::string, std::set<std::string>> Disturbing_;
 };
 
+/// Which filling images disturb what serves on one server, each looked up once:
+/// it is asked for each of many tasks of few images. Not thread-safe.
+class DisturbingImages {
+public:
+  // Commands.
+
+  /// As TailEffects::isDisturbingAny. Effects and Serving are the same at each
+  /// call until forget; Filling must outlive that.
+  bool has(const TailEffects &Effects, const ServingImages &Serving,
+           const std::string &Filling);
+  void forget() { Known_.clear(); }
+
+private:
+  std::vector<std::pair<std::string_view, bool>> Known_;
+};
+
 } // namespace tulipweir::jobs
 
 #endif // TULIPWEIR_SRC_JOBS_TAILEFFECTS_H
