--- a/bench/platform/FleetBench.cpp
+++ b/bench/platform/FleetBench.cpp
@@ -1,7 +1,8 @@
 //===- FleetBench.cpp - What a leader of a large fleet costs ---*- C++ -*-===//
 //
-// FleetBench [SERVERS [SECONDS [SEED [CONTROL ENTRY]]]]: ten seconds at a time,
-// the leader's processor time a second of the day, and what came of the work.
+// FleetBench [SERVERS[xLOAD] [SECONDS [SEED [CONTROL ENTRY]]]]: ten seconds at a
+// time, the leader's processor time a second of the day, and what came of the
+// work. LOAD is a factor on the jobs that end: far above 1 a queue builds up.
 // With the addresses of the control that leads and of an entry, programs that
 // run are driven in real time, and their time is measured from outside.
 //
@@ -13,6 +14,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 
 using namespace tulipweir::bench;
 
@@ -22,10 +24,12 @@
   const int Usual = Load.Servers_;
   if (Count > 1)
     Load.Servers_ = std::atoi(Words[1]);
-  const double Scale = double(Load.Servers_) / Usual;
+  double Scale = double(Load.Servers_) / Usual;
+  Load.LastingJobs_ = static_cast<int>(Load.LastingJobs_ * Scale);
+  if (const char *Factor = Count > 1 ? std::strchr(Words[1], 'x') : nullptr)
+    Scale *= std::atof(Factor + 1);
   Load.ShortPerSecond_ *= Scale;
   Load.FillingPerSecond_ *= Scale;
-  Load.LastingJobs_ = static_cast<int>(Load.LastingJobs_ * Scale);
   const int Seconds = Count > 2 ? std::atoi(Words[2]) : 40;
   if (Count > 3)
     Load.Seed_ = std::strtoull(Words[3], nullptr, 10);
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -178,10 +178,11 @@
   for (const Candidate &Each : Order_.candidates()) {
     if (isFull(Own))
       break;
+    const bool MayFit =
+        Each.Reserved_.fitsIn(Own.Left_.Free_) &&
+        (Each.IdleNeeded_ <= Own.Left_.Idle_ || Survey_.isRoomy());
     // Its tasks may all have been placed since the order was made.
-    const bool IsOfUse = Each.Reserved_.fitsIn(Own.Left_.Free_) &&
-                         Book.readySteps().count(Each.Step_) != 0;
-    if (IsOfUse)
+    if (MayFit && Book.readySteps().count(Each.Step_) != 0)
       planStep(Book, Each.Step_, Own);
   }
   // A copy would take the gap that what lasts is waiting to see grow.
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -14,6 +14,8 @@
 /// wait.
 static constexpr Duration ExplanationInterval = 1s;
 static constexpr std::size_t MostExplained = 8;
+/// How often what is kept of steps and failures that are over is forgotten.
+static constexpr Duration PruneInterval = 1s;
 /// Clocks that are kept in step are slewed by less.
 static constexpr Duration NoticedJump = 500ms;
 static constexpr std::uint64_t Percent = 100;
@@ -46,6 +48,7 @@
   IsListing_ = false;
   IsOrdering_ = false;
   NextQuestion_ = Now;
+  NextPrune_ = Now;
   EndedSince_.clear();
   AcceptedAt_.clear();
   Started_.clear();
@@ -221,7 +224,10 @@
 
 void JobLeader::Impl::startGang() {
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
-    Dispatcher_.prune(Book);
+    if (Time_.now() >= NextPrune_) {
+      NextPrune_ = Time_.now() + PruneInterval;
+      Dispatcher_.prune(Book);
+    }
     Dispatcher_.survey(Book, Board_, Time_.now());
     return Dispatcher_.planGang(Book, Board_, Time_.now());
   });
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -151,6 +151,7 @@
   Newcomers Newcomers_;
   bool IsAsking_ = false; ///< A question to the advice service is open.
   TimePoint NextQuestion_{};
+  TimePoint NextPrune_{};
   WaveKeeper Waves_;
   TimePoint LeadingSince_{};
   bool IsListing_ = false;  ///< A call to the provider of VMs is open,
--- a/src/jobs/ServiceOrder.cpp
+++ b/src/jobs/ServiceOrder.cpp
@@ -76,7 +76,8 @@
 
 void ServiceOrder::add(const JobBook &Book, const ReadyStep &Ready) {
   const StepSpec &Step = Book.findJob(Ready.Job_)->Spec_.Steps_[Ready.Step_];
-  Candidates_.push_back({Ready, Step.getReserved()});
+  Candidates_.push_back(
+      {Ready, Step.getReserved(), Step.Fills_ ? Step.Need_.MilliCpus_ : 0});
   Least_.Memory_ = std::min(Least_.Memory_, Step.Need_.MemoryMib_);
   std::int64_t &Cpus = Step.Fills_ ? Least_.FillingCpus_ : Least_.PlainCpus_;
   Cpus = std::min(Cpus, Step.Need_.MilliCpus_);
