--- a/bench/platform/FleetBench.cpp
+++ b/bench/platform/FleetBench.cpp
@@ -1,7 +1,7 @@
 //===- FleetBench.cpp - What a leader of a large fleet costs ---*- C++ -*-===//
 //
-// FleetBench [SERVERS[xLOAD] [SECONDS [SEED [CONTROL ENTRY]]]]: ten seconds at a
-// time, the leader's processor time a second of the day, and what came of the
+// FleetBench [SERVERS[xLOAD] [SECONDS [SEED [CONTROL ENTRY]]]]: ten seconds at
+// a time, the leader's processor time a second of the day, and what came of the
 // work. LOAD is a factor on the jobs that end: far above 1 a queue builds up.
 // With the addresses of the control that leads and of an entry, programs that
 // run are driven in real time, and their time is measured from outside.
--- a/bench/platform/LeaderTarget.cpp
+++ b/bench/platform/LeaderTarget.cpp
@@ -53,11 +53,11 @@
       encodeReports({{platform::parseHeartbeat(Server, Body).value()}});
   std::string Reply;
   spend([&] {
-    Leader_.report(std::move(decodeReports(Frame).value().Reports_[0]),
-                   [&Reply](const Outcome<ServerOrders> &Orders) {
-                     Reply =
-                         encodeReportReply({{ReportAnswer::make(Orders)}, {}});
-                   });
+    Leader_.report(
+        std::move(decodeReports(Frame).value().Reports_[0]),
+        [&Reply](const Outcome<ServerOrders> &Orders) {
+          Reply = encodeReportReply({{ReportAnswer::make(Orders)}, {}});
+        });
   });
   const ReportAnswer Answer =
       std::move(decodeReportReply(Reply).value().Answers_[0]);
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -165,11 +165,7 @@
     return {};
   if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return {};
-  Plan Own{*Server,
-           ServerRoom::measure(*Server),
-           Now,
-           {},
-           MostStartsAtOnce,
+  Plan Own{*Server, ServerRoom::measure(*Server), Now, {}, MostStartsAtOnce,
            {}};
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -17,8 +17,8 @@
 static constexpr std::size_t MostExplained = 8;
 /// How often what is kept of steps and failures that are over is forgotten.
 static constexpr Duration PruneInterval = 1s;
-/// A tick that comes so much too late, or a report that takes so long, shows that
-/// there is more work than processor; a commit takes a tenth of it.
+/// A tick that comes so much too late, or a report that takes so long, shows
+/// that there is more work than processor; a commit takes a tenth of it.
 static constexpr Duration BehindAfter = 250ms;
 /// A server that was told to come again does so within some hundred ms.
 static constexpr Duration BehindFor = 2s;
@@ -210,8 +210,7 @@
 
 void JobLeader::Impl::removeLapsed() {
   const TimePoint Now = Time_.now();
-  const Duration Grace =
-      Now < BehindUntil_ ? getLongestLease() : Duration(0);
+  const Duration Grace = Now < BehindUntil_ ? getLongestLease() : Duration(0);
   for (const std::string &Id : Board_.listLapsed(Now - Grace))
     removeServer(Id, "silent until its lease ran out", /*IsOver=*/false,
                  [](const Outcome<CommandResult> &) {});
--- a/src/jobs/JobLeaderNotes.cpp
+++ b/src/jobs/JobLeaderNotes.cpp
@@ -64,13 +64,13 @@
     const StepSpec *Step = Machine_.read(
         [&End](const JobBook &Book) { return Book.findStep(End.Task_); });
     // What fills goes as fast as others let it, which says nothing of a server.
-    const bool IsTelling = Step && !Step->Fills_ &&
-                           Seen && Seen->Run_ == End.Run_;
+    const bool IsTelling =
+        Step && !Step->Fills_ && Seen && Seen->Run_ == End.Run_;
     const bool WasSick =
         Health_.getFitness(Ended.Server_, Now) != Fitness::Sound;
-    const bool IsSick = Health_.noteDone(
-        Ended.Server_, End.Task_.Job_, End.Task_.Step_,
-        IsTelling ? Now - Seen->SeenAt_ : Duration(0), Now);
+    const bool IsSick =
+        Health_.noteDone(Ended.Server_, End.Task_.Job_, End.Task_.Step_,
+                         IsTelling ? Now - Seen->SeenAt_ : Duration(0), Now);
     if (IsSick)
       logQuarantine(Ended.Server_, End.Task_.Job_,
                     "runs take much longer than elsewhere");
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -108,7 +108,8 @@
 
 /// The step of a run that is placed on the server and shall go on there;
 /// nullptr for any other run.
-static const StepSpec *findWanted(const JobBook &Book, const std::string &Server,
+static const StepSpec *findWanted(const JobBook &Book,
+                                  const std::string &Server,
                                   const TaskKey &Task, std::uint64_t Run) {
   const JobRecord *Job = Book.findJob(Task.Job_);
   if (!Job || isEnded(Job->State_))
@@ -116,11 +117,11 @@
   const TaskRecord *Record = Job->findTask(Task);
   const bool IsOpen = Record && Record->State_ != TaskState::Done;
   const bool IsHere =
-      IsOpen && std::any_of(Record->Placements_.begin(),
-                            Record->Placements_.end(),
-                            [&](const Placement &Each) {
-                              return Each.Run_ == Run && Each.Server_ == Server;
-                            });
+      IsOpen &&
+      std::any_of(Record->Placements_.begin(), Record->Placements_.end(),
+                  [&](const Placement &Each) {
+                    return Each.Run_ == Run && Each.Server_ == Server;
+                  });
   return IsHere ? &Job->Spec_.Steps_[Task.Step_] : nullptr;
 }
 
--- a/src/jobs/PaceSetter.h
+++ b/src/jobs/PaceSetter.h
@@ -13,8 +13,8 @@
 #include "jobs/ServerBoard.h"
 #include "jobs/TailEffects.h"
 #include "tulipweir/core/EventLog.h"
-#include "tulipweir/jobs/JobMachine.h"
 #include "tulipweir/core/Time.h"
+#include "tulipweir/jobs/JobMachine.h"
 #include "tulipweir/jobs/ServerReport.h"
 
 namespace tulipweir::jobs {
@@ -22,11 +22,10 @@
 /// On the leader's strand only; holds references to its parts.
 class PaceSetter {
 public:
-  PaceSetter(const Clock &Time, const JobMachine &Machine,
-             EventLog &Log, TailEffects &Effects,
-             PaceGuard &Paces)
-      : Time_(Time), Machine_(Machine), Log_(Log),
-        Effects_(Effects), Paces_(Paces) {}
+  PaceSetter(const Clock &Time, const JobMachine &Machine, EventLog &Log,
+             TailEffects &Effects, PaceGuard &Paces)
+      : Time_(Time), Machine_(Machine), Log_(Log), Effects_(Effects),
+        Paces_(Paces) {}
 
   /// Learns from the tails that serving tasks report, and sets the pace of the
   /// filling tasks beside them.
--- a/src/jobs/RoomSurvey.cpp
+++ b/src/jobs/RoomSurvey.cpp
@@ -95,7 +95,8 @@
     AnyLastingWaits_ = true;
     if (ToHold == 0 || Waits.getWait(Ready, Now) < ReadyTimes::LastingPatience)
       continue;
-    // Sorted once for all that wait: there may be hundreds, and as many servers.
+    // Sorted once for all that wait: there may be hundreds, and as many
+    // servers.
     if (!std::exchange(IsSorted, true))
       std::stable_sort(Servers.begin(), Servers.end(),
                        [&](const Usable &A, const Usable &B) {
@@ -142,8 +143,7 @@
                                     const Resources &Need,
                                     std::uint64_t Tasks) const {
   const auto Equals = FreeAmongEquals_.find(Image);
-  return Equals != FreeAmongEquals_.end() &&
-         doFit(Equals->second, Need, Tasks);
+  return Equals != FreeAmongEquals_.end() && doFit(Equals->second, Need, Tasks);
 }
 
 bool RoomSurvey::hasRoomAlone(const Resources &Need) const {
--- a/src/jobs/ServiceOrder.cpp
+++ b/src/jobs/ServiceOrder.cpp
@@ -12,9 +12,9 @@
 static constexpr std::uint64_t LateFactor = 3;
 /// Bounds the work of an update; the most urgent come first.
 static constexpr std::size_t MostSteps = 1024;
-/// An update costs a third of a microsecond a step (bench_jobs): with a pause of
-/// so much for each step, steps that come all the time cost a hundredth of the
-/// processor. A short queue is looked at anew whenever something joins it.
+/// An update costs a third of a microsecond a step (bench_jobs): with a pause
+/// of so much for each step, steps that come all the time cost a hundredth of
+/// the processor. A short queue is looked at anew whenever something joins it.
 static constexpr Duration PausePerStep = 40us;
 static constexpr std::size_t ShortQueue = 16;
 /// What can still be in time changes with time alone.
@@ -83,15 +83,15 @@
   Cpus = std::min(Cpus, Step.Need_.MilliCpus_);
 }
 
-void ServiceOrder::update(const JobBook &Book, ReadyTimes &Waits,
-                          TimePoint Now, WallTime Wall) {
+void ServiceOrder::update(const JobBook &Book, ReadyTimes &Waits, TimePoint Now,
+                          WallTime Wall) {
   const bool IsNew = MadeAt_ == TimePoint::min();
   const Duration Age = IsNew ? MostAge : Now - MadeAt_;
   const bool HasNews = Version_ != Book.getReadyVersion();
-  const Duration Pause = Candidates_.size() < ShortQueue
-                             ? Duration(0)
-                             : PausePerStep * static_cast<std::int64_t>(
-                                       Candidates_.size());
+  const Duration Pause =
+      Candidates_.size() < ShortQueue
+          ? Duration(0)
+          : PausePerStep * static_cast<std::int64_t>(Candidates_.size());
   if (Age < (HasNews ? Pause : MostAge))
     return;
   MadeAt_ = Now;
--- a/src/jobs/ServiceOrder.h
+++ b/src/jobs/ServiceOrder.h
@@ -27,7 +27,7 @@
 /// A waiting step as a plan looks at it first.
 struct Candidate {
   ReadyStep Step_;
-  Resources Reserved_;         ///< Of each task.
+  Resources Reserved_;          ///< Of each task.
   std::int64_t IdleNeeded_ = 0; ///< Idle processors, of each that fills.
 };
 
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -127,9 +127,9 @@
 
 bool TailEffects::isDisturbingAny(const ServingImages &Serving,
                                   const std::string &Filling) const {
-  return std::any_of(
-      Serving.begin(), Serving.end(),
-      [&](const auto &Each) { return isDisturbing(Each.first, Filling); });
+  return std::any_of(Serving.begin(), Serving.end(), [&](const auto &Each) {
+    return isDisturbing(Each.first, Filling);
+  });
 }
 
 std::set<std::string_view>
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -50,8 +50,7 @@
   bool isDisturbingAny(const ServingImages &Serving,
                        const std::string &Filling) const;
   /// All filling images for which that holds.
-  std::set<std::string_view>
-  listDisturbing(const ServingImages &Serving) const;
+  std::set<std::string_view> listDisturbing(const ServingImages &Serving) const;
   /// The part of the known filling images that could no longer work freely if
   /// the image came to serve beside those; 1 while little is known.
   double getAddedHarm(const ServingImages &Serving,
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -77,13 +77,13 @@
         Provider_(Provider), Log_(Log), Meter_(Metrics), Open_(std::move(Open)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
-        Strand_(Pool), Relay_(std::make_shared<ReportRelay>(
-                           Strand_, Time,
-                           [this](const jobs::ReportBatch &Batch,
-                                  Duration Timeout,
-                                  ReportRelay::BatchDone Reply) {
-                             sendReports(Batch, Timeout, std::move(Reply));
-                           })) {}
+        Strand_(Pool),
+        Relay_(std::make_shared<ReportRelay>(
+            Strand_, Time,
+            [this](const jobs::ReportBatch &Batch, Duration Timeout,
+                   ReportRelay::BatchDone Reply) {
+              sendReports(Batch, Timeout, std::move(Reply));
+            })) {}
 
   Outcome<void> start();
   void stop();
@@ -311,9 +311,8 @@
 
 /// On the strand. Servers are spread over the members that do not lead; a
 /// leader that hears none of them takes the reports itself.
-std::string
-ControlNode::Impl::pickRelay(const Life &Current,
-                             const std::string &ServerId) const {
+std::string ControlNode::Impl::pickRelay(const Life &Current,
+                                         const std::string &ServerId) const {
   return ReportRelay::pick(Current.Group_->getStatus().Heard_, ServerId);
 }
 
@@ -343,8 +342,8 @@
 /// though another control is named for it goes there only now and then, for it
 /// may be that the server cannot reach that one.
 bool ControlNode::Impl::isTimeToMove(const std::string &ServerId) const {
-  const auto Turn = static_cast<std::size_t>(Time_.now().time_since_epoch() /
-                                             MoveInterval);
+  const auto Turn =
+      static_cast<std::size_t>(Time_.now().time_since_epoch() / MoveInterval);
   return (Turn + std::hash<std::string>()(ServerId)) % MoveEvery == 0;
 }
 
@@ -355,23 +354,22 @@
   const std::string Leader =
       Current ? Current->Group_->getStatus().LeaderName_ : "";
   if (Leader.empty() || Leader == Settings_.Name_)
-    return Strand_.post([Reply = std::move(Reply)] {
-      Reply(fail(ErrorCode::NotLeader, ""));
-    });
-  Links_.call(
-      Leader, wire::MessageKind::ServerReports, jobs::encodeReports(Batch),
-      Timeout,
-      [Weak = weak_from_this(),
-       Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
-        const std::shared_ptr<Impl> Self = Weak.lock();
-        if (!Self)
-          return;
-        Self->Strand_.post([Reply, Answer] {
-          if (!Answer)
-            return Reply(fail(ErrorCode::Unavailable, Answer.error().Message_));
-          Reply(jobs::decodeReportReply(Answer.value()));
-        });
-      });
+    return Strand_.post(
+        [Reply = std::move(Reply)] { Reply(fail(ErrorCode::NotLeader, "")); });
+  Links_.call(Leader, wire::MessageKind::ServerReports,
+              jobs::encodeReports(Batch), Timeout,
+              [Weak = weak_from_this(),
+               Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
+                const std::shared_ptr<Impl> Self = Weak.lock();
+                if (!Self)
+                  return;
+                Self->Strand_.post([Reply, Answer] {
+                  if (!Answer)
+                    return Reply(
+                        fail(ErrorCode::Unavailable, Answer.error().Message_));
+                  Reply(jobs::decodeReportReply(Answer.value()));
+                });
+              });
 }
 
 /// On the strand. A member that does not lead says so of each report.
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -39,11 +39,11 @@
   const auto Weigh = [&ServerId](const std::string &Name) {
     return std::hash<std::string>()(Name + " " + ServerId);
   };
-  const auto Best = std::max_element(
-      Names.begin(), Names.end(),
-      [&](const std::string &A, const std::string &B) {
-        return std::pair(Weigh(A), A) < std::pair(Weigh(B), B);
-      });
+  const auto Best =
+      std::max_element(Names.begin(), Names.end(),
+                       [&](const std::string &A, const std::string &B) {
+                         return std::pair(Weigh(A), A) < std::pair(Weigh(B), B);
+                       });
   return Best == Names.end() ? "" : *Best;
 }
 
--- /dev/null
+++ b/tests/jobs/ServiceOrderTest.cpp
@@ -0,0 +1,79 @@
+//===- ServiceOrderTest.cpp - When the order of service is made anew ------===//
+
+#include "jobs/ServiceOrder.h"
+
+#include "jobs/JobFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+class ServiceOrderTest : public JobBookTest {
+protected:
+  void update() { Order_.update(Book_, Waits_, Now_, WallTime(1000)); }
+  std::size_t count() const { return Order_.candidates().size(); }
+  void submitMany(int Count) {
+    for (int I = 0; I < Count; ++I)
+      submit(makeJob("many" + std::to_string(I), {makeStep(1, 100)}));
+  }
+
+  TimePoint Now_{1h};
+  ReadyTimes Waits_;
+  ServiceOrder Order_;
+};
+
+} // namespace
+
+TEST_F(ServiceOrderTest, AShortQueueIsLookedAtAnewWhenSomethingJoins) {
+  submit(makeJob("a", {makeStep(1, 100)}));
+  update();
+  submit(makeJob("b", {makeStep(1, 100)}));
+  update();
+  EXPECT_EQ(count(), 2U);
+}
+
+TEST_F(ServiceOrderTest, ALongQueueIsLookedAtAnewAfterAPauseOnly) {
+  submitMany(300);
+  update();
+  ASSERT_EQ(count(), 300U);
+  submit(makeJob("late", {makeStep(1, 100)}));
+  Now_ += 1ms;
+  update();
+  EXPECT_EQ(count(), 300U);
+  Now_ += 50ms;
+  update();
+  EXPECT_EQ(count(), 301U);
+}
+
+TEST_F(ServiceOrderTest, TimeAloneMakesItAnewInTheEnd) {
+  submit(makeJob("a", {makeStep(1, 100)}));
+  update();
+  // Nothing joins; what has started leaves.
+  start(makeStart("a", 0, "s1"));
+  update();
+  EXPECT_EQ(count(), 1U);
+  Now_ += 200ms;
+  update();
+  EXPECT_EQ(count(), 0U);
+}
+
+TEST_F(ServiceOrderTest, ACandidateSaysWhatItsTasksNeed) {
+  StepSpec Filling = makeStep(1, 700);
+  Filling.Fills_ = true;
+  Filling.Image_ = "f";
+  submit(makeJob("fills", {Filling}));
+  update();
+  ASSERT_EQ(count(), 1U);
+  EXPECT_EQ(Order_.candidates()[0].Reserved_.MilliCpus_, 0);
+  EXPECT_EQ(Order_.candidates()[0].IdleNeeded_, 700);
+  EXPECT_EQ(Order_.leastNeeds().FillingCpus_, 700);
+}
+
+TEST_F(ServiceOrderTest, OnlyTheFirstOfAVeryLongQueueAreKept) {
+  submitMany(1500);
+  update();
+  EXPECT_EQ(count(), 1024U);
+}
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -1,9 +1,9 @@
 //===- ReportRelayTest.cpp - Reports that reach the leader by others ------===//
 
-#include "jobservice/NodeCluster.h"
-#include "jobservice/ReportGather.h"
 #include "jobservice/ReportRelay.h"
 #include "jobs/LeaderFixture.h"
+#include "jobservice/NodeCluster.h"
+#include "jobservice/ReportGather.h"
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -322,6 +322,6 @@
   ASSERT_TRUE(jobservice::test::waitFor([&] { return IsAnswered(Other); }));
   stop(Lost);
   EXPECT_TRUE(jobservice::test::waitFor([&] { return IsAnswered(Other); }));
-  EXPECT_TRUE(jobservice::test::waitFor(
-      [&] { return IsAnswered(6 - Lost - Other); }));
+  EXPECT_TRUE(
+      jobservice::test::waitFor([&] { return IsAnswered(6 - Lost - Other); }));
 }
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -85,9 +85,14 @@
   jobs::ServerOrders Orders;
   EXPECT_EQ(Json::parse(renderOrders(Orders, "")), Json::object());
   const jobs::TaskKey Task{"5c0e", 0, 1, 18};
-  Orders = {
-      4000,           7, 58, 200, {{Task, 1, "text", "", ""}}, {{Task, 2}},
-      {{Task, 3, 40}}, ""};
+  Orders = {4000,
+            7,
+            58,
+            200,
+            {{Task, 1, "text", "", ""}},
+            {{Task, 2}},
+            {{Task, 3, 40}},
+            ""};
   Orders.Starts_.push_back({Task, 2, "t", "s", "ticket"});
   EXPECT_EQ(Json::parse(renderOrders(Orders, "10.0.0.1:80")),
             Json::parse(R"({"heartbeatUrl":"10.0.0.1:80","holdMs":4000,
