Evacuations: a data centre in which nothing starts, until it is taken back

The state machine refuses starts there (so a start planned before and committed after is not given out), ServerBoard::takesStarts is the one place that plans, gangs, copies, holds, safe room and advice ask, and a start that was committed and never seen there is outlawed first and begun elsewhere. What runs there goes on: moving it costs its work, and nothing asks for it. Tickets on servers that take no starts no longer count as room, or a step would wait for them in vain. Shown: metrics (tulipweir_evacuations_total), one log line, the reason of steps that wait, the state dump.

--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -47,6 +47,7 @@
   ClockJumped,
   AdviceTaken, ///< The advice service said which servers may run a step.
   Maintenance, ///< A wave of maintenance, or one VM of it.
+  Evacuation,  ///< Of a data centre: begun, or over.
 };
 
 /// The name of the kind as it stands in a log.
--- a/include/tulipweir/jobs/Commands.h
+++ b/include/tulipweir/jobs/Commands.h
@@ -157,10 +157,18 @@
   bool operator==(const NoteMaintenance &) const = default;
 };
 
+/// From then on nothing starts in the data centre; or things may again. The
+/// last order counts, so one that comes again changes nothing.
+struct EvacuateDataCentre {
+  std::string DataCentre_;
+  bool IsBegun_ = true; ///< Else the evacuation is over.
+  bool operator==(const EvacuateDataCentre &) const = default;
+};
+
 using Command =
     std::variant<PutConfiguration, SubmitJob, CancelJob, OpenOccurrence,
                  AddServer, RemoveServer, StartTasks, EndTasks, ForgetJobs,
-                 StartWave, NoteMaintenance>;
+                 StartWave, NoteMaintenance, EvacuateDataCentre>;
 
 enum class Verdict : std::uint8_t {
   Done = 0,
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -142,6 +142,11 @@
     return Lives_.isOver(ServerId);
   }
   const WaveBook &waves() const { return Waves_; }
+  /// The data centres in which nothing may start.
+  const std::set<std::string> &evacuated() const { return Evacuated_; }
+  bool isEvacuated(const ServerFacts &Server) const {
+    return Evacuated_.count(Server.DataCentre_) != 0;
+  }
   const std::set<ReadyStep> &readySteps() const { return Ready_; }
   /// Rises whenever a step joins these.
   std::uint64_t getReadyVersion() const { return ReadyVersion_; }
@@ -168,6 +173,7 @@
   CommandResult apply(const ForgetJobs &Value);
   CommandResult apply(const StartWave &Value);
   CommandResult apply(const NoteMaintenance &Value);
+  CommandResult apply(const EvacuateDataCentre &Value);
 
   void openOccurrence(JobRecord &Job, std::uint64_t Number);
   bool isReady(const JobRecord &Job, const OccurrenceRecord &Occurrence,
@@ -199,6 +205,7 @@
   std::map<std::string, ServerRecord> Servers_;
   ServerLives Lives_;
   WaveBook Waves_;
+  std::set<std::string> Evacuated_; ///< Data centres.
   std::uint64_t NextSequence_ = 1;
 
   // Derived from the above.
--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -39,6 +39,8 @@
   /// How long after its election a leader orders nothing from the provider of
   /// VMs, as the one before may.
   Duration HolderLease_ = std::chrono::seconds(3);
+  /// Those that the deployment names; others are known by their servers.
+  std::vector<std::string> DataCentres_;
 };
 
 /// Lives on one executor: all members are called there, and callbacks run
@@ -72,6 +74,10 @@
   /// A wave of maintenance; done once it is stored, also if it was before.
   void startWave(const WaveSpec &Spec, Done<void> Reply);
 
+  /// Nothing starts in the data centre from the reply on, or things may again;
+  /// what runs there goes on. NotFound for one that nobody knows.
+  void evacuate(const EvacuateDataCentre &Order, Done<void> Reply);
+
   // Queries.
 
   /// The newest configuration; fails where that can't be known.
--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -33,6 +33,8 @@
   TasksMoved,    ///< Stopped to go on elsewhere.
   TasksLapsed,   ///< Given up with their server.
   ServersGone,
+  EvacuationsBegun,
+  EvacuationsEnded,
 };
 
 /// Thread-safe and never blocking.
--- a/include/tulipweir/jobservice/ControlNode.h
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -65,6 +65,7 @@
   void leave(const std::string &ServerId, Done<void> Reply);
   void putConfiguration(jobs::Configuration Value, Done<void> Reply);
   void startWave(jobs::WaveSpec Spec, Done<void> Reply);
+  void evacuate(jobs::EvacuateDataCentre Order, Done<void> Reply);
 
   // Queries.
 
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -6,7 +6,7 @@
 
 std::string_view tulipweir::getEventName(EventKind Kind) {
   // In the order of the enumeration.
-  static constexpr std::array<std::string_view, 30> Names = {
+  static constexpr std::array<std::string_view, 31> Names = {
       "process_started",
       "process_stopping",
       "settings_reloaded",
@@ -36,8 +36,9 @@
       "storage_trouble",
       "clock_jumped",
       "advice_taken",
-      "maintenance"};
+      "maintenance",
+      "evacuation"};
   static_assert(Names.size() ==
-                static_cast<std::size_t>(EventKind::Maintenance) + 1);
+                static_cast<std::size_t>(EventKind::Evacuation) + 1);
   return Names.at(static_cast<std::size_t>(Kind));
 }
--- a/src/jobs/AdviceBook.cpp
+++ b/src/jobs/AdviceBook.cpp
@@ -63,8 +63,10 @@
 }
 
 /// How many of the step's tasks fit on servers with a ticket.
-std::uint64_t AdviceBook::countOpen(const JobBook &Book, const ReadyStep &Ready,
-                                    TimePoint Now) const {
+std::uint64_t AdviceBook::countOpen(
+    const JobBook &Book, const ReadyStep &Ready,
+    const std::function<bool(const std::string &ServerId)> &IsUsable,
+    TimePoint Now) const {
   const auto Servers =
       Steps_.find({Ready.Job_, Ready.Occurrence_, Ready.Step_});
   if (Servers == Steps_.end())
@@ -74,7 +76,7 @@
   std::uint64_t Count = 0;
   for (const auto &[Id, Said] : Servers->second) {
     const ServerRecord *Server = Book.findServer(Id);
-    if (!Server || !Said.MayRun_ || Said.Until_ <= Now)
+    if (!Server || !Said.MayRun_ || Said.Until_ <= Now || !IsUsable(Id))
       continue;
     Resources Free = Server->Facts_.Capacity_ - Server->Used_;
     std::uint64_t Here = 0;
@@ -105,7 +107,7 @@
     const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
     const std::uint64_t Waiting =
         Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
-    const std::uint64_t Open = countOpen(Book, Ready, Now);
+    const std::uint64_t Open = countOpen(Book, Ready, IsUsable, Now);
     if (Open >= Waiting)
       continue;
     AdviceQuestion Question;
--- a/src/jobs/AdviceBook.h
+++ b/src/jobs/AdviceBook.h
@@ -61,8 +61,10 @@
   };
   using SaidOfServers = std::map<std::string, Said>;
 
-  std::uint64_t countOpen(const JobBook &Book, const ReadyStep &Ready,
-                          TimePoint Now) const;
+  std::uint64_t
+  countOpen(const JobBook &Book, const ReadyStep &Ready,
+            const std::function<bool(const std::string &ServerId)> &IsUsable,
+            TimePoint Now) const;
   std::size_t planCount(std::uint64_t Missing) const;
 
   std::map<StepKey, SaidOfServers> Steps_;
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -154,8 +154,8 @@
                                         TimePoint Now, WallTime Wall) {
   const ServerRecord *Server = Book.findServer(ServerId);
   const ServerLive *Live = Board.find(ServerId);
-  const bool MayStart =
-      Server && Live && Live->takesStarts() && Live->NoStartsUntil_ <= Now;
+  const bool MayStart = Server && Board.takesStarts(Book, *Server) &&
+                        Live->NoStartsUntil_ <= Now;
   const Fitness Fit = Health_.getFitness(ServerId, Now);
   if (!MayStart || Fit == Fitness::Quarantined)
     return {};
@@ -297,7 +297,8 @@
         planGangStarts(Book, Ready, MaySpread, [&](const ServerRecord &Server) {
           const std::string &Id = Server.Facts_.Id_;
           const ServerLive *Live = Board.find(Id);
-          return Live && Live->takesStarts() && Live->NoStartsUntil_ <= Now &&
+          return Board.takesStarts(Book, Server) &&
+                 Live->NoStartsUntil_ <= Now &&
                  Health_.getFitness(Id, Now) == Fitness::Sound &&
                  isAdvised(Job, First, Id, Now);
         });
@@ -318,6 +319,7 @@
   const StepSpec &Spec = Job.Spec_.Steps_[Step.Step_];
   std::size_t Unlabelled = 0;
   std::size_t Unadvised = 0;
+  std::size_t Evacuated = 0;
   std::size_t Resting = 0;
   std::size_t Full = 0;
   std::size_t Disturbed = 0;
@@ -332,10 +334,12 @@
     }
     const ServerLive *Live = Board.find(Id);
     const ServerRoom Left = ServerRoom::measure(Server);
-    const bool IsResting = !Live || !Live->takesStarts() ||
+    const bool IsResting = !Live || !Live->isStaying() ||
                            Live->NoStartsUntil_ > Now ||
                            Health_.getFitness(Id, Now) != Fitness::Sound;
-    if (IsResting)
+    if (Book.isEvacuated(Server.Facts_))
+      ++Evacuated;
+    else if (IsResting)
       ++Resting;
     else if (!isAdvised(Job, {Step.Job_, Step.Occurrence_, Step.Step_, 0}, Id,
                         Now))
@@ -357,6 +361,7 @@
   };
   Add(Unlabelled, (" without the label " + Spec.Label_).c_str());
   Add(Unadvised, " without a ticket of the advice service");
+  Add(Evacuated, " in a data centre that is being evacuated");
   Add(Full, " full");
   Add(Disturbed, " where it would disturb");
   Add(Busy, " without idle processors");
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -203,6 +203,13 @@
           {}};
 }
 
+CommandResult JobBook::apply(const EvacuateDataCentre &Value) {
+  const bool IsNews = Value.IsBegun_
+                          ? Evacuated_.insert(Value.DataCentre_).second
+                          : Evacuated_.erase(Value.DataCentre_) != 0;
+  return {IsNews ? Verdict::Done : Verdict::AlreadyDone, {}};
+}
+
 std::string JobBook::findObjection(const TaskStart &Start) const {
   const JobRecord *Job = findJob(Start.Task_.Job_);
   if (!Job || isEnded(Job->State_))
@@ -230,6 +237,8 @@
   const ServerRecord *Server = findServer(Start.Server_);
   if (!Server)
     return "no such server";
+  if (isEvacuated(Server->Facts_))
+    return "the server's data centre is being evacuated";
   if (Server->Facts_.Service_ != Job->Policy_.Service_)
     return "the queue does not lead to this server's service";
   if (!(Server->Used_ + Step.getReserved()).fitsIn(Server->Facts_.Capacity_))
--- a/src/jobs/JobBookImage.cpp
+++ b/src/jobs/JobBookImage.cpp
@@ -19,10 +19,11 @@
   std::vector<LifeAtAddress> Lives_;
   std::vector<std::string> LivesOver_;
   std::vector<WaveRecord> Waves_;
+  std::vector<std::string> Evacuated_;
 };
 auto fields(BookImage &X) {
   return std::tie(X.Configuration_, X.Jobs_, X.Servers_, X.NextSequence_,
-                  X.Lives_, X.LivesOver_, X.Waves_);
+                  X.Lives_, X.LivesOver_, X.Waves_, X.Evacuated_);
 }
 
 } // namespace
@@ -43,6 +44,7 @@
   Image.Lives_ = Lives_.Latest_;
   for (const auto &[Id, Wave] : Waves_.waves())
     Image.Waves_.push_back(Wave);
+  Image.Evacuated_ = {Evacuated_.begin(), Evacuated_.end()};
   Image.LivesOver_ = {Lives_.Over_.begin(), Lives_.Over_.end()};
   return packing::pack(Image);
 }
@@ -61,6 +63,7 @@
   }
   Book.Lives_.Latest_ = std::move(Image.Lives_);
   Book.Lives_.Over_ = {Image.LivesOver_.begin(), Image.LivesOver_.end()};
+  Book.Evacuated_ = {Image.Evacuated_.begin(), Image.Evacuated_.end()};
   Book.Waves_ = WaveBook::makeOf(std::move(Image.Waves_));
   for (JobRecord &Job : Image.Jobs_)
     Book.Jobs_[Job.Spec_.Id_] = std::move(Job);
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -294,6 +294,9 @@
 void JobLeader::showWave(std::uint64_t Wave, Done<WaveRecord> Reply) {
   Impl_->showWave(Wave, Reply);
 }
+void JobLeader::evacuate(const EvacuateDataCentre &Order, Done<void> Reply) {
+  Impl_->evacuate(Order, Reply);
+}
 bool JobLeader::isLeading() const { return Impl_->isLeading(); }
 std::optional<std::uint64_t> JobLeader::findFencingToken() const {
   return Impl_->findFencingToken();
--- a/src/jobs/JobLeaderAdvice.cpp
+++ b/src/jobs/JobLeaderAdvice.cpp
@@ -14,13 +14,13 @@
   const TimePoint Now = Time_.now();
   if (!Advisor_.isThere() || IsAsking_ || Now < NextQuestion_)
     return;
-  const auto IsUsable = [&](const std::string &Id) {
-    const ServerLive *Live = Board_.find(Id);
-    return Live && Live->takesStarts() &&
-           Health_.getFitness(Id, Now) == Fitness::Sound;
-  };
   const std::optional<AdviceQuestion> Question =
       Machine_.read([&](const JobBook &Book) {
+        const auto IsUsable = [&](const std::string &Id) {
+          const ServerRecord *Server = Book.findServer(Id);
+          return Server && Board_.takesStarts(Book, *Server) &&
+                 Health_.getFitness(Id, Now) == Fitness::Sound;
+        };
         Advice_.prune(Book);
         return Advice_.findQuestion(Book, IsUsable, Now);
       });
--- a/src/jobs/JobLeaderCalls.cpp
+++ b/src/jobs/JobLeaderCalls.cpp
@@ -149,31 +149,3 @@
         Reply(Late);
       });
 }
-
-// The configuration.
-
-void JobLeader::Impl::putConfiguration(Configuration Value, Done<void> Reply) {
-  if (!isLeading())
-    return Reply(makeNotLeading());
-  const std::uint64_t Version = Value.Version_;
-  propose(PutConfiguration{std::move(Value)},
-          [this, Version, Reply](const Outcome<CommandResult> &Applied) {
-            if (!Applied)
-              return Reply(Applied.error());
-            Event Line;
-            Line.Kind_ = EventKind::ConfigurationAccepted;
-            Line.Version_ = Version;
-            Line.Outcome_ = Applied.value().Verdict_ == Verdict::Done
-                                ? "in force"
-                                : "not above the version in force";
-            Log_.write(Line);
-            Reply(succeed());
-          });
-}
-
-void JobLeader::Impl::readConfiguration(const Done<Configuration> &Reply) {
-  if (!isLeading())
-    return Reply(makeNotLeading());
-  Reply(
-      Machine_.read([](const JobBook &Book) { return Book.configuration(); }));
-}
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -2,8 +2,9 @@
 //
 // The class behind JobLeader. Its functions stand by duty: leadership and what
 // is done by the clock (JobLeader.cpp), clients' calls (JobLeaderCalls.cpp),
-// servers' reports (JobLeaderReports.cpp), the orders in their answers
-// (JobLeaderOrders.cpp), and what is logged, metered and learned of runs
+// operators' orders (JobLeaderOperators.cpp), servers' reports
+// (JobLeaderReports.cpp), the orders in their answers (JobLeaderOrders.cpp),
+// waves of maintenance (JobLeaderWaves.cpp), and what is logged, metered and learned of runs
 // (JobLeaderNotes.cpp).
 //
 //===----------------------------------------------------------------------===//
@@ -47,6 +48,7 @@
   void readConfiguration(const Done<Configuration> &Reply);
   void startWave(const WaveSpec &Spec, const Done<void> &Reply);
   void showWave(std::uint64_t Wave, const Done<WaveRecord> &Reply) const;
+  void evacuate(const EvacuateDataCentre &Order, const Done<void> &Reply);
   bool isLeading() const;
   std::optional<std::uint64_t> findFencingToken() const {
     return isLeading() ? std::optional(Term_) : std::nullopt;
@@ -90,6 +92,9 @@
   /// Says who leads, as far as it is known.
   Error makeNotLeading() const;
 
+  bool isDataCentre(const std::string &Name) const;
+  void logEvacuation(const EvacuateDataCentre &Order, bool IsNews);
+
   void submit(JobCall Call, const Done<JobCallReply> &Reply);
   void show(const JobCall &Call, const Done<JobCallReply> &Reply) const;
   void cancel(const JobCall &Call, const Done<JobCallReply> &Reply);
--- /dev/null
+++ b/src/jobs/JobLeaderOperators.cpp
@@ -0,0 +1,88 @@
+// Operators' orders but waves of maintenance: the configuration, and evacuations
+// of data centres.
+#include "jobs/JobLeaderImpl.h"
+
+#include <algorithm>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+
+void JobLeader::Impl::putConfiguration(Configuration Value, Done<void> Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  const std::uint64_t Version = Value.Version_;
+  propose(PutConfiguration{std::move(Value)},
+          [this, Version, Reply](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return Reply(Applied.error());
+            Event Line;
+            Line.Kind_ = EventKind::ConfigurationAccepted;
+            Line.Version_ = Version;
+            Line.Outcome_ = Applied.value().Verdict_ == Verdict::Done
+                                ? "in force"
+                                : "not above the version in force";
+            Log_.write(Line);
+            Reply(succeed());
+          });
+}
+
+void JobLeader::Impl::readConfiguration(const Done<Configuration> &Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  Reply(
+      Machine_.read([](const JobBook &Book) { return Book.configuration(); }));
+}
+
+bool JobLeader::Impl::isDataCentre(const std::string &Name) const {
+  const std::vector<std::string> &Named = Settings_.DataCentres_;
+  if (std::find(Named.begin(), Named.end(), Name) != Named.end())
+    return true;
+  return Machine_.read([&Name](const JobBook &Book) {
+    return std::any_of(Book.servers().begin(), Book.servers().end(),
+                       [&Name](const auto &Each) {
+                         return Each.second.Facts_.DataCentre_ == Name;
+                       });
+  });
+}
+
+void JobLeader::Impl::evacuate(const EvacuateDataCentre &Order,
+                               const Done<void> &Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
+  const bool IsOpen = Machine_.read([&Order](const JobBook &Book) {
+    return Book.evacuated().count(Order.DataCentre_) != 0;
+  });
+  // One that was begun can be taken back, whatever became of the place.
+  if (!IsOpen && !isDataCentre(Order.DataCentre_))
+    return Reply(
+        fail(ErrorCode::NotFound, "no such data centre: " + Order.DataCentre_));
+  propose(Order, [this, Order, Reply](const Outcome<CommandResult> &Applied) {
+    if (!Applied)
+      return Reply(Applied.error());
+    logEvacuation(Order, Applied.value().Verdict_ == Verdict::Done);
+    Reply(succeed());
+  });
+}
+
+void JobLeader::Impl::logEvacuation(const EvacuateDataCentre &Order,
+                                    bool IsNews) {
+  if (IsNews)
+    Meter_.add(Order.IsBegun_ ? Counted::EvacuationsBegun
+                              : Counted::EvacuationsEnded,
+               1);
+  Event Line;
+  Line.Kind_ = EventKind::Evacuation;
+  Line.Reason_ = Order.DataCentre_;
+  Line.Outcome_ = !IsNews          ? "no change"
+                  : Order.IsBegun_ ? "begun"
+                                   : "over";
+  Line.Count_ = Machine_.read([&Order](const JobBook &Book) {
+    std::uint64_t Running = 0;
+    for (const auto &[Id, Server] : Book.servers())
+      if (Server.Facts_.DataCentre_ == Order.DataCentre_)
+        Running += Server.Placed_.size();
+    return Running;
+  });
+  Line.Term_ = Term_;
+  Log_.write(Line);
+}
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -187,8 +187,11 @@
     // Mostly the report names all that is placed there.
     if (Wanted == Server.Placed_.size())
       return 0;
+    // Where nothing starts any more, what was placed and never seen counts as
+    // unwanted: it is outlawed, and begins elsewhere.
+    const bool MayStart = !Book.isEvacuated(Server.Facts_);
     for (const auto &[Task, Run] : listUnreported(Server, Report)) {
-      if (!findWanted(Book, Id, Task, Run)) {
+      if (!MayStart || !findWanted(Book, Id, Task, Run)) {
         const auto Before = Live->StopsSent_.find(Task);
         // Told to stop in an earlier answer, and still not there: the order to
         // start it, if one ever left, can't take effect any more.
--- a/src/jobs/JobPacking.h
+++ b/src/jobs/JobPacking.h
@@ -79,6 +79,9 @@
 inline auto fields(WaveRecord &X) { return std::tie(X.Spec_, X.Begun_); }
 inline auto fields(StartWave &X) { return std::tie(X.Spec_); }
 inline auto fields(NoteMaintenance &X) { return std::tie(X.Wave_, X.Vm_); }
+inline auto fields(EvacuateDataCentre &X) {
+  return std::tie(X.DataCentre_, X.IsBegun_);
+}
 
 inline auto fields(LifeAtAddress &X) { return std::tie(X.Address_, X.Id_); }
 inline auto fields(Placement &X) { return std::tie(X.Run_, X.Server_); }
--- a/src/jobs/RoomSurvey.cpp
+++ b/src/jobs/RoomSurvey.cpp
@@ -29,11 +29,11 @@
   std::int64_t Reserved = 0;
   std::vector<Usable> Servers;
   for (const auto &[Id, Server] : Book.servers()) {
+    if (!Board.takesStarts(Book, Server))
+      continue;
     Capacity += Server.Facts_.Capacity_.MilliCpus_;
     Reserved += Server.Used_.MilliCpus_;
     const ServerLive *Live = Board.find(Id);
-    if (!Live || !Live->takesStarts())
-      continue;
     const bool IsSound = Health_.getFitness(Id, Now) == Fitness::Sound;
     Servers.push_back({&Server, IsSound});
     if (!IsSound || Live->NoStartsUntil_ > Now || Server.Serving_.size() > 1)
--- a/src/jobs/ServerBoard.h
+++ b/src/jobs/ServerBoard.h
@@ -59,8 +59,8 @@
   /// nullptr if it was not in it.
   const RunProgress *findProgress(const TaskKey &Task) const;
   const RunProgress *findProgressBefore(const TaskKey &Task) const;
-  /// Whether anything may be started there at all.
-  bool takesStarts() const {
+  /// Whether it is there to stay, for all that is known.
+  bool isStaying() const {
     return !IsDraining_ && !IsRemoving_ && !IsEmptying_;
   }
 };
@@ -84,6 +84,12 @@
   const std::map<std::string, ServerLive> &servers() const { return Servers_; }
   /// Servers whose lease has run out.
   std::vector<std::string> listLapsed(TimePoint Now) const;
+  /// Whether anything may be started on the server at all: whatever plans, asks
+  /// here.
+  bool takesStarts(const JobBook &Book, const ServerRecord &Server) const {
+    const ServerLive *Live = find(Server.Facts_.Id_);
+    return Live && Live->isStaying() && !Book.isEvacuated(Server.Facts_);
+  }
   /// The checkpoints that the server's runs were last seen with.
   std::vector<SavedWork> listSaved(const std::string &Id) const;
 
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -466,6 +466,14 @@
       });
 }
 
+void ControlNode::evacuate(jobs::EvacuateDataCentre Order, Done<void> Reply) {
+  Impl_->run<void>(
+      std::move(Reply),
+      [Order = std::move(Order)](jobs::JobLeader &Leader, Done<void> To) {
+        Leader.evacuate(Order, std::move(To));
+      });
+}
+
 void ControlNode::showWave(std::uint64_t Wave, Done<jobs::WaveRecord> Reply) {
   Impl_->run<jobs::WaveRecord>(
       std::move(Reply),
@@ -517,6 +525,7 @@
     Dump["jobs"] = Book.jobs().size();
     Dump["servers"] = Book.servers().size();
     Dump["readySteps"] = Book.readySteps().size();
+    Dump["evacuated"] = Book.evacuated();
     return 0;
   });
   return Dump.dump();
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -24,7 +24,13 @@
                &To.addCounter("tulipweir_tasks_lapsed_total",
                               "Tasks given up with their server"),
                &To.addCounter("tulipweir_servers_gone_total",
-                              "Backend servers that left or fell silent")};
+                              "Backend servers that left or fell silent"),
+               &To.addCounter("tulipweir_evacuations_total",
+                              "Evacuations of data centres",
+                              "outcome=\"begun\""),
+               &To.addCounter("tulipweir_evacuations_total",
+                              "Evacuations of data centres",
+                              "outcome=\"ended\"")};
   Histograms_ = {&To.addHistogram("tulipweir_job_acknowledge_seconds",
                                   "From a submission's arrival to its commit"),
                  &To.addHistogram("tulipweir_job_first_start_seconds",
--- a/src/jobservice/JobMetrics.h
+++ b/src/jobservice/JobMetrics.h
@@ -18,7 +18,7 @@
   void record(jobs::Timed What, Duration Took) override;
 
 private:
-  std::array<net::Counter *, 10> Counters_;
+  std::array<net::Counter *, 12> Counters_;
   std::array<net::LatencyHistogram *, 4> Histograms_;
 };
 
--- a/tests/jobs/CommandsTest.cpp
+++ b/tests/jobs/CommandsTest.cpp
@@ -35,7 +35,8 @@
           makeEnd(Start, RunEnd::NeverRan, "x"),
           ForgetJobs{{"a", "b"}},
           StartWave{{3, {"v1", "v2"}, 20'000, 2}},
-          NoteMaintenance{3, "v1"}};
+          NoteMaintenance{3, "v1"},
+          EvacuateDataCentre{"dc1", true}};
 }
 
 TEST(CommandsTest, EveryCommandSurvivesTheRoundTrip) {
--- a/tests/jobs/JobBookDifferentialTest.cpp
+++ b/tests/jobs/JobBookDifferentialTest.cpp
@@ -30,7 +30,9 @@
     case 4:
       return draw(3) == 0 ? removeServer() : start();
     case 5:
-      return draw(10) == 0 ? configure(draw(8)) : start();
+      return draw(10) == 0  ? configure(draw(8))
+             : draw(8) == 0 ? evacuate()
+                            : start();
     case 6:
     case 7:
     case 8:
@@ -102,7 +104,9 @@
     EXPECT_EQ(Book_.apply(Command(Value)).Verdict_, Naive_.open(Value));
   }
   void addServer() {
-    const ServerFacts Facts = makeServer(drawServer(), 3000);
+    ServerFacts Facts = makeServer(drawServer(), 3000);
+    // A server stays where it is.
+    Facts.DataCentre_ = "dc" + std::to_string(Facts.Id_.back() % 2);
     Book_.apply(Command(AddServer{Facts}));
     Naive_.addServer(Facts);
   }
@@ -111,6 +115,12 @@
     Book_.apply(Command(RemoveServer{Id, {}, false}));
     Naive_.removeServer(Id);
   }
+  void evacuate() {
+    const EvacuateDataCentre Value{"dc" + std::to_string(draw(2)),
+                                   draw(3) == 0};
+    Book_.apply(Command(Value));
+    Naive_.evacuate(Value);
+  }
   void start() {
     const TaskStart Start{
         {drawJob(), draw(2), draw(3), draw(3)}, 1 + draw(6), drawServer()};
--- a/tests/jobs/NaiveJobs.h
+++ b/tests/jobs/NaiveJobs.h
@@ -115,6 +115,11 @@
       return;
     }
   }
+  void evacuate(const EvacuateDataCentre &Value) {
+    std::erase(Evacuated_, Value.DataCentre_);
+    if (Value.IsBegun_)
+      Evacuated_.push_back(Value.DataCentre_);
+  }
   void configure(const Configuration &Value) {
     if (Value.Version_ <= Configuration_.Version_)
       return;
@@ -200,7 +205,9 @@
       return false;
     for (const ServerFacts &Server : Servers_)
       if (Server.Id_ == Start.Server_)
-        return Server.Service_ == Owner->Service_ &&
+        return std::count(Evacuated_.begin(), Evacuated_.end(),
+                          Server.DataCentre_) == 0 &&
+               Server.Service_ == Owner->Service_ &&
                getUsed(Server.Id_) + Step.getReserved().MilliCpus_ <=
                    Server.Capacity_.MilliCpus_;
     return false;
@@ -237,6 +244,7 @@
   std::vector<Job> Jobs_;
   std::vector<ServerFacts> Servers_;
   std::vector<Run> Runs_;
+  std::vector<std::string> Evacuated_;
 };
 
 } // namespace tulipweir::jobs::test
--- a/tests/net/JsonEventLogTest.cpp
+++ b/tests/net/JsonEventLogTest.cpp
@@ -121,6 +121,6 @@
 }
 
 TEST(EventNameTest, EveryKindHasAName) {
-  for (int Kind = 0; Kind <= static_cast<int>(EventKind::Maintenance); ++Kind)
+  for (int Kind = 0; Kind <= static_cast<int>(EventKind::Evacuation); ++Kind)
     EXPECT_FALSE(getEventName(static_cast<EventKind>(Kind)).empty());
 }
--- a/tests/platform/system/WholePathTest.cpp
+++ b/tests/platform/system/WholePathTest.cpp
@@ -99,6 +99,29 @@
   EXPECT_EQ(Seen_.listBreaks(), std::vector<std::string>{});
 }
 
+TEST_F(WholePathTest, AnEvacuationHoldsOverALostLeaderUntilItIsTakenBack) {
+  putConfiguration(1);
+  addWorkers(2);
+  submit("first", makeJob("ms=50;cpu=1000;mem=500"));
+  EXPECT_TRUE(waitForState("first", "completed"));
+  EXPECT_EQ(callControl("POST", "/api/evacuations/nowhere").Status_, 404);
+  EXPECT_EQ(callControl("POST", "/api/evacuations/z").Status_, 200);
+  EXPECT_EQ(callControl("POST", "/api/evacuations/z").Status_, 200);
+  const std::uint64_t Before = Seen_.countStarts();
+  const std::string Leader = findLeader();
+  ASSERT_NE(Leader, "");
+  process(Leader).kill();
+  process(Leader).start();
+  submit("waits", makeJob("ms=50;cpu=1000;mem=500"));
+  // Some rounds of reports at the next leader.
+  std::this_thread::sleep_for(1500ms);
+  EXPECT_EQ(Seen_.countStarts(), Before);
+  EXPECT_EQ(stateOf("waits"), "queued");
+  EXPECT_EQ(callControl("DELETE", "/api/evacuations/z").Status_, 200);
+  EXPECT_TRUE(waitForState("waits", "completed"));
+  EXPECT_EQ(Seen_.listBreaks(), std::vector<std::string>{});
+}
+
 TEST_F(WholePathTest, FailuresAndCancellationsEndAsTheyShould) {
   putConfiguration(1);
   addWorkers(2);
