A tail is judged against its own service's load

Ruled out: processors (runs at full pace take 1.05 of their time however crowded the server is), waiting (the first task of a job starts at once). Done: ServingLoads follows what the tails of a step's tasks have in common; TailEffects learns from the rest, a scatter of 0.15.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -42,6 +42,7 @@
   Paces_.reset();
   Advice_.reset();
   Effects_.reset();
+  Loads_.reset();
   Health_.reset();
   Newcomers_.reset();
   Leaving_.clear();
@@ -239,6 +240,7 @@
     if (Time_.now() >= NextPrune_) {
       NextPrune_ = Time_.now() + PruneInterval;
       Dispatcher_.prune(Book);
+      Loads_.prune(Book);
     }
     Dispatcher_.survey(Book, Board_, Time_.now());
     return Dispatcher_.planGang(Book, Board_, Time_.now());
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -149,11 +149,12 @@
   std::uint64_t Term_ = 0;
   ServerBoard Board_;
   TailEffects Effects_;
+  ServingLoads Loads_;
   PaceGuard Paces_;
   ServerHealth Health_;
   AdviceBook Advice_;
   Dispatcher Dispatcher_{Effects_, Paces_, Health_, Advice_};
-  PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Paces_};
+  PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Loads_, Paces_};
   Newcomers Newcomers_;
   bool IsAsking_ = false; ///< A question to the advice service is open.
   TimePoint NextQuestion_{};
--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -1,6 +1,7 @@
 #include "jobs/PaceSetter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <set>
 
@@ -17,6 +18,21 @@
 static constexpr std::uint64_t PaceScatter = 25;
 static constexpr std::uint64_t Percent = 100;
 
+/// A task that is not at work yet has no tail.
+void PaceSetter::learn(const RunningTask &Running, const StepSpec &Step,
+                       const FillingUse &Use) {
+  if (Running.Measure_ == 0)
+    return;
+  const StepKey Key{Running.Task_.Job_, Running.Task_.Occurrence_,
+                    Running.Task_.Step_};
+  const double LogTail =
+      std::log(double(Running.Measure_) / double(Step.TailTargetMs_));
+  if (const std::optional<double> Base = Loads_.findBase(Key))
+    Effects_.learn(Step.Image_, Use, std::exp(LogTail - *Base));
+  Loads_.note(Key, Step.Image_, LogTail - Effects_.predict(Step.Image_, Use),
+              Time_.now());
+}
+
 void PaceSetter::note(const ServerReport &Report) {
   const std::string &Id = Report.Facts_.Id_;
   TailReading Reading;
@@ -28,14 +44,13 @@
       return 0;
     DisturbingImages Disturbing;
     FillingUse Use;
-    std::vector<std::pair<const StepSpec *, std::uint64_t>> Tails;
+    std::vector<std::pair<const StepSpec *, const RunningTask *>> Tails;
     for (const RunningTask &Running : Report.Running_) {
       const StepSpec *Step = Book.findStep(Running.Task_);
       if (!Step)
         continue;
       if (Step->TailTargetMs_ > 0)
-        Tails.emplace_back(Step,
-                           Running.Measure_ * Percent / Step->TailTargetMs_);
+        Tails.emplace_back(Step, &Running);
       if (!Step->Fills_)
         continue;
       if (Capacity > 0)
@@ -46,11 +61,12 @@
         Reading.HasOthers_ = true;
     }
     // Only now the use of all that fill is known.
-    for (const auto &[Step, Tail] : Tails) {
+    for (const auto &[Step, Running] : Tails) {
       HasServing = true;
-      Reading.TailPercent_ = std::max(Reading.TailPercent_, Tail);
-      Effects_.learn(Step->Image_, Use,
-                     double(std::max<std::uint64_t>(Tail, 1)) / Percent);
+      Reading.TailPercent_ =
+          std::max(Reading.TailPercent_,
+                   Running->Measure_ * Percent / Step->TailTargetMs_);
+      learn(*Running, *Step, Use);
     }
     return 0;
   });
--- a/src/jobs/PaceSetter.h
+++ b/src/jobs/PaceSetter.h
@@ -11,6 +11,7 @@
 
 #include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
+#include "jobs/ServingLoads.h"
 #include "jobs/TailEffects.h"
 #include "tulipweir/core/EventLog.h"
 #include "tulipweir/core/Time.h"
@@ -23,9 +24,9 @@
 class PaceSetter {
 public:
   PaceSetter(const Clock &Time, const JobMachine &Machine, EventLog &Log,
-             TailEffects &Effects, PaceGuard &Paces)
+             TailEffects &Effects, ServingLoads &Loads, PaceGuard &Paces)
       : Time_(Time), Machine_(Machine), Log_(Log), Effects_(Effects),
-        Paces_(Paces) {}
+        Loads_(Loads), Paces_(Paces) {}
 
   /// Learns from the tails that serving tasks report, and sets the pace of the
   /// filling tasks beside them.
@@ -35,10 +36,14 @@
                 ServerOrders &Orders) const;
 
 private:
+  void learn(const RunningTask &Running, const StepSpec &Step,
+             const FillingUse &Use);
+
   const Clock &Time_;
   const JobMachine &Machine_;
   EventLog &Log_;
   TailEffects &Effects_;
+  ServingLoads &Loads_;
   PaceGuard &Paces_;
 };
 
--- /dev/null
+++ b/src/jobs/ServingLoads.cpp
@@ -0,0 +1,103 @@
+#include "jobs/ServingLoads.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+/// Loads swing within some ten seconds; a step of fourteen tasks is heard some
+/// thirty times a second.
+static constexpr Duration FollowTime = 600ms;
+static constexpr double LeastWeight = 0.05;
+static constexpr double MostWeight = 0.5;
+/// A tail that is too long may be disturbed by what is not known yet; one that
+/// is short is not, and counts twice as much.
+static constexpr double ShorterWeight = 2;
+/// Readings scatter by a tenth; half a second of a small step.
+static constexpr std::uint64_t EnoughSamples = 8;
+/// Before anything is known: serving tasks reserve for their peaks, and use
+/// half on average. The best of several shares on both users' days
+/// (docs/MEASUREMENTS.md).
+static constexpr double UsualLoad = 0.52;
+/// What serving tasks leave of their processors at their quietest: measured,
+/// they use a fifth then.
+static constexpr double MostUnused = 0.8;
+/// While the tails of an image were seen to differ by less (a factor of 1.6),
+/// nobody knows which load they go with.
+static constexpr double TellingRange = 0.5;
+static constexpr double LeastLoad = 0.1;
+static constexpr double MostLoad = 0.95;
+
+void ServingLoads::reset() {
+  Steps_.clear();
+  Images_.clear();
+  Servers_.clear();
+}
+
+void ServingLoads::note(const StepKey &Step, const std::string &Image,
+                        double LogTail, TimePoint Now) {
+  const auto [Place, IsNew] = Steps_.try_emplace(Step);
+  StepLoad &Own = Place->second;
+  if (IsNew) {
+    Own.Image_ = Image;
+    Own.Base_ = LogTail;
+  }
+  const double Part = std::chrono::duration<double>(Now - Own.NotedAt_) /
+                      std::chrono::duration<double>(FollowTime);
+  double Weight = std::clamp(Part, LeastWeight, MostWeight);
+  if (LogTail < Own.Base_)
+    Weight = std::min(Weight * ShorterWeight, MostWeight);
+  Own.Base_ += (LogTail - Own.Base_) * Weight;
+  Own.NotedAt_ = Now;
+  if (++Own.Samples_ < EnoughSamples)
+    return;
+  const auto [Seen, IsFirst] =
+      Images_.try_emplace(Own.Image_, Range{Own.Base_, Own.Base_});
+  Seen->second.Lowest_ = std::min(Seen->second.Lowest_, Own.Base_);
+  Seen->second.Highest_ = std::max(Seen->second.Highest_, Own.Base_);
+}
+
+void ServingLoads::noteServer(const std::string &ServerId,
+                              std::int64_t Reserved, std::int64_t Used) {
+  Servers_[ServerId] = {Reserved, Used};
+}
+
+void ServingLoads::prune(const JobBook &Book) {
+  std::erase_if(Steps_, [&Book](const auto &Each) {
+    const JobRecord *Job = Book.findJob(Each.first.Job_);
+    return !Job || isEnded(Job->State_);
+  });
+  std::erase_if(Servers_, [&Book](const auto &Each) {
+    return !Book.findServer(Each.first);
+  });
+}
+
+std::optional<double> ServingLoads::findBase(const StepKey &Step) const {
+  const auto Found = Steps_.find(Step);
+  if (Found == Steps_.end() || Found->second.Samples_ < EnoughSamples)
+    return std::nullopt;
+  return Found->second.Base_;
+}
+
+/// The time in a queue is its shortest over the share that is not used.
+double ServingLoads::getLoad(const StepKey &Step) const {
+  const auto Found = Steps_.find(Step);
+  if (Found == Steps_.end() || Found->second.Samples_ < EnoughSamples)
+    return UsualLoad;
+  const Range &Seen = Images_.at(Found->second.Image_);
+  if (Seen.Highest_ - Seen.Lowest_ < TellingRange)
+    return UsualLoad;
+  const double Load =
+      1 - MostUnused * std::exp(Seen.Lowest_ - Found->second.Base_);
+  return std::clamp(Load, LeastLoad, MostLoad);
+}
+
+std::int64_t ServingLoads::getUsed(const ServerRecord &Server) const {
+  const auto Found = Servers_.find(Server.Facts_.Id_);
+  const ServerUse Known = Found == Servers_.end() ? ServerUse{} : Found->second;
+  // What came since the last report counts as usual; so does what has gone.
+  const std::int64_t Rest = Server.ServingCpus_ - Known.Reserved_;
+  return Known.Used_ + static_cast<std::int64_t>(double(Rest) * UsualLoad);
+}
--- /dev/null
+++ b/src/jobs/ServingLoads.h
@@ -0,0 +1,78 @@
+//===- ServingLoads.h - How busy tasks that serve are ----------*- C++ -*-===//
+//
+// The tail of a task that serves says two things: how much its own users ask of
+// it at the moment, and how much what fills beside it disturbs. The tasks of
+// one step serve the same users, each beside other work, so what their tails
+// have in common is the first. Known apart, the second is learned from
+// differences of a tenth rather than against swings of a factor of three; and
+// a tail that grows with the load as that of a queue does tells what the tasks
+// use of the processors that they reserve. Pure.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBS_SERVINGLOADS_H
+#define TULIPWEIR_SRC_JOBS_SERVINGLOADS_H
+
+#include "tulipweir/core/Time.h"
+#include "tulipweir/jobs/Advisor.h"
+#include "tulipweir/jobs/JobBook.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace tulipweir::jobs {
+
+/// Not thread-safe.
+class ServingLoads {
+public:
+  // Commands.
+
+  void reset();
+  /// A task's reading: the logarithm of its tail over its target, less what is
+  /// known of the filling work beside it.
+  void note(const StepKey &Step, const std::string &Image, double LogTail,
+            TimePoint Now);
+  /// What a server's report named: the processors that its serving tasks
+  /// reserve, and what they are expected to use, thousandths.
+  void noteServer(const std::string &ServerId, std::int64_t Reserved,
+                  std::int64_t Used);
+  /// Forgets steps and servers that are no more.
+  void prune(const JobBook &Book);
+
+  // Queries.
+
+  /// The logarithm of the tail over the target that the step's tasks have at
+  /// present by their own load; nothing while too little is known.
+  std::optional<double> findBase(const StepKey &Step) const;
+  /// The share of what they reserve that the step's tasks use at present.
+  double getLoad(const StepKey &Step) const;
+  /// The processors that the serving tasks of a server are expected to use,
+  /// thousandths.
+  std::int64_t getUsed(const ServerRecord &Server) const;
+
+private:
+  struct StepLoad {
+    std::string Image_;
+    double Base_ = 0;
+    std::uint64_t Samples_ = 0;
+    TimePoint NotedAt_{};
+  };
+  /// Of the bases of an image's steps, as far as they were seen.
+  struct Range {
+    double Lowest_ = 0;
+    double Highest_ = 0;
+  };
+  struct ServerUse {
+    std::int64_t Reserved_ = 0;
+    std::int64_t Used_ = 0;
+  };
+
+  std::map<StepKey, StepLoad> Steps_;
+  std::map<std::string, Range> Images_;
+  std::map<std::string, ServerUse> Servers_;
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_SRC_JOBS_SERVINGLOADS_H
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -10,8 +10,8 @@
 static constexpr std::size_t MostFillingImages = 64;
 static constexpr std::size_t MostServingImages = 64;
 /// Of a weight before anything is known, in units of the scatter of a report's
-/// figures (0.4): as large as the weights that are seen.
-static constexpr double FirstVariance = 50;
+/// figures (0.15): as large as the weights that are seen.
+static constexpr double FirstVariance = 1000;
 /// A sample counts half after 1,400 more: some ten seconds.
 static constexpr double Fading = 0.9995;
 /// Below that share of a server no filling image has shown an effect.
@@ -99,6 +99,23 @@
         std::min(Own.Covariance_[At * Size + At], 2 * FirstVariance);
 }
 
+double TailEffects::predict(const std::string &Serving,
+                            const FillingUse &Use) const {
+  const auto Found = Models_.find(Serving);
+  if (Found == Models_.end())
+    return 0;
+  const std::vector<double> &Weights = Found->second.Weights_;
+  double Sum = 0;
+  for (const auto &[Filling, Share] : Use) {
+    const auto Position = Positions_.find(Filling);
+    const bool IsKnown = Position != Positions_.end() &&
+                         Position->second < Weights.size() && Share > IdleShare;
+    if (IsKnown)
+      Sum += std::max(Weights[Position->second], 0.0) * (Share - IdleShare);
+  }
+  return Sum;
+}
+
 void TailEffects::judge(const std::string &Serving, const Model &Own,
                         const FillingUse &Use) {
   if (!hasLearned())
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -1,11 +1,11 @@
 //===- TailEffects.h - Which filling images lengthen which tails *- C++ -*-===//
 //
 // For each image that serves, a linear model of the logarithm of its tail over
-// its target: a base and one weight for each filling image, times the share of
-// the server's processors that the image uses beyond a first part, which
-// measurably does nothing. Learned from every report by recursive least
-// squares; what was learned long ago fades. Figures in a report are of the same
-// half second, so each sample is complete in itself. Pure.
+// what its own load explains: a base and one weight for each filling image,
+// times the share of the server's processors that the image uses beyond a first
+// part, which measurably does nothing. Learned from every report by recursive
+// least squares; what was learned long ago fades. Figures in a report are of
+// the same half second, so each sample is complete in itself. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -35,12 +35,15 @@
   // Commands.
 
   void reset();
-  /// TailRatio is the tail over its target; above zero.
+  /// TailRatio is the tail over what it would be without filling work, as far
+  /// as that is known; above zero.
   void learn(const std::string &Serving, const FillingUse &Use,
              double TailRatio);
 
   // Queries.
 
+  /// By how much the logarithm of the tail is expected to grow.
+  double predict(const std::string &Serving, const FillingUse &Use) const;
   /// Whether enough samples came for effects to mean something.
   bool hasLearned() const;
   /// Whether the filling image is known to lengthen the serving image's tail.
