Idle processors by the load of what serves

Cause: serving tasks were taken to use 52% of what they reserve at any hour; they use a fifth to four fifths. Tails go with the load as in a queue (25 ms over the part that is not used, in the profile), so they tell it.

--- a/bench/jobs/JobsBench.cpp
+++ b/bench/jobs/JobsBench.cpp
@@ -145,10 +145,11 @@
     ServerBoard Board;
     Board.reset(Book, now(), std::chrono::hours(1));
     TailEffects Effects;
+    ServingLoads Loads;
     PaceGuard Paces;
     ServerHealth Health;
     AdviceBook Advice;
-    Dispatcher Planner(Effects, Paces, Health, Advice);
+    Dispatcher Planner(Effects, Loads, Paces, Health, Advice);
     Planner.survey(Book, Board, now()); // As at every tick.
     for (std::uint64_t I = 0; I < Servers; ++I) {
       const Instant Begin = now();
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -161,8 +161,9 @@
     return {};
   if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return {};
-  Plan Own{*Server, ServerRoom::measure(*Server), Now, {}, MostStartsAtOnce,
-           {}};
+  Plan Own{
+      *Server, ServerRoom::measure(*Server, Loads_), Now, {}, MostStartsAtOnce,
+      {}};
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
   addBudget(Own);
@@ -333,7 +334,7 @@
       continue;
     }
     const ServerLive *Live = Board.find(Id);
-    const ServerRoom Left = ServerRoom::measure(Server);
+    const ServerRoom Left = ServerRoom::measure(Server, Loads_);
     const bool IsResting = !Live || !Live->isStaying() ||
                            Live->NoStartsUntil_ > Now ||
                            Health_.getFitness(Id, Now) != Fitness::Sound;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -29,9 +29,11 @@
 class Dispatcher {
 public:
   /// All must outlive it.
-  Dispatcher(const TailEffects &Effects, const PaceGuard &Paces,
-             const ServerHealth &Health, const AdviceBook &Advice)
-      : Effects_(Effects), Paces_(Paces), Health_(Health), Advice_(Advice) {}
+  Dispatcher(const TailEffects &Effects, const ServingLoads &Loads,
+             const PaceGuard &Paces, const ServerHealth &Health,
+             const AdviceBook &Advice)
+      : Effects_(Effects), Loads_(Loads), Paces_(Paces), Health_(Health),
+        Advice_(Advice) {}
 
   // Commands.
 
@@ -90,6 +92,7 @@
                    bool IsIdleJob) const;
 
   const TailEffects &Effects_;
+  const ServingLoads &Loads_;
   const PaceGuard &Paces_;
   const ServerHealth &Health_;
   const AdviceBook &Advice_;
@@ -103,7 +106,7 @@
 
   std::map<TaskKey, FailedAt> Failed_;
   ReadyTimes Waits_;
-  RoomSurvey Survey_{Effects_, Health_};
+  RoomSurvey Survey_{Effects_, Loads_, Health_};
   std::set<TaskKey> Taken_; ///< Proposed, not applied yet.
   Stragglers Stragglers_;
   ServiceOrder Order_;
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -153,7 +153,7 @@
   PaceGuard Paces_;
   ServerHealth Health_;
   AdviceBook Advice_;
-  Dispatcher Dispatcher_{Effects_, Paces_, Health_, Advice_};
+  Dispatcher Dispatcher_{Effects_, Loads_, Paces_, Health_, Advice_};
   PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Loads_, Paces_};
   Newcomers Newcomers_;
   bool IsAsking_ = false; ///< A question to the advice service is open.
--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -18,13 +18,16 @@
 static constexpr std::uint64_t PaceScatter = 25;
 static constexpr std::uint64_t Percent = 100;
 
+static StepKey getKey(const RunningTask &Running) {
+  return {Running.Task_.Job_, Running.Task_.Occurrence_, Running.Task_.Step_};
+}
+
 /// A task that is not at work yet has no tail.
 void PaceSetter::learn(const RunningTask &Running, const StepSpec &Step,
                        const FillingUse &Use) {
   if (Running.Measure_ == 0)
     return;
-  const StepKey Key{Running.Task_.Job_, Running.Task_.Occurrence_,
-                    Running.Task_.Step_};
+  const StepKey Key = getKey(Running);
   const double LogTail =
       std::log(double(Running.Measure_) / double(Step.TailTargetMs_));
   if (const std::optional<double> Base = Loads_.findBase(Key))
@@ -60,6 +63,8 @@
       else
         Reading.HasOthers_ = true;
     }
+    std::int64_t Reserved = 0;
+    std::int64_t Used = 0;
     // Only now the use of all that fill is known.
     for (const auto &[Step, Running] : Tails) {
       HasServing = true;
@@ -67,7 +72,11 @@
           std::max(Reading.TailPercent_,
                    Running->Measure_ * Percent / Step->TailTargetMs_);
       learn(*Running, *Step, Use);
+      Reserved += Step->Need_.MilliCpus_;
+      Used += static_cast<std::int64_t>(double(Step->Need_.MilliCpus_) *
+                                        Loads_.getLoad(getKey(*Running)));
     }
+    Loads_.noteServer(Id, Reserved, Used);
     return 0;
   });
   if (!HasServing)
--- a/src/jobs/RoomSurvey.cpp
+++ b/src/jobs/RoomSurvey.cpp
@@ -54,8 +54,8 @@
   if (MovingImages_.empty())
     return;
   for (const Usable &Each : Servers) {
-    const std::int64_t Idle =
-        std::max<std::int64_t>(ServerRoom::measureIdle(*Each.Server_), 0);
+    const std::int64_t Idle = std::max<std::int64_t>(
+        ServerRoom::measureIdle(*Each.Server_, Loads_), 0);
     const std::set<std::string_view> Disturbing =
         Effects_.listDisturbing(Each.Server_->Serving_);
     for (const std::string &Image : MovingImages_)
--- a/src/jobs/RoomSurvey.h
+++ b/src/jobs/RoomSurvey.h
@@ -13,6 +13,7 @@
 #include "jobs/ServerBoard.h"
 #include "jobs/ServerHealth.h"
 #include "jobs/ServerRoom.h"
+#include "jobs/ServingLoads.h"
 #include "jobs/TailEffects.h"
 
 #include <limits>
@@ -27,8 +28,9 @@
 class RoomSurvey {
 public:
   /// Both must outlive it.
-  RoomSurvey(const TailEffects &Effects, const ServerHealth &Health)
-      : Effects_(Effects), Health_(Health) {}
+  RoomSurvey(const TailEffects &Effects, const ServingLoads &Loads,
+             const ServerHealth &Health)
+      : Effects_(Effects), Loads_(Loads), Health_(Health) {}
 
   // Commands.
 
@@ -64,6 +66,7 @@
                 ReadyTimes &Waits, TimePoint Now);
 
   const TailEffects &Effects_;
+  const ServingLoads &Loads_;
   const ServerHealth &Health_;
 
   /// By filling image, idle processors of servers where it disturbs nothing,
--- a/src/jobs/ServerRoom.cpp
+++ b/src/jobs/ServerRoom.cpp
@@ -3,26 +3,26 @@
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 
-/// Serving tasks reserve for their peaks; on average they use half. The best of
-/// several shares on both users' days (docs/MEASUREMENTS.md).
-static constexpr std::int64_t ServingUsePercent = 52;
-static constexpr std::int64_t Percent = 100;
-
-/// What a task is expected to use of what it reserves.
+/// What a task is expected to use of what it reserves; of one that serves,
+/// before it is heard.
 static std::int64_t getUsedCpus(const StepSpec &Step) {
-  return Step.isServing() ? Step.Need_.MilliCpus_ * ServingUsePercent / Percent
-                          : Step.Need_.MilliCpus_;
+  return Step.isServing()
+             ? static_cast<std::int64_t>(double(Step.Need_.MilliCpus_) *
+                                         ServingLoads::UsualLoad)
+             : Step.Need_.MilliCpus_;
 }
 
-std::int64_t ServerRoom::measureIdle(const ServerRecord &Server) {
+std::int64_t ServerRoom::measureIdle(const ServerRecord &Server,
+                                     const ServingLoads &Loads) {
   return Server.Facts_.Capacity_.MilliCpus_ - Server.OtherCpus_ -
-         Server.ServingCpus_ * ServingUsePercent / Percent;
+         Loads.getUsed(Server);
 }
 
-ServerRoom ServerRoom::measure(const ServerRecord &Server) {
+ServerRoom ServerRoom::measure(const ServerRecord &Server,
+                               const ServingLoads &Loads) {
   ServerRoom Left;
   Left.Free_ = Server.Facts_.Capacity_ - Server.Used_;
-  Left.Idle_ = measureIdle(Server);
+  Left.Idle_ = measureIdle(Server, Loads);
   Left.Serving_ = Server.Serving_;
   return Left;
 }
--- a/src/jobs/ServerRoom.h
+++ b/src/jobs/ServerRoom.h
@@ -4,6 +4,7 @@
 #define TULIPWEIR_SRC_JOBS_SERVERROOM_H
 
 #include "jobs/PaceGuard.h"
+#include "jobs/ServingLoads.h"
 #include "jobs/TailEffects.h"
 #include "tulipweir/jobs/JobBook.h"
 
@@ -22,9 +23,11 @@
   ServingImages Serving_; ///< How many tasks of each image serve there.
 
   /// Processors that what is placed there is expected to leave idle.
-  static std::int64_t measureIdle(const ServerRecord &Server);
+  static std::int64_t measureIdle(const ServerRecord &Server,
+                                  const ServingLoads &Loads);
   /// As of what is placed there; pace and budget are not measured.
-  static ServerRoom measure(const ServerRecord &Server);
+  static ServerRoom measure(const ServerRecord &Server,
+                            const ServingLoads &Loads);
   /// One more task of the step is placed there.
   void take(const StepSpec &Step);
 };
--- a/src/jobs/ServingLoads.cpp
+++ b/src/jobs/ServingLoads.cpp
@@ -17,10 +17,6 @@
 static constexpr double ShorterWeight = 2;
 /// Readings scatter by a tenth; half a second of a small step.
 static constexpr std::uint64_t EnoughSamples = 8;
-/// Before anything is known: serving tasks reserve for their peaks, and use
-/// half on average. The best of several shares on both users' days
-/// (docs/MEASUREMENTS.md).
-static constexpr double UsualLoad = 0.52;
 /// What serving tasks leave of their processors at their quietest: measured,
 /// they use a fifth then.
 static constexpr double MostUnused = 0.8;
--- a/src/jobs/ServingLoads.h
+++ b/src/jobs/ServingLoads.h
@@ -26,6 +26,11 @@
 /// Not thread-safe.
 class ServingLoads {
 public:
+  /// Before anything is known: serving tasks reserve for their peaks, and use
+  /// half on average. The best of several shares on both users' days
+  /// (docs/MEASUREMENTS.md).
+  static constexpr double UsualLoad = 0.52;
+
   // Commands.
 
   void reset();
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -59,10 +59,11 @@
   std::int64_t Wall_ = 1000;
   ServerBoard Board_;
   TailEffects Effects_;
+  ServingLoads Loads_;
   PaceGuard Paces_;
   ServerHealth Health_;
   AdviceBook Advice_;
-  Dispatcher Dispatcher_{Effects_, Paces_, Health_, Advice_};
+  Dispatcher Dispatcher_{Effects_, Loads_, Paces_, Health_, Advice_};
 };
 
 } // namespace
