Trial: filling work placed by the room that tails leave

Whether a filling task fits beside what serves is computed from load and weights of pairs (TailRoom), instead of a list of pairs and a budget.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -20,15 +20,11 @@
 /// more the more filling images could no longer work freely there.
 static constexpr Duration MixingPatience = 250ms;
 static constexpr Duration HarmPatience = 1500ms;
-/// How long a filling task waits for a server where it disturbs nobody.
-static constexpr Duration DisturbingPatience = 3000ms;
 /// How long a task whose run failed waits for another server: two rounds of
 /// reports.
 static constexpr Duration FailurePatience = 1s;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
-/// Where filling tasks must go slower than that, no more are added.
-static constexpr std::uint64_t LeastPace = 40;
 /// A job of which nothing runs is started somewhere after that time, where most
 /// of the processors are not reserved.
 static constexpr Duration IdleJobPatience = 1s;
@@ -72,10 +68,6 @@
   Waits_.prune(Book);
 }
 
-bool Dispatcher::isDisturbing(const StepSpec &Step, Plan &Own) const {
-  return Own.Disturbing_.has(Effects_, Own.Left_.Serving_, Step.Image_);
-}
-
 bool Dispatcher::isFit(const StepSpec &Step, Plan &Own, Duration Waited,
                        bool IsIdleJob, std::uint64_t Waiting) const {
   const ServerRoom &Left = Own.Left_;
@@ -124,12 +116,7 @@
     return true;
   if (Step.Need_.MilliCpus_ > Left.Idle_)
     return false;
-  if (Left.Serving_.empty())
-    return true;
-  if (isDisturbing(Step, Own))
-    return Step.Need_.MilliCpus_ <= Left.Budget_ &&
-           Waited >= DisturbingPatience;
-  return Left.Pace_.Others_ >= LeastPace;
+  return Own.Tails_.fits(Step.Image_, Step.Need_.MilliCpus_);
 }
 
 void Dispatcher::survey(const JobBook &Book, const ServerBoard &Board,
@@ -161,12 +148,10 @@
     return {};
   if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return {};
-  Plan Own{
-      *Server, ServerRoom::measure(*Server, Loads_), Now, {}, MostStartsAtOnce,
-      {}};
+  Plan Own{*Server,          ServerRoom::measure(*Server, Loads_), Now, {},
+           MostStartsAtOnce, TailRoom(Effects_, Loads_, *Server)};
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
-  addBudget(Own);
   Order_.update(Book, Waits_, Now, Wall);
   for (const Candidate &Each : Order_.candidates()) {
     if (isFull(Own))
@@ -217,18 +202,6 @@
           Left.Idle_ < Least.FillingCpus_);
 }
 
-void Dispatcher::addBudget(Plan &Own) const {
-  const ServerRecord &Server = Own.Server_;
-  ServerRoom &Left = Own.Left_;
-  Left.Pace_ = Paces_.getPace(Server.Facts_.Id_);
-  Left.Budget_ =
-      static_cast<std::int64_t>(Paces_.getBudget(Server.Facts_.Id_) *
-                                double(Server.Facts_.Capacity_.MilliCpus_));
-  for (const auto &[Image, Cpus] : Server.FillingCpus_)
-    if (Effects_.isDisturbingAny(Left.Serving_, Image))
-      Left.Budget_ -= Cpus;
-}
-
 bool Dispatcher::isAdvised(const JobRecord &Job, const TaskKey &Task,
                            const std::string &ServerId, TimePoint Now) const {
   return !Job.Policy_.Advice_.IsNeeded_ ||
@@ -272,11 +245,9 @@
     Own.Starts_.push_back(Start);
     Taken_.insert(Start.Task_);
     IsIdleJob = false;
-    if (Step.Fills_ && isDisturbing(Step, Own))
-      Own.Left_.Budget_ -= Step.Need_.MilliCpus_;
     Own.Left_.take(Step);
-    if (Step.isServing())
-      Own.Disturbing_.forget();
+    if (Step.Fills_)
+      Own.Tails_.take(Step.Image_, Step.Need_.MilliCpus_);
     ++Beside;
   }
 }
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -20,6 +20,7 @@
 #include "jobs/ServiceOrder.h"
 #include "jobs/Stragglers.h"
 #include "jobs/TailEffects.h"
+#include "jobs/TailRoom.h"
 
 #include <set>
 
@@ -72,16 +73,14 @@
     TimePoint Now_;
     std::vector<TaskStart> Starts_;
     std::size_t MostStarts_;
-    DisturbingImages Disturbing_; ///< Of what serves there.
+    TailRoom Tails_; ///< What the tasks that serve there still bear.
   };
 
   bool isFull(const Plan &Own) const;
   /// Whether the step may run there as far as the advice service is asked.
   bool isAdvised(const JobRecord &Job, const TaskKey &Task,
                  const std::string &ServerId, TimePoint Now) const;
-  void addBudget(Plan &Own) const;
   void planCopies(const JobBook &Book, Plan &Own);
-  bool isDisturbing(const StepSpec &Step, Plan &Own) const;
   void planStep(const JobBook &Book, const ReadyStep &Ready, Plan &Own);
   /// IsIdleJob: nothing of the job runs.
   bool isFit(const StepSpec &Step, Plan &Own, Duration Waited, bool IsIdleJob,
--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -36,6 +36,19 @@
               Time_.now());
 }
 
+void PaceSetter::noteLoad(const RunningTask &Running, const StepSpec &Step,
+                          ServingUse &Use) const {
+  const StepKey Key = getKey(Running);
+  Use.Reserved_ += Step.Need_.MilliCpus_;
+  Use.Used_ += static_cast<std::int64_t>(double(Step.Need_.MilliCpus_) *
+                                         Loads_.getLoad(Key));
+  const std::optional<double> Base = Loads_.findBase(Key);
+  if (!Base)
+    return;
+  const auto [Worst, IsFirst] = Use.WorstBases_.try_emplace(Step.Image_, *Base);
+  Worst->second = std::max(Worst->second, *Base);
+}
+
 void PaceSetter::note(const ServerReport &Report) {
   const std::string &Id = Report.Facts_.Id_;
   TailReading Reading;
@@ -63,8 +76,7 @@
       else
         Reading.HasOthers_ = true;
     }
-    std::int64_t Reserved = 0;
-    std::int64_t Used = 0;
+    ServingUse Serving;
     // Only now the use of all that fill is known.
     for (const auto &[Step, Running] : Tails) {
       HasServing = true;
@@ -72,11 +84,9 @@
           std::max(Reading.TailPercent_,
                    Running->Measure_ * Percent / Step->TailTargetMs_);
       learn(*Running, *Step, Use);
-      Reserved += Step->Need_.MilliCpus_;
-      Used += static_cast<std::int64_t>(double(Step->Need_.MilliCpus_) *
-                                        Loads_.getLoad(getKey(*Running)));
+      noteLoad(*Running, *Step, Serving);
     }
-    Loads_.noteServer(Id, Reserved, Used);
+    Loads_.noteServer(Id, std::move(Serving));
     return 0;
   });
   if (!HasServing)
--- a/src/jobs/PaceSetter.h
+++ b/src/jobs/PaceSetter.h
@@ -38,6 +38,8 @@
 private:
   void learn(const RunningTask &Running, const StepSpec &Step,
              const FillingUse &Use);
+  void noteLoad(const RunningTask &Running, const StepSpec &Step,
+                ServingUse &Use) const;
 
   const Clock &Time_;
   const JobMachine &Machine_;
--- a/src/jobs/ServingLoads.cpp
+++ b/src/jobs/ServingLoads.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -23,6 +24,8 @@
 /// While the tails of an image were seen to differ by less (a factor of 1.6),
 /// nobody knows which load they go with.
 static constexpr double TellingRange = 0.5;
+/// Of a task that is not heard yet: half of its target.
+static const double UsualBase = std::log(0.5);
 static constexpr double LeastLoad = 0.1;
 static constexpr double MostLoad = 0.95;
 
@@ -55,9 +58,8 @@
   Seen->second.Highest_ = std::max(Seen->second.Highest_, Own.Base_);
 }
 
-void ServingLoads::noteServer(const std::string &ServerId,
-                              std::int64_t Reserved, std::int64_t Used) {
-  Servers_[ServerId] = {Reserved, Used};
+void ServingLoads::noteServer(const std::string &ServerId, ServingUse Use) {
+  Servers_[ServerId] = std::move(Use);
 }
 
 void ServingLoads::prune(const JobBook &Book) {
@@ -90,10 +92,21 @@
   return std::clamp(Load, LeastLoad, MostLoad);
 }
 
+double ServingLoads::getWorstBase(const std::string &ServerId,
+                                  const std::string &Image) const {
+  const auto Server = Servers_.find(ServerId);
+  if (Server == Servers_.end())
+    return UsualBase;
+  const auto Found = Server->second.WorstBases_.find(Image);
+  return Found == Server->second.WorstBases_.end() ? UsualBase : Found->second;
+}
+
 std::int64_t ServingLoads::getUsed(const ServerRecord &Server) const {
   const auto Found = Servers_.find(Server.Facts_.Id_);
-  const ServerUse Known = Found == Servers_.end() ? ServerUse{} : Found->second;
+  const bool IsKnown = Found != Servers_.end();
+  const std::int64_t Reserved = IsKnown ? Found->second.Reserved_ : 0;
+  const std::int64_t Used = IsKnown ? Found->second.Used_ : 0;
   // What came since the last report counts as usual; so does what has gone.
-  const std::int64_t Rest = Server.ServingCpus_ - Known.Reserved_;
-  return Known.Used_ + static_cast<std::int64_t>(double(Rest) * UsualLoad);
+  const std::int64_t Rest = Server.ServingCpus_ - Reserved;
+  return Used + static_cast<std::int64_t>(double(Rest) * UsualLoad);
 }
--- a/src/jobs/ServingLoads.h
+++ b/src/jobs/ServingLoads.h
@@ -23,6 +23,15 @@
 
 namespace tulipweir::jobs {
 
+/// The serving tasks of one server, by its last report; processors in
+/// thousandths.
+struct ServingUse {
+  std::int64_t Reserved_ = 0;
+  std::int64_t Used_ = 0; ///< As is expected by their load.
+  /// By image, the longest tail by its own load, as findBase has it.
+  std::map<std::string, double> WorstBases_;
+};
+
 /// Not thread-safe.
 class ServingLoads {
 public:
@@ -38,10 +47,8 @@
   /// known of the filling work beside it.
   void note(const StepKey &Step, const std::string &Image, double LogTail,
             TimePoint Now);
-  /// What a server's report named: the processors that its serving tasks
-  /// reserve, and what they are expected to use, thousandths.
-  void noteServer(const std::string &ServerId, std::int64_t Reserved,
-                  std::int64_t Used);
+  /// What a server's report named of its serving tasks.
+  void noteServer(const std::string &ServerId, ServingUse Use);
   /// Forgets steps and servers that are no more.
   void prune(const JobBook &Book);
 
@@ -52,6 +59,10 @@
   std::optional<double> findBase(const StepKey &Step) const;
   /// The share of what they reserve that the step's tasks use at present.
   double getLoad(const StepKey &Step) const;
+  /// The longest of the bases of the image's tasks on the server; a usual one
+  /// where that is not known.
+  double getWorstBase(const std::string &ServerId,
+                      const std::string &Image) const;
   /// The processors that the serving tasks of a server are expected to use,
   /// thousandths.
   std::int64_t getUsed(const ServerRecord &Server) const;
@@ -68,14 +79,10 @@
     double Lowest_ = 0;
     double Highest_ = 0;
   };
-  struct ServerUse {
-    std::int64_t Reserved_ = 0;
-    std::int64_t Used_ = 0;
-  };
 
   std::map<StepKey, StepLoad> Steps_;
   std::map<std::string, Range> Images_;
-  std::map<std::string, ServerUse> Servers_;
+  std::map<std::string, ServingUse> Servers_;
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -12,6 +12,10 @@
 /// Of a weight before anything is known, in units of the scatter of a report's
 /// figures (0.15): as large as the weights that are seen.
 static constexpr double FirstVariance = 1000;
+/// Of readings, logarithm.
+static constexpr double Scatter = 0.15;
+/// Of a pair that was not seen together: half of those that disturb.
+static constexpr double UnknownWeight = 4;
 /// A sample counts half after 1,400 more: some ten seconds.
 static constexpr double Fading = 0.9995;
 /// Below that share of a server no filling image has shown an effect.
@@ -99,6 +103,26 @@
         std::min(Own.Covariance_[At * Size + At], 2 * FirstVariance);
 }
 
+double TailEffects::getTelling(double Share) {
+  return std::max(Share - IdleShare, 0.0);
+}
+
+double TailEffects::getWeight(const std::string &Serving,
+                              const std::string &Filling) const {
+  const auto Found = Models_.find(Serving);
+  const auto Position = Positions_.find(Filling);
+  const bool IsKnown = Found != Models_.end() && Position != Positions_.end() &&
+                       Position->second < Found->second.Weights_.size();
+  if (!IsKnown)
+    return UnknownWeight;
+  const Model &Own = Found->second;
+  const std::size_t At = Position->second;
+  const double Weight = std::max(Own.Weights_[At], 0.0);
+  const double Doubt =
+      Scatter * std::sqrt(Own.Covariance_[At * Own.Weights_.size() + At]);
+  return std::min(Weight + Doubt, std::max(Weight, UnknownWeight));
+}
+
 double TailEffects::predict(const std::string &Serving,
                             const FillingUse &Use) const {
   const auto Found = Models_.find(Serving);
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -44,6 +44,12 @@
 
   /// By how much the logarithm of the tail is expected to grow.
   double predict(const std::string &Serving, const FillingUse &Use) const;
+  /// What the weight of the pair may well be: what was learned and a little
+  /// more, the more the less is known.
+  double getWeight(const std::string &Serving,
+                   const std::string &Filling) const;
+  /// The part of a share of a server's processors that tells.
+  static double getTelling(double Share);
   /// Whether enough samples came for effects to mean something.
   bool hasLearned() const;
   /// Whether the filling image is known to lengthen the serving image's tail.
