--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -116,7 +116,8 @@
     return true;
   if (Step.Need_.MilliCpus_ > Left.Idle_)
     return false;
-  return Own.Tails_.fits(Step.Image_, Step.Need_.MilliCpus_);
+  return Paces_.getGuarded(Own.Server_.Facts_.Id_) == PaceGuard::FullPace &&
+         Own.Tails_.fits(Step.Image_, Step.Need_.MilliCpus_);
 }
 
 void Dispatcher::survey(const JobBook &Book, const ServerBoard &Board,
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -36,7 +36,8 @@
     return Progress.Percent_ < Percent && Still >= StallOfLasting;
   if (!Step.Fills_)
     return true;
-  return Still >= StallOfFilling && Paces_.getPace(Server) == FillingPace{};
+  return Still >= StallOfFilling &&
+         Paces_.getLeast(Server) == PaceGuard::FullPace;
 }
 
 /// Whether so few others of the step are away that this task may be, too.
@@ -98,8 +99,7 @@
   const bool IsSlow =
       Step.Fills_ && Step.Checkpointing_ &&
       Running.Percent_ < LeastPercentToStay &&
-      Paces_.getPace(Server.Facts_.Id_).Disturbing_ < LeastPaceToStay &&
-      Effects_.isDisturbingAny(Server.Serving_, Step.Image_);
+      Paces_.getPace(Server.Facts_.Id_, Step.Image_) < LeastPaceToStay;
   if (!IsSlow || !Dispatcher_.takeSafeRoom(Step))
     return false;
   Meter_.add(Counted::TasksMoved, 1);
--- a/src/jobs/PaceGuard.cpp
+++ b/src/jobs/PaceGuard.cpp
@@ -1,6 +1,7 @@
 #include "jobs/PaceGuard.h"
 
 #include <algorithm>
+#include <utility>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -9,59 +10,58 @@
 /// A tail is measured over half a second, and a pace is in force 100 ms after
 /// the server was told: only a later report shows the effect.
 static constexpr Duration EffectTime = 650ms;
-/// Of a server's processors, for all that disturbs: measured, tails begin to
-/// grow between a tenth and an eighth.
-static constexpr double UsualBudget = 0.09;
-/// All of it while the worst tail is below the first, nothing from the second.
-static constexpr std::uint64_t LowPercent = 60;
-static constexpr std::uint64_t ClosePercent = 95;
-static constexpr std::uint64_t OverPercent = 100;
+/// Bounds the influence of a wild figure, percent of the target.
 static constexpr std::uint64_t FarOverPercent = 200;
-/// Bounds and steps of the part of the budget that is given out.
-static constexpr double LeastTrust = 0.2;
-static constexpr double MostTrust = 1.2;
-static constexpr double TrustStep = 0.1;
-/// For so long a tail may be over its target before tasks that are not known to
-/// disturb are slowed; a fraction of the time after which it counts as harm.
-static constexpr Duration OthersPatience = 1500ms;
+/// For so long a tail may be over its target before all that fills is slowed; a
+/// fraction of the time after which it counts as harm.
+static constexpr Duration Patience = 1500ms;
 /// Figures are rough: what counts as over is a smoothed tail near the target or
 /// beyond. The weight makes it follow within two to three reports.
 static constexpr double GoodPercent = 92;
 static constexpr double NewestWeight = 0.4;
-/// After so long over, others are slowed also where some that disturb work yet.
-static constexpr Duration BlamePatience = 2500ms;
-/// What is left to others in the first step; the second stops them, so that
+/// What is left in the first step; the second stops all that fills, so that
 /// both have their effect within the time after which it counts as harm.
-static constexpr std::uint64_t OthersFirstStep = 25;
-static constexpr std::uint64_t FullPace = 100;
+static constexpr std::uint64_t FirstStep = 25;
 static constexpr std::uint64_t StepUp = 34;
-/// Below that filling work is not worth its disturbance.
-static constexpr std::uint64_t LeastPace = 10;
 /// Smaller changes of a pace are not worth an order.
-static constexpr std::uint64_t SmallChange = 8;
+static constexpr std::uint64_t SmallChange = 10;
 /// A changed pace is repeated for so long, as answers may be lost.
 static constexpr Duration TellFor = 2s;
 
 static bool isClose(std::uint64_t Left, std::uint64_t Right) {
-  const bool IsEdge = Left == 0 || Right == 0;
+  const auto IsEdge = [](std::uint64_t Pace) {
+    return Pace == 0 || Pace == PaceGuard::FullPace;
+  };
   return Left == Right ||
-         (!IsEdge &&
+         (!IsEdge(Left) && !IsEdge(Right) &&
           std::max(Left, Right) - std::min(Left, Right) < SmallChange);
 }
 
-double PaceGuard::getBudget(const Level &Own) {
-  const std::uint64_t Tail = std::clamp(
-      std::max(Own.TailPercent_, static_cast<std::uint64_t>(Own.Smoothed_)),
-      LowPercent, ClosePercent);
-  return UsualBudget * Own.Trust_ * double(ClosePercent - Tail) /
-         double(ClosePercent - LowPercent);
+static std::uint64_t findPace(const ImagePaces &In, const std::string &Image) {
+  const auto Found = In.find(Image);
+  return Found == In.end() ? PaceGuard::FullPace : Found->second;
+}
+
+/// Takes over what is worth an order; whether anything was.
+bool PaceGuard::follow(Level &Own, const ImagePaces &Planned) {
+  bool IsAnyChanged = false;
+  ImagePaces Next = Planned;
+  for (auto &[Image, Pace] : Next) {
+    const std::uint64_t Before = findPace(Own.Planned_, Image);
+    if (isClose(Before, Pace))
+      Pace = Before;
+    IsAnyChanged = IsAnyChanged || Pace != Before;
+  }
+  for (const auto &[Image, Before] : Own.Planned_)
+    IsAnyChanged = IsAnyChanged || findPace(Next, Image) != Before;
+  Own.Planned_ = std::move(Next);
+  return IsAnyChanged;
 }
 
 void PaceGuard::note(const std::string &ServerId, const TailReading &Reading,
-                     TimePoint Now) {
+                     const ImagePaces &Planned, TimePoint Now) {
   const auto [Place, IsNew] = Servers_.try_emplace(ServerId);
   Level &Own = Place->second;
-  Own.TailPercent_ = Reading.TailPercent_;
   const auto Bounded =
       static_cast<double>(std::min(Reading.TailPercent_, FarOverPercent));
   Own.Smoothed_ =
@@ -71,55 +71,51 @@
     Own.GoodUntil_ = Now;
   if (IsNew)
     Own.CorrectedAt_ = Now;
-  const FillingPace Before = Own.Pace_;
+  const std::uint64_t Before = Own.Guarded_;
   if (Now - Own.CorrectedAt_ >= EffectTime)
     correct(Own, Reading, Now);
-  std::uint64_t Pace = FullPace;
-  if (Reading.Disturbing_ > 0)
-    Pace = std::min(
-        FullPace, static_cast<std::uint64_t>(double(FullPace) * getBudget(Own) /
-                                             Reading.Disturbing_));
-  if (Pace < LeastPace)
-    Pace = 0;
-  if (!isClose(Pace, Own.Pace_.Disturbing_))
-    Own.Pace_.Disturbing_ = Pace;
-  if (!(Own.Pace_ == Before))
+  if (follow(Own, Planned) || Own.Guarded_ != Before)
     Own.ChangedAt_ = Now;
 }
 
 /// What the tails show after the last correction had its effect.
 void PaceGuard::correct(Level &Own, const TailReading &Reading, TimePoint Now) {
-  const std::uint64_t Tail = Reading.TailPercent_;
-  const double TrustBefore = Own.Trust_;
-  const std::uint64_t OthersBefore = Own.Pace_.Others_;
-  const bool MayBlame = Reading.Disturbing_ > 0 && Own.Pace_.Disturbing_ > 0;
-  if (Tail >= OverPercent && MayBlame)
-    Own.Trust_ =
-        std::max(Own.Trust_ * (Tail >= FarOverPercent ? 0.4 : 0.7), LeastTrust);
-  else if (Tail < LowPercent)
-    Own.Trust_ = std::min(Own.Trust_ + TrustStep, MostTrust);
+  const std::uint64_t Before = Own.Guarded_;
   const Duration Over = Now - Own.GoodUntil_;
-  if (Reading.HasOthers_ && Over >= (MayBlame ? BlamePatience : OthersPatience))
-    Own.Pace_.Others_ =
-        Own.Pace_.Others_ > OthersFirstStep ? OthersFirstStep : 0;
+  if (Reading.HasFilling_ && Over >= Patience)
+    Own.Guarded_ = Own.Guarded_ > FirstStep ? FirstStep : 0;
   else if (Over <= Duration(0))
-    Own.Pace_.Others_ = std::min(Own.Pace_.Others_ + StepUp, FullPace);
-  if (Own.Trust_ != TrustBefore || Own.Pace_.Others_ != OthersBefore)
+    Own.Guarded_ = std::min(Own.Guarded_ + StepUp, FullPace);
+  if (Own.Guarded_ != Before)
     Own.CorrectedAt_ = Now;
 }
 
-double PaceGuard::getBudget(const std::string &ServerId) const {
+std::uint64_t PaceGuard::getPace(const std::string &ServerId,
+                                 const std::string &Image) const {
+  const auto Found = Servers_.find(ServerId);
+  if (Found == Servers_.end())
+    return FullPace;
+  return std::min(findPace(Found->second.Planned_, Image),
+                  Found->second.Guarded_);
+}
+
+std::uint64_t PaceGuard::getGuarded(const std::string &ServerId) const {
   const auto Found = Servers_.find(ServerId);
-  return Found == Servers_.end() ? UsualBudget : getBudget(Found->second);
+  return Found == Servers_.end() ? FullPace : Found->second.Guarded_;
 }
 
-FillingPace PaceGuard::getPace(const std::string &ServerId) const {
+std::uint64_t PaceGuard::getLeast(const std::string &ServerId) const {
   const auto Found = Servers_.find(ServerId);
-  return Found == Servers_.end() ? FillingPace{} : Found->second.Pace_;
+  if (Found == Servers_.end())
+    return FullPace;
+  std::uint64_t Least = Found->second.Guarded_;
+  for (const auto &[Image, Pace] : Found->second.Planned_)
+    Least = std::min(Least, Pace);
+  return Least;
 }
 
 bool PaceGuard::isToBeTold(const std::string &ServerId, TimePoint Now) const {
   const auto Found = Servers_.find(ServerId);
-  return Found != Servers_.end() && (!(Found->second.Pace_ == FillingPace{}) ||
+  return Found != Servers_.end() && (getLeast(ServerId) < FullPace ||
                                      Now - Found->second.ChangedAt_ < TellFor);
 }
--- a/src/jobs/PaceGuard.h
+++ b/src/jobs/PaceGuard.h
@@ -1,12 +1,10 @@
 //===- PaceGuard.h - Filling work beside work that serves ------*- C++ -*-===//
 //
-// Some filling tasks lengthen the response times of tasks that serve beside
-// them. Nobody declares which; measured, a pair of images either does so or not
-// at all, and one that does shows little until it uses about a tenth of a
-// server's processors, beyond which the tail grows many times over. So those
-// known to disturb share a budget of processors, smaller the nearer a tail is
-// to its target, and the others work at full speed unless a tail stays over its
-// target although nothing that disturbs is left. Pure.
+// How fast filling tasks work on each server. A plan comes from what is known
+// of pairs and loads (planPaces); this keeps it, follows only changes that are
+// worth an order, and guards against what the plan does not know: a tail that
+// stays over its target all the same slows everything that fills beside it, in
+// two steps, until it is well again. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -21,54 +19,53 @@
 
 namespace tulipweir::jobs {
 
+/// By filling image, the percent of their speed at which its tasks may work;
+/// the full speed for those that are not named.
+using ImagePaces = std::map<std::string, std::uint64_t>;
+
 /// What one report says of a server where something serves.
 struct TailReading {
   std::uint64_t TailPercent_ = 0; ///< The worst tail, of its target.
-  /// What filling tasks that are known to disturb ask for, as a share of the
-  /// server's processors.
-  double Disturbing_ = 0;
-  bool HasOthers_ = false; ///< Other filling tasks.
-};
-
-/// Percent of their speed.
-struct FillingPace {
-  std::uint64_t Disturbing_ = 100;
-  std::uint64_t Others_ = 100;
-  bool operator==(const FillingPace &) const = default;
+  bool HasFilling_ = false;       ///< Something fills there that may work.
 };
 
 /// Not thread-safe.
 class PaceGuard {
 public:
+  static constexpr std::uint64_t FullPace = 100;
+
   // Commands.
 
   void reset() { Servers_.clear(); }
   /// Nothing serves there, or the server is gone.
   void forget(const std::string &ServerId) { Servers_.erase(ServerId); }
   void note(const std::string &ServerId, const TailReading &Reading,
-            TimePoint Now);
+            const ImagePaces &Planned, TimePoint Now);
 
   // Queries.
 
-  FillingPace getPace(const std::string &ServerId) const;
-  /// The share of the server's processors that disturbing tasks may use.
-  double getBudget(const std::string &ServerId) const;
-  /// Whether the server has to be told the pace: it is not the full one, or was
-  /// not a moment ago.
+  std::uint64_t getPace(const std::string &ServerId,
+                        const std::string &Image) const;
+  /// What the guard leaves to all that fills on the server; the full speed
+  /// while no tail stays over its target.
+  std::uint64_t getGuarded(const std::string &ServerId) const;
+  /// The least pace of any image there.
+  std::uint64_t getLeast(const std::string &ServerId) const;
+  /// Whether the server has to be told paces: some are not the full one, or
+  /// were not a moment ago.
   bool isToBeTold(const std::string &ServerId, TimePoint Now) const;
 
 private:
   struct Level {
-    FillingPace Pace_;
-    double Trust_ = 1; ///< The part of the usual budget that is given out.
-    std::uint64_t TailPercent_ = 0; ///< As last reported.
+    ImagePaces Planned_;
+    std::uint64_t Guarded_ = FullPace;
     double Smoothed_ = 0; ///< Of the tail: one report is a rough figure.
     TimePoint CorrectedAt_{};
     TimePoint GoodUntil_{}; ///< When a tail was last below its target.
     TimePoint ChangedAt_{};
   };
   static void correct(Level &Own, const TailReading &Reading, TimePoint Now);
-  static double getBudget(const Level &Own);
+  static bool follow(Level &Own, const ImagePaces &Planned);
 
   std::map<std::string, Level> Servers_;
 };
--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -1,5 +1,7 @@
 #include "jobs/PaceSetter.h"
 
+#include "jobs/PacePlan.h"
+
 #include <algorithm>
 #include <cmath>
 #include <optional>
@@ -52,14 +54,15 @@
 void PaceSetter::note(const ServerReport &Report) {
   const std::string &Id = Report.Facts_.Id_;
   TailReading Reading;
+  ImagePaces Planned;
   bool HasServing = false;
   Machine_.read([&](const JobBook &Book) {
     const double Capacity = double(Report.Facts_.Capacity_.MilliCpus_);
     const ServerRecord *Server = Book.findServer(Id);
     if (!Server)
       return 0;
-    DisturbingImages Disturbing;
     FillingUse Use;
+    FillingUse Asked;
     std::vector<std::pair<const StepSpec *, const RunningTask *>> Tails;
     for (const RunningTask &Running : Report.Running_) {
       const StepSpec *Step = Book.findStep(Running.Task_);
@@ -69,12 +72,11 @@
         Tails.emplace_back(Step, &Running);
       if (!Step->Fills_)
         continue;
-      if (Capacity > 0)
-        Use[Step->Image_] += double(Running.Measure_) / Capacity;
-      if (Disturbing.has(Effects_, Server->Serving_, Step->Image_))
-        Reading.Disturbing_ += double(Step->Need_.MilliCpus_) / Capacity;
-      else
-        Reading.HasOthers_ = true;
+      Reading.HasFilling_ = true;
+      if (Capacity <= 0)
+        continue;
+      Use[Step->Image_] += double(Running.Measure_) / Capacity;
+      Asked[Step->Image_] += double(Step->Need_.MilliCpus_) / Capacity;
     }
     ServingUse Serving;
     // Only now the use of all that fill is known.
@@ -86,23 +88,24 @@
       learn(*Running, *Step, Use);
       noteLoad(*Running, *Step, Serving);
     }
+    Planned = planPaces(Effects_, Serving.WorstBases_, Asked);
     Loads_.noteServer(Id, std::move(Serving));
     return 0;
   });
   if (!HasServing)
     return Paces_.forget(Id);
-  const FillingPace Before = Paces_.getPace(Id);
-  Paces_.note(Id, Reading, Time_.now());
-  const FillingPace After = Paces_.getPace(Id);
+  const std::uint64_t Before = Paces_.getLeast(Id);
+  Paces_.note(Id, Reading, Planned, Time_.now());
+  const std::uint64_t After = Paces_.getLeast(Id);
   if (After == Before)
     return;
   Event Line;
   Line.Kind_ = EventKind::TaskPaced;
   Line.Server_ = Id;
-  Line.Count_ = After.Disturbing_;
+  Line.Count_ = After;
   Line.Reason_ = "worst tail at " + std::to_string(Reading.TailPercent_) +
                  "% of its target";
-  Line.Outcome_ = "others at " + std::to_string(After.Others_);
+  Line.Outcome_ = "all at most " + std::to_string(Paces_.getGuarded(Id));
   Log_.write(Line);
 }
 
@@ -120,23 +123,16 @@
   const std::string &Id = Report.Facts_.Id_;
   if (!Paces_.isToBeTold(Id, Time_.now()))
     return;
-  const FillingPace Pace = Paces_.getPace(Id);
   const TimePoint Now = Time_.now();
   std::map<TaskKey, PaceSent> Sent;
   Orders.NextReportMs_ = PacedReportMs;
   Machine_.read([&](const JobBook &Book) {
-    const ServerRecord *Server = Book.findServer(Id);
-    if (!Server)
-      return 0;
-    DisturbingImages Disturbing;
     const auto Add = [&](const TaskKey &Task, std::uint64_t Run,
                          std::optional<std::uint64_t> Used) {
       const StepSpec *Step = Book.findStep(Task);
       if (!Step || !Step->Fills_)
         return;
-      const bool Disturbs =
-          Disturbing.has(Effects_, Server->Serving_, Step->Image_);
-      const std::uint64_t Wanted = Disturbs ? Pace.Disturbing_ : Pace.Others_;
+      const std::uint64_t Wanted = Paces_.getPace(Id, Step->Image_);
       PaceSent Own{Run, 100, Now};
       const auto Before = Live.PacesSent_.find(Task);
       if (Before != Live.PacesSent_.end() && Before->second.Run_ == Run)
--- a/src/jobs/RoomSurvey.cpp
+++ b/src/jobs/RoomSurvey.cpp
@@ -54,13 +54,12 @@
   if (MovingImages_.empty())
     return;
   for (const Usable &Each : Servers) {
-    const std::int64_t Idle = std::max<std::int64_t>(
-        ServerRoom::measureIdle(*Each.Server_, Loads_), 0);
-    const std::set<std::string_view> Disturbing =
-        Effects_.listDisturbing(Each.Server_->Serving_);
-    for (const std::string &Image : MovingImages_)
-      if (Disturbing.count(Image) == 0)
-        SafeRoom_[Image] += Idle;
+    const ServerRecord &Server = *Each.Server_;
+    const std::int64_t Idle = ServerRoom::measureIdle(Server, Loads_);
+    const TailRoom Tails(Effects_, Loads_, Server);
+    for (const auto &[Image, Need] : MovingImages_)
+      if (Need <= Idle && Tails.fits(Image, Need))
+        SafeRoom_[Image] += Need;
   }
   // What waits already goes first.
   for (const ReadyStep &Ready : Book.readySteps()) {
@@ -121,7 +120,8 @@
 }
 
 bool RoomSurvey::takeSafeRoom(const StepSpec &Step) {
-  MovingImages_.insert(Step.Image_);
+  std::int64_t &Need = MovingImages_[Step.Image_];
+  Need = std::max(Need, Step.Need_.MilliCpus_);
   const auto Found = SafeRoom_.find(Step.Image_);
   if (Found == SafeRoom_.end() || Step.Need_.MilliCpus_ > Found->second)
     return false;
--- a/src/jobs/RoomSurvey.h
+++ b/src/jobs/RoomSurvey.h
@@ -15,6 +15,7 @@
 #include "jobs/ServerRoom.h"
 #include "jobs/ServingLoads.h"
 #include "jobs/TailEffects.h"
+#include "jobs/TailRoom.h"
 
 #include <limits>
 #include <map>
@@ -69,10 +70,11 @@
   const ServingLoads &Loads_;
   const ServerHealth &Health_;
 
-  /// By filling image, idle processors of servers where it disturbs nothing,
-  /// thousandths; for the images that were asked about lately.
+  /// By filling image, room on servers that would bear one more of its tasks,
+  /// thousandths of processors; for the images that were asked about lately.
   std::map<std::string, std::int64_t> SafeRoom_;
-  std::set<std::string> MovingImages_;
+  /// These, with the most that one of their tasks needs.
+  std::map<std::string, std::int64_t> MovingImages_;
   /// What is free where only that image serves, and where none does, of servers
   /// that may start something.
   std::map<std::string, std::vector<Resources>> FreeAmongEquals_;
--- a/src/jobs/ServerRoom.h
+++ b/src/jobs/ServerRoom.h
@@ -3,7 +3,6 @@
 #ifndef TULIPWEIR_SRC_JOBS_SERVERROOM_H
 #define TULIPWEIR_SRC_JOBS_SERVERROOM_H
 
-#include "jobs/PaceGuard.h"
 #include "jobs/ServingLoads.h"
 #include "jobs/TailEffects.h"
 #include "tulipweir/jobs/JobBook.h"
@@ -17,15 +16,12 @@
   Resources Free_;
   /// Processors that are expected to stay idle, thousandths.
   std::int64_t Idle_ = 0;
-  FillingPace Pace_;
-  /// Processors left to filling tasks that disturb, thousandths.
-  std::int64_t Budget_ = 0;
   ServingImages Serving_; ///< How many tasks of each image serve there.
 
   /// Processors that what is placed there is expected to leave idle.
   static std::int64_t measureIdle(const ServerRecord &Server,
                                   const ServingLoads &Loads);
-  /// As of what is placed there; pace and budget are not measured.
+  /// As of what is placed there.
   static ServerRoom measure(const ServerRecord &Server,
                             const ServingLoads &Loads);
   /// One more task of the step is placed there.
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -107,6 +107,8 @@
   return std::max(Share - IdleShare, 0.0);
 }
 
+double TailEffects::getShare(double Telling) { return Telling + IdleShare; }
+
 double TailEffects::getWeight(const std::string &Serving,
                               const std::string &Filling) const {
   const auto Found = Models_.find(Serving);
