The quietest hour of an image is looked for among its steps

Cause: a tail of a task that was just starting (10 ms) counted as the shortest for good, so every load looked too high (0.77 for 0.39).

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -242,6 +242,7 @@
       Dispatcher_.prune(Book);
       Loads_.prune(Book);
     }
+    Loads_.survey(Time_.now());
     Dispatcher_.survey(Book, Board_, Time_.now());
     return Dispatcher_.planGang(Book, Board_, Time_.now());
   });
--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -28,7 +28,7 @@
 /// A task that is not at work yet has no tail.
 void PaceSetter::learn(const RunningTask &Running, const StepSpec &Step,
                        const FillingUse &Use, bool IsTelling) {
-  if (Running.Measure_ == 0)
+  if (Running.Measure_ == 0 || Running.Percent_ < Percent)
     return;
   const StepKey Key = getKey(Running);
   const double LogTail =
--- a/src/jobs/ServingLoads.cpp
+++ b/src/jobs/ServingLoads.cpp
@@ -16,8 +16,13 @@
 /// A tail that is too long may be disturbed by what is not known yet; one that
 /// is short is not, and counts twice as much.
 static constexpr double ShorterWeight = 2;
-/// Readings scatter by a tenth; half a second of a small step.
-static constexpr std::uint64_t EnoughSamples = 8;
+/// Readings scatter by a tenth; a second of a small step.
+static constexpr std::uint64_t EnoughSamples = 16;
+/// How often the range of an image's tails is looked at, and how far an end of
+/// it that is not seen any more is forgotten in that time (logarithm): a wild
+/// figure is out of it after some ten seconds.
+static constexpr Duration SurveyInterval = 500ms;
+static constexpr double Forgetting = 0.02;
 /// What serving tasks leave of their processors at their quietest: measured,
 /// they use a fifth then.
 static constexpr double MostUnused = 0.8;
@@ -33,6 +38,7 @@
   Steps_.clear();
   Images_.clear();
   Servers_.clear();
+  NextSurvey_ = {};
 }
 
 void ServingLoads::note(const StepKey &Step, const std::string &Image,
@@ -50,12 +56,30 @@
     Weight = std::min(Weight * ShorterWeight, MostWeight);
   Own.Base_ += (LogTail - Own.Base_) * Weight;
   Own.NotedAt_ = Now;
-  if (++Own.Samples_ < EnoughSamples)
+  ++Own.Samples_;
+}
+
+/// The steps of an image are at different hours of their own, so the quietest
+/// of them is mostly near its least load.
+void ServingLoads::survey(TimePoint Now) {
+  if (Now < NextSurvey_)
     return;
-  const auto [Seen, IsFirst] =
-      Images_.try_emplace(Own.Image_, Range{Own.Base_, Own.Base_});
-  Seen->second.Lowest_ = std::min(Seen->second.Lowest_, Own.Base_);
-  Seen->second.Highest_ = std::max(Seen->second.Highest_, Own.Base_);
+  NextSurvey_ = Now + SurveyInterval;
+  std::map<std::string, Range> Present;
+  for (const auto &[Key, Own] : Steps_) {
+    if (Own.Samples_ < EnoughSamples)
+      continue;
+    const auto [Seen, IsFirst] =
+        Present.try_emplace(Own.Image_, Range{Own.Base_, Own.Base_});
+    Seen->second.Lowest_ = std::min(Seen->second.Lowest_, Own.Base_);
+    Seen->second.Highest_ = std::max(Seen->second.Highest_, Own.Base_);
+  }
+  for (const auto &[Image, Own] : Present) {
+    const auto [Seen, IsFirst] = Images_.try_emplace(Image, Own);
+    Range &Known = Seen->second;
+    Known.Lowest_ = std::min(Own.Lowest_, Known.Lowest_ + Forgetting);
+    Known.Highest_ = std::max(Own.Highest_, Known.Highest_ - Forgetting);
+  }
 }
 
 void ServingLoads::noteServer(const std::string &ServerId, ServingUse Use) {
@@ -84,7 +108,10 @@
   const auto Found = Steps_.find(Step);
   if (Found == Steps_.end() || Found->second.Samples_ < EnoughSamples)
     return UsualLoad;
-  const Range &Seen = Images_.at(Found->second.Image_);
+  const auto Image = Images_.find(Found->second.Image_);
+  if (Image == Images_.end())
+    return UsualLoad;
+  const Range &Seen = Image->second;
   if (Seen.Highest_ - Seen.Lowest_ < TellingRange)
     return UsualLoad;
   const double Load =
--- a/src/jobs/ServingLoads.h
+++ b/src/jobs/ServingLoads.h
@@ -49,6 +49,8 @@
             TimePoint Now);
   /// What a server's report named of its serving tasks.
   void noteServer(const std::string &ServerId, ServingUse Use);
+  /// Compares the steps of each image; now and then.
+  void survey(TimePoint Now);
   /// Forgets steps and servers that are no more.
   void prune(const JobBook &Book);
 
@@ -83,6 +85,7 @@
   std::map<StepKey, StepLoad> Steps_;
   std::map<std::string, Range> Images_;
   std::map<std::string, ServingUse> Servers_;
+  TimePoint NextSurvey_{};
 };
 
 } // namespace tulipweir::jobs
