A load rises no faster than loads do

Of 14,638 readings over target half were beside a pair that disturbs, some with a base that had followed the disturbed tail. Loads swing over ten seconds and more.

--- a/src/jobs/PacePlan.cpp
+++ b/src/jobs/PacePlan.cpp
@@ -11,7 +11,7 @@
 
 /// How near to its target a tail may be expected: readings scatter by a tenth,
 /// of which some tasks on a server have the worse half (logarithm).
-static constexpr double Margin = 0.05;
+static constexpr double Margin = 0.12;
 /// Below that filling work is not worth its disturbance, percent.
 static constexpr std::uint64_t LeastPace = 10;
 
--- a/src/jobs/ServingLoads.cpp
+++ b/src/jobs/ServingLoads.cpp
@@ -16,6 +16,9 @@
 /// A tail that is too long may be disturbed by what is not known yet; one that
 /// is short is not, and counts twice as much.
 static constexpr double ShorterWeight = 2;
+/// Loads swing within ten seconds and more, so that a tail grows by them in no
+/// second by more than this (logarithm); what disturbs comes at once.
+static constexpr double FastestRise = 0.4;
 /// Readings scatter by a tenth; a second of a small step.
 static constexpr std::uint64_t EnoughSamples = 16;
 /// How often the range of an image's tails is looked at, and how far an end of
@@ -49,12 +52,13 @@
     Own.Image_ = Image;
     Own.Base_ = LogTail;
   }
-  const double Part = std::chrono::duration<double>(Now - Own.NotedAt_) /
-                      std::chrono::duration<double>(FollowTime);
-  double Weight = std::clamp(Part, LeastWeight, MostWeight);
+  const std::chrono::duration<double> Since = Now - Own.NotedAt_;
+  double Weight = std::clamp(Since / std::chrono::duration<double>(FollowTime),
+                             LeastWeight, MostWeight);
   if (LogTail < Own.Base_)
     Weight = std::min(Weight * ShorterWeight, MostWeight);
-  Own.Base_ += (LogTail - Own.Base_) * Weight;
+  const double Change = (LogTail - Own.Base_) * Weight;
+  Own.Base_ += IsNew ? 0 : std::min(Change, Since.count() * FastestRise);
   Own.NotedAt_ = Now;
   ++Own.Samples_;
 }
--- a/src/jobs/TailRoom.cpp
+++ b/src/jobs/TailRoom.cpp
@@ -7,7 +7,7 @@
 
 /// Readings scatter by a tenth, loads rise by a fifth while a task of two
 /// seconds runs: a tail is not planned nearer to its target (logarithm).
-static constexpr double Margin = 0.15;
+static constexpr double Margin = 0.2;
 
 TailRoom::TailRoom(const TailEffects &Effects, const ServingLoads &Loads,
                    const ServerRecord &Server)
