--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -20,6 +20,8 @@
 /// more the more filling images could no longer work freely there.
 static constexpr Duration MixingPatience = 250ms;
 static constexpr Duration HarmPatience = 1500ms;
+/// How long a filling task waits for a server where it disturbs nobody.
+static constexpr Duration DisturbingPatience = 3000ms;
 /// How long a task whose run failed waits for another server: two rounds of
 /// reports.
 static constexpr Duration FailurePatience = 1s;
@@ -116,6 +118,9 @@
     return true;
   if (Step.Need_.MilliCpus_ > Left.Idle_)
     return false;
+  if (Waited < DisturbingPatience &&
+      Effects_.isDisturbingAny(Left.Serving_, Step.Image_))
+    return false;
   return Paces_.getGuarded(Own.Server_.Facts_.Id_) == PaceGuard::FullPace &&
          Own.Tails_.fits(Step.Image_, Step.Need_.MilliCpus_);
 }
