--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -116,7 +116,7 @@
   // slowly.
   if (IsIdleJob && Survey_.isRoomy() && Waited >= IdleJobPatience)
     return true;
-  if (Step.Need_.MilliCpus_ > Left.Idle_)
+  if (Step.Need_.MilliCpus_ > Left.Idle_ - Left.KeptIdle_)
     return false;
   if (Waited < DisturbingPatience &&
       Effects_.isDisturbingAny(Left.Serving_, Step.Image_))
--- a/src/jobs/ServerRoom.cpp
+++ b/src/jobs/ServerRoom.cpp
@@ -21,9 +21,8 @@
   std::int64_t Filling = 0;
   for (const auto &[Image, Cpus] : Server.FillingCpus_)
     Filling += Cpus;
-  return getPart(Server.Facts_.Capacity_.MilliCpus_, MostUsed) -
-         (Server.OtherCpus_ - Filling) - getPart(Filling, UsedOfFilling) -
-         Loads.getUsed(Server);
+  return Server.Facts_.Capacity_.MilliCpus_ - (Server.OtherCpus_ - Filling) -
+         getPart(Filling, UsedOfFilling) - Loads.getUsed(Server);
 }
 
 ServerRoom ServerRoom::measure(const ServerRecord &Server,
@@ -32,6 +31,8 @@
   Left.Free_ = Server.Facts_.Capacity_ - Server.Used_;
   Left.Idle_ = measureIdle(Server, Loads);
   Left.Serving_ = Server.Serving_;
+  if (!Server.Serving_.empty())
+    Left.KeptIdle_ = getPart(Server.Facts_.Capacity_.MilliCpus_, 1 - MostUsed);
   return Left;
 }
 
--- a/src/jobs/ServerRoom.h
+++ b/src/jobs/ServerRoom.h
@@ -24,7 +24,8 @@
   Resources Free_;
   /// Processors that are expected to stay idle, thousandths.
   std::int64_t Idle_ = 0;
-  ServingImages Serving_; ///< How many tasks of each image serve there.
+  std::int64_t KeptIdle_ = 0; ///< Of these, what nothing may fill.
+  ServingImages Serving_;     ///< How many tasks of each image serve there.
 
   /// Processors that what is placed there is expected to leave idle.
   static std::int64_t measureIdle(const ServerRecord &Server,
--- a/src/jobs/ServingLoads.cpp
+++ b/src/jobs/ServingLoads.cpp
@@ -25,15 +25,16 @@
 /// it that is not seen any more is forgotten in that time (logarithm): a wild
 /// figure is out of it after some ten seconds.
 static constexpr Duration SurveyInterval = 500ms;
-static constexpr double Forgetting = 0.02;
+static constexpr double Forgetting = 0.03;
 /// What serving tasks leave of their processors at their quietest: measured,
 /// they use a fifth then.
 static constexpr double MostUnused = 0.8;
 /// While the tails of an image were seen to differ by less (a factor of 1.6),
 /// nobody knows which load they go with.
 static constexpr double TellingRange = 0.5;
-/// Of a task that is not heard yet: half of its target.
-static const double UsualBase = std::log(0.5);
+/// Of a task that is not heard yet: a third of its target, as the middle of all
+/// was measured.
+static const double UsualBase = std::log(1.0 / 3);
 static constexpr double LeastLoad = 0.1;
 static constexpr double MostLoad = 0.95;
 
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -23,7 +23,7 @@
 static constexpr double DisturbingWeight = 2.2;
 static constexpr double HarmlessWeight = 1.2;
 /// A pair is judged by reports in which it uses at least so much.
-static constexpr double TellingShare = 0.03;
+static constexpr double TellingShare = 0.06;
 /// A few hundred reports of some tens of servers: some seconds.
 static constexpr std::uint64_t EnoughSamples = 300;
 /// Bounds a wild figure's influence.
--- /dev/null
+++ b/tests/jobs/TailLessons.h
@@ -0,0 +1,36 @@
+//===- TailLessons.h - Pairs of images as they were measured --------------===//
+
+#ifndef TULIPWEIR_TESTS_JOBS_TAILLESSONS_H
+#define TULIPWEIR_TESTS_JOBS_TAILLESSONS_H
+
+#include "jobs/TailEffects.h"
+
+#include <cmath>
+#include <random>
+#include <string>
+
+namespace tulipweir::jobs::test {
+
+/// Of a pair that disturbs, and of any other: the logarithm by which a tail
+/// grows for each whole server that fills beside it.
+inline constexpr double HeavyWeight = 5;
+inline constexpr double LightWeight = 0.3;
+
+/// Some seconds of reports of a service beside two images that fill.
+inline void teachPairs(TailEffects &Effects, const std::string &Serving,
+                       const std::string &Heavy, const std::string &Light) {
+  std::mt19937 Random(3);
+  std::uniform_real_distribution<double> Share(0.02, 0.4);
+  std::normal_distribution<double> Noise(0, 0.1);
+  for (int I = 0; I < 600; ++I) {
+    const double Much = Share(Random);
+    const double Little = Share(Random);
+    Effects.learn(
+        Serving, {{Heavy, Much}, {Light, Little}},
+        std::exp(HeavyWeight * Much + LightWeight * Little + Noise(Random)));
+  }
+}
+
+} // namespace tulipweir::jobs::test
+
+#endif // TULIPWEIR_TESTS_JOBS_TAILLESSONS_H
