What is known of pairs and loads outlives a change of leader

Cause: a new leader knew no pair; it learned some 80 of 180 within ten seconds, at the price of tails over their target. Ways: forget (as before), a replicated summary, or learning where reports are heard. The last needs no message: controls that relay reports learn from them (TailLearner), and a leader keeps what it knew. Test: JobLeaderTest.WhatAMemberHeardOfPairsHoldsOnceItLeads.

--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -63,6 +63,9 @@
   void start();
   void call(JobCall Call, Done<JobCallReply> Reply);
   void report(ServerReport Report, Done<ServerOrders> Reply);
+  /// Learns from a report that another member decides, so that it knows what
+  /// disturbs what by the time it leads itself.
+  void observe(const ServerReport &Report);
   /// Reports are waiting elsewhere for which it has no time: silence means
   /// little for a while.
   void noteBehind();
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -41,8 +41,7 @@
   Dispatcher_.reset();
   Paces_.reset();
   Advice_.reset();
-  Effects_.reset();
-  Loads_.reset();
+  // What is known of pairs and loads holds whoever leads.
   Health_.reset();
   Newcomers_.reset();
   Leaving_.clear();
@@ -109,6 +108,7 @@
     noteBehind();
   Watch_.poll();
   watchClock();
+  keepLoads();
   if (isLeading()) {
     removeLapsed();
     explainWaits();
@@ -124,6 +124,19 @@
   });
 }
 
+/// Also where another leads: reports that it decides teach this member, too.
+void JobLeader::Impl::keepLoads() {
+  const TimePoint Now = Time_.now();
+  Loads_.survey(Now);
+  if (Now < NextForgetting_)
+    return;
+  NextForgetting_ = Now + PruneInterval;
+  Machine_.read([this](const JobBook &Book) {
+    Loads_.prune(Book);
+    return 0;
+  });
+}
+
 /// Due times follow the wall clock, which may be set at any moment.
 void JobLeader::Impl::watchClock() {
   const Duration Offset =
@@ -240,9 +253,7 @@
     if (Time_.now() >= NextPrune_) {
       NextPrune_ = Time_.now() + PruneInterval;
       Dispatcher_.prune(Book);
-      Loads_.prune(Book);
     }
-    Loads_.survey(Time_.now());
     Dispatcher_.survey(Book, Board_, Time_.now());
     return Dispatcher_.planGang(Book, Board_, Time_.now());
   });
@@ -281,6 +292,7 @@
 void JobLeader::report(ServerReport Report, Done<ServerOrders> Reply) {
   Impl_->report(std::move(Report), std::move(Reply));
 }
+void JobLeader::observe(const ServerReport &Report) { Impl_->observe(Report); }
 void JobLeader::noteBehind() { Impl_->noteBehind(); }
 void JobLeader::leave(const std::string &ServerId, Done<void> Reply) {
   Impl_->leave(ServerId, std::move(Reply));
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -42,6 +42,7 @@
   void start() { tick(); }
   void call(JobCall Call, Done<JobCallReply> Reply);
   void report(ServerReport Report, Done<ServerOrders> Reply);
+  void observe(const ServerReport &Report);
   void noteBehind();
   void leave(const std::string &ServerId, Done<void> Reply);
   void putConfiguration(Configuration Value, Done<void> Reply);
@@ -71,6 +72,7 @@
   void endLeading();
   void tick();
   void watchClock();
+  void keepLoads();
   void explainWaits();
   void removeLapsed();
   void openDue();
@@ -150,15 +152,17 @@
   ServerBoard Board_;
   TailEffects Effects_;
   ServingLoads Loads_;
+  TailLearner Learner_{Effects_, Loads_};
   PaceGuard Paces_;
   ServerHealth Health_;
   AdviceBook Advice_;
   Dispatcher Dispatcher_{Effects_, Loads_, Paces_, Health_, Advice_};
-  PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Loads_, Paces_};
+  PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Learner_, Paces_};
   Newcomers Newcomers_;
   bool IsAsking_ = false; ///< A question to the advice service is open.
   TimePoint NextQuestion_{};
   TimePoint NextPrune_{};
+  TimePoint NextForgetting_{}; ///< Of the loads of what is no more.
   WaveKeeper Waves_;
   TimePoint LeadingSince_{};
   TimePoint LastTick_{};
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -33,6 +33,12 @@
   });
 }
 
+void JobLeader::Impl::observe(const ServerReport &Report) {
+  Machine_.read([&](const JobBook &Book) {
+    return Learner_.learn(Book, Report, Time_.now());
+  });
+}
+
 void JobLeader::Impl::report(ServerReport Report, Done<ServerOrders> Reply) {
   if (!isLeading())
     return Reply(makeNotLeading());
--- a/src/jobs/PaceSetter.h
+++ b/src/jobs/PaceSetter.h
@@ -1,8 +1,8 @@
 //===- PaceSetter.h - From reported tails to orders on pace ----*- C++ -*-===//
 //
-// Turns what a server reports of its tasks into readings for PaceGuard and
-// TailEffects, and their verdicts into orders on pace for that server. An order
-// is told once, and again only where the task works as if it had not arrived.
+// Turns what a server reports of its tasks into paces, and these into orders
+// for that server. An order is told once, and again only where the task works
+// as if it had not arrived.
 //
 //===----------------------------------------------------------------------===//
 
@@ -11,8 +11,8 @@
 
 #include "jobs/PaceGuard.h"
 #include "jobs/ServerBoard.h"
-#include "jobs/ServingLoads.h"
 #include "jobs/TailEffects.h"
+#include "jobs/TailLearner.h"
 #include "tulipweir/core/EventLog.h"
 #include "tulipweir/core/Time.h"
 #include "tulipweir/jobs/JobMachine.h"
@@ -24,9 +24,9 @@
 class PaceSetter {
 public:
   PaceSetter(const Clock &Time, const JobMachine &Machine, EventLog &Log,
-             TailEffects &Effects, ServingLoads &Loads, PaceGuard &Paces)
+             const TailEffects &Effects, TailLearner &Learner, PaceGuard &Paces)
       : Time_(Time), Machine_(Machine), Log_(Log), Effects_(Effects),
-        Loads_(Loads), Paces_(Paces) {}
+        Learner_(Learner), Paces_(Paces) {}
 
   /// Learns from the tails that serving tasks report, and sets the pace of the
   /// filling tasks beside them.
@@ -36,16 +36,11 @@
                 ServerOrders &Orders) const;
 
 private:
-  void learn(const RunningTask &Running, const StepSpec &Step,
-             const FillingUse &Use, bool IsTelling);
-  void noteLoad(const RunningTask &Running, const StepSpec &Step,
-                ServingUse &Use) const;
-
   const Clock &Time_;
   const JobMachine &Machine_;
   EventLog &Log_;
-  TailEffects &Effects_;
-  ServingLoads &Loads_;
+  const TailEffects &Effects_;
+  TailLearner &Learner_;
   PaceGuard &Paces_;
 };
 
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -330,6 +330,7 @@
             Orders.value().ReportTo_ = Self->pickRelay(*Current, Id);
           Reply(std::move(Orders));
         });
+  Current->Leader_->observe(Report);
   Relay_->add(std::move(Report), [Self = shared_from_this(), Id,
                                   Reply](Outcome<jobs::ServerOrders> Orders) {
     if (Orders && Self->isTimeToMove(Id))
--- a/tests/jobs/JobLeaderTest.cpp
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -2,6 +2,8 @@
 
 #include "jobs/LeaderFixture.h"
 
+#include <cmath>
+
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 using namespace tulipweir::jobs::test;
@@ -519,3 +521,54 @@
     Beat(1000);
   EXPECT_EQ(Paces.size(), Told + 1) << "it works on as if nothing had come";
 }
+
+TEST_F(JobLeaderTest, WhatAMemberHeardOfPairsHoldsOnceItLeads) {
+  StepSpec Serving = makeStep(1, 1000);
+  Serving.LongRunning_ = true;
+  Serving.TailTargetMs_ = 100;
+  Serving.Image_ = "s";
+  StepSpec Filling = makeStep(1, 1000);
+  Filling.Fills_ = true;
+  Filling.Image_ = "heavy";
+  call(CallKind::Submit, "serves", {Serving});
+  call(CallKind::Submit, "fills", {Filling});
+  ServerOrders Orders = report(makeReport("s1"));
+  for (int I = 0; Orders.Starts_.size() < 2 && I < 20; ++I) {
+    Strand_.advance(250ms);
+    Orders = report(makeReport("s1"));
+  }
+  ASSERT_EQ(Orders.Starts_.size(), 2U);
+  // Beside the filling task the tail grows by exp(5 * share).
+  const auto MakeReport = [&](std::uint64_t UsedCpus, double BaseMs) {
+    ServerReport Report = makeReport("s1");
+    for (const StartOrder &Each : Orders.Starts_) {
+      Report.Running_.push_back(makeRunning(Each));
+      RunningTask &Last = Report.Running_.back();
+      const bool IsServing = Each.Task_.Job_ == "serves";
+      Last.Percent_ = IsServing ? 100 : 50;
+      const double Tail = BaseMs * std::exp(5 * double(UsedCpus) / 4000);
+      Last.Measure_ = IsServing ? std::uint64_t(Tail) : UsedCpus;
+    }
+    return Report;
+  };
+  Group_.IsLeader_ = false;
+  Strand_.advance(100ms);
+  for (int I = 0; I < 600; ++I) {
+    Leader_.observe(MakeReport(std::uint64_t(50 * (I % 20)), 30));
+    Strand_.advance(50ms);
+  }
+  Group_.IsLeader_ = true;
+  ++Group_.Term_;
+  Strand_.advance(100ms);
+  // Its own load has risen; at full speed the tail would be over its target.
+  std::optional<PaceOrder> Last;
+  for (int I = 0; I < 12; ++I) {
+    const ServerOrders Told = report(MakeReport(0, 70));
+    if (!Told.Paces_.empty())
+      Last = Told.Paces_.back();
+    Strand_.advance(250ms);
+  }
+  ASSERT_TRUE(Last);
+  EXPECT_EQ(Last->Task_.Job_, "fills");
+  EXPECT_LT(Last->Percent_, 50U);
+}
