A server that leaves with work on it is waited for as long as relays keep reports

An end heard after its task began elsewhere is done twice. Now 500 ms; a server without work is not waited for. Test red before: JobLeaderTest. AnEndThatARelayKeptBehindTheLeavingIsNotDoneTwice. Also the weights of a plan are looked up once an image.

--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -9,9 +9,10 @@
 /// A server that refused a start is left alone for so long: its room is not
 /// what we think.
 static constexpr Duration RefusalPause = 500ms;
-/// How long a server that leaves is waited for: a report takes some
-/// milliseconds, also over a queue of others.
-static constexpr Duration LeavePause = 150ms;
+/// How long a server that leaves with work on it is waited for: its last report
+/// may come through a relay, which keeps it for 350 ms at most, and an end that
+/// is heard after its task began elsewhere would have come twice.
+static constexpr Duration LeavePause = 500ms;
 /// How soon a life that claims a taken address is asked again.
 static constexpr std::uint64_t NewcomerReportMs = 250;
 
@@ -19,8 +20,12 @@
   if (!isLeading())
     return Reply(makeNotLeading());
   Leaving_.insert(ServerId);
+  const bool IsEmpty = Machine_.read([&ServerId](const JobBook &Book) {
+    const ServerRecord *Server = Book.findServer(ServerId);
+    return !Server || Server->Placed_.empty();
+  });
   // Its last report may have been overtaken on the way; an end in it counts.
-  Strand_.postAfter(LeavePause, [Weak = weak_from_this(), ServerId, Reply] {
+  const auto Remove = [Weak = weak_from_this(), ServerId, Reply] {
     const std::shared_ptr<Impl> Self = Weak.lock();
     if (!Self || !Self->isLeading())
       return Reply(fail(ErrorCode::NotLeader, ""));
@@ -30,7 +35,10 @@
                            return Reply(Result.error());
                          Reply(succeed());
                        });
-  });
+  };
+  if (IsEmpty)
+    return Remove();
+  Strand_.postAfter(LeavePause, Remove);
 }
 
 void JobLeader::Impl::observe(const ServerReport &Report) {
--- a/src/jobs/TailRoom.cpp
+++ b/src/jobs/TailRoom.cpp
@@ -21,23 +21,33 @@
     take(Image, Cpus);
 }
 
-/// By how much the logarithm of the group's tail grows with the share.
-double TailRoom::getAdded(const Group &To, const std::string &Filling,
-                          double Share) const {
-  return Effects_.getWeight(*To.Image_, Filling) * Share;
+const std::vector<double> &
+TailRoom::getWeights(const std::string &Filling) const {
+  for (const auto &[Image, Weights] : Weights_)
+    if (Image == Filling)
+      return Weights;
+  std::vector<double> Weights;
+  Weights.reserve(Groups_.size());
+  for (const Group &Each : Groups_)
+    Weights.push_back(Effects_.getWeight(*Each.Image_, Filling));
+  Weights_.emplace_back(Filling, std::move(Weights));
+  return Weights_.back().second;
 }
 
 void TailRoom::take(const std::string &Filling, std::int64_t MilliCpus) {
   const double Share = double(MilliCpus) / Capacity_;
-  for (Group &Each : Groups_)
-    Each.Left_ -= getAdded(Each, Filling, Share);
+  const std::vector<double> &Weights = getWeights(Filling);
+  for (std::size_t I = 0; I < Groups_.size(); ++I)
+    Groups_[I].Left_ -= Weights[I] * Share;
 }
 
 bool TailRoom::fits(const std::string &Filling, std::int64_t MilliCpus) const {
   const double Share = double(MilliCpus) / Capacity_;
-  return std::all_of(Groups_.begin(), Groups_.end(), [&](const Group &Each) {
-    return getAdded(Each, Filling, Share) <= Each.Left_;
-  });
+  const std::vector<double> &Weights = getWeights(Filling);
+  for (std::size_t I = 0; I < Groups_.size(); ++I)
+    if (Weights[I] * Share > Groups_[I].Left_)
+      return false;
+  return true;
 }
 
 double TailRoom::getLeast() const {
--- a/src/jobs/TailRoom.h
+++ b/src/jobs/TailRoom.h
@@ -15,8 +15,8 @@
 #include "jobs/TailEffects.h"
 #include "tulipweir/jobs/JobBook.h"
 
-#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace tulipweir::jobs {
@@ -47,12 +47,14 @@
     const std::string *Image_;
     double Left_ = 0; ///< Logarithm of its target over the expected tail.
   };
-  double getAdded(const Group &To, const std::string &Filling,
-                  double Share) const;
+  /// One for each group; looked up once, as a plan asks for many tasks of few
+  /// images.
+  const std::vector<double> &getWeights(const std::string &Filling) const;
 
   const TailEffects &Effects_;
   const double Capacity_;
   std::vector<Group> Groups_;
+  mutable std::vector<std::pair<std::string, std::vector<double>>> Weights_;
 };
 
 } // namespace tulipweir::jobs
--- a/tests/jobs/JobLeaderTest.cpp
+++ b/tests/jobs/JobLeaderTest.cpp
@@ -471,6 +471,30 @@
   EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
 }
 
+TEST_F(JobLeaderTest, AnEndThatARelayKeptBehindTheLeavingIsNotDoneTwice) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  Leader_.leave("s1", [](const Outcome<void> &) {});
+  Strand_.advance(400ms);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  ServerReport Last = makeReport("s1");
+  Last.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Done)};
+  report(Last);
+  Strand_.advance(1s);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
+
+TEST_F(JobLeaderTest, AServerThatLeavesEmptyIsNotWaitedFor) {
+  report(makeReport("s1"));
+  bool HasLeft = false;
+  Leader_.leave("s1", [&HasLeft](const Outcome<void> &Result) {
+    HasLeft = Result.has_value();
+  });
+  Strand_.runAll();
+  EXPECT_TRUE(HasLeft);
+}
+
 TEST_F(JobLeaderTest, AnEndThatComesAfterTheLeavingIsNoted) {
   call(CallKind::Submit, "j", {makeStep(1, 100)});
   const ServerOrders Orders = report(makeReport("s1"));
