Servers whose paces rest report as usual; room for what moves is looked for less often

Every server with any pace reported twice as often, and every 50 ms the room of all servers was measured for what moves.

--- a/src/jobs/PaceGuard.cpp
+++ b/src/jobs/PaceGuard.cpp
@@ -114,6 +114,13 @@
   return Least;
 }
 
+bool PaceGuard::isMoving(const std::string &ServerId, TimePoint Now) const {
+  const auto Found = Servers_.find(ServerId);
+  return Found != Servers_.end() &&
+         (Found->second.Guarded_ < FullPace ||
+          Now - Found->second.ChangedAt_ < EffectTime);
+}
+
 bool PaceGuard::isToBeTold(const std::string &ServerId, TimePoint Now) const {
   const auto Found = Servers_.find(ServerId);
   return Found != Servers_.end() && (getLeast(ServerId) < FullPace ||
--- a/src/jobs/PaceGuard.h
+++ b/src/jobs/PaceGuard.h
@@ -51,6 +51,9 @@
   std::uint64_t getGuarded(const std::string &ServerId) const;
   /// The least pace of any image there.
   std::uint64_t getLeast(const std::string &ServerId) const;
+  /// Whether a pace has changed a moment ago, or the guard holds something
+  /// back: the server is better heard sooner than usual.
+  bool isMoving(const std::string &ServerId, TimePoint Now) const;
   /// Whether the server has to be told paces: some are not the full one, or
   /// were not a moment ago.
   bool isToBeTold(const std::string &ServerId, TimePoint Now) const;
--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -9,8 +9,9 @@
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
 
-/// How soon a server whose filling tasks are paced reports again: its tails are
-/// measured over half a second.
+/// How soon a server reports again whose paces are changing: its tails are
+/// measured over half a second. One whose paces rest reports as usual, or the
+/// leader would hear a sixth more.
 static constexpr std::uint64_t PacedReportMs = 250;
 /// An answer may be lost: a pace is told again after so long, where the use is
 /// off by more than the scatter of a report (percent of the need).
@@ -59,7 +60,8 @@
     return;
   const TimePoint Now = Time_.now();
   std::map<TaskKey, PaceSent> Sent;
-  Orders.NextReportMs_ = PacedReportMs;
+  if (Paces_.isMoving(Id, Now))
+    Orders.NextReportMs_ = PacedReportMs;
   Machine_.read([&](const JobBook &Book) {
     const auto Add = [&](const TaskKey &Task, std::uint64_t Run,
                          std::optional<std::uint64_t> Used) {
--- a/src/jobs/RoomSurvey.cpp
+++ b/src/jobs/RoomSurvey.cpp
@@ -10,6 +10,9 @@
 /// One server of so many is held at a time: where more work lasts than there is
 /// room for, short work goes on.
 static constexpr std::size_t ServersForAHold = 24;
+/// How often room for what moves is looked for on all servers: half a round of
+/// reports, by which nothing new is known of most.
+static constexpr Duration MovingInterval = std::chrono::milliseconds(250);
 /// Roomy: less than that part of the processors is reserved.
 static constexpr std::int64_t RoomyPercent = 70;
 
@@ -17,7 +20,10 @@
                       ReadyTimes &Waits, TimePoint Now) {
   const std::vector<Usable> Servers = surveyServers(Book, Board, Now);
   holdRoom(Book, Servers, Waits, Now);
-  surveyMoving(Book, Servers);
+  if (Now >= NextMoving_) {
+    NextMoving_ = Now + MovingInterval;
+    surveyMoving(Book, Servers);
+  }
 }
 
 std::vector<RoomSurvey::Usable>
--- a/src/jobs/RoomSurvey.h
+++ b/src/jobs/RoomSurvey.h
@@ -75,6 +75,7 @@
   std::map<std::string, std::int64_t> SafeRoom_;
   /// These, with the most that one of their tasks needs.
   std::map<std::string, std::int64_t> MovingImages_;
+  TimePoint NextMoving_{};
   /// What is free where only that image serves, and where none does, of servers
   /// that may start something.
   std::map<std::string, std::vector<Resources>> FreeAmongEquals_;
--- a/tests/jobs/PaceGuardTest.cpp
+++ b/tests/jobs/PaceGuardTest.cpp
@@ -92,6 +92,18 @@
   EXPECT_EQ(pace(), 0U) << "and so is a stop";
 }
 
+TEST_F(PaceGuardTest, AServerWhosePacesRestIsHeardAsUsual) {
+  note(50, {{"a", 50}});
+  EXPECT_TRUE(Guard_.isMoving("s", Time_));
+  for (int I = 0; I < 4; ++I)
+    note(50, {{"a", 50}});
+  EXPECT_FALSE(Guard_.isMoving("s", Time_));
+  EXPECT_TRUE(Guard_.isToBeTold("s", Time_)) << "what starts has to be told";
+  for (int I = 0; I < 10; ++I)
+    note(150, {{"a", 50}});
+  EXPECT_TRUE(Guard_.isMoving("s", Time_)) << "the guard has to see its effect";
+}
+
 TEST_F(PaceGuardTest, AChangedPaceIsRepeatedForAWhile) {
   note(50, {{"a", 50}});
   EXPECT_TRUE(Guard_.isToBeTold("s", Time_));
