--- a/src/jobs/PacePlan.cpp
+++ b/src/jobs/PacePlan.cpp
@@ -21,7 +21,8 @@
 struct Source {
   const std::string *Image_;
   double Share_ = 0;
-  double Heaviest_ = 0; ///< Of its weights.
+  std::vector<double> Weights_; ///< One for each tail.
+  double Heaviest_ = 0;         ///< Of these.
   std::uint64_t Pace_ = PaceGuard::FullPace;
 };
 
@@ -42,15 +43,14 @@
 
 /// The largest share at which the tails are as long as they may be; 0 if there
 /// is none.
-static double findShare(const TailEffects &Effects,
-                        const std::vector<Tail> &Tails, const Source &From) {
+static double findShare(const std::vector<Tail> &Tails, const Source &From) {
   double Share = From.Share_;
-  for (const Tail &Each : Tails) {
-    const double Weight = Effects.getWeight(*Each.Image_, *From.Image_);
-    if (Each.Over_ > 0 && Weight <= 0)
+  for (std::size_t I = 0; I < Tails.size(); ++I) {
+    if (Tails[I].Over_ <= 0)
+      continue;
+    if (From.Weights_[I] <= 0)
       return 0;
-    if (Each.Over_ > 0)
-      Share = std::min(Share, From.Share_ - Each.Over_ / Weight);
+    Share = std::min(Share, From.Share_ - Tails[I].Over_ / From.Weights_[I]);
   }
   return std::max(Share, 0.0);
 }
@@ -73,12 +73,13 @@
                            const FillingUse &Asked, double LeftShare) {
   std::vector<Source> Sources;
   for (const auto &[Image, Share] : Asked)
-    Sources.push_back({&Image, Share});
+    Sources.push_back({&Image, Share, {}});
   std::vector<Tail> Tails;
   for (const auto &[Image, Base] : Bases) {
     Tail Own{&Image, Base + Margin};
     for (Source &Each : Sources) {
       const double Weight = Effects.getWeight(Image, *Each.Image_);
+      Each.Weights_.push_back(Weight);
       Own.Over_ += Weight * Each.Share_;
       Each.Heaviest_ = std::max(Each.Heaviest_, Weight);
     }
@@ -91,15 +92,14 @@
   for (Source &Each : Sources) {
     if (getWorst(Tails) <= 0)
       break;
-    const double Share = findShare(Effects, Tails, Each);
+    const double Share = findShare(Tails, Each);
     Each.Pace_ = static_cast<std::uint64_t>(double(PaceGuard::FullPace) *
                                             Share / Each.Share_);
     if (Each.Pace_ < LeastPace)
       Each.Pace_ = 0;
     const double Left = Each.Pace_ == 0 ? 0 : Share;
-    for (Tail &To : Tails)
-      To.Over_ -=
-          Effects.getWeight(*To.Image_, *Each.Image_) * (Each.Share_ - Left);
+    for (std::size_t I = 0; I < Tails.size(); ++I)
+      Tails[I].Over_ -= Each.Weights_[I] * (Each.Share_ - Left);
   }
   share(Sources, LeftShare);
   ImagePaces Paces;
--- a/src/jobs/ServingLoads.cpp
+++ b/src/jobs/ServingLoads.cpp
@@ -45,14 +45,17 @@
   NextSurvey_ = {};
 }
 
-void ServingLoads::note(const StepKey &Step, const std::string &Image,
-                        double LogTail, TimePoint Now) {
+std::optional<double> ServingLoads::note(const StepKey &Step,
+                                         const std::string &Image,
+                                         double LogTail, TimePoint Now) {
   const auto [Place, IsNew] = Steps_.try_emplace(Step);
   StepLoad &Own = Place->second;
   if (IsNew) {
     Own.Image_ = Image;
     Own.Base_ = LogTail;
   }
+  const std::optional<double> Before =
+      Own.Samples_ < EnoughSamples ? std::nullopt : std::optional(Own.Base_);
   const std::chrono::duration<double> Since = Now - Own.NotedAt_;
   double Weight = std::clamp(Since / std::chrono::duration<double>(FollowTime),
                              LeastWeight, MostWeight);
@@ -62,6 +65,7 @@
   Own.Base_ += IsNew ? 0 : std::min(Change, Since.count() * FastestRise);
   Own.NotedAt_ = Now;
   ++Own.Samples_;
+  return Before;
 }
 
 /// The steps of an image are at different hours of their own, so the quietest
--- a/src/jobs/ServingLoads.h
+++ b/src/jobs/ServingLoads.h
@@ -44,9 +44,9 @@
 
   void reset();
   /// A task's reading: the logarithm of its tail over its target, less what is
-  /// known of the filling work beside it.
-  void note(const StepKey &Step, const std::string &Image, double LogTail,
-            TimePoint Now);
+  /// known of the filling work beside it. The base before it, as findBase.
+  std::optional<double> note(const StepKey &Step, const std::string &Image,
+                             double LogTail, TimePoint Now);
   /// What a server's report named of its serving tasks.
   void noteServer(const std::string &ServerId, ServingUse Use);
   /// Compares the steps of each image; now and then.
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -25,7 +25,7 @@
 /// A pair is judged by reports in which it uses at least so much.
 static constexpr double TellingShare = 0.06;
 /// A few hundred reports of some tens of servers: some seconds.
-static constexpr std::uint64_t EnoughSamples = 300;
+static constexpr std::uint64_t EnoughSamples = 100;
 /// Bounds a wild figure's influence.
 static constexpr double LeastLog = -3;
 static constexpr double MostLog = 2;
--- a/src/jobs/TailLearner.cpp
+++ b/src/jobs/TailLearner.cpp
@@ -16,19 +16,25 @@
   return {Running.Task_.Job_, Running.Task_.Occurrence_, Running.Task_.Step_};
 }
 
+/// What the tails of one image's tasks on a server have beyond their loads.
+struct TailLearner::Excess {
+  double Sum_ = 0; ///< Logarithms.
+  double Count_ = 0;
+};
+
 /// A task that is not at work yet has no tail.
 void TailLearner::noteTail(const RunningTask &Running, const StepSpec &Step,
-                           const FillingUse &Use, bool IsTelling,
-                           TimePoint Now) {
+                           double Explained, Excess &Of, TimePoint Now) {
   if (Running.Measure_ == 0 || Running.Percent_ < Percent)
     return;
-  const StepKey Key = getKey(Running);
   const double LogTail =
       std::log(double(Running.Measure_) / double(Step.TailTargetMs_));
-  if (const auto Base = Loads_.findBase(Key); Base && IsTelling)
-    Effects_.learn(Step.Image_, Use, std::exp(LogTail - *Base));
-  Loads_.note(Key, Step.Image_, LogTail - Effects_.predict(Step.Image_, Use),
-              Now);
+  const auto Base =
+      Loads_.note(getKey(Running), Step.Image_, LogTail - Explained, Now);
+  if (!Base)
+    return;
+  Of.Sum_ += LogTail - *Base;
+  ++Of.Count_;
 }
 
 void TailLearner::addLoad(const RunningTask &Running, const StepSpec &Step,
@@ -75,11 +81,21 @@
       ServerRoom::MostUsed - (Others + double(Found.Serving_.Used_)) / Capacity;
   // Where processors are short, all tails grow, whatever fills.
   const bool IsTelling = Filled <= Found.LeftShare_;
+  /// By serving image: what is explained by what fills, and what is not.
+  std::map<std::string, std::pair<double, Excess>> Beyond;
   for (const auto &[Step, Running] : Tails) {
     Found.WorstPercent_ = std::max(
         Found.WorstPercent_, Running->Measure_ * Percent / Step->TailTargetMs_);
-    noteTail(*Running, *Step, Use, IsTelling, Now);
+    const auto [Own, IsFirst] = Beyond.try_emplace(Step->Image_);
+    if (IsFirst)
+      Own->second.first = Effects_.predict(Step->Image_, Use);
+    noteTail(*Running, *Step, Own->second.first, Own->second.second, Now);
   }
+  // One sample for all tasks of an image: a learned one costs as much as all
+  // else of a report.
+  for (const auto &[Image, Own] : Beyond)
+    if (IsTelling && Own.second.Count_ > 0)
+      Effects_.learn(Image, Use, std::exp(Own.second.Sum_ / Own.second.Count_));
   Loads_.noteServer(Report.Facts_.Id_, Found.Serving_);
   return Found;
 }
--- a/src/jobs/TailLearner.h
+++ b/src/jobs/TailLearner.h
@@ -37,8 +37,10 @@
                     TimePoint Now);
 
 private:
+  struct Excess;
+
   void noteTail(const RunningTask &Running, const StepSpec &Step,
-                const FillingUse &Use, bool IsTelling, TimePoint Now);
+                double Explained, Excess &Of, TimePoint Now);
   void addLoad(const RunningTask &Running, const StepSpec &Step,
                ServingUse &To) const;
 
