--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -9,6 +9,7 @@
 #ifndef TULIPWEIR_CORE_EVENTLOG_H
 #define TULIPWEIR_CORE_EVENTLOG_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -51,6 +52,9 @@
   Evacuation,  ///< Of a data centre: begun, or over.
 };
 
+inline constexpr std::size_t EventKinds =
+    static_cast<std::size_t>(EventKind::Evacuation) + 1;
+
 /// The name of the kind as it stands in a log.
 std::string_view getEventName(EventKind Kind);
 
--- a/include/tulipweir/net/JsonEventLog.h
+++ b/include/tulipweir/net/JsonEventLog.h
@@ -62,7 +62,7 @@
   std::uint64_t Dropped_ = 0;
   std::uint64_t LeftOut_ = 0;
   std::uint64_t Lines_ = 0;
-  std::array<Budget, 32> Budgets_;
+  std::array<Budget, EventKinds> Budgets_;
 };
 
 } // namespace tulipweir::net
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -6,7 +6,7 @@
 
 std::string_view tulipweir::getEventName(EventKind Kind) {
   // In the order of the enumeration.
-  static constexpr std::array<std::string_view, 32> Names = {
+  static constexpr std::array<std::string_view, EventKinds> Names = {
       "process_started",
       "process_stopping",
       "settings_reloaded",
@@ -39,7 +39,6 @@
       "advice_taken",
       "maintenance",
       "evacuation"};
-  static_assert(Names.size() ==
-                static_cast<std::size_t>(EventKind::Evacuation) + 1);
+  static_assert(!Names.back().empty());
   return Names.at(static_cast<std::size_t>(Kind));
 }
