Read again: what nobody uses is gone; a full table of images begins anew

With what was learned kept over leaders, 64 images that came and went would have closed the table for good: a new leader then forgets it. Out: the memo of what disturbs and the list of it, which TailRoom took the place of. A comment named a time that its figure does not give.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -42,6 +42,8 @@
   Paces_.reset();
   Advice_.reset();
   // What is known of pairs and loads holds whoever leads.
+  if (Effects_.isFull())
+    Effects_.reset();
   Health_.reset();
   Newcomers_.reset();
   Leaving_.clear();
--- a/src/jobs/ServingLoads.cpp
+++ b/src/jobs/ServingLoads.cpp
@@ -22,8 +22,8 @@
 /// Readings scatter by a tenth; a second of a small step.
 static constexpr std::uint64_t EnoughSamples = 16;
 /// How often the range of an image's tails is looked at, and how far an end of
-/// it that is not seen any more is forgotten in that time (logarithm): a wild
-/// figure is out of it after some ten seconds.
+/// it that is not seen any more is forgotten in that time (logarithm): a tail
+/// of a third of the shortest is out of it after twenty seconds.
 static constexpr Duration SurveyInterval = 500ms;
 static constexpr double Forgetting = 0.03;
 /// What serving tasks leave of their processors at their quietest: measured,
@@ -38,13 +38,6 @@
 static constexpr double LeastLoad = 0.1;
 static constexpr double MostLoad = 0.95;
 
-void ServingLoads::reset() {
-  Steps_.clear();
-  Images_.clear();
-  Servers_.clear();
-  NextSurvey_ = {};
-}
-
 std::optional<double> ServingLoads::note(const StepKey &Step,
                                          const std::string &Image,
                                          double LogTail, TimePoint Now) {
--- a/src/jobs/ServingLoads.h
+++ b/src/jobs/ServingLoads.h
@@ -42,7 +42,6 @@
 
   // Commands.
 
-  void reset();
   /// A task's reading: the logarithm of its tail over its target, less what is
   /// known of the filling work beside it. The base before it, as findBase.
   std::optional<double> note(const StepKey &Step, const std::string &Image,
--- a/src/jobs/TailEffects.cpp
+++ b/src/jobs/TailEffects.cpp
@@ -154,6 +154,11 @@
   }
 }
 
+bool TailEffects::isFull() const {
+  return Positions_.size() >= MostFillingImages ||
+         Models_.size() >= MostServingImages;
+}
+
 bool TailEffects::hasLearned() const { return Samples_ >= EnoughSamples; }
 
 bool TailEffects::isDisturbing(const std::string &Serving,
@@ -169,15 +174,6 @@
   });
 }
 
-std::set<std::string_view>
-TailEffects::listDisturbing(const ServingImages &Serving) const {
-  std::set<std::string_view> Images;
-  for (const auto &[Image, Count] : Serving)
-    if (const auto Pairs = Disturbing_.find(Image); Pairs != Disturbing_.end())
-      Images.insert(Pairs->second.begin(), Pairs->second.end());
-  return Images;
-}
-
 double TailEffects::getAddedHarm(const ServingImages &Serving,
                                  const std::string &Image) const {
   if (!hasLearned() || Positions_.empty())
@@ -188,13 +184,3 @@
       ++Added;
   return double(Added) / double(Positions_.size());
 }
-
-bool DisturbingImages::has(const TailEffects &Effects,
-                           const ServingImages &Serving,
-                           const std::string &Filling) {
-  for (const auto &[Image, Disturbs] : Known_)
-    if (Image == Filling)
-      return Disturbs;
-  Known_.emplace_back(Filling, Effects.isDisturbingAny(Serving, Filling));
-  return Known_.back().second;
-}
--- a/src/jobs/TailEffects.h
+++ b/src/jobs/TailEffects.h
@@ -2,10 +2,10 @@
 //
 // For each image that serves, a linear model of the logarithm of its tail over
 // what its own load explains: a base and one weight for each filling image,
-// times the share of the server's processors that the image uses beyond a first
-// part, which measurably does nothing. Learned from every report by recursive
-// least squares; what was learned long ago fades. Figures in a report are of
-// the same half second, so each sample is complete in itself. Pure.
+// times the share of the server's processors that the image uses. Learned from
+// every report by recursive least squares; what was learned long ago fades.
+// Figures in a report are of the same half second, so each sample is complete
+// in itself. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -17,7 +17,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -48,6 +47,9 @@
   /// more, the more the less is known.
   double getWeight(const std::string &Serving,
                    const std::string &Filling) const;
+  /// Whether images that come now are no longer told apart, as too many came
+  /// before.
+  bool isFull() const;
   /// Whether enough samples came for effects to mean something.
   bool hasLearned() const;
   /// Whether the filling image is known to lengthen the serving image's tail.
@@ -56,8 +58,6 @@
   /// The same for at least one of several that serve: the keys of Serving.
   bool isDisturbingAny(const ServingImages &Serving,
                        const std::string &Filling) const;
-  /// All filling images for which that holds.
-  std::set<std::string_view> listDisturbing(const ServingImages &Serving) const;
   /// The part of the known filling images that could no longer work freely if
   /// the image came to serve beside those; 1 while little is known.
   double getAddedHarm(const ServingImages &Serving,
@@ -81,22 +81,6 @@
   std::map<std::string, std::set<std::string>> Disturbing_;
 };
 
-/// Which filling images disturb what serves on one server, each looked up once:
-/// it is asked for each of many tasks of few images. Not thread-safe.
-class DisturbingImages {
-public:
-  // Commands.
-
-  /// As TailEffects::isDisturbingAny. Effects and Serving are the same at each
-  /// call until forget; Filling must outlive that.
-  bool has(const TailEffects &Effects, const ServingImages &Serving,
-           const std::string &Filling);
-  void forget() { Known_.clear(); }
-
-private:
-  std::vector<std::pair<std::string_view, bool>> Known_;
-};
-
 } // namespace tulipweir::jobs
 
 #endif // TULIPWEIR_SRC_JOBS_TAILEFFECTS_H
--- a/tests/jobs/TailEffectsTest.cpp
+++ b/tests/jobs/TailEffectsTest.cpp
@@ -89,3 +89,18 @@
               0.1);
   EXPECT_EQ(Effects.predict("other", {{"heavy", 0.1}}), 0);
 }
+
+TEST(TailEffectsTest, AFullTableSaysSoAndBeginsAnew) {
+  TailEffects Effects;
+  EXPECT_FALSE(Effects.isFull());
+  for (int I = 0; I < 70; ++I)
+    Effects.learn("s", {{"old" + std::to_string(I), 0.2}}, 2.7);
+  EXPECT_TRUE(Effects.isFull());
+  Effects.reset();
+  EXPECT_FALSE(Effects.isFull());
+  for (int I = 0; I < 300; ++I) {
+    const double Share = 0.02 * (I % 20);
+    Effects.learn("s", {{"new", Share}}, std::exp(5 * Share));
+  }
+  EXPECT_TRUE(Effects.isDisturbing("s", "new"));
+}
