--- a/src/jobs/WaveKeeper.cpp
+++ b/src/jobs/WaveKeeper.cpp
@@ -36,16 +36,19 @@
   HasList_ = true;
   ListedAt_ = AskedAt;
   for (auto &[Vm, Own] : Ordered_) {
-    const auto Listed = Vms_.find(Vm);
     // A list that was asked for before the order says nothing of it.
     const bool IsLater = AskedAt > Own.At_;
-    const bool IsUp =
-        Listed == Vms_.end() ? IsWhole_ : Listed->second.State_ == VmState::Up;
-    if (IsLater && IsUp)
+    if (IsLater && isUp(Vm))
       Own.IsDown_ = false;
   }
 }
 
+/// Whether the VM is up, or no more: a whole list would name it.
+bool WaveKeeper::isUp(const std::string &Vm) const {
+  const auto Listed = Vms_.find(Vm);
+  return Listed == Vms_.end() ? IsWhole_ : Listed->second.State_ == VmState::Up;
+}
+
 bool WaveKeeper::isListDue(const JobBook &Book, TimePoint Now) const {
   const bool AnyDown =
       std::any_of(Ordered_.begin(), Ordered_.end(),
@@ -114,10 +117,7 @@
       const std::string Server =
           Listed == Vms_.end() ? "" : Listed->second.Server_;
       const ServerRecord *Record = Book.findServer(Server);
-      const bool IsUp = Listed == Vms_.end()
-                            ? IsWhole_
-                            : Listed->second.State_ == VmState::Up;
-      if (!IsUp && !IsUnclear)
+      if (!isUp(Vm) && !IsUnclear)
         continue;
       --Left;
       if (!Server.empty()) {
--- a/src/jobs/WaveKeeper.h
+++ b/src/jobs/WaveKeeper.h
@@ -64,6 +64,7 @@
     bool IsDown_ = false;     ///< Begun, and not seen up again since.
     bool mayBeDown() const { return IsInFlight_ || IsUnclear_ || IsDown_; }
   };
+  bool isUp(const std::string &Vm) const;
   std::uint64_t countDown(const WaveRecord &Wave) const;
   bool mayOrder(const JobBook &Book, const ServerRecord &Server,
                 TimePoint Now) const;
