The leader's metrics stand in a table of the length of their enumerations

Cause: twelve calls of the same shape, and two figures to be kept by hand. Behaviour as it was: the same names, helps and labels in the same order.

--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -3,41 +3,55 @@
 using namespace tulipweir;
 using namespace tulipweir::jobservice;
 
+namespace {
+struct CounterText {
+  const char *Name_;
+  const char *Help_;
+  const char *Labels_;
+};
+struct HistogramText {
+  const char *Name_;
+  const char *Help_;
+};
+} // namespace
+
+// Both in the order of the enumerations.
+static constexpr std::array<CounterText, JobMetrics::Counters> CounterTexts = {{
+    {"tulipweir_jobs_total", "Jobs by outcome", "outcome=\"accepted\""},
+    {"tulipweir_jobs_total", "Jobs by outcome", "outcome=\"refused\""},
+    {"tulipweir_jobs_total", "Jobs by outcome", "outcome=\"completed\""},
+    {"tulipweir_jobs_total", "Jobs by outcome", "outcome=\"failed\""},
+    {"tulipweir_jobs_total", "Jobs by outcome", "outcome=\"cancelled\""},
+    {"tulipweir_task_starts_total", "Starts of tasks", "outcome=\"placed\""},
+    {"tulipweir_task_starts_total", "Starts of tasks", "outcome=\"refused\""},
+    {"tulipweir_tasks_moved_total", "Tasks stopped to go on elsewhere", ""},
+    {"tulipweir_tasks_lapsed_total", "Tasks given up with their server", ""},
+    {"tulipweir_servers_gone_total", "Backend servers that left or fell silent",
+     ""},
+    {"tulipweir_evacuations_total", "Evacuations of data centres",
+     "outcome=\"begun\""},
+    {"tulipweir_evacuations_total", "Evacuations of data centres",
+     "outcome=\"ended\""},
+}};
+static constexpr std::array<HistogramText, JobMetrics::Histograms>
+    HistogramTexts = {{
+        {"tulipweir_job_acknowledge_seconds",
+         "From a submission's arrival to its commit"},
+        {"tulipweir_job_first_start_seconds",
+         "From a job's acceptance to its first start"},
+        {"tulipweir_job_finish_seconds", "From a job's acceptance to its end"},
+        {"tulipweir_heartbeat_answer_seconds",
+         "From a heartbeat's arrival to its answer"},
+    }};
+
 JobMetrics::JobMetrics(net::Metrics &To) {
-  // In the order of the enumerations.
-  Counters_ = {
-      &To.addCounter("tulipweir_jobs_total", "Jobs by outcome",
-                     "outcome=\"accepted\""),
-      &To.addCounter("tulipweir_jobs_total", "Jobs by outcome",
-                     "outcome=\"refused\""),
-      &To.addCounter("tulipweir_jobs_total", "Jobs by outcome",
-                     "outcome=\"completed\""),
-      &To.addCounter("tulipweir_jobs_total", "Jobs by outcome",
-                     "outcome=\"failed\""),
-      &To.addCounter("tulipweir_jobs_total", "Jobs by outcome",
-                     "outcome=\"cancelled\""),
-      &To.addCounter("tulipweir_task_starts_total", "Starts of tasks",
-                     "outcome=\"placed\""),
-      &To.addCounter("tulipweir_task_starts_total", "Starts of tasks",
-                     "outcome=\"refused\""),
-      &To.addCounter("tulipweir_tasks_moved_total",
-                     "Tasks stopped to go on elsewhere"),
-      &To.addCounter("tulipweir_tasks_lapsed_total",
-                     "Tasks given up with their server"),
-      &To.addCounter("tulipweir_servers_gone_total",
-                     "Backend servers that left or fell silent"),
-      &To.addCounter("tulipweir_evacuations_total",
-                     "Evacuations of data centres", "outcome=\"begun\""),
-      &To.addCounter("tulipweir_evacuations_total",
-                     "Evacuations of data centres", "outcome=\"ended\"")};
-  Histograms_ = {&To.addHistogram("tulipweir_job_acknowledge_seconds",
-                                  "From a submission's arrival to its commit"),
-                 &To.addHistogram("tulipweir_job_first_start_seconds",
-                                  "From a job's acceptance to its first start"),
-                 &To.addHistogram("tulipweir_job_finish_seconds",
-                                  "From a job's acceptance to its end"),
-                 &To.addHistogram("tulipweir_heartbeat_answer_seconds",
-                                  "From a heartbeat's arrival to its answer")};
+  for (std::size_t I = 0; I < Counters; ++I) {
+    const CounterText &Each = CounterTexts.at(I);
+    Counters_.at(I) = &To.addCounter(Each.Name_, Each.Help_, Each.Labels_);
+  }
+  for (std::size_t I = 0; I < Histograms; ++I)
+    Histograms_.at(I) = &To.addHistogram(HistogramTexts.at(I).Name_,
+                                         HistogramTexts.at(I).Help_);
 }
 
 void JobMetrics::add(jobs::Counted What, std::uint64_t By) {
--- a/src/jobservice/JobMetrics.h
+++ b/src/jobservice/JobMetrics.h
@@ -7,19 +7,25 @@
 #include "tulipweir/net/Metrics.h"
 
 #include <array>
+#include <cstddef>
 
 namespace tulipweir::jobservice {
 
 /// Thread-safe. The metrics must outlive it.
 class JobMetrics final : public jobs::JobMeter {
 public:
+  static constexpr auto Counters =
+      static_cast<std::size_t>(jobs::Counted::EvacuationsEnded) + 1;
+  static constexpr auto Histograms =
+      static_cast<std::size_t>(jobs::Timed::Heartbeat) + 1;
+
   explicit JobMetrics(net::Metrics &To);
   void add(jobs::Counted What, std::uint64_t By) override;
   void record(jobs::Timed What, Duration Took) override;
 
 private:
-  std::array<net::Counter *, 12> Counters_;
-  std::array<net::LatencyHistogram *, 4> Histograms_;
+  std::array<net::Counter *, Counters> Counters_;
+  std::array<net::LatencyHistogram *, Histograms> Histograms_;
 };
 
 } // namespace tulipweir::jobservice
