Room under tails is measured once a plan asks for it

Cause: each of some thousand reports a second measured it, though most find nothing that fills to be placed.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -122,7 +122,13 @@
       Effects_.isDisturbingAny(Left.Serving_, Step.Image_))
     return false;
   return Paces_.getGuarded(Own.Server_.Facts_.Id_) == PaceGuard::FullPace &&
-         Own.Tails_.fits(Step.Image_, Step.Need_.MilliCpus_);
+         getTails(Own).fits(Step.Image_, Step.Need_.MilliCpus_);
+}
+
+TailRoom &Dispatcher::getTails(Plan &Own) const {
+  if (!Own.Tails_)
+    Own.Tails_.emplace(Effects_, Loads_, Own.Server_);
+  return *Own.Tails_;
 }
 
 void Dispatcher::survey(const JobBook &Book, const ServerBoard &Board,
@@ -154,8 +160,12 @@
     return {};
   if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return {};
-  Plan Own{*Server,          ServerRoom::measure(*Server, Loads_), Now, {},
-           MostStartsAtOnce, TailRoom(Effects_, Loads_, *Server)};
+  Plan Own{*Server,
+           ServerRoom::measure(*Server, Loads_),
+           Now,
+           {},
+           MostStartsAtOnce,
+           std::nullopt};
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
   Order_.update(Book, Waits_, Now, Wall);
@@ -253,7 +263,7 @@
     IsIdleJob = false;
     Own.Left_.take(Step);
     if (Step.Fills_)
-      Own.Tails_.take(Step.Image_, Step.Need_.MilliCpus_);
+      getTails(Own).take(Step.Image_, Step.Need_.MilliCpus_);
     ++Beside;
   }
 }
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -22,6 +22,7 @@
 #include "jobs/TailEffects.h"
 #include "jobs/TailRoom.h"
 
+#include <optional>
 #include <set>
 
 namespace tulipweir::jobs {
@@ -73,10 +74,13 @@
     TimePoint Now_;
     std::vector<TaskStart> Starts_;
     std::size_t MostStarts_;
-    TailRoom Tails_; ///< What the tasks that serve there still bear.
+    /// What the tasks that serve there still bear; measured once it is asked
+    /// for, as most reports come while nothing that fills would fit.
+    std::optional<TailRoom> Tails_;
   };
 
   bool isFull(const Plan &Own) const;
+  TailRoom &getTails(Plan &Own) const;
   /// Whether the step may run there as far as the advice service is asked.
   bool isAdvised(const JobRecord &Job, const TaskKey &Task,
                  const std::string &ServerId, TimePoint Now) const;
