Where servers' reports go has a class of its own

ReportRouter does the second, ControlLife is what both see of a replica; whatever holds the router is kept while an answer is on its way, as before. Behaviour as it was: test_jobservice (30, relayed reports among them) and test_platform (42) passed before and after.

--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -1,8 +1,8 @@
 #include "tulipweir/jobservice/ControlNode.h"
 
+#include "jobservice/ControlLife.h"
 #include "jobservice/JobMetrics.h"
-#include "jobservice/ReportGather.h"
-#include "jobservice/ReportRelay.h"
+#include "jobservice/ReportRouter.h"
 #include "tulipweir/jobservice/MemberLinks.h"
 #include "tulipweir/net/StrandExecutor.h"
 
@@ -22,10 +22,6 @@
 static constexpr Duration ProposalPause = std::chrono::milliseconds(3);
 /// One that is being synced and one on its way.
 static constexpr std::size_t MessagesInFlight = 2;
-/// One second of eight in which a server is told to report to the control that
-/// is named for it.
-static constexpr Duration MoveInterval = std::chrono::seconds(1);
-static constexpr std::size_t MoveEvery = 8;
 /// How often the replica's disk and members are looked at.
 static constexpr Duration WatchInterval = std::chrono::milliseconds(250);
 
@@ -47,26 +43,6 @@
   return Result;
 }
 
-namespace {
-
-/// One opening of the replica with what rests on it. Taken apart as a whole
-/// when its disk fails.
-struct Life {
-  jobs::JobMachine Machine_;
-  std::unique_ptr<replication::Replica> Group_;
-  std::unique_ptr<jobs::JobLeader> Leader_; ///< On the strand only.
-
-  /// On the strand: the leader's side uses the replica there and nowhere else,
-  /// so none of its work is under way now and none comes any more. Whoever
-  /// still holds this life for a query keeps a replica that has stopped.
-  void end() {
-    Leader_.reset();
-    Group_->stop();
-  }
-};
-
-} // namespace
-
 class ControlNode::Impl
     : public std::enable_shared_from_this<ControlNode::Impl> {
 public:
@@ -77,13 +53,8 @@
         Provider_(Provider), Log_(Log), Meter_(Metrics), Open_(std::move(Open)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
-        Strand_(Pool),
-        Relay_(std::make_shared<ReportRelay>(
-            Strand_, Time,
-            [this](const jobs::ReportBatch &Batch, Duration Timeout,
-                   ReportRelay::BatchDone Reply) {
-              sendReports(Batch, Timeout, std::move(Reply));
-            })) {}
+        Strand_(Pool), Router_(Settings.Name_, Strand_, Time, Links_,
+                               [this] { return getLife(); }) {}
 
   Outcome<void> start();
   void stop();
@@ -93,26 +64,21 @@
   void run(Done<Value> Reply, Function Work) {
     Strand_.post([Self = shared_from_this(), Reply = std::move(Reply),
                   Work = std::move(Work)]() mutable {
-      const std::shared_ptr<Life> Current = Self->getLife();
+      const std::shared_ptr<ControlLife> Current = Self->getLife();
       if (!Current)
         return Reply(fail(ErrorCode::Unavailable, "the disk fails"));
       Work(*Current->Leader_, std::move(Reply));
     });
   }
-  std::shared_ptr<Life> getLife() const {
+  std::shared_ptr<ControlLife> getLife() const {
     const std::lock_guard Hold(Lock_);
     return Life_;
   }
   net::StrandExecutor &strand() { return Strand_; }
-  /// Decided here by the leader, or relayed to it.
-  void report(jobs::ServerReport Report, Done<jobs::ServerOrders> Reply);
+  /// Where servers' reports are taken; on the strand, while this lives.
+  ReportRouter &router() { return Router_; }
 
 private:
-  void sendReports(const jobs::ReportBatch &Batch, Duration Timeout,
-                   ReportRelay::BatchDone Reply);
-  void takeReports(jobs::ReportBatch Batch, const net::LinkReply &Reply);
-  std::string pickRelay(const Life &Current, const std::string &ServerId) const;
-  bool isTimeToMove(const std::string &ServerId) const;
   Outcome<void> openLife();
   void watch();
   void noteStatus(const replication::ReplicaStatus &Status);
@@ -132,16 +98,14 @@
   std::unique_ptr<net::LinkServer> Server_;
   // On the strand only.
   std::vector<replication::Member> LastMembers_;
-  std::shared_ptr<ReportRelay> Relay_;
-  /// Batches of other controls that are being decided.
-  std::vector<std::shared_ptr<ReportGather>> Gathers_;
+  ReportRouter Router_;
   mutable std::mutex Lock_;
-  bool Stopped_ = false;       ///< Guarded by Lock_, as is Life_.
-  std::shared_ptr<Life> Life_; ///< None while the disk fails.
+  bool Stopped_ = false;              ///< Guarded by Lock_, as is Life_.
+  std::shared_ptr<ControlLife> Life_; ///< None while the disk fails.
 };
 
 Outcome<void> ControlNode::Impl::openLife() {
-  const auto Fresh = std::make_shared<Life>();
+  const auto Fresh = std::make_shared<ControlLife>();
   auto Opened =
       Open_(makeReplicaSettings(Settings_), Fresh->Machine_, Links_, Time_);
   if (!Opened)
@@ -157,7 +121,7 @@
     Life_ = Fresh;
   }
   Strand_.post([Weak = std::weak_ptr(Fresh)] {
-    const std::shared_ptr<Life> Current = Weak.lock();
+    const std::shared_ptr<ControlLife> Current = Weak.lock();
     if (Current && Current->Leader_)
       Current->Leader_->start();
   });
@@ -165,6 +129,7 @@
 }
 
 Outcome<void> ControlNode::Impl::start() {
+  Router_.keepAlive(weak_from_this());
   if (Outcome<void> Opened = openLife(); !Opened)
     return Opened;
   net::Endpoint Listen;
@@ -207,13 +172,10 @@
     if (Stopped_)
       return;
   }
-  std::erase_if(Gathers_, [Now = Time_.now()](const auto &Each) {
-    Each->look(Now);
-    return Each->isSent();
-  });
+  Router_.look();
   Event Line;
   Line.Kind_ = EventKind::StorageTrouble;
-  if (std::shared_ptr<Life> Current = getLife()) {
+  if (std::shared_ptr<ControlLife> Current = getLife()) {
     const replication::ReplicaStatus Status = Current->Group_->getStatus();
     noteStatus(Status);
     if (!Status.Failure_.empty()) {
@@ -237,7 +199,7 @@
 }
 
 void ControlNode::Impl::stop() {
-  std::shared_ptr<Life> Last;
+  std::shared_ptr<ControlLife> Last;
   {
     const std::lock_guard Hold(Lock_);
     if (std::exchange(Stopped_, true))
@@ -260,7 +222,7 @@
 
 std::string ControlNode::Impl::makeView() const {
   jobs::GroupView View;
-  if (const std::shared_ptr<Life> Current = getLife()) {
+  if (const std::shared_ptr<ControlLife> Current = getLife()) {
     const replication::ReplicaStatus Status = Current->Group_->getStatus();
     View.Leader_ = Status.LeaderName_;
     for (const replication::Member &Each : Status.Members_)
@@ -272,7 +234,7 @@
 void ControlNode::Impl::handle(wire::MessageKind Kind, std::string Body,
                                net::LinkReply Reply) {
   if (Kind == wire::MessageKind::Replication) {
-    if (const std::shared_ptr<Life> Current = getLife())
+    if (const std::shared_ptr<ControlLife> Current = getLife())
       Current->Group_->receive(std::move(Body));
     return;
   }
@@ -284,7 +246,7 @@
       return Reply(std::move(Batch).as_failure());
     return Strand_.post([Self = shared_from_this(), Reply,
                          Batch = std::move(Batch.value())]() mutable {
-      Self->takeReports(std::move(Batch), Reply);
+      Self->Router_.take(std::move(Batch), Reply);
     });
   }
   if (Kind != wire::MessageKind::JobCall)
@@ -307,96 +269,6 @@
       });
 }
 
-// Reports of servers.
-
-/// On the strand. Servers are spread over the members that do not lead; a
-/// leader that hears none of them takes the reports itself.
-std::string ControlNode::Impl::pickRelay(const Life &Current,
-                                         const std::string &ServerId) const {
-  return ReportRelay::pick(Current.Group_->getStatus().Heard_, ServerId);
-}
-
-void ControlNode::Impl::report(jobs::ServerReport Report,
-                               Done<jobs::ServerOrders> Reply) {
-  const std::shared_ptr<Life> Current = getLife();
-  if (!Current)
-    return Reply(fail(ErrorCode::Unavailable, "the disk fails"));
-  const std::string Id = Report.Facts_.Id_;
-  if (Current->Leader_->isLeading())
-    return Current->Leader_->report(
-        std::move(Report), [Self = shared_from_this(), Current, Id,
-                            Reply](Outcome<jobs::ServerOrders> Orders) {
-          if (Orders)
-            Orders.value().ReportTo_ = Self->pickRelay(*Current, Id);
-          Reply(std::move(Orders));
-        });
-  Current->Leader_->observe(Report);
-  Relay_->add(std::move(Report), [Self = shared_from_this(), Id,
-                                  Reply](Outcome<jobs::ServerOrders> Orders) {
-    if (Orders && Self->isTimeToMove(Id))
-      Orders.value().ReportTo_ = Self->Relay_->pickFor(Id);
-    Reply(std::move(Orders));
-  });
-}
-
-/// Reports come to where the last one was answered. One that is heard here
-/// though another control is named for it goes there only now and then, for it
-/// may be that the server cannot reach that one.
-bool ControlNode::Impl::isTimeToMove(const std::string &ServerId) const {
-  const auto Turn =
-      static_cast<std::size_t>(Time_.now().time_since_epoch() / MoveInterval);
-  return (Turn + std::hash<std::string>()(ServerId)) % MoveEvery == 0;
-}
-
-void ControlNode::Impl::sendReports(const jobs::ReportBatch &Batch,
-                                    Duration Timeout,
-                                    ReportRelay::BatchDone Reply) {
-  const std::shared_ptr<Life> Current = getLife();
-  const std::string Leader =
-      Current ? Current->Group_->getStatus().LeaderName_ : "";
-  if (Leader.empty() || Leader == Settings_.Name_)
-    return Strand_.post(
-        [Reply = std::move(Reply)] { Reply(fail(ErrorCode::NotLeader, "")); });
-  Links_.call(Leader, wire::MessageKind::ServerReports,
-              jobs::encodeReports(Batch), Timeout,
-              [Weak = weak_from_this(),
-               Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
-                const std::shared_ptr<Impl> Self = Weak.lock();
-                if (!Self)
-                  return;
-                Self->Strand_.post([Reply, Answer] {
-                  if (!Answer)
-                    return Reply(
-                        fail(ErrorCode::Unavailable, Answer.error().Message_));
-                  Reply(jobs::decodeReportReply(Answer.value()));
-                });
-              });
-}
-
-/// On the strand. A member that does not lead says so of each report.
-void ControlNode::Impl::takeReports(jobs::ReportBatch Batch,
-                                    const net::LinkReply &Reply) {
-  const std::shared_ptr<Life> Current = getLife();
-  if (!Current)
-    return Reply(fail(ErrorCode::NotLeader, ""));
-  const auto Gather = std::make_shared<ReportGather>(
-      Batch.Reports_.size(), Time_.now(),
-      [Current, Reply](std::vector<jobs::ReportAnswer> Answers) {
-        Reply(jobs::encodeReportReply(
-            {std::move(Answers), Current->Group_->getStatus().Heard_}));
-      });
-  if (Batch.HasDeferred_)
-    Current->Leader_->noteBehind();
-  for (std::size_t I = 0; I < Batch.Reports_.size(); ++I)
-    Current->Leader_->report(
-        std::move(Batch.Reports_[I]),
-        [Gather, I](const Outcome<jobs::ServerOrders> &Orders) {
-          Gather->note(I, Orders);
-        });
-  if (!Gather->isSent())
-    Gathers_.push_back(Gather);
-}
-
 ControlNode::ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
                          const Clock &Time, jobs::Advisor &Advising,
                          jobs::VmProvider &Provider, net::Metrics &Metrics,
@@ -409,7 +281,7 @@
 void ControlNode::stop() { Impl_->stop(); }
 
 void ControlNode::handOver(std::function<void()> Moved) {
-  const std::shared_ptr<Life> Current = Impl_->getLife();
+  const std::shared_ptr<ControlLife> Current = Impl_->getLife();
   if (!Current)
     return Moved();
   const replication::ReplicaStatus Status = Current->Group_->getStatus();
@@ -431,7 +303,7 @@
                          Done<jobs::ServerOrders> Reply) {
   Impl_->strand().post([Impl = Impl_, Report = std::move(Report),
                         Reply = std::move(Reply)]() mutable {
-    Impl->report(std::move(Report), std::move(Reply));
+    Impl->router().report(std::move(Report), std::move(Reply));
   });
 }
 
@@ -493,17 +365,17 @@
 }
 
 std::string ControlNode::getLeader() const {
-  const std::shared_ptr<Life> Current = Impl_->getLife();
+  const std::shared_ptr<ControlLife> Current = Impl_->getLife();
   return Current ? Current->Group_->getStatus().LeaderName_ : "";
 }
 
 replication::ReplicaStatus ControlNode::getStatus() const {
-  const std::shared_ptr<Life> Current = Impl_->getLife();
+  const std::shared_ptr<ControlLife> Current = Impl_->getLife();
   return Current ? Current->Group_->getStatus() : replication::ReplicaStatus{};
 }
 
 std::string ControlNode::makeDump() const {
-  const std::shared_ptr<Life> Current = Impl_->getLife();
+  const std::shared_ptr<ControlLife> Current = Impl_->getLife();
   if (!Current)
     return nlohmann::json{{"failure", "the disk fails"}}.dump();
   const replication::ReplicaStatus Status = Current->Group_->getStatus();
--- /dev/null
+++ b/src/jobservice/ReportRouter.cpp
@@ -0,0 +1,114 @@
+#include "jobservice/ReportRouter.h"
+
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::jobservice;
+
+/// One second of eight in which a server is told to report to the control that
+/// is named for it.
+static constexpr Duration MoveInterval = std::chrono::seconds(1);
+static constexpr std::size_t MoveEvery = 8;
+
+ReportRouter::ReportRouter(std::string Self, Executor &Strand,
+                           const Clock &Time, MemberLinks &Links,
+                           GetLife FindLife)
+    : Self_(std::move(Self)), Strand_(Strand), Time_(Time), Links_(Links),
+      FindLife_(std::move(FindLife)),
+      Relay_(std::make_shared<ReportRelay>(
+          Strand, Time,
+          [this](const jobs::ReportBatch &Batch, Duration Timeout,
+                 ReportRelay::BatchDone Reply) {
+            send(Batch, Timeout, std::move(Reply));
+          })) {}
+
+/// Servers are spread over the members that do not lead; a leader that hears
+/// none of them takes the reports itself.
+static std::string pickRelay(const ControlLife &Current,
+                             const std::string &ServerId) {
+  return ReportRelay::pick(Current.Group_->getStatus().Heard_, ServerId);
+}
+
+void ReportRouter::report(jobs::ServerReport Report, Done Reply) {
+  const std::shared_ptr<ControlLife> Current = FindLife_();
+  if (!Current)
+    return Reply(fail(ErrorCode::Unavailable, "the disk fails"));
+  const std::string Id = Report.Facts_.Id_;
+  if (Current->Leader_->isLeading())
+    return Current->Leader_->report(
+        std::move(Report), [Hold = Owner_.lock(), Current, Id,
+                            Reply](Outcome<jobs::ServerOrders> Orders) {
+          if (Orders)
+            Orders.value().ReportTo_ = pickRelay(*Current, Id);
+          Reply(std::move(Orders));
+        });
+  Current->Leader_->observe(Report);
+  Relay_->add(std::move(Report), [this, Hold = Owner_.lock(), Id,
+                                  Reply](Outcome<jobs::ServerOrders> Orders) {
+    if (Orders && isTimeToMove(Id))
+      Orders.value().ReportTo_ = Relay_->pickFor(Id);
+    Reply(std::move(Orders));
+  });
+}
+
+/// Reports come to where the last one was answered. One that is heard here
+/// though another control is named for it goes there only now and then, for it
+/// may be that the server cannot reach that one.
+bool ReportRouter::isTimeToMove(const std::string &ServerId) const {
+  const auto Turn =
+      static_cast<std::size_t>(Time_.now().time_since_epoch() / MoveInterval);
+  return (Turn + std::hash<std::string>()(ServerId)) % MoveEvery == 0;
+}
+
+void ReportRouter::send(const jobs::ReportBatch &Batch, Duration Timeout,
+                        ReportRelay::BatchDone Reply) {
+  const std::shared_ptr<ControlLife> Current = FindLife_();
+  const std::string Leader =
+      Current ? Current->Group_->getStatus().LeaderName_ : "";
+  if (Leader.empty() || Leader == Self_)
+    return Strand_.post(
+        [Reply = std::move(Reply)] { Reply(fail(ErrorCode::NotLeader, "")); });
+  Links_.call(Leader, wire::MessageKind::ServerReports,
+              jobs::encodeReports(Batch), Timeout,
+              [this, Weak = Owner_,
+               Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
+                const std::shared_ptr<void> Hold = Weak.lock();
+                if (!Hold)
+                  return;
+                Strand_.post([Reply, Answer] {
+                  if (!Answer)
+                    return Reply(
+                        fail(ErrorCode::Unavailable, Answer.error().Message_));
+                  Reply(jobs::decodeReportReply(Answer.value()));
+                });
+              });
+}
+
+void ReportRouter::take(jobs::ReportBatch Batch, const net::LinkReply &Reply) {
+  const std::shared_ptr<ControlLife> Current = FindLife_();
+  if (!Current)
+    return Reply(fail(ErrorCode::NotLeader, ""));
+  const auto Gather = std::make_shared<ReportGather>(
+      Batch.Reports_.size(), Time_.now(),
+      [Current, Reply](std::vector<jobs::ReportAnswer> Answers) {
+        Reply(jobs::encodeReportReply(
+            {std::move(Answers), Current->Group_->getStatus().Heard_}));
+      });
+  if (Batch.HasDeferred_)
+    Current->Leader_->noteBehind();
+  for (std::size_t I = 0; I < Batch.Reports_.size(); ++I)
+    Current->Leader_->report(
+        std::move(Batch.Reports_[I]),
+        [Gather, I](const Outcome<jobs::ServerOrders> &Orders) {
+          Gather->note(I, Orders);
+        });
+  if (!Gather->isSent())
+    Gathers_.push_back(Gather);
+}
+
+void ReportRouter::look() {
+  std::erase_if(Gathers_, [Now = Time_.now()](const auto &Each) {
+    Each->look(Now);
+    return Each->isSent();
+  });
+}
--- /dev/null
+++ b/src/jobservice/ReportRouter.h
@@ -0,0 +1,68 @@
+//===- ReportRouter.h - Where a control takes servers' reports ---*- C++
+//-*-===//
+//
+// Reports are decided by the leader and taken by all controls: one that leads
+// decides them here, its own and those that others pass on; one that does not
+// learns from them and passes them on. An answer names the control that takes
+// the server's later reports.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBSERVICE_REPORTROUTER_H
+#define TULIPWEIR_SRC_JOBSERVICE_REPORTROUTER_H
+
+#include "jobservice/ControlLife.h"
+#include "jobservice/ReportGather.h"
+#include "jobservice/ReportRelay.h"
+#include "tulipweir/jobservice/MemberLinks.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tulipweir::jobservice {
+
+/// Lives on one executor: all members are called there, and callbacks run
+/// there.
+class ReportRouter {
+public:
+  using Done = ReportRelay::Done;
+  using GetLife = std::function<std::shared_ptr<ControlLife>()>;
+
+  /// Self is this member's name; FindLife finds nothing while its disk fails.
+  /// References must outlive it.
+  ReportRouter(std::string Self, Executor &Strand, const Clock &Time,
+               MemberLinks &Links, GetLife FindLife);
+
+  // Commands.
+
+  /// Whatever holds the router is kept while an answer is on its way.
+  void keepAlive(std::weak_ptr<void> Owner) { Owner_ = std::move(Owner); }
+  /// A server's report: decided here by the leader, or relayed to it.
+  void report(jobs::ServerReport Report, Done Reply);
+  /// Reports that another control passes on. A member that does not lead says
+  /// so of each.
+  void take(jobs::ReportBatch Batch, const net::LinkReply &Reply);
+  /// Answers batches that have waited long enough; now and then.
+  void look();
+
+private:
+  void send(const jobs::ReportBatch &Batch, Duration Timeout,
+            ReportRelay::BatchDone Reply);
+  bool isTimeToMove(const std::string &ServerId) const;
+
+  const std::string Self_;
+  Executor &Strand_;
+  const Clock &Time_;
+  MemberLinks &Links_;
+  const GetLife FindLife_;
+  std::weak_ptr<void> Owner_;
+  std::shared_ptr<ReportRelay> Relay_;
+  /// Batches of other controls that are being decided.
+  std::vector<std::shared_ptr<ReportGather>> Gathers_;
+};
+
+} // namespace tulipweir::jobservice
+
+#endif // TULIPWEIR_SRC_JOBSERVICE_REPORTROUTER_H
