Tests of a leader in three files; steps that serve and fill are made in one place

Cause: JobLeaderTest.cpp (598 lines) held calls and leadership, servers that come and go, and paces; four places wrote down the same two steps, two the same lessons on pairs. AWeightIsTakenForMore draws its lessons from the shared loop, with the scatter it had.

--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -31,19 +31,6 @@
     Now_ += By;
     Wall_ += std::chrono::duration_cast<WallTime>(By).count();
   }
-  static StepSpec makeServing(std::uint64_t Count, const std::string &Image) {
-    StepSpec Step = makeStep(Count, 1000);
-    Step.LongRunning_ = true;
-    Step.TailTargetMs_ = 100;
-    Step.Image_ = Image;
-    return Step;
-  }
-  static StepSpec makeFilling(std::uint64_t Count, const std::string &Image) {
-    StepSpec Step = makeStep(Count, 1000);
-    Step.Fills_ = true;
-    Step.Image_ = Image;
-    return Step;
-  }
   /// Teaches that the pair disturbs.
   void teach(const std::string &Serving, const std::string &Filling) {
     for (int I = 0; I < 400; ++I) {
--- a/tests/jobs/JobFixture.h
+++ b/tests/jobs/JobFixture.h
@@ -37,6 +37,26 @@
   return Step;
 }
 
+/// Tasks that last and serve users of their own.
+inline StepSpec makeServing(std::uint64_t Count, const std::string &Image,
+                            std::int64_t MilliCpus = 1000,
+                            std::uint64_t TailTargetMs = 100) {
+  StepSpec Step = makeStep(Count, MilliCpus);
+  Step.LongRunning_ = true;
+  Step.TailTargetMs_ = TailTargetMs;
+  Step.Image_ = Image;
+  return Step;
+}
+
+/// Tasks that use what others leave.
+inline StepSpec makeFilling(std::uint64_t Count, const std::string &Image,
+                            std::int64_t MilliCpus = 1000) {
+  StepSpec Step = makeStep(Count, MilliCpus);
+  Step.Fills_ = true;
+  Step.Image_ = Image;
+  return Step;
+}
+
 inline JobSpec makeJob(const std::string &Id, std::vector<StepSpec> Steps) {
   JobSpec Spec;
   Spec.Id_ = Id;
--- /dev/null
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -0,0 +1,276 @@
+//===- JobLeaderServersTest.cpp - Servers that come, go and fall silent ---===//
+
+#include "jobs/LeaderFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+using namespace std::chrono_literals;
+
+TEST_F(JobLeaderTest, AReportOfAServiceThatNobodyConfiguredNamesNoServer) {
+  ServerReport Strange = makeReport("s1");
+  Strange.Facts_.Service_ = "unheard-of";
+  const auto Got = tryReport(Strange);
+  ASSERT_TRUE(Got && !*Got);
+  EXPECT_EQ(Got->error().Code_, ErrorCode::InvalidArgument);
+  EXPECT_TRUE(Machine_.read(
+      [](const JobBook &Book) { return Book.servers().empty(); }));
+}
+
+TEST_F(JobLeaderTest, AStrangeReportOfAKnownServerCostsItNothing) {
+  call(CallKind::Submit, "j", {makeStep(2, 2500)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  ServerReport Strange = makeReport("s1");
+  Strange.Facts_.Service_ = "unheard-of";
+  const auto Got = tryReport(Strange);
+  ASSERT_TRUE(Got && !*Got) << "it is given nothing";
+  // What runs there keeps its lease, and goes on.
+  Strand_.advance(3s);
+  ServerReport After = makeReport("s1");
+  After.Running_ = {makeRunning(Orders.Starts_[0])};
+  const ServerOrders Later = report(After);
+  EXPECT_TRUE(Later.Stops_.empty());
+  EXPECT_GT(Later.LeaseMs_, 0U);
+}
+
+TEST_F(JobLeaderTest, AServerWhoseServiceWasDroppedGoesOn) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  Configuration Without = makeConfiguration(2);
+  Without.Queues_.clear();
+  Without.Services_ = {{"other", true, false}};
+  Leader_.putConfiguration(Without, [](const Outcome<void> &) {});
+  Strand_.runAll();
+  ServerReport After = makeReport("s1");
+  After.Running_ = {makeRunning(Orders.Starts_.at(0))};
+  EXPECT_GT(report(After).LeaseMs_, 0U);
+}
+
+TEST_F(JobLeaderTest, ALateReportGetsNoLeaseAndChangesNothing) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerReport Late = makeReport("s1");
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  EXPECT_EQ(report(Late), ServerOrders{});
+}
+
+TEST_F(JobLeaderTest, AReportThatALaterOneOvertookIsToldNothing) {
+  call(CallKind::Submit, "a", {makeStep(1, 100)});
+  call(CallKind::Submit, "b", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 2U);
+  const auto ReportEnd = [&] {
+    ServerReport Report = makeReport("s1");
+    Report.Ended_ = {makeEnded(1, Orders.Starts_[0], RunEnd::Done)};
+    Report.Running_ = {makeRunning(Orders.Starts_[1])};
+    auto Got = std::make_shared<std::optional<Outcome<ServerOrders>>>();
+    Leader_.report(Report, [Got](Outcome<ServerOrders> Reply) {
+      *Got = std::move(Reply);
+    });
+    Strand_.runAll();
+    return Got;
+  };
+  // Its entry hangs, so the server gives the report up and asks again.
+  Group_.IsHeld_ = true;
+  const auto First = ReportEnd();
+  const auto Second = ReportEnd();
+  Group_.commitAll();
+  Strand_.runAll();
+  ASSERT_TRUE(*First && **First && *Second && **Second);
+  EXPECT_EQ((*First)->value(), ServerOrders{});
+  EXPECT_GT((*Second)->value().LeaseMs_, 0U);
+  EXPECT_EQ((*Second)->value().EndsNoted_, 1U);
+}
+
+TEST_F(JobLeaderTest, ASilentServersWorkMovesOnlyAfterItsLease) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ServerReport Report = makeReport("s1");
+  const ServerOrders Orders = report(Report);
+  Report = makeReport("s1");
+  Report.Running_ = {makeRunning(Orders.Starts_.at(0), "at 4")};
+  report(Report);
+  Strand_.advance(Settings_.Lease_);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty())
+      << "its clock may be slow";
+  Strand_.advance(Settings_.Lease_ / 10);
+  const ServerOrders Elsewhere = report(makeReport("s2"));
+  ASSERT_EQ(Elsewhere.Starts_.size(), 1U);
+  EXPECT_EQ(Elsewhere.Starts_[0].Run_, 2U);
+  EXPECT_EQ(Elsewhere.Starts_[0].Checkpoint_, "at 4");
+}
+
+TEST_F(JobLeaderTest, ALeaderThatIsBehindGivesNoServerUpForItsOwnDelay) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  const auto IsMoved = [&] {
+    return !report(makeReport("s2")).Starts_.empty();
+  };
+  // The server's report waits at a relay for all this time.
+  const Duration Until = Settings_.Lease_ * 3 / 2;
+  for (Duration At{}; At < Until; At += std::chrono::seconds(1)) {
+    Strand_.advance(std::chrono::seconds(1));
+    Leader_.noteBehind();
+  }
+  EXPECT_FALSE(IsMoved());
+  ServerReport Late = makeReport("s1");
+  Late.Ended_ = {makeEnded(1, Orders.Starts_[0], RunEnd::Done)};
+  EXPECT_EQ(report(Late).EndsNoted_, 1U);
+  EXPECT_FALSE(IsMoved()) << "it is done";
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
+
+TEST_F(JobLeaderTest, AServerThatIsSilentIsGivenUpInTheEndAlsoWhileBehind) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  const Duration Until = Settings_.Lease_ * 5 / 2;
+  for (Duration At{}; At < Until; At += std::chrono::seconds(1)) {
+    Strand_.advance(std::chrono::seconds(1));
+    Leader_.noteBehind();
+  }
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, ANewLifeAtTheSameAddressEndsTheOldOne) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  report(makeReport("s1"));
+  // Once it has reported for a second while the old one was silent: the first
+  // report alone could be one that was held up on its way.
+  EXPECT_EQ(report(makeLife("s1-again", "s1")).LeaseMs_, 0U);
+  Strand_.advance(1s);
+  report(makeLife("s1-again", "s1"));
+  const ServerOrders Orders = report(makeLife("s1-again", "s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  EXPECT_EQ(Orders.Starts_[0].Run_, 2U);
+  // A report of the old life that was on its way brings nothing back.
+  EXPECT_EQ(report(makeReport("s1")), ServerOrders{});
+  EXPECT_EQ(
+      Machine_.read([](const JobBook &Book) { return Book.findServer("s1"); }),
+      nullptr);
+}
+
+TEST_F(JobLeaderTest, ALateReportOfAnEarlierLifeDisplacesNobody) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  std::uint64_t Percent = 0;
+  // Reports of a life that never came through while it lived, held up by a cut:
+  // one now, one much later.
+  for (int I = 0; I < 2; ++I) {
+    EXPECT_EQ(report(makeLife("s0", "s1")).LeaseMs_, 0U);
+    for (int Reports = 0; Reports < 4; ++Reports) {
+      Strand_.advance(500ms);
+      ServerReport Alive = makeReport("s1");
+      Alive.Running_ = {makeRunning(Orders.Starts_[0])};
+      Alive.Running_[0].Percent_ = ++Percent;
+      const ServerOrders Again = report(Alive);
+      EXPECT_GT(Again.LeaseMs_, 0U);
+      EXPECT_TRUE(Again.Stops_.empty());
+    }
+  }
+  EXPECT_EQ(Machine_.read([](const JobBook &Book) {
+    return Book.findTask({"j", 0, 0, 0})->LastRun_;
+  }),
+            1U);
+}
+
+TEST_F(JobLeaderTest, ALifeThatIsOverStaysSoUnderANewLeader) {
+  report(makeReport("s1"));
+  Strand_.advance(Settings_.Lease_ * 2); // Silent until its lease ran out.
+  report(makeLife("s1-again", "s1"));
+  Group_.IsLeader_ = false;
+  Strand_.advance(100ms);
+  Group_.IsLeader_ = true;
+  Group_.Term_ = 2;
+  Strand_.advance(100ms);
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  for (int I = 0; I < 4; ++I) {
+    EXPECT_EQ(report(makeReport("s1")), ServerOrders{}) << "held up on its way";
+    Strand_.advance(500ms);
+  }
+  EXPECT_EQ(report(makeLife("s1-again", "s1")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, ADrainingServerGetsNothingNew) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ServerReport Leaving = makeReport("s1");
+  Leaving.IsDraining_ = true;
+  const ServerOrders Orders = report(Leaving);
+  EXPECT_TRUE(Orders.Starts_.empty());
+  EXPECT_GT(Orders.LeaseMs_, 0U) << "what runs there goes on";
+}
+
+TEST_F(JobLeaderTest, AServerThatLeavesGivesItsWorkBackAtOnce) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  report(makeReport("s1"));
+  bool IsDone = false;
+  Leader_.leave("s1", [&IsDone](const Outcome<void> &Result) {
+    IsDone = Result.has_value();
+  });
+  Strand_.advance(500ms);
+  EXPECT_TRUE(IsDone);
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, AServerThatRefusedIsLeftAloneForAMoment) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ServerReport After = makeReport("s1");
+  After.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Refused)};
+  EXPECT_TRUE(report(After).Starts_.empty());
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, AnEndThatCrossesTheLeavingIsNoted) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  bool HasLeft = false;
+  Leader_.leave("s1", [&HasLeft](const Outcome<void> &Result) {
+    HasLeft = Result.has_value();
+  });
+  Strand_.runAll();
+  // Its last report was overtaken by the word that it leaves.
+  ServerReport Last = makeReport("s1");
+  Last.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Done)};
+  report(Last);
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+  Strand_.advance(1s);
+  EXPECT_TRUE(HasLeft);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+}
+
+TEST_F(JobLeaderTest, AnEndThatARelayKeptBehindTheLeavingIsNotDoneTwice) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  Leader_.leave("s1", [](const Outcome<void> &) {});
+  Strand_.advance(400ms);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  ServerReport Last = makeReport("s1");
+  Last.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Done)};
+  report(Last);
+  Strand_.advance(1s);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
+
+TEST_F(JobLeaderTest, AServerThatLeavesEmptyIsNotWaitedFor) {
+  report(makeReport("s1"));
+  bool HasLeft = false;
+  Leader_.leave("s1", [&HasLeft](const Outcome<void> &Result) {
+    HasLeft = Result.has_value();
+  });
+  Strand_.runAll();
+  EXPECT_TRUE(HasLeft);
+}
+
+TEST_F(JobLeaderTest, AnEndThatComesAfterTheLeavingIsNoted) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  Leader_.leave("s1", [](const Outcome<void> &) {});
+  Strand_.advance(1s);
+  ServerReport Last = makeReport("s1");
+  Last.Ended_ = {makeEnded(1, Orders.Starts_.at(0), RunEnd::Done)};
+  EXPECT_EQ(report(Last), ServerOrders{}) << "no lease for one that has left";
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
--- a/tests/jobs/TailEffectsTest.cpp
+++ b/tests/jobs/TailEffectsTest.cpp
@@ -2,6 +2,8 @@
 
 #include "jobs/TailEffects.h"
 
+#include "jobs/TailLessons.h"
+
 #include <gtest/gtest.h>
 
 #include <cmath>
@@ -9,6 +11,7 @@
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
 
 TEST(TailEffectsTest, PairsThatDisturbAreToldFromThoseThatDoNot) {
   TailEffects Effects;
@@ -65,26 +68,14 @@
   TailEffects Effects;
   const double Unknown = Effects.getWeight("s", "light");
   EXPECT_GT(Unknown, 1);
-  std::mt19937 Random(11);
-  std::uniform_real_distribution<double> Share(0.02, 0.4);
-  std::normal_distribution<double> Noise(0, 0.15);
-  const auto Learn = [&](int Times) {
-    for (int I = 0; I < Times; ++I) {
-      const FillingUse Use = {{"heavy", Share(Random)},
-                              {"light", Share(Random)}};
-      Effects.learn("s", Use,
-                    std::exp(5 * Use.at("heavy") + 0.3 * Use.at("light") +
-                             Noise(Random)));
-    }
-  };
-  Learn(20);
+  teachPairs(Effects, "s", "heavy", "light", 20, 0.15, 11);
   const double Early = Effects.getWeight("s", "light");
   EXPECT_LE(Early, Unknown);
-  Learn(400);
+  teachPairs(Effects, "s", "heavy", "light", 400, 0.15, 12);
   const double Known = Effects.getWeight("s", "light");
   EXPECT_LT(Known, Early);
-  EXPECT_NEAR(Known, 0.3, 0.3);
-  EXPECT_NEAR(Effects.getWeight("s", "heavy"), 5, 0.5);
+  EXPECT_NEAR(Known, LightWeight, 0.3);
+  EXPECT_NEAR(Effects.getWeight("s", "heavy"), HeavyWeight, 0.5);
   EXPECT_NEAR(Effects.predict("s", {{"heavy", 0.1}, {"light", 0.1}}), 0.53,
               0.1);
   EXPECT_EQ(Effects.predict("other", {{"heavy", 0.1}}), 0);
--- a/tests/jobs/TailLearnerTest.cpp
+++ b/tests/jobs/TailLearnerTest.cpp
@@ -20,15 +20,8 @@
 class TailLearnerTest : public JobBookTest {
 protected:
   TailLearnerTest() {
-    StepSpec Serving = makeStep(2, 1000);
-    Serving.LongRunning_ = true;
-    Serving.TailTargetMs_ = 1000;
-    Serving.Image_ = "s";
-    StepSpec Filling = makeStep(1, 2000);
-    Filling.Fills_ = true;
-    Filling.Image_ = "heavy";
-    submit(makeJob("serves", {Serving}));
-    submit(makeJob("fills", {Filling}));
+    submit(makeJob("serves", {makeServing(2, "s", 1000, 1000)}));
+    submit(makeJob("fills", {makeFilling(1, "heavy", 2000)}));
     start(makeStart("serves", 0, "s1"));
     start(makeStart("serves", 1, "s2"));
     start(makeStart("fills", 0, "s1"));
--- a/tests/jobs/TailLessons.h
+++ b/tests/jobs/TailLessons.h
@@ -16,13 +16,16 @@
 inline constexpr double HeavyWeight = 5;
 inline constexpr double LightWeight = 0.3;
 
-/// Some seconds of reports of a service beside two images that fill.
+/// Reports of a service beside two images that fill, some seconds of them;
+/// their figures scatter (logarithm).
 inline void teachPairs(TailEffects &Effects, const std::string &Serving,
-                       const std::string &Heavy, const std::string &Light) {
-  std::mt19937 Random(3);
+                       const std::string &Heavy, const std::string &Light,
+                       int Reports = 600, double Scatter = 0.1,
+                       unsigned Seed = 3) {
+  std::mt19937 Random(Seed);
   std::uniform_real_distribution<double> Share(0.02, 0.4);
-  std::normal_distribution<double> Noise(0, 0.1);
-  for (int I = 0; I < 600; ++I) {
+  std::normal_distribution<double> Noise(0, Scatter);
+  for (int I = 0; I < Reports; ++I) {
     const double Much = Share(Random);
     const double Little = Share(Random);
     Effects.learn(
