--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -1,87 +1,16 @@
 //===- ReportRelayTest.cpp - Reports that reach the leader by others ------===//
 
-#include "jobservice/ReportRelay.h"
-#include "jobs/LeaderFixture.h"
 #include "jobservice/NodeCluster.h"
+#include "jobservice/RelayFixture.h"
 #include "jobservice/ReportGather.h"
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 using namespace tulipweir::jobservice;
+using jobservice::test::makeReport;
+using jobservice::test::ReportRelayTest;
 using namespace std::chrono_literals;
 
-namespace {
-
-ServerReport makeReport(const std::string &Id, std::uint64_t Sequence = 1) {
-  ServerReport Report;
-  Report.Facts_.Id_ = Id;
-  Report.Facts_.Service_ = "s";
-  Report.Facts_.Address_ = Id + ":1";
-  Report.Facts_.Capacity_ = Resources::makeFor(4, 4096);
-  Report.Sequence_ = Sequence;
-  return Report;
-}
-
-/// A leader's side that is answered by hand.
-class ReportRelayTest : public ::testing::Test {
-protected:
-  struct Sent {
-    ReportBatch Batch_;
-    ReportRelay::BatchDone Done_;
-    TimePoint At_;
-  };
-
-  /// How often each server was answered, and the last answer.
-  void add(const std::string &Id) { add(makeReport(Id)); }
-  void add(const ServerReport &Report) {
-    const std::string Id = Report.Facts_.Id_;
-    ++Asked_[Id];
-    Relay_->add(Report, [this, Id](Outcome<ServerOrders> Answer) {
-      ++Answered_[Id];
-      IsGood_[Id] = Answer.has_value();
-      Token_[Id] = Answer ? Answer.value().FencingToken_ : 0;
-      Lease_[Id] = Answer ? Answer.value().LeaseMs_ : 0;
-    });
-  }
-  /// So many reports without an answer that no more are sent.
-  void fillWindow() {
-    for (int I = 0; I < 2000; ++I) {
-      add("first" + std::to_string(I));
-      Strand_.advance(1ms);
-    }
-    Strand_.advance(1s);
-  }
-  /// Answers the oldest batch, each report with its place as the token.
-  void answer(std::vector<std::string> Relays = {}) {
-    Sent Oldest = std::move(Sent_.front());
-    Sent_.pop_front();
-    ReportBatchReply Reply;
-    Reply.Relays_ = std::move(Relays);
-    for (std::size_t I = 0; I < Oldest.Batch_.Reports_.size(); ++I) {
-      ServerOrders Orders;
-      Orders.FencingToken_ = I + 1;
-      Reply.Answers_.push_back({ReportVerdict::Answered, Orders, ""});
-    }
-    Oldest.Done_(std::move(Reply));
-  }
-
-  ManualClock Time_;
-  jobs::test::ManualExecutor Strand_{Time_};
-  std::deque<Sent> Sent_;
-  std::map<std::string, int> Asked_;
-  std::map<std::string, int> Answered_;
-  std::map<std::string, bool> IsGood_;
-  std::map<std::string, std::uint64_t> Token_;
-  std::map<std::string, std::uint64_t> Lease_;
-  std::shared_ptr<ReportRelay> Relay_ = std::make_shared<ReportRelay>(
-      Strand_, Time_,
-      [this](ReportBatch Batch, Duration, ReportRelay::BatchDone Done) {
-        Sent_.push_back({std::move(Batch), std::move(Done), Time_.now()});
-      });
-};
-
-} // namespace
-
 TEST_F(ReportRelayTest, ReportsOfOneMomentGoInOneBatchAndGetTheirOwnAnswers) {
   for (const char *Id : {"a", "b", "c"})
     add(Id);
