Relays serve whoever has gone without a lease for the longest first

Cause: what a relay had turned away came before all others, the last one first, and was forgotten once it had come again; a leader's capacity of one answer a server every two seconds went to some of them only. Change: the queue of a relay is kept by when each server's lease was last extended through it; one that it does not know counts as three seconds without. Looked for elsewhere: the leader takes batches in order; nothing else turns reports away.

--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 using namespace tulipweir;
 using namespace tulipweir::jobservice;
@@ -18,8 +19,16 @@
 static constexpr Duration AnswerTimeout = 800ms;
 /// When such a server shall come again.
 static constexpr std::uint64_t DeferredReportMs = 300;
-/// Within that time it has come again, or reports elsewhere.
+/// For so long after that servers may still be waiting for their turn.
 static constexpr Duration DeferredFor = 2s;
+/// A server that nobody knows here came as it got no answer elsewhere, or just
+/// began: it is taken for one that has gone without a lease for so long, half
+/// of the usual lease of six seconds.
+static constexpr Duration TakenFor = 3s;
+/// A server that was answered last so long ago reports elsewhere, or is no
+/// more: longer than any lease.
+static constexpr Duration RememberedFor = 20s;
+static constexpr Duration ForgetInterval = 5s;
 /// Reports on their way: as many as are answered within QuickAnswer, which is
 /// several commits, and fewer as soon as that takes SlowAnswer, for with the
 /// wait here and the ways there and back it must stay within a second.
@@ -48,12 +57,10 @@
 }
 
 void ReportRelay::add(jobs::ServerReport Report, Done Reply) {
-  const bool GoesFirst = Deferred_.erase(Report.Facts_.Id_) != 0;
-  Waiting Fresh{std::move(Report), std::move(Reply), Time_.now()};
-  if (GoesFirst)
-    Queue_.push_front(std::move(Fresh));
-  else
-    Queue_.push_back(std::move(Fresh));
+  const TimePoint Now = Time_.now();
+  const TimePoint Turn =
+      Extended_.try_emplace(Report.Facts_.Id_, Now - TakenFor).first->second;
+  Queue_.emplace(Turn, Waiting{std::move(Report), std::move(Reply), Now});
   flushSoon();
 }
 
@@ -71,11 +78,11 @@
 /// is noted. A server that leaves must not take that for an acknowledgement.
 void ReportRelay::deferLate() {
   const TimePoint Now = Time_.now();
-  std::deque<Waiting> Late;
-  std::erase_if(Queue_, [&](Waiting &Each) {
-    const bool IsLate = Now - Each.Since_ > MostWait;
+  std::vector<Waiting> Late;
+  std::erase_if(Queue_, [&](auto &Each) {
+    const bool IsLate = Now - Each.second.Since_ > MostWait;
     if (IsLate)
-      Late.push_back(std::move(Each));
+      Late.push_back(std::move(Each.second));
     return IsLate;
   });
   for (Waiting &Each : Late) {
@@ -83,7 +90,6 @@
       Each.Reply_(fail(ErrorCode::Unavailable, "the leader is behind"));
       continue;
     }
-    Deferred_[Each.Report_.Facts_.Id_] = Now;
     LastDeferral_ = Now;
     jobs::ServerOrders Later;
     Later.NextReportMs_ = DeferredReportMs;
@@ -91,20 +97,20 @@
   }
 }
 
-void ReportRelay::forgetDeferred() {
+void ReportRelay::forgetOld() {
   const TimePoint Now = Time_.now();
   if (Now < NextForgetting_)
     return;
-  NextForgetting_ = Now + DeferredFor / 4;
-  std::erase_if(Deferred_, [Now](const auto &Each) {
-    return Now - Each.second > DeferredFor;
+  NextForgetting_ = Now + ForgetInterval;
+  std::erase_if(Extended_, [Now](const auto &Each) {
+    return Now - Each.second > RememberedFor;
   });
 }
 
 void ReportRelay::flush() {
   IsFlushing_ = false;
   deferLate();
-  forgetDeferred();
+  forgetOld();
   const std::size_t Room = Window_ > InFlight_ ? Window_ - InFlight_ : 0;
   const std::size_t Count = std::min({Queue_.size(), Room, MostReports});
   if (Count > 0) {
@@ -113,9 +119,10 @@
     Sent.Since_ = Time_.now();
     Reports.HasDeferred_ = Sent.Since_ - LastDeferral_ <= DeferredFor;
     for (std::size_t I = 0; I < Count; ++I) {
-      Sent.Replies_.push_back(std::move(Queue_.front().Reply_));
-      Reports.Reports_.push_back(std::move(Queue_.front().Report_));
-      Queue_.pop_front();
+      Waiting Next = std::move(Queue_.extract(Queue_.begin()).mapped());
+      Sent.Servers_.push_back(Next.Report_.Facts_.Id_);
+      Sent.Replies_.push_back(std::move(Next.Reply_));
+      Reports.Reports_.push_back(std::move(Next.Report_));
     }
     InFlight_ += Count;
     Send_(std::move(Reports), AnswerTimeout,
@@ -145,9 +152,13 @@
   if (IsWhole)
     Relays_ = std::move(Answer.value().Relays_);
   for (std::size_t I = 0; I < Sent.Replies_.size(); ++I) {
-    if (IsWhole)
-      Sent.Replies_[I](std::move(Answer.value().Answers_[I]).takeOutcome());
-    else if (!Answer)
+    if (IsWhole) {
+      jobs::ReportAnswer &Own = Answer.value().Answers_[I];
+      // The server counts its lease from before the report left here.
+      if (Own.Orders_.LeaseMs_ > 0)
+        Extended_[Sent.Servers_[I]] = Sent.Since_;
+      Sent.Replies_[I](std::move(Own).takeOutcome());
+    } else if (!Answer)
       Sent.Replies_[I](Answer.error());
     else
       Sent.Replies_[I](
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -4,7 +4,9 @@
 // them, passes them on in batches, and gives the answers back. So the leader,
 // which alone decides, does not spend its processor on connections and texts.
 // Where it is slow all the same, no more reports are on their way than it
-// answers in time; the other servers are told to come again, and then go first.
+// answers in time. Whoever has gone without a lease for the longest goes first:
+// no server waits while another one is answered twice. The rest is told to come
+// again.
 //
 //===----------------------------------------------------------------------===//
 
@@ -14,8 +16,8 @@
 #include "tulipweir/core/Executor.h"
 #include "tulipweir/jobs/ReportBatch.h"
 
-#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <unordered_map>
 
@@ -61,6 +63,7 @@
 
   /// A batch on its way.
   struct Batch {
+    std::vector<std::string> Servers_;
     std::vector<Done> Replies_;
     TimePoint Since_;
   };
@@ -68,19 +71,20 @@
   void flushSoon();
   void flush();
   void deferLate();
-  void forgetDeferred();
+  void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
   void adapt(Duration Took);
 
   Executor &Strand_;
   const Clock &Time_;
   const Send Send_;
-  std::deque<Waiting> Queue_;
+  /// By when the server's lease was last extended through here.
+  std::multimap<TimePoint, Waiting> Queue_;
   std::size_t InFlight_ = 0; ///< Reports that have no answer yet.
   std::size_t Window_;       ///< Most of these.
   bool IsFlushing_ = false;  ///< A flush is posted.
-  /// Servers that were told to come again, and when: they go first.
-  std::unordered_map<std::string, TimePoint> Deferred_;
+  /// By server, when that was.
+  std::unordered_map<std::string, TimePoint> Extended_;
   TimePoint LastDeferral_{};
   TimePoint NextForgetting_{}; ///< Of those that went elsewhere.
   std::vector<std::string> Relays_;
