--- a/bench/platform/HeartbeatBench.cpp
+++ b/bench/platform/HeartbeatBench.cpp
@@ -40,8 +40,9 @@
   NoJobMeter Meter;
   NoAdvisor Advisor;
   NoVmProvider Provider;
-  JobLeader Leader({}, Time, Strand, Group, Machine, Advisor, Provider, Log,
-                   Meter);
+  NoReportRelays Relays;
+  JobLeader Leader({}, Time, Strand, Group, Machine, Advisor, Provider, Relays,
+                   Log, Meter);
   Leader.start();
   Strand.advance(std::chrono::milliseconds(100));
   Leader.putConfiguration(makeConfiguration(), [](const Outcome<void> &) {});
--- a/bench/platform/LeaderTarget.h
+++ b/bench/platform/LeaderTarget.h
@@ -37,8 +37,9 @@
   jobs::NoJobMeter Meter_;
   jobs::NoAdvisor Advisor_;
   jobs::NoVmProvider Provider_;
+  jobs::NoReportRelays Relays_;
   jobs::JobLeader Leader_{{},       Time_,     Strand_, Group_, Machine_,
-                          Advisor_, Provider_, Log_,    Meter_};
+                          Advisor_, Provider_, Relays_, Log_,   Meter_};
   double Seconds_ = 0;
 };
 
--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -15,6 +15,7 @@
 #include "tulipweir/jobs/JobCall.h"
 #include "tulipweir/jobs/JobMachine.h"
 #include "tulipweir/jobs/JobMeter.h"
+#include "tulipweir/jobs/ReportRelays.h"
 #include "tulipweir/jobs/ServerReport.h"
 #include "tulipweir/jobs/VmProvider.h"
 #include "tulipweir/replication/Replica.h"
@@ -52,7 +53,7 @@
   JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
             Executor &Strand, replication::Replica &Group,
             const JobMachine &Machine, Advisor &Advising, VmProvider &Provider,
-            EventLog &Log, JobMeter &Meter);
+            ReportRelays &Relays, EventLog &Log, JobMeter &Meter);
   ~JobLeader();
   JobLeader(const JobLeader &) = delete;
   JobLeader &operator=(const JobLeader &) = delete;
--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -16,9 +16,23 @@
   std::vector<ServerReport> Reports_;
   /// Other servers were told to come again, as the leader had no time for them.
   bool HasDeferred_ = false;
+  /// Of the sweep that this batch answers; 0 for none. Whatever the relay sent
+  /// before on the same link is there by now.
+  std::uint64_t SweepId_ = 0;
+  /// Those of the sweep's servers that the relay has heard lately.
+  std::vector<std::string> Heard_;
   bool operator==(const ReportBatch &) const = default;
 };
 
+/// Asks a relay to pass on, before anything else, what it keeps of the servers'
+/// reports.
+struct ReportSweep {
+  std::string From_; ///< The leader that asks.
+  std::uint64_t Id_ = 0;
+  std::vector<std::string> Servers_;
+  bool operator==(const ReportSweep &) const = default;
+};
+
 /// How a report fared at the leader.
 enum class ReportVerdict : std::uint8_t {
   Answered = 0,
@@ -49,6 +63,8 @@
 
 std::string encodeReports(const ReportBatch &Value);
 Outcome<ReportBatch> decodeReports(std::string_view Bytes);
+std::string encodeSweep(const ReportSweep &Value);
+Outcome<ReportSweep> decodeSweep(std::string_view Bytes);
 std::string encodeReportReply(const ReportBatchReply &Value);
 Outcome<ReportBatchReply> decodeReportReply(std::string_view Bytes);
 
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -106,6 +106,8 @@
   std::vector<Member> Members_;
   /// On the leader: the names of the other members that it heard lately.
   std::vector<std::string> Heard_;
+  /// On the leader: those that it has not heard for GoneAfter_.
+  std::vector<std::string> Gone_;
   std::string Failure_; ///< Why this replica stopped, if it did.
   /// Why an earlier log was set aside as lost when the folder was opened.
   std::string LostDisk_;
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -284,9 +284,10 @@
 JobLeader::JobLeader(const JobLeaderSettings &Settings, const Clock &Time,
                      Executor &Strand, replication::Replica &Group,
                      const JobMachine &Machine, Advisor &Advising,
-                     VmProvider &Provider, EventLog &Log, JobMeter &Meter)
+                     VmProvider &Provider, ReportRelays &Relays, EventLog &Log,
+                     JobMeter &Meter)
     : Impl_(std::make_shared<Impl>(Settings, Time, Strand, Group, Machine,
-                                   Advising, Provider, Log, Meter)) {}
+                                   Advising, Provider, Relays, Log, Meter)) {}
 JobLeader::~JobLeader() = default;
 
 void JobLeader::start() { Impl_->start(); }
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -32,10 +32,11 @@
 public:
   Impl(const JobLeaderSettings &Settings, const Clock &Time, Executor &Strand,
        replication::Replica &Group, const JobMachine &Machine,
-       Advisor &Advising, VmProvider &Provider, EventLog &Log, JobMeter &Meter)
+       Advisor &Advising, VmProvider &Provider, ReportRelays &Relays,
+       EventLog &Log, JobMeter &Meter)
       : Settings_(Settings), Time_(Time), Strand_(Strand), Group_(Group),
-        Machine_(Machine), Advisor_(Advising), Provider_(Provider), Log_(Log),
-        Meter_(Meter),
+        Machine_(Machine), Advisor_(Advising), Provider_(Provider),
+        Relays_(Relays), Log_(Log), Meter_(Meter),
         Watch_(Group, Strand,
                {[this](std::uint64_t Term) { beginLeading(Term); },
                 [this] { endLeading(); }}) {}
@@ -151,6 +152,7 @@
   const JobMachine &Machine_;
   Advisor &Advisor_;
   VmProvider &Provider_;
+  ReportRelays &Relays_;
   EventLog &Log_;
   JobMeter &Meter_;
   replication::LeaderWatch Watch_;
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -15,7 +15,10 @@
                   X.Running_, X.Ended_);
 }
 static auto fields(ReportBatch &X) {
-  return std::tie(X.Reports_, X.HasDeferred_);
+  return std::tie(X.Reports_, X.HasDeferred_, X.SweepId_, X.Heard_);
+}
+static auto fields(ReportSweep &X) {
+  return std::tie(X.From_, X.Id_, X.Servers_);
 }
 static auto fields(StartOrder &X) {
   return std::tie(X.Task_, X.Run_, X.Payload_, X.Checkpoint_, X.Ticket_);
@@ -70,6 +73,12 @@
 Outcome<ReportBatch> jobs::decodeReports(std::string_view Bytes) {
   return packing::unpack<ReportBatch>(Bytes, "a batch of reports");
 }
+std::string jobs::encodeSweep(const ReportSweep &Value) {
+  return packing::pack(Value);
+}
+Outcome<ReportSweep> jobs::decodeSweep(std::string_view Bytes) {
+  return packing::unpack<ReportSweep>(Bytes, "a sweep of reports");
+}
 std::string jobs::encodeReportReply(const ReportBatchReply &Value) {
   return packing::pack(Value);
 }
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -113,7 +113,7 @@
   Fresh->Group_ = std::move(Opened.value());
   Fresh->Leader_ = std::make_unique<jobs::JobLeader>(
       Settings_.Leader_, Time_, Strand_, *Fresh->Group_, Fresh->Machine_,
-      Advisor_, Provider_, Log_, Meter_);
+      Advisor_, Provider_, Router_.relays(), Log_, Meter_);
   {
     const std::lock_guard Hold(Lock_);
     if (Stopped_)
@@ -249,6 +249,16 @@
       Self->Router_.take(std::move(Batch), Reply);
     });
   }
+  if (Kind == wire::MessageKind::ReportSweep) {
+    Outcome<jobs::ReportSweep> Sweep = jobs::decodeSweep(Body);
+    if (!Sweep)
+      return Reply(std::move(Sweep).as_failure());
+    return Strand_.post(
+        [Self = shared_from_this(), Reply, Sweep = std::move(Sweep.value())] {
+          Self->Router_.sweep(Sweep);
+          Reply(std::string());
+        });
+  }
   if (Kind != wire::MessageKind::JobCall)
     return Reply(fail(ErrorCode::InvalidArgument, "no such message here"));
   Outcome<jobs::JobCall> Call = jobs::decodeCall(Body);
--- /dev/null
+++ b/src/jobservice/RelaySweeps.cpp
@@ -0,0 +1,96 @@
+#include "jobservice/RelaySweeps.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace tulipweir;
+using namespace tulipweir::jobservice;
+using namespace std::chrono_literals;
+
+/// A member that is neither gone nor answers for so long is not waited for any
+/// more: about a lease, after which nothing that a server was given runs.
+static constexpr Duration LongestRound = 6s;
+
+RelaySweeps::RelaySweeps(std::string Self, const Clock &Time,
+                         GetStatus FindStatus, Ask Asking)
+    : Self_(std::move(Self)), Time_(Time), FindStatus_(std::move(FindStatus)),
+      Ask_(std::move(Asking)) {}
+
+void RelaySweeps::flush(const std::string &ServerId,
+                        std::function<void()> Done) {
+  findHeard({ServerId}, [Done = std::move(Done)](const Heard &) { Done(); });
+}
+
+void RelaySweeps::findHeard(const std::vector<std::string> &ServerIds,
+                            std::function<void(Heard)> Done) {
+  const auto Fresh = std::make_shared<Round>();
+  Fresh->Servers_ = ServerIds;
+  Fresh->Done_ = std::move(Done);
+  Fresh->Begin_ = Time_.now();
+  std::vector<std::uint64_t> Ids;
+  for (const replication::Member &Each : FindStatus_().Members_) {
+    if (Each.Id_.Name_ == Self_)
+      continue;
+    Open_.emplace(++LastId_, Question{Fresh, Each.Id_.Name_});
+    Ids.push_back(LastId_);
+  }
+  Fresh->Open_ = Ids.size();
+  if (Ids.empty())
+    return Fresh->Done_({});
+  for (const std::uint64_t Id : Ids)
+    ask(Id);
+}
+
+void RelaySweeps::ask(std::uint64_t Id) {
+  Question &Own = Open_.at(Id);
+  Own.HasFailed_ = false;
+  Ask_(Own.Member_, {Self_, Id, Own.Round_->Servers_},
+       [Weak = std::weak_ptr(Alive_), Id] {
+         const std::shared_ptr<RelaySweeps *> Self = Weak.lock();
+         if (!Self)
+           return;
+         const auto Found = (*Self)->Open_.find(Id);
+         if (Found != (*Self)->Open_.end())
+           Found->second.HasFailed_ = true;
+       });
+}
+
+void RelaySweeps::take(std::uint64_t SweepId,
+                       const std::vector<std::string> &Servers) {
+  if (Open_.count(SweepId) != 0)
+    settle(SweepId, Servers);
+}
+
+void RelaySweeps::settle(std::uint64_t Id,
+                         const std::vector<std::string> &Servers) {
+  const std::shared_ptr<Round> Own = Open_.extract(Id).mapped().Round_;
+  Own->Heard_.insert(Servers.begin(), Servers.end());
+  if (--Own->Open_ == 0)
+    Own->Done_(std::move(Own->Heard_));
+}
+
+void RelaySweeps::look() {
+  if (Open_.empty())
+    return;
+  const replication::ReplicaStatus Status = FindStatus_();
+  const TimePoint Now = Time_.now();
+  std::vector<std::uint64_t> Over;
+  std::vector<std::uint64_t> Failed;
+  for (const auto &[Id, Each] : Open_) {
+    const bool IsMember = std::any_of(
+        Status.Members_.begin(), Status.Members_.end(),
+        [&Each = Each](const auto &M) { return M.Id_.Name_ == Each.Member_; });
+    const bool IsGone =
+        !IsMember || std::find(Status.Gone_.begin(), Status.Gone_.end(),
+                               Each.Member_) != Status.Gone_.end();
+    if (!Status.IsLeader_ || IsGone ||
+        Now - Each.Round_->Begin_ >= LongestRound)
+      Over.push_back(Id);
+    else if (Each.HasFailed_)
+      Failed.push_back(Id);
+  }
+  for (const std::uint64_t Id : Failed)
+    ask(Id);
+  for (const std::uint64_t Id : Over)
+    take(Id, {});
+}
--- /dev/null
+++ b/src/jobservice/RelaySweeps.h
@@ -0,0 +1,79 @@
+//===- RelaySweeps.h - The leader asks the relays for what they keep *- C++
+//-*-===//
+//
+// A sweep is a question to every other member. A relay answers by a batch of
+// reports, on the link on which all its batches come, so that whatever it sent
+// before has arrived by then. A member that is gone is not waited for, one that
+// does not answer is asked again.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBSERVICE_RELAYSWEEPS_H
+#define TULIPWEIR_SRC_JOBSERVICE_RELAYSWEEPS_H
+
+#include "tulipweir/core/Executor.h"
+#include "tulipweir/jobs/ReportBatch.h"
+#include "tulipweir/jobs/ReportRelays.h"
+#include "tulipweir/replication/Replica.h"
+
+#include <map>
+#include <memory>
+
+namespace tulipweir::jobservice {
+
+/// Lives on one executor: all members are called there, and callbacks run
+/// there.
+class RelaySweeps final : public jobs::ReportRelays {
+public:
+  /// Sends the question to a member; Failed is called on the executor if that
+  /// certainly or possibly did not arrive.
+  using Ask = std::function<void(const std::string &Member, jobs::ReportSweep,
+                                 std::function<void()> Failed)>;
+  /// The state of this member's replica.
+  using GetStatus = std::function<replication::ReplicaStatus()>;
+
+  /// Self is this member's name. Time must outlive it.
+  RelaySweeps(std::string Self, const Clock &Time, GetStatus FindStatus,
+              Ask Asking);
+
+  // Commands.
+
+  void flush(const std::string &ServerId, std::function<void()> Done) override;
+  void findHeard(const std::vector<std::string> &ServerIds,
+                 std::function<void(Heard)> Done) override;
+  /// A batch that answers a sweep is here, and what it holds is handed in.
+  void take(std::uint64_t SweepId, const std::vector<std::string> &Servers);
+  /// Asks again and gives up; now and then.
+  void look();
+
+private:
+  struct Round {
+    std::vector<std::string> Servers_;
+    std::size_t Open_ = 0; ///< Members that have not answered.
+    Heard Heard_;
+    std::function<void(Heard)> Done_;
+    TimePoint Begin_;
+  };
+  /// A question to one member.
+  struct Question {
+    std::shared_ptr<Round> Round_;
+    std::string Member_;
+    bool HasFailed_ = false;
+  };
+
+  void ask(std::uint64_t Id);
+  void settle(std::uint64_t Id, const std::vector<std::string> &Servers);
+
+  const std::string Self_;
+  const Clock &Time_;
+  const GetStatus FindStatus_;
+  const Ask Ask_;
+  std::uint64_t LastId_ = 0;
+  std::map<std::uint64_t, Question> Open_;
+  /// Ends with it, so that what comes later finds nothing.
+  std::shared_ptr<RelaySweeps *> Alive_ = std::make_shared<RelaySweeps *>(this);
+};
+
+} // namespace tulipweir::jobservice
+
+#endif // TULIPWEIR_SRC_JOBSERVICE_RELAYSWEEPS_H
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -1,6 +1,7 @@
 #include "jobservice/ReportRelay.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -25,10 +26,13 @@
 /// began: it is taken for one that has gone without a lease for so long, half
 /// of the usual lease of six seconds.
 static constexpr Duration TakenFor = 3s;
-/// A server that was answered last so long ago reports elsewhere, or is no
+/// A server that was last heard so long ago reports elsewhere, or is no
 /// more: longer than any lease.
 static constexpr Duration RememberedFor = 20s;
 static constexpr Duration ForgetInterval = 5s;
+/// A server that lives reports at least each second and a half, by the settings
+/// of the platform: twice that.
+static constexpr Duration HeardLately = 3s;
 /// Reports on their way: as many as are answered within QuickAnswer, which is
 /// several commits, and fewer as soon as that takes SlowAnswer, for with the
 /// wait here and the ways there and back it must stay within a second.
@@ -58,12 +62,20 @@
 
 void ReportRelay::add(jobs::ServerReport Report, Done Reply) {
   const TimePoint Now = Time_.now();
-  const TimePoint Turn =
-      Extended_.try_emplace(Report.Facts_.Id_, Now - TakenFor).first->second;
-  Queue_.emplace(Turn, Waiting{std::move(Report), std::move(Reply), Now});
+  Known &Own = Known_.try_emplace(Report.Facts_.Id_, Known{Now - TakenFor, Now})
+                   .first->second;
+  Own.Heard_ = Now;
+  Queue_.emplace(Own.Extended_,
+                 Waiting{std::move(Report), std::move(Reply), Now});
   flushSoon();
 }
 
+void ReportRelay::noteExtended(const std::string &ServerId, TimePoint At) {
+  const auto Found = Known_.find(ServerId);
+  if (Found != Known_.end())
+    Found->second.Extended_ = At;
+}
+
 void ReportRelay::flushSoon() {
   if (IsFlushing_ || Queue_.empty())
     return;
@@ -102,8 +114,8 @@
   if (Now < NextForgetting_)
     return;
   NextForgetting_ = Now + ForgetInterval;
-  std::erase_if(Extended_, [Now](const auto &Each) {
-    return Now - Each.second > RememberedFor;
+  std::erase_if(Known_, [Now](const auto &Each) {
+    return Now - Each.second.Heard_ > RememberedFor;
   });
 }
 
@@ -116,25 +128,52 @@
   if (Count > 0) {
     jobs::ReportBatch Reports;
     Batch Sent;
-    Sent.Since_ = Time_.now();
-    Reports.HasDeferred_ = Sent.Since_ - LastDeferral_ <= DeferredFor;
-    for (std::size_t I = 0; I < Count; ++I) {
-      Waiting Next = std::move(Queue_.extract(Queue_.begin()).mapped());
-      Sent.Servers_.push_back(Next.Report_.Facts_.Id_);
-      Sent.Replies_.push_back(std::move(Next.Reply_));
-      Reports.Reports_.push_back(std::move(Next.Report_));
-    }
-    InFlight_ += Count;
-    Send_(std::move(Reports), AnswerTimeout,
-          [Weak = weak_from_this(), Sent = std::move(Sent)](
-              Outcome<jobs::ReportBatchReply> Answer) mutable {
-            if (const std::shared_ptr<ReportRelay> Self = Weak.lock())
-              Self->onAnswer(std::move(Sent), std::move(Answer));
-          });
+    for (std::size_t I = 0; I < Count; ++I)
+      move(std::move(Queue_.extract(Queue_.begin()).mapped()), Reports, Sent);
+    send(std::move(Reports), std::move(Sent));
   }
   flushSoon();
 }
 
+void ReportRelay::move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent) {
+  Sent.Servers_.push_back(From.Report_.Facts_.Id_);
+  Sent.Replies_.push_back(std::move(From.Reply_));
+  Reports.Reports_.push_back(std::move(From.Report_));
+}
+
+void ReportRelay::send(jobs::ReportBatch Reports, Batch Sent) {
+  Sent.Since_ = Time_.now();
+  Reports.HasDeferred_ = Sent.Since_ - LastDeferral_ <= DeferredFor;
+  InFlight_ += Sent.Replies_.size();
+  Send_(std::move(Reports), AnswerTimeout,
+        [Weak = weak_from_this(), Sent = std::move(Sent)](
+            Outcome<jobs::ReportBatchReply> Answer) mutable {
+          if (const std::shared_ptr<ReportRelay> Self = Weak.lock())
+            Self->onAnswer(std::move(Sent), std::move(Answer));
+        });
+}
+
+void ReportRelay::sweep(const jobs::ReportSweep &Asked) {
+  const std::unordered_set<std::string> Servers(Asked.Servers_.begin(),
+                                                Asked.Servers_.end());
+  const TimePoint Now = Time_.now();
+  jobs::ReportBatch Reports;
+  Batch Sent;
+  Reports.SweepId_ = Asked.Id_;
+  for (const std::string &Id : Asked.Servers_) {
+    const auto Found = Known_.find(Id);
+    if (Found != Known_.end() && Now - Found->second.Heard_ <= HeardLately)
+      Reports.Heard_.push_back(Id);
+  }
+  for (auto At = Queue_.begin(); At != Queue_.end();) {
+    const auto Next = std::next(At);
+    if (Servers.count(At->second.Report_.Facts_.Id_) != 0)
+      move(std::move(Queue_.extract(At).mapped()), Reports, Sent);
+    At = Next;
+  }
+  send(std::move(Reports), std::move(Sent));
+}
+
 /// Grows by steps and shrinks by parts, so that several relays come to fair
 /// shares of the leader.
 void ReportRelay::adapt(Duration Took) {
@@ -156,7 +195,7 @@
       jobs::ReportAnswer &Own = Answer.value().Answers_[I];
       // The server counts its lease from before the report left here.
       if (Own.Orders_.LeaseMs_ > 0)
-        Extended_[Sent.Servers_[I]] = Sent.Since_;
+        noteExtended(Sent.Servers_[I], Sent.Since_);
       Sent.Replies_[I](std::move(Own).takeOutcome());
     } else if (!Answer)
       Sent.Replies_[I](Answer.error());
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -41,6 +41,9 @@
 
   /// Calls Reply once, soon enough that the server still hears it.
   void add(jobs::ServerReport Report, Done Reply);
+  /// Sends all that it keeps of the servers' reports at once, behind what it
+  /// has sent before, and says which of them it has heard lately.
+  void sweep(const jobs::ReportSweep &Asked);
 
   // Queries.
 
@@ -68,8 +71,17 @@
     TimePoint Since_;
   };
 
+  /// What is known of a server that reports here.
+  struct Known {
+    TimePoint Extended_; ///< When its lease was last extended through here.
+    TimePoint Heard_;
+  };
+
+  void noteExtended(const std::string &ServerId, TimePoint At);
   void flushSoon();
   void flush();
+  void send(jobs::ReportBatch Reports, Batch Sent);
+  static void move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent);
   void deferLate();
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
@@ -83,8 +95,7 @@
   std::size_t InFlight_ = 0; ///< Reports that have no answer yet.
   std::size_t Window_;       ///< Most of these.
   bool IsFlushing_ = false;  ///< A flush is posted.
-  /// By server, when that was.
-  std::unordered_map<std::string, TimePoint> Extended_;
+  std::unordered_map<std::string, Known> Known_; ///< By server.
   TimePoint LastDeferral_{};
   TimePoint NextForgetting_{}; ///< Of those that went elsewhere.
   std::vector<std::string> Relays_;
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -9,6 +9,9 @@
 /// is named for it.
 static constexpr Duration MoveInterval = std::chrono::seconds(1);
 static constexpr std::size_t MoveEvery = 8;
+/// A sweep is taken at once; a relay that says nothing for so long is asked
+/// again.
+static constexpr Duration SweepTimeout = std::chrono::milliseconds(500);
 
 ReportRouter::ReportRouter(std::string Self, Executor &Strand,
                            const Clock &Time, MemberLinks &Links,
@@ -20,7 +23,18 @@
           [this](const jobs::ReportBatch &Batch, Duration Timeout,
                  ReportRelay::BatchDone Reply) {
             send(Batch, Timeout, std::move(Reply));
-          })) {}
+          })),
+      Sweeps_(
+          Self_, Time,
+          [this] {
+            const std::shared_ptr<ControlLife> Current = FindLife_();
+            return Current ? Current->Group_->getStatus()
+                           : replication::ReplicaStatus();
+          },
+          [this](const std::string &Member, const jobs::ReportSweep &Sweep,
+                 std::function<void()> Failed) {
+            ask(Member, Sweep, std::move(Failed));
+          }) {}
 
 /// Servers are spread over the members that do not lead; a leader that hears
 /// none of them takes the reports itself.
@@ -84,6 +98,23 @@
               });
 }
 
+void ReportRouter::ask(const std::string &Member,
+                       const jobs::ReportSweep &Sweep,
+                       std::function<void()> Failed) {
+  Links_.call(Member, wire::MessageKind::ReportSweep, jobs::encodeSweep(Sweep),
+              SweepTimeout,
+              [this, Weak = Owner_,
+               Failed = std::move(Failed)](const Outcome<std::string> &Answer) {
+                const std::shared_ptr<void> Hold = Weak.lock();
+                if (Hold && !Answer)
+                  Strand_.post(Failed);
+              });
+}
+
+void ReportRouter::sweep(const jobs::ReportSweep &Asked) {
+  Relay_->sweep(Asked);
+}
+
 void ReportRouter::take(jobs::ReportBatch Batch, const net::LinkReply &Reply) {
   const std::shared_ptr<ControlLife> Current = FindLife_();
   if (!Current)
@@ -102,11 +133,14 @@
         [Gather, I](const Outcome<jobs::ServerOrders> &Orders) {
           Gather->note(I, Orders);
         });
+  if (Batch.SweepId_ != 0)
+    Sweeps_.take(Batch.SweepId_, Batch.Heard_);
   if (!Gather->isSent())
     Gathers_.push_back(Gather);
 }
 
 void ReportRouter::look() {
+  Sweeps_.look();
   std::erase_if(Gathers_, [Now = Time_.now()](const auto &Each) {
     Each->look(Now);
     return Each->isSent();
--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -12,6 +12,7 @@
 #define TULIPWEIR_SRC_JOBSERVICE_REPORTROUTER_H
 
 #include "jobservice/ControlLife.h"
+#include "jobservice/RelaySweeps.h"
 #include "jobservice/ReportGather.h"
 #include "jobservice/ReportRelay.h"
 #include "tulipweir/jobservice/MemberLinks.h"
@@ -44,10 +45,19 @@
   /// Reports that another control passes on. A member that does not lead says
   /// so of each.
   void take(jobs::ReportBatch Batch, const net::LinkReply &Reply);
+  /// The leader asks for what is kept here.
+  void sweep(const jobs::ReportSweep &Asked);
   /// Answers batches that have waited long enough; now and then.
   void look();
 
+  // Queries.
+
+  /// What a leader here asks the other members by.
+  jobs::ReportRelays &relays() { return Sweeps_; }
+
 private:
+  void ask(const std::string &Member, const jobs::ReportSweep &Sweep,
+           std::function<void()> Failed);
   void send(const jobs::ReportBatch &Batch, Duration Timeout,
             ReportRelay::BatchDone Reply);
   bool isTimeToMove(const std::string &ServerId) const;
@@ -59,6 +69,7 @@
   const GetLife FindLife_;
   std::weak_ptr<void> Owner_;
   std::shared_ptr<ReportRelay> Relay_;
+  RelaySweeps Sweeps_;
   /// Batches of other controls that are being decided.
   std::vector<std::shared_ptr<ReportGather>> Gathers_;
 };
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -412,7 +412,7 @@
   Status_.AppliedIndex_ = Applied_;
   Status_.LeaderSince_ = Core_.getLeaderSince();
   Status_.Members_ = Core_.getLog().getMembers();
-  Status_.Heard_ = Status_.IsLeader_ ? listHeard() : std::vector<std::string>();
+  publishStandings();
   Status_.LogBytes_ = Storage_->countBytes();
   Status_.Syncs_ = Storage_->countSyncs();
   Status_.Waiting_ = getWaiting();
@@ -428,12 +428,21 @@
   return Standings;
 }
 
-std::vector<std::string> ReplicaDriver::listHeard() const {
-  std::vector<std::string> Names;
-  for (const MemberStanding &Each : listStandings())
-    if (Each.IsAlive_ && Each.Member_.Id_.Name_ != Settings_.Name_)
-      Names.push_back(Each.Member_.Id_.Name_);
-  return Names;
+/// Guarded by the caller.
+void ReplicaDriver::publishStandings() {
+  Status_.Heard_.clear();
+  Status_.Gone_.clear();
+  if (!Status_.IsLeader_)
+    return;
+  for (const MemberStanding &Each : listStandings()) {
+    const std::string &Name = Each.Member_.Id_.Name_;
+    if (Name == Settings_.Name_)
+      continue;
+    if (Each.IsAlive_)
+      Status_.Heard_.push_back(Name);
+    if (Each.IsGone_)
+      Status_.Gone_.push_back(Name);
+  }
 }
 
 std::vector<MemberId> ReplicaDriver::getWaiting() const {
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -102,7 +102,7 @@
   Holdings getHoldings() const;
   std::vector<MemberId> getWaiting() const;
   std::vector<MemberStanding> listStandings() const;
-  std::vector<std::string> listHeard() const;
+  void publishStandings();
   void rejoinNext();
   void carryOut(FounderOutputs Out);
   void failWith(const Error &Why);
--- a/tests/jobs/JobEvacuationTest.cpp
+++ b/tests/jobs/JobEvacuationTest.cpp
@@ -111,7 +111,7 @@
 
 TEST_F(JobEvacuationTest, ADataCentreOfTheDeploymentNeedsNoServerToBeKnown) {
   JobLeader Own(makeSettings(), Time_, Strand_, Group_, Machine_, Advisor_,
-                Provider_, Log_, Meter_);
+                Provider_, Relays_, Log_, Meter_);
   Own.start();
   Strand_.advance(100ms);
   bool IsDone = false;
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -157,6 +157,39 @@
   std::vector<Question> Asked_;
 };
 
+/// Other members that keep what they may for as long as they usually do, or
+/// until they are told to answer.
+class HandRelays final : public ReportRelays {
+public:
+  explicit HandRelays(ManualExecutor &Strand) : Strand_(Strand) {}
+
+  void flush(const std::string &, std::function<void()> Done) override {
+    if (AnswersByItself_)
+      return Strand_.postAfter(Kept, std::move(Done));
+    Asked_.push_back([Done = std::move(Done)](const Heard &) { Done(); });
+  }
+  void findHeard(const std::vector<std::string> &,
+                 std::function<void(Heard)> Done) override {
+    if (AnswersByItself_)
+      return Strand_.post([Done = std::move(Done)] { Done({}); });
+    Asked_.push_back(std::move(Done));
+  }
+  /// Answers all that was asked: Servers were heard.
+  void answer(const Heard &Servers = {}) {
+    for (const auto &Each : std::exchange(Asked_, {}))
+      Each(Servers);
+  }
+
+  bool AnswersByItself_ = true;
+
+private:
+  /// Longer than a relay keeps a report for its turn.
+  static constexpr Duration Kept = std::chrono::milliseconds(450);
+
+  ManualExecutor &Strand_;
+  std::vector<std::function<void(Heard)>> Asked_;
+};
+
 /// Lists what it is given, and keeps orders until it is told to answer.
 class HandProvider final : public VmProvider {
 public:
@@ -249,8 +282,9 @@
   JobLeaderSettings Settings_;
   KeptQuestions Advisor_;
   HandProvider Provider_;
+  HandRelays Relays_{Strand_};
   JobLeader Leader_{Settings_, Time_,     Strand_, Group_, Machine_,
-                    Advisor_,  Provider_, Log_,    Meter_};
+                    Advisor_,  Provider_, Relays_, Log_,   Meter_};
   std::map<std::string, std::uint64_t> Sequences_;
 };
 
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -160,12 +160,16 @@
 }
 
 TEST(ReportBatchTest, ABatchAndItsReplyTravelWhole) {
-  ReportBatch Batch{{makeReport("a", 1ULL << 40), makeReport("b")}, true};
+  ReportBatch Batch{
+      {makeReport("a", 1ULL << 40), makeReport("b")}, true, 7, {"b"}};
   Batch.Reports_[0].Running_ = {{{"j", 1, 2, 3}, 4, "saved", 55, 66}};
   Batch.Reports_[0].Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Failed, "c"}}};
   Batch.Reports_[1].IsDraining_ = true;
   Batch.Reports_[1].RemainingMs_ = 900;
   EXPECT_EQ(decodeReports(encodeReports(Batch)).value(), Batch);
+  const ReportSweep Sweep{"me", 8, {"a", "b"}};
+  EXPECT_EQ(decodeSweep(encodeSweep(Sweep)).value(), Sweep);
+  EXPECT_FALSE(decodeSweep("no sweep"));
   ReportBatchReply Reply;
   Reply.Relays_ = {"x"};
   ServerOrders Orders{1, 2, 3, 4, {}, {}, {}, ""};
