--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -18,6 +18,8 @@
 /// waited here for so long is not worth the leader's time any more.
 static constexpr Duration MostWait = 350ms;
 static constexpr Duration AnswerTimeout = 800ms;
+/// A second, less the ways from and to the server.
+static constexpr Duration LatestAnswer = 950ms;
 /// When such a server shall come again.
 static constexpr std::uint64_t DeferredReportMs = 300;
 /// For so long after that servers may still be waiting for their turn.
@@ -70,10 +72,12 @@
   flushSoon();
 }
 
-void ReportRelay::noteExtended(const std::string &ServerId, TimePoint At) {
-  const auto Found = Known_.find(ServerId);
-  if (Found != Known_.end())
-    Found->second.Extended_ = At;
+/// Its lease counts from its report. What the server will have given up on by
+/// the time it gets there extends nothing.
+void ReportRelay::noteExtended(const Batch::Asked &Answered) {
+  const auto Found = Known_.find(Answered.Server_);
+  if (Found != Known_.end() && Time_.now() - Answered.Since_ <= LatestAnswer)
+    Found->second.Extended_ = Answered.Since_;
 }
 
 void ReportRelay::flushSoon() {
@@ -136,15 +140,15 @@
 }
 
 void ReportRelay::move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent) {
-  Sent.Servers_.push_back(From.Report_.Facts_.Id_);
-  Sent.Replies_.push_back(std::move(From.Reply_));
+  Sent.Asked_.push_back(
+      {From.Report_.Facts_.Id_, std::move(From.Reply_), From.Since_});
   Reports.Reports_.push_back(std::move(From.Report_));
 }
 
 void ReportRelay::send(jobs::ReportBatch Reports, Batch Sent) {
   Sent.Since_ = Time_.now();
   Reports.HasDeferred_ = Sent.Since_ - LastDeferral_ <= DeferredFor;
-  InFlight_ += Sent.Replies_.size();
+  InFlight_ += Sent.Asked_.size();
   Send_(std::move(Reports), AnswerTimeout,
         [Weak = weak_from_this(), Sent = std::move(Sent)](
             Outcome<jobs::ReportBatchReply> Answer) mutable {
@@ -184,23 +188,23 @@
 }
 
 void ReportRelay::onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer) {
-  InFlight_ -= Sent.Replies_.size();
+  InFlight_ -= Sent.Asked_.size();
   adapt(Time_.now() - Sent.Since_);
   const bool IsWhole =
-      Answer && Answer.value().Answers_.size() == Sent.Replies_.size();
+      Answer && Answer.value().Answers_.size() == Sent.Asked_.size();
   if (IsWhole)
     Relays_ = std::move(Answer.value().Relays_);
-  for (std::size_t I = 0; I < Sent.Replies_.size(); ++I) {
+  for (std::size_t I = 0; I < Sent.Asked_.size(); ++I) {
     if (IsWhole) {
       jobs::ReportAnswer &Own = Answer.value().Answers_[I];
       // The server counts its lease from before the report left here.
       if (Own.Orders_.LeaseMs_ > 0)
-        noteExtended(Sent.Servers_[I], Sent.Since_);
-      Sent.Replies_[I](std::move(Own).takeOutcome());
+        noteExtended(Sent.Asked_[I]);
+      Sent.Asked_[I].Reply_(std::move(Own).takeOutcome());
     } else if (!Answer)
-      Sent.Replies_[I](Answer.error());
+      Sent.Asked_[I].Reply_(Answer.error());
     else
-      Sent.Replies_[I](
+      Sent.Asked_[I].Reply_(
           fail(ErrorCode::Unavailable, "the answers are not whole"));
   }
   flushSoon();
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -66,8 +66,12 @@
 
   /// A batch on its way.
   struct Batch {
-    std::vector<std::string> Servers_;
-    std::vector<Done> Replies_;
+    struct Asked {
+      std::string Server_;
+      Done Reply_;
+      TimePoint Since_; ///< When its report came here.
+    };
+    std::vector<Asked> Asked_;
     TimePoint Since_;
   };
 
@@ -77,7 +81,7 @@
     TimePoint Heard_;
   };
 
-  void noteExtended(const std::string &ServerId, TimePoint At);
+  void noteExtended(const Batch::Asked &Answered);
   void flushSoon();
   void flush();
   void send(jobs::ReportBatch Reports, Batch Sent);
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -287,3 +287,27 @@
   };
   EXPECT_TRUE(jobservice::test::waitFor(Leave));
 }
+
+TEST_F(ReportRelayTest, AnAnswerThatComesTooLateLeavesItsServerFirst) {
+  const auto Extend = [this] {
+    Sent Oldest = std::move(Sent_.front());
+    Sent_.pop_front();
+    ServerOrders Orders;
+    Orders.LeaseMs_ = 6000;
+    Oldest.Done_(ReportBatchReply{{{ReportVerdict::Answered, Orders, ""}}, {}});
+  };
+  add("prompt");
+  Strand_.advance(20ms);
+  Extend();
+  add("late");
+  Strand_.advance(1s); // It has given the report up by now.
+  Extend();
+  fillWindow();
+  add("prompt");
+  add("late");
+  while (!Sent_.empty())
+    answer();
+  Strand_.advance(20ms);
+  ASSERT_FALSE(Sent_.empty());
+  EXPECT_EQ(Sent_.back().Batch_.Reports_.at(0).Facts_.Id_, "late");
+}
