--- a/bench/platform/LeaderTarget.cpp
+++ b/bench/platform/LeaderTarget.cpp
@@ -51,8 +51,8 @@
                           Answered Done) {
   // Texts are read and written by the relays; what the leader gets and gives
   // travels in frames.
-  const std::string Frame =
-      encodeReports({{platform::parseHeartbeat(Server, Body).value()}});
+  const std::string Frame = encodeReports(
+      {{platform::parseHeartbeat(Server, Body).value()}, false, 0, {}});
   std::string Reply;
   spend([&] {
     Leader_.report(
