A fleet before a starved leader as a plain test; windows that find their size

StarvedFleetTest: the real leader behind three real relays, servers that keep to the protocol, a manual clock, a budget for each report and commit; servers leave and fall silent. It found, on the code as it was: no start at all at 20 ms a report (the least window of 32 reports a relay was answered after two seconds, and every server had given up by then); leases lost with uneven relays. Cause: a window that shrinks by an eighth a batch is too slow, its least too large, and what it aimed at (150 to 300 ms) was less than two slow commits take. Change: a window is set to what the leader has just answered within 300 ms, once answers take 450; it grows by one a batch; least 4, first 8; reports whose lease is half over may go beyond it, eight at a time. Tried: growth by an eighth (overshoots: SlowLeaderTest 161 of 275 starved), first windows of 512 and 32 (six leases lost at the very beginning).

--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -24,10 +24,12 @@
 static constexpr std::uint64_t DeferredReportMs = 300;
 /// For so long after that servers may still be waiting for their turn.
 static constexpr Duration DeferredFor = 2s;
-/// A server that nobody knows here came as it got no answer elsewhere, or just
-/// began: it is taken for one that has gone without a lease for so long, half
-/// of the usual lease of six seconds.
-static constexpr Duration TakenFor = 3s;
+/// Half of the usual lease of six seconds. A server that nobody knows here came
+/// as it got no answer elsewhere, or just began: it is taken for one that has
+/// gone without a lease for so long.
+static constexpr Duration UrgentAfter = 3s;
+/// For those, beyond the window.
+static constexpr std::size_t UrgentRoom = 8;
 /// A server that was last heard so long ago reports elsewhere, or is no
 /// more: longer than any lease.
 static constexpr Duration RememberedFor = 20s;
@@ -35,15 +37,17 @@
 /// A server that lives reports at least each second and a half, by the settings
 /// of the platform: twice that.
 static constexpr Duration HeardLately = 3s;
-/// Reports on their way: as many as are answered within QuickAnswer, which is
-/// several commits, and fewer as soon as that takes SlowAnswer, for with the
-/// wait here and the ways there and back it must stay within a second.
-static constexpr std::size_t FirstWindow = 512;
-static constexpr std::size_t LeastWindow = 32;
+/// Reports on their way: more while the last ones took at most QuickAnswer, and
+/// from SlowAnswer on as many as the leader has just answered within
+/// GoodAnswer. A leader that keeps up answers within 350 ms also where commits
+/// take long; with the wait here and the ways there and back it must stay
+/// within a second.
+static constexpr std::size_t FirstWindow = 8;
+static constexpr std::size_t LeastWindow = 4;
 static constexpr std::size_t MostWindow = 2048;
-static constexpr Duration QuickAnswer = 150ms;
-static constexpr Duration SlowAnswer = 300ms;
-static constexpr std::size_t WindowStep = 16;
+static constexpr Duration GoodAnswer = 300ms;
+static constexpr Duration QuickAnswer = 360ms;
+static constexpr Duration SlowAnswer = 450ms;
 
 ReportRelay::ReportRelay(Executor &Strand, const Clock &Time, Send Sending)
     : Strand_(Strand), Time_(Time), Send_(std::move(Sending)),
@@ -64,8 +68,9 @@
 
 void ReportRelay::add(jobs::ServerReport Report, Done Reply) {
   const TimePoint Now = Time_.now();
-  Known &Own = Known_.try_emplace(Report.Facts_.Id_, Known{Now - TakenFor, Now})
-                   .first->second;
+  Known &Own =
+      Known_.try_emplace(Report.Facts_.Id_, Known{Now - UrgentAfter, Now})
+          .first->second;
   Own.Heard_ = Now;
   Queue_.emplace(Own.Extended_,
                  Waiting{std::move(Report), std::move(Reply), Now});
@@ -123,12 +128,28 @@
   });
 }
 
+/// As many as the window has room for, and a few more whose leases are half
+/// over: the windows of relays are alike, the numbers of their servers are not.
+std::size_t ReportRelay::countToSend() const {
+  const std::size_t Room = Window_ > InFlight_ ? Window_ - InFlight_ : 0;
+  std::size_t Count = std::min({Queue_.size(), Room, MostReports});
+  if (Count == MostReports)
+    return Count;
+  const TimePoint UrgentFrom = Time_.now() - UrgentAfter;
+  auto Next = std::next(Queue_.begin(), static_cast<std::ptrdiff_t>(Count));
+  while (Next != Queue_.end() && Next->first <= UrgentFrom &&
+         InFlight_ + Count < Window_ + UrgentRoom) {
+    ++Next;
+    ++Count;
+  }
+  return Count;
+}
+
 void ReportRelay::flush() {
   IsFlushing_ = false;
   deferLate();
   forgetOld();
-  const std::size_t Room = Window_ > InFlight_ ? Window_ - InFlight_ : 0;
-  const std::size_t Count = std::min({Queue_.size(), Room, MostReports});
+  const std::size_t Count = countToSend();
   if (Count > 0) {
     jobs::ReportBatch Reports;
     Batch Sent;
@@ -149,6 +170,7 @@
   Sent.Since_ = Time_.now();
   Reports.HasDeferred_ = Sent.Since_ - LastDeferral_ <= DeferredFor;
   InFlight_ += Sent.Asked_.size();
+  Sent.InFlight_ = InFlight_;
   Send_(std::move(Reports), AnswerTimeout,
         [Weak = weak_from_this(), Sent = std::move(Sent)](
             Outcome<jobs::ReportBatchReply> Answer) mutable {
@@ -178,18 +200,22 @@
   send(std::move(Reports), std::move(Sent));
 }
 
-/// Grows by steps and shrinks by parts, so that several relays come to fair
-/// shares of the leader.
-void ReportRelay::adapt(Duration Took) {
-  if (Took <= QuickAnswer)
-    Window_ = std::min(Window_ + WindowStep, MostWindow);
-  else if (Took >= SlowAnswer)
-    Window_ = std::max(Window_ * 7 / 8, LeastWindow);
+/// Grows by steps of one a batch and shrinks by parts, so that several relays
+/// come to fair shares of the leader.
+void ReportRelay::adapt(const Batch &Answered) {
+  const Duration Took = Time_.now() - Answered.Since_;
+  if (Took >= SlowAnswer)
+    Window_ = std::clamp<std::size_t>(
+        Answered.InFlight_ * static_cast<std::size_t>(GoodAnswer.count()) /
+            static_cast<std::size_t>(Took.count()),
+        LeastWindow, Window_);
+  else if (Took <= QuickAnswer)
+    Window_ = std::min(Window_ + 1, MostWindow);
 }
 
 void ReportRelay::onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer) {
   InFlight_ -= Sent.Asked_.size();
-  adapt(Time_.now() - Sent.Since_);
+  adapt(Sent);
   const bool IsWhole =
       Answer && Answer.value().Answers_.size() == Sent.Asked_.size();
   if (IsWhole)
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -73,6 +73,7 @@
     };
     std::vector<Asked> Asked_;
     TimePoint Since_;
+    std::size_t InFlight_ = 0; ///< Reports on their way with it, it included.
   };
 
   /// What is known of a server that reports here.
@@ -84,12 +85,13 @@
   void noteExtended(const Batch::Asked &Answered);
   void flushSoon();
   void flush();
+  std::size_t countToSend() const;
   void send(jobs::ReportBatch Reports, Batch Sent);
   static void move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent);
   void deferLate();
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
-  void adapt(Duration Took);
+  void adapt(const Batch &Answered);
 
   Executor &Strand_;
   const Clock &Time_;
--- /dev/null
+++ b/tests/jobservice/StarvedFleet.h
@@ -0,0 +1,135 @@
+//===- StarvedFleet.h - Servers, relays and a leader short of time --------===//
+//
+// A real leader behind three real relays, and servers that keep to the
+// platform's protocol, all under one manual clock. The leader has a budget: so
+// much time for each report, one batch after the other, and so long for a
+// commit. Whatever a server sees is judged: what starts, what has ended, whose
+// lease ends. The same seed gives the same day.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_TESTS_JOBSERVICE_STARVEDFLEET_H
+#define TULIPWEIR_TESTS_JOBSERVICE_STARVEDFLEET_H
+
+#include "jobs/LeaderFixture.h"
+#include "jobservice/RelaySweeps.h"
+#include "jobservice/ReportGather.h"
+#include "jobservice/ReportRelay.h"
+
+#include <random>
+
+namespace tulipweir::jobservice::test {
+
+using jobs::ServerOrders;
+using jobs::StartOrder;
+using jobs::TaskKey;
+
+struct FleetDay {
+  std::uint64_t Seed_ = 1;
+  int Servers_ = 90;
+  Duration ForAReport_ = std::chrono::microseconds(500);
+  Duration ForACommit_ = std::chrono::milliseconds(10);
+  Duration Length_ = std::chrono::seconds(30);
+  bool HasFaults_ = false; ///< Servers leave, fall silent and come anew.
+};
+
+class StarvedFleet {
+public:
+  explicit StarvedFleet(const FleetDay &Day);
+  void run();
+
+  // What was seen.
+
+  std::vector<std::string> Broken_; ///< Promises, in words.
+  std::size_t LeasesLost_ = 0;      ///< Of servers that reported all the while.
+  std::size_t Started_ = 0;
+  std::size_t Done_ = 0;
+  std::size_t Left_ = 0; ///< Servers that left or fell silent.
+
+private:
+  static constexpr int Relays = 3;
+  static constexpr Duration Step = std::chrono::milliseconds(10);
+  /// A server drops what comes later.
+  static constexpr Duration Patience = std::chrono::seconds(1);
+  /// From the acknowledgement of a cancel to its last start.
+  static constexpr Duration CancelTime = std::chrono::seconds(3);
+
+  struct Run {
+    std::uint64_t Number_ = 0;
+    TimePoint EndsAt_{};
+  };
+  struct Server {
+    std::string Id_;
+    std::map<TaskKey, Run> Running_;
+    std::map<TaskKey, std::uint64_t> Highest_; ///< Runs seen, also as stopped.
+    std::vector<jobs::EndedTask> Ended_;
+    std::uint64_t LastEnd_ = 0;
+    std::uint64_t LastReported_ = 0; ///< Of these.
+    std::uint64_t Sequence_ = 0;
+    int Relay_ = 0;
+    bool IsWaiting_ = false;
+    bool IsGone_ = false;
+    bool HasLease_ = false;
+    TimePoint SentAt_{};
+    TimePoint NextReport_{};
+    TimePoint LeaseEnd_{};
+  };
+  /// A batch on its way to the leader.
+  struct Incoming {
+    jobs::ReportBatch Batch_;
+    std::shared_ptr<ReportRelay::BatchDone> Done_; ///< Empty once called.
+    TimePoint SentAt_{};
+  };
+  struct TaskStory {
+    std::uint64_t LastBegun_ = 0; ///< The highest run that began.
+    bool IsDone_ = false;         ///< An end as done was noted.
+  };
+
+  void step();
+  void serve();
+  void handle(Incoming Next);
+  void handIn();
+  void cancelOne();
+  void strike();
+  void leave(Server &Own);
+  void renew(Server &Own);
+  void work(Server &Own);
+  void end(Server &Own, const TaskKey &Task, jobs::RunEnd How);
+  void report(std::size_t Number);
+  void take(std::size_t Number, std::uint64_t Sequence,
+            const Outcome<ServerOrders> &Answer);
+  void begin(Server &Own, const StartOrder &Start);
+  void noteDone(const jobs::TaskEnd &End);
+  void breakPromise(const std::string &What, const TaskKey &Task);
+  std::uint64_t draw(std::uint64_t Below) { return Random_() % Below; }
+
+  const FleetDay Day_;
+  std::mt19937_64 Random_;
+  ManualClock Time_;
+  jobs::test::ManualExecutor Strand_{Time_};
+  jobs::JobMachine Machine_;
+  jobs::test::ManualReplica Group_{Machine_};
+  jobs::NoAdvisor Advisor_;
+  jobs::NoVmProvider Provider_;
+  NoEventLog Log_;
+  jobs::NoJobMeter Meter_;
+  jobs::JobLeaderSettings Settings_;
+  std::vector<std::shared_ptr<ReportRelay>> Relays_;
+  RelaySweeps Sweeps_;
+  jobs::JobLeader Leader_;
+  std::deque<Incoming> Queue_;
+  std::vector<std::shared_ptr<ReportGather>> Gathers_;
+  std::vector<Server> Servers_;
+  std::map<TaskKey, TaskStory> Stories_;
+  std::map<std::string, TimePoint> Cancelled_; ///< Jobs, and when it was said.
+  std::vector<std::string> Jobs_;
+  TimePoint FreeFrom_{};
+  TimePoint NextCommit_{};
+  TimePoint NextJob_{};
+  TimePoint NextLook_{};
+  TimePoint NextFault_{};
+};
+
+} // namespace tulipweir::jobservice::test
+
+#endif // TULIPWEIR_TESTS_JOBSERVICE_STARVEDFLEET_H
--- /dev/null
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -0,0 +1,67 @@
+//===- StarvedFleetTest.cpp - Promises at a leader short of processor -----===//
+//
+// What happened: beside builds and other plays, or with a leader that ran three
+// times slower, servers that were well lost their leases, runs that were done
+// began again, and cancelled tasks ran on (KNOWN-RED.txt: LOST, TWICE, UNASKED
+// on large days). No trace showed one day's break twice, for it depended on
+// what else the machine did. Here the leader's time is a figure: what it must
+// keep to holds whatever that is; that no lease is lost, as long as each server
+// can be answered twice a lease.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobservice/StarvedFleet.h"
+
+#include <gmock/gmock.h>
+
+using namespace tulipweir::jobservice::test;
+using namespace std::chrono_literals;
+
+/// From a leader with time to spare to one that answers a server of 90 each two
+/// seconds; reports alone would take 300 a second.
+static const std::vector<tulipweir::Duration> Budgets = {500us, 3ms, 10ms,
+                                                         20ms};
+static constexpr std::uint64_t Seeds = 6;
+
+TEST(StarvedFleetTest, NoLeaseIsLostByTheLeadersSlowness) {
+  for (const tulipweir::Duration Each : Budgets)
+    for (const tulipweir::Duration Commit : {10ms, 160ms}) {
+      FleetDay Day;
+      Day.ForAReport_ = Each;
+      Day.ForACommit_ = Commit;
+      StarvedFleet Fleet(Day);
+      Fleet.run();
+      EXPECT_THAT(Fleet.Broken_, testing::IsEmpty());
+      EXPECT_EQ(Fleet.LeasesLost_, 0U) << Each.count() << " ns a report";
+      EXPECT_GT(Fleet.Started_, 100U);
+      EXPECT_GT(Fleet.Done_, 100U);
+    }
+}
+
+TEST(StarvedFleetTest, NothingIsDoneTwiceWhoeverGoes) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    for (const tulipweir::Duration Each : Budgets) {
+      FleetDay Day;
+      Day.Seed_ = Seed;
+      Day.ForAReport_ = Each;
+      Day.ForACommit_ = 10ms * static_cast<int>(1 + Seed * 4);
+      Day.HasFaults_ = true;
+      StarvedFleet Fleet(Day);
+      Fleet.run();
+      EXPECT_THAT(Fleet.Broken_, testing::IsEmpty())
+          << "seed " << Seed << ", " << Each.count() << " ns a report";
+      EXPECT_GT(Fleet.Left_, 20U);
+      EXPECT_GT(Fleet.Started_, 100U);
+    }
+}
+
+TEST(StarvedFleetTest, PromisesHoldAlsoWhereLeasesCannot) {
+  // A server's turn comes each nine seconds, a lease lasts five.
+  FleetDay Day;
+  Day.ForAReport_ = 100ms;
+  Day.HasFaults_ = true;
+  Day.Length_ = 60s;
+  StarvedFleet Fleet(Day);
+  Fleet.run();
+  EXPECT_THAT(Fleet.Broken_, testing::IsEmpty());
+}
