Revert: a new leader gives leases before it starts work

What it was for did not happen. So the change has no trace that asks for it, and delays starts after each election.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -20,13 +20,6 @@
 /// How soon the others are asked again for a server whose lease ran out: two to
 /// three of its reports.
 static constexpr Duration AskAgainAfter = 1s;
-/// A new leader starts nothing before all but a tenth of the servers have a
-/// lease of its own: after a loss of power those they have are nearly over, and
-/// a start costs several times what a lease does. All report within half a
-/// second; what is silent is not waited for longer than this.
-static constexpr std::size_t OnePartOf = 10;
-static constexpr std::size_t FewServers = 8; ///< Answered within some ms.
-static constexpr Duration LeasesFirst = 1500ms;
 /// A server that was told to come again does so within some hundred ms.
 static constexpr Duration BehindFor = 2s;
 /// Clocks that are kept in step are slewed by less.
@@ -62,7 +55,6 @@
   LeadingSince_ = Now;
   Open_.clear();
   Lapsed_.clear();
-  Unrenewed_.clear();
   IsListing_ = false;
   IsOrdering_ = false;
   NextQuestion_ = Now;
@@ -74,8 +66,6 @@
   Machine_.read([&](const JobBook &Book) {
     // An earlier leader's last answer left before this one was elected.
     Board_.reset(Book, Now, getLongestLease());
-    for (const auto &[Id, Server] : Book.servers())
-      Unrenewed_.insert(Id);
     for (const auto &[Id, Job] : Book.jobs())
       if (isEnded(Job.State_))
         EndedSince_[Id] = Now;
@@ -208,7 +198,6 @@
                                    ResultCallback Done) {
   if (IsOver)
     Leaving_.insert(Id);
-  Unrenewed_.erase(Id);
   if (ServerLive *Live = Board_.find(Id))
     Live->IsRemoving_ = true;
   Event Line;
@@ -298,21 +287,7 @@
     propose(Each, [](const Outcome<CommandResult> &) {});
 }
 
-bool JobLeader::Impl::maySpendOnStarts() {
-  if (Unrenewed_.empty())
-    return true;
-  const std::size_t All =
-      Machine_.read([](const JobBook &Book) { return Book.servers().size(); });
-  if (Unrenewed_.size() > std::max(All / OnePartOf, FewServers) &&
-      Time_.now() - LeadingSince_ < LeasesFirst)
-    return false;
-  Unrenewed_.clear();
-  return true;
-}
-
 void JobLeader::Impl::startGang() {
-  if (!maySpendOnStarts())
-    return;
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
     if (Time_.now() >= NextPrune_) {
       NextPrune_ = Time_.now() + PruneInterval;
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -83,8 +83,6 @@
                      const ReportRelays::Heard &Heard);
   void openDue();
   void startGang();
-  /// False while most servers still wait for their first lease of this leader.
-  bool maySpendOnStarts();
   void forgetEnded();
   void keepWaves();
   void listVms();
@@ -185,9 +183,6 @@
   bool IsOrdering_ = false; ///< and an order to it.
   /// Reports that wait for commits, the oldest first.
   std::deque<HandlingPtr> Open_;
-  /// Servers with an earlier leader's lease only; none once most have a new
-  /// one.
-  std::set<std::string> Unrenewed_;
   /// Servers whose lease ran out, and when the other members, which are asked
   /// for them, may be asked again.
   std::map<std::string, TimePoint> Lapsed_;
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -22,7 +22,6 @@
   if (!isLeading())
     return Reply(makeNotLeading());
   Leaving_.insert(ServerId);
-  Unrenewed_.erase(ServerId);
   const bool IsEmpty = Machine_.read([&ServerId](const JobBook &Book) {
     const ServerRecord *Server = Book.findServer(ServerId);
     return !Server || Server->Placed_.empty();
@@ -262,8 +261,6 @@
 }
 
 void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
-  if (!maySpendOnStarts())
-    return answer(Current);
   const std::string &Id = Current->Report_.Facts_.Id_;
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
     return Dispatcher_.plan(Book, Board_, Id, Time_.now(), Time_.wallNow());
@@ -373,7 +370,6 @@
   if (Group_.findLeaseTerm(Now) != Term_)
     return reply(Current, makeNotLeading());
   Board_.extendLease(Id, Now + getLongestLease());
-  Unrenewed_.erase(Id);
   Meter_.record(Timed::Heartbeat, Now - Current->ArrivedAt_);
   if (Now - Current->ArrivedAt_ > BehindAfter)
     noteBehind();
