Windows by the time that reports wait for the leader, without its commits

Shrunk by whole answers they collapse where commits are slow, which fewer reports do not shorten. Change: the leader says how long it had a batch in hand; what is left of the answer's time is the wait for it, and steers the window (80 and 150 ms). Also: what commits after an early answer is planned for, unless a later report is there; else a server whose ends take over 300 ms to commit never got a start. LeaderDelayTest.RoomThatIsFreeLate… red before. StarvedFleetTest passes.

--- a/bench/platform/LeaderTarget.cpp
+++ b/bench/platform/LeaderTarget.cpp
@@ -58,7 +58,7 @@
     Leader_.report(
         std::move(decodeReports(Frame).value().Reports_[0]),
         [&Reply](const Outcome<ServerOrders> &Orders) {
-          Reply = encodeReportReply({{ReportAnswer::make(Orders)}, {}});
+          Reply = encodeReportReply({{ReportAnswer::make(Orders)}, {}, 0});
         });
   });
   const ReportAnswer Answer =
--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -58,6 +58,10 @@
   /// The controls that take reports for the leader: all that it hears, but
   /// itself.
   std::vector<std::string> Relays_;
+  /// How long the leader had the batch in hand, commits included; the rest of
+  /// the time that the answers took it waited for the leader, or was on its
+  /// way.
+  std::uint64_t HandledMs_ = 0;
   bool operator==(const ReportBatchReply &) const = default;
 };
 
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -254,9 +254,13 @@
           }
           return 0;
         });
-        // The server's next report is planned for instead.
-        if (!Current->IsAnswered_)
+        // Also after an early answer: the starts ride on the next one. Where a
+        // later report is there, that is planned for instead.
+        const ServerLive *Live = Board_.find(Command.Server_);
+        if (Live && Live->LastSequence_ == Current->Report_.Sequence_)
           startTasks(Current);
+        else
+          answer(Current);
       });
 }
 
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -35,7 +35,7 @@
   return std::tie(X.Verdict_, X.Orders_, X.Text_);
 }
 static auto fields(ReportBatchReply &X) {
-  return std::tie(X.Answers_, X.Relays_);
+  return std::tie(X.Answers_, X.Relays_, X.HandledMs_);
 }
 static constexpr std::uint8_t maxOf(ReportVerdict) {
   return static_cast<std::uint8_t>(ReportVerdict::Refused);
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -37,17 +37,17 @@
 /// A server that lives reports at least each second and a half, by the settings
 /// of the platform: twice that.
 static constexpr Duration HeardLately = 3s;
-/// Reports on their way: more while the last ones took at most QuickAnswer, and
-/// from SlowAnswer on as many as the leader has just answered within
-/// GoodAnswer. A leader that keeps up answers within 350 ms also where commits
-/// take long; with the wait here and the ways there and back it must stay
+/// Reports on their way: more while those before waited for the leader for at
+/// most QuickTurn, and from SlowTurn on as many as it has just taken within
+/// GoodTurn. What it spends on commits does not count, as fewer reports would
+/// not shorten that; with that, the wait here and the ways an answer must stay
 /// within a second.
-static constexpr std::size_t FirstWindow = 8;
+static constexpr std::size_t FirstWindow = 64;
 static constexpr std::size_t LeastWindow = 4;
 static constexpr std::size_t MostWindow = 2048;
-static constexpr Duration GoodAnswer = 300ms;
-static constexpr Duration QuickAnswer = 360ms;
-static constexpr Duration SlowAnswer = 450ms;
+static constexpr Duration GoodTurn = 60ms;
+static constexpr Duration QuickTurn = 80ms;
+static constexpr Duration SlowTurn = 150ms;
 
 ReportRelay::ReportRelay(Executor &Strand, const Clock &Time, Send Sending)
     : Strand_(Strand), Time_(Time), Send_(std::move(Sending)),
@@ -202,20 +202,21 @@
 
 /// Grows by steps of one a batch and shrinks by parts, so that several relays
 /// come to fair shares of the leader.
-void ReportRelay::adapt(const Batch &Answered) {
-  const Duration Took = Time_.now() - Answered.Since_;
-  if (Took >= SlowAnswer)
+void ReportRelay::adapt(const Batch &Answered, Duration Handled) {
+  const Duration Waited = Time_.now() - Answered.Since_ - Handled;
+  if (Waited >= SlowTurn)
     Window_ = std::clamp<std::size_t>(
-        Answered.InFlight_ * static_cast<std::size_t>(GoodAnswer.count()) /
-            static_cast<std::size_t>(Took.count()),
+        Answered.InFlight_ * static_cast<std::size_t>(GoodTurn.count()) /
+            static_cast<std::size_t>(Waited.count()),
         LeastWindow, Window_);
-  else if (Took <= QuickAnswer)
+  else if (Waited <= QuickTurn)
     Window_ = std::min(Window_ + 1, MostWindow);
 }
 
 void ReportRelay::onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer) {
   InFlight_ -= Sent.Asked_.size();
-  adapt(Sent);
+  adapt(Sent, Answer ? std::chrono::milliseconds(Answer.value().HandledMs_)
+                     : Duration(0));
   const bool IsWhole =
       Answer && Answer.value().Answers_.size() == Sent.Asked_.size();
   if (IsWhole)
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -91,7 +91,8 @@
   void deferLate();
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
-  void adapt(const Batch &Answered);
+  /// Handled: what the leader spent on it once its turn came.
+  void adapt(const Batch &Answered, Duration Handled);
 
   Executor &Strand_;
   const Clock &Time_;
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -121,9 +121,14 @@
     return Reply(fail(ErrorCode::NotLeader, ""));
   const auto Gather = std::make_shared<ReportGather>(
       Batch.Reports_.size(), Time_.now(),
-      [Current, Reply](std::vector<jobs::ReportAnswer> Answers) {
+      [this, Current, Reply,
+       Begin = Time_.now()](std::vector<jobs::ReportAnswer> Answers) {
+        const auto Handled =
+            std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
+                                                                  Begin);
         Reply(jobs::encodeReportReply(
-            {std::move(Answers), Current->Group_->getStatus().Heard_}));
+            {std::move(Answers), Current->Group_->getStatus().Heard_,
+             static_cast<std::uint64_t>(Handled.count())}));
       });
   if (Batch.HasDeferred_)
     Current->Leader_->noteBehind();
--- a/tests/jobs/LeaderDelayTest.cpp
+++ b/tests/jobs/LeaderDelayTest.cpp
@@ -125,3 +125,25 @@
   Strand_.advance(Soon);
   EXPECT_FALSE(Answer->has_value() && **Answer) << "another may lead by now";
 }
+
+TEST_F(LeaderDelayTest, RoomThatIsFreeLateIsFilledWithTheNextAnswer) {
+  call(CallKind::Submit, "j", {makeStep(2, 2500)});
+  const ServerOrders First = report(makeReport("s1"));
+  ASSERT_EQ(First.Starts_.size(), 1U) << "there is room for one";
+  Group_.IsHeld_ = true;
+  ServerReport After = makeReport("s1");
+  After.Ended_ = {makeEnded(1, First.Starts_[0], RunEnd::Done)};
+  const Got Answer = send(After);
+  Strand_.advance(Soon);
+  ASSERT_TRUE(Answer->has_value());
+  // The end is committed, then the start that takes its room.
+  Group_.commitAll();
+  Strand_.runAll();
+  commit();
+  Group_.IsHeld_ = true;
+  ServerReport Next = makeReport("s1");
+  Next.Ended_ = After.Ended_;
+  const Got Later = send(Next);
+  ASSERT_TRUE(Later->has_value()) << "nothing is left to commit";
+  EXPECT_EQ((*Later)->value().Starts_.size(), 1U);
+}
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -294,7 +294,8 @@
     Sent_.pop_front();
     ServerOrders Orders;
     Orders.LeaseMs_ = 6000;
-    Oldest.Done_(ReportBatchReply{{{ReportVerdict::Answered, Orders, ""}}, {}});
+    Oldest.Done_(
+        ReportBatchReply{{{ReportVerdict::Answered, Orders, ""}}, {}, 0});
   };
   add("prompt");
   Strand_.advance(20ms);
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -135,10 +135,16 @@
 void StarvedFleet::handle(Incoming Next) {
   const auto Gather = std::make_shared<ReportGather>(
       Next.Batch_.Reports_.size(), Time_.now(),
-      [Done = Next.Done_](std::vector<ReportAnswer> Answers) {
+      [this, Done = Next.Done_,
+       Begin = Time_.now()](std::vector<ReportAnswer> Answers) {
+        const auto Handled =
+            std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
+                                                                  Begin);
         if (*Done)
-          std::exchange(*Done,
-                        nullptr)(ReportBatchReply{std::move(Answers), {}});
+          std::exchange(*Done, nullptr)(
+              ReportBatchReply{std::move(Answers),
+                               {},
+                               static_cast<std::uint64_t>(Handled.count())});
       });
   if (Next.Batch_.HasDeferred_)
     Leader_.noteBehind();
@@ -227,7 +233,6 @@
   if (Own.HasLease_ && Now >= Own.LeaseEnd_) {
     Own.HasLease_ = false;
     LeasesLost_ += Own.Running_.empty() ? 0 : 1;
-    if (!Own.Running_.empty()) fprintf(stderr, "LOST %s at %.2f seq %lu relay %d waiting %d\n", Own.Id_.c_str(), std::chrono::duration<double>(Now.time_since_epoch()).count()-3600, Own.Sequence_, Own.Relay_, Own.IsWaiting_);
     for (const auto &[Task, Each] : Own.Running_)
       Over.push_back(Task);
     for (const TaskKey &Each : Over)
