--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -25,6 +25,7 @@
 #include "replication/LeaderWatch.h"
 
 #include <deque>
+#include <limits>
 #include <set>
 
 namespace tulipweir::jobs {
@@ -60,6 +61,8 @@
 
 private:
   using ResultCallback = std::function<void(Outcome<CommandResult>)>;
+  static constexpr std::uint64_t NoOpenEnd =
+      std::numeric_limits<std::uint64_t>::max();
   /// A report on its way to its answer.
   struct Handling {
     ServerReport Report_;
@@ -68,6 +71,8 @@
     bool IsNoted_ = false; ///< Its server is stored, and it is the newest.
     bool IsHeld_ = false;  ///< Something that came of it is to be committed.
     bool IsAnswered_ = false;
+    /// The number of the first end in it that is still to be committed.
+    std::uint64_t FirstOpenEnd_ = NoOpenEnd;
   };
   using HandlingPtr = std::shared_ptr<Handling>;
 
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -1,7 +1,6 @@
 #include "jobs/JobLeaderImpl.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 using namespace tulipweir;
@@ -214,8 +213,10 @@
     if (!Server)
       return 0;
     for (const EndedTask &Each : Report.Ended_)
-      if (isNews(Book, *Server, Each.End_))
+      if (isNews(Book, *Server, Each.End_)) {
         Command.Ends_.push_back(Each.End_);
+        Current->FirstOpenEnd_ = std::min(Current->FirstOpenEnd_, Each.Number_);
+      }
     return 0;
   });
   if (Command.Ends_.empty())
@@ -230,6 +231,7 @@
       Command, [this, Current, Command](const Outcome<CommandResult> &Applied) {
         if (!Applied)
           return reply(Current, Applied.error());
+        Current->FirstOpenEnd_ = NoOpenEnd;
         logEnds(Command.Server_, Command.Ends_);
         noteHealth(Command);
         Machine_.read([&](const JobBook &Book) {
@@ -310,22 +312,6 @@
     Open_.push_back(Current);
 }
 
-/// The highest number up to which nothing that the server says has ended is
-/// still to be committed.
-static std::uint64_t findEndsNoted(const JobBook &Book,
-                                   const ServerReport &Report) {
-  const ServerRecord *Server = Book.findServer(Report.Facts_.Id_);
-  std::uint64_t Noted = 0;
-  std::uint64_t FirstOpen = std::numeric_limits<std::uint64_t>::max();
-  for (const EndedTask &Each : Report.Ended_)
-    if (Server && isNews(Book, *Server, Each.End_))
-      FirstOpen = std::min(FirstOpen, Each.Number_);
-  for (const EndedTask &Each : Report.Ended_)
-    if (Each.Number_ < FirstOpen)
-      Noted = std::max(Noted, Each.Number_);
-  return Noted;
-}
-
 /// Nothing but ends and starts needs a commit: a lease does not wait for one
 /// that takes long. What is committed later comes with the next answer.
 void JobLeader::Impl::answerOverdue() {
@@ -366,8 +352,9 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Settings_.Lease_)
           .count());
   Orders.FencingToken_ = Term_;
-  Orders.EndsNoted_ = Machine_.read(
-      [&](const JobBook &Book) { return findEndsNoted(Book, Report); });
+  for (const EndedTask &Each : Report.Ended_)
+    if (Each.Number_ < Current->FirstOpenEnd_)
+      Orders.EndsNoted_ = std::max(Orders.EndsNoted_, Each.Number_);
   Orders.NextReportMs_ = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
           Settings_.ReportInterval_)
--- a/tests/jobs/LeaderDelayTest.cpp
+++ b/tests/jobs/LeaderDelayTest.cpp
@@ -147,3 +147,27 @@
   ASSERT_TRUE(Later->has_value()) << "nothing is left to commit";
   EXPECT_EQ((*Later)->value().Starts_.size(), 1U);
 }
+
+// Found in reading the round again: an end that changes nothing any more, such
+// as that of a lasting task which was already begun again, counted as open for
+// ever, and no later end of its server was noted.
+TEST_F(LeaderDelayTest, AnEndThatCountsForNothingIsNotedAllTheSame) {
+  StepSpec Lasting = makeStep(1, 1000);
+  Lasting.LongRunning_ = true;
+  call(CallKind::Submit, "j", {Lasting});
+  call(CallKind::Submit, "k", {makeStep(1, 1000)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 2U);
+  const bool IsFirst = Orders.Starts_[0].Task_.Job_ == "j";
+  const StartOrder &Last = Orders.Starts_[IsFirst ? 0 : 1];
+  const StartOrder &Other = Orders.Starts_[IsFirst ? 1 : 0];
+  ServerReport First = makeReport("s1");
+  First.Ended_ = {makeEnded(1, Last, RunEnd::Done)};
+  First.Running_ = {makeRunning(Other)};
+  EXPECT_EQ(report(First).EndsNoted_, 1U);
+  // The server has not got that answer.
+  ServerReport Second = makeReport("s1");
+  Second.Ended_ = {makeEnded(1, Last, RunEnd::Done),
+                   makeEnded(2, Other, RunEnd::Done)};
+  EXPECT_EQ(report(Second).EndsNoted_, 2U);
+}
