Windows shrink where a batch waited for the leader; plans are not bounded

Cause: windows set to what was taken within 60 ms, and starts held to a third of the time, each time a burst made the leader late. Kept: commits do not count against the window; least and first windows small, so that a leader at 20 ms a report is not drowned (StarvedFleetTest); growth by an eighth, 16 at most; shrinking by an eighth at 300 ms, by half at 600.

--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -19,7 +19,6 @@
 #include "jobs/Newcomers.h"
 #include "jobs/PaceGuard.h"
 #include "jobs/PaceSetter.h"
-#include "jobs/PlanShare.h"
 #include "jobs/ServerBoard.h"
 #include "jobs/WaveKeeper.h"
 #include "replication/LeaderWatch.h"
@@ -176,7 +175,6 @@
   Dispatcher Dispatcher_{Effects_, Loads_, Paces_, Health_, Advice_};
   PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Learner_, Paces_};
   Newcomers Newcomers_;
-  PlanShare Plans_;
   bool IsAsking_ = false; ///< A question to the advice service is open.
   TimePoint NextQuestion_{};
   TimePoint NextPrune_{};
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -268,13 +268,9 @@
 
 void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
   const std::string &Id = Current->Report_.Facts_.Id_;
-  const TimePoint Begin = Time_.now();
-  if (Begin < BehindUntil_ && !Plans_.mayPlan(Begin))
-    return answer(Current);
   std::vector<TaskStart> Starts = Machine_.read([&](const JobBook &Book) {
-    return Dispatcher_.plan(Book, Board_, Id, Begin, Time_.wallNow());
+    return Dispatcher_.plan(Book, Board_, Id, Time_.now(), Time_.wallNow());
   });
-  Plans_.note(Begin, Time_.now());
   if (Starts.empty())
     return answer(Current);
   hold(Current);
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -37,17 +37,23 @@
 /// A server that lives reports at least each second and a half, by the settings
 /// of the platform: twice that.
 static constexpr Duration HeardLately = 3s;
-/// Reports on their way: more while those before waited for the leader for at
-/// most QuickTurn, and from SlowTurn on as many as it has just taken within
-/// GoodTurn. What it spends on commits does not count, as fewer reports would
-/// not shorten that; with that, the wait here and the ways an answer must stay
-/// within a second.
-static constexpr std::size_t FirstWindow = 64;
+/// Reports on their way: more while answers are quick, or nothing waited for
+/// the leader; fewer once an answer is slow as its batch waited for the leader.
+/// What the leader spends on commits does not count, as fewer reports would not
+/// shorten that. With the wait here and the ways an answer must stay within a
+/// second.
+static constexpr std::size_t FirstWindow = 8;
 static constexpr std::size_t LeastWindow = 4;
 static constexpr std::size_t MostWindow = 2048;
-static constexpr Duration GoodTurn = 60ms;
-static constexpr Duration QuickTurn = 80ms;
-static constexpr Duration SlowTurn = 150ms;
+/// It grows and shrinks by an eighth, and grows by at most so many at a time.
+static constexpr std::size_t WindowParts = 8;
+static constexpr std::size_t WindowStep = 16;
+static constexpr Duration QuickAnswer = 150ms;
+static constexpr Duration QuickTurn = 30ms;
+static constexpr Duration SlowAnswer = 300ms;
+static constexpr Duration SlowTurn = 100ms;
+/// Most of a server's patience: the window is halved.
+static constexpr Duration HopelessAnswer = 600ms;
 
 ReportRelay::ReportRelay(Executor &Strand, const Clock &Time, Send Sending)
     : Strand_(Strand), Time_(Time), Send_(std::move(Sending)),
@@ -170,7 +176,6 @@
   Sent.Since_ = Time_.now();
   Reports.HasDeferred_ = Sent.Since_ - LastDeferral_ <= DeferredFor;
   InFlight_ += Sent.Asked_.size();
-  Sent.InFlight_ = InFlight_;
   Send_(std::move(Reports), AnswerTimeout,
         [Weak = weak_from_this(), Sent = std::move(Sent)](
             Outcome<jobs::ReportBatchReply> Answer) mutable {
@@ -200,23 +205,25 @@
   send(std::move(Reports), std::move(Sent));
 }
 
-/// Grows by steps of one a batch and shrinks by parts, so that several relays
-/// come to fair shares of the leader.
-void ReportRelay::adapt(const Batch &Answered, Duration Handled) {
-  const Duration Waited = Time_.now() - Answered.Since_ - Handled;
-  if (Waited >= SlowTurn)
-    Window_ = std::clamp<std::size_t>(
-        Answered.InFlight_ * static_cast<std::size_t>(GoodTurn.count()) /
-            static_cast<std::size_t>(Waited.count()),
-        LeastWindow, Window_);
-  else if (Waited <= QuickTurn)
-    Window_ = std::min(Window_ + 1, MostWindow);
+/// Grows by steps and shrinks by parts, so that several relays come to fair
+/// shares of the leader.
+void ReportRelay::adapt(Duration Took, Duration Handled) {
+  const Duration Waited = Took - Handled;
+  if (Took >= HopelessAnswer && Waited >= SlowTurn)
+    Window_ = std::max(Window_ / 2, LeastWindow);
+  else if (Took >= SlowAnswer && Waited >= SlowTurn)
+    Window_ = std::max(Window_ - Window_ / WindowParts, LeastWindow);
+  else if (Took <= QuickAnswer || Waited <= QuickTurn)
+    Window_ = std::min(
+        Window_ + std::clamp<std::size_t>(Window_ / WindowParts, 1, WindowStep),
+        MostWindow);
 }
 
 void ReportRelay::onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer) {
   InFlight_ -= Sent.Asked_.size();
-  adapt(Sent, Answer ? std::chrono::milliseconds(Answer.value().HandledMs_)
-                     : Duration(0));
+  adapt(Time_.now() - Sent.Since_,
+        Answer ? std::chrono::milliseconds(Answer.value().HandledMs_)
+               : Duration(0));
   const bool IsWhole =
       Answer && Answer.value().Answers_.size() == Sent.Asked_.size();
   if (IsWhole)
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -73,7 +73,6 @@
     };
     std::vector<Asked> Asked_;
     TimePoint Since_;
-    std::size_t InFlight_ = 0; ///< Reports on their way with it, it included.
   };
 
   /// What is known of a server that reports here.
@@ -92,7 +91,7 @@
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
   /// Handled: what the leader spent on it once its turn came.
-  void adapt(const Batch &Answered, Duration Handled);
+  void adapt(Duration Took, Duration Handled);
 
   Executor &Strand_;
   const Clock &Time_;
