Followers acknowledge a round at once, whatever their disk does

Symptom: leaders changed from term 4 to 28 within 90 s beside syncing load (ControlFaults.TheLeaderIsFrozen...). Cause: the acknowledgement that a leader is heard was sent behind the disk's syncs; one that outlasts the election timeout (500 ms there) made every leader step down for want of a quorum.

Change: RoundHeard, sent at once for each round, vouches for nothing in the log; AppendReply goes after the sync, as before. A lease may rest on it: a member that starts again counts as having heard a leader, so it votes for nobody before the lease is over. Members that do not know the message drop it.

Ruled out: a plain AppendReply ahead of the sync, for RaftCoreTest.FollowerAnswersOnlyAfterTheSync says that none may go then.

--- a/src/replication/LogMessages.h
+++ b/src/replication/LogMessages.h
@@ -51,6 +51,13 @@
   bool operator==(const AppendReply &) const = default;
 };
 
+/// The sender has heard the leader's broadcast Round_; vouches for nothing in
+/// the log, and so waits for no disk. A member that does not know it drops it.
+struct RoundHeard {
+  std::uint64_t Round_ = 0;
+  bool operator==(const RoundHeard &) const = default;
+};
+
 /// A piece of a snapshot's state, from Offset_.
 struct SnapshotChunk {
   std::uint64_t Round_ = 0;
@@ -103,7 +110,7 @@
   std::uint64_t Term_ = 0;
   std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
                SnapshotChunk, SnapshotReply, TransferNow, JoinProbe, JoinReply,
-               FoundGroup>
+               FoundGroup, RoundHeard>
       Body_;
   bool operator==(const Message &) const = default;
 };
--- a/src/replication/Packing.h
+++ b/src/replication/Packing.h
@@ -38,6 +38,7 @@
 inline auto fields(AppendReply &X) {
   return std::tie(X.Round_, X.Accepted_, X.Index_, X.Hint_);
 }
+inline auto fields(RoundHeard &X) { return std::tie(X.Round_); }
 inline auto fields(SnapshotChunk &X) {
   return std::tie(X.Round_, X.Index_, X.LastTerm_, X.Members_, X.Offset_,
                   X.Total_, X.Digest_, X.Bytes_);
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -226,12 +226,14 @@
   void onMessage(const Message &From, const AppendRequest &Body);
   void onMessage(const Message &From, const SnapshotChunk &Body);
   void followLeader(const MemberId &Leader);
+  void acknowledgeRound(const MemberId &Leader, std::uint64_t Round);
   std::uint64_t findHint(const AppendRequest &Request) const;
   void storeEntries(const std::vector<LogEntry> &Entries);
   void installSnapshot(const SnapshotChunk &Last);
 
   // The leader's side, in RaftLeader.cpp.
   void onMessage(const Message &From, const AppendReply &Body);
+  void onMessage(const Message &From, const RoundHeard &Body);
   void onMessage(const Message &From, const SnapshotReply &Body);
   void noteAnswer(Progress &Peer, std::uint64_t Round);
   void appendOwn(EntryKind Kind, std::string Command,
@@ -289,6 +291,8 @@
   Role Role_ = Role::Follower;
   std::optional<MemberId> Leader_;
   TimePoint LastHeard_;
+  /// The last round acknowledged: its leader's term, its number.
+  std::pair<std::uint64_t, std::uint64_t> LastRound_{};
   TimePoint ElectionDeadline_;
   unsigned ElectionsInVain_ = 0; ///< Begun since a leader was last heard.
   std::map<MemberId, bool> Votes_;
--- a/src/replication/RaftFollower.cpp
+++ b/src/replication/RaftFollower.cpp
@@ -19,6 +19,19 @@
   resetElectionTimer();
 }
 
+/// Says at once that the leader is heard, without a word about the log: a disk
+/// that syncs for longer than an election timeout must not make the leader step
+/// down. Safe before anything is stored, since a member that starts again counts
+/// as having heard a leader (see the constructor) and votes for nobody before
+/// the lease that rests on this answer is over.
+void RaftCore::acknowledgeRound(const MemberId &Leader, std::uint64_t Round) {
+  const std::pair Place(Hard_.Term_, Round);
+  if (Place <= LastRound_)
+    return;
+  LastRound_ = Place;
+  send(Out_.Early_, Leader, Hard_.Term_, RoundHeard{Round});
+}
+
 /// Returns the last index at which the leader's log may match: entries of
 /// terms above the one it compared with cannot.
 std::uint64_t RaftCore::findHint(const AppendRequest &Request) const {
@@ -30,6 +43,7 @@
 
 void RaftCore::onMessage(const Message &From, const AppendRequest &Body) {
   followLeader(From.From_);
+  acknowledgeRound(From.From_, Body.Round_);
   AppendReply Reply;
   Reply.Round_ = Body.Round_;
   // What is committed here is the same at the leader.
@@ -62,6 +76,7 @@
 
 void RaftCore::onMessage(const Message &From, const SnapshotChunk &Body) {
   followLeader(From.From_);
+  acknowledgeRound(From.From_, Body.Round_);
   SnapshotReply Reply;
   Reply.Round_ = Body.Round_;
   Reply.Index_ = Body.Index_;
--- a/src/replication/RaftLeader.cpp
+++ b/src/replication/RaftLeader.cpp
@@ -175,6 +175,12 @@
     sendAppend(From.From_, Again->second, false);
 }
 
+void RaftCore::onMessage(const Message &From, const RoundHeard &Body) {
+  auto Known = Peers_.find(From.From_);
+  if (Role_ == Role::Leader && Known != Peers_.end())
+    noteAnswer(Known->second, Body.Round_);
+}
+
 void RaftCore::onMessage(const Message &From, const SnapshotReply &Body) {
   auto Known = Peers_.find(From.From_);
   if (Role_ != Role::Leader || Known == Peers_.end())
--- a/tests/replication/MessageCodecTest.cpp
+++ b/tests/replication/MessageCodecTest.cpp
@@ -20,6 +20,7 @@
   Add(VoteReply{true, true});
   Add(AppendRequest{1, 2, 3, 4, {Command, Change}});
   Add(AppendReply{1, true, 2, 3});
+  Add(RoundHeard{5});
   Add(SnapshotChunk{1, 2, 3, Members, 4, 5, 6, "state"});
   Add(SnapshotReply{1, 2, 3, true});
   Add(TransferNow{});
--- a/tests/replication/RaftCoreTest.cpp
+++ b/tests/replication/RaftCoreTest.cpp
@@ -197,6 +197,33 @@
   EXPECT_TRUE(find<AppendReply>(Out.Late_)->Accepted_);
 }
 
+TEST_F(RaftCoreTest, FollowerSaysAtOnceOfEachRoundThatItIsHeard) {
+  AppendRequest Request{1, 1, 1, 0, {makeEntry(1, 2)}};
+  Outputs Out = receive(B, 1, Request);
+  ASSERT_TRUE(find<RoundHeard>(Out.Early_));
+  EXPECT_EQ(find<RoundHeard>(Out.Early_)->Round_, 1U);
+  EXPECT_FALSE(find<RoundHeard>(receive(B, 1, Request).Early_));
+  Request.Round_ = 2;
+  EXPECT_TRUE(find<RoundHeard>(receive(B, 1, Request).Early_));
+  // The next leader counts from one again.
+  Request.Round_ = 1;
+  EXPECT_TRUE(find<RoundHeard>(receive(C, 2, Request).Early_));
+}
+
+TEST_F(RaftCoreTest, ARoundThatIsHeardKeepsTheLeaderAndCommitsNothing) {
+  lead();
+  sync();
+  const std::uint64_t Commit = Core_->getCommit();
+  for (std::uint64_t Round = 1; Round < 20; ++Round) {
+    receive(B, Core_->getTerm(), RoundHeard{Round});
+    wait(Timeout / 2);
+  }
+  EXPECT_EQ(Core_->getRole(), Role::Leader);
+  EXPECT_EQ(Core_->getCommit(), Commit);
+  wait(Timeout);
+  EXPECT_EQ(Core_->getRole(), Role::Follower);
+}
+
 TEST_F(RaftCoreTest, FollowerCommitsOnlyWhatTheMessageVouchesFor) {
   restart({2, 2}, {3, {}});
   receive(B, 3, AppendRequest{1, 1, 1, 3, {}});
