A leader whose VM has become slow hands over to a faster member

Cause: nothing told a leader that it is slow; its queue looks as under a load that nobody would bear better.

Change: each control times the same 15,000 dependent steps four times a second (30 us at 3 GHz). Relays tell theirs with their batches. A leader whose time is 1.75 of its own usual one and 1.5 of a voter's that is heard gives way to the fastest, 1.25 s after it became slow. Raft's hand-over takes a name now.

HandOverRuleTest, HandOverTest. Ruled out: comparing members alone. Hence the own past.

--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -44,6 +44,7 @@
   ConfigurationRefused,
   LeadershipBegun,
   LeadershipEnded,
+  LeadershipHandedOver, ///< Its VM is slow, another one is not.
   MembersChanged,
   StorageTrouble,
   ClockJumped,
--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -37,6 +37,7 @@
   EvacuationsEnded,
   LapsesHeard, ///< Leases that ran out while another member heard the server.
   ReportsAnsweredEarly, ///< Before what came of them was committed.
+  HandOvers, ///< Of leadership, as this VM was slow and another was not.
 };
 
 /// Thread-safe and never blocking.
--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -21,6 +21,9 @@
   std::uint64_t SweepId_ = 0;
   /// Those of the sweep's servers that the relay has heard lately.
   std::vector<std::string> Heard_;
+  std::string From_ = {}; ///< The member that passes them on.
+  /// How long a set piece of work takes there; 0 as long as it cannot tell.
+  std::uint64_t WorkTimeNs_ = 0;
   bool operator==(const ReportBatch &) const = default;
 };
 
--- a/include/tulipweir/jobservice/ControlNode.h
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -36,6 +36,9 @@
         const replication::ReplicaSettings &, replication::StateMachine &,
         replication::Transport &, const Clock &)>;
 
+/// Does a set piece of work and returns its time: timeWork but in tests.
+using MeasureWork = std::function<Duration(const Clock &)>;
+
 /// Callbacks run on the node's strand. A replica whose disk failed is closed
 /// and opened again until the disk takes writes; calls fail meanwhile.
 class ControlNode {
@@ -45,7 +48,8 @@
   ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
               const Clock &Time, jobs::Advisor &Advising,
               jobs::VmProvider &Provider, net::Metrics &Metrics, EventLog &Log,
-              OpenReplica Open = &replication::Replica::open);
+              OpenReplica Open = &replication::Replica::open,
+              MeasureWork Measure = nullptr);
   ~ControlNode();
   ControlNode(const ControlNode &) = delete;
   ControlNode &operator=(const ControlNode &) = delete;
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -166,6 +166,9 @@
 
   /// Hands leadership to the best other voter, if this one leads.
   virtual void transferLeadership(std::function<void(Outcome<void>)>) = 0;
+  /// Hands it to that voter alone; Unavailable where that one is not heard.
+  virtual void transferLeadershipTo(std::string To,
+                                    std::function<void(Outcome<void>)>) = 0;
 
   /// Syncs, ends the threads; no callback runs afterwards.
   virtual void stop() = 0;
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -33,6 +33,7 @@
       "configuration_refused",
       "leadership_begun",
       "leadership_ended",
+      "leadership_handed_over",
       "members_changed",
       "storage_trouble",
       "clock_jumped",
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -15,7 +15,8 @@
                   X.Running_, X.Ended_);
 }
 static auto fields(ReportBatch &X) {
-  return std::tie(X.Reports_, X.HasDeferred_, X.SweepId_, X.Heard_);
+  return std::tie(X.Reports_, X.HasDeferred_, X.SweepId_, X.Heard_, X.From_,
+                  X.WorkTimeNs_);
 }
 static auto fields(ReportSweep &X) {
   return std::tie(X.From_, X.Id_, X.Servers_);
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -48,9 +48,11 @@
 public:
   Impl(const ControlNodeSettings &Settings, net::IoPool &Pool,
        const Clock &Time, jobs::Advisor &Advising, jobs::VmProvider &Provider,
-       net::Metrics &Metrics, EventLog &Log, OpenReplica Open)
+       net::Metrics &Metrics, EventLog &Log, OpenReplica Open,
+       MeasureWork Measure)
       : Settings_(Settings), Pool_(Pool), Time_(Time), Advisor_(Advising),
         Provider_(Provider), Log_(Log), Meter_(Metrics), Open_(std::move(Open)),
+        Measure_(Measure ? std::move(Measure) : MeasureWork(&timeWork)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
         Strand_(Pool), Router_(Settings.Name_, Strand_, Time, Links_,
@@ -82,6 +84,8 @@
   Outcome<void> openLife();
   void watch();
   void noteStatus(const replication::ReplicaStatus &Status);
+  void handOverIfSlow(const ControlLife &Current,
+                      const replication::ReplicaStatus &Status);
   void handle(wire::MessageKind Kind, std::string Body, net::LinkReply Reply);
   std::string makeView() const;
 
@@ -93,11 +97,13 @@
   EventLog &Log_;
   JobMetrics Meter_;
   const OpenReplica Open_;
+  const MeasureWork Measure_;
   MemberLinks Links_;
   net::StrandExecutor Strand_;
   std::unique_ptr<net::LinkServer> Server_;
   // On the strand only.
   std::vector<replication::Member> LastMembers_;
+  bool IsHandingOver_ = false;
   ReportRouter Router_;
   mutable std::mutex Lock_;
   bool Stopped_ = false;              ///< Guarded by Lock_, as is Life_.
@@ -165,6 +171,35 @@
   Log_.write(Line);
 }
 
+/// A leader on a VM that has become slow gives way to a faster one while
+/// servers still have their leases; under a load that is too much for any VM it
+/// stays.
+void ControlNode::Impl::handOverIfSlow(
+    const ControlLife &Current, const replication::ReplicaStatus &Status) {
+  Router_.noteWorkTime(Measure_(Time_));
+  const std::optional<BetterLeader> Better = Router_.findBetter(Status);
+  if (!Better || IsHandingOver_)
+    return;
+  IsHandingOver_ = true;
+  const auto InMicroseconds = [](Duration Value) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::microseconds>(Value).count());
+  };
+  Event Line;
+  Line.Kind_ = EventKind::LeadershipHandedOver;
+  Line.Term_ = Status.Term_;
+  Line.Reason_ = "what takes " + InMicroseconds(Router_.getWorkTime()) +
+                 " us here now takes " + InMicroseconds(Better->WorkTime_) +
+                 " us at " + Better->Name_;
+  Log_.write(Line);
+  Meter_.add(jobs::Counted::HandOvers, 1);
+  Current.Group_->transferLeadershipTo(
+      Better->Name_, [Weak = weak_from_this()](const Outcome<void> &) {
+        if (const std::shared_ptr<Impl> Self = Weak.lock())
+          Self->Strand_.post([Self] { Self->IsHandingOver_ = false; });
+      });
+}
+
 /// Closes a replica whose disk failed, and opens it again once that works.
 void ControlNode::Impl::watch() {
   {
@@ -178,6 +213,7 @@
   if (std::shared_ptr<ControlLife> Current = getLife()) {
     const replication::ReplicaStatus Status = Current->Group_->getStatus();
     noteStatus(Status);
+    handOverIfSlow(*Current, Status);
     if (!Status.Failure_.empty()) {
       {
         const std::lock_guard Hold(Lock_);
@@ -282,9 +318,10 @@
 ControlNode::ControlNode(const ControlNodeSettings &Settings, net::IoPool &Pool,
                          const Clock &Time, jobs::Advisor &Advising,
                          jobs::VmProvider &Provider, net::Metrics &Metrics,
-                         EventLog &Log, OpenReplica Open)
+                         EventLog &Log, OpenReplica Open, MeasureWork Measure)
     : Impl_(std::make_shared<Impl>(Settings, Pool, Time, Advising, Provider,
-                                   Metrics, Log, std::move(Open))) {}
+                                   Metrics, Log, std::move(Open),
+                                   std::move(Measure))) {}
 ControlNode::~ControlNode() { stop(); }
 
 Outcome<void> ControlNode::start() { return Impl_->start(); }
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -36,6 +36,8 @@
      "Leases that ran out while another control heard the server", ""},
     {"tulipweir_reports_answered_early_total",
      "Heartbeats answered before what came of them was committed", ""},
+    {"tulipweir_leadership_handed_over_total",
+     "Leadership given to a faster VM", ""},
 }};
 static constexpr std::array<HistogramText, JobMetrics::Histograms>
     HistogramTexts = {{
--- a/src/jobservice/JobMetrics.h
+++ b/src/jobservice/JobMetrics.h
@@ -15,7 +15,7 @@
 class JobMetrics final : public jobs::JobMeter {
 public:
   static constexpr auto Counters =
-      static_cast<std::size_t>(jobs::Counted::ReportsAnsweredEarly) + 1;
+      static_cast<std::size_t>(jobs::Counted::HandOvers) + 1;
   static constexpr auto Histograms =
       static_cast<std::size_t>(jobs::Timed::Heartbeat) + 1;
 
--- /dev/null
+++ b/src/jobservice/ProcessorProbe.h
@@ -0,0 +1,49 @@
+//===- ProcessorProbe.h - How fast this VM's processor is -------*- C++ -*-===//
+//
+// Times a small piece of work that is the same on every member. Under much load
+// it takes as long as ever; on a processor that runs slower it takes longer. So
+// a member that is slow is told from one that has much to do.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBSERVICE_PROCESSORPROBE_H
+#define TULIPWEIR_SRC_JOBSERVICE_PROCESSORPROBE_H
+
+#include "tulipweir/core/Time.h"
+
+#include <array>
+#include <cstddef>
+
+namespace tulipweir::jobservice {
+
+/// Does the work once and returns the time that it took.
+Duration timeWork(const Clock &Time);
+
+/// The least of the last few times: an interruption makes one too long, nothing
+/// makes one too short. Not thread-safe.
+class ProcessorProbe {
+public:
+  // Commands.
+
+  void note(Duration Took);
+
+  // Queries.
+
+  /// Zero until there are as many times as it looks at.
+  Duration getWorkTime() const;
+  /// The least work time so far: VMs of one kind differ by up to two thirds, so
+  /// that one is slow shows beside its own past.
+  Duration getUsualWorkTime() const { return Usual_; }
+
+private:
+  /// At four a second, a slow second and a quarter shows.
+  static constexpr std::size_t Samples = 5;
+
+  std::array<Duration, Samples> Last_{};
+  std::size_t Count_ = 0; ///< Noted so far.
+  Duration Usual_{};
+};
+
+} // namespace tulipweir::jobservice
+
+#endif // TULIPWEIR_SRC_JOBSERVICE_PROCESSORPROBE_H
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -20,9 +20,9 @@
       FindLife_(std::move(FindLife)),
       Relay_(std::make_shared<ReportRelay>(
           Strand, Time,
-          [this](const jobs::ReportBatch &Batch, Duration Timeout,
+          [this](jobs::ReportBatch Batch, Duration Timeout,
                  ReportRelay::BatchDone Reply) {
-            send(Batch, Timeout, std::move(Reply));
+            send(std::move(Batch), Timeout, std::move(Reply));
           })),
       Sweeps_(
           Self_, Time,
@@ -34,7 +34,8 @@
           [this](const std::string &Member, const jobs::ReportSweep &Sweep,
                  std::function<void()> Failed) {
             ask(Member, Sweep, std::move(Failed));
-          }) {}
+          }),
+      Rule_(Time) {}
 
 /// Servers are spread over the members that do not lead; a leader that hears
 /// none of them takes the reports itself.
@@ -74,8 +75,10 @@
   return (Turn + std::hash<std::string>()(ServerId)) % MoveEvery == 0;
 }
 
-void ReportRouter::send(const jobs::ReportBatch &Batch, Duration Timeout,
+void ReportRouter::send(jobs::ReportBatch Batch, Duration Timeout,
                         ReportRelay::BatchDone Reply) {
+  Batch.From_ = Self_;
+  Batch.WorkTimeNs_ = static_cast<std::uint64_t>(getWorkTime().count());
   const std::shared_ptr<ControlLife> Current = FindLife_();
   const std::string Leader =
       Current ? Current->Group_->getStatus().LeaderName_ : "";
@@ -130,6 +133,7 @@
             {std::move(Answers), Current->Group_->getStatus().Heard_,
              static_cast<std::uint64_t>(Handled.count())}));
       });
+  Rule_.note(Batch.From_, std::chrono::nanoseconds(Batch.WorkTimeNs_));
   if (Batch.HasDeferred_)
     Current->Leader_->noteBehind();
   for (std::size_t I = 0; I < Batch.Reports_.size(); ++I)
--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -12,6 +12,8 @@
 #define TULIPWEIR_SRC_JOBSERVICE_REPORTROUTER_H
 
 #include "jobservice/ControlLife.h"
+#include "jobservice/HandOverRule.h"
+#include "jobservice/ProcessorProbe.h"
 #include "jobservice/RelaySweeps.h"
 #include "jobservice/ReportGather.h"
 #include "jobservice/ReportRelay.h"
@@ -49,16 +51,26 @@
   void sweep(const jobs::ReportSweep &Asked);
   /// Answers batches that have waited long enough; now and then.
   void look();
+  /// How long the set piece of work took here this time.
+  void noteWorkTime(Duration Took) { Probe_.note(Took); }
 
   // Queries.
 
   /// What a leader here asks the other members by.
   jobs::ReportRelays &relays() { return Sweeps_; }
+  /// How long the set piece of work takes here; zero as long as that is not
+  /// known.
+  Duration getWorkTime() const { return Probe_.getWorkTime(); }
+  /// The member that a leader here hands over to as its own VM is slow.
+  std::optional<BetterLeader>
+  findBetter(const replication::ReplicaStatus &Own) const {
+    return Rule_.findBetter(Own, Probe_);
+  }
 
 private:
   void ask(const std::string &Member, const jobs::ReportSweep &Sweep,
            std::function<void()> Failed);
-  void send(const jobs::ReportBatch &Batch, Duration Timeout,
+  void send(jobs::ReportBatch Batch, Duration Timeout,
             ReportRelay::BatchDone Reply);
   bool isTimeToMove(const std::string &ServerId) const;
 
@@ -70,6 +82,8 @@
   std::weak_ptr<void> Owner_;
   std::shared_ptr<ReportRelay> Relay_;
   RelaySweeps Sweeps_;
+  ProcessorProbe Probe_;
+  HandOverRule Rule_;
   /// Batches of other controls that are being decided.
   std::vector<std::shared_ptr<ReportGather>> Gathers_;
 };
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -88,6 +88,7 @@
 
 struct TransferAsked {
   std::uint64_t Id_ = 0;
+  std::string To_ = {}; ///< A voter's name; empty: the best one.
 };
 
 /// The driver took a snapshot after applying entry Index_.
--- a/src/replication/RaftFollower.cpp
+++ b/src/replication/RaftFollower.cpp
@@ -21,9 +21,9 @@
 
 /// Says at once that the leader is heard, without a word about the log: a disk
 /// that syncs for longer than an election timeout must not make the leader step
-/// down. Safe before anything is stored, since a member that starts again counts
-/// as having heard a leader (see the constructor) and votes for nobody before
-/// the lease that rests on this answer is over.
+/// down. Safe before anything is stored, since a member that starts again
+/// counts as having heard a leader (see the constructor) and votes for nobody
+/// before the lease that rests on this answer is over.
 void RaftCore::acknowledgeRound(const MemberId &Leader, std::uint64_t Round) {
   const std::pair Place(Hard_.Term_, Round);
   if (Place <= LastRound_)
--- a/src/replication/RaftMembership.cpp
+++ b/src/replication/RaftMembership.cpp
@@ -133,8 +133,9 @@
   }
   const MemberId *Best = nullptr;
   for (const auto &[Id, Peer] : Peers_) {
-    bool IsFit =
-        isVoter(Id) && Now_ - Peer.LastAck_ < Settings_.ElectionTimeout_;
+    bool IsWanted = In.To_.empty() || In.To_ == Id.Name_;
+    bool IsFit = IsWanted && isVoter(Id) &&
+                 Now_ - Peer.LastAck_ < Settings_.ElectionTimeout_;
     if (IsFit && (!Best || Peer.Match_ > Peers_.at(*Best).Match_))
       Best = &Id;
   }
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -116,7 +116,13 @@
 }
 
 void ReplicaDriver::transferLeadership(DoneCallback Done) {
-  post([&](Inbox &In) { In.Transfers_.push_back(std::move(Done)); });
+  transferLeadershipTo("", std::move(Done));
+}
+
+void ReplicaDriver::transferLeadershipTo(std::string To, DoneCallback Done) {
+  post([&](Inbox &In) {
+    In.Transfers_.push_back({std::move(To), std::move(Done)});
+  });
 }
 
 std::optional<std::uint64_t> ReplicaDriver::findLeaseTerm(TimePoint Now) const {
@@ -195,8 +201,9 @@
   for (Change &Each : In.Changes_)
     step(ChangeAsked{Pending_.addOther(std::move(Each.Done_)), Each.Kind_,
                      std::move(Each.Member_)});
-  for (DoneCallback &Done : In.Transfers_)
-    step(TransferAsked{Pending_.addOther(std::move(Done))});
+  for (HandOver &Each : In.Transfers_)
+    step(TransferAsked{Pending_.addOther(std::move(Each.Done_)),
+                       std::move(Each.To_)});
 }
 
 void ReplicaDriver::tick() {
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -49,6 +49,7 @@
   void promote(MemberId Id, DoneCallback Done) override;
   void remove(MemberId Id, DoneCallback Done) override;
   void transferLeadership(DoneCallback Done) override;
+  void transferLeadershipTo(std::string To, DoneCallback Done) override;
   void stop() override;
 
 private:
@@ -66,6 +67,10 @@
     MemberId Member_;
     DoneCallback Done_;
   };
+  struct HandOver {
+    std::string To_; ///< Empty: to the best other voter.
+    DoneCallback Done_;
+  };
   /// What other threads handed in since the last turn.
   struct Inbox {
     std::vector<Synced> Synced_;
@@ -73,7 +78,7 @@
     std::vector<Call> Calls_;
     std::vector<DoneCallback> Reads_;
     std::vector<Change> Changes_;
-    std::vector<DoneCallback> Transfers_;
+    std::vector<HandOver> Transfers_;
     std::optional<Error> Failure_;
     bool IsStopping_ = false;
     bool isEmpty() const { return Calls_.empty() && !isUrgent(); }
--- a/tests/control/Fakes.h
+++ b/tests/control/Fakes.h
@@ -126,6 +126,10 @@
   void transferLeadership(std::function<void(Outcome<void>)> Done) override {
     Done(succeed());
   }
+  void transferLeadershipTo(std::string,
+                            std::function<void(Outcome<void>)> Done) override {
+    Done(succeed());
+  }
   void stop() override {}
 
   std::string leaderName() const {
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -104,6 +104,8 @@
   void remove(replication::MemberId,
               std::function<void(Outcome<void>)>) override {}
   void transferLeadership(std::function<void(Outcome<void>)>) override {}
+  void transferLeadershipTo(std::string,
+                            std::function<void(Outcome<void>)>) override {}
   void stop() override {}
 
   bool IsLeader_ = true;
--- /dev/null
+++ b/tests/jobservice/HandOverTest.cpp
@@ -0,0 +1,61 @@
+//===- HandOverTest.cpp - A group whose leader's VM becomes slow ----------===//
+//
+// See HandOverRuleTest.cpp for what happened. Here whole nodes, of which one
+// says that its work takes three times as long as before.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobservice/NodeCluster.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobservice::test;
+
+namespace {
+
+class HandOverTest : public NodeCluster {
+protected:
+  /// Relays tell their work times with the reports that they pass on.
+  void reportToAll() {
+    for (auto &[Node, Each] : Nodes_) {
+      jobs::ServerReport Report;
+      Report.Facts_.Id_ = "server" + std::to_string(Node);
+      Report.Facts_.Service_ = "s";
+      Report.Facts_.DataCentre_ = "here";
+      Report.Facts_.Address_ = Report.Facts_.Id_ + ":1";
+      Report.Facts_.Capacity_ = {1000, 1000, 0};
+      Report.Sequence_ = ++Sequence_;
+      std::promise<void> Answered;
+      Each->report(Report, [&Answered](const Outcome<jobs::ServerOrders> &) {
+        Answered.set_value();
+      });
+      Answered.get_future().wait();
+    }
+  }
+
+private:
+  std::uint64_t Sequence_ = 0;
+};
+
+} // namespace
+
+TEST_F(HandOverTest, ALeaderWhoseVmBecomesSlowGivesWay) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(1));
+  const int Slow = findLeader();
+  ASSERT_NE(Slow, 0);
+  const std::uint64_t Term = Nodes_.at(Slow)->getStatus().Term_;
+  // What is usual has to be known.
+  ASSERT_TRUE(waitFor(
+      [&] { return Measured_.at(static_cast<std::size_t>(Slow)) > 5; }));
+  ASSERT_EQ(findLeader(), Slow);
+  SlowNode_ = Slow;
+  EXPECT_TRUE(waitFor([&] {
+    reportToAll();
+    const int Leader = findLeader();
+    return Leader != 0 && Leader != Slow;
+  }));
+  EXPECT_GT(Nodes_.at(Slow)->getStatus().Term_, Term);
+  EXPECT_TRUE(waitFor([this] { return readVersion() == 1; }));
+  EXPECT_TRUE(putConfiguration(2));
+}
--- a/tests/jobservice/NodeCluster.h
+++ b/tests/jobservice/NodeCluster.h
@@ -10,6 +10,8 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <array>
+#include <atomic>
 #include <filesystem>
 #include <future>
 #include <map>
@@ -86,8 +88,12 @@
     Settings.MayFound_ = MayFound;
     Settings.Voters_ = Voters;
     Settings.Secret_ = "a secret of this test alone";
-    auto Fresh = std::make_unique<ControlNode>(Settings, Pool_, Time_, Advisor_,
-                                               Provider_, Metrics_, Log_, Open);
+    auto Fresh = std::make_unique<ControlNode>(
+        Settings, Pool_, Time_, Advisor_, Provider_, Metrics_, Log_, Open,
+        [this, Node](const Clock &) {
+          ++Measured_.at(static_cast<std::size_t>(Node));
+          return Node == SlowNode_ ? SlowWork : UsualWork;
+        });
     const Outcome<void> Started = Fresh->start();
     ASSERT_TRUE(Started) << Started.error().Message_;
     Nodes_[Node] = std::move(Fresh);
@@ -148,6 +154,12 @@
     return 0;
   }
 
+  /// What the set piece of work takes on a node; on SlowNode_ thrice as long.
+  static constexpr Duration UsualWork = std::chrono::microseconds(70);
+  static constexpr Duration SlowWork = 3 * UsualWork;
+  std::atomic<int> SlowNode_{0};
+  std::array<std::atomic<int>, 16> Measured_{}; ///< How often, by node.
+
   const std::uint16_t Port_ = findFreePort();
   const std::filesystem::path Root_;
   const SystemClock Time_;
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -160,8 +160,12 @@
 }
 
 TEST(ReportBatchTest, ABatchAndItsReplyTravelWhole) {
-  ReportBatch Batch{
-      {makeReport("a", 1ULL << 40), makeReport("b")}, true, 7, {"b"}};
+  ReportBatch Batch{{makeReport("a", 1ULL << 40), makeReport("b")},
+                    true,
+                    7,
+                    {"b"},
+                    "x",
+                    70000};
   Batch.Reports_[0].Running_ = {{{"j", 1, 2, 3}, 4, "saved", 55, 66}};
   Batch.Reports_[0].Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Failed, "c"}}};
   Batch.Reports_[1].IsDraining_ = true;
--- a/tests/replication/RaftCoreTest.cpp
+++ b/tests/replication/RaftCoreTest.cpp
@@ -188,6 +188,22 @@
   EXPECT_FALSE(sync().Committed_.empty());
 }
 
+TEST_F(RaftCoreTest, HandsOverToTheVoterThatIsNamedAndNoOther) {
+  lead();
+  sync();
+  answer(B, last());
+  Outputs Unknown = step(TransferAsked{5, "d"});
+  ASSERT_EQ(Unknown.Finished_.size(), 1U);
+  EXPECT_EQ(Unknown.Finished_[0].Error_->Code_, ErrorCode::Unavailable);
+  step(TransferAsked{6, "c"});
+  EXPECT_FALSE(find<TransferNow>(answer(B, last()).Late_));
+  Outputs Out = answer(C, last());
+  ASSERT_TRUE(find<TransferNow>(Out.Late_));
+  for (const Message &Each : Out.Late_)
+    EXPECT_TRUE(!std::holds_alternative<TransferNow>(Each.Body_) ||
+                Each.To_ == C);
+}
+
 TEST_F(RaftCoreTest, FollowerAnswersOnlyAfterTheSync) {
   AppendRequest Request{1, 1, 1, 0, {makeEntry(1, 2)}};
   Outputs Out = receive(B, 1, Request);
--- a/tests/replication/SlowDiskTest.cpp
+++ b/tests/replication/SlowDiskTest.cpp
@@ -139,9 +139,9 @@
 // once beside hunts and a build. Its data centre's leaders changed from term 4
 // to 28 within 90 s, one each 3.7 s, though no process was down any more. A
 // follower acknowledged that it hears its leader only after its disk had synced
-// what came before; a sync that outlasts the election timeout (500 ms there) made
-// every leader step down as one that nobody hears, and the next one after it.
-// A slow disk may make commits slow. It must not take the leader away.
+// what came before; a sync that outlasts the election timeout (500 ms there)
+// made every leader step down as one that nobody hears, and the next one after
+// it. A slow disk may make commits slow. It must not take the leader away.
 TEST(SlowDiskTest, ALeaderThatAllHearStaysWhileDisksAreSlow) {
   for (const Duration Sync : {60ms, 90ms, 110ms, 150ms, 180ms}) {
     SlowDisks Group(Sync);
