The audit's last line is read once it is whole

Change: Audit::read takes lines that end. A whole line that is no audit line still throws (AuditTest). Looked for the same elsewhere: processes' outputs are only shown, JsonEventLogTest reads after the end; RequestFaultsTest's callers stand under the same readAudit and are mended with it.

--- a/tests/system/support/Audit.cpp
+++ b/tests/system/support/Audit.cpp
@@ -37,7 +37,8 @@
   Audit All;
   for (const std::string &Name : Files) {
     std::ifstream File(Name);
-    for (std::string Text; std::getline(File, Text);)
+    // The last line is whole once its end is there: others write meanwhile.
+    for (std::string Text; std::getline(File, Text) && !File.eof();)
       All.Lines_.push_back(readLine(Text));
   }
   return All;
