--- a/tests/jobservice/RelaySweepsTest.cpp
+++ b/tests/jobservice/RelaySweepsTest.cpp
@@ -80,6 +80,27 @@
   EXPECT_TRUE(Got_);
 }
 
+// What happened, by reading: a member takes the question, and its answer, a batch
+// of its own, is lost with the link. The leader asked again only where the
+// question had failed, so the server's leaving waited out the round, 6 s, and
+// its tasks with it.
+TEST_F(RelaySweepsTest, AQuestionWhoseAnswerWasLostIsAskedAgain) {
+  find({"a"});
+  Sweeps_.take(Asked_[0].Sweep_.Id_, {});
+  Sweeps_.look();
+  EXPECT_EQ(Asked_.size(), 2U);
+  Time_.advance(1s);
+  Sweeps_.look();
+  ASSERT_EQ(Asked_.size(), 3U);
+  EXPECT_EQ(Asked_[2].Member_, "y");
+  Sweeps_.look();
+  EXPECT_EQ(Asked_.size(), 3U);
+  Sweeps_.take(Asked_[2].Sweep_.Id_, {"a"});
+  ASSERT_TRUE(Got_);
+  Sweeps_.take(Asked_[1].Sweep_.Id_, {}); // The first answer, after all.
+  EXPECT_EQ(*Got_, ReportRelays::Heard{"a"});
+}
+
 TEST_F(RelaySweepsTest, NobodyIsWaitedForForEver) {
   find({"a"});
   Time_.advance(5s);
