--- a/src/jobservice/RelaySweeps.cpp
+++ b/src/jobservice/RelaySweeps.cpp
@@ -11,6 +11,10 @@
 /// more: about a lease, after which nothing that a server was given runs.
 static constexpr Duration LongestRound = 6s;
 
+/// A relay answers at once; the batch that does so is given up after less. What
+/// was lost with its link is asked for again: any answer will do.
+static constexpr Duration AskAgainAfter = 1s;
+
 RelaySweeps::RelaySweeps(std::string Self, const Clock &Time,
                          GetStatus FindStatus, Ask Asking)
     : Self_(std::move(Self)), Time_(Time), FindStatus_(std::move(FindStatus)),
@@ -44,6 +48,7 @@
 void RelaySweeps::ask(std::uint64_t Id) {
   Question &Own = Open_.at(Id);
   Own.HasFailed_ = false;
+  Own.AskedAt_ = Time_.now();
   Ask_(Own.Member_, {Self_, Id, Own.Round_->Servers_},
        [Weak = std::weak_ptr(Alive_), Id] {
          const std::shared_ptr<RelaySweeps *> Self = Weak.lock();
@@ -86,7 +91,7 @@
     if (!Status.IsLeader_ || IsGone ||
         Now - Each.Round_->Begin_ >= LongestRound)
       Over.push_back(Id);
-    else if (Each.HasFailed_)
+    else if (Each.HasFailed_ || Now - Each.AskedAt_ >= AskAgainAfter)
       Failed.push_back(Id);
   }
   for (const std::uint64_t Id : Failed)
