A member whose disk hangs is heard, and still loses its place

Found by reading the change: RoundHeard made a voter whose disk hangs for good look alive to the leader in all respects, so that no spare member would have taken its vote, and hand-overs would have waited for it.

--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -80,7 +80,8 @@
   /// that ask to join, promotes one in place of a voter that is gone, and makes
   /// the gone one a learner; each step is a committed change.
   std::uint64_t TargetVoters_ = 0;
-  /// A voter that has been silent for so long counts as gone. It loses its vote
+  /// A voter whose disk has not answered for so long counts as gone. It loses
+  /// its vote
   /// only once another member has taken its place, so that a machine which is
   /// cut off for a while costs nothing of what the group can bear.
   Duration GoneAfter_ = std::chrono::milliseconds(2500);
@@ -104,9 +105,9 @@
   std::uint64_t Syncs_ = 0;
   TimePoint LeaderSince_{}; ///< When this replica last became leader.
   std::vector<Member> Members_;
-  /// On the leader: the names of the other members that it heard lately.
+  /// On the leader: the other members that lately answered behind their disks.
   std::vector<std::string> Heard_;
-  /// On the leader: those that it has not heard for GoneAfter_.
+  /// On the leader: those that it has not heard at all for GoneAfter_.
   std::vector<std::string> Gone_;
   std::string Failure_; ///< Why this replica stopped, if it did.
   /// Why an earlier log was set aside as lost when the folder was opened.
--- a/src/replication/RaftCore.cpp
+++ b/src/replication/RaftCore.cpp
@@ -112,7 +112,7 @@
 std::uint64_t RaftCore::limitCompaction(std::uint64_t KeepAfter) const {
   std::uint64_t Limited = KeepAfter;
   for (const auto &[Id, Peer] : Peers_) {
-    bool IsAlive = Now_ - Peer.LastAck_ < Settings_.ElectionTimeout_;
+    bool IsAlive = Now_ - Peer.LastStored_ < Settings_.ElectionTimeout_;
     std::uint64_t Needed = Peer.Sending_ ? Peer.Sending_->Index_ : Peer.Match_;
     if (IsAlive)
       Limited = std::min(Limited, Needed);
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -161,6 +161,9 @@
   TimePoint getLeaderSince() const { return LeaderSince_; }
   /// For how long this leader has heard nothing of the member; zero of itself.
   Duration getSilence(const MemberId &Id, TimePoint Now) const;
+  /// For how long it has had no answer that the member's disk stands behind:
+  /// one whose disk hangs is heard, and stores nothing.
+  Duration getStall(const MemberId &Id, TimePoint Now) const;
   /// Until when no other leader can exist; the lowest time without a lease.
   TimePoint getLeaseEnd() const;
 
@@ -173,7 +176,8 @@
     bool ProbeSent_ = false; ///< Until an answer or the next heartbeat.
     std::deque<std::uint64_t> InFlight_; ///< Last index of each message.
     std::uint64_t AckedRound_ = 0;
-    TimePoint LastAck_{};
+    TimePoint LastHeard_{};
+    TimePoint LastStored_{}; ///< When it last answered behind its disk.
     SnapshotRef Sending_;
     std::uint64_t Offset_ = 0;
     TimePoint ChunkSentAt_{};
--- a/src/replication/RaftLeader.cpp
+++ b/src/replication/RaftLeader.cpp
@@ -42,7 +42,8 @@
     }
     Progress &Fresh = Kept[Each.Id_];
     Fresh.Next_ = Log_.getLastIndex();
-    Fresh.LastAck_ = Now_;
+    Fresh.LastHeard_ = Now_;
+    Fresh.LastStored_ = Now_;
   }
   Peers_ = std::move(Kept);
 }
@@ -131,7 +132,7 @@
 }
 
 void RaftCore::noteAnswer(Progress &Peer, std::uint64_t Round) {
-  Peer.LastAck_ = Now_;
+  Peer.LastHeard_ = Now_;
   Peer.AckedRound_ = std::max(Peer.AckedRound_, std::min(Round, Round_));
   advanceRounds();
 }
@@ -141,6 +142,7 @@
   if (Role_ != Role::Leader || Known == Peers_.end())
     return;
   Progress &Peer = Known->second;
+  Peer.LastStored_ = Now_;
   noteAnswer(Peer, Body.Round_);
   if (Body.Accepted_ && Body.Index_ > Log_.getLastIndex())
     return;
@@ -186,6 +188,7 @@
   if (Role_ != Role::Leader || Known == Peers_.end())
     return;
   Progress &Peer = Known->second;
+  Peer.LastStored_ = Now_;
   noteAnswer(Peer, Body.Round_);
   if (!Peer.Sending_ || Peer.Sending_->Index_ != Body.Index_)
     return;
@@ -239,7 +242,12 @@
 
 Duration RaftCore::getSilence(const MemberId &Id, TimePoint Now) const {
   const auto Known = Peers_.find(Id);
-  return Known == Peers_.end() ? Duration(0) : Now - Known->second.LastAck_;
+  return Known == Peers_.end() ? Duration(0) : Now - Known->second.LastHeard_;
+}
+
+Duration RaftCore::getStall(const MemberId &Id, TimePoint Now) const {
+  const auto Known = Peers_.find(Id);
+  return Known == Peers_.end() ? Duration(0) : Now - Known->second.LastStored_;
 }
 
 /// Steps down when no quorum has answered within an election timeout: others
@@ -251,7 +259,7 @@
       continue;
     bool IsAlive =
         Each.Id_ == Settings_.Self_ ||
-        Now_ - Peers_.at(Each.Id_).LastAck_ < Settings_.ElectionTimeout_;
+        Now_ - Peers_.at(Each.Id_).LastHeard_ < Settings_.ElectionTimeout_;
     Alive += IsAlive ? 1 : 0;
   }
   if (Alive <= countVoters() / 2)
--- a/src/replication/RaftMembership.cpp
+++ b/src/replication/RaftMembership.cpp
@@ -135,7 +135,7 @@
   for (const auto &[Id, Peer] : Peers_) {
     bool IsWanted = In.To_.empty() || In.To_ == Id.Name_;
     bool IsFit = IsWanted && isVoter(Id) &&
-                 Now_ - Peer.LastAck_ < Settings_.ElectionTimeout_;
+                 Now_ - Peer.LastStored_ < Settings_.ElectionTimeout_;
     if (IsFit && (!Best || Peer.Match_ > Peers_.at(*Best).Match_))
       Best = &Id;
   }
--- a/src/replication/Rejoin.h
+++ b/src/replication/Rejoin.h
@@ -21,8 +21,8 @@
 /// A member as the leader sees it.
 struct MemberStanding {
   Member Member_;
-  bool IsAlive_ = false; ///< It answered within an election timeout.
-  bool IsGone_ = false; ///< It has been silent for so long that it is given up.
+  bool IsAlive_ = false; ///< Its disk answered within an election timeout.
+  bool IsGone_ = false;  ///< It has not for so long that it is given up.
 };
 
 /// Waiting are members without a log that have asked to join. Strangers among
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -428,9 +428,9 @@
 std::vector<MemberStanding> ReplicaDriver::listStandings() const {
   std::vector<MemberStanding> Standings;
   for (const Member &Each : Core_.getLog().getMembers()) {
-    const Duration Silence = Core_.getSilence(Each.Id_, Time_.now());
-    Standings.push_back({Each, Silence < Settings_.ElectionTimeout_,
-                         Silence >= Settings_.GoneAfter_});
+    const Duration Stall = Core_.getStall(Each.Id_, Time_.now());
+    Standings.push_back({Each, Stall < Settings_.ElectionTimeout_,
+                         Stall >= Settings_.GoneAfter_});
   }
   return Standings;
 }
@@ -447,7 +447,8 @@
       continue;
     if (Each.IsAlive_)
       Status_.Heard_.push_back(Name);
-    if (Each.IsGone_)
+    // One whose disk hangs still passes on what it hears.
+    if (Core_.getSilence(Each.Member_.Id_, Time_.now()) >= Settings_.GoneAfter_)
       Status_.Gone_.push_back(Name);
   }
 }
--- a/tests/replication/RaftCoreTest.cpp
+++ b/tests/replication/RaftCoreTest.cpp
@@ -240,6 +240,28 @@
   EXPECT_EQ(Core_->getRole(), Role::Follower);
 }
 
+// A disk that hangs for good must not keep its member's place: found by
+// reading, as the word that a round is heard needs no disk.
+TEST_F(RaftCoreTest, AMemberWhoseDiskHangsIsHeardAndStalls) {
+  lead();
+  sync();
+  answer(B, last());
+  for (std::uint64_t Round = 1; Round <= 20; ++Round) {
+    wait(Timeout / 4);
+    receive(B, Core_->getTerm(), RoundHeard{Round});
+  }
+  EXPECT_EQ(Core_->getSilence(B, Now_), Duration(0));
+  EXPECT_EQ(Core_->getStall(B, Now_), 5 * Timeout);
+  answer(B, last());
+  EXPECT_EQ(Core_->getStall(B, Now_), Duration(0));
+  // Nor is leadership handed to it.
+  for (std::uint64_t Round = 21; Round <= 30; ++Round) {
+    wait(Timeout / 4);
+    receive(B, Core_->getTerm(), RoundHeard{Round});
+  }
+  EXPECT_EQ(step(TransferAsked{5}).Finished_.size(), 1U);
+}
+
 TEST_F(RaftCoreTest, FollowerCommitsOnlyWhatTheMessageVouchesFor) {
   restart({2, 2}, {3, {}});
   receive(B, 3, AppendRequest{1, 1, 1, 3, {}});
