The soak's client asks again for a cancellation without a clear answer

Trace: the leader logged job_cancelled 3 ms after job_accepted; entry1 was cut off from 1,914 ms on and answered 504 after 1,040 ms, 'the outcome is unknown; send the same again'. Cause: the soak's client sent nothing again and judged the cancellation as not taken; the protocol leaves it open. Change: it asks again, at another entry, until the answer is clear, as clients do; only without a clear answer both ends are allowed, so more cancellations are judged than before.

--- a/tests/platform/soak/SoakClients.h
+++ b/tests/platform/soak/SoakClients.h
@@ -22,7 +22,15 @@
   bool IsAccepted_ = false;
   bool IsRefused_ = false;   ///< It was said never to run.
   bool IsCancelled_ = false; ///< The cancellation was acknowledged.
+  /// One was sent and has no clear answer: it holds, or it was never taken.
+  bool MayBeCancelled_ = false;
   bool WasCompleted_ = false;
+
+  /// Whether the job may be in this state once all is over.
+  bool mayEndAs(const std::string &State) const {
+    const bool MayBeOff = IsCancelled_ || MayBeCancelled_;
+    return State == "completed" || (MayBeOff && State == "cancelled");
+  }
 };
 
 /// Runs threads of its own from construction to stop().
@@ -44,6 +52,7 @@
   using Random = std::mt19937_64;
   void handInJobs(Random Draw);
   void handIn(const std::string &Id, Random &Draw);
+  void cancel(const std::string &Id, JobFate &Fate, int Entry);
   void look(const std::string &Id, JobFate &Fate, Random &Draw);
   void putConfigurations(Random Draw);
   void readConfigurations(Random Draw);
