--- a/tests/jobservice/RelaySweepsTest.cpp
+++ b/tests/jobservice/RelaySweepsTest.cpp
@@ -6,6 +6,7 @@
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 using namespace tulipweir::jobservice;
+using jobservice::test::makeReport;
 using jobservice::test::ReportRelayTest;
 using namespace std::chrono_literals;
 
@@ -139,6 +140,59 @@
   EXPECT_EQ(Last.Heard_, std::vector<std::string>{"leaving"});
 }
 
+// What happened: grown bhf trouble-1, seed 566615086255, beside hunts and a
+// build: TWICE 1, a run done at 27.406 s and begun again at 27.938 s on another
+// server, while its own server was leaving. A relay that has no room for a
+// report tells its server to come again, or fails it, and forgot what the
+// report said. A server that leaves does not come again, and the question of
+// what is kept of it finds nothing.
+TEST_F(ReportRelayTest, ASweepBringsEndsThatWereTurnedAway) {
+  fillWindow();
+  ServerReport Last = makeReport("leaving");
+  Last.IsDraining_ = true;
+  Last.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
+  add(Last);
+  Strand_.advance(1s);
+  ASSERT_EQ(Answered_["leaving"], 1);
+  Relay_->sweep({"leader", 7, {"leaving"}});
+  ASSERT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
+  EXPECT_EQ(Sent_.back().Batch_.Reports_[0], Last);
+  // It goes once, but where that fails, too.
+  Relay_->sweep({"leader", 8, {"leaving"}});
+  EXPECT_TRUE(Sent_.back().Batch_.Reports_.empty());
+}
+
+TEST_F(ReportRelayTest, ASweepBringsEndsOfABatchThatFailed) {
+  ServerReport Last = makeReport("leaving");
+  Last.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
+  add(Last);
+  Strand_.advance(20ms);
+  ASSERT_EQ(Sent_.size(), 1U);
+  Sent_[0].Done_(fail(ErrorCode::Timeout, "no answer"));
+  Relay_->sweep({"leader", 7, {"leaving"}});
+  ASSERT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
+  EXPECT_EQ(Sent_.back().Batch_.Reports_[0], Last);
+  Sent_.back().Done_(fail(ErrorCode::Timeout, "no answer"));
+  Relay_->sweep({"leader", 8, {"leaving"}});
+  EXPECT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
+}
+
+TEST_F(ReportRelayTest, WhatTheLeaderHasAnsweredSinceIsNotSaidAgain) {
+  ServerReport First = makeReport("leaving");
+  First.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
+  add(First);
+  Strand_.advance(20ms);
+  Sent_.front().Done_(fail(ErrorCode::Timeout, "no answer"));
+  Sent_.clear();
+  ServerReport Later = First;
+  ++Later.Sequence_;
+  add(Later);
+  Strand_.advance(20ms);
+  answer();
+  Relay_->sweep({"leader", 7, {"leaving"}});
+  EXPECT_TRUE(Sent_.back().Batch_.Reports_.empty());
+}
+
 TEST_F(ReportRelayTest, AServerThatWasSilentForSecondsIsNotHeard) {
   add("gone");
   Strand_.advance(20ms);
