Ends that a relay turned away reach the leader before their server is removed

Cause, by reading and by tests: a deferred report, or one whose batch failed, was forgotten with its answer.

Ruled out: passing deferred reports on late; what is late costs the leader the time that others need. Costs a copy of each report with ends at the relay.

--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace tulipweir::jobservice {
@@ -42,7 +43,8 @@
   /// Calls Reply once, soon enough that the server still hears it.
   void add(jobs::ServerReport Report, Done Reply);
   /// Sends all that it keeps of the servers' reports at once, behind what it
-  /// has sent before, and says which of them it has heard lately.
+  /// has sent before, also ends that it had no time for, and says which of them
+  /// it has heard lately.
   void sweep(const jobs::ReportSweep &Asked);
 
   // Queries.
@@ -70,6 +72,9 @@
       std::string Server_;
       Done Reply_;
       TimePoint Since_; ///< When its report came here.
+      std::uint64_t Sequence_ = 0;
+      /// The report, if it tells of ends: kept should the batch fail.
+      std::optional<jobs::ServerReport> Ends_;
     };
     std::vector<Asked> Asked_;
     TimePoint Since_;
@@ -79,6 +84,9 @@
   struct Known {
     TimePoint Extended_; ///< When its lease was last extended through here.
     TimePoint Heard_;
+    /// Its last report that tells of ends and has not reached the leader for
+    /// all that is known here. The server says it again, unless it leaves.
+    std::optional<jobs::ServerReport> Unheard_;
   };
 
   void noteExtended(const Batch::Asked &Answered);
@@ -88,6 +96,8 @@
   void send(jobs::ReportBatch Reports, Batch Sent);
   static void move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent);
   void deferLate();
+  void keepEnds(jobs::ServerReport Report);
+  void noteAnswered(const Batch::Asked &Answered);
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
   /// Handled: what the leader spent on it once its turn came.
