--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -19,7 +19,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <unordered_map>
 
 namespace tulipweir::jobservice {
@@ -43,8 +42,7 @@
   /// Calls Reply once, soon enough that the server still hears it.
   void add(jobs::ServerReport Report, Done Reply);
   /// Sends all that it keeps of the servers' reports at once, behind what it
-  /// has sent before, also ends that it had no time for, and says which of them
-  /// it has heard lately.
+  /// has sent before, and says which of them it has heard lately.
   void sweep(const jobs::ReportSweep &Asked);
 
   // Queries.
@@ -72,9 +70,6 @@
       std::string Server_;
       Done Reply_;
       TimePoint Since_; ///< When its report came here.
-      std::uint64_t Sequence_ = 0;
-      /// The report, if it tells of ends: kept should the batch fail.
-      std::optional<jobs::ServerReport> Ends_;
     };
     std::vector<Asked> Asked_;
     TimePoint Since_;
@@ -84,9 +79,6 @@
   struct Known {
     TimePoint Extended_; ///< When its lease was last extended through here.
     TimePoint Heard_;
-    /// Its last report that tells of ends and has not reached the leader for
-    /// all that is known here. The server says it again, unless it leaves.
-    std::optional<jobs::ServerReport> Unheard_;
   };
 
   void noteExtended(const Batch::Asked &Answered);
@@ -96,8 +88,6 @@
   void send(jobs::ReportBatch Reports, Batch Sent);
   static void move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent);
   void deferLate();
-  void keepEnds(jobs::ServerReport Report);
-  void noteAnswered(const Batch::Asked &Answered);
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
   /// Handled: what the leader spent on it once its turn came.
