Runs that are lost with a server are logged, with how long they were seen

Today's logs name a server that is gone, not what was lost with it nor how long that had run, so a task that crashes each server cannot be told from tasks that stand beside it. No change of logic.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -209,12 +209,12 @@
     Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                       Time_.now() - Live->LastHeard_)
                       .count();
+  const std::vector<LostRun> Lost = listLost(Id);
+  Line.Count_ = Lost.size();
   Log_.write(Line);
+  logLost(Id, Lost);
   Meter_.add(Counted::ServersGone, 1);
-  Meter_.add(Counted::TasksLapsed, Machine_.read([&Id](const JobBook &Book) {
-    const ServerRecord *Server = Book.findServer(Id);
-    return Server ? Server->Placed_.size() : 0;
-  }));
+  Meter_.add(Counted::TasksLapsed, Lost.size());
   propose(RemoveServer{Id, Board_.listSaved(Id), IsOver},
           [this, Id, Done = std::move(Done)](Outcome<CommandResult> Result) {
             Leaving_.erase(Id);
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -74,6 +74,14 @@
     std::uint64_t FirstOpenEnd_ = NoOpenEnd;
   };
   using HandlingPtr = std::shared_ptr<Handling>;
+  /// A run that is placed on a server that is gone.
+  struct LostRun {
+    TaskKey Task_;
+    std::uint64_t Run_ = 0;
+    /// From its first report to the server's last; nullopt if no report named
+    /// it.
+    std::optional<Duration> Seen_;
+  };
 
   /// How long a server whose clock is slow may count on a lease.
   Duration getLongestLease() const;
@@ -127,6 +135,8 @@
   void noteEnded(const std::string &Job, Counted How);
   void noteStarted(const TaskStart &Start, bool IsTaken);
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
+  std::vector<LostRun> listLost(const std::string &Server) const;
+  void logLost(const std::string &Server, const std::vector<LostRun> &Lost);
   void noteHealth(const EndTasks &Ended);
   void noteSick(const std::string &Server, const std::string &Job,
                 const char *Why);
