Crashes are counted against the tasks that cause them

What callers saw: on the standard tariff deployment a task that crashes each server that starts it was started 26 times in 120 s; lasting jobs in time fell from 81% to 34% within 40 s, as each crash took the other tasks of its server.

Cause: the end of a run on a server that is gone is `lapsed`, and only `failed` counted. Nothing remembered which servers crashed under a task. Evidence: run numbers rise by one each 4.3 s under three leaders; no count exists in the book. Ruled out: a count that a leader loses (there was none), one start carried out by two incarnations (run numbers differ).

Fix: the book keeps, for each task, the servers that crashed under its runs. A task with such a record runs isolated, one to a server and nothing else begun beside it, so that the next crash tells the culprit from its neighbours. The job fails after three crashes of which two are conclusive (isolated, on a server without crashes of late, not among many, confirmed by a new incarnation), and at the latest after the second run that follows the third crash. Records of a server that is heard again are dropped; a run that is reported for long clears its task, which is stored, as another leader has not seen it.

--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -33,6 +33,7 @@
   TaskEnded,
   TaskStopped, ///< We ordered it to stop.
   TaskPaced,
+  TaskSuspected, ///< Servers crashed under it; its next run is isolated.
   ServerSeen,
   ServerWaits, ///< It claims the address of another life that was heard.
   ServerDraining,
--- a/include/tulipweir/jobs/Commands.h
+++ b/include/tulipweir/jobs/Commands.h
@@ -31,6 +31,9 @@
   auto operator<=>(const TaskKey &) const = default;
 };
 
+/// A task as logs name it within its job: occurrence.step.index.
+std::string toText(const TaskKey &Task);
+
 /// How a run ended.
 enum class RunEnd : std::uint8_t {
   Done = 0,
@@ -101,12 +104,31 @@
   bool operator==(const SavedWork &) const = default;
 };
 
+/// How long the reports of a server named a run.
+struct SeenRun {
+  TaskKey Task_;
+  std::uint64_t AgeMs_ = 0;
+  bool operator==(const SeenRun &) const = default;
+};
+
+/// What a leader knows of how a server went.
+struct CrashEvidence {
+  bool IsCrash_ = false;     ///< It went without notice.
+  bool IsConfirmed_ = false; ///< Another incarnation reports at its address.
+  bool IsAmongMany_ = false; ///< Others went at the same moment.
+  bool IsStable_ = false;    ///< No other crash at its address is unexplained.
+  /// The runs that were placed on it and reported, ordered by task.
+  std::vector<SeenRun> Seen_;
+  bool operator==(const CrashEvidence &) const = default;
+};
+
 /// The server has left, or nothing it was given can still be running. All its
 /// tasks wait again.
 struct RemoveServer {
   std::string Id_;
   std::vector<SavedWork> Saved_;
   bool IsOver_ = false; ///< It left for good; else it may come back.
+  CrashEvidence Crash_{};
   bool operator==(const RemoveServer &) const = default;
 };
 
@@ -165,10 +187,23 @@
   bool operator==(const EvacuateDataCentre &) const = default;
 };
 
+/// A run under whose task servers crashed, and that has not crashed its own.
+struct ProvedRun {
+  TaskKey Task_;
+  std::uint64_t Run_ = 0;
+  bool IsHarmless_ = false; ///< The task is no longer suspected.
+  bool operator==(const ProvedRun &) const = default;
+};
+
+struct NoteProved {
+  std::vector<ProvedRun> Runs_;
+  bool operator==(const NoteProved &) const = default;
+};
+
 using Command =
     std::variant<PutConfiguration, SubmitJob, CancelJob, OpenOccurrence,
                  AddServer, RemoveServer, StartTasks, EndTasks, ForgetJobs,
-                 StartWave, NoteMaintenance, EvacuateDataCentre>;
+                 StartWave, NoteMaintenance, EvacuateDataCentre, NoteProved>;
 
 enum class Verdict : std::uint8_t {
   Done = 0,
@@ -181,6 +216,7 @@
   Verdict Verdict_ = Verdict::Done;
   /// For StartTasks: one for each start, whether it was taken.
   std::vector<bool> Taken_;
+  std::vector<std::string> Failed_{}; ///< Jobs that the command failed.
   bool operator==(const CommandResult &) const = default;
 };
 
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -11,6 +11,7 @@
 #define TULIPWEIR_JOBS_JOBBOOK_H
 
 #include "tulipweir/jobs/Commands.h"
+#include "tulipweir/jobs/CrashRecord.h"
 #include "tulipweir/jobs/ServerLives.h"
 #include "tulipweir/jobs/Waves.h"
 
@@ -28,6 +29,13 @@
   Cancelled = 4,
 };
 
+/// Why a job failed.
+enum class FailureCause : std::uint8_t {
+  Unknown = 0,
+  Attempts = 1, ///< A task failed as often as its queue allows.
+  Crashes = 2,  ///< A task crashed the servers that started it.
+};
+
 inline bool isEnded(JobState State) { return State >= JobState::Completed; }
 
 enum class TaskState : std::uint8_t { Waiting = 0, Placed = 1, Done = 2 };
@@ -48,6 +56,9 @@
   std::vector<Placement> Placements_; ///< More than one for copies only.
   /// Given up with their servers, the newest few; their ends may yet be heard.
   std::vector<Placement> Lost_;
+  CrashRecords Crashes_; ///< Of servers that ran it.
+  /// The last run that did not crash its server while it was isolated.
+  std::uint64_t ProvedRun_ = 0;
   bool operator==(const TaskRecord &) const = default;
 };
 
@@ -74,6 +85,8 @@
   std::uint64_t Placements_ = 0;       ///< Runs that have not ended.
   std::vector<OccurrenceRecord> Open_; ///< Occurrences under way.
   std::uint64_t OpenedUpTo_ = 0;       ///< Occurrences opened so far.
+  FailureCause Cause_ = FailureCause::Unknown;
+  std::string Reason_; ///< Why it failed, with the task; else empty.
   bool operator==(const JobRecord &) const = default;
 
   const OccurrenceRecord *findOccurrence(std::uint64_t Number) const;
@@ -87,6 +100,8 @@
 struct ServerRecord {
   ServerFacts Facts_;
   std::map<TaskKey, std::uint64_t> Placed_; ///< The run of each.
+  /// The incarnation before it at its address crashed, unexplained.
+  bool IsAfterCrash_ = false;
 
   // Sums over what is placed, kept so that a leader need not go over it for
   // each of a thousand reports a second. Processors in thousandths.
@@ -154,6 +169,8 @@
   const std::set<std::string> &timedJobs() const { return Timed_; }
   /// Accepted jobs of the queue for which no task has started.
   std::uint64_t countPending(const std::string &QueueKey) const;
+  /// Tasks of open jobs that are not done and under which servers crashed.
+  const std::set<TaskKey> &crashSuspects() const { return Suspects_; }
   /// Why the start would be refused; empty if it would be taken. Costs some map
   /// look-ups.
   std::string findObjection(const TaskStart &Start) const;
@@ -174,6 +191,7 @@
   CommandResult apply(const StartWave &Value);
   CommandResult apply(const NoteMaintenance &Value);
   CommandResult apply(const EvacuateDataCentre &Value);
+  CommandResult apply(const NoteProved &Value);
 
   void openOccurrence(JobRecord &Job, std::uint64_t Number);
   bool isReady(const JobRecord &Job, const OccurrenceRecord &Occurrence,
@@ -193,6 +211,17 @@
   void noteDone(JobRecord &Job, OccurrenceRecord &Occurrence, std::size_t Step,
                 TaskRecord &Task);
   void finishJob(JobRecord &Job, JobState State);
+  void failJob(JobRecord &Job, const TaskKey &Task, FailureCause Cause,
+               const std::string &Reason);
+  void noteCrash(const ServerFacts &Server, const CrashEvidence &Crash,
+                 const std::map<TaskKey, std::uint64_t> &Placed);
+  void addCrashTo(const TaskKey &Task, const CrashRecord &Record);
+  void explainCrashes(const JobRecord &Job);
+  void giveUpIfGuilty(const TaskKey &Task);
+  void confirmCrashOf(const std::string &Server);
+  void dropCrashesOf(const std::string &Server);
+  void updateSuspect(const TaskKey &Task);
+  void updateSuspectsOf(const JobRecord &Job);
   void setWaiting(StepRecord &Step, TaskRecord &Task);
   TaskRecord *findTaskToChange(const TaskKey &Task);
   void rebuildIndexes();
@@ -214,6 +243,8 @@
   std::uint64_t ReadyVersion_ = 0;
   std::set<std::string> Timed_;
   std::map<std::string, std::uint64_t> Pending_; ///< By queue.
+  std::set<TaskKey> Suspects_;
+  std::vector<std::string> JustFailed_; ///< By the command being applied.
 };
 
 } // namespace tulipweir::jobs
--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -37,6 +37,9 @@
   EvacuationsEnded,
   LapsesHeard, ///< Leases that ran out while another member heard the server.
   ReportsAnsweredEarly, ///< Before what came of them was committed.
+  CrashesSuspected,     ///< Of servers, that some task may have caused.
+  TasksSuspected,       ///< To be isolated after such a crash.
+  JobsGivenUp,          ///< Since a task crashed its servers.
   HandOvers, ///< Of leadership, as this VM was slow and another was not.
 };
 
--- a/include/tulipweir/jobs/ServerLives.h
+++ b/include/tulipweir/jobs/ServerLives.h
@@ -20,23 +20,35 @@
 struct LifeAtAddress {
   std::string Address_;
   std::string Id_;
+  bool HasCrashed_ = false;   ///< It, and no task is known to be the cause.
+  bool IsAfterCrash_ = false; ///< The same of the one before.
   bool operator==(const LifeAtAddress &) const = default;
 };
 
 /// Not thread-safe. Pure: the same calls give the same state everywhere.
 class ServerLives {
 public:
-  /// The life has registered; an earlier one at its address is over.
-  void begin(const std::string &Id, const std::string &Address);
+  /// The life has registered; an earlier one at its address is over. Returns
+  /// that one; empty if there was none.
+  std::string begin(const std::string &Id, const std::string &Address);
   /// The life has left for good. One that only fell silent may come back and is
   /// not ended.
   void end(const std::string &Id);
 
+  /// The life at the address went without notice.
+  void noteCrash(const std::string &Address);
+  /// A task that was given up had crashed the server of that id there.
+  void explainCrash(const std::string &Address, const std::string &Id);
+
+  /// Whether the life before the one at the address crashed, unexplained.
+  bool isAfterCrash(const std::string &Address) const;
   /// Whether the life is over, so that a report of it can only be late.
   bool isOver(const std::string &Id) const;
 
   bool operator==(const ServerLives &) const = default;
 
+  LifeAtAddress *find(const std::string &Address);
+
   // What a snapshot holds, oldest first.
   std::vector<LifeAtAddress> Latest_;
   std::deque<std::string> Over_;
--- a/src/core/Packing.h
+++ b/src/core/Packing.h
@@ -3,7 +3,9 @@
 // One list of fields per type serves both directions: a free function fields(X)
 // in the type's namespace returns a tuple of references. Decoding is strict: an
 // array of another length, a value out of range or trailing bytes are errors.
-// Included by .cpp files only.
+// Fields that were added to the end of a type which is stored may be missing in
+// what was written before: optionalFields(X) says how many. They keep their
+// defaults. Included by .cpp files only.
 //
 //===----------------------------------------------------------------------===//
 
@@ -92,10 +94,19 @@
 requires requires(T &X) { fields(X); }
 void get(const Object &From, T &X) {
   auto Fields = fields(X);
-  require(From.type == msgpack::type::ARRAY &&
-          From.via.array.size == std::tuple_size_v<decltype(Fields)>);
+  constexpr std::size_t Most = std::tuple_size_v<decltype(Fields)>;
+  std::size_t Least = Most;
+  if constexpr (requires { optionalFields(X); })
+    Least -= optionalFields(X);
+  require(From.type == msgpack::type::ARRAY && From.via.array.size >= Least &&
+          From.via.array.size <= Most);
   [[maybe_unused]] const Object *Next = From.via.array.ptr;
-  std::apply([&](auto &...Each) { (get(*Next++, Each), ...); }, Fields);
+  [[maybe_unused]] const Object *const End = Next + From.via.array.size;
+  const auto GetNext = [&Next, End](auto &Each) {
+    if (Next != End)
+      get(*Next++, Each);
+  };
+  std::apply([&](auto &...Each) { (GetNext(Each), ...); }, Fields);
 }
 template <class T> void get(const Object &From, std::vector<T> &X) {
   require(From.type == msgpack::type::ARRAY);
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -46,6 +46,7 @@
   Failed_.clear();
   Stragglers_.reset();
   Order_.reset();
+  Isolation_.reset();
 }
 
 void Dispatcher::settle(const std::vector<TaskStart> &Starts) {
@@ -71,6 +72,7 @@
     const TaskRecord *Task = Book.findTask(Each.first);
     return !Task || Task->State_ == TaskState::Done;
   });
+  Isolation_.prune(Book);
   Waits_.prune(Book);
 }
 
@@ -171,6 +173,13 @@
     return {};
   if (Fit == Fitness::Probation && !isIdleBut(Book, *Server))
     return {};
+  if (Fit == Fitness::Sound)
+    if (const auto Start = planIsolated(Book, Board, *Server, Now)) {
+      Taken_.insert(Start->Task_);
+      return {*Start};
+    }
+  if (Isolation_.isClosed(Book, Board, *Server, Now))
+    return {};
   Plan Own{*Server,
            ServerRoom::measure(*Server, Loads_),
            Now,
@@ -202,6 +211,18 @@
   return std::move(Own.Starts_);
 }
 
+/// A suspected task that the server starts by itself.
+std::optional<TaskStart> Dispatcher::planIsolated(const JobBook &Book,
+                                                  const ServerBoard &Board,
+                                                  const ServerRecord &Server,
+                                                  TimePoint Now) {
+  const auto MayRun = [&](const JobRecord &Job, const TaskKey &Task) {
+    return Taken_.count(Task) == 0 &&
+           isAdvised(Job, Task, Server.Facts_.Id_, Now);
+  };
+  return Isolation_.plan(Book, Board, Server, Now, MayRun);
+}
+
 /// With room that nobody waits for: the state machine refuses a second copy,
 /// and one beside the first run.
 void Dispatcher::planCopies(const JobBook &Book, Plan &Own) {
@@ -284,7 +305,8 @@
       Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
   const std::vector<TaskRecord> &Tasks = Record.Tasks_;
   for (std::uint64_t Index = 0; Index < Tasks.size(); ++Index) {
-    if (Tasks[Index].State_ != TaskState::Waiting)
+    if (Tasks[Index].State_ != TaskState::Waiting ||
+        needsIsolation(Tasks[Index].Crashes_))
       continue;
     const bool IsCrowded = Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
     if (IsCrowded || Own.Starts_.size() >= Own.MostStarts_ ||
@@ -331,6 +353,7 @@
           const ServerLive *Live = Board.find(Id);
           return Board.takesStarts(Book, Server) &&
                  Live->NoStartsUntil_ <= Now &&
+                 !Isolation_.isClosed(Book, Board, Server, Now) &&
                  Health_.getFitness(Id, Now) == Fitness::Sound &&
                  isAdvised(Job, First, Id, Now);
         });
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -11,6 +11,7 @@
 #define TULIPWEIR_SRC_JOBS_DISPATCHER_H
 
 #include "jobs/AdviceBook.h"
+#include "jobs/IsolationPlanner.h"
 #include "jobs/PaceGuard.h"
 #include "jobs/ReadyTimes.h"
 #include "jobs/RoomSurvey.h"
@@ -85,6 +86,10 @@
     std::vector<std::int64_t> Refused_;
   };
 
+  std::optional<TaskStart> planIsolated(const JobBook &Book,
+                                        const ServerBoard &Board,
+                                        const ServerRecord &Server,
+                                        TimePoint Now);
   bool isFull(const Plan &Own) const;
   TailRoom &getTails(Plan &Own) const;
   /// Whether the step may run there as far as the advice service is asked.
@@ -108,6 +113,7 @@
   const PaceGuard &Paces_;
   const ServerHealth &Health_;
   const AdviceBook &Advice_;
+  IsolationPlanner Isolation_;
 
   /// Where a task's last run failed, and when.
   struct FailedAt {
--- /dev/null
+++ b/src/jobs/IsolationPlanner.h
@@ -0,0 +1,78 @@
+//===- IsolationPlanner.h - Where suspected tasks run alone ----*- C++ -*-===//
+//
+// Tasks under which servers crashed start one to a server, and nothing else
+// starts there until the run has proved to be harmless: the next crash then
+// tells the culprit from what ran beside it. The more crashes, the more the
+// planner keeps such tasks from servers that others rely on. Deterministic: no
+// clock, no I/O.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBS_ISOLATIONPLANNER_H
+#define TULIPWEIR_SRC_JOBS_ISOLATIONPLANNER_H
+
+#include "jobs/ServerBoard.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tulipweir::jobs {
+
+/// Not thread-safe.
+class IsolationPlanner {
+public:
+  using MayRun = std::function<bool(const JobRecord &Job, const TaskKey &Task)>;
+
+  // Commands.
+
+  void reset();
+  /// The suspected task that the server starts now, if any. May: whether other
+  /// reasons speak against the task's start there.
+  std::optional<TaskStart> plan(const JobBook &Book, const ServerBoard &Board,
+                                const ServerRecord &Server, TimePoint Now,
+                                const MayRun &May);
+  /// Forgets tasks that no longer wait.
+  void prune(const JobBook &Book);
+
+  // Queries.
+
+  /// Whether nothing else may start on the server: a suspected run there is
+  /// not proved yet, or one is about to start.
+  bool isClosed(const JobBook &Book, const ServerBoard &Board,
+                const ServerRecord &Server, TimePoint Now) const;
+
+private:
+  struct Reservation {
+    TaskKey Task_;
+    TimePoint Until_{};
+  };
+  /// A waiting task that is to be isolated.
+  struct Waiting {
+    TaskKey Task_;
+    const JobRecord *Job_;
+    const TaskRecord *Record_;
+  };
+  void updateStable(const JobBook &Book, const ServerBoard &Board,
+                    TimePoint Now);
+  std::vector<Waiting> listWaiting(const JobBook &Book) const;
+  bool isSuitable(const Waiting &Each, const ServerBoard &Board,
+                  const ServerRecord &Server, TimePoint Now) const;
+  static bool isQuiet(const ServerBoard &Board, const ServerRecord &Server);
+  static std::size_t countIsolated(const JobBook &Book,
+                                   const ServerBoard &Board);
+
+  /// Services with a stable server that takes starts, as of StableAt_.
+  std::set<std::string> Stable_;
+  TimePoint StableAt_{};
+  std::map<TaskKey, TimePoint>
+      Since_; ///< When the task was first seen to wait.
+  std::map<std::string, Reservation> Reserved_; ///< By server.
+};
+
+} // namespace tulipweir::jobs
+
+#endif // TULIPWEIR_SRC_JOBS_ISOLATIONPLANNER_H
--- a/src/jobs/JobBook.cpp
+++ b/src/jobs/JobBook.cpp
@@ -1,12 +1,17 @@
 #include "tulipweir/jobs/JobBook.h"
 
 #include <algorithm>
+#include <utility>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 
 CommandResult JobBook::apply(const Command &Value) {
-  return std::visit([this](const auto &Each) { return apply(Each); }, Value);
+  JustFailed_.clear();
+  CommandResult Result =
+      std::visit([this](const auto &Each) { return apply(Each); }, Value);
+  Result.Failed_ = std::move(JustFailed_);
+  return Result;
 }
 
 const JobRecord *JobBook::findJob(const std::string &Id) const {
@@ -115,12 +120,18 @@
   const bool IsTaken = !Occupant.empty() && Occupant != Facts.Id_;
   if (IsTaken || isOver(Facts.Id_))
     return {Verdict::Refused, {}};
-  Lives_.begin(Facts.Id_, Facts.Address_);
+  const std::string Before = Lives_.begin(Facts.Id_, Facts.Address_);
   const auto [Place, IsNew] = Servers_.try_emplace(Facts.Id_);
   if (!IsNew)
     IdByAddress_.erase(Place->second.Facts_.Address_);
   Place->second.Facts_ = Facts;
+  Place->second.IsAfterCrash_ = Lives_.isAfterCrash(Facts.Address_);
   IdByAddress_[Facts.Address_] = Facts.Id_;
+  // A server that is heard again has not crashed.
+  if (IsNew)
+    dropCrashesOf(Facts.Id_);
+  if (!Before.empty())
+    confirmCrashOf(Before);
   return {IsNew ? Verdict::Done : Verdict::AlreadyDone, {}};
 }
 
@@ -140,6 +151,7 @@
   if (Found == Servers_.end())
     return {Verdict::AlreadyDone, {}};
   const std::map<TaskKey, std::uint64_t> Placed = Found->second.Placed_;
+  const ServerFacts Facts = Found->second.Facts_;
   for (const auto &[Task, Run] : Placed) {
     TaskEnd End{Task, Run, RunEnd::Lapsed, ""};
     for (const SavedWork &Saved : Value.Saved_)
@@ -149,8 +161,12 @@
     if (TaskRecord *Lost = findTaskToChange(Task))
       keepLost(*Lost, {Run, Value.Id_});
   }
-  IdByAddress_.erase(Found->second.Facts_.Address_);
+  IdByAddress_.erase(Facts.Address_);
   Servers_.erase(Found);
+  if (Value.Crash_.IsCrash_)
+    Lives_.noteCrash(Facts.Address_);
+  if (Value.Crash_.IsCrash_)
+    noteCrash(Facts, Value.Crash_, Placed);
   return {};
 }
 
@@ -224,10 +240,10 @@
   const StepSpec &Step = Job->Spec_.Steps_[Start.Task_.Step_];
   if (Start.Run_ <= Task->LastRun_)
     return "the run's number is not above the last one's";
-  const bool MayCopy = Step.Speculative_ && !Step.Gang_ &&
-                       Task->State_ == TaskState::Placed &&
-                       Task->Placements_.size() == 1 &&
-                       Task->Placements_[0].Server_ != Start.Server_;
+  const bool MayCopy =
+      Step.Speculative_ && !Step.Gang_ && Task->State_ == TaskState::Placed &&
+      Task->Placements_.size() == 1 && Task->Crashes_.empty() &&
+      Task->Placements_[0].Server_ != Start.Server_;
   if (Task->State_ != TaskState::Waiting && !MayCopy)
     return "the task is placed or done";
   if (!Task->Placements_.empty() && !MayCopy)
@@ -334,7 +350,8 @@
     else if (IsFailure && !Spec.LongRunning_ &&
              Task->FailedRuns_ >= Job.Policy_.Attempts_ &&
              Task->State_ != TaskState::Done)
-      finishJob(Job, JobState::Failed);
+      failJob(Job, End.Task_, FailureCause::Attempts,
+              "has failed as often as its queue allows");
     else
       setWaiting(Step, *Task);
   }
@@ -400,6 +417,7 @@
       MarkDone(Each);
   else
     MarkDone(Task);
+  updateSuspectsOf(Job);
   if (Record.Done_ < Record.Tasks_.size())
     return;
   bool AllDone = true;
@@ -415,12 +433,21 @@
     finishJob(Job, JobState::Completed);
 }
 
+void JobBook::failJob(JobRecord &Job, const TaskKey &Task, FailureCause Cause,
+                      const std::string &Reason) {
+  Job.Cause_ = Cause;
+  Job.Reason_ = "task " + toText(Task) + " " + Reason;
+  JustFailed_.push_back(Task.Job_);
+  finishJob(Job, JobState::Failed);
+}
+
 void JobBook::finishJob(JobRecord &Job, JobState State) {
   if (Job.State_ == JobState::Queued)
     --Pending_[Job.Policy_.getKey()];
   removeReadyOf(Job);
   Timed_.erase(Job.Spec_.Id_);
   Job.State_ = State;
+  updateSuspectsOf(Job);
   if (Job.Placements_ > 0)
     return;
   Job.Open_.clear();
--- a/src/jobs/JobBookImage.cpp
+++ b/src/jobs/JobBookImage.cpp
@@ -63,6 +63,8 @@
   }
   Book.Lives_.Latest_ = std::move(Image.Lives_);
   Book.Lives_.Over_ = {Image.LivesOver_.begin(), Image.LivesOver_.end()};
+  for (auto &[Id, Server] : Book.Servers_)
+    Server.IsAfterCrash_ = Book.Lives_.isAfterCrash(Server.Facts_.Address_);
   Book.Evacuated_ = {Image.Evacuated_.begin(), Image.Evacuated_.end()};
   Book.Waves_ = WaveBook::makeOf(std::move(Image.Waves_));
   for (JobRecord &Job : Image.Jobs_)
@@ -87,5 +89,10 @@
             Servers_[Each.Server_].add({Id, Occurrence.Number_, Step, Index},
                                        Each.Run_, Job.Spec_.Steps_[Step]);
           }
+    for (const OccurrenceRecord &Occurrence : Job.Open_)
+      for (std::size_t Step = 0; Step < Occurrence.Steps_.size(); ++Step)
+        for (std::size_t Index = 0;
+             Index < Occurrence.Steps_[Step].Tasks_.size(); ++Index)
+          updateSuspect({Id, Occurrence.Number_, Step, Index});
   }
 }
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -3,6 +3,7 @@
 #include "jobs/JobLeaderImpl.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 using namespace tulipweir;
@@ -48,8 +49,10 @@
   if (Effects_.isFull())
     Effects_.reset();
   Health_.reset();
+  Crashes_.reset();
   Newcomers_.reset();
   Leaving_.clear();
+  IsProving_ = false;
   IsAsking_ = false;
   Waves_.reset();
   LeadingSince_ = Now;
@@ -119,6 +122,7 @@
   answerOverdue();
   if (isLeading()) {
     removeLapsed();
+    noteProvedRuns();
     explainWaits();
     openDue();
     startGang();
@@ -193,9 +197,17 @@
   });
 }
 
-void JobLeader::Impl::removeServer(const std::string &Id,
-                                   const std::string &Why, bool IsOver,
+static std::string_view getReason(Departure How) {
+  static constexpr std::array<std::string_view, 4> Reasons = {
+      "it left", "its VM is in maintenance",
+      "another incarnation runs at its address",
+      "silent until its lease ran out"};
+  return Reasons.at(static_cast<std::size_t>(How));
+}
+
+void JobLeader::Impl::removeServer(const std::string &Id, Departure How,
                                    ResultCallback Done) {
+  const bool IsOver = How != Departure::Silent;
   if (IsOver)
     Leaving_.insert(Id);
   if (ServerLive *Live = Board_.find(Id))
@@ -203,7 +215,7 @@
   Event Line;
   Line.Kind_ = EventKind::ServerGone;
   Line.Server_ = Id;
-  Line.Reason_ = Why;
+  Line.Reason_ = getReason(How);
   Line.Term_ = Term_;
   if (const ServerLive *Live = Board_.find(Id))
     Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -215,14 +227,24 @@
   logLost(Id, Lost);
   Meter_.add(Counted::ServersGone, 1);
   Meter_.add(Counted::TasksLapsed, Lost.size());
-  propose(RemoveServer{Id, Board_.listSaved(Id), IsOver},
-          [this, Id, Done = std::move(Done)](Outcome<CommandResult> Result) {
+  CrashEvidence Crash;
+  if (How == Departure::Replaced || How == Departure::Silent)
+    Crash = judgeCrash(Id, How, Lost);
+  const ServerLive *Known = Board_.find(Id);
+  const TimePoint LastHeard = Known ? Known->LastHeard_ : Time_.now();
+  propose(RemoveServer{Id, Board_.listSaved(Id), IsOver, Crash},
+          [this, Id, Lost, LastHeard, IsCrash = Crash.IsCrash_,
+           Done = std::move(Done)](Outcome<CommandResult> Result) {
             Leaving_.erase(Id);
             // Unknown or refused: asked again at the next tick.
             if (ServerLive *Live = Board_.find(Id))
               Live->IsRemoving_ = false;
             if (Result)
               Board_.remove(Id);
+            if (Result && IsCrash)
+              noteCrash(Id, LastHeard, Lost);
+            if (Result)
+              noteFailed(Result.value());
             Done(std::move(Result));
           });
 }
@@ -261,8 +283,7 @@
       Meter_.add(Counted::LapsesHeard, 1);
       continue;
     }
-    removeServer(Id, "silent until its lease ran out", /*IsOver=*/false,
-                 [](const Outcome<CommandResult> &) {});
+    removeServer(Id, Departure::Silent, [](const Outcome<CommandResult> &) {});
   }
 }
 
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -15,6 +15,7 @@
 #include "tulipweir/jobs/JobLeader.h"
 
 #include "jobs/AdviceBook.h"
+#include "jobs/CrashHistory.h"
 #include "jobs/Dispatcher.h"
 #include "jobs/Newcomers.h"
 #include "jobs/PaceGuard.h"
@@ -29,6 +30,14 @@
 
 namespace tulipweir::jobs {
 
+/// How a server went: for good, but for Silent.
+enum class Departure : std::uint8_t {
+  Left,
+  Maintained, ///< The maintenance of its VM has begun.
+  Replaced,   ///< Another incarnation reports at its address.
+  Silent,     ///< Its lease ran out.
+};
+
 class JobLeader::Impl : public std::enable_shared_from_this<JobLeader::Impl> {
 public:
   Impl(const JobLeaderSettings &Settings, const Clock &Time, Executor &Strand,
@@ -78,9 +87,7 @@
   struct LostRun {
     TaskKey Task_;
     std::uint64_t Run_ = 0;
-    /// From its first report to the server's last; nullopt if no report named
-    /// it.
-    std::optional<Duration> Seen_;
+    Duration Seen_{}; ///< How long reports named it; zero if none did.
   };
 
   /// How long a server whose clock is slow may count on a lease.
@@ -106,9 +113,15 @@
   void askAdvice();
   void noteAdvice(const AdviceQuestion &Question,
                   const Outcome<Advice> &Answer);
-  /// IsOver: for good, so that what may still come of it is late.
-  void removeServer(const std::string &Id, const std::string &Why, bool IsOver,
-                    ResultCallback Done);
+  /// What is known of how the server went, with the runs lost with it.
+  CrashEvidence judgeCrash(const std::string &Server, Departure How,
+                           const std::vector<LostRun> &Lost) const;
+  void noteCrash(const std::string &Server, TimePoint LastHeard,
+                 const std::vector<LostRun> &Lost);
+  void noteProvedRuns();
+  void noteFailed(const CommandResult &Result);
+  void noteJobEnd(const std::string &Id);
+  void removeServer(const std::string &Id, Departure How, ResultCallback Done);
   void propose(const Command &Value, ResultCallback Done);
   /// Says who leads, as far as it is known.
   Error makeNotLeading() const;
@@ -182,10 +195,12 @@
   PaceGuard Paces_;
   ServerHealth Health_;
   AdviceBook Advice_;
+  CrashHistory Crashes_;
   Dispatcher Dispatcher_{Effects_, Loads_, Paces_, Health_, Advice_};
   PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Learner_, Paces_};
   Newcomers Newcomers_;
-  bool IsAsking_ = false; ///< A question to the advice service is open.
+  bool IsProving_ = false; ///< Proved runs are on their way to the log.
+  bool IsAsking_ = false;  ///< A question to the advice service is open.
   TimePoint NextQuestion_{};
   TimePoint NextPrune_{};
   TimePoint NextForgetting_{}; ///< Of the loads of what is no more.
@@ -214,9 +229,6 @@
   std::optional<Duration> WallOffset_;
 };
 
-/// A task as logs name it within its job: occurrence.step.index.
-std::string toText(const TaskKey &Task);
-
 /// A tick that comes so much too late, or a report that takes so long, shows
 /// that there is more work than processor; a commit takes a tenth of it.
 inline constexpr Duration BehindAfter = std::chrono::milliseconds(250);
--- a/src/jobs/JobLeaderNotes.cpp
+++ b/src/jobs/JobLeaderNotes.cpp
@@ -6,11 +6,6 @@
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
 
-std::string jobs::toText(const TaskKey &Task) {
-  return std::to_string(Task.Occurrence_) + "." + std::to_string(Task.Step_) +
-         "." + std::to_string(Task.Index_);
-}
-
 static std::string_view getName(RunEnd How) {
   static constexpr std::array<std::string_view, 8> Names = {
       "done",   "failed", "stopped", "lapsed",
@@ -50,45 +45,6 @@
   }
 }
 
-std::vector<JobLeader::Impl::LostRun>
-JobLeader::Impl::listLost(const std::string &Server) const {
-  const ServerLive *Live = Board_.find(Server);
-  return Machine_.read([&](const JobBook &Book) {
-    std::vector<LostRun> Lost;
-    const ServerRecord *Record = Book.findServer(Server);
-    if (!Record)
-      return Lost;
-    for (const auto &[Task, Run] : Record->Placed_) {
-      LostRun Each{Task, Run, std::nullopt};
-      const RunProgress *Progress = Live ? Live->findProgress(Task) : nullptr;
-      if (Progress && Progress->Run_ == Run)
-        Each.Seen_ = Live->LastHeard_ - Progress->SeenAt_;
-      Lost.push_back(std::move(Each));
-    }
-    return Lost;
-  });
-}
-
-void JobLeader::Impl::logLost(const std::string &Server,
-                              const std::vector<LostRun> &Lost) {
-  for (const LostRun &Each : Lost) {
-    Event Line;
-    Line.Kind_ = EventKind::TaskEnded;
-    Line.Job_ = Each.Task_.Job_;
-    Line.Task_ = toText(Each.Task_);
-    Line.Attempt_ = Each.Run_;
-    Line.Server_ = Server;
-    Line.Outcome_ = getName(RunEnd::Lapsed);
-    Line.Reason_ = Each.Seen_ ? "its server is gone"
-                              : "its server is gone and never reported it";
-    if (Each.Seen_)
-      Line.AgeMs_ =
-          std::chrono::duration_cast<std::chrono::milliseconds>(*Each.Seen_)
-              .count();
-    Log_.write(Line);
-  }
-}
-
 void JobLeader::Impl::noteHealth(const EndTasks &Ended) {
   const ServerLive *Live = Board_.find(Ended.Server_);
   const TimePoint Now = Time_.now();
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -31,7 +31,7 @@
     const std::shared_ptr<Impl> Self = Weak.lock();
     if (!Self || !Self->isLeading())
       return Reply(fail(ErrorCode::NotLeader, ""));
-    Self->removeServer(ServerId, "it left", /*IsOver=*/true,
+    Self->removeServer(ServerId, Departure::Left,
                        [Reply](const Outcome<CommandResult> &Result) {
                          if (!Result)
                            return Reply(Result.error());
@@ -155,7 +155,7 @@
     return false;
   }
   Newcomers_.forget(Newcomer.Id_);
-  removeServer(Occupant, "another life runs at its address", /*IsOver=*/true,
+  removeServer(Occupant, Departure::Replaced,
                [](const Outcome<CommandResult> &) {});
   return true;
 }
@@ -177,6 +177,7 @@
           return reply(Current,
                        fail(ErrorCode::Unavailable,
                             "another life of the server holds its address"));
+        noteFailed(Applied.value());
         noteEnds(Current);
       });
 }
@@ -227,43 +228,23 @@
       [](const TaskEnd &End) { return End.How_ == RunEnd::Refused; });
   if (AnyRefused)
     Board_.find(Id)->NoStartsUntil_ = Now + RefusalPause;
-  propose(
-      Command, [this, Current, Command](const Outcome<CommandResult> &Applied) {
-        if (!Applied)
-          return reply(Current, Applied.error());
-        Current->FirstOpenEnd_ = NoOpenEnd;
-        logEnds(Command.Server_, Command.Ends_);
-        noteHealth(Command);
-        Machine_.read([&](const JobBook &Book) {
-          for (const TaskEnd &End : Command.Ends_) {
-            const JobRecord *Job = Book.findJob(End.Task_.Job_);
-            if (!Job || !isEnded(Job->State_) ||
-                !EndedSince_.try_emplace(End.Task_.Job_, Time_.now()).second)
-              continue;
-            Event Line;
-            Line.Kind_ = EventKind::JobEnded;
-            Line.Job_ = End.Task_.Job_;
-            Line.Outcome_ = Job->State_ == JobState::Completed ? "completed"
-                            : Job->State_ == JobState::Failed  ? "failed"
-                                                               : "cancelled";
-            if (Job->State_ == JobState::Failed)
-              Line.Reason_ = "task " + toText(End.Task_) +
-                             " has failed as often as its queue allows";
-            Log_.write(Line);
-            noteEnded(End.Task_.Job_, Job->State_ == JobState::Completed
-                                          ? Counted::JobsCompleted
-                                          : Counted::JobsFailed);
-          }
-          return 0;
-        });
-        // Also after an early answer: the starts ride on the next one. Where a
-        // later report is there, that is planned for instead.
-        const ServerLive *Live = Board_.find(Command.Server_);
-        if (Live && Live->LastSequence_ == Current->Report_.Sequence_)
-          startTasks(Current);
-        else
-          answer(Current);
-      });
+  propose(Command,
+          [this, Current, Command](const Outcome<CommandResult> &Applied) {
+            if (!Applied)
+              return reply(Current, Applied.error());
+            Current->FirstOpenEnd_ = NoOpenEnd;
+            logEnds(Command.Server_, Command.Ends_);
+            noteHealth(Command);
+            for (const TaskEnd &End : Command.Ends_)
+              noteJobEnd(End.Task_.Job_);
+            // Also after an early answer: the starts ride on the next one.
+            // Where a later report is there, that is planned for instead.
+            const ServerLive *Live = Board_.find(Command.Server_);
+            if (Live && Live->LastSequence_ == Current->Report_.Sequence_)
+              startTasks(Current);
+            else
+              answer(Current);
+          });
 }
 
 void JobLeader::Impl::startTasks(const HandlingPtr &Current) {
--- a/src/jobs/JobLeaderWaves.cpp
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -54,8 +54,11 @@
   listVms();
   const std::optional<MaintenanceOrder> Order = Machine_.read(
       [&](const JobBook &Book) { return Waves_.plan(Book, Now); });
-  for (const auto &[Id, Live] : Board_.servers())
-    Board_.find(Id)->IsEmptying_ = Waves_.isEmptying(Id);
+  for (const auto &[Id, Known] : Board_.servers()) {
+    ServerLive &Live = *Board_.find(Id);
+    Live.IsEmptying_ = Waves_.isEmptying(Id);
+    Live.WasEmptying_ = Live.WasEmptying_ || Live.IsEmptying_;
+  }
   if (!Order || IsOrdering_)
     return;
   IsOrdering_ = true;
@@ -111,6 +114,6 @@
                       });
   // Nothing of that life runs any more, and no report of it will come.
   if (IsOver)
-    removeServer(Order.Server_, "its VM is in maintenance", /*IsOver=*/true,
+    removeServer(Order.Server_, Departure::Maintained,
                  [](const Outcome<CommandResult> &) {});
 }
--- a/src/jobs/JobPacking.h
+++ b/src/jobs/JobPacking.h
@@ -61,9 +61,15 @@
 inline auto fields(SavedWork &X) {
   return std::tie(X.Task_, X.Run_, X.Checkpoint_);
 }
+inline auto fields(SeenRun &X) { return std::tie(X.Task_, X.AgeMs_); }
+inline auto fields(CrashEvidence &X) {
+  return std::tie(X.IsCrash_, X.IsConfirmed_, X.IsAmongMany_, X.IsStable_,
+                  X.Seen_);
+}
 inline auto fields(RemoveServer &X) {
-  return std::tie(X.Id_, X.Saved_, X.IsOver_);
+  return std::tie(X.Id_, X.Saved_, X.IsOver_, X.Crash_);
 }
+constexpr std::size_t optionalFields(const RemoveServer &) { return 1; }
 inline auto fields(TaskStart &X) {
   return std::tie(X.Task_, X.Run_, X.Server_);
 }
@@ -83,12 +89,26 @@
   return std::tie(X.DataCentre_, X.IsBegun_);
 }
 
-inline auto fields(LifeAtAddress &X) { return std::tie(X.Address_, X.Id_); }
+inline auto fields(ProvedRun &X) {
+  return std::tie(X.Task_, X.Run_, X.IsHarmless_);
+}
+inline auto fields(NoteProved &X) { return std::tie(X.Runs_); }
+
+inline auto fields(LifeAtAddress &X) {
+  return std::tie(X.Address_, X.Id_, X.HasCrashed_, X.IsAfterCrash_);
+}
+constexpr std::size_t optionalFields(const LifeAtAddress &) { return 2; }
 inline auto fields(Placement &X) { return std::tie(X.Run_, X.Server_); }
+inline auto fields(CrashRecord &X) {
+  return std::tie(X.Run_, X.Server_, X.Address_, X.AgeMs_, X.IsAmongMany_,
+                  X.IsConclusive_, X.IsConfirmed_);
+}
 inline auto fields(TaskRecord &X) {
   return std::tie(X.State_, X.LastRun_, X.FailedRuns_, X.LastFailedRun_,
-                  X.Checkpoint_, X.Placements_, X.Lost_);
+                  X.Checkpoint_, X.Placements_, X.Lost_, X.Crashes_,
+                  X.ProvedRun_);
 }
+constexpr std::size_t optionalFields(const TaskRecord &) { return 2; }
 inline auto fields(StepRecord &X) {
   return std::tie(X.Tasks_, X.Waiting_, X.Done_);
 }
@@ -97,8 +117,10 @@
 }
 inline auto fields(JobRecord &X) {
   return std::tie(X.Spec_, X.Policy_, X.State_, X.Sequence_, X.AcceptedMs_,
-                  X.OccurrencesDone_, X.Placements_, X.Open_, X.OpenedUpTo_);
+                  X.OccurrencesDone_, X.Placements_, X.Open_, X.OpenedUpTo_,
+                  X.Cause_, X.Reason_);
 }
+constexpr std::size_t optionalFields(const JobRecord &) { return 2; }
 
 /// The largest value of each enumeration.
 constexpr std::uint8_t maxOf(RunEnd) {
@@ -110,6 +132,9 @@
 constexpr std::uint8_t maxOf(JobState) {
   return static_cast<std::uint8_t>(JobState::Cancelled);
 }
+constexpr std::uint8_t maxOf(FailureCause) {
+  return static_cast<std::uint8_t>(FailureCause::Crashes);
+}
 constexpr std::uint8_t maxOf(TaskState) {
   return static_cast<std::uint8_t>(TaskState::Done);
 }
--- a/src/jobs/ServerBoard.cpp
+++ b/src/jobs/ServerBoard.cpp
@@ -38,6 +38,12 @@
   return findIn(RunningBefore_, ProgressBefore_, Task);
 }
 
+Duration ServerLive::getSeenFor(const TaskKey &Task, std::uint64_t Run) const {
+  const RunProgress *Progress = findProgress(Task);
+  return Progress && Progress->Run_ == Run ? LastHeard_ - Progress->SeenAt_
+                                           : Duration(0);
+}
+
 void ServerBoard::reset(const JobBook &Book, TimePoint Now, Duration Lease) {
   Servers_.clear();
   for (const auto &[Id, Server] : Book.servers())
@@ -115,6 +121,16 @@
   return Lapsed;
 }
 
+/// An incarnation after a crash is stable once it has sent so many reports,
+/// about two a second.
+static constexpr std::uint64_t StableAfterReports = 100;
+
+bool ServerBoard::isStable(const ServerRecord &Server) const {
+  const ServerLive *Live = find(Server.Facts_.Id_);
+  return !Server.IsAfterCrash_ ||
+         (Live && Live->LastSequence_ >= StableAfterReports);
+}
+
 std::vector<SavedWork> ServerBoard::listSaved(const std::string &Id) const {
   std::vector<SavedWork> Saved;
   if (const ServerLive *Live = find(Id))
--- a/src/jobs/ServerBoard.h
+++ b/src/jobs/ServerBoard.h
@@ -43,6 +43,8 @@
   bool IsRemoving_ = false;
   /// Its VM is next for maintenance: it is emptied, as far as jobs allow.
   bool IsEmptying_ = false;
+  /// That was so at some time: it may go without notice.
+  bool WasEmptying_ = false;
   /// A report is being handled; the next one waits for nothing of it.
   TimePoint NoStartsUntil_{};
   std::vector<RunningTask> Running_;
@@ -59,6 +61,8 @@
   /// nullptr if it was not in it.
   const RunProgress *findProgress(const TaskKey &Task) const;
   const RunProgress *findProgressBefore(const TaskKey &Task) const;
+  /// How long its reports have named the run; zero if none has.
+  Duration getSeenFor(const TaskKey &Task, std::uint64_t Run) const;
   /// Whether it is there to stay, for all that is known.
   bool isStaying() const {
     return !IsDraining_ && !IsRemoving_ && !IsEmptying_;
@@ -90,6 +94,8 @@
     const ServerLive *Live = find(Server.Facts_.Id_);
     return Live && Live->isStaying() && !Book.isEvacuated(Server.Facts_);
   }
+  /// Whether the server is not known for crashes of late.
+  bool isStable(const ServerRecord &Server) const;
   /// The checkpoints that the server's runs were last seen with.
   std::vector<SavedWork> listSaved(const std::string &Id) const;
 
--- a/src/jobs/ServerLives.cpp
+++ b/src/jobs/ServerLives.cpp
@@ -12,21 +12,50 @@
 /// largest deployment restarted three times over.
 static constexpr std::size_t MostOver = 4096;
 
-void ServerLives::begin(const std::string &Id, const std::string &Address) {
-  const auto Known = std::find_if(Latest_.begin(), Latest_.end(),
-                                  [&Address](const LifeAtAddress &Each) {
-                                    return Each.Address_ == Address;
-                                  });
-  if (Known != Latest_.end()) {
-    if (Known->Id_ == Id)
-      return;
-    const std::string Before = Known->Id_;
-    Latest_.erase(Known);
+std::string ServerLives::begin(const std::string &Id,
+                               const std::string &Address) {
+  std::string Before;
+  bool IsAfterCrash = false;
+  if (LifeAtAddress *Known = find(Address)) {
+    if (Known->Id_ == Id) {
+      Known->HasCrashed_ = false;
+      return "";
+    }
+    Before = Known->Id_;
+    IsAfterCrash = Known->HasCrashed_;
+    Latest_.erase(Latest_.begin() + (Known - Latest_.data()));
     end(Before);
   }
   if (Latest_.size() >= MostAddresses)
     Latest_.erase(Latest_.begin());
-  Latest_.push_back({Address, Id});
+  Latest_.push_back({Address, Id, false, IsAfterCrash});
+  return Before;
+}
+
+LifeAtAddress *ServerLives::find(const std::string &Address) {
+  const auto Known = std::find_if(Latest_.begin(), Latest_.end(),
+                                  [&Address](const LifeAtAddress &Each) {
+                                    return Each.Address_ == Address;
+                                  });
+  return Known == Latest_.end() ? nullptr : &*Known;
+}
+
+void ServerLives::noteCrash(const std::string &Address) {
+  if (LifeAtAddress *Known = find(Address))
+    Known->HasCrashed_ = true;
+}
+
+void ServerLives::explainCrash(const std::string &Address,
+                               const std::string &Id) {
+  LifeAtAddress *Known = find(Address);
+  if (!Known)
+    return;
+  (Known->Id_ == Id ? Known->HasCrashed_ : Known->IsAfterCrash_) = false;
+}
+
+bool ServerLives::isAfterCrash(const std::string &Address) const {
+  const LifeAtAddress *Known = const_cast<ServerLives *>(this)->find(Address);
+  return Known && Known->IsAfterCrash_;
 }
 
 void ServerLives::end(const std::string &Id) {
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -13,6 +13,8 @@
 using namespace tulipweir;
 using namespace tulipweir::jobservice;
 
+/// Tasks and jobs that a dump names of each kind.
+static constexpr std::size_t MostDumped = 50;
 static constexpr const char *GroupName = "jobs";
 /// Two may be lost without a gap in the leader's lease, which lasts 7/8 of the
 /// election timeout.
@@ -421,6 +423,28 @@
   return Current ? Current->Group_->getStatus() : replication::ReplicaStatus{};
 }
 
+/// The tasks under which servers crashed, and the jobs given up for that.
+static void addCrashes(const jobs::JobBook &Book, nlohmann::json &Dump) {
+  nlohmann::json Suspects = nlohmann::json::array();
+  for (const jobs::TaskKey &Key : Book.crashSuspects()) {
+    if (Suspects.size() >= MostDumped)
+      break;
+    const jobs::CrashRecords &Crashes = Book.findTask(Key)->Crashes_;
+    Suspects.push_back({{"job", Key.Job_},
+                        {"task", toText(Key)},
+                        {"crashes", Crashes.size()},
+                        {"servers", jobs::listServers(Crashes)}});
+  }
+  nlohmann::json GivenUp = nlohmann::json::array();
+  for (const auto &[Id, Job] : Book.jobs())
+    if (Job.Cause_ == jobs::FailureCause::Crashes &&
+        GivenUp.size() < MostDumped)
+      GivenUp.push_back({{"job", Id}, {"reason", Job.Reason_}});
+  Dump["crashSuspects"] = Book.crashSuspects().size();
+  Dump["suspected"] = std::move(Suspects);
+  Dump["givenUp"] = std::move(GivenUp);
+}
+
 std::string ControlNode::makeDump() const {
   const std::shared_ptr<ControlLife> Current = Impl_->getLife();
   if (!Current)
@@ -446,6 +470,7 @@
     Dump["servers"] = Book.servers().size();
     Dump["readySteps"] = Book.readySteps().size();
     Dump["evacuated"] = Book.evacuated();
+    addCrashes(Book, Dump);
     return 0;
   });
   return Dump.dump();
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -36,6 +36,12 @@
      "Leases that ran out while another control heard the server", ""},
     {"tulipweir_reports_answered_early_total",
      "Heartbeats answered before what came of them was committed", ""},
+    {"tulipweir_suspicious_crashes_total",
+     "Crashes of backend servers that a task may have caused", ""},
+    {"tulipweir_tasks_suspected_total",
+     "Tasks to be isolated as servers crashed under them", ""},
+    {"tulipweir_jobs_given_up_total",
+     "Jobs that failed as a task crashed its servers", ""},
     {"tulipweir_leadership_handed_over_total",
      "Leadership given to a faster VM", ""},
 }};
--- a/tests/jobs/CommandsTest.cpp
+++ b/tests/jobs/CommandsTest.cpp
@@ -30,13 +30,17 @@
           CancelJob{"j"},
           OpenOccurrence{"j", 4},
           AddServer{makeServer("s1")},
-          RemoveServer{"s1", {{Start.Task_, 2, "at 3"}}, true},
+          RemoveServer{"s1",
+                       {{Start.Task_, 2, "at 3"}},
+                       true,
+                       {true, true, true, true, {{Start.Task_, 300}}}},
           StartTasks{{Start}},
           makeEnd(Start, RunEnd::NeverRan, "x"),
           ForgetJobs{{"a", "b"}},
           StartWave{{3, {"v1", "v2"}, 20'000, 2}},
           NoteMaintenance{3, "v1"},
-          EvacuateDataCentre{"dc1", true}};
+          EvacuateDataCentre{"dc1", true},
+          NoteProved{{{Start.Task_, 2, true}}}};
 }
 
 TEST(CommandsTest, EveryCommandSurvivesTheRoundTrip) {
@@ -60,7 +64,7 @@
 }
 
 TEST(CommandsTest, ResultsSurviveTheRoundTrip) {
-  const CommandResult Result{Verdict::Refused, {true, false, true}};
+  const CommandResult Result{Verdict::Refused, {true, false, true}, {"j"}};
   const auto Back = decodeResult(encodeResult(Result));
   ASSERT_TRUE(Back);
   EXPECT_EQ(Back.value(), Result);
--- a/tests/jobs/CrashFleet.cpp
+++ b/tests/jobs/CrashFleet.cpp
@@ -166,6 +166,17 @@
   }
 }
 
+/// Tasks that last are at work at once; others get on by a percent each 50 ms.
+std::uint64_t CrashFleet::getPercent(const Run &Its) const {
+  static constexpr std::uint64_t Whole = 100;
+  const bool IsLasting =
+      Its.EndsAt_ == TimePoint::max() && Its.CrashesAt_ == TimePoint::max();
+  return IsLasting ? Whole
+                   : std::min<std::uint64_t>(
+                         Whole - 1, static_cast<std::uint64_t>(
+                                        (Time_.now() - Its.StartedAt_) / 50ms));
+}
+
 void CrashFleet::report(Server &Own) {
   Own.NextReport_ = Time_.now() + 500ms;
   ServerReport Report;
@@ -174,7 +185,7 @@
   Report.Sequence_ = ++Own.Sequence_;
   Report.Ended_ = Own.Ended_;
   for (const auto &[Task, Its] : Own.Running_)
-    Report.Running_.push_back({Task, Its.Number_, "", 100, 5});
+    Report.Running_.push_back({Task, Its.Number_, "", getPercent(Its), 5});
   std::optional<Outcome<ServerOrders>> Got;
   const auto Answer = std::make_shared<std::optional<Outcome<ServerOrders>>>();
   Leader_.report(Report, [Answer](Outcome<ServerOrders> Orders) {
--- a/tests/jobs/CrashFleet.h
+++ b/tests/jobs/CrashFleet.h
@@ -93,6 +93,7 @@
   void submitSound();
   void crash(Server &Own);
   void comeBack(Server &Own);
+  std::uint64_t getPercent(const Run &Its) const;
   void report(Server &Own);
   void take(Server &Own, const ServerOrders &Orders);
   void begin(Server &Own, const StartOrder &Start);
