Starts that no longer fit a server's capacity are not delivered

A server's capacity may shrink and grow while it runs. The next report makes the book's facts right and new starts are planned by it, but starts that were placed before and not delivered were sent again whatever the room: their first answer may have been lost, and they came seconds after the server had shrunk. They are outlawed like those of an evacuated data centre and begin elsewhere.

The same fault from another side: runs that go on at a server and that the book does not place there (it was given up and came back) were stopped, and their room was given away while the stop took its time. What is being stopped counts now, for single tasks, isolated ones and gangs.

Nothing is stopped when a server shrinks below what runs there: open.

--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -113,6 +113,10 @@
 
   void add(const TaskKey &Task, std::uint64_t Run, const StepSpec &Step);
   void remove(const TaskKey &Task, const StepSpec &Step);
+  bool isPlaced(const TaskKey &Task, std::uint64_t Run) const {
+    const auto Found = Placed_.find(Task);
+    return Found != Placed_.end() && Found->second == Run;
+  }
   /// The tasks placed here of the step and occurrence that the task is of.
   std::uint64_t countTasksOf(const TaskKey &Task) const;
 };
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -188,6 +188,7 @@
            std::nullopt,
            {},
            {}};
+  Own.Left_.Free_ = Own.Left_.Free_ - Board.measureUnplaced(Book, *Server);
   if (Fit == Fitness::Probation)
     Own.MostStarts_ = 1;
   Order_.update(Book, Waits_, Now, Wall);
@@ -216,8 +217,11 @@
                                                   const ServerBoard &Board,
                                                   const ServerRecord &Server,
                                                   TimePoint Now) {
+  const Resources Free = Server.Facts_.Capacity_ - Server.Used_ -
+                         Board.measureUnplaced(Book, Server);
   const auto MayRun = [&](const JobRecord &Job, const TaskKey &Task) {
     return Taken_.count(Task) == 0 &&
+           Job.Spec_.Steps_[Task.Step_].getReserved().fitsIn(Free) &&
            isAdvised(Job, Task, Server.Facts_.Id_, Now);
   };
   return Isolation_.plan(Book, Board, Server, Now, MayRun);
@@ -353,6 +357,7 @@
           const ServerLive *Live = Board.find(Id);
           return Board.takesStarts(Book, Server) &&
                  Live->NoStartsUntil_ <= Now &&
+                 Board.measureUnplaced(Book, Server) == Resources{} &&
                  !Isolation_.isClosed(Book, Board, Server, Now) &&
                  Health_.getFitness(Id, Now) == Fitness::Sound &&
                  isAdvised(Job, First, Id, Now);
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -172,10 +172,16 @@
       StopsSent[Task] = Run;
     };
     std::size_t Wanted = 0;
+    bool AnyUnplaced = false;
+    Resources Left = Report.Facts_.Capacity_;
     for (std::size_t At = 0; At < Report.Running_.size(); ++At) {
       const RunningTask &Each = Report.Running_[At];
       const StepSpec *Step = findWanted(Book, Id, Each.Task_, Each.Run_);
       Wanted += Step ? 1 : 0;
+      AnyUnplaced =
+          AnyUnplaced || (!Step && !Server.isPlaced(Each.Task_, Each.Run_));
+      if (const StepSpec *Known = Step ? Step : Book.findStep(Each.Task_))
+        Left = Left - Known->getReserved();
       const std::string_view Why =
           Step ? findStopReason(Book, *Step, Server, *Live, Report, At,
                                 StopsSent)
@@ -187,6 +193,7 @@
       if (Before == Live->StopsSent_.end() || Before->second != Each.Run_)
         Stopped.emplace_back(Each, Why);
     }
+    Live->MayHaveUnplaced_ = AnyUnplaced;
     // Mostly the report names all that is placed there.
     if (Wanted == Server.Placed_.size())
       return 0;
@@ -194,7 +201,9 @@
     // unwanted: it is outlawed, and begins elsewhere.
     const bool MayStart = !Book.isEvacuated(Server.Facts_);
     for (const auto &[Task, Run] : listUnreported(Server, Report)) {
-      if (!MayStart || !findWanted(Book, Id, Task, Run)) {
+      const StepSpec *Step = findWanted(Book, Id, Task, Run);
+      // The capacity may have shrunk since the task was placed.
+      if (!MayStart || !Step || !Step->getReserved().fitsIn(Left)) {
         const auto Before = Live->StopsSent_.find(Task);
         // Told to stop in an earlier answer, and still not there: the order to
         // start it, if one ever left, can't take effect any more.
@@ -204,6 +213,7 @@
           Stop(Task, Run);
         continue;
       }
+      Left = Left - Step->getReserved();
       const std::string *Ticket = Advice_.findTicket(
           {Task.Job_, Task.Occurrence_, Task.Step_}, Id, Time_.now());
       Orders.Starts_.push_back(
--- a/src/jobs/ServerBoard.cpp
+++ b/src/jobs/ServerBoard.cpp
@@ -121,6 +121,19 @@
   return Lapsed;
 }
 
+Resources ServerBoard::measureUnplaced(const JobBook &Book,
+                                       const ServerRecord &Server) const {
+  Resources Used;
+  const ServerLive *Live = find(Server.Facts_.Id_);
+  if (!Live || !Live->MayHaveUnplaced_)
+    return Used;
+  for (const RunningTask &Each : Live->Running_)
+    if (const StepSpec *Step = Book.findStep(Each.Task_);
+        Step && !Server.isPlaced(Each.Task_, Each.Run_))
+      Used = Used + Step->getReserved();
+  return Used;
+}
+
 /// An incarnation after a crash is stable once it has sent so many reports,
 /// about two a second.
 static constexpr std::uint64_t StableAfterReports = 100;
--- a/src/jobs/ServerBoard.h
+++ b/src/jobs/ServerBoard.h
@@ -52,6 +52,8 @@
   // The same of the report before.
   std::vector<RunningTask> RunningBefore_;
   std::vector<RunProgress> ProgressBefore_;
+  /// Runs may go on there that the book does not place there.
+  bool MayHaveUnplaced_ = true;
   /// Runs that were ordered to stop in an earlier answer.
   std::map<TaskKey, std::uint64_t> StopsSent_;
   /// The last pace that each run was told, and when.
@@ -94,6 +96,10 @@
     const ServerLive *Live = find(Server.Facts_.Id_);
     return Live && Live->isStaying() && !Book.isEvacuated(Server.Facts_);
   }
+  /// What runs on the server use that the book does not place there, as far as
+  /// their jobs are known.
+  Resources measureUnplaced(const JobBook &Book,
+                            const ServerRecord &Server) const;
   /// Whether the server is not known for crashes of late.
   bool isStable(const ServerRecord &Server) const;
   /// The checkpoints that the server's runs were last seen with.
