Leases count the time for which a machine is suspended

The steady clock stands still while a machine is suspended, and every lease, leadership and age was judged by it: a control that woke after 8 s took its leadership and the leases that it had given for as fresh as before.

What Asio's timers sleep through is late, not early.

--- a/bench/jobs/JobsBench.cpp
+++ b/bench/jobs/JobsBench.cpp
@@ -20,14 +20,14 @@
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
-using Instant = std::chrono::steady_clock::time_point;
+using Instant = TimePoint;
 
 static constexpr double LeastCommitGain = 3;
 static constexpr double MostPlanGrowth = 2;
 static constexpr std::uint64_t StartsInABatch = 100;
 static constexpr int Rounds = 5;
 
-static Instant now() { return std::chrono::steady_clock::now(); }
+static Instant now() { return BootClock::now(); }
 static double microsSince(Instant Begin) {
   return std::chrono::duration<double, std::micro>(now() - Begin).count();
 }
--- a/bench/net/LinkBench.cpp
+++ b/bench/net/LinkBench.cpp
@@ -147,7 +147,7 @@
   Window Flight(static_cast<int>(State.range(0)));
   for (auto Each : State) {
     Flight.take();
-    Client.send(To, makeRequest(), std::chrono::steady_clock::now() + 10s,
+    Client.send(To, makeRequest(), BootClock::now() + 10s,
                 [&](const HttpResult &Result) {
                   if (!Result.Response_)
                     State.SkipWithError("a request failed");
@@ -188,7 +188,7 @@
                     [&](HttpRequest Request, HttpRespond Respond) {
                       Client.send(
                           Behind, std::move(Request),
-                          std::chrono::steady_clock::now() + 10s,
+                          BootClock::now() + 10s,
                           [Respond = std::move(Respond)](HttpResult Result) {
                             Respond(std::move(Result.Response_.value()));
                           });
--- a/bench/platform/ProcessTarget.cpp
+++ b/bench/platform/ProcessTarget.cpp
@@ -35,7 +35,7 @@
                       {"Content-Type", "application/json"}};
   Request.Body_ = Body;
   Client_.send(
-      To, std::move(Request), std::chrono::steady_clock::now() + Patience,
+      To, std::move(Request), BootClock::now() + Patience,
       [this, Done = std::move(Done)](const net::HttpResult &Result) {
         const bool IsGood =
             Result.Response_ && Result.Response_.value().Status_ == 200;
@@ -87,8 +87,8 @@
 
 void ProcessTarget::advance(int Ms) {
   const auto End =
-      std::chrono::steady_clock::now() + std::chrono::milliseconds(Ms);
-  while (std::chrono::steady_clock::now() < End) {
+      BootClock::now() + std::chrono::milliseconds(Ms);
+  while (BootClock::now() < End) {
     std::deque<std::function<void()>> Ready;
     {
       const std::lock_guard Hold(Lock_);
--- a/include/tulipweir/core/Time.h
+++ b/include/tulipweir/core/Time.h
@@ -14,8 +14,22 @@
 namespace tulipweir {
 
 using Duration = std::chrono::nanoseconds;
-/// A reading of this process's monotonic clock; never sent to another process.
-using TimePoint = std::chrono::steady_clock::time_point;
+
+/// A monotonic clock that also counts the time for which the machine is
+/// suspended. The steady clock does not, so a lease judged by it would last
+/// longer here than elsewhere.
+struct BootClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept;
+};
+
+/// A reading of this machine's BootClock; never sent to another process.
+using TimePoint = BootClock::time_point;
 /// Milliseconds since 1970, UTC; sent between processes, never used for leases.
 using WallTime = std::chrono::milliseconds;
 
--- a/src/net/Convert.h
+++ b/src/net/Convert.h
@@ -7,6 +7,7 @@
 #ifndef TULIPWEIR_SRC_NET_CONVERT_H
 #define TULIPWEIR_SRC_NET_CONVERT_H
 
+#include "tulipweir/core/Time.h"
 #include "tulipweir/net/Endpoint.h"
 
 #include <utility>
@@ -23,8 +24,7 @@
 using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
 using Timer = boost::asio::basic_waitable_timer<
-    std::chrono::steady_clock,
-    boost::asio::wait_traits<std::chrono::steady_clock>, Strand>;
+    BootClock, boost::asio::wait_traits<BootClock>, Strand>;
 using Acceptor =
     boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, Strand>;
 
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -78,7 +78,7 @@
 }
 
 bool HttpClientConnection::isExpired() const {
-  return Exchange_->Deadline_ <= std::chrono::steady_clock::now();
+  return Exchange_->Deadline_ <= BootClock::now();
 }
 
 void HttpClientConnection::connect() {
@@ -86,9 +86,8 @@
   if (!Address)
     return failExchange(ErrorCode::Unavailable, Address.error().Message_);
   Phase_ = Phase::Connecting;
-  setDeadline(
-      std::min(Exchange_->Deadline_, std::chrono::steady_clock::now() +
-                                         Peer_->Settings_.ConnectTimeout_));
+  setDeadline(std::min(Exchange_->Deadline_,
+                       BootClock::now() + Peer_->Settings_.ConnectTimeout_));
   Socket_.async_connect(Address.value(),
                         [Self = shared_from_this()](error_code Problem) {
                           Self->onConnected(Problem);
@@ -202,8 +201,7 @@
   if (Input_.capacity() > KeptBufferBytes)
     Input_ = {};
   if (Keep) {
-    setDeadline(std::chrono::steady_clock::now() +
-                Peer_->Settings_.IdleTimeout_);
+    setDeadline(BootClock::now() + Peer_->Settings_.IdleTimeout_);
     read();
     Peer_->release(shared_from_this());
   } else {
@@ -245,7 +243,7 @@
 
 void HttpClientConnection::onTimer() {
   TimerAt_ = TimePoint::max();
-  const TimePoint Now = std::chrono::steady_clock::now();
+  const TimePoint Now = BootClock::now();
   if (Now < Deadline_)
     return setDeadline(Deadline_);
   if (!Exchange_)
--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -338,19 +338,18 @@
 }
 
 void HttpConnection::setDeadline(Duration From) {
-  Deadline_ = std::chrono::steady_clock::now() + From;
+  Deadline_ = BootClock::now() + From;
 }
 
 /// Looks at the deadline from time to time; arming a timer anew for every
 /// request would cost more than the rest of its handling.
 void HttpConnection::watch() {
-  const TimePoint Look =
-      std::chrono::steady_clock::now() + Shared_->Settings_.ReadTimeout_ / 4;
+  const TimePoint Look = BootClock::now() + Shared_->Settings_.ReadTimeout_ / 4;
   Timer_.expires_at(std::min(Look, Deadline_));
   Timer_.async_wait([Self = shared_from_this()](error_code) {
     if (Self->Phase_ == Phase::Closed)
       return;
-    if (std::chrono::steady_clock::now() >= Self->Deadline_)
+    if (BootClock::now() >= Self->Deadline_)
       Self->onDeadline();
     if (Self->Phase_ != Phase::Closed)
       Self->watch();
--- a/src/net/HttpExchange.h
+++ b/src/net/HttpExchange.h
@@ -30,7 +30,7 @@
   std::weak_ptr<HttpClientConnection> Connection_;
   std::atomic<bool> Cancelled_{false};
   /// Runs only while the exchange waits for a connection.
-  std::optional<boost::asio::steady_timer> WaitTimer_;
+  std::optional<boost::asio::basic_waitable_timer<BootClock>> WaitTimer_;
 };
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
--- a/src/net/LinkClient.cpp
+++ b/src/net/LinkClient.cpp
@@ -210,7 +210,7 @@
 
 void LinkClient::Impl::call(wire::MessageKind Kind, std::string Body,
                             Duration Timeout, LinkReply Reply) {
-  const TimePoint Deadline = std::chrono::steady_clock::now() + Timeout;
+  const TimePoint Deadline = BootClock::now() + Timeout;
   auto Begun = beginCall(Kind, Body, Deadline, Reply);
   if (!Begun)
     Reply(std::move(Begun).as_failure());
@@ -241,7 +241,7 @@
   std::vector<LinkReply> Late;
   {
     const std::lock_guard Hold(Lock_);
-    const TimePoint Now = std::chrono::steady_clock::now();
+    const TimePoint Now = BootClock::now();
     while (!Deadlines_.empty() && Deadlines_.top().At_ <= Now) {
       auto Found = Pending_.find(Deadlines_.top().Call_);
       Deadlines_.pop();
--- a/tests/jobservice/NodeCluster.h
+++ b/tests/jobservice/NodeCluster.h
@@ -26,8 +26,8 @@
 
 /// Waits for a state; never judges time.
 inline bool waitFor(const std::function<bool()> &Reached) {
-  const TimePoint End = std::chrono::steady_clock::now() + PatientLimit;
-  while (std::chrono::steady_clock::now() < End) {
+  const TimePoint End = BootClock::now() + PatientLimit;
+  while (BootClock::now() < End) {
     if (Reached())
       return true;
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -40,7 +40,7 @@
       Client_.emplace(Pool_.context(), Settings_);
     auto Done = std::make_shared<std::promise<HttpResult>>();
     Number_ = Client_->send(
-        To_, std::move(Request), std::chrono::steady_clock::now() + Within,
+        To_, std::move(Request), BootClock::now() + Within,
         [Done](HttpResult Result) { Done->set_value(std::move(Result)); });
     return Done->get_future();
   }
--- a/tests/system/support/Child.cpp
+++ b/tests/system/support/Child.cpp
@@ -1,5 +1,7 @@
 #include "system/support/Child.h"
 
+#include "tulipweir/core/Time.h"
+
 #include <cassert>
 #include <csignal>
 #include <cstdlib>
@@ -16,7 +18,7 @@
 
 using namespace tulipweir;
 using namespace tulipweir::system_test;
-using std::chrono::steady_clock;
+
 
 static constexpr Milliseconds PollEvery{10};
 static constexpr int SignalCodeBase = 128;
@@ -25,9 +27,9 @@
 
 bool system_test::waitFor(Milliseconds Limit,
                           const std::function<bool()> &Holds) {
-  auto End = steady_clock::now() + Limit;
+  auto End = BootClock::now() + Limit;
   while (!Holds()) {
-    if (steady_clock::now() >= End)
+    if (BootClock::now() >= End)
       return false;
     std::this_thread::sleep_for(PollEvery);
   }
@@ -36,7 +38,7 @@
 
 std::int64_t system_test::nowMs() {
   return std::chrono::duration_cast<Milliseconds>(
-             steady_clock::now().time_since_epoch())
+             BootClock::now().time_since_epoch())
       .count();
 }
 
--- a/tools/load/LoadRun.cpp
+++ b/tools/load/LoadRun.cpp
@@ -8,7 +8,6 @@
 using namespace tulipweir;
 using namespace tulipweir::load;
 using Json = nlohmann::json;
-using Steady = std::chrono::steady_clock;
 
 // A caller waits a little longer than the deadline for the verdict.
 static constexpr Duration AnswerMargin = std::chrono::milliseconds(500);
@@ -48,7 +47,7 @@
 }
 
 void LoadRun::run() {
-  TimePoint Start = Steady::now();
+  TimePoint Start = BootClock::now();
   TimePoint CountFrom = Start + Settings_.Warmup_;
   TimePoint End = CountFrom + Settings_.Length_;
   TimePoint Next = Start;
@@ -57,7 +56,7 @@
     begin(Number, Next, Next >= CountFrom);
     Next += drawGap();
   }
-  Length_ = std::min<Duration>(Length_, Steady::now() - CountFrom);
+  Length_ = std::min<Duration>(Length_, BootClock::now() - CountFrom);
   std::unique_lock Guard(Lock_);
   AllAnswered_.wait(Guard, [&] { return Open_ == 0; });
 }
@@ -75,7 +74,7 @@
   }
   if (Counted) {
     Report_.noteSent();
-    if (Steady::now() - IntendedAt > LateSend)
+    if (BootClock::now() - IntendedAt > LateSend)
       Report_.noteLateSend();
   }
   if (Settings_.KeyMode_ == "ticket")
@@ -108,7 +107,7 @@
 }
 
 net::HttpRequest LoadRun::makeRequest(const Call &Current) const {
-  Duration Left = Current.IntendedAt_ + Settings_.Deadline_ - Steady::now();
+  Duration Left = Current.IntendedAt_ + Settings_.Deadline_ - BootClock::now();
   auto LeftMs = std::chrono::duration_cast<std::chrono::milliseconds>(Left);
   net::HttpRequest Request;
   Request.Method_ = Settings_.Method_;
@@ -136,7 +135,7 @@
 
 void LoadRun::send(const CallPtr &Current) {
   TimePoint Deadline =
-      std::max(Current->IntendedAt_ + Settings_.Deadline_, Steady::now()) +
+      std::max(Current->IntendedAt_ + Settings_.Deadline_, BootClock::now()) +
       AnswerMargin;
   Client_.send(
       nextTarget(), makeRequest(*Current), Deadline,
@@ -200,7 +199,7 @@
 
 void LoadRun::finish(const Call &Current, RequestOutcome Outcome,
                      unsigned Status) {
-  Duration Latency = Steady::now() - Current.IntendedAt_;
+  Duration Latency = BootClock::now() - Current.IntendedAt_;
   if (Current.Counted_)
     Report_.record(Outcome, Status, Latency);
   std::lock_guard Guard(Lock_);
--- a/tools/standin/AuditLog.cpp
+++ b/tools/standin/AuditLog.cpp
@@ -80,7 +80,7 @@
                             const AuditRequest &Request) {
   if (File_ < 0)
     return;
-  Json Line = makeLine(Source, Event, std::chrono::steady_clock::now());
+  Json Line = makeLine(Source, Event, BootClock::now());
   Line["service"] = Request.Service_;
   Line["method"] = Request.Method_;
   Line["path"] = Request.Path_;
@@ -91,7 +91,7 @@
 
 void AuditLog::writeServer(const AuditSource &Source, const char *Event) {
   if (File_ >= 0)
-    writeLine(dump(makeLine(Source, Event, std::chrono::steady_clock::now())));
+    writeLine(dump(makeLine(Source, Event, BootClock::now())));
 }
 
 void AuditLog::writeLine(const std::string &Line) {
--- a/tools/standin/StandInProgram.cpp
+++ b/tools/standin/StandInProgram.cpp
@@ -12,7 +12,6 @@
 
 using namespace tulipweir;
 using namespace tulipweir::standin;
-using Steady = std::chrono::steady_clock;
 using net::ExitCode;
 
 static constexpr Duration TickPeriod = std::chrono::milliseconds(10);
@@ -30,7 +29,7 @@
     spdlog::info("planned stop: leaving");
     for (const auto &Server : Servers_)
       Server->beginDraining();
-    BegunAt_ = Steady::now().time_since_epoch();
+    BegunAt_ = BootClock::now().time_since_epoch();
   }
   void check(TimePoint Now) {
     Duration BegunAt = BegunAt_;
@@ -112,7 +111,7 @@
       [&] { Stop.end(ExitCode::GraceExceeded); },
       [&] { std::fprintf(stderr, "%s\n", Admin.dump().c_str()); });
   Pool.runEvery(TickPeriod, [&] {
-    TimePoint Now = Steady::now();
+    TimePoint Now = BootClock::now();
     for (const auto &Server : Servers)
       Server->tick(Now);
     Stop.check(Now);
--- a/tools/standin/StandInServer.cpp
+++ b/tools/standin/StandInServer.cpp
@@ -10,7 +10,6 @@
 using namespace tulipweir;
 using namespace tulipweir::standin;
 using Json = nlohmann::json;
-using Steady = std::chrono::steady_clock;
 
 static constexpr Duration MeterPeriod = std::chrono::seconds(1);
 static constexpr Duration RetryAnnounce = std::chrono::milliseconds(50);
@@ -86,7 +85,7 @@
   }
   ++InFlight_;
   Running->Boot_ = Boot_;
-  Running->StartedAt_ = Steady::now();
+  Running->StartedAt_ = BootClock::now();
   Audit_.writeRequest(getSource(), "request", Running->Audit_);
   Duration Takes =
       Faults_.Errors_ ? Duration(0) : drawServiceTime(Running->Message_);
@@ -120,7 +119,7 @@
   --InFlight_;
   ++Served_;
   Meter_.record(ServiceId(Running->Audit_.Service_),
-                Steady::now() - Running->StartedAt_);
+                BootClock::now() - Running->StartedAt_);
   if (!Faults_.LateMs_)
     return answer(*Running);
   Pool_.runAfter(std::chrono::milliseconds(Faults_.LateMs_),
@@ -236,7 +235,7 @@
     });
     return;
   }
-  TimePoint Now = Steady::now();
+  TimePoint Now = BootClock::now();
   AnnouncePending_ = false;
   bool Answered =
       Result.Response_.has_value() && Result.Response_.value().Status_ == 200;
@@ -293,7 +292,7 @@
 
 void StandInServer::crash() {
   std::lock_guard Guard(Lock_);
-  writeEvents(Tasks_.crash(Steady::now()));
+  writeEvents(Tasks_.crash(BootClock::now()));
   Audit_.writeServer(getSource(), "crash");
   Boot_ = makeBoot();
   Sequence_ = 0;
@@ -332,5 +331,5 @@
 
 std::vector<wire::AttemptReport> StandInServer::getTasks() const {
   std::lock_guard Guard(Lock_);
-  return Tasks_.getInventory(Steady::now());
+  return Tasks_.getInventory(BootClock::now());
 }
