--- a/bench/net/LinkBench.cpp
+++ b/bench/net/LinkBench.cpp
@@ -187,8 +187,7 @@
   HttpServer Middle(MiddlePool.context(), Settings,
                     [&](HttpRequest Request, HttpRespond Respond) {
                       Client.send(
-                          Behind, std::move(Request),
-                          BootClock::now() + 10s,
+                          Behind, std::move(Request), BootClock::now() + 10s,
                           [Respond = std::move(Respond)](HttpResult Result) {
                             Respond(std::move(Result.Response_.value()));
                           });
--- a/bench/platform/ProcessTarget.cpp
+++ b/bench/platform/ProcessTarget.cpp
@@ -86,8 +86,7 @@
 }
 
 void ProcessTarget::advance(int Ms) {
-  const auto End =
-      BootClock::now() + std::chrono::milliseconds(Ms);
+  const auto End = BootClock::now() + std::chrono::milliseconds(Ms);
   while (BootClock::now() < End) {
     std::deque<std::function<void()>> Ready;
     {
