Suspects cost a leader little, and company convicts nobody

- Each report went over all suspects, and each server's return over all of them: some 1,600 after a mass crash at 1,100 servers.
What waits is listed each 50 ms now, and the book finds a server's suspects by an index.
- A run that had settled was blamed for the crash of what had just begun beside it: sound lasting jobs reached five crashes after 1,000 ms each, the very time at which their server took other work again.
Such records isolate the next run and count for nothing else; conclusive crashes must come after like times; only the culprit's own servers count as explained.

--- a/include/tulipweir/jobs/CrashRecord.h
+++ b/include/tulipweir/jobs/CrashRecord.h
@@ -33,6 +33,9 @@
   /// Another incarnation was seen at the address; else the server may be cut
   /// off.
   bool IsConfirmed_ = false;
+  /// The run had settled, and others beside it had not: isolates the task's
+  /// next run, and counts for nothing else.
+  bool IsDoubtful_ = false;
   bool operator==(const CrashRecord &) const = default;
 };
 
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -173,8 +173,11 @@
   const std::set<std::string> &timedJobs() const { return Timed_; }
   /// Accepted jobs of the queue for which no task has started.
   std::uint64_t countPending(const std::string &QueueKey) const;
-  /// Tasks of open jobs that are not done and under which servers crashed.
-  const std::set<TaskKey> &crashSuspects() const { return Suspects_; }
+  /// Tasks of open jobs that are not done and under which servers crashed, with
+  /// these servers.
+  const std::map<TaskKey, std::vector<std::string>> &crashSuspects() const {
+    return Suspects_;
+  }
   /// Why the start would be refused; empty if it would be taken. Costs some map
   /// look-ups.
   std::string findObjection(const TaskStart &Start) const;
@@ -220,10 +223,13 @@
   void noteCrash(const ServerFacts &Server, const CrashEvidence &Crash,
                  const std::map<TaskKey, std::uint64_t> &Placed);
   void addCrashTo(const TaskKey &Task, const CrashRecord &Record);
-  void explainCrashes(const JobRecord &Job);
+  void explainCrashes(const TaskRecord &Task);
   void giveUpIfGuilty(const TaskKey &Task);
   void confirmCrashOf(const std::string &Server);
   void dropCrashesOf(const std::string &Server);
+  /// The suspects that have a record of the server.
+  std::vector<TaskKey> listSuspectsOf(const std::string &Server) const;
+  /// Called whenever a task's records, or what makes them count, changed.
   void updateSuspect(const TaskKey &Task);
   void updateSuspectsOf(const JobRecord &Job);
   void setWaiting(StepRecord &Step, TaskRecord &Task);
@@ -247,7 +253,8 @@
   std::uint64_t ReadyVersion_ = 0;
   std::set<std::string> Timed_;
   std::map<std::string, std::uint64_t> Pending_; ///< By queue.
-  std::set<TaskKey> Suspects_;
+  std::map<TaskKey, std::vector<std::string>> Suspects_;
+  std::set<std::pair<std::string, TaskKey>> SuspectsByServer_;
   std::vector<std::string> JustFailed_; ///< By the command being applied.
 };
 
--- a/src/jobs/CrashRecord.cpp
+++ b/src/jobs/CrashRecord.cpp
@@ -44,42 +44,60 @@
   return std::clamp(2 * Longest, SettledAfterMs, HarmlessAfterMs);
 }
 
-bool jobs::isToGiveUp(const CrashRecords &Records) {
-  if (Records.size() < ToldCrashes)
-    return false;
-  std::set<std::uint64_t> Conclusive;
-  std::set<std::uint64_t> AfterTold;
-  std::uint64_t Shortest = Records.back().AgeMs_;
-  std::uint64_t Longest = Shortest;
-  for (const CrashRecord &Each : Records) {
-    if (Each.Run_ > Records.front().Run_) {
-      Shortest = std::min(Shortest, Each.AgeMs_);
-      Longest = std::max(Longest, Each.AgeMs_);
-    }
-    if (Each.IsConclusive_ && Each.IsConfirmed_)
-      Conclusive.insert(Each.Run_);
-    if (Each.Run_ > Records[ToldCrashes - 1].Run_)
-      AfterTold.insert(Each.Run_);
-  }
-  // A task crashes its servers after much the same time; what is sound is lost
-  // at any time.
-  const bool IsRegular = Longest - Shortest <= RegularWithinMs;
-  const std::size_t MostRuns =
-      IsRegular ? MostRunsAfterTold : MostRunsIfIrregular;
-  return Conclusive.size() >= LeastConclusive || AfterTold.size() >= MostRuns;
+/// Whether the runs took much the same time to their crashes. A culprit does;
+/// what is sound is lost at any time.
+static bool isRegular(const CrashRecords &Records) {
+  const auto [Shortest, Longest] = std::minmax_element(
+      Records.begin(), Records.end(),
+      [](const CrashRecord &Left, const CrashRecord &Right) {
+        return Left.AgeMs_ < Right.AgeMs_;
+      });
+  return Records.empty() ||
+         Longest->AgeMs_ - Shortest->AgeMs_ <= RegularWithinMs;
 }
 
-bool jobs::hasCrashedAt(const CrashRecords &Records,
-                        const std::string &Address) {
-  return std::any_of(
-      Records.begin(), Records.end(),
-      [&Address](const CrashRecord &Each) { return Each.Address_ == Address; });
+static std::size_t countRuns(const CrashRecords &Records) {
+  std::set<std::uint64_t> Runs;
+  for (const CrashRecord &Each : Records)
+    Runs.insert(Each.Run_);
+  return Runs.size();
+}
+
+bool jobs::isToGiveUp(const CrashRecords &Records) {
+  CrashRecords Sure = Records;
+  std::erase_if(Sure, [](const CrashRecord &Each) { return Each.IsDoubtful_; });
+  if (Sure.size() < ToldCrashes)
+    return false;
+  CrashRecords Conclusive = Sure;
+  std::erase_if(Conclusive, [](const CrashRecord &Each) {
+    return !Each.IsConclusive_ || !Each.IsConfirmed_;
+  });
+  if (countRuns(Conclusive) >= LeastConclusive && isRegular(Conclusive))
+    return true;
+  CrashRecords AfterTold = Sure;
+  std::erase_if(AfterTold, [&Sure](const CrashRecord &Each) {
+    return Each.Run_ <= Sure[ToldCrashes - 1].Run_;
+  });
+  // Whatever ran beside the first run may have caused that crash.
+  std::erase_if(Sure, [First = Sure.front().Run_](const CrashRecord &Each) {
+    return Each.Run_ == First;
+  });
+  return countRuns(AfterTold) >=
+         (isRegular(Sure) ? MostRunsAfterTold : MostRunsIfIrregular);
 }
 
 bool jobs::isUnsure(const CrashRecords &Records) {
   return Records.size() >= ToldCrashes && !Records.back().IsConfirmed_;
 }
 
+bool jobs::hasCrashedAt(const CrashRecords &Records,
+                        const std::string &Address) {
+  return std::any_of(Records.begin(), Records.end(),
+                     [&Address](const CrashRecord &Each) {
+                       return Each.Address_ == Address;
+                     });
+}
+
 std::string jobs::listServers(const CrashRecords &Records) {
   std::string Text;
   for (const CrashRecord &Each : Records)
--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -1,6 +1,7 @@
 #include "jobs/IsolationPlanner.h"
 
 #include <algorithm>
+#include <tuple>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -17,13 +18,18 @@
 static constexpr Duration NewsPatience = 8s;
 /// How long a server is kept until what started there last has settled.
 static constexpr Duration ReservedFor = 2500ms;
-/// How long the list of services with stable servers is good.
-static constexpr Duration StableInterval = 500ms;
+/// Servers report more often.
+static constexpr Duration ReportLimit = 1s;
+/// How often what waits is listed anew, and how much of it is looked at for
+/// each report.
+static constexpr Duration RefreshInterval = 50ms;
+static constexpr std::size_t MostLookedAt = 64;
 
 void IsolationPlanner::reset() {
   Since_.clear();
   Reserved_.clear();
-  StableAt_ = {};
+  Waiting_.clear();
+  RefreshedAt_ = {};
 }
 
 void IsolationPlanner::prune(const JobBook &Book) {
@@ -74,63 +80,67 @@
       });
 }
 
-std::size_t IsolationPlanner::countIsolated(const JobBook &Book,
-                                            const ServerBoard &Board) {
-  std::size_t Count = 0;
-  for (const TaskKey &Key : Book.crashSuspects()) {
-    const TaskRecord &Task = *Book.findTask(Key);
+void IsolationPlanner::refresh(const JobBook &Book, const ServerBoard &Board,
+                               TimePoint Now) {
+  if (Now - RefreshedAt_ < RefreshInterval)
+    return;
+  RefreshedAt_ = Now;
+  // The server may have gone, or may no longer suit the task.
+  std::erase_if(Reserved_, [&](const auto &Each) {
+    return !Board.find(Each.first) || Now - Each.second.Until_ >= ReportLimit;
+  });
+  Isolated_ = 0;
+  std::vector<std::tuple<std::uint64_t, std::uint64_t, TaskKey>> Order;
+  for (const auto &[Key, Servers] : Book.crashSuspects()) {
+    const JobRecord &Job = *Book.findJob(Key.Job_);
+    const TaskRecord &Task = *Job.findTask(Key);
     for (const Placement &Each : Task.Placements_)
-      Count += isUnproved(Task, Board.find(Each.Server_), Key, Each.Run_);
+      Isolated_ += isUnproved(Task, Board.find(Each.Server_), Key, Each.Run_);
+    const bool IsWaiting = Task.State_ == TaskState::Waiting &&
+                           needsIsolation(Task.Crashes_) &&
+                           !Job.Spec_.Steps_[Key.Step_].Gang_;
+    if (IsWaiting)
+      Order.emplace_back(Job.Policy_.Priority_, Job.getDueMs(), Key);
   }
-  return Count;
-}
-
-/// The tasks that wait for isolation, the most urgent first.
-std::vector<IsolationPlanner::Waiting>
-IsolationPlanner::listWaiting(const JobBook &Book) const {
-  std::vector<Waiting> List;
-  for (const TaskKey &Key : Book.crashSuspects()) {
-    const JobRecord *Job = Book.findJob(Key.Job_);
-    const TaskRecord *Task = Job->findTask(Key);
-    if (Task->State_ == TaskState::Waiting && needsIsolation(Task->Crashes_) &&
-        !Job->Spec_.Steps_[Key.Step_].Gang_)
-      List.push_back({Key, Job, Task});
+  std::sort(Order.begin(), Order.end());
+  Waiting_.clear();
+  for (const auto &[Priority, DueMs, Key] : Order) {
+    Waiting_.push_back(Key);
+    Since_.try_emplace(Key, Now);
   }
-  std::stable_sort(
-      List.begin(), List.end(), [](const Waiting &Left, const Waiting &Right) {
-        const auto GetKey = [](const Waiting &Each) {
-          return std::pair(Each.Job_->Policy_.Priority_, Each.Job_->getDueMs());
-        };
-        return GetKey(Left) < GetKey(Right);
-      });
-  return List;
+  if (!Waiting_.empty())
+    listStable(Book, Board);
 }
 
-void IsolationPlanner::updateStable(const JobBook &Book,
-                                    const ServerBoard &Board, TimePoint Now) {
-  if (Now - StableAt_ < StableInterval)
-    return;
-  StableAt_ = Now;
+void IsolationPlanner::listStable(const JobBook &Book,
+                                  const ServerBoard &Board) {
   Stable_.clear();
   for (const auto &[Id, Server] : Book.servers())
     if (Board.takesStarts(Book, Server) && Board.isStable(Server))
       Stable_.insert(Server.Facts_.Service_);
 }
 
-bool IsolationPlanner::isSuitable(const Waiting &Each, const ServerBoard &Board,
+bool IsolationPlanner::isReservedElsewhere(const TaskKey &Task,
+                                           const std::string &Id) const {
+  return std::any_of(Reserved_.begin(), Reserved_.end(), [&](const auto &Each) {
+    return Each.first != Id && Each.second.Task_ == Task;
+  });
+}
+
+bool IsolationPlanner::isSuitable(const TaskKey &Task,
+                                  const CrashRecords &Crashes,
+                                  const ServerBoard &Board,
                                   const ServerRecord &Server,
                                   TimePoint Now) const {
-  const auto Since = Since_.find(Each.Task_);
+  const auto Since = Since_.find(Task);
   const Duration Waited =
       Since == Since_.end() ? Duration(0) : Now - Since->second;
-  const CrashRecords &Crashes = Each.Record_->Crashes_;
   if (isUnsure(Crashes) && Waited < NewsPatience)
     return false;
   const bool HasStable = Stable_.count(Server.Facts_.Service_) != 0;
   if (Waited >= StablePatience || !HasStable)
     return true;
-  const std::string &Address = Server.Facts_.Address_;
-  if (!Board.isStable(Server) || hasCrashedAt(Crashes, Address))
+  if (!Board.isStable(Server) || hasCrashedAt(Crashes, Server.Facts_.Address_))
     return false;
   return Crashes.size() == 1 || Server.Serving_.empty() ||
          Waited >= EmptyPatience;
@@ -141,39 +151,39 @@
                                                 const ServerRecord &Server,
                                                 TimePoint Now,
                                                 const MayRun &May) {
-  const std::string &Id = Server.Facts_.Id_;
   if (Book.crashSuspects().empty())
     return std::nullopt;
-  const std::vector<Waiting> List = listWaiting(Book);
-  if (!List.empty())
-    updateStable(Book, Board, Now);
-  for (const Waiting &Each : List)
-    Since_.try_emplace(Each.Task_, Now);
+  refresh(Book, Board, Now);
+  const std::string &Id = Server.Facts_.Id_;
   const auto Kept = Reserved_.find(Id);
   const bool IsKept = Kept != Reserved_.end();
-  const TaskKey KeptFor = IsKept ? Kept->second.Task_ : TaskKey{};
   const bool IsOver = IsKept && Now >= Kept->second.Until_;
-  const std::size_t Isolated = countIsolated(Book, Board) + Reserved_.size();
   const std::size_t Most = 1 + Book.servers().size() / ServersForOne;
-  for (const Waiting &Each : List) {
-    if (IsKept ? Each.Task_ != KeptFor : Isolated >= Most)
+  if (!IsKept && Isolated_ + Reserved_.size() >= Most)
+    return std::nullopt;
+  std::size_t LookedAt = 0;
+  for (const TaskKey &Key : Waiting_) {
+    if (IsKept && Key != Kept->second.Task_)
+      continue;
+    if (++LookedAt > MostLookedAt)
+      break;
+    const TaskRecord *Task = Book.findTask(Key);
+    if (!Task || Task->State_ != TaskState::Waiting ||
+        isReservedElsewhere(Key, Id) ||
+        !isSuitable(Key, Task->Crashes_, Board, Server, Now))
       continue;
-    const TaskStart Start{Each.Task_, Each.Record_->LastRun_ + 1, Id};
-    const bool IsElsewhere =
-        std::any_of(Reserved_.begin(), Reserved_.end(), [&](const auto &Other) {
-          return Other.first != Id && Other.second.Task_ == Each.Task_;
-        });
-    if (IsElsewhere || !isSuitable(Each, Board, Server, Now) ||
-        !May(*Each.Job_, Each.Task_) || !Book.findObjection(Start).empty())
+    const TaskStart Start{Key, Task->LastRun_ + 1, Id};
+    if (!May(*Book.findJob(Key.Job_), Key) ||
+        !Book.findObjection(Start).empty())
       continue;
     // A first crash needs no proof of what caused it.
-    if (Each.Record_->Crashes_.size() == 1 || IsOver ||
-        isQuiet(Board, Server)) {
+    if (Task->Crashes_.size() == 1 || IsOver || isQuiet(Board, Server)) {
+      ++Isolated_;
       Reserved_.erase(Id);
       return Start;
     }
     if (!IsKept)
-      Reserved_[Id] = {Each.Task_, Now + ReservedFor};
+      Reserved_[Id] = {Key, Now + ReservedFor};
     return std::nullopt;
   }
   // What it was kept for cannot start there any more.
--- a/src/jobs/IsolationPlanner.h
+++ b/src/jobs/IsolationPlanner.h
@@ -50,24 +50,20 @@
     TaskKey Task_;
     TimePoint Until_{};
   };
-  /// A waiting task that is to be isolated.
-  struct Waiting {
-    TaskKey Task_;
-    const JobRecord *Job_;
-    const TaskRecord *Record_;
-  };
-  void updateStable(const JobBook &Book, const ServerBoard &Board,
-                    TimePoint Now);
-  std::vector<Waiting> listWaiting(const JobBook &Book) const;
-  bool isSuitable(const Waiting &Each, const ServerBoard &Board,
-                  const ServerRecord &Server, TimePoint Now) const;
+  void refresh(const JobBook &Book, const ServerBoard &Board, TimePoint Now);
+  void listStable(const JobBook &Book, const ServerBoard &Board);
+  bool isReservedElsewhere(const TaskKey &Task, const std::string &Id) const;
+  bool isSuitable(const TaskKey &Task, const CrashRecords &Crashes,
+                  const ServerBoard &Board, const ServerRecord &Server,
+                  TimePoint Now) const;
   static bool isQuiet(const ServerBoard &Board, const ServerRecord &Server);
-  static std::size_t countIsolated(const JobBook &Book,
-                                   const ServerBoard &Board);
 
-  /// Services with a stable server that takes starts, as of StableAt_.
-  std::set<std::string> Stable_;
-  TimePoint StableAt_{};
+  // As of the last refresh, at RefreshedAt_.
+  std::vector<TaskKey> Waiting_; ///< To be isolated; the most urgent first.
+  std::size_t Isolated_ = 0;     ///< Runs that are not proved yet.
+  std::set<std::string> Stable_; ///< Services with a server that is.
+  TimePoint RefreshedAt_{};
+
   std::map<TaskKey, TimePoint>
       Since_; ///< When the task was first seen to wait.
   std::map<std::string, Reservation> Reserved_; ///< By server.
--- a/src/jobs/JobBookCrashes.cpp
+++ b/src/jobs/JobBookCrashes.cpp
@@ -66,6 +66,10 @@
     Suspects.push_back(std::move(Each));
   }
   const std::vector<Suspect> All = Suspects;
+  const auto IsSettled = [](const Suspect &Each) {
+    return Each.AgeMs_ >= SettledAfterMs;
+  };
+  const bool AnyFresh = !std::all_of(All.begin(), All.end(), IsSettled);
   if (AnyIsolated)
     std::erase_if(Suspects,
                   [](const Suspect &Each) { return !Each.IsIsolated_; });
@@ -84,7 +88,8 @@
     const bool IsIndependent = !hasCrashedAt(Record->Crashes_, Server.Address_);
     addCrashTo(Each.Task_, {Each.Run_, Server.Id_, Server.Address_, Each.AgeMs_,
                             Crash.IsAmongMany_, IsConclusive && IsIndependent,
-                            Crash.IsConfirmed_});
+                            Crash.IsConfirmed_,
+                            !AnyIsolated && AnyFresh && IsSettled(Each)});
   }
 }
 
@@ -115,26 +120,23 @@
   if (!Record || isEnded(Job.State_) || !isToGiveUp(Record->Crashes_))
     return;
   const std::string Servers = listServers(Record->Crashes_);
-  explainCrashes(Job);
+  explainCrashes(*Record);
   failJob(Job, Task, FailureCause::Crashes, "crashed the servers " + Servers);
 }
 
-/// Their servers crashed for a reason that is over now, and are stable.
-void JobBook::explainCrashes(const JobRecord &Job) {
-  for (auto Each = Suspects_.lower_bound({Job.Spec_.Id_, 0, 0, 0});
-       Each != Suspects_.end() && Each->Job_ == Job.Spec_.Id_; ++Each)
-    for (const CrashRecord &Crash : findTask(*Each)->Crashes_) {
-      Lives_.explainCrash(Crash.Address_, Crash.Server_);
-      const auto Server = Servers_.find(findServerAt(Crash.Address_));
-      if (Server != Servers_.end())
-        Server->second.IsAfterCrash_ = Lives_.isAfterCrash(Crash.Address_);
-    }
+/// The task's servers crashed for a reason that is over now, and are stable.
+void JobBook::explainCrashes(const TaskRecord &Task) {
+  for (const CrashRecord &Crash : Task.Crashes_) {
+    Lives_.explainCrash(Crash.Address_, Crash.Server_);
+    const auto Server = Servers_.find(findServerAt(Crash.Address_));
+    if (Server != Servers_.end())
+      Server->second.IsAfterCrash_ = Lives_.isAfterCrash(Crash.Address_);
+  }
 }
 
 /// Another incarnation of the server has registered at its address.
 void JobBook::confirmCrashOf(const std::string &Server) {
-  const std::set<TaskKey> Suspects = Suspects_;
-  for (const TaskKey &Task : Suspects) {
+  for (const TaskKey &Task : listSuspectsOf(Server)) {
     TaskRecord *Record = findTaskToChange(Task);
     // An earlier one of these may have ended the job.
     if (!Record)
@@ -160,8 +162,7 @@
 }
 
 void JobBook::dropCrashesOf(const std::string &Server) {
-  const std::set<TaskKey> Suspects = Suspects_;
-  for (const TaskKey &Task : Suspects) {
+  for (const TaskKey &Task : listSuspectsOf(Server)) {
     std::erase_if(
         findTaskToChange(Task)->Crashes_,
         [&Server](const CrashRecord &Each) { return Each.Server_ == Server; });
@@ -175,17 +176,32 @@
   const bool IsSuspect = Record && !isEnded(Job->State_) &&
                          Record->State_ != TaskState::Done &&
                          !Record->Crashes_.empty();
-  if (IsSuspect)
-    Suspects_.insert(Task);
-  else
-    Suspects_.erase(Task);
+  if (const auto Known = Suspects_.find(Task); Known != Suspects_.end()) {
+    for (const std::string &Server : Known->second)
+      SuspectsByServer_.erase({Server, Task});
+    Suspects_.erase(Known);
+  }
+  if (!IsSuspect)
+    return;
+  std::vector<std::string> &Servers = Suspects_[Task];
+  for (const CrashRecord &Each : Record->Crashes_)
+    if (SuspectsByServer_.emplace(Each.Server_, Task).second)
+      Servers.push_back(Each.Server_);
+}
+
+std::vector<TaskKey> JobBook::listSuspectsOf(const std::string &Server) const {
+  std::vector<TaskKey> Tasks;
+  for (auto Each = SuspectsByServer_.lower_bound({Server, TaskKey{}});
+       Each != SuspectsByServer_.end() && Each->first == Server; ++Each)
+    Tasks.push_back(Each->second);
+  return Tasks;
 }
 
 void JobBook::updateSuspectsOf(const JobRecord &Job) {
   std::vector<TaskKey> Own;
   for (auto Each = Suspects_.lower_bound({Job.Spec_.Id_, 0, 0, 0});
-       Each != Suspects_.end() && Each->Job_ == Job.Spec_.Id_; ++Each)
-    Own.push_back(*Each);
+       Each != Suspects_.end() && Each->first.Job_ == Job.Spec_.Id_; ++Each)
+    Own.push_back(Each->first);
   for (const TaskKey &Task : Own)
     updateSuspect(Task);
 }
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -53,6 +53,7 @@
   Newcomers_.reset();
   Leaving_.clear();
   IsProving_ = false;
+  NextProof_ = Now;
   IsAsking_ = false;
   Waves_.reset();
   LeadingSince_ = Now;
--- a/src/jobs/JobLeaderCrashes.cpp
+++ b/src/jobs/JobLeaderCrashes.cpp
@@ -4,6 +4,10 @@
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
+using namespace std::chrono_literals;
+
+/// How often it is looked which isolated runs have proved to be harmless.
+static constexpr Duration ProofInterval = 250ms;
 
 static std::uint64_t toMs(Duration Value) {
   return static_cast<std::uint64_t>(
@@ -97,11 +101,13 @@
 /// Stores which suspected runs have proved to be harmless, as another leader
 /// does not see how long they have run.
 void JobLeader::Impl::noteProvedRuns() {
-  if (IsProving_)
+  const TimePoint Now = Time_.now();
+  if (IsProving_ || Now < NextProof_)
     return;
+  NextProof_ = Now + ProofInterval;
   NoteProved Command;
   Machine_.read([&](const JobBook &Book) {
-    for (const TaskKey &Key : Book.crashSuspects()) {
+    for (const auto &[Key, Servers] : Book.crashSuspects()) {
       const TaskRecord &Task = *Book.findTask(Key);
       for (const Placement &Each : Task.Placements_) {
         const ServerLive *Live = Board_.find(Each.Server_);
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -199,6 +199,7 @@
   Dispatcher Dispatcher_{Effects_, Loads_, Paces_, Health_, Advice_};
   PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Learner_, Paces_};
   Newcomers Newcomers_;
+  TimePoint NextProof_{};
   bool IsProving_ = false; ///< Proved runs are on their way to the log.
   bool IsAsking_ = false;  ///< A question to the advice service is open.
   TimePoint NextQuestion_{};
--- a/src/jobs/JobPacking.h
+++ b/src/jobs/JobPacking.h
@@ -101,7 +101,7 @@
 inline auto fields(Placement &X) { return std::tie(X.Run_, X.Server_); }
 inline auto fields(CrashRecord &X) {
   return std::tie(X.Run_, X.Server_, X.Address_, X.AgeMs_, X.IsAmongMany_,
-                  X.IsConclusive_, X.IsConfirmed_);
+                  X.IsConclusive_, X.IsConfirmed_, X.IsDoubtful_);
 }
 inline auto fields(TaskRecord &X) {
   return std::tie(X.State_, X.LastRun_, X.FailedRuns_, X.LastFailedRun_,
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -426,14 +426,14 @@
 /// The tasks under which servers crashed, and the jobs given up for that.
 static void addCrashes(const jobs::JobBook &Book, nlohmann::json &Dump) {
   nlohmann::json Suspects = nlohmann::json::array();
-  for (const jobs::TaskKey &Key : Book.crashSuspects()) {
+  for (const auto &[Key, Servers] : Book.crashSuspects()) {
     if (Suspects.size() >= MostDumped)
       break;
     const jobs::CrashRecords &Crashes = Book.findTask(Key)->Crashes_;
     Suspects.push_back({{"job", Key.Job_},
                         {"task", toText(Key)},
                         {"crashes", Crashes.size()},
-                        {"servers", jobs::listServers(Crashes)}});
+                        {"servers", Servers}});
   }
   nlohmann::json GivenUp = nlohmann::json::array();
   for (const auto &[Id, Job] : Book.jobs())
--- a/tests/jobs/CrashRecordTest.cpp
+++ b/tests/jobs/CrashRecordTest.cpp
@@ -10,7 +10,8 @@
 static CrashRecord makeCrash(std::uint64_t Run, bool IsConclusive = false,
                              std::uint64_t AgeMs = 0) {
   const std::string Number = std::to_string(Run);
-  return {Run, "i" + Number, "a" + Number, AgeMs, false, IsConclusive, true};
+  return {Run,   "i" + Number, "a" + Number, AgeMs,
+          false, IsConclusive, true,         false};
 }
 
 static CrashRecords makeCrashes(std::size_t Count) {
@@ -47,6 +48,21 @@
   EXPECT_TRUE(isUnsure(Records));
 }
 
+TEST(CrashRecordTest, ConclusiveCrashesAtDifferingTimesAreAccidents) {
+  CrashRecords Records = makeCrashes(1);
+  addCrash(Records, makeCrash(2, true));
+  addCrash(Records, makeCrash(3, true, 7500));
+  EXPECT_FALSE(isToGiveUp(Records));
+}
+
+TEST(CrashRecordTest, ACrashBesideWhatHadJustBegunOnlyIsolates) {
+  CrashRecords Records = makeCrashes(5);
+  EXPECT_TRUE(isToGiveUp(Records));
+  Records[4].IsDoubtful_ = true;
+  EXPECT_FALSE(isToGiveUp(Records));
+  EXPECT_TRUE(needsIsolation({Records[4]}));
+}
+
 TEST(CrashRecordTest, NoMoreThanTwoRunsFollowTheThirdCrash) {
   EXPECT_FALSE(isToGiveUp(makeCrashes(4)));
   EXPECT_TRUE(isToGiveUp(makeCrashes(5)));
--- a/tests/jobs/JobBookCrashesTest.cpp
+++ b/tests/jobs/JobBookCrashesTest.cpp
@@ -54,7 +54,8 @@
   EXPECT_EQ(countCrashes(0), 1U);
   EXPECT_EQ(countCrashes(1), 0U) << "it had run for long";
   EXPECT_EQ(countCrashes(2), 0U) << "it was elsewhere";
-  EXPECT_THAT(Book_.crashSuspects(), ElementsAre(TaskKey{"j", 0, 0, 0}));
+  EXPECT_THAT(Book_.crashSuspects(),
+              ElementsAre(testing::Key(TaskKey{"j", 0, 0, 0})));
 }
 
 TEST_F(JobBookCrashesTest, ACrashUnderAnIsolatedRunIsPutDownToIt) {
