One server that only fell silent isolates no task

A first crash isolates only once another incarnation has confirmed it; a server that is heard again drops its records, as before.

--- a/include/tulipweir/jobs/CrashRecord.h
+++ b/include/tulipweir/jobs/CrashRecord.h
@@ -52,7 +52,8 @@
 /// Adds the record; one of the same run and server is replaced.
 void addCrash(CrashRecords &Records, CrashRecord Record);
 
-/// Whether the task's next run is to be isolated from others.
+/// Whether the task's next run is to be isolated from others. One crash among
+/// many does not, nor does one server that may only have lost its lease.
 bool needsIsolation(const CrashRecords &Records);
 
 /// How long a run of the task must be reported until others may start beside
--- a/src/jobs/CrashRecord.cpp
+++ b/src/jobs/CrashRecord.cpp
@@ -31,8 +31,9 @@
 }
 
 bool jobs::needsIsolation(const CrashRecords &Records) {
-  return Records.size() > 1 ||
-         (Records.size() == 1 && !Records.front().IsAmongMany_);
+  if (Records.size() != 1)
+    return !Records.empty();
+  return Records.front().IsConfirmed_ && !Records.front().IsAmongMany_;
 }
 
 std::uint64_t jobs::getIsolationMs(const CrashRecords &Records) {
@@ -92,10 +93,9 @@
 
 bool jobs::hasCrashedAt(const CrashRecords &Records,
                         const std::string &Address) {
-  return std::any_of(Records.begin(), Records.end(),
-                     [&Address](const CrashRecord &Each) {
-                       return Each.Address_ == Address;
-                     });
+  return std::any_of(
+      Records.begin(), Records.end(),
+      [&Address](const CrashRecord &Each) { return Each.Address_ == Address; });
 }
 
 std::string jobs::listServers(const CrashRecords &Records) {
--- a/tests/jobs/CrashRecordTest.cpp
+++ b/tests/jobs/CrashRecordTest.cpp
@@ -27,6 +27,10 @@
   CrashRecords Among = makeCrashes(1);
   Among[0].IsAmongMany_ = true;
   EXPECT_FALSE(needsIsolation(Among));
+  CrashRecords Silent = makeCrashes(1);
+  Silent[0].IsConfirmed_ = false;
+  EXPECT_FALSE(needsIsolation(Silent))
+      << "leases are lost to slow leaders, too";
   addCrash(Among, makeCrash(2));
   EXPECT_TRUE(needsIsolation(Among));
 }
