Crashes of gangs stay conclusive; what waits for isolation says so

Two members of a gang on one server wrote one record: the second saw the first as an earlier crash at that address and took its conclusiveness away (found by reading; JobBookCrashesTest.AGangsMembersOnOneServerAreOneRun, not seen to fail). noteCrash is in three parts. `task_waiting` names tasks that wait to be isolated.

--- a/include/tulipweir/jobs/CrashRecord.h
+++ b/include/tulipweir/jobs/CrashRecord.h
@@ -43,6 +43,14 @@
 /// the oldest first. Bounded.
 using CrashRecords = std::vector<CrashRecord>;
 
+/// A run that was placed on a server that crashed.
+struct CrashSuspect {
+  TaskKey Task_;
+  std::uint64_t Run_ = 0;
+  std::uint64_t AgeMs_ = 0; ///< How long it was reported; zero if never.
+  bool IsIsolated_ = false; ///< Nothing else began beside it.
+};
+
 /// A run that was reported for so long has not crashed its server.
 inline constexpr std::uint64_t HarmlessAfterMs = 10'000;
 /// A run that was reported for so long, of a task without records, is not the
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -220,6 +220,9 @@
   void finishJob(JobRecord &Job, JobState State);
   void failJob(JobRecord &Job, const TaskKey &Task, FailureCause Cause,
                const std::string &Reason);
+  std::vector<CrashSuspect>
+  takeSuspects(const CrashEvidence &Crash,
+               const std::map<TaskKey, std::uint64_t> &Placed);
   void noteCrash(const ServerFacts &Server, const CrashEvidence &Crash,
                  const std::map<TaskKey, std::uint64_t> &Placed);
   void addCrashTo(const TaskKey &Task, const CrashRecord &Record);
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -377,6 +377,13 @@
                                     TimePoint Now) const {
   const JobRecord &Job = *Book.findJob(Step.Job_);
   const StepSpec &Spec = Job.Spec_.Steps_[Step.Step_];
+  const std::vector<TaskRecord> &Tasks =
+      Job.findOccurrence(Step.Occurrence_)->Steps_[Step.Step_].Tasks_;
+  const auto Suspected = static_cast<std::size_t>(
+      std::count_if(Tasks.begin(), Tasks.end(), [](const TaskRecord &Each) {
+        return Each.State_ == TaskState::Waiting &&
+               needsIsolation(Each.Crashes_);
+      }));
   std::size_t Unlabelled = 0;
   std::size_t Unadvised = 0;
   std::size_t Evacuated = 0;
@@ -427,5 +434,8 @@
   Add(Busy, " without idle processors");
   Add(Resting, " leaving, silent or in quarantine");
   Add(Open, " not asked yet, or kept for others");
-  return Text.empty() ? "no server of its service" : Text;
+  if (Text.empty())
+    Text = "no server of its service";
+  Add(Suspected, " tasks to be isolated, as servers crashed under them");
+  return Text;
 }
--- a/src/jobs/JobBookCrashes.cpp
+++ b/src/jobs/JobBookCrashes.cpp
@@ -6,18 +6,6 @@
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 
-namespace {
-
-/// A run that was placed on a server that crashed.
-struct Suspect {
-  TaskKey Task_;
-  std::uint64_t Run_ = 0;
-  std::uint64_t AgeMs_ = 0; ///< Zero if no report named it.
-  bool IsIsolated_ = false; ///< Suspected before, and still to be proved.
-};
-
-} // namespace
-
 static std::uint64_t findAgeMs(const CrashEvidence &Crash,
                                const TaskKey &Task) {
   const auto Found = std::lower_bound(
@@ -27,8 +15,8 @@
 }
 
 /// Whether one run of a task, or of a gang, is behind both.
-static bool isSameRun(const JobBook &Book, const Suspect &Left,
-                      const Suspect &Right) {
+static bool isSameRun(const JobBook &Book, const CrashSuspect &Left,
+                      const CrashSuspect &Right) {
   TaskKey Sibling = Left.Task_;
   Sibling.Index_ = Right.Task_.Index_;
   const StepSpec *Step = Book.findStep(Left.Task_);
@@ -37,59 +25,79 @@
           Left.Run_ == Right.Run_);
 }
 
-/// A crash is put down to a run in isolation, as nothing began beside it; else
-/// to all runs that have not proved to be harmless.
-void JobBook::noteCrash(const ServerFacts &Server, const CrashEvidence &Crash,
-                        const std::map<TaskKey, std::uint64_t> &Placed) {
-  std::vector<Suspect> Suspects;
-  std::size_t Settled = 0;
-  bool AnyIsolated = false;
+/// Whether a server crashed at the address before, under the task.
+static bool hasCrashedBefore(const CrashRecords &Records,
+                             const ServerFacts &Server) {
+  return std::any_of(
+      Records.begin(), Records.end(), [&Server](const CrashRecord &Each) {
+        return Each.Address_ == Server.Address_ && Each.Server_ != Server.Id_;
+      });
+}
+
+static bool isSettled(const CrashSuspect &Each) {
+  return Each.AgeMs_ >= SettledAfterMs;
+}
+
+/// The runs that may have crashed the server. Those that have run for long are
+/// cleared.
+std::vector<CrashSuspect>
+JobBook::takeSuspects(const CrashEvidence &Crash,
+                      const std::map<TaskKey, std::uint64_t> &Placed) {
+  std::vector<CrashSuspect> Suspects;
   for (const auto &[Task, Run] : Placed) {
-    Suspect Each{Task, Run, findAgeMs(Crash, Task), false};
     TaskRecord *Record = findTaskToChange(Task);
-    // A new leader has not seen for how long the run was there.
-    const bool IsProved =
-        Record && Each.AgeMs_ == 0 && Record->ProvedRun_ == Run;
-    const bool IsHarmless = Each.AgeMs_ >= HarmlessAfterMs;
-    if (Record && IsHarmless) {
+    if (!Record)
+      continue;
+    CrashSuspect Each{Task, Run, findAgeMs(Crash, Task), false};
+    if (Each.AgeMs_ >= HarmlessAfterMs) {
       Record->Crashes_.clear();
       updateSuspect(Task);
+      continue;
     }
-    if (!Record || IsHarmless || IsProved)
+    // A new leader has not seen for how long the run was there.
+    if (Each.AgeMs_ == 0 && Record->ProvedRun_ == Run)
       continue;
-    const std::uint64_t ProvedAfterMs = getIsolationMs(Record->Crashes_);
-    Each.IsIsolated_ =
-        needsIsolation(Record->Crashes_) && Each.AgeMs_ < ProvedAfterMs;
-    AnyIsolated = AnyIsolated || Each.IsIsolated_;
-    if (!Each.IsIsolated_ && Each.AgeMs_ >= ProvedAfterMs)
-      ++Settled;
+    Each.IsIsolated_ = needsIsolation(Record->Crashes_) &&
+                       Each.AgeMs_ < getIsolationMs(Record->Crashes_);
     Suspects.push_back(std::move(Each));
   }
-  const std::vector<Suspect> All = Suspects;
-  const auto IsSettled = [](const Suspect &Each) {
-    return Each.AgeMs_ >= SettledAfterMs;
-  };
-  const bool AnyFresh = !std::all_of(All.begin(), All.end(), IsSettled);
+  return Suspects;
+}
+
+/// A crash is put down to runs in isolation, as nothing began beside them; else
+/// to all runs that have not proved to be harmless.
+void JobBook::noteCrash(const ServerFacts &Server, const CrashEvidence &Crash,
+                        const std::map<TaskKey, std::uint64_t> &Placed) {
+  std::vector<CrashSuspect> Blamed = takeSuspects(Crash, Placed);
+  const auto Others = std::stable_partition(
+      Blamed.begin(), Blamed.end(),
+      [](const CrashSuspect &Each) { return Each.IsIsolated_; });
+  const bool AnyIsolated = Others != Blamed.begin();
+  const bool AreOthersSettled = std::all_of(Others, Blamed.end(), isSettled);
   if (AnyIsolated)
-    std::erase_if(Suspects,
-                  [](const Suspect &Each) { return !Each.IsIsolated_; });
-  const bool IsOne =
-      std::all_of(Suspects.begin(), Suspects.end(), [&](const Suspect &Each) {
-        return isSameRun(*this, Suspects.front(), Each);
+    Blamed.erase(Others, Blamed.end());
+  const bool IsOneRun =
+      std::all_of(Blamed.begin(), Blamed.end(), [&](const CrashSuspect &Each) {
+        return isSameRun(*this, Blamed.front(), Each);
       });
-  const std::size_t Others = All.size() - Suspects.size();
-  const bool IsConclusive =
-      IsOne && Others <= Settled && Crash.IsStable_ && !Crash.IsAmongMany_;
-  for (const Suspect &Each : Suspects) {
-    const TaskRecord *Record = findTask(Each.Task_);
-    if (!Record)
+  const bool IsConclusive = IsOneRun && (!AnyIsolated || AreOthersSettled) &&
+                            Crash.IsStable_ && !Crash.IsAmongMany_;
+  for (const CrashSuspect &Each : Blamed) {
+    const TaskRecord *Task = findTask(Each.Task_);
+    if (!Task)
       continue;
+    CrashRecord Record;
+    Record.Run_ = Each.Run_;
+    Record.Server_ = Server.Id_;
+    Record.Address_ = Server.Address_;
+    Record.AgeMs_ = Each.AgeMs_;
+    Record.IsAmongMany_ = Crash.IsAmongMany_;
     // A second crash at one address may be the address's fault.
-    const bool IsIndependent = !hasCrashedAt(Record->Crashes_, Server.Address_);
-    addCrashTo(Each.Task_, {Each.Run_, Server.Id_, Server.Address_, Each.AgeMs_,
-                            Crash.IsAmongMany_, IsConclusive && IsIndependent,
-                            Crash.IsConfirmed_,
-                            !AnyIsolated && AnyFresh && IsSettled(Each)});
+    Record.IsConclusive_ =
+        IsConclusive && !hasCrashedBefore(Task->Crashes_, Server);
+    Record.IsConfirmed_ = Crash.IsConfirmed_;
+    Record.IsDoubtful_ = !AnyIsolated && !AreOthersSettled && isSettled(Each);
+    addCrashTo(Each.Task_, Record);
   }
 }
 
--- a/tests/jobs/JobBookCrashesTest.cpp
+++ b/tests/jobs/JobBookCrashesTest.cpp
@@ -79,6 +79,22 @@
   EXPECT_FALSE(crashesOf(0)[1].IsConclusive_);
 }
 
+TEST_F(JobBookCrashesTest, AGangsMembersOnOneServerAreOneRun) {
+  StepSpec Gang = makeStep(2, 100);
+  Gang.Gang_ = true;
+  submit(makeJob("g", {Gang}));
+  for (std::uint64_t Run = 1; Run <= 2; ++Run) {
+    const std::string Id = "s" + std::to_string(Run);
+    apply(StartTasks{{makeStart("g", 0, Id, Run), makeStart("g", 1, Id, Run)}});
+    crash(Id);
+  }
+  for (std::uint64_t Index = 0; Index < 2; ++Index) {
+    const CrashRecords &Crashes = Book_.findTask({"g", 0, 0, Index})->Crashes_;
+    ASSERT_EQ(Crashes.size(), 2U);
+    EXPECT_TRUE(Crashes[1].IsConclusive_);
+  }
+}
+
 TEST_F(JobBookCrashesTest, AServerThatLeavesIsNoCrash) {
   start(makeStart("j", 0, "s1"));
   apply(RemoveServer{"s1", {}, true});
