--- a/include/tulipweir/core/Time.h
+++ b/include/tulipweir/core/Time.h
@@ -19,11 +19,13 @@
 /// suspended. The steady clock does not, so a lease judged by it would last
 /// longer here than elsewhere.
 struct BootClock {
+  // NOLINTBEGIN(readability-identifier-naming): as the library names them.
   using duration = Duration;
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
   static constexpr bool is_steady = true;
+  // NOLINTEND(readability-identifier-naming)
 
   static time_point now() noexcept;
 };
--- a/include/tulipweir/jobs/Commands.h
+++ b/include/tulipweir/jobs/Commands.h
@@ -111,7 +111,7 @@
   bool operator==(const SeenRun &) const = default;
 };
 
-/// What a leader knows of how a server went.
+/// The circumstances under which a server went, as its leader saw them.
 struct CrashEvidence {
   bool IsCrash_ = false;     ///< It went without notice.
   bool IsConfirmed_ = false; ///< Another incarnation reports at its address.
--- a/src/jobs/ServerBoard.h
+++ b/src/jobs/ServerBoard.h
@@ -43,7 +43,7 @@
   bool IsRemoving_ = false;
   /// Its VM is next for maintenance: it is emptied, as far as jobs allow.
   bool IsEmptying_ = false;
-  /// That was so at some time: it may go without notice.
+  /// Its VM was emptied at some time: the server may go without notice.
   bool WasEmptying_ = false;
   /// A report is being handled; the next one waits for nothing of it.
   TimePoint NoStartsUntil_{};
--- a/tests/core/SuspensionTest.cpp
+++ b/tests/core/SuspensionTest.cpp
@@ -21,6 +21,7 @@
 
 static std::time_t SuspendedSeconds = 0;
 
+// NOLINTNEXTLINE(readability-identifier-naming): the library's own name.
 extern "C" int clock_gettime(clockid_t Which, timespec *To) noexcept {
   const long Code = ::syscall(SYS_clock_gettime, Which, To);
   const bool Counts = Which == CLOCK_BOOTTIME || Which == CLOCK_REALTIME;
--- a/tests/jobs/CrashingTaskTest.cpp
+++ b/tests/jobs/CrashingTaskTest.cpp
@@ -23,6 +23,12 @@
 
 static constexpr std::uint64_t Seeds = 6;
 
+/// No promise is broken, and no sound job is left over.
+static void expectSound(const CrashFleet &Fleet, const std::string &Case = "") {
+  EXPECT_THAT(Fleet.Broken_, IsEmpty()) << Case;
+  EXPECT_THAT(Fleet.listUnfinished(), IsEmpty()) << Case;
+}
+
 static void expectGivenUp(const CrashFleet &Fleet, const std::string &Job) {
   EXPECT_EQ(Fleet.getState(Job), JobState::Failed) << Job;
   EXPECT_GE(Fleet.countCrashes(Job), 2U) << Job;
@@ -35,8 +41,7 @@
     CrashFleet Fleet(Day);
     Fleet.submit("bad", {makeStep(6, 1000)}, {{0, 2}});
     Fleet.run(60s);
-    EXPECT_THAT(Fleet.Broken_, IsEmpty());
-    EXPECT_THAT(Fleet.listUnfinished(), IsEmpty());
+    expectSound(Fleet);
     expectGivenUp(Fleet, "bad");
   }
 }
@@ -47,8 +52,7 @@
   CrashFleet Fleet(Day);
   Fleet.submit("bad", {makeStep(6, 1000)}, {{0, 2}});
   Fleet.run(60s);
-  EXPECT_THAT(Fleet.Broken_, IsEmpty());
-  EXPECT_THAT(Fleet.listUnfinished(), IsEmpty());
+  expectSound(Fleet);
   expectGivenUp(Fleet, "bad");
 }
 
@@ -65,8 +69,7 @@
       Fleet.run(700ms);
     }
     Fleet.run(90s);
-    EXPECT_THAT(Fleet.Broken_, IsEmpty()) << "seed " << Seed;
-    EXPECT_THAT(Fleet.listUnfinished(), IsEmpty()) << "seed " << Seed;
+    expectSound(Fleet, "seed " + std::to_string(Seed));
     for (int I = 0; I < 8; ++I)
       expectGivenUp(Fleet, "bad" + std::to_string(I));
   }
@@ -79,8 +82,7 @@
   CrashFleet Fleet(CrashDay{});
   Fleet.submit("bad", {makeStep(40, 1000)}, All);
   Fleet.run(60s);
-  EXPECT_THAT(Fleet.Broken_, IsEmpty());
-  EXPECT_THAT(Fleet.listUnfinished(), IsEmpty());
+  expectSound(Fleet);
   expectGivenUp(Fleet, "bad");
 }
 
@@ -90,8 +92,7 @@
   CrashFleet Fleet(CrashDay{});
   Fleet.submit("bad", {Gang}, {{0, 0}, {0, 2}, {0, 4}});
   Fleet.run(60s);
-  EXPECT_THAT(Fleet.Broken_, IsEmpty());
-  EXPECT_THAT(Fleet.listUnfinished(), IsEmpty());
+  expectSound(Fleet);
   expectGivenUp(Fleet, "bad");
 }
 
@@ -102,8 +103,7 @@
   Fleet.submit("copied", {Copied}, {{0, 1}});
   Fleet.submit("lasting", {makeServing(4, "other")}, {{0, 3}});
   Fleet.run(60s);
-  EXPECT_THAT(Fleet.Broken_, IsEmpty());
-  EXPECT_THAT(Fleet.listUnfinished(), IsEmpty());
+  expectSound(Fleet);
   expectGivenUp(Fleet, "copied");
   expectGivenUp(Fleet, "lasting");
 }
@@ -115,8 +115,7 @@
     CrashFleet Fleet(Day);
     Fleet.submit("bad", {makeStep(6, 1000)}, {{0, 2}});
     Fleet.run(90s);
-    EXPECT_THAT(Fleet.Broken_, IsEmpty()) << After.count();
-    EXPECT_THAT(Fleet.listUnfinished(), IsEmpty()) << After.count();
+    expectSound(Fleet, std::to_string(After.count()));
     expectGivenUp(Fleet, "bad");
   }
 }
