--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -309,8 +309,9 @@
       Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
   const std::vector<TaskRecord> &Tasks = Record.Tasks_;
   for (std::uint64_t Index = 0; Index < Tasks.size(); ++Index) {
-    if (Tasks[Index].State_ != TaskState::Waiting ||
-        needsIsolation(Tasks[Index].Crashes_))
+    const TaskRecord &Task = Tasks[Index];
+    if (Task.State_ != TaskState::Waiting ||
+        (!Task.Crashes_.empty() && Isolation_.isIsolating(Task.Crashes_)))
       continue;
     const bool IsCrowded = Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
     if (IsCrowded || Own.Starts_.size() >= Own.MostStarts_ ||
@@ -380,9 +381,9 @@
   const std::vector<TaskRecord> &Tasks =
       Job.findOccurrence(Step.Occurrence_)->Steps_[Step.Step_].Tasks_;
   const auto Suspected = static_cast<std::size_t>(
-      std::count_if(Tasks.begin(), Tasks.end(), [](const TaskRecord &Each) {
+      std::count_if(Tasks.begin(), Tasks.end(), [this](const TaskRecord &Each) {
         return Each.State_ == TaskState::Waiting &&
-               needsIsolation(Each.Crashes_);
+               Isolation_.isIsolating(Each.Crashes_);
       }));
   std::size_t Unlabelled = 0;
   std::size_t Unadvised = 0;
--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -22,16 +22,21 @@
 static constexpr Duration ReportLimit = 1s;
 /// How often what waits is listed anew, and how much of it is looked at for
 /// each report.
-static constexpr Duration RefreshInterval = 50ms;
+static constexpr Duration RefreshInterval = 200ms;
 static constexpr std::size_t MostLookedAt = 64;
 
 void IsolationPlanner::reset() {
   Since_.clear();
   Reserved_.clear();
   Waiting_.clear();
+  IsCrowded_ = false;
   RefreshedAt_ = {};
 }
 
+bool IsolationPlanner::isIsolating(const CrashRecords &Crashes) const {
+  return needsIsolation(Crashes) && (Crashes.size() > 1 || !IsCrowded_);
+}
+
 void IsolationPlanner::prune(const JobBook &Book) {
   std::erase_if(Since_, [&Book](const auto &Each) {
     const TaskRecord *Task = Book.findTask(Each.first);
@@ -44,11 +49,11 @@
   });
 }
 
-/// Whether the suspected run on the server may still crash it.
+/// Whether a run of a suspected task may still crash its server.
 static bool isUnproved(const TaskRecord &Task, const ServerLive *Live,
                        const TaskKey &Key, std::uint64_t Run) {
   const auto Needed = std::chrono::milliseconds(getIsolationMs(Task.Crashes_));
-  return needsIsolation(Task.Crashes_) && Task.ProvedRun_ != Run &&
+  return Task.ProvedRun_ != Run &&
          (!Live || Live->getSeenFor(Key, Run) < Needed);
 }
 
@@ -63,9 +68,11 @@
   const ServerLive *Live = Board.find(Server.Facts_.Id_);
   return std::any_of(Server.Placed_.begin(), Server.Placed_.end(),
                      [&](const auto &Each) {
-                       return Book.crashSuspects().count(Each.first) != 0 &&
-                              isUnproved(*Book.findTask(Each.first), Live,
-                                         Each.first, Each.second);
+                       if (Book.crashSuspects().count(Each.first) == 0)
+                         return false;
+                       const TaskRecord &Task = *Book.findTask(Each.first);
+                       return isIsolating(Task.Crashes_) &&
+                              isUnproved(Task, Live, Each.first, Each.second);
                      });
 }
 
@@ -80,6 +87,11 @@
       });
 }
 
+/// Servers that may be closed for suspected tasks at a time.
+static std::size_t getMostIsolated(const JobBook &Book) {
+  return 1 + Book.servers().size() / ServersForOne;
+}
+
 void IsolationPlanner::refresh(const JobBook &Book, const ServerBoard &Board,
                                TimePoint Now) {
   if (Now - RefreshedAt_ < RefreshInterval)
@@ -89,22 +101,32 @@
   std::erase_if(Reserved_, [&](const auto &Each) {
     return !Board.find(Each.first) || Now - Each.second.Until_ >= ReportLimit;
   });
-  Isolated_ = 0;
+  std::size_t First = 0;
+  std::size_t Isolated = 0;
   std::vector<std::tuple<std::uint64_t, std::uint64_t, TaskKey>> Order;
   for (const auto &[Key, Servers] : Book.crashSuspects()) {
     const JobRecord &Job = *Book.findJob(Key.Job_);
     const TaskRecord &Task = *Job.findTask(Key);
+    if (!needsIsolation(Task.Crashes_))
+      continue;
+    std::size_t Open = 0;
     for (const Placement &Each : Task.Placements_)
-      Isolated_ += isUnproved(Task, Board.find(Each.Server_), Key, Each.Run_);
-    const bool IsWaiting = Task.State_ == TaskState::Waiting &&
-                           needsIsolation(Task.Crashes_) &&
-                           !Job.Spec_.Steps_[Key.Step_].Gang_;
+      Open += isUnproved(Task, Board.find(Each.Server_), Key, Each.Run_);
+    const bool IsWaiting =
+        Task.State_ == TaskState::Waiting && !Job.Spec_.Steps_[Key.Step_].Gang_;
     if (IsWaiting)
       Order.emplace_back(Job.Policy_.Priority_, Job.getDueMs(), Key);
+    Isolated += Open;
+    if (Task.Crashes_.size() == 1)
+      First += Open + (IsWaiting ? 1 : 0);
   }
+  IsCrowded_ = First > getMostIsolated(Book);
+  Isolated_ = IsCrowded_ ? 0 : Isolated;
   std::sort(Order.begin(), Order.end());
   Waiting_.clear();
   for (const auto &[Priority, DueMs, Key] : Order) {
+    if (!isIsolating(Book.findTask(Key)->Crashes_))
+      continue;
     Waiting_.push_back(Key);
     Since_.try_emplace(Key, Now);
   }
@@ -158,8 +180,7 @@
   const auto Kept = Reserved_.find(Id);
   const bool IsKept = Kept != Reserved_.end();
   const bool IsOver = IsKept && Now >= Kept->second.Until_;
-  const std::size_t Most = 1 + Book.servers().size() / ServersForOne;
-  if (!IsKept && Isolated_ + Reserved_.size() >= Most)
+  if (!IsKept && Isolated_ + Reserved_.size() >= getMostIsolated(Book))
     return std::nullopt;
   std::size_t LookedAt = 0;
   for (const TaskKey &Key : Waiting_) {
--- a/src/jobs/IsolationPlanner.h
+++ b/src/jobs/IsolationPlanner.h
@@ -40,6 +40,10 @@
 
   // Queries.
 
+  /// Whether the task's next run is to be planned here. Tasks with one crash
+  /// are not isolated while there are more of them than servers for that.
+  bool isIsolating(const CrashRecords &Crashes) const;
+
   /// Whether nothing else may start on the server: a suspected run there is
   /// not proved yet, or one is about to start.
   bool isClosed(const JobBook &Book, const ServerBoard &Board,
@@ -60,6 +64,7 @@
 
   // As of the last refresh, at RefreshedAt_.
   std::vector<TaskKey> Waiting_; ///< To be isolated; the most urgent first.
+  bool IsCrowded_ = false;       ///< Too many tasks with one crash.
   std::size_t Isolated_ = 0;     ///< Runs that are not proved yet.
   std::set<std::string> Stable_; ///< Services with a server that is.
   TimePoint RefreshedAt_{};
--- a/src/jobs/JobBookCrashes.cpp
+++ b/src/jobs/JobBookCrashes.cpp
@@ -72,16 +72,15 @@
   const auto Others = std::stable_partition(
       Blamed.begin(), Blamed.end(),
       [](const CrashSuspect &Each) { return Each.IsIsolated_; });
-  const bool AnyIsolated = Others != Blamed.begin();
   const bool AreOthersSettled = std::all_of(Others, Blamed.end(), isSettled);
-  if (AnyIsolated)
+  const bool IsIsolated = Others != Blamed.begin() && AreOthersSettled;
+  if (IsIsolated)
     Blamed.erase(Others, Blamed.end());
   const bool IsOneRun =
       std::all_of(Blamed.begin(), Blamed.end(), [&](const CrashSuspect &Each) {
         return isSameRun(*this, Blamed.front(), Each);
       });
-  const bool IsConclusive = IsOneRun && (!AnyIsolated || AreOthersSettled) &&
-                            Crash.IsStable_ && !Crash.IsAmongMany_;
+  const bool IsConclusive = IsOneRun && Crash.IsStable_ && !Crash.IsAmongMany_;
   for (const CrashSuspect &Each : Blamed) {
     const TaskRecord *Task = findTask(Each.Task_);
     if (!Task)
@@ -96,7 +95,7 @@
     Record.IsConclusive_ =
         IsConclusive && !hasCrashedBefore(Task->Crashes_, Server);
     Record.IsConfirmed_ = Crash.IsConfirmed_;
-    Record.IsDoubtful_ = !AnyIsolated && !AreOthersSettled && isSettled(Each);
+    Record.IsDoubtful_ = !IsIsolated && !AreOthersSettled && isSettled(Each);
     addCrashTo(Each.Task_, Record);
   }
 }
