--- a/src/jobs/CrashRecord.cpp
+++ b/src/jobs/CrashRecord.cpp
@@ -12,8 +12,8 @@
 static constexpr std::size_t MostRunsAfterTold = 2;
 /// The same where the crashes came at differing times after the starts.
 static constexpr std::size_t MostRunsIfIrregular = 6;
-/// Two report intervals.
-static constexpr std::uint64_t RegularWithinMs = 1000;
+/// A report interval, and a little more.
+static constexpr std::uint64_t RegularWithinMs = 600;
 /// Runs whose crash is conclusive that it takes before that.
 static constexpr std::size_t LeastConclusive = 2;
 /// Records kept of a task; a gang adds several with each run.
