Incarnations of servers have their usual name

Newcomers is IncarnationConflicts, ServerLives is ServerIncarnations, a life of a server is an incarnation.

--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -12,7 +12,7 @@
 
 #include "tulipweir/jobs/Commands.h"
 #include "tulipweir/jobs/CrashRecord.h"
-#include "tulipweir/jobs/ServerLives.h"
+#include "tulipweir/jobs/ServerIncarnations.h"
 #include "tulipweir/jobs/Waves.h"
 
 #include <map>
@@ -158,7 +158,7 @@
   /// Whether the server's life is over for good: it left, or another life has
   /// taken its address.
   bool isOver(const std::string &ServerId) const {
-    return Lives_.isOver(ServerId);
+    return Incarnations_.isOver(ServerId);
   }
   const WaveBook &waves() const { return Waves_; }
   /// The data centres in which nothing may start.
@@ -245,7 +245,7 @@
   /// Looked up for each task of each report.
   std::unordered_map<std::string, JobRecord> Jobs_;
   std::map<std::string, ServerRecord> Servers_;
-  ServerLives Lives_;
+  ServerIncarnations Incarnations_;
   WaveBook Waves_;
   std::set<std::string> Evacuated_; ///< Data centres.
   std::uint64_t NextSequence_ = 1;
--- a/src/jobs/JobBookImage.cpp
+++ b/src/jobs/JobBookImage.cpp
@@ -16,14 +16,14 @@
   std::vector<JobRecord> Jobs_;
   std::vector<ServerFacts> Servers_;
   std::uint64_t NextSequence_ = 1;
-  std::vector<LifeAtAddress> Lives_;
-  std::vector<std::string> LivesOver_;
+  std::vector<IncarnationAtAddress> Incarnations_;
+  std::vector<std::string> IncarnationsOver_;
   std::vector<WaveRecord> Waves_;
   std::vector<std::string> Evacuated_;
 };
 auto fields(BookImage &X) {
   return std::tie(X.Configuration_, X.Jobs_, X.Servers_, X.NextSequence_,
-                  X.Lives_, X.LivesOver_, X.Waves_, X.Evacuated_);
+                  X.Incarnations_, X.IncarnationsOver_, X.Waves_, X.Evacuated_);
 }
 
 } // namespace
@@ -41,11 +41,12 @@
             });
   for (const auto &[Id, Server] : Servers_)
     Image.Servers_.push_back(Server.Facts_);
-  Image.Lives_ = Lives_.Latest_;
+  Image.Incarnations_ = Incarnations_.Latest_;
   for (const auto &[Id, Wave] : Waves_.waves())
     Image.Waves_.push_back(Wave);
   Image.Evacuated_ = {Evacuated_.begin(), Evacuated_.end()};
-  Image.LivesOver_ = {Lives_.Over_.begin(), Lives_.Over_.end()};
+  Image.IncarnationsOver_ = {Incarnations_.Over_.begin(),
+                             Incarnations_.Over_.end()};
   return packing::pack(Image);
 }
 
@@ -61,10 +62,12 @@
     Book.IdByAddress_[Facts.Address_] = Facts.Id_;
     Book.Servers_[Facts.Id_].Facts_ = Facts;
   }
-  Book.Lives_.Latest_ = std::move(Image.Lives_);
-  Book.Lives_.Over_ = {Image.LivesOver_.begin(), Image.LivesOver_.end()};
+  Book.Incarnations_.Latest_ = std::move(Image.Incarnations_);
+  Book.Incarnations_.Over_ = {Image.IncarnationsOver_.begin(),
+                              Image.IncarnationsOver_.end()};
   for (auto &[Id, Server] : Book.Servers_)
-    Server.IsAfterCrash_ = Book.Lives_.isAfterCrash(Server.Facts_.Address_);
+    Server.IsAfterCrash_ =
+        Book.Incarnations_.isAfterCrash(Server.Facts_.Address_);
   Book.Evacuated_ = {Image.Evacuated_.begin(), Image.Evacuated_.end()};
   Book.Waves_ = WaveBook::makeOf(std::move(Image.Waves_));
   for (JobRecord &Job : Image.Jobs_)
--- a/src/jobs/JobBookServers.cpp
+++ b/src/jobs/JobBookServers.cpp
@@ -12,12 +12,12 @@
   const bool IsTaken = !Occupant.empty() && Occupant != Facts.Id_;
   if (IsTaken || isOver(Facts.Id_))
     return {Verdict::Refused, {}};
-  const std::string Before = Lives_.begin(Facts.Id_, Facts.Address_);
+  const std::string Before = Incarnations_.begin(Facts.Id_, Facts.Address_);
   const auto [Place, IsNew] = Servers_.try_emplace(Facts.Id_);
   if (!IsNew)
     IdByAddress_.erase(Place->second.Facts_.Address_);
   Place->second.Facts_ = Facts;
-  Place->second.IsAfterCrash_ = Lives_.isAfterCrash(Facts.Address_);
+  Place->second.IsAfterCrash_ = Incarnations_.isAfterCrash(Facts.Address_);
   IdByAddress_[Facts.Address_] = Facts.Id_;
   // A server that is heard again has not crashed.
   if (IsNew)
@@ -38,7 +38,7 @@
 
 CommandResult JobBook::apply(const RemoveServer &Value) {
   if (Value.IsOver_)
-    Lives_.end(Value.Id_);
+    Incarnations_.end(Value.Id_);
   const auto Found = Servers_.find(Value.Id_);
   if (Found == Servers_.end())
     return {Verdict::AlreadyDone, {}};
@@ -56,7 +56,7 @@
   IdByAddress_.erase(Facts.Address_);
   Servers_.erase(Found);
   if (Value.Crash_.IsCrash_)
-    Lives_.noteCrash(Facts.Address_);
+    Incarnations_.noteCrash(Facts.Address_);
   if (Value.Crash_.IsCrash_)
     noteCrash(Facts, Value.Crash_, Placed);
   return {};
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -50,7 +50,7 @@
     Effects_.reset();
   Health_.reset();
   Crashes_.reset();
-  Newcomers_.reset();
+  Conflicts_.reset();
   Leaving_.clear();
   IsProving_ = false;
   NextProof_ = Now;
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -17,7 +17,7 @@
 #include "jobs/AdviceBook.h"
 #include "jobs/CrashHistory.h"
 #include "jobs/Dispatcher.h"
-#include "jobs/Newcomers.h"
+#include "jobs/IncarnationConflicts.h"
 #include "jobs/PaceGuard.h"
 #include "jobs/PaceSetter.h"
 #include "jobs/ServerBoard.h"
@@ -198,7 +198,7 @@
   CrashHistory Crashes_;
   Dispatcher Dispatcher_{Effects_, Loads_, Paces_, Health_, Advice_};
   PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Learner_, Paces_};
-  Newcomers Newcomers_;
+  IncarnationConflicts Conflicts_;
   TimePoint NextProof_{};
   bool IsProving_ = false; ///< Proved runs are on their way to the log.
   bool IsAsking_ = false;  ///< A question to the advice service is open.
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -136,13 +136,13 @@
   const ServerLive *Live = Board_.find(Occupant);
   if (Live && Live->IsRemoving_)
     return true;
-  if (Newcomers_.note(Newcomer.Id_, Live ? Live->LastHeard_ : TimePoint::min(),
+  if (Conflicts_.note(Newcomer.Id_, Live ? Live->LastHeard_ : TimePoint::min(),
                       Now))
     Relays_.flush(Occupant, [Weak = weak_from_this(), Id = Newcomer.Id_, Now] {
       if (const std::shared_ptr<Impl> Self = Weak.lock())
-        Self->Newcomers_.noteFlushed(Id, Now);
+        Self->Conflicts_.noteFlushed(Id, Now);
     });
-  if (!Newcomers_.mayTakeOver(Newcomer.Id_, Now)) {
+  if (!Conflicts_.mayTakeOver(Newcomer.Id_, Now)) {
     Event Line;
     Line.Kind_ = EventKind::ServerWaits;
     Line.Server_ = Newcomer.Id_;
@@ -154,7 +154,7 @@
     Log_.write(Line);
     return false;
   }
-  Newcomers_.forget(Newcomer.Id_);
+  Conflicts_.forget(Newcomer.Id_);
   removeServer(Occupant, Departure::Replaced,
                [](const Outcome<CommandResult> &) {});
   return true;
--- a/src/jobs/JobPacking.h
+++ b/src/jobs/JobPacking.h
@@ -94,10 +94,10 @@
 }
 inline auto fields(NoteProved &X) { return std::tie(X.Runs_); }
 
-inline auto fields(LifeAtAddress &X) {
+inline auto fields(IncarnationAtAddress &X) {
   return std::tie(X.Address_, X.Id_, X.HasCrashed_, X.IsAfterCrash_);
 }
-constexpr std::size_t optionalFields(const LifeAtAddress &) { return 2; }
+constexpr std::size_t optionalFields(const IncarnationAtAddress &) { return 2; }
 inline auto fields(Placement &X) { return std::tie(X.Run_, X.Server_); }
 inline auto fields(CrashRecord &X) {
   return std::tie(X.Run_, X.Server_, X.Address_, X.AgeMs_, X.IsAmongMany_,
--- a/src/jobs/ServerLives.cpp
+++ b/src/jobs/ServerIncarnations.cpp
@@ -1,4 +1,4 @@
-#include "tulipweir/jobs/ServerLives.h"
+#include "tulipweir/jobs/ServerIncarnations.h"
 
 #include <algorithm>
 
@@ -12,11 +12,11 @@
 /// largest deployment restarted three times over.
 static constexpr std::size_t MostOver = 4096;
 
-std::string ServerLives::begin(const std::string &Id,
-                               const std::string &Address) {
+std::string ServerIncarnations::begin(const std::string &Id,
+                                      const std::string &Address) {
   std::string Before;
   bool IsAfterCrash = false;
-  if (LifeAtAddress *Known = find(Address)) {
+  if (IncarnationAtAddress *Known = find(Address)) {
     if (Known->Id_ == Id) {
       Known->HasCrashed_ = false;
       return "";
@@ -32,33 +32,34 @@
   return Before;
 }
 
-LifeAtAddress *ServerLives::find(const std::string &Address) {
+IncarnationAtAddress *ServerIncarnations::find(const std::string &Address) {
   const auto Known = std::find_if(Latest_.begin(), Latest_.end(),
-                                  [&Address](const LifeAtAddress &Each) {
+                                  [&Address](const IncarnationAtAddress &Each) {
                                     return Each.Address_ == Address;
                                   });
   return Known == Latest_.end() ? nullptr : &*Known;
 }
 
-void ServerLives::noteCrash(const std::string &Address) {
-  if (LifeAtAddress *Known = find(Address))
+void ServerIncarnations::noteCrash(const std::string &Address) {
+  if (IncarnationAtAddress *Known = find(Address))
     Known->HasCrashed_ = true;
 }
 
-void ServerLives::explainCrash(const std::string &Address,
-                               const std::string &Id) {
-  LifeAtAddress *Known = find(Address);
+void ServerIncarnations::explainCrash(const std::string &Address,
+                                      const std::string &Id) {
+  IncarnationAtAddress *Known = find(Address);
   if (!Known)
     return;
   (Known->Id_ == Id ? Known->HasCrashed_ : Known->IsAfterCrash_) = false;
 }
 
-bool ServerLives::isAfterCrash(const std::string &Address) const {
-  const LifeAtAddress *Known = const_cast<ServerLives *>(this)->find(Address);
+bool ServerIncarnations::isAfterCrash(const std::string &Address) const {
+  const IncarnationAtAddress *Known =
+      const_cast<ServerIncarnations *>(this)->find(Address);
   return Known && Known->IsAfterCrash_;
 }
 
-void ServerLives::end(const std::string &Id) {
+void ServerIncarnations::end(const std::string &Id) {
   if (isOver(Id))
     return;
   if (Over_.size() >= MostOver)
@@ -66,6 +67,6 @@
   Over_.push_back(Id);
 }
 
-bool ServerLives::isOver(const std::string &Id) const {
+bool ServerIncarnations::isOver(const std::string &Id) const {
   return std::find(Over_.begin(), Over_.end(), Id) != Over_.end();
 }
