--- a/src/jobs/IncarnationConflicts.cpp
+++ b/src/jobs/IncarnationConflicts.cpp
@@ -7,8 +7,8 @@
 /// Twice the longest pause between two reports of a server that is heard: the
 /// incarnation at the address would have reported by then.
 static constexpr Duration ProofTime = 1s;
-/// Claims that were not followed up. A server that incarnations reports more
-/// often.
+/// Claims without a report for so long are dropped: a running server reports
+/// more often.
 static constexpr Duration ForgottenAfter = 60s;
 
 bool IncarnationConflicts::note(const std::string &Id, TimePoint OccupantHeard,
@@ -17,7 +17,7 @@
     return Now - Each.second.Begin_ > ForgottenAfter;
   });
   const auto [Place, IsNew] = Claims_.try_emplace(Id, Claim{Now});
-  // Whoever was heard since then incarnations.
+  // The occupant was heard since then, so it is alive.
   const bool IsVoid = OccupantHeard > Place->second.Begin_;
   if (IsVoid)
     Place->second = Claim{Now};
--- a/src/jobs/IncarnationConflicts.h
+++ b/src/jobs/IncarnationConflicts.h
@@ -27,7 +27,7 @@
   /// claim begins: what others keep of the present incarnation's reports is to
   /// be waited for.
   bool note(const std::string &Id, TimePoint OccupantHeard, TimePoint Now);
-  /// Nobody keeps any for the claim that began then.
+  /// All relays have flushed their reports for the claim that began then.
   void noteFlushed(const std::string &Id, TimePoint Begin);
 
   /// Whether the incarnation Id has proved to be the newer one.
