--- a/include/tulipweir/jobs/ServerIncarnations.h
+++ b/include/tulipweir/jobs/ServerIncarnations.h
@@ -48,11 +48,12 @@
 
   bool operator==(const ServerIncarnations &) const = default;
 
-  IncarnationAtAddress *find(const std::string &Address);
-
-  // What a snapshot holds, oldest first.
+  // The contents of a snapshot, oldest first.
   std::vector<IncarnationAtAddress> Latest_;
   std::deque<std::string> Over_;
+
+private:
+  IncarnationAtAddress *find(const std::string &Address);
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/JobBookServers.cpp
+++ b/src/jobs/JobBookServers.cpp
@@ -55,9 +55,9 @@
   }
   IdByAddress_.erase(Facts.Address_);
   Servers_.erase(Found);
-  if (Value.Crash_.IsCrash_)
+  if (Value.Crash_.IsCrash_) {
     Incarnations_.noteCrash(Facts.Address_);
-  if (Value.Crash_.IsCrash_)
     noteCrash(Facts, Value.Crash_, Placed);
+  }
   return {};
 }
--- a/src/jobs/JobLeaderCrashes.cpp
+++ b/src/jobs/JobLeaderCrashes.cpp
@@ -27,21 +27,6 @@
   });
 }
 
-void JobLeader::Impl::logLost(const std::string &Server,
-                              const std::vector<LostRun> &Lost) {
-  for (const LostRun &Each : Lost) {
-    Event Line;
-    Line.Kind_ = EventKind::TaskEnded;
-    Line.Job_ = Each.Task_.Job_;
-    Line.Task_ = toText(Each.Task_);
-    Line.Attempt_ = Each.Run_;
-    Line.Server_ = Server;
-    Line.Outcome_ = "lapsed";
-    Line.AgeMs_ = static_cast<std::int64_t>(toMs(Each.Seen_));
-    Log_.write(Line);
-  }
-}
-
 CrashEvidence
 JobLeader::Impl::judgeCrash(const std::string &Server, Departure How,
                             const std::vector<LostRun> &Lost) const {
--- a/src/jobs/JobLeaderNotes.cpp
+++ b/src/jobs/JobLeaderNotes.cpp
@@ -31,16 +31,31 @@
     Meter_.record(Timed::FirstStart, Time_.now() - Accepted->second);
 }
 
+static Event makeLine(const std::string &Server, const TaskKey &Task,
+                      std::uint64_t Run, RunEnd How) {
+  Event Line;
+  Line.Kind_ = EventKind::TaskEnded;
+  Line.Job_ = Task.Job_;
+  Line.Task_ = toText(Task);
+  Line.Attempt_ = Run;
+  Line.Server_ = Server;
+  Line.Outcome_ = getName(How);
+  return Line;
+}
+
 void JobLeader::Impl::logEnds(const std::string &Server,
                               const std::vector<TaskEnd> &Ends) {
-  for (const TaskEnd &End : Ends) {
-    Event Line;
-    Line.Kind_ = EventKind::TaskEnded;
-    Line.Job_ = End.Task_.Job_;
-    Line.Task_ = toText(End.Task_);
-    Line.Attempt_ = End.Run_;
-    Line.Server_ = Server;
-    Line.Outcome_ = getName(End.How_);
+  for (const TaskEnd &End : Ends)
+    Log_.write(makeLine(Server, End.Task_, End.Run_, End.How_));
+}
+
+void JobLeader::Impl::logLost(const std::string &Server,
+                              const std::vector<LostRun> &Lost) {
+  for (const LostRun &Each : Lost) {
+    Event Line = makeLine(Server, Each.Task_, Each.Run_, RunEnd::Lapsed);
+    Line.AgeMs_ =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Each.Seen_)
+            .count();
     Log_.write(Line);
   }
 }
