--- a/tests/system/support/Child.cpp
+++ b/tests/system/support/Child.cpp
@@ -19,7 +19,6 @@
 using namespace tulipweir;
 using namespace tulipweir::system_test;
 
-
 static constexpr Milliseconds PollEvery{10};
 static constexpr int SignalCodeBase = 128;
 static constexpr std::uint16_t FirstPort = 20'000;
