Tasks that last wait for isolation only for a bounded time

Cause: a suspected task started in isolation or not at all. On a full fleet the only room is on servers that crashed and came back; there one isolated run follows the other, each 1.5 to 2 s, and such servers count as unstable, so the first of them waits 4 s. LOST allows a task that lasts 6 s without a run. Ruled out: the bound of 64 waiting tasks looked at for a report (an order of the same kind, gone for tasks that last with this change); starvation by the order of service, as isolated starts go first. Conclusion: the outage of a task that lasts is bounded again.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -298,6 +298,7 @@
   const JobRecord &Job = *Book.findJob(Ready.Job_);
   const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
   const TaskKey First{Ready.Job_, Ready.Occurrence_, Ready.Step_, 0};
+  TaskKey Key = First;
   const std::string &ServerId = Own.Server_.Facts_.Id_;
   if (Step.Gang_ || Job.Policy_.Service_ != Own.Server_.Facts_.Service_ ||
       !isAdvised(Job, First, ServerId, Own.Now_))
@@ -310,8 +311,8 @@
   const std::vector<TaskRecord> &Tasks = Record.Tasks_;
   for (std::uint64_t Index = 0; Index < Tasks.size(); ++Index) {
     const TaskRecord &Task = Tasks[Index];
-    if (Task.State_ != TaskState::Waiting ||
-        (!Task.Crashes_.empty() && Isolation_.isIsolating(Task.Crashes_)))
+    Key.Index_ = Index;
+    if (Task.State_ != TaskState::Waiting || Isolation_.isIsolating(Key, Task))
       continue;
     const bool IsCrowded = Step.SpreadLimit_ > 0 && Beside >= Step.SpreadLimit_;
     if (IsCrowded || Own.Starts_.size() >= Own.MostStarts_ ||
@@ -319,9 +320,7 @@
       return;
     if (!isFit(Step, Own, Waited, IsIdleJob, Record.Waiting_))
       return refuse(From, Own);
-    const TaskStart Start{{Ready.Job_, Ready.Occurrence_, Ready.Step_, Index},
-                          Tasks[Index].LastRun_ + 1,
-                          Own.Server_.Facts_.Id_};
+    const TaskStart Start{Key, Task.LastRun_ + 1, ServerId};
     // What lasts fails now and then by itself, and elsewhere it would take a
     // place that is better kept for another image.
     const bool IsAvoided = !Step.LongRunning_ && isToAvoid(Start.Task_, Own);
@@ -380,11 +379,13 @@
   const StepSpec &Spec = Job.Spec_.Steps_[Step.Step_];
   const std::vector<TaskRecord> &Tasks =
       Job.findOccurrence(Step.Occurrence_)->Steps_[Step.Step_].Tasks_;
-  const auto Suspected = static_cast<std::size_t>(
-      std::count_if(Tasks.begin(), Tasks.end(), [this](const TaskRecord &Each) {
-        return Each.State_ == TaskState::Waiting &&
-               Isolation_.isIsolating(Each.Crashes_);
-      }));
+  std::size_t Suspected = 0;
+  TaskKey Key{Step.Job_, Step.Occurrence_, Step.Step_, 0};
+  for (; Key.Index_ < Tasks.size(); ++Key.Index_) {
+    const TaskRecord &Task = Tasks[Key.Index_];
+    Suspected +=
+        Task.State_ == TaskState::Waiting && Isolation_.isIsolating(Key, Task);
+  }
   std::size_t Unlabelled = 0;
   std::size_t Unadvised = 0;
   std::size_t Evacuated = 0;
--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -1,6 +1,7 @@
 #include "jobs/IsolationPlanner.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 using namespace tulipweir;
@@ -10,6 +11,10 @@
 /// One server of so many is closed for suspected tasks at a time, so that other
 /// work goes on.
 static constexpr std::size_t ServersForOne = 4;
+/// How long a task that lasts waits for a run in isolation, by its crashes. On
+/// a full fleet the only room is on servers that came back, one run after the
+/// other. With three crashes it waits without a bound.
+static constexpr std::array<Duration, 3> IsolationPatience = {0s, 1s, 3s};
 /// How long a task with several crashes waits for a stable server on which
 /// nothing lasts, and then for any stable server.
 static constexpr Duration EmptyPatience = 1s;
@@ -27,14 +32,25 @@
 
 void IsolationPlanner::reset() {
   Since_.clear();
+  Released_.clear();
   Reserved_.clear();
   Waiting_.clear();
   IsCrowded_ = false;
   RefreshedAt_ = {};
 }
 
-bool IsolationPlanner::isIsolating(const CrashRecords &Crashes) const {
-  return needsIsolation(Crashes) && (Crashes.size() > 1 || !IsCrowded_);
+bool IsolationPlanner::isIsolating(const TaskKey &Key,
+                                   const TaskRecord &Task) const {
+  return needsIsolation(Task.Crashes_) &&
+         (Task.Crashes_.size() > 1 || !IsCrowded_) && !isReleased(Key, Task);
+}
+
+bool IsolationPlanner::isReleased(const TaskKey &Key,
+                                  const TaskRecord &Task) const {
+  const auto Released = Released_.find(Key);
+  const std::uint64_t Run =
+      Task.LastRun_ + (Task.State_ == TaskState::Waiting ? 1 : 0);
+  return Released != Released_.end() && Released->second == Run;
 }
 
 void IsolationPlanner::prune(const JobBook &Book) {
@@ -43,6 +59,9 @@
     return !Task || Task->State_ != TaskState::Waiting ||
            Book.crashSuspects().count(Each.first) == 0;
   });
+  std::erase_if(Released_, [&Book](const auto &Each) {
+    return Book.crashSuspects().count(Each.first) == 0;
+  });
   std::erase_if(Reserved_, [&Book](const auto &Each) {
     const TaskRecord *Task = Book.findTask(Each.second.Task_);
     return !Task || Task->State_ != TaskState::Waiting;
@@ -71,7 +90,7 @@
                        if (Book.crashSuspects().count(Each.first) == 0)
                          return false;
                        const TaskRecord &Task = *Book.findTask(Each.first);
-                       return isIsolating(Task.Crashes_) &&
+                       return isIsolating(Each.first, Task) &&
                               isUnproved(Task, Live, Each.first, Each.second);
                      });
 }
@@ -116,6 +135,10 @@
         Task.State_ == TaskState::Waiting && !Job.Spec_.Steps_[Key.Step_].Gang_;
     if (IsWaiting)
       Order.emplace_back(Job.Policy_.Priority_, Job.getDueMs(), Key);
+    else
+      Since_.erase(Key);
+    if (isReleased(Key, Task))
+      continue;
     Isolated += Open;
     if (Task.Crashes_.size() == 1)
       First += Open + (IsWaiting ? 1 : 0);
@@ -125,10 +148,15 @@
   std::sort(Order.begin(), Order.end());
   Waiting_.clear();
   for (const auto &[Priority, DueMs, Key] : Order) {
-    if (!isIsolating(Book.findTask(Key)->Crashes_))
-      continue;
-    Waiting_.push_back(Key);
-    Since_.try_emplace(Key, Now);
+    const TaskRecord &Task = *Book.findTask(Key);
+    const Duration Waited = Now - Since_.try_emplace(Key, Now).first->second;
+    const std::size_t Crashes = Task.Crashes_.size();
+    if (Book.findStep(Key)->LongRunning_ &&
+        Crashes < IsolationPatience.size() &&
+        Waited >= IsolationPatience.at(Crashes))
+      Released_[Key] = Task.LastRun_ + 1;
+    if (isIsolating(Key, Task))
+      Waiting_.push_back(Key);
   }
   if (!Waiting_.empty())
     listStable(Book, Board);
--- a/src/jobs/IsolationPlanner.h
+++ b/src/jobs/IsolationPlanner.h
@@ -41,8 +41,9 @@
   // Queries.
 
   /// Whether the task's next run is to be planned here. Tasks with one crash
-  /// are not isolated while there are more of them than servers for that.
-  bool isIsolating(const CrashRecords &Crashes) const;
+  /// are not isolated while there are more of them than servers for that, and
+  /// tasks that last wait only for a bounded time until their third crash.
+  bool isIsolating(const TaskKey &Key, const TaskRecord &Task) const;
 
   /// Whether nothing else may start on the server: a suspected run there is
   /// not proved yet, or one is about to start.
@@ -54,6 +55,8 @@
     TaskKey Task_;
     TimePoint Until_{};
   };
+  /// Whether the task's last or next run starts without isolation.
+  bool isReleased(const TaskKey &Key, const TaskRecord &Task) const;
   void refresh(const JobBook &Book, const ServerBoard &Board, TimePoint Now);
   void listStable(const JobBook &Book, const ServerBoard &Board);
   bool isReservedElsewhere(const TaskKey &Task, const std::string &Id) const;
@@ -71,6 +74,8 @@
 
   std::map<TaskKey, TimePoint>
       Since_; ///< When the task was first seen to wait.
+  /// The run that starts without isolation, as the task has waited too long.
+  std::map<TaskKey, std::uint64_t> Released_;
   std::map<std::string, Reservation> Reserved_; ///< By server.
 };
 
--- a/tests/jobs/CrashFleet.cpp
+++ b/tests/jobs/CrashFleet.cpp
@@ -128,20 +128,36 @@
 void CrashFleet::crash(Server &Own) {
   ++Crashes_;
   for (const auto &[Task, Each] : Own.Running_) {
-    ++Stories_[Task].Crashes_;
+    TaskStory &Story = Stories_[Task];
+    ++Story.Crashes_;
     SoundCrashed_ += isCulprit(Task) ? 0 : 1;
+    if (!isCulprit(Task) && isLasting(Task))
+      Story.DownSince_ = Time_.now();
   }
   Own.IsUp_ = false;
   Own.Running_.clear();
   Own.BackAt_ = Time_.now() + Day_.BackAfter_;
 }
 
+void CrashFleet::crashFirst(std::size_t Count) {
+  for (std::size_t I = 0; I < Count; ++I)
+    if (Servers_[I].IsUp_)
+      crash(Servers_[I]);
+}
+
 bool CrashFleet::isCulprit(const TaskKey &Task) const {
   const auto Job = Culprits_.find(Task.Job_);
   return Job != Culprits_.end() &&
          Job->second.count({Task.Step_, Task.Index_}) != 0;
 }
 
+bool CrashFleet::isLasting(const TaskKey &Task) const {
+  return Machine_.read([&Task](const JobBook &Book) {
+    const StepSpec *Spec = Book.findStep(Task);
+    return Spec && Spec->LongRunning_;
+  });
+}
+
 void CrashFleet::work(Server &Own) {
   const TimePoint Now = Time_.now();
   const bool IsCrashing = Own.CrashesAt_ <= Now ||
@@ -241,11 +257,10 @@
                         ": started three times after three crashes");
     return;
   }
-  const bool IsLasting = Machine_.read([&Start](const JobBook &Book) {
-    const StepSpec *Spec = Book.findStep(Start.Task_);
-    return Spec && Spec->LongRunning_;
-  });
-  if (!IsLasting)
+  if (Story.DownSince_)
+    LongestOutage_ = std::max(LongestOutage_, Now - *Story.DownSince_);
+  Story.DownSince_.reset();
+  if (!isLasting(Start.Task_))
     Its.EndsAt_ = Now + 300ms + 100ms * static_cast<int>(draw(15));
 }
 
@@ -271,3 +286,11 @@
       Most = std::max(Most, Story.Crashes_);
   return Most;
 }
+
+Duration CrashFleet::getLongestOutage() const {
+  Duration Longest = LongestOutage_;
+  for (const auto &[Task, Story] : Stories_)
+    if (Story.DownSince_)
+      Longest = std::max(Longest, Time_.now() - *Story.DownSince_);
+  return Longest;
+}
--- a/tests/jobs/CrashFleet.h
+++ b/tests/jobs/CrashFleet.h
@@ -44,6 +44,8 @@
   submit(const std::string &Job, const std::vector<StepSpec> &Steps,
          const std::set<std::pair<std::uint64_t, std::uint64_t>> &Culprits);
   void run(Duration Length);
+  /// Crashes the first servers of the fleet at one moment.
+  void crashFirst(std::size_t Count);
 
   // What was seen.
 
@@ -51,6 +53,9 @@
   /// Sound jobs, finite ones, that are not completed.
   std::vector<std::string> listUnfinished() const;
   std::size_t countCrashes(const std::string &Job) const;
+  /// From the crash of its server to the next run of a sound task that lasts,
+  /// the longest; open ones until now.
+  Duration getLongestOutage() const;
 
   std::vector<std::string> Broken_; ///< Promises, in words.
   std::size_t Done_ = 0;            ///< Runs of sound tasks.
@@ -83,8 +88,9 @@
     std::vector<EndedTask> Ended_;
   };
   struct TaskStory {
-    std::size_t Crashes_ = 0;          ///< Of servers that ran it.
-    std::size_t StartsAfterThird_ = 0; ///< Of these crashes.
+    std::size_t Crashes_ = 0;            ///< Of servers that ran it.
+    std::size_t StartsAfterThird_ = 0;   ///< Of these crashes.
+    std::optional<TimePoint> DownSince_; ///< Of a task that lasts.
   };
 
   void step();
@@ -99,6 +105,7 @@
   void begin(Server &Own, const StartOrder &Start);
   void work(Server &Own);
   bool isCulprit(const TaskKey &Task) const;
+  bool isLasting(const TaskKey &Task) const;
   std::uint64_t draw(std::uint64_t Below) { return Random_() % Below; }
 
   const CrashDay Day_;
@@ -116,6 +123,7 @@
                     Advisor_,  Provider_, Relays_, Log_,   Meter_};
   std::vector<Server> Servers_;
   std::map<TaskKey, TaskStory> Stories_;
+  Duration LongestOutage_{}; ///< Of those that are over.
   std::map<std::string, std::set<std::pair<std::uint64_t, std::uint64_t>>>
       Culprits_;                                      ///< By job.
   std::map<std::string, std::vector<StepSpec>> Open_; ///< Not accepted yet.
--- a/tests/jobs/CrashingTaskTest.cpp
+++ b/tests/jobs/CrashingTaskTest.cpp
@@ -155,3 +155,28 @@
       expectGivenUp(Fleet, "bad" + std::to_string(I));
   }
 }
+
+// Where the fleet is full, the only room is on servers that crashed and came
+// back: what waits for a run in isolation there waits for all before it.
+TEST(CrashingTaskTest, TasksThatLastAreSoonBackOnAFullFleet) {
+  static constexpr Duration MostWithoutRun = 6s;
+  for (const std::size_t PerServer : {2U, 4U, 8U}) {
+    CrashDay Day;
+    Day.Servers_ = 16 * PerServer;
+    Day.SoundJobsUntil_ = 0s;
+    CrashFleet Fleet(Day);
+    const auto Cpus = static_cast<std::int64_t>(16'000 / PerServer);
+    Fleet.submit("lasting",
+                 {makeServing(Day.Servers_ * PerServer, "image", Cpus)}, {});
+    Fleet.run(8s);
+    Fleet.crashFirst(2);
+    Fleet.run(10s);
+    Fleet.crashFirst(2);
+    Fleet.run(20s);
+    EXPECT_THAT(Fleet.Broken_, IsEmpty());
+    EXPECT_GT(Fleet.SoundCrashed_, 2 * PerServer);
+    EXPECT_LE(Fleet.getLongestOutage(), Day.BackAfter_ + MostWithoutRun)
+        << PerServer
+        << " tasks on a server, ms: " << Fleet.getLongestOutage() / 1ms;
+  }
+}
