Ends of reports that were deferred or lost reach the leader, as ends alone

Cause: a relay that defers a report, or whose batch fails, forgets the ends in it. Ruled out: passing deferred reports on at once, as that costs a leader that is behind the time of others; ends in a message of their own, as they must not be overtaken by what the same link carries.

--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -64,6 +64,9 @@
   void start();
   void call(JobCall Call, Done<JobCallReply> Reply);
   void report(ServerReport Report, Done<ServerOrders> Reply);
+  /// A report that was not delivered in time: the ends in it count, but it is
+  /// no sign of life. Reply gets no lease and no orders.
+  void noteLateEnds(const ServerReport &Report, Done<ServerOrders> Reply);
   /// Learns from a report that another member decides, so that it knows what
   /// disturbs what by the time it leads itself.
   void observe(const ServerReport &Report);
--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -24,6 +24,9 @@
   std::string From_ = {}; ///< The member that passes them on.
   /// How long a set piece of work takes there; 0 as long as it cannot tell.
   std::uint64_t WorkTimeNs_ = 0;
+  /// The first reports, so many, are late: their servers have been told to come
+  /// again. Only the ends in them count, and they prolong no lease.
+  std::uint64_t LateReports_ = 0;
   bool operator==(const ReportBatch &) const = default;
 };
 
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -354,6 +354,10 @@
 void JobLeader::report(ServerReport Report, Done<ServerOrders> Reply) {
   Impl_->report(std::move(Report), std::move(Reply));
 }
+void JobLeader::noteLateEnds(const ServerReport &Report,
+                             Done<ServerOrders> Reply) {
+  Impl_->noteLateEnds(Report, Reply);
+}
 void JobLeader::observe(const ServerReport &Report) { Impl_->observe(Report); }
 void JobLeader::noteBehind() { Impl_->noteBehind(); }
 void JobLeader::leave(const std::string &ServerId, Done<void> Reply) {
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -54,6 +54,8 @@
   void start() { tick(); }
   void call(JobCall Call, Done<JobCallReply> Reply);
   void report(ServerReport Report, Done<ServerOrders> Reply);
+  void noteLateEnds(const ServerReport &Report,
+                    const Done<ServerOrders> &Reply);
   void observe(const ServerReport &Report);
   void noteBehind();
   void leave(const std::string &ServerId, Done<void> Reply);
@@ -133,8 +135,6 @@
   void show(const JobCall &Call, const Done<JobCallReply> &Reply) const;
   void cancel(const JobCall &Call, const Done<JobCallReply> &Reply);
 
-  void noteLateEnds(const ServerReport &Report,
-                    const Done<ServerOrders> &Reply);
   void admit(const HandlingPtr &Current);
   bool takeOver(const std::string &Occupant, const ServerFacts &Newcomer);
   void addServer(const HandlingPtr &Current);
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -70,6 +70,8 @@
 
 void JobLeader::Impl::noteLateEnds(const ServerReport &Report,
                                    const Done<ServerOrders> &Reply) {
+  if (!isLeading())
+    return Reply(makeNotLeading());
   EndTasks Command{Report.Facts_.Id_, {}};
   for (const EndedTask &Each : Report.Ended_)
     if (Each.End_.How_ == RunEnd::Done)
@@ -81,6 +83,8 @@
             if (!Applied)
               return Reply(Applied.error());
             logEnds(Command.Server_, Command.Ends_);
+            for (const TaskEnd &End : Command.Ends_)
+              noteJobEnd(End.Task_.Job_);
             Reply(ServerOrders{});
           });
 }
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -16,8 +16,9 @@
 }
 static auto fields(ReportBatch &X) {
   return std::tie(X.Reports_, X.HasDeferred_, X.SweepId_, X.Heard_, X.From_,
-                  X.WorkTimeNs_);
+                  X.WorkTimeNs_, X.LateReports_);
 }
+constexpr std::size_t optionalFields(const ReportBatch &) { return 1; }
 static auto fields(ReportSweep &X) {
   return std::tie(X.From_, X.Id_, X.Servers_);
 }
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -75,7 +75,7 @@
 void ReportRelay::add(jobs::ServerReport Report, Done Reply) {
   const TimePoint Now = Time_.now();
   Known &Own =
-      Known_.try_emplace(Report.Facts_.Id_, Known{Now - UrgentAfter, Now})
+      Known_.try_emplace(Report.Facts_.Id_, Known{Now - UrgentAfter, Now, {}})
           .first->second;
   Own.Heard_ = Now;
   Queue_.emplace(Own.Extended_,
@@ -113,6 +113,7 @@
     return IsLate;
   });
   for (Waiting &Each : Late) {
+    keepEnds(Each.Report_);
     if (Each.Report_.IsDraining_) {
       Each.Reply_(fail(ErrorCode::Unavailable, "the leader is behind"));
       continue;
@@ -124,6 +125,27 @@
   }
 }
 
+/// A server that leaves now reports its ends to nobody else; their tasks would
+/// begin elsewhere once it is removed.
+void ReportRelay::keepEnds(jobs::ServerReport Report) {
+  const auto Found = Known_.find(Report.Facts_.Id_);
+  if (Found == Known_.end() || Report.Ended_.empty())
+    return;
+  std::optional<jobs::ServerReport> &Kept = Found->second.Undelivered_;
+  if (!Kept || Kept->Sequence_ < Report.Sequence_)
+    Kept = std::move(Report);
+}
+
+/// A server lists each end until it is noted, so a later report has them all.
+void ReportRelay::noteDelivered(const Batch::Asked &Delivered) {
+  const auto Found = Known_.find(Delivered.Server_);
+  if (Found == Known_.end())
+    return;
+  std::optional<jobs::ServerReport> &Kept = Found->second.Undelivered_;
+  if (Kept && Kept->Sequence_ <= Delivered.Sequence_)
+    Kept.reset();
+}
+
 void ReportRelay::forgetOld() {
   const TimePoint Now = Time_.now();
   if (Now < NextForgetting_)
@@ -167,8 +189,10 @@
 }
 
 void ReportRelay::move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent) {
-  Sent.Asked_.push_back(
-      {From.Report_.Facts_.Id_, std::move(From.Reply_), From.Since_});
+  Sent.Asked_.push_back({From.Report_.Facts_.Id_, std::move(From.Reply_),
+                         From.Since_, From.Report_.Sequence_, std::nullopt});
+  if (!From.Report_.Ended_.empty())
+    Sent.Asked_.back().Ends_ = From.Report_;
   Reports.Reports_.push_back(std::move(From.Report_));
 }
 
@@ -193,8 +217,16 @@
   Reports.SweepId_ = Asked.Id_;
   for (const std::string &Id : Asked.Servers_) {
     const auto Found = Known_.find(Id);
-    if (Found != Known_.end() && Now - Found->second.Heard_ <= HeardLately)
+    if (Found == Known_.end())
+      continue;
+    if (Now - Found->second.Heard_ <= HeardLately)
       Reports.Heard_.push_back(Id);
+    auto Kept = std::exchange(Found->second.Undelivered_, std::nullopt);
+    if (!Kept)
+      continue;
+    // The server was told to come again and waits for no answer.
+    move({std::move(*Kept), [](const auto &) {}, Now}, Reports, Sent);
+    ++Reports.LateReports_;
   }
   for (auto At = Queue_.begin(); At != Queue_.end();) {
     const auto Next = std::next(At);
@@ -229,17 +261,22 @@
   if (IsWhole)
     Relays_ = std::move(Answer.value().Relays_);
   for (std::size_t I = 0; I < Sent.Asked_.size(); ++I) {
-    if (IsWhole) {
-      jobs::ReportAnswer &Own = Answer.value().Answers_[I];
-      // The server counts its lease from before the report left here.
-      if (Own.Orders_.LeaseMs_ > 0)
-        noteExtended(Sent.Asked_[I]);
-      Sent.Asked_[I].Reply_(std::move(Own).takeOutcome());
-    } else if (!Answer)
-      Sent.Asked_[I].Reply_(Answer.error());
-    else
-      Sent.Asked_[I].Reply_(
-          fail(ErrorCode::Unavailable, "the answers are not whole"));
+    Batch::Asked &Own = Sent.Asked_[I];
+    jobs::ReportAnswer *Said = IsWhole ? &Answer.value().Answers_[I] : nullptr;
+    if (Said && Said->Verdict_ == jobs::ReportVerdict::Answered)
+      noteDelivered(Own);
+    else if (Own.Ends_)
+      keepEnds(std::move(*Own.Ends_));
+    if (!Said) {
+      Own.Reply_(Answer
+                     ? fail(ErrorCode::Unavailable, "the answers are not whole")
+                     : Outcome<jobs::ServerOrders>(Answer.error()));
+      continue;
+    }
+    // The server counts its lease from before the report left here.
+    if (Said->Orders_.LeaseMs_ > 0)
+      noteExtended(Own);
+    Own.Reply_(std::move(*Said).takeOutcome());
   }
   flushSoon();
 }
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace tulipweir::jobservice {
@@ -42,7 +43,8 @@
   /// Calls Reply once, soon enough that the server still hears it.
   void add(jobs::ServerReport Report, Done Reply);
   /// Sends all that it keeps of the servers' reports at once, behind what it
-  /// has sent before, and says which of them it has heard lately.
+  /// has sent before, also ends of reports that were deferred or lost, and says
+  /// which of them it has heard lately.
   void sweep(const jobs::ReportSweep &Asked);
 
   // Queries.
@@ -70,6 +72,8 @@
       std::string Server_;
       Done Reply_;
       TimePoint Since_; ///< When its report came here.
+      std::uint64_t Sequence_ = 0;
+      std::optional<jobs::ServerReport> Ends_; ///< The report, if it has ends.
     };
     std::vector<Asked> Asked_;
     TimePoint Since_;
@@ -79,6 +83,8 @@
   struct Known {
     TimePoint Extended_; ///< When its lease was last extended through here.
     TimePoint Heard_;
+    /// Its last report with ends that the leader has not answered.
+    std::optional<jobs::ServerReport> Undelivered_;
   };
 
   void noteExtended(const Batch::Asked &Answered);
@@ -88,6 +94,8 @@
   void send(jobs::ReportBatch Reports, Batch Sent);
   static void move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent);
   void deferLate();
+  void keepEnds(jobs::ServerReport Report);
+  void noteDelivered(const Batch::Asked &Delivered);
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
   /// Handled: what the leader spent on it once its turn came.
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -136,12 +136,15 @@
   Rule_.note(Batch.From_, std::chrono::nanoseconds(Batch.WorkTimeNs_));
   if (Batch.HasDeferred_)
     Current->Leader_->noteBehind();
-  for (std::size_t I = 0; I < Batch.Reports_.size(); ++I)
-    Current->Leader_->report(
-        std::move(Batch.Reports_[I]),
-        [Gather, I](const Outcome<jobs::ServerOrders> &Orders) {
-          Gather->note(I, Orders);
-        });
+  for (std::size_t I = 0; I < Batch.Reports_.size(); ++I) {
+    const auto Note = [Gather, I](const Outcome<jobs::ServerOrders> &Orders) {
+      Gather->note(I, Orders);
+    };
+    if (I < Batch.LateReports_)
+      Current->Leader_->noteLateEnds(Batch.Reports_[I], Note);
+    else
+      Current->Leader_->report(std::move(Batch.Reports_[I]), Note);
+  }
   if (Batch.SweepId_ != 0)
     Sweeps_.take(Batch.SweepId_, Batch.Heard_);
   if (!Gather->isSent())
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -55,6 +55,32 @@
   EXPECT_EQ(report(Late), ServerOrders{});
 }
 
+// A relay passes on the ends in a report that was not delivered. The server may
+// be gone: were it a sign of life, its tasks would begin elsewhere a lease
+// later.
+TEST_F(JobLeaderTest, EndsThatAreDeliveredLateCountButProlongNoLease) {
+  call(CallKind::Submit, "j", {makeStep(2, 1000)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 2U);
+  ServerReport Late = makeReport("s1");
+  Late.Running_ = {makeRunning(Orders.Starts_[1])};
+  Late.Ended_ = {makeEnded(1, Orders.Starts_[0], RunEnd::Done)};
+  Strand_.advance(5s);
+  std::optional<ServerOrders> Got;
+  Leader_.noteLateEnds(
+      Late, [&Got](Outcome<ServerOrders> Reply) { Got = Reply.value(); });
+  Strand_.runAll();
+  EXPECT_EQ(Got, ServerOrders{});
+  const auto GetState = [this](const TaskKey &Task) {
+    return Machine_.read(
+        [&Task](const JobBook &Book) { return Book.findTask(Task)->State_; });
+  };
+  EXPECT_EQ(GetState(Orders.Starts_[0].Task_), TaskState::Done);
+  EXPECT_EQ(GetState(Orders.Starts_[1].Task_), TaskState::Placed);
+  Strand_.advance(3s);
+  EXPECT_EQ(GetState(Orders.Starts_[1].Task_), TaskState::Waiting);
+}
+
 TEST_F(JobLeaderTest, AReportThatALaterOneOvertookIsToldNothing) {
   call(CallKind::Submit, "a", {makeStep(1, 100)});
   call(CallKind::Submit, "b", {makeStep(1, 100)});
--- a/tests/jobservice/RelaySweepsTest.cpp
+++ b/tests/jobservice/RelaySweepsTest.cpp
@@ -177,6 +177,22 @@
   EXPECT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
 }
 
+TEST_F(ReportRelayTest, WhatIsSentAgainIsMarkedAsLate) {
+  ServerReport Lost = makeReport("leaving");
+  Lost.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
+  add(Lost);
+  Strand_.advance(20ms);
+  Sent_.front().Done_(fail(ErrorCode::Timeout, "no answer"));
+  EXPECT_EQ(Sent_.front().Batch_.LateReports_, 0U);
+  ServerReport Next = Lost;
+  ++Next.Sequence_;
+  add(Next);
+  Relay_->sweep({"leader", 7, {"leaving"}});
+  const ReportBatch &Last = Sent_.back().Batch_;
+  EXPECT_EQ(Last.LateReports_, 1U);
+  EXPECT_EQ(Last.Reports_, (std::vector<ServerReport>{Lost, Next}));
+}
+
 TEST_F(ReportRelayTest, WhatTheLeaderHasAnsweredSinceIsNotSaidAgain) {
   ServerReport First = makeReport("leaving");
   First.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -165,7 +165,8 @@
                     7,
                     {"b"},
                     "x",
-                    70000};
+                    70000,
+                    1};
   Batch.Reports_[0].Running_ = {{{"j", 1, 2, 3}, 4, "saved", 55, 66}};
   Batch.Reports_[0].Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Failed, "c"}}};
   Batch.Reports_[1].IsDraining_ = true;
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -148,11 +148,15 @@
       });
   if (Next.Batch_.HasDeferred_)
     Leader_.noteBehind();
-  for (std::size_t I = 0; I < Next.Batch_.Reports_.size(); ++I)
-    Leader_.report(std::move(Next.Batch_.Reports_[I]),
-                   [Gather, I](const Outcome<ServerOrders> &Orders) {
-                     Gather->note(I, Orders);
-                   });
+  for (std::size_t I = 0; I < Next.Batch_.Reports_.size(); ++I) {
+    const auto Note = [Gather, I](const Outcome<ServerOrders> &Orders) {
+      Gather->note(I, Orders);
+    };
+    if (I < Next.Batch_.LateReports_)
+      Leader_.noteLateEnds(Next.Batch_.Reports_[I], Note);
+    else
+      Leader_.report(std::move(Next.Batch_.Reports_[I]), Note);
+  }
   if (Next.Batch_.SweepId_ != 0)
     Sweeps_.take(Next.Batch_.SweepId_, Next.Batch_.Heard_);
   if (!Gather->isSent())
