Flush requests and leadership transfers have their usual names

Cause: RelaySweeps, HandOverRule, findBetter and look() were names of our own for things that the field names. Ruled out: a change of the wire; kinds and fields keep their numbers and order. Conclusion: no change of behaviour.

--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -18,7 +18,7 @@
   bool HasDeferred_ = false;
   /// Of the sweep that this batch answers; 0 for none. Whatever the relay sent
   /// before on the same link is there by now.
-  std::uint64_t SweepId_ = 0;
+  std::uint64_t FlushId_ = 0;
   /// Those of the sweep's servers that the relay has heard lately.
   std::vector<std::string> Heard_;
   std::string From_ = {}; ///< The member that passes them on.
@@ -32,11 +32,11 @@
 
 /// Asks a relay to pass on, before anything else, what it keeps of the servers'
 /// reports.
-struct ReportSweep {
+struct FlushRequest {
   std::string From_; ///< The leader that asks.
   std::uint64_t Id_ = 0;
   std::vector<std::string> Servers_;
-  bool operator==(const ReportSweep &) const = default;
+  bool operator==(const FlushRequest &) const = default;
 };
 
 /// How a report fared at the leader.
@@ -73,8 +73,8 @@
 
 std::string encodeReports(const ReportBatch &Value);
 Outcome<ReportBatch> decodeReports(std::string_view Bytes);
-std::string encodeSweep(const ReportSweep &Value);
-Outcome<ReportSweep> decodeSweep(std::string_view Bytes);
+std::string encodeFlushRequest(const FlushRequest &Value);
+Outcome<FlushRequest> decodeFlushRequest(std::string_view Bytes);
 std::string encodeReportReply(const ReportBatchReply &Value);
 Outcome<ReportBatchReply> decodeReportReply(std::string_view Bytes);
 
--- a/include/tulipweir/wire/MessageKind.h
+++ b/include/tulipweir/wire/MessageKind.h
@@ -28,8 +28,8 @@
   GroupView = 12, ///< Who leads and who is in the group of jobs.
   ServerReports = 13, ///< Servers' reports, relayed to the leader of the jobs;
                       ///< encoded by the jobs module.
-  ReportSweep = 14, ///< The leader of the jobs asks a relay to pass on what it
-                    ///< keeps; encoded by the jobs module.
+  FlushRequest = 14, ///< The leader of the jobs asks a relay to pass on what it
+                     ///< keeps; encoded by the jobs module.
 };
 
 } // namespace tulipweir::wire
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -15,11 +15,11 @@
                   X.Running_, X.Ended_);
 }
 static auto fields(ReportBatch &X) {
-  return std::tie(X.Reports_, X.HasDeferred_, X.SweepId_, X.Heard_, X.From_,
+  return std::tie(X.Reports_, X.HasDeferred_, X.FlushId_, X.Heard_, X.From_,
                   X.WorkTimeNs_, X.LateReports_);
 }
 constexpr std::size_t optionalFields(const ReportBatch &) { return 1; }
-static auto fields(ReportSweep &X) {
+static auto fields(FlushRequest &X) {
   return std::tie(X.From_, X.Id_, X.Servers_);
 }
 static auto fields(StartOrder &X) {
@@ -75,11 +75,11 @@
 Outcome<ReportBatch> jobs::decodeReports(std::string_view Bytes) {
   return packing::unpack<ReportBatch>(Bytes, "a batch of reports");
 }
-std::string jobs::encodeSweep(const ReportSweep &Value) {
+std::string jobs::encodeFlushRequest(const FlushRequest &Value) {
   return packing::pack(Value);
 }
-Outcome<ReportSweep> jobs::decodeSweep(std::string_view Bytes) {
-  return packing::unpack<ReportSweep>(Bytes, "a sweep of reports");
+Outcome<FlushRequest> jobs::decodeFlushRequest(std::string_view Bytes) {
+  return packing::unpack<FlushRequest>(Bytes, "a flush request");
 }
 std::string jobs::encodeReportReply(const ReportBatchReply &Value) {
   return packing::pack(Value);
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -179,7 +179,7 @@
 void ControlNode::Impl::handOverIfSlow(
     const ControlLife &Current, const replication::ReplicaStatus &Status) {
   Router_.noteWorkTime(Measure_(Time_));
-  const std::optional<BetterLeader> Better = Router_.findBetter(Status);
+  const std::optional<TransferTarget> Better = Router_.chooseTarget(Status);
   if (!Better || IsHandingOver_)
     return;
   IsHandingOver_ = true;
@@ -287,15 +287,15 @@
       Self->Router_.take(std::move(Batch), Reply);
     });
   }
-  if (Kind == wire::MessageKind::ReportSweep) {
-    Outcome<jobs::ReportSweep> Sweep = jobs::decodeSweep(Body);
-    if (!Sweep)
-      return Reply(std::move(Sweep).as_failure());
-    return Strand_.post(
-        [Self = shared_from_this(), Reply, Sweep = std::move(Sweep.value())] {
-          Self->Router_.sweep(Sweep);
-          Reply(std::string());
-        });
+  if (Kind == wire::MessageKind::FlushRequest) {
+    Outcome<jobs::FlushRequest> Request = jobs::decodeFlushRequest(Body);
+    if (!Request)
+      return Reply(std::move(Request).as_failure());
+    return Strand_.post([Self = shared_from_this(), Reply,
+                         Request = std::move(Request.value())] {
+      Self->Router_.flushServers(Request);
+      Reply(std::string());
+    });
   }
   if (Kind != wire::MessageKind::JobCall)
     return Reply(fail(ErrorCode::InvalidArgument, "no such message here"));
--- a/src/jobservice/HandOverRule.cpp
+++ b/src/jobservice/LeadershipTransferPolicy.cpp
@@ -1,4 +1,4 @@
-#include "jobservice/HandOverRule.h"
+#include "jobservice/LeadershipTransferPolicy.h"
 
 #include <algorithm>
 
@@ -19,7 +19,8 @@
 /// What a member said longer ago may be no longer so.
 static constexpr Duration FreshFor = 2s;
 
-void HandOverRule::note(const std::string &Member, Duration WorkTime) {
+void LeadershipTransferPolicy::recordProbe(const std::string &Member,
+                                           Duration WorkTime) {
   if (WorkTime > Duration(0))
     Members_[Member] = {WorkTime, Time_.now()};
 }
@@ -36,21 +37,21 @@
                      });
 }
 
-std::optional<BetterLeader>
-HandOverRule::findBetter(const replication::ReplicaStatus &Own,
-                         const ProcessorProbe &Speed) const {
+std::optional<TransferTarget>
+LeadershipTransferPolicy::chooseTarget(const replication::ReplicaStatus &Own,
+                                       const ProcessorProbe &Speed) const {
   const TimePoint Now = Time_.now();
   const Duration WorkTime = Speed.getWorkTime();
   const bool IsSlow = WorkTime * 100 >= Speed.getUsualWorkTime() * SlowPercent;
   if (!Own.IsLeader_ || !IsSlow || Now - Own.LeaderSince_ < LeastTenure)
     return std::nullopt;
-  std::optional<BetterLeader> Best;
+  std::optional<TransferTarget> Best;
   for (const auto &[Name, Each] : Members_) {
     const bool IsFaster = Each.WorkTime_ * WorthwhilePercent <= WorkTime * 100;
     if (!IsFaster || Now - Each.At_ > FreshFor || !isFit(Own, Name))
       continue;
     if (!Best || Each.WorkTime_ < Best->WorkTime_)
-      Best = BetterLeader{Name, Each.WorkTime_};
+      Best = TransferTarget{Name, Each.WorkTime_};
   }
   return Best;
 }
--- a/src/jobservice/RelaySweeps.cpp
+++ b/src/jobservice/RelayFlush.cpp
@@ -1,4 +1,4 @@
-#include "jobservice/RelaySweeps.h"
+#include "jobservice/RelayFlush.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,18 +15,18 @@
 /// was lost with its link is asked for again: any answer will do.
 static constexpr Duration AskAgainAfter = 1s;
 
-RelaySweeps::RelaySweeps(std::string Self, const Clock &Time,
-                         GetStatus FindStatus, Ask Asking)
+RelayFlush::RelayFlush(std::string Self, const Clock &Time,
+                       GetStatus FindStatus, Ask Asking)
     : Self_(std::move(Self)), Time_(Time), FindStatus_(std::move(FindStatus)),
       Ask_(std::move(Asking)) {}
 
-void RelaySweeps::flush(const std::string &ServerId,
-                        std::function<void()> Done) {
+void RelayFlush::flush(const std::string &ServerId,
+                       std::function<void()> Done) {
   findHeard({ServerId}, [Done = std::move(Done)](const Heard &) { Done(); });
 }
 
-void RelaySweeps::findHeard(const std::vector<std::string> &ServerIds,
-                            std::function<void(Heard)> Done) {
+void RelayFlush::findHeard(const std::vector<std::string> &ServerIds,
+                           std::function<void(Heard)> Done) {
   const auto Fresh = std::make_shared<Round>();
   Fresh->Servers_ = ServerIds;
   Fresh->Done_ = std::move(Done);
@@ -35,7 +35,7 @@
   for (const replication::Member &Each : FindStatus_().Members_) {
     if (Each.Id_.Name_ == Self_)
       continue;
-    Open_.emplace(++LastId_, Question{Fresh, Each.Id_.Name_});
+    Open_.emplace(++LastId_, PendingRequest{Fresh, Each.Id_.Name_});
     Ids.push_back(LastId_);
   }
   Fresh->Open_ = Ids.size();
@@ -45,13 +45,13 @@
     ask(Id);
 }
 
-void RelaySweeps::ask(std::uint64_t Id) {
-  Question &Own = Open_.at(Id);
+void RelayFlush::ask(std::uint64_t Id) {
+  PendingRequest &Own = Open_.at(Id);
   Own.HasFailed_ = false;
   Own.AskedAt_ = Time_.now();
   Ask_(Own.Member_, {Self_, Id, Own.Round_->Servers_},
        [Weak = std::weak_ptr(Alive_), Id] {
-         const std::shared_ptr<RelaySweeps *> Self = Weak.lock();
+         const std::shared_ptr<RelayFlush *> Self = Weak.lock();
          if (!Self)
            return;
          const auto Found = (*Self)->Open_.find(Id);
@@ -60,21 +60,21 @@
        });
 }
 
-void RelaySweeps::take(std::uint64_t SweepId,
-                       const std::vector<std::string> &Servers) {
-  if (Open_.count(SweepId) != 0)
-    settle(SweepId, Servers);
+void RelayFlush::onBatch(std::uint64_t FlushId,
+                         const std::vector<std::string> &Servers) {
+  if (Open_.count(FlushId) != 0)
+    settle(FlushId, Servers);
 }
 
-void RelaySweeps::settle(std::uint64_t Id,
-                         const std::vector<std::string> &Servers) {
+void RelayFlush::settle(std::uint64_t Id,
+                        const std::vector<std::string> &Servers) {
   const std::shared_ptr<Round> Own = Open_.extract(Id).mapped().Round_;
   Own->Heard_.insert(Servers.begin(), Servers.end());
   if (--Own->Open_ == 0)
     Own->Done_(std::move(Own->Heard_));
 }
 
-void RelaySweeps::look() {
+void RelayFlush::retryExpired() {
   if (Open_.empty())
     return;
   const replication::ReplicaStatus Status = FindStatus_();
@@ -97,5 +97,5 @@
   for (const std::uint64_t Id : Failed)
     ask(Id);
   for (const std::uint64_t Id : Over)
-    take(Id, {});
+    onBatch(Id, {});
 }
--- a/src/jobservice/RelaySweeps.h
+++ b/src/jobservice/RelayFlush.h
@@ -1,5 +1,4 @@
-//===- RelaySweeps.h - The leader asks the relays for what they keep *- C++
-//-*-===//
+//===- RelayFlush.h - Asks relays for buffered reports ---------*- C++ -*-===//
 //
 // A sweep is a question to every other member. A relay answers by a batch of
 // reports, on the link on which all its batches come, so that whatever it sent
@@ -8,8 +7,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef TULIPWEIR_SRC_JOBSERVICE_RELAYSWEEPS_H
-#define TULIPWEIR_SRC_JOBSERVICE_RELAYSWEEPS_H
+#ifndef TULIPWEIR_SRC_JOBSERVICE_RELAYFLUSH_H
+#define TULIPWEIR_SRC_JOBSERVICE_RELAYFLUSH_H
 
 #include "tulipweir/core/Executor.h"
 #include "tulipweir/jobs/ReportBatch.h"
@@ -23,18 +22,18 @@
 
 /// Lives on one executor: all members are called there, and callbacks run
 /// there.
-class RelaySweeps final : public jobs::ReportRelays {
+class RelayFlush final : public jobs::ReportRelays {
 public:
   /// Sends the question to a member; Failed is called on the executor if that
   /// certainly or possibly did not arrive.
-  using Ask = std::function<void(const std::string &Member, jobs::ReportSweep,
+  using Ask = std::function<void(const std::string &Member, jobs::FlushRequest,
                                  std::function<void()> Failed)>;
   /// The state of this member's replica.
   using GetStatus = std::function<replication::ReplicaStatus()>;
 
   /// Self is this member's name. Time must outlive it.
-  RelaySweeps(std::string Self, const Clock &Time, GetStatus FindStatus,
-              Ask Asking);
+  RelayFlush(std::string Self, const Clock &Time, GetStatus FindStatus,
+             Ask Asking);
 
   // Commands.
 
@@ -42,9 +41,9 @@
   void findHeard(const std::vector<std::string> &ServerIds,
                  std::function<void(Heard)> Done) override;
   /// A batch that answers a sweep is here, and what it holds is handed in.
-  void take(std::uint64_t SweepId, const std::vector<std::string> &Servers);
+  void onBatch(std::uint64_t FlushId, const std::vector<std::string> &Servers);
   /// Asks again and gives up; now and then.
-  void look();
+  void retryExpired();
 
 private:
   struct Round {
@@ -55,7 +54,7 @@
     TimePoint Begin_;
   };
   /// A question to one member.
-  struct Question {
+  struct PendingRequest {
     std::shared_ptr<Round> Round_;
     std::string Member_;
     bool HasFailed_ = false;
@@ -70,11 +69,11 @@
   const GetStatus FindStatus_;
   const Ask Ask_;
   std::uint64_t LastId_ = 0;
-  std::map<std::uint64_t, Question> Open_;
+  std::map<std::uint64_t, PendingRequest> Open_;
   /// Ends with it, so that what comes later finds nothing.
-  std::shared_ptr<RelaySweeps *> Alive_ = std::make_shared<RelaySweeps *>(this);
+  std::shared_ptr<RelayFlush *> Alive_ = std::make_shared<RelayFlush *>(this);
 };
 
 } // namespace tulipweir::jobservice
 
-#endif // TULIPWEIR_SRC_JOBSERVICE_RELAYSWEEPS_H
+#endif // TULIPWEIR_SRC_JOBSERVICE_RELAYFLUSH_H
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -208,13 +208,13 @@
         });
 }
 
-void ReportRelay::sweep(const jobs::ReportSweep &Asked) {
+void ReportRelay::flushServers(const jobs::FlushRequest &Asked) {
   const std::unordered_set<std::string> Servers(Asked.Servers_.begin(),
                                                 Asked.Servers_.end());
   const TimePoint Now = Time_.now();
   jobs::ReportBatch Reports;
   Batch Sent;
-  Reports.SweepId_ = Asked.Id_;
+  Reports.FlushId_ = Asked.Id_;
   for (const std::string &Id : Asked.Servers_) {
     const auto Found = Known_.find(Id);
     if (Found == Known_.end())
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -45,7 +45,7 @@
   /// Sends all that it keeps of the servers' reports at once, behind what it
   /// has sent before, also ends of reports that were deferred or lost, and says
   /// which of them it has heard lately.
-  void sweep(const jobs::ReportSweep &Asked);
+  void flushServers(const jobs::FlushRequest &Asked);
 
   // Queries.
 
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -11,7 +11,7 @@
 static constexpr std::size_t MoveEvery = 8;
 /// A sweep is taken at once; a relay that says nothing for so long is asked
 /// again.
-static constexpr Duration SweepTimeout = std::chrono::milliseconds(500);
+static constexpr Duration FlushTimeout = std::chrono::milliseconds(500);
 
 ReportRouter::ReportRouter(std::string Self, Executor &Strand,
                            const Clock &Time, MemberLinks &Links,
@@ -24,18 +24,18 @@
                  ReportRelay::BatchDone Reply) {
             send(std::move(Batch), Timeout, std::move(Reply));
           })),
-      Sweeps_(
+      Flush_(
           Self_, Time,
           [this] {
             const std::shared_ptr<ControlLife> Current = FindLife_();
             return Current ? Current->Group_->getStatus()
                            : replication::ReplicaStatus();
           },
-          [this](const std::string &Member, const jobs::ReportSweep &Sweep,
+          [this](const std::string &Member, const jobs::FlushRequest &Request,
                  std::function<void()> Failed) {
-            ask(Member, Sweep, std::move(Failed));
+            ask(Member, Request, std::move(Failed));
           }),
-      Rule_(Time) {}
+      Policy_(Time) {}
 
 /// Servers are spread over the members that do not lead; a leader that hears
 /// none of them takes the reports itself.
@@ -102,10 +102,10 @@
 }
 
 void ReportRouter::ask(const std::string &Member,
-                       const jobs::ReportSweep &Sweep,
+                       const jobs::FlushRequest &Request,
                        std::function<void()> Failed) {
-  Links_.call(Member, wire::MessageKind::ReportSweep, jobs::encodeSweep(Sweep),
-              SweepTimeout,
+  Links_.call(Member, wire::MessageKind::FlushRequest,
+              jobs::encodeFlushRequest(Request), FlushTimeout,
               [this, Weak = Owner_,
                Failed = std::move(Failed)](const Outcome<std::string> &Answer) {
                 const std::shared_ptr<void> Hold = Weak.lock();
@@ -114,8 +114,8 @@
               });
 }
 
-void ReportRouter::sweep(const jobs::ReportSweep &Asked) {
-  Relay_->sweep(Asked);
+void ReportRouter::flushServers(const jobs::FlushRequest &Asked) {
+  Relay_->flushServers(Asked);
 }
 
 void ReportRouter::take(jobs::ReportBatch Batch, const net::LinkReply &Reply) {
@@ -133,7 +133,7 @@
             {std::move(Answers), Current->Group_->getStatus().Heard_,
              static_cast<std::uint64_t>(Handled.count())}));
       });
-  Rule_.note(Batch.From_, std::chrono::nanoseconds(Batch.WorkTimeNs_));
+  Policy_.recordProbe(Batch.From_, std::chrono::nanoseconds(Batch.WorkTimeNs_));
   if (Batch.HasDeferred_)
     Current->Leader_->noteBehind();
   for (std::size_t I = 0; I < Batch.Reports_.size(); ++I) {
@@ -145,14 +145,14 @@
     else
       Current->Leader_->report(std::move(Batch.Reports_[I]), Note);
   }
-  if (Batch.SweepId_ != 0)
-    Sweeps_.take(Batch.SweepId_, Batch.Heard_);
+  if (Batch.FlushId_ != 0)
+    Flush_.onBatch(Batch.FlushId_, Batch.Heard_);
   if (!Gather->isSent())
     Gathers_.push_back(Gather);
 }
 
 void ReportRouter::look() {
-  Sweeps_.look();
+  Flush_.retryExpired();
   std::erase_if(Gathers_, [Now = Time_.now()](const auto &Each) {
     Each->look(Now);
     return Each->isSent();
--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -12,9 +12,9 @@
 #define TULIPWEIR_SRC_JOBSERVICE_REPORTROUTER_H
 
 #include "jobservice/ControlLife.h"
-#include "jobservice/HandOverRule.h"
+#include "jobservice/LeadershipTransferPolicy.h"
 #include "jobservice/ProcessorProbe.h"
-#include "jobservice/RelaySweeps.h"
+#include "jobservice/RelayFlush.h"
 #include "jobservice/ReportGather.h"
 #include "jobservice/ReportRelay.h"
 #include "tulipweir/jobservice/MemberLinks.h"
@@ -48,7 +48,7 @@
   /// so of each.
   void take(jobs::ReportBatch Batch, const net::LinkReply &Reply);
   /// The leader asks for what is kept here.
-  void sweep(const jobs::ReportSweep &Asked);
+  void flushServers(const jobs::FlushRequest &Asked);
   /// Answers batches that have waited long enough; now and then.
   void look();
   /// How long the set piece of work took here this time.
@@ -57,18 +57,18 @@
   // Queries.
 
   /// What a leader here asks the other members by.
-  jobs::ReportRelays &relays() { return Sweeps_; }
+  jobs::ReportRelays &relays() { return Flush_; }
   /// How long the set piece of work takes here; zero as long as that is not
   /// known.
   Duration getWorkTime() const { return Probe_.getWorkTime(); }
   /// The member that a leader here hands over to as its own VM is slow.
-  std::optional<BetterLeader>
-  findBetter(const replication::ReplicaStatus &Own) const {
-    return Rule_.findBetter(Own, Probe_);
+  std::optional<TransferTarget>
+  chooseTarget(const replication::ReplicaStatus &Own) const {
+    return Policy_.chooseTarget(Own, Probe_);
   }
 
 private:
-  void ask(const std::string &Member, const jobs::ReportSweep &Sweep,
+  void ask(const std::string &Member, const jobs::FlushRequest &Request,
            std::function<void()> Failed);
   void send(jobs::ReportBatch Batch, Duration Timeout,
             ReportRelay::BatchDone Reply);
@@ -81,9 +81,9 @@
   const GetLife FindLife_;
   std::weak_ptr<void> Owner_;
   std::shared_ptr<ReportRelay> Relay_;
-  RelaySweeps Sweeps_;
+  RelayFlush Flush_;
   ProcessorProbe Probe_;
-  HandOverRule Rule_;
+  LeadershipTransferPolicy Policy_;
   /// Batches of other controls that are being decided.
   std::vector<std::shared_ptr<ReportGather>> Gathers_;
 };
--- a/tests/jobservice/HandOverRuleTest.cpp
+++ b/tests/jobservice/LeadershipTransferPolicyTest.cpp
@@ -1,4 +1,4 @@
-//===- HandOverRuleTest.cpp - Whom a slow leader gives way to -------------===//
+//===- LeadershipTransferPolicyTest.cpp - Whom a slow leader gives way to -===//
 //
 // What happened: with its leader slowed by three for 28 s, alone on an idle
 // machine, the large deployment lost 8,389 runs to lapsed leases and earned
@@ -9,7 +9,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "jobservice/HandOverRule.h"
+#include "jobservice/LeadershipTransferPolicy.h"
 #include "jobservice/ProcessorProbe.h"
 
 #include <gtest/gtest.h>
@@ -20,9 +20,9 @@
 
 namespace {
 
-class HandOverRuleTest : public ::testing::Test {
+class LeadershipTransferPolicyTest : public ::testing::Test {
 protected:
-  HandOverRuleTest() {
+  LeadershipTransferPolicyTest() {
     Time_.advance(1h);
     for (const char *Name : {"me", "x", "y"})
       Status_.Members_.push_back({{Name, 1}, replication::MemberRole::Voter});
@@ -38,61 +38,63 @@
       Speed.note(70us);
     for (int I = 0; I < 5; ++I)
       Speed.note(Own);
-    const std::optional<BetterLeader> Found = Rule_.findBetter(Status_, Speed);
+    const std::optional<TransferTarget> Found =
+        Policy_.chooseTarget(Status_, Speed);
     return Found ? Found->Name_ : "";
   }
 
   ManualClock Time_;
   replication::ReplicaStatus Status_;
-  HandOverRule Rule_{Time_};
+  LeadershipTransferPolicy Policy_{Time_};
 };
 
 } // namespace
 
-TEST_F(HandOverRuleTest, ASlowLeaderGivesWayToTheFastestVoter) {
-  Rule_.note("x", 80us);
-  Rule_.note("y", 70us);
-  Rule_.note("new", 10us);
+TEST_F(LeadershipTransferPolicyTest, ASlowLeaderGivesWayToTheFastestVoter) {
+  Policy_.recordProbe("x", 80us);
+  Policy_.recordProbe("y", 70us);
+  Policy_.recordProbe("new", 10us);
   EXPECT_EQ(find(210us), "y");
 }
 
-TEST_F(HandOverRuleTest, ALoadThatSlowsNobodyKeepsTheLeader) {
-  Rule_.note("x", 70us);
-  Rule_.note("y", 60us);
+TEST_F(LeadershipTransferPolicyTest, ALoadThatSlowsNobodyKeepsTheLeader) {
+  Policy_.recordProbe("x", 70us);
+  Policy_.recordProbe("y", 60us);
   EXPECT_EQ(find(70us), "");
   EXPECT_EQ(find(100us), "");
 }
 
 // Seen in trials with nothing slowed: 79 us where another control took 45, and,
 // beside eight busy loops on the machine, 96 where another took 63.
-TEST_F(HandOverRuleTest, ProcessorsOfOneKindDifferAndNothingIsSlow) {
-  Rule_.note("x", 45us);
+TEST_F(LeadershipTransferPolicyTest,
+       ProcessorsOfOneKindDifferAndNothingIsSlow) {
+  Policy_.recordProbe("x", 45us);
   EXPECT_EQ(find(79us), "");
-  Rule_.note("x", 63us);
+  Policy_.recordProbe("x", 63us);
   EXPECT_EQ(find(96us), "");
   // Slower than ever, but no other does much better.
   EXPECT_EQ(find(140us), "x");
-  Rule_.note("x", 90us);
+  Policy_.recordProbe("x", 90us);
   EXPECT_EQ(find(140us), "");
 }
 
-TEST_F(HandOverRuleTest, WhereAllAreSlowNobodyIsBetter) {
-  Rule_.note("x", 200us);
-  Rule_.note("y", 220us);
+TEST_F(LeadershipTransferPolicyTest, WhereAllAreSlowNobodyIsBetter) {
+  Policy_.recordProbe("x", 200us);
+  Policy_.recordProbe("y", 220us);
   EXPECT_EQ(find(210us), "");
 }
 
-TEST_F(HandOverRuleTest, WhoIsNotHeardOrSaidItLongAgoIsNotTaken) {
-  Rule_.note("x", 70us);
-  Rule_.note("y", 90us);
+TEST_F(LeadershipTransferPolicyTest, WhoIsNotHeardOrSaidItLongAgoIsNotTaken) {
+  Policy_.recordProbe("x", 70us);
+  Policy_.recordProbe("y", 90us);
   Status_.Heard_ = {"y"};
   EXPECT_EQ(find(210us), "y");
   Time_.advance(3s);
   EXPECT_EQ(find(210us), "");
 }
 
-TEST_F(HandOverRuleTest, ALeaderThatBeganJustNowAndAFollowerStay) {
-  Rule_.note("x", 70us);
+TEST_F(LeadershipTransferPolicyTest, ALeaderThatBeganJustNowAndAFollowerStay) {
+  Policy_.recordProbe("x", 70us);
   Status_.LeaderSince_ = Time_.now() - 1s;
   EXPECT_EQ(find(210us), "");
   Status_.LeaderSince_ = Time_.now() - 1min;
@@ -100,11 +102,11 @@
   EXPECT_EQ(find(210us), "");
 }
 
-TEST_F(HandOverRuleTest, WhoCannotTellIsNotTaken) {
-  Rule_.note("x", 0us);
+TEST_F(LeadershipTransferPolicyTest, WhoCannotTellIsNotTaken) {
+  Policy_.recordProbe("x", 0us);
   EXPECT_EQ(find(210us), "");
-  Rule_.note("x", 70us);
-  EXPECT_FALSE(Rule_.findBetter(Status_, ProcessorProbe()));
+  Policy_.recordProbe("x", 70us);
+  EXPECT_FALSE(Policy_.chooseTarget(Status_, ProcessorProbe()));
 }
 
 TEST(ProcessorProbeTest, OneInterruptionIsNoSlowness) {
--- a/tests/jobservice/HandOverTest.cpp
+++ b/tests/jobservice/LeadershipTransferTest.cpp
@@ -1,7 +1,7 @@
-//===- HandOverTest.cpp - A group whose leader's VM becomes slow ----------===//
+//===- LeadershipTransferTest.cpp - A group whose leader becomes slow -----===//
 //
-// See HandOverRuleTest.cpp for what happened. Here whole nodes, of which one
-// says that its work takes three times as long as before.
+// See LeadershipTransferPolicyTest.cpp for what happened. Here whole nodes, of
+// which one says that its work takes three times as long as before.
 //
 //===----------------------------------------------------------------------===//
 
@@ -12,7 +12,7 @@
 
 namespace {
 
-class HandOverTest : public NodeCluster {
+class LeadershipTransferTest : public NodeCluster {
 protected:
   /// Relays tell their work times with the reports that they pass on.
   void reportToAll() {
@@ -38,7 +38,7 @@
 
 } // namespace
 
-TEST_F(HandOverTest, ALeaderWhoseVmBecomesSlowGivesWay) {
+TEST_F(LeadershipTransferTest, ALeaderWhoseVmBecomesSlowGivesWay) {
   for (const int Node : {1, 2, 3})
     start(Node, {1, 2, 3}, true);
   ASSERT_TRUE(putConfiguration(1));
--- a/tests/jobservice/RelaySweepsTest.cpp
+++ b/tests/jobservice/RelayFlushTest.cpp
@@ -1,6 +1,6 @@
-//===- RelaySweepsTest.cpp - Asking the relays, and who is not waited for -===//
+//===- RelayFlushTest.cpp - Asking the relays, and who is not waited for -===//
 
-#include "jobservice/RelaySweeps.h"
+#include "jobservice/RelayFlush.h"
 #include "jobservice/RelayFixture.h"
 
 using namespace tulipweir;
@@ -12,72 +12,72 @@
 
 namespace {
 
-class RelaySweepsTest : public ::testing::Test {
+class RelayFlushTest : public ::testing::Test {
 protected:
-  RelaySweepsTest() {
+  RelayFlushTest() {
     for (const char *Name : {"me", "x", "y"})
       Status_.Members_.push_back({{Name, 1}, replication::MemberRole::Voter});
     Status_.IsLeader_ = true;
   }
   struct Asked {
     std::string Member_;
-    ReportSweep Sweep_;
+    FlushRequest Request_;
     std::function<void()> Failed_;
   };
   void find(const std::vector<std::string> &Servers) {
-    Sweeps_.findHeard(Servers,
-                      [this](const ReportRelays::Heard &Got) { Got_ = Got; });
+    Flush_.findHeard(Servers,
+                     [this](const ReportRelays::Heard &Got) { Got_ = Got; });
   }
 
   ManualClock Time_;
   replication::ReplicaStatus Status_;
   std::vector<Asked> Asked_;
   std::optional<ReportRelays::Heard> Got_;
-  RelaySweeps Sweeps_{
+  RelayFlush Flush_{
       "me", Time_, [this] { return Status_; },
-      [this](const std::string &Member, ReportSweep Sweep,
+      [this](const std::string &Member, FlushRequest Request,
              std::function<void()> Failed) {
-        Asked_.push_back({Member, std::move(Sweep), std::move(Failed)});
+        Asked_.push_back({Member, std::move(Request), std::move(Failed)});
       }};
 };
 
 } // namespace
 
-TEST_F(RelaySweepsTest, AllOthersAreAskedAndOneWordIsEnough) {
+TEST_F(RelayFlushTest, AllOthersAreAskedAndOneWordIsEnough) {
   find({"a", "b"});
   ASSERT_EQ(Asked_.size(), 2U);
-  EXPECT_EQ(Asked_[0].Sweep_.From_, "me");
-  EXPECT_EQ(Asked_[0].Sweep_.Servers_, (std::vector<std::string>{"a", "b"}));
-  Sweeps_.take(Asked_[0].Sweep_.Id_, {});
+  EXPECT_EQ(Asked_[0].Request_.From_, "me");
+  EXPECT_EQ(Asked_[0].Request_.Servers_, (std::vector<std::string>{"a", "b"}));
+  Flush_.onBatch(Asked_[0].Request_.Id_, {});
   EXPECT_FALSE(Got_);
-  Sweeps_.take(Asked_[0].Sweep_.Id_, {}); // Said again.
+  Flush_.onBatch(Asked_[0].Request_.Id_, {}); // Said again.
   EXPECT_FALSE(Got_);
-  Sweeps_.take(Asked_[1].Sweep_.Id_, {"b"});
+  Flush_.onBatch(Asked_[1].Request_.Id_, {"b"});
   ASSERT_TRUE(Got_);
   EXPECT_EQ(*Got_, ReportRelays::Heard{"b"});
 }
 
-TEST_F(RelaySweepsTest, AMemberThatIsGoneIsNotWaitedFor) {
+TEST_F(RelayFlushTest, AMemberThatIsGoneIsNotWaitedFor) {
   find({"a"});
-  Sweeps_.take(Asked_[0].Sweep_.Id_, {"a"});
-  Sweeps_.look();
+  Flush_.onBatch(Asked_[0].Request_.Id_, {"a"});
+  Flush_.retryExpired();
   EXPECT_FALSE(Got_) << "it may only be slow";
   Status_.Gone_ = {"y"};
-  Sweeps_.look();
+  Flush_.retryExpired();
   ASSERT_TRUE(Got_);
   EXPECT_EQ(*Got_, ReportRelays::Heard{"a"});
 }
 
-TEST_F(RelaySweepsTest, AQuestionThatDidNotArriveIsAskedAgain) {
+TEST_F(RelayFlushTest, AQuestionThatDidNotArriveIsAskedAgain) {
   find({"a"});
-  Sweeps_.take(Asked_[0].Sweep_.Id_, {});
-  Sweeps_.look();
+  Flush_.onBatch(Asked_[0].Request_.Id_, {});
+  Flush_.retryExpired();
   EXPECT_EQ(Asked_.size(), 2U);
   Asked_[1].Failed_();
-  Sweeps_.look();
+  Flush_.retryExpired();
   ASSERT_EQ(Asked_.size(), 3U);
   EXPECT_EQ(Asked_[2].Member_, "y");
-  Sweeps_.take(Asked_[2].Sweep_.Id_, {});
+  Flush_.onBatch(Asked_[2].Request_.Id_, {});
   EXPECT_TRUE(Got_);
 }
 
@@ -85,58 +85,58 @@
 // batch of its own, is lost with the link. The leader asked again only where
 // the question had failed, so the server's leaving waited out the round, 6 s,
 // and its tasks with it.
-TEST_F(RelaySweepsTest, AQuestionWhoseAnswerWasLostIsAskedAgain) {
+TEST_F(RelayFlushTest, AQuestionWhoseAnswerWasLostIsAskedAgain) {
   find({"a"});
-  Sweeps_.take(Asked_[0].Sweep_.Id_, {});
-  Sweeps_.look();
+  Flush_.onBatch(Asked_[0].Request_.Id_, {});
+  Flush_.retryExpired();
   EXPECT_EQ(Asked_.size(), 2U);
   Time_.advance(1s);
-  Sweeps_.look();
+  Flush_.retryExpired();
   ASSERT_EQ(Asked_.size(), 3U);
   EXPECT_EQ(Asked_[2].Member_, "y");
-  Sweeps_.look();
+  Flush_.retryExpired();
   EXPECT_EQ(Asked_.size(), 3U);
-  Sweeps_.take(Asked_[2].Sweep_.Id_, {"a"});
+  Flush_.onBatch(Asked_[2].Request_.Id_, {"a"});
   ASSERT_TRUE(Got_);
-  Sweeps_.take(Asked_[1].Sweep_.Id_, {}); // The first answer, after all.
+  Flush_.onBatch(Asked_[1].Request_.Id_, {}); // The first answer, after all.
   EXPECT_EQ(*Got_, ReportRelays::Heard{"a"});
 }
 
-TEST_F(RelaySweepsTest, NobodyIsWaitedForForEver) {
+TEST_F(RelayFlushTest, NobodyIsWaitedForForEver) {
   find({"a"});
   Time_.advance(5s);
-  Sweeps_.look();
+  Flush_.retryExpired();
   EXPECT_FALSE(Got_);
   Time_.advance(5s);
-  Sweeps_.look();
+  Flush_.retryExpired();
   EXPECT_TRUE(Got_);
 }
 
-TEST_F(RelaySweepsTest, WhoeverNoLongerLeadsWaitsForNobody) {
+TEST_F(RelayFlushTest, WhoeverNoLongerLeadsWaitsForNobody) {
   find({"a"});
   Status_.IsLeader_ = false;
-  Sweeps_.look();
+  Flush_.retryExpired();
   EXPECT_TRUE(Got_);
 }
 
-TEST_F(RelaySweepsTest, AloneThereIsNobodyToAsk) {
+TEST_F(RelayFlushTest, AloneThereIsNobodyToAsk) {
   Status_.Members_.resize(1);
   find({"a"});
   EXPECT_TRUE(Got_);
   EXPECT_TRUE(Asked_.empty());
 }
 
-TEST_F(ReportRelayTest, ASweepSendsWhatIsKeptWithoutWaitingForItsTurn) {
+TEST_F(ReportRelayTest, AFlushSendsWhatIsKeptWithoutWaitingForItsTurn) {
   fillWindow();
   const std::size_t Before = Sent_.size();
   add("leaving");
   add("other");
-  Relay_->sweep({"leader", 7, {"leaving", "elsewhere"}});
+  Relay_->flushServers({"leader", 7, {"leaving", "elsewhere"}});
   ASSERT_EQ(Sent_.size(), Before + 1);
   const ReportBatch &Last = Sent_.back().Batch_;
   ASSERT_EQ(Last.Reports_.size(), 1U);
   EXPECT_EQ(Last.Reports_[0].Facts_.Id_, "leaving");
-  EXPECT_EQ(Last.SweepId_, 7U);
+  EXPECT_EQ(Last.FlushId_, 7U);
   EXPECT_EQ(Last.Heard_, std::vector<std::string>{"leaving"});
 }
 
@@ -146,7 +146,7 @@
 // report tells its server to come again, or fails it, and forgot what the
 // report said. A server that leaves does not come again, and the question of
 // what is kept of it finds nothing.
-TEST_F(ReportRelayTest, ASweepBringsEndsThatWereTurnedAway) {
+TEST_F(ReportRelayTest, AFlushBringsEndsThatWereTurnedAway) {
   fillWindow();
   ServerReport Last = makeReport("leaving");
   Last.IsDraining_ = true;
@@ -154,26 +154,26 @@
   add(Last);
   Strand_.advance(1s);
   ASSERT_EQ(Answered_["leaving"], 1);
-  Relay_->sweep({"leader", 7, {"leaving"}});
+  Relay_->flushServers({"leader", 7, {"leaving"}});
   ASSERT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
   EXPECT_EQ(Sent_.back().Batch_.Reports_[0], Last);
   // It goes once, but where that fails, too.
-  Relay_->sweep({"leader", 8, {"leaving"}});
+  Relay_->flushServers({"leader", 8, {"leaving"}});
   EXPECT_TRUE(Sent_.back().Batch_.Reports_.empty());
 }
 
-TEST_F(ReportRelayTest, ASweepBringsEndsOfABatchThatFailed) {
+TEST_F(ReportRelayTest, AFlushBringsEndsOfABatchThatFailed) {
   ServerReport Last = makeReport("leaving");
   Last.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
   add(Last);
   Strand_.advance(20ms);
   ASSERT_EQ(Sent_.size(), 1U);
   Sent_[0].Done_(fail(ErrorCode::Timeout, "no answer"));
-  Relay_->sweep({"leader", 7, {"leaving"}});
+  Relay_->flushServers({"leader", 7, {"leaving"}});
   ASSERT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
   EXPECT_EQ(Sent_.back().Batch_.Reports_[0], Last);
   Sent_.back().Done_(fail(ErrorCode::Timeout, "no answer"));
-  Relay_->sweep({"leader", 8, {"leaving"}});
+  Relay_->flushServers({"leader", 8, {"leaving"}});
   EXPECT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
 }
 
@@ -187,7 +187,7 @@
   ServerReport Next = Lost;
   ++Next.Sequence_;
   add(Next);
-  Relay_->sweep({"leader", 7, {"leaving"}});
+  Relay_->flushServers({"leader", 7, {"leaving"}});
   const ReportBatch &Last = Sent_.back().Batch_;
   EXPECT_EQ(Last.LateReports_, 1U);
   EXPECT_EQ(Last.Reports_, (std::vector<ServerReport>{Lost, Next}));
@@ -205,7 +205,7 @@
   add(Later);
   Strand_.advance(20ms);
   answer();
-  Relay_->sweep({"leader", 7, {"leaving"}});
+  Relay_->flushServers({"leader", 7, {"leaving"}});
   EXPECT_TRUE(Sent_.back().Batch_.Reports_.empty());
 }
 
@@ -214,7 +214,7 @@
   Strand_.advance(20ms);
   answer();
   Strand_.advance(5s);
-  Relay_->sweep({"leader", 7, {"gone"}});
+  Relay_->flushServers({"leader", 7, {"gone"}});
   ASSERT_EQ(Sent_.size(), 1U);
   EXPECT_TRUE(Sent_.back().Batch_.Heard_.empty());
   EXPECT_TRUE(Sent_.back().Batch_.Reports_.empty());
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -172,9 +172,9 @@
   Batch.Reports_[1].IsDraining_ = true;
   Batch.Reports_[1].RemainingMs_ = 900;
   EXPECT_EQ(decodeReports(encodeReports(Batch)).value(), Batch);
-  const ReportSweep Sweep{"me", 8, {"a", "b"}};
-  EXPECT_EQ(decodeSweep(encodeSweep(Sweep)).value(), Sweep);
-  EXPECT_FALSE(decodeSweep("no sweep"));
+  const FlushRequest Request{"me", 8, {"a", "b"}};
+  EXPECT_EQ(decodeFlushRequest(encodeFlushRequest(Request)).value(), Request);
+  EXPECT_FALSE(decodeFlushRequest("no sweep"));
   ReportBatchReply Reply;
   Reply.Relays_ = {"x"};
   ServerOrders Orders{1, 2, 3, 4, {}, {}, {}, ""};
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -29,16 +29,16 @@
 
 StarvedFleet::StarvedFleet(const FleetDay &Day)
     : Day_(Day), Random_(Day.Seed_),
-      Sweeps_(
+      Flush_(
           "me", Time_, [] { return makeStatus(Relays); },
-          [this](const std::string &Member, const ReportSweep &Sweep,
+          [this](const std::string &Member, const FlushRequest &Request,
                  const std::function<void()> &) {
             for (int I = 0; I < Relays; ++I)
               if (nameRelay(I) == Member)
-                Relays_[static_cast<std::size_t>(I)]->sweep(Sweep);
+                Relays_[static_cast<std::size_t>(I)]->flushServers(Request);
           }),
       Leader_(Settings_, Time_, Strand_, Group_, Machine_, Advisor_, Provider_,
-              Sweeps_, Log_, Meter_) {
+              Flush_, Log_, Meter_) {
   for (int I = 0; I < Relays; ++I)
     Relays_.push_back(std::make_shared<ReportRelay>(
         Strand_, Time_,
@@ -105,7 +105,7 @@
   if (Now < NextLook_)
     return;
   NextLook_ = Now + LookInterval;
-  Sweeps_.look();
+  Flush_.retryExpired();
   std::erase_if(Gathers_, [Now](const auto &Each) {
     Each->look(Now);
     return Each->isSent();
@@ -157,8 +157,8 @@
     else
       Leader_.report(std::move(Next.Batch_.Reports_[I]), Note);
   }
-  if (Next.Batch_.SweepId_ != 0)
-    Sweeps_.take(Next.Batch_.SweepId_, Next.Batch_.Heard_);
+  if (Next.Batch_.FlushId_ != 0)
+    Flush_.onBatch(Next.Batch_.FlushId_, Next.Batch_.Heard_);
   if (!Gather->isSent())
     Gathers_.push_back(Gather);
   Strand_.runAll();
--- a/tests/jobservice/StarvedFleet.h
+++ b/tests/jobservice/StarvedFleet.h
@@ -12,7 +12,7 @@
 #define TULIPWEIR_TESTS_JOBSERVICE_STARVEDFLEET_H
 
 #include "jobs/LeaderFixture.h"
-#include "jobservice/RelaySweeps.h"
+#include "jobservice/RelayFlush.h"
 #include "jobservice/ReportGather.h"
 #include "jobservice/ReportRelay.h"
 
@@ -115,7 +115,7 @@
   jobs::NoJobMeter Meter_;
   jobs::JobLeaderSettings Settings_;
   std::vector<std::shared_ptr<ReportRelay>> Relays_;
-  RelaySweeps Sweeps_;
+  RelayFlush Flush_;
   jobs::JobLeader Leader_;
   std::deque<Incoming> Queue_;
   std::vector<std::shared_ptr<ReportGather>> Gathers_;
