Comments of relays and leadership transfers in plain English

Cause: comments told how values were chosen, or spoke of members and questions where requests, batches and windows are meant; two tests told their incident. Ruled out: changes of code; the diff holds comments alone.

--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -14,24 +14,23 @@
 
 struct ReportBatch {
   std::vector<ServerReport> Reports_;
-  /// Other servers were told to come again, as the leader had no time for them.
+  /// The relay has deferred reports recently, as the leader was behind.
   bool HasDeferred_ = false;
-  /// Of the sweep that this batch answers; 0 for none. Whatever the relay sent
-  /// before on the same link is there by now.
+  /// The flush request that this batch answers; 0 for none. The relay's earlier
+  /// batches on the same link have arrived before it.
   std::uint64_t FlushId_ = 0;
-  /// Those of the sweep's servers that the relay has heard lately.
+  /// The request's servers that the relay has heard recently.
   std::vector<std::string> Heard_;
   std::string From_ = {}; ///< The member that passes them on.
   /// How long a set piece of work takes there; 0 as long as it cannot tell.
   std::uint64_t WorkTimeNs_ = 0;
-  /// The first reports, so many, are late: their servers have been told to come
-  /// again. Only the ends in them count, and they prolong no lease.
+  /// The number of leading reports that are late, as they were deferred or lost
+  /// before. Only the ends in them count; they extend no lease.
   std::uint64_t LateReports_ = 0;
   bool operator==(const ReportBatch &) const = default;
 };
 
-/// Asks a relay to pass on, before anything else, what it keeps of the servers'
-/// reports.
+/// Asks a relay to send its buffered reports of these servers at once.
 struct FlushRequest {
   std::string From_; ///< The leader that asks.
   std::uint64_t Id_ = 0;
--- a/src/jobservice/LeadershipTransferPolicy.cpp
+++ b/src/jobservice/LeadershipTransferPolicy.cpp
@@ -6,17 +6,13 @@
 using namespace tulipweir::jobservice;
 using namespace std::chrono_literals;
 
-/// Of the usual time, from which on a VM counts as slow. At a third of its
-/// speed it takes three times as long; nothing slowed, beside a busy
-/// machine, 1.75.
+/// A VM is slow when a probe takes this percentage of its baseline time.
 static constexpr int SlowPercent = 190;
-/// Of the other's time: a hand-over costs the answers of 0.1 s, and processors
-/// of one kind took 42 to 86 us for the same work.
+/// The leader's probe takes at least this percentage of the target's time.
 static constexpr int WorthwhilePercent = 175;
-/// A new leader hears all servers within two of their reports. They shall not
-/// wait for the next one before that.
+/// A new leader keeps leadership until it has heard all servers.
 static constexpr Duration LeastTenure = 3s;
-/// What a member said longer ago may be no longer so.
+/// Probe results older than this are ignored.
 static constexpr Duration FreshFor = 2s;
 
 void LeadershipTransferPolicy::recordProbe(const std::string &Member,
--- a/src/jobservice/LeadershipTransferPolicy.h
+++ b/src/jobservice/LeadershipTransferPolicy.h
@@ -1,9 +1,9 @@
 //===- LeadershipTransferPolicy.h - A slow leader hands over ---*- C++ -*-===//
 //
-// A leader that falls behind has more to do than any member could, or it runs
-// on a processor that has become slow. In the second case another member does
-// better, and takes over before servers lose their leases. What tells the two
-// apart is the time that the same piece of work takes on each member.
+// A leader on a slow VM transfers leadership to a faster voter before servers
+// lose their leases. An overloaded leader keeps it, as no other member would do
+// better. All members measure the same piece of work, which tells the two cases
+// apart.
 //
 //===----------------------------------------------------------------------===//
 
@@ -18,10 +18,10 @@
 
 namespace tulipweir::jobservice {
 
-/// A member that the leader's work would be done faster by.
+/// A candidate for a leadership transfer.
 struct TransferTarget {
   std::string Name_;
-  Duration WorkTime_; ///< Of the same work as the leader's.
+  Duration WorkTime_; ///< Its probe time.
 };
 
 /// Not thread-safe.
@@ -32,14 +32,13 @@
 
   // Commands.
 
-  /// What the member said of itself; zero if it cannot tell yet.
+  /// Records a member's probe time; zero if it has none yet.
   void recordProbe(const std::string &Member, Duration WorkTime);
 
   // Queries.
 
-  /// Whom this member hands over to. Nothing if it does not lead or does so
-  /// since a moment ago, if it is as fast as usual, and where no voter that is
-  /// heard has said lately that it is faster.
+  /// Returns the voter to transfer leadership to, or nullopt if this member is
+  /// not the leader, was elected recently, or is not slow.
   std::optional<TransferTarget>
   chooseTarget(const replication::ReplicaStatus &Own,
                const ProcessorProbe &Speed) const;
--- a/src/jobservice/RelayFlush.cpp
+++ b/src/jobservice/RelayFlush.cpp
@@ -7,12 +7,11 @@
 using namespace tulipweir::jobservice;
 using namespace std::chrono_literals;
 
-/// A member that is neither gone nor answers for so long is not waited for any
-/// more: about a lease, after which nothing that a server was given runs.
+/// Longest time to wait for a member: one lease, after which nothing runs on a
+/// server that was not heard.
 static constexpr Duration LongestRound = 6s;
 
-/// A relay answers at once; the batch that does so is given up after less. What
-/// was lost with its link is asked for again: any answer will do.
+/// A request without an answer is sent again after this time.
 static constexpr Duration AskAgainAfter = 1s;
 
 RelayFlush::RelayFlush(std::string Self, const Clock &Time,
--- a/src/jobservice/RelayFlush.h
+++ b/src/jobservice/RelayFlush.h
@@ -1,9 +1,9 @@
 //===- RelayFlush.h - Asks relays for buffered reports ---------*- C++ -*-===//
 //
-// A sweep is a question to every other member. A relay answers by a batch of
-// reports, on the link on which all its batches come, so that whatever it sent
-// before has arrived by then. A member that is gone is not waited for; one
-// whose question failed, or whose answer does not come, is asked again.
+// The leader sends a flush request to every other member. A relay answers with
+// a batch of reports on the link that carries all its batches, so its earlier
+// batches have arrived by then. Members that are gone are not waited for.
+// Requests that fail or get no answer are sent again.
 //
 //===----------------------------------------------------------------------===//
 
@@ -24,8 +24,8 @@
 /// there.
 class RelayFlush final : public jobs::ReportRelays {
 public:
-  /// Sends the question to a member; Failed is called on the executor if that
-  /// certainly or possibly did not arrive.
+  /// Sends a request to a member; Failed is called on the executor if it may
+  /// not have arrived.
   using Ask = std::function<void(const std::string &Member, jobs::FlushRequest,
                                  std::function<void()> Failed)>;
   /// The state of this member's replica.
@@ -40,9 +40,10 @@
   void flush(const std::string &ServerId, std::function<void()> Done) override;
   void findHeard(const std::vector<std::string> &ServerIds,
                  std::function<void(Heard)> Done) override;
-  /// A batch that answers a sweep is here, and what it holds is handed in.
+  /// Called once the reports of a batch that answers a request were handled.
   void onBatch(std::uint64_t FlushId, const std::vector<std::string> &Servers);
-  /// Asks again and gives up; now and then.
+  /// Resends requests without an answer, and gives up those that took too
+  /// long. Called periodically.
   void retryExpired();
 
 private:
@@ -53,7 +54,7 @@
     std::function<void(Heard)> Done_;
     TimePoint Begin_;
   };
-  /// A question to one member.
+  /// A request to one member.
   struct PendingRequest {
     std::shared_ptr<Round> Round_;
     std::string Member_;
@@ -70,7 +71,7 @@
   const Ask Ask_;
   std::uint64_t LastId_ = 0;
   std::map<std::uint64_t, PendingRequest> Open_;
-  /// Ends with it, so that what comes later finds nothing.
+  /// Invalidates callbacks that run after destruction.
   std::shared_ptr<RelayFlush *> Alive_ = std::make_shared<RelayFlush *>(this);
 };
 
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -9,50 +9,44 @@
 using namespace tulipweir::jobservice;
 using namespace std::chrono_literals;
 
-/// Reports gather for so long: with 250 servers at a relay three or four go in
-/// one frame, and a commit takes several times as long.
+/// Reports are batched for this time; a commit takes several times as long.
 static constexpr Duration BatchPause = 4ms;
-/// Bounds the work that the leader does in one piece.
+/// Largest batch, which bounds one piece of the leader's work.
 static constexpr std::size_t MostReports = 128;
-/// A server takes no answer that comes a second after its report: what has
-/// waited here for so long is not worth the leader's time any more.
+/// Reports that wait longer are deferred, as servers drop answers that come a
+/// second after the report.
 static constexpr Duration MostWait = 350ms;
 static constexpr Duration AnswerTimeout = 800ms;
-/// A second, less the ways from and to the server.
+/// A second, less the network time from and to the server.
 static constexpr Duration LatestAnswer = 950ms;
-/// When such a server shall come again.
+/// When a deferred server reports again.
 static constexpr std::uint64_t DeferredReportMs = 300;
-/// For so long after that servers may still be waiting for their turn.
+/// After a deferral, batches say for this time that the leader is behind.
 static constexpr Duration DeferredFor = 2s;
-/// Half of the usual lease of six seconds. A server that nobody knows here came
-/// as it got no answer elsewhere, or just began: it is taken for one that has
-/// gone without a lease for so long.
+/// A report is urgent at half of the usual lease of six seconds. An unknown
+/// server counts as urgent, as another relay may not have answered it.
 static constexpr Duration UrgentAfter = 3s;
-/// For those, beyond the window.
+/// Urgent reports sent beyond the window.
 static constexpr std::size_t UrgentRoom = 8;
-/// A server that was last heard so long ago reports elsewhere, or is no
-/// more: longer than any lease.
+/// Servers not heard for this time are forgotten; longer than any lease.
 static constexpr Duration RememberedFor = 20s;
 static constexpr Duration ForgetInterval = 5s;
-/// A server that lives reports at least each second and a half, by the settings
-/// of the platform: twice that.
+/// Twice the longest report interval, 1.5 s.
 static constexpr Duration HeardLately = 3s;
-/// Reports on their way: more while answers are quick, or nothing waited for
-/// the leader; fewer once an answer is slow as its batch waited for the leader.
-/// What the leader spends on commits does not count, as fewer reports would not
-/// shorten that. With the wait here and the ways an answer must stay within a
-/// second.
+/// Window of reports in flight. It grows while answers are quick or batches do
+/// not wait for the leader, and shrinks when they do. Commit time does not
+/// count, as fewer reports would not shorten it.
 static constexpr std::size_t FirstWindow = 8;
 static constexpr std::size_t LeastWindow = 4;
 static constexpr std::size_t MostWindow = 2048;
-/// It grows and shrinks by an eighth, and grows by at most so many at a time.
+/// The window changes by an eighth, and grows by at most WindowStep.
 static constexpr std::size_t WindowParts = 8;
 static constexpr std::size_t WindowStep = 16;
 static constexpr Duration QuickAnswer = 150ms;
 static constexpr Duration QuickTurn = 30ms;
 static constexpr Duration SlowAnswer = 300ms;
 static constexpr Duration SlowTurn = 100ms;
-/// Most of a server's patience: the window is halved.
+/// The window is halved above this.
 static constexpr Duration HopelessAnswer = 600ms;
 
 ReportRelay::ReportRelay(Executor &Strand, const Clock &Time, Send Sending)
@@ -83,8 +77,8 @@
   flushSoon();
 }
 
-/// Its lease counts from its report. What the server will have given up on by
-/// the time it gets there extends nothing.
+/// The lease counts from the report. An answer that the server drops as late
+/// extends nothing.
 void ReportRelay::noteExtended(const Batch::Asked &Answered) {
   const auto Found = Known_.find(Answered.Server_);
   if (Found != Known_.end() && Time_.now() - Answered.Since_ <= LatestAnswer)
@@ -101,8 +95,8 @@
   });
 }
 
-/// What has waited too long is told to come again: nothing is promised, nothing
-/// is noted. A server that leaves must not take that for an acknowledgement.
+/// Defers reports that have waited too long. A draining server gets an error,
+/// as it would take a deferral for an acknowledgement.
 void ReportRelay::deferLate() {
   const TimePoint Now = Time_.now();
   std::vector<Waiting> Late;
@@ -156,8 +150,8 @@
   });
 }
 
-/// As many as the window has room for, and a few more whose leases are half
-/// over: the windows of relays are alike, the numbers of their servers are not.
+/// Returns what fits in the window, and a few urgent reports beyond it, as
+/// relays have similar windows but different numbers of servers.
 std::size_t ReportRelay::countToSend() const {
   const std::size_t Room = Window_ > InFlight_ ? Window_ - InFlight_ : 0;
   std::size_t Count = std::min({Queue_.size(), Room, MostReports});
@@ -237,8 +231,8 @@
   send(std::move(Reports), std::move(Sent));
 }
 
-/// Grows by steps and shrinks by parts, so that several relays come to fair
-/// shares of the leader.
+/// Additive increase and multiplicative decrease, so that relays converge to
+/// fair shares of the leader.
 void ReportRelay::adapt(Duration Took, Duration Handled) {
   const Duration Waited = Took - Handled;
   if (Took >= HopelessAnswer && Waited >= SlowTurn)
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -1,12 +1,10 @@
 //===- ReportRelay.h - Servers' reports passed on to the leader *- C++ -*-===//
 //
-// A control that does not lead takes servers' reports all the same: it reads
-// them, passes them on in batches, and gives the answers back. So the leader,
-// which alone decides, does not spend its processor on connections and texts.
-// Where it is slow all the same, no more reports are on their way than it
-// answers in time. Whoever has gone without a lease for the longest goes first:
-// no server waits while another one is answered twice. The rest is told to come
-// again.
+// A control that is not the leader accepts servers' reports, forwards them in
+// batches and returns the leader's answers, so the leader spends no processor
+// time on connections and parsing. A window bounds the reports in flight to
+// what the leader answers in time. Servers whose leases are oldest go first;
+// reports that wait too long are deferred.
 //
 //===----------------------------------------------------------------------===//
 
@@ -40,22 +38,20 @@
 
   // Commands.
 
-  /// Calls Reply once, soon enough that the server still hears it.
+  /// Calls Reply once, before the server's own timeout.
   void add(jobs::ServerReport Report, Done Reply);
-  /// Sends all that it keeps of the servers' reports at once, behind what it
-  /// has sent before, also ends of reports that were deferred or lost, and says
-  /// which of them it has heard lately.
+  /// Sends the servers' buffered reports at once, with the ends of reports that
+  /// were deferred or lost, and lists the servers that were heard recently.
   void flushServers(const jobs::FlushRequest &Asked);
 
   // Queries.
 
-  /// Where the server shall report to: one of those that the leader named last,
-  /// and for the same server mostly the same; empty if none was named.
+  /// Returns the relay that the server is to use, or empty if the leader has
+  /// named none.
   std::string pickFor(const std::string &ServerId) const {
     return pick(Relays_, ServerId);
   }
-  /// The one of Names that is the server's; the others keep theirs when one
-  /// comes or goes. Empty if there are none.
+  /// Chooses a name by rendezvous hashing; empty if there are none.
   static std::string pick(const std::vector<std::string> &Names,
                           const std::string &ServerId);
 
@@ -79,7 +75,7 @@
     TimePoint Since_;
   };
 
-  /// What is known of a server that reports here.
+  /// State of a server that reports here.
   struct Known {
     TimePoint Extended_; ///< When its lease was last extended through here.
     TimePoint Heard_;
@@ -98,20 +94,20 @@
   void noteDelivered(const Batch::Asked &Delivered);
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
-  /// Handled: what the leader spent on it once its turn came.
+  /// Handled: the leader's processing time of the batch.
   void adapt(Duration Took, Duration Handled);
 
   Executor &Strand_;
   const Clock &Time_;
   const Send Send_;
-  /// By when the server's lease was last extended through here.
+  /// By the time of the server's last lease extension through this relay.
   std::multimap<TimePoint, Waiting> Queue_;
   std::size_t InFlight_ = 0; ///< Reports that have no answer yet.
   std::size_t Window_;       ///< Most of these.
   bool IsFlushing_ = false;  ///< A flush is posted.
   std::unordered_map<std::string, Known> Known_; ///< By server.
   TimePoint LastDeferral_{};
-  TimePoint NextForgetting_{}; ///< Of those that went elsewhere.
+  TimePoint NextForgetting_{}; ///< When idle servers are next removed.
   std::vector<std::string> Relays_;
 };
 
--- a/tests/jobs/CrashingTaskTest.cpp
+++ b/tests/jobs/CrashingTaskTest.cpp
@@ -3,12 +3,6 @@
 // Guards against tasks that crash each server that starts them being started
 // again without a bound, and against sound jobs given up in their place.
 //
-// What happened: a task was begun 26 times in 120 s, each time on the empty
-// new incarnation of the server that it had crashed, 4.3 s after the last, and
-// took the tasks beside it down with it (run 21 to 26 of 6fbca9ece696b9c8.0.0.0
-// at 10.2.64.15). The end of a run on a server that is gone is `lapsed`, and
-// nothing counted these. Tasks that travelled with it reached run 5 as it did.
-//
 //===----------------------------------------------------------------------===//
 
 #include "jobs/CrashFleet.h"
@@ -156,8 +150,8 @@
   }
 }
 
-// Where the fleet is full, the only room is on servers that crashed and came
-// back: what waits for a run in isolation there waits for all before it.
+// On a full fleet the only room is on servers that crashed and came back, where
+// isolated runs follow one another.
 TEST(CrashingTaskTest, TasksThatLastAreSoonBackOnAFullFleet) {
   static constexpr Duration MostWithoutRun = 6s;
   for (const std::size_t PerServer : {2U, 4U, 8U}) {
--- a/tests/jobservice/RelayFlushTest.cpp
+++ b/tests/jobservice/RelayFlushTest.cpp
@@ -81,10 +81,8 @@
   EXPECT_TRUE(Got_);
 }
 
-// What happened, by reading: a member takes the question, and its answer, a
-// batch of its own, is lost with the link. The leader asked again only where
-// the question had failed, so the server's leaving waited out the round, 6 s,
-// and its tasks with it.
+// A request that arrives while its answer is lost with the link would hold up a
+// leaving server, and its tasks, until the longest wait is over.
 TEST_F(RelayFlushTest, AQuestionWhoseAnswerWasLostIsAskedAgain) {
   find({"a"});
   Flush_.onBatch(Asked_[0].Request_.Id_, {});
@@ -140,12 +138,8 @@
   EXPECT_EQ(Last.Heard_, std::vector<std::string>{"leaving"});
 }
 
-// What happened: grown bhf trouble-1, seed 566615086255, beside hunts and a
-// build: TWICE 1, a run done at 27.406 s and begun again at 27.938 s on another
-// server, while its own server was leaving. A relay that has no room for a
-// report tells its server to come again, or fails it, and forgot what the
-// report said. A server that leaves does not come again, and the question of
-// what is kept of it finds nothing.
+// A leaving server does not report again, so a relay that forgot the ends in a
+// deferred report would let their tasks run twice.
 TEST_F(ReportRelayTest, AFlushBringsEndsThatWereTurnedAway) {
   fillWindow();
   ServerReport Last = makeReport("leaving");
@@ -157,7 +151,7 @@
   Relay_->flushServers({"leader", 7, {"leaving"}});
   ASSERT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
   EXPECT_EQ(Sent_.back().Batch_.Reports_[0], Last);
-  // It goes once, but where that fails, too.
+  // It is sent once while its batch is on the way.
   Relay_->flushServers({"leader", 8, {"leaving"}});
   EXPECT_TRUE(Sent_.back().Batch_.Reports_.empty());
 }
