Comments of the dispatcher and the leader's reports in plain English

Cause: comments named nobody ("whoever waits"), told how values were chosen, and spoke of lives and newcomers where incarnations are meant. One constant, one parameter and one error text follow. Ruled out: changes of behaviour.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -9,32 +9,31 @@
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
 
-/// Two rounds of reports: by then every server of a rack has asked once.
+/// Two report intervals, within which every server of a rack has reported.
 static constexpr Duration RackPatience = 500ms;
-/// How long a serving task waits for a server where only its own image serves
-/// or none, while there is one with room: three rounds of reports.
+/// How long a serving task waits for a server without other serving images,
+/// while one has room: three report intervals.
 static constexpr Duration CompanyPatience = 1500ms;
-/// And how long it leaves a server where nothing serves to others, while there
-/// is room where its image serves already: a round of reports and a half.
+/// How long it waits for a server with its own image rather than an empty one:
+/// one and a half report intervals.
 static constexpr Duration EqualsPatience = 750ms;
-/// Without such room it serves beside others after that time, and after so much
-/// more the more filling images could no longer work freely there.
+/// Without such room it starts beside other images after MixingPatience, and up
+/// to HarmPatience later the more filling images it would slow there.
 static constexpr Duration MixingPatience = 250ms;
 static constexpr Duration HarmPatience = 1500ms;
-/// How long a filling task waits for a server where it disturbs nobody.
+/// How long a filling task waits for a server where it slows no serving task.
 static constexpr Duration DisturbingPatience = 3000ms;
-/// How long a task whose run failed waits for another server: two rounds of
-/// reports.
+/// How long a task whose run failed waits for another server: two report
+/// intervals.
 static constexpr Duration FailurePatience = 1s;
 /// How long a task waits for processors that filling tasks don't use.
 static constexpr Duration IdlePatience = 150ms;
-/// A job of which nothing runs is started somewhere after that time, where most
-/// of the processors are not reserved.
+/// A job without a running task starts on any server after this time, if the
+/// fleet is not full.
 static constexpr Duration IdleJobPatience = 1s;
-/// A gang that should stay on one rack is spread over several after that time:
-/// it is slower there by half to three times, by the users' figures.
+/// A gang that prefers one rack may use several after this time.
 static constexpr Duration GangPatience = 1500ms;
-/// What a server may start at once: a report's answer stays small.
+/// Most starts in one answer to a report.
 static constexpr std::size_t MostStartsAtOnce = 64;
 
 static constexpr std::int64_t Unlimited =
@@ -59,7 +58,7 @@
   Failed_[Task] = {ServerId, Now};
 }
 
-/// Whether its failure was this server's, nobody knows; elsewhere it is not.
+/// Whether the task has just failed on this server, which may be the cause.
 bool Dispatcher::isToAvoid(const TaskKey &Task, const Plan &Own) const {
   const auto Found = Failed_.find(Task);
   return Found != Failed_.end() &&
@@ -76,8 +75,8 @@
   Waits_.prune(Book);
 }
 
-/// Whether there is room for one of the step's tasks, near its data if it has
-/// not waited long.
+/// Whether one of the step's tasks fits, near its data unless it has waited for
+/// long.
 bool Dispatcher::hasRoom(const StepSpec &Step, const Plan &Own,
                          Duration Waited) const {
   const ServerRoom &Left = Own.Left_;
@@ -90,7 +89,7 @@
          Waited >= RackPatience;
 }
 
-/// Whether one that has room does well there, and harms nobody.
+/// Whether a task that fits runs well there without slowing others.
 bool Dispatcher::isFit(const StepSpec &Step, Plan &Own, Duration Waited,
                        bool IsIdleJob, std::uint64_t Waiting) const {
   const ServerRoom &Left = Own.Left_;
@@ -101,15 +100,15 @@
   return Step.Need_.MilliCpus_ <= Left.Idle_ || Waited >= IdlePatience;
 }
 
-/// Tasks of one image together: which filling tasks disturb it differs from
-/// image to image, and where several serve, hardly any is left that may fill.
+/// Keeps tasks of one image together: each serving image excludes some filling
+/// images, so servers with several leave room for few.
 bool Dispatcher::isFitToServe(const StepSpec &Step, const ServerRoom &Left,
                               Duration Waited, std::uint64_t Waiting) const {
   const bool IsAmongEquals =
       Left.Serving_.size() == 1 && Left.Serving_.count(Step.Image_) == 1;
   if (IsAmongEquals)
     return true;
-  // Whoever waits serves nobody, so it waits only for what is there.
+  // A waiting task serves no requests, so it waits only for free room.
   const bool HasEquals =
       Survey_.hasRoomAmongEquals(Step.Image_, Step.getReserved(), Waiting);
   if (Left.Serving_.empty())
@@ -125,8 +124,7 @@
 bool Dispatcher::isFitToFill(const StepSpec &Step, Plan &Own, Duration Waited,
                              bool IsIdleJob) const {
   const ServerRoom &Left = Own.Left_;
-  // Nobody waits for ever while there is room: where it disturbs it goes
-  // slowly.
+  // Bounds the wait while there is room: it is paced where it slows others.
   if (IsIdleJob && Survey_.isRoomy() && Waited >= IdleJobPatience)
     return true;
   if (Step.Need_.MilliCpus_ > Left.Idle_ - Left.KeptIdle_)
@@ -150,7 +148,7 @@
   Survey_.take(Book, Board, Waits_, Now);
 }
 
-/// Whether nothing but tasks that last runs there.
+/// Whether only lasting tasks run there.
 static bool isIdleBut(const JobBook &Book, const ServerRecord &Server) {
   return std::all_of(Server.Placed_.begin(), Server.Placed_.end(),
                      [&Book](const auto &Each) {
@@ -206,7 +204,7 @@
         Book.readySteps().count(Each.Step_) != 0)
       planStep(Book, Each, Own);
   }
-  // A copy would take the gap that what lasts is waiting to see grow.
+  // A copy would take room that a lasting task waits for.
   if (!Survey_.isAnyLastingWaiting())
     planCopies(Book, Own);
   return std::move(Own.Starts_);
@@ -227,8 +225,8 @@
   return Isolation_.plan(Book, Board, Server, Now, MayRun);
 }
 
-/// With room that nobody waits for: the state machine refuses a second copy,
-/// and one beside the first run.
+/// Starts copies of stragglers. The state machine refuses a second copy, and
+/// one on the server of the first run.
 void Dispatcher::planCopies(const JobBook &Book, Plan &Own) {
   for (const TaskKey &Task : Stragglers_.list()) {
     const TaskRecord *Record = Book.findTask(Task);
@@ -249,7 +247,7 @@
   }
 }
 
-/// Whether nothing of what waits can fit any more.
+/// Whether no waiting task can fit any more.
 bool Dispatcher::isFull(const Plan &Own) const {
   const ServerRoom &Left = Own.Left_;
   if (Own.Starts_.size() >= Own.MostStarts_)
@@ -321,8 +319,8 @@
     if (!isFit(Step, Own, Waited, IsIdleJob, Record.Waiting_))
       return refuse(From, Own);
     const TaskStart Start{Key, Task.LastRun_ + 1, ServerId};
-    // What lasts fails now and then by itself, and elsewhere it would take a
-    // place that is better kept for another image.
+    // Lasting tasks also fail by themselves, and another server may suit
+    // another image better.
     const bool IsAvoided = !Step.LongRunning_ && isToAvoid(Start.Task_, Own);
     if (Taken_.count(Start.Task_) != 0 || IsAvoided)
       continue;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -1,9 +1,8 @@
 //===- Dispatcher.h - Which task starts on which server --------*- C++ -*-===//
 //
-// Decides when a server reports what it starts next: an answer to that report
-// carries the orders, so nothing waits for another server to call. A task that
-// would do better elsewhere is held back for a moment, and then started where
-// it fits. Pure: the time and the state come in with each call.
+// Chooses the tasks that a server starts when it reports; the answer carries
+// the orders. A task that would do better elsewhere is held back for a bounded
+// time, then started where it fits. Deterministic: no clock, no I/O.
 //
 //===----------------------------------------------------------------------===//
 
--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -8,25 +8,24 @@
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
 
-/// One server of so many is closed for suspected tasks at a time, so that other
-/// work goes on.
+/// One of this many servers may be closed for suspected tasks at a time.
 static constexpr std::size_t ServersForOne = 4;
-/// How long a task that lasts waits for a run in isolation, by its crashes. On
-/// a full fleet the only room is on servers that came back, one run after the
-/// other. With three crashes it waits without a bound.
+/// How long a lasting task waits for isolation, by the number of its crashes,
+/// as isolated runs follow one another on a full fleet. Without a bound from
+/// the third crash on.
 static constexpr std::array<Duration, 3> IsolationPatience = {0s, 1s, 3s};
-/// How long a task with several crashes waits for a stable server on which
-/// nothing lasts, and then for any stable server.
+/// How long a task with several crashes waits for a stable server without
+/// lasting tasks, and then for any stable server.
 static constexpr Duration EmptyPatience = 1s;
 static constexpr Duration StablePatience = 4s;
-/// How long a task waits for news of a server that may only be cut off.
+/// How long a task waits until a crash is confirmed.
 static constexpr Duration NewsPatience = 8s;
-/// How long a server is kept until what started there last has settled.
+/// How long a server is reserved while its latest runs settle.
 static constexpr Duration ReservedFor = 2500ms;
 /// Servers report more often.
 static constexpr Duration ReportLimit = 1s;
-/// How often what waits is listed anew, and how much of it is looked at for
-/// each report.
+/// How often the waiting tasks are listed, and how many are considered for each
+/// report.
 static constexpr Duration RefreshInterval = 200ms;
 static constexpr std::size_t MostLookedAt = 64;
 
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -136,7 +136,7 @@
   void cancel(const JobCall &Call, const Done<JobCallReply> &Reply);
 
   void admit(const HandlingPtr &Current);
-  bool takeOver(const std::string &Occupant, const ServerFacts &Newcomer);
+  bool takeOver(const std::string &Occupant, const ServerFacts &Successor);
   void addServer(const HandlingPtr &Current);
   void noteEnds(const HandlingPtr &Current);
   void startTasks(const HandlingPtr &Current);
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -7,15 +7,13 @@
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
 
-/// A server that refused a start is left alone for so long: its room is not
-/// what we think.
+/// A server that refused a start gets none for this time, as its free room
+/// differs from the book's.
 static constexpr Duration RefusalPause = 500ms;
-/// For so long an answer waits for commits. Two take 20 to 50 ms; a server
-/// drops what comes a second after its report, and relays may keep that for 350
-/// ms.
+/// Longest time a response is delayed by pending commits.
 static constexpr Duration LongestHold = 300ms;
-/// How soon a life that claims a taken address is asked again.
-static constexpr std::uint64_t NewcomerReportMs = 250;
+/// Report interval of an incarnation whose address is still taken.
+static constexpr std::uint64_t ConflictReportMs = 250;
 
 void JobLeader::Impl::leave(const std::string &ServerId, Done<void> Reply) {
   if (!isLeading())
@@ -25,8 +23,8 @@
     const ServerRecord *Server = Book.findServer(ServerId);
     return !Server || Server->Placed_.empty();
   });
-  // A relay may still keep its last report, and an end in it counts: heard
-  // after its task began elsewhere, it would have come twice.
+  // A relay may hold the final report. Ends in it must be noted before the
+  // tasks are started elsewhere.
   const auto Remove = [Weak = weak_from_this(), ServerId, Reply] {
     const std::shared_ptr<Impl> Self = Weak.lock();
     if (!Self || !Self->isLeading())
@@ -52,8 +50,8 @@
 void JobLeader::Impl::report(ServerReport Report, Done<ServerOrders> Reply) {
   if (!isLeading())
     return Reply(makeNotLeading());
-  // A late report of a life that is over: what it has done counts, but it is
-  // told nothing.
+  // A late report of an incarnation that is over: its ends count, but it gets
+  // no orders.
   const std::string &Id = Report.Facts_.Id_;
   const bool IsOver =
       Leaving_.count(Id) != 0 || Machine_.read([&Id](const JobBook &Book) {
@@ -89,8 +87,8 @@
           });
 }
 
-/// Whether the report names a service that no configuration knows, of a server
-/// that was not of that service before: one whose service was dropped goes on.
+/// Whether the report names an unconfigured service. A server whose service was
+/// dropped goes on.
 static bool isOfNoService(const JobBook &Book, const ServerRecord *Known,
                           const ServerFacts &Facts) {
   const Configuration &Current = Book.configuration();
@@ -103,7 +101,7 @@
                       });
 }
 
-/// Makes sure that the server is in the log, and no other at its address.
+/// Registers the server in the log, unless its address is taken.
 void JobLeader::Impl::admit(const HandlingPtr &Current) {
   const ServerFacts &Facts = Current->Report_.Facts_;
   std::string Occupant;
@@ -115,7 +113,7 @@
     IsOfNobody = isOfNoService(Book, Known, Facts);
     return Known && Known->Facts_ == Facts;
   });
-  // What runs on a server that was known keeps its lease.
+  // Runs on a known server keep their lease.
   if (IsOfNobody)
     return reply(Current, fail(ErrorCode::InvalidArgument,
                                "no such service: " + Facts.Service_));
@@ -126,30 +124,30 @@
     return noteEnds(Current);
   if (!Occupant.empty() && !takeOver(Occupant, Facts)) {
     ServerOrders Later;
-    Later.NextReportMs_ = NewcomerReportMs;
+    Later.NextReportMs_ = ConflictReportMs;
     return reply(Current, std::move(Later));
   }
   addServer(Current);
 }
 
-/// Ends the life at the newcomer's address if the newcomer has proved that it
-/// is the later one; else says false.
+/// Removes the incarnation at the address if the one that reports there is
+/// known to be the later one; else returns false.
 bool JobLeader::Impl::takeOver(const std::string &Occupant,
-                               const ServerFacts &Newcomer) {
+                               const ServerFacts &Successor) {
   const TimePoint Now = Time_.now();
   const ServerLive *Live = Board_.find(Occupant);
   if (Live && Live->IsRemoving_)
     return true;
-  if (Conflicts_.note(Newcomer.Id_, Live ? Live->LastHeard_ : TimePoint::min(),
+  if (Conflicts_.note(Successor.Id_, Live ? Live->LastHeard_ : TimePoint::min(),
                       Now))
-    Relays_.flush(Occupant, [Weak = weak_from_this(), Id = Newcomer.Id_, Now] {
+    Relays_.flush(Occupant, [Weak = weak_from_this(), Id = Successor.Id_, Now] {
       if (const std::shared_ptr<Impl> Self = Weak.lock())
         Self->Conflicts_.noteFlushed(Id, Now);
     });
-  if (!Conflicts_.mayTakeOver(Newcomer.Id_, Now)) {
+  if (!Conflicts_.mayTakeOver(Successor.Id_, Now)) {
     Event Line;
     Line.Kind_ = EventKind::ServerWaits;
-    Line.Server_ = Newcomer.Id_;
+    Line.Server_ = Successor.Id_;
     Line.Reason_ = Occupant + " was heard at its address";
     if (Live)
       Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -158,7 +156,7 @@
     Log_.write(Line);
     return false;
   }
-  Conflicts_.forget(Newcomer.Id_);
+  Conflicts_.forget(Successor.Id_);
   removeServer(Occupant, Departure::Replaced,
                [](const Outcome<CommandResult> &) {});
   return true;
@@ -178,9 +176,8 @@
         if (!Applied)
           return reply(Current, Applied.error());
         if (Applied.value().Verdict_ == Verdict::Refused)
-          return reply(Current,
-                       fail(ErrorCode::Unavailable,
-                            "another life of the server holds its address"));
+          return reply(Current, fail(ErrorCode::Unavailable,
+                                     "another incarnation holds the address"));
         noteFailed(Applied.value());
         noteEnds(Current);
       });
@@ -241,8 +238,8 @@
             noteHealth(Command);
             for (const TaskEnd &End : Command.Ends_)
               noteJobEnd(End.Task_.Job_);
-            // Also after an early answer: the starts ride on the next one.
-            // Where a later report is there, that is planned for instead.
+            // After an early answer the starts go with the next one. A later
+            // report is planned for instead.
             const ServerLive *Live = Board_.find(Command.Server_);
             if (Live && Live->LastSequence_ == Current->Report_.Sequence_)
               startTasks(Current);
@@ -293,8 +290,8 @@
     Open_.push_back(Current);
 }
 
-/// Nothing but ends and starts needs a commit: a lease does not wait for one
-/// that takes long. What is committed later comes with the next answer.
+/// Answers reports whose commits take long, so that leases do not wait. What is
+/// committed later goes with the next answer.
 void JobLeader::Impl::answerOverdue() {
   const TimePoint Now = Time_.now();
   while (!Open_.empty() && (Open_.front()->IsAnswered_ ||
@@ -321,8 +318,8 @@
   if (!IsKnown)
     return reply(Current,
                  fail(ErrorCode::Unavailable, "the server is being removed"));
-  // A later report came while this one waited for its entries: the server has
-  // given this one up, and must not count as told what it will never hear.
+  // The server has given this report up, as it sent a later one: it will not
+  // see these orders.
   if (Live->LastSequence_ != Report.Sequence_)
     return reply(Current, ServerOrders{});
   std::vector<TaskEnd> NeverRan;
@@ -341,7 +338,7 @@
           Settings_.ReportInterval_)
           .count());
   Setter_.addPaces(Report, *Board_.find(Id), Orders);
-  // Directly before the promise: another may lead by now.
+  // Another member may lead by now.
   const TimePoint Now = Time_.now();
   if (Group_.findLeaseTerm(Now) != Term_)
     return reply(Current, makeNotLeading());
