Comments say incarnation where the life of a server was meant

Cause: the glossary's term is incarnation; a dozen comments still said life. Ruled out: changes of code; comments alone. Conclusion: one concept, one name.

--- a/include/tulipweir/jobs/Advisor.h
+++ b/include/tulipweir/jobs/Advisor.h
@@ -30,7 +30,7 @@
 
 /// A server that may run the step.
 struct AdvisedServer {
-  std::string Server_; ///< This life of it.
+  std::string Server_; ///< This incarnation of it.
   std::string Ticket_;
   bool operator==(const AdvisedServer &) const = default;
 };
--- a/include/tulipweir/jobs/Commands.h
+++ b/include/tulipweir/jobs/Commands.h
@@ -48,7 +48,7 @@
 
 /// What a backend server says of itself when it appears.
 struct ServerFacts {
-  std::string Id_; ///< Of this life of the server; never used again.
+  std::string Id_; ///< Of this incarnation; never used again.
   std::string Service_;
   std::string DataCentre_;
   std::string Rack_;
@@ -90,7 +90,7 @@
   bool operator==(const OpenOccurrence &) const = default;
 };
 
-/// Refused for a life that is over, and while another life holds its address.
+/// Refused for an incarnation that is over, and while another has its address.
 struct AddServer {
   ServerFacts Facts_;
   bool operator==(const AddServer &) const = default;
--- a/include/tulipweir/jobs/JobBook.h
+++ b/include/tulipweir/jobs/JobBook.h
@@ -155,8 +155,7 @@
   const ServerRecord *findServer(const std::string &Id) const;
   /// The id of the server at the address; empty if there is none.
   std::string findServerAt(const std::string &Address) const;
-  /// Whether the server's life is over for good: it left, or another life has
-  /// taken its address.
+  /// Whether the incarnation is over: it left, or another one has its address.
   bool isOver(const std::string &ServerId) const {
     return Incarnations_.isOver(ServerId);
   }
--- a/include/tulipweir/jobs/ServerReport.h
+++ b/include/tulipweir/jobs/ServerReport.h
@@ -28,7 +28,7 @@
 
 /// A run that has ended, kept by the server until we took note of it.
 struct EndedTask {
-  std::uint64_t Number_ = 0; ///< Rises by one in each life of the server.
+  std::uint64_t Number_ = 0; ///< Rises by one in each incarnation.
   TaskEnd End_;
   bool operator==(const EndedTask &) const = default;
 };
--- a/include/tulipweir/jobs/VmProvider.h
+++ b/include/tulipweir/jobs/VmProvider.h
@@ -28,7 +28,7 @@
   std::string Vm_;
   std::string Service_;
   VmState State_ = VmState::Down;
-  std::string Server_; ///< The life of the backend server on it; may be empty.
+  std::string Server_; ///< The incarnation on it; may be empty.
   bool operator==(const VmInfo &) const = default;
 };
 
--- a/src/jobs/AdviceBook.h
+++ b/src/jobs/AdviceBook.h
@@ -2,7 +2,7 @@
 //
 // Keeps, for each step of a queue that needs advice, which servers may run it,
 // with their tickets, and decides what to ask next. Whether a server may run a
-// step never changes in one life of the server; only its ticket runs out. Pure.
+// step never changes for one incarnation of the server; only its ticket expires.
 //
 //===----------------------------------------------------------------------===//
 
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -269,9 +269,8 @@
   });
 }
 
-/// A server that others hear lives, and its runs ended with their lease: it
-/// says so, and which were done before, as soon as it is answered. Whoever
-/// begins them elsewhere before that does some of them twice.
+/// A server that a relay has heard is kept, although its lease expired: its next
+/// report tells which runs were done before, and these must not start elsewhere.
 void JobLeader::Impl::removeUnheard(const std::vector<std::string> &Lapsed,
                                     const ReportRelays::Heard &Heard) {
   const TimePoint Now = Time_.now();
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -217,7 +217,7 @@
   /// Servers whose lease ran out, and when the other members, which are asked
   /// for them, may be asked again.
   std::map<std::string, TimePoint> Lapsed_;
-  /// Lives whose end is decided, until that is stored.
+  /// Incarnations whose end is decided, until that is stored.
   std::set<std::string> Leaving_;
   std::map<std::string, TimePoint> EndedSince_;
   /// Of open jobs that this leader accepted itself.
--- a/src/jobs/JobLeaderWaves.cpp
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -112,7 +112,7 @@
                       Machine_.read([&Order](const JobBook &Book) {
                         return Book.findServer(Order.Server_) != nullptr;
                       });
-  // Nothing of that life runs any more, and no report of it will come.
+  // That incarnation runs nothing and sends no reports any more.
   if (IsOver)
     removeServer(Order.Server_, Departure::Maintained,
                  [](const Outcome<CommandResult> &) {});
--- a/src/jobs/WaveKeeper.h
+++ b/src/jobs/WaveKeeper.h
@@ -24,7 +24,7 @@
 struct MaintenanceOrder {
   std::uint64_t Wave_ = 0;
   std::string Vm_;
-  std::string Server_; ///< The life on it, as last listed.
+  std::string Server_; ///< The incarnation on it, as last listed.
   bool operator==(const MaintenanceOrder &) const = default;
 };
 
