--- a/src/jobs/AdviceBook.h
+++ b/src/jobs/AdviceBook.h
@@ -2,7 +2,7 @@
 //
 // Keeps, for each step of a queue that needs advice, which servers may run it,
 // with their tickets, and decides what to ask next. Whether a server may run a
-// step never changes for one incarnation of the server; only its ticket expires.
+// step never changes for one incarnation; only its ticket expires.
 //
 //===----------------------------------------------------------------------===//
 
