--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -269,8 +269,8 @@
   });
 }
 
-/// Keeps servers that a relay has heard, although their leases expired: the next
-/// report tells which runs were done, and these must not start elsewhere.
+/// Keeps servers that a relay has heard, although their leases expired: the
+/// next report tells which runs were done, and these must not start elsewhere.
 void JobLeader::Impl::removeUnheard(const std::vector<std::string> &Lapsed,
                                     const ReportRelays::Heard &Heard) {
   const TimePoint Now = Time_.now();
