Suspects behind many that fit nowhere are considered too

Cause, found by reading: a report considered the 64 most urgent suspects alone. Where these fit nowhere, all behind them waited for ever, however small. Possible with three crashes, or two and tasks that end: on a large site one moment leaves some hundred suspects. Change: the next report begins behind those considered; a server that is reserved looks at its own task alone, as before. Ruled out: a larger bound, as each report would cost more; an order by size, as the most urgent must stay first where all are considered. Test: IsolationPlannerTest.ASuspectBehindManyThatFitNowhereStarts, red before; TheMostUrgentSuspectStartsFirst. test_jobs 262 of 262. Conclusion: no suspect is passed over for good.

--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -35,6 +35,7 @@
   Reserved_.clear();
   Waiting_.clear();
   IsCrowded_ = false;
+  NextLook_ = 0;
   RefreshedAt_ = {};
 }
 
@@ -204,38 +205,61 @@
     return std::nullopt;
   refresh(Book, Board, Now);
   const std::string &Id = Server.Facts_.Id_;
-  const auto Kept = Reserved_.find(Id);
-  const bool IsKept = Kept != Reserved_.end();
-  const bool IsOver = IsKept && Now >= Kept->second.Until_;
-  if (!IsKept && Isolated_ + Reserved_.size() >= getMostIsolated(Book))
+  const Reporter From{Book, Board, Server, Now, May};
+  if (Reserved_.count(Id) != 0)
+    return planReserved(From);
+  if (Isolated_ + Reserved_.size() >= getMostIsolated(Book))
     return std::nullopt;
-  std::size_t LookedAt = 0;
-  for (const TaskKey &Key : Waiting_) {
-    if (IsKept && Key != Kept->second.Task_)
-      continue;
-    if (++LookedAt > MostLookedAt)
-      break;
-    const TaskRecord *Task = Book.findTask(Key);
-    if (!Task || Task->State_ != TaskState::Waiting ||
-        isReservedElsewhere(Key, Id) ||
-        !isSuitable(Key, Task->Crashes_, Board, Server, Now))
-      continue;
-    const TaskStart Start{Key, Task->LastRun_ + 1, Id};
-    if (!May(*Book.findJob(Key.Job_), Key) ||
-        !Book.findObjection(Start).empty())
+  const std::size_t Count = std::min(Waiting_.size(), MostLookedAt);
+  for (std::size_t I = 0; I < Count; ++I) {
+    const TaskKey &Key = Waiting_[(NextLook_ + I) % Waiting_.size()];
+    const std::optional<TaskStart> Start = findStart(From, Key);
+    if (!Start)
       continue;
     // A first crash needs no proof of what caused it.
-    if (Task->Crashes_.size() == 1 || IsOver || isQuiet(Board, Server)) {
+    const bool IsFirst = Book.findTask(Key)->Crashes_.size() == 1;
+    if (IsFirst || isQuiet(Board, Server)) {
       ++Isolated_;
-      Reserved_.erase(Id);
       return Start;
     }
-    if (!IsKept)
-      Reserved_[Id] = {Key, Now + ReservedFor};
+    Reserved_[Id] = {Key, Now + ReservedFor};
     return std::nullopt;
   }
-  // What it was kept for cannot start there any more.
-  if (IsKept)
-    Reserved_.erase(Id);
+  // The next report considers the suspects behind these.
+  NextLook_ = Waiting_.size() > MostLookedAt
+                  ? (NextLook_ + MostLookedAt) % Waiting_.size()
+                  : 0;
   return std::nullopt;
 }
+
+/// The start for which the server is reserved, once its runs have settled or
+/// the reservation ends.
+std::optional<TaskStart> IsolationPlanner::planReserved(const Reporter &From) {
+  const auto Kept = Reserved_.find(From.Server_.Facts_.Id_);
+  const bool IsListed = std::find(Waiting_.begin(), Waiting_.end(),
+                                  Kept->second.Task_) != Waiting_.end();
+  const std::optional<TaskStart> Start =
+      IsListed ? findStart(From, Kept->second.Task_) : std::nullopt;
+  const bool IsOver = From.Now_ >= Kept->second.Until_;
+  if (Start && !IsOver && !isQuiet(From.Board_, From.Server_))
+    return std::nullopt;
+  Reserved_.erase(Kept);
+  Isolated_ += Start ? 1 : 0;
+  return Start;
+}
+
+/// The task's start on the server, if nothing speaks against it.
+std::optional<TaskStart> IsolationPlanner::findStart(const Reporter &From,
+                                                     const TaskKey &Key) const {
+  const TaskRecord *Task = From.Book_.findTask(Key);
+  const std::string &Id = From.Server_.Facts_.Id_;
+  if (!Task || Task->State_ != TaskState::Waiting ||
+      isReservedElsewhere(Key, Id) ||
+      !isSuitable(Key, Task->Crashes_, From.Board_, From.Server_, From.Now_))
+    return std::nullopt;
+  TaskStart Start{Key, Task->LastRun_ + 1, Id};
+  if (!From.May_(*From.Book_.findJob(Key.Job_), Key) ||
+      !From.Book_.findObjection(Start).empty())
+    return std::nullopt;
+  return Start;
+}
--- a/src/jobs/IsolationPlanner.h
+++ b/src/jobs/IsolationPlanner.h
@@ -57,6 +57,17 @@
   };
   /// Whether the task's last or next run starts without isolation.
   bool isReleased(const TaskKey &Key, const TaskRecord &Task) const;
+  /// A server that reports, and what a start there depends on.
+  struct Reporter {
+    const JobBook &Book_;
+    const ServerBoard &Board_;
+    const ServerRecord &Server_;
+    TimePoint Now_;
+    const MayRun &May_;
+  };
+  std::optional<TaskStart> planReserved(const Reporter &From);
+  std::optional<TaskStart> findStart(const Reporter &From,
+                                     const TaskKey &Key) const;
   void refresh(const JobBook &Book, const ServerBoard &Board, TimePoint Now);
   void listStable(const JobBook &Book, const ServerBoard &Board);
   bool isReservedElsewhere(const TaskKey &Task, const std::string &Id) const;
@@ -67,6 +78,7 @@
 
   // As of the last refresh, at RefreshedAt_.
   std::vector<TaskKey> Waiting_; ///< To be isolated; the most urgent first.
+  std::size_t NextLook_ = 0;     ///< Where in Waiting_ the next report begins.
   bool IsCrowded_ = false;       ///< Too many tasks with one crash.
   std::size_t Isolated_ = 0;     ///< Runs that are not proved yet.
   std::set<std::string> Stable_; ///< Services with a server that is.
