A lost server is given up within its lease also while the leader is behind

Cause: while a leader was behind it gave up only servers that were silent for two leases, 12 s, and then asked the relays, up to 6 s more. That wait stood for a report that might be at a relay; since the relays are asked, and pass on what they keep, it protects nothing that the question does not. Change: the relays are asked when the lease ends; while the leader is behind twice, a second apart, as a relay may not have read a report yet. Tests: AServerThatNoRelayHearsIsGivenUpInTimeAlsoWhileBehind and ALeaderThatIsBehindAsksTheRelaysTwice, red before.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -59,6 +59,7 @@
   LeadingSince_ = Now;
   Open_.clear();
   Lapsed_.clear();
+  Unheard_.clear();
   IsListing_ = false;
   IsOrdering_ = false;
   NextQuestion_ = Now;
@@ -109,8 +110,6 @@
       });
 }
 
-/// What lapsed is begun again elsewhere, though it may be done and its report
-/// wait; giving a server up later is always safe.
 void JobLeader::Impl::noteBehind() { BehindUntil_ = Time_.now() + BehindFor; }
 
 void JobLeader::Impl::tick() {
@@ -252,11 +251,14 @@
 
 void JobLeader::Impl::removeLapsed() {
   const TimePoint Now = Time_.now();
-  const Duration Grace = Now < BehindUntil_ ? getLongestLease() : Duration(0);
   std::erase_if(Lapsed_,
                 [Now](const auto &Each) { return Each.second <= Now; });
+  std::erase_if(Unheard_, [this, Now](const std::string &Id) {
+    const ServerLive *Live = Board_.find(Id);
+    return !Live || Live->LeaseEnd_ > Now;
+  });
   std::vector<std::string> Fresh;
-  for (const std::string &Id : Board_.listLapsed(Now - Grace))
+  for (const std::string &Id : Board_.listLapsed(Now))
     if (Lapsed_.try_emplace(Id, TimePoint::max()).second)
       Fresh.push_back(Id);
   if (Fresh.empty())
@@ -271,18 +273,25 @@
 
 /// Keeps servers that a relay has heard, although their leases expired: the
 /// next report tells which runs were done, and these must not start elsewhere.
+/// While the leader is behind a relay may not have read that report yet, so the
+/// relays are asked twice.
 void JobLeader::Impl::removeUnheard(const std::vector<std::string> &Lapsed,
                                     const ReportRelays::Heard &Heard) {
   const TimePoint Now = Time_.now();
   for (const std::string &Id : Lapsed) {
     Lapsed_[Id] = Now + AskAgainAfter;
     const ServerLive *Live = Board_.find(Id);
+    const bool WasUnheard = Unheard_.erase(Id) != 0;
     if (!Live || Live->IsRemoving_ || Live->LeaseEnd_ > Now)
       continue;
     if (Heard.count(Id) != 0) {
       Meter_.add(Counted::LapsesHeard, 1);
       continue;
     }
+    if (Now < BehindUntil_ && !WasUnheard) {
+      Unheard_.insert(Id);
+      continue;
+    }
     removeServer(Id, Departure::Silent, [](const Outcome<CommandResult> &) {});
   }
 }
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -217,6 +217,8 @@
   /// Servers whose lease ran out, and when the other members, which are asked
   /// for them, may be asked again.
   std::map<std::string, TimePoint> Lapsed_;
+  /// Servers that no relay had heard when asked while the leader was behind.
+  std::set<std::string> Unheard_;
   /// Incarnations whose end is decided, until that is stored.
   std::set<std::string> Leaving_;
   std::map<std::string, TimePoint> EndedSince_;
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -134,10 +134,12 @@
     return !report(makeReport("s2")).Starts_.empty();
   };
   // The server's report waits at a relay for all this time.
+  Relays_.AnswersByItself_ = false;
   const Duration Until = Settings_.Lease_ * 3 / 2;
   for (Duration At{}; At < Until; At += std::chrono::seconds(1)) {
     Strand_.advance(std::chrono::seconds(1));
     Leader_.noteBehind();
+    Relays_.answer({"s1"});
   }
   EXPECT_FALSE(IsMoved());
   ServerReport Late = makeReport("s1");
@@ -158,6 +160,42 @@
   EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
 }
 
+// Its tasks that last would otherwise be without a run for two leases.
+TEST_F(JobLeaderTest, AServerThatNoRelayHearsIsGivenUpInTimeAlsoWhileBehind) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  const Duration Until = Settings_.Lease_ + 2s;
+  for (Duration At{}; At < Until; At += 250ms) {
+    Strand_.advance(250ms);
+    Leader_.noteBehind();
+  }
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+// One answer may cross a report that its relay has not read yet.
+TEST_F(JobLeaderTest, ALeaderThatIsBehindAsksTheRelaysTwice) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  Relays_.AnswersByItself_ = false;
+  const auto Pass = [this](Duration Length) {
+    for (Duration At{}; At < Length; At += 250ms) {
+      Leader_.noteBehind();
+      Strand_.advance(250ms);
+    }
+  };
+  Pass(Settings_.Lease_ + 500ms);
+  Relays_.answer();
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  Pass(1500ms);
+  Relays_.answer({"s1"});
+  Pass(1500ms);
+  Relays_.answer();
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty()) << "heard in between";
+  Pass(1500ms);
+  Relays_.answer();
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
 TEST_F(JobLeaderTest, ANewLifeAtTheSameAddressEndsTheOldOne) {
   call(CallKind::Submit, "j", {makeStep(1, 100)});
   report(makeReport("s1"));
