--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -213,7 +213,7 @@
   const std::size_t Count = std::min(Waiting_.size(), MostLookedAt);
   for (std::size_t I = 0; I < Count; ++I) {
     const TaskKey &Key = Waiting_[(NextLook_ + I) % Waiting_.size()];
-    const std::optional<TaskStart> Start = findStart(From, Key);
+    std::optional<TaskStart> Start = findStart(From, Key);
     if (!Start)
       continue;
     // A first crash needs no proof of what caused it.
@@ -238,7 +238,7 @@
   const auto Kept = Reserved_.find(From.Server_.Facts_.Id_);
   const bool IsListed = std::find(Waiting_.begin(), Waiting_.end(),
                                   Kept->second.Task_) != Waiting_.end();
-  const std::optional<TaskStart> Start =
+  std::optional<TaskStart> Start =
       IsListed ? findStart(From, Kept->second.Task_) : std::nullopt;
   const bool IsOver = From.Now_ >= Kept->second.Until_;
   if (Start && !IsOver && !isQuiet(From.Board_, From.Server_))
