--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -70,8 +70,8 @@
   /// Learns from a report that another member decides, so that it knows what
   /// disturbs what by the time it leads itself.
   void observe(const ServerReport &Report);
-  /// Relays defer reports, as the leader is behind. For some time the relays are
-  /// asked twice before a server whose lease expired is removed.
+  /// Relays defer reports, as the leader is behind. For some time the relays
+  /// are asked twice before a server whose lease expired is removed.
   void noteBehind();
   /// The server has left for good.
   void leave(const std::string &ServerId, Done<void> Reply);
