--- a/src/jobs/JobLeaderWaves.cpp
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -112,7 +112,7 @@
                       Machine_.read([&Order](const JobBook &Book) {
                         return Book.findServer(Order.Server_) != nullptr;
                       });
-  // That incarnation runs nothing and sends no reports any more.
+  // The incarnation has ended: it runs no tasks and sends no reports.
   if (IsOver)
     removeServer(Order.Server_, Departure::Maintained,
                  [](const Outcome<CommandResult> &) {});
