A leader that is behind rejects reports that came too late to be answered

Cause: a batch that its relay had given up was handled whole, in order of arrival, so from 36 reports x 22 ms on each answer was late; all servers became urgent, and urgent reports go beyond the relays' window. Rounds that ask the relays for lapsed servers then took what was left: they moved every waiting report past the window and brought ends again that servers had long reported elsewhere. Change: batches carry how long their relay waits, and wait in a ReportInbox, one handled at a time; one that waited for half of that is rejected unhandled (Expired), its servers are deferred. Relays halve a limit on all reports on the way for each round trip with such a loss, down to one. A round for lapsed servers gets only names of servers that a relay has heard, and late ends within the limit; while behind it begins at most each 250 ms. Ends on the way go with a flush, as their batch may be rejected. Late ends that are stored already are not proposed again. Ruled out: a smaller floor of the window alone (SlowLeaderTest red: with slow commits it never grows again); urgent reports within the window (same); skipping a flush whole (its ends would run twice).

--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -40,6 +40,7 @@
   CrashesSuspected,     ///< Of servers, that some task may have caused.
   TasksSuspected,       ///< To be isolated after such a crash.
   JobsGivenUp,          ///< Since a task crashed its servers.
+  ReportsExpired,       ///< Not handled, as they waited too long here.
   HandOvers, ///< Of leadership, as this VM was slow and another was not.
 };
 
--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -20,13 +20,15 @@
   /// batches on the same link have arrived before it.
   std::uint64_t FlushId_ = 0;
   /// The request's servers that the relay has heard recently.
-  std::vector<std::string> Heard_;
+  std::vector<std::string> Heard_ = {};
   std::string From_ = {}; ///< The member that passes them on.
   /// How long a set piece of work takes there; 0 as long as it cannot tell.
   std::uint64_t WorkTimeNs_ = 0;
   /// The number of leading reports that are late, as they were deferred or lost
   /// before. Only the ends in them count; they extend no lease.
   std::uint64_t LateReports_ = 0;
+  /// How long the relay waits for the reply; 0 if it does not say.
+  std::uint64_t TimeoutMs_ = 0;
   bool operator==(const ReportBatch &) const = default;
 };
 
@@ -35,6 +37,9 @@
   std::string From_; ///< The leader that asks.
   std::uint64_t Id_ = 0;
   std::vector<std::string> Servers_;
+  /// The relay sends nothing of servers that it has heard recently and only
+  /// names them, as they report again by themselves.
+  bool OnlySilent_ = false;
   bool operator==(const FlushRequest &) const = default;
 };
 
@@ -44,6 +49,7 @@
   NotLeader = 1, ///< Text_ names who leads, as far as that is known.
   Failed = 2,    ///< Nobody can decide it at the moment: Text_ says why.
   Refused = 3,   ///< It names no server to use: Text_ says why.
+  Expired = 4,   ///< Not handled, as it waited too long at the leader.
 };
 
 struct ReportAnswer {
--- a/include/tulipweir/jobs/ReportRelays.h
+++ b/include/tulipweir/jobs/ReportRelays.h
@@ -29,7 +29,7 @@
   virtual void flush(const std::string &ServerId,
                      std::function<void()> Done) = 0;
   /// Tells which of the servers another member has heard within the last
-  /// seconds. Passes on what it keeps of them, too.
+  /// seconds. The members pass on what they keep of the others.
   virtual void findHeard(const std::vector<std::string> &ServerIds,
                          std::function<void(Heard)> Done) = 0;
 };
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -21,6 +21,8 @@
 /// How soon the others are asked again for a server whose lease ran out: two to
 /// three of its reports.
 static constexpr Duration AskAgainAfter = 1s;
+/// Least time between two rounds while the leader is behind.
+static constexpr Duration LapseRoundInterval = 250ms;
 /// A server that was told to come again does so within some hundred ms.
 static constexpr Duration BehindFor = 2s;
 /// Clocks that are kept in step are slewed by less.
@@ -60,6 +62,7 @@
   Open_.clear();
   Lapsed_.clear();
   Unheard_.clear();
+  NextLapseRound_ = Now;
   IsListing_ = false;
   IsOrdering_ = false;
   NextQuestion_ = Now;
@@ -251,6 +254,9 @@
 
 void JobLeader::Impl::removeLapsed() {
   const TimePoint Now = Time_.now();
+  // While the leader is behind, more rounds would only add to its work.
+  if (Now < BehindUntil_ && Now < NextLapseRound_)
+    return;
   std::erase_if(Lapsed_,
                 [Now](const auto &Each) { return Each.second <= Now; });
   std::erase_if(Unheard_, [this, Now](const std::string &Id) {
@@ -263,6 +269,7 @@
       Fresh.push_back(Id);
   if (Fresh.empty())
     return;
+  NextLapseRound_ = Now + LapseRoundInterval;
   Relays_.findHeard(Fresh, [Weak = weak_from_this(), Fresh,
                             Term = Term_](const ReportRelays::Heard &Heard) {
     const std::shared_ptr<Impl> Self = Weak.lock();
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -217,6 +217,7 @@
   /// Servers whose lease ran out, and when the other members, which are asked
   /// for them, may be asked again.
   std::map<std::string, TimePoint> Lapsed_;
+  TimePoint NextLapseRound_{}; ///< When they may be asked while behind.
   /// Servers that no relay had heard when asked while the leader was behind.
   std::set<std::string> Unheard_;
   /// Incarnations whose end is decided, until that is stored.
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -71,9 +71,15 @@
   if (!isLeading())
     return Reply(makeNotLeading());
   EndTasks Command{Report.Facts_.Id_, {}};
-  for (const EndedTask &Each : Report.Ended_)
-    if (Each.End_.How_ == RunEnd::Done)
-      Command.Ends_.push_back(Each.End_);
+  Machine_.read([&](const JobBook &Book) {
+    for (const EndedTask &Each : Report.Ended_) {
+      const TaskRecord *Task = Book.findTask(Each.End_.Task_);
+      const bool IsNews = Task && Task->State_ != TaskState::Done;
+      if (Each.End_.How_ == RunEnd::Done && IsNews)
+        Command.Ends_.push_back(Each.End_);
+    }
+    return 0;
+  });
   if (Command.Ends_.empty())
     return Reply(ServerOrders{});
   propose(Command,
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -16,12 +16,13 @@
 }
 static auto fields(ReportBatch &X) {
   return std::tie(X.Reports_, X.HasDeferred_, X.FlushId_, X.Heard_, X.From_,
-                  X.WorkTimeNs_, X.LateReports_);
+                  X.WorkTimeNs_, X.LateReports_, X.TimeoutMs_);
 }
-constexpr std::size_t optionalFields(const ReportBatch &) { return 1; }
+constexpr std::size_t optionalFields(const ReportBatch &) { return 2; }
 static auto fields(FlushRequest &X) {
-  return std::tie(X.From_, X.Id_, X.Servers_);
+  return std::tie(X.From_, X.Id_, X.Servers_, X.OnlySilent_);
 }
+constexpr std::size_t optionalFields(const FlushRequest &) { return 1; }
 static auto fields(StartOrder &X) {
   return std::tie(X.Task_, X.Run_, X.Payload_, X.Checkpoint_, X.Ticket_);
 }
@@ -40,7 +41,7 @@
   return std::tie(X.Answers_, X.Relays_, X.HandledMs_);
 }
 static constexpr std::uint8_t maxOf(ReportVerdict) {
-  return static_cast<std::uint8_t>(ReportVerdict::Refused);
+  return static_cast<std::uint8_t>(ReportVerdict::Expired);
 }
 } // namespace tulipweir::jobs
 
@@ -64,6 +65,7 @@
   case ReportVerdict::Refused:
     return fail(ErrorCode::InvalidArgument, std::move(Text_));
   case ReportVerdict::Failed:
+  case ReportVerdict::Expired:
     break;
   }
   return fail(ErrorCode::Unavailable, std::move(Text_));
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -57,7 +57,7 @@
         Measure_(Measure ? std::move(Measure) : MeasureWork(&timeWork)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
-        Strand_(Pool), Router_(Settings.Name_, Strand_, Time, Links_,
+        Strand_(Pool), Router_(Settings.Name_, Strand_, Time, Links_, Meter_,
                                [this] { return getLife(); }) {}
 
   Outcome<void> start();
@@ -283,8 +283,9 @@
     if (!Batch)
       return Reply(std::move(Batch).as_failure());
     return Strand_.post([Self = shared_from_this(), Reply,
+                         ReceivedAt = Time_.now(),
                          Batch = std::move(Batch.value())]() mutable {
-      Self->Router_.take(std::move(Batch), Reply);
+      Self->Router_.take(std::move(Batch), ReceivedAt, Reply);
     });
   }
   if (Kind == wire::MessageKind::FlushRequest) {
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -42,6 +42,8 @@
      "Tasks to be isolated as servers crashed under them", ""},
     {"tulipweir_jobs_given_up_total",
      "Jobs that failed as a task crashed its servers", ""},
+    {"tulipweir_reports_expired_total",
+     "Heartbeats not handled as they waited too long for the leader", ""},
     {"tulipweir_leadership_handed_over_total",
      "Leadership given to a faster VM", ""},
 }};
--- a/src/jobservice/RelayFlush.cpp
+++ b/src/jobservice/RelayFlush.cpp
@@ -21,15 +21,21 @@
 
 void RelayFlush::flush(const std::string &ServerId,
                        std::function<void()> Done) {
-  findHeard({ServerId}, [Done = std::move(Done)](const Heard &) { Done(); });
+  begin({{ServerId},
+         false,
+         0,
+         {},
+         [Done = std::move(Done)](const Heard &) { Done(); },
+         Time_.now()});
 }
 
 void RelayFlush::findHeard(const std::vector<std::string> &ServerIds,
                            std::function<void(Heard)> Done) {
-  const auto Fresh = std::make_shared<Round>();
-  Fresh->Servers_ = ServerIds;
-  Fresh->Done_ = std::move(Done);
-  Fresh->Begin_ = Time_.now();
+  begin({ServerIds, true, 0, {}, std::move(Done), Time_.now()});
+}
+
+void RelayFlush::begin(Round Asked) {
+  const auto Fresh = std::make_shared<Round>(std::move(Asked));
   std::vector<std::uint64_t> Ids;
   for (const replication::Member &Each : FindStatus_().Members_) {
     if (Each.Id_.Name_ == Self_)
@@ -48,7 +54,7 @@
   PendingRequest &Own = Open_.at(Id);
   Own.HasFailed_ = false;
   Own.AskedAt_ = Time_.now();
-  Ask_(Own.Member_, {Self_, Id, Own.Round_->Servers_},
+  Ask_(Own.Member_, {Self_, Id, Own.Round_->Servers_, Own.Round_->OnlySilent_},
        [Weak = std::weak_ptr(Alive_), Id] {
          const std::shared_ptr<RelayFlush *> Self = Weak.lock();
          if (!Self)
--- a/src/jobservice/RelayFlush.h
+++ b/src/jobservice/RelayFlush.h
@@ -49,6 +49,7 @@
 private:
   struct Round {
     std::vector<std::string> Servers_;
+    bool OnlySilent_ = false;
     std::size_t Open_ = 0; ///< Members that have not answered.
     Heard Heard_;
     std::function<void(Heard)> Done_;
@@ -62,6 +63,7 @@
     TimePoint AskedAt_{};
   };
 
+  void begin(Round Fresh);
   void ask(std::uint64_t Id);
   void settle(std::uint64_t Id, const std::vector<std::string> &Servers);
 
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -51,7 +51,7 @@
 
 ReportRelay::ReportRelay(Executor &Strand, const Clock &Time, Send Sending)
     : Strand_(Strand), Time_(Time), Send_(std::move(Sending)),
-      Window_(FirstWindow) {}
+      Window_(FirstWindow), Limit_(MostWindow) {}
 
 std::string ReportRelay::pick(const std::vector<std::string> &Names,
                               const std::string &ServerId) {
@@ -107,27 +107,31 @@
     return IsLate;
   });
   for (Waiting &Each : Late) {
-    keepEnds(Each.Report_);
-    if (Each.Report_.IsDraining_) {
-      Each.Reply_(fail(ErrorCode::Unavailable, "the leader is behind"));
-      continue;
-    }
-    LastDeferral_ = Now;
-    jobs::ServerOrders Later;
-    Later.NextReportMs_ = DeferredReportMs;
-    Each.Reply_(std::move(Later));
+    const bool IsDraining = Each.Report_.IsDraining_;
+    if (!Each.Report_.Ended_.empty())
+      keepEnds(std::make_shared<jobs::ServerReport>(std::move(Each.Report_)));
+    defer(IsDraining, Each.Reply_);
   }
 }
 
+void ReportRelay::defer(bool IsDraining, const Done &Reply) {
+  if (IsDraining)
+    return Reply(fail(ErrorCode::Unavailable, "the leader is behind"));
+  LastDeferral_ = Time_.now();
+  jobs::ServerOrders Later;
+  Later.NextReportMs_ = DeferredReportMs;
+  Reply(std::move(Later));
+}
+
 /// A server that leaves now reports its ends to nobody else; their tasks would
 /// begin elsewhere once it is removed.
-void ReportRelay::keepEnds(jobs::ServerReport Report) {
-  const auto Found = Known_.find(Report.Facts_.Id_);
-  if (Found == Known_.end() || Report.Ended_.empty())
+void ReportRelay::keepEnds(const ReportPtr &Report) {
+  const auto Found = Known_.find(Report->Facts_.Id_);
+  if (Found == Known_.end())
     return;
-  std::optional<jobs::ServerReport> &Kept = Found->second.Undelivered_;
-  if (!Kept || Kept->Sequence_ < Report.Sequence_)
-    Kept = std::move(Report);
+  ReportPtr &Kept = Found->second.Undelivered_;
+  if (!Kept || Kept->Sequence_ < Report->Sequence_)
+    Kept = Report;
 }
 
 /// A server lists each end until it is noted, so a later report has them all.
@@ -135,7 +139,7 @@
   const auto Found = Known_.find(Delivered.Server_);
   if (Found == Known_.end())
     return;
-  std::optional<jobs::ServerReport> &Kept = Found->second.Undelivered_;
+  ReportPtr &Kept = Found->second.Undelivered_;
   if (Kept && Kept->Sequence_ <= Delivered.Sequence_)
     Kept.reset();
 }
@@ -153,14 +157,17 @@
 /// Returns what fits in the window, and a few urgent reports beyond it, as
 /// relays have similar windows but different numbers of servers.
 std::size_t ReportRelay::countToSend() const {
-  const std::size_t Room = Window_ > InFlight_ ? Window_ - InFlight_ : 0;
+  const auto Left = [this](std::size_t Most) {
+    return Most > InFlight_ ? Most - InFlight_ : 0;
+  };
+  const std::size_t Room = Left(std::min(Window_, Limit_));
   std::size_t Count = std::min({Queue_.size(), Room, MostReports});
   if (Count == MostReports)
     return Count;
   const TimePoint UrgentFrom = Time_.now() - UrgentAfter;
   auto Next = std::next(Queue_.begin(), static_cast<std::ptrdiff_t>(Count));
   while (Next != Queue_.end() && Next->first <= UrgentFrom &&
-         InFlight_ + Count < Window_ + UrgentRoom) {
+         Count < Left(std::min(Window_ + UrgentRoom, Limit_))) {
     ++Next;
     ++Count;
   }
@@ -177,6 +184,11 @@
     Batch Sent;
     for (std::size_t I = 0; I < Count; ++I)
       move(std::move(Queue_.extract(Queue_.begin()).mapped()), Reports, Sent);
+    // The leader may reject the batch unhandled; a flush that arrives behind it
+    // brings the ends again.
+    for (const Batch::Asked &Each : Sent.Asked_)
+      if (Each.Ends_)
+        keepEnds(Each.Ends_);
     send(std::move(Reports), std::move(Sent));
   }
   flushSoon();
@@ -184,15 +196,20 @@
 
 void ReportRelay::move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent) {
   Sent.Asked_.push_back({From.Report_.Facts_.Id_, std::move(From.Reply_),
-                         From.Since_, From.Report_.Sequence_, std::nullopt});
+                         From.Since_, From.Report_.Sequence_,
+                         From.Report_.IsDraining_, nullptr});
   if (!From.Report_.Ended_.empty())
-    Sent.Asked_.back().Ends_ = From.Report_;
+    Sent.Asked_.back().Ends_ =
+        std::make_shared<jobs::ServerReport>(From.Report_);
   Reports.Reports_.push_back(std::move(From.Report_));
 }
 
 void ReportRelay::send(jobs::ReportBatch Reports, Batch Sent) {
   Sent.Since_ = Time_.now();
   Reports.HasDeferred_ = Sent.Since_ - LastDeferral_ <= DeferredFor;
+  Reports.TimeoutMs_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(AnswerTimeout)
+          .count());
   InFlight_ += Sent.Asked_.size();
   Send_(std::move(Reports), AnswerTimeout,
         [Weak = weak_from_this(), Sent = std::move(Sent)](
@@ -203,23 +220,36 @@
 }
 
 void ReportRelay::flushServers(const jobs::FlushRequest &Asked) {
-  const std::unordered_set<std::string> Servers(Asked.Servers_.begin(),
-                                                Asked.Servers_.end());
+  std::unordered_set<std::string> Servers;
   const TimePoint Now = Time_.now();
   jobs::ReportBatch Reports;
   Batch Sent;
   Reports.FlushId_ = Asked.Id_;
+  // After a slow spell the leader asks for many servers at once.
+  std::size_t Room =
+      Asked.OnlySilent_ ? std::min(Window_, Limit_) : Asked.Servers_.size();
   for (const std::string &Id : Asked.Servers_) {
     const auto Found = Known_.find(Id);
     if (Found == Known_.end())
       continue;
-    if (Now - Found->second.Heard_ <= HeardLately)
+    const bool IsHeard = Now - Found->second.Heard_ <= HeardLately;
+    if (IsHeard)
+      Reports.Heard_.push_back(Id);
+    if (IsHeard && Asked.OnlySilent_)
+      continue;
+    Servers.insert(Id);
+    if (!Found->second.Undelivered_)
+      continue;
+    if (Room == 0) {
+      // The leader keeps it and asks again.
       Reports.Heard_.push_back(Id);
-    auto Kept = std::exchange(Found->second.Undelivered_, std::nullopt);
-    if (!Kept)
       continue;
-    // The server was told to come again and waits for no answer.
-    move({std::move(*Kept), [](const auto &) {}, Now}, Reports, Sent);
+    }
+    --Room;
+    // The server waits for no answer to it.
+    move({*std::exchange(Found->second.Undelivered_, nullptr),
+          [](const auto &) {}, Now},
+         Reports, Sent);
     ++Reports.LateReports_;
   }
   for (auto At = Queue_.begin(); At != Queue_.end();) {
@@ -245,14 +275,42 @@
         MostWindow);
 }
 
+/// Halves the limit once for all batches that were on the way together, as the
+/// later ones say nothing of the limit since.
+void ReportRelay::noteWasted(const Batch &Sent) {
+  if (Sent.Since_ < LimitCutAt_)
+    return;
+  LimitCutAt_ = Time_.now();
+  Limit_ = std::max<std::size_t>((InFlight_ + Sent.Asked_.size()) / 2, 1);
+}
+
+/// Raises the limit by one for each limit's worth of answers, and faster while
+/// they are quick.
+void ReportRelay::raiseLimit(std::size_t Answered, bool IsQuick) {
+  LimitCredit_ += Answered;
+  if (!IsQuick && LimitCredit_ < Limit_)
+    return;
+  LimitCredit_ = 0;
+  Limit_ = std::min(
+      Limit_ + (IsQuick ? std::max<std::size_t>(Limit_ / WindowParts, 1) : 1),
+      MostWindow);
+}
+
 void ReportRelay::onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer) {
   InFlight_ -= Sent.Asked_.size();
-  adapt(Time_.now() - Sent.Since_,
-        Answer ? std::chrono::milliseconds(Answer.value().HandledMs_)
-               : Duration(0));
   const bool IsWhole =
       Answer && Answer.value().Answers_.size() == Sent.Asked_.size();
-  if (IsWhole)
+  const bool IsExpired =
+      IsWhole && !Sent.Asked_.empty() &&
+      Answer.value().Answers_[0].Verdict_ == jobs::ReportVerdict::Expired;
+  const Duration Took = Time_.now() - Sent.Since_;
+  if (IsExpired || (!Answer && Took >= HopelessAnswer))
+    noteWasted(Sent);
+  else
+    raiseLimit(Sent.Asked_.size(), Took <= QuickAnswer);
+  adapt(Took, Answer ? std::chrono::milliseconds(Answer.value().HandledMs_)
+                     : Duration(0));
+  if (IsWhole && !IsExpired)
     Relays_ = std::move(Answer.value().Relays_);
   for (std::size_t I = 0; I < Sent.Asked_.size(); ++I) {
     Batch::Asked &Own = Sent.Asked_[I];
@@ -260,13 +318,17 @@
     if (Said && Said->Verdict_ == jobs::ReportVerdict::Answered)
       noteDelivered(Own);
     else if (Own.Ends_)
-      keepEnds(std::move(*Own.Ends_));
+      keepEnds(Own.Ends_);
     if (!Said) {
       Own.Reply_(Answer
                      ? fail(ErrorCode::Unavailable, "the answers are not whole")
                      : Outcome<jobs::ServerOrders>(Answer.error()));
       continue;
     }
+    if (Said->Verdict_ == jobs::ReportVerdict::Expired) {
+      defer(Own.IsDraining_, Own.Reply_);
+      continue;
+    }
     // The server counts its lease from before the report left here.
     if (Said->Orders_.LeaseMs_ > 0)
       noteExtended(Own);
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -17,7 +17,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <unordered_map>
 
 namespace tulipweir::jobservice {
@@ -62,6 +61,8 @@
     TimePoint Since_;
   };
 
+  using ReportPtr = std::shared_ptr<const jobs::ServerReport>;
+
   /// A batch on its way.
   struct Batch {
     struct Asked {
@@ -69,7 +70,8 @@
       Done Reply_;
       TimePoint Since_; ///< When its report came here.
       std::uint64_t Sequence_ = 0;
-      std::optional<jobs::ServerReport> Ends_; ///< The report, if it has ends.
+      bool IsDraining_ = false;
+      ReportPtr Ends_; ///< The report, if it has ends.
     };
     std::vector<Asked> Asked_;
     TimePoint Since_;
@@ -80,7 +82,7 @@
     TimePoint Extended_; ///< When its lease was last extended through here.
     TimePoint Heard_;
     /// Its last report with ends that the leader has not answered.
-    std::optional<jobs::ServerReport> Undelivered_;
+    ReportPtr Undelivered_;
   };
 
   void noteExtended(const Batch::Asked &Answered);
@@ -90,12 +92,15 @@
   void send(jobs::ReportBatch Reports, Batch Sent);
   static void move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent);
   void deferLate();
-  void keepEnds(jobs::ServerReport Report);
+  void defer(bool IsDraining, const Done &Reply);
+  void keepEnds(const ReportPtr &Report);
   void noteDelivered(const Batch::Asked &Delivered);
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
   /// Handled: the leader's processing time of the batch.
   void adapt(Duration Took, Duration Handled);
+  void noteWasted(const Batch &Sent);
+  void raiseLimit(std::size_t Answered, bool IsQuick);
 
   Executor &Strand_;
   const Clock &Time_;
@@ -103,8 +108,13 @@
   /// By the time of the server's last lease extension through this relay.
   std::multimap<TimePoint, Waiting> Queue_;
   std::size_t InFlight_ = 0; ///< Reports that have no answer yet.
-  std::size_t Window_;       ///< Most of these.
-  bool IsFlushing_ = false;  ///< A flush is posted.
+  std::size_t Window_;       ///< Most of these while answers are slow.
+  /// Most of these, urgent ones included, so that the leader handles them in
+  /// time. No floor but one, as a report may cost the leader any time.
+  std::size_t Limit_;
+  TimePoint LimitCutAt_{};
+  std::size_t LimitCredit_ = 0; ///< Reports answered since it was changed.
+  bool IsFlushing_ = false;     ///< A flush is posted.
   std::unordered_map<std::string, Known> Known_; ///< By server.
   TimePoint LastDeferral_{};
   TimePoint NextForgetting_{}; ///< When idle servers are next removed.
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -15,7 +15,7 @@
 
 ReportRouter::ReportRouter(std::string Self, Executor &Strand,
                            const Clock &Time, MemberLinks &Links,
-                           GetLife FindLife)
+                           jobs::JobMeter &Meter, GetLife FindLife)
     : Self_(std::move(Self)), Strand_(Strand), Time_(Time), Links_(Links),
       FindLife_(std::move(FindLife)),
       Relay_(std::make_shared<ReportRelay>(
@@ -24,6 +24,10 @@
                  ReportRelay::BatchDone Reply) {
             send(std::move(Batch), Timeout, std::move(Reply));
           })),
+      Inbox_(Strand, Time, Meter,
+             [this](jobs::ReportBatch Batch, const ReportInbox::Reply &Reply) {
+               handle(std::move(Batch), Reply);
+             }),
       Flush_(
           Self_, Time,
           [this] {
@@ -118,10 +122,23 @@
   Relay_->flushServers(Asked);
 }
 
-void ReportRouter::take(jobs::ReportBatch Batch, const net::LinkReply &Reply) {
+void ReportRouter::take(jobs::ReportBatch Batch, TimePoint ReceivedAt,
+                        const net::LinkReply &Reply) {
+  if (!FindLife_())
+    return Reply(fail(ErrorCode::NotLeader, ""));
+  Policy_.recordProbe(Batch.From_, std::chrono::nanoseconds(Batch.WorkTimeNs_));
+  Inbox_.add(std::move(Batch), ReceivedAt,
+             [Reply](const jobs::ReportBatchReply &Answers) {
+               Reply(jobs::encodeReportReply(Answers));
+             });
+}
+
+void ReportRouter::handle(jobs::ReportBatch Batch,
+                          const ReportInbox::Reply &Reply) {
   const std::shared_ptr<ControlLife> Current = FindLife_();
+  // Replies without an answer for each report; the relay takes it as failed.
   if (!Current)
-    return Reply(fail(ErrorCode::NotLeader, ""));
+    return Reply({});
   const auto Gather = std::make_shared<ReportGather>(
       Batch.Reports_.size(), Time_.now(),
       [this, Current, Reply,
@@ -129,11 +146,9 @@
         const auto Handled =
             std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
                                                                   Begin);
-        Reply(jobs::encodeReportReply(
-            {std::move(Answers), Current->Group_->getStatus().Heard_,
-             static_cast<std::uint64_t>(Handled.count())}));
+        Reply({std::move(Answers), Current->Group_->getStatus().Heard_,
+               static_cast<std::uint64_t>(Handled.count())});
       });
-  Policy_.recordProbe(Batch.From_, std::chrono::nanoseconds(Batch.WorkTimeNs_));
   if (Batch.HasDeferred_)
     Current->Leader_->noteBehind();
   for (std::size_t I = 0; I < Batch.Reports_.size(); ++I) {
--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -16,6 +16,7 @@
 #include "jobservice/ProcessorProbe.h"
 #include "jobservice/RelayFlush.h"
 #include "jobservice/ReportGather.h"
+#include "jobservice/ReportInbox.h"
 #include "jobservice/ReportRelay.h"
 #include "tulipweir/jobservice/MemberLinks.h"
 
@@ -36,7 +37,7 @@
   /// Self is this member's name; FindLife finds nothing while its disk fails.
   /// References must outlive it.
   ReportRouter(std::string Self, Executor &Strand, const Clock &Time,
-               MemberLinks &Links, GetLife FindLife);
+               MemberLinks &Links, jobs::JobMeter &Meter, GetLife FindLife);
 
   // Commands.
 
@@ -44,9 +45,10 @@
   void keepAlive(std::weak_ptr<void> Owner) { Owner_ = std::move(Owner); }
   /// A server's report: decided here by the leader, or relayed to it.
   void report(jobs::ServerReport Report, Done Reply);
-  /// Reports that another control passes on. A member that does not lead says
-  /// so of each.
-  void take(jobs::ReportBatch Batch, const net::LinkReply &Reply);
+  /// Reports that another control passes on, as received from the network at
+  /// ReceivedAt. A member that does not lead says so of each.
+  void take(jobs::ReportBatch Batch, TimePoint ReceivedAt,
+            const net::LinkReply &Reply);
   /// The leader asks for what is kept here.
   void flushServers(const jobs::FlushRequest &Asked);
   /// Answers batches that have waited long enough; now and then.
@@ -72,6 +74,7 @@
            std::function<void()> Failed);
   void send(jobs::ReportBatch Batch, Duration Timeout,
             ReportRelay::BatchDone Reply);
+  void handle(jobs::ReportBatch Batch, const ReportInbox::Reply &Reply);
   bool isTimeToMove(const std::string &ServerId) const;
 
   const std::string Self_;
@@ -81,6 +84,7 @@
   const GetLife FindLife_;
   std::weak_ptr<void> Owner_;
   std::shared_ptr<ReportRelay> Relay_;
+  ReportInbox Inbox_;
   RelayFlush Flush_;
   ProcessorProbe Probe_;
   LeadershipTransferPolicy Policy_;
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -1,5 +1,7 @@
 #include "jobservice/StarvedFleet.h"
 
+#include <numeric>
+
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 using namespace tulipweir::jobservice;
@@ -12,6 +14,8 @@
 static constexpr Duration JobInterval = 60ms;
 static constexpr Duration FaultInterval = 700ms;
 static constexpr int TasksOfAJob = 8;
+/// A fifth of a report's cost is its reading, also where it is not handled.
+static constexpr int ReadingParts = 5;
 
 static std::string nameRelay(int Number) {
   return "relay" + std::to_string(Number);
@@ -38,15 +42,16 @@
                 Relays_[static_cast<std::size_t>(I)]->flushServers(Request);
           }),
       Leader_(Settings_, Time_, Strand_, Group_, Machine_, Advisor_, Provider_,
-              Flush_, Log_, Meter_) {
+              Flush_, Log_, Meter_),
+      Inbox_(Work_, Time_, Meter_,
+             [this](ReportBatch Batch, ReportInbox::Reply Reply) {
+               InHand_ = InHand{std::move(Batch), std::move(Reply)};
+             }) {
   for (int I = 0; I < Relays; ++I)
     Relays_.push_back(std::make_shared<ReportRelay>(
         Strand_, Time_,
         [this](ReportBatch Batch, Duration, ReportRelay::BatchDone Done) {
-          Queue_.push_back(
-              {std::move(Batch),
-               std::make_shared<ReportRelay::BatchDone>(std::move(Done)),
-               Time_.now()});
+          receive(std::move(Batch), std::move(Done));
         }));
   Leader_.start();
   Strand_.advance(100ms);
@@ -59,8 +64,9 @@
     Servers_[I].Id_ = "i-" + std::to_string(I) + "-0";
     Servers_[I].Relay_ = static_cast<int>(I) % Relays;
     Servers_[I].NextReport_ = Time_.now() + 10ms * static_cast<int>(draw(50));
+    Servers_[I].AnsweredAt_ = Time_.now();
   }
-  FreeFrom_ = Time_.now();
+  Begin_ = FreeFrom_ = Time_.now();
   NextFault_ = Time_.now() + 3s;
 }
 
@@ -70,6 +76,14 @@
     step();
 }
 
+std::size_t StarvedFleet::countStarts(Duration From, Duration Until) const {
+  const auto At = [this](Duration Passed) {
+    return std::next(StartsBySecond_.begin(),
+                     static_cast<std::ptrdiff_t>(Passed / Duration(1s)));
+  };
+  return std::accumulate(At(From), At(Until), std::size_t{0});
+}
+
 void StarvedFleet::step() {
   Strand_.advance(Step);
   const TimePoint Now = Time_.now();
@@ -102,6 +116,7 @@
       report(I);
   }
   serve();
+  observe();
   if (Now < NextLook_)
     return;
   NextLook_ = Now + LookInterval;
@@ -112,39 +127,96 @@
   });
 }
 
-/// Hands the leader as many batches as its budget lets it take.
+Duration StarvedFleet::getReportCost() const {
+  const Duration Passed = Time_.now() - Begin_;
+  const bool IsSlow = Passed >= Day_.SlowFrom_ && Passed < Day_.SlowUntil_;
+  return IsSlow ? Day_.SlowReport_ : Day_.ForAReport_;
+}
+
+/// Judges what goes on at the moment.
+void StarvedFleet::observe() {
+  const TimePoint Now = Time_.now();
+  StartsBySecond_.resize(
+      static_cast<std::size_t>((Now - Begin_) / Duration(1s)) + 1);
+  for (const Server &Each : Servers_) {
+    if (Each.IsGone_)
+      continue;
+    LongestWithoutLease_ =
+        std::max(LongestWithoutLease_, Now - Each.AnsweredAt_);
+    for (const auto &[Task, Own] : Each.Running_) {
+      Stories_[Task].AtWork_ = Now;
+      const auto Cancelled = Cancelled_.find(Task.Job_);
+      if (Cancelled != Cancelled_.end())
+        LongestAfterCancel_ =
+            std::max(LongestAfterCancel_, Now - Cancelled->second);
+    }
+  }
+  for (const auto &[Task, Story] : Stories_)
+    if (Story.IsLasting_ && Cancelled_.count(Task.Job_) == 0)
+      LongestAway_ = std::max(LongestAway_, Now - Story.AtWork_);
+}
+
+void StarvedFleet::receive(ReportBatch Batch, ReportRelay::BatchDone Done) {
+  const TimePoint Now = Time_.now();
+  const auto Shared = std::make_shared<ReportRelay::BatchDone>(std::move(Done));
+  Calls_.push_back({Shared, Now});
+  FreeFrom_ =
+      std::max(FreeFrom_, Now) +
+      getReportCost() / ReadingParts * static_cast<int>(Batch.Reports_.size());
+  Inbox_.add(std::move(Batch), Now, [Shared](ReportBatchReply Reply) {
+    if (*Shared)
+      std::exchange(*Shared, nullptr)(std::move(Reply));
+  });
+}
+
+/// Late reports without ends that are news cost their reading alone.
+int StarvedFleet::countHandled(const ReportBatch &Batch) const {
+  return Machine_.read([&Batch](const JobBook &Book) {
+    int Count = static_cast<int>(Batch.Reports_.size() - Batch.LateReports_);
+    for (std::size_t I = 0; I < Batch.LateReports_; ++I) {
+      const std::vector<EndedTask> &Ends = Batch.Reports_[I].Ended_;
+      Count += std::any_of(Ends.begin(), Ends.end(), [&Book](const auto &Each) {
+        const TaskRecord *Task = Book.findTask(Each.End_.Task_);
+        return Task && Task->State_ != TaskState::Done;
+      });
+    }
+    return Count;
+  });
+}
+
+/// Lets the leader work for as long as its budget does.
 void StarvedFleet::serve() {
   const TimePoint Now = Time_.now();
-  for (Incoming &Each : Queue_)
+  for (const Call &Each : Calls_)
     if (*Each.Done_ && Now - Each.SentAt_ > CallTimeout)
       std::exchange(*Each.Done_, nullptr)(fail(ErrorCode::Timeout, "late"));
-  while (!Queue_.empty()) {
-    const TimePoint DoneAt =
-        std::max(FreeFrom_, Queue_.front().SentAt_) +
-        Day_.ForAReport_ *
-            static_cast<int>(Queue_.front().Batch_.Reports_.size());
-    if (DoneAt > Now)
+  std::erase_if(Calls_, [](const Call &Each) { return !*Each.Done_; });
+  while (FreeFrom_ <= Now) {
+    if (InHand_) {
+      handle(std::move(*std::exchange(InHand_, std::nullopt)));
+      continue;
+    }
+    if (Work_.isIdle())
       return;
-    FreeFrom_ = DoneAt;
-    Incoming Next = std::move(Queue_.front());
-    Queue_.pop_front();
-    handle(std::move(Next));
+    FreeFrom_ = std::max(FreeFrom_, Now - Step);
+    Work_.runNext();
+    if (InHand_)
+      FreeFrom_ += getReportCost() * (ReadingParts - 1) / ReadingParts *
+                   countHandled(InHand_->Batch_);
   }
 }
 
-void StarvedFleet::handle(Incoming Next) {
+void StarvedFleet::handle(InHand Next) {
   const auto Gather = std::make_shared<ReportGather>(
       Next.Batch_.Reports_.size(), Time_.now(),
-      [this, Done = Next.Done_,
+      [this, Reply = std::move(Next.Reply_),
        Begin = Time_.now()](std::vector<ReportAnswer> Answers) {
         const auto Handled =
             std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
                                                                   Begin);
-        if (*Done)
-          std::exchange(*Done, nullptr)(
-              ReportBatchReply{std::move(Answers),
-                               {},
-                               static_cast<std::uint64_t>(Handled.count())});
+        Reply({std::move(Answers),
+               {},
+               static_cast<std::uint64_t>(Handled.count())});
       });
   if (Next.Batch_.HasDeferred_)
     Leader_.noteBehind();
@@ -167,8 +239,10 @@
 void StarvedFleet::handIn() {
   const std::string Id = "job" + std::to_string(Jobs_.size());
   StepSpec Step = jobs::test::makeStep(TasksOfAJob, 1000);
-  if (draw(10) == 0)
-    Step.LongRunning_ = true;
+  const bool IsLasting =
+      draw(10) == 0 && (Day_.MostLasting_ == 0 || Lasting_ < Day_.MostLasting_);
+  Step.LongRunning_ = IsLasting;
+  Lasting_ += IsLasting ? 1 : 0;
   Jobs_.push_back(Id);
   Leader_.call({CallKind::Submit, jobs::test::Host,
                 std::string(jobs::test::Prefix) + Id,
@@ -228,6 +302,7 @@
               std::to_string(std::stoi(Own.Id_.substr(Dash + 1)) + 1);
   Fresh.Relay_ = static_cast<int>(draw(Relays));
   Fresh.NextReport_ = Time_.now();
+  Fresh.AnsweredAt_ = Time_.now();
   Own = std::move(Fresh);
 }
 
@@ -305,6 +380,7 @@
   if (Orders.LeaseMs_ == 0)
     return;
   Own.HasLease_ = true;
+  Own.AnsweredAt_ = Now;
   Own.LeaseEnd_ = std::max(
       Own.LeaseEnd_, Own.SentAt_ + std::chrono::milliseconds(Orders.LeaseMs_));
   for (const StopOrder &Each : Orders.Stops_) {
@@ -341,7 +417,10 @@
   Own.Running_[Start.Task_] = {
       Start.Run_, IsLasting ? TimePoint::max()
                             : Now + 10ms * static_cast<int>(20 + draw(180))};
+  Story.IsLasting_ = IsLasting;
+  Story.AtWork_ = Now;
   ++Started_;
+  ++StartsBySecond_.back();
 }
 
 /// An end that is noted now must not have been begun again before.
--- a/tests/jobservice/StarvedFleet.h
+++ b/tests/jobservice/StarvedFleet.h
@@ -14,6 +14,7 @@
 #include "jobs/LeaderFixture.h"
 #include "jobservice/RelayFlush.h"
 #include "jobservice/ReportGather.h"
+#include "jobservice/ReportInbox.h"
 #include "jobservice/ReportRelay.h"
 
 #include <random>
@@ -31,12 +32,40 @@
   Duration ForACommit_ = std::chrono::milliseconds(10);
   Duration Length_ = std::chrono::seconds(30);
   bool HasFaults_ = false; ///< Servers leave, fall silent and come anew.
+  /// A slow spell: a report takes SlowReport_ instead, from SlowFrom_ after the
+  /// beginning to SlowUntil_.
+  Duration SlowReport_{};
+  Duration SlowFrom_{};
+  Duration SlowUntil_{};
+  int MostLasting_ = 0; ///< Most jobs of lasting tasks; 0 for any number.
+};
+
+/// What the leader has to do, which waits until it has time.
+class LeaderExecutor final : public Executor {
+public:
+  void post(std::function<void()> Task) override {
+    Tasks_.push_back(std::move(Task));
+  }
+  void postAfter(Duration, std::function<void()>) override {
+    ADD_FAILURE() << "nothing is posted for later here";
+  }
+  bool isIdle() const { return Tasks_.empty(); }
+  void runNext() {
+    const std::function<void()> Next = std::move(Tasks_.front());
+    Tasks_.pop_front();
+    Next();
+  }
+
+private:
+  std::deque<std::function<void()>> Tasks_;
 };
 
 class StarvedFleet {
 public:
   explicit StarvedFleet(const FleetDay &Day);
   void run();
+  /// From after the beginning to before Until, both in whole seconds.
+  std::size_t countStarts(Duration From, Duration Until) const;
 
   // What was seen.
 
@@ -45,6 +74,16 @@
   std::size_t Started_ = 0;
   std::size_t Done_ = 0;
   std::size_t Left_ = 0; ///< Servers that left or fell silent.
+  /// Longest time that a server reported without an answer that extends its
+  /// lease.
+  Duration LongestWithoutLease_{};
+  /// Longest time that a run went on after its job's cancellation was
+  /// acknowledged.
+  Duration LongestAfterCancel_{};
+  /// Longest time that a lasting task was not at work after it once was.
+  Duration LongestAway_{};
+  /// Starts in each second.
+  std::vector<std::size_t> StartsBySecond_;
 
 private:
   static constexpr int Relays = 3;
@@ -73,21 +112,32 @@
     TimePoint SentAt_{};
     TimePoint NextReport_{};
     TimePoint LeaseEnd_{};
+    TimePoint AnsweredAt_{}; ///< Its last answer with a lease, or its begin.
   };
-  /// A batch on its way to the leader.
-  struct Incoming {
+  /// A batch that the leader has at hand.
+  struct InHand {
     jobs::ReportBatch Batch_;
+    ReportInbox::Reply Reply_;
+  };
+  /// A relay's call to the leader.
+  struct Call {
     std::shared_ptr<ReportRelay::BatchDone> Done_; ///< Empty once called.
     TimePoint SentAt_{};
   };
   struct TaskStory {
     std::uint64_t LastBegun_ = 0; ///< The highest run that began.
     bool IsDone_ = false;         ///< An end as done was noted.
+    bool IsLasting_ = false;
+    TimePoint AtWork_{}; ///< When a lasting one was last seen running.
   };
 
   void step();
   void serve();
-  void handle(Incoming Next);
+  void observe();
+  Duration getReportCost() const;
+  void receive(jobs::ReportBatch Batch, ReportRelay::BatchDone Done);
+  void handle(InHand Next);
+  int countHandled(const jobs::ReportBatch &Batch) const;
   void handIn();
   void cancelOne();
   void strike();
@@ -117,12 +167,17 @@
   std::vector<std::shared_ptr<ReportRelay>> Relays_;
   RelayFlush Flush_;
   jobs::JobLeader Leader_;
-  std::deque<Incoming> Queue_;
+  LeaderExecutor Work_;
+  ReportInbox Inbox_;
+  std::optional<InHand> InHand_;
+  std::deque<Call> Calls_;
   std::vector<std::shared_ptr<ReportGather>> Gathers_;
   std::vector<Server> Servers_;
   std::map<TaskKey, TaskStory> Stories_;
   std::map<std::string, TimePoint> Cancelled_; ///< Jobs, and when it was said.
   std::vector<std::string> Jobs_;
+  int Lasting_ = 0; ///< Jobs of lasting tasks.
+  TimePoint Begin_{};
   TimePoint FreeFrom_{};
   TimePoint NextCommit_{};
   TimePoint NextJob_{};
--- a/tests/jobservice/StarvedFleetTest.cpp
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -16,6 +16,7 @@
 
 using namespace tulipweir::jobservice::test;
 using namespace std::chrono_literals;
+using tulipweir::Duration;
 
 /// From a leader with time to spare to one that answers a server of 90 each two
 /// seconds; reports alone would take 300 a second.
@@ -65,3 +66,59 @@
   Fleet.run();
   EXPECT_THAT(Fleet.Broken_, testing::IsEmpty());
 }
+
+/// What a report costs a leader with time to spare.
+static constexpr Duration UsualCost = 5ms;
+
+static FleetDay makeDay(std::uint64_t Seed, Duration Cost, Duration Length) {
+  FleetDay Day;
+  Day.Seed_ = Seed;
+  Day.ForAReport_ = Cost;
+  Day.Length_ = Length;
+  Day.HasFaults_ = Seed % 2 == 0;
+  Day.MostLasting_ = 10;
+  return Day;
+}
+
+// Guards against a leader that works only on reports whose relays have given
+// them up: a quarter more work per report cost 97% of the starts.
+TEST(StarvedFleetTest, OutputFallsNoFasterThanTheLeadersSpeed) {
+  for (std::uint64_t Seed = 1; Seed <= 2; ++Seed) {
+    StarvedFleet Usual(makeDay(Seed, UsualCost, 60s));
+    Usual.run();
+    for (const std::size_t Slower : {2, 5, 6, 10, 20}) {
+      StarvedFleet Slow(
+          makeDay(Seed, UsualCost * static_cast<int>(Slower), 60s));
+      Slow.run();
+      EXPECT_GE(Slow.Started_ * Slower, Usual.Started_)
+          << "seed " << Seed << ", " << Slower << " times slower";
+      EXPECT_GE(Slow.Done_ * Slower, Usual.Done_)
+          << "seed " << Seed << ", " << Slower << " times slower";
+      EXPECT_THAT(Slow.Broken_, testing::IsEmpty());
+    }
+  }
+}
+
+// Guards against a fleet that stays down after a slow spell of its leader.
+TEST(StarvedFleetTest, OutputIsBackALeaseAfterASlowSpell) {
+  for (std::uint64_t Seed = 1; Seed <= 2; ++Seed) {
+    FleetDay Day = makeDay(Seed, UsualCost, 40s);
+    StarvedFleet Usual(Day);
+    Usual.run();
+    for (const int Slower : {2, 4, 6, 10, 20}) {
+      Day.SlowReport_ = UsualCost * Slower;
+      Day.SlowFrom_ = 15s;
+      Day.SlowUntil_ = 30s;
+      StarvedFleet Fleet(Day);
+      Fleet.run();
+      // The days' random draws differ by some percent.
+      EXPECT_GE(Fleet.countStarts(35s, 40s),
+                Usual.countStarts(35s, 40s) * 9 / 10)
+          << "seed " << Seed << ", " << Slower << " times slower";
+      EXPECT_GE(Fleet.countStarts(15s, 30s) * static_cast<std::size_t>(Slower),
+                Usual.countStarts(15s, 30s))
+          << "seed " << Seed << ", " << Slower << " times slower";
+      EXPECT_THAT(Fleet.Broken_, testing::IsEmpty());
+    }
+  }
+}
