Relays send the reports of servers that await a stop first

Cause: a stop travels in an answer, and relays serve by the oldest lease extension; a server that was answered just before the cancellation went last, and while the leader is behind that is a whole round later. Seen in StarvedFleet in the reports of one server: answered at 9.28 s, its job cancelled at 9.38 s, ten reports deferred, stopped at 13.14 s. Change: the leader lists servers with runs of ended jobs (PendingStops) in its replies to batches; relays count their leases as extended 4 s before the stop was due. An answer with the stop may be lost, so a server stays listed until a report shows that nothing is left to stop. tulipweir_run_stop_seconds tells how long they waited. Ruled out: a head start of 3 s, as urgent reports have (cancelled runs went on for up to 4.3 s at 40 ms a report); of 5 s (3 leases lost at 20 ms a report, none at 4 s). Conclusion: the bound cancel_ms + stopMs holds as long as each server can be answered once in that time.

--- a/include/tulipweir/jobs/JobLeader.h
+++ b/include/tulipweir/jobs/JobLeader.h
@@ -15,6 +15,7 @@
 #include "tulipweir/jobs/JobCall.h"
 #include "tulipweir/jobs/JobMachine.h"
 #include "tulipweir/jobs/JobMeter.h"
+#include "tulipweir/jobs/ReportBatch.h"
 #include "tulipweir/jobs/ReportRelays.h"
 #include "tulipweir/jobs/ServerReport.h"
 #include "tulipweir/jobs/VmProvider.h"
@@ -92,6 +93,8 @@
   /// NotFound for a wave that nobody has ordered.
   void showWave(std::uint64_t Wave, Done<WaveRecord> Reply);
   bool isLeading() const;
+  /// Servers that run tasks of ended jobs.
+  std::vector<ServerAwaitingStop> listAwaitingStop() const;
   /// With which its orders are fenced; nothing while it does not lead.
   std::optional<std::uint64_t> findFencingToken() const;
 
--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -19,6 +19,7 @@
   Acknowledge, ///< From a submission's arrival to its commit.
   FirstStart,  ///< From the acceptance to the first start.
   Finish,      ///< From the acceptance to the end.
+  Stop,        ///< From a job's end to the answer that stops its runs.
   Heartbeat,   ///< From a report's arrival to its answer.
 };
 
--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -64,6 +64,13 @@
   Outcome<ServerOrders> takeOutcome() &&;
 };
 
+/// A server with a run that a stop order waits for.
+struct ServerAwaitingStop {
+  std::string Server_;
+  std::uint64_t WaitedMs_ = 0; ///< Since the job's end.
+  bool operator==(const ServerAwaitingStop &) const = default;
+};
+
 struct ReportBatchReply {
   std::vector<ReportAnswer> Answers_; ///< One for each report, in order.
   /// The controls that take reports for the leader: all that it hears, but
@@ -73,6 +80,8 @@
   /// the time that the answers took it waited for the leader, or was on its
   /// way.
   std::uint64_t HandledMs_ = 0;
+  /// Servers whose reports are urgent, the longest waiting first.
+  std::vector<ServerAwaitingStop> AwaitingStop_ = {};
   bool operator==(const ReportBatchReply &) const = default;
 };
 
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -74,6 +74,7 @@
   Machine_.read([&](const JobBook &Book) {
     // An earlier leader's last answer left before this one was elected.
     Board_.reset(Book, Now, getLongestLease());
+    PendingStops_.reset(Book, Now);
     for (const auto &[Id, Job] : Book.jobs())
       if (isEnded(Job.State_))
         EndedSince_[Id] = Now;
@@ -244,6 +245,8 @@
               Live->IsRemoving_ = false;
             if (Result)
               Board_.remove(Id);
+            if (Result)
+              PendingStops_.forget(Id);
             if (Result && IsCrash)
               noteCrash(Id, LastHeard, Lost);
             if (Result)
@@ -393,6 +396,9 @@
 void JobLeader::evacuate(const EvacuateDataCentre &Order, Done<void> Reply) {
   Impl_->evacuate(Order, Reply);
 }
+std::vector<ServerAwaitingStop> JobLeader::listAwaitingStop() const {
+  return Impl_->listAwaitingStop();
+}
 bool JobLeader::isLeading() const { return Impl_->isLeading(); }
 std::optional<std::uint64_t> JobLeader::findFencingToken() const {
   return Impl_->findFencingToken();
--- a/src/jobs/JobLeaderCalls.cpp
+++ b/src/jobs/JobLeaderCalls.cpp
@@ -138,8 +138,10 @@
         JobCallReply Late;
         if (Applied.value().Verdict_ == Verdict::NotFound)
           Late.Outcome_ = CallOutcome::NoJob;
-        else if (EndedSince_.try_emplace(Id, Time_.now()).second)
+        else if (EndedSince_.try_emplace(Id, Time_.now()).second) {
           noteEnded(Id, Counted::JobsCancelled);
+          stopRunsOf(Id);
+        }
         Event Line;
         Line.Kind_ = EventKind::JobCancelled;
         Line.Job_ = Id;
--- a/src/jobs/JobLeaderCrashes.cpp
+++ b/src/jobs/JobLeaderCrashes.cpp
@@ -135,6 +135,7 @@
   });
   if (!isEnded(State) || !EndedSince_.try_emplace(Id, Time_.now()).second)
     return;
+  stopRunsOf(Id);
   Line.Outcome_ = State == JobState::Completed ? "completed"
                   : State == JobState::Failed  ? "failed"
                                                : "cancelled";
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -20,6 +20,7 @@
 #include "jobs/IncarnationConflicts.h"
 #include "jobs/PaceGuard.h"
 #include "jobs/PaceSetter.h"
+#include "jobs/PendingStops.h"
 #include "jobs/ServerBoard.h"
 #include "jobs/WaveKeeper.h"
 #include "replication/LeaderWatch.h"
@@ -65,6 +66,9 @@
   void showWave(std::uint64_t Wave, const Done<WaveRecord> &Reply) const;
   void evacuate(const EvacuateDataCentre &Order, const Done<void> &Reply);
   bool isLeading() const;
+  std::vector<ServerAwaitingStop> listAwaitingStop() const {
+    return PendingStops_.list(Time_.now());
+  }
   std::optional<std::uint64_t> findFencingToken() const {
     return isLeading() ? std::optional(Term_) : std::nullopt;
   }
@@ -123,6 +127,8 @@
   void noteProvedRuns();
   void noteFailed(const CommandResult &Result);
   void noteJobEnd(const std::string &Id);
+  /// Makes the reports of the servers with its runs urgent.
+  void stopRunsOf(const std::string &Job);
   void removeServer(const std::string &Id, Departure How, ResultCallback Done);
   void propose(const Command &Value, ResultCallback Done);
   /// Says who leads, as far as it is known.
@@ -199,6 +205,7 @@
   Dispatcher Dispatcher_{Effects_, Loads_, Paces_, Health_, Advice_};
   PaceSetter Setter_{Time_, Machine_, Log_, Effects_, Learner_, Paces_};
   IncarnationConflicts Conflicts_;
+  PendingStops PendingStops_;
   TimePoint NextProof_{};
   bool IsProving_ = false; ///< Proved runs are on their way to the log.
   bool IsAsking_ = false;  ///< A question to the advice service is open.
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -158,6 +158,14 @@
   return Missing;
 }
 
+void JobLeader::Impl::stopRunsOf(const std::string &Job) {
+  Machine_.read([&](const JobBook &Book) {
+    if (const JobRecord *Ended = Book.findJob(Job))
+      PendingStops_.add(*Ended, Time_.now());
+    return 0;
+  });
+}
+
 ServerOrders JobLeader::Impl::makeOrders(const ServerReport &Report,
                                          std::vector<TaskEnd> &NeverRan) {
   ServerOrders Orders;
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -349,6 +349,9 @@
   if (Group_.findLeaseTerm(Now) != Term_)
     return reply(Current, makeNotLeading());
   Board_.extendLease(Id, Now + getLongestLease());
+  if (const std::optional<Duration> Waited =
+          PendingStops_.noteAnswered(Id, !Orders.Stops_.empty(), Now))
+    Meter_.record(Timed::Stop, *Waited);
   Meter_.record(Timed::Heartbeat, Now - Current->ArrivedAt_);
   if (Now - Current->ArrivedAt_ > BehindAfter)
     noteBehind();
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -37,9 +37,13 @@
 static auto fields(ReportAnswer &X) {
   return std::tie(X.Verdict_, X.Orders_, X.Text_);
 }
+static auto fields(ServerAwaitingStop &X) {
+  return std::tie(X.Server_, X.WaitedMs_);
+}
 static auto fields(ReportBatchReply &X) {
-  return std::tie(X.Answers_, X.Relays_, X.HandledMs_);
+  return std::tie(X.Answers_, X.Relays_, X.HandledMs_, X.AwaitingStop_);
 }
+constexpr std::size_t optionalFields(const ReportBatchReply &) { return 1; }
 static constexpr std::uint8_t maxOf(ReportVerdict) {
   return static_cast<std::uint8_t>(ReportVerdict::Expired);
 }
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -54,6 +54,8 @@
         {"tulipweir_job_first_start_seconds",
          "From a job's acceptance to its first start"},
         {"tulipweir_job_finish_seconds", "From a job's acceptance to its end"},
+        {"tulipweir_run_stop_seconds",
+         "From a job's end to the first order to stop its runs on a server"},
         {"tulipweir_heartbeat_answer_seconds",
          "From a heartbeat's arrival to its answer"},
     }};
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -26,6 +26,9 @@
 /// A report is urgent at half of the usual lease of six seconds. An unknown
 /// server counts as urgent, as another relay may not have answered it.
 static constexpr Duration UrgentAfter = 3s;
+/// A server that awaits a stop goes before those whose leases were extended
+/// later than this before the stop became due; most of the usual lease.
+static constexpr Duration StopHeadStart = 4s;
 /// Urgent reports sent beyond the window.
 static constexpr std::size_t UrgentRoom = 8;
 /// Servers not heard for this time are forgotten; longer than any lease.
@@ -69,20 +72,61 @@
 void ReportRelay::add(jobs::ServerReport Report, Done Reply) {
   const TimePoint Now = Time_.now();
   Known &Own =
-      Known_.try_emplace(Report.Facts_.Id_, Known{Now - UrgentAfter, Now, {}})
+      Known_
+          .try_emplace(Report.Facts_.Id_,
+                       Known{Now - UrgentAfter, Now, TimePoint::max(), {}})
           .first->second;
   Own.Heard_ = Now;
-  Queue_.emplace(Own.Extended_,
+  Queue_.emplace(getTurn(Own),
                  Waiting{std::move(Report), std::move(Reply), Now});
   flushSoon();
 }
 
+/// Returns when the server's lease was last extended; of a server that awaits a
+/// stop, an earlier time.
+TimePoint ReportRelay::getTurn(const Known &Server) {
+  if (Server.StopSince_ == TimePoint::max())
+    return Server.Extended_;
+  return std::min(Server.Extended_, Server.StopSince_ - StopHeadStart);
+}
+
+/// Reports that wait already get their new turn.
+void ReportRelay::noteStops(
+    const std::vector<jobs::ServerAwaitingStop> &Servers) {
+  const TimePoint Now = Time_.now();
+  std::unordered_set<std::string> Changed;
+  for (const jobs::ServerAwaitingStop &Each : Servers) {
+    const auto Found = Known_.find(Each.Server_);
+    if (Found == Known_.end())
+      continue;
+    TimePoint &Since = Found->second.StopSince_;
+    const TimePoint Before = Since;
+    Since = std::min(Since, Now - std::chrono::milliseconds(Each.WaitedMs_));
+    if (Before == TimePoint::max())
+      Changed.insert(Each.Server_);
+  }
+  if (Changed.empty())
+    return;
+  std::vector<Waiting> Moved;
+  std::erase_if(Queue_, [&](auto &Each) {
+    const bool IsChanged = Changed.count(Each.second.Report_.Facts_.Id_) != 0;
+    if (IsChanged)
+      Moved.push_back(std::move(Each.second));
+    return IsChanged;
+  });
+  for (Waiting &Each : Moved)
+    Queue_.emplace(getTurn(Known_.at(Each.Report_.Facts_.Id_)),
+                   std::move(Each));
+}
+
 /// The lease counts from the report. An answer that the server drops as late
 /// extends nothing.
 void ReportRelay::noteExtended(const Batch::Asked &Answered) {
   const auto Found = Known_.find(Answered.Server_);
-  if (Found != Known_.end() && Time_.now() - Answered.Since_ <= LatestAnswer)
-    Found->second.Extended_ = Answered.Since_;
+  if (Found == Known_.end() || Time_.now() - Answered.Since_ > LatestAnswer)
+    return;
+  Found->second.Extended_ = Answered.Since_;
+  Found->second.StopSince_ = TimePoint::max();
 }
 
 void ReportRelay::flushSoon() {
@@ -334,5 +378,7 @@
       noteExtended(Own);
     Own.Reply_(std::move(*Said).takeOutcome());
   }
+  if (IsWhole)
+    noteStops(Answer.value().AwaitingStop_);
   flushSoon();
 }
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -81,10 +81,14 @@
   struct Known {
     TimePoint Extended_; ///< When its lease was last extended through here.
     TimePoint Heard_;
+    /// When a run on it was to be stopped; max if there is none.
+    TimePoint StopSince_ = TimePoint::max();
     /// Its last report with ends that the leader has not answered.
     ReportPtr Undelivered_;
   };
 
+  static TimePoint getTurn(const Known &Server);
+  void noteStops(const std::vector<jobs::ServerAwaitingStop> &Servers);
   void noteExtended(const Batch::Asked &Answered);
   void flushSoon();
   void flush();
@@ -105,7 +109,7 @@
   Executor &Strand_;
   const Clock &Time_;
   const Send Send_;
-  /// By the time of the server's last lease extension through this relay.
+  /// By the server's turn.
   std::multimap<TimePoint, Waiting> Queue_;
   std::size_t InFlight_ = 0; ///< Reports that have no answer yet.
   std::size_t Window_;       ///< Most of these while answers are slow.
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -147,7 +147,8 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
                                                                   Begin);
         Reply({std::move(Answers), Current->Group_->getStatus().Heard_,
-               static_cast<std::uint64_t>(Handled.count())});
+               static_cast<std::uint64_t>(Handled.count()),
+               Current->Leader_->listAwaitingStop()});
       });
   if (Batch.HasDeferred_)
     Current->Leader_->noteBehind();
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -338,3 +338,37 @@
   EXPECT_EQ(report(Last), ServerOrders{}) << "no lease for one that has left";
   EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
 }
+
+// Guards against stops that relays do not know of, and so serve last.
+TEST_F(JobLeaderTest, ServersWithRunsOfACancelledJobAreListedUntilTheyStop) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  const ServerOrders Orders = report(makeReport("s1"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  report(makeReport("s2"));
+  EXPECT_TRUE(Leader_.listAwaitingStop().empty());
+  call(CallKind::Cancel, "j");
+  Strand_.advance(1s);
+  ASSERT_EQ(Leader_.listAwaitingStop().size(), 1U);
+  EXPECT_EQ(Leader_.listAwaitingStop()[0], (ServerAwaitingStop{"s1", 1000}));
+  ServerReport Runs = makeReport("s1");
+  Runs.Running_ = {makeRunning(Orders.Starts_[0])};
+  EXPECT_EQ(report(Runs).Stops_.size(), 1U);
+  EXPECT_EQ(Leader_.listAwaitingStop().size(), 1U) << "the answer may be lost";
+  ServerReport Stopped = makeReport("s1");
+  Stopped.Ended_ = {makeEnded(1, Orders.Starts_[0], RunEnd::Stopped)};
+  report(Stopped);
+  EXPECT_TRUE(Leader_.listAwaitingStop().empty());
+}
+
+TEST_F(JobLeaderTest, ANewLeaderKnowsTheStopsThatAreDue) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  call(CallKind::Cancel, "j");
+  Group_.IsLeader_ = false;
+  Strand_.advance(200ms);
+  Group_.IsLeader_ = true;
+  ++Group_.Term_;
+  Strand_.advance(200ms);
+  ASSERT_EQ(Leader_.listAwaitingStop().size(), 1U);
+  EXPECT_EQ(Leader_.listAwaitingStop()[0].Server_, "s1");
+}
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -178,6 +178,7 @@
   EXPECT_FALSE(decodeFlushRequest("no sweep"));
   ReportBatchReply Reply;
   Reply.Relays_ = {"x"};
+  Reply.AwaitingStop_ = {{"a", 1200}};
   ServerOrders Orders{1, 2, 3, 4, {}, {}, {}, ""};
   Orders.Starts_ = {{{"j", 0, 0, 1}, 2, "payload", "saved", "ticket"}};
   Orders.Stops_ = {{{"j", 0, 0, 2}, 3}};
@@ -431,3 +432,54 @@
   EXPECT_EQ(Sent_.back().Batch_.Heard_,
             (std::vector<std::string>{"i-1", "i-2"}));
 }
+
+// Guards against a cancelled run that goes on until its server's lease is the
+// oldest.
+TEST_F(ReportRelayTest, AServerThatAwaitsAStopGoesBeforeOlderLeases) {
+  const auto Extend = [this](std::vector<ServerAwaitingStop> Stops) {
+    Sent Oldest = std::move(Sent_.front());
+    Sent_.pop_front();
+    ServerOrders Orders;
+    Orders.LeaseMs_ = 6000;
+    ReportBatchReply Reply;
+    Reply.Answers_.resize(Oldest.Batch_.Reports_.size(),
+                          {ReportVerdict::Answered, Orders, ""});
+    Reply.AwaitingStop_ = std::move(Stops);
+    Oldest.Done_(std::move(Reply));
+  };
+  add("older");
+  Strand_.advance(20ms);
+  Extend({});
+  Strand_.advance(1s);
+  add("stops");
+  Strand_.advance(20ms);
+  Extend({{"stops", 0}});
+  fillWindow();
+  add("older");
+  add("stops");
+  while (Sent_.size() > 1)
+    answer();
+  Extend({});
+  Strand_.advance(20ms);
+  ASSERT_FALSE(Sent_.empty());
+  EXPECT_EQ(Sent_.back().Batch_.Reports_.at(0).Facts_.Id_, "stops");
+}
+
+// The relay may be told of a stop while the server's report waits already.
+TEST_F(ReportRelayTest, AReportThatWaitsIsMovedUpForAStop) {
+  fillWindow();
+  add("waits");
+  add("stops");
+  while (Sent_.size() > 1)
+    answer();
+  ReportBatchReply Reply;
+  Reply.Answers_.resize(Sent_.front().Batch_.Reports_.size(),
+                        {ReportVerdict::Answered, {}, ""});
+  Reply.AwaitingStop_ = {{"stops", 500}};
+  Sent Last = std::move(Sent_.front());
+  Sent_.pop_front();
+  Last.Done_(std::move(Reply));
+  Strand_.advance(20ms);
+  ASSERT_FALSE(Sent_.empty());
+  EXPECT_EQ(Sent_.back().Batch_.Reports_.at(0).Facts_.Id_, "stops");
+}
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -216,7 +216,8 @@
                                                                   Begin);
         Reply({std::move(Answers),
                {},
-               static_cast<std::uint64_t>(Handled.count())});
+               static_cast<std::uint64_t>(Handled.count()),
+               Leader_.listAwaitingStop()});
       });
   if (Next.Batch_.HasDeferred_)
     Leader_.noteBehind();
--- a/tests/jobservice/StarvedFleetTest.cpp
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -122,3 +122,17 @@
     }
   }
 }
+
+// Guards against a stop that waits until its server's lease is the oldest: a
+// cancelled run is over within cancel_ms and stopMs as long as each server can
+// be answered once in that time.
+TEST(StarvedFleetTest, NoCancelledRunGoesOnBeyondItsTime) {
+  static constexpr Duration CancelAndStop = 3900ms;
+  for (std::uint64_t Seed = 5; Seed <= 8; ++Seed)
+    for (const Duration Cost : {5ms, 20ms, 35ms}) {
+      StarvedFleet Fleet(makeDay(Seed, Cost, 60s));
+      Fleet.run();
+      EXPECT_LE(Fleet.LongestAfterCancel_, CancelAndStop)
+          << "seed " << Seed << ", " << Cost.count() << " ns a report";
+    }
+}
