A lost server is given up within its lease, whatever its relays do

In the reports of one server: its last report was sent at 14.08 s and answered at 14.48 s, from where the leader counted the lease, though the server counts from the sending; at 20.66 s the relays were asked, a second later again as the leader was behind, and at 22.20 s it was removed, 8.1 s after its last word. Read in the code: one relay that does not answer holds up all servers of a round for 6 s, twice while behind. Change: reports carry how long they have waited at our processes (WaitedMs_), and the leader counts the lease from the sending at the latest; while behind it asks the relays a second before the lease expires, so that the second answer comes when it does; a round for lapsed servers is over after 1.5 s, as nothing runs on a server without a lease and a relay can only add ends that no longer count. Ruled out: one question while behind (a relay may not have read the report yet, JobLeaderTest.ALeaderThatIsBehind... red); a shorter RelayFlush round, which a server that leaves within its lease needs.

--- a/include/tulipweir/jobs/ServerReport.h
+++ b/include/tulipweir/jobs/ServerReport.h
@@ -40,6 +40,9 @@
   std::uint64_t Sequence_ = 0;    ///< Rises; a lower one came late.
   std::vector<RunningTask> Running_;
   std::vector<EndedTask> Ended_;
+  /// How long it has waited at our processes since the server sent it, at
+  /// least; the server's lease counts from the sending.
+  std::uint64_t WaitedMs_ = 0;
   bool operator==(const ServerReport &) const = default;
 };
 
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -82,6 +82,7 @@
     ServerReport Report_;
     Done<ServerOrders> Reply_;
     TimePoint ArrivedAt_;
+    TimePoint SentBy_;     ///< The server sent it no later.
     bool IsNoted_ = false; ///< Its server is stored, and it is the newest.
     bool IsHeld_ = false;  ///< Something that came of it is to be committed.
     bool IsAnswered_ = false;
@@ -89,6 +90,13 @@
     std::uint64_t FirstOpenEnd_ = NoOpenEnd;
   };
   using HandlingPtr = std::shared_ptr<Handling>;
+  /// Whether the relays are asked for a server.
+  struct LapseCheck {
+    std::uint64_t Round_ = 0;
+    bool IsOpen_ = false; ///< Their answer has not come.
+    TimePoint AskedAt_{};
+    TimePoint NextAsk_{}; ///< Once that is over.
+  };
   /// A run that is placed on a server that is gone.
   struct LostRun {
     TaskKey Task_;
@@ -105,8 +113,8 @@
   void keepLoads();
   void explainWaits();
   void removeLapsed();
-  void removeUnheard(const std::vector<std::string> &Lapsed,
-                     const ReportRelays::Heard &Heard);
+  void endOverdueRounds();
+  void endLapseCheck(const std::string &Id, std::uint64_t Round, bool IsHeard);
   void openDue();
   void startGang();
   void forgetEnded();
@@ -221,9 +229,10 @@
   bool IsOrdering_ = false; ///< and an order to it.
   /// Reports that wait for commits, the oldest first.
   std::deque<HandlingPtr> Open_;
-  /// Servers whose lease ran out, and when the other members, which are asked
-  /// for them, may be asked again.
-  std::map<std::string, TimePoint> Lapsed_;
+  /// Servers whose lease expires, while the relays are asked for them and until
+  /// they may be asked again.
+  std::map<std::string, LapseCheck> Lapsed_;
+  std::uint64_t LastLapseRound_ = 0;
   TimePoint NextLapseRound_{}; ///< When they may be asked while behind.
   /// Servers that no relay had heard when asked while the leader was behind.
   std::set<std::string> Unheard_;
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -63,6 +63,8 @@
   Current->Report_ = std::move(Report);
   Current->Reply_ = std::move(Reply);
   Current->ArrivedAt_ = Time_.now();
+  Current->SentBy_ = Current->ArrivedAt_ -
+                     std::chrono::milliseconds(Current->Report_.WaitedMs_);
   admit(Current);
 }
 
@@ -348,7 +350,7 @@
   const TimePoint Now = Time_.now();
   if (Group_.findLeaseTerm(Now) != Term_)
     return reply(Current, makeNotLeading());
-  Board_.extendLease(Id, Now + getLongestLease());
+  Board_.extendLease(Id, Current->SentBy_ + getLongestLease());
   if (const std::optional<Duration> Waited =
           PendingStops_.noteAnswered(Id, !Orders.Stops_.empty(), Now))
     Meter_.record(Timed::Stop, *Waited);
--- a/src/jobservice/ReportInbox.cpp
+++ b/src/jobservice/ReportInbox.cpp
@@ -28,10 +28,8 @@
   });
 }
 
-bool ReportInbox::isExpired(const Entry &Waiting) const {
-  const std::chrono::milliseconds Most(Waiting.Batch_.TimeoutMs_ / WaitParts);
-  return Waiting.Batch_.TimeoutMs_ != 0 &&
-         Time_.now() - Waiting.ReceivedAt_ > Most;
+static bool isExpired(const jobs::ReportBatch &Batch, std::uint64_t WaitedMs) {
+  return Batch.TimeoutMs_ != 0 && WaitedMs > Batch.TimeoutMs_ / WaitParts;
 }
 
 static jobs::ReportBatchReply makeExpired(const jobs::ReportBatch &Batch) {
@@ -46,9 +44,15 @@
   Waiting_.pop_front();
   if (!Waiting_.empty())
     handleSoon();
-  if (!isExpired(Next))
-    return Handle_(std::move(Next.Batch_), std::move(Next.Answer_));
+  const auto WaitedMs = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
+                                                            Next.ReceivedAt_)
+          .count());
   jobs::ReportBatch &Batch = Next.Batch_;
+  for (jobs::ServerReport &Each : Batch.Reports_)
+    Each.WaitedMs_ += WaitedMs;
+  if (!isExpired(Batch, WaitedMs))
+    return Handle_(std::move(Batch), std::move(Next.Answer_));
   Meter_.add(jobs::Counted::ReportsExpired,
              Batch.Reports_.size() - Batch.LateReports_);
   if (Batch.FlushId_ == 0)
--- a/src/jobservice/ReportInbox.h
+++ b/src/jobservice/ReportInbox.h
@@ -44,7 +44,6 @@
 
   void handleSoon();
   void handleNext();
-  bool isExpired(const Entry &Waiting) const;
 
   Executor &Strand_;
   const Clock &Time_;
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -239,6 +239,10 @@
 }
 
 void ReportRelay::move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent) {
+  From.Report_.WaitedMs_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
+                                                            From.Since_)
+          .count());
   Sent.Asked_.push_back({From.Report_.Facts_.Id_, std::move(From.Reply_),
                          From.Since_, From.Report_.Sequence_,
                          From.Report_.IsDraining_, nullptr});
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -94,7 +94,7 @@
   void flush();
   std::size_t countToSend() const;
   void send(jobs::ReportBatch Reports, Batch Sent);
-  static void move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent);
+  void move(Waiting From, jobs::ReportBatch &Reports, Batch &Sent);
   void deferLate();
   void defer(bool IsDraining, const Done &Reply);
   void keepEnds(const ReportPtr &Report);
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -372,3 +372,46 @@
   ASSERT_EQ(Leader_.listAwaitingStop().size(), 1U);
   EXPECT_EQ(Leader_.listAwaitingStop()[0].Server_, "s1");
 }
+
+// Guards against a relay that does not answer and so holds up the tasks of all
+// lost servers.
+TEST_F(JobLeaderTest, ALostServerIsGivenUpAlsoIfARelayDoesNotAnswer) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  Relays_.AnswersByItself_ = false;
+  Strand_.advance(Settings_.Lease_ + 1s);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  Strand_.advance(1s);
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+  // The answer that comes at last finds nothing to decide.
+  Relays_.answer();
+  Strand_.advance(100ms);
+  EXPECT_EQ(Log_.count(EventKind::ServerGone), 1U);
+}
+
+// Guards against a second lease for a server whose last report waited long on
+// its way: its lease counts from the sending.
+TEST_F(JobLeaderTest, ALeaseCountsFromTheSendingOfTheReport) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ServerReport Waited = makeReport("s1");
+  ASSERT_EQ(report(Waited).Starts_.size(), 1U);
+  Strand_.advance(1s);
+  Waited = makeReport("s1");
+  Waited.WaitedMs_ = 900;
+  report(Waited);
+  Strand_.advance(Settings_.Lease_ - 500ms);
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+// A leader that is behind asks the relays early, so that the second answer is
+// there when the lease expires.
+TEST_F(JobLeaderTest, ALostServersTasksDoNotWaitForTheSecondAnswer) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  const Duration Until = Settings_.Lease_ * 103 / 100 + 500ms;
+  for (Duration At{}; At < Until; At += 50ms) {
+    Strand_.advance(50ms);
+    Leader_.noteBehind();
+  }
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
