A lasting task under two crashes waits 2 s for isolation, not 3 s

Cause: 6.2 s until a silent server is given up and 3 s of patience for isolation are more than 9 s without any other wait. Ruled out: counting the patience from the last word of the server: crashes that a new incarnation shows at once would then wait longer than they do now.

--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -13,7 +13,7 @@
 /// How long a lasting task waits for isolation, by the number of its crashes,
 /// as isolated runs follow one another on a full fleet. Without a bound from
 /// the third crash on.
-static constexpr std::array<Duration, 3> IsolationPatience = {0s, 1s, 3s};
+static constexpr std::array<Duration, 3> IsolationPatience = {0s, 1s, 2s};
 /// How long a task with several crashes waits for a stable server without
 /// lasting tasks, and then for any stable server.
 static constexpr Duration EmptyPatience = 1s;
--- a/tests/jobservice/StarvedFleetTest.cpp
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -136,3 +136,21 @@
           << "seed " << Seed << ", " << Cost.count() << " ns a report";
     }
 }
+
+// Guards against a lost server that is given up late: its lasting tasks have to
+// run again within 9 s of their last run, with a lease of 6 s.
+TEST(StarvedFleetTest, LastingTasksAreBackInTimeAfterTheirServersLoss) {
+  static constexpr Duration MostAway = 9s;
+  for (std::uint64_t Seed = 1; Seed <= 6; ++Seed)
+    for (const Duration Cost : {5ms, 15ms, 20ms, 25ms}) {
+      FleetDay Day = makeDay(Seed, Cost, 60s);
+      Day.HasFaults_ = true;
+      Day.Lease_ = 6s;
+      StarvedFleet Fleet(Day);
+      Fleet.run();
+      EXPECT_LE(Fleet.LongestAway_, MostAway)
+          << "seed " << Seed << ", " << Cost.count() << " ns a report";
+      EXPECT_GT(Fleet.LongestAway_, Day.Lease_ / 2);
+      EXPECT_THAT(Fleet.Broken_, testing::IsEmpty());
+    }
+}
