--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -16,11 +16,12 @@
 namespace tulipweir::jobs {
 
 enum class Timed : std::uint8_t {
-  Acknowledge, ///< From a submission's arrival to its commit.
-  FirstStart,  ///< From the acceptance to the first start.
-  Finish,      ///< From the acceptance to the end.
-  Stop,        ///< From a job's end to the answer that stops its runs.
-  Heartbeat,   ///< From a report's arrival to its answer.
+  Acknowledge,  ///< From a submission's arrival to its commit.
+  FirstStart,   ///< From the acceptance to the first start.
+  Finish,       ///< From the acceptance to the end.
+  Stop,         ///< From a job's end to the answer that stops its runs.
+  LeaseRenewal, ///< From one extension of a server's lease to the next.
+  Heartbeat,    ///< From a report's arrival to its answer.
 };
 
 enum class Counted : std::uint8_t {
@@ -41,7 +42,12 @@
   CrashesSuspected,     ///< Of servers, that some task may have caused.
   TasksSuspected,       ///< To be isolated after such a crash.
   JobsGivenUp,          ///< Since a task crashed its servers.
-  ReportsExpired,       ///< Not handled, as they waited too long here.
+  // Reports answered without a lease.
+  ReportsLate,      ///< A later report of the server was answered before.
+  ReportsOvertaken, ///< A later one came while this one was handled.
+  ReportsOfTakenAddresses,    ///< Another incarnation holds its address.
+  ReportsRelayedWithoutLease, ///< By a relay, for whatever reason.
+  ReportsExpired,             ///< Not handled, as they waited too long here.
   HandOvers, ///< Of leadership, as this VM was slow and another was not.
 };
 
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -131,6 +131,7 @@
   if (IsKnown)
     return noteEnds(Current);
   if (!Occupant.empty() && !takeOver(Occupant, Facts)) {
+    Meter_.add(Counted::ReportsOfTakenAddresses, 1);
     ServerOrders Later;
     Later.NextReportMs_ = ConflictReportMs;
     return reply(Current, std::move(Later));
@@ -214,8 +215,10 @@
     Line.Count_ = Report.RemainingMs_;
     Log_.write(Line);
   }
-  if (!Current->IsNoted_)
+  if (!Current->IsNoted_) {
+    Meter_.add(Counted::ReportsLate, 1);
     return reply(Current, ServerOrders{});
+  }
   Setter_.note(Report);
   EndTasks Command{Id, {}};
   Machine_.read([&](const JobBook &Book) {
@@ -328,8 +331,10 @@
                  fail(ErrorCode::Unavailable, "the server is being removed"));
   // The server has given this report up, as it sent a later one: it will not
   // see these orders.
-  if (Live->LastSequence_ != Report.Sequence_)
+  if (Live->LastSequence_ != Report.Sequence_) {
+    Meter_.add(Counted::ReportsOvertaken, 1);
     return reply(Current, ServerOrders{});
+  }
   std::vector<TaskEnd> NeverRan;
   ServerOrders Orders = makeOrders(Report, NeverRan);
   if (!NeverRan.empty())
@@ -350,7 +355,10 @@
   const TimePoint Now = Time_.now();
   if (Group_.findLeaseTerm(Now) != Term_)
     return reply(Current, makeNotLeading());
-  Board_.extendLease(Id, Current->SentBy_ + getLongestLease());
+  const TimePoint LeaseEnd = Current->SentBy_ + getLongestLease();
+  Meter_.record(Timed::LeaseRenewal,
+                std::max<Duration>(LeaseEnd - Live->LeaseEnd_, Duration(0)));
+  Board_.extendLease(Id, LeaseEnd);
   if (const std::optional<Duration> Waited =
           PendingStops_.noteAnswered(Id, !Orders.Stops_.empty(), Now))
     Meter_.record(Timed::Stop, *Waited);
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -17,7 +17,7 @@
                            const Clock &Time, MemberLinks &Links,
                            jobs::JobMeter &Meter, GetLife FindLife)
     : Self_(std::move(Self)), Strand_(Strand), Time_(Time), Links_(Links),
-      FindLife_(std::move(FindLife)),
+      Meter_(Meter), FindLife_(std::move(FindLife)),
       Relay_(std::make_shared<ReportRelay>(
           Strand, Time,
           [this](jobs::ReportBatch Batch, Duration Timeout,
@@ -64,6 +64,8 @@
   Current->Leader_->observe(Report);
   Relay_->add(std::move(Report), [this, Hold = Owner_.lock(), Id,
                                   Reply](Outcome<jobs::ServerOrders> Orders) {
+    if (Orders && Orders.value().LeaseMs_ == 0)
+      Meter_.add(jobs::Counted::ReportsRelayedWithoutLease, 1);
     if (Orders && isTimeToMove(Id))
       Orders.value().ReportTo_ = Relay_->pickFor(Id);
     Reply(std::move(Orders));
--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -81,6 +81,7 @@
   Executor &Strand_;
   const Clock &Time_;
   MemberLinks &Links_;
+  jobs::JobMeter &Meter_;
   const GetLife FindLife_;
   std::weak_ptr<void> Owner_;
   std::shared_ptr<ReportRelay> Relay_;
