The emulated fleet loses servers whose last report was deferred

Change: every second one leaves without another report; the interval of faults is a parameter; StarvedFleetTest.NoEndIsLostWithAServerThatLeaves plays 18 days with a fault each 100 ms.

--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -12,7 +12,6 @@
 static constexpr Duration CallTimeout = 800ms;
 static constexpr Duration LookInterval = 250ms;
 static constexpr Duration JobInterval = 60ms;
-static constexpr Duration FaultInterval = 700ms;
 static constexpr int TasksOfAJob = 8;
 /// A task with so many crashed servers may be given up.
 static constexpr std::size_t CrashesToGiveUp = 3;
@@ -107,7 +106,7 @@
       cancelOne();
   }
   if (Day_.HasFaults_ && Now >= NextFault_) {
-    NextFault_ = Now + FaultInterval;
+    NextFault_ = Now + Day_.FaultInterval_;
     strike();
   }
   for (std::size_t I = 0; I < Servers_.size(); ++I) {
@@ -317,8 +316,9 @@
     Own.IsGone_ = true;
     return;
   }
-  // Its last report is on its way, or kept, when its leaving arrives.
-  if (!Own.IsWaiting_)
+  // Its last report is on its way, or kept, when its leaving arrives; or it was
+  // deferred or lost, and there is no other.
+  if (!Own.IsWaiting_ && draw(2) == 0)
     report(Number);
   leave(Own);
 }
--- a/tests/jobservice/StarvedFleet.h
+++ b/tests/jobservice/StarvedFleet.h
@@ -32,6 +32,7 @@
   Duration ForACommit_ = std::chrono::milliseconds(10);
   Duration Length_ = std::chrono::seconds(30);
   bool HasFaults_ = false; ///< Servers leave, fall silent and come anew.
+  Duration FaultInterval_ = std::chrono::milliseconds(700);
   /// A slow spell: a report takes SlowReport_ instead, from SlowFrom_ after the
   /// beginning to SlowUntil_.
   Duration SlowReport_{};
--- a/tests/jobservice/StarvedFleetTest.cpp
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -154,3 +154,20 @@
       EXPECT_THAT(Fleet.Broken_, testing::IsEmpty());
     }
 }
+
+// Guards against ends that a relay forgets when it defers their report: a
+// server that leaves then tells them to nobody else, and its tasks run twice.
+TEST(StarvedFleetTest, NoEndIsLostWithAServerThatLeaves) {
+  for (std::uint64_t Seed = 1; Seed <= 6; ++Seed)
+    for (const Duration Cost : {5ms, 25ms, 35ms}) {
+      FleetDay Day = makeDay(Seed, Cost, 60s);
+      Day.ForACommit_ = 10ms * static_cast<int>(1 + Seed % 3 * 8);
+      Day.HasFaults_ = true;
+      Day.FaultInterval_ = 100ms;
+      StarvedFleet Fleet(Day);
+      Fleet.run();
+      EXPECT_THAT(Fleet.Broken_, testing::IsEmpty())
+          << "seed " << Seed << ", " << Cost.count() << " ns a report";
+      EXPECT_GT(Fleet.Left_, 200U);
+    }
+}
