--- a/tests/jobservice/StarvedFleetTest.cpp
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -128,8 +128,8 @@
 // be answered once in that time.
 TEST(StarvedFleetTest, NoCancelledRunGoesOnBeyondItsTime) {
   static constexpr Duration CancelAndStop = 3900ms;
-  for (std::uint64_t Seed = 5; Seed <= 8; ++Seed)
-    for (const Duration Cost : {5ms, 20ms, 35ms}) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed)
+    for (const Duration Cost : {20ms, 30ms, 35ms}) {
       StarvedFleet Fleet(makeDay(Seed, Cost, 60s));
       Fleet.run();
       EXPECT_LE(Fleet.LongestAfterCancel_, CancelAndStop)
