The leader's answer to a batch asks nothing of a leader that has ended

Callers would have seen a control crash whose disk failed while reports were being decided: since the answer, sent up to 300 ms later by the gather, asked the leader's side for pending stops, and that side ends when its disk does. Cause: found by reading, as the batch's way to the leader was made one function (ReportGather::decide) for the product and the emulated fleet, which had a copy. Change: decide() holds no leader; the router asks for stops if it is still there. Ruled out: other uses of the life's leader after its end: handle() and report() find the life anew each time.

--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -4,6 +4,7 @@
 // is done by the clock (JobLeader.cpp), clients' calls (JobLeaderCalls.cpp),
 // operators' orders (JobLeaderOperators.cpp), servers' reports
 // (JobLeaderReports.cpp), the orders in their answers (JobLeaderOrders.cpp),
+// servers whose leases expire (JobLeaderLapses.cpp),
 // waves of maintenance (JobLeaderWaves.cpp), and what is logged, metered and
 // learned of runs (JobLeaderNotes.cpp).
 //
--- a/src/jobservice/ReportGather.h
+++ b/src/jobservice/ReportGather.h
@@ -9,10 +9,13 @@
 #ifndef TULIPWEIR_SRC_JOBSERVICE_REPORTGATHER_H
 #define TULIPWEIR_SRC_JOBSERVICE_REPORTGATHER_H
 
+#include "jobservice/RelayFlush.h"
 #include "tulipweir/core/Time.h"
+#include "tulipweir/jobs/JobLeader.h"
 #include "tulipweir/jobs/ReportBatch.h"
 
 #include <functional>
+#include <memory>
 #include <vector>
 
 namespace tulipweir::jobservice {
@@ -21,7 +24,15 @@
 class ReportGather {
 public:
   using Send = std::function<void(std::vector<jobs::ReportAnswer>)>;
-
+  using Reply = std::function<void(jobs::ReportBatchReply)>;
+
+  /// Has the leader decide a batch. Answer is called once, without the relays
+  /// and stops that a leader knows; the gather is to be kept and looked at
+  /// until it has sent. Time must outlive it.
+  static std::shared_ptr<ReportGather> decide(jobs::ReportBatch Batch,
+                                              jobs::JobLeader &Leader,
+                                              RelayFlush &Flush,
+                                              const Clock &Time, Reply Answer);
   ReportGather(std::size_t Reports, TimePoint Begin, Send Sending);
 
   // Commands.
--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -29,32 +29,16 @@
 /// A server that awaits a stop goes before those whose leases were extended
 /// later than this before the stop became due; most of the usual lease.
 static constexpr Duration StopHeadStart = 4s;
-/// Urgent reports sent beyond the window.
-static constexpr std::size_t UrgentRoom = 8;
 /// Servers not heard for this time are forgotten; longer than any lease.
 static constexpr Duration RememberedFor = 20s;
 static constexpr Duration ForgetInterval = 5s;
 /// Twice the longest report interval, 1.5 s.
 static constexpr Duration HeardLately = 3s;
-/// Window of reports in flight. It grows while answers are quick or batches do
-/// not wait for the leader, and shrinks when they do. Commit time does not
-/// count, as fewer reports would not shorten it.
-static constexpr std::size_t FirstWindow = 8;
-static constexpr std::size_t LeastWindow = 4;
-static constexpr std::size_t MostWindow = 2048;
-/// The window changes by an eighth, and grows by at most WindowStep.
-static constexpr std::size_t WindowParts = 8;
-static constexpr std::size_t WindowStep = 16;
-static constexpr Duration QuickAnswer = 150ms;
-static constexpr Duration QuickTurn = 30ms;
-static constexpr Duration SlowAnswer = 300ms;
-static constexpr Duration SlowTurn = 100ms;
-/// The window is halved above this.
-static constexpr Duration HopelessAnswer = 600ms;
+/// An error that comes sooner says nothing of the leader's load.
+static constexpr Duration LostAfter = 600ms;
 
 ReportRelay::ReportRelay(Executor &Strand, const Clock &Time, Send Sending)
-    : Strand_(Strand), Time_(Time), Send_(std::move(Sending)),
-      Window_(FirstWindow), Limit_(MostWindow) {}
+    : Strand_(Strand), Time_(Time), Send_(std::move(Sending)) {}
 
 std::string ReportRelay::pick(const std::vector<std::string> &Names,
                               const std::string &ServerId) {
@@ -201,17 +185,13 @@
 /// Returns what fits in the window, and a few urgent reports beyond it, as
 /// relays have similar windows but different numbers of servers.
 std::size_t ReportRelay::countToSend() const {
-  const auto Left = [this](std::size_t Most) {
-    return Most > InFlight_ ? Most - InFlight_ : 0;
-  };
-  const std::size_t Room = Left(std::min(Window_, Limit_));
-  std::size_t Count = std::min({Queue_.size(), Room, MostReports});
+  std::size_t Count = std::min({Queue_.size(), Window_.getRoom(), MostReports});
   if (Count == MostReports)
     return Count;
   const TimePoint UrgentFrom = Time_.now() - UrgentAfter;
   auto Next = std::next(Queue_.begin(), static_cast<std::ptrdiff_t>(Count));
   while (Next != Queue_.end() && Next->first <= UrgentFrom &&
-         Count < Left(std::min(Window_ + UrgentRoom, Limit_))) {
+         Count < Window_.getUrgentRoom()) {
     ++Next;
     ++Count;
   }
@@ -258,7 +238,7 @@
   Reports.TimeoutMs_ = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(AnswerTimeout)
           .count());
-  InFlight_ += Sent.Asked_.size();
+  Window_.noteSent(Sent.Asked_.size());
   Send_(std::move(Reports), AnswerTimeout,
         [Weak = weak_from_this(), Sent = std::move(Sent)](
             Outcome<jobs::ReportBatchReply> Answer) mutable {
@@ -275,7 +255,7 @@
   Reports.FlushId_ = Asked.Id_;
   // After a slow spell the leader asks for many servers at once.
   std::size_t Room =
-      Asked.OnlySilent_ ? std::min(Window_, Limit_) : Asked.Servers_.size();
+      Asked.OnlySilent_ ? Window_.getBatchLimit() : Asked.Servers_.size();
   for (const std::string &Id : Asked.Servers_) {
     const auto Found = Known_.find(Id);
     if (Found == Known_.end())
@@ -309,55 +289,21 @@
   send(std::move(Reports), std::move(Sent));
 }
 
-/// Additive increase and multiplicative decrease, so that relays converge to
-/// fair shares of the leader.
-void ReportRelay::adapt(Duration Took, Duration Handled) {
-  const Duration Waited = Took - Handled;
-  if (Took >= HopelessAnswer && Waited >= SlowTurn)
-    Window_ = std::max(Window_ / 2, LeastWindow);
-  else if (Took >= SlowAnswer && Waited >= SlowTurn)
-    Window_ = std::max(Window_ - Window_ / WindowParts, LeastWindow);
-  else if (Took <= QuickAnswer || Waited <= QuickTurn)
-    Window_ = std::min(
-        Window_ + std::clamp<std::size_t>(Window_ / WindowParts, 1, WindowStep),
-        MostWindow);
-}
-
-/// Halves the limit once for all batches that were on the way together, as the
-/// later ones say nothing of the limit since.
-void ReportRelay::noteWasted(const Batch &Sent) {
-  if (Sent.Since_ < LimitCutAt_)
-    return;
-  LimitCutAt_ = Time_.now();
-  Limit_ = std::max<std::size_t>((InFlight_ + Sent.Asked_.size()) / 2, 1);
-}
-
-/// Raises the limit by one for each limit's worth of answers, and faster while
-/// they are quick.
-void ReportRelay::raiseLimit(std::size_t Answered, bool IsQuick) {
-  LimitCredit_ += Answered;
-  if (!IsQuick && LimitCredit_ < Limit_)
-    return;
-  LimitCredit_ = 0;
-  Limit_ = std::min(
-      Limit_ + (IsQuick ? std::max<std::size_t>(Limit_ / WindowParts, 1) : 1),
-      MostWindow);
-}
-
 void ReportRelay::onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer) {
-  InFlight_ -= Sent.Asked_.size();
   const bool IsWhole =
       Answer && Answer.value().Answers_.size() == Sent.Asked_.size();
   const bool IsExpired =
       IsWhole && !Sent.Asked_.empty() &&
       Answer.value().Answers_[0].Verdict_ == jobs::ReportVerdict::Expired;
-  const Duration Took = Time_.now() - Sent.Since_;
-  if (IsExpired || (!Answer && Took >= HopelessAnswer))
-    noteWasted(Sent);
+  const TimePoint Now = Time_.now();
+  const Duration Took = Now - Sent.Since_;
+  if (IsExpired || (!Answer && Took >= LostAfter))
+    Window_.noteLost(Sent.Asked_.size(), Sent.Since_, Now);
   else
-    raiseLimit(Sent.Asked_.size(), Took <= QuickAnswer);
-  adapt(Took, Answer ? std::chrono::milliseconds(Answer.value().HandledMs_)
-                     : Duration(0));
+    Window_.noteAnswered(
+        Sent.Asked_.size(), Took,
+        Answer ? std::chrono::milliseconds(Answer.value().HandledMs_)
+               : Duration(0));
   if (IsWhole && !IsExpired)
     Relays_ = std::move(Answer.value().Relays_);
   for (std::size_t I = 0; I < Sent.Asked_.size(); ++I) {
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -11,6 +11,7 @@
 #ifndef TULIPWEIR_SRC_JOBSERVICE_REPORTRELAY_H
 #define TULIPWEIR_SRC_JOBSERVICE_REPORTRELAY_H
 
+#include "jobservice/RelayWindow.h"
 #include "tulipweir/core/Executor.h"
 #include "tulipweir/jobs/ReportBatch.h"
 
@@ -101,24 +102,14 @@
   void noteDelivered(const Batch::Asked &Delivered);
   void forgetOld();
   void onAnswer(Batch Sent, Outcome<jobs::ReportBatchReply> Answer);
-  /// Handled: the leader's processing time of the batch.
-  void adapt(Duration Took, Duration Handled);
-  void noteWasted(const Batch &Sent);
-  void raiseLimit(std::size_t Answered, bool IsQuick);
 
   Executor &Strand_;
   const Clock &Time_;
   const Send Send_;
   /// By the server's turn.
   std::multimap<TimePoint, Waiting> Queue_;
-  std::size_t InFlight_ = 0; ///< Reports that have no answer yet.
-  std::size_t Window_;       ///< Most of these while answers are slow.
-  /// Most of these, urgent ones included, so that the leader handles them in
-  /// time. No floor but one, as a report may cost the leader any time.
-  std::size_t Limit_;
-  TimePoint LimitCutAt_{};
-  std::size_t LimitCredit_ = 0; ///< Reports answered since it was changed.
-  bool IsFlushing_ = false;     ///< A flush is posted.
+  RelayWindow Window_;
+  bool IsFlushing_ = false;                      ///< A flush is posted.
   std::unordered_map<std::string, Known> Known_; ///< By server.
   TimePoint LastDeferral_{};
   TimePoint NextForgetting_{}; ///< When idle servers are next removed.
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -141,30 +141,14 @@
   // Replies without an answer for each report; the relay takes it as failed.
   if (!Current)
     return Reply({});
-  const auto Gather = std::make_shared<ReportGather>(
-      Batch.Reports_.size(), Time_.now(),
-      [this, Current, Reply,
-       Begin = Time_.now()](std::vector<jobs::ReportAnswer> Answers) {
-        const auto Handled =
-            std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
-                                                                  Begin);
-        Reply({std::move(Answers), Current->Group_->getStatus().Heard_,
-               static_cast<std::uint64_t>(Handled.count()),
-               Current->Leader_->listAwaitingStop()});
+  const auto Gather = ReportGather::decide(
+      std::move(Batch), *Current->Leader_, Flush_, Time_,
+      [Current, Reply](jobs::ReportBatchReply Answers) {
+        Answers.Relays_ = Current->Group_->getStatus().Heard_;
+        if (Current->Leader_)
+          Answers.AwaitingStop_ = Current->Leader_->listAwaitingStop();
+        Reply(std::move(Answers));
       });
-  if (Batch.HasDeferred_)
-    Current->Leader_->noteBehind();
-  for (std::size_t I = 0; I < Batch.Reports_.size(); ++I) {
-    const auto Note = [Gather, I](const Outcome<jobs::ServerOrders> &Orders) {
-      Gather->note(I, Orders);
-    };
-    if (I < Batch.LateReports_)
-      Current->Leader_->noteLateEnds(Batch.Reports_[I], Note);
-    else
-      Current->Leader_->report(std::move(Batch.Reports_[I]), Note);
-  }
-  if (Batch.FlushId_ != 0)
-    Flush_.onBatch(Batch.FlushId_, Batch.Heard_);
   if (!Gather->isSent())
     Gathers_.push_back(Gather);
 }
--- a/tests/jobservice/ReportRelayTest.cpp
+++ b/tests/jobservice/ReportRelayTest.cpp
@@ -159,6 +159,46 @@
   EXPECT_EQ(Times, 1);
 }
 
+// Guards against answers that are sent after the leader's side has ended, as
+// its disk failed, and still ask the leader.
+TEST(ReportGatherTest, AnAnswerMayOutliveTheLeader) {
+  ManualClock Time;
+  jobs::test::ManualExecutor Strand(Time);
+  JobMachine Machine;
+  jobs::test::ManualReplica Group(Machine);
+  NoAdvisor Advisor;
+  NoVmProvider Provider;
+  NoEventLog Log;
+  NoJobMeter Meter;
+  RelayFlush Flush(
+      "me", Time, [] { return replication::ReplicaStatus(); },
+      [](const std::string &, const FlushRequest &,
+         const std::function<void()> &) {});
+  auto Leader = std::make_unique<JobLeader>(JobLeaderSettings(), Time, Strand,
+                                            Group, Machine, Advisor, Provider,
+                                            Flush, Log, Meter);
+  Leader->start();
+  Strand.advance(100ms);
+  Leader->putConfiguration(jobs::test::makeConfiguration(),
+                           [](const Outcome<void> &) {});
+  Strand.runAll();
+  Group.IsHeld_ = true;
+  ReportBatch Batch;
+  Batch.Reports_ = {makeReport("late"), makeReport("new")};
+  Batch.Reports_[1].Facts_ = jobs::test::makeServer("new");
+  Batch.LateReports_ = 1;
+  std::optional<ReportBatchReply> Got;
+  const auto Gather =
+      ReportGather::decide(std::move(Batch), *Leader, Flush, Time,
+                           [&Got](ReportBatchReply Reply) { Got = Reply; });
+  Strand.runAll();
+  ASSERT_FALSE(Gather->isSent());
+  Leader.reset();
+  Gather->look(Time.now() + 1s);
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(Got->Answers_.size(), 2U);
+}
+
 TEST(ReportBatchTest, ABatchAndItsReplyTravelWhole) {
   ReportBatch Batch{{makeReport("a", 1ULL << 40), makeReport("b")},
                     true,
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -242,31 +242,12 @@
 }
 
 void StarvedFleet::handle(InHand Next) {
-  const auto Gather = std::make_shared<ReportGather>(
-      Next.Batch_.Reports_.size(), Time_.now(),
-      [this, Reply = std::move(Next.Reply_),
-       Begin = Time_.now()](std::vector<ReportAnswer> Answers) {
-        const auto Handled =
-            std::chrono::duration_cast<std::chrono::milliseconds>(Time_.now() -
-                                                                  Begin);
-        Reply({std::move(Answers),
-               {},
-               static_cast<std::uint64_t>(Handled.count()),
-               Leader_.listAwaitingStop()});
+  const auto Gather = ReportGather::decide(
+      std::move(Next.Batch_), Leader_, Flush_, Time_,
+      [this, Reply = std::move(Next.Reply_)](ReportBatchReply Answers) {
+        Answers.AwaitingStop_ = Leader_.listAwaitingStop();
+        Reply(std::move(Answers));
       });
-  if (Next.Batch_.HasDeferred_)
-    Leader_.noteBehind();
-  for (std::size_t I = 0; I < Next.Batch_.Reports_.size(); ++I) {
-    const auto Note = [Gather, I](const Outcome<ServerOrders> &Orders) {
-      Gather->note(I, Orders);
-    };
-    if (I < Next.Batch_.LateReports_)
-      Leader_.noteLateEnds(Next.Batch_.Reports_[I], Note);
-    else
-      Leader_.report(std::move(Next.Batch_.Reports_[I]), Note);
-  }
-  if (Next.Batch_.FlushId_ != 0)
-    Flush_.onBatch(Next.Batch_.FlushId_, Next.Batch_.Heard_);
   if (!Gather->isSent())
     Gathers_.push_back(Gather);
   Strand_.runAll();
