--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -224,7 +224,7 @@
   WaveKeeper Waves_;
   TimePoint LeadingSince_{};
   TimePoint LastTick_{};
-  /// Until then servers are given up only after twice their lease.
+  /// Until then the relays are asked twice before a server is given up.
   TimePoint BehindUntil_{};
   bool IsListing_ = false;  ///< A call to the provider of VMs is open,
   bool IsOrdering_ = false; ///< and an order to it.
