--- a/src/jobservice/ReportGather.cpp
+++ b/src/jobservice/ReportGather.cpp
@@ -24,7 +24,7 @@
                      RelayFlush &Flush, const Clock &Time, Reply Answer) {
   const TimePoint Begin = Time.now();
   // The leader may have ended by the time of the answers.
-  const auto Gather = std::make_shared<ReportGather>(
+  auto Gather = std::make_shared<ReportGather>(
       Batch.Reports_.size(), Begin,
       [&Time, Begin,
        Answer = std::move(Answer)](std::vector<jobs::ReportAnswer> Answers) {
