Batches are taken in the order of the strand, without a queue of their own

Cause, suspected: the inbox had one batch handled for each turn of the strand, and between two turns every socket is read; with many batches waiting each took a round of all other work, so reports waited longer than before. Rejecting what waited too long needs no queue: the strand is one, and the time of receipt is taken before it. Tests: ReportInboxTest (the order is the strand's, so its test of it goes; each other check stays), StarvedFleetTest and ExpiredReportsTest unchanged and green, 48 of 48.

--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -24,7 +24,7 @@
                  ReportRelay::BatchDone Reply) {
             send(std::move(Batch), Timeout, std::move(Reply));
           })),
-      Inbox_(Strand, Time, Meter,
+      Inbox_(Time, Meter,
              [this](jobs::ReportBatch Batch, const ReportInbox::Reply &Reply) {
                handle(std::move(Batch), Reply);
              }),
