--- /dev/null
+++ b/tests/jobservice/ExpiredReportsTest.cpp
@@ -0,0 +1,123 @@
+//===- ExpiredReportsTest.cpp - Relays at a leader that cannot keep up ----===//
+
+#include "jobservice/RelayFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobservice;
+using jobservice::test::makeReport;
+using jobservice::test::ReportRelayTest;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A leader that rejects all that it gets.
+class ExpiredReportsTest : public ReportRelayTest {
+protected:
+  void expire() {
+    Sent Oldest = std::move(Sent_.front());
+    Sent_.pop_front();
+    ReportBatchReply Reply;
+    Reply.Answers_.resize(Oldest.Batch_.Reports_.size(),
+                          {ReportVerdict::Expired, {}, ""});
+    Oldest.Done_(std::move(Reply));
+  }
+  std::size_t countOnTheWay() const {
+    std::size_t Count = 0;
+    for (const Sent &Each : Sent_)
+      Count += Each.Batch_.Reports_.size();
+    return Count;
+  }
+};
+
+} // namespace
+
+// Guards against a floor of reports on the way, each of which may cost a slow
+// leader any time.
+TEST_F(ExpiredReportsTest, ALeaderThatCannotKeepUpGetsOneReportAtATime) {
+  for (int Round = 0; Round < 20; ++Round) {
+    for (int I = 0; I < 40; ++I)
+      add("i-" + std::to_string(I));
+    Strand_.advance(450ms);
+    while (!Sent_.empty())
+      expire();
+  }
+  for (int I = 0; I < 40; ++I)
+    add("i-" + std::to_string(I));
+  Strand_.advance(100ms);
+  EXPECT_EQ(countOnTheWay(), 1U);
+  // It answers again: the limit is soon no limit.
+  for (int Round = 0; Round < 100; ++Round) {
+    for (int I = 0; I < 40; ++I)
+      add("i-" + std::to_string(I));
+    Strand_.advance(20ms);
+    while (!Sent_.empty())
+      answer();
+  }
+  for (int I = 0; I < 40; ++I)
+    add("i-" + std::to_string(I));
+  Strand_.advance(20ms);
+  EXPECT_GE(countOnTheWay(), 40U);
+}
+
+TEST_F(ExpiredReportsTest, AnExpiredReportIsToldToComeAgainAndALeavingOneNot) {
+  add("stays");
+  ServerReport Leaving = makeReport("leaves");
+  Leaving.IsDraining_ = true;
+  add(Leaving);
+  Strand_.advance(20ms);
+  expire();
+  EXPECT_TRUE(IsGood_["stays"]);
+  EXPECT_EQ(Lease_["stays"], 0U);
+  EXPECT_EQ(Answered_["leaves"], 1);
+  EXPECT_FALSE(IsGood_["leaves"]);
+}
+
+// Guards against ends that are lost with a batch which the leader rejects after
+// the flush was sent.
+TEST_F(ExpiredReportsTest, AFlushBringsTheEndsOfBatchesOnTheWay) {
+  ServerReport Last = makeReport("leaving");
+  Last.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
+  add(Last);
+  Strand_.advance(20ms);
+  ASSERT_EQ(Sent_.size(), 1U);
+  Relay_->flushServers({"leader", 7, {"leaving"}});
+  ASSERT_EQ(Sent_.size(), 2U);
+  EXPECT_EQ(Sent_[1].Batch_.Reports_, std::vector<ServerReport>{Last});
+  EXPECT_EQ(Sent_[1].Batch_.LateReports_, 1U);
+}
+
+// Guards against rounds that cost a slow leader more than the reports that they
+// ask for.
+TEST_F(ExpiredReportsTest, OfServersThatWereHeardOnlyTheNamesAreSent) {
+  ServerReport Ended = makeReport("heard");
+  Ended.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
+  add(Ended);
+  Strand_.advance(20ms);
+  expire();
+  Relay_->flushServers({"leader", 7, {"heard"}, true});
+  EXPECT_TRUE(Sent_.back().Batch_.Reports_.empty());
+  EXPECT_EQ(Sent_.back().Batch_.Heard_, std::vector<std::string>{"heard"});
+  Strand_.advance(4s);
+  Relay_->flushServers({"leader", 8, {"heard"}, true});
+  EXPECT_EQ(Sent_.back().Batch_.Reports_, std::vector<ServerReport>{Ended});
+  EXPECT_TRUE(Sent_.back().Batch_.Heard_.empty());
+}
+
+TEST_F(ExpiredReportsTest, ServersWhoseEndsDoNotFitAreKept) {
+  for (int Round = 0; Round < 20; ++Round) {
+    for (int I = 0; I < 8; ++I) {
+      ServerReport Ended = makeReport("i-" + std::to_string(I), Round + 1);
+      Ended.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunEnd::Done, ""}}};
+      add(Ended);
+    }
+    Strand_.advance(450ms);
+    while (!Sent_.empty())
+      expire();
+  }
+  Strand_.advance(4s);
+  Relay_->flushServers({"leader", 7, {"i-0", "i-1", "i-2"}, true});
+  EXPECT_EQ(Sent_.back().Batch_.Reports_.size(), 1U);
+  EXPECT_EQ(Sent_.back().Batch_.Heard_,
+            (std::vector<std::string>{"i-1", "i-2"}));
+}
