Let leases of earlier leaders end where they really end

What callers saw: long-running tasks of servers that were lost shortly before a change of leader were away for a lease from the change.

Cause: LiveServerTable::reset gave every server a whole lease from the beginning of the new leader, as it knew of no earlier one. Each further change added a lease.

JobLeaderTest.LostServerKeepsItsLeaseOverAChangeOfTheLeader fails when the bounds are not applied: no start on the other server.

Ruled out: leases or silences in the log, and a table sent by the leader (docs/design/leases-over-a-change-of-leader.md).

Change: members remember when they received a report of each server; a new leader asks them, and has others record what it receives itself. Leases end a lease after the last receipt. Reports are accepted from settled members only.

--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -45,6 +45,7 @@
   ConfigurationRefused,
   LeadershipBegun,
   LeadershipEnded,
+  LeasesLimited,        ///< Members told a new leader how long leases can last.
   LeadershipHandedOver, ///< Its VM is slow, another one is not.
   MembersChanged,
   StorageTrouble,
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -108,7 +108,14 @@
   std::uint64_t LogBytes_ = 0;
   std::uint64_t Syncs_ = 0;
   TimePoint LeaderSince_{}; ///< When this replica last became leader.
+  /// On the leader: the term of the last log entry before its own term. No
+  /// later leader before this one has committed anything.
+  std::uint64_t PreviousTerm_ = 0;
   std::vector<Member> Members_;
+  /// The log index at which Members_ was set.
+  std::uint64_t MembersIndex_ = 0;
+  /// The members as of the last committed change.
+  std::vector<Member> CommittedMembers_;
   /// On the leader: the other members whose disks answered within the election
   /// timeout.
   std::vector<std::string> Responsive_;
--- a/include/tulipweir/wire/MessageKind.h
+++ b/include/tulipweir/wire/MessageKind.h
@@ -30,6 +30,10 @@
                       ///< encoded by the jobs module.
   FlushRequest = 14, ///< The leader of the jobs asks a relay to pass on what it
                      ///< keeps; encoded by the jobs module.
+  LeaseQuery = 15,   ///< A new leader of the jobs asks a member when it last
+                     ///< heard each server; encoded by the jobs module.
+  ReportWitness = 16, ///< The leader of the jobs has a member record reports
+                      ///< that it received; encoded by the jobs module.
 };
 
 } // namespace tulipweir::wire
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -34,6 +34,7 @@
       "configuration_refused",
       "leadership_begun",
       "leadership_ended",
+      "leases_limited",
       "leadership_handed_over",
       "members_changed",
       "storage_trouble",
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -71,7 +71,7 @@
   LoggedWaitReasons_.clear();
   Machine_.read([&](const JobRegistry &Registry) {
     // The previous leader sent its last answer before this leader's election,
-    // so the longest lease from now on covers it.
+    // so the longest lease from now on covers it. limitLeases shortens it.
     LiveServers_.reset(Registry, Now, getMaxLease());
     PendingStops_.reset(Registry, Now);
     for (const auto &[Id, Job] : Registry.jobs())
@@ -83,6 +83,38 @@
   Line.Kind_ = EventKind::LeadershipBegun;
   Line.Term_ = Term;
   Log_.write(Line);
+  Relays_.findLeaseBounds(
+      Term, [Weak = weak_from_this(), Term](const LeaseBounds &Bounds) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (Self && Self->isLeading() && Self->Term_ == Term)
+          Self->limitLeases(Bounds);
+      });
+}
+
+void JobLeader::Impl::limitLeases(const LeaseBounds &Bounds) {
+  const TimePoint Now = Time_.now();
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Live] : LiveServers_.servers())
+    Ids.push_back(Id);
+  std::uint64_t Limited = 0;
+  for (const std::string &Id : Ids) {
+    const TimePoint HeardAt = Bounds.getFor(Id);
+    // The clocks that measured the age may be slow as well.
+    const Duration Drift =
+        (Now - HeardAt) * Settings_.ClockDriftPercent_ / Percent;
+    if (LiveServers_.limitLease(Id, HeardAt, HeardAt + getMaxLease() + Drift))
+      ++Limited;
+  }
+  if (Limited == 0)
+    return;
+  Event Line;
+  Line.Kind_ = EventKind::LeasesLimited;
+  Line.Term_ = Term_;
+  Line.Count_ = Limited;
+  Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    Now - Bounds.Others_)
+                    .count();
+  Log_.write(Line);
 }
 
 void JobLeader::Impl::endLeading() {
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -110,6 +110,8 @@
   /// a lease.
   Duration getMaxLease() const;
   void beginLeading(std::uint64_t Term);
+  /// Limits the leases of servers that have not reported to this leader.
+  void limitLeases(const LeaseBounds &Bounds);
   void endLeading();
   void tick();
   void detectClockJump();
--- a/src/jobs/LiveServerTable.cpp
+++ b/src/jobs/LiveServerTable.cpp
@@ -96,6 +96,17 @@
   Live.LeaseEnd_ = std::max(Live.LeaseEnd_, End);
 }
 
+bool LiveServerTable::limitLease(const std::string &Id, TimePoint HeardAt,
+                                 TimePoint End) {
+  LiveServer *Live = find(Id);
+  if (!Live || Live->LastSequence_ != 0)
+    return false;
+  Live->LastHeard_ = std::min(Live->LastHeard_, HeardAt);
+  const bool IsShorter = End < Live->LeaseEnd_;
+  Live->LeaseEnd_ = std::min(Live->LeaseEnd_, End);
+  return IsShorter;
+}
+
 LiveServer *LiveServerTable::find(const std::string &Id) {
   const auto It = Servers_.find(Id);
   return It == Servers_.end() ? nullptr : &It->second;
--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -2,8 +2,8 @@
 //
 // State of backend servers that is not in the replicated log: when each was
 // last heard, when its lease expires, and its last reports. A new leader
-// starts without it and grants every server the longest lease that an earlier
-// leader can have granted.
+// starts without it and assumes that every server has the longest lease that an
+// earlier leader can have granted, until other members tell it more.
 //
 //===----------------------------------------------------------------------===//
 
@@ -89,6 +89,10 @@
   /// take long to commit, and no answer extends the lease until then.
   bool recordReport(const ServerReport &Report, TimePoint Now, Duration Lease);
   void extendLease(const std::string &Id, TimePoint End);
+  /// Limits what reset assumed of a server that has not reported since: it was
+  /// last heard at HeardAt, and its lease ends at End, if these are earlier.
+  /// Returns whether the lease has become shorter.
+  bool limitLease(const std::string &Id, TimePoint HeardAt, TimePoint End);
   LiveServer *find(const std::string &Id);
   const LiveServer *find(const std::string &Id) const;
   void add(const std::string &Id, TimePoint Now, TimePoint LeaseEnd);
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -305,6 +305,25 @@
       Reply(std::string());
     });
   }
+  if (Kind == wire::MessageKind::LeaseQuery) {
+    Outcome<jobs::LeaseQuery> Query = jobs::decodeLeaseQuery(Body);
+    if (!Query)
+      return Reply(std::move(Query).as_failure());
+    return Strand_.post([Self = shared_from_this(), Reply,
+                         Query = std::move(Query.value())] {
+      Reply(jobs::encodeLeaseQueryReply(Self->Router_.answerLeaseQuery(Query)));
+    });
+  }
+  if (Kind == wire::MessageKind::ReportWitness) {
+    Outcome<jobs::WitnessRequest> Request = jobs::decodeWitnessRequest(Body);
+    if (!Request)
+      return Reply(std::move(Request).as_failure());
+    return Strand_.post([Self = shared_from_this(), Reply,
+                         Request = std::move(Request.value())] {
+      Self->Router_.recordWitnessed(Request);
+      Reply(std::string());
+    });
+  }
   if (Kind != wire::MessageKind::JobCall)
     return Reply(fail(ErrorCode::InvalidArgument, "unsupported message kind"));
   Outcome<jobs::JobCall> Call = jobs::decodeCall(Body);
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -10,9 +10,9 @@
 /// A server is redirected to the control that is chosen for it only in one of
 /// this many intervals.
 static constexpr std::size_t RedirectPeriod = 8;
-/// Timeout of a flush request, which a relay handles at once. A request that
-/// times out is sent again.
-static constexpr Duration FlushTimeout = std::chrono::milliseconds(500);
+/// Timeout of a request to another member, which handles it at once. A request
+/// that times out is sent again, or to another member.
+static constexpr Duration MemberTimeout = std::chrono::milliseconds(500);
 
 ReportRouter::ReportRouter(std::string Self, Executor &Strand,
                            const Clock &Time, MemberLinks &Links,
@@ -29,19 +29,45 @@
              [this](jobs::ReportBatch Batch, const ReportInbox::Reply &Reply) {
                handleBatch(std::move(Batch), Reply);
              }),
+      Heard_(Time),
+      Witness_(std::make_shared<ReportWitness>(
+          Self_, Strand, [this] { return getStatus(); },
+          [this](const std::string &Member, const jobs::WitnessRequest &Request,
+                 ReportWitness::Done Reply) {
+            callMember(
+                Member, wire::MessageKind::ReportWitness,
+                jobs::encodeWitnessRequest(Request),
+                [Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
+                  Reply(Answer.has_value());
+                });
+          })),
       Flush_(
-          Self_, Time,
-          [this] {
-            const std::shared_ptr<ReplicaInstance> Instance = FindInstance_();
-            return Instance ? Instance->Replica_->getStatus()
-                            : replication::ReplicaStatus();
-          },
+          Self_, Time, [this] { return getStatus(); },
           [this](const std::string &Member, const jobs::FlushRequest &Request,
                  std::function<void()> Failed) {
             sendFlushRequest(Member, Request, std::move(Failed));
           }),
+      Survey_(
+          Self_, Time, [this] { return getStatus(); }, Heard_,
+          [this](const std::string &Member, const jobs::LeaseQuery &Query,
+                 LeaseSurvey::Reply Reply) {
+            callMember(
+                Member, wire::MessageKind::LeaseQuery,
+                jobs::encodeLeaseQuery(Query),
+                [Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
+                  if (!Answer)
+                    return Reply(Answer.error());
+                  Reply(jobs::decodeLeaseQueryReply(Answer.value()));
+                });
+          }),
       Policy_(Time) {}
 
+replication::ReplicaStatus ReportRouter::getStatus() const {
+  const std::shared_ptr<ReplicaInstance> Instance = FindInstance_();
+  return Instance ? Instance->Replica_->getStatus()
+                  : replication::ReplicaStatus();
+}
+
 /// Spreads servers over the members that do not lead. Returns an empty string
 /// if the leader hears none of them; it then takes the reports itself.
 static std::string chooseRelayFor(const ReplicaInstance &Instance,
@@ -56,13 +82,19 @@
     return Reply(fail(ErrorCode::Unavailable,
                       "the replica is closed after a disk failure"));
   const std::string Id = Report.Facts_.Id_;
+  Heard_.record(Id);
   if (Instance->Leader_->isLeading())
-    return Instance->Leader_->report(
-        std::move(Report), [Hold = Owner_.lock(), Instance, Id,
-                            Reply](Outcome<jobs::ServerOrders> Orders) {
-          if (Orders)
-            Orders.value().ReportTo_ = chooseRelayFor(*Instance, Id);
-          Reply(std::move(Orders));
+    return Witness_->record(
+        Id, [this, Hold = Owner_.lock(), Report = std::move(Report), Reply,
+             ReceivedAt = Time_.now()](bool IsRecorded) mutable {
+          if (!IsRecorded)
+            return Reply(fail(ErrorCode::Unavailable,
+                              "no other member has recorded the report"));
+          Report.WaitedMs_ = static_cast<std::uint64_t>(
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  Time_.now() - ReceivedAt)
+                  .count());
+          handleReport(std::move(Report), Reply);
         });
   Instance->Leader_->observe(Report);
   Relay_->add(std::move(Report), [this, Hold = Owner_.lock(), Id,
@@ -75,6 +107,22 @@
   });
 }
 
+/// Handles a report that another member has recorded, if this member leads.
+void ReportRouter::handleReport(jobs::ServerReport Report, const Done &Reply) {
+  const std::shared_ptr<ReplicaInstance> Instance = FindInstance_();
+  if (!Instance || !Instance->Leader_)
+    return Reply(fail(ErrorCode::Unavailable,
+                      "the replica is closed after a disk failure"));
+  const std::string Id = Report.Facts_.Id_;
+  Instance->Leader_->report(
+      std::move(Report), [Hold = Owner_.lock(), Instance, Id,
+                          Reply](Outcome<jobs::ServerOrders> Orders) {
+        if (Orders)
+          Orders.value().ReportTo_ = chooseRelayFor(*Instance, Id);
+        Reply(std::move(Orders));
+      });
+}
+
 /// Servers report to the control that last answered them. A server that reports
 /// here although another control is chosen for it is redirected only rarely, as
 /// it may not be able to reach that control.
@@ -110,23 +158,43 @@
               });
 }
 
+void ReportRouter::callMember(
+    const std::string &Member, wire::MessageKind Kind, std::string Body,
+    std::function<void(const Outcome<std::string> &)> Reply) {
+  Links_.call(Member, Kind, std::move(Body), MemberTimeout,
+              [this, Weak = Owner_,
+               Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
+                if (const std::shared_ptr<void> Hold = Weak.lock())
+                  Strand_.post([Reply, Answer] { Reply(Answer); });
+              });
+}
+
 void ReportRouter::sendFlushRequest(const std::string &Member,
                                     const jobs::FlushRequest &Request,
                                     std::function<void()> Failed) {
-  Links_.call(Member, wire::MessageKind::FlushRequest,
-              jobs::encodeFlushRequest(Request), FlushTimeout,
-              [this, Weak = Owner_,
-               Failed = std::move(Failed)](const Outcome<std::string> &Answer) {
-                const std::shared_ptr<void> Hold = Weak.lock();
-                if (Hold && !Answer)
-                  Strand_.post(Failed);
-              });
+  callMember(Member, wire::MessageKind::FlushRequest,
+             jobs::encodeFlushRequest(Request),
+             [Failed = std::move(Failed)](const Outcome<std::string> &Answer) {
+               if (!Answer)
+                 Failed();
+             });
 }
 
 void ReportRouter::flushServers(const jobs::FlushRequest &Request) {
   Relay_->flushServers(Request);
 }
 
+jobs::LeaseQueryReply
+ReportRouter::answerLeaseQuery(const jobs::LeaseQuery &Query) {
+  Survey_.recordLeader(Query);
+  return Heard_.makeReply();
+}
+
+void ReportRouter::recordWitnessed(const jobs::WitnessRequest &Request) {
+  for (const std::string &Id : Request.Servers_)
+    Heard_.record(Id);
+}
+
 void ReportRouter::receiveBatch(jobs::ReportBatch Batch, TimePoint ReceivedAt,
                                 const net::LinkReply &Reply) {
   if (!FindInstance_())
@@ -143,8 +211,10 @@
                                const ReportInbox::Reply &Reply) {
   const std::shared_ptr<ReplicaInstance> Instance = FindInstance_();
   // The empty reply lacks an answer for each report, so the relay treats the
-  // batch as failed.
-  if (!Instance)
+  // batch as failed. A later leader could not ask a sender that is no member
+  // about leases.
+  if (!Instance ||
+      !isSettledMember(Instance->Replica_->getStatus(), Batch.From_))
     return Reply({});
   const auto Collector = AnswerCollector::handleBatch(
       std::move(Batch), *Instance->Leader_, Flush_, Time_,
@@ -160,6 +230,7 @@
 
 void ReportRouter::checkTimeouts() {
   Flush_.retryExpired();
+  Survey_.poll();
   std::erase_if(Collectors_, [Now = Time_.now()](const auto &Collector) {
     Collector->sendIfOverdue(Now);
     return Collector->isSent();
--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -11,12 +11,15 @@
 #define TULIPWEIR_SRC_JOBSERVICE_REPORTROUTER_H
 
 #include "jobservice/AnswerCollector.h"
+#include "jobservice/HeardServers.h"
 #include "jobservice/LeadershipTransferPolicy.h"
+#include "jobservice/LeaseSurvey.h"
 #include "jobservice/ProcessorProbe.h"
 #include "jobservice/RelayFlush.h"
 #include "jobservice/ReplicaInstance.h"
 #include "jobservice/ReportInbox.h"
 #include "jobservice/ReportRelay.h"
+#include "jobservice/ReportWitness.h"
 #include "tulipweir/jobservice/MemberLinks.h"
 
 #include <functional>
@@ -53,7 +56,12 @@
                     const net::LinkReply &Reply);
   /// Sends the buffered reports that the leader requests.
   void flushServers(const jobs::FlushRequest &Request);
-  /// Retries flush requests and sends overdue answers. Called periodically.
+  /// Answers the question of a new leader about leases.
+  jobs::LeaseQueryReply answerLeaseQuery(const jobs::LeaseQuery &Query);
+  /// Records reports that the leader has received itself.
+  void recordWitnessed(const jobs::WitnessRequest &Request);
+  /// Retries requests to members and sends overdue answers. Called
+  /// periodically.
   void checkTimeouts();
   /// Records the duration of one probe on this member.
   void recordWorkTime(Duration WorkTime) { Probe_.addSample(WorkTime); }
@@ -62,7 +70,7 @@
 
   /// Returns the interface through which a leader on this member asks the
   /// relays.
-  jobs::ReportRelays &relays() { return Flush_; }
+  jobs::ReportRelays &relays() { return Relays_; }
   /// Returns this member's probe time; zero until it is known.
   Duration getWorkTime() const { return Probe_.getWorkTime(); }
   /// Returns the member to transfer leadership to if this member leads on a
@@ -73,6 +81,36 @@
   }
 
 private:
+  /// What a leader on this member asks the others.
+  class OtherMembers final : public jobs::ReportRelays {
+  public:
+    OtherMembers(RelayFlush &Flush, LeaseSurvey &Survey)
+        : Flush_(Flush), Survey_(Survey) {}
+    void flush(const std::string &ServerId,
+               std::function<void()> Done) override {
+      Flush_.flush(ServerId, std::move(Done));
+    }
+    void findHeard(const std::vector<std::string> &ServerIds,
+                   std::function<void(Heard)> Done) override {
+      Flush_.findHeard(ServerIds, std::move(Done));
+    }
+    void findLeaseBounds(
+        std::uint64_t Term,
+        std::function<void(const jobs::LeaseBounds &)> Found) override {
+      Survey_.start(Term, std::move(Found));
+    }
+
+  private:
+    RelayFlush &Flush_;
+    LeaseSurvey &Survey_;
+  };
+
+  replication::ReplicaStatus getStatus() const;
+  /// Calls another member. Reply runs on the executor unless the owner is gone.
+  void callMember(const std::string &Member, wire::MessageKind Kind,
+                  std::string Body,
+                  std::function<void(const Outcome<std::string> &)> Reply);
+  void handleReport(jobs::ServerReport Report, const Done &Reply);
   void sendFlushRequest(const std::string &Member,
                         const jobs::FlushRequest &Request,
                         std::function<void()> Failed);
@@ -90,7 +128,11 @@
   std::weak_ptr<void> Owner_;
   std::shared_ptr<ReportRelay> Relay_;
   ReportInbox Inbox_;
+  HeardServers Heard_;
+  std::shared_ptr<ReportWitness> Witness_;
   RelayFlush Flush_;
+  LeaseSurvey Survey_;
+  OtherMembers Relays_{Flush_, Survey_};
   ProcessorProbe Probe_;
   LeadershipTransferPolicy Policy_;
   /// Collectors of batches from other controls that wait for answers.
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -166,6 +166,8 @@
   const std::optional<ChangeRequested> &getChange() const { return Change_; }
   /// When this member last became leader.
   TimePoint getLeaderSince() const { return LeaderSince_; }
+  /// Returns the term of the last log entry before this leader's own term.
+  std::uint64_t getPreviousTerm() const { return PreviousTerm_; }
   /// Returns the time since this leader last received a message from the
   /// member; zero for itself.
   Duration getTimeSinceHeard(const MemberId &Id, TimePoint Now) const;
@@ -319,6 +321,7 @@
   // Valid only while leading.
   std::map<MemberId, Progress> Peers_;
   TimePoint LeaderSince_{};
+  std::uint64_t PreviousTerm_ = 0;
   std::uint64_t FirstIndexOfTerm_ = 0;
   std::uint64_t Round_ = 0;
   std::deque<Round> Rounds_;
--- a/src/replication/RaftElection.cpp
+++ b/src/replication/RaftElection.cpp
@@ -90,6 +90,7 @@
   FailedElections_ = 0;
   Leader_ = Settings_.Self_;
   LeaderSince_ = Now_;
+  PreviousTerm_ = Log_.getLastTerm();
   LeaseStart_ = TimePoint::min();
   Round_ = 0;
   Rounds_.clear();
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -429,7 +429,10 @@
   Status_.CommitIndex_ = Core_.getCommit();
   Status_.AppliedIndex_ = Applied_;
   Status_.LeaderSince_ = Core_.getLeaderSince();
+  Status_.PreviousTerm_ = Core_.getPreviousTerm();
   Status_.Members_ = Core_.getLog().getMembers();
+  Status_.MembersIndex_ = Core_.getLog().getMembersIndex();
+  Status_.CommittedMembers_ = Core_.getLog().getMembersAt(Core_.getCommit());
   publishMemberHealth();
   Status_.LogBytes_ = Storage_->countBytes();
   Status_.Syncs_ = Storage_->countSyncs();
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -421,3 +421,38 @@
   }
   EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
 }
+
+// Guards against a change of the leader that gives a lost server a whole new
+// lease. Other members know when they last heard it.
+TEST_F(JobLeaderTest, LostServerKeepsItsLeaseOverAChangeOfTheLeader) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  const TimePoint HeardAt = Time_.now();
+  Strand_.advance(Settings_.Lease_ / 2);
+  Group_.IsLeader_ = false;
+  Strand_.advance(100ms);
+  Group_.IsLeader_ = true;
+  Group_.Term_ = 2;
+  Strand_.advance(100ms);
+  ASSERT_TRUE(Relays_.FoundBounds_);
+  Relays_.FoundBounds_({HeardAt - 10s, {{"s1", HeardAt}}});
+  Strand_.advance(HeardAt + Settings_.Lease_ - Time_.now());
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty())
+      << "the server's clock may be slow";
+  Strand_.advance(Settings_.Lease_ / 10);
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, BoundsForAnEarlierTermAreIgnored) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  const auto FoundByFirst = std::exchange(Relays_.FoundBounds_, nullptr);
+  Group_.IsLeader_ = false;
+  Strand_.advance(100ms);
+  Group_.IsLeader_ = true;
+  Group_.Term_ = 2;
+  Strand_.advance(100ms);
+  FoundByFirst({Time_.now() - Settings_.Lease_ * 2, {}});
+  Strand_.advance(Settings_.Lease_ * 9 / 10);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+}
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -177,6 +177,11 @@
       return Strand_.post([Done = std::move(Done)] { Done({}); });
     Requests_.push_back(std::move(Done));
   }
+  void
+  findLeaseBounds(std::uint64_t,
+                  std::function<void(const LeaseBounds &)> Found) override {
+    FoundBounds_ = std::move(Found);
+  }
   /// Answers all open requests: the relays have heard Servers.
   void answer(const Heard &Servers = {}) {
     for (const auto &Callback : std::exchange(Requests_, {}))
@@ -184,6 +189,8 @@
   }
 
   bool AnswersAutomatically_ = true;
+  /// Tells the last new leader the bounds of earlier leases.
+  std::function<void(const LeaseBounds &)> FoundBounds_;
 
 private:
   /// Longer than a relay buffers a report.
--- a/tests/jobs/LiveServerTableTest.cpp
+++ b/tests/jobs/LiveServerTableTest.cpp
@@ -41,3 +41,25 @@
   ASSERT_TRUE(LiveServers.recordReport(makeReport(2), Start, Lease));
   EXPECT_FALSE(LiveServers.recordReport(makeReport(1), Start, Lease));
 }
+
+// What members tell of earlier leases does not shorten a lease that this leader
+// may have granted.
+TEST(LiveServerTableTest, OnlyAssumedLeasesAreLimited) {
+  JobRegistry Registry;
+  for (const char *Id : {"server-1", "server-2"}) {
+    AddServer Registration;
+    Registration.Facts_.Id_ = Id;
+    Registration.Facts_.Address_ = std::string(Id) + ":1";
+    Registry.apply(Command(Registration));
+  }
+  LiveServerTable LiveServers;
+  LiveServers.reset(Registry, Start, Lease);
+  ASSERT_TRUE(LiveServers.recordReport(makeReport(1), Start, Lease));
+  for (const char *Id : {"server-1", "server-2"})
+    LiveServers.limitLease(Id, Start - Lease, Start);
+  EXPECT_EQ(LiveServers.listExpired(Start),
+            std::vector<std::string>{"server-2"});
+  EXPECT_FALSE(LiveServers.limitLease("server-2", Start, Start + Lease))
+      << "a lease is never extended";
+  EXPECT_EQ(LiveServers.find("server-2")->LastHeard_, Start - Lease);
+}
--- a/tests/jobservice/LeadershipTransferTest.cpp
+++ b/tests/jobservice/LeadershipTransferTest.cpp
@@ -15,9 +15,10 @@
 
 class LeadershipTransferTest : public NodeCluster {
 protected:
-  /// Sends a report to each node. Relays send their work times with the
-  /// reports.
-  void reportToAll() {
+  /// Sends a report to each node and returns the number of answers with a
+  /// lease. Relays send their work times with the reports.
+  std::size_t reportToAll() {
+    std::size_t Leases = 0;
     for (auto &[Node, Control] : Nodes_) {
       jobs::ServerReport Report;
       Report.Facts_.Id_ = "server" + std::to_string(Node);
@@ -26,12 +27,14 @@
       Report.Facts_.Address_ = Report.Facts_.Id_ + ":1";
       Report.Facts_.Capacity_ = {1000, 1000, 0};
       Report.Sequence_ = ++Sequence_;
-      std::promise<void> Answered;
-      Control->report(Report, [&Answered](const Outcome<jobs::ServerOrders> &) {
-        Answered.set_value();
-      });
-      Answered.get_future().wait();
+      std::promise<bool> HasLease;
+      Control->report(
+          Report, [&HasLease](const Outcome<jobs::ServerOrders> &Orders) {
+            HasLease.set_value(Orders && Orders.value().LeaseMs_ > 0);
+          });
+      Leases += HasLease.get_future().get() ? 1 : 0;
     }
+    return Leases;
   }
 
 private:
@@ -61,3 +64,19 @@
   EXPECT_TRUE(waitFor([this] { return readVersion() == 1; }));
   EXPECT_TRUE(putConfiguration(2));
 }
+
+TEST_F(LeadershipTransferTest, NewLeaderLearnsOfLeasesFromTheOtherMembers) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(1));
+  const int First = findLeader();
+  // Reports at the leader itself are recorded by another member first.
+  ASSERT_TRUE(waitFor([this] { return reportToAll() == Nodes_.size(); }));
+  std::promise<void> Transferred;
+  Nodes_.at(First)->transferLeadership(
+      [&Transferred] { Transferred.set_value(); });
+  Transferred.get_future().wait();
+  EXPECT_TRUE(waitFor([&] {
+    return findLeader() != First && Log_.count(EventKind::LeasesLimited) > 0;
+  }));
+}
--- a/tests/jobservice/NodeCluster.h
+++ b/tests/jobservice/NodeCluster.h
@@ -50,6 +50,20 @@
   return ntohs(Address.sin_port);
 }
 
+/// Counts the lines of each kind.
+class CountingEventLog final : public EventLog {
+public:
+  void write(const Event &Value) override {
+    ++Counts_.at(static_cast<std::size_t>(Value.Kind_));
+  }
+  int count(EventKind Kind) const {
+    return Counts_.at(static_cast<std::size_t>(Kind));
+  }
+
+private:
+  std::array<std::atomic<int>, EventKinds> Counts_{};
+};
+
 /// Node N has the address 127.0.0.N and its own folder.
 class NodeCluster : public ::testing::Test {
 protected:
@@ -168,7 +182,7 @@
   const std::uint16_t Port_ = findFreePort();
   const std::filesystem::path RootFolder_;
   const SystemClock Time_;
-  NoEventLog Log_;
+  CountingEventLog Log_;
   net::Metrics Metrics_;
   net::IoPool Pool_{2};
   jobs::NullAdvisor Advisor_;
