Keep the waiting times of long-running steps over a change of leader

Cause: a new leader forgot since when steps had been ready, so each change of leader began the waits for a server without other images, for one with the same image and for a reservation anew.

Ruled out: replicating the times (an entry for each waiting step, and the clocks of members differ); keeping the times of all steps (the bound is of long-running tasks only, and noting other steps costs a pass over the queue).

Change: every member notes four times a second which long-running steps are ready in the replicated state, by an index that the registry keeps, and a new leader keeps these times. Planner state is pruned on every member, once a second as before.

LeaderChangeTest.WaitForRoomBesideOtherImagesIsKept failed before: no start 1.6 s after the step became ready, over two changes of leader, while the wait is 1.5 s. test_jobs: 270 of 270 passed.

Conclusion: these waits count from when a member saw the step waiting. They still begin only at the removal of the lost server.

--- a/include/tulipweir/jobs/JobRegistry.h
+++ b/include/tulipweir/jobs/JobRegistry.h
@@ -175,6 +175,10 @@
   const std::set<ReadyStep> &readySteps() const { return Ready_; }
   /// Increases whenever a step is added to readySteps().
   std::uint64_t getReadyVersion() const { return ReadyVersion_; }
+  /// Returns the steps of readySteps() whose tasks are long-running.
+  const std::set<ReadyStep> &readyLongRunningSteps() const {
+    return ReadyLongRunning_;
+  }
   /// Returns the ids of the jobs whose next occurrence is not open yet.
   const std::set<std::string> &timedJobs() const { return Timed_; }
   /// Returns the number of accepted jobs of the queue that have not started a
@@ -261,6 +265,7 @@
   // Indexes, derived from the state above.
   std::unordered_map<std::string, std::string> IdByAddress_; ///< Server ids.
   std::set<ReadyStep> Ready_;
+  std::set<ReadyStep> ReadyLongRunning_; ///< A subset of Ready_.
   std::uint64_t ReadyVersion_ = 0;
   std::set<std::string> Timed_;
   std::map<std::string, std::uint64_t> Pending_; ///< Job count by queue key.
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -40,8 +40,8 @@
 static constexpr std::int64_t Unlimited =
     std::numeric_limits<std::int64_t>::max();
 
-void Dispatcher::reset() {
-  ReadyTimes_.reset();
+void Dispatcher::reset(const JobRegistry &Registry) {
+  ReadyTimes_.reset(Registry);
   Proposed_.clear();
   LastFailures_.clear();
   StragglerDetector_.reset();
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -40,7 +40,14 @@
 
   // Commands.
 
-  void reset();
+  /// Called when this member begins to lead. Keeps the waiting times that
+  /// observe() noted.
+  void reset(const JobRegistry &Registry);
+  /// Notes since when long-running work has waited. Called periodically, also
+  /// while another member leads.
+  void observe(const JobRegistry &Registry, TimePoint Now) {
+    ReadyTimes_.observe(Registry, Now);
+  }
   /// Returns the starts for the server. Their tasks are not planned again until
   /// releaseProposed is called.
   std::vector<TaskStart> plan(const JobRegistry &Registry,
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -16,6 +16,8 @@
 /// number of steps, from the first on, that are examined each time.
 static constexpr Duration WaitLogInterval = 1s;
 static constexpr std::size_t MaxLoggedWaits = 8;
+/// The interval at which a member notes what waits.
+static constexpr Duration ObservationInterval = 250ms;
 /// The interval at which state of ended steps and past failures is pruned.
 static constexpr Duration PruneInterval = 1s;
 /// How long the leader counts as overloaded after the last sign of it. Servers
@@ -41,7 +43,6 @@
 void JobLeader::Impl::beginLeading(std::uint64_t Term) {
   Term_ = Term;
   const TimePoint Now = Time_.now();
-  Dispatcher_.reset();
   Paces_.reset();
   Advice_.reset();
   // Learned interference and loads do not depend on who leads, so they are
@@ -64,7 +65,6 @@
   IsListing_ = false;
   IsOrdering_ = false;
   NextAdviceRequest_ = Now;
-  NextPlannerPrune_ = Now;
   EndedAt_.clear();
   AcceptedAt_.clear();
   StartedJobs_.clear();
@@ -73,6 +73,7 @@
     // The previous leader sent its last answer before this leader's election,
     // so the longest lease from now on covers it. limitLeases shortens it.
     LiveServers_.reset(Registry, Now, getMaxLease());
+    Dispatcher_.reset(Registry);
     PendingStops_.reset(Registry, Now);
     Absences_.reset(Registry, Now);
     for (const auto &[Id, Job] : Registry.jobs())
@@ -176,16 +177,24 @@
   });
 }
 
-/// Updates the learned loads, also while another member leads: this member
-/// learns from the reports that the other one handles.
+/// Updates the learned loads and the waiting times, also while another member
+/// leads: this member learns from the reports that the other one handles, and
+/// if it becomes the leader, waits continue.
 void JobLeader::Impl::updateLoads() {
   const TimePoint Now = Time_.now();
   Loads_.updateRanges(Now);
-  if (Now < NextLoadPrune_)
+  if (Now < NextObservation_)
     return;
-  NextLoadPrune_ = Now + PruneInterval;
-  Machine_.read([this](const JobRegistry &Registry) {
-    Loads_.prune(Registry);
+  NextObservation_ = Now + ObservationInterval;
+  const bool IsPruning = Now >= NextPrune_;
+  if (IsPruning)
+    NextPrune_ = Now + PruneInterval;
+  Machine_.read([&](const JobRegistry &Registry) {
+    if (IsPruning) {
+      Loads_.prune(Registry);
+      Dispatcher_.prune(Registry);
+    }
+    Dispatcher_.observe(Registry, Now);
     return 0;
   });
 }
@@ -327,10 +336,6 @@
 void JobLeader::Impl::startGang() {
   std::vector<TaskStart> Starts =
       Machine_.read([&](const JobRegistry &Registry) {
-        if (Time_.now() >= NextPlannerPrune_) {
-          NextPlannerPrune_ = Time_.now() + PruneInterval;
-          Dispatcher_.prune(Registry);
-        }
         Dispatcher_.survey(Registry, LiveServers_, Time_.now());
         return Dispatcher_.planGang(Registry, LiveServers_, Time_.now());
       });
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -238,8 +238,8 @@
   bool IsProving_ = false; ///< A proposal with proved runs is outstanding.
   bool IsAdvicePending_ = false; ///< A question to the advice service is open.
   TimePoint NextAdviceRequest_{};
-  TimePoint NextPlannerPrune_{};
-  TimePoint NextLoadPrune_{}; ///< When loads of ended tasks are pruned next.
+  TimePoint NextObservation_{};
+  TimePoint NextPrune_{}; ///< When loads and planner state are pruned next.
   WavePlanner Waves_;
   TimePoint LeadingSince_{};
   TimePoint LastTick_{};
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -449,6 +449,10 @@
     ReadyVersion_ += Ready_.insert(Key).second ? 1 : 0;
   else
     Ready_.erase(Key);
+  if (ShouldBeListed && Job.Spec_.Steps_[Step].LongRunning_)
+    ReadyLongRunning_.insert(Key);
+  else
+    ReadyLongRunning_.erase(Key);
 }
 
 void JobRegistry::updateReadySteps(const JobRecord &Job) {
@@ -459,6 +463,9 @@
 
 void JobRegistry::removeReadySteps(const JobRecord &Job) {
   for (const OccurrenceRecord &Occurrence : Job.OpenOccurrences_)
-    for (std::size_t Step = 0; Step < Occurrence.Steps_.size(); ++Step)
-      Ready_.erase(makeReadyStep(Job, Occurrence.Number_, Step));
+    for (std::size_t Step = 0; Step < Occurrence.Steps_.size(); ++Step) {
+      const ReadyStep Key = makeReadyStep(Job, Occurrence.Number_, Step);
+      Ready_.erase(Key);
+      ReadyLongRunning_.erase(Key);
+    }
 }
--- a/src/jobs/ReadyTimes.h
+++ b/src/jobs/ReadyTimes.h
@@ -21,7 +21,19 @@
 
   // Commands.
 
-  void reset() { Since_.clear(); }
+  /// Called when this member begins to lead. Forgets all but the long-running
+  /// steps: only their waits are bounded over changes of leader.
+  void reset(const JobRegistry &Registry) {
+    std::erase_if(Since_, [&Registry](const auto &Entry) {
+      return Registry.readyLongRunningSteps().count(Entry.first) == 0;
+    });
+  }
+  /// Notes since when the long-running steps have been ready. Called
+  /// periodically, also while another member leads.
+  void observe(const JobRegistry &Registry, TimePoint Now) {
+    for (const ReadyStep &Step : Registry.readyLongRunningSteps())
+      Since_.try_emplace(Step, Now);
+  }
   /// Returns how long the step has been ready. The time of an unknown step
   /// starts now.
   Duration getWait(const ReadyStep &Step, TimePoint Now) {
--- a/tests/jobs/JobRegistryDifferentialTest.cpp
+++ b/tests/jobs/JobRegistryDifferentialTest.cpp
@@ -63,6 +63,8 @@
     ASSERT_TRUE(Decoded);
     ASSERT_EQ(Decoded.value().jobs(), Registry_.jobs());
     ASSERT_EQ(Decoded.value().readySteps(), Registry_.readySteps());
+    ASSERT_EQ(Decoded.value().readyLongRunningSteps(),
+              Registry_.readyLongRunningSteps());
     Registry_ = std::move(Decoded.value());
   }
 
--- /dev/null
+++ b/tests/jobs/LeaderChangeTest.cpp
@@ -0,0 +1,55 @@
+//===- LeaderChangeTest.cpp - Waits that a change of leader keeps ---------===//
+
+#include "jobs/LeaderFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+class LeaderChangeTest : public JobLeaderTest {
+protected:
+  void stopLeading() {
+    Group_.IsLeader_ = false;
+    Strand_.advance(100ms);
+  }
+  void startLeading() {
+    Group_.IsLeader_ = true;
+    ++Group_.Term_;
+    Strand_.advance(100ms);
+  }
+  /// Applies an entry that another leader has committed.
+  void apply(const Command &Entry) {
+    Machine_.apply({Group_.Term_, 0, encodeCommand(Entry)});
+  }
+};
+
+} // namespace
+
+// Guards against a long-running task that waits anew for a server without other
+// images at each change of leader.
+TEST_F(LeaderChangeTest, WaitForRoomBesideOtherImagesIsKept) {
+  call(CallKind::Submit, "a", {makeServing(1, "a")});
+  const ServerOrders First = report(makeReport("s1"));
+  ASSERT_EQ(First.Starts_.size(), 1U);
+  const auto ReportRunning = [&] {
+    ServerReport Report = makeReport("s1");
+    Report.Running_ = {makeRunning(First.Starts_[0])};
+    return report(Report);
+  };
+  apply(AddServer{makeServer("s2")});
+  stopLeading();
+  apply(makeSubmit(makeJob("b", {makeServing(1, "b")})));
+  Strand_.advance(800ms);
+  startLeading();
+  // s2 has room, but does not report, so the task waits for 1.5 s in all.
+  EXPECT_TRUE(ReportRunning().Starts_.empty());
+  stopLeading();
+  Strand_.advance(500ms);
+  startLeading();
+  const ServerOrders Orders = ReportRunning();
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  EXPECT_EQ(Orders.Starts_[0].Task_.Job_, "b");
+}
