Keep the waits for isolation over a change of leader

Ruled out: replicating the times, as for ready steps; keeping the reservations and exemptions, which rest on what the earlier leader's servers reported to it.

The planner's own refresh notes them by the same function. The cost follows the number of suspected tasks only.

Conclusion: these waits count from when a member saw the task waiting. A new leader still treats runs that started without isolation as unproved ones.

--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -47,6 +47,7 @@
   /// while another member leads.
   void observe(const JobRegistry &Registry, TimePoint Now) {
     ReadyTimes_.observe(Registry, Now);
+    Isolation_.observe(Registry, Now);
   }
   /// Returns the starts for the server. Their tasks are not planned again until
   /// releaseProposed is called.
--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -31,7 +31,6 @@
 static constexpr std::size_t MaxConsidered = 64;
 
 void IsolationPlanner::reset() {
-  WaitingSince_.clear();
   ExemptRuns_.clear();
   Reservations_.clear();
   Waiting_.clear();
@@ -40,6 +39,26 @@
   RefreshedAt_ = {};
 }
 
+/// Returns whether the task waits for a server; gangs are planned elsewhere.
+static bool isWaitingAlone(const JobRecord &Job, const TaskKey &Key,
+                           const TaskRecord &Task) {
+  return Task.State_ == TaskState::Waiting &&
+         !Job.Spec_.Steps_[Key.Step_].Gang_;
+}
+
+void IsolationPlanner::observe(const JobRegistry &Registry, TimePoint Now) {
+  for (const auto &[Key, Servers] : Registry.crashSuspects()) {
+    const JobRecord &Job = *Registry.findJob(Key.Job_);
+    const TaskRecord &Task = *Job.findTask(Key);
+    if (!needsIsolation(Task.Crashes_))
+      continue;
+    if (isWaitingAlone(Job, Key, Task))
+      WaitingSince_.try_emplace(Key, Now);
+    else
+      WaitingSince_.erase(Key);
+  }
+}
+
 bool IsolationPlanner::isIsolating(const TaskKey &Key,
                                    const TaskRecord &Task) const {
   return needsIsolation(Task.Crashes_) &&
@@ -125,6 +144,7 @@
     return !LiveServers.find(Entry.first) ||
            Now - Entry.second.Until_ >= MaxReportDelay;
   });
+  observe(Registry, Now);
   std::size_t FirstSuspects = 0;
   std::size_t UnprovedRuns = 0;
   std::vector<std::tuple<std::uint64_t, std::uint64_t, TaskKey>> Order;
@@ -137,12 +157,9 @@
     for (const Placement &Placed : Task.Placements_)
       Unproved += mayStillCrash(Task, LiveServers.find(Placed.Server_), Key,
                                 Placed.Run_);
-    const bool IsWaiting =
-        Task.State_ == TaskState::Waiting && !Job.Spec_.Steps_[Key.Step_].Gang_;
+    const bool IsWaiting = isWaitingAlone(Job, Key, Task);
     if (IsWaiting)
       Order.emplace_back(Job.Policy_.Priority_, Job.getDueMs(), Key);
-    else
-      WaitingSince_.erase(Key);
     if (isExempt(Key, Task))
       continue;
     UnprovedRuns += Unproved;
@@ -155,8 +172,7 @@
   Waiting_.clear();
   for (const auto &[Priority, DueMs, Key] : Order) {
     const TaskRecord &Task = *Registry.findTask(Key);
-    const Duration Waited =
-        Now - WaitingSince_.try_emplace(Key, Now).first->second;
+    const Duration Waited = Now - WaitingSince_.at(Key);
     const std::size_t Crashes = Task.Crashes_.size();
     if (Registry.findStep(Key)->LongRunning_ &&
         Crashes < MaxIsolationWait.size() &&
--- a/src/jobs/IsolationPlanner.h
+++ b/src/jobs/IsolationPlanner.h
@@ -29,7 +29,12 @@
 
   // Commands.
 
+  /// Called when this member begins to lead. Keeps the waiting times that
+  /// observe() noted.
   void reset();
+  /// Notes since when suspected tasks have waited. Called periodically, also
+  /// while another member leads.
+  void observe(const JobRegistry &Registry, TimePoint Now);
   /// Returns the suspected task that the server starts now, if any. May tells
   /// whether other conditions allow the task's start there.
   std::optional<TaskStart> plan(const JobRegistry &Registry,
--- a/tests/jobs/CrashSimulator.cpp
+++ b/tests/jobs/CrashSimulator.cpp
@@ -97,7 +97,7 @@
   }
 }
 
-/// A new leader has the state of the log and nothing else.
+/// A new leader has the state of the log and what this member noted of it.
 void CrashSimulator::changeLeader() {
   NextLeader_ = Time_.now() + Scenario_.LeaderInterval_;
   Group_.IsLeader_ = false;
--- a/tests/jobs/LeaderChangeTest.cpp
+++ b/tests/jobs/LeaderChangeTest.cpp
@@ -53,3 +53,30 @@
   ASSERT_EQ(Orders.Starts_.size(), 1U);
   EXPECT_EQ(Orders.Starts_[0].Task_.Job_, "b");
 }
+
+// Guards against a long-running task that waits anew for isolation at each
+// change of leader.
+TEST_F(LeaderChangeTest, WaitForIsolationIsKept) {
+  call(CallKind::Submit, "a", {makeServing(1, "a")});
+  call(CallKind::Submit, "b", {makeServing(1, "b")});
+  stopLeading();
+  for (std::uint64_t Run = 1; Run <= 2; ++Run) {
+    const std::string Id = "lost" + std::to_string(Run);
+    apply(AddServer{makeServer(Id)});
+    apply(StartTasks{{makeStart("a", 0, Id, Run), makeStart("b", 0, Id, Run)}});
+    apply(RemoveServer{Id, {}, true, {true, true, false, true, {}}});
+  }
+  // The isolated run on s1 is not proved, so b gets no server for isolation.
+  apply(AddServer{makeServer("s1")});
+  apply(AddServer{makeServer("s2")});
+  apply(StartTasks{{makeStart("a", 0, "s1", 3)}});
+  Strand_.advance(800ms);
+  startLeading();
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  stopLeading();
+  Strand_.advance(1s);
+  startLeading();
+  const ServerOrders Orders = report(makeReport("s2"));
+  ASSERT_EQ(Orders.Starts_.size(), 1U);
+  EXPECT_EQ(Orders.Starts_[0].Task_.Job_, "b");
+}
