Count pending stops from the end of the job over a change of leader

Cause: a new leader listed the servers with runs of ended jobs as if the jobs had ended at the change. The bound of a stop runs from the acknowledged cancellation, and relays queue a server by the time for which its stop has waited, so a stop that was due lost its place, and the time that is measured for stops was too short.

Ruled out: a new leader that sends no stops (they follow from the replicated state in every answer; only their place in the order was wrong); the end's acceptance time as a wall clock in the log (clocks differ and may be stepped).

Change: every member notes, by one pass over the jobs a second, since when jobs with placed runs have ended, and a new leader counts from there. A member that led notes the end itself.

LeaderChangeTest.WaitForAStopIsKept failed before: 50 ms listed 2.1 s after the cancellation. It expects 1.1 s at least, as a member that follows may note an end a second late. test_jobs: 272 of 272 passed.

Conclusion: a stop keeps its place to within a second.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -177,7 +177,7 @@
   });
 }
 
-/// Updates the learned loads and the waiting times, also while another member
+/// Updates the learned loads and the times of waits, also while another member
 /// leads: this member learns from the reports that the other one handles, and
 /// if it becomes the leader, waits continue.
 void JobLeader::Impl::updateLoads() {
@@ -193,6 +193,7 @@
     if (IsPruning) {
       Loads_.prune(Registry);
       Dispatcher_.prune(Registry);
+      PendingStops_.observe(Registry, Now);
     }
     Dispatcher_.observe(Registry, Now);
     return 0;
--- a/src/jobs/PendingStops.cpp
+++ b/src/jobs/PendingStops.cpp
@@ -9,17 +9,38 @@
 /// The limit of a list, which bounds the size of a reply.
 static constexpr std::size_t MaxListed = 128;
 
+static bool awaitsStops(const JobRecord *Job) {
+  return Job && isEnded(Job->State_) && Job->Placements_ > 0;
+}
+
+void PendingStops::observe(const JobRegistry &Registry, TimePoint Now) {
+  std::erase_if(EndedSince_, [&Registry](const auto &Entry) {
+    return !awaitsStops(Registry.findJob(Entry.first));
+  });
+  for (const auto &[Id, Job] : Registry.jobs())
+    if (awaitsStops(&Job))
+      EndedSince_.try_emplace(Id, Now);
+}
+
 void PendingStops::reset(const JobRegistry &Registry, TimePoint Now) {
   Servers_.clear();
+  observe(Registry, Now);
   for (const auto &[Id, Server] : Registry.servers())
     for (const auto &[Task, Run] : Server.Placed_) {
       const JobRecord *Job = Registry.findJob(Task.Job_);
-      if (!Job || isEnded(Job->State_))
-        Servers_.try_emplace(Id, PendingStop{Now});
+      if (Job && !isEnded(Job->State_))
+        continue;
+      const auto Ended = EndedSince_.find(Task.Job_);
+      const TimePoint Since = Ended == EndedSince_.end() ? Now : Ended->second;
+      PendingStop &Stop =
+          Servers_.try_emplace(Id, PendingStop{Since}).first->second;
+      Stop.Since_ = std::min(Stop.Since_, Since);
     }
 }
 
 void PendingStops::add(const JobRecord &Job, TimePoint Now) {
+  if (awaitsStops(&Job))
+    EndedSince_.try_emplace(Job.Spec_.Id_, Now);
   for (const OccurrenceRecord &Occurrence : Job.OpenOccurrences_)
     for (const StepRecord &Step : Occurrence.Steps_)
       for (const TaskRecord &Task : Step.Tasks_)
--- a/src/jobs/PendingStops.h
+++ b/src/jobs/PendingStops.h
@@ -23,7 +23,11 @@
 public:
   // Commands.
 
-  /// Restarts with the placed runs of jobs that have ended.
+  /// Notes since when jobs with placed runs have ended. Called periodically,
+  /// also while another member leads.
+  void observe(const JobRegistry &Registry, TimePoint Now);
+  /// Called when this member begins to lead. Restarts with the placed runs of
+  /// jobs that have ended; their stops have waited since the end was noted.
   void reset(const JobRegistry &Registry, TimePoint Now);
   /// Adds the servers that run tasks of an ended job.
   void add(const JobRecord &Job, TimePoint Now);
@@ -45,6 +49,8 @@
     bool IsSent_ = false; ///< Whether an answer with a stop order was sent.
   };
   std::map<std::string, PendingStop> Servers_;
+  /// By job, when it was first seen ended while runs of it were placed.
+  std::map<std::string, TimePoint> EndedSince_;
 };
 
 } // namespace tulipweir::jobs
--- a/tests/jobs/LeaderChangeTest.cpp
+++ b/tests/jobs/LeaderChangeTest.cpp
@@ -80,3 +80,23 @@
   ASSERT_EQ(Orders.Starts_.size(), 1U);
   EXPECT_EQ(Orders.Starts_[0].Task_.Job_, "b");
 }
+
+// Guards against stops that lose their place in the relays' order at a change
+// of leader: their bound counts from the end of the job. A member notes an end
+// within a second.
+TEST_F(LeaderChangeTest, WaitForAStopIsKept) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  stopLeading();
+  apply(CancelJob{"j"});
+  Strand_.advance(2s);
+  startLeading();
+  ASSERT_EQ(Leader_.listAwaitingStop().size(), 1U);
+  EXPECT_GE(Leader_.listAwaitingStop()[0].WaitedMs_, 1100U);
+  EXPECT_LE(Leader_.listAwaitingStop()[0].WaitedMs_, 2100U);
+  const std::uint64_t Before = Leader_.listAwaitingStop()[0].WaitedMs_;
+  stopLeading();
+  startLeading();
+  ASSERT_EQ(Leader_.listAwaitingStop().size(), 1U);
+  EXPECT_EQ(Leader_.listAwaitingStop()[0].WaitedMs_, Before + 200);
+}
