Ask the relays before a lease expires, so that a silent one delays little

What callers saw: long-running tasks of a lost server away for over 9 s.

Cause: the relays were asked when the lease had expired (while the leader was overloaded a second before, and again), and a silent relay was waited for for 1.5 s each time: part of the 3 s that are left after a lease of 6 s.

JobLeaderTest.SilentRelayDelaysARemovalByLessThanASecond and .SilentRelayDelaysAnOverloadedLeaderLittleMore fail before.

Tried and given up: to end the wait at the expiry itself. Then a silent relay that still buffers the end of a run has no time after it, which LostServerIsRemovedThoughARelayIsSilent and DepartingServersTest demand.

Change: the first question is sent 0.6 s before the expiry (overloaded: 1 s, as before), and a second one waits 0.5 s if a relay was silent for the first. A silent relay delays a removal by 0.9 s instead of 1.5, and by 1 s instead of 2 s if the leader is overloaded, by the constants.

--- a/src/jobs/JobLeaderExpiry.cpp
+++ b/src/jobs/JobLeaderExpiry.cpp
@@ -11,12 +11,18 @@
 static constexpr Duration RecheckDelay = 1s;
 /// The longest wait for the relays' answers.
 static constexpr Duration MaxExpiryRoundTime = 1500ms;
+/// The first check begins this long before the lease expires, so that a silent
+/// relay delays the removal by less than a second. An overloaded leader, which
+/// checks twice, begins earlier.
+static constexpr Duration FirstCheckLead = 600ms;
+static constexpr Duration OverloadedFirstCheckLead = RecheckDelay;
+/// The longest wait in a second check if a relay was silent in the first one.
+static constexpr Duration MaxSecondRoundTime = 500ms;
 /// The least time between two rounds while the leader is overloaded.
 static constexpr Duration ExpiryRoundInterval = 250ms;
 
-/// Asks the relays for servers whose leases have expired. While the leader is
-/// overloaded the relays are asked twice, and the first time before the lease
-/// expires.
+/// Asks the relays for servers whose leases are about to expire, and again once
+/// they have expired if they answer before.
 void JobLeader::Impl::checkExpiredLeases() {
   const TimePoint Now = Time_.now();
   const bool IsOverloaded = Now < OverloadedUntil_;
@@ -27,11 +33,12 @@
   std::erase_if(ExpiryChecks_, [Now](const auto &Entry) {
     return !Entry.second.IsOpen_ && Entry.second.NextAsk_ <= Now;
   });
-  std::erase_if(Unheard_, [this, Now](const std::string &Id) {
-    const LiveServer *Live = LiveServers_.find(Id);
+  std::erase_if(Unheard_, [this, Now](const auto &Entry) {
+    const LiveServer *Live = LiveServers_.find(Entry.first);
     return !Live || Live->LeaseEnd_ > Now + RecheckDelay;
   });
-  const TimePoint ExpiredBy = IsOverloaded ? Now + RecheckDelay : Now;
+  const TimePoint ExpiredBy =
+      Now + (IsOverloaded ? OverloadedFirstCheckLead : FirstCheckLead);
   std::vector<std::string> NewlyExpired;
   const std::uint64_t Round = LastExpiryRound_ + 1;
   for (const std::string &Id : LiveServers_.listExpired(ExpiredBy))
@@ -48,7 +55,9 @@
         if (!Self || !Self->isLeading() || Self->Term_ != Term)
           return;
         for (const std::string &Id : NewlyExpired)
-          Self->finishExpiryCheck(Id, Round, Heard.count(Id) != 0);
+          Self->finishExpiryCheck(Id, Round,
+                                  Heard.count(Id) != 0 ? RelayAnswer::Heard
+                                                       : RelayAnswer::Unheard);
       });
 }
 
@@ -58,11 +67,16 @@
 void JobLeader::Impl::endOverdueRounds() {
   const TimePoint Now = Time_.now();
   std::vector<std::pair<std::string, std::uint64_t>> Overdue;
-  for (const auto &[Id, Check] : ExpiryChecks_)
-    if (Check.IsOpen_ && Now - Check.AskedAt_ >= MaxExpiryRoundTime)
+  for (const auto &[Id, Check] : ExpiryChecks_) {
+    const auto It = Unheard_.find(Id);
+    const bool HasSilentRelay = It != Unheard_.end() && It->second;
+    const Duration Longest =
+        HasSilentRelay ? MaxSecondRoundTime : MaxExpiryRoundTime;
+    if (Check.IsOpen_ && Now - Check.AskedAt_ >= Longest)
       Overdue.emplace_back(Id, Check.Round_);
+  }
   for (const auto &[Id, Round] : Overdue)
-    finishExpiryCheck(Id, Round, false);
+    finishExpiryCheck(Id, Round, RelayAnswer::Missing);
 }
 
 /// Removes the server unless a relay has heard it. A server that was heard is
@@ -70,7 +84,8 @@
 /// finished, and these must not start elsewhere. While the leader is overloaded
 /// a relay may not have read that report yet, so the relays are asked twice.
 void JobLeader::Impl::finishExpiryCheck(const std::string &Id,
-                                        std::uint64_t Round, bool IsHeard) {
+                                        std::uint64_t Round,
+                                        RelayAnswer Answer) {
   const auto It = ExpiryChecks_.find(Id);
   if (It == ExpiryChecks_.end() || !It->second.IsOpen_ ||
       It->second.Round_ != Round)
@@ -83,14 +98,17 @@
   const bool WasUnheard = Unheard_.erase(Id) != 0;
   if (!Live || Live->IsRemoving_ || Live->LeaseEnd_ > Now + RecheckDelay)
     return;
-  if (IsHeard) {
+  if (Answer == RelayAnswer::Heard) {
     Meter_.add(JobCounter::ExpiredServersKept, Live->LeaseEnd_ <= Now ? 1 : 0);
     return;
   }
   const bool HasLease = Live->LeaseEnd_ > Now;
-  if (HasLease || (Now < OverloadedUntil_ && !WasUnheard)) {
-    Unheard_.insert(Id);
-    Check.NextAsk_ = std::max(Live->LeaseEnd_, Check.AskedAt_ + RecheckDelay);
+  const bool IsOverloaded = Now < OverloadedUntil_;
+  if (HasLease || (IsOverloaded && !WasUnheard)) {
+    Unheard_[Id] = Answer == RelayAnswer::Missing;
+    Check.NextAsk_ = Live->LeaseEnd_;
+    if (IsOverloaded)
+      Check.NextAsk_ = std::max(Check.NextAsk_, Check.AskedAt_ + RecheckDelay);
     return;
   }
   removeServer(Id, Departure::Silent, [](const Outcome<CommandResult> &) {});
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -100,6 +100,8 @@
     TimePoint AskedAt_{};
     TimePoint NextAsk_{}; ///< The earliest time of the next check.
   };
+  /// What the relays said of a server. Missing if one of them did not answer.
+  enum class RelayAnswer : std::uint8_t { Heard, Unheard, Missing };
   /// A run on a server that is removed.
   struct LostRun {
     TaskKey Task_;
@@ -121,7 +123,7 @@
   void checkExpiredLeases();
   void endOverdueRounds();
   void finishExpiryCheck(const std::string &Id, std::uint64_t Round,
-                         bool IsHeard);
+                         RelayAnswer Answer);
   void openDueOccurrences();
   void startGang();
   void pruneEndedJobs();
@@ -254,9 +256,9 @@
   std::map<std::string, ExpiryCheck> ExpiryChecks_;
   std::uint64_t LastExpiryRound_ = 0;
   TimePoint NextExpiryRound_{}; ///< The next round of an overloaded leader.
-  /// Servers that no relay had heard when asked while the leader was
-  /// overloaded.
-  std::set<std::string> Unheard_;
+  /// Servers that no relay had heard in a first check, and whether a relay was
+  /// silent in it.
+  std::map<std::string, bool> Unheard_;
   /// Incarnations that are about to be ended, until that is committed.
   std::set<std::string> Leaving_;
   std::map<std::string, TimePoint> EndedAt_;
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -456,3 +456,28 @@
   Strand_.advance(Settings_.Lease_ * 9 / 10);
   EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
 }
+
+// Guards against a removal that waits for a silent relay after the lease has
+// expired, which is part of the time for which long-running tasks are away.
+TEST_F(JobLeaderTest, SilentRelayDelaysARemovalByLessThanASecond) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  Relays_.AnswersAutomatically_ = false;
+  const Duration MaxLease =
+      Settings_.Lease_ * (100 + Settings_.ClockDriftPercent_) / 100;
+  Strand_.advance(MaxLease + 1s);
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
+TEST_F(JobLeaderTest, SilentRelayDelaysAnOverloadedLeaderLittleMore) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  Relays_.AnswersAutomatically_ = false;
+  const Duration MaxLease =
+      Settings_.Lease_ * (100 + Settings_.ClockDriftPercent_) / 100;
+  for (Duration At{}; At < MaxLease + 1200ms; At += 50ms) {
+    Leader_.markOverloaded();
+    Strand_.advance(50ms);
+  }
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
