Give no lease and no starts to reports that arrive too late

What callers saw: long-running tasks of a lost server away for far over 9 s.

Cause: a report that a cut had delayed arrived after its sender had crashed. The leader counted it as a sign of life: the lease of the lost server ran anew, a server that was removed already was registered again and got starts, and the claim of its successor to the address began anew.

Withholding a lease is safe with any clock. A second report before any lease after a silence: an overloaded leader hears sound servers as rarely.

Change: the report carries the server's clock; ReportAges compares it with earlier reports of the server, also after its removal. What was sent over a second before gets no lease, no starts and no registration, as its server drops the answer; ends in it count. Two late reports in a row with the same delay are of a running server whose clock stood still.

Left: the first report that a leader gets of a server has nothing to be compared with.

--- a/include/tulipweir/jobs/ServerReport.h
+++ b/include/tulipweir/jobs/ServerReport.h
@@ -50,6 +50,8 @@
   /// was spent in the control's processes. The server's lease counts from the
   /// sending.
   std::uint64_t WaitedMs_ = 0;
+  /// The server's steady clock when it sent the report; 0 if unknown.
+  std::uint64_t ServerClockMs_ = 0;
   bool operator==(const ServerReport &) const = default;
 };
 
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -25,6 +25,7 @@
 #include "jobs/PaceController.h"
 #include "jobs/PaceSetter.h"
 #include "jobs/PendingStops.h"
+#include "jobs/ReportAges.h"
 #include "jobs/WavePlanner.h"
 #include "replication/LeaderWatch.h"
 
@@ -223,6 +224,7 @@
 
   std::uint64_t Term_ = 0;
   LiveServerTable LiveServers_;
+  ReportAges ReportAges_{Settings_.ClockDriftPercent_};
   InterferenceModel Effects_;
   ServingLoads Loads_;
   TailLearner Learner_{Effects_, Loads_};
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -14,6 +14,9 @@
 static constexpr Duration MaxAnswerDelay = 300ms;
 /// The report interval of an incarnation whose address is still taken.
 static constexpr std::uint64_t ConflictReportMs = 250;
+/// A server that has sent a report which arrived too late reports again after
+/// this time.
+static constexpr std::uint64_t LateReportMs = 100;
 
 void JobLeader::Impl::leave(const std::string &ServerId, Done<void> Reply) {
   if (!isLeading())
@@ -59,6 +62,16 @@
                       });
   if (IsOver)
     return recordLateEnds(Report, Reply);
+  const TimePoint ReceivedAt =
+      Time_.now() - std::chrono::milliseconds(Report.WaitedMs_);
+  if (ReportAges_.isTooLate(Report, ReceivedAt)) {
+    Meter_.add(JobCounter::ReportsLate, 1);
+    return recordLateEnds(Report, [Reply](Outcome<ServerOrders> Orders) {
+      if (Orders)
+        Orders.value().NextReportMs_ = LateReportMs;
+      Reply(std::move(Orders));
+    });
+  }
   const auto Pending = std::make_shared<PendingReport>();
   Pending->Report_ = std::move(Report);
   Pending->Reply_ = std::move(Reply);
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -480,4 +480,3 @@
     Strand_.advance(50ms);
   }
   EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
-}
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -82,6 +82,7 @@
   EXPECT_TRUE(Report.IsDraining_);
   EXPECT_EQ(Report.RemainingMs_, 900U);
   EXPECT_EQ(Report.Sequence_, 4U);
+  EXPECT_EQ(Report.ServerClockMs_, 482113U);
   ASSERT_EQ(Report.Running_.size(), 1U);
   const jobs::TaskKey Task{"5c0e", 0, 1, 17};
   EXPECT_EQ(Report.Running_[0], (jobs::RunningTask{Task, 2, "00bb", 41, 77}));
