List a server as heard only for a report that is not answered

Cause: a relay listed a server as heard for 3 s after a report had arrived, also if the leader had answered that very report. The leader then kept the server, whose lease had expired, and asked again a second later. A delayed report of a crashed server so kept its tasks away for seconds more.

Change: a server counts as heard if the newest report that the relay received from it is younger than 3 s and the leader has not answered it. Queued, deferred, expired and lost reports are unanswered and count as before.

Ruled out: judging by the last arrival. A report that a later one has overtaken would keep a server again, and its answer would hide a newer report that was lost; so the sequence number decides. Also ruled out: the answer to ended tasks that a flush sent again as an answer to their report. It extends no lease, so the server still counts as heard.

Figures: ReportRelayTest.ServerWithAnAnsweredReportIsNotListedAsHeard and ServerWithAnUnansweredReportIsListedAsHeard failed before (the answered report was listed 100 ms and 0 ms after its answer) and pass now.

Conclusion: a relay keeps a server only for a report that the leader does not know.

--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -64,11 +64,31 @@
               ServerState{Now - UrgentAfter, Now, TimePoint::max(), {}})
           .first->second;
   Server.LastHeard_ = Now;
+  // A report that a later one has overtaken brings the leader no news.
+  if (Report.Sequence_ >= Server.NewestSequence_) {
+    Server.NewestSequence_ = Report.Sequence_;
+    Server.NewestReceivedAt_ = Now;
+    Server.IsNewestAnswered_ = false;
+  }
   Queue_.emplace(getQueuePosition(Server),
                  QueuedReport{std::move(Report), std::move(Reply), Now});
   scheduleFlush();
 }
 
+/// Whether the relay has recently received a report of the server that the
+/// leader has not answered. An answered one would only keep a lost server.
+bool ReportRelay::mayBringNews(const ServerState &Server) const {
+  return !Server.IsNewestAnswered_ &&
+         Time_.now() - Server.NewestReceivedAt_ <= RecentlyHeard;
+}
+
+void ReportRelay::recordAnswer(const Batch::Entry &Answered) {
+  const auto It = Servers_.find(Answered.Server_);
+  if (It != Servers_.end() && !Answered.IsLate_ &&
+      Answered.Sequence_ >= It->second.NewestSequence_)
+    It->second.IsNewestAnswered_ = true;
+}
+
 /// Returns the time at which the server's lease was last extended, or an
 /// earlier time for a server that awaits a stop.
 TimePoint ReportRelay::getQueuePosition(const ServerState &Server) {
@@ -238,7 +258,7 @@
           .count());
   Sent.Entries_.push_back({Queued.Report_.Facts_.Id_, std::move(Queued.Reply_),
                            Queued.ReceivedAt_, Queued.Report_.Sequence_,
-                           Queued.Report_.IsDraining_, nullptr});
+                           Queued.Report_.IsDraining_, false, nullptr});
   if (!Queued.Report_.Ended_.empty())
     Sent.Entries_.back().ReportWithEndedTasks_ =
         std::make_shared<jobs::ServerReport>(Queued.Report_);
@@ -273,7 +293,7 @@
     const auto It = Servers_.find(Id);
     if (It == Servers_.end())
       continue;
-    const bool IsHeard = Now - It->second.LastHeard_ <= RecentlyHeard;
+    const bool IsHeard = mayBringNews(It->second);
     if (IsHeard)
       Reports.Heard_.push_back(Id);
     if (IsHeard && Request.OnlySilent_)
@@ -291,6 +311,7 @@
     addToBatch({*std::exchange(It->second.Undelivered_, nullptr),
                 [](const auto &) {}, Now},
                Reports, Sent);
+    Sent.Entries_.back().IsLate_ = true;
     ++Reports.LateReports_;
   }
   for (auto It = Queue_.begin(); It != Queue_.end();) {
@@ -323,9 +344,10 @@
     Batch::Entry &Entry = Sent.Entries_[I];
     jobs::ReportAnswer *Result =
         IsComplete ? &Answer.value().Answers_[I] : nullptr;
-    if (Result && Result->Verdict_ == jobs::ReportVerdict::Answered)
+    if (Result && Result->Verdict_ == jobs::ReportVerdict::Answered) {
       dropDeliveredTasks(Entry);
-    else if (Entry.ReportWithEndedTasks_)
+      recordAnswer(Entry);
+    } else if (Entry.ReportWithEndedTasks_)
       keepEndedTasks(Entry.ReportWithEndedTasks_);
     if (!Result) {
       Entry.Reply_(
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -72,6 +72,7 @@
       TimePoint ReceivedAt_; ///< When this relay received the report.
       std::uint64_t Sequence_ = 0;
       bool IsDraining_ = false;
+      bool IsLate_ = false; ///< Only the ends in the report count.
       /// The report if it lists ended tasks, else null.
       ReportPtr ReportWithEndedTasks_;
     };
@@ -89,9 +90,15 @@
     /// The server's last report with ended tasks that the leader has not
     /// answered.
     ReportPtr Undelivered_;
+    /// The newest report that this relay has received from the server.
+    std::uint64_t NewestSequence_ = 0;
+    TimePoint NewestReceivedAt_{};
+    bool IsNewestAnswered_ = false; ///< By the leader.
   };
 
   static TimePoint getQueuePosition(const ServerState &Server);
+  bool mayBringNews(const ServerState &Server) const;
+  void recordAnswer(const Batch::Entry &Answered);
   void prioritizeStops(const std::vector<jobs::ServerAwaitingStop> &Servers);
   void recordLeaseExtension(const Batch::Entry &Answered);
   void scheduleFlush();
--- a/tests/jobservice/RelayFlushTest.cpp
+++ b/tests/jobservice/RelayFlushTest.cpp
@@ -215,3 +215,68 @@
   EXPECT_TRUE(Sent_.back().Batch_.Heard_.empty());
   EXPECT_TRUE(Sent_.back().Batch_.Reports_.empty());
 }
+
+// Guards against a relay that keeps a lost server for seconds because of a
+// report that the leader has answered.
+TEST_F(ReportRelayTest, ServerWithAnAnsweredReportIsNotListedAsHeard) {
+  add("gone");
+  Strand_.advance(20ms);
+  answer();
+  Strand_.advance(100ms);
+  Relay_->flushServers({"leader", 7, {"gone"}, true});
+  ASSERT_EQ(Sent_.size(), 1U);
+  EXPECT_TRUE(Sent_.back().Batch_.Heard_.empty());
+}
+
+// Guards against the removal of a server whose newest report the leader has not
+// answered: it may name ended tasks.
+TEST_F(ReportRelayTest, ServerWithAnUnansweredReportIsListedAsHeard) {
+  const std::vector<std::string> Heard = {"s"};
+  const auto IsHeard = [&] {
+    Relay_->flushServers({"leader", 7, Heard, true});
+    const bool Result = Sent_.back().Batch_.Heard_ == Heard;
+    Sent_.pop_back();
+    return Result;
+  };
+  add(makeReport("s", 1));
+  EXPECT_TRUE(IsHeard()) << "queued";
+  Strand_.advance(20ms);
+  EXPECT_TRUE(IsHeard()) << "in flight";
+  Sent_.front().Done_(fail(ErrorCode::Timeout, "no answer"));
+  Sent_.clear();
+  EXPECT_TRUE(IsHeard()) << "lost";
+  add(makeReport("s", 2));
+  Strand_.advance(20ms);
+  ReportBatchReply Expired;
+  Expired.Answers_ = {{ReportVerdict::Expired, {}, ""}};
+  Sent_.front().Done_(Expired);
+  Sent_.clear();
+  EXPECT_TRUE(IsHeard()) << "expired";
+  add(makeReport("s", 3));
+  Strand_.advance(20ms);
+  add(makeReport("s", 4));
+  answer();
+  EXPECT_TRUE(IsHeard()) << "only the report before is answered";
+  Strand_.advance(20ms);
+  answer();
+  EXPECT_FALSE(IsHeard());
+  // A report that a later one overtook tells nothing new.
+  add(makeReport("s", 2));
+  EXPECT_FALSE(IsHeard());
+}
+
+// Guards against the removal of a running server after its ended tasks were
+// passed on: that answers the ends, but not the report.
+TEST_F(ReportRelayTest, ResentEndedTasksDoNotAnswerTheReport) {
+  ServerReport Lost = makeReport("s");
+  Lost.Ended_ = {{7, {{"k", 0, 1, 2}, 3, RunOutcome::Done, ""}}};
+  add(Lost);
+  Strand_.advance(20ms);
+  Sent_.front().Done_(fail(ErrorCode::Timeout, "no answer"));
+  Sent_.clear();
+  Relay_->flushServers({"leader", 7, {"s"}});
+  ASSERT_EQ(Sent_.front().Batch_.LateReports_, 1U);
+  answer();
+  Relay_->flushServers({"leader", 8, {"s"}, true});
+  EXPECT_EQ(Sent_.back().Batch_.Heard_, std::vector<std::string>{"s"});
+}
