Start gangs only on servers that have reported to this leader

Cause: a new leader assumes that every registered server accepts starts until its first report says otherwise, and gangs are planned over servers that are not reporting at that moment. After a change of leader a gang started on a server that had said long before that it is draining, and the answer to its next report carried the start, though a draining server may get none.

Ruled out: other plans (they are made for the server that reports, whose report says whether it is draining).

Change: a gang starts only on servers that have reported to this leader.

LeaderChangeTest.GangStartsOnServersThatHaveReportedOnly failed before: the draining server and its neighbour each got a start. test_jobs: 273 of 273 passed.

Conclusion: the state of draining needs no replication for this rule.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -381,8 +381,9 @@
         Registry, Ready, MaySpread, [&](const ServerRecord &Server) {
           const std::string &Id = Server.Facts_.Id_;
           const LiveServer *Live = LiveServers.find(Id);
+          // Until its first report to this leader a server may be draining.
           return LiveServers.acceptsStarts(Registry, Server) &&
-                 Live->NoStartsUntil_ <= Now &&
+                 Live->LastSequence_ > 0 && Live->NoStartsUntil_ <= Now &&
                  LiveServers.sumUnplacedUsage(Registry, Server) ==
                      Resources{} &&
                  !Isolation_.isClosed(Registry, LiveServers, Server, Now) &&
--- a/tests/jobs/LeaderChangeTest.cpp
+++ b/tests/jobs/LeaderChangeTest.cpp
@@ -100,3 +100,28 @@
   ASSERT_EQ(Leader_.listAwaitingStop().size(), 1U);
   EXPECT_EQ(Leader_.listAwaitingStop()[0].WaitedMs_, Before + 200);
 }
+
+// Guards against the start of a gang on a draining server: a new leader does
+// not know of the draining until the server reports.
+TEST_F(LeaderChangeTest, GangStartsOnServersThatHaveReportedOnly) {
+  const auto ReportDraining = [this] {
+    ServerReport Report = makeReport("s1");
+    Report.IsDraining_ = true;
+    return report(Report);
+  };
+  report(makeReport("s2"));
+  ReportDraining();
+  StepSpec Gang = makeStep(2, 3000);
+  Gang.Gang_ = true;
+  call(CallKind::Submit, "g", {Gang});
+  stopLeading();
+  startLeading();
+  Strand_.advance(2s);
+  EXPECT_TRUE(ReportDraining().Starts_.empty());
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  report(makeReport("s3"));
+  Strand_.advance(2s);
+  EXPECT_TRUE(ReportDraining().Starts_.empty());
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+  EXPECT_EQ(report(makeReport("s3")).Starts_.size(), 1U);
+}
