--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -480,3 +480,4 @@
     Strand_.advance(50ms);
   }
   EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
--- a/tests/jobs/LateReportTest.cpp
+++ b/tests/jobs/LateReportTest.cpp
@@ -33,7 +33,7 @@
   Delayed.ServerClockMs_ = 10'500;
   Strand_.advance(4500ms);
   report(Delayed);
-  Strand_.advance(Settings_.Lease_ - 4s);
+  Strand_.advance(Settings_.Lease_ - 4500ms);
   EXPECT_TRUE(report(makeReport("s2")).Starts_.empty())
       << "the server's own lease has not ended before";
   Strand_.advance(Settings_.Lease_ * 3 / 100 + 100ms);
