Let long-running tasks of a lost server go before short work at once

What callers saw: long-running tasks away for over 9 s after a large loss.

Cause: long-running work takes precedence over short work, and gets room reserved, once it has waited for two seconds. The wait began at the removal of the server, when a lease of six seconds and the removal had passed.

Change: the removal of a server marks the long-running steps of its runs, and these take precedence without the wait. The waits for a server where the task disturbs less stay as they are.

DispatcherTest.LongRunningTaskOfALostServerStartsFirst fails without it (a short task is first).

--- a/src/jobs/CapacitySurvey.cpp
+++ b/src/jobs/CapacitySurvey.cpp
@@ -108,8 +108,7 @@
     if (!Step.LongRunning_)
       continue;
     HasWaitingLongRunning_ = true;
-    if (RemainingReservations == 0 ||
-        Waits.getWait(Ready, Now) < ReadyTimes::MaxLongRunningWait)
+    if (RemainingReservations == 0 || !Waits.takesPrecedence(Ready, Now))
       continue;
     // Sorted once for all waiting steps: there may be hundreds, and as many
     // servers.
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -43,6 +43,11 @@
   /// Called when this member begins to lead. Keeps the waiting times that
   /// observe() noted.
   void reset(const JobRegistry &Registry);
+  /// Records that the server of these runs was removed, by task.
+  void recordLoss(const JobRegistry &Registry,
+                  const std::map<TaskKey, std::uint64_t> &Runs) {
+    ReadyTimes_.recordLoss(Registry, Runs);
+  }
   /// Notes since when long-running work has waited. Called periodically, also
   /// while another member leads.
   void observe(const JobRegistry &Registry, TimePoint Now) {
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -303,7 +303,7 @@
             if (Result)
               PendingStops_.forget(Id);
             if (Result)
-              beginAbsences(Lost, Gone);
+              recordLoss(Lost, Gone);
             if (Result && IsCrash)
               handleCrash(Id, LastHeard, Lost);
             if (Result)
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -180,7 +180,7 @@
   /// began.
   void beginAbsences(const EndTasks &Ended, TimePoint LastSeen);
   /// Records the ends of runs with the removal of their server.
-  void beginAbsences(const std::vector<LostRun> &Lost, const Absence &Value);
+  void recordLoss(const std::vector<LostRun> &Lost, const Absence &Value);
   void endAbsences(const std::vector<TaskStart> &Starts,
                    const std::vector<bool> &Accepted);
   void logLongAbsences();
--- a/src/jobs/JobLeaderTelemetry.cpp
+++ b/src/jobs/JobLeaderTelemetry.cpp
@@ -79,15 +79,18 @@
   });
 }
 
-void JobLeader::Impl::beginAbsences(const std::vector<LostRun> &Lost,
-                                    const Absence &Value) {
+void JobLeader::Impl::recordLoss(const std::vector<LostRun> &Lost,
+                                 const Absence &Value) {
   Absence Gone = Value;
   Gone.WaitsSince_ = Time_.now();
   Machine_.read([&](const JobRegistry &Registry) {
+    std::map<TaskKey, std::uint64_t> Runs;
     for (const LostRun &Run : Lost) {
       Gone.Run_ = Run.Run_;
       Absences_.begin(Registry, Run.Task_, Gone);
+      Runs.emplace(Run.Task_, Run.Run_);
     }
+    Dispatcher_.recordLoss(Registry, Runs);
     return 0;
   });
 }
--- a/src/jobs/ReadyTimes.h
+++ b/src/jobs/ReadyTimes.h
@@ -7,6 +7,7 @@
 #include "tulipweir/jobs/JobRegistry.h"
 
 #include <map>
+#include <set>
 
 namespace tulipweir::jobs {
 
@@ -27,6 +28,23 @@
     std::erase_if(Since_, [&Registry](const auto &Entry) {
       return Registry.readyLongRunningSteps().count(Entry.first) == 0;
     });
+    pruneLost(Registry);
+  }
+  /// Records that the server of these runs was removed. Long-running tasks of
+  /// them have been down for a lease already, so they take precedence at once.
+  void recordLoss(const JobRegistry &Registry,
+                  const std::map<TaskKey, std::uint64_t> &Runs) {
+    if (Runs.empty())
+      return;
+    for (const ReadyStep &Step : Registry.readyLongRunningSteps()) {
+      const TaskKey First{Step.Job_, Step.Occurrence_, Step.Step_, 0};
+      const auto Next = Runs.lower_bound(First);
+      const bool IsLost = Next != Runs.end() && Next->first.Job_ == Step.Job_ &&
+                          Next->first.Occurrence_ == Step.Occurrence_ &&
+                          Next->first.Step_ == Step.Step_;
+      if (IsLost)
+        Lost_.insert(Step);
+    }
   }
   /// Notes since when the long-running steps have been ready. Called
   /// periodically, also while another member leads.
@@ -39,15 +57,28 @@
   Duration getWait(const ReadyStep &Step, TimePoint Now) {
     return Now - Since_.try_emplace(Step, Now).first->second;
   }
+  /// Returns whether a long-running step takes precedence over short work.
+  bool takesPrecedence(const ReadyStep &Step, TimePoint Now) {
+    return getWait(Step, Now) >= MaxLongRunningWait || Lost_.count(Step) != 0;
+  }
   /// Removes steps that are no longer ready.
   void prune(const JobRegistry &Registry) {
     std::erase_if(Since_, [&Registry](const auto &Entry) {
       return Registry.readySteps().count(Entry.first) == 0;
     });
+    pruneLost(Registry);
   }
 
 private:
+  void pruneLost(const JobRegistry &Registry) {
+    std::erase_if(Lost_, [&Registry](const ReadyStep &Step) {
+      return Registry.readyLongRunningSteps().count(Step) == 0;
+    });
+  }
+
   std::map<ReadyStep, TimePoint> Since_;
+  /// Long-running steps with tasks that were lost with their server.
+  std::set<ReadyStep> Lost_;
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -144,8 +144,7 @@
     const std::size_t Lateness =
         Step.LongRunning_ ? 0 : getLateness(Job, Occurrence, Wall);
     const bool IsFirstClass =
-        !Step.LongRunning_ ||
-        Waits.getWait(Ready, Now) >= ReadyTimes::MaxLongRunningWait;
+        !Step.LongRunning_ || Waits.takesPrecedence(Ready, Now);
     if (Lateness == 0 && Step.Fills_)
       Filling.emplace_back(Value_.getDensity(Job, Occurrence), &Ready);
     else if (Lateness == 0 && IsFirstClass)
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -125,6 +125,23 @@
   EXPECT_EQ(Starts[3].Task_.Job_, "lasting");
 }
 
+// Guards against a long-running task that waits for two seconds behind short
+// tasks although it has been down for a lease already.
+TEST_F(DispatcherTest, LongRunningTaskOfALostServerStartsFirst) {
+  submit(makeJob("lasting", {makeServing(1, "a")}));
+  const auto Lost = plan("s1");
+  ASSERT_EQ(Lost.size(), 1U);
+  Dispatcher_.prune(Registry_);
+  apply(RemoveServer{"s1", {}, false, {}});
+  Dispatcher_.recordLoss(Registry_, {{Lost[0].Task_, Lost[0].Run_}});
+  SubmitJob Fresh = makeSubmit(makeJob("short", {makeStep(4, 1000)}));
+  Fresh.AcceptedMs_ = static_cast<std::uint64_t>(Wall_);
+  apply(Fresh);
+  const auto Starts = plan("s2");
+  ASSERT_FALSE(Starts.empty());
+  EXPECT_EQ(Starts[0].Task_.Job_, "lasting");
+}
+
 TEST_F(DispatcherTest, WaitForDataRackIsBounded) {
   StepSpec Near = makeStep(1, 1000);
   Near.DataRack_ = "r9";
