Start overdue long-running tasks on servers that seem slow or on probation

What callers saw: LOST, single long-running tasks without a run for 9 to 31 s although servers had room.

Cause: a quarantined server starts nothing for 3 to 12 s, and after that one on probation starts nothing while other work than long-running is placed on it. Probation ends only with a completed run, so the wait has no bound. Quarantined servers are the ones that empty, so they have the room. And sound servers are quarantined: runs are timed from the reports that name them, so a cut, or a relay or leader that is behind, makes them look long.

Change: a server on probation, or quarantined for slow runs, takes long-running tasks that must not wait any longer. Quarantine after failures stays closed.

DispatcherTest.SlowServerTakesOnlyOverdueLongRunningTasks and .ServerOnProbationTakesOverdueLongRunningTasks fail without it.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -185,10 +185,18 @@
   const bool MayStart = Server &&
                         LiveServers.acceptsStarts(Registry, *Server) &&
                         Live->NoStartsUntil_ <= Now;
-  const HealthState Fit = Health_.getHealthState(ServerId, Now);
-  if (!MayStart || Fit == HealthState::Quarantined)
+  if (!MayStart)
     return {};
-  if (Fit == HealthState::Probation && !hasOnlyLongRunning(Registry, *Server))
+  const HealthState Fit = Health_.getHealthState(ServerId, Now);
+  const bool IsFit =
+      Fit == HealthState::Healthy ||
+      (Fit == HealthState::Probation && hasOnlyLongRunning(Registry, *Server));
+  // Slow runs may be an effect of late reports, and probation ends only with a
+  // completed run. A long-running task that must not wait any longer is better
+  // off on such a server than on none.
+  const bool OnlyOverdue =
+      !IsFit && (Fit == HealthState::Probation || Health_.wasSlow(ServerId));
+  if (!IsFit && !OnlyOverdue)
     return {};
   if (Fit == HealthState::Healthy)
     if (const auto Start = planIsolated(Registry, LiveServers, *Server, Now)) {
@@ -216,6 +224,8 @@
   for (const Candidate &Entry : Order_.candidates()) {
     if (isFull(Plan))
       break;
+    if (OnlyOverdue && !isOverdue(Registry, Entry.Step_, Now))
+      continue;
     const bool MayFit = Entry.Reserved_.fitsIn(Plan.Remaining_.Free_) &&
                         (Entry.IdleNeeded_ <= Plan.Remaining_.Idle_ ||
                          Survey_.hasSpareCapacity());
@@ -225,11 +235,19 @@
       planStep(Registry, Entry, Plan);
   }
   // A copy would take capacity that a long-running task waits for.
-  if (!Survey_.hasWaitingLongRunning())
+  if (!OnlyOverdue && !Survey_.hasWaitingLongRunning())
     planCopies(Registry, Plan);
   return std::move(Plan.Starts_);
 }
 
+/// Returns whether the step is long-running and has waited for too long.
+bool Dispatcher::isOverdue(const JobRegistry &Registry, const ReadyStep &Step,
+                           TimePoint Now) {
+  const JobRecord *Job = Registry.findJob(Step.Job_);
+  return Job && Job->Spec_.Steps_[Step.Step_].LongRunning_ &&
+         ReadyTimes_.takesPrecedence(Step, Now);
+}
+
 /// Returns the suspected task that the server starts in isolation, if any.
 std::optional<TaskStart>
 Dispatcher::planIsolated(const JobRegistry &Registry,
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -118,6 +118,8 @@
                                         const LiveServerTable &LiveServers,
                                         const ServerRecord &Server,
                                         TimePoint Now);
+  bool isOverdue(const JobRegistry &Registry, const ReadyStep &Step,
+                 TimePoint Now);
   bool isFull(const ServerPlan &Plan) const;
   TailHeadroom &getHeadroom(ServerPlan &Plan) const;
   /// Returns whether the step needs no advice or has a ticket for the server.
--- a/src/jobs/ServerHealth.cpp
+++ b/src/jobs/ServerHealth.cpp
@@ -33,7 +33,8 @@
   StepOrder_.clear();
 }
 
-void ServerHealth::startQuarantine(Record &Health, TimePoint Now) {
+void ServerHealth::startQuarantine(Record &Health, bool IsSlow, TimePoint Now) {
+  Health.IsSlow_ = IsSlow;
   const std::uint64_t Doublings =
       std::min(Health.QuarantineCount_++, MaxDoublings);
   Health.Until_ = Now + FirstQuarantine * (std::uint64_t(1) << Doublings);
@@ -100,7 +101,7 @@
       Health.Samples_ >= MinSamples && Health.SlowJobs_.size() >= MinJobs &&
       Health.SmoothedLogRatio_ > MinSlowLogRatio && Now >= Health.Until_;
   if (IsSlow)
-    startQuarantine(Health, Now);
+    startQuarantine(Health, true, Now);
   return IsSlow;
 }
 
@@ -115,10 +116,15 @@
   if (!IsRelapse && !IsFaulty)
     return false;
   const bool IsNew = Now >= Health.Until_;
-  startQuarantine(Health, Now);
+  startQuarantine(Health, false, Now);
   return IsNew;
 }
 
+bool ServerHealth::wasSlow(const std::string &ServerId) const {
+  const auto It = Servers_.find(ServerId);
+  return It != Servers_.end() && It->second.IsSlow_;
+}
+
 HealthState ServerHealth::getHealthState(const std::string &ServerId,
                                          TimePoint Now) const {
   const auto It = Servers_.find(ServerId);
--- a/src/jobs/ServerHealth.h
+++ b/src/jobs/ServerHealth.h
@@ -46,6 +46,9 @@
 
   // Queries.
 
+  /// Returns whether the last quarantine of the server was for slow runs, not
+  /// for failures.
+  bool wasSlow(const std::string &ServerId) const;
   HealthState getHealthState(const std::string &ServerId, TimePoint Now) const;
 
 private:
@@ -59,7 +62,8 @@
     std::set<std::string> SlowJobs_;
     std::uint64_t QuarantineCount_ = 0; ///< Quarantines in a row.
     bool IsOnProbation_ = false;
-    TimePoint Until_{}; ///< The end of the quarantine.
+    TimePoint Until_{};   ///< The end of the quarantine.
+    bool IsSlow_ = false; ///< The quarantine was for slow runs.
   };
   /// The sums of the logarithms of the run times of one step, in total and by
   /// server.
@@ -70,7 +74,7 @@
   };
   using StepKey = std::pair<std::string, std::uint64_t>;
 
-  void startQuarantine(Record &Health, TimePoint Now);
+  void startQuarantine(Record &Health, bool IsSlow, TimePoint Now);
   std::optional<double> compareElsewhere(const std::string &ServerId,
                                          const StepKey &Step,
                                          double LogRunTime);
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -398,3 +398,41 @@
   ASSERT_EQ(Starts.size(), 1U);
   EXPECT_EQ(Starts[0].Task_.Job_, "waited");
 }
+
+// Guards against long-running tasks that wait while the only room is on servers
+// that seem slow. Late reports make runs look long.
+TEST_F(DispatcherTest, SlowServerTakesOnlyOverdueLongRunningTasks) {
+  for (const char *Job : {"a", "b", "c"}) {
+    for (int I = 0; I < 3; ++I)
+      Health_.recordCompletion("s2", Job, 0, 500ms, Now_);
+    Health_.recordCompletion("s1", Job, 0, 5s, Now_);
+  }
+  ASSERT_EQ(Health_.getHealthState("s1", Now_), HealthState::Quarantined);
+  submit(makeJob("short", {makeStep(1, 1000)}));
+  submit(makeJob("lasting", {makeServing(1, "a")}));
+  EXPECT_TRUE(plan("s1").empty());
+  advance(ReadyTimes::MaxLongRunningWait);
+  const auto Starts = plan("s1");
+  ASSERT_EQ(Starts.size(), 1U);
+  EXPECT_EQ(Starts[0].Task_.Job_, "lasting");
+}
+
+// The same while other work is left on a server on probation, which may take
+// any time.
+TEST_F(DispatcherTest, ServerOnProbationTakesOverdueLongRunningTasks) {
+  submit(makeJob("left", {makeStep(1, 1000)}));
+  ASSERT_EQ(plan("s1").size(), 1U);
+  for (const char *Job : {"a", "b", "b"})
+    Health_.recordFailure("s1", Job, Now_);
+  advance(1s);
+  ASSERT_EQ(Health_.getHealthState("s1", Now_), HealthState::Quarantined);
+  advance(3s);
+  ASSERT_EQ(Health_.getHealthState("s1", Now_), HealthState::Probation);
+  submit(makeJob("short", {makeStep(1, 1000)}));
+  submit(makeJob("lasting", {makeServing(1, "a")}));
+  EXPECT_TRUE(plan("s1").empty());
+  advance(ReadyTimes::MaxLongRunningWait);
+  const auto Starts = plan("s1");
+  ASSERT_EQ(Starts.size(), 1U);
+  EXPECT_EQ(Starts[0].Task_.Job_, "lasting");
+}
