--- a/include/tulipweir/jobs/LeaseMessages.h
+++ b/include/tulipweir/jobs/LeaseMessages.h
@@ -29,6 +29,8 @@
 struct LeaseQuery {
   std::string From_; ///< The name of the leader.
   std::uint64_t Term_ = 0;
+  /// Only tells members that started since who leads; the answer is empty.
+  bool IsNotice_ = false;
   bool operator==(const LeaseQuery &) const = default;
 };
 
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -245,7 +245,7 @@
                            TimePoint Now) {
   const JobRecord *Job = Registry.findJob(Step.Job_);
   return Job && Job->Spec_.Steps_[Step.Step_].LongRunning_ &&
-         ReadyTimes_.takesPrecedence(Step, Now);
+         ReadyTimes_.getWait(Step, Now) >= ReadyTimes::MaxLongRunningWait;
 }
 
 /// Returns the suspected task that the server starts in isolation, if any.
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -26,6 +26,9 @@
 /// The least jump of the wall clock that is logged. Synchronized clocks are
 /// slewed by less.
 static constexpr Duration MinClockJump = 500ms;
+/// The longest lease that is limited after a change of the leader. Members
+/// remember reports for longer than this.
+static constexpr Duration MaxLimitedLease = 12s;
 static constexpr std::uint64_t Percent = 100;
 
 bool JobLeader::Impl::isLeading() const {
@@ -85,10 +88,13 @@
   Line.Kind_ = EventKind::LeadershipBegun;
   Line.Term_ = Term;
   Log_.write(Line);
+  if (getMaxLease() > MaxLimitedLease)
+    return;
   Relays_.findLeaseBounds(
       Term, [Weak = weak_from_this(), Term](const LeaseBounds &Bounds) {
         const std::shared_ptr<Impl> Self = Weak.lock();
-        if (Self && Self->isLeading() && Self->Term_ == Term)
+        // Also while the leader's lease is interrupted for a moment.
+        if (Self && Self->Watch_.isLeading() && Self->Term_ == Term)
           Self->limitLeases(Bounds);
       });
 }
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -45,6 +45,7 @@
 }
 
 void JobLeader::Impl::observe(const ServerReport &Report) {
+  ReportAges_.isTooLate(Report, Time_.now());
   Machine_.read([&](const JobRegistry &Registry) {
     return Learner_.learn(Registry, Report, Time_.now());
   });
@@ -66,7 +67,11 @@
       Time_.now() - std::chrono::milliseconds(Report.WaitedMs_);
   if (ReportAges_.isTooLate(Report, ReceivedAt)) {
     Meter_.add(JobCounter::ReportsLate, 1);
-    return recordLateEnds(Report, [Reply](Outcome<ServerOrders> Orders) {
+    return recordLateEnds(Report, [Reply, IsDraining = Report.IsDraining_](
+                                      Outcome<ServerOrders> Orders) {
+      // A draining server would take an answer for an acknowledgement.
+      if (IsDraining)
+        return Reply(fail(ErrorCode::Unavailable, "the report is too old"));
       if (Orders)
         Orders.value().NextReportMs_ = LateReportMs;
       Reply(std::move(Orders));
--- a/src/jobs/LeaseMessages.cpp
+++ b/src/jobs/LeaseMessages.cpp
@@ -6,7 +6,9 @@
 using namespace tulipweir::jobs;
 
 namespace tulipweir::jobs {
-static auto fields(LeaseQuery &X) { return std::tie(X.From_, X.Term_); }
+static auto fields(LeaseQuery &X) {
+  return std::tie(X.From_, X.Term_, X.IsNotice_);
+}
 static auto fields(HeardServer &X) { return std::tie(X.Server_, X.AgeMs_); }
 static auto fields(LeaseQueryReply &X) {
   return std::tie(X.MemoryMs_, X.Heard_);
--- a/src/jobs/ReportAges.cpp
+++ b/src/jobs/ReportAges.cpp
@@ -19,8 +19,9 @@
   if (Report.ServerClockMs_ == 0)
     return false;
   Server &Known = Servers_[Report.Facts_.Id_];
+  // A later report has overtaken it.
   if (Report.Sequence_ <= Known.LastSequence_)
-    return false;
+    return true;
   // A clock that does not advance tells nothing.
   if (Report.ServerClockMs_ <= Known.LastClockMs_)
     Known.Sent_ = {};
--- a/src/jobs/ReportAges.h
+++ b/src/jobs/ReportAges.h
@@ -26,8 +26,9 @@
   explicit ReportAges(std::uint64_t DriftPercent)
       : DriftPercent_(DriftPercent) {}
 
-  /// Records a report that a control received at ReceivedAt. Returns whether
-  /// its server no longer waits for the answer.
+  /// Records a report that a control received at ReceivedAt, by the leader or
+  /// on its way to it. Returns whether its server no longer waits for the
+  /// answer.
   bool isTooLate(const ServerReport &Report, TimePoint ReceivedAt);
 
 private:
--- a/src/jobservice/LeaseSurvey.cpp
+++ b/src/jobservice/LeaseSurvey.cpp
@@ -9,6 +9,8 @@
 
 /// Longer than any lease: later, no earlier leader's lease is left.
 static constexpr Duration MaxSurveyTime = 12s;
+/// A member that has started must know the leader before a lease has passed.
+static constexpr Duration NoticeInterval = 2s;
 
 LeaseSurvey::LeaseSurvey(std::string Self, const Clock &Time,
                          GetStatus FindStatus, const HeardServers &Heard,
@@ -17,15 +19,21 @@
       Heard_(Heard), SendQuery_(std::move(Send)),
       MembersChangedAt_(Time.now()) {}
 
+/// Another change may replace an uncommitted one at the same index, and two
+/// changes may cancel each other.
 void LeaseSurvey::recordChange(const replication::ReplicaStatus &Status) {
-  if (std::exchange(MembersIndex_, Status.MembersIndex_) !=
-      Status.MembersIndex_)
-    MembersChangedAt_ = Time_.now();
+  if (MembersIndex_ == Status.MembersIndex_ && Members_ == Status.Members_)
+    return;
+  MembersIndex_ = Status.MembersIndex_;
+  Members_ = Status.Members_;
+  MembersChangedAt_ = Time_.now();
 }
 
 void LeaseSurvey::start(std::uint64_t Term, FoundBounds Found) {
   const replication::ReplicaStatus Status = FindStatus_();
   recordChange(Status);
+  LedTerm_ = Term;
+  NextNotice_ = Time_.now() + NoticeInterval;
   Round_ = Round{Term, Status.PreviousTerm_, Time_.now(), std::move(Found), {}};
   for (const replication::Member &Member : Status.Members_)
     if (Member.Id_.Name_ != Self_)
@@ -43,6 +51,7 @@
 void LeaseSurvey::poll() {
   const replication::ReplicaStatus Status = FindStatus_();
   recordChange(Status);
+  sendNotices(Status);
   if (!Round_)
     return;
   const bool IsOver = !Status.IsLeader_ || Status.Term_ != Round_->Term_ ||
@@ -57,8 +66,19 @@
     ask(Name);
 }
 
+void LeaseSurvey::sendNotices(const replication::ReplicaStatus &Status) {
+  const TimePoint Now = Time_.now();
+  if (!Status.IsLeader_ || Status.Term_ != LedTerm_ || Now < NextNotice_)
+    return;
+  NextNotice_ = Now + NoticeInterval;
+  for (const replication::Member &Member : Status.Members_)
+    if (Member.Id_.Name_ != Self_)
+      SendQuery_(Member.Id_.Name_, {Self_, LedTerm_, true},
+                 [](const Outcome<jobs::LeaseQueryReply> &) {});
+}
+
 void LeaseSurvey::ask(const std::string &Member) {
-  SendQuery_(Member, {Self_, Round_->Term_},
+  SendQuery_(Member, {Self_, Round_->Term_, false},
              [Weak = std::weak_ptr(Alive_), Member, Term = Round_->Term_](
                  const Outcome<jobs::LeaseQueryReply> &Result) {
                const std::shared_ptr<LeaseSurvey *> Self = Weak.lock();
--- a/src/jobservice/LeaseSurvey.h
+++ b/src/jobservice/LeaseSurvey.h
@@ -46,8 +46,8 @@
   void start(std::uint64_t Term, FoundBounds Found);
   /// Records that another member leads a term and asks about leases.
   void recordLeader(const jobs::LeaseQuery &Query);
-  /// Asks again where no answer has come, and records changes of the members.
-  /// Called periodically.
+  /// Asks again where no answer has come, tells members that have started since
+  /// who leads, and records changes of the members. Called periodically.
   void poll();
 
 private:
@@ -74,6 +74,7 @@
 
   void recordChange(const replication::ReplicaStatus &Status);
   void ask(const std::string &Member);
+  void sendNotices(const replication::ReplicaStatus &Status);
   void handleReply(const std::string &Member,
                    const Outcome<jobs::LeaseQueryReply> &Result);
   TimePoint getUnknownUntil(const std::string &Member,
@@ -86,8 +87,11 @@
   const HeardServers &Heard_;
   const SendQuery SendQuery_;
   std::optional<Round> Round_;
+  std::uint64_t LedTerm_ = 0; ///< The last term that this member has led.
+  TimePoint NextNotice_{};
   std::optional<KnownLeader> LastLeader_; ///< The one of the highest term.
   std::uint64_t MembersIndex_ = 0;
+  std::vector<replication::Member> Members_;
   /// When the members last changed. A member that was removed is not asked.
   TimePoint MembersChangedAt_;
   /// Invalidates callbacks that run after destruction.
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -187,7 +187,7 @@
 jobs::LeaseQueryReply
 ReportRouter::answerLeaseQuery(const jobs::LeaseQuery &Query) {
   Survey_.recordLeader(Query);
-  return Heard_.makeReply();
+  return Query.IsNotice_ ? jobs::LeaseQueryReply() : Heard_.makeReply();
 }
 
 void ReportRouter::recordWitnessed(const jobs::WitnessRequest &Request) {
@@ -211,11 +211,14 @@
                                const ReportInbox::Reply &Reply) {
   const std::shared_ptr<ReplicaInstance> Instance = FindInstance_();
   // The empty reply lacks an answer for each report, so the relay treats the
-  // batch as failed. A later leader could not ask a sender that is no member
-  // about leases.
-  if (!Instance ||
-      !isSettledMember(Instance->Replica_->getStatus(), Batch.From_))
+  // batch as failed.
+  if (!Instance)
+    return Reply({});
+  // A later leader could not ask a sender that is no member about leases.
+  if (!isSettledMember(Instance->Replica_->getStatus(), Batch.From_)) {
+    Flush_.onBatch(Batch.FlushId_, Batch.Heard_);
     return Reply({});
+  }
   const auto Collector = AnswerCollector::handleBatch(
       std::move(Batch), *Instance->Leader_, Flush_, Time_,
       [Instance, Reply](jobs::ReportBatchReply Answers) {
--- a/src/jobservice/ReportWitness.cpp
+++ b/src/jobservice/ReportWitness.cpp
@@ -46,19 +46,29 @@
     });
 }
 
-/// Returns the member to ask; empty if there is none. A member that did not
-/// answer the last request is asked only if there is no other.
+static std::vector<std::string>
+listCandidates(const replication::ReplicaStatus &Status) {
+  std::vector<std::string> Names;
+  for (const std::string &Name : Status.Responsive_)
+    if (isSettledMember(Status, Name))
+      Names.push_back(Name);
+  std::sort(Names.begin(), Names.end());
+  return Names;
+}
+
+/// Returns the member to ask; empty if there is none.
 std::string
 ReportWitness::chooseMember(const replication::ReplicaStatus &Status) const {
-  std::string Chosen;
-  for (const std::string &Name : Status.Responsive_) {
-    if (!isSettledMember(Status, Name))
-      continue;
-    if (Name != LastFailed_)
-      return Name;
-    Chosen = Name;
-  }
-  return Chosen;
+  const std::vector<std::string> Names = listCandidates(Status);
+  const auto Next = std::lower_bound(Names.begin(), Names.end(), Preferred_);
+  if (Next != Names.end())
+    return *Next;
+  return Names.empty() ? "" : Names.front();
+}
+
+/// After a failure the members are asked in turn.
+void ReportWitness::recordResult(const std::string &Member, bool IsRecorded) {
+  Preferred_ = IsRecorded ? Member : Member + '\0';
 }
 
 void ReportWitness::send() {
@@ -78,8 +88,8 @@
                [Weak = weak_from_this(), Member,
                 Sent = std::move(Sent)](bool IsRecorded) {
                  const std::shared_ptr<ReportWitness> Self = Weak.lock();
-                 if (Self && (!IsRecorded || Self->LastFailed_ == Member))
-                   Self->LastFailed_ = IsRecorded ? "" : Member;
+                 if (Self)
+                   Self->recordResult(Member, IsRecorded);
                  for (const auto &[Id, Reply] : Sent)
                    Reply(IsRecorded);
                });
--- a/src/jobservice/ReportWitness.h
+++ b/src/jobservice/ReportWitness.h
@@ -49,13 +49,15 @@
 
   void send();
   std::string chooseMember(const replication::ReplicaStatus &Status) const;
+  void recordResult(const std::string &Member, bool IsRecorded);
 
   const std::string Self_;
   Executor &Strand_;
   const GetStatus FindStatus_;
   const SendRequest SendRequest_;
-  Batch Waiting_;          ///< Sent together after a short delay.
-  std::string LastFailed_; ///< The last member that did not answer.
+  Batch Waiting_; ///< Sent together after a short delay.
+  /// The last member that answered, or the one after the last that did not.
+  std::string Preferred_;
 };
 
 } // namespace tulipweir::jobservice
--- a/tests/jobservice/LeaseSurveyTest.cpp
+++ b/tests/jobservice/LeaseSurveyTest.cpp
@@ -40,13 +40,18 @@
   ManualClock Time_;
   replication::ReplicaStatus Status_;
   std::map<std::string, int> Queries_; ///< By member.
+  std::map<std::string, int> Notices_;
   std::map<std::string, LeaseSurvey::Reply> Replies_;
   HeardServers OwnReports_{Time_};
   std::optional<LeaseBounds> Bounds_;
   TimePoint BeganAt_;
   LeaseSurvey Survey_{"me", Time_, [this] { return Status_; }, OwnReports_,
-                      [this](const std::string &Member, const LeaseQuery &,
+                      [this](const std::string &Member, const LeaseQuery &Query,
                              LeaseSurvey::Reply Reply) {
+                        if (Query.IsNotice_) {
+                          ++Notices_[Member];
+                          return;
+                        }
                         ++Queries_[Member];
                         Replies_[Member] = std::move(Reply);
                       }};
@@ -79,7 +84,7 @@
 
 // Other members have recorded the reports that a leader received itself.
 TEST_F(LeaseSurveyTest, LostLeaderIsUnknownOnlyBeforeItsLeadership) {
-  Survey_.recordLeader({"x", 5});
+  Survey_.recordLeader({"x", 5, false});
   const TimePoint SeenAt = Time_.now();
   Time_.advance(20s);
   lead();
@@ -90,7 +95,7 @@
 }
 
 TEST_F(LeaseSurveyTest, LostLeaderOfAnOlderTermMayHaveRelayedReports) {
-  Survey_.recordLeader({"x", 4});
+  Survey_.recordLeader({"x", 4, false});
   Time_.advance(20s);
   lead();
   answer("y", {{"a", 4000}});
@@ -99,8 +104,8 @@
 }
 
 TEST_F(LeaseSurveyTest, QueryOfAnOlderTermDoesNotReplaceTheLastLeader) {
-  Survey_.recordLeader({"x", 5});
-  Survey_.recordLeader({"y", 4});
+  Survey_.recordLeader({"x", 5, false});
+  Survey_.recordLeader({"y", 4, false});
   Time_.advance(20s);
   lead();
   answer("y", {{"a", 4000}});
@@ -128,6 +133,17 @@
   EXPECT_EQ(Bounds_->getFor("a"), BeganAt_ - 3s);
 }
 
+// An uncommitted change was replaced by another one at the same index.
+TEST_F(LeaseSurveyTest, OtherMembersAtTheSameIndexAreAChange) {
+  Status_.Members_.pop_back();
+  Survey_.poll();
+  Time_.advance(3s);
+  lead();
+  answer("x", {{"a", 4000}});
+  answer("y");
+  EXPECT_EQ(Bounds_->getFor("a"), BeganAt_ - 3s);
+}
+
 TEST_F(LeaseSurveyTest, OwnReportsFromBeforeTheProcessAreUnknown) {
   const HeardServers Own(Time_);
   LeaseSurvey Survey(
@@ -167,3 +183,20 @@
   Survey_.poll();
   EXPECT_EQ(Queries_["z"], 2);
 }
+
+// A member that has started or joined since the change knows no leader, and all
+// leases would count from the next change.
+TEST_F(LeaseSurveyTest, LeaderTellsLaterMembersThatItLeads) {
+  lead();
+  for (const char *Member : {"x", "y", "z"})
+    answer(Member);
+  Time_.advance(60s);
+  Survey_.poll();
+  EXPECT_EQ(Notices_["z"], 1);
+  Survey_.poll();
+  EXPECT_EQ(Notices_["z"], 1);
+  Status_.IsLeader_ = false;
+  Time_.advance(60s);
+  Survey_.poll();
+  EXPECT_EQ(Notices_["z"], 1);
+}
--- a/tests/jobservice/ReportWitnessTest.cpp
+++ b/tests/jobservice/ReportWitnessTest.cpp
@@ -69,6 +69,27 @@
   EXPECT_TRUE(Done_.at("b"));
 }
 
+TEST_F(ReportWitnessTest, AllMembersAreAskedInTurn) {
+  Status_.Members_.push_back({{"z", 1}, replication::MemberRole::Voter});
+  Status_.CommittedMembers_ = Status_.Members_;
+  Status_.Responsive_ = {"x", "y", "z"};
+  std::vector<std::string> Asked;
+  for (int I = 0; I < 4; ++I) {
+    record("a");
+    sendAll();
+    Asked.push_back(Sent_.back().Member_);
+    Sent_.back().Reply_(false);
+  }
+  EXPECT_EQ(Asked, (std::vector<std::string>{"x", "y", "z", "x"}));
+  record("a");
+  sendAll();
+  EXPECT_EQ(Sent_.back().Member_, "y");
+  Sent_.back().Reply_(true);
+  record("a");
+  sendAll();
+  EXPECT_EQ(Sent_.back().Member_, "y") << "the last one that answered";
+}
+
 TEST_F(ReportWitnessTest, ReportIsNotHandledIfNoMemberCanRecordIt) {
   Status_.Responsive_.clear();
   record("a");
