Test a lost leader whose successor has restarted

A leader asks each member about leases once, at its election, and the exception for the leader before rests on that question. A member that has restarted or joined since never got it. If such a member succeeds the lost leader, the silent old leader leaves the whole lease from the change for every server, however long ago the restart was.

Ruled out: the two members' own memories, which begin before the change, and the exception itself, as SuccessorOfALostLeaderLimitsLeases passes without the restarts.

--- a/tests/jobservice/LeadershipTransferTest.cpp
+++ b/tests/jobservice/LeadershipTransferTest.cpp
@@ -80,3 +80,39 @@
     return findLeader() != First && Log_.count(EventKind::LeasesLimited) > 0;
   }));
 }
+
+// Guards against a lost leader that its successor does not know as the leader,
+// so that every lease counts from the change.
+TEST_F(LeadershipTransferTest, SuccessorOfALostLeaderLimitsLeases) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(1));
+  const int First = findLeader();
+  ASSERT_TRUE(waitFor([this] { return reportToAll() == Nodes_.size(); }));
+  stop(First);
+  EXPECT_TRUE(waitFor([&] {
+    return findLeader() != 0 && Log_.count(EventKind::LeasesLimited) > 0;
+  }));
+}
+
+// Guards against the same if the other members have restarted since the leader
+// was elected, as in an upgrade: a leader asks each member only once.
+TEST_F(LeadershipTransferTest, RestartedSuccessorOfALostLeaderLimitsLeases) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(1));
+  const int First = findLeader();
+  ASSERT_TRUE(waitFor([this] { return reportToAll() == Nodes_.size(); }));
+  for (const int Node : {1, 2, 3}) {
+    if (Node == First)
+      continue;
+    stop(Node);
+    start(Node, {1, 2, 3}, true);
+    ASSERT_TRUE(waitFor([this] { return reportToAll() == Nodes_.size(); }));
+  }
+  ASSERT_EQ(findLeader(), First);
+  stop(First);
+  EXPECT_TRUE(waitFor([&] {
+    return findLeader() != 0 && Log_.count(EventKind::LeasesLimited) > 0;
+  }));
+}
