Test bounds of leases that arrive without the leader's lease

limitLeases is skipped if isLeading() is false, which includes a lapse of the leader's own lease that LeaderWatch does not see. LeaseSurvey asks no member twice, so the bounds never come again and every lease lasts from the change.

--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -443,6 +443,27 @@
   EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
 }
 
+// Guards against bounds that are lost as the last answer arrives while the
+// leader's own lease has lapsed for a moment; no member answers twice.
+TEST_F(JobLeaderTest, BoundsCountThatArriveWithoutTheLeadersLease) {
+  call(CallKind::Submit, "j", {makeStep(1, 100)});
+  ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
+  const TimePoint HeardAt = Time_.now();
+  Strand_.advance(Settings_.Lease_ / 2);
+  Group_.IsLeader_ = false;
+  Strand_.advance(100ms);
+  Group_.IsLeader_ = true;
+  Group_.Term_ = 2;
+  Strand_.advance(100ms);
+  ASSERT_TRUE(Relays_.FoundBounds_);
+  // The leader's watch does not see that the lease lapses.
+  Group_.IsLeader_ = false;
+  Relays_.FoundBounds_({HeardAt - 10s, {{"s1", HeardAt}}});
+  Group_.IsLeader_ = true;
+  Strand_.advance(HeardAt + Settings_.Lease_ * 11 / 10 - Time_.now());
+  EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
+}
+
 TEST_F(JobLeaderTest, BoundsForAnEarlierTermAreIgnored) {
   call(CallKind::Submit, "j", {makeStep(1, 100)});
   ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
