Test long-running tasks across forced changes of the leader

This emulation has five members, each with its own state machine, leader, relay, flush and inbox over a shared log, and servers whose clocks are 2% slow. A test forces the order: losses, transfers, kills, restarts, silent members, held messages. No product code is changed.

Ruled out: a transfer or kill before the loss; answers and reports that are under way at a change; a silent member under one leader; a cancellation at a kill.

Conclusion: LiveServerTable::reset gives every server a whole lease from the change and forgets when it was heard. On a full fleet ReadyTimes begins anew too; so do leaves, claims of an address and open rounds.

--- /dev/null
+++ b/tests/jobservice/ChangingLeaders.cpp
@@ -0,0 +1,579 @@
+#include "jobservice/ChangingLeaders.h"
+
+#include <iomanip>
+#include <sstream>
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobservice;
+using namespace tulipweir::jobservice::test;
+using namespace std::chrono_literals;
+
+static constexpr Duration NetworkDelay = 1ms;
+static constexpr Duration TimeoutCheckInterval = 250ms;
+static constexpr std::uint64_t TasksPerJob = 8;
+static constexpr int Percent = 100;
+
+static JobLeaderSettings makeSettings(const LeadersScenario &Scenario) {
+  JobLeaderSettings Settings;
+  Settings.Lease_ = Scenario.Lease_;
+  return Settings;
+}
+
+static std::string formatTime(Duration Time) {
+  std::ostringstream Out;
+  Out << std::fixed << std::setprecision(2)
+      << std::chrono::duration<double>(Time).count();
+  return Out.str();
+}
+
+static TaskKey makeKey(const Event &Value) {
+  // Jobs of the fleet have one step, so the last part of the name is the index.
+  return {Value.Job_, 0, 0,
+          std::stoull(Value.Task_.substr(Value.Task_.rfind('.') + 1))};
+}
+
+ChangingLeaders::ChangingLeaders(const LeadersScenario &Scenario)
+    : Scenario_(Scenario), Random_(Scenario.Seed_),
+      Settings_(makeSettings(Scenario)), Group_(Time_, Scenario.Members_),
+      Members_(Scenario.Members_), Servers_(Scenario.Servers_) {
+  StartedAt_ = Time_.now();
+  for (std::size_t I = 0; I < Members_.size(); ++I)
+    startMember(I);
+  Group_.elect(0, false);
+  Strand_.advance(200ms);
+  Members_[0]->leader().putConfiguration(jobs::test::makeConfiguration(),
+                                         [](const Outcome<void> &) {});
+  Group_.commit();
+  Strand_.runAll();
+  for (std::size_t I = 0; I < Servers_.size(); ++I) {
+    Servers_[I].Id_ = "i-" + std::to_string(I);
+    Servers_[I].Home_ = I % Members_.size();
+    Servers_[I].NextReport_ =
+        Time_.now() + 5ms * static_cast<int>(drawBelow(100));
+  }
+  NextJob_ = Time_.now() + 3s;
+}
+
+void ChangingLeaders::startMember(std::size_t Number) {
+  EmulatedMember::Links Out;
+  Out.CallWithBatch_ = [this, Number](const std::string &To, ReportBatch Batch,
+                                      Duration Timeout,
+                                      ReportRelay::BatchDone Done) {
+    callWithBatch(Number, To, std::move(Batch), Timeout, std::move(Done));
+  };
+  Out.SendFlushRequest_ = [this, Number](const std::string &To,
+                                         const FlushRequest &Request,
+                                         std::function<void()> Failed) {
+    const std::size_t Member = findMember(To);
+    send({{Endpoint::Kind::Member, Number},
+          {Endpoint::Kind::Member, Member},
+          MessageKind::FlushRequest,
+          [this, Member, Request] {
+            Members_[Member]->receiveFlushRequest(Request);
+          },
+          std::move(Failed)});
+  };
+  Members_[Number] = std::make_shared<EmulatedMember>(
+      Number, Group_, Strand_, Time_, Settings_, Log_, std::move(Out));
+}
+
+std::size_t ChangingLeaders::findMember(const std::string &Name) const {
+  std::size_t Number = 0;
+  while (Number + 1 < Members_.size() && SharedGroup::getName(Number) != Name)
+    ++Number;
+  return Number;
+}
+
+void ChangingLeaders::at(Duration When, std::function<void()> Action) {
+  Actions_.emplace(When, std::move(Action));
+}
+
+void ChangingLeaders::run() {
+  while (getTime() < Scenario_.Length_)
+    step();
+  for (auto &[Task, History] : Histories_)
+    if (History.IsAway_)
+      recordAbsence(Task, History);
+}
+
+void ChangingLeaders::step() {
+  Strand_.advance(Step);
+  const TimePoint Now = Time_.now();
+  while (!Actions_.empty() && Actions_.begin()->first <= getTime())
+    Actions_.extract(Actions_.begin()).mapped()();
+  if (Now >= NextCommit_) {
+    NextCommit_ = Now + Scenario_.CommitInterval_;
+    Group_.commit();
+    Strand_.runAll();
+  }
+  if (Now >= NextJob_) {
+    NextJob_ = Now + Scenario_.JobInterval_;
+    submitWork();
+  }
+  for (std::size_t I = 0; I < Servers_.size(); ++I) {
+    Server &Backend = Servers_[I];
+    if (Backend.IsGone_)
+      continue;
+    endRuns(Backend);
+    if (Backend.IsWaiting_ && Now - Backend.SentAt_ > ReportTimeout)
+      moveOn(Backend, 0ms);
+    if (!Backend.IsWaiting_ && Backend.NextReport_ <= Now)
+      report(I);
+  }
+  for (const Call &Pending : Calls_)
+    if (*Pending.Done_ && Now >= Pending.Deadline_)
+      std::exchange(*Pending.Done_, nullptr)(fail(ErrorCode::Timeout, "late"));
+  std::erase_if(Calls_, [](const Call &Pending) { return !*Pending.Done_; });
+  Strand_.runAll();
+  updateObservations();
+  if (Now < NextTimeoutCheck_)
+    return;
+  NextTimeoutCheck_ = Now + TimeoutCheckInterval;
+  for (const std::shared_ptr<EmulatedMember> &Member : Members_)
+    if (Member)
+      Member->checkTimeouts();
+}
+
+bool ChangingLeaders::isLost(const Endpoint &From, const Endpoint &To) const {
+  const auto IsOut = [&](const Endpoint &Place, const Endpoint &Other) {
+    if (Place.Kind_ == Endpoint::Kind::Server)
+      return Servers_[Place.Number_].IsGone_ || Servers_[Place.Number_].IsCut_;
+    // A member that is down refuses connections, so its caller learns of it.
+    if (!Members_[Place.Number_] || Group_.isReachable(Place.Number_))
+      return false;
+    return Other.Kind_ == Endpoint::Kind::Member ||
+           HearingServers_.count(Place.Number_) == 0;
+  };
+  return IsOut(From, To) || IsOut(To, From);
+}
+
+void ChangingLeaders::send(Message Sent) {
+  Fate Decision = Filter_ ? Filter_(Sent) : Fate::Deliver;
+  const bool IsBehindHeld =
+      std::any_of(Held_.begin(), Held_.end(), [&Sent](const Message &Other) {
+        return Other.From_ == Sent.From_ && Other.To_ == Sent.To_;
+      });
+  if (Decision == Fate::Deliver && IsBehindHeld)
+    Decision = Fate::Hold;
+  if (Decision == Fate::Hold)
+    Held_.push_back(std::move(Sent));
+  else if (Decision == Fate::Deliver && !isLost(Sent.From_, Sent.To_))
+    Strand_.postAfter(NetworkDelay,
+                      [this, Sent = std::move(Sent)] { deliver(Sent); });
+}
+
+void ChangingLeaders::deliver(const Message &Sent) {
+  if (isLost(Sent.From_, Sent.To_))
+    return;
+  const bool IsUp =
+      Sent.To_.Kind_ == Endpoint::Kind::Server || Members_[Sent.To_.Number_];
+  if (IsUp)
+    return Sent.Handle_();
+  if (Sent.Failed_)
+    Sent.Failed_();
+}
+
+void ChangingLeaders::releaseHeld() {
+  Filter_ = nullptr;
+  for (Message &Next : std::exchange(Held_, {}))
+    Strand_.postAfter(NetworkDelay,
+                      [this, Sent = std::move(Next)] { deliver(Sent); });
+}
+
+void ChangingLeaders::callWithBatch(std::size_t From, const std::string &To,
+                                    ReportBatch Batch, Duration Timeout,
+                                    ReportRelay::BatchDone Done) {
+  const auto Shared = std::make_shared<ReportRelay::BatchDone>(std::move(Done));
+  const auto Finish = [Shared](Outcome<ReportBatchReply> Result) {
+    if (*Shared)
+      std::exchange(*Shared, nullptr)(std::move(Result));
+  };
+  Calls_.push_back({Shared, Time_.now() + Timeout});
+  const Endpoint Relay{Endpoint::Kind::Member, From};
+  const Endpoint Leader{Endpoint::Kind::Member, findMember(To)};
+  send({Relay, Leader, MessageKind::Batch,
+        [this, Relay, Leader, Finish, Batch = std::move(Batch)] {
+          Members_[Leader.Number_]->receiveBatch(
+              Batch,
+              [this, Relay, Leader, Finish](const ReportBatchReply &Reply) {
+                send({Leader,
+                      Relay,
+                      MessageKind::BatchAnswer,
+                      [Finish, Reply] { Finish(Reply); },
+                      {}});
+              });
+        },
+        [Finish] { Finish(fail(ErrorCode::Unavailable, "refused")); }});
+}
+
+void ChangingLeaders::crash(std::size_t Server) {
+  Servers_[Server].IsGone_ = true;
+  Events_.push_back(formatTime(getTime()) + " crash " + Servers_[Server].Id_);
+}
+
+void ChangingLeaders::cut(std::size_t Server) {
+  Servers_[Server].IsCut_ = true;
+  Events_.push_back(formatTime(getTime()) + " cut " + Servers_[Server].Id_);
+}
+
+void ChangingLeaders::leave(std::size_t Server) {
+  Servers_[Server].IsGone_ = true;
+  Events_.push_back(formatTime(getTime()) + " leave " + Servers_[Server].Id_);
+  if (Members_[getLeader()])
+    Members_[getLeader()]->leader().leave(Servers_[Server].Id_,
+                                          [](const Outcome<void> &) {});
+}
+
+void ChangingLeaders::restartServer(std::size_t Number) {
+  const std::uint64_t Incarnation = Servers_[Number].Incarnation_ + 1;
+  Server Started;
+  Started.Id_ =
+      "i-" + std::to_string(Number) + "-" + std::to_string(Incarnation);
+  Started.Incarnation_ = Incarnation;
+  Started.Home_ = drawBelow(Members_.size());
+  Started.NextReport_ = Time_.now();
+  Servers_[Number] = std::move(Started);
+}
+
+void ChangingLeaders::cancel(const std::string &Job) {
+  if (!Members_[getLeader()])
+    return;
+  Members_[getLeader()]->leader().call(
+      {CallKind::Cancel, jobs::test::Host,
+       std::string(jobs::test::Prefix) + Job, jobs::test::makeJob("", {})},
+      [this, Job](const Outcome<JobCallReply> &Reply) {
+        if (Reply)
+          Cancelled_.try_emplace(Job, Time_.now());
+      });
+}
+
+void ChangingLeaders::electAfter(std::size_t To, Duration Gap) {
+  at(getTime() + Gap, [this, To] {
+    if (Members_[To])
+      Group_.elect(To, Scenario_.KeepsProposals_);
+  });
+}
+
+void ChangingLeaders::transferLeadership(std::size_t To, Duration Gap) {
+  Events_.push_back(formatTime(getTime()) + " leader steps down");
+  Group_.endTerm(Scenario_.KeepsProposals_);
+  electAfter(To, Gap);
+}
+
+void ChangingLeaders::kill(std::size_t Member, std::size_t To, Duration Gap) {
+  Events_.push_back(formatTime(getTime()) + " kill " +
+                    SharedGroup::getName(Member));
+  const bool IsLeader = Group_.findLeader() == Member;
+  Members_[Member].reset();
+  // The processes' connections end with it.
+  for (Server &Backend : Servers_)
+    if (!Backend.IsGone_ && Backend.IsWaiting_ && Backend.Home_ == Member)
+      moveOn(Backend, 100ms);
+  if (!IsLeader)
+    return;
+  Group_.endTerm(Scenario_.KeepsProposals_);
+  electAfter(To, Gap);
+}
+
+void ChangingLeaders::restart(std::size_t Member) { startMember(Member); }
+
+void ChangingLeaders::silence(std::size_t Member, std::size_t To, Duration Gap,
+                              bool HearsServers) {
+  Events_.push_back(formatTime(getTime()) + " silent " +
+                    SharedGroup::getName(Member));
+  if (HearsServers)
+    HearingServers_.insert(Member);
+  Group_.setReachable(Member, false);
+  if (Group_.findLeader() == Member)
+    electAfter(To, Gap);
+}
+
+void ChangingLeaders::endSilence(std::size_t Member) {
+  HearingServers_.erase(Member);
+  Group_.setReachable(Member, true);
+}
+
+void ChangingLeaders::markOverloaded() {
+  if (Members_[getLeader()])
+    Members_[getLeader()]->leader().markOverloaded();
+}
+
+std::optional<std::size_t>
+ChangingLeaders::findServer(const std::string &Id) const {
+  for (std::size_t I = 0; I < Servers_.size(); ++I)
+    if (!Servers_[I].IsGone_ && Servers_[I].Id_ == Id)
+      return I;
+  return std::nullopt;
+}
+
+std::vector<std::size_t>
+ChangingLeaders::listServersWithLongRunning(std::size_t Count,
+                                            std::size_t Limit) const {
+  std::vector<std::size_t> Result;
+  for (std::size_t I = 0; I < Servers_.size() && Result.size() < Limit; ++I) {
+    const Server &Backend = Servers_[I];
+    const auto LongRunning = static_cast<std::size_t>(std::count_if(
+        Backend.Running_.begin(), Backend.Running_.end(),
+        [](const auto &Entry) { return Entry.second.IsLongRunning_; }));
+    if (!Backend.IsGone_ && !Backend.IsCut_ && LongRunning >= Count)
+      Result.push_back(I);
+  }
+  return Result;
+}
+
+/// Submits to the leader, as a client that retries does.
+void ChangingLeaders::submit(const std::string &Id, bool IsLongRunning) {
+  const std::optional<std::size_t> Leader = Group_.findLeader();
+  if (!Leader || !Members_[*Leader])
+    return;
+  StepSpec Step = jobs::test::makeStep(TasksPerJob, 1000);
+  Step.LongRunning_ = IsLongRunning;
+  Members_[*Leader]->leader().call({CallKind::Submit, jobs::test::Host,
+                                    std::string(jobs::test::Prefix) + Id,
+                                    jobs::test::makeJob("", {Step})},
+                                   [this, Id](const Outcome<JobCallReply> &R) {
+                                     if (R)
+                                       Submitted_.insert(Id);
+                                   });
+}
+
+void ChangingLeaders::submitWork() {
+  for (std::uint64_t I = 0; I < Scenario_.LongRunningJobs_; ++I) {
+    const std::string Id = "long" + std::to_string(I);
+    LongRunningJobs_.insert(Id);
+    if (Submitted_.count(Id) == 0)
+      submit(Id, true);
+  }
+  submit("job" + std::to_string(NextJobNumber_++), false);
+}
+
+void ChangingLeaders::moveOn(Server &Backend, Duration Pause) {
+  Backend.IsWaiting_ = false;
+  Backend.Home_ = (Backend.Home_ + 1) % Members_.size();
+  Backend.NextReport_ = Time_.now() + Pause;
+}
+
+void ChangingLeaders::report(std::size_t Number) {
+  Server &Backend = Servers_[Number];
+  ServerReport Report;
+  Report.Facts_ = jobs::test::makeServer(Backend.Id_);
+  Report.Facts_.Address_ = "place" + std::to_string(Number) + ":1";
+  Report.Sequence_ = ++Backend.Sequence_;
+  for (const auto &[Task, Run] : Backend.Running_)
+    Report.Running_.push_back(
+        {Task, Run.Number_, "", Run.IsLongRunning_ ? 100U : 50U, 0});
+  Report.Ended_ = Backend.Ended_;
+  Backend.IsWaiting_ = true;
+  Backend.SentAt_ = Time_.now();
+  const Endpoint From{Endpoint::Kind::Server, Number};
+  const Endpoint To{Endpoint::Kind::Member, Backend.Home_};
+  send({From, To, MessageKind::Report,
+        [this, From, To, Report] {
+          Members_[To.Number_]->report(
+              Report,
+              [this, From, To, Sequence = Report.Sequence_,
+               Id = Report.Facts_.Id_](const Outcome<ServerOrders> &Answer) {
+                send({To,
+                      From,
+                      MessageKind::Answer,
+                      [this, From, Sequence, Id, Answer] {
+                        if (Servers_[From.Number_].Id_ == Id)
+                          handleAnswer(From.Number_, Sequence, Answer);
+                      },
+                      {}});
+              });
+        },
+        [this, From, Sequence = Report.Sequence_, Id = Backend.Id_] {
+          if (Servers_[From.Number_].Id_ == Id)
+            handleAnswer(From.Number_, Sequence,
+                         fail(ErrorCode::Unavailable, "refused"));
+        }});
+}
+
+void ChangingLeaders::handleAnswer(std::size_t Number, std::uint64_t Sequence,
+                                   const Outcome<ServerOrders> &Answer) {
+  Server &Backend = Servers_[Number];
+  const TimePoint Now = Time_.now();
+  if (Backend.IsGone_ || Sequence != Backend.Sequence_ || !Backend.IsWaiting_ ||
+      Now - Backend.SentAt_ > ReportTimeout)
+    return;
+  if (!Answer)
+    return moveOn(Backend, 100ms);
+  Backend.IsWaiting_ = false;
+  const ServerOrders &Orders = Answer.value();
+  if (!Orders.ReportTo_.empty())
+    Backend.Home_ = findMember(Orders.ReportTo_);
+  std::erase_if(Backend.Ended_, [&Orders](const EndedTask &End) {
+    return End.Number_ <= Orders.EndsNoted_;
+  });
+  const bool HasNews = !Backend.Ended_.empty() || !Orders.Starts_.empty();
+  Backend.NextReport_ =
+      Now + (HasNews ? 50ms : std::chrono::milliseconds(Orders.NextReportMs_));
+  const bool IsFenced = Orders.FencingToken_ < Backend.FencingToken_;
+  if (Orders.LeaseMs_ == 0 || IsFenced)
+    return;
+  Backend.FencingToken_ = Orders.FencingToken_;
+  Backend.HasLease_ = true;
+  const Duration Lease = std::chrono::milliseconds(Orders.LeaseMs_);
+  Backend.LeaseEnd_ =
+      std::max(Backend.LeaseEnd_,
+               Backend.SentAt_ +
+                   Lease * Percent / (Percent - Scenario_.ClockSlowPercent_));
+  for (const StopOrder &Stop : Orders.Stops_) {
+    std::uint64_t &HighestRun = Backend.HighestRunNumbers_[Stop.Task_];
+    HighestRun = std::max(HighestRun, Stop.Run_);
+    const auto It = Backend.Running_.find(Stop.Task_);
+    if (It != Backend.Running_.end() && It->second.Number_ == Stop.Run_)
+      endRun(Backend, Stop.Task_, RunOutcome::Stopped);
+  }
+  for (const StartOrder &Start : Orders.Starts_)
+    startRun(Backend, Start);
+}
+
+void ChangingLeaders::startRun(Server &Backend, const StartOrder &Start) {
+  std::uint64_t &HighestRun = Backend.HighestRunNumbers_[Start.Task_];
+  if (Start.Run_ <= HighestRun)
+    return;
+  HighestRun = Start.Run_;
+  for (const Server &Other : Servers_)
+    if (!Other.IsGone_ && Other.Running_.count(Start.Task_) != 0)
+      recordViolation("runs on " + Other.Id_ + " and " + Backend.Id_,
+                      Start.Task_);
+  const bool IsLongRunning = LongRunningJobs_.count(Start.Task_.Job_) != 0;
+  Backend.Running_[Start.Task_] = {
+      Start.Run_,
+      IsLongRunning ? TimePoint::max()
+                    : Time_.now() + 5ms * static_cast<int>(40 + drawBelow(360)),
+      IsLongRunning};
+  ++Started_;
+}
+
+void ChangingLeaders::endRuns(Server &Backend) {
+  const TimePoint Now = Time_.now();
+  std::vector<TaskKey> Ended;
+  const bool IsExpired = Backend.HasLease_ && Now >= Backend.LeaseEnd_;
+  if (IsExpired)
+    Backend.HasLease_ = false;
+  for (const auto &[Task, Run] : Backend.Running_)
+    if (IsExpired || Run.EndsAt_ <= Now)
+      Ended.push_back(Task);
+  for (const TaskKey &Task : Ended)
+    endRun(Backend, Task,
+           IsExpired ? RunOutcome::LeaseExpired : RunOutcome::Done);
+}
+
+void ChangingLeaders::endRun(Server &Backend, const TaskKey &Task,
+                             RunOutcome How) {
+  const std::uint64_t Run = Backend.Running_.at(Task).Number_;
+  Backend.Running_.erase(Task);
+  Backend.Ended_.push_back({++Backend.LastEnd_, {Task, Run, How, ""}});
+  if (!Backend.IsWaiting_)
+    Backend.NextReport_ = std::min(Backend.NextReport_, Time_.now() + 50ms);
+}
+
+void ChangingLeaders::recordEvent(const Event &Value) {
+  if (Value.Kind_ == EventKind::TaskStarted && Value.Outcome_ == "placed")
+    recordPlacement(Value);
+  if (Value.Kind_ == EventKind::LeadershipBegun)
+    Events_.push_back(formatTime(getTime()) + " term " +
+                      std::to_string(Value.Term_.value_or(0)) + " begins");
+  if (Value.Kind_ == EventKind::ServerGone)
+    Events_.push_back(formatTime(getTime()) + " remove " + Value.Server_);
+  if (ObserveEvent_)
+    ObserveEvent_(Value);
+}
+
+/// A task may be placed again only after the leases of the servers that ran it
+/// have ended.
+void ChangingLeaders::recordPlacement(const Event &Started) {
+  const TaskKey Task = makeKey(Started);
+  TaskHistory &History = Histories_[Task];
+  ++History.Placements_;
+  History.PreviouslyPlacedAt_ = std::exchange(History.PlacedAt_, Time_.now());
+  for (const Server &Other : Servers_)
+    if (!Other.IsGone_ && Other.Id_ != Started.Server_ &&
+        Other.Running_.count(Task) != 0)
+      recordViolation("is placed on " + Started.Server_ + " within the lease " +
+                          "of " + Other.Id_,
+                      Task);
+  if (LongRunningJobs_.count(Task.Job_) != 0)
+    Events_.push_back(formatTime(getTime()) + " place " + Task.Job_ + "." +
+                      std::to_string(Task.Index_) + " on " + Started.Server_);
+}
+
+void ChangingLeaders::recordAbsence(const TaskKey &Task, TaskHistory &History) {
+  const Duration Away = Time_.now() - History.LastRunning_;
+  History.IsAway_ = false;
+  if (Away < 1s)
+    return;
+  ++Absences_;
+  LongAbsences_.push_back({Task, History.LastRunning_ - StartedAt_, getTime(),
+                           History.Placements_});
+  if (History.Placements_ > 1)
+    MaxDowntimeSincePlacement_ = std::max(
+        MaxDowntimeSincePlacement_, Time_.now() - History.PreviouslyPlacedAt_);
+  else
+    MaxDowntime_ = std::max(MaxDowntime_, Away);
+}
+
+void ChangingLeaders::updateObservations() {
+  const TimePoint Now = Time_.now();
+  std::set<TaskKey> Seen;
+  for (const Server &Backend : Servers_) {
+    if (Backend.IsGone_)
+      continue;
+    for (const auto &[Task, Run] : Backend.Running_) {
+      if (Run.IsLongRunning_)
+        Seen.insert(Task);
+      const auto Cancelled = Cancelled_.find(Task.Job_);
+      if (Cancelled != Cancelled_.end())
+        MaxTimeAfterCancel_ =
+            std::max(MaxTimeAfterCancel_, Now - Cancelled->second);
+    }
+  }
+  for (const TaskKey &Task : Seen) {
+    TaskHistory &History = Histories_[Task];
+    if (History.IsAway_)
+      recordAbsence(Task, History);
+    History.HasRun_ = true;
+    History.LastRunning_ = Now;
+    History.Placements_ = 0;
+  }
+  for (auto &[Task, History] : Histories_)
+    if (Seen.count(Task) == 0)
+      History.IsAway_ = History.HasRun_ && Cancelled_.count(Task.Job_) == 0;
+}
+
+void ChangingLeaders::recordViolation(const std::string &What,
+                                      const TaskKey &Task) {
+  Violations_.push_back(formatTime(getTime()) + " " + Task.Job_ + "." +
+                        std::to_string(Task.Index_) + " " + What);
+}
+
+std::string ChangingLeaders::describe() const {
+  std::ostringstream Out;
+  const auto Longest =
+      std::max_element(LongAbsences_.begin(), LongAbsences_.end(),
+                       [](const Absence &A, const Absence &B) {
+                         return A.Until_ - A.From_ < B.Until_ - B.From_;
+                       });
+  if (Longest == LongAbsences_.end())
+    return "no absence";
+  const std::string Name =
+      Longest->Task_.Job_ + "." + std::to_string(Longest->Task_.Index_);
+  Out << Absences_ << " absences; " << Name << " away from "
+      << formatTime(Longest->From_) << " to " << formatTime(Longest->Until_)
+      << " (" << formatTime(Longest->Until_ - Longest->From_) << " s), "
+      << Longest->Placements_ << " placements";
+  for (const std::string &Line : Events_) {
+    const double At = std::stod(Line);
+    const double From = std::chrono::duration<double>(Longest->From_).count();
+    const double Until = std::chrono::duration<double>(Longest->Until_).count();
+    const bool IsOther = Line.find(" place ") != std::string::npos &&
+                         Line.find(Name + " ") == std::string::npos;
+    if (At >= From - 1 && At <= Until && !IsOther)
+      Out << "\n  " << Line;
+  }
+  return Out.str();
+}
