Test tasks that are lost twice on a full fleet across a transfer

Cause: after two losses a long-running task may wait for isolation besides room. A new leader has seen neither wait.

Conclusion: the wait counts from the change. Whether it is the one for isolation or the one for room is not shown.

--- a/tests/jobservice/ChangingLeadersTest.cpp
+++ b/tests/jobservice/ChangingLeadersTest.cpp
@@ -372,3 +372,44 @@
   EXPECT_GT(Fleet.MaxTimeAfterCancel_, 0s);
   EXPECT_LE(Fleet.MaxTimeAfterCancel_, CancelAndStop);
 }
+
+/// Crashes servers, and 9 s later up to two of those that took their tasks.
+static void crashTwice(ChangingLeaders &Fleet) {
+  crashAt(Fleet, Loss);
+  const auto Successors = std::make_shared<std::set<std::string>>();
+  Fleet.setEventObserver([&Fleet, Successors](const Event &Logged) {
+    if (Logged.Kind_ == EventKind::TaskStarted && Logged.Outcome_ == "placed" &&
+        Logged.Job_.rfind("long", 0) == 0 && Fleet.getTime() > Loss)
+      Successors->insert(Logged.Server_);
+  });
+  Fleet.at(Loss + 9s, [&Fleet, Successors] {
+    std::size_t Left = 2;
+    for (const std::string &Id : *Successors)
+      if (const auto Server = Fleet.findServer(Id); Server && Left > 0) {
+        Fleet.crash(*Server);
+        --Left;
+      }
+  });
+}
+
+static LeadersScenario makeLongFullScenario() {
+  LeadersScenario Scenario = makeFullScenario();
+  Scenario.Length_ = Loss + 24s;
+  return Scenario;
+}
+
+// Guards against tasks that are lost twice and start too late under one leader.
+TEST(ChangingLeadersTest, TasksOfTwoLossesOnAFullFleetStartInTime) {
+  expectBound([](ChangingLeaders &Fleet) { crashTwice(Fleet); },
+              makeLongFullScenario());
+}
+
+// Guards against waits for isolation and for room that count anew at a change.
+TEST(ChangingLeadersTest, AChangeAfterTwoLossesOnAFullFleetDelaysNoStart) {
+  expectBound(
+      [](ChangingLeaders &Fleet) {
+        crashTwice(Fleet);
+        transferAt(Fleet, Loss + 16900ms, 1);
+      },
+      makeLongFullScenario());
+}
