Plug the survey of leases into the emulation, and change leaders at random

Cause: the emulation of changing leaders was written before members remembered reports, so it showed neither what the survey mends nor whether it lets leases end too early.

Change: each emulated member has HeardServers, LeaseSurvey and ReportWitness, wired as in ReportRouter; questions and records are messages that are lost, held or time out like the others. The group has a lease only once an entry of the term is committed, knows the term before, and members are added and removed (appended, then committed). An election waits for the lease of a leader that cannot be reached. A restarted member no longer begins with its old view as the leader.

A member that is lost less than a lease before the leader still costs a lease.

--- a/tests/jobservice/ChangingLeaders.cpp
+++ b/tests/jobservice/ChangingLeaders.cpp
@@ -10,6 +10,9 @@
 using namespace std::chrono_literals;
 
 static constexpr Duration NetworkDelay = 1ms;
+/// Timeout of a request that a member handles at once.
+static constexpr Duration MemberTimeout = 500ms;
+static constexpr Duration ElectionRetry = 100ms;
 static constexpr Duration TimeoutCheckInterval = 250ms;
 static constexpr std::uint64_t TasksPerJob = 8;
 static constexpr int Percent = 100;
@@ -41,6 +44,7 @@
   for (std::size_t I = 0; I < Members_.size(); ++I)
     startMember(I);
   Group_.elect(0, false);
+  Group_.commit();
   Strand_.advance(200ms);
   Members_[0]->leader().putConfiguration(jobs::test::makeConfiguration(),
                                          [](const Outcome<void> &) {});
@@ -74,6 +78,27 @@
           },
           std::move(Failed)});
   };
+  Out.SendLeaseQuery_ = [this, Number](const std::string &To,
+                                       const LeaseQuery &Query,
+                                       LeaseSurvey::Reply Done) {
+    ask<LeaseQueryReply>(
+        Number, To, MessageKind::LeaseQuery,
+        [Query](EmulatedMember &Asked) {
+          return Asked.answerLeaseQuery(Query);
+        },
+        std::move(Done));
+  };
+  Out.SendWitnessRequest_ = [this, Number](const std::string &To,
+                                           const WitnessRequest &Request,
+                                           const ReportWitness::Done &Done) {
+    ask<bool>(
+        Number, To, MessageKind::Witness,
+        [Request](EmulatedMember &Asked) {
+          Asked.recordWitnessed(Request);
+          return true;
+        },
+        [Done](const Outcome<bool> &Result) { Done(Result.has_value()); });
+  };
   Members_[Number] = std::make_shared<EmulatedMember>(
       Number, Group_, Strand_, Time_, Settings_, Log_, std::move(Out));
 }
@@ -121,10 +146,13 @@
     if (!Backend.IsWaiting_ && Backend.NextReport_ <= Now)
       report(I);
   }
+  std::vector<std::function<void()>> Overdue;
   for (const Call &Pending : Calls_)
-    if (*Pending.Done_ && Now >= Pending.Deadline_)
-      std::exchange(*Pending.Done_, nullptr)(fail(ErrorCode::Timeout, "late"));
-  std::erase_if(Calls_, [](const Call &Pending) { return !*Pending.Done_; });
+    if (!Pending.IsDone_() && Now >= Pending.Deadline_)
+      Overdue.push_back(Pending.Expire_);
+  for (const std::function<void()> &Expire : Overdue)
+    Expire();
+  std::erase_if(Calls_, [](const Call &Pending) { return Pending.IsDone_(); });
   Strand_.runAll();
   updateObservations();
   if (Now < NextTimeoutCheck_)
@@ -181,15 +209,48 @@
                       [this, Sent = std::move(Next)] { deliver(Sent); });
 }
 
+template <typename Reply>
+std::function<void(const Outcome<Reply> &)>
+ChangingLeaders::addCall(std::function<void(const Outcome<Reply> &)> Done,
+                         Duration Timeout) {
+  const auto Shared =
+      std::make_shared<std::function<void(const Outcome<Reply> &)>>(
+          std::move(Done));
+  const auto Finish = [Shared](const Outcome<Reply> &Result) {
+    if (*Shared)
+      std::exchange(*Shared, nullptr)(Result);
+  };
+  Calls_.push_back({[Shared] { return !*Shared; },
+                    [Finish] { Finish(fail(ErrorCode::Timeout, "late")); },
+                    Time_.now() + Timeout});
+  return Finish;
+}
+
+template <typename Reply>
+void ChangingLeaders::ask(std::size_t From, const std::string &To,
+                          MessageKind Kind,
+                          std::function<Reply(EmulatedMember &)> Handle,
+                          std::function<void(const Outcome<Reply> &)> Done) {
+  const auto Finish = addCall<Reply>(std::move(Done), MemberTimeout);
+  const Endpoint Asking{Endpoint::Kind::Member, From};
+  const Endpoint Asked{Endpoint::Kind::Member, findMember(To)};
+  send({Asking, Asked, Kind,
+        [this, Asking, Asked, Kind, Finish, Handle = std::move(Handle)] {
+          send({Asked,
+                Asking,
+                Kind,
+                [Finish, Answer = Handle(*Members_[Asked.Number_])] {
+                  Finish(Answer);
+                },
+                {}});
+        },
+        [Finish] { Finish(fail(ErrorCode::Unavailable, "refused")); }});
+}
+
 void ChangingLeaders::callWithBatch(std::size_t From, const std::string &To,
                                     ReportBatch Batch, Duration Timeout,
                                     ReportRelay::BatchDone Done) {
-  const auto Shared = std::make_shared<ReportRelay::BatchDone>(std::move(Done));
-  const auto Finish = [Shared](Outcome<ReportBatchReply> Result) {
-    if (*Shared)
-      std::exchange(*Shared, nullptr)(std::move(Result));
-  };
-  Calls_.push_back({Shared, Time_.now() + Timeout});
+  const auto Finish = addCall<ReportBatchReply>(std::move(Done), Timeout);
   const Endpoint Relay{Endpoint::Kind::Member, From};
   const Endpoint Leader{Endpoint::Kind::Member, findMember(To)};
   send({Relay, Leader, MessageKind::Batch,
@@ -217,6 +278,10 @@
   Events_.push_back(formatTime(getTime()) + " cut " + Servers_[Server].Id_);
 }
 
+void ChangingLeaders::reconnect(std::size_t Server) {
+  Servers_[Server].IsCut_ = false;
+}
+
 void ChangingLeaders::leave(std::size_t Server) {
   Servers_[Server].IsGone_ = true;
   Events_.push_back(formatTime(getTime()) + " leave " + Servers_[Server].Id_);
@@ -250,8 +315,11 @@
 
 void ChangingLeaders::electAfter(std::size_t To, Duration Gap) {
   at(getTime() + Gap, [this, To] {
-    if (Members_[To])
-      Group_.elect(To, Scenario_.KeepsProposals_);
+    for (std::size_t I = 0; I < Members_.size(); ++I)
+      if (Group_.isElectable((To + I) % Members_.size()))
+        return Group_.elect((To + I) % Members_.size(),
+                            Scenario_.KeepsProposals_);
+    electAfter(To, ElectionRetry);
   });
 }
 
@@ -278,6 +346,12 @@
 
 void ChangingLeaders::restart(std::size_t Member) { startMember(Member); }
 
+void ChangingLeaders::changeMember(std::size_t Member, bool IsAdded) {
+  Events_.push_back(formatTime(getTime()) + (IsAdded ? " add " : " drop ") +
+                    SharedGroup::getName(Member));
+  Group_.changeMember(Member, IsAdded);
+}
+
 void ChangingLeaders::silence(std::size_t Member, std::size_t To, Duration Gap,
                               bool HearsServers) {
   Events_.push_back(formatTime(getTime()) + " silent " +
--- a/tests/jobservice/ChangingLeaders.h
+++ b/tests/jobservice/ChangingLeaders.h
@@ -46,6 +46,8 @@
   Batch,        ///< A relay's batch to the leader.
   BatchAnswer,  ///< The leader's answers to a batch.
   FlushRequest, ///< The leader's request to a relay.
+  LeaseQuery,   ///< A new leader's question about leases, and its answer.
+  Witness,      ///< The leader's request to record reports, and its answer.
 };
 
 struct Message {
@@ -87,18 +89,24 @@
   void crash(std::size_t Server);
   /// The server runs on, but its messages are lost in both directions.
   void cut(std::size_t Server);
+  /// Ends a cut.
+  void reconnect(std::size_t Server);
   /// The server ends and says so to the leader, once.
   void leave(std::size_t Server);
   /// A server that is gone starts again at its address, with a new id.
   void restartServer(std::size_t Server);
   /// Cancels a long-running job.
   void cancel(const std::string &Job);
-  /// The leader steps down; the member To leads after Gap.
+  /// The leader steps down; the member To leads after Gap, or later the next
+  /// one that can be elected.
   void transferLeadership(std::size_t To, Duration Gap);
   /// A member's process ends. If it led, the member To leads after Gap.
   void kill(std::size_t Member, std::size_t To, Duration Gap);
   /// Starts a killed member without its memory.
   void restart(std::size_t Member);
+  /// Adds a member to the group or removes it, if the leader can commit that.
+  /// The process of a removed member runs on.
+  void changeMember(std::size_t Member, bool IsAdded);
   /// The member's messages to and from other members are lost, and those of
   /// servers too if so told. If it led, To leads after Gap.
   void silence(std::size_t Member, std::size_t To, Duration Gap,
@@ -111,6 +119,8 @@
 
   Duration getTime() const { return Time_.now() - StartedAt_; }
   std::size_t getLeader() const { return Group_.findLeader().value_or(0); }
+  bool isUp(std::size_t Member) const { return Members_[Member] != nullptr; }
+  const SharedGroup &group() const { return Group_; }
   /// Returns the number of a server that is not gone.
   std::optional<std::size_t> findServer(const std::string &Id) const;
   std::size_t getHome(std::size_t Server) const {
@@ -168,7 +178,8 @@
     TimePoint LeaseEnd_{};
   };
   struct Call {
-    std::shared_ptr<ReportRelay::BatchDone> Done_; ///< Null once called.
+    std::function<bool()> IsDone_;
+    std::function<void()> Expire_;
     TimePoint Deadline_{};
   };
   struct TaskHistory {
@@ -202,6 +213,16 @@
   bool isLost(const Endpoint &From, const Endpoint &To) const;
   void deliver(const Message &Sent);
   std::size_t findMember(const std::string &Name) const;
+  /// Returns a callback that runs Done once, with Timeout if nothing has called
+  /// it by then.
+  template <typename Reply>
+  std::function<void(const Outcome<Reply> &)>
+  addCall(std::function<void(const Outcome<Reply> &)> Done, Duration Timeout);
+  /// Asks a member, which answers at once.
+  template <typename Reply>
+  void ask(std::size_t From, const std::string &To, MessageKind Kind,
+           std::function<Reply(EmulatedMember &)> Handle,
+           std::function<void(const Outcome<Reply> &)> Done);
   void callWithBatch(std::size_t From, const std::string &To,
                      jobs::ReportBatch Batch, Duration Timeout,
                      ReportRelay::BatchDone Done);
--- a/tests/jobservice/EmulatedMember.h
+++ b/tests/jobservice/EmulatedMember.h
@@ -1,8 +1,8 @@
 //===- EmulatedMember.h - One member without sockets ------------*- C++ -*-===//
 //
-// Connects a real leader, relay, flush and inbox as ReportRouter does, with
-// messages that the owner delivers. Destroying it is the end of the process:
-// all of its memory is lost.
+// Connects a real leader, relay, flush, inbox, survey and witness as
+// ReportRouter does, with messages that the owner delivers. Destroying it is
+// the end of the process: all of its memory is lost.
 //
 //===----------------------------------------------------------------------===//
 
@@ -11,9 +11,12 @@
 
 #include "jobs/LeaderFixture.h"
 #include "jobservice/AnswerCollector.h"
+#include "jobservice/HeardServers.h"
+#include "jobservice/LeaseSurvey.h"
 #include "jobservice/RelayFlush.h"
 #include "jobservice/ReportInbox.h"
 #include "jobservice/ReportRelay.h"
+#include "jobservice/ReportWitness.h"
 #include "jobservice/SharedGroup.h"
 
 namespace tulipweir::jobservice::test {
@@ -28,6 +31,12 @@
     std::function<void(const std::string &To, jobs::FlushRequest,
                        std::function<void()> Failed)>
         SendFlushRequest_;
+    std::function<void(const std::string &To, jobs::LeaseQuery,
+                       LeaseSurvey::Reply)>
+        SendLeaseQuery_;
+    std::function<void(const std::string &To, jobs::WitnessRequest,
+                       ReportWitness::Done)>
+        SendWitnessRequest_;
   };
 
   /// All references must outlive it.
@@ -45,6 +54,8 @@
   void report(jobs::ServerReport Report, ReportRelay::Done Reply);
   void receiveBatch(jobs::ReportBatch Batch, ReportInbox::Reply Reply);
   void receiveFlushRequest(const jobs::FlushRequest &Request);
+  jobs::LeaseQueryReply answerLeaseQuery(const jobs::LeaseQuery &Query);
+  void recordWitnessed(const jobs::WitnessRequest &Request);
   void checkTimeouts();
   jobs::JobLeader &leader() { return Leader_; }
 
@@ -53,6 +64,31 @@
   const jobs::JobStateMachine &machine() const { return Machine_; }
 
 private:
+  /// What a leader on this member asks the others.
+  class OtherMembers final : public jobs::ReportRelays {
+  public:
+    OtherMembers(RelayFlush &Flush, LeaseSurvey &Survey)
+        : Flush_(Flush), Survey_(Survey) {}
+    void flush(const std::string &ServerId,
+               std::function<void()> Done) override {
+      Flush_.flush(ServerId, std::move(Done));
+    }
+    void findHeard(const std::vector<std::string> &ServerIds,
+                   std::function<void(Heard)> Done) override {
+      Flush_.findHeard(ServerIds, std::move(Done));
+    }
+    void findLeaseBounds(
+        std::uint64_t Term,
+        std::function<void(const jobs::LeaseBounds &)> Found) override {
+      Survey_.start(Term, std::move(Found));
+    }
+
+  private:
+    RelayFlush &Flush_;
+    LeaseSurvey &Survey_;
+  };
+
+  void handleReport(jobs::ServerReport Report, const ReportRelay::Done &Reply);
   void sendBatch(jobs::ReportBatch Batch, Duration Timeout,
                  ReportRelay::BatchDone Done);
   void handleBatch(jobs::ReportBatch Batch, const ReportInbox::Reply &Reply);
@@ -70,6 +106,10 @@
   std::unique_ptr<replication::Replica> Replica_;
   std::shared_ptr<ReportRelay> Relay_;
   RelayFlush Flush_;
+  HeardServers Heard_;
+  std::shared_ptr<ReportWitness> Witness_;
+  LeaseSurvey Survey_;
+  OtherMembers Others_{Flush_, Survey_};
   ReportInbox Inbox_;
   jobs::JobLeader Leader_;
   std::vector<std::shared_ptr<AnswerCollector>> Collectors_;
--- a/tests/jobservice/SharedGroup.cpp
+++ b/tests/jobservice/SharedGroup.cpp
@@ -48,17 +48,33 @@
 };
 
 SharedGroup::SharedGroup(const Clock &Time, std::size_t Members)
-    : Time_(Time), Members_(Members) {}
+    : Time_(Time), Members_(Members) {
+  Newest_.Index_ = LastMembersIndex_;
+  for (std::size_t I = 0; I < Members; ++I)
+    Newest_.Numbers_.insert(I);
+  Committed_ = Newest_;
+  for (MemberState &State : Members_)
+    State.Newest_ = State.Committed_ = Newest_;
+}
 
 bool SharedGroup::isReachable(std::size_t Member) const {
   return Members_[Member].Machine_ && Members_[Member].IsReachable_;
 }
 
+bool SharedGroup::isElectable(std::size_t Member) const {
+  for (std::size_t I = 0; I < Members_.size(); ++I)
+    if (Members_[I].Machine_ && !Members_[I].IsReachable_ &&
+        findLeaseTerm(I, Time_.now()))
+      return false;
+  return isReachable(Member) && isMember(Member);
+}
+
 std::unique_ptr<replication::Replica>
 SharedGroup::start(std::size_t Member, jobs::JobStateMachine &Machine) {
   MemberState &State = Members_[Member];
   State.Machine_ = &Machine;
   State.Applied_ = 0;
+  State.Leader_.reset();
   catchUp(Member);
   updateViews();
   return std::make_unique<Handle>(*this, Member);
@@ -82,7 +98,7 @@
     State.UnreachableSince_ = Time_.now();
     return;
   }
-  if (State.Machine_)
+  if (State.Machine_ && isMember(Member))
     catchUp(Member);
   updateViews();
   if (Leader_ != Member)
@@ -94,6 +110,7 @@
   ++Term_;
   Leader_ = Member;
   Members_[Member].LeaderSince_ = Time_.now();
+  Members_[Member].PreviousTerm_ = LastLogTerm_;
   updateViews();
 }
 
@@ -107,12 +124,18 @@
 /// Commits the open proposals as a later leader does that has them in its log,
 /// or drops them. Their proposer does not learn which.
 void SharedGroup::resolveProposals(bool KeepsProposals) {
+  if (KeepsProposals && Leader_)
+    LastLogTerm_ = Term_;
+  if (KeepsProposals)
+    Committed_ = Newest_;
+  else
+    Newest_ = Committed_;
   std::vector<Proposal> Open = std::exchange(Proposals_, {});
   for (Proposal &Next : Open)
     if (KeepsProposals && Next.Term_ == Term_)
       Log_.push_back({Next.Term_, Next.Command_});
   for (std::size_t I = 0; I < Members_.size(); ++I)
-    if (isReachable(I))
+    if (isReachable(I) && isMember(I))
       catchUp(I);
   for (Proposal &Next : Open)
     if (Next.Done_)
@@ -135,6 +158,12 @@
 void SharedGroup::commit() {
   if (!Leader_ || !isReachable(*Leader_))
     return;
+  LastLogTerm_ = Term_;
+  const bool HasChange = Committed_.Index_ != Newest_.Index_;
+  Committed_ = Newest_;
+  Members_[*Leader_].CommittedTerm_ = Term_;
+  if (HasChange)
+    updateViews();
   for (Proposal &Next : std::exchange(Proposals_, {})) {
     if (Next.Term_ != Term_) {
       Proposals_.push_back(std::move(Next));
@@ -146,10 +175,24 @@
       Next.Done_(replication::Applied{Term_, Log_.size(), Result});
   }
   for (std::size_t I = 0; I < Members_.size(); ++I)
-    if (isReachable(I))
+    if (isReachable(I) && isMember(I))
       catchUp(I);
 }
 
+void SharedGroup::changeMember(std::size_t Member, bool IsAdded) {
+  const bool IsOpen = Committed_.Index_ != Newest_.Index_;
+  if (IsOpen || !Leader_ || !isReachable(*Leader_) ||
+      Members_[*Leader_].CommittedTerm_ != Term_ || Leader_ == Member ||
+      isMember(Member) == IsAdded)
+    return;
+  if (IsAdded)
+    Newest_.Numbers_.insert(Member);
+  else
+    Newest_.Numbers_.erase(Member);
+  Newest_.Index_ = ++LastMembersIndex_;
+  updateView(*Leader_);
+}
+
 std::string SharedGroup::applyNext(std::size_t Member) {
   MemberState &State = Members_[Member];
   const Entry &Next = Log_[State.Applied_++];
@@ -163,10 +206,16 @@
 
 void SharedGroup::updateViews() {
   for (std::size_t I = 0; I < Members_.size(); ++I)
-    if (isReachable(I)) {
-      Members_[I].Leader_ = Leader_;
-      Members_[I].Term_ = Term_;
-    }
+    if (isReachable(I) && isMember(I))
+      updateView(I);
+}
+
+void SharedGroup::updateView(std::size_t Member) {
+  MemberState &State = Members_[Member];
+  State.Leader_ = Leader_;
+  State.Term_ = Term_;
+  State.Newest_ = Newest_;
+  State.Committed_ = Committed_;
 }
 
 void SharedGroup::propose(std::size_t Member, std::string Command,
@@ -182,9 +231,11 @@
 std::optional<std::uint64_t> SharedGroup::findLeaseTerm(std::size_t Member,
                                                         TimePoint Now) const {
   const MemberState &State = Members_[Member];
-  const bool HasLease =
-      State.IsReachable_ || Now - State.UnreachableSince_ < LeaderLease;
-  if (State.Leader_ == Member && HasLease)
+  const bool HasLease = State.IsReachable_
+                            ? Leader_ == Member
+                            : Now - State.UnreachableSince_ < LeaderLease;
+  if (State.Leader_ == Member && HasLease &&
+      State.CommittedTerm_ == State.Term_)
     return State.Term_;
   return std::nullopt;
 }
@@ -197,7 +248,12 @@
   Status.LeaderName_ = State.Leader_ ? getName(*State.Leader_) : "";
   Status.Term_ = State.Term_;
   Status.LeaderSince_ = State.LeaderSince_;
-  for (std::size_t I = 0; I < Members_.size(); ++I) {
+  Status.PreviousTerm_ = State.PreviousTerm_;
+  Status.MembersIndex_ = State.Newest_.Index_;
+  for (const std::size_t I : State.Committed_.Numbers_)
+    Status.CommittedMembers_.push_back(
+        {{getName(I), 1}, replication::MemberRole::Voter});
+  for (const std::size_t I : State.Newest_.Numbers_) {
     Status.Members_.push_back(
         {{getName(I), 1}, replication::MemberRole::Voter});
     if (I == Member)
--- a/tests/jobservice/SharedGroup.h
+++ b/tests/jobservice/SharedGroup.h
@@ -1,9 +1,10 @@
 //===- SharedGroup.h - A replicated group with forced elections -*- C++ -*-===//
 //
 // Replicates a log to the state machines of several members. A test decides
-// who leads, when proposals are committed and which members are reachable. A
-// member that cannot be reached keeps its old view, and a leader among them
-// keeps its lease until that expires.
+// who leads, when proposals are committed, which members are reachable and who
+// is a member. A member that cannot be reached or was removed keeps its old
+// view, and a leader among them keeps its lease until that expires. A leader
+// has a lease once an entry of its term is committed.
 //
 //===----------------------------------------------------------------------===//
 
@@ -15,6 +16,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,11 +46,21 @@
   void endTerm(bool KeepsProposals);
   /// Commits the open proposals if the leader is reachable.
   void commit();
+  /// Appends a change that adds or removes a member. Does nothing while another
+  /// change is open or the leader cannot commit.
+  void changeMember(std::size_t Member, bool IsAdded);
 
   // Queries.
 
   std::optional<std::size_t> findLeader() const { return Leader_; }
   bool isReachable(std::size_t Member) const;
+  /// Whether the member can be elected: it is reachable, and no leader that
+  /// cannot be reached has a lease.
+  bool isElectable(std::size_t Member) const;
+  /// Whether the newest group has the member.
+  bool isMember(std::size_t Member) const {
+    return Newest_.Numbers_.count(Member) != 0;
+  }
 
 private:
   class Handle;
@@ -63,6 +75,11 @@
     std::uint64_t Term_ = 0;
     std::string Command_;
   };
+  /// The group as of a log entry.
+  struct Membership {
+    std::set<std::size_t> Numbers_;
+    std::uint64_t Index_ = 0;
+  };
   struct MemberState {
     jobs::JobStateMachine *Machine_ = nullptr; ///< Null while stopped.
     std::size_t Applied_ = 0;
@@ -72,6 +89,10 @@
     std::optional<std::size_t> Leader_;
     std::uint64_t Term_ = 0;
     TimePoint LeaderSince_{};
+    std::uint64_t PreviousTerm_ = 0;
+    std::uint64_t CommittedTerm_ = 0; ///< Led with a committed entry.
+    Membership Newest_;
+    Membership Committed_;
   };
 
   void propose(std::size_t Member, std::string Command,
@@ -82,6 +103,7 @@
   std::string applyNext(std::size_t Member);
   void catchUp(std::size_t Member);
   void updateViews();
+  void updateView(std::size_t Member);
   void resolveProposals(bool KeepsProposals);
   void failProposals(std::size_t Member);
 
@@ -91,6 +113,10 @@
   std::vector<Proposal> Proposals_;
   std::optional<std::size_t> Leader_;
   std::uint64_t Term_ = 0;
+  std::uint64_t LastLogTerm_ = 0;
+  Membership Newest_;
+  Membership Committed_;
+  std::uint64_t LastMembersIndex_ = 1;
 };
 
 } // namespace tulipweir::jobservice::test
