--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -179,7 +179,8 @@
   /// Records the ends of runs that the server has reported, or that it never
   /// began.
   void beginAbsences(const EndTasks &Ended, TimePoint LastSeen);
-  /// Records the ends of runs with the removal of their server.
+  /// Records the ends of runs with the removal of their server, so that
+  /// long-running tasks among them start first.
   void recordLoss(const std::vector<LostRun> &Lost, const Absence &Value);
   void endAbsences(const std::vector<TaskStart> &Starts,
                    const std::vector<bool> &Accepted);
