Log absences whose placement is handled late

Found in the code: the check for long absences dropped an entry as soon as the state showed the task as placed; the leader handles the result of that placement later, and an overloaded one much later.

Change: an entry is dropped only if two checks in a row find that its task needs no placement.

Measured: test_jobs passes (275); with one check dropping the entry, AbsenceTrackerTest fails.

Conclusion: the order of events of the test has its line.

--- a/src/jobs/AbsenceTracker.cpp
+++ b/src/jobs/AbsenceTracker.cpp
@@ -24,7 +24,7 @@
     for (std::size_t I = 0; I < Tasks.size(); ++I)
       if (Tasks[I].State_ == TaskState::Waiting && Tasks[I].LastRun_ > 0)
         Absences_[{Ready.Job_, Ready.Occurrence_, Ready.Step_, I}] = {
-            Tasks[I].LastRun_, "", Now, Now, Now, true, false};
+            Tasks[I].LastRun_, "", Now, Now, Now, true, false, false};
   }
 }
 
@@ -51,14 +51,22 @@
 
 std::vector<std::pair<TaskKey, Absence>>
 AbsenceTracker::collectLong(const JobRegistry &Registry, TimePoint Now) {
-  std::erase_if(Absences_, [&Registry](const auto &Entry) {
-    return !isWaiting(Registry, Entry.first);
-  });
   std::vector<std::pair<TaskKey, Absence>> Long;
-  for (auto &[Task, Value] : Absences_)
-    if (Value.getTotal(Now) > LongAbsence &&
+  for (auto It = Absences_.begin(); It != Absences_.end();) {
+    auto &[Task, Value] = *It;
+    // The result of a placement that is already applied may be outstanding, and
+    // its handling ends the absence.
+    const bool NeededNone = Value.NeedsNone_;
+    Value.NeedsNone_ = !isWaiting(Registry, Task);
+    if (NeededNone && Value.NeedsNone_) {
+      It = Absences_.erase(It);
+      continue;
+    }
+    if (!Value.NeedsNone_ && Value.getTotal(Now) > LongAbsence &&
         !std::exchange(Value.IsLogged_, true))
       Long.emplace_back(Task, Value);
+    ++It;
+  }
   return Long;
 }
 
--- a/src/jobs/AbsenceTracker.h
+++ b/src/jobs/AbsenceTracker.h
@@ -30,6 +30,8 @@
   /// absent for longer.
   bool IsLowerBound_ = false;
   bool IsLogged_ = false; ///< As one that goes on.
+  /// The task needed no placement when the absences were last checked.
+  bool NeedsNone_ = false;
 
   Duration getLease() const { return LeaseEnd_ - LastSeen_; }
   Duration getRemoval() const { return WaitsSince_ - LeaseEnd_; }
--- a/tests/jobs/AbsenceTest.cpp
+++ b/tests/jobs/AbsenceTest.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "jobs/AbsenceTracker.h"
 #include "jobs/LeaderFixture.h"
 
 #include <gmock/gmock.h>
@@ -149,3 +150,30 @@
   EXPECT_EQ(Log_.count(EventKind::TaskAbsent), 0U);
   EXPECT_EQ(Meter_.Recorded_.count(JobTimer::Absence), 0U);
 }
+
+namespace {
+class AbsenceTrackerTest : public JobRegistryTest {};
+} // namespace
+
+// An overloaded leader handles the result of a placement after the state shows
+// it. The longest absences are those of such times.
+TEST_F(AbsenceTrackerTest, PlacementWithALateResultEndsTheAbsence) {
+  submit(makeJob("j", {makeServing(1, "web")}));
+  const TaskStart First = makeStart("j", 0, "s1");
+  ASSERT_TRUE(start(First));
+  end(First, RunOutcome::Stopped);
+  AbsenceTracker Tracker;
+  const TimePoint Begin = TimePoint() + 1s;
+  Absence Value;
+  Value.Run_ = 1;
+  Value.LastSeen_ = Value.LeaseEnd_ = Value.WaitsSince_ = Begin;
+  Tracker.begin(Registry_, First.Task_, Value);
+  ASSERT_TRUE(start(makeStart("j", 0, "s2", 2)));
+  EXPECT_TRUE(Tracker.collectLong(Registry_, Begin + 7s).empty());
+  EXPECT_TRUE(Tracker.end(First.Task_));
+  // Without a result the entry is dropped.
+  Tracker.begin(Registry_, First.Task_, Value);
+  Tracker.collectLong(Registry_, Begin + 7s);
+  Tracker.collectLong(Registry_, Begin + 8s);
+  EXPECT_FALSE(Tracker.end(First.Task_));
+}
