Let no report that waits for its record keep its node alive

What was seen: the sanitized test_platform reports leaks of a ControlNode (3 objects, 4 of 4 runs); all its 42 tests pass.

Cause: a report that the leader receives itself waits in ReportWitness with a callback that holds the owner, and the owner holds ReportWitness. If the pool stops within the 4 ms of the batch, nobody breaks the circle.

Change: the callback holds the owner weakly and does nothing once it is gone, as the other calls to members do.

After: sanitized test_platform once, 42 passed, no leak.

--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -85,8 +85,12 @@
   Heard_.record(Id);
   if (Instance->Leader_->isLeading())
     return Witness_->record(
-        Id, [this, Hold = Owner_.lock(), Report = std::move(Report), Reply,
+        Id, [this, Weak = Owner_, Report = std::move(Report), Reply,
              ReceivedAt = Time_.now()](bool IsRecorded) mutable {
+          // The witness belongs to the owner, so it must not keep it alive.
+          const std::shared_ptr<void> Hold = Weak.lock();
+          if (!Hold)
+            return;
           if (!IsRecorded)
             return Reply(fail(ErrorCode::Unavailable,
                               "no other member has recorded the report"));
