Test a change of the members that replaces another at its log index

LeaseSurvey tells changes of the members by the log index alone. A leader that was cut off appends a change at index 9 that is never committed; the next leader commits another one, the removal of a relay, at index 9. The member that led before stores both entries of the new leader in one step, so its MembersIndex_ stays 9 and the removal is not seen. As a new leader it does not ask the removed relay, and bounds leases by times before reports that only that relay received.

Ruled out: the poll of 250 ms, as the replacement is one step of RaftCore::storeEntries. It shows the survey's part only; no test runs the whole order in the Raft core.

--- a/tests/jobservice/LeaseSurveyTest.cpp
+++ b/tests/jobservice/LeaseSurveyTest.cpp
@@ -121,6 +121,25 @@
   EXPECT_EQ(Bounds_->getFor("a"), BeganAt_ - 1s);
 }
 
+// An uncommitted change of the members that another one replaces at the same
+// log index hides that a member was removed.
+TEST_F(LeaseSurveyTest, LeasesMayCountFromAChangeAtTheIndexOfAnotherOne) {
+  Status_.Members_.push_back(Status_.Members_.back());
+  Status_.Members_.back().Id_.Name_ = "new";
+  Status_.MembersIndex_ = 9;
+  Survey_.poll();
+  Time_.advance(30s);
+  // The entry at index 9 is replaced: "new" is not added and "z" is removed.
+  Status_.Members_.pop_back();
+  Status_.Members_.pop_back();
+  Survey_.poll();
+  Time_.advance(3s);
+  lead();
+  answer("x", {{"a", 4000}});
+  answer("y");
+  EXPECT_EQ(Bounds_->getFor("a"), BeganAt_ - 3s);
+}
+
 // A member that was removed is not asked.
 TEST_F(LeaseSurveyTest, LeasesMayCountFromAChangeOfTheMembers) {
   Status_.Members_.pop_back();
