Test that every member is asked to record reports

After a failure ReportWitness avoids only the member that failed last, so it asks the first two responsive members in turn and never a third. If both record nothing, such as processes of the version before, a server that reaches only the leader is refused for good.

--- a/tests/jobservice/ReportWitnessTest.cpp
+++ b/tests/jobservice/ReportWitnessTest.cpp
@@ -57,6 +57,20 @@
   EXPECT_EQ(Done_, (std::map<std::string, bool>{{"a", true}, {"b", true}}));
 }
 
+// Guards against a server that reports to the leader only and is refused for
+// good, as two members answer the leader's log messages but record no reports.
+TEST_F(ReportWitnessTest, EveryMemberIsAskedInTurnAfterFailures) {
+  Status_.Members_.push_back({{"z", 1}, replication::MemberRole::Voter});
+  Status_.CommittedMembers_ = Status_.Members_;
+  Status_.Responsive_.push_back("z");
+  for (int I = 0; I < 6; ++I) {
+    record("a");
+    sendAll();
+    Sent_.back().Reply_(Sent_.back().Member_ == "z");
+  }
+  EXPECT_TRUE(Done_.at("a"));
+}
+
 TEST_F(ReportWitnessTest, AnotherMemberIsAskedAfterAFailure) {
   record("a");
   sendAll();
