--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -81,7 +81,7 @@
   }
 
 private:
-  /// What a leader on this member asks the others.
+  /// Sends the requests of a leader on this member to the other members.
   class OtherMembers final : public jobs::ReportRelays {
   public:
     OtherMembers(RelayFlush &Flush, LeaseSurvey &Survey)
--- a/tests/jobs/LateReportTest.cpp
+++ b/tests/jobs/LateReportTest.cpp
@@ -76,15 +76,19 @@
   EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
 }
 
-TEST_F(LateReportTest, OvertakenReportDoesNotRegisterARemovedServer) {
+// Guards against delayed reports that arrive in another order than they were
+// sent in, as each went to another control.
+TEST_F(LateReportTest, OvertakenDelayedReportDoesNotRegisterARemovedServer) {
   call(CallKind::Submit, "j", {makeServing(1, "web")});
   ASSERT_EQ(report(makeTimedReport("s1", 10'000)).Starts_.size(), 1U);
-  const ServerReport Overtaken = makeTimedReport("s1", 11'000);
-  const ServerReport Delayed = makeTimedReport("s1", 12'000);
+  const ServerReport First = makeTimedReport("s1", 11'000);
+  const ServerReport Second = makeTimedReport("s1", 12'000);
   Strand_.advance(Settings_.Lease_ + 500ms);
   ASSERT_EQ(Log_.count(EventKind::ServerGone), 1U);
-  EXPECT_EQ(report(Delayed).LeaseMs_, 0U);
-  EXPECT_EQ(report(Overtaken).LeaseMs_, 0U);
+  EXPECT_EQ(report(Second).LeaseMs_, 0U);
+  const ServerOrders Orders = report(First);
+  EXPECT_EQ(Orders.LeaseMs_, 0U);
+  EXPECT_TRUE(Orders.Starts_.empty());
   EXPECT_EQ(report(makeReport("s2")).Starts_.size(), 1U);
 }
 
