Name the servers with room beside which long-running tasks wait

Cause: for one waiting task the logs could not tell which servers have room and why each is refused: reasons were counted by class, a full server in quarantine counted as quarantined, and reservations were not logged.

Change: WaitExplainer, taken out of Dispatcher, gives a reason other than 'full' only for servers with room, and names quarantine, isolation, spread limit and reservation apart. room_unused names, for long-running steps that have waited for a second, servers with room, their free processors by the state and by their last report, and the obstacle; room_reserved tells of reservations; tulipweir_waits_beside_room_total counts. No decision changes.

Ruled out: a line for each waiting task and server, 80,000 a second.

--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -29,7 +29,9 @@
   JobEnded,
   JobCancelled,
   TaskStarted,
-  TaskWaiting, ///< Why a step does not start; at a change of reason.
+  TaskWaiting,  ///< Why a step does not start; at a change of reason.
+  RoomUnused,   ///< A long-running step waits while servers have room for it.
+  RoomReserved, ///< A server's capacity is kept for a long-running step.
   TaskEnded,
   TaskStopped, ///< We ordered it to stop.
   TaskPaced,
--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -52,6 +52,8 @@
   CrashesSuspected,     ///< Crashes of servers that a task may have caused.
   TasksSuspected,       ///< Tasks to be isolated after such a crash.
   JobsGivenUp,          ///< Failed as one of their tasks crashed its servers.
+  WaitsBesideRoom, ///< Seconds of long-running steps that waited while servers
+                   ///< had room for them; at most eight steps are counted.
   // Reports that got no lease:
   ReportsLate,       ///< A later report of the server was handled before.
   ReportsSuperseded, ///< A later report arrived while this one was handled.
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -19,6 +19,8 @@
       "job_cancelled",
       "task_started",
       "task_waiting",
+      "room_unused",
+      "room_reserved",
       "task_ended",
       "task_stopped",
       "task_paced",
--- a/src/jobs/CapacitySurvey.cpp
+++ b/src/jobs/CapacitySurvey.cpp
@@ -94,7 +94,8 @@
 void CapacitySurvey::reserveForLongRunning(const JobRegistry &Registry,
                                            std::vector<UsableServer> Servers,
                                            ReadyTimes &Waits, TimePoint Now) {
-  Reservations_.clear();
+  const std::map<std::string, Reservation> Previous =
+      std::exchange(Reservations_, {});
   HasWaitingLongRunning_ = false;
   std::size_t RemainingReservations =
       1 + Registry.servers().size() / ServersPerReservation;
@@ -127,9 +128,16 @@
           Entry.IsSound_ &&
           Entry.Server_->Facts_.Service_ == Job.Policy_.Service_ &&
           GetFree(Entry).MemoryMib_ >= Need.MemoryMib_;
-      if (!IsCandidate ||
-          !Reservations_.try_emplace(Entry.Server_->Facts_.Id_, Need).second)
+      if (!IsCandidate)
         continue;
+      const std::string &Id = Entry.Server_->Facts_.Id_;
+      const auto [It, IsNew] =
+          Reservations_.try_emplace(Id, Reservation{Need, Ready, Now});
+      if (!IsNew)
+        continue;
+      const auto Before = Previous.find(Id);
+      if (Before != Previous.end() && Before->second.Step_ == Ready)
+        It->second.Since_ = Before->second.Since_;
       --Waiting;
       --RemainingReservations;
     }
@@ -170,7 +178,7 @@
       [&Need](const Resources &Free) { return Need.fitsIn(Free); });
 }
 
-const Resources *
+const CapacitySurvey::Reservation *
 CapacitySurvey::findReservation(const std::string &ServerId) const {
   const auto It = Reservations_.find(ServerId);
   return It == Reservations_.end() ? nullptr : &It->second;
--- a/src/jobs/CapacitySurvey.h
+++ b/src/jobs/CapacitySurvey.h
@@ -28,6 +28,13 @@
 /// Free capacity of the whole fleet. Not thread-safe.
 class CapacitySurvey {
 public:
+  /// Capacity that is kept for a long-running task.
+  struct Reservation {
+    Resources Need_;
+    ReadyStep Step_;
+    TimePoint Since_{};
+  };
+
   /// All arguments must outlive the survey.
   CapacitySurvey(const InterferenceModel &Interference,
                  const ServingLoads &Loads, const ServerHealth &Health)
@@ -51,9 +58,13 @@
                                   std::uint64_t Tasks) const;
   /// Returns whether one task fits on a server without serving tasks.
   bool hasCapacityWithoutServing(const Resources &Need) const;
-  /// Returns the capacity that is reserved on the server for a long-running
-  /// task, or nullptr.
-  const Resources *findReservation(const std::string &ServerId) const;
+  /// Returns what is reserved on the server for a long-running task, or
+  /// nullptr.
+  const Reservation *findReservation(const std::string &ServerId) const;
+  /// Returns the reservations by server.
+  const std::map<std::string, Reservation> &reservations() const {
+    return Reservations_;
+  }
   bool hasWaitingLongRunning() const { return HasWaitingLongRunning_; }
   /// Returns whether most of the processors are not reserved by tasks.
   bool hasSpareCapacity() const { return HasSpareCapacity_; }
@@ -88,9 +99,7 @@
   /// where only that image serves, and of those without serving tasks.
   std::map<std::string, std::vector<Resources>> FreeBySoleImage_;
   std::vector<Resources> FreeWithoutServing_;
-  /// By server, the capacity that is reserved for a long-running task that has
-  /// waited too long.
-  std::map<std::string, Resources> Reservations_;
+  std::map<std::string, Reservation> Reservations_; ///< By server.
   bool HasWaitingLongRunning_ = false;
   bool HasSpareCapacity_ = false;
 };
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -84,11 +84,11 @@
 bool Dispatcher::hasCapacity(const StepSpec &Step, const ServerPlan &Plan,
                              Duration Waited) const {
   const RemainingCapacity &Remaining = Plan.Remaining_;
-  const Resources *Reservation =
+  const CapacitySurvey::Reservation *Reservation =
       Survey_.findReservation(Plan.Server_.Facts_.Id_);
   const bool IsReserved = !Step.LongRunning_ && !Step.Fills_ && Reservation;
   const Resources Free =
-      IsReserved ? Remaining.Free_ - *Reservation : Remaining.Free_;
+      IsReserved ? Remaining.Free_ - Reservation->Need_ : Remaining.Free_;
   if (!Step.getReserved().fitsIn(Free))
     return false;
   return Step.DataRack_.empty() ||
@@ -416,76 +416,3 @@
   }
   return {};
 }
-
-std::string Dispatcher::explainWait(const JobRegistry &Registry,
-                                    const LiveServerTable &LiveServers,
-                                    const ReadyStep &Step,
-                                    TimePoint Now) const {
-  const JobRecord &Job = *Registry.findJob(Step.Job_);
-  const StepSpec &Spec = Job.Spec_.Steps_[Step.Step_];
-  const std::vector<TaskRecord> &Tasks =
-      Job.findOccurrence(Step.Occurrence_)->Steps_[Step.Step_].Tasks_;
-  std::size_t Suspected = 0;
-  TaskKey Key{Step.Job_, Step.Occurrence_, Step.Step_, 0};
-  for (; Key.Index_ < Tasks.size(); ++Key.Index_) {
-    const TaskRecord &Task = Tasks[Key.Index_];
-    Suspected +=
-        Task.State_ == TaskState::Waiting && Isolation_.isIsolating(Key, Task);
-  }
-  std::size_t Unlabelled = 0;
-  std::size_t Unadvised = 0;
-  std::size_t Evacuated = 0;
-  std::size_t Unavailable = 0;
-  std::size_t Full = 0;
-  std::size_t Interfering = 0;
-  std::size_t Busy = 0;
-  std::size_t Startable = 0;
-  for (const auto &[Id, Server] : Registry.servers()) {
-    if (Server.Facts_.Service_ != Job.Policy_.Service_)
-      continue;
-    if (!Server.Facts_.hasLabel(Spec.Label_)) {
-      ++Unlabelled;
-      continue;
-    }
-    const LiveServer *Live = LiveServers.find(Id);
-    const RemainingCapacity Remaining =
-        RemainingCapacity::compute(Server, Loads_);
-    const bool IsUnavailable =
-        !Live || !Live->isInService() || Live->NoStartsUntil_ > Now ||
-        Health_.getHealthState(Id, Now) != HealthState::Healthy;
-    if (Registry.isEvacuated(Server.Facts_))
-      ++Evacuated;
-    else if (IsUnavailable)
-      ++Unavailable;
-    else if (!isAdvised(Job, {Step.Job_, Step.Occurrence_, Step.Step_, 0}, Id,
-                        Now))
-      ++Unadvised;
-    else if (!Spec.getReserved().fitsIn(Remaining.Free_))
-      ++Full;
-    else if (Spec.Fills_ && Interference_.isInterferingWithAny(
-                                Remaining.Serving_, Spec.Image_))
-      ++Interfering;
-    else if (Spec.Fills_ && Spec.Need_.MilliCpus_ > Remaining.Idle_)
-      ++Busy;
-    else
-      ++Startable;
-  }
-  std::string Text;
-  const auto Add = [&Text](std::size_t Count, const char *Reason) {
-    if (Count > 0)
-      Text += (Text.empty() ? "" : ", ") + std::to_string(Count) + Reason;
-  };
-  Add(Unlabelled, (" without the label " + Spec.Label_).c_str());
-  Add(Unadvised, " without a ticket of the advice service");
-  Add(Evacuated, " in a data centre that is being evacuated");
-  Add(Full, " full");
-  Add(Interfering, " where it would slow serving tasks");
-  Add(Busy, " without idle processors");
-  Add(Unavailable, " leaving, not reporting or quarantined");
-  Add(Startable,
-      " with capacity that is not offered yet, or reserved for others");
-  if (Text.empty())
-    Text = "no server of its service";
-  Add(Suspected, " tasks waiting for isolation, as their servers crashed");
-  return Text;
-}
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -22,6 +22,7 @@
 #include "jobs/ServerHealth.h"
 #include "jobs/StragglerDetector.h"
 #include "jobs/TailHeadroom.h"
+#include "jobs/WaitExplainer.h"
 
 #include <optional>
 #include <set>
@@ -88,11 +89,8 @@
 
   // Queries.
 
-  /// Returns why the step's tasks do not start: the number of servers for each
-  /// reason.
-  std::string explainWait(const JobRegistry &Registry,
-                          const LiveServerTable &LiveServers,
-                          const ReadyStep &Step, TimePoint Now) const;
+  const WaitExplainer &explainer() const { return Explainer_; }
+  const CapacitySurvey &capacitySurvey() const { return Survey_; }
 
 private:
   /// The state of a plan for one server.
@@ -158,6 +156,8 @@
   std::map<TaskKey, TaskFailure> LastFailures_;
   ReadyTimes ReadyTimes_;
   CapacitySurvey Survey_{Interference_, Loads_, Health_};
+  WaitExplainer Explainer_{Interference_, Loads_,  Health_,    Advice_,
+                           Isolation_,    Survey_, ReadyTimes_};
   /// Tasks with a start that was planned but not applied or refused yet.
   std::set<TaskKey> Proposed_;
   StragglerDetector StragglerDetector_;
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -12,10 +12,6 @@
 
 /// The interval at which leadership, leases and due times are checked.
 static constexpr Duration TickInterval = 50ms;
-/// The interval at which the reasons of waiting steps are logged, and the
-/// number of steps, from the first on, that are examined each time.
-static constexpr Duration WaitLogInterval = 1s;
-static constexpr std::size_t MaxLoggedWaits = 8;
 /// The interval at which a member notes what waits.
 static constexpr Duration ObservationInterval = 250ms;
 /// The interval at which state of ended steps and past failures is pruned.
@@ -72,6 +68,7 @@
   AcceptedAt_.clear();
   StartedJobs_.clear();
   LoggedWaitReasons_.clear();
+  LoggedReservations_.clear();
   Machine_.read([&](const JobRegistry &Registry) {
     // The previous leader sent its last answer before this leader's election,
     // so the longest lease from now on covers it. limitLeases shortens it.
@@ -169,7 +166,7 @@
   if (isLeading()) {
     checkExpiredLeases();
     storeProvedRuns();
-    logWaitReasons();
+    logWaits();
     logLongAbsences();
     openDueOccurrences();
     startGang();
@@ -223,39 +220,6 @@
   Log_.write(Line);
 }
 
-/// Logs why the first waiting steps wait, once for each reason.
-void JobLeader::Impl::logWaitReasons() {
-  const TimePoint Now = Time_.now();
-  if (Now < NextWaitLog_)
-    return;
-  NextWaitLog_ = Now + WaitLogInterval;
-  Machine_.read([&](const JobRegistry &Registry) {
-    std::erase_if(LoggedWaitReasons_, [&Registry](const auto &Entry) {
-      return Registry.readySteps().count(Entry.first) == 0;
-    });
-    std::size_t Examined = 0;
-    for (const ReadyStep &Step : Registry.readySteps()) {
-      if (++Examined > MaxLoggedWaits)
-        break;
-      std::string Reason =
-          Dispatcher_.explainWait(Registry, LiveServers_, Step, Now);
-      const auto [It, IsNew] = LoggedWaitReasons_.try_emplace(Step);
-      // A step that has just become ready usually starts with the next report.
-      if (IsNew || It->second == Reason)
-        continue;
-      It->second = Reason;
-      Event Line;
-      Line.Kind_ = EventKind::TaskWaiting;
-      Line.Job_ = Step.Job_;
-      Line.Task_ =
-          std::to_string(Step.Occurrence_) + "." + std::to_string(Step.Step_);
-      Line.Reason_ = std::move(Reason);
-      Log_.write(Line);
-    }
-    return 0;
-  });
-}
-
 static std::string_view getReason(Departure How) {
   static constexpr std::array<std::string_view, 4> Reasons = {
       "the server left", "maintenance of its VM has begun",
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -120,7 +120,11 @@
   void tick();
   void detectClockJump();
   void updateLoads();
-  void logWaitReasons();
+  /// Logs, each second, what waits and why.
+  void logWaits();
+  void logWaitReasons(TimePoint Now);
+  void logUnusedRoom(TimePoint Now);
+  void logReservations(TimePoint Now);
   void checkExpiredLeases();
   void endOverdueRounds();
   void finishExpiryCheck(const std::string &Id, std::uint64_t Round,
@@ -270,6 +274,8 @@
   std::set<std::string> StartedJobs_; ///< Those that have started.
   /// The last reason that was logged for each waiting step.
   std::map<ReadyStep, std::string> LoggedWaitReasons_;
+  /// The steps of the reservations that were logged, by server.
+  std::map<std::string, ReadyStep> LoggedReservations_;
   TimePoint NextWaitLog_{};
   /// The wall clock minus the steady clock at the last check.
   std::optional<Duration> WallOffset_;
--- a/src/jobs/JobLeaderTelemetry.cpp
+++ b/src/jobs/JobLeaderTelemetry.cpp
@@ -6,6 +6,13 @@
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
 
+/// The interval at which the reasons of waiting steps are logged, and the
+/// number of steps, from the first on, that are examined each time.
+static constexpr Duration WaitLogInterval = 1s;
+static constexpr std::size_t MaxLoggedWaits = 8;
+/// A long-running step that has waited for two report intervals, in which each
+/// server has reported, should have started where there is room.
+static constexpr Duration MaxWaitBesideRoom = 1s;
 /// The interval at which long absences are looked for.
 static constexpr Duration AbsenceCheckInterval = 500ms;
 
@@ -203,3 +210,86 @@
   Line.Reason_ = Reason;
   Log_.write(Line);
 }
+
+static std::string getStepText(const ReadyStep &Step) {
+  return std::to_string(Step.Occurrence_) + "." + std::to_string(Step.Step_);
+}
+
+void JobLeader::Impl::logWaits() {
+  const TimePoint Now = Time_.now();
+  if (Now < NextWaitLog_)
+    return;
+  NextWaitLog_ = Now + WaitLogInterval;
+  logWaitReasons(Now);
+  logUnusedRoom(Now);
+  logReservations(Now);
+}
+
+/// Logs why the first waiting steps wait, once for each reason.
+void JobLeader::Impl::logWaitReasons(TimePoint Now) {
+  Machine_.read([&](const JobRegistry &Registry) {
+    std::erase_if(LoggedWaitReasons_, [&Registry](const auto &Entry) {
+      return Registry.readySteps().count(Entry.first) == 0;
+    });
+    std::size_t Examined = 0;
+    for (const ReadyStep &Step : Registry.readySteps()) {
+      if (++Examined > MaxLoggedWaits)
+        break;
+      std::string Reason = Dispatcher_.explainer().explainWait(
+          Registry, LiveServers_, Step, Now);
+      const auto [It, IsNew] = LoggedWaitReasons_.try_emplace(Step);
+      // A step that has just become ready usually starts with the next report.
+      if (IsNew || It->second == Reason)
+        continue;
+      It->second = Reason;
+      Event Line;
+      Line.Kind_ = EventKind::TaskWaiting;
+      Line.Job_ = Step.Job_;
+      Line.Task_ = getStepText(Step);
+      Line.Reason_ = std::move(Reason);
+      Log_.write(Line);
+    }
+    return 0;
+  });
+}
+
+/// Logs the long-running steps that wait although servers have room for them.
+void JobLeader::Impl::logUnusedRoom(TimePoint Now) {
+  const auto Found = Machine_.read([&](const JobRegistry &Registry) {
+    return Dispatcher_.explainer().findUnusedRoom(
+        Registry, LiveServers_, Now - MaxWaitBesideRoom, Now, MaxLoggedWaits);
+  });
+  Meter_.add(JobCounter::WaitsBesideRoom, Found.size());
+  for (const auto &[Step, Reason] : Found) {
+    Event Line;
+    Line.Kind_ = EventKind::RoomUnused;
+    Line.Job_ = Step.Job_;
+    Line.Task_ = getStepText(Step);
+    Line.Reason_ = Reason;
+    Log_.write(Line);
+  }
+}
+
+/// Logs the reservations that have begun since the last call.
+void JobLeader::Impl::logReservations(TimePoint Now) {
+  const auto &Current = Dispatcher_.capacitySurvey().reservations();
+  std::erase_if(LoggedReservations_, [&Current](const auto &Entry) {
+    const auto It = Current.find(Entry.first);
+    return It == Current.end() || It->second.Step_ != Entry.second;
+  });
+  for (const auto &[Id, Value] : Current) {
+    if (!LoggedReservations_.try_emplace(Id, Value.Step_).second)
+      continue;
+    Event Line;
+    Line.Kind_ = EventKind::RoomReserved;
+    Line.Server_ = Id;
+    Line.Job_ = Value.Step_.Job_;
+    Line.Task_ = getStepText(Value.Step_);
+    Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      Now - Value.Since_)
+                      .count();
+    Line.Reason_ =
+        std::to_string(Value.Need_.MilliCpus_) + " thousandths of a processor";
+    Log_.write(Line);
+  }
+}
--- a/src/jobs/ReadyTimes.h
+++ b/src/jobs/ReadyTimes.h
@@ -61,6 +61,11 @@
   bool takesPrecedence(const ReadyStep &Step, TimePoint Now) {
     return getWait(Step, Now) >= MaxLongRunningWait || Lost_.count(Step) != 0;
   }
+  /// Returns whether the step is known to have been ready since then.
+  bool hasWaitedSince(const ReadyStep &Step, TimePoint Since) const {
+    const auto It = Since_.find(Step);
+    return It != Since_.end() && It->second <= Since;
+  }
   /// Removes steps that are no longer ready.
   void prune(const JobRegistry &Registry) {
     std::erase_if(Since_, [&Registry](const auto &Entry) {
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -109,8 +109,8 @@
   Bound.Label_ = "b";
   submit(makeJob("j", {Bound}));
   EXPECT_TRUE(plan("s1").empty());
-  EXPECT_EQ(Dispatcher_.explainWait(Registry_, LiveServers_,
-                                    *Registry_.readySteps().begin(), Now_),
+  EXPECT_EQ(Dispatcher_.explainer().explainWait(
+                Registry_, LiveServers_, *Registry_.readySteps().begin(), Now_),
             "2 without the label b");
 }
 
--- /dev/null
+++ b/tests/jobs/WaitExplainerTest.cpp
@@ -0,0 +1,75 @@
+//===- WaitExplainerTest.cpp - Reasons why waiting tasks do not start -----===//
+
+#include "jobs/Dispatcher.h"
+
+#include "jobs/JobFixture.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+class WaitExplainerTest : public JobRegistryTest {
+protected:
+  WaitExplainerTest() { LiveServers_.reset(Registry_, Now_, 60s); }
+  std::string explain() const {
+    return Dispatcher_.explainer().explainWait(
+        Registry_, LiveServers_, *Registry_.readySteps().begin(), Now_);
+  }
+  /// Returns the texts about steps that wait beside room for a second.
+  std::vector<std::string> listUnusedRoom() {
+    Dispatcher_.observe(Registry_, Now_);
+    Now_ += 1s;
+    std::vector<std::string> Texts;
+    for (const auto &[Step, Text] : Dispatcher_.explainer().findUnusedRoom(
+             Registry_, LiveServers_, Now_ - 1s, Now_, 8))
+      Texts.push_back(Text);
+    return Texts;
+  }
+  void quarantine(const std::string &Server) {
+    for (const char *Job : {"a", "b", "b"})
+      Health_.recordFailure(Server, Job, Now_);
+  }
+
+  TimePoint Now_{1h};
+  LiveServerTable LiveServers_;
+  InterferenceModel Interference_;
+  ServingLoads Loads_;
+  PaceController Paces_;
+  ServerHealth Health_;
+  AdviceCache Advice_;
+  Dispatcher Dispatcher_{Interference_, Loads_, Paces_, Health_, Advice_};
+};
+
+} // namespace
+
+// Guards against a text that counts a full server as quarantined, so that a
+// full fleet and withheld servers look the same.
+TEST_F(WaitExplainerTest, QuarantineIsNamedOnlyForServersWithRoom) {
+  quarantine("s1");
+  submit(makeJob("j", {makeServing(1, "a", 3000)}));
+  EXPECT_EQ(explain(), "1 quarantined or on probation, 1 with capacity that is "
+                       "not offered yet");
+  submit(makeJob("large", {makeServing(1, "a", 5000)}));
+  EXPECT_EQ(
+      Dispatcher_.explainer().explainWait(
+          Registry_, LiveServers_, *Registry_.readySteps().rbegin(), Now_),
+      "2 full");
+}
+
+TEST_F(WaitExplainerTest, ServerWithRoomForAWaitingLongRunningTaskIsNamed) {
+  apply(RemoveServer{"s2", {}, false, {}});
+  quarantine("s1");
+  submit(makeJob("j", {makeServing(1, "a", 3000)}));
+  submit(makeJob("large", {makeServing(1, "a", 5000)}));
+  EXPECT_EQ(listUnusedRoom(),
+            std::vector<std::string>{"1 servers with room: s1 4000 free, 4000 "
+                                     "reported: quarantined or on probation"});
+}
+
+TEST_F(WaitExplainerTest, ShortStepsAreNotListedAsWaitingBesideRoom) {
+  submit(makeJob("j", {makeStep(1, 1000)}));
+  EXPECT_TRUE(listUnusedRoom().empty());
+}
