Start overdue long-running tasks on quarantined servers

Cause: a quarantine after failures, 3 to 12 s, took no long-running task at all; one for slow runs took them 2 s after the step became ready, while tasks of a lost server have been down for a lease by then.

Fix: on any server that is not healthy, long-running tasks that take precedence start once they have waited for two report intervals, in which every healthy server has offered its room; one for each report where runs may fail, and one that has failed there makes way for others.

Ruled out: to shorten the quarantine, which serves short work well.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -27,6 +27,9 @@
 /// Longest wait of a task whose run failed for another server: two report
 /// intervals.
 static constexpr Duration MaxOtherServerWait = 1s;
+/// Longest wait of a long-running task that takes precedence for a healthy
+/// server: two report intervals.
+static constexpr Duration MaxHealthyServerWait = 1s;
 /// Longest wait of a task for processors that filling tasks do not use.
 static constexpr Duration MaxIdleCpusWait = 150ms;
 /// A job without a running task starts on any server after this time, if the
@@ -191,13 +194,10 @@
   const bool IsFit =
       Fit == HealthState::Healthy ||
       (Fit == HealthState::Probation && hasOnlyLongRunning(Registry, *Server));
-  // Slow runs may be an effect of late reports, and probation ends only with a
-  // completed run. A long-running task that must not wait any longer is better
-  // off on such a server than on none.
-  const bool OnlyOverdue =
-      !IsFit && (Fit == HealthState::Probation || Health_.wasSlow(ServerId));
-  if (!IsFit && !OnlyOverdue)
-    return {};
+  // Slow runs may be an effect of late reports, failures may be those of the
+  // jobs, and probation ends only with a completed run. A long-running task
+  // that must not wait any longer is better off on such a server than on none.
+  const bool OnlyOverdue = !IsFit;
   if (Fit == HealthState::Healthy)
     if (const auto Start = planIsolated(Registry, LiveServers, *Server, Now)) {
       Proposed_.insert(Start->Task_);
@@ -205,18 +205,21 @@
     }
   if (Isolation_.isClosed(Registry, LiveServers, *Server, Now))
     return {};
+  // A task that fails at once tells that the others would, too.
+  const bool MayFail =
+      Fit == HealthState::Probation ||
+      (Fit == HealthState::Quarantined && !Health_.wasSlow(ServerId));
   ServerPlan Plan{*Server,
                   RemainingCapacity::compute(*Server, Loads_),
                   Now,
                   {},
-                  MaxStartsPerReport,
+                  MayFail ? 1 : MaxStartsPerReport,
+                  MayFail,
                   std::nullopt,
                   {},
                   {}};
   Plan.Remaining_.Free_ =
       Plan.Remaining_.Free_ - LiveServers.sumUnplacedUsage(Registry, *Server);
-  if (Fit == HealthState::Probation)
-    Plan.MaxStarts_ = 1;
   Order_.update(Registry, ReadyTimes_, Now, Wall);
   const std::size_t Images = Order_.countFillingImages();
   Plan.RejectedCpusAvoidingInterference_.assign(Images, Unlimited);
@@ -240,12 +243,14 @@
   return std::move(Plan.Starts_);
 }
 
-/// Returns whether the step is long-running and has waited for too long.
+/// Returns whether the step is long-running, and has waited for too long for a
+/// healthy server.
 bool Dispatcher::isOverdue(const JobRegistry &Registry, const ReadyStep &Step,
                            TimePoint Now) {
   const JobRecord *Job = Registry.findJob(Step.Job_);
   return Job && Job->Spec_.Steps_[Step.Step_].LongRunning_ &&
-         ReadyTimes_.getWait(Step, Now) >= ReadyTimes::MaxLongRunningWait;
+         ReadyTimes_.takesPrecedence(Step, Now) &&
+         ReadyTimes_.getWait(Step, Now) >= MaxHealthyServerWait;
 }
 
 /// Returns the suspected task that the server starts in isolation, if any.
@@ -364,10 +369,11 @@
     if (!isSuitable(Step, Plan, Waited, IsIdleJob, Record.Waiting_))
       return recordRejection(Entry, Plan);
     const TaskStart Start{Key, Task.LastRun_ + 1, ServerId};
-    // Long-running tasks are not kept away from the server: they also fail for
-    // reasons of their own, and another server may suit another image better.
-    const bool IsAvoided =
-        !Step.LongRunning_ && hasJustFailedHere(Start.Task_, Plan);
+    // Long-running tasks are not kept away from a healthy server: they also
+    // fail for reasons of their own, and another server may suit another image
+    // better.
+    const bool IsAvoided = (!Step.LongRunning_ || Plan.MayFail_) &&
+                           hasJustFailedHere(Start.Task_, Plan);
     if (Proposed_.count(Start.Task_) != 0 || IsAvoided)
       continue;
     if (!Registry.findRejectionReason(Start).empty())
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -100,6 +100,7 @@
     TimePoint Now_;
     std::vector<TaskStart> Starts_;
     std::size_t MaxStarts_;
+    bool MayFail_; ///< The server may let all its runs fail.
     /// How much filling work the serving tasks on the server tolerate. Computed
     /// on first use, as most reports come while no waiting filling task would
     /// fit.
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -436,3 +436,53 @@
   ASSERT_EQ(Starts.size(), 1U);
   EXPECT_EQ(Starts[0].Task_.Job_, "lasting");
 }
+
+// Guards against long-running tasks that wait for a whole quarantine beside a
+// sound server: failures of other jobs quarantine it, and the tasks have
+// nowhere else to go.
+TEST_F(DispatcherTest, FailingServerTakesAnOverdueLongRunningTaskPerReport) {
+  for (const char *Job : {"a", "b", "b"})
+    Health_.recordFailure("s1", Job, Now_);
+  ASSERT_EQ(Health_.getHealthState("s1", Now_), HealthState::Quarantined);
+  submit(makeJob("short", {makeStep(1, 1000)}));
+  submit(makeJob("lasting", {makeServing(3, "a")}));
+  EXPECT_TRUE(plan("s1").empty());
+  advance(ReadyTimes::MaxLongRunningWait);
+  ASSERT_EQ(Health_.getHealthState("s1", Now_), HealthState::Quarantined);
+  const auto Starts = plan("s1");
+  ASSERT_EQ(Starts.size(), 1U);
+  EXPECT_EQ(Starts[0].Task_.Job_, "lasting");
+}
+
+// A task that fails on a faulty server makes way for others, and does not
+// return there at once.
+TEST_F(DispatcherTest, TaskThatFailedOnAFailingServerMakesWay) {
+  for (const char *Job : {"a", "b", "b"})
+    Health_.recordFailure("s1", Job, Now_);
+  submit(makeJob("lasting", {makeServing(2, "a")}));
+  EXPECT_TRUE(plan("s1").empty());
+  advance(ReadyTimes::MaxLongRunningWait);
+  const auto First = plan("s1");
+  ASSERT_EQ(First.size(), 1U);
+  end(First[0], RunOutcome::Failed);
+  Dispatcher_.recordFailure(First[0].Task_, "s1", Now_);
+  const auto Second = plan("s1");
+  ASSERT_EQ(Second.size(), 1U);
+  EXPECT_NE(Second[0].Task_, First[0].Task_);
+}
+
+// Guards against tasks of lost servers, down for a lease already, that wait two
+// seconds more beside a quarantined server.
+TEST_F(DispatcherTest, TaskOfALostServerWaitsASecondForAHealthyServer) {
+  submit(makeJob("lasting", {makeServing(1, "a")}));
+  const auto Lost = plan("s1");
+  ASSERT_EQ(Lost.size(), 1U);
+  Dispatcher_.prune(Registry_);
+  apply(RemoveServer{"s1", {}, false, {}});
+  Dispatcher_.recordLoss(Registry_, {{Lost[0].Task_, Lost[0].Run_}});
+  for (const char *Job : {"a", "b", "b"})
+    Health_.recordFailure("s2", Job, Now_);
+  EXPECT_TRUE(plan("s2").empty());
+  advance(1s);
+  EXPECT_EQ(plan("s2").size(), 1U);
+}
