Reserve room for long-running tasks where it can become free

What callers saw: on a fleet with more long-running work than capacity, short tasks went on to start while long-running ones waited for up to 32 s.

Cause: a reservation took the server with the most free processors, whatever used the others. Label and spread limit were not looked at.

Fix: a server is a candidate only if its capacity without long-running work holds the task, and the step may run there; the number of reservations stays.

Tests: DispatcherTest.RoomIsReservedWhereItCanBecomeFree and .RoomIsReservedOnlyWhereTheStepMayRun, red before. test_jobs 312 passed.

--- a/src/jobs/CapacitySurvey.cpp
+++ b/src/jobs/CapacitySurvey.cpp
@@ -1,6 +1,7 @@
 #include "jobs/CapacitySurvey.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 using namespace tulipweir;
@@ -88,6 +89,26 @@
   RelocatingImages_.clear();
 }
 
+/// Returns the capacity that is free once all other than long-running work on
+/// the server has ended.
+static Resources getReclaimable(const ServerRecord &Server) {
+  return Server.Facts_.Capacity_ - Server.UsedByLongRunning_;
+}
+
+/// Returns whether the server can have capacity for a task of the step once
+/// its short work has ended.
+static bool canMakeRoom(const ServerRecord &Server, const JobRecord &Job,
+                        const ReadyStep &Ready) {
+  const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+  if (Server.Facts_.Service_ != Job.Policy_.Service_ ||
+      !Server.Facts_.hasLabel(Step.Label_) ||
+      !Step.getReserved().fitsIn(getReclaimable(Server)))
+    return false;
+  return Step.SpreadLimit_ == 0 ||
+         Server.countTasksOfStep({Ready.Job_, Ready.Occurrence_, Ready.Step_,
+                                  0}) < Step.SpreadLimit_;
+}
+
 /// Reserves, for each long-running task that has waited too long, the server
 /// that is closest to having capacity for it; the server starts no task that
 /// would take this capacity.
@@ -96,39 +117,46 @@
                                            ReadyTimes &Waits, TimePoint Now) {
   const std::map<std::string, Reservation> Previous =
       std::exchange(Reservations_, {});
-  HasWaitingLongRunning_ = false;
   std::size_t RemainingReservations =
       1 + Registry.servers().size() / ServersPerReservation;
   const auto GetFree = [](const UsableServer &Entry) {
     return Entry.Server_->Facts_.Capacity_ - Entry.Server_->Used_;
   };
-  bool IsSorted = false;
-  for (const ReadyStep &Ready : Registry.readySteps()) {
+  HasWaitingLongRunning_ = !Registry.readyLongRunningSteps().empty();
+  std::vector<const ReadyStep *> Overdue;
+  std::int64_t LeastCpus = std::numeric_limits<std::int64_t>::max();
+  for (const ReadyStep &Ready : Registry.readyLongRunningSteps())
+    if (Waits.takesPrecedence(Ready, Now)) {
+      Overdue.push_back(&Ready);
+      LeastCpus = std::min(LeastCpus, Registry.findJob(Ready.Job_)
+                                          ->Spec_.Steps_[Ready.Step_]
+                                          .getReserved()
+                                          .MilliCpus_);
+    }
+  if (Overdue.empty())
+    return;
+  // There may be hundreds of steps and of servers, but on a full fleet few
+  // servers can make room for any of the steps.
+  std::erase_if(Servers, [LeastCpus](const UsableServer &Entry) {
+    return !Entry.IsSound_ ||
+           getReclaimable(*Entry.Server_).MilliCpus_ < LeastCpus;
+  });
+  std::stable_sort(Servers.begin(), Servers.end(),
+                   [&](const UsableServer &A, const UsableServer &B) {
+                     return GetFree(A).MilliCpus_ > GetFree(B).MilliCpus_;
+                   });
+  for (const ReadyStep *Each : Overdue) {
+    const ReadyStep &Ready = *Each;
+    if (RemainingReservations == 0)
+      break;
     const JobRecord &Job = *Registry.findJob(Ready.Job_);
-    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
-    if (!Step.LongRunning_)
-      continue;
-    HasWaitingLongRunning_ = true;
-    if (RemainingReservations == 0 || !Waits.takesPrecedence(Ready, Now))
-      continue;
-    // Sorted once for all waiting steps: there may be hundreds, and as many
-    // servers.
-    if (!std::exchange(IsSorted, true))
-      std::stable_sort(Servers.begin(), Servers.end(),
-                       [&](const UsableServer &A, const UsableServer &B) {
-                         return GetFree(A).MilliCpus_ > GetFree(B).MilliCpus_;
-                       });
-    const Resources Need = Step.getReserved();
+    const Resources Need = Job.Spec_.Steps_[Ready.Step_].getReserved();
     std::uint64_t Waiting =
         Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
     for (const UsableServer &Entry : Servers) {
       if (Waiting == 0 || RemainingReservations == 0)
         break;
-      const bool IsCandidate =
-          Entry.IsSound_ &&
-          Entry.Server_->Facts_.Service_ == Job.Policy_.Service_ &&
-          GetFree(Entry).MemoryMib_ >= Need.MemoryMib_;
-      if (!IsCandidate)
+      if (!canMakeRoom(*Entry.Server_, Job, Ready))
         continue;
       const std::string &Id = Entry.Server_->Facts_.Id_;
       const auto [It, IsNew] =
--- a/src/jobs/JobRecords.cpp
+++ b/src/jobs/JobRecords.cpp
@@ -38,6 +38,8 @@
                        const StepSpec &Step) {
   Placed_[Task] = Run;
   Used_ = Used_ + Step.getReserved();
+  if (Step.LongRunning_)
+    UsedByLongRunning_ = UsedByLongRunning_ + Step.getReserved();
   (Step.isServing() ? ServingCpus_ : OtherCpus_) += Step.Need_.MilliCpus_;
   if (Step.isServing())
     ++Serving_[Step.Image_];
@@ -48,6 +50,8 @@
 void ServerRecord::remove(const TaskKey &Task, const StepSpec &Step) {
   Placed_.erase(Task);
   Used_ = Used_ - Step.getReserved();
+  if (Step.LongRunning_)
+    UsedByLongRunning_ = UsedByLongRunning_ - Step.getReserved();
   (Step.isServing() ? ServingCpus_ : OtherCpus_) -= Step.Need_.MilliCpus_;
   if (Step.isServing())
     if (const auto It = Serving_.find(Step.Image_); --It->second == 0)
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -340,6 +340,54 @@
   EXPECT_TRUE(HasStarted);
 }
 
+// Guards against room that is reserved on a server with nothing but
+// long-running work, where it never becomes free, while short work keeps the
+// room elsewhere.
+TEST_F(DispatcherTest, RoomIsReservedWhereItCanBecomeFree) {
+  submit(makeJob("resident", {makeServing(1, "a", 2000)}));
+  ASSERT_EQ(plan("s1").size(), 1U);
+  const auto SubmitShort = [this](const std::string &Id) {
+    SubmitJob Fresh = makeSubmit(makeJob(Id, {makeStep(3, 1000)}));
+    Fresh.AcceptedMs_ = static_cast<std::uint64_t>(Wall_);
+    apply(Fresh);
+  };
+  SubmitShort("short");
+  std::vector<TaskStart> Running = plan("s2");
+  ASSERT_EQ(Running.size(), 3U);
+  submit(makeJob("lasting", {makeServing(1, "a", 3000)}));
+  bool HasStarted = false;
+  // One short task ends in each round, and more are always waiting.
+  for (int Turn = 0; Turn < 40 && !HasStarted; ++Turn) {
+    advance(100ms);
+    SubmitShort("more" + std::to_string(Turn));
+    if (!Running.empty()) {
+      end(Running.front(), RunOutcome::Done);
+      Running.erase(Running.begin());
+    }
+    for (const TaskStart &Start : plan("s2")) {
+      Running.push_back(Start);
+      HasStarted = HasStarted || Start.Task_.Job_ == "lasting";
+    }
+  }
+  EXPECT_TRUE(HasStarted);
+}
+
+// The same for a server that the step's spread limit or label excludes.
+TEST_F(DispatcherTest, RoomIsReservedOnlyWhereTheStepMayRun) {
+  StepSpec Alone = makeServing(2, "a", 3000);
+  Alone.SpreadLimit_ = 1;
+  submit(makeJob("lasting", {Alone}));
+  ASSERT_EQ(plan("s1").size(), 1U);
+  apply(AddServer{makeServer("s1", 8000)});
+  submit(makeJob("short", {makeStep(2, 1000)}));
+  ASSERT_EQ(plan("s2").size(), 2U);
+  advance(ReadyTimes::MaxLongRunningWait);
+  plan("s1");
+  const auto &Reserved = Dispatcher_.capacitySurvey().reservations();
+  ASSERT_EQ(Reserved.size(), 1U);
+  EXPECT_EQ(Reserved.begin()->first, "s2");
+}
+
 TEST_F(DispatcherTest, NothingIsCopiedWhileLongRunningTaskWaits) {
   StepSpec Step = makeStep(1, 1000);
   Step.Speculative_ = true;
