Hide no long-running step behind a long queue

Cause: an update of the scheduling order considered the first 1,024 ready steps only; servers are offered nothing else.

Fix: long-running steps beyond them are considered too, as their waits are bounded and others' are not; the work of an update stays bounded.

Test: SchedulingOrderTest.VeryLongQueueHidesNoLongRunningStep, red before (1,024 of 1,025). test_jobs 313 passed.

--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -11,7 +11,8 @@
 /// A job that takes more than this many times its allowed duration is worth
 /// nothing.
 static constexpr std::uint64_t LateFactor = 3;
-/// Bounds the work of an update; the most urgent steps come first.
+/// Bounds the work of an update: at most this many of the most urgent steps are
+/// considered, and as many long-running ones beyond them.
 static constexpr std::size_t MaxSteps = 1024;
 /// An update visits the whole queue. With this pause for each step its share of
 /// the processor does not grow with the queue; a short queue is updated
@@ -96,6 +97,24 @@
   Cpus = std::min(Cpus, Step.Need_.MilliCpus_);
 }
 
+/// Returns the steps that an update considers: the first ones, and the
+/// long-running ones after them, as a long queue must not hide these.
+static std::vector<const ReadyStep *>
+listConsidered(const JobRegistry &Registry) {
+  std::vector<const ReadyStep *> Steps;
+  for (const ReadyStep &Ready : Registry.readySteps()) {
+    if (Steps.size() == MaxSteps)
+      break;
+    Steps.push_back(&Ready);
+  }
+  const std::set<ReadyStep> &LongRunning = Registry.readyLongRunningSteps();
+  auto It = Steps.empty() ? LongRunning.end()
+                          : LongRunning.upper_bound(*Steps.back());
+  for (; It != LongRunning.end() && Steps.size() < 2 * MaxSteps; ++It)
+    Steps.push_back(&*It);
+  return Steps;
+}
+
 void SchedulingOrder::update(const JobRegistry &Registry, ReadyTimes &Waits,
                              TimePoint Now, WallTime Wall) {
   const bool IsNew = UpdatedAt_ == TimePoint::min();
@@ -130,11 +149,9 @@
       Class.clear();
     }
   };
-  std::size_t Considered = 0;
   std::uint64_t Priority = 0;
-  for (const ReadyStep &Ready : Registry.readySteps()) {
-    if (++Considered > MaxSteps)
-      break;
+  for (const ReadyStep *Each : listConsidered(Registry)) {
+    const ReadyStep &Ready = *Each;
     if (Ready.Priority_ != Priority)
       AddLater();
     Priority = Ready.Priority_;
--- a/tests/jobs/SchedulingOrderTest.cpp
+++ b/tests/jobs/SchedulingOrderTest.cpp
@@ -77,3 +77,15 @@
   update();
   EXPECT_EQ(count(), 1024U);
 }
+
+// Guards against a long-running step that never gets capacity as a long queue
+// of earlier short steps hides it.
+TEST_F(SchedulingOrderTest, VeryLongQueueHidesNoLongRunningStep) {
+  submitMany(1500);
+  SubmitJob Later = makeSubmit(makeJob("lasting", {makeServing(1, "a")}));
+  Later.AcceptedMs_ += 10'000;
+  apply(Later);
+  update();
+  ASSERT_EQ(count(), 1025U);
+  EXPECT_EQ(Order_.candidates().back().Step_.Job_, "lasting");
+}
