Let the smallest of the passed-over steps take the next room

Jobs are cancelled at 34.5, 35.4, 35.5, 36.5 and 37.2 s, and the rooms that come of it are taken within a tenth of a second each (trial with a dump every tick, no room of 6.45 for more than a sixth of the ticks, 33 to 41 s, and none that stays). So room was there time and again, not without a pause, and the first form of PassedOverTimes began anew at each pause.

Change: room counts for one to two seconds; of the steps that were passed over for a second those with the smallest tasks come first; after 15 s the longest passed over comes before them, so that large tasks do not wait for ever.

Ruled out: servers that refuse the room, or hold more than the leader counts: the free processors by the state and by the reports agreed but for starts on their way.

Tests: SchedulingOrderTest.PassedOverStepsComeWithTheSmallestFirstForATime, red with the steps in their former order; .RareRoomDoesNotChangeTheOrder holds the rest. test_jobs passed.

--- a/src/jobs/PassedOverTimes.cpp
+++ b/src/jobs/PassedOverTimes.cpp
@@ -6,10 +6,10 @@
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 
-/// Room counts for one to two of these periods. Room that is offered once is
-/// free from its run's end until the next run begins, which takes two commits
-/// and the way of a report and its answer.
-static constexpr Duration Period = std::chrono::milliseconds(150);
+/// Room that is offered once counts for one to two of these periods, each two
+/// report intervals. The ends of jobs make room time and again, for a tenth of
+/// a second each.
+static constexpr Duration Period = std::chrono::seconds(1);
 
 void PassedOverTimes::reset() {
   Since_.clear();
--- a/src/jobs/PassedOverTimes.h
+++ b/src/jobs/PassedOverTimes.h
@@ -2,8 +2,8 @@
 //
 // On a full fleet room comes and goes within a report, and the steps that are
 // due first take it. This class keeps, for each waiting long-running step,
-// since when servers have offered enough room for its tasks, one after the
-// other, while others got it. Deterministic: reads no clock and does no I/O.
+// since when servers have offered enough room for its tasks at least every
+// other second. Deterministic: reads no clock and does no I/O.
 //
 //===----------------------------------------------------------------------===//
 
@@ -32,8 +32,8 @@
 
   // Queries.
 
-  /// Returns for how long there has been room for a task of the step without a
-  /// pause; zero if there is none.
+  /// Returns for how long there has been room for a task of the step time and
+  /// again; zero if there is none.
   Duration getTime(const ReadyStep &Step, TimePoint Now) const;
 
 private:
--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -22,9 +22,12 @@
 /// Whether a job can still meet its objective changes with time alone, so the
 /// order is never older than this.
 static constexpr Duration MaxAge = 100ms;
-/// A long-running step that was passed over for two report intervals comes
-/// before those that are due earlier.
+/// Long-running steps that were passed over for two report intervals come
+/// before those that are due earlier, the ones with the smallest tasks first:
+/// most tasks run that way, and room for a small task comes up most often.
+/// Large ones do not wait for longer than the second time.
 static constexpr Duration MinPassedOverTime = 1s;
+static constexpr Duration MaxPassedOverTime = 15s;
 static constexpr std::int64_t Unlimited =
     std::numeric_limits<std::int64_t>::max();
 
@@ -139,7 +142,8 @@
   // Within a priority, long-running steps that were passed over for long come
   // first; then steps that can still meet their objective, as that chance ends
   // soon; then long-running steps; then late ones.
-  std::vector<std::pair<Duration, const ReadyStep *>> PassedOverSteps;
+  std::vector<std::pair<Duration, const ReadyStep *>> Starved;
+  std::vector<std::pair<std::int64_t, const ReadyStep *>> PassedOverSteps;
   std::vector<const ReadyStep *> FirstClass;
   std::array<std::vector<const ReadyStep *>, 3> Later;
   std::vector<std::pair<double, const ReadyStep *>> Filling;
@@ -157,6 +161,7 @@
     Steps.clear();
   };
   const auto AddPriority = [&] {
+    AddSorted(Starved);
     AddSorted(PassedOverSteps);
     AddAll(FirstClass);
     AddSorted(Filling);
@@ -177,8 +182,10 @@
     const bool IsFirstClass =
         !Step.LongRunning_ || Waits.takesPrecedence(Ready, Now);
     const Duration PassedOverFor = PassedOver.getTime(Ready, Now);
-    if (IsFirstClass && PassedOverFor >= MinPassedOverTime)
-      PassedOverSteps.emplace_back(PassedOverFor, &Ready);
+    if (IsFirstClass && PassedOverFor >= MaxPassedOverTime)
+      Starved.emplace_back(PassedOverFor, &Ready);
+    else if (IsFirstClass && PassedOverFor >= MinPassedOverTime)
+      PassedOverSteps.emplace_back(-Step.Need_.MilliCpus_, &Ready);
     else if (Lateness == 0 && Step.Fills_)
       Filling.emplace_back(Value_.getDensity(Job, Occurrence), &Ready);
     else if (Lateness == 0 && IsFirstClass)
--- a/tests/jobs/SchedulingOrderTest.cpp
+++ b/tests/jobs/SchedulingOrderTest.cpp
@@ -13,7 +13,9 @@
 
 class SchedulingOrderTest : public JobRegistryTest {
 protected:
-  void update() { Order_.update(Registry_, Waits_, PassedOver_, Now_, WallTime(1000)); }
+  void update() {
+    Order_.update(Registry_, Waits_, PassedOver_, Now_, WallTime(1000));
+  }
   std::size_t count() const { return Order_.candidates().size(); }
   void submitMany(int Count) {
     for (int I = 0; I < Count; ++I)
@@ -90,3 +92,39 @@
   ASSERT_EQ(count(), 1025U);
   EXPECT_EQ(Order_.candidates().back().Step_.Job_, "lasting");
 }
+
+// Guards against a small long-running task that waits while room for it comes
+// up time and again and goes to larger ones that are due earlier; and against
+// large tasks that wait for ever behind small ones.
+TEST_F(SchedulingOrderTest, PassedOverStepsComeWithTheSmallestFirstForATime) {
+  submit(makeJob("large", {makeServing(1, "a", 3000)}));
+  SubmitJob Later = makeSubmit(makeJob("small", {makeServing(1, "a", 2000)}));
+  Later.AcceptedMs_ += 1000;
+  apply(Later);
+  const auto GetFirstAfter = [this](Duration Passed) {
+    for (const TimePoint End = Now_ + Passed; Now_ < End; Now_ += 500ms) {
+      PassedOver_.recordRoom(3000, Now_);
+      PassedOver_.update(Registry_, Now_);
+    }
+    update();
+    return Order_.candidates().at(0).Step_.Job_;
+  };
+  EXPECT_EQ(GetFirstAfter(500ms), "large") << "it is due first";
+  EXPECT_EQ(GetFirstAfter(3s), "small");
+  EXPECT_EQ(GetFirstAfter(13s), "large") << "it was passed over as long";
+}
+
+// Room that comes up less than once a second is no reason to change the order.
+TEST_F(SchedulingOrderTest, RareRoomDoesNotChangeTheOrder) {
+  submit(makeJob("large", {makeServing(1, "a", 3000)}));
+  SubmitJob Later = makeSubmit(makeJob("small", {makeServing(1, "a", 2000)}));
+  Later.AcceptedMs_ += 1000;
+  apply(Later);
+  for (int I = 0; I < 20; ++I) {
+    PassedOver_.recordRoom(I % 6 == 0 ? 3000 : 0, Now_);
+    PassedOver_.update(Registry_, Now_);
+    Now_ += 500ms;
+  }
+  update();
+  EXPECT_EQ(Order_.candidates().at(0).Step_.Job_, "large");
+}
