Show long-running work beside the capacity in the state dump

What operators lacked: a fleet that is full of long-running work could not be told from servers that start nothing, but by a play with logs.

--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -3,18 +3,15 @@
 #include "jobservice/JobMetrics.h"
 #include "jobservice/ReplicaInstance.h"
 #include "jobservice/ReportRouter.h"
+#include "jobservice/StateDump.h"
 #include "tulipweir/jobservice/MemberLinks.h"
 #include "tulipweir/net/StrandExecutor.h"
 
-#include <nlohmann/json.hpp>
-
 #include <future>
 
 using namespace tulipweir;
 using namespace tulipweir::jobservice;
 
-/// Most tasks, and most jobs, that a dump lists.
-static constexpr std::size_t MaxDumpedEntries = 50;
 static constexpr const char *GroupName = "jobs";
 /// Two heartbeats may be lost without a gap in the leader's lease, which lasts
 /// 7/8 of the election timeout.
@@ -454,58 +451,10 @@
                   : replication::ReplicaStatus{};
 }
 
-/// Adds the tasks that servers crashed under and the jobs that failed for it.
-static void addCrashes(const jobs::JobRegistry &Registry,
-                       nlohmann::json &Dump) {
-  nlohmann::json Suspects = nlohmann::json::array();
-  for (const auto &[Key, Servers] : Registry.crashSuspects()) {
-    if (Suspects.size() >= MaxDumpedEntries)
-      break;
-    const jobs::CrashRecords &Crashes = Registry.findTask(Key)->Crashes_;
-    Suspects.push_back({{"job", Key.Job_},
-                        {"task", toText(Key)},
-                        {"crashes", Crashes.size()},
-                        {"servers", Servers}});
-  }
-  nlohmann::json GivenUp = nlohmann::json::array();
-  for (const auto &[Id, Job] : Registry.jobs())
-    if (Job.Cause_ == jobs::FailureCause::Crashes &&
-        GivenUp.size() < MaxDumpedEntries)
-      GivenUp.push_back({{"job", Id}, {"reason", Job.Reason_}});
-  Dump["crashSuspects"] = Registry.crashSuspects().size();
-  Dump["suspected"] = std::move(Suspects);
-  Dump["givenUp"] = std::move(GivenUp);
-}
-
 std::string ControlNode::makeDump() const {
   const std::shared_ptr<ReplicaInstance> Instance = Impl_->getInstance();
-  if (!Instance)
-    return nlohmann::json{
-        {"failure", "the replica is closed after a disk failure"}}
-        .dump();
-  const replication::ReplicaStatus Status = Instance->Replica_->getStatus();
-  nlohmann::json Dump = {{"name", Status.Self_.Name_},
-                         {"incarnation", Status.Self_.Incarnation_},
-                         {"leads", Status.IsLeader_},
-                         {"leader", Status.LeaderName_},
-                         {"term", Status.Term_},
-                         {"commit", Status.CommitIndex_},
-                         {"applied", Status.AppliedIndex_},
-                         {"logBytes", Status.LogBytes_},
-                         {"syncs", Status.Syncs_},
-                         {"failure", Status.Failure_}};
-  for (const replication::Member &Member : Status.Members_)
-    Dump["members"].push_back(
-        {{"name", Member.Id_.Name_},
-         {"votes", Member.Role_ == replication::MemberRole::Voter}});
-  Instance->Machine_.read([&Dump](const jobs::JobRegistry &Registry) {
-    Dump["configuration"] = Registry.configuration().Version_;
-    Dump["jobs"] = Registry.jobs().size();
-    Dump["servers"] = Registry.servers().size();
-    Dump["readySteps"] = Registry.readySteps().size();
-    Dump["evacuated"] = Registry.evacuated();
-    addCrashes(Registry, Dump);
-    return 0;
-  });
-  return Dump.dump();
+  return Instance
+             ? makeStateDump(Instance->Replica_->getStatus(),
+                             Instance->Machine_)
+             : makeFailureDump("the replica is closed after a disk failure");
 }
--- /dev/null
+++ b/src/jobservice/StateDump.cpp
@@ -0,0 +1,94 @@
+#include "jobservice/StateDump.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace tulipweir;
+using namespace tulipweir::jobservice;
+
+/// Most tasks, and most jobs, that a dump lists.
+static constexpr std::size_t MaxDumpedEntries = 50;
+
+/// Adds the tasks that servers crashed under and the jobs that failed for it.
+static void addCrashes(const jobs::JobRegistry &Registry,
+                       nlohmann::json &Dump) {
+  nlohmann::json Suspects = nlohmann::json::array();
+  for (const auto &[Key, Servers] : Registry.crashSuspects()) {
+    if (Suspects.size() >= MaxDumpedEntries)
+      break;
+    const jobs::CrashRecords &Crashes = Registry.findTask(Key)->Crashes_;
+    Suspects.push_back({{"job", Key.Job_},
+                        {"task", toText(Key)},
+                        {"crashes", Crashes.size()},
+                        {"servers", Servers}});
+  }
+  nlohmann::json GivenUp = nlohmann::json::array();
+  for (const auto &[Id, Job] : Registry.jobs())
+    if (Job.Cause_ == jobs::FailureCause::Crashes &&
+        GivenUp.size() < MaxDumpedEntries)
+      GivenUp.push_back({{"job", Id}, {"reason", Job.Reason_}});
+  Dump["crashSuspects"] = Registry.crashSuspects().size();
+  Dump["suspected"] = std::move(Suspects);
+  Dump["givenUp"] = std::move(GivenUp);
+}
+
+/// Adds how much of the capacity long-running work takes, and how much more
+/// waits: where it waits for more than is left, no server can be at fault.
+static void addCapacity(const jobs::JobRegistry &Registry,
+                        nlohmann::json &Dump) {
+  std::int64_t Capacity = 0;
+  std::int64_t Reserved = 0;
+  std::int64_t LongRunning = 0;
+  for (const auto &[Id, Server] : Registry.servers()) {
+    Capacity += Server.Facts_.Capacity_.MilliCpus_;
+    Reserved += Server.Used_.MilliCpus_;
+    LongRunning += Server.UsedByLongRunning_.MilliCpus_;
+  }
+  std::uint64_t Tasks = 0;
+  std::int64_t Waiting = 0;
+  for (const jobs::ReadyStep &Ready : Registry.readyLongRunningSteps()) {
+    const jobs::JobRecord &Job = *Registry.findJob(Ready.Job_);
+    const std::uint64_t Count =
+        Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_].Waiting_;
+    Tasks += Count;
+    Waiting += static_cast<std::int64_t>(Count) *
+               Job.Spec_.Steps_[Ready.Step_].getReserved().MilliCpus_;
+  }
+  Dump["cpus"] = {{"capacity", Capacity},
+                  {"reserved", Reserved},
+                  {"longRunning", LongRunning},
+                  {"longRunningWaiting", Waiting}};
+  Dump["longRunningTasksWaiting"] = Tasks;
+}
+
+std::string jobservice::makeStateDump(const replication::ReplicaStatus &Status,
+                                      const jobs::JobStateMachine &Machine) {
+  nlohmann::json Dump = {{"name", Status.Self_.Name_},
+                         {"incarnation", Status.Self_.Incarnation_},
+                         {"leads", Status.IsLeader_},
+                         {"leader", Status.LeaderName_},
+                         {"term", Status.Term_},
+                         {"commit", Status.CommitIndex_},
+                         {"applied", Status.AppliedIndex_},
+                         {"logBytes", Status.LogBytes_},
+                         {"syncs", Status.Syncs_},
+                         {"failure", Status.Failure_}};
+  for (const replication::Member &Member : Status.Members_)
+    Dump["members"].push_back(
+        {{"name", Member.Id_.Name_},
+         {"votes", Member.Role_ == replication::MemberRole::Voter}});
+  Machine.read([&Dump](const jobs::JobRegistry &Registry) {
+    Dump["configuration"] = Registry.configuration().Version_;
+    Dump["jobs"] = Registry.jobs().size();
+    Dump["servers"] = Registry.servers().size();
+    Dump["readySteps"] = Registry.readySteps().size();
+    Dump["evacuated"] = Registry.evacuated();
+    addCapacity(Registry, Dump);
+    addCrashes(Registry, Dump);
+    return 0;
+  });
+  return Dump.dump();
+}
+
+std::string jobservice::makeFailureDump(const std::string &Failure) {
+  return nlohmann::json{{"failure", Failure}}.dump();
+}
