Start overdue long-running tasks beside suspects that have settled

What callers would see: a long-running task waits for up to 8.6 s although a server has room for it (LOST).

Cause: a long-running task that was lost with a server in both losses has two crash records.

Change: IsolationPlanner tells servers that are closed from those that are open to long-running tasks that must not wait any longer. A server is the latter once its unproved run has settled (1 s); from the third crash on it stays closed. A crash before the new run has settled is not conclusive, as for any neighbours.

Tests: FullFleetTest, new, runs a leader and servers whose long-running work is beyond the capacity, and bounds the wait beside room that is there at every look (3 s after the end of the lease, or 2 s after another end) and beside short work (7 s).

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -196,17 +196,21 @@
   const bool IsFit =
       Fit == HealthState::Healthy ||
       (Fit == HealthState::Probation && hasOnlyLongRunning(Registry, *Server));
-  // Slow runs may be an effect of late reports, failures may be those of the
-  // jobs, and probation ends only with a completed run. A long-running task
-  // that must not wait any longer is better off on such a server than on none.
-  const bool OnlyOverdue = !IsFit;
   if (Fit == HealthState::Healthy)
     if (const auto Start = planIsolated(Registry, LiveServers, *Server, Now)) {
       Proposed_.insert(Start->Task_);
       return {*Start};
     }
-  if (Isolation_.isClosed(Registry, LiveServers, *Server, Now))
+  const IsolationPlanner::Closure Closure =
+      Isolation_.getClosure(Registry, LiveServers, *Server, Now);
+  if (Closure == IsolationPlanner::Closure::Closed)
     return {};
+  // Slow runs may be an effect of late reports, failures may be those of the
+  // jobs, probation ends only with a completed run, and most suspected runs are
+  // harmless. A long-running task that must not wait any longer is better off
+  // on such a server than on none.
+  const bool OnlyOverdue =
+      !IsFit || Closure == IsolationPlanner::Closure::OnlyOverdue;
   // A task that fails at once tells that the others would, too.
   const bool MayFail =
       Fit == HealthState::Probation ||
--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -97,24 +97,38 @@
          (!Live || Live->getObservedTime(Key, Run) < Needed);
 }
 
-bool IsolationPlanner::isClosed(const JobRegistry &Registry,
-                                const LiveServerTable &LiveServers,
-                                const ServerRecord &Server,
-                                TimePoint Now) const {
+/// Returns whether a long-running task that must not wait any longer may start
+/// beside the unproved run. A crash before the new run has settled is not
+/// conclusive, so from the third crash of the suspect on nothing may.
+static bool isOpenToOverdue(const TaskRecord &Task, const LiveServer *Live,
+                            const TaskKey &Key, std::uint64_t Run) {
+  return Live && Task.Crashes_.size() < MaxIsolationWait.size() &&
+         Live->getObservedTime(Key, Run) >=
+             std::chrono::milliseconds(SettledAgeMs);
+}
+
+IsolationPlanner::Closure
+IsolationPlanner::getClosure(const JobRegistry &Registry,
+                             const LiveServerTable &LiveServers,
+                             const ServerRecord &Server, TimePoint Now) const {
   const auto It = Reservations_.find(Server.Facts_.Id_);
   if (It != Reservations_.end() && Now < It->second.Until_)
-    return true;
+    return Closure::Closed;
+  Closure Strictest = Closure::Open;
   if (Registry.crashSuspects().empty())
-    return false;
+    return Strictest;
   const LiveServer *Live = LiveServers.find(Server.Facts_.Id_);
-  return std::any_of(
-      Server.Placed_.begin(), Server.Placed_.end(), [&](const auto &Entry) {
-        if (Registry.crashSuspects().count(Entry.first) == 0)
-          return false;
-        const TaskRecord &Task = *Registry.findTask(Entry.first);
-        return isIsolating(Entry.first, Task) &&
-               mayStillCrash(Task, Live, Entry.first, Entry.second);
-      });
+  for (const auto &[Key, Run] : Server.Placed_) {
+    if (Registry.crashSuspects().count(Key) == 0)
+      continue;
+    const TaskRecord &Task = *Registry.findTask(Key);
+    if (!isIsolating(Key, Task) || !mayStillCrash(Task, Live, Key, Run))
+      continue;
+    if (!isOpenToOverdue(Task, Live, Key, Run))
+      return Closure::Closed;
+    Strictest = Closure::OnlyOverdue;
+  }
+  return Strictest;
 }
 
 /// Returns whether every run on the server has been seen for SettledAgeMs.
--- a/src/jobs/IsolationPlanner.h
+++ b/src/jobs/IsolationPlanner.h
@@ -2,9 +2,11 @@
 //
 // A task whose servers crashed is suspected. The planner starts one such task
 // per server and lets nothing else start there until the run has proved
-// harmless, so that the next crash tells the cause from its neighbours. The
-// more crashes a task has, the longer it is kept away from servers that other
-// tasks depend on. Deterministic: reads no clock and does no I/O.
+// harmless, so that the next crash tells the cause from its neighbours; until
+// the third crash, long-running tasks that must not wait any longer may start
+// beside a run that has settled. The more crashes a task has, the longer it is
+// kept away from servers that other tasks depend on. Deterministic: reads no
+// clock and does no I/O.
 //
 //===----------------------------------------------------------------------===//
 
@@ -26,6 +28,9 @@
 class IsolationPlanner {
 public:
   using MayRun = std::function<bool(const JobRecord &Job, const TaskKey &Task)>;
+  /// What may start beside a suspected run: all, only long-running tasks that
+  /// must not wait any longer, or nothing.
+  enum class Closure : std::uint8_t { Open, OnlyOverdue, Closed };
 
   // Commands.
 
@@ -52,10 +57,16 @@
   /// only, until its third crash.
   bool isIsolating(const TaskKey &Key, const TaskRecord &Task) const;
 
-  /// Returns whether nothing else may start on the server, as a suspected run
-  /// there is not proved yet or is about to start.
+  /// Returns what else may start on the server: not all, as long as a suspected
+  /// run there is not proved yet or is about to start.
+  Closure getClosure(const JobRegistry &Registry,
+                     const LiveServerTable &LiveServers,
+                     const ServerRecord &Server, TimePoint Now) const;
+  /// Returns whether the server is not open to all.
   bool isClosed(const JobRegistry &Registry, const LiveServerTable &LiveServers,
-                const ServerRecord &Server, TimePoint Now) const;
+                const ServerRecord &Server, TimePoint Now) const {
+    return getClosure(Registry, LiveServers, Server, Now) != Closure::Open;
+  }
 
 private:
   struct Reservation {
--- /dev/null
+++ b/tests/jobs/FullFleetTest.cpp
@@ -0,0 +1,68 @@
+//===- FullFleetTest.cpp - Long-running tasks on a full fleet -------------===//
+//
+// Guards against long-running tasks that wait although a server has room for
+// them, or could have once its short tasks have ended.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/FullFleet.h"
+
+using namespace tulipweir;
+using namespace tulipweir::jobs;
+using namespace tulipweir::jobs::test;
+using namespace std::chrono_literals;
+
+static constexpr std::uint64_t Seeds = 6;
+static constexpr Duration MaxWaitBesideRoom = 3s;
+/// Only few servers are reserved at a time, one for each task.
+static constexpr Duration MaxWaitBesideShortWork = 7s;
+static constexpr std::size_t MinWaiting = 25;
+static constexpr std::size_t MinStarts = 500;
+
+/// Runs the scenario, in which a quarter of the servers is lost, with several
+/// seeds and expects that no long-running task waits for too long. Calls Check
+/// with each fleet.
+static void expectNoLongWait(
+    FullFleetScenario Scenario,
+    const std::function<void(const FullFleet &)> &Check = [](const auto &) {}) {
+  Scenario.LossAt_ = 10s;
+  for (Scenario.Seed_ = 1; Scenario.Seed_ <= Seeds; ++Scenario.Seed_) {
+    SCOPED_TRACE("seed " + std::to_string(Scenario.Seed_));
+    FullFleet Fleet(Scenario);
+    Fleet.run();
+    EXPECT_LT(Fleet.MaxWaitBesideRoom_, MaxWaitBesideRoom)
+        << Fleet.LongestWait_;
+    EXPECT_LT(Fleet.MaxWaitBesideShortWork_, MaxWaitBesideShortWork)
+        << Fleet.LongestWaitBesideShortWork_;
+    EXPECT_GE(Fleet.MostWaiting_, MinWaiting);
+    EXPECT_GE(Fleet.LongRunningStarts_, MinStarts);
+    Check(Fleet);
+  }
+}
+
+TEST(FullFleetTest, NoTaskOfALostServerWaitsBesideRoom) {
+  expectNoLongWait({});
+}
+
+TEST(FullFleetTest, QuarantinesAfterFailuresKeepNoTaskWaiting) {
+  FullFleetScenario Scenario;
+  Scenario.FailingJobInterval_ = 300ms;
+  expectNoLongWait(Scenario, [](const FullFleet &Fleet) {
+    EXPECT_GT(Fleet.Log_.count(EventKind::ServerQuarantined), 20U);
+  });
+}
+
+TEST(FullFleetTest, QuarantinesForSlowRunsKeepNoTaskWaiting) {
+  FullFleetScenario Scenario;
+  Scenario.HasSlowServers_ = true;
+  expectNoLongWait(Scenario, [](const FullFleet &Fleet) {
+    EXPECT_GT(Fleet.Log_.count(EventKind::ServerQuarantined), 0U);
+  });
+}
+
+// Tasks of the rack that were lost with another server before are suspected.
+TEST(FullFleetTest, IsolatedRunsKeepNoTaskWaiting) {
+  FullFleetScenario Scenario;
+  Scenario.RackCrashAt_ = 18s;
+  expectNoLongWait(Scenario);
+}
