Count only runs that were certainly long as signs of a slow server

What callers saw: sound servers get no tasks for 3 to 12 s ("runs take much longer than on other servers"), and long-running tasks wait beside their room.

Cause: a run's time was that from the first report that named it to the commit of the report of its end. Servers report 50 to 500 ms apart, a silent server or a relay adds seconds, and runs take 0.6 s: a server that reports often seemed to take 2.2 times as long as one that doesn't.

Fix: RunTimeBounds, the shortest and the longest time that a run can have taken, by the sending times of the reports on the server's clock; without a clock, by the receipt less the wait in relays. A run is slow if its shortest time is 2.2 times the longest times elsewhere, and sound if its longest time is less than that; any other counts neither way. The bounds are taken as the report comes, not at the commit of the ends, by when the server may have reported again.

ServerHealthTest: three more.

--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -189,7 +189,8 @@
   void endAbsences(const std::vector<TaskStart> &Starts,
                    const std::vector<bool> &Accepted);
   void logLongAbsences();
-  void updateHealth(const EndTasks &Ended);
+  void updateHealth(const EndTasks &Ended,
+                    const std::vector<RunTimeBounds> &RunTimes);
   void recordFailedRun(const std::string &Server, const std::string &Job,
                        const char *Reason);
   void logQuarantine(const std::string &Server, const std::string &Job,
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -244,6 +244,8 @@
   }
   Setter_.updatePaces(Report);
   EndTasks Command{Id, {}};
+  // Taken now, as the server may report again before the commit.
+  std::vector<RunTimeBounds> RunTimes;
   Machine_.read([&](const JobRegistry &Registry) {
     const ServerRecord *Server = Registry.findServer(Id);
     if (!Server)
@@ -251,6 +253,8 @@
     for (const EndedTask &Ended : Report.Ended_)
       if (changesState(Registry, *Server, Ended.End_)) {
         Command.Ends_.push_back(Ended.End_);
+        RunTimes.push_back(LiveServers_.find(Id)->boundRunTime(
+            Ended.End_.Task_, Ended.End_.Run_));
         Pending->FirstUncommittedEnd_ =
             std::min(Pending->FirstUncommittedEnd_, Ended.Number_);
       }
@@ -264,24 +268,24 @@
       [](const TaskEnd &End) { return End.Outcome_ == RunOutcome::Refused; });
   if (AnyRefused)
     LiveServers_.find(Id)->NoStartsUntil_ = Now + RefusalPause;
-  propose(Command,
-          [this, Pending, Command](const Outcome<CommandResult> &Applied) {
-            if (!Applied)
-              return reply(Pending, Applied.error());
-            Pending->FirstUncommittedEnd_ = NoUncommittedEnd;
-            logEnds(Command.Server_, Command.Ends_);
-            beginAbsences(Command, Pending->SentBy_);
-            updateHealth(Command);
-            for (const TaskEnd &End : Command.Ends_)
-              handleJobEnd(End.Task_.Job_);
-            // If the server has reported again since, starts are planned for
-            // the later report, and this answer has none.
-            const LiveServer *Live = LiveServers_.find(Command.Server_);
-            if (Live && Live->LastSequence_ == Pending->Report_.Sequence_)
-              startTasks(Pending);
-            else
-              answer(Pending);
-          });
+  propose(Command, [this, Pending, Command, RunTimes = std::move(RunTimes)](
+                       const Outcome<CommandResult> &Applied) {
+    if (!Applied)
+      return reply(Pending, Applied.error());
+    Pending->FirstUncommittedEnd_ = NoUncommittedEnd;
+    logEnds(Command.Server_, Command.Ends_);
+    beginAbsences(Command, Pending->SentBy_);
+    updateHealth(Command, RunTimes);
+    for (const TaskEnd &End : Command.Ends_)
+      handleJobEnd(End.Task_.Job_);
+    // If the server has reported again since, starts are planned for
+    // the later report, and this answer has none.
+    const LiveServer *Live = LiveServers_.find(Command.Server_);
+    if (Live && Live->LastSequence_ == Pending->Report_.Sequence_)
+      startTasks(Pending);
+    else
+      answer(Pending);
+  });
 }
 
 void JobLeader::Impl::startTasks(const PendingReportPtr &Pending) {
--- a/src/jobs/JobLeaderTelemetry.cpp
+++ b/src/jobs/JobLeaderTelemetry.cpp
@@ -155,10 +155,12 @@
   }
 }
 
-void JobLeader::Impl::updateHealth(const EndTasks &Ended) {
+void JobLeader::Impl::updateHealth(const EndTasks &Ended,
+                                   const std::vector<RunTimeBounds> &RunTimes) {
   const LiveServer *Live = LiveServers_.find(Ended.Server_);
   const TimePoint Now = Time_.now();
-  for (const TaskEnd &End : Ended.Ends_) {
+  for (std::size_t I = 0; I < Ended.Ends_.size(); ++I) {
+    const TaskEnd &End = Ended.Ends_[I];
     if (End.Outcome_ == RunOutcome::Failed)
       Dispatcher_.recordFailure(End.Task_, Ended.Server_, Now);
     if (End.Outcome_ == RunOutcome::Failed)
@@ -166,19 +168,17 @@
                       "runs of several jobs failed");
     if (End.Outcome_ != RunOutcome::Done || !Live)
       continue;
-    const RunProgress *Seen = Live->findPreviousProgress(End.Task_);
     const StepSpec *Step = Machine_.read([&End](const JobRegistry &Registry) {
       return Registry.findStep(End.Task_);
     });
     // A filling task runs only as fast as other tasks let it, so its run time
     // says nothing about the server.
-    const bool IsTelling =
-        Step && !Step->Fills_ && Seen && Seen->Run_ == End.Run_;
+    const bool IsTelling = Step && !Step->Fills_;
     const bool WasSick =
         Health_.getHealthState(Ended.Server_, Now) != HealthState::Healthy;
     const bool IsFaulty = Health_.recordCompletion(
         Ended.Server_, End.Task_.Job_, End.Task_.Step_,
-        IsTelling ? Now - Seen->SeenAt_ : Duration(0), Now);
+        IsTelling ? RunTimes[I] : RunTimeBounds{}, Now);
     if (IsFaulty)
       logQuarantine(Ended.Server_, End.Task_.Job_,
                     "runs take much longer than on other servers");
--- a/src/jobs/LiveServerTable.cpp
+++ b/src/jobs/LiveServerTable.cpp
@@ -45,6 +45,19 @@
                                            : Duration(0);
 }
 
+RunTimeBounds LiveServer::boundRunTime(const TaskKey &Task,
+                                       std::uint64_t Run) const {
+  const RunProgress *Seen = findPreviousProgress(Task);
+  if (!Seen || Seen->Run_ != Run || !PreviousSent_ || !LastSent_)
+    return {};
+  RunTimeBounds Bounds;
+  Bounds.Shortest_ =
+      boundTimeBetween(Seen->FirstSent_, *PreviousSent_).Shortest_;
+  if (Seen->SentBefore_)
+    Bounds.Longest_ = boundTimeBetween(*Seen->SentBefore_, *LastSent_).Longest_;
+  return Bounds;
+}
+
 void LiveServerTable::reset(const JobRegistry &Registry, TimePoint Now,
                             Duration Lease) {
   Servers_.clear();
@@ -62,6 +75,9 @@
     return false;
   Live.LastSequence_ = Report.Sequence_;
   Live.LastHeard_ = Now;
+  Live.PreviousSent_ = Live.LastSent_;
+  Live.LastSent_ = SendTime{Now - std::chrono::milliseconds(Report.WaitedMs_),
+                            Report.ServerClockMs_};
   Live.IsDraining_ = Report.IsDraining_;
   // Runs that have ended since the last report are looked up once more.
   std::swap(Live.Running_, Live.PreviousRunning_);
@@ -77,12 +93,15 @@
   // ended ones, so a run usually follows the one that was found before.
   std::size_t Expected = 0;
   for (const RunningTask &Run : Live.Running_) {
-    RunProgress Progress{Run.Run_, Run.Percent_, Now, Now};
+    RunProgress Progress{Run.Run_, Run.Percent_,    Now,
+                         Now,      *Live.LastSent_, Live.PreviousSent_};
     const std::size_t At =
         findRun(Live.PreviousRunning_, Run.Task_, Run.Run_, Expected);
     if (At < Live.PreviousRunning_.size()) {
       const RunProgress &Previous = Live.PreviousProgress_[At];
       Progress.SeenAt_ = Previous.SeenAt_;
+      Progress.FirstSent_ = Previous.FirstSent_;
+      Progress.SentBefore_ = Previous.SentBefore_;
       if (Previous.Percent_ == Run.Percent_)
         Progress.ChangedAt_ = Previous.ChangedAt_;
       Expected = At + 1;
--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -10,6 +10,7 @@
 #ifndef TULIPWEIR_SRC_JOBS_LIVESERVERTABLE_H
 #define TULIPWEIR_SRC_JOBS_LIVESERVERTABLE_H
 
+#include "jobs/RunTimeBounds.h"
 #include "tulipweir/core/Time.h"
 #include "tulipweir/jobs/JobRegistry.h"
 #include "tulipweir/jobs/ServerReport.h"
@@ -25,6 +26,9 @@
   std::uint64_t Percent_ = 0;
   TimePoint SeenAt_{};    ///< When the run was first reported.
   TimePoint ChangedAt_{}; ///< When its percentage last changed.
+  SendTime FirstSent_;    ///< The first report that named the run.
+  /// The report before that, which did not name it; nothing if unknown.
+  std::optional<SendTime> SentBefore_;
 };
 
 /// The last pace order that was sent for a run.
@@ -38,6 +42,9 @@
 struct LiveServer {
   std::uint64_t LastSequence_ = 0;
   TimePoint LastHeard_{};
+  std::optional<SendTime> LastSent_; ///< When the last report was sent.
+  /// When the one before was sent.
+  std::optional<SendTime> PreviousSent_;
   /// No task that the server was given runs after this time.
   TimePoint LeaseEnd_{};
   bool IsDraining_ = false;
@@ -71,6 +78,9 @@
   /// Returns how long the server's reports have named the run; zero if none
   /// has.
   Duration getObservedTime(const TaskKey &Task, std::uint64_t Run) const;
+  /// Bounds the duration of a run whose end is in the last report and which the
+  /// one before named; otherwise nothing is certain.
+  RunTimeBounds boundRunTime(const TaskKey &Task, std::uint64_t Run) const;
   /// Whether the server is neither leaving nor being emptied, as far as known.
   bool isInService() const {
     return !IsDraining_ && !IsRemoving_ && !IsEmptying_;
--- a/src/jobs/ServerHealth.cpp
+++ b/src/jobs/ServerHealth.cpp
@@ -45,25 +45,43 @@
   Health.SlowJobs_.clear();
 }
 
+/// Returns the logarithm, in milliseconds; of no time, nothing.
+static std::optional<double> findLog(Duration Value) {
+  if (Value <= Duration(0))
+    return std::nullopt;
+  return std::log(std::chrono::duration<double, std::milli>(Value).count());
+}
+
 /// Returns how much longer the run took than runs of the step on other servers,
-/// as a logarithm of the ratio; nothing while too few runs of the step have
+/// as a logarithm of the ratio: at least, if that is slow; at most, if that is
+/// not slow; otherwise nothing, as also while too few runs of the step have
 /// finished on other servers.
 std::optional<double>
-ServerHealth::compareElsewhere(const std::string &ServerId, const StepKey &Step,
-                               double LogRunTime) {
+ServerHealth::findTellingLogRatio(const std::string &ServerId,
+                                  const StepKey &Step,
+                                  const RunTimeBounds &RunTime) {
   const auto [It, IsNew] = Steps_.try_emplace(Step);
   if (IsNew)
     StepOrder_.push_back(Step);
   StepTimes &Times = It->second;
   auto &[OwnSum, OwnCount] = Times.ByServer_[ServerId];
   const std::uint64_t Elsewhere = Times.Count_ - OwnCount;
+  const std::optional<double> Shortest = findLog(RunTime.Shortest_);
+  const std::optional<double> Longest = findLog(RunTime.Longest_);
   std::optional<double> LogRatio;
-  if (Elsewhere >= MinRunsElsewhere)
-    LogRatio = LogRunTime - (Times.Sum_ - OwnSum) / double(Elsewhere);
-  Times.Sum_ += LogRunTime;
-  OwnSum += LogRunTime;
-  ++Times.Count_;
-  ++OwnCount;
+  if (Elsewhere >= MinRunsElsewhere) {
+    const double Usual = (Times.Sum_ - OwnSum) / double(Elsewhere);
+    if (Shortest && *Shortest - Usual > MinSlowLogRatio)
+      LogRatio = *Shortest - Usual;
+    else if (Longest && *Longest - Usual <= MinSlowLogRatio)
+      LogRatio = *Longest - Usual;
+  }
+  if (Longest) {
+    Times.Sum_ += *Longest;
+    OwnSum += *Longest;
+    ++Times.Count_;
+    ++OwnCount;
+  }
   while (StepOrder_.size() > MaxSteps) {
     Steps_.erase(StepOrder_.front());
     StepOrder_.pop_front();
@@ -73,7 +91,8 @@
 
 bool ServerHealth::recordCompletion(const std::string &ServerId,
                                     const std::string &Job, std::uint64_t Step,
-                                    Duration RunTime, TimePoint Now) {
+                                    const RunTimeBounds &RunTime,
+                                    TimePoint Now) {
   Record &Health = Servers_[ServerId];
   Health.Failures_ = 0;
   Health.Jobs_.clear();
@@ -81,11 +100,9 @@
     Health.IsOnProbation_ = false;
     Health.QuarantineCount_ = 0;
   }
-  if (RunTime <= Duration(0))
+  if (RunTime.Shortest_ <= Duration(0) && RunTime.Longest_ <= Duration(0))
     return false;
-  const auto LogRatio = compareElsewhere(
-      ServerId, {Job, Step},
-      std::log(std::chrono::duration<double, std::milli>(RunTime).count()));
+  const auto LogRatio = findTellingLogRatio(ServerId, {Job, Step}, RunTime);
   if (!LogRatio)
     return false;
   Health.SmoothedLogRatio_ =
--- a/src/jobs/ServerHealth.h
+++ b/src/jobs/ServerHealth.h
@@ -3,16 +3,19 @@
 // Tells faulty servers from faulty jobs by the runs that end on them. A server
 // is quarantined when runs of several jobs failed or stalled there in a row,
 // without a completed one between, or when runs of several jobs took many
-// times as long there as runs of the same steps on other servers. Declared run
-// times are too inaccurate to compare with. A single faulty job never causes a
-// quarantine. After its quarantine a server is on probation: it gets one task
-// at a time until one is completed. The class has no clock and does no I/O.
+// times as long there as runs of the same steps on other servers. Only what is
+// certain counts: the shortest time that a run can have taken here, against the
+// longest that runs can have taken elsewhere. Declared run times are too
+// inaccurate to compare with. A single faulty job never causes a quarantine.
+// After its quarantine a server is on probation: it gets one task at a time
+// until one is completed. The class has no clock and does no I/O.
 //
 //===----------------------------------------------------------------------===//
 
 #ifndef TULIPWEIR_SRC_JOBS_SERVERHEALTH_H
 #define TULIPWEIR_SRC_JOBS_SERVERHEALTH_H
 
+#include "jobs/RunTimeBounds.h"
 #include "tulipweir/core/Time.h"
 
 #include <cstdint>
@@ -35,10 +38,12 @@
 
   void reset();
   void forget(const std::string &ServerId) { Servers_.erase(ServerId); }
-  /// Records that a run of the step was completed in RunTime; zero if the time
-  /// cannot be compared. Returns true if that puts the server into quarantine.
+  /// Records that a run of the step was completed in RunTime; nothing is
+  /// certain in it if the time cannot be compared. Returns true if that puts
+  /// the server into quarantine.
   bool recordCompletion(const std::string &ServerId, const std::string &Job,
-                        std::uint64_t Step, Duration RunTime, TimePoint Now);
+                        std::uint64_t Step, const RunTimeBounds &RunTime,
+                        TimePoint Now);
   /// Records that a run failed or stalled. Returns true if that puts the server
   /// into quarantine.
   bool recordFailure(const std::string &ServerId, const std::string &Job,
@@ -55,7 +60,8 @@
   struct Record {
     std::uint64_t Failures_ = 0; ///< Failures since the last completed run.
     std::set<std::string> Jobs_; ///< The jobs of these failures.
-    /// Smoothed logarithm of the run time over that on other servers.
+    /// Smoothed logarithm of the run time over that on other servers, of runs
+    /// that tell something certain.
     double SmoothedLogRatio_ = 0;
     std::uint64_t Samples_ = 0;
     /// Jobs whose last runs in a row were slow here.
@@ -65,8 +71,8 @@
     TimePoint Until_{};   ///< The end of the quarantine.
     bool IsSlow_ = false; ///< The quarantine was for slow runs.
   };
-  /// The sums of the logarithms of the run times of one step, in total and by
-  /// server.
+  /// The sums of the logarithms of the longest run times of one step, in total
+  /// and by server.
   struct StepTimes {
     double Sum_ = 0;
     std::uint64_t Count_ = 0;
@@ -75,9 +81,9 @@
   using StepKey = std::pair<std::string, std::uint64_t>;
 
   void startQuarantine(Record &Health, bool IsSlow, TimePoint Now);
-  std::optional<double> compareElsewhere(const std::string &ServerId,
-                                         const StepKey &Step,
-                                         double LogRunTime);
+  std::optional<double> findTellingLogRatio(const std::string &ServerId,
+                                            const StepKey &Step,
+                                            const RunTimeBounds &RunTime);
 
   std::map<std::string, Record> Servers_;
   std::map<StepKey, StepTimes> Steps_;
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -452,8 +452,8 @@
 TEST_F(DispatcherTest, SlowServerTakesOnlyOverdueLongRunningTasks) {
   for (const char *Job : {"a", "b", "c"}) {
     for (int I = 0; I < 3; ++I)
-      Health_.recordCompletion("s2", Job, 0, 500ms, Now_);
-    Health_.recordCompletion("s1", Job, 0, 5s, Now_);
+      Health_.recordCompletion("s2", Job, 0, {500ms, 500ms}, Now_);
+    Health_.recordCompletion("s1", Job, 0, {5s, 5s}, Now_);
   }
   ASSERT_EQ(Health_.getHealthState("s1", Now_), HealthState::Quarantined);
   submit(makeJob("short", {makeStep(1, 1000)}));
--- a/tests/jobs/ServerHealthTest.cpp
+++ b/tests/jobs/ServerHealthTest.cpp
@@ -17,6 +17,10 @@
   }
   bool completeRun(const char *Server = "s", Duration RunTime = 500ms,
                    const char *Job = "j") {
+    return completeRun(Server, {RunTime, RunTime}, Job);
+  }
+  bool completeRun(const char *Server, const RunTimeBounds &RunTime,
+                   const char *Job) {
     return Health_.recordCompletion(Server, Job, 0, RunTime, Now_);
   }
   HealthState healthState(const char *Server = "s") const {
@@ -101,3 +105,46 @@
   for (int I = 0; I < 10; ++I)
     EXPECT_FALSE(completeRun("s", 9000ms, I % 2 == 0 ? "a" : "b"));
 }
+
+// Guards against sound servers that are set aside because their runs are seen
+// for longer than others': only the shortest possible time counts against the
+// longest possible times elsewhere.
+TEST_F(ServerHealthTest, UncertainRunTimesQuarantineNoServer) {
+  for (const char *Job : {"a", "b", "c"})
+    for (int I = 0; I < 3; ++I)
+      completeRun("other", {100ms, 1100ms}, Job);
+  for (int I = 0; I < 4; ++I)
+    for (const char *Job : {"a", "b", "c"})
+      EXPECT_FALSE(completeRun("s", {600ms, 4s}, Job));
+  EXPECT_EQ(healthState(), HealthState::Healthy);
+  EXPECT_EQ(healthState("other"), HealthState::Healthy);
+}
+
+// Runs that tell nothing certain between slow ones do not clear a slow server.
+TEST_F(ServerHealthTest, UncertainRunTimesDoNotClearASlowServer) {
+  const char *const Jobs[] = {"a", "b", "c"};
+  for (const char *Job : Jobs)
+    for (int I = 0; I < 3; ++I)
+      completeRun("other", {300ms, 600ms}, Job);
+  bool IsFound = false;
+  for (const char *Job : Jobs) {
+    IsFound = completeRun("s", {2s, 3s}, Job) || IsFound;
+    EXPECT_FALSE(completeRun("s", {100ms, 3s}, Job));
+    EXPECT_FALSE(completeRun("s", {0ms, 0ms}, Job));
+  }
+  EXPECT_TRUE(IsFound);
+}
+
+// A run whose longest possible time is usual shows that the server is sound.
+TEST_F(ServerHealthTest, RunThatWasCertainlyNotSlowClearsAServer) {
+  const char *const Jobs[] = {"a", "b", "c"};
+  for (const char *Job : Jobs)
+    for (int I = 0; I < 3; ++I)
+      completeRun("other", {300ms, 600ms}, Job);
+  for (int I = 0; I < 4; ++I)
+    for (const char *Job : Jobs) {
+      EXPECT_FALSE(completeRun("s", {2s, 3s}, Job));
+      EXPECT_FALSE(completeRun("s", {0ms, 700ms}, Job));
+    }
+  EXPECT_EQ(healthState(), HealthState::Healthy);
+}
