Keep the reserved memory from filling tasks

What callers saw: none yet; found by reading. A long-running task with a reservation waits without a bound while filling tasks take the memory that becomes free there, piece by piece.

Cause: a reservation was no limit for filling tasks, as they reserve no processors; but they do reserve memory.

Fix: filling tasks leave the reserved memory free; the processors of a reserved server stay theirs while idle.

--- a/src/jobs/CapacitySurvey.h
+++ b/src/jobs/CapacitySurvey.h
@@ -33,6 +33,17 @@
     Resources Need_;
     ReadyStep Step_;
     TimePoint Since_{};
+
+    /// Returns what a task of this step must leave free. A filling task
+    /// reserves no processors, so it can only take memory.
+    Resources getKeptFrom(const StepSpec &Step) const {
+      if (Step.LongRunning_)
+        return {};
+      Resources Kept = Need_;
+      if (Step.Fills_)
+        Kept.MilliCpus_ = 0;
+      return Kept;
+    }
   };
 
   /// All arguments must outlive the survey.
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -90,9 +90,9 @@
   const RemainingCapacity &Remaining = Plan.Remaining_;
   const CapacitySurvey::Reservation *Reservation =
       Survey_.findReservation(Plan.Server_.Facts_.Id_);
-  const bool IsReserved = !Step.LongRunning_ && !Step.Fills_ && Reservation;
-  const Resources Free =
-      IsReserved ? Remaining.Free_ - Reservation->Need_ : Remaining.Free_;
+  const Resources Free = Reservation
+                             ? Remaining.Free_ - Reservation->getKeptFrom(Step)
+                             : Remaining.Free_;
   if (!Step.getReserved().fitsIn(Free))
     return false;
   return Step.DataRack_.empty() ||
--- a/src/jobs/WaitExplainer.cpp
+++ b/src/jobs/WaitExplainer.cpp
@@ -67,8 +67,8 @@
                          RemainingCapacity::computeIdleCpus(Server, Loads_))
     return StartObstacle::Busy;
   const CapacitySurvey::Reservation *Reserved = Survey_.findReservation(Id);
-  const bool IsReserved = Reserved && !Spec.LongRunning_ && !Spec.Fills_ &&
-                          !Spec.getReserved().fitsIn(Free - Reserved->Need_);
+  const bool IsReserved = Reserved && !Spec.getReserved().fitsIn(
+                                          Free - Reserved->getKeptFrom(Spec));
   return IsReserved ? StartObstacle::Reserved : StartObstacle::None;
 }
 
--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -565,3 +565,49 @@
   EXPECT_TRUE(HasStarted);
   EXPECT_LE(Waited, 3s) << "room for it was there all the time";
 }
+
+// Guards against filling tasks that take, piece by piece, the memory that is
+// reserved for a long-running task.
+TEST_F(DispatcherTest, ReservedMemoryIsKeptFromFillingTasks) {
+  const auto MakeHeavy = [](std::uint64_t Count) {
+    StepSpec Step = makeFilling(Count, "f");
+    Step.Need_.MemoryMib_ = 3000;
+    return Step;
+  };
+  apply(RemoveServer{"s2", {}, false, {}});
+  submit(makeJob("first", {MakeHeavy(3)}));
+  std::vector<TaskStart> Running = plan("s1");
+  ASSERT_EQ(Running.size(), 3U);
+  StepSpec Large = makeServing(1, "a");
+  Large.Need_.MemoryMib_ = 6000;
+  submit(makeJob("lasting", {Large}));
+  bool HasStarted = false;
+  // One filling task ends in each round, and more are always waiting.
+  for (int Turn = 0; Turn < 60 && !HasStarted; ++Turn) {
+    advance(100ms);
+    submit(makeJob("more" + std::to_string(Turn), {MakeHeavy(1)}));
+    if (!Running.empty()) {
+      end(Running.front(), RunOutcome::Done);
+      Running.erase(Running.begin());
+    }
+    for (const TaskStart &Start : plan("s1")) {
+      Running.push_back(Start);
+      HasStarted = HasStarted || Start.Task_.Job_ == "lasting";
+    }
+  }
+  EXPECT_TRUE(HasStarted);
+}
+
+// Idle processors of a reserved server are still filled.
+TEST_F(DispatcherTest, FillingTasksUseIdleProcessorsOfAReservedServer) {
+  apply(RemoveServer{"s2", {}, false, {}});
+  submit(makeJob("short", {makeStep(3, 1000)}));
+  ASSERT_EQ(plan("s1").size(), 3U);
+  submit(makeJob("lasting", {makeServing(1, "a", 2000)}));
+  plan("s1");
+  advance(ReadyTimes::MaxLongRunningWait);
+  plan("s1");
+  ASSERT_EQ(Dispatcher_.capacitySurvey().reservations().size(), 1U);
+  submit(makeJob("filling", {makeFilling(1, "f")}));
+  EXPECT_EQ(plan("s1").size(), 1U);
+}
