Revert "Let starved steps and small ones take turns for room"

Its benefit is not shown, so it does not stay. The order that it was to mend, where all starved steps come before small ones, remains as found.

--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -25,13 +25,9 @@
 /// Long-running steps that were passed over for two report intervals come
 /// before those that are due earlier, the ones with the smallest tasks first:
 /// most tasks run that way, and room for a small task comes up most often.
-/// Those that were passed over for MaxPassedOverTime, mostly large ones, come
-/// before them in one turn out of PassedOverTurns, so that neither keep all
-/// room from the others. In a turn every server reports.
+/// Large ones do not wait for longer than the second time.
 static constexpr Duration MinPassedOverTime = 1s;
 static constexpr Duration MaxPassedOverTime = 15s;
-static constexpr Duration PassedOverTurn = 1s;
-static constexpr std::int64_t PassedOverTurns = 4;
 static constexpr std::int64_t Unlimited =
     std::numeric_limits<std::int64_t>::max();
 
@@ -175,8 +171,6 @@
       add(Registry, *Ready, Waits, Now);
     Steps.clear();
   };
-  const bool IsTurnOfStarved =
-      Now.time_since_epoch() / PassedOverTurn % PassedOverTurns == 0;
   const auto AddPriority = [&] {
     AddSorted(Starved);
     AddSorted(PassedOverSteps);
@@ -199,7 +193,7 @@
     const bool IsFirstClass =
         !Step.LongRunning_ || Waits.takesPrecedence(Ready, Now);
     const Duration PassedOverFor = PassedOver.getTime(Ready, Now);
-    if (IsFirstClass && PassedOverFor >= MaxPassedOverTime && IsTurnOfStarved)
+    if (IsFirstClass && PassedOverFor >= MaxPassedOverTime)
       Starved.emplace_back(
           std::pair(hasLostTask(Occurrence, Ready), PassedOverFor), &Ready);
     else if (IsFirstClass && PassedOverFor >= MinPassedOverTime)
