Repeat lost pace orders that stop filling tasks

A pace order is sent again only if the task's use shows that the first one did not arrive. The tolerance was a quarter of the task's need at every pace, so a task at a quarter of its speed whose order to stop was lost looked as if it had stopped, and filled on beside a tail over its target until it ended. The tolerance is now proportional to the expected use.

The new test saw the tail over its target for more than 20 s before, and for less than 5.5 s now.

--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -16,7 +16,10 @@
 /// Answers may be lost: a pace is sent again after this time if the use
 /// deviates by more than the scatter of a report (percent of the need).
 static constexpr Duration PaceRepeatDelay = 1500ms;
-static constexpr std::uint64_t PaceTolerancePercent = 25;
+static constexpr std::uint64_t MaxTolerancePercent = 25;
+/// The scatter is proportional to the use, so a task that should hardly work is
+/// recognized by little use.
+static constexpr std::uint64_t MinTolerancePercent = 5;
 static constexpr std::uint64_t Percent = 100;
 
 void PaceSetter::updatePaces(const ServerReport &Report) {
@@ -51,8 +54,10 @@
                              std::uint64_t Pace) {
   const auto Need = static_cast<std::uint64_t>(Step.Need_.MilliCpus_);
   const std::uint64_t Expected = Need * Pace / Percent;
-  return Used > Expected + Need * PaceTolerancePercent / Percent ||
-         Used < Expected / 2;
+  const std::uint64_t Tolerance =
+      std::clamp(Expected / 2, Need * MinTolerancePercent / Percent,
+                 Need * MaxTolerancePercent / Percent);
+  return Used > Expected + Tolerance || Used < Expected / 2;
 }
 
 void PaceSetter::addPaceOrders(const ServerReport &Report, LiveServer &Live,
--- a/tests/jobs/JobLeaderPacesTest.cpp
+++ b/tests/jobs/JobLeaderPacesTest.cpp
@@ -3,6 +3,7 @@
 #include "jobs/LeaderFixture.h"
 
 #include <cmath>
+#include <utility>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -43,6 +44,41 @@
       << "the task runs as if the order was lost";
 }
 
+TEST_F(JobLeaderTest, LostSecondReductionIsRepeatedBeforeAViolation) {
+  call(CallKind::Submit, "s", {makeServing(1, "serve", 500)});
+  call(CallKind::Submit, "f", {makeFilling(1, "fill")});
+  std::map<TaskKey, std::uint64_t> Runs;
+  std::uint64_t Pace = 100; // In force on the server.
+  bool IsOrderLost = false;
+  // The tail is over its target while the filling task works at all.
+  const auto SendReport = [&] {
+    Strand_.advance(250ms);
+    ServerReport Report = makeReport("s1");
+    for (const auto &[Task, Run] : Runs) {
+      const bool IsServing = Task.Job_ == "s";
+      const std::uint64_t Tail = Pace > 0 ? 130 : 50;
+      Report.Running_.push_back(
+          {Task, Run, "", IsServing ? 100U : 50U, IsServing ? Tail : Pace * 9});
+    }
+    const ServerOrders Orders = report(Report);
+    for (const StartOrder &Start : Orders.Starts_)
+      Runs[Start.Task_] = Start.Run_;
+    for (const PaceOrder &Order : Orders.Paces_) {
+      const bool IsSecond = Order.Percent_ == 0;
+      if (!IsSecond || std::exchange(IsOrderLost, true))
+        Pace = Order.Percent_;
+    }
+  };
+  for (int I = 0; I < 30 && Runs.size() < 2; ++I)
+    SendReport();
+  ASSERT_EQ(Runs.size(), 2U);
+  Duration OverFor{};
+  for (; Pace > 0 && OverFor < 20s; OverFor += 250ms)
+    SendReport();
+  EXPECT_TRUE(IsOrderLost);
+  EXPECT_LT(OverFor, 5500ms);
+}
+
 TEST_F(JobLeaderTest, InterferenceLearnedAsFollowerAppliesAfterElection) {
   call(CallKind::Submit, "serves", {makeServing(1, "s")});
   call(CallKind::Submit, "fills", {makeFilling(1, "heavy")});
