Find a slow server by as many slow runs as jobs

Cause: a server had to have three telling runs and a smoothed ratio over 2.2. That evened out errors of the run times, which no longer count.

Fix: certainly slow runs of two jobs, without one between that was certainly not slow, are enough.

--- a/src/jobs/ServerHealth.cpp
+++ b/src/jobs/ServerHealth.cpp
@@ -20,9 +20,7 @@
 /// same steps on other servers. Run times on healthy servers vary by a third;
 /// faulty servers are at least four times slower.
 static const double MinSlowLogRatio = std::log(2.2);
-static constexpr std::uint64_t MinSamples = 3;
 static constexpr std::uint64_t MinRunsElsewhere = 2;
-static constexpr double NewestWeight = 0.4;
 /// The number of steps whose run times are kept. A few hundred are in progress
 /// at a time.
 static constexpr std::size_t MaxSteps = 512;
@@ -41,7 +39,6 @@
   Health.IsOnProbation_ = true;
   Health.Failures_ = 0;
   Health.Jobs_.clear();
-  Health.Samples_ = 0;
   Health.SlowJobs_.clear();
 }
 
@@ -105,18 +102,12 @@
   const auto LogRatio = findTellingLogRatio(ServerId, {Job, Step}, RunTime);
   if (!LogRatio)
     return false;
-  Health.SmoothedLogRatio_ =
-      Health.Samples_ == 0 ? *LogRatio
-                           : Health.SmoothedLogRatio_ * (1 - NewestWeight) +
-                                 *LogRatio * NewestWeight;
-  ++Health.Samples_;
   if (*LogRatio > MinSlowLogRatio)
     Health.SlowJobs_.insert(Job);
   else
     Health.SlowJobs_.clear();
   const bool IsSlow =
-      Health.Samples_ >= MinSamples && Health.SlowJobs_.size() >= MinJobs &&
-      Health.SmoothedLogRatio_ > MinSlowLogRatio && Now >= Health.Until_;
+      Health.SlowJobs_.size() >= MinJobs && Now >= Health.Until_;
   if (IsSlow)
     startQuarantine(Health, true, Now);
   return IsSlow;
--- a/src/jobs/ServerHealth.h
+++ b/src/jobs/ServerHealth.h
@@ -60,11 +60,7 @@
   struct Record {
     std::uint64_t Failures_ = 0; ///< Failures since the last completed run.
     std::set<std::string> Jobs_; ///< The jobs of these failures.
-    /// Smoothed logarithm of the run time over that on other servers, of runs
-    /// that tell something certain.
-    double SmoothedLogRatio_ = 0;
-    std::uint64_t Samples_ = 0;
-    /// Jobs whose last runs in a row were slow here.
+    /// The jobs of the runs that were slow here since one that was not.
     std::set<std::string> SlowJobs_;
     std::uint64_t QuarantineCount_ = 0; ///< Quarantines in a row.
     bool IsOnProbation_ = false;
--- a/tests/jobs/ServerHealthTest.cpp
+++ b/tests/jobs/ServerHealthTest.cpp
@@ -148,3 +148,16 @@
     }
   EXPECT_EQ(healthState(), HealthState::Healthy);
 }
+
+// A slow server completes few runs, as copies of them are completed elsewhere,
+// so as many runs as jobs are enough.
+TEST_F(ServerHealthTest, CertainlySlowRunsOfTwoJobsAreEnough) {
+  for (const char *Job : {"a", "b", "c"})
+    for (int I = 0; I < 3; ++I)
+      completeRun("other", {300ms, 600ms}, Job);
+  // Earlier runs do not outweigh them.
+  for (int I = 0; I < 10; ++I)
+    EXPECT_FALSE(completeRun("s", {10ms, 300ms}, "c"));
+  EXPECT_FALSE(completeRun("s", {1500ms, 2500ms}, "a"));
+  EXPECT_TRUE(completeRun("s", {1500ms, 2500ms}, "b"));
+}
