--- a/tests/jobs/JobLeaderPacesTest.cpp
+++ b/tests/jobs/JobLeaderPacesTest.cpp
@@ -44,6 +44,8 @@
       << "the task runs as if the order was lost";
 }
 
+// Guards against a filling task that works on beside a tail over its target
+// because the order that stops it was lost.
 TEST_F(JobLeaderTest, LostSecondReductionIsRepeatedBeforeAViolation) {
   call(CallKind::Submit, "s", {makeServing(1, "serve", 500)});
   call(CallKind::Submit, "f", {makeFilling(1, "fill")});
