--- a/include/tulipweir/jobs/JobRegistry.h
+++ b/include/tulipweir/jobs/JobRegistry.h
@@ -110,7 +110,7 @@
   // Totals over the placed tasks, maintained incrementally because a leader
   // handles a thousand reports a second. CPUs in thousandths.
   Resources Used_;
-  Resources UsedByLongRunning_; ///< The part of it that rarely becomes free.
+  Resources UsedByLongRunning_;  ///< The part of it that rarely becomes free.
   std::int64_t ServingCpus_ = 0; ///< Requested by serving tasks.
   std::int64_t OtherCpus_ = 0;   ///< Requested by all other tasks.
   std::map<std::string, std::uint64_t> Serving_;    ///< Serving tasks by image.
--- a/src/jobservice/StateDump.cpp
+++ b/src/jobservice/StateDump.cpp
@@ -55,8 +55,8 @@
   }
   Dump["cpus"] = {{"capacity", Capacity},
                   {"reserved", Reserved},
-                  {"longRunning", LongRunning},
-                  {"longRunningWaiting", Waiting}};
+                  {"reservedLongRunning", LongRunning},
+                  {"waitingLongRunning", Waiting}};
   Dump["longRunningTasksWaiting"] = Tasks;
 }
 
--- a/tests/jobservice/StateDumpTest.cpp
+++ b/tests/jobservice/StateDumpTest.cpp
@@ -29,7 +29,7 @@
       makeStateDump(replication::ReplicaStatus{}, Machine));
   EXPECT_EQ(Dump.at("cpus").at("capacity"), 4000);
   EXPECT_EQ(Dump.at("cpus").at("reserved"), 2000);
-  EXPECT_EQ(Dump.at("cpus").at("longRunning"), 1500);
-  EXPECT_EQ(Dump.at("cpus").at("longRunningWaiting"), 3000);
+  EXPECT_EQ(Dump.at("cpus").at("reservedLongRunning"), 1500);
+  EXPECT_EQ(Dump.at("cpus").at("waitingLongRunning"), 3000);
   EXPECT_EQ(Dump.at("longRunningTasksWaiting"), 2);
 }
