--- a/tests/jobs/SchedulingOrderTest.cpp
+++ b/tests/jobs/SchedulingOrderTest.cpp
@@ -128,3 +128,22 @@
   update();
   EXPECT_EQ(Order_.candidates().at(0).Step_.Job_, "large");
 }
+
+// Guards against a small task that waits for seconds beside room again once
+// many larger ones have been passed over for long enough to come first, and
+// Guards against tasks that were running and were lost, and wait beside room
+// that goes to smaller tasks which have never run.
+TEST_F(SchedulingOrderTest, LostTasksComeBeforeTasksThatHaveNotBegun) {
+  submit(makeJob("lost", {makeServing(1, "a", 3000)}));
+  const TaskStart First = makeStart("lost", 0, "s1");
+  ASSERT_TRUE(start(First));
+  submit(makeJob("new", {makeServing(1, "a", 2000)}));
+  end(First, RunOutcome::LeaseExpired);
+  for (const TimePoint End = Now_ + 4s; Now_ < End; Now_ += 500ms) {
+    PassedOver_.recordRoom(3000, Now_);
+    PassedOver_.update(Registry_, Now_);
+    Waits_.observe(Registry_, Now_);
+  }
+  update();
+  EXPECT_EQ(Order_.candidates().at(0).Step_.Job_, "lost");
+}
