--- a/tests/jobs/FullFleet.cpp
+++ b/tests/jobs/FullFleet.cpp
@@ -394,8 +394,6 @@
 
 void FullFleet::look() {
   updateLostPlacements();
-  if (getenv("TRACE"))
-    fprintf(stderr, "AT %ld\n", long((Time_.now() - BeganAt_) / 1ms));
   std::size_t Count = 0;
   for (auto &[Task, Entry] : LongRunning_)
     if (!Entry.IsRunning_ && Entry.CountsFrom_ <= Time_.now()) {
