--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -611,3 +611,39 @@
   submit(makeJob("filling", {makeFilling(1, "f")}));
   EXPECT_EQ(plan("s1").size(), 1U);
 }
+
+// Guards against a long-running task that waits for seconds beside room on a
+// server that runs a suspected task.
+TEST_F(DispatcherTest, OverdueTaskStartsBesideASuspectWithinThreeSeconds) {
+  submit(makeJob("suspect", {makeServing(1, "a")}));
+  for (std::uint64_t Run = 1; Run <= 2; ++Run) {
+    const std::string Id = "lost" + std::to_string(Run);
+    apply(AddServer{makeServer(Id)});
+    ASSERT_TRUE(start(makeStart("suspect", 0, Id, Run)));
+    const TaskKey Key{"suspect", 0, 0, 0};
+    apply(RemoveServer{Id, {}, true, {true, true, false, true, {{Key, 8000}}}});
+  }
+  ASSERT_EQ(Registry_.crashSuspects().size(), 1U);
+  apply(RemoveServer{"s2", {}, false, {}});
+  std::vector<RunningTask> Running;
+  ServerReport Report;
+  Report.Facts_ = makeServer("s1");
+  const auto Round = [&] {
+    ++Report.Sequence_;
+    Report.Running_ = Running;
+    LiveServers_.recordReport(Report, Now_, 10s);
+    const auto Starts = plan("s1");
+    for (const TaskStart &Start : Starts)
+      Running.push_back({Start.Task_, Start.Run_, "", 100, 0});
+    advance(500ms);
+    return Starts;
+  };
+  for (int I = 0; I < 40 && Running.empty(); ++I)
+    Round();
+  ASSERT_EQ(Running.size(), 1U);
+  submit(makeJob("lasting", {makeServing(1, "a", 3000)}));
+  Duration Waited{};
+  for (; Waited < 30s && Round().empty(); Waited += 500ms) {
+  }
+  EXPECT_LE(Waited, ReadyTimes::MaxLongRunningWait + 3s);
+}
--- a/tests/jobs/JobLeaderPacesTest.cpp
+++ b/tests/jobs/JobLeaderPacesTest.cpp
@@ -125,3 +125,42 @@
   EXPECT_EQ(Last->Task_.Job_, "fills");
   EXPECT_LT(Last->Percent_, 50U);
 }
+
+// Guards against a filling task that stays stopped for ever, as a new leader
+// takes it for running at full speed.
+TEST_F(JobLeaderTest, StoppedTaskResumesUnderANewLeader) {
+  call(CallKind::Submit, "s", {makeServing(1, "serve", 500)});
+  call(CallKind::Submit, "f", {makeFilling(1, "fill")});
+  std::map<TaskKey, std::uint64_t> Runs;
+  std::uint64_t Pace = 100;
+  std::uint64_t Tail = 130;
+  const auto SendReport = [&] {
+    Strand_.advance(250ms);
+    ServerReport Report = makeReport("s1");
+    for (const auto &[Task, Run] : Runs) {
+      const bool IsServing = Task.Job_ == "s";
+      Report.Running_.push_back(
+          {Task, Run, "", IsServing ? 100U : 50U, IsServing ? Tail : Pace * 9});
+    }
+    const ServerOrders Orders = report(Report);
+    for (const StartOrder &Start : Orders.Starts_)
+      Runs[Start.Task_] = Start.Run_;
+    for (const PaceOrder &Order : Orders.Paces_)
+      Pace = Order.Percent_;
+  };
+  for (int I = 0; I < 30 && Runs.size() < 2; ++I)
+    SendReport();
+  ASSERT_EQ(Runs.size(), 2U);
+  for (int I = 0; Pace > 0 && I < 80; ++I)
+    SendReport();
+  ASSERT_EQ(Pace, 0U);
+  Group_.IsLeader_ = false;
+  Strand_.advance(100ms);
+  Group_.IsLeader_ = true;
+  ++Group_.Term_;
+  Strand_.advance(100ms);
+  Tail = 10;
+  for (int I = 0; I < 20; ++I)
+    SendReport();
+  EXPECT_GT(Pace, 0U) << "5 s after the change";
+}
