Test a slow spell of the leader with completed runs, and relays that stop

Servers report completed runs to relays all the time and get no answer for two leases.

For the tests of the next commit, relays of the emulated fleet can stop, as if lost or as if slow, and the replica's status lists the members that have sent something within the election timeout.

--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -119,6 +119,9 @@
   /// On the leader: the other members whose disks answered within the election
   /// timeout.
   std::vector<std::string> Responsive_;
+  /// On the leader: the other members that have sent something within the
+  /// election timeout, whatever their disks do.
+  std::vector<std::string> Reachable_;
   /// On the leader: the members that have sent nothing for UnresponsiveAfter_.
   std::vector<std::string> Unresponsive_;
   std::string Failure_; ///< Why this replica stopped; empty while it runs.
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -452,6 +452,7 @@
 /// The caller holds StatusLock_.
 void ReplicaDriver::publishMemberHealth() {
   Status_.Responsive_.clear();
+  Status_.Reachable_.clear();
   Status_.Unresponsive_.clear();
   if (!Status_.IsLeader_)
     return;
@@ -462,8 +463,11 @@
     if (Health.IsAlive_)
       Status_.Responsive_.push_back(Name);
     // A member whose disk hangs can still relay messages.
-    if (Core_.getTimeSinceHeard(Health.Member_.Id_, Time_.now()) >=
-        Settings_.UnresponsiveAfter_)
+    const Duration Silence =
+        Core_.getTimeSinceHeard(Health.Member_.Id_, Time_.now());
+    if (Silence < Settings_.ElectionTimeout_)
+      Status_.Reachable_.push_back(Name);
+    if (Silence >= Settings_.UnresponsiveAfter_)
       Status_.Unresponsive_.push_back(Name);
   }
 }
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -22,16 +22,76 @@
   return "relay" + std::to_string(Number);
 }
 
-static replication::ReplicaStatus makeStatus(int Relays) {
+/// The times of silence after which a member counts as unreachable and as
+/// unresponsive.
+static constexpr Duration ElectionTimeout = 600ms;
+static constexpr Duration UnresponsiveAfter = 2500ms;
+/// A request to a member that has not handled it by then has failed.
+static constexpr Duration RequestTimeout = 500ms;
+
+replication::ReplicaStatus StarvedFleet::getStatus() const {
   replication::ReplicaStatus Status;
   Status.IsLeader_ = true;
   Status.Members_ = {{{"me", 1}, replication::MemberRole::Voter}};
-  for (int I = 0; I < Relays; ++I)
-    Status.Members_.push_back(
-        {{nameRelay(I), 1}, replication::MemberRole::Voter});
+  for (std::size_t I = 0; I < RelayExecutors_.size(); ++I) {
+    const std::string Name = nameRelay(static_cast<int>(I));
+    Status.Members_.push_back({{Name, 1}, replication::MemberRole::Voter});
+    const bool IsSilent =
+        RelayExecutors_[I]->isStopped() && Scenario_.AreStoppedRelaysLost_;
+    const Duration Silence =
+        IsSilent ? Time_.now() - RelayStoppedAt_ : Duration(0);
+    if (Silence < ElectionTimeout)
+      Status.Reachable_.push_back(Name);
+    if (Silence >= UnresponsiveAfter)
+      Status.Unresponsive_.push_back(Name);
+  }
   return Status;
 }
 
+void StarvedFleet::sendFlushRequest(const std::string &Member,
+                                    const FlushRequest &Request,
+                                    const std::function<void()> &Failed) {
+  for (std::size_t I = 0; I < Relays_.size(); ++I) {
+    if (nameRelay(static_cast<int>(I)) != Member)
+      continue;
+    const auto IsHandled = std::make_shared<bool>(false);
+    deliver(I, [this, I, Request, IsHandled] {
+      *IsHandled = true;
+      Relays_[I]->flushServers(Request);
+    });
+    if (*IsHandled)
+      return;
+    Strand_.postAfter(RequestTimeout, [IsHandled, Failed] {
+      if (!*IsHandled)
+        Failed();
+    });
+  }
+}
+
+void StarvedFleet::deliver(std::size_t Relay,
+                           const std::function<void()> &Task) {
+  RelayExecutor &Target = *RelayExecutors_[Relay];
+  if (!Target.isStopped() || !Scenario_.AreStoppedRelaysLost_)
+    Target.run(Task);
+}
+
+/// Stops and resumes relays, one at a time.
+void StarvedFleet::stopRelays() {
+  const TimePoint Now = Time_.now();
+  RelayExecutor &Stopped = *RelayExecutors_[StoppedRelay_];
+  if (Stopped.isStopped() &&
+      Now - RelayStoppedAt_ >= Scenario_.RelayStopTime_) {
+    NextRelayStop_ = Now + Scenario_.RelayStopPause_;
+    Stopped.resume();
+    Strand_.runAll();
+  }
+  if (Stopped.isStopped() || Now < NextRelayStop_)
+    return;
+  StoppedRelay_ = drawBelow(Relays);
+  RelayStoppedAt_ = Now;
+  RelayExecutors_[StoppedRelay_]->stop();
+}
+
 static JobLeaderSettings makeSettings(const FleetScenario &Scenario) {
   JobLeaderSettings Settings;
   Settings.Lease_ = Scenario.Lease_;
@@ -42,12 +102,10 @@
     : Scenario_(Scenario), Random_(Scenario.Seed_),
       Settings_(makeSettings(Scenario)),
       Flush_(
-          "me", Time_, [] { return makeStatus(Relays); },
+          "me", Time_, [this] { return getStatus(); },
           [this](const std::string &Member, const FlushRequest &Request,
-                 const std::function<void()> &) {
-            for (int I = 0; I < Relays; ++I)
-              if (nameRelay(I) == Member)
-                Relays_[static_cast<std::size_t>(I)]->flushServers(Request);
+                 const std::function<void()> &Failed) {
+            sendFlushRequest(Member, Request, Failed);
           }),
       Leader_(Settings_, Time_, Strand_, Replica_, Machine_, Advisor_,
               Provider_, Flush_, Log_, Meter_),
@@ -55,12 +113,14 @@
           Time_, Meter_, [this](ReportBatch Batch, ReportInbox::Reply Reply) {
             InProgress_ = BatchInProgress{std::move(Batch), std::move(Reply)};
           }) {
-  for (int I = 0; I < Relays; ++I)
+  for (std::size_t I = 0; I < Relays; ++I) {
+    RelayExecutors_.push_back(std::make_unique<RelayExecutor>(Strand_));
     Relays_.push_back(std::make_shared<ReportRelay>(
-        Strand_, Time_,
-        [this](ReportBatch Batch, Duration, ReportRelay::BatchDone Done) {
-          receive(std::move(Batch), std::move(Done));
+        *RelayExecutors_[I], Time_,
+        [this, I](ReportBatch Batch, Duration, ReportRelay::BatchDone Done) {
+          receive(I, std::move(Batch), std::move(Done));
         }));
+  }
   Leader_.start();
   Strand_.advance(100ms);
   Leader_.putConfiguration(jobs::test::makeConfiguration(),
@@ -77,6 +137,7 @@
   }
   StartedAt_ = LeaderFreeAt_ = Time_.now();
   NextFault_ = Time_.now() + 3s;
+  NextRelayStop_ = Time_.now() + 3s;
 }
 
 void StarvedFleet::run() {
@@ -111,6 +172,8 @@
     NextFault_ = Now + Scenario_.FaultInterval_;
     injectFault();
   }
+  if (Scenario_.RelayStopTime_ > Duration(0))
+    stopRelays();
   for (std::size_t I = 0; I < Servers_.size(); ++I) {
     Server &Backend = Servers_[I];
     if (Backend.IsGone_)
@@ -195,19 +258,24 @@
                       });
 }
 
-void StarvedFleet::receive(ReportBatch Batch, ReportRelay::BatchDone Done) {
+void StarvedFleet::receive(std::size_t Relay, ReportBatch Batch,
+                           ReportRelay::BatchDone Done) {
   const TimePoint Now = Time_.now();
   const auto Shared = std::make_shared<ReportRelay::BatchDone>(std::move(Done));
-  Calls_.push_back({Shared, Now});
+  Calls_.push_back({Shared, Now, Relay});
   LeaderFreeAt_ = std::max(LeaderFreeAt_, Now) +
                   getReportCost() / ReadCostDivisor *
                       static_cast<int>(Batch.Reports_.size());
-  LeaderQueue_.post([this, Shared, Now, Sent = std::move(Batch)]() mutable {
-    Inbox_.add(std::move(Sent), Now, [Shared](ReportBatchReply Reply) {
-      if (*Shared)
-        std::exchange(*Shared, nullptr)(std::move(Reply));
-    });
-  });
+  LeaderQueue_.post(
+      [this, Relay, Shared, Now, Sent = std::move(Batch)]() mutable {
+        Inbox_.add(std::move(Sent), Now,
+                   [this, Relay, Shared](const ReportBatchReply &Reply) {
+                     deliver(Relay, [Shared, Reply] {
+                       if (*Shared)
+                         std::exchange(*Shared, nullptr)(Reply);
+                     });
+                   });
+      });
 }
 
 /// Returns the number of reports that cost more than reading them. A late
@@ -232,7 +300,8 @@
 void StarvedFleet::runLeader() {
   const TimePoint Now = Time_.now();
   for (const Call &Pending : Calls_)
-    if (*Pending.Done_ && Now - Pending.SentAt_ > CallTimeout)
+    if (*Pending.Done_ && Now - Pending.SentAt_ > CallTimeout &&
+        !RelayExecutors_[Pending.Relay_]->isStopped())
       std::exchange(*Pending.Done_, nullptr)(fail(ErrorCode::Timeout, "late"));
   std::erase_if(Calls_, [](const Call &Pending) { return !*Pending.Done_; });
   while (LeaderFreeAt_ <= Now) {
@@ -378,12 +447,15 @@
   Backend.LastReportedEnd_ = Backend.LastEnd_;
   Backend.IsWaiting_ = true;
   Backend.SentAt_ = Time_.now();
-  Relays_[static_cast<std::size_t>(Backend.Relay_)]->add(
-      Report, [this, Number, Id = Backend.Id_, Sequence = Backend.Sequence_](
-                  const Outcome<ServerOrders> &Answer) {
-        if (Servers_[Number].Id_ == Id)
-          handleAnswer(Number, Sequence, Answer);
-      });
+  const auto Relay = static_cast<std::size_t>(Backend.Relay_);
+  deliver(Relay, [this, Relay, Report, Number] {
+    Relays_[Relay]->add(Report, [this, Number, Id = Report.Facts_.Id_,
+                                 Sequence = Report.Sequence_](
+                                    const Outcome<ServerOrders> &Answer) {
+      if (Servers_[Number].Id_ == Id)
+        handleAnswer(Number, Sequence, Answer);
+    });
+  });
 }
 
 void StarvedFleet::handleAnswer(std::size_t Number, std::uint64_t Sequence,
--- a/tests/jobservice/StarvedFleet.h
+++ b/tests/jobservice/StarvedFleet.h
@@ -41,6 +41,14 @@
   Duration Lease_ = std::chrono::seconds(5);
   /// Most jobs with long-running tasks; 0 for no limit.
   int MaxLongRunningJobs_ = 0;
+  /// A random relay stops for this time, as soon as the one before has resumed
+  /// and RelayStopPause_ has passed; zero for never.
+  Duration RelayStopTime_{};
+  Duration RelayStopPause_ = std::chrono::seconds(1);
+  /// What a stopped relay receives is lost and its replica is silent, as after
+  /// a crash or behind a cut. Otherwise the relay is only slow: it handles what
+  /// it receives when it resumes, and its replica answers meanwhile.
+  bool AreStoppedRelaysLost_ = false;
 };
 
 /// Queues the leader's work until its time budget allows it.
@@ -63,6 +71,41 @@
   std::deque<std::function<void()>> Tasks_;
 };
 
+/// Runs the tasks of one relay, or holds them while it is stopped.
+class RelayExecutor final : public Executor {
+public:
+  explicit RelayExecutor(Executor &Strand) : Strand_(Strand) {}
+
+  void post(std::function<void()> Task) override {
+    Strand_.post(wrap(std::move(Task)));
+  }
+  void postAfter(Duration Delay, std::function<void()> Task) override {
+    Strand_.postAfter(Delay, wrap(std::move(Task)));
+  }
+  /// Runs the task at once, or when the relay resumes.
+  void run(const std::function<void()> &Task) {
+    if (IsStopped_)
+      return Held_.push_back(Task);
+    Task();
+  }
+  void stop() { IsStopped_ = true; }
+  void resume() {
+    IsStopped_ = false;
+    for (const std::function<void()> &Task : std::exchange(Held_, {}))
+      Task();
+  }
+  bool isStopped() const { return IsStopped_; }
+
+private:
+  std::function<void()> wrap(std::function<void()> Task) {
+    return [this, Task = std::move(Task)] { run(Task); };
+  }
+
+  Executor &Strand_;
+  bool IsStopped_ = false;
+  std::vector<std::function<void()>> Held_;
+};
+
 /// Reports the starts of tasks.
 class StartLog final : public EventLog {
 public:
@@ -148,6 +191,7 @@
   struct Call {
     std::shared_ptr<ReportRelay::BatchDone> Done_; ///< Null once called.
     TimePoint SentAt_{};
+    std::size_t Relay_ = 0;
   };
   struct TaskHistory {
     std::uint64_t LastRun_ = 0; ///< The highest run that has started.
@@ -157,6 +201,13 @@
     TimePoint LastRunning_{}; ///< When the task was last seen running.
   };
 
+  replication::ReplicaStatus getStatus() const;
+  void sendFlushRequest(const std::string &Member,
+                        const jobs::FlushRequest &Request,
+                        const std::function<void()> &Failed);
+  void stopRelays();
+  /// Runs the task at the relay, unless what it receives is lost.
+  void deliver(std::size_t Relay, const std::function<void()> &Task);
   void step();
   void runLeader();
   void updateObservations();
@@ -164,7 +215,8 @@
   bool isGone(const std::string &Id) const;
   bool mayBeGivenUp(const TaskKey &Task) const;
   Duration getReportCost() const;
-  void receive(jobs::ReportBatch Batch, ReportRelay::BatchDone Done);
+  void receive(std::size_t Relay, jobs::ReportBatch Batch,
+               ReportRelay::BatchDone Done);
   void handleBatch(BatchInProgress Next);
   int countHandled(const jobs::ReportBatch &Batch) const;
   void submitJob();
@@ -193,7 +245,11 @@
   StartLog Log_{[this](const Event &Started) { recordPlacement(Started); }};
   jobs::NoJobMeter Meter_;
   const jobs::JobLeaderSettings Settings_;
+  std::vector<std::unique_ptr<RelayExecutor>> RelayExecutors_;
   std::vector<std::shared_ptr<ReportRelay>> Relays_;
+  std::size_t StoppedRelay_ = 0;
+  TimePoint RelayStoppedAt_{};
+  TimePoint NextRelayStop_{};
   RelayFlush Flush_;
   jobs::JobLeader Leader_;
   LeaderQueue LeaderQueue_;
--- a/tests/jobservice/StarvedFleetTest.cpp
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -174,3 +174,31 @@
       EXPECT_GT(Fleet.ServersLost_, 200U);
     }
 }
+
+/// A fleet whose leader becomes nine times slower for longer than two leases.
+/// Nothing else is wrong: no server and no relay is lost.
+static FleetScenario makeSlowSpell(std::uint64_t Seed, Duration SlowCost) {
+  FleetScenario Scenario;
+  Scenario.Seed_ = Seed;
+  Scenario.Servers_ = 360;
+  Scenario.ReportCost_ = 800us;
+  Scenario.SlowReportCost_ = SlowCost;
+  Scenario.SlowFrom_ = 10s;
+  Scenario.SlowUntil_ = 30s;
+  Scenario.Length_ = 45s;
+  return Scenario;
+}
+
+// Guards against a leader that takes its own delay for the silence of a server.
+// The server reports a completed run to a relay all the time, gets no answer
+// for two leases, and is removed; the run begins again elsewhere.
+TEST(StarvedFleetTest, NothingRunsTwiceAfterASlowSpellOfTheLeader) {
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed)
+    for (const Duration Cost : {5ms, 7ms, 10ms}) {
+      StarvedFleet Fleet(makeSlowSpell(Seed, Cost));
+      Fleet.run();
+      EXPECT_THAT(Fleet.Violations_, testing::IsEmpty())
+          << "seed " << Seed << ", " << Cost.count() << " ns a report";
+      EXPECT_GT(Fleet.Started_, 1000U);
+    }
+}
