Keep servers that a relay hears although another relay does not answer

Cause: a server whose lease expires is removed if no relay has heard it. One relay that did not answer within 1.5 s (0.5 s in a second check) ended the round for all its servers, and then what the other relays had said was dropped: a server that reported to another relay all the time, without an answer of the slow leader, was removed.

Change: findPartialAnswer says which servers were named while members have not answered, and which a reachable member may still name. Named ones are kept. A reachable relay is waited for until 2 s after the lease expired, which with a second check leaves long-running tasks their time (LastingTasksAreBackInTimeBesideAStoppedRelay, 9 s). After a silent relay there is always a second check, as the server may have turned to another one since; so a first check takes 1 s at most if the leader is not overloaded.

Ruled out: longer rounds for all, as a lost relay would delay each removal.

--- a/include/tulipweir/jobs/ReportRelays.h
+++ b/include/tulipweir/jobs/ReportRelays.h
@@ -36,6 +36,14 @@
   }
 };
 
+/// What is known of servers while members have not answered findHeard.
+struct PartialAnswer {
+  std::set<std::string> Heard_; ///< A member has named them as heard.
+  /// No member has named them so far, but one that is reachable has not
+  /// answered yet.
+  std::set<std::string> Unknown_;
+};
+
 /// Sends requests to all relays. Each callback runs once, on the leader's
 /// executor, also when members do not answer: unreachable members are skipped,
 /// and no request takes longer than a lease.
@@ -52,6 +60,12 @@
   /// seconds. The members pass on their buffered reports of the others.
   virtual void findHeard(const std::vector<std::string> &ServerIds,
                          std::function<void(Heard)> Done) = 0;
+  /// Returns what members have said so far of servers for which the last
+  /// findHeard is not done.
+  virtual PartialAnswer
+  findPartialAnswer(const std::vector<std::string> & /*ServerIds*/) const {
+    return {};
+  }
   /// Asks the other members, as the new leader of Term, until when earlier
   /// leaders' leases can last. Found is called each time more is known, and
   /// never if nothing can be known.
--- a/src/jobs/JobLeaderExpiry.cpp
+++ b/src/jobs/JobLeaderExpiry.cpp
@@ -9,15 +9,21 @@
 /// The least time between two checks of a server whose lease has expired, in
 /// which the server sends two to three reports.
 static constexpr Duration RecheckDelay = 1s;
-/// The longest wait for the relays' answers.
-static constexpr Duration MaxExpiryRoundTime = 1500ms;
+/// The longest wait in a first check for relays that do not answer and are not
+/// reachable. An overloaded leader also begins the check earlier.
+static constexpr Duration MaxFirstRoundTime = 1s;
+static constexpr Duration MaxOverloadedFirstRoundTime = 1500ms;
 /// The first check begins this long before the lease expires, so that a silent
 /// relay delays the removal by less than a second. An overloaded leader, which
 /// checks twice, begins earlier.
 static constexpr Duration FirstCheckLead = 600ms;
 static constexpr Duration OverloadedFirstCheckLead = RecheckDelay;
-/// The longest wait in a second check if a relay was silent in the first one.
+/// The same in a second check if a relay was silent in the first one.
 static constexpr Duration MaxSecondRoundTime = 500ms;
+/// A relay that is reachable but does not answer is waited for until this time
+/// after the lease expired. Long-running tasks of a lost server run again
+/// within half a lease of it, and a second check and the start need the rest.
+static constexpr Duration MaxWaitForSlowRelay = 2s;
 /// The least time between two rounds while the leader is overloaded.
 static constexpr Duration ExpiryRoundInterval = 250ms;
 
@@ -61,28 +67,42 @@
       });
 }
 
-/// Ends rounds that a relay has not answered in time, as if no relay had heard
-/// the servers. Nothing runs on a server without a lease, and one silent relay
-/// must not delay the removal of all servers of a round.
+/// Ends rounds that a relay has not answered in time. What the other relays
+/// have said counts. One silent relay must not delay the removal of all servers
+/// of a round, as nothing runs on a server without a lease. But a relay that is
+/// only slow may hold reports of completed runs, so it is waited for longer.
 void JobLeader::Impl::endOverdueRounds() {
   const TimePoint Now = Time_.now();
-  std::vector<std::pair<std::string, std::uint64_t>> Overdue;
+  const Duration FirstRoundTime =
+      Now < OverloadedUntil_ ? MaxOverloadedFirstRoundTime : MaxFirstRoundTime;
+  std::vector<std::string> Overdue;
   for (const auto &[Id, Check] : ExpiryChecks_) {
     const auto It = Unheard_.find(Id);
     const bool HasSilentRelay = It != Unheard_.end() && It->second;
     const Duration Longest =
-        HasSilentRelay ? MaxSecondRoundTime : MaxExpiryRoundTime;
+        HasSilentRelay ? MaxSecondRoundTime : FirstRoundTime;
     if (Check.IsOpen_ && Now - Check.AskedAt_ >= Longest)
-      Overdue.emplace_back(Id, Check.Round_);
+      Overdue.push_back(Id);
+  }
+  if (Overdue.empty())
+    return;
+  const PartialAnswer Answer = Relays_.findPartialAnswer(Overdue);
+  for (const std::string &Id : Overdue) {
+    const LiveServer *Live = LiveServers_.find(Id);
+    if (Answer.Unknown_.count(Id) != 0 && Live &&
+        Now < Live->LeaseEnd_ + MaxWaitForSlowRelay)
+      continue;
+    finishExpiryCheck(Id, ExpiryChecks_.at(Id).Round_,
+                      Answer.Heard_.count(Id) != 0 ? RelayAnswer::Heard
+                                                   : RelayAnswer::Missing);
   }
-  for (const auto &[Id, Round] : Overdue)
-    finishExpiryCheck(Id, Round, RelayAnswer::Missing);
 }
 
 /// Removes the server unless a relay has heard it. A server that was heard is
 /// kept although its lease expired: its next report tells which runs have
 /// finished, and these must not start elsewhere. While the leader is overloaded
-/// a relay may not have read that report yet, so the relays are asked twice.
+/// a relay may not have read that report yet, and beside a silent relay the
+/// server may have turned to another one since, so the relays are asked twice.
 void JobLeader::Impl::finishExpiryCheck(const std::string &Id,
                                         std::uint64_t Round,
                                         RelayAnswer Answer) {
@@ -104,8 +124,9 @@
   }
   const bool HasLease = Live->LeaseEnd_ > Now;
   const bool IsOverloaded = Now < OverloadedUntil_;
-  if (HasLease || (IsOverloaded && !WasUnheard)) {
-    Unheard_[Id] = Answer == RelayAnswer::Missing;
+  const bool IsMissing = Answer == RelayAnswer::Missing;
+  if (HasLease || ((IsOverloaded || IsMissing) && !WasUnheard)) {
+    Unheard_[Id] = IsMissing;
     Check.NextAsk_ = Live->LeaseEnd_;
     if (IsOverloaded)
       Check.NextAsk_ = std::max(Check.NextAsk_, Check.AskedAt_ + RecheckDelay);
--- a/src/jobservice/RelayFlush.cpp
+++ b/src/jobservice/RelayFlush.cpp
@@ -50,6 +50,38 @@
     sendRequest(Id);
 }
 
+static bool contains(const std::vector<std::string> &Names,
+                     const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+jobs::PartialAnswer
+RelayFlush::findPartialAnswer(const std::vector<std::string> &ServerIds) const {
+  const std::set<std::string> Wanted(ServerIds.begin(), ServerIds.end());
+  const replication::ReplicaStatus Status = FindStatus_();
+  // The newest open round that names each server.
+  std::map<std::string, const Round *> Rounds;
+  std::set<const Round *> AwaitsReachable;
+  for (const auto &[Id, Request] : Requests_) {
+    const Round &Open = *Request.Round_;
+    if (!Open.OnlySilent_)
+      continue;
+    if (contains(Status.Reachable_, Request.Member_))
+      AwaitsReachable.insert(&Open);
+    for (const std::string &Server : Open.Servers_)
+      if (Wanted.count(Server) != 0)
+        Rounds[Server] = &Open;
+  }
+  jobs::PartialAnswer Answer;
+  for (const auto &[Server, Open] : Rounds) {
+    if (Open->Heard_.count(Server) != 0)
+      Answer.Heard_.insert(Server);
+    else if (AwaitsReachable.count(Open) != 0)
+      Answer.Unknown_.insert(Server);
+  }
+  return Answer;
+}
+
 void RelayFlush::sendRequest(std::uint64_t Id) {
   PendingRequest &Request = Requests_.at(Id);
   Request.HasFailed_ = false;
@@ -96,9 +128,7 @@
                       return Member.Id_.Name_ == Request.Member_;
                     });
     const bool IsGone =
-        !IsMember ||
-        std::find(Status.Unresponsive_.begin(), Status.Unresponsive_.end(),
-                  Request.Member_) != Status.Unresponsive_.end();
+        !IsMember || contains(Status.Unresponsive_, Request.Member_);
     if (!Status.IsLeader_ || IsGone ||
         Now - Request.Round_->StartedAt_ >= RoundTimeout)
       Expired.push_back(Id);
--- a/src/jobservice/RelayFlush.h
+++ b/src/jobservice/RelayFlush.h
@@ -40,6 +40,8 @@
   void flush(const std::string &ServerId, std::function<void()> Done) override;
   void findHeard(const std::vector<std::string> &ServerIds,
                  std::function<void(Heard)> Done) override;
+  jobs::PartialAnswer
+  findPartialAnswer(const std::vector<std::string> &ServerIds) const override;
   /// Completes a request. Called once the reports of the batch that answers it
   /// have been handled.
   void onBatch(std::uint64_t FlushId, const std::vector<std::string> &Servers);
--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -94,6 +94,10 @@
                    std::function<void(Heard)> Done) override {
       Flush_.findHeard(ServerIds, std::move(Done));
     }
+    jobs::PartialAnswer findPartialAnswer(
+        const std::vector<std::string> &ServerIds) const override {
+      return Flush_.findPartialAnswer(ServerIds);
+    }
     void findLeaseBounds(
         std::uint64_t Term,
         std::function<void(const jobs::LeaseBounds &)> Found) override {
--- a/tests/jobs/DepartingServersTest.cpp
+++ b/tests/jobs/DepartingServersTest.cpp
@@ -120,3 +120,39 @@
   EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
   EXPECT_FALSE(isStartedElsewhere());
 }
+
+// Guards against a silent relay that hides what the other relays have said.
+TEST_F(DepartingServersTest, ServerThatARelayHearsIsKeptBesideASilentRelay) {
+  const StartOrder Run = startRun();
+  Relays_.Partial_.Heard_ = {"s1"};
+  expireLease();
+  Strand_.advance(Settings_.Lease_);
+  EXPECT_FALSE(isStartedElsewhere());
+  report(makeFinalReport(Run));
+  EXPECT_FALSE(isStartedElsewhere()) << "the task is completed";
+}
+
+// Guards against a relay that is short of processor time: it holds the report
+// of a completed run and answers late.
+TEST_F(DepartingServersTest, ReportThatASlowRelayHoldsCounts) {
+  const StartOrder Run = startRun();
+  Relays_.Partial_.Unknown_ = {"s1"};
+  expireLease();
+  Strand_.advance(1500ms);
+  EXPECT_FALSE(isStartedElsewhere());
+  report(makeFinalReport(Run));
+  Relays_.answer();
+  Strand_.advance(2s);
+  EXPECT_FALSE(isStartedElsewhere()) << "the task is completed";
+}
+
+// A relay that never answers must not keep a lost server: its long-running
+// tasks have to run elsewhere within half a lease of the lease's end.
+TEST_F(DepartingServersTest, RelayThatNeverAnswersKeepsNoServer) {
+  startRun();
+  Relays_.Partial_.Unknown_ = {"s1"};
+  Strand_.advance(Settings_.Lease_ * (100 + Settings_.ClockDriftPercent_) /
+                      100 +
+                  Settings_.Lease_ / 2 + 100ms);
+  EXPECT_TRUE(isStartedElsewhere());
+}
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -188,6 +188,10 @@
       return Strand_.post([Done = std::move(Done)] { Done({}); });
     Requests_.push_back(std::move(Done));
   }
+  PartialAnswer
+  findPartialAnswer(const std::vector<std::string> &) const override {
+    return Partial_;
+  }
   void
   findLeaseBounds(std::uint64_t,
                   std::function<void(const LeaseBounds &)> Found) override {
@@ -200,6 +204,8 @@
   }
 
   bool AnswersAutomatically_ = true;
+  /// What is known while requests are open.
+  PartialAnswer Partial_;
   /// Tells the last new leader the bounds of earlier leases.
   std::function<void(const LeaseBounds &)> FoundBounds_;
 
--- a/tests/jobservice/RelayFlushTest.cpp
+++ b/tests/jobservice/RelayFlushTest.cpp
@@ -70,6 +70,28 @@
   EXPECT_EQ(*Heard_, ReportRelays::Heard{"a"});
 }
 
+// Guards against a silent member that hides what the others have said.
+TEST_F(RelayFlushTest, TellsWhatIsKnownBeforeAllHaveAnswered) {
+  Status_.Reachable_ = {"x"};
+  startRound({"a", "b"});
+  EXPECT_EQ(Flush_.findPartialAnswer({"a"}).Unknown_, ReportRelays::Heard{"a"})
+      << "a reachable member has not answered";
+  Flush_.onBatch(Requests_[0].Request_.Id_, {"a"});
+  const PartialAnswer Known = Flush_.findPartialAnswer({"a", "b", "c"});
+  EXPECT_EQ(Known.Heard_, ReportRelays::Heard{"a"});
+  EXPECT_TRUE(Known.Unknown_.empty()) << "the silent member may be lost";
+  Status_.Reachable_ = {"x", "y"};
+  EXPECT_EQ(Flush_.findPartialAnswer({"a", "b", "c"}).Unknown_,
+            ReportRelays::Heard{"b"});
+}
+
+TEST_F(RelayFlushTest, OnlyTheLastRoundTellsWhatIsKnown) {
+  startRound({"a"});
+  Flush_.onBatch(Requests_[0].Request_.Id_, {"a"});
+  startRound({"a"});
+  EXPECT_TRUE(Flush_.findPartialAnswer({"a"}).Heard_.empty());
+}
+
 TEST_F(RelayFlushTest, ResendsAFailedRequest) {
   startRound({"a"});
   Flush_.onBatch(Requests_[0].Request_.Id_, {});
--- a/tests/jobservice/SharedGroup.cpp
+++ b/tests/jobservice/SharedGroup.cpp
@@ -8,6 +8,7 @@
 
 /// Seven eighths of the election timeout of 600 ms.
 static constexpr Duration LeaderLease = 525ms;
+static constexpr Duration ElectionTimeout = 600ms;
 static constexpr Duration UnresponsiveAfter = 2500ms;
 
 /// A member's access to the group.
@@ -258,6 +259,9 @@
         {{getName(I), 1}, replication::MemberRole::Voter});
     if (I == Member)
       continue;
+    if (isReachable(I) ||
+        Time_.now() - Members_[I].UnreachableSince_ < ElectionTimeout)
+      Status.Reachable_.push_back(getName(I));
     if (isReachable(I))
       Status.Responsive_.push_back(getName(I));
     else if (Time_.now() - Members_[I].UnreachableSince_ >= UnresponsiveAfter)
--- a/tests/jobservice/StarvedFleetTest.cpp
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -175,6 +175,28 @@
     }
 }
 
+// Guards against waits for relays that exceed the time in which long-running
+// tasks of a lost server have to run again.
+TEST(StarvedFleetTest, LastingTasksAreBackInTimeBesideAStoppedRelay) {
+  static constexpr Duration MaxDowntime = 9s;
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed)
+    for (const bool AreLost : {false, true})
+      for (const Duration StopTime : {1s, 2s}) {
+        FleetScenario Scenario = makeScenario(Seed, 5ms, 60s);
+        Scenario.HasFaults_ = true;
+        Scenario.Lease_ = 6s;
+        Scenario.RelayStopTime_ = StopTime;
+        Scenario.RelayStopPause_ = 3s;
+        Scenario.AreStoppedRelaysLost_ = AreLost;
+        StarvedFleet Fleet(Scenario);
+        Fleet.run();
+        EXPECT_LE(Fleet.MaxDowntime_, MaxDowntime)
+            << "seed " << Seed << ", " << StopTime / 1s << " s, "
+            << (AreLost ? "lost" : "slow");
+        EXPECT_GT(Fleet.MaxDowntime_, Scenario.Lease_ / 2);
+      }
+}
+
 /// A fleet whose leader becomes nine times slower for longer than two leases.
 /// Nothing else is wrong: no server and no relay is lost.
 static FleetScenario makeSlowSpell(std::uint64_t Seed, Duration SlowCost) {
@@ -202,3 +224,36 @@
       EXPECT_GT(Fleet.Started_, 1000U);
     }
 }
+
+// Guards against a lost relay that hides what the other relays have said. The
+// leader waits for the lost one, gives the whole round up and removes servers
+// that another relay has named as heard.
+TEST(StarvedFleetTest, NothingRunsTwiceBesideALostRelay) {
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed)
+    for (const Duration StopTime : {2s, 4s}) {
+      FleetScenario Scenario = makeSlowSpell(Seed, 10ms);
+      Scenario.RelayStopTime_ = StopTime;
+      Scenario.AreStoppedRelaysLost_ = true;
+      StarvedFleet Fleet(Scenario);
+      Fleet.run();
+      EXPECT_THAT(Fleet.Violations_, testing::IsEmpty())
+          << "seed " << Seed << ", relays lost for " << StopTime / 1s << " s";
+      EXPECT_GT(Fleet.Started_, 1000U);
+    }
+}
+
+// Guards against a relay that is short of processor time: it has received the
+// servers' reports, but does not answer the leader's request in time.
+TEST(StarvedFleetTest, NothingRunsTwiceBesideASlowRelay) {
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed)
+    for (const Duration StopTime : {1s, 2s, 3s}) {
+      FleetScenario Scenario = makeSlowSpell(Seed, 10ms);
+      Scenario.RelayStopTime_ = StopTime;
+      StarvedFleet Fleet(Scenario);
+      Fleet.run();
+      EXPECT_THAT(Fleet.Violations_, testing::IsEmpty())
+          << "seed " << Seed << ", relays stopped for " << StopTime / 1s
+          << " s";
+      EXPECT_GT(Fleet.Started_, 1000U);
+    }
+}
