Record ends that arrive while the removal of their server commits

A report was rejected with "the server is being removed" from the proposal of a removal until its commit.

Now the ends in such a report are proposed, behind the removal in the log. No start of the task can be proposed before the removal is applied, so the state machine refuses one for a completed task. The server still gets an error, no lease and no acknowledgement.

Ruled out: to withdraw the removal, as it may be committed already. Test: DepartingServersTest.EndThatArrivesDuringTheRemovalIsRecorded, red before (the task was started on another server; the job not completed).

--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -147,8 +147,11 @@
                                "no such service: " + Facts.Service_));
   if (LiveServer *Live = LiveServers_.find(Facts.Id_);
       Live && Live->IsRemoving_)
-    return reply(Pending,
-                 fail(ErrorCode::Unavailable, "the server is being removed"));
+    return recordLateEnds(
+        Pending->Report_, [this, Pending](const Outcome<ServerOrders> &) {
+          reply(Pending,
+                fail(ErrorCode::Unavailable, "the server is being removed"));
+        });
   if (IsKnown)
     return commitEnds(Pending);
   if (!Occupant.empty() && !takeOver(Occupant, Facts)) {
--- a/tests/jobs/DepartingServersTest.cpp
+++ b/tests/jobs/DepartingServersTest.cpp
@@ -121,6 +121,25 @@
   EXPECT_FALSE(isStartedElsewhere());
 }
 
+// Guards against an end that is rejected because the removal of its server is
+// proposed but not committed. The task would run twice.
+TEST_F(DepartingServersTest, EndThatArrivesDuringTheRemovalIsRecorded) {
+  const StartOrder Run = startRun();
+  expireLease();
+  Group_.IsHeld_ = true;
+  Relays_.answer();
+  Strand_.runAll();
+  ASSERT_EQ(Log_.count(EventKind::ServerGone), 1U);
+  const std::optional<Outcome<ServerOrders>> Answer =
+      tryReport(makeFinalReport(Run));
+  EXPECT_FALSE(Answer && *Answer) << "it gets no lease";
+  Group_.IsHeld_ = false;
+  Group_.commitAll();
+  Strand_.runAll();
+  EXPECT_FALSE(isStartedElsewhere()) << "the task is completed";
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+}
+
 // Guards against a silent relay that hides what the other relays have said.
 TEST_F(DepartingServersTest, ServerThatARelayHearsIsKeptBesideASilentRelay) {
   const StartOrder Run = startRun();
