Flush the relays before a server is removed at its VM's maintenance

A leaving and a taken address already wait until the relays have passed on what they buffer of the server. A maintenance did not: its server ends at once, also with runs that had too little time, and a run whose end was still at a relay began again elsewhere. The ends of servers that are leaving are recorded until the relays have answered.

One function now serves the leaving and the maintenance (removeOnceFlushed). Left: an address that is taken over has its own steps (IncarnationConflicts). Test: JobWavesTest.EndThatARelayBuffersAtAMaintenanceIsRecorded, red before (started on s2).

--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -154,6 +154,8 @@
   /// Makes the reports of the servers that run tasks of the job urgent.
   void requestStops(const std::string &Job);
   void removeServer(const std::string &Id, Departure How, ResultCallback Done);
+  void removeOnceFlushed(const std::string &Id, Departure How,
+                         ResultCallback Done);
   void propose(const Command &Value, ResultCallback Done);
   /// Returns NotLeader with the leader's name if it is known.
   Error makeNotLeaderError() const;
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -21,27 +21,34 @@
 void JobLeader::Impl::leave(const std::string &ServerId, Done<void> Reply) {
   if (!isLeading())
     return Reply(makeNotLeaderError());
-  Leaving_.insert(ServerId);
-  const bool IsEmpty = Machine_.read([&ServerId](const JobRegistry &Registry) {
-    const ServerRecord *Server = Registry.findServer(ServerId);
+  removeOnceFlushed(ServerId, Departure::Left,
+                    [Reply](const Outcome<CommandResult> &Result) {
+                      if (!Result)
+                        return Reply(Result.error());
+                      Reply(succeed());
+                    });
+}
+
+/// Removes a server that has ended once the relays have passed on its buffered
+/// reports. The ends in them must be recorded before the tasks are started
+/// elsewhere.
+void JobLeader::Impl::removeOnceFlushed(const std::string &Id, Departure How,
+                                        ResultCallback Done) {
+  Leaving_.insert(Id);
+  const bool IsEmpty = Machine_.read([&Id](const JobRegistry &Registry) {
+    const ServerRecord *Server = Registry.findServer(Id);
     return !Server || Server->Placed_.empty();
   });
-  // A relay may hold the final report. The ends in it must be recorded before
-  // the tasks are started elsewhere.
-  const auto Remove = [Weak = weak_from_this(), ServerId, Reply] {
+  const auto Remove = [Weak = weak_from_this(), Id, How,
+                       Done = std::move(Done)] {
     const std::shared_ptr<Impl> Self = Weak.lock();
     if (!Self || !Self->isLeading())
-      return Reply(fail(ErrorCode::NotLeader, ""));
-    Self->removeServer(ServerId, Departure::Left,
-                       [Reply](const Outcome<CommandResult> &Result) {
-                         if (!Result)
-                           return Reply(Result.error());
-                         Reply(succeed());
-                       });
+      return Done(fail(ErrorCode::NotLeader, ""));
+    Self->removeServer(Id, How, Done);
   };
   if (IsEmpty)
     return Remove();
-  Relays_.flush(ServerId, Remove);
+  Relays_.flush(Id, Remove);
 }
 
 void JobLeader::Impl::observe(const ServerReport &Report) {
--- a/src/jobs/JobLeaderWaves.cpp
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -117,6 +117,6 @@
                       });
   // The incarnation has ended: it runs no tasks and sends no reports.
   if (IsOver)
-    removeServer(Order.Server_, Departure::Maintained,
-                 [](const Outcome<CommandResult> &) {});
+    removeOnceFlushed(Order.Server_, Departure::Maintained,
+                      [](const Outcome<CommandResult> &) {});
 }
--- a/tests/jobs/JobWavesTest.cpp
+++ b/tests/jobs/JobWavesTest.cpp
@@ -199,3 +199,31 @@
   Strand_.advance(1s);
   EXPECT_EQ(Provider_.Orders_.size(), 2U);
 }
+
+// Guards against a task that runs twice because a relay still buffers its end
+// when the maintenance of its server's VM begins.
+TEST_F(JobWavesTest, EndThatARelayBuffersAtAMaintenanceIsRecorded) {
+  report(makeReport("s1"));
+  call(CallKind::Submit, "j", {makeStep(1, 1000)});
+  const std::vector<StartOrder> Runs = report(makeReport("s1")).Starts_;
+  ASSERT_EQ(Runs.size(), 1U);
+  startWave({"v1"});
+  for (int I = 0; I < 200 && Provider_.Orders_.empty(); ++I) {
+    Strand_.advance(100ms);
+    reportWith("s1", Runs);
+  }
+  ASSERT_EQ(Provider_.Orders_.size(), 1U) << "it waits for a bounded time";
+  Relays_.AnswersAutomatically_ = false;
+  answer(MaintenanceReply::Begun);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  ServerReport Last = makeReport("s1");
+  Last.Ended_ = {makeEnded(1, Runs[0], RunOutcome::Done)};
+  report(Last);
+  Relays_.answer();
+  Strand_.runAll();
+  EXPECT_EQ(call(CallKind::Show, "j").State_, JobState::Completed);
+  EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
+  EXPECT_TRUE(Machine_.read([](const JobRegistry &Registry) {
+    return Registry.findServer("s1") == nullptr && Registry.isOver("s1");
+  }));
+}
