Log and count servers that are removed without a relay's answer

The log of a removal did not tell whether all other controls had denied that they heard the server, or one had not answered. The two need different answers from an operator, and in traces of TWICE they are two hypotheses. server_gone says so now, and tulipweir_servers_gone_unconfirmed_total counts them.

Test: DepartingServersTest.RelayThatNeverAnswersKeepsNoServer looks at the line.

--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -44,6 +44,8 @@
   TasksMoved,    ///< Stopped in order to continue on another server.
   TasksLapsed,   ///< Given up as their server left or its lease expired.
   ServersGone,
+  ServersGoneUnconfirmed, ///< Removed after their lease had expired, without
+                          ///< the answer of a relay.
   EvacuationsBegun,
   EvacuationsEnded,
   ExpiredServersKept,   ///< Servers that were kept although their lease had
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -229,7 +229,8 @@
 }
 
 void JobLeader::Impl::removeServer(const std::string &Id, Departure How,
-                                   ResultCallback Done) {
+                                   ResultCallback Done,
+                                   std::string_view Detail) {
   const bool IsOver = How != Departure::Silent;
   if (IsOver)
     Leaving_.insert(Id);
@@ -239,6 +240,8 @@
   Line.Kind_ = EventKind::ServerGone;
   Line.Server_ = Id;
   Line.Reason_ = getReason(How);
+  if (!Detail.empty())
+    Line.Reason_.append("; ").append(Detail);
   Line.Term_ = Term_;
   if (const LiveServer *Live = LiveServers_.find(Id))
     Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/jobs/JobLeaderExpiry.cpp
+++ b/src/jobs/JobLeaderExpiry.cpp
@@ -132,5 +132,9 @@
       Check.NextAsk_ = std::max(Check.NextAsk_, Check.AskedAt_ + RecheckDelay);
     return;
   }
-  removeServer(Id, Departure::Silent, [](const Outcome<CommandResult> &) {});
+  if (IsMissing)
+    Meter_.add(JobCounter::ServersGoneUnconfirmed, 1);
+  removeServer(
+      Id, Departure::Silent, [](const Outcome<CommandResult> &) {},
+      IsMissing ? "a relay did not say whether it has heard it" : "");
 }
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -153,7 +153,9 @@
   void handleJobEnd(const std::string &Id);
   /// Makes the reports of the servers that run tasks of the job urgent.
   void requestStops(const std::string &Job);
-  void removeServer(const std::string &Id, Departure How, ResultCallback Done);
+  /// Detail is logged behind the reason.
+  void removeServer(const std::string &Id, Departure How, ResultCallback Done,
+                    std::string_view Detail = "");
   void removeOnceFlushed(const std::string &Id, Departure How,
                          ResultCallback Done);
   void propose(const Command &Value, ResultCallback Done);
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -28,6 +28,8 @@
     {"tulipweir_tasks_lapsed_total", "Tasks given up with their server", ""},
     {"tulipweir_servers_gone_total", "Backend servers that left or fell silent",
      ""},
+    {"tulipweir_servers_gone_unconfirmed_total",
+     "Backend servers removed without the answer of another control", ""},
     {"tulipweir_evacuations_total", "Evacuations of data centres",
      "outcome=\"begun\""},
     {"tulipweir_evacuations_total", "Evacuations of data centres",
--- a/tests/jobs/DepartingServersTest.cpp
+++ b/tests/jobs/DepartingServersTest.cpp
@@ -174,4 +174,7 @@
                       100 +
                   Settings_.Lease_ / 2 + 100ms);
   EXPECT_TRUE(isStartedElsewhere());
+  EXPECT_EQ(Log_.last(EventKind::ServerGone).Reason_,
+            "no report until its lease expired; a relay did not say whether it "
+            "has heard it");
 }
