Remove no server after answers of relays that are old or still unread

Cause: with a relay that is slow for 3 s a round ends late. The other relays had answered before the server, which got no answer, turned to them; or they named it, but their answer waited behind reports for the overloaded leader when the round of 0.5 s ended. Either way a server that reports all the time was removed and its completed runs began again.

Change: an answer of over 1.2 s ago leads to another round; each round gives reachable relays a second. A slow relay is waited for until 1.5 s after the lease (2 s), so that the whole takes no longer than before.

Tests, red without their part: DepartingServersTest .AnswerThatComesLateIsNotEnoughForARemoval, StarvedFleetTest .NothingRunsTwiceIfARelaysAnswerWaitsForTheLeader.

--- a/src/jobs/JobLeaderExpiry.cpp
+++ b/src/jobs/JobLeaderExpiry.cpp
@@ -21,9 +21,14 @@
 /// The same in a second check if a relay was silent in the first one.
 static constexpr Duration MaxSecondRoundTime = 500ms;
 /// A relay that is reachable but does not answer is waited for until this time
-/// after the lease expired. Long-running tasks of a lost server run again
-/// within half a lease of it, and a second check and the start need the rest.
-static constexpr Duration MaxWaitForSlowRelay = 2s;
+/// after the lease expired, and for ReachableRelayTime in each round, as its
+/// answer may be waiting for this leader. Long-running tasks of a lost server
+/// have to run again within half a lease, which leaves time for one more round.
+static constexpr Duration MaxWaitForSlowRelay = 1500ms;
+static constexpr Duration ReachableRelayTime = 1s;
+/// A server that got no answer has turned to another relay after this time, so
+/// an answer of that relay from before says nothing about it.
+static constexpr Duration MaxAnswerAge = 1200ms;
 /// The least time between two rounds while the leader is overloaded.
 static constexpr Duration ExpiryRoundInterval = 250ms;
 
@@ -89,10 +94,12 @@
   const PartialAnswer Answer = Relays_.findPartialAnswer(Overdue);
   for (const std::string &Id : Overdue) {
     const LiveServer *Live = LiveServers_.find(Id);
+    const ExpiryCheck &Check = ExpiryChecks_.at(Id);
     if (Answer.Unknown_.count(Id) != 0 && Live &&
-        Now < Live->LeaseEnd_ + MaxWaitForSlowRelay)
+        Now < std::max(Live->LeaseEnd_ + MaxWaitForSlowRelay,
+                       Check.AskedAt_ + ReachableRelayTime))
       continue;
-    finishExpiryCheck(Id, ExpiryChecks_.at(Id).Round_,
+    finishExpiryCheck(Id, Check.Round_,
                       Answer.Heard_.count(Id) != 0 ? RelayAnswer::Heard
                                                    : RelayAnswer::Missing);
   }
@@ -125,8 +132,11 @@
   const bool HasLease = Live->LeaseEnd_ > Now;
   const bool IsOverloaded = Now < OverloadedUntil_;
   const bool IsMissing = Answer == RelayAnswer::Missing;
-  if (HasLease || ((IsOverloaded || IsMissing) && !WasUnheard)) {
-    Unheard_[Id] = IsMissing;
+  const bool IsStale = Now - Check.AskedAt_ > MaxAnswerAge;
+  if (HasLease || IsStale || ((IsOverloaded || IsMissing) && !WasUnheard)) {
+    // The next round is short enough that its answers are not stale.
+    Unheard_[Id] =
+        IsMissing || (IsStale && Now >= Live->LeaseEnd_ + RecheckDelay);
     Check.NextAsk_ = Live->LeaseEnd_;
     if (IsOverloaded)
       Check.NextAsk_ = std::max(Check.NextAsk_, Check.AskedAt_ + RecheckDelay);
--- a/tests/jobs/DepartingServersTest.cpp
+++ b/tests/jobs/DepartingServersTest.cpp
@@ -165,6 +165,22 @@
   EXPECT_FALSE(isStartedElsewhere()) << "the task is completed";
 }
 
+// Guards against an old answer that no relay has heard the server. It turned to
+// another relay after that one had answered.
+TEST_F(DepartingServersTest, AnswerThatComesLateIsNotEnoughForARemoval) {
+  startRun();
+  Relays_.Partial_.Unknown_ = {"s1"};
+  expireLease();
+  Strand_.advance(1s);
+  Relays_.answer();
+  Strand_.advance(100ms);
+  EXPECT_FALSE(isStartedElsewhere()) << "the relays are asked again";
+  Relays_.answer({"s1"});
+  Strand_.advance(100ms);
+  EXPECT_FALSE(isStartedElsewhere());
+  EXPECT_EQ(Log_.count(EventKind::ServerGone), 0U);
+}
+
 // A relay that never answers must not keep a lost server: its long-running
 // tasks have to run elsewhere within half a lease of the lease's end.
 TEST_F(DepartingServersTest, RelayThatNeverAnswersKeepsNoServer) {
--- a/tests/jobservice/StarvedFleetTest.cpp
+++ b/tests/jobservice/StarvedFleetTest.cpp
@@ -257,3 +257,17 @@
       EXPECT_GT(Fleet.Started_, 1000U);
     }
 }
+
+// Guards against a round that ends before the overloaded leader has read a
+// relay's answer, which waits behind the servers' reports.
+TEST(StarvedFleetTest, NothingRunsTwiceIfARelaysAnswerWaitsForTheLeader) {
+  for (const std::uint64_t Seed : {2, 7, 12}) {
+    FleetScenario Scenario = makeSlowSpell(Seed, 10ms);
+    Scenario.CommitInterval_ = 160ms;
+    Scenario.RelayStopTime_ = 3s;
+    StarvedFleet Fleet(Scenario);
+    Fleet.run();
+    EXPECT_THAT(Fleet.Violations_, testing::IsEmpty()) << "seed " << Seed;
+    EXPECT_GT(Fleet.Started_, 1000U);
+  }
+}
