Share the leader's questions to other members between product and emulation

Cause: ReportRouter and the tests' EmulatedMember each had a class OtherMembers with the same four forwarding functions; findPartialAnswer had to be added to both, and its default hid that one of them lacked it until it was read. Change: one class in jobservice/OtherMembers.h; findPartialAnswer is pure virtual, so an implementation that forgets it does not compile. No behaviour changes.

--- a/include/tulipweir/jobs/ReportRelays.h
+++ b/include/tulipweir/jobs/ReportRelays.h
@@ -63,9 +63,7 @@
   /// Returns what members have said so far of servers for which the last
   /// findHeard is not done.
   virtual PartialAnswer
-  findPartialAnswer(const std::vector<std::string> & /*ServerIds*/) const {
-    return {};
-  }
+  findPartialAnswer(const std::vector<std::string> &ServerIds) const = 0;
   /// Asks the other members, as the new leader of Term, until when earlier
   /// leaders' leases can last. Found is called each time more is known, and
   /// never if nothing can be known.
@@ -84,6 +82,10 @@
                  std::function<void(Heard)> Done) override {
     Done({});
   }
+  PartialAnswer
+  findPartialAnswer(const std::vector<std::string> &) const override {
+    return {};
+  }
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobservice/ReportRouter.h
+++ b/src/jobservice/ReportRouter.h
@@ -13,9 +13,8 @@
 #include "jobservice/AnswerCollector.h"
 #include "jobservice/HeardServers.h"
 #include "jobservice/LeadershipTransferPolicy.h"
-#include "jobservice/LeaseSurvey.h"
+#include "jobservice/OtherMembers.h"
 #include "jobservice/ProcessorProbe.h"
-#include "jobservice/RelayFlush.h"
 #include "jobservice/ReplicaInstance.h"
 #include "jobservice/ReportInbox.h"
 #include "jobservice/ReportRelay.h"
@@ -81,34 +80,6 @@
   }
 
 private:
-  /// Sends the requests of a leader on this member to the other members.
-  class OtherMembers final : public jobs::ReportRelays {
-  public:
-    OtherMembers(RelayFlush &Flush, LeaseSurvey &Survey)
-        : Flush_(Flush), Survey_(Survey) {}
-    void flush(const std::string &ServerId,
-               std::function<void()> Done) override {
-      Flush_.flush(ServerId, std::move(Done));
-    }
-    void findHeard(const std::vector<std::string> &ServerIds,
-                   std::function<void(Heard)> Done) override {
-      Flush_.findHeard(ServerIds, std::move(Done));
-    }
-    jobs::PartialAnswer findPartialAnswer(
-        const std::vector<std::string> &ServerIds) const override {
-      return Flush_.findPartialAnswer(ServerIds);
-    }
-    void findLeaseBounds(
-        std::uint64_t Term,
-        std::function<void(const jobs::LeaseBounds &)> Found) override {
-      Survey_.start(Term, std::move(Found));
-    }
-
-  private:
-    RelayFlush &Flush_;
-    LeaseSurvey &Survey_;
-  };
-
   replication::ReplicaStatus getStatus() const;
   /// Calls another member. Reply runs on the executor unless the owner is gone.
   void callMember(const std::string &Member, wire::MessageKind Kind,
--- a/tests/jobservice/EmulatedMember.h
+++ b/tests/jobservice/EmulatedMember.h
@@ -12,8 +12,7 @@
 #include "jobs/LeaderFixture.h"
 #include "jobservice/AnswerCollector.h"
 #include "jobservice/HeardServers.h"
-#include "jobservice/LeaseSurvey.h"
-#include "jobservice/RelayFlush.h"
+#include "jobservice/OtherMembers.h"
 #include "jobservice/ReportInbox.h"
 #include "jobservice/ReportRelay.h"
 #include "jobservice/ReportWitness.h"
@@ -64,34 +63,6 @@
   const jobs::JobStateMachine &machine() const { return Machine_; }
 
 private:
-  /// What a leader on this member asks the others.
-  class OtherMembers final : public jobs::ReportRelays {
-  public:
-    OtherMembers(RelayFlush &Flush, LeaseSurvey &Survey)
-        : Flush_(Flush), Survey_(Survey) {}
-    void flush(const std::string &ServerId,
-               std::function<void()> Done) override {
-      Flush_.flush(ServerId, std::move(Done));
-    }
-    void findHeard(const std::vector<std::string> &ServerIds,
-                   std::function<void(Heard)> Done) override {
-      Flush_.findHeard(ServerIds, std::move(Done));
-    }
-    jobs::PartialAnswer findPartialAnswer(
-        const std::vector<std::string> &ServerIds) const override {
-      return Flush_.findPartialAnswer(ServerIds);
-    }
-    void findLeaseBounds(
-        std::uint64_t Term,
-        std::function<void(const jobs::LeaseBounds &)> Found) override {
-      Survey_.start(Term, std::move(Found));
-    }
-
-  private:
-    RelayFlush &Flush_;
-    LeaseSurvey &Survey_;
-  };
-
   void handleReport(jobs::ServerReport Report, const ReportRelay::Done &Reply);
   void sendBatch(jobs::ReportBatch Batch, Duration Timeout,
                  ReportRelay::BatchDone Done);
