Look at each round once for what relays have said

Cause: while a reachable relay does not answer, the leader asks every 50 ms what is known of the servers concerned. findPartialAnswer went through a round's servers once for each member that had not answered, and through two ordered maps. Change: the rounds are gathered first and gone through once, the newest first, so that a server counts where it is met first. The result is the same. Tests: RelayFlushTest, ChangingLeadersTest (2 listed red) and the four of StarvedFleet with stopped relays pass as before.

--- a/src/jobservice/RelayFlush.cpp
+++ b/src/jobservice/RelayFlush.cpp
@@ -1,6 +1,8 @@
 #include "jobservice/RelayFlush.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 using namespace tulipweir;
@@ -57,28 +59,34 @@
 
 jobs::PartialAnswer
 RelayFlush::findPartialAnswer(const std::vector<std::string> &ServerIds) const {
-  const std::set<std::string> Wanted(ServerIds.begin(), ServerIds.end());
+  struct OpenRound {
+    const Round *Round_;
+    bool AwaitsReachable_;
+  };
   const replication::ReplicaStatus Status = FindStatus_();
-  // The newest open round that names each server.
-  std::map<std::string, const Round *> Rounds;
-  std::set<const Round *> AwaitsReachable;
+  // The requests of a round follow one another.
+  std::vector<OpenRound> Rounds;
   for (const auto &[Id, Request] : Requests_) {
-    const Round &Open = *Request.Round_;
-    if (!Open.OnlySilent_)
+    if (!Request.Round_->OnlySilent_)
       continue;
+    if (Rounds.empty() || Rounds.back().Round_ != Request.Round_.get())
+      Rounds.push_back({Request.Round_.get(), false});
     if (contains(Status.Reachable_, Request.Member_))
-      AwaitsReachable.insert(&Open);
-    for (const std::string &Server : Open.Servers_)
-      if (Wanted.count(Server) != 0)
-        Rounds[Server] = &Open;
+      Rounds.back().AwaitsReachable_ = true;
   }
   jobs::PartialAnswer Answer;
-  for (const auto &[Server, Open] : Rounds) {
-    if (Open->Heard_.count(Server) != 0)
-      Answer.Heard_.insert(Server);
-    else if (AwaitsReachable.count(Open) != 0)
-      Answer.Unknown_.insert(Server);
-  }
+  std::unordered_set<std::string_view> Wanted(ServerIds.begin(),
+                                              ServerIds.end());
+  // The newest round that names a server counts.
+  for (auto It = Rounds.rbegin(); It != Rounds.rend(); ++It)
+    for (const std::string &Server : It->Round_->Servers_) {
+      if (Wanted.erase(Server) == 0)
+        continue;
+      if (It->Round_->Heard_.count(Server) != 0)
+        Answer.Heard_.insert(Server);
+      else if (It->AwaitsReachable_)
+        Answer.Unknown_.insert(Server);
+    }
   return Answer;
 }
 
