--- a/tests/jobs/WaitExplainerTest.cpp
+++ b/tests/jobs/WaitExplainerTest.cpp
@@ -1,8 +1,6 @@
 //===- WaitExplainerTest.cpp - Reasons why waiting tasks do not start -----===//
 
-#include "jobs/Dispatcher.h"
-
-#include "jobs/JobFixture.h"
+#include "jobs/DispatcherFixture.h"
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -11,7 +9,7 @@
 
 namespace {
 
-class WaitExplainerTest : public JobRegistryTest {
+class WaitExplainerTest : public DispatcherTest {
 protected:
   WaitExplainerTest() { LiveServers_.reset(Registry_, Now_, 60s); }
   std::string explain() const {
@@ -28,19 +26,6 @@
       Texts.push_back(Text);
     return Texts;
   }
-  void quarantine(const std::string &Server) {
-    for (const char *Job : {"a", "b", "b"})
-      Health_.recordFailure(Server, Job, Now_);
-  }
-
-  TimePoint Now_{1h};
-  LiveServerTable LiveServers_;
-  InterferenceModel Interference_;
-  ServingLoads Loads_;
-  PaceController Paces_;
-  ServerHealth Health_;
-  AdviceCache Advice_;
-  Dispatcher Dispatcher_{Interference_, Loads_, Paces_, Health_, Advice_};
 };
 
 } // namespace
