One emulated server for both fleets of changing and starved leaders

Cause: ChangingLeaders and StarvedFleet each followed the servers' side of the protocol (reports, leases, stops, acknowledged ends) in their own copy, and five tests of the leader wrote a change of leader by hand; the term that servers start again under their id would have to be written twice. Change: EmulatedServer holds the protocol's state and rules; the fleets keep what differs. JobLeaderTest::beginNextTerm is the change of leader. No assertion changes.

--- a/tests/jobs/AbsenceTest.cpp
+++ b/tests/jobs/AbsenceTest.cpp
@@ -131,11 +131,7 @@
 TEST_F(AbsenceTest, WaitThatBeganUnderAnEarlierLeaderIsLogged) {
   startLasting();
   Strand_.advance(7s);
-  Group_.IsLeader_ = false;
-  Strand_.advance(100ms);
-  Group_.IsLeader_ = true;
-  ++Group_.Term_;
-  Strand_.advance(100ms);
+  beginNextTerm();
   wait(7s);
   EXPECT_EQ(getLast().Outcome_, "waiting");
   EXPECT_THAT(getLast().Reason_,
--- a/tests/jobs/JobEvacuationTest.cpp
+++ b/tests/jobs/JobEvacuationTest.cpp
@@ -40,11 +40,7 @@
   void changeLeader() {
     const std::string Snapshot = Machine_.takeSnapshot();
     ASSERT_TRUE(Machine_.restoreSnapshot(Snapshot));
-    Group_.IsLeader_ = false;
-    Strand_.advance(100ms);
-    Group_.IsLeader_ = true;
-    ++Group_.Term_;
-    Strand_.advance(100ms);
+    beginNextTerm();
   }
 };
 
--- a/tests/jobs/JobLeaderExpiryTest.cpp
+++ b/tests/jobs/JobLeaderExpiryTest.cpp
@@ -145,11 +145,7 @@
   ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
   const TimePoint HeardAt = Time_.now();
   Strand_.advance(Settings_.Lease_ / 2);
-  Group_.IsLeader_ = false;
-  Strand_.advance(100ms);
-  Group_.IsLeader_ = true;
-  Group_.Term_ = 2;
-  Strand_.advance(100ms);
+  beginNextTerm();
   ASSERT_TRUE(Relays_.FoundBounds_);
   Relays_.FoundBounds_({HeardAt - 10s, {{"s1", HeardAt}}});
   Strand_.advance(HeardAt + Settings_.Lease_ - Time_.now());
@@ -166,11 +162,7 @@
   ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
   const TimePoint HeardAt = Time_.now();
   Strand_.advance(Settings_.Lease_ / 2);
-  Group_.IsLeader_ = false;
-  Strand_.advance(100ms);
-  Group_.IsLeader_ = true;
-  Group_.Term_ = 2;
-  Strand_.advance(100ms);
+  beginNextTerm();
   ASSERT_TRUE(Relays_.FoundBounds_);
   // The leader's watch does not see that the lease lapses.
   Group_.IsLeader_ = false;
@@ -184,11 +176,7 @@
   call(CallKind::Submit, "j", {makeStep(1, 100)});
   ASSERT_EQ(report(makeReport("s1")).Starts_.size(), 1U);
   const auto FoundByFirst = std::exchange(Relays_.FoundBounds_, nullptr);
-  Group_.IsLeader_ = false;
-  Strand_.advance(100ms);
-  Group_.IsLeader_ = true;
-  Group_.Term_ = 2;
-  Strand_.advance(100ms);
+  beginNextTerm();
   FoundByFirst({Time_.now() - Settings_.Lease_ * 2, {}});
   Strand_.advance(Settings_.Lease_ * 9 / 10);
   EXPECT_TRUE(report(makeReport("s2")).Starts_.empty());
--- a/tests/jobs/JobLeaderPacesTest.cpp
+++ b/tests/jobs/JobLeaderPacesTest.cpp
@@ -154,11 +154,7 @@
   for (int I = 0; Pace > 0 && I < 80; ++I)
     SendReport();
   ASSERT_EQ(Pace, 0U);
-  Group_.IsLeader_ = false;
-  Strand_.advance(100ms);
-  Group_.IsLeader_ = true;
-  ++Group_.Term_;
-  Strand_.advance(100ms);
+  beginNextTerm();
   Tail = 10;
   for (int I = 0; I < 20; ++I)
     SendReport();
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -159,11 +159,7 @@
   report(makeReport("s1"));
   Strand_.advance(Settings_.Lease_ * 2); // Its lease expires.
   report(makeIncarnationReport("s1-again", "s1"));
-  Group_.IsLeader_ = false;
-  Strand_.advance(100ms);
-  Group_.IsLeader_ = true;
-  Group_.Term_ = 2;
-  Strand_.advance(100ms);
+  beginNextTerm();
   call(CallKind::Submit, "j", {makeStep(1, 100)});
   for (int I = 0; I < 4; ++I) {
     EXPECT_EQ(report(makeReport("s1")), ServerOrders{}) << "a delayed report";
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -266,6 +266,15 @@
     Strand_.runAll();
     return *Answer;
   }
+  /// Lets the leader lose its leadership and lead again in the next term,
+  /// without its volatile state.
+  void beginNextTerm() {
+    Group_.IsLeader_ = false;
+    Strand_.advance(std::chrono::milliseconds(100));
+    Group_.IsLeader_ = true;
+    ++Group_.Term_;
+    Strand_.advance(std::chrono::milliseconds(100));
+  }
   /// Returns the next report of a server, with no running or ended tasks.
   ServerReport makeReport(const std::string &Id) {
     ServerReport Report;
--- a/tests/jobservice/ChangingLeaders.cpp
+++ b/tests/jobservice/ChangingLeaders.cpp
@@ -138,8 +138,8 @@
     Server &Backend = Servers_[I];
     if (Backend.IsGone_)
       continue;
-    endRuns(Backend);
-    if (Backend.IsWaiting_ && Now - Backend.SentAt_ > ReportTimeout)
+    Backend.endDueRuns(Now);
+    if (Backend.IsWaiting_ && Now - Backend.SentAt_ > Server::ReportTimeout)
       moveOn(Backend, 0ms);
     if (!Backend.IsWaiting_ && Backend.NextReport_ <= Now)
       report(I);
--- a/tests/jobservice/ChangingLeaders.h
+++ b/tests/jobservice/ChangingLeaders.h
@@ -12,6 +12,7 @@
 #define TULIPWEIR_TESTS_JOBSERVICE_CHANGINGLEADERS_H
 
 #include "jobservice/EmulatedMember.h"
+#include "jobservice/EmulatedServer.h"
 
 #include <random>
 
@@ -150,32 +151,14 @@
 
 private:
   static constexpr Duration Step = std::chrono::milliseconds(5);
-  static constexpr Duration ReportTimeout = std::chrono::seconds(1);
 
   using TaskKey = jobs::TaskKey;
 
-  struct Run {
-    std::uint64_t Number_ = 0;
-    TimePoint EndsAt_{};
-    bool IsLongRunning_ = false;
-  };
-  struct Server {
-    std::string Id_;
-    std::map<TaskKey, Run> Running_;
-    std::map<TaskKey, std::uint64_t> HighestRunNumbers_;
-    std::vector<jobs::EndedTask> Ended_;
-    std::uint64_t LastEnd_ = 0;
+  struct Server : EmulatedServer {
     std::uint64_t Incarnation_ = 0;
-    std::uint64_t Sequence_ = 0;
     std::uint64_t FencingToken_ = 0;
     std::size_t Home_ = 0; ///< The member that takes its reports.
-    bool IsWaiting_ = false;
-    bool IsGone_ = false;
     bool IsCut_ = false;
-    bool HasLease_ = false;
-    TimePoint SentAt_{};
-    TimePoint NextReport_{};
-    TimePoint LeaseEnd_{};
   };
   struct Call {
     std::function<bool()> IsDone_;
@@ -233,8 +216,6 @@
   void handleAnswer(std::size_t Number, std::uint64_t Sequence,
                     const Outcome<jobs::ServerOrders> &Answer);
   void startRun(Server &Backend, const jobs::StartOrder &Start);
-  void endRuns(Server &Backend);
-  void endRun(Server &Backend, const TaskKey &Task, jobs::RunOutcome How);
   void recordEvent(const Event &Value);
   void recordPlacement(const Event &Started);
   void recordAbsence(const TaskKey &Task, TaskHistory &History);
--- a/tests/jobservice/ChangingLeadersServers.cpp
+++ b/tests/jobservice/ChangingLeadersServers.cpp
@@ -45,16 +45,7 @@
 
 void ChangingLeaders::report(std::size_t Number) {
   Server &Backend = Servers_[Number];
-  ServerReport Report;
-  Report.Facts_ = jobs::test::makeServer(Backend.Id_);
-  Report.Facts_.Address_ = "place" + std::to_string(Number) + ":1";
-  Report.Sequence_ = ++Backend.Sequence_;
-  for (const auto &[Task, Run] : Backend.Running_)
-    Report.Running_.push_back(
-        {Task, Run.Number_, "", Run.IsLongRunning_ ? 100U : 50U, 0});
-  Report.Ended_ = Backend.Ended_;
-  Backend.IsWaiting_ = true;
-  Backend.SentAt_ = Time_.now();
+  const ServerReport Report = Backend.makeReport(Number, Time_.now());
   const Endpoint From{Endpoint::Kind::Server, Number};
   const Endpoint To{Endpoint::Kind::Member, Backend.Home_};
   send({From, To, MessageKind::Report,
@@ -84,8 +75,7 @@
                                    const Outcome<ServerOrders> &Answer) {
   Server &Backend = Servers_[Number];
   const TimePoint Now = Time_.now();
-  if (Backend.IsGone_ || Sequence != Backend.Sequence_ || !Backend.IsWaiting_ ||
-      Now - Backend.SentAt_ > ReportTimeout)
+  if (!Backend.awaitsAnswer(Sequence, Now))
     return;
   if (!Answer)
     return moveOn(Backend, 100ms);
@@ -93,38 +83,23 @@
   const ServerOrders &Orders = Answer.value();
   if (!Orders.ReportTo_.empty())
     Backend.Home_ = findMember(Orders.ReportTo_);
-  std::erase_if(Backend.Ended_, [&Orders](const EndedTask &End) {
-    return End.Number_ <= Orders.EndsNoted_;
-  });
-  const bool HasNews = !Backend.Ended_.empty() || !Orders.Starts_.empty();
-  Backend.NextReport_ =
-      Now + (HasNews ? 50ms : std::chrono::milliseconds(Orders.NextReportMs_));
+  Backend.acknowledge(Orders, Now);
   const bool IsFenced = Orders.FencingToken_ < Backend.FencingToken_;
   if (Orders.LeaseMs_ == 0 || IsFenced)
     return;
   Backend.FencingToken_ = Orders.FencingToken_;
-  Backend.HasLease_ = true;
   const Duration Lease = std::chrono::milliseconds(Orders.LeaseMs_);
-  Backend.LeaseEnd_ =
-      std::max(Backend.LeaseEnd_,
-               Backend.SentAt_ +
-                   Lease * Percent / (Percent - Scenario_.ClockSlowPercent_));
-  for (const StopOrder &Stop : Orders.Stops_) {
-    std::uint64_t &HighestRun = Backend.HighestRunNumbers_[Stop.Task_];
-    HighestRun = std::max(HighestRun, Stop.Run_);
-    const auto It = Backend.Running_.find(Stop.Task_);
-    if (It != Backend.Running_.end() && It->second.Number_ == Stop.Run_)
-      endRun(Backend, Stop.Task_, RunOutcome::Stopped);
-  }
+  Backend.extendLease(Lease * Percent /
+                      (Percent - Scenario_.ClockSlowPercent_));
+  for (const StopOrder &Stop : Orders.Stops_)
+    Backend.stop(Stop, Now);
   for (const StartOrder &Start : Orders.Starts_)
     startRun(Backend, Start);
 }
 
 void ChangingLeaders::startRun(Server &Backend, const StartOrder &Start) {
-  std::uint64_t &HighestRun = Backend.HighestRunNumbers_[Start.Task_];
-  if (Start.Run_ <= HighestRun)
+  if (!Backend.accepts(Start))
     return;
-  HighestRun = Start.Run_;
   for (const Server &Other : Servers_)
     if (!Other.IsGone_ && Other.Running_.count(Start.Task_) != 0)
       recordViolation("runs on " + Other.Id_ + " and " + Backend.Id_,
@@ -137,26 +112,3 @@
       IsLongRunning};
   ++Started_;
 }
-
-void ChangingLeaders::endRuns(Server &Backend) {
-  const TimePoint Now = Time_.now();
-  std::vector<TaskKey> Ended;
-  const bool IsExpired = Backend.HasLease_ && Now >= Backend.LeaseEnd_;
-  if (IsExpired)
-    Backend.HasLease_ = false;
-  for (const auto &[Task, Run] : Backend.Running_)
-    if (IsExpired || Run.EndsAt_ <= Now)
-      Ended.push_back(Task);
-  for (const TaskKey &Task : Ended)
-    endRun(Backend, Task,
-           IsExpired ? RunOutcome::LeaseExpired : RunOutcome::Done);
-}
-
-void ChangingLeaders::endRun(Server &Backend, const TaskKey &Task,
-                             RunOutcome How) {
-  const std::uint64_t Run = Backend.Running_.at(Task).Number_;
-  Backend.Running_.erase(Task);
-  Backend.Ended_.push_back({++Backend.LastEnd_, {Task, Run, How, ""}});
-  if (!Backend.IsWaiting_)
-    Backend.NextReport_ = std::min(Backend.NextReport_, Time_.now() + 50ms);
-}
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -170,7 +170,7 @@
     if (Backend.IsGone_)
       continue;
     endRuns(Backend);
-    if (Backend.IsWaiting_ && Now - Backend.SentAt_ > ReportTimeout) {
+    if (Backend.IsWaiting_ && Now - Backend.SentAt_ > Server::ReportTimeout) {
       Backend.IsWaiting_ = false;
       Backend.Relay_ = (Backend.Relay_ + 1) % Relays;
       Backend.NextReport_ = Now;
--- a/tests/jobservice/StarvedFleet.h
+++ b/tests/jobservice/StarvedFleet.h
@@ -13,6 +13,7 @@
 
 #include "jobs/LeaderFixture.h"
 #include "jobservice/AnswerCollector.h"
+#include "jobservice/EmulatedServer.h"
 #include "jobservice/FleetExecutors.h"
 #include "jobservice/MemberSilence.h"
 #include "jobservice/RelayFlush.h"
@@ -84,35 +85,14 @@
 private:
   static constexpr int Relays = 3;
   static constexpr Duration Step = std::chrono::milliseconds(10);
-  /// A server drops answers that take longer.
-  static constexpr Duration ReportTimeout = std::chrono::seconds(1);
   /// Longest time from the acknowledgement of a cancellation to the job's last
   /// start.
   static constexpr Duration MaxCancelDelay = std::chrono::seconds(3);
 
-  struct Run {
-    std::uint64_t Number_ = 0;
-    TimePoint EndsAt_{};
-    bool IsLongRunning_ = false;
-  };
-  struct Server {
-    std::string Id_;
-    std::map<TaskKey, Run> Running_;
-    /// The highest run number of each task that the server was told to start or
-    /// stop.
-    std::map<TaskKey, std::uint64_t> HighestRunNumbers_;
-    std::vector<jobs::EndedTask> Ended_;
-    std::uint64_t LastEnd_ = 0;
+  struct Server : EmulatedServer {
     /// The last ended task that was reported.
     std::uint64_t LastReportedEnd_ = 0;
-    std::uint64_t Sequence_ = 0;
     int Relay_ = 0;
-    bool IsWaiting_ = false;
-    bool IsGone_ = false;
-    bool HasLease_ = false;
-    TimePoint SentAt_{};
-    TimePoint NextReport_{};
-    TimePoint LeaseEnd_{};
     TimePoint AnsweredAt_{}; ///< The last answer with a lease, or the start.
   };
   /// A batch that the leader is handling.
@@ -158,7 +138,6 @@
   void removeServer(Server &Backend);
   void restartServer(Server &Backend);
   void endRuns(Server &Backend);
-  void endRun(Server &Backend, const TaskKey &Task, jobs::RunOutcome How);
   void report(std::size_t Number);
   void handleAnswer(std::size_t Number, std::uint64_t Sequence,
                     const Outcome<ServerOrders> &Answer);
