Log and count servers that start again under their id

Cause: a heartbeat may carry `born`, the start of the server's incarnation, and nothing read it: neither logs nor counters could tell a restart under an id from late reports, nor late reports of an ended incarnation from those of the current one. A malformed field was answered 200. Change: the field is read (400 names it if it is malformed; a missing one means what it means today), relays pass it on, the leader logs server_restarted once for each new start time and counts servers_restarted and reports of ended incarnations. No decision changes.

--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -38,6 +38,7 @@
   TaskAbsent,    ///< A long-running task that was not placed for a while.
   TaskSuspected, ///< Servers crashed under it; its next run is isolated.
   ServerSeen,
+  ServerRestarted, ///< It reports under the id of an earlier incarnation.
   ServerWaits, ///< It claims the address of another life that was heard.
   ServerDraining,
   ServerGone,
--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -54,10 +54,12 @@
   CrashesSuspected,     ///< Crashes of servers that a task may have caused.
   TasksSuspected,       ///< Tasks to be isolated after such a crash.
   JobsGivenUp,          ///< Failed as one of their tasks crashed its servers.
-  WaitsBesideRoom, ///< Seconds of long-running steps that waited while servers
-                   ///< had room for them; at most eight steps are counted.
+  WaitsBesideRoom,  ///< Seconds of long-running steps that waited while servers
+                    ///< had room for them; at most eight steps are counted.
+  ServersRestarted, ///< Servers that started again under their id.
   // Reports that got no lease:
-  ReportsLate,       ///< A later report of the server was handled before.
+  ReportsLate, ///< A later report of the server was handled before.
+  ReportsOfEndedIncarnations, ///< Sent by an incarnation that has ended.
   ReportsSuperseded, ///< A later report arrived while this one was handled.
   ReportsWithAddressConflict, ///< Another incarnation holds the address.
   ReportsRelayedWithoutLease, ///< Answered without a lease by a relay, for any
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -27,6 +27,7 @@
       "task_absent",
       "task_suspected",
       "server_seen",
+      "server_restarted",
       "server_waits",
       "server_draining",
       "server_gone",
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -169,6 +169,7 @@
   void show(const JobCall &Call, const Done<JobCallReply> &Reply) const;
   void cancel(const JobCall &Call, const Done<JobCallReply> &Reply);
 
+  void logRestart(const ServerReport &Report);
   void admit(const PendingReportPtr &Pending);
   bool takeOver(const std::string &Occupant, const ServerFacts &Successor);
   void addServer(const PendingReportPtr &Pending);
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -68,8 +68,11 @@
                       Machine_.read([&Id](const JobRegistry &Registry) {
                         return !Registry.findServer(Id) && Registry.isOver(Id);
                       });
-  if (IsOver)
+  if (IsOver) {
+    Meter_.add(JobCounter::ReportsOfEndedIncarnations, 1);
     return recordLateEnds(Report, Reply);
+  }
+  logRestart(Report);
   const TimePoint ReceivedAt =
       Time_.now() - std::chrono::milliseconds(Report.WaitedMs_);
   if (ReportAges_.isTooLate(Report, ReceivedAt)) {
@@ -93,6 +96,28 @@
   admit(Pending);
 }
 
+/// Logs that a registered server reports with another start time.
+void JobLeader::Impl::logRestart(const ServerReport &Report) {
+  LiveServer *Live = LiveServers_.find(Report.Facts_.Id_);
+  if (!Live || Report.BornMs_ == 0)
+    return;
+  const std::uint64_t Before = std::exchange(Live->BornMs_, Report.BornMs_);
+  if (Before == 0 || Before == Report.BornMs_)
+    return;
+  Meter_.add(JobCounter::ServersRestarted, 1);
+  Event Line;
+  Line.Kind_ = EventKind::ServerRestarted;
+  Line.Server_ = Report.Facts_.Id_;
+  Line.Reason_ = "born " + std::to_string(Report.BornMs_) + ", before " +
+                 std::to_string(Before) + "; report " +
+                 std::to_string(Report.Sequence_) + ", last one before " +
+                 std::to_string(Live->LastSequence_);
+  Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    Time_.now() - Live->LastHeard_)
+                    .count();
+  Log_.write(Line);
+}
+
 void JobLeader::Impl::recordLateEnds(const ServerReport &Report,
                                      const Done<ServerOrders> &Reply) {
   if (!isLeading())
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -12,9 +12,10 @@
 static auto fields(EndedTask &X) { return std::tie(X.Number_, X.End_); }
 static auto fields(ServerReport &X) {
   return std::tie(X.Facts_, X.IsDraining_, X.RemainingMs_, X.Sequence_,
-                  X.Running_, X.Ended_, X.WaitedMs_, X.ServerClockMs_);
+                  X.Running_, X.Ended_, X.WaitedMs_, X.ServerClockMs_,
+                  X.BornMs_);
 }
-constexpr std::size_t optionalFields(const ServerReport &) { return 2; }
+constexpr std::size_t optionalFields(const ServerReport &) { return 3; }
 static auto fields(ReportBatch &X) {
   return std::tie(X.Reports_, X.HasDeferred_, X.FlushId_, X.Heard_, X.From_,
                   X.ProbeTimeNs_, X.LateReports_, X.TimeoutMs_);
--- a/tests/jobs/JobLeaderServersTest.cpp
+++ b/tests/jobs/JobLeaderServersTest.cpp
@@ -168,6 +168,19 @@
   EXPECT_EQ(report(makeIncarnationReport("s1-again", "s1")).Starts_.size(), 1U);
 }
 
+// Guards against a restart under a server's id that leaves no trace in the log.
+TEST_F(JobLeaderTest, RestartUnderTheSameIdIsLoggedOnce) {
+  for (const std::uint64_t BornMs : {0, 1000, 1000, 2000, 2000}) {
+    ServerReport Report = makeReport("s1");
+    Report.BornMs_ = BornMs;
+    report(Report);
+  }
+  ASSERT_EQ(Log_.count(EventKind::ServerRestarted), 1U);
+  EXPECT_EQ(Log_.last(EventKind::ServerRestarted).Server_, "s1");
+  EXPECT_EQ(Log_.last(EventKind::ServerRestarted).Reason_,
+            "born 2000, before 1000; report 4, last one before 3");
+}
+
 TEST_F(JobLeaderTest, DrainingServerGetsNoStarts) {
   call(CallKind::Submit, "j", {makeStep(1, 100)});
   ServerReport Leaving = makeReport("s1");
--- a/tests/jobs/ReportBatchTest.cpp
+++ b/tests/jobs/ReportBatchTest.cpp
@@ -50,6 +50,14 @@
   EXPECT_EQ(decodeReports(encodeReports(Batch)).value(), Batch);
 }
 
+// Guards against a relay that drops the server's start time.
+TEST(ReportBatchPacking, StartTimeIsPacked) {
+  ReportBatch Batch;
+  Batch.Reports_.resize(2);
+  Batch.Reports_[0].BornMs_ = 1764812345678;
+  EXPECT_EQ(decodeReports(encodeReports(Batch)).value(), Batch);
+}
+
 // Guards against a leader that rejects the batches of members that run an
 // earlier version.
 TEST(ReportBatchPacking, ServerClockMayBeMissing) {
--- a/tests/platform/MalformedBodiesTest.cpp
+++ b/tests/platform/MalformedBodiesTest.cpp
@@ -32,6 +32,7 @@
           "slots":8,"state":"ready","coldLeftMs":0,
           "capacity":{"cpu":16000,"memMb":32768,"gpu":0},
           "labels":["a","r1-3"],"currentTimeMs":482113,"seq":4,
+          "born":1764812345678,
           "running":[["5c0e.0.1.17",2,"00bb",41,77]],
           "finished":[[58,"5c0e.0.1.9",1,"done",""]]})");
   return Valid;
@@ -87,6 +88,31 @@
     }
 }
 
+// Guards against a server whose start time is guessed from a malformed field.
+TEST(MalformedBodiesTest, MalformedStartTimeIsRejectedByName) {
+  const std::vector<std::string> Malformed = {
+      "null", "true",  "\"1764812345678\"",     "-1", "1.5", "[]",
+      "{}",   "1e300", "1180591620717411303424"};
+  for (const std::string &Born : Malformed) {
+    std::string Body = getHeartbeat().dump();
+    const std::string Valid = "\"born\":1764812345678";
+    Body.replace(Body.find(Valid), Valid.size(), "\"born\":" + Born);
+    const auto Result = parseHeartbeat("i-1", Body);
+    ASSERT_FALSE(Result) << Born;
+    EXPECT_NE(Result.error().Message_.find("/born"), std::string::npos)
+        << Result.error().Message_;
+  }
+}
+
+// Guards against a server without the field that can no longer report.
+TEST(MalformedBodiesTest, StartTimeMayBeMissing) {
+  Json Value = getHeartbeat();
+  Value.erase("born");
+  const auto Result = parseHeartbeat("i-1", Value.dump());
+  ASSERT_TRUE(Result);
+  EXPECT_EQ(Result.value().BornMs_, 0U);
+}
+
 TEST(MalformedBodiesTest, UnknownServerStateIsRejected) {
   for (const char *State : {"", "READY", "Ready", "starting", "up", "ready "}) {
     Json Value = getHeartbeat();
