Servers of the emulated fleets start again under their ids; tests that fail

The emulated fleet of changing leaders plays that now, beside changes of the leader, silent relays, held reports, clocks that step back, an overloaded leader and random mixes, and its judge also sees a task that starts again after its completion was acknowledged. A restarted server has no lease for 12 to 16 s, the time in which its report numbers pass the 420 of its earlier incarnation at one report each 100 ms, and tasks without other room stay away for 16 s, the rest of the run.

--- a/tests/jobservice/ChangingLeaders.cpp
+++ b/tests/jobservice/ChangingLeaders.cpp
@@ -51,6 +51,10 @@
   for (std::size_t I = 0; I < Servers_.size(); ++I) {
     Servers_[I].Id_ = "i-" + std::to_string(I);
     Servers_[I].Home_ = I % Members_.size();
+    Servers_[I].Sequence_ = Scenario_.LastSequence_;
+    Servers_[I].StartedAt_ = StartedAt_;
+    if (Scenario_.HasStartTimes_)
+      Servers_[I].BornMs_ = getWallMs() + I;
     Servers_[I].NextReport_ =
         Time_.now() + 5ms * static_cast<int>(drawBelow(100));
   }
@@ -118,6 +122,9 @@
   for (auto &[Task, History] : Histories_)
     if (History.IsAway_)
       recordAbsence(Task, History);
+  for (const Server &Backend : Servers_)
+    if (!Backend.IsGone_ && !Backend.IsCut_)
+      recordTimeToLease(Backend);
 }
 
 void ChangingLeaders::step() {
@@ -288,17 +295,40 @@
                                           [](const Outcome<void> &) {});
 }
 
-void ChangingLeaders::restartServer(std::size_t Number) {
+void ChangingLeaders::restartServer(std::size_t Number,
+                                    const ServerRestart &How) {
   const std::uint64_t Incarnation = Servers_[Number].Incarnation_ + 1;
   Server Started;
-  Started.Id_ =
-      "i-" + std::to_string(Number) + "-" + std::to_string(Incarnation);
+  Started.Id_ = How.KeepsId_ ? Servers_[Number].Id_
+                             : "i-" + std::to_string(Number) + "-" +
+                                   std::to_string(Incarnation);
   Started.Incarnation_ = Incarnation;
+  Started.StartedAt_ = Time_.now();
+  if (Scenario_.HasStartTimes_)
+    Started.BornMs_ =
+        getWallMs() - static_cast<std::uint64_t>(How.ClockStepBack_.count());
   Started.Home_ = drawBelow(Members_.size());
-  Started.NextReport_ = Time_.now();
+  Started.NextReport_ = Time_.now() + How.FirstReportDelay_;
+  Started.FirstReport_ = Started.NextReport_;
+  Events_.push_back(formatTime(getTime()) + " restart " + Started.Id_);
   Servers_[Number] = std::move(Started);
 }
 
+std::uint64_t ChangingLeaders::getWallMs() const {
+  static constexpr std::uint64_t WallAtStart = 1'764'800'000'000;
+  return WallAtStart +
+         static_cast<std::uint64_t>(
+             std::chrono::duration_cast<std::chrono::milliseconds>(getTime())
+                 .count());
+}
+
+void ChangingLeaders::recordTimeToLease(const Server &Backend) {
+  const bool IsMeasured = Backend.Incarnation_ > 0 && Backend.BornMs_ != 0;
+  if (IsMeasured && !Backend.HadLease_)
+    MaxTimeToLease_ =
+        std::max(MaxTimeToLease_, Time_.now() - Backend.FirstReport_);
+}
+
 void ChangingLeaders::cancel(const std::string &Job) {
   if (!Members_[getLeader()])
     return;
@@ -374,7 +404,7 @@
 std::optional<std::size_t>
 ChangingLeaders::findServer(const std::string &Id) const {
   for (std::size_t I = 0; I < Servers_.size(); ++I)
-    if (!Servers_[I].IsGone_ && Servers_[I].Id_ == Id)
+    if (!Servers_[I].IsGone_ && Servers_[I].isNamed(Id))
       return I;
   return std::nullopt;
 }
@@ -402,6 +432,9 @@
                       std::to_string(Value.Term_.value_or(0)) + " begins");
   if (Value.Kind_ == EventKind::ServerGone)
     Events_.push_back(formatTime(getTime()) + " remove " + Value.Server_);
+  if (Value.Kind_ == EventKind::ServerRestarted)
+    Events_.push_back(formatTime(getTime()) + " back " + Value.Server_ + ", " +
+                      Value.Reason_);
   if (ObserveEvent_)
     ObserveEvent_(Value);
 }
@@ -414,7 +447,7 @@
   ++History.Placements_;
   History.PreviouslyPlacedAt_ = std::exchange(History.PlacedAt_, Time_.now());
   for (const Server &Other : Servers_)
-    if (!Other.IsGone_ && Other.Id_ != Started.Server_ &&
+    if (!Other.IsGone_ && !Other.isNamed(Started.Server_) &&
         Other.Running_.count(Task) != 0)
       recordViolation("is placed on " + Started.Server_ + " within the lease " +
                           "of " + Other.Id_,
--- a/tests/jobservice/ChangingLeaders.h
+++ b/tests/jobservice/ChangingLeaders.h
@@ -28,11 +28,23 @@
   std::uint64_t LongRunningJobs_ = 4; ///< Of TasksPerJob each.
   /// The interval between jobs of short tasks.
   Duration JobInterval_ = std::chrono::milliseconds(500);
+  /// Whether servers report when they started, and their clocks.
+  bool HasStartTimes_ = false;
+  /// The number of the last report that each server sent before.
+  std::uint64_t LastSequence_ = 0;
   /// Whether proposals that are open at a change of the leader are committed.
   bool KeepsProposals_ = true;
   Duration Length_ = std::chrono::seconds(40);
 };
 
+/// How a server that is gone starts again.
+struct ServerRestart {
+  bool KeepsId_ = false; ///< Otherwise it has a new id.
+  /// How far the server's time of day was set back meanwhile.
+  std::chrono::milliseconds ClockStepBack_{};
+  Duration FirstReportDelay_{};
+};
+
 /// A member or a server.
 struct Endpoint {
   enum class Kind : std::uint8_t { Member, Server };
@@ -94,8 +106,8 @@
   void reconnect(std::size_t Server);
   /// The server ends and says so to the leader, once.
   void leave(std::size_t Server);
-  /// A server that is gone starts again at its address, with a new id.
-  void restartServer(std::size_t Server);
+  /// A server that is gone starts again at its address.
+  void restartServer(std::size_t Server, const ServerRestart &How = {});
   /// Cancels a long-running job.
   void cancel(const std::string &Job);
   /// The leader steps down; the member To leads after Gap, or later the next
@@ -142,6 +154,9 @@
   /// The same, from the last placement on a server that was lost before the
   /// task ran there.
   Duration MaxDowntimeSincePlacement_{};
+  /// Longest time from the first report of a server that has started again
+  /// under its id until it has a lease, or until the end of the simulation.
+  Duration MaxTimeToLease_{};
   /// Longest time for which a run continued after the acknowledgement of its
   /// job's cancellation.
   Duration MaxTimeAfterCancel_{};
@@ -159,6 +174,8 @@
     std::uint64_t FencingToken_ = 0;
     std::size_t Home_ = 0; ///< The member that takes its reports.
     bool IsCut_ = false;
+    bool HadLease_ = false;
+    TimePoint FirstReport_{};
   };
   struct Call {
     std::function<bool()> IsDone_;
@@ -216,6 +233,12 @@
   void handleAnswer(std::size_t Number, std::uint64_t Sequence,
                     const Outcome<jobs::ServerOrders> &Answer);
   void startRun(Server &Backend, const jobs::StartOrder &Start);
+  void recordAcknowledgedEnds(const Server &Backend,
+                              const jobs::ServerOrders &Orders);
+  /// Ends the measurement of a restarted server's time to its first lease.
+  void recordTimeToLease(const Server &Backend);
+  /// Returns the time of day in milliseconds.
+  std::uint64_t getWallMs() const;
   void recordEvent(const Event &Value);
   void recordPlacement(const Event &Started);
   void recordAbsence(const TaskKey &Task, TaskHistory &History);
@@ -243,6 +266,7 @@
   /// Cancelled jobs and when the cancellation was acknowledged.
   std::map<std::string, TimePoint> Cancelled_;
   std::set<std::string> Submitted_; ///< Jobs whose submission succeeded.
+  std::set<TaskKey> Completed_; ///< Tasks whose completion was acknowledged.
   std::vector<Absence> LongAbsences_;
   std::size_t NextJobNumber_ = 0;
   TimePoint StartedAt_{};
--- a/tests/jobservice/ChangingLeadersServers.cpp
+++ b/tests/jobservice/ChangingLeadersServers.cpp
@@ -46,26 +46,26 @@
 void ChangingLeaders::report(std::size_t Number) {
   Server &Backend = Servers_[Number];
   const ServerReport Report = Backend.makeReport(Number, Time_.now());
+  const std::uint64_t Incarnation = Backend.Incarnation_;
   const Endpoint From{Endpoint::Kind::Server, Number};
   const Endpoint To{Endpoint::Kind::Member, Backend.Home_};
   send({From, To, MessageKind::Report,
-        [this, From, To, Report] {
+        [this, From, To, Report, Incarnation] {
           Members_[To.Number_]->report(
-              Report,
-              [this, From, To, Sequence = Report.Sequence_,
-               Id = Report.Facts_.Id_](const Outcome<ServerOrders> &Answer) {
+              Report, [this, From, To, Sequence = Report.Sequence_,
+                       Incarnation](const Outcome<ServerOrders> &Answer) {
                 send({To,
                       From,
                       MessageKind::Answer,
-                      [this, From, Sequence, Id, Answer] {
-                        if (Servers_[From.Number_].Id_ == Id)
+                      [this, From, Sequence, Incarnation, Answer] {
+                        if (Servers_[From.Number_].Incarnation_ == Incarnation)
                           handleAnswer(From.Number_, Sequence, Answer);
                       },
                       {}});
               });
         },
-        [this, From, Sequence = Report.Sequence_, Id = Backend.Id_] {
-          if (Servers_[From.Number_].Id_ == Id)
+        [this, From, Sequence = Report.Sequence_, Incarnation] {
+          if (Servers_[From.Number_].Incarnation_ == Incarnation)
             handleAnswer(From.Number_, Sequence,
                          fail(ErrorCode::Unavailable, "refused"));
         }});
@@ -83,11 +83,14 @@
   const ServerOrders &Orders = Answer.value();
   if (!Orders.ReportTo_.empty())
     Backend.Home_ = findMember(Orders.ReportTo_);
+  recordAcknowledgedEnds(Backend, Orders);
   Backend.acknowledge(Orders, Now);
   const bool IsFenced = Orders.FencingToken_ < Backend.FencingToken_;
   if (Orders.LeaseMs_ == 0 || IsFenced)
     return;
   Backend.FencingToken_ = Orders.FencingToken_;
+  recordTimeToLease(Backend);
+  Backend.HadLease_ = true;
   const Duration Lease = std::chrono::milliseconds(Orders.LeaseMs_);
   Backend.extendLease(Lease * Percent /
                       (Percent - Scenario_.ClockSlowPercent_));
@@ -97,9 +100,20 @@
     startRun(Backend, Start);
 }
 
+void ChangingLeaders::recordAcknowledgedEnds(const Server &Backend,
+                                             const ServerOrders &Orders) {
+  for (const EndedTask &End : Backend.Ended_)
+    if (End.Number_ <= Orders.EndsNoted_ &&
+        End.End_.Outcome_ == RunOutcome::Done)
+      Completed_.insert(End.End_.Task_);
+}
+
 void ChangingLeaders::startRun(Server &Backend, const StartOrder &Start) {
   if (!Backend.accepts(Start))
     return;
+  if (Completed_.count(Start.Task_) != 0)
+    recordViolation("starts after its completion was acknowledged",
+                    Start.Task_);
   for (const Server &Other : Servers_)
     if (!Other.IsGone_ && Other.Running_.count(Start.Task_) != 0)
       recordViolation("runs on " + Other.Id_ + " and " + Backend.Id_,
--- a/tests/jobservice/EmulatedServer.cpp
+++ b/tests/jobservice/EmulatedServer.cpp
@@ -17,6 +17,11 @@
   Report.Facts_ = jobs::test::makeServer(Id_);
   Report.Facts_.Address_ = "place" + std::to_string(Place) + ":1";
   Report.Sequence_ = ++Sequence_;
+  Report.BornMs_ = BornMs_;
+  if (BornMs_ != 0)
+    Report.ServerClockMs_ = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Now - StartedAt_)
+            .count());
   for (const auto &[Task, Run] : Running_)
     Report.Running_.push_back(
         {Task, Run.Number_, "", Run.IsLongRunning_ ? 100U : 50U, 0});
--- a/tests/jobservice/EmulatedServer.h
+++ b/tests/jobservice/EmulatedServer.h
@@ -49,6 +49,11 @@
 
   // Queries.
 
+  /// Returns whether logs mean this server by the name, which may add the time
+  /// of its start behind a slash.
+  bool isNamed(const std::string &Name) const {
+    return Name == Id_ || Name.rfind(Id_ + "/", 0) == 0;
+  }
   /// Returns whether it still waits for the answer to the report.
   bool awaitsAnswer(std::uint64_t Sequence, TimePoint Now) const;
 
@@ -56,6 +61,9 @@
   static constexpr Duration ReportTimeout = std::chrono::seconds(1);
 
   std::string Id_;
+  /// The time of day at its start; 0 if it reports none, and no clock either.
+  std::uint64_t BornMs_ = 0;
+  TimePoint StartedAt_{};
   std::map<jobs::TaskKey, Run> Running_;
   /// The highest run number of each task that it was told to start or stop.
   std::map<jobs::TaskKey, std::uint64_t> HighestRunNumbers_;
