Keep the incarnations of a server apart by the time of their start

Cause: the id stood for one incarnation of a server everywhere (report numbers and clocks, relays, leases, placements, ends, crash records, tickets). Under a reused id the leader took the new incarnation's reports for late reports of the old one: no lease, no start, until their numbers had passed the old ones. An unknown incarnation of a registered server replaces it once the relays have flushed and it has reported again after the leader's answer: only a running server does, and then all earlier incarnations have ended, so their tasks need not wait for a lease. Neither numbers nor start times decide, as clocks are set back. Another address or another id claim as before. The advice service and the provider of VMs speak of ids. A notice of leaving without a start time ends only an incarnation that drains. Crashes of servers that are back soon still count as simultaneous. Batches to a leader carry start times beside the ids, so that an earlier version rejects them instead of taking them for other servers. Ruled out: taking the higher start time for the later incarnation (a late report of one that never registered, after a step back, would end a live one); a lease for an unregistered incarnation (it could start nothing, and its next report would be less urgent).

--- a/include/tulipweir/jobs/Advisor.h
+++ b/include/tulipweir/jobs/Advisor.h
@@ -30,7 +30,7 @@
 
 /// A server that is eligible to run the step.
 struct EligibleServer {
-  std::string Server_; ///< The server's id, which names one incarnation.
+  std::string Server_; ///< The server's id.
   std::string Ticket_;
   bool operator==(const EligibleServer &) const = default;
 };
@@ -50,8 +50,9 @@
   virtual ~Advisor() = default;
   /// Returns false if the deployment has no advice service.
   virtual bool isAvailable() const = 0;
-  /// Calls Reply once, on any thread, within Limit. Fails with Overfull if the
-  /// service is overloaded.
+  /// Asks about servers by their ids. The tickets are valid for the
+  /// incarnations that run now. Calls Reply once, on any thread, within Limit.
+  /// Fails with Overfull if the service is overloaded.
   virtual void ask(const StepKey &Step, const std::vector<std::string> &Servers,
                    Duration Limit, Done Reply) = 0;
 };
--- a/include/tulipweir/jobs/Commands.h
+++ b/include/tulipweir/jobs/Commands.h
@@ -48,7 +48,8 @@
 
 /// What a backend server declares about itself when it registers.
 struct ServerFacts {
-  std::string Id_; ///< Unique to this incarnation; never reused.
+  /// The text of an IncarnationId: unique to this incarnation, never reused.
+  std::string Id_;
   std::string Service_;
   std::string DataCentre_;
   std::string Rack_;
--- a/include/tulipweir/jobs/JobRegistry.h
+++ b/include/tulipweir/jobs/JobRegistry.h
@@ -160,6 +160,10 @@
     return Servers_;
   }
   const ServerRecord *findServer(const std::string &Id) const;
+  /// Returns the registered incarnations of the server, which are several only
+  /// while all but one are about to be removed.
+  std::vector<std::string>
+  listIncarnationsOf(const std::string &ServerId) const;
   /// Returns the id of the server at the address, or an empty string.
   std::string findServerAt(const std::string &Address) const;
   /// Returns whether the incarnation has ended: it left, or another one has
--- a/include/tulipweir/jobs/ReportBatch.h
+++ b/include/tulipweir/jobs/ReportBatch.h
@@ -90,7 +90,7 @@
   bool operator==(const ReportBatchReply &) const = default;
 };
 
-std::string encodeReports(const ReportBatch &Batch);
+std::string encodeReports(ReportBatch Batch);
 Outcome<ReportBatch> decodeReports(std::string_view Bytes);
 std::string encodeFlushRequest(const FlushRequest &Request);
 Outcome<FlushRequest> decodeFlushRequest(std::string_view Bytes);
--- a/include/tulipweir/jobs/ServerReport.h
+++ b/include/tulipweir/jobs/ServerReport.h
@@ -52,9 +52,6 @@
   std::uint64_t WaitedMs_ = 0;
   /// The server's steady clock when it sent the report; 0 if unknown.
   std::uint64_t ServerClockMs_ = 0;
-  /// The server's time of day at its start, as Unix time; 0 if unknown. A
-  /// server that starts again under its id has another one.
-  std::uint64_t BornMs_ = 0;
   bool operator==(const ServerReport &) const = default;
 };
 
--- a/include/tulipweir/jobs/VmProvider.h
+++ b/include/tulipweir/jobs/VmProvider.h
@@ -29,7 +29,7 @@
   std::string Vm_;
   std::string Service_;
   VmState State_ = VmState::Down;
-  /// The incarnation of the backend server on the VM; may be empty.
+  /// The id of the backend server on the VM; may be empty.
   std::string Server_;
   bool operator==(const VmInfo &) const = default;
 };
--- a/src/jobs/CrashHistory.h
+++ b/src/jobs/CrashHistory.h
@@ -29,8 +29,10 @@
   // Queries.
 
   /// Returns whether the server fell silent at the same time as many others.
+  /// Others count that have been silent for MinSilence.
   bool isCorrelated(const LiveServerTable &LiveServers,
-                    const std::string &Server, TimePoint Now) const;
+                    const std::string &Server, TimePoint Now,
+                    Duration MinSilence) const;
 
 private:
   std::deque<TimePoint> LastHeardTimes_; ///< Per crashed server, oldest first.
--- a/src/jobs/IncarnationConflicts.h
+++ b/src/jobs/IncarnationConflicts.h
@@ -1,9 +1,10 @@
-//===- IncarnationConflicts.h - Conflicts over an address -------*- C++ -*-===//
+//===- IncarnationConflicts.h - Which incarnation is the latest -*- C++ -*-===//
 //
-// A report of an unknown incarnation, at an address where another incarnation
-// was heard recently, comes either from a server that crashed and restarted or
-// is a delayed report of an earlier incarnation. A restarted server keeps
-// reporting while the other incarnation is silent.
+// A report of an unknown incarnation, of a server or at an address for which
+// another incarnation is registered, comes either from a server that has
+// started again or is a delayed report of an earlier incarnation. Sequence
+// numbers and start times do not tell, as they may go back. A running server
+// answers: it reports again soon after the leader's answer.
 //
 //===----------------------------------------------------------------------===//
 
@@ -11,40 +12,57 @@
 #define TULIPWEIR_SRC_JOBS_INCARNATIONCONFLICTS_H
 
 #include "tulipweir/core/Time.h"
+#include "tulipweir/jobs/ServerReport.h"
 
 #include <map>
 #include <string>
 
 namespace tulipweir::jobs {
 
-/// Decides when an incarnation may replace the one that is registered at its
-/// address. Not thread-safe.
+/// Decides when an incarnation may replace a registered one. Not thread-safe.
 class IncarnationConflicts {
 public:
+  /// An unknown incarnation that would replace a registered one.
+  struct Claim {
+    std::string Successor_;
+    std::string Registered_;
+    /// Both are incarnations of one server, of which only the latest runs.
+    /// Otherwise they report the same address.
+    bool AreOfSameServer_ = false;
+    auto operator<=>(const Claim &) const = default;
+  };
+
   void reset() { Claims_.clear(); }
 
-  /// Records a report of the incarnation Id, which claims an address whose
-  /// registered incarnation was last heard at OccupantHeard. Returns true if
-  /// the claim begins now: the caller then has the relays flush their reports
-  /// of the registered incarnation.
-  bool recordClaim(const std::string &Id, TimePoint OccupantHeard,
-                   TimePoint Now);
+  /// Records a report of the successor, which was received at ReceivedAt and
+  /// is answered now. The registered incarnation was last heard at
+  /// RegisteredHeard. Returns true if the claim begins now: the caller then has
+  /// the relays flush their reports of the registered incarnation.
+  bool recordReport(const Claim &Value, const ServerReport &Report,
+                    TimePoint ReceivedAt, TimePoint RegisteredHeard,
+                    TimePoint Now);
   /// Records that all relays have flushed their reports for the claim that
   /// began at Begin.
-  void recordFlush(const std::string &Id, TimePoint Begin);
+  void recordFlush(const Claim &Value, TimePoint Begin);
 
-  /// Whether the incarnation Id has proved to be the newer one.
-  bool mayTakeOver(const std::string &Id, TimePoint Now) const;
+  /// Whether the successor has proved to be the later one.
+  bool mayTakeOver(const Claim &Value, TimePoint Now) const;
 
-  void forget(const std::string &Id) { Claims_.erase(Id); }
+  void forget(const std::string &Successor);
 
 private:
-  struct Claim {
-    /// Since when it has reported while the other one is silent.
+  struct Progress {
+    /// Since when the successor has reported while the other one is silent.
     TimePoint Begin_;
     bool IsFlushed_ = false;
+    /// The successor has reported after an answer to it.
+    bool IsRunning_ = false;
+    // The last report of the successor.
+    std::uint64_t LastSequence_ = 0;
+    std::uint64_t LastClockMs_ = 0;
+    TimePoint AnsweredAt_{};
   };
-  std::map<std::string, Claim> Claims_; ///< Keyed by incarnation.
+  std::map<Claim, Progress> Claims_;
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/JobLeaderAdvice.cpp
+++ b/src/jobs/JobLeaderAdvice.cpp
@@ -32,7 +32,10 @@
       AnswerSlack + std::chrono::milliseconds(Question->Times_.PerCallMs_ +
                                               Question->Times_.PerServerMs_ *
                                                   Question->Servers_.size());
-  Advisor_.ask(Question->Step_, Question->Servers_, Limit,
+  std::vector<std::string> ServerIds;
+  for (const std::string &Id : Question->Servers_)
+    ServerIds.push_back(IncarnationId::parse(Id).getServerId());
+  Advisor_.ask(Question->Step_, ServerIds, Limit,
                [Weak = weak_from_this(), &Strand = Strand_, Term = Term_,
                 Question = *Question](const Outcome<Advice> &Answer) {
                  Strand.post([Weak, Term, Question, Answer] {
@@ -43,6 +46,19 @@
                });
 }
 
+/// Replaces the servers' ids by the incarnations that the question was about. A
+/// ticket is not valid for a later one.
+static Advice nameEligible(const AdviceRequest &Question, Advice Answer) {
+  std::map<std::string, std::string> Incarnations;
+  for (const std::string &Id : Question.Servers_)
+    Incarnations[IncarnationId::parse(Id).getServerId()] = Id;
+  for (EligibleServer &Server : Answer.EligibleServers_)
+    if (const auto It = Incarnations.find(Server.Server_);
+        It != Incarnations.end())
+      Server.Server_ = It->second;
+  return Answer;
+}
+
 void JobLeader::Impl::handleAdvice(const AdviceRequest &Question,
                                    const Outcome<Advice> &Answer) {
   IsAdvicePending_ = false;
@@ -53,7 +69,8 @@
                std::to_string(Question.Step_.Step_);
   Line.Count_ = Question.Servers_.size();
   if (Answer) {
-    Advice_.addAnswer(Question, Answer.value(), Time_.now());
+    Advice_.addAnswer(Question, nameEligible(Question, Answer.value()),
+                      Time_.now());
     Line.Outcome_ = std::to_string(Answer.value().EligibleServers_.size()) +
                     " servers may run it";
   } else {
--- a/src/jobs/JobLeaderCrashes.cpp
+++ b/src/jobs/JobLeaderCrashes.cpp
@@ -6,6 +6,8 @@
 using namespace tulipweir::jobs;
 using namespace std::chrono_literals;
 
+/// A live server reports more often than this.
+static constexpr Duration SilenceThreshold = 1500ms;
 /// The interval at which isolated runs are checked for having proved harmless.
 static constexpr Duration ProofCheckInterval = 250ms;
 
@@ -38,7 +40,14 @@
     return Crash;
   Crash.IsCrash_ = true;
   Crash.IsConfirmed_ = How == Departure::Replaced;
-  Crash.IsCorrelated_ = Crashes_.isCorrelated(LiveServers_, Server, Now);
+  // A server that restarts is back before others that crashed with it have been
+  // silent for long. Live ones have mostly reported again by then.
+  const Duration MinSilence =
+      How == Departure::Replaced
+          ? std::min(SilenceThreshold, Settings_.ReportInterval_ * 3 / 2)
+          : SilenceThreshold;
+  Crash.IsCorrelated_ =
+      Crashes_.isCorrelated(LiveServers_, Server, Now, MinSilence);
   Crash.WasServerStable_ = Machine_.read([&](const JobRegistry &Registry) {
     const ServerRecord *Record = Registry.findServer(Server);
     return Record && LiveServers_.isStable(*Record);
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -4,7 +4,8 @@
 // and periodic work (JobLeader.cpp), clients' calls (JobLeaderCalls.cpp),
 // operators' orders (JobLeaderOperators.cpp), questions to the advice service
 // (JobLeaderAdvice.cpp), servers' reports (JobLeaderReports.cpp), the orders
-// in their answers (JobLeaderOrders.cpp), servers whose leases expire
+// in their answers (JobLeaderOrders.cpp), servers that register, are replaced
+// or leave (JobLeaderAdmission.cpp), servers whose leases expire
 // (JobLeaderExpiry.cpp), crashes of servers and the ends of jobs
 // (JobLeaderCrashes.cpp), waves of maintenance (JobLeaderWaves.cpp), and logs,
 // metrics and the health of servers (JobLeaderTelemetry.cpp).
@@ -28,6 +29,7 @@
 #include "jobs/ReportAges.h"
 #include "jobs/WavePlanner.h"
 #include "replication/LeaderWatch.h"
+#include "tulipweir/jobs/IncarnationId.h"
 
 #include <deque>
 #include <limits>
@@ -134,6 +136,7 @@
   void pruneEndedJobs();
   void advanceWaves();
   void refreshVms();
+  VmList nameIncarnations(VmList Vms) const;
   void handleMaintenanceReply(const MaintenanceOrder &Order,
                               const Outcome<MaintenanceReply> &Reply);
   void logWave(std::uint64_t Wave, const std::string &Vm,
@@ -156,6 +159,7 @@
   /// Detail is logged behind the reason.
   void removeServer(const std::string &Id, Departure How, ResultCallback Done,
                     std::string_view Detail = "");
+  std::optional<std::string> findLeaving(const std::string &Notified) const;
   void removeOnceFlushed(const std::string &Id, Departure How,
                          ResultCallback Done);
   void propose(const Command &Value, ResultCallback Done);
@@ -169,9 +173,12 @@
   void show(const JobCall &Call, const Done<JobCallReply> &Reply) const;
   void cancel(const JobCall &Call, const Done<JobCallReply> &Reply);
 
-  void logRestart(const ServerReport &Report);
+  void resolveIncarnation(ServerReport &Report) const;
   void admit(const PendingReportPtr &Pending);
-  bool takeOver(const std::string &Occupant, const ServerFacts &Successor);
+  bool takeOver(const std::vector<std::string> &Others,
+                const PendingReport &Pending);
+  bool claimFrom(const std::string &Other, const PendingReport &Pending);
+  void logRestart(const std::string &Before, const std::string &Restarted);
   void addServer(const PendingReportPtr &Pending);
   void commitEnds(const PendingReportPtr &Pending);
   void startTasks(const PendingReportPtr &Pending);
--- a/src/jobs/JobLeaderWaves.cpp
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -76,6 +76,19 @@
                      });
 }
 
+/// Replaces the servers' ids by their registered incarnations.
+VmList JobLeader::Impl::nameIncarnations(VmList Vms) const {
+  Machine_.read([&Vms](const JobRegistry &Registry) {
+    for (VmInfo &Vm : Vms.Vms_)
+      if (const std::vector<std::string> Registered =
+              Registry.listIncarnationsOf(Vm.Server_);
+          !Registered.empty())
+        Vm.Server_ = Registered.back();
+    return 0;
+  });
+  return Vms;
+}
+
 void JobLeader::Impl::refreshVms() {
   const TimePoint Now = Time_.now();
   const bool IsDue = Machine_.read([&](const JobRegistry &Registry) {
@@ -92,7 +105,7 @@
         return;
       Self->IsListing_ = false;
       if (Vms)
-        Self->Waves_.updateVms(Vms.value(), Now);
+        Self->Waves_.updateVms(Self->nameIncarnations(Vms.value()), Now);
     });
   });
 }
--- a/src/jobs/JobRegistryServers.cpp
+++ b/src/jobs/JobRegistryServers.cpp
@@ -1,4 +1,5 @@
 // Registration and removal of servers in JobRegistry.
+#include "tulipweir/jobs/IncarnationId.h"
 #include "tulipweir/jobs/JobRegistry.h"
 
 #include <utility>
@@ -28,6 +29,18 @@
   return {IsNew ? CommandStatus::Done : CommandStatus::AlreadyDone, {}};
 }
 
+std::vector<std::string>
+JobRegistry::listIncarnationsOf(const std::string &ServerId) const {
+  std::vector<std::string> Incarnations;
+  if (Servers_.count(ServerId) != 0)
+    Incarnations.push_back(ServerId);
+  const std::string Prefix = ServerId + IncarnationSeparator;
+  for (auto It = Servers_.lower_bound(Prefix);
+       It != Servers_.end() && It->first.rfind(Prefix, 0) == 0; ++It)
+    Incarnations.push_back(It->first);
+  return Incarnations;
+}
+
 /// Lost placements kept per task; late ends of older runs are not recognized.
 static constexpr std::size_t MaxLostPlacements = 4;
 
--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -41,7 +41,6 @@
 /// The volatile state of one server.
 struct LiveServer {
   std::uint64_t LastSequence_ = 0;
-  std::uint64_t BornMs_ = 0; ///< From the last report; 0 if unknown.
   TimePoint LastHeard_{};
   std::optional<SendTime> LastSent_; ///< When the last report was sent.
   /// When the one before was sent.
--- a/src/jobs/ReportBatch.cpp
+++ b/src/jobs/ReportBatch.cpp
@@ -1,6 +1,7 @@
 #include "tulipweir/jobs/ReportBatch.h"
 
 #include "jobs/JobPacking.h"
+#include "tulipweir/jobs/IncarnationId.h"
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -12,15 +13,24 @@
 static auto fields(EndedTask &X) { return std::tie(X.Number_, X.End_); }
 static auto fields(ServerReport &X) {
   return std::tie(X.Facts_, X.IsDraining_, X.RemainingMs_, X.Sequence_,
-                  X.Running_, X.Ended_, X.WaitedMs_, X.ServerClockMs_,
-                  X.BornMs_);
+                  X.Running_, X.Ended_, X.WaitedMs_, X.ServerClockMs_);
 }
-constexpr std::size_t optionalFields(const ServerReport &) { return 3; }
+constexpr std::size_t optionalFields(const ServerReport &) { return 2; }
 static auto fields(ReportBatch &X) {
   return std::tie(X.Reports_, X.HasDeferred_, X.FlushId_, X.Heard_, X.From_,
                   X.ProbeTimeNs_, X.LateReports_, X.TimeoutMs_);
 }
 constexpr std::size_t optionalFields(const ReportBatch &) { return 2; }
+/// A batch with the start times of the reporting servers. Their ids on the wire
+/// are without them, so that a leader of an earlier version, which rejects the
+/// batch, does not take them for other servers' ids.
+struct TimedReportBatch {
+  ReportBatch Batch_;
+  std::vector<std::uint64_t> BornMs_; ///< For each report; 0 if unknown.
+};
+static auto fields(TimedReportBatch &X) {
+  return std::tie(X.Batch_, X.BornMs_);
+}
 static auto fields(FlushRequest &X) {
   return std::tie(X.From_, X.Id_, X.Servers_, X.OnlySilent_);
 }
@@ -77,11 +87,40 @@
   return fail(ErrorCode::Unavailable, std::move(Text_));
 }
 
-std::string jobs::encodeReports(const ReportBatch &Batch) {
-  return packing::pack(Batch);
+/// The first byte of an array of two elements.
+static constexpr char TimedBatchPrefix = '\x92';
+
+std::string jobs::encodeReports(ReportBatch Batch) {
+  TimedReportBatch Timed{std::move(Batch), {}};
+  bool AnyStartTime = false;
+  for (ServerReport &Report : Timed.Batch_.Reports_) {
+    const IncarnationId Id = IncarnationId::parse(Report.Facts_.Id_);
+    Timed.BornMs_.push_back(Id.getBornMs());
+    if (Id.hasStartTime())
+      Report.Facts_.Id_ = Id.getServerId();
+    AnyStartTime = AnyStartTime || Id.hasStartTime();
+  }
+  // Members of earlier versions understand a batch without start times.
+  return AnyStartTime ? packing::pack(Timed) : packing::pack(Timed.Batch_);
 }
+
 Outcome<ReportBatch> jobs::decodeReports(std::string_view Bytes) {
-  return packing::unpack<ReportBatch>(Bytes, "a batch of reports");
+  static constexpr std::string_view What = "a batch of reports";
+  if (Bytes.empty() || Bytes.front() != TimedBatchPrefix)
+    return packing::unpack<ReportBatch>(Bytes, What);
+  Outcome<TimedReportBatch> Unpacked =
+      packing::unpack<TimedReportBatch>(Bytes, What);
+  if (!Unpacked)
+    return Unpacked.error();
+  TimedReportBatch &Timed = Unpacked.value();
+  std::vector<ServerReport> &Reports = Timed.Batch_.Reports_;
+  if (Timed.BornMs_.size() != Reports.size())
+    return fail(ErrorCode::Malformed, "start times of other reports");
+  for (std::size_t I = 0; I < Reports.size(); ++I)
+    Reports[I].Facts_.Id_ =
+        IncarnationId::make(std::move(Reports[I].Facts_.Id_), Timed.BornMs_[I])
+            .toString();
+  return std::move(Timed.Batch_);
 }
 std::string jobs::encodeFlushRequest(const FlushRequest &Request) {
   return packing::pack(Request);
--- a/src/jobservice/LeaseSurvey.cpp
+++ b/src/jobservice/LeaseSurvey.cpp
@@ -1,5 +1,7 @@
 #include "jobservice/LeaseSurvey.h"
 
+#include "tulipweir/jobs/IncarnationId.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -120,10 +122,17 @@
   jobs::LeaseBounds Bounds;
   Bounds.Others_ = std::max(Heard_.getMemorySince(), MembersChangedAt_);
   // No leader before this one granted a lease later than this one began.
-  const auto Add = [&](const std::string &Id, TimePoint HeardAt) {
+  const auto AddAs = [&](const std::string &Id, TimePoint HeardAt) {
     TimePoint &Latest = Bounds.HeardAt_[Id];
     Latest = std::max(Latest, std::min(HeardAt, Round_->StartedAt_));
   };
+  // An earlier version may have registered the server without its start time.
+  const auto Add = [&](const std::string &Id, TimePoint HeardAt) {
+    const jobs::IncarnationId Incarnation = jobs::IncarnationId::parse(Id);
+    AddAs(Id, HeardAt);
+    if (Incarnation.hasStartTime())
+      AddAs(Incarnation.getServerId(), HeardAt);
+  };
   for (const auto &[Id, HeardAt] : Heard_.times())
     Add(Id, HeardAt);
   for (const auto &[Member, Received] : Round_->Answers_) {
--- a/src/jobservice/ReportRouter.cpp
+++ b/src/jobservice/ReportRouter.cpp
@@ -147,7 +147,7 @@
     return Strand_.post(
         [Reply = std::move(Reply)] { Reply(fail(ErrorCode::NotLeader, "")); });
   Links_.call(Leader, wire::MessageKind::ServerReports,
-              jobs::encodeReports(Batch), Timeout,
+              jobs::encodeReports(std::move(Batch)), Timeout,
               [this, Weak = Owner_,
                Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
                 const std::shared_ptr<void> Hold = Weak.lock();
