Judge crashes of servers that are back at once with care, and keep the pace of other claims

A restarted server was taken in so soon that others that had crashed with it had not been silent for 1.5 s, so the crash did not count as simultaneous and sound jobs were blamed (BUDGET). And claims of an address by another id were answered every 100 ms instead of 250 ms, or their crashes judged after a shorter silence; which of the two it was has not been separated. Change: Departure::Restarted is told from Replaced. For it every server that was last heard at the same time and has not reported since may have crashed too; a wrong "simultaneous" only delays the verdict on a crashing task by a few runs. Claims by another id have their pace and their judgement back; only a restart under the id reports every 100 ms.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -221,10 +221,10 @@
 }
 
 static std::string_view getReason(Departure How) {
-  static constexpr std::array<std::string_view, 4> Reasons = {
+  static constexpr std::array<std::string_view, 5> Reasons = {
       "the server left", "maintenance of its VM has begun",
       "another incarnation took over its address",
-      "no report until its lease expired"};
+      "the server has started again", "no report until its lease expired"};
   return Reasons.at(static_cast<std::size_t>(How));
 }
 
@@ -254,7 +254,7 @@
   Meter_.add(JobCounter::ServersGone, 1);
   Meter_.add(JobCounter::TasksLapsed, Lost.size());
   CrashEvidence Crash;
-  if (How == Departure::Replaced || How == Departure::Silent)
+  if (How != Departure::Left && How != Departure::Maintained)
     Crash = assessCrash(Id, How, Lost);
   const LiveServer *Known = LiveServers_.find(Id);
   const TimePoint LastHeard = Known ? Known->LastHeard_ : Time_.now();
--- a/src/jobs/JobLeaderAdmission.cpp
+++ b/src/jobs/JobLeaderAdmission.cpp
@@ -6,8 +6,10 @@
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 
-/// The report interval of an incarnation that waits for the end of another one.
-static constexpr std::uint64_t ConflictReportMs = 100;
+/// The report interval of an incarnation whose address is still taken.
+static constexpr std::uint64_t ConflictReportMs = 250;
+/// The same for a restarted server, whose next report proves that it runs.
+static constexpr std::uint64_t RestartReportMs = 100;
 
 static bool contains(const std::vector<std::string> &Ids,
                      const std::string &Id) {
@@ -97,7 +99,9 @@
   if (!takeOver(Others, *Pending)) {
     Meter_.add(JobCounter::ReportsWithAddressConflict, 1);
     ServerOrders Later;
-    Later.NextReportMs_ = ConflictReportMs;
+    const bool IsRestart =
+        !Others.empty() && areSameServer(Others.front(), Facts.Id_);
+    Later.NextReportMs_ = IsRestart ? RestartReportMs : ConflictReportMs;
     return reply(Pending, std::move(Later));
   }
   addServer(Pending);
@@ -118,9 +122,10 @@
     const LiveServer *Live = LiveServers_.find(Other);
     if (Live && Live->IsRemoving_)
       continue;
-    if (areSameServer(Other, Successor))
+    const bool IsRestart = areSameServer(Other, Successor);
+    if (IsRestart)
       logRestart(Other, Successor);
-    removeServer(Other, Departure::Replaced,
+    removeServer(Other, IsRestart ? Departure::Restarted : Departure::Replaced,
                  [](const Outcome<CommandResult> &) {});
   }
   return true;
--- a/src/jobs/JobLeaderCrashes.cpp
+++ b/src/jobs/JobLeaderCrashes.cpp
@@ -39,13 +39,11 @@
   if (!Live || Live->IsDraining_ || Live->WasEmptying_)
     return Crash;
   Crash.IsCrash_ = true;
-  Crash.IsConfirmed_ = How == Departure::Replaced;
-  // A server that restarts is back before others that crashed with it have been
-  // silent for long. Live ones have mostly reported again by then.
+  Crash.IsConfirmed_ = How != Departure::Silent;
+  // A server may be back before others that crashed with it have been silent
+  // for long, so any that has not reported since may be one of them.
   const Duration MinSilence =
-      How == Departure::Replaced
-          ? std::min(SilenceThreshold, Settings_.ReportInterval_ * 3 / 2)
-          : SilenceThreshold;
+      How == Departure::Restarted ? Duration(0) : SilenceThreshold;
   Crash.IsCorrelated_ =
       Crashes_.isCorrelated(LiveServers_, Server, Now, MinSilence);
   Crash.WasServerStable_ = Machine_.read([&](const JobRegistry &Registry) {
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -42,6 +42,7 @@
   Left,
   Maintained, ///< The maintenance of its VM has begun.
   Replaced,   ///< Another incarnation reports at its address.
+  Restarted,  ///< The server has started again under its id.
   Silent,     ///< Its lease expired.
 };
 
--- a/tests/jobs/CrashSimulator.cpp
+++ b/tests/jobs/CrashSimulator.cpp
@@ -1,5 +1,7 @@
 #include "jobs/CrashSimulator.h"
 
+#include "tulipweir/jobs/IncarnationId.h"
+
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 using namespace tulipweir::jobs::test;
@@ -17,6 +19,7 @@
   Leader_.putConfiguration(makeConfiguration(), [](const Outcome<void> &) {});
   Strand_.runAll();
   BeganAt_ = Time_.now();
+  Relays_.FlushDelay_ = Scenario_.FlushDelay_;
   const auto After = [this](Duration Interval) {
     return Interval == Duration(0) ? TimePoint::max() : BeganAt_ + Interval;
   };
@@ -121,7 +124,13 @@
       static_cast<std::size_t>(&Backend - Servers_.data());
   Server Replacement;
   Replacement.Address_ = Backend.Address_;
-  Replacement.Id_ = "i" + std::to_string(++Incarnations_);
+  ++Incarnations_;
+  Replacement.Id_ =
+      Scenario_.KeepsIds_
+          ? IncarnationId::make("i" + std::to_string(Index), Incarnations_)
+                .toString()
+          : "i" + std::to_string(Incarnations_);
+  Replacement.StartedAt_ = Time_.now();
   Replacement.NextReport_ = Time_.now() + 10ms * static_cast<int>(draw(50));
   if (Index < Scenario_.UnstableServers_)
     Replacement.CrashesAt_ =
@@ -207,6 +216,9 @@
   Report.Facts_ = makeServer(Backend.Id_, ServerMilliCpus);
   Report.Facts_.Address_ = Backend.Address_;
   Report.Sequence_ = ++Backend.Sequence_;
+  if (Scenario_.KeepsIds_)
+    Report.ServerClockMs_ =
+        static_cast<std::uint64_t>((Time_.now() - Backend.StartedAt_) / 1ms);
   Report.Ended_ = Backend.Ended_;
   for (const auto &[Task, Active] : Backend.Running_)
     Report.Running_.push_back(
--- a/tests/jobs/CrashSimulator.h
+++ b/tests/jobs/CrashSimulator.h
@@ -24,6 +24,9 @@
   /// From a crash to the first report of the next incarnation.
   Duration RestartDelay_ = std::chrono::seconds(3);
   bool RestartsServers_ = true; ///< Otherwise crashed servers stay down.
+  bool KeepsIds_ = false;       ///< Servers start again under their ids.
+  /// How long relays take to flush.
+  Duration FlushDelay_ = std::chrono::milliseconds(450);
   /// From the start of a crashing task to the crash of its server.
   Duration CrashDelay_ = std::chrono::milliseconds(10);
   Duration LeaderInterval_{}; ///< Zero: the leader never changes.
@@ -78,6 +81,7 @@
   };
   struct Server {
     std::string Address_;
+    TimePoint StartedAt_{};
     std::string Id_;
     bool IsUp_ = true;
     TimePoint RestartsAt_{};
--- a/tests/jobs/CrashingTaskTest.cpp
+++ b/tests/jobs/CrashingTaskTest.cpp
@@ -178,3 +178,70 @@
         << " tasks on a server, ms: " << Simulator.getLongestOutage() / 1ms;
   }
 }
+
+/// Servers start again under their ids, and relays flush at once.
+static CrashScenario makeScenarioWithIds(Duration RestartDelay) {
+  CrashScenario Scenario;
+  Scenario.KeepsIds_ = true;
+  Scenario.FlushDelay_ = 10ms;
+  Scenario.RestartDelay_ = RestartDelay;
+  return Scenario;
+}
+
+// Guards against a task that crashes its servers without bound as they start
+// again under their ids.
+TEST(CrashingTaskTest, ATaskThatCrashesServersThatKeepTheirIdsIsGivenUp) {
+  for (const Duration RestartDelay : {300ms, 800ms, 3000ms, 8000ms}) {
+    CrashSimulator Simulator(makeScenarioWithIds(RestartDelay));
+    Simulator.submit("bad", {makeStep(6, 1000)}, {{0, 2}});
+    Simulator.submit("lasting", {makeServing(4, "other")}, {{0, 3}});
+    Simulator.run(60s);
+    expectNoViolations(Simulator, std::to_string(RestartDelay.count()));
+    expectGivenUp(Simulator, "bad");
+    expectGivenUp(Simulator, "lasting");
+  }
+}
+
+// Guards against sound jobs that are given up as their servers crash together
+// and are back before the others have been silent for long.
+TEST(CrashingTaskTest, JobsOnServersThatKeepTheirIdsAreNotGivenUp) {
+  for (const Duration RestartDelay : {300ms, 800ms, 3000ms})
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      CrashScenario Scenario = makeScenarioWithIds(RestartDelay);
+      Scenario.Seed_ = Seed;
+      Scenario.MassCrashInterval_ = 4s;
+      Scenario.UnstableServers_ = 4;
+      Scenario.JobInterval_ = 150ms;
+      Scenario.LeaderInterval_ = Seed % 2 == 0 ? Duration(9s) : Duration(0);
+      CrashSimulator Simulator(Scenario);
+      Simulator.run(40s);
+      EXPECT_GT(Simulator.HealthyRunsCrashed_, 50U);
+      EXPECT_THAT(Simulator.Violations_, IsEmpty())
+          << "seed " << Seed << ", restart after " << RestartDelay / 1ms
+          << " ms";
+    }
+}
+
+// Guards against sound jobs that are given up in the place of the tasks that
+// crash their servers, and against crashing tasks that are not.
+TEST(CrashingTaskTest, JobsBesideCrashingTasksOnServersThatKeepTheirIds) {
+  for (const Duration RestartDelay : {300ms, 800ms, 3000ms})
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      CrashScenario Scenario = makeScenarioWithIds(RestartDelay);
+      Scenario.Seed_ = Seed;
+      Scenario.UnstableServers_ = 3;
+      Scenario.MassCrashInterval_ = 15s;
+      CrashSimulator Simulator(Scenario);
+      for (int I = 0; I < 12; ++I) {
+        Simulator.submit("bad" + std::to_string(I), {makeStep(6, 1000)},
+                         {{0, I % 6}});
+        Simulator.run(1500ms);
+      }
+      Simulator.run(60s);
+      EXPECT_THAT(Simulator.Violations_, IsEmpty())
+          << "seed " << Seed << ", restart after " << RestartDelay / 1ms
+          << " ms";
+      for (int I = 0; I < 12; ++I)
+        expectGivenUp(Simulator, "bad" + std::to_string(I));
+    }
+}
--- a/tests/jobs/LeaderFixture.h
+++ b/tests/jobs/LeaderFixture.h
@@ -179,7 +179,7 @@
 
   void flush(const std::string &, std::function<void()> Done) override {
     if (AnswersAutomatically_)
-      return Strand_.postAfter(FlushDelay, std::move(Done));
+      return Strand_.postAfter(FlushDelay_, std::move(Done));
     Requests_.push_back([Done = std::move(Done)](const Heard &) { Done(); });
   }
   void findHeard(const std::vector<std::string> &,
@@ -209,10 +209,10 @@
   /// Tells the last new leader the bounds of earlier leases.
   std::function<void(const LeaseBounds &)> FoundBounds_;
 
-private:
-  /// Longer than a relay buffers a report.
-  static constexpr Duration FlushDelay = std::chrono::milliseconds(450);
+  /// By default longer than a relay buffers a report.
+  Duration FlushDelay_ = std::chrono::milliseconds(450);
 
+private:
   ManualExecutor &Strand_;
   std::vector<std::function<void(Heard)>> Requests_;
 };
--- a/tests/jobservice/StarvedFleet.cpp
+++ b/tests/jobservice/StarvedFleet.cpp
@@ -121,6 +121,9 @@
   Servers_.resize(static_cast<std::size_t>(Scenario.Servers_));
   for (std::size_t I = 0; I < Servers_.size(); ++I) {
     Servers_[I].Id_ = "i-" + std::to_string(I) + "-0";
+    Servers_[I].StartedAt_ = Time_.now();
+    if (Scenario_.KeepsIds_)
+      Servers_[I].BornMs_ = 1;
     Servers_[I].Relay_ = static_cast<int>(I) % Relays;
     Servers_[I].NextReport_ =
         Time_.now() + 10ms * static_cast<int>(drawBelow(50));
@@ -243,10 +246,10 @@
 }
 
 bool StarvedFleet::isGone(const std::string &Id) const {
-  return std::none_of(Servers_.begin(), Servers_.end(),
-                      [&Id](const Server &Backend) {
-                        return Backend.Id_ == Id && !Backend.IsGone_;
-                      });
+  return std::none_of(
+      Servers_.begin(), Servers_.end(), [&Id](const Server &Backend) {
+        return Backend.getIncarnation() == Id && !Backend.IsGone_;
+      });
 }
 
 void StarvedFleet::receive(std::size_t Relay, ReportBatch Batch,
@@ -377,7 +380,7 @@
 
 void StarvedFleet::removeServer(Server &Backend) {
   Backend.IsGone_ = true;
-  Leader_.leave(Backend.Id_, [](const Outcome<void> &) {});
+  Leader_.leave(Backend.getIncarnation(), [](const Outcome<void> &) {});
   for (const EndedTask &End : Backend.Ended_)
     if (End.End_.Outcome_ == RunOutcome::Done &&
         End.Number_ <= Backend.LastReportedEnd_)
@@ -388,8 +391,13 @@
 void StarvedFleet::restartServer(Server &Backend) {
   Server NewServer;
   const std::size_t Dash = Backend.Id_.rfind('-');
-  NewServer.Id_ = Backend.Id_.substr(0, Dash + 1) +
-                  std::to_string(std::stoi(Backend.Id_.substr(Dash + 1)) + 1);
+  NewServer.Id_ =
+      Scenario_.KeepsIds_
+          ? Backend.Id_
+          : Backend.Id_.substr(0, Dash + 1) +
+                std::to_string(std::stoi(Backend.Id_.substr(Dash + 1)) + 1);
+  NewServer.BornMs_ = Scenario_.KeepsIds_ ? Backend.BornMs_ + 1 : 0;
+  NewServer.StartedAt_ = Time_.now();
   NewServer.Relay_ = static_cast<int>(drawBelow(Relays));
   NewServer.NextReport_ = Time_.now();
   NewServer.AnsweredAt_ = Time_.now();
--- a/tests/jobservice/StarvedFleet.h
+++ b/tests/jobservice/StarvedFleet.h
@@ -35,6 +35,7 @@
   Duration CommitInterval_ = std::chrono::milliseconds(10);
   Duration Length_ = std::chrono::seconds(30);
   bool HasFaults_ = false; ///< Servers leave, fall silent and restart.
+  bool KeepsIds_ = false;  ///< Servers restart under their ids.
   Duration FaultInterval_ = std::chrono::milliseconds(700);
   /// Between SlowFrom_ and SlowUntil_ after the start, a report costs
   /// SlowReportCost_ instead of ReportCost_.
--- a/tests/jobservice/StarvedFleetServers.cpp
+++ b/tests/jobservice/StarvedFleetServers.cpp
@@ -25,7 +25,7 @@
     Relays_[Relay]->add(Report, [this, Number, Id = Report.Facts_.Id_,
                                  Sequence = Report.Sequence_](
                                     const Outcome<ServerOrders> &Answer) {
-      if (Servers_[Number].Id_ == Id)
+      if (Servers_[Number].getIncarnation() == Id)
         handleAnswer(Number, Sequence, Answer);
     });
   });
