Poll a restarted server under its incarnation

An answer did not say who sent it, so after a restart at the same address the answer of the new incarnation counted as a report of the old one, and the new one was not polled until the old one had been silent for 3 s. Change: an answer to a poll may carry the sender's start time. Open: a start that is under way while its server crashes and starts again within the commit of the start reaches the new incarnation.

--- a/tests/platform/ServerPollerTest.cpp
+++ b/tests/platform/ServerPollerTest.cpp
@@ -70,6 +70,8 @@
     for (const auto &[Task, Run] : Running_)
       Answer["running"].push_back({Task, Run, "", 50, 0});
     Answer["finished"] = Ended_;
+    if (BornMs_ != 0)
+      Answer["born"] = BornMs_.load();
     return net::HttpResponse::makeJson(200, Answer.dump());
   }
   /// Ends all running tasks as done.
@@ -102,6 +104,7 @@
   static constexpr std::uint64_t NowMs = 482'113; ///< The server's own clock.
   std::string Address_;
   std::atomic<bool> RefusesStops_{false};
+  std::atomic<std::uint64_t> BornMs_{0};
 
 private:
   mutable std::mutex Lock_;
@@ -242,3 +245,18 @@
   sendHeartbeat("i-2", 2);
   EXPECT_TRUE(waitFor([&] { return Server_.countCalls() > Before; }));
 }
+
+// Guards against an answer of a restarted server that counts as one of its
+// earlier incarnation, and against a restarted server that waits until the
+// earlier incarnation has been silent.
+TEST_F(ServerPollerTest, RestartedServerIsPolledUnderItsIncarnation) {
+  Server_.BornMs_ = 2;
+  ASSERT_TRUE(call(jobs::CallKind::Submit));
+  sendHeartbeat("i-1/1", 1);
+  ASSERT_TRUE(waitFor([this] { return Server_.countCalls() > 0; }));
+  sendHeartbeat("i-1/1", 2);
+  ASSERT_TRUE(waitFor([this] { return Server_.countCalls() > 1; }));
+  EXPECT_EQ(Server_.countRunning(), 0U);
+  sendHeartbeat("i-1/2", 1);
+  EXPECT_TRUE(waitFor([this] { return Server_.countRunning() == 1; }));
+}
