--- a/tests/platform/soak/SoakTest.cpp
+++ b/tests/platform/soak/SoakTest.cpp
@@ -42,7 +42,9 @@
   void scheduleFault(const SoakFault &Fault);
   void scheduleCut(const SoakFault &Fault, bool From, bool To);
   void restartAfterStop(const std::string &Name);
-  void restartWorker(std::size_t Number, bool DeliversDelayedHeartbeat);
+  void restartWorker(const SoakFault &Fault);
+  static Worker::Identity makeSuccessor(const Worker::Identity &Before,
+                                        const SoakFault &Fault, int Number);
 
   PlatformCluster &Cluster_;
   std::multimap<Milliseconds, Action> Actions_;
@@ -148,18 +150,17 @@
     Actions_.emplace(Fault.At_,
                      [this, Number] { Cluster_.Workers_[Number]->crash(); });
     Actions_.emplace(Fault.At_ + Fault.Length_,
-                     [this, Number] { restartWorker(Number, false); });
+                     [this, Fault] { restartWorker(Fault); });
     return;
   case FaultKind::CutWorker:
   case FaultKind::CutAndCrash:
     Actions_.emplace(
         Fault.At_, [this, Number] { Cluster_.Workers_[Number]->setCut(true); });
-    Actions_.emplace(Fault.At_ + Fault.Length_,
-                     [this, Number, Kind = Fault.Kind_] {
-                       if (Kind == FaultKind::CutAndCrash)
-                         return restartWorker(Number, true);
-                       Cluster_.Workers_[Number]->setCut(false);
-                     });
+    Actions_.emplace(Fault.At_ + Fault.Length_, [this, Number, Fault] {
+      if (Fault.Kind_ == FaultKind::CutAndCrash)
+        return restartWorker(Fault);
+      Cluster_.Workers_[Number]->setCut(false);
+    });
     return;
   }
 }
@@ -173,17 +174,30 @@
   Process.start();
 }
 
-void FaultDriver::restartWorker(std::size_t Number,
-                                bool DeliversDelayedHeartbeat) {
+/// Every other worker that reports a start time keeps its id, some with a time
+/// of day that was set back. The length of the fault is as good as drawn.
+Worker::Identity FaultDriver::makeSuccessor(const Worker::Identity &Before,
+                                            const SoakFault &Fault,
+                                            int Number) {
+  static constexpr std::uint64_t StepMs = 5000;
+  const auto Drawn = static_cast<std::uint64_t>(Fault.Length_.count());
+  Worker::Identity After = Before;
+  if (After.BornMs_ != 0)
+    After.BornMs_ += Drawn % 4 == 1 ? -StepMs : StepMs;
+  if (After.BornMs_ == 0 || Drawn % 2 == 0)
+    After.Id_ =
+        "w" + std::to_string(Fault.Worker_) + "-" + std::to_string(Number);
+  return After;
+}
+
+void FaultDriver::restartWorker(const SoakFault &Fault) {
+  const std::size_t Number = Fault.Worker_;
   std::unique_ptr<Worker> &Slot = Cluster_.Workers_[Number];
   Slot->crash();
-  const std::string Address = "w" + std::to_string(Number) + ":1";
-  const int Incarnation = ++Incarnations_[Number];
   std::unique_ptr<Worker> Replacement = Cluster_.makeWorker(
-      "w" + std::to_string(Number) + "-" + std::to_string(Incarnation),
-      Address);
+      makeSuccessor(Slot->getIdentity(), Fault, ++Incarnations_[Number]));
   std::swap(Slot, Replacement);
-  if (!DeliversDelayedHeartbeat)
+  if (Fault.Kind_ != FaultKind::CutAndCrash)
     return;
   // The first heartbeat of the new incarnation arrives before the delayed one.
   std::this_thread::sleep_for(300ms);
--- a/tests/platform/system/EndToEndTest.cpp
+++ b/tests/platform/system/EndToEndTest.cpp
@@ -86,6 +86,23 @@
   EXPECT_EQ(Audit_.listViolations(), std::vector<std::string>{});
 }
 
+// Guards against a worker that gets no lease after a crash, as it starts again
+// under its id and its heartbeats have lower numbers than before.
+TEST_F(EndToEndTest, WorkerThatKeepsItsIdIsUsedAfterACrash) {
+  static constexpr std::uint64_t ManyHeartbeats = 1'000'000;
+  putConfiguration(1);
+  for (const std::uint64_t BornMs : {FirstBornMs, FirstBornMs - 1000}) {
+    const std::uint64_t LastSequence =
+        BornMs == FirstBornMs ? ManyHeartbeats : 0;
+    Workers_.clear();
+    Workers_.push_back(makeWorker({"w", "w:1", BornMs, LastSequence}));
+    const std::string Id = "j" + std::to_string(BornMs);
+    submit(Id, makeJob("ms=50;cpu=1000;mem=500"));
+    EXPECT_TRUE(waitForState(Id, "completed")) << BornMs;
+  }
+  EXPECT_EQ(Audit_.listViolations(), std::vector<std::string>{});
+}
+
 TEST_F(EndToEndTest, StateSurvivesKillOfAllControls) {
   putConfiguration(3);
   submit("kept", makeJob("ms=100;cpu=1000;mem=500"));
--- a/tests/platform/system/PlatformCluster.cpp
+++ b/tests/platform/system/PlatformCluster.cpp
@@ -183,16 +183,21 @@
 }
 
 std::unique_ptr<Worker>
-PlatformCluster::makeWorker(const std::string &Id, const std::string &Address) {
+PlatformCluster::makeWorker(const Worker::Identity &Self) {
   std::vector<Worker::Endpoint> Known;
   Known.reserve(Controls);
   for (int I = 0; I < Controls; ++I)
     Known.push_back(
         {Endpoints_.at("control" + std::to_string(I)).Address_, ControlPort_});
-  return std::make_unique<Worker>(Id, Known, Audit_, Address);
+  return std::make_unique<Worker>(Self, Known, Audit_);
 }
 
 void PlatformCluster::addWorkers(int Count) {
-  for (int I = 0; I < Count; ++I)
-    Workers_.push_back(makeWorker("w" + std::to_string(Workers_.size())));
+  // Workers with and without a start time report side by side.
+  for (int I = 0; I < Count; ++I) {
+    const std::size_t Number = Workers_.size();
+    const std::string Id = "w" + std::to_string(Number);
+    Workers_.push_back(
+        makeWorker({Id, Id + ":1", Number % 2 == 1 ? FirstBornMs : 0}));
+  }
 }
--- a/tests/platform/system/PlatformCluster.h
+++ b/tests/platform/system/PlatformCluster.h
@@ -76,8 +76,9 @@
   std::string findLeader();
 
   void addWorkers(int Count);
-  std::unique_ptr<Worker> makeWorker(const std::string &Id,
-                                     const std::string &Address = "");
+  /// The start time of the workers that report one.
+  static constexpr std::uint64_t FirstBornMs = 1'764'800'000'000;
+  std::unique_ptr<Worker> makeWorker(const Worker::Identity &Self);
 
   Audit Audit_;
   std::vector<std::unique_ptr<Worker>> Workers_;
--- a/tests/platform/system/Worker.cpp
+++ b/tests/platform/system/Worker.cpp
@@ -89,11 +89,10 @@
   return Starts_;
 }
 
-Worker::Worker(std::string Id, std::vector<Endpoint> Controls,
-               Audit &SharedAudit, const std::string &Address)
-    : Id_(std::move(Id)), Address_(Address.empty() ? Id_ + ":1" : Address),
-      Controls_(std::move(Controls)), Audit_(SharedAudit),
-      HeartbeatThread_([this] { run(); }),
+Worker::Worker(Identity Self, std::vector<Endpoint> Controls,
+               Audit &SharedAudit)
+    : Self_(std::move(Self)), Controls_(std::move(Controls)),
+      Audit_(SharedAudit), HeartbeatThread_([this] { run(); }),
       LeaseThread_([this] { watchLeases(); }) {}
 
 Worker::~Worker() { crash(); }
@@ -189,7 +188,7 @@
   const std::lock_guard Hold(Lock_);
   Json Heartbeat = {
       {"service", "svc"},
-      {"address", Address_},
+      {"address", Self_.Address_},
       {"zone", "z"},
       {"version", "v1"},
       {"slots", 8},
@@ -202,6 +201,11 @@
       {"running", Json::array()},
       {"finished", Ended_}};
   const Instant Now = std::chrono::steady_clock::now();
+  if (Self_.BornMs_ != 0) {
+    Heartbeat["born"] = Self_.BornMs_;
+    Heartbeat["currentTimeMs"] =
+        std::chrono::duration_cast<milliseconds>(Now - StartedAt_).count();
+  }
   for (const auto &[Name, Active] : Running_)
     Heartbeat["running"].push_back({Name, Active.Run_,
                                     std::to_string(getProgressMs(Active, Now)),
@@ -228,7 +232,7 @@
     system_test::HttpCall Call;
     Call.Method_ = "PUT";
     Call.Address_ = Target.Address_;
-    Call.Path_ = "/api/instances/" + Id_;
+    Call.Path_ = "/api/instances/" + Self_.Id_;
     Call.Body_ = Body;
     Call.Limit_ = 1000ms;
     const Instant SentAt = std::chrono::steady_clock::now();
@@ -324,7 +328,7 @@
     Memory += Active.Memory_;
   }
   if (Cpu > CpuCapacity || Memory > MemoryCapacity)
-    Audit_.reportViolation(Id_ + " was overfilled by " + Name);
-  Audit_.recordStart(Name, Run, Id_, Started.Begin_);
+    Audit_.reportViolation(Self_.Id_ + " was overfilled by " + Name);
+  Audit_.recordStart(Name, Run, Self_.Id_, Started.Begin_);
   Running_.emplace(Name, Started);
 }
--- a/tests/platform/system/Worker.h
+++ b/tests/platform/system/Worker.h
@@ -71,10 +71,15 @@
     std::string Address_;
     std::uint16_t Port_ = 0;
   };
-  /// Address is that of the worker's machine, which survives a crash. If it is
-  /// empty, the worker gets an address of its own.
-  Worker(std::string Id, std::vector<Endpoint> Controls, Audit &SharedAudit,
-         const std::string &Address = "");
+  struct Identity {
+    std::string Id_;
+    /// The address of the worker's machine, which survives a crash.
+    std::string Address_;
+    /// The start time that it reports; 0 if it reports none, and no clock.
+    std::uint64_t BornMs_ = 0;
+    std::uint64_t LastSequence_ = 0; ///< Of the heartbeats it sent before.
+  };
+  Worker(Identity Self, std::vector<Endpoint> Controls, Audit &SharedAudit);
   ~Worker();
   Worker(const Worker &) = delete;
   Worker &operator=(const Worker &) = delete;
@@ -87,6 +92,7 @@
   /// Delivers the last heartbeat that a cut has delayed. Called after a crash.
   void deliverDelayedHeartbeat();
   std::uint64_t countRunning() const;
+  const Identity &getIdentity() const { return Self_; }
 
 private:
   struct Task {
@@ -111,8 +117,8 @@
   nlohmann::json makeHeartbeat();
   static std::uint64_t getProgressMs(const Task &Measured, Instant Now);
 
-  const std::string Id_;
-  const std::string Address_;
+  const Identity Self_;
+  const Instant StartedAt_ = std::chrono::steady_clock::now();
   std::vector<Endpoint> Controls_;
   Audit &Audit_;
   std::atomic<bool> Stopping_{false};
@@ -120,7 +126,7 @@
   std::atomic<bool> IsCut_{false};
   std::string DelayedHeartbeat_; ///< The last heartbeat made while cut off.
   std::size_t NextControl_ = 0;
-  std::uint64_t Sequence_ = 0;
+  std::uint64_t Sequence_ = Self_.LastSequence_;
   std::uint64_t HighestToken_ = 0;
   std::atomic<std::uint64_t> NextEndNumber_{1};
   Instant LeaseEnd_{};
