Share random events and the checks of downtimes between tests of fleets

Cause: RestartedServersTest repeated the draws of RandomChangesTest and the checks of ChangingLeadersTest, and a test of crashing tasks its neighbour.

--- a/tests/jobs/CrashingTaskTest.cpp
+++ b/tests/jobs/CrashingTaskTest.cpp
@@ -133,10 +133,10 @@
   }
 }
 
-TEST(CrashingTaskTest, JobsBesideCrashingTasksAreNotGivenUp) {
-  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
-    CrashScenario Scenario;
-    Scenario.Seed_ = Seed;
+/// Submits crashing tasks beside sound jobs and expects that only they are
+/// given up.
+static void expectOnlyCrashingTasksGivenUp(CrashScenario Scenario) {
+  for (Scenario.Seed_ = 1; Scenario.Seed_ <= Seeds; ++Scenario.Seed_) {
     Scenario.UnstableServers_ = 3;
     Scenario.MassCrashInterval_ = 15s;
     CrashSimulator Simulator(Scenario);
@@ -146,12 +146,16 @@
       Simulator.run(1500ms);
     }
     Simulator.run(60s);
-    EXPECT_THAT(Simulator.Violations_, IsEmpty()) << "seed " << Seed;
+    EXPECT_THAT(Simulator.Violations_, IsEmpty()) << "seed " << Scenario.Seed_;
     for (int I = 0; I < 12; ++I)
       expectGivenUp(Simulator, "bad" + std::to_string(I));
   }
 }
 
+TEST(CrashingTaskTest, JobsBesideCrashingTasksAreNotGivenUp) {
+  expectOnlyCrashingTasksGivenUp({});
+}
+
 // On a full fleet, the only free capacity is on servers that crashed and
 // restarted, where isolated runs start one after another.
 TEST(CrashingTaskTest, LongRunningTasksRestartSoonOnAFullFleet) {
@@ -226,22 +230,5 @@
 // crash their servers, and against crashing tasks that are not.
 TEST(CrashingTaskTest, JobsBesideCrashingTasksOnServersThatKeepTheirIds) {
   for (const Duration RestartDelay : {300ms, 800ms, 3000ms})
-    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
-      CrashScenario Scenario = makeScenarioWithIds(RestartDelay);
-      Scenario.Seed_ = Seed;
-      Scenario.UnstableServers_ = 3;
-      Scenario.MassCrashInterval_ = 15s;
-      CrashSimulator Simulator(Scenario);
-      for (int I = 0; I < 12; ++I) {
-        Simulator.submit("bad" + std::to_string(I), {makeStep(6, 1000)},
-                         {{0, I % 6}});
-        Simulator.run(1500ms);
-      }
-      Simulator.run(60s);
-      EXPECT_THAT(Simulator.Violations_, IsEmpty())
-          << "seed " << Seed << ", restart after " << RestartDelay / 1ms
-          << " ms";
-      for (int I = 0; I < 12; ++I)
-        expectGivenUp(Simulator, "bad" + std::to_string(I));
-    }
+    expectOnlyCrashingTasksGivenUp(makeScenarioWithIds(RestartDelay));
 }
--- a/tests/jobservice/ChangingLeadersTest.cpp
+++ b/tests/jobservice/ChangingLeadersTest.cpp
@@ -7,9 +7,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "jobservice/ChangingLeaders.h"
-
-#include <gmock/gmock.h>
+#include "jobservice/DowntimeChecks.h"
 
 using namespace tulipweir::jobservice::test;
 using namespace std::chrono_literals;
@@ -49,12 +47,7 @@
     ChangingLeaders Fleet(Scenario);
     Prepare(Fleet);
     Fleet.run();
-    EXPECT_LE(Fleet.MaxDowntime_, MaxDowntime)
-        << "seed " << Scenario.Seed_ << ": " << Fleet.describe();
-    EXPECT_LE(Fleet.MaxDowntimeSincePlacement_, MaxDowntime)
-        << "seed " << Scenario.Seed_ << ": " << Fleet.describe();
-    EXPECT_THAT(Fleet.Violations_, testing::IsEmpty())
-        << "seed " << Scenario.Seed_;
+    expectTasksInTime(Fleet, MaxDowntime, Scenario.Seed_);
     EXPECT_GT(Fleet.Started_, 100U);
     SincePlacement = std::max(SincePlacement, Fleet.MaxDowntimeSincePlacement_);
   }
--- a/tests/jobservice/RandomChangesTest.cpp
+++ b/tests/jobservice/RandomChangesTest.cpp
@@ -8,12 +8,11 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "jobservice/ChangingLeaders.h"
+#include "jobservice/RandomEvents.h"
 
 #include <gmock/gmock.h>
 
 #include <cstdlib>
-#include <random>
 
 using namespace tulipweir::jobservice::test;
 using namespace std::chrono_literals;
@@ -26,10 +25,9 @@
 
 /// Draws events and plans them in a fleet. Most of the members of the group
 /// stay reachable.
-class RandomChanges {
+class RandomChanges : RandomEvents {
 public:
-  RandomChanges(ChangingLeaders &Fleet, std::uint64_t Seed)
-      : Fleet_(Fleet), Random_(Seed) {}
+  using RandomEvents::RandomEvents;
 
   void plan() {
     const std::size_t Plan = drawBelow(10);
@@ -199,20 +197,10 @@
     }
   }
 
-  std::size_t drawBelow(std::size_t Limit) { return Random_() % Limit; }
-  bool drawPercent(std::size_t Percent) { return drawBelow(100) < Percent; }
-  Duration draw(std::chrono::milliseconds From, std::chrono::milliseconds To) {
-    return From + std::chrono::milliseconds(
-                      drawBelow(static_cast<std::size_t>((To - From).count())));
-  }
   std::size_t drawMember() {
     return drawPercent(50) ? Fleet_.getLeader() : drawBelow(MemberCount);
   }
 
-  void after(Duration Delay, std::function<void()> Action) {
-    Fleet_.at(Fleet_.getTime() + Delay, std::move(Action));
-  }
-
   /// Whether most of the group is reachable without the member.
   bool canLose(std::size_t Lost) const {
     std::size_t Reachable = 0;
@@ -229,7 +217,7 @@
 
   void change() {
     if (drawPercent(30))
-      holdMessages();
+      holdMessages(1200ms);
     switch (drawBelow(6)) {
     case 0:
     case 1:
@@ -285,21 +273,6 @@
     }
   }
 
-  /// Holds a share of the messages of some kinds.
-  void holdMessages() {
-    const std::size_t Kinds = 1 + drawBelow((1U << 7U) - 1);
-    const std::size_t Percent = 10 + drawBelow(90);
-    Fleet_.setFilter([this, Kinds, Percent](const Message &Sent) {
-      const bool IsChosen =
-          ((Kinds >> static_cast<unsigned>(Sent.Kind_)) & 1U) != 0;
-      return IsChosen && drawPercent(Percent) ? ChangingLeaders::Fate::Hold
-                                              : ChangingLeaders::Fate::Deliver;
-    });
-    after(draw(30ms, 1200ms), [this] { Fleet_.releaseHeld(); });
-  }
-
-  ChangingLeaders &Fleet_;
-  std::mt19937_64 Random_;
   std::size_t Member_ = 0; ///< The member that planLoss has chosen.
 };
 
--- a/tests/jobservice/RestartedServersTest.cpp
+++ b/tests/jobservice/RestartedServersTest.cpp
@@ -8,9 +8,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "jobservice/ChangingLeaders.h"
-
-#include <gmock/gmock.h>
+#include "jobservice/DowntimeChecks.h"
+#include "jobservice/RandomEvents.h"
 
 #include <cstdlib>
 
@@ -56,12 +55,7 @@
     ChangingLeaders Fleet(Scenario);
     Prepare(Fleet);
     Fleet.run();
-    EXPECT_LE(Fleet.MaxDowntime_, MaxDowntime)
-        << "seed " << Scenario.Seed_ << ": " << Fleet.describe();
-    EXPECT_LE(Fleet.MaxDowntimeSincePlacement_, MaxDowntime)
-        << "seed " << Scenario.Seed_ << ": " << Fleet.describe();
-    EXPECT_THAT(Fleet.Violations_, testing::IsEmpty())
-        << "seed " << Scenario.Seed_;
+    expectTasksInTime(Fleet, MaxDowntime, Scenario.Seed_);
     EXPECT_THAT(Fleet.Events_,
                 testing::Contains(testing::HasSubstr(" restart ")))
         << "seed " << Scenario.Seed_;
@@ -249,17 +243,16 @@
 
 /// Draws restarts beside changes of the leader, cuts, lost members and held
 /// messages.
-class RandomRestarts {
+class RandomRestarts : RandomEvents {
 public:
-  RandomRestarts(ChangingLeaders &Fleet, std::uint64_t Seed)
-      : Fleet_(Fleet), Random_(Seed) {}
+  using RandomEvents::RandomEvents;
 
   void plan() {
     const std::size_t Waves = 1 + drawBelow(3);
     for (std::size_t I = 0; I < Waves; ++I)
       Fleet_.at(draw(8s, 14s), [this] { restartSome(); });
     if (drawBelow(2) == 0)
-      Fleet_.at(draw(8s, 15s), [this] { holdMessages(); });
+      Fleet_.at(draw(8s, 15s), [this] { holdMessages(3000ms); });
     const std::size_t Changes = drawBelow(3);
     for (std::size_t I = 0; I < Changes; ++I)
       Fleet_.at(draw(8s, 15s), [this] { changeLeader(); });
@@ -283,19 +276,6 @@
     }
   }
 
-  void holdMessages() {
-    const std::size_t Kinds = 1 + drawBelow((1U << 7U) - 1);
-    const std::size_t Percent = 10 + drawBelow(90);
-    Fleet_.setFilter([this, Kinds, Percent](const Message &Sent) {
-      const bool IsChosen =
-          ((Kinds >> static_cast<unsigned>(Sent.Kind_)) & 1U) != 0;
-      return IsChosen && drawBelow(100) < Percent
-                 ? ChangingLeaders::Fate::Hold
-                 : ChangingLeaders::Fate::Deliver;
-    });
-    after(draw(30ms, 3000ms), [this] { Fleet_.releaseHeld(); });
-  }
-
   void changeLeader() {
     const std::size_t Leader = Fleet_.getLeader();
     if (drawBelow(2) == 0 || !Fleet_.isUp(Leader))
@@ -313,19 +293,7 @@
     after(draw(500ms, 9000ms), [this, Server] { Fleet_.reconnect(Server); });
   }
 
-  std::size_t drawBelow(std::size_t Limit) { return Random_() % Limit; }
-  Duration draw(std::chrono::milliseconds From, std::chrono::milliseconds To) {
-    return From + std::chrono::milliseconds(
-                      drawBelow(static_cast<std::size_t>((To - From).count())));
-  }
-  void after(Duration Delay, std::function<void()> Action) {
-    Fleet_.at(Fleet_.getTime() + Delay, std::move(Action));
-  }
-
   static constexpr std::size_t ServerCount = 30;
-
-  ChangingLeaders &Fleet_;
-  std::mt19937_64 Random_;
 };
 
 } // namespace
