Soak: a call for a job's state that fails is asked again

The test read a state from the body of any answer, also of a call that had failed and has no body; the body was not logged, so that this was such a call is concluded from the code, not seen. One place asks for the state now: a failed call has no state and is asked again within the same limit, as the other answers without a state were; a successful answer that is no JSON object is a violation, with its text.

--- a/tests/platform/system/PlatformCluster.cpp
+++ b/tests/platform/system/PlatformCluster.cpp
@@ -182,6 +182,17 @@
   return "";
 }
 
+std::string PlatformCluster::findState(const std::string &Job) {
+  const HttpAnswer Answer = callEntry("GET", "/q/" + Job);
+  if (Answer.Status_ != 200)
+    return "";
+  const Json Body = Answer.json();
+  if (Body.is_object())
+    return Body.value("state", "");
+  Audit_.reportViolation("the state of " + Job + " is " + Answer.Body_);
+  return "";
+}
+
 std::unique_ptr<Worker>
 PlatformCluster::makeWorker(const Worker::Identity &Self) {
   std::vector<Worker::Endpoint> Known;
--- a/tests/platform/system/PlatformCluster.h
+++ b/tests/platform/system/PlatformCluster.h
@@ -69,6 +69,9 @@
                                     const std::string &Path,
                                     const std::string &Body = "",
                                     int Entry = 0);
+  /// Asks the first entry for the state of a job; empty if the call fails. A
+  /// successful answer that is no JSON object is a violation.
+  std::string findState(const std::string &Job);
   static Json makeConfiguration(std::uint64_t Version);
   /// Returns a job of two steps with four tasks each.
   static Json makeJob(const std::string &Payload);
