--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -39,7 +39,7 @@
   TaskSuspected, ///< Servers crashed under it; its next run is isolated.
   ServerSeen,
   ServerRestarted, ///< It reports under the id of an earlier incarnation.
-  ServerWaits, ///< It claims the address of another life that was heard.
+  ServerWaits,     ///< It claims the address of another life that was heard.
   ServerDraining,
   ServerGone,
   ReportRefused, ///< A heartbeat that names no server to use.
