--- a/src/jobs/IncarnationConflicts.h
+++ b/src/jobs/IncarnationConflicts.h
@@ -26,8 +26,8 @@
   struct Claim {
     std::string Successor_;
     std::string Registered_;
-    /// Both are incarnations of one server, of which only the latest runs.
-    /// Otherwise they report the same address.
+    /// Whether one server sent the reports of both, so that only its latest
+    /// incarnation runs. Otherwise they report the same address.
     bool AreOfSameServer_ = false;
     auto operator<=>(const Claim &) const = default;
   };
