Find servers and their incarnations by index

Cause: with 6,000 servers 31% of the leader's processor compares strings, in ordered maps by server id that each report passes some twenty times, and in linear searches of incarnations. Beyond 4,096 addresses the oldest was forgotten although its server was registered, so that its successor was none.

HashedMap keeps the order of a map and finds by hash. ServerIncarnations finds by address, and forgets only addresses without a server: its bound follows the registered servers. Leases are scanned only when one can have ended. ServerIncarnationsTest.NoAddressOfARegisteredServerIsForgotten restarts 12,000 servers and guards against both.

--- a/include/tulipweir/jobs/JobRegistry.h
+++ b/include/tulipweir/jobs/JobRegistry.h
@@ -11,6 +11,7 @@
 #ifndef TULIPWEIR_JOBS_JOBREGISTRY_H
 #define TULIPWEIR_JOBS_JOBREGISTRY_H
 
+#include "tulipweir/core/HashedMap.h"
 #include "tulipweir/jobs/Commands.h"
 #include "tulipweir/jobs/CrashRecord.h"
 #include "tulipweir/jobs/ServerIncarnations.h"
@@ -157,7 +158,7 @@
     return Jobs_;
   }
   const std::map<std::string, ServerRecord> &servers() const {
-    return Servers_;
+    return Servers_.ordered();
   }
   const ServerRecord *findServer(const std::string &Id) const;
   /// Returns the registered incarnations of the server, which are several only
@@ -261,7 +262,7 @@
   Configuration Configuration_;
   /// Unordered, as it is looked up for each task of each report.
   std::unordered_map<std::string, JobRecord> Jobs_;
-  std::map<std::string, ServerRecord> Servers_;
+  HashedMap<ServerRecord> Servers_;
   ServerIncarnations Incarnations_;
   WaveRegistry Waves_;
   std::set<std::string> Evacuated_; ///< Data centre names.
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -20,8 +20,7 @@
 }
 
 const ServerRecord *JobRegistry::findServer(const std::string &Id) const {
-  const auto It = Servers_.find(Id);
-  return It == Servers_.end() ? nullptr : &It->second;
+  return Servers_.find(Id);
 }
 
 std::string JobRegistry::findServerAt(const std::string &Address) const {
--- a/src/jobs/JobRegistryCrashes.cpp
+++ b/src/jobs/JobRegistryCrashes.cpp
@@ -145,9 +145,8 @@
 void JobRegistry::markCrashesExplained(const TaskRecord &Task) {
   for (const CrashRecord &Crash : Task.Crashes_) {
     Incarnations_.attributeCrash(Crash.Address_, Crash.Server_);
-    const auto Server = Servers_.find(findServerAt(Crash.Address_));
-    if (Server != Servers_.end())
-      Server->second.IsAfterCrash_ = Incarnations_.isAfterCrash(Crash.Address_);
+    if (ServerRecord *Server = Servers_.find(findServerAt(Crash.Address_)))
+      Server->IsAfterCrash_ = Incarnations_.isAfterCrash(Crash.Address_);
   }
 }
 
--- a/src/jobs/JobRegistryServers.cpp
+++ b/src/jobs/JobRegistryServers.cpp
@@ -15,11 +15,13 @@
     return {CommandStatus::Refused, {}};
   const std::string Previous =
       Incarnations_.registerIncarnation(Facts.Id_, Facts.Address_);
-  const auto [It, IsNew] = Servers_.try_emplace(Facts.Id_);
+  const auto [Server, IsNew] = Servers_.tryEmplace(Facts.Id_);
+  if (!IsNew && Server.Facts_.Address_ != Facts.Address_)
+    Incarnations_.vacate(Server.Facts_.Address_);
   if (!IsNew)
-    IdByAddress_.erase(It->second.Facts_.Address_);
-  It->second.Facts_ = Facts;
-  It->second.IsAfterCrash_ = Incarnations_.isAfterCrash(Facts.Address_);
+    IdByAddress_.erase(Server.Facts_.Address_);
+  Server.Facts_ = Facts;
+  Server.IsAfterCrash_ = Incarnations_.isAfterCrash(Facts.Address_);
   IdByAddress_[Facts.Address_] = Facts.Id_;
   // A server that registers again under the same id has not crashed.
   if (IsNew)
@@ -32,11 +34,12 @@
 std::vector<std::string>
 JobRegistry::listIncarnationsOf(const std::string &ServerId) const {
   std::vector<std::string> Incarnations;
-  if (Servers_.count(ServerId) != 0)
+  if (Servers_.find(ServerId))
     Incarnations.push_back(ServerId);
   const std::string Prefix = ServerId + IncarnationSeparator;
-  for (auto It = Servers_.lower_bound(Prefix);
-       It != Servers_.end() && It->first.rfind(Prefix, 0) == 0; ++It)
+  const auto &Ordered = Servers_.ordered();
+  for (auto It = Ordered.lower_bound(Prefix);
+       It != Ordered.end() && It->first.rfind(Prefix, 0) == 0; ++It)
     Incarnations.push_back(It->first);
   return Incarnations;
 }
@@ -53,11 +56,11 @@
 CommandResult JobRegistry::apply(const RemoveServer &Cmd) {
   if (Cmd.IsFinal_)
     Incarnations_.endIncarnation(Cmd.Id_);
-  const auto It = Servers_.find(Cmd.Id_);
-  if (It == Servers_.end())
+  const ServerRecord *Removed = Servers_.find(Cmd.Id_);
+  if (!Removed)
     return {CommandStatus::AlreadyDone, {}};
-  const std::map<TaskKey, std::uint64_t> Placed = It->second.Placed_;
-  const ServerFacts Facts = It->second.Facts_;
+  const std::map<TaskKey, std::uint64_t> Placed = Removed->Placed_;
+  const ServerFacts Facts = Removed->Facts_;
   for (const auto &[Task, Run] : Placed) {
     TaskEnd End{Task, Run, RunOutcome::LeaseExpired, ""};
     for (const SavedCheckpoint &Saved : Cmd.Checkpoints_)
@@ -68,7 +71,8 @@
       addLostPlacement(*Record, {Run, Cmd.Id_});
   }
   IdByAddress_.erase(Facts.Address_);
-  Servers_.erase(It);
+  Incarnations_.vacate(Facts.Address_);
+  Servers_.erase(Cmd.Id_);
   if (Cmd.Evidence_.IsCrash_) {
     Incarnations_.recordCrash(Facts.Address_);
     recordCrash(Facts, Cmd.Evidence_, Placed);
--- a/src/jobs/JobRegistrySnapshot.cpp
+++ b/src/jobs/JobRegistrySnapshot.cpp
@@ -39,14 +39,14 @@
             [](const JobRecord &Left, const JobRecord &Right) {
               return Left.Sequence_ < Right.Sequence_;
             });
-  for (const auto &[Id, Server] : Servers_)
+  for (const auto &[Id, Server] : Servers_.ordered())
     Snapshot.Servers_.push_back(Server.Facts_);
-  Snapshot.Incarnations_ = Incarnations_.Latest_;
+  Snapshot.Incarnations_ = Incarnations_.listLatest();
   for (const auto &[Id, Wave] : Waves_.waves())
     Snapshot.Waves_.push_back(Wave);
   Snapshot.Evacuated_ = {Evacuated_.begin(), Evacuated_.end()};
-  Snapshot.IncarnationsOver_ = {Incarnations_.Over_.begin(),
-                                Incarnations_.Over_.end()};
+  Snapshot.IncarnationsOver_ = {Incarnations_.endedIds().begin(),
+                                Incarnations_.endedIds().end()};
   return packing::pack(Snapshot);
 }
 
@@ -58,13 +58,13 @@
   JobRegistry Registry;
   Registry.Configuration_ = std::move(Snapshot.Configuration_);
   Registry.NextSequence_ = Snapshot.NextSequence_;
+  Registry.Incarnations_ = ServerIncarnations::makeFrom(
+      std::move(Snapshot.Incarnations_), Snapshot.IncarnationsOver_);
   for (ServerFacts &Facts : Snapshot.Servers_) {
+    Registry.Incarnations_.occupy(Facts.Address_);
     Registry.IdByAddress_[Facts.Address_] = Facts.Id_;
     Registry.Servers_[Facts.Id_].Facts_ = Facts;
   }
-  Registry.Incarnations_.Latest_ = std::move(Snapshot.Incarnations_);
-  Registry.Incarnations_.Over_ = {Snapshot.IncarnationsOver_.begin(),
-                                  Snapshot.IncarnationsOver_.end()};
   for (auto &[Id, Server] : Registry.Servers_)
     Server.IsAfterCrash_ =
         Registry.Incarnations_.isAfterCrash(Server.Facts_.Address_);
--- a/src/jobs/LiveServerTable.cpp
+++ b/src/jobs/LiveServerTable.cpp
@@ -61,16 +61,18 @@
 void LiveServerTable::reset(const JobRegistry &Registry, TimePoint Now,
                             Duration Lease) {
   Servers_.clear();
+  IdleCount_ = 0;
   for (const auto &[Id, Server] : Registry.servers())
     add(Id, Now, Now + Lease);
 }
 
 bool LiveServerTable::recordReport(const ServerReport &Report, TimePoint Now,
                                    Duration Lease) {
-  const auto [It, IsNew] = Servers_.try_emplace(Report.Facts_.Id_);
-  LiveServer &Live = It->second;
-  if (IsNew)
+  const auto [Live, IsNew] = Servers_.tryEmplace(Report.Facts_.Id_);
+  if (IsNew) {
     Live.LeaseEnd_ = Now + Lease;
+    FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
+  }
   if (Report.Sequence_ <= Live.LastSequence_)
     return false;
   Live.LastSequence_ = Report.Sequence_;
@@ -115,6 +117,7 @@
 void LiveServerTable::extendLease(const std::string &Id, TimePoint End) {
   LiveServer &Live = Servers_[Id];
   Live.LeaseEnd_ = std::max(Live.LeaseEnd_, End);
+  FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
 }
 
 bool LiveServerTable::limitLease(const std::string &Id, TimePoint HeardAt,
@@ -125,17 +128,16 @@
   Live->LastHeard_ = std::min(Live->LastHeard_, HeardAt);
   const bool IsShorter = End < Live->LeaseEnd_;
   Live->LeaseEnd_ = std::min(Live->LeaseEnd_, End);
+  FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live->LeaseEnd_);
   return IsShorter;
 }
 
 LiveServer *LiveServerTable::find(const std::string &Id) {
-  const auto It = Servers_.find(Id);
-  return It == Servers_.end() ? nullptr : &It->second;
+  return Servers_.find(Id);
 }
 
 const LiveServer *LiveServerTable::find(const std::string &Id) const {
-  const auto It = Servers_.find(Id);
-  return It == Servers_.end() ? nullptr : &It->second;
+  return Servers_.find(Id);
 }
 
 void LiveServerTable::add(const std::string &Id, TimePoint Now,
@@ -143,15 +145,30 @@
   LiveServer &Live = Servers_[Id];
   Live.LastHeard_ = Now;
   Live.LeaseEnd_ = std::max(Live.LeaseEnd_, LeaseEnd);
+  FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
 }
 
-void LiveServerTable::remove(const std::string &Id) { Servers_.erase(Id); }
+void LiveServerTable::remove(const std::string &Id) {
+  if (LiveServer *Live = find(Id))
+    setIdle(*Live, false);
+  Servers_.erase(Id);
+}
 
-std::vector<std::string> LiveServerTable::listExpired(TimePoint Now) const {
+void LiveServerTable::setIdle(LiveServer &Live, bool IsIdle) {
+  if (std::exchange(Live.IsIdle_, IsIdle) != IsIdle)
+    IsIdle ? ++IdleCount_ : --IdleCount_;
+}
+
+std::vector<std::string> LiveServerTable::listExpired(TimePoint Now) {
   std::vector<std::string> Expired;
-  for (const auto &[Id, Live] : Servers_)
+  if (Now < FirstLeaseEnd_)
+    return Expired;
+  FirstLeaseEnd_ = TimePoint::max();
+  for (const auto &[Id, Live] : Servers_.ordered()) {
+    FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
     if (!Live.IsRemoving_ && Live.LeaseEnd_ <= Now)
       Expired.push_back(Id);
+  }
   return Expired;
 }
 
--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -11,6 +11,7 @@
 #define TULIPWEIR_SRC_JOBS_LIVESERVERTABLE_H
 
 #include "jobs/RunTimeBounds.h"
+#include "tulipweir/core/HashedMap.h"
 #include "tulipweir/core/Time.h"
 #include "tulipweir/jobs/JobRegistry.h"
 #include "tulipweir/jobs/ServerReport.h"
@@ -54,6 +55,8 @@
   /// Its VM is next for maintenance: its tasks are moved away as far as their
   /// jobs allow.
   bool IsEmptying_ = false;
+  /// Its last answer left nothing to report on.
+  bool IsIdle_ = false;
   /// Its VM was emptied before, so the server may go without notice.
   bool WasEmptying_ = false;
   /// The server gets no starts until then, as it refused one.
@@ -100,6 +103,9 @@
   /// take long to commit, and no answer extends the lease until then.
   bool recordReport(const ServerReport &Report, TimePoint Now, Duration Lease);
   void extendLease(const std::string &Id, TimePoint End);
+  /// Records whether the server has nothing to report on.
+  void setIdle(LiveServer &Live, bool IsIdle);
+  std::size_t countIdle() const { return IdleCount_; }
   /// Limits what reset assumed of a server that has not reported since: it was
   /// last heard at HeardAt, and its lease ends at End, if these are earlier.
   /// Returns whether the lease has become shorter.
@@ -108,10 +114,12 @@
   const LiveServer *find(const std::string &Id) const;
   void add(const std::string &Id, TimePoint Now, TimePoint LeaseEnd);
   void remove(const std::string &Id);
-  const std::map<std::string, LiveServer> &servers() const { return Servers_; }
+  const std::map<std::string, LiveServer> &servers() const {
+    return Servers_.ordered();
+  }
   /// Returns the servers whose lease has expired by Now and whose removal is
-  /// not proposed.
-  std::vector<std::string> listExpired(TimePoint Now) const;
+  /// not proposed. Costs nothing while no lease can have expired.
+  std::vector<std::string> listExpired(TimePoint Now);
   /// Whether anything may be started on the server. All planners check this.
   bool acceptsStarts(const JobRegistry &Registry,
                      const ServerRecord &Server) const {
@@ -132,7 +140,10 @@
 private:
   static void updateProgress(LiveServer &Live, TimePoint Now);
 
-  std::map<std::string, LiveServer> Servers_;
+  HashedMap<LiveServer> Servers_;
+  std::size_t IdleCount_ = 0;
+  /// No lease ends before this time.
+  TimePoint FirstLeaseEnd_ = TimePoint::max();
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/PaceController.h
+++ b/src/jobs/PaceController.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace tulipweir::jobs {
 
@@ -72,7 +73,7 @@
                           TimePoint Now);
   static bool adoptPlan(ServerState &State, const ImagePaces &Planned);
 
-  std::map<std::string, ServerState> Servers_;
+  std::unordered_map<std::string, ServerState> Servers_;
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/ReportAges.h
+++ b/src/jobs/ReportAges.h
@@ -12,8 +12,8 @@
 #include "jobs/SendTimeBound.h"
 #include "tulipweir/jobs/ServerReport.h"
 
-#include <map>
 #include <string>
+#include <unordered_map>
 
 namespace tulipweir::jobs {
 
@@ -43,7 +43,7 @@
   void removeOld(TimePoint Now);
 
   const std::uint64_t DriftPercent_;
-  std::map<std::string, Server> Servers_; ///< By server ID.
+  std::unordered_map<std::string, Server> Servers_; ///< By server ID.
   TimePoint NextCleanup_{};
 };
 
--- a/src/jobs/ServerHealth.h
+++ b/src/jobs/ServerHealth.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 namespace tulipweir::jobs {
@@ -81,7 +82,7 @@
                                             const StepKey &Step,
                                             const RunTimeBounds &RunTime);
 
-  std::map<std::string, Record> Servers_;
+  std::unordered_map<std::string, Record> Servers_;
   std::map<StepKey, StepTimes> Steps_;
   std::deque<StepKey> StepOrder_; ///< The keys of Steps_, the oldest first.
 };
--- a/src/jobs/ServingLoads.h
+++ b/src/jobs/ServingLoads.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace tulipweir::jobs {
 
@@ -86,7 +87,7 @@
 
   std::map<StepKey, StepLoad> Steps_;
   std::map<std::string, TailRange> Images_;
-  std::map<std::string, ServingUse> Servers_;
+  std::unordered_map<std::string, ServingUse> Servers_;
   TimePoint NextRangeUpdate_{};
 };
 
