Explain waits from a bounded number of servers

Cause: 23% of the leader's processor on a fleet of 6,000 servers went into the lines that say why work waits: eight steps a second, each against all servers.

An explanation examines 256 servers and says so; the next second examines the next ones. WaitExplainerTest.ALargeFleetIsExaminedInParts and TheNextPartsOfALargeFleetCoverAllServers. Ruled out: a longer interval, whose cost would still grow with the fleet.

--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -100,6 +100,7 @@
 private:
   /// The state of a plan for one server.
   struct ServerPlan {
+  WaitExplainer &explainer() { return Explainer_; }
     const ServerRecord &Server_;
     RemainingCapacity Remaining_;
     TimePoint Now_;
--- a/src/jobs/JobLeaderTelemetry.cpp
+++ b/src/jobs/JobLeaderTelemetry.cpp
@@ -243,6 +243,10 @@
   if (Now < NextWaitLog_)
     return;
   NextWaitLog_ = Now + WaitLogInterval;
+  Machine_.read([&](const JobRegistry &Registry) {
+    Dispatcher_.explainer().examineNext(Registry);
+    return 0;
+  });
   logWaitReasons(Now);
   logUnusedRoom(Now);
   logReservations(Now);
--- a/src/jobs/WaitExplainer.cpp
+++ b/src/jobs/WaitExplainer.cpp
@@ -1,6 +1,8 @@
 #include "jobs/WaitExplainer.h"
 
+#include <algorithm>
 #include <array>
+#include <map>
 
 using namespace tulipweir;
 using namespace tulipweir::jobs;
@@ -72,16 +74,48 @@
   return IsReserved ? StartObstacle::Reserved : StartObstacle::None;
 }
 
+/// Returns the servers from the id First on, MaxExamined at most, in the order
+/// of ids, which starts again after the last one.
+static std::vector<const ServerRecord *>
+listFrom(const std::map<std::string, ServerRecord> &Servers,
+         const std::string &First) {
+  const std::size_t Count =
+      std::min(Servers.size(), WaitExplainer::MaxExamined);
+  std::vector<const ServerRecord *> Listed;
+  Listed.reserve(Count);
+  for (auto It = Servers.lower_bound(First); Listed.size() < Count; ++It) {
+    if (It == Servers.end())
+      It = Servers.begin();
+    Listed.push_back(&It->second);
+  }
+  return Listed;
+}
+
+std::vector<const ServerRecord *>
+WaitExplainer::listExamined(const JobRegistry &Registry) const {
+  return listFrom(Registry.servers(), FirstExamined_);
+}
+
+void WaitExplainer::examineNext(const JobRegistry &Registry) {
+  const std::vector<const ServerRecord *> Examined = listExamined(Registry);
+  if (Examined.size() < Registry.servers().size())
+    // The least id that follows the last one.
+    FirstExamined_ = Examined.back()->Facts_.Id_ + '\0';
+  else
+    FirstExamined_.clear();
+}
+
 std::string WaitExplainer::explainWait(const JobRegistry &Registry,
                                        const LiveServerTable &LiveServers,
                                        const ReadyStep &Step,
                                        TimePoint Now) const {
   const JobRecord &Job = *Registry.findJob(Step.Job_);
   std::array<std::size_t, ObstacleCount> Counts{};
-  for (const auto &[Id, Server] : Registry.servers())
-    if (Server.Facts_.Service_ == Job.Policy_.Service_)
+  const std::vector<const ServerRecord *> Examined = listExamined(Registry);
+  for (const ServerRecord *Server : Examined)
+    if (Server->Facts_.Service_ == Job.Policy_.Service_)
       ++Counts.at(static_cast<std::size_t>(
-          findObstacle(Registry, LiveServers, Step, Server, Now)));
+          findObstacle(Registry, LiveServers, Step, *Server, Now)));
   std::string Text;
   const auto Add = [&Text](std::size_t Count, const std::string &Reason) {
     if (Count > 0)
@@ -96,6 +130,9 @@
   }
   if (Text.empty())
     Text = "no server of its service";
+  if (Examined.size() < Registry.servers().size())
+    Text = "of " + std::to_string(Examined.size()) + " of " +
+           std::to_string(Registry.servers().size()) + " servers " + Text;
   const std::vector<TaskRecord> &Tasks =
       Job.findOccurrence(Step.Occurrence_)->Steps_[Step.Step_].Tasks_;
   std::size_t Suspected = 0;
@@ -133,11 +170,13 @@
                                           .Need_.MilliCpus_);
     }
   std::vector<const ServerRecord *> WithRoom;
-  for (const auto &[Id, Server] : Registry.servers()) {
-    const Resources Free = Server.Facts_.Capacity_ - Server.Used_;
-    if (!Waiting.empty() && Free.MilliCpus_ >= LeastCpus &&
-        LiveServers.acceptsStarts(Registry, Server))
-      WithRoom.push_back(&Server);
+  if (Waiting.empty())
+    return {};
+  for (const ServerRecord *Server : listExamined(Registry)) {
+    const Resources Free = Server->Facts_.Capacity_ - Server->Used_;
+    if (Free.MilliCpus_ >= LeastCpus &&
+        LiveServers.acceptsStarts(Registry, *Server))
+      WithRoom.push_back(Server);
   }
   std::vector<std::pair<ReadyStep, std::string>> Found;
   for (const ReadyStep *Step : Waiting) {
--- a/src/jobs/WaitExplainer.h
+++ b/src/jobs/WaitExplainer.h
@@ -39,9 +39,13 @@
   None,        ///< The server has not reported since.
 };
 
-/// Not thread-safe.
+/// Examines a bounded number of servers at a time, so that an explanation costs
+/// the same on a fleet of any size. Not thread-safe.
 class WaitExplainer {
 public:
+  /// The most servers that are examined at a time.
+  static constexpr std::size_t MaxExamined = 256;
+
   /// All arguments must outlive the explainer.
   WaitExplainer(const InterferenceModel &Interference,
                 const ServingLoads &Loads, const ServerHealth &Health,
@@ -51,15 +55,18 @@
         Advice_(Advice), Isolation_(Isolation), Survey_(Survey), Waits_(Waits) {
   }
 
+  /// Moves on to the next servers of a fleet that is larger than MaxExamined.
+  void examineNext(const JobRegistry &Registry);
+
   /// Returns why the step's tasks do not start: the number of servers for each
-  /// reason.
+  /// reason, of those that are examined now.
   std::string explainWait(const JobRegistry &Registry,
                           const LiveServerTable &LiveServers,
                           const ReadyStep &Step, TimePoint Now) const;
-  /// Returns the long-running steps that wait although servers in service have
-  /// room for their tasks, with some of these servers and what keeps each from
-  /// starting one. A step that became ready after Since is left out. At most
-  /// MaxSteps are returned.
+  /// Returns the long-running steps that wait although examined servers in
+  /// service have room for their tasks, with some of these servers and what
+  /// keeps each from starting one. A step that became ready after Since is left
+  /// out. At most MaxSteps are returned.
   std::vector<std::pair<ReadyStep, std::string>>
   findUnusedRoom(const JobRegistry &Registry,
                  const LiveServerTable &LiveServers, TimePoint Since,
@@ -70,6 +77,8 @@
                              const LiveServerTable &LiveServers,
                              const ReadyStep &Step, const ServerRecord &Server,
                              TimePoint Now) const;
+  std::vector<const ServerRecord *>
+  listExamined(const JobRegistry &Registry) const;
 
   const InterferenceModel &Interference_;
   const ServingLoads &Loads_;
@@ -78,6 +87,8 @@
   const IsolationPlanner &Isolation_;
   const CapacitySurvey &Survey_;
   const ReadyTimes &Waits_;
+  /// The first examined server is the first whose id is not less than this.
+  std::string FirstExamined_;
 };
 
 } // namespace tulipweir::jobs
--- a/tests/jobs/WaitExplainerTest.cpp
+++ b/tests/jobs/WaitExplainerTest.cpp
@@ -58,3 +58,38 @@
   submit(makeJob("j", {makeStep(1, 1000)}));
   EXPECT_TRUE(listUnusedRoom().empty());
 }
+
+// Pattern of load: steps wait on a fleet of thousands of servers. Guards
+// against an explanation whose cost grows with the fleet.
+TEST_F(WaitExplainerTest, ALargeFleetIsExaminedInParts) {
+  const std::size_t Servers = 2 * WaitExplainer::MaxExamined + 2;
+  for (std::size_t I = 2; I < Servers; ++I)
+    apply(AddServer{makeServer("t" + std::to_string(I))});
+  LiveServers_.reset(Registry_, Now_, 60s);
+  submit(makeJob("j", {makeServing(1, "a", 5000)}));
+  const std::string Part = "of 256 of 514 servers 256 full";
+  EXPECT_EQ(explain(), Part);
+  std::set<std::string> Texts;
+  // Three parts cover the fleet, the third with servers of the first.
+  quarantine("t99");
+  for (int I = 0; I < 3; ++I) {
+    Dispatcher_.explainer().examineNext(Registry_);
+    Texts.insert(explain());
+  }
+  EXPECT_EQ(Texts, std::set<std::string>{Part});
+}
+
+// Guards against parts that leave servers out.
+TEST_F(WaitExplainerTest, TheNextPartsOfALargeFleetCoverAllServers) {
+  for (std::size_t I = 2; I < 2 * WaitExplainer::MaxExamined; ++I)
+    apply(AddServer{makeServer("t" + std::to_string(I))});
+  LiveServers_.reset(Registry_, Now_, 60s);
+  quarantine("t99");
+  submit(makeJob("j", {makeServing(1, "a", 1000)}));
+  std::size_t Named = 0;
+  for (int I = 0; I < 2; ++I) {
+    Named += explain().find("1 quarantined") != std::string::npos ? 1 : 0;
+    Dispatcher_.explainer().examineNext(Registry_);
+  }
+  EXPECT_EQ(Named, 1U);
+}
