Have idle servers of a large fleet report less often

Cause: each of 6,000 servers reported twice a second. 5,300 of these were free throughout and repeated just that, while the leader could handle a third of the 12,000 reports a second that were due; the others were deferred, among them ends, starts and leases.

ReportPacing spaces the reports of idle servers so that one of them offers its capacity every half millisecond, as far as a lease outlasts three lost reports and no idle server counts as silent (three usual intervals). A server with runs, orders or ends that wait keeps the usual interval; up to 1,000 idle servers nothing changes.

Ruled out: longer intervals for all, as stalls, stops and paces rest on them.

--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -32,6 +32,7 @@
 #include "jobs/PaceSetter.h"
 #include "jobs/PendingStops.h"
 #include "jobs/ReportAges.h"
+#include "jobs/ReportPacing.h"
 #include "jobs/RunTimeEstimator.h"
 #include "jobs/WavePlanner.h"
 #include "replication/LeaderWatch.h"
@@ -207,6 +208,8 @@
   void answerOverdueReports();
   void reply(const PendingReportPtr &Pending, Outcome<ServerOrders> Orders);
   void meterJobEnd(const std::string &Job, JobCounter How);
+  Duration chooseInterval(const PendingReport &Pending,
+                          const ServerOrders &Orders);
   void meterStart(const TaskStart &Start, bool IsTaken);
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
   std::vector<LostRun> listLostRuns(const std::string &Server) const;
@@ -276,6 +279,7 @@
   PaceController Paces_;
   ServerHealth Health_;
   AdviceCache Advice_;
+  const ReportPacing Pacing_{{Settings_.ReportInterval_, Settings_.Lease_}};
   CrashHistory Crashes_;
   RunTimeEstimator RunTimes_;
   CapacityShares Shares_{Settings_.Shares_, RunTimes_};
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -236,6 +236,20 @@
     return;
   const ServerReport &Report = Pending->Report_;
   const std::string &Id = Report.Facts_.Id_;
+/// Returns the time to the server's next report. Whatever waits for a later
+/// report makes the server a busy one.
+Duration JobLeader::Impl::chooseInterval(const PendingReport &Pending,
+                                         const ServerOrders &Orders) {
+  const ServerReport &Report = Pending.Report_;
+  LiveServer &Live = *LiveServers_.find(Report.Facts_.Id_);
+  const bool IsIdle = Report.Running_.empty() && !Pending.AwaitsCommit_ &&
+                      Orders.Starts_.empty() && Orders.Stops_.empty() &&
+                      Live.isInService() && Live.NoStartsUntil_ <= Time_.now();
+  LiveServers_.setIdle(Live, IsIdle);
+  return IsIdle ? Pacing_.getIdleInterval(LiveServers_.countIdle())
+                : Pacing_.getBusyInterval();
+}
+
   const LiveServer *Live = LiveServers_.find(Id);
   const bool IsKnown = Live && !Live->IsRemoving_ &&
                        Machine_.read([&](const JobRegistry &Registry) {
@@ -268,7 +282,7 @@
       Orders.EndsNoted_ = std::max(Orders.EndsNoted_, Ended.Number_);
   Orders.NextReportMs_ = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
-          Settings_.ReportInterval_)
+          chooseInterval(*Pending, Orders))
           .count());
   Setter_.addPaceOrders(Report, *LiveServers_.find(Id), Orders);
   // Another member may have become the leader.
