Publish the lists of members when they change

Cause: a replica copied the names of all members into its status six times with each message; a leader of 25 members handles thousands of messages a second.

The lists are published when members, their commit or the leader change, and with each tick. The scalars are published as before. Ruled out: a status behind a shared pointer, which callers of each list would have to keep.

--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -431,13 +431,25 @@
   Status_.LeaderSince_ = Core_.getLeaderSince();
   Status_.PreviousTerm_ = Core_.getPreviousTerm();
   Status_.Members_ = Core_.getLog().getMembers();
+  const bool WasLeader = Status_.IsLeader_;
   Status_.MembersIndex_ = Core_.getLog().getMembersIndex();
   Status_.CommittedMembers_ = Core_.getLog().getMembersAt(Core_.getCommit());
   publishMemberHealth();
-  Status_.LogBytes_ = Storage_->countBytes();
-  Status_.Syncs_ = Storage_->countSyncs();
   Status_.JoinRequests_ = getJoinRequests();
 }
+  Status_.LogBytes_ = Storage_->countBytes();
+  Status_.Syncs_ = Storage_->countSyncs();
+  const bool AreMembersCommitted =
+      Core_.getLog().getMembersIndex() <= Core_.getCommit();
+  const bool HasChanged =
+      Status_.IsLeader_ != WasLeader ||
+      Status_.MembersIndex_ != Core_.getLog().getMembersIndex() ||
+      AreMembersCommitted_ != AreMembersCommitted;
+  // The lists take longer than the rest of a message.
+  if (!HasChanged && Time_.now() < NextListing_)
+    return;
+  NextListing_ = Time_.now() + tickInterval(Settings_);
+  AreMembersCommitted_ = AreMembersCommitted;
 
 std::vector<MemberHealth> ReplicaDriver::listMemberHealth() const {
   std::vector<MemberHealth> Health;
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -140,6 +140,9 @@
 
   std::mutex InboxLock_;
   std::condition_variable Wake_;
+  TimePoint NextListing_{}; ///< When lists of members are published again.
+  /// As of the last published lists.
+  bool AreMembersCommitted_ = false;
   Inbox Inbox_;
 
   mutable std::mutex LeaseLock_;
