Send larger batches where there are more relays

Cause: 24 relays flushed every 4 ms, up to 6,000 batches a second of fewer than two reports each. The leader pays for a batch as for several reports, whatever its size.

A relay leaves a millisecond for each relay between its batches; the first report after a pause waits 4 ms as before. Up to four relays nothing changes.

--- a/src/jobservice/ReportRelay.cpp
+++ b/src/jobservice/ReportRelay.cpp
@@ -11,6 +11,9 @@
 
 /// Reports are batched for this time; a commit takes several times as long.
 static constexpr Duration BatchDelay = 4ms;
+/// The leader receives a batch this often. A batch costs it as much as a few
+/// reports, whatever its size, so with more relays each sends larger ones.
+static constexpr Duration LeaderBatchInterval = 1ms;
 /// Largest batch, which bounds one piece of the leader's work.
 static constexpr std::size_t MaxBatchReports = 128;
 /// Reports that wait longer are deferred, as servers drop answers that arrive
@@ -142,7 +145,9 @@
   if (IsFlushScheduled_ || Queue_.empty())
     return;
   IsFlushScheduled_ = true;
-  Strand_.postAfter(BatchDelay, [Weak = weak_from_this()] {
+  const Duration Delay =
+      std::max<Duration>(BatchDelay, NextFlush_ - Time_.now());
+  Strand_.postAfter(Delay, [Weak = weak_from_this()] {
     if (const std::shared_ptr<ReportRelay> Self = Weak.lock())
       Self->flush();
   });
@@ -231,6 +236,8 @@
 
 void ReportRelay::flush() {
   IsFlushScheduled_ = false;
+  NextFlush_ = Time_.now() +
+               LeaderBatchInterval * static_cast<std::int64_t>(Relays_.size());
   deferOverdue();
   removeSilentServers();
   const std::size_t Count = countToSend();
--- a/src/jobservice/ReportRelay.h
+++ b/src/jobservice/ReportRelay.h
@@ -121,6 +121,7 @@
   RelayWindow Window_;
   bool IsFlushScheduled_ = false;
   std::unordered_map<std::string, ServerState> Servers_; ///< By server ID.
+  TimePoint NextFlush_{}; ///< The earliest time of the next batch.
   TimePoint LastDeferral_{};
   TimePoint NextCleanup_{}; ///< When silent servers are next removed.
   std::vector<std::string> Relays_;
