Survey a bounded number of servers at a time

Cause: twenty times a second the capacity of all servers was surveyed, with a few searches by id for each, and four times a second all their runs.

One update surveys 1,024 servers and a survey is published when it is complete: on 6,000 servers after 0.3 s, on 12,000 after 0.6 s. Reservations list the servers only where a long-running step is overdue, relocations only where an image was asked for. Smaller fleets are surveyed as before.

--- a/src/jobs/CapacitySurvey.cpp
+++ b/src/jobs/CapacitySurvey.cpp
@@ -26,51 +26,72 @@
                             const LiveServerTable &LiveServers,
                             const CapacityShares &Shares, ReadyTimes &Waits,
                             TimePoint Now) {
-  const std::vector<UsableServer> Servers =
-      surveyServers(Registry, LiveServers, Now);
-  reserveForLongRunning(Registry, Servers, Shares, Waits, Now);
+  HasWaitingLongRunning_ = !Registry.readyLongRunningSteps().empty();
+  if (!surveyNext(Registry, LiveServers, Now))
+    return;
+  HasSpareCapacity_ = Found_.ReservedMilliCpus_ * Percent <
+                      Found_.MilliCpus_ * MaxSpareReservedPercent;
+  reserveForLongRunning(Registry, LiveServers, Shares, Waits, Now);
   if (Now >= NextRelocationSurvey_) {
     NextRelocationSurvey_ = Now + RelocationInterval;
-    surveyRelocation(Registry, Servers);
+    surveyRelocation(Registry, LiveServers, Now);
   }
 }
 
+/// Surveys the next servers, in the order of ids. Returns whether a survey of
+/// all servers is complete.
+bool CapacitySurvey::surveyNext(const JobRegistry &Registry,
+                                const LiveServerTable &LiveServers,
+                                TimePoint Now) {
+  const std::map<std::string, ServerRecord> &Servers = Registry.servers();
+  auto It = LastSurveyed_.empty() ? Servers.begin()
+                                  : Servers.upper_bound(LastSurveyed_);
+  for (std::size_t Count = 0; It != Servers.end() && Count < MaxSurveyed;
+       ++It, ++Count)
+    if (LiveServers.acceptsStarts(Registry, It->second))
+      surveyServer(It->second, *LiveServers.find(It->first), Now);
+  if (It != Servers.end()) {
+    LastSurveyed_ = std::prev(It)->first;
+    return false;
+  }
+  LastSurveyed_.clear();
+  Found_ = std::exchange(Next_, {});
+  return true;
+}
+
+void CapacitySurvey::surveyServer(const ServerRecord &Server,
+                                  const LiveServer &Live, TimePoint Now) {
+  Next_.MilliCpus_ += Server.Facts_.Capacity_.MilliCpus_;
+  Next_.ReservedMilliCpus_ += Server.Used_.MilliCpus_;
+  if (Live.NoStartsUntil_ > Now || Server.Serving_.size() > 1 ||
+      Health_.getHealthState(Server.Facts_.Id_, Now) != HealthState::Healthy)
+    return;
+  const Resources Free = Server.Facts_.Capacity_ - Server.Used_;
+  if (Server.Serving_.empty())
+    Next_.FreeWithoutServing_.push_back(Free);
+  else
+    Next_.FreeBySoleImage_[Server.Serving_.begin()->first].push_back(Free);
+}
+
 std::vector<CapacitySurvey::UsableServer>
-CapacitySurvey::surveyServers(const JobRegistry &Registry,
-                              const LiveServerTable &LiveServers,
-                              TimePoint Now) {
-  FreeBySoleImage_.clear();
-  FreeWithoutServing_.clear();
-  std::int64_t Capacity = 0;
-  std::int64_t Reserved = 0;
+CapacitySurvey::listUsable(const JobRegistry &Registry,
+                           const LiveServerTable &LiveServers,
+                           TimePoint Now) const {
   std::vector<UsableServer> Servers;
-  for (const auto &[Id, Server] : Registry.servers()) {
-    if (!LiveServers.acceptsStarts(Registry, Server))
-      continue;
-    Capacity += Server.Facts_.Capacity_.MilliCpus_;
-    Reserved += Server.Used_.MilliCpus_;
-    const LiveServer *Live = LiveServers.find(Id);
-    const bool IsSound =
-        Health_.getHealthState(Id, Now) == HealthState::Healthy;
-    Servers.push_back({&Server, IsSound});
-    if (!IsSound || Live->NoStartsUntil_ > Now || Server.Serving_.size() > 1)
-      continue;
-    const Resources Free = Server.Facts_.Capacity_ - Server.Used_;
-    if (Server.Serving_.empty())
-      FreeWithoutServing_.push_back(Free);
-    else
-      FreeBySoleImage_[Server.Serving_.begin()->first].push_back(Free);
-  }
-  HasSpareCapacity_ = Reserved * Percent < Capacity * MaxSpareReservedPercent;
+  for (const auto &[Id, Server] : Registry.servers())
+    if (LiveServers.acceptsStarts(Registry, Server))
+      Servers.push_back(
+          {&Server, Health_.getHealthState(Id, Now) == HealthState::Healthy});
   return Servers;
 }
 
-void CapacitySurvey::surveyRelocation(
-    const JobRegistry &Registry, const std::vector<UsableServer> &Servers) {
+void CapacitySurvey::surveyRelocation(const JobRegistry &Registry,
+                                      const LiveServerTable &LiveServers,
+                                      TimePoint Now) {
   InterferenceFreeCpus_.clear();
   if (RelocatingImages_.empty())
     return;
-  for (const UsableServer &Entry : Servers) {
+  for (const UsableServer &Entry : listUsable(Registry, LiveServers, Now)) {
     const ServerRecord &Server = *Entry.Server_;
     const std::int64_t Idle =
         RemainingCapacity::computeIdleCpus(Server, Loads_);
@@ -134,7 +155,7 @@
 /// that is closest to having capacity for it; the server starts no task that
 /// would take this capacity.
 void CapacitySurvey::reserveForLongRunning(const JobRegistry &Registry,
-                                           std::vector<UsableServer> Servers,
+                                           const LiveServerTable &LiveServers,
                                            const CapacityShares &Shares,
                                            ReadyTimes &Waits, TimePoint Now) {
   const std::map<std::string, Reservation> Previous =
@@ -144,7 +165,6 @@
   const auto GetFree = [](const UsableServer &Entry) {
     return Entry.Server_->Facts_.Capacity_ - Entry.Server_->Used_;
   };
-  HasWaitingLongRunning_ = !Registry.readyLongRunningSteps().empty();
   std::vector<const ReadyStep *> Overdue;
   std::int64_t LeastCpus = std::numeric_limits<std::int64_t>::max();
   for (const ReadyStep &Ready : Registry.readyLongRunningSteps())
@@ -159,6 +179,7 @@
     return;
   if (Shares.isEnabled())
     sortByRank(Registry, Overdue);
+  std::vector<UsableServer> Servers = listUsable(Registry, LiveServers, Now);
   // There may be hundreds of steps and of servers, but on a full fleet few
   // servers can make room for any of the steps.
   std::erase_if(Servers, [LeastCpus, &Shares](const UsableServer &Entry) {
@@ -226,13 +247,14 @@
 bool CapacitySurvey::hasCapacityBesideSameImage(const std::string &Image,
                                                 const Resources &Need,
                                                 std::uint64_t Tasks) const {
-  const auto It = FreeBySoleImage_.find(Image);
-  return It != FreeBySoleImage_.end() && canFitAll(It->second, Need, Tasks);
+  const auto It = Found_.FreeBySoleImage_.find(Image);
+  return It != Found_.FreeBySoleImage_.end() &&
+         canFitAll(It->second, Need, Tasks);
 }
 
 bool CapacitySurvey::hasCapacityWithoutServing(const Resources &Need) const {
   return std::any_of(
-      FreeWithoutServing_.begin(), FreeWithoutServing_.end(),
+      Found_.FreeWithoutServing_.begin(), Found_.FreeWithoutServing_.end(),
       [&Need](const Resources &Free) { return Need.fitsIn(Free); });
 }
 
--- a/src/jobs/CapacitySurvey.h
+++ b/src/jobs/CapacitySurvey.h
@@ -2,7 +2,8 @@
 //
 // A plan covers one server at a time. Whether a task would run better on
 // another server is taken from the last survey of all servers, which is
-// updated some twenty times a second. Pure.
+// updated some twenty times a second. On a large fleet a survey takes several
+// updates, each of a bounded number of servers. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -53,9 +54,13 @@
                  const ServingLoads &Loads, const ServerHealth &Health)
       : Interference_(Interference), Loads_(Loads), Health_(Health) {}
 
+  /// The most servers that one update surveys.
+  static constexpr std::size_t MaxSurveyed = 1024;
+
   // Commands.
 
-  /// Servers whose capacity the shares keep for bounded work are not reserved.
+  /// Surveys the next servers. Servers whose capacity the shares keep for
+  /// bounded work are not reserved.
   void update(const JobRegistry &Registry, const LiveServerTable &LiveServers,
               const CapacityShares &Shares, ReadyTimes &Waits, TimePoint Now);
   /// Claims idle processors on servers where the step's filling image lengthens
@@ -89,13 +94,27 @@
     const ServerRecord *Server_;
     bool IsSound_;
   };
-  std::vector<UsableServer> surveyServers(const JobRegistry &Registry,
-                                          const LiveServerTable &LiveServers,
-                                          TimePoint Now);
+  /// What a survey finds on servers that may start tasks.
+  struct Findings {
+    std::int64_t MilliCpus_ = 0;
+    std::int64_t ReservedMilliCpus_ = 0;
+    /// Free capacity by image, of the servers where only that image serves, and
+    /// of those without serving tasks.
+    std::map<std::string, std::vector<Resources>> FreeBySoleImage_;
+    std::vector<Resources> FreeWithoutServing_;
+  };
+
+  bool surveyNext(const JobRegistry &Registry,
+                  const LiveServerTable &LiveServers, TimePoint Now);
+  void surveyServer(const ServerRecord &Server, const LiveServer &Live,
+                    TimePoint Now);
+  std::vector<UsableServer> listUsable(const JobRegistry &Registry,
+                                       const LiveServerTable &LiveServers,
+                                       TimePoint Now) const;
   void surveyRelocation(const JobRegistry &Registry,
-                        const std::vector<UsableServer> &Servers);
+                        const LiveServerTable &LiveServers, TimePoint Now);
   void reserveForLongRunning(const JobRegistry &Registry,
-                             std::vector<UsableServer> Servers,
+                             const LiveServerTable &LiveServers,
                              const CapacityShares &Shares, ReadyTimes &Waits,
                              TimePoint Now);
 
@@ -110,10 +129,10 @@
   /// one of their tasks.
   std::map<std::string, std::int64_t> RelocatingImages_;
   TimePoint NextRelocationSurvey_{};
-  /// Free capacity of the servers that may start tasks: by image, of those
-  /// where only that image serves, and of those without serving tasks.
-  std::map<std::string, std::vector<Resources>> FreeBySoleImage_;
-  std::vector<Resources> FreeWithoutServing_;
+  Findings Found_; ///< By the last whole survey.
+  Findings Next_;  ///< By the survey in progress.
+  /// The survey in progress continues with the first id after this one.
+  std::string LastSurveyed_;
   std::map<std::string, Reservation> Reservations_; ///< By server.
   bool HasWaitingLongRunning_ = false;
   bool HasSpareCapacity_ = false;
--- a/src/jobs/StragglerDetector.cpp
+++ b/src/jobs/StragglerDetector.cpp
@@ -69,13 +69,10 @@
     return;
   NextSurvey_ = Now + SurveyInterval;
   std::vector<std::pair<TimePoint, TaskKey>> LateRuns;
-  for (const auto &[Id, Server] : Registry.servers()) {
-    const LiveServer *Live = LiveServers.find(Id);
-    if (!Live)
-      continue;
-    for (std::size_t I = 0; I < Live->Running_.size(); ++I) {
-      const TaskKey &Task = Live->Running_[I].Task_;
-      const RunProgress &Run = Live->Progress_[I];
+  for (const auto &[Id, Live] : LiveServers.servers()) {
+    for (std::size_t I = 0; I < Live.Running_.size(); ++I) {
+      const TaskKey &Task = Live.Running_[I].Task_;
+      const RunProgress &Run = Live.Progress_[I];
       // Most runs are too young to be late; they need no lookup.
       if (Now - Run.SeenAt_ < MinDelay)
         continue;
