Ask a part of the members who leads in each round

Cause: without a leader each of 583 entries asked all 25 controls ten times a second, 145,000 calls, while they were to elect one.

LeaderSearch asks every member once in 750 ms, in an order of the entry's own, and at least five in a round; a member that another one names as the leader is asked too. Groups of up to five members are asked as before.

--- a/include/tulipweir/jobservice/EntryNode.h
+++ b/include/tulipweir/jobservice/EntryNode.h
@@ -26,8 +26,12 @@
   std::string DataCentre_;
   /// How often the node asks the group for its leader.
   Duration LeaderPollInterval_ = std::chrono::milliseconds(500);
-  /// How often it asks every control while it knows no leader.
+  /// How often it asks some of the controls while it knows no leader, and the
+  /// time in which it asks each of them once.
   Duration OutagePollInterval_ = std::chrono::milliseconds(100);
+  Duration OutagePollPeriod_ = std::chrono::milliseconds(750);
+  /// Determines the order in which it asks them; differs between entries.
+  std::uint64_t Seed_ = 0;
   /// The setting of the controls, from which the end of an election is
   /// estimated.
   Duration ElectionTimeout_ = std::chrono::milliseconds(600);
--- a/src/jobservice/EntryNode.cpp
+++ b/src/jobservice/EntryNode.cpp
@@ -2,6 +2,7 @@
 
 #include "jobservice/EntryMetrics.h"
 #include "jobservice/LeaderOutage.h"
+#include "jobservice/LeaderSearch.h"
 #include "jobservice/SubmittedIds.h"
 #include "tulipweir/jobservice/MemberLinks.h"
 #include "tulipweir/net/StrandExecutor.h"
@@ -42,7 +43,10 @@
         Links_(Pool.context(), "", Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
         Strand_(Pool), Seeds_(Settings.Seeds_.begin(), Settings.Seeds_.end()),
-        KnownMembers_(Seeds_), Submitted_(SubmittedIdsSettings()),
+        KnownMembers_(Seeds_),
+        Search_(Settings.OutagePollPeriod_, Settings.OutagePollInterval_,
+                Settings.Seed_),
+        Submitted_(SubmittedIdsSettings()),
         Outage_(makeOutageSettings(Settings), Time.now()) {
     Outage_.setMembers(KnownMembers_);
   }
@@ -97,6 +101,7 @@
   // Used on the strand only.
   std::set<std::string> Seeds_;
   std::set<std::string> KnownMembers_;
+  LeaderSearch Search_;
   bool HadLeader_ = false;
   std::uint64_t PollRound_ = 0; ///< Outdates the timers of earlier rounds.
   TimePoint SearchedAt_ = TimePoint::min();
@@ -147,7 +152,7 @@
                     Next);
 }
 
-/// Asks all members after the leader was lost, unless that was done just now.
+/// Asks members after the leader was lost, unless that was done just now.
 void EntryNode::Impl::searchLeader() {
   if (SearchedAt_ == TimePoint::min() ||
       Time_.now() - SearchedAt_ >= Settings_.OutagePollInterval_)
@@ -156,7 +161,13 @@
 
 void EntryNode::Impl::queryMembers() {
   SearchedAt_ = Time_.now();
-  for (const std::string &Name : std::set<std::string>(KnownMembers_))
+  std::vector<std::string> Asked = Search_.chooseNext(KnownMembers_);
+  // Another member may have named a leader, which has to confirm that.
+  const std::string Named = getLeader();
+  if (!Named.empty() &&
+      std::find(Asked.begin(), Asked.end(), Named) == Asked.end())
+    Asked.push_back(Named);
+  for (const std::string &Name : Asked)
     queryMember(Name);
 }
 
--- /dev/null
+++ b/src/jobservice/LeaderSearch.cpp
@@ -0,0 +1,33 @@
+#include "jobservice/LeaderSearch.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+using namespace tulipweir;
+using namespace tulipweir::jobservice;
+
+/// A round finds a member that answers although a data centre is lost.
+static constexpr std::size_t MinMembers = 5;
+
+std::vector<std::string>
+LeaderSearch::chooseNext(const std::set<std::string> &Members) {
+  std::vector<std::string> Order(Members.begin(), Members.end());
+  const auto Rounds =
+      static_cast<std::size_t>(std::max<std::int64_t>(Rounds_, 1));
+  const std::size_t Part = (Order.size() + Rounds - 1) / Rounds;
+  const std::size_t Count = std::min(Order.size(), std::max(Part, MinMembers));
+  if (Count == Order.size())
+    return Order;
+  const auto GetKey = [this](const std::string &Name) {
+    return XXH3_64bits_withSeed(Name.data(), Name.size(), Seed_);
+  };
+  std::sort(Order.begin(), Order.end(),
+            [&](const std::string &A, const std::string &B) {
+              return std::pair(GetKey(A), A) < std::pair(GetKey(B), B);
+            });
+  std::vector<std::string> Chosen;
+  for (std::size_t I = 0; I < Count; ++I)
+    Chosen.push_back(Order[(Next_ + I) % Order.size()]);
+  Next_ = (Next_ + Count) % Order.size();
+  return Chosen;
+}
--- /dev/null
+++ b/src/jobservice/LeaderSearch.h
@@ -0,0 +1,42 @@
+//===- LeaderSearch.h - Which members an entry asks who leads ---*- C++ -*-===//
+//
+// Without a leader every entry asks members until one leads. Hundreds of
+// entries that ask dozens of members each time keep the members from electing,
+// so a round asks a part of them, and different entries ask in different
+// orders. Pure.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef TULIPWEIR_SRC_JOBSERVICE_LEADERSEARCH_H
+#define TULIPWEIR_SRC_JOBSERVICE_LEADERSEARCH_H
+
+#include "tulipweir/core/Time.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tulipweir::jobservice {
+
+/// Not thread-safe.
+class LeaderSearch {
+public:
+  /// Each member is asked once in Period, in rounds that are RoundInterval
+  /// apart. Seed differs between entries.
+  LeaderSearch(Duration Period, Duration RoundInterval, std::uint64_t Seed)
+      : Rounds_(Period / RoundInterval), Seed_(Seed) {}
+
+  /// Returns the members to ask in the next round. Every member is in one of
+  /// the rounds of a period.
+  std::vector<std::string> chooseNext(const std::set<std::string> &Members);
+
+private:
+  const std::int64_t Rounds_;
+  const std::uint64_t Seed_;
+  std::size_t Next_ = 0; ///< In the order of this entry.
+};
+
+} // namespace tulipweir::jobservice
+
+#endif // TULIPWEIR_SRC_JOBSERVICE_LEADERSEARCH_H
