Learn run times from servers that run something

A server with bounded runs takes the place of one without. RunTimeEstimatorTest.BusyServersAreLearnedFromBesideManyIdleOnes.

--- a/src/jobs/RunTimeEstimator.cpp
+++ b/src/jobs/RunTimeEstimator.cpp
@@ -63,13 +63,10 @@
 
 void RunTimeEstimator::learn(const JobRegistry &Registry,
                              const ServerReport &Report, TimePoint Now) {
-  auto It = Servers_.find(Report.Facts_.Id_);
-  if (It == Servers_.end()) {
-    if (Servers_.size() >= MaxServers)
-      return;
-    It = Servers_.try_emplace(Report.Facts_.Id_).first;
-  }
-  Server &Where = It->second;
+  Server *Tracked = findOrTrack(Registry, Report);
+  if (!Tracked)
+    return;
+  Server &Where = *Tracked;
   LastHeard_ = std::max(LastHeard_, Now);
   if (!Where.Tracker_.begin(Report, Now))
     return;
@@ -85,6 +82,43 @@
         if (Run.IsWatched_)
           advance(Registry, Run, Running, Sent);
       });
+  const std::vector<TrackedRun> &Runs = Where.Tracker_.runs();
+  const bool IsTelling =
+      std::any_of(Runs.begin(), Runs.end(),
+                  [](const TrackedRun &Run) { return Run.IsWatched_; });
+  if (IsTelling)
+    Untelling_.erase(Report.Facts_.Id_);
+  else
+    Untelling_.insert(Report.Facts_.Id_);
+}
+
+static bool listsBoundedRun(const JobRegistry &Registry,
+                            const ServerReport &Report) {
+  return std::any_of(Report.Running_.begin(), Report.Running_.end(),
+                     [&Registry](const RunningTask &Running) {
+                       const StepSpec *Step = Registry.findStep(Running.Task_);
+                       return Step && !Step->LongRunning_;
+                     });
+}
+
+/// Returns the server's state; nullptr if enough others are tracked. A server
+/// with bounded runs replaces one that has none, as most of a large fleet may
+/// be idle.
+RunTimeEstimator::Server *
+RunTimeEstimator::findOrTrack(const JobRegistry &Registry,
+                              const ServerReport &Report) {
+  const std::string &Id = Report.Facts_.Id_;
+  const auto It = Servers_.find(Id);
+  if (It != Servers_.end())
+    return &It->second;
+  if (Servers_.size() >= MaxServers) {
+    if (Untelling_.empty() || !listsBoundedRun(Registry, Report))
+      return nullptr;
+    const auto Replaced = Untelling_.begin();
+    Servers_.erase(*Replaced);
+    Untelling_.erase(Replaced);
+  }
+  return &Servers_[Id];
 }
 
 /// Returns whether a run of the task would begin from a checkpoint.
@@ -263,6 +297,9 @@
   std::erase_if(Servers_, [this](const auto &Entry) {
     return LastHeard_ - Entry.second.Tracker_.getLastHeard() > ServerExpiry;
   });
+  std::erase_if(Untelling_, [this](const std::string &Id) {
+    return Servers_.count(Id) == 0;
+  });
 }
 
 std::optional<Duration> RunTimeEstimator::findQuantile(const JobRecord &Job,
--- a/src/jobs/RunTimeEstimator.h
+++ b/src/jobs/RunTimeEstimator.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace tulipweir::jobs {
@@ -98,6 +99,7 @@
     std::deque<ServerRun> LastRuns_;
   };
 
+  Server *findOrTrack(const JobRegistry &Registry, const ServerReport &Report);
   void learnEnd(const JobRegistry &Registry, Server &Where,
                 const EndedTask &Ended);
   void admit(const JobRegistry &Registry, TrackedRun &Run,
@@ -114,6 +116,8 @@
   LearnedRunTimes Classes_;
   std::unordered_map<std::string, std::vector<StepTimes>> Jobs_;
   std::unordered_map<std::string, Server> Servers_;
+  /// Those of Servers_ whose last report listed no bounded run.
+  std::unordered_set<std::string> Untelling_;
   TimePoint LastHeard_{}; ///< Of any server.
 };
 
--- a/tests/jobs/RunTimeEstimatorTest.cpp
+++ b/tests/jobs/RunTimeEstimatorTest.cpp
@@ -381,3 +381,18 @@
   EXPECT_FALSE(Estimator_.doOthersAdvanceAsUsual(Registry_, "s3", 1, 4s))
       << "nothing is known of it";
 }
+
+// Pattern of load: a large fleet that is mostly idle. Guards against run times
+// that are never learned since the servers that are tracked run nothing.
+TEST_F(RunTimeEstimatorTest, BusyServersAreLearnedFromBesideManyIdleOnes) {
+  TimePoint Now{1h};
+  for (int I = 0; I < 6'000; ++I) {
+    ServerReport Idle;
+    Idle.Facts_.Id_ = "idle" + std::to_string(I);
+    Idle.Sequence_ = 1;
+    Estimator_.learn(Registry_, Idle, Now);
+  }
+  ReportingServer Server = makeReporting("s1");
+  train(Server, "a", 10, 1.5);
+  EXPECT_NEAR(getTypicalMs("a"), 1500, 90);
+}
