Time what a task waits for: plan, commit, end

Histograms from when a step is ready until a start is planned, from there to its commit, and from the receipt of an end to its commit, beside those of acknowledgements, first starts and answers: where a start's time goes.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -404,6 +404,7 @@
       return;
     Plan.Starts_.push_back(Start);
     Proposed_.insert(Start.Task_);
+    PlannedWaits_.push_back(Waited);
     IsIdleJob = false;
     Plan.Remaining_.place(Step);
     if (!Step.LongRunning_)
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -92,15 +92,21 @@
   /// are done.
   void prune(const JobRegistry &Registry);
 
+  /// Returns how long the steps of the tasks planned since the last call had
+  /// been ready.
+  std::vector<Duration> takePlannedWaits() {
+    return std::exchange(PlannedWaits_, {});
+  }
+
   // Queries.
 
+  WaitExplainer &explainer() { return Explainer_; }
   const WaitExplainer &explainer() const { return Explainer_; }
   const CapacitySurvey &capacitySurvey() const { return Survey_; }
 
 private:
   /// The state of a plan for one server.
   struct ServerPlan {
-  WaitExplainer &explainer() { return Explainer_; }
     const ServerRecord &Server_;
     RemainingCapacity Remaining_;
     TimePoint Now_;
@@ -169,6 +175,7 @@
   std::map<TaskKey, TaskFailure> LastFailures_;
   ReadyTimes ReadyTimes_;
   CapacitySurvey Survey_{Interference_, Loads_, Health_};
+  std::vector<Duration> PlannedWaits_;
   WaitExplainer Explainer_{Interference_, Loads_,  Health_,    Advice_,
                            Isolation_,    Survey_, ReadyTimes_};
   /// Tasks with a start that was planned but not applied or refused yet.
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -155,6 +155,7 @@
     if (!Applied)
       return reply(Pending, Applied.error());
     Pending->FirstUncommittedEnd_ = NoUncommittedEnd;
+    Meter_.record(JobTimer::EndCommit, Time_.now() - Pending->SentBy_);
     logEnds(Command.Server_, Command.Ends_);
     beginAbsences(Command, Pending->SentBy_);
     updateHealth(Command, RunTimes);
@@ -180,11 +181,15 @@
   if (Starts.empty())
     return answer(Pending);
   deferAnswer(Pending);
-  propose(StartTasks{Starts}, [this, Pending,
-                               Starts](const Outcome<CommandResult> &Applied) {
+  const TimePoint PlannedAt = Time_.now();
+  for (const Duration Waited : Dispatcher_.takePlannedWaits())
+    Meter_.record(JobTimer::StartPlan, Waited);
+  propose(StartTasks{Starts}, [this, Pending, Starts, PlannedAt](
+                                  const Outcome<CommandResult> &Applied) {
     Dispatcher_.releaseProposed(Starts);
     if (!Applied)
       return reply(Pending, Applied.error());
+    Meter_.record(JobTimer::StartCommit, Time_.now() - PlannedAt);
     for (std::size_t I = 0; I < Starts.size(); ++I) {
       Event Line;
       Line.Kind_ = EventKind::TaskStarted;
@@ -231,11 +236,6 @@
   }
 }
 
-void JobLeader::Impl::answer(const PendingReportPtr &Pending) {
-  if (Pending->IsAnswered_)
-    return;
-  const ServerReport &Report = Pending->Report_;
-  const std::string &Id = Report.Facts_.Id_;
 /// Returns the time to the server's next report. Whatever waits for a later
 /// report makes the server a busy one.
 Duration JobLeader::Impl::chooseInterval(const PendingReport &Pending,
@@ -250,6 +250,11 @@
                 : Pacing_.getBusyInterval();
 }
 
+void JobLeader::Impl::answer(const PendingReportPtr &Pending) {
+  if (Pending->IsAnswered_)
+    return;
+  const ServerReport &Report = Pending->Report_;
+  const std::string &Id = Report.Facts_.Id_;
   const LiveServer *Live = LiveServers_.find(Id);
   const bool IsKnown = Live && !Live->IsRemoving_ &&
                        Machine_.read([&](const JobRegistry &Registry) {
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -104,6 +104,12 @@
          "From the stop of a task that yielded to its next placement"},
         {"tulipweir_job_return_seconds",
          "The time after which a rejected caller was told to return"},
+        {"tulipweir_start_plan_seconds",
+         "From when a task's step was ready until its start was planned"},
+        {"tulipweir_start_commit_seconds",
+         "From the plan of a start to its commit"},
+        {"tulipweir_end_commit_seconds",
+         "From the receipt of a run's end to its commit"},
     }};
 
 JobMetrics::JobMetrics(net::Metrics &Metrics) : Metrics_(Metrics) {
--- a/src/jobservice/JobMetrics.h
+++ b/src/jobservice/JobMetrics.h
@@ -18,7 +18,7 @@
   static constexpr auto Counters =
       static_cast<std::size_t>(jobs::JobCounter::JobsReturned) + 1;
   static constexpr auto Histograms =
-      static_cast<std::size_t>(jobs::JobTimer::ReturnTime) + 1;
+      static_cast<std::size_t>(jobs::JobTimer::EndCommit) + 1;
 
   explicit JobMetrics(net::Metrics &Metrics);
   void add(jobs::JobCounter Counter, std::uint64_t Amount) override;
