Spread voters over places

Cause: voters were chosen by who asked first.

The member at the place with the fewest voters is promoted; where the loss of a place would take the majority, one of its voters is replaced, by a promotion and then a removal, never the leader. Places are known to the leader only and are in no entry of the log, so members of other versions agree on the log as before. PlanMembersTest.ASpareOfTheEmptiestPlaceIsPromoted, AMajorityAtOnePlaceIsSpread, AMajorityAtTheOnlyPlaceStays.

--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -44,6 +45,10 @@
   auto operator<=>(const Member &) const = default;
 };
 
+/// The places, such as data centres, of members by name, as far as they are
+/// known. All members at a place may be lost at once.
+using MemberPlaces = std::map<std::string, std::string>;
+
 /// Carries encoded messages to other members. Messages may be lost, duplicated
 /// or reordered. Implementations are thread-safe and never block.
 class Transport {
@@ -180,6 +185,9 @@
   virtual void addLearner(MemberId Id, std::function<void(Outcome<void>)>) = 0;
   virtual void promote(MemberId Id, std::function<void(Outcome<void>)>) = 0;
   virtual void remove(MemberId Id, std::function<void(Outcome<void>)>) = 0;
+  /// Replaces the known places of members, over which a leader that maintains
+  /// the voters spreads them.
+  virtual void setPlaces(MemberPlaces /*Places*/) {}
 
   /// Transfers leadership to the most up-to-date other voter, if this replica
   /// leads.
--- a/src/replication/Rejoin.cpp
+++ b/src/replication/Rejoin.cpp
@@ -1,10 +1,15 @@
 #include "replication/Rejoin.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
+/// Bounds the load that unknown members can put on the leader.
+static constexpr std::size_t MaxMembers = 32;
+
 static bool isNamed(const MemberHealth &Health, const std::string &Name) {
   return Health.Member_.Id_.Name_ == Name;
 }
@@ -59,13 +64,83 @@
   return std::nullopt;
 }
 
-/// Bounds the load that unknown members can put on the leader.
-static constexpr std::size_t MaxMembers = 32;
+namespace {
+
+/// The voters by place. Members whose place is unknown count as one place,
+/// which is never too full.
+class VoterSpread {
+public:
+  VoterSpread(const std::vector<MemberHealth> &Members,
+              const MemberPlaces &Places)
+      : Places_(Places) {
+    for (const MemberHealth &Health : Members)
+      if (Health.Member_.Role_ == MemberRole::Voter) {
+        ++Voters_;
+        ++ByPlace_[findPlace(Health)];
+      }
+  }
+
+  std::uint64_t countVoters() const { return Voters_; }
+  /// Returns the number of voters at the member's place. Members of an unknown
+  /// place come after all others.
+  std::uint64_t countBeside(const MemberHealth &Health) const {
+    const std::string &Place = findPlace(Health);
+    if (Place.empty())
+      return Voters_ + 1;
+    const auto It = ByPlace_.find(Place);
+    return It == ByPlace_.end() ? 0 : It->second;
+  }
+  /// Returns whether the loss of the member's place takes the majority.
+  bool isTooFull(const MemberHealth &Health) const {
+    return !findPlace(Health).empty() && takesMajority(countBeside(Health));
+  }
+  /// Returns whether the place would stay small enough with one voter more.
+  bool hasRoom(const MemberHealth &Health) const {
+    return !findPlace(Health).empty() &&
+           !takesMajority(countBeside(Health) + 1);
+  }
+
+private:
+  bool takesMajority(std::uint64_t Lost) const {
+    return 2 * (Voters_ - std::min(Lost, Voters_)) <= Voters_;
+  }
+  const std::string &findPlace(const MemberHealth &Health) const {
+    static const std::string Unknown;
+    const auto It = Places_.find(Health.Member_.Id_.Name_);
+    return It == Places_.end() ? Unknown : It->second;
+  }
+
+  const MemberPlaces &Places_;
+  std::uint64_t Voters_ = 0;
+  std::map<std::string, std::uint64_t> ByPlace_;
+};
+
+} // namespace
+
+/// Replaces a voter at a place whose loss would take the majority, by a
+/// promotion and then a removal.
+static std::optional<ChangeRequested>
+planSpread(const std::vector<MemberHealth> &Members, const VoterSpread &Spread,
+           const MemberHealth *Spare, std::uint64_t TargetVoters) {
+  const auto TooFull = std::find_if(
+      Members.begin(), Members.end(), [&](const MemberHealth &Health) {
+        return Health.Member_.Role_ == MemberRole::Voter && !Health.IsSelf_ &&
+               Spread.isTooFull(Health);
+      });
+  if (TooFull == Members.end())
+    return std::nullopt;
+  if (Spread.countVoters() > TargetVoters)
+    return ChangeRequested{0, ChangeKind::Remove, TooFull->Member_.Id_};
+  if (Spare && Spread.hasRoom(*Spare))
+    return ChangeRequested{0, ChangeKind::Promote, Spare->Member_.Id_};
+  return std::nullopt;
+}
 
 std::optional<ChangeRequested>
 replication::planMembers(const std::vector<MemberHealth> &Members,
                          const std::vector<MemberId> &JoinRequests,
-                         std::uint64_t TargetVoters) {
+                         std::uint64_t TargetVoters,
+                         const MemberPlaces &Places) {
   for (const MemberId &Id : JoinRequests) {
     const bool IsUnknown = std::none_of(
         Members.begin(), Members.end(), [&](const MemberHealth &Known) {
@@ -74,15 +149,17 @@
     if (IsUnknown && Members.size() < MaxMembers)
       return ChangeRequested{0, ChangeKind::AddLearner, Id};
   }
-  std::uint64_t Voters = 0;
+  const VoterSpread Spread(Members, Places);
+  const std::uint64_t Voters = Spread.countVoters();
   const MemberHealth *Unresponsive = nullptr;
   const MemberHealth *Spare = nullptr;
   for (const MemberHealth &Health : Members) {
     const bool IsVoter = Health.Member_.Role_ == MemberRole::Voter;
-    Voters += IsVoter ? 1 : 0;
     if (IsVoter && Health.IsUnresponsive_ && !Unresponsive)
       Unresponsive = &Health;
-    if (!IsVoter && Health.IsAlive_ && !Spare)
+    const bool IsBetter =
+        !Spare || Spread.countBeside(Health) < Spread.countBeside(*Spare);
+    if (!IsVoter && Health.IsAlive_ && IsBetter)
       Spare = &Health;
   }
   const bool IsShort =
@@ -91,5 +168,7 @@
     return ChangeRequested{0, ChangeKind::Promote, Spare->Member_.Id_};
   if (Unresponsive && Voters > TargetVoters)
     return ChangeRequested{0, ChangeKind::Remove, Unresponsive->Member_.Id_};
-  return std::nullopt;
+  if (Unresponsive)
+    return std::nullopt;
+  return planSpread(Members, Spread, Spare, TargetVoters);
 }
--- a/src/replication/Rejoin.h
+++ b/src/replication/Rejoin.h
@@ -24,6 +24,7 @@
   bool IsAlive_ = false; ///< Its disk answered within an election timeout.
   bool IsUnresponsive_ = false; ///< It has not answered for UnresponsiveAfter_,
                                 ///< and its vote may be replaced.
+  bool IsSelf_ = false;
 };
 
 /// Plans the replacement of lost incarnations. JoinRequests lists the members
@@ -37,11 +38,13 @@
 
 /// Plans changes towards TargetVoters. An unresponsive voter is removed only
 /// while there is one voter more than the target, so that its removal never
-/// reduces the number of voters that answer.
+/// reduces the number of voters that answer. Voters are spread over the places
+/// as far as these are known: where the loss of one place would take the
+/// majority, one of its voters is replaced by a member of another place.
 std::optional<ChangeRequested>
 planMembers(const std::vector<MemberHealth> &Members,
             const std::vector<MemberId> &JoinRequests,
-            std::uint64_t TargetVoters);
+            std::uint64_t TargetVoters, const MemberPlaces &Places = {});
 
 } // namespace tulipweir::replication
 
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -39,7 +39,8 @@
 
 bool ReplicaDriver::Inbox::isUrgent() const {
   return !Synced_.empty() || !Messages_.empty() || !Reads_.empty() ||
-         !Changes_.empty() || !Transfers_.empty() || Failure_ || IsStopping_;
+         !Changes_.empty() || !Transfers_.empty() || Places_ || Failure_ ||
+         IsStopping_;
 }
 
 ReplicaDriver::ReplicaDriver(ReplicaStart Start, StateMachine &Machine,
@@ -118,6 +119,10 @@
   requestChange(ChangeKind::Remove, std::move(Id), std::move(Done));
 }
 
+void ReplicaDriver::setPlaces(MemberPlaces Places) {
+  post([&](Inbox &In) { In.Places_ = std::move(Places); });
+}
+
 void ReplicaDriver::transferLeadership(DoneCallback Done) {
   transferLeadershipTo("", std::move(Done));
 }
@@ -193,6 +198,8 @@
 void ReplicaDriver::handleInbox(Inbox &In) {
   if (In.Failure_)
     failWith(*In.Failure_);
+  if (In.Places_)
+    Places_ = std::move(*In.Places_);
   for (const Synced &Mark : In.Synced_)
     step(Mark);
   for (const std::string &Bytes : In.Messages_)
@@ -240,7 +247,8 @@
   const std::vector<MemberHealth> Health = listMemberHealth();
   auto Next = planRejoin(Health, getJoinRequests());
   if (!Next && Settings_.TargetVoters_ > 0)
-    Next = planMembers(Health, getJoinRequests(), Settings_.TargetVoters_);
+    Next = planMembers(Health, getJoinRequests(), Settings_.TargetVoters_,
+                       Places_);
   if (!Next || Next == Current)
     return;
   if (Next->Kind_ == ChangeKind::AddLearner)
@@ -423,6 +431,7 @@
     setLease({});
   std::lock_guard Guard(StatusLock_);
   const std::optional<MemberId> &Leader = Core_.getLeader();
+  const bool WasLeader = Status_.IsLeader_;
   Status_.IsLeader_ = Core_.getRole() == Role::Leader && !HasFailed_;
   Status_.LeaderName_ = Leader && !HasFailed_ ? Leader->Name_ : "";
   Status_.Term_ = Core_.getTerm();
@@ -430,13 +439,6 @@
   Status_.AppliedIndex_ = Applied_;
   Status_.LeaderSince_ = Core_.getLeaderSince();
   Status_.PreviousTerm_ = Core_.getPreviousTerm();
-  Status_.Members_ = Core_.getLog().getMembers();
-  const bool WasLeader = Status_.IsLeader_;
-  Status_.MembersIndex_ = Core_.getLog().getMembersIndex();
-  Status_.CommittedMembers_ = Core_.getLog().getMembersAt(Core_.getCommit());
-  publishMemberHealth();
-  Status_.JoinRequests_ = getJoinRequests();
-}
   Status_.LogBytes_ = Storage_->countBytes();
   Status_.Syncs_ = Storage_->countSyncs();
   const bool AreMembersCommitted =
@@ -450,13 +452,20 @@
     return;
   NextListing_ = Time_.now() + tickInterval(Settings_);
   AreMembersCommitted_ = AreMembersCommitted;
+  Status_.Members_ = Core_.getLog().getMembers();
+  Status_.MembersIndex_ = Core_.getLog().getMembersIndex();
+  Status_.CommittedMembers_ = Core_.getLog().getMembersAt(Core_.getCommit());
+  publishMemberHealth();
+  Status_.JoinRequests_ = getJoinRequests();
+}
 
 std::vector<MemberHealth> ReplicaDriver::listMemberHealth() const {
   std::vector<MemberHealth> Health;
   for (const Member &M : Core_.getLog().getMembers()) {
     const Duration Stall = Core_.getTimeSinceStored(M.Id_, Time_.now());
     Health.push_back({M, Stall < Settings_.ElectionTimeout_,
-                      Stall >= Settings_.UnresponsiveAfter_});
+                      Stall >= Settings_.UnresponsiveAfter_,
+                      M.Id_.Name_ == Settings_.Name_});
   }
   return Health;
 }
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -48,6 +48,7 @@
   void addLearner(MemberId Id, DoneCallback Done) override;
   void promote(MemberId Id, DoneCallback Done) override;
   void remove(MemberId Id, DoneCallback Done) override;
+  void setPlaces(MemberPlaces Places) override;
   void transferLeadership(DoneCallback Done) override;
   void transferLeadershipTo(std::string To, DoneCallback Done) override;
   void stop() override;
@@ -80,6 +81,7 @@
     std::vector<DoneCallback> Reads_;
     std::vector<Change> Changes_;
     std::vector<TransferCall> Transfers_;
+    std::optional<MemberPlaces> Places_;
     std::optional<Error> Failure_;
     bool IsStopping_ = false;
     bool isEmpty() const { return Calls_.empty() && !isUrgent(); }
@@ -126,6 +128,7 @@
   RaftCore Core_;
   GroupBootstrap Bootstrap_;
   PendingCalls Pending_;
+  MemberPlaces Places_;
   HardState Hard_;
   std::uint64_t Applied_ = 0;
   std::uint64_t NextSnapshot_ = 0;
@@ -137,12 +140,12 @@
   TimePoint NextProposalTime_{}; ///< Proposals are batched until this time.
   TimePoint NextJoinProbe_;
   TimePoint NextMembershipCheck_;
-
-  std::mutex InboxLock_;
-  std::condition_variable Wake_;
   TimePoint NextListing_{}; ///< When lists of members are published again.
   /// As of the last published lists.
   bool AreMembersCommitted_ = false;
+
+  std::mutex InboxLock_;
+  std::condition_variable Wake_;
   Inbox Inbox_;
 
   mutable std::mutex LeaseLock_;
--- a/tests/replication/RejoinTest.cpp
+++ b/tests/replication/RejoinTest.cpp
@@ -103,3 +103,50 @@
   const std::vector<MemberHealth> Many(32, learner("x", Unresponsive));
   EXPECT_EQ(planMembers(Many, {{"b", 1}}, 3), std::nullopt);
 }
+
+static MemberPlaces makePlaces() {
+  return {{"a", "north"}, {"b", "north"}, {"c", "north"}, {"d", "south"},
+          {"e", "south"}, {"f", "west"},  {"g", "east"}};
+}
+
+// Guards against voters that happen to be in one data centre, whose loss ends
+// the group.
+TEST(PlanMembersTest, ASpareOfTheEmptiestPlaceIsPromoted) {
+  EXPECT_EQ(planMembers({voter("a"), learner("b"), learner("d")}, {}, 3,
+                        makePlaces()),
+            change(ChangeKind::Promote, "d"));
+  EXPECT_EQ(planMembers({voter("a"), voter("d"), learner("b"), learner("f")},
+                        {}, 3, makePlaces()),
+            change(ChangeKind::Promote, "f"));
+  EXPECT_EQ(planMembers({voter("a"), learner("x"), learner("b")}, {}, 3,
+                        makePlaces()),
+            change(ChangeKind::Promote, "b"))
+      << "a member of an unknown place comes last";
+}
+
+// Guards against a place that holds the majority for good, as after the return
+// of a lost data centre.
+TEST(PlanMembersTest, AMajorityAtOnePlaceIsSpread) {
+  std::vector<MemberHealth> Members = {voter("a"), voter("b"), voter("c"),
+                                       voter("d"), voter("f"), learner("g")};
+  EXPECT_EQ(planMembers(Members, {}, 5, makePlaces()),
+            change(ChangeKind::Promote, "g"));
+  Members.back() = voter("g");
+  Members.front().IsSelf_ = true;
+  EXPECT_EQ(planMembers(Members, {}, 5, makePlaces()),
+            change(ChangeKind::Remove, "b"))
+      << "the leader stays";
+  Members.erase(Members.begin() + 1);
+  EXPECT_EQ(planMembers(Members, {}, 5, makePlaces()), std::nullopt);
+}
+
+// Guards against changes without an end where no better member is there.
+TEST(PlanMembersTest, AMajorityAtTheOnlyPlaceStays) {
+  EXPECT_EQ(
+      planMembers({voter("a"), voter("b"), learner("c")}, {}, 2, makePlaces()),
+      std::nullopt);
+  EXPECT_EQ(planMembers(
+                {voter("a"), voter("b"), voter("d"), voter("e"), learner("c")},
+                {}, 4, makePlaces()),
+            std::nullopt);
+}
