Handle operators' calls before all other work of the leader

The call was redirected to a leader that read a few kilobytes of it between turns of its strand, each as long as its backlog, and waited behind that backlog twice, before the proposal and after the commit.

A member that does not lead passes an order or a read on over its link to the leader, which reads no HTTP and parses no JSON for it; a leader of an earlier version refuses the kind, and the caller is redirected as before. The leader also asks members for their data centres, over which voters are spread.

NodeCluster.EveryMemberAnswersTheOperator, NodeCluster.VotersAreSpreadOverDataCentres.

--- a/include/tulipweir/jobservice/ControlNode.h
+++ b/include/tulipweir/jobservice/ControlNode.h
@@ -27,6 +27,9 @@
   bool MayFound_ = false;
   /// Number of voters in the group: 2 * N + 1 to survive the loss of N VMs.
   std::uint64_t TargetVoters_ = 3;
+  /// The data centre of this control; may be empty. Voters are spread over the
+  /// data centres.
+  std::string DataCentre_;
   std::string Secret_;
   Duration ElectionTimeout_ = std::chrono::milliseconds(600);
   jobs::JobLeaderSettings Leader_;
--- a/include/tulipweir/net/StrandExecutor.h
+++ b/include/tulipweir/net/StrandExecutor.h
@@ -20,6 +20,7 @@
   explicit StrandExecutor(IoPool &Pool);
   ~StrandExecutor() override;
   void post(std::function<void()> Task) override;
+  void postUrgent(std::function<void()> Task) override;
   void postAfter(Duration Delay, std::function<void()> Task) override;
 
 private:
--- a/include/tulipweir/wire/MessageKind.h
+++ b/include/tulipweir/wire/MessageKind.h
@@ -34,6 +34,12 @@
                      ///< heard each server; encoded by the jobs module.
   ReportWitness = 16, ///< The leader of the jobs has a member record reports
                       ///< that it received; encoded by the jobs module.
+  ClusterOrder = 17,  ///< An operator's order about jobs, passed on to the
+                      ///< leader; a command of the jobs module.
+  ConfigurationQuery = 18, ///< A read of the configuration of jobs, passed on
+                           ///< to the leader; answered with a command that puts
+                           ///< it.
+  MemberPlace = 19, ///< The leader of jobs asks a member for its data centre.
 };
 
 } // namespace tulipweir::wire
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -132,22 +132,33 @@
   Log_.write(Line);
 }
 
+/// Returns the result of a proposal. Only NotLeader guarantees that the command
+/// was not accepted. With any other error the outcome is unknown, which the
+/// caller must be able to tell.
+static Outcome<CommandResult>
+toResult(const Outcome<replication::Applied> &Applied) {
+  if (Applied)
+    return decodeResult(Applied.value().Result_);
+  if (Applied.error().Code_ == ErrorCode::NotLeader)
+    return Applied.error();
+  return fail(ErrorCode::Timeout, Applied.error().Message_);
+}
+
 void JobLeader::Impl::propose(const Command &Value, ResultCallback Done) {
-  const std::weak_ptr<Impl> Weak = weak_from_this();
+  proposeIn(&Executor::post, Value, std::move(Done));
+}
+
+void JobLeader::Impl::proposeOrder(const Command &Value, ResultCallback Done) {
+  proposeIn(&Executor::postUrgent, Value, std::move(Done));
+}
+
+void JobLeader::Impl::proposeIn(PostMember Post, const Command &Value,
+                                ResultCallback Done) {
   Group_.propose(
-      encodeCommand(Value), [Weak, &Strand = Strand_, Done = std::move(Done)](
-                                const Outcome<replication::Applied> &Applied) {
-        Outcome<CommandResult> Result = fail(ErrorCode::Unavailable, "");
-        // Only NotLeader guarantees that the command was not accepted. With any
-        // other error the outcome is unknown, which the caller must be able to
-        // tell.
-        if (Applied)
-          Result = decodeResult(Applied.value().Result_);
-        else if (Applied.error().Code_ == ErrorCode::NotLeader)
-          Result = Applied.error();
-        else
-          Result = fail(ErrorCode::Timeout, Applied.error().Message_);
-        Strand.post([Weak, Done, Result] {
+      encodeCommand(Value),
+      [Weak = weak_from_this(), &Strand = Strand_, Post,
+       Done = std::move(Done)](const Outcome<replication::Applied> &Applied) {
+        (Strand.*Post)([Weak, Done, Result = toResult(Applied)] {
           if (!Weak.expired())
             Done(Result);
         });
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -172,6 +172,12 @@
   void removeOnceFlushed(const std::string &Id, Departure How,
                          ResultCallback Done);
   void propose(const Command &Value, ResultCallback Done);
+  /// Proposes an operator's order, whose result is handled before all other
+  /// work.
+  void proposeOrder(const Command &Value, ResultCallback Done);
+  /// How a result is posted to the strand.
+  using PostMember = void (Executor::*)(std::function<void()>);
+  void proposeIn(PostMember Post, const Command &Value, ResultCallback Done);
   /// Returns NotLeader with the leader's name if it is known.
   Error makeNotLeaderError() const;
 
@@ -202,14 +208,14 @@
   void addServer(const PendingReportPtr &Pending);
   void commitEnds(const PendingReportPtr &Pending);
   void startTasks(const PendingReportPtr &Pending);
+  Duration chooseInterval(const PendingReport &Pending,
+                          const ServerOrders &Orders);
   void answer(const PendingReportPtr &Pending);
   /// Marks the report's answer as waiting for a commit.
   void deferAnswer(const PendingReportPtr &Pending);
   void answerOverdueReports();
   void reply(const PendingReportPtr &Pending, Outcome<ServerOrders> Orders);
   void meterJobEnd(const std::string &Job, JobCounter How);
-  Duration chooseInterval(const PendingReport &Pending,
-                          const ServerOrders &Orders);
   void meterStart(const TaskStart &Start, bool IsTaken);
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
   std::vector<LostRun> listLostRuns(const std::string &Server) const;
@@ -273,13 +279,13 @@
   std::uint64_t Term_ = 0;
   LiveServerTable LiveServers_;
   ReportAges ReportAges_{Settings_.ClockDriftPercent_};
+  const ReportPacing Pacing_{{Settings_.ReportInterval_, Settings_.Lease_}};
   InterferenceModel Effects_;
   ServingLoads Loads_;
   TailLearner Learner_{Effects_, Loads_};
   PaceController Paces_;
   ServerHealth Health_;
   AdviceCache Advice_;
-  const ReportPacing Pacing_{{Settings_.ReportInterval_, Settings_.Lease_}};
   CrashHistory Crashes_;
   RunTimeEstimator RunTimes_;
   CapacityShares Shares_{Settings_.Shares_, RunTimes_};
--- a/src/jobs/JobLeaderOperators.cpp
+++ b/src/jobs/JobLeaderOperators.cpp
@@ -11,19 +11,19 @@
   if (!isLeading())
     return Reply(makeNotLeaderError());
   const std::uint64_t Version = Value.Version_;
-  propose(PutConfiguration{std::move(Value)},
-          [this, Version, Reply](const Outcome<CommandResult> &Applied) {
-            if (!Applied)
-              return Reply(Applied.error());
-            Event Line;
-            Line.Kind_ = EventKind::ConfigurationAccepted;
-            Line.Version_ = Version;
-            Line.Outcome_ = Applied.value().Status_ == CommandStatus::Done
-                                ? "in force"
-                                : "not newer than the version in force";
-            Log_.write(Line);
-            Reply(succeed());
-          });
+  proposeOrder(PutConfiguration{std::move(Value)},
+               [this, Version, Reply](const Outcome<CommandResult> &Applied) {
+                 if (!Applied)
+                   return Reply(Applied.error());
+                 Event Line;
+                 Line.Kind_ = EventKind::ConfigurationAccepted;
+                 Line.Version_ = Version;
+                 Line.Outcome_ = Applied.value().Status_ == CommandStatus::Done
+                                     ? "in force"
+                                     : "not newer than the version in force";
+                 Log_.write(Line);
+                 Reply(succeed());
+               });
 }
 
 void JobLeader::Impl::readConfiguration(const Done<Configuration> &Reply) {
@@ -56,12 +56,13 @@
   if (!IsOpen && !isDataCentre(Order.DataCentre_))
     return Reply(
         fail(ErrorCode::NotFound, "no such data centre: " + Order.DataCentre_));
-  propose(Order, [this, Order, Reply](const Outcome<CommandResult> &Applied) {
-    if (!Applied)
-      return Reply(Applied.error());
-    logEvacuation(Order, Applied.value().Status_ == CommandStatus::Done);
-    Reply(succeed());
-  });
+  proposeOrder(
+      Order, [this, Order, Reply](const Outcome<CommandResult> &Applied) {
+        if (!Applied)
+          return Reply(Applied.error());
+        logEvacuation(Order, Applied.value().Status_ == CommandStatus::Done);
+        Reply(succeed());
+      });
 }
 
 void JobLeader::Impl::logEvacuation(const EvacuateDataCentre &Order,
--- a/src/jobs/JobLeaderWaves.cpp
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -11,15 +11,15 @@
   if (!Provider_.isAvailable())
     return Reply(fail(ErrorCode::Unavailable,
                       "the settings configure no provider of VMs"));
-  propose(StartWave{Spec},
-          [this, Spec, Reply](const Outcome<CommandResult> &Applied) {
-            if (!Applied)
-              return Reply(Applied.error());
-            logWave(Spec.Id_, "", "accepted",
-                    std::to_string(Spec.Vms_.size()) + " VMs, at most " +
-                        std::to_string(Spec.MaxConcurrent_) + " at once");
-            Reply(succeed());
-          });
+  proposeOrder(StartWave{Spec},
+               [this, Spec, Reply](const Outcome<CommandResult> &Applied) {
+                 if (!Applied)
+                   return Reply(Applied.error());
+                 logWave(Spec.Id_, "", "accepted",
+                         std::to_string(Spec.Vms_.size()) + " VMs, at most " +
+                             std::to_string(Spec.MaxConcurrent_) + " at once");
+                 Reply(succeed());
+               });
 }
 
 void JobLeader::Impl::showWave(std::uint64_t Wave,
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -24,6 +24,10 @@
 static constexpr std::size_t MaxMessagesInFlight = 2;
 /// How often the node checks the replica's disk and members.
 static constexpr Duration CheckInterval = std::chrono::milliseconds(250);
+/// An operator calls another control after a second without an answer.
+static constexpr Duration OrderTimeout = std::chrono::milliseconds(900);
+/// The interval at which members of unknown data centres are asked.
+static constexpr Duration PlaceQueryInterval = std::chrono::seconds(1);
 /// How often the leader's load is published; operators look every few seconds.
 static constexpr Duration LoadInterval = std::chrono::seconds(1);
 
@@ -68,15 +72,17 @@
   /// closed.
   template <class Value, class Function>
   void runOnLeader(Done<Value> Reply, Function Work) {
-    Strand_.post([Self = shared_from_this(), Reply = std::move(Reply),
-                  Work = std::move(Work)]() mutable {
-      const std::shared_ptr<ReplicaInstance> Instance = Self->getInstance();
-      if (!Instance)
-        return Reply(fail(ErrorCode::Unavailable,
-                          "the replica is closed after a disk failure"));
-      Work(*Instance->Leader_, std::move(Reply));
-    });
+    Strand_.post(makeLeaderTask<Value>(std::move(Reply), std::move(Work)));
   }
+  /// The same before all other work, for an operator's call.
+  template <class Value, class Function>
+  void runOrderOnLeader(Done<Value> Reply, Function Work) {
+    Strand_.postUrgent(
+        makeLeaderTask<Value>(std::move(Reply), std::move(Work)));
+  }
+  /// Carries the order out if this member leads; otherwise passes it on.
+  void order(jobs::Command Order, const Done<void> &Reply);
+  void readConfiguration(const Done<jobs::Configuration> &Reply);
   std::shared_ptr<ReplicaInstance> getInstance() const {
     const std::lock_guard Hold(Lock_);
     return Instance_;
@@ -90,11 +96,29 @@
   ReportRouter &router() { return Router_; }
 
 private:
+  template <class Value, class Function>
+  std::function<void()> makeLeaderTask(Done<Value> Reply, Function Work) {
+    return [Self = shared_from_this(), Reply = std::move(Reply),
+            Work = std::move(Work)]() mutable {
+      const std::shared_ptr<ReplicaInstance> Instance = Self->getInstance();
+      if (!Instance)
+        return Reply(fail(ErrorCode::Unavailable,
+                          "the replica is closed after a disk failure"));
+      Work(*Instance->Leader_, std::move(Reply));
+    };
+  }
+  void orderHere(jobs::Command Order, Done<void> Reply);
+  /// Calls the leader that the failure names. Reply gets the failure itself if
+  /// it names none, or if the leader is of a version that takes no such calls.
+  void callLeader(const Error &Failure, wire::MessageKind Kind,
+                  std::string Body, Done<std::string> Reply);
   Outcome<void> openReplica();
   void checkReplica();
   void logMembershipChange(const replication::ReplicaStatus &Status);
   void transferIfSlow(const ReplicaInstance &Instance,
                       const replication::ReplicaStatus &Status);
+  void askForPlaces(const replication::ReplicaStatus &Status);
+  void recordPlace(const std::string &Member, const std::string &DataCentre);
   /// Publishes the leader's load if that is due.
   void publishLoad(const ReplicaInstance &Instance);
   void handleMessage(wire::MessageKind Kind, std::string Body,
@@ -118,6 +142,8 @@
   std::vector<replication::Member> LastMembers_;
   bool IsTransferring_ = false;
   TimePoint NextLoadAt_{};
+  replication::MemberPlaces Places_;
+  TimePoint NextPlaceQuery_{};
   ReportRouter Router_;
   mutable std::mutex Lock_;
   bool Stopped_ = false; ///< Guarded by Lock_, as is Instance_.
@@ -217,6 +243,37 @@
       });
 }
 
+/// Asks the members whose data centre is not known yet.
+void ControlNode::Impl::askForPlaces(const replication::ReplicaStatus &Status) {
+  if (!Settings_.DataCentre_.empty())
+    recordPlace(Settings_.Name_, Settings_.DataCentre_);
+  if (Time_.now() < NextPlaceQuery_)
+    return;
+  NextPlaceQuery_ = Time_.now() + PlaceQueryInterval;
+  for (const std::string &Name : Status.Responsive_)
+    if (Places_.count(Name) == 0)
+      Links_.call(
+          Name, wire::MessageKind::MemberPlace, "", PlaceQueryInterval,
+          [Weak = weak_from_this(), Name](const Outcome<std::string> &Answer) {
+            const std::shared_ptr<Impl> Self = Weak.lock();
+            if (!Self || !Answer || Answer.value().empty())
+              return;
+            Self->Strand_.post([Self, Name, Place = Answer.value()] {
+              Self->recordPlace(Name, Place);
+            });
+          });
+}
+
+void ControlNode::Impl::recordPlace(const std::string &Member,
+                                    const std::string &DataCentre) {
+  std::string &Known = Places_[Member];
+  if (Known == DataCentre)
+    return;
+  Known = DataCentre;
+  if (const std::shared_ptr<ReplicaInstance> Instance = getInstance())
+    Instance->Replica_->setPlaces(Places_);
+}
+
 void ControlNode::Impl::publishLoad(const ReplicaInstance &Instance) {
   const TimePoint Now = Time_.now();
   if (Now < NextLoadAt_)
@@ -239,6 +296,8 @@
     const replication::ReplicaStatus Status = Instance->Replica_->getStatus();
     logMembershipChange(Status);
     transferIfSlow(*Instance, Status);
+    if (Status.IsLeader_)
+      askForPlaces(Status);
     publishLoad(*Instance);
     if (!Status.Failure_.empty()) {
       LoadMeter_.publish({});
@@ -294,6 +353,80 @@
   return jobs::encodeGroupView(View);
 }
 
+void ControlNode::Impl::orderHere(jobs::Command Order, Done<void> Reply) {
+  runOrderOnLeader<void>(std::move(Reply), [Order = std::move(Order)](
+                                               jobs::JobLeader &Leader,
+                                               Done<void> Callback) {
+    if (const auto *Put = std::get_if<jobs::PutConfiguration>(&Order))
+      return Leader.putConfiguration(Put->Configuration_, std::move(Callback));
+    if (const auto *Wave = std::get_if<jobs::StartWave>(&Order))
+      return Leader.startWave(Wave->Spec_, std::move(Callback));
+    if (const auto *Change = std::get_if<jobs::EvacuateDataCentre>(&Order))
+      return Leader.evacuate(*Change, std::move(Callback));
+    Callback(fail(ErrorCode::InvalidArgument, "this is no order"));
+  });
+}
+
+void ControlNode::Impl::callLeader(const Error &Failure, wire::MessageKind Kind,
+                                   std::string Body, Done<std::string> Reply) {
+  const bool IsNamed =
+      Failure.Code_ == ErrorCode::NotLeader && !Failure.Message_.empty();
+  if (!IsNamed)
+    return Reply(Failure);
+  Links_.call(Failure.Message_, Kind, std::move(Body), OrderTimeout,
+              [Self = shared_from_this(), Failure,
+               Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
+                const bool IsUnsupported =
+                    !Answer &&
+                    Answer.error().Code_ == ErrorCode::InvalidArgument;
+                if (IsUnsupported)
+                  return Reply(Failure);
+                Reply(Answer);
+              });
+}
+
+void ControlNode::Impl::order(jobs::Command Order, const Done<void> &Reply) {
+  orderHere(Order, [Self = shared_from_this(), Order,
+                    Reply](const Outcome<void> &Result) {
+    if (Result || Result.error().Code_ != ErrorCode::NotLeader)
+      return Reply(Result);
+    Self->callLeader(Result.error(), wire::MessageKind::ClusterOrder,
+                     jobs::encodeCommand(Order),
+                     [Reply](const Outcome<std::string> &Answer) {
+                       if (!Answer)
+                         return Reply(Answer.error());
+                       Reply(succeed());
+                     });
+  });
+}
+
+void ControlNode::Impl::readConfiguration(
+    const Done<jobs::Configuration> &Reply) {
+  runOrderOnLeader<jobs::Configuration>(
+      [Self = shared_from_this(),
+       Reply](const Outcome<jobs::Configuration> &Current) {
+        if (Current || Current.error().Code_ != ErrorCode::NotLeader)
+          return Reply(Current);
+        Self->callLeader(
+            Current.error(), wire::MessageKind::ConfigurationQuery, "",
+            [Reply](const Outcome<std::string> &Answer) {
+              if (!Answer)
+                return Reply(Answer.error());
+              Outcome<jobs::Command> Read = jobs::decodeCommand(Answer.value());
+              const auto *Put =
+                  Read ? std::get_if<jobs::PutConfiguration>(&Read.value())
+                       : nullptr;
+              if (!Put)
+                return Reply(fail(ErrorCode::Corrupt,
+                                  "the leader's answer is no configuration"));
+              Reply(Put->Configuration_);
+            });
+      },
+      [](jobs::JobLeader &Leader, Done<jobs::Configuration> Callback) {
+        Leader.readConfiguration(std::move(Callback));
+      });
+}
+
 void ControlNode::Impl::handleMessage(wire::MessageKind Kind, std::string Body,
                                       net::LinkReply Reply) {
   if (Kind == wire::MessageKind::Replication) {
@@ -342,6 +475,29 @@
       Reply(std::string());
     });
   }
+  if (Kind == wire::MessageKind::MemberPlace)
+    return Reply(Settings_.DataCentre_);
+  if (Kind == wire::MessageKind::ClusterOrder) {
+    Outcome<jobs::Command> Order = jobs::decodeCommand(Body);
+    if (!Order)
+      return Reply(std::move(Order).as_failure());
+    return orderHere(std::move(Order.value()),
+                     [Reply](const Outcome<void> &Result) {
+                       if (!Result)
+                         return Reply(Result.error());
+                       Reply(std::string());
+                     });
+  }
+  if (Kind == wire::MessageKind::ConfigurationQuery)
+    return runOrderOnLeader<jobs::Configuration>(
+        [Reply](const Outcome<jobs::Configuration> &Current) {
+          if (!Current)
+            return Reply(Current.error());
+          Reply(jobs::encodeCommand(jobs::PutConfiguration{Current.value()}));
+        },
+        [](jobs::JobLeader &Leader, Done<jobs::Configuration> Callback) {
+          Leader.readConfiguration(std::move(Callback));
+        });
   if (Kind != wire::MessageKind::JobCall)
     return Reply(fail(ErrorCode::InvalidArgument, "unsupported message kind"));
   Outcome<jobs::JobCall> Call = jobs::decodeCall(Body);
@@ -411,40 +567,23 @@
 
 void ControlNode::putConfiguration(jobs::Configuration NewConfiguration,
                                    Done<void> Reply) {
-  Impl_->runOnLeader<void>(std::move(Reply), [NewConfiguration =
-                                                  std::move(NewConfiguration)](
-                                                 jobs::JobLeader &Leader,
-                                                 Done<void> Callback) mutable {
-    Leader.putConfiguration(std::move(NewConfiguration), std::move(Callback));
-  });
+  Impl_->order(jobs::PutConfiguration{std::move(NewConfiguration)}, Reply);
 }
 
 void ControlNode::readConfiguration(Done<jobs::Configuration> Reply) {
-  Impl_->runOnLeader<jobs::Configuration>(
-      std::move(Reply),
-      [](jobs::JobLeader &Leader, Done<jobs::Configuration> Callback) {
-        Leader.readConfiguration(std::move(Callback));
-      });
+  Impl_->readConfiguration(Reply);
 }
 
 void ControlNode::startWave(jobs::WaveSpec Spec, Done<void> Reply) {
-  Impl_->runOnLeader<void>(
-      std::move(Reply),
-      [Spec = std::move(Spec)](jobs::JobLeader &Leader, Done<void> Callback) {
-        Leader.startWave(Spec, std::move(Callback));
-      });
+  Impl_->order(jobs::StartWave{std::move(Spec)}, Reply);
 }
 
 void ControlNode::evacuate(jobs::EvacuateDataCentre Order, Done<void> Reply) {
-  Impl_->runOnLeader<void>(
-      std::move(Reply),
-      [Order = std::move(Order)](jobs::JobLeader &Leader, Done<void> Callback) {
-        Leader.evacuate(Order, std::move(Callback));
-      });
+  Impl_->order(std::move(Order), Reply);
 }
 
 void ControlNode::showWave(std::uint64_t Wave, Done<jobs::WaveRecord> Reply) {
-  Impl_->runOnLeader<jobs::WaveRecord>(
+  Impl_->runOrderOnLeader<jobs::WaveRecord>(
       std::move(Reply),
       [Wave](jobs::JobLeader &Leader, Done<jobs::WaveRecord> Callback) {
         Leader.showWave(Wave, std::move(Callback));
--- a/tests/jobservice/NodeCluster.h
+++ b/tests/jobservice/NodeCluster.h
@@ -101,6 +101,7 @@
     Settings.Seeds_ = namesOf(Seeds);
     Settings.MayFound_ = MayFound;
     Settings.TargetVoters_ = Voters;
+    Settings.DataCentre_ = DataCentres_[Node];
     Settings.Secret_ = "a secret of this test alone";
     auto NewNode = std::make_unique<ControlNode>(
         Settings, Pool_, Time_, Advisor_, Provider_, Metrics_, Log_, Open,
@@ -176,6 +177,7 @@
   static constexpr Duration NormalProbeTime = std::chrono::microseconds(70);
   static constexpr Duration SlowProbeTime = 3 * NormalProbeTime;
   std::atomic<int> SlowNode_{0};
+  std::map<int, std::string> DataCentres_; ///< Of nodes; unknown if missing.
   /// The number of probes by node.
   std::array<std::atomic<int>, 16> Measurements_{};
 
--- a/tests/jobservice/nodes/MembershipTest.cpp
+++ b/tests/jobservice/nodes/MembershipTest.cpp
@@ -42,6 +42,55 @@
   }));
 }
 
+// Guards against a group that ends with one data centre.
+TEST_F(NodeCluster, VotersAreSpreadOverDataCentres) {
+  DataCentres_ = {{1, "north"}, {2, "north"}, {3, "north"}, {4, "north"},
+                  {5, "south"}, {6, "west"},  {7, "east"}};
+  for (int Node = 1; Node <= 7; ++Node)
+    start(Node, {1, 2, 3}, true, 5);
+  EXPECT_TRUE(waitFor([this] {
+    const std::vector<std::string> Voters = listVoters();
+    const auto North = std::count_if(
+        Voters.begin(), Voters.end(), [this](const std::string &Name) {
+          return Name == nameOf(1) || Name == nameOf(2) || Name == nameOf(3) ||
+                 Name == nameOf(4);
+        });
+    return Voters.size() == 5 && North <= 2;
+  }));
+}
+
+// Guards against orders and reads that depend on the operator's way to the
+// leader.
+TEST_F(NodeCluster, EveryMemberAnswersTheOperator) {
+  for (const int Node : {1, 2, 3})
+    start(Node, {1, 2, 3}, true);
+  ASSERT_TRUE(putConfiguration(1));
+  ASSERT_TRUE(waitFor([this] { return findLeader() != 0; }));
+  jobs::Configuration Next;
+  Next.Version_ = 1;
+  Next.Services_ = {{"s", false, false}};
+  for (auto &[Node, Control] : Nodes_) {
+    ++Next.Version_;
+    // An election may begin in between.
+    EXPECT_TRUE(waitFor([&, Control = Control.get()] {
+      std::promise<bool> Accepted;
+      Control->putConfiguration(Next, [&Accepted](const Outcome<void> &Result) {
+        Accepted.set_value(Result.has_value());
+      });
+      return Accepted.get_future().get();
+    })) << Node;
+    for (auto &[Other, Reader] : Nodes_)
+      EXPECT_TRUE(waitFor([&, Reader = Reader.get()] {
+        std::promise<std::uint64_t> Version;
+        Reader->readConfiguration(
+            [&Version](const Outcome<jobs::Configuration> &Result) {
+              Version.set_value(Result ? Result.value().Version_ : 0);
+            });
+        return Version.get_future().get() == Next.Version_;
+      })) << Other;
+  }
+}
+
 TEST_F(NodeCluster, NodeWithALostDiskRejoins) {
   for (const int Node : {1, 2, 3})
     start(Node, {1, 2, 3}, true);
