Visit only ended jobs that are due to be forgotten

Cause: twenty times a second the leader went over all jobs that had ended in the last three to five minutes, tens of thousands at 60 jobs a second, so that its work grew with time.

EndedJobs keeps them by time.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -67,7 +67,7 @@
   IsListing_ = false;
   IsOrdering_ = false;
   NextAdviceRequest_ = Now;
-  EndedAt_.clear();
+  EndedJobs_.clear();
   AcceptedAt_.clear();
   StartedJobs_.clear();
   LoggedWaitReasons_.clear();
@@ -81,7 +81,7 @@
     Absences_.reset(Registry, Now);
     for (const auto &[Id, Job] : Registry.jobs())
       if (isEnded(Job.State_))
-        EndedAt_[Id] = Now;
+        EndedJobs_.record(Id, Now);
     return 0;
   });
   Event Line;
@@ -347,15 +347,9 @@
 }
 
 void JobLeader::Impl::pruneEndedJobs() {
-  const TimePoint Now = Time_.now();
-  ForgetJobs Old;
-  for (const auto &[Id, Since] : EndedAt_)
-    if (Now - Since > Settings_.Retention_)
-      Old.Ids_.push_back(Id);
+  ForgetJobs Old{EndedJobs_.takeBefore(Time_.now() - Settings_.Retention_)};
   if (Old.Ids_.empty())
     return;
-  for (const std::string &Id : Old.Ids_)
-    EndedAt_.erase(Id);
   propose(Old, [](const Outcome<CommandResult> &) {});
 }
 
--- a/src/jobs/JobLeaderCalls.cpp
+++ b/src/jobs/JobLeaderCalls.cpp
@@ -147,7 +147,7 @@
             JobCallReply Answer;
             if (Applied.value().Status_ == CommandStatus::NotFound)
               Answer.Outcome_ = CallOutcome::NoJob;
-            else if (EndedAt_.try_emplace(Id, Time_.now()).second) {
+            else if (EndedJobs_.record(Id, Time_.now())) {
               meterJobEnd(Id, JobCounter::JobsCancelled);
               requestStops(Id);
             }
--- a/src/jobs/JobLeaderCrashes.cpp
+++ b/src/jobs/JobLeaderCrashes.cpp
@@ -142,7 +142,7 @@
     Cause = Job->Cause_;
     return Job->State_;
   });
-  if (!isEnded(State) || !EndedAt_.try_emplace(Id, Time_.now()).second)
+  if (!isEnded(State) || !EndedJobs_.record(Id, Time_.now()))
     return;
   requestStops(Id);
   Line.Outcome_ = State == JobState::Completed ? "completed"
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -25,6 +25,7 @@
 #include "jobs/CapacityShares.h"
 #include "jobs/CrashHistory.h"
 #include "jobs/Dispatcher.h"
+#include "jobs/EndedJobs.h"
 #include "jobs/IncarnationConflicts.h"
 #include "jobs/LiveServerTable.h"
 #include "jobs/OpenSubmissions.h"
@@ -328,7 +329,7 @@
   std::map<std::string, bool> Unheard_;
   /// Incarnations that are about to be ended, until that is committed.
   std::set<std::string> Leaving_;
-  std::map<std::string, TimePoint> EndedAt_;
+  EndedJobs EndedJobs_;
   /// When this leader accepted jobs that have not ended.
   std::map<std::string, TimePoint> AcceptedAt_;
   std::set<std::string> StartedJobs_; ///< Those that have started.
