--- a/tests/platform/VmClientTest.cpp
+++ b/tests/platform/VmClientTest.cpp
@@ -86,6 +86,28 @@
   EXPECT_EQ(Requests_[1].findQuery("pageToken"), "a b");
 }
 
+// Guards against a fleet that is too large for a fixed number of pages.
+TEST_F(VmClientTest, AListMayHaveHundredsOfPages) {
+  for (int I = 0; I < 300; ++I) {
+    std::string Page = R"({"machines":[{"machine":"m-)" + std::to_string(I) +
+                       R"(","pool":"p","state":"up","id":"i"}])";
+    Page += I < 299 ? R"(,"nextToken":"x"})" : "}";
+    answer(200, Page);
+  }
+  const auto Result = list();
+  ASSERT_TRUE(Result) << Result.error().Message_;
+  EXPECT_EQ(Result.value().Vms_.size(), 300U);
+}
+
+// Guards against a provider that names the same page for ever.
+TEST_F(VmClientTest, AListWithoutNewVmsEnds) {
+  for (int I = 0; I < 20; ++I)
+    answer(200, R"({"machines":[{"machine":"m-1","pool":"p","state":"up",
+                    "id":"i"}],"nextToken":"x"})");
+  EXPECT_FALSE(list());
+  EXPECT_LT(Requests_.size(), 20U);
+}
+
 TEST_F(VmClientTest, UnreadableListIsAnError) {
   answer(429, "{}");
   EXPECT_FALSE(list());
