--- a/tests/jobs/LargeFleetTest.cpp
+++ b/tests/jobs/LargeFleetTest.cpp
@@ -43,3 +43,32 @@
     report(makeReport(getId(I)));
   EXPECT_EQ(reportAndGetInterval(1), 500U);
 }
+
+// Pattern of load: a change of leader with the leases of 3,000 servers. Guards
+// against leases that end as the new leader does not get round to them.
+TEST_F(LargeFleetTest, AChangeOfLeaderLosesNoLease) {
+  reportAll();
+  beginNextTerm();
+  // All relays come back at once, within two seconds.
+  for (int I = 0; I < Servers; ++I) {
+    const ServerOrders Orders = report(makeReport(getId(I)));
+    EXPECT_GT(Orders.LeaseMs_, 0U) << I;
+    if (I % 30 == 0)
+      Strand_.advance(20ms);
+  }
+  EXPECT_EQ(Log_.count(EventKind::ServerGone), 0U);
+}
+
+// Pattern of load: 1,850 tasks become ready at once on a fleet that is idle.
+// Guards against tasks that wait while most servers are free.
+TEST_F(LargeFleetTest, ManyStartsFitIntoOneRoundOfReports) {
+  reportAll();
+  for (int Job = 0; Job < 37; ++Job)
+    call(CallKind::Submit, "j" + std::to_string(Job), {makeStep(50, 1000)});
+  std::size_t Started = 0;
+  int Reports = 0;
+  for (; Started < 1'850 && Reports < Servers; ++Reports)
+    Started += report(makeReport(getId(Reports))).Starts_.size();
+  EXPECT_EQ(Started, 1'850U);
+  EXPECT_LT(Reports, Servers / 4) << "half a second of their reports";
+}
