--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -117,8 +117,8 @@
   void logMembershipChange(const replication::ReplicaStatus &Status);
   void transferIfSlow(const ReplicaInstance &Instance,
                       const replication::ReplicaStatus &Status);
-  void askForPlaces(const replication::ReplicaStatus &Status);
-  void recordPlace(const std::string &Member, const std::string &DataCentre);
+  void updatePlaces(ReplicaInstance &Instance,
+                    const replication::ReplicaStatus &Status);
   /// Publishes the leader's load if that is due.
   void publishLoad(const ReplicaInstance &Instance);
   void handleMessage(wire::MessageKind Kind, std::string Body,
@@ -243,13 +243,16 @@
       });
 }
 
-/// Asks the members whose data centre is not known yet.
-void ControlNode::Impl::askForPlaces(const replication::ReplicaStatus &Status) {
-  if (!Settings_.DataCentre_.empty())
-    recordPlace(Settings_.Name_, Settings_.DataCentre_);
+/// Asks the members whose data centre is not known yet, and tells the replica,
+/// which may have been opened again, those that are.
+void ControlNode::Impl::updatePlaces(ReplicaInstance &Instance,
+                                     const replication::ReplicaStatus &Status) {
   if (Time_.now() < NextPlaceQuery_)
     return;
   NextPlaceQuery_ = Time_.now() + PlaceQueryInterval;
+  if (!Settings_.DataCentre_.empty())
+    Places_[Settings_.Name_] = Settings_.DataCentre_;
+  Instance.Replica_->setPlaces(Places_);
   for (const std::string &Name : Status.Responsive_)
     if (Places_.count(Name) == 0)
       Links_.call(
@@ -259,21 +262,11 @@
             if (!Self || !Answer || Answer.value().empty())
               return;
             Self->Strand_.post([Self, Name, Place = Answer.value()] {
-              Self->recordPlace(Name, Place);
+              Self->Places_[Name] = Place;
             });
           });
 }
 
-void ControlNode::Impl::recordPlace(const std::string &Member,
-                                    const std::string &DataCentre) {
-  std::string &Known = Places_[Member];
-  if (Known == DataCentre)
-    return;
-  Known = DataCentre;
-  if (const std::shared_ptr<ReplicaInstance> Instance = getInstance())
-    Instance->Replica_->setPlaces(Places_);
-}
-
 void ControlNode::Impl::publishLoad(const ReplicaInstance &Instance) {
   const TimePoint Now = Time_.now();
   if (Now < NextLoadAt_)
@@ -297,7 +290,7 @@
     logMembershipChange(Status);
     transferIfSlow(*Instance, Status);
     if (Status.IsLeader_)
-      askForPlaces(Status);
+      updatePlaces(*Instance, Status);
     publishLoad(*Instance);
     if (!Status.Failure_.empty()) {
       LoadMeter_.publish({});
@@ -373,16 +366,15 @@
       Failure.Code_ == ErrorCode::NotLeader && !Failure.Message_.empty();
   if (!IsNamed)
     return Reply(Failure);
-  Links_.call(Failure.Message_, Kind, std::move(Body), OrderTimeout,
-              [Self = shared_from_this(), Failure,
-               Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
-                const bool IsUnsupported =
-                    !Answer &&
-                    Answer.error().Code_ == ErrorCode::InvalidArgument;
-                if (IsUnsupported)
-                  return Reply(Failure);
-                Reply(Answer);
-              });
+  Links_.call(
+      Failure.Message_, Kind, std::move(Body), OrderTimeout,
+      [Failure, Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
+        const bool IsUnsupported =
+            !Answer && Answer.error().Code_ == ErrorCode::InvalidArgument;
+        if (IsUnsupported)
+          return Reply(Failure);
+        Reply(Answer);
+      });
 }
 
 void ControlNode::Impl::order(jobs::Command Order, const Done<void> &Reply) {
