Take operators' calls and members' places out of ControlNode

Cause: ControlNode.cpp had grown to 612 lines by two jobs of their own: passing operators' calls on to the leader, and asking members for their data centres. The read of the configuration at the leader stood in it twice.

OperatorCalls and PlaceSurvey hold them; what was a template with two ways to post is as before. Behaviour stays.

--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -2,6 +2,8 @@
 
 #include "jobservice/JobMetrics.h"
 #include "jobservice/LoadMetrics.h"
+#include "jobservice/OperatorCalls.h"
+#include "jobservice/PlaceSurvey.h"
 #include "jobservice/ReplicaInstance.h"
 #include "jobservice/ReportRouter.h"
 #include "jobservice/StateDump.h"
@@ -24,10 +26,8 @@
 static constexpr std::size_t MaxMessagesInFlight = 2;
 /// How often the node checks the replica's disk and members.
 static constexpr Duration CheckInterval = std::chrono::milliseconds(250);
-/// An operator calls another control after a second without an answer.
-static constexpr Duration OrderTimeout = std::chrono::milliseconds(900);
-/// The interval at which members of unknown data centres are asked.
-static constexpr Duration PlaceQueryInterval = std::chrono::seconds(1);
+/// Timeout of the question to a member for its data centre.
+static constexpr Duration PlaceTimeout = std::chrono::seconds(1);
 /// How often the leader's load is published; operators look every few seconds.
 static constexpr Duration LoadInterval = std::chrono::seconds(1);
 
@@ -62,8 +62,14 @@
         Measure_(Measure ? std::move(Measure) : MeasureWork(&timeWork)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
-        Strand_(Pool), Router_(Settings.Name_, Strand_, Time, Links_, Meter_,
-                               [this] { return getInstance(); }) {}
+        Strand_(Pool),
+        Places_(Settings.Name_, Settings.DataCentre_, Time,
+                [this](const std::string &Member) { askForPlace(Member); }),
+        Router_(Settings.Name_, Strand_, Time, Links_, Meter_,
+                [this] { return getInstance(); }),
+        OperatorCalls_(Links_, [this](OperatorCalls::LeaderWork Work) {
+          runUrgent(std::move(Work));
+        }) {}
 
   Outcome<void> start();
   void stop();
@@ -72,17 +78,16 @@
   /// closed.
   template <class Value, class Function>
   void runOnLeader(Done<Value> Reply, Function Work) {
-    Strand_.post(makeLeaderTask<Value>(std::move(Reply), std::move(Work)));
-  }
-  /// The same before all other work, for an operator's call.
-  template <class Value, class Function>
-  void runOrderOnLeader(Done<Value> Reply, Function Work) {
-    Strand_.postUrgent(
-        makeLeaderTask<Value>(std::move(Reply), std::move(Work)));
+    Strand_.post([Self = shared_from_this(), Reply = std::move(Reply),
+                  Work = std::move(Work)]() mutable {
+      const std::shared_ptr<ReplicaInstance> Instance = Self->getInstance();
+      if (!Instance)
+        return Reply(fail(ErrorCode::Unavailable,
+                          "the replica is closed after a disk failure"));
+      Work(*Instance->Leader_, std::move(Reply));
+    });
   }
-  /// Carries the order out if this member leads; otherwise passes it on.
-  void order(jobs::Command Order, const Done<void> &Reply);
-  void readConfiguration(const Done<jobs::Configuration> &Reply);
+  OperatorCalls &operatorCalls() { return OperatorCalls_; }
   std::shared_ptr<ReplicaInstance> getInstance() const {
     const std::lock_guard Hold(Lock_);
     return Instance_;
@@ -96,29 +101,13 @@
   ReportRouter &router() { return Router_; }
 
 private:
-  template <class Value, class Function>
-  std::function<void()> makeLeaderTask(Done<Value> Reply, Function Work) {
-    return [Self = shared_from_this(), Reply = std::move(Reply),
-            Work = std::move(Work)]() mutable {
-      const std::shared_ptr<ReplicaInstance> Instance = Self->getInstance();
-      if (!Instance)
-        return Reply(fail(ErrorCode::Unavailable,
-                          "the replica is closed after a disk failure"));
-      Work(*Instance->Leader_, std::move(Reply));
-    };
-  }
-  void orderHere(jobs::Command Order, Done<void> Reply);
-  /// Calls the leader that the failure names. Reply gets the failure itself if
-  /// it names none, or if the leader is of a version that takes no such calls.
-  void callLeader(const Error &Failure, wire::MessageKind Kind,
-                  std::string Body, Done<std::string> Reply);
   Outcome<void> openReplica();
   void checkReplica();
   void logMembershipChange(const replication::ReplicaStatus &Status);
   void transferIfSlow(const ReplicaInstance &Instance,
                       const replication::ReplicaStatus &Status);
-  void updatePlaces(ReplicaInstance &Instance,
-                    const replication::ReplicaStatus &Status);
+  void runUrgent(OperatorCalls::LeaderWork Work);
+  void askForPlace(const std::string &Member);
   /// Publishes the leader's load if that is due.
   void publishLoad(const ReplicaInstance &Instance);
   void handleMessage(wire::MessageKind Kind, std::string Body,
@@ -142,9 +131,9 @@
   std::vector<replication::Member> LastMembers_;
   bool IsTransferring_ = false;
   TimePoint NextLoadAt_{};
-  replication::MemberPlaces Places_;
-  TimePoint NextPlaceQuery_{};
+  PlaceSurvey Places_;
   ReportRouter Router_;
+  OperatorCalls OperatorCalls_;
   mutable std::mutex Lock_;
   bool Stopped_ = false; ///< Guarded by Lock_, as is Instance_.
   /// Null while the replica is closed.
@@ -178,6 +167,7 @@
 
 Outcome<void> ControlNode::Impl::start() {
   Router_.setOwner(weak_from_this());
+  OperatorCalls_.setOwner(weak_from_this());
   if (Outcome<void> Opened = openReplica(); !Opened)
     return Opened;
   net::Endpoint Listen;
@@ -243,28 +233,24 @@
       });
 }
 
-/// Asks the members whose data centre is not known yet, and tells the replica,
-/// which may have been opened again, those that are.
-void ControlNode::Impl::updatePlaces(ReplicaInstance &Instance,
-                                     const replication::ReplicaStatus &Status) {
-  if (Time_.now() < NextPlaceQuery_)
-    return;
-  NextPlaceQuery_ = Time_.now() + PlaceQueryInterval;
-  if (!Settings_.DataCentre_.empty())
-    Places_[Settings_.Name_] = Settings_.DataCentre_;
-  Instance.Replica_->setPlaces(Places_);
-  for (const std::string &Name : Status.Responsive_)
-    if (Places_.count(Name) == 0)
-      Links_.call(
-          Name, wire::MessageKind::MemberPlace, "", PlaceQueryInterval,
-          [Weak = weak_from_this(), Name](const Outcome<std::string> &Answer) {
-            const std::shared_ptr<Impl> Self = Weak.lock();
-            if (!Self || !Answer || Answer.value().empty())
-              return;
-            Self->Strand_.post([Self, Name, Place = Answer.value()] {
-              Self->Places_[Name] = Place;
-            });
-          });
+void ControlNode::Impl::askForPlace(const std::string &Member) {
+  Links_.call(
+      Member, wire::MessageKind::MemberPlace, "", PlaceTimeout,
+      [Weak = weak_from_this(), Member](const Outcome<std::string> &Answer) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Self || !Answer)
+          return;
+        Self->Strand_.post([Self, Member, Place = Answer.value()] {
+          Self->Places_.recordPlace(Member, Place);
+        });
+      });
+}
+
+void ControlNode::Impl::runUrgent(OperatorCalls::LeaderWork Work) {
+  Strand_.postUrgent([Self = shared_from_this(), Work = std::move(Work)] {
+    const std::shared_ptr<ReplicaInstance> Instance = Self->getInstance();
+    Work(Instance ? Instance->Leader_.get() : nullptr);
+  });
 }
 
 void ControlNode::Impl::publishLoad(const ReplicaInstance &Instance) {
@@ -290,7 +276,7 @@
     logMembershipChange(Status);
     transferIfSlow(*Instance, Status);
     if (Status.IsLeader_)
-      updatePlaces(*Instance, Status);
+      Places_.poll(Status, *Instance->Replica_);
     publishLoad(*Instance);
     if (!Status.Failure_.empty()) {
       LoadMeter_.publish({});
@@ -346,79 +332,6 @@
   return jobs::encodeGroupView(View);
 }
 
-void ControlNode::Impl::orderHere(jobs::Command Order, Done<void> Reply) {
-  runOrderOnLeader<void>(std::move(Reply), [Order = std::move(Order)](
-                                               jobs::JobLeader &Leader,
-                                               Done<void> Callback) {
-    if (const auto *Put = std::get_if<jobs::PutConfiguration>(&Order))
-      return Leader.putConfiguration(Put->Configuration_, std::move(Callback));
-    if (const auto *Wave = std::get_if<jobs::StartWave>(&Order))
-      return Leader.startWave(Wave->Spec_, std::move(Callback));
-    if (const auto *Change = std::get_if<jobs::EvacuateDataCentre>(&Order))
-      return Leader.evacuate(*Change, std::move(Callback));
-    Callback(fail(ErrorCode::InvalidArgument, "this is no order"));
-  });
-}
-
-void ControlNode::Impl::callLeader(const Error &Failure, wire::MessageKind Kind,
-                                   std::string Body, Done<std::string> Reply) {
-  const bool IsNamed =
-      Failure.Code_ == ErrorCode::NotLeader && !Failure.Message_.empty();
-  if (!IsNamed)
-    return Reply(Failure);
-  Links_.call(
-      Failure.Message_, Kind, std::move(Body), OrderTimeout,
-      [Failure, Reply = std::move(Reply)](const Outcome<std::string> &Answer) {
-        const bool IsUnsupported =
-            !Answer && Answer.error().Code_ == ErrorCode::InvalidArgument;
-        if (IsUnsupported)
-          return Reply(Failure);
-        Reply(Answer);
-      });
-}
-
-void ControlNode::Impl::order(jobs::Command Order, const Done<void> &Reply) {
-  orderHere(Order, [Self = shared_from_this(), Order,
-                    Reply](const Outcome<void> &Result) {
-    if (Result || Result.error().Code_ != ErrorCode::NotLeader)
-      return Reply(Result);
-    Self->callLeader(Result.error(), wire::MessageKind::ClusterOrder,
-                     jobs::encodeCommand(Order),
-                     [Reply](const Outcome<std::string> &Answer) {
-                       if (!Answer)
-                         return Reply(Answer.error());
-                       Reply(succeed());
-                     });
-  });
-}
-
-void ControlNode::Impl::readConfiguration(
-    const Done<jobs::Configuration> &Reply) {
-  runOrderOnLeader<jobs::Configuration>(
-      [Self = shared_from_this(),
-       Reply](const Outcome<jobs::Configuration> &Current) {
-        if (Current || Current.error().Code_ != ErrorCode::NotLeader)
-          return Reply(Current);
-        Self->callLeader(
-            Current.error(), wire::MessageKind::ConfigurationQuery, "",
-            [Reply](const Outcome<std::string> &Answer) {
-              if (!Answer)
-                return Reply(Answer.error());
-              Outcome<jobs::Command> Read = jobs::decodeCommand(Answer.value());
-              const auto *Put =
-                  Read ? std::get_if<jobs::PutConfiguration>(&Read.value())
-                       : nullptr;
-              if (!Put)
-                return Reply(fail(ErrorCode::Corrupt,
-                                  "the leader's answer is no configuration"));
-              Reply(Put->Configuration_);
-            });
-      },
-      [](jobs::JobLeader &Leader, Done<jobs::Configuration> Callback) {
-        Leader.readConfiguration(std::move(Callback));
-      });
-}
-
 void ControlNode::Impl::handleMessage(wire::MessageKind Kind, std::string Body,
                                       net::LinkReply Reply) {
   if (Kind == wire::MessageKind::Replication) {
@@ -469,27 +382,10 @@
   }
   if (Kind == wire::MessageKind::MemberPlace)
     return Reply(Settings_.DataCentre_);
-  if (Kind == wire::MessageKind::ClusterOrder) {
-    Outcome<jobs::Command> Order = jobs::decodeCommand(Body);
-    if (!Order)
-      return Reply(std::move(Order).as_failure());
-    return orderHere(std::move(Order.value()),
-                     [Reply](const Outcome<void> &Result) {
-                       if (!Result)
-                         return Reply(Result.error());
-                       Reply(std::string());
-                     });
-  }
+  if (Kind == wire::MessageKind::ClusterOrder)
+    return OperatorCalls_.handleOrder(Body, Reply);
   if (Kind == wire::MessageKind::ConfigurationQuery)
-    return runOrderOnLeader<jobs::Configuration>(
-        [Reply](const Outcome<jobs::Configuration> &Current) {
-          if (!Current)
-            return Reply(Current.error());
-          Reply(jobs::encodeCommand(jobs::PutConfiguration{Current.value()}));
-        },
-        [](jobs::JobLeader &Leader, Done<jobs::Configuration> Callback) {
-          Leader.readConfiguration(std::move(Callback));
-        });
+    return OperatorCalls_.handleConfigurationQuery(Reply);
   if (Kind != wire::MessageKind::JobCall)
     return Reply(fail(ErrorCode::InvalidArgument, "unsupported message kind"));
   Outcome<jobs::JobCall> Call = jobs::decodeCall(Body);
@@ -559,27 +455,25 @@
 
 void ControlNode::putConfiguration(jobs::Configuration NewConfiguration,
                                    Done<void> Reply) {
-  Impl_->order(jobs::PutConfiguration{std::move(NewConfiguration)}, Reply);
+  Impl_->operatorCalls().order(
+      jobs::PutConfiguration{std::move(NewConfiguration)}, std::move(Reply));
 }
 
 void ControlNode::readConfiguration(Done<jobs::Configuration> Reply) {
-  Impl_->readConfiguration(Reply);
+  Impl_->operatorCalls().readConfiguration(std::move(Reply));
 }
 
 void ControlNode::startWave(jobs::WaveSpec Spec, Done<void> Reply) {
-  Impl_->order(jobs::StartWave{std::move(Spec)}, Reply);
+  Impl_->operatorCalls().order(jobs::StartWave{std::move(Spec)},
+                               std::move(Reply));
 }
 
 void ControlNode::evacuate(jobs::EvacuateDataCentre Order, Done<void> Reply) {
-  Impl_->order(std::move(Order), Reply);
+  Impl_->operatorCalls().order(Order, std::move(Reply));
 }
 
 void ControlNode::showWave(std::uint64_t Wave, Done<jobs::WaveRecord> Reply) {
-  Impl_->runOrderOnLeader<jobs::WaveRecord>(
-      std::move(Reply),
-      [Wave](jobs::JobLeader &Leader, Done<jobs::WaveRecord> Callback) {
-        Leader.showWave(Wave, std::move(Callback));
-      });
+  Impl_->operatorCalls().showWave(Wave, std::move(Reply));
 }
 
 void ControlNode::findFencingToken(Done<std::uint64_t> Reply) {
