Keep the published status of a replica in a file of its own

ReplicaDriverStatus.cpp has them, as RaftCore has its files by duty; the interval of ticks, which both use, is a member now.

--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -99,6 +99,7 @@
   Inbox takeInbox();
   void handleInbox(Inbox &In);
   void tick();
+  Duration getTickInterval() const;
   void handleMessage(const std::string &Bytes);
   void proposeAll(std::vector<Call> &Calls);
   void step(decltype(Input::Event_) Event);
