--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -33,7 +33,7 @@
   AbsenceWait,    ///< From then until the task was placed.
   YieldAbsence,   ///< From the stop of a task that yielded to its next start.
   ReturnTime,     ///< The time after which a rejected caller shall return.
-  // What a task waits for, beside its run:
+  // The parts of a task's time outside its run:
   StartPlan,   ///< From when its step was ready until its start was planned.
   StartCommit, ///< From then until the start was committed.
   EndCommit,   ///< From the receipt of its end until that was committed.
--- a/include/tulipweir/jobservice/EntryNode.h
+++ b/include/tulipweir/jobservice/EntryNode.h
@@ -39,7 +39,8 @@
   /// election is likely to end soon.
   Duration LeaderWaitTimeout_ = std::chrono::milliseconds(1000);
   /// How long a call waits for a leader directly after the start; long enough
-  /// to ask every control once. Without a leader in sight, calls do not wait.
+  /// for the first controls to answer. Without a leader in sight, calls do not
+  /// wait.
   Duration NoLeaderTimeout_ = std::chrono::milliseconds(200);
 };
 
--- a/src/jobs/CapacitySurvey.h
+++ b/src/jobs/CapacitySurvey.h
@@ -94,7 +94,7 @@
     const ServerRecord *Server_;
     bool IsSound_;
   };
-  /// What a survey finds on servers that may start tasks.
+  /// Totals and free capacity of the servers that may start tasks.
   struct Findings {
     std::int64_t MilliCpus_ = 0;
     std::int64_t ReservedMilliCpus_ = 0;
@@ -129,8 +129,8 @@
   /// one of their tasks.
   std::map<std::string, std::int64_t> RelocatingImages_;
   TimePoint NextRelocationSurvey_{};
-  Findings Found_; ///< By the last whole survey.
-  Findings Next_;  ///< By the survey in progress.
+  Findings Found_; ///< The result of the last whole survey.
+  Findings Next_;  ///< The partial result of the survey in progress.
   /// The survey in progress continues with the first id after this one.
   std::string LastSurveyed_;
   std::map<std::string, Reservation> Reservations_; ///< By server.
--- a/src/jobs/LiveServerTable.cpp
+++ b/src/jobs/LiveServerTable.cpp
@@ -71,7 +71,7 @@
   const auto [Live, IsNew] = Servers_.tryEmplace(Report.Facts_.Id_);
   if (IsNew) {
     Live.LeaseEnd_ = Now + Lease;
-    FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
+    boundFirstLeaseEnd(Live);
   }
   if (Report.Sequence_ <= Live.LastSequence_)
     return false;
@@ -114,10 +114,14 @@
   }
 }
 
+void LiveServerTable::boundFirstLeaseEnd(const LiveServer &Live) {
+  FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
+}
+
 void LiveServerTable::extendLease(const std::string &Id, TimePoint End) {
   LiveServer &Live = Servers_[Id];
   Live.LeaseEnd_ = std::max(Live.LeaseEnd_, End);
-  FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
+  boundFirstLeaseEnd(Live);
 }
 
 bool LiveServerTable::limitLease(const std::string &Id, TimePoint HeardAt,
@@ -128,7 +132,7 @@
   Live->LastHeard_ = std::min(Live->LastHeard_, HeardAt);
   const bool IsShorter = End < Live->LeaseEnd_;
   Live->LeaseEnd_ = std::min(Live->LeaseEnd_, End);
-  FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live->LeaseEnd_);
+  boundFirstLeaseEnd(*Live);
   return IsShorter;
 }
 
@@ -145,7 +149,7 @@
   LiveServer &Live = Servers_[Id];
   Live.LastHeard_ = Now;
   Live.LeaseEnd_ = std::max(Live.LeaseEnd_, LeaseEnd);
-  FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
+  boundFirstLeaseEnd(Live);
 }
 
 void LiveServerTable::remove(const std::string &Id) {
@@ -165,7 +169,7 @@
     return Expired;
   FirstLeaseEnd_ = TimePoint::max();
   for (const auto &[Id, Live] : Servers_.ordered()) {
-    FirstLeaseEnd_ = std::min(FirstLeaseEnd_, Live.LeaseEnd_);
+    boundFirstLeaseEnd(Live);
     if (!Live.IsRemoving_ && Live.LeaseEnd_ <= Now)
       Expired.push_back(Id);
   }
--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -139,6 +139,7 @@
 
 private:
   static void updateProgress(LiveServer &Live, TimePoint Now);
+  void boundFirstLeaseEnd(const LiveServer &Live);
 
   HashedMap<LiveServer> Servers_;
   std::size_t IdleCount_ = 0;
--- a/src/jobs/RunTimeEstimator.h
+++ b/src/jobs/RunTimeEstimator.h
@@ -116,7 +116,7 @@
   LearnedRunTimes Classes_;
   std::unordered_map<std::string, std::vector<StepTimes>> Jobs_;
   std::unordered_map<std::string, Server> Servers_;
-  /// Those of Servers_ whose last report listed no bounded run.
+  /// Ids of the tracked servers whose last report listed no bounded run.
   std::unordered_set<std::string> Untelling_;
   TimePoint LastHeard_{}; ///< Of any server.
 };
--- a/src/jobs/WaitExplainer.cpp
+++ b/src/jobs/WaitExplainer.cpp
@@ -74,26 +74,21 @@
   return IsReserved ? StartObstacle::Reserved : StartObstacle::None;
 }
 
-/// Returns the servers from the id First on, MaxExamined at most, in the order
-/// of ids, which starts again after the last one.
-static std::vector<const ServerRecord *>
-listFrom(const std::map<std::string, ServerRecord> &Servers,
-         const std::string &First) {
-  const std::size_t Count =
-      std::min(Servers.size(), WaitExplainer::MaxExamined);
-  std::vector<const ServerRecord *> Listed;
-  Listed.reserve(Count);
-  for (auto It = Servers.lower_bound(First); Listed.size() < Count; ++It) {
+/// Returns the servers from FirstExamined_ on, in the order of ids, which
+/// starts again after the last one.
+std::vector<const ServerRecord *>
+WaitExplainer::listExamined(const JobRegistry &Registry) const {
+  const std::map<std::string, ServerRecord> &Servers = Registry.servers();
+  const std::size_t Count = std::min(Servers.size(), MaxExamined);
+  std::vector<const ServerRecord *> Examined;
+  Examined.reserve(Count);
+  for (auto It = Servers.lower_bound(FirstExamined_); Examined.size() < Count;
+       ++It) {
     if (It == Servers.end())
       It = Servers.begin();
-    Listed.push_back(&It->second);
+    Examined.push_back(&It->second);
   }
-  return Listed;
-}
-
-std::vector<const ServerRecord *>
-WaitExplainer::listExamined(const JobRegistry &Registry) const {
-  return listFrom(Registry.servers(), FirstExamined_);
+  return Examined;
 }
 
 void WaitExplainer::examineNext(const JobRegistry &Registry) {
--- a/src/jobservice/LeaderSearch.cpp
+++ b/src/jobservice/LeaderSearch.cpp
@@ -12,9 +12,7 @@
 std::vector<std::string>
 LeaderSearch::chooseNext(const std::set<std::string> &Members) {
   std::vector<std::string> Order(Members.begin(), Members.end());
-  const auto Rounds =
-      static_cast<std::size_t>(std::max<std::int64_t>(Rounds_, 1));
-  const std::size_t Part = (Order.size() + Rounds - 1) / Rounds;
+  const std::size_t Part = (Order.size() + Rounds_ - 1) / Rounds_;
   const std::size_t Count = std::min(Order.size(), std::max(Part, MinMembers));
   if (Count == Order.size())
     return Order;
--- a/src/jobservice/LeaderSearch.h
+++ b/src/jobservice/LeaderSearch.h
@@ -12,6 +12,8 @@
 
 #include "tulipweir/core/Time.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -25,14 +27,16 @@
   /// Each member is asked once in Period, in rounds that are RoundInterval
   /// apart. Seed differs between entries.
   LeaderSearch(Duration Period, Duration RoundInterval, std::uint64_t Seed)
-      : Rounds_(Period / RoundInterval), Seed_(Seed) {}
+      : Rounds_(static_cast<std::size_t>(
+            std::max<std::int64_t>(Period / RoundInterval, 1))),
+        Seed_(Seed) {}
 
   /// Returns the members to ask in the next round. Every member is in one of
   /// the rounds of a period.
   std::vector<std::string> chooseNext(const std::set<std::string> &Members);
 
 private:
-  const std::int64_t Rounds_;
+  const std::size_t Rounds_; ///< In a period.
   const std::uint64_t Seed_;
   std::size_t Next_ = 0; ///< In the order of this entry.
 };
