Ask a possible leader in each round of the search

An entry whose first question to the new leader fails, as its link is not connected yet, ignores the others' word on that leader until the leader confirms itself; since questions are spread over rounds, that waited for its turn among all members.

LeaderSearchTest.APossibleLeaderIsAskedInEachRound.

--- a/src/jobservice/EntryNode.cpp
+++ b/src/jobservice/EntryNode.cpp
@@ -161,13 +161,11 @@
 
 void EntryNode::Impl::queryMembers() {
   SearchedAt_ = Time_.now();
-  std::vector<std::string> Asked = Search_.chooseNext(KnownMembers_);
-  // Another member may have named a leader, which has to confirm that.
-  const std::string Named = getLeader();
-  if (!Named.empty() &&
-      std::find(Asked.begin(), Asked.end(), Named) == Asked.end())
-    Asked.push_back(Named);
-  for (const std::string &Name : Asked)
+  // Members go on naming a leader that has not answered here.
+  std::set<std::string> PossibleLeaders = {getLeader(), SilentLeader_};
+  PossibleLeaders.erase("");
+  for (const std::string &Name :
+       Search_.chooseNext(KnownMembers_, PossibleLeaders))
     queryMember(Name);
 }
 
--- a/src/jobservice/LeaderSearch.cpp
+++ b/src/jobservice/LeaderSearch.cpp
@@ -1,6 +1,8 @@
 #include "jobservice/LeaderSearch.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 #include <xxhash.h>
 
 using namespace tulipweir;
@@ -9,13 +11,17 @@
 /// A round finds a member that answers although a data centre is lost.
 static constexpr std::size_t MinMembers = 5;
 
-std::vector<std::string>
-LeaderSearch::chooseNext(const std::set<std::string> &Members) {
+std::set<std::string>
+LeaderSearch::chooseNext(const std::set<std::string> &Members,
+                         const std::set<std::string> &PossibleLeaders) {
+  const std::size_t Part = (Members.size() + Rounds_ - 1) / Rounds_;
+  const std::size_t Count = std::max(Part, MinMembers);
+  if (Count >= Members.size()) {
+    std::set<std::string> All = Members;
+    All.insert(PossibleLeaders.begin(), PossibleLeaders.end());
+    return All;
+  }
   std::vector<std::string> Order(Members.begin(), Members.end());
-  const std::size_t Part = (Order.size() + Rounds_ - 1) / Rounds_;
-  const std::size_t Count = std::min(Order.size(), std::max(Part, MinMembers));
-  if (Count == Order.size())
-    return Order;
   const auto GetKey = [this](const std::string &Name) {
     return XXH3_64bits_withSeed(Name.data(), Name.size(), Seed_);
   };
@@ -23,9 +29,9 @@
             [&](const std::string &A, const std::string &B) {
               return std::pair(GetKey(A), A) < std::pair(GetKey(B), B);
             });
-  std::vector<std::string> Chosen;
+  std::set<std::string> Chosen = PossibleLeaders;
   for (std::size_t I = 0; I < Count; ++I)
-    Chosen.push_back(Order[(Next_ + I) % Order.size()]);
+    Chosen.insert(Order[(Next_ + I) % Order.size()]);
   Next_ = (Next_ + Count) % Order.size();
   return Chosen;
 }
--- a/src/jobservice/LeaderSearch.h
+++ b/src/jobservice/LeaderSearch.h
@@ -17,7 +17,6 @@
 #include <cstdint>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace tulipweir::jobservice {
 
@@ -32,8 +31,11 @@
         Seed_(Seed) {}
 
   /// Returns the members to ask in the next round. Every member is in one of
-  /// the rounds of a period.
-  std::vector<std::string> chooseNext(const std::set<std::string> &Members);
+  /// the rounds of a period, and the possible leaders are in each round: only
+  /// the leader itself can confirm that it leads.
+  std::set<std::string>
+  chooseNext(const std::set<std::string> &Members,
+             const std::set<std::string> &PossibleLeaders = {});
 
 private:
   const std::size_t Rounds_; ///< In a period.
--- a/tests/jobservice/LeaderSearchTest.cpp
+++ b/tests/jobservice/LeaderSearchTest.cpp
@@ -38,6 +38,16 @@
   }
 }
 
+// Guards against an outage that lasts until the turn of a leader that did not
+// answer once, as after a restart of all members: the others go on naming it.
+TEST(LeaderSearchTest, APossibleLeaderIsAskedInEachRound) {
+  LeaderSearch Search(750ms, 100ms, 7);
+  const std::string Leader = "10.0.0.3:8166";
+  for (int Round = 0; Round < 20; ++Round)
+    EXPECT_EQ(Search.chooseNext(makeMembers(25), {Leader}).count(Leader), 1U)
+        << Round;
+}
+
 // Pattern of load: hundreds of entries without a leader. Guards against
 // questions in proportion to entries times members, ten times a second, and
 // against one member that all entries ask first.
