Review cases 1 and 2: a defect of a case exits with 2, not 1

An exception, a signal or the time limit of a script counts as "could not run". A run that lapses ends when its lease does, however late the stand-in notices.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -20,6 +20,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from urllib.parse import urlparse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -39,6 +40,22 @@
 }
 
 
+def run_case(main):
+    """Exits with what main returns, and with 2 if it fails or takes too long."""
+
+    def give_up(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGINT, give_up)
+    try:
+        code = main()
+    except Exception:  # A defect of the case is no break of the rule.
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
+
+
 class Record:
     """Writes what was sent, answered and run, with seconds since the start."""
 
@@ -186,24 +203,6 @@
         if how in (signal.SIGKILL, signal.SIGTERM):
             self.processes[name].wait()
 
-    def leader_by_log(self):
-        """The control whose log names the newest begin of leadership."""
-        best = (0, None)
-        for name in self.ips:
-            if not name.startswith("control"):
-                continue
-            with open(os.path.join(self.folder, name + ".log"), encoding="utf-8",
-                      errors="replace") as file:
-                for line in file:
-                    if "leadership_begun" in line or "leadership begun" in line:
-                        try:
-                            term = json.loads(line).get("term", 0)
-                        except ValueError:
-                            continue
-                        if term > best[0]:
-                            best = (term, name)
-        return best[1]
-
     def wait_ready(self, limit=20):
         end = time.monotonic() + limit
         while time.monotonic() < end:
@@ -311,12 +310,12 @@
         saved = int(done / BOUNDS["saveS"]) * BOUNDS["saveS"]
         return "%s@%.1f" % (held["tag"], saved) if saved > 0 else ""
 
-    def end(self, task, how, saved=""):
+    def end(self, task, how, saved="", at=None):
         held = self.running.pop(task)
         self.outlawed[task] = max(self.outlawed.get(task, 0), held["run"])
         self.finished.append([self.next_end, task, held["run"], how, saved])
         self.next_end += 1
-        self.runs.finish(task, held["entry"], how)
+        self.runs.finish(task, held["entry"], how, at)
 
     def work_loop(self):
         while not self.dead:
@@ -328,7 +327,7 @@
                 ended = False
                 for task, held in list(self.running.items()):
                     if now >= self.lease_end:
-                        self.end(task, "lapsed", self.saved_of(held))
+                        self.end(task, "lapsed", self.saved_of(held), self.lease_end)
                         ended = True
                     elif held["length"] and now - held["begin"] >= held["length"] - held["from"]:
                         self.end(task, "done")
