Show overdue long-running work, and which plans go past it

Cause of the gap: room_unused says every second that a step waits beside room, but not who took the room, and task_started has no kind of work, so that two hypotheses of the incident (a filter of plans, bounded work first) look the same in the logs.

Each plan for a server on which such a task fits is counted, by what became of the room: left, or taken by bounded work. task_started names the kind of work, room_reserved the age of the server's last report. No decision changes.

--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -37,6 +37,9 @@
   StartPlan,   ///< From when its step was ready until its start was planned.
   StartCommit, ///< From then until the start was committed.
   EndCommit,   ///< From the receipt of its end until that was committed.
+  /// For how long on end the fleet had room for two tasks of an overdue
+  /// long-running step.
+  BesideRoom,
 };
 
 /// Events that a leader counts.
@@ -79,6 +82,9 @@
   JobsRejectedTooLate,     ///< They would have ended too late to be of use.
   JobsRejectedLastingFull, ///< Long-running work without room.
   JobsReturned, ///< Accepted when their callers returned as they were told.
+  // Plans for a server on which an overdue long-running task fits:
+  PlansTakingRoom,  ///< They start bounded tasks there instead.
+  PlansLeavingRoom, ///< They leave it free.
 };
 
 /// Receives the leader's counters and timers. Implementations are thread-safe
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "jobs/Dispatcher.h"
 
 #include "jobs/GangPlanner.h"
+#include "jobs/LongRunningRank.h"
 
 #include <algorithm>
 #include <limits>
@@ -53,6 +54,8 @@
   LastFailures_.clear();
   StragglerDetector_.reset();
   PassedOver_.reset();
+  Overdue_.reset();
+  PlansBesideOverdue_.clear();
   Order_.reset();
   Isolation_.reset();
 }
@@ -189,6 +192,7 @@
   StragglerDetector_.survey(Registry, LiveServers, Now);
   Survey_.update(Registry, LiveServers, Shares_, ReadyTimes_, Now);
   PassedOver_.update(Registry, Now);
+  Overdue_.update(Registry, ReadyTimes_, LiveServers, Now);
 }
 
 /// Returns whether only long-running tasks run on the server.
@@ -261,12 +265,35 @@
         Registry.readySteps().count(Entry.Step_) != 0)
       planStep(Registry, Entry, Plan);
   }
+  audit(Registry, Plan);
   // A copy would take capacity that a long-running task waits for.
   if (!OnlyOverdue && !Survey_.hasWaitingLongRunning())
     planCopies(Registry, Plan);
   return std::move(Plan.Starts_);
 }
 
+/// Records a plan that is made beside an overdue task which would fit.
+void Dispatcher::audit(const JobRegistry &Registry, const ServerPlan &Plan) {
+  const Resources Left = Plan.Remaining_.Free_;
+  const ReadyStep *Step = Overdue_.findFitting(
+      Registry, Plan.Server_, Left + Plan.StartedBounded_,
+      [&](const ReadyStep &Ready) {
+        const std::vector<TaskRecord> &Tasks =
+            getStepRecord(Registry, Ready).Tasks_;
+        TaskKey Key{Ready.Job_, Ready.Occurrence_, Ready.Step_, 0};
+        for (; Key.Index_ < Tasks.size(); ++Key.Index_)
+          if (Tasks[Key.Index_].State_ == TaskState::Waiting &&
+              !Isolation_.isIsolating(Key, Tasks[Key.Index_]) &&
+              Proposed_.count(Key) == 0)
+            return true;
+        return false;
+      });
+  if (Step)
+    PlansBesideOverdue_.push_back({Plan.Server_.Facts_.Id_, *Step,
+                                   Left.MilliCpus_,
+                                   Plan.StartedBounded_.MilliCpus_});
+}
+
 /// Returns whether the step is long-running, and has waited for too long for a
 /// healthy server.
 bool Dispatcher::isOverdue(const JobRegistry &Registry, const ReadyStep &Step,
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -16,6 +16,7 @@
 #include "jobs/InterferenceModel.h"
 #include "jobs/IsolationPlanner.h"
 #include "jobs/LiveServerTable.h"
+#include "jobs/OverdueSteps.h"
 #include "jobs/PaceController.h"
 #include "jobs/PassedOverTimes.h"
 #include "jobs/ReadyTimes.h"
@@ -32,6 +33,16 @@
 
 namespace tulipweir::jobs {
 
+/// A plan for a server beside an overdue step whose tasks fit there.
+struct PlanBesideOverdue {
+  std::string Server_;
+  ReadyStep Step_;
+  /// Thousandths of a processor: what the plan leaves free, and what it gives
+  /// to tasks that are not long-running.
+  std::int64_t LeftCpus_ = 0;
+  std::int64_t BoundedCpus_ = 0;
+};
+
 /// Plans the starts of tasks. Not thread-safe.
 class Dispatcher {
 public:
@@ -98,6 +109,13 @@
     return std::exchange(PlannedWaits_, {});
   }
 
+  OverdueSteps &overdueSteps() { return Overdue_; }
+  /// Returns the plans since the last call that gave room to bounded work, or
+  /// left room, into which an overdue task fits.
+  std::vector<PlanBesideOverdue> takePlansBesideOverdue() {
+    return std::exchange(PlansBesideOverdue_, {});
+  }
+
   // Queries.
 
   WaitExplainer &explainer() { return Explainer_; }
@@ -133,6 +151,7 @@
                                         TimePoint Now);
   bool isOverdue(const JobRegistry &Registry, const ReadyStep &Step,
                  TimePoint Now);
+  void audit(const JobRegistry &Registry, const ServerPlan &Plan);
   bool isFull(const ServerPlan &Plan) const;
   TailHeadroom &getHeadroom(ServerPlan &Plan) const;
   /// Returns whether the step needs no advice or has a ticket for the server.
@@ -182,6 +201,8 @@
   std::set<TaskKey> Proposed_;
   StragglerDetector StragglerDetector_{RunTimes_};
   PassedOverTimes PassedOver_;
+  OverdueSteps Overdue_;
+  std::vector<PlanBesideOverdue> PlansBesideOverdue_;
   SchedulingOrder Order_{RunTimes_, Shares_};
 };
 
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -135,6 +135,8 @@
   /// Logs, each second, what waits and why.
   void logWaits();
   void logWaitReasons(TimePoint Now);
+  void logPlansBesideOverdue();
+  void logOverdueSteps();
   void logUnusedRoom(TimePoint Now);
   void logReservations(TimePoint Now);
   void checkExpiredLeases();
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -171,6 +171,19 @@
   });
 }
 
+/// Returns the kind of work that the task is, and what it reserves.
+static std::string describeWork(const JobRegistry &Registry,
+                                const TaskKey &Task) {
+  const StepSpec *Step = Registry.findStep(Task);
+  if (!Step)
+    return "";
+  const std::string Cpus = std::to_string(Step->Need_.MilliCpus_);
+  if (Step->Fills_)
+    return "fills, up to " + Cpus + " thousandths of a processor";
+  return (Step->LongRunning_ ? "long-running, " : "bounded, ") + Cpus +
+         " thousandths of a processor";
+}
+
 void JobLeader::Impl::startTasks(const PendingReportPtr &Pending) {
   const std::string &Id = Pending->Report_.Facts_.Id_;
   std::vector<TaskStart> Starts =
@@ -190,9 +203,17 @@
     if (!Applied)
       return reply(Pending, Applied.error());
     Meter_.record(JobTimer::StartCommit, Time_.now() - PlannedAt);
+    const std::vector<std::string> Work =
+        Machine_.read([&Starts](const JobRegistry &Registry) {
+          std::vector<std::string> Texts;
+          for (const TaskStart &Start : Starts)
+            Texts.push_back(describeWork(Registry, Start.Task_));
+          return Texts;
+        });
     for (std::size_t I = 0; I < Starts.size(); ++I) {
       Event Line;
       Line.Kind_ = EventKind::TaskStarted;
+      Line.Reason_ = Work[I];
       Line.Job_ = Starts[I].Task_.Job_;
       Line.Task_ = toText(Starts[I].Task_);
       Line.Attempt_ = Starts[I].Run_;
--- a/src/jobs/JobLeaderTelemetry.cpp
+++ b/src/jobs/JobLeaderTelemetry.cpp
@@ -247,6 +247,8 @@
     Dispatcher_.explainer().examineNext(Registry);
     return 0;
   });
+  logPlansBesideOverdue();
+  logOverdueSteps();
   logWaitReasons(Now);
   logUnusedRoom(Now);
   logReservations(Now);
@@ -297,6 +299,52 @@
   }
 }
 
+/// Counts the plans beside overdue tasks that would fit; logs one of each kind.
+void JobLeader::Impl::logPlansBesideOverdue() {
+  std::uint64_t Taking = 0;
+  std::uint64_t Leaving = 0;
+  for (const PlanBesideOverdue &Plan : Dispatcher_.takePlansBesideOverdue()) {
+    const bool IsTaking = Plan.BoundedCpus_ > 0;
+    std::uint64_t &Count = IsTaking ? Taking : Leaving;
+    if (++Count > 1)
+      continue;
+    Event Line;
+    Line.Kind_ = EventKind::RoomUnused;
+    Line.Job_ = Plan.Step_.Job_;
+    Line.Task_ = getStepText(Plan.Step_);
+    Line.Server_ = Plan.Server_;
+    Line.Outcome_ = IsTaking ? "taken by bounded work" : "left";
+    Line.Reason_ = std::to_string(Plan.BoundedCpus_) + " taken, " +
+                   std::to_string(Plan.LeftCpus_) +
+                   " left (thousandths of a processor)";
+    Log_.write(Line);
+  }
+  Meter_.add(JobCounter::PlansTakingRoom, Taking);
+  Meter_.add(JobCounter::PlansLeavingRoom, Leaving);
+}
+
+/// Meters how long overdue steps have waited beside room for two of their
+/// tasks; logs the long waits.
+void JobLeader::Impl::logOverdueSteps() {
+  OverdueSteps &Overdue = Dispatcher_.overdueSteps();
+  for (const Duration Time : Overdue.takeEndedWaits())
+    Meter_.record(JobTimer::BesideRoom, Time);
+  for (const OverdueSteps::LongWaitBesideRoom &Wait : Overdue.takeLongWaits()) {
+    Event Line;
+    Line.Kind_ = EventKind::RoomUnused;
+    Line.Job_ = Wait.Step_.Job_;
+    Line.Task_ = getStepText(Wait.Step_);
+    Line.Server_ = Wait.Server_;
+    Line.Outcome_ = "overdue beside room";
+    Line.AgeMs_ =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Wait.Time_)
+            .count();
+    Line.Reason_ =
+        std::to_string(Wait.FreeCpus_) + " thousandths of a processor free";
+    Log_.write(Line);
+  }
+}
+
 /// Logs the reservations that have begun since the last call.
 void JobLeader::Impl::logReservations(TimePoint Now) {
   const auto &Current = Dispatcher_.capacitySurvey().reservations();
@@ -315,8 +363,16 @@
     Line.AgeMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                       Now - Value.Since_)
                       .count();
+    const LiveServer *Live = LiveServers_.find(Id);
     Line.Reason_ =
-        std::to_string(Value.Need_.MilliCpus_) + " thousandths of a processor";
+        std::to_string(Value.Need_.MilliCpus_) +
+        " thousandths of a processor; the server reported " +
+        (Live ? std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Now - Live->LastHeard_)
+                        .count()) +
+                    " ms ago"
+              : "never");
     Log_.write(Line);
   }
 }
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -76,6 +76,12 @@
      "reason=\"lasting full\""},
     {"tulipweir_jobs_returned_total",
      "Jobs accepted when their rejected callers returned in time", ""},
+    {"tulipweir_plans_beside_overdue_total",
+     "Plans for servers on which an overdue long-running task fits",
+     "room=\"taken by bounded work\""},
+    {"tulipweir_plans_beside_overdue_total",
+     "Plans for servers on which an overdue long-running task fits",
+     "room=\"left\""},
 }};
 static constexpr std::array<HistogramText, JobMetrics::Histograms>
     HistogramTexts = {{
@@ -110,6 +116,9 @@
          "From the plan of a start to its commit"},
         {"tulipweir_end_commit_seconds",
          "From the receipt of a run's end to its commit"},
+        {"tulipweir_overdue_beside_room_seconds",
+         "How long on end there was room for two tasks of an overdue "
+         "long-running step"},
     }};
 
 JobMetrics::JobMetrics(net::Metrics &Metrics) : Metrics_(Metrics) {
--- a/src/jobservice/JobMetrics.h
+++ b/src/jobservice/JobMetrics.h
@@ -16,9 +16,9 @@
 class JobMetrics final : public jobs::JobMeter {
 public:
   static constexpr auto Counters =
-      static_cast<std::size_t>(jobs::JobCounter::JobsReturned) + 1;
+      static_cast<std::size_t>(jobs::JobCounter::PlansLeavingRoom) + 1;
   static constexpr auto Histograms =
-      static_cast<std::size_t>(jobs::JobTimer::EndCommit) + 1;
+      static_cast<std::size_t>(jobs::JobTimer::BesideRoom) + 1;
 
   explicit JobMetrics(net::Metrics &Metrics);
   void add(jobs::JobCounter Counter, std::uint64_t Amount) override;
