Tests that fail: lost tasks behind bounded work, filling tasks that hold room

FullFleetTest.LostTasksComeBackBeforeBoundedWorkStarts: the emulated fleet now also looks as users do, three times in 3 s, for tasks that were down for over 6 s beside room for two of them. DispatcherTest.FillingTasksHoldBackNoTaskThatReservesProcessors: no start of a task of one processor where one is free, as filling tasks use what is idle.

--- a/tests/jobs/DispatcherTest.cpp
+++ b/tests/jobs/DispatcherTest.cpp
@@ -304,3 +304,17 @@
   ASSERT_EQ(Starts.size(), 1U);
   EXPECT_EQ(Starts[0].Task_.Job_, "waited");
 }
+
+// Guards against room that stands free because filling tasks use all idle
+// processors of its server: they get what tasks that reserve processors leave.
+TEST_F(DispatcherTest, FillingTasksHoldBackNoTaskThatReservesProcessors) {
+  submit(makeJob("filling", {makeFilling(6, "f")}));
+  for (std::uint64_t I = 0; I < 6; ++I)
+    ASSERT_TRUE(start(makeStart("filling", I, "s1")));
+  submit(makeJob("resident", {makeServing(2, "a", 3000)}));
+  ASSERT_TRUE(start(makeStart("resident", 0, "s1")));
+  ASSERT_TRUE(start(makeStart("resident", 1, "s2")));
+  submit(makeJob("lasting", {makeServing(1, "a", 1000)}));
+  advance(ReadyTimes::MaxLongRunningWait);
+  EXPECT_EQ(plan("s1").size(), 1U);
+}
--- a/tests/jobs/FullFleet.cpp
+++ b/tests/jobs/FullFleet.cpp
@@ -29,6 +29,9 @@
 /// Until a long-running task has waited for this time, short work that is due
 /// earlier comes first, unless the task was lost with its server.
 static constexpr Duration PrecedenceWait = 2s;
+static constexpr std::size_t SmallLossDivisor = 7;
+static constexpr std::size_t MaxSmallLosses = 2;
+static constexpr Duration SmallLossInterval = 3s;
 /// Before the first loss the fleet fills up.
 static constexpr Duration FillTime = 6s;
 
@@ -42,6 +45,8 @@
   BeganAt_ = Time_.now();
   if (Scenario_.LossAt_ != Duration::max())
     LossAt_ = BeganAt_ + Scenario_.LossAt_;
+  if (Scenario_.TwoLossesAt_ != Duration::max())
+    NextSmallLossAt_ = BeganAt_ + Scenario_.TwoLossesAt_;
   if (Scenario_.RackCrashAt_ != Duration::max())
     RackCrashAt_ = BeganAt_ + Scenario_.RackCrashAt_;
   NextCancel_ = NextFailure_ = NextFailingJob_ = BeganAt_ + FillTime;
@@ -96,12 +101,15 @@
   }
   if (Now >= LossAt_) {
     LossAt_ = TimePoint::max();
-    for (std::size_t I = 0; I < Servers_.size(); I += 4)
-      lose(Servers_[I]);
+    loseEvery(4, 0);
     for (auto &[Task, Entry] : LongRunning_)
       if (!Entry.IsRunning_ && Entry.WaitingSince_ > Now)
         Entry.LostAt_ = Now;
   }
+  if (Now >= NextSmallLossAt_ && SmallLosses_ < MaxSmallLosses) {
+    loseEvery(SmallLossDivisor, SmallLosses_++);
+    NextSmallLossAt_ = Now + SmallLossInterval;
+  }
   if (Now >= RackCrashAt_) {
     RackCrashAt_ = TimePoint::max();
     for (std::size_t I = 0; I < ServersPerRack; ++I)
@@ -121,6 +129,8 @@
   }
   if (isDue(NextLook_, LookInterval))
     look();
+  if (isDue(NextRoomLook_, RoomLookInterval))
+    lookForTasksDownBesideRoom();
 }
 
 void FullFleet::submit(const std::string &Job, const StepSpec &Spec) {
@@ -218,6 +228,7 @@
     if (It == LongRunning_.end())
       continue;
     It->second.IsRunning_ = false;
+    It->second.DownSince_ = Time_.now();
     It->second.WaitingSince_ = It->second.CountsFrom_ = LeaseEnd;
   }
   Backend.Running_.clear();
@@ -270,6 +281,7 @@
   if (It == LongRunning_.end())
     return;
   It->second.IsRunning_ = false;
+  It->second.DownSince_ = Time_.now();
   It->second.WaitingSince_ = Time_.now();
   It->second.CountsFrom_ = Time_.now() + PrecedenceWait;
 }
@@ -377,6 +389,8 @@
       Waiting.ReclaimableSince_.reset();
   }
   Started.IsRunning_ = true;
+  Started.DownSince_.reset();
+  Started.RoomLooks_ = 0;
   if (std::exchange(Started.LostAt_, std::nullopt))
     ++LostTasks_;
   Started.RoomSince_.reset();
@@ -409,6 +423,43 @@
   }
 }
 
+void FullFleet::loseEvery(std::size_t Divisor, std::size_t Remainder) {
+  for (std::size_t I = Remainder; I < Servers_.size(); I += Divisor)
+    lose(Servers_[I]);
+}
+
+/// Returns whether two tasks like this one would fit, on one server in service
+/// or on two.
+bool FullFleet::hasRoomForTwo(const TaskKey &Task, const StepSpec &Spec) const {
+  std::size_t Fitting = 0;
+  for (const Server &Backend : Servers_) {
+    if (!isInService(Backend) || !mayRun(Backend, Task, Spec) ||
+        !Spec.Need_.fitsIn(Backend.Free_))
+      continue;
+    const bool FitsTwice = Spec.SpreadLimit_ != 1 &&
+                           (Spec.Need_ + Spec.Need_).fitsIn(Backend.Free_);
+    Fitting += FitsTwice ? 2 : 1;
+    if (Fitting >= 2)
+      return true;
+  }
+  return false;
+}
+
+void FullFleet::lookForTasksDownBesideRoom() {
+  for (auto &[Task, Entry] : LongRunning_) {
+    const bool IsDown =
+        Entry.DownSince_ && Time_.now() - *Entry.DownSince_ >= MaxDownTime;
+    if (!IsDown || !hasRoomForTwo(Task, Entry.Spec_)) {
+      Entry.RoomLooks_ = 0;
+      continue;
+    }
+    if (++Entry.RoomLooks_ != RoomLooks)
+      continue;
+    if (TasksDownBesideRoom_++ == 0)
+      FirstDownBesideRoom_ = describe(Task, Entry, " two servers, or twice");
+  }
+}
+
 void FullFleet::look() {
   updateLostPlacements();
   countLongAbsences();
--- a/tests/jobs/FullFleet.h
+++ b/tests/jobs/FullFleet.h
@@ -25,6 +25,9 @@
   Duration Length_ = std::chrono::seconds(30);
   /// When every fourth server is lost for good.
   Duration LossAt_ = Duration::max();
+  /// When every seventh server is lost for good, and the next one of each seven
+  /// three seconds later.
+  Duration TwoLossesAt_ = Duration::max();
   /// When the servers of a rack crash. They come back at the same addresses.
   Duration RackCrashAt_ = Duration::max();
   /// How often a long-running job is cancelled, and one submitted.
@@ -39,6 +42,7 @@
   /// Whether long-running tasks yield to short ones, and how many of a step may
   /// be stopped at a time.
   bool AreSharesEnabled_ = false;
+  bool YieldsWithoutBudget_ = false;
   std::uint64_t MaxUnavailable_ = 0;
   /// How many short tasks wait at least.
   std::size_t MinShortTasksWaiting_ = 200;
@@ -68,6 +72,10 @@
   /// cancelled within LongAbsence, and those that did not run again within it.
   std::size_t LostTasks_ = 0;
   std::size_t LongAbsences_ = 0;
+  /// Long-running tasks that were down for over MaxDownTime and did not start
+  /// while, at three looks in a row, two of them would have fitted.
+  std::size_t TasksDownBesideRoom_ = 0;
+  std::string FirstDownBesideRoom_; ///< Describes the first one.
   /// Stops of long-running tasks in favour of short ones.
   std::size_t Yields_ = 0;
   RecordingEventLog Log_;
@@ -77,6 +85,12 @@
   /// Three seconds more than the longest lease and the removal of the server.
   static constexpr Duration LongAbsence = std::chrono::seconds(9);
 
+  /// How long a long-running task may be down whatever there is room for.
+  static constexpr Duration MaxDownTime = std::chrono::seconds(6);
+  /// Room must be seen by this many looks in a row, at this interval.
+  static constexpr int RoomLooks = 3;
+  static constexpr Duration RoomLookInterval = std::chrono::milliseconds(1500);
+
   struct Run {
     std::uint64_t Number_ = 0;
     Resources Need_;
@@ -109,6 +123,10 @@
     TimePoint WaitingSince_{};
     TimePoint CountsFrom_{}; ///< Before, a wait beside room is in order.
     std::optional<TimePoint> LostAt_; ///< With a quarter of the servers.
+    /// When its last run ended or was lost; nothing while it runs, or if it has
+    /// never run.
+    std::optional<TimePoint> DownSince_;
+    int RoomLooks_ = 0; ///< With room for two, in a row.
     std::optional<TimePoint> RoomSince_;
     std::optional<TimePoint> ReclaimableSince_; ///< Room beside short work.
   };
@@ -125,9 +143,13 @@
   void lose(Server &Backend);
   void updateLostPlacements();
   void countLongAbsences();
+  void lookForTasksDownBesideRoom();
+  bool hasRoomForTwo(const TaskKey &Task, const StepSpec &Spec) const;
+  void loseEvery(std::size_t Divisor, std::size_t Remainder);
   static JobLeaderSettings makeSettings(const FullFleetScenario &Scenario) {
     JobLeaderSettings Settings;
     Settings.Shares_.IsEnabled_ = Scenario.AreSharesEnabled_;
+    Settings.Shares_.YieldsWithoutBudget_ = Scenario.YieldsWithoutBudget_;
     return Settings;
   }
   void report(std::size_t Index);
@@ -167,9 +189,13 @@
   std::size_t Incarnations_ = 0;
   TimePoint BeganAt_{};
   TimePoint LossAt_ = TimePoint::max();
+  /// Of every seventh server, and which one of each seven.
+  TimePoint NextSmallLossAt_ = TimePoint::max();
+  std::size_t SmallLosses_ = 0;
   TimePoint RackCrashAt_ = TimePoint::max();
   TimePoint NextCommit_{};
   TimePoint NextLook_{};
+  TimePoint NextRoomLook_{};
   TimePoint NextShortJobs_{};
   TimePoint NextCancel_{};
   TimePoint NextFailure_{};
--- a/tests/jobs/FullFleetTest.cpp
+++ b/tests/jobs/FullFleetTest.cpp
@@ -120,3 +120,22 @@
   EXPECT_GT(With.ShortStarts_, Before.ShortStarts_ * 2);
   EXPECT_LT(With.MaxWaitBesideRoom_, MaxWaitBesideRoom);
 }
+
+// Guards against tasks of lost servers that stay down while bounded work of
+// their priority takes the room that they fit into.
+TEST(FullFleetTest, LostTasksComeBackBeforeBoundedWorkStarts) {
+  FullFleetScenario Scenario;
+  Scenario.Servers_ = 128;
+  Scenario.TwoLossesAt_ = 10s;
+  Scenario.AreSharesEnabled_ = true;
+  Scenario.YieldsWithoutBudget_ = true;
+  for (Scenario.Seed_ = 1; Scenario.Seed_ <= Seeds; ++Scenario.Seed_) {
+    SCOPED_TRACE("seed " + std::to_string(Scenario.Seed_));
+    FullFleet Fleet(Scenario);
+    Fleet.run();
+    EXPECT_EQ(Fleet.TasksDownBesideRoom_, 0U) << Fleet.FirstDownBesideRoom_;
+    EXPECT_GE(Fleet.MostWaiting_, MinWaiting);
+    EXPECT_GE(Fleet.LongRunningStarts_, MinStarts);
+    EXPECT_GT(Fleet.ShortStarts_, 1000U);
+  }
+}
