Filling tasks hold back no task that reserves processors

Callers saw: long-running tasks of lost servers stayed down (LOST) while servers had 8 to 34 processors free for seconds. Cause: a plan skipped every step whose need of idle processors was above what is idle on the server. Steps that do not fill need none, but zero is above a negative figure: once filling tasks and the load of serving ones used more than the server has, or a start in the same plan brought it there, the plan passed over all other steps. Change: the filter applies to steps that fill. They get what the others leave, so they slow down.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -258,7 +258,8 @@
     if (OnlyOverdue && !isOverdue(Registry, Entry.Step_, Now))
       continue;
     const bool MayFit = Entry.Reserved_.fitsIn(Plan.Remaining_.Free_) &&
-                        (Entry.IdleNeeded_ <= Plan.Remaining_.Idle_ ||
+                        (!Entry.fills() ||
+                         Entry.IdleNeeded_ <= Plan.Remaining_.Idle_ ||
                          Survey_.hasSpareCapacity());
     // The step's tasks may all have been placed since the order was computed.
     if (MayFit && !isKnownRejected(Entry, Plan) &&
@@ -365,7 +366,7 @@
 /// needs no more processors.
 bool Dispatcher::isKnownRejected(const Candidate &Step,
                                  const ServerPlan &Plan) const {
-  if (Step.FillingImage_ == Candidate::NoFillingImage)
+  if (!Step.fills())
     return false;
   if (Step.IsIdleJob_ && Survey_.hasSpareCapacity())
     return false;
@@ -379,7 +380,7 @@
 }
 
 void Dispatcher::recordRejection(const Candidate &Step, ServerPlan &Plan) {
-  if (Step.FillingImage_ == Candidate::NoFillingImage)
+  if (!Step.fills())
     return;
   std::int64_t &AvoidingCpus =
       Plan.RejectedCpusAvoidingInterference_[Step.FillingImage_];
--- a/src/jobs/SchedulingOrder.h
+++ b/src/jobs/SchedulingOrder.h
@@ -43,6 +43,9 @@
   std::size_t FillingImage_ = NoFillingImage;
   TimePoint ReadySince_{};
   bool IsIdleJob_ = false; ///< Nothing of the job ran at the last update.
+
+  /// Returns whether the tasks reserve no processors.
+  bool fills() const { return FillingImage_ != NoFillingImage; }
 };
 
 /// The waiting steps in scheduling order. Not thread-safe.
