Lost tasks that are overdue come before bounded work of their priority

Callers saw: long-running tasks of lost servers stayed down for 12 to 25 s (LOST) on a fleet over its capacity, while every second 650 to 820 processors were given to bounded tasks. Cause: in the order of service bounded steps that would be late came before tasks that were lost, until these had been passed over for 15 s, and capacity kept for bounded work was closed to them for 2 s. Where ends of bounded work make the room, the next bounded task took it each time. Change: steps of OverdueSteps that are passed over for a second come before endangered bounded steps, and kept capacity is open to them. Beside bounded work, whose ends make small rooms all the time, the smallest tasks come first, so that what stays down is what fits nowhere; else whole jobs first as before.

--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -92,7 +92,8 @@
 /// Returns the free capacity that the long-running step leaves to bounded work.
 Resources Dispatcher::getKeptForBounded(const ServerPlan &Plan,
                                         const ReadyStep &Step) const {
-  if (PassedOver_.getTime(Step, Plan.Now_) >= MaxKeptTime)
+  if (Overdue_.contains(Step) ||
+      PassedOver_.getTime(Step, Plan.Now_) >= MaxKeptTime)
     return {};
   const ServerRecord &Server = Plan.Server_;
   const Resources *Share =
@@ -248,7 +249,7 @@
   Plan.Remaining_.Free_ =
       Plan.Remaining_.Free_ - LiveServers.sumUnplacedUsage(Registry, *Server);
   PassedOver_.recordRoom(Plan.Remaining_.Free_.MilliCpus_, Now);
-  Order_.update(Registry, ReadyTimes_, PassedOver_, Now, Wall);
+  Order_.update(Registry, ReadyTimes_, PassedOver_, Overdue_, Now, Wall);
   const std::size_t Images = Order_.countFillingImages();
   Plan.RejectedCpusAvoidingInterference_.assign(Images, Unlimited);
   Plan.RejectedCpus_.assign(Images, Unlimited);
@@ -257,10 +258,10 @@
       break;
     if (OnlyOverdue && !isOverdue(Registry, Entry.Step_, Now))
       continue;
-    const bool MayFit = Entry.Reserved_.fitsIn(Plan.Remaining_.Free_) &&
-                        (!Entry.fills() ||
-                         Entry.IdleNeeded_ <= Plan.Remaining_.Idle_ ||
-                         Survey_.hasSpareCapacity());
+    const bool MayFit =
+        Entry.Reserved_.fitsIn(Plan.Remaining_.Free_) &&
+        (!Entry.fills() || Entry.IdleNeeded_ <= Plan.Remaining_.Idle_ ||
+         Survey_.hasSpareCapacity());
     // The step's tasks may all have been placed since the order was computed.
     if (MayFit && !isKnownRejected(Entry, Plan) &&
         Registry.readySteps().count(Entry.Step_) != 0)
--- a/src/jobs/OverdueSteps.h
+++ b/src/jobs/OverdueSteps.h
@@ -55,8 +55,15 @@
 
   bool isEmpty() const { return Needs_.empty(); }
   bool contains(const ReadyStep &Step) const { return Needs_.count(Step) != 0; }
-  /// Returns a step that MayStart accepts and whose tasks fit into free
-  /// capacity of the server, or nullptr.
+  /// Returns a step whose tasks fit into free capacity of the server, or
+  /// nullptr.
+  const ReadyStep *findFitting(const JobRegistry &Registry,
+                               const ServerRecord &Server,
+                               const Resources &Free) const {
+    return findFitting(Registry, Server, Free,
+                       [](const ReadyStep &) { return true; });
+  }
+  /// The same of the steps that MayStart accepts.
   template <class Predicate>
   const ReadyStep *
   findFitting(const JobRegistry &Registry, const ServerRecord &Server,
--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -144,7 +144,8 @@
 }
 
 void SchedulingOrder::update(const JobRegistry &Registry, ReadyTimes &Waits,
-                             const PassedOverTimes &PassedOver, TimePoint Now,
+                             const PassedOverTimes &PassedOver,
+                             const OverdueSteps &Overdue, TimePoint Now,
                              WallTime Wall) {
   const bool IsNew = UpdatedAt_ == TimePoint::min();
   const Duration Age = IsNew ? MaxAge : Now - UpdatedAt_;
@@ -162,12 +163,14 @@
   FillingImages_.clear();
   Minimum_ = {Unlimited, Unlimited, Unlimited};
   // Within a priority, long-running steps that were passed over for long come
-  // first; then steps that can still meet their objective, as that chance ends
-  // soon; then long-running steps; then late ones.
+  // first, then overdue ones that are passed over; then steps that can still
+  // meet their objective, as that chance ends soon; then long-running steps;
+  // then late ones.
   // Work that was running and was lost comes before work that has not begun.
   std::vector<std::pair<std::pair<bool, Duration>, const ReadyStep *>> Starved;
   std::vector<std::pair<std::pair<bool, std::int64_t>, const ReadyStep *>>
       PassedOverSteps;
+  decltype(PassedOverSteps) OverduePassedOver;
   std::vector<const ReadyStep *> Endangered;
   std::vector<const ReadyStep *> FirstClass;
   std::array<std::vector<const ReadyStep *>, 3> Later;
@@ -191,6 +194,7 @@
       sortLongRunning(Registry, Later[0]);
     }
     AddSorted(Starved);
+    AddSorted(OverduePassedOver);
     AddAll(Endangered);
     AddSorted(PassedOverSteps);
     AddAll(FirstClass);
@@ -198,6 +202,18 @@
     for (std::vector<const ReadyStep *> &Class : Later)
       AddAll(Class);
   };
+  const auto GetRank = [&](const ReadyStep &Ready, bool IsByJob) {
+    const StepSpec &Step =
+        Registry.findJob(Ready.Job_)->Spec_.Steps_[Ready.Step_];
+    return std::pair(hasLostTask(Registry, Ready),
+                     IsByJob ? getLongRunningRank(Registry, Ready).second
+                             : -Step.Need_.MilliCpus_);
+  };
+  // Bounded work makes small rooms all the time; ranked by jobs, small tasks
+  // would wait beside them.
+  const bool IsOverdueByJob =
+      Shares_ &&
+      Registry.readySteps().size() == Registry.readyLongRunningSteps().size();
   std::uint64_t Priority = 0;
   for (const ReadyStep *Each : listConsidered(Registry)) {
     const ReadyStep &Ready = *Each;
@@ -215,14 +231,12 @@
     if (IsFirstClass && PassedOverFor >= MaxPassedOverTime)
       Starved.emplace_back(
           std::pair(hasLostTask(Registry, Ready), PassedOverFor), &Ready);
+    else if (Overdue.contains(Ready) && PassedOverFor >= MinPassedOverTime)
+      OverduePassedOver.emplace_back(GetRank(Ready, IsOverdueByJob), &Ready);
     else if (Shares_ && Shares_->isEndangered(Ready))
       Endangered.push_back(&Ready);
     else if (IsFirstClass && PassedOverFor >= MinPassedOverTime)
-      PassedOverSteps.emplace_back(
-          std::pair(hasLostTask(Registry, Ready),
-                    Shares_ ? getLongRunningRank(Registry, Ready).second
-                            : -Step.Need_.MilliCpus_),
-          &Ready);
+      PassedOverSteps.emplace_back(GetRank(Ready, Shares_ != nullptr), &Ready);
     else if (Lateness == 0 && Step.Fills_)
       Filling.emplace_back(Value_.getDensity(Job, Occurrence), &Ready);
     else if (Lateness == 0 && IsFirstClass)
--- a/src/jobs/SchedulingOrder.h
+++ b/src/jobs/SchedulingOrder.h
@@ -12,6 +12,7 @@
 
 #include "jobs/CapacityShares.h"
 #include "jobs/JobValueEstimator.h"
+#include "jobs/OverdueSteps.h"
 #include "jobs/PassedOverTimes.h"
 #include "jobs/ReadyTimes.h"
 
@@ -67,7 +68,8 @@
   void reset();
   /// Recomputes the order if steps were added since, or it is too old.
   void update(const JobRegistry &Registry, ReadyTimes &Waits,
-              const PassedOverTimes &PassedOver, TimePoint Now, WallTime Wall);
+              const PassedOverTimes &PassedOver, const OverdueSteps &Overdue,
+              TimePoint Now, WallTime Wall);
 
   // Queries; all answers are as of the last update.
 
--- a/tests/jobs/OverdueStepsTest.cpp
+++ b/tests/jobs/OverdueStepsTest.cpp
@@ -29,8 +29,6 @@
       Overdue_.update(Registry_, Waits_, LiveServers_, Now_);
     Overdue_.update(Registry_, Waits_, LiveServers_, Now_);
   }
-
-  OverdueSteps Overdue_;
 };
 
 } // namespace
@@ -102,8 +100,7 @@
   waitFor(4s);
   const auto Find = [this](std::int64_t MilliCpus) {
     return Overdue_.findFitting(Registry_, *Registry_.findServer("s1"),
-                                Resources::makeFor(MilliCpus, 4000),
-                                [](const ReadyStep &) { return true; });
+                                Resources::makeFor(MilliCpus, 4000));
   };
   ASSERT_FALSE(Overdue_.isEmpty());
   EXPECT_EQ(Find(4000), nullptr);
--- a/tests/jobs/SchedulingOrderTest.cpp
+++ b/tests/jobs/SchedulingOrderTest.cpp
@@ -14,7 +14,8 @@
 class SchedulingOrderTest : public JobRegistryTest {
 protected:
   void update() {
-    Order_.update(Registry_, Waits_, PassedOver_, Now_, WallTime(1000));
+    Order_.update(Registry_, Waits_, PassedOver_, Overdue_, Now_,
+                  WallTime(1000));
   }
   std::size_t count() const { return Order_.candidates().size(); }
   void submitMany(int Count) {
@@ -25,6 +26,7 @@
   TimePoint Now_{1h};
   ReadyTimes Waits_;
   PassedOverTimes PassedOver_;
+  OverdueSteps Overdue_;
   RunTimeEstimator RunTimes_;
   SchedulingOrder Order_{RunTimes_};
 };
@@ -156,7 +158,9 @@
 protected:
   std::vector<std::string> listJobs() {
     Waits_.observe(Registry_, Now_);
-    Order_.update(Registry_, Waits_, PassedOver_, Now_, WallTime(Wall_));
+    Overdue_.update(Registry_, Waits_, LiveServers_, Now_);
+    Order_.update(Registry_, Waits_, PassedOver_, Overdue_, Now_,
+                  WallTime(Wall_));
     std::vector<std::string> Jobs;
     for (const Candidate &Entry : Order_.candidates())
       Jobs.push_back(Entry.Step_.Job_);
@@ -208,3 +212,22 @@
   PassedOver_.update(Registry_, Now_);
   EXPECT_EQ(listJobs().front(), "bounded");
 }
+
+// Guards against tasks that ran before and stay down, as bounded work that
+// would be late takes the room that they fit into.
+TEST_F(SharesOrderTest, OverdueStepsThatArePassedOverComeFirst) {
+  runAndLose("lost", makeLasting(2, 900), 1);
+  listJobs();
+  const auto OfferRoom = [this](Duration Time) {
+    for (const TimePoint End = Now_ + Time; Now_ < End; advance(100ms)) {
+      PassedOver_.recordRoom(1000, Now_);
+      PassedOver_.update(Registry_, Now_);
+    }
+  };
+  OfferRoom(2s);
+  submitNow("bounded", makeStep(1, 5000));
+  OfferRoom(700ms);
+  EXPECT_EQ(listJobs().front(), "bounded") << "the other is not overdue yet";
+  OfferRoom(400ms);
+  EXPECT_EQ(listJobs(), (std::vector<std::string>{"lost", "bounded"}));
+}
--- a/tests/jobs/SharesFixture.h
+++ b/tests/jobs/SharesFixture.h
@@ -58,6 +58,7 @@
   }
   void update() {
     Survey_.update(Registry_, LiveServers_, Shares_, Waits_, Now_);
+    Overdue_.update(Registry_, Waits_, LiveServers_, Now_);
     Shares_.update(
         {Registry_, LiveServers_, Health_, Survey_, Now_, WallTime(Wall_)});
   }
@@ -112,6 +113,7 @@
   ServerHealth Health_;
   ReadyTimes Waits_;
   CapacitySurvey Survey_{Interference_, Loads_, Health_};
+  OverdueSteps Overdue_;
   RunTimeEstimator RunTimes_;
   CapacityShares Shares_;
 };
