No task yields for room that an overdue task takes

Cause: a yield was ordered for bounded work that would be late whatever else waited. Overdue tasks come first, so they take the freed room, and the task that yielded is down in their place. Change: no run yields if an overdue task fits into the room that it would free. Bounded work is still planned into rooms that no overdue task fits. Evidence: CapacitySharesTest.NothingYieldsForRoomThatOverdueWorkTakes fails without the check.

--- a/bench/jobs/JobsBench.cpp
+++ b/bench/jobs/JobsBench.cpp
@@ -347,6 +347,7 @@
   ServingLoads Loads;
   ServerHealth Health;
   const CapacitySurvey Survey(Effects, Loads, Health);
+  const OverdueSteps Overdue;
   const RunTimeEstimator RunTimes;
   ShareSettings Settings;
   Settings.IsEnabled_ = true;
@@ -354,11 +355,9 @@
   for (int Round = 0; Round < Rounds; ++Round) {
     CapacityShares Shares(Settings, RunTimes);
     // The jobs are due 1.7 s after their acceptance at 1,000 ms.
-    const FleetView View{Registry,
-                         LiveServers,
-                         Health,
-                         Survey,
-                         At + std::chrono::milliseconds(3500),
+    const FleetView View{Registry,      LiveServers,
+                         Health,        Survey,
+                         Overdue,       At + std::chrono::milliseconds(3500),
                          WallTime(1500)};
     for (std::uint64_t I = 0; I < Servers; ++I) {
       ServerReport Report;
--- a/src/jobs/CapacityShares.cpp
+++ b/src/jobs/CapacityShares.cpp
@@ -215,6 +215,10 @@
     if (!Chosen)
       return;
     ServerRoom &Room = Survey_.rooms()[Chosen->Room_];
+    // Such a task would take the room before the bounded work does.
+    if (View.Overdue_.findFitting(View.Registry_, *Room.Server_,
+                                  Room.Free_ + Chosen->Need_))
+      return;
     Survey_.spendBudget(*Chosen);
     ++NewYields_;
     Yield Value;
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -327,9 +327,9 @@
   std::vector<TaskStart> Starts =
       Machine_.read([&](const JobRegistry &Registry) {
         Dispatcher_.survey(Registry, LiveServers_, Time_.now());
-        Shares_.update({Registry, LiveServers_, Health_,
-                        Dispatcher_.capacitySurvey(), Time_.now(),
-                        Time_.wallNow()});
+        Shares_.update(
+            {Registry, LiveServers_, Health_, Dispatcher_.capacitySurvey(),
+             Dispatcher_.overdueSteps(), Time_.now(), Time_.wallNow()});
         return Dispatcher_.planGang(Registry, LiveServers_, Time_.now());
       });
   for (const Duration &Away : Shares_.takeReturns()) {
--- a/src/jobs/ShareSurvey.h
+++ b/src/jobs/ShareSurvey.h
@@ -12,6 +12,7 @@
 
 #include "jobs/CapacitySurvey.h"
 #include "jobs/LiveServerTable.h"
+#include "jobs/OverdueSteps.h"
 #include "jobs/RunTimeEstimator.h"
 #include "jobs/ServerHealth.h"
 #include "tulipweir/jobs/LoadSettings.h"
@@ -27,6 +28,7 @@
   const LiveServerTable &LiveServers_;
   const ServerHealth &Health_;
   const CapacitySurvey &Capacity_;
+  const OverdueSteps &Overdue_;
   TimePoint Now_;
   WallTime Wall_;
 };
--- a/tests/jobs/CapacitySharesTest.cpp
+++ b/tests/jobs/CapacitySharesTest.cpp
@@ -86,6 +86,25 @@
   EXPECT_EQ(getKept("s2").MilliCpus_, 1000) << "it stays with bounded work";
 }
 
+// Guards against tasks that are stopped for bounded work although a task that
+// is overdue takes their room, so that as many are down as before.
+TEST_F(CapacitySharesTest, NothingYieldsForRoomThatOverdueWorkTakes) {
+  for (const std::int64_t Need : {2000, 3000}) {
+    const std::string Id = "lost" + std::to_string(Need);
+    submitNow(Id, makeLasting(1, Need));
+    ASSERT_TRUE(start(makeStart(Id, 0, "s1")));
+    end(makeStart(Id, 0, "s1"), RunOutcome::Failed);
+  }
+  FILL_SERVERS(2);
+  submitNow("b", makeStep(1, 1000));
+  advance(1s);
+  EXPECT_TRUE(listYields().empty());
+  apply(CancelJob{"lost2000"});
+  submitNow("c", makeStep(1, 1000));
+  advance(1s);
+  EXPECT_EQ(listYields().size(), 1U) << "the other one does not fit";
+}
+
 TEST_F(CapacitySharesTest, StepWithoutBudgetNeverYields) {
   FILL_SERVERS(0);
   submitNow("b", makeStep(1, 1000));
--- a/tests/jobs/SharesFixture.h
+++ b/tests/jobs/SharesFixture.h
@@ -59,8 +59,8 @@
   void update() {
     Survey_.update(Registry_, LiveServers_, Shares_, Waits_, Now_);
     Overdue_.update(Registry_, Waits_, LiveServers_, Now_);
-    Shares_.update(
-        {Registry_, LiveServers_, Health_, Survey_, Now_, WallTime(Wall_)});
+    Shares_.update({Registry_, LiveServers_, Health_, Survey_, Overdue_, Now_,
+                    WallTime(Wall_)});
   }
   /// Lets time pass in updates; all servers report every half second.
   void advance(Duration By) {
