Silent servers count as no room for tasks that wait

Callers saw: after servers crashed, lost long-running tasks waited (LOST) while room was kept for them on servers of the next crash, whose leases still ran. Cause: reservations, the survey of free capacity and room_unused took each server that is not leaving for one that can start tasks, for up to a lease after its last report. So a reservation pointed at a dead server, bounded work kept the room elsewhere, and a serving task waited for the dead server's room beside its image. DispatcherTest.NoRoomIsReservedOnASilentServer and .NoTaskWaitsForCapacityOfASilentServer fail on the code before. Change: a server that has been silent for 2 s, four reports, can start nothing (LiveServerTable::canStart); the three constants for that are one (LiveServer::MaxSilence). The dispatcher's tests let their servers report, as real ones do. Elsewhere: rooms for yields and budgets of stops looked at the silence already; plans are made for servers that report.

--- a/src/jobs/CapacityForecastUpdate.cpp
+++ b/src/jobs/CapacityForecastUpdate.cpp
@@ -28,9 +28,8 @@
 /// After the end of an evacuation, servers report and start work for some
 /// seconds before a rate shows it.
 static constexpr Duration ReturnTime = 5s;
-/// A server is silent after four report intervals. If more than one in four is,
-/// the leader does not know what happens on the servers.
-static constexpr Duration MaxSilence = 2s;
+/// If more than one server in four is silent, the leader does not know what
+/// happens on the servers.
 static constexpr std::size_t MaxSilentFraction = 4;
 /// How long a forecast stays unreliable after reports were late.
 static constexpr Duration SilenceRecovery = 2s;
@@ -89,7 +88,7 @@
 
   std::size_t Silent = 0;
   for (const auto &[Id, Live] : LiveServers.servers())
-    Silent += Now - Live.LastHeard_ > MaxSilence ? 1 : 0;
+    Silent += Live.isSilent(Now) ? 1 : 0;
   if (Silent * MaxSilentFraction > LiveServers.servers().size())
     UnreliableUntil_ = std::max(UnreliableUntil_, Now + SilenceRecovery);
 
--- a/src/jobs/CapacitySurvey.cpp
+++ b/src/jobs/CapacitySurvey.cpp
@@ -48,7 +48,7 @@
                                   : Servers.upper_bound(LastSurveyed_);
   for (std::size_t Count = 0; It != Servers.end() && Count < MaxSurveyed;
        ++It, ++Count)
-    if (LiveServers.acceptsStarts(Registry, It->second))
+    if (LiveServers.canStart(Registry, It->second, Now))
       surveyServer(It->second, *LiveServers.find(It->first), Now);
   if (It != Servers.end()) {
     LastSurveyed_ = std::prev(It)->first;
@@ -79,7 +79,7 @@
                            TimePoint Now) const {
   std::vector<UsableServer> Servers;
   for (const auto &[Id, Server] : Registry.servers())
-    if (LiveServers.acceptsStarts(Registry, Server))
+    if (LiveServers.canStart(Registry, Server, Now))
       Servers.push_back(
           {&Server, Health_.getHealthState(Id, Now) == HealthState::Healthy});
   return Servers;
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -21,9 +21,6 @@
 static constexpr std::uint64_t MinPercentToFinish = 60;
 static constexpr std::uint64_t MinMsToFinish = 1500;
 static constexpr std::uint64_t Percent = 100;
-/// A server that was silent for longer, which is four reports, may have lost
-/// its tasks.
-static constexpr Duration MaxSilence = 2s;
 
 /// Whether the run makes no progress although nothing throttles it.
 bool JobLeader::Impl::isStalled(const StepSpec &Step, const std::string &Server,
@@ -50,7 +47,7 @@
   const auto IsAvailable = [&](const TaskKey &Other, const TaskRecord &Record) {
     for (const Placement &Placed : Record.Placements_) {
       const LiveServer *Live = LiveServers_.find(Placed.Server_);
-      if (!Live || Time_.now() - Live->LastHeard_ > MaxSilence)
+      if (!Live || Live->isSilent(Time_.now()))
         continue;
       const RunProgress *Seen = Live->findProgress(Other);
       const bool IsSeen =
--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -42,6 +42,10 @@
 
 /// The volatile state of one server.
 struct LiveServer {
+  /// A server that was silent for longer, which is four reports, starts nothing
+  /// and may have lost its tasks.
+  static constexpr Duration MaxSilence = std::chrono::seconds(2);
+
   std::uint64_t LastSequence_ = 0;
   TimePoint LastHeard_{};
   std::optional<SendTime> LastSent_; ///< When the last report was sent.
@@ -85,6 +89,8 @@
   /// Bounds the duration of a run whose end is in the last report and which the
   /// one before named; otherwise nothing is certain.
   RunTimeBounds boundRunTime(const TaskKey &Task, std::uint64_t Run) const;
+  /// Returns whether the server has not been heard for a while.
+  bool isSilent(TimePoint Now) const { return Now - LastHeard_ > MaxSilence; }
   /// Whether the server is neither leaving nor being emptied, as far as known.
   bool isInService() const {
     return !IsDraining_ && !IsRemoving_ && !IsEmptying_;
@@ -126,6 +132,13 @@
     const LiveServer *Live = find(Server.Facts_.Id_);
     return Live && Live->isInService() && !Registry.isEvacuated(Server.Facts_);
   }
+  /// Whether the server accepts starts and has reported lately, so that it can
+  /// be told to start something.
+  bool canStart(const JobRegistry &Registry, const ServerRecord &Server,
+                TimePoint Now) const {
+    return acceptsStarts(Registry, Server) &&
+           !find(Server.Facts_.Id_)->isSilent(Now);
+  }
   /// Returns the reserved resources of runs that are in progress on the server
   /// but not placed there in the replicated state, as far as their jobs are
   /// known.
--- a/src/jobs/OverdueSteps.cpp
+++ b/src/jobs/OverdueSteps.cpp
@@ -53,12 +53,13 @@
 }
 
 void OverdueSteps::findRooms(const JobRegistry &Registry,
-                             const LiveServerTable &LiveServers) {
+                             const LiveServerTable &LiveServers,
+                             TimePoint Now) {
   Rooms_.clear();
   for (const auto &[Id, Server] : Registry.servers()) {
     const Resources Free = Server.Facts_.Capacity_ - Server.Used_;
     if (Free.MilliCpus_ >= LeastCpus_ &&
-        LiveServers.acceptsStarts(Registry, Server))
+        LiveServers.canStart(Registry, Server, Now))
       Rooms_.push_back({&Server, Free});
   }
   const auto Kept = Rooms_.begin() + static_cast<std::ptrdiff_t>(
@@ -96,7 +97,7 @@
                                 TimePoint Now) {
   const std::map<ReadyStep, Wait> Previous = std::exchange(Waits_, {});
   if (!Needs_.empty())
-    findRooms(Registry, LiveServers);
+    findRooms(Registry, LiveServers, Now);
   for (const auto &[Step, Need] : Needs_) {
     const Room *Largest = findRoomForTwo(Registry, Step);
     if (!Largest)
--- a/src/jobs/OverdueSteps.h
+++ b/src/jobs/OverdueSteps.h
@@ -90,7 +90,7 @@
   };
 
   void findRooms(const JobRegistry &Registry,
-                 const LiveServerTable &LiveServers);
+                 const LiveServerTable &LiveServers, TimePoint Now);
   const Room *findRoomForTwo(const JobRegistry &Registry,
                              const ReadyStep &Step) const;
   void measureWaits(const JobRegistry &Registry,
--- a/src/jobs/ShareSurvey.cpp
+++ b/src/jobs/ShareSurvey.cpp
@@ -79,7 +79,7 @@
   const bool MayStart =
       View.LiveServers_.acceptsStarts(View.Registry_, Server) &&
       Live.LastSequence_ > 0 && Live.NoStartsUntil_ <= View.Now_ &&
-      View.Now_ - Live.LastHeard_ <= MaxSilence &&
+      !Live.isSilent(View.Now_) &&
       View.Health_.getHealthState(Id, View.Now_) == HealthState::Healthy;
   if (!MayStart)
     return NoRoom;
--- a/src/jobs/ShareSurvey.h
+++ b/src/jobs/ShareSurvey.h
@@ -91,7 +91,7 @@
       if (!Live)
         continue;
       const std::size_t Room = addRoom(View, Server, *Live);
-      if (View.Now_ - Live->LastHeard_ > MaxSilence)
+      if (Live->isSilent(View.Now_))
         continue;
       for (std::size_t At = 0; At < Live->Progress_.size(); ++At) {
         const RunningTask &Running = Live->Running_[At];
@@ -118,9 +118,6 @@
 
 private:
   static constexpr std::size_t NoRoom = static_cast<std::size_t>(-1);
-  /// As for the budgets of other stops: a server that was silent for longer may
-  /// have lost its tasks.
-  static constexpr Duration MaxSilence = std::chrono::seconds(2);
   /// Tasks of a step that are at work, of those it has.
   struct Budget {
     std::int64_t Available_ = 0;
--- a/src/jobs/WaitExplainer.cpp
+++ b/src/jobs/WaitExplainer.cpp
@@ -49,7 +49,8 @@
   if (!Spec.getReserved().fitsIn(Free))
     return StartObstacle::Full;
   const LiveServer *Live = LiveServers.find(Id);
-  if (!Live || !Live->isInService() || Live->NoStartsUntil_ > Now)
+  if (!Live || !Live->isInService() || Live->isSilent(Now) ||
+      Live->NoStartsUntil_ > Now)
     return StartObstacle::Unavailable;
   if (Health_.getHealthState(Id, Now) != HealthState::Healthy)
     return StartObstacle::Quarantined;
@@ -170,7 +171,7 @@
   for (const ServerRecord *Server : listExamined(Registry)) {
     const Resources Free = Server->Facts_.Capacity_ - Server->Used_;
     if (Free.MilliCpus_ >= LeastCpus &&
-        LiveServers.acceptsStarts(Registry, *Server))
+        LiveServers.canStart(Registry, *Server, Now))
       WithRoom.push_back(Server);
   }
   std::vector<std::pair<ReadyStep, std::string>> Found;
--- a/tests/jobs/DispatcherFixture.h
+++ b/tests/jobs/DispatcherFixture.h
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <map>
+#include <set>
+#include <string>
 
 namespace tulipweir::jobs::test {
 
@@ -28,9 +30,14 @@
     Dispatcher_.releaseProposed(Starts);
     return Starts;
   }
+  /// Lets time pass in which all servers report but those in Silent_.
   void advance(Duration By) {
     Now_ += By;
     Wall_ += std::chrono::duration_cast<WallTime>(By).count();
+    for (const auto &[Id, Server] : Registry_.servers())
+      if (LiveServer *Live = LiveServers_.find(Id);
+          Live && Silent_.count(Id) == 0)
+        Live->LastHeard_ = Now_;
   }
   /// Trains the model until the pair interferes.
   void trainInterference(const std::string &Serving,
@@ -79,6 +86,7 @@
 
   TimePoint Now_{std::chrono::hours(1)};
   std::int64_t Wall_ = 1000;
+  std::set<std::string> Silent_; ///< Servers by id.
   LiveServerTable LiveServers_;
   InterferenceModel Interference_;
   ServingLoads Loads_;
--- a/tests/jobs/DispatcherReservationsTest.cpp
+++ b/tests/jobs/DispatcherReservationsTest.cpp
@@ -121,3 +121,29 @@
   submit(makeJob("filling", {makeFilling(1, "f")}));
   EXPECT_EQ(plan("s1").size(), 1U);
 }
+
+// Guards against room that is reserved on a server that has crashed and whose
+// lease still runs, so that bounded work keeps the room elsewhere.
+TEST_F(DispatcherTest, NoRoomIsReservedOnASilentServer) {
+  Silent_.insert("s1");
+  submitNow(makeJob("short", {makeStep(3, 1000)}));
+  ASSERT_EQ(plan("s2").size(), 3U);
+  submit(makeJob("lasting", {makeServing(1, "a", 3000)}));
+  Dispatcher_.observe(Registry_, Now_);
+  advance(ReadyTimes::MaxLongRunningWait + 100ms);
+  plan("s2");
+  const auto &Reserved = Dispatcher_.capacitySurvey().reservations();
+  ASSERT_EQ(Reserved.size(), 1U);
+  EXPECT_EQ(Reserved.begin()->first, "s2");
+}
+
+// Guards against a serving task that waits for a server with its image which
+// has crashed.
+TEST_F(DispatcherTest, NoTaskWaitsForCapacityOfASilentServer) {
+  submit(makeJob("first", {makeServing(1, "a")}));
+  ASSERT_EQ(plan("s1").size(), 1U);
+  Silent_.insert("s1");
+  advance(3s);
+  submitNow(makeJob("second", {makeServing(1, "a")}));
+  EXPECT_EQ(plan("s2").size(), 1U);
+}
