Less urgent overdue tasks hold up no yield and take no kept room

The order of service goes by priority first, so a yield for urgent bounded work was not ordered because of a task that would not get the room, and an overdue task took room kept for more urgent work. Change: only overdue tasks of the same or a more urgent priority hold up a yield; room kept for more urgent work stays kept. The count of plans beside overdue tasks follows the same order. Evidence: CapacitySharesTest.LessUrgentOverdueWorkPreventsNoYield fails without the comparison. Found by reading the change; no play showed it.

--- a/src/jobs/CapacityShares.cpp
+++ b/src/jobs/CapacityShares.cpp
@@ -216,8 +216,12 @@
       return;
     ServerRoom &Room = Survey_.rooms()[Chosen->Room_];
     // Such a task would take the room before the bounded work does.
-    if (View.Overdue_.findFitting(View.Registry_, *Room.Server_,
-                                  Room.Free_ + Chosen->Need_))
+    const bool IsOwed = View.Overdue_.findFitting(
+        View.Registry_, *Room.Server_, Room.Free_ + Chosen->Need_,
+        [&Step](const ReadyStep &Overdue) {
+          return Overdue.Priority_ <= Step.Step_.Priority_;
+        });
+    if (IsOwed)
       return;
     Survey_.spendBudget(*Chosen);
     ++NewYields_;
@@ -362,11 +366,13 @@
          std::to_string(Value.NeededCpus_) + " thousandths of a processor";
 }
 
-const Resources *
-CapacityShares::findKeptForBounded(const std::string &ServerId,
-                                   std::uint64_t Priority) const {
+const Resources *CapacityShares::findKeptForBounded(const std::string &ServerId,
+                                                    std::uint64_t Priority,
+                                                    bool IsOverdue) const {
   const auto It = Kept_.find(ServerId);
-  const bool IsKeptFrom =
-      It != Kept_.end() && It->second.For_.Priority_ <= Priority;
+  if (It == Kept_.end())
+    return nullptr;
+  const std::uint64_t KeptFor = It->second.For_.Priority_;
+  const bool IsKeptFrom = IsOverdue ? KeptFor < Priority : KeptFor <= Priority;
   return IsKeptFrom ? &It->second.Share_ : nullptr;
 }
--- a/src/jobs/CapacityShares.h
+++ b/src/jobs/CapacityShares.h
@@ -52,10 +52,11 @@
   /// Returns the figures that decided the yield, for the log.
   std::string describeYield(const TaskKey &Task) const;
   /// Returns the part of the server's capacity that long-running work of this
-  /// priority leaves to bounded work; nullptr if there is none. What bounded
-  /// runs reserve there is a part of it.
+  /// priority leaves to bounded work, overdue work only to more urgent work;
+  /// nullptr if there is none. What bounded runs reserve there is a part of it.
   const Resources *findKeptForBounded(const std::string &ServerId,
-                                      std::uint64_t Priority) const;
+                                      std::uint64_t Priority,
+                                      bool IsOverdue = false) const;
   /// Returns whether the waiting bounded step would be late unless it starts
   /// soon.
   bool isEndangered(const ReadyStep &Step) const {
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -92,12 +92,11 @@
 /// Returns the free capacity that the long-running step leaves to bounded work.
 Resources Dispatcher::getKeptForBounded(const ServerPlan &Plan,
                                         const ReadyStep &Step) const {
-  if (Overdue_.contains(Step) ||
-      PassedOver_.getTime(Step, Plan.Now_) >= MaxKeptTime)
+  if (PassedOver_.getTime(Step, Plan.Now_) >= MaxKeptTime)
     return {};
   const ServerRecord &Server = Plan.Server_;
-  const Resources *Share =
-      Shares_.findKeptForBounded(Server.Facts_.Id_, Step.Priority_);
+  const Resources *Share = Shares_.findKeptForBounded(
+      Server.Facts_.Id_, Step.Priority_, Overdue_.contains(Step));
   if (!Share)
     return {};
   const Resources Used =
@@ -241,11 +240,9 @@
   const bool MayFail =
       Fit == HealthState::Probation ||
       (Fit == HealthState::Quarantined && !Health_.wasSlow(ServerId));
-  ServerPlan Plan{*Server, RemainingCapacity::compute(*Server, Loads_),
-                  Now,     {},
-                  {},      MayFail ? 1 : MaxStartsPerReport,
-                  MayFail, std::nullopt,
-                  {},      {}};
+  ServerPlan Plan{*Server, RemainingCapacity::compute(*Server, Loads_), Now};
+  Plan.MaxStarts_ = MayFail ? 1 : MaxStartsPerReport;
+  Plan.MayFail_ = MayFail;
   Plan.Remaining_.Free_ =
       Plan.Remaining_.Free_ - LiveServers.sumUnplacedUsage(Registry, *Server);
   PassedOver_.recordRoom(Plan.Remaining_.Free_.MilliCpus_, Now);
@@ -280,6 +277,13 @@
   const ReadyStep *Step = Overdue_.findFitting(
       Registry, Plan.Server_, Left + Plan.StartedBounded_,
       [&](const ReadyStep &Ready) {
+        const bool FitsInLeft = Registry.findJob(Ready.Job_)
+                                    ->Spec_.Steps_[Ready.Step_]
+                                    .getReserved()
+                                    .fitsIn(Left);
+        // More urgent work comes first.
+        if (!FitsInLeft && Ready.Priority_ > Plan.BoundedPriority_)
+          return false;
         const std::vector<TaskRecord> &Tasks =
             getStepRecord(Registry, Ready).Tasks_;
         TaskKey Key{Ready.Job_, Ready.Occurrence_, Ready.Step_, 0};
@@ -436,8 +440,10 @@
     PlannedWaits_.push_back(Waited);
     IsIdleJob = false;
     Plan.Remaining_.place(Step);
-    if (!Step.LongRunning_)
+    if (!Step.LongRunning_) {
       Plan.StartedBounded_ = Plan.StartedBounded_ + Step.getReserved();
+      Plan.BoundedPriority_ = std::max(Plan.BoundedPriority_, Ready.Priority_);
+    }
     if (Step.Fills_)
       getHeadroom(Plan).place(Step.Image_, Step.Need_.MilliCpus_);
     ++TasksHere;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -128,21 +128,22 @@
     const ServerRecord &Server_;
     RemainingCapacity Remaining_;
     TimePoint Now_;
-    std::vector<TaskStart> Starts_;
+    std::vector<TaskStart> Starts_{};
     /// Reserved by the starts that are not long-running.
-    Resources StartedBounded_;
-    std::size_t MaxStarts_;
-    bool MayFail_; ///< The server may let all its runs fail.
+    Resources StartedBounded_{};
+    std::uint64_t BoundedPriority_ = 0; ///< The least urgent one of these.
+    std::size_t MaxStarts_ = 0;
+    bool MayFail_ = false; ///< The server may let all its runs fail.
     /// How much filling work the serving tasks on the server tolerate. Computed
     /// on first use, as most reports come while no waiting filling task would
     /// fit.
-    std::optional<TailHeadroom> Headroom_;
+    std::optional<TailHeadroom> Headroom_{};
     /// By filling image, the smallest processor need of a rejected task: of a
     /// task that still waits for a server without interference, and of any
     /// task. A rejection holds for the whole plan, as capacity only shrinks
     /// meanwhile. Most of a long queue is skipped this way.
-    std::vector<std::int64_t> RejectedCpusAvoidingInterference_;
-    std::vector<std::int64_t> RejectedCpus_;
+    std::vector<std::int64_t> RejectedCpusAvoidingInterference_{};
+    std::vector<std::int64_t> RejectedCpus_{};
   };
 
   std::optional<TaskStart> planIsolated(const JobRegistry &Registry,
--- a/tests/jobs/CapacitySharesTest.cpp
+++ b/tests/jobs/CapacitySharesTest.cpp
@@ -237,6 +237,29 @@
   EXPECT_EQ(listYields().size(), 1U) << "work of the same priority";
 }
 
+// Guards against urgent bounded work that waits for less urgent tasks which are
+// overdue.
+TEST_F(CapacitySharesTest, LessUrgentOverdueWorkPreventsNoYield) {
+  Configuration Two = makeConfiguration(2);
+  Two.Queues_.push_back(Two.Queues_.front());
+  Two.Queues_.back().PathPrefix_ = "/later/";
+  Two.Queues_.back().Priority_ = 1;
+  apply(PutConfiguration{Two});
+  submitNow("lost", makeLasting(1, 2000), "/later/");
+  ASSERT_TRUE(start(makeStart("lost", 0, "s1")));
+  end(makeStart("lost", 0, "s1"), RunOutcome::Failed);
+  FILL_SERVERS(2);
+  submitNow("b", makeStep(1, 1000));
+  advance(1s);
+  const std::vector<TaskStart> Yields = listYields();
+  ASSERT_EQ(Yields.size(), 1U);
+  const std::string &Server = Yields[0].Server_;
+  const bool IsOverdue = true;
+  EXPECT_NE(Shares_.findKeptForBounded(Server, 1, IsOverdue), nullptr);
+  EXPECT_EQ(Shares_.findKeptForBounded(Server, 0, IsOverdue), nullptr);
+  EXPECT_NE(Shares_.findKeptForBounded(Server, 0, !IsOverdue), nullptr);
+}
+
 // A task that returned may not yield again before the others had their turn.
 TEST_F(CapacitySharesTest, TaskThatYieldedLatelyDoesNotYield) {
   runLasting("l", makeLasting(1, 4000), "s1");
