Names: one meaning of overdue in the dispatcher

OverdueSteps are lost long-running tasks that must start again. What the dispatcher called overdue, steps that take a server which is not healthy, is named acceptsAnyServer and OnlyAsLastResort now; the steps that the survey reserves servers for are Preferred.

--- a/src/jobs/CapacitySurvey.cpp
+++ b/src/jobs/CapacitySurvey.cpp
@@ -165,20 +165,20 @@
   const auto GetFree = [](const UsableServer &Entry) {
     return Entry.Server_->Facts_.Capacity_ - Entry.Server_->Used_;
   };
-  std::vector<const ReadyStep *> Overdue;
+  std::vector<const ReadyStep *> Preferred;
   std::int64_t LeastCpus = std::numeric_limits<std::int64_t>::max();
   for (const ReadyStep &Ready : Registry.readyLongRunningSteps())
     if (Waits.takesPrecedence(Ready, Now)) {
-      Overdue.push_back(&Ready);
+      Preferred.push_back(&Ready);
       LeastCpus = std::min(LeastCpus, Registry.findJob(Ready.Job_)
                                           ->Spec_.Steps_[Ready.Step_]
                                           .getReserved()
                                           .MilliCpus_);
     }
-  if (Overdue.empty())
+  if (Preferred.empty())
     return;
   if (Shares.isEnabled())
-    sortByRank(Registry, Overdue);
+    sortByRank(Registry, Preferred);
   std::vector<UsableServer> Servers = listUsable(Registry, LiveServers, Now);
   // There may be hundreds of steps and of servers, but on a full fleet few
   // servers can make room for any of the steps.
@@ -194,7 +194,7 @@
   std::int64_t MostCpus = 0;
   for (const UsableServer &Entry : Servers)
     MostCpus = std::max(MostCpus, getReclaimable(*Entry.Server_).MilliCpus_);
-  for (const ReadyStep *Each : Overdue) {
+  for (const ReadyStep *Each : Preferred) {
     const ReadyStep &Ready = *Each;
     if (RemainingReservations == 0)
       break;
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -234,8 +234,8 @@
   // jobs, probation ends only with a completed run, and most suspected runs are
   // harmless. A long-running task that must not wait any longer is better off
   // on such a server than on none.
-  const bool OnlyOverdue =
-      !IsFit || Closure == IsolationPlanner::Closure::OnlyOverdue;
+  const bool OnlyAsLastResort =
+      !IsFit || Closure == IsolationPlanner::Closure::OnlyAsLastResort;
   // A task that fails at once tells that the others would, too.
   const bool MayFail =
       Fit == HealthState::Probation ||
@@ -253,7 +253,7 @@
   for (const Candidate &Entry : Order_.candidates()) {
     if (isFull(Plan))
       break;
-    if (OnlyOverdue && !isOverdue(Registry, Entry.Step_, Now))
+    if (OnlyAsLastResort && !acceptsAnyServer(Registry, Entry.Step_, Now))
       continue;
     const bool MayFit =
         Entry.Reserved_.fitsIn(Plan.Remaining_.Free_) &&
@@ -266,7 +266,7 @@
   }
   audit(Registry, Plan);
   // A copy would take capacity that a long-running task waits for.
-  if (!OnlyOverdue && !Survey_.hasWaitingLongRunning())
+  if (!OnlyAsLastResort && !Survey_.hasWaitingLongRunning())
     planCopies(Registry, Plan);
   return std::move(Plan.Starts_);
 }
@@ -302,8 +302,8 @@
 
 /// Returns whether the step is long-running, and has waited for too long for a
 /// healthy server.
-bool Dispatcher::isOverdue(const JobRegistry &Registry, const ReadyStep &Step,
-                           TimePoint Now) {
+bool Dispatcher::acceptsAnyServer(const JobRegistry &Registry,
+                                  const ReadyStep &Step, TimePoint Now) {
   const JobRecord *Job = Registry.findJob(Step.Job_);
   return Job && Job->Spec_.Steps_[Step.Step_].LongRunning_ &&
          ReadyTimes_.takesPrecedence(Step, Now) &&
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -150,8 +150,8 @@
                                         const LiveServerTable &LiveServers,
                                         const ServerRecord &Server,
                                         TimePoint Now);
-  bool isOverdue(const JobRegistry &Registry, const ReadyStep &Step,
-                 TimePoint Now);
+  bool acceptsAnyServer(const JobRegistry &Registry, const ReadyStep &Step,
+                        TimePoint Now);
   void audit(const JobRegistry &Registry, const ServerPlan &Plan);
   bool isFull(const ServerPlan &Plan) const;
   TailHeadroom &getHeadroom(ServerPlan &Plan) const;
--- a/src/jobs/IsolationPlanner.cpp
+++ b/src/jobs/IsolationPlanner.cpp
@@ -100,8 +100,8 @@
 /// Returns whether a long-running task that must not wait any longer may start
 /// beside the unproved run. A crash before the new run has settled is not
 /// conclusive, so from the third crash of the suspect on nothing may.
-static bool isOpenToOverdue(const TaskRecord &Task, const LiveServer *Live,
-                            const TaskKey &Key, std::uint64_t Run) {
+static bool isOpenAsLastResort(const TaskRecord &Task, const LiveServer *Live,
+                               const TaskKey &Key, std::uint64_t Run) {
   return Live && Task.Crashes_.size() < MaxIsolationWait.size() &&
          Live->getObservedTime(Key, Run) >=
              std::chrono::milliseconds(SettledAgeMs);
@@ -124,9 +124,9 @@
     const TaskRecord &Task = *Registry.findTask(Key);
     if (!isIsolating(Key, Task) || !mayStillCrash(Task, Live, Key, Run))
       continue;
-    if (!isOpenToOverdue(Task, Live, Key, Run))
+    if (!isOpenAsLastResort(Task, Live, Key, Run))
       return Closure::Closed;
-    Strictest = Closure::OnlyOverdue;
+    Strictest = Closure::OnlyAsLastResort;
   }
   return Strictest;
 }
--- a/src/jobs/IsolationPlanner.h
+++ b/src/jobs/IsolationPlanner.h
@@ -30,7 +30,7 @@
   using MayRun = std::function<bool(const JobRecord &Job, const TaskKey &Task)>;
   /// What may start beside a suspected run: all, only long-running tasks that
   /// must not wait any longer, or nothing.
-  enum class Closure : std::uint8_t { Open, OnlyOverdue, Closed };
+  enum class Closure : std::uint8_t { Open, OnlyAsLastResort, Closed };
 
   // Commands.
 
--- a/tests/jobs/IsolationPlannerTest.cpp
+++ b/tests/jobs/IsolationPlannerTest.cpp
@@ -101,7 +101,7 @@
   end(makeStart("early", 0, "s1", 3), RunOutcome::Done);
   crash("settled", 1, 2, 1500);
   EXPECT_EQ(getClosureAfter("settled", 1s),
-            IsolationPlanner::Closure::OnlyOverdue);
+            IsolationPlanner::Closure::OnlyAsLastResort);
 }
 
 TEST_F(IsolationPlannerTest, NothingStartsBesideASuspectOfThreeCrashes) {
