Overdue is a property of a task, not of its step

Cause: a step counted as overdue once it had been ready for 3 s with a task that ran before. Where tasks of a step fail by turns, and each is back within half a second, the step is always ready, so it stood before endangered bounded work for good. Change: OverdueSteps keeps since when each waiting task has waited; a step is overdue with one of its tasks. A new leader takes the first waits from those of the steps, which all members note.

--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -64,6 +64,7 @@
   void recordLoss(const JobRegistry &Registry,
                   const std::map<TaskKey, std::uint64_t> &Runs) {
     ReadyTimes_.recordLoss(Registry, Runs);
+    Overdue_.recordLoss(Runs);
   }
   /// Notes since when long-running work has waited. Called periodically, also
   /// while another member leads.
@@ -204,6 +205,7 @@
   PassedOverTimes PassedOver_;
   OverdueSteps Overdue_;
   std::vector<PlanBesideOverdue> PlansBesideOverdue_;
+  TimePoint NextAudit_{};
   SchedulingOrder Order_{RunTimes_, Shares_};
 };
 
--- a/src/jobs/OverdueSteps.cpp
+++ b/src/jobs/OverdueSteps.cpp
@@ -23,17 +23,50 @@
   return Registry.findJob(Step.Job_)->Spec_.Steps_[Step.Step_];
 }
 
+void OverdueSteps::recordLoss(const std::map<TaskKey, std::uint64_t> &Runs) {
+  for (const auto &[Task, Run] : Runs)
+    Tasks_[Task] = {Run, {}, true};
+}
+
+/// Notes since when the task has waited. HasStepWaited tells that its step has
+/// been ready for MaxReturnWait.
+bool OverdueSteps::isOverdue(const TaskKey &Task, const TaskRecord &Record,
+                             bool HasStepWaited, TimePoint Now) {
+  const auto [It, IsFirst] = Tasks_.try_emplace(Task);
+  WaitingTask &Waiting = It->second;
+  if (IsFirst || Waiting.Run_ != Record.LastRun_) {
+    const bool HasWaited = IsNew_ && HasStepWaited;
+    Waiting = {Record.LastRun_, HasWaited ? Now - MaxReturnWait : Now, false};
+  }
+  return Waiting.IsLost_ || Now - Waiting.Since_ >= MaxReturnWait;
+}
+
 void OverdueSteps::update(const JobRegistry &Registry, const ReadyTimes &Waits,
                           const LiveServerTable &LiveServers, TimePoint Now) {
   Needs_.clear();
   LeastCpus_ = std::numeric_limits<std::int64_t>::max();
+  std::erase_if(Tasks_, [&Registry](const auto &Entry) {
+    const TaskRecord *Task = Registry.findTask(Entry.first);
+    return !Task || Task->State_ != TaskState::Waiting;
+  });
   for (const ReadyStep &Step : Registry.readyLongRunningSteps()) {
-    if (!Waits.isOverdue(Step, Now) || !hasLostTask(Registry, Step))
+    const bool HasStepWaited = Waits.hasWaitedSince(Step, Now - MaxReturnWait);
+    const std::vector<TaskRecord> &Tasks = getStepRecord(Registry, Step).Tasks_;
+    bool IsAnyOverdue = false;
+    TaskKey Key{Step.Job_, Step.Occurrence_, Step.Step_, 0};
+    for (; Key.Index_ < Tasks.size(); ++Key.Index_) {
+      const TaskRecord &Task = Tasks[Key.Index_];
+      if (Task.State_ == TaskState::Waiting && Task.LastRun_ > 0 &&
+          isOverdue(Key, Task, HasStepWaited, Now))
+        IsAnyOverdue = true;
+    }
+    if (!IsAnyOverdue)
       continue;
     const Resources Need = getSpec(Registry, Step).getReserved();
     Needs_.emplace_hint(Needs_.end(), Step, Need);
     LeastCpus_ = std::min(LeastCpus_, Need.MilliCpus_);
   }
+  IsNew_ = false;
   if (Now < NextMeasurement_)
     return;
   NextMeasurement_ = Now + MeasureInterval;
--- a/src/jobs/OverdueSteps.h
+++ b/src/jobs/OverdueSteps.h
@@ -1,9 +1,9 @@
 //===- OverdueSteps.h - Lost long-running work that is overdue --*- C++ -*-===//
 //
-// Long-running steps with tasks that ran before and must run again soon: their
-// server was removed, or they have waited for some seconds. Also measures for
-// how long on end the fleet has had room for such a task. Deterministic: reads
-// no clock and does no I/O.
+// Long-running steps with tasks that ran before and must run again soon: the
+// task's server was removed, or it has waited for some seconds. Also measures
+// for how long on end the fleet has had room for such a task. Deterministic:
+// reads no clock and does no I/O.
 //
 //===----------------------------------------------------------------------===//
 
@@ -36,9 +36,18 @@
   /// which such a task must start.
   static constexpr Duration LongWait = std::chrono::milliseconds(1500);
 
+  /// A task that ran before is overdue after this time: half of the longest
+  /// absence, which the expiry of a lease takes alone.
+  static constexpr Duration MaxReturnWait = std::chrono::seconds(3);
+
   // Commands.
 
+  /// Called when this member begins to lead. The next update takes the waits of
+  /// tasks from those of their steps.
   void reset();
+  /// Records that the server of these runs was removed. Their tasks have been
+  /// down for a lease already, so they are overdue at once.
+  void recordLoss(const std::map<TaskKey, std::uint64_t> &Runs);
   /// Finds the steps; called some twenty times a second.
   void update(const JobRegistry &Registry, const ReadyTimes &Waits,
               const LiveServerTable &LiveServers, TimePoint Now);
@@ -79,6 +88,15 @@
   }
 
 private:
+  /// A waiting task that ran before.
+  struct WaitingTask {
+    std::uint64_t Run_ = 0; ///< The last one.
+    TimePoint Since_{};
+    bool IsLost_ = false; ///< With its server.
+  };
+
+  bool isOverdue(const TaskKey &Task, const TaskRecord &Record,
+                 bool HasStepWaited, TimePoint Now);
   /// Returns whether the server can run a task of the step that fits.
   static bool isEligible(const JobRegistry &Registry, const ReadyStep &Step,
                          const ServerRecord &Server);
@@ -101,6 +119,8 @@
     bool IsReported_ = false;
   };
 
+  std::map<TaskKey, WaitingTask> Tasks_;
+  bool IsNew_ = true;                    ///< No update since the last reset.
   std::map<ReadyStep, Resources> Needs_; ///< Of one task of each step.
   /// The least of Needs_, in thousandths of a processor.
   std::int64_t LeastCpus_ = std::numeric_limits<std::int64_t>::max();
--- a/src/jobs/ReadyTimes.h
+++ b/src/jobs/ReadyTimes.h
@@ -19,9 +19,6 @@
   /// are too small. Long-running tasks must not be down for more than some
   /// seconds.
   static constexpr Duration MaxLongRunningWait = std::chrono::seconds(2);
-  /// Such work with tasks that ran before is overdue after this time: half of
-  /// the longest absence, which the expiry of a lease takes alone.
-  static constexpr Duration MaxReturnWait = std::chrono::seconds(3);
 
   // Commands.
 
@@ -64,11 +61,6 @@
   bool takesPrecedence(const ReadyStep &Step, TimePoint Now) {
     return getWait(Step, Now) >= MaxLongRunningWait || Lost_.count(Step) != 0;
   }
-  /// Returns whether tasks of the long-running step, if they ran before, must
-  /// start before all other work.
-  bool isOverdue(const ReadyStep &Step, TimePoint Now) const {
-    return Lost_.count(Step) != 0 || hasWaitedSince(Step, Now - MaxReturnWait);
-  }
   /// Returns whether the step is known to have been ready since then.
   bool hasWaitedSince(const ReadyStep &Step, TimePoint Since) const {
     const auto It = Since_.find(Step);
--- a/tests/jobs/OverdueStepsTest.cpp
+++ b/tests/jobs/OverdueStepsTest.cpp
@@ -55,7 +55,7 @@
 // have waited once more.
 TEST_F(OverdueStepsTest, TasksOfARemovedServerAreOverdueAtOnce) {
   loseTasks("lost", makeLasting(1, 1000));
-  Waits_.recordLoss(Registry_, {{{"lost", 0, 0, 0}, 1}});
+  Overdue_.recordLoss({{{"lost", 0, 0, 0}, 1}});
   waitFor(0ms);
   EXPECT_TRUE(Overdue_.contains(*Registry_.readyLongRunningSteps().begin()));
 }
@@ -115,3 +115,31 @@
   ASSERT_NE(Find(2000), nullptr);
   EXPECT_EQ(Find(2000)->Job_, "plain");
 }
+
+// Guards against a step that counts as overdue for good, as its tasks fail by
+// turns and each runs again soon.
+TEST_F(OverdueStepsTest, TasksThatFailByTurnsAreNotOverdue) {
+  submitNow("failing", makeLasting(2, 900));
+  ASSERT_TRUE(start(makeStart("failing", 0, "s1")));
+  ASSERT_TRUE(start(makeStart("failing", 1, "s1")));
+  std::uint64_t Runs[2] = {1, 1};
+  for (std::uint64_t Round = 0; Round < 20; ++Round) {
+    const std::uint64_t Task = Round % 2;
+    end({{"failing", 0, 0, Task}, Runs[Task], "s1"}, RunOutcome::Failed);
+    if (Round > 0) {
+      ASSERT_TRUE(start({{"failing", 0, 0, 1 - Task}, ++Runs[1 - Task], "s1"}));
+    }
+    Waits_.observe(Registry_, Now_);
+    waitFor(500ms);
+    EXPECT_TRUE(Overdue_.isEmpty());
+  }
+}
+
+// Guards against a new leader that lets tasks wait anew.
+TEST_F(OverdueStepsTest, WaitsOfStepsCountAfterAChangeOfLeader) {
+  loseTasks("lost", makeLasting(1, 1000));
+  waitFor(4s);
+  Overdue_.reset();
+  waitFor(0ms);
+  EXPECT_FALSE(Overdue_.isEmpty());
+}
