Filling work does not change the order of overdue steps

Cause: the smallest overdue tasks came first as soon as anything but long-running work waited. A filling step reserves nothing and makes no room, but it turned the order round at each update. Change: bounded steps that reserve processors decide, as of the last update.

--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -38,6 +38,7 @@
   FillingImages_.clear();
   Minimum_ = {Unlimited, Unlimited, Unlimited};
   Value_.reset();
+  HasBounded_ = false;
   LastAddedSequence_ = 0;
   UpdatedAt_ = TimePoint::min();
 }
@@ -211,9 +212,8 @@
   };
   // Bounded work makes small rooms all the time; ranked by jobs, small tasks
   // would wait beside them.
-  const bool IsOverdueByJob =
-      Shares_ &&
-      Registry.readySteps().size() == Registry.readyLongRunningSteps().size();
+  const bool IsOverdueByJob = Shares_ && !HasBounded_;
+  HasBounded_ = false;
   std::uint64_t Priority = 0;
   for (const ReadyStep *Each : listConsidered(Registry)) {
     const ReadyStep &Ready = *Each;
@@ -223,6 +223,7 @@
     const JobRecord &Job = *Registry.findJob(Ready.Job_);
     const OccurrenceRecord &Occurrence = *Job.findOccurrence(Ready.Occurrence_);
     const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    HasBounded_ = HasBounded_ || (!Step.LongRunning_ && !Step.Fills_);
     const std::size_t Lateness =
         Step.LongRunning_ ? 0 : getLateness(Job, Occurrence, Now, Wall);
     const bool IsFirstClass =
--- a/src/jobs/SchedulingOrder.h
+++ b/src/jobs/SchedulingOrder.h
@@ -93,6 +93,8 @@
   JobValueEstimator Value_{RunTimes_};
   std::uint64_t LastAddedSequence_ = 0; ///< Of the newest job in Value_.
   std::uint64_t Version_ = 0; ///< Of the ready steps, at the last update.
+  /// Whether bounded steps that reserve processors waited at the last update.
+  bool HasBounded_ = false;
   TimePoint UpdatedAt_ = TimePoint::min();
 };
 
--- a/tests/jobs/SchedulingOrderTest.cpp
+++ b/tests/jobs/SchedulingOrderTest.cpp
@@ -166,6 +166,13 @@
       Jobs.push_back(Entry.Step_.Job_);
     return Jobs;
   }
+  /// Lets time pass in which servers offer room for all tasks.
+  void offerRoom(Duration Time) {
+    for (const TimePoint End = Now_ + Time; Now_ < End; advance(100ms)) {
+      PassedOver_.recordRoom(1000, Now_);
+      PassedOver_.update(Registry_, Now_);
+    }
+  }
   /// Starts all tasks of a step and loses some of them.
   void runAndLose(const std::string &Job, const StepSpec &Step,
                   std::uint64_t Lost) {
@@ -218,16 +225,28 @@
 TEST_F(SharesOrderTest, OverdueStepsThatArePassedOverComeFirst) {
   runAndLose("lost", makeLasting(2, 900), 1);
   listJobs();
-  const auto OfferRoom = [this](Duration Time) {
-    for (const TimePoint End = Now_ + Time; Now_ < End; advance(100ms)) {
-      PassedOver_.recordRoom(1000, Now_);
-      PassedOver_.update(Registry_, Now_);
-    }
-  };
-  OfferRoom(2s);
+  offerRoom(2s);
   submitNow("bounded", makeStep(1, 5000));
-  OfferRoom(700ms);
+  offerRoom(700ms);
   EXPECT_EQ(listJobs().front(), "bounded") << "the other is not overdue yet";
-  OfferRoom(400ms);
+  offerRoom(400ms);
   EXPECT_EQ(listJobs(), (std::vector<std::string>{"lost", "bounded"}));
 }
+
+// Guards against an order that flips with work which makes no room.
+TEST_F(SharesOrderTest, FillingWorkDoesNotChangeTheOrderOfOverdueSteps) {
+  runAndLose("lacks1", makeLasting(2, 900), 1);
+  runAndLose("lacks3", makeLasting(3, 500), 3);
+  listJobs();
+  offerRoom(4s);
+  ASSERT_EQ(listJobs(), (std::vector<std::string>{"lacks1", "lacks3"}));
+  submitNow("filling", makeFilling(1, "f"));
+  offerRoom(400ms);
+  listJobs();
+  offerRoom(200ms);
+  EXPECT_EQ(listJobs().front(), "lacks1");
+  submitNow("bounded", makeStep(1, 5000));
+  listJobs();
+  offerRoom(200ms);
+  EXPECT_EQ(listJobs().front(), "lacks3") << "its tasks are smaller";
+}
