--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -42,6 +42,9 @@
 /// servers have room for it, time and again: such tasks must not wait for some
 /// seconds beside room.
 static constexpr Duration MaxKeptTime = 2s;
+/// Plans are audited no more often: on a large fleet thousands are made in a
+/// second, each beside hundreds of overdue steps.
+static constexpr Duration AuditInterval = 5ms;
 /// Limits the starts in one answer to a report.
 static constexpr std::size_t MaxStartsPerReport = 64;
 
@@ -273,6 +276,9 @@
 
 /// Records a plan that is made beside an overdue task which would fit.
 void Dispatcher::audit(const JobRegistry &Registry, const ServerPlan &Plan) {
+  if (Overdue_.isEmpty() || Plan.Now_ < NextAudit_)
+    return;
+  NextAudit_ = Plan.Now_ + AuditInterval;
   const Resources Left = Plan.Remaining_.Free_;
   const ReadyStep *Step = Overdue_.findFitting(
       Registry, Plan.Server_, Left + Plan.StartedBounded_,
@@ -396,6 +402,21 @@
   AnyCpus = std::min(AnyCpus, Step.IdleNeeded_);
 }
 
+/// Returns the indices of the waiting tasks; if LostFirst, tasks that ran
+/// before come before those that never did.
+static std::vector<std::uint64_t>
+listWaiting(const std::vector<TaskRecord> &Tasks, bool LostFirst) {
+  std::vector<std::uint64_t> Indices;
+  for (std::uint64_t Index = 0; Index < Tasks.size(); ++Index)
+    if (Tasks[Index].State_ == TaskState::Waiting)
+      Indices.push_back(Index);
+  if (LostFirst)
+    std::stable_partition(
+        Indices.begin(), Indices.end(),
+        [&Tasks](std::uint64_t Index) { return Tasks[Index].LastRun_ > 0; });
+  return Indices;
+}
+
 /// Adds starts of the step's tasks as long as they fit.
 void Dispatcher::planStep(const JobRegistry &Registry, const Candidate &Entry,
                           ServerPlan &Plan) {
@@ -413,10 +434,10 @@
   const StepRecord &Record =
       Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
   const std::vector<TaskRecord> &Tasks = Record.Tasks_;
-  for (std::uint64_t Index = 0; Index < Tasks.size(); ++Index) {
+  for (const std::uint64_t Index : listWaiting(Tasks, Step.LongRunning_)) {
     const TaskRecord &Task = Tasks[Index];
     Key.Index_ = Index;
-    if (Task.State_ != TaskState::Waiting || Isolation_.isIsolating(Key, Task))
+    if (Isolation_.isIsolating(Key, Task))
       continue;
     const bool IsCrowded =
         Step.SpreadLimit_ > 0 && TasksHere >= Step.SpreadLimit_;
@@ -468,7 +489,7 @@
           const std::string &Id = Server.Facts_.Id_;
           const LiveServer *Live = LiveServers.find(Id);
           // Until its first report to this leader a server may be draining.
-          return LiveServers.acceptsStarts(Registry, Server) &&
+          return LiveServers.canStart(Registry, Server, Now) &&
                  Live->LastSequence_ > 0 && Live->NoStartsUntil_ <= Now &&
                  LiveServers.sumUnplacedUsage(Registry, Server) ==
                      Resources{} &&
--- a/tests/jobs/DispatcherReservationsTest.cpp
+++ b/tests/jobs/DispatcherReservationsTest.cpp
@@ -147,3 +147,30 @@
   submitNow(makeJob("second", {makeServing(1, "a")}));
   EXPECT_EQ(plan("s2").size(), 1U);
 }
+
+// Guards against a gang that waits for a lease, as a part of it was placed on a
+// server that has crashed.
+TEST_F(DispatcherTest, NoGangStartsOnASilentServer) {
+  for (const char *Id : {"s1", "s2"})
+    LiveServers_.find(Id)->LastSequence_ = 1;
+  Silent_.insert("s2");
+  advance(3s);
+  StepSpec Gang = makeStep(2, 3000);
+  Gang.Gang_ = true;
+  submitNow(makeJob("gang", {Gang}));
+  Dispatcher_.survey(Registry_, LiveServers_, Now_);
+  EXPECT_TRUE(Dispatcher_.planGang(Registry_, LiveServers_, Now_).empty());
+}
+
+// Guards against a lost task that stays down while tasks of its step that never
+// ran take the room.
+TEST_F(DispatcherTest, LostTaskComesBeforeNewOnesOfItsStep) {
+  submit(makeJob("l", {makeServing(3, "a", 3000)}));
+  ASSERT_TRUE(start(makeStart("l", 2, "s1")));
+  end(makeStart("l", 2, "s1"), RunOutcome::LeaseExpired);
+  Dispatcher_.observe(Registry_, Now_);
+  advance(4s);
+  const auto Starts = plan("s1");
+  ASSERT_EQ(Starts.size(), 1U);
+  EXPECT_EQ(Starts[0].Task_.Index_, 2U);
+}
