An unclear maintenance order ends only the server it was planned for

Callers saw: after the answer to a maintenance order was lost, tasks of the VM's next server ran twice (TWICE), and that server got neither leases nor work again. Cause: the repeated order named the server that the list showed by then. The provider answers 200 also if the maintenance is already done, and the leader removed the named server as ended, without waiting for its lease. The same happened to a new leader that repeated its predecessor's order, after a beginning that could not be recorded, after a busy answer to a repeated order, and with two waves of one VM. Change: the planner keeps, by wave and VM, the server of the first order that may have been carried out, and later orders name it: whichever order ended the VM's servers, that one has ended. A leader removes a server on the answer only if the wave was accepted in its own term, as no other leader can have ordered then. Otherwise the server's lease decides: it expires, or the server goes on. A VM with an order of one wave that is in flight or unclear gets none of another. Ruled out: proof by a later report alone. A silent server may run, so silence within the lease proves nothing. Evidence: WavePlannerTest.RepeatedOrderNamesTheServerOfTheFirst, .OrderAfterAnUnrecordedBeginningNamesTheFirstServer, .VmWithAnUnclearOrderGetsNoOrderOfAnotherWave, JobWavesTest.RepeatedOrderRemovesNoLaterServer and .NewLeaderRemovesNoServerOfAnEarlierLeadersWave fail on the code before.

--- a/src/jobs/JobLeaderWaves.cpp
+++ b/src/jobs/JobLeaderWaves.cpp
@@ -11,15 +11,17 @@
   if (!Provider_.isAvailable())
     return Reply(fail(ErrorCode::Unavailable,
                       "the settings configure no provider of VMs"));
-  proposeOrder(StartWave{Spec},
-               [this, Spec, Reply](const Outcome<CommandResult> &Applied) {
-                 if (!Applied)
-                   return Reply(Applied.error());
-                 logWave(Spec.Id_, "", "accepted",
-                         std::to_string(Spec.Vms_.size()) + " VMs, at most " +
-                             std::to_string(Spec.MaxConcurrent_) + " at once");
-                 Reply(succeed());
-               });
+  proposeOrder(StartWave{Spec}, [this, Spec, Reply, Term = Term_](
+                                    const Outcome<CommandResult> &Applied) {
+    if (!Applied)
+      return Reply(Applied.error());
+    if (Term == Term_ && Applied.value().Status_ == CommandStatus::Done)
+      Waves_.recordStart(Spec.Id_);
+    logWave(Spec.Id_, "", "accepted",
+            std::to_string(Spec.Vms_.size()) + " VMs, at most " +
+                std::to_string(Spec.MaxConcurrent_) + " at once");
+    Reply(succeed());
+  });
 }
 
 void JobLeader::Impl::showWave(std::uint64_t Wave,
@@ -125,10 +127,12 @@
   propose(RecordMaintenanceStart{Order.Wave_, Order.Vm_},
           [](const Outcome<CommandResult> &) {});
   const bool IsOver = Reply.value() == MaintenanceReply::Begun &&
+                      Waves_.provesEnd(Order) &&
                       Machine_.read([&Order](const JobRegistry &Registry) {
                         return Registry.findServer(Order.Server_) != nullptr;
                       });
-  // The incarnation has ended: it runs no tasks and sends no reports.
+  // The incarnation has ended: it runs no tasks and sends no reports. Without
+  // proof of that, its lease expires first, and it continues if it runs.
   if (IsOver)
     removeOnceFlushed(Order.Server_, Departure::Maintained,
                       [](const Outcome<CommandResult> &) {});
--- a/src/jobs/WavePlanner.cpp
+++ b/src/jobs/WavePlanner.cpp
@@ -114,9 +114,16 @@
       const auto State = Orders_.find(Vm);
       const bool IsUnclear = State != Orders_.end() && State->second.IsUnclear_;
       const auto Retry = RetryAt_.find(Vm);
-      const bool HasToWait = Retry != RetryAt_.end() && Now < Retry->second;
+      const bool IsInFlight =
+          State != Orders_.end() && State->second.IsInFlight_;
+      const bool HasToWait =
+          IsInFlight || (Retry != RetryAt_.end() && Now < Retry->second);
       if (Wave.hasBegun(Vm))
         continue;
+      // An answer must speak of this wave's orders only.
+      if (State != Orders_.end() && State->second.Wave_ != Id &&
+          State->second.mayBeDown())
+        continue;
       // A VM that no longer exists is ordered too: the answer completes its
       // part of the wave.
       const std::string Server =
@@ -133,8 +140,10 @@
       // counted.
       const bool HasFreeSlot = IsUnclear || Down < Wave.Spec_.MaxConcurrent_;
       const bool IsReady = !Record || mayMaintain(Registry, *Record, Now);
+      const auto First = PlannedFor_.find({Id, Vm});
       if (!Next && !HasToWait && HasFreeSlot && (IsUnclear || IsReady))
-        Next = MaintenanceOrder{Id, Vm, Server};
+        Next = MaintenanceOrder{
+            Id, Vm, First == PlannedFor_.end() ? Server : First->second};
     }
   }
   DrainingSince_ = std::move(Draining);
@@ -159,11 +168,16 @@
     // Only these errors mean that the order was not carried out, and only this
     // order, not an earlier one.
     const ErrorCode Why = Reply.error().Code_;
-    if (Why != ErrorCode::Overfull && Why != ErrorCode::Unavailable)
+    if (Why != ErrorCode::Overfull && Why != ErrorCode::Unavailable) {
       State.IsUnclear_ = true;
+      PlannedFor_.try_emplace({Order.Wave_, Order.Vm_}, Order.Server_);
+    }
     return false;
   }
   State.IsUnclear_ = false;
+  // The order is repeated if the beginning cannot be recorded.
+  if (Reply.value() == MaintenanceReply::Begun)
+    PlannedFor_.try_emplace({Order.Wave_, Order.Vm_}, Order.Server_);
   switch (Reply.value()) {
   case MaintenanceReply::Begun:
     State.IsDown_ = true;
--- a/src/jobs/WavePlanner.h
+++ b/src/jobs/WavePlanner.h
@@ -24,7 +24,9 @@
 struct MaintenanceOrder {
   std::uint64_t Wave_ = 0;
   std::string Vm_;
-  std::string Server_; ///< The backend server on the VM, as last listed.
+  /// The incarnation that the VM's first order was planned for: an answer to a
+  /// repeated order may speak of any earlier one.
+  std::string Server_;
   bool operator==(const MaintenanceOrder &) const = default;
 };
 
@@ -34,6 +36,9 @@
   // Commands.
 
   void reset();
+  /// Records that the wave was started in this term, so that no other leader
+  /// has sent an order for it.
+  void recordStart(std::uint64_t Wave) { StartedHere_.insert(Wave); }
   /// Stores the provider's list, which was requested at AskedAt.
   void updateVms(const VmList &List, TimePoint AskedAt);
   /// Chooses the servers to drain and returns the next order, if one may be
@@ -50,6 +55,12 @@
 
   // Queries.
 
+  /// Returns whether the order's server has certainly ended once the order was
+  /// answered with Begun. An order of an earlier leader may have ended the
+  /// server before it; then the order's server runs.
+  bool provesEnd(const MaintenanceOrder &Order) const {
+    return StartedHere_.count(Order.Wave_) != 0;
+  }
   /// Returns whether the server must start nothing, as its VM is next.
   bool isDraining(const std::string &ServerId) const {
     return DrainingSince_.count(ServerId) != 0;
@@ -81,6 +92,10 @@
   std::map<std::string, TimePoint> DrainingSince_;
   /// By VM, when a next order may be sent after a busy answer or an error.
   std::map<std::string, TimePoint> RetryAt_;
+  /// By wave and VM, the server that the first order was planned for which may
+  /// have been carried out.
+  std::map<std::pair<std::uint64_t, std::string>, std::string> PlannedFor_;
+  std::set<std::uint64_t> StartedHere_; ///< Waves that began in this term.
   /// Another leader has a higher fencing token; this term sends no more orders.
   bool IsFenced_ = false;
 };
--- a/tests/jobs/JobWavesTest.cpp
+++ b/tests/jobs/JobWavesTest.cpp
@@ -227,3 +227,43 @@
     return Registry.findServer("s1") == nullptr && Registry.isOver("s1");
   }));
 }
+
+// Guards against a running server that is removed on the answer to a repeated
+// order, so that its tasks run twice and it never has work again.
+TEST_F(JobWavesTest, RepeatedOrderRemovesNoLaterServer) {
+  report(makeReport("s1"));
+  startWave({"v1"});
+  Strand_.advance(3500ms);
+  ASSERT_EQ(Provider_.Orders_.size(), 1U);
+  Provider_.Vms_[0].Server_ = "s3";
+  report(makeReport("s3"));
+  answer(fail(ErrorCode::Timeout, "no answer"));
+  Strand_.advance(1s);
+  report(makeReport("s3"));
+  ASSERT_EQ(Provider_.Orders_.size(), 2U);
+  answer(MaintenanceReply::Begun);
+  EXPECT_TRUE(showWave(3).value().isCompleted());
+  EXPECT_TRUE(Machine_.read([](const JobRegistry &Registry) {
+    return Registry.findServer("s3") && Registry.isOver("s1");
+  }));
+  EXPECT_NE(report(makeReport("s3")).LeaseMs_, 0U);
+}
+
+// Guards against a new leader that removes a running server on an answer which
+// speaks of its predecessor's order.
+TEST_F(JobWavesTest, NewLeaderRemovesNoServerOfAnEarlierLeadersWave) {
+  report(makeReport("s1"));
+  startWave({"v1"});
+  Strand_.advance(3500ms);
+  ASSERT_EQ(Provider_.Orders_.size(), 1U);
+  beginNextTerm();
+  Provider_.Vms_[0].Server_ = "s3";
+  for (int I = 0; I < 40 && Provider_.Orders_.size() < 2; ++I) {
+    report(makeReport("s3"));
+    Strand_.advance(100ms);
+  }
+  ASSERT_EQ(Provider_.Orders_.size(), 2U);
+  answer(MaintenanceReply::Begun);
+  EXPECT_TRUE(showWave(3).value().isCompleted());
+  EXPECT_NE(report(makeReport("s3")).LeaseMs_, 0U);
+}
--- a/tests/jobs/WavePlannerTest.cpp
+++ b/tests/jobs/WavePlannerTest.cpp
@@ -256,3 +256,61 @@
   apply(RecordMaintenanceStart{7, "v1"});
   EXPECT_TRUE(Registry_.waves().find(7)->isCompleted());
 }
+
+// Guards against the removal of a running server on the answer to a repeated
+// order, which speaks of the server before it.
+TEST_F(WavePlannerTest, RepeatedOrderNamesTheServerOfTheFirst) {
+  startWave(1);
+  list();
+  const auto First = order();
+  ASSERT_TRUE(First);
+  answer(*First, fail(ErrorCode::Timeout, "no answer"));
+  Now_ += 2s;
+  Planner_.updateVms({{{"v1", "booking", VmState::Up, "s9"}}, true}, Now_);
+  const auto Again = order();
+  ASSERT_TRUE(Again);
+  EXPECT_EQ(*Again, *First);
+  // The provider may check first whether the VM is up.
+  answer(*Again, MaintenanceReply::Busy);
+  Now_ += 2s;
+  Planner_.updateVms({{{"v1", "booking", VmState::Up, "s9"}}, true}, Now_);
+  const auto Third = order();
+  ASSERT_TRUE(Third);
+  EXPECT_EQ(*Third, *First);
+}
+
+// Guards against a second wave's order that hides an unclear one of the first,
+// whose answer would then name a running server.
+TEST_F(WavePlannerTest, VmWithAnUnclearOrderGetsNoOrderOfAnotherWave) {
+  apply(StartWave{{7, {"v1"}, 20'000, 1}});
+  apply(StartWave{{8, {"v1"}, 20'000, 1}});
+  list();
+  const auto First = order();
+  ASSERT_TRUE(First);
+  EXPECT_FALSE(order()) << "its order is in flight";
+  answer(*First, fail(ErrorCode::Timeout, "no answer"));
+  for (int I = 0; I < 5; ++I) {
+    Now_ += 1s;
+    list();
+    const auto Again = order();
+    ASSERT_TRUE(Again);
+    EXPECT_EQ(*Again, *First);
+    EXPECT_FALSE(order());
+    answer(*Again, fail(ErrorCode::Timeout, "no answer"));
+  }
+}
+
+// Guards against the removal of a running server after the beginning of the
+// maintenance could not be recorded.
+TEST_F(WavePlannerTest, OrderAfterAnUnrecordedBeginningNamesTheFirstServer) {
+  startWave(1);
+  list();
+  const auto First = order();
+  ASSERT_TRUE(First);
+  EXPECT_TRUE(Planner_.handleReply(*First, MaintenanceReply::Begun, Now_));
+  Now_ += 2s;
+  Planner_.updateVms({{{"v1", "booking", VmState::Up, "s9"}}, true}, Now_);
+  const auto Again = order();
+  ASSERT_TRUE(Again);
+  EXPECT_EQ(*Again, *First);
+}
