Unclear maintenance orders are repeated, and drained servers work again

Cause: a VM with an unclear order took two slots, once as down and once in the loop over the wave. The remaining slot went to a VM before it in the wave, which could not be ordered, and the loop ended: the unclear order was never repeated, and the other VM's server stayed drained. Besides: a server after an unclear order was drained; a server drained in advance had no end to that; an old list drained servers while the provider was silent; a VM listed as down after its maintenance held its slot for ever; a busy answer to a repeated order freed the slot though the VM may be in maintenance; of several unclear orders, the same two were repeated. Change: a VM that was ordered uses the slot it has. The VM whose order was answered the longest ago comes first. An unclear order drains only the server it was planned for. A server drained in advance takes work again after 10 s, and none is drained or newly ordered by a list older than 5 s. A VM that a later list shows as down 10 s after its order no longer counts; a busy VM of an unclear order counts until a later list shows it. Evidence: WavePlannerTest.UnclearOrderIsRepeatedBehindAVmThatWaits, .UnclearOrdersAreRepeatedInTurns, .ServerAfterAnUnclearOrderTakesWork, .DrainedServerTakesWorkAgainIfItsTurnDoesNotCome, .NothingIsDrainedByAnOldList, .VmThatDoesNotComeBackReleasesItsSlot and .BusyVmOfAnUnclearOrderCountsUntilItIsListed fail on the code before.

--- a/src/jobs/WavePlanner.cpp
+++ b/src/jobs/WavePlanner.cpp
@@ -14,6 +14,16 @@
 static constexpr Duration MaxDrainTime = 6s;
 /// Delay after an order that was refused for the moment, or not answered.
 static constexpr Duration RetryDelay = 500ms;
+/// A server that was drained in advance takes work again after this time if
+/// its turn has not come: MaxDrainTime and some seconds, in which most VMs are
+/// up again.
+static constexpr Duration MaxTurnWait = 10s;
+/// A VM that is listed as down, and not in maintenance, this long after its
+/// order no longer counts: most VMs are up again after some seconds.
+static constexpr Duration MaxReturnTime = 10s;
+/// Nothing is drained or newly ordered by an older list; the provider is asked
+/// for one each ListInterval.
+static constexpr Duration MaxListAge = 5s;
 /// While VMs are down, this many times as many servers are drained in advance.
 static constexpr std::uint64_t DrainedAheadFactor = 1;
 
@@ -23,6 +33,7 @@
   std::map<std::string, VmInfo> Vms;
   for (const VmInfo &Info : List.Vms_)
     Vms[Info.Vm_] = Info;
+  const std::map<std::string, VmInfo> Named = Vms;
   // If some rows of the list name no VM, a VM that is missing from the list may
   // still exist; it must not be counted as up.
   if (!List.IsComplete_)
@@ -38,7 +49,11 @@
   for (auto &[Vm, State] : Orders_) {
     // A list that was requested before the order does not show its effect.
     const bool IsLater = AskedAt > State.At_;
-    if (IsLater && isUp(Vm))
+    const auto Listed = Named.find(Vm);
+    const bool IsGivenUp = Listed != Named.end() &&
+                           Listed->second.State_ == VmState::Down &&
+                           AskedAt - State.At_ >= MaxReturnTime;
+    if (IsLater && (isUp(Vm) || IsGivenUp))
       State.IsDown_ = false;
   }
 }
@@ -95,12 +110,17 @@
 std::optional<MaintenanceOrder> WavePlanner::plan(const JobRegistry &Registry,
                                                   TimePoint Now) {
   std::map<std::string, TimePoint> Draining;
+  std::set<std::string> Resting;
   std::optional<MaintenanceOrder> Next;
+  // The VM whose order was answered the longest ago comes first, so that none
+  // is starved.
+  TimePoint NextSince = TimePoint::max();
   // Without a list the servers of the VMs are not known.
   if (!HasList_ || IsFenced_) {
     DrainingSince_.clear();
     return std::nullopt;
   }
+  const bool IsListOld = Now - ListedAt_ > MaxListAge;
   for (const auto &[Id, Wave] : Registry.waves().waves()) {
     if (Wave.isCompleted())
       continue;
@@ -108,45 +128,59 @@
     std::uint64_t Slots = Wave.Spec_.MaxConcurrent_ * (1 + DrainedAheadFactor);
     Slots -= std::min(Slots, Down);
     for (const std::string &Vm : Wave.Spec_.Vms_) {
-      if (Slots == 0)
-        break;
-      const auto Listed = Vms_.find(Vm);
-      const auto State = Orders_.find(Vm);
-      const bool IsUnclear = State != Orders_.end() && State->second.IsUnclear_;
-      const auto Retry = RetryAt_.find(Vm);
-      const bool IsInFlight =
-          State != Orders_.end() && State->second.IsInFlight_;
-      const bool HasToWait =
-          IsInFlight || (Retry != RetryAt_.end() && Now < Retry->second);
       if (Wave.hasBegun(Vm))
         continue;
+      const auto Listed = Vms_.find(Vm);
+      const auto Known = Orders_.find(Vm);
+      const OrderState State =
+          Known == Orders_.end() ? OrderState() : Known->second;
       // An answer must speak of this wave's orders only.
-      if (State != Orders_.end() && State->second.Wave_ != Id &&
-          State->second.mayBeDown())
+      if (State.mayBeDown() && State.Wave_ != Id)
+        continue;
+      if (!State.IsUnclear_ && (!isUp(Vm) || IsListOld))
         continue;
+      // Down includes the VM if it was ordered.
+      if (!State.mayBeDown()) {
+        if (Slots == 0)
+          continue;
+        --Slots;
+      }
       // A VM that no longer exists is ordered too: the answer completes its
       // part of the wave.
       const std::string Server =
           Listed == Vms_.end() ? "" : Listed->second.Server_;
-      const ServerRecord *Record = Registry.findServer(Server);
-      if (!isUp(Vm) && !IsUnclear)
-        continue;
-      --Slots;
-      if (!Server.empty()) {
+      const auto First = PlannedFor_.find({Id, Vm});
+      const std::string Planned =
+          First == PlannedFor_.end() ? Server : First->second;
+      const bool IsTurn = State.mayBeDown() || Down < Wave.Spec_.MaxConcurrent_;
+      // A server that came after the one of an unclear order takes work.
+      const bool IsLater = State.IsUnclear_ && Server != Planned;
+      if (!Server.empty() && !IsListOld && !IsLater) {
         const auto It = DrainingSince_.find(Server);
-        Draining[Server] = It == DrainingSince_.end() ? Now : It->second;
+        const TimePoint Since = It == DrainingSince_.end() ? Now : It->second;
+        const bool IsResting = !IsTurn && (Resting_.count(Server) != 0 ||
+                                           Now - Since >= MaxTurnWait);
+        if (IsResting)
+          Resting.insert(Server);
+        else
+          Draining[Server] = Since;
       }
+      const auto Retry = RetryAt_.find(Vm);
+      if (State.IsInFlight_ || (Retry != RetryAt_.end() && Now < Retry->second))
+        continue;
+      const ServerRecord *Record = Registry.findServer(Server);
+      const bool IsReady = !Record || mayMaintain(Registry, *Record, Now);
       // An order without a clear answer is sent again; its VM is already
       // counted.
-      const bool HasFreeSlot = IsUnclear || Down < Wave.Spec_.MaxConcurrent_;
-      const bool IsReady = !Record || mayMaintain(Registry, *Record, Now);
-      const auto First = PlannedFor_.find({Id, Vm});
-      if (!Next && !HasToWait && HasFreeSlot && (IsUnclear || IsReady))
-        Next = MaintenanceOrder{
-            Id, Vm, First == PlannedFor_.end() ? Server : First->second};
+      const bool MayOrder = State.IsUnclear_ || (IsTurn && IsReady);
+      if (MayOrder && State.At_ < NextSince) {
+        Next = MaintenanceOrder{Id, Vm, Planned};
+        NextSince = State.At_;
+      }
     }
   }
   DrainingSince_ = std::move(Draining);
+  Resting_ = std::move(Resting);
   return Next;
 }
 
@@ -174,6 +208,10 @@
     }
     return false;
   }
+  // After an unclear order a busy VM may be in maintenance: it counts until a
+  // later list shows its state.
+  if (State.IsUnclear_ && Reply.value() == MaintenanceReply::Busy)
+    State.IsDown_ = true;
   State.IsUnclear_ = false;
   // The order is repeated if the beginning cannot be recorded.
   if (Reply.value() == MaintenanceReply::Begun)
--- a/src/jobs/WavePlanner.h
+++ b/src/jobs/WavePlanner.h
@@ -90,6 +90,8 @@
   std::map<std::string, OrderState> Orders_; ///< By VM.
   /// By server id, when draining began.
   std::map<std::string, TimePoint> DrainingSince_;
+  /// Servers that take work again, as their VMs' turn did not come in time.
+  std::set<std::string> Resting_;
   /// By VM, when a next order may be sent after a busy answer or an error.
   std::map<std::string, TimePoint> RetryAt_;
   /// By wave and VM, the server that the first order was planned for which may
--- a/tests/jobs/WavePlannerTest.cpp
+++ b/tests/jobs/WavePlannerTest.cpp
@@ -260,7 +260,7 @@
 // Guards against the removal of a running server on the answer to a repeated
 // order, which speaks of the server before it.
 TEST_F(WavePlannerTest, RepeatedOrderNamesTheServerOfTheFirst) {
-  startWave(1);
+  apply(StartWave{{7, {"v1"}, 20'000, 1}});
   list();
   const auto First = order();
   ASSERT_TRUE(First);
@@ -303,7 +303,7 @@
 // Guards against the removal of a running server after the beginning of the
 // maintenance could not be recorded.
 TEST_F(WavePlannerTest, OrderAfterAnUnrecordedBeginningNamesTheFirstServer) {
-  startWave(1);
+  apply(StartWave{{7, {"v1"}, 20'000, 1}});
   list();
   const auto First = order();
   ASSERT_TRUE(First);
@@ -314,3 +314,117 @@
   ASSERT_TRUE(Again);
   EXPECT_EQ(*Again, *First);
 }
+
+// Guards against a wave that stands still because a VM that waits for a slot
+// takes the one of an unclear order.
+TEST_F(WavePlannerTest, UnclearOrderIsRepeatedBehindAVmThatWaits) {
+  submit(makeJob("j", {makeStep(1, 1000)}));
+  start(makeStart("j", 0, "s1"));
+  startWave(1);
+  list();
+  const auto First = order();
+  ASSERT_TRUE(First);
+  EXPECT_EQ(First->Vm_, "v2") << "v1 still has a task";
+  answer(*First, fail(ErrorCode::Timeout, "no answer"));
+  Now_ += 1s;
+  list();
+  const auto Again = order();
+  ASSERT_TRUE(Again);
+  EXPECT_EQ(*Again, *First);
+}
+
+// Guards against several unclear orders of which one is never repeated.
+TEST_F(WavePlannerTest, UnclearOrdersAreRepeatedInTurns) {
+  startWave(3);
+  list();
+  std::map<std::string, int> Orders;
+  for (int I = 0; I < 12; ++I) {
+    const auto Next = order();
+    ASSERT_TRUE(Next);
+    ++Orders[Next->Vm_];
+    Now_ += 2s;
+    answer(*Next, fail(ErrorCode::Timeout, "no answer"));
+    list();
+  }
+  EXPECT_EQ(Orders,
+            (std::map<std::string, int>{{"v1", 4}, {"v2", 4}, {"v3", 4}}));
+}
+
+// Guards against a sound server that gets no work while the order that ended
+// the server before it is unclear.
+TEST_F(WavePlannerTest, ServerAfterAnUnclearOrderTakesWork) {
+  startWave(1);
+  list();
+  answer(*order(), fail(ErrorCode::Timeout, "no answer"));
+  Now_ += 1s;
+  Planner_.updateVms({{{"v1", "booking", VmState::Up, "s9"}}, true}, Now_);
+  EXPECT_TRUE(order());
+  EXPECT_FALSE(Planner_.isDraining("s9"));
+}
+
+// Guards against a drained server that stays without work because another VM
+// of its wave does not come back.
+TEST_F(WavePlannerTest, DrainedServerTakesWorkAgainIfItsTurnDoesNotCome) {
+  startWave(1);
+  list();
+  answer(*order(), MaintenanceReply::Begun);
+  States_["v1"] = VmState::Maintenance;
+  for (int I = 0; I < 30; ++I) {
+    Now_ += 1s;
+    list();
+    EXPECT_FALSE(order());
+    EXPECT_EQ(Planner_.isDraining("s2"), I < 9) << "after " << I + 1 << " s";
+    EXPECT_FALSE(Planner_.isDraining("s3"));
+  }
+  States_["v1"] = VmState::Up;
+  list();
+  EXPECT_TRUE(order()) << "its turn has come";
+  EXPECT_TRUE(Planner_.isDraining("s2"));
+}
+
+// Guards against servers that stay without work while the provider is silent.
+TEST_F(WavePlannerTest, NothingIsDrainedByAnOldList) {
+  submit(makeJob("j", {makeStep(1, 1000)}));
+  start(makeStart("j", 0, "s1"));
+  apply(StartWave{{7, {"v1"}, 20'000, 1}});
+  list();
+  EXPECT_FALSE(order());
+  EXPECT_TRUE(Planner_.isDraining("s1"));
+  Now_ += 6s;
+  EXPECT_FALSE(order());
+  EXPECT_FALSE(Planner_.isDraining("s1"));
+  list();
+  EXPECT_FALSE(order()) << "its task has time to end again";
+  EXPECT_TRUE(Planner_.isDraining("s1"));
+}
+
+// Guards against a wave that never ends because one VM failed in maintenance.
+TEST_F(WavePlannerTest, VmThatDoesNotComeBackReleasesItsSlot) {
+  startWave(1);
+  list();
+  answer(*order(), MaintenanceReply::Begun);
+  States_["v1"] = VmState::Down;
+  Now_ += 9s;
+  list();
+  EXPECT_FALSE(order());
+  Now_ += 1s;
+  list();
+  const auto Next = order();
+  ASSERT_TRUE(Next);
+  EXPECT_EQ(Next->Vm_, "v2");
+}
+
+// Guards against more VMs in maintenance than allowed: a busy VM may be in the
+// maintenance of an unclear order.
+TEST_F(WavePlannerTest, BusyVmOfAnUnclearOrderCountsUntilItIsListed) {
+  startWave(1);
+  list();
+  answer(*order(), fail(ErrorCode::Timeout, "no answer"));
+  Now_ += 1s;
+  answer(*order(), MaintenanceReply::Busy);
+  EXPECT_FALSE(order());
+  Now_ += 100ms;
+  States_["v1"] = VmState::Maintenance;
+  list();
+  EXPECT_FALSE(order());
+}
