Long tasks are no longer stopped as stalled

What callers saw: tasks of over 200 s never ended. Each run was stopped about 2 s after its start ("it makes no progress") and began anew elsewhere.

Cause: a run counted as stalled once its percentage had stood for 2 s. It is a whole number, so it stands for longer in each run of over 200 s.

Evidence: StalledRunsTest, on the code before: a task of 297 s was stopped 124 times in 310 s and not completed, one of 15,000 s 480 times in 1,200 s.

The fix: RunStallDetector waits for 4 times the longest time that one percent of this run has taken. Until two changes were seen it also waits for 4 percents of the learned run time (its tail) or 2 percents of the declared one. The wait is never below 2 s (6 s for filling, 4 s for long-running runs), so usual runs are judged as before. It doubles with each stop of the same task, up to 1,024 times, so a task that is far longer than declared is stopped a few times: once at 297 s, 7 times at 15,000 s.

Ruled out: a longer fixed wait (hung runs of usual length are found later), the first change alone as a measure (it may come at once after the first report), and the mean of the changes (one slow phase would be a stall).

A new leader begins without the progress seen before; that is unchanged.

Failed before: StalledRunsTest.TaskOfFiveMinutesIsStoppedOnceAtMostAndEnds, .TaskOfFourHoursIsStoppedNoMoreThanItsWaitDoubles. Passed before and after: .UsualRunThatHangsIsStoppedAfterTwoSeconds, .LongRunThatHangsIsStoppedWithinFivePercents.

--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -49,6 +49,7 @@
   if (Effects_.isFull())
     Effects_.reset();
   Health_.reset();
+  Stalls_.reset();
   Crashes_.reset();
   Shares_.reset();
   Conflicts_.reset();
@@ -211,6 +212,7 @@
     if (IsPruning) {
       Loads_.prune(Registry);
       RunTimes_.prune(Registry);
+      Stalls_.prune(Registry);
       Dispatcher_.prune(Registry);
       PendingStops_.observe(Registry, Now);
     }
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -34,6 +34,7 @@
 #include "jobs/PendingStops.h"
 #include "jobs/ReportAges.h"
 #include "jobs/ReportPacing.h"
+#include "jobs/RunStallDetector.h"
 #include "jobs/RunTimeEstimator.h"
 #include "jobs/WavePlanner.h"
 #include "replication/LeaderWatch.h"
@@ -243,7 +244,8 @@
                        const char *Reason);
   void logQuarantine(const std::string &Server, const std::string &Job,
                      const char *Reason);
-  bool isStalled(const StepSpec &Step, const std::string &Server,
+  bool isStalled(const JobRegistry &Registry, const StepSpec &Step,
+                 const TaskKey &Task, const std::string &Server,
                  const RunProgress &Progress, TimePoint Now) const;
   /// Stopping lists the runs that the current answer stops.
   bool shouldEvacuate(const JobRegistry &Registry, const StepSpec &Step,
@@ -291,6 +293,7 @@
   AdviceCache Advice_;
   CrashHistory Crashes_;
   RunTimeEstimator RunTimes_;
+  RunStallDetector Stalls_{RunTimes_};
   CapacityShares Shares_{Settings_.Shares_, RunTimes_};
   AdmissionController Admission_{Settings_.Admission_, RunTimes_,
                                  Shares_.getStatus()};
--- a/src/jobs/JobLeaderOrders.cpp
+++ b/src/jobs/JobLeaderOrders.cpp
@@ -10,12 +10,6 @@
 /// elsewhere, unless its progress has reached the second percentage.
 static constexpr std::uint64_t MinPaceToStay = 40;
 static constexpr std::uint64_t MinPercentToStay = 90;
-/// The time without progress after which a run counts as stalled. Usual runs of
-/// 0.6 to 3 s progress with every report. Filling runs may have to wait for
-/// idle processors, and long-running ones need time to start.
-static constexpr Duration DefaultStallTime = 2s;
-static constexpr Duration FillingStallTime = 6s;
-static constexpr Duration LongRunningStallTime = 4s;
 /// On a server that leaves, a run with at least this progress may finish, if
 /// the server has more time left than a stop and its report take.
 static constexpr std::uint64_t MinPercentToFinish = 60;
@@ -23,20 +17,21 @@
 static constexpr std::uint64_t Percent = 100;
 
 /// Whether the run makes no progress although nothing throttles it.
-bool JobLeader::Impl::isStalled(const StepSpec &Step, const std::string &Server,
+bool JobLeader::Impl::isStalled(const JobRegistry &Registry,
+                                const StepSpec &Step, const TaskKey &Task,
+                                const std::string &Server,
                                 const RunProgress &Progress,
                                 TimePoint Now) const {
   const Duration StalledFor = Now - Progress.ChangedAt_;
-  // The default is the least of the three times, so this check is enough for
-  // most runs.
-  if (StalledFor < DefaultStallTime || Step.Gang_)
+  // This check is enough for most runs.
+  if (StalledFor < RunStallDetector::MinStallTime || Step.Gang_)
     return false;
-  if (Step.LongRunning_)
-    return Progress.Percent_ < Percent && StalledFor >= LongRunningStallTime;
-  if (!Step.Fills_)
-    return true;
-  return StalledFor >= FillingStallTime &&
-         Paces_.getMinPace(Server) == PaceController::FullPace;
+  if (Step.LongRunning_ && Progress.Percent_ >= Percent)
+    return false;
+  if (Step.Fills_ && Paces_.getMinPace(Server) != PaceController::FullPace)
+    return false;
+  return StalledFor >=
+         Stalls_.getStallTime(*Registry.findJob(Task.Job_), Task, Progress);
 }
 
 /// Whether so few other tasks of the step are unavailable that this one may be
@@ -151,8 +146,8 @@
     const std::map<TaskKey, std::uint64_t> &Stopping) {
   const RunningTask &Running = Report.Running_[At];
   const bool IsSeen = At < Live.Progress_.size();
-  if (IsSeen &&
-      isStalled(Step, Report.Facts_.Id_, Live.Progress_[At], Time_.now()))
+  if (IsSeen && isStalled(Registry, Step, Running.Task_, Report.Facts_.Id_,
+                          Live.Progress_[At], Time_.now()))
     return StallReason;
   if (shouldEvacuate(Registry, Step, Live, Report, Running, Stopping))
     return "its server is draining or due for maintenance";
@@ -266,8 +261,10 @@
     Line.Reason_ = Reason == YieldReason ? Shares_.describeYield(Task.Task_)
                                          : std::string(Reason);
     Log_.write(Line);
-    if (Reason == StallReason)
+    if (Reason == StallReason) {
+      Stalls_.recordStop(Task.Task_);
       recordFailedRun(Report.Facts_.Id_, Task.Task_.Job_, "runs stalled");
+    }
     if (Reason == YieldReason) {
       Shares_.recordStop(Task.Task_, Task.Run_);
       Meter_.add(JobCounter::TasksYielded, 1);
--- a/src/jobs/LiveServerTable.cpp
+++ b/src/jobs/LiveServerTable.cpp
@@ -96,8 +96,8 @@
   std::size_t Expected = 0;
   for (const RunningTask &Run : Live.Running_) {
     RunProgress Progress{
-        Run.Run_,        Run.Percent_,      Now, Now, Run.Percent_,
-        *Live.LastSent_, Live.PreviousSent_};
+        Run.Run_,        Run.Percent_,       Now, Now, Run.Percent_,
+        *Live.LastSent_, Live.PreviousSent_, 0,   {}};
     const std::size_t At =
         findRun(Live.PreviousRunning_, Run.Task_, Run.Run_, Expected);
     if (At < Live.PreviousRunning_.size()) {
@@ -106,8 +106,18 @@
       Progress.FirstPercent_ = Previous.FirstPercent_;
       Progress.FirstSent_ = Previous.FirstSent_;
       Progress.SentBefore_ = Previous.SentBefore_;
+      Progress.Changes_ = Previous.Changes_;
+      Progress.LongestPercentTime_ = Previous.LongestPercentTime_;
       if (Previous.Percent_ == Run.Percent_)
         Progress.ChangedAt_ = Previous.ChangedAt_;
+      if (Previous.Percent_ < Run.Percent_) {
+        const auto Percents =
+            static_cast<std::int64_t>(Run.Percent_ - Previous.Percent_);
+        ++Progress.Changes_;
+        Progress.LongestPercentTime_ =
+            std::max<Duration>(Progress.LongestPercentTime_,
+                               (Now - Previous.ChangedAt_) / Percents);
+      }
       Expected = At + 1;
     }
     Live.Progress_.push_back(Progress);
--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -31,6 +31,9 @@
   SendTime FirstSent_;             ///< The first report that named the run.
   /// The report before that, which did not name it; nothing if unknown.
   std::optional<SendTime> SentBefore_;
+  std::uint64_t Changes_ = 0; ///< How often its percentage was seen to rise.
+  /// The longest time that one percent has taken, by these changes.
+  Duration LongestPercentTime_{};
 };
 
 /// The last pace order that was sent for a run.
