Filling tasks resume after a change of leader

What callers saw: a filling task that was paced down to 0 stayed at 0 for ever once another member led, if that one needed no paces on the server.

Cause: addPaceOrders does nothing on a server without paces below full speed, and a new leader knows none; so it never compared the use of the run with the full speed that it assumed.

The fix: for 6 s (four repeat delays) from the first report of a server that was registered before this term, orders are considered in any case. A run whose use does not match its pace is then sent it, as after a lost order.

Ruled out: sending full speed with the first report (it would release tasks before the tails are known).

--- a/src/jobs/LiveServerTable.cpp
+++ b/src/jobs/LiveServerTable.cpp
@@ -157,6 +157,7 @@
 void LiveServerTable::add(const std::string &Id, TimePoint Now,
                           TimePoint LeaseEnd) {
   LiveServer &Live = Servers_[Id];
+  Live.MayHavePaces_ = true;
   Live.LastHeard_ = Now;
   Live.LeaseEnd_ = std::max(Live.LeaseEnd_, LeaseEnd);
   boundFirstLeaseEnd(Live);
--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -81,6 +81,11 @@
   std::map<TaskKey, std::uint64_t> StopsSent_;
   /// The last pace order for each task.
   std::map<TaskKey, PaceSent> PacesSent_;
+  /// An earlier leader may have sent paces to runs there, unless it was first
+  /// heard by this one.
+  bool MayHavePaces_ = false;
+  /// The first report of such a server to this leader.
+  std::optional<TimePoint> PacesCheckedSince_;
 
   /// Returns the progress of the task in the last report, or in the one before;
   /// nullptr if the report did not name the task.
--- a/src/jobs/PaceSetter.cpp
+++ b/src/jobs/PaceSetter.cpp
@@ -16,6 +16,9 @@
 /// Answers may be lost: a pace is sent again after this time if the use
 /// deviates by more than the scatter of a report (percent of the need).
 static constexpr Duration PaceRepeatDelay = 1500ms;
+/// A new leader does not know the paces that runs have from an earlier one. For
+/// this long, which is four orders, it tells them by the use.
+static constexpr Duration PaceCheckTime = 4 * PaceRepeatDelay;
 static constexpr std::uint64_t MaxTolerancePercent = 25;
 /// The scatter is proportional to the use, so a task that should hardly work is
 /// recognized by little use.
@@ -60,12 +63,24 @@
   return Used > Expected + Tolerance || Used < Expected / 2;
 }
 
+/// Returns whether runs on the server may still have paces from an earlier
+/// leader.
+static bool mayHaveEarlierPaces(LiveServer &Live, TimePoint Now) {
+  if (!Live.MayHavePaces_)
+    return false;
+  if (!Live.PacesCheckedSince_)
+    Live.PacesCheckedSince_ = Now;
+  Live.MayHavePaces_ = Now - *Live.PacesCheckedSince_ <= PaceCheckTime;
+  return Live.MayHavePaces_;
+}
+
 void PaceSetter::addPaceOrders(const ServerReport &Report, LiveServer &Live,
                                ServerOrders &Orders) const {
   const std::string &Id = Report.Facts_.Id_;
-  if (!Paces_.needsOrders(Id, Time_.now()))
-    return;
   const TimePoint Now = Time_.now();
+  const bool MayDiffer = mayHaveEarlierPaces(Live, Now);
+  if (!MayDiffer && !Paces_.needsOrders(Id, Now))
+    return;
   std::map<TaskKey, PaceSent> Sent;
   if (Paces_.isAdjusting(Id, Now))
     Orders.NextReportMs_ = AdjustingReportMs;
