--- a/src/jobs/LiveServerTable.h
+++ b/src/jobs/LiveServerTable.h
@@ -31,6 +31,9 @@
   SendTime FirstSent_;             ///< The first report that named the run.
   /// The report before that, which did not name it; nothing if unknown.
   std::optional<SendTime> SentBefore_;
+  std::uint64_t Changes_ = 0; ///< How often its percentage was seen to rise.
+  /// The longest time that one percent has taken, by these changes.
+  Duration LongestPercentTime_{};
 };
 
 /// The last pace order that was sent for a run.
@@ -78,6 +81,11 @@
   std::map<TaskKey, std::uint64_t> StopsSent_;
   /// The last pace order for each task.
   std::map<TaskKey, PaceSent> PacesSent_;
+  /// An earlier leader may have sent paces to runs there, unless it was first
+  /// heard by this one.
+  bool MayHavePaces_ = false;
+  /// The first report of such a server to this leader.
+  std::optional<TimePoint> PacesCheckedSince_;
 
   /// Returns the progress of the task in the last report, or in the one before;
   /// nullptr if the report did not name the task.
