Overdue tasks that need advice hold up no yield

Cause: such a task may have no ticket for the server, so it would not take the room; bounded work waited for nothing as long as it had none. Change: steps of queues that need advice do not count for yields.

--- a/src/jobs/CapacityShares.cpp
+++ b/src/jobs/CapacityShares.cpp
@@ -215,11 +215,14 @@
     if (!Chosen)
       return;
     ServerRoom &Room = Survey_.rooms()[Chosen->Room_];
-    // Such a task would take the room before the bounded work does.
+    // Such a task would take the room before the bounded work does. One that
+    // needs advice may have no ticket for the server.
     const bool IsOwed = View.Overdue_.findFitting(
         View.Registry_, *Room.Server_, Room.Free_ + Chosen->Need_,
-        [&Step](const ReadyStep &Overdue) {
-          return Overdue.Priority_ <= Step.Step_.Priority_;
+        [&](const ReadyStep &Overdue) {
+          return Overdue.Priority_ <= Step.Step_.Priority_ &&
+                 !View.Registry_.findJob(Overdue.Job_)
+                      ->Policy_.Advice_.IsRequired_;
         });
     if (IsOwed)
       return;
--- a/tests/jobs/CapacitySharesTest.cpp
+++ b/tests/jobs/CapacitySharesTest.cpp
@@ -260,6 +260,23 @@
   EXPECT_NE(Shares_.findKeptForBounded(Server, 0, !IsOverdue), nullptr);
 }
 
+// Guards against bounded work that waits for overdue tasks which no server may
+// run yet.
+TEST_F(CapacitySharesTest, OverdueWorkThatNeedsAdvicePreventsNoYield) {
+  Configuration Two = makeConfiguration(2);
+  Two.Queues_.push_back(Two.Queues_.front());
+  Two.Queues_.back().PathPrefix_ = "/advised/";
+  Two.Queues_.back().Advice_.IsRequired_ = true;
+  apply(PutConfiguration{Two});
+  submitNow("lost", makeLasting(1, 2000), "/advised/");
+  ASSERT_TRUE(start(makeStart("lost", 0, "s1")));
+  end(makeStart("lost", 0, "s1"), RunOutcome::Failed);
+  FILL_SERVERS(2);
+  submitNow("b", makeStep(1, 1000));
+  advance(1s);
+  EXPECT_EQ(listYields().size(), 1U);
+}
+
 // A task that returned may not yield again before the others had their turn.
 TEST_F(CapacitySharesTest, TaskThatYieldedLatelyDoesNotYield) {
   runLasting("l", makeLasting(1, 4000), "s1");
