--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -206,6 +206,7 @@
     const std::vector<std::string> Work =
         Machine_.read([&Starts](const JobRegistry &Registry) {
           std::vector<std::string> Texts;
+          Texts.reserve(Starts.size());
           for (const TaskStart &Start : Starts)
             Texts.push_back(describeWork(Registry, Start.Task_));
           return Texts;
