Log each second what a leader does and spends its time on

The age_ms of task_started leaves out the time that a report waits at a relay and in the leader's queue.

WorkTimer attributes the time of the leader's strand to kinds of work, with two readings of the clock each. The line leader_load and the counters tulipweir_leader_work_microseconds_total{work} have the result.

--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -57,10 +57,11 @@
   AdviceTaken, ///< The advice service said which servers may run a step.
   Maintenance, ///< A wave of maintenance, or one VM of it.
   Evacuation,  ///< Of a data centre: begun, or over.
+  LeaderLoad,  ///< What a leader did in the last second.
 };
 
 inline constexpr std::size_t EventKinds =
-    static_cast<std::size_t>(EventKind::Evacuation) + 1;
+    static_cast<std::size_t>(EventKind::LeaderLoad) + 1;
 
 /// The name of the kind as it stands in a log.
 std::string_view getEventName(EventKind Kind);
--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -10,6 +10,8 @@
 
 #include "tulipweir/core/Time.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -87,6 +89,28 @@
   PlansLeavingRoom, ///< They leave it free.
 };
 
+/// The kinds of work on which a leader spends its time.
+enum class LeaderWork : std::uint8_t {
+  Idle,      ///< Waiting, or work that is not measured.
+  Reports,   ///< Handling of reports, without the kinds below.
+  Learning,  ///< Learning from reports, and the paces of filling tasks.
+  Plans,     ///< Plans of starts.
+  Answers,   ///< Orders in the answers to reports.
+  Commits,   ///< Handling of committed starts and ends.
+  Surveys,   ///< Periodic looks at all servers and waiting steps.
+  Admission, ///< Clients' calls, and forecasts for them.
+  Leases,    ///< Expired leases and their servers.
+  Telemetry, ///< Explanations of waits in the log.
+};
+inline constexpr std::size_t LeaderWorkCount = 10;
+
+inline constexpr std::string_view getName(LeaderWork Work) {
+  constexpr std::array<std::string_view, LeaderWorkCount> Names = {
+      "idle",    "reports", "learning",  "plans",  "answers",
+      "commits", "surveys", "admission", "leases", "telemetry"};
+  return Names.at(static_cast<std::size_t>(Work));
+}
+
 /// Receives the leader's counters and timers. Implementations are thread-safe
 /// and never block.
 class JobMeter {
@@ -97,6 +121,8 @@
   /// Records the time from the acceptance of a job to its first start, by the
   /// key of its queue.
   virtual void recordFirstStart(const std::string &, Duration) {}
+  /// Adds time that the leader has spent on this kind of work.
+  virtual void addWork(LeaderWork, Duration) {}
 };
 
 class NoJobMeter final : public JobMeter {
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -45,7 +45,8 @@
       "clock_jumped",
       "advice_taken",
       "maintenance",
-      "evacuation"};
+      "evacuation",
+      "leader_load"};
   static_assert(!Names.back().empty());
   return Names.at(static_cast<std::size_t>(Kind));
 }
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -57,6 +57,9 @@
   Admission_.reset();
   OpenSubmissions_.reset();
   IsProving_ = false;
+  Work_.take();
+  Figures_ = {};
+  LoadLoggedAt_ = Now;
   NextProofCheck_ = Now;
   IsAdvicePending_ = false;
   Waves_.reset();
@@ -179,6 +182,7 @@
   updateLoads();
   answerOverdueReports();
   if (isLeading()) {
+    logLoad();
     checkExpiredLeases();
     storeProvedRuns();
     logWaits();
@@ -200,6 +204,7 @@
 /// leads: this member learns from the reports that the other one handles, and
 /// if it becomes the leader, waits continue.
 void JobLeader::Impl::updateLoads() {
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Surveys);
   const TimePoint Now = Time_.now();
   Loads_.updateRanges(Now);
   if (Now < NextObservation_)
@@ -326,6 +331,7 @@
 }
 
 void JobLeader::Impl::startGang() {
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Surveys);
   std::vector<TaskStart> Starts =
       Machine_.read([&](const JobRegistry &Registry) {
         Dispatcher_.survey(Registry, LiveServers_, Time_.now());
--- a/src/jobs/JobLeaderAdmission.cpp
+++ b/src/jobs/JobLeaderAdmission.cpp
@@ -31,6 +31,7 @@
 void JobLeader::Impl::updateAdmission() {
   if (!Admission_.isEnabled())
     return;
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Admission);
   const TimePoint Now = Time_.now();
   const bool IsPruning = Now >= NextAdmissionPrune_;
   if (IsPruning)
--- a/src/jobs/JobLeaderCalls.cpp
+++ b/src/jobs/JobLeaderCalls.cpp
@@ -11,6 +11,7 @@
 void JobLeader::Impl::call(JobCall Call, Done<JobCallReply> Reply) {
   if (!isLeading())
     return Reply(makeNotLeaderError());
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Admission);
   switch (Call.Kind_) {
   case CallKind::Submit:
     return submit(std::move(Call), Reply);
--- a/src/jobs/JobLeaderExpiry.cpp
+++ b/src/jobs/JobLeaderExpiry.cpp
@@ -35,6 +35,7 @@
 /// Asks the relays for servers whose leases are about to expire, and again once
 /// they have expired if they answer before.
 void JobLeader::Impl::checkExpiredLeases() {
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Leases);
   const TimePoint Now = Time_.now();
   const bool IsOverloaded = Now < OverloadedUntil_;
   endOverdueRounds();
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -37,6 +37,7 @@
 #include "jobs/RunStallDetector.h"
 #include "jobs/RunTimeEstimator.h"
 #include "jobs/WavePlanner.h"
+#include "jobs/WorkTimer.h"
 #include "replication/LeaderWatch.h"
 #include "tulipweir/jobs/IncarnationId.h"
 
@@ -107,6 +108,15 @@
     std::uint64_t FirstUncommittedEnd_ = NoUncommittedEnd;
   };
   using PendingReportPtr = std::shared_ptr<PendingReport>;
+  /// What the leader did since the last line about its load.
+  struct LoadFigures {
+    std::uint64_t Reports_ = 0;
+    std::uint64_t ReportsWaitedMs_ = 0; ///< Before the leader, in all.
+    std::uint64_t Ends_ = 0;
+    std::uint64_t BoundedStarts_ = 0;
+    std::uint64_t FillingStarts_ = 0;
+    std::uint64_t LongRunningStarts_ = 0;
+  };
   /// The state of asking the relays for a server whose lease expires.
   struct ExpiryCheck {
     std::uint64_t Round_ = 0;
@@ -132,6 +142,8 @@
   void endLeading();
   void tick();
   void detectClockJump();
+  /// Logs, each second, what the leader did and spent its time on.
+  void logLoad();
   void updateLoads();
   /// Logs, each second, what waits and why.
   void logWaits();
@@ -221,6 +233,7 @@
   void reply(const PendingReportPtr &Pending, Outcome<ServerOrders> Orders);
   void meterJobEnd(const std::string &Job, JobCounter How);
   void meterStart(const TaskStart &Start, bool IsTaken);
+  void countStart(const TaskStart &Start);
   void logEnds(const std::string &Server, const std::vector<TaskEnd> &Ends);
   std::vector<LostRun> listLostRuns(const std::string &Server) const;
   void logLostRuns(const std::string &Server, const std::vector<LostRun> &Lost);
@@ -282,6 +295,9 @@
   replication::LeaderWatch Watch_;
 
   std::uint64_t Term_ = 0;
+  WorkTimer Work_{Time_};
+  LoadFigures Figures_;
+  TimePoint LoadLoggedAt_{};
   LiveServerTable LiveServers_;
   ReportAges ReportAges_{Settings_.ClockDriftPercent_};
   const ReportPacing Pacing_{{Settings_.ReportInterval_, Settings_.Lease_}};
--- a/src/jobs/JobLeaderLoad.cpp
+++ b/src/jobs/JobLeaderLoad.cpp
@@ -1,8 +1,12 @@
 #include "jobs/JobLeaderImpl.h"
 
+#include <utility>
+
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 
+static constexpr Duration LoadLogInterval = std::chrono::seconds(1);
+
 static std::vector<QueueBacklog> listBacklogs(const JobRegistry &Registry) {
   std::vector<QueueBacklog> Backlogs;
   for (const QueuePolicy &Queue : Registry.configuration().Queues_)
@@ -10,6 +14,46 @@
   return Backlogs;
 }
 
+void JobLeader::Impl::countStart(const TaskStart &Start) {
+  const StepSpec *Step = Machine_.read([&Start](const JobRegistry &Registry) {
+    return Registry.findStep(Start.Task_);
+  });
+  if (!Step)
+    return;
+  if (Step->LongRunning_)
+    ++Figures_.LongRunningStarts_;
+  else
+    ++(Step->Fills_ ? Figures_.FillingStarts_ : Figures_.BoundedStarts_);
+}
+
+void JobLeader::Impl::logLoad() {
+  const Duration Elapsed = Time_.now() - LoadLoggedAt_;
+  if (Elapsed < LoadLogInterval)
+    return;
+  LoadLoggedAt_ = Time_.now();
+  const WorkTimer::Times Times = Work_.take();
+  for (std::size_t Kind = 0; Kind < Times.size(); ++Kind)
+    Meter_.addWork(static_cast<LeaderWork>(Kind), Times.at(Kind));
+  const LoadFigures Figures = std::exchange(Figures_, {});
+  if (Figures.Reports_ == 0)
+    return;
+  Event Line;
+  Line.Kind_ = EventKind::LeaderLoad;
+  Line.Term_ = Term_;
+  Line.Count_ = Figures.Reports_;
+  Line.AgeMs_ =
+      static_cast<std::int64_t>(Figures.ReportsWaitedMs_ / Figures.Reports_);
+  const auto Steps = Machine_.read(
+      [](const JobRegistry &Registry) { return Registry.readySteps().size(); });
+  Line.Outcome_ = std::to_string(Figures.BoundedStarts_) + " bounded, " +
+                  std::to_string(Figures.FillingStarts_) + " filling, " +
+                  std::to_string(Figures.LongRunningStarts_) +
+                  " long-running starts, " + std::to_string(Figures.Ends_) +
+                  " ends, " + std::to_string(Steps) + " steps wait";
+  Line.Reason_ = toText(Times, Elapsed);
+  Log_.write(Line);
+}
+
 LoadStatus JobLeader::Impl::describeLoad() const {
   LoadStatus Status;
   if (!isLeading())
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -33,6 +33,9 @@
 void JobLeader::Impl::report(ServerReport Report, Done<ServerOrders> Reply) {
   if (!isLeading())
     return Reply(makeNotLeaderError());
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Reports);
+  ++Figures_.Reports_;
+  Figures_.ReportsWaitedMs_ += Report.WaitedMs_;
   resolveIncarnation(Report);
   // The ends in a late report of an ended incarnation count, but it gets no
   // orders.
@@ -124,7 +127,10 @@
     Meter_.add(JobCounter::ReportsLate, 1);
     return reply(Pending, ServerOrders{});
   }
-  Setter_.updatePaces(Report);
+  {
+    const WorkTimer::Scope Learning(Work_, LeaderWork::Learning);
+    Setter_.updatePaces(Report);
+  }
   EndTasks Command{Id, {}};
   // Taken now, as the server may report again before the commit.
   std::vector<RunTimeBounds> RunTimes;
@@ -152,8 +158,10 @@
     LiveServers_.find(Id)->NoStartsUntil_ = Now + RefusalPause;
   propose(Command, [this, Pending, Command, RunTimes = std::move(RunTimes)](
                        const Outcome<CommandResult> &Applied) {
+    const WorkTimer::Scope Measured(Work_, LeaderWork::Commits);
     if (!Applied)
       return reply(Pending, Applied.error());
+    Figures_.Ends_ += Command.Ends_.size();
     Pending->FirstUncommittedEnd_ = NoUncommittedEnd;
     Meter_.record(JobTimer::EndCommit, Time_.now() - Pending->SentBy_);
     logEnds(Command.Server_, Command.Ends_);
@@ -188,6 +196,7 @@
   const std::string &Id = Pending->Report_.Facts_.Id_;
   std::vector<TaskStart> Starts =
       Machine_.read([&](const JobRegistry &Registry) {
+        const WorkTimer::Scope Planning(Work_, LeaderWork::Plans);
         return Dispatcher_.plan(Registry, LiveServers_, Id, Time_.now(),
                                 Time_.wallNow());
       });
@@ -199,6 +208,7 @@
     Meter_.record(JobTimer::StartPlan, Waited);
   propose(StartTasks{Starts}, [this, Pending, Starts, PlannedAt](
                                   const Outcome<CommandResult> &Applied) {
+    const WorkTimer::Scope Measured(Work_, LeaderWork::Commits);
     Dispatcher_.releaseProposed(Starts);
     if (!Applied)
       return reply(Pending, Applied.error());
@@ -275,6 +285,7 @@
 void JobLeader::Impl::answer(const PendingReportPtr &Pending) {
   if (Pending->IsAnswered_)
     return;
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Answers);
   const ServerReport &Report = Pending->Report_;
   const std::string &Id = Report.Facts_.Id_;
   const LiveServer *Live = LiveServers_.find(Id);
--- a/src/jobs/JobLeaderTelemetry.cpp
+++ b/src/jobs/JobLeaderTelemetry.cpp
@@ -35,6 +35,8 @@
 
 void JobLeader::Impl::meterStart(const TaskStart &Start, bool IsTaken) {
   Meter_.add(IsTaken ? JobCounter::TasksStarted : JobCounter::StartsRefused, 1);
+  if (IsTaken)
+    countStart(Start);
   const auto Accepted = AcceptedAt_.find(Start.Task_.Job_);
   if (!IsTaken || Accepted == AcceptedAt_.end() ||
       !StartedJobs_.insert(Start.Task_.Job_).second)
@@ -243,6 +245,7 @@
   if (Now < NextWaitLog_)
     return;
   NextWaitLog_ = Now + WaitLogInterval;
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Telemetry);
   Machine_.read([&](const JobRegistry &Registry) {
     Dispatcher_.explainer().examineNext(Registry);
     return 0;
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -129,6 +129,18 @@
   for (std::size_t I = 0; I < Histograms; ++I)
     Histograms_.at(I) = &Metrics.addHistogram(HistogramTexts.at(I).Name_,
                                               HistogramTexts.at(I).Help_);
+  for (std::size_t I = 0; I < WorkCounters_.size(); ++I)
+    WorkCounters_.at(I) = &Metrics.addCounter(
+        "tulipweir_leader_work_microseconds_total",
+        "The leader's time by kind of work",
+        "work=\"" + std::string(getName(static_cast<jobs::LeaderWork>(I))) +
+            "\"");
+}
+
+void JobMetrics::addWork(jobs::LeaderWork Work, Duration Time) {
+  WorkCounters_.at(static_cast<std::size_t>(Work))
+      ->add(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::microseconds>(Time).count()));
 }
 
 void JobMetrics::add(jobs::JobCounter Counter, std::uint64_t Amount) {
--- a/src/jobservice/JobMetrics.h
+++ b/src/jobservice/JobMetrics.h
@@ -24,10 +24,12 @@
   void add(jobs::JobCounter Counter, std::uint64_t Amount) override;
   void record(jobs::JobTimer Timer, Duration Elapsed) override;
   void recordFirstStart(const std::string &Queue, Duration Waited) override;
+  void addWork(jobs::LeaderWork Work, Duration Time) override;
 
 private:
   std::array<net::Counter *, Counters> Counters_;
   std::array<net::LatencyHistogram *, Histograms> Histograms_;
+  std::array<net::Counter *, jobs::LeaderWorkCount> WorkCounters_;
   QueueLabels FirstStartQueues_;
   net::Metrics &Metrics_;
 };
