--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -87,6 +87,7 @@
   // Plans for a server on which an overdue long-running task fits:
   PlansTakingRoom,  ///< They start bounded tasks there instead.
   PlansLeavingRoom, ///< They leave it free.
+  PlanRecordsRead,  ///< Records of steps and tasks that plans have read.
 };
 
 /// The kinds of work on which a leader spends its time.
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -264,8 +264,10 @@
          Survey_.hasSpareCapacity());
     // The step's tasks may all have been placed since the order was computed.
     if (MayFit && !isKnownRejected(Entry, Plan) &&
-        Registry.readySteps().count(Entry.Step_) != 0)
+        Registry.readySteps().count(Entry.Step_) != 0) {
+      ++RecordsRead_;
       planStep(Registry, Entry, Plan);
+    }
   }
   audit(Registry, Plan);
   // A copy would take capacity that a long-running task waits for.
@@ -434,6 +436,7 @@
   const StepRecord &Record =
       Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
   const std::vector<TaskRecord> &Tasks = Record.Tasks_;
+  RecordsRead_ += Tasks.size();
   for (const std::uint64_t Index : listWaiting(Tasks, Step.LongRunning_)) {
     const TaskRecord &Task = Tasks[Index];
     Key.Index_ = Index;
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -110,6 +110,10 @@
     return std::exchange(PlannedWaits_, {});
   }
 
+  /// Returns how many records of steps and of tasks the plans since the last
+  /// call have read.
+  std::uint64_t takeRecordsRead() { return std::exchange(RecordsRead_, 0); }
+
   OverdueSteps &overdueSteps() { return Overdue_; }
   /// Returns the plans since the last call that gave room to bounded work, or
   /// left room, into which an overdue task fits.
@@ -197,6 +201,7 @@
   ReadyTimes ReadyTimes_;
   CapacitySurvey Survey_{Interference_, Loads_, Health_};
   std::vector<Duration> PlannedWaits_;
+  std::uint64_t RecordsRead_ = 0;
   WaitExplainer Explainer_{Interference_, Loads_,  Health_,    Advice_,
                            Isolation_,    Survey_, ReadyTimes_};
   /// Tasks with a start that was planned but not applied or refused yet.
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -200,6 +200,7 @@
         return Dispatcher_.plan(Registry, LiveServers_, Id, Time_.now(),
                                 Time_.wallNow());
       });
+  Meter_.add(JobCounter::PlanRecordsRead, Dispatcher_.takeRecordsRead());
   if (Starts.empty())
     return answer(Pending);
   deferAnswer(Pending);
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -82,6 +82,8 @@
     {"tulipweir_plans_beside_overdue_total",
      "Plans for servers on which an overdue long-running task fits",
      "room=\"left\""},
+    {"tulipweir_plan_records_read_total",
+     "Records of steps and tasks that plans have read", ""},
 }};
 static constexpr std::array<HistogramText, JobMetrics::Histograms>
     HistogramTexts = {{
