The order of steps looks up each job once, gangs are found by an index

What callers saw: with 400 steps waiting the leader stayed behind, also with cheaper plans.

The search for gangs, at each tick, walked the whole queue and looked up each job to see whether the step is a gang; an update of the order looked each job up three to four times. Both grow with the queue.

Change: JobRegistry::readyGangs() is the subset of ready steps that are gangs, kept like that of long-running ones; an update of the order passes the records of each step on.

--- a/include/tulipweir/jobs/JobRegistry.h
+++ b/include/tulipweir/jobs/JobRegistry.h
@@ -188,6 +188,8 @@
   const std::set<ReadyStep> &readyLongRunningSteps() const {
     return ReadyLongRunning_;
   }
+  /// Returns the steps of readySteps() whose tasks start together.
+  const std::set<ReadyStep> &readyGangs() const { return ReadyGangs_; }
   /// Returns the ids of the jobs whose next occurrence is not open yet.
   const std::set<std::string> &timedJobs() const { return Timed_; }
   /// Returns the number of accepted jobs of the queue that have not started a
@@ -275,6 +277,7 @@
   std::unordered_map<std::string, std::string> IdByAddress_; ///< Server ids.
   std::set<ReadyStep> Ready_;
   std::set<ReadyStep> ReadyLongRunning_; ///< A subset of Ready_.
+  std::set<ReadyStep> ReadyGangs_;       ///< A subset of Ready_.
   std::uint64_t ReadyVersion_ = 0;
   std::uint64_t ForgottenVersion_ = 0;
   std::set<std::string> Timed_;
--- a/src/jobs/CapacitySurvey.cpp
+++ b/src/jobs/CapacitySurvey.cpp
@@ -140,7 +140,8 @@
   std::vector<std::pair<LongRunningRank, const ReadyStep *>> Ranked;
   Ranked.reserve(Steps.size());
   for (const ReadyStep *Step : Steps)
-    Ranked.emplace_back(getLongRunningRank(Registry, *Step), Step);
+    Ranked.emplace_back(getLongRunningRank(getStepRecord(Registry, *Step)),
+                        Step);
   std::stable_sort(Ranked.begin(), Ranked.end(),
                    [](const auto &A, const auto &B) {
                      if (A.second->Priority_ != B.second->Priority_)
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -517,12 +517,12 @@
 std::vector<TaskStart> Dispatcher::planGang(const JobRegistry &Registry,
                                             const LiveServerTable &LiveServers,
                                             TimePoint Now) {
-  for (const ReadyStep &Ready : Registry.readySteps()) {
+  for (const ReadyStep &Ready : Registry.readyGangs()) {
+    ++RecordsRead_;
     const JobRecord &Job = *Registry.findJob(Ready.Job_);
-    const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
     const StepRecord &Record =
         Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
-    const bool IsWhole = Step.Gang_ && Record.Waiting_ == Record.Tasks_.size();
+    const bool IsWhole = Record.Waiting_ == Record.Tasks_.size();
     const TaskKey FirstTask{Ready.Job_, Ready.Occurrence_, Ready.Step_, 0};
     if (!IsWhole || Proposed_.count(FirstTask) != 0)
       continue;
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -460,6 +460,10 @@
     ReadyLongRunning_.insert(Key);
   else
     ReadyLongRunning_.erase(Key);
+  if (ShouldBeListed && Job.Spec_.Steps_[Step].Gang_)
+    ReadyGangs_.insert(Key);
+  else
+    ReadyGangs_.erase(Key);
 }
 
 void JobRegistry::updateReadySteps(const JobRecord &Job) {
@@ -474,5 +478,6 @@
       const ReadyStep Key = makeReadyStep(Job, Occurrence.Number_, Step);
       Ready_.erase(Key);
       ReadyLongRunning_.erase(Key);
+      ReadyGangs_.erase(Key);
     }
 }
--- a/src/jobs/LongRunningRank.h
+++ b/src/jobs/LongRunningRank.h
@@ -29,18 +29,15 @@
 }
 
 /// Returns whether one of the step's waiting tasks has run before.
-inline bool hasLostTask(const JobRegistry &Registry, const ReadyStep &Ready) {
-  const std::vector<TaskRecord> &Tasks = getStepRecord(Registry, Ready).Tasks_;
-  return std::any_of(Tasks.begin(), Tasks.end(), [](const TaskRecord &Task) {
-    return Task.State_ == TaskState::Waiting && Task.LastRun_ > 0;
-  });
+inline bool hasLostTask(const StepRecord &Step) {
+  return std::any_of(
+      Step.Tasks_.begin(), Step.Tasks_.end(), [](const TaskRecord &Task) {
+        return Task.State_ == TaskState::Waiting && Task.LastRun_ > 0;
+      });
 }
 
-inline LongRunningRank getLongRunningRank(const JobRegistry &Registry,
-                                          const ReadyStep &Ready) {
-  const auto Waiting =
-      static_cast<std::int64_t>(getStepRecord(Registry, Ready).Waiting_);
-  return {hasLostTask(Registry, Ready), -Waiting};
+inline LongRunningRank getLongRunningRank(const StepRecord &Step) {
+  return {hasLostTask(Step), -static_cast<std::int64_t>(Step.Waiting_)};
 }
 
 } // namespace tulipweir::jobs
--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -81,13 +81,12 @@
 
 /// Puts the long-running steps among these into the order of their ranks; the
 /// others keep their positions.
-static void sortLongRunning(const JobRegistry &Registry,
-                            std::vector<const ReadyStep *> &Steps) {
-  std::vector<std::pair<LongRunningRank, const ReadyStep *>> Ranked;
+void SchedulingOrder::sortLongRunning(std::vector<WaitingStep> &Steps) {
+  std::vector<std::pair<LongRunningRank, WaitingStep>> Ranked;
   std::vector<std::size_t> Positions;
   for (std::size_t At = 0; At < Steps.size(); ++At)
-    if (Registry.readyLongRunningSteps().count(*Steps[At]) != 0) {
-      Ranked.emplace_back(getLongRunningRank(Registry, *Steps[At]), Steps[At]);
+    if (Steps[At].Spec_->LongRunning_) {
+      Ranked.emplace_back(getLongRunningRank(*Steps[At].Record_), Steps[At]);
       Positions.push_back(At);
     }
   std::stable_sort(
@@ -107,10 +106,11 @@
   LastAddedSequence_ = Newest;
 }
 
-void SchedulingOrder::add(const JobRegistry &Registry, const ReadyStep &Ready,
-                          ReadyTimes &Waits, TimePoint Now) {
-  const JobRecord &Job = *Registry.findJob(Ready.Job_);
-  const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+void SchedulingOrder::add(const WaitingStep &Waiting, ReadyTimes &Waits,
+                          TimePoint Now) {
+  const ReadyStep &Ready = *Waiting.Ready_;
+  const JobRecord &Job = *Waiting.Job_;
+  const StepSpec &Step = *Waiting.Spec_;
   Candidate NewCandidate;
   NewCandidate.Step_ = Ready;
   NewCandidate.Job_ = &Job;
@@ -175,31 +175,31 @@
   // meet their objective, as that chance ends soon; then long-running steps;
   // then late ones.
   // Work that was running and was lost comes before work that has not begun.
-  std::vector<std::pair<std::pair<bool, Duration>, const ReadyStep *>> Starved;
-  std::vector<std::pair<std::pair<bool, std::int64_t>, const ReadyStep *>>
+  std::vector<std::pair<std::pair<bool, Duration>, WaitingStep>> Starved;
+  std::vector<std::pair<std::pair<bool, std::int64_t>, WaitingStep>>
       PassedOverSteps;
   decltype(PassedOverSteps) OverduePassedOver;
-  std::vector<const ReadyStep *> Endangered;
-  std::vector<const ReadyStep *> FirstClass;
-  std::array<std::vector<const ReadyStep *>, 3> Later;
-  std::vector<std::pair<double, const ReadyStep *>> Filling;
-  const auto AddAll = [&](std::vector<const ReadyStep *> &Steps) {
-    for (const ReadyStep *Ready : Steps)
-      add(Registry, *Ready, Waits, Now);
+  std::vector<WaitingStep> Endangered;
+  std::vector<WaitingStep> FirstClass;
+  std::array<std::vector<WaitingStep>, 3> Later;
+  std::vector<std::pair<double, WaitingStep>> Filling;
+  const auto AddAll = [&](std::vector<WaitingStep> &Steps) {
+    for (const WaitingStep &Waiting : Steps)
+      add(Waiting, Waits, Now);
     Steps.clear();
   };
   const auto AddSorted = [&](auto &Steps) {
     std::stable_sort(
         Steps.begin(), Steps.end(),
         [](const auto &A, const auto &B) { return A.first > B.first; });
-    for (const auto &[Key, Ready] : Steps)
-      add(Registry, *Ready, Waits, Now);
+    for (const auto &[Key, Waiting] : Steps)
+      add(Waiting, Waits, Now);
     Steps.clear();
   };
   const auto AddPriority = [&] {
     if (Shares_) {
-      sortLongRunning(Registry, FirstClass);
-      sortLongRunning(Registry, Later[0]);
+      sortLongRunning(FirstClass);
+      sortLongRunning(Later[0]);
     }
     AddSorted(Starved);
     AddSorted(OverduePassedOver);
@@ -207,15 +207,13 @@
     AddSorted(PassedOverSteps);
     AddAll(FirstClass);
     AddSorted(Filling);
-    for (std::vector<const ReadyStep *> &Class : Later)
+    for (std::vector<WaitingStep> &Class : Later)
       AddAll(Class);
   };
-  const auto GetRank = [&](const ReadyStep &Ready, bool IsByJob) {
-    const StepSpec &Step =
-        Registry.findJob(Ready.Job_)->Spec_.Steps_[Ready.Step_];
-    return std::pair(hasLostTask(Registry, Ready),
-                     IsByJob ? getLongRunningRank(Registry, Ready).second
-                             : -Step.Need_.MilliCpus_);
+  const auto GetRank = [](const WaitingStep &Waiting, bool IsByJob) {
+    const LongRunningRank Rank = getLongRunningRank(*Waiting.Record_);
+    return std::pair(Rank.first,
+                     IsByJob ? Rank.second : -Waiting.Spec_->Need_.MilliCpus_);
   };
   // Bounded work makes small rooms all the time; ranked by jobs, small tasks
   // would wait beside them.
@@ -230,6 +228,8 @@
     const JobRecord &Job = *Registry.findJob(Ready.Job_);
     const OccurrenceRecord &Occurrence = *Job.findOccurrence(Ready.Occurrence_);
     const StepSpec &Step = Job.Spec_.Steps_[Ready.Step_];
+    const WaitingStep Waiting{&Ready, &Job, &Step,
+                              &Occurrence.Steps_[Ready.Step_]};
     HasBounded_ = HasBounded_ || (!Step.LongRunning_ && !Step.Fills_);
     const std::size_t Lateness =
         Step.LongRunning_
@@ -240,19 +240,20 @@
     const Duration PassedOverFor = PassedOver.getTime(Ready, Now);
     if (IsFirstClass && PassedOverFor >= MaxPassedOverTime)
       Starved.emplace_back(
-          std::pair(hasLostTask(Registry, Ready), PassedOverFor), &Ready);
+          std::pair(hasLostTask(*Waiting.Record_), PassedOverFor), Waiting);
     else if (Overdue.contains(Ready) && PassedOverFor >= MinPassedOverTime)
-      OverduePassedOver.emplace_back(GetRank(Ready, IsOverdueByJob), &Ready);
+      OverduePassedOver.emplace_back(GetRank(Waiting, IsOverdueByJob), Waiting);
     else if (Shares_ && Shares_->isEndangered(Ready))
-      Endangered.push_back(&Ready);
+      Endangered.push_back(Waiting);
     else if (IsFirstClass && PassedOverFor >= MinPassedOverTime)
-      PassedOverSteps.emplace_back(GetRank(Ready, Shares_ != nullptr), &Ready);
+      PassedOverSteps.emplace_back(GetRank(Waiting, Shares_ != nullptr),
+                                   Waiting);
     else if (Lateness == 0 && Step.Fills_)
-      Filling.emplace_back(Value_.getDensity(Job, Occurrence), &Ready);
+      Filling.emplace_back(Value_.getDensity(Job, Occurrence), Waiting);
     else if (Lateness == 0 && IsFirstClass)
-      FirstClass.push_back(&Ready);
+      FirstClass.push_back(Waiting);
     else
-      Later.at(Lateness).push_back(&Ready);
+      Later.at(Lateness).push_back(Waiting);
   }
   AddPriority();
 }
--- a/src/jobs/SchedulingOrder.h
+++ b/src/jobs/SchedulingOrder.h
@@ -85,8 +85,15 @@
                           std::uint64_t DueMs, TimePoint Now,
                           WallTime Wall) const;
   void addNewJobs(const JobRegistry &Registry);
-  void add(const JobRegistry &Registry, const ReadyStep &Ready,
-           ReadyTimes &Waits, TimePoint Now);
+  /// A step with its records, which are valid during an update.
+  struct WaitingStep {
+    const ReadyStep *Ready_;
+    const JobRecord *Job_;
+    const StepSpec *Spec_;
+    const StepRecord *Record_;
+  };
+  static void sortLongRunning(std::vector<WaitingStep> &Steps);
+  void add(const WaitingStep &Waiting, ReadyTimes &Waits, TimePoint Now);
 
   const RunTimeEstimator &RunTimes_;
   const CapacityShares *const Shares_ = nullptr; ///< If they are enabled.
--- a/tests/jobs/PlanWorkTest.cpp
+++ b/tests/jobs/PlanWorkTest.cpp
@@ -87,3 +87,15 @@
   ASSERT_LT(Paces_.getLimit("busy"), PaceController::FullPace);
   EXPECT_EQ(countReadInVain(), 0U);
 }
+
+// Guards against a search for gangs, twenty times a second, that reads all
+// steps of the queue.
+TEST_F(PlanWorkTest, TheSearchForGangsReadsNoOtherSteps) {
+  submitFilling(500, 10);
+  StepSpec Gang = makeStep(2, 1'000);
+  Gang.Gang_ = true;
+  submitNow(makeJob("gang", {Gang}));
+  Dispatcher_.takeRecordsRead();
+  EXPECT_EQ(Dispatcher_.planGang(Registry_, LiveServers_, Now_).size(), 0U);
+  EXPECT_EQ(Dispatcher_.takeRecordsRead(), 1U);
+}
