--- a/include/tulipweir/jobs/Advisor.h
+++ b/include/tulipweir/jobs/Advisor.h
@@ -28,6 +28,13 @@
   auto operator<=>(const StepKey &) const = default;
 };
 
+struct StepKeyHash {
+  std::size_t operator()(const StepKey &Step) const {
+    return std::hash<std::string>()(Step.Job_) + Step.Occurrence_ * 31 +
+           Step.Step_;
+  }
+};
+
 /// A server that is eligible to run the step.
 struct EligibleServer {
   std::string Server_; ///< The server's id.
--- a/src/jobs/Dispatcher.cpp
+++ b/src/jobs/Dispatcher.cpp
@@ -294,7 +294,7 @@
         for (; Key.Index_ < Tasks.size(); ++Key.Index_)
           if (Tasks[Key.Index_].State_ == TaskState::Waiting &&
               !Isolation_.isIsolating(Key, Tasks[Key.Index_]) &&
-              Proposed_.count(Key) == 0)
+              !Proposed_.contains(Key))
             return true;
         return false;
       });
@@ -322,7 +322,7 @@
   const Resources Free = Server.Facts_.Capacity_ - Server.Used_ -
                          LiveServers.sumUnplacedUsage(Registry, Server);
   const auto MayRun = [&](const JobRecord &Job, const TaskKey &Task) {
-    return Proposed_.count(Task) == 0 &&
+    return !Proposed_.contains(Task) &&
            Job.Spec_.Steps_[Task.Step_].getReserved().fitsIn(Free) &&
            isAdvised(Job, Task, Server.Facts_.Id_, Now);
   };
@@ -335,7 +335,7 @@
   for (const TaskKey &Task : StragglerDetector_.getLateTasks()) {
     const TaskRecord *Record = Registry.findTask(Task);
     const bool IsOpen = Record && Record->State_ == TaskState::Placed &&
-                        Proposed_.count(Task) == 0 &&
+                        !Proposed_.contains(Task) &&
                         !hasJustFailedHere(Task, Plan);
     if (!IsOpen || Plan.Starts_.size() >= Plan.MaxStarts_)
       continue;
@@ -471,22 +471,24 @@
                            Which Tasks, ServerPlan &Plan) {
   const std::vector<TaskRecord> &Records = Current.Record_.Tasks_;
   TaskKey &Key = Current.Task_;
+  const ProposedTasks::Indices *Proposed = Proposed_.findStep(Key);
   for (Key.Index_ = 0; Key.Index_ < Records.size(); ++Key.Index_) {
     ++RecordsRead_;
     const TaskRecord &Task = Records[Key.Index_];
     const bool IsLost = Task.LastRun_ > 0;
     if (Task.State_ != TaskState::Waiting ||
         (Tasks == Which::Lost && !IsLost) || (Tasks == Which::New && IsLost) ||
+        (Proposed && Proposed->count(Key.Index_) != 0) ||
         Isolation_.isIsolating(Key, Task))
       continue;
-    const TaskStart Start{Key, Task.LastRun_ + 1, Plan.Server_.Facts_.Id_};
     // Long-running tasks are not kept away from a healthy server: they also
     // fail for reasons of their own, and another server may suit another image
     // better.
     const bool IsAvoided = (!Current.Spec_.LongRunning_ || Plan.MayFail_) &&
-                           hasJustFailedHere(Start.Task_, Plan);
-    if (Proposed_.count(Start.Task_) != 0 || IsAvoided)
+                           hasJustFailedHere(Key, Plan);
+    if (IsAvoided)
       continue;
+    const TaskStart Start{Key, Task.LastRun_ + 1, Plan.Server_.Facts_.Id_};
     if (!Registry.findRejectionReason(Start).empty())
       return false;
     addStart(Start, Current, Plan);
@@ -524,7 +526,7 @@
         Job.findOccurrence(Ready.Occurrence_)->Steps_[Ready.Step_];
     const bool IsWhole = Record.Waiting_ == Record.Tasks_.size();
     const TaskKey FirstTask{Ready.Job_, Ready.Occurrence_, Ready.Step_, 0};
-    if (!IsWhole || Proposed_.count(FirstTask) != 0)
+    if (!IsWhole || Proposed_.contains(FirstTask))
       continue;
     const bool MaySpread = ReadyTimes_.getWait(Ready, Now) >= MaxSingleRackWait;
     std::vector<TaskStart> Starts = planGangStarts(
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -19,6 +19,7 @@
 #include "jobs/OverdueSteps.h"
 #include "jobs/PaceController.h"
 #include "jobs/PassedOverTimes.h"
+#include "jobs/ProposedTasks.h"
 #include "jobs/ReadyTimes.h"
 #include "jobs/RemainingCapacity.h"
 #include "jobs/RunTimeEstimator.h"
@@ -224,7 +225,7 @@
   WaitExplainer Explainer_{Interference_, Loads_,  Health_,    Advice_,
                            Isolation_,    Survey_, ReadyTimes_};
   /// Tasks with a start that was planned but not applied or refused yet.
-  std::set<TaskKey> Proposed_;
+  ProposedTasks Proposed_;
   StragglerDetector StragglerDetector_{RunTimes_};
   PassedOverTimes PassedOver_;
   OverdueSteps Overdue_;
--- a/src/jobs/ServingLoads.h
+++ b/src/jobs/ServingLoads.h
@@ -85,15 +85,8 @@
     double Highest_ = 0;
   };
 
-  struct HashStep {
-    std::size_t operator()(const StepKey &Step) const {
-      return std::hash<std::string>()(Step.Job_) + Step.Occurrence_ * 31 +
-             Step.Step_;
-    }
-  };
-
   /// Unordered, as it is looked up for each serving task of each report.
-  std::unordered_map<StepKey, StepLoad, HashStep> Steps_;
+  std::unordered_map<StepKey, StepLoad, StepKeyHash> Steps_;
   std::map<std::string, TailRange> Images_;
   std::unordered_map<std::string, ServingUse> Servers_;
   TimePoint NextRangeUpdate_{};
