--- a/include/tulipweir/jobs/JobRegistry.h
+++ b/include/tulipweir/jobs/JobRegistry.h
@@ -146,6 +146,8 @@
   // Commands.
 
   CommandResult apply(const Command &Cmd);
+  /// Replaces the state by that of a snapshot. The versions below increase.
+  void replace(JobRegistry Snapshot);
 
   // Queries.
 
--- a/src/jobs/JobRegistrySnapshot.cpp
+++ b/src/jobs/JobRegistrySnapshot.cpp
@@ -77,6 +77,12 @@
   return Registry;
 }
 
+void JobRegistry::replace(JobRegistry Snapshot) {
+  Snapshot.ReadyVersion_ += ReadyVersion_ + 1;
+  Snapshot.ForgottenVersion_ += ForgottenVersion_ + 1;
+  *this = std::move(Snapshot);
+}
+
 void JobRegistry::rebuildIndexes() {
   for (const auto &[Id, Job] : Jobs_) {
     if (Job.State_ == JobState::Queued)
--- a/src/jobs/JobStateMachine.cpp
+++ b/src/jobs/JobStateMachine.cpp
@@ -22,6 +22,6 @@
   if (!Decoded)
     return std::move(Decoded).as_failure();
   const std::lock_guard Hold(Lock_);
-  Registry_ = std::move(Decoded.value());
+  Registry_.replace(std::move(Decoded.value()));
   return succeed();
 }
--- a/tests/jobs/PlanWorkTest.cpp
+++ b/tests/jobs/PlanWorkTest.cpp
@@ -99,3 +99,14 @@
   EXPECT_EQ(Dispatcher_.planGang(Registry_, LiveServers_, Now_).size(), 0U);
   EXPECT_EQ(Dispatcher_.takeRecordsRead(), 1U);
 }
+
+// Guards against plans that use records of jobs from before a snapshot.
+TEST_F(PlanWorkTest, ASnapshotReplacesTheRecordsThatPlansUse) {
+  submitFilling(500, 1);
+  const std::uint64_t Ready = Registry_.getReadyVersion();
+  const std::uint64_t Forgotten = Registry_.getForgottenVersion();
+  Registry_.replace(JobRegistry::decode(Registry_.encode()).value());
+  EXPECT_GT(Registry_.getReadyVersion(), Ready);
+  EXPECT_GT(Registry_.getForgottenVersion(), Forgotten);
+  EXPECT_FALSE(plan("s1").empty());
+}
