--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -3,7 +3,8 @@
 // When a server reports, the dispatcher chooses the tasks that it starts; the
 // answer to the report carries the orders. A task that would run better on
 // another server is held back for a bounded time and then started where it
-// fits. Deterministic: reads no clock and does no I/O.
+// fits. Deterministic: reads no clock and does no I/O. What concerns one
+// step of a plan is in DispatcherSteps.cpp.
 //
 //===----------------------------------------------------------------------===//
 
@@ -156,7 +157,6 @@
   /// The part of a plan for one server that concerns one step.
   struct StepPlan {
     const Candidate &Entry_;
-    const JobRecord &Job_;
     const StepSpec &Spec_;
     const StepRecord &Record_;
     TaskKey Task_{};              ///< The task that is considered.
@@ -164,7 +164,7 @@
     bool IsIdleJob_ = false;      ///< Nothing of the job runs.
   };
   /// The waiting tasks to consider, by whether they ran before.
-  enum class Which : std::uint8_t { All, Lost, New };
+  enum class TaskFilter : std::uint8_t { All, Lost, New };
 
   std::optional<TaskStart> planIsolated(const JobRegistry &Registry,
                                         const LiveServerTable &LiveServers,
@@ -185,8 +185,8 @@
   void planStep(const JobRegistry &Registry, const Candidate &Entry,
                 ServerPlan &Plan);
   bool mayPlaceNext(const StepPlan &Current, ServerPlan &Plan) const;
-  bool planTasks(const JobRegistry &Registry, StepPlan &Current, Which Tasks,
-                 ServerPlan &Plan);
+  bool planTasks(const JobRegistry &Registry, StepPlan &Current,
+                 TaskFilter Filter, ServerPlan &Plan);
   void addStart(const TaskStart &Start, StepPlan &Current, ServerPlan &Plan);
   Resources getKeptForBounded(const ServerPlan &Plan,
                               const ReadyStep &Step) const;
