--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -107,7 +107,7 @@
 class Deployment:
     """Three core machines and two front machines."""
 
-    def __init__(self, record, controls=3, entries=2, provider=None):
+    def __init__(self, record, controls=3, entries=2, provider=None, apart_s=0.0):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="tulipweir-review-")
         pid = os.getpid()
@@ -123,6 +123,9 @@
             self.where["entry%d" % n] = self.net + str(n + 101)
         for name in self.where:
             self.write_settings(name, True)
+        for number, name in enumerate(self.where):
+            if number:
+                time.sleep(apart_s)
             self.start(name)
 
     def pick_ports(self):
