--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -74,6 +74,13 @@
   /// that is larger than these entries is saved less often, after up to eight
   /// times this number.
   std::uint64_t SnapshotEvery_ = 5'000;
+  /// The maximum size in bytes of the commands in the log. A snapshot is due
+  /// once half of it was applied since the last one, and the other half may
+  /// stay behind a snapshot for slow followers. Only entries that are not yet
+  /// committed, and a state that is larger than this, exceed it. The default is
+  /// a sixteenth of a disk of 128 MiB, on which two logs and two snapshots
+  /// stand side by side while one replaces the other.
+  std::uint64_t MaxLogBytes_ = 8ULL << 20;
   std::uint64_t Seed_ = 0;        ///< For election jitter.
   std::uint64_t MaxBatch_ = 1024; ///< Entries per sync; 1 disables batching.
   /// Entries that are proposed within this interval are sent together. The
@@ -111,6 +118,13 @@
   std::uint64_t CommitIndex_ = 0;
   std::uint64_t AppliedIndex_ = 0;
   std::uint64_t LogBytes_ = 0;
+  /// The size of the commands in the log, in memory.
+  std::uint64_t RetainedBytes_ = 0;
+  std::uint64_t BytesSinceSnapshot_ = 0; ///< Of the commands applied since.
+  std::uint64_t SnapshotBytes_ = 0;      ///< The size of the last snapshot.
+  std::uint64_t Snapshots_ = 0;
+  /// Those of Snapshots_ that were due to the size of the log alone.
+  std::uint64_t SnapshotsForSize_ = 0;
   std::uint64_t Syncs_ = 0;
   TimePoint LeaderSince_{}; ///< When this replica last became leader.
   /// On the leader: the term of the last log entry before its own term. No
--- a/src/replication/RaftCore.cpp
+++ b/src/replication/RaftCore.cpp
@@ -103,7 +103,7 @@
   Taken->Term_ = *Log_.findTerm(In.Index_);
   Taken->Members_ = Log_.getMembersAt(In.Index_);
   Taken->State_ = In.State_;
-  Log_.compact(std::move(Taken), limitCompaction(In.KeepAfter_));
+  Log_.compact(std::move(Taken), limitCompaction(In));
   std::uint64_t First = Log_.getBaseIndex() + 1;
   Out_.Checkpoint_ = Checkpoint{Log_.getSnapshot(), Hard_,
                                 Log_.copyFrom(First, SIZE_MAX, SIZE_MAX)};
@@ -111,7 +111,10 @@
 
 /// Retains the entries that live followers still need, so that a slow follower
 /// does not need one snapshot after the other.
-std::uint64_t RaftCore::limitCompaction(std::uint64_t KeepAfter) const {
+std::uint64_t RaftCore::limitCompaction(const SnapshotTaken &Taken) const {
+  const std::uint64_t Earliest =
+      Log_.findFirstWithin(Taken.Index_, Settings_.MaxBytesKept_);
+  const std::uint64_t KeepAfter = std::max(Taken.KeepAfter_, Earliest);
   std::uint64_t Limited = KeepAfter;
   for (const auto &[Id, Peer] : Peers_) {
     bool IsAlive = Now_ - Peer.LastStored_ < Settings_.ElectionTimeout_;
@@ -119,7 +122,8 @@
     if (IsAlive)
       Limited = std::min(Limited, Needed);
   }
-  bool IsTooMuch = Limited + Settings_.MaxEntriesKept_ < Log_.getLastIndex();
+  bool IsTooMuch = Limited < Earliest ||
+                   Limited + Settings_.MaxEntriesKept_ < Log_.getLastIndex();
   return IsTooMuch ? KeepAfter : Limited;
 }
 
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -50,6 +50,9 @@
   /// The maximum number of entries that are retained for live followers that
   /// lag.
   std::uint64_t MaxEntriesKept_ = 20'000;
+  /// The maximum size of the commands that are retained behind a snapshot, for
+  /// any follower. One that needs more gets the snapshot.
+  std::uint64_t MaxBytesKept_ = 4ULL << 20;
 };
 
 /// Advances the time. Arrives several times in each heartbeat interval.
@@ -294,7 +297,7 @@
   std::uint64_t findQuorumValue(std::uint64_t Progress::*Field,
                                 std::uint64_t Own) const;
   bool hasCommittedInTerm() const;
-  std::uint64_t limitCompaction(std::uint64_t KeepAfter) const;
+  std::uint64_t limitCompaction(const SnapshotTaken &Taken) const;
 
   const CoreSettings Settings_;
   std::mt19937_64 Random_;
--- a/src/replication/RaftLog.cpp
+++ b/src/replication/RaftLog.cpp
@@ -52,6 +52,26 @@
   return Copies;
 }
 
+std::uint64_t RaftLog::getOffset(std::uint64_t Index) const {
+  assert(Index >= BaseIndex_ && Index <= getLastIndex());
+  return Index == BaseIndex_ ? BaseOffset_ : Offsets_[Index - BaseIndex_ - 1];
+}
+
+std::uint64_t RaftLog::countBytes(std::uint64_t Index) const {
+  return getOffset(getLastIndex()) - getOffset(Index);
+}
+
+std::uint64_t RaftLog::findFirstWithin(std::uint64_t Last,
+                                       std::uint64_t MaxBytes) const {
+  const std::uint64_t End = getOffset(Last);
+  if (End - BaseOffset_ <= MaxBytes)
+    return BaseIndex_;
+  auto First =
+      std::lower_bound(Offsets_.begin(), Offsets_.end(), End - MaxBytes);
+  return BaseIndex_ + 1 +
+         static_cast<std::uint64_t>(std::distance(Offsets_.begin(), First));
+}
+
 const std::vector<Member> &RaftLog::getMembers() const {
   return Members_.rbegin()->second;
 }
@@ -70,6 +90,7 @@
   assert(Entry.Index_ == getLastIndex() + 1 && "a gap in the log");
   if (Entry.Kind_ == EntryKind::Membership)
     Members_[Entry.Index_] = Entry.Members_;
+  Offsets_.push_back(getOffset(getLastIndex()) + Entry.Command_.size());
   Entries_.push_back(std::move(Entry));
 }
 
@@ -78,6 +99,7 @@
   if (Index > getLastIndex())
     return;
   Entries_.resize(Index - BaseIndex_ - 1);
+  Offsets_.resize(Entries_.size());
   Members_.erase(Members_.lower_bound(Index), Members_.end());
 }
 
@@ -88,9 +110,10 @@
     return;
   assert(Base <= getLastIndex());
   BaseTerm_ = at(Base).Term_;
-  Entries_.erase(Entries_.begin(),
-                 Entries_.begin() +
-                     static_cast<std::ptrdiff_t>(Base - BaseIndex_));
+  BaseOffset_ = getOffset(Base);
+  const auto Dropped = static_cast<std::ptrdiff_t>(Base - BaseIndex_);
+  Entries_.erase(Entries_.begin(), Entries_.begin() + Dropped);
+  Offsets_.erase(Offsets_.begin(), Offsets_.begin() + Dropped);
   BaseIndex_ = Base;
   auto InForce = std::prev(Members_.upper_bound(Base));
   Members_.erase(Members_.begin(), InForce);
--- a/src/replication/RaftLog.h
+++ b/src/replication/RaftLog.h
@@ -37,6 +37,15 @@
   std::vector<LogEntry> copyFrom(std::uint64_t First, std::size_t MaxCount,
                                  std::size_t MaxBytes) const;
 
+  /// Returns the size of the commands of all retained entries.
+  std::uint64_t countBytes() const { return countBytes(BaseIndex_); }
+  /// Returns the size of the commands after the entry at Index.
+  std::uint64_t countBytes(std::uint64_t Index) const;
+  /// Returns the lowest index after which the entries through Last hold at most
+  /// MaxBytes of commands.
+  std::uint64_t findFirstWithin(std::uint64_t Last,
+                                std::uint64_t MaxBytes) const;
+
   /// The latest members, committed or not, and the index of the entry that set
   /// them.
   const std::vector<Member> &getMembers() const;
@@ -55,9 +64,15 @@
   void install(SnapshotRef Last);
 
 private:
+  /// Returns the size of the commands through Index since this log began.
+  std::uint64_t getOffset(std::uint64_t Index) const;
+
   std::uint64_t BaseIndex_ = 0;
   std::uint64_t BaseTerm_ = 0;
+  std::uint64_t BaseOffset_ = 0; ///< At BaseIndex_.
   std::deque<LogEntry> Entries_;
+  /// For each entry, the size of the commands through it since this log began.
+  std::deque<std::uint64_t> Offsets_;
   SnapshotRef Snapshot_;
   /// Keyed by the index of the entry that set them.
   std::map<std::uint64_t, std::vector<Member>> Members_{{0, {}}};
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -20,16 +20,16 @@
   Core.HeartbeatInterval_ = From.HeartbeatInterval_;
   Core.Seed_ = From.Seed_ ^ Self.Incarnation_;
   Core.MaxMessagesInFlight_ = From.MaxMessagesInFlight_;
+  Core.MaxBytesKept_ = From.MaxLogBytes_ / 2;
   return Core;
 }
 
-/// The members take their snapshots at different entries, so that they do not
-/// all stall at the same time.
-static std::uint64_t planFirstSnapshot(const ReplicaSettings &Settings,
-                                       std::uint64_t Applied) {
-  std::uint64_t Spread = Settings.SnapshotEvery_ / 2 + 1;
-  std::uint64_t Less = std::hash<std::string>()(Settings.Name_) % Spread;
-  return Applied + Settings.SnapshotEvery_ - Less;
+/// Shortens the first interval between snapshots by up to a half. The members
+/// then take them at different entries and do not all stall at the same time.
+static std::uint64_t shortenFirst(const ReplicaSettings &Settings,
+                                  std::uint64_t Interval) {
+  std::uint64_t Spread = Interval / 2 + 1;
+  return Interval - std::hash<std::string>()(Settings.Name_) % Spread;
 }
 
 bool ReplicaDriver::Inbox::isUrgent() const {
@@ -47,7 +47,9 @@
       Bootstrap_(Start.Owner_, Settings_.InitialVoters_,
                  Settings_.MayBootstrap_),
       Hard_(Start.Stored_.Hard_), Applied_(Core_.getCommit()),
-      NextSnapshot_(planFirstSnapshot(Settings_, Applied_)),
+      NextSnapshot_(Applied_ +
+                    shortenFirst(Settings_, Settings_.SnapshotEvery_)),
+      SnapshotAfterBytes_(shortenFirst(Settings_, Settings_.MaxLogBytes_ / 2)),
       NextTick_(Time.now()), NextJoinProbe_(Time.now()),
       NextMembershipCheck_(Time.now()) {
   if (Start.Stored_.Snapshot_)
@@ -362,13 +364,20 @@
   Pending_.completeReads(Applied_);
 }
 
+/// Returns whether the entries since the last snapshot fill their part of the
+/// log, however few they are.
+bool ReplicaDriver::isSnapshotDueForSize() const {
+  return BytesSinceSnapshot_ >= std::max(SnapshotAfterBytes_, SnapshotBytes_);
+}
+
 /// Returns whether a snapshot is due. Snapshots write no more bytes than the
 /// log itself, but are delayed by at most MaxSnapshotDelay times the configured
 /// number of entries.
 bool ReplicaDriver::isSnapshotDue() const {
-  bool IsWanted = Settings_.SnapshotEvery_ != 0 && !HasFailed_;
-  if (!IsWanted || Applied_ < NextSnapshot_)
+  if (Settings_.SnapshotEvery_ == 0 || HasFailed_)
     return false;
+  if (Applied_ < NextSnapshot_)
+    return isSnapshotDueForSize();
   std::uint64_t Latest =
       NextSnapshot_ + Settings_.SnapshotEvery_ * (MaxSnapshotDelay - 1);
   return BytesSinceSnapshot_ >= SnapshotBytes_ || Applied_ >= Latest;
@@ -377,7 +386,11 @@
 void ReplicaDriver::takeSnapshotIfDue() {
   if (!isSnapshotDue())
     return;
+  ++Snapshots_;
+  if (Applied_ < NextSnapshot_)
+    ++SnapshotsForSize_;
   NextSnapshot_ = Applied_ + Settings_.SnapshotEvery_;
+  SnapshotAfterBytes_ = Settings_.MaxLogBytes_ / 2;
   std::uint64_t Kept = std::min(Applied_, Settings_.SnapshotEvery_ / 10);
   std::string State = Machine_.takeSnapshot();
   SnapshotBytes_ = State.size();
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -107,6 +107,7 @@
   void write(Outputs &Out);
   void restore(const Snapshot &From);
   void applyAll(const std::vector<LogEntry> &Entries);
+  bool isSnapshotDueForSize() const;
   bool isSnapshotDue() const;
   void takeSnapshotIfDue();
   LocalState getLocalState() const;
@@ -135,6 +136,10 @@
   std::uint64_t NextSnapshot_ = 0;
   std::uint64_t SnapshotBytes_ = 0;      ///< Size of the last snapshot.
   std::uint64_t BytesSinceSnapshot_ = 0; ///< Bytes of applied commands.
+  /// A snapshot is due once as many bytes were applied since the last one.
+  std::uint64_t SnapshotAfterBytes_ = 0;
+  std::uint64_t Snapshots_ = 0;
+  std::uint64_t SnapshotsForSize_ = 0;
   bool WasLeader_ = false;
   bool HasFailed_ = false;
   TimePoint NextTick_;
--- a/src/replication/ReplicaDriverStatus.cpp
+++ b/src/replication/ReplicaDriverStatus.cpp
@@ -26,6 +26,11 @@
   Status_.LeaderSince_ = Core_.getLeaderSince();
   Status_.PreviousTerm_ = Core_.getPreviousTerm();
   Status_.LogBytes_ = Storage_->countBytes();
+  Status_.RetainedBytes_ = Core_.getLog().countBytes();
+  Status_.BytesSinceSnapshot_ = BytesSinceSnapshot_;
+  Status_.SnapshotBytes_ = SnapshotBytes_;
+  Status_.Snapshots_ = Snapshots_;
+  Status_.SnapshotsForSize_ = SnapshotsForSize_;
   Status_.Syncs_ = Storage_->countSyncs();
   const bool AreMembersCommitted =
       Core_.getLog().getMembersIndex() <= Core_.getCommit();
--- a/tests/replication/FaultyFiles.h
+++ b/tests/replication/FaultyFiles.h
@@ -11,6 +11,7 @@
 
 #include "replication/FileSystem.h"
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -37,6 +38,7 @@
     auto Found = Names_.find(Path);
     if (Found == Names_.end())
       return fail(ErrorCode::StorageFailed, "no " + Path);
+    BytesRead_ += Found->second->Written_.size();
     return Found->second->Written_;
   }
 
@@ -106,6 +108,17 @@
     return Names_.at(Path)->Written_;
   }
   std::uint64_t countWork() const { return Work_; }
+  /// Returns the size of all files.
+  std::uint64_t countBytes() const {
+    std::uint64_t Sum = 0;
+    for (const auto &[Path, File] : Names_)
+      Sum += File->Written_.size();
+    return Sum;
+  }
+  /// Returns the largest size that all files have had together.
+  std::uint64_t getMaxBytes() const { return MaxBytes_; }
+  /// Returns how many bytes have been read.
+  std::uint64_t countBytesRead() const { return BytesRead_; }
   bool hasCrashed() const { return CrashAt_ != 0 && Work_ >= CrashAt_; }
 
   std::uint64_t CrashAt_ = 0; ///< 0 disables the crash.
@@ -127,6 +140,7 @@
         Bytes = Bytes.substr(0, Owner_.Random_() % (Bytes.size() + 1));
       if (Works || IsInterrupted)
         File_->Written_ += Bytes;
+      Owner_.MaxBytes_ = std::max(Owner_.MaxBytes_, Owner_.countBytes());
       if (!Works)
         return failNow();
       return succeed();
@@ -153,6 +167,8 @@
 
   std::mt19937_64 Random_;
   std::uint64_t Work_ = 0;
+  std::uint64_t MaxBytes_ = 0;
+  std::uint64_t BytesRead_ = 0;
   std::map<std::string, FileRef> Names_;
   std::map<std::string, FileRef> SyncedNames_;
 };
--- a/tests/replication/RaftCoreTest.cpp
+++ b/tests/replication/RaftCoreTest.cpp
@@ -369,3 +369,26 @@
 }
 
 } // namespace
+
+// Guards against a follower that answers but stores slowly: the entries that it
+// still lacks, however large, may not fill the leader's memory and disk.
+TEST_F(RaftCoreTest, EntriesKeptForASlowFollowerAreBoundedInBytes) {
+  constexpr std::uint64_t MaxRetained = 32U << 20;
+  becomeLeader();
+  sync();
+  acknowledge(C, last());
+  const std::uint64_t Stored = last();
+  for (int I = 0; I < 650; ++I) {
+    step(Proposed{{{1, std::string(150'000, 'x')}}});
+    sync();
+    acknowledge(B, last());
+    acknowledge(C, Stored);
+    if (I % 20 == 19)
+      step(SnapshotTaken{Core_->getCommit(), "state", Core_->getCommit()});
+    // At first it lacks so little that it needs no snapshot.
+    if (I < 25) {
+      ASSERT_LE(Core_->getLog().getBaseIndex(), Stored);
+    }
+    ASSERT_LE(Core_->getLog().countBytes(), MaxRetained);
+  }
+}
