Bound in bytes what is on its way to a member

Change: no further message with entries goes to a member that has not confirmed a quarter of MaxLogBytes_ (2 MiB); one message may exceed it, so that an entry of any size can be sent.

--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -77,7 +77,8 @@
   /// The maximum size in bytes of the commands in the log. A snapshot is due
   /// once half of it was applied since the last one, and the other half may
   /// stay behind a snapshot for slow followers. Only entries that are not yet
-  /// committed, and a state that is larger than this, exceed it. The default is
+  /// committed, and a state that is larger than this, exceed it. A quarter of
+  /// it may be on its way to one member. The default is
   /// a sixteenth of a disk of 128 MiB, on which two logs and two snapshots
   /// stand side by side while one replaces the other.
   std::uint64_t MaxLogBytes_ = 8ULL << 20;
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -46,6 +46,9 @@
   std::size_t MaxEntriesPerMessage_ = 1024;
   std::size_t MaxBytesPerMessage_ = 1U << 19;
   std::size_t MaxMessagesInFlight_ = 64;
+  /// No further message with entries is sent to a member that has not confirmed
+  /// this many bytes of commands.
+  std::uint64_t MaxBytesInFlight_ = 2ULL << 20;
   std::size_t SnapshotChunkBytes_ = 1U << 18;
   /// The maximum number of entries that are retained for live followers that
   /// lag.
@@ -262,6 +265,7 @@
   void broadcastRound();
   void sendAppends();
   void sendAppend(const MemberId &To, Progress &Peer, bool IsHeartbeat);
+  bool isFull(const Progress &Peer) const;
   void sendChunk(const MemberId &To, Progress &Peer);
   void sendAppendRequest(const MemberId &To, Progress &Peer, std::uint64_t Prev,
                          bool WithEntries);
--- a/src/replication/RaftLeader.cpp
+++ b/src/replication/RaftLeader.cpp
@@ -63,6 +63,18 @@
     sendAppend(Id, Peer, false);
 }
 
+/// Returns whether as much is on its way to the member as may be. Each message
+/// waits in the member's queue for its disk, so their bytes count too.
+bool RaftCore::isFull(const Progress &Peer) const {
+  if (Peer.InFlight_.empty())
+    return false;
+  const std::uint64_t Confirmed = std::max(Peer.Match_, Log_.getBaseIndex());
+  const std::uint64_t Bytes =
+      Log_.countBytes(Confirmed) - Log_.countBytes(Peer.Next_ - 1);
+  return Peer.InFlight_.size() >= Settings_.MaxMessagesInFlight_ ||
+         Bytes >= Settings_.MaxBytesInFlight_;
+}
+
 void RaftCore::sendAppend(const MemberId &To, Progress &Peer,
                           bool IsHeartbeat) {
   if (Peer.Sending_ || Peer.Next_ <= Log_.getBaseIndex()) {
@@ -81,7 +93,7 @@
   }
   bool IsFirst = IsHeartbeat;
   while (IsFirst || Peer.Next_ <= Log_.getLastIndex()) {
-    bool IsFull = Peer.InFlight_.size() >= Settings_.MaxMessagesInFlight_;
+    const bool IsFull = isFull(Peer);
     if (IsFull && !IsFirst)
       return;
     sendAppendRequest(To, Peer, Peer.Next_ - 1, !IsFull);
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -21,6 +21,7 @@
   Core.Seed_ = From.Seed_ ^ Self.Incarnation_;
   Core.MaxMessagesInFlight_ = From.MaxMessagesInFlight_;
   Core.MaxBytesKept_ = From.MaxLogBytes_ / 2;
+  Core.MaxBytesInFlight_ = From.MaxLogBytes_ / 4;
   return Core;
 }
 
--- a/tests/replication/RaftCoreTest.cpp
+++ b/tests/replication/RaftCoreTest.cpp
@@ -415,3 +415,29 @@
   ASSERT_TRUE(Cut.Checkpoint_);
   EXPECT_TRUE(IsShared(Cut.Checkpoint_->Entries_));
 }
+
+// Guards against a follower's queue that is bounded by the number of messages
+// alone: large entries that wait there for its disk would fill its memory.
+TEST_F(RaftCoreTest, EntriesInFlightToAMemberAreBoundedInBytes) {
+  constexpr std::uint64_t MaxInFlight = 8U << 20;
+  becomeLeader();
+  sync();
+  acknowledge(B, last());
+  const std::uint64_t First = last() + 1;
+  std::uint64_t Sent = 0;
+  const auto Count = [&Sent](const Outputs &Out) {
+    for (const Message &Msg : Out.MessagesBeforeSync_)
+      if (const auto *Request = std::get_if<AppendRequest>(&Msg.Body_);
+          Request && Msg.To_ == B)
+        for (const LogEntry &Entry : Request->Entries_)
+          Sent += Entry.Command_.size();
+  };
+  for (int I = 0; I < 100; ++I)
+    Count(step(Proposed{{{1, std::string(150'000, 'x')}}}));
+  EXPECT_GT(Sent, 0U);
+  EXPECT_LE(Sent, MaxInFlight);
+  // Each confirmation lets further entries follow.
+  for (std::uint64_t Index = First; Index <= last(); ++Index)
+    Count(acknowledge(B, Index));
+  EXPECT_EQ(Sent, 100U * 150'000U);
+}
