Bound in bytes the writer's batches and its queue behind a hanging disk

Change: a batch holds at most 1 MiB of commands unless one entry is larger. A job with a checkpoint supersedes the queued writes, since it replaces all that is stored; their messages wait for it, as they did when jobs were merged. So the queue holds one checkpoint and what follows it, which the bound on the log limits.

--- a/src/replication/LogWriter.cpp
+++ b/src/replication/LogWriter.cpp
@@ -8,26 +8,42 @@
 using namespace tulipweir;
 using namespace tulipweir::replication;
 
+/// The maximum size of the commands in one batch, unless a single entry is
+/// larger. A batch is copied several times while it is encoded.
+constexpr std::uint64_t MaxBatchBytes = 1U << 20;
+
+static std::uint64_t countBytes(const std::vector<LogEntry> &Entries) {
+  std::uint64_t Bytes = 0;
+  for (const LogEntry &Entry : Entries)
+    Bytes += Entry.Command_.size();
+  return Bytes;
+}
+
 template <class T>
 static void appendMoved(std::vector<T> &To, std::vector<T> &From) {
   To.insert(To.end(), std::make_move_iterator(From.begin()),
             std::make_move_iterator(From.end()));
 }
 
-/// Merges adjacent jobs into batches of at most MaxBatch entries. A single job
-/// with more entries is kept; append() splits it.
+/// Merges adjacent jobs into batches of at most MaxBatch entries and
+/// MaxBatchBytes. A single job with more is kept; append() splits it.
 static std::vector<WriteJob> merge(std::vector<WriteJob> Jobs,
                                    std::uint64_t MaxBatch) {
   std::vector<WriteJob> Merged;
+  std::uint64_t LastBytes = 0; ///< Of the last merged job.
   for (WriteJob &Job : Jobs) {
+    const std::uint64_t Bytes = countBytes(Job.Batch_.Entries_);
     bool CanJoin =
         !Merged.empty() && !Merged.back().Checkpoint_ &&
         Merged.back().Batch_.Entries_.size() + Job.Batch_.Entries_.size() <=
-            MaxBatch;
+            MaxBatch &&
+        LastBytes + Bytes <= MaxBatchBytes;
     if (!CanJoin) {
       Merged.push_back(std::move(Job));
+      LastBytes = Bytes;
       continue;
     }
+    LastBytes += Bytes;
     WriteJob &Last = Merged.back();
     if (Job.HasBatch_)
       Last.Batch_.Hard_ = std::move(Job.Batch_.Hard_);
@@ -35,6 +51,8 @@
     appendMoved(Last.Batch_.Entries_, Job.Batch_.Entries_);
     appendMoved(Last.Messages_, Job.Messages_);
     Last.Checkpoint_ = std::move(Job.Checkpoint_);
+    if (Job.LastAppended_)
+      Last.LastAppended_ = Job.LastAppended_;
   }
   return Merged;
 }
@@ -46,12 +64,45 @@
 
 LogWriter::~LogWriter() { stop(); }
 
+/// Moves the messages of the queued jobs to Job, which has a checkpoint, and
+/// drops their writes.
+static void supersede(std::vector<WriteJob> &Queue, WriteJob &Job) {
+  std::vector<Message> Messages;
+  std::optional<Synced> LastAppended;
+  for (WriteJob &Earlier : Queue) {
+    appendMoved(Messages, Earlier.Messages_);
+    if (Earlier.LastAppended_)
+      LastAppended = Earlier.LastAppended_;
+  }
+  Queue.clear();
+  appendMoved(Messages, Job.Messages_);
+  Job.Messages_ = std::move(Messages);
+  if (!Job.LastAppended_)
+    Job.LastAppended_ = LastAppended;
+}
+
 void LogWriter::submit(WriteJob Job) {
+  const std::vector<LogEntry> &Entries = Job.Batch_.Entries_;
+  if (!Entries.empty())
+    Job.LastAppended_ = Synced{Entries.back().Term_, Entries.back().Index_};
   std::lock_guard Guard(Lock_);
+  if (Job.Checkpoint_) {
+    supersede(Queue_, Job);
+    Job.HasBatch_ = false;
+    Job.Batch_ = {};
+    QueuedBytes_ = countBytes(Job.Checkpoint_->Entries_);
+  } else {
+    QueuedBytes_ += countBytes(Entries);
+  }
   Queue_.push_back(std::move(Job));
   Wake_.notify_one();
 }
 
+std::uint64_t LogWriter::countQueuedBytes() const {
+  std::lock_guard Guard(Lock_);
+  return QueuedBytes_;
+}
+
 void LogWriter::stop() {
   {
     std::lock_guard Guard(Lock_);
@@ -66,22 +117,27 @@
 std::vector<WriteJob> LogWriter::waitForJobs() {
   std::unique_lock Guard(Lock_);
   Wake_.wait(Guard, [this] { return IsStopping_ || !Queue_.empty(); });
+  QueuedBytes_ = 0;
   return std::exchange(Queue_, {});
 }
 
-/// Writes the batch with as few syncs as MaxBatch_ allows.
+/// Writes the batch with as few syncs as MaxBatch_ and MaxBatchBytes allow.
 Outcome<void> LogWriter::append(const LogBatch &Batch) {
-  const std::vector<LogEntry> &Entries = Batch.Entries_;
-  if (Entries.size() <= MaxBatch_)
-    return Storage_.append(Batch);
-  for (std::size_t From = 0; From < Entries.size(); From += MaxBatch_) {
-    std::size_t End = std::min<std::size_t>(From + MaxBatch_, Entries.size());
-    LogBatch Part{Batch.Hard_,
-                  {Entries.begin() + static_cast<std::ptrdiff_t>(From),
-                   Entries.begin() + static_cast<std::ptrdiff_t>(End)}};
-    BOOST_OUTCOME_TRYV(Storage_.append(Part));
+  LogBatch Part{Batch.Hard_, {}};
+  std::uint64_t Bytes = 0;
+  for (const LogEntry &Entry : Batch.Entries_) {
+    const std::uint64_t Next = Entry.Command_.size();
+    const bool IsFull =
+        Part.Entries_.size() >= MaxBatch_ || Bytes + Next > MaxBatchBytes;
+    if (!Part.Entries_.empty() && IsFull) {
+      BOOST_OUTCOME_TRYV(Storage_.append(Part));
+      Part.Entries_.clear();
+      Bytes = 0;
+    }
+    Part.Entries_.push_back(Entry);
+    Bytes += Next;
   }
-  return succeed();
+  return Storage_.append(Part);
 }
 
 Outcome<void> LogWriter::write(WriteJob &Job) {
@@ -96,9 +152,8 @@
 
 void LogWriter::complete(const WriteJob &Job) {
   Calls_.Send_(Job.Messages_);
-  const std::vector<LogEntry> &Entries = Job.Batch_.Entries_;
-  if (!Entries.empty())
-    Calls_.Synced_({Entries.back().Term_, Entries.back().Index_});
+  if (Job.LastAppended_)
+    Calls_.Synced_(*Job.LastAppended_);
 }
 
 void LogWriter::run() {
--- a/src/replication/LogWriter.h
+++ b/src/replication/LogWriter.h
@@ -27,6 +27,8 @@
   LogBatch Batch_;
   std::optional<Checkpoint> Checkpoint_;
   std::vector<Message> Messages_;
+  /// The last entry that becomes durable with this job. It is set by submit().
+  std::optional<Synced> LastAppended_;
 };
 
 /// submit() is thread-safe. The callbacks run on the writer's thread.
@@ -42,7 +44,11 @@
   LogWriter(LogStorage &Storage, std::uint64_t MaxBatch, Callbacks Calls);
   ~LogWriter();
 
+  /// A job with a checkpoint supersedes the writes that are still queued, as it
+  /// replaces all that is stored. Their messages wait for it.
   void submit(WriteJob Job);
+  /// Returns the size of the commands that are queued and not being written.
+  std::uint64_t countQueuedBytes() const;
   /// Writes all submitted jobs and ends the thread.
   void stop();
 
@@ -56,9 +62,10 @@
   LogStorage &Storage_;
   const std::uint64_t MaxBatch_;
   const Callbacks Calls_;
-  std::mutex Lock_;
+  mutable std::mutex Lock_;
   std::condition_variable Wake_;
   std::vector<WriteJob> Queue_;
+  std::uint64_t QueuedBytes_ = 0; ///< Guarded by Lock_, as is Queue_.
   bool IsStopping_ = false;
   std::thread Thread_;
 };
