--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -54,14 +54,16 @@
   MembersChanged,
   StorageTrouble,
   ClockJumped,
-  AdviceTaken, ///< The advice service said which servers may run a step.
-  Maintenance, ///< A wave of maintenance, or one VM of it.
-  Evacuation,  ///< Of a data centre: begun, or over.
-  LeaderLoad,  ///< What a leader did in the last second.
+  AdviceTaken,    ///< The advice service said which servers may run a step.
+  Maintenance,    ///< A wave of maintenance, or one VM of it.
+  Evacuation,     ///< Of a data centre: begun, or over.
+  LeaderLoad,     ///< What a leader did in the last second.
+  LogRecovered,   ///< What a control read of its log at start.
+  SnapshotsEarly, ///< Whether the log's size makes snapshots early.
 };
 
 inline constexpr std::size_t EventKinds =
-    static_cast<std::size_t>(EventKind::LeaderLoad) + 1;
+    static_cast<std::size_t>(EventKind::SnapshotsEarly) + 1;
 
 /// The name of the kind as it stands in a log.
 std::string_view getEventName(EventKind Kind);
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -111,6 +111,13 @@
   std::string Result_;
 };
 
+/// What a replica read when its folder was opened.
+struct Recovery {
+  std::uint64_t Entries_ = 0;
+  std::uint64_t Bytes_ = 0; ///< Of the log and of the snapshot's state.
+  Duration Time_{};
+};
+
 struct ReplicaStatus {
   MemberId Self_;
   bool IsLeader_ = false;
@@ -129,6 +136,7 @@
   std::uint64_t QueuedBytes_ = 0; ///< Of the commands waiting for the disk.
   /// Proposals refused because too much was uncommitted.
   std::uint64_t RefusedProposals_ = 0;
+  Recovery Recovery_;
   std::uint64_t Syncs_ = 0;
   TimePoint LeaderSince_{}; ///< When this replica last became leader.
   /// On the leader: the term of the last log entry before its own term. No
--- a/src/control/ControlMetrics.cpp
+++ b/src/control/ControlMetrics.cpp
@@ -1,18 +1,12 @@
 #include "control/ControlMetrics.h"
 
+#include "tulipweir/replication/ReplicaGauges.h"
+
 using namespace tulipweir;
 using namespace tulipweir::control;
 using net::LinkCounters;
-using replication::ReplicaStatus;
 
 namespace {
-/// A gauge over one field of a replica's status.
-struct GroupGauge {
-  const char *Name_;
-  const char *Help_;
-  double (*Read_)(const ReplicaStatus &);
-};
-
 /// A gauge over one counter of the listening side.
 struct LinkGauge {
   const char *Name_;
@@ -21,26 +15,6 @@
 };
 } // namespace
 
-static constexpr GroupGauge GroupGauges[] = {
-    {"tulipweir_group_leader", "1 while this control leads the group",
-     [](const ReplicaStatus &S) { return S.IsLeader_ ? 1.0 : 0.0; }},
-    {"tulipweir_group_leader_known", "1 while a leader is known",
-     [](const ReplicaStatus &S) { return S.LeaderName_.empty() ? 0.0 : 1.0; }},
-    {"tulipweir_group_term", "Term of the group",
-     [](const ReplicaStatus &S) { return double(S.Term_); }},
-    {"tulipweir_group_commit_index", "Entries committed",
-     [](const ReplicaStatus &S) { return double(S.CommitIndex_); }},
-    {"tulipweir_group_applied_index", "Entries applied here",
-     [](const ReplicaStatus &S) { return double(S.AppliedIndex_); }},
-    {"tulipweir_group_log_bytes", "Bytes of the log on disk",
-     [](const ReplicaStatus &S) { return double(S.LogBytes_); }},
-    {"tulipweir_group_syncs_total", "Syncs of the log",
-     [](const ReplicaStatus &S) { return double(S.Syncs_); }},
-    {"tulipweir_group_failed", "1 if this replica stopped by itself",
-     [](const ReplicaStatus &S) { return S.Failure_.empty() ? 0.0 : 1.0; }},
-    {"tulipweir_group_members", "Members of the group",
-     [](const ReplicaStatus &S) { return double(S.Members_.size()); }}};
-
 static constexpr LinkGauge LinkGauges[] = {
     {"tulipweir_link_frames_sent_total", "Frames sent as the listening side",
      &LinkCounters::FramesSent_},
@@ -60,7 +34,7 @@
                               const replication::Replica &Replica,
                               const ReplicationTransport &Out) {
   const std::string Labels = "group=\"" + Group + "\"";
-  for (const GroupGauge &Gauge : GroupGauges)
+  for (const replication::ReplicaGauge &Gauge : replication::ReplicaGauges)
     Registry.addGauge(
         Gauge.Name_, Gauge.Help_,
         [&Replica, Read = Gauge.Read_] { return Read(Replica.getStatus()); },
--- a/src/core/EventLog.cpp
+++ b/src/core/EventLog.cpp
@@ -46,7 +46,9 @@
       "advice_taken",
       "maintenance",
       "evacuation",
-      "leader_load"};
+      "leader_load",
+      "log_recovered",
+      "snapshots_early"};
   static_assert(!Names.back().empty());
   return Names.at(static_cast<std::size_t>(Kind));
 }
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -4,11 +4,13 @@
 #include "jobservice/LoadMetrics.h"
 #include "jobservice/OperatorCalls.h"
 #include "jobservice/PlaceSurvey.h"
+#include "jobservice/ReplicaEvents.h"
 #include "jobservice/ReplicaInstance.h"
 #include "jobservice/ReportRouter.h"
 #include "jobservice/StateDump.h"
 #include "tulipweir/jobservice/MemberLinks.h"
 #include "tulipweir/net/StrandExecutor.h"
+#include "tulipweir/replication/ReplicaGauges.h"
 
 #include <future>
 
@@ -57,12 +59,12 @@
        net::Metrics &Metrics, EventLog &Log, OpenReplica Open,
        MeasureWork Measure)
       : Settings_(Settings), Pool_(Pool), Time_(Time), Advisor_(Advisor),
-        Provider_(Provider), Log_(Log), Meter_(Metrics), LoadMeter_(Metrics),
-        Open_(std::move(Open)),
+        Provider_(Provider), Metrics_(Metrics), Log_(Log), Meter_(Metrics),
+        LoadMeter_(Metrics), Open_(std::move(Open)),
         Measure_(Measure ? std::move(Measure) : MeasureWork(&timeWork)),
         Links_(Pool.context(), Settings.Name_, Settings.LinkPort_,
                makeMemberLinkSettings(Settings.Secret_)),
-        Strand_(Pool),
+        Strand_(Pool), ReplicaEvents_(Log),
         Places_(Settings.Name_, Settings.DataCentre_, Time,
                 [this](const std::string &Member) { askForPlace(Member); }),
         Router_(Settings.Name_, Strand_, Time, Links_, Meter_,
@@ -102,8 +104,8 @@
 
 private:
   Outcome<void> openReplica();
+  void addReplicaMetrics();
   void checkReplica();
-  void logMembershipChange(const replication::ReplicaStatus &Status);
   void transferIfSlow(const ReplicaInstance &Instance,
                       const replication::ReplicaStatus &Status);
   void runUrgent(OperatorCalls::LeaderWork Work);
@@ -119,6 +121,7 @@
   const Clock &Time_;
   jobs::Advisor &Advisor_;
   jobs::VmProvider &Provider_;
+  net::Metrics &Metrics_;
   EventLog &Log_;
   JobMetrics Meter_;
   LoadMetrics LoadMeter_;
@@ -128,7 +131,7 @@
   net::StrandExecutor Strand_;
   std::unique_ptr<net::LinkServer> Server_;
   // Used on the strand only.
-  std::vector<replication::Member> LastMembers_;
+  ReplicaEvents ReplicaEvents_;
   bool IsTransferring_ = false;
   TimePoint NextLoadAt_{};
   PlaceSurvey Places_;
@@ -157,19 +160,36 @@
       return fail(ErrorCode::Unavailable, "stopping");
     Instance_ = NewInstance;
   }
-  Strand_.post([Weak = std::weak_ptr(NewInstance)] {
+  Strand_.post([Self = shared_from_this(), Weak = std::weak_ptr(NewInstance)] {
     const std::shared_ptr<ReplicaInstance> Instance = Weak.lock();
-    if (Instance && Instance->Leader_)
-      Instance->Leader_->start();
+    if (!Instance || !Instance->Leader_)
+      return;
+    Self->ReplicaEvents_.logRecovery(Instance->Replica_->getStatus());
+    Instance->Leader_->start();
   });
   return succeed();
 }
 
+void ControlNode::Impl::addReplicaMetrics() {
+  const std::string Labels = std::string("group=\"") + GroupName + "\"";
+  for (const replication::ReplicaGauge &Gauge : replication::ReplicaGauges)
+    Metrics_.addGauge(
+        Gauge.Name_, Gauge.Help_,
+        [Weak = weak_from_this(), Read = Gauge.Read_] {
+          const std::shared_ptr<Impl> Self = Weak.lock();
+          const std::shared_ptr<ReplicaInstance> Instance =
+              Self ? Self->getInstance() : nullptr;
+          return Instance ? Read(Instance->Replica_->getStatus()) : 0.0;
+        },
+        Labels);
+}
+
 Outcome<void> ControlNode::Impl::start() {
   Router_.setOwner(weak_from_this());
   OperatorCalls_.setOwner(weak_from_this());
   if (Outcome<void> Opened = openReplica(); !Opened)
     return Opened;
+  addReplicaMetrics();
   net::Endpoint Listen;
   Listen.Address_ = net::Endpoint::parse(Settings_.Name_).value().Address_;
   Listen.Port_ = Settings_.LinkPort_;
@@ -187,23 +207,6 @@
   return succeed();
 }
 
-void ControlNode::Impl::logMembershipChange(
-    const replication::ReplicaStatus &Status) {
-  if (Status.Members_ == LastMembers_)
-    return;
-  LastMembers_ = Status.Members_;
-  Event Line;
-  Line.Kind_ = EventKind::MembersChanged;
-  Line.Term_ = Status.Term_;
-  Line.Count_ = Status.Members_.size();
-  for (const replication::Member &Member : Status.Members_)
-    Line.Reason_ +=
-        Member.Id_.Name_ + (Member.Role_ == replication::MemberRole::Voter
-                                ? " (voter), "
-                                : " (learner), ");
-  Log_.write(Line);
-}
-
 /// Transfers leadership from a slow VM to a faster one before servers lose
 /// their leases. A leader under a load that would overload any VM keeps
 /// leadership.
@@ -273,7 +276,7 @@
   Line.Kind_ = EventKind::StorageTrouble;
   if (std::shared_ptr<ReplicaInstance> Instance = getInstance()) {
     const replication::ReplicaStatus Status = Instance->Replica_->getStatus();
-    logMembershipChange(Status);
+    ReplicaEvents_.update(Status);
     transferIfSlow(*Instance, Status);
     if (Status.IsLeader_)
       Places_.poll(Status, *Instance->Replica_);
--- a/src/replication/Replica.cpp
+++ b/src/replication/Replica.cpp
@@ -65,6 +65,7 @@
   Start.Settings_ = Settings;
   Start.Owner_.Group_ = Settings.Group_;
   Start.Owner_.Self_ = {Settings.Name_, makeIncarnation(Time)};
+  const TimePoint Begin = Time.now();
   if (Settings.Folder_.empty()) {
     Start.Storage_ = std::make_unique<NoStorage>();
   } else {
@@ -74,6 +75,7 @@
     BOOST_OUTCOME_TRYV(
         Machine.restoreSnapshot(Start.Stored_.Snapshot_->State_));
   }
+  Start.RecoveryTime_ = Time.now() - Begin;
   return std::unique_ptr<Replica>(
       std::make_unique<ReplicaDriver>(std::move(Start), Machine, Out, Time));
 }
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -57,6 +57,9 @@
   if (Start.Stored_.Snapshot_)
     SnapshotBytes_ = Start.Stored_.Snapshot_->State_.size();
   Status_.Self_ = Start.Owner_.Self_;
+  Status_.Recovery_ = {Start.Stored_.Entries_.size(),
+                       Storage_->countBytes() + SnapshotBytes_,
+                       Start.RecoveryTime_};
   Status_.LostDisk_ = Start.LostDisk_;
   Status_.IsDurable_ = !Settings_.Folder_.empty();
   publish();
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -30,6 +30,7 @@
   Checkpoint Stored_; ///< The state machine has already restored its snapshot.
   std::unique_ptr<LogStorage> Storage_;
   std::string LostDisk_;
+  Duration RecoveryTime_{};
 };
 
 class ReplicaDriver final : public Replica {
