Resume all members of a gang from one checkpoint

Cause: a checkpoint was kept for each member, and each order took the member's own; the value of any member is valid, but all must carry the same.

Why this fixes it: members whose run has ended share one value, and the next run starts only when all have ended. Members that still run keep theirs, so that a repeated order carries what the others began with.

Ruled out: one value for the gang that any end changes at once. Orders that are repeated while a run breaks would carry another value than the first ones.

--- a/include/tulipweir/jobs/JobRegistry.h
+++ b/include/tulipweir/jobs/JobRegistry.h
@@ -235,6 +235,8 @@
   void removeReadySteps(const JobRecord &Job);
   void placeTask(const TaskStart &Start);
   void endRun(const std::string &Server, const TaskEnd &End);
+  static void saveCheckpoint(const StepSpec &Spec, StepRecord &Step,
+                             TaskRecord &Task, const TaskEnd &End);
   static void countFailure(const StepSpec &Spec, StepRecord &Step,
                            TaskRecord &Task, std::uint64_t Run);
   void applyLateEnd(const std::string &Server, TaskRecord &Task,
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -292,8 +292,7 @@
   StepRecord &Step = Occurrence.Steps_[End.Task_.Step_];
   const bool HadWaiting = Step.Waiting_ > 0;
   if (!isEnded(Job.State_)) {
-    if (!End.Checkpoint_.empty())
-      Task->Checkpoint_ = End.Checkpoint_;
+    saveCheckpoint(Spec, Step, *Task, End);
     const bool IsFailure = End.Outcome_ == RunOutcome::Failed;
     if (IsFailure)
       countFailure(Spec, Step, *Task, End.Run_);
@@ -321,6 +320,36 @@
     updateReadyStep(Job, Occurrence, End.Task_.Step_);
 }
 
+/// Saves what the task resumes from; its placement has just ended. The members
+/// of a gang resume from one value, which any of them may have saved: those
+/// whose run has ended share it, so that it is the same for all once the last
+/// one has ended. Members that still run keep what their run began with.
+void JobRegistry::saveCheckpoint(const StepSpec &Spec, StepRecord &Step,
+                                 TaskRecord &Task, const TaskEnd &End) {
+  if (!Spec.Gang_) {
+    if (!End.Checkpoint_.empty())
+      Task.Checkpoint_ = End.Checkpoint_;
+    return;
+  }
+  const auto Other =
+      std::find_if(Step.Tasks_.begin(), Step.Tasks_.end(),
+                   [&Task](const TaskRecord &Record) {
+                     return &Record != &Task && Record.Placements_.empty();
+                   });
+  const bool HasOther = Other != Step.Tasks_.end();
+  // A server that was removed saved it before the others ended.
+  const bool IsOutdated = End.Outcome_ == RunOutcome::LeaseExpired &&
+                          HasOther && !Other->Checkpoint_.empty();
+  if (End.Checkpoint_.empty() || IsOutdated) {
+    if (HasOther)
+      Task.Checkpoint_ = Other->Checkpoint_;
+    return;
+  }
+  for (TaskRecord &Record : Step.Tasks_)
+    if (Record.Placements_.empty())
+      Record.Checkpoint_ = End.Checkpoint_;
+}
+
 /// Counts the failure of a run whose placement has just ended. A gang's members
 /// share its runs, which follow one another, so each run counts once, against
 /// all of them. The copies of another task have runs of their own, which fail
--- a/tests/jobs/JobRegistryTest.cpp
+++ b/tests/jobs/JobRegistryTest.cpp
@@ -234,6 +234,53 @@
   EXPECT_EQ(getJobState("j"), JobState::Failed);
 }
 
+// Guards against members of a gang that resume from checkpoints of their own:
+// any one of them is valid, but all must carry the same.
+TEST_F(JobRegistryTest, AGangResumesFromOneCheckpoint) {
+  StepSpec Gang = makeStep(3, 100);
+  Gang.Gang_ = true;
+  const auto GetAll = [this] {
+    std::vector<std::string> All;
+    for (std::uint64_t Index = 0; Index < 3; ++Index)
+      All.push_back(Registry_.findTask({"j", 0, 0, Index})->Checkpoint_);
+    return All;
+  };
+  const auto StartAll = [this](std::uint64_t Run) {
+    const CommandResult Started = apply(
+        StartTasks{{makeStart("j", 0, "s1", Run), makeStart("j", 1, "s2", Run),
+                    makeStart("j", 2, "s3", Run)}});
+    EXPECT_EQ(Started.Accepted_, (std::vector<bool>{true, true, true}));
+  };
+  const auto Break = [this](std::uint64_t Index, const std::string &Server,
+                            std::uint64_t Run, const std::string &Saved) {
+    end(makeStart("j", Index, Server, Run), RunOutcome::GangMemberEnded, Saved);
+  };
+  using Values = std::vector<std::string>;
+  apply(AddServer{makeServer("s3")});
+  submit(makeJob("j", {Gang}));
+  StartAll(1);
+  Break(2, "s3", 1, "at 30");
+  // A member that has not begun yet must carry what the others have begun with.
+  EXPECT_EQ(GetAll(), (Values{"", "", "at 30"}));
+  Break(0, "s1", 1, "at 32");
+  Break(1, "s2", 1, "");
+  EXPECT_EQ(GetAll(), Values(3, "at 32"));
+  // What a removed server reported last is older than what the others saved.
+  StartAll(2);
+  Break(0, "s1", 2, "at 51");
+  Break(1, "s2", 2, "at 52");
+  const TaskKey Lost{"j", 0, 0, 2};
+  apply(RemoveServer{"s3", {{Lost, 2, "at 44"}}, false});
+  EXPECT_EQ(GetAll(), Values(3, "at 52"));
+  // It counts if it is all there is.
+  apply(AddServer{makeServer("s3")});
+  StartAll(3);
+  apply(RemoveServer{"s3", {{Lost, 3, "at 60"}}, false});
+  Break(0, "s1", 3, "");
+  Break(1, "s2", 3, "");
+  EXPECT_EQ(GetAll(), Values(3, "at 60"));
+}
+
 TEST_F(JobRegistryTest, ACopyMayRunBesideASpeculativeTask) {
   StepSpec Step = makeStep(1, 100);
   Step.Speculative_ = true;
