First voters that have voted can still found their group

Cause (found by reading the founding again): a founder that has learned the result asks for votes. First voters that answered it, but lost the result and then the founder for good, had a term and no log. They counted as neither empty nor members, so nobody could found or lead: one of three gone, no group.

Change: for GroupFounding a member without a log is empty, whatever its term. The core takes the initial members into an empty log in any term. This is safe because only one list can be chosen; it is what the founder would have sent. GroupBootstrap, which has no such promise, goes on treating a term as a log.

--- a/src/replication/RaftCore.cpp
+++ b/src/replication/RaftCore.cpp
@@ -141,7 +141,7 @@
 }
 
 void RaftCore::handle(const GroupBootstrapped &In) {
-  if (!Log_.isEmpty() || Hard_.Term_ > 1)
+  if (!Log_.isEmpty())
     return;
   LogEntry First;
   First.Term_ = 1;
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -237,7 +237,7 @@
     return;
   NextJoinProbe_ = Time_.now() + Settings_.ElectionTimeout_ / 2;
   if (Core_.getLog().isEmpty()) {
-    processOutputs(Founding_.tick(Time_.now(), getLocalState()));
+    processOutputs(Founding_.tick(Time_.now(), getFoundingState()));
     return processOutputs(Bootstrap_.ask(getLocalState()));
   }
   // No message tells a member that it was removed while it was down.
@@ -301,7 +301,7 @@
     processOutputs(Bootstrap_.receive(Decoded.value(), getLocalState()));
   else if (isFoundingMessage(Decoded.value()))
     processOutputs(
-        Founding_.receive(Decoded.value(), Time_.now(), getLocalState()));
+        Founding_.receive(Decoded.value(), Time_.now(), getFoundingState()));
   else
     step(Received{std::move(Decoded.value())});
 }
@@ -436,6 +436,14 @@
   return Local;
 }
 
+/// A vote commits this member to no list of initial members, so it still counts
+/// as empty for GroupFounding, which lets only one list be chosen.
+LocalState ReplicaDriver::getFoundingState() const {
+  LocalState Local = getLocalState();
+  Local.IsEmpty_ = Core_.getLog().isEmpty();
+  return Local;
+}
+
 void ReplicaDriver::processOutputs(BootstrapOutputs Out) {
   if (Out.Promise_) {
     Outcome<void> Saved = Storage_->saveIdentity(*Out.Promise_);
--- a/src/replication/ReplicaDriver.h
+++ b/src/replication/ReplicaDriver.h
@@ -114,6 +114,7 @@
   bool isSnapshotDue() const;
   void takeSnapshotIfDue();
   LocalState getLocalState() const;
+  LocalState getFoundingState() const;
   std::vector<MemberId> getJoinRequests() const;
   std::vector<MemberHealth> listMemberHealth() const;
   void publishMemberHealth();
--- a/tests/replication/ReplicaTest.cpp
+++ b/tests/replication/ReplicaTest.cpp
@@ -2,6 +2,9 @@
 
 #include "tulipweir/replication/StateMachine.h"
 
+#include "replication/FolderStorage.h"
+#include "replication/PosixFileSystem.h"
+
 #include <gtest/gtest.h>
 
 #include <filesystem>
@@ -380,3 +383,25 @@
   std::this_thread::sleep_for(16 * makeSettings("a").ElectionTimeout_);
   EXPECT_EQ(findLeader(), nullptr);
 }
+
+// Guards against first voters that have voted for a founder which is gone
+// before they learned the initial members: no log, but a term, must not keep
+// them from founding the group.
+TEST_F(ReplicaTest, AVoteBeforeTheGroupIsKnownDoesNotPreventTheFounding) {
+  BootstrapsByMajority_ = true;
+  MayBootstrap_ = false;
+  PosixFileSystem Files;
+  for (const char *Name : {"b", "c"}) {
+    const MemberId Self{Name, 1};
+    auto Opened = FolderStorage::open(Files, (Root_ / Name).string(),
+                                      Identity{"group", Self, 0});
+    ASSERT_TRUE(Opened) << Opened.error().Message_;
+    LogStorage &Storage = *Opened.value().Storage_;
+    ASSERT_TRUE(Storage.saveFounding(Self, {InitialVoters_, 0, 0, {}}));
+    ASSERT_TRUE(Storage.append({{2, {"a", 1}}, {}}));
+  }
+  start("b");
+  start("c");
+  ASSERT_TRUE(waitFor([&] { return findLeader() != nullptr; }));
+  EXPECT_TRUE(commit("one"));
+}
