Remove what the change of the log wrote twice or left dead

Cause (read in the diff): a search for a voter stood in four places; reading a whole file and a part of it were two loops; three knobs of the core repeated fractions of one bound; a job with a checkpoint can only be the writer's first, so merging one was dead; append() copied every batch to split those few that are too large.

Change: hasVoter(); FileSystem::read() is readPart() of the whole file; CoreSettings::MaxLogBytes_ replaces three settings; isAnyOf<>() names the kinds of messages; a batch that fits is appended as it is. No behaviour changes.

--- a/src/replication/FileSystem.h
+++ b/src/replication/FileSystem.h
@@ -34,7 +34,9 @@
   virtual Outcome<void> makeFolder(const std::string &Path) = 0;
   /// Returns the names in the folder, sorted.
   virtual Outcome<std::vector<std::string>> list(const std::string &Folder) = 0;
-  virtual Outcome<std::string> read(const std::string &Path) = 0;
+  Outcome<std::string> read(const std::string &Path) {
+    return readPart(Path, 0, UINT64_MAX);
+  }
   /// Returns up to MaxBytes bytes from Offset on; fewer only at the end of the
   /// file.
   virtual Outcome<std::string> readPart(const std::string &Path,
--- a/src/replication/GroupBootstrap.cpp
+++ b/src/replication/GroupBootstrap.cpp
@@ -67,8 +67,7 @@
   // Only the incarnation that asked last is kept; a live one asks again.
   JoinRequests_[Asker.Name_] = Asker.Incarnation_;
   const std::vector<Member> &First = Local.InitialMembers_;
-  bool IsFirst = std::find(First.begin(), First.end(),
-                           Member{Asker, MemberRole::Voter}) != First.end();
+  const bool IsFirst = hasVoter(First, Asker);
   if (isCoordinator() && IsFirst) {
     Out.Messages_.push_back(make(Asker, BootstrapGroup{First}));
     return;
@@ -121,9 +120,7 @@
                                  BootstrapOutputs &Out) {
   bool IsPromised = From.From_.Incarnation_ == Owner_.CoordinatorPromise_ &&
                     From.From_.Name_ == *InitialVoters_.begin();
-  bool IsMember =
-      std::find(Body.Members_.begin(), Body.Members_.end(),
-                Member{Owner_.Self_, MemberRole::Voter}) != Body.Members_.end();
+  const bool IsMember = hasVoter(Body.Members_, Owner_.Self_);
   if (IsPromised && IsMember)
     Out.BootstrapMembers_ = Body.Members_;
 }
--- a/src/replication/GroupFounding.cpp
+++ b/src/replication/GroupFounding.cpp
@@ -13,11 +13,6 @@
 /// outlasts the saves of slow disks.
 constexpr unsigned MaxDoublings = 4;
 
-static bool isVoterOf(const std::vector<Member> &Members, const MemberId &Id) {
-  return std::find(Members.begin(), Members.end(),
-                   Member{Id, MemberRole::Voter}) != Members.end();
-}
-
 GroupFounding::GroupFounding(MemberId Self, FoundingState State,
                              const FoundingSettings &Settings, TimePoint Start)
     : Self_(std::move(Self)), Settings_(Settings), State_(std::move(State)),
@@ -37,11 +32,6 @@
   return Count > State_.FirstVoters_.size() / 2;
 }
 
-bool GroupFounding::isOwnList(
-    const std::vector<std::string> &FirstVoters) const {
-  return FirstVoters == State_.FirstVoters_;
-}
-
 Message GroupFounding::make(const MemberId &To,
                             decltype(Message::Body_) Body) const {
   return {Self_, To, 0, std::move(Body)};
@@ -115,7 +105,7 @@
   for (const Member &M : Members)
     if (M.Id_ != Self_)
       Out.Messages_.push_back(make(M.Id_, FoundingResult{Members}));
-  if (isVoterOf(Members, Self_))
+  if (hasVoter(Members, Self_))
     Out.ChosenMembers_ = Members;
 }
 
@@ -201,16 +191,16 @@
     return Out;
   }
   if (const auto *Result = std::get_if<FoundingResult>(&From.Body_);
-      Result && isVoterOf(Result->Members_, Self_))
+      Result && hasVoter(Result->Members_, Self_))
     Out.ChosenMembers_ = Result->Members_;
   if (!Rank_)
     return Out;
   // Another founder is at work, which a higher ballot would only hold up.
   if (Prepare || Proposal)
     NextAttempt_ = std::max(NextAttempt_, Now + getAttemptTime());
-  if (Prepare && isOwnList(Prepare->FirstVoters_))
+  if (Prepare && Prepare->FirstVoters_ == State_.FirstVoters_)
     Out.Messages_.push_back(make(From.From_, promise(*Prepare, Out)));
-  if (Proposal && isOwnList(Proposal->FirstVoters_))
+  if (Proposal && Proposal->FirstVoters_ == State_.FirstVoters_)
     if (const auto Acceptance = accept(*Proposal, Out))
       Out.Messages_.push_back(make(From.From_, *Acceptance));
   if (const auto *Promise = std::get_if<FoundingPromise>(&From.Body_))
--- a/src/replication/GroupFounding.h
+++ b/src/replication/GroupFounding.h
@@ -77,7 +77,6 @@
   };
 
   bool isMajority(std::size_t Count) const;
-  bool isOwnList(const std::vector<std::string> &FirstVoters) const;
   Duration getAttemptTime() const;
   void beginAttempt(TimePoint Now);
   void advance(TimePoint Now, FoundingOutputs &Out);
--- a/src/replication/LogMessages.h
+++ b/src/replication/LogMessages.h
@@ -156,6 +156,11 @@
   bool operator==(const Message &) const = default;
 };
 
+/// Returns whether the message has one of these bodies.
+template <class... Bodies> bool isAnyOf(const Message &Msg) {
+  return (std::holds_alternative<Bodies>(Msg.Body_) || ...);
+}
+
 } // namespace tulipweir::replication
 
 #endif // TULIPWEIR_REPLICATION_LOGMESSAGES_H
--- a/src/replication/LogTypes.h
+++ b/src/replication/LogTypes.h
@@ -11,6 +11,7 @@
 
 #include "replication/CommandBytes.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -20,6 +21,12 @@
 
 enum class EntryKind : std::uint8_t { NoOp, Command, Membership };
 
+/// Returns whether Members has the voter Id.
+inline bool hasVoter(const std::vector<Member> &Members, const MemberId &Id) {
+  return std::find(Members.begin(), Members.end(),
+                   Member{Id, MemberRole::Voter}) != Members.end();
+}
+
 /// One entry of the log. Indexes start at 1 and have no gaps.
 struct LogEntry {
   std::uint64_t Term_ = 0;
--- a/src/replication/LogWriter.cpp
+++ b/src/replication/LogWriter.cpp
@@ -26,11 +26,12 @@
 }
 
 /// Merges adjacent jobs into batches of at most MaxBatch entries and
-/// MaxBatchBytes. A single job with more is kept; append() splits it.
+/// MaxBatchBytes. A single job with more is kept; append() splits it. Only the
+/// first job may have a checkpoint, as submit() drops those before it.
 static std::vector<WriteJob> merge(std::vector<WriteJob> Jobs,
                                    std::uint64_t MaxBatch) {
   std::vector<WriteJob> Merged;
-  std::uint64_t LastBytes = 0; ///< Of the last merged job.
+  std::uint64_t LastBytes = 0; ///< The bytes in the last merged job.
   for (WriteJob &Job : Jobs) {
     const std::uint64_t Bytes = countBytes(Job.Batch_.Entries_);
     bool CanJoin =
@@ -50,7 +51,6 @@
     Last.HasBatch_ |= Job.HasBatch_;
     appendMoved(Last.Batch_.Entries_, Job.Batch_.Entries_);
     appendMoved(Last.Messages_, Job.Messages_);
-    Last.Checkpoint_ = std::move(Job.Checkpoint_);
     if (Job.LastAppended_)
       Last.LastAppended_ = Job.LastAppended_;
   }
@@ -123,6 +123,10 @@
 
 /// Writes the batch with as few syncs as MaxBatch_ and MaxBatchBytes allow.
 Outcome<void> LogWriter::append(const LogBatch &Batch) {
+  const bool FitsAtOnce = Batch.Entries_.size() <= MaxBatch_ &&
+                          countBytes(Batch.Entries_) <= MaxBatchBytes;
+  if (FitsAtOnce)
+    return Storage_.append(Batch);
   LogBatch Part{Batch.Hard_, {}};
   std::uint64_t Bytes = 0;
   for (const LogEntry &Entry : Batch.Entries_) {
--- a/src/replication/PosixFileSystem.cpp
+++ b/src/replication/PosixFileSystem.cpp
@@ -98,24 +98,6 @@
   return Names;
 }
 
-Outcome<std::string> PosixFileSystem::read(const std::string &Path) {
-  Descriptor File(::open(Path.c_str(), O_RDONLY | O_CLOEXEC));
-  if (!File.isOpen())
-    return failAt("cannot open", Path);
-  std::string Bytes;
-  std::string Piece(1 << 20, '\0');
-  for (;;) {
-    ssize_t Got = ::read(File.get(), Piece.data(), Piece.size());
-    if (Got < 0 && errno == EINTR)
-      continue;
-    if (Got < 0)
-      return failAt("cannot read", Path);
-    if (Got == 0)
-      return Bytes;
-    Bytes.append(Piece, 0, static_cast<std::size_t>(Got));
-  }
-}
-
 Outcome<std::string> PosixFileSystem::readPart(const std::string &Path,
                                                std::uint64_t Offset,
                                                std::uint64_t MaxBytes) {
--- a/src/replication/PosixFileSystem.h
+++ b/src/replication/PosixFileSystem.h
@@ -16,7 +16,6 @@
 public:
   Outcome<void> makeFolder(const std::string &Path) override;
   Outcome<std::vector<std::string>> list(const std::string &Folder) override;
-  Outcome<std::string> read(const std::string &Path) override;
   Outcome<std::string> readPart(const std::string &Path, std::uint64_t Offset,
                                 std::uint64_t MaxBytes) override;
   Outcome<std::unique_ptr<AppendFile>>
--- a/src/replication/RaftCore.cpp
+++ b/src/replication/RaftCore.cpp
@@ -64,7 +64,7 @@
 bool RaftCore::hasRoomFor(const Proposal &Next) const {
   const std::uint64_t Uncommitted = Log_.countBytes(Commit_);
   return Uncommitted == 0 ||
-         Uncommitted + Next.Command_.size() <= Settings_.MaxBytesUncommitted_;
+         Uncommitted + Next.Command_.size() <= Settings_.MaxLogBytes_;
 }
 
 void RaftCore::handle(const Proposed &In) {
@@ -126,7 +126,7 @@
 /// does not need one snapshot after the other.
 std::uint64_t RaftCore::limitCompaction(const SnapshotTaken &Taken) const {
   const std::uint64_t Earliest =
-      Log_.findFirstWithin(Taken.Index_, Settings_.MaxBytesKept_);
+      Log_.findFirstWithin(Taken.Index_, Settings_.MaxLogBytes_ / 2);
   const std::uint64_t KeepAfter = std::max(Taken.KeepAfter_, Earliest);
   std::uint64_t Limited = KeepAfter;
   for (const auto &[Id, Peer] : Peers_) {
@@ -190,9 +190,7 @@
 }
 
 bool RaftCore::isVoter(const MemberId &Id) const {
-  const std::vector<Member> &All = Log_.getMembers();
-  return std::find(All.begin(), All.end(), Member{Id, MemberRole::Voter}) !=
-         All.end();
+  return hasVoter(Log_.getMembers(), Id);
 }
 
 std::size_t RaftCore::countVoters() const {
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -46,19 +46,12 @@
   std::size_t MaxEntriesPerMessage_ = 1024;
   std::size_t MaxBytesPerMessage_ = 1U << 19;
   std::size_t MaxMessagesInFlight_ = 64;
-  /// No further message with entries is sent to a member that has not confirmed
-  /// this many bytes of commands.
-  std::uint64_t MaxBytesInFlight_ = 2ULL << 20;
-  /// Proposals are refused once this many bytes of commands wait for a majority
-  /// to store them.
-  std::uint64_t MaxBytesUncommitted_ = 8ULL << 20;
   std::size_t SnapshotChunkBytes_ = 1U << 18;
   /// The maximum number of entries that are retained for live followers that
   /// lag.
   std::uint64_t MaxEntriesKept_ = 20'000;
-  /// The maximum size of the commands that are retained behind a snapshot, for
-  /// any follower. One that needs more gets the snapshot.
-  std::uint64_t MaxBytesKept_ = 4ULL << 20;
+  /// The maximum size of the commands in the log; see ReplicaSettings.
+  std::uint64_t MaxLogBytes_ = ReplicaSettings().MaxLogBytes_;
 };
 
 /// Advances the time. Arrives several times in each heartbeat interval.
--- a/src/replication/RaftLeader.cpp
+++ b/src/replication/RaftLeader.cpp
@@ -72,7 +72,7 @@
   const std::uint64_t Bytes =
       Log_.countBytes(Confirmed) - Log_.countBytes(Peer.Next_ - 1);
   return Peer.InFlight_.size() >= Settings_.MaxMessagesInFlight_ ||
-         Bytes >= Settings_.MaxBytesInFlight_;
+         Bytes >= Settings_.MaxLogBytes_ / 4;
 }
 
 void RaftCore::sendAppend(const MemberId &To, Progress &Peer,
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -20,9 +20,7 @@
   Core.HeartbeatInterval_ = From.HeartbeatInterval_;
   Core.Seed_ = From.Seed_ ^ Self.Incarnation_;
   Core.MaxMessagesInFlight_ = From.MaxMessagesInFlight_;
-  Core.MaxBytesKept_ = From.MaxLogBytes_ / 2;
-  Core.MaxBytesInFlight_ = From.MaxLogBytes_ / 4;
-  Core.MaxBytesUncommitted_ = From.MaxLogBytes_;
+  Core.MaxLogBytes_ = From.MaxLogBytes_;
   return Core;
 }
 
@@ -269,22 +267,15 @@
   step(*Next);
 }
 
-static bool isFoundingMessage(const Message &Msg) {
-  return std::holds_alternative<FoundingPrepare>(Msg.Body_) ||
-         std::holds_alternative<FoundingPromise>(Msg.Body_) ||
-         std::holds_alternative<FoundingProposal>(Msg.Body_) ||
-         std::holds_alternative<FoundingAcceptance>(Msg.Body_) ||
-         std::holds_alternative<FoundingResult>(Msg.Body_);
-}
-
 void ReplicaDriver::handleMessage(const std::string &Bytes) {
   Outcome<Message> Decoded = decodeMessage(Settings_.Group_, Bytes);
   if (!Decoded || HasFailed_)
     return;
-  bool IsBootstrapMessage =
-      std::holds_alternative<JoinProbe>(Decoded.value().Body_) ||
-      std::holds_alternative<JoinReply>(Decoded.value().Body_) ||
-      std::holds_alternative<BootstrapGroup>(Decoded.value().Body_);
+  const bool IsBootstrapMessage =
+      isAnyOf<JoinProbe, JoinReply, BootstrapGroup>(Decoded.value());
+  const bool IsFoundingMessage =
+      isAnyOf<FoundingPrepare, FoundingPromise, FoundingProposal,
+              FoundingAcceptance, FoundingResult>(Decoded.value());
   const std::optional<MemberId> &Leader = Core_.getLeader();
   const bool IsForLeader =
       std::holds_alternative<JoinProbe>(Decoded.value().Body_) && Leader &&
@@ -299,7 +290,7 @@
   }
   if (IsBootstrapMessage)
     processOutputs(Bootstrap_.receive(Decoded.value(), getLocalState()));
-  else if (isFoundingMessage(Decoded.value()))
+  else if (IsFoundingMessage)
     processOutputs(
         Founding_.receive(Decoded.value(), Time_.now(), getFoundingState()));
   else
--- a/tests/replication/FaultyFiles.h
+++ b/tests/replication/FaultyFiles.h
@@ -34,20 +34,17 @@
     return Names;
   }
 
-  Outcome<std::string> read(const std::string &Path) override {
-    auto Found = Names_.find(Path);
-    if (Found == Names_.end())
-      return fail(ErrorCode::StorageFailed, "no " + Path);
-    return recordRead(Found->second->Written_);
-  }
-
   Outcome<std::string> readPart(const std::string &Path, std::uint64_t Offset,
                                 std::uint64_t MaxBytes) override {
     auto Found = Names_.find(Path);
     if (Found == Names_.end())
       return fail(ErrorCode::StorageFailed, "no " + Path);
     const std::string &All = Found->second->Written_;
-    return recordRead(All.substr(std::min(Offset, All.size()), MaxBytes));
+    const std::uint64_t Begin = std::min<std::uint64_t>(Offset, All.size());
+    std::string Part = All.substr(Begin, MaxBytes);
+    BytesRead_ += Part.size();
+    MaxRead_ = std::max(MaxRead_, Part.size());
+    return Part;
   }
 
   Outcome<std::unique_ptr<AppendFile>>
@@ -167,11 +164,6 @@
     const FileRef File_;
   };
 
-  std::string recordRead(std::string Read) {
-    BytesRead_ += Read.size();
-    MaxRead_ = std::max(MaxRead_, Read.size());
-    return Read;
-  }
   static Outcome<void> failNow() {
     return fail(ErrorCode::StorageFailed, "the power is gone");
   }
--- a/tests/replication/RaftCoreTest.cpp
+++ b/tests/replication/RaftCoreTest.cpp
@@ -474,7 +474,7 @@
   becomeLeader();
   sync();
   acknowledge(B, last());
-  const std::string Large(CoreSettings().MaxBytesUncommitted_ + 1, 'x');
+  const std::string Large(CoreSettings().MaxLogBytes_ + 1, 'x');
   EXPECT_EQ(step(Proposed{{{7, Large}}}).Accepted_.size(), 1U);
   EXPECT_EQ(step(Proposed{{{8, "small"}}}).Accepted_.size(), 0U);
   sync();
