One function adds a group's gauges, and twins of the change are gone

Cause (read in the diff): both kinds of control looped over the gauges, and read the status of a replica that may be closed, each in their own way; the number of the last failed run was kept for tasks that are no gang's, where nothing reads it; two tests of copies made the same job.

Change: addReplicaGauges(), ControlNode::Impl::getStatus(), makeSpeculativeJob(); the number is kept for gangs only. Nothing that a test or an operator sees changes.

--- a/include/tulipweir/jobs/JobRegistry.h
+++ b/include/tulipweir/jobs/JobRegistry.h
@@ -53,7 +53,7 @@
   TaskState State_ = TaskState::Waiting;
   std::uint64_t LastRun_ = 0; ///< 0 if it was never placed.
   std::uint64_t FailedRuns_ = 0;
-  std::uint64_t LastFailedRun_ = 0;   ///< 0 if none has failed.
+  std::uint64_t LastFailedRun_ = 0;   ///< Of a gang; 0 if none has failed.
   std::string Checkpoint_;            ///< From which the next run resumes.
   std::vector<Placement> Placements_; ///< More than one only with a copy.
   /// The latest placements that ended with the removal of their servers. The
--- a/include/tulipweir/replication/ReplicaGauges.h
+++ b/include/tulipweir/replication/ReplicaGauges.h
@@ -61,6 +61,18 @@
     {"tulipweir_group_members", "Members of the group",
      [](const ReplicaStatus &S) { return double(S.Members_.size()); }}};
 
+/// Adds all gauges to Registry. ReadStatus is called at each scrape, from any
+/// thread.
+template <class Metrics, class ReadStatus>
+void addReplicaGauges(Metrics &Registry, const std::string &Group,
+                      ReadStatus Status) {
+  for (const ReplicaGauge &Gauge : ReplicaGauges)
+    Registry.addGauge(
+        Gauge.Name_, Gauge.Help_,
+        [Status, Read = Gauge.Read_] { return Read(Status()); },
+        "group=\"" + Group + "\"");
+}
+
 } // namespace tulipweir::replication
 
 #endif // TULIPWEIR_REPLICATION_REPLICAGAUGES_H
--- a/src/control/ControlMetrics.cpp
+++ b/src/control/ControlMetrics.cpp
@@ -34,11 +34,8 @@
                               const replication::Replica &Replica,
                               const ReplicationTransport &Out) {
   const std::string Labels = "group=\"" + Group + "\"";
-  for (const replication::ReplicaGauge &Gauge : replication::ReplicaGauges)
-    Registry.addGauge(
-        Gauge.Name_, Gauge.Help_,
-        [&Replica, Read = Gauge.Read_] { return Read(Replica.getStatus()); },
-        Labels);
+  replication::addReplicaGauges(Registry, Group,
+                                [&Replica] { return Replica.getStatus(); });
   Registry.addGauge(
       "tulipweir_group_sent_messages_total", "Replication messages sent",
       [&Out] { return double(Out.getMessageCount()); }, Labels);
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -320,10 +320,10 @@
     updateReadyStep(Job, Occurrence, End.Task_.Step_);
 }
 
-/// Saves what the task resumes from; its placement has just ended. The members
-/// of a gang resume from one value, which any of them may have saved: those
-/// whose run has ended share it, so that it is the same for all once the last
-/// one has ended. Members that still run keep what their run began with.
+/// Saves the checkpoint of a run whose placement has just ended. All members of
+/// a gang resume from one checkpoint, which any of them may have saved: members
+/// whose run has ended share it, so it is the same for all once the last run
+/// has ended. Members that still run keep the checkpoint their run began with.
 void JobRegistry::saveCheckpoint(const StepSpec &Spec, StepRecord &Step,
                                  TaskRecord &Task, const TaskEnd &End) {
   if (!Spec.Gang_) {
@@ -337,7 +337,7 @@
                      return &Record != &Task && Record.Placements_.empty();
                    });
   const bool HasOther = Other != Step.Tasks_.end();
-  // A server that was removed saved it before the others ended.
+  // The last report of a removed server is older than the ends of the others.
   const bool IsOutdated = End.Outcome_ == RunOutcome::LeaseExpired &&
                           HasOther && !Other->Checkpoint_.empty();
   if (End.Checkpoint_.empty() || IsOutdated) {
@@ -358,7 +358,6 @@
                                TaskRecord &Task, std::uint64_t Run) {
   if (!Spec.Gang_) {
     ++Task.FailedRuns_;
-    Task.LastFailedRun_ = std::max(Task.LastFailedRun_, Run);
     return;
   }
   for (TaskRecord &Record : Step.Tasks_) {
--- a/src/jobservice/ControlNode.cpp
+++ b/src/jobservice/ControlNode.cpp
@@ -95,6 +95,12 @@
     const std::lock_guard Hold(Lock_);
     return Instance_;
   }
+  /// Returns an empty status while the replica is closed.
+  replication::ReplicaStatus getStatus() const {
+    const std::shared_ptr<ReplicaInstance> Instance = getInstance();
+    return Instance ? Instance->Replica_->getStatus()
+                    : replication::ReplicaStatus();
+  }
   std::shared_ptr<const jobs::LoadStatus> readLoad() const {
     return LoadMeter_.read();
   }
@@ -105,7 +111,6 @@
 
 private:
   Outcome<void> openReplica();
-  void addReplicaMetrics();
   void checkReplica();
   void transferIfSlow(const ReplicaInstance &Instance,
                       const replication::ReplicaStatus &Status);
@@ -171,26 +176,15 @@
   return succeed();
 }
 
-void ControlNode::Impl::addReplicaMetrics() {
-  const std::string Labels = std::string("group=\"") + GroupName + "\"";
-  for (const replication::ReplicaGauge &Gauge : replication::ReplicaGauges)
-    Metrics_.addGauge(
-        Gauge.Name_, Gauge.Help_,
-        [Weak = weak_from_this(), Read = Gauge.Read_] {
-          const std::shared_ptr<Impl> Self = Weak.lock();
-          const std::shared_ptr<ReplicaInstance> Instance =
-              Self ? Self->getInstance() : nullptr;
-          return Instance ? Read(Instance->Replica_->getStatus()) : 0.0;
-        },
-        Labels);
-}
-
 Outcome<void> ControlNode::Impl::start() {
   Router_.setOwner(weak_from_this());
   OperatorCalls_.setOwner(weak_from_this());
   if (Outcome<void> Opened = openReplica(); !Opened)
     return Opened;
-  addReplicaMetrics();
+  replication::addReplicaGauges(Metrics_, GroupName, [Weak = weak_from_this()] {
+    const std::shared_ptr<Impl> Self = Weak.lock();
+    return Self ? Self->getStatus() : replication::ReplicaStatus();
+  });
   net::Endpoint Listen;
   Listen.Address_ = net::Endpoint::parse(Settings_.Name_).value().Address_;
   Listen.Port_ = Settings_.LinkPort_;
@@ -491,14 +485,11 @@
 }
 
 std::string ControlNode::getLeader() const {
-  const std::shared_ptr<ReplicaInstance> Instance = Impl_->getInstance();
-  return Instance ? Instance->Replica_->getStatus().LeaderName_ : "";
+  return Impl_->getStatus().LeaderName_;
 }
 
 replication::ReplicaStatus ControlNode::getStatus() const {
-  const std::shared_ptr<ReplicaInstance> Instance = Impl_->getInstance();
-  return Instance ? Instance->Replica_->getStatus()
-                  : replication::ReplicaStatus{};
+  return Impl_->getStatus();
 }
 
 std::string ControlNode::makeDump() const {
--- a/tests/jobs/JobRegistryTest.cpp
+++ b/tests/jobs/JobRegistryTest.cpp
@@ -6,6 +6,13 @@
 using namespace tulipweir::jobs;
 using namespace tulipweir::jobs::test;
 
+/// Returns a job of one task, of which a copy may run.
+static JobSpec makeSpeculativeJob() {
+  StepSpec Step = makeStep(1, 100);
+  Step.Speculative_ = true;
+  return makeJob("j", {Step});
+}
+
 TEST_F(JobRegistryTest, AJobIsAcceptedOnceUnderItsId) {
   EXPECT_EQ(submit(makeJob("j", {makeStep(1, 100)})), CommandStatus::Done);
   EXPECT_EQ(submit(makeJob("j", {makeStep(5, 100)})),
@@ -282,9 +289,7 @@
 }
 
 TEST_F(JobRegistryTest, ACopyMayRunBesideASpeculativeTask) {
-  StepSpec Step = makeStep(1, 100);
-  Step.Speculative_ = true;
-  submit(makeJob("j", {Step}));
+  submit(makeSpeculativeJob());
   EXPECT_TRUE(start(makeStart("j", 0, "s1", 1)));
   EXPECT_FALSE(start(makeStart("j", 0, "s1", 2)));
   EXPECT_TRUE(start(makeStart("j", 0, "s2", 2)));
@@ -298,9 +303,7 @@
 // Guards against a failure that is not counted because a copy that started
 // later failed first: the task would get more runs than its queue allows.
 TEST_F(JobRegistryTest, FailuresOfCopiesCountInAnyOrder) {
-  StepSpec Step = makeStep(1, 100);
-  Step.Speculative_ = true;
-  submit(makeJob("j", {Step}));
+  submit(makeSpeculativeJob());
   EXPECT_TRUE(start(makeStart("j", 0, "s1", 1)));
   EXPECT_TRUE(start(makeStart("j", 0, "s2", 2)));
   end(makeStart("j", 0, "s2", 2), RunOutcome::Failed);
