--- a/tests/jobs/FullFleet.h
+++ b/tests/jobs/FullFleet.h
@@ -81,6 +81,9 @@
   RecordingEventLog Log_;
 
 private:
+  /// Before the first loss the fleet fills up.
+  static constexpr Duration FillTime = std::chrono::seconds(6);
+
   static constexpr Duration Step = std::chrono::milliseconds(10);
   /// Three seconds more than the longest lease and the removal of the server.
   static constexpr Duration LongAbsence = std::chrono::seconds(9);
--- a/tests/jobservice/ChangingLeaders.h
+++ b/tests/jobservice/ChangingLeaders.h
@@ -165,6 +165,8 @@
   std::vector<std::string> Events_;
 
 private:
+  /// Returns the time in seconds.
+  static std::string formatTime(Duration Time);
   static constexpr Duration Step = std::chrono::milliseconds(5);
 
   using TaskKey = jobs::TaskKey;
