--- a/include/tulipweir/core/EventLog.h
+++ b/include/tulipweir/core/EventLog.h
@@ -58,8 +58,8 @@
   Maintenance,    ///< A wave of maintenance, or one VM of it.
   Evacuation,     ///< Of a data centre: begun, or over.
   LeaderLoad,     ///< What a leader did in the last second.
-  LogRecovered,   ///< What a control read of its log at start.
-  SnapshotsEarly, ///< Whether the log's size makes snapshots early.
+  LogRecovered,   ///< A control has read its log at start.
+  SnapshotsEarly, ///< The log's size began or ceased to make snapshots early.
 };
 
 inline constexpr std::size_t EventKinds =
--- a/include/tulipweir/replication/Replica.h
+++ b/include/tulipweir/replication/Replica.h
@@ -78,13 +78,13 @@
   /// that is larger than these entries is saved less often, after up to eight
   /// times this number.
   std::uint64_t SnapshotEvery_ = 5'000;
-  /// The maximum size in bytes of the commands in the log. A snapshot is due
-  /// once half of it was applied since the last one, and the other half may
-  /// stay behind a snapshot for slow followers. A state that is larger than
-  /// this exceeds it, and uncommitted entries by as much again at most. A
-  /// quarter of it may be on its way to one member. The default is a sixteenth
-  /// of a disk of 128 MiB, on which two logs and two snapshots stand side by
-  /// side while one replaces the other.
+  /// The maximum size in bytes of the commands in the log. Half of it applied
+  /// since the last snapshot triggers the next one, and half of it is retained
+  /// behind a snapshot for slow followers. Uncommitted commands may take as
+  /// much again, and commands in flight to one member a quarter. The log may
+  /// grow to the size of a snapshot that is larger. The default is a sixteenth
+  /// of a disk of 128 MiB, which holds two logs and two snapshots during a
+  /// replacement.
   std::uint64_t MaxLogBytes_ = 8ULL << 20;
   std::uint64_t Seed_ = 0;        ///< For election jitter.
   std::uint64_t MaxBatch_ = 1024; ///< Entries per sync; 1 disables batching.
@@ -115,10 +115,10 @@
   std::string Result_;
 };
 
-/// What a replica read when its folder was opened.
+/// The amount of data that a replica read when its folder was opened.
 struct Recovery {
   std::uint64_t Entries_ = 0;
-  std::uint64_t Bytes_ = 0; ///< Of the log and of the snapshot's state.
+  std::uint64_t Bytes_ = 0; ///< The size of the log and the snapshot.
   Duration Time_{};
 };
 
@@ -132,13 +132,16 @@
   std::uint64_t LogBytes_ = 0;
   /// The size of the commands in the log, in memory.
   std::uint64_t RetainedBytes_ = 0;
-  std::uint64_t BytesSinceSnapshot_ = 0; ///< Of the commands applied since.
-  std::uint64_t SnapshotBytes_ = 0;      ///< The size of the last snapshot.
+  /// The size of the commands applied since the last snapshot.
+  std::uint64_t BytesSinceSnapshot_ = 0;
+  std::uint64_t SnapshotBytes_ = 0; ///< The size of the last snapshot.
   std::uint64_t Snapshots_ = 0;
-  /// Those of Snapshots_ that were due to the size of the log alone.
+  /// The number of snapshots triggered by the size of the log, before
+  /// SnapshotEvery_ entries.
   std::uint64_t SnapshotsForSize_ = 0;
-  std::uint64_t QueuedBytes_ = 0; ///< Of the commands waiting for the disk.
-  /// Proposals refused because too much was uncommitted.
+  /// The size of the commands queued for the disk.
+  std::uint64_t QueuedBytes_ = 0;
+  /// The number of proposals refused because uncommitted entries fill the log.
   std::uint64_t RefusedProposals_ = 0;
   Recovery Recovery_;
   std::uint64_t Syncs_ = 0;
--- a/include/tulipweir/replication/ReplicaGauges.h
+++ b/include/tulipweir/replication/ReplicaGauges.h
@@ -50,7 +50,8 @@
     {"tulipweir_group_recovered_bytes",
      "Bytes of the log and the snapshot that were read at start",
      [](const ReplicaStatus &S) { return double(S.Recovery_.Bytes_); }},
-    {"tulipweir_group_recovery_seconds", "How long it took to read them",
+    {"tulipweir_group_recovery_seconds",
+     "Time in which the log and the snapshot were read at start",
      [](const ReplicaStatus &S) {
        return std::chrono::duration<double>(S.Recovery_.Time_).count();
      }},
--- a/src/jobservice/ReplicaEvents.cpp
+++ b/src/jobservice/ReplicaEvents.cpp
@@ -14,7 +14,7 @@
                     Status.Recovery_.Time_)
                     .count();
   Line.Reason_ = std::to_string(Status.Recovery_.Bytes_) +
-                 " bytes of log and snapshot were read";
+                 " bytes of log and snapshot recovered";
   Log_.write(Line);
   Snapshots_ = Status.Snapshots_;
   SnapshotsForSize_ = Status.SnapshotsForSize_;
@@ -54,7 +54,7 @@
   Line.Kind_ = EventKind::SnapshotsEarly;
   Line.Count_ = Status.SnapshotBytes_;
   Line.Outcome_ = AreEarly ? "by size" : "by number";
-  Line.Reason_ = "the log keeps " + std::to_string(Status.RetainedBytes_) +
+  Line.Reason_ = "the log retains " + std::to_string(Status.RetainedBytes_) +
                  " bytes of commands";
   Log_.write(Line);
 }
--- a/src/jobservice/ReplicaEvents.h
+++ b/src/jobservice/ReplicaEvents.h
@@ -15,10 +15,10 @@
 public:
   explicit ReplicaEvents(EventLog &Log) : Log_(Log) {}
 
-  /// Logs what was read when the replica was opened.
+  /// Logs the size and the time of the replica's recovery.
   void logRecovery(const replication::ReplicaStatus &Status);
-  /// Logs changes of the members, and whether snapshots are taken early because
-  /// of the size of the log.
+  /// Logs changes of the members, and when the size of the log begins or ceases
+  /// to trigger snapshots.
   void update(const replication::ReplicaStatus &Status);
 
 private:
--- a/src/replication/FolderStorage.cpp
+++ b/src/replication/FolderStorage.cpp
@@ -35,7 +35,7 @@
 
 /// The content of the file BootstrapName.
 struct StoredBootstrap {
-  MemberId Self_; ///< The incarnation that has made the promises.
+  MemberId Self_; ///< The incarnation that made the promises.
   BootstrapState State_;
 };
 
--- a/src/replication/FrameReader.h
+++ b/src/replication/FrameReader.h
@@ -36,7 +36,7 @@
   FileSystem &Files_;
   const std::string Path_;
   std::string Window_;
-  std::uint64_t WindowOffset_ = 0; ///< Of the window within the file.
+  std::uint64_t WindowOffset_ = 0; ///< The offset of the window in the file.
   std::size_t Used_ = 0;           ///< Bytes of the window that were read.
   bool HasEnded_ = false;          ///< The window reaches the end of the file.
 };
--- a/src/replication/LogStorage.h
+++ b/src/replication/LogStorage.h
@@ -35,7 +35,7 @@
 public:
   virtual ~LogStorage() = default;
   virtual Outcome<void> saveIdentity(const Identity &Owner) = 0;
-  /// Saves what the member remembers of the bootstrap of its group.
+  /// Returns once the member's state in the bootstrap of its group is durable.
   virtual Outcome<void> saveBootstrap(const MemberId &Self,
                                       const BootstrapState &State) = 0;
   /// Returns once the batch is durable.
--- a/src/replication/LogTypes.h
+++ b/src/replication/LogTypes.h
@@ -55,8 +55,7 @@
   bool operator==(const Snapshot &) const = default;
 };
 
-/// What an initial voter remembers of the bootstrap of its group; see
-/// MajorityBootstrap.
+/// The durable state of an initial voter in MajorityBootstrap.
 struct BootstrapState {
   /// The names of all initial voters; empty if this member is none.
   std::vector<std::string> InitialVoters_;
--- a/src/replication/MajorityBootstrap.cpp
+++ b/src/replication/MajorityBootstrap.cpp
@@ -61,7 +61,7 @@
   Attempt_ = Attempt{};
   Attempt_->Ballot_ = HighestBallot_;
   Attempt_->Begin_ = Now;
-  // Proposers that supersede each other get apart by chance.
+  // Jitter separates proposers that supersede each other.
   const Duration Time = getAttemptTime();
   const auto Jitter =
       std::uniform_int_distribution<Duration::rep>(0, Time.count())(Random_);
@@ -69,7 +69,8 @@
   ++Attempts_;
 }
 
-/// Takes the attempt as far as the answers allow, this member's own included.
+/// Enters the next phase of the attempt if enough members have answered. This
+/// member answers its own requests.
 void MajorityBootstrap::advance(TimePoint Now, MajorityBootstrapOutputs &Out) {
   if (Attempt_->Promised_.count(Self_.Name_) == 0)
     recordPromise(Self_,
@@ -88,7 +89,8 @@
          (HasAll || HasWaited);
 }
 
-/// Proposes what may have been chosen before, or else all that have promised.
+/// Proposes the members that may have been chosen before, or else all members
+/// that have promised.
 void MajorityBootstrap::propose(MajorityBootstrapOutputs &Out) {
   std::vector<Member> &Members = Attempt_->Members_;
   Members = Attempt_->EarlierMembers_;
@@ -199,7 +201,7 @@
     Out.ChosenMembers_ = Result->Members_;
   if (!Rank_)
     return Out;
-  // Another proposer is at work, which a higher ballot would only hold up.
+  // A higher ballot would only delay the other proposer.
   if (Prepare || Proposal)
     NextAttempt_ = std::max(NextAttempt_, Now + getAttemptTime());
   if (Prepare && Prepare->InitialVoters_ == State_.InitialVoters_)
--- a/src/replication/MajorityBootstrap.h
+++ b/src/replication/MajorityBootstrap.h
@@ -1,16 +1,14 @@
-//===- MajorityBootstrap.h - First start of a group by a majority --*- C++
-//-*-===//
+//===- MajorityBootstrap.h - Bootstrap by a majority ------------*- C++ -*-===//
 //
 // The initial voters agree on the initial members of their group by
 // single-decree Paxos, so that the group is bootstrapped although some of them
-// are down or never come back. At most one list of members is ever chosen,
-// whoever proposes and however often. Free of side effects, like the core.
+// are down or never come back. At most one list of members is ever chosen, no
+// matter how many members propose. Free of side effects, like the core.
 //
-// An initial voter takes part only if it was started for the first time, which
-// its disk remembers: a member that lost its disk has forgotten its promises
-// and must not make new ones. GroupBootstrap, which needs no such knowledge but
-// the answers of all initial voters, is used where a first start cannot be told
-// from a lost disk.
+// A member takes part only if its disk records that this is its first start: a
+// member that lost its disk has forgotten its promises and must not make new
+// ones. Where a first start cannot be told from a lost disk, GroupBootstrap is
+// used, which requires a reply of every initial voter.
 //
 //===----------------------------------------------------------------------===//
 
@@ -54,7 +52,7 @@
   MajorityBootstrap(MemberId Self, BootstrapState State,
                     const MajorityBootstrapSettings &Settings, TimePoint Start);
 
-  /// Proposes if it is this member's turn, and repeats what was not answered.
+  /// Proposes if it is this member's turn, and repeats unanswered requests.
   /// Called periodically while this member is empty.
   MajorityBootstrapOutputs tick(TimePoint Now, const LocalState &Local);
 
@@ -104,9 +102,9 @@
   /// This member's position among the initial voters, unless it is none.
   std::optional<std::size_t> Rank_;
   std::mt19937_64 Random_;
-  std::uint64_t HighestBallot_; ///< That this member has heard of.
+  std::uint64_t HighestBallot_; ///< The highest ballot heard of.
   TimePoint NextAttempt_;
-  unsigned Attempts_ = 0; ///< Begun by this member.
+  unsigned Attempts_ = 0; ///< The number of attempts begun.
   std::optional<Attempt> Attempt_;
 };
 
--- a/src/replication/RaftCore.cpp
+++ b/src/replication/RaftCore.cpp
@@ -59,8 +59,8 @@
   std::visit([&](const auto &Body) { onMessage(From, Body); }, From.Body_);
 }
 
-/// Returns whether the command may be appended. Uncommitted entries cannot be
-/// replaced by a snapshot, so a group whose disks hang must not collect them.
+/// Returns whether the command may be appended. A snapshot cannot replace
+/// uncommitted entries, which accumulate while the disks of a majority hang.
 bool RaftCore::hasRoomFor(const Proposal &Next) const {
   const std::uint64_t Uncommitted = Log_.countBytes(Commit_);
   return Uncommitted == 0 ||
--- a/src/replication/RaftCore.h
+++ b/src/replication/RaftCore.h
@@ -168,7 +168,8 @@
   const std::optional<ChangeRequested> &getChange() const { return Change_; }
   /// When this member last became leader.
   TimePoint getLeaderSince() const { return LeaderSince_; }
-  /// Returns how many proposals were refused because too much was uncommitted.
+  /// Returns how many proposals were refused because uncommitted entries fill
+  /// the log.
   std::uint64_t countRefusedProposals() const { return RefusedProposals_; }
   /// Returns the term of the last log entry before this leader's own term.
   std::uint64_t getPreviousTerm() const { return PreviousTerm_; }
--- a/src/replication/RaftLeader.cpp
+++ b/src/replication/RaftLeader.cpp
@@ -63,8 +63,8 @@
     sendAppend(Id, Peer, false);
 }
 
-/// Returns whether as much is on its way to the member as may be. Each message
-/// waits in the member's queue for its disk, so their bytes count too.
+/// Returns whether the limits on messages and bytes in flight to the member are
+/// reached. Messages wait in the member's memory for its disk.
 bool RaftCore::isFull(const Progress &Peer) const {
   if (Peer.InFlight_.empty())
     return false;
--- a/src/replication/ReplicaDriver.cpp
+++ b/src/replication/ReplicaDriver.cpp
@@ -24,9 +24,9 @@
   return Core;
 }
 
-/// A proposer asks twice in each election timeout. An initial voter that
-/// answers none of its requests is left out, and the group bears no other loss
-/// until it has joined, so it gets time for several answers.
+/// A proposer repeats its requests twice per election timeout. The gather time
+/// allows several of them, as an initial voter that answers none is left out,
+/// and the group tolerates no further loss until it has joined.
 static MajorityBootstrapSettings
 makeMajorityBootstrapSettings(const ReplicaSettings &From) {
   return {From.ElectionTimeout_ * 4, From.ElectionTimeout_ * 6};
@@ -385,8 +385,8 @@
   Pending_.completeReads(Applied_);
 }
 
-/// Returns whether the entries since the last snapshot fill their part of the
-/// log, however few they are.
+/// Returns whether the size of the entries since the last snapshot triggers the
+/// next one, before SnapshotEvery_ entries.
 bool ReplicaDriver::isSnapshotDueForSize() const {
   return BytesSinceSnapshot_ >= std::max(SnapshotAfterBytes_, SnapshotBytes_);
 }
