Large filling jobs get their share of a full fleet

Cause: filling steps are ordered by value for the remaining work. A job's value grows less than its work, so small jobs always come first, and a queue that asks for more than there is gives large ones what is left. What had begun did not help them: running tasks counted as remaining work, and a job that was late by a moment came after all that were not, whatever was left of it. The class of fault: a strict priority without a minimum share under overload.

Change: density is the value for the work that has not started, with 0.15 of it for late jobs, which are in the same order; jobs of a size of which less than 0.95 of its share has started (QueueWork) count twice. Each of the four parts makes WideJobsTest red when taken out, and an order by arrival makes RoomIsSpentOnJobsThatEndInTime red.

--- a/src/jobs/JobValueEstimator.cpp
+++ b/src/jobs/JobValueEstimator.cpp
@@ -1,11 +1,19 @@
 #include "jobs/JobValueEstimator.h"
 
+#include <array>
+
 using namespace tulipweir;
 using namespace tulipweir::jobs;
 
 /// The fraction of an average job's value that does not depend on the job's
 /// work. Defined by the users' rules for valuing jobs.
 static constexpr double FixedFraction = 0.3;
+/// The fraction of a job's value by its lateness. Defined by the same rules.
+static constexpr std::array<double, 3> ValueByLateness = {1, 0.15, 0};
+/// How much more the jobs of a size count that is behind. A job that has not
+/// begun comes before smaller ones that have not, but not before those of which
+/// most has started.
+static constexpr double BehindFactor = 2;
 /// Work of a job that declares none, in processor seconds.
 static constexpr double MinWork = 0.001;
 
@@ -34,14 +42,17 @@
 }
 
 double JobValueEstimator::getDensity(const JobRecord &Job,
-                                     const OccurrenceRecord &Occurrence) const {
+                                     const OccurrenceRecord &Occurrence,
+                                     Lateness When) const {
   const double Total = getWork(Job);
   const auto It = Queues_.find(Job.Policy_.getKey());
   const double QueueMean = It == Queues_.end() ? Total : It->second.getMean();
-  double Remaining = MinWork;
-  for (std::size_t I = 0; I < Job.Spec_.Steps_.size(); ++I) {
-    const StepRecord &Record = Occurrence.Steps_[I];
-    Remaining += getWork(Job, I, Record.Tasks_.size() - Record.DoneCount_);
-  }
-  return (FixedFraction * QueueMean + (1 - FixedFraction) * Total) / Remaining;
+  double Waiting = MinWork;
+  for (std::size_t I = 0; I < Job.Spec_.Steps_.size(); ++I)
+    Waiting += getWork(Job, I, Occurrence.Steps_[I].Waiting_);
+  const bool IsBehind = When == Lateness::OnTime && It != Queues_.end() &&
+                        It->second.isBehind(Total);
+  return (FixedFraction * QueueMean + (1 - FixedFraction) * Total) / Waiting *
+         ValueByLateness.at(static_cast<std::size_t>(When)) *
+         (IsBehind ? BehindFactor : 1);
 }
--- a/src/jobs/JobValueEstimator.h
+++ b/src/jobs/JobValueEstimator.h
@@ -3,10 +3,10 @@
 // If there is more work than can be finished in time, running jobs in the
 // order of their due times finishes most of them late. A job has value only
 // once it is complete, and a large job has more value than a small one, but
-// less than in proportion to its size. Of the jobs that can still be on time,
-// those with the highest value per unit of remaining work run first, which
-// also finishes jobs that have already started. Deterministic: no clock, no
-// I/O.
+// less than in proportion to its size. Jobs with the highest value per unit of
+// work that has not started run first, which also finishes jobs that have
+// begun. Jobs of a size of which less has started than of others count more, as
+// large ones would hardly start else. Deterministic: no clock, no I/O.
 //
 //===----------------------------------------------------------------------===//
 
@@ -46,11 +46,11 @@
 
   // Queries.
 
-  /// Returns the value per unit of the occurrence's remaining work, by the
-  /// typical run times of its steps.
-  /// Above zero; meaningful only in comparison with other jobs.
-  double getDensity(const JobRecord &Job,
-                    const OccurrenceRecord &Occurrence) const;
+  /// Returns the value per unit of the occurrence's work that has not started,
+  /// by the typical run times of its steps.
+  /// Not negative; meaningful only in comparison with other jobs.
+  double getDensity(const JobRecord &Job, const OccurrenceRecord &Occurrence,
+                    Lateness When) const;
   /// Returns the work of the jobs by the key of their queue.
   const std::map<std::string, QueueWork> &queues() const { return Queues_; }
 
--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -179,8 +179,8 @@
   Minimum_ = {Unlimited, Unlimited, Unlimited};
   // Within a priority, long-running steps that were passed over for long come
   // first, then overdue ones that are passed over; then steps that can still
-  // meet their objective, as that chance ends soon; then long-running steps;
-  // then late ones.
+  // meet their objective, as that chance ends soon, and filling ones by value;
+  // then long-running steps; then late ones.
   // Work that was running and was lost comes before work that has not begun.
   std::vector<std::pair<std::pair<bool, Duration>, WaitingStep>> Starved;
   std::vector<std::pair<std::pair<bool, std::int64_t>, WaitingStep>>
@@ -255,8 +255,8 @@
     else if (IsFirstClass && PassedOverFor >= MinPassedOverTime)
       PassedOverSteps.emplace_back(GetRank(Waiting, Shares_ != nullptr),
                                    Waiting);
-    else if (When == Lateness::OnTime && Step.Fills_)
-      Filling.emplace_back(Value_.getDensity(Job, Occurrence), Waiting);
+    else if (When != Lateness::TooLate && Step.Fills_)
+      Filling.emplace_back(Value_.getDensity(Job, Occurrence, When), Waiting);
     else if (When == Lateness::OnTime && IsFirstClass)
       FirstClass.push_back(Waiting);
     else
