An order of steps estimates each waiting job once in 100 ms

Cause: an update of the order read the learned run times of a job's steps six times for each waiting step, up to a hundred times a second; most of a long queue is too late to be of use, and was estimated like the rest.

Change: JobValueEstimator keeps what it read of a job for 100 ms, the age that an order may have anyway; a job whose limit has passed is too late without an estimate; filling steps skip the checks of work that reserves processors.

Ruled out: estimates kept for 500 ms; LongTasksTest (10, 2) then quarantined a sound server.

--- a/src/jobs/DispatcherSteps.cpp
+++ b/src/jobs/DispatcherSteps.cpp
@@ -266,5 +266,5 @@
     return;
   getHeadroom(Plan).place(Step.Image_, Step.Need_.MilliCpus_);
   if (Start.Run_ == 1)
-    Order_.recordStart(*Current.Entry_.Job_, Start.Task_.Step_);
+    Order_.recordStart(*Current.Entry_.Job_, Start.Task_.Step_, Plan.Now_);
 }
--- a/src/jobs/JobValueEstimator.h
+++ b/src/jobs/JobValueEstimator.h
@@ -19,6 +19,9 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace tulipweir::jobs {
 
@@ -29,6 +32,15 @@
   TooLate, ///< It is worth nothing, though it still has to run.
 };
 
+/// What a job needs, by the typical run times of its steps. Work is in
+/// processor seconds.
+struct JobEstimate {
+  std::vector<Duration> RunTimes_; ///< By step.
+  std::vector<double> TaskWork_;   ///< The work of one task, by step.
+  double Work_ = 0;
+  TimePoint ReadAt_{};
+};
+
 /// Not thread-safe.
 class JobValueEstimator {
 public:
@@ -38,30 +50,38 @@
 
   // Commands.
 
-  void reset() { Queues_.clear(); }
+  void reset();
   /// Adds the job to the work of its queue; call once per job.
-  void addJob(const JobRecord &Job);
+  void addJob(const JobRecord &Job, TimePoint Now);
   /// Records the first start of one of the step's tasks.
-  void recordStart(const JobRecord &Job, std::uint64_t Step);
+  void recordStart(const JobRecord &Job, std::uint64_t Step, TimePoint Now);
+  /// Returns what the job needs, as of a moment ago at most: learned run times
+  /// change slowly, and an order reads them for each waiting step. Valid until
+  /// the next command.
+  const JobEstimate &estimate(const JobRecord &Job, TimePoint Now);
+  /// Forgets the jobs that have not been asked for lately.
+  void prune(TimePoint Now);
+  /// Returns how many jobs were estimated anew since the last call.
+  std::uint64_t takeEstimates() { return std::exchange(EstimatesMade_, 0); }
 
   // Queries.
 
-  /// Returns the value per unit of the occurrence's work that has not started,
-  /// by the typical run times of its steps.
+  /// Returns the value per unit of the occurrence's work that has not started.
   /// Not negative; meaningful only in comparison with other jobs.
-  double getDensity(const JobRecord &Job, const OccurrenceRecord &Occurrence,
-                    Lateness When) const;
+  double getDensity(const JobRecord &Job, const JobEstimate &Estimate,
+                    const OccurrenceRecord &Occurrence, Lateness When) const;
   /// Returns the work of the jobs by the key of their queue.
   const std::map<std::string, QueueWork> &queues() const { return Queues_; }
 
 private:
-  /// Returns the work of so many tasks of a step, in processor seconds.
-  double getWork(const JobRecord &Job, std::uint64_t Step,
-                 std::uint64_t Tasks) const;
-  double getWork(const JobRecord &Job) const;
+  JobEstimate read(const JobRecord &Job, TimePoint Now);
 
   const RunTimeEstimator &RunTimes_;
   std::map<std::string, QueueWork> Queues_;
+  /// By the sequence number of the job.
+  std::unordered_map<std::uint64_t, JobEstimate> Estimates_;
+  std::uint64_t EstimatesMade_ = 0;
+  TimePoint NextPrune_{};
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobs/RunTimeEstimator.cpp
+++ b/src/jobs/RunTimeEstimator.cpp
@@ -349,13 +349,21 @@
                                         const OccurrenceRecord &Occurrence,
                                         std::uint64_t Step,
                                         TimePoint Now) const {
+  return getRemaining(Job, Occurrence, Step, getTypical(Job, Step), Now);
+}
+
+Duration RunTimeEstimator::getRemaining(const JobRecord &Job,
+                                        const OccurrenceRecord &Occurrence,
+                                        std::uint64_t Step, Duration Typical,
+                                        TimePoint Now) const {
   const StepRecord &Record = Occurrence.Steps_[Step];
   if (Record.DoneCount_ == Record.Tasks_.size())
     return Duration(0);
-  const Duration Whole = getTypical(Job, Step);
+  if (Record.Waiting_ > 0)
+    return Typical;
   const StepTimes *Times = findTimes(Job.Spec_.Id_, Step);
-  if (Record.Waiting_ > 0 || !Times)
-    return Whole;
+  if (!Times)
+    return Typical;
   Duration Remaining(0);
   std::size_t Known = 0;
   for (const ExpectedEnd &Each : Times->Ends_)
@@ -364,7 +372,7 @@
       ++Known;
     }
   const bool AreAllKnown = Known + Record.DoneCount_ >= Record.Tasks_.size();
-  return AreAllKnown ? Remaining : std::max(Remaining, Whole);
+  return AreAllKnown ? Remaining : std::max(Remaining, Typical);
 }
 
 bool RunTimeEstimator::doOthersAdvanceAsUsual(const JobRegistry &Registry,
--- a/src/jobs/RunTimeEstimator.h
+++ b/src/jobs/RunTimeEstimator.h
@@ -51,6 +51,10 @@
   Duration getTypical(const QueuePolicy &Queue, const StepSpec &Step) const;
   /// Returns the median of the runs of a step.
   Duration getTypical(const JobRecord &Job, std::uint64_t Step) const;
+  /// Like the next function, with what getTypical returned for the step.
+  Duration getRemaining(const JobRecord &Job,
+                        const OccurrenceRecord &Occurrence, std::uint64_t Step,
+                        Duration Typical, TimePoint Now) const;
   /// Returns the typical time until the step of the occurrence is done, once
   /// its tasks run: of a whole run while tasks wait, otherwise what its runs
   /// still need by their progress, where that is known.
--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -47,6 +47,7 @@
 /// Returns the longest chain of work that remains in an occurrence, by the
 /// typical run times of its steps.
 static std::uint64_t getRemainingMs(const RunTimeEstimator &RunTimes,
+                                    const JobEstimate &Estimate,
                                     const JobRecord &Job,
                                     const OccurrenceRecord &Occurrence,
                                     TimePoint Now) {
@@ -57,7 +58,9 @@
     Duration Begin{};
     for (const std::uint64_t Other : Step.DependsOn_)
       Begin = std::max(Begin, Ends[Other]);
-    Ends.push_back(Begin + RunTimes.getRemaining(Job, Occurrence, Index, Now));
+    Ends.push_back(Begin + RunTimes.getRemaining(Job, Occurrence, Index,
+                                                 Estimate.RunTimes_[Index],
+                                                 Now));
     Longest = std::max(Longest, Ends.back());
   }
   return static_cast<std::uint64_t>(
@@ -67,15 +70,21 @@
 Lateness SchedulingOrder::getLateness(const JobRecord &Job,
                                       const OccurrenceRecord &Occurrence,
                                       std::uint64_t DueMs, TimePoint Now,
-                                      WallTime Wall) const {
+                                      WallTime Wall) {
+  if (Job.Spec_.RepeatCount_ > 0)
+    return Lateness::OnTime;
   const std::uint64_t Allowed = DueMs - Job.AcceptedMs_;
-  const std::uint64_t End = static_cast<std::uint64_t>(Wall.count()) +
-                            getRemainingMs(RunTimes_, Job, Occurrence, Now);
-  const bool IsTimed = Job.Spec_.RepeatCount_ > 0;
-  if (IsTimed || End <= Job.AcceptedMs_ + Allowed)
+  const std::uint64_t Limit = Job.AcceptedMs_ + LateFactor * Allowed;
+  const auto Begin = static_cast<std::uint64_t>(Wall.count());
+  // Of a long queue most steps end here, at no cost.
+  if (Begin > Limit)
+    return Lateness::TooLate;
+  const std::uint64_t End =
+      Begin + getRemainingMs(RunTimes_, Value_.estimate(Job, Now), Job,
+                             Occurrence, Now);
+  if (End <= DueMs)
     return Lateness::OnTime;
-  return End <= Job.AcceptedMs_ + LateFactor * Allowed ? Lateness::Late
-                                                       : Lateness::TooLate;
+  return End <= Limit ? Lateness::Late : Lateness::TooLate;
 }
 
 /// Puts the long-running steps among these into the order of their ranks; the
@@ -95,7 +104,7 @@
     Steps[Positions[I]] = Ranked[I].second;
 }
 
-void SchedulingOrder::addNewJobs(const JobRegistry &Registry) {
+void SchedulingOrder::addNewJobs(const JobRegistry &Registry, TimePoint Now) {
   std::uint64_t Newest = LastAddedSequence_;
   std::uint64_t Previous = LastAddedSequence_;
   for (const ReadyStep &Ready : Registry.readySteps()) {
@@ -107,7 +116,7 @@
       continue;
     const JobRecord &Job = *Registry.findJob(Ready.Job_);
     if (Job.Spec_.Steps_[Ready.Step_].Fills_)
-      Value_.addJob(Job);
+      Value_.addJob(Job, Now);
     Newest = std::max(Newest, Ready.Sequence_);
   }
   LastAddedSequence_ = Newest;
@@ -172,8 +181,9 @@
   UpdatedAt_ = Now;
   Version_ = Registry.getReadyVersion();
   ForgottenVersion_ = Registry.getForgottenVersion();
+  Value_.prune(Now);
   if (HasNewSteps || IsNew)
-    addNewJobs(Registry);
+    addNewJobs(Registry, Now);
   Candidates_.clear();
   FillingImages_.clear();
   Minimum_ = {Unlimited, Unlimited, Unlimited};
@@ -242,6 +252,16 @@
         Step.LongRunning_
             ? Lateness::OnTime
             : getLateness(Job, Occurrence, Ready.DueMs_, Now, Wall);
+    // The checks below are of work that reserves processors.
+    if (Step.Fills_ && !Step.LongRunning_) {
+      if (When == Lateness::TooLate)
+        Later.at(static_cast<std::size_t>(When)).push_back(Waiting);
+      else
+        Filling.emplace_back(
+            Value_.getDensity(Job, Value_.estimate(Job, Now), Occurrence, When),
+            Waiting);
+      continue;
+    }
     const bool IsFirstClass =
         !Step.LongRunning_ || Waits.takesPrecedence(Ready, Now);
     const Duration PassedOverFor = PassedOver.getTime(Ready, Now);
@@ -255,8 +275,6 @@
     else if (IsFirstClass && PassedOverFor >= MinPassedOverTime)
       PassedOverSteps.emplace_back(GetRank(Waiting, Shares_ != nullptr),
                                    Waiting);
-    else if (When != Lateness::TooLate && Step.Fills_)
-      Filling.emplace_back(Value_.getDensity(Job, Occurrence, When), Waiting);
     else if (When == Lateness::OnTime && IsFirstClass)
       FirstClass.push_back(Waiting);
     else
--- a/src/jobs/SchedulingOrder.h
+++ b/src/jobs/SchedulingOrder.h
@@ -73,9 +73,11 @@
               const PassedOverTimes &PassedOver, const OverdueSteps &Overdue,
               TimePoint Now, WallTime Wall);
   /// Records the first start of one of a filling step's tasks.
-  void recordStart(const JobRecord &Job, std::uint64_t Step) {
-    Value_.recordStart(Job, Step);
+  void recordStart(const JobRecord &Job, std::uint64_t Step, TimePoint Now) {
+    Value_.recordStart(Job, Step, Now);
   }
+  /// Returns how many jobs were estimated anew since the last call.
+  std::uint64_t takeEstimates() { return Value_.takeEstimates(); }
 
   // Queries; all answers are as of the last update.
 
@@ -89,8 +91,8 @@
 
 private:
   Lateness getLateness(const JobRecord &Job, const OccurrenceRecord &Occurrence,
-                       std::uint64_t DueMs, TimePoint Now, WallTime Wall) const;
-  void addNewJobs(const JobRegistry &Registry);
+                       std::uint64_t DueMs, TimePoint Now, WallTime Wall);
+  void addNewJobs(const JobRegistry &Registry, TimePoint Now);
   /// A step with its records, which are valid during an update.
   struct WaitingStep {
     const ReadyStep *Ready_;
