A leader for which reports wait does its periodic work more rarely

It fell behind from the eighth second on and stayed there until the traffic ended.

Cause: the order of steps, surveys and forecasts go by the clock, so a slower leader spends a larger part of its processor on them, and the order's part grows with the queue: 60% to 75% of the strand at three times its time, while it handled 100 to 400 reports a second of 1,100. Ends and starts come with reports, so the queue grows. The class of fault: periodic work without a bound on its share of the processor.

Change: PeriodicWorkPacing doubles the intervals of these three, up to eight times, while reports wait for over 40 ms on average, and halves them below 15 ms. A leader that keeps up (2 to 4 ms) does as before. tulipweir_order_steps_read_total tells what the order reads.

Why it works: the processor that is not spent on upkeep handles reports, which end runs and start others; what is decided rests on figures that are up to 0.4 s older, less than a report interval.

--- a/include/tulipweir/jobs/JobMeter.h
+++ b/include/tulipweir/jobs/JobMeter.h
@@ -88,6 +88,7 @@
   PlansTakingRoom,  ///< They start bounded tasks there instead.
   PlansLeavingRoom, ///< They leave it free.
   PlanRecordsRead,  ///< Records of steps and tasks that plans have read.
+  OrderStepsRead,   ///< Waiting steps that updates of their order have read.
 };
 
 /// The kinds of work on which a leader spends its time.
--- a/src/jobs/Dispatcher.h
+++ b/src/jobs/Dispatcher.h
@@ -80,6 +80,8 @@
                               const LiveServerTable &LiveServers,
                               const std::string &ServerId, TimePoint Now,
                               WallTime Wall);
+  /// Sets by how much the order of steps may be older than usual.
+  void setOrderAgeFactor(std::int64_t Factor) { Order_.setAgeFactor(Factor); }
   /// Called once the starts were applied or refused; their tasks may be planned
   /// again.
   void releaseProposed(const std::vector<TaskStart> &Starts);
@@ -116,6 +118,10 @@
   /// call have read.
   std::uint64_t takeRecordsRead() { return std::exchange(RecordsRead_, 0); }
 
+  /// Returns how many waiting steps the updates of their order since the last
+  /// call have read.
+  std::uint64_t takeOrderStepsRead() { return Order_.takeStepsRead(); }
+
   OverdueSteps &overdueSteps() { return Overdue_; }
   /// Returns the plans since the last call that gave room to bounded work, or
   /// left room, into which an overdue task fits.
--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -58,6 +58,8 @@
   OpenSubmissions_.reset();
   IsProving_ = false;
   Work_.take();
+  UpkeepPacing_.reset();
+  NextSurvey_ = NextForecast_ = Now;
   Figures_ = {};
   LoadLoggedAt_ = Now;
   NextProofCheck_ = Now;
@@ -187,8 +189,10 @@
     storeProvedRuns();
     logWaits();
     logLongAbsences();
+    paceUpkeep();
     updateAdmission();
     openDueOccurrences();
+    survey();
     startGang();
     requestAdvice();
     advanceWaves();
@@ -330,20 +334,36 @@
     propose(Occurrence, [](const Outcome<CommandResult> &) {});
 }
 
+void JobLeader::Impl::paceUpkeep() {
+  UpkeepPacing_.update(Time_.now());
+  Dispatcher_.setOrderAgeFactor(UpkeepPacing_.getFactor());
+}
+
+void JobLeader::Impl::survey() {
+  const TimePoint Now = Time_.now();
+  if (Now < NextSurvey_)
+    return;
+  NextSurvey_ = Now + TickInterval * (UpkeepPacing_.getFactor() - 1);
+  const WorkTimer::Scope Measured(Work_, LeaderWork::Surveys);
+  Machine_.read([&](const JobRegistry &Registry) {
+    Dispatcher_.survey(Registry, LiveServers_, Now);
+    Shares_.update({Registry, LiveServers_, Health_,
+                    Dispatcher_.capacitySurvey(), Dispatcher_.overdueSteps(),
+                    Now, Time_.wallNow()});
+    return 0;
+  });
+  for (const Duration &Away : Shares_.takeReturns()) {
+    Meter_.add(JobCounter::TasksReturned, 1);
+    Meter_.record(JobTimer::YieldAbsence, Away);
+  }
+}
+
 void JobLeader::Impl::startGang() {
   const WorkTimer::Scope Measured(Work_, LeaderWork::Surveys);
   std::vector<TaskStart> Starts =
       Machine_.read([&](const JobRegistry &Registry) {
-        Dispatcher_.survey(Registry, LiveServers_, Time_.now());
-        Shares_.update(
-            {Registry, LiveServers_, Health_, Dispatcher_.capacitySurvey(),
-             Dispatcher_.overdueSteps(), Time_.now(), Time_.wallNow()});
         return Dispatcher_.planGang(Registry, LiveServers_, Time_.now());
       });
-  for (const Duration &Away : Shares_.takeReturns()) {
-    Meter_.add(JobCounter::TasksReturned, 1);
-    Meter_.record(JobTimer::YieldAbsence, Away);
-  }
   if (Starts.empty())
     return;
   propose(StartTasks{Starts},
--- a/src/jobs/JobLeaderAdmission.cpp
+++ b/src/jobs/JobLeaderAdmission.cpp
@@ -11,6 +11,8 @@
 /// counted in the next line.
 static constexpr std::uint64_t MaxLoggedRejections = 10;
 static constexpr Duration RejectionLogInterval = 1s;
+/// How much later the next forecast comes with each step of the pacing.
+static constexpr Duration ForecastPause = 250ms;
 /// The interval at which ids of settled proposals are removed.
 static constexpr Duration PruneInterval = 1s;
 
@@ -33,6 +35,9 @@
     return;
   const WorkTimer::Scope Measured(Work_, LeaderWork::Admission);
   const TimePoint Now = Time_.now();
+  if (Now < NextForecast_)
+    return;
+  NextForecast_ = Now + ForecastPause * (UpkeepPacing_.getFactor() - 1);
   const bool IsPruning = Now >= NextAdmissionPrune_;
   if (IsPruning)
     NextAdmissionPrune_ = Now + PruneInterval;
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -32,6 +32,7 @@
 #include "jobs/PaceController.h"
 #include "jobs/PaceSetter.h"
 #include "jobs/PendingStops.h"
+#include "jobs/PeriodicWorkPacing.h"
 #include "jobs/ReportAges.h"
 #include "jobs/ReportPacing.h"
 #include "jobs/RunStallDetector.h"
@@ -159,6 +160,9 @@
   void finishExpiryCheck(const std::string &Id, std::uint64_t Round,
                          RelayAnswer Answer);
   void openDueOccurrences();
+  /// Slows periodic work down while reports wait.
+  void paceUpkeep();
+  void survey();
   void startGang();
   void pruneEndedJobs();
   void advanceWaves();
@@ -300,6 +304,7 @@
 
   std::uint64_t Term_ = 0;
   WorkTimer Work_{Time_};
+  PeriodicWorkPacing UpkeepPacing_;
   LoadFigures Figures_;
   TimePoint LoadLoggedAt_{};
   LiveServerTable LiveServers_;
@@ -334,6 +339,8 @@
   bool IsAdvicePending_ = false; ///< A question to the advice service is open.
   TimePoint NextAdviceRequest_{};
   TimePoint NextObservation_{};
+  TimePoint NextSurvey_{};
+  TimePoint NextForecast_{};
   TimePoint NextPrune_{}; ///< When loads and planner state are pruned next.
   WavePlanner Waves_;
   TimePoint LeadingSince_{};
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -36,6 +36,7 @@
   const WorkTimer::Scope Measured(Work_, LeaderWork::Reports);
   ++Figures_.Reports_;
   Figures_.ReportsWaitedMs_ += Report.WaitedMs_;
+  UpkeepPacing_.recordReport(std::chrono::milliseconds(Report.WaitedMs_));
   resolveIncarnation(Report);
   // The ends in a late report of an ended incarnation count, but it gets no
   // orders.
@@ -218,6 +219,7 @@
                                 Time_.wallNow());
       });
   Meter_.add(JobCounter::PlanRecordsRead, Dispatcher_.takeRecordsRead());
+  Meter_.add(JobCounter::OrderStepsRead, Dispatcher_.takeOrderStepsRead());
   if (Starts.empty())
     return answer(Pending);
   deferAnswer(Pending);
--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -176,7 +176,7 @@
           ? Duration(0)
           : UpdatePausePerStep * static_cast<std::int64_t>(Candidates_.size());
   const bool HasForgotten = ForgottenVersion_ != Registry.getForgottenVersion();
-  if (!HasForgotten && Age < (HasNewSteps ? Pause : MaxAge))
+  if (!HasForgotten && Age < (HasNewSteps ? Pause : MaxAge) * AgeFactor_)
     return;
   UpdatedAt_ = Now;
   Version_ = Registry.getReadyVersion();
@@ -239,6 +239,7 @@
   std::uint64_t Priority = 0;
   for (const ReadyStep *Each : listConsidered(Registry)) {
     const ReadyStep &Ready = *Each;
+    ++StepsRead_;
     if (Ready.Priority_ != Priority)
       AddPriority();
     Priority = Ready.Priority_;
--- a/src/jobs/SchedulingOrder.h
+++ b/src/jobs/SchedulingOrder.h
@@ -19,6 +19,7 @@
 #include <limits>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace tulipweir::jobs {
@@ -68,6 +69,8 @@
   // Commands.
 
   void reset();
+  /// Sets by how much the order may be older than usual.
+  void setAgeFactor(std::int64_t Factor) { AgeFactor_ = Factor; }
   /// Recomputes the order if steps were added since, or it is too old.
   void update(const JobRegistry &Registry, ReadyTimes &Waits,
               const PassedOverTimes &PassedOver, const OverdueSteps &Overdue,
@@ -78,6 +81,8 @@
   }
   /// Returns how many jobs were estimated anew since the last call.
   std::uint64_t takeEstimates() { return Value_.takeEstimates(); }
+  /// Returns how many waiting steps the updates since the last call have read.
+  std::uint64_t takeStepsRead() { return std::exchange(StepsRead_, 0); }
 
   // Queries; all answers are as of the last update.
 
@@ -115,6 +120,8 @@
   /// Whether bounded steps that reserve processors waited at the last update.
   bool HasBounded_ = false;
   TimePoint UpdatedAt_ = TimePoint::min();
+  std::int64_t AgeFactor_ = 1;
+  std::uint64_t StepsRead_ = 0;
 };
 
 } // namespace tulipweir::jobs
--- a/src/jobservice/JobMetrics.cpp
+++ b/src/jobservice/JobMetrics.cpp
@@ -84,6 +84,8 @@
      "room=\"left\""},
     {"tulipweir_plan_records_read_total",
      "Records of steps and tasks that plans have read", ""},
+    {"tulipweir_order_steps_read_total",
+     "Waiting steps that updates of their order have read", ""},
 }};
 static constexpr std::array<HistogramText, JobMetrics::Histograms>
     HistogramTexts = {{
--- a/src/jobservice/JobMetrics.h
+++ b/src/jobservice/JobMetrics.h
@@ -16,7 +16,7 @@
 class JobMetrics final : public jobs::JobMeter {
 public:
   static constexpr auto Counters =
-      static_cast<std::size_t>(jobs::JobCounter::PlanRecordsRead) + 1;
+      static_cast<std::size_t>(jobs::JobCounter::OrderStepsRead) + 1;
   static constexpr auto Histograms =
       static_cast<std::size_t>(jobs::JobTimer::BesideRoom) + 1;
 
--- a/tests/jobs/JobLeaderLoadTest.cpp
+++ b/tests/jobs/JobLeaderLoadTest.cpp
@@ -63,3 +63,56 @@
   EXPECT_GT(Largest.Started_, 0);
   EXPECT_LT(Largest.Started_, 10);
 }
+
+namespace {
+
+class BusyLeaderTest : public JobLeaderTest {
+protected:
+  BusyLeaderTest() {
+    for (int I = 0; I < 100; ++I)
+      submit();
+  }
+  /// Lets jobs and reports come for a time, each report after this wait.
+  /// Returns how many waiting steps the updates of their order read.
+  std::uint64_t countStepsRead(Duration Time, std::uint64_t WaitedMs) {
+    const std::uint64_t Before = Meter_.Counted_[JobCounter::OrderStepsRead];
+    for (Duration Passed{}; Passed < Time; Passed += 10ms) {
+      submit();
+      ServerReport Report = makeReport("s1");
+      Report.WaitedMs_ = WaitedMs;
+      report(Report);
+      Strand_.advance(10ms);
+    }
+    return Meter_.Counted_[JobCounter::OrderStepsRead] - Before;
+  }
+
+private:
+  /// Submits a job that fits on no server.
+  void submit() {
+    call(CallKind::Submit, "job" + std::to_string(Submitted_++),
+         {makeStep(1, 100'000)});
+  }
+
+  int Submitted_ = 0;
+};
+
+} // namespace
+
+// Guards against a leader that is behind and spends its processor on what goes
+// by the clock, so that it handles even fewer reports.
+TEST_F(BusyLeaderTest, TheOrderIsUpdatedMoreRarelyWhileReportsWait) {
+  const std::uint64_t Usual = countStepsRead(1s, 2);
+  countStepsRead(1s, 200);
+  const std::uint64_t Behind = countStepsRead(1s, 200);
+  EXPECT_GT(Usual, 0U);
+  EXPECT_LT(Behind * 2, Usual) << "although more steps wait";
+}
+
+// Guards against upkeep that stays rare once the leader has caught up.
+TEST_F(BusyLeaderTest, TheOrderIsUpdatedAsUsualOnceReportsNoLongerWait) {
+  countStepsRead(2s, 200);
+  countStepsRead(1s, 2);
+  const std::uint64_t After = countStepsRead(1s, 2);
+  countStepsRead(1s, 200);
+  EXPECT_GT(After, 2 * countStepsRead(1s, 200));
+}
--- a/tests/jobs/SchedulingOrderTest.cpp
+++ b/tests/jobs/SchedulingOrderTest.cpp
@@ -151,6 +151,33 @@
   EXPECT_EQ(Order_.candidates().at(0).Step_.Job_, "lost");
 }
 
+// Guards against an order that reads the run times of each waiting job at each
+// of a hundred updates a second.
+TEST_F(SchedulingOrderTest, WaitingJobsAreEstimatedOnceInAWhile) {
+  submitMany(300);
+  update();
+  Order_.takeEstimates();
+  for (int I = 0; I < 100; ++I) {
+    Now_ += 10ms;
+    submit(makeJob("next" + std::to_string(I), {makeStep(1, 100)}));
+    update();
+  }
+  EXPECT_LE(Order_.takeEstimates(), 400U * 10);
+  EXPECT_GT(Order_.takeStepsRead(), 400U * 20);
+}
+
+// Guards against an order that spends most of its time on work that has become
+// useless while it waited.
+TEST_F(SchedulingOrderTest, JobsThatAreTooLateAreNotEstimated) {
+  submitMany(300);
+  update();
+  Order_.takeEstimates();
+  Now_ += 1h;
+  Order_.update(Registry_, Waits_, PassedOver_, Overdue_, Now_,
+                WallTime(3'600'000));
+  EXPECT_EQ(Order_.takeEstimates(), 0U);
+}
+
 namespace {
 
 /// An order with shares that are enabled.
