--- a/src/jobs/JobLeader.cpp
+++ b/src/jobs/JobLeader.cpp
@@ -58,7 +58,7 @@
   OpenSubmissions_.reset();
   IsProving_ = false;
   Work_.take();
-  UpkeepPacing_.reset();
+  PeriodicWork_.reset();
   NextSurvey_ = NextForecast_ = Now;
   Figures_ = {};
   LoadLoggedAt_ = Now;
@@ -189,7 +189,7 @@
     storeProvedRuns();
     logWaits();
     logLongAbsences();
-    paceUpkeep();
+    pacePeriodicWork();
     updateAdmission();
     openDueOccurrences();
     survey();
@@ -334,16 +334,16 @@
     propose(Occurrence, [](const Outcome<CommandResult> &) {});
 }
 
-void JobLeader::Impl::paceUpkeep() {
-  UpkeepPacing_.update(Time_.now());
-  Dispatcher_.setOrderAgeFactor(UpkeepPacing_.getFactor());
+void JobLeader::Impl::pacePeriodicWork() {
+  PeriodicWork_.update(Time_.now());
+  Dispatcher_.setOrderAgeFactor(PeriodicWork_.getFactor());
 }
 
 void JobLeader::Impl::survey() {
   const TimePoint Now = Time_.now();
   if (Now < NextSurvey_)
     return;
-  NextSurvey_ = Now + TickInterval * (UpkeepPacing_.getFactor() - 1);
+  NextSurvey_ = Now + TickInterval * (PeriodicWork_.getFactor() - 1);
   const WorkTimer::Scope Measured(Work_, LeaderWork::Surveys);
   Machine_.read([&](const JobRegistry &Registry) {
     Dispatcher_.survey(Registry, LiveServers_, Now);
--- a/src/jobs/JobLeaderAdmission.cpp
+++ b/src/jobs/JobLeaderAdmission.cpp
@@ -37,7 +37,7 @@
   const TimePoint Now = Time_.now();
   if (Now < NextForecast_)
     return;
-  NextForecast_ = Now + ForecastPause * (UpkeepPacing_.getFactor() - 1);
+  NextForecast_ = Now + ForecastPause * (PeriodicWork_.getFactor() - 1);
   const bool IsPruning = Now >= NextAdmissionPrune_;
   if (IsPruning)
     NextAdmissionPrune_ = Now + PruneInterval;
--- a/src/jobs/JobLeaderImpl.h
+++ b/src/jobs/JobLeaderImpl.h
@@ -161,7 +161,7 @@
                          RelayAnswer Answer);
   void openDueOccurrences();
   /// Slows periodic work down while reports wait.
-  void paceUpkeep();
+  void pacePeriodicWork();
   void survey();
   void startGang();
   void pruneEndedJobs();
@@ -304,7 +304,7 @@
 
   std::uint64_t Term_ = 0;
   WorkTimer Work_{Time_};
-  PeriodicWorkPacing UpkeepPacing_;
+  PeriodicWorkPacing PeriodicWork_;
   LoadFigures Figures_;
   TimePoint LoadLoggedAt_{};
   LiveServerTable LiveServers_;
--- a/src/jobs/JobLeaderReports.cpp
+++ b/src/jobs/JobLeaderReports.cpp
@@ -36,7 +36,7 @@
   const WorkTimer::Scope Measured(Work_, LeaderWork::Reports);
   ++Figures_.Reports_;
   Figures_.ReportsWaitedMs_ += Report.WaitedMs_;
-  UpkeepPacing_.recordReport(std::chrono::milliseconds(Report.WaitedMs_));
+  PeriodicWork_.recordReport(std::chrono::milliseconds(Report.WaitedMs_));
   resolveIncarnation(Report);
   // The ends in a late report of an ended incarnation count, but it gets no
   // orders.
--- a/src/jobs/PeriodicWorkPacing.h
+++ b/src/jobs/PeriodicWorkPacing.h
@@ -1,9 +1,9 @@
-//===- PeriodicWorkPacing.h - Less upkeep at a busy leader ------*- C++ -*-===//
+//===- PeriodicWorkPacing.h - Periodic work of a busy leader ----*- C++ -*-===//
 //
 // A leader spends part of its processor by the clock: on the order of steps,
 // surveys and forecasts. When reports wait for it, that part has to shrink, or
-// a slower leader would handle fewer reports for the same upkeep and never
-// catch up. Deterministic: reads no clock and does no I/O.
+// a slower leader would handle fewer reports for the same periodic work and
+// never catch up. Deterministic: reads no clock and does no I/O.
 //
 //===----------------------------------------------------------------------===//
 
--- a/tests/jobs/JobLeaderLoadTest.cpp
+++ b/tests/jobs/JobLeaderLoadTest.cpp
@@ -108,7 +108,7 @@
   EXPECT_LT(Behind * 2, Usual) << "although more steps wait";
 }
 
-// Guards against upkeep that stays rare once the leader has caught up.
+// Guards against periodic work that stays rare once the leader has caught up.
 TEST_F(BusyLeaderTest, TheOrderIsUpdatedAsUsualOnceReportsNoLongerWait) {
   countStepsRead(2s, 200);
   countStepsRead(1s, 2);
--- a/tests/jobs/PeriodicWorkPacingTest.cpp
+++ b/tests/jobs/PeriodicWorkPacingTest.cpp
@@ -1,4 +1,4 @@
-//===- PeriodicWorkPacingTest.cpp - Less upkeep at a busy leader ----------===//
+//===- PeriodicWorkPacingTest.cpp - Periodic work of a busy leader --------===//
 
 #include "jobs/PeriodicWorkPacing.h"
 
@@ -27,7 +27,7 @@
 
 } // namespace
 
-// Guards against upkeep that is put off at a leader that keeps up.
+// Guards against periodic work that is put off at a leader that keeps up.
 TEST_F(PeriodicWorkPacingTest, ReportsThatHardlyWaitChangeNothing) {
   EXPECT_EQ(run(5s, 3ms), 1);
   EXPECT_EQ(run(5s, 30ms), 1);
