--- a/src/jobs/JobValueEstimator.h
+++ b/src/jobs/JobValueEstimator.h
@@ -32,8 +32,8 @@
   TooLate, ///< It is worth nothing, though it still has to run.
 };
 
-/// What a job needs, by the typical run times of its steps. Work is in
-/// processor seconds.
+/// Run times and work of a job, by the typical run times of its steps. Work is
+/// in processor seconds.
 struct JobEstimate {
   std::vector<Duration> RunTimes_; ///< By step.
   std::vector<double> TaskWork_;   ///< The work of one task, by step.
--- a/src/jobs/QueueWork.cpp
+++ b/src/jobs/QueueWork.cpp
@@ -9,8 +9,8 @@
 /// The mean follows this many recent jobs, which is half a minute of a busy
 /// queue.
 static constexpr double MaxMeanCount = 100;
-/// What was offered and started counts half once so many jobs have come: a
-/// short time would take the arrival of a few large jobs for a lack of starts.
+/// The recorded work is halved after this many jobs. A shorter history would
+/// take the arrival of a few large jobs for a lack of starts.
 static constexpr double MaxFadingCount = 400;
 /// A size class is behind below this fraction of its share. Less than one, so
 /// that the order is by value where shares differ little.
--- a/src/jobs/SchedulingOrder.cpp
+++ b/src/jobs/SchedulingOrder.cpp
@@ -76,7 +76,7 @@
   const std::uint64_t Allowed = DueMs - Job.AcceptedMs_;
   const std::uint64_t Limit = Job.AcceptedMs_ + LateFactor * Allowed;
   const auto Begin = static_cast<std::uint64_t>(Wall.count());
-  // Of a long queue most steps end here, at no cost.
+  // Most steps of a long queue are too late and need no estimate.
   if (Begin > Limit)
     return Lateness::TooLate;
   const std::uint64_t End =
